Lay out the design, the shared interfaces and the build

Cause: the parts of the system can only grow side by side once they agree on their interfaces, words and failure rules.

--- /dev/null
+++ b/apps/kqg_node.cc
@@ -0,0 +1,3 @@
+auto main() -> int {
+  return 0;
+}
--- /dev/null
+++ b/include/kumquatgauge/platform/host_list.h
@@ -0,0 +1,42 @@
+#ifndef KUMQUATGAUGE_PLATFORM_HOST_LIST_H_
+#define KUMQUATGAUGE_PLATFORM_HOST_LIST_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "kumquatgauge/base/ids.h"
+
+namespace kumquatgauge::platform {
+
+enum class HostState { kLive, kLeaving };
+
+struct Host {
+  std::string name;
+  std::string address;  // "IP:port"
+  ZoneName zone;
+  HostState state = HostState::kLive;
+
+  auto operator==(const Host&) const -> bool = default;
+};
+
+// The platform's list of hosts; it lags behind the truth.
+struct HostListSnapshot {
+  std::uint64_t version = 0;  // Rises with every change of the list.
+  std::vector<Host> hosts;    // Ordered by name.
+
+  auto operator==(const HostListSnapshot&) const -> bool = default;
+};
+
+class HostList {
+ public:
+  virtual ~HostList() = default;
+
+  // Throws Error(kUnavailable or kTimeout) when the platform does not answer.
+  virtual auto Fetch() -> boost::asio::awaitable<HostListSnapshot> = 0;
+};
+
+}  // namespace kumquatgauge::platform
+
+#endif  // KUMQUATGAUGE_PLATFORM_HOST_LIST_H_
--- /dev/null
+++ b/include/kumquatgauge/routing/replica.h
@@ -0,0 +1,42 @@
+#ifndef KUMQUATGAUGE_ROUTING_REPLICA_H_
+#define KUMQUATGAUGE_ROUTING_REPLICA_H_
+
+#include <cstdint>
+#include <string>
+
+#include "kumquatgauge/base/ids.h"
+
+namespace kumquatgauge::routing {
+
+enum class UpstreamKind { kModelEngine, kPlainService };
+
+// One replica of a service, from the configuration and the host list.
+struct Replica {
+  ReplicaId id;
+  ServiceName service;
+  UpstreamKind kind = UpstreamKind::kModelEngine;
+  std::string address;  // "IP:port"
+  ZoneName zone;
+  bool leaving = false;        // Gets no new work.
+  std::uint32_t capacity = 1;  // Requests that it runs side by side.
+  bool checks_fencing = false;
+  bool can_resume = true;
+
+  auto operator==(const Replica&) const -> bool = default;
+};
+
+// A node as routing sees it.
+struct NodeInfo {
+  NodeId id;
+  std::uint64_t incarnation = 0;
+  ZoneName zone;
+  std::string node_address;    // "IP:port" for other nodes
+  std::string caller_address;  // "IP:port" for callers
+  bool leaving = false;        // Planned stop: takes no new work.
+
+  auto operator==(const NodeInfo&) const -> bool = default;
+};
+
+}  // namespace kumquatgauge::routing
+
+#endif  // KUMQUATGAUGE_ROUTING_REPLICA_H_
--- /dev/null
+++ b/include/kumquatgauge/upstream/service_client.h
@@ -0,0 +1,55 @@
+#ifndef KUMQUATGAUGE_UPSTREAM_SERVICE_CLIENT_H_
+#define KUMQUATGAUGE_UPSTREAM_SERVICE_CLIENT_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace kumquatgauge::upstream {
+
+struct HttpHeader {
+  std::string name;
+  std::string value;
+
+  auto operator==(const HttpHeader&) const -> bool = default;
+};
+
+struct ServiceRequest {
+  std::string method;
+  std::string target;  // Path and query as the service sees them.
+  std::vector<HttpHeader> headers;
+  std::string body;
+
+  auto operator==(const ServiceRequest&) const -> bool = default;
+};
+
+struct ServiceResponse {
+  int status = 0;
+  std::vector<HttpHeader> headers;
+  std::string body;
+
+  auto operator==(const ServiceResponse&) const -> bool = default;
+};
+
+// HTTP client for plain services. One instance per io_context.
+class ServiceClient {
+ public:
+  virtual ~ServiceClient() = default;
+
+  // Sends the request once; never retries by itself. A request that may not be
+  // repeated is sent on a fresh connection, so that a connection which the
+  // service has just closed cannot leave its outcome in doubt. Errors:
+  //   kUnavailable: no byte of the request was written; it has not run.
+  //   kUnknownOutcome: bytes may have left and no whole answer came back.
+  virtual auto Send(std::string address,
+                    ServiceRequest request,
+                    bool repeatable,
+                    std::chrono::milliseconds timeout)
+      -> boost::asio::awaitable<ServiceResponse> = 0;
+};
+
+}  // namespace kumquatgauge::upstream
+
+#endif  // KUMQUATGAUGE_UPSTREAM_SERVICE_CLIENT_H_
