--- /dev/null
+++ b/include/kumquatgauge/base/log.h
@@ -0,0 +1,53 @@
+#ifndef KUMQUATGAUGE_BASE_LOG_H_
+#define KUMQUATGAUGE_BASE_LOG_H_
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace kumquatgauge {
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+// Throws Error(kInvalidArgument) unless name is debug, info, warning or error.
+auto ParseLogLevel(std::string_view name) -> LogLevel;
+
+// Logs to `file`, or to standard error when it is empty. Call once, before the
+// first line.
+auto InitializeLogging(LogLevel level, const std::string& file) -> void;
+
+// Changes the level while the program runs.
+auto SetLogLevel(LogLevel level) -> void;
+
+struct LogField {
+  std::string_view name;
+  std::string value;
+};
+
+// Writes lines "<part>: <sentence> name=value ..." for one part of the program.
+// Thread-safe.
+class Logger {
+ public:
+  // `part` is the fixed prefix, such as "dispatch".
+  explicit Logger(std::string part);
+
+  auto Debug(const std::string& sentence,
+             std::initializer_list<LogField> fields = {}) const -> void;
+  auto Info(const std::string& sentence,
+            std::initializer_list<LogField> fields = {}) const -> void;
+  auto Warning(const std::string& sentence,
+               std::initializer_list<LogField> fields = {}) const -> void;
+  auto Error(const std::string& sentence,
+             std::initializer_list<LogField> fields = {}) const -> void;
+
+ private:
+  auto Write(LogLevel level,
+             const std::string& sentence,
+             std::initializer_list<LogField> fields) const -> void;
+
+  std::string part_;
+};
+
+}  // namespace kumquatgauge
+
+#endif  // KUMQUATGAUGE_BASE_LOG_H_
