--- /dev/null
+++ b/include/kumquatgauge/operator/command_executor.h
@@ -0,0 +1,58 @@
+#ifndef KUMQUATGAUGE_OPERATOR_COMMAND_EXECUTOR_H_
+#define KUMQUATGAUGE_OPERATOR_COMMAND_EXECUTOR_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "kumquatgauge/base/credential.h"
+#include "kumquatgauge/base/time.h"
+#include "kumquatgauge/operator/command.h"
+#include "kumquatgauge/operator/operator_backend.h"
+
+namespace kumquatgauge::operators {
+
+// Who sent a command, and from where.
+struct CommandOrigin {
+  OperatorCredential credential;
+  std::string address;
+  std::string operation_id;  // From the client, for safe resends.
+};
+
+// Runs parsed commands against the backend: checks the role, filters and orders
+// rows, shows differences and waits for a change to be in force.
+class CommandExecutor {
+ public:
+  // `pause` waits for the given time; tests pass one that returns at once.
+  using Pause = std::function<auto(Duration)->boost::asio::awaitable<void>>;
+
+  CommandExecutor(OperatorBackend& backend, Clock clock, Pause pause);
+
+  // Returns the answer {"ok":true,"rows":[...]} and throws Error otherwise.
+  auto Run(std::string line, CommandOrigin origin)
+      -> boost::asio::awaitable<nlohmann::json>;
+
+ private:
+  auto Show(const Command& command) -> boost::asio::awaitable<nlohmann::json>;
+  auto ChangeConfiguration(const Command& command,
+                           const std::string& line,
+                           const CommandOrigin& origin)
+      -> boost::asio::awaitable<nlohmann::json>;
+  auto WaitUntilInForce(std::uint64_t revision, Duration limit)
+      -> boost::asio::awaitable<nlohmann::json>;
+  auto Act(const Command& command, const CommandOrigin& origin)
+      -> boost::asio::awaitable<nlohmann::json>;
+
+  OperatorBackend& backend_;
+  Clock clock_;
+  Pause pause_;
+};
+
+// Applies where, order and limit of `command` to an array of row objects.
+// Throws Error(kInvalidArgument) for a field that no row has.
+auto SelectRows(const Command& command, nlohmann::json rows) -> nlohmann::json;
+
+}  // namespace kumquatgauge::operators
+
+#endif  // KUMQUATGAUGE_OPERATOR_COMMAND_EXECUTOR_H_
--- /dev/null
+++ b/src/operator/command_executor_test.cc
@@ -0,0 +1,165 @@
+#include "kumquatgauge/operator/command_executor.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "kumquatgauge/base/error.h"
+#include "testing/support/manual_clock.h"
+
+namespace kumquatgauge::operators {
+namespace {
+
+class FakeBackend : public OperatorBackend {
+ public:
+  auto kinds() const -> std::vector<std::string> override { return {"jobs"}; }
+  auto Rows(const std::string& /*kind*/, std::vector<std::string> /*names*/)
+      -> boost::asio::awaitable<nlohmann::json> override {
+    co_return nlohmann::json::parse(R"([{"id":"a","due":3,"org":"x"},
+        {"id":"b","due":1,"org":"y"},{"id":"c","due":2,"org":"x"}])");
+  }
+  auto Explain(std::string kind, std::vector<std::string> /*names*/)
+      -> boost::asio::awaitable<nlohmann::json> override {
+    co_return nlohmann::json{{"kind", kind}};
+  }
+  auto Preview(ConfigurationChange change)
+      -> boost::asio::awaitable<ChangeResult> override {
+    co_return ChangeResult{
+        .revision_before = 4,
+        .revision = 4,
+        .before = {{"lean", 0.5}, {"kind", "model"}},
+        .after = {{"lean", change.fields["lean"]}, {"kind", "model"}}};
+  }
+  auto Change(ConfigurationChange change)
+      -> boost::asio::awaitable<ChangeResult> override {
+    changes.push_back(change);
+    co_return ChangeResult{.revision_before = 4,
+                           .revision = 5,
+                           .before = nullptr,
+                           .after = change.fields};
+  }
+  auto CancelJob(std::string job, std::string /*who*/)
+      -> boost::asio::awaitable<nlohmann::json> override {
+    co_return nlohmann::json{{"id", job}, {"status", "cancelled"}};
+  }
+  auto DrainNode(std::string node)
+      -> boost::asio::awaitable<nlohmann::json> override {
+    co_return nlohmann::json{{"name", node}};
+  }
+  auto RevisionsInForce()
+      -> boost::asio::awaitable<std::vector<NodeRevision>> override {
+    ++looks;
+    co_return std::vector<NodeRevision>{
+        {NodeId("n1"), 5}, {NodeId("n2"), looks > looks_until_applied ? 5 : 4}};
+  }
+  auto SetLogLevel(const std::string& level) -> void override {
+    log_level = level;
+  }
+
+  std::vector<ConfigurationChange> changes;
+  std::string log_level;
+  int looks = 0;
+  int looks_until_applied = 2;
+};
+
+class Fixture {
+ public:
+  auto Run(const std::string& line, OperatorRole role = OperatorRole::kChange)
+      -> nlohmann::json {
+    auto executor =
+        CommandExecutor(backend, clock.AsHook(), [this](Duration duration) {
+          clock.Advance(duration);
+          return Nothing();
+        });
+    auto context = boost::asio::io_context();
+    auto answer = std::optional<nlohmann::json>();
+    auto failure = std::exception_ptr();
+    boost::asio::co_spawn(
+        context,
+        executor.Run(line,
+                     {.credential = {.name = "ana", .role = role, .token = "t"},
+                      .address = "127.0.0.1",
+                      .operation_id = "op1"}),
+        [&](std::exception_ptr error, nlohmann::json result) {
+          failure = error;
+          answer = std::move(result);
+        });
+    context.run();
+    if (failure) {
+      std::rethrow_exception(failure);
+    }
+    return *answer;
+  }
+
+  static auto Nothing() -> boost::asio::awaitable<void> { co_return; }
+
+  FakeBackend backend;
+  testing::ManualClock clock;
+};
+
+TEST_CASE("CommandExecutor.FiltersOrdersAndLimitsRows") {
+  const auto answer =
+      Fixture().Run("show jobs where org = x order by due limit 1");
+  CHECK(answer["rows"] ==
+        nlohmann::json::parse(R"([{"id":"c","due":2,"org":"x"}])"));
+}
+
+// Guards against an empty answer that hides a misspelt field.
+TEST_CASE("CommandExecutor.NamesKnownFieldsForUnknownField") {
+  CHECK_THROWS_WITH(Fixture().Run("show jobs where orgg = x"),
+                    "unknown field: orgg; use one of due id org");
+}
+
+TEST_CASE("CommandExecutor.RefusesChangeByReader") {
+  auto fixture = Fixture();
+  CHECK_THROWS_AS(fixture.Run("set service s lean = 1", OperatorRole::kRead),
+                  Error);
+  CHECK(fixture.backend.changes.empty());
+}
+
+TEST_CASE("CommandExecutor.DryRunShowsDifferenceAndChangesNothing") {
+  auto fixture = Fixture();
+  const auto answer = fixture.Run("set service s lean = 1 --dry-run");
+  CHECK(answer["rows"] ==
+        nlohmann::json::parse(R"([{"field":"lean","before":0.5,"after":1}])"));
+  CHECK(fixture.backend.changes.empty());
+}
+
+TEST_CASE("CommandExecutor.WaitEndsWhenEveryNodeHasTheRevision") {
+  const auto answer = Fixture().Run("set service s lean = 1 --wait");
+  CHECK(answer["in_force"]["everywhere"] == true);
+  CHECK(answer["in_force"]["waited_ms"] == 200);
+}
+
+TEST_CASE("CommandExecutor.WaitNamesLaggingNodesAfterTheLimit") {
+  auto fixture = Fixture();
+  fixture.backend.looks_until_applied = 1'000'000;
+  const auto answer = fixture.Run("set service s lean = 1 --wait 2");
+  CHECK(answer["in_force"]["lagging"] == nlohmann::json::array({"n2"}));
+  CHECK(answer["in_force"]["waited_ms"] == 2000);
+}
+
+TEST_CASE("CommandExecutor.PassesAuditFactsWithTheChange") {
+  auto fixture = Fixture();
+  fixture.Run("create service s kind = model if revision 0");
+  REQUIRE(fixture.backend.changes.size() == 1);
+  const auto& change = fixture.backend.changes.front();
+  CHECK(change.who == "ana");
+  CHECK(change.operation_id == "op1");
+  CHECK(change.key == "service/s");
+  CHECK(change.command == "create service s kind = model if revision 0");
+  CHECK(change.expected_revision == 0U);
+}
+
+TEST_CASE("CommandExecutor.DrainOfUpstreamMarksItLeaving") {
+  auto fixture = Fixture();
+  fixture.Run("drain upstream e1");
+  REQUIRE(fixture.backend.changes.size() == 1);
+  CHECK(fixture.backend.changes.front().fields ==
+        nlohmann::json{{"leaving", true}});
+}
+
+}  // namespace
+}  // namespace kumquatgauge::operators
