Add the routing decision classes

The daemon needs the choice of a replica, admission, limits, retries and the at-most-once rules as plain classes without I/O.

Ruled out: a hook from the router into the outlier detector (a hash lookup per candidate would alone exceed the 20 us at 810 replicas); the detector returns changes instead, which the caller passes to Router::SetEjection. Also ruled out: letting the dispatcher refuse a request id that is already running, since "not run" would be untrue; it throws Error(kConflict).

--- /dev/null
+++ b/include/kumquatgauge/routing/batch_room.h
@@ -0,0 +1,75 @@
+#ifndef KUMQUATGAUGE_ROUTING_BATCH_ROOM_H_
+#define KUMQUATGAUGE_ROUTING_BATCH_ROOM_H_
+
+#include <cstdint>
+#include <deque>
+
+#include "kumquatgauge/base/time.h"
+
+namespace kumquatgauge::routing {
+
+enum class BatchRule {
+  kFixedShare,  // Batch gets a fixed share of the slots.
+  kIdleOnly,    // Batch gets free slots beyond a reserve for online.
+  kFeedback,    // As idle only, up to a level set by online latency.
+};
+
+struct BatchRoomSettings {
+  BatchRule rule = BatchRule::kFeedback;
+  // 0 weighs tail latency of online requests most, 1 batch throughput.
+  double lean = 0.5;
+  // kFixedShare: share of the limit.
+  double share = 0.5;
+  // kFeedback: latency at which the level is lowered.
+  Duration first_token_target = std::chrono::milliseconds(890);
+  Duration inter_token_target = std::chrono::milliseconds(55);
+  // Without online requests for this time, batch may fill the replica.
+  Duration quiet = std::chrono::seconds(30);
+};
+
+// Decides how many batch items may run on a replica beside online requests.
+//
+// An engine's step time grows with the number of running requests, whatever
+// their class. The online tail comes from the moments with most online
+// requests. At lean 0 the feedback rule therefore fills the replica only up to
+// the number of running requests that online traffic reaches by itself at busy
+// moments; at lean 1 it fills the limit; between them the level is
+// interpolated. Late online tokens lower the level, on-time ones restore it.
+class BatchRoom {
+ public:
+  BatchRoom(BatchRoomSettings settings, Clock clock);
+
+  auto SetSettings(const BatchRoomSettings& settings) -> void;
+  // Online requests now running or waiting; call on every change.
+  auto OnOnline(std::uint32_t online) -> void;
+  auto OnFirstToken(Duration latency) -> void;
+  auto OnInterToken(Duration gap) -> void;
+
+  // Batch items that may run in all, given the limit and the online requests
+  // that run or wait.
+  auto Allowed(std::uint32_t limit, std::uint32_t online) const
+      -> std::uint32_t;
+
+ private:
+  // Highest number of online requests in one stretch of time.
+  struct Peak {
+    MonotonicTime start;
+    std::uint32_t online = 0;
+  };
+
+  auto OnLatency(double share_of_target) -> void;
+  auto BusyLevel() const -> double;
+  auto FeedbackLevel(std::uint32_t limit) const -> double;
+
+  BatchRoomSettings settings_;
+  Clock clock_;
+  std::deque<Peak> peaks_;
+  std::uint32_t online_ = 0;
+  MonotonicTime last_online_;
+  double factor_ = 1.0;  // Lowered by late tokens.
+  MonotonicTime lowered_at_;
+};
+
+}  // namespace kumquatgauge::routing
+
+#endif  // KUMQUATGAUGE_ROUTING_BATCH_ROOM_H_
--- /dev/null
+++ b/include/kumquatgauge/routing/dispatcher.h
@@ -0,0 +1,217 @@
+#ifndef KUMQUATGAUGE_ROUTING_DISPATCHER_H_
+#define KUMQUATGAUGE_ROUTING_DISPATCHER_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "kumquatgauge/base/ids.h"
+#include "kumquatgauge/base/outcome.h"
+#include "kumquatgauge/base/time.h"
+#include "kumquatgauge/routing/batch_room.h"
+#include "kumquatgauge/routing/completion.h"
+#include "kumquatgauge/routing/concurrency_limit.h"
+#include "kumquatgauge/routing/fair_queue.h"
+#include "kumquatgauge/routing/replica.h"
+
+namespace kumquatgauge::routing {
+
+struct DispatcherSettings {
+  // Initial and max are set from the replica's capacity.
+  ConcurrencyLimitSettings limit = {};
+  BatchRoomSettings batch = {};
+  // Longest wait of an online request. With the engine's own time it must stay
+  // within the first-token target.
+  Duration online_queue = std::chrono::milliseconds(400);
+  // Waiting batch items fill a slot as soon as it is free, and let the item
+  // with the least slack go first.
+  Duration batch_queue = std::chrono::seconds(1);
+  std::uint32_t max_batch_waiting = 4;
+  std::uint32_t max_online_waiting = 1024;
+  // Bounds of retry-after.
+  std::chrono::milliseconds min_retry_after{50};
+  std::chrono::milliseconds max_retry_after{5000};
+  // Above this use of the KV cache the engine evicts running requests, so
+  // nothing is started beside running ones.
+  double max_kv_used = 0.97;
+};
+
+// What the dispatcher needs to know of a request.
+struct DispatchItem {
+  RequestId id;
+  OrganisationName organisation;
+  WorkClass work_class = WorkClass::kOnline;
+  std::uint32_t max_tokens = 0;
+  std::chrono::milliseconds time_left{0};  // Until the deadline.
+  std::chrono::milliseconds slack{0};
+  bool alone = false;
+  std::uint64_t resume_offset = 0;
+
+  auto operator==(const DispatchItem&) const -> bool = default;
+};
+
+auto DispatchItemOf(const CompletionRequest& request) -> DispatchItem;
+
+struct DispatchAction {
+  enum class Kind {
+    kStart,    // Send the request to the replica.
+    kRefuse,   // Answer kBusy with `outcome` (not run, retry-after).
+    kExpire,   // As kRefuse; the deadline passed while it waited.
+    kPreempt,  // Cancel at the engine; answer kPreempted with the offset.
+  };
+
+  Kind kind = Kind::kStart;
+  RequestId id;
+  Outcome outcome;  // For kRefuse, kExpire and kPreempt.
+
+  auto operator==(const DispatchAction&) const -> bool = default;
+};
+
+// Load as the replica itself reports it, with its lag.
+struct ObservedLoad {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t capacity = 1;
+  double kv_used = 0.0;
+
+  auto operator==(const ObservedLoad&) const -> bool = default;
+};
+
+// How a started request ended at the upstream.
+enum class UpstreamEnd {
+  kCompleted,
+  kRefused,    // The upstream had no room and did not run it.
+  kFailed,     // 4xx, 5xx.
+  kLost,       // The connection broke or was silent.
+  kCancelled,  // Cancelled by the requester or preempted.
+};
+
+// Admission to one replica, held by its dispatching node. Every event returns
+// the actions to carry out, in order. Guarantees:
+// - an arrived request gets exactly one of kStart, kRefuse and kExpire, unless
+//   it is cancelled first; after kStart it is never refused or expired;
+// - an online request waits for no batch item: batch starts only while no
+//   online request waits, and is preempted when one does;
+// - a leaving replica starts nothing.
+// A slot is held from kStart until Finished. Not thread-safe.
+class Dispatcher {
+ public:
+  using Actions = std::vector<DispatchAction>;
+  // Weight of an organisation in the fair queue; 1 when unset.
+  using OrganisationWeight =
+      std::function<auto(const OrganisationName&)->double>;
+
+  Dispatcher(Replica replica,
+             DispatcherSettings settings,
+             Clock clock,
+             OrganisationWeight weight = nullptr);
+
+  // Throws Error(kConflict) when the id is waiting or running here: neither
+  // "not run" nor a second start would be right. The holder of the earlier
+  // stream cancels it first.
+  auto Arrive(const DispatchItem& item) -> Actions;
+  // The first byte is about to be sent; first-token time counts from here.
+  // Without this event it counts from kStart.
+  auto Started(const RequestId& id) -> void;
+  auto FirstToken(const RequestId& id) -> Actions;
+  // `offset` is the number of tokens the answer has so far, from its start.
+  auto TokenProgress(const RequestId& id, std::uint64_t offset) -> Actions;
+  // The stream at the upstream has ended and its slot is free.
+  auto Finished(const RequestId& id, UpstreamEnd end) -> Actions;
+  // The requester gave up. A waiting request is dropped. A running one keeps
+  // its slot until Finished; the caller of this stops it at the engine.
+  auto Cancelled(const RequestId& id) -> Actions;
+  auto LoadReport(const ObservedLoad& load) -> Actions;
+  // Call at least every 50 ms while anything waits.
+  auto Tick() -> Actions;
+  // A change of the replica, such as leaving: what waits is then refused.
+  auto SetReplica(const Replica& replica) -> Actions;
+  auto SetBatchSettings(const BatchRoomSettings& settings) -> Actions;
+
+  auto load() const -> ReplicaLoad;
+  auto replica() const -> const Replica& { return replica_; }
+  auto waiting() const -> std::size_t { return waiting_.size(); }
+  auto running() const -> std::size_t { return running_.size(); }
+
+ private:
+  struct Running {
+    DispatchItem item;
+    MonotonicTime started;
+    MonotonicTime last_progress;
+    std::uint64_t offset = 0;
+    bool first_token = false;
+    bool stopping = false;  // Preempted or cancelled; slot not yet free.
+  };
+  struct Waiting {
+    DispatchItem item;
+    MonotonicTime deadline;
+    MonotonicTime until;  // Of the queue bound or the deadline.
+  };
+
+  auto QueueBatch(const DispatchItem& item) -> void;
+  // Refuses batch items beyond the bound of the queue, most slack first.
+  auto ShedBatch(Actions& actions) -> void;
+  // Ends waits that are over, starts what may start, preempts batch. `arrived`
+  // is the online request that has just come, or null.
+  auto Advance(Actions& actions, const RequestId* arrived) -> void;
+  auto EndWaits(Actions& actions) -> void;
+  // Refuses online requests that would not start in time.
+  auto RefuseHopeless(const RequestId* arrived, Actions& actions) -> void;
+  auto StartOnline(Actions& actions) -> void;
+  auto StartBatch(Actions& actions) -> void;
+  auto PreemptForOnline(Actions& actions) -> void;
+  // Returns whether anything was preempted.
+  auto PreemptBatch(std::uint32_t count, Actions& actions) -> bool;
+  auto Start(const DispatchItem& item, Actions& actions) -> void;
+  auto MarkStopping(Running& running) -> void;
+  // Drops a waiting request.
+  auto Forget(const RequestId& id) -> void;
+  auto Refuse(const RequestId& id,
+              DispatchAction::Kind kind,
+              std::string reason,
+              Actions& actions) const -> void;
+  auto RefuseOne(const RequestId& id,
+                 DispatchAction::Kind kind,
+                 std::string reason,
+                 Actions& actions) -> void;
+  auto RefuseWaiting(const std::string& reason, Actions& actions) -> void;
+  auto EstimatedWait(std::size_t position) const -> Duration;
+  auto RetryAfter() const -> std::chrono::milliseconds;
+  auto HasRoom(std::uint32_t max_tokens) const -> bool;
+  auto FreeSlots() const -> std::uint32_t;
+  auto BatchAllowed() const -> std::uint32_t;
+  auto BatchRoomNow() const -> std::uint32_t;
+  auto MayStartBatch(const DispatchItem& item) const -> bool;
+  auto NoteOnlineLevel() -> void;
+
+  Replica replica_;
+  DispatcherSettings settings_;
+  Clock clock_;
+  OrganisationWeight weight_;
+  ConcurrencyLimit limit_;
+  BatchRoom batch_room_;
+  std::unordered_map<RequestId, Running> running_;
+  std::unordered_map<RequestId, Waiting> waiting_;  // Both classes.
+  FairQueue online_queue_;
+  std::vector<RequestId> batch_queue_;  // In order of slack.
+  std::uint32_t online_running_ = 0;
+  std::uint32_t batch_running_ = 0;
+  std::uint32_t stopping_ = 0;
+  std::uint32_t alone_running_ = 0;
+  std::uint64_t reserved_tokens_ = 0;
+  std::uint64_t stopping_tokens_ = 0;
+  // Requests at the replica that another dispatcher sent.
+  std::uint32_t foreign_ = 0;
+  std::uint32_t peak_running_ = 0;  // Since the last report.
+  std::uint32_t last_peak_running_ = 0;
+  double kv_used_ = 0.0;
+  double service_time_s_ = 0.0;  // Moving average of online requests.
+};
+
+}  // namespace kumquatgauge::routing
+
+#endif  // KUMQUATGAUGE_ROUTING_DISPATCHER_H_
--- /dev/null
+++ b/include/kumquatgauge/routing/load_sharing.h
@@ -0,0 +1,64 @@
+#ifndef KUMQUATGAUGE_ROUTING_LOAD_SHARING_H_
+#define KUMQUATGAUGE_ROUTING_LOAD_SHARING_H_
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "kumquatgauge/base/ids.h"
+#include "kumquatgauge/base/time.h"
+#include "kumquatgauge/routing/completion.h"
+
+namespace kumquatgauge::routing {
+
+struct LoadSharingSettings {
+  // Change of utilisation, or of batch room as a share of the limit, that is
+  // worth a message.
+  double threshold = 0.2;
+  // The fleet's control traffic may be 3 KB/s per node; load gets half of it.
+  double bytes_per_second = 1500.0;
+  double burst_seconds = 1.0;
+  // Datagram with one load, headers included.
+  std::uint32_t bytes_per_message = 96;
+  // A load that has not changed is repeated after this time, since datagrams
+  // can be lost.
+  Duration refresh = std::chrono::seconds(10);
+};
+
+// Decides when the loads of this node's replicas are sent to the other nodes of
+// the zone: the largest change first, within a byte budget.
+class LoadSharing {
+ public:
+  LoadSharing(LoadSharingSettings settings, Clock clock);
+
+  // Number of nodes that each load is sent to.
+  auto set_peers(std::uint32_t peers) -> void;
+  // Records a load, and returns the loads to send now.
+  auto OnLoad(const ReplicaLoad& load) -> std::vector<ReplicaLoad>;
+  // Returns the loads to send now; call a few times a second.
+  auto OnTick() -> std::vector<ReplicaLoad>;
+  auto Remove(const ReplicaId& replica) -> void;
+
+ private:
+  struct Entry {
+    ReplicaLoad current;
+    ReplicaLoad sent;
+    bool ever_sent = false;
+    MonotonicTime sent_at;
+  };
+
+  auto Change(const Entry& entry) const -> double;
+  auto Refill() -> void;
+  auto Take(Entry& entry, std::vector<ReplicaLoad>& loads) -> bool;
+
+  LoadSharingSettings settings_;
+  Clock clock_;
+  std::uint32_t peers_ = 0;
+  double budget_bytes_ = 0.0;
+  MonotonicTime refilled_at_;
+  std::map<ReplicaId, Entry> entries_;
+};
+
+}  // namespace kumquatgauge::routing
+
+#endif  // KUMQUATGAUGE_ROUTING_LOAD_SHARING_H_
--- /dev/null
+++ b/include/kumquatgauge/routing/outlier.h
@@ -0,0 +1,99 @@
+#ifndef KUMQUATGAUGE_ROUTING_OUTLIER_H_
+#define KUMQUATGAUGE_ROUTING_OUTLIER_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "kumquatgauge/base/ids.h"
+#include "kumquatgauge/base/time.h"
+#include "kumquatgauge/routing/replica.h"
+
+namespace kumquatgauge::routing {
+
+enum class EjectionState {
+  kInUse,
+  kEjected,  // Gets no requests.
+  kProbing,  // Gets one request; the next one after its result.
+};
+
+struct OutlierSettings {
+  std::uint32_t consecutive_failures = 5;
+  // Latency counts as far above the median from this factor on, and only when
+  // it is also above `latency_floor`, below which the noise of single requests
+  // exceeds the factor.
+  double latency_factor = 3.0;
+  Duration latency_floor = std::chrono::milliseconds(20);
+  std::uint32_t min_samples = 10;
+  double max_ejected_share = 0.2;
+  Duration base_ejection = std::chrono::seconds(5);
+  Duration max_ejection = std::chrono::seconds(300);
+  // Good probes in a row after which a replica is in use again.
+  std::uint32_t good_probes = 3;
+  // A probe without a result is repeated after this time.
+  Duration probe_timeout = std::chrono::seconds(5);
+  // Time in use after which the ejection time starts over.
+  Duration forget_after = std::chrono::minutes(10);
+};
+
+struct EjectionChange {
+  ReplicaId replica;
+  EjectionState state = EjectionState::kInUse;
+  std::string reason;  // For logs and explain.
+
+  auto operator==(const EjectionChange&) const -> bool = default;
+};
+
+// Finds replicas that fail or are far slower than the others of their service.
+// Each call returns the changes of state; the router is told of them with
+// Router::SetEjection.
+class OutlierDetector {
+ public:
+  using Changes = std::vector<EjectionChange>;
+
+  OutlierDetector(OutlierSettings settings, Clock clock);
+
+  // Replaces the list of replicas; those that stay keep their figures. A
+  // replica that comes back after having been absent starts without history.
+  auto SetReplicas(const std::vector<Replica>& replicas) -> void;
+  // `latency` is the time to the first token, or to the response of a plain
+  // service.
+  auto OnSuccess(const ReplicaId& replica, Duration latency) -> Changes;
+  // A lost connection, a 5xx or a timeout; not a refusal for lack of room.
+  auto OnFailure(const ReplicaId& replica) -> Changes;
+  // Compares latencies and ends ejections; call about once a second.
+  auto OnTick() -> Changes;
+
+  auto state(const ReplicaId& replica) const -> EjectionState;
+
+ private:
+  struct Entry {
+    ServiceName service;
+    EjectionState state = EjectionState::kInUse;
+    std::uint32_t failures = 0;
+    std::uint32_t ejections = 0;
+    std::uint32_t good_probes = 0;
+    std::uint32_t samples = 0;
+    double latency_s = 0.0;  // Moving average.
+    MonotonicTime since;     // Of the state, or of the last probe.
+    Duration ejection{0};
+  };
+
+  auto MayEject(const ServiceName& service) const -> bool;
+  auto Eject(const ReplicaId& id, Entry& entry, std::string reason)
+      -> EjectionChange;
+  auto Median(const ServiceName& service) const -> double;
+  auto IsSlow(double latency_s, double median_s) const -> bool;
+  auto ProbeResult(const ReplicaId& id, Entry& entry, bool good) -> Changes;
+
+  OutlierSettings settings_;
+  Clock clock_;
+  std::unordered_map<ReplicaId, Entry> entries_;
+  std::map<ServiceName, std::vector<ReplicaId>> services_;
+};
+
+}  // namespace kumquatgauge::routing
+
+#endif  // KUMQUATGAUGE_ROUTING_OUTLIER_H_
--- /dev/null
+++ b/src/routing/dispatcher.cc
@@ -0,0 +1,491 @@
+#include "kumquatgauge/routing/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "kumquatgauge/base/error.h"
+
+namespace kumquatgauge::routing {
+namespace {
+
+// Time in which a preempted slot is free again.
+constexpr auto kPreemptTime = std::chrono::milliseconds(100);
+// Weight of a new sample in the average service time.
+constexpr double kSampleWeight = 0.1;
+
+auto LimitSettings(ConcurrencyLimitSettings settings, std::uint32_t capacity)
+    -> ConcurrencyLimitSettings {
+  settings.max = std::max(capacity, settings.min);
+  settings.initial = settings.max;
+  return settings;
+}
+
+}  // namespace
+
+auto DispatchItemOf(const CompletionRequest& request) -> DispatchItem {
+  return {.id = request.id,
+          .organisation = request.organisation,
+          .work_class = request.work_class,
+          .max_tokens = request.max_tokens,
+          .time_left = request.time_left,
+          .slack = request.slack,
+          .alone = request.alone,
+          .resume_offset = request.resume_offset};
+}
+
+Dispatcher::Dispatcher(Replica replica,
+                       DispatcherSettings settings,
+                       Clock clock,
+                       OrganisationWeight weight)
+    : replica_(std::move(replica)),
+      settings_(settings),
+      clock_(std::move(clock)),
+      weight_(std::move(weight)),
+      limit_(LimitSettings(settings.limit, replica_.capacity), clock_),
+      batch_room_(settings.batch, clock_) {}
+
+auto Dispatcher::Arrive(const DispatchItem& item) -> Actions {
+  if (running_.contains(item.id) || waiting_.contains(item.id)) {
+    throw Error(ErrorKind::kConflict, "request is already at this dispatcher",
+                item.id.value(), "cancel the earlier stream first");
+  }
+  Actions actions;
+  if (replica_.leaving) {
+    Refuse(item.id, DispatchAction::Kind::kRefuse, "the replica is leaving",
+           actions);
+    return actions;
+  }
+  if (item.time_left <= std::chrono::milliseconds(0)) {
+    Refuse(item.id, DispatchAction::Kind::kExpire, "the deadline has passed",
+           actions);
+    return actions;
+  }
+  auto now = clock_();
+  auto bound = item.work_class == WorkClass::kOnline ? settings_.online_queue
+                                                     : settings_.batch_queue;
+  Waiting waiting = {.item = item,
+                     .deadline = now + item.time_left,
+                     .until = now + std::min<Duration>(bound, item.time_left)};
+  waiting_.emplace(item.id, waiting);
+  if (item.work_class == WorkClass::kOnline) {
+    auto weight = weight_ ? weight_(item.organisation) : 1.0;
+    online_queue_.Push({item.id, item.organisation, waiting.until},
+                       std::max(item.max_tokens, 1U), weight);
+    NoteOnlineLevel();
+    Advance(actions, &item.id);
+  } else {
+    QueueBatch(item);
+    Advance(actions, nullptr);
+    ShedBatch(actions);
+  }
+  return actions;
+}
+
+auto Dispatcher::Started(const RequestId& id) -> void {
+  auto place = running_.find(id);
+  if (place != running_.end()) {
+    place->second.started = clock_();
+    place->second.last_progress = place->second.started;
+  }
+}
+
+auto Dispatcher::FirstToken(const RequestId& id) -> Actions {
+  auto place = running_.find(id);
+  if (place == running_.end() || place->second.first_token) {
+    return {};
+  }
+  auto& running = place->second;
+  auto now = clock_();
+  running.first_token = true;
+  running.last_progress = now;
+  ++running.offset;
+  if (running.item.work_class == WorkClass::kOnline) {
+    limit_.OnFirstToken(now - running.started);
+    batch_room_.OnFirstToken(now - running.started);
+  }
+  Actions actions;
+  Advance(actions, nullptr);
+  return actions;
+}
+
+auto Dispatcher::TokenProgress(const RequestId& id, std::uint64_t offset)
+    -> Actions {
+  auto place = running_.find(id);
+  if (place == running_.end() || offset <= place->second.offset) {
+    return {};
+  }
+  auto& running = place->second;
+  auto now = clock_();
+  if (running.first_token && running.item.work_class == WorkClass::kOnline) {
+    auto tokens = static_cast<Duration::rep>(offset - running.offset);
+    auto gap = (now - running.last_progress) / tokens;
+    limit_.OnInterToken(gap);
+    batch_room_.OnInterToken(gap);
+  }
+  running.first_token = true;
+  running.offset = offset;
+  running.last_progress = now;
+  Actions actions;
+  Advance(actions, nullptr);
+  return actions;
+}
+
+auto Dispatcher::Finished(const RequestId& id, UpstreamEnd end) -> Actions {
+  auto place = running_.find(id);
+  if (place == running_.end()) {
+    return {};
+  }
+  const auto& running = place->second;
+  if (end == UpstreamEnd::kRefused) {
+    limit_.OnRefusal();
+  }
+  if (running.item.work_class == WorkClass::kOnline) {
+    --online_running_;
+    if (end == UpstreamEnd::kCompleted) {
+      auto taken =
+          std::chrono::duration<double>(clock_() - running.started).count();
+      service_time_s_ =
+          service_time_s_ == 0.0
+              ? taken
+              : service_time_s_ + kSampleWeight * (taken - service_time_s_);
+    }
+  } else {
+    --batch_running_;
+    alone_running_ -= running.item.alone ? 1 : 0;
+  }
+  if (running.stopping) {
+    --stopping_;
+    stopping_tokens_ -= running.item.max_tokens;
+  }
+  reserved_tokens_ -= running.item.max_tokens;
+  running_.erase(place);
+  NoteOnlineLevel();
+  Actions actions;
+  Advance(actions, nullptr);
+  return actions;
+}
+
+auto Dispatcher::Cancelled(const RequestId& id) -> Actions {
+  Actions actions;
+  if (auto place = running_.find(id); place != running_.end()) {
+    MarkStopping(place->second);
+    return actions;
+  }
+  Forget(id);
+  NoteOnlineLevel();
+  Advance(actions, nullptr);
+  return actions;
+}
+
+auto Dispatcher::LoadReport(const ObservedLoad& load) -> Actions {
+  limit_.set_max(std::max(load.capacity, 1U));
+  kv_used_ = load.kv_used;
+  // The report lags: requests of this dispatcher that ended since the one
+  // before may still be in it.
+  auto own = std::max(peak_running_, last_peak_running_);
+  auto seen = load.running + load.waiting;
+  foreign_ = seen - std::min(seen, own);
+  last_peak_running_ = peak_running_;
+  peak_running_ = static_cast<std::uint32_t>(running_.size());
+  Actions actions;
+  Advance(actions, nullptr);
+  return actions;
+}
+
+auto Dispatcher::Tick() -> Actions {
+  Actions actions;
+  NoteOnlineLevel();
+  Advance(actions, nullptr);
+  return actions;
+}
+
+auto Dispatcher::SetReplica(const Replica& replica) -> Actions {
+  Actions actions;
+  if (replica.capacity != replica_.capacity) {
+    limit_.set_max(std::max(replica.capacity, 1U));
+  }
+  replica_ = replica;
+  if (replica_.leaving) {
+    RefuseWaiting("the replica is leaving", actions);
+  }
+  Advance(actions, nullptr);
+  return actions;
+}
+
+auto Dispatcher::SetBatchSettings(const BatchRoomSettings& settings)
+    -> Actions {
+  batch_room_.SetSettings(settings);
+  Actions actions;
+  Advance(actions, nullptr);
+  return actions;
+}
+
+auto Dispatcher::load() const -> ReplicaLoad {
+  return {.replica = replica_.id,
+          .online_in_flight = online_running_ + foreign_,
+          .batch_in_flight = batch_running_,
+          .queued = static_cast<std::uint32_t>(online_queue_.size()),
+          .limit = limit_.limit(),
+          .batch_room = BatchRoomNow()};
+}
+
+auto Dispatcher::QueueBatch(const DispatchItem& item) -> void {
+  auto place =
+      std::upper_bound(batch_queue_.begin(), batch_queue_.end(), item.slack,
+                       [this](auto slack, const RequestId& other) {
+                         return slack < waiting_.at(other).item.slack;
+                       });
+  batch_queue_.insert(place, item.id);
+}
+
+auto Dispatcher::ShedBatch(Actions& actions) -> void {
+  while (batch_queue_.size() > settings_.max_batch_waiting) {
+    RefuseOne(batch_queue_.back(), DispatchAction::Kind::kRefuse,
+              "no room for batch", actions);
+  }
+}
+
+auto Dispatcher::Advance(Actions& actions, const RequestId* arrived) -> void {
+  EndWaits(actions);
+  if (!replica_.leaving) {
+    StartOnline(actions);
+    PreemptForOnline(actions);
+    RefuseHopeless(arrived, actions);
+    StartBatch(actions);
+  }
+  limit_.OnRunning(static_cast<std::uint32_t>(running_.size()));
+}
+
+auto Dispatcher::EndWaits(Actions& actions) -> void {
+  auto now = clock_();
+  std::vector<RequestId> ended;
+  for (const auto& [id, waiting] : waiting_) {
+    if (waiting.until <= now) {
+      ended.push_back(id);
+    }
+  }
+  // The order of the hash table must not show in the actions.
+  std::sort(ended.begin(), ended.end());
+  for (const auto& id : ended) {
+    auto expired = waiting_.at(id).deadline <= now;
+    RefuseOne(
+        id,
+        expired ? DispatchAction::Kind::kExpire : DispatchAction::Kind::kRefuse,
+        expired ? "the deadline passed while waiting" : "queue is full",
+        actions);
+  }
+}
+
+auto Dispatcher::RefuseHopeless(const RequestId* arrived, Actions& actions)
+    -> void {
+  auto now = clock_();
+  std::size_t position = 0;
+  for (const auto& entry : online_queue_.InOrder()) {
+    auto fits = now + EstimatedWait(position) <= entry.until &&
+                position < settings_.max_online_waiting;
+    // The one at the head has waited its turn and gets the next slot; refusing
+    // it for a doubtful estimate would waste that wait.
+    auto at_head =
+        position == 0 && (arrived == nullptr || entry.id != *arrived);
+    if (fits || at_head) {
+      ++position;
+      continue;
+    }
+    RefuseOne(entry.id, DispatchAction::Kind::kRefuse,
+              "no slot would be free in time", actions);
+  }
+}
+
+auto Dispatcher::StartOnline(Actions& actions) -> void {
+  while (const auto* front = online_queue_.Front()) {
+    auto item = waiting_.at(front->id).item;
+    if (FreeSlots() == 0 || !HasRoom(item.max_tokens)) {
+      return;
+    }
+    online_queue_.Pop();
+    waiting_.erase(item.id);
+    Start(item, actions);
+  }
+}
+
+auto Dispatcher::StartBatch(Actions& actions) -> void {
+  while (!batch_queue_.empty()) {
+    auto item = waiting_.at(batch_queue_.front()).item;
+    if (item.alone && batch_running_ > 0 && alone_running_ == 0 &&
+        online_queue_.empty() && BatchAllowed() > 0) {
+      // Others would keep the replica busy for as long as there is batch.
+      PreemptBatch(batch_running_, actions);
+    }
+    if (!MayStartBatch(item)) {
+      return;
+    }
+    batch_queue_.erase(batch_queue_.begin());
+    waiting_.erase(item.id);
+    Start(item, actions);
+  }
+}
+
+auto Dispatcher::PreemptForOnline(Actions& actions) -> void {
+  const auto* front = online_queue_.Front();
+  if (front == nullptr) {
+    return;
+  }
+  auto waiting = static_cast<std::uint32_t>(online_queue_.size());
+  auto coming = FreeSlots() + stopping_;
+  if (waiting > coming) {
+    PreemptBatch(waiting - coming, actions);
+  }
+  auto tokens = waiting_.at(front->id).item.max_tokens;
+  while (!limit_.HasTokenRoom(reserved_tokens_ - stopping_tokens_, tokens) &&
+         PreemptBatch(1, actions)) {
+  }
+}
+
+auto Dispatcher::PreemptBatch(std::uint32_t count, Actions& actions) -> bool {
+  std::vector<Running*> victims;
+  for (auto& [id, running] : running_) {
+    if (running.item.work_class == WorkClass::kBatch && !running.stopping) {
+      victims.push_back(&running);
+    }
+  }
+  // Most slack first.
+  std::sort(victims.begin(), victims.end(),
+            [](const Running* left, const Running* right) {
+              return std::pair(right->item.slack, right->item.id) <
+                     std::pair(left->item.slack, left->item.id);
+            });
+  victims.resize(std::min<std::size_t>(count, victims.size()));
+  for (auto* victim : victims) {
+    MarkStopping(*victim);
+    Outcome outcome;
+    outcome.kind = OutcomeKind::kCancelled;
+    outcome.reason = "preempted";
+    outcome.tokens = victim->offset;
+    actions.push_back(
+        {DispatchAction::Kind::kPreempt, victim->item.id, std::move(outcome)});
+  }
+  return !victims.empty();
+}
+
+auto Dispatcher::Start(const DispatchItem& item, Actions& actions) -> void {
+  auto now = clock_();
+  running_.emplace(item.id, Running{.item = item,
+                                    .started = now,
+                                    .last_progress = now,
+                                    .offset = item.resume_offset});
+  if (item.work_class == WorkClass::kOnline) {
+    ++online_running_;
+  } else {
+    ++batch_running_;
+    alone_running_ += item.alone ? 1 : 0;
+  }
+  reserved_tokens_ += item.max_tokens;
+  peak_running_ =
+      std::max(peak_running_, static_cast<std::uint32_t>(running_.size()));
+  NoteOnlineLevel();
+  actions.push_back({DispatchAction::Kind::kStart, item.id, {}});
+}
+
+auto Dispatcher::MarkStopping(Running& running) -> void {
+  if (!running.stopping) {
+    running.stopping = true;
+    ++stopping_;
+    stopping_tokens_ += running.item.max_tokens;
+  }
+}
+
+auto Dispatcher::Forget(const RequestId& id) -> void {
+  online_queue_.Remove(id);
+  std::erase(batch_queue_, id);
+  waiting_.erase(id);
+}
+
+auto Dispatcher::Refuse(const RequestId& id,
+                        DispatchAction::Kind kind,
+                        std::string reason,
+                        Actions& actions) const -> void {
+  Outcome outcome;
+  outcome.kind = OutcomeKind::kNotRun;
+  outcome.reason = std::move(reason);
+  outcome.retry_after = RetryAfter();
+  actions.push_back({kind, id, std::move(outcome)});
+}
+
+auto Dispatcher::RefuseOne(const RequestId& id,
+                           DispatchAction::Kind kind,
+                           std::string reason,
+                           Actions& actions) -> void {
+  auto copy = id;  // May refer into what Forget erases.
+  Forget(copy);
+  Refuse(copy, kind, std::move(reason), actions);
+}
+
+auto Dispatcher::RefuseWaiting(const std::string& reason, Actions& actions)
+    -> void {
+  for (const auto& entry : online_queue_.InOrder()) {
+    RefuseOne(entry.id, DispatchAction::Kind::kRefuse, reason, actions);
+  }
+  while (!batch_queue_.empty()) {
+    RefuseOne(batch_queue_.front(), DispatchAction::Kind::kRefuse, reason,
+              actions);
+  }
+}
+
+auto Dispatcher::EstimatedWait(std::size_t position) const -> Duration {
+  if (position < stopping_) {
+    return kPreemptTime;
+  }
+  auto behind = static_cast<double>(position - stopping_ + 1);
+  auto slots = std::max(1U, online_running_);
+  auto seconds = behind * service_time_s_ / slots;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+auto Dispatcher::RetryAfter() const -> std::chrono::milliseconds {
+  auto wait = std::chrono::ceil<std::chrono::milliseconds>(
+      EstimatedWait(online_queue_.size()));
+  return std::clamp(wait, settings_.min_retry_after, settings_.max_retry_after);
+}
+
+auto Dispatcher::HasRoom(std::uint32_t max_tokens) const -> bool {
+  return limit_.HasTokenRoom(reserved_tokens_, max_tokens) &&
+         (kv_used_ <= settings_.max_kv_used || running_.empty());
+}
+
+auto Dispatcher::FreeSlots() const -> std::uint32_t {
+  auto used = static_cast<std::uint32_t>(running_.size()) + foreign_;
+  auto limit = limit_.limit();
+  return limit - std::min(limit, used);
+}
+
+auto Dispatcher::BatchAllowed() const -> std::uint32_t {
+  return batch_room_.Allowed(
+      limit_.limit(), online_running_ + foreign_ +
+                          static_cast<std::uint32_t>(online_queue_.size()));
+}
+
+auto Dispatcher::BatchRoomNow() const -> std::uint32_t {
+  if (replica_.leaving || !online_queue_.empty() || alone_running_ > 0 ||
+      !HasRoom(0)) {
+    return 0;
+  }
+  auto allowed = BatchAllowed();
+  auto room =
+      std::min(FreeSlots(), allowed - std::min(allowed, batch_running_));
+  return room - std::min<std::uint32_t>(
+                    room, static_cast<std::uint32_t>(batch_queue_.size()));
+}
+
+auto Dispatcher::MayStartBatch(const DispatchItem& item) const -> bool {
+  return online_queue_.empty() && FreeSlots() > 0 && HasRoom(item.max_tokens) &&
+         batch_running_ < BatchAllowed() && alone_running_ == 0 &&
+         (!item.alone || batch_running_ == 0);
+}
+
+auto Dispatcher::NoteOnlineLevel() -> void {
+  batch_room_.OnOnline(online_running_ +
+                       static_cast<std::uint32_t>(online_queue_.size()));
+}
+
+}  // namespace kumquatgauge::routing
--- /dev/null
+++ b/src/routing/fair_queue.cc
@@ -0,0 +1,76 @@
+#include "kumquatgauge/routing/fair_queue.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace kumquatgauge::routing {
+
+auto FairQueue::Push(Entry entry, double cost, double weight) -> void {
+  auto& organisation = organisations_[entry.organisation];
+  organisation.finish =
+      std::max(organisation.finish, virtual_time_) + cost / weight;
+  ++organisation.waiting;
+  Key key = {organisation.finish, next_arrival_++};
+  keys_.emplace(entry.id, key);
+  entries_.emplace(key, std::move(entry));
+}
+
+auto FairQueue::Pop() -> std::optional<Entry> {
+  if (entries_.empty()) {
+    return std::nullopt;
+  }
+  auto place = entries_.begin();
+  auto entry = place->second;
+  virtual_time_ = std::max(virtual_time_, place->first.first);
+  Erase(place);
+  return entry;
+}
+
+auto FairQueue::Front() const -> const Entry* {
+  return entries_.empty() ? nullptr : &entries_.begin()->second;
+}
+
+auto FairQueue::Remove(const RequestId& id) -> bool {
+  auto key = keys_.find(id);
+  if (key == keys_.end()) {
+    return false;
+  }
+  Erase(entries_.find(key->second));
+  return true;
+}
+
+auto FairQueue::Contains(const RequestId& id) const -> bool {
+  return keys_.contains(id);
+}
+
+auto FairQueue::InOrder() const -> std::vector<Entry> {
+  std::vector<Entry> entries;
+  entries.reserve(entries_.size());
+  for (const auto& [key, entry] : entries_) {
+    entries.push_back(entry);
+  }
+  return entries;
+}
+
+auto FairQueue::Position(const RequestId& id) const -> std::size_t {
+  auto key = keys_.find(id);
+  if (key == keys_.end()) {
+    return entries_.size();
+  }
+  return static_cast<std::size_t>(
+      std::distance(entries_.begin(), entries_.find(key->second)));
+}
+
+auto FairQueue::Erase(std::map<Key, Entry>::iterator place) -> void {
+  auto organisation = organisations_.find(place->second.organisation);
+  // An organisation whose claim lies in the past starts afresh; keeping it
+  // would let the map grow with every organisation ever seen.
+  if (--organisation->second.waiting == 0 &&
+      organisation->second.finish <= virtual_time_) {
+    organisations_.erase(organisation);
+  }
+  keys_.erase(place->second.id);
+  entries_.erase(place);
+}
+
+}  // namespace kumquatgauge::routing
--- /dev/null
+++ b/src/routing/once_registry.cc
@@ -0,0 +1,313 @@
+#include "kumquatgauge/routing/once_registry.h"
+
+#include <xxhash.h>
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include "kumquatgauge/base/error.h"
+
+namespace kumquatgauge::routing {
+namespace {
+
+auto Answer(OnceDecision::Kind kind, OutcomeKind outcome, std::string reason)
+    -> OnceDecision {
+  OnceDecision decision;
+  decision.kind = kind;
+  decision.answer.outcome.kind = outcome;
+  decision.answer.outcome.reason = std::move(reason);
+  return decision;
+}
+
+auto Unknown(std::string reason) -> OnceDecision {
+  return Answer(OnceDecision::Kind::kUnknown, OutcomeKind::kUnknown,
+                std::move(reason));
+}
+
+auto NotRun(std::string reason, std::chrono::milliseconds retry_after)
+    -> OnceDecision {
+  auto decision = Answer(OnceDecision::Kind::kNotRun, OutcomeKind::kNotRun,
+                         std::move(reason));
+  decision.answer.outcome.retry_after = retry_after;
+  return decision;
+}
+
+auto Simple(OnceDecision::Kind kind) -> OnceDecision {
+  OnceDecision decision;
+  decision.kind = kind;
+  return decision;
+}
+
+[[noreturn]] auto ThrowBadTicket(std::string_view text) -> void {
+  throw Error(ErrorKind::kInvalidArgument, "malformed ticket",
+              std::string(text),
+              "send the ticket from GET /v1/addresses unchanged");
+}
+
+template <typename Number>
+auto ParseNumber(std::string_view digits, std::string_view ticket) -> Number {
+  Number number = 0;
+  const auto* end = digits.data() + digits.size();
+  auto result = std::from_chars(digits.data(), end, number);
+  if (digits.empty() || result.ec != std::errc() || result.ptr != end) {
+    ThrowBadTicket(ticket);
+  }
+  return number;
+}
+
+}  // namespace
+
+auto FormatTicket(const Ticket& ticket) -> std::string {
+  return ticket.node.value() + "." + std::to_string(ticket.incarnation) + "." +
+         std::to_string(ticket.issued.count());
+}
+
+auto ParseTicket(std::string_view text) -> Ticket {
+  // Names of nodes may contain dots, so the numbers are taken from the end.
+  auto issued = text.rfind('.');
+  if (issued == std::string_view::npos || issued == 0) {
+    ThrowBadTicket(text);
+  }
+  auto incarnation = text.rfind('.', issued - 1);
+  if (incarnation == std::string_view::npos || incarnation == 0) {
+    ThrowBadTicket(text);
+  }
+  auto middle = text.substr(incarnation + 1, issued - incarnation - 1);
+  return {.node = NodeId(std::string(text.substr(0, incarnation))),
+          .incarnation = ParseNumber<Incarnation>(middle, text),
+          .issued = std::chrono::milliseconds(
+              ParseNumber<std::uint32_t>(text.substr(issued + 1), text))};
+}
+
+auto ClaimObjectKey(const OnceKey& key) -> std::string {
+  // The length keeps ("a", "bc") and ("ab", "c") apart.
+  auto text = std::to_string(key.organisation.value().size()) + ":" +
+              key.organisation.value() + key.key;
+  auto hash = XXH3_128bits(text.data(), text.size());
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  constexpr int kDigitsPerHalf = 16;
+  std::string name = "once/";
+  for (auto half : {hash.high64, hash.low64}) {
+    for (int digit = kDigitsPerHalf - 1; digit >= 0; --digit) {
+      name.push_back(
+          kDigits[(half >> (4U * static_cast<unsigned>(digit))) & 15U]);
+    }
+  }
+  return name;
+}
+
+OnceRegistry::OnceRegistry(NodeId node,
+                           Incarnation incarnation,
+                           OnceSettings settings,
+                           Clock clock,
+                           LiveIncarnation live_incarnation)
+    : node_(std::move(node)),
+      incarnation_(incarnation),
+      settings_(settings),
+      clock_(std::move(clock)),
+      live_incarnation_(std::move(live_incarnation)),
+      started_(clock_()) {}
+
+auto OnceRegistry::IssueTicket() const -> Ticket {
+  return {.node = node_, .incarnation = incarnation_, .issued = Uptime()};
+}
+
+auto OnceRegistry::DecideWithTicket(const OnceKey& key,
+                                    std::uint64_t body_hash,
+                                    const Ticket& ticket) -> OnceDecision {
+  if (ticket.node != node_ || ticket.incarnation != incarnation_) {
+    return ForwardOrUnknown(ticket.node, ticket.incarnation);
+  }
+  if (auto known = Known(key, body_hash)) {
+    return *known;
+  }
+  auto age = Uptime() - ticket.issued;
+  if (age > settings_.ticket_validity) {
+    return Unknown("the ticket has expired and the outcome is not remembered");
+  }
+  if (age < std::chrono::milliseconds(0)) {
+    return Unknown("the ticket was not issued by this process");
+  }
+  if (IsFull()) {
+    return NotRun("too many at-most-once requests are remembered",
+                  settings_.full_retry_after);
+  }
+  entries_.emplace(key, Entry{.state = State::kRunning,
+                              .body_hash = body_hash,
+                              .claimed = false,
+                              .answer = {}});
+  return Simple(OnceDecision::Kind::kRun);
+}
+
+auto OnceRegistry::DecideWithoutTicket(const OnceKey& key,
+                                       std::uint64_t body_hash)
+    -> OnceDecision {
+  if (auto known = Known(key, body_hash)) {
+    return *known;
+  }
+  if (IsFull()) {
+    return Simple(OnceDecision::Kind::kReadClaim);
+  }
+  entries_.emplace(key, Entry{.state = State::kClaiming,
+                              .body_hash = body_hash,
+                              .claimed = true,
+                              .answer = {}});
+  return Simple(OnceDecision::Kind::kClaim);
+}
+
+auto OnceRegistry::OnClaim(const OnceKey& key, const ClaimResult& result)
+    -> OnceDecision {
+  auto place = entries_.find(key);
+  if (place == entries_.end() || place->second.state != State::kClaiming) {
+    return Unknown("the claim was not made by this call");
+  }
+  switch (result.kind) {
+    case ClaimResult::Kind::kCreated:
+      place->second.state = State::kRunning;
+      return Simple(OnceDecision::Kind::kRun);
+    case ClaimResult::Kind::kExists:
+      Erase(place);
+      return ForwardOrUnknown(result.node, result.incarnation);
+    case ClaimResult::Kind::kAbsent:
+    case ClaimResult::Kind::kNotSent:
+      Erase(place);
+      return NotRun("the platform is out and the request has no ticket",
+                    settings_.platform_retry_after);
+    case ClaimResult::Kind::kAmbiguous:
+      break;
+  }
+  // The create may still take effect. Remembering the outcome makes resends
+  // repeat it, and later ones find the claim.
+  auto decision = Unknown("it is not known whether the claim was created");
+  End(place, decision.answer);
+  return decision;
+}
+
+auto OnceRegistry::OnClaimRead(const ClaimResult& result) const
+    -> OnceDecision {
+  switch (result.kind) {
+    case ClaimResult::Kind::kExists:
+      return ForwardOrUnknown(result.node, result.incarnation);
+    case ClaimResult::Kind::kAbsent:
+      return NotRun("too many at-most-once requests are remembered",
+                    settings_.full_retry_after);
+    case ClaimResult::Kind::kCreated:
+    case ClaimResult::Kind::kAmbiguous:
+    case ClaimResult::Kind::kNotSent:
+      break;
+  }
+  return Unknown("the claim could not be read");
+}
+
+auto OnceRegistry::DecideForwardedClaim(const OnceKey& key,
+                                        std::uint64_t body_hash) const
+    -> OnceDecision {
+  if (auto known = Known(key, body_hash)) {
+    return *known;
+  }
+  return Unknown("the outcome of the claim is not remembered");
+}
+
+auto OnceRegistry::Finished(const OnceKey& key, OnceResponse response)
+    -> FinishResult {
+  auto place = entries_.find(key);
+  if (place == entries_.end() || place->second.state != State::kRunning) {
+    return {};
+  }
+  auto not_run = response.outcome.kind == OutcomeKind::kNotRun;
+  if (not_run && !place->second.claimed) {
+    // A resend may run: nothing has.
+    Erase(place);
+    return {};
+  }
+  End(place, std::move(response));
+  return {.release_claim = not_run};
+}
+
+auto OnceRegistry::ClaimReleased(const OnceKey& key) -> void {
+  auto place = entries_.find(key);
+  if (place != entries_.end() && place->second.state == State::kEnded &&
+      place->second.answer.outcome.kind == OutcomeKind::kNotRun) {
+    Erase(place);
+  }
+}
+
+auto OnceRegistry::OnTick() -> void {
+  auto now = clock_();
+  while (!ended_.empty() && now - ended_.front().first >= settings_.retention) {
+    auto place = entries_.find(ended_.front().second);
+    // A key that was released and used again has a later end.
+    if (place != entries_.end() && place->second.state == State::kEnded &&
+        place->second.ended_at == ended_.front().first) {
+      Erase(place);
+    }
+    ended_.pop_front();
+  }
+}
+
+auto OnceRegistry::Known(const OnceKey& key, std::uint64_t body_hash) const
+    -> std::optional<OnceDecision> {
+  auto place = entries_.find(key);
+  if (place == entries_.end()) {
+    return std::nullopt;
+  }
+  const auto& entry = place->second;
+  if (entry.body_hash != body_hash) {
+    return Simple(OnceDecision::Kind::kConflict);
+  }
+  if (entry.state != State::kEnded) {
+    return Simple(OnceDecision::Kind::kWait);
+  }
+  auto decision = Simple(OnceDecision::Kind::kRepeat);
+  decision.answer = entry.answer;
+  return decision;
+}
+
+auto OnceRegistry::IsFull() const -> bool {
+  return entries_.size() >= settings_.max_entries ||
+         response_bytes_ >= settings_.max_response_bytes;
+}
+
+auto OnceRegistry::ForwardOrUnknown(const NodeId& node,
+                                    Incarnation incarnation) const
+    -> OnceDecision {
+  if (node == node_) {
+    return Unknown(incarnation == incarnation_
+                       ? "the outcome of the claim is not remembered"
+                       : "this node has restarted since");
+  }
+  auto live = live_incarnation_(node);
+  if (!live) {
+    return Unknown("node " + node.value() + " is not alive");
+  }
+  if (*live != incarnation) {
+    return Unknown("node " + node.value() + " has restarted since");
+  }
+  auto decision = Simple(OnceDecision::Kind::kForward);
+  decision.node = node;
+  decision.incarnation = incarnation;
+  return decision;
+}
+
+auto OnceRegistry::End(std::map<OnceKey, Entry>::iterator place,
+                       OnceResponse answer) -> void {
+  auto& entry = place->second;
+  entry.state = State::kEnded;
+  entry.ended_at = clock_();
+  response_bytes_ += answer.response.size();
+  entry.answer = std::move(answer);
+  ended_.emplace_back(entry.ended_at, place->first);
+}
+
+auto OnceRegistry::Erase(std::map<OnceKey, Entry>::iterator place) -> void {
+  response_bytes_ -= place->second.answer.response.size();
+  entries_.erase(place);
+}
+
+auto OnceRegistry::Uptime() const -> std::chrono::milliseconds {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(clock_() -
+                                                               started_);
+}
+
+}  // namespace kumquatgauge::routing
