--- /dev/null
+++ b/include/kumquatgauge/daemon/dispatch_service.h
@@ -0,0 +1,94 @@
+#ifndef KUMQUATGAUGE_DAEMON_DISPATCH_SERVICE_H_
+#define KUMQUATGAUGE_DAEMON_DISPATCH_SERVICE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <shared_mutex>
+#include <string>
+#include <vector>
+
+#include "kumquatgauge/base/ids.h"
+#include "kumquatgauge/base/metrics.h"
+#include "kumquatgauge/base/time.h"
+#include "kumquatgauge/daemon/traffic_pool.h"
+#include "kumquatgauge/routing/completion.h"
+#include "kumquatgauge/routing/dispatcher.h"
+#include "kumquatgauge/routing/replica.h"
+
+namespace kumquatgauge::daemon {
+
+// The dispatching side: one Dispatcher per replica that requests were sent to
+// from here, and the streams that run under it. Thread-safe.
+class DispatchService {
+ public:
+  // Batch rule and lean of a service, from the configuration.
+  using BatchSettingsOf =
+      std::function<auto(const ServiceName&)->routing::BatchRoomSettings>;
+  using LoadHook = std::function<auto(const routing::ReplicaLoad&)->void>;
+
+  DispatchService(TrafficPool& pool,
+                  Clock clock,
+                  routing::DispatcherSettings settings,
+                  routing::Dispatcher::OrganisationWeight weight,
+                  BatchSettingsOf batch_settings,
+                  LoadHook on_load,
+                  MetricsRegistry& metrics);
+
+  // Replaces the known replicas; a replica that goes or leaves starts nothing.
+  auto SetReplicas(const std::vector<routing::Replica>& replicas) -> void;
+
+  // Runs the request on `replica` when its dispatcher admits it. Runs on a
+  // traffic thread. `cancel` may be null. Does not throw.
+  auto Run(routing::CompletionRequest request,
+           ReplicaId replica,
+           routing::TokenSink sink,
+           std::shared_ptr<node::StreamCancel> cancel)
+      -> boost::asio::awaitable<routing::DispatchResult>;
+
+  auto OnLoadReport(const ReplicaId& replica,
+                    const upstream::LoadReport& report) -> void;
+  // Call about every 20 ms: ends waits that are over.
+  auto OnTick() -> void;
+
+  auto loads() const -> std::vector<routing::ReplicaLoad>;
+  // Streams and waiting requests, over all replicas.
+  auto in_flight() const -> std::size_t;
+
+ private:
+  class Slot;
+  struct Waiter;
+
+  auto FindSlot(const ReplicaId& replica) -> std::shared_ptr<Slot>;
+  auto AllSlots() const -> std::vector<std::shared_ptr<Slot>>;
+  auto MakeSlot(const routing::Replica& replica) const -> std::shared_ptr<Slot>;
+  auto WaitForAction(std::shared_ptr<Waiter> waiter)
+      -> boost::asio::awaitable<void>;
+  auto StreamFromEngine(std::shared_ptr<Slot> slot,
+                        std::shared_ptr<Waiter> waiter,
+                        routing::CompletionRequest request,
+                        routing::TokenSink sink)
+      -> boost::asio::awaitable<routing::DispatchResult>;
+
+  TrafficPool& pool_;
+  Clock clock_;
+  routing::DispatcherSettings settings_;
+  routing::Dispatcher::OrganisationWeight weight_;
+  BatchSettingsOf batch_settings_;
+  LoadHook on_load_;
+  LatencyHistogram& first_token_;
+  LatencyHistogram& inter_token_;
+  Counter& tokens_;
+  Counter& refusals_;
+  Counter& preemptions_;
+
+  mutable std::shared_mutex mutex_;
+  std::map<ReplicaId, routing::Replica> replicas_;
+  std::map<ReplicaId, std::shared_ptr<Slot>> slots_;
+};
+
+}  // namespace kumquatgauge::daemon
+
+#endif  // KUMQUATGAUGE_DAEMON_DISPATCH_SERVICE_H_
--- /dev/null
+++ b/include/kumquatgauge/daemon/routing_table.h
@@ -0,0 +1,85 @@
+#ifndef KUMQUATGAUGE_DAEMON_ROUTING_TABLE_H_
+#define KUMQUATGAUGE_DAEMON_ROUTING_TABLE_H_
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kumquatgauge/base/ids.h"
+#include "kumquatgauge/base/time.h"
+#include "kumquatgauge/routing/assignment.h"
+#include "kumquatgauge/routing/completion.h"
+#include "kumquatgauge/routing/outlier.h"
+#include "kumquatgauge/routing/replica.h"
+#include "kumquatgauge/routing/retry_budget.h"
+#include "kumquatgauge/routing/retry_policy.h"
+#include "kumquatgauge/routing/router.h"
+
+namespace kumquatgauge::daemon {
+
+// Where an attempt goes.
+struct Route {
+  routing::Replica replica;
+  std::optional<routing::NodeInfo> dispatcher;
+  routing::RouteExplanation explanation;
+};
+
+// The entry's routing state, shared by the traffic threads: replicas, nodes,
+// loads, ejections and the retry budget. Thread-safe; one mutex, held for
+// microseconds.
+class RoutingTable {
+ public:
+  RoutingTable(ZoneName zone, Clock clock, RandomSource random);
+
+  auto SetReplicas(std::vector<routing::Replica> replicas) -> void;
+  // The live nodes, this one included.
+  auto SetNodes(std::vector<routing::NodeInfo> nodes) -> void;
+
+  // `route.replica` is meaningful when the result has a value; the explanation
+  // always is.
+  auto Choose(const routing::RouteRequest& request,
+              routing::WorkClass work_class,
+              routing::RouteExplanation& explanation) -> std::optional<Route>;
+  auto OnLoad(const routing::ReplicaLoad& load) -> void;
+  auto OnSuccess(const ReplicaId& replica, Duration latency) -> void;
+  auto OnFailure(const ReplicaId& replica) -> void;
+  auto OnTick() -> void;
+
+  auto OnRequest(const ServiceName& service) -> void;
+  auto DecideRetry(const routing::RetryState& state,
+                   const routing::DispatchResult& result)
+      -> routing::RetryDecision;
+
+  auto batch_room(const ServiceName& service) const -> std::uint32_t;
+  auto replicas() const -> std::vector<routing::Replica>;
+  auto FindReplica(const ReplicaId& id) const
+      -> std::optional<routing::Replica>;
+  auto nodes() const -> std::vector<routing::NodeInfo>;
+  auto FindNode(const NodeId& id) const -> std::optional<routing::NodeInfo>;
+  auto DispatcherOf(const routing::Replica& replica) const
+      -> std::optional<routing::NodeInfo>;
+  auto ejection(const ReplicaId& id) const -> routing::EjectionState;
+  auto figures(const ReplicaId& id) const
+      -> std::optional<routing::RouteCandidate>;
+  // Reason of the last ejection of a replica; empty when there was none.
+  auto ejection_reason(const ReplicaId& id) const -> std::string;
+
+ private:
+  auto ApplyEjections(const routing::OutlierDetector::Changes& changes) -> void;
+
+  mutable std::mutex mutex_;
+  routing::Router router_;
+  routing::OutlierDetector outlier_;
+  routing::RetryBudget budget_;
+  routing::RetryPolicy retry_policy_;
+  routing::Assignment assignment_;
+  std::map<ReplicaId, routing::Replica> replicas_;
+  std::vector<routing::NodeInfo> nodes_;
+  std::map<ReplicaId, std::string> ejection_reasons_;
+};
+
+}  // namespace kumquatgauge::daemon
+
+#endif  // KUMQUATGAUGE_DAEMON_ROUTING_TABLE_H_
--- a/include/kumquatgauge/routing/completion.h
+++ b/include/kumquatgauge/routing/completion.h
@@ -66,6 +66,10 @@
   auto operator==(const ReplicaLoad&) const -> bool = default;
 };
 
+// DispatchResult::finish_reason of a request that the engine rejected as bad
+// (4xx); such a request fails on every replica.
+inline constexpr auto kFinishRejected = "rejected";
+
 // How one dispatch ended.
 struct DispatchResult {
   enum class Kind {
--- /dev/null
+++ b/src/daemon/dispatch_service.cc
@@ -0,0 +1,438 @@
+#include "kumquatgauge/daemon/dispatch_service.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+#include "kumquatgauge/base/error.h"
+
+namespace kumquatgauge::daemon {
+namespace {
+
+using routing::DispatchAction;
+using routing::DispatchResult;
+using upstream::StreamEnd;
+
+// The dispatcher hears of progress every so many tokens; a lock per token
+// would be paid two million times a second across the fleet.
+constexpr std::uint64_t kProgressStep = 8;
+
+auto ToMilliseconds(Duration duration) -> double {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+auto UpstreamEndOf(StreamEnd::Kind kind) -> routing::UpstreamEnd {
+  switch (kind) {
+    case StreamEnd::Kind::kCompleted:
+      return routing::UpstreamEnd::kCompleted;
+    case StreamEnd::Kind::kRefused:
+      return routing::UpstreamEnd::kRefused;
+    case StreamEnd::Kind::kRejected:
+    case StreamEnd::Kind::kFailed:
+      return routing::UpstreamEnd::kFailed;
+    case StreamEnd::Kind::kLost:
+      return routing::UpstreamEnd::kLost;
+    case StreamEnd::Kind::kCancelled:
+      break;
+  }
+  return routing::UpstreamEnd::kCancelled;
+}
+
+auto MakeResult(DispatchResult::Kind kind, Outcome outcome) -> DispatchResult {
+  auto result = DispatchResult();
+  result.kind = kind;
+  result.outcome = std::move(outcome);
+  return result;
+}
+
+auto ResultOf(const StreamEnd& end, bool preempted) -> DispatchResult {
+  auto outcome = Outcome();
+  outcome.reason = end.reason;
+  outcome.tokens = end.next_offset;
+  auto kind = DispatchResult::Kind::kEnded;
+  switch (end.kind) {
+    case StreamEnd::Kind::kCompleted:
+      outcome.kind = OutcomeKind::kCompleted;
+      break;
+    case StreamEnd::Kind::kRefused:
+      kind = DispatchResult::Kind::kBusy;
+      outcome.kind = OutcomeKind::kNotRun;
+      break;
+    case StreamEnd::Kind::kRejected:
+    case StreamEnd::Kind::kFailed:
+      outcome.kind = OutcomeKind::kFailed;
+      break;
+    case StreamEnd::Kind::kLost:
+      kind = DispatchResult::Kind::kLost;
+      outcome.kind = OutcomeKind::kFailed;
+      break;
+    case StreamEnd::Kind::kCancelled:
+      kind = preempted ? DispatchResult::Kind::kPreempted : kind;
+      outcome.kind = OutcomeKind::kCancelled;
+      break;
+  }
+  auto result = MakeResult(kind, std::move(outcome));
+  result.finish_reason = end.kind == StreamEnd::Kind::kRejected
+                             ? routing::kFinishRejected
+                             : end.finish_reason;
+  return result;
+}
+
+auto UnknownReplica(const ReplicaId& replica) -> DispatchResult {
+  constexpr auto kRetryAfter = std::chrono::milliseconds(500);
+  return MakeResult(
+      DispatchResult::Kind::kBusy,
+      {.kind = OutcomeKind::kNotRun,
+       .reason = "replica " + replica.value() + " is not known here",
+       .retry_after = kRetryAfter});
+}
+
+}  // namespace
+
+// A request at this dispatcher. Used on its own executor only; actions reach
+// it by post.
+struct DispatchService::Waiter {
+  explicit Waiter(boost::asio::any_io_executor on)
+      : executor(std::move(on)), timer(executor) {}
+
+  boost::asio::any_io_executor executor;
+  boost::asio::steady_timer timer;
+  std::optional<DispatchAction> admission;  // kStart, kRefuse or kExpire.
+  std::shared_ptr<upstream::StreamHandle> stream;
+  bool preempted = false;
+  bool cancelled = false;
+
+  auto OnAction(const DispatchAction& action) -> void {
+    if (action.kind == DispatchAction::Kind::kPreempt) {
+      preempted = true;
+      CancelStream();
+      return;
+    }
+    admission = action;
+    timer.cancel();
+  }
+
+  auto OnCancel() -> void {
+    cancelled = true;
+    CancelStream();
+    timer.cancel();
+  }
+
+  auto CancelStream() -> void {
+    if (stream) {
+      stream->Cancel();
+    }
+  }
+};
+
+// One replica's dispatcher with the requests that wait or run under it.
+class DispatchService::Slot {
+ public:
+  explicit Slot(routing::Dispatcher dispatcher)
+      : dispatcher_(std::move(dispatcher)) {}
+
+  auto Register(const RequestId& id, std::shared_ptr<Waiter> waiter) -> void {
+    const auto lock = std::lock_guard(mutex_);
+    waiters_[id] = std::move(waiter);
+  }
+
+  auto Unregister(const RequestId& id) -> void {
+    const auto lock = std::lock_guard(mutex_);
+    waiters_.erase(id);
+  }
+
+  // Passes an event to the dispatcher and its actions to the requests.
+  template <typename Event>
+  auto Apply(Event event) -> void {
+    const auto lock = std::lock_guard(mutex_);
+    for (auto& action : event(dispatcher_)) {
+      const auto found = waiters_.find(action.id);
+      if (found != waiters_.end()) {
+        boost::asio::post(found->second->executor,
+                          [waiter = found->second, action = std::move(action)] {
+                            waiter->OnAction(action);
+                          });
+      }
+    }
+  }
+
+  auto load() const -> routing::ReplicaLoad {
+    const auto lock = std::lock_guard(mutex_);
+    return dispatcher_.load();
+  }
+
+  auto in_flight() const -> std::size_t {
+    const auto lock = std::lock_guard(mutex_);
+    return dispatcher_.running() + dispatcher_.waiting();
+  }
+
+  auto address() const -> std::string {
+    const auto lock = std::lock_guard(mutex_);
+    return dispatcher_.replica().address;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  routing::Dispatcher dispatcher_;
+  std::unordered_map<RequestId, std::shared_ptr<Waiter>> waiters_;
+};
+
+DispatchService::DispatchService(TrafficPool& pool,
+                                 Clock clock,
+                                 routing::DispatcherSettings settings,
+                                 routing::Dispatcher::OrganisationWeight weight,
+                                 BatchSettingsOf batch_settings,
+                                 LoadHook on_load,
+                                 MetricsRegistry& metrics)
+    : pool_(pool),
+      clock_(std::move(clock)),
+      settings_(std::move(settings)),
+      weight_(std::move(weight)),
+      batch_settings_(std::move(batch_settings)),
+      on_load_(std::move(on_load)),
+      first_token_(metrics.histogram("kqg_engine_first_token_seconds")),
+      inter_token_(metrics.histogram("kqg_engine_inter_token_seconds")),
+      tokens_(metrics.counter("kqg_engine_tokens_total")),
+      refusals_(metrics.counter("kqg_dispatch_refusals_total")),
+      preemptions_(metrics.counter("kqg_dispatch_preemptions_total")) {}
+
+auto DispatchService::SetReplicas(const std::vector<routing::Replica>& replicas)
+    -> void {
+  const auto lock = std::unique_lock(mutex_);
+  replicas_.clear();
+  for (const auto& replica : replicas) {
+    replicas_.emplace(replica.id, replica);
+  }
+  for (auto& [id, slot] : slots_) {
+    const auto found = replicas_.find(id);
+    if (found == replicas_.end()) {
+      slot->Apply([](routing::Dispatcher& dispatcher) {
+        auto gone = dispatcher.replica();
+        gone.leaving = true;
+        return dispatcher.SetReplica(gone);
+      });
+      continue;
+    }
+    slot->Apply([&found](routing::Dispatcher& dispatcher) {
+      return dispatcher.SetReplica(found->second);
+    });
+    const auto batch = batch_settings_(found->second.service);
+    slot->Apply([&batch](routing::Dispatcher& dispatcher) {
+      return dispatcher.SetBatchSettings(batch);
+    });
+  }
+  std::erase_if(slots_, [this](const auto& entry) {
+    return !replicas_.contains(entry.first) && entry.second->in_flight() == 0;
+  });
+}
+
+auto DispatchService::MakeSlot(const routing::Replica& replica) const
+    -> std::shared_ptr<Slot> {
+  auto settings = settings_;
+  settings.limit.initial = replica.capacity;
+  settings.limit.max = replica.capacity;
+  settings.batch = batch_settings_(replica.service);
+  return std::make_shared<Slot>(
+      routing::Dispatcher(replica, settings, clock_, weight_));
+}
+
+auto DispatchService::FindSlot(const ReplicaId& replica)
+    -> std::shared_ptr<Slot> {
+  {
+    const auto lock = std::shared_lock(mutex_);
+    const auto found = slots_.find(replica);
+    if (found != slots_.end()) {
+      return found->second;
+    }
+  }
+  const auto lock = std::unique_lock(mutex_);
+  const auto known = replicas_.find(replica);
+  if (known == replicas_.end()) {
+    return nullptr;
+  }
+  auto& slot = slots_[replica];
+  if (!slot) {
+    slot = MakeSlot(known->second);
+  }
+  return slot;
+}
+
+auto DispatchService::AllSlots() const -> std::vector<std::shared_ptr<Slot>> {
+  const auto lock = std::shared_lock(mutex_);
+  auto slots = std::vector<std::shared_ptr<Slot>>();
+  for (const auto& [id, slot] : slots_) {
+    slots.push_back(slot);
+  }
+  return slots;
+}
+
+auto DispatchService::Run(routing::CompletionRequest request,
+                          ReplicaId replica,
+                          routing::TokenSink sink,
+                          std::shared_ptr<node::StreamCancel> cancel)
+    -> boost::asio::awaitable<DispatchResult> {
+  const auto slot = FindSlot(replica);
+  if (!slot) {
+    co_return UnknownReplica(replica);
+  }
+  const auto id = request.id;
+  const auto waiter =
+      std::make_shared<Waiter>(co_await boost::asio::this_coro::executor);
+  if (cancel) {
+    cancel->set_hook([slot, waiter, id] {
+      slot->Apply([&id](routing::Dispatcher& dispatcher) {
+        return dispatcher.Cancelled(id);
+      });
+      waiter->OnCancel();
+    });
+    if (cancel->cancelled()) {
+      waiter->cancelled = true;
+    }
+  }
+  slot->Register(id, waiter);
+  auto result = DispatchResult();
+  try {
+    slot->Apply([&request](routing::Dispatcher& dispatcher) {
+      return dispatcher.Arrive(routing::DispatchItemOf(request));
+    });
+    co_await WaitForAction(waiter);
+    if (waiter->cancelled) {
+      // The start may have been decided already; nothing was sent.
+      slot->Apply([&id](routing::Dispatcher& dispatcher) {
+        auto actions = dispatcher.Cancelled(id);
+        auto more = dispatcher.Finished(id, routing::UpstreamEnd::kCancelled);
+        actions.insert(actions.end(), more.begin(), more.end());
+        return actions;
+      });
+      result = MakeResult(DispatchResult::Kind::kEnded,
+                          {.kind = OutcomeKind::kCancelled,
+                           .reason = "cancelled while it waited",
+                           .tokens = request.resume_offset});
+    } else if (waiter->admission->kind == DispatchAction::Kind::kStart) {
+      result = co_await StreamFromEngine(slot, waiter, std::move(request),
+                                         std::move(sink));
+    } else {
+      refusals_.Add();
+      result =
+          MakeResult(DispatchResult::Kind::kBusy, waiter->admission->outcome);
+    }
+  } catch (const Error& error) {
+    // The dispatcher already holds this id, so nothing was started here.
+    result = MakeResult(DispatchResult::Kind::kBusy,
+                        {.kind = OutcomeKind::kNotRun, .reason = error.what()});
+  }
+  if (cancel) {
+    cancel->set_hook(nullptr);
+  }
+  slot->Unregister(id);
+  result.load = slot->load();
+  if (on_load_) {
+    on_load_(result.load);
+  }
+  co_return result;
+}
+
+auto DispatchService::WaitForAction(std::shared_ptr<Waiter> waiter)
+    -> boost::asio::awaitable<void> {
+  while (!waiter->admission && !waiter->cancelled) {
+    auto ignored = boost::system::error_code();
+    waiter->timer.expires_at(MonotonicTime::max());
+    co_await waiter->timer.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  }
+}
+
+auto DispatchService::StreamFromEngine(std::shared_ptr<Slot> slot,
+                                       std::shared_ptr<Waiter> waiter,
+                                       routing::CompletionRequest request,
+                                       routing::TokenSink sink)
+    -> boost::asio::awaitable<DispatchResult> {
+  const auto id = request.id;
+  const auto start = clock_();
+  auto last = start;
+  auto first = true;
+  const auto on_token = [&](const routing::Token& token) {
+    const auto now = clock_();
+    (first ? first_token_ : inter_token_).Record(ToMilliseconds(now - last));
+    last = now;
+    tokens_.Add();
+    sink(token);
+    if (first) {
+      slot->Apply([&id](routing::Dispatcher& dispatcher) {
+        return dispatcher.FirstToken(id);
+      });
+    } else if (token.offset % kProgressStep == 0) {
+      slot->Apply([&](routing::Dispatcher& dispatcher) {
+        return dispatcher.TokenProgress(id, token.offset + 1);
+      });
+    }
+    first = false;
+  };
+  const auto on_start = [&](std::shared_ptr<upstream::StreamHandle> stream) {
+    waiter->stream = std::move(stream);
+    if (waiter->cancelled || waiter->preempted) {
+      waiter->CancelStream();
+    }
+  };
+  slot->Apply([&id](routing::Dispatcher& dispatcher) {
+    dispatcher.Started(id);
+    return routing::Dispatcher::Actions();
+  });
+  const auto end = co_await pool_.current().engine().Stream(
+      slot->address(), std::move(request), on_start, on_token);
+  waiter->stream.reset();
+  slot->Apply([&](routing::Dispatcher& dispatcher) {
+    return dispatcher.Finished(id, UpstreamEndOf(end.kind));
+  });
+  if (waiter->preempted) {
+    preemptions_.Add();
+  }
+  co_return ResultOf(end, waiter->preempted);
+}
+
+auto DispatchService::OnLoadReport(const ReplicaId& replica,
+                                   const upstream::LoadReport& report) -> void {
+  const auto slot = FindSlot(replica);
+  if (!slot) {
+    return;
+  }
+  slot->Apply([&report](routing::Dispatcher& dispatcher) {
+    return dispatcher.LoadReport({.running = report.running,
+                                  .waiting = report.waiting,
+                                  .capacity = report.capacity,
+                                  .kv_used = report.kv_used});
+  });
+  if (on_load_) {
+    on_load_(slot->load());
+  }
+}
+
+auto DispatchService::OnTick() -> void {
+  for (const auto& slot : AllSlots()) {
+    slot->Apply(
+        [](routing::Dispatcher& dispatcher) { return dispatcher.Tick(); });
+  }
+}
+
+auto DispatchService::loads() const -> std::vector<routing::ReplicaLoad> {
+  auto loads = std::vector<routing::ReplicaLoad>();
+  for (const auto& slot : AllSlots()) {
+    loads.push_back(slot->load());
+  }
+  return loads;
+}
+
+auto DispatchService::in_flight() const -> std::size_t {
+  auto total = std::size_t{0};
+  for (const auto& slot : AllSlots()) {
+    total += slot->in_flight();
+  }
+  return total;
+}
+
+}  // namespace kumquatgauge::daemon
