Add HTTP/2 streams between nodes

Cause: dispatch, feeds and member tables travel over streams between nodes.

A client sends no request before the server's SETTINGS, so that a host that accepts and stays silent gives kUnavailable and not kUnknownOutcome. Ruled out: resetting a refused stream together with its status, because nghttp2 then drops the status and the client cannot tell a wrong credential from a lost stream.

--- /dev/null
+++ b/src/node/peer_client.cc
@@ -0,0 +1,516 @@
+#include "kumquatgauge/node/peer_client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <exception>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "kumquatgauge/base/error.h"
+#include "kumquatgauge/node/address.h"
+#include "kumquatgauge/node/message.h"
+#include "node/frame_codec.h"
+#include "node/http2_connection.h"
+
+namespace kumquatgauge::node {
+namespace {
+
+using boost::asio::awaitable;
+using boost::asio::io_context;
+using boost::asio::steady_timer;
+using boost::asio::ip::tcp;
+using nlohmann::json;
+using std::chrono::steady_clock;
+
+constexpr int kStatusOk = 200;
+// The client accepts no streams that the server opens.
+constexpr std::uint32_t kNoStreams = 0;
+
+auto Unavailable(const std::string& address, std::string_view reason) -> Error {
+  return Error(ErrorKind::kUnavailable,
+               "cannot reach node (" + std::string(reason) + ")", address,
+               "try another node");
+}
+
+// One request and what has arrived of its response.
+struct ClientStream {
+  explicit ClientStream(io_context& context) : wake(context) {}
+
+  auto Finish(std::exception_ptr result) -> void {
+    if (!done) {
+      done = true;
+      error = std::move(result);
+      sink = nullptr;
+      wake.cancel();
+    }
+  }
+
+  FrameSink sink;
+  detail::OutBuffer body;
+  detail::FrameReader frames;
+  std::int32_t id = -1;
+  int status = 0;
+  bool sent = false;     // A byte of the request may have left.
+  bool refused = false;  // The other side has certainly not handled it.
+  bool done = false;
+  std::exception_ptr error;
+  steady_clock::time_point last_frame;
+  steady_timer wake;  // Cancelled when done.
+};
+
+class ClientConnection : public detail::Http2Connection {
+ public:
+  enum class State { kConnecting, kOpen, kDraining, kClosed };
+
+  ClientConnection(io_context& context, std::string address)
+      : Http2Connection(tcp::socket(context), Side::kClient),
+        context_(context),
+        address_(std::move(address)),
+        timer_(context) {}
+
+  auto Connect(const tcp::endpoint& endpoint) -> void {
+    timer_.expires_after(kConnectTimeout);
+    timer_.async_wait([self = Self()](const boost::system::error_code& error) {
+      if (!error && self->state_ == State::kConnecting) {
+        self->Close("no answer in time");
+      }
+    });
+    socket().async_connect(
+        endpoint, [self = Self()](const boost::system::error_code& error) {
+          if (self->closed()) {
+            return;
+          }
+          if (error) {
+            self->Close(error.message());
+          } else {
+            self->StartSession(kNoStreams);
+          }
+        });
+  }
+
+  // Returns when the connection is open or has failed.
+  auto WaitUntilConnected(std::shared_ptr<steady_timer> wake)
+      -> awaitable<void> {
+    while (state_ == State::kConnecting && wake->expiry() > Now()) {
+      waiting_.push_back(wake);
+      boost::system::error_code ignored;
+      co_await wake->async_wait(
+          boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+      std::erase(waiting_, wake);
+      if (ignored) {
+        break;
+      }
+    }
+  }
+
+  auto Open(const std::shared_ptr<ClientStream>& stream,
+            const std::string& path,
+            const std::string& credential) -> bool {
+    const auto id = SubmitRequest({{":method", "POST"},
+                                   {":scheme", "http"},
+                                   {":path", path},
+                                   {":authority", address_},
+                                   {"kqg-fleet", credential}},
+                                  stream->body);
+    if (id < 0) {
+      return false;
+    }
+    stream->id = id;
+    stream->last_frame = Now();
+    streams_[id] = stream;
+    StartPings();
+    return true;
+  }
+
+  // Stops the stream without an error; later frames are dropped.
+  auto Cancel(ClientStream& stream) -> void {
+    if (!stream.done) {
+      stream.Finish(nullptr);
+      SubmitReset(stream.id, NGHTTP2_CANCEL);
+    }
+  }
+
+  auto state() const -> State { return state_; }
+  auto reason() const -> const std::string& { return reason_; }
+  // Whether new calls may use it or wait for it.
+  auto usable() const -> bool {
+    return state_ == State::kConnecting ||
+           (state_ == State::kOpen && unanswered_ < 2);
+  }
+
+ private:
+  static auto Now() -> steady_clock::time_point { return steady_clock::now(); }
+
+  auto Self() -> std::shared_ptr<ClientConnection> {
+    return std::static_pointer_cast<ClientConnection>(shared_from_this());
+  }
+
+  auto Find(std::int32_t id) -> std::shared_ptr<ClientStream> {
+    const auto found = streams_.find(id);
+    return found == streams_.end() || found->second->done ? nullptr
+                                                          : found->second;
+  }
+
+  auto OnHeader(std::int32_t id, std::string_view name, std::string_view value)
+      -> void override {
+    const auto stream = Find(id);
+    if (stream && name == ":status") {
+      // nghttp2 has checked that the value has three digits.
+      stream->status = std::stoi(std::string(value));
+    }
+  }
+
+  auto OnHeadersEnd(std::int32_t id) -> void override {
+    const auto stream = Find(id);
+    if (!stream || stream->status == kStatusOk) {
+      return;
+    }
+    stream->Finish(std::make_exception_ptr(StatusError(stream->status)));
+  }
+
+  auto OnData(std::int32_t id, std::string_view bytes) -> void override {
+    const auto stream = Find(id);
+    if (!stream) {
+      return;
+    }
+    stream->last_frame = Now();
+    try {
+      stream->frames.Add(bytes, [&](std::string_view frame) {
+        if (!stream->done) {
+          PassOn(*stream, DecodeMessage(frame));
+        }
+      });
+    } catch (...) {
+      stream->Finish(std::current_exception());
+      SubmitReset(id, NGHTTP2_CANCEL);
+    }
+  }
+
+  static auto PassOn(ClientStream& stream, const json& frame) -> void {
+    const auto error = frame.find(kErrorField);
+    if (error != frame.end()) {
+      throw ErrorFrom(*error);
+    }
+    // A copy: the sink may end the stream, which releases its sink.
+    const auto sink = stream.sink;
+    if (sink) {
+      sink(frame);
+    }
+  }
+
+  auto OnStreamEnd(std::int32_t id) -> void override {
+    if (const auto stream = Find(id)) {
+      stream->Finish(nullptr);
+    }
+  }
+
+  auto OnStreamClosed(std::int32_t id, std::uint32_t code) -> void override {
+    const auto found = streams_.find(id);
+    if (found == streams_.end()) {
+      return;
+    }
+    const auto stream = found->second;
+    streams_.erase(found);
+    KeepUntilReturn(stream);
+    if (stream->done) {
+      return;
+    }
+    stream->refused = code == NGHTTP2_REFUSED_STREAM;
+    Lose(*stream, "the other side reset the stream");
+  }
+
+  auto OnHeadersSent(std::int32_t id) -> void override {
+    if (const auto stream = Find(id)) {
+      stream->sent = true;
+    }
+  }
+
+  auto OnSettings() -> void override {
+    if (state_ == State::kConnecting) {
+      state_ = State::kOpen;
+      timer_.cancel();
+      WakeWaiting();
+    }
+  }
+
+  auto OnGoaway() -> void override {
+    state_ = State::kDraining;
+    WakeWaiting();
+  }
+
+  auto OnPingAnswer() -> void override { unanswered_ = 0; }
+
+  auto OnClosed(std::string_view reason) -> void override {
+    state_ = State::kClosed;
+    reason_ = reason;
+    timer_.cancel();
+    WakeWaiting();
+    auto streams = std::exchange(streams_, {});
+    for (auto& [id, stream] : streams) {
+      kept_.push_back(stream);
+      Lose(*stream, reason);
+    }
+  }
+
+  // Ends a stream that got no complete response.
+  auto Lose(ClientStream& stream, std::string_view reason) -> void {
+    if (!stream.sent) {
+      stream.refused = true;
+      stream.Finish(std::make_exception_ptr(Unavailable(address_, reason)));
+    } else if (stream.refused) {
+      stream.Finish(std::make_exception_ptr(
+          Error(ErrorKind::kOverloaded, "node refused the stream", address_,
+                "try another node")));
+    } else {
+      stream.Finish(std::make_exception_ptr(Error(
+          ErrorKind::kUnknownOutcome, "lost node (" + std::string(reason) + ")",
+          address_, "ask whether the request ran before it is repeated")));
+    }
+  }
+
+  auto StatusError(int status) const -> Error {
+    switch (status) {
+      case 403:
+        return Error(ErrorKind::kPermissionDenied,
+                     "node refused the fleet credential", address_,
+                     "use the same fleet credential on all nodes");
+      case 404:
+        return Error(ErrorKind::kNotFound, "node does not know the request",
+                     address_, "check that both nodes run compatible releases");
+      case 413:
+      case 431:
+        return Error(ErrorKind::kInvalidArgument, "request too long for node",
+                     address_, "send a smaller request");
+      default:
+        return Error(ErrorKind::kInternal,
+                     "node answered with status " + std::to_string(status),
+                     address_, "check the log of that node");
+    }
+  }
+
+  auto WakeWaiting() -> void {
+    for (const auto& wake : std::exchange(waiting_, {})) {
+      wake->cancel();
+    }
+  }
+
+  auto StartPings() -> void {
+    if (pinging_) {
+      return;
+    }
+    pinging_ = true;
+    SendPing();
+  }
+
+  auto SendPing() -> void {
+    nghttp2_submit_ping(session(), NGHTTP2_FLAG_NONE, nullptr);
+    ++unanswered_;
+    ScheduleWrite();
+    timer_.expires_after(kPingInterval);
+    timer_.async_wait([self = Self()](const boost::system::error_code& error) {
+      if (error || self->closed()) {
+        return;
+      }
+      if (self->unanswered_ >= kPingIntervalsUntilDead) {
+        self->Close("no answer to PING");
+      } else if (self->streams_.empty() && self->unanswered_ == 0) {
+        self->pinging_ = false;
+      } else {
+        self->SendPing();
+      }
+    });
+  }
+
+  auto KeepUntilReturn(std::shared_ptr<ClientStream> stream) -> void {
+    // nghttp2 may still hold the body until this callback returns.
+    kept_.push_back(std::move(stream));
+    boost::asio::post(context_, [self = Self()] { self->kept_.clear(); });
+  }
+
+  io_context& context_;
+  std::string address_;
+  State state_ = State::kConnecting;
+  std::string reason_;
+  std::vector<std::shared_ptr<steady_timer>> waiting_;
+  std::unordered_map<std::int32_t, std::shared_ptr<ClientStream>> streams_;
+  std::vector<std::shared_ptr<ClientStream>> kept_;
+  steady_timer timer_;  // For the connect timeout, then for PINGs.
+  int unanswered_ = 0;  // PINGs sent since the last answer.
+  bool pinging_ = false;
+};
+
+// Cancels the stream when the call ends early, and detaches the cancel hook.
+class CallGuard {
+ public:
+  CallGuard(std::shared_ptr<ClientConnection> connection,
+            std::shared_ptr<ClientStream> stream,
+            std::shared_ptr<StreamCancel> cancel)
+      : connection_(std::move(connection)),
+        stream_(std::move(stream)),
+        cancel_(std::move(cancel)) {
+    if (cancel_) {
+      cancel_->set_hook([connection = connection_, stream = stream_] {
+        connection->Cancel(*stream);
+      });
+    }
+  }
+  CallGuard(const CallGuard&) = delete;
+  auto operator=(const CallGuard&) -> CallGuard& = delete;
+  ~CallGuard() {
+    if (cancel_) {
+      cancel_->set_hook(nullptr);
+    }
+    connection_->Cancel(*stream_);
+  }
+
+ private:
+  std::shared_ptr<ClientConnection> connection_;
+  std::shared_ptr<ClientStream> stream_;
+  std::shared_ptr<StreamCancel> cancel_;
+};
+
+class Http2PeerClient : public PeerClient {
+ public:
+  Http2PeerClient(io_context& context, PeerClientSettings settings)
+      : context_(context), settings_(std::move(settings)) {}
+
+  ~Http2PeerClient() override {
+    for (auto& [key, link] : links_) {
+      for (const auto& connection : {link.current, link.judged}) {
+        if (connection) {
+          connection->Close("the client was closed");
+        }
+      }
+    }
+  }
+  Http2PeerClient(const Http2PeerClient&) = delete;
+  auto operator=(const Http2PeerClient&) -> Http2PeerClient& = delete;
+
+  auto Call(std::string address,
+            Channel channel,
+            std::string name,
+            json request,
+            FrameSink sink,
+            std::chrono::milliseconds timeout,
+            std::shared_ptr<StreamCancel> cancel) -> awaitable<void> override {
+    const auto body = EncodeMessage(request);
+    if (body.size() > kMaxRequestBytes) {
+      throw Error(ErrorKind::kInvalidArgument, "request too long", name,
+                  "send a smaller request");
+    }
+    const auto path = "/node/v1/" + name;
+    // A refused stream has not been handled: HTTP/2 lets it be sent again on a
+    // fresh connection.
+    for (auto attempt = 0;; ++attempt) {
+      const auto connection =
+          co_await Connect(address, channel, timeout, cancel);
+      if (cancel && cancel->cancelled()) {
+        co_return;
+      }
+      const auto stream = std::make_shared<ClientStream>(context_);
+      stream->sink = sink;
+      stream->body.bytes = body;
+      stream->body.ended = true;
+      if (!connection->Open(stream, path, settings_.fleet_credential)) {
+        throw Unavailable(address, "no stream could be opened");
+      }
+      const CallGuard guard(connection, stream, cancel);
+      co_await Wait(*stream, timeout, address);
+      if (stream->refused && attempt == 0) {
+        continue;
+      }
+      if (stream->error) {
+        std::rethrow_exception(stream->error);
+      }
+      co_return;
+    }
+  }
+
+ private:
+  // The connection for new calls, and the one that it replaced while that one
+  // is judged.
+  struct Link {
+    std::shared_ptr<ClientConnection> current;
+    std::shared_ptr<ClientConnection> judged;
+  };
+
+  static auto Wait(ClientStream& stream,
+                   std::chrono::milliseconds timeout,
+                   const std::string& address) -> awaitable<void> {
+    while (!stream.done) {
+      const auto deadline = stream.last_frame + timeout;
+      if (deadline <= steady_clock::now()) {
+        throw Error(
+            ErrorKind::kTimeout,
+            "no frame within " + std::to_string(timeout.count()) + " ms",
+            address, "allow more time or try another node");
+      }
+      stream.wake.expires_at(deadline);
+      boost::system::error_code ignored;
+      co_await stream.wake.async_wait(
+          boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+  }
+
+  auto Pick(const std::string& address, Channel channel)
+      -> std::shared_ptr<ClientConnection> {
+    auto& link = links_[{address, channel}];
+    if (link.current && link.current->usable()) {
+      return link.current;
+    }
+    if (link.judged && link.judged->state() == ClientConnection::State::kOpen &&
+        link.judged->usable()) {
+      link.current = std::move(link.judged);
+      return link.current;
+    }
+    const auto endpoint = ParseTcpAddress(address);
+    link.judged = std::move(link.current);
+    link.current = std::make_shared<ClientConnection>(context_, address);
+    link.current->Connect(endpoint);
+    return link.current;
+  }
+
+  // A connection that is open. Throws Error(kUnavailable).
+  auto Connect(const std::string& address,
+               Channel channel,
+               std::chrono::milliseconds timeout,
+               const std::shared_ptr<StreamCancel>& cancel)
+      -> awaitable<std::shared_ptr<ClientConnection>> {
+    auto connection = Pick(address, channel);
+    if (connection->state() == ClientConnection::State::kConnecting) {
+      const auto wake = std::make_shared<steady_timer>(context_, timeout);
+      if (cancel) {
+        cancel->set_hook([wake] { wake->cancel(); });
+      }
+      co_await connection->WaitUntilConnected(wake);
+      if (cancel) {
+        cancel->set_hook(nullptr);
+      }
+    }
+    if (connection->state() == ClientConnection::State::kConnecting) {
+      throw Unavailable(address, "no connection in time");
+    }
+    if (connection->state() != ClientConnection::State::kOpen) {
+      throw Unavailable(address, connection->reason());
+    }
+    co_return connection;
+  }
+
+  io_context& context_;
+  PeerClientSettings settings_;
+  std::map<std::pair<std::string, Channel>, Link> links_;
+};
+
+}  // namespace
+
+auto MakePeerClient(io_context& context, PeerClientSettings settings)
+    -> std::unique_ptr<PeerClient> {
+  return std::make_unique<Http2PeerClient>(context, std::move(settings));
+}
+
+}  // namespace kumquatgauge::node
--- /dev/null
+++ b/src/node/peer_server.cc
@@ -0,0 +1,520 @@
+#include "kumquatgauge/node/peer_server.h"
+
+#include <openssl/crypto.h>
+#include <openssl/sha.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+#include "kumquatgauge/base/error.h"
+#include "kumquatgauge/node/address.h"
+#include "kumquatgauge/node/message.h"
+#include "node/frame_codec.h"
+#include "node/http2_connection.h"
+
+namespace kumquatgauge::node {
+namespace {
+
+using boost::asio::awaitable;
+using boost::asio::io_context;
+using boost::asio::ip::tcp;
+using nlohmann::json;
+using Digest = std::array<unsigned char, SHA256_DIGEST_LENGTH>;
+
+constexpr std::string_view kPathPrefix = "/node/v1/";
+constexpr std::string_view kCredentialHeader = "kqg-fleet";
+// Open streams and no byte from the other side for this long, although clients
+// send a PING every 500 ms: the other side is gone.
+constexpr std::chrono::seconds kReaderTimeout{4};
+constexpr std::chrono::milliseconds kStopPoll{10};
+// From the notice to the final GOAWAY, so that requests already on their way
+// are still accepted.
+constexpr std::chrono::milliseconds kGoawayDelay{50};
+// Pause after accept failed, for example when out of file descriptors.
+constexpr std::chrono::milliseconds kAcceptRetry{100};
+
+// Equal lengths for the comparison in constant time.
+auto DigestOf(std::string_view text) -> Digest {
+  Digest digest;
+  SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+         digest.data());
+  return digest;
+}
+
+// What all connections of a server share. Constant once started but for the
+// counters.
+struct Shared {
+  std::unordered_map<std::string, Handler> handlers;
+  Digest credential{};
+  std::atomic<std::uint64_t> connections{0};
+  std::atomic<std::uint64_t> streams{0};
+  std::atomic<std::uint64_t> rejected{0};
+};
+
+class ServerConnection;
+
+class ServerStream : public Responder {
+ public:
+  ServerStream(std::weak_ptr<ServerConnection> connection, std::int32_t id)
+      : connection_(std::move(connection)), id_(id) {}
+
+  auto Send(const json& frame) -> bool override;
+  auto cancelled() const -> bool override { return cancelled_; }
+  auto OnCancel(std::function<auto()->void> hook) -> void override {
+    if (cancelled_) {
+      hook();
+    } else if (!ended_) {
+      hook_ = std::move(hook);
+    }
+  }
+
+  auto End() -> void;
+  auto Cancel() -> void {
+    hook_ = ended_ ? nullptr : std::move(hook_);
+    cancelled_ = true;
+    if (auto hook = std::exchange(hook_, nullptr)) {
+      hook();
+    }
+  }
+
+  auto id() const -> std::int32_t { return id_; }
+
+  std::string method;
+  std::string path;
+  std::string credential;
+  std::size_t header_bytes = 0;
+  const Handler* handler = nullptr;  // Set when the request was accepted.
+  std::string body;
+  bool refused = false;
+  bool responded = false;
+  detail::OutBuffer out;
+
+ private:
+  std::weak_ptr<ServerConnection> connection_;
+  std::int32_t id_;
+  bool cancelled_ = false;
+  bool ended_ = false;
+  std::function<auto()->void> hook_;
+};
+
+class ServerConnection : public detail::Http2Connection {
+ public:
+  ServerConnection(tcp::socket socket, std::shared_ptr<Shared> shared)
+      : Http2Connection(std::move(socket), Side::kServer),
+        shared_(std::move(shared)),
+        timer_(executor()) {
+    ++shared_->connections;
+  }
+  ~ServerConnection() override { --shared_->connections; }
+
+  auto Start() -> void { StartSession(kMaxStreamsPerConnection); }
+
+  auto Shutdown() -> void {
+    if (closed()) {
+      return;
+    }
+    nghttp2_submit_shutdown_notice(session());
+    ScheduleWrite();
+    auto timer =
+        std::make_shared<boost::asio::steady_timer>(executor(), kGoawayDelay);
+    timer->async_wait([self = Self(), timer](boost::system::error_code) {
+      if (!self->closed()) {
+        nghttp2_submit_goaway(
+            self->session(), NGHTTP2_FLAG_NONE,
+            nghttp2_session_get_last_proc_stream_id(self->session()),
+            NGHTTP2_NO_ERROR, nullptr, 0);
+        self->ScheduleWrite();
+      }
+    });
+  }
+
+  // Queues bytes that `stream` has added to its buffer.
+  auto SendMore(ServerStream& stream) -> void {
+    if (stream.responded) {
+      Resume(stream.id(), stream.out);
+      return;
+    }
+    stream.responded = true;
+    if (SubmitResponse(stream.id(), {{":status", "200"}}, &stream.out) != 0) {
+      stream.Cancel();
+    }
+  }
+
+  auto Reset(std::int32_t id, std::uint32_t code) -> void {
+    SubmitReset(id, code);
+  }
+
+ private:
+  auto Self() -> std::shared_ptr<ServerConnection> {
+    return std::static_pointer_cast<ServerConnection>(shared_from_this());
+  }
+
+  auto Find(std::int32_t id) -> std::shared_ptr<ServerStream> {
+    const auto found = streams_.find(id);
+    return found == streams_.end() ? nullptr : found->second;
+  }
+
+  auto OnHeader(std::int32_t id, std::string_view name, std::string_view value)
+      -> void override {
+    auto& stream = streams_[id];
+    if (!stream) {
+      stream = std::make_shared<ServerStream>(Self(), id);
+      WatchReader();
+    }
+    stream->header_bytes += name.size() + value.size();
+    if (stream->header_bytes > kMaxRequestHeaderBytes) {
+      Refuse(*stream, "431");
+    } else if (name == ":method") {
+      stream->method = value;
+    } else if (name == ":path") {
+      stream->path = value;
+    } else if (name == kCredentialHeader) {
+      stream->credential = value;
+    }
+  }
+
+  auto OnHeadersEnd(std::int32_t id) -> void override {
+    auto stream = Find(id);
+    if (!stream || stream->refused || stream->handler != nullptr) {
+      return;
+    }
+    const auto digest = DigestOf(stream->credential);
+    if (CRYPTO_memcmp(digest.data(), shared_->credential.data(),
+                      digest.size()) != 0) {
+      ++shared_->rejected;
+      Refuse(*stream, "403");
+      return;
+    }
+    if (stream->method != "POST" || !stream->path.starts_with(kPathPrefix)) {
+      Refuse(*stream, "404");
+      return;
+    }
+    const auto handler =
+        shared_->handlers.find(stream->path.substr(kPathPrefix.size()));
+    if (handler == shared_->handlers.end()) {
+      Refuse(*stream, "404");
+      return;
+    }
+    ++shared_->streams;
+    stream->handler = &handler->second;
+  }
+
+  auto OnData(std::int32_t id, std::string_view bytes) -> void override {
+    auto stream = Find(id);
+    if (!stream || stream->handler == nullptr || stream->refused) {
+      return;
+    }
+    if (stream->body.size() + bytes.size() > kMaxRequestBytes) {
+      Refuse(*stream, "413");
+      return;
+    }
+    stream->body.append(bytes);
+  }
+
+  auto OnStreamEnd(std::int32_t id) -> void override {
+    auto stream = Find(id);
+    if (stream && stream->handler != nullptr && !stream->refused) {
+      // A handler may send and end at once, which nghttp2 does not expect in
+      // the middle of a callback; co_spawn starts it from the event loop.
+      boost::asio::post(executor(), [self = Self(), stream] {
+        boost::asio::co_spawn(self->executor(), Serve(self, stream),
+                              boost::asio::detached);
+      });
+    }
+  }
+
+  auto OnHeadersSent(std::int32_t id) -> void override {
+    const auto stream = Find(id);
+    if (stream && stream->refused) {
+      SubmitReset(id, NGHTTP2_NO_ERROR);
+    }
+  }
+
+  auto OnStreamClosed(std::int32_t id, std::uint32_t) -> void override {
+    const auto found = streams_.find(id);
+    if (found != streams_.end()) {
+      const auto stream = found->second;
+      streams_.erase(found);
+      closing_.push_back(stream);
+      stream->Cancel();
+      // nghttp2 may still hold the buffer until this callback returns.
+      boost::asio::post(executor(),
+                        [self = Self()] { self->closing_.clear(); });
+    }
+  }
+
+  auto OnClosed(std::string_view) -> void override {
+    timer_.cancel();
+    auto streams = std::exchange(streams_, {});
+    for (auto& [id, stream] : streams) {
+      stream->Cancel();
+      // nghttp2 refers to the buffers until the session is deleted.
+      closing_.push_back(stream);
+    }
+  }
+
+  // Answers with a status alone; the rest of the request is stopped once the
+  // status is on its way, since nghttp2 drops what follows a reset.
+  auto Refuse(ServerStream& stream, std::string_view status) -> void {
+    if (stream.refused) {
+      return;
+    }
+    stream.refused = true;
+    stream.body = {};
+    stream.responded = true;
+    SubmitResponse(stream.id(), {{":status", status}}, nullptr);
+  }
+
+  // `keep` holds the connection until the handler has returned.
+  static auto Serve([[maybe_unused]] std::shared_ptr<ServerConnection> keep,
+                    std::shared_ptr<ServerStream> stream) -> awaitable<void> {
+    std::optional<Error> error;
+    try {
+      auto request = DecodeMessage(stream->body);
+      stream->body = {};
+      co_await (*stream->handler)(std::move(request), stream);
+    } catch (const Error& thrown) {
+      error = thrown;
+    } catch (const std::exception& thrown) {
+      error = Error(ErrorKind::kInternal, "a handler failed", stream->path,
+                    thrown.what());
+    }
+    if (error) {
+      stream->Send({{std::string(kErrorField), ToMessage(*error)}});
+    }
+    stream->End();
+  }
+
+  auto WatchReader() -> void {
+    if (watching_) {
+      return;
+    }
+    watching_ = true;
+    last_bytes_in_ = bytes_in();
+    timer_.expires_after(kReaderTimeout);
+    timer_.async_wait([self = Self()](const boost::system::error_code& error) {
+      if (error || self->closed()) {
+        return;
+      }
+      self->watching_ = false;
+      if (self->streams_.empty()) {
+        return;
+      }
+      if (self->bytes_in() == self->last_bytes_in_) {
+        self->Close("no PING from the other side");
+        return;
+      }
+      self->WatchReader();
+    });
+  }
+
+  std::shared_ptr<Shared> shared_;
+  std::unordered_map<std::int32_t, std::shared_ptr<ServerStream>> streams_;
+  std::vector<std::shared_ptr<ServerStream>> closing_;
+  boost::asio::steady_timer timer_;
+  std::uint64_t last_bytes_in_ = 0;
+  bool watching_ = false;
+};
+
+auto ServerStream::Send(const json& frame) -> bool {
+  const auto connection = connection_.lock();
+  if (cancelled_ || ended_ || !connection) {
+    return false;
+  }
+  const auto payload = EncodeMessage(frame);
+  if (payload.size() > kMaxFrameBytes) {
+    throw Error(ErrorKind::kInvalidArgument, "frame too long", path,
+                "send smaller frames");
+  }
+  if (out.queued() + payload.size() > kMaxQueuedBytesPerStream) {
+    connection->Reset(id_, NGHTTP2_ENHANCE_YOUR_CALM);
+    Cancel();
+    return false;
+  }
+  detail::AppendFrame(payload, out.bytes);
+  connection->SendMore(*this);
+  return !cancelled_;
+}
+
+auto ServerStream::End() -> void {
+  const auto connection = connection_.lock();
+  hook_ = nullptr;
+  if (cancelled_ || ended_ || !connection) {
+    return;
+  }
+  ended_ = true;
+  out.ended = true;
+  connection->SendMore(*this);
+}
+
+}  // namespace
+
+class PeerServer::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(io_context& accept_context,
+       std::vector<io_context*> workers,
+       PeerServerSettings settings)
+      : context_(accept_context),
+        workers_(std::move(workers)),
+        settings_(std::move(settings)),
+        acceptor_(context_),
+        shared_(std::make_shared<Shared>()) {
+    if (workers_.empty()) {
+      workers_.push_back(&context_);
+    }
+    shared_->credential = DigestOf(settings_.fleet_credential);
+  }
+
+  auto Start() -> void {
+    const auto endpoint = ParseTcpAddress(settings_.listen);
+    try {
+      acceptor_.open(endpoint.protocol());
+      acceptor_.set_option(tcp::acceptor::reuse_address(true));
+      acceptor_.bind(endpoint);
+      acceptor_.listen();
+    } catch (const boost::system::system_error& error) {
+      throw Error(ErrorKind::kUnavailable,
+                  "cannot listen for nodes (" + error.code().message() + ")",
+                  settings_.listen, "choose a free address in nodes.listen");
+    }
+    address_ = FormatAddress(acceptor_.local_endpoint());
+    boost::asio::co_spawn(context_, Accept(shared_from_this()),
+                          boost::asio::detached);
+  }
+
+  auto Stop(std::chrono::milliseconds limit) -> awaitable<void> {
+    CloseAcceptor();
+    ForEachConnection(
+        [](ServerConnection& connection) { connection.Shutdown(); });
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    boost::asio::steady_timer timer(context_);
+    while (shared_->connections > 0 &&
+           std::chrono::steady_clock::now() < deadline) {
+      timer.expires_after(kStopPoll);
+      co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+    CloseAll();
+  }
+
+  auto CloseAcceptor() -> void {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+  }
+
+  auto CloseAll() -> void {
+    ForEachConnection([](ServerConnection& connection) {
+      connection.Close("the server stopped");
+    });
+  }
+
+  auto Register(std::string name, Handler handler) -> void {
+    shared_->handlers[std::move(name)] = std::move(handler);
+  }
+
+  auto address() const -> const std::string& { return address_; }
+
+  auto counters() const -> PeerServerCounters {
+    return {shared_->connections, shared_->streams, shared_->rejected};
+  }
+
+ private:
+  static auto Accept(std::shared_ptr<Impl> self) -> awaitable<void> {
+    std::size_t next = 0;
+    boost::asio::steady_timer retry(self->context_);
+    while (self->acceptor_.is_open()) {
+      auto& worker = *self->workers_[next++ % self->workers_.size()];
+      tcp::socket socket(worker);
+      boost::system::error_code error;
+      co_await self->acceptor_.async_accept(
+          socket,
+          boost::asio::redirect_error(boost::asio::use_awaitable, error));
+      if (!self->acceptor_.is_open()) {
+        co_return;
+      }
+      if (error) {
+        retry.expires_after(kAcceptRetry);
+        co_await retry.async_wait(boost::asio::use_awaitable);
+        continue;
+      }
+      auto connection =
+          std::make_shared<ServerConnection>(std::move(socket), self->shared_);
+      self->Remember(connection);
+      boost::asio::post(worker, [connection] { connection->Start(); });
+    }
+  }
+
+  auto Remember(const std::shared_ptr<ServerConnection>& connection) -> void {
+    const std::lock_guard lock(mutex_);
+    std::erase_if(connections_,
+                  [](const auto& known) { return known.expired(); });
+    connections_.push_back(connection);
+  }
+
+  template <typename Function>
+  auto ForEachConnection(Function function) -> void {
+    const std::lock_guard lock(mutex_);
+    for (const auto& known : connections_) {
+      if (auto connection = known.lock()) {
+        boost::asio::post(connection->executor(),
+                          [connection, function] { function(*connection); });
+      }
+    }
+  }
+
+  io_context& context_;
+  std::vector<io_context*> workers_;
+  PeerServerSettings settings_;
+  tcp::acceptor acceptor_;
+  std::shared_ptr<Shared> shared_;
+  std::string address_;
+  std::mutex mutex_;
+  std::vector<std::weak_ptr<ServerConnection>> connections_;
+};
+
+PeerServer::PeerServer(io_context& accept_context,
+                       std::vector<io_context*> workers,
+                       PeerServerSettings settings)
+    : impl_(std::make_shared<Impl>(accept_context,
+                                   std::move(workers),
+                                   std::move(settings))) {}
+
+PeerServer::~PeerServer() {
+  impl_->CloseAcceptor();
+  impl_->CloseAll();
+}
+
+auto PeerServer::Register(std::string name, Handler handler) -> void {
+  impl_->Register(std::move(name), std::move(handler));
+}
+
+auto PeerServer::Start() -> void {
+  impl_->Start();
+}
+
+auto PeerServer::address() const -> std::string {
+  return impl_->address();
+}
+
+auto PeerServer::Stop(std::chrono::milliseconds limit) -> awaitable<void> {
+  const auto impl = impl_;
+  co_await impl->Stop(limit);
+}
+
+auto PeerServer::counters() const -> PeerServerCounters {
+  return impl_->counters();
+}
+
+}  // namespace kumquatgauge::node
