Add the platform clients and the in-memory platform

One PlatformClient per node carries the object API, the host list and the weight store, so that the rate limiter, the circuit breaker and the counts see every call. A write without an answer becomes kUnknownOutcome unless the connection was refused or no byte left; 503 counts as no effect, other 5xx as unknown. A watch never probes an open circuit, because its answer comes late. Boost.URL was ruled out: its compiled part is not packaged and percent encoding is ten lines. The platform core lives in testing/support, where tests of every package can link it; the program is a thin main.

--- /dev/null
+++ b/include/kumquatgauge/platform/platform_client.h
@@ -0,0 +1,102 @@
+#ifndef KUMQUATGAUGE_PLATFORM_PLATFORM_CLIENT_H_
+#define KUMQUATGAUGE_PLATFORM_PLATFORM_CLIENT_H_
+
+#include <array>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "kumquatgauge/base/time.h"
+#include "kumquatgauge/platform/circuit.h"
+#include "kumquatgauge/platform/object_store.h"
+#include "kumquatgauge/platform/rate_limiter.h"
+
+namespace kumquatgauge::platform {
+
+struct PlatformOptions {
+  std::string address;  // "IP:port"
+  // Longest time of one call after its admission by the rate limiter.
+  std::chrono::milliseconds call_timeout{1000};
+  // Longest wait for admission by the rate limiter.
+  std::chrono::milliseconds admission_timeout{2000};
+  RateLimits limits;
+  CircuitOptions circuit;
+};
+
+// Calls that were sent, by class, and what became of them.
+struct CallCounts {
+  std::array<std::uint64_t, kCallClasses> reads{};
+  std::array<std::uint64_t, kCallClasses> writes{};
+  std::uint64_t watches = 0;          // Started; each counts as one read.
+  std::uint32_t watches_waiting = 0;  // Open now.
+  std::uint64_t refused_by_circuit = 0;
+  std::uint64_t refused_by_limiter = 0;
+  std::uint64_t rate_exceeded = 0;  // The platform answered 429.
+  std::uint64_t failures = 0;       // No answer, or the platform is out.
+  std::uint64_t unknown_outcomes = 0;
+
+  auto operator==(const CallCounts&) const -> bool = default;
+};
+
+// One call of the platform protocol.
+struct PlatformCall {
+  std::string method;
+  std::string target;
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+  std::string object;  // For messages.
+  CallClass call_class = CallClass::kStatus;
+  bool watch = false;
+  // The target has a rate limit of its own: its 429 is an answer.
+  bool own_rate = false;
+  std::chrono::milliseconds extra_timeout{0};  // How long a watch waits.
+};
+
+struct PlatformResponse {
+  int status = 0;
+  std::uint64_t version = 0;  // Header X-Version.
+  std::optional<std::chrono::milliseconds> retry_after;
+  std::string body;
+};
+
+// The node's connection to the platform: one pool of connections, rate limiter
+// and circuit breaker for the object API, the host list and the weight store.
+// Runs on one io_context; not thread-safe.
+class PlatformClient {
+ public:
+  PlatformClient(boost::asio::any_io_executor executor,
+                 PlatformOptions options,
+                 Clock clock,
+                 RandomSource random);
+
+  // Returns answers below 500 other than 429. Errors:
+  //   kUnavailable: the circuit is open, the platform answered 503, the
+  //     connection was refused, or a read got no answer.
+  //   kTimeout: a read got no answer in time, or no connection could be made.
+  //   kOverloaded: the rate limiter or the platform (429) refused it.
+  //   kUnknownOutcome: a write was sent and got no answer, or a 5xx but 503.
+  auto Call(PlatformCall call) -> boost::asio::awaitable<PlatformResponse>;
+
+  // Adapts the node's share of the platform's rate.
+  auto SetFleetSize(std::uint32_t nodes) -> void;
+
+  auto counts() const -> const CallCounts&;
+  auto circuit_state() const -> Circuit::State;
+  auto limiter() const -> const RateLimiter&;
+  // When the last refused call is worth repeating, for Retry-After.
+  auto last_retry_after() const -> Duration;
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace kumquatgauge::platform
+
+#endif  // KUMQUATGAUGE_PLATFORM_PLATFORM_CLIENT_H_
--- /dev/null
+++ b/include/kumquatgauge/platform/rate_limiter.h
@@ -0,0 +1,102 @@
+#ifndef KUMQUATGAUGE_PLATFORM_RATE_LIMITER_H_
+#define KUMQUATGAUGE_PLATFORM_RATE_LIMITER_H_
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <vector>
+
+#include "kumquatgauge/base/time.h"
+#include "kumquatgauge/platform/object_store.h"
+
+namespace kumquatgauge::platform {
+
+enum class CallKind { kRead, kWrite };
+
+inline constexpr std::size_t kCallKinds = 2;
+inline constexpr std::size_t kCallClasses = 5;
+
+struct RateLimits {
+  // Calls per second that the platform grants the whole fleet.
+  double fleet_reads = 2000;
+  double fleet_writes = 600;
+  std::uint32_t fleet_size = 1;
+  // A node may borrow up to this part of the fleet's rate while the platform
+  // does not complain, since most nodes are idle at any moment.
+  double largest_share = 0.1;
+  // Calls that may be made at once after a quiet time, in seconds of the rate;
+  // at least kSmallestBurst calls.
+  double burst_seconds = 1.0;
+
+  auto operator==(const RateLimits&) const -> bool = default;
+};
+
+// Lets a node that has just started read its state without waiting, although
+// its share of a large fleet is a few calls per second.
+inline constexpr double kSmallestBurst = 20;
+
+// Keeps a node's platform calls within its share of the fleet's rate: one token
+// bucket for reads and one for writes, each with a queue in which a more urgent
+// class goes first. The rate starts at the node's equal share, rises while
+// calls wait, and halves, not below the share, when the platform answers that
+// its rate is exceeded.
+class RateLimiter {
+ public:
+  using Ticket = std::uint64_t;
+
+  struct Actions {
+    std::vector<Ticket> admitted;
+    std::vector<Ticket> expired;        // Their deadline passed; refuse them.
+    std::optional<MonotonicTime> next;  // When to call Tick again.
+  };
+
+  explicit RateLimiter(RateLimits limits);
+
+  // Queues one call that is worth making until `deadline`. Tick admits it.
+  auto Arrive(CallKind kind, CallClass call_class, MonotonicTime deadline)
+      -> Ticket;
+  // Removes a call that no longer wants to be made.
+  auto Cancel(Ticket ticket) -> void;
+  // Admits and expires waiting calls.
+  auto Tick(MonotonicTime now) -> Actions;
+
+  // The platform answered that the rate is exceeded.
+  auto OnRateExceeded(CallKind kind, MonotonicTime now) -> void;
+  // Empties the buckets, so that the calls held up by an outage come back at
+  // the rate and not in one burst.
+  auto DrainBurst(MonotonicTime now) -> void;
+  auto SetFleetSize(std::uint32_t nodes) -> void;
+
+  // Calls per second that this node makes at most at present.
+  auto rate(CallKind kind) const -> double;
+  auto waiting() const -> std::size_t;
+
+ private:
+  struct Waiting {
+    Ticket ticket;
+    MonotonicTime deadline;
+  };
+  struct Bucket {
+    double rate = 0;
+    double tokens = 0;
+    std::optional<MonotonicTime> refilled;
+    std::array<std::deque<Waiting>, kCallClasses> queues;
+  };
+
+  auto Share(CallKind kind) const -> double;
+  auto Ceiling(CallKind kind) const -> double;
+  auto Capacity(const Bucket& bucket) const -> double;
+  auto Refill(CallKind kind, MonotonicTime now) -> void;
+  auto bucket(CallKind kind) -> Bucket& {
+    return buckets_.at(static_cast<std::size_t>(kind));
+  }
+
+  RateLimits limits_;
+  std::array<Bucket, kCallKinds> buckets_;
+  Ticket last_ticket_ = 0;
+};
+
+}  // namespace kumquatgauge::platform
+
+#endif  // KUMQUATGAUGE_PLATFORM_RATE_LIMITER_H_
--- /dev/null
+++ b/include/kumquatgauge/platform/weight_store.h
@@ -0,0 +1,40 @@
+#ifndef KUMQUATGAUGE_PLATFORM_WEIGHT_STORE_H_
+#define KUMQUATGAUGE_PLATFORM_WEIGHT_STORE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "kumquatgauge/platform/platform_client.h"
+
+namespace kumquatgauge::platform {
+
+// The platform's weight store, whose rate limit all services share.
+class WeightStore {
+ public:
+  virtual ~WeightStore() = default;
+
+  // Asks for the weights of "MODEL@VERSION". Returns nothing when granted,
+  // otherwise how long to wait before asking again. Throws Error(kNotFound)
+  // for unknown weights, and kUnavailable, kTimeout or kOverloaded when the
+  // platform does not answer.
+  virtual auto Request(std::string name)
+      -> boost::asio::awaitable<std::optional<std::chrono::milliseconds>> = 0;
+};
+
+// The weight store over HTTP; see docs/design.md, section 11.
+class HttpWeightStore : public WeightStore {
+ public:
+  explicit HttpWeightStore(PlatformClient& client) : client_(client) {}
+
+  auto Request(std::string name) -> boost::asio::awaitable<
+      std::optional<std::chrono::milliseconds>> override;
+
+ private:
+  PlatformClient& client_;
+};
+
+}  // namespace kumquatgauge::platform
+
+#endif  // KUMQUATGAUGE_PLATFORM_WEIGHT_STORE_H_
--- /dev/null
+++ b/src/platform/circuit.cc
@@ -0,0 +1,59 @@
+#include "kumquatgauge/platform/circuit.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquatgauge::platform {
+
+Circuit::Circuit(CircuitOptions options, RandomSource random)
+    : options_(options),
+      random_(std::move(random)),
+      wait_(options.first_wait) {}
+
+auto Circuit::Ask(MonotonicTime now, bool may_probe) -> Decision {
+  if (state_ == State::kClosed) {
+    return {.allowed = true};
+  }
+  const auto blocked_until =
+      state_ == State::kOpen ? open_until_ : probe_until_;
+  if (now < blocked_until) {
+    return {.allowed = false, .retry_after = blocked_until - now};
+  }
+  if (!may_probe) {
+    return {.allowed = false, .retry_after = options_.first_wait};
+  }
+  state_ = State::kProbing;
+  probe_until_ = now + options_.probe_timeout;
+  return {.allowed = true};
+}
+
+auto Circuit::OnSuccess() -> void {
+  recovered_ = recovered_ || state_ != State::kClosed;
+  state_ = State::kClosed;
+  failures_ = 0;
+  wait_ = options_.first_wait;
+}
+
+auto Circuit::OnFailure(MonotonicTime now) -> void {
+  ++failures_;
+  if (state_ == State::kProbing) {
+    wait_ = std::min(wait_ * 2, options_.longest_wait);
+    Open(now);
+  } else if (state_ == State::kClosed &&
+             failures_ >= options_.failures_to_open) {
+    Open(now);
+  }
+}
+
+auto Circuit::Open(MonotonicTime now) -> void {
+  state_ = State::kOpen;
+  const auto jitter = Duration(static_cast<Duration::rep>(
+      random_() % static_cast<std::uint64_t>(wait_.count() + 1)));
+  open_until_ = now + wait_ / 2 + jitter;
+}
+
+auto Circuit::TakeRecovered() -> bool {
+  return std::exchange(recovered_, false);
+}
+
+}  // namespace kumquatgauge::platform
--- /dev/null
+++ b/src/platform/http_client.cc
@@ -0,0 +1,243 @@
+#include "platform/http_client.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <deque>
+
+#include "kumquatgauge/base/error.h"
+
+namespace kumquatgauge::platform::detail {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::awaitable;
+using asio::ip::tcp;
+using boost::system::error_code;
+using TimePoint = std::chrono::steady_clock::time_point;
+
+constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
+// A node makes a few calls at a time; more idle connections only cost memory.
+constexpr std::size_t kMaxIdle = 4;
+// A listing page and a value of kMaxValueBytes fit with room to spare.
+constexpr std::uint64_t kMaxResponseBytes = 8'000'000;
+
+auto ParseEndpoint(const std::string& address) -> tcp::endpoint {
+  const auto colon = address.rfind(':');
+  auto error = error_code();
+  auto port = std::uint16_t{0};
+  if (colon != std::string::npos) {
+    auto host = address.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+      host = host.substr(1, host.size() - 2);
+    }
+    const auto ip = asio::ip::make_address(host, error);
+    const auto* end = address.data() + address.size();
+    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+    if (!error && parsed.ec == std::errc() && parsed.ptr == end) {
+      return {ip, port};
+    }
+  }
+  throw Error(ErrorKind::kInvalidArgument, "not a platform address", address,
+              "use IP:port");
+}
+
+template <typename Headers>
+auto ParseNumber(const Headers& headers, const char* name)
+    -> std::optional<std::uint64_t> {
+  const auto text = headers[name];
+  auto number = std::uint64_t{0};
+  const auto* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+struct Connection {
+  explicit Connection(const asio::any_io_executor& executor)
+      : stream(executor) {}
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+};
+
+// Whether an idle connection was closed by the platform, or carries bytes that
+// nobody asked for.
+auto IsStale(Connection& connection) -> bool {
+  auto& socket = connection.stream.socket();
+  auto error = error_code();
+  socket.non_blocking(true, error);
+  if (error) {
+    return true;
+  }
+  auto byte = char{0};
+  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error != asio::error::would_block;
+}
+
+}  // namespace
+
+struct HttpClient::Pool {
+  Pool(asio::any_io_executor pool_executor, const std::string& address)
+      : executor(std::move(pool_executor)),
+        endpoint(ParseEndpoint(address)),
+        host(address) {}
+
+  auto TakeIdle() -> std::shared_ptr<Connection> {
+    while (!idle.empty()) {
+      auto connection = std::move(idle.back());
+      idle.pop_back();
+      if (!IsStale(*connection)) {
+        return connection;
+      }
+    }
+    return nullptr;
+  }
+
+  asio::any_io_executor executor;
+  tcp::endpoint endpoint;
+  std::string host;
+  std::deque<std::shared_ptr<Connection>> idle;
+};
+
+namespace {
+
+struct Exchange {
+  HttpResult result;
+  bool keep_alive = false;
+};
+
+auto ToResponse(http::response<http::string_body>&& message) -> HttpResponse {
+  auto response = HttpResponse();
+  response.status = message.result_int();
+  response.version = ParseNumber(message, "X-Version").value_or(0);
+  if (const auto seconds = ParseNumber(message, "Retry-After")) {
+    response.retry_after = std::chrono::seconds(*seconds);
+  }
+  response.body = std::move(message.body());
+  return response;
+}
+
+// One request and its answer on a connected stream.
+auto RunExchange(std::shared_ptr<Connection> connection,
+                 std::shared_ptr<http::request<http::string_body>> message,
+                 TimePoint deadline) -> awaitable<Exchange> {
+  auto exchange = Exchange();
+  auto& result = exchange.result;
+  connection->stream.expires_at(deadline);
+  const auto [write_error, written] =
+      co_await http::async_write(connection->stream, *message, kAwaitTuple);
+  result.may_have_been_sent =
+      !write_error || written > 0 || write_error == beast::error::timeout;
+  if (write_error) {
+    result.timed_out = write_error == beast::error::timeout;
+    result.reason = write_error.message();
+    co_return exchange;
+  }
+  auto parser = http::response_parser<http::string_body>();
+  parser.body_limit(kMaxResponseBytes);
+  const auto [read_error, read] = co_await http::async_read(
+      connection->stream, connection->buffer, parser, kAwaitTuple);
+  if (read_error) {
+    result.timed_out = read_error == beast::error::timeout;
+    result.reason = read_error.message();
+    co_return exchange;
+  }
+  connection->stream.expires_never();
+  auto answer = parser.release();
+  exchange.keep_alive = answer.keep_alive();
+  result.response = ToResponse(std::move(answer));
+  co_return exchange;
+}
+
+}  // namespace
+
+HttpClient::HttpClient(asio::any_io_executor executor, std::string address)
+    : pool_(std::make_shared<Pool>(std::move(executor), address)) {}
+
+auto HttpClient::Call(HttpRequest request,
+                      bool repeatable,
+                      std::chrono::milliseconds timeout)
+    -> awaitable<HttpResult> {
+  const auto pool = pool_;
+  const auto deadline = std::chrono::steady_clock::now() + timeout;
+  auto message = std::make_shared<http::request<http::string_body>>();
+  message->version(11);
+  message->method_string(request.method);
+  message->target(request.target);
+  message->set(http::field::host, pool->host);
+  for (const auto& [name, value] : request.headers) {
+    message->set(name, value);
+  }
+  message->body() = std::move(request.body);
+  message->prepare_payload();
+
+  auto connection = pool->TakeIdle();
+  if (connection) {
+    auto exchange = co_await RunExchange(connection, message, deadline);
+    if (exchange.result.response) {
+      if (exchange.keep_alive && pool->idle.size() < kMaxIdle) {
+        pool->idle.push_back(std::move(connection));
+      }
+      co_return std::move(exchange.result);
+    }
+    if (exchange.result.timed_out) {
+      // A silent connection seldom comes alone: the others are replaced too.
+      pool->idle.clear();
+    }
+    const auto retry = !exchange.result.timed_out &&
+                       (repeatable || !exchange.result.may_have_been_sent);
+    if (!retry) {
+      co_return std::move(exchange.result);
+    }
+  }
+
+  connection = std::make_shared<Connection>(pool->executor);
+  connection->stream.expires_at(deadline);
+  const auto [connect_error] =
+      co_await connection->stream.async_connect(pool->endpoint, kAwaitTuple);
+  if (connect_error) {
+    auto failed = HttpResult();
+    failed.timed_out = connect_error == beast::error::timeout;
+    failed.reason = connect_error.message();
+    co_return failed;
+  }
+  auto option_error = error_code();
+  connection->stream.socket().set_option(tcp::no_delay(true), option_error);
+  auto exchange = co_await RunExchange(connection, message, deadline);
+  if (exchange.result.response && exchange.keep_alive &&
+      pool->idle.size() < kMaxIdle) {
+    pool->idle.push_back(std::move(connection));
+  }
+  co_return std::move(exchange.result);
+}
+
+auto UrlEncode(const std::string& text) -> std::string {
+  constexpr auto kHex = "0123456789ABCDEF";
+  constexpr auto kPlain = std::string_view("-._~/");
+  auto encoded = std::string();
+  for (const auto character : text) {
+    const auto byte = static_cast<unsigned char>(character);
+    const auto letter_or_digit = (byte >= '0' && byte <= '9') ||
+                                 (byte >= 'A' && byte <= 'Z') ||
+                                 (byte >= 'a' && byte <= 'z');
+    if (letter_or_digit || kPlain.find(character) != std::string_view::npos) {
+      encoded += character;
+    } else {
+      encoded += '%';
+      encoded += kHex[byte >> 4U];
+      encoded += kHex[byte & 0xFU];
+    }
+  }
+  return encoded;
+}
+
+}  // namespace kumquatgauge::platform::detail
--- /dev/null
+++ b/src/platform/http_client.h
@@ -0,0 +1,63 @@
+#ifndef PLATFORM_HTTP_CLIENT_H_
+#define PLATFORM_HTTP_CLIENT_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace kumquatgauge::platform::detail {
+
+struct HttpRequest {
+  std::string method;
+  std::string target;
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+};
+
+struct HttpResponse {
+  int status = 0;
+  std::uint64_t version = 0;  // Header X-Version; 0 when there is none.
+  std::optional<std::chrono::milliseconds> retry_after;
+  std::string body;
+};
+
+// How a call ended. `response` is empty when no whole answer came.
+struct HttpResult {
+  std::optional<HttpResponse> response;
+  bool may_have_been_sent = false;  // At least one byte may have left.
+  bool timed_out = false;
+  std::string reason;
+};
+
+// HTTP/1.1 client for one address ("IP:port") with a pool of idle connections.
+// Calls end within their timeout and never throw for failures of the network.
+// Copies share the pool.
+class HttpClient {
+ public:
+  HttpClient(boost::asio::any_io_executor executor, std::string address);
+
+  // A read, which may be repeated, is sent once more on a new connection when a
+  // pooled one turns out to be closed.
+  auto Call(HttpRequest request,
+            bool repeatable,
+            std::chrono::milliseconds timeout)
+      -> boost::asio::awaitable<HttpResult>;
+
+  struct Pool;
+
+ private:
+  std::shared_ptr<Pool> pool_;
+};
+
+// Percent-encodes what may not stand in a path or query; keeps '/'.
+auto UrlEncode(const std::string& text) -> std::string;
+
+}  // namespace kumquatgauge::platform::detail
+
+#endif  // PLATFORM_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/platform/response_json.h
@@ -0,0 +1,27 @@
+#ifndef PLATFORM_RESPONSE_JSON_H_
+#define PLATFORM_RESPONSE_JSON_H_
+
+#include <functional>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+#include "kumquatgauge/platform/platform_client.h"
+
+namespace kumquatgauge::platform::detail {
+
+// Throws for every status but 200: kInvalidArgument for a 4xx, because the
+// request itself is wrong, otherwise kInternal.
+auto CheckOk(const PlatformResponse& response, const std::string& object)
+    -> void;
+
+// Parses the body of an answer with status 200.
+auto ParseAnswer(const PlatformResponse& response, const std::string& object)
+    -> nlohmann::json;
+
+// Runs `convert` and turns JSON exceptions into Error(kInternal).
+auto Convert(const std::string& object,
+             const std::function<auto()->void>& convert) -> void;
+
+}  // namespace kumquatgauge::platform::detail
+
+#endif  // PLATFORM_RESPONSE_JSON_H_
--- /dev/null
+++ b/testing/support/platform_state.h
@@ -0,0 +1,83 @@
+#ifndef TESTING_SUPPORT_PLATFORM_STATE_H_
+#define TESTING_SUPPORT_PLATFORM_STATE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "kumquatgauge/base/time.h"
+#include "kumquatgauge/platform/object_store.h"
+
+namespace kumquatgauge::testing {
+
+// Objects, watches' events and the host list of a platform, without I/O. An
+// object's version counts its changes and goes on after a removal.
+class PlatformState {
+ public:
+  enum class Change { kDone, kVersionDiffers, kNotFound };
+
+  struct Result {
+    Change change = Change::kDone;
+    std::uint64_t version = 0;  // The current one after the call.
+  };
+
+  // The object as it was at `time`, at most kLongestHistory ago.
+  auto Get(const std::string& key, MonotonicTime time) const
+      -> std::optional<platform::StoredObject>;
+  // Creates when `expected` is empty, otherwise replaces that version.
+  auto Put(const std::string& key,
+           std::string value,
+           std::optional<std::uint64_t> expected,
+           MonotonicTime now) -> Result;
+  // Removes that version; any version when `expected` is empty.
+  auto Remove(const std::string& key,
+              std::optional<std::uint64_t> expected,
+              MonotonicTime now) -> Result;
+  auto List(const std::string& prefix,
+            const std::string& after,
+            std::size_t limit) const -> platform::ListPage;
+  // The last event of each key under `prefix` after revision `since`.
+  auto Events(const std::string& prefix, std::uint64_t since) const
+      -> platform::WatchBatch;
+  auto revision() const -> std::uint64_t { return revision_; }
+  auto object_count() const -> std::size_t { return live_; }
+
+  // Hosts as in PUT /hosts; they show `lag` later.
+  auto SetHosts(nlohmann::json hosts, MonotonicTime now) -> void;
+  // {"version", "hosts"} as it was at `time`.
+  auto Hosts(MonotonicTime time) const -> nlohmann::json;
+
+  // Forgets every object, as a platform restored from nothing.
+  auto Clear() -> void;
+
+ private:
+  struct Past {
+    MonotonicTime from;
+    std::optional<std::string> value;  // Empty: removed.
+    std::uint64_t version = 0;
+  };
+  struct Object {
+    std::deque<Past> history;  // Never empty; the last one is current.
+    std::uint64_t revision = 0;
+  };
+
+  auto Record(const std::string& key,
+              std::optional<std::string> value,
+              MonotonicTime now) -> std::uint64_t;
+
+  std::map<std::string, Object> objects_;
+  std::uint64_t revision_ = 0;
+  std::size_t live_ = 0;
+  std::deque<std::pair<MonotonicTime, nlohmann::json>> hosts_;
+  std::uint64_t hosts_version_ = 0;
+};
+
+// How far back stale reads and the lagging host list may look.
+inline constexpr auto kLongestHistory = std::chrono::seconds(60);
+
+}  // namespace kumquatgauge::testing
+
+#endif  // TESTING_SUPPORT_PLATFORM_STATE_H_
