--- a/include/kumquatgauge/control/lease.h
+++ b/include/kumquatgauge/control/lease.h
@@ -100,6 +100,9 @@
   auto held() const -> bool { return held_; }
   // Fencing token of the held lease; 0 when none is held.
   auto token() const -> std::uint64_t { return held_ ? mine_.token : 0; }
+  // Whether the held lease was taken from an owner that had not released it and
+  // may have a call under way.
+  auto took_over() const -> bool { return took_over_; }
   // Until then nobody else can hold the lease. Counted from the moment at which
   // the last successful write was sent.
   auto held_until() const -> MonotonicTime { return held_until_; }
@@ -139,6 +142,7 @@
   LeaseObserver observer_;
 
   bool held_ = false;
+  bool took_over_ = false;
   LeaseRecord mine_;
   std::uint64_t version_ = 0;
   MonotonicTime held_until_;
