Test the routing decision classes

The figure lags, so holding back online by it can only add waits; it now holds back and preempts batch alone. Every dispatcher event now also ends waits that are over; before, a progress event without news did not.

--- a/include/kumquatgauge/routing/dispatcher.h
+++ b/include/kumquatgauge/routing/dispatcher.h
@@ -35,15 +35,18 @@
   // Bounds of retry-after.
   std::chrono::milliseconds min_retry_after{50};
   std::chrono::milliseconds max_retry_after{5000};
-  // Above this use of the KV cache the engine evicts running requests, so
-  // nothing is started beside running ones.
+  // Use of the KV cache above which no batch is started, and above which batch
+  // is preempted, one item per report. A full cache makes the engine evict
+  // running requests of either class. Online requests are not held back by the
+  // reported figure, since it lags; the limits bound them.
+  double batch_kv_used = 0.9;
   double max_kv_used = 0.97;
 };
 
 // What the dispatcher needs to know of a request.
 struct DispatchItem {
-  RequestId id;
-  OrganisationName organisation;
+  RequestId id = {};
+  OrganisationName organisation = {};
   WorkClass work_class = WorkClass::kOnline;
   std::uint32_t max_tokens = 0;
   std::chrono::milliseconds time_left{0};  // Until the deadline.
@@ -152,12 +155,15 @@
     MonotonicTime until;  // Of the queue bound or the deadline.
   };
 
+  auto NoteEnd(const Running& running, UpstreamEnd end) -> void;
+  auto NoteServiceTime(Duration taken) -> void;
   auto QueueBatch(const DispatchItem& item) -> void;
   // Refuses batch items beyond the bound of the queue, most slack first.
   auto ShedBatch(Actions& actions) -> void;
   // Ends waits that are over, starts what may start, preempts batch. `arrived`
   // is the online request that has just come, or null.
   auto Advance(Actions& actions, const RequestId* arrived) -> void;
+  auto Advance() -> Actions;
   auto EndWaits(Actions& actions) -> void;
   // Refuses online requests that would not start in time.
   auto RefuseHopeless(const RequestId* arrived, Actions& actions) -> void;
--- a/include/kumquatgauge/routing/retry_policy.h
+++ b/include/kumquatgauge/routing/retry_policy.h
@@ -24,14 +24,14 @@
 
 // What is known of a request when an attempt has ended.
 struct RetryState {
-  ServiceName service;
+  ServiceName service = {};
   std::uint32_t busy_retries = 0;  // Made so far.
   std::uint32_t lost_retries = 0;
   Duration time_left{0};
   // The service's replicas can continue a stream at a token offset.
   bool can_resume = true;
   // Shortest retry-after of the earlier refusals of this request.
-  std::optional<std::chrono::milliseconds> least_retry_after;
+  std::optional<std::chrono::milliseconds> least_retry_after = {};
 
   auto operator==(const RetryState&) const -> bool = default;
 };
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -91,90 +91,58 @@
 
 auto Dispatcher::FirstToken(const RequestId& id) -> Actions {
   auto place = running_.find(id);
-  if (place == running_.end() || place->second.first_token) {
-    return {};
-  }
-  auto& running = place->second;
-  auto now = clock_();
-  running.first_token = true;
-  running.last_progress = now;
-  ++running.offset;
-  if (running.item.work_class == WorkClass::kOnline) {
-    limit_.OnFirstToken(now - running.started);
-    batch_room_.OnFirstToken(now - running.started);
+  if (place != running_.end() && !place->second.first_token) {
+    auto& running = place->second;
+    auto now = clock_();
+    running.first_token = true;
+    running.last_progress = now;
+    ++running.offset;
+    if (running.item.work_class == WorkClass::kOnline) {
+      limit_.OnFirstToken(now - running.started);
+      batch_room_.OnFirstToken(now - running.started);
+    }
   }
-  Actions actions;
-  Advance(actions, nullptr);
-  return actions;
+  return Advance();
 }
 
 auto Dispatcher::TokenProgress(const RequestId& id, std::uint64_t offset)
     -> Actions {
   auto place = running_.find(id);
-  if (place == running_.end() || offset <= place->second.offset) {
-    return {};
+  if (place != running_.end() && offset > place->second.offset) {
+    auto& running = place->second;
+    auto now = clock_();
+    if (running.first_token && running.item.work_class == WorkClass::kOnline) {
+      auto tokens = static_cast<Duration::rep>(offset - running.offset);
+      auto gap = (now - running.last_progress) / tokens;
+      limit_.OnInterToken(gap);
+      batch_room_.OnInterToken(gap);
+    }
+    running.first_token = true;
+    running.offset = offset;
+    running.last_progress = now;
   }
-  auto& running = place->second;
-  auto now = clock_();
-  if (running.first_token && running.item.work_class == WorkClass::kOnline) {
-    auto tokens = static_cast<Duration::rep>(offset - running.offset);
-    auto gap = (now - running.last_progress) / tokens;
-    limit_.OnInterToken(gap);
-    batch_room_.OnInterToken(gap);
-  }
-  running.first_token = true;
-  running.offset = offset;
-  running.last_progress = now;
-  Actions actions;
-  Advance(actions, nullptr);
-  return actions;
+  return Advance();
 }
 
 auto Dispatcher::Finished(const RequestId& id, UpstreamEnd end) -> Actions {
   auto place = running_.find(id);
-  if (place == running_.end()) {
-    return {};
-  }
-  const auto& running = place->second;
-  if (end == UpstreamEnd::kRefused) {
-    limit_.OnRefusal();
-  }
-  if (running.item.work_class == WorkClass::kOnline) {
-    --online_running_;
-    if (end == UpstreamEnd::kCompleted) {
-      auto taken =
-          std::chrono::duration<double>(clock_() - running.started).count();
-      service_time_s_ =
-          service_time_s_ == 0.0
-              ? taken
-              : service_time_s_ + kSampleWeight * (taken - service_time_s_);
-    }
-  } else {
-    --batch_running_;
-    alone_running_ -= running.item.alone ? 1 : 0;
-  }
-  if (running.stopping) {
-    --stopping_;
-    stopping_tokens_ -= running.item.max_tokens;
+  if (place != running_.end()) {
+    NoteEnd(place->second, end);
+    running_.erase(place);
+    NoteOnlineLevel();
   }
-  reserved_tokens_ -= running.item.max_tokens;
-  running_.erase(place);
-  NoteOnlineLevel();
-  Actions actions;
-  Advance(actions, nullptr);
-  return actions;
+  return Advance();
 }
 
 auto Dispatcher::Cancelled(const RequestId& id) -> Actions {
-  Actions actions;
-  if (auto place = running_.find(id); place != running_.end()) {
+  auto place = running_.find(id);
+  if (place != running_.end()) {
     MarkStopping(place->second);
-    return actions;
+  } else {
+    Forget(id);
+    NoteOnlineLevel();
   }
-  Forget(id);
-  NoteOnlineLevel();
-  Advance(actions, nullptr);
-  return actions;
+  return Advance();
 }
 
 auto Dispatcher::LoadReport(const ObservedLoad& load) -> Actions {
@@ -188,15 +156,16 @@
   last_peak_running_ = peak_running_;
   peak_running_ = static_cast<std::uint32_t>(running_.size());
   Actions actions;
+  if (kv_used_ > settings_.max_kv_used && stopping_ == 0) {
+    PreemptBatch(1, actions);
+  }
   Advance(actions, nullptr);
   return actions;
 }
 
 auto Dispatcher::Tick() -> Actions {
-  Actions actions;
   NoteOnlineLevel();
-  Advance(actions, nullptr);
-  return actions;
+  return Advance();
 }
 
 auto Dispatcher::SetReplica(const Replica& replica) -> Actions {
@@ -215,9 +184,7 @@
 auto Dispatcher::SetBatchSettings(const BatchRoomSettings& settings)
     -> Actions {
   batch_room_.SetSettings(settings);
-  Actions actions;
-  Advance(actions, nullptr);
-  return actions;
+  return Advance();
 }
 
 auto Dispatcher::load() const -> ReplicaLoad {
@@ -229,6 +196,34 @@
           .batch_room = BatchRoomNow()};
 }
 
+auto Dispatcher::NoteEnd(const Running& running, UpstreamEnd end) -> void {
+  if (end == UpstreamEnd::kRefused) {
+    limit_.OnRefusal();
+  }
+  if (running.item.work_class == WorkClass::kOnline) {
+    --online_running_;
+    if (end == UpstreamEnd::kCompleted) {
+      NoteServiceTime(clock_() - running.started);
+    }
+  } else {
+    --batch_running_;
+    alone_running_ -= running.item.alone ? 1 : 0;
+  }
+  if (running.stopping) {
+    --stopping_;
+    stopping_tokens_ -= running.item.max_tokens;
+  }
+  reserved_tokens_ -= running.item.max_tokens;
+}
+
+auto Dispatcher::NoteServiceTime(Duration taken) -> void {
+  auto seconds = std::chrono::duration<double>(taken).count();
+  service_time_s_ =
+      service_time_s_ == 0.0
+          ? seconds
+          : service_time_s_ + kSampleWeight * (seconds - service_time_s_);
+}
+
 auto Dispatcher::QueueBatch(const DispatchItem& item) -> void {
   auto place =
       std::upper_bound(batch_queue_.begin(), batch_queue_.end(), item.slack,
@@ -245,6 +240,12 @@
   }
 }
 
+auto Dispatcher::Advance() -> Actions {
+  Actions actions;
+  Advance(actions, nullptr);
+  return actions;
+}
+
 auto Dispatcher::Advance(Actions& actions, const RequestId* arrived) -> void {
   EndWaits(actions);
   if (!replica_.leaving) {
@@ -449,8 +450,7 @@
 }
 
 auto Dispatcher::HasRoom(std::uint32_t max_tokens) const -> bool {
-  return limit_.HasTokenRoom(reserved_tokens_, max_tokens) &&
-         (kv_used_ <= settings_.max_kv_used || running_.empty());
+  return limit_.HasTokenRoom(reserved_tokens_, max_tokens);
 }
 
 auto Dispatcher::FreeSlots() const -> std::uint32_t {
@@ -467,7 +467,7 @@
 
 auto Dispatcher::BatchRoomNow() const -> std::uint32_t {
   if (replica_.leaving || !online_queue_.empty() || alone_running_ > 0 ||
-      !HasRoom(0)) {
+      kv_used_ > settings_.batch_kv_used || !HasRoom(0)) {
     return 0;
   }
   auto allowed = BatchAllowed();
@@ -478,7 +478,8 @@
 }
 
 auto Dispatcher::MayStartBatch(const DispatchItem& item) const -> bool {
-  return online_queue_.empty() && FreeSlots() > 0 && HasRoom(item.max_tokens) &&
+  return online_queue_.empty() && kv_used_ <= settings_.batch_kv_used &&
+         FreeSlots() > 0 && HasRoom(item.max_tokens) &&
          batch_running_ < BatchAllowed() && alone_running_ == 0 &&
          (!item.alone || batch_running_ == 0);
 }
--- /dev/null
+++ b/src/routing/router_test.cc
@@ -0,0 +1,220 @@
+#include "kumquatgauge/routing/router.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+#include "testing/support/manual_clock.h"
+
+namespace kumquatgauge::routing {
+namespace {
+
+const ServiceName kService("chat");
+
+struct Fixture {
+  explicit Fixture(RouterSettings settings = {})
+      : router(ZoneName("a"), settings, clock.AsHook(), [this] {
+          return random();
+        }) {}
+
+  auto Set(const std::vector<std::pair<std::string, std::string>>& list)
+      -> void {
+    replicas.clear();
+    for (const auto& [name, zone] : list) {
+      Replica replica;
+      replica.id = ReplicaId(name);
+      replica.service = kService;
+      replica.zone = ZoneName(zone);
+      replica.capacity = 10;
+      replicas.push_back(replica);
+    }
+    router.SetReplicas(replicas);
+  }
+  auto Load(const std::string& name,
+            std::uint32_t online,
+            std::uint32_t room = 0) -> void {
+    router.OnLoad({.replica = ReplicaId(name),
+                   .online_in_flight = online,
+                   .limit = 10,
+                   .batch_room = room});
+  }
+  // Number of choices of each replica.
+  auto Count(int choices, RouteRequest request = {}) {
+    std::map<std::string, int> counts;
+    request.service = kService;
+    for (int index = 0; index < choices; ++index) {
+      auto choice = router.Choose(request);
+      ++counts[choice.replica ? choice.replica->id.value() : "none"];
+    }
+    return counts;
+  }
+  auto Choose(RouteRequest request = {}) -> RouteChoice {
+    request.service = kService;
+    return router.Choose(request);
+  }
+  auto ChooseForBatch(RouteRequest request = {}) -> RouteChoice {
+    request.service = kService;
+    return router.ChooseForBatch(request);
+  }
+
+  testing::ManualClock clock;
+  std::mt19937_64 random{7};
+  std::vector<Replica> replicas;
+  Router router;
+};
+
+TEST_CASE("Router.ChoosesNothingForAnUnknownService") {
+  Fixture fixture;
+  auto choice = fixture.Choose();
+  CHECK_FALSE(choice.replica);
+  CHECK(choice.explanation.reason == RouteReason::kNoCandidate);
+}
+
+// leaving-upstream, and no second attempt at a replica that refused.
+TEST_CASE("Router.ExcludesLeavingEjectedAndTriedReplicas") {
+  Fixture fixture;
+  fixture.Set({{"r1", "a"}, {"r2", "a"}, {"r3", "a"}, {"r4", "a"}});
+  fixture.replicas[0].leaving = true;
+  fixture.router.SetReplicas(fixture.replicas);
+  fixture.router.SetEjection(ReplicaId("r2"), EjectionState::kEjected);
+  RouteRequest request;
+  request.tried = {ReplicaId("r3")};
+  CHECK(fixture.Count(50, request) == std::map<std::string, int>{{"r4", 50}});
+  auto explanation = fixture.Choose(request).explanation;
+  CHECK(explanation.reason == RouteReason::kOnlyCandidate);
+  CHECK(explanation.excluded_leaving == 1);
+  CHECK(explanation.excluded_ejected == 1);
+  CHECK(explanation.excluded_tried == 1);
+}
+
+TEST_CASE("Router.ChoosesTheLessLoadedOfTwo") {
+  Fixture fixture;
+  fixture.Set({{"r1", "a"}, {"r2", "a"}});
+  fixture.Load("r1", 6);
+  fixture.Load("r2", 2);
+  auto choice = fixture.Choose();
+  CHECK(choice.replica->id == ReplicaId("r2"));
+  CHECK(choice.explanation.reason == RouteReason::kLessLoaded);
+  CHECK(choice.explanation.weighed.size() == 2);
+}
+
+// Guards against a thundering herd on the replica that reported least load.
+TEST_CASE("Router.CountsOwnSendsSinceTheReport") {
+  Fixture fixture;
+  fixture.Set({{"r1", "a"}, {"r2", "a"}});
+  fixture.Load("r1", 4);
+  fixture.Load("r2", 0);
+  auto counts = fixture.Count(10);
+  CHECK(counts["r2"] == 7);
+  CHECK(counts["r1"] == 3);
+}
+
+TEST_CASE("Router.UsesAnotherZoneOnlyBeyondTheMargin") {
+  Fixture fixture;
+  fixture.Set({{"r1", "a"}, {"r2", "b"}});
+  fixture.Load("r1", 2);
+  fixture.Load("r2", 0);
+  CHECK(fixture.Choose().replica->id == ReplicaId("r1"));
+  fixture.Load("r1", 3);
+  auto choice = fixture.Choose();
+  CHECK(choice.replica->id == ReplicaId("r2"));
+  CHECK(choice.explanation.reason == RouteReason::kOtherZone);
+}
+
+TEST_CASE("Router.KeepsAPrefixOnOneReplicaWithinTheLoadBound") {
+  Fixture fixture;
+  fixture.Set({{"r1", "a"}, {"r2", "a"}, {"r3", "a"}, {"r4", "a"}});
+  RouteRequest request;
+  request.affinity = 42;
+  auto first = fixture.Choose(request);
+  CHECK(first.explanation.reason == RouteReason::kAffinity);
+  for (const auto& replica : fixture.replicas) {
+    fixture.Load(replica.id.value(), 4);
+  }
+  CHECK(fixture.Choose(request).replica == first.replica);
+  // 8 is more than 1.25 times the mean of 5.
+  fixture.Load(first.replica->id.value(), 8);
+  CHECK(fixture.Choose(request).replica != first.replica);
+}
+
+TEST_CASE("Router.GivesANewReplicaASlowStart") {
+  Fixture fixture;
+  fixture.Set({{"r1", "a"}, {"r2", "a"}});
+  fixture.clock.Advance(std::chrono::seconds(1));
+  fixture.Set({{"r1", "a"}, {"r2", "a"}, {"r3", "a"}});
+  fixture.Load("r1", 3);
+  fixture.Load("r2", 3);
+  fixture.Load("r3", 0);
+  // Of the first choices, r3 can win only while its weight of 0.1 lets one
+  // request weigh less than four.
+  CHECK(fixture.Count(6)["r3"] == 0);
+  fixture.clock.Advance(std::chrono::seconds(10));
+  fixture.Load("r1", 3);
+  fixture.Load("r2", 3);
+  fixture.Load("r3", 0);
+  CHECK(fixture.Count(6)["r3"] >= 2);
+}
+
+// Guards against a replica whose last report was high being left out for ever.
+TEST_CASE("Router.DoesNotBelieveAStaleReport") {
+  Fixture fixture;
+  fixture.Set({{"r1", "a"}, {"r2", "a"}});
+  fixture.Load("r1", 9);
+  fixture.clock.Advance(std::chrono::seconds(6));
+  fixture.Load("r2", 1);
+  CHECK(fixture.Count(20)["r1"] >= 5);
+}
+
+TEST_CASE("Router.SendsOneProbePerProbingState") {
+  Fixture fixture;
+  fixture.Set({{"r1", "a"}, {"r2", "a"}});
+  fixture.router.SetEjection(ReplicaId("r1"), EjectionState::kProbing);
+  RouteRequest must_not_probe;
+  must_not_probe.may_probe = false;
+  CHECK(fixture.Choose(must_not_probe).replica->id == ReplicaId("r2"));
+  auto probe = fixture.Choose();
+  CHECK(probe.replica->id == ReplicaId("r1"));
+  CHECK(probe.explanation.reason == RouteReason::kProbe);
+  CHECK(fixture.Count(20)["r1"] == 0);
+}
+
+TEST_CASE("Router.SendsBatchOnlyWhereThereIsRoom") {
+  Fixture fixture;
+  fixture.Set({{"r1", "a"}, {"r2", "b"}});
+  fixture.Load("r1", 0, 0);
+  fixture.Load("r2", 0, 2);
+  CHECK(fixture.router.batch_room(kService) == 2);
+  CHECK(fixture.ChooseForBatch().replica->id == ReplicaId("r2"));
+  CHECK(fixture.ChooseForBatch().replica->id == ReplicaId("r2"));
+  auto choice = fixture.ChooseForBatch();
+  CHECK_FALSE(choice.replica);
+  CHECK(choice.explanation.excluded_full == 2);
+}
+
+// Guards against batch that never finds out that room has come back.
+TEST_CASE("Router.LetsOneBatchItemAskAfterAStaleReport") {
+  Fixture fixture;
+  fixture.Set({{"r1", "a"}});
+  fixture.Load("r1", 0, 0);
+  fixture.clock.Advance(std::chrono::seconds(6));
+  CHECK(fixture.ChooseForBatch().replica);
+  CHECK_FALSE(fixture.ChooseForBatch().replica);
+}
+
+TEST_CASE("Router.SendsAnItemThatRunsAloneToAReplicaWithoutBatch") {
+  Fixture fixture;
+  fixture.Set({{"r1", "a"}, {"r2", "a"}});
+  fixture.router.OnLoad({.replica = ReplicaId("r1"),
+                         .batch_in_flight = 2,
+                         .limit = 10,
+                         .batch_room = 5});
+  fixture.Load("r2", 0, 1);
+  RouteRequest request;
+  request.alone = true;
+  CHECK(fixture.ChooseForBatch(request).replica->id == ReplicaId("r2"));
+}
+
+}  // namespace
+}  // namespace kumquatgauge::routing
