--- /dev/null
+++ b/include/kumquatgauge/batch/item_retry.h
@@ -0,0 +1,69 @@
+#ifndef KUMQUATGAUGE_BATCH_ITEM_RETRY_H_
+#define KUMQUATGAUGE_BATCH_ITEM_RETRY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "kumquatgauge/base/ids.h"
+#include "kumquatgauge/base/time.h"
+#include "kumquatgauge/batch/item_runner.h"
+
+namespace kumquatgauge::batch {
+
+inline constexpr std::size_t kMaxItemAttempts = 4;
+// Delay after the first failed attempt; doubles with each further one.
+inline constexpr std::chrono::milliseconds kFirstRetryDelay{500};
+// From this attempt on the item runs alone on its replica, so that an item
+// that brings replicas down takes no other batch item with it.
+inline constexpr std::size_t kFirstAloneAttempt = 3;
+// Delay after a refusal that names no time, and the longest that is kept to.
+inline constexpr std::chrono::milliseconds kBusyDelay{500};
+inline constexpr std::chrono::milliseconds kMaxBusyDelay{5'000};
+
+// What to do with an item after an attempt has ended.
+struct RetryDecision {
+  enum class Kind {
+    kCompleted,
+    kFailed,   // Final: the item is bad or has used up its attempts.
+    kTryAgain  // Not before `not_before`.
+  };
+
+  Kind kind = Kind::kTryAgain;
+  std::string reason;  // Error of a final failure.
+  MonotonicTime not_before;
+
+  auto operator==(const RetryDecision&) const -> bool = default;
+};
+
+// The attempts at one item. Tells a bad item, which the engine rejects, from a
+// bad replica, which another replica makes up for. An attempt that was refused
+// as not run, preempted or cancelled is not charged.
+class ItemRetry {
+ public:
+  // `attempts` were charged by earlier owners.
+  explicit ItemRetry(std::size_t attempts = 0) : attempts_(attempts) {}
+
+  auto Ended(const AttemptResult& result, MonotonicTime now) -> RetryDecision;
+
+  // Charged attempts so far.
+  auto attempts() const -> std::size_t { return attempts_; }
+  // How to make the next attempt.
+  auto alone() const -> bool { return attempts_ + 1 >= kFirstAloneAttempt; }
+  auto avoid() const -> const ReplicaId& { return avoid_; }
+  auto resume_offset() const -> std::uint64_t { return resume_offset_; }
+  auto resume_text() const -> const std::string& { return resume_text_; }
+
+ private:
+  auto Charge(const AttemptResult& result, MonotonicTime now) -> RetryDecision;
+  auto KeepProgress(const AttemptResult& result) -> void;
+
+  std::size_t attempts_;
+  ReplicaId avoid_;
+  std::uint64_t resume_offset_ = 0;
+  std::string resume_text_;
+};
+
+}  // namespace kumquatgauge::batch
+
+#endif  // KUMQUATGAUGE_BATCH_ITEM_RETRY_H_
--- /dev/null
+++ b/include/kumquatgauge/batch/job_store.h
@@ -0,0 +1,153 @@
+#ifndef KUMQUATGAUGE_BATCH_JOB_STORE_H_
+#define KUMQUATGAUGE_BATCH_JOB_STORE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kumquatgauge/base/ids.h"
+#include "kumquatgauge/base/time.h"
+#include "kumquatgauge/batch/job.h"
+#include "kumquatgauge/platform/object_store.h"
+
+namespace kumquatgauge::batch {
+
+// Finished jobs are kept for 7 days and half-sent uploads for one.
+inline constexpr std::chrono::hours kResultRetention{24 * 7};
+inline constexpr std::chrono::hours kUploadRetention{24};
+
+struct StoredState {
+  JobState state;
+  std::uint64_t version = 0;
+
+  auto operator==(const StoredState&) const -> bool = default;
+};
+
+struct StoredManifest {
+  JobManifest manifest;
+  std::uint64_t version = 0;
+
+  auto operator==(const StoredManifest&) const -> bool = default;
+};
+
+// A written output part that the state is to name.
+struct PartCommit {
+  std::size_t chunk = 0;
+  PartInfo part;
+
+  auto operator==(const PartCommit&) const -> bool = default;
+};
+
+// What an update of a job's state came to.
+enum class UpdateVerdict {
+  kApplied,
+  kFenced,  // A later owner has taken the job over.
+  kEnded,   // The job had ended before.
+};
+
+struct UpdateResult {
+  UpdateVerdict verdict = UpdateVerdict::kApplied;
+  StoredState stored;  // The state as it is now.
+
+  auto operator==(const UpdateResult&) const -> bool = default;
+};
+
+// Reads and writes the objects of jobs. Stateless but for the hooks; calls may
+// run side by side. Unless said otherwise a call throws the store's Error when
+// the platform does not answer, and may then be repeated with the same
+// arguments: an update that took effect is recognised by its operation id, or
+// by its content when somebody else has written since.
+class JobStore {
+ public:
+  using IndexChange = std::function<auto(ShardIndex&)->void>;
+
+  JobStore(platform::ObjectStore& store, RandomSource random);
+
+  auto ReadManifest(JobId job)
+      -> boost::asio::awaitable<std::optional<StoredManifest>>;
+  auto ReadState(JobId job)
+      -> boost::asio::awaitable<std::optional<StoredState>>;
+  auto ReadInput(JobId job, std::size_t chunk, std::string hash)
+      -> boost::asio::awaitable<std::vector<ItemInput>>;
+  auto ReadPart(JobId job, std::size_t chunk, PartInfo part)
+      -> boost::asio::awaitable<std::vector<ItemResult>>;
+
+  // Writes the owner's token into the state, which makes every conditional
+  // write of an earlier owner fail.
+  auto TakeOver(JobId job, StoredState base, std::uint64_t token)
+      -> boost::asio::awaitable<UpdateResult>;
+  // Writes one output part. The content under one key must always be the same.
+  auto WritePart(JobId job, PartCommit part, std::string content)
+      -> boost::asio::awaitable<void>;
+  // Names written parts of any chunks of the job in the state, in one update.
+  // `completed_at` is given when these parts complete the job.
+  auto Commit(JobId job,
+              StoredState base,
+              std::uint64_t token,
+              std::vector<PartCommit> parts,
+              std::map<std::size_t, std::size_t> attempts,
+              std::optional<WallMillis> completed_at)
+      -> boost::asio::awaitable<UpdateResult>;
+  // Cancels the job. The conditional update is the point at which the cancel
+  // holds; kEnded means that the job had completed or been cancelled before.
+  // Throws Error(kNotFound) when there is no such job.
+  auto Cancel(JobId job, WallMillis now)
+      -> boost::asio::awaitable<UpdateResult>;
+
+  auto ReadIndex(std::size_t shard) -> boost::asio::awaitable<ShardIndex>;
+  // Applies `change`, which must be idempotent, to the index of a shard.
+  auto UpdateIndex(std::size_t shard, IndexChange change)
+      -> boost::asio::awaitable<ShardIndex>;
+
+  // Removes the objects of one job if it ended more than kResultRetention ago,
+  // or if it is an upload without a manifest that began more than
+  // kUploadRetention ago. Returns whether the job is gone.
+  auto Sweep(JobId job, WallMillis began_or_ended, WallMillis now)
+      -> boost::asio::awaitable<bool>;
+
+ private:
+  // Returns what to write over a state, or a verdict when nothing may be.
+  using Change = std::function<auto(JobState&)->UpdateVerdict>;
+
+  auto Update(JobId job, StoredState base, Change change)
+      -> boost::asio::awaitable<UpdateResult>;
+  auto ReadObject(std::string key)
+      -> boost::asio::awaitable<std::optional<platform::StoredObject>>;
+  auto CreateTombstone(JobId job) -> boost::asio::awaitable<bool>;
+  auto RemoveAll(std::string prefix) -> boost::asio::awaitable<void>;
+  auto RemoveObject(std::string key, std::uint64_t version)
+      -> boost::asio::awaitable<void>;
+
+  platform::ObjectStore& store_;
+  RandomSource random_;
+};
+
+// Streams the results of a job in the order of its input, one chunk at a time,
+// so that memory is bounded by the parts of one chunk.
+class ResultReader {
+ public:
+  ResultReader(JobStore& store, JobId job);
+
+  // The committed results of the next chunk that has any, in line order; empty
+  // at the end. Throws Error(kNotFound) when there is no such job.
+  auto NextChunk() -> boost::asio::awaitable<std::vector<ItemResult>>;
+
+ private:
+  JobStore& store_;
+  JobId job_;
+  std::optional<StoredState> state_;
+  std::size_t next_chunk_ = 0;
+};
+
+// Looks a result up by custom_id; nothing when none is committed (yet). Throws
+// Error(kNotFound) when there is no such job.
+auto FindResult(JobStore& store, JobId job, std::string custom_id)
+    -> boost::asio::awaitable<std::optional<ItemResult>>;
+
+}  // namespace kumquatgauge::batch
+
+#endif  // KUMQUATGAUGE_BATCH_JOB_STORE_H_
--- /dev/null
+++ b/src/batch/batch_service.cc
@@ -0,0 +1,1212 @@
+#include "kumquatgauge/batch/batch_service.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <deque>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "batch/observe_only_store.h"
+#include "batch/owned_job.h"
+#include "kumquatgauge/base/error.h"
+#include "kumquatgauge/batch/shard_assignment.h"
+#include "kumquatgauge/control/lease.h"
+
+namespace kumquatgauge::batch {
+
+using boost::asio::awaitable;
+using detail::ItemRef;
+using detail::OwnedJob;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr auto kFirstBackoff = milliseconds(500);
+constexpr auto kMaxBackoff = milliseconds(5'000);
+constexpr auto kLogInterval = std::chrono::seconds(30);
+// How often an id without a manifest is looked up: at first as often as the
+// index is read, later rarely. A job-notice starts it again.
+constexpr auto kMaxManifestDelay = milliseconds(30'000);
+// At this share of kMaxHeldResultBytes waiting results are committed early.
+constexpr auto kEarlyCommitBytes = kMaxHeldResultBytes / 4 * 3;
+// Time that an engine gets for an item of a job that is late.
+constexpr auto kMinTimeLeft = std::chrono::minutes(10);
+// Bytes of the body that decide which replica has its prefix cached.
+constexpr std::size_t kAffinityBytes = 512;
+constexpr std::uint32_t kAssumedMaxTokens = 256;
+
+auto MillisOf(WallTime time) -> WallMillis {
+  return std::chrono::duration_cast<milliseconds>(time.time_since_epoch())
+      .count();
+}
+
+auto MaxTokensOf(const std::string& body) -> std::uint32_t {
+  const auto json = nlohmann::json::parse(body, nullptr, false);
+  const auto found = json.is_object() ? json.find("max_tokens") : json.end();
+  if (found == json.end() || !found->is_number_unsigned()) {
+    return kAssumedMaxTokens;
+  }
+  return static_cast<std::uint32_t>(
+      std::min<std::uint64_t>(found->get<std::uint64_t>(), 1'000'000));
+}
+
+auto AffinityOf(const std::string& body) -> std::uint64_t {
+  return XXH3_64bits(body.data(), std::min(body.size(), kAffinityBytes));
+}
+
+auto DescribeOutcome(const AttemptResult& result) -> std::string {
+  using Kind = routing::DispatchResult::Kind;
+  auto text = std::string();
+  switch (result.dispatch.kind) {
+    case Kind::kBusy:
+      text = "busy";
+      break;
+    case Kind::kPreempted:
+      text = "preempted";
+      break;
+    case Kind::kLost:
+      text = "lost";
+      break;
+    case Kind::kEnded:
+      text = OutcomeKindName(result.dispatch.outcome.kind);
+      break;
+  }
+  if (!result.dispatch.outcome.reason.empty()) {
+    text += ": " + result.dispatch.outcome.reason;
+  }
+  return text;
+}
+
+auto DescribeDecision(const RetryDecision& decision) -> std::string {
+  switch (decision.kind) {
+    case RetryDecision::Kind::kCompleted:
+      return "completed";
+    case RetryDecision::Kind::kFailed:
+      return "failed";
+    case RetryDecision::Kind::kTryAgain:
+      break;
+  }
+  return "retry";
+}
+
+// When to look again for the manifest of an id in the index.
+struct ManifestSearch {
+  MonotonicTime next;
+  Duration delay = kShardPollInterval;
+};
+
+struct Shard {
+  Shard(std::size_t shard,
+        platform::ObjectStore& store,
+        const NodeId& node,
+        Incarnation incarnation,
+        const BatchServiceHooks& hooks)
+      : number(shard),
+        gate(store, hooks.clock),
+        keeper(gate,
+               ShardLeaseKey(shard),
+               node,
+               incarnation,
+               hooks.clock,
+               hooks.random) {}
+
+  std::size_t number;
+  detail::ObserveOnlyStore gate;
+  control::LeaseKeeper keeper;
+  bool lease_busy = false;
+  bool index_busy = false;
+  MonotonicTime next_lease;
+  MonotonicTime next_index;
+  MonotonicTime last_work;  // When an unfinished job was last known.
+  bool index_known = false;
+  ShardIndex index;
+  std::map<JobId, JobManifest> accepted;  // Unfinished and not yet owned.
+  std::map<JobId, ManifestSearch> searches;
+  std::map<JobId, std::shared_ptr<OwnedJob>> jobs;
+  std::map<JobId, WallMillis> ended;  // To be moved in the index.
+  std::optional<MonotonicTime> handover_since;
+
+  auto has_work() const -> bool {
+    return !accepted.empty() || !jobs.empty() || !ended.empty();
+  }
+};
+
+}  // namespace
+
+class BatchService::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(platform::ObjectStore& store,
+       ItemRunner& runner,
+       NodeId node,
+       Incarnation incarnation,
+       BatchServiceHooks hooks)
+      : store_(store),
+        runner_(runner),
+        node_(std::move(node)),
+        hooks_(std::move(hooks)),
+        jobs_(store, hooks_.random),
+        next_sweep_(hooks_.clock() + kSweepInterval) {
+    for (auto shard = std::size_t{0}; shard < kShardCount; ++shard) {
+      shards_.push_back(
+          std::make_unique<Shard>(shard, store_, node_, incarnation, hooks_));
+    }
+  }
+
+  auto Tick(boost::asio::any_io_executor executor) -> void;
+  auto Stop() -> void { stopped_ = true; }
+  auto Notify(const JobId& job) -> void;
+  auto OnJobNotice(const JobId& job) -> void;
+  auto Cancel(JobId job) -> awaitable<JobState>;
+  auto Status(JobId job) -> awaitable<JobView>;
+  auto EstimateNew(const JobManifest& manifest) const -> JobEstimate;
+  auto BeginDrain() -> void { draining_ = true; }
+  auto drained() const -> bool;
+  auto jobs() const -> std::vector<JobView>;
+  auto shards() const -> std::vector<ShardView>;
+  auto ExplainItem(const JobId& job, const std::string& custom_id) const
+      -> std::vector<AttemptView>;
+  auto items_in_flight() const -> std::size_t { return in_flight_; }
+  auto held_bytes() const -> std::size_t;
+  auto store() -> JobStore& { return jobs_; }
+  auto object_store() -> platform::ObjectStore& { return store_; }
+  auto hooks() const -> const BatchServiceHooks& { return hooks_; }
+
+ private:
+  using JobPtr = std::shared_ptr<OwnedJob>;
+
+  auto Now() const -> MonotonicTime { return hooks_.clock(); }
+  auto Log(const std::string& text) const -> void;
+  auto LogError(const std::string& where, const std::exception& error) -> void;
+  template <typename Step>
+  auto Spawn(Step step) -> void;
+
+  auto UpdateAssignment() -> void;
+  auto IsOwner(const Shard& shard) const -> bool;
+  auto NoticePause(MonotonicTime now) -> void;
+  auto SpawnShardSteps(Shard& shard, MonotonicTime now) -> void;
+  auto UpdateHandover(Shard& shard, MonotonicTime now) -> void;
+
+  auto LeaseStep(Shard& shard) -> awaitable<void>;
+  auto AdvanceLease(Shard& shard) -> awaitable<void>;
+  auto LeaseIsDue(const Shard& shard) const -> bool;
+  auto LeasePollDelay(const Shard& shard) const -> Duration;
+  auto ReadyToRelease(const Shard& shard) const -> bool;
+  auto IsIdle(const Shard& shard) const -> bool;
+  auto DropShard(Shard& shard, const std::string& why) -> void;
+
+  auto IndexStep(Shard& shard) -> awaitable<void>;
+  auto AdvanceIndex(Shard& shard) -> awaitable<void>;
+  auto MoveEnded(Shard& shard) -> awaitable<void>;
+  auto FindManifest(Shard& shard, JobId job) -> awaitable<void>;
+  auto Adopt(Shard& shard, JobId job) -> awaitable<void>;
+
+  auto JobStep(Shard& shard, JobPtr job) -> awaitable<void>;
+  auto AdvanceJob(Shard& shard, JobPtr job) -> awaitable<void>;
+  auto JobStepIsDue(const Shard& shard, OwnedJob& job, MonotonicTime now) const
+      -> bool;
+  auto CheckIsDue(const OwnedJob& job, MonotonicTime now) const -> bool;
+  auto ForceCommit(const Shard& shard, const OwnedJob& job) const -> bool;
+  auto CheckState(Shard& shard, JobPtr job) -> awaitable<void>;
+  auto OpenChunk(JobPtr job) -> awaitable<void>;
+  auto Commit(Shard& shard, JobPtr job) -> awaitable<void>;
+  auto AfterUpdate(Shard& shard, JobPtr job, UpdateResult result) -> void;
+  auto DropJob(OwnedJob& job) -> void;
+  auto CancelItems(const OwnedJob& job) -> void;
+  auto EndJob(Shard& shard, const JobPtr& job, WallMillis ended) -> void;
+
+  auto ScheduleLaunch() -> void;
+  auto Launch() -> void;
+  auto Parallel(const ServiceName& service) const -> std::size_t;
+  auto StartItem(const JobPtr& job, MonotonicTime now) -> void;
+  auto RequestFor(const OwnedJob& job,
+                  const detail::OwnedItem& item,
+                  milliseconds slack) const -> routing::CompletionRequest;
+  auto RunItem(JobPtr job, ItemRef ref, routing::CompletionRequest request)
+      -> awaitable<void>;
+  auto RecordAttempt(const OwnedJob& job,
+                     const detail::OwnedItem& item,
+                     const AttemptResult& result,
+                     const RetryDecision& decision) -> void;
+
+  auto SweepStep() -> awaitable<void>;
+  auto SweepShard(Shard& shard) -> awaitable<void>;
+
+  auto View(const JobManifest& manifest, const JobState& state) const
+      -> JobView;
+  auto FindOwned(const JobId& job) const -> JobPtr;
+
+  platform::ObjectStore& store_;
+  ItemRunner& runner_;
+  NodeId node_;
+  BatchServiceHooks hooks_;
+  JobStore jobs_;
+  std::vector<std::unique_ptr<Shard>> shards_;
+  std::vector<NodeId> live_;
+  ShardAssignment assignment_;
+  Scheduler scheduler_;
+  boost::asio::any_io_executor executor_;
+  std::optional<MonotonicTime> last_tick_;
+  bool stopped_ = false;
+  bool draining_ = false;
+  bool launch_scheduled_ = false;
+  bool sweep_busy_ = false;
+  bool memory_is_short_ = false;
+  MonotonicTime next_sweep_;
+  std::size_t in_flight_ = 0;
+  std::size_t opening_chunks_ = 0;
+  std::deque<AttemptView> attempts_;
+  std::map<std::string, MonotonicTime> logged_;
+};
+
+auto BatchService::Impl::Log(const std::string& text) const -> void {
+  if (hooks_.log) {
+    hooks_.log("batch: " + text);
+  }
+}
+
+// An outage makes every shard and job fail twice a second; each is logged once
+// per kLogInterval.
+auto BatchService::Impl::LogError(const std::string& where,
+                                  const std::exception& error) -> void {
+  const auto now = Now();
+  std::erase_if(logged_, [now](const auto& entry) {
+    return now - entry.second >= kLogInterval;
+  });
+  if (logged_.emplace(where, now).second) {
+    Log(where + ": " + error.what());
+  }
+}
+
+// Runs a step beside the caller. The step keeps this object alive; a step that
+// is resumed after Stop must not act any more.
+template <typename Step>
+auto BatchService::Impl::Spawn(Step step) -> void {
+  boost::asio::co_spawn(
+      executor_,
+      [self = shared_from_this(), step]() -> awaitable<void> {
+        if (!self->stopped_) {
+          co_await step(*self);
+        }
+      },
+      boost::asio::detached);
+}
+
+auto BatchService::Impl::Tick(boost::asio::any_io_executor executor) -> void {
+  executor_ = std::move(executor);
+  const auto now = Now();
+  NoticePause(now);
+  last_tick_ = now;
+  memory_is_short_ = held_bytes() > kEarlyCommitBytes;
+  UpdateAssignment();
+  for (auto& shard : shards_) {
+    UpdateHandover(*shard, now);
+    SpawnShardSteps(*shard, now);
+  }
+  if (!sweep_busy_ && now >= next_sweep_) {
+    sweep_busy_ = true;
+    next_sweep_ = now + kSweepInterval;
+    Spawn([](Impl& self) { return self.SweepStep(); });
+  }
+  Launch();
+}
+
+// After a pause the jobs may have been cancelled or taken over, so nothing of
+// them starts before their state has been read.
+auto BatchService::Impl::NoticePause(MonotonicTime now) -> void {
+  if (!last_tick_ || now - *last_tick_ <= kPauseThreshold) {
+    return;
+  }
+  for (auto& shard : shards_) {
+    for (auto& [id, job] : shard->jobs) {
+      job->must_check = true;
+    }
+  }
+}
+
+auto BatchService::Impl::UpdateAssignment() -> void {
+  auto live = hooks_.live_nodes();
+  if (live != live_) {
+    live_ = std::move(live);
+    assignment_ = ShardAssignment(live_);
+  }
+}
+
+auto BatchService::Impl::IsOwner(const Shard& shard) const -> bool {
+  return !draining_ && assignment_.owner(shard.number) == node_;
+}
+
+auto BatchService::Impl::UpdateHandover(Shard& shard, MonotonicTime now)
+    -> void {
+  const auto held = shard.keeper.held();
+  if (!held && !IsOwner(shard)) {
+    shard.accepted.clear();
+    shard.searches.clear();
+    shard.index_known = false;
+  }
+  if (!held || IsOwner(shard)) {
+    shard.handover_since.reset();
+    return;
+  }
+  if (!shard.handover_since) {
+    shard.handover_since = now;
+  }
+  if (now - *shard.handover_since >= kHandoverTime) {
+    for (const auto& [id, job] : shard.jobs) {
+      CancelItems(*job);
+    }
+  }
+}
+
+auto BatchService::Impl::LeaseIsDue(const Shard& shard) const -> bool {
+  const auto standby = assignment_.standby(shard.number) == node_;
+  return shard.keeper.held() || (IsOwner(shard) && shard.has_work()) || standby;
+}
+
+auto BatchService::Impl::SpawnShardSteps(Shard& shard, MonotonicTime now)
+    -> void {
+  const auto release = ReadyToRelease(shard);
+  if (!shard.lease_busy && LeaseIsDue(shard) &&
+      (now >= shard.next_lease || release)) {
+    shard.lease_busy = true;
+    Spawn([&shard](Impl& self) { return self.LeaseStep(shard); });
+  }
+  const auto reads_index = IsOwner(shard) || shard.keeper.held();
+  if (!shard.index_busy && reads_index && now >= shard.next_index) {
+    shard.index_busy = true;
+    Spawn([&shard](Impl& self) { return self.IndexStep(shard); });
+  }
+  for (auto& [id, job] : shard.jobs) {
+    if (!job->busy && JobStepIsDue(shard, *job, now)) {
+      job->busy = true;
+      Spawn([&shard, job](Impl& self) { return self.JobStep(shard, job); });
+    }
+  }
+}
+
+auto BatchService::Impl::IsIdle(const Shard& shard) const -> bool {
+  return !shard.has_work() && shard.index_known &&
+         Now() - shard.last_work >= kIdleLeaseTime;
+}
+
+auto BatchService::Impl::ReadyToRelease(const Shard& shard) const -> bool {
+  if (!shard.keeper.held()) {
+    return false;
+  }
+  if (!shard.handover_since) {
+    return IsIdle(shard);
+  }
+  return std::all_of(shard.jobs.begin(), shard.jobs.end(),
+                     [](const auto& entry) {
+                       const auto& job = *entry.second;
+                       return job.in_flight() == 0 && job.held_bytes() == 0 &&
+                              !job.busy;
+                     }) &&
+         shard.ended.empty();
+}
+
+auto BatchService::Impl::LeaseStep(Shard& shard) -> awaitable<void> {
+  const auto self = shared_from_this();
+  try {
+    co_await AdvanceLease(shard);
+  } catch (const std::exception& error) {
+    // A standby is refused by its own gate in every round.
+    const auto observes = !shard.keeper.held() && !IsOwner(shard);
+    if (observes) {
+      shard.next_lease = Now() + LeasePollDelay(shard);
+    } else {
+      LogError("lease of shard " + std::to_string(shard.number), error);
+      shard.next_lease = Now() + kFirstBackoff;
+    }
+  }
+  shard.lease_busy = false;
+}
+
+auto BatchService::Impl::AdvanceLease(Shard& shard) -> awaitable<void> {
+  auto& keeper = shard.keeper;
+  const auto number = std::to_string(shard.number);
+  if (ReadyToRelease(shard)) {
+    DropShard(shard, "released");
+    shard.gate.set_open(true);
+    shard.next_lease = Now() + kShardPollInterval;
+    co_await keeper.Release();
+    co_return;
+  }
+  if (keeper.held()) {
+    shard.gate.set_open(true);
+    const auto token = keeper.token();
+    const auto renewed = co_await keeper.Renew();
+    if (!renewed || keeper.token() != token) {
+      DropShard(shard, "lease was taken over");
+    }
+    shard.next_lease = Now() + keeper.timing().renew_interval;
+    co_return;
+  }
+  shard.gate.set_open(IsOwner(shard) && shard.has_work());
+  const auto acquired = co_await keeper.TryAcquire();
+  if (acquired && !stopped_) {
+    Log("shard " + number + " is held with token " +
+        std::to_string(keeper.token()));
+    shard.last_work = Now();
+    shard.next_index = Now();
+    shard.next_lease = Now() + keeper.timing().renew_interval;
+    co_return;
+  }
+  shard.next_lease = Now() + LeasePollDelay(shard);
+}
+
+// A lease that was not renewed in time is read often, so that its expiry is
+// noticed soon.
+auto BatchService::Impl::LeasePollDelay(const Shard& shard) const -> Duration {
+  const auto overdue =
+      shard.gate.unchanged_for() > shard.keeper.timing().term / 2;
+  return overdue ? kExpiryPollInterval : kShardPollInterval;
+}
+
+auto BatchService::Impl::DropShard(Shard& shard, const std::string& why)
+    -> void {
+  if (!shard.jobs.empty()) {
+    Log("shard " + std::to_string(shard.number) + " is dropped: " + why);
+  }
+  auto jobs = std::exchange(shard.jobs, {});
+  for (auto& [id, job] : jobs) {
+    shard.accepted.emplace(id, job->manifest());
+    DropJob(*job);
+  }
+  // Its next owner finds ended jobs by itself.
+  shard.ended.clear();
+  shard.handover_since.reset();
+}
+
+auto BatchService::Impl::DropJob(OwnedJob& job) -> void {
+  job.dropped = true;
+  CancelItems(job);
+}
+
+auto BatchService::Impl::CancelItems(const OwnedJob& job) -> void {
+  for (const auto& request : job.InFlight()) {
+    runner_.Cancel(request);
+  }
+}
+
+auto BatchService::Impl::EndJob(Shard& shard,
+                                const JobPtr& job,
+                                WallMillis ended) -> void {
+  const auto id = job->manifest().id;
+  Log("job " + id.value() + " is " +
+      std::string(JobStatusName(job->stored().state.status)));
+  shard.jobs.erase(id);
+  shard.accepted.erase(id);
+  shard.ended.emplace(id, ended);
+  shard.next_index = Now();
+  DropJob(*job);
+}
+
+auto BatchService::Impl::IndexStep(Shard& shard) -> awaitable<void> {
+  const auto self = shared_from_this();
+  try {
+    shard.next_index = Now() + kShardPollInterval;
+    co_await AdvanceIndex(shard);
+  } catch (const std::exception& error) {
+    LogError("index of shard " + std::to_string(shard.number), error);
+    shard.next_index = Now() + kShardPollInterval;
+  }
+  if (shard.has_work()) {
+    shard.last_work = Now();
+  }
+  shard.index_busy = false;
+}
+
+auto BatchService::Impl::AdvanceIndex(Shard& shard) -> awaitable<void> {
+  if (shard.ended.empty()) {
+    shard.index = co_await jobs_.ReadIndex(shard.number);
+  } else {
+    co_await MoveEnded(shard);
+  }
+  if (stopped_) {
+    co_return;
+  }
+  const auto index = shard.index;
+  shard.index_known = true;
+  std::erase_if(shard.accepted, [&index](const auto& entry) {
+    return !index.jobs.contains(entry.first);
+  });
+  std::erase_if(shard.searches, [&index](const auto& entry) {
+    return !index.jobs.contains(entry.first);
+  });
+  for (const auto& [id, began] : index.jobs) {
+    try {
+      if (!shard.jobs.contains(id) && !shard.ended.contains(id)) {
+        co_await FindManifest(shard, id);
+      }
+      const auto adopt = shard.accepted.contains(id) && shard.keeper.held() &&
+                         !shard.handover_since;
+      if (adopt && !stopped_) {
+        co_await Adopt(shard, id);
+      }
+    } catch (const Error& error) {
+      if (error.kind() != ErrorKind::kInternal) {
+        throw;
+      }
+      // One unreadable job must not hold back the others.
+      LogError("job " + id.value(), error);
+    }
+    if (stopped_) {
+      co_return;
+    }
+  }
+}
+
+auto BatchService::Impl::MoveEnded(Shard& shard) -> awaitable<void> {
+  const auto ended = shard.ended;
+  auto change = JobStore::IndexChange([ended](ShardIndex& index) {
+    for (const auto& [id, time] : ended) {
+      if (index.jobs.erase(id) > 0) {
+        index.finished[id] = time;
+      }
+    }
+  });
+  shard.index = co_await jobs_.UpdateIndex(shard.number, std::move(change));
+  for (const auto& [id, time] : ended) {
+    shard.ended.erase(id);
+  }
+}
+
+auto BatchService::Impl::FindManifest(Shard& shard, JobId job)
+    -> awaitable<void> {
+  if (shard.accepted.contains(job)) {
+    co_return;
+  }
+  auto& search = shard.searches[job];
+  if (Now() < search.next) {
+    co_return;
+  }
+  search.next = Now() + search.delay;
+  search.delay = std::min<Duration>(search.delay * 2, kMaxManifestDelay);
+  const auto found = co_await jobs_.ReadManifest(job);
+  if (found && !found->manifest.expired && !stopped_) {
+    shard.accepted.emplace(job, found->manifest);
+    shard.searches.erase(job);
+  }
+}
+
+auto BatchService::Impl::Adopt(Shard& shard, JobId job) -> awaitable<void> {
+  const auto token = shard.keeper.token();
+  auto stored = co_await jobs_.ReadState(job);
+  if (!stored || stopped_) {
+    co_return;
+  }
+  auto taken = co_await jobs_.TakeOver(job, std::move(*stored), token);
+  const auto still_owner = !stopped_ && shard.keeper.token() == token;
+  if (!still_owner || taken.verdict == UpdateVerdict::kFenced) {
+    co_return;
+  }
+  const auto accepted = shard.accepted.find(job);
+  if (accepted == shard.accepted.end()) {
+    co_return;
+  }
+  auto manifest = std::move(accepted->second);
+  shard.accepted.erase(accepted);
+  if (taken.verdict == UpdateVerdict::kEnded) {
+    shard.ended.emplace(job, taken.stored.state.ended);
+    shard.next_index = Now();
+    co_return;
+  }
+  auto owned = std::make_shared<OwnedJob>(std::move(manifest),
+                                          std::move(taken.stored), token);
+  owned->last_check = Now();
+  shard.jobs.emplace(job, std::move(owned));
+  ScheduleLaunch();
+}
+
+auto BatchService::Impl::CheckIsDue(const OwnedJob& job,
+                                    MonotonicTime now) const -> bool {
+  const auto active = job.open_chunks() > 0 || job.wants_chunk;
+  return job.must_check ||
+         (active && now - job.last_check >= kStateCheckInterval);
+}
+
+auto BatchService::Impl::ForceCommit(const Shard& shard,
+                                     const OwnedJob& job) const -> bool {
+  const auto handover = shard.handover_since && job.in_flight() == 0;
+  return handover || memory_is_short_;
+}
+
+auto BatchService::Impl::JobStepIsDue(const Shard& shard,
+                                      OwnedJob& job,
+                                      MonotonicTime now) const -> bool {
+  if (now < job.retry_at) {
+    return false;
+  }
+  return CheckIsDue(job, now) || job.wants_chunk ||
+         job.CommitIsDue(now, ForceCommit(shard, job));
+}
+
+auto BatchService::Impl::JobStep(Shard& shard, JobPtr job) -> awaitable<void> {
+  const auto self = shared_from_this();
+  try {
+    co_await AdvanceJob(shard, job);
+    job->backoff = Duration(0);
+  } catch (const std::exception& error) {
+    LogError("job " + job->manifest().id.value(), error);
+    job->backoff =
+        std::clamp<Duration>(job->backoff * 2, kFirstBackoff, kMaxBackoff);
+    job->retry_at = Now() + job->backoff;
+  }
+  job->busy = false;
+  ScheduleLaunch();
+}
+
+auto BatchService::Impl::AdvanceJob(Shard& shard, JobPtr job)
+    -> awaitable<void> {
+  if (CheckIsDue(*job, Now())) {
+    co_await CheckState(shard, job);
+  }
+  if (stopped_ || job->dropped) {
+    co_return;
+  }
+  if (job->wants_chunk) {
+    co_await OpenChunk(job);
+  }
+  if (stopped_ || job->dropped) {
+    co_return;
+  }
+  const auto force = ForceCommit(shard, *job);
+  if (job->CommitIsDue(Now(), force)) {
+    job->FreezeDue(Now(), force);
+    co_await Commit(shard, job);
+  }
+}
+
+auto BatchService::Impl::CheckState(Shard& shard, JobPtr job)
+    -> awaitable<void> {
+  auto found = std::optional<StoredState>();
+  try {
+    found = co_await jobs_.ReadState(job->manifest().id);
+  } catch (const Error&) {
+    // While the platform is out nobody can cancel or take over, so the job
+    // goes on.
+    job->must_check = false;
+    job->last_check = Now();
+    throw;
+  }
+  job->must_check = false;
+  job->last_check = Now();
+  if (stopped_ || job->dropped || !found) {
+    co_return;
+  }
+  if (found->state.terminal()) {
+    const auto ended = found->state.ended;
+    job->set_stored(std::move(*found));
+    EndJob(shard, job, ended);
+  } else if (found->state.token > job->token()) {
+    DropShard(shard, "job " + job->manifest().id.value() + " was taken over");
+  }
+}
+
+auto BatchService::Impl::OpenChunk(JobPtr job) -> awaitable<void> {
+  const auto number = job->NextUnopened();
+  if (!number) {
+    job->wants_chunk = false;
+    co_return;
+  }
+  const auto id = job->manifest().id;
+  auto committed = std::set<std::size_t>();
+  const auto& chunks = job->stored().state.chunks;
+  const auto found = chunks.find(*number);
+  if (found != chunks.end()) {
+    const auto parts = found->second;
+    for (const auto& part : parts) {
+      const auto results = co_await jobs_.ReadPart(id, *number, part);
+      for (const auto& result : results) {
+        committed.insert(result.line);
+      }
+    }
+  }
+  auto inputs = co_await jobs_.ReadInput(id, *number,
+                                         job->manifest().chunks[*number].hash);
+  job->wants_chunk = false;
+  if (!stopped_ && !job->dropped) {
+    job->Open(*number, std::move(inputs), committed, Now());
+  }
+}
+
+auto BatchService::Impl::Commit(Shard& shard, JobPtr job) -> awaitable<void> {
+  const auto id = job->manifest().id;
+  for (auto* part : job->UnwrittenParts()) {
+    co_await jobs_.WritePart(id, part->commit, part->content);
+    part->written = true;
+    if (stopped_ || job->dropped) {
+      co_return;
+    }
+  }
+  auto parts = job->FrozenCommits();
+  const auto completed_at = job->WouldComplete()
+                                ? std::optional(MillisOf(hooks_.wall_clock()))
+                                : std::nullopt;
+  auto base = job->stored();
+  auto result = co_await jobs_.Commit(id, std::move(base), job->token(), parts,
+                                      job->Attempts(), completed_at);
+  if (stopped_ || job->dropped) {
+    co_return;
+  }
+  if (result.verdict == UpdateVerdict::kApplied) {
+    job->set_stored(result.stored);
+    job->Committed(parts, Now());
+  }
+  AfterUpdate(shard, job, std::move(result));
+}
+
+auto BatchService::Impl::AfterUpdate(Shard& shard,
+                                     JobPtr job,
+                                     UpdateResult result) -> void {
+  if (result.stored.state.terminal()) {
+    const auto ended = result.stored.state.ended;
+    job->set_stored(std::move(result.stored));
+    EndJob(shard, job, ended);
+  } else if (result.verdict == UpdateVerdict::kFenced) {
+    DropShard(shard, "a commit was refused");
+  }
+}
+
+auto BatchService::Impl::held_bytes() const -> std::size_t {
+  auto sum = std::size_t{0};
+  for (const auto& shard : shards_) {
+    for (const auto& [id, job] : shard->jobs) {
+      sum += job->held_bytes();
+    }
+  }
+  return sum;
+}
+
+auto BatchService::Impl::ScheduleLaunch() -> void {
+  if (launch_scheduled_ || stopped_) {
+    return;
+  }
+  launch_scheduled_ = true;
+  boost::asio::post(executor_, [self = shared_from_this()] {
+    self->launch_scheduled_ = false;
+    self->Launch();
+  });
+}
+
+auto BatchService::Impl::Parallel(const ServiceName& service) const
+    -> std::size_t {
+  auto count = std::size_t{0};
+  for (const auto& shard : shards_) {
+    count += shard->jobs.size();
+  }
+  const auto slots =
+      std::min(kMaxItemsInFlight, runner_.room(service) + in_flight_);
+  return std::max<std::size_t>(1, slots / std::max<std::size_t>(1, count));
+}
+
+auto BatchService::Impl::Launch() -> void {
+  const auto now = Now();
+  // After a pause the next tick comes first; see NoticePause.
+  const auto paused = !last_tick_ || now - *last_tick_ > kPauseThreshold;
+  if (stopped_ || paused || held_bytes() >= kMaxHeldResultBytes) {
+    return;
+  }
+  auto open_chunks = std::size_t{0};
+  auto open_bytes = std::size_t{0};
+  auto work = std::vector<JobWork>();
+  auto by_id = std::map<JobId, JobPtr>();
+  auto allowance = std::map<ServiceName, std::size_t>();
+  auto active = std::vector<OrganisationName>();
+  for (const auto& shard : shards_) {
+    for (const auto& [id, job] : shard->jobs) {
+      open_chunks += job->open_chunks() + (job->wants_chunk ? 1 : 0);
+      open_bytes += job->input_bytes();
+      active.push_back(job->manifest().organisation);
+      if (shard->handover_since || job->must_check) {
+        continue;
+      }
+      const auto& service = job->manifest().service;
+      if (!allowance.contains(service)) {
+        allowance[service] = runner_.room(service);
+      }
+      work.push_back(job->Work(Parallel(service)));
+      by_id.emplace(id, job);
+    }
+  }
+  scheduler_.SetActive(active);
+  const auto wall_now = hooks_.wall_clock();
+  while (in_flight_ < kMaxItemsInFlight) {
+    const auto picked = scheduler_.Pick(work, wall_now);
+    if (!picked) {
+      break;
+    }
+    const auto& job = by_id.at(*picked);
+    auto& room = allowance[job->manifest().service];
+    if (room > 0 && job->HasReady(now)) {
+      --room;
+      StartItem(job, now);
+      continue;
+    }
+    const auto may_open = room > 0 && !job->wants_chunk &&
+                          open_chunks < kMaxOpenChunks &&
+                          open_bytes < kMaxOpenInputBytes;
+    const auto next = may_open ? job->NextUnopened() : std::nullopt;
+    if (next) {
+      job->wants_chunk = true;
+      ++open_chunks;
+      // The room that the chunk will fill is not given to further chunks.
+      room -= std::min(room, job->manifest().chunks[*next].items);
+    }
+    std::erase_if(work,
+                  [&picked](const JobWork& job) { return job.id == *picked; });
+  }
+}
+
+auto BatchService::Impl::RequestFor(const OwnedJob& job,
+                                    const detail::OwnedItem& item,
+                                    milliseconds slack) const
+    -> routing::CompletionRequest {
+  const auto& manifest = job.manifest();
+  const auto left = milliseconds(manifest.due - MillisOf(hooks_.wall_clock()));
+  auto request = routing::CompletionRequest();
+  request.id = item.request;
+  request.organisation = manifest.organisation;
+  request.service = manifest.service;
+  request.work_class = routing::WorkClass::kBatch;
+  request.endpoint = manifest.endpoint;
+  request.body = item.input.body;
+  request.affinity = AffinityOf(item.input.body);
+  request.max_tokens = MaxTokensOf(item.input.body);
+  request.time_left = std::max<milliseconds>(left, kMinTimeLeft);
+  request.slack = slack;
+  request.alone = item.retry.alone();
+  request.resume_offset = item.retry.resume_offset();
+  request.resume_text = item.retry.resume_text();
+  return request;
+}
+
+auto BatchService::Impl::StartItem(const JobPtr& job, MonotonicTime now)
+    -> void {
+  const auto& manifest = job->manifest();
+  const auto slack =
+      EstimateJob(job->Work(Parallel(manifest.service)), hooks_.wall_clock())
+          .slack;
+  const auto id = RequestId(
+      manifest.id.value() + "." + std::to_string(job->NextReadyLine()) + "." +
+      std::to_string(job->token()) + "." + std::to_string(hooks_.random()));
+  const auto ref = job->Start(id, now);
+  auto request = RequestFor(*job, job->item(ref), slack);
+  scheduler_.Started(manifest.organisation);
+  ++in_flight_;
+  Spawn([job, ref, request = std::move(request)](Impl& self) {
+    return self.RunItem(job, ref, request);
+  });
+}
+
+auto BatchService::Impl::RunItem(JobPtr job,
+                                 ItemRef ref,
+                                 routing::CompletionRequest request)
+    -> awaitable<void> {
+  const auto self = shared_from_this();
+  if (job->dropped) {
+    --in_flight_;
+    co_return;
+  }
+  const auto avoid = job->item(ref).retry.avoid();
+  auto result = AttemptResult();
+  try {
+    result = co_await runner_.Run(std::move(request), avoid);
+  } catch (const std::exception& error) {
+    result.dispatch.kind = routing::DispatchResult::Kind::kLost;
+    result.dispatch.outcome.reason = error.what();
+  }
+  --in_flight_;
+  if (stopped_ || job->dropped) {
+    co_return;
+  }
+  const auto decision = job->Ended(ref, result, Now());
+  RecordAttempt(*job, job->item(ref), result, decision);
+  ScheduleLaunch();
+}
+
+auto BatchService::Impl::RecordAttempt(const OwnedJob& job,
+                                       const detail::OwnedItem& item,
+                                       const AttemptResult& result,
+                                       const RetryDecision& decision) -> void {
+  attempts_.push_back({.job = job.manifest().id,
+                       .custom_id = item.input.custom_id,
+                       .attempt = item.runs,
+                       .node = node_,
+                       .replica = result.replica,
+                       .token = job.token(),
+                       .outcome = DescribeOutcome(result),
+                       .decision = DescribeDecision(decision)});
+  if (attempts_.size() > kAttemptLogSize) {
+    attempts_.pop_front();
+  }
+}
+
+auto BatchService::Impl::SweepStep() -> awaitable<void> {
+  const auto self = shared_from_this();
+  for (auto& shard : shards_) {
+    try {
+      if (IsOwner(*shard) && shard->index_known) {
+        co_await SweepShard(*shard);
+      }
+    } catch (const std::exception& error) {
+      LogError("sweep of shard " + std::to_string(shard->number), error);
+    }
+    if (stopped_) {
+      co_return;
+    }
+  }
+  sweep_busy_ = false;
+}
+
+auto BatchService::Impl::SweepShard(Shard& shard) -> awaitable<void> {
+  const auto now = MillisOf(hooks_.wall_clock());
+  auto old = std::map<JobId, WallMillis>();
+  for (const auto& [id, ended] : shard.index.finished) {
+    if (milliseconds(now - ended) >= kResultRetention) {
+      old.emplace(id, ended);
+    }
+  }
+  for (const auto& [id, began] : shard.index.jobs) {
+    const auto known = shard.jobs.contains(id) || shard.accepted.contains(id);
+    if (!known && milliseconds(now - began) >= kUploadRetention) {
+      old.emplace(id, began);
+    }
+  }
+  for (const auto& [id, time] : old) {
+    const auto gone = co_await jobs_.Sweep(id, time, now);
+    if (stopped_) {
+      co_return;
+    }
+    if (gone) {
+      auto change = JobStore::IndexChange(
+          [swept = id, listed_at = time](ShardIndex& index) {
+            index.finished.erase(swept);
+            // A newer entry belongs to a new submission under the same key.
+            const auto found = index.jobs.find(swept);
+            if (found != index.jobs.end() && found->second <= listed_at) {
+              index.jobs.erase(found);
+            }
+          });
+      co_await jobs_.UpdateIndex(shard.number, std::move(change));
+    }
+  }
+}
+
+auto BatchService::Impl::Notify(const JobId& job) -> void {
+  const auto& owner = assignment_.owner(ShardOfJob(job));
+  if (owner == node_) {
+    OnJobNotice(job);
+  } else if (!owner.empty() && hooks_.send_job_notice) {
+    hooks_.send_job_notice(owner, job);
+  }
+}
+
+auto BatchService::Impl::OnJobNotice(const JobId& job) -> void {
+  auto& shard = *shards_.at(ShardOfJob(job));
+  const auto owned = shard.jobs.find(job);
+  if (owned != shard.jobs.end()) {
+    owned->second->must_check = true;
+    return;
+  }
+  shard.searches.erase(job);
+  shard.next_index = Now();
+  shard.next_lease = std::min(shard.next_lease, Now());
+}
+
+auto BatchService::Impl::Cancel(JobId job) -> awaitable<JobState> {
+  const auto self = shared_from_this();
+  auto result = co_await jobs_.Cancel(job, MillisOf(hooks_.wall_clock()));
+  Notify(job);
+  co_return std::move(result.stored.state);
+}
+
+auto BatchService::Impl::FindOwned(const JobId& job) const -> JobPtr {
+  const auto& owned = shards_.at(ShardOfJob(job))->jobs;
+  const auto found = owned.find(job);
+  return found == owned.end() ? nullptr : found->second;
+}
+
+auto BatchService::Impl::View(const JobManifest& manifest,
+                              const JobState& state) const -> JobView {
+  const auto results = state.results();
+  const auto failed = state.failed();
+  auto view = JobView{.id = manifest.id,
+                      .organisation = manifest.organisation,
+                      .client_key = manifest.client_key,
+                      .service = manifest.service,
+                      .status = state.status,
+                      .items = manifest.items,
+                      .completed = results - failed,
+                      .failed = failed,
+                      .in_flight = 0,
+                      .waiting_for_commit = 0,
+                      .rejected = manifest.rejected_count,
+                      .rejected_lines = manifest.rejected,
+                      .due = manifest.due,
+                      .ended = state.ended,
+                      .estimate = {}};
+  auto work =
+      JobWork{.id = manifest.id,
+              .organisation = manifest.organisation,
+              .due = WallTime(milliseconds(manifest.due)),
+              .remaining = manifest.items - std::min(results, manifest.items)};
+  work.parallel = Parallel(manifest.service);
+  if (const auto owned = FindOwned(manifest.id)) {
+    view.in_flight = owned->in_flight();
+    view.waiting_for_commit = owned->waiting_results();
+    work = owned->Work(Parallel(manifest.service));
+  }
+  if (!state.terminal()) {
+    view.estimate = EstimateJob(work, hooks_.wall_clock());
+  }
+  return view;
+}
+
+auto BatchService::Impl::Status(JobId job) -> awaitable<JobView> {
+  const auto self = shared_from_this();
+  const auto manifest = co_await jobs_.ReadManifest(job);
+  const auto state = co_await jobs_.ReadState(job);
+  if (!manifest || manifest->manifest.expired || !state) {
+    throw Error(ErrorKind::kNotFound, "no such batch job", job.value(),
+                "check the id; results are kept for 7 days");
+  }
+  co_return View(manifest->manifest, state->state);
+}
+
+auto BatchService::Impl::EstimateNew(const JobManifest& manifest) const
+    -> JobEstimate {
+  return View(manifest, JobState()).estimate;
+}
+
+auto BatchService::Impl::drained() const -> bool {
+  return std::none_of(shards_.begin(), shards_.end(),
+                      [](const auto& shard) { return shard->keeper.held(); });
+}
+
+auto BatchService::Impl::jobs() const -> std::vector<JobView> {
+  auto views = std::vector<JobView>();
+  for (const auto& shard : shards_) {
+    for (const auto& [id, job] : shard->jobs) {
+      views.push_back(View(job->manifest(), job->stored().state));
+    }
+  }
+  return views;
+}
+
+auto BatchService::Impl::shards() const -> std::vector<ShardView> {
+  auto views = std::vector<ShardView>();
+  for (const auto& shard : shards_) {
+    const auto& lease_owner = shard->keeper.last_owner();
+    if (!shard->keeper.held() && !IsOwner(*shard)) {
+      continue;
+    }
+    views.push_back({.shard = shard->number,
+                     .owner = assignment_.owner(shard->number),
+                     .lease_owner = lease_owner ? *lease_owner : NodeId(),
+                     .held = shard->keeper.held(),
+                     .token = shard->keeper.token(),
+                     .jobs = shard->jobs.size(),
+                     .handing_over = shard->handover_since.has_value()});
+  }
+  return views;
+}
+
+auto BatchService::Impl::ExplainItem(const JobId& job,
+                                     const std::string& custom_id) const
+    -> std::vector<AttemptView> {
+  auto found = std::vector<AttemptView>();
+  std::copy_if(attempts_.begin(), attempts_.end(), std::back_inserter(found),
+               [&](const AttemptView& attempt) {
+                 return attempt.job == job && attempt.custom_id == custom_id;
+               });
+  return found;
+}
+
+BatchService::BatchService(platform::ObjectStore& store,
+                           ItemRunner& runner,
+                           NodeId node,
+                           Incarnation incarnation,
+                           BatchServiceHooks hooks)
+    : impl_(std::make_shared<Impl>(store,
+                                   runner,
+                                   std::move(node),
+                                   incarnation,
+                                   std::move(hooks))) {}
+
+BatchService::~BatchService() {
+  impl_->Stop();
+}
+
+auto BatchService::Tick() -> awaitable<void> {
+  impl_->Tick(co_await boost::asio::this_coro::executor);
+}
+
+auto BatchService::Submit(SubmissionRequest request)
+    -> std::unique_ptr<Submission> {
+  return std::make_unique<Submission>(
+      impl_->object_store(), std::move(request), impl_->hooks().wall_clock,
+      impl_->hooks().random,
+      [impl = impl_](const JobId& job) { impl->Notify(job); });
+}
+
+auto BatchService::Cancel(JobId job) -> awaitable<JobState> {
+  return impl_->Cancel(std::move(job));
+}
+
+auto BatchService::Status(JobId job) -> awaitable<JobView> {
+  return impl_->Status(std::move(job));
+}
+
+auto BatchService::EstimateNew(const JobManifest& manifest) const
+    -> JobEstimate {
+  return impl_->EstimateNew(manifest);
+}
+
+auto BatchService::store() -> JobStore& {
+  return impl_->store();
+}
+
+auto BatchService::OnJobNotice(const JobId& job) -> void {
+  impl_->OnJobNotice(job);
+}
+
+auto BatchService::BeginDrain() -> void {
+  impl_->BeginDrain();
+}
+
+auto BatchService::drained() const -> bool {
+  return impl_->drained();
+}
+
+auto BatchService::jobs() const -> std::vector<JobView> {
+  return impl_->jobs();
+}
+
+auto BatchService::shards() const -> std::vector<ShardView> {
+  return impl_->shards();
+}
+
+auto BatchService::ExplainItem(const JobId& job,
+                               const std::string& custom_id) const
+    -> std::vector<AttemptView> {
+  return impl_->ExplainItem(job, custom_id);
+}
+
+auto BatchService::items_in_flight() const -> std::size_t {
+  return impl_->items_in_flight();
+}
+
+auto BatchService::held_result_bytes() const -> std::size_t {
+  return impl_->held_bytes();
+}
+
+}  // namespace kumquatgauge::batch
--- /dev/null
+++ b/src/batch/test_world.h
@@ -0,0 +1,475 @@
+#ifndef SRC_BATCH_TEST_WORLD_H_
+#define SRC_BATCH_TEST_WORLD_H_
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "kumquatgauge/base/error.h"
+#include "kumquatgauge/batch/batch_service.h"
+#include "testing/support/manual_clock.h"
+#include "testing/support/memory_object_store.h"
+
+// Support of the batch tests and benchmarks: several nodes on one store, with a
+// manual clock.
+namespace kumquatgauge::batch::testing {
+
+using boost::asio::awaitable;
+using kumquatgauge::testing::ManualClock;
+using kumquatgauge::testing::MemoryObjectStore;
+using kumquatgauge::testing::StoreFault;
+using std::chrono::milliseconds;
+
+// Suspends coroutines until the manual clock has reached a time.
+class Sleepers {
+ public:
+  explicit Sleepers(ManualClock& clock) : clock_(clock) {}
+
+  auto Until(MonotonicTime time) -> awaitable<void> {
+    auto timer =
+        boost::asio::steady_timer(co_await boost::asio::this_coro::executor,
+                                  boost::asio::steady_timer::time_point::max());
+    const auto entry = waiting_.emplace(time, &timer);
+    auto error = boost::system::error_code();
+    co_await timer.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    waiting_.erase(entry);
+  }
+  auto WakeDue() -> void {
+    for (const auto& [time, timer] : waiting_) {
+      if (time > clock_.now()) {
+        break;
+      }
+      timer->cancel();
+    }
+  }
+
+ private:
+  ManualClock& clock_;
+  std::multimap<MonotonicTime, boost::asio::steady_timer*> waiting_;
+};
+
+// Delays the calls of a store by the manual clock.
+class SlowStore : public platform::ObjectStore {
+ public:
+  SlowStore(platform::ObjectStore& store, ManualClock& clock, Sleepers& sleep)
+      : store_(store), clock_(clock), sleep_(sleep) {}
+
+  auto set_delay(Duration delay) -> void { delay_ = delay; }
+
+  auto Read(std::string key, platform::CallClass call_class)
+      -> awaitable<std::optional<platform::StoredObject>> override {
+    co_await Wait();
+    co_return co_await store_.Read(std::move(key), call_class);
+  }
+  auto Write(std::string key,
+             std::string value,
+             std::optional<std::uint64_t> expected,
+             platform::CallClass call_class)
+      -> awaitable<std::uint64_t> override {
+    co_await Wait();
+    co_return co_await store_.Write(std::move(key), std::move(value), expected,
+                                    call_class);
+  }
+  auto Remove(std::string key,
+              std::uint64_t expected,
+              platform::CallClass call_class) -> awaitable<void> override {
+    co_await Wait();
+    co_await store_.Remove(std::move(key), expected, call_class);
+  }
+  auto List(std::string prefix,
+            std::string after,
+            std::size_t limit,
+            platform::CallClass call_class)
+      -> awaitable<platform::ListPage> override {
+    co_await Wait();
+    co_return co_await store_.List(std::move(prefix), std::move(after), limit,
+                                   call_class);
+  }
+  auto Watch(std::string prefix, std::uint64_t since, milliseconds timeout)
+      -> awaitable<platform::WatchBatch> override {
+    co_return co_await store_.Watch(std::move(prefix), since, timeout);
+  }
+
+ private:
+  auto Wait() -> awaitable<void> {
+    if (delay_ > Duration(0)) {
+      co_await sleep_.Until(clock_.now() + delay_);
+    }
+  }
+
+  platform::ObjectStore& store_;
+  ManualClock& clock_;
+  Sleepers& sleep_;
+  Duration delay_{0};
+};
+
+// The right response to a body; what a test compares results with.
+inline auto ResponseTo(const std::string& body) -> std::string {
+  return "response to " + body + " \xc3\xa9\n\"" + HashText(body) + "\"";
+}
+
+// What the engines do with an item, by a word in its body.
+inline auto IsBad(const std::string& body) -> bool {
+  return body.find("malformed prompt") != std::string::npos;
+}
+inline auto KillsReplica(const std::string& body) -> bool {
+  return body.find("kills replica") != std::string::npos;
+}
+
+struct Start {
+  std::string node;
+  routing::CompletionRequest request;
+  ReplicaId avoid;
+  MonotonicTime time;
+};
+
+// Runs items for one node: each takes `item_time`; `room` run side by side.
+class FakeRunner : public ItemRunner {
+ public:
+  FakeRunner(std::string node, ManualClock& clock, Sleepers& sleep)
+      : node_(std::move(node)), clock_(clock), sleep_(sleep) {}
+
+  std::function<
+      auto(const routing::CompletionRequest&)->std::optional<AttemptResult>>
+      script;  // May answer in place of the engine.
+  Duration item_time = std::chrono::seconds(1);
+  std::size_t slots = 64;
+  std::vector<Start> starts;
+  std::size_t running = 0;
+  std::size_t cancels = 0;
+
+  auto Run(routing::CompletionRequest request, ReplicaId avoid)
+      -> awaitable<AttemptResult> override {
+    starts.push_back({node_, request, avoid, clock_.now()});
+    auto result = AttemptResult();
+    if (running >= slots) {
+      result.dispatch.kind = routing::DispatchResult::Kind::kBusy;
+      result.dispatch.outcome = {.kind = OutcomeKind::kNotRun,
+                                 .reason = "no room",
+                                 .retry_after = milliseconds(200)};
+      co_return result;
+    }
+    ++running;
+    auto end = clock_.now() + item_time;
+    while (clock_.now() < end && !cancelled_.contains(request.id)) {
+      co_await sleep_.Until(clock_.now() + milliseconds(50));
+    }
+    --running;
+    co_return Answer(request, avoid);
+  }
+
+  auto Cancel(const RequestId& id) -> void override {
+    ++cancels;
+    cancelled_.insert(id);
+  }
+  auto room(const ServiceName& /*service*/) const -> std::size_t override {
+    return slots > running ? slots - running : 0;
+  }
+
+ private:
+  auto Answer(const routing::CompletionRequest& request, const ReplicaId& avoid)
+      -> AttemptResult {
+    auto result = AttemptResult();
+    result.replica = ReplicaId(avoid == ReplicaId("r1") ? "r2" : "r1");
+    auto& outcome = result.dispatch.outcome;
+    if (cancelled_.erase(request.id) > 0) {
+      outcome.kind = OutcomeKind::kCancelled;
+      return result;
+    }
+    if (script) {
+      if (auto scripted = script(request)) {
+        scripted->replica = result.replica;
+        return *scripted;
+      }
+    }
+    if (IsBad(request.body)) {
+      result.item_bad = true;
+      outcome = {.kind = OutcomeKind::kFailed, .reason = "400 bad prompt"};
+    } else if (KillsReplica(request.body)) {
+      result.dispatch.kind = routing::DispatchResult::Kind::kLost;
+    } else {
+      result.text = ResponseTo(request.body);
+      result.dispatch.finish_reason = "stop";
+    }
+    return result;
+  }
+
+  std::string node_;
+  ManualClock& clock_;
+  Sleepers& sleep_;
+  std::set<RequestId> cancelled_;
+};
+
+// What a node of the world is made of. A dead node leaves its runner behind, as
+// its items may still run.
+struct WorldNode {
+  std::unique_ptr<FakeRunner> runner;
+  std::unique_ptr<BatchService> service;  // None while the node is down.
+  bool paused = false;
+};
+
+// A submission and what must come of it.
+struct TestJob {
+  SubmissionRequest request;
+  std::string body;
+  std::map<std::string, std::string> bodies;  // By custom_id.
+
+  auto id() const -> JobId {
+    return MakeJobId(request.organisation, request.client_key);
+  }
+};
+
+class World {
+ public:
+  static constexpr auto kStep = milliseconds(100);
+
+  explicit World(std::uint64_t seed = 1)
+      : random_(seed), sleep_(clock), slow_(store, clock, sleep_) {}
+
+  ManualClock clock;
+  MemoryObjectStore store;
+  std::map<std::string, WorldNode> nodes;
+  // Time from a death to its being known to the others.
+  Duration death_notice = std::chrono::seconds(2);
+  Duration item_time = std::chrono::seconds(1);
+  std::size_t slots = 64;
+
+  auto slow() -> SlowStore& { return slow_; }
+  auto random() -> std::uint64_t { return random_(); }
+  auto WallNow() const -> WallTime {
+    return WallTime(std::chrono::hours(480'000)) +
+           std::chrono::duration_cast<WallTime::duration>(
+               clock.now().time_since_epoch());
+  }
+  auto WallMs() const -> WallMillis {
+    return std::chrono::duration_cast<milliseconds>(
+               WallNow().time_since_epoch())
+        .count();
+  }
+
+  auto StartNode(const std::string& name) -> void {
+    auto runner = std::make_unique<FakeRunner>(name, clock, sleep_);
+    runner->item_time = item_time;
+    runner->slots = slots;
+    auto& node = nodes[name];
+    if (node.runner) {
+      old_runners_.push_back(std::move(node.runner));
+    }
+    node.runner = std::move(runner);
+    node.paused = false;
+    deaths_.erase(name);
+    node.service = std::make_unique<BatchService>(
+        slow_, *node.runner, NodeId(name), ++incarnation_, MakeHooks());
+  }
+  auto Kill(const std::string& name) -> void {
+    auto& node = nodes.at(name);
+    node.service.reset();
+    deaths_[name] = clock.now();
+  }
+  auto Pause(const std::string& name) -> void {
+    nodes.at(name).paused = true;
+    deaths_[name] = clock.now();
+  }
+  auto Wake(const std::string& name) -> void {
+    nodes.at(name).paused = false;
+    deaths_.erase(name);
+  }
+  auto Service(const std::string& name) -> BatchService& {
+    return *nodes.at(name).service;
+  }
+  auto Live() const -> std::vector<NodeId> {
+    auto live = std::vector<NodeId>();
+    for (const auto& [name, node] : nodes) {
+      const auto death = deaths_.find(name);
+      const auto known_dead =
+          death != deaths_.end() && clock.now() - death->second >= death_notice;
+      if (!known_dead) {
+        live.emplace_back(name);
+      }
+    }
+    return live;
+  }
+
+  auto Advance(Duration duration) -> void {
+    const auto end = clock.now() + duration;
+    while (clock.now() < end) {
+      clock.Advance(kStep);
+      sleep_.WakeDue();
+      Poll();
+      for (auto& [name, node] : nodes) {
+        if (node.service && !node.paused) {
+          boost::asio::co_spawn(io_, node.service->Tick(),
+                                boost::asio::detached);
+        }
+      }
+      Poll();
+    }
+  }
+  // Advances until `done`; returns whether it came true within `limit`.
+  auto AdvanceUntil(Duration limit, const std::function<auto()->bool>& done)
+      -> bool {
+    const auto end = clock.now() + limit;
+    while (!done() && clock.now() < end) {
+      Advance(kStep);
+    }
+    return done();
+  }
+
+  // Runs a coroutine to its end; the clock moves only while it has to wait.
+  template <typename T>
+  auto Wait(awaitable<T> work) -> T {
+    auto future =
+        boost::asio::co_spawn(io_, std::move(work), boost::asio::use_future);
+    Poll();
+    while (future.wait_for(std::chrono::seconds(0)) !=
+           std::future_status::ready) {
+      Advance(kStep);
+    }
+    return future.get();
+  }
+
+  auto MakeJob(const std::string& key,
+               std::size_t items,
+               const std::string& prompt = "prompt") -> TestJob {
+    auto job = TestJob();
+    job.request = {.organisation = OrganisationName("org-" + key.substr(0, 1)),
+                   .client_key = key,
+                   .service = ServiceName("notes"),
+                   .due = WallMs() + 3'600'000};
+    for (auto i = std::size_t{1}; i <= items; ++i) {
+      AddItem(job, key + "-" + std::to_string(i),
+              R"({"prompt": ")" + prompt + " " + std::to_string(i) +
+                  R"(", "temperature": 1e0})");
+    }
+    return job;
+  }
+  static auto AddItem(TestJob& job,
+                      const std::string& custom_id,
+                      const std::string& body) -> void {
+    job.body += R"({"custom_id":")" + custom_id + R"(","body":)" + body + "}\n";
+    job.bodies[custom_id] = body;
+  }
+
+  auto Submit(const std::string& node, const TestJob& job) -> SubmissionResult {
+    auto submission = Service(node).Submit(job.request);
+    Wait(submission->Append(job.body));
+    return Wait(submission->Finish());
+  }
+  auto State(const TestJob& job) -> JobState {
+    auto jobs = DirectStore();
+    return Wait(jobs.ReadState(job.id()))->state;
+  }
+  auto Finished(const TestJob& job) -> bool { return State(job).terminal(); }
+  auto Results(const TestJob& job) -> std::vector<ItemResult> {
+    auto jobs = DirectStore();
+    auto reader = ResultReader(jobs, job.id());
+    auto all = std::vector<ItemResult>();
+    while (true) {
+      const auto results = Wait(reader.NextChunk());
+      if (results.empty()) {
+        return all;
+      }
+      all.insert(all.end(), results.begin(), results.end());
+    }
+  }
+  // What is wrong with the results of a job; empty when every accepted item has
+  // exactly one right result (at most one after a cancel).
+  auto Faults(const TestJob& job) -> std::string {
+    const auto cancelled = State(job).status == JobStatus::kCancelled;
+    auto missing = job.bodies;
+    for (const auto& result : Results(job)) {
+      const auto found = missing.find(result.custom_id);
+      if (found == missing.end()) {
+        return "second or unknown result of " + result.custom_id;
+      }
+      const auto fails = IsBad(found->second) || KillsReplica(found->second);
+      const auto right = fails ? result.outcome == OutcomeKind::kFailed
+                               : result.text == ResponseTo(found->second);
+      if (!right) {
+        return "wrong result of " + result.custom_id + ": " + result.ToJson();
+      }
+      missing.erase(found);
+    }
+    return missing.empty() || cancelled
+               ? ""
+               : std::to_string(missing.size()) + " results missing, first " +
+                     missing.begin()->first;
+  }
+  auto Starts() const -> std::vector<Start> {
+    auto all = std::vector<Start>();
+    const auto add = [&all](const FakeRunner& runner) {
+      all.insert(all.end(), runner.starts.begin(), runner.starts.end());
+    };
+    for (const auto& [name, node] : nodes) {
+      add(*node.runner);
+    }
+    for (const auto& runner : old_runners_) {
+      add(*runner);
+    }
+    return all;
+  }
+  // Name of the node that holds the job's shard; empty when none does.
+  auto OwnerOf(const TestJob& job) -> std::string {
+    for (auto& [name, node] : nodes) {
+      if (!node.service) {
+        continue;
+      }
+      for (const auto& shard : node.service->shards()) {
+        if (shard.held && shard.shard == ShardOfJob(job.id())) {
+          return name;
+        }
+      }
+    }
+    return {};
+  }
+  auto DirectStore() -> JobStore {
+    return {store, [this] { return random_(); }};
+  }
+  auto Hooks() -> BatchServiceHooks { return MakeHooks(); }
+  auto Poll() -> void {
+    io_.restart();
+    io_.poll();
+  }
+
+ private:
+  auto MakeHooks() -> BatchServiceHooks {
+    return {.clock = clock.AsHook(),
+            .wall_clock = [this] { return WallNow(); },
+            .random = [this] { return random_(); },
+            .live_nodes = [this] { return Live(); },
+            .send_job_notice =
+                [this](const NodeId& node, const JobId& job) {
+                  auto& target = nodes.at(node.value());
+                  if (target.service && !target.paused) {
+                    target.service->OnJobNotice(job);
+                  }
+                },
+            .log = {}};
+  }
+
+  std::mt19937_64 random_;
+  Sleepers sleep_;
+  SlowStore slow_;
+  std::vector<std::unique_ptr<FakeRunner>> old_runners_;
+  std::map<std::string, MonotonicTime> deaths_;
+  Incarnation incarnation_ = 0;
+  // Destroyed first, with the coroutines that refer to the rest.
+  boost::asio::io_context io_;
+};
+
+}  // namespace kumquatgauge::batch::testing
+
+#endif  // SRC_BATCH_TEST_WORLD_H_
--- /dev/null
+++ b/src/control/lease.cc
@@ -0,0 +1,228 @@
+#include "kumquatgauge/control/lease.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "kumquatgauge/base/error.h"
+
+namespace kumquatgauge::control {
+
+using boost::asio::awaitable;
+using platform::CallClass;
+
+auto FormatLease(const LeaseRecord& record) -> std::string {
+  return nlohmann::json{{"owner", record.owner.value()},
+                        {"incarnation", record.incarnation},
+                        {"token", record.token},
+                        {"sequence", record.sequence},
+                        {"operation", record.operation}}
+      .dump();
+}
+
+auto ParseLease(std::string_view text) -> LeaseRecord {
+  try {
+    const auto json = nlohmann::json::parse(text);
+    return LeaseRecord{.owner = NodeId(json.at("owner").get<std::string>()),
+                       .incarnation = json.at("incarnation").get<Incarnation>(),
+                       .token = json.at("token").get<std::uint64_t>(),
+                       .sequence = json.at("sequence").get<std::uint64_t>(),
+                       .operation = json.at("operation").get<std::string>()};
+  } catch (const nlohmann::json::exception& error) {
+    throw Error(ErrorKind::kInvalidArgument, "lease record is malformed",
+                error.what(), "restore the object from a known good value");
+  }
+}
+
+auto LeaseObserver::Observe(const std::optional<LeaseRecord>& found,
+                            MonotonicTime sent,
+                            MonotonicTime answered) -> void {
+  const auto gap_too_long = observed_ && sent - last_answered_ > term_ / 2;
+  if (!observed_ || gap_too_long || found != last_) {
+    unchanged_since_ = answered;
+  }
+  observed_ = true;
+  last_ = found;
+  last_sent_ = sent;
+  last_answered_ = answered;
+}
+
+auto LeaseObserver::MayTakeOver() const -> bool {
+  if (!observed_) {
+    return false;
+  }
+  if (!last_ || last_->owner.empty()) {
+    return true;
+  }
+  return last_sent_ - unchanged_since_ >= term_;
+}
+
+auto LeaseObserver::Reset() -> void {
+  observed_ = false;
+  last_.reset();
+}
+
+LeaseKeeper::LeaseKeeper(platform::ObjectStore& store,
+                         std::string key,
+                         NodeId node,
+                         Incarnation incarnation,
+                         Clock clock,
+                         RandomSource random,
+                         LeaseTiming timing)
+    : store_(store),
+      key_(std::move(key)),
+      node_(std::move(node)),
+      incarnation_(incarnation),
+      clock_(std::move(clock)),
+      random_(std::move(random)),
+      timing_(timing),
+      observer_(timing.term) {}
+
+auto LeaseKeeper::NextOperation() -> std::string {
+  return node_.value() + "." + std::to_string(incarnation_) + "." +
+         std::to_string(random_());
+}
+
+auto LeaseKeeper::IsMine(const LeaseRecord& record) const -> bool {
+  return record.owner == node_ && record.incarnation == incarnation_;
+}
+
+auto LeaseKeeper::Lose() -> void {
+  held_ = false;
+  mine_ = {};
+  open_.reset();
+  observer_.Reset();
+}
+
+auto LeaseKeeper::ReadLease()
+    -> awaitable<std::optional<platform::StoredObject>> {
+  auto key = key_;
+  co_return co_await store_.Read(std::move(key), CallClass::kLease);
+}
+
+auto LeaseKeeper::Adopt(const LeaseRecord& found, std::uint64_t version)
+    -> void {
+  if (held_ && found.token < mine_.token) {
+    return;  // A stale read from before this node acquired the lease.
+  }
+  if (open_ && found.operation == open_->record.operation) {
+    held_ = !found.owner.empty();
+    mine_ = found;
+    version_ = version;
+    held_until_ = std::max(held_until_, open_->sent + timing_.term);
+    open_.reset();
+  } else if (held_ && found.token == mine_.token && IsMine(found)) {
+    // An earlier write of this node; a stale read shows a smaller sequence.
+    if (found.sequence >= mine_.sequence) {
+      mine_ = found;
+      version_ = version;
+    }
+  } else if (held_) {
+    Lose();
+  }
+  last_owner_.reset();
+  if (!found.owner.empty()) {
+    last_owner_ = found.owner;
+  }
+}
+
+auto LeaseKeeper::SettleOpenAttempt() -> awaitable<void> {
+  if (!open_) {
+    co_return;
+  }
+  const auto stored = co_await ReadLease();
+  if (stored) {
+    Adopt(ParseLease(stored->value), stored->version);
+  }
+  open_.reset();
+}
+
+auto LeaseKeeper::WriteLease(LeaseRecord record,
+                             std::optional<std::uint64_t> version)
+    -> awaitable<bool> {
+  open_ = Attempt{.record = record, .sent = clock_()};
+  auto key = key_;
+  auto value = FormatLease(record);
+  auto refused = false;
+  try {
+    const auto written = co_await store_.Write(std::move(key), std::move(value),
+                                               version, CallClass::kLease);
+    Adopt(record, written);
+    co_return true;
+  } catch (const Error& error) {
+    refused = error.kind() == ErrorKind::kConflict;
+    if (!refused && error.kind() != ErrorKind::kUnknownOutcome) {
+      open_.reset();  // Certainly without effect.
+      throw;
+    }
+  }
+  // A conflict is read back too: the write of a lost answer may have arrived
+  // after the read that was to settle it.
+  co_await SettleOpenAttempt();
+  co_return mine_.operation == record.operation;
+}
+
+auto LeaseKeeper::TryAcquire(std::uint64_t minimum_token) -> awaitable<bool> {
+  if (held_) {
+    co_return co_await Renew();
+  }
+  const auto sent = clock_();
+  const auto stored = co_await ReadLease();
+  auto found = std::optional<LeaseRecord>();
+  auto version = std::optional<std::uint64_t>();
+  if (stored) {
+    found = ParseLease(stored->value);
+    version = stored->version;
+    Adopt(*found, stored->version);
+  }
+  if (held_) {
+    co_return true;  // The write of an earlier, unsettled call took effect.
+  }
+  open_.reset();
+  observer_.Observe(found, sent, clock_());
+  // A lease in this incarnation's own name that it does not hold comes from a
+  // write that arrived late; nobody acts under it.
+  const auto own_leftover = found && IsMine(*found);
+  if (!own_leftover && !observer_.MayTakeOver()) {
+    co_return false;
+  }
+  const auto last_token = found ? found->token : 0;
+  auto record = LeaseRecord{.owner = node_,
+                            .incarnation = incarnation_,
+                            .token = std::max(last_token, minimum_token) + 1,
+                            .sequence = found ? found->sequence + 1 : 1,
+                            .operation = NextOperation()};
+  co_return co_await WriteLease(std::move(record), version);
+}
+
+auto LeaseKeeper::Renew() -> awaitable<bool> {
+  co_await SettleOpenAttempt();
+  if (!held_) {
+    co_return false;
+  }
+  auto record = mine_;
+  ++record.sequence;
+  record.operation = NextOperation();
+  co_await WriteLease(std::move(record), version_);
+  co_return held_;
+}
+
+auto LeaseKeeper::Release() -> awaitable<void> {
+  if (!held_) {
+    co_return;
+  }
+  auto record = mine_;
+  const auto version = version_;
+  Lose();
+  held_until_ = clock_();
+  record.owner = NodeId();
+  ++record.sequence;
+  record.operation = NextOperation();
+  auto key = key_;
+  auto value = FormatLease(record);
+  co_await store_.Write(std::move(key), std::move(value), version,
+                        CallClass::kLease);
+  last_owner_.reset();
+}
+
+}  // namespace kumquatgauge::control
