--- /dev/null
+++ b/include/kumquatgauge/node/gossip.h
@@ -0,0 +1,114 @@
+#ifndef KUMQUATGAUGE_NODE_GOSSIP_H_
+#define KUMQUATGAUGE_NODE_GOSSIP_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+#include "kumquatgauge/base/ids.h"
+#include "kumquatgauge/base/time.h"
+#include "kumquatgauge/control/feed_relay.h"
+#include "kumquatgauge/control/membership.h"
+#include "kumquatgauge/node/datagram_socket.h"
+#include "kumquatgauge/node/peer.h"
+#include "kumquatgauge/routing/replica.h"
+
+namespace kumquatgauge::node {
+
+class PeerServer;
+
+struct GossipSettings {
+  // This node; the datagram socket listens on `listen`, whose port number is
+  // that of self.node_address.
+  routing::NodeInfo self;
+  std::string listen;
+  std::string fleet_credential;
+  std::vector<std::string> seeds;  // "IP:port"
+  std::vector<std::string> feeds = {"config", "hosts"};
+};
+
+// All are called on the control io_context; any may be empty.
+struct GossipHooks {
+  // Members that are alive or leaving, this node included, after each change.
+  std::function<auto(const std::vector<routing::NodeInfo>&)->void>
+      members_changed;
+  // This node goes on under a new incarnation; work of the old one must stop.
+  std::function<auto(Incarnation)->void> restarted;
+  // Content that brings a node from revision `since` to the current one.
+  std::function<
+      auto(const std::string& feed, std::uint64_t since)->nlohmann::json>
+      read_feed;
+  // Applies content of read_feed that leads to `revision`, which is higher than
+  // the current one. Returns the revision that is now held; may throw Error.
+  std::function<auto(const std::string& feed,
+                     std::uint64_t revision,
+                     const nlohmann::json& content)
+                    ->std::uint64_t>
+      apply_feed;
+  // Datagrams of other types, such as "load".
+  std::function<
+      auto(const nlohmann::json& message, const std::string& from)->void>
+      datagram;
+};
+
+// Payload bytes of control traffic, without IP and TCP headers; streams are
+// counted with an estimate of their HTTP/2 headers.
+struct GossipCounters {
+  std::uint64_t sent_bytes = 0;
+  std::uint64_t received_bytes = 0;
+  std::uint64_t failed_syncs = 0;
+  std::uint64_t failed_pulls = 0;
+  std::uint64_t malformed = 0;
+  DatagramCounters datagrams;
+};
+
+// Runs membership and the relay of feeds over datagrams and node streams. Used
+// on the control io_context only, which is run by one thread.
+class Gossip {
+ public:
+  // `client` belongs to the control io_context and must outlive it. Throws
+  // Error when the datagram socket cannot be bound.
+  Gossip(boost::asio::io_context& control,
+         GossipSettings settings,
+         PeerClient& client,
+         GossipHooks hooks,
+         Clock clock,
+         WallClock wall_clock,
+         RandomSource random);
+  ~Gossip();
+  Gossip(const Gossip&) = delete;
+  auto operator=(const Gossip&) -> Gossip& = delete;
+
+  // Registers "sync" and "feed"; call before the server is started. Handlers
+  // run on the server's io_contexts and hop to the control io_context.
+  auto RegisterHandlers(PeerServer& server) -> void;
+
+  auto Start() -> void;
+  // Planned stop: Leave first; Stop when the work of this node has ended.
+  auto Leave() -> void;
+  auto Stop() -> void;
+
+  // The owner of a feed has applied a revision that came from the platform.
+  auto OnFeedApplied(const std::string& feed, std::uint64_t revision) -> void;
+  auto SetSeeds(std::vector<std::string> seeds) -> void;
+  // Sends a datagram of another type: `message` has field "t" with a name of
+  // more than one letter.
+  auto SendDatagram(const std::string& address, const nlohmann::json& message)
+      -> void;
+
+  auto membership() const -> const control::Membership&;
+  auto feeds() const -> const control::FeedRelay&;
+  auto counters() const -> GossipCounters;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace kumquatgauge::node
+
+#endif  // KUMQUATGAUGE_NODE_GOSSIP_H_
--- a/include/kumquatgauge/node/message.h
+++ b/include/kumquatgauge/node/message.h
@@ -26,6 +26,8 @@
 // The map in `bytes`. Throws Error(kInvalidArgument) unless `bytes` is exactly
 // one map whose field "v" is kMessageVersion.
 auto DecodeMessage(std::string_view bytes) -> nlohmann::json;
+// The same without a check of field "v", for content whose version is known.
+auto DecodeContent(std::string_view bytes) -> nlohmann::json;
 
 // Values as message fields and back. Unknown fields are ignored and absent ones
 // take their default, so that two releases understand each other. Decoding
--- /dev/null
+++ b/src/control/membership.cc
@@ -0,0 +1,1022 @@
+#include "kumquatgauge/control/membership.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <string_view>
+#include <tuple>
+#include <utility>
+
+namespace kumquatgauge::control {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A record rides on this many heartbeats to each monitor. The flood alone
+// misses about 2 in 100 nodes (e^-4); these reach the rest within a second.
+constexpr int kRiderBeats = 4;
+// Estimated bytes of records in one datagram, below the usual 1,500-byte limit
+// of a link less headers.
+constexpr std::size_t kRecordBytesPerMessage = 1100;
+constexpr std::size_t kRecordOverheadBytes = 48;
+// A member that is new to a monitor may not have chosen it yet.
+constexpr milliseconds kNewWatchGrace{500};
+// A monitor whose own ticks were this late does not count that time as silence
+// of others: their heartbeats may wait in its receive buffer.
+constexpr milliseconds kLateTick{200};
+// Dead members and silent seeds are tried this often, to end a partition.
+constexpr seconds kContactInterval{5};
+// Other nodes are asked about a claimed death when the subject has not answered
+// for this long itself.
+constexpr milliseconds kClaimCheckDelay{250};
+constexpr std::size_t kJoinCandidates = 5;
+// Tables are compared again this soon after joining and after a difference,
+// but only so many times in a row.
+constexpr milliseconds kQuickCompareMin{500};
+constexpr milliseconds kQuickCompareSpread{1000};
+constexpr int kQuickCompares = 6;
+
+auto Rank(const MemberRecord& record) -> std::pair<Incarnation, MemberState> {
+  return {record.info.incarnation, record.state};
+}
+
+auto EstimatedBytes(const MemberRecord& record) -> std::size_t {
+  const auto& info = record.info;
+  return kRecordOverheadBytes + info.id.value().size() +
+         info.zone.value().size() + info.node_address.size() +
+         info.caller_address.size() + record.cause.declared_by.value().size();
+}
+
+auto HashOf(const std::string& text) -> std::uint64_t {
+  return XXH3_64bits(text.data(), text.size());
+}
+
+auto Seconds(Duration duration) -> std::string {
+  const auto ms = duration_cast<milliseconds>(duration).count();
+  auto text = std::to_string(ms / 1000) + "." + std::to_string(ms % 1000 / 100);
+  return text + " s";
+}
+
+}  // namespace
+
+auto MemberStateName(MemberState state) -> std::string_view {
+  switch (state) {
+    case MemberState::kAlive:
+      return "alive";
+    case MemberState::kLeaving:
+      return "leaving";
+    case MemberState::kDead:
+      return "dead";
+    case MemberState::kLeft:
+      break;
+  }
+  return "left";
+}
+
+Membership::Membership(routing::NodeInfo self,
+                       std::vector<std::string> seeds,
+                       Clock clock,
+                       WallClock wall_clock,
+                       RandomSource random)
+    : self_(std::move(self)),
+      clock_(std::move(clock)),
+      wall_clock_(std::move(wall_clock)),
+      random_(std::move(random)) {
+  SetSeeds(std::move(seeds));
+  self_.incarnation = NextIncarnation(0);
+  last_tick_ = Now();
+  MembershipActions ignored;
+  Store(SelfRecord(), self_.id, ignored);
+}
+
+auto Membership::SetSeeds(std::vector<std::string> seeds) -> void {
+  seeds_ = std::move(seeds);
+  std::erase(seeds_, self_.node_address);
+}
+
+auto Membership::NextIncarnation(Incarnation above) const -> Incarnation {
+  const auto wall =
+      duration_cast<std::chrono::microseconds>(wall_clock_().time_since_epoch())
+          .count();
+  return std::max(static_cast<Incarnation>(std::max<std::int64_t>(wall, 0)),
+                  above + 1);
+}
+
+auto Membership::IsLiveState(MemberState state) -> bool {
+  return state == MemberState::kAlive || state == MemberState::kLeaving;
+}
+
+auto Membership::RecordOf(const Entry& entry) const -> MemberRecord {
+  MemberRecord record{entry.info, entry.state, entry.cause, seconds(0)};
+  if (!IsLiveState(entry.state)) {
+    record.age = duration_cast<seconds>(Now() - entry.ended_at);
+  }
+  return record;
+}
+
+auto Membership::SelfRecord() const -> MemberRecord {
+  MemberRecord record;
+  record.info = self_;
+  record.state = self_.leaving ? MemberState::kLeaving : MemberState::kAlive;
+  return record;
+}
+
+auto Membership::MakeMessage(MembershipMessageType type) const
+    -> MembershipMessage {
+  MembershipMessage message;
+  message.type = type;
+  message.from = self_.id;
+  message.incarnation = self_.incarnation;
+  return message;
+}
+
+// Joining.
+
+auto Membership::Start() -> MembershipActions {
+  MembershipActions actions;
+  const auto now = Now();
+  last_tick_ = now;
+  next_heartbeat_ = now;
+  next_contact_ = now + kContactInterval;
+  Join({}, actions);
+  return actions;
+}
+
+auto Membership::Join(const std::string& first, MembershipActions& actions)
+    -> void {
+  phase_ = Phase::kJoining;
+  join_candidates_.clear();
+  for (const auto* peer : PickPeers(kJoinCandidates, self_.id)) {
+    join_candidates_.push_back(peer->info.node_address);
+  }
+  auto seeds = seeds_;
+  for (auto left = seeds.size(); left > 1; --left) {
+    std::swap(seeds[left - 1], seeds[random_() % left]);
+  }
+  seeds.resize(std::min(seeds.size(), kJoinCandidates));
+  join_candidates_.insert(join_candidates_.end(), seeds.begin(), seeds.end());
+  if (!first.empty()) {
+    join_candidates_.insert(join_candidates_.begin(), first);
+  }
+  JoinNext(actions);
+}
+
+auto Membership::JoinNext(MembershipActions& actions) -> void {
+  if (join_candidates_.empty()) {
+    FinishJoin(actions);
+    return;
+  }
+  const auto address = join_candidates_.front();
+  join_candidates_.erase(join_candidates_.begin());
+  actions.syncs.push_back({address, {SelfRecord(), table_hash(), {}}});
+}
+
+auto Membership::FinishJoin(MembershipActions& actions) -> void {
+  phase_ = Phase::kJoined;
+  next_heartbeat_ = Now();
+  // Finds those that joined at the same time through other nodes; at a random
+  // time, so that a fleet that starts as a whole does not compare at once.
+  next_compare_ = Now() + QuickCompare();
+  Flood({self_.id}, actions);
+  actions.members_changed = true;
+}
+
+auto Membership::QuickCompare() const -> milliseconds {
+  return kQuickCompareMin +
+         milliseconds(random_() %
+                      static_cast<std::uint64_t>(kQuickCompareSpread.count()));
+}
+
+auto Membership::Restart(Incarnation above,
+                         const std::string& sync_address,
+                         MembershipActions& actions) -> void {
+  ++counters_.restarts;
+  self_.incarnation = NextIncarnation(std::max(above, self_.incarnation));
+  // Deaths that the old incarnation declared may stem from its own isolation;
+  // true ones come back with the table of the node it joins.
+  std::erase_if(table_, [&](const auto& item) {
+    return item.second.state == MemberState::kDead &&
+           item.second.cause.declared_by == self_.id;
+  });
+  suspicions_.clear();
+  watches_.clear();
+  probe_tasks_.clear();
+  riders_.clear();
+  ResetRing();
+  Store(SelfRecord(), self_.id, actions);
+  actions.restarted = self_.incarnation;
+  Join(sync_address, actions);
+}
+
+auto Membership::CheckFrozen(MembershipActions& actions) -> bool {
+  const auto now = Now();
+  const auto gap = now - last_tick_;
+  if (gap <= kFrozenAfter) {
+    return false;
+  }
+  last_tick_ = now;
+  if (phase_ != Phase::kJoined && phase_ != Phase::kJoining) {
+    return false;
+  }
+  Restart(0, {}, actions);
+  return true;
+}
+
+auto Membership::Leave() -> MembershipActions {
+  MembershipActions actions;
+  if (!self_.leaving) {
+    self_.leaving = true;
+    Store(SelfRecord(), self_.id, actions);
+    Flood({self_.id}, actions);
+  }
+  return actions;
+}
+
+auto Membership::Stop() -> MembershipActions {
+  MembershipActions actions;
+  if (phase_ == Phase::kStopped) {
+    return actions;
+  }
+  auto record = SelfRecord();
+  record.info.leaving = true;
+  record.state = MemberState::kLeft;
+  Store(record, self_.id, actions);
+  Flood({self_.id}, actions);
+  SendHeartbeats(actions);
+  phase_ = Phase::kStopped;
+  return actions;
+}
+
+// The table.
+
+auto Membership::Store(const MemberRecord& record,
+                       const NodeId& from,
+                       MembershipActions& actions) -> void {
+  const auto now = Now();
+  auto& entry = table_[record.info.id];
+  auto info = record.info;
+  if (info.node_address.empty()) {
+    info.zone = entry.info.zone;
+    info.node_address = entry.info.node_address;
+    info.caller_address = entry.info.caller_address;
+  }
+  info.leaving = record.state != MemberState::kAlive;
+  entry = {std::move(info), record.state, record.cause, from, now,
+           now - record.age};
+  suspicions_.erase(record.info.id);
+  ResetRing();
+  actions.members_changed = true;
+}
+
+auto Membership::ResetRing() -> void {
+  ring_.clear();
+  ring_valid_ = false;
+  watches_valid_ = false;
+}
+
+auto Membership::Merge(const MemberRecord& record,
+                       const NodeId& from,
+                       const std::string& address,
+                       std::vector<NodeId>& learned,
+                       MembershipActions& actions) -> void {
+  const auto& id = record.info.id;
+  if (id.empty()) {
+    return;
+  }
+  if (id == self_.id) {
+    MergeSelf(record, address, actions);
+    return;
+  }
+  const auto ended = !IsLiveState(record.state);
+  const auto known = table_.find(id);
+  if (known == table_.end()) {
+    // An address is needed to talk to a member.
+    if (ended ? record.age < kDeadMemberRetention
+              : !record.info.node_address.empty()) {
+      Store(record, from, actions);
+      learned.push_back(id);
+    }
+    return;
+  }
+  if (Rank(record) <=
+      std::pair(known->second.info.incarnation, known->second.state)) {
+    return;
+  }
+  if (IsVoidClaim(record, known->second)) {
+    if (!suspicions_.contains(id)) {
+      auto notice = MakeMessage(MembershipMessageType::kNotice);
+      notice.records.push_back(record);
+      actions.datagrams.push_back(
+          {known->second.info.node_address, std::move(notice)});
+      Suspect(id, record.cause.silence, record.cause.declared_by, actions);
+    }
+    return;
+  }
+  Store(record, from, actions);
+  learned.push_back(id);
+}
+
+auto Membership::MergeSelf(const MemberRecord& record,
+                           const std::string& address,
+                           MembershipActions& actions) -> void {
+  if (phase_ == Phase::kStopped || phase_ == Phase::kIdle) {
+    return;
+  }
+  const auto incarnation = record.info.incarnation;
+  const auto ended = !IsLiveState(record.state);
+  // A larger incarnation of our own was left by an earlier run of this node
+  // whose clock was ahead.
+  if (incarnation > self_.incarnation ||
+      (incarnation == self_.incarnation && ended)) {
+    Restart(incarnation, address, actions);
+  }
+}
+
+auto Membership::IsVoidClaim(const MemberRecord& record,
+                             const Entry& known) const -> bool {
+  if (record.state != MemberState::kDead ||
+      record.info.incarnation != known.info.incarnation ||
+      !IsLiveState(known.state)) {
+    return false;
+  }
+  const auto declarer = table_.find(record.cause.declared_by);
+  if (declarer == table_.end()) {
+    return false;
+  }
+  const auto& entry = declarer->second;
+  return entry.info.incarnation > record.cause.declarer_incarnation ||
+         (entry.info.incarnation == record.cause.declarer_incarnation &&
+          !IsLiveState(entry.state));
+}
+
+auto Membership::Flood(const std::vector<NodeId>& ids,
+                       MembershipActions& actions) -> void {
+  if (ids.empty() || phase_ == Phase::kStopped) {
+    return;
+  }
+  for (const auto& id : ids) {
+    Ride(id);
+  }
+  for (const auto* peer : PickPeers(kFloodFanout, self_.id)) {
+    SendRecords(ids, peer->info.node_address, actions);
+  }
+}
+
+auto Membership::Ride(const NodeId& id) -> void {
+  std::erase_if(riders_, [&](const Rider& rider) { return rider.id == id; });
+  riders_.push_back({id, kRiderBeats});
+}
+
+auto Membership::SendRecords(const std::vector<NodeId>& ids,
+                             const std::string& address,
+                             MembershipActions& actions) const -> void {
+  auto message = MakeMessage(MembershipMessageType::kNotice);
+  std::size_t bytes = 0;
+  for (const auto& id : ids) {
+    const auto found = table_.find(id);
+    if (found == table_.end()) {
+      continue;
+    }
+    auto record = RecordOf(found->second);
+    const auto size = EstimatedBytes(record);
+    if (bytes + size > kRecordBytesPerMessage && !message.records.empty()) {
+      actions.datagrams.push_back({address, message});
+      message.records.clear();
+      bytes = 0;
+    }
+    bytes += size;
+    message.records.push_back(std::move(record));
+  }
+  if (!message.records.empty()) {
+    actions.datagrams.push_back({address, std::move(message)});
+  }
+}
+
+auto Membership::SendHeartbeats(MembershipActions& actions) -> void {
+  auto message = MakeMessage(MembershipMessageType::kHeartbeat);
+  std::size_t bytes = 0;
+  for (auto& rider : riders_) {
+    const auto found = table_.find(rider.id);
+    if (found == table_.end()) {
+      rider.beats_left = 0;
+      continue;
+    }
+    auto record = RecordOf(found->second);
+    bytes += EstimatedBytes(record);
+    if (bytes > kRecordBytesPerMessage) {
+      break;
+    }
+    --rider.beats_left;
+    message.records.push_back(std::move(record));
+  }
+  std::erase_if(riders_,
+                [](const Rider& rider) { return rider.beats_left <= 0; });
+  for (const auto& id : MonitorsOf(self_.id)) {
+    actions.datagrams.push_back({table_.at(id).info.node_address, message});
+  }
+}
+
+// Messages.
+
+auto Membership::OnMessage(const MembershipMessage& message,
+                           const std::string& address) -> MembershipActions {
+  MembershipActions actions;
+  if (phase_ == Phase::kStopped || phase_ == Phase::kIdle ||
+      CheckFrozen(actions)) {
+    return actions;
+  }
+  if (message.from == self_.id) {
+    counters_.name_conflicts += address == self_.node_address ? 0 : 1;
+    return actions;
+  }
+  // News of the own death counts even from a node that is dead here.
+  for (const auto& record : message.records) {
+    if (record.info.id == self_.id) {
+      MergeSelf(record, address, actions);
+    }
+  }
+  if (!AcceptSender(message, address, actions)) {
+    return actions;
+  }
+  std::vector<NodeId> learned;
+  for (const auto& record : message.records) {
+    if (record.info.id != self_.id) {
+      Merge(record, message.from, address, learned, actions);
+    }
+  }
+  Flood(learned, actions);
+  Handle(message, address, actions);
+  return actions;
+}
+
+auto Membership::AcceptSender(const MembershipMessage& message,
+                              const std::string& address,
+                              MembershipActions& actions) -> bool {
+  const auto known = table_.find(message.from);
+  const auto incarnation =
+      known == table_.end() ? 0 : known->second.info.incarnation;
+  if (known == table_.end() || message.incarnation > incarnation) {
+    const auto introduced = std::any_of(
+        message.records.begin(), message.records.end(), [&](const auto& item) {
+          return item.info.id == message.from &&
+                 item.info.incarnation == message.incarnation;
+        });
+    if (!introduced) {
+      auto question = MakeMessage(MembershipMessageType::kNotice);
+      question.subject = message.from;
+      actions.datagrams.push_back({address, std::move(question)});
+    }
+    return true;
+  }
+  if (!IsLiveState(known->second.state)) {
+    // Tells a node that was frozen or cut off.
+    if (known->second.state == MemberState::kDead) {
+      SendRecords({message.from}, address, actions);
+    }
+    return false;
+  }
+  if (message.incarnation < incarnation) {
+    return false;
+  }
+  NoteSign(message.from);
+  return true;
+}
+
+auto Membership::NoteSign(const NodeId& id) -> void {
+  suspicions_.erase(id);
+  const auto watch = watches_.find(id);
+  if (watch != watches_.end()) {
+    watch->second.last_sign = std::max(watch->second.last_sign, Now());
+    watch->second.slow = false;
+  }
+}
+
+auto Membership::Handle(const MembershipMessage& message,
+                        const std::string& address,
+                        MembershipActions& actions) -> void {
+  switch (message.type) {
+    case MembershipMessageType::kHeartbeat:
+      break;
+    case MembershipMessageType::kProbe:
+      actions.datagrams.push_back(
+          {address, MakeMessage(MembershipMessageType::kProbeReply)});
+      break;
+    case MembershipMessageType::kProbeRequest: {
+      const auto subject = table_.find(message.subject);
+      if (message.subject == self_.id) {
+        actions.datagrams.push_back(
+            {address, MakeMessage(MembershipMessageType::kProbeReply)});
+      } else if (subject != table_.end()) {
+        probe_tasks_[message.subject].push_back(
+            {address, Now() + kProbeWindow});
+        actions.datagrams.push_back(
+            {subject->second.info.node_address,
+             MakeMessage(MembershipMessageType::kProbe)});
+      }
+      break;
+    }
+    case MembershipMessageType::kProbeReply:
+      HandleProbeReply(message, actions);
+      break;
+    case MembershipMessageType::kNotice:
+      if (message.subject == self_.id) {
+        SendRecords({self_.id}, address, actions);
+      }
+      break;
+  }
+}
+
+auto Membership::HandleProbeReply(const MembershipMessage& message,
+                                  MembershipActions& actions) -> void {
+  if (message.subject.empty()) {
+    const auto tasks = probe_tasks_.find(message.from);
+    if (tasks == probe_tasks_.end()) {
+      return;
+    }
+    auto reply = MakeMessage(MembershipMessageType::kProbeReply);
+    reply.subject = message.from;
+    reply.subject_incarnation = message.incarnation;
+    for (const auto& task : tasks->second) {
+      if (task.expires > Now()) {
+        actions.datagrams.push_back({task.requester, reply});
+      }
+    }
+    probe_tasks_.erase(tasks);
+    return;
+  }
+  const auto suspicion = suspicions_.find(message.subject);
+  if (suspicion == suspicions_.end() ||
+      suspicion->second.incarnation > message.subject_incarnation) {
+    return;
+  }
+  suspicions_.erase(suspicion);
+  const auto watch = watches_.find(message.subject);
+  if (watch != watches_.end()) {
+    watch->second.last_sign = std::max(watch->second.last_sign, Now());
+    watch->second.slow = true;
+  }
+}
+
+// Exchange of tables.
+
+auto Membership::OnSyncRequest(const SyncRequest& request,
+                               SyncResponse& response) -> MembershipActions {
+  MembershipActions actions;
+  if (phase_ == Phase::kStopped || phase_ == Phase::kIdle ||
+      CheckFrozen(actions)) {
+    return actions;
+  }
+  const auto& from = request.self.info;
+  std::vector<NodeId> learned;
+  if (from.id != self_.id) {
+    Merge(request.self, from.id, from.node_address, learned, actions);
+  }
+  for (const auto& record : request.offered) {
+    Merge(record, from.id, from.node_address, learned, actions);
+  }
+  Flood(learned, actions);
+  response.equal =
+      !request.offered.empty() || request.table_hash == table_hash();
+  if (!response.equal) {
+    ++counters_.repairs;
+    response.records = records();
+  }
+  return actions;
+}
+
+auto Membership::OnSyncResponse(const std::string& address,
+                                const SyncResponse& response)
+    -> MembershipActions {
+  MembershipActions actions;
+  if (phase_ == Phase::kStopped || CheckFrozen(actions)) {
+    return actions;
+  }
+  const auto restarts = counters_.restarts;
+  const auto joining = phase_ == Phase::kJoining;
+  std::vector<NodeId> learned;
+  std::map<NodeId, std::pair<Incarnation, MemberState>> theirs;
+  for (const auto& record : response.records) {
+    theirs[record.info.id] = Rank(record);
+    Merge(record, {}, address, learned, actions);
+  }
+  if (counters_.restarts != restarts) {
+    return actions;  // Joins anew, under the new incarnation.
+  }
+  if (response.equal) {
+    unequal_in_row_ = 0;
+  } else {
+    ++counters_.repairs;
+    if (++unequal_in_row_ <= kQuickCompares) {
+      next_compare_ = Now() + QuickCompare();
+    }
+    SyncRequest offer{SelfRecord(), table_hash(), {}};
+    for (const auto& record : records()) {
+      const auto known = theirs.find(record.info.id);
+      if (record.info.id != self_.id &&
+          (known == theirs.end() || known->second < Rank(record))) {
+        offer.offered.push_back(record);
+      }
+    }
+    if (!offer.offered.empty()) {
+      actions.syncs.push_back({address, std::move(offer)});
+    }
+  }
+  if (joining) {
+    join_candidates_.clear();
+    FinishJoin(actions);
+    return actions;
+  }
+  for (const auto& id : learned) {
+    Ride(id);
+  }
+  return actions;
+}
+
+auto Membership::OnSyncFailed(const std::string&) -> MembershipActions {
+  MembershipActions actions;
+  if (phase_ == Phase::kJoining && !CheckFrozen(actions)) {
+    JoinNext(actions);
+  }
+  return actions;
+}
+
+// Time.
+
+auto Membership::OnTick() -> MembershipActions {
+  MembershipActions actions;
+  if (phase_ == Phase::kStopped || phase_ == Phase::kIdle ||
+      CheckFrozen(actions)) {
+    return actions;
+  }
+  const auto now = Now();
+  const auto gap = now - last_tick_;
+  last_tick_ = now;
+  if (gap > kLateTick) {
+    for (auto& [id, watch] : watches_) {
+      watch.last_sign += gap;
+    }
+    for (auto& [id, suspicion] : suspicions_) {
+      suspicion.started += gap;
+    }
+  }
+  if (phase_ == Phase::kJoining) {
+    return actions;
+  }
+  if (now >= next_heartbeat_) {
+    next_heartbeat_ = std::max(next_heartbeat_ + kHeartbeatInterval,
+                               now + kHeartbeatInterval - kMembershipTick);
+    SendHeartbeats(actions);
+  }
+  UpdateWatches();
+  CheckWatches(actions);
+  CheckSuspicions(actions);
+  if (now >= next_compare_) {
+    next_compare_ = now + kTableCompareInterval;
+    CompareTables(actions);
+    Forget();
+  }
+  if (now >= next_contact_) {
+    next_contact_ = now + kContactInterval;
+    ContactLost(actions);
+  }
+  return actions;
+}
+
+auto Membership::UpdateWatches() -> void {
+  if (watches_valid_) {
+    return;
+  }
+  watches_valid_ = true;
+  std::map<NodeId, Watch> watches;
+  const auto& ring = Ring();
+  for (std::size_t i = 0; i < ring.size(); ++i) {
+    const auto monitors = MonitorsAt(i);
+    if (std::none_of(monitors.begin(), monitors.end(), [&](std::size_t place) {
+          return ring[place].entry->info.id == self_.id;
+        })) {
+      continue;
+    }
+    const auto& id = ring[i].entry->info.id;
+    const auto known = watches_.find(id);
+    watches[id] = known != watches_.end()
+                      ? known->second
+                      : Watch{Now() + kNewWatchGrace, false};
+  }
+  watches_ = std::move(watches);
+}
+
+auto Membership::CheckWatches(MembershipActions& actions) -> void {
+  const auto now = Now();
+  for (const auto& [id, watch] : watches_) {
+    if (now - watch.last_sign >= kSuspectAfter && !suspicions_.contains(id)) {
+      Suspect(id, duration_cast<milliseconds>(now - watch.last_sign), {},
+              actions);
+    }
+  }
+}
+
+auto Membership::Suspect(const NodeId& id,
+                         milliseconds silence,
+                         const NodeId& claimed_by,
+                         MembershipActions& actions) -> void {
+  ++counters_.suspicions;
+  const auto& entry = table_.at(id);
+  Suspicion suspicion;
+  suspicion.incarnation = entry.info.incarnation;
+  suspicion.started = Now();
+  suspicion.silence = silence;
+  suspicion.claimed_by = claimed_by;
+  actions.datagrams.push_back(
+      {entry.info.node_address, MakeMessage(MembershipMessageType::kProbe)});
+  if (claimed_by.empty()) {
+    AskProbers(id, suspicion, actions);
+  }
+  suspicions_[id] = std::move(suspicion);
+}
+
+auto Membership::AskProbers(const NodeId& id,
+                            Suspicion& suspicion,
+                            MembershipActions& actions) -> void {
+  auto request = MakeMessage(MembershipMessageType::kProbeRequest);
+  request.subject = id;
+  request.subject_incarnation = suspicion.incarnation;
+  std::map<NodeId, std::string> probers;
+  for (const auto& monitor : MonitorsOf(id)) {
+    if (monitor != self_.id) {
+      probers[monitor] = table_.at(monitor).info.node_address;
+    }
+  }
+  for (const auto* peer : PickPeers(kProbersPerSuspicion, id)) {
+    probers[peer->info.id] = peer->info.node_address;
+  }
+  for (const auto& [prober, address] : probers) {
+    actions.datagrams.push_back({address, request});
+  }
+  suspicion.asked = true;
+  suspicion.probers = static_cast<std::uint32_t>(probers.size());
+}
+
+auto Membership::CheckSuspicions(MembershipActions& actions) -> void {
+  const auto now = Now();
+  std::vector<std::pair<NodeId, Suspicion>> over;
+  for (auto& [id, suspicion] : suspicions_) {
+    const auto age = now - suspicion.started;
+    if (age >= kProbeWindow) {
+      over.emplace_back(id, suspicion);
+    } else if (!suspicion.asked && age >= kClaimCheckDelay) {
+      AskProbers(id, suspicion, actions);
+    }
+  }
+  for (const auto& [id, suspicion] : over) {
+    Declare(id, suspicion, actions);
+  }
+}
+
+auto Membership::Declare(const NodeId& id,
+                         const Suspicion& suspicion,
+                         MembershipActions& actions) -> void {
+  ++counters_.declared_dead;
+  auto record = RecordOf(table_.at(id));
+  record.state = MemberState::kDead;
+  record.cause = {self_.id, self_.incarnation, suspicion.silence + kProbeWindow,
+                  suspicion.probers};
+  Store(record, self_.id, actions);
+  Flood({id}, actions);
+  // Reaches a node that can receive but not send.
+  SendRecords({id}, record.info.node_address, actions);
+}
+
+auto Membership::CompareTables(MembershipActions& actions) -> void {
+  for (const auto* peer : PickPeers(1, self_.id)) {
+    actions.syncs.push_back(
+        {peer->info.node_address, {SelfRecord(), table_hash(), {}}});
+  }
+}
+
+auto Membership::ContactLost(MembershipActions& actions) -> void {
+  std::vector<std::string> lost;
+  std::vector<std::string> live;
+  for (const auto& [id, entry] : table_) {
+    if (entry.state == MemberState::kDead) {
+      lost.push_back(entry.info.node_address);
+    } else if (IsLiveState(entry.state)) {
+      live.push_back(entry.info.node_address);
+    }
+  }
+  for (const auto& seed : seeds_) {
+    if (std::find(live.begin(), live.end(), seed) == live.end()) {
+      lost.push_back(seed);
+    }
+  }
+  std::erase(lost, std::string());
+  if (!lost.empty()) {
+    actions.datagrams.push_back({lost[random_() % lost.size()],
+                                 MakeMessage(MembershipMessageType::kProbe)});
+  }
+}
+
+auto Membership::Forget() -> void {
+  const auto now = Now();
+  const auto removed = std::erase_if(table_, [&](const auto& item) {
+    return !IsLiveState(item.second.state) &&
+           now - item.second.ended_at > kDeadMemberRetention;
+  });
+  if (removed > 0) {
+    ResetRing();
+  }
+  std::erase_if(probe_tasks_, [&](const auto& item) {
+    return std::all_of(item.second.begin(), item.second.end(),
+                       [&](const auto& task) { return task.expires <= now; });
+  });
+}
+
+// The ring.
+
+auto Membership::Ring() const -> const std::vector<RingPoint>& {
+  if (ring_valid_) {
+    return ring_;
+  }
+  ring_.clear();
+  std::map<std::string_view, std::uint32_t> zones;
+  for (const auto& [id, entry] : table_) {
+    if (IsLiveState(entry.state)) {
+      const auto zone = zones.emplace(entry.info.zone.value(), zones.size());
+      ring_.push_back({HashOf(id.value()), &entry, zone.first->second});
+    }
+  }
+  std::sort(ring_.begin(), ring_.end(), [](const auto& a, const auto& b) {
+    return std::tie(a.hash, a.entry->info.id) <
+           std::tie(b.hash, b.entry->info.id);
+  });
+  zone_count_ = zones.size();
+  ring_valid_ = true;
+  return ring_;
+}
+
+auto Membership::MonitorsAt(std::size_t index) const
+    -> std::vector<std::size_t> {
+  const auto& ring = Ring();
+  const auto zone = ring[index].zone;
+  std::vector<std::size_t> monitors;
+  std::vector<std::size_t> spare;  // Of the own zone, for want of other zones.
+  std::size_t of_own_zone = 0;
+  for (std::size_t step = 1; step < ring.size(); ++step) {
+    const auto place = (index + step) % ring.size();
+    if (ring[place].zone != zone) {
+      monitors.push_back(place);
+    } else if (of_own_zone < kMonitorsOfOwnZone) {
+      ++of_own_zone;
+      monitors.push_back(place);
+    } else if (spare.size() < kMonitorsPerNode) {
+      spare.push_back(place);
+    }
+    if (monitors.size() == kMonitorsPerNode ||
+        (zone_count_ == 1 && spare.size() == kMonitorsPerNode)) {
+      break;
+    }
+  }
+  for (const auto place : spare) {
+    if (monitors.size() < kMonitorsPerNode) {
+      monitors.push_back(place);
+    }
+  }
+  return monitors;
+}
+
+auto Membership::MonitorsOf(const NodeId& id) const -> std::vector<NodeId> {
+  const auto& ring = Ring();
+  const auto point = std::find_if(
+      ring.begin(), ring.end(),
+      [&](const RingPoint& item) { return item.entry->info.id == id; });
+  std::vector<NodeId> monitors;
+  if (point != ring.end()) {
+    for (const auto place :
+         MonitorsAt(static_cast<std::size_t>(point - ring.begin()))) {
+      monitors.push_back(ring[place].entry->info.id);
+    }
+  }
+  return monitors;
+}
+
+auto Membership::PickPeers(std::size_t count, const NodeId& except) const
+    -> std::vector<const Entry*> {
+  const auto& ring = Ring();
+  std::vector<const Entry*> picked;
+  // Draws distinct places; the bound keeps this finite in a small fleet.
+  if (ring.size() <= count * 2 + 2) {
+    for (const auto& point : ring) {
+      picked.push_back(point.entry);
+    }
+    for (auto left = picked.size(); left > 1; --left) {
+      std::swap(picked[left - 1], picked[random_() % left]);
+    }
+    std::erase_if(picked, [&](const Entry* entry) {
+      return entry->info.id == self_.id || entry->info.id == except;
+    });
+    picked.resize(std::min(picked.size(), count));
+    return picked;
+  }
+  while (picked.size() < count) {
+    const auto* entry = ring[random_() % ring.size()].entry;
+    if (entry->info.id != self_.id && entry->info.id != except &&
+        std::find(picked.begin(), picked.end(), entry) == picked.end()) {
+      picked.push_back(entry);
+    }
+  }
+  return picked;
+}
+
+// Views.
+
+auto Membership::live() const -> std::vector<routing::NodeInfo> {
+  std::vector<routing::NodeInfo> result;
+  for (const auto& [id, entry] : table_) {
+    if (IsLiveState(entry.state)) {
+      result.push_back(entry.info);
+    }
+  }
+  return result;
+}
+
+auto Membership::records() const -> std::vector<MemberRecord> {
+  std::vector<MemberRecord> result;
+  result.reserve(table_.size());
+  for (const auto& [id, entry] : table_) {
+    result.push_back(RecordOf(entry));
+  }
+  return result;
+}
+
+auto Membership::Find(const NodeId& id) const -> std::optional<MemberRecord> {
+  const auto found = table_.find(id);
+  if (found == table_.end()) {
+    return std::nullopt;
+  }
+  return RecordOf(found->second);
+}
+
+auto Membership::IsLive(const NodeId& id, Incarnation incarnation) const
+    -> bool {
+  const auto found = table_.find(id);
+  return found != table_.end() && IsLiveState(found->second.state) &&
+         found->second.info.incarnation == incarnation;
+}
+
+auto Membership::table_hash() const -> std::uint64_t {
+  std::uint64_t hash = 0;
+  for (const auto& [id, entry] : table_) {
+    if (IsLiveState(entry.state)) {
+      hash += HashOf(id.value() + "/" + std::to_string(entry.info.incarnation) +
+                     (entry.info.leaving ? "/leaving" : ""));
+    }
+  }
+  return hash;
+}
+
+auto Membership::Explain(const NodeId& id) const -> std::string {
+  const auto found = table_.find(id);
+  if (found == table_.end()) {
+    return "node " + id.value() + " is not known here";
+  }
+  const auto& entry = found->second;
+  const auto now = Now();
+  auto text = "node " + id.value() + " (incarnation " +
+              std::to_string(entry.info.incarnation) + ") is " +
+              std::string(MemberStateName(entry.state));
+  const auto watch = watches_.find(id);
+  if (entry.state == MemberState::kDead) {
+    const auto& cause = entry.cause;
+    text += ": declared by " + cause.declared_by.value() + " (incarnation " +
+            std::to_string(cause.declarer_incarnation) + ") " +
+            Seconds(now - entry.ended_at) + " ago after " +
+            Seconds(cause.silence) + " without a heartbeat; " +
+            std::to_string(cause.probers) +
+            " other nodes were asked to probe it and none got an answer";
+  } else if (entry.state == MemberState::kLeft) {
+    text += ": it stopped as planned " + Seconds(now - entry.ended_at) + " ago";
+  } else if (watch != watches_.end()) {
+    text += watch->second.slow
+                ? "; slow: no heartbeat arrives here, but probes are answered"
+                : "; last heard " +
+                      Seconds(std::max(Duration(0),
+                                       now - watch->second.last_sign)) +
+                      " ago";
+  }
+  const auto suspicion = suspicions_.find(id);
+  if (suspicion != suspicions_.end()) {
+    text += "; being probed since " + Seconds(now - suspicion->second.started);
+    if (!suspicion->second.claimed_by.empty()) {
+      text += " because " + suspicion->second.claimed_by.value() +
+              ", which is itself dead or restarted, declared it dead";
+    }
+  }
+  if (!entry.learned_from.empty() && entry.learned_from != self_.id) {
+    text += "; learned from " + entry.learned_from.value() + " " +
+            Seconds(now - entry.learned_at) + " ago";
+  }
+  return text;
+}
+
+}  // namespace kumquatgauge::control
--- /dev/null
+++ b/src/node/gossip.cc
@@ -0,0 +1,411 @@
+#include "kumquatgauge/node/gossip.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "kumquatgauge/base/error.h"
+#include "kumquatgauge/node/message.h"
+#include "kumquatgauge/node/peer_server.h"
+#include "node/membership_codec.h"
+#include "node/message_fields.h"
+
+namespace kumquatgauge::node {
+namespace {
+
+using boost::asio::awaitable;
+using control::FeedActions;
+using control::MembershipActions;
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds kSyncTimeout{2000};
+// HTTP/2 frame headers and compressed header fields of one call, both ways.
+constexpr std::size_t kCallOverheadBytes = 150;
+
+auto StopsWork() -> Error {
+  return Error(ErrorKind::kUnavailable, "control stopped", "this node",
+               "ask another node");
+}
+
+}  // namespace
+
+class Gossip::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(boost::asio::io_context& control,
+       GossipSettings settings,
+       PeerClient& client,
+       GossipHooks hooks,
+       Clock clock,
+       WallClock wall_clock,
+       const RandomSource& random)
+      : control_(control),
+        client_(client),
+        hooks_(std::move(hooks)),
+        socket_(control, settings.listen, settings.fleet_credential),
+        timer_(control),
+        membership_(std::move(settings.self),
+                    std::move(settings.seeds),
+                    clock,
+                    std::move(wall_clock),
+                    random),
+        feeds_(
+            std::move(settings.feeds),
+            [this] { return Others(); },
+            std::move(clock),
+            random) {}
+
+  auto Start() -> void {
+    socket_.Start([self = weak_from_this()](const json& message,
+                                            const std::string& from) {
+      if (auto impl = self.lock()) {
+        impl->OnDatagram(message, from);
+      }
+    });
+    Run(membership_.Start());
+    ScheduleTick();
+  }
+
+  auto Leave() -> void { Run(membership_.Leave()); }
+
+  auto Stop() -> void {
+    Run(membership_.Stop());
+    Close();
+  }
+
+  auto Close() -> void {
+    closed_ = true;
+    timer_.cancel();
+  }
+
+  auto OnFeedApplied(const std::string& feed, std::uint64_t revision) -> void {
+    Run(feeds_.OnApplied(feed, revision));
+  }
+
+  auto SetSeeds(std::vector<std::string> seeds) -> void {
+    membership_.SetSeeds(std::move(seeds));
+  }
+
+  auto SendDatagram(const std::string& address, const json& message) -> void {
+    socket_.Send(address, message);
+  }
+
+  auto counters() const -> GossipCounters {
+    auto counters = counters_;
+    counters.datagrams = socket_.counters();
+    counters.sent_bytes += counters.datagrams.sent_bytes;
+    counters.received_bytes += counters.datagrams.received_bytes;
+    return counters;
+  }
+
+  auto membership() const -> const control::Membership& { return membership_; }
+  auto feeds() const -> const control::FeedRelay& { return feeds_; }
+
+  // A handler that computes its one frame on the control io_context.
+  auto MakeHandler(auto(Impl::*answer)(const json&)->json) -> Handler {
+    return [weak = weak_from_this(), answer, &control = control_](
+               json request,
+               std::shared_ptr<Responder> responder) -> awaitable<void> {
+      return Answer(weak, answer, control, std::move(request),
+                    std::move(responder));
+    };
+  }
+
+  auto AnswerSync(const json& message) -> json {
+    const auto request = detail::DecodeSyncRequest(message);
+    control::SyncResponse response;
+    Run(membership_.OnSyncRequest(request, response));
+    return detail::EncodeSyncResponse(response);
+  }
+
+  auto AnswerFeed(const json& message) -> json {
+    std::string feed;
+    std::uint64_t since = 0;
+    detail::Read(message, "feed", feed);
+    detail::Read(message, "since", since);
+    const auto revisions = feeds_.revisions();
+    const auto revision = revisions.find(feed);
+    if (revision == revisions.end() || !hooks_.read_feed) {
+      throw Error(ErrorKind::kNotFound, "no such feed", feed,
+                  "check that both nodes run compatible releases");
+    }
+    json answer = {{"revision", revision->second}};
+    if (revision->second > since) {
+      answer["content"] = hooks_.read_feed(feed, since);
+    }
+    return answer;
+  }
+
+ private:
+  using Answerer = auto(Impl::*)(const json&) -> json;
+
+  static auto Answer(std::weak_ptr<Impl> weak,
+                     Answerer answer,
+                     boost::asio::io_context& control,
+                     json request,
+                     std::shared_ptr<Responder> responder) -> awaitable<void> {
+    // co_spawn returns to the stream's io_context with the result.
+    const auto frame = co_await boost::asio::co_spawn(
+        control, Compute(std::move(weak), answer, std::move(request)),
+        boost::asio::use_awaitable);
+    responder->Send(frame);
+  }
+
+  static auto Compute(std::weak_ptr<Impl> weak, Answerer answer, json request)
+      -> awaitable<json> {
+    const auto impl = weak.lock();
+    if (!impl || impl->closed_) {
+      throw StopsWork();
+    }
+    auto frame = ((*impl).*answer)(request);
+    impl->counters_.received_bytes += EncodeMessage(request).size();
+    impl->counters_.sent_bytes +=
+        EncodeMessage(frame).size() + kCallOverheadBytes;
+    co_return frame;
+  }
+
+  auto Others() const -> std::vector<routing::NodeInfo> {
+    auto nodes = membership_.live();
+    std::erase_if(nodes, [&](const auto& node) {
+      return node.id == membership_.self().id;
+    });
+    return nodes;
+  }
+
+  auto ScheduleTick() -> void {
+    timer_.expires_after(control::kMembershipTick);
+    timer_.async_wait(
+        [weak = weak_from_this()](const boost::system::error_code& error) {
+          const auto self = weak.lock();
+          if (error || !self || self->closed_) {
+            return;
+          }
+          self->Run(self->membership_.OnTick());
+          self->Run(self->feeds_.OnTick());
+          self->ScheduleTick();
+        });
+  }
+
+  auto OnDatagram(const json& message, const std::string& from) -> void {
+    if (closed_) {
+      return;
+    }
+    try {
+      if (!detail::IsMembershipDatagram(message)) {
+        if (hooks_.datagram) {
+          hooks_.datagram(message, from);
+        }
+        return;
+      }
+      const auto decoded = detail::DecodeMembership(message);
+      const auto revisions = detail::DecodeRevisions(message);
+      Run(membership_.OnMessage(decoded, from));
+      if (membership_.IsLive(decoded.from, decoded.incarnation)) {
+        Run(feeds_.OnHeard(from, revisions));
+      }
+    } catch (const Error&) {
+      ++counters_.malformed;
+    }
+  }
+
+  auto Run(const MembershipActions& actions) -> void {
+    for (const auto& [address, message] : actions.datagrams) {
+      // Replies of a probe carry no revisions, to keep them short.
+      const auto with_revisions =
+          message.type == control::MembershipMessageType::kHeartbeat;
+      SendMessage(
+          address, message,
+          with_revisions ? feeds_.revisions() : control::FeedRevisions());
+    }
+    for (const auto& sync : actions.syncs) {
+      boost::asio::co_spawn(control_,
+                            Sync(shared_from_this(), sync.address,
+                                 detail::EncodeSyncRequest(sync.request)),
+                            boost::asio::detached);
+    }
+    if (actions.restarted && hooks_.restarted) {
+      hooks_.restarted(*actions.restarted);
+    }
+    if (actions.members_changed) {
+      ReportMembers();
+    }
+  }
+
+  auto Run(const FeedActions& actions) -> void {
+    for (const auto& notice : actions.notices) {
+      control::MembershipMessage message;
+      message.from = membership_.self().id;
+      message.incarnation = membership_.self().incarnation;
+      SendMessage(notice.address, message, {{notice.feed, notice.revision}});
+    }
+    for (const auto& pull : actions.pulls) {
+      boost::asio::co_spawn(control_, Pull(shared_from_this(), pull),
+                            boost::asio::detached);
+    }
+  }
+
+  auto SendMessage(const std::string& address,
+                   const control::MembershipMessage& message,
+                   const control::FeedRevisions& revisions) -> void {
+    try {
+      socket_.Send(address, detail::EncodeDatagram(message, revisions));
+    } catch (const Error&) {
+      // A seed or a member whose address is none.
+      ++counters_.malformed;
+    }
+  }
+
+  // Changes of one burst are reported once.
+  auto ReportMembers() -> void {
+    if (report_posted_ || !hooks_.members_changed) {
+      return;
+    }
+    report_posted_ = true;
+    boost::asio::post(control_, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->report_posted_ = false;
+        self->hooks_.members_changed(self->membership_.live());
+      }
+    });
+  }
+
+  // One call on the control channel that answers with one frame.
+  auto Ask(std::string address, std::string name, json request)
+      -> awaitable<json> {
+    std::optional<json> answer;
+    counters_.sent_bytes += EncodeMessage(request).size() + kCallOverheadBytes;
+    co_await client_.Call(
+        address, Channel::kControl, std::move(name), std::move(request),
+        [&answer](const json& frame) { answer = frame; }, kSyncTimeout,
+        nullptr);
+    if (!answer) {
+      throw Error(ErrorKind::kUnavailable, "no answer of node", address,
+                  "try another node");
+    }
+    counters_.received_bytes += EncodeMessage(*answer).size();
+    co_return std::move(*answer);
+  }
+
+  static auto Sync(std::shared_ptr<Impl> self,
+                   std::string address,
+                   json request) -> awaitable<void> {
+    std::optional<control::SyncResponse> response;
+    try {
+      response = detail::DecodeSyncResponse(
+          co_await self->Ask(address, "sync", std::move(request)));
+    } catch (const std::exception&) {
+      ++self->counters_.failed_syncs;
+    }
+    if (!self->closed_) {
+      self->Run(response ? self->membership_.OnSyncResponse(address, *response)
+                         : self->membership_.OnSyncFailed(address));
+    }
+  }
+
+  static auto Pull(std::shared_ptr<Impl> self, FeedActions::Pull pull)
+      -> awaitable<void> {
+    auto pulled = false;
+    try {
+      // A named value: g++ 12 rejects the list inside co_await.
+      json request = {{"feed", pull.feed}, {"since", pull.since}};
+      const auto answer =
+          co_await self->Ask(pull.address, "feed", std::move(request));
+      std::uint64_t revision = 0;
+      detail::Read(answer, "revision", revision);
+      const auto* content = detail::Find(answer, "content");
+      if (!self->closed_ && content != nullptr && self->hooks_.apply_feed &&
+          self->feeds_.Accepts(pull.feed, revision)) {
+        const auto held =
+            self->hooks_.apply_feed(pull.feed, revision, *content);
+        self->Run(self->feeds_.OnApplied(pull.feed, held));
+      }
+      pulled = true;
+    } catch (const std::exception&) {
+      ++self->counters_.failed_pulls;
+    }
+    if (!self->closed_) {
+      self->Run(pulled ? self->feeds_.OnPulled(pull.feed, pull.id)
+                       : self->feeds_.OnPullFailed(pull.feed, pull.id));
+    }
+  }
+
+  boost::asio::io_context& control_;
+  PeerClient& client_;
+  GossipHooks hooks_;
+  DatagramSocket socket_;
+  boost::asio::steady_timer timer_;
+  control::Membership membership_;
+  control::FeedRelay feeds_;
+  GossipCounters counters_;
+  bool report_posted_ = false;
+  bool closed_ = false;
+};
+
+Gossip::Gossip(boost::asio::io_context& control,
+               GossipSettings settings,
+               PeerClient& client,
+               GossipHooks hooks,
+               Clock clock,
+               WallClock wall_clock,
+               RandomSource random)
+    : impl_(std::make_shared<Impl>(control,
+                                   std::move(settings),
+                                   client,
+                                   std::move(hooks),
+                                   std::move(clock),
+                                   std::move(wall_clock),
+                                   random)) {}
+
+Gossip::~Gossip() {
+  impl_->Close();
+}
+
+auto Gossip::RegisterHandlers(PeerServer& server) -> void {
+  server.Register("sync", impl_->MakeHandler(&Impl::AnswerSync));
+  server.Register("feed", impl_->MakeHandler(&Impl::AnswerFeed));
+}
+
+auto Gossip::Start() -> void {
+  impl_->Start();
+}
+
+auto Gossip::Leave() -> void {
+  impl_->Leave();
+}
+
+auto Gossip::Stop() -> void {
+  impl_->Stop();
+}
+
+auto Gossip::OnFeedApplied(const std::string& feed, std::uint64_t revision)
+    -> void {
+  impl_->OnFeedApplied(feed, revision);
+}
+
+auto Gossip::SetSeeds(std::vector<std::string> seeds) -> void {
+  impl_->SetSeeds(std::move(seeds));
+}
+
+auto Gossip::SendDatagram(const std::string& address, const json& message)
+    -> void {
+  impl_->SendDatagram(address, message);
+}
+
+auto Gossip::membership() const -> const control::Membership& {
+  return impl_->membership();
+}
+
+auto Gossip::feeds() const -> const control::FeedRelay& {
+  return impl_->feeds();
+}
+
+auto Gossip::counters() const -> GossipCounters {
+  return impl_->counters();
+}
+
+}  // namespace kumquatgauge::node
--- a/src/node/message.cc
+++ b/src/node/message.cc
@@ -10,10 +10,14 @@
 
 #include "kumquatgauge/base/outcome.h"
 #include "kumquatgauge/node/peer.h"
+#include "node/message_fields.h"
 
 namespace kumquatgauge::node {
 namespace {
 
+using detail::Find;
+using detail::Malformed;
+using detail::Read;
 using nlohmann::json;
 
 constexpr std::uint8_t kFixMap = 0x80;  // MessagePack: map of 0 to 15 fields.
@@ -40,11 +44,6 @@
         {routing::DispatchResult::Kind::kLost, "lost"},
     }};
 
-auto Malformed(const std::string& object) -> Error {
-  return Error(ErrorKind::kInvalidArgument, "malformed message between nodes",
-               object, "check that both nodes run compatible releases");
-}
-
 // Builds a value from MessagePack and gives up beyond kMaxMessageDepth, since
 // the reader recurses and would otherwise exhaust the stack.
 class DepthLimitedBuilder : public nlohmann::detail::json_sax_dom_parser<json> {
@@ -72,84 +71,6 @@
   int depth_ = 0;
 };
 
-auto Find(const json& message, const char* name) -> const json* {
-  if (!message.is_object()) {
-    throw Malformed("not a map");
-  }
-  const auto found = message.find(name);
-  return found == message.end() ? nullptr : &*found;
-}
-
-auto Read(const json& message, const char* name, std::string& value) -> void {
-  if (const auto* field = Find(message, name)) {
-    if (!field->is_string()) {
-      throw Malformed(name);
-    }
-    value = field->get_ref<const std::string&>();
-  }
-}
-
-auto Read(const json& message, const char* name, bool& value) -> void {
-  if (const auto* field = Find(message, name)) {
-    if (!field->is_boolean()) {
-      throw Malformed(name);
-    }
-    value = field->get<bool>();
-  }
-}
-
-template <std::unsigned_integral Number>
-auto Read(const json& message, const char* name, Number& value) -> void {
-  if (const auto* field = Find(message, name)) {
-    if (!field->is_number_unsigned() ||
-        field->get<std::uint64_t>() > std::numeric_limits<Number>::max()) {
-      throw Malformed(name);
-    }
-    value = field->get<Number>();
-  }
-}
-
-auto Read(const json& message,
-          const char* name,
-          std::chrono::milliseconds& value) -> void {
-  if (const auto* field = Find(message, name)) {
-    if (!field->is_number_integer() ||
-        (field->is_number_unsigned() &&
-         field->get<std::uint64_t>() >
-             static_cast<std::uint64_t>(
-                 std::numeric_limits<std::int64_t>::max()))) {
-      throw Malformed(name);
-    }
-    value = std::chrono::milliseconds(field->get<std::int64_t>());
-  }
-}
-
-template <typename Tag>
-auto Read(const json& message, const char* name, StringId<Tag>& value) -> void {
-  std::string text;
-  Read(message, name, text);
-  value = StringId<Tag>(std::move(text));
-}
-
-template <typename Kind, std::size_t size>
-auto Read(const json& message,
-          const char* name,
-          const std::array<std::pair<Kind, std::string_view>, size>& names,
-          Kind& value) -> void {
-  std::string text;
-  Read(message, name, text);
-  if (text.empty()) {
-    return;
-  }
-  for (const auto& [kind, known] : names) {
-    if (known == text) {
-      value = kind;
-      return;
-    }
-  }
-  throw Malformed(std::string(name) + " " + text);
-}
-
 template <typename Kind, std::size_t size>
 auto NameOf(const std::array<std::pair<Kind, std::string_view>, size>& names,
             Kind value) -> std::string_view {
@@ -196,7 +117,7 @@
   return bytes;
 }
 
-auto DecodeMessage(std::string_view bytes) -> json {
+auto DecodeContent(std::string_view bytes) -> json {
   json message;
   DepthLimitedBuilder builder(message);
   const auto parsed =
@@ -205,6 +126,11 @@
   if (!parsed || builder.is_errored() || !message.is_object()) {
     throw Malformed(std::to_string(bytes.size()) + " bytes");
   }
+  return message;
+}
+
+auto DecodeMessage(std::string_view bytes) -> json {
+  auto message = DecodeContent(bytes);
   std::uint64_t version = 0;
   Read(message, "v", version);
   if (version != kMessageVersion) {
