Add the caller listener, the upstream clients and the fakes

Cause: the daemon needs the listener for callers and the HTTP clients for engines and services, and the tests need engines and services that fail on demand.

The connection pool, the deadline of a socket and the exchange of one request are shared by both clients. A deadline shuts the socket down rather than cancelling one operation, because a composed read may be between two reads when the deadline passes.

Ruled out: a document tree per token event (an event reader over the SAX interface picks four fields without allocating the rest), and keeping the fakes' classes out of the library for tests (they would be compiled per test program).

The caller listener builds but has no tests yet.

--- /dev/null
+++ b/src/caller/server_core.h
@@ -0,0 +1,54 @@
+#ifndef CALLER_SERVER_CORE_H_
+#define CALLER_SERVER_CORE_H_
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "kumquatgauge/caller/caller_server.h"
+
+namespace kumquatgauge::caller::detail {
+
+class Session;
+
+// What the server and its sessions share.
+struct ServerCore : std::enable_shared_from_this<ServerCore> {
+  ServerCore(std::vector<boost::asio::io_context*> io_contexts,
+             CallerBackend& caller_backend,
+             CallerSettings caller_settings);
+
+  auto Accept() -> void;
+  // Accepts what the kernel has already accepted, then closes the listener:
+  // connections left in the backlog would be reset.
+  auto StopAccepting() -> void;
+  auto Start(boost::asio::ip::tcp::socket socket) -> void;
+  auto NextContext() -> boost::asio::io_context&;
+  auto Add(const std::shared_ptr<Session>& session) -> void;
+  auto Remove(Session* session) -> void;
+  auto Sessions() -> std::vector<std::shared_ptr<Session>>;
+
+  const std::vector<boost::asio::io_context*> contexts;
+  CallerBackend& backend;
+  const CallerSettings settings;
+  std::string address;
+  std::atomic<bool> stopping{false};
+  std::atomic<std::size_t> connections{0};
+
+ private:
+  friend class caller::CallerServer;
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer retry_timer_;
+  std::size_t next_context_ = 0;
+  std::mutex mutex_;
+  std::map<Session*, std::weak_ptr<Session>> sessions_;
+};
+
+}  // namespace kumquatgauge::caller::detail
+
+#endif  // CALLER_SERVER_CORE_H_
--- /dev/null
+++ b/src/upstream/connection_pool.cc
@@ -0,0 +1,186 @@
+#include "upstream/connection_pool.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "kumquatgauge/base/error.h"
+#include "upstream/endpoint.h"
+
+namespace kumquatgauge::upstream::detail {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+auto SetOptions(tcp::socket& socket, std::chrono::milliseconds user_timeout)
+    -> void {
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  const auto timeout = static_cast<int>(user_timeout.count());
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+               sizeof(timeout));
+}
+
+}  // namespace
+
+Connection::Connection(std::shared_ptr<DeadlineSocket> io,
+                       std::string address,
+                       bool reused,
+                       std::shared_ptr<ConnectionPool> pool)
+    : io_(std::move(io)),
+      address_(std::move(address)),
+      reused_(reused),
+      pool_(std::move(pool)) {}
+
+Connection::~Connection() {
+  if (io_) {
+    io_->Close();
+    pool_->Forget(address_);
+  }
+}
+
+auto Connection::Release() -> void {
+  io_->Disarm();
+  pool_->Return(address_, std::move(io_));
+  io_ = nullptr;
+}
+
+ConnectionPool::ConnectionPool(const asio::any_io_executor& executor,
+                               ConnectionSettings settings)
+    : executor_(executor), settings_(settings), prune_timer_(executor) {}
+
+auto ConnectionPool::Acquire(std::string address, Reuse reuse, Duration limit)
+    -> asio::awaitable<std::shared_ptr<Connection>> {
+  if (reuse == Reuse::kAllowed) {
+    if (auto io = TakeIdle(address)) {
+      co_return std::make_shared<Connection>(std::move(io), address, true,
+                                             shared_from_this());
+    }
+  }
+  auto& entry = addresses_[address];
+  if (entry.in_use + entry.idle.size() >= settings_.max_connections &&
+      !entry.idle.empty()) {
+    entry.idle.pop_front();
+  }
+  if (entry.in_use >= settings_.max_connections) {
+    throw Error(ErrorKind::kUnavailable, "too many connections open", address,
+                "retry later or raise the connection limit");
+  }
+  const auto endpoint = ParseEndpoint(address);
+  ++entry.in_use;
+  auto io = std::make_shared<DeadlineSocket>(tcp::socket(executor_));
+  auto connection =
+      std::make_shared<Connection>(io, address, false, shared_from_this());
+  io->ExpireAfter(std::min<Duration>(settings_.connect_timeout, limit),
+                  DeadlineSocket::OnExpiry::kClose);
+  boost::system::error_code error;
+  co_await io->socket().async_connect(
+      endpoint, asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    const std::string what =
+        io->timed_out() ? "no connection in time" : error.message();
+    throw Error(ErrorKind::kUnavailable, what, address,
+                "use another replica or retry later");
+  }
+  io->Disarm();
+  SetOptions(io->socket(), settings_.user_timeout);
+  co_return connection;
+}
+
+auto ConnectionPool::open(const std::string& address) const -> std::size_t {
+  const auto found = addresses_.find(address);
+  return found == addresses_.end()
+             ? 0
+             : found->second.in_use + found->second.idle.size();
+}
+
+auto ConnectionPool::Close() -> void {
+  closed_ = true;
+  prune_timer_.cancel();
+  for (auto& [address, entry] : addresses_) {
+    entry.idle.clear();
+  }
+}
+
+auto ConnectionPool::TakeIdle(const std::string& address)
+    -> std::shared_ptr<DeadlineSocket> {
+  DropExpired();
+  const auto found = addresses_.find(address);
+  if (found == addresses_.end()) {
+    return nullptr;
+  }
+  auto& entry = found->second;
+  while (!entry.idle.empty()) {
+    // The most recently used one is the least likely to have been closed.
+    auto io = std::move(entry.idle.back().io);
+    entry.idle.pop_back();
+    // An unread byte between requests belongs to no request.
+    if (!io->Readable()) {
+      ++entry.in_use;
+      return io;
+    }
+  }
+  return nullptr;
+}
+
+auto ConnectionPool::Return(const std::string& address,
+                            std::shared_ptr<DeadlineSocket> io) -> void {
+  auto& entry = addresses_[address];
+  --entry.in_use;
+  if (closed_) {
+    return;
+  }
+  entry.idle.push_back({std::move(io), std::chrono::steady_clock::now()});
+  SchedulePrune();
+}
+
+auto ConnectionPool::Forget(const std::string& address) -> void {
+  const auto found = addresses_.find(address);
+  --found->second.in_use;
+  if (found->second.in_use == 0 && found->second.idle.empty()) {
+    addresses_.erase(found);
+  }
+}
+
+auto ConnectionPool::DropExpired() -> void {
+  const auto oldest = std::chrono::steady_clock::now() - settings_.idle_limit;
+  for (auto item = addresses_.begin(); item != addresses_.end();) {
+    auto& entry = item->second;
+    while (!entry.idle.empty() && entry.idle.front().since <= oldest) {
+      entry.idle.pop_front();
+    }
+    const auto unused = entry.in_use == 0 && entry.idle.empty();
+    item = unused ? addresses_.erase(item) : std::next(item);
+  }
+}
+
+auto ConnectionPool::SchedulePrune() -> void {
+  if (prune_scheduled_) {
+    return;
+  }
+  prune_scheduled_ = true;
+  prune_timer_.expires_after(settings_.idle_limit);
+  prune_timer_.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& error) {
+        auto self = weak.lock();
+        if (!self || error) {
+          return;
+        }
+        self->prune_scheduled_ = false;
+        self->DropExpired();
+        const auto any_idle = std::any_of(
+            self->addresses_.begin(), self->addresses_.end(),
+            [](const auto& item) { return !item.second.idle.empty(); });
+        if (any_idle) {
+          self->SchedulePrune();
+        }
+      });
+}
+
+}  // namespace kumquatgauge::upstream::detail
--- /dev/null
+++ b/src/upstream/connection_pool.h
@@ -0,0 +1,90 @@
+#ifndef UPSTREAM_CONNECTION_POOL_H_
+#define UPSTREAM_CONNECTION_POOL_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "kumquatgauge/upstream/connection_settings.h"
+#include "upstream/deadline_socket.h"
+
+namespace kumquatgauge::upstream::detail {
+
+class ConnectionPool;
+
+// A connection out of the pool; closed when destroyed without Release.
+class Connection {
+ public:
+  Connection(std::shared_ptr<DeadlineSocket> io,
+             std::string address,
+             bool reused,
+             std::shared_ptr<ConnectionPool> pool);
+  Connection(const Connection&) = delete;
+  auto operator=(const Connection&) -> Connection& = delete;
+  ~Connection();
+
+  auto io() -> DeadlineSocket& { return *io_; }
+  // It has carried an earlier request.
+  auto reused() const -> bool { return reused_; }
+  // Gives the connection back for reuse; not used afterwards.
+  auto Release() -> void;
+
+ private:
+  std::shared_ptr<DeadlineSocket> io_;
+  std::string address_;
+  bool reused_;
+  std::shared_ptr<ConnectionPool> pool_;
+};
+
+enum class Reuse { kAllowed, kFreshOnly };
+
+// Keep-alive connections per address, for one io_context.
+class ConnectionPool : public std::enable_shared_from_this<ConnectionPool> {
+ public:
+  ConnectionPool(const boost::asio::any_io_executor& executor,
+                 ConnectionSettings settings);
+
+  // Throws Error(kUnavailable): refused, unreachable, not connected within the
+  // connect timeout or `limit`, or the cap is reached.
+  auto Acquire(std::string address, Reuse reuse, Duration limit)
+      -> boost::asio::awaitable<std::shared_ptr<Connection>>;
+
+  // Open connections to `address`, idle ones included.
+  auto open(const std::string& address) const -> std::size_t;
+  // Closes the idle connections.
+  auto Close() -> void;
+
+ private:
+  friend class Connection;
+
+  struct IdleConnection {
+    std::shared_ptr<DeadlineSocket> io;
+    MonotonicTime since;
+  };
+  struct Address {
+    std::size_t in_use = 0;
+    std::deque<IdleConnection> idle;  // The longest idle one first.
+  };
+
+  auto TakeIdle(const std::string& address) -> std::shared_ptr<DeadlineSocket>;
+  auto Return(const std::string& address, std::shared_ptr<DeadlineSocket> io)
+      -> void;
+  auto Forget(const std::string& address) -> void;
+  auto DropExpired() -> void;
+  auto SchedulePrune() -> void;
+
+  boost::asio::any_io_executor executor_;
+  ConnectionSettings settings_;
+  std::unordered_map<std::string, Address> addresses_;
+  boost::asio::steady_timer prune_timer_;
+  bool prune_scheduled_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace kumquatgauge::upstream::detail
+
+#endif  // UPSTREAM_CONNECTION_POOL_H_
--- /dev/null
+++ b/src/upstream/deadline_socket.h
@@ -0,0 +1,53 @@
+#ifndef UPSTREAM_DEADLINE_SOCKET_H_
+#define UPSTREAM_DEADLINE_SOCKET_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <memory>
+
+#include "kumquatgauge/base/time.h"
+
+namespace kumquatgauge::upstream::detail {
+
+// A TCP socket with a read buffer and a deadline that may be moved while an
+// operation runs. Moving it later costs no timer operation.
+class DeadlineSocket : public std::enable_shared_from_this<DeadlineSocket> {
+ public:
+  enum class OnExpiry {
+    kStopReading,  // Reads end as at end of stream; writing stays possible.
+    kClose,
+  };
+
+  explicit DeadlineSocket(boost::asio::ip::tcp::socket socket);
+
+  auto socket() -> boost::asio::ip::tcp::socket& { return socket_; }
+  auto buffer() -> boost::beast::flat_buffer& { return buffer_; }
+  auto timed_out() const -> bool { return timed_out_; }
+
+  auto ExpireAfter(Duration limit, OnExpiry on_expiry) -> void;
+  auto ExpireAt(MonotonicTime deadline, OnExpiry on_expiry) -> void;
+  auto Disarm() -> void;
+  auto Close() -> void;
+  // True when the other side has closed, without waiting.
+  auto PeerClosed() -> bool;
+  // True when unread bytes or an end of stream wait, without waiting.
+  auto Readable() -> bool;
+
+ private:
+  auto Arm() -> void;
+  auto Expire() -> void;
+
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  boost::beast::flat_buffer buffer_;
+  MonotonicTime deadline_ = MonotonicTime::max();
+  MonotonicTime armed_for_ = MonotonicTime::max();
+  std::uint64_t generation_ = 0;
+  OnExpiry on_expiry_ = OnExpiry::kClose;
+  bool timed_out_ = false;
+};
+
+}  // namespace kumquatgauge::upstream::detail
+
+#endif  // UPSTREAM_DEADLINE_SOCKET_H_
--- /dev/null
+++ b/src/upstream/engine_event.h
@@ -0,0 +1,28 @@
+#ifndef UPSTREAM_ENGINE_EVENT_H_
+#define UPSTREAM_ENGINE_EVENT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace kumquatgauge::upstream::detail {
+
+// What one event of a completion stream says.
+struct EngineEvent {
+  std::string text;
+  std::optional<std::uint64_t> offset;  // "kqg_offset"
+  std::string finish_reason;
+  bool error = false;
+  std::string error_message;
+  std::string error_code;
+
+  auto operator==(const EngineEvent&) const -> bool = default;
+};
+
+// Reads the data of one event into `event`; false when it is malformed.
+auto ParseEngineEvent(std::string_view data, EngineEvent& event) -> bool;
+
+}  // namespace kumquatgauge::upstream::detail
+
+#endif  // UPSTREAM_ENGINE_EVENT_H_
--- /dev/null
+++ b/src/upstream/http_exchange.h
@@ -0,0 +1,33 @@
+#ifndef UPSTREAM_HTTP_EXCHANGE_H_
+#define UPSTREAM_HTTP_EXCHANGE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "kumquatgauge/base/time.h"
+#include "kumquatgauge/upstream/service_client.h"
+#include "upstream/connection_pool.h"
+
+namespace kumquatgauge::upstream::detail {
+
+struct ExchangeLimits {
+  Duration timeout{};  // For everything, connecting included.
+  std::size_t max_response_bytes = 0;
+};
+
+// Sends one request and reads the whole response. Errors as in
+// ServiceClient::Send.
+auto Exchange(std::shared_ptr<ConnectionPool> pool,
+              std::string address,
+              ServiceRequest request,
+              bool repeatable,
+              ExchangeLimits limits) -> boost::asio::awaitable<ServiceResponse>;
+
+// True for headers that belong to one connection and are not passed on.
+auto IsHopByHop(std::string_view name) -> bool;
+
+}  // namespace kumquatgauge::upstream::detail
+
+#endif  // UPSTREAM_HTTP_EXCHANGE_H_
--- /dev/null
+++ b/src/upstream/http_service_client_test.cc
@@ -0,0 +1,192 @@
+#include "kumquatgauge/upstream/http_service_client.h"
+
+#include <catch2/catch.hpp>
+
+#include "kumquatgauge/base/error.h"
+#include "testing/fake_service/fake_service.h"
+#include "testing/support/raw_client.h"
+#include "testing/support/run_until.h"
+
+namespace kumquatgauge::upstream {
+namespace {
+
+namespace asio = boost::asio;
+using testing::FakeService;
+using testing::FakeServiceFaults;
+using testing::FakeServiceSettings;
+using testing::RunAwait;
+
+constexpr std::chrono::milliseconds kTimeout{500};
+constexpr bool kRepeatable = true;
+
+auto Pay() -> ServiceRequest {
+  return {"POST",
+          "/confirm?table=4",
+          {{"Idempotency-Key", "key-1"}, {"Connection", "close"}},
+          R"({"amount":12})"};
+}
+
+struct Fixture {
+  auto Send(bool repeatable, std::chrono::milliseconds timeout = kTimeout)
+      -> ServiceResponse {
+    return RunAwait(context,
+                    client.Send(service.address(), Pay(), repeatable, timeout));
+  }
+  auto SendError(bool repeatable) -> std::optional<ErrorKind> {
+    try {
+      Send(repeatable);
+    } catch (const Error& error) {
+      return error.kind();
+    }
+    return std::nullopt;
+  }
+
+  asio::io_context context{1};
+  FakeService service{context, {}};
+  HttpServiceClient client{context.get_executor()};
+};
+
+// Guards against headers of the hop or of the path being mixed up.
+TEST_CASE("HttpServiceClient.PassesMethodTargetHeadersAndBody") {
+  Fixture fixture;
+  const auto response = fixture.Send(!kRepeatable);
+  const auto body = nlohmann::json::parse(response.body);
+  CHECK(response.status == 200);
+  CHECK(body["method"] == "POST");
+  CHECK(body["target"] == "/confirm?table=4");
+  CHECK(body["idempotency_key"] == "key-1");
+  CHECK(body["body"] == R"({"amount":12})");
+  CHECK_FALSE(body["headers"].contains("connection"));
+}
+
+// Guards against a payment sent on a connection that may just be closing.
+TEST_CASE("HttpServiceClient.SendsEachNonRepeatableCallOnAFreshConnection") {
+  Fixture fixture;
+  fixture.Send(!kRepeatable);
+  fixture.Send(!kRepeatable);
+  CHECK(fixture.service.server().accepted() == 2);
+}
+
+TEST_CASE("HttpServiceClient.ReusesConnectionsForRepeatableCalls") {
+  Fixture fixture;
+  fixture.Send(kRepeatable);
+  fixture.Send(kRepeatable);
+  CHECK(fixture.service.server().accepted() == 1);
+}
+
+// Guards against "unknown" for a repeatable call on a stale connection.
+TEST_CASE("HttpServiceClient.RepeatableCallSurvivesClosedIdleConnection") {
+  Fixture fixture;
+  fixture.Send(kRepeatable);
+  fixture.service.server().CloseIdle();
+  CHECK_FALSE(fixture.SendError(kRepeatable));
+  CHECK(fixture.service.executions().size() == 2);
+}
+
+// Guards against "unknown" for a call that certainly has not run.
+TEST_CASE("HttpServiceClient.IsUnavailableWhenNothingListens") {
+  Fixture fixture;
+  fixture.service.server().Close();
+  CHECK(fixture.SendError(!kRepeatable) == ErrorKind::kUnavailable);
+  CHECK(fixture.service.executions().empty());
+}
+
+// Guards against a second execution after a lost answer.
+TEST_CASE("HttpServiceClient.LostAnswerIsUnknownAndIsSentOnce") {
+  Fixture fixture;
+  FakeServiceFaults faults;
+  faults.lose_answers = true;
+  fixture.service.set_faults(faults);
+  CHECK(fixture.SendError(!kRepeatable) == ErrorKind::kUnknownOutcome);
+  CHECK(fixture.service.executions().size() == 1);
+}
+
+TEST_CASE("HttpServiceClient.LateAnswerIsUnknown") {
+  Fixture fixture;
+  FakeServiceFaults faults;
+  faults.freeze = true;
+  fixture.service.set_faults(faults);
+  CHECK(fixture.SendError(!kRepeatable) == ErrorKind::kUnknownOutcome);
+}
+
+TEST_CASE("HttpServiceClient.DeathDuringExecutionIsUnknown") {
+  Fixture fixture;
+  FakeServiceFaults faults;
+  faults.die_after = 1;
+  fixture.service.set_faults(faults);
+  CHECK(fixture.SendError(!kRepeatable) == ErrorKind::kUnknownOutcome);
+}
+
+// Guards against a refusal by the service being hidden from the caller.
+TEST_CASE("HttpServiceClient.PassesOnARefusalOfTheService") {
+  Fixture fixture;
+  FakeServiceFaults faults;
+  faults.refuse = true;
+  fixture.service.set_faults(faults);
+  CHECK(fixture.Send(!kRepeatable).status == 503);
+  CHECK(fixture.service.executions().empty());
+}
+
+// A listener that accepts, reads and then behaves as `answer` says.
+struct ScriptedService {
+  ScriptedService(asio::io_context& context, std::string answer)
+      : acceptor(context, {asio::ip::make_address("127.0.0.1"), 0}) {
+    asio::co_spawn(context, Serve(acceptor, std::move(answer), accepted),
+                   asio::detached);
+  }
+  static auto Serve(asio::ip::tcp::acceptor& acceptor,
+                    std::string answer,
+                    int& accepted) -> asio::awaitable<void> {
+    while (true) {
+      auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+      ++accepted;
+      std::string request;
+      co_await asio::async_read_until(socket, asio::dynamic_buffer(request),
+                                      "\r\n\r\n", asio::use_awaitable);
+      co_await asio::async_write(socket, asio::buffer(answer),
+                                 asio::use_awaitable);
+    }
+  }
+  auto address() const -> std::string {
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  }
+
+  asio::ip::tcp::acceptor acceptor;
+  int accepted = 0;
+};
+
+// Guards against half an answer being passed on as a whole one.
+TEST_CASE("HttpServiceClient.BrokenAnswerIsUnknownAndNotSentAgain") {
+  const std::string answer =
+      GENERATE("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+               "HTTP/1.1 200 OK\r\nContent-", "garbage\r\n\r\n", "");
+  Fixture fixture;
+  ScriptedService service(fixture.context, answer);
+  const auto repeatable = GENERATE(true, false);
+  std::optional<ErrorKind> kind;
+  try {
+    RunAwait(fixture.context, fixture.client.Send(service.address(), Pay(),
+                                                  repeatable, kTimeout));
+  } catch (const Error& error) {
+    kind = error.kind();
+  }
+  CHECK(kind == ErrorKind::kUnknownOutcome);
+  CHECK(service.accepted == 1);
+}
+
+// Guards against an interim response taken for the answer.
+TEST_CASE("HttpServiceClient.SkipsInterimResponses") {
+  Fixture fixture;
+  ScriptedService service(
+      fixture.context,
+      "HTTP/1.1 100 Continue\r\n\r\n"
+      "HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nok");
+  const auto response =
+      RunAwait(fixture.context,
+               fixture.client.Send(service.address(), Pay(), false, kTimeout));
+  CHECK(response.status == 201);
+  CHECK(response.body == "ok");
+}
+
+}  // namespace
+}  // namespace kumquatgauge::upstream
