Test batch jobs against deaths, pauses, outages and cancels

Several BatchService objects on one store now act as nodes under a manual clock, with a store that is out, slow or loses answers, and every accepted item's result is compared with its input.

Found and fixed: a step that ended a job at once removed it from the map that Tick was walking (crash in the cancel test); Tick walks a copy now.

Ruled out: polling the lease every 250 ms at all times.

--- a/src/batch/batch_service.cc
+++ b/src/batch/batch_service.cc
@@ -359,7 +359,8 @@
     shard.handover_since = now;
   }
   if (now - *shard.handover_since >= kHandoverTime) {
-    for (const auto& [id, job] : shard.jobs) {
+    const auto jobs = shard.jobs;
+    for (const auto& [id, job] : jobs) {
       CancelItems(*job);
     }
   }
@@ -383,10 +384,13 @@
     shard.index_busy = true;
     Spawn([&shard](Impl& self) { return self.IndexStep(shard); });
   }
-  for (auto& [id, job] : shard.jobs) {
+  // A step may begin at once and remove its job.
+  const auto jobs = shard.jobs;
+  for (const auto& [id, job] : jobs) {
     if (!job->busy && JobStepIsDue(shard, *job, now)) {
       job->busy = true;
-      Spawn([&shard, job](Impl& self) { return self.JobStep(shard, job); });
+      Spawn(
+          [&shard, job = job](Impl& self) { return self.JobStep(shard, job); });
     }
   }
 }
--- a/src/batch/test_world.h
+++ b/src/batch/test_world.h
@@ -368,9 +368,41 @@
     Wait(submission->Append(job.body));
     return Wait(submission->Finish());
   }
+  // Submits as a caller does: again after every answer that leaves it open, on
+  // any node that is up, until the job is accepted or refused for good.
+  auto SubmitUntilAccepted(const TestJob& job) -> SubmissionResult {
+    while (true) {
+      const auto name = AnyUp();
+      try {
+        if (!name.empty()) {
+          return Submit(name, job);
+        }
+      } catch (const Error& error) {
+        if (error.kind() != ErrorKind::kUnavailable &&
+            error.kind() != ErrorKind::kUnknownOutcome) {
+          throw;
+        }
+      }
+      Advance(std::chrono::seconds(1));
+    }
+  }
+  // A random node that is up and not paused; empty when there is none.
+  auto AnyUp() -> std::string {
+    auto up = std::vector<std::string>();
+    for (const auto& [name, node] : nodes) {
+      if (node.service && !node.paused) {
+        up.push_back(name);
+      }
+    }
+    return up.empty() ? "" : up[random_() % up.size()];
+  }
   auto State(const TestJob& job) -> JobState {
     auto jobs = DirectStore();
-    return Wait(jobs.ReadState(job.id()))->state;
+    return Direct(jobs.ReadState(job.id()))->state;
+  }
+  auto IsAccepted(const TestJob& job) -> bool {
+    auto jobs = DirectStore();
+    return Direct(jobs.ReadManifest(job.id())).has_value();
   }
   auto Finished(const TestJob& job) -> bool { return State(job).terminal(); }
   auto Results(const TestJob& job) -> std::vector<ItemResult> {
@@ -378,7 +410,7 @@
     auto reader = ResultReader(jobs, job.id());
     auto all = std::vector<ItemResult>();
     while (true) {
-      const auto results = Wait(reader.NextChunk());
+      const auto results = Direct(reader.NextChunk());
       if (results.empty()) {
         return all;
       }
@@ -435,6 +467,45 @@
     }
     return {};
   }
+  // What happens to calls of the nodes; reads by the test itself are spared.
+  auto set_fault(MemoryObjectStore::FaultHook fault) -> void {
+    fault_ = std::move(fault);
+    store.set_fault_hook(
+        [this](const std::string& call, const std::string& key) {
+          return fault_ && !direct_ ? fault_(call, key) : StoreFault::kNone;
+        });
+  }
+  auto StoreOut() -> void {
+    set_fault([](const auto& /*call*/, const auto& /*key*/) {
+      return StoreFault::kUnavailable;
+    });
+  }
+  // Some writes fail with an unknown outcome, half of them after taking effect.
+  auto LoseAnswers(unsigned percent) -> void {
+    set_fault([this, percent](const auto& call, const auto& /*key*/) {
+      if (call != "write" || random_() % 100 >= percent) {
+        return StoreFault::kNone;
+      }
+      return random_() % 2 == 0 ? StoreFault::kLoseAnswer
+                                : StoreFault::kUnknownNoEffect;
+    });
+  }
+  auto Heal() -> void {
+    set_fault({});
+    slow_.set_delay(Duration(0));
+  }
+
+  // Runs a coroutine on the store itself, past its faults.
+  template <typename T>
+  auto Direct(awaitable<T> work) -> T {
+    auto io = boost::asio::io_context();
+    direct_ = true;
+    auto future =
+        boost::asio::co_spawn(io, std::move(work), boost::asio::use_future);
+    io.run();
+    direct_ = false;
+    return future.get();
+  }
   auto DirectStore() -> JobStore {
     return {store, [this] { return random_(); }};
   }
@@ -466,6 +537,8 @@
   std::vector<std::unique_ptr<FakeRunner>> old_runners_;
   std::map<std::string, MonotonicTime> deaths_;
   Incarnation incarnation_ = 0;
+  MemoryObjectStore::FaultHook fault_;
+  bool direct_ = false;
   // Destroyed first, with the coroutines that refer to the rest.
   boost::asio::io_context io_;
 };
