--- /dev/null
+++ b/bench/routing_tail.cc
@@ -0,0 +1,68 @@
+// Tail latency with one of 18 replicas ten times slower, against the tail
+// without it.
+
+#include <string>
+
+#include "bench/routing_fleet.h"
+
+namespace {
+
+using namespace kumquatgauge::bench;
+
+constexpr double kTailBound = 1.3;
+constexpr double kSlowFactor = 10.0;
+
+auto Options(const Report& report) -> FleetOptions {
+  FleetOptions options;
+  options.seed = report.seed();
+  options.model_replicas = 18;
+  options.plain_replicas = 4;
+  options.zones = 4;
+  options.load = 0.6;
+  options.warmup_s = 60.0;
+  options.measured_s = 240.0;
+  return options;
+}
+
+auto Total99(const FleetResult& result) -> double {
+  return Quantile(result.inter_token_ms, 0.99);
+}
+
+}  // namespace
+
+auto main(int argc, char** argv) -> int {
+  Report report(argc, argv);
+  auto healthy = Fleet(Options(report)).Run();
+  auto slow = Options(report);
+  slow.slow_replica = 5;
+  slow.slow_factor = kSlowFactor;
+  auto with_rules = Fleet(slow).Run();
+  auto without_ejection = slow;
+  without_ejection.outlier = false;
+  auto not_ejected = Fleet(without_ejection).Run();
+  auto simple = slow;
+  simple.outlier = false;
+  simple.choice = Choice::kRoundRobin;
+  auto round_robin = Fleet(simple).Run();
+
+  auto healthy_first = Quantile(healthy.first_token_ms, 0.99);
+  report.Measured("tail_first_token_p99_ms_all_healthy", healthy_first);
+  report.Measured("tail_first_token_p99_ratio_without_ejection",
+                  Quantile(not_ejected.first_token_ms, 0.99) / healthy_first);
+  report.Measured("tail_first_token_p99_ratio_round_robin",
+                  Quantile(round_robin.first_token_ms, 0.99) / healthy_first);
+  report.Measured("tail_inter_token_p99_ratio_without_ejection",
+                  Total99(not_ejected) / Total99(healthy));
+  report.Measured("tail_inter_token_p99_ratio_round_robin",
+                  Total99(round_robin) / Total99(healthy));
+  report.Measured("tail_refused_round_robin",
+                  static_cast<double>(round_robin.refused));
+  report.Measured("tail_refused_router",
+                  static_cast<double>(with_rules.refused));
+  report.AtMost("tail_first_token_p99_ratio",
+                Quantile(with_rules.first_token_ms, 0.99) / healthy_first,
+                kTailBound);
+  report.AtMost("tail_inter_token_p99_ratio",
+                Total99(with_rules) / Total99(healthy), kTailBound);
+  return report.status();
+}
--- a/include/kumquatgauge/routing/retry_budget.h
+++ b/include/kumquatgauge/routing/retry_budget.h
@@ -1,6 +1,7 @@
 #ifndef KUMQUATGAUGE_ROUTING_RETRY_BUDGET_H_
 #define KUMQUATGAUGE_ROUTING_RETRY_BUDGET_H_
 
+#include <cstddef>
 #include <unordered_map>
 
 #include "kumquatgauge/base/ids.h"
@@ -22,6 +23,10 @@
  public:
   RetryBudget(RetryBudgetSettings settings, Clock clock);
 
+  // Number of nodes among which `per_second` is divided; the share of requests
+  // needs no division. Undivided, 330 nodes would allow 990 retries per second
+  // and service, several times the requests there are.
+  auto set_nodes(std::size_t nodes) -> void;
   // A first attempt, not a retry.
   auto OnRequest(const ServiceName& service) -> void;
   // Takes one retry from the budget; false when there is none left.
@@ -37,7 +42,10 @@
 
   auto Update(const ServiceName& service) -> Account&;
 
+  auto PerSecond() const -> double;
+
   RetryBudgetSettings settings_;
+  std::size_t nodes_ = 1;
   Clock clock_;
   std::unordered_map<ServiceName, Account> accounts_;
 };
--- a/src/routing/retry_budget.cc
+++ b/src/routing/retry_budget.cc
@@ -15,6 +15,10 @@
 RetryBudget::RetryBudget(RetryBudgetSettings settings, Clock clock)
     : settings_(settings), clock_(std::move(clock)) {}
 
+auto RetryBudget::set_nodes(std::size_t nodes) -> void {
+  nodes_ = std::max<std::size_t>(nodes, 1);
+}
+
 auto RetryBudget::OnRequest(const ServiceName& service) -> void {
   auto& account = Update(service);
   account.request_rate += 1.0 / kRateSeconds;
@@ -34,21 +38,25 @@
   return Update(service).balance;
 }
 
+auto RetryBudget::PerSecond() const -> double {
+  return settings_.per_second / static_cast<double>(nodes_);
+}
+
 auto RetryBudget::Update(const ServiceName& service) -> Account& {
   auto now = clock_();
   auto [place, created] = accounts_.try_emplace(service);
   auto& account = place->second;
   if (created) {
-    account.balance = settings_.per_second;
+    // One retry must be possible from the start, however small the share.
+    account.balance = std::max(1.0, PerSecond());
     account.updated = now;
     return account;
   }
   auto elapsed = std::chrono::duration<double>(now - account.updated).count();
   account.updated = now;
   account.request_rate *= std::exp(-elapsed / kRateSeconds);
-  auto rate =
-      settings_.per_second + settings_.share_of_requests * account.request_rate;
-  account.balance = std::min(account.balance + elapsed * settings_.per_second,
+  auto rate = PerSecond() + settings_.share_of_requests * account.request_rate;
+  account.balance = std::min(account.balance + elapsed * PerSecond(),
                              std::max(1.0, rate * settings_.burst_seconds));
   return account;
 }
--- a/src/routing/retry_test.cc
+++ b/src/routing/retry_test.cc
@@ -55,6 +55,19 @@
   CHECK(fixture.budget.available(kService) <= 6.1);
 }
 
+// Guards against a fleet whose nodes together retry more than they serve.
+TEST_CASE("RetryBudget.DividesThePerSecondPartAmongNodes") {
+  Fixture fixture;
+  fixture.budget.set_nodes(300);
+  int allowed = 0;
+  for (int second = 0; second < 1000; ++second) {
+    allowed += fixture.budget.TryRetry(kService) ? 1 : 0;
+    fixture.clock.Advance(std::chrono::seconds(1));
+  }
+  CHECK(allowed >= 10);
+  CHECK(allowed <= 12);
+}
+
 TEST_CASE("RetryBudget.KeepsServicesApart") {
   Fixture fixture;
   while (fixture.budget.TryRetry(kService)) {
