Wire the node daemon, its backends and a first demo

Cause: the parts need one process that owns them and one script that shows them work together.

Known fault: a node ends with 'free(): invalid pointer' shortly after its start; the demo fails at its first step.

--- a/include/kumquatgauge/control/configuration.h
+++ b/include/kumquatgauge/control/configuration.h
@@ -86,6 +86,7 @@
   // that it does not is safe for both kinds, only slower.
   bool checks_fencing = false;
   bool can_resume = true;
+  bool leaving = false;  // Gets no new work; set by `drain upstream`.
   std::vector<std::string> desired_models;  // "MODEL@VERSION", sorted.
   std::string role;                         // Empty: as it is.
 
--- /dev/null
+++ b/include/kumquatgauge/daemon/node_operator_backend.h
@@ -0,0 +1,104 @@
+#ifndef KUMQUATGAUGE_DAEMON_NODE_OPERATOR_BACKEND_H_
+#define KUMQUATGAUGE_DAEMON_NODE_OPERATOR_BACKEND_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "kumquatgauge/batch/batch_service.h"
+#include "kumquatgauge/control/config_store.h"
+#include "kumquatgauge/control/orders.h"
+#include "kumquatgauge/daemon/dispatch_service.h"
+#include "kumquatgauge/daemon/request_traces.h"
+#include "kumquatgauge/daemon/routing_table.h"
+#include "kumquatgauge/node/gossip.h"
+#include "kumquatgauge/node/peer.h"
+#include "kumquatgauge/operator/operator_backend.h"
+#include "kumquatgauge/platform/platform_client.h"
+
+namespace kumquatgauge::daemon {
+
+// Carries out operators' commands on the control thread. What only another
+// node knows is asked there with the message "query".
+class NodeOperatorBackend : public operators::OperatorBackend {
+ public:
+  struct Dependencies {
+    NodeId self;
+    control::ConfigStore& config_store;
+    node::Gossip& gossip;
+    node::PeerClient& peers;
+    RoutingTable& table;
+    DispatchService& dispatch;
+    RequestTraces& traces;
+    platform::PlatformClient& platform;
+    std::function<auto()->std::shared_ptr<batch::BatchService>> batch;
+    // The configuration in force here.
+    std::function<auto()->control::Configuration> configuration;
+    // Applies what this node has just written to the platform.
+    std::function<auto(const control::Configuration&)->void> apply;
+    // Starts a planned stop of this node.
+    std::function<auto()->void> drain;
+    // Desired against observed state of upstreams, per service.
+    std::function<auto()->std::vector<control::OrderStatus>> orders;
+  };
+
+  explicit NodeOperatorBackend(Dependencies dependencies);
+
+  auto kinds() const -> std::vector<std::string> override;
+  auto Rows(const std::string& kind, std::vector<std::string> names)
+      -> boost::asio::awaitable<nlohmann::json> override;
+  auto Explain(std::string kind, std::vector<std::string> names)
+      -> boost::asio::awaitable<nlohmann::json> override;
+  auto Preview(operators::ConfigurationChange change)
+      -> boost::asio::awaitable<operators::ChangeResult> override;
+  auto Change(operators::ConfigurationChange change)
+      -> boost::asio::awaitable<operators::ChangeResult> override;
+  auto CancelJob(std::string job, std::string who)
+      -> boost::asio::awaitable<nlohmann::json> override;
+  auto DrainNode(std::string node)
+      -> boost::asio::awaitable<nlohmann::json> override;
+  auto RevisionsInForce()
+      -> boost::asio::awaitable<std::vector<operators::NodeRevision>> override;
+  auto SetLogLevel(const std::string& level) -> void override;
+
+  // Answers the message "query" of another node; on the control thread.
+  auto AnswerQuery(const nlohmann::json& query) -> nlohmann::json;
+
+ private:
+  // One answer per node that gave one.
+  struct NodeAnswer {
+    NodeId node;
+    nlohmann::json answer;  // null: no answer in time.
+  };
+
+  auto AskAll(nlohmann::json query)
+      -> boost::asio::awaitable<std::vector<NodeAnswer>>;
+  auto Ask(routing::NodeInfo node, nlohmann::json query)
+      -> boost::asio::awaitable<nlohmann::json>;
+  auto CollectRows(const std::string& kind)
+      -> boost::asio::awaitable<nlohmann::json>;
+  auto ConfigRows(const std::string& kind) const -> nlohmann::json;
+  auto UpstreamRows() const -> nlohmann::json;
+  auto NodeRows() const -> nlohmann::json;
+  auto LocalRows(const std::string& kind) const -> nlohmann::json;
+  auto AuditRows() -> boost::asio::awaitable<nlohmann::json>;
+  auto ExplainRequest(const std::string& id)
+      -> boost::asio::awaitable<nlohmann::json>;
+  auto ExplainJob(const std::string& id)
+      -> boost::asio::awaitable<nlohmann::json>;
+  auto ExplainItem(const std::string& job, const std::string& custom_id)
+      -> boost::asio::awaitable<nlohmann::json>;
+  auto ExplainNode(const std::string& name) const -> nlohmann::json;
+  auto ExplainUpstream(const std::string& name) const -> nlohmann::json;
+  auto ExplainConfiguration(const std::string& key)
+      -> boost::asio::awaitable<nlohmann::json>;
+
+  Dependencies dependencies_;
+};
+
+}  // namespace kumquatgauge::daemon
+
+#endif  // KUMQUATGAUGE_DAEMON_NODE_OPERATOR_BACKEND_H_
--- a/src/control/configuration.cc
+++ b/src/control/configuration.cc
@@ -259,6 +259,7 @@
           fields.Integer("capacity", defaults.capacity, 1, kMaxCapacity),
       .checks_fencing = fields.Flag("checks_fencing", defaults.checks_fencing),
       .can_resume = fields.Flag("can_resume", defaults.can_resume),
+      .leaving = fields.Flag("leaving", defaults.leaving),
       .desired_models = fields.Texts("desired_models"),
       .role = fields.Text("role", "")};
   CheckAddress(fields, spec.address);
