Make the whole path run: the demo ends with ok

Cause of the crashes: g++ 12 destroys a lambda with captures, or an aggregate temporary, twice when it is part of a co_await expression. The handler of "query" and the operators' server did that.

Ruled out: races of co_spawn across io_contexts (valgrind clean, and the crash followed the queries, not the load). Handlers now call member coroutines, and arguments of co_await expressions are named variables.

--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -6,6 +6,10 @@
 operator_token=operator-token-for-local-use
 fleet_next_port=$((20000 + (RANDOM % 8000)))
 
+echo "fleet-credential-for-local-use" >"$fleet_dir/fleet.txt"
+echo "local change $operator_token" >"$fleet_dir/operators.txt"
+echo "$operator_token" >"$fleet_dir/token.txt"
+
 # Prints a port of 127.0.0.1 that nothing listens on.
 free_port() {
   while (exec 3<>"/dev/tcp/127.0.0.1/$fleet_next_port") 2>/dev/null; do
@@ -47,9 +51,6 @@
     free_port; node_operators[$name]=127.0.0.1:$free_port_result
     free_port; node_nodes[$name]=127.0.0.1:$free_port_result
   fi
-  echo "fleet-credential-for-local-use" >"$fleet_dir/fleet.txt"
-  echo "demo change $operator_token" >"$fleet_dir/operators.txt"
-  echo "$operator_token" >"$fleet_dir/token.txt"
   cat >"$fleet_dir/$name.toml" <<TOML
 [node]
 name = "$name"
--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -159,6 +159,10 @@
   auto MakeCallerDependencies() -> NodeCallerBackend::Dependencies;
   auto MakeOperatorDependencies() -> NodeOperatorBackend::Dependencies;
   auto RegisterHandlers() -> void;
+  auto HandleQuery(nlohmann::json request,
+                   std::shared_ptr<node::Responder> responder)
+      -> asio::awaitable<void>;
+  auto AnswerOnControl(nlohmann::json query) -> asio::awaitable<nlohmann::json>;
   auto RegisterMetrics() -> void;
 
   auto OnMembersChanged(const std::vector<routing::NodeInfo>& nodes) -> void;
@@ -486,18 +490,24 @@
       "query",
       [this](nlohmann::json request, std::shared_ptr<node::Responder> responder)
           -> asio::awaitable<void> {
-        auto answer = co_await asio::co_spawn(
-            control_,
-            [this, request]() -> asio::awaitable<nlohmann::json> {
-              co_return operator_backend_.AnswerQuery(request);
-            },
-            asio::use_awaitable);
-        auto frame = nlohmann::json();
-        frame["answer"] = std::move(answer);
-        responder->Send(frame);
+        return HandleQuery(std::move(request), std::move(responder));
       });
 }
 
+auto NodeDaemon::Impl::HandleQuery(nlohmann::json request,
+                                   std::shared_ptr<node::Responder> responder)
+    -> asio::awaitable<void> {
+  auto frame = nlohmann::json();
+  frame["answer"] = co_await asio::co_spawn(
+      control_, AnswerOnControl(std::move(request)), asio::use_awaitable);
+  responder->Send(frame);
+}
+
+auto NodeDaemon::Impl::AnswerOnControl(nlohmann::json query)
+    -> asio::awaitable<nlohmann::json> {
+  co_return operator_backend_.AnswerQuery(query);
+}
+
 auto NodeDaemon::Impl::RegisterMetrics() -> void {
   metrics_.AddGauge("kqg_control_cpu_seconds",
                     [this] { return CpuSeconds(control_thread_); });
@@ -725,7 +735,8 @@
   while (true) {
     if (IsWatcher() || hosts_.version == 0) {
       try {
-        ApplyHosts(co_await host_list_.Fetch());
+        auto hosts = co_await host_list_.Fetch();
+        ApplyHosts(std::move(hosts));
       } catch (const Error& error) {
         log_.Debug("Cannot read the host list.", {{"error", error.what()}});
       }
@@ -767,13 +778,13 @@
 }
 
 auto NodeDaemon::Impl::PollLoads() -> asio::awaitable<void> {
+  const auto executor = co_await asio::this_coro::executor;
   while (true) {
     for (auto& replica : table_.replicas()) {
       const auto dispatcher = table_.DispatcherOf(replica);
       if (replica.kind == routing::UpstreamKind::kModelEngine && dispatcher &&
           dispatcher->id == settings_.name) {
-        asio::co_spawn(co_await asio::this_coro::executor,
-                       PollLoad(std::move(replica)), asio::detached);
+        asio::co_spawn(executor, PollLoad(std::move(replica)), asio::detached);
       }
     }
     co_await Pause(kLoadPollInterval);
--- a/src/operator/operator_server.cc
+++ b/src/operator/operator_server.cc
@@ -189,11 +189,14 @@
       throw Error(ErrorKind::kInvalidArgument, "bad request body", "command",
                   "send {\"command\": \"...\"}");
     }
-    co_return co_await executor_.Run(
-        body["command"],
-        {.credential = *credential,
-         .address = std::move(from),
-         .operation_id = body.value("operation_id", std::string())});
+    // Named variables: GCC 12 destroys aggregate temporaries of a co_await
+    // expression twice.
+    auto line = body["command"].get<std::string>();
+    auto origin = CommandOrigin();
+    origin.credential = *credential;
+    origin.address = std::move(from);
+    origin.operation_id = body.value("operation_id", std::string());
+    co_return co_await executor_.Run(std::move(line), std::move(origin));
   }
 
   asio::io_context& context_;
