Add the scenario runner

Cause: the promises need proofs from outside, on real processes, in scripts that a newcomer can read.

Ruled out: shell scripts (no checks of answers byte by byte) and a second grammar.

--- /dev/null
+++ b/testing/scenario/child_process.h
@@ -0,0 +1,37 @@
+#ifndef TESTING_SCENARIO_CHILD_PROCESS_H_
+#define TESTING_SCENARIO_CHILD_PROCESS_H_
+
+#include <sys/types.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace kumquatgauge::testing {
+
+// One process under test. Killed, by its id, when destroyed.
+class ChildProcess {
+ public:
+  // Standard output goes to `out_file`, standard error is appended to
+  // `err_file`.
+  ChildProcess(const std::vector<std::string>& arguments,
+               const std::string& out_file,
+               const std::string& err_file);
+  ~ChildProcess();
+  ChildProcess(const ChildProcess&) = delete;
+  auto operator=(const ChildProcess&) -> ChildProcess& = delete;
+
+  auto Signal(int signal) -> void;
+  // Exit status, 128 + signal for a killed process; nothing while it runs
+  // after `limit`.
+  auto WaitForExit(std::chrono::milliseconds limit) -> std::optional<int>;
+
+ private:
+  pid_t pid_ = -1;
+  std::optional<int> exit_status_;
+};
+
+}  // namespace kumquatgauge::testing
+
+#endif  // TESTING_SCENARIO_CHILD_PROCESS_H_
