--- a/src/node/peer_test.cc
+++ b/src/node/peer_test.cc
@@ -1,3 +1,5 @@
+#include <array>
+#include <atomic>
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -23,6 +25,67 @@
 constexpr milliseconds kCallTimeout{10000};
 constexpr std::chrono::seconds kTestLimit{20};
 
+// Forwards connections to a server until it is told to go silent: then it keeps
+// the open ones but moves no more bytes, while new ones work.
+class SilencingProxy {
+ public:
+  SilencingProxy(boost::asio::io_context& context, const std::string& target)
+      : context_(context),
+        acceptor_(context, ParseTcpAddress("127.0.0.1:0")),
+        target_(ParseTcpAddress(target)) {
+    boost::asio::co_spawn(context, Accept(), boost::asio::detached);
+  }
+
+  auto address() const -> std::string {
+    return FormatAddress(acceptor_.local_endpoint());
+  }
+  auto connections() const -> std::size_t { return sockets_.size() / 2; }
+  auto SilenceOpenConnections() -> void { silent_below_ = sockets_.size(); }
+  auto Close() -> void {
+    acceptor_.close();
+    for (auto& socket : sockets_) {
+      socket->close();
+    }
+  }
+
+ private:
+  using Socket = std::shared_ptr<tcp::socket>;
+
+  auto Accept() -> awaitable<void> {
+    while (acceptor_.is_open()) {
+      auto from = std::make_shared<tcp::socket>(context_);
+      auto to = std::make_shared<tcp::socket>(context_);
+      co_await acceptor_.async_accept(*from, boost::asio::use_awaitable);
+      co_await to->async_connect(target_, boost::asio::use_awaitable);
+      const auto number = sockets_.size();
+      sockets_.push_back(from);
+      sockets_.push_back(to);
+      boost::asio::co_spawn(context_, Forward(from, to, number),
+                            boost::asio::detached);
+      boost::asio::co_spawn(context_, Forward(to, from, number),
+                            boost::asio::detached);
+    }
+  }
+
+  auto Forward(Socket from, Socket to, std::size_t number) -> awaitable<void> {
+    std::array<char, 4096> buffer;
+    for (;;) {
+      const auto size = co_await from->async_read_some(
+          boost::asio::buffer(buffer), boost::asio::use_awaitable);
+      if (number >= silent_below_) {
+        co_await boost::asio::async_write(
+            *to, boost::asio::buffer(buffer, size), boost::asio::use_awaitable);
+      }
+    }
+  }
+
+  boost::asio::io_context& context_;
+  tcp::acceptor acceptor_;
+  tcp::endpoint target_;
+  std::vector<Socket> sockets_;
+  std::size_t silent_below_ = 0;
+};
+
 // A server and a client on one io_context that is run by the test.
 class PeerFixture {
  public:
@@ -33,6 +96,7 @@
             PeerServerSettings{"127.0.0.1:0", "secret"})),
         client(MakePeerClient(context, {"secret"})) {
     server->Register("count", Count);
+    server->Register("large", Large);
     server->Register(
         "fail", [](json, std::shared_ptr<Responder>) -> awaitable<void> {
           throw Error(ErrorKind::kConflict, "taken", "key", "use another");
@@ -61,6 +125,16 @@
     co_return;
   }
 
+  // Sends more than the flow-control window at once.
+  static auto Large(json, std::shared_ptr<Responder> responder)
+      -> awaitable<void> {
+    const std::string text(std::size_t{1} << 20, 'x');
+    for (auto i = 0; i < 16; ++i) {
+      responder->Send({{"text", text}});
+    }
+    co_return;
+  }
+
   auto Endless(std::shared_ptr<Responder> responder) -> awaitable<void> {
     responder->OnCancel([this] { ++cancels; });
     boost::asio::steady_timer timer(context);
@@ -206,5 +280,167 @@
   CHECK(steady_clock::now() - start < std::chrono::seconds(2));
 }
 
+// Guards against a stream that hangs on a connection which has gone silent, and
+// against new calls that wait for it to be judged.
+TEST_CASE("Peer.JudgesSilentConnectionAndUsesFreshOneMeanwhile") {
+  PeerFixture peers;
+  peers.server->Start();
+  SilencingProxy proxy(peers.context, peers.server->address());
+  const auto stuck =
+      peers.Spawn(*peers.client, proxy.address(), "endless", json::object());
+  REQUIRE(peers.RunUntil([&] { return stuck->frames.size() > 3; }));
+  proxy.SilenceOpenConnections();
+  const auto start = steady_clock::now();
+  peers.RunUntil(
+      [&] { return steady_clock::now() - start > milliseconds(1100); });
+  const auto fresh =
+      peers.Spawn(*peers.client, proxy.address(), "count", {{"n", 2}});
+  REQUIRE(peers.RunUntil([&] { return fresh->done; }));
+  CHECK_FALSE(fresh->error);
+  CHECK_FALSE(stuck->done);
+  CHECK(proxy.connections() == 2);
+  REQUIRE(peers.RunUntil([&] { return stuck->done; }));
+  CHECK(stuck->error == ErrorKind::kUnknownOutcome);
+  // 1.5 s after the first unanswered PING, which is sent within 0.5 s.
+  CHECK(steady_clock::now() - start < milliseconds(2300));
+  // The server notices too that nobody reads.
+  CHECK(peers.RunUntil([&] { return peers.ended_handlers == 1; }));
+  proxy.Close();
+}
+
+// Guards against a planned stop that breaks a running stream.
+TEST_CASE("Peer.FinishesStreamsWhenServerStops") {
+  PeerFixture peers;
+  peers.server->Start();
+  auto cancel = std::make_shared<StreamCancel>();
+  const auto address = peers.server->address();
+  const auto running = peers.Spawn(*peers.client, address, "endless",
+                                   json::object(), kCallTimeout, cancel);
+  REQUIRE(peers.RunUntil([&] { return running->frames.size() > 3; }));
+  auto stopped = false;
+  boost::asio::co_spawn(peers.context,
+                        peers.server->Stop(std::chrono::seconds(10)),
+                        [&](const std::exception_ptr&) { stopped = true; });
+  const auto start = steady_clock::now();
+  peers.RunUntil(
+      [&] { return steady_clock::now() - start > milliseconds(300); });
+  const auto seen = running->frames.size();
+  CHECK(peers.RunUntil([&] { return running->frames.size() > seen; }));
+  CHECK_FALSE(stopped);
+  const auto late = peers.Spawn(*peers.client, address, "count", {{"n", 1}});
+  CHECK(peers.RunUntil([&] { return late->done; }));
+  CHECK(late->error == ErrorKind::kUnavailable);
+  cancel->Cancel();
+  CHECK(peers.RunUntil([&] { return stopped; }));
+  CHECK_FALSE(running->error);
+}
+
+// Guards against a stream that waits for ever for a handler that is stuck.
+TEST_CASE("Peer.TimesOutWithoutFrame") {
+  PeerFixture peers;
+  peers.server->Register(
+      "stuck", [&](json, const std::shared_ptr<Responder>&) -> awaitable<void> {
+        boost::asio::steady_timer timer(peers.context, std::chrono::hours(1));
+        co_await timer.async_wait(boost::asio::use_awaitable);
+      });
+  peers.server->Start();
+  const auto result = peers.Spawn(*peers.client, peers.server->address(),
+                                  "stuck", json::object(), milliseconds(100));
+  CHECK(peers.RunUntil([&] { return result->done; }));
+  CHECK(result->error == ErrorKind::kTimeout);
+}
+
+// Guards against small frames that wait behind another stream's large ones.
+TEST_CASE("Peer.SendsTokensBesideLargeStream") {
+  PeerFixture peers;
+  peers.server->Start();
+  const auto large = peers.Spawn(*peers.client, peers.server->address(),
+                                 "large", json::object());
+  const auto tokens = peers.Spawn(*peers.client, peers.server->address(),
+                                  "count", {{"n", 100}});
+  REQUIRE(peers.RunUntil([&] { return tokens->done; }));
+  CHECK(tokens->frames.size() == 100);
+  CHECK(large->frames.size() < 8);
+  REQUIRE(peers.RunUntil([&] { return large->done; }));
+  CHECK_FALSE(large->error);
+  CHECK(large->frames.size() == 16);
+}
+
+// Guards against a server that a stranger's bytes bring down.
+TEST_CASE("Peer.ServesOnAfterGarbage") {
+  constexpr std::uint64_t kSeed = 31;
+  INFO("seed " << kSeed);
+  std::mt19937_64 random(kSeed);
+  PeerFixture peers;
+  peers.server->Start();
+  for (auto i = 0; i < 300; ++i) {
+    tcp::socket socket(peers.context);
+    socket.connect(ParseTcpAddress(peers.server->address()));
+    // Half begin like HTTP/2 and go on with random frames.
+    std::string bytes = i % 2 == 0 ? "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" : "";
+    for (auto left = random() % 400; left > 0; --left) {
+      bytes.push_back(static_cast<char>(random() % (left % 9 < 3 ? 2 : 256)));
+    }
+    boost::system::error_code ignored;
+    boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
+    peers.context.restart();
+    peers.context.poll();
+  }
+  const auto result = peers.Call("count", {{"n", 3}});
+  CHECK_FALSE(result->error);
+  CHECK(result->frames.size() == 3);
+}
+
+// Guards against all connections on one thread.
+TEST_CASE("Peer.HandsConnectionsToWorkersInTurn") {
+  boost::asio::io_context context;
+  std::array<boost::asio::io_context, 2> workers;
+  std::array<std::atomic<int>, 2> served = {0, 0};
+  PeerServer server(context, {&workers[0], &workers[1]},
+                    {"127.0.0.1:0", "secret"});
+  server.Register(
+      "who",
+      [&](json,
+          const std::shared_ptr<Responder>& responder) -> awaitable<void> {
+        const auto executor = co_await boost::asio::this_coro::executor;
+        ++served[executor == workers[0].get_executor() ? 0 : 1];
+        responder->Send(json::object());
+      });
+  server.Start();
+  std::vector<std::thread> threads;
+  for (auto& worker : workers) {
+    threads.emplace_back([&worker] {
+      const auto guard = boost::asio::make_work_guard(worker);
+      worker.run();
+    });
+  }
+  std::vector<std::unique_ptr<PeerClient>> clients;
+  auto open = 4;
+  for (auto i = 0; i < 4; ++i) {
+    clients.push_back(MakePeerClient(context, {"secret"}));
+    boost::asio::co_spawn(
+        context,
+        clients.back()->Call(server.address(), Channel::kBatch, "who",
+                             json::object(), nullptr, kCallTimeout, nullptr),
+        [&](const std::exception_ptr& error) {
+          CHECK_FALSE(error);
+          --open;
+        });
+  }
+  const auto limit = steady_clock::now() + kTestLimit;
+  while (open > 0 && steady_clock::now() < limit) {
+    context.run_one_for(milliseconds(50));
+  }
+  CHECK(served[0] == 2);
+  CHECK(served[1] == 2);
+  clients.clear();
+  for (auto& worker : workers) {
+    worker.stop();
+  }
+  for (auto& thread : threads) {
+    thread.join();
+  }
+}
+
 }  // namespace
 }  // namespace kumquatgauge::node
