Bound the memory of idle connections between nodes

Cause: each connection held a read buffer of 64 KB and up to 256 KB of write memory; comparing tables with random peers would leave a control connection to every node, some 20 MB at 330 nodes, against a budget of 32 MB.

Reading now waits for the socket and uses one buffer per thread, idle write memory is released, and a connection without streams is closed after 60 s.

The 60 s timeout has no test.

--- a/include/kumquatgauge/node/peer_client.h
+++ b/include/kumquatgauge/node/peer_client.h
@@ -19,14 +19,19 @@
 // Time for TCP to connect and for the other side's SETTINGS to arrive.
 inline constexpr std::chrono::milliseconds kConnectTimeout{1500};
 
+// A connection without streams is closed after this: table comparison alone
+// would otherwise leave a connection to every node of the fleet.
+inline constexpr std::chrono::seconds kIdleTimeout{60};
+
 struct PeerClientSettings {
   std::string fleet_credential;
 };
 
 // A client for use on `context`, which is run by one thread and must outlive
-// it. A call that is cancelled returns without an error. No request is sent
-// before the other side's SETTINGS arrived, so that a host that accepts
-// connections but answers nothing gives kUnavailable.
+// it; the client must outlive its calls. A call that is cancelled returns
+// without an error. No request is sent before the other side's SETTINGS
+// arrived, so that a host that accepts connections but answers nothing gives
+// kUnavailable.
 auto MakePeerClient(boost::asio::io_context& context,
                     PeerClientSettings settings) -> std::unique_ptr<PeerClient>;
 
--- a/src/node/gossip.cc
+++ b/src/node/gossip.cc
@@ -267,7 +267,8 @@
     }
     report_posted_ = true;
     boost::asio::post(control_, [weak = weak_from_this()] {
-      if (const auto self = weak.lock()) {
+      const auto self = weak.lock();
+      if (self && !self->closed_) {
         self->report_posted_ = false;
         self->hooks_.members_changed(self->membership_.live());
       }
--- a/src/node/http2_connection.cc
+++ b/src/node/http2_connection.cc
@@ -5,6 +5,9 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <cstring>
@@ -150,6 +153,7 @@
 auto Http2Connection::StartSession(std::uint32_t max_streams) -> void {
   boost::system::error_code ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
   const auto timeout = kTcpUserTimeoutMs;
   ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
                sizeof(timeout));
@@ -263,10 +267,9 @@
 }
 
 auto Http2Connection::Read() -> void {
-  socket_.async_read_some(
-      boost::asio::buffer(in_),
-      [self = shared_from_this()](const boost::system::error_code& error,
-                                  std::size_t size) {
+  socket_.async_wait(
+      tcp::socket::wait_read,
+      [self = shared_from_this()](const boost::system::error_code& error) {
         if (self->closed_) {
           return;
         }
@@ -274,21 +277,43 @@
           self->Close("the connection was lost: " + error.message());
           return;
         }
-        self->bytes_in_ += size;
-        const auto used =
-            nghttp2_session_mem_recv(self->session_, self->in_.data(), size);
-        if (self->closed_) {
-          return;
-        }
-        if (used < 0) {
-          self->Close("the other side broke the protocol");
-          return;
+        if (self->ReadAvailable()) {
+          self->ScheduleWrite();
+          self->Read();
         }
-        self->ScheduleWrite();
-        self->Read();
       });
 }
 
+auto Http2Connection::ReadAvailable() -> bool {
+  // One buffer per thread: a node keeps connections to hundreds of others, and
+  // what was read is used up before the next read.
+  thread_local std::array<std::uint8_t, kReadBufferBytes> buffer;
+  for (auto reads = 0; reads < kReadsPerWait; ++reads) {
+    boost::system::error_code error;
+    const auto size = socket_.read_some(boost::asio::buffer(buffer), error);
+    if (error == boost::asio::error::would_block) {
+      return true;
+    }
+    if (error) {
+      Close("the connection was lost: " + error.message());
+      return false;
+    }
+    bytes_in_ += size;
+    const auto used = nghttp2_session_mem_recv(session_, buffer.data(), size);
+    if (closed_) {
+      return false;
+    }
+    if (used < 0) {
+      Close("the other side broke the protocol");
+      return false;
+    }
+    if (size < buffer.size()) {
+      return true;
+    }
+  }
+  return true;
+}
+
 auto Http2Connection::ScheduleWrite() -> void {
   if (flush_posted_ || writing_ || closed_) {
     return;
@@ -324,6 +349,9 @@
                 static_cast<std::size_t>(size));
   }
   if (out_.empty()) {
+    if (out_.capacity() > kIdleWriteBytes) {
+      out_.shrink_to_fit();
+    }
     CloseIfDone();
     return;
   }
--- a/src/node/http2_connection.h
+++ b/src/node/http2_connection.h
@@ -3,7 +3,6 @@
 
 #include <nghttp2/nghttp2.h>
 
-#include <array>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
@@ -11,6 +10,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace kumquatgauge::node::detail {
@@ -22,6 +22,10 @@
 // Bytes gathered for one write to the socket.
 inline constexpr std::size_t kWriteBatchBytes = std::size_t{256} << 10;
 inline constexpr std::size_t kReadBufferBytes = std::size_t{64} << 10;
+// Reads before the other connections of the thread get their turn.
+inline constexpr int kReadsPerWait = 4;
+// Write memory that a connection keeps while it has nothing to send.
+inline constexpr std::size_t kIdleWriteBytes = std::size_t{16} << 10;
 // TCP gives up on unacknowledged data after this.
 inline constexpr int kTcpUserTimeoutMs = 3000;
 
@@ -95,6 +99,8 @@
   struct Callbacks;
 
   auto Read() -> void;
+  // Returns false when the connection was closed.
+  auto ReadAvailable() -> bool;
   auto Flush() -> void;
   auto Dispatch(const nghttp2_frame& frame) -> void;
   auto CloseIfDone() -> void;
@@ -102,7 +108,6 @@
   boost::asio::ip::tcp::socket socket_;
   Side side_;
   nghttp2_session* session_ = nullptr;
-  std::array<std::uint8_t, kReadBufferBytes> in_;
   std::string out_;
   std::uint64_t bytes_in_ = 0;
   bool flush_posted_ = false;
--- a/src/node/peer_client.cc
+++ b/src/node/peer_client.cc
@@ -304,6 +304,7 @@
       return;
     }
     pinging_ = true;
+    timer_.cancel();
     SendPing();
   }
 
@@ -320,12 +321,22 @@
         self->Close("no answer to PING");
       } else if (self->streams_.empty() && self->unanswered_ == 0) {
         self->pinging_ = false;
+        self->CloseWhenIdle();
       } else {
         self->SendPing();
       }
     });
   }
 
+  auto CloseWhenIdle() -> void {
+    timer_.expires_after(kIdleTimeout);
+    timer_.async_wait([self = Self()](const boost::system::error_code& error) {
+      if (!error && !self->pinging_ && !self->closed()) {
+        self->Close("it was idle");
+      }
+    });
+  }
+
   auto KeepUntilReturn(std::shared_ptr<ClientStream> stream) -> void {
     // nghttp2 may still hold the body until this callback returns.
     kept_.push_back(std::move(stream));
@@ -437,6 +448,10 @@
   struct Link {
     std::shared_ptr<ClientConnection> current;
     std::shared_ptr<ClientConnection> judged;
+
+    auto unused() const -> bool {
+      return (!current || current->closed()) && (!judged || judged->closed());
+    }
   };
 
   static auto Wait(ClientStream& stream,
@@ -459,16 +474,20 @@
 
   auto Pick(const std::string& address, Channel channel)
       -> std::shared_ptr<ClientConnection> {
-    auto& link = links_[{address, channel}];
-    if (link.current && link.current->usable()) {
-      return link.current;
+    const std::pair key(address, channel);
+    const auto known = links_.find(key);
+    if (known != links_.end() && known->second.current->usable()) {
+      return known->second.current;
     }
+    const auto endpoint = ParseTcpAddress(address);
+    std::erase_if(links_,
+                  [](const auto& item) { return item.second.unused(); });
+    auto& link = links_[key];
     if (link.judged && link.judged->state() == ClientConnection::State::kOpen &&
         link.judged->usable()) {
       link.current = std::move(link.judged);
       return link.current;
     }
-    const auto endpoint = ParseTcpAddress(address);
     link.judged = std::move(link.current);
     link.current = std::make_shared<ClientConnection>(context_, address);
     link.current->Connect(endpoint);
--- a/src/node/peer_server.cc
+++ b/src/node/peer_server.cc
@@ -36,9 +36,10 @@
 
 constexpr std::string_view kPathPrefix = "/node/v1/";
 constexpr std::string_view kCredentialHeader = "kqg-fleet";
-// Open streams and no byte from the other side for this long, although clients
-// send a PING every 500 ms: the other side is gone.
-constexpr std::chrono::seconds kReaderTimeout{4};
+// A new connection on which nothing arrives for 4 s is closed, and so is
+// one with open streams: clients send a PING every 500 ms.
+constexpr std::chrono::seconds kReaderCheckInterval{1};
+constexpr int kQuietChecksUntilDead = 4;
 constexpr std::chrono::milliseconds kStopPoll{10};
 // From the notice to the final GOAWAY, so that requests already on their way
 // are still accepted.
@@ -120,7 +121,10 @@
   }
   ~ServerConnection() override { --shared_->connections; }
 
-  auto Start() -> void { StartSession(kMaxStreamsPerConnection); }
+  auto Start() -> void {
+    StartSession(kMaxStreamsPerConnection);
+    WatchReader();
+  }
 
   auto Shutdown() -> void {
     if (closed()) {
@@ -304,17 +308,23 @@
     }
     watching_ = true;
     last_bytes_in_ = bytes_in();
-    timer_.expires_after(kReaderTimeout);
+    timer_.expires_after(kReaderCheckInterval);
     timer_.async_wait([self = Self()](const boost::system::error_code& error) {
       if (error || self->closed()) {
         return;
       }
       self->watching_ = false;
-      if (self->streams_.empty()) {
+      const auto expects_bytes =
+          !self->streams_.empty() || self->bytes_in() == 0;
+      if (!expects_bytes) {
+        self->quiet_checks_ = 0;
         return;
       }
-      if (self->bytes_in() == self->last_bytes_in_) {
-        self->Close("no PING from the other side");
+      self->quiet_checks_ = self->bytes_in() == self->last_bytes_in_
+                                ? self->quiet_checks_ + 1
+                                : 0;
+      if (self->quiet_checks_ >= kQuietChecksUntilDead) {
+        self->Close("nothing arrived from the other side");
         return;
       }
       self->WatchReader();
@@ -326,6 +336,7 @@
   std::vector<std::shared_ptr<ServerStream>> closing_;
   boost::asio::steady_timer timer_;
   std::uint64_t last_bytes_in_ = 0;
+  int quiet_checks_ = 0;
   bool watching_ = false;
 };
 
