Test leases and the configuration store under faults

The seeded loops add stale reads and writes that land after they were given up, besides outages and lost answers. The lease test found that a takeover did not mark itself as one, so that orders to engines without fencing would not have waited out the former holder's term; fixed here.

--- a/src/control/lease.cc
+++ b/src/control/lease.cc
@@ -186,6 +186,7 @@
   if (!own_leftover && !observer_.MayTakeOver()) {
     co_return false;
   }
+  took_over_ = found && !found->owner.empty() && !own_leftover;
   const auto last_token = found ? found->token : 0;
   auto record = LeaseRecord{.owner = node_,
                             .incarnation = incarnation_,
