Test the platform clients against the in-memory platform

Each error kind is checked against what the platform really did: a lost answer had its effect and reads as unknown, 503 and a refused connection had none and read as unavailable.

--- /dev/null
+++ b/src/platform/circuit_test.cc
@@ -0,0 +1,99 @@
+#include "kumquatgauge/platform/circuit.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+#include <set>
+
+namespace kumquatgauge::platform {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct Fixture {
+  auto Fail(std::uint32_t times) -> void {
+    for (std::uint32_t i = 0; i < times; ++i) {
+      circuit.OnFailure(now);
+    }
+  }
+
+  CircuitOptions options;
+  std::uint64_t draw = 0;
+  Circuit circuit{options, [this] { return draw; }};
+  MonotonicTime now{seconds(100)};
+};
+
+// Guards against refusing calls because of a single lost answer.
+TEST_CASE_METHOD(Fixture, "Circuit.StaysClosedUnderScatteredFailures") {
+  for (auto i = 0; i < 100; ++i) {
+    Fail(options.failures_to_open - 1);
+    circuit.OnSuccess();
+  }
+  CHECK(circuit.Ask(now, true).allowed);
+  CHECK_FALSE(circuit.TakeRecovered());
+}
+
+// Guards against calls that wait for timeouts while the platform is out.
+TEST_CASE_METHOD(Fixture, "Circuit.RefusesAtOnceWithRetryTimeWhenOpen") {
+  Fail(options.failures_to_open);
+  const auto decision = circuit.Ask(now, true);
+  CHECK_FALSE(decision.allowed);
+  CHECK(decision.retry_after == options.first_wait / 2);
+}
+
+// Guards against a load of probes on a platform that is coming back.
+TEST_CASE_METHOD(Fixture, "Circuit.LetsOneProbeThrough") {
+  Fail(options.failures_to_open);
+  now += options.first_wait;
+  CHECK_FALSE(circuit.Ask(now, false).allowed);
+  CHECK(circuit.Ask(now, true).allowed);
+  CHECK_FALSE(circuit.Ask(now, true).allowed);
+  circuit.OnSuccess();
+  CHECK(circuit.Ask(now, false).allowed);
+  CHECK(circuit.TakeRecovered());
+}
+
+// Guards against a circuit that stays open because a probe was never answered.
+TEST_CASE_METHOD(Fixture, "Circuit.ProbesAgainWhenAProbeGotLost") {
+  Fail(options.failures_to_open);
+  now += options.first_wait;
+  REQUIRE(circuit.Ask(now, true).allowed);
+  now += options.probe_timeout;
+  CHECK(circuit.Ask(now, true).allowed);
+}
+
+// Guards against waits above the bound, which would outlast lease terms.
+TEST_CASE_METHOD(Fixture, "Circuit.WaitsLongerUpToABound") {
+  draw = UINT64_MAX;
+  Fail(options.failures_to_open);
+  for (auto i = 0; i < 10; ++i) {
+    const auto decision = circuit.Ask(now, true);
+    CHECK(decision.retry_after <= options.longest_wait * 3 / 2);
+    now += decision.retry_after;
+    REQUIRE(circuit.Ask(now, true).allowed);
+    circuit.OnFailure(now);
+  }
+  CHECK(circuit.Ask(now, true).retry_after > options.first_wait * 2);
+}
+
+// Guards against all nodes of a fleet returning at the same moment.
+TEST_CASE("Circuit.SpreadsTheReturnOfAFleet") {
+  constexpr auto kNodes = 330;
+  auto random = std::mt19937_64(5);
+  const auto options = CircuitOptions();
+  const auto now = MonotonicTime(seconds(100));
+  auto per_bucket = std::map<std::int64_t, int>();
+  for (auto node = 0; node < kNodes; ++node) {
+    auto circuit = Circuit(options, [&] { return random(); });
+    for (std::uint32_t i = 0; i < options.failures_to_open; ++i) {
+      circuit.OnFailure(now);
+    }
+    ++per_bucket[circuit.Ask(now, true).retry_after / milliseconds(50)];
+  }
+  for (const auto& [bucket, nodes] : per_bucket) {
+    CHECK(nodes < kNodes / 5);
+  }
+}
+
+}  // namespace
+}  // namespace kumquatgauge::platform
--- /dev/null
+++ b/src/platform/http_object_store_test.cc
@@ -0,0 +1,235 @@
+#include "kumquatgauge/platform/http_object_store.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
+
+#include "kumquatgauge/base/error.h"
+#include "kumquatgauge/platform/http_host_list.h"
+#include "kumquatgauge/platform/weight_store.h"
+#include "testing/support/fake_platform.h"
+#include "testing/support/run_awaitable.h"
+
+namespace kumquatgauge::platform {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using testing::FakePlatform;
+using testing::RunAwaitable;
+using testing::RunUntil;
+
+auto Options(const std::string& address) -> PlatformOptions {
+  auto options = PlatformOptions();
+  options.address = address;
+  options.call_timeout = milliseconds(300);
+  return options;
+}
+
+struct Fixture {
+  explicit Fixture(const testing::FakePlatformOptions& fake_options = {})
+      : fake(context.get_executor(), fake_options),
+        client(context.get_executor(),
+               Options(fake.address()),
+               &std::chrono::steady_clock::now,
+               [this] { return random(); }),
+        store(client) {}
+
+  auto Read(const std::string& key) -> std::optional<StoredObject> {
+    return RunAwaitable(context, store.Read(key, CallClass::kStatus));
+  }
+  auto Write(const std::string& key,
+             const std::string& value,
+             std::optional<std::uint64_t> expected = {}) -> std::uint64_t {
+    return RunAwaitable(context,
+                        store.Write(key, value, expected, CallClass::kResult));
+  }
+  auto Remove(const std::string& key, std::uint64_t expected) -> void {
+    RunAwaitable(context, store.Remove(key, expected, CallClass::kStatus));
+  }
+  // Kind of the error that the call throws; nothing when it throws none.
+  template <typename Call>
+  auto KindOf(Call call) -> std::optional<ErrorKind> {
+    try {
+      call();
+    } catch (const Error& error) {
+      last_message = error.what();
+      return error.kind();
+    }
+    return std::nullopt;
+  }
+
+  boost::asio::io_context context;
+  std::mt19937_64 random{1};
+  FakePlatform fake;
+  PlatformClient client;
+  HttpObjectStore store;
+  std::string last_message;
+};
+
+TEST_CASE_METHOD(Fixture, "HttpObjectStore.WritesReadsAndRemovesByVersion") {
+  CHECK_FALSE(Read("a/b c%").has_value());
+  const auto first = Write("a/b c%", "one");
+  const auto second = Write("a/b c%", "two", first);
+  CHECK(second > first);
+  CHECK(Read("a/b c%") == StoredObject{"two", second});
+  Remove("a/b c%", second);
+  CHECK_FALSE(Read("a/b c%").has_value());
+}
+
+// Guards against errors that say "no effect" of a write that had one, or the
+// reverse.
+TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReportsConflictAndNotFound") {
+  Write("a", "one");
+  CHECK(KindOf([&] { Write("a", "two"); }) == ErrorKind::kConflict);
+  CHECK(KindOf([&] { Write("a", "two", 7); }) == ErrorKind::kConflict);
+  CHECK(KindOf([&] { Write("none", "x", 1); }) == ErrorKind::kConflict);
+  CHECK(KindOf([&] { Remove("a", 7); }) == ErrorKind::kConflict);
+  CHECK(KindOf([&] { Remove("none", 1); }) == ErrorKind::kNotFound);
+  CHECK(KindOf([&] { Write("big", std::string(kMaxValueBytes + 1, 'x')); }) ==
+        ErrorKind::kInvalidArgument);
+}
+
+TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReportsALostAnswerAsUnknown") {
+  fake.SetFault({{"mode", "lose_answers"}});
+  CHECK(KindOf([&] { Write("a", "one"); }) == ErrorKind::kUnknownOutcome);
+  CHECK(fake.Value("a") == "one");
+  CHECK(KindOf([&] { Remove("a", 1); }) == ErrorKind::kUnknownOutcome);
+  CHECK_FALSE(fake.Value("a").has_value());
+}
+
+TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReportsASilentPlatform") {
+  fake.SetFault({{"mode", "outage"}, {"kind", "hang"}});
+  CHECK(KindOf([&] { Read("a"); }) == ErrorKind::kTimeout);
+  CHECK(KindOf([&] { Write("a", "one"); }) == ErrorKind::kUnknownOutcome);
+}
+
+TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReportsAnOutageAsUnavailable") {
+  fake.SetFault({{"mode", "outage"}, {"kind", "error"}});
+  CHECK(KindOf([&] { Read("a"); }) == ErrorKind::kUnavailable);
+  CHECK(KindOf([&] { Write("a", "one"); }) == ErrorKind::kUnavailable);
+  CHECK_FALSE(fake.Value("a").has_value());
+}
+
+TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReportsRefusedAsUnavailable") {
+  Write("a", "one");
+  fake.Stop();
+  RunUntil(context, [&] { return context.poll() == 0; });
+  CHECK(KindOf([&] { Write("a", "two", 1); }) == ErrorKind::kUnavailable);
+  CHECK(KindOf([&] { Read("a"); }) == ErrorKind::kUnavailable);
+}
+
+// Guards against callers that wait for a timeout each while the platform is
+// out, and against a client that does not come back.
+TEST_CASE_METHOD(Fixture, "HttpObjectStore.RefusesAtOnceInAnOutageAndReturns") {
+  fake.SetFault({{"mode", "outage"}, {"kind", "error"}});
+  for (auto i = 0; i < 5; ++i) {
+    KindOf([&] { Read("a"); });
+  }
+  const auto sent = client.counts().failures;
+  CHECK(KindOf([&] { Read("a"); }) == ErrorKind::kUnavailable);
+  CHECK_THAT(last_message, Catch::Contains("retry in "));
+  CHECK(client.counts().failures == sent);
+  CHECK(client.last_retry_after() > Duration(0));
+  fake.SetFault({{"mode", "none"}});
+  RunUntil(context, [&] { return !KindOf([&] { Read("a"); }); });
+  CHECK(client.circuit_state() == Circuit::State::kClosed);
+}
+
+// Guards against a read that fails because the platform closed an idle
+// connection.
+TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReplacesClosedIdleConnections") {
+  Write("a", "one");
+  fake.SetFault({{"mode", "lose_answers"}, {"prefix", "b"}});
+  KindOf([&] { Write("b", "x"); });
+  fake.SetFault({{"mode", "none"}});
+  CHECK(Write("a", "two", 1) == 2);
+  CHECK(Read("a")->value == "two");
+}
+
+TEST_CASE_METHOD(Fixture, "HttpObjectStore.ListsPagesInOrder") {
+  for (const auto* key : {"p/c", "p/a", "p/b", "q/a"}) {
+    Write(key, "x");
+  }
+  const auto page =
+      RunAwaitable(context, store.List("p/", "p/a", 10, CallClass::kStatus));
+  CHECK(page.entries == std::vector<ListEntry>{{"p/b", 1}, {"p/c", 1}});
+  CHECK(page.revision == 4);
+}
+
+// Guards against changes that a watch misses, and watches that go uncounted.
+TEST_CASE_METHOD(Fixture, "HttpObjectStore.WatchWakesOnAChange") {
+  auto batch = std::optional<WatchBatch>();
+  boost::asio::co_spawn(
+      context, store.Watch("w/", 0, std::chrono::seconds(10)),
+      [&](std::exception_ptr error, const WatchBatch& result) {
+        CHECK(error == nullptr);
+        batch = result;
+      });
+  RunUntil(context, [&] { return fake.Stats().at("watches_waiting") == 1; });
+  CHECK(client.counts().watches_waiting == 1);
+  Write("other", "x");
+  CHECK_FALSE(batch.has_value());
+  Write("w/a", "x");
+  RunUntil(context, [&] { return batch.has_value(); });
+  CHECK(batch->events == std::vector<WatchEvent>{{"w/a", 1, 2}});
+  CHECK(client.counts().watches_waiting == 0);
+  CHECK(client.counts().watches == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "HttpObjectStore.WatchEndsEmptyAtItsTimeout") {
+  const auto batch =
+      RunAwaitable(context, store.Watch("w/", 0, milliseconds(400)));
+  CHECK(batch.events.empty());
+}
+
+TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReportsAnExceededRate") {
+  fake.SetFault({{"mode", "rates"}, {"writes_per_second", 0.1}});
+  CHECK(KindOf([&] { Write("a", "one"); }) == ErrorKind::kOverloaded);
+  CHECK(client.counts().rate_exceeded == 1);
+  CHECK(client.last_retry_after() >= std::chrono::seconds(1));
+}
+
+TEST_CASE_METHOD(Fixture, "HttpObjectStore.CountsCallsByClass") {
+  Write("a", "one");
+  Read("a");
+  Read("b");
+  const auto& counts = client.counts();
+  CHECK(counts.writes.at(static_cast<int>(CallClass::kResult)) == 1);
+  CHECK(counts.reads.at(static_cast<int>(CallClass::kStatus)) == 2);
+  CHECK(fake.Stats().at("calls") == json{{"read", 2}, {"write", 1}});
+}
+
+// Guards against acting on the truth in tests that are about its lag.
+TEST_CASE_METHOD(Fixture, "HttpHostList.ShowsHostsWithALag") {
+  auto hosts = HttpHostList(client);
+  const auto host = json{{"name", "h"},
+                         {"address", "127.0.0.1:1"},
+                         {"zone", "z"},
+                         {"state", "leaving"}};
+  fake.SetFault({{"mode", "lag"}, {"lag_ms", 60'000}});
+  fake.SetHosts(json::array({host}));
+  CHECK(RunAwaitable(context, hosts.Fetch()).hosts.empty());
+  fake.SetFault({{"mode", "lag"}, {"lag_ms", 0}});
+  const auto snapshot = RunAwaitable(context, hosts.Fetch());
+  CHECK(snapshot.version == 1);
+  REQUIRE(snapshot.hosts.size() == 1);
+  CHECK(snapshot.hosts.front() ==
+        Host{"h", "127.0.0.1:1", ZoneName("z"), HostState::kLeaving});
+}
+
+// Guards against a refusal of the weight store that counts as an outage or
+// slows the object API down.
+TEST_CASE_METHOD(Fixture, "HttpWeightStore.SaysWhenToComeBack") {
+  auto weights = HttpWeightStore(client);
+  CHECK_FALSE(RunAwaitable(context, weights.Request("m@1")).has_value());
+  const auto wait = RunAwaitable(context, weights.Request("m@1"));
+  CHECK(wait == milliseconds(1000));
+  CHECK(client.counts().rate_exceeded == 0);
+}
+
+}  // namespace
+}  // namespace kumquatgauge::platform
