--- a/include/kumquatgauge/control/config_store.h
+++ b/include/kumquatgauge/control/config_store.h
@@ -127,6 +127,8 @@
     // Version over which a write was sent whose answer was lost. Only a newer
     // head tells whether it took effect.
     std::optional<std::uint64_t> open_version;
+    // The last head showed less than this node has seen.
+    bool behind = false;
     std::string last_reason;  // Why the last try came to nothing.
   };
   struct Refusal {
--- a/src/control/config_store.cc
+++ b/src/control/config_store.cc
@@ -287,6 +287,12 @@
         "the change may have been applied (" + attempt.last_reason + ")",
         request.key, remedy);
   }
+  if (attempt.behind) {
+    throw Error(
+        ErrorKind::kUnavailable,
+        "the platform's data is out of date (" + attempt.last_reason + ")",
+        request.key, "restore " + std::string(kConfigHeadKey));
+  }
   throw Error(ErrorKind::kOverloaded,
               "gave up after " + std::to_string(kMaxAttempts) + " attempts (" +
                   attempt.last_reason + ")",
@@ -308,17 +314,13 @@
     co_return first;
   }
   if (head.revision < latest_.revision()) {
-    if (!head.version) {
-      throw Error(ErrorKind::kUnavailable,
-                  "the platform shows no configuration, but revision " +
-                      std::to_string(latest_.revision()) + " is in effect",
-                  kConfigHeadKey, "restore the platform's objects");
-    }
     attempt.last_reason = "the platform shows revision " +
                           std::to_string(head.revision) + " after " +
                           std::to_string(latest_.revision());
+    attempt.behind = true;
     co_return std::nullopt;
   }
+  attempt.behind = false;
   auto configuration = co_await ConfigurationOf(head);
   Advance(configuration);
   if (attempt.open_version && version > *attempt.open_version) {
--- a/src/control/configuration.cc
+++ b/src/control/configuration.cc
@@ -463,7 +463,7 @@
   std::erase_if(*entries, [&](const auto& item) {
     const auto& entry = item.second;
     return entry.value.is_null() &&
-           entry.revision + kTombstoneRevisions < delta.to;
+           entry.revision + kTombstoneRevisions <= delta.to;
   });
   auto next = Configuration();
   next.revision_ = delta.to;
