Route from a subset with aging reports; batch yields above the level

Changes: zone margin 0.1, weight of a report falls by e in 2 s, random candidates from a subset of 16 local replicas, loads shared with all nodes in fleets of up to 16. Ruled out by trial: margin 0 (no better), report decay 1, 4 and 8 s, subsets of 8 and 32.

Batch: at lean 0 running batch is preempted when online passes the level.

--- a/bench/routing_fleet.h
+++ b/bench/routing_fleet.h
@@ -268,11 +268,15 @@
       index_of_[info.id] = index;
     }
   }
-  static auto PeersOf(const std::vector<routing::NodeInfo>& infos,
-                      const ZoneName& zone) -> std::size_t {
+  auto IsPeer(const ZoneName& left, const ZoneName& right) const -> bool {
+    return left == right ||
+           static_cast<std::size_t>(options_.nodes) <= routing::kSmallFleet;
+  }
+  auto PeersOf(const std::vector<routing::NodeInfo>& infos,
+               const ZoneName& zone) const -> std::size_t {
     std::size_t peers = 0;
     for (const auto& info : infos) {
-      peers += info.zone == zone ? 1 : 0;
+      peers += IsPeer(info.zone, zone) ? 1 : 0;
     }
     return peers - 1;
   }
@@ -530,7 +534,7 @@
   auto Peers(std::size_t node) const -> std::size_t {
     std::size_t peers = 0;
     for (const auto& other : nodes_) {
-      peers += other->info.zone == nodes_[node]->info.zone ? 1 : 0;
+      peers += IsPeer(other->info.zone, nodes_[node]->info.zone) ? 1 : 0;
     }
     return peers - 1;
   }
@@ -546,7 +550,7 @@
     }
     simulation_.After(Milliseconds(0.2), [this, node, loads] {
       for (auto& other : nodes_) {
-        if (other->info.zone == nodes_[node]->info.zone) {
+        if (IsPeer(other->info.zone, nodes_[node]->info.zone)) {
           for (const auto& load : loads) {
             other->router->OnLoad(load);
           }
--- a/include/kumquatgauge/routing/batch_room.h
+++ b/include/kumquatgauge/routing/batch_room.h
@@ -35,6 +35,8 @@
 // the number of running requests that online traffic reaches by itself at busy
 // moments; at lean 1 it fills the limit; between them the level is
 // interpolated. Late online tokens lower the level, on-time ones restore it.
+// When a burst passes the level, running batch gives way at once at lean 0; the
+// higher lean is, the longer it stays, at lean 0.5 until its slots are needed.
 class BatchRoom {
  public:
   BatchRoom(BatchRoomSettings settings, Clock clock);
@@ -49,6 +51,10 @@
   // that run or wait.
   auto Allowed(std::uint32_t limit, std::uint32_t online) const
       -> std::uint32_t;
+  // Batch items that may stay when online requests have come since they
+  // started; the rest is preempted. At least Allowed.
+  auto AllowedToStay(std::uint32_t limit, std::uint32_t online) const
+      -> std::uint32_t;
 
  private:
   // Highest number of online requests in one stretch of time.
--- a/include/kumquatgauge/routing/dispatcher.h
+++ b/include/kumquatgauge/routing/dispatcher.h
@@ -170,6 +170,8 @@
   auto StartOnline(Actions& actions) -> void;
   auto StartBatch(Actions& actions) -> void;
   auto PreemptForOnline(Actions& actions) -> void;
+  // Preempts batch beyond what the batch rule lets stay beside online.
+  auto PreemptExcess(Actions& actions) -> void;
   // Returns whether anything was preempted.
   auto PreemptBatch(std::uint32_t count, Actions& actions) -> bool;
   auto Start(const DispatchItem& item, Actions& actions) -> void;
@@ -189,6 +191,8 @@
   auto RetryAfter() const -> std::chrono::milliseconds;
   auto HasRoom(std::uint32_t max_tokens) const -> bool;
   auto FreeSlots() const -> std::uint32_t;
+  // Online requests at the replica or waiting for it.
+  auto OnlineLevel() const -> std::uint32_t;
   auto BatchAllowed() const -> std::uint32_t;
   auto BatchRoomNow() const -> std::uint32_t;
   auto MayStartBatch(const DispatchItem& item) const -> bool;
@@ -207,6 +211,7 @@
   std::uint32_t online_running_ = 0;
   std::uint32_t batch_running_ = 0;
   std::uint32_t stopping_ = 0;
+  std::uint32_t batch_stopping_ = 0;
   std::uint32_t alone_running_ = 0;
   std::uint64_t reserved_tokens_ = 0;
   std::uint64_t stopping_tokens_ = 0;
--- a/include/kumquatgauge/routing/load_sharing.h
+++ b/include/kumquatgauge/routing/load_sharing.h
@@ -1,6 +1,7 @@
 #ifndef KUMQUATGAUGE_ROUTING_LOAD_SHARING_H_
 #define KUMQUATGAUGE_ROUTING_LOAD_SHARING_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -25,8 +26,13 @@
   Duration refresh = std::chrono::seconds(10);
 };
 
-// Decides when the loads of this node's replicas are sent to the other nodes of
-// the zone: the largest change first, within a byte budget.
+// In a fleet of at most this many nodes loads go to all of them, beyond it to
+// those of the own zone. Entries of a small fleet send much to other zones, and
+// the byte budget allows them to know those replicas too.
+inline constexpr std::size_t kSmallFleet = 16;
+
+// Decides when the loads of this node's replicas are sent to other nodes: the
+// largest change first, within a byte budget.
 class LoadSharing {
  public:
   LoadSharing(LoadSharingSettings settings, Clock clock);
--- a/include/kumquatgauge/routing/router.h
+++ b/include/kumquatgauge/routing/router.h
@@ -1,6 +1,7 @@
 #ifndef KUMQUATGAUGE_ROUTING_ROUTER_H_
 #define KUMQUATGAUGE_ROUTING_ROUTER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -19,7 +20,9 @@
 struct RouterSettings {
   // Another zone is used when the local replica's utilisation is higher than
   // the other zone's by more than this.
-  double zone_margin = 0.25;
+  // A larger margin leaves replicas of other zones idle while
+  // requests queue here, which costs more than the extra 0.5 ms.
+  double zone_margin = 0.1;
   // A replica hinted at by prefix affinity is used while its load is at most
   // this many times the mean.
   double affinity_bound = 1.25;
@@ -33,6 +36,14 @@
   // loaded as the mean, so that a stale high figure cannot exclude it for ever,
   // and one batch item may ask it whether it has room.
   Duration stale_after = std::chrono::seconds(5);
+  // With age, a report says less about the present: its weight against the mean
+  // falls by e in this time. Nodes that all believe a report of some seconds
+  // ago send too much to the replicas that were least loaded then.
+  Duration report_decay = std::chrono::seconds(2);
+  // In a zone with more replicas, the random candidates are drawn from this
+  // many, which differ from node to node. Each node then hears often enough of
+  // the replicas that it uses: reports come back with its own requests.
+  std::size_t subset_size = 16;
 };
 
 struct RouteRequest {
@@ -69,7 +80,7 @@
   std::uint32_t batch_room = 0;
   double weight = 1.0;       // Below 1 during slow start.
   double utilisation = 0.0;  // What was compared.
-  bool stale = false;        // The report was too old to be believed.
+  Duration report_age{0};
 
   auto operator==(const RouteCandidate&) const -> bool = default;
 };
@@ -124,6 +135,8 @@
     Replica replica;
     std::uint64_t hash = 0;
     bool local = false;
+    // Whether it belongs to the subset of its service that this entry prefers.
+    bool preferred = true;
     EjectionState ejection = EjectionState::kInUse;
     bool probe_due = false;
     bool reported = false;
@@ -142,8 +155,12 @@
 
   auto Find(const ReplicaId& replica) -> State*;
   auto Find(const ReplicaId& replica) const -> const State*;
+  auto MarkPreferred(std::vector<State>& states) const -> void;
   auto IsStale(const State& state, MonotonicTime now) const -> bool;
   auto Weight(const State& state, MonotonicTime now) const -> double;
+  // Estimate of the requests in flight now.
+  auto InFlight(const State& state, MonotonicTime now, double mean) const
+      -> double;
   // Utilisation if one more request were sent.
   auto Utilisation(const State& state, MonotonicTime now, double mean) const
       -> double;
@@ -182,11 +199,14 @@
   RouterSettings settings_;
   Clock clock_;
   RandomSource random_;
+  // Makes the subsets of different entries differ.
+  std::uint64_t subset_seed_;
   std::unordered_map<ServiceName, std::vector<State>> services_;
   // Position of a replica in its service's vector.
   std::unordered_map<ReplicaId, std::pair<ServiceName, std::uint32_t>> places_;
   // Kept between calls to avoid allocations.
   std::vector<std::uint32_t> local_;
+  std::vector<std::uint32_t> preferred_;  // Those of local_ in the subset.
   std::vector<std::uint32_t> remote_;
 };
 
--- a/src/routing/batch_room.cc
+++ b/src/routing/batch_room.cc
@@ -79,6 +79,20 @@
   return std::min(free, level - std::min(level, online));
 }
 
+auto BatchRoom::AllowedToStay(std::uint32_t limit, std::uint32_t online) const
+    -> std::uint32_t {
+  auto free = limit - std::min(limit, online);
+  if (settings_.rule != BatchRule::kFeedback) {
+    return free;
+  }
+  // One more than the level, so that an online request that comes and goes does
+  // not preempt and restart an item each time.
+  auto level = FeedbackLevel(limit) + 1.0;
+  auto stay = level + std::min(1.0, 2.0 * settings_.lean) * (limit - level);
+  auto most = static_cast<std::uint32_t>(std::floor(std::max(level, stay)));
+  return std::min(free, most - std::min(most, online));
+}
+
 auto BatchRoom::OnLatency(double share_of_target) -> void {
   if (share_of_target <= 1.0) {
     factor_ = std::min(1.0, factor_ + kRaise);
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -212,6 +212,7 @@
   if (running.stopping) {
     --stopping_;
     stopping_tokens_ -= running.item.max_tokens;
+    batch_stopping_ -= running.item.work_class == WorkClass::kBatch ? 1 : 0;
   }
   reserved_tokens_ -= running.item.max_tokens;
 }
@@ -251,6 +252,7 @@
   if (!replica_.leaving) {
     StartOnline(actions);
     PreemptForOnline(actions);
+    PreemptExcess(actions);
     RefuseHopeless(arrived, actions);
     StartBatch(actions);
   }
@@ -342,6 +344,14 @@
   }
 }
 
+auto Dispatcher::PreemptExcess(Actions& actions) -> void {
+  auto staying = batch_running_ - std::min(batch_running_, batch_stopping_);
+  auto allowed = batch_room_.AllowedToStay(limit_.limit(), OnlineLevel());
+  if (OnlineLevel() > 0 && staying > allowed) {
+    PreemptBatch(staying - allowed, actions);
+  }
+}
+
 auto Dispatcher::PreemptBatch(std::uint32_t count, Actions& actions) -> bool {
   std::vector<Running*> victims;
   for (auto& [id, running] : running_) {
@@ -392,6 +402,7 @@
     running.stopping = true;
     ++stopping_;
     stopping_tokens_ += running.item.max_tokens;
+    batch_stopping_ += running.item.work_class == WorkClass::kBatch ? 1 : 0;
   }
 }
 
@@ -459,10 +470,13 @@
   return limit - std::min(limit, used);
 }
 
+auto Dispatcher::OnlineLevel() const -> std::uint32_t {
+  return online_running_ + foreign_ +
+         static_cast<std::uint32_t>(online_queue_.size());
+}
+
 auto Dispatcher::BatchAllowed() const -> std::uint32_t {
-  return batch_room_.Allowed(
-      limit_.limit(), online_running_ + foreign_ +
-                          static_cast<std::uint32_t>(online_queue_.size()));
+  return batch_room_.Allowed(limit_.limit(), OnlineLevel());
 }
 
 auto Dispatcher::BatchRoomNow() const -> std::uint32_t {
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -29,7 +29,8 @@
     : zone_(std::move(zone)),
       settings_(settings),
       clock_(std::move(clock)),
-      random_(std::move(random)) {}
+      random_(std::move(random)),
+      subset_seed_(random_()) {}
 
 auto Router::SetReplicas(const std::vector<Replica>& replicas) -> void {
   auto now = clock_();
@@ -55,10 +56,33 @@
                           static_cast<std::uint32_t>(states.size())};
     states.push_back(std::move(state));
   }
+  for (auto& [service, states] : services) {
+    MarkPreferred(states);
+  }
   services_ = std::move(services);
   places_ = std::move(places);
 }
 
+auto Router::MarkPreferred(std::vector<State>& states) const -> void {
+  std::vector<std::pair<std::uint64_t, State*>> local;
+  for (auto& state : states) {
+    state.preferred = true;
+    if (state.local) {
+      local.emplace_back(RendezvousScore(subset_seed_, state.hash), &state);
+    }
+  }
+  if (local.size() <= settings_.subset_size) {
+    return;
+  }
+  std::sort(local.begin(), local.end(),
+            [](const auto& left, const auto& right) {
+              return left.first > right.first;
+            });
+  for (auto index = settings_.subset_size; index < local.size(); ++index) {
+    local[index].second->preferred = false;
+  }
+}
+
 auto Router::SetEjection(const ReplicaId& replica, EjectionState ejection)
     -> void {
   if (auto* state = Find(replica)) {
@@ -117,17 +141,18 @@
   }
   auto reason = RouteReason::kLessLoaded;
   std::uint32_t picked = 0;
+  const auto& near = preferred_.size() < 2 ? local_ : preferred_;
   if (explanation.candidates == 1) {
     picked = local_.empty() ? remote_.front() : local_.front();
     reason = RouteReason::kOnlyCandidate;
     explanation.weighed.push_back(Describe(states[picked], now, scan.mean));
   } else if (remote_.empty()) {
-    picked = PickLessLoaded(states, local_, scan, now, explanation);
+    picked = PickLessLoaded(states, near, scan, now, explanation);
   } else if (local_.empty()) {
     picked = PickLessLoaded(states, remote_, scan, now, explanation);
     reason = RouteReason::kOtherZone;
   } else {
-    picked = PickLessLoaded(states, local_, scan, now, explanation);
+    picked = PickLessLoaded(states, near, scan, now, explanation);
     auto other = PickLessLoaded(states, remote_, scan, now, explanation);
     if (Utilisation(states[picked], now, scan.mean) >
         Utilisation(states[other], now, scan.mean) + settings_.zone_margin) {
@@ -234,12 +259,23 @@
   return std::max(settings_.slow_start_floor, share);
 }
 
+auto Router::InFlight(const State& state, MonotonicTime now, double mean) const
+    -> double {
+  auto expected = mean * state.limit;
+  auto age = now - state.reported_at;
+  if (age > settings_.stale_after) {
+    return expected;
+  }
+  auto belief = std::exp(-std::chrono::duration<double>(age) /
+                         std::chrono::duration<double>(settings_.report_decay));
+  return expected + belief * (state.in_flight - expected) + state.sent_since;
+}
+
 auto Router::Utilisation(const State& state,
                          MonotonicTime now,
                          double mean) const -> double {
-  auto in_flight = IsStale(state, now) ? mean * state.limit
-                                       : state.in_flight + state.sent_since;
-  return (in_flight + 1.0) / (state.limit * Weight(state, now));
+  return (InFlight(state, now, mean) + 1.0) /
+         (state.limit * Weight(state, now));
 }
 
 auto Router::BatchRoom(const State& state, MonotonicTime now) const
@@ -261,7 +297,7 @@
           .batch_room = BatchRoom(state, now),
           .weight = Weight(state, now),
           .utilisation = Utilisation(state, now, mean),
-          .stale = IsStale(state, now)};
+          .report_age = now - state.reported_at};
 }
 
 auto Router::ScanService(const std::vector<State>& states,
@@ -271,6 +307,7 @@
                          RouteExplanation& explanation) -> Scan {
   Scan scan;
   local_.clear();
+  preferred_.clear();
   remote_.clear();
   double sum = 0.0;
   std::uint32_t fresh = 0;
@@ -302,6 +339,9 @@
       continue;
     }
     (state.local ? local_ : remote_).push_back(index);
+    if (state.local && state.preferred) {
+      preferred_.push_back(index);
+    }
   }
   scan.mean = fresh == 0 ? 0.0 : sum / fresh;
   explanation.candidates =
@@ -333,8 +373,7 @@
   for (std::size_t rank = 0; rank < count; ++rank) {
     const auto& state = states[best[rank].second];
     explanation.weighed.push_back(Describe(state, now, scan.mean));
-    auto in_flight = IsStale(state, now) ? scan.mean * state.limit
-                                         : state.in_flight + state.sent_since;
+    auto in_flight = InFlight(state, now, scan.mean);
     // Rounded up: with less than one request per replica in the mean, a bound
     // below one would switch affinity off.
     auto bound = std::ceil(settings_.affinity_bound * scan.mean * state.limit *
--- a/src/routing/router_test.cc
+++ b/src/routing/router_test.cc
@@ -112,7 +112,7 @@
 }
 
 TEST_CASE("Router.UsesAnotherZoneOnlyBeyondTheMargin") {
-  Fixture fixture;
+  Fixture fixture({.zone_margin = 0.25});
   fixture.Set({{"r1", "a"}, {"r2", "b"}});
   fixture.Load("r1", 2);
   fixture.Load("r2", 0);
@@ -157,6 +157,38 @@
   CHECK(fixture.Count(6)["r3"] >= 2);
 }
 
+// Guards against nodes that all follow the same old report.
+TEST_CASE("Router.TrustsAReportLessWithAge") {
+  Fixture fixture({.zone_margin = 10.0});
+  fixture.Set({{"r1", "a"}, {"r2", "a"}, {"r3", "b"}, {"r4", "b"}});
+  fixture.Load("r1", 9);
+  fixture.Load("r2", 8);
+  CHECK(fixture.Choose().replica->id == ReplicaId("r2"));
+  fixture.clock.Advance(std::chrono::seconds(4));
+  fixture.Load("r2", 8);
+  fixture.Load("r3", 1);
+  fixture.Load("r4", 1);
+  // r1 was busier, but the mean is now low and that report is old.
+  CHECK(fixture.Choose().replica->id == ReplicaId("r1"));
+}
+
+// Guards against an entry that spreads its requests so thin that it never has
+// a fresh report.
+TEST_CASE("Router.DrawsCandidatesFromASubsetOfALargeZone") {
+  Fixture fixture({.subset_size = 4});
+  std::vector<std::pair<std::string, std::string>> list;
+  for (int index = 0; index < 40; ++index) {
+    list.emplace_back("r" + std::to_string(index), "a");
+  }
+  fixture.Set(list);
+  CHECK(fixture.Count(200).size() == 4);
+  RouteRequest request;
+  for (const auto& [name, count] : fixture.Count(200)) {
+    request.tried.push_back(ReplicaId(name));
+  }
+  CHECK(fixture.Choose(request).replica);
+}
+
 // Guards against a replica whose last report was high being left out for ever.
 TEST_CASE("Router.DoesNotBelieveAStaleReport") {
   Fixture fixture;
