--- a/src/routing/batch_room.cc
+++ b/src/routing/batch_room.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace kumquatgauge::routing {
@@ -18,6 +19,8 @@
 constexpr double kLower = 0.9;
 constexpr double kRaise = 0.002;
 constexpr double kLowestFactor = 0.05;
+// From this lean on, running batch stays until its slots are needed.
+constexpr double kStayLean = 0.5;
 
 auto Ratio(Duration part, Duration whole) -> double {
   return std::chrono::duration<double>(part) /
@@ -82,13 +85,14 @@
 auto BatchRoom::AllowedToStay(std::uint32_t limit, std::uint32_t online) const
     -> std::uint32_t {
   auto free = limit - std::min(limit, online);
-  if (settings_.rule != BatchRule::kFeedback) {
-    return free;
+  constexpr auto kAll = std::numeric_limits<std::uint32_t>::max();
+  if (settings_.rule != BatchRule::kFeedback || settings_.lean >= kStayLean) {
+    return kAll;
   }
   // One more than the level, so that an online request that comes and goes does
   // not preempt and restart an item each time.
   auto level = FeedbackLevel(limit) + 1.0;
-  auto stay = level + std::min(1.0, 2.0 * settings_.lean) * (limit - level);
+  auto stay = level + settings_.lean / kStayLean * (limit - level);
   auto most = static_cast<std::uint32_t>(std::floor(std::max(level, stay)));
   return std::min(free, most - std::min(most, online));
 }
--- a/src/routing/batch_room_test.cc
+++ b/src/routing/batch_room_test.cc
@@ -53,6 +53,21 @@
   CHECK(room.Allowed(16, 2) == 4);
 }
 
+// Guards against batch that stays in the way of a burst at lean 0, and against
+// preemptions that no online request needs at higher settings.
+TEST_CASE("BatchRoom.LetsRunningBatchStayByLean") {
+  testing::ManualClock clock;
+  auto tail = Room(clock, BatchRule::kFeedback, 0.0);
+  for (int stretch = 0; stretch < 30; ++stretch) {
+    tail.OnOnline(6);
+    clock.Advance(std::chrono::seconds(5));
+  }
+  CHECK(tail.AllowedToStay(16, 6) == 1);
+  CHECK(tail.AllowedToStay(16, 7) == 0);
+  CHECK(Room(clock, BatchRule::kFeedback, 0.5).AllowedToStay(16, 15) >= 16);
+  CHECK(Room(clock, BatchRule::kIdleOnly, 0.0).AllowedToStay(16, 15) >= 16);
+}
+
 TEST_CASE("BatchRoom.FeedbackFallsOnLateTokensAndRecovers") {
   testing::ManualClock clock;
   auto room = Room(clock, BatchRule::kFeedback, 1.0);
--- a/src/routing/dispatcher_test.cc
+++ b/src/routing/dispatcher_test.cc
@@ -151,6 +151,17 @@
   CHECK(fixture.Finish("a") == "start b");
 }
 
+TEST_CASE("Dispatcher.PreemptsBatchAboveTheLevelAtLeanZero") {
+  Fixture fixture(8);
+  fixture.dispatcher.SetBatchSettings({.lean = 0.0});
+  for (const auto* id : {"x", "y", "z"}) {
+    fixture.Arrive(Batch(id));
+  }
+  // Nothing was known of online traffic; its level is now 1, and one more may
+  // stay.
+  CHECK(fixture.Arrive(Online("a")) == "start a, preempt z, preempt y");
+}
+
 TEST_CASE("Dispatcher.PreemptsBatchThatHoldsTheTokensOnlineNeeds") {
   DispatcherSettings settings;
   settings.limit.max_tokens = 100;
