--- a/include/kumquatgauge/routing/dispatcher.h
+++ b/include/kumquatgauge/routing/dispatcher.h
@@ -170,17 +170,20 @@
   auto StartOnline(Actions& actions) -> void;
   auto StartBatch(Actions& actions) -> void;
   auto PreemptForOnline(Actions& actions) -> void;
+  // Preempts batch beyond what the batch rule lets stay beside online.
+  auto PreemptExcess(Actions& actions) -> void;
   // Returns whether anything was preempted.
   auto PreemptBatch(std::uint32_t count, Actions& actions) -> bool;
   auto Start(const DispatchItem& item, Actions& actions) -> void;
   auto MarkStopping(Running& running) -> void;
   // Drops a waiting request.
   auto Forget(const RequestId& id) -> void;
-  auto Refuse(const RequestId& id,
+  auto Refuse(RequestId id,
               DispatchAction::Kind kind,
               std::string reason,
               Actions& actions) const -> void;
-  auto RefuseOne(const RequestId& id,
+  // `id` is a copy, since the original may be in what Forget erases.
+  auto RefuseOne(RequestId id,
                  DispatchAction::Kind kind,
                  std::string reason,
                  Actions& actions) -> void;
@@ -189,6 +192,8 @@
   auto RetryAfter() const -> std::chrono::milliseconds;
   auto HasRoom(std::uint32_t max_tokens) const -> bool;
   auto FreeSlots() const -> std::uint32_t;
+  // Online requests at the replica or waiting for it.
+  auto OnlineLevel() const -> std::uint32_t;
   auto BatchAllowed() const -> std::uint32_t;
   auto BatchRoomNow() const -> std::uint32_t;
   auto MayStartBatch(const DispatchItem& item) const -> bool;
@@ -207,6 +212,7 @@
   std::uint32_t online_running_ = 0;
   std::uint32_t batch_running_ = 0;
   std::uint32_t stopping_ = 0;
+  std::uint32_t batch_stopping_ = 0;
   std::uint32_t alone_running_ = 0;
   std::uint64_t reserved_tokens_ = 0;
   std::uint64_t stopping_tokens_ = 0;
