--- a/src/caller/completion_call.cc
+++ b/src/caller/completion_call.cc
@@ -139,6 +139,11 @@
   return prompt->dump();
 }
 
+// True for characters that stand in a JSON string as they are.
+auto IsPlain(char c) -> bool {
+  return c >= ' ' && c <= '~' && c != '"' && c != '\\';
+}
+
 auto Dump(const json& value) -> std::string {
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -211,7 +216,13 @@
   }
   first_ = false;
   out += token_prefix_;
-  out += Dump(json(text));
+  if (std::all_of(text.begin(), text.end(), IsPlain)) {
+    out += '"';
+    out += text;
+    out += '"';
+  } else {
+    out += Dump(json(text));
+  }
   out += token_suffix_;
 }
 
--- a/src/upstream/deadline_socket.cc
+++ b/src/upstream/deadline_socket.cc
@@ -6,6 +6,11 @@
 #include <utility>
 
 namespace kumquatgauge::upstream::detail {
+namespace {
+
+constexpr std::chrono::milliseconds kLateReadGrace{100};
+
+}  // namespace
 
 DeadlineSocket::DeadlineSocket(boost::asio::ip::tcp::socket socket)
     : socket_(std::move(socket)), timer_(socket_.get_executor()) {}
@@ -73,9 +78,13 @@
 // A composed read may be between two reads when the deadline passes, so
 // cancelling the pending operation alone would not end it.
 auto DeadlineSocket::Expire() -> void {
+  if (on_expiry_ == OnExpiry::kCloseIfSilent && Readable() && !PeerClosed()) {
+    ExpireAfter(kLateReadGrace, on_expiry_);
+    return;
+  }
   timed_out_ = true;
   deadline_ = MonotonicTime::max();
-  if (on_expiry_ == OnExpiry::kClose) {
+  if (on_expiry_ != OnExpiry::kStopReading) {
     Close();
     return;
   }
--- a/src/upstream/deadline_socket.h
+++ b/src/upstream/deadline_socket.h
@@ -17,6 +17,10 @@
   enum class OnExpiry {
     kStopReading,  // Reads end as at end of stream; writing stays possible.
     kClose,
+    // Closes only when no byte waits unread. Otherwise this thread was late,
+    // not the other side, and gets a moment to read: a busy node must not give
+    // up streams that go on.
+    kCloseIfSilent,
   };
 
   explicit DeadlineSocket(boost::asio::ip::tcp::socket socket);
--- a/src/upstream/http_engine_client_test.cc
+++ b/src/upstream/http_engine_client_test.cc
@@ -1,6 +1,7 @@
 #include "kumquatgauge/upstream/http_engine_client.h"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 #include "kumquatgauge/base/error.h"
 #include "testing/fake_engine/fake_engine.h"
@@ -259,6 +260,30 @@
   CHECK(fixture.text == FakeAnswer("freeze", end.next_offset));
 }
 
+// Guards against a busy node giving up streams whose tokens wait in the socket.
+TEST_CASE("HttpEngineClient.KeepsAStreamWhenItsOwnThreadWasLate") {
+  asio::io_context engine_context(1);
+  FakeEngine engine(engine_context, FastEngine());
+  std::thread engine_thread([&] { engine_context.run(); });
+  asio::io_context context(1);
+  HttpEngineClient client(context.get_executor(), ShortLimits());
+  constexpr std::uint64_t kLongAnswer = 5'000;
+  const auto sink = [](const routing::Token& token) {
+    const auto until =
+        std::chrono::steady_clock::now() + 2 * ShortLimits().progress_timeout;
+    while (token.offset == 0 && std::chrono::steady_clock::now() < until) {
+      std::this_thread::yield();
+    }
+  };
+  const auto end = RunAwait(
+      context, client.Stream(engine.address(), MakeRequest("late", kLongAnswer),
+                             {}, sink));
+  engine_context.stop();
+  engine_thread.join();
+  CHECK(end.kind == Kind::kCompleted);
+  CHECK(end.reason.empty());
+}
+
 // Guards against a refusal after tokens being reported as not run.
 TEST_CASE("HttpEngineClient.ReportsLostWhenEngineRefusesAfterTheStart") {
   Fixture fixture;
--- a/testing/fake_engine/fake_engine.cc
+++ b/testing/fake_engine/fake_engine.cc
@@ -70,6 +70,9 @@
   bool admitted = false;
   bool stopped = false;
   std::string outcome;
+  // The bytes of a token event around its text, up to the offset.
+  std::string event_before_text;
+  std::string event_after_text;
 };
 
 auto FakeEngine::ExecutionFields(const Job& job) -> json {
@@ -99,11 +102,27 @@
           {"choices", json::array({choice})}};
 }
 
-auto FakeEngine::TokenEvent(const Job& job, const std::string& text)
-    -> std::string {
-  auto event = Event(job, text);
-  event["kqg_offset"] = job.next;
-  return "data: " + event.dump() + "\n\n";
+// A fast engine must not spend its time on JSON: the bytes around the text and
+// the offset are the same for every token of a stream, and the text of a fake
+// token needs no escapes.
+auto FakeEngine::AppendToken(Job& job, std::string& out) -> void {
+  if (job.event_before_text.empty()) {
+    const std::string mark = "@kqg-text@";
+    auto event = Event(job, mark);
+    event.erase("choices");
+    const auto text = event.dump();
+    const auto choices = Event(job, mark)["choices"].dump();
+    const auto at = choices.find(mark);
+    job.event_before_text = "data: " + text.substr(0, text.size() - 1) +
+                            ",\"choices\":" + choices.substr(0, at);
+    job.event_after_text =
+        choices.substr(at + mark.size()) + ",\"kqg_offset\":";
+  }
+  out += job.event_before_text;
+  out += FakeToken(job.prompt, job.next);
+  out += job.event_after_text;
+  out += std::to_string(job.next);
+  out += "}\n\n";
 }
 
 auto FakeEngine::EndEvents(const Job& job) -> std::string {
@@ -312,8 +331,7 @@
         break;
       }
       faults_.die_after_tokens -= faults_.die_after_tokens > 0 ? 1 : 0;
-      const auto text = FakeToken(job->prompt, job->next);
-      bytes += TokenEvent(*job, text);
+      AppendToken(*job, bytes);
       ++job->next;
     }
     co_await WaitWhileFrozen();
--- a/testing/fake_engine/fake_engine.h
+++ b/testing/fake_engine/fake_engine.h
@@ -93,8 +93,7 @@
 
   static auto ExecutionFields(const Job& job) -> nlohmann::json;
   static auto Event(const Job& job, const std::string& text) -> nlohmann::json;
-  static auto TokenEvent(const Job& job, const std::string& text)
-      -> std::string;
+  static auto AppendToken(Job& job, std::string& out) -> void;
   static auto EndEvents(const Job& job) -> std::string;
   auto Handle(HttpRequest request, Exchange exchange)
       -> boost::asio::awaitable<void>;
