Look twice before a stream is given up for silence

Cause: bytes that the event loop has read but whose handler still waits for its turn are not in the socket buffer, so a late thread could still take them for silence.

--- a/src/upstream/deadline_socket.cc
+++ b/src/upstream/deadline_socket.cc
@@ -22,6 +22,7 @@
 auto DeadlineSocket::ExpireAt(MonotonicTime deadline, OnExpiry on_expiry)
     -> void {
   timed_out_ = false;
+  second_look_ = false;
   deadline_ = deadline;
   on_expiry_ = on_expiry;
   if (deadline_ < armed_for_) {
@@ -78,8 +79,12 @@
 // A composed read may be between two reads when the deadline passes, so
 // cancelling the pending operation alone would not end it.
 auto DeadlineSocket::Expire() -> void {
-  if (on_expiry_ == OnExpiry::kCloseIfSilent && Readable() && !PeerClosed()) {
+  // Bytes may wait in the socket, or have been read while their handler still
+  // waits for its turn in this thread: the second look comes after that turn.
+  if (on_expiry_ == OnExpiry::kCloseIfSilent &&
+      (!second_look_ || (Readable() && !PeerClosed()))) {
     ExpireAfter(kLateReadGrace, on_expiry_);
+    second_look_ = true;
     return;
   }
   timed_out_ = true;
