--- a/src/upstream/deadline_socket.cc
+++ b/src/upstream/deadline_socket.cc
@@ -6,6 +6,11 @@
 #include <utility>
 
 namespace kumquatgauge::upstream::detail {
+namespace {
+
+constexpr std::chrono::milliseconds kLateReadGrace{100};
+
+}  // namespace
 
 DeadlineSocket::DeadlineSocket(boost::asio::ip::tcp::socket socket)
     : socket_(std::move(socket)), timer_(socket_.get_executor()) {}
@@ -17,6 +22,7 @@
 auto DeadlineSocket::ExpireAt(MonotonicTime deadline, OnExpiry on_expiry)
     -> void {
   timed_out_ = false;
+  second_look_ = false;
   deadline_ = deadline;
   on_expiry_ = on_expiry;
   if (deadline_ < armed_for_) {
@@ -73,9 +79,17 @@
 // A composed read may be between two reads when the deadline passes, so
 // cancelling the pending operation alone would not end it.
 auto DeadlineSocket::Expire() -> void {
+  // Bytes may wait in the socket, or have been read while their handler still
+  // waits for its turn in this thread: the second look comes after that turn.
+  if (on_expiry_ == OnExpiry::kCloseIfSilent &&
+      (!second_look_ || (Readable() && !PeerClosed()))) {
+    ExpireAfter(kLateReadGrace, on_expiry_);
+    second_look_ = true;
+    return;
+  }
   timed_out_ = true;
   deadline_ = MonotonicTime::max();
-  if (on_expiry_ == OnExpiry::kClose) {
+  if (on_expiry_ != OnExpiry::kStopReading) {
     Close();
     return;
   }
