Freeze test nodes in the middle of a platform call

A paused test node finished its pending calls while paused, so a commit was never under way across a takeover.

The test store now delays a call before and after its effect and holds both while the node is frozen.

--- /dev/null
+++ b/bench/batch_takeover.cc
@@ -0,0 +1,70 @@
+// Time from the death of an owner to the first item that its successor starts,
+// on a manual clock, over deaths at different moments of the renewal interval.
+#include <algorithm>
+#include <iostream>
+
+#include "bench/batch_report.h"
+#include "kumquatgauge/control/lease.h"
+#include "src/batch/test_world.h"
+
+namespace kumquatgauge::batch {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::World;
+
+auto InSeconds(Duration duration) -> double {
+  return std::chrono::duration<double>(duration).count();
+}
+
+// `known_after`: time until the other nodes know of the death.
+auto Measure(int phase, Duration known_after, Duration call_time) -> double {
+  auto world = World(static_cast<std::uint64_t>(phase));
+  world.death_notice = known_after;
+  for (const auto* name : {"a", "b", "c", "d"}) {
+    world.StartNode(name);
+  }
+  const auto job = world.MakeJob("j", 4'000);
+  world.Submit("a", job);
+  world.store_delay = call_time;
+  world.AdvanceUntil(std::chrono::minutes(1),
+                     [&] { return world.State(job).results() >= 500; });
+  world.Advance(World::kStep * phase);
+  const auto owner = world.OwnerOf(job);
+  world.Kill(owner);
+  const auto death = world.clock.now();
+  world.AdvanceUntil(std::chrono::minutes(1), [&] {
+    return std::any_of(
+        world.nodes.begin(), world.nodes.end(), [&](const auto& node) {
+          return node.first != owner && !node.second.runner->starts.empty();
+        });
+  });
+  return InSeconds(world.clock.now() - death);
+}
+
+}  // namespace
+}  // namespace kumquatgauge::batch
+
+auto main() -> int {
+  using kumquatgauge::batch::InSeconds;
+  using kumquatgauge::batch::Measure;
+  using std::chrono::milliseconds;
+  const auto term = InSeconds(kumquatgauge::control::LeaseTiming().term);
+  auto report = kumquatgauge::bench::BatchReport();
+  for (const auto call_ms : {0, 5}) {
+    auto worst = 0.0;
+    auto sum = 0.0;
+    constexpr auto kPhases = 20;
+    for (auto phase = 0; phase < kPhases; ++phase) {
+      // 3 s is the design's bound for a death to be known everywhere.
+      const auto delay =
+          Measure(phase, std::chrono::seconds(3), milliseconds(call_ms));
+      worst = std::max(worst, delay);
+      sum += delay;
+    }
+    const auto name = "batch_takeover_calls_" + std::to_string(call_ms) + "ms";
+    report.AtMost(name + "_worst_s", worst, term + 2);
+    report.AtMost(name + "_mean_s", sum / kPhases, term + 2);
+  }
+  return report.exit_code();
+}
--- a/src/batch/batch_fault_test.cc
+++ b/src/batch/batch_fault_test.cc
@@ -84,7 +84,7 @@
         world_.LoseAnswers(static_cast<unsigned>(10 + Draw(60)));
         break;
       case 11:
-        world_.slow().set_delay(milliseconds(Draw(2'500)));
+        world_.store_delay = milliseconds(Draw(2'500));
         break;
       default:
         world_.Heal();
--- a/src/batch/batch_service_test.cc
+++ b/src/batch/batch_service_test.cc
@@ -108,6 +108,21 @@
   test.Finish();
 }
 
+// Guards against a commit that was on its way when its owner was frozen, and
+// that goes on after a takeover.
+TEST_CASE("BatchService.RefusesCommitsThatWereUnderWayInAFrozenOwner") {
+  for (auto delay = 0; delay < 20; ++delay) {
+    auto test = HalfDone(1'000);
+    test.world.store_delay = milliseconds(1'200);
+    test.world.Advance(milliseconds(100) * delay);
+    test.world.Pause(test.owner);
+    test.world.store_delay = Duration(0);
+    test.world.Advance(seconds(12));
+    test.world.Wake(test.owner);
+    test.Finish();
+  }
+}
+
 // Guards against an acknowledged job that lived in the memory of a node.
 TEST_CASE("BatchService.RunsAJobWhoseNodeDiedJustAfterAcknowledging") {
   auto world = World();
@@ -179,7 +194,7 @@
 TEST_CASE("BatchService.SettlesLostAnswersOnASlowPlatform") {
   auto test = HalfDone();
   test.world.LoseAnswers(30);
-  test.world.slow().set_delay(milliseconds(700));
+  test.world.store_delay = milliseconds(700);
   test.world.Advance(seconds(5));
   test.world.Kill(test.owner);
   test.Finish();
--- a/src/batch/test_world.h
+++ b/src/batch/test_world.h
@@ -2,7 +2,9 @@
 #define SRC_BATCH_TEST_WORLD_H_
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -37,11 +39,18 @@
  public:
   explicit Sleepers(ManualClock& clock) : clock_(clock) {}
 
-  auto Until(MonotonicTime time) -> awaitable<void> {
+  using Wake = std::function<auto()->void>;
+
+  // `on_wait` gets a function that ends the wait early.
+  auto Until(MonotonicTime time, std::function<auto(Wake)->void> on_wait = {})
+      -> awaitable<void> {
     auto timer =
         boost::asio::steady_timer(co_await boost::asio::this_coro::executor,
                                   boost::asio::steady_timer::time_point::max());
     const auto entry = waiting_.emplace(time, &timer);
+    if (on_wait) {
+      on_wait([&timer] { timer.cancel(); });
+    }
     auto error = boost::system::error_code();
     co_await timer.async_wait(
         boost::asio::redirect_error(boost::asio::use_awaitable, error));
@@ -61,18 +70,43 @@
   std::multimap<MonotonicTime, boost::asio::steady_timer*> waiting_;
 };
 
-// Delays the calls of a store by the manual clock.
+// Whether a process is frozen: it neither sends nor notices anything.
+using Frozen = std::shared_ptr<bool>;
+
+// Waits for `time`, and then for the end of a freeze.
+inline auto Pass(ManualClock& clock,
+                 Sleepers& sleep,
+                 Duration time,
+                 Frozen frozen) -> awaitable<void> {
+  if (time > Duration(0)) {
+    co_await sleep.Until(clock.now() + time);
+  }
+  while (*frozen) {
+    co_await sleep.Until(clock.now() + milliseconds(100));
+  }
+}
+
+// The store as one process sees it: half of `delay` passes before a call takes
+// effect and half before its answer arrives, and a freeze may fall into either.
 class SlowStore : public platform::ObjectStore {
  public:
-  SlowStore(platform::ObjectStore& store, ManualClock& clock, Sleepers& sleep)
-      : store_(store), clock_(clock), sleep_(sleep) {}
-
-  auto set_delay(Duration delay) -> void { delay_ = delay; }
+  SlowStore(platform::ObjectStore& store,
+            ManualClock& clock,
+            Sleepers& sleep,
+            const Duration& delay,
+            Frozen frozen)
+      : store_(store),
+        clock_(clock),
+        sleep_(sleep),
+        delay_(delay),
+        frozen_(std::move(frozen)) {}
 
   auto Read(std::string key, platform::CallClass call_class)
       -> awaitable<std::optional<platform::StoredObject>> override {
     co_await Wait();
-    co_return co_await store_.Read(std::move(key), call_class);
+    auto found = co_await store_.Read(std::move(key), call_class);
+    co_await Wait();
+    co_return found;
   }
   auto Write(std::string key,
              std::string value,
@@ -80,8 +114,10 @@
              platform::CallClass call_class)
       -> awaitable<std::uint64_t> override {
     co_await Wait();
-    co_return co_await store_.Write(std::move(key), std::move(value), expected,
-                                    call_class);
+    const auto version = co_await store_.Write(std::move(key), std::move(value),
+                                               expected, call_class);
+    co_await Wait();
+    co_return version;
   }
   auto Remove(std::string key,
               std::uint64_t expected,
@@ -105,15 +141,14 @@
 
  private:
   auto Wait() -> awaitable<void> {
-    if (delay_ > Duration(0)) {
-      co_await sleep_.Until(clock_.now() + delay_);
-    }
+    co_await Pass(clock_, sleep_, delay_ / 2, frozen_);
   }
 
   platform::ObjectStore& store_;
   ManualClock& clock_;
   Sleepers& sleep_;
-  Duration delay_{0};
+  const Duration& delay_;
+  Frozen frozen_;
 };
 
 // The right response to a body; what a test compares results with.
@@ -139,8 +174,14 @@
 // Runs items for one node: each takes `item_time`; `room` run side by side.
 class FakeRunner : public ItemRunner {
  public:
-  FakeRunner(std::string node, ManualClock& clock, Sleepers& sleep)
-      : node_(std::move(node)), clock_(clock), sleep_(sleep) {}
+  FakeRunner(std::string node,
+             ManualClock& clock,
+             Sleepers& sleep,
+             Frozen frozen)
+      : node_(std::move(node)),
+        clock_(clock),
+        sleep_(sleep),
+        frozen_(std::move(frozen)) {}
 
   std::function<
       auto(const routing::CompletionRequest&)->std::optional<AttemptResult>>
@@ -149,7 +190,6 @@
   std::size_t slots = 64;
   std::vector<Start> starts;
   std::size_t running = 0;
-  std::size_t cancels = 0;
 
   auto Run(routing::CompletionRequest request, ReplicaId avoid)
       -> awaitable<AttemptResult> override {
@@ -163,17 +203,23 @@
       co_return result;
     }
     ++running;
-    auto end = clock_.now() + item_time;
-    while (clock_.now() < end && !cancelled_.contains(request.id)) {
-      co_await sleep_.Until(clock_.now() + milliseconds(50));
-    }
+    auto on_wait = std::function<auto(Sleepers::Wake)->void>(
+        [this, id = request.id](Sleepers::Wake wake) {
+          wake_[id] = std::move(wake);
+        });
+    co_await sleep_.Until(clock_.now() + item_time, std::move(on_wait));
+    wake_.erase(request.id);
     --running;
+    co_await Pass(clock_, sleep_, Duration(0), frozen_);
     co_return Answer(request, avoid);
   }
 
   auto Cancel(const RequestId& id) -> void override {
-    ++cancels;
-    cancelled_.insert(id);
+    const auto found = wake_.find(id);
+    if (found != wake_.end()) {
+      cancelled_.insert(id);
+      found->second();
+    }
   }
   auto room(const ServiceName& /*service*/) const -> std::size_t override {
     return slots > running ? slots - running : 0;
@@ -210,15 +256,18 @@
   std::string node_;
   ManualClock& clock_;
   Sleepers& sleep_;
+  Frozen frozen_;
   std::set<RequestId> cancelled_;
+  std::map<RequestId, Sleepers::Wake> wake_;
 };
 
-// What a node of the world is made of. A dead node leaves its runner behind, as
-// its items may still run.
+// What a node of the world is made of. A dead node leaves its runner and store
+// behind, as its items may still run.
 struct WorldNode {
-  std::unique_ptr<FakeRunner> runner;
+  std::shared_ptr<SlowStore> store;
+  std::shared_ptr<FakeRunner> runner;
   std::unique_ptr<BatchService> service;  // None while the node is down.
-  bool paused = false;
+  Frozen paused;
 };
 
 // A submission and what must come of it.
@@ -236,8 +285,7 @@
  public:
   static constexpr auto kStep = milliseconds(100);
 
-  explicit World(std::uint64_t seed = 1)
-      : random_(seed), sleep_(clock), slow_(store, clock, sleep_) {}
+  explicit World(std::uint64_t seed = 1) : random_(seed), sleep_(clock) {}
 
   ManualClock clock;
   MemoryObjectStore store;
@@ -246,8 +294,8 @@
   Duration death_notice = std::chrono::seconds(2);
   Duration item_time = std::chrono::seconds(1);
   std::size_t slots = 64;
+  Duration store_delay{0};  // Of every platform call of a node.
 
-  auto slow() -> SlowStore& { return slow_; }
   auto random() -> std::uint64_t { return random_(); }
   auto WallNow() const -> WallTime {
     return WallTime(std::chrono::hours(480'000)) +
@@ -261,18 +309,22 @@
   }
 
   auto StartNode(const std::string& name) -> void {
-    auto runner = std::make_unique<FakeRunner>(name, clock, sleep_);
-    runner->item_time = item_time;
-    runner->slots = slots;
     auto& node = nodes[name];
     if (node.runner) {
-      old_runners_.push_back(std::move(node.runner));
+      Kill(name);
     }
-    node.runner = std::move(runner);
-    node.paused = false;
+    auto frozen = std::make_shared<bool>(false);
+    node.store =
+        std::make_shared<SlowStore>(store, clock, sleep_, store_delay, frozen);
+    node.runner = std::make_shared<FakeRunner>(name, clock, sleep_, frozen);
+    node.runner->item_time = item_time;
+    node.runner->slots = slots;
+    node.paused = frozen;
+    stores_.push_back(node.store);
+    runners_.push_back(node.runner);
     deaths_.erase(name);
     node.service = std::make_unique<BatchService>(
-        slow_, *node.runner, NodeId(name), ++incarnation_, MakeHooks());
+        *node.store, *node.runner, NodeId(name), ++incarnation_, MakeHooks());
   }
   auto Kill(const std::string& name) -> void {
     auto& node = nodes.at(name);
@@ -280,12 +332,15 @@
     deaths_[name] = clock.now();
   }
   auto Pause(const std::string& name) -> void {
-    nodes.at(name).paused = true;
+    *nodes.at(name).paused = true;
     deaths_[name] = clock.now();
   }
   auto Wake(const std::string& name) -> void {
-    nodes.at(name).paused = false;
-    deaths_.erase(name);
+    auto& node = nodes.at(name);
+    *node.paused = false;
+    if (node.service) {
+      deaths_.erase(name);
+    }
   }
   auto Service(const std::string& name) -> BatchService& {
     return *nodes.at(name).service;
@@ -310,7 +365,7 @@
       sleep_.WakeDue();
       Poll();
       for (auto& [name, node] : nodes) {
-        if (node.service && !node.paused) {
+        if (node.service && !*node.paused) {
           boost::asio::co_spawn(io_, node.service->Tick(),
                                 boost::asio::detached);
         }
@@ -390,7 +445,7 @@
   auto AnyUp() -> std::string {
     auto up = std::vector<std::string>();
     for (const auto& [name, node] : nodes) {
-      if (node.service && !node.paused) {
+      if (node.service && !*node.paused) {
         up.push_back(name);
       }
     }
@@ -442,14 +497,8 @@
   }
   auto Starts() const -> std::vector<Start> {
     auto all = std::vector<Start>();
-    const auto add = [&all](const FakeRunner& runner) {
-      all.insert(all.end(), runner.starts.begin(), runner.starts.end());
-    };
-    for (const auto& [name, node] : nodes) {
-      add(*node.runner);
-    }
-    for (const auto& runner : old_runners_) {
-      add(*runner);
+    for (const auto& runner : runners_) {
+      all.insert(all.end(), runner->starts.begin(), runner->starts.end());
     }
     return all;
   }
@@ -492,7 +541,7 @@
   }
   auto Heal() -> void {
     set_fault({});
-    slow_.set_delay(Duration(0));
+    store_delay = Duration(0);
   }
 
   // Runs a coroutine on the store itself, past its faults.
@@ -524,7 +573,7 @@
             .send_job_notice =
                 [this](const NodeId& node, const JobId& job) {
                   auto& target = nodes.at(node.value());
-                  if (target.service && !target.paused) {
+                  if (target.service && !*target.paused) {
                     target.service->OnJobNotice(job);
                   }
                 },
@@ -533,8 +582,8 @@
 
   std::mt19937_64 random_;
   Sleepers sleep_;
-  SlowStore slow_;
-  std::vector<std::unique_ptr<FakeRunner>> old_runners_;
+  std::vector<std::shared_ptr<SlowStore>> stores_;
+  std::vector<std::shared_ptr<FakeRunner>> runners_;
   std::map<std::string, MonotonicTime> deaths_;
   Incarnation incarnation_ = 0;
   MemoryObjectStore::FaultHook fault_;
