Report an unsettled cancel as unknown

Cause: when the answer to a state update was lost and the read back failed too, the caller got the read's kUnavailable, which promises that nothing happened. JobStore::Update now reports kUnknownOutcome once an answer was lost.

--- a/include/kumquatgauge/batch/job_store.h
+++ b/include/kumquatgauge/batch/job_store.h
@@ -60,7 +60,8 @@
 // run side by side. Unless said otherwise a call throws the store's Error when
 // the platform does not answer, and may then be repeated with the same
 // arguments: an update that took effect is recognised by its operation id, or
-// by its content when somebody else has written since.
+// by its content when somebody else has written since. kUnknownOutcome is
+// thrown when a lost answer could not be settled.
 class JobStore {
  public:
   using IndexChange = std::function<auto(ShardIndex&)->void>;
@@ -116,6 +117,9 @@
 
   auto Update(JobId job, StoredState base, Change change)
       -> boost::asio::awaitable<UpdateResult>;
+  // Returns nothing when the write was refused or its answer was lost.
+  auto TryWriteState(JobId job, JobState state, std::uint64_t expected_version)
+      -> boost::asio::awaitable<std::optional<std::uint64_t>>;
   auto ReadObject(std::string key)
       -> boost::asio::awaitable<std::optional<platform::StoredObject>>;
   auto CreateTombstone(JobId job) -> boost::asio::awaitable<bool>;
--- a/src/batch/batch_service.cc
+++ b/src/batch/batch_service.cc
@@ -680,7 +680,10 @@
     LogError("job " + job->manifest().id.value(), error);
     job->backoff =
         std::clamp<Duration>(job->backoff * 2, kFirstBackoff, kMaxBackoff);
-    job->retry_at = Now() + job->backoff;
+    // Jitter keeps the jobs of all nodes from coming back together after an
+    // outage.
+    const auto jitter = Duration(hooks_.random() % (job->backoff / 2).count());
+    job->retry_at = Now() + job->backoff / 2 + jitter;
   }
   job->busy = false;
   ScheduleLaunch();
@@ -1050,6 +1053,7 @@
   const auto owned = shard.jobs.find(job);
   if (owned != shard.jobs.end()) {
     owned->second->must_check = true;
+    owned->second->retry_at = Now();
     return;
   }
   shard.searches.erase(job);
--- a/src/batch/job_store.cc
+++ b/src/batch/job_store.cc
@@ -83,40 +83,60 @@
     -> awaitable<UpdateResult> {
   const auto operation = HashText(std::to_string(random_()));
   const auto key = StateKey(job);
-  for (auto attempt = 0; attempt < kMaxUpdateAttempts; ++attempt) {
-    auto next = base.state;
-    const auto verdict = change(next);
-    if (verdict != UpdateVerdict::kApplied || next == base.state) {
-      co_return UpdateResult{.verdict = verdict, .stored = std::move(base)};
-    }
-    next.operation = operation;
-    auto ambiguous = false;
-    try {
-      auto target = key;
-      auto value = next.ToJson();
-      const auto version =
-          co_await store_.Write(std::move(target), std::move(value),
-                                base.version, CallClass::kResult);
-      co_return UpdateResult{
-          .verdict = UpdateVerdict::kApplied,
-          .stored = {.state = std::move(next), .version = version}};
-    } catch (const Error& error) {
-      ambiguous = error.kind() == ErrorKind::kUnknownOutcome;
-      if (!ambiguous && error.kind() != ErrorKind::kConflict) {
-        throw;
+  // Once an answer was lost, no later failure proves that nothing happened: the
+  // write may still be on its way.
+  auto ambiguous = false;
+  try {
+    for (auto attempt = 0; attempt < kMaxUpdateAttempts; ++attempt) {
+      auto next = base.state;
+      const auto verdict = change(next);
+      if (verdict != UpdateVerdict::kApplied || next == base.state) {
+        co_return UpdateResult{.verdict = verdict, .stored = std::move(base)};
+      }
+      next.operation = operation;
+      const auto version = co_await TryWriteState(job, next, base.version);
+      if (version) {
+        co_return UpdateResult{
+            .verdict = UpdateVerdict::kApplied,
+            .stored = {.state = std::move(next), .version = *version}};
+      }
+      ambiguous = true;
+      auto found = co_await ReadState(job);
+      if (!found) {
+        throw NoSuchJob(job);
+      }
+      base = std::move(*found);
+      if (base.state.operation == operation) {
+        co_return UpdateResult{.verdict = UpdateVerdict::kApplied,
+                               .stored = std::move(base)};
       }
     }
-    auto found = co_await ReadState(job);
-    if (!found) {
-      throw NoSuchJob(job);
+    throw Contended(key);
+  } catch (const Error& error) {
+    if (!ambiguous || error.kind() == ErrorKind::kNotFound) {
+      throw;
     }
-    if (found->state.operation == operation) {
-      co_return UpdateResult{.verdict = UpdateVerdict::kApplied,
-                             .stored = std::move(*found)};
+  }
+  throw Error(ErrorKind::kUnknownOutcome, "the job may have been changed",
+              job.value(), "repeat the call; it takes effect once");
+}
+
+auto JobStore::TryWriteState(JobId job,
+                             JobState state,
+                             std::uint64_t expected_version)
+    -> awaitable<std::optional<std::uint64_t>> {
+  try {
+    auto key = StateKey(job);
+    auto value = state.ToJson();
+    co_return co_await store_.Write(std::move(key), std::move(value),
+                                    expected_version, CallClass::kResult);
+  } catch (const Error& error) {
+    if (error.kind() != ErrorKind::kConflict &&
+        error.kind() != ErrorKind::kUnknownOutcome) {
+      throw;
     }
-    base = std::move(*found);
   }
-  throw Contended(key);
+  co_return std::nullopt;
 }
 
 auto JobStore::TakeOver(JobId job, StoredState base, std::uint64_t token)
