Test fencing, cancel and lost answers of the job store directly

Cause: on a scratch copy two checks of JobStore::Commit could be removed without a failing test: the token (an owner that lost its lease drops the shard before it commits) and the skipping of parts that are named already.

--- /dev/null
+++ b/src/batch/job_store_test.cc
@@ -0,0 +1,90 @@
+#include "kumquatgauge/batch/job_store.h"
+
+#include <catch2/catch.hpp>
+
+#include "batch/test_world.h"
+
+namespace kumquatgauge::batch {
+namespace {
+
+using testing::StoreFault;
+using testing::World;
+
+// A submitted job of three chunks without any owner.
+class StoredJob {
+ public:
+  StoredJob() : jobs(world.DirectStore()), job(world.MakeJob("j", 600)) {
+    auto submission = Submission(
+        world.store, job.request, [this] { return world.WallNow(); },
+        [this] { return world.random(); });
+    world.Wait(submission.Append(job.body));
+    world.Wait(submission.Finish());
+  }
+
+  auto Stored() -> StoredState { return *world.Direct(jobs.ReadState(id())); }
+  auto id() const -> JobId { return job.id(); }
+  auto TakeOver(std::uint64_t token) -> UpdateResult {
+    return world.Wait(jobs.TakeOver(id(), Stored(), token));
+  }
+  auto Commit(const StoredState& base,
+              std::uint64_t token,
+              const std::vector<std::size_t>& chunks) -> UpdateResult {
+    auto parts = std::vector<PartCommit>();
+    for (const auto chunk : chunks) {
+      parts.push_back({chunk, {.part = 0, .token = token, .count = 10}});
+    }
+    return world.Wait(jobs.Commit(id(), base, token, parts, {}, std::nullopt));
+  }
+
+  World world;
+  JobStore jobs;
+  testing::TestJob job;
+};
+
+// Guards against a former owner whose commit goes on after a takeover.
+TEST_CASE("JobStore.RefusesTheCommitOfAFormerOwner") {
+  auto test = StoredJob();
+  const auto former = test.TakeOver(1).stored;
+  test.TakeOver(2);
+  CHECK(test.Commit(former, 1, {0}).verdict == UpdateVerdict::kFenced);
+  CHECK(test.Commit(test.Stored(), 1, {0}).verdict == UpdateVerdict::kFenced);
+  CHECK(test.TakeOver(1).verdict == UpdateVerdict::kFenced);
+  CHECK(test.Stored().state.results() == 0);
+}
+
+// Guards against results that are added to a cancelled job.
+TEST_CASE("JobStore.RefusesACommitAfterACancel") {
+  auto test = StoredJob();
+  const auto owned = test.TakeOver(1).stored;
+  test.world.Wait(test.jobs.Cancel(test.id(), 5));
+  CHECK(test.Commit(owned, 1, {0}).verdict == UpdateVerdict::kEnded);
+  CHECK(test.TakeOver(2).verdict == UpdateVerdict::kEnded);
+  CHECK(test.Stored().state.results() == 0);
+}
+
+// Guards against parts that are named twice when the answer to their commit was
+// lost and the next commit has more of them, also when somebody else has
+// written in between.
+TEST_CASE("JobStore.NamesEachPartOnceAfterALostAnswer") {
+  auto test = StoredJob();
+  const auto owned = test.TakeOver(1).stored;
+  test.world.set_fault([](const auto& call, const auto& /*key*/) {
+    return call == "write" ? StoreFault::kLoseAnswer : StoreFault::kUnavailable;
+  });
+  try {
+    test.Commit(owned, 1, {0});
+    FAIL("an unsettled commit was reported as settled");
+  } catch (const Error& error) {
+    CHECK(error.kind() == ErrorKind::kUnknownOutcome);
+  }
+  test.world.Heal();
+  CHECK(test.Commit(owned, 1, {0, 1}).verdict == UpdateVerdict::kApplied);
+  CHECK(test.Stored().state.chunks.at(0).size() == 1);
+  CHECK(test.Stored().state.results() == 20);
+  test.world.Wait(test.jobs.Cancel(test.id(), 5));
+  CHECK(test.Commit(owned, 1, {0, 1}).verdict == UpdateVerdict::kApplied);
+  CHECK(test.Stored().state.results() == 20);
+}
+
+}  // namespace
+}  // namespace kumquatgauge::batch
