--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -40,11 +40,14 @@
   fleet_address[$name]=$(sed -n 's/^listening on //p;q' "$fleet_dir/$name.out")
 }
 
-# start_node NAME ZONE: starts a node; the seeds are the nodes started before.
+# start_node NAME ZONE: starts a node; its seeds are up to three nodes that
+# were started before.
 start_node() {
-  local name=$1 zone=$2 seeds= other
+  local name=$1 zone=$2 seeds= other count=0
   for other in "${!node_nodes[@]}"; do
-    [ "$other" = "$name" ] || seeds+="${seeds:+, }\"${node_nodes[$other]}\""
+    [ "$other" != "$name" ] && [ "$count" -lt 3 ] || continue
+    seeds+="${seeds:+, }\"${node_nodes[$other]}\""
+    count=$((count + 1))
   done
   if [ -z "${node_callers[$name]:-}" ]; then
     free_port; node_callers[$name]=127.0.0.1:$free_port_result
--- a/src/daemon/node_operator_backend.cc
+++ b/src/daemon/node_operator_backend.cc
@@ -559,7 +559,9 @@
   result.revision = configuration.revision();
   result.before = before == nullptr ? nlohmann::json() : *before;
   result.after = ValueAfter(change, before);
-  configuration.CheckChange(control::EntryKey::Parse(change.key), result.after);
+  const auto key = control::EntryKey::Parse(change.key);
+  control::Configuration::CheckValue(key, result.after);
+  configuration.CheckReferences(key, result.after);
   co_return result;
 }
 
--- a/src/daemon/request_traces.cc
+++ b/src/daemon/request_traces.cc
@@ -8,15 +8,18 @@
 
 auto CandidateToJson(const routing::RouteCandidate& candidate)
     -> nlohmann::json {
-  return {{"replica", candidate.replica.value()},
-          {"zone", candidate.zone.value()},
-          {"known_in_flight", candidate.known_in_flight},
-          {"sent_since", candidate.sent_since},
-          {"limit", candidate.limit},
-          {"batch_room", candidate.batch_room},
-          {"weight", candidate.weight},
-          {"utilisation", candidate.utilisation},
-          {"stale", candidate.stale}};
+  return {
+      {"replica", candidate.replica.value()},
+      {"zone", candidate.zone.value()},
+      {"known_in_flight", candidate.known_in_flight},
+      {"sent_since", candidate.sent_since},
+      {"limit", candidate.limit},
+      {"batch_room", candidate.batch_room},
+      {"weight", candidate.weight},
+      {"utilisation", candidate.utilisation},
+      {"report_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                            candidate.report_age)
+                            .count()}};
 }
 
 auto ExplanationToJson(const routing::RouteExplanation& explanation)
--- a/testing/scenario/interpreter.cc
+++ b/testing/scenario/interpreter.cc
@@ -392,7 +392,10 @@
   for (const auto& assignment : command.fields) {
     body[assignment.field] = assignment.value;
   }
-  const auto hosts = command.kind == "hosts";
+  const auto hosts = command.kind == "host";
+  if (hosts) {
+    body = HostList(Name(command), FieldOr(command, "state", std::string()));
+  }
   const auto reply =
       Fetch({.address = fleet_->address(hosts ? "platform" : Name(command)),
              .method = hosts ? "PUT" : "POST",
@@ -405,6 +408,21 @@
   }
 }
 
+// The whole host list, with `state` for the host named `name`.
+auto Interpreter::HostList(const std::string& name,
+                           const std::string& state) const -> nlohmann::json {
+  auto rows = nlohmann::json::array();
+  for (const auto& host : fleet_->names_with_prefix("")) {
+    rows.push_back({{"name", host},
+                    {"address", fleet_->address(host)},
+                    {"zone", "zone-a"},
+                    {"state", host == name ? state : "live"}});
+  }
+  auto body = nlohmann::json();
+  body["hosts"] = std::move(rows);
+  return body;
+}
+
 auto Interpreter::Executions(const std::string& prefix) const
     -> std::vector<nlohmann::json> {
   auto all = std::vector<nlohmann::json>();
--- a/testing/scenario/interpreter.h
+++ b/testing/scenario/interpreter.h
@@ -49,6 +49,8 @@
   auto Wait(const Command& command) -> void;
   auto WaitForJob(const Command& command) -> void;
   auto Fault(const Command& command) -> void;
+  auto HostList(const std::string& name, const std::string& state) const
+      -> nlohmann::json;
   auto Expect(const Command& command) -> void;
   auto ExpectedRow(const Command& command) -> nlohmann::json;
   auto JobRow(const std::string& name) -> nlohmann::json;
