Clear the lint findings in the tests of node and control

Cause: clang-tidy found copied parameters and missing reserves; it does not see the check of an optional inside REQUIRE.

--- a/src/control/membership_test.cc
+++ b/src/control/membership_test.cc
@@ -385,7 +385,7 @@
   const auto healed = network->RunUntil(
       [&] { return network->AllSee(network->All()); }, seconds(30));
   REQUIRE(healed);
-  const auto healed_ms = healed->count();
+  const auto healed_ms = healed.value_or(milliseconds(0)).count();
   network->RunFor(seconds(15));
   CHECK(network->AllSee(network->All()));
   CHECK(network->restarts(9) >= 1);
--- a/src/node/peer_test.cc
+++ b/src/node/peer_test.cc
@@ -104,7 +104,7 @@
           co_return;
         });
     server->Register("endless",
-                     [this](json, std::shared_ptr<Responder> responder) {
+                     [this](const json&, std::shared_ptr<Responder> responder) {
                        return Endless(std::move(responder));
                      });
   }
@@ -177,7 +177,7 @@
             std::move(request),
             [result](const json& frame) { result->frames.push_back(frame); },
             timeout, std::move(cancel)),
-        [result](std::exception_ptr thrown) {
+        [result](const std::exception_ptr& thrown) {
           result->done = true;
           try {
             if (thrown) {
@@ -408,6 +408,7 @@
       });
   server.Start();
   std::vector<std::thread> threads;
+  threads.reserve(workers.size());
   for (auto& worker : workers) {
     threads.emplace_back([&worker] {
       const auto guard = boost::asio::make_work_guard(worker);
@@ -415,6 +416,7 @@
     });
   }
   std::vector<std::unique_ptr<PeerClient>> clients;
+  clients.reserve(4);
   auto open = 4;
   for (auto i = 0; i < 4; ++i) {
     clients.push_back(MakePeerClient(context, {"secret"}));
