--- a/src/control/config_store.cc
+++ b/src/control/config_store.cc
@@ -474,7 +474,7 @@
   }
   return Error(ErrorKind::kConflict,
                what + ", expected revision " +
-                   std::to_string(*request.expected_revision),
+                   std::to_string(request.expected_revision.value_or(0)),
                request.key,
                "read it again and repeat the change with expected revision " +
                    std::to_string(actual));
--- a/src/control/config_store_test.cc
+++ b/src/control/config_store_test.cc
@@ -18,6 +18,10 @@
 using testing::RunUntil;
 using testing::StoreFault;
 
+// Size of the loop of random faults.
+constexpr auto kWriters = 3;
+constexpr auto kChanges = 120;
+
 auto Request(const std::string& operation,
              const std::string& key,
              json value,
@@ -287,8 +291,6 @@
   objects.set_late_hook([&] { return faults() % 16 == 0; });
   objects.set_arrival_hook([&] { return faults() % 3 == 0; });
 
-  constexpr auto kWriters = 3;
-  constexpr auto kChanges = 120;
   auto accepted = std::map<std::string, std::uint64_t>();
   auto refused = std::set<std::string>();
   auto seen = std::uint64_t{0};
--- a/src/control/config_watcher.cc
+++ b/src/control/config_watcher.cc
@@ -112,9 +112,10 @@
 }
 
 auto ConfigWatcher::WaitForChange() -> awaitable<void> {
+  const auto since = since_.value_or(0);
   const auto batch =
-      co_await objects_.Watch(kConfigHeadKey, *since_, options_.watch_timeout);
-  if (batch.revision < *since_) {
+      co_await objects_.Watch(kConfigHeadKey, since, options_.watch_timeout);
+  if (batch.revision < since) {
     // The platform was reset: its revisions and versions start again.
     announced_version_ = 0;
   }
--- a/src/platform/circuit_test.cc
+++ b/src/platform/circuit_test.cc
@@ -10,6 +10,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr auto kNodes = 330;
+
 struct Fixture {
   auto Fail(std::uint32_t times) -> void {
     for (std::uint32_t i = 0; i < times; ++i) {
@@ -78,7 +80,6 @@
 
 // Guards against all nodes of a fleet returning at the same moment.
 TEST_CASE("Circuit.SpreadsTheReturnOfAFleet") {
-  constexpr auto kNodes = 330;
   auto random = std::mt19937_64(5);
   const auto options = CircuitOptions();
   const auto now = MonotonicTime(seconds(100));
--- a/src/platform/http_client.cc
+++ b/src/platform/http_client.cc
@@ -27,6 +27,9 @@
 constexpr std::size_t kMaxIdle = 4;
 // A listing page and a value of kMaxValueBytes fit with room to spare.
 constexpr std::uint64_t kMaxResponseBytes = 8'000'000;
+constexpr auto kHex = std::string_view("0123456789ABCDEF");
+// Besides letters and digits, what stands for itself in a path or query.
+constexpr auto kPlain = std::string_view("-._~/");
 
 auto ParseEndpoint(const std::string& address) -> tcp::endpoint {
   const auto colon = address.rfind(':');
@@ -117,7 +120,7 @@
 
 auto ToResponse(http::response<http::string_body>&& message) -> HttpResponse {
   auto response = HttpResponse();
-  response.status = message.result_int();
+  response.status = static_cast<int>(message.result_int());
   response.version = ParseNumber(message, "X-Version").value_or(0);
   if (const auto seconds = ParseNumber(message, "Retry-After")) {
     response.retry_after = std::chrono::seconds(*seconds);
@@ -160,7 +163,8 @@
 
 }  // namespace
 
-HttpClient::HttpClient(asio::any_io_executor executor, std::string address)
+HttpClient::HttpClient(asio::any_io_executor executor,
+                       const std::string& address)
     : pool_(std::make_shared<Pool>(std::move(executor), address)) {}
 
 auto HttpClient::Call(HttpRequest request,
@@ -221,8 +225,6 @@
 }
 
 auto UrlEncode(const std::string& text) -> std::string {
-  constexpr auto kHex = "0123456789ABCDEF";
-  constexpr auto kPlain = std::string_view("-._~/");
   auto encoded = std::string();
   for (const auto character : text) {
     const auto byte = static_cast<unsigned char>(character);
--- a/src/platform/http_client.h
+++ b/src/platform/http_client.h
@@ -40,7 +40,7 @@
 // Copies share the pool.
 class HttpClient {
  public:
-  HttpClient(boost::asio::any_io_executor executor, std::string address);
+  HttpClient(boost::asio::any_io_executor executor, const std::string& address);
 
   // A read, which may be repeated, is sent once more on a new connection when a
   // pooled one turns out to be closed.
--- a/testing/fake_platform/main.cc
+++ b/testing/fake_platform/main.cc
@@ -29,20 +29,21 @@
   kHelp,
 };
 
+constexpr auto kOptions = std::array<option, 8>{{
+    {"listen", required_argument, nullptr, kListen},
+    {"host-lag-ms", required_argument, nullptr, kHostLag},
+    {"reads-per-second", required_argument, nullptr, kReads},
+    {"writes-per-second", required_argument, nullptr, kWrites},
+    {"weights-per-second", required_argument, nullptr, kWeights},
+    {"seed", required_argument, nullptr, kSeed},
+    {"help", no_argument, nullptr, kHelp},
+    {nullptr, 0, nullptr, 0},
+}};
+
 // Returns false for an unknown option or a request for help.
 auto ParseOptions(int argc,
                   char** argv,
                   kumquatgauge::testing::FakePlatformOptions& options) -> bool {
-  static constexpr auto kOptions = std::array<option, 8>{{
-      {"listen", required_argument, nullptr, kListen},
-      {"host-lag-ms", required_argument, nullptr, kHostLag},
-      {"reads-per-second", required_argument, nullptr, kReads},
-      {"writes-per-second", required_argument, nullptr, kWrites},
-      {"weights-per-second", required_argument, nullptr, kWeights},
-      {"seed", required_argument, nullptr, kSeed},
-      {"help", no_argument, nullptr, kHelp},
-      {nullptr, 0, nullptr, 0},
-  }};
   auto found = 0;
   while ((found = getopt_long(argc, argv, "", kOptions.data(), nullptr)) !=
          -1) {
--- a/testing/support/fake_platform.cc
+++ b/testing/support/fake_platform.cc
@@ -32,6 +32,9 @@
 using Milliseconds = std::chrono::milliseconds;
 
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
+constexpr auto kModes = std::array<std::string_view, 5>{
+    "outage", "slow", "lose_answers", "lag", "stale"};
+constexpr auto kObjects = std::string_view("/objects/");
 constexpr auto kDefaultListLimit = std::size_t{1000};
 constexpr auto kDefaultWatchTimeout = Milliseconds(30'000);
 
@@ -196,8 +199,6 @@
       SetRate(weights_, fault, "weights_per_second");
       return;
     }
-    constexpr auto kModes = std::array<std::string_view, 5>{
-        "outage", "slow", "lose_answers", "lag", "stale"};
     if (std::find(kModes.begin(), kModes.end(), mode) == kModes.end()) {
       throw Error(ErrorKind::kInvalidArgument, "unknown fault mode", mode,
                   "use outage, slow, lose_answers, lag, stale, rates, reset or "
@@ -471,7 +472,6 @@
   }
 
   auto HandleCall(const Request& request, const Target& target) -> Answer {
-    constexpr auto kObjects = std::string_view("/objects/");
     if (target.path.starts_with(kObjects)) {
       return HandleObject(request, Decode(target.path.substr(kObjects.size())));
     }
