--- a/include/kumquatgauge/platform/platform_client.h
+++ b/include/kumquatgauge/platform/platform_client.h
@@ -70,7 +70,7 @@
 // Runs on one io_context; not thread-safe.
 class PlatformClient {
  public:
-  PlatformClient(boost::asio::any_io_executor executor,
+  PlatformClient(const boost::asio::any_io_executor& executor,
                  PlatformOptions options,
                  Clock clock,
                  RandomSource random);
--- a/src/platform/platform_client.cc
+++ b/src/platform/platform_client.cc
@@ -131,10 +131,13 @@
     }
   }
 
-  // Turns a call without a whole answer into the error that is true of it.
-  auto ThrowFailure(const PlatformCall& call,
+  // Returns the answer; without one, throws the error that is true of the call.
+  auto TakeResponse(const PlatformCall& call,
                     CallKind kind,
-                    const detail::HttpResult& result) -> void {
+                    detail::HttpResult& result) -> detail::HttpResponse {
+    if (result.response) {
+      return std::move(*result.response);
+    }
     ++counts.failures;
     if (kind == CallKind::kWrite && result.may_have_been_sent) {
       ThrowUnknown(call, result.reason);
@@ -199,7 +202,7 @@
   Duration retry_after{0};
 };
 
-PlatformClient::PlatformClient(asio::any_io_executor executor,
+PlatformClient::PlatformClient(const asio::any_io_executor& executor,
                                PlatformOptions options,
                                Clock clock,
                                RandomSource random)
@@ -225,15 +228,13 @@
                                            kind == CallKind::kRead, timeout);
   impl->counts.watches_waiting -= watches;
   impl->Report(result);
-  if (!result.response) {
-    impl->ThrowFailure(call, kind, result);
-  }
-  impl->ThrowOnErrorStatus(call, kind, *result.response);
+  auto response = impl->TakeResponse(call, kind, result);
+  impl->ThrowOnErrorStatus(call, kind, response);
   auto answer = PlatformResponse();
-  answer.status = result.response->status;
-  answer.version = result.response->version;
-  answer.retry_after = result.response->retry_after;
-  answer.body = std::move(result.response->body);
+  answer.status = response.status;
+  answer.version = response.version;
+  answer.retry_after = response.retry_after;
+  answer.body = std::move(response.body);
   co_return answer;
 }
 
