--- a/bench/routing_fleet.h
+++ b/bench/routing_fleet.h
@@ -236,6 +236,8 @@
     for (const auto& info : infos) {
       auto node = std::make_unique<Node>();
       node->info = info;
+      // Round robin starts at a random place on every node.
+      node->round_robin = {simulation_.random()(), simulation_.random()()};
       node->router = std::make_unique<routing::Router>(
           info.zone, routing::RouterSettings(), simulation_.AsHook(), random);
       node->router->SetReplicas(infos_of_replicas);
@@ -343,7 +345,7 @@
     auto& turn = node.round_robin.at(static_cast<std::size_t>(request.service));
     auto pick = options_.choice == Choice::kRandom
                     ? static_cast<std::size_t>(simulation_.random()())
-                    : turn++ + request.entry;
+                    : turn++;
     return candidates[pick % candidates.size()];
   }
   auto Attempt(std::uint64_t id) -> void {
