--- a/src/caller/api_error.cc
+++ b/src/caller/api_error.cc
@@ -103,10 +103,9 @@
 auto FromError(const Error& cause, int conflict_status) -> ApiError {
   ApiError error(StatusOf(cause.kind(), conflict_status),
                  std::string(ErrorKindName(cause.kind())), cause.what());
-  if (cause.kind() == ErrorKind::kUnknownOutcome) {
-    error.outcome = OutcomeKind::kUnknown;
-  } else if (cause.kind() == ErrorKind::kInternal) {
-    // Whether the request ran cannot be told from an internal error.
+  // Whether the request ran cannot be told from an internal error.
+  if (cause.kind() == ErrorKind::kUnknownOutcome ||
+      cause.kind() == ErrorKind::kInternal) {
     error.outcome = OutcomeKind::kUnknown;
   }
   if (error.status == kUnavailable || error.status == kTooManyRequests) {
--- a/src/caller/caller_server_test.cc
+++ b/src/caller/caller_server_test.cc
@@ -19,6 +19,9 @@
 using testing::RawClient;
 using testing::RunUntil;
 
+constexpr std::uint64_t kRelayedTokens = 20'000;
+constexpr int kGarbageRequests = 2'000;
+
 const std::string kChat = "/v1/chat/completions";
 
 auto Post(const std::string& target,
@@ -688,7 +691,7 @@
 }
 
 // Runs completions of the caller listener on a fake engine.
-auto RelayTo(upstream::HttpEngineClient& client, std::string address) {
+auto RelayTo(upstream::HttpEngineClient& client, const std::string& address) {
   return [&client, address](routing::CompletionRequest request,
                             routing::TokenSink sink,
                             std::shared_ptr<node::StreamCancel> cancel)
@@ -716,10 +719,9 @@
   testing::FakeEngine engine(fixture.context, settings);
   upstream::HttpEngineClient client(fixture.context.get_executor());
   fixture.backend.on_complete = RelayTo(client, engine.address());
-  constexpr std::uint64_t kTokens = 20'000;
   const json body{{"model", "small"},
                   {"prompt", "relay"},
-                  {"max_tokens", kTokens},
+                  {"max_tokens", kRelayedTokens},
                   {"stream", true}};
   const auto response = fixture.Ask(Post("/v1/completions", body.dump()));
   std::string text;
@@ -729,7 +731,7 @@
       text += json::parse(event)["choices"][0]["text"].get<std::string>();
     }
   }
-  CHECK(text == testing::FakeAnswer("relay", kTokens));
+  CHECK(text == testing::FakeAnswer("relay", kRelayedTokens));
 }
 
 // Guards against engines that go on generating for a caller that is gone.
@@ -746,36 +748,36 @@
   CHECK(RunUntil(fixture.context, [&] { return engine.running() == 0; }));
 }
 
+const std::vector<std::string> kParts = {"GET ",
+                                         "POST ",
+                                         "/v1/completions",
+                                         "/v1/batches?model=%",
+                                         " HTTP/1.1",
+                                         "\r\n",
+                                         "\r\n\r\n",
+                                         "Content-Length: ",
+                                         "99999999999999999999",
+                                         "-1",
+                                         "Transfer-Encoding: chunked\r\n",
+                                         "0\r\n\r\n",
+                                         "fffffffffffffff\r\n",
+                                         "{\"model\":",
+                                         "[[[[",
+                                         "\"\\u0000\"",
+                                         "\xff\xfe",
+                                         "Host: a\r\n",
+                                         ":",
+                                         " ",
+                                         "Expect: 100-continue\r\n",
+                                         "KQG-Deadline-Ms: 1\r\n",
+                                         "?custom_id=%2",
+                                         "/v1/batches/x/results",
+                                         "Connection: close\r\n",
+                                         "HTTP/9.9",
+                                         "\t",
+                                         "}"};
+
 auto Garbage(std::mt19937_64& random) -> std::string {
-  static const std::vector<std::string> kParts = {
-      "GET ",
-      "POST ",
-      "/v1/completions",
-      "/v1/batches?model=%",
-      " HTTP/1.1",
-      "\r\n",
-      "\r\n\r\n",
-      "Content-Length: ",
-      "99999999999999999999",
-      "-1",
-      "Transfer-Encoding: chunked\r\n",
-      "0\r\n\r\n",
-      "fffffffffffffff\r\n",
-      "{\"model\":",
-      "[[[[",
-      "\"\\u0000\"",
-      "\xff\xfe",
-      "Host: a\r\n",
-      ":",
-      " ",
-      "Expect: 100-continue\r\n",
-      "KQG-Deadline-Ms: 1\r\n",
-      "?custom_id=%2",
-      "/v1/batches/x/results",
-      "Connection: close\r\n",
-      "HTTP/9.9",
-      "\t",
-      "}"};
   std::string text;
   const auto parts = 1 + random() % 20;
   for (std::uint64_t i = 0; i < parts; ++i) {
@@ -790,7 +792,6 @@
 
 // Guards against input that crashes the listener or leaves a connection behind.
 TEST_CASE("CallerServer.SurvivesGarbage") {
-  constexpr int kRequests = 2'000;
   const auto seed = std::random_device{}();
   WARN("seed " << seed);
   std::mt19937_64 random(seed);
@@ -799,7 +800,7 @@
   settings.idle_timeout = std::chrono::milliseconds(5);
   Fixture fixture(settings);
   fixture.backend.completion.end = Completed();
-  for (auto i = 0; i < kRequests; ++i) {
+  for (auto i = 0; i < kGarbageRequests; ++i) {
     const auto garbage = Garbage(random);
     RawClient client(fixture.context, fixture.server->address());
     client.Send(garbage);
--- a/src/caller/request_head.cc
+++ b/src/caller/request_head.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr int kBadRequest = 400;
+constexpr int kHexBase = 16;
 constexpr std::size_t kMaxNameBytes = 64;
 constexpr std::size_t kMaxKeyBytes = 255;
 constexpr std::size_t kMaxTicketBytes = 160;
@@ -85,11 +86,10 @@
       decoded += text[i] == '+' ? ' ' : text[i];
       continue;
     }
-    constexpr int kHex = 16;
     std::uint8_t byte = 0;
     const auto digits = text.substr(i + 1, 2);
     const auto* end = digits.data() + digits.size();
-    const auto parsed = std::from_chars(digits.data(), end, byte, kHex);
+    const auto parsed = std::from_chars(digits.data(), end, byte, kHexBase);
     if (digits.size() != 2 || parsed.ec != std::errc() || parsed.ptr != end) {
       Reject("query", "has a malformed percent escape");
     }
@@ -114,19 +114,17 @@
                      const CallerSettings& settings,
                      const std::string& new_id) -> CallOptions {
   CallOptions options;
-  auto organisation =
+  const auto organisation =
       CheckedHeader(head, "KQG-Organisation", kMaxNameBytes, IsNameCharacter);
-  options.organisation =
-      OrganisationName(organisation.empty() ? settings.default_organisation
-                                            : std::move(organisation));
+  options.organisation = OrganisationName(
+      organisation.empty() ? settings.default_organisation : organisation);
   options.idempotency_key =
       CheckedHeader(head, "Idempotency-Key", kMaxKeyBytes, IsVisible);
   options.ticket =
       CheckedHeader(head, "KQG-Ticket", kMaxTicketBytes, IsNameCharacter);
-  auto request_id =
+  const auto request_id =
       CheckedHeader(head, "X-Request-Id", kMaxRequestIdBytes, IsNameCharacter);
-  options.request_id =
-      RequestId(request_id.empty() ? new_id : std::move(request_id));
+  options.request_id = RequestId(request_id.empty() ? new_id : request_id);
   const auto deadline = Header(head, "KQG-Deadline-Ms");
   options.time_left =
       deadline.empty()
--- a/src/caller/session.cc
+++ b/src/caller/session.cc
@@ -216,7 +216,6 @@
   auto OnStop() -> void;
   auto Abort() -> void;
 
- private:
   // One request being handled.
   struct Call {
     RequestHead head;
@@ -264,10 +263,8 @@
   std::shared_ptr<ServerCore> core;
   const CallerSettings& settings;
 
- public:
   std::shared_ptr<DeadlineSocket> io;
 
- private:
   std::shared_ptr<node::StreamCancel> running;  // Null between completions.
   bool idle = false;
   bool keep_alive = true;
--- a/src/upstream/http_engine_client.cc
+++ b/src/upstream/http_engine_client.cc
@@ -32,6 +32,7 @@
 using OnExpiry = detail::DeadlineSocket::OnExpiry;
 
 constexpr std::size_t kReadBytes = 32U << 10U;
+constexpr std::size_t kShownBytes = 200;  // Of an error body.
 constexpr std::size_t kMaxErrorBodyBytes = 64U << 10U;
 constexpr std::size_t kMaxReplyBytes = 1U << 20U;
 constexpr int kStatusOk = 200;
@@ -84,7 +85,6 @@
       return error["message"].get<std::string>();
     }
   }
-  constexpr std::size_t kShownBytes = 200;
   return body.substr(0, kShownBytes);
 }
 
--- a/src/upstream/http_exchange.cc
+++ b/src/upstream/http_exchange.cc
@@ -22,6 +22,10 @@
 using ResponseParser = http::response_parser<http::string_body>;
 
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr std::array<std::string_view, 9> kHopByHopNames = {
+    "connection", "keep-alive",          "proxy-authenticate",
+    "te",         "proxy-authorization", "trailer",
+    "upgrade",    "transfer-encoding",   "proxy-connection"};
 
 auto ToMessage(const std::string& address, ServiceRequest request)
     -> http::request<http::string_body> {
@@ -172,14 +176,11 @@
 }
 
 auto IsHopByHop(std::string_view name) -> bool {
-  static constexpr std::array<std::string_view, 9> kNames = {
-      "connection", "keep-alive",          "proxy-authenticate",
-      "te",         "proxy-authorization", "trailer",
-      "upgrade",    "transfer-encoding",   "proxy-connection"};
-  return std::any_of(kNames.begin(), kNames.end(), [name](auto known) {
-    return beast::iequals(beast::string_view(known.data(), known.size()),
-                          beast::string_view(name.data(), name.size()));
-  });
+  return std::any_of(
+      kHopByHopNames.begin(), kHopByHopNames.end(), [name](auto known) {
+        return beast::iequals(beast::string_view(known.data(), known.size()),
+                              beast::string_view(name.data(), name.size()));
+      });
 }
 
 }  // namespace kumquatgauge::upstream::detail
--- a/src/upstream/http_service_client_test.cc
+++ b/src/upstream/http_service_client_test.cc
@@ -1,5 +1,6 @@
 #include "kumquatgauge/upstream/http_service_client.h"
 
+#include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 
 #include "kumquatgauge/base/error.h"
--- a/src/upstream/sse_parser.h
+++ b/src/upstream/sse_parser.h
@@ -12,6 +12,7 @@
 class SseParser {
  public:
   static constexpr std::size_t kMaxEventBytes = 1U << 20U;
+  static constexpr std::string_view kData = "data:";
 
   // Passes the data of every event that `bytes` completes to
   // `on_event(std::string_view) -> bool`, until it returns false. Returns false
@@ -53,7 +54,6 @@
     if (line.empty()) {
       return has_data_;
     }
-    constexpr std::string_view kData = "data:";
     if (line.substr(0, kData.size()) != kData) {
       return false;
     }
--- a/testing/fake_engine/fake_engine.cc
+++ b/testing/fake_engine/fake_engine.cc
@@ -17,6 +17,8 @@
 using std::chrono::steady_clock;
 
 constexpr std::size_t kMaxCacheEvents = 10'000;
+constexpr std::size_t kShownBytes = 200;  // Of a prompt in a record.
+constexpr double kBytesPerKb = 1024.0;
 constexpr std::uint64_t kBurstTokens = 64;
 constexpr milliseconds kFrozenPoll{5};
 
@@ -76,7 +78,6 @@
 };
 
 auto FakeEngine::ExecutionFields(const Job& job) -> json {
-  constexpr std::size_t kShownBytes = 200;
   return {{"kind", "completion"},
           {"request_id", job.request_id},
           {"model", job.model},
@@ -538,7 +539,6 @@
 }
 
 auto FakeEngine::FirstTokenTime(const Job& job) -> microseconds {
-  constexpr double kBytesPerKb = 1024.0;
   const auto cached = cache_.Touch(job.prompt);
   const auto uncached_kb =
       static_cast<double>(job.prompt.size() - cached) / kBytesPerKb;
--- a/testing/support/fake_tokens.h
+++ b/testing/support/fake_tokens.h
@@ -10,20 +10,25 @@
 
 namespace kumquatgauge::testing {
 
+namespace detail {
+inline constexpr std::string_view kTokenLetters = "abcdefghijklmnopqrstuvwxyz";
+inline constexpr std::uint64_t kMinTokenLetters = 2;
+inline constexpr std::uint64_t kTokenLengths = 6;
+inline constexpr std::uint64_t kShortestAnswer = 16;
+inline constexpr std::uint64_t kAnswerLengths = 49;
+}  // namespace detail
+
 // Token `offset` of the answer that every fake engine gives to `prompt`, so
 // that any engine can continue an answer and a checker can verify it.
 inline auto FakeToken(std::string_view prompt, std::uint64_t offset)
     -> std::string {
-  constexpr std::string_view kLetters = "abcdefghijklmnopqrstuvwxyz";
-  constexpr std::uint64_t kMinLetters = 2;
-  constexpr std::uint64_t kLengths = 6;
   auto bits = XXH3_64bits_withSeed(prompt.data(), prompt.size(), offset);
   std::string token;
-  const auto length = kMinLetters + bits % kLengths;
-  bits /= kLengths;
+  const auto length = detail::kMinTokenLetters + bits % detail::kTokenLengths;
+  bits /= detail::kTokenLengths;
   for (std::uint64_t i = 0; i < length; ++i) {
-    token += kLetters[bits % kLetters.size()];
-    bits /= kLetters.size();
+    token += detail::kTokenLetters[bits % detail::kTokenLetters.size()];
+    bits /= detail::kTokenLetters.size();
   }
   return token + ' ';
 }
@@ -40,9 +45,8 @@
 
 // Tokens of the whole answer when the request sets no max_tokens.
 inline auto FakeNaturalLength(std::string_view prompt) -> std::uint64_t {
-  constexpr std::uint64_t kShortest = 16;
-  constexpr std::uint64_t kLengths = 49;
-  return kShortest + XXH3_64bits(prompt.data(), prompt.size()) % kLengths;
+  return detail::kShortestAnswer +
+         XXH3_64bits(prompt.data(), prompt.size()) % detail::kAnswerLengths;
 }
 
 // Prompt text of a request body: "prompt", or the contents of "messages", one
--- a/testing/support/run_until.h
+++ b/testing/support/run_until.h
@@ -15,19 +15,19 @@
 namespace kumquatgauge::testing {
 
 inline constexpr std::chrono::seconds kRunLimit{20};
+inline constexpr std::chrono::milliseconds kRunStep{5};
 
 // Runs `context` until `done` returns true; false when the limit passes first.
 inline auto RunUntil(boost::asio::io_context& context,
                      const std::function<auto()->bool>& done,
                      std::chrono::milliseconds limit = kRunLimit) -> bool {
-  constexpr std::chrono::milliseconds kStep{5};
   const auto end = std::chrono::steady_clock::now() + limit;
   while (!done()) {
     if (std::chrono::steady_clock::now() > end) {
       return false;
     }
     context.restart();
-    context.run_one_for(kStep);
+    context.run_one_for(kRunStep);
   }
   return true;
 }
@@ -47,15 +47,15 @@
   auto state = std::make_shared<State>();
   if constexpr (std::is_void_v<T>) {
     boost::asio::co_spawn(context, std::move(awaitable),
-                          [state](std::exception_ptr error) {
+                          [state](const std::exception_ptr& error) {
                             state->done = true;
-                            state->error = std::move(error);
+                            state->error = error;
                           });
   } else {
     boost::asio::co_spawn(context, std::move(awaitable),
-                          [state](std::exception_ptr error, T value) {
+                          [state](const std::exception_ptr& error, T value) {
                             state->done = true;
-                            state->error = std::move(error);
+                            state->error = error;
                             state->value = std::move(value);
                           });
   }
