--- a/src/upstream/http_engine_client.cc
+++ b/src/upstream/http_engine_client.cc
@@ -117,6 +117,8 @@
     }
   }
 
+  auto ReleaseSink() -> void { sink_ = nullptr; }
+
   auto Run(Request message) -> asio::awaitable<StreamEnd> {
     co_await Attempt(message, Reuse::kAllowed);
     if (stale_ && !cancelled_) {
@@ -393,6 +395,18 @@
   bool ended_ = false;
 };
 
+// Releases the sink with the coroutine, also when its io_context is destroyed
+// first: a sink usually leads to a cancel hook that holds the stream's handle.
+struct SinkGuard {
+  explicit SinkGuard(std::shared_ptr<EngineStream> guarded)
+      : stream(std::move(guarded)) {}
+  SinkGuard(const SinkGuard&) = delete;
+  auto operator=(const SinkGuard&) -> SinkGuard& = delete;
+  ~SinkGuard() { stream->ReleaseSink(); }
+
+  std::shared_ptr<EngineStream> stream;
+};
+
 auto ToLoadReport(const std::string& body) -> LoadReport {
   const auto value = json::parse(body);
   LoadReport report;
@@ -430,6 +444,7 @@
   }
   auto stream = std::make_shared<EngineStream>(pool_, settings_, address,
                                                request, std::move(sink));
+  const SinkGuard guard(stream);
   if (on_start) {
     on_start(stream);
   }
--- a/src/upstream/http_engine_client_test.cc
+++ b/src/upstream/http_engine_client_test.cc
@@ -25,6 +25,7 @@
 using Kind = StreamEnd::Kind;
 
 constexpr std::uint64_t kTokens = 20;
+constexpr std::uint64_t kLongAnswer = 5'000;
 
 auto FastEngine() -> FakeEngineSettings {
   FakeEngineSettings settings;
@@ -82,7 +83,7 @@
   auto Finish() -> StreamEnd {
     REQUIRE(RunUntil(context, [this] { return end.has_value(); }));
     REQUIRE_FALSE(failed);
-    return *end;
+    return end.value_or(StreamEnd{});
   }
   auto Run(const routing::CompletionRequest& request) -> StreamEnd {
     Start(engine.address(), request);
@@ -267,7 +268,6 @@
   std::thread engine_thread([&] { engine_context.run(); });
   asio::io_context context(1);
   HttpEngineClient client(context.get_executor(), ShortLimits());
-  constexpr std::uint64_t kLongAnswer = 5'000;
   const auto sink = [](const routing::Token& token) {
     const auto until =
         std::chrono::steady_clock::now() + 2 * ShortLimits().progress_timeout;
@@ -343,7 +343,7 @@
       RunUntil(fixture.context, [&] { return fixture.engine.waiting() == 1; }));
   queued_handle->Cancel();
   CHECK(RunUntil(fixture.context, [&] { return queued_end.has_value(); }));
-  CHECK(queued_end->kind == Kind::kCancelled);
+  CHECK(queued_end.value_or(StreamEnd{}).kind == Kind::kCancelled);
   CHECK(fixture.engine.waiting() == 0);
   CHECK(fixture.engine.running() == 1);
   running->Cancel();
@@ -410,7 +410,7 @@
             handle = std::move(started);
           },
           [](const routing::Token&) {}),
-      [&](const std::exception_ptr&, StreamEnd end) { first = end; });
+      [&](const std::exception_ptr&, const StreamEnd& end) { first = end; });
   REQUIRE(
       RunUntil(fixture.context, [&] { return fixture.engine.running() == 1; }));
   const auto second =
