--- a/src/batch/submission.cc
+++ b/src/batch/submission.cc
@@ -91,7 +91,11 @@
 
   auto Finish() -> awaitable<SubmissionResult> {
     co_await Guard(FinishBody());
-    co_return std::move(result_.value());
+    if (!result_) {
+      throw Error(ErrorKind::kInternal, "submission has no answer", id_.value(),
+                  "report it to the maintainers");
+    }
+    co_return std::move(*result_);
   }
 
  private:
