Answer unknown when the claim of a request cannot be made

Cause: without a ticket, a resend that reached another node during a platform outage was told "not run" although the first send may have run elsewhere.

Ruled out: "not run" with a warning; a refusal must be true. The random loop over the registry now allows an outage after earlier runs; its former exclusion is gone. Changes without an operation id now get one from the node.

Retry budgets are divided by the number of nodes, and loads go to all nodes of a small fleet, as the measurements of routing ask for.

--- a/include/kumquatgauge/daemon/node_operator_backend.h
+++ b/include/kumquatgauge/daemon/node_operator_backend.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "kumquatgauge/base/time.h"
 #include "kumquatgauge/batch/batch_service.h"
 #include "kumquatgauge/control/config_store.h"
 #include "kumquatgauge/control/orders.h"
@@ -41,6 +42,8 @@
     std::function<auto(const control::Configuration&)->void> apply;
     // Starts a planned stop of this node.
     std::function<auto()->void> drain;
+    // For the operation ids of changes that come without one.
+    RandomSource random;
     // Desired against observed state of upstreams, per service.
     std::function<auto()->std::vector<control::OrderStatus>> orders;
   };
--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -181,6 +181,9 @@
   auto OwnsOrders(const ServiceName& service) const -> bool;
   auto OnLocalLoad(const routing::ReplicaLoad& load) -> void;
   auto ShareLoads() -> void;
+  // Whether this node's loads are sent to `node`, in a fleet of that size.
+  auto HearsLoads(const routing::NodeInfo& node, std::size_t fleet) const
+      -> bool;
 
   auto WatchConfiguration() -> asio::awaitable<void>;
   auto PollHosts() -> asio::awaitable<void>;
@@ -463,6 +466,7 @@
                 ApplyConfiguration(configuration);
               },
           .drain = [this] { BeginStop(); },
+          .random = DrawRandom,
           .orders =
               [this] {
                 auto all = std::vector<control::OrderStatus>();
@@ -535,11 +539,10 @@
   table_.SetNodes(nodes);
   live_members_ = nodes.size();
   platform_.SetFleetSize(static_cast<std::uint32_t>(nodes.size()));
-  const auto zone_peers =
-      std::count_if(nodes.begin(), nodes.end(), [this](const auto& node) {
-        return node.zone == settings_.zone && node.id != settings_.name;
-      });
-  load_sharing_.set_peers(static_cast<std::uint32_t>(zone_peers));
+  const auto peers = std::count_if(
+      nodes.begin(), nodes.end(),
+      [&](const auto& node) { return HearsLoads(node, nodes.size()); });
+  load_sharing_.set_peers(static_cast<std::uint32_t>(peers));
 }
 
 auto NodeDaemon::Impl::OnRestarted(Incarnation incarnation) -> void {
@@ -667,6 +670,12 @@
   changed_loads_[load.replica] = load;
 }
 
+auto NodeDaemon::Impl::HearsLoads(const routing::NodeInfo& node,
+                                  std::size_t fleet) const -> bool {
+  return node.id != settings_.name &&
+         (fleet <= routing::kSmallFleet || node.zone == settings_.zone);
+}
+
 auto NodeDaemon::Impl::ShareLoads() -> void {
   auto changed = std::map<ReplicaId, routing::ReplicaLoad>();
   {
@@ -681,8 +690,9 @@
   if (due.empty()) {
     return;
   }
-  for (const auto& node : gossip_.membership().live()) {
-    if (node.zone != settings_.zone || node.id == settings_.name) {
+  const auto nodes = gossip_.membership().live();
+  for (const auto& node : nodes) {
+    if (!HearsLoads(node, nodes.size())) {
       continue;
     }
     for (const auto& load : due) {
--- a/src/daemon/node_operator_backend.cc
+++ b/src/daemon/node_operator_backend.cc
@@ -567,6 +567,10 @@
 
 auto NodeOperatorBackend::Change(operators::ConfigurationChange change)
     -> asio::awaitable<operators::ChangeResult> {
+  if (change.operation_id.empty()) {
+    change.operation_id = "node-" + dependencies_.self.value() + "-" +
+                          std::to_string(dependencies_.random());
+  }
   for (auto attempt = 1;; ++attempt) {
     const auto configuration =
         (co_await dependencies_.config_store.Load()).configuration;
--- a/src/daemon/routing_table.cc
+++ b/src/daemon/routing_table.cc
@@ -28,6 +28,7 @@
 auto RoutingTable::SetNodes(std::vector<routing::NodeInfo> nodes) -> void {
   const auto lock = std::lock_guard(mutex_);
   assignment_ = routing::Assignment(nodes);
+  budget_.set_nodes(nodes.size());
   nodes_ = std::move(nodes);
 }
 
--- a/src/routing/once_registry.cc
+++ b/src/routing/once_registry.cc
@@ -173,9 +173,12 @@
       return ForwardOrUnknown(result.node, result.incarnation);
     case ClaimResult::Kind::kAbsent:
     case ClaimResult::Kind::kNotSent:
+      // An earlier send may have run on another node, and only the claim that
+      // cannot be read would tell.
       Erase(place);
-      return NotRun("the platform is out and the request has no ticket",
-                    settings_.platform_retry_after);
+      return Unknown(
+          "the platform is out, which alone tells whether a request without "
+          "a ticket has run; send KQG-Ticket to be independent of it");
     case ClaimResult::Kind::kAmbiguous:
       break;
   }
--- a/src/routing/once_registry_test.cc
+++ b/src/routing/once_registry_test.cc
@@ -204,12 +204,12 @@
   CHECK(again.answer.outcome.kind == OutcomeKind::kUnknown);
 }
 
-TEST_CASE("OnceRegistry.SaysNotRunWhenThePlatformIsOutBeforeTheClaim") {
+// not-run-true: the first send may have run on another node before the outage.
+TEST_CASE("OnceRegistry.SaysUnknownWhenThePlatformIsOutBeforeTheClaim") {
   Fixture fixture;
   fixture.registry.DecideWithoutTicket(kKey, 1);
   auto decision = fixture.registry.OnClaim(kKey, {Claim::kNotSent});
-  CHECK(decision.kind == Kind::kNotRun);
-  CHECK(decision.answer.outcome.retry_after > std::chrono::milliseconds(0));
+  CHECK(decision.kind == Kind::kUnknown);
   CHECK(fixture.registry.DecideWithoutTicket(kKey, 1).kind == Kind::kClaim);
 }
 
@@ -335,9 +335,7 @@
     return {Claim::kExists, place->second.node, place->second.incarnation};
   }
   auto Create(int entry, const OnceKey& key) -> ClaimResult {
-    // An outage refuses the claim of a key before anything has run only; the
-    // page answers it as not run without knowing of earlier sends.
-    if (Below(8) == 0 && !runs_.contains(key)) {
+    if (Below(8) == 0) {
       return {Claim::kNotSent};
     }
     auto existing = Read(key);
