--- a/src/control/config_store_test.cc
+++ b/src/control/config_store_test.cc
@@ -118,7 +118,7 @@
     auto request =
         Request(std::to_string(i), "setting/s" + std::to_string(i), {{"n", i}});
     boost::asio::co_spawn(context, stores[i].Append(std::move(request)),
-                          [&](std::exception_ptr error, AuditRecord) {
+                          [&](const std::exception_ptr& error, AuditRecord) {
                             CHECK(error == nullptr);
                             ++done;
                           });
@@ -349,11 +349,12 @@
   };
   for (auto writer = 0; writer < kWriters; ++writer) {
     ++running;
-    boost::asio::co_spawn(context, write(writer), [](std::exception_ptr error) {
-      if (error) {
-        std::rethrow_exception(error);
-      }
-    });
+    boost::asio::co_spawn(context, write(writer),
+                          [](const std::exception_ptr& error) {
+                            if (error) {
+                              std::rethrow_exception(error);
+                            }
+                          });
   }
   RunUntil(context, [&] { return running == 0; });
 
--- a/src/control/config_watcher_test.cc
+++ b/src/control/config_watcher_test.cc
@@ -29,7 +29,7 @@
 struct Fixture {
   Fixture() {
     boost::asio::co_spawn(context, watcher.Run(),
-                          [this](std::exception_ptr error) {
+                          [this](const std::exception_ptr& error) {
                             ended = true;
                             failed = error != nullptr;
                           });
--- a/src/control/orders_test.cc
+++ b/src/control/orders_test.cc
@@ -341,7 +341,7 @@
     auto running = drivers.size();
     for (auto* driver : drivers) {
       boost::asio::co_spawn(context, driver->Run(),
-                            [&](std::exception_ptr error) {
+                            [&](const std::exception_ptr& error) {
                               CHECK(error == nullptr);
                               --running;
                             });
--- a/src/platform/circuit_test.cc
+++ b/src/platform/circuit_test.cc
@@ -1,6 +1,7 @@
 #include "kumquatgauge/platform/circuit.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 #include <random>
 #include <set>
 
--- a/src/platform/http_object_store_test.cc
+++ b/src/platform/http_object_store_test.cc
@@ -165,7 +165,7 @@
   auto batch = std::optional<WatchBatch>();
   boost::asio::co_spawn(
       context, store.Watch("w/", 0, std::chrono::seconds(10)),
-      [&](std::exception_ptr error, const WatchBatch& result) {
+      [&](const std::exception_ptr& error, const WatchBatch& result) {
         CHECK(error == nullptr);
         batch = result;
       });
@@ -175,7 +175,8 @@
   CHECK_FALSE(batch.has_value());
   Write("w/a", "x");
   RunUntil(context, [&] { return batch.has_value(); });
-  CHECK(batch->events == std::vector<WatchEvent>{{"w/a", 1, 2}});
+  CHECK(batch.value_or(WatchBatch()).events ==
+        std::vector<WatchEvent>{{"w/a", 1, 2}});
   CHECK(client.counts().watches_waiting == 0);
   CHECK(client.counts().watches == 1);
 }
--- a/testing/support/run_awaitable.h
+++ b/testing/support/run_awaitable.h
@@ -36,7 +36,7 @@
   auto done = false;
   if constexpr (std::is_void_v<Result>) {
     boost::asio::co_spawn(context, std::move(task),
-                          [&](std::exception_ptr error) {
+                          [&](const std::exception_ptr& error) {
                             failure = error;
                             done = true;
                           });
@@ -47,7 +47,7 @@
   } else {
     auto result = std::optional<Result>();
     boost::asio::co_spawn(context, std::move(task),
-                          [&](std::exception_ptr error, Result value) {
+                          [&](const std::exception_ptr& error, Result value) {
                             failure = error;
                             result = std::move(value);
                             done = true;
@@ -56,6 +56,9 @@
     if (failure) {
       std::rethrow_exception(failure);
     }
+    if (!result) {
+      throw std::logic_error("the task ended without a result");
+    }
     return std::move(*result);
   }
 }
