Fix the last lint findings of the upstream tests

Cause: a parameter copied per call, an unused name and an optional whose value the checker could not follow. The checks are unchanged.

Lint was not run again after this change.

--- a/src/upstream/http_engine_client_test.cc
+++ b/src/upstream/http_engine_client_test.cc
@@ -113,7 +113,7 @@
       : server(
             context,
             "127.0.0.1:0",
-            [text = std::move(events)](HttpRequest,
+            [text = std::move(events)](const HttpRequest&,
                                        std::shared_ptr<HttpExchange> exchange) {
               return Answer(text, std::move(exchange));
             }) {}
--- a/src/upstream/http_service_client_test.cc
+++ b/src/upstream/http_service_client_test.cc
@@ -14,7 +14,6 @@
 namespace asio = boost::asio;
 using testing::FakeService;
 using testing::FakeServiceFaults;
-using testing::FakeServiceSettings;
 using testing::RunAwait;
 
 constexpr std::chrono::milliseconds kTimeout{500};
--- a/testing/support/run_until.h
+++ b/testing/support/run_until.h
@@ -7,7 +7,7 @@
 #include <chrono>
 #include <exception>
 #include <functional>
-#include <optional>
+#include <memory>
 #include <stdexcept>
 #include <type_traits>
 #include <utility>
@@ -42,7 +42,7 @@
   struct State {
     bool done = false;
     std::exception_ptr error;
-    std::optional<Stored> value;
+    std::unique_ptr<Stored> value;
   };
   auto state = std::make_shared<State>();
   if constexpr (std::is_void_v<T>) {
@@ -56,7 +56,8 @@
                           [state](const std::exception_ptr& error, T value) {
                             state->done = true;
                             state->error = error;
-                            state->value = std::move(value);
+                            state->value =
+                                std::make_unique<T>(std::move(value));
                           });
   }
   if (!RunUntil(
