--- a/include/kumquatgauge/base/error.h
+++ b/include/kumquatgauge/base/error.h
@@ -13,7 +13,7 @@
   kConflict,
   kUnavailable,  // The operation certainly had no effect.
   kOverloaded,   // Refused for now; certainly had no effect.
-  kTimeout,      // Gave up waiting; certainly had no effect.
+  kTimeout,      // Gave up waiting; the call says if it may have had an effect.
   kPermissionDenied,
   kUnknownOutcome,  // The operation may have taken effect.
   kInternal,
--- a/include/kumquatgauge/node/peer.h
+++ b/include/kumquatgauge/node/peer.h
@@ -71,8 +71,8 @@
   // frame to `sink`; returns when the stream has ended. `cancel` may be null.
   // Errors: the other side's Error; kUnavailable when no byte of the request
   // was sent; kUnknownOutcome when the connection was lost or silent after
-  // that; kTimeout when `timeout` passed without a frame; kPermissionDenied
-  // when the fleet credential differs.
+  // that; kTimeout when `timeout` passed without a frame, after which the
+  // request may still run; kPermissionDenied when the fleet credential differs.
   virtual auto Call(std::string address,
                     Channel channel,
                     std::string name,
