Carry begun answers through the loss of engines and nodes

Cause: three whole-answer scenarios failed. Streams of a lost node or engine used up the retry budget; a resumed stream that met full replicas was cut off after two refusals; a silent engine held requests for 10 s before the first token.

Ruled out: a larger budget (it would let retries multiply an overload). Retries after a lost dispatcher, after a replica that is down, and of a begun answer need no budget; they are bounded per request and by the deadline. A dispatcher counts a replica as down after two failures in a row without a sign for 1 s. The first token may take 3 s, over three times its target.

--- a/include/kumquatgauge/daemon/completion_router.h
+++ b/include/kumquatgauge/daemon/completion_router.h
@@ -71,6 +71,25 @@
     bool dispatcher_lost = false;
   };
 
+  struct OnlineRun;
+
+  // One attempt; the end when it was the last one.
+  auto RunAttempt(OnlineRun& run)
+      -> boost::asio::awaitable<std::optional<CompletionEnd>>;
+  static auto MustBypassDispatcher(const OnlineRun& run, const Route& route)
+      -> bool;
+  static auto PrepareRequest(OnlineRun& run, MonotonicTime now) -> void;
+  auto Deliver(OnlineRun& run, const routing::Token& token) -> void;
+  static auto NoteTried(OnlineRun& run,
+                        const Route& route,
+                        const AttemptEnd& attempt) -> void;
+  auto DecideNext(OnlineRun& run, bool routed, const AttemptEnd& attempt)
+      -> routing::RetryDecision;
+  static auto EndOf(const OnlineRun& run,
+                    const AttemptEnd& attempt,
+                    const routing::RetryDecision& decision) -> CompletionEnd;
+  auto CountRetry(OnlineRun& run, const AttemptEnd& attempt) -> void;
+
   auto Attempt(const routing::CompletionRequest& request,
                const Route& route,
                bool direct,
--- a/include/kumquatgauge/daemon/dispatch_service.h
+++ b/include/kumquatgauge/daemon/dispatch_service.h
@@ -50,6 +50,8 @@
 
   auto OnLoadReport(const ReplicaId& replica,
                     const upstream::LoadReport& report) -> void;
+  // The replica did not answer a request for its load.
+  auto OnLoadReportFailed(const ReplicaId& replica) -> void;
   // Call about every 20 ms: ends waits that are over.
   auto OnTick() -> void;
 
--- a/include/kumquatgauge/routing/completion.h
+++ b/include/kumquatgauge/routing/completion.h
@@ -83,6 +83,8 @@
   Outcome outcome;
   std::string finish_reason;  // "stop" or "length" when completed.
   ReplicaLoad load;
+  // The replica answers its dispatcher neither requests nor load reports.
+  bool replica_down = false;
 
   auto operator==(const DispatchResult&) const -> bool = default;
 };
--- a/include/kumquatgauge/routing/retry_policy.h
+++ b/include/kumquatgauge/routing/retry_policy.h
@@ -30,6 +30,11 @@
   Duration time_left{0};
   // The service's replicas can continue a stream at a token offset.
   bool can_resume = true;
+  // The caller has a part of the answer, so "not run" is no way out: the rest
+  // is worth waiting for until the deadline.
+  bool answer_begun = false;
+  // The last attempt ended because its dispatching node was lost.
+  bool dispatcher_lost = false;
   // Shortest retry-after of the earlier refusals of this request.
   std::optional<std::chrono::milliseconds> least_retry_after = {};
 
@@ -47,6 +52,11 @@
 };
 
 // Decides whether an online completion is tried again after an attempt.
+//
+// The budget guards against retries that multiply an overload. Three kinds of
+// retry cannot, and need none of it: after the loss of a dispatching node,
+// after a replica that is down, and of an answer that has begun, which goes on
+// at its token offset. Their number per request is bounded.
 class RetryPolicy {
  public:
   // `budget` must outlive the policy.
@@ -63,6 +73,8 @@
       -> RetryDecision;
   auto DecideLost(const RetryState& state, const DispatchResult& result)
       -> RetryDecision;
+  auto TakeFromBudget(const RetryState& state, const DispatchResult& result)
+      -> bool;
   auto Backoff(std::uint32_t attempt) -> Duration;
 
   RetryPolicySettings settings_;
--- a/src/daemon/completion_router.cc
+++ b/src/daemon/completion_router.cc
@@ -101,122 +101,193 @@
       online_total_(metrics.histogram("kqg_online_total_seconds")),
       retries_(metrics.counter("kqg_online_retries_total")) {}
 
+// One online request on its way through the attempts.
+struct CompletionRouter::OnlineRun {
+  CompletionRequest request;  // As sent in the current attempt.
+  RequestId id;               // As the caller knows it.
+  routing::TokenSink sink;
+  std::shared_ptr<node::StreamCancel> cancel;
+  MonotonicTime start;
+  MonotonicTime deadline;
+  Progress progress = {};
+  RequestTrace trace = {};
+  routing::RetryState state = {};
+  routing::RouteRequest route_request = {};
+  std::vector<NodeId> lost_dispatchers = {};
+
+  auto cancelled() const -> bool { return cancel && cancel->cancelled(); }
+};
+
 auto CompletionRouter::Complete(CompletionRequest request,
                                 routing::TokenSink sink,
                                 std::shared_ptr<node::StreamCancel> cancel)
     -> boost::asio::awaitable<CompletionEnd> {
-  const auto start = clock_();
-  const auto deadline = start + request.time_left;
-  const auto id = request.id;
-  auto progress = Progress{.next_offset = request.resume_offset,
-                           .text = request.resume_text,
-                           .first_token = {}};
-  // Drops what an earlier attempt has already delivered.
-  const auto deliver = [&](const routing::Token& token) {
-    if (token.offset != progress.next_offset) {
-      return;
-    }
-    ++progress.next_offset;
-    progress.text += token.text;
-    if (!progress.first_token) {
-      progress.first_token = clock_();
-      online_first_token_.Record(ToMilliseconds(*progress.first_token - start));
-    }
-    sink(token);
-  };
-  auto trace = RequestTrace{.id = id,
-                            .organisation = request.organisation,
-                            .service = request.service,
-                            .kind = "completion"};
-  auto state = routing::RetryState();
-  state.service = request.service;
-  auto route_request = routing::RouteRequest{.service = request.service,
-                                             .affinity = request.affinity};
-  auto lost_dispatchers = std::vector<NodeId>();
-  auto end = CompletionEnd();
-  table_.OnRequest(request.service);
-  for (auto attempt = 1;; ++attempt) {
-    auto explanation = routing::RouteExplanation();
-    const auto route =
-        table_.Choose(route_request, WorkClass::kOnline, explanation);
-    auto attempt_end = AttemptEnd();
-    const auto attempt_start = clock_();
-    auto traced = TracedAttempt{.explanation = explanation};
-    if (!route) {
-      attempt_end.result = BusyResult(
-          "no replica of service " + request.service.value() + " is available");
-      traced.result = "no replica";
-    } else {
-      request.id = RequestId(id.value() + "#" + std::to_string(attempt));
-      request.resume_offset = progress.next_offset;
-      request.resume_text = progress.text;
-      request.time_left = TimeLeft(deadline, attempt_start);
-      // A dispatcher that cannot be reached is bypassed: a second dispatcher
-      // costs capacity only.
-      const auto direct =
-          !route->dispatcher ||
-          std::find(lost_dispatchers.begin(), lost_dispatchers.end(),
-                    route->dispatcher->id) != lost_dispatchers.end();
-      traced.replica = route->replica.id;
-      traced.dispatcher = direct ? self_ : route->dispatcher->id;
-      attempt_end = co_await Attempt(request, *route, direct, deliver, cancel);
-      Judge(*route, attempt_end, attempt_start, progress);
-      if (attempt_end.dispatcher_lost) {
-        lost_dispatchers.push_back(route->dispatcher->id);
-      } else {
-        route_request.tried.push_back(route->replica.id);
-      }
-      traced.result = ResultName(attempt_end.result.kind);
-    }
-    traced.milliseconds = ToMilliseconds(clock_() - attempt_start);
-    if (cancel && cancel->cancelled()) {
-      trace.attempts.push_back(std::move(traced));
-      end = CancelledEnd(progress.next_offset);
-      break;
-    }
-    if (attempt_end.result.kind == DispatchResult::Kind::kEnded) {
-      trace.attempts.push_back(std::move(traced));
-      end = {.outcome = attempt_end.result.outcome,
-             .finish_reason = attempt_end.result.finish_reason};
-      break;
-    }
-    state.time_left = deadline - clock_();
-    state.can_resume = !route || route->replica.can_resume;
-    auto decision = routing::RetryDecision();
-    if (route) {
-      decision = table_.DecideRetry(state, attempt_end.result);
-    } else {
-      decision.outcome = attempt_end.result.outcome;
-      decision.reason = "no other replica";
-    }
-    traced.retry_reason = decision.reason;
-    trace.attempts.push_back(std::move(traced));
-    if (!decision.retry) {
-      end.outcome = decision.outcome;
-      // Tokens were delivered, so the request has run.
-      if (progress.next_offset > 0 &&
-          end.outcome.kind == OutcomeKind::kNotRun) {
-        end.outcome.kind = OutcomeKind::kFailed;
-      }
-      break;
-    }
-    retries_.Add();
-    if (attempt_end.result.kind == DispatchResult::Kind::kBusy) {
-      ++state.busy_retries;
-      state.least_retry_after =
-          std::min(state.least_retry_after.value_or(
-                       attempt_end.result.outcome.retry_after),
-                   attempt_end.result.outcome.retry_after);
-    } else {
-      ++state.lost_retries;
-    }
-    if (decision.delay > Duration::zero()) {
-      co_await Pause(decision.delay);
+  auto run = OnlineRun{.request = std::move(request),
+                       .id = {},
+                       .sink = std::move(sink),
+                       .cancel = std::move(cancel),
+                       .start = clock_(),
+                       .deadline = {}};
+  run.id = run.request.id;
+  run.deadline = run.start + run.request.time_left;
+  run.trace.id = run.id;
+  run.trace.organisation = run.request.organisation;
+  run.trace.service = run.request.service;
+  run.trace.kind = "completion";
+  run.state.service = run.request.service;
+  run.route_request.service = run.request.service;
+  run.route_request.affinity = run.request.affinity;
+  table_.OnRequest(run.request.service);
+  auto end = std::optional<CompletionEnd>();
+  while (!end) {
+    end = co_await RunAttempt(run);
+  }
+  end->outcome.tokens = run.progress.next_offset;
+  Finish(std::move(run.trace), *end, run.start);
+  co_return *std::move(end);
+}
+
+auto CompletionRouter::RunAttempt(OnlineRun& run)
+    -> boost::asio::awaitable<std::optional<CompletionEnd>> {
+  const auto begin = clock_();
+  auto traced = TracedAttempt();
+  const auto route =
+      table_.Choose(run.route_request, WorkClass::kOnline, traced.explanation);
+  auto attempt = AttemptEnd();
+  if (route) {
+    const auto direct = MustBypassDispatcher(run, *route);
+    traced.replica = route->replica.id;
+    traced.dispatcher = direct ? self_ : route->dispatcher->id;
+    PrepareRequest(run, begin);
+    const auto deliver = [this, &run](const routing::Token& token) {
+      Deliver(run, token);
+    };
+    attempt =
+        co_await Attempt(run.request, *route, direct, deliver, run.cancel);
+    Judge(*route, attempt, begin, run.progress);
+    NoteTried(run, *route, attempt);
+    run.state.can_resume = route->replica.can_resume;
+    traced.result = ResultName(attempt.result.kind);
+  } else {
+    attempt.result = BusyResult("no replica of service " +
+                                run.request.service.value() + " is available");
+    traced.result = "no replica";
+  }
+  traced.milliseconds = ToMilliseconds(clock_() - begin);
+  auto decision = DecideNext(run, route.has_value(), attempt);
+  traced.retry_reason = decision.reason;
+  run.trace.attempts.push_back(std::move(traced));
+  if (run.cancelled()) {
+    co_return CancelledEnd(run.progress.next_offset);
+  }
+  if (!decision.retry) {
+    co_return EndOf(run, attempt, decision);
+  }
+  CountRetry(run, attempt);
+  if (decision.delay > Duration::zero()) {
+    co_await Pause(decision.delay);
+  }
+  co_return std::nullopt;
+}
+
+// A dispatcher that cannot be reached is bypassed: a second dispatcher costs
+// capacity only.
+auto CompletionRouter::MustBypassDispatcher(const OnlineRun& run,
+                                            const Route& route) -> bool {
+  return !route.dispatcher ||
+         std::find(run.lost_dispatchers.begin(), run.lost_dispatchers.end(),
+                   route.dispatcher->id) != run.lost_dispatchers.end();
+}
+
+auto CompletionRouter::PrepareRequest(OnlineRun& run, MonotonicTime now)
+    -> void {
+  const auto attempt = run.trace.attempts.size() + 1;
+  run.request.id = RequestId(run.id.value() + "#" + std::to_string(attempt));
+  run.request.resume_offset = run.progress.next_offset;
+  run.request.resume_text = run.progress.text;
+  run.request.time_left = TimeLeft(run.deadline, now);
+}
+
+// Passes a token on unless an earlier attempt has already delivered it.
+auto CompletionRouter::Deliver(OnlineRun& run, const routing::Token& token)
+    -> void {
+  auto& progress = run.progress;
+  if (token.offset != progress.next_offset) {
+    return;
+  }
+  ++progress.next_offset;
+  progress.text += token.text;
+  if (!progress.first_token) {
+    progress.first_token = clock_();
+    online_first_token_.Record(
+        ToMilliseconds(*progress.first_token - run.start));
+  }
+  run.sink(token);
+}
+
+auto CompletionRouter::NoteTried(OnlineRun& run,
+                                 const Route& route,
+                                 const AttemptEnd& attempt) -> void {
+  run.state.dispatcher_lost = attempt.dispatcher_lost;
+  if (attempt.dispatcher_lost) {
+    run.lost_dispatchers.push_back(route.dispatcher->id);
+  } else {
+    run.route_request.tried.push_back(route.replica.id);
+  }
+}
+
+auto CompletionRouter::DecideNext(OnlineRun& run,
+                                  bool routed,
+                                  const AttemptEnd& attempt)
+    -> routing::RetryDecision {
+  auto decision = routing::RetryDecision();
+  if (attempt.result.kind == DispatchResult::Kind::kEnded) {
+    return decision;
+  }
+  run.state.time_left = run.deadline - clock_();
+  run.state.answer_begun = run.progress.next_offset > 0;
+  if (routed || run.state.answer_begun) {
+    decision = table_.DecideRetry(run.state, attempt.result);
+    if (!routed && decision.retry) {
+      // All replicas were tried; by now one may have room.
+      run.route_request.tried.clear();
     }
+    return decision;
   }
-  end.outcome.tokens = progress.next_offset;
-  Finish(std::move(trace), end, start);
-  co_return end;
+  decision.outcome = attempt.result.outcome;
+  decision.reason = "no other replica";
+  return decision;
+}
+
+auto CompletionRouter::EndOf(const OnlineRun& run,
+                             const AttemptEnd& attempt,
+                             const routing::RetryDecision& decision)
+    -> CompletionEnd {
+  if (attempt.result.kind == DispatchResult::Kind::kEnded) {
+    return {.outcome = attempt.result.outcome,
+            .finish_reason = attempt.result.finish_reason};
+  }
+  auto end = CompletionEnd{.outcome = decision.outcome};
+  // Tokens were delivered, so the request has run.
+  if (run.progress.next_offset > 0 &&
+      end.outcome.kind == OutcomeKind::kNotRun) {
+    end.outcome.kind = OutcomeKind::kFailed;
+  }
+  return end;
+}
+
+auto CompletionRouter::CountRetry(OnlineRun& run, const AttemptEnd& attempt)
+    -> void {
+  retries_.Add();
+  auto& state = run.state;
+  if (attempt.result.kind != DispatchResult::Kind::kBusy) {
+    ++state.lost_retries;
+    return;
+  }
+  ++state.busy_retries;
+  const auto retry_after = attempt.result.outcome.retry_after;
+  state.least_retry_after =
+      std::min(state.least_retry_after.value_or(retry_after), retry_after);
 }
 
 auto CompletionRouter::RunBatchItem(CompletionRequest request,
--- a/src/daemon/dispatch_service.cc
+++ b/src/daemon/dispatch_service.cc
@@ -22,6 +22,13 @@
 // would be paid two million times a second across the fleet.
 constexpr std::uint64_t kProgressStep = 8;
 
+// A replica counts as down after this many failed requests and load reports in
+// a row, when it has answered before and gave no token for kSilence.
+constexpr int kFailuresUntilDown = 2;
+constexpr auto kSilence = std::chrono::milliseconds(1000);
+// Added to the load of a replica that is down, so that entries prefer others.
+constexpr std::uint32_t kDownLoad = 10'000;
+
 auto ToMilliseconds(Duration duration) -> double {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
@@ -92,6 +99,18 @@
        .retry_after = kRetryAfter});
 }
 
+auto DownResult(const routing::ReplicaLoad& load) -> DispatchResult {
+  constexpr auto kRetryAfter = std::chrono::milliseconds(1000);
+  auto result =
+      MakeResult(DispatchResult::Kind::kBusy,
+                 {.kind = OutcomeKind::kNotRun,
+                  .reason = "replica " + load.replica.value() + " is down",
+                  .retry_after = kRetryAfter});
+  result.load = load;
+  result.replica_down = true;
+  return result;
+}
+
 }  // namespace
 
 // A request at this dispatcher. Used on its own executor only; actions reach
@@ -161,9 +180,31 @@
     }
   }
 
-  auto load() const -> routing::ReplicaLoad {
+  auto load(MonotonicTime now) const -> routing::ReplicaLoad {
+    const auto lock = std::lock_guard(mutex_);
+    auto load = dispatcher_.load();
+    if (IsDown(now)) {
+      load.online_in_flight += kDownLoad;
+      load.batch_room = 0;
+    }
+    return load;
+  }
+
+  // The replica has answered something: a token or a load report.
+  auto OnSign(MonotonicTime now) -> void {
+    const auto lock = std::lock_guard(mutex_);
+    failures_ = 0;
+    last_sign_ = now;
+  }
+
+  auto OnFailure() -> void {
+    const auto lock = std::lock_guard(mutex_);
+    ++failures_;
+  }
+
+  auto down(MonotonicTime now) const -> bool {
     const auto lock = std::lock_guard(mutex_);
-    return dispatcher_.load();
+    return IsDown(now);
   }
 
   auto in_flight() const -> std::size_t {
@@ -177,8 +218,15 @@
   }
 
  private:
+  auto IsDown(MonotonicTime now) const -> bool {
+    return last_sign_ && failures_ >= kFailuresUntilDown &&
+           now - *last_sign_ > kSilence;
+  }
+
   mutable std::mutex mutex_;
   routing::Dispatcher dispatcher_;
+  int failures_ = 0;
+  std::optional<MonotonicTime> last_sign_;
   std::unordered_map<RequestId, std::shared_ptr<Waiter>> waiters_;
 };
 
@@ -280,6 +328,10 @@
   if (!slot) {
     co_return UnknownReplica(replica);
   }
+  if (slot->down(clock_())) {
+    refusals_.Add();
+    co_return DownResult(slot->load(clock_()));
+  }
   const auto id = request.id;
   const auto waiter =
       std::make_shared<Waiter>(co_await boost::asio::this_coro::executor);
@@ -330,7 +382,8 @@
     cancel->set_hook(nullptr);
   }
   slot->Unregister(id);
-  result.load = slot->load();
+  result.load = slot->load(clock_());
+  result.replica_down = slot->down(clock_());
   if (on_load_) {
     on_load_(result.load);
   }
@@ -362,6 +415,9 @@
     last = now;
     tokens_.Add();
     sink(token);
+    if (first || token.offset % kProgressStep == 0) {
+      slot->OnSign(now);
+    }
     if (first) {
       slot->Apply([&id](routing::Dispatcher& dispatcher) {
         return dispatcher.FirstToken(id);
@@ -386,6 +442,10 @@
   const auto end = co_await pool_.current().engine().Stream(
       slot->address(), std::move(request), on_start, on_token);
   waiter->stream.reset();
+  if (end.kind == StreamEnd::Kind::kLost ||
+      end.kind == StreamEnd::Kind::kRefused) {
+    slot->OnFailure();
+  }
   slot->Apply([&](routing::Dispatcher& dispatcher) {
     return dispatcher.Finished(id, UpstreamEndOf(end.kind));
   });
@@ -401,6 +461,7 @@
   if (!slot) {
     return;
   }
+  slot->OnSign(clock_());
   slot->Apply([&report](routing::Dispatcher& dispatcher) {
     return dispatcher.LoadReport({.running = report.running,
                                   .waiting = report.waiting,
@@ -408,7 +469,18 @@
                                   .kv_used = report.kv_used});
   });
   if (on_load_) {
-    on_load_(slot->load());
+    on_load_(slot->load(clock_()));
+  }
+}
+
+auto DispatchService::OnLoadReportFailed(const ReplicaId& replica) -> void {
+  const auto slot = FindSlot(replica);
+  if (!slot) {
+    return;
+  }
+  slot->OnFailure();
+  if (on_load_ && slot->down(clock_())) {
+    on_load_(slot->load(clock_()));
   }
 }
 
@@ -422,7 +494,7 @@
 auto DispatchService::loads() const -> std::vector<routing::ReplicaLoad> {
   auto loads = std::vector<routing::ReplicaLoad>();
   for (const auto& slot : AllSlots()) {
-    loads.push_back(slot->load());
+    loads.push_back(slot->load(clock_()));
   }
   return loads;
 }
--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -64,6 +64,9 @@
 constexpr auto kHouseKeepingInterval = std::chrono::seconds(1);
 constexpr auto kLoadPollInterval = std::chrono::milliseconds(500);
 constexpr auto kLoadShareInterval = std::chrono::milliseconds(200);
+// Over three times the target for the first token; an engine that takes longer
+// is treated as lost, and the request goes to another.
+constexpr auto kFirstByteTimeout = std::chrono::milliseconds(3000);
 constexpr auto kWatcherIdleInterval = std::chrono::milliseconds(500);
 constexpr auto kStopCheckInterval = std::chrono::milliseconds(50);
 constexpr auto kPeerStopLimit = std::chrono::milliseconds(1000);
@@ -351,8 +354,10 @@
 auto NodeDaemon::Impl::MakeClientFactory() const -> ClientFactory {
   return {.engine =
               [](asio::io_context& context) {
+                auto settings = upstream::EngineClientSettings();
+                settings.first_byte_timeout = kFirstByteTimeout;
                 return std::make_unique<upstream::HttpEngineClient>(
-                    context.get_executor());
+                    context.get_executor(), settings);
               },
           .service =
               [](asio::io_context& context) {
@@ -807,9 +812,11 @@
     const auto report =
         co_await traffic_.current().engine().Load(replica.address);
     dispatch_.OnLoadReport(replica.id, report);
+    co_return;
   } catch (const Error&) {
-    // Failed requests eject the replica; a lost report says less.
+    // Handled below.
   }
+  dispatch_.OnLoadReportFailed(replica.id);
 }
 
 auto NodeDaemon::Impl::WaitForSignal() -> asio::awaitable<void> {
--- a/src/node/message.cc
+++ b/src/node/message.cc
@@ -185,6 +185,7 @@
       {"tokens", result.outcome.tokens},
       {"finish_reason", result.finish_reason},
       {"load", ToMessage(result.load)},
+      {"replica_down", result.replica_down},
   };
 }
 
@@ -250,6 +251,7 @@
   Read(message, "retry_after", result.outcome.retry_after);
   Read(message, "tokens", result.outcome.tokens);
   Read(message, "finish_reason", result.finish_reason);
+  Read(message, "replica_down", result.replica_down);
   if (const auto* load = Find(message, "load")) {
     result.load = ReplicaLoadFrom(*load);
   }
--- a/src/routing/retry_policy.cc
+++ b/src/routing/retry_policy.cc
@@ -41,15 +41,20 @@
     decision.outcome.retry_after =
         std::min(decision.outcome.retry_after, *state.least_retry_after);
   }
-  if (state.busy_retries >= settings_.max_busy_retries) {
+  if (state.answer_begun) {
+    decision.delay = Backoff(state.busy_retries);
+    decision.retry =
+        state.time_left >= decision.delay + settings_.min_time_left;
+    decision.reason = decision.retry ? "answer has begun" : "deadline too near";
+  } else if (state.busy_retries >= settings_.max_busy_retries) {
     decision.reason = "other replicas were busy too";
   } else if (state.time_left < settings_.min_time_left) {
     decision.reason = "deadline too near";
-  } else if (!budget_.TryRetry(state.service)) {
+  } else if (!TakeFromBudget(state, result)) {
     decision.reason = "retry budget used up";
   } else {
     decision.retry = true;
-    decision.reason = "replica busy";
+    decision.reason = result.replica_down ? "replica down" : "replica busy";
   }
   return decision;
 }
@@ -70,7 +75,7 @@
   auto delay = Backoff(state.lost_retries);
   if (state.time_left < delay + settings_.min_time_left) {
     decision.reason = "deadline too near";
-  } else if (!budget_.TryRetry(state.service)) {
+  } else if (!TakeFromBudget(state, result)) {
     decision.reason = "retry budget used up";
   } else {
     decision.retry = true;
@@ -80,6 +85,14 @@
   return decision;
 }
 
+auto RetryPolicy::TakeFromBudget(const RetryState& state,
+                                 const DispatchResult& result) -> bool {
+  if (state.dispatcher_lost || result.replica_down || state.answer_begun) {
+    return true;
+  }
+  return budget_.TryRetry(state.service);
+}
+
 auto RetryPolicy::Backoff(std::uint32_t attempt) -> Duration {
   auto longest = std::min(
       settings_.max_backoff,
--- a/src/routing/retry_test.cc
+++ b/src/routing/retry_test.cc
@@ -105,6 +105,24 @@
   CHECK(last.outcome.retry_after == milliseconds(200));
 }
 
+// whole-answer: a resumed stream that meets full replicas must not be cut off.
+TEST_CASE("RetryPolicy.KeepsTryingABegunAnswerWhileReplicasAreBusy") {
+  Fixture fixture;
+  const auto decision = fixture.Decide(
+      DispatchResult::Kind::kBusy, {.busy_retries = 9, .answer_begun = true});
+  CHECK(decision.retry);
+  CHECK(decision.delay > Duration::zero());
+}
+
+// whole-answer: a lost node must not use up the budget of its streams.
+TEST_CASE("RetryPolicy.NeedsNoBudgetAfterALostDispatcher") {
+  Fixture fixture;
+  for (auto request = 0; request < 100; ++request) {
+    CHECK(fixture.Decide(DispatchResult::Kind::kLost, {.dispatcher_lost = true})
+              .retry);
+  }
+}
+
 TEST_CASE("RetryPolicy.RetriesALostStreamOnlyWhenItCanResume") {
   Fixture fixture;
   fixture.outcome.tokens = 5;
--- a/testing/scenario/load.cc
+++ b/testing/scenario/load.cc
@@ -150,6 +150,9 @@
       return result;
     }
     const auto told = Header(reply, "kqg-outcome");
+    constexpr auto kDetailBytes = std::size_t{300};
+    result.detail = reply.body.substr(
+        reply.body.size() - std::min(reply.body.size(), kDetailBytes));
     result.outcome = reply.whole && reply.status != kStatusOk && !told.empty()
                          ? told
                          : "broken";
@@ -218,6 +221,9 @@
   auto tries = std::size_t{0};
   for (const auto& result : results_) {
     tries += result.tries;
+    if (result.outcome != "completed") {
+      row["example"] = result.detail;
+    }
     if (result.outcome == "completed") {
       first.push_back(result.first_byte_ms);
       total.push_back(result.total_ms);
--- a/testing/scenario/load.h
+++ b/testing/scenario/load.h
@@ -53,6 +53,7 @@
     double total_ms = 0.0;
     std::size_t tries = 0;
     std::string key;
+    std::string detail;  // End of the response that was not a whole answer.
   };
 
   auto Pace() -> void;
