Pass tokens on as they are generated

Cause: the engine client used an eager parser with async_read_some, which reads on until its body buffer is full. Callers saw the first token when the answer was complete, and the dispatchers measured the same wrong latencies.

Ruled out: the caller's stream writer and the node streams (a raw socket and the node's own first-token metric showed the delay before them).

The new test fails before.

--- a/src/upstream/http_engine_client.cc
+++ b/src/upstream/http_engine_client.cc
@@ -235,7 +235,6 @@
     auto& io = connection_->io();
     std::array<char, kReadBytes> bytes;
     auto begun = false;
-    parser.eager(true);  // Several chunks per call, as far as they are here.
     while (!finished_) {
       auto& target = parser.get().body();
       target.data = bytes.data();
@@ -248,6 +247,7 @@
       if (cancelled_) {
         co_return;
       }
+      ParseBuffered(parser, error);
       const auto size = bytes.size() - target.size;
       if (size > 0) {
         begun = true;
@@ -277,6 +277,20 @@
     }
   }
 
+  // Parses the chunks that are here already. An eager parser would do so too,
+  // but its async_read_some reads on until the body buffer is full.
+  auto ParseBuffered(Parser& parser, boost::system::error_code& error) -> void {
+    auto& buffer = connection_->io().buffer();
+    while (!error && buffer.size() > 0 && !parser.is_done() &&
+           parser.get().body().size > 0) {
+      buffer.consume(parser.put(buffer.data(), error));
+      if (error == http::error::need_more) {
+        error = {};
+        break;
+      }
+    }
+  }
+
   auto TakeBytes(std::string_view bytes) -> void {
     const auto fits = events_.Feed(bytes, [this](std::string_view data) {
       TakeEvent(data);
--- a/src/upstream/http_engine_client_test.cc
+++ b/src/upstream/http_engine_client_test.cc
@@ -145,6 +145,19 @@
 }
 
 // Guards against chat bodies being sent to the completion endpoint.
+// Guards against a client that reads on until its buffer is full: the caller
+// then saw the first token only when the answer was complete.
+TEST_CASE("HttpEngineClient.DeliversTokensAsTheyAreGenerated") {
+  auto settings = FastEngine();
+  settings.token_time = std::chrono::milliseconds(20);
+  Fixture fixture(settings);
+  fixture.Start(fixture.engine.address(), MakeRequest("slow answer"));
+  REQUIRE(RunUntil(fixture.context, [&] { return fixture.tokens > 0; }));
+  CHECK(fixture.tokens < kTokens);
+  CHECK(fixture.engine.running() == 1);
+  CHECK(fixture.Finish().kind == Kind::kCompleted);
+}
+
 TEST_CASE("HttpEngineClient.StreamsChatCompletions") {
   Fixture fixture;
   auto request = MakeRequest("");
