--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -747,10 +747,13 @@
 }
 
 auto NodeDaemon::Impl::PollHosts() -> asio::awaitable<void> {
+  // A node reads the list once itself, and then hears of it from watchers.
+  auto fetched = false;
   while (true) {
-    if (IsWatcher() || hosts_.version == 0) {
+    if (IsWatcher() || !fetched) {
       try {
         auto hosts = co_await host_list_.Fetch();
+        fetched = true;
         ApplyHosts(std::move(hosts));
       } catch (const Error& error) {
         log_.Debug("Cannot read the host list.", {{"error", error.what()}});
