--- a/bench/batch_memory.cc
+++ b/bench/batch_memory.cc
@@ -166,7 +166,7 @@
 auto StreamAll(SyntheticStore& store) -> double {
   auto jobs = JobStore(store, [] { return 2; });
   const auto id = MakeJobId(Request().organisation, Request().client_key);
-  auto stored = Run(jobs.ReadState(id)).value();
+  auto stored = Run(jobs.ReadState(id)).value_or(StoredState());
   auto parts = std::vector<PartCommit>();
   for (std::size_t chunk = 0; chunk * kChunkItems < kItems; ++chunk) {
     parts.push_back({chunk, {.part = 0, .token = 0, .count = kChunkItems}});
--- a/include/kumquatgauge/daemon/routing_table.h
+++ b/include/kumquatgauge/daemon/routing_table.h
@@ -22,7 +22,8 @@
 // Where an attempt goes.
 struct Route {
   routing::Replica replica;
-  std::optional<routing::NodeInfo> dispatcher;
+  // Empty id: no node can dispatch; the request is sent from here.
+  routing::NodeInfo dispatcher;
   routing::RouteExplanation explanation;
 };
 
@@ -31,7 +32,7 @@
 // microseconds.
 class RoutingTable {
  public:
-  RoutingTable(ZoneName zone, Clock clock, RandomSource random);
+  RoutingTable(ZoneName zone, const Clock& clock, const RandomSource& random);
 
   auto SetReplicas(std::vector<routing::Replica> replicas) -> void;
   // The live nodes, this one included.
--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -106,9 +106,12 @@
   auto seen = static_cast<std::uint64_t>(data_->histogram.at(-1));
   for (auto index = 0; index < axis.size(); ++index) {
     seen += static_cast<std::uint64_t>(data_->histogram.at(index));
-    out += base + "_bucket{" + labels + separator + "le=\"" +
-           FormatNumber(axis.bin(index).upper() / kMsPerSecond) + "\"} " +
-           std::to_string(seen) + "\n";
+    out.append(base).append("_bucket{").append(labels).append(separator);
+    out.append("le=\"")
+        .append(FormatNumber(axis.bin(index).upper() / kMsPerSecond))
+        .append("\"} ")
+        .append(std::to_string(seen))
+        .append("\n");
   }
   const auto suffix = labels.empty() ? "" : "{" + labels + "}";
   out += base + "_bucket{" + labels + separator + "le=\"+Inf\"} " +
--- a/src/base/settings_test.cc
+++ b/src/base/settings_test.cc
@@ -34,7 +34,7 @@
   return "no error";
 }
 
-auto Replaced(std::string from, const std::string& with) -> std::string {
+auto Replaced(const std::string& from, const std::string& with) -> std::string {
   auto text = std::string(kGood);
   const auto at = text.find(from);
   REQUIRE(at != std::string::npos);
--- a/src/daemon/completion_router.cc
+++ b/src/daemon/completion_router.cc
@@ -157,7 +157,7 @@
   if (route) {
     const auto direct = MustBypassDispatcher(run, *route);
     traced.replica = route->replica.id;
-    traced.dispatcher = direct ? self_ : route->dispatcher->id;
+    traced.dispatcher = direct ? self_ : route->dispatcher.id;
     PrepareRequest(run, begin);
     const auto deliver = [this, &run](const routing::Token& token) {
       Deliver(run, token);
@@ -194,9 +194,9 @@
 // capacity only.
 auto CompletionRouter::MustBypassDispatcher(const OnlineRun& run,
                                             const Route& route) -> bool {
-  return !route.dispatcher ||
+  return route.dispatcher.id.empty() ||
          std::find(run.lost_dispatchers.begin(), run.lost_dispatchers.end(),
-                   route.dispatcher->id) != run.lost_dispatchers.end();
+                   route.dispatcher.id) != run.lost_dispatchers.end();
 }
 
 auto CompletionRouter::PrepareRequest(OnlineRun& run, MonotonicTime now)
@@ -230,7 +230,7 @@
                                  const AttemptEnd& attempt) -> void {
   run.state.dispatcher_lost = attempt.dispatcher_lost;
   if (attempt.dispatcher_lost) {
-    run.lost_dispatchers.push_back(route.dispatcher->id);
+    run.lost_dispatchers.push_back(route.dispatcher.id);
   } else {
     run.route_request.tried.push_back(route.replica.id);
   }
@@ -319,8 +319,8 @@
     attempt.dispatch = BusyResult("no replica has room for batch");
     co_return attempt;
   }
-  const auto end =
-      co_await Attempt(request, *route, !route->dispatcher, deliver, cancel);
+  const auto end = co_await Attempt(
+      request, *route, route->dispatcher.id.empty(), deliver, cancel);
   Judge(*route, end, start, progress);
   attempt.replica = route->replica.id;
   attempt.dispatch = end.result;
@@ -341,7 +341,7 @@
     end.result.outcome.kind = OutcomeKind::kCancelled;
     co_return end;
   }
-  if (direct || route.dispatcher->id == self_) {
+  if (direct || route.dispatcher.id == self_) {
     auto end = AttemptEnd();
     end.result = co_await dispatch_.Run(request, route.replica.id,
                                         std::move(sink), std::move(cancel));
@@ -375,13 +375,13 @@
   const auto channel = request.work_class == WorkClass::kOnline
                            ? node::Channel::kOnline
                            : node::Channel::kBatch;
-  auto failure = std::optional<Error>();
+  auto failure = std::string("stream ended");
   try {
-    co_await pool_.current().peer().Call(route.dispatcher->node_address,
-                                         channel, "dispatch", message, on_frame,
+    co_await pool_.current().peer().Call(route.dispatcher.node_address, channel,
+                                         "dispatch", message, on_frame,
                                          kPeerSilence, cancel);
   } catch (const Error& error) {
-    failure = error;
+    failure = error.what();
   }
   if (ended) {
     co_return end;
@@ -393,8 +393,7 @@
   }
   end.dispatcher_lost = true;
   end.result = LostResult(
-      "dispatcher " + route.dispatcher->id.value() +
-          " was lost: " + (failure ? failure->what() : "stream ended"),
+      "dispatcher " + route.dispatcher.id.value() + " was lost: " + failure,
       tokens);
   co_return end;
 }
--- a/src/daemon/dispatch_service.cc
+++ b/src/daemon/dispatch_service.cc
@@ -121,7 +121,8 @@
 
   boost::asio::any_io_executor executor;
   boost::asio::steady_timer timer;
-  std::optional<DispatchAction> admission;  // kStart, kRefuse or kExpire.
+  bool decided = false;      // Whether `admission` is set.
+  DispatchAction admission;  // kStart, kRefuse or kExpire.
   std::shared_ptr<upstream::StreamHandle> stream;
   bool preempted = false;
   bool cancelled = false;
@@ -133,6 +134,7 @@
       return;
     }
     admission = action;
+    decided = true;
     timer.cancel();
   }
 
@@ -239,7 +241,7 @@
                                  MetricsRegistry& metrics)
     : pool_(pool),
       clock_(std::move(clock)),
-      settings_(std::move(settings)),
+      settings_(settings),
       weight_(std::move(weight)),
       batch_settings_(std::move(batch_settings)),
       on_load_(std::move(on_load)),
@@ -365,13 +367,13 @@
                           {.kind = OutcomeKind::kCancelled,
                            .reason = "cancelled while it waited",
                            .tokens = request.resume_offset});
-    } else if (waiter->admission->kind == DispatchAction::Kind::kStart) {
+    } else if (waiter->admission.kind == DispatchAction::Kind::kStart) {
       result = co_await StreamFromEngine(slot, waiter, std::move(request),
                                          std::move(sink));
     } else {
       refusals_.Add();
       result =
-          MakeResult(DispatchResult::Kind::kBusy, waiter->admission->outcome);
+          MakeResult(DispatchResult::Kind::kBusy, waiter->admission.outcome);
     }
   } catch (const Error& error) {
     // The dispatcher already holds this id, so nothing was started here.
@@ -392,7 +394,7 @@
 
 auto DispatchService::WaitForAction(std::shared_ptr<Waiter> waiter)
     -> boost::asio::awaitable<void> {
-  while (!waiter->admission && !waiter->cancelled) {
+  while (!waiter->decided && !waiter->cancelled) {
     auto ignored = boost::system::error_code();
     waiter->timer.expires_at(MonotonicTime::max());
     co_await waiter->timer.async_wait(
--- a/src/daemon/node_operator_backend.cc
+++ b/src/daemon/node_operator_backend.cc
@@ -350,16 +350,17 @@
   done->expires_at(MonotonicTime::max());
   for (auto index = std::size_t{0}; index < nodes.size(); ++index) {
     answers->at(index).node = nodes[index].id;
-    asio::co_spawn(executor, Ask(nodes[index], query),
-                   [answers, open, done, index](std::exception_ptr failure,
-                                                nlohmann::json answer) {
-                     if (!failure) {
-                       answers->at(index).answer = std::move(answer);
-                     }
-                     if (--*open == 0) {
-                       done->cancel();
-                     }
-                   });
+    asio::co_spawn(
+        executor, Ask(nodes[index], query),
+        [answers, open, done, index](const std::exception_ptr& failure,
+                                     nlohmann::json answer) {
+          if (!failure) {
+            answers->at(index).answer = std::move(answer);
+          }
+          if (--*open == 0) {
+            done->cancel();
+          }
+        });
   }
   if (*open > 0) {
     auto ignored = boost::system::error_code();
--- a/src/daemon/routing_table.cc
+++ b/src/daemon/routing_table.cc
@@ -5,7 +5,9 @@
 
 namespace kumquatgauge::daemon {
 
-RoutingTable::RoutingTable(ZoneName zone, Clock clock, RandomSource random)
+RoutingTable::RoutingTable(ZoneName zone,
+                           const Clock& clock,
+                           const RandomSource& random)
     : router_(std::move(zone), routing::RouterSettings(), clock, random),
       outlier_(routing::OutlierSettings(), clock),
       budget_(routing::RetryBudgetSettings(), clock),
@@ -45,7 +47,8 @@
     return std::nullopt;
   }
   auto dispatcher =
-      assignment_.DispatcherOf(choice.replica->id, choice.replica->zone);
+      assignment_.DispatcherOf(choice.replica->id, choice.replica->zone)
+          .value_or(routing::NodeInfo());
   return Route{.replica = *std::move(choice.replica),
                .dispatcher = std::move(dispatcher),
                .explanation = std::move(choice.explanation)};
--- a/src/operator/documentation_test.cc
+++ b/src/operator/documentation_test.cc
@@ -18,8 +18,7 @@
       continue;
     }
     INFO(line);
-    CHECK_NOTHROW(
-        ParseCommand(line.substr(kPrefix.size()), OperatorVerbs()));
+    CHECK_NOTHROW(ParseCommand(line.substr(kPrefix.size()), OperatorVerbs()));
     ++examples;
   }
   CHECK(examples >= 20);
