--- a/src/control/config_store_test.cc
+++ b/src/control/config_store_test.cc
@@ -117,11 +117,12 @@
   for (auto i = 0; i < 4; ++i) {
     auto request =
         Request(std::to_string(i), "setting/s" + std::to_string(i), {{"n", i}});
-    boost::asio::co_spawn(context, stores[i].Append(std::move(request)),
-                          [&](const std::exception_ptr& error, AuditRecord) {
-                            CHECK(error == nullptr);
-                            ++done;
-                          });
+    boost::asio::co_spawn(
+        context, stores[i].Append(std::move(request)),
+        [&](const std::exception_ptr& error, const AuditRecord&) {
+          CHECK(error == nullptr);
+          ++done;
+        });
   }
   RunUntil(context, [&] { return done == 4; });
   auto reader = Store();
--- a/src/control/orders.cc
+++ b/src/control/orders.cc
@@ -551,7 +551,7 @@
 auto OrderDriver::Start(OrderAction action) -> void {
   ++running_;
   boost::asio::co_spawn(*executor_, Carry(std::move(action)),
-                        [this](std::exception_ptr) {
+                        [this](const std::exception_ptr&) {
                           --running_;
                           wake_->cancel();
                         });
--- a/src/operator/command_executor_test.cc
+++ b/src/operator/command_executor_test.cc
@@ -83,14 +83,14 @@
                       .address = "127.0.0.1",
                       .operation_id = "op1"}),
         [&](std::exception_ptr error, nlohmann::json result) {
-          failure = error;
+          failure = std::move(error);
           answer = std::move(result);
         });
     context.run();
     if (failure) {
       std::rethrow_exception(failure);
     }
-    return *answer;
+    return answer.value_or(nlohmann::json());
   }
 
   static auto Nothing() -> boost::asio::awaitable<void> { co_return; }
--- a/src/operator/operator_server.cc
+++ b/src/operator/operator_server.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
