Clear the lint findings of the scenario runner

Cause: two conversions that lint names. The unit programs passed before this change, which only touches the runner; it was built, not run again.

--- a/testing/scenario/interpreter.cc
+++ b/testing/scenario/interpreter.cc
@@ -539,7 +539,8 @@
   }
   if (command.kind == "started") {
     // Executions that began on a fake in the last `seconds`.
-    const auto since = WallMs() - FieldOr(command, "seconds", 1) * 1'000;
+    const auto since =
+        WallMs() - FieldOr(command, "seconds", std::int64_t{1}) * 1'000;
     auto count = 0;
     for (const auto& execution : Executions(Name(command))) {
       count += execution["upstream"] == Name(command) &&
--- a/testing/scenario/load.cc
+++ b/testing/scenario/load.cc
@@ -1,6 +1,7 @@
 #include "testing/scenario/load.h"
 
 #include <algorithm>
+#include <cmath>
 #include <sstream>
 #include <utility>
 
@@ -51,7 +52,7 @@
   }
   std::sort(figures.begin(), figures.end());
   const auto place = static_cast<std::size_t>(
-      share * static_cast<double>(figures.size() - 1) + 0.5);
+      std::lround(share * static_cast<double>(figures.size() - 1)));
   return figures[std::min(place, figures.size() - 1)];
 }
 
