--- a/src/operator/command_executor_test.cc
+++ b/src/operator/command_executor_test.cc
@@ -4,7 +4,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
-#include <optional>
 
 #include "kumquatgauge/base/error.h"
 #include "testing/support/manual_clock.h"
@@ -74,7 +73,7 @@
           return Nothing();
         });
     auto context = boost::asio::io_context();
-    auto answer = std::optional<nlohmann::json>();
+    auto answer = nlohmann::json();
     auto failure = std::exception_ptr();
     boost::asio::co_spawn(
         context,
@@ -90,7 +89,7 @@
     if (failure) {
       std::rethrow_exception(failure);
     }
-    return answer.value_or(nlohmann::json());
+    return answer;
   }
 
   static auto Nothing() -> boost::asio::awaitable<void> { co_return; }
