--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -225,7 +225,6 @@
   control::ConfigStore config_store_;
   control::Configuration configuration_;
   platform::HostListSnapshot hosts_;
-  MonotonicTime configuration_confirmed_;
 
   std::unique_ptr<node::PeerClient> control_peers_;
   upstream::HttpEngineClient control_engines_;
