--- a/bench/batch_memory.cc
+++ b/bench/batch_memory.cc
@@ -65,12 +65,12 @@
 
 // Keeps small objects only. Input chunks are dropped, and output parts are made
 // up when they are read, so that the store itself takes no memory.
-class SyntheticStore : public platform::ObjectStore {
+class SyntheticStore : public store::ObjectStore {
  public:
-  auto Read(std::string key, platform::CallClass /*class*/)
-      -> awaitable<std::optional<platform::StoredObject>> override {
+  auto Read(std::string key, store::CallClass /*class*/)
+      -> awaitable<std::optional<store::StoredObject>> override {
     if (key.find("/out/") != std::string::npos) {
-      co_return platform::StoredObject{.value = MakePart(key), .version = 1};
+      co_return store::StoredObject{.value = MakePart(key), .version = 1};
     }
     const auto found = objects_.find(key);
     if (found == objects_.end()) {
@@ -81,7 +81,7 @@
   auto Write(std::string key,
              std::string value,
              std::optional<std::uint64_t> /*expected*/,
-             platform::CallClass /*class*/)
+             store::CallClass /*class*/)
       -> awaitable<std::uint64_t> override {
     if (key.find("/in/") == std::string::npos) {
       objects_[key] = {.value = std::move(value), .version = ++version_};
@@ -90,22 +90,22 @@
   }
   auto Remove(std::string key,
               std::uint64_t /*expected*/,
-              platform::CallClass /*class*/) -> awaitable<void> override {
+              store::CallClass /*class*/) -> awaitable<void> override {
     objects_.erase(key);
     co_return;
   }
   auto List(std::string /*prefix*/,
             std::string /*after*/,
             std::size_t /*limit*/,
-            platform::CallClass /*class*/)
-      -> awaitable<platform::ListPage> override {
-    co_return platform::ListPage();
+            store::CallClass /*class*/)
+      -> awaitable<store::ListPage> override {
+    co_return store::ListPage();
   }
   auto Watch(std::string /*prefix*/,
              std::uint64_t /*since*/,
              std::chrono::milliseconds /*timeout*/)
-      -> awaitable<platform::WatchBatch> override {
-    co_return platform::WatchBatch();
+      -> awaitable<store::WatchBatch> override {
+    co_return store::WatchBatch();
   }
 
  private:
@@ -122,7 +122,7 @@
     return text;
   }
 
-  std::map<std::string, platform::StoredObject> objects_;
+  std::map<std::string, store::StoredObject> objects_;
   std::uint64_t version_ = 0;
 };
 
--- /dev/null
+++ b/include/kumquatgauge/base/http_header.h
@@ -0,0 +1,29 @@
+#ifndef KUMQUATGAUGE_BASE_HTTP_HEADER_H_
+#define KUMQUATGAUGE_BASE_HTTP_HEADER_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace kumquatgauge {
+
+struct HttpHeader {
+  std::string name;
+  std::string value;
+
+  auto operator==(const HttpHeader&) const -> bool = default;
+};
+
+using HeaderList = std::vector<HttpHeader>;
+
+// The value of the first header of that name, compared without regard to case;
+// empty when there is none.
+auto FindHeader(const HeaderList& headers, std::string_view name)
+    -> std::string_view;
+
+// Whether a header concerns one connection only and is not to be forwarded.
+auto IsHopByHop(std::string_view name) -> bool;
+
+}  // namespace kumquatgauge
+
+#endif  // KUMQUATGAUGE_BASE_HTTP_HEADER_H_
--- a/include/kumquatgauge/base/log.h
+++ b/include/kumquatgauge/base/log.h
@@ -1,6 +1,8 @@
 #ifndef KUMQUATGAUGE_BASE_LOG_H_
 #define KUMQUATGAUGE_BASE_LOG_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -16,6 +18,17 @@
 // first line.
 auto InitializeLogging(LogLevel level, const std::string& file) -> void;
 
+// Logs one JSON object a line to standard output: time, level, node, part,
+// message, and the fields. Writing never blocks: what a stalled reader does not
+// take waits in memory up to kMaxWaitingLogBytes and is then dropped; the number
+// of dropped lines is logged once writing works again.
+auto InitializeJsonLogging(LogLevel level, const std::string& node) -> void;
+
+inline constexpr std::size_t kMaxWaitingLogBytes = 256 * 1024;
+// Lines per second of levels below warning; bounds what a busy node spends on
+// logs. Failures are never held back by it.
+inline constexpr std::uint32_t kMaxInfoLinesPerSecond = 400;
+
 // Changes the level while the program runs.
 auto SetLogLevel(LogLevel level) -> void;
 
--- a/include/kumquatgauge/batch/batch_service.h
+++ b/include/kumquatgauge/batch/batch_service.h
@@ -17,7 +17,7 @@
 #include "kumquatgauge/batch/job_store.h"
 #include "kumquatgauge/batch/scheduler.h"
 #include "kumquatgauge/batch/submission.h"
-#include "kumquatgauge/platform/object_store.h"
+#include "kumquatgauge/store/object_store.h"
 
 namespace kumquatgauge::batch {
 
@@ -114,7 +114,7 @@
 // thread. The store and the runner must outlive the io_context that runs Tick.
 class BatchService {
  public:
-  BatchService(platform::ObjectStore& store,
+  BatchService(store::ObjectStore& store,
                ItemRunner& runner,
                NodeId node,
                Incarnation incarnation,
--- a/include/kumquatgauge/batch/job_store.h
+++ b/include/kumquatgauge/batch/job_store.h
@@ -12,7 +12,7 @@
 #include "kumquatgauge/base/ids.h"
 #include "kumquatgauge/base/time.h"
 #include "kumquatgauge/batch/job.h"
-#include "kumquatgauge/platform/object_store.h"
+#include "kumquatgauge/store/object_store.h"
 
 namespace kumquatgauge::batch {
 
@@ -66,7 +66,7 @@
  public:
   using IndexChange = std::function<auto(ShardIndex&)->void>;
 
-  JobStore(platform::ObjectStore& store, RandomSource random);
+  JobStore(store::ObjectStore& store, RandomSource random);
 
   auto ReadManifest(JobId job)
       -> boost::asio::awaitable<std::optional<StoredManifest>>;
@@ -121,13 +121,13 @@
   auto TryWriteState(JobId job, JobState state, std::uint64_t expected_version)
       -> boost::asio::awaitable<std::optional<std::uint64_t>>;
   auto ReadObject(std::string key)
-      -> boost::asio::awaitable<std::optional<platform::StoredObject>>;
+      -> boost::asio::awaitable<std::optional<store::StoredObject>>;
   auto CreateTombstone(JobId job) -> boost::asio::awaitable<bool>;
   auto RemoveAll(std::string prefix) -> boost::asio::awaitable<void>;
   auto RemoveObject(std::string key, std::uint64_t version)
       -> boost::asio::awaitable<void>;
 
-  platform::ObjectStore& store_;
+  store::ObjectStore& store_;
   RandomSource random_;
 };
 
--- a/include/kumquatgauge/batch/submission.h
+++ b/include/kumquatgauge/batch/submission.h
@@ -10,7 +10,7 @@
 
 #include "kumquatgauge/base/time.h"
 #include "kumquatgauge/batch/job.h"
-#include "kumquatgauge/platform/object_store.h"
+#include "kumquatgauge/store/object_store.h"
 
 namespace kumquatgauge::batch {
 
@@ -58,7 +58,7 @@
 class Submission {
  public:
   // `on_accepted` is called once the job has been accepted; may be empty.
-  Submission(platform::ObjectStore& store,
+  Submission(store::ObjectStore& store,
              SubmissionRequest request,
              WallClock wall_clock,
              RandomSource random,
--- /dev/null
+++ b/include/kumquatgauge/caller/http_listener.h
@@ -0,0 +1,102 @@
+#ifndef KUMQUATGAUGE_CALLER_HTTP_LISTENER_H_
+#define KUMQUATGAUGE_CALLER_HTTP_LISTENER_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "kumquatgauge/base/http_header.h"
+#include "kumquatgauge/base/time.h"
+
+namespace kumquatgauge::caller {
+
+// A request that was read whole.
+struct IncomingRequest {
+  std::string method;
+  std::string target;  // Path and query as sent.
+  HeaderList headers;
+  std::string body;
+  MonotonicTime arrived;  // When its last byte was read.
+};
+
+// The answer to one request. Every call returns false once the caller is gone.
+// An answer that is neither sent nor finished when the handler returns closes
+// the connection, so that it cannot be taken for a complete one.
+class ResponseWriter {
+ public:
+  virtual ~ResponseWriter() = default;
+
+  virtual auto Send(int status, HeaderList headers, std::string body)
+      -> boost::asio::awaitable<bool> = 0;
+  // An answer in pieces of unknown total length.
+  virtual auto BeginStream(int status, HeaderList headers)
+      -> boost::asio::awaitable<bool> = 0;
+  virtual auto WritePiece(std::string piece)
+      -> boost::asio::awaitable<bool> = 0;
+  virtual auto FinishStream() -> boost::asio::awaitable<bool> = 0;
+
+  virtual auto gone() const -> bool = 0;
+  // Called once, when the caller closes its connection before the answer ends.
+  virtual auto OnGone(std::function<auto()->void> hook) -> void = 0;
+};
+
+using RequestHandler =
+    std::function<auto(std::shared_ptr<const IncomingRequest> request,
+                       std::shared_ptr<ResponseWriter> writer)
+                      ->boost::asio::awaitable<void>>;
+
+struct ListenerLimits {
+  std::size_t max_header_bytes = 16'384;
+  std::size_t max_body_bytes = 4'194'304;
+  // From the first byte of a request to its last.
+  std::chrono::milliseconds read_timeout{3'000};
+  // Without a request on an open connection.
+  std::chrono::milliseconds idle_timeout{15'000};
+  // For the caller to take a piece of the answer.
+  std::chrono::milliseconds write_timeout{5'000};
+  std::size_t max_connections = 1'000;
+
+  auto operator==(const ListenerLimits&) const -> bool = default;
+};
+
+// HTTP/1.1 server for callers and the platform. Used on one io_context, which
+// is run by one thread.
+class HttpListener {
+ public:
+  HttpListener(boost::asio::io_context& context,
+               const std::string& address,
+               ListenerLimits limits,
+               RequestHandler handler);
+  ~HttpListener();
+  HttpListener(const HttpListener&) = delete;
+  auto operator=(const HttpListener&) -> HttpListener& = delete;
+
+  // Listens. Throws Error(kUnavailable) when the address cannot be bound.
+  auto Start() -> void;
+  // Applies to requests that begin from now on.
+  auto SetLimits(ListenerLimits limits) -> void;
+  // Answers from now on tell callers to close their connections.
+  auto Drain() -> void;
+  // Closes the connections that wait for a request.
+  auto CloseIdle() -> void;
+  // Stops accepting and closes all connections.
+  auto Stop() -> void;
+
+  auto address() const -> std::string;
+  auto connections() const -> std::size_t;
+  // Requests that were read and not yet answered.
+  auto active_requests() const -> std::size_t;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace kumquatgauge::caller
+
+#endif  // KUMQUATGAUGE_CALLER_HTTP_LISTENER_H_
--- a/include/kumquatgauge/control/config_store.h
+++ b/include/kumquatgauge/control/config_store.h
@@ -13,7 +13,7 @@
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/time.h"
 #include "kumquatgauge/control/configuration.h"
-#include "kumquatgauge/platform/object_store.h"
+#include "kumquatgauge/store/object_store.h"
 
 namespace kumquatgauge::control {
 
@@ -81,7 +81,7 @@
 // section 10. Several calls may be under way at once.
 class ConfigStore {
  public:
-  ConfigStore(platform::ObjectStore& store,
+  ConfigStore(store::ObjectStore& store,
               WallClock wall_clock,
               RandomSource random);
 
@@ -157,9 +157,9 @@
   auto ReadAuditObject(std::string key)
       -> boost::asio::awaitable<std::vector<AuditRecord>>;
   auto ListKeys(std::string prefix)
-      -> boost::asio::awaitable<std::vector<platform::ListEntry>>;
+      -> boost::asio::awaitable<std::vector<store::ListEntry>>;
   auto Pause(std::size_t attempt) -> boost::asio::awaitable<void>;
-  auto RemoveIfThere(const platform::ListEntry& entry)
+  auto RemoveIfThere(const store::ListEntry& entry)
       -> boost::asio::awaitable<void>;
   auto SweepSnapshots(std::size_t limit) -> boost::asio::awaitable<std::size_t>;
   auto ToRecord(const ChangeRequest& request,
@@ -180,7 +180,7 @@
                               std::uint64_t version,
                               Attempt& attempt) -> void;
 
-  platform::ObjectStore& store_;
+  store::ObjectStore& store_;
   WallClock wall_clock_;
   RandomSource random_;
   Configuration latest_;
--- a/include/kumquatgauge/control/config_watcher.h
+++ b/include/kumquatgauge/control/config_watcher.h
@@ -12,7 +12,7 @@
 
 #include "kumquatgauge/base/time.h"
 #include "kumquatgauge/control/config_store.h"
-#include "kumquatgauge/platform/object_store.h"
+#include "kumquatgauge/store/object_store.h"
 
 namespace kumquatgauge::control {
 
@@ -35,7 +35,7 @@
   // Gets each delta, which leads from the revision before to a higher one.
   using Sink = std::function<auto(const ConfigDelta&)->void>;
 
-  ConfigWatcher(platform::ObjectStore& objects,
+  ConfigWatcher(store::ObjectStore& objects,
                 ConfigStore& store,
                 Clock clock,
                 RandomSource random,
@@ -68,7 +68,7 @@
       -> boost::asio::awaitable<void>;
   auto NextBackoff() -> std::chrono::milliseconds;
 
-  platform::ObjectStore& objects_;
+  store::ObjectStore& objects_;
   ConfigStore& store_;
   Clock clock_;
   RandomSource random_;
--- a/include/kumquatgauge/control/lease.h
+++ b/include/kumquatgauge/control/lease.h
@@ -9,7 +9,7 @@
 
 #include "kumquatgauge/base/ids.h"
 #include "kumquatgauge/base/time.h"
-#include "kumquatgauge/platform/object_store.h"
+#include "kumquatgauge/store/object_store.h"
 
 namespace kumquatgauge::control {
 
@@ -72,7 +72,7 @@
 // keeper stays usable and the next call settles what was left open.
 class LeaseKeeper {
  public:
-  LeaseKeeper(platform::ObjectStore& store,
+  LeaseKeeper(store::ObjectStore& store,
               std::string key,
               NodeId node,
               Incarnation incarnation,
@@ -120,7 +120,7 @@
   };
 
   auto ReadLease()
-      -> boost::asio::awaitable<std::optional<platform::StoredObject>>;
+      -> boost::asio::awaitable<std::optional<store::StoredObject>>;
   // Writes `record` over `version`. Returns whether the write took effect. When
   // reading back fails too, throws and leaves the attempt open.
   auto WriteLease(LeaseRecord record, std::optional<std::uint64_t> version)
@@ -132,7 +132,7 @@
   auto IsMine(const LeaseRecord& record) const -> bool;
   auto Lose() -> void;
 
-  platform::ObjectStore& store_;
+  store::ObjectStore& store_;
   std::string key_;
   NodeId node_;
   Incarnation incarnation_;
--- a/include/kumquatgauge/control/orders.h
+++ b/include/kumquatgauge/control/orders.h
@@ -16,7 +16,7 @@
 #include "kumquatgauge/base/time.h"
 #include "kumquatgauge/control/configuration.h"
 #include "kumquatgauge/control/lease.h"
-#include "kumquatgauge/platform/weight_store.h"
+#include "kumquatgauge/store/weight_store.h"
 #include "kumquatgauge/upstream/engine_client.h"
 
 namespace kumquatgauge::control {
@@ -172,8 +172,8 @@
 class OrderDriver {
  public:
   struct Environment {
-    platform::ObjectStore& store;
-    platform::WeightStore& weights;
+    store::ObjectStore& store;
+    store::WeightStore& weights;
     upstream::EngineClient& engines;
     NodeId node;
     Incarnation incarnation;
--- a/include/kumquatgauge/daemon/node_operator_backend.h
+++ b/include/kumquatgauge/daemon/node_operator_backend.h
@@ -18,7 +18,7 @@
 #include "kumquatgauge/node/gossip.h"
 #include "kumquatgauge/node/peer.h"
 #include "kumquatgauge/operator/operator_backend.h"
-#include "kumquatgauge/platform/platform_client.h"
+#include "kumquatgauge/store/platform_client.h"
 
 namespace kumquatgauge::daemon {
 
@@ -34,7 +34,7 @@
     RoutingTable& table;
     DispatchService& dispatch;
     RequestTraces& traces;
-    platform::PlatformClient& platform;
+    store::PlatformClient& platform;
     std::function<auto()->std::shared_ptr<batch::BatchService>> batch;
     // The configuration in force here.
     std::function<auto()->control::Configuration> configuration;
--- a/include/kumquatgauge/daemon/once_service.h
+++ b/include/kumquatgauge/daemon/once_service.h
@@ -23,7 +23,7 @@
 #include "kumquatgauge/daemon/routing_table.h"
 #include "kumquatgauge/daemon/traffic_pool.h"
 #include "kumquatgauge/node/peer.h"
-#include "kumquatgauge/platform/object_store.h"
+#include "kumquatgauge/store/object_store.h"
 #include "kumquatgauge/routing/once_registry.h"
 
 namespace kumquatgauge::daemon {
@@ -48,7 +48,7 @@
               Incarnation incarnation,
               TrafficPool& pool,
               RoutingTable& table,
-              platform::ObjectStore& store,
+              store::ObjectStore& store,
               boost::asio::io_context& control,
               RequestTraces& traces,
               TraitsOf traits_of,
@@ -122,7 +122,7 @@
   std::atomic<Incarnation> incarnation_;
   TrafficPool& pool_;
   RoutingTable& table_;
-  platform::ObjectStore& store_;
+  store::ObjectStore& store_;
   boost::asio::io_context& control_;
   RequestTraces& traces_;
   TraitsOf traits_of_;
--- a/include/kumquatgauge/daemon/service_directory.h
+++ b/include/kumquatgauge/daemon/service_directory.h
@@ -10,7 +10,7 @@
 
 #include "kumquatgauge/base/ids.h"
 #include "kumquatgauge/control/configuration.h"
-#include "kumquatgauge/platform/host_list.h"
+#include "kumquatgauge/store/host_list.h"
 #include "kumquatgauge/routing/batch_room.h"
 #include "kumquatgauge/routing/replica.h"
 
@@ -57,7 +57,7 @@
 // shows for their addresses. A host that the lagging list does not show counts
 // as live: the configuration knows it, and failures eject it.
 auto BuildReplicas(const control::Configuration& configuration,
-                   const platform::HostListSnapshot& hosts)
+                   const store::HostListSnapshot& hosts)
     -> std::vector<routing::Replica>;
 
 }  // namespace kumquatgauge::daemon
--- a/include/kumquatgauge/routing/replica.h
+++ b/include/kumquatgauge/routing/replica.h
@@ -21,6 +21,11 @@
   std::uint32_t capacity = 1;  // Requests that it runs side by side.
   bool checks_fencing = false;
   bool can_resume = true;
+  // When the process started, in ms since the epoch; 0 when it is not known. A
+  // replica that restarts under its id holds nothing of before.
+  std::uint64_t started_ms = 0;
+  // How much longer it is slow after its start.
+  std::uint32_t warm_up_ms = 0;
 
   auto operator==(const Replica&) const -> bool = default;
 };
--- /dev/null
+++ b/include/kumquatgauge/serving/batch_schedule.h
@@ -0,0 +1,117 @@
+#ifndef KUMQUATGAUGE_SERVING_BATCH_SCHEDULE_H_
+#define KUMQUATGAUGE_SERVING_BATCH_SCHEDULE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kumquatgauge/base/ids.h"
+#include "kumquatgauge/base/time.h"
+
+namespace kumquatgauge::serving {
+
+struct BatchScheduleSettings {
+  // An item whose slack falls below this goes before online requests get
+  // further slots; covers a queue at the replica and one broken attempt.
+  Duration urgent_slack = std::chrono::milliseconds(2'500);
+  // Running time of an item before one was seen.
+  Duration first_run_time = std::chrono::seconds(6);
+  // Weight of the newest sample in the moving averages.
+  double smoothing = 0.1;
+  // Pause before an item that failed is tried again, doubling each time.
+  Duration retry_pause = std::chrono::milliseconds(200);
+};
+
+struct ItemRef {
+  JobId job;
+  std::size_t item = 0;  // Index in the job's submission.
+
+  auto operator<=>(const ItemRef&) const = default;
+};
+
+struct ScheduledJob {
+  JobId id;
+  ServiceName service;
+  MonotonicTime due;
+  MonotonicTime give_up;
+  std::uint32_t max_attempts = 1;
+  std::size_t items = 0;
+};
+
+enum class ItemEnd {
+  kFinished,   // Whole, or can never be done; leaves the schedule.
+  kStopped,    // Stopped or broken off; goes on after what it has.
+  kFailed,     // The replica ran it and failed.
+  kNotPlaced,  // It found no replica.
+};
+
+// Decides which items of the jobs of one node run. Answers a fleet whose online
+// load comes in steps: batch fills the slots that online leaves in the troughs,
+// the job that is due first goes first, and at a step up those items stop that
+// lose least. An item without slack left no longer yields, since it would miss
+// its due time and is worth as much as the online requests it delays.
+class BatchSchedule {
+ public:
+  explicit BatchSchedule(BatchScheduleSettings settings)
+      : settings_(settings) {}
+
+  // `listed` are the items that already have a result.
+  auto Add(const ScheduledJob& job, const std::vector<std::size_t>& listed)
+      -> void;
+  auto Remove(const JobId& job) -> void;
+
+  // Up to `room` items of a service to start, those with the least slack first,
+  // and beyond it any that are urgent. They count as running from now on.
+  auto TakeStarts(const ServiceName& service,
+                  std::size_t room,
+                  MonotonicTime now) -> std::vector<ItemRef>;
+  // Running items that are to stop, at most `count`: those without urgency that
+  // have come least far, so that little is read again.
+  auto TakeYields(const ServiceName& service,
+                  std::size_t count,
+                  MonotonicTime now) -> std::vector<ItemRef>;
+  // An item has produced events; `events` counts from its start.
+  auto OnProgress(const ItemRef& ref, std::uint64_t events) -> void;
+  // Returns true when the item has failed as often as allowed and leaves the
+  // schedule as an error.
+  auto OnEnded(const ItemRef& ref, ItemEnd end, MonotonicTime now) -> bool;
+  // Items past the time at which they may be given up; they leave the schedule.
+  auto TakeGivenUp(MonotonicTime now) -> std::vector<ItemRef>;
+
+  auto IsUrgent(const ItemRef& ref, MonotonicTime now) const -> bool;
+  auto waiting(const ServiceName& service) const -> std::size_t;
+  auto running(const ServiceName& service) const -> std::size_t;
+  auto services() const -> std::vector<ServiceName>;
+  auto unfinished(const JobId& job) const -> std::size_t;
+
+ private:
+  struct Item {
+    bool running = false;
+    bool yielding = false;
+    std::uint64_t events = 0;
+    std::uint32_t failures = 0;
+    MonotonicTime started;
+    std::uint64_t events_at_start = 0;
+    MonotonicTime not_before;
+  };
+  struct Job {
+    ScheduledJob job;
+    std::map<std::size_t, Item> items;  // Unfinished ones.
+  };
+
+  auto FindItem(const ItemRef& ref) -> Item*;
+  auto Slack(const Job& job, const Item& item, MonotonicTime now) const
+      -> Duration;
+  auto Learn(const Item& item, MonotonicTime now) -> void;
+
+  BatchScheduleSettings settings_;
+  std::map<JobId, Job> jobs_;
+  double events_per_item_ = 0;
+  double seconds_per_event_ = 0;
+};
+
+}  // namespace kumquatgauge::serving
+
+#endif  // KUMQUATGAUGE_SERVING_BATCH_SCHEDULE_H_
--- /dev/null
+++ b/include/kumquatgauge/serving/configuration.h
@@ -0,0 +1,97 @@
+#ifndef KUMQUATGAUGE_SERVING_CONFIGURATION_H_
+#define KUMQUATGAUGE_SERVING_CONFIGURATION_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "kumquatgauge/base/ids.h"
+
+namespace kumquatgauge::serving {
+
+// What may be repeated when a request of a route has no answer.
+enum class RequestKind {
+  kIdempotent,  // May run more than once.
+  kAtMostOnce,  // Runs at most once.
+  kStream,      // Events; at most once, or resumable at an event.
+  kBatch,       // Batch jobs.
+};
+
+struct WeightedService {
+  ServiceName service;
+  std::uint32_t weight = 1;
+
+  auto operator==(const WeightedService&) const -> bool = default;
+};
+
+// Requests to `host` whose path begins with `path_prefix`.
+struct Route {
+  std::string name;
+  std::string host;
+  std::string path_prefix;
+  RequestKind kind = RequestKind::kAtMostOnce;
+  // The longest that a caller may be kept waiting.
+  std::chrono::milliseconds time_limit{0};
+  // An answer, or the first event of a stream, is on time within this.
+  std::chrono::milliseconds latency_target{0};
+  // Pause between two events up to which a stream is on time.
+  std::chrono::milliseconds longest_gap{0};
+  std::uint32_t rank = 0;  // 0 is the most urgent.
+  // One entry, or several among which requests are split by weight.
+  std::vector<WeightedService> services;
+  // Replicas on which one request may run.
+  std::uint32_t max_attempts = 1;
+  bool resumable = false;
+  // Batch only, both from the first submission of a job: when all results are
+  // due, and when unfinished items may be given up.
+  std::chrono::milliseconds due{0};
+  std::chrono::milliseconds give_up_after{0};
+
+  auto operator==(const Route&) const -> bool = default;
+};
+
+struct Service {
+  ServiceName name;
+  std::string health_path;
+  std::uint32_t max_connections = 0;  // Of a replica, from all nodes together.
+  bool runs_model = false;
+
+  auto operator==(const Service&) const -> bool = default;
+};
+
+// Bounds on what a caller may send and how long it may take.
+struct CallerLimits {
+  std::size_t max_header_bytes = 16'384;
+  std::size_t max_body_bytes = 4'194'304;
+  std::chrono::milliseconds header_timeout{3'000};
+  std::chrono::milliseconds idle_timeout{15'000};
+
+  auto operator==(const CallerLimits&) const -> bool = default;
+};
+
+// One version of the operator's configuration.
+struct Configuration {
+  std::uint64_t version = 0;
+  std::vector<Route> routes;
+  std::vector<Service> services;
+  CallerLimits limits;
+
+  // The route of `host` with the longest prefix of `path`; null when there is
+  // none.
+  auto FindRoute(std::string_view host, std::string_view path) const
+      -> const Route*;
+  auto FindService(const ServiceName& name) const -> const Service*;
+
+  auto operator==(const Configuration&) const -> bool = default;
+};
+
+// Picks one of a route's services by weight; `draw` is any number, equal draws
+// give equal services.
+auto PickService(const Route& route, std::uint64_t draw) -> ServiceName;
+
+}  // namespace kumquatgauge::serving
+
+#endif  // KUMQUATGAUGE_SERVING_CONFIGURATION_H_
--- /dev/null
+++ b/include/kumquatgauge/serving/gateway.h
@@ -0,0 +1,54 @@
+#ifndef KUMQUATGAUGE_SERVING_GATEWAY_H_
+#define KUMQUATGAUGE_SERVING_GATEWAY_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "kumquatgauge/serving/dialect.h"
+#include "kumquatgauge/serving/gateway_settings.h"
+#include "kumquatgauge/store/object_store.h"
+#include "kumquatgauge/store/platform_client.h"
+
+namespace kumquatgauge::serving {
+
+using StoreFactory = std::function<
+    auto(store::PlatformClient&)->std::unique_ptr<store::ObjectStore>>;
+// Body of the answer to a caller that asks which addresses to use; empty when
+// the request asks for something else.
+using AddressesEncoder =
+    std::function<auto(const caller::IncomingRequest&,
+                       const std::vector<std::string>& addresses,
+                       std::chrono::seconds ttl)
+                      ->std::string>;
+
+struct GatewayParts {
+  Dialect dialect;
+  StoreFactory make_store;
+  AddressesEncoder encode_addresses;
+};
+
+// One node: takes callers, forwards their requests to replicas, runs batch
+// jobs, and tells callers which nodes to use. Runs on the calling thread until
+// SIGTERM, a planned stop, has been carried out.
+class Gateway {
+ public:
+  // `reload` reads the settings again; called on SIGHUP and when the settings
+  // have changed unannounced.
+  Gateway(GatewaySettings settings,
+          GatewayParts parts,
+          std::function<auto()->GatewaySettings> reload);
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  auto operator=(const Gateway&) -> Gateway& = delete;
+
+  auto Run() -> void;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace kumquatgauge::serving
+
+#endif  // KUMQUATGAUGE_SERVING_GATEWAY_H_
--- /dev/null
+++ b/include/kumquatgauge/serving/gateway_settings.h
@@ -0,0 +1,62 @@
+#ifndef KUMQUATGAUGE_SERVING_GATEWAY_SETTINGS_H_
+#define KUMQUATGAUGE_SERVING_GATEWAY_SETTINGS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "kumquatgauge/base/ids.h"
+#include "kumquatgauge/base/log.h"
+
+namespace kumquatgauge::serving {
+
+// The settings of a gateway or a disk host, read from a TOML file. docs/
+// operators.md lists every key with its meaning, unit, default and range.
+struct GatewaySettings {
+  struct Listen {  // "IP:port"; empty: not served.
+    std::string callers;
+    std::string readiness;
+    std::string directory;
+    std::string nodes;
+    std::string metrics;
+    auto operator==(const Listen&) const -> bool = default;
+  };
+  struct Store {
+    std::string address;
+    double writes_per_second = 400;  // Of the whole fleet.
+    double reads_per_second = 2'000;
+    auto operator==(const Store&) const -> bool = default;
+  };
+  struct Limits {
+    std::uint32_t memory_mb = 256;
+    std::uint32_t max_descriptors = 1'024;
+    // Time from SIGTERM in which a process must have ended.
+    std::chrono::milliseconds stop{8'000};
+    std::chrono::seconds address_ttl{2};
+    // Batch jobs and their results stay this long after they were accepted.
+    std::chrono::seconds job_retention{600};
+    auto operator==(const Limits&) const -> bool = default;
+  };
+
+  NodeId name;
+  ZoneName zone;
+  std::string fleet_credential;
+  std::vector<std::string> seeds;
+  Listen listen;
+  Store store;
+  Limits limits;
+  LogLevel log_level = LogLevel::kInfo;
+
+  auto operator==(const GatewaySettings&) const -> bool = default;
+};
+
+// Reads and checks the settings. Throws Error(kInvalidArgument) whose message
+// names file, line, key, what was found and what is allowed.
+auto ReadGatewaySettings(const std::string& path) -> GatewaySettings;
+auto ParseGatewaySettings(const std::string& text, const std::string& path)
+    -> GatewaySettings;
+
+}  // namespace kumquatgauge::serving
+
+#endif  // KUMQUATGAUGE_SERVING_GATEWAY_SETTINGS_H_
--- /dev/null
+++ b/include/kumquatgauge/serving/job.h
@@ -0,0 +1,90 @@
+#ifndef KUMQUATGAUGE_SERVING_JOB_H_
+#define KUMQUATGAUGE_SERVING_JOB_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "kumquatgauge/base/http_header.h"
+#include "kumquatgauge/base/ids.h"
+
+namespace kumquatgauge::serving {
+
+// One request of a batch job.
+struct JobItem {
+  std::string id;
+  std::string path;
+  HeaderList headers;
+  std::string body;
+  std::uint32_t tokens = 0;  // Of the prompt and at most generated, together.
+
+  auto operator==(const JobItem&) const -> bool = default;
+};
+
+struct ItemResult {
+  std::string item;
+  bool completed = false;  // Otherwise it ended in an error.
+  std::string text;        // The data of all its events, one a line.
+
+  auto operator==(const ItemResult&) const -> bool = default;
+};
+
+// An accepted job as it is stored; it never changes.
+struct JobRecord {
+  JobId id;
+  std::string host;
+  std::string path;
+  std::uint64_t accepted_ms = 0;  // Since the epoch.
+  std::string submission;         // The caller's body as received.
+
+  auto operator==(const JobRecord&) const -> bool = default;
+};
+
+// Who runs a job, and whether it is over. Stored beside the record, changed by
+// conditional writes only.
+struct JobState {
+  JobId id;
+  NodeId owner;
+  std::uint64_t incarnation = 0;  // Of the owner.
+  std::uint64_t accepted_ms = 0;
+  std::uint64_t total = 0;  // Items.
+  bool ended = false;       // Stopped on request.
+  bool done = false;        // Every item has a result.
+
+  auto operator==(const JobState&) const -> bool = default;
+};
+
+// Results that were stored together. The first one has the position `first` in
+// the job's list; the stored object is named after it, and is created only if
+// absent, so that no position is given twice.
+struct ResultChunk {
+  JobId id;
+  std::uint64_t first = 0;
+  std::string writer;  // Unique for each attempt to write.
+  std::vector<ItemResult> results;
+
+  auto operator==(const ResultChunk&) const -> bool = default;
+};
+
+auto RecordKey(const JobId& id) -> std::string;
+auto StateKey(const JobId& id) -> std::string;
+auto ChunkKey(const JobId& id, std::uint64_t first) -> std::string;
+inline constexpr auto kStatePrefix = "job-states/";
+
+// Values are JSON text. The decoders throw Error(kInvalidArgument) for text
+// that was not written by the encoders.
+auto EncodeState(const JobState& state) -> std::string;
+auto DecodeState(const JobId& id, const std::string& value) -> JobState;
+auto EncodeChunk(const ResultChunk& chunk) -> std::string;
+auto DecodeChunk(const JobId& id, const std::string& value) -> ResultChunk;
+// A record may need several values; the first holds the number of the others.
+auto EncodeRecord(const JobRecord& record) -> std::vector<std::string>;
+auto RecordPartKey(const JobId& id, std::size_t part) -> std::string;
+// Number of further parts that belong to the first value.
+auto RecordParts(const JobId& id, const std::string& first) -> std::size_t;
+auto DecodeRecord(const JobId& id, const std::vector<std::string>& values)
+    -> JobRecord;
+
+}  // namespace kumquatgauge::serving
+
+#endif  // KUMQUATGAUGE_SERVING_JOB_H_
--- /dev/null
+++ b/include/kumquatgauge/serving/load_picture.h
@@ -0,0 +1,180 @@
+#ifndef KUMQUATGAUGE_SERVING_LOAD_PICTURE_H_
+#define KUMQUATGAUGE_SERVING_LOAD_PICTURE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "kumquatgauge/base/ids.h"
+#include "kumquatgauge/base/time.h"
+#include "kumquatgauge/routing/completion.h"
+#include "kumquatgauge/routing/outlier.h"
+#include "kumquatgauge/routing/replica.h"
+
+namespace kumquatgauge::serving {
+
+struct LoadPictureSettings {
+  // A peer's counts are ignored when they are older. Several times the longest
+  // interval at which peers send them.
+  Duration peer_counts_expire = std::chrono::seconds(2);
+  // A replica's own figure lags by tens of ms and is overtaken by later
+  // arrivals; beyond this age the counts of the nodes are better.
+  Duration report_expires = std::chrono::milliseconds(300);
+  // Share of the latency target that a request may spend queued at a replica.
+  // The rest covers reading the prompt and the way back.
+  double queue_share = 0.4;
+  // Difference of utilisation up to which a replica of this node's zone is
+  // preferred; about one request on a replica of eight slots.
+  double zone_margin = 0.05;
+  // The same for the replica that probably holds the prompt's shared parts.
+  double affinity_margin = 0.2;
+  // Weight of the newest sample in the moving average of holding times.
+  double hold_smoothing = 0.05;
+  // Holding time of a slot before one was seen.
+  Duration first_hold = std::chrono::milliseconds(500);
+  // Share of a service's slots that batch leaves free for arrivals.
+  double batch_reserve = 0.1;
+};
+
+// Requests in flight at one replica.
+struct InFlight {
+  std::uint32_t online = 0;
+  std::uint32_t batch = 0;
+
+  auto total() const -> std::uint32_t { return online + batch; }
+  auto operator==(const InFlight&) const -> bool = default;
+};
+
+using InFlightCounts = std::map<ReplicaId, InFlight>;
+
+struct ChoiceRequest {
+  ServiceName service;
+  routing::WorkClass work_class = routing::WorkClass::kOnline;
+  Duration latency_target{0};
+  // Hash of the shared part of the prompt; 0 when there is none.
+  std::uint64_t affinity = 0;
+  std::vector<ReplicaId> tried;
+  // Takes a replica even when all are full, for a request whose answer has
+  // begun and goes on elsewhere.
+  bool even_if_full = false;
+};
+
+enum class Room {
+  kFree,       // A slot is free.
+  kQueued,     // It waits briefly at the replica.
+  kFull,       // Every usable replica has as many as may wait.
+  kNoReplica,  // No usable replica is known.
+};
+
+struct Choice {
+  Room room = Room::kNoReplica;
+  std::optional<routing::Replica> replica;
+  // What was known of the replica when it was chosen, for the log.
+  std::uint32_t in_flight = 0;
+  std::uint32_t slots = 0;
+  Duration report_age{0};  // Zero when the replica has not reported.
+  // Usable replicas weighed.
+  std::uint32_t candidates = 0;
+};
+
+// One node's picture of the room at all replicas, from exact counts of its own
+// requests, the counts that its peers send, and the load that replicas report
+// with their answers. Chooses replicas and says how much batch work fits.
+//
+// Answers this load: many nodes send to few replicas of a few slots each, in
+// steps up to five times the quiet rate. Each node counts its own requests at
+// once, so that a fresh report draws no herd, and fills free slots before any
+// request queues.
+class LoadPicture {
+ public:
+  LoadPicture(LoadPictureSettings settings,
+              ZoneName zone,
+              Clock clock,
+              RandomSource random);
+
+  // Replaces the replicas; those that stay, by id and start, keep their
+  // figures.
+  auto SetReplicas(const std::vector<routing::Replica>& replicas) -> void;
+  // The address is served by another replica, or the replica said it is gone.
+  auto MarkGone(const ReplicaId& replica) -> void;
+
+  auto Choose(const ChoiceRequest& request) -> Choice;
+  auto OnStarted(const ReplicaId& replica, routing::WorkClass work_class)
+      -> void;
+  auto OnEnded(const ReplicaId& replica, routing::WorkClass work_class) -> void;
+  // How long a completed online request held its slot.
+  auto OnHeld(const ServiceName& service, Duration held) -> void;
+  // A whole answer; `first` is the time to its head or first event.
+  auto OnSuccess(const ReplicaId& replica, Duration first) -> void;
+  // A broken, silent or malformed answer.
+  auto OnFailure(const ReplicaId& replica) -> void;
+  // The replica refused for lack of room.
+  auto OnRefused(const ReplicaId& replica) -> void;
+  auto OnReport(const ReplicaId& replica,
+                std::uint32_t running,
+                std::uint32_t waiting) -> void;
+  auto OnPeerCounts(const NodeId& peer, InFlightCounts counts) -> void;
+  auto ForgetPeer(const NodeId& peer) -> void;
+  // Call about once a second.
+  auto OnTick() -> routing::OutlierDetector::Changes;
+
+  // Batch items that may be started now in the whole fleet; negative when more
+  // run than fit, so that some must yield to online requests.
+  auto BatchRoom(const ServiceName& service) const -> std::int64_t;
+  // Requests in flight at a service by class, own and peers'.
+  auto Total(const ServiceName& service) const -> InFlight;
+  auto OwnBatch(const ServiceName& service) const -> std::uint32_t;
+  // This node's requests by replica, for peers.
+  auto own_counts() const -> InFlightCounts;
+  auto slots(const ServiceName& service) const -> std::uint32_t;
+  // How long a slot is held on average.
+  auto mean_hold(const ServiceName& service) const -> Duration;
+  auto Find(const ReplicaId& replica) const
+      -> std::optional<routing::Replica>;
+
+ private:
+  struct Report {
+    std::uint32_t total = 0;
+    std::uint32_t own_then = 0;  // Own requests when it came.
+    MonotonicTime at;
+  };
+  struct State {
+    routing::Replica replica;
+    std::uint64_t hash = 0;
+    InFlight own;
+    InFlight peers;
+    std::optional<Report> report;
+    bool gone = false;
+    MonotonicTime full_until;  // Refused for lack of room.
+  };
+  struct PeerCounts {
+    InFlightCounts counts;
+    MonotonicTime at;
+  };
+
+  auto IsUsable(const State& state, const ChoiceRequest& request) const -> bool;
+  auto Estimate(const State& state) const -> std::uint32_t;
+  auto Score(const State& state) const -> double;
+  // Requests that may wait at a replica and still be on time.
+  auto QueueLimit(const State& state, Duration latency_target) const
+      -> std::uint32_t;
+  auto RebuildPeers() -> void;
+  auto ExpirePeers() -> void;
+
+  LoadPictureSettings settings_;
+  ZoneName zone_;
+  Clock clock_;
+  RandomSource random_;
+  routing::OutlierDetector outliers_;
+  std::map<ReplicaId, State> states_;
+  std::map<ServiceName, std::vector<ReplicaId>> services_;
+  std::map<NodeId, PeerCounts> peers_;
+  std::map<ServiceName, double> hold_s_;
+};
+
+}  // namespace kumquatgauge::serving
+
+#endif  // KUMQUATGAUGE_SERVING_LOAD_PICTURE_H_
--- /dev/null
+++ b/include/kumquatgauge/serving/store_feed.h
@@ -0,0 +1,64 @@
+#ifndef KUMQUATGAUGE_SERVING_STORE_FEED_H_
+#define KUMQUATGAUGE_SERVING_STORE_FEED_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "kumquatgauge/base/time.h"
+#include "kumquatgauge/store/object_store.h"
+
+namespace kumquatgauge::serving {
+
+struct StoreFeedSettings {
+  std::string prefix;
+  // How long one watch waits. Each is a priced call; a silent connection is
+  // found by the transport, not by the end of the wait.
+  std::chrono::milliseconds watch_time{20'000};
+  // Pause after events, so that changes in quick succession share a call.
+  std::chrono::milliseconds settle{0};
+  // Pauses after a failed call: doubling from the first to the longest, the
+  // latter well under the time in which a change must apply.
+  std::chrono::milliseconds first_pause{100};
+  std::chrono::milliseconds longest_pause{800};
+
+  auto operator==(const StoreFeedSettings&) const -> bool = default;
+};
+
+struct StoreFeedHooks {
+  // All objects as of one revision; replaces everything heard before.
+  std::function<auto(const std::vector<store::ListEntry>&,
+                     std::uint64_t revision)
+                    ->void>
+      snapshot;
+  std::function<auto(const store::WatchEvent&)->void> event;
+  // A call failed, or one succeeded.
+  std::function<auto(const std::string& reason)->void> lost;
+  std::function<auto()->void> answered;
+};
+
+// Follows all objects of one prefix of the store: a listing, then watches from
+// its revision, and a new listing when the store has dropped the history.
+class StoreFeed {
+ public:
+  StoreFeed(const boost::asio::any_io_executor& executor,
+            store::ObjectStore& store,
+            StoreFeedSettings settings,
+            StoreFeedHooks hooks,
+            RandomSource random);
+  ~StoreFeed();
+  StoreFeed(const StoreFeed&) = delete;
+  auto operator=(const StoreFeed&) -> StoreFeed& = delete;
+
+  auto Start() -> void;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace kumquatgauge::serving
+
+#endif  // KUMQUATGAUGE_SERVING_STORE_FEED_H_
--- a/include/kumquatgauge/platform/circuit.h
+++ b/include/kumquatgauge/store/circuit.h
@@ -1,12 +1,12 @@
-#ifndef KUMQUATGAUGE_PLATFORM_CIRCUIT_H_
-#define KUMQUATGAUGE_PLATFORM_CIRCUIT_H_
+#ifndef KUMQUATGAUGE_STORE_CIRCUIT_H_
+#define KUMQUATGAUGE_STORE_CIRCUIT_H_
 
 #include <cstdint>
 #include <optional>
 
 #include "kumquatgauge/base/time.h"
 
-namespace kumquatgauge::platform {
+namespace kumquatgauge::store {
 
 struct CircuitOptions {
   // Consecutive failures that open the circuit. A single slow or lost answer
@@ -64,6 +64,6 @@
   bool recovered_ = false;
 };
 
-}  // namespace kumquatgauge::platform
+}  // namespace kumquatgauge::store
 
-#endif  // KUMQUATGAUGE_PLATFORM_CIRCUIT_H_
+#endif  // KUMQUATGAUGE_STORE_CIRCUIT_H_
--- a/include/kumquatgauge/platform/host_list.h
+++ b/include/kumquatgauge/store/host_list.h
@@ -1,5 +1,5 @@
-#ifndef KUMQUATGAUGE_PLATFORM_HOST_LIST_H_
-#define KUMQUATGAUGE_PLATFORM_HOST_LIST_H_
+#ifndef KUMQUATGAUGE_STORE_HOST_LIST_H_
+#define KUMQUATGAUGE_STORE_HOST_LIST_H_
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
@@ -8,7 +8,7 @@
 
 #include "kumquatgauge/base/ids.h"
 
-namespace kumquatgauge::platform {
+namespace kumquatgauge::store {
 
 enum class HostState { kLive, kLeaving };
 
@@ -37,6 +37,6 @@
   virtual auto Fetch() -> boost::asio::awaitable<HostListSnapshot> = 0;
 };
 
-}  // namespace kumquatgauge::platform
+}  // namespace kumquatgauge::store
 
-#endif  // KUMQUATGAUGE_PLATFORM_HOST_LIST_H_
+#endif  // KUMQUATGAUGE_STORE_HOST_LIST_H_
--- a/include/kumquatgauge/platform/http_object_store.h
+++ b/include/kumquatgauge/store/http_object_store.h
@@ -1,14 +1,14 @@
-#ifndef KUMQUATGAUGE_PLATFORM_HTTP_OBJECT_STORE_H_
-#define KUMQUATGAUGE_PLATFORM_HTTP_OBJECT_STORE_H_
+#ifndef KUMQUATGAUGE_STORE_HTTP_OBJECT_STORE_H_
+#define KUMQUATGAUGE_STORE_HTTP_OBJECT_STORE_H_
 
 #include <cstdint>
 #include <optional>
 #include <string>
 
-#include "kumquatgauge/platform/object_store.h"
-#include "kumquatgauge/platform/platform_client.h"
+#include "kumquatgauge/store/object_store.h"
+#include "kumquatgauge/store/platform_client.h"
 
-namespace kumquatgauge::platform {
+namespace kumquatgauge::store {
 
 // The object API over HTTP; see docs/design.md, section 11.
 class HttpObjectStore : public ObjectStore {
@@ -39,6 +39,6 @@
   PlatformClient& client_;
 };
 
-}  // namespace kumquatgauge::platform
+}  // namespace kumquatgauge::store
 
-#endif  // KUMQUATGAUGE_PLATFORM_HTTP_OBJECT_STORE_H_
+#endif  // KUMQUATGAUGE_STORE_HTTP_OBJECT_STORE_H_
--- a/include/kumquatgauge/platform/object_store.h
+++ b/include/kumquatgauge/store/object_store.h
@@ -1,5 +1,5 @@
-#ifndef KUMQUATGAUGE_PLATFORM_OBJECT_STORE_H_
-#define KUMQUATGAUGE_PLATFORM_OBJECT_STORE_H_
+#ifndef KUMQUATGAUGE_STORE_OBJECT_STORE_H_
+#define KUMQUATGAUGE_STORE_OBJECT_STORE_H_
 
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
@@ -8,13 +8,14 @@
 #include <string>
 #include <vector>
 
-namespace kumquatgauge::platform {
+namespace kumquatgauge::store {
 
 // Largest value that the platform stores, in bytes.
 inline constexpr std::size_t kMaxValueBytes = 1'000'000;
 
 // Classes of platform calls, most urgent first. The rate limiter serves a more
-// urgent class before a less urgent one.
+// urgent class before a less urgent one. Reads of class kStatus may be answered
+// with data that is seconds old, which costs the platform less.
 enum class CallClass { kLease, kClaim, kResult, kConfiguration, kStatus };
 
 struct StoredObject {
@@ -27,6 +28,8 @@
 struct ListEntry {
   std::string key;
   std::uint64_t version = 0;
+  // Set by stores whose listing carries the values.
+  std::optional<std::string> value = {};
 
   auto operator==(const ListEntry&) const -> bool = default;
 };
@@ -34,6 +37,7 @@
 struct ListPage {
   std::vector<ListEntry> entries;  // Ordered by key.
   std::uint64_t revision = 0;      // Where a watch may start.
+  bool more = false;               // Go on after the last key.
 
   auto operator==(const ListPage&) const -> bool = default;
 };
@@ -42,6 +46,8 @@
   std::string key;
   std::uint64_t version = 0;  // 0: the object was removed.
   std::uint64_t revision = 0;
+  // Set by stores whose events carry the values.
+  std::optional<std::string> value = {};
 
   auto operator==(const WatchEvent&) const -> bool = default;
 };
@@ -88,13 +94,14 @@
                     CallClass call_class)
       -> boost::asio::awaitable<ListPage> = 0;
 
-  // Waits up to `timeout` for changes under `prefix` after `since`.
+  // Waits up to `timeout` for changes under `prefix` after `since`. Throws
+  // kNotFound when the store no longer has the history since then; list again.
   virtual auto Watch(std::string prefix,
                      std::uint64_t since,
                      std::chrono::milliseconds timeout)
       -> boost::asio::awaitable<WatchBatch> = 0;
 };
 
-}  // namespace kumquatgauge::platform
+}  // namespace kumquatgauge::store
 
-#endif  // KUMQUATGAUGE_PLATFORM_OBJECT_STORE_H_
+#endif  // KUMQUATGAUGE_STORE_OBJECT_STORE_H_
--- a/include/kumquatgauge/platform/platform_client.h
+++ b/include/kumquatgauge/store/platform_client.h
@@ -1,5 +1,5 @@
-#ifndef KUMQUATGAUGE_PLATFORM_PLATFORM_CLIENT_H_
-#define KUMQUATGAUGE_PLATFORM_PLATFORM_CLIENT_H_
+#ifndef KUMQUATGAUGE_STORE_PLATFORM_CLIENT_H_
+#define KUMQUATGAUGE_STORE_PLATFORM_CLIENT_H_
 
 #include <array>
 #include <boost/asio/any_io_executor.hpp>
@@ -13,11 +13,11 @@
 #include <vector>
 
 #include "kumquatgauge/base/time.h"
-#include "kumquatgauge/platform/circuit.h"
-#include "kumquatgauge/platform/object_store.h"
-#include "kumquatgauge/platform/rate_limiter.h"
+#include "kumquatgauge/store/circuit.h"
+#include "kumquatgauge/store/object_store.h"
+#include "kumquatgauge/store/rate_limiter.h"
 
-namespace kumquatgauge::platform {
+namespace kumquatgauge::store {
 
 struct PlatformOptions {
   std::string address;  // "IP:port"
@@ -97,6 +97,6 @@
   std::shared_ptr<Impl> impl_;
 };
 
-}  // namespace kumquatgauge::platform
+}  // namespace kumquatgauge::store
 
-#endif  // KUMQUATGAUGE_PLATFORM_PLATFORM_CLIENT_H_
+#endif  // KUMQUATGAUGE_STORE_PLATFORM_CLIENT_H_
--- a/include/kumquatgauge/platform/rate_limiter.h
+++ b/include/kumquatgauge/store/rate_limiter.h
@@ -1,5 +1,5 @@
-#ifndef KUMQUATGAUGE_PLATFORM_RATE_LIMITER_H_
-#define KUMQUATGAUGE_PLATFORM_RATE_LIMITER_H_
+#ifndef KUMQUATGAUGE_STORE_RATE_LIMITER_H_
+#define KUMQUATGAUGE_STORE_RATE_LIMITER_H_
 
 #include <array>
 #include <cstdint>
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include "kumquatgauge/base/time.h"
-#include "kumquatgauge/platform/object_store.h"
+#include "kumquatgauge/store/object_store.h"
 
-namespace kumquatgauge::platform {
+namespace kumquatgauge::store {
 
 enum class CallKind { kRead, kWrite };
 
@@ -97,6 +97,6 @@
   Ticket last_ticket_ = 0;
 };
 
-}  // namespace kumquatgauge::platform
+}  // namespace kumquatgauge::store
 
-#endif  // KUMQUATGAUGE_PLATFORM_RATE_LIMITER_H_
+#endif  // KUMQUATGAUGE_STORE_RATE_LIMITER_H_
--- a/include/kumquatgauge/platform/weight_store.h
+++ b/include/kumquatgauge/store/weight_store.h
@@ -1,14 +1,14 @@
-#ifndef KUMQUATGAUGE_PLATFORM_WEIGHT_STORE_H_
-#define KUMQUATGAUGE_PLATFORM_WEIGHT_STORE_H_
+#ifndef KUMQUATGAUGE_STORE_WEIGHT_STORE_H_
+#define KUMQUATGAUGE_STORE_WEIGHT_STORE_H_
 
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
 #include <optional>
 #include <string>
 
-#include "kumquatgauge/platform/platform_client.h"
+#include "kumquatgauge/store/platform_client.h"
 
-namespace kumquatgauge::platform {
+namespace kumquatgauge::store {
 
 // The platform's weight store, whose rate limit all services share.
 class WeightStore {
@@ -35,6 +35,6 @@
   PlatformClient& client_;
 };
 
-}  // namespace kumquatgauge::platform
+}  // namespace kumquatgauge::store
 
-#endif  // KUMQUATGAUGE_PLATFORM_WEIGHT_STORE_H_
+#endif  // KUMQUATGAUGE_STORE_WEIGHT_STORE_H_
--- a/include/kumquatgauge/upstream/service_client.h
+++ b/include/kumquatgauge/upstream/service_client.h
@@ -7,14 +7,11 @@
 #include <utility>
 #include <vector>
 
-namespace kumquatgauge::upstream {
+#include "kumquatgauge/base/http_header.h"
 
-struct HttpHeader {
-  std::string name;
-  std::string value;
+namespace kumquatgauge::upstream {
 
-  auto operator==(const HttpHeader&) const -> bool = default;
-};
+using kumquatgauge::HttpHeader;
 
 struct ServiceRequest {
   std::string method;
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -6,7 +6,15 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <climits>
 #include <memory>
 #include <utility>
 
@@ -29,6 +37,136 @@
   return log4cplus::ERROR_LOG_LEVEL;
 }
 
+// Writes lines to a descriptor without blocking. Lines that the reader does not
+// take wait in memory; beyond the bound they are dropped and counted.
+class NonBlockingAppender : public log4cplus::Appender {
+ public:
+  explicit NonBlockingAppender(int descriptor) : descriptor_(descriptor) {}
+  ~NonBlockingAppender() override { destructorImpl(); }
+
+  auto close() -> void override { closed = true; }
+
+ protected:
+  auto append(const log4cplus::spi::InternalLoggingEvent& event)
+      -> void override {
+    if (dropped_ > 0 && waiting_.empty()) {
+      waiting_ = R"({"event":"log_dropped","lines":)" +
+                 std::to_string(std::exchange(dropped_, 0)) + "}\n";
+    }
+    const auto& line = event.getMessage();
+    if (waiting_.size() + line.size() + 1 > kMaxWaitingLogBytes) {
+      ++dropped_;
+    } else {
+      waiting_.append(line).push_back('\n');
+    }
+    Flush();
+  }
+
+ private:
+  // Up to PIPE_BUF bytes, a pipe that polls as writable takes a write whole.
+  auto Flush() -> void {
+    while (!waiting_.empty()) {
+      auto entry = pollfd{descriptor_, POLLOUT, 0};
+      if (::poll(&entry, 1, 0) <= 0 || (entry.revents & POLLOUT) == 0) {
+        return;
+      }
+      const auto size = std::min<std::size_t>(waiting_.size(), PIPE_BUF);
+      const auto written = ::write(descriptor_, waiting_.data(), size);
+      if (written <= 0) {
+        return;
+      }
+      waiting_.erase(0, static_cast<std::size_t>(written));
+    }
+  }
+
+  int descriptor_;
+  std::string waiting_;
+  std::uint64_t dropped_ = 0;
+};
+
+// State of the JSON format; unused while lines are plain text.
+struct JsonFormat {
+  bool enabled = false;
+  std::string node;
+  std::chrono::steady_clock::time_point second;
+  std::atomic<std::uint32_t> info_lines{0};
+};
+
+auto Format() -> JsonFormat& {
+  static auto format = JsonFormat();
+  return format;
+}
+
+// Whether a line below warning still fits into this second.
+auto TakeInfoLine() -> bool {
+  auto& format = Format();
+  const auto now = std::chrono::steady_clock::now();
+  if (now - format.second >= std::chrono::seconds(1)) {
+    format.second = now;
+    format.info_lines = 0;
+  }
+  return ++format.info_lines <= kMaxInfoLinesPerSecond;
+}
+
+auto AppendJsonString(std::string& line, std::string_view text) -> void {
+  constexpr unsigned char kFirstPrintable = 0x20;
+  line.push_back('"');
+  for (const auto letter : text) {
+    if (letter == '"' || letter == '\\') {
+      line.push_back('\\');
+      line.push_back(letter);
+    } else if (static_cast<unsigned char>(letter) < kFirstPrintable) {
+      line.push_back(' ');
+    } else {
+      line.push_back(letter);
+    }
+  }
+  line.push_back('"');
+}
+
+auto AppendJsonField(std::string& line,
+                     std::string_view name,
+                     std::string_view value) -> void {
+  line.push_back(',');
+  AppendJsonString(line, name);
+  line.push_back(':');
+  AppendJsonString(line, value);
+}
+
+auto LevelName(LogLevel level) -> std::string_view {
+  switch (level) {
+    case LogLevel::kDebug:
+      return "debug";
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      break;
+  }
+  return "error";
+}
+
+auto JsonLine(LogLevel level,
+              const std::string& part,
+              const std::string& sentence,
+              std::initializer_list<LogField> fields) -> std::string {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  auto line =
+      "{\"time_ms\":" +
+      std::to_string(
+          std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+  AppendJsonField(line, "level", LevelName(level));
+  AppendJsonField(line, "node", Format().node);
+  AppendJsonField(line, "part", part);
+  AppendJsonField(line, "message", sentence);
+  for (const auto& field : fields) {
+    AppendJsonField(line, field.name, field.value);
+  }
+  line.push_back('}');
+  return line;
+}
+
 auto RootLogger() -> log4cplus::Logger& {
   static auto initializer = log4cplus::Initializer();
   static auto logger = log4cplus::Logger::getInstance("kumquatgauge");
@@ -89,6 +227,17 @@
   SetLogLevel(level);
 }
 
+auto InitializeJsonLogging(LogLevel level, const std::string& node) -> void {
+  auto& logger = RootLogger();
+  logger.removeAllAppenders();
+  logger.addAppender(
+      log4cplus::SharedAppenderPtr(new NonBlockingAppender(STDOUT_FILENO)));
+  logger.setAdditivity(false);
+  Format().enabled = true;
+  Format().node = node;
+  SetLogLevel(level);
+}
+
 auto SetLogLevel(LogLevel level) -> void {
   RootLogger().setLogLevel(NativeLevel(level));
 }
@@ -123,6 +272,12 @@
       logger.getAllAppenders().empty()) {
     return;
   }
+  if (Format().enabled) {
+    if (level >= LogLevel::kWarning || TakeInfoLine()) {
+      logger.log(NativeLevel(level), JsonLine(level, part_, sentence, fields));
+    }
+    return;
+  }
   auto line = part_ + ": " + sentence;
   for (const auto& field : fields) {
     AppendField(line, field);
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -1,171 +1,17 @@
 #include "kumquatgauge/base/settings.h"
 
 #include <toml++/toml.h>
-#include <boost/asio/ip/address.hpp>
-#include <charconv>
 #include <fstream>
-#include <set>
 #include <sstream>
 #include <utility>
 
+#include "base/table_reader.h"
 #include "kumquatgauge/base/error.h"
 
 namespace kumquatgauge {
 namespace {
 
-constexpr std::int64_t kMaxPort = 65'535;
-
-struct IntegerRange {
-  std::int64_t low;
-  std::int64_t high;
-};
-
-// Reads the keys of one TOML table and reports those nobody asked for.
-class TableReader {
- public:
-  TableReader(const toml::table* table, std::string name, std::string path)
-      : table_(table), name_(std::move(name)), path_(std::move(path)) {}
-
-  // The value of `key`, which from now on counts as known; null if absent.
-  auto Find(const std::string& key) -> const toml::node* {
-    known_.insert(key);
-    return table_ == nullptr ? nullptr : table_->get(key);
-  }
-
-  auto String(const std::string& key) -> std::string {
-    const auto* node = Find(key);
-    if (node == nullptr) {
-      Fail(Line(table_), key, "nothing", "a string; the key is required");
-    }
-    return AsString(key, *node);
-  }
-
-  auto String(const std::string& key, const std::string& fallback)
-      -> std::string {
-    const auto* node = Find(key);
-    return node == nullptr ? fallback : AsString(key, *node);
-  }
-
-  auto Endpoint(const std::string& key) -> std::string {
-    return CheckedEndpoint(key, String(key));
-  }
-
-  auto Endpoint(const std::string& key, const std::string& fallback)
-      -> std::string {
-    return CheckedEndpoint(key, String(key, fallback));
-  }
-
-  auto Endpoints(const std::string& key) -> std::vector<std::string> {
-    const auto* node = Find(key);
-    auto endpoints = std::vector<std::string>();
-    if (node == nullptr) {
-      return endpoints;
-    }
-    const auto* array = node->as_array();
-    if (array == nullptr) {
-      Fail(Line(node), key, Shown(*node), "a list of \"IP:port\"");
-    }
-    for (const auto& element : *array) {
-      endpoints.push_back(CheckedEndpoint(key, AsString(key, element)));
-    }
-    return endpoints;
-  }
-
-  auto Integer(const std::string& key,
-               std::int64_t fallback,
-               const IntegerRange& range) -> std::int64_t {
-    const auto* node = Find(key);
-    if (node == nullptr) {
-      return fallback;
-    }
-    const auto allowed = "a whole number from " + std::to_string(range.low) +
-                         " to " + std::to_string(range.high);
-    if (!node->is_integer()) {
-      Fail(Line(node), key, Shown(*node), allowed);
-    }
-    const auto value = node->as_integer()->get();
-    if (value < range.low || value > range.high) {
-      Fail(Line(node), key, Shown(*node), allowed);
-    }
-    return value;
-  }
-
-  [[noreturn]] auto Fail(std::uint32_t line,
-                         const std::string& key,
-                         const std::string& found,
-                         const std::string& allowed) const -> void {
-    const auto full = name_.empty() ? key : name_ + "." + key;
-    throw Error(
-        ErrorKind::kInvalidArgument, "bad setting",
-        path_ + ":" + std::to_string(line) + ": " + full + ": found " + found,
-        "allowed is " + allowed);
-  }
-
-  auto LineOf(const std::string& key) const -> std::uint32_t {
-    const auto* node = table_ == nullptr ? nullptr : table_->get(key);
-    return Line(node);
-  }
-
-  // Throws for a key that was not read.
-  auto CheckUnknown() const -> void {
-    if (table_ == nullptr) {
-      return;
-    }
-    for (const auto& [key, node] : *table_) {
-      if (!known_.contains(std::string(key.str()))) {
-        auto allowed = std::string("one of");
-        for (const auto& known : known_) {
-          allowed += " " + known;
-        }
-        Fail(Line(&node), std::string(key.str()), "an unknown key", allowed);
-      }
-    }
-  }
-
- private:
-  static auto Line(const toml::node* node) -> std::uint32_t {
-    return node == nullptr ? 1 : node->source().begin.line;
-  }
-
-  static auto Shown(const toml::node& node) -> std::string {
-    auto text = std::ostringstream();
-    node.visit([&text](const auto& value) { text << value; });
-    return text.str();
-  }
-
-  auto AsString(const std::string& key, const toml::node& node) const
-      -> std::string {
-    if (!node.is_string()) {
-      Fail(Line(&node), key, Shown(node), "a string");
-    }
-    return node.as_string()->get();
-  }
-
-  auto CheckedEndpoint(const std::string& key, std::string value) const
-      -> std::string {
-    const auto colon = value.rfind(':');
-    auto port = std::int64_t{-1};
-    auto failed = boost::system::error_code();
-    if (colon != std::string::npos) {
-      boost::asio::ip::make_address(value.substr(0, colon), failed);
-      const auto* end = value.data() + value.size();
-      const auto parsed = std::from_chars(value.data() + colon + 1, end, port);
-      if (parsed.ec != std::errc() || parsed.ptr != end) {
-        port = -1;
-      }
-    }
-    if (failed || port < 0 || port > kMaxPort) {
-      Fail(LineOf(key), key, '"' + value + '"',
-           "\"IP:port\" with a port from 0 to 65535");
-    }
-    return value;
-  }
-
-  const toml::table* table_;
-  std::string name_;
-  std::string path_;
-  std::set<std::string> known_;
-};
+using detail::TableReader;
 
 auto ReadLimits(TableReader& reader) -> NodeSettings::Limits {
   auto limits = NodeSettings::Limits();
--- a/src/batch/batch_service.cc
+++ b/src/batch/batch_service.cc
@@ -105,7 +105,7 @@
 
 struct Shard {
   Shard(std::size_t shard,
-        platform::ObjectStore& store,
+        store::ObjectStore& store,
         const NodeId& node,
         Incarnation incarnation,
         const BatchServiceHooks& hooks)
@@ -143,7 +143,7 @@
 
 class BatchService::Impl : public std::enable_shared_from_this<Impl> {
  public:
-  Impl(platform::ObjectStore& store,
+  Impl(store::ObjectStore& store,
        ItemRunner& runner,
        NodeId node,
        Incarnation incarnation,
@@ -176,7 +176,7 @@
   auto items_in_flight() const -> std::size_t { return in_flight_; }
   auto held_bytes() const -> std::size_t;
   auto store() -> JobStore& { return jobs_; }
-  auto object_store() -> platform::ObjectStore& { return store_; }
+  auto object_store() -> store::ObjectStore& { return store_; }
   auto hooks() const -> const BatchServiceHooks& { return hooks_; }
 
  private:
@@ -247,7 +247,7 @@
       -> JobView;
   auto FindOwned(const JobId& job) const -> JobPtr;
 
-  platform::ObjectStore& store_;
+  store::ObjectStore& store_;
   ItemRunner& runner_;
   NodeId node_;
   BatchServiceHooks hooks_;
@@ -1171,7 +1171,7 @@
   return found;
 }
 
-BatchService::BatchService(platform::ObjectStore& store,
+BatchService::BatchService(store::ObjectStore& store,
                            ItemRunner& runner,
                            NodeId node,
                            Incarnation incarnation,
--- a/src/batch/job_store.cc
+++ b/src/batch/job_store.cc
@@ -8,7 +8,7 @@
 namespace kumquatgauge::batch {
 
 using boost::asio::awaitable;
-using platform::CallClass;
+using store::CallClass;
 
 namespace {
 
@@ -30,11 +30,11 @@
 
 }  // namespace
 
-JobStore::JobStore(platform::ObjectStore& store, RandomSource random)
+JobStore::JobStore(store::ObjectStore& store, RandomSource random)
     : store_(store), random_(std::move(random)) {}
 
 auto JobStore::ReadObject(std::string key)
-    -> awaitable<std::optional<platform::StoredObject>> {
+    -> awaitable<std::optional<store::StoredObject>> {
   co_return co_await store_.Read(std::move(key), CallClass::kResult);
 }
 
--- a/src/batch/observe_only_store.h
+++ b/src/batch/observe_only_store.h
@@ -7,16 +7,16 @@
 
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/time.h"
-#include "kumquatgauge/platform/object_store.h"
+#include "kumquatgauge/store/object_store.h"
 
 namespace kumquatgauge::batch::detail {
 
 // Stands between a LeaseKeeper and the store. While closed it refuses the write
 // by which the keeper would take the lease, so that a standby can observe the
 // lease without taking it. It also knows how long the lease has been unchanged.
-class ObserveOnlyStore : public platform::ObjectStore {
+class ObserveOnlyStore : public store::ObjectStore {
  public:
-  ObserveOnlyStore(platform::ObjectStore& store, Clock clock)
+  ObserveOnlyStore(store::ObjectStore& store, Clock clock)
       : store_(store), clock_(std::move(clock)) {}
 
   auto set_open(bool open) -> void { open_ = open; }
@@ -24,9 +24,9 @@
     return last_version_ ? clock_() - changed_at_ : Duration(0);
   }
 
-  auto Read(std::string key, platform::CallClass call_class)
+  auto Read(std::string key, store::CallClass call_class)
       -> boost::asio::awaitable<
-          std::optional<platform::StoredObject>> override {
+          std::optional<store::StoredObject>> override {
     auto found = co_await store_.Read(std::move(key), call_class);
     const auto version = found ? std::optional(found->version) : std::nullopt;
     if (version != last_version_) {
@@ -39,7 +39,7 @@
   auto Write(std::string key,
              std::string value,
              std::optional<std::uint64_t> expected_version,
-             platform::CallClass call_class)
+             store::CallClass call_class)
       -> boost::asio::awaitable<std::uint64_t> override {
     if (!open_) {
       throw Error(ErrorKind::kUnavailable, "lease is only observed", key,
@@ -51,7 +51,7 @@
 
   auto Remove(std::string key,
               std::uint64_t expected_version,
-              platform::CallClass call_class)
+              store::CallClass call_class)
       -> boost::asio::awaitable<void> override {
     co_await store_.Remove(std::move(key), expected_version, call_class);
   }
@@ -59,8 +59,8 @@
   auto List(std::string prefix,
             std::string after,
             std::size_t limit,
-            platform::CallClass call_class)
-      -> boost::asio::awaitable<platform::ListPage> override {
+            store::CallClass call_class)
+      -> boost::asio::awaitable<store::ListPage> override {
     co_return co_await store_.List(std::move(prefix), std::move(after), limit,
                                    call_class);
   }
@@ -68,12 +68,12 @@
   auto Watch(std::string prefix,
              std::uint64_t since,
              std::chrono::milliseconds timeout)
-      -> boost::asio::awaitable<platform::WatchBatch> override {
+      -> boost::asio::awaitable<store::WatchBatch> override {
     co_return co_await store_.Watch(std::move(prefix), since, timeout);
   }
 
  private:
-  platform::ObjectStore& store_;
+  store::ObjectStore& store_;
   Clock clock_;
   bool open_ = false;
   std::optional<std::uint64_t> last_version_;
--- a/src/batch/submission.cc
+++ b/src/batch/submission.cc
@@ -13,7 +13,7 @@
 namespace kumquatgauge::batch {
 
 using boost::asio::awaitable;
-using platform::CallClass;
+using store::CallClass;
 
 namespace {
 
@@ -62,7 +62,7 @@
 
 class Submission::Impl {
  public:
-  Impl(platform::ObjectStore& store,
+  Impl(store::ObjectStore& store,
        SubmissionRequest request,
        WallClock wall_clock,
        RandomSource random,
@@ -450,7 +450,7 @@
     }
   }
 
-  platform::ObjectStore& store_;
+  store::ObjectStore& store_;
   JobStore jobs_;
   SubmissionRequest request_;
   JobId id_;
@@ -479,7 +479,7 @@
   std::vector<ChunkInfo> chunks_;
 };
 
-Submission::Submission(platform::ObjectStore& store,
+Submission::Submission(store::ObjectStore& store,
                        SubmissionRequest request,
                        WallClock wall_clock,
                        RandomSource random,
--- a/src/batch/test_world.h
+++ b/src/batch/test_world.h
@@ -88,9 +88,9 @@
 
 // The store as one process sees it: half of `delay` passes before a call takes
 // effect and half before its answer arrives, and a freeze may fall into either.
-class SlowStore : public platform::ObjectStore {
+class SlowStore : public store::ObjectStore {
  public:
-  SlowStore(platform::ObjectStore& store,
+  SlowStore(store::ObjectStore& store,
             ManualClock& clock,
             Sleepers& sleep,
             const Duration& delay,
@@ -101,8 +101,8 @@
         delay_(delay),
         frozen_(std::move(frozen)) {}
 
-  auto Read(std::string key, platform::CallClass call_class)
-      -> awaitable<std::optional<platform::StoredObject>> override {
+  auto Read(std::string key, store::CallClass call_class)
+      -> awaitable<std::optional<store::StoredObject>> override {
     co_await Wait();
     auto found = co_await store_.Read(std::move(key), call_class);
     co_await Wait();
@@ -111,7 +111,7 @@
   auto Write(std::string key,
              std::string value,
              std::optional<std::uint64_t> expected,
-             platform::CallClass call_class)
+             store::CallClass call_class)
       -> awaitable<std::uint64_t> override {
     co_await Wait();
     const auto version = co_await store_.Write(std::move(key), std::move(value),
@@ -121,21 +121,21 @@
   }
   auto Remove(std::string key,
               std::uint64_t expected,
-              platform::CallClass call_class) -> awaitable<void> override {
+              store::CallClass call_class) -> awaitable<void> override {
     co_await Wait();
     co_await store_.Remove(std::move(key), expected, call_class);
   }
   auto List(std::string prefix,
             std::string after,
             std::size_t limit,
-            platform::CallClass call_class)
-      -> awaitable<platform::ListPage> override {
+            store::CallClass call_class)
+      -> awaitable<store::ListPage> override {
     co_await Wait();
     co_return co_await store_.List(std::move(prefix), std::move(after), limit,
                                    call_class);
   }
   auto Watch(std::string prefix, std::uint64_t since, milliseconds timeout)
-      -> awaitable<platform::WatchBatch> override {
+      -> awaitable<store::WatchBatch> override {
     co_return co_await store_.Watch(std::move(prefix), since, timeout);
   }
 
@@ -144,7 +144,7 @@
     co_await Pass(clock_, sleep_, delay_ / 2, frozen_);
   }
 
-  platform::ObjectStore& store_;
+  store::ObjectStore& store_;
   ManualClock& clock_;
   Sleepers& sleep_;
   const Duration& delay_;
--- /dev/null
+++ b/src/caller/http_listener.cc
@@ -0,0 +1,471 @@
+#include "kumquatgauge/caller/http_listener.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+#include <unordered_set>
+#include <utility>
+
+#include "base/socket_options.h"
+#include "kumquatgauge/base/error.h"
+#include "kumquatgauge/base/log.h"
+#include "upstream/deadline_socket.h"
+#include "upstream/endpoint.h"
+
+namespace kumquatgauge::caller {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::awaitable;
+using asio::ip::tcp;
+using boost::system::error_code;
+using upstream::detail::DeadlineSocket;
+using OnExpiry = DeadlineSocket::OnExpiry;
+using RequestParser = http::request_parser<http::string_body>;
+
+constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
+// A moment for descriptors to be freed when accept fails.
+constexpr std::chrono::milliseconds kAcceptRetry{50};
+// Callers give up an attempt after a gap of about two seconds, so a connection
+// without acknowledgements for this long carries nothing they still want.
+constexpr std::chrono::milliseconds kUserTimeout{3'000};
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kPayloadTooLarge = 413;
+constexpr int kHeaderTooLarge = 431;
+
+struct Shared {
+  ListenerLimits limits;
+  RequestHandler handler;
+  Logger logger{"listen"};
+  bool draining = false;
+  bool stopped = false;
+  std::size_t active = 0;
+};
+
+auto StatusOf(const error_code& error) -> int {
+  if (error == http::error::body_limit) {
+    return kPayloadTooLarge;
+  }
+  if (error == http::error::header_limit) {
+    return kHeaderTooLarge;
+  }
+  return kBadRequest;
+}
+
+// One connection of a caller; also the writer of the answer that is due on it.
+class CallerConnection : public ResponseWriter,
+                         public std::enable_shared_from_this<CallerConnection> {
+ public:
+  CallerConnection(tcp::socket socket, std::shared_ptr<Shared> shared)
+      : io_(std::make_shared<DeadlineSocket>(std::move(socket))),
+        shared_(std::move(shared)) {
+    kumquatgauge::detail::GuardAgainstSilence(io_->socket(), kUserTimeout);
+  }
+
+  auto Serve() -> awaitable<void> {
+    const auto self = shared_from_this();
+    while (!shared_->stopped) {
+      const auto request = co_await ReadRequest();
+      if (!request) {
+        break;
+      }
+      ++shared_->active;
+      BeginAnswer(request);
+      co_await HandleRequest(request);
+      --shared_->active;
+      if (!answered_ || !keep_alive_) {
+        break;
+      }
+    }
+    io_->Close();
+  }
+
+  auto Send(int status, HeaderList headers, std::string body)
+      -> awaitable<bool> override {
+    auto response = http::response<http::string_body>();
+    FillHead(response, status, headers);
+    response.body() = std::move(body);
+    response.prepare_payload();
+    if (gone_) {
+      co_return false;
+    }
+    auto serializer = http::response_serializer<http::string_body>(response);
+    ArmWrite();
+    const auto [error, written] =
+        co_await http::async_write(io_->socket(), serializer, kAwaitTuple);
+    answered_ = !error;
+    co_return EndWrite(error);
+  }
+
+  auto BeginStream(int status, HeaderList headers) -> awaitable<bool> override {
+    auto response = http::response<http::empty_body>();
+    FillHead(response, status, headers);
+    response.chunked(true);
+    if (gone_) {
+      co_return false;
+    }
+    auto serializer = http::response_serializer<http::empty_body>(response);
+    ArmWrite();
+    const auto [error, written] = co_await http::async_write_header(
+        io_->socket(), serializer, kAwaitTuple);
+    co_return EndWrite(error);
+  }
+
+  auto WritePiece(std::string piece) -> awaitable<bool> override {
+    if (gone_) {
+      co_return false;
+    }
+    ArmWrite();
+    const auto chunk = http::make_chunk(asio::buffer(piece));
+    const auto [error, written] =
+        co_await asio::async_write(io_->socket(), chunk, kAwaitTuple);
+    co_return EndWrite(error);
+  }
+
+  auto FinishStream() -> awaitable<bool> override {
+    if (gone_) {
+      co_return false;
+    }
+    ArmWrite();
+    const auto chunk = http::make_chunk_last();
+    const auto [error, written] =
+        co_await asio::async_write(io_->socket(), chunk, kAwaitTuple);
+    answered_ = !error;
+    co_return EndWrite(error);
+  }
+
+  auto gone() const -> bool override { return gone_; }
+
+  auto OnGone(std::function<auto()->void> hook) -> void override {
+    gone_hook_ = std::move(hook);
+  }
+
+  auto idle() const -> bool { return idle_; }
+  auto Close() -> void { io_->Close(); }
+
+ private:
+  // Returns nothing when the connection has ended or had to be refused.
+  auto ReadRequest() -> awaitable<std::shared_ptr<const IncomingRequest>> {
+    idle_ = true;
+    io_->ExpireAfter(shared_->limits.idle_timeout, OnExpiry::kClose);
+    if (io_->buffer().size() == 0) {
+      const auto [wait_error] = co_await io_->socket().async_wait(
+          tcp::socket::wait_read, kAwaitTuple);
+      if (wait_error || shared_->stopped) {
+        co_return nullptr;
+      }
+    }
+    idle_ = false;
+    io_->ExpireAfter(shared_->limits.read_timeout, OnExpiry::kClose);
+    auto parser = RequestParser();
+    parser.header_limit(
+        static_cast<std::uint32_t>(shared_->limits.max_header_bytes));
+    parser.body_limit(shared_->limits.max_body_bytes);
+    const auto [head_error, head_bytes] = co_await http::async_read_header(
+        io_->socket(), io_->buffer(), parser, kAwaitTuple);
+    if (head_error) {
+      co_await RefuseUnread(head_error);
+      co_return nullptr;
+    }
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+      co_await SendContinue();
+    }
+    const auto [body_error, body_bytes] = co_await http::async_read(
+        io_->socket(), io_->buffer(), parser, kAwaitTuple);
+    if (body_error) {
+      co_await RefuseUnread(body_error);
+      co_return nullptr;
+    }
+    io_->Disarm();
+    co_return TakeRequest(parser);
+  }
+
+  auto TakeRequest(RequestParser& parser)
+      -> std::shared_ptr<const IncomingRequest> {
+    auto& message = parser.get();
+    keep_alive_ = message.keep_alive();
+    version_ = message.version();
+    auto request = std::make_shared<IncomingRequest>();
+    request->method = std::string(message.method_string());
+    request->target = std::string(message.target());
+    for (const auto& field : message) {
+      request->headers.push_back(
+          {std::string(field.name_string()), std::string(field.value())});
+    }
+    request->body = std::move(message.body());
+    request->arrived = std::chrono::steady_clock::now();
+    return request;
+  }
+
+  auto SendContinue() -> awaitable<void> {
+    constexpr auto kContinue =
+        std::string_view("HTTP/1.1 100 Continue\r\n\r\n");
+    // A failure shows in the read that follows.
+    co_await asio::async_write(
+        io_->socket(), asio::buffer(kContinue.data(), kContinue.size()),
+        kAwaitTuple);
+  }
+
+  // Answers a request that cannot be read, unless the connection just ended.
+  auto RefuseUnread(const error_code& error) -> awaitable<void> {
+    const auto ended = error == http::error::end_of_stream ||
+                       error == asio::error::eof ||
+                       error == asio::error::connection_reset;
+    if (ended || !io_->socket().is_open()) {
+      co_return;
+    }
+    const auto malformed = error.category() ==
+                           make_error_code(http::error::bad_method).category();
+    if (!malformed) {
+      co_return;
+    }
+    const auto status = io_->timed_out() ? kRequestTimeout : StatusOf(error);
+    shared_->logger.Warning("a request cannot be read",
+                            {{"reason", error.message()},
+                             {"status", std::to_string(status)}});
+    keep_alive_ = false;
+    gone_ = false;
+    auto body = error.message() + "\n";
+    co_await Send(status, {}, std::move(body));
+  }
+
+  auto BeginAnswer(const std::shared_ptr<const IncomingRequest>& /*request*/)
+      -> void {
+    answered_ = false;
+    gone_ = false;
+    gone_hook_ = nullptr;
+    WatchForClose();
+  }
+
+  auto HandleRequest(std::shared_ptr<const IncomingRequest> request)
+      -> awaitable<void> {
+    auto writer = std::static_pointer_cast<ResponseWriter>(shared_from_this());
+    try {
+      co_await shared_->handler(request, writer);
+    } catch (const std::exception& error) {
+      shared_->logger.Error("a handler failed; closing the connection",
+                            {{"target", request->target},
+                             {"reason", error.what()}});
+    }
+    gone_hook_ = nullptr;
+    ++watch_;
+  }
+
+  // Notices a caller that closes its connection while its answer is due. Bytes
+  // of a next request end the watch, as they hide the end of the stream.
+  auto WatchForClose() -> void {
+    const auto watch = ++watch_;
+    io_->socket().async_wait(
+        tcp::socket::wait_read,
+        [weak = weak_from_this(), watch](const error_code& error) {
+          const auto self = weak.lock();
+          if (!self || watch != self->watch_ ||
+              error == asio::error::operation_aborted) {
+            return;
+          }
+          if (error || self->io_->PeerClosed()) {
+            self->MarkGone();
+          }
+        });
+  }
+
+  auto MarkGone() -> void {
+    if (gone_) {
+      return;
+    }
+    gone_ = true;
+    if (gone_hook_) {
+      const auto hook = std::exchange(gone_hook_, nullptr);
+      hook();
+    }
+  }
+
+  template <typename Response>
+  auto FillHead(Response& response, int status, const HeaderList& headers)
+      -> void {
+    response.version(version_);
+    response.result(static_cast<unsigned>(status));
+    for (const auto& header : headers) {
+      response.insert(header.name, header.value);
+    }
+    if (shared_->draining) {
+      keep_alive_ = false;
+    }
+    response.keep_alive(keep_alive_);
+  }
+
+  auto ArmWrite() -> void {
+    io_->ExpireAfter(shared_->limits.write_timeout, OnExpiry::kClose);
+  }
+
+  auto EndWrite(const error_code& error) -> bool {
+    io_->Disarm();
+    if (error) {
+      MarkGone();
+    }
+    return !error;
+  }
+
+  std::shared_ptr<DeadlineSocket> io_;
+  std::shared_ptr<Shared> shared_;
+  bool idle_ = true;
+  bool keep_alive_ = true;
+  unsigned version_ = 11;
+  bool answered_ = false;
+  bool gone_ = false;
+  std::uint64_t watch_ = 0;
+  std::function<auto()->void> gone_hook_;
+};
+
+}  // namespace
+
+class HttpListener::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& context,
+       const std::string& address,
+       ListenerLimits limits,
+       RequestHandler handler)
+      : context_(context),
+        address_(address),
+        acceptor_(context),
+        shared_(std::make_shared<Shared>()) {
+    shared_->limits = limits;
+    shared_->handler = std::move(handler);
+  }
+
+  auto Start() -> void {
+    const auto endpoint = upstream::detail::ParseEndpoint(address_);
+    try {
+      acceptor_.open(endpoint.protocol());
+      acceptor_.set_option(tcp::acceptor::reuse_address(true));
+      acceptor_.bind(endpoint);
+      acceptor_.listen();
+    } catch (const boost::system::system_error& error) {
+      throw Error(ErrorKind::kUnavailable,
+                  "cannot listen: " + error.code().message(), address_,
+                  "free the port or choose another listen address");
+    }
+    asio::co_spawn(context_, Accept(shared_from_this()), asio::detached);
+  }
+
+  auto Stop() -> void {
+    shared_->stopped = true;
+    auto error = error_code();
+    acceptor_.close(error);
+    for (const auto& connection : connections_) {
+      connection->Close();
+    }
+  }
+
+  auto CloseIdle() -> void {
+    for (const auto& connection : connections_) {
+      if (connection->idle()) {
+        connection->Close();
+      }
+    }
+  }
+
+  auto address() const -> std::string {
+    const auto endpoint = acceptor_.local_endpoint();
+    return endpoint.address().to_string() + ":" +
+           std::to_string(endpoint.port());
+  }
+
+  auto shared() -> Shared& { return *shared_; }
+  auto connections() const -> std::size_t { return connections_.size(); }
+
+ private:
+  static auto Accept(std::shared_ptr<Impl> self) -> awaitable<void> {
+    while (!self->shared_->stopped) {
+      auto [error, socket] = co_await self->acceptor_.async_accept(kAwaitTuple);
+      if (self->shared_->stopped) {
+        co_return;
+      }
+      if (error) {
+        self->shared_->logger.Warning("cannot accept a connection",
+                                      {{"reason", error.message()}});
+        auto timer = asio::steady_timer(self->context_, kAcceptRetry);
+        co_await timer.async_wait(kAwaitTuple);
+        continue;
+      }
+      if (self->connections_.size() >= self->shared_->limits.max_connections) {
+        // Closing before the request is read tells the caller to go elsewhere.
+        self->shared_->logger.Warning("too many connections; closing a new one",
+                                      {{"address", self->address_}});
+        continue;
+      }
+      auto connection = std::make_shared<CallerConnection>(std::move(socket),
+                                                           self->shared_);
+      self->connections_.insert(connection);
+      asio::co_spawn(self->context_, Run(self, connection), asio::detached);
+    }
+  }
+
+  static auto Run(std::shared_ptr<Impl> self,
+                  std::shared_ptr<CallerConnection> connection)
+      -> awaitable<void> {
+    co_await connection->Serve();
+    self->connections_.erase(connection);
+  }
+
+  asio::io_context& context_;
+  std::string address_;
+  tcp::acceptor acceptor_;
+  std::shared_ptr<Shared> shared_;
+  std::unordered_set<std::shared_ptr<CallerConnection>> connections_;
+};
+
+HttpListener::HttpListener(asio::io_context& context,
+                           const std::string& address,
+                           ListenerLimits limits,
+                           RequestHandler handler)
+    : impl_(std::make_shared<Impl>(context,
+                                   address,
+                                   limits,
+                                   std::move(handler))) {}
+
+HttpListener::~HttpListener() {
+  impl_->Stop();
+}
+
+auto HttpListener::Start() -> void {
+  impl_->Start();
+}
+
+auto HttpListener::SetLimits(ListenerLimits limits) -> void {
+  impl_->shared().limits = limits;
+}
+
+auto HttpListener::Drain() -> void {
+  impl_->shared().draining = true;
+}
+
+auto HttpListener::CloseIdle() -> void {
+  impl_->CloseIdle();
+}
+
+auto HttpListener::Stop() -> void {
+  impl_->Stop();
+}
+
+auto HttpListener::address() const -> std::string {
+  return impl_->address();
+}
+
+auto HttpListener::connections() const -> std::size_t {
+  return impl_->connections();
+}
+
+auto HttpListener::active_requests() const -> std::size_t {
+  return impl_->shared().active;
+}
+
+}  // namespace kumquatgauge::caller
--- a/src/caller/session.cc
+++ b/src/caller/session.cc
@@ -645,7 +645,7 @@
                      beast::iequals(header.name, "Expect") ||
                      beast::iequals(header.name, "X-Request-Id") ||
                      beast::iequals(header.name.substr(0, 4), "KQG-");
-    if (!own && !upstream::detail::IsHopByHop(header.name)) {
+    if (!own && !IsHopByHop(header.name)) {
       request.headers.push_back(header);
     }
   }
--- a/src/control/config_store.cc
+++ b/src/control/config_store.cc
@@ -15,7 +15,7 @@
 
 using boost::asio::awaitable;
 using nlohmann::json;
-using platform::CallClass;
+using store::CallClass;
 
 constexpr auto kSnapshotPrefix = "config/snapshot/";
 constexpr auto kAuditPrefix = "audit/";
@@ -147,7 +147,7 @@
                      .after = text.at("after")};
 }
 
-ConfigStore::ConfigStore(platform::ObjectStore& store,
+ConfigStore::ConfigStore(store::ObjectStore& store,
                          WallClock wall_clock,
                          RandomSource random)
     : store_(store),
@@ -529,8 +529,8 @@
 }
 
 auto ConfigStore::ListKeys(std::string prefix)
-    -> awaitable<std::vector<platform::ListEntry>> {
-  auto entries = std::vector<platform::ListEntry>();
+    -> awaitable<std::vector<store::ListEntry>> {
+  auto entries = std::vector<store::ListEntry>();
   while (true) {
     auto after = entries.empty() ? std::string() : entries.back().key;
     const auto page = co_await store_.List(prefix, std::move(after), kListLimit,
@@ -604,7 +604,7 @@
   co_return matching;
 }
 
-auto ConfigStore::RemoveIfThere(const platform::ListEntry& entry)
+auto ConfigStore::RemoveIfThere(const store::ListEntry& entry)
     -> awaitable<void> {
   try {
     co_await store_.Remove(entry.key, entry.version, CallClass::kStatus);
--- a/src/control/config_store_test.cc
+++ b/src/control/config_store_test.cc
@@ -179,7 +179,7 @@
   auto stale = 0;
   objects.set_stale_hook([&] { return ++stale == 1; });
   RunAwaitable(context,
-               objects.Read(kConfigHeadKey, platform::CallClass::kStatus));
+               objects.Read(kConfigHeadKey, store::CallClass::kStatus));
   stale = 0;
   auto restarted = Store();
   const auto record =
@@ -223,7 +223,7 @@
   Append(store, Request("1", "setting/a", {{"x", 1}}));
   const auto version = objects.objects().at(kConfigHeadKey).version;
   RunAwaitable(context, objects.Remove(kConfigHeadKey, version,
-                                       platform::CallClass::kStatus));
+                                       store::CallClass::kStatus));
   const auto [kind, message] = ErrorOf([&] {
     Append(store, Request("2", "setting/a", {{"x", 2}}));
   });
--- a/src/control/config_watcher.cc
+++ b/src/control/config_watcher.cc
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-ConfigWatcher::ConfigWatcher(platform::ObjectStore& objects,
+ConfigWatcher::ConfigWatcher(store::ObjectStore& objects,
                              ConfigStore& store,
                              Clock clock,
                              RandomSource random,
@@ -82,7 +82,7 @@
   if (!since_) {
     // Taken before the head is read, so that no change falls in between.
     const auto page = co_await objects_.List(
-        kConfigHeadKey, "", 1, platform::CallClass::kConfiguration);
+        kConfigHeadKey, "", 1, store::CallClass::kConfiguration);
     since_ = page.revision;
   }
   co_await ReadAndPublish();
--- a/src/control/config_watcher_test.cc
+++ b/src/control/config_watcher_test.cc
@@ -4,7 +4,7 @@
 #include <catch2/catch.hpp>
 #include <random>
 
-#include "kumquatgauge/platform/http_object_store.h"
+#include "kumquatgauge/store/http_object_store.h"
 #include "testing/support/fake_platform.h"
 #include "testing/support/run_awaitable.h"
 
@@ -16,8 +16,8 @@
 using testing::RunAwaitable;
 using testing::RunUntil;
 
-auto Options(const std::string& address) -> platform::PlatformOptions {
-  auto options = platform::PlatformOptions();
+auto Options(const std::string& address) -> store::PlatformOptions {
+  auto options = store::PlatformOptions();
   options.address = address;
   options.call_timeout = milliseconds(300);
   options.circuit.first_wait = milliseconds(20);
@@ -42,7 +42,7 @@
   Fixture(const Fixture&) = delete;
   auto operator=(const Fixture&) -> Fixture& = delete;
 
-  auto Client() -> platform::PlatformClient {
+  auto Client() -> store::PlatformClient {
     return {context.get_executor(), Options(fake.address()),
             &std::chrono::steady_clock::now, [this] { return random(); }};
   }
@@ -67,10 +67,10 @@
   boost::asio::io_context context;
   std::mt19937_64 random{1};
   testing::FakePlatform fake{context.get_executor(), {}};
-  platform::PlatformClient watcher_client = Client();
-  platform::PlatformClient writer_client = Client();
-  platform::HttpObjectStore watcher_objects{watcher_client};
-  platform::HttpObjectStore writer_objects{writer_client};
+  store::PlatformClient watcher_client = Client();
+  store::PlatformClient writer_client = Client();
+  store::HttpObjectStore watcher_objects{watcher_client};
+  store::HttpObjectStore writer_objects{writer_client};
   ConfigStore store{watcher_objects, &std::chrono::system_clock::now,
                     [this] { return random(); }};
   ConfigStore writer{writer_objects, &std::chrono::system_clock::now,
--- a/src/control/lease.cc
+++ b/src/control/lease.cc
@@ -9,7 +9,7 @@
 namespace kumquatgauge::control {
 
 using boost::asio::awaitable;
-using platform::CallClass;
+using store::CallClass;
 
 auto FormatLease(const LeaseRecord& record) -> std::string {
   return nlohmann::json{{"owner", record.owner.value()},
@@ -62,7 +62,7 @@
   last_.reset();
 }
 
-LeaseKeeper::LeaseKeeper(platform::ObjectStore& store,
+LeaseKeeper::LeaseKeeper(store::ObjectStore& store,
                          std::string key,
                          NodeId node,
                          Incarnation incarnation,
@@ -95,7 +95,7 @@
 }
 
 auto LeaseKeeper::ReadLease()
-    -> awaitable<std::optional<platform::StoredObject>> {
+    -> awaitable<std::optional<store::StoredObject>> {
   auto key = key_;
   co_return co_await store_.Read(std::move(key), CallClass::kLease);
 }
--- a/src/control/orders_test.cc
+++ b/src/control/orders_test.cc
@@ -290,7 +290,7 @@
   std::function<auto()->bool> lose;
 };
 
-class MemoryWeights : public platform::WeightStore {
+class MemoryWeights : public store::WeightStore {
  public:
   auto Request(std::string /*name*/)
       -> boost::asio::awaitable<std::optional<milliseconds>> override {
--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -43,10 +43,10 @@
 #include "kumquatgauge/node/peer_server.h"
 #include "kumquatgauge/operator/command_executor.h"
 #include "kumquatgauge/operator/operator_server.h"
-#include "kumquatgauge/platform/http_host_list.h"
-#include "kumquatgauge/platform/http_object_store.h"
-#include "kumquatgauge/platform/platform_client.h"
-#include "kumquatgauge/platform/weight_store.h"
+#include "kumquatgauge/store/http_host_list.h"
+#include "kumquatgauge/store/http_object_store.h"
+#include "kumquatgauge/store/platform_client.h"
+#include "kumquatgauge/store/weight_store.h"
 #include "kumquatgauge/routing/load_sharing.h"
 #include "kumquatgauge/upstream/http_engine_client.h"
 #include "kumquatgauge/upstream/http_service_client.h"
@@ -117,11 +117,11 @@
   return XXH3_64bits(name.data(), name.size());
 }
 
-auto HostsToJson(const platform::HostListSnapshot& hosts) -> nlohmann::json {
+auto HostsToJson(const store::HostListSnapshot& hosts) -> nlohmann::json {
   auto rows = nlohmann::json::array();
   for (const auto& host : hosts.hosts) {
     rows.push_back({host.name, host.address, host.zone.value(),
-                    host.state == platform::HostState::kLeaving});
+                    host.state == store::HostState::kLeaving});
   }
   auto content = nlohmann::json();
   content["version"] = hosts.version;
@@ -130,16 +130,16 @@
 }
 
 auto HostsFromJson(const nlohmann::json& content)
-    -> platform::HostListSnapshot {
-  auto hosts = platform::HostListSnapshot();
+    -> store::HostListSnapshot {
+  auto hosts = store::HostListSnapshot();
   hosts.version = content.at("version").get<std::uint64_t>();
   for (const auto& row : content.at("hosts")) {
     hosts.hosts.push_back({.name = row.at(0).get<std::string>(),
                            .address = row.at(1).get<std::string>(),
                            .zone = ZoneName(row.at(2).get<std::string>()),
                            .state = row.at(3).get<bool>()
-                                        ? platform::HostState::kLeaving
-                                        : platform::HostState::kLive});
+                                        ? store::HostState::kLeaving
+                                        : store::HostState::kLive});
   }
   return hosts;
 }
@@ -177,7 +177,7 @@
                  const nlohmann::json& content) -> std::uint64_t;
   auto OnDatagram(const nlohmann::json& message) -> void;
   auto ApplyConfiguration(const control::Configuration& configuration) -> void;
-  auto ApplyHosts(platform::HostListSnapshot hosts) -> void;
+  auto ApplyHosts(store::HostListSnapshot hosts) -> void;
   auto RebuildReplicas() -> void;
   auto UpdateOrderDrivers() -> void;
   auto IsWatcher() const -> bool;
@@ -218,13 +218,13 @@
   CompletionRouter router_;
   BatchItemRunner item_runner_;
 
-  platform::PlatformClient platform_;
-  platform::HttpObjectStore store_;
-  platform::HttpHostList host_list_;
-  platform::HttpWeightStore weights_;
+  store::PlatformClient platform_;
+  store::HttpObjectStore store_;
+  store::HttpHostList host_list_;
+  store::HttpWeightStore weights_;
   control::ConfigStore config_store_;
   control::Configuration configuration_;
-  platform::HostListSnapshot hosts_;
+  store::HostListSnapshot hosts_;
 
   std::unique_ptr<node::PeerClient> control_peers_;
   upstream::HttpEngineClient control_engines_;
@@ -285,7 +285,7 @@
       platform_(
           control_.get_executor(),
           [this] {
-            auto options = platform::PlatformOptions();
+            auto options = store::PlatformOptions();
             options.address = settings_.platform_address;
             return options;
           }(),
@@ -604,7 +604,7 @@
             {{"revision", std::to_string(configuration_.revision())}});
 }
 
-auto NodeDaemon::Impl::ApplyHosts(platform::HostListSnapshot hosts) -> void {
+auto NodeDaemon::Impl::ApplyHosts(store::HostListSnapshot hosts) -> void {
   if (hosts.version <= hosts_.version) {
     return;
   }
@@ -780,7 +780,7 @@
     control_bytes_received_ = counters.received_bytes;
     const auto& calls = platform_.counts();
     auto total = calls.watches;
-    for (auto index = std::size_t{0}; index < platform::kCallClasses; ++index) {
+    for (auto index = std::size_t{0}; index < store::kCallClasses; ++index) {
       total += calls.reads.at(index) + calls.writes.at(index);
     }
     platform_calls_ = total;
--- a/src/daemon/node_operator_backend.cc
+++ b/src/daemon/node_operator_backend.cc
@@ -12,7 +12,7 @@
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/daemon/node_caller_backend.h"
-#include "kumquatgauge/platform/circuit.h"
+#include "kumquatgauge/store/circuit.h"
 
 namespace kumquatgauge::daemon {
 namespace {
@@ -247,7 +247,7 @@
     const auto& counts = dependencies_.platform.counts();
     auto reads = std::uint64_t{0};
     auto writes = std::uint64_t{0};
-    for (auto index = std::size_t{0}; index < platform::kCallClasses; ++index) {
+    for (auto index = std::size_t{0}; index < store::kCallClasses; ++index) {
       reads += counts.reads.at(index);
       writes += counts.writes.at(index);
     }
--- a/src/daemon/once_service.cc
+++ b/src/daemon/once_service.cc
@@ -156,7 +156,7 @@
                          Incarnation incarnation,
                          TrafficPool& pool,
                          RoutingTable& table,
-                         platform::ObjectStore& store,
+                         store::ObjectStore& store,
                          boost::asio::io_context& control,
                          RequestTraces& traces,
                          TraitsOf traits_of,
@@ -455,7 +455,7 @@
   auto failure = std::optional<ErrorKind>();
   try {
     co_await store_.Write(routing::ClaimObjectKey(key), claim.dump(),
-                          std::nullopt, platform::CallClass::kClaim);
+                          std::nullopt, store::CallClass::kClaim);
   } catch (const Error& error) {
     failure = error.kind();
   }
@@ -479,7 +479,7 @@
     -> boost::asio::awaitable<ClaimResult> {
   try {
     const auto object = co_await store_.Read(routing::ClaimObjectKey(key),
-                                             platform::CallClass::kClaim);
+                                             store::CallClass::kClaim);
     if (!object) {
       co_return ClaimResult{.kind = ClaimResult::Kind::kAbsent};
     }
@@ -500,10 +500,10 @@
   try {
     const auto object_key = routing::ClaimObjectKey(key);
     const auto object =
-        co_await store_.Read(object_key, platform::CallClass::kClaim);
+        co_await store_.Read(object_key, store::CallClass::kClaim);
     if (object) {
       co_await store_.Remove(object_key, object->version,
-                             platform::CallClass::kClaim);
+                             store::CallClass::kClaim);
     }
   } catch (const Error&) {
     // The claim stays: a resend then gets "not run" here and "unknown" after a
--- a/src/daemon/service_directory.cc
+++ b/src/daemon/service_directory.cc
@@ -86,11 +86,11 @@
 }
 
 auto BuildReplicas(const control::Configuration& configuration,
-                   const platform::HostListSnapshot& hosts)
+                   const store::HostListSnapshot& hosts)
     -> std::vector<routing::Replica> {
   auto leaving = std::set<std::string>();
   for (const auto& host : hosts.hosts) {
-    if (host.state == platform::HostState::kLeaving) {
+    if (host.state == store::HostState::kLeaving) {
       leaving.insert(host.address);
     }
   }
--- /dev/null
+++ b/src/serving/batch_runner.cc
@@ -0,0 +1,1526 @@
+#include "kumquatgauge/serving/batch_runner.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <list>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "kumquatgauge/base/error.h"
+#include "kumquatgauge/base/log.h"
+#include "kumquatgauge/node/peer_server.h"
+#include "kumquatgauge/routing/rendezvous.h"
+#include "kumquatgauge/serving/batch_schedule.h"
+#include "kumquatgauge/serving/event_splitter.h"
+#include "kumquatgauge/serving/forwarder.h"
+#include "serving/owned_job.h"
+
+namespace kumquatgauge::serving {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using caller::ResponseWriter;
+using detail::ItemProgress;
+using detail::OwnedJob;
+using nlohmann::json;
+using routing::WorkClass;
+using std::chrono::milliseconds;
+using upstream::CallEnd;
+using JobPtr = std::shared_ptr<OwnedJob>;
+using WriterPtr = std::shared_ptr<ResponseWriter>;
+
+constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
+constexpr int kOk = 200;
+constexpr int kAccepted = 202;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kServerError = 500;
+constexpr int kBadGateway = 502;
+constexpr int kServiceUnavailable = 503;
+
+// How often room for batch is looked at; about the interval at which nodes tell
+// each other their counts.
+constexpr milliseconds kTick{50};
+// Results that are finished within this time are stored by one call.
+constexpr milliseconds kStoreDelay{100};
+// Pause after a failed call to the store; the store answers in milliseconds
+// when it answers at all.
+constexpr milliseconds kStorePause{300};
+// A replica that gives no event for this long, several times the longest pause
+// on time, is taken for lost; the item goes on elsewhere.
+constexpr milliseconds kHeadSilence{3'000};
+constexpr milliseconds kEventSilence{1'500};
+// An answer to an item takes seconds; this bounds one that never ends.
+constexpr std::chrono::minutes kItemTimeLimit{10};
+// The longest that a read waits for a result, and the time for the other node's
+// answer on top.
+constexpr milliseconds kMaxReadWait{1'000};
+constexpr milliseconds kPeerTimeout{800};
+// Members that came or went in one event are looked at together, and a node
+// that starts waits for its picture of the members.
+constexpr milliseconds kScanDelay{400};
+constexpr milliseconds kFirstScanDelay{1'500};
+// A lost announcement of a takeover is made up for by this scan.
+constexpr std::chrono::seconds kScanInterval{10};
+// When the store is out, it is worth asking again after this.
+constexpr milliseconds kStoreRetryAfter{500};
+// Results that could not be stored yet; above it no further item starts.
+constexpr std::size_t kMaxUnstoredBytes = 16U << 20U;
+// Results of other nodes' jobs and own finished jobs that are kept for reading.
+constexpr std::size_t kMaxCachedBytes = 8U << 20U;
+constexpr std::size_t kMaxAnnounced = 20'000;
+constexpr int kStateAttempts = 4;
+
+auto BytesOf(const std::vector<ItemResult>& results) -> std::size_t {
+  auto bytes = std::size_t{0};
+  for (const auto& result : results) {
+    bytes += result.text.size() + result.item.size();
+  }
+  return bytes;
+}
+
+auto EncodePeerPage(const Page& page) -> json {
+  auto results = json::array();
+  for (const auto& result : page.results) {
+    results.push_back(
+        json::array({result.item, result.completed, result.text}));
+  }
+  return {{"known", true},
+          {"total", page.total},
+          {"next", page.next},
+          {"results", std::move(results)}};
+}
+
+auto DecodePeerPage(const json& message) -> Page {
+  auto page = Page();
+  page.total = message.at("total").get<std::size_t>();
+  page.next = message.at("next").get<std::size_t>();
+  for (const auto& result : message.at("results")) {
+    page.results.push_back({result.at(0).get<std::string>(),
+                            result.at(1).get<bool>(),
+                            result.at(2).get<std::string>()});
+  }
+  return page;
+}
+
+// Results that were read from the store, whole from the first position; the
+// least recently read job is dropped first.
+class ResultCache {
+ public:
+  auto Find(const JobId& id) -> std::vector<ItemResult>* {
+    const auto found = entries_.find(id);
+    if (found == entries_.end()) {
+      return nullptr;
+    }
+    order_.splice(order_.begin(), order_, found->second.place);
+    return &found->second.results;
+  }
+
+  auto Put(const JobId& id, std::vector<ItemResult> results) -> void {
+    Erase(id);
+    order_.push_front(id);
+    bytes_ += BytesOf(results);
+    entries_[id] = {std::move(results), order_.begin()};
+    while (bytes_ > kMaxCachedBytes && order_.size() > 1) {
+      Erase(JobId(order_.back()));
+    }
+  }
+
+ private:
+  struct Entry {
+    std::vector<ItemResult> results;
+    std::list<JobId>::iterator place;
+  };
+
+  auto Erase(const JobId& id) -> void {
+    const auto found = entries_.find(id);
+    if (found != entries_.end()) {
+      bytes_ -= BytesOf(found->second.results);
+      order_.erase(found->second.place);
+      entries_.erase(found);
+    }
+  }
+
+  std::map<JobId, Entry> entries_;
+  std::list<JobId> order_;
+  std::size_t bytes_ = 0;
+};
+
+}  // namespace
+
+class BatchRunner::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  explicit Impl(BatchRunnerParts parts)
+      : parts_(std::move(parts)),
+        schedule_(BatchScheduleSettings()),
+        tick_timer_(parts_.executor),
+        scan_timer_(parts_.executor),
+        accepted_(
+            parts_.metrics.counter("kqg_jobs_total{outcome=\"accepted\"}")),
+        refused_(parts_.metrics.counter("kqg_jobs_total{outcome=\"not_run\"}")),
+        adopted_(parts_.metrics.counter("kqg_jobs_adopted_total")),
+        completed_items_(
+            parts_.metrics.counter("kqg_items_total{outcome=\"completed\"}")),
+        failed_items_(
+            parts_.metrics.counter("kqg_items_total{outcome=\"failed\"}")),
+        yields_(parts_.metrics.counter("kqg_item_yields_total")),
+        accept_ms_(parts_.metrics.histogram("kqg_job_accept_seconds")),
+        append_ms_(parts_.metrics.histogram("kqg_result_store_seconds")) {}
+
+  auto Start() -> void {
+    asio::co_spawn(parts_.executor, TickLoop(shared_from_this()),
+                   asio::detached);
+    ScheduleScan(kFirstScanDelay);
+  }
+
+  auto Stop() -> void {
+    stopped_ = true;
+    tick_timer_.cancel();
+    scan_timer_.cancel();
+    const auto jobs = jobs_;
+    for (const auto& [id, job] : jobs) {
+      Drop(job, "this node stops");
+    }
+  }
+
+  auto Submit(std::shared_ptr<const caller::IncomingRequest> incoming,
+              CallerRequest request,
+              WriterPtr writer) -> awaitable<void> {
+    const auto self = shared_from_this();
+    const auto id = JobId(request.id.value());
+    if (jobs_.contains(id)) {
+      co_await Answer(writer, kAccepted, "");
+      co_return;
+    }
+    auto items = std::vector<JobItem>();
+    auto problem = CheckSubmission(*incoming, id, items);
+    if (!problem.empty()) {
+      logger_.Warning("a job was refused as malformed",
+                      {{"event", "job_malformed"},
+                       {"job", id.value()},
+                       {"reason", problem}});
+      co_await Answer(writer, kBadRequest, std::move(problem));
+      co_return;
+    }
+    auto record = JobRecord{id, request.host, request.path, WallMs(),
+                            incoming->body};
+    auto state = NewState(id, items.size(), record.accepted_ms);
+    auto stored = std::optional<StoredState>();
+    auto failure = std::string();
+    auto not_run = true;
+    const auto began = parts_.clock();
+    try {
+      stored = co_await parts_.archive.Create(record, state);
+    } catch (const Error& error) {
+      failure = error.what();
+      not_run = error.kind() != ErrorKind::kUnknownOutcome;
+    }
+    accept_ms_.Record(MillisecondsSince(began));
+    if (!stored) {
+      co_await RefuseJob(id, failure, not_run, writer);
+      co_return;
+    }
+    accepted_.Add();
+    logger_.Info("a job was accepted",
+                 {{"event", "job_accepted"},
+                  {"job", id.value()},
+                  {"items", std::to_string(items.size())},
+                  {"owner", stored->state.owner.value()},
+                  {"version", std::to_string(stored->version)},
+                  {"took_ms", std::to_string(static_cast<std::int64_t>(
+                                  MillisecondsSince(began)))}});
+    if (IsOwn(stored->state) && !stopped_) {
+      record.submission.clear();
+      Own(*stored, std::move(record), std::move(items), {});
+    } else {
+      OnAnnounced(id, stored->state.owner);
+    }
+    co_await Answer(writer, kAccepted, "");
+  }
+
+  auto Read(ReadResults call, WriterPtr writer) -> awaitable<void> {
+    const auto self = shared_from_this();
+    call.wait = std::min(call.wait, kMaxReadWait);
+    auto page = std::optional<Page>();
+    auto failure = std::string();
+    auto known = true;
+    try {
+      page = co_await FindPage(call);
+      known = page.has_value();
+    } catch (const std::exception& error) {
+      failure = error.what();
+    }
+    if (page) {
+      auto headers = HeaderList{{"Content-Type", "application/json"}};
+      auto body = parts_.dialect.encode_page(*page);
+      co_await writer->Send(kOk, std::move(headers), std::move(body));
+      co_return;
+    }
+    logger_.Info("results cannot be given",
+                 {{"event", "read_refused"},
+                  {"job", call.job.value()},
+                  {"known", known ? "unsure" : "no"},
+                  {"reason", failure}});
+    if (!known) {
+      co_await Answer(writer, kNotFound, "no such batch job");
+      co_return;
+    }
+    co_await Refuse(writer, kServiceUnavailable, failure, kStoreRetryAfter);
+  }
+
+  auto ReadBody(ReadItemBody call, WriterPtr writer) -> awaitable<void> {
+    const auto self = shared_from_this();
+    auto body = std::optional<std::string>();
+    auto failure = std::string();
+    try {
+      body = co_await FindBody(call);
+    } catch (const std::exception& error) {
+      failure = error.what();
+    }
+    if (body) {
+      auto headers =
+          HeaderList{{"Content-Type", "application/octet-stream"}};
+      co_await writer->Send(kOk, std::move(headers), std::move(*body));
+    } else if (failure.empty()) {
+      co_await Answer(writer, kNotFound, "no such item");
+    } else {
+      logger_.Info("an item's body cannot be given",
+                   {{"event", "read_refused"},
+                    {"job", call.job.value()},
+                    {"item", call.item},
+                    {"reason", failure}});
+      co_await Refuse(writer, kServiceUnavailable, failure, kStoreRetryAfter);
+    }
+  }
+
+  auto End(EndJob call, WriterPtr writer) -> awaitable<void> {
+    const auto self = shared_from_this();
+    auto ended = std::optional<bool>();
+    auto failure = std::string();
+    try {
+      ended = co_await EndAnywhere(call.job);
+    } catch (const std::exception& error) {
+      failure = error.what();
+    }
+    logger_.Info("a job is to end",
+                 {{"event", "job_end"},
+                  {"job", call.job.value()},
+                  {"outcome", !ended ? "unsure" : *ended ? "ended" : "unknown"},
+                  {"reason", failure}});
+    if (!ended) {
+      co_await Refuse(writer, kServiceUnavailable, failure, kStoreRetryAfter);
+    } else if (*ended) {
+      co_await Answer(writer, kOk, "");
+    } else {
+      co_await Answer(writer, kNotFound, "no such batch job");
+    }
+  }
+
+  auto MakeRoom(const ServiceName& service) -> bool {
+    return StopSome(service, 1, "an online request found no free slot") > 0;
+  }
+
+  auto OnAnnounced(const JobId& job, const NodeId& owner) -> void {
+    if (announced_.size() >= kMaxAnnounced) {
+      announced_.clear();  // Owners are then looked up in the store again.
+    }
+    announced_[job] = owner;
+  }
+
+  auto OnMembersChanged() -> void { ScheduleScan(kScanDelay); }
+
+  auto OnRestarted() -> void {
+    const auto jobs = jobs_;
+    for (const auto& [id, job] : jobs) {
+      Drop(job, "this node was taken for dead");
+    }
+    ScheduleScan(kFirstScanDelay);
+  }
+
+  auto RegisterHandlers(node::PeerServer& server) -> void {
+    server.Register("job-results", MakeHandler(&Impl::AnswerResults));
+    server.Register("job-item", MakeHandler(&Impl::AnswerItem));
+    server.Register("job-end", MakeHandler(&Impl::AnswerEnd));
+  }
+
+ private:
+  using PeerAnswer = auto(Impl::*)(json) -> awaitable<json>;
+
+  // --- Small helpers.
+
+  auto WallMs() const -> std::uint64_t {
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(
+            parts_.wall_clock().time_since_epoch())
+            .count());
+  }
+
+  auto MillisecondsSince(MonotonicTime began) const -> double {
+    return std::chrono::duration<double, std::milli>(parts_.clock() - began)
+        .count();
+  }
+
+  auto Pause(milliseconds time) -> awaitable<void> {
+    auto timer = asio::steady_timer(parts_.executor, time);
+    co_await timer.async_wait(kAwaitTuple);
+  }
+
+  auto NewState(const JobId& id,
+                std::uint64_t total,
+                std::uint64_t accepted_ms) const -> JobState {
+    const auto self = parts_.self();
+    return {id, self.id, self.incarnation, accepted_ms, total, false, false};
+  }
+
+  auto IsOwn(const JobState& state) const -> bool {
+    const auto self = parts_.self();
+    return state.owner == self.id && state.incarnation == self.incarnation;
+  }
+
+  auto FindMember(const NodeId& id) const -> std::optional<routing::NodeInfo> {
+    for (const auto& node : parts_.live()) {
+      if (node.id == id) {
+        return node;
+      }
+    }
+    return std::nullopt;
+  }
+
+  static auto Answer(WriterPtr writer, int status, std::string text)
+      -> awaitable<void> {
+    auto headers = HeaderList{{"Content-Type", "text/plain"}};
+    if (!text.empty()) {
+      text += "\n";
+    }
+    co_await writer->Send(status, std::move(headers), std::move(text));
+  }
+
+  auto CheckSubmission(const caller::IncomingRequest& incoming,
+                       const JobId& id,
+                       std::vector<JobItem>& items) const -> std::string {
+    if (id.empty()) {
+      return "a batch job needs an id";
+    }
+    try {
+      items = parts_.dialect.decode_submission(incoming.body);
+    } catch (const Error& error) {
+      return error.what();
+    }
+    return items.empty() ? "a batch job needs items" : "";
+  }
+
+  auto RefuseJob(JobId id, std::string failure, bool not_run, WriterPtr writer)
+      -> awaitable<void> {
+    refused_.Add();
+    logger_.Warning("a job could not be stored",
+                    {{"event", "job_refused"},
+                     {"job", id.value()},
+                     {"not_run", not_run ? "true" : "unsure"},
+                     {"reason", failure}});
+    const auto status = not_run ? kServiceUnavailable : kBadGateway;
+    co_await Refuse(writer, status, std::move(failure),
+                    not_run ? kStoreRetryAfter : milliseconds::zero());
+  }
+
+  // --- Ownership.
+
+  auto FindBatchRoute(const OwnedJob& job) const -> const Route* {
+    const auto configuration = parts_.configuration();
+    return configuration == nullptr
+               ? nullptr
+               : configuration->FindRoute(job.record.host, job.record.path);
+  }
+
+  auto Own(const StoredState& stored,
+           JobRecord record,
+           std::vector<JobItem> items,
+           std::vector<ItemResult> results) -> void {
+    if (jobs_.contains(stored.state.id)) {
+      return;
+    }
+    auto job = std::make_shared<OwnedJob>();
+    job->state = stored.state;
+    job->version = stored.version;
+    job->record = std::move(record);
+    job->items = std::move(items);
+    for (std::size_t at = 0; at < job->items.size(); ++at) {
+      job->index[job->items[at].id] = at;
+    }
+    job->List(results);
+    jobs_[stored.state.id] = job;
+    OnAnnounced(stored.state.id, stored.state.owner);
+    parts_.announce(stored.state.id);
+    AddToSchedule(*job);
+    FinishIfComplete(job);
+  }
+
+  auto AddToSchedule(const OwnedJob& job) -> void {
+    const auto configuration = parts_.configuration();
+    const auto* route =
+        configuration == nullptr
+            ? nullptr
+            : configuration->FindRoute(job.record.host, job.record.path);
+    auto scheduled = ScheduledJob();
+    scheduled.id = job.state.id;
+    scheduled.items = job.items.size();
+    const auto age = milliseconds(
+        static_cast<std::int64_t>(WallMs()) -
+        static_cast<std::int64_t>(job.state.accepted_ms));
+    const auto accepted = parts_.clock() - age;
+    scheduled.due = accepted + kItemTimeLimit;
+    scheduled.give_up = MonotonicTime::max();
+    if (route != nullptr) {
+      scheduled.service = PickService(
+          *route, routing::RendezvousHash(job.state.id.value()));
+      scheduled.max_attempts = route->max_attempts;
+      if (route->due > milliseconds::zero()) {
+        scheduled.due = accepted + route->due;
+      }
+      if (route->give_up_after > milliseconds::zero()) {
+        scheduled.give_up = accepted + route->give_up_after;
+      }
+    }
+    schedule_.Add(scheduled, {job.listed.begin(), job.listed.end()});
+    scheduled_version_ = configuration == nullptr ? 0 : configuration->version;
+  }
+
+  // A new configuration may send jobs to another service.
+  auto RescheduleOnNewConfiguration() -> void {
+    const auto configuration = parts_.configuration();
+    if (configuration == nullptr ||
+        configuration->version == scheduled_version_) {
+      return;
+    }
+    for (const auto& [id, job] : jobs_) {
+      const auto* route =
+          configuration->FindRoute(job->record.host, job->record.path);
+      const auto idle = std::all_of(
+          job->progress.begin(), job->progress.end(),
+          [](const auto& entry) { return entry.second.call == nullptr; });
+      if (route != nullptr && idle) {
+        AddToSchedule(*job);
+      }
+    }
+    scheduled_version_ = configuration->version;
+  }
+
+  auto Drop(const JobPtr& job, const std::string& reason) -> void {
+    if (std::exchange(job->dropped, true)) {
+      return;
+    }
+    logger_.Info("a job is no longer run here",
+                 {{"event", "job_dropped"},
+                  {"job", job->state.id.value()},
+                  {"listed", std::to_string(job->results.size())},
+                  {"reason", reason}});
+    schedule_.Remove(job->state.id);
+    CancelItems(*job);
+    jobs_.erase(job->state.id);
+    job->WakeReaders();
+  }
+
+  static auto CancelItems(OwnedJob& job) -> void {
+    for (auto& [item, progress] : job.progress) {
+      if (progress.call) {
+        progress.call->Cancel();
+      }
+    }
+  }
+
+  // --- Running items.
+
+  static auto TickLoop(std::shared_ptr<Impl> self) -> awaitable<void> {
+    while (!self->stopped_) {
+      self->tick_timer_.expires_after(kTick);
+      co_await self->tick_timer_.async_wait(kAwaitTuple);
+      if (!self->stopped_ && !self->jobs_.empty()) {
+        self->Tick();
+      }
+    }
+  }
+
+  auto Tick() -> void {
+    const auto now = parts_.clock();
+    RescheduleOnNewConfiguration();
+    for (const auto& ref : schedule_.TakeGivenUp(now)) {
+      AddResult(ref, false);
+    }
+    auto unstored = std::size_t{0};
+    for (const auto& [id, job] : jobs_) {
+      unstored += BytesOf(job->unstored);
+    }
+    for (const auto& service : schedule_.services()) {
+      const auto room = parts_.picture.BatchRoom(service);
+      if (room < 0) {
+        const auto share = YieldShare(service, static_cast<std::uint64_t>(-room));
+        StopSome(service, share, "online requests leave fewer slots");
+      } else if (unstored < kMaxUnstoredBytes) {
+        StartSome(service, room, now);
+      }
+    }
+  }
+
+  // This node's part of the items that are to yield in the whole fleet.
+  auto YieldShare(const ServiceName& service, std::uint64_t excess)
+      -> std::size_t {
+    const auto all = std::max(1U, parts_.picture.Total(service).batch);
+    const auto own = excess * parts_.picture.OwnBatch(service);
+    return own / all + Fraction(own % all, all);
+  }
+
+  // 1 with the probability numerator / denominator, else 0.
+  auto Fraction(std::uint64_t numerator, std::uint64_t denominator)
+      -> std::size_t {
+    return parts_.random() % denominator < numerator ? 1 : 0;
+  }
+
+  // All owners see the same room, so each takes its part of it; half, because
+  // their counts reach each other a moment later.
+  auto StartSome(const ServiceName& service, std::int64_t room, MonotonicTime now)
+      -> void {
+    const auto nodes = 2 * std::max<std::size_t>(1, parts_.live().size());
+    const auto all = static_cast<std::uint64_t>(room);
+    const auto part = all / nodes + Fraction(all % nodes, nodes);
+    for (const auto& ref : schedule_.TakeStarts(service, part, now)) {
+      asio::co_spawn(parts_.executor, RunItem(shared_from_this(), ref),
+                     asio::detached);
+    }
+  }
+
+  auto StopSome(const ServiceName& service,
+                std::size_t count,
+                const std::string& reason) -> std::size_t {
+    const auto yields = schedule_.TakeYields(service, count, parts_.clock());
+    for (const auto& ref : yields) {
+      const auto job = jobs_.find(ref.job);
+      if (job == jobs_.end()) {
+        continue;
+      }
+      const auto progress = job->second->progress.find(ref.item);
+      if (progress == job->second->progress.end() || !progress->second.call) {
+        continue;
+      }
+      yields_.Add();
+      logger_.Debug("an item yields",
+                    {{"event", "item_yielded"},
+                     {"item", job->second->items[ref.item].id},
+                     {"last_event",
+                      std::to_string(progress->second.last_event)},
+                     {"reason", reason}});
+      progress->second.call->Cancel();
+    }
+    return yields.size();
+  }
+
+  static auto RunItem(std::shared_ptr<Impl> self, ItemRef ref)
+      -> awaitable<void> {
+    const auto found = self->jobs_.find(ref.job);
+    if (found == self->jobs_.end()) {
+      co_return;
+    }
+    const auto job = found->second;
+    const auto end = co_await self->Attempt(job, ref);
+    if (job->dropped) {
+      co_return;
+    }
+    const auto failed_for_good =
+        self->schedule_.OnEnded(ref, end.end, self->parts_.clock());
+    if (end.end == ItemEnd::kFinished || failed_for_good) {
+      self->AddResult(ref, end.completed);
+    }
+  }
+
+  struct ItemOutcome {
+    ItemEnd end = ItemEnd::kNotPlaced;
+    bool completed = false;
+  };
+
+  // The service that the configuration in force sends an item to.
+  auto ServiceOf(const OwnedJob& job, const JobItem& item) const
+      -> std::optional<ServiceName> {
+    const auto configuration = parts_.configuration();
+    if (configuration == nullptr) {
+      return std::nullopt;
+    }
+    const auto* route = configuration->FindRoute(job.record.host, item.path);
+    if (route == nullptr) {
+      return std::nullopt;
+    }
+    return PickService(*route,
+                       routing::RendezvousHash(job.state.id.value()));
+  }
+
+  auto Attempt(JobPtr job, ItemRef ref) -> awaitable<ItemOutcome> {
+    const auto& item = job->items[ref.item];
+    const auto service = ServiceOf(*job, item);
+    auto outcome = ItemOutcome();
+    if (!service) {
+      co_return outcome;
+    }
+    auto request = ChoiceRequest();
+    request.service = *service;
+    request.work_class = WorkClass::kBatch;
+    const auto choice = parts_.picture.Choose(request);
+    const auto urgent = schedule_.IsUrgent(ref, parts_.clock());
+    const auto placed = choice.room == Room::kFree ||
+                        (urgent && choice.room != Room::kNoReplica);
+    if (!placed || !choice.replica) {
+      co_return outcome;
+    }
+    const auto replica = *choice.replica;
+    auto& progress = job->progress[ref.item];
+    parts_.picture.OnStarted(replica.id, WorkClass::kBatch);
+    parts_.counts_changed();
+    const auto call = parts_.replicas.Start(
+        MakeItemRequest(*job, item, replica, progress), MakeFilter(item));
+    progress.call = call;
+    const auto began = parts_.clock();
+    outcome = co_await Follow(job, ref, replica, call);
+    job->progress[ref.item].call = nullptr;
+    parts_.picture.OnEnded(replica.id, WorkClass::kBatch);
+    parts_.counts_changed();
+    logger_.Info("an item's attempt ended",
+                 {{"event", "item_attempt"},
+                  {"job", ref.job.value()},
+                  {"item", item.id},
+                  {"replica", replica.id.value()},
+                  {"in_flight", std::to_string(choice.in_flight)},
+                  {"urgent", urgent ? "true" : "false"},
+                  {"end", EndName(outcome)},
+                  {"reason", call->reason()},
+                  {"last_event",
+                   std::to_string(job->progress[ref.item].last_event)},
+                  {"ran_ms", std::to_string(static_cast<std::int64_t>(
+                                 MillisecondsSince(began)))}});
+    co_return outcome;
+  }
+
+  static auto EndName(const ItemOutcome& outcome) -> std::string {
+    switch (outcome.end) {
+      case ItemEnd::kFinished:
+        return outcome.completed ? "completed" : "not_to_be_done";
+      case ItemEnd::kStopped:
+        return "stopped";
+      case ItemEnd::kFailed:
+        return "failed";
+      case ItemEnd::kNotPlaced:
+        break;
+    }
+    return "not_run";
+  }
+
+  auto MakeItemRequest(const OwnedJob& job,
+                       const JobItem& item,
+                       const routing::Replica& replica,
+                       const ItemProgress& progress)
+      -> upstream::ReplicaRequest {
+    auto delivery = Delivery();
+    delivery.replica = replica.id;
+    delivery.resume_after = progress.last_event;
+    auto request = upstream::ReplicaRequest();
+    request.address = replica.address;
+    request.method = "POST";
+    request.target = item.path;
+    request.headers =
+        parts_.dialect.encode_item(item, job.record.host, delivery);
+    request.body = item.body;
+    request.idempotent = true;
+    request.deadline = parts_.clock() + kItemTimeLimit;
+    request.head_silence = kHeadSilence;
+    request.body_silence = kEventSilence;
+    return request;
+  }
+
+  auto MakeFilter(const JobItem& item) -> upstream::HeadFilter {
+    return [&dialect = parts_.dialect,
+            id = item.id](const upstream::ReplicaHead& head) {
+      const auto facts = dialect.decode_answer(head.status, head.headers);
+      return facts.request_id == id ||
+             (facts.request_id.empty() && head.status != kOk);
+    };
+  }
+
+  // Reads the answer to an item and keeps what it brings.
+  auto Follow(JobPtr job,
+              ItemRef ref,
+              routing::Replica replica,
+              std::shared_ptr<upstream::ReplicaCaller::Call> call)
+      -> awaitable<ItemOutcome> {
+    auto outcome = ItemOutcome();
+    auto end = co_await call->Open();
+    if (end != CallEnd::kOpen) {
+      NoteLost(replica.id, end);
+      outcome.end =
+          end == CallEnd::kCancelled ? ItemEnd::kStopped : ItemEnd::kNotPlaced;
+      co_return outcome;
+    }
+    const auto head = call->head();
+    const auto facts =
+        parts_.dialect.decode_answer(head.status, head.headers);
+    if (facts.has_load) {
+      parts_.picture.OnReport(replica.id, facts.running, facts.waiting);
+    }
+    if (head.status != kOk) {
+      co_return JudgeStatus(replica.id, head.status, facts);
+    }
+    auto splitter = EventSplitter();
+    auto intact = true;
+    while (end == CallEnd::kOpen && intact) {
+      auto bytes = std::string();
+      end = co_await call->Read(bytes);
+      intact = TakeEvents(*job, ref, splitter, bytes);
+    }
+    if (!intact) {
+      call->Cancel();
+      end = CallEnd::kMalformed;
+    }
+    if (end == CallEnd::kComplete && splitter.rest().empty()) {
+      outcome = {ItemEnd::kFinished, true};
+      co_return outcome;
+    }
+    NoteLost(replica.id, end);
+    outcome.end = ItemEnd::kStopped;
+    co_return outcome;
+  }
+
+  auto NoteLost(const ReplicaId& replica, CallEnd end) -> void {
+    if (end != CallEnd::kCancelled) {
+      parts_.picture.OnFailure(replica);
+    }
+  }
+
+  auto JudgeStatus(const ReplicaId& replica,
+                   int status,
+                   const AnswerFacts& facts) -> ItemOutcome {
+    if (facts.wrong_replica) {
+      parts_.picture.MarkGone(replica);
+      return {ItemEnd::kNotPlaced, false};
+    }
+    if (facts.not_run) {
+      parts_.picture.OnRefused(replica);
+      return {ItemEnd::kNotPlaced, false};
+    }
+    if (facts.not_to_be_done) {
+      return {ItemEnd::kFinished, false};
+    }
+    return {status == kServerError ? ItemEnd::kFailed : ItemEnd::kNotPlaced,
+            false};
+  }
+
+  // Appends the data of new events. Returns false when the stream has a gap or
+  // an event is too large.
+  auto TakeEvents(OwnedJob& job,
+                  const ItemRef& ref,
+                  EventSplitter& splitter,
+                  const std::string& bytes) -> bool {
+    auto& progress = job.progress[ref.item];
+    auto whole = true;
+    const auto fits = splitter.Feed(bytes, [&](const Event& event) {
+      if (event.id <= progress.last_event) {
+        return;
+      }
+      whole = whole && event.id == progress.last_event + 1;
+      if (!whole) {
+        return;
+      }
+      if (progress.last_event > 0) {
+        progress.text.push_back('\n');
+      }
+      progress.text.append(event.data);
+      progress.last_event = event.id;
+    });
+    schedule_.OnProgress(ref, progress.last_event);
+    return fits && whole;
+  }
+
+  // --- Storing results.
+
+  auto AddResult(const ItemRef& ref, bool completed) -> void {
+    const auto found = jobs_.find(ref.job);
+    if (found == jobs_.end() || found->second->listed.contains(ref.item)) {
+      return;
+    }
+    const auto& job = found->second;
+    auto result = ItemResult();
+    result.item = job->items[ref.item].id;
+    result.completed = completed;
+    auto& progress = job->progress[ref.item];
+    if (completed) {
+      result.text = std::move(progress.text);
+    }
+    progress.text.clear();
+    (completed ? completed_items_ : failed_items_).Add();
+    job->unstored.push_back(std::move(result));
+    if (!std::exchange(job->storing, true)) {
+      asio::co_spawn(parts_.executor, StoreResults(shared_from_this(), job),
+                     asio::detached);
+    }
+  }
+
+  static auto StoreResults(std::shared_ptr<Impl> self, JobPtr job)
+      -> awaitable<void> {
+    co_await self->Pause(kStoreDelay);
+    while (!job->unstored.empty() && !job->dropped) {
+      auto chunk = ResultChunk{job->state.id, job->results.size(),
+                               self->Nonce(), job->unstored};
+      const auto writer = chunk.writer;
+      auto stored = std::optional<ResultChunk>();
+      auto failure = std::string();
+      const auto began = self->parts_.clock();
+      try {
+        stored = co_await self->parts_.archive.Append(chunk);
+      } catch (const Error& error) {
+        failure = error.what();
+      }
+      self->append_ms_.Record(self->MillisecondsSince(began));
+      if (!stored) {
+        self->logger_.Warning("results could not be stored yet",
+                              {{"event", "store_failed"},
+                               {"job", job->state.id.value()},
+                               {"results",
+                                std::to_string(chunk.results.size())},
+                               {"reason", failure}});
+        co_await self->Pause(kStorePause);
+        continue;
+      }
+      self->Listed(job, *stored);
+      if (stored->writer != writer) {
+        co_await self->CheckOwnership(job);
+      }
+    }
+    job->storing = false;
+    self->FinishIfComplete(job);
+  }
+
+  auto Nonce() -> std::string {
+    return parts_.self().id.value() + "." + std::to_string(parts_.random());
+  }
+
+  auto Listed(const JobPtr& job, const ResultChunk& stored) -> void {
+    for (const auto item : job->List(stored.results)) {
+      logger_.Info("a result is listed",
+                   {{"event", "result_listed"},
+                    {"job", job->state.id.value()},
+                    {"item", job->items[item].id},
+                    {"first", std::to_string(stored.first)},
+                    {"writer", stored.writer}});
+      // Another owner may have finished it while it runs here.
+      const auto progress = job->progress.find(item);
+      if (progress != job->progress.end() && progress->second.call) {
+        progress->second.call->Cancel();
+      }
+      schedule_.OnEnded({job->state.id, item}, ItemEnd::kFinished,
+                        parts_.clock());
+    }
+    job->WakeReaders();
+  }
+
+  // Another node has written a result: it may have taken over.
+  auto CheckOwnership(JobPtr job) -> awaitable<void> {
+    auto stored = std::optional<StoredState>();
+    try {
+      stored = co_await parts_.archive.LoadState(job->state.id);
+    } catch (const Error& error) {
+      logger_.Warning("a job's owner cannot be read",
+                      {{"event", "store_failed"},
+                       {"job", job->state.id.value()},
+                       {"reason", error.what()}});
+      co_return;
+    }
+    if (stored && !IsOwn(stored->state)) {
+      OnAnnounced(job->state.id, stored->state.owner);
+      Drop(job, "another node owns it");
+    } else if (stored) {
+      Update(job, *stored);
+    }
+  }
+
+  auto Update(const JobPtr& job, const StoredState& stored) -> void {
+    job->state = stored.state;
+    job->version = stored.version;
+    if (stored.state.ended) {
+      StopEnded(job);
+    }
+  }
+
+  auto StopEnded(const JobPtr& job) -> void {
+    schedule_.Remove(job->state.id);
+    CancelItems(*job);
+    job->unstored.clear();
+    job->WakeReaders();
+  }
+
+  auto FinishIfComplete(const JobPtr& job) -> void {
+    const auto complete = job->listed.size() == job->items.size();
+    if (complete && !job->state.done && !job->dropped && !job->state.ended) {
+      asio::co_spawn(parts_.executor, MarkDone(shared_from_this(), job),
+                     asio::detached);
+    }
+  }
+
+  static auto MarkDone(std::shared_ptr<Impl> self, JobPtr job)
+      -> awaitable<void> {
+    self->schedule_.Remove(job->state.id);
+    for (auto attempt = 0; attempt < kStateAttempts && !job->dropped;
+         ++attempt) {
+      auto state = job->state;
+      state.done = true;
+      if (co_await self->TryReplace(job, state)) {
+        break;
+      }
+      co_await self->Pause(kStorePause);
+    }
+    self->logger_.Info("a job is done",
+                       {{"event", "job_done"},
+                        {"job", job->state.id.value()},
+                        {"marked", job->state.done ? "true" : "false"}});
+    // What is needed for reading stays; the bodies go.
+    for (auto& item : job->items) {
+      item.headers.clear();
+    }
+    job->progress.clear();
+  }
+
+  // Returns true when the state holds, or the job is no longer owned here.
+  auto TryReplace(JobPtr job, JobState state) -> awaitable<bool> {
+    auto failure = std::string();
+    try {
+      const auto stored =
+          co_await parts_.archive.ReplaceState(state, job->version);
+      if (stored) {
+        Update(job, *stored);
+        co_return true;
+      }
+    } catch (const Error& error) {
+      failure = error.what();
+    }
+    if (!failure.empty()) {
+      logger_.Warning("a job's state could not be stored",
+                      {{"event", "store_failed"},
+                       {"job", state.id.value()},
+                       {"reason", failure}});
+      co_return false;
+    }
+    co_await CheckOwnership(job);
+    co_return job->dropped;
+  }
+
+  // --- Reading.
+
+  auto FindPage(ReadResults call) -> awaitable<std::optional<Page>> {
+    const auto own = jobs_.find(call.job);
+    if (own != jobs_.end()) {
+      co_return co_await OwnPage(own->second, call);
+    }
+    auto owner = KnownOwner(call.job);
+    auto state = std::optional<StoredState>();
+    if (!owner) {
+      state = co_await parts_.archive.LoadState(call.job);
+      if (!state) {
+        co_return std::nullopt;
+      }
+      OnAnnounced(call.job, state->state.owner);
+      owner = FindMember(state->state.owner);
+    }
+    if (owner && owner->id != parts_.self().id) {
+      auto page = co_await AskForPage(*owner, call);
+      if (page) {
+        co_return page;
+      }
+    }
+    announced_.erase(call.job);
+    if (!state) {
+      state = co_await parts_.archive.LoadState(call.job);
+    }
+    if (!state) {
+      co_return std::nullopt;
+    }
+    co_return co_await StoredPage(state->state, call.after);
+  }
+
+  auto OwnPage(JobPtr job, ReadResults call) -> awaitable<Page> {
+    const auto over = job->state.done || job->state.ended;
+    if (call.after >= job->results.size() && !over &&
+        call.wait > milliseconds::zero()) {
+      auto timer = std::make_shared<asio::steady_timer>(parts_.executor,
+                                                        call.wait);
+      job->readers.push_back(timer);
+      co_await timer->async_wait(kAwaitTuple);
+    }
+    co_return detail::MakePage(job->results, job->state.total, call.after);
+  }
+
+  auto KnownOwner(const JobId& job) const -> std::optional<routing::NodeInfo> {
+    const auto announced = announced_.find(job);
+    if (announced == announced_.end()) {
+      return std::nullopt;
+    }
+    return FindMember(announced->second);
+  }
+
+  // Asks another node; nothing when it does not answer or does not own the job.
+  auto AskPeer(routing::NodeInfo peer,
+               std::string name,
+               json request,
+               milliseconds timeout) -> awaitable<std::optional<json>> {
+    auto answer = std::optional<json>();
+    try {
+      co_await parts_.peers.Call(
+          peer.node_address, node::Channel::kBatch, name, std::move(request),
+          [&answer](const json& frame) { answer = frame; }, timeout, nullptr);
+    } catch (const Error& error) {
+      logger_.Info("a node does not answer",
+                   {{"event", "peer_failed"},
+                    {"peer", peer.id.value()},
+                    {"call", name},
+                    {"reason", error.what()}});
+      co_return std::nullopt;
+    }
+    if (!answer || !answer->value("known", false)) {
+      co_return std::nullopt;
+    }
+    co_return answer;
+  }
+
+  auto AskForPage(routing::NodeInfo peer, ReadResults call)
+      -> awaitable<std::optional<Page>> {
+    json request = {{"job", call.job.value()},
+                    {"after", call.after},
+                    {"wait_ms", call.wait.count()}};
+    const auto answer =
+        co_await AskPeer(std::move(peer), "job-results", std::move(request),
+                         call.wait + kPeerTimeout);
+    if (!answer) {
+      co_return std::nullopt;
+    }
+    co_return DecodePeerPage(*answer);
+  }
+
+  // Reads from the store. Stored results never change, so those read before
+  // are kept.
+  auto StoredPage(JobState state, std::size_t after) -> awaitable<Page> {
+    auto results = std::vector<ItemResult>();
+    if (const auto* cached = cache_.Find(state.id)) {
+      results = *cached;
+    }
+    const auto before = results.size();
+    while (results.size() < state.total) {
+      const auto chunk =
+          co_await parts_.archive.LoadChunk(state.id, results.size());
+      if (!chunk || chunk->results.empty()) {
+        break;
+      }
+      results.insert(results.end(), chunk->results.begin(),
+                     chunk->results.end());
+    }
+    auto page = detail::MakePage(results, state.total, after);
+    if (results.size() > before) {
+      cache_.Put(state.id, std::move(results));
+    }
+    co_return page;
+  }
+
+  auto FindBody(ReadItemBody call) -> awaitable<std::optional<std::string>> {
+    const auto own = jobs_.find(call.job);
+    if (own != jobs_.end()) {
+      const auto item = own->second->index.find(call.item);
+      if (item == own->second->index.end()) {
+        co_return std::nullopt;
+      }
+      co_return own->second->items[item->second].body;
+    }
+    if (const auto owner = KnownOwner(call.job)) {
+      json request = {{"job", call.job.value()}, {"item", call.item}};
+      const auto answer = co_await AskPeer(*owner, "job-item",
+                                           std::move(request), kPeerTimeout);
+      if (answer && answer->contains("body")) {
+        co_return answer->at("body").get<std::string>();
+      }
+    }
+    const auto record = co_await parts_.archive.LoadRecord(call.job);
+    if (!record) {
+      co_return std::nullopt;
+    }
+    for (auto& item : parts_.dialect.decode_submission(record->submission)) {
+      if (item.id == call.item) {
+        co_return std::move(item.body);
+      }
+    }
+    co_return std::nullopt;
+  }
+
+  // --- Ending jobs.
+
+  // Returns false when there is no such job.
+  auto EndAnywhere(JobId id) -> awaitable<bool> {
+    const auto own = jobs_.find(id);
+    if (own != jobs_.end()) {
+      co_return co_await EndOwn(own->second);
+    }
+    if (const auto owner = KnownOwner(id)) {
+      json request = {{"job", id.value()}};
+      const auto answer = co_await AskPeer(*owner, "job-end",
+                                           std::move(request), kPeerTimeout);
+      if (answer && answer->value("ended", false)) {
+        co_return true;
+      }
+    }
+    co_return co_await EndInStore(id);
+  }
+
+  auto EndOwn(JobPtr job) -> awaitable<bool> {
+    for (auto attempt = 0; attempt < kStateAttempts; ++attempt) {
+      if (job->state.ended || job->state.done) {
+        co_return true;
+      }
+      auto state = job->state;
+      state.ended = true;
+      if (co_await TryReplace(job, state) && !job->dropped) {
+        co_return true;
+      }
+      if (job->dropped) {
+        break;
+      }
+    }
+    co_return co_await EndInStore(job->state.id);
+  }
+
+  auto EndInStore(JobId id) -> awaitable<bool> {
+    for (auto attempt = 0; attempt < kStateAttempts; ++attempt) {
+      auto stored = co_await parts_.archive.LoadState(id);
+      if (!stored) {
+        co_return false;
+      }
+      if (stored->state.ended || stored->state.done) {
+        co_return true;
+      }
+      auto state = stored->state;
+      state.ended = true;
+      const auto replaced =
+          co_await parts_.archive.ReplaceState(state, stored->version);
+      if (replaced) {
+        asio::co_spawn(parts_.executor,
+                       TellOwner(shared_from_this(), replaced->state),
+                       asio::detached);
+        co_return true;
+      }
+    }
+    throw Error(ErrorKind::kUnavailable, "the job's state changes too often",
+                id.value(), "try again");
+  }
+
+  // The owner stops the items of a job that was ended without it.
+  static auto TellOwner(std::shared_ptr<Impl> self, JobState state)
+      -> awaitable<void> {
+    constexpr auto kAttempts = 10;
+    for (auto attempt = 0; attempt < kAttempts && !self->stopped_; ++attempt) {
+      const auto owner = self->FindMember(state.owner);
+      if (!owner || owner->id == self->parts_.self().id) {
+        co_return;
+      }
+      json request = {{"job", state.id.value()}};
+      const auto answer = co_await self->AskPeer(
+          *owner, "job-end", std::move(request), kPeerTimeout);
+      if (answer) {
+        co_return;
+      }
+      co_await self->Pause(kStorePause);
+    }
+  }
+
+  // --- Answers to other nodes.
+
+  auto MakeHandler(PeerAnswer answer) -> node::Handler {
+    return [weak = weak_from_this(), answer](
+               json request,
+               std::shared_ptr<node::Responder> responder) -> awaitable<void> {
+      return AnswerPeer(weak, answer, std::move(request),
+                        std::move(responder));
+    };
+  }
+
+  static auto AnswerPeer(std::weak_ptr<Impl> weak,
+                         PeerAnswer answer,
+                         json request,
+                         std::shared_ptr<node::Responder> responder)
+      -> awaitable<void> {
+    const auto self = weak.lock();
+    if (!self) {
+      co_return;
+    }
+    const auto frame = co_await ((*self).*answer)(std::move(request));
+    responder->Send(frame);
+  }
+
+  auto FindOwn(const json& request) const -> JobPtr {
+    const auto found = jobs_.find(JobId(request.at("job").get<std::string>()));
+    return found == jobs_.end() ? nullptr : found->second;
+  }
+
+  static auto NotKnown() -> json { return {{"known", false}}; }
+
+  auto AnswerResults(json request) -> awaitable<json> {
+    const auto job = FindOwn(request);
+    if (!job) {
+      co_return NotKnown();
+    }
+    auto call = ReadResults();
+    call.job = job->state.id;
+    call.after = request.at("after").get<std::size_t>();
+    call.wait = milliseconds(request.at("wait_ms").get<std::int64_t>());
+    const auto page = co_await OwnPage(job, call);
+    co_return job->dropped ? NotKnown() : EncodePeerPage(page);
+  }
+
+  auto AnswerItem(json request) -> awaitable<json> {
+    const auto job = FindOwn(request);
+    if (!job) {
+      co_return NotKnown();
+    }
+    const auto item = job->index.find(request.at("item").get<std::string>());
+    json answer = {{"known", true}};
+    if (item != job->index.end()) {
+      answer["body"] = job->items[item->second].body;
+    }
+    co_return answer;
+  }
+
+  auto AnswerEnd(json request) -> awaitable<json> {
+    const auto job = FindOwn(request);
+    if (!job) {
+      co_return NotKnown();
+    }
+    // A job that was ended in the store is noticed by the failed replacement.
+    const auto ended = co_await EndOwn(job);
+    json answer = {{"known", true}, {"ended", ended}};
+    co_return answer;
+  }
+
+  // --- Taking over.
+
+  auto ScheduleScan(milliseconds delay) -> void {
+    scan_timer_.expires_after(delay);
+    scan_timer_.async_wait(
+        [weak = weak_from_this()](const boost::system::error_code& error) {
+          const auto self = weak.lock();
+          if (!self || error || self->stopped_) {
+            return;
+          }
+          asio::co_spawn(self->parts_.executor, Scan(self), asio::detached);
+        });
+  }
+
+  // Looks for unfinished jobs whose owner is gone. Each is taken over by the
+  // member that all nodes agree on; a conditional write settles the rest.
+  static auto Scan(std::shared_ptr<Impl> self) -> awaitable<void> {
+    auto states = std::vector<StoredState>();
+    auto failure = std::string();
+    try {
+      states = co_await self->parts_.archive.ListStates(true);
+    } catch (const Error& error) {
+      failure = error.what();
+    }
+    if (!failure.empty()) {
+      self->logger_.Warning("jobs cannot be listed",
+                            {{"event", "scan_failed"}, {"reason", failure}});
+      self->ScheduleScan(kScanDelay);
+      co_return;
+    }
+    for (const auto& stored : states) {
+      if (self->stopped_) {
+        co_return;
+      }
+      const auto& state = stored.state;
+      if (self->Expired(state) && self->IsChosen(state.id)) {
+        co_await self->RemoveExpired(stored);
+      } else if (!state.done && !state.ended && !self->OwnerLives(state) &&
+                 self->IsChosen(state.id)) {
+        co_await self->Adopt(stored);
+      }
+    }
+    const auto jitter =
+        milliseconds(static_cast<std::int64_t>(self->parts_.random() % 2'000));
+    self->ScheduleScan(kScanInterval + jitter);
+  }
+
+  auto Expired(const JobState& state) const -> bool {
+    const auto age = milliseconds(static_cast<std::int64_t>(WallMs()) -
+                                  static_cast<std::int64_t>(state.accepted_ms));
+    return age > parts_.retention;
+  }
+
+  auto OwnerLives(const JobState& state) const -> bool {
+    if (IsOwn(state)) {
+      return jobs_.contains(state.id);
+    }
+    const auto member = FindMember(state.owner);
+    return member && member->incarnation == state.incarnation &&
+           !member->leaving;
+  }
+
+  auto IsChosen(const JobId& id) const -> bool {
+    const auto key = routing::RendezvousHash(id.value());
+    auto best = std::uint64_t{0};
+    auto chosen = NodeId();
+    for (const auto& node : parts_.live()) {
+      const auto score = routing::RendezvousScore(
+          key, routing::RendezvousHash(node.id.value()));
+      if (!node.leaving && (chosen.empty() || score > best)) {
+        best = score;
+        chosen = node.id;
+      }
+    }
+    return chosen == parts_.self().id;
+  }
+
+  auto RemoveExpired(StoredState stored) -> awaitable<void> {
+    try {
+      co_await parts_.archive.Remove(stored.state, stored.version);
+      const auto own = jobs_.find(stored.state.id);
+      if (own != jobs_.end()) {
+        Drop(JobPtr(own->second), "its retention is over");
+      }
+    } catch (const Error& error) {
+      logger_.Info("an old job could not be removed yet",
+                   {{"event", "store_failed"},
+                    {"job", stored.state.id.value()},
+                    {"reason", error.what()}});
+    }
+  }
+
+  auto Adopt(StoredState stored) -> awaitable<void> {
+    auto failure = std::string();
+    try {
+      co_await TakeOver(stored);
+    } catch (const Error& error) {
+      failure = error.what();
+    }
+    if (!failure.empty()) {
+      logger_.Warning("a job could not be taken over",
+                      {{"event", "adopt_failed"},
+                       {"job", stored.state.id.value()},
+                       {"reason", failure}});
+      ScheduleScan(kScanDelay);
+    }
+  }
+
+  auto TakeOver(StoredState stored) -> awaitable<void> {
+    const auto id = stored.state.id;
+    auto record = co_await parts_.archive.LoadRecord(id);
+    if (!record) {
+      co_return;  // It was never accepted.
+    }
+    auto items = parts_.dialect.decode_submission(record->submission);
+    record->submission.clear();
+    auto state = NewState(id, items.size(), stored.state.accepted_ms);
+    const auto taken =
+        co_await parts_.archive.ReplaceState(state, stored.version);
+    if (!taken) {
+      co_return;  // Another node was first.
+    }
+    auto results = std::vector<ItemResult>();
+    while (results.size() < items.size()) {
+      const auto chunk = co_await parts_.archive.LoadChunk(id, results.size());
+      if (!chunk || chunk->results.empty()) {
+        break;
+      }
+      results.insert(results.end(), chunk->results.begin(),
+                     chunk->results.end());
+    }
+    adopted_.Add();
+    logger_.Info("a job was taken over",
+                 {{"event", "job_adopted"},
+                  {"job", id.value()},
+                  {"from", stored.state.owner.value()},
+                  {"listed", std::to_string(results.size())},
+                  {"items", std::to_string(items.size())}});
+    Own(*taken, std::move(*record), std::move(items), std::move(results));
+  }
+
+  BatchRunnerParts parts_;
+  Logger logger_{"batch"};
+  BatchSchedule schedule_;
+  asio::steady_timer tick_timer_;
+  asio::steady_timer scan_timer_;
+  std::map<JobId, JobPtr> jobs_;
+  std::map<JobId, NodeId> announced_;
+  ResultCache cache_;
+  std::uint64_t scheduled_version_ = 0;
+  bool stopped_ = false;
+  Counter& accepted_;
+  Counter& refused_;
+  Counter& adopted_;
+  Counter& completed_items_;
+  Counter& failed_items_;
+  Counter& yields_;
+  LatencyHistogram& accept_ms_;
+  LatencyHistogram& append_ms_;
+};
+
+BatchRunner::BatchRunner(BatchRunnerParts parts)
+    : impl_(std::make_shared<Impl>(std::move(parts))) {}
+
+BatchRunner::~BatchRunner() {
+  impl_->Stop();
+}
+
+auto BatchRunner::Start() -> void {
+  impl_->Start();
+}
+
+auto BatchRunner::Stop() -> void {
+  impl_->Stop();
+}
+
+auto BatchRunner::RegisterHandlers(node::PeerServer& server) -> void {
+  impl_->RegisterHandlers(server);
+}
+
+auto BatchRunner::Submit(
+    std::shared_ptr<const caller::IncomingRequest> incoming,
+    CallerRequest request,
+    std::shared_ptr<caller::ResponseWriter> writer) -> awaitable<void> {
+  return impl_->Submit(std::move(incoming), std::move(request),
+                       std::move(writer));
+}
+
+auto BatchRunner::Read(ReadResults call,
+                       std::shared_ptr<caller::ResponseWriter> writer)
+    -> awaitable<void> {
+  return impl_->Read(std::move(call), std::move(writer));
+}
+
+auto BatchRunner::ReadBody(ReadItemBody call,
+                           std::shared_ptr<caller::ResponseWriter> writer)
+    -> awaitable<void> {
+  return impl_->ReadBody(std::move(call), std::move(writer));
+}
+
+auto BatchRunner::End(EndJob call,
+                      std::shared_ptr<caller::ResponseWriter> writer)
+    -> awaitable<void> {
+  return impl_->End(std::move(call), std::move(writer));
+}
+
+auto BatchRunner::MakeRoom(const ServiceName& service) -> bool {
+  return impl_->MakeRoom(service);
+}
+
+auto BatchRunner::OnAnnounced(const JobId& job, const NodeId& owner) -> void {
+  impl_->OnAnnounced(job, owner);
+}
+
+auto BatchRunner::OnMembersChanged() -> void {
+  impl_->OnMembersChanged();
+}
+
+auto BatchRunner::OnRestarted() -> void {
+  impl_->OnRestarted();
+}
+
+}  // namespace kumquatgauge::serving
--- /dev/null
+++ b/src/serving/batch_schedule.cc
@@ -0,0 +1,228 @@
+#include "kumquatgauge/serving/batch_schedule.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace kumquatgauge::serving {
+namespace {
+
+constexpr std::uint32_t kMostDoublings = 4;
+
+auto Smooth(double& average, double sample, double weight) -> void {
+  average = average == 0 ? sample : average + weight * (sample - average);
+}
+
+}  // namespace
+
+auto BatchSchedule::Add(const ScheduledJob& job,
+                        const std::vector<std::size_t>& listed) -> void {
+  const auto done = std::set<std::size_t>(listed.begin(), listed.end());
+  auto entry = Job{job, {}};
+  for (std::size_t item = 0; item < job.items; ++item) {
+    if (!done.contains(item)) {
+      entry.items.emplace(item, Item());
+    }
+  }
+  jobs_.insert_or_assign(job.id, std::move(entry));
+}
+
+auto BatchSchedule::Remove(const JobId& job) -> void {
+  jobs_.erase(job);
+}
+
+auto BatchSchedule::FindItem(const ItemRef& ref) -> Item* {
+  const auto job = jobs_.find(ref.job);
+  if (job == jobs_.end()) {
+    return nullptr;
+  }
+  const auto item = job->second.items.find(ref.item);
+  return item == job->second.items.end() ? nullptr : &item->second;
+}
+
+auto BatchSchedule::Slack(const Job& job,
+                          const Item& item,
+                          MonotonicTime now) const -> Duration {
+  auto left = settings_.first_run_time;
+  if (events_per_item_ > 0 && seconds_per_event_ > 0) {
+    const auto missing =
+        std::max(0.0, events_per_item_ - static_cast<double>(item.events));
+    left = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(missing * seconds_per_event_));
+  }
+  return job.job.due - now - left;
+}
+
+auto BatchSchedule::TakeStarts(const ServiceName& service,
+                               std::size_t room,
+                               MonotonicTime now) -> std::vector<ItemRef> {
+  auto candidates = std::vector<std::pair<Duration, ItemRef>>();
+  for (const auto& [id, job] : jobs_) {
+    if (job.job.service != service) {
+      continue;
+    }
+    for (const auto& [index, item] : job.items) {
+      if (!item.running && item.not_before <= now) {
+        candidates.emplace_back(Slack(job, item, now), ItemRef{id, index});
+      }
+    }
+  }
+  std::sort(candidates.begin(), candidates.end());
+  auto starts = std::vector<ItemRef>();
+  for (const auto& [slack, ref] : candidates) {
+    if (starts.size() >= room && slack >= settings_.urgent_slack) {
+      break;
+    }
+    auto& item = *FindItem(ref);
+    item.running = true;
+    item.yielding = false;
+    item.started = now;
+    item.events_at_start = item.events;
+    starts.push_back(ref);
+  }
+  return starts;
+}
+
+auto BatchSchedule::TakeYields(const ServiceName& service,
+                               std::size_t count,
+                               MonotonicTime now) -> std::vector<ItemRef> {
+  auto candidates = std::vector<std::pair<std::uint64_t, ItemRef>>();
+  for (const auto& [id, job] : jobs_) {
+    if (job.job.service != service) {
+      continue;
+    }
+    for (const auto& [index, item] : job.items) {
+      if (item.running && !item.yielding &&
+          Slack(job, item, now) >= settings_.urgent_slack) {
+        candidates.emplace_back(item.events, ItemRef{id, index});
+      }
+    }
+  }
+  std::sort(candidates.begin(), candidates.end());
+  auto yields = std::vector<ItemRef>();
+  for (const auto& [events, ref] : candidates) {
+    if (yields.size() >= count) {
+      break;
+    }
+    FindItem(ref)->yielding = true;
+    yields.push_back(ref);
+  }
+  return yields;
+}
+
+auto BatchSchedule::OnProgress(const ItemRef& ref, std::uint64_t events)
+    -> void {
+  if (auto* item = FindItem(ref)) {
+    item->events = events;
+  }
+}
+
+auto BatchSchedule::Learn(const Item& item, MonotonicTime now) -> void {
+  const auto events = static_cast<double>(item.events - item.events_at_start);
+  const auto seconds =
+      std::chrono::duration<double>(now - item.started).count();
+  if (events >= 1) {
+    Smooth(seconds_per_event_, seconds / events, settings_.smoothing);
+  }
+}
+
+auto BatchSchedule::OnEnded(const ItemRef& ref, ItemEnd end, MonotonicTime now)
+    -> bool {
+  auto* item = FindItem(ref);
+  if (item == nullptr) {
+    return false;
+  }
+  if (end != ItemEnd::kNotPlaced) {
+    Learn(*item, now);
+  }
+  item->running = false;
+  item->yielding = false;
+  switch (end) {
+    case ItemEnd::kFinished:
+      if (item->events > 0) {
+        Smooth(events_per_item_, static_cast<double>(item->events),
+               settings_.smoothing);
+      }
+      jobs_.at(ref.job).items.erase(ref.item);
+      return false;
+    case ItemEnd::kStopped:
+      return false;
+    case ItemEnd::kNotPlaced:
+      item->not_before = now + settings_.retry_pause;
+      return false;
+    case ItemEnd::kFailed:
+      break;
+  }
+  ++item->failures;
+  if (item->failures >= jobs_.at(ref.job).job.max_attempts) {
+    jobs_.at(ref.job).items.erase(ref.item);
+    return true;
+  }
+  const auto doublings = std::min(item->failures - 1, kMostDoublings);
+  item->not_before = now + settings_.retry_pause * (1U << doublings);
+  return false;
+}
+
+auto BatchSchedule::TakeGivenUp(MonotonicTime now) -> std::vector<ItemRef> {
+  auto given_up = std::vector<ItemRef>();
+  for (auto& [id, job] : jobs_) {
+    if (job.job.give_up > now) {
+      continue;
+    }
+    for (const auto& [index, item] : job.items) {
+      given_up.push_back({id, index});
+    }
+    job.items.clear();
+  }
+  return given_up;
+}
+
+auto BatchSchedule::IsUrgent(const ItemRef& ref, MonotonicTime now) const
+    -> bool {
+  const auto job = jobs_.find(ref.job);
+  if (job == jobs_.end()) {
+    return false;
+  }
+  const auto item = job->second.items.find(ref.item);
+  return item != job->second.items.end() &&
+         Slack(job->second, item->second, now) < settings_.urgent_slack;
+}
+
+auto BatchSchedule::waiting(const ServiceName& service) const -> std::size_t {
+  auto count = std::size_t{0};
+  for (const auto& [id, job] : jobs_) {
+    if (job.job.service == service) {
+      count += static_cast<std::size_t>(
+          std::count_if(job.items.begin(), job.items.end(),
+                        [](const auto& item) { return !item.second.running; }));
+    }
+  }
+  return count;
+}
+
+auto BatchSchedule::running(const ServiceName& service) const -> std::size_t {
+  auto count = std::size_t{0};
+  for (const auto& [id, job] : jobs_) {
+    if (job.job.service == service) {
+      count += static_cast<std::size_t>(
+          std::count_if(job.items.begin(), job.items.end(),
+                        [](const auto& item) { return item.second.running; }));
+    }
+  }
+  return count;
+}
+
+auto BatchSchedule::services() const -> std::vector<ServiceName> {
+  auto names = std::set<ServiceName>();
+  for (const auto& [id, job] : jobs_) {
+    names.insert(job.job.service);
+  }
+  return {names.begin(), names.end()};
+}
+
+auto BatchSchedule::unfinished(const JobId& job) const -> std::size_t {
+  const auto found = jobs_.find(job);
+  return found == jobs_.end() ? 0 : found->second.items.size();
+}
+
+}  // namespace kumquatgauge::serving
--- /dev/null
+++ b/src/serving/gateway.cc
@@ -0,0 +1,830 @@
+#include "kumquatgauge/serving/gateway.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
+#include <utility>
+
+#include "kumquatgauge/base/error.h"
+#include "kumquatgauge/base/log.h"
+#include "kumquatgauge/base/metrics.h"
+#include "kumquatgauge/node/gossip.h"
+#include "kumquatgauge/node/peer_client.h"
+#include "kumquatgauge/node/peer_server.h"
+#include "kumquatgauge/routing/retry_budget.h"
+#include "kumquatgauge/serving/batch_runner.h"
+#include "kumquatgauge/serving/forwarder.h"
+#include "kumquatgauge/serving/job_archive.h"
+#include "kumquatgauge/serving/load_picture.h"
+#include "kumquatgauge/serving/replica_table.h"
+#include "kumquatgauge/serving/store_feed.h"
+#include "kumquatgauge/upstream/replica_call.h"
+
+namespace kumquatgauge::serving {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using caller::HttpListener;
+using caller::IncomingRequest;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using WriterPtr = std::shared_ptr<caller::ResponseWriter>;
+
+constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kServiceUnavailable = 503;
+
+constexpr auto kConfigurationFeed = "config";
+constexpr milliseconds kHouseKeeping{250};
+// Shortest time between two datagrams with this node's counts, and the longest
+// while it has requests in flight, well under the time after which they expire.
+constexpr milliseconds kCountsInterval{40};
+constexpr milliseconds kCountsRepeat{500};
+// Each node may receive this many count datagrams a second, so that their cost
+// does not grow with the fleet.
+constexpr std::size_t kCountsPerSecond = 250;
+// Replicas' entries change in groups, in releases above all; a node learns of a
+// change this much later, far within the time in which it must be known.
+constexpr milliseconds kReplicaSettle{300};
+// Where the directory answers with fewer addresses than there are nodes.
+constexpr std::size_t kMaxAddresses = 64;
+// Before a first configuration is known it is worth asking again after this.
+constexpr milliseconds kStartingRetry{500};
+// A planned stop: callers use an address for up to three times its lifetime
+// after it was left out, and are then told to close their connections.
+constexpr milliseconds kStopCheck{50};
+constexpr milliseconds kIdleCloseAfter{2'500};
+// Kept of the time for the stop, for the last answers to leave.
+constexpr milliseconds kStopMargin{1'200};
+// Descriptors that are kept for replicas, peers, the store and files.
+constexpr std::size_t kReservedDescriptors = 400;
+constexpr std::chrono::seconds kSettingsCheck{5};
+// Datagrams must not be split into fragments; an entry takes its id and a few
+// bytes.
+constexpr std::size_t kCountsPerDatagram = 40;
+
+auto SteadyNow() -> MonotonicTime {
+  return std::chrono::steady_clock::now();
+}
+
+auto WallNow() -> WallTime {
+  return std::chrono::system_clock::now();
+}
+
+auto DrawRandom() -> std::uint64_t {
+  static auto generator = std::mt19937_64(std::random_device{}());
+  return generator();
+}
+
+auto MakeStoreOptions(const GatewaySettings& settings)
+    -> store::PlatformOptions {
+  auto options = store::PlatformOptions();
+  options.address = settings.store.address;
+  options.limits.fleet_reads = settings.store.reads_per_second;
+  options.limits.fleet_writes = settings.store.writes_per_second;
+  return options;
+}
+
+auto MakeGossipSettings(const GatewaySettings& settings)
+    -> node::GossipSettings {
+  auto gossip = node::GossipSettings();
+  gossip.self.id = settings.name;
+  gossip.self.zone = settings.zone;
+  gossip.self.node_address = settings.listen.nodes;
+  gossip.self.caller_address = settings.listen.callers;
+  gossip.listen = settings.listen.nodes;
+  gossip.fleet_credential = settings.fleet_credential;
+  gossip.seeds = settings.seeds;
+  gossip.feeds = {kConfigurationFeed};
+  return gossip;
+}
+
+}  // namespace
+
+class Gateway::Impl {
+ public:
+  Impl(GatewaySettings settings,
+       GatewayParts parts,
+       std::function<auto()->GatewaySettings> reload)
+      : settings_(std::move(settings)),
+        parts_(std::move(parts)),
+        reload_(std::move(reload)),
+        store_client_(context_.get_executor(),
+                      MakeStoreOptions(settings_),
+                      SteadyNow,
+                      DrawRandom),
+        store_(parts_.make_store(store_client_)),
+        archive_(*store_),
+        picture_(LoadPictureSettings(), settings_.zone, SteadyNow, DrawRandom),
+        replica_table_(SteadyNow),
+        replicas_(context_.get_executor(), upstream::ConnectionSettings()),
+        retry_budget_(routing::RetryBudgetSettings(), SteadyNow),
+        peer_client_(
+            node::MakePeerClient(context_, {settings_.fleet_credential})),
+        peer_server_(context_,
+                     {&context_},
+                     {settings_.listen.nodes, settings_.fleet_credential}),
+        gossip_(context_,
+                MakeGossipSettings(settings_),
+                *peer_client_,
+                MakeGossipHooks(),
+                SteadyNow,
+                WallNow,
+                DrawRandom),
+        batch_(MakeBatchParts()),
+        forwarder_(MakeForwarderParts()),
+        configuration_feed_(context_.get_executor(),
+                            *store_,
+                            MakeConfigurationFeed(),
+                            MakeConfigurationHooks(),
+                            DrawRandom),
+        replica_feed_(context_.get_executor(),
+                      *store_,
+                      MakeReplicaFeed(),
+                      MakeReplicaHooks(),
+                      DrawRandom),
+        signals_(context_, SIGTERM, SIGHUP),
+        house_keeping_(context_),
+        counts_timer_(context_) {}
+
+  auto Run() -> void {
+    logger_.Info("starting", {{"event", "start"},
+                              {"version", KQG_VERSION},
+                              {"zone", settings_.zone.value()},
+                              {"store", settings_.store.address},
+                              {"callers", settings_.listen.callers}});
+    StartListeners();
+    gossip_.RegisterHandlers(peer_server_);
+    batch_.RegisterHandlers(peer_server_);
+    peer_server_.Start();
+    gossip_.Start();
+    configuration_feed_.Start();
+    replica_feed_.Start();
+    batch_.Start();
+    AwaitSignal();
+    KeepHouse();
+    context_.run();
+    logger_.Info("stopped", {{"event", "stop"}});
+  }
+
+ private:
+  // --- Construction of the parts.
+
+  auto MakeGossipHooks() -> node::GossipHooks {
+    auto hooks = node::GossipHooks();
+    hooks.members_changed =
+        [this](const std::vector<routing::NodeInfo>& nodes) {
+          OnMembersChanged(nodes);
+        };
+    hooks.restarted = [this](Incarnation incarnation) {
+      logger_.Warning("other nodes took this one for dead",
+                      {{"event", "rejoined"},
+                       {"incarnation", std::to_string(incarnation)}});
+      batch_.OnRestarted();
+    };
+    hooks.read_feed = [this](const std::string& /*feed*/,
+                             std::uint64_t /*since*/) {
+      return json{{"value", raw_configuration_}};
+    };
+    hooks.apply_feed = [this](const std::string& /*feed*/,
+                              std::uint64_t /*revision*/,
+                              const json& content) {
+      ApplyConfiguration(content.value("value", ""), "a node");
+      return configuration_ ? configuration_->version : 0;
+    };
+    hooks.datagram = [this](const json& message, const std::string& /*from*/) {
+      OnDatagram(message);
+    };
+    return hooks;
+  }
+
+  auto MakeBatchParts() -> BatchRunnerParts {
+    return {.executor = context_.get_executor(),
+            .dialect = parts_.dialect,
+            .picture = picture_,
+            .replicas = replicas_,
+            .archive = archive_,
+            .peers = *peer_client_,
+            .metrics = metrics_,
+            .clock = SteadyNow,
+            .wall_clock = WallNow,
+            .random = DrawRandom,
+            .configuration = [this] { return configuration_; },
+            .self = [this] { return gossip_.membership().self(); },
+            .live = [this] { return gossip_.membership().live(); },
+            .counts_changed = [this] { OnCountsChanged(); },
+            .announce = [this](const JobId& job) { Announce(job); },
+            .retention = settings_.limits.job_retention};
+  }
+
+  auto MakeForwarderParts() -> ForwarderParts {
+    return {.executor = context_.get_executor(),
+            .dialect = parts_.dialect,
+            .picture = picture_,
+            .replicas = replicas_,
+            .retry_budget = retry_budget_,
+            .metrics = metrics_,
+            .clock = SteadyNow,
+            .random = DrawRandom,
+            .configuration = [this] { return configuration_; },
+            .make_room =
+                [this](const ServiceName& service) {
+                  return batch_.MakeRoom(service);
+                },
+            .counts_changed = [this] { OnCountsChanged(); }};
+  }
+
+  auto MakeConfigurationFeed() const -> StoreFeedSettings {
+    auto feed = StoreFeedSettings();
+    const auto& key = parts_.dialect.configuration_key;
+    feed.prefix = key.substr(0, key.find('/') + 1);
+    return feed;
+  }
+
+  auto MakeConfigurationHooks() -> StoreFeedHooks {
+    auto hooks = StoreFeedHooks();
+    hooks.snapshot = [this](const std::vector<store::ListEntry>& entries,
+                            std::uint64_t /*revision*/) {
+      for (const auto& entry : entries) {
+        OnConfigurationObject(entry.key, entry.value);
+      }
+    };
+    hooks.event = [this](const store::WatchEvent& event) {
+      if (event.version != 0) {
+        OnConfigurationObject(event.key, event.value);
+      }
+    };
+    hooks.lost = [this](const std::string& reason) { OnStoreLost(reason); };
+    hooks.answered = [this] { OnStoreAnswered(); };
+    return hooks;
+  }
+
+  auto MakeReplicaFeed() const -> StoreFeedSettings {
+    auto feed = StoreFeedSettings();
+    feed.prefix = parts_.dialect.replica_prefix;
+    feed.settle = kReplicaSettle;
+    return feed;
+  }
+
+  auto MakeReplicaHooks() -> StoreFeedHooks {
+    auto hooks = StoreFeedHooks();
+    hooks.snapshot = [this](const std::vector<store::ListEntry>& entries,
+                            std::uint64_t revision) {
+      auto replicas = std::vector<routing::Replica>();
+      for (const auto& entry : entries) {
+        if (auto replica = DecodeReplica(entry.key, entry.value)) {
+          replicas.push_back(std::move(*replica));
+        }
+      }
+      logger_.Info("replicas were listed",
+                   {{"event", "replicas_listed"},
+                    {"entries", std::to_string(entries.size())},
+                    {"usable", std::to_string(replicas.size())},
+                    {"revision", std::to_string(revision)}});
+      if (replica_table_.OnSnapshot(replicas)) {
+        ApplyReplicas();
+      }
+    };
+    hooks.event = [this](const store::WatchEvent& event) {
+      OnReplicaEvent(event);
+    };
+    hooks.lost = [this](const std::string& reason) {
+      replica_table_.OnStoreLost();
+      OnStoreLost(reason);
+    };
+    hooks.answered = [this] {
+      replica_table_.OnStoreAnswered();
+      OnStoreAnswered();
+    };
+    return hooks;
+  }
+
+  // --- The store.
+
+  auto OnStoreLost(const std::string& reason) -> void {
+    if (!std::exchange(store_lost_, true)) {
+      logger_.Warning("the store does not answer; going on with what is known",
+                      {{"event", "store_lost"},
+                       {"reason", reason},
+                       {"configuration", ConfigurationVersion()}});
+    }
+  }
+
+  auto OnStoreAnswered() -> void {
+    if (std::exchange(store_lost_, false)) {
+      logger_.Info("the store answers again", {{"event", "store_regained"}});
+    }
+  }
+
+  auto OnConfigurationObject(const std::string& key,
+                             const std::optional<std::string>& value) -> void {
+    if (key == parts_.dialect.configuration_key && value) {
+      ApplyConfiguration(*value, "the store");
+    }
+  }
+
+  auto ConfigurationVersion() const -> std::string {
+    return configuration_ ? std::to_string(configuration_->version) : "none";
+  }
+
+  // Applies a newer version only, so that this node never goes back.
+  auto ApplyConfiguration(const std::string& value, const std::string& source)
+      -> void {
+    auto next = std::make_shared<Configuration>();
+    try {
+      *next = parts_.dialect.decode_configuration(value);
+    } catch (const Error& error) {
+      logger_.Error("a configuration cannot be read; the old one stays",
+                    {{"event", "configuration_unreadable"},
+                     {"reason", error.what()},
+                     {"in_force", ConfigurationVersion()}});
+      return;
+    }
+    if (configuration_ && next->version <= configuration_->version) {
+      return;
+    }
+    logger_.Info("a configuration is in force",
+                 {{"event", "configuration_applied"},
+                  {"version", std::to_string(next->version)},
+                  {"before", ConfigurationVersion()},
+                  {"routes", std::to_string(next->routes.size())},
+                  {"source", source}});
+    raw_configuration_ = value;
+    configuration_ = std::move(next);
+    ApplyCallerLimits();
+    gossip_.OnFeedApplied(kConfigurationFeed, configuration_->version);
+  }
+
+  auto ApplyCallerLimits() -> void {
+    if (callers_) {
+      callers_->SetLimits(CallerListenerLimits());
+    }
+  }
+
+  auto CallerListenerLimits() const -> caller::ListenerLimits {
+    auto limits = caller::ListenerLimits();
+    const auto descriptors = settings_.limits.max_descriptors;
+    limits.max_connections = descriptors > 2 * kReservedDescriptors
+                                 ? descriptors - kReservedDescriptors
+                                 : descriptors / 2;
+    if (configuration_) {
+      const auto& given = configuration_->limits;
+      limits.max_header_bytes = given.max_header_bytes;
+      limits.max_body_bytes = given.max_body_bytes;
+      limits.read_timeout = given.header_timeout;
+      limits.idle_timeout = given.idle_timeout;
+    }
+    return limits;
+  }
+
+  auto DecodeReplica(const std::string& key,
+                     const std::optional<std::string>& value)
+      -> std::optional<routing::Replica> {
+    const auto id = key.substr(parts_.dialect.replica_prefix.size());
+    auto replica =
+        value ? parts_.dialect.decode_replica(id, *value) : std::nullopt;
+    if (!replica) {
+      logger_.Warning("an entry names no usable replica",
+                      {{"event", "entry_ignored"}, {"entry", id}});
+    }
+    return replica;
+  }
+
+  auto OnReplicaEvent(const store::WatchEvent& event) -> void {
+    const auto id =
+        ReplicaId(event.key.substr(parts_.dialect.replica_prefix.size()));
+    auto replica = std::optional<routing::Replica>();
+    if (event.version != 0) {
+      replica = DecodeReplica(event.key, event.value);
+    }
+    logger_.Info("a replica's entry changed",
+                 {{"event", "replica_changed"},
+                  {"replica", id.value()},
+                  {"revision", std::to_string(event.revision)},
+                  {"state", !replica          ? "gone"
+                            : replica->leaving ? "leaving"
+                                               : "ready"}});
+    if (replica_table_.OnEntry(id, std::move(replica))) {
+      ApplyReplicas();
+    }
+  }
+
+  auto ApplyReplicas() -> void {
+    picture_.SetReplicas(replica_table_.replicas());
+    forwarder_.OnRoom();
+  }
+
+  // --- Other nodes.
+
+  auto OnMembersChanged(const std::vector<routing::NodeInfo>& nodes) -> void {
+    logger_.Info("the members changed",
+                 {{"event", "members_changed"},
+                  {"alive", std::to_string(nodes.size())}});
+    auto alive = std::vector<NodeId>();
+    for (const auto& node : nodes) {
+      alive.push_back(node.id);
+    }
+    for (const auto& peer : peers_) {
+      if (std::find(alive.begin(), alive.end(), peer) == alive.end()) {
+        picture_.ForgetPeer(peer);
+      }
+    }
+    peers_ = std::move(alive);
+    const auto size = static_cast<std::uint32_t>(std::max<std::size_t>(
+        1, nodes.size()));
+    store_client_.SetFleetSize(size);
+    retry_budget_.set_nodes(size);
+    batch_.OnMembersChanged();
+  }
+
+  auto OnDatagram(const json& message) -> void {
+    try {
+      const auto type = message.at("t").get<std::string>();
+      const auto from = NodeId(message.at("n").get<std::string>());
+      if (type == "load") {
+        OnPeerCounts(from, message);
+      } else if (type == "job") {
+        batch_.OnAnnounced(JobId(message.at("j").get<std::string>()), from);
+      }
+    } catch (const json::exception& error) {
+      logger_.Warning("a datagram of a node cannot be read",
+                      {{"event", "datagram_malformed"},
+                       {"reason", error.what()}});
+    }
+  }
+
+  auto OnPeerCounts(const NodeId& from, const json& message) -> void {
+    auto counts = InFlightCounts();
+    for (const auto& entry : message.at("c")) {
+      auto in_flight = InFlight();
+      in_flight.online = entry.at(1).get<std::uint32_t>();
+      in_flight.batch = entry.at(2).get<std::uint32_t>();
+      counts.emplace(ReplicaId(entry.at(0).get<std::string>()), in_flight);
+    }
+    picture_.OnPeerCounts(from, std::move(counts));
+    forwarder_.OnRoom();
+  }
+
+  auto ForEachPeer(const std::function<auto(const std::string&)->void>& send)
+      -> void {
+    const auto self = gossip_.membership().self().id;
+    for (const auto& node : gossip_.membership().live()) {
+      if (node.id != self) {
+        send(node.node_address);
+      }
+    }
+  }
+
+  auto OnCountsChanged() -> void {
+    if (std::exchange(counts_pending_, true)) {
+      return;
+    }
+    const auto by_budget = milliseconds(
+        1'000 * static_cast<std::int64_t>(peers_.size()) /
+        static_cast<std::int64_t>(kCountsPerSecond));
+    const auto interval = std::max(kCountsInterval, by_budget);
+    counts_timer_.expires_at(counts_sent_ + interval);
+    counts_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        counts_pending_ = false;
+        SendCounts();
+      }
+    });
+  }
+
+  auto SendCounts() -> void {
+    counts_sent_ = SteadyNow();
+    auto message = json{{"t", "load"}, {"n", settings_.name.value()}};
+    auto entries = json::array();
+    for (const auto& [id, counts] : picture_.own_counts()) {
+      if (entries.size() == kCountsPerDatagram) {
+        break;  // The rest shows in the replicas' own reports.
+      }
+      entries.push_back({id.value(), counts.online, counts.batch});
+    }
+    counts_empty_ = entries.empty();
+    message["c"] = std::move(entries);
+    ForEachPeer([&](const std::string& address) {
+      gossip_.SendDatagram(address, message);
+    });
+  }
+
+  auto Announce(const JobId& job) -> void {
+    const auto message = json{
+        {"t", "job"}, {"n", settings_.name.value()}, {"j", job.value()}};
+    ForEachPeer([&](const std::string& address) {
+      gossip_.SendDatagram(address, message);
+    });
+  }
+
+  // --- Callers.
+
+  auto StartListeners() -> void {
+    Listen(callers_, settings_.listen.callers, &Impl::HandleCaller);
+    Listen(readiness_, settings_.listen.readiness, &Impl::HandleReadiness);
+    Listen(directory_, settings_.listen.directory, &Impl::HandleDirectory);
+    try {
+      Listen(metrics_listener_, settings_.listen.metrics,
+             &Impl::HandleMetrics);
+    } catch (const Error& error) {
+      // Serving callers is worth more than being measured.
+      logger_.Warning("metrics are not served",
+                      {{"event", "metrics_off"}, {"reason", error.what()}});
+    }
+  }
+
+  using HandlerMember = auto (Impl::*)(std::shared_ptr<const IncomingRequest>,
+                                       WriterPtr) -> awaitable<void>;
+
+  auto Listen(std::unique_ptr<HttpListener>& listener,
+              const std::string& address,
+              HandlerMember handler) -> void {
+    if (address.empty()) {
+      return;
+    }
+    listener = std::make_unique<HttpListener>(
+        context_, address, CallerListenerLimits(),
+        [this, handler](std::shared_ptr<const IncomingRequest> incoming,
+                        WriterPtr writer) {
+          return (this->*handler)(std::move(incoming), std::move(writer));
+        });
+    listener->Start();
+  }
+
+  auto HandleCaller(std::shared_ptr<const IncomingRequest> incoming,
+                    WriterPtr writer) -> awaitable<void> {
+    auto call = CallerCall();
+    auto problem = std::string();
+    try {
+      call = parts_.dialect.decode_call(*incoming);
+    } catch (const Error& error) {
+      problem = error.what();
+    }
+    if (!problem.empty()) {
+      logger_.Warning("a request was refused as malformed",
+                      {{"event", "request_malformed"}, {"reason", problem}});
+      co_await Refuse(writer, kBadRequest, problem, milliseconds::zero());
+    } else if (auto* request = std::get_if<CallerRequest>(&call)) {
+      co_await HandleRequest(incoming, std::move(*request), writer);
+    } else if (auto* read = std::get_if<ReadResults>(&call)) {
+      co_await batch_.Read(std::move(*read), writer);
+    } else if (auto* body = std::get_if<ReadItemBody>(&call)) {
+      co_await batch_.ReadBody(std::move(*body), writer);
+    } else if (auto* end = std::get_if<EndJob>(&call)) {
+      co_await batch_.End(std::move(*end), writer);
+    }
+  }
+
+  auto HandleRequest(std::shared_ptr<const IncomingRequest> incoming,
+                     CallerRequest request,
+                     WriterPtr writer) -> awaitable<void> {
+    const auto configuration = configuration_;
+    if (!configuration) {
+      LogRefused(request, kServiceUnavailable, "no configuration is known yet");
+      co_await Refuse(writer, kServiceUnavailable, "this node is starting",
+                      kStartingRetry);
+      co_return;
+    }
+    const auto* route = configuration->FindRoute(request.host, request.path);
+    if (route == nullptr) {
+      LogRefused(request, kNotFound, "no route");
+      co_await Refuse(writer, kNotFound, "no route for this host and path",
+                      milliseconds::zero());
+      co_return;
+    }
+    if (route->kind == RequestKind::kBatch) {
+      co_await batch_.Submit(incoming, std::move(request), writer);
+      co_return;
+    }
+    co_await forwarder_.Handle(incoming, std::move(request), configuration,
+                               route, writer);
+  }
+
+  auto LogRefused(const CallerRequest& request,
+                  int status,
+                  const std::string& reason) -> void {
+    logger_.Info("a request ended",
+                 {{"event", "request_ended"},
+                  {"request", request.id.value()},
+                  {"status", std::to_string(status)},
+                  {"reason", reason},
+                  {"path", request.path},
+                  {"configuration", ConfigurationVersion()}});
+  }
+
+  auto IsReady() const -> bool { return configuration_ && !stopping_; }
+
+  auto HandleReadiness(std::shared_ptr<const IncomingRequest> /*incoming*/,
+                       WriterPtr writer) -> awaitable<void> {
+    const auto ready = IsReady();
+    auto text = std::string(ready ? "ready\n" : "not ready\n");
+    auto headers = HeaderList{{"Content-Type", "text/plain"}};
+    co_await writer->Send(ready ? kOk : kServiceUnavailable,
+                          std::move(headers), std::move(text));
+  }
+
+  auto HandleDirectory(std::shared_ptr<const IncomingRequest> incoming,
+                       WriterPtr writer) -> awaitable<void> {
+    auto body = parts_.encode_addresses(*incoming, CallerAddresses(),
+                                        settings_.limits.address_ttl);
+    if (body.empty()) {
+      co_await Refuse(writer, kNotFound, "ask for addresses here",
+                      milliseconds::zero());
+      co_return;
+    }
+    auto headers = HeaderList{{"Content-Type", "application/json"}};
+    co_await writer->Send(kOk, std::move(headers), std::move(body));
+  }
+
+  // The nodes that callers may use. A random part of them when there are more
+  // than an answer holds.
+  auto CallerAddresses() const -> std::vector<std::string> {
+    auto addresses = std::vector<std::string>();
+    for (const auto& node : gossip_.membership().live()) {
+      if (!node.leaving && !node.caller_address.empty()) {
+        addresses.push_back(node.caller_address);
+      }
+    }
+    while (addresses.size() > kMaxAddresses) {
+      std::swap(addresses[DrawRandom() % addresses.size()], addresses.back());
+      addresses.pop_back();
+    }
+    return addresses;
+  }
+
+  auto HandleMetrics(std::shared_ptr<const IncomingRequest> /*incoming*/,
+                     WriterPtr writer) -> awaitable<void> {
+    auto text = metrics_.Text();
+    auto headers = HeaderList{{"Content-Type", "text/plain; version=0.0.4"}};
+    co_await writer->Send(kOk, std::move(headers), std::move(text));
+  }
+
+  // --- Upkeep.
+
+  auto KeepHouse() -> void {
+    house_keeping_.expires_after(kHouseKeeping);
+    house_keeping_.async_wait([this](const boost::system::error_code& error) {
+      if (error) {
+        return;
+      }
+      if (replica_table_.OnTick()) {
+        ApplyReplicas();
+      }
+      for (const auto& change : picture_.OnTick()) {
+        LogEjection(change);
+      }
+      if (!counts_empty_ && SteadyNow() - counts_sent_ >= kCountsRepeat) {
+        SendCounts();
+      }
+      KeepHouse();
+    });
+  }
+
+  auto LogEjection(const routing::EjectionChange& change) -> void {
+    const auto state = change.state == routing::EjectionState::kInUse ? "in_use"
+                       : change.state == routing::EjectionState::kEjected
+                           ? "ejected"
+                           : "probing";
+    logger_.Info("a replica's standing changed",
+                 {{"event", "replica_standing"},
+                  {"replica", change.replica.value()},
+                  {"standing", state},
+                  {"reason", change.reason}});
+  }
+
+  auto AwaitSignal() -> void {
+    signals_.async_wait(
+        [this](const boost::system::error_code& error, int signal) {
+          if (error) {
+            return;
+          }
+          if (signal == SIGHUP) {
+            Reload();
+            AwaitSignal();
+            return;
+          }
+          asio::co_spawn(context_, StopAsPlanned(), asio::detached);
+        });
+  }
+
+  auto Reload() -> void {
+    try {
+      auto next = reload_();
+      SetLogLevel(next.log_level);
+      gossip_.SetSeeds(next.seeds);
+      const auto same = next == settings_;
+      settings_.seeds = next.seeds;
+      settings_.log_level = next.log_level;
+      settings_.limits.address_ttl = next.limits.address_ttl;
+      logger_.Info("the settings were read again",
+                   {{"event", "reload"}, {"changed", same ? "no" : "yes"}});
+    } catch (const Error& error) {
+      logger_.Error("the settings cannot be read; the old ones stay",
+                    {{"event", "reload_failed"}, {"reason", error.what()}});
+    }
+  }
+
+  // Leaves the directory at once, serves on while callers still use this
+  // address, then ends when nothing is in flight or the time is over.
+  auto StopAsPlanned() -> awaitable<void> {
+    const auto began = SteadyNow();
+    const auto last = began + settings_.limits.stop - kStopMargin;
+    stopping_ = true;
+    logger_.Info("stopping as planned",
+                 {{"event", "stop_begins"},
+                  {"active", std::to_string(callers_
+                                                ? callers_->active_requests()
+                                                : 0)}});
+    gossip_.Leave();
+    batch_.Stop();
+    if (callers_) {
+      callers_->Drain();
+    }
+    auto timer = asio::steady_timer(context_);
+    while (SteadyNow() < last) {
+      timer.expires_after(kStopCheck);
+      co_await timer.async_wait(kAwaitTuple);
+      const auto quiet = SteadyNow() - began >= kIdleCloseAfter;
+      if (!callers_ || (quiet && callers_->active_requests() == 0)) {
+        break;
+      }
+      if (quiet) {
+        callers_->CloseIdle();
+      }
+    }
+    logger_.Info("closing",
+                 {{"event", "stop_closes"},
+                  {"active", std::to_string(callers_
+                                                ? callers_->active_requests()
+                                                : 0)}});
+    gossip_.Stop();
+    // Datagrams and last bytes leave.
+    timer.expires_after(kStopCheck);
+    co_await timer.async_wait(kAwaitTuple);
+    context_.stop();
+  }
+
+  GatewaySettings settings_;
+  GatewayParts parts_;
+  std::function<auto()->GatewaySettings> reload_;
+  Logger logger_{"gateway"};
+  asio::io_context context_{1};
+  MetricsRegistry metrics_;
+  store::PlatformClient store_client_;
+  std::unique_ptr<store::ObjectStore> store_;
+  JobArchive archive_;
+  LoadPicture picture_;
+  ReplicaTable replica_table_;
+  upstream::ReplicaCaller replicas_;
+  routing::RetryBudget retry_budget_;
+  std::unique_ptr<node::PeerClient> peer_client_;
+  node::PeerServer peer_server_;
+  node::Gossip gossip_;
+  BatchRunner batch_;
+  Forwarder forwarder_;
+  StoreFeed configuration_feed_;
+  StoreFeed replica_feed_;
+  std::unique_ptr<HttpListener> callers_;
+  std::unique_ptr<HttpListener> readiness_;
+  std::unique_ptr<HttpListener> directory_;
+  std::unique_ptr<HttpListener> metrics_listener_;
+  asio::signal_set signals_;
+  asio::steady_timer house_keeping_;
+  asio::steady_timer counts_timer_;
+
+  std::shared_ptr<const Configuration> configuration_;
+  std::string raw_configuration_;
+  std::vector<NodeId> peers_;
+  MonotonicTime counts_sent_;
+  bool counts_pending_ = false;
+  bool counts_empty_ = true;
+  bool store_lost_ = false;
+  bool stopping_ = false;
+};
+
+Gateway::Gateway(GatewaySettings settings,
+                 GatewayParts parts,
+                 std::function<auto()->GatewaySettings> reload)
+    : impl_(std::make_unique<Impl>(std::move(settings),
+                                   std::move(parts),
+                                   std::move(reload))) {}
+
+Gateway::~Gateway() = default;
+
+auto Gateway::Run() -> void {
+  impl_->Run();
+}
+
+}  // namespace kumquatgauge::serving
--- /dev/null
+++ b/src/serving/gateway_settings.cc
@@ -0,0 +1,133 @@
+#include "kumquatgauge/serving/gateway_settings.h"
+
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "base/table_reader.h"
+
+namespace kumquatgauge::serving {
+namespace {
+
+using kumquatgauge::detail::TableReader;
+
+// An endpoint, or nothing when the key is missing or empty.
+auto OptionalEndpoint(TableReader& table, const std::string& key)
+    -> std::string {
+  return table.String(key, "").empty() ? std::string() : table.Endpoint(key);
+}
+
+class Reader {
+ public:
+  Reader(const toml::table& root, std::string path)
+      : path_(std::move(path)), top_(&root, "", path_) {}
+
+  auto Read() -> GatewaySettings {
+    auto settings = GatewaySettings();
+    ReadNode(settings);
+    ReadListen(settings.listen);
+    ReadStore(settings.store);
+    ReadLimits(settings.limits);
+    ReadLog(settings);
+    top_.CheckUnknown();
+    return settings;
+  }
+
+ private:
+  auto Table(const std::string& name) -> TableReader {
+    const auto* node = top_.Find(name);
+    if (node != nullptr && !node->is_table()) {
+      top_.Fail(node->source().begin.line, name, "a value", "a table");
+    }
+    return {node == nullptr ? nullptr : node->as_table(), name, path_};
+  }
+
+  auto ReadNode(GatewaySettings& settings) -> void {
+    auto node = Table("node");
+    settings.name = NodeId(node.String("name"));
+    settings.zone = ZoneName(node.String("zone"));
+    settings.fleet_credential = node.String("fleet_credential");
+    settings.seeds = node.Endpoints("seeds");
+    node.CheckUnknown();
+  }
+
+  auto ReadListen(GatewaySettings::Listen& listen) -> void {
+    auto table = Table("listen");
+    listen.callers = OptionalEndpoint(table, "callers");
+    listen.readiness = OptionalEndpoint(table, "readiness");
+    listen.directory = OptionalEndpoint(table, "directory");
+    listen.nodes = OptionalEndpoint(table, "nodes");
+    listen.metrics = OptionalEndpoint(table, "metrics");
+    table.CheckUnknown();
+  }
+
+  auto ReadStore(GatewaySettings::Store& store) -> void {
+    constexpr double kMaxRate = 1'000'000;
+    auto table = Table("store");
+    store.address = table.Endpoint("address");
+    store.writes_per_second =
+        table.Number("writes_per_second", store.writes_per_second, 1, kMaxRate);
+    store.reads_per_second =
+        table.Number("reads_per_second", store.reads_per_second, 1, kMaxRate);
+    table.CheckUnknown();
+  }
+
+  auto ReadLimits(GatewaySettings::Limits& limits) -> void {
+    auto table = Table("limits");
+    limits.memory_mb = static_cast<std::uint32_t>(
+        table.Integer("memory_mb", 256, {32, 1'000'000}));
+    limits.max_descriptors = static_cast<std::uint32_t>(
+        table.Integer("max_descriptors", 1'024, {64, 1'000'000}));
+    constexpr double kMillisecondsPerSecond = 1'000;
+    limits.stop = std::chrono::milliseconds(static_cast<std::int64_t>(
+        table.Number("stop_s", 8, 0.5, 600) * kMillisecondsPerSecond));
+    limits.address_ttl =
+        std::chrono::seconds(table.Integer("address_ttl_s", 2, {1, 3'600}));
+    limits.job_retention = std::chrono::seconds(static_cast<std::int64_t>(
+        table.Number("job_retention_s", 600, 1, 10'000'000)));
+    table.CheckUnknown();
+  }
+
+  auto ReadLog(GatewaySettings& settings) -> void {
+    auto table = Table("log");
+    const auto level = table.String("level", "info");
+    try {
+      settings.log_level = ParseLogLevel(level);
+    } catch (const Error&) {
+      table.Fail(table.LineOf("level"), "level", '"' + level + '"',
+                 "debug, info, warning or error");
+    }
+    table.CheckUnknown();
+  }
+
+  std::string path_;
+  TableReader top_;
+};
+
+}  // namespace
+
+auto ParseGatewaySettings(const std::string& text, const std::string& path)
+    -> GatewaySettings {
+  try {
+    const auto root = toml::parse(text, path);
+    return Reader(root, path).Read();
+  } catch (const toml::parse_error& error) {
+    throw Error(ErrorKind::kInvalidArgument, "settings are not valid TOML",
+                path + ":" + std::to_string(error.source().begin.line) + ": " +
+                    std::string(error.description()),
+                "correct the line; see docs/operators.md");
+  }
+}
+
+auto ReadGatewaySettings(const std::string& path) -> GatewaySettings {
+  auto file = std::ifstream(path);
+  if (!file) {
+    throw Error(ErrorKind::kInvalidArgument, "cannot read settings", path,
+                "name an existing TOML file that is readable");
+  }
+  auto text = std::ostringstream();
+  text << file.rdbuf();
+  return ParseGatewaySettings(text.str(), path);
+}
+
+}  // namespace kumquatgauge::serving
