--- /dev/null
+++ b/src/serving/job.cc
@@ -0,0 +1,157 @@
+#include "kumquatgauge/serving/job.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "kumquatgauge/base/error.h"
+
+namespace kumquatgauge::serving {
+namespace {
+
+using nlohmann::json;
+
+// Leaves room for the escapes of JSON and the other fields in a value of 1 MB.
+constexpr std::size_t kPartBytes = 400'000;
+
+template <typename Decode>
+auto Decoded(const JobId& id, Decode decode) {
+  try {
+    return decode();
+  } catch (const json::exception& error) {
+    throw Error(ErrorKind::kInvalidArgument,
+                std::string("unreadable object of a job (") + error.what() +
+                    ")",
+                id.value(), "remove the object; another program wrote it");
+  }
+}
+
+// Where a part that begins at `from` ends; never inside a UTF-8 sequence, which
+// would be no valid JSON string.
+auto PartEnd(const std::string& text, std::size_t from) -> std::size_t {
+  constexpr unsigned kContinuationMask = 0xC0;
+  constexpr unsigned kContinuation = 0x80;
+  auto end = std::min(from + kPartBytes, text.size());
+  while (end < text.size() && end > from + 1 &&
+         (static_cast<unsigned char>(text[end]) & kContinuationMask) ==
+             kContinuation) {
+    --end;
+  }
+  return end;
+}
+
+}  // namespace
+
+auto RecordKey(const JobId& id) -> std::string {
+  return "jobs/" + id.value();
+}
+
+auto RecordPartKey(const JobId& id, std::size_t part) -> std::string {
+  return RecordKey(id) + "." + std::to_string(part);
+}
+
+auto StateKey(const JobId& id) -> std::string {
+  return kStatePrefix + id.value();
+}
+
+auto ChunkKey(const JobId& id, std::uint64_t first) -> std::string {
+  return "job-results/" + id.value() + "." + std::to_string(first);
+}
+
+auto EncodeState(const JobState& state) -> std::string {
+  return json{{"owner", state.owner.value()},
+              {"incarnation", state.incarnation},
+              {"accepted_ms", state.accepted_ms},
+              {"total", state.total},
+              {"ended", state.ended},
+              {"done", state.done}}
+      .dump();
+}
+
+auto DecodeState(const JobId& id, const std::string& value) -> JobState {
+  return Decoded(id, [&] {
+    const auto object = json::parse(value);
+    auto state = JobState();
+    state.id = id;
+    state.owner = NodeId(object.at("owner").get<std::string>());
+    state.incarnation = object.at("incarnation").get<std::uint64_t>();
+    state.accepted_ms = object.at("accepted_ms").get<std::uint64_t>();
+    state.total = object.at("total").get<std::uint64_t>();
+    state.ended = object.at("ended").get<bool>();
+    state.done = object.at("done").get<bool>();
+    return state;
+  });
+}
+
+auto EncodeChunk(const ResultChunk& chunk) -> std::string {
+  auto results = json::array();
+  for (const auto& result : chunk.results) {
+    results.push_back({result.item, result.completed, result.text});
+  }
+  return json{{"first", chunk.first},
+              {"writer", chunk.writer},
+              {"results", std::move(results)}}
+      .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+auto DecodeChunk(const JobId& id, const std::string& value) -> ResultChunk {
+  return Decoded(id, [&] {
+    const auto object = json::parse(value);
+    auto chunk = ResultChunk();
+    chunk.id = id;
+    chunk.first = object.at("first").get<std::uint64_t>();
+    chunk.writer = object.at("writer").get<std::string>();
+    for (const auto& result : object.at("results")) {
+      chunk.results.push_back({result.at(0).get<std::string>(),
+                               result.at(1).get<bool>(),
+                               result.at(2).get<std::string>()});
+    }
+    return chunk;
+  });
+}
+
+auto EncodeRecord(const JobRecord& record) -> std::vector<std::string> {
+  auto texts = std::vector<std::string>();
+  std::size_t at = 0;
+  do {
+    const auto end = PartEnd(record.submission, at);
+    texts.push_back(record.submission.substr(at, end - at));
+    at = end;
+  } while (at < record.submission.size());
+  auto values = std::vector<std::string>();
+  values.push_back(json{{"host", record.host},
+                        {"path", record.path},
+                        {"accepted_ms", record.accepted_ms},
+                        {"parts", texts.size() - 1},
+                        {"text", texts.front()}}
+                       .dump());
+  for (std::size_t part = 1; part < texts.size(); ++part) {
+    values.push_back(json{{"text", texts[part]}}.dump());
+  }
+  return values;
+}
+
+auto RecordParts(const JobId& id, const std::string& first) -> std::size_t {
+  return Decoded(id, [&] {
+    return json::parse(first).at("parts").get<std::size_t>();
+  });
+}
+
+auto DecodeRecord(const JobId& id, const std::vector<std::string>& values)
+    -> JobRecord {
+  return Decoded(id, [&] {
+    auto record = JobRecord();
+    record.id = id;
+    const auto head = json::parse(values.at(0));
+    record.host = head.at("host").get<std::string>();
+    record.path = head.at("path").get<std::string>();
+    record.accepted_ms = head.at("accepted_ms").get<std::uint64_t>();
+    record.submission = head.at("text").get<std::string>();
+    for (std::size_t part = 1; part < values.size(); ++part) {
+      record.submission +=
+          json::parse(values[part]).at("text").get<std::string>();
+    }
+    return record;
+  });
+}
+
+}  // namespace kumquatgauge::serving
--- /dev/null
+++ b/src/serving/load_picture.cc
@@ -0,0 +1,374 @@
+#include "kumquatgauge/serving/load_picture.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+#include "kumquatgauge/routing/rendezvous.h"
+
+namespace kumquatgauge::serving {
+namespace {
+
+using routing::Replica;
+using routing::WorkClass;
+
+// A replica that refused for lack of room is passed over for this long, about
+// the time in which one of several running requests ends.
+constexpr auto kFullPause = std::chrono::milliseconds(60);
+
+// Two lost answers in a row seldom happen to a sound replica; one does, when a
+// kept connection breaks. Few probes bring a restarted replica back.
+auto MakeOutlierSettings() -> routing::OutlierSettings {
+  auto settings = routing::OutlierSettings();
+  settings.consecutive_failures = 2;
+  settings.base_ejection = std::chrono::milliseconds(500);
+  settings.max_ejection = std::chrono::seconds(8);
+  settings.good_probes = 1;
+  settings.probe_timeout = std::chrono::seconds(2);
+  settings.max_ejected_share = 0.5;
+  // Below this, the time to the first event is mostly the prompt and a short
+  // queue, and differs between replicas at random.
+  settings.latency_floor = std::chrono::milliseconds(150);
+  return settings;
+}
+
+auto ToSeconds(Duration duration) -> double {
+  return std::chrono::duration<double>(duration).count();
+}
+
+auto CountOf(InFlight& counts, WorkClass work_class) -> std::uint32_t& {
+  return work_class == WorkClass::kBatch ? counts.batch : counts.online;
+}
+
+}  // namespace
+
+LoadPicture::LoadPicture(LoadPictureSettings settings,
+                         ZoneName zone,
+                         Clock clock,
+                         RandomSource random)
+    : settings_(settings),
+      zone_(std::move(zone)),
+      clock_(std::move(clock)),
+      random_(std::move(random)),
+      outliers_(MakeOutlierSettings(), clock_) {}
+
+auto LoadPicture::SetReplicas(const std::vector<Replica>& replicas) -> void {
+  auto states = std::map<ReplicaId, State>();
+  services_.clear();
+  for (const auto& replica : replicas) {
+    auto state = State();
+    const auto known = states_.find(replica.id);
+    if (known != states_.end()) {
+      state = std::move(known->second);
+      if (state.replica.started_ms != replica.started_ms ||
+          state.replica.address != replica.address) {
+        // A restarted replica holds nothing of what was sent before; what this
+        // node still counts ends with its connections.
+        state.report.reset();
+        state.gone = false;
+      }
+    }
+    state.replica = replica;
+    state.hash = routing::RendezvousHash(replica.id.value());
+    services_[replica.service].push_back(replica.id);
+    states.emplace(replica.id, std::move(state));
+  }
+  states_ = std::move(states);
+  outliers_.SetReplicas(replicas);
+  RebuildPeers();
+}
+
+auto LoadPicture::MarkGone(const ReplicaId& replica) -> void {
+  const auto found = states_.find(replica);
+  if (found != states_.end()) {
+    found->second.gone = true;
+  }
+}
+
+auto LoadPicture::IsUsable(const State& state,
+                           const ChoiceRequest& request) const -> bool {
+  const auto tried =
+      std::find(request.tried.begin(), request.tried.end(), state.replica.id);
+  return !state.gone && !state.replica.leaving && tried == request.tried.end();
+}
+
+// Peers send counts at intervals and the replica's figure is dated, so neither
+// holds all; the larger of the two misses less.
+auto LoadPicture::Estimate(const State& state) const -> std::uint32_t {
+  auto others = state.peers.total();
+  if (state.report && clock_() - state.report->at < settings_.report_expires) {
+    const auto& report = *state.report;
+    const auto reported_others =
+        report.total > report.own_then ? report.total - report.own_then : 0;
+    others = std::max(others, reported_others);
+  }
+  return state.own.total() + others;
+}
+
+auto LoadPicture::Score(const State& state) const -> double {
+  const auto slots = static_cast<double>(state.replica.capacity);
+  auto score = Estimate(state) / slots;
+  if (state.replica.zone != zone_) {
+    score += settings_.zone_margin;
+  }
+  if (clock_() < state.full_until) {
+    score += 1.0;
+  }
+  return score;
+}
+
+auto LoadPicture::QueueLimit(const State& state,
+                             Duration latency_target) const -> std::uint32_t {
+  const auto hold = ToSeconds(mean_hold(state.replica.service));
+  const auto budget = ToSeconds(latency_target) * settings_.queue_share;
+  const auto slots = static_cast<double>(state.replica.capacity);
+  // With all slots taken, one becomes free each hold / slots on average.
+  return static_cast<std::uint32_t>(
+      std::clamp(budget * slots / std::max(hold, 0.001), 0.0, 4 * slots));
+}
+
+auto LoadPicture::Choose(const ChoiceRequest& request) -> Choice {
+  auto choice = Choice();
+  const auto service = services_.find(request.service);
+  if (service == services_.end()) {
+    return choice;
+  }
+  const State* best = nullptr;
+  auto best_score = std::numeric_limits<double>::max();
+  const State* ejected = nullptr;
+  auto ties = std::uint64_t{0};
+  auto preferred = std::uint64_t{0};
+  const State* holder = nullptr;
+  for (const auto& id : service->second) {
+    const auto& state = states_.at(id);
+    if (!IsUsable(state, request)) {
+      continue;
+    }
+    const auto ejection = outliers_.state(id);
+    const auto probing_now = ejection == routing::EjectionState::kProbing &&
+                             state.own.total() > 0;
+    if (ejection == routing::EjectionState::kEjected || probing_now) {
+      ejected = &state;
+      continue;
+    }
+    ++choice.candidates;
+    if (request.affinity != 0) {
+      const auto rank = routing::RendezvousScore(request.affinity, state.hash);
+      if (holder == nullptr || rank > preferred) {
+        holder = &state;
+        preferred = rank;
+      }
+    }
+    const auto score = Score(state);
+    if (best == nullptr || score < best_score) {
+      best = &state;
+      best_score = score;
+      ties = 1;
+    } else if (score == best_score && random_() % ++ties == 0) {
+      best = &state;
+    }
+  }
+  if (holder != nullptr && best != nullptr &&
+      Estimate(*holder) < holder->replica.capacity &&
+      Score(*holder) <= best_score + settings_.affinity_margin) {
+    best = holder;
+  }
+  if (best == nullptr) {
+    // All are ejected: the least bad is better than a refusal.
+    best = ejected;
+  }
+  if (best == nullptr) {
+    return choice;
+  }
+  const auto in_flight = Estimate(*best);
+  choice.replica = best->replica;
+  choice.in_flight = in_flight;
+  choice.slots = best->replica.capacity;
+  choice.report_age =
+      best->report ? clock_() - best->report->at : Duration::zero();
+  if (in_flight < best->replica.capacity) {
+    choice.room = Room::kFree;
+  } else if (request.even_if_full ||
+             in_flight < best->replica.capacity +
+                             QueueLimit(*best, request.latency_target)) {
+    choice.room = Room::kQueued;
+  } else {
+    choice.room = Room::kFull;
+  }
+  return choice;
+}
+
+auto LoadPicture::OnStarted(const ReplicaId& replica, WorkClass work_class)
+    -> void {
+  const auto found = states_.find(replica);
+  if (found != states_.end()) {
+    ++CountOf(found->second.own, work_class);
+  }
+}
+
+auto LoadPicture::OnEnded(const ReplicaId& replica, WorkClass work_class)
+    -> void {
+  const auto found = states_.find(replica);
+  if (found == states_.end()) {
+    return;  // It has left the list meanwhile.
+  }
+  auto& count = CountOf(found->second.own, work_class);
+  count = count > 0 ? count - 1 : 0;
+}
+
+auto LoadPicture::OnHeld(const ServiceName& service, Duration held) -> void {
+  const auto [entry, added] = hold_s_.try_emplace(service, ToSeconds(held));
+  if (!added) {
+    entry->second +=
+        (ToSeconds(held) - entry->second) * settings_.hold_smoothing;
+  }
+}
+
+auto LoadPicture::OnSuccess(const ReplicaId& replica, Duration first) -> void {
+  outliers_.OnSuccess(replica, first);
+}
+
+auto LoadPicture::OnFailure(const ReplicaId& replica) -> void {
+  outliers_.OnFailure(replica);
+}
+
+auto LoadPicture::OnRefused(const ReplicaId& replica) -> void {
+  const auto found = states_.find(replica);
+  if (found != states_.end()) {
+    found->second.full_until = clock_() + kFullPause;
+  }
+}
+
+auto LoadPicture::OnReport(const ReplicaId& replica,
+                           std::uint32_t running,
+                           std::uint32_t waiting) -> void {
+  const auto found = states_.find(replica);
+  if (found != states_.end()) {
+    auto& state = found->second;
+    state.report = Report{running + waiting, state.own.total(), clock_()};
+  }
+}
+
+auto LoadPicture::OnPeerCounts(const NodeId& peer, InFlightCounts counts)
+    -> void {
+  peers_[peer] = {std::move(counts), clock_()};
+  RebuildPeers();
+}
+
+auto LoadPicture::ForgetPeer(const NodeId& peer) -> void {
+  peers_.erase(peer);
+  RebuildPeers();
+}
+
+auto LoadPicture::ExpirePeers() -> void {
+  const auto oldest = clock_() - settings_.peer_counts_expire;
+  const auto erased = std::erase_if(
+      peers_, [&](const auto& peer) { return peer.second.at < oldest; });
+  if (erased > 0) {
+    RebuildPeers();
+  }
+}
+
+auto LoadPicture::RebuildPeers() -> void {
+  for (auto& [id, state] : states_) {
+    state.peers = {};
+  }
+  for (const auto& [peer, entry] : peers_) {
+    for (const auto& [id, counts] : entry.counts) {
+      const auto found = states_.find(id);
+      if (found != states_.end()) {
+        found->second.peers.online += counts.online;
+        found->second.peers.batch += counts.batch;
+      }
+    }
+  }
+}
+
+auto LoadPicture::OnTick() -> routing::OutlierDetector::Changes {
+  ExpirePeers();
+  return outliers_.OnTick();
+}
+
+auto LoadPicture::BatchRoom(const ServiceName& service) const -> std::int64_t {
+  const auto total = Total(service);
+  const auto all = static_cast<double>(slots(service));
+  const auto usable =
+      static_cast<std::int64_t>(all * (1.0 - settings_.batch_reserve));
+  return usable - static_cast<std::int64_t>(total.total());
+}
+
+auto LoadPicture::Total(const ServiceName& service) const -> InFlight {
+  auto total = InFlight();
+  const auto found = services_.find(service);
+  if (found == services_.end()) {
+    return total;
+  }
+  for (const auto& id : found->second) {
+    const auto& state = states_.at(id);
+    if (state.gone || state.replica.leaving) {
+      continue;
+    }
+    total.online += state.own.online + state.peers.online;
+    total.batch += state.own.batch + state.peers.batch;
+  }
+  return total;
+}
+
+auto LoadPicture::OwnBatch(const ServiceName& service) const -> std::uint32_t {
+  auto count = std::uint32_t{0};
+  const auto found = services_.find(service);
+  if (found != services_.end()) {
+    for (const auto& id : found->second) {
+      count += states_.at(id).own.batch;
+    }
+  }
+  return count;
+}
+
+auto LoadPicture::own_counts() const -> InFlightCounts {
+  auto counts = InFlightCounts();
+  for (const auto& [id, state] : states_) {
+    if (state.own.total() > 0) {
+      counts.emplace(id, state.own);
+    }
+  }
+  return counts;
+}
+
+auto LoadPicture::slots(const ServiceName& service) const -> std::uint32_t {
+  auto all = std::uint32_t{0};
+  const auto found = services_.find(service);
+  if (found == services_.end()) {
+    return all;
+  }
+  for (const auto& id : found->second) {
+    const auto& state = states_.at(id);
+    const auto ejected =
+        outliers_.state(id) == routing::EjectionState::kEjected;
+    if (!state.gone && !state.replica.leaving && !ejected) {
+      all += state.replica.capacity;
+    }
+  }
+  return all;
+}
+
+auto LoadPicture::mean_hold(const ServiceName& service) const -> Duration {
+  const auto found = hold_s_.find(service);
+  if (found == hold_s_.end()) {
+    return settings_.first_hold;
+  }
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(found->second));
+}
+
+auto LoadPicture::Find(const ReplicaId& replica) const
+    -> std::optional<Replica> {
+  const auto found = states_.find(replica);
+  if (found == states_.end()) {
+    return std::nullopt;
+  }
+  return found->second.replica;
+}
+
+}  // namespace kumquatgauge::serving
--- /dev/null
+++ b/src/serving/owned_job.cc
@@ -0,0 +1,56 @@
+#include "serving/owned_job.h"
+
+#include <algorithm>
+
+namespace kumquatgauge::serving::detail {
+namespace {
+
+// Text of one page; callers accept up to 1 MB with the other fields.
+constexpr std::size_t kMaxPageBytes = 900'000;
+
+}  // namespace
+
+auto OwnedJob::List(const std::vector<ItemResult>& stored)
+    -> std::vector<std::size_t> {
+  auto finished = std::vector<std::size_t>();
+  for (const auto& result : stored) {
+    results.push_back(result);
+    std::erase_if(unstored, [&](const auto& waiting) {
+      return waiting.item == result.item;
+    });
+    const auto found = index.find(result.item);
+    if (found != index.end() && listed.insert(found->second).second) {
+      finished.push_back(found->second);
+    }
+  }
+  return finished;
+}
+
+auto OwnedJob::WakeReaders() -> void {
+  for (const auto& reader : readers) {
+    if (const auto timer = reader.lock()) {
+      timer->cancel();
+    }
+  }
+  readers.clear();
+}
+
+auto MakePage(const std::vector<ItemResult>& results,
+              std::size_t total,
+              std::size_t after) -> Page {
+  auto page = Page();
+  page.total = total;
+  page.next = after;
+  auto bytes = std::size_t{0};
+  for (auto at = after; at < results.size(); ++at) {
+    bytes += results[at].text.size();
+    if (bytes > kMaxPageBytes && !page.results.empty()) {
+      break;
+    }
+    page.results.push_back(results[at]);
+    ++page.next;
+  }
+  return page;
+}
+
+}  // namespace kumquatgauge::serving::detail
--- /dev/null
+++ b/src/serving/owned_job.h
@@ -0,0 +1,55 @@
+#ifndef SERVING_OWNED_JOB_H_
+#define SERVING_OWNED_JOB_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "kumquatgauge/serving/dialect.h"
+#include "kumquatgauge/serving/job.h"
+#include "kumquatgauge/upstream/replica_call.h"
+
+namespace kumquatgauge::serving::detail {
+
+// What one item has produced so far.
+struct ItemProgress {
+  std::string text;
+  std::uint64_t last_event = 0;
+  std::shared_ptr<upstream::ReplicaCaller::Call> call;  // While it runs.
+};
+
+// A job that this node runs.
+struct OwnedJob {
+  JobState state;
+  std::uint64_t version = 0;  // Of the state's object.
+  JobRecord record;           // Without the submission.
+  std::vector<JobItem> items;
+  std::map<std::string, std::size_t> index;  // By item id.
+  std::vector<ItemResult> results;           // Stored ones, in order.
+  std::set<std::size_t> listed;
+  std::vector<ItemResult> unstored;
+  std::map<std::size_t, ItemProgress> progress;
+  bool storing = false;
+  bool dropped = false;  // No longer owned here.
+  // Callers that wait for the next result.
+  std::vector<std::weak_ptr<boost::asio::steady_timer>> readers;
+
+  // Appends results that are stored; returns the items that they finish.
+  auto List(const std::vector<ItemResult>& stored)
+      -> std::vector<std::size_t>;
+  auto WakeReaders() -> void;
+};
+
+// A page of results from position `after`, of limited size.
+auto MakePage(const std::vector<ItemResult>& results,
+              std::size_t total,
+              std::size_t after) -> Page;
+
+}  // namespace kumquatgauge::serving::detail
+
+#endif  // SERVING_OWNED_JOB_H_
--- /dev/null
+++ b/src/serving/store_feed.cc
@@ -0,0 +1,181 @@
+#include "kumquatgauge/serving/store_feed.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <optional>
+#include <utility>
+
+#include "kumquatgauge/base/error.h"
+
+namespace kumquatgauge::serving {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using std::chrono::milliseconds;
+
+constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
+// Asked of stores that let the caller choose.
+constexpr std::size_t kPageSize = 500;
+
+}  // namespace
+
+class StoreFeed::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(const asio::any_io_executor& executor,
+       store::ObjectStore& store,
+       StoreFeedSettings settings,
+       StoreFeedHooks hooks,
+       RandomSource random)
+      : executor_(executor),
+        timer_(executor),
+        store_(store),
+        settings_(std::move(settings)),
+        hooks_(std::move(hooks)),
+        random_(std::move(random)),
+        pause_(settings_.first_pause) {}
+
+  auto Start() -> void {
+    asio::co_spawn(executor_, Run(shared_from_this()), asio::detached);
+  }
+
+  auto Stop() -> void {
+    stopped_ = true;
+    timer_.cancel();
+  }
+
+ private:
+  static auto Run(std::shared_ptr<Impl> self) -> awaitable<void> {
+    while (!self->stopped_) {
+      auto failed = std::optional<std::string>();
+      try {
+        co_await self->Follow();
+      } catch (const Error& error) {
+        failed = error.what();
+      }
+      if (!failed || self->stopped_) {
+        continue;
+      }
+      self->hooks_.lost(*failed);
+      co_await self->Pause(self->NextPause());
+    }
+  }
+
+  // One listing or one watch.
+  auto Follow() -> awaitable<void> {
+    if (!since_) {
+      co_await List();
+    } else {
+      co_await Watch();
+    }
+    pause_ = settings_.first_pause;
+  }
+
+  auto List() -> awaitable<void> {
+    auto entries = std::vector<store::ListEntry>();
+    auto first_revision = std::optional<std::uint64_t>();
+    auto after = std::string();
+    while (true) {
+      auto page = co_await store_.List(settings_.prefix, after, kPageSize,
+                                       store::CallClass::kConfiguration);
+      // Watching from the first page's revision repeats what later pages
+      // already show, which does no harm; from a later one it would miss
+      // changes of the first page.
+      first_revision = first_revision.value_or(page.revision);
+      const auto more = page.more && !page.entries.empty();
+      std::move(page.entries.begin(), page.entries.end(),
+                std::back_inserter(entries));
+      if (!more) {
+        break;
+      }
+      after = entries.back().key;
+    }
+    if (stopped_) {
+      co_return;
+    }
+    since_ = first_revision;
+    hooks_.answered();
+    hooks_.snapshot(entries, *since_);
+  }
+
+  auto Watch() -> awaitable<void> {
+    auto batch = store::WatchBatch();
+    auto history_gone = false;
+    try {
+      batch = co_await store_.Watch(settings_.prefix, *since_,
+                                    settings_.watch_time);
+    } catch (const Error& error) {
+      if (error.kind() != ErrorKind::kNotFound) {
+        throw;
+      }
+      history_gone = true;
+    }
+    if (stopped_) {
+      co_return;
+    }
+    hooks_.answered();
+    if (history_gone) {
+      since_.reset();
+      co_return;
+    }
+    since_ = std::max(*since_, batch.revision);
+    for (const auto& event : batch.events) {
+      hooks_.event(event);
+    }
+    if (!batch.events.empty()) {
+      co_await Pause(settings_.settle);
+    }
+  }
+
+  auto Pause(milliseconds time) -> awaitable<void> {
+    if (time > milliseconds::zero()) {
+      timer_.expires_after(time);
+      co_await timer_.async_wait(kAwaitTuple);
+    }
+  }
+
+  // Half to one and a half times the nominal pause, so that the nodes do not
+  // return together.
+  auto NextPause() -> milliseconds {
+    const auto nominal = pause_;
+    pause_ = std::min(pause_ * 2, settings_.longest_pause);
+    const auto draw =
+        static_cast<std::int64_t>(random_() % (nominal.count() + 1));
+    return nominal / 2 + milliseconds(draw);
+  }
+
+  asio::any_io_executor executor_;
+  asio::steady_timer timer_;
+  store::ObjectStore& store_;
+  StoreFeedSettings settings_;
+  StoreFeedHooks hooks_;
+  RandomSource random_;
+  std::optional<std::uint64_t> since_;
+  milliseconds pause_;
+  bool stopped_ = false;
+};
+
+StoreFeed::StoreFeed(const asio::any_io_executor& executor,
+                     store::ObjectStore& store,
+                     StoreFeedSettings settings,
+                     StoreFeedHooks hooks,
+                     RandomSource random)
+    : impl_(std::make_shared<Impl>(executor,
+                                   store,
+                                   std::move(settings),
+                                   std::move(hooks),
+                                   std::move(random))) {}
+
+StoreFeed::~StoreFeed() {
+  impl_->Stop();
+}
+
+auto StoreFeed::Start() -> void {
+  impl_->Start();
+}
+
+}  // namespace kumquatgauge::serving
--- a/src/platform/circuit.cc
+++ b/src/store/circuit.cc
@@ -1,9 +1,9 @@
-#include "kumquatgauge/platform/circuit.h"
+#include "kumquatgauge/store/circuit.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace kumquatgauge::platform {
+namespace kumquatgauge::store {
 
 Circuit::Circuit(CircuitOptions options, RandomSource random)
     : options_(options),
@@ -56,4 +56,4 @@
   return std::exchange(recovered_, false);
 }
 
-}  // namespace kumquatgauge::platform
+}  // namespace kumquatgauge::store
--- a/src/platform/circuit_test.cc
+++ b/src/store/circuit_test.cc
@@ -1,11 +1,11 @@
-#include "kumquatgauge/platform/circuit.h"
+#include "kumquatgauge/store/circuit.h"
 
 #include <catch2/catch.hpp>
 #include <map>
 #include <random>
 #include <set>
 
-namespace kumquatgauge::platform {
+namespace kumquatgauge::store {
 namespace {
 
 using std::chrono::milliseconds;
@@ -98,4 +98,4 @@
 }
 
 }  // namespace
-}  // namespace kumquatgauge::platform
+}  // namespace kumquatgauge::store
--- a/src/platform/http_client.cc
+++ b/src/store/http_client.cc
@@ -1,4 +1,4 @@
-#include "platform/http_client.h"
+#include "store/http_client.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -9,9 +9,10 @@
 #include <charconv>
 #include <deque>
 
+#include "base/socket_options.h"
 #include "kumquatgauge/base/error.h"
 
-namespace kumquatgauge::platform::detail {
+namespace kumquatgauge::store::detail {
 namespace {
 
 namespace asio = boost::asio;
@@ -22,6 +23,9 @@
 using boost::system::error_code;
 using TimePoint = std::chrono::steady_clock::time_point;
 
+// A watch may be silent for long, so only the transport can tell that the
+// connection is dead. Half of the shortest time in which a change must apply.
+constexpr auto kUserTimeout = std::chrono::milliseconds(1000);
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
 // A node makes a few calls at a time; more idle connections only cost memory.
 constexpr std::size_t kMaxIdle = 4;
@@ -214,8 +218,8 @@
     failed.reason = connect_error.message();
     co_return failed;
   }
-  auto option_error = error_code();
-  connection->stream.socket().set_option(tcp::no_delay(true), option_error);
+  kumquatgauge::detail::GuardAgainstSilence(connection->stream.socket(),
+                                            kUserTimeout);
   auto exchange = co_await RunExchange(connection, message, deadline);
   if (exchange.result.response && exchange.keep_alive &&
       pool->idle.size() < kMaxIdle) {
@@ -242,4 +246,4 @@
   return encoded;
 }
 
-}  // namespace kumquatgauge::platform::detail
+}  // namespace kumquatgauge::store::detail
--- a/src/platform/http_client.h
+++ b/src/store/http_client.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_HTTP_CLIENT_H_
-#define PLATFORM_HTTP_CLIENT_H_
+#ifndef STORE_HTTP_CLIENT_H_
+#define STORE_HTTP_CLIENT_H_
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-namespace kumquatgauge::platform::detail {
+namespace kumquatgauge::store::detail {
 
 struct HttpRequest {
   std::string method;
@@ -58,6 +58,6 @@
 // Percent-encodes what may not stand in a path or query; keeps '/'.
 auto UrlEncode(const std::string& text) -> std::string;
 
-}  // namespace kumquatgauge::platform::detail
+}  // namespace kumquatgauge::store::detail
 
-#endif  // PLATFORM_HTTP_CLIENT_H_
+#endif  // STORE_HTTP_CLIENT_H_
--- a/src/platform/http_host_list.cc
+++ b/src/store/http_host_list.cc
@@ -1,11 +1,11 @@
-#include "kumquatgauge/platform/http_host_list.h"
+#include "kumquatgauge/store/http_host_list.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "platform/response_json.h"
+#include "store/response_json.h"
 
-namespace kumquatgauge::platform {
+namespace kumquatgauge::store {
 
 auto HttpHostList::Fetch() -> boost::asio::awaitable<HostListSnapshot> {
   auto call = PlatformCall();
@@ -32,4 +32,4 @@
   co_return snapshot;
 }
 
-}  // namespace kumquatgauge::platform
+}  // namespace kumquatgauge::store
--- a/src/platform/http_object_store.cc
+++ b/src/store/http_object_store.cc
@@ -1,12 +1,12 @@
-#include "kumquatgauge/platform/http_object_store.h"
+#include "kumquatgauge/store/http_object_store.h"
 
 #include <nlohmann/json.hpp>
 
 #include "kumquatgauge/base/error.h"
-#include "platform/http_client.h"
-#include "platform/response_json.h"
+#include "store/http_client.h"
+#include "store/response_json.h"
 
-namespace kumquatgauge::platform {
+namespace kumquatgauge::store {
 namespace {
 
 using boost::asio::awaitable;
@@ -148,4 +148,4 @@
   co_return batch;
 }
 
-}  // namespace kumquatgauge::platform
+}  // namespace kumquatgauge::store
--- a/src/platform/http_object_store_test.cc
+++ b/src/store/http_object_store_test.cc
@@ -1,4 +1,4 @@
-#include "kumquatgauge/platform/http_object_store.h"
+#include "kumquatgauge/store/http_object_store.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -8,12 +8,12 @@
 #include <random>
 
 #include "kumquatgauge/base/error.h"
-#include "kumquatgauge/platform/http_host_list.h"
-#include "kumquatgauge/platform/weight_store.h"
+#include "kumquatgauge/store/http_host_list.h"
+#include "kumquatgauge/store/weight_store.h"
 #include "testing/support/fake_platform.h"
 #include "testing/support/run_awaitable.h"
 
-namespace kumquatgauge::platform {
+namespace kumquatgauge::store {
 namespace {
 
 using nlohmann::json;
@@ -233,4 +233,4 @@
 }
 
 }  // namespace
-}  // namespace kumquatgauge::platform
+}  // namespace kumquatgauge::store
--- a/src/platform/platform_client.cc
+++ b/src/store/platform_client.cc
@@ -1,4 +1,4 @@
-#include "kumquatgauge/platform/platform_client.h"
+#include "kumquatgauge/store/platform_client.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -7,9 +7,9 @@
 #include <unordered_map>
 
 #include "kumquatgauge/base/error.h"
-#include "platform/http_client.h"
+#include "store/http_client.h"
 
-namespace kumquatgauge::platform {
+namespace kumquatgauge::store {
 namespace {
 
 namespace asio = boost::asio;
@@ -258,4 +258,4 @@
   return impl_->retry_after;
 }
 
-}  // namespace kumquatgauge::platform
+}  // namespace kumquatgauge::store
--- a/src/platform/rate_limiter.cc
+++ b/src/store/rate_limiter.cc
@@ -1,9 +1,9 @@
-#include "kumquatgauge/platform/rate_limiter.h"
+#include "kumquatgauge/store/rate_limiter.h"
 
 #include <algorithm>
 #include <chrono>
 
-namespace kumquatgauge::platform {
+namespace kumquatgauge::store {
 namespace {
 
 // Share of the node's equal share by which the rate rises per second while
@@ -150,4 +150,4 @@
   return count;
 }
 
-}  // namespace kumquatgauge::platform
+}  // namespace kumquatgauge::store
--- a/src/platform/rate_limiter_test.cc
+++ b/src/store/rate_limiter_test.cc
@@ -1,8 +1,8 @@
-#include "kumquatgauge/platform/rate_limiter.h"
+#include "kumquatgauge/store/rate_limiter.h"
 
 #include <catch2/catch.hpp>
 
-namespace kumquatgauge::platform {
+namespace kumquatgauge::store {
 namespace {
 
 using std::chrono::milliseconds;
@@ -117,4 +117,4 @@
 }
 
 }  // namespace
-}  // namespace kumquatgauge::platform
+}  // namespace kumquatgauge::store
--- a/src/platform/response_json.cc
+++ b/src/store/response_json.cc
@@ -1,10 +1,10 @@
-#include "platform/response_json.h"
+#include "store/response_json.h"
 
 #include <nlohmann/json.hpp>
 
 #include "kumquatgauge/base/error.h"
 
-namespace kumquatgauge::platform::detail {
+namespace kumquatgauge::store::detail {
 namespace {
 
 constexpr auto kOk = 200;
@@ -44,4 +44,4 @@
   return json;
 }
 
-}  // namespace kumquatgauge::platform::detail
+}  // namespace kumquatgauge::store::detail
--- a/src/platform/response_json.h
+++ b/src/store/response_json.h
@@ -1,13 +1,13 @@
-#ifndef PLATFORM_RESPONSE_JSON_H_
-#define PLATFORM_RESPONSE_JSON_H_
+#ifndef STORE_RESPONSE_JSON_H_
+#define STORE_RESPONSE_JSON_H_
 
 #include <functional>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
 
-#include "kumquatgauge/platform/platform_client.h"
+#include "kumquatgauge/store/platform_client.h"
 
-namespace kumquatgauge::platform::detail {
+namespace kumquatgauge::store::detail {
 
 // Throws for every status but 200: kInvalidArgument for a 4xx, because the
 // request itself is wrong, otherwise kInternal.
@@ -22,6 +22,6 @@
 auto Convert(const std::string& object,
              const std::function<auto()->void>& convert) -> void;
 
-}  // namespace kumquatgauge::platform::detail
+}  // namespace kumquatgauge::store::detail
 
-#endif  // PLATFORM_RESPONSE_JSON_H_
+#endif  // STORE_RESPONSE_JSON_H_
--- a/src/platform/weight_store.cc
+++ b/src/store/weight_store.cc
@@ -1,10 +1,10 @@
-#include "kumquatgauge/platform/weight_store.h"
+#include "kumquatgauge/store/weight_store.h"
 
 #include "kumquatgauge/base/error.h"
-#include "platform/http_client.h"
-#include "platform/response_json.h"
+#include "store/http_client.h"
+#include "store/response_json.h"
 
-namespace kumquatgauge::platform {
+namespace kumquatgauge::store {
 namespace {
 
 constexpr auto kNotFound = 404;
@@ -31,4 +31,4 @@
   co_return std::nullopt;
 }
 
-}  // namespace kumquatgauge::platform
+}  // namespace kumquatgauge::store
--- a/src/upstream/connection_pool.cc
+++ b/src/upstream/connection_pool.cc
@@ -1,13 +1,11 @@
 #include "upstream/connection_pool.h"
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "base/socket_options.h"
 #include "kumquatgauge/base/error.h"
 #include "upstream/endpoint.h"
 
@@ -17,16 +15,6 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-auto SetOptions(tcp::socket& socket, std::chrono::milliseconds user_timeout)
-    -> void {
-  boost::system::error_code ignored;
-  socket.set_option(tcp::no_delay(true), ignored);
-  socket.set_option(asio::socket_base::keep_alive(true), ignored);
-  const auto timeout = static_cast<int>(user_timeout.count());
-  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
-               sizeof(timeout));
-}
-
 }  // namespace
 
 Connection::Connection(std::shared_ptr<DeadlineSocket> io,
@@ -89,7 +77,7 @@
                 "use another replica or retry later");
   }
   io->Disarm();
-  SetOptions(io->socket(), settings_.user_timeout);
+  kumquatgauge::detail::GuardAgainstSilence(io->socket(), settings_.user_timeout);
   co_return connection;
 }
 
--- a/src/upstream/http_exchange.cc
+++ b/src/upstream/http_exchange.cc
@@ -1,7 +1,6 @@
 #include "upstream/http_exchange.h"
 
 #include <algorithm>
-#include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/string.hpp>
@@ -22,11 +21,6 @@
 using ResponseParser = http::response_parser<http::string_body>;
 
 constexpr unsigned kFirstFinalStatus = 200;
-constexpr std::array<std::string_view, 9> kHopByHopNames = {
-    "connection", "keep-alive",          "proxy-authenticate",
-    "te",         "proxy-authorization", "trailer",
-    "upgrade",    "transfer-encoding",   "proxy-connection"};
-
 auto ToMessage(const std::string& address, ServiceRequest request)
     -> http::request<http::string_body> {
   http::request<http::string_body> message;
@@ -175,12 +169,4 @@
               "use another replica or retry later");
 }
 
-auto IsHopByHop(std::string_view name) -> bool {
-  return std::any_of(
-      kHopByHopNames.begin(), kHopByHopNames.end(), [name](auto known) {
-        return beast::iequals(beast::string_view(known.data(), known.size()),
-                              beast::string_view(name.data(), name.size()));
-      });
-}
-
 }  // namespace kumquatgauge::upstream::detail
--- a/src/upstream/http_exchange.h
+++ b/src/upstream/http_exchange.h
@@ -25,9 +25,6 @@
               bool repeatable,
               ExchangeLimits limits) -> boost::asio::awaitable<ServiceResponse>;
 
-// True for headers that belong to one connection and are not passed on.
-auto IsHopByHop(std::string_view name) -> bool;
-
 }  // namespace kumquatgauge::upstream::detail
 
 #endif  // UPSTREAM_HTTP_EXCHANGE_H_
--- /dev/null
+++ b/src/upstream/replica_call.cc
@@ -0,0 +1,339 @@
+#include "kumquatgauge/upstream/replica_call.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <utility>
+
+#include "kumquatgauge/base/error.h"
+#include "upstream/connection_pool.h"
+
+namespace kumquatgauge::upstream {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::awaitable;
+using boost::system::error_code;
+using detail::Connection;
+using OnExpiry = detail::DeadlineSocket::OnExpiry;
+using Parser = http::response_parser<http::buffer_body>;
+
+constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
+constexpr int kFirstFinalStatus = 200;
+// Head of an answer; replicas send a few short headers.
+constexpr std::uint32_t kMaxHeadBytes = 32'768;
+constexpr std::size_t kReadBytes = 16'384;
+// Answers to earlier requests that are skipped on one connection.
+constexpr int kMaxForeignAnswers = 2;
+
+auto ToMessage(ReplicaRequest& request)
+    -> std::shared_ptr<http::request<http::string_body>> {
+  auto message = std::make_shared<http::request<http::string_body>>();
+  message->version(11);
+  message->method_string(request.method);
+  message->target(request.target);
+  for (const auto& header : request.headers) {
+    message->insert(header.name, header.value);
+  }
+  message->body() = request.body;
+  message->prepare_payload();
+  return message;
+}
+
+}  // namespace
+
+auto CallEndName(CallEnd end) -> std::string_view {
+  switch (end) {
+    case CallEnd::kOpen:
+      return "open";
+    case CallEnd::kComplete:
+      return "complete";
+    case CallEnd::kNotSent:
+      return "not_sent";
+    case CallEnd::kBroken:
+      return "broken";
+    case CallEnd::kMalformed:
+      return "malformed";
+    case CallEnd::kSilent:
+      return "silent";
+    case CallEnd::kDeadline:
+      return "deadline";
+    case CallEnd::kCancelled:
+      break;
+  }
+  return "cancelled";
+}
+
+struct ReplicaCaller::Impl {
+  Impl(const asio::any_io_executor& io_executor, ConnectionSettings settings)
+      : executor(io_executor),
+        pool(std::make_shared<detail::ConnectionPool>(io_executor, settings)) {}
+
+  asio::any_io_executor executor;
+  std::shared_ptr<detail::ConnectionPool> pool;
+  std::uint64_t opened = 0;
+};
+
+namespace {
+
+class HttpCall : public ReplicaCaller::Call {
+ public:
+  HttpCall(asio::any_io_executor executor,
+           std::shared_ptr<detail::ConnectionPool> pool,
+           std::function<auto()->void> on_opened,
+           ReplicaRequest request,
+           HeadFilter own_answer)
+      : executor_(std::move(executor)),
+        pool_(std::move(pool)),
+        on_opened_(std::move(on_opened)),
+        request_(std::move(request)),
+        own_answer_(std::move(own_answer)),
+        message_(ToMessage(request_)) {}
+
+  ~HttpCall() override {
+    // The pending write holds the connection; closing it ends the write.
+    if (connection_) {
+      connection_->io().Close();
+    }
+  }
+
+  auto Open() -> awaitable<CallEnd> override {
+    const auto self = shared_from_this();
+    auto reuse = detail::Reuse::kAllowed;
+    while (true) {
+      auto end = co_await Connect(reuse);
+      if (end != CallEnd::kOpen) {
+        co_return end;
+      }
+      end = co_await SendAndReadHead();
+      const auto stale = end == CallEnd::kBroken && connection_->reused() &&
+                         !answer_begun_ && !cancelled_;
+      if (!stale || !(request_.idempotent || !bytes_sent_)) {
+        co_return end;
+      }
+      reuse = detail::Reuse::kFreshOnly;
+      connection_ = nullptr;
+      bytes_sent_ = false;
+    }
+  }
+
+  auto Read(std::string& bytes) -> awaitable<CallEnd> override {
+    const auto self = shared_from_this();
+    auto end = CallEnd::kOpen;
+    const auto before = bytes.size();
+    while (end == CallEnd::kOpen && bytes.size() == before) {
+      end = co_await ReadPiece(bytes, request_.body_silence);
+    }
+    if (end == CallEnd::kComplete) {
+      Release();
+    }
+    co_return end;
+  }
+
+  auto Cancel() -> void override {
+    cancelled_ = true;
+    if (connection_) {
+      connection_->io().Close();
+    }
+  }
+
+  auto head() const -> const ReplicaHead& override { return head_; }
+  auto bytes_sent() const -> bool override { return bytes_sent_; }
+  auto reason() const -> const std::string& override { return reason_; }
+
+ private:
+  auto Connect(detail::Reuse reuse) -> awaitable<CallEnd> {
+    const auto left = request_.deadline - std::chrono::steady_clock::now();
+    if (cancelled_ || left <= Duration::zero()) {
+      co_return cancelled_ ? CallEnd::kCancelled : CallEnd::kDeadline;
+    }
+    try {
+      connection_ = co_await pool_->Acquire(request_.address, reuse, left);
+    } catch (const Error& error) {
+      reason_ = error.what();
+      co_return CallEnd::kNotSent;
+    }
+    if (!connection_->reused()) {
+      on_opened_();
+    }
+    co_return cancelled_ ? CallEnd::kCancelled : CallEnd::kOpen;
+  }
+
+  auto SendAndReadHead() -> awaitable<CallEnd> {
+    // Replicas may answer before they have read the whole request, so the
+    // request is written while the answer is awaited.
+    write_done_ = std::make_shared<bool>(false);
+    auto writing = Write(connection_, message_, write_done_,
+                         std::static_pointer_cast<HttpCall>(shared_from_this()));
+    asio::co_spawn(executor_, std::move(writing), asio::detached);
+    head_deadline_ = std::chrono::steady_clock::now() + request_.head_silence;
+    for (auto skipped = 0; skipped <= kMaxForeignAnswers; ++skipped) {
+      const auto end = co_await ReadHead();
+      if (end != CallEnd::kOpen) {
+        co_return end;
+      }
+      if (own_answer_(head_)) {
+        co_return CallEnd::kOpen;
+      }
+      const auto skip_end = co_await SkipBody();
+      if (skip_end != CallEnd::kComplete) {
+        co_return skip_end;
+      }
+    }
+    reason_ = "answers to other requests";
+    co_return CallEnd::kMalformed;
+  }
+
+  // Marks bytes as sent before the first one leaves: a write that fails may
+  // have sent a part.
+  static auto Write(std::shared_ptr<Connection> connection,
+                    std::shared_ptr<http::request<http::string_body>> message,
+                    std::shared_ptr<bool> done,
+                    std::weak_ptr<HttpCall> call) -> awaitable<void> {
+    if (const auto self = call.lock()) {
+      self->bytes_sent_ = true;
+    }
+    auto serializer = http::request_serializer<http::string_body>(*message);
+    const auto [error, written] = co_await http::async_write(
+        connection->io().socket(), serializer, kAwaitTuple);
+    *done = !error;
+  }
+
+  auto ReadHead() -> awaitable<CallEnd> {
+    while (true) {
+      parser_.emplace();
+      parser_->header_limit(kMaxHeadBytes);
+      parser_->body_limit(boost::none);
+      auto& io = connection_->io();
+      io.ExpireAt(std::min(request_.deadline, head_deadline_),
+                  OnExpiry::kCloseIfSilent);
+      const auto [error, read] = co_await http::async_read_header(
+          io.socket(), io.buffer(), *parser_, kAwaitTuple);
+      answer_begun_ = answer_begun_ || read > 0;
+      if (error) {
+        co_return Judge(error);
+      }
+      if (parser_->get().result_int() >= kFirstFinalStatus) {
+        break;
+      }
+    }
+    TakeHead();
+    co_return CallEnd::kOpen;
+  }
+
+  auto TakeHead() -> void {
+    head_ = ReplicaHead();
+    head_.status = static_cast<int>(parser_->get().result_int());
+    for (const auto& field : parser_->get()) {
+      head_.headers.push_back(
+          {std::string(field.name_string()), std::string(field.value())});
+    }
+  }
+
+  auto SkipBody() -> awaitable<CallEnd> {
+    auto end = CallEnd::kOpen;
+    auto ignored = std::string();
+    while (end == CallEnd::kOpen) {
+      end = co_await ReadPiece(ignored, request_.body_silence);
+      ignored.clear();
+    }
+    co_return end;
+  }
+
+  auto ReadPiece(std::string& bytes, Duration silence) -> awaitable<CallEnd> {
+    if (parser_->is_done()) {
+      co_return CallEnd::kComplete;
+    }
+    auto& io = connection_->io();
+    auto& body = parser_->get().body();
+    body.data = piece_.data();
+    body.size = piece_.size();
+    io.ExpireAt(std::min(request_.deadline,
+                         std::chrono::steady_clock::now() + silence),
+                OnExpiry::kCloseIfSilent);
+    const auto [error, read] = co_await http::async_read_some(
+        io.socket(), io.buffer(), *parser_, kAwaitTuple);
+    bytes.append(piece_.data(), piece_.size() - body.size);
+    if (error && error != http::error::need_buffer) {
+      co_return Judge(error);
+    }
+    co_return parser_->is_done() ? CallEnd::kComplete : CallEnd::kOpen;
+  }
+
+  auto Judge(const error_code& error) -> CallEnd {
+    reason_ = error.message();
+    if (cancelled_) {
+      return CallEnd::kCancelled;
+    }
+    if (connection_->io().timed_out()) {
+      const auto late = std::chrono::steady_clock::now() >= request_.deadline;
+      return late ? CallEnd::kDeadline : CallEnd::kSilent;
+    }
+    const auto from_parser =
+        error.category() == make_error_code(http::error::bad_method).category();
+    const auto ended = error == http::error::end_of_stream ||
+                       error == http::error::partial_message;
+    return from_parser && !ended ? CallEnd::kMalformed : CallEnd::kBroken;
+  }
+
+  // Keeps the connection for the next request if nothing is left on it.
+  auto Release() -> void {
+    const auto clean = *write_done_ && parser_->get().keep_alive() &&
+                       connection_->io().buffer().size() == 0 && !cancelled_;
+    if (clean) {
+      connection_->Release();
+    }
+    connection_ = nullptr;
+  }
+
+  asio::any_io_executor executor_;
+  std::shared_ptr<detail::ConnectionPool> pool_;
+  std::function<auto()->void> on_opened_;
+  ReplicaRequest request_;
+  HeadFilter own_answer_;
+  std::shared_ptr<http::request<http::string_body>> message_;
+  std::shared_ptr<Connection> connection_;
+  std::shared_ptr<bool> write_done_;
+  std::optional<Parser> parser_;
+  ReplicaHead head_;
+  std::array<char, kReadBytes> piece_{};
+  MonotonicTime head_deadline_;
+  std::string reason_;
+  bool bytes_sent_ = false;
+  bool answer_begun_ = false;
+  bool cancelled_ = false;
+};
+
+}  // namespace
+
+ReplicaCaller::ReplicaCaller(const asio::any_io_executor& executor,
+                             ConnectionSettings settings)
+    : impl_(std::make_shared<Impl>(executor, settings)) {}
+
+ReplicaCaller::~ReplicaCaller() {
+  impl_->pool->Close();
+}
+
+auto ReplicaCaller::Start(ReplicaRequest request, HeadFilter own_answer)
+    -> std::shared_ptr<Call> {
+  auto count = [weak = std::weak_ptr<Impl>(impl_)] {
+    if (const auto impl = weak.lock()) {
+      ++impl->opened;
+    }
+  };
+  return std::make_shared<HttpCall>(impl_->executor, impl_->pool,
+                                    std::move(count), std::move(request),
+                                    std::move(own_answer));
+}
+
+auto ReplicaCaller::opened() const -> std::uint64_t {
+  return impl_->opened;
+}
+
+}  // namespace kumquatgauge::upstream
--- a/testing/support/fake_platform.cc
+++ b/testing/support/fake_platform.cc
@@ -257,7 +257,7 @@
     socket->set_option(tcp::no_delay(true), option_error);
     while (true) {
       auto parser = http::request_parser<http::string_body>();
-      parser.body_limit(2 * platform::kMaxValueBytes);
+      parser.body_limit(2 * store::kMaxValueBytes);
       const auto [read_error, read] =
           co_await http::async_read(*socket, buffer, parser, kAwaitTuple);
       if (read_error) {
@@ -522,7 +522,7 @@
       if (!expected && !creates) {
         return ErrorAnswer(400, "If-Match or If-None-Match: * is missing");
       }
-      if (request.body().size() > platform::kMaxValueBytes) {
+      if (request.body().size() > store::kMaxValueBytes) {
         return ErrorAnswer(413, "value too large");
       }
       result = state_.Put(key, request.body(), expected, Now());
--- a/testing/support/memory_object_store.cc
+++ b/testing/support/memory_object_store.cc
@@ -27,8 +27,8 @@
   return fault;
 }
 
-auto MemoryObjectStore::Read(std::string key, platform::CallClass /*class*/)
-    -> boost::asio::awaitable<std::optional<platform::StoredObject>> {
+auto MemoryObjectStore::Read(std::string key, store::CallClass /*class*/)
+    -> boost::asio::awaitable<std::optional<store::StoredObject>> {
   ++reads_;
   CheckFault("read", key);
   const auto found = objects_.find(key);
@@ -41,7 +41,7 @@
 auto MemoryObjectStore::Write(std::string key,
                               std::string value,
                               std::optional<std::uint64_t> expected_version,
-                              platform::CallClass /*class*/)
+                              store::CallClass /*class*/)
     -> boost::asio::awaitable<std::uint64_t> {
   ++writes_;
   const auto fault = CheckFault("write", key);
@@ -50,7 +50,7 @@
   if (current != expected_version.value_or(0)) {
     throw Error(ErrorKind::kConflict, "version differs", key, "read it again");
   }
-  if (value.size() > platform::kMaxValueBytes) {
+  if (value.size() > store::kMaxValueBytes) {
     throw Error(ErrorKind::kInvalidArgument, "value too large", key, "split");
   }
   const auto version = ++revision_;
@@ -64,7 +64,7 @@
 
 auto MemoryObjectStore::Remove(std::string key,
                                std::uint64_t expected_version,
-                               platform::CallClass /*class*/)
+                               store::CallClass /*class*/)
     -> boost::asio::awaitable<void> {
   ++writes_;
   const auto fault = CheckFault("write", key);
@@ -87,11 +87,11 @@
 auto MemoryObjectStore::List(std::string prefix,
                              std::string after,
                              std::size_t limit,
-                             platform::CallClass /*class*/)
-    -> boost::asio::awaitable<platform::ListPage> {
+                             store::CallClass /*class*/)
+    -> boost::asio::awaitable<store::ListPage> {
   ++reads_;
   CheckFault("read", prefix);
-  auto page = platform::ListPage{.entries = {}, .revision = revision_};
+  auto page = store::ListPage{.entries = {}, .revision = revision_};
   for (auto it = objects_.lower_bound(prefix);
        it != objects_.end() && it->first.starts_with(prefix) &&
        page.entries.size() < limit;
@@ -106,10 +106,10 @@
 auto MemoryObjectStore::Watch(std::string prefix,
                               std::uint64_t since,
                               std::chrono::milliseconds timeout)
-    -> boost::asio::awaitable<platform::WatchBatch> {
+    -> boost::asio::awaitable<store::WatchBatch> {
   ++reads_;
   CheckFault("read", prefix);
-  auto batch = platform::WatchBatch{};
+  auto batch = store::WatchBatch{};
   auto timer = boost::asio::steady_timer(
       co_await boost::asio::this_coro::executor, timeout);
   if (revision_ <= since) {
--- a/testing/support/memory_object_store.h
+++ b/testing/support/memory_object_store.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string>
 
-#include "kumquatgauge/platform/object_store.h"
+#include "kumquatgauge/store/object_store.h"
 
 namespace kumquatgauge::testing {
 
@@ -20,7 +20,7 @@
 };
 
 // An ObjectStore in memory for tests; answers at once.
-class MemoryObjectStore : public platform::ObjectStore {
+class MemoryObjectStore : public store::ObjectStore {
  public:
   // Asked before each write or remove ("write", key) and read ("read", key).
   using FaultHook = std::function<
@@ -29,37 +29,37 @@
   auto set_fault_hook(FaultHook hook) -> void { fault_ = std::move(hook); }
   auto write_count() const -> std::uint64_t { return writes_; }
   auto read_count() const -> std::uint64_t { return reads_; }
-  auto objects() const -> const std::map<std::string, platform::StoredObject>& {
+  auto objects() const -> const std::map<std::string, store::StoredObject>& {
     return objects_;
   }
 
-  auto Read(std::string key, platform::CallClass call_class)
-      -> boost::asio::awaitable<std::optional<platform::StoredObject>> override;
+  auto Read(std::string key, store::CallClass call_class)
+      -> boost::asio::awaitable<std::optional<store::StoredObject>> override;
   auto Write(std::string key,
              std::string value,
              std::optional<std::uint64_t> expected_version,
-             platform::CallClass call_class)
+             store::CallClass call_class)
       -> boost::asio::awaitable<std::uint64_t> override;
   auto Remove(std::string key,
               std::uint64_t expected_version,
-              platform::CallClass call_class)
+              store::CallClass call_class)
       -> boost::asio::awaitable<void> override;
   auto List(std::string prefix,
             std::string after,
             std::size_t limit,
-            platform::CallClass call_class)
-      -> boost::asio::awaitable<platform::ListPage> override;
+            store::CallClass call_class)
+      -> boost::asio::awaitable<store::ListPage> override;
   auto Watch(std::string prefix,
              std::uint64_t since,
              std::chrono::milliseconds timeout)
-      -> boost::asio::awaitable<platform::WatchBatch> override;
+      -> boost::asio::awaitable<store::WatchBatch> override;
 
  private:
   auto CheckFault(const std::string& call, const std::string& key)
       -> StoreFault;
 
-  std::map<std::string, platform::StoredObject> objects_;
-  std::map<std::string, platform::WatchEvent> last_events_;
+  std::map<std::string, store::StoredObject> objects_;
+  std::map<std::string, store::WatchEvent> last_events_;
   std::uint64_t revision_ = 0;
   std::uint64_t writes_ = 0;
   std::uint64_t reads_ = 0;
--- a/testing/support/platform_state.cc
+++ b/testing/support/platform_state.cc
@@ -5,7 +5,7 @@
 namespace kumquatgauge::testing {
 
 auto PlatformState::Get(const std::string& key, MonotonicTime time) const
-    -> std::optional<platform::StoredObject> {
+    -> std::optional<store::StoredObject> {
   const auto found = objects_.find(key);
   if (found == objects_.end()) {
     return std::nullopt;
@@ -16,7 +16,7 @@
       if (!past->value) {
         return std::nullopt;
       }
-      return platform::StoredObject{*past->value, past->version};
+      return store::StoredObject{*past->value, past->version};
     }
   }
   return std::nullopt;
@@ -66,8 +66,8 @@
 
 auto PlatformState::List(const std::string& prefix,
                          const std::string& after,
-                         std::size_t limit) const -> platform::ListPage {
-  auto page = platform::ListPage{.entries = {}, .revision = revision_};
+                         std::size_t limit) const -> store::ListPage {
+  auto page = store::ListPage{.entries = {}, .revision = revision_};
   for (auto it = objects_.lower_bound(std::max(prefix, after));
        it != objects_.end() && it->first.starts_with(prefix) &&
        page.entries.size() < limit;
@@ -81,8 +81,8 @@
 }
 
 auto PlatformState::Events(const std::string& prefix, std::uint64_t since) const
-    -> platform::WatchBatch {
-  auto batch = platform::WatchBatch{.events = {}, .revision = revision_};
+    -> store::WatchBatch {
+  auto batch = store::WatchBatch{.events = {}, .revision = revision_};
   for (auto it = objects_.lower_bound(prefix);
        it != objects_.end() && it->first.starts_with(prefix); ++it) {
     const auto& [key, object] = *it;
--- a/testing/support/platform_state.h
+++ b/testing/support/platform_state.h
@@ -9,7 +9,7 @@
 #include <string>
 
 #include "kumquatgauge/base/time.h"
-#include "kumquatgauge/platform/object_store.h"
+#include "kumquatgauge/store/object_store.h"
 
 namespace kumquatgauge::testing {
 
@@ -26,7 +26,7 @@
 
   // The object as it was at `time`, at most kLongestHistory ago.
   auto Get(const std::string& key, MonotonicTime time) const
-      -> std::optional<platform::StoredObject>;
+      -> std::optional<store::StoredObject>;
   // Creates when `expected` is empty, otherwise replaces that version.
   auto Put(const std::string& key,
            std::string value,
@@ -38,10 +38,10 @@
               MonotonicTime now) -> Result;
   auto List(const std::string& prefix,
             const std::string& after,
-            std::size_t limit) const -> platform::ListPage;
+            std::size_t limit) const -> store::ListPage;
   // The last event of each key under `prefix` after revision `since`.
   auto Events(const std::string& prefix, std::uint64_t since) const
-      -> platform::WatchBatch;
+      -> store::WatchBatch;
   auto revision() const -> std::uint64_t { return revision_; }
   auto object_count() const -> std::size_t { return live_; }
 
--- a/testing/support/unreliable_object_store.cc
+++ b/testing/support/unreliable_object_store.cc
@@ -7,7 +7,7 @@
 namespace kumquatgauge::testing {
 
 using boost::asio::awaitable;
-using platform::CallClass;
+using store::CallClass;
 
 auto UnreliableObjectStore::DeliverLateWrite() -> awaitable<void> {
   if (!waiting_ || !arrival_ || !arrival_()) {
@@ -25,7 +25,7 @@
 }
 
 auto UnreliableObjectStore::Read(std::string key, CallClass call_class)
-    -> awaitable<std::optional<platform::StoredObject>> {
+    -> awaitable<std::optional<store::StoredObject>> {
   co_await DeliverLateWrite();
   auto found = co_await MemoryObjectStore::Read(key, call_class);
   auto& past = past_[key];
--- a/testing/support/unreliable_object_store.h
+++ b/testing/support/unreliable_object_store.h
@@ -23,12 +23,12 @@
   auto set_late_hook(Hook hook) -> void { late_ = std::move(hook); }
   auto set_arrival_hook(Hook hook) -> void { arrival_ = std::move(hook); }
 
-  auto Read(std::string key, platform::CallClass call_class)
-      -> boost::asio::awaitable<std::optional<platform::StoredObject>> override;
+  auto Read(std::string key, store::CallClass call_class)
+      -> boost::asio::awaitable<std::optional<store::StoredObject>> override;
   auto Write(std::string key,
              std::string value,
              std::optional<std::uint64_t> expected_version,
-             platform::CallClass call_class)
+             store::CallClass call_class)
       -> boost::asio::awaitable<std::uint64_t> override;
 
  private:
@@ -38,8 +38,8 @@
     std::optional<std::uint64_t> expected_version;
   };
   struct Past {
-    std::optional<platform::StoredObject> last;
-    std::optional<platform::StoredObject> before;
+    std::optional<store::StoredObject> last;
+    std::optional<store::StoredObject> before;
   };
 
   auto DeliverLateWrite() -> boost::asio::awaitable<void>;
