Take over a job only from an owner that is known to have ended

Cause: after a restart of all nodes, a node that did not know the others yet took over jobs that had just been accepted; both owners ran them, and the first one answered readers without the results of the second.

Ruled out: leases in the store, whose renewals are priced calls and lapse in every outage.

--- a/include/kumquatgauge/serving/batch_runner.h
+++ b/include/kumquatgauge/serving/batch_runner.h
@@ -39,6 +39,8 @@
   std::function<auto()->routing::NodeInfo> self;
   // Members that are alive, this node included.
   std::function<auto()->std::vector<routing::NodeInfo>> live;
+  // Whether a node is known to have died or stopped, rather than not known.
+  std::function<auto(const NodeId&)->bool> has_ended;
   std::function<auto()->void> counts_changed;
   // Tells the other nodes that this one owns a job.
   std::function<auto(const JobId&)->void> announce;
--- a/include/kumquatgauge/serving/watcher_choice.h
+++ b/include/kumquatgauge/serving/watcher_choice.h
@@ -20,17 +20,19 @@
 // told; the next new call, of whichever node, finds them, and the nodes tell
 // each other. Under half of the time in which a change must apply.
 inline constexpr std::chrono::milliseconds kFreshCallInterval{800};
-inline constexpr std::chrono::milliseconds kShortestWatch{1'000};
-inline constexpr std::chrono::milliseconds kLongestWatch{20'000};
+inline constexpr std::chrono::milliseconds kShortestWatch{500};
 
 // The nodes that follow the store, chosen alike by all that know the same
 // members.
 auto ChooseWatchers(const std::vector<routing::NodeInfo>& live)
     -> std::vector<NodeId>;
 
-// How long one watch of one of `watchers` nodes waits; `draw` is any number and
-// spreads the nodes' calls.
-auto WatchTime(std::size_t watchers, std::uint64_t draw)
+// How long the next watch of one watcher waits: until its turn, by the time of
+// day, so that the watchers' calls follow each other at kFreshCallInterval.
+// `place` is the watcher's place among the `watchers`.
+auto WatchTime(std::size_t place,
+               std::size_t watchers,
+               std::chrono::milliseconds time_of_day)
     -> std::chrono::milliseconds;
 
 }  // namespace kumquatgauge::serving
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -65,6 +65,8 @@
 // that starts waits for its picture of the members.
 constexpr milliseconds kScanDelay{400};
 constexpr milliseconds kFirstScanDelay{1'500};
+// Time in which the members of a fleet that starts at once find each other.
+constexpr milliseconds kUnknownOwnerWait{2'000};
 // A lost announcement of a takeover is made up for by this scan.
 constexpr std::chrono::seconds kScanInterval{10};
 // When the store is out, it is worth asking again after this.
@@ -326,6 +328,12 @@
   }
 
   auto OnAnnounced(const JobId& job, const NodeId& owner) -> void {
+    const auto own = jobs_.find(job);
+    if (own != jobs_.end() && owner != parts_.self().id) {
+      asio::co_spawn(parts_.executor,
+                     ConfirmOwnership(shared_from_this(), own->second),
+                     asio::detached);
+    }
     if (announced_.size() >= kMaxAnnounced) {
       announced_.clear();  // Owners are then looked up in the store again.
     }
@@ -921,13 +929,18 @@
       co_return;
     }
     if (stored && !IsOwn(stored->state)) {
-      OnAnnounced(job->state.id, stored->state.owner);
       Drop(job, "another node owns it");
+      OnAnnounced(job->state.id, stored->state.owner);
     } else if (stored) {
       Update(job, *stored);
     }
   }
 
+  static auto ConfirmOwnership(std::shared_ptr<Impl> self, JobPtr job)
+      -> awaitable<void> {
+    co_await self->CheckOwnership(job);
+  }
+
   auto Update(const JobPtr& job, const StoredState& stored) -> void {
     job->state = stored.state;
     job->version = stored.version;
@@ -1324,16 +1337,19 @@
         co_return;
       }
       const auto& state = stored.state;
+      self->DropIfLost(state);
       if (self->Expired(state) && self->IsChosen(state.id)) {
         co_await self->RemoveExpired(stored);
-      } else if (!state.done && !state.ended && !self->OwnerLives(state) &&
-                 self->IsChosen(state.id)) {
+      } else if (self->MayAdopt(state)) {
         co_await self->Adopt(stored);
       }
     }
+    self->ForgetOwnersNotIn(states);
     const auto jitter =
         milliseconds(static_cast<std::int64_t>(self->parts_.random() % 2'000));
-    self->ScheduleScan(kScanInterval + jitter);
+    self->ScheduleScan(self->absent_since_.empty()
+                           ? kScanInterval + jitter
+                           : milliseconds(kUnknownOwnerWait));
   }
 
   auto Expired(const JobState& state) const -> bool {
@@ -1342,15 +1358,55 @@
     return age > parts_.retention;
   }
 
-  auto OwnerLives(const JobState& state) const -> bool {
-    if (IsOwn(state)) {
-      return jobs_.contains(state.id);
+  // A job that another node has taken over is no longer run here.
+  auto DropIfLost(const JobState& state) -> void {
+    const auto own = jobs_.find(state.id);
+    if (own != jobs_.end() && !IsOwn(state)) {
+      Drop(JobPtr(own->second), "another node owns it");
+      OnAnnounced(state.id, state.owner);
     }
+  }
+
+  auto OwnerLives(const JobState& state) const -> bool {
     const auto member = FindMember(state.owner);
     return member && member->incarnation == state.incarnation &&
            !member->leaving;
   }
 
+  // Whether this node is to take over a job. Its owner must be known to have
+  // ended or restarted; one that is merely unknown, as all are to a node that
+  // has just started, must stay so for kUnknownOwnerWait.
+  auto MayAdopt(const JobState& state) -> bool {
+    if (state.done || state.ended || jobs_.contains(state.id)) {
+      return false;
+    }
+    if (IsOwn(state)) {
+      return true;
+    }
+    if (OwnerLives(state)) {
+      absent_since_.erase(state.id);
+      return false;
+    }
+    const auto now = parts_.clock();
+    const auto since = absent_since_.try_emplace(state.id, now).first->second;
+    const auto ended =
+        parts_.has_ended(state.owner) || FindMember(state.owner).has_value();
+    if (!ended && now - since < kUnknownOwnerWait) {
+      return false;
+    }
+    return IsChosen(state.id);
+  }
+
+  auto ForgetOwnersNotIn(const std::vector<StoredState>& states) -> void {
+    std::erase_if(absent_since_, [&](const auto& entry) {
+      return std::none_of(states.begin(), states.end(),
+                          [&](const auto& stored) {
+                            return stored.state.id == entry.first &&
+                                   !stored.state.done && !stored.state.ended;
+                          });
+    });
+  }
+
   auto IsChosen(const JobId& id) const -> bool {
     const auto key = routing::RendezvousHash(id.value());
     auto best = std::uint64_t{0};
@@ -1437,6 +1493,8 @@
   asio::steady_timer scan_timer_;
   std::map<JobId, JobPtr> jobs_;
   std::map<JobId, NodeId> announced_;
+  // When the owner of an unfinished job was first found missing.
+  std::map<JobId, MonotonicTime> absent_since_;
   ResultCache cache_;
   std::uint64_t scheduled_version_ = 0;
   bool stopped_ = false;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -59,7 +59,7 @@
 constexpr std::size_t kCountsPerSecond = 250;
 // Replicas' entries change in groups, in releases above all; a node learns of a
 // change this much later, far within the time in which it must be known.
-constexpr milliseconds kReplicaSettle{300};
+constexpr milliseconds kReplicaSettle{200};
 // Where the directory answers with fewer addresses than there are nodes.
 constexpr std::size_t kMaxAddresses = 64;
 // Before a first configuration is known it is worth asking again after this.
@@ -233,6 +233,7 @@
             .configuration = [this] { return configuration_; },
             .self = [this] { return gossip_.membership().self(); },
             .live = [this] { return gossip_.membership().live(); },
+            .has_ended = [this](const NodeId& id) { return HasEnded(id); },
             .counts_changed = [this] { OnCountsChanged(); },
             .announce = [this](const JobId& job) { Announce(job); },
             .retention = settings_.limits.job_retention};
@@ -390,11 +391,15 @@
   // This node follows the store, and how long its next watch waits.
   auto NextWatchTime() -> std::optional<milliseconds> {
     const auto watchers = ChooseWatchers(gossip_.membership().live());
-    const auto self = settings_.name;
-    if (std::find(watchers.begin(), watchers.end(), self) == watchers.end()) {
+    const auto place =
+        std::find(watchers.begin(), watchers.end(), settings_.name);
+    if (place == watchers.end()) {
       return std::nullopt;
     }
-    return WatchTime(watchers.size(), DrawRandom());
+    const auto time_of_day = std::chrono::duration_cast<milliseconds>(
+        WallNow().time_since_epoch());
+    return WatchTime(static_cast<std::size_t>(place - watchers.begin()),
+                     watchers.size(), time_of_day);
   }
 
   auto DecodeReplica(const ReplicaId& id, const std::string& value)
@@ -519,6 +524,12 @@
     batch_.OnMembersChanged();
   }
 
+  auto HasEnded(const NodeId& id) const -> bool {
+    const auto record = gossip_.membership().Find(id);
+    return record && (record->state == control::MemberState::kDead ||
+                      record->state == control::MemberState::kLeft);
+  }
+
   auto OnDatagram(const json& message) -> void {
     try {
       const auto type = message.at("t").get<std::string>();
--- a/src/serving/watcher_choice.cc
+++ b/src/serving/watcher_choice.cc
@@ -31,13 +31,19 @@
   return watchers;
 }
 
-auto WatchTime(std::size_t watchers, std::uint64_t draw)
+auto WatchTime(std::size_t place,
+               std::size_t watchers,
+               std::chrono::milliseconds time_of_day)
     -> std::chrono::milliseconds {
-  const auto mean = kFreshCallInterval.count() *
-                    static_cast<std::int64_t>(std::max<std::size_t>(1, watchers));
-  const auto time = std::chrono::milliseconds(
-      mean / 2 + static_cast<std::int64_t>(draw % 1'000) * mean / 1'000);
-  return std::clamp(time, kShortestWatch, kLongestWatch);
+  const auto round =
+      kFreshCallInterval *
+      static_cast<std::int64_t>(std::max<std::size_t>(1, watchers));
+  const auto turn = kFreshCallInterval * static_cast<std::int64_t>(place);
+  auto wait = (turn - time_of_day % round + round) % round;
+  while (wait < kShortestWatch) {
+    wait += round;
+  }
+  return wait;
 }
 
 }  // namespace kumquatgauge::serving
