Count the store as back once either feed is answered

Cause: a node's replica watch was first answered two seconds after the store's return, by the removal itself, so a replica that had left stayed for two more seconds and got a request after its drain time.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -65,6 +65,8 @@
 // that starts waits for its picture of the members.
 constexpr milliseconds kScanDelay{400};
 constexpr milliseconds kFirstScanDelay{1'500};
+// Pause after a scan that the store did not answer.
+constexpr milliseconds kScanRetry{1'000};
 // Time in which the members of a fleet that starts at once find each other.
 constexpr milliseconds kUnknownOwnerWait{2'000};
 // A lost announcement of a takeover is made up for by this scan.
@@ -1329,7 +1331,7 @@
     if (!failure.empty()) {
       self->logger_.Warning("jobs cannot be listed",
                             {{"event", "scan_failed"}, {"reason", failure}});
-      self->ScheduleScan(kScanDelay);
+      self->ScheduleScan(kScanRetry);
       co_return;
     }
     for (const auto& stored : states) {
@@ -1449,7 +1451,7 @@
                       {{"event", "adopt_failed"},
                        {"job", stored.state.id.value()},
                        {"reason", failure}});
-      ScheduleScan(kScanDelay);
+      ScheduleScan(kScanRetry);
     }
   }
 
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -299,20 +299,17 @@
     hooks.event = [this](const store::WatchEvent& event) {
       OnReplicaEvent(event);
     };
-    hooks.lost = [this](const std::string& reason) {
-      replica_table_.OnStoreLost();
-      OnStoreLost(reason);
-    };
-    hooks.answered = [this] {
-      replica_table_.OnStoreAnswered();
-      OnStoreAnswered();
-    };
+    hooks.lost = [this](const std::string& reason) { OnStoreLost(reason); };
+    hooks.answered = [this] { OnStoreAnswered(); };
     return hooks;
   }
 
   // --- The store.
 
+  // Both feeds count: a watch that waits for the next change of one says
+  // nothing about the store's return.
   auto OnStoreLost(const std::string& reason) -> void {
+    replica_table_.OnStoreLost();
     if (!std::exchange(store_lost_, true)) {
       logger_.Warning("the store does not answer; going on with what is known",
                       {{"event", "store_lost"},
@@ -322,6 +319,7 @@
   }
 
   auto OnStoreAnswered() -> void {
+    replica_table_.OnStoreAnswered();
     if (std::exchange(store_lost_, false)) {
       logger_.Info("the store answers again", {{"event", "store_regained"}});
     }
