Let nodes that do not follow the store take removals as they are told

Cause: a node that stopped following the store during an outage believed for ever that the store was out, and kept replicas whose entries were removed.

--- a/include/kumquatgauge/serving/replica_table.h
+++ b/include/kumquatgauge/serving/replica_table.h
@@ -59,6 +59,9 @@
   // The store does not answer; repeated for every failed call.
   auto OnStoreLost() -> void { lost_ = true; }
   auto OnStoreAnswered() -> void;
+  // This node leaves it to others to follow the store, and no longer knows
+  // whether it answers; what they say of missing entries holds.
+  auto OnStoreNotWatched() -> void { lost_ = false; }
 
   auto replicas() const -> std::vector<routing::Replica>;
   // Of the newest change.
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -392,6 +392,7 @@
     const auto place =
         std::find(watchers.begin(), watchers.end(), settings_.name);
     if (place == watchers.end()) {
+      replica_table_.OnStoreNotWatched();
       return std::nullopt;
     }
     const auto time_of_day = std::chrono::duration_cast<milliseconds>(
@@ -484,10 +485,8 @@
       if (entry.size() >= kWithValue) {
         change.value = entry.at(3).get<std::string>();
       }
-      if (replica_table_.OnChange(change)) {
-        LogReplicaChange(change, "a node");
-        changed = true;
-      }
+      LogReplicaChange(change, "a node");
+      changed = replica_table_.OnChange(change) || changed;
     }
     if (changed) {
       ApplyReplicas();
