Take no request late in a planned stop

Cause: a stopping node took requests on kept and new connections until its end, so late ones were cut off, and one that arrived as the node found itself idle got no answer.

A stopping node serves on for 2.5 s, then closes its listening socket and idle connections, finishes what it has read, and ends with the last connection. It refuses new batch jobs at once.

--- a/include/kumquatgauge/caller/http_listener.h
+++ b/include/kumquatgauge/caller/http_listener.h
@@ -82,7 +82,10 @@
   auto SetLimits(ListenerLimits limits) -> void;
   // Answers from now on tell callers to close their connections.
   auto Drain() -> void;
-  // Closes the connections that wait for a request.
+  // Refuses new connections from now on.
+  auto StopAccepting() -> void;
+  // Closes the connections that wait for a request. A request that crosses the
+  // close stays unread, so its caller may send it elsewhere.
   auto CloseIdle() -> void;
   // Stops accepting and closes all connections.
   auto Stop() -> void;
--- a/src/caller/http_listener.cc
+++ b/src/caller/http_listener.cc
@@ -356,10 +356,15 @@
     asio::co_spawn(context_, Accept(shared_from_this()), asio::detached);
   }
 
-  auto Stop() -> void {
-    shared_->stopped = true;
+  auto StopAccepting() -> void {
+    accepting_ = false;
     auto error = error_code();
     acceptor_.close(error);
+  }
+
+  auto Stop() -> void {
+    shared_->stopped = true;
+    StopAccepting();
     for (const auto& connection : connections_) {
       connection->Close();
     }
@@ -384,9 +389,9 @@
 
  private:
   static auto Accept(std::shared_ptr<Impl> self) -> awaitable<void> {
-    while (!self->shared_->stopped) {
+    while (self->accepting_) {
       auto [error, socket] = co_await self->acceptor_.async_accept(kAwaitTuple);
-      if (self->shared_->stopped) {
+      if (!self->accepting_) {
         co_return;
       }
       if (error) {
@@ -421,6 +426,7 @@
   tcp::acceptor acceptor_;
   std::shared_ptr<Shared> shared_;
   std::unordered_set<std::shared_ptr<CallerConnection>> connections_;
+  bool accepting_ = true;
 };
 
 HttpListener::HttpListener(asio::io_context& context,
@@ -448,6 +454,10 @@
   impl_->shared().draining = true;
 }
 
+auto HttpListener::StopAccepting() -> void {
+  impl_->StopAccepting();
+}
+
 auto HttpListener::CloseIdle() -> void {
   impl_->CloseIdle();
 }
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -201,6 +201,10 @@
       co_await Answer(writer, kAccepted, "");
       co_return;
     }
+    if (stopped_) {
+      co_await RefuseJob(id, "this node stops", true, writer);
+      co_return;
+    }
     auto items = std::vector<JobItem>();
     auto problem = CheckSubmission(*incoming, id, items);
     if (!problem.empty()) {
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -64,12 +64,12 @@
 constexpr std::size_t kMaxAddresses = 64;
 // Before a first configuration is known it is worth asking again after this.
 constexpr milliseconds kStartingRetry{500};
-// A planned stop: callers use an address for up to three times its lifetime
-// after it was left out, and are then told to close their connections.
+// A planned stop: most callers have asked for addresses again after this, and
+// what is taken until then ends well before the process must have ended.
 constexpr milliseconds kStopCheck{50};
-constexpr milliseconds kIdleCloseAfter{2'500};
+constexpr milliseconds kServeOnFor{2'500};
 // Kept of the time for the stop, for the last answers to leave.
-constexpr milliseconds kStopMargin{1'200};
+constexpr milliseconds kStopMargin{500};
 // Descriptors that are kept for replicas, peers, the store and files.
 constexpr std::size_t kReservedDescriptors = 400;
 constexpr std::chrono::seconds kSettingsCheck{5};
@@ -831,15 +831,16 @@
       callers_->Drain();
     }
     auto timer = asio::steady_timer(context_);
-    while (SteadyNow() < last) {
+    while (callers_ && SteadyNow() < last) {
       timer.expires_after(kStopCheck);
       co_await timer.async_wait(kAwaitTuple);
-      const auto quiet = SteadyNow() - began >= kIdleCloseAfter;
-      if (!callers_ || (quiet && callers_->active_requests() == 0)) {
-        break;
+      if (SteadyNow() - began < kServeOnFor) {
+        continue;
       }
-      if (quiet) {
-        callers_->CloseIdle();
+      callers_->StopAccepting();
+      callers_->CloseIdle();
+      if (callers_->connections() == 0) {
+        break;
       }
     }
     logger_.Info("closing",
