Find the other nodes through the store at start

Cause: four of eight nodes restarted at once, all seeds among them, joined each other only and formed a fleet of their own for four seconds; both fleets took jobs over from each other and answered readers differently.

Nodes register their address in the store and list the others as seeds.

Ruled out: waiting longer before a takeover, which delays every real one.

--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -60,6 +60,13 @@
 // Replicas' entries change in groups, in releases above all; a node learns of a
 // change this much later, far within the time in which it must be known.
 constexpr milliseconds kReplicaSettle{200};
+// Where nodes register their addresses for each other.
+constexpr auto kNodePrefix = "gateways/";
+// The store answers in milliseconds; a node that starts while it is out goes on
+// without it.
+constexpr milliseconds kRegistryWait{700};
+constexpr milliseconds kSecondList{1'500};
+constexpr std::size_t kMaxSeeds = 500;
 // Where the directory answers with fewer addresses than there are nodes.
 constexpr std::size_t kMaxAddresses = 64;
 // Before a first configuration is known it is worth asking again after this.
@@ -175,7 +182,7 @@
     gossip_.RegisterHandlers(peer_server_);
     batch_.RegisterHandlers(peer_server_);
     peer_server_.Start();
-    gossip_.Start();
+    asio::co_spawn(context_, JoinFleet(), asio::detached);
     configuration_feed_.Start();
     replica_feed_.Start();
     batch_.Start();
@@ -521,6 +528,70 @@
     batch_.OnMembersChanged();
   }
 
+  // Finds the other nodes through the store, since the seeds of the settings may
+  // all be down or replaced; joins by the seeds alone when the store does not
+  // answer. Nodes that start together may miss each other in the first list, so
+  // a second one follows.
+  auto JoinFleet() -> awaitable<void> {
+    const auto last = SteadyNow() + kRegistryWait;
+    auto registered = false;
+    auto timer = asio::steady_timer(context_);
+    while (!registered && SteadyNow() < last) {
+      registered = co_await Register();
+      timer.expires_after(kStopCheck);
+      co_await timer.async_wait(kAwaitTuple);
+    }
+    gossip_.Start();
+    for (auto again = true; again && !stopping_;) {
+      timer.expires_after(kSecondList);
+      co_await timer.async_wait(kAwaitTuple);
+      again = !co_await Register();
+    }
+  }
+
+  // Lists the registered nodes as seeds and registers this one.
+  auto Register() -> awaitable<bool> {
+    const auto own_key = kNodePrefix + settings_.name.value();
+    const auto own_value = json(settings_.listen.nodes).dump();
+    auto failure = std::string();
+    try {
+      const auto page = co_await store_->List(
+          kNodePrefix, "", kMaxSeeds, store::CallClass::kConfiguration);
+      auto seeds = settings_.seeds;
+      auto own_version = std::optional<std::uint64_t>();
+      auto up_to_date = false;
+      for (const auto& entry : page.entries) {
+        if (entry.key == own_key) {
+          own_version = entry.version;
+          up_to_date = entry.value == own_value;
+        } else if (entry.value) {
+          AddSeed(*entry.value, seeds);
+        }
+      }
+      gossip_.SetSeeds(std::move(seeds));
+      if (!up_to_date) {
+        co_await store_->Write(own_key, own_value, own_version,
+                               store::CallClass::kConfiguration);
+      }
+    } catch (const Error& error) {
+      failure = error.what();
+    }
+    if (!failure.empty()) {
+      logger_.Warning("this node cannot register itself in the store yet",
+                      {{"event", "register_failed"}, {"reason", failure}});
+    }
+    co_return failure.empty();
+  }
+
+  // Entries of other writers are left out.
+  static auto AddSeed(const std::string& value, std::vector<std::string>& seeds)
+      -> void {
+    const auto address = json::parse(value, nullptr, false);
+    if (address.is_string()) {
+      seeds.push_back(address.get<std::string>());
+    }
+  }
+
   auto HasEnded(const NodeId& id) const -> bool {
     const auto record = gossip_.membership().Find(id);
     return record && (record->state == control::MemberState::kDead ||
