--- a/apps/kqg_disk_host.cc
+++ b/apps/kqg_disk_host.cc
@@ -1,13 +1,36 @@
-#include <csignal>
-#include <iostream>
-auto main() -> int {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGHUP);
-  sigprocmask(SIG_BLOCK, &signals, nullptr);
-  auto signal = 0;
-  while (sigwait(&signals, &signal) == 0 && signal != SIGTERM) {
-  }
-  return 0;
+#include <memory>
+#include <string>
+
+#include "apps/shared/program.h"
+#include "kumquatgauge/serving/disk_host.h"
+#include "platform/object_api.h"
+
+namespace {
+
+namespace platform = kumquatgauge::platform;
+namespace serving = kumquatgauge::serving;
+namespace store = kumquatgauge::store;
+
+auto RunDiskHost(serving::GatewaySettings settings, const std::string& /*path*/)
+    -> void {
+  auto parts = serving::DiskHostParts();
+  parts.request_prefix = platform::kRetirementPrefix;
+  parts.make_store = [](store::PlatformClient& client) {
+    auto api = std::make_unique<platform::ObjectApi>(client);
+    auto* reporter = api.get();
+    auto made = serving::DiskHostStore();
+    made.objects = std::move(api);
+    made.report_emptied = [reporter](std::string host) {
+      return reporter->ReportRetired(std::move(host));
+    };
+    return made;
+  };
+  serving::DiskHost(std::move(settings), std::move(parts)).Run();
+}
+
+}  // namespace
+
+auto main(int argc, char** argv) -> int {
+  return kumquatgauge::apps::RunProgram(argc, argv, "kqg-disk-host",
+                                        RunDiskHost);
 }
--- a/include/kumquatgauge/serving/batch_runner.h
+++ b/include/kumquatgauge/serving/batch_runner.h
@@ -39,6 +39,8 @@
   std::function<auto()->routing::NodeInfo> self;
   // Members that are alive, this node included.
   std::function<auto()->std::vector<routing::NodeInfo>> live;
+  // Nodes that share this node's part of the replicas, this node included.
+  std::function<auto()->std::size_t> sharers;
   // Whether a node is known to have died or stopped, rather than not known.
   std::function<auto(const NodeId&)->bool> has_ended;
   std::function<auto()->void> counts_changed;
--- a/include/kumquatgauge/serving/load_picture.h
+++ b/include/kumquatgauge/serving/load_picture.h
@@ -29,6 +29,9 @@
   // Difference of utilisation up to which a replica of this node's zone is
   // preferred; about one request on a replica of eight slots.
   double zone_margin = 0.05;
+  // A replica outside this node's cell is used when those inside are busier by
+  // more than this; its other senders do not tell this node their counts.
+  double cell_margin = 0.5;
   // The same for the replica that probably holds the prompt's shared parts.
   double affinity_margin = 0.2;
   // Weight of the newest sample in the moving average of holding times.
@@ -98,6 +101,11 @@
   // Replaces the replicas; those that stay, by id and start, keep their
   // figures.
   auto SetReplicas(const std::vector<routing::Replica>& replicas) -> void;
+  // Says which of the fleet's cells this node belongs to. The replicas of each
+  // service are dealt out to the cells, and nodes of one cell tell each other
+  // their counts, so that what a node sends and hears does not grow with the
+  // fleet. A service with too few replicas belongs to all cells.
+  auto SetCell(std::size_t place, std::size_t cells) -> void;
   // The address is served by another replica, or the replica said it is gone.
   auto MarkGone(const ReplicaId& replica) -> void;
 
@@ -121,10 +129,11 @@
   // Call about once a second.
   auto OnTick() -> routing::OutlierDetector::Changes;
 
-  // Batch items that may be started now in the whole fleet; negative when more
+  // Batch items that may be started now in this node's cell; negative when more
   // run than fit, so that some must yield to online requests.
   auto BatchRoom(const ServiceName& service) const -> std::int64_t;
-  // Requests in flight at a service by class, own and peers'.
+  // Requests in flight at a service's replicas of this cell by class, own and
+  // peers'.
   auto Total(const ServiceName& service) const -> InFlight;
   auto OwnBatch(const ServiceName& service) const -> std::uint32_t;
   // This node's requests by replica, for peers.
@@ -148,6 +157,7 @@
     InFlight peers;
     std::optional<Report> report;
     bool gone = false;
+    bool in_cell = true;
     MonotonicTime full_until;  // Refused for lack of room.
   };
   struct PeerCounts {
@@ -161,7 +171,10 @@
   // Requests that may wait at a replica and still be on time.
   auto QueueLimit(const State& state, Duration latency_target) const
       -> std::uint32_t;
+  auto DealOutReplicas() -> void;
   auto RebuildPeers() -> void;
+  // Adds the counts of one peer to the replicas', or takes them off.
+  auto Apply(const InFlightCounts& counts, bool add) -> void;
   auto ExpirePeers() -> void;
 
   LoadPictureSettings settings_;
@@ -173,6 +186,8 @@
   std::map<ServiceName, std::vector<ReplicaId>> services_;
   std::map<NodeId, PeerCounts> peers_;
   std::map<ServiceName, double> hold_s_;
+  std::size_t cell_ = 0;
+  std::size_t cells_ = 1;
 };
 
 }  // namespace kumquatgauge::serving
--- /dev/null
+++ b/src/serving/attempt_policy_test.cc
@@ -0,0 +1,120 @@
+#include "kumquatgauge/serving/attempt_policy.h"
+
+#include <catch2/catch.hpp>
+
+namespace kumquatgauge::serving {
+namespace {
+
+using upstream::CallEnd;
+
+auto History(RequestKind kind, bool resumable = false) -> AttemptHistory {
+  auto history = AttemptHistory();
+  history.kind = kind;
+  history.resumable = resumable;
+  history.max_attempts = 2;
+  history.may_have_run = 1;
+  history.attempts = 1;
+  history.time_left = std::chrono::seconds(2);
+  return history;
+}
+
+auto Broken() -> AttemptEnd {
+  return {CallEnd::kBroken, 0, false, true};
+}
+
+auto Answered(int status, bool not_run = false) -> AttemptEnd {
+  return {CallEnd::kComplete, status, not_run, true};
+}
+
+// Guards against a charge that is confirmed twice.
+TEST_CASE("AttemptPolicy.NeverRepeatsWhatMayHaveRunAtMostOnce") {
+  const auto history = History(RequestKind::kAtMostOnce);
+  for (const auto end : {CallEnd::kBroken, CallEnd::kSilent,
+                         CallEnd::kMalformed, CallEnd::kDeadline}) {
+    const auto step = DecideNextStep(history, {end, 0, false, true}).step;
+    CHECK(step != NextStep::kRetry);
+    CHECK(step != NextStep::kRefuse);
+  }
+}
+
+// Guards against "not run" said of a request whose bytes may have left.
+TEST_CASE("AttemptPolicy.AnswersUnknownAfterALostAnswer") {
+  const auto history = History(RequestKind::kAtMostOnce);
+  CHECK(DecideNextStep(history, Broken()).step == NextStep::kUnknown);
+}
+
+TEST_CASE("AttemptPolicy.RepeatsIdempotentRequestsWithinTheirAttempts") {
+  auto history = History(RequestKind::kIdempotent);
+  CHECK(DecideNextStep(history, Broken()).step == NextStep::kRetry);
+  history.may_have_run = 2;
+  CHECK(DecideNextStep(history, Broken()).step == NextStep::kUnknown);
+}
+
+// Guards against retries that feed an overload.
+TEST_CASE("AttemptPolicy.DoesNotRepeatWithoutBudget") {
+  auto history = History(RequestKind::kIdempotent);
+  history.retry_allowed = false;
+  CHECK(DecideNextStep(history, Broken()).step == NextStep::kUnknown);
+}
+
+TEST_CASE("AttemptPolicy.TriesElsewhereWhenTheReplicaDidNotRunIt") {
+  auto history = History(RequestKind::kAtMostOnce);
+  history.may_have_run = 0;
+  CHECK(DecideNextStep(history, Answered(503, true)).step ==
+        NextStep::kRetry);
+  const auto unsent = AttemptEnd{CallEnd::kNotSent, 0, false, false};
+  CHECK(DecideNextStep(history, unsent).step == NextStep::kRetry);
+  history.attempts = kMaxAttemptsNotRun;
+  CHECK(DecideNextStep(history, Answered(503, true)).step ==
+        NextStep::kRefuse);
+}
+
+// Guards against a false promise when an earlier attempt may have run.
+TEST_CASE("AttemptPolicy.DoesNotSayNotRunAfterAnEarlierLostAttempt") {
+  auto history = History(RequestKind::kIdempotent);
+  history.attempts = kMaxAttemptsNotRun;
+  CHECK(DecideNextStep(history, Answered(503, true)).step ==
+        NextStep::kUnknown);
+}
+
+// A 503 without the replica's word that nothing ran is no such promise.
+TEST_CASE("AttemptPolicy.DoesNotPassOnARefusalThatPromisesNothing") {
+  const auto history = History(RequestKind::kAtMostOnce);
+  CHECK(DecideNextStep(history, Answered(503)).step == NextStep::kUnknown);
+  CHECK(DecideNextStep(history, Answered(429)).step == NextStep::kUnknown);
+}
+
+TEST_CASE("AttemptPolicy.DeliversAFailureOfAReplicaThatRanIt") {
+  const auto history = History(RequestKind::kAtMostOnce);
+  CHECK(DecideNextStep(history, Answered(500)).step == NextStep::kDeliver);
+}
+
+// Guards against a stream that looks complete although it broke off.
+TEST_CASE("AttemptPolicy.BreaksOffABegunStreamThatCannotGoOn") {
+  auto history = History(RequestKind::kStream);
+  history.answer_begun = true;
+  CHECK(DecideNextStep(history, Broken()).step == NextStep::kBreakOff);
+}
+
+TEST_CASE("AttemptPolicy.GoesOnWithAResumableStreamEvenWithoutBudget") {
+  auto history = History(RequestKind::kStream, true);
+  history.answer_begun = true;
+  history.retry_allowed = false;
+  CHECK(DecideNextStep(history, Broken()).step == NextStep::kRetry);
+}
+
+TEST_CASE("AttemptPolicy.StopsWhenTheCallerHasLeft") {
+  const auto history = History(RequestKind::kIdempotent);
+  const auto cancelled = AttemptEnd{CallEnd::kCancelled, 0, false, true};
+  CHECK(DecideNextStep(history, cancelled).step == NextStep::kBreakOff);
+}
+
+TEST_CASE("AttemptPolicy.TimesOutAtTheDeadline") {
+  auto history = History(RequestKind::kIdempotent);
+  history.time_left = Duration::zero();
+  const auto late = AttemptEnd{CallEnd::kDeadline, 0, false, true};
+  CHECK(DecideNextStep(history, late).step == NextStep::kTimedOut);
+}
+
+}  // namespace
+}  // namespace kumquatgauge::serving
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -584,7 +584,7 @@
   // their counts reach each other a moment later.
   auto StartSome(const ServiceName& service, std::int64_t room, MonotonicTime now)
       -> void {
-    const auto nodes = 2 * std::max<std::size_t>(1, parts_.live().size());
+    const auto nodes = 2 * std::max<std::size_t>(1, parts_.sharers());
     const auto all = static_cast<std::uint64_t>(room);
     const auto part = all / nodes + Fraction(all % nodes, nodes);
     for (const auto& ref : schedule_.TakeStarts(service, part, now)) {
--- /dev/null
+++ b/src/serving/batch_schedule_test.cc
@@ -0,0 +1,150 @@
+#include "kumquatgauge/serving/batch_schedule.h"
+
+#include <catch2/catch.hpp>
+
+#include "testing/support/manual_clock.h"
+
+namespace kumquatgauge::serving {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ServiceName kService("chat");
+const JobId kEarly("early");
+const JobId kLate("late");
+
+struct Fixture {
+  auto Job(const JobId& id, Duration due, std::size_t items) const
+      -> ScheduledJob {
+    return {id,     kService, clock.now() + due, MonotonicTime::max(),
+            3,      items};
+  }
+
+  testing::ManualClock clock;
+  BatchSchedule schedule{BatchScheduleSettings()};
+};
+
+TEST_CASE("BatchSchedule.StartsTheJobThatIsDueFirst") {
+  auto fixture = Fixture();
+  fixture.schedule.Add(fixture.Job(kLate, seconds(40), 3), {});
+  fixture.schedule.Add(fixture.Job(kEarly, seconds(20), 2), {});
+  const auto starts =
+      fixture.schedule.TakeStarts(kService, 3, fixture.clock.now());
+  REQUIRE(starts.size() == 3);
+  CHECK(starts[0].job == kEarly);
+  CHECK(starts[1].job == kEarly);
+  CHECK(starts[2].job == kLate);
+}
+
+// Load pattern: a step up of online requests. Guards against losing the work of
+// items that are nearly done.
+TEST_CASE("BatchSchedule.YieldsTheItemsThatHaveComeLeastFar") {
+  auto fixture = Fixture();
+  fixture.schedule.Add(fixture.Job(kLate, seconds(40), 3), {});
+  fixture.schedule.TakeStarts(kService, 3, fixture.clock.now());
+  fixture.schedule.OnProgress({kLate, 0}, 100);
+  fixture.schedule.OnProgress({kLate, 1}, 5);
+  fixture.schedule.OnProgress({kLate, 2}, 50);
+  const auto yields =
+      fixture.schedule.TakeYields(kService, 2, fixture.clock.now());
+  REQUIRE(yields.size() == 2);
+  CHECK(yields[0].item == 1);
+  CHECK(yields[1].item == 2);
+}
+
+// Load pattern: online load that never leaves room. Guards against accepted
+// items that miss their due time because they always give way.
+TEST_CASE("BatchSchedule.StartsAndKeepsItemsWithoutSlack") {
+  auto fixture = Fixture();
+  fixture.schedule.Add(fixture.Job(kLate, seconds(18), 1), {});
+  CHECK(fixture.schedule.TakeStarts(kService, 0, fixture.clock.now()).empty());
+  fixture.clock.Advance(seconds(10));
+  CHECK(fixture.schedule.TakeStarts(kService, 0, fixture.clock.now()).size() ==
+        1);
+  CHECK(fixture.schedule.TakeYields(kService, 1, fixture.clock.now()).empty());
+}
+
+TEST_CASE("BatchSchedule.GoesOnWithAStoppedItem") {
+  auto fixture = Fixture();
+  fixture.schedule.Add(fixture.Job(kLate, seconds(40), 1), {});
+  fixture.schedule.TakeStarts(kService, 1, fixture.clock.now());
+  fixture.schedule.OnEnded({kLate, 0}, ItemEnd::kStopped, fixture.clock.now());
+  CHECK(fixture.schedule.TakeStarts(kService, 1, fixture.clock.now()).size() ==
+        1);
+}
+
+// Guards against an item that is tried for ever, and against one that is given
+// up too early.
+TEST_CASE("BatchSchedule.EndsAnItemAfterExactlyItsAttempts") {
+  auto fixture = Fixture();
+  fixture.schedule.Add(fixture.Job(kLate, seconds(400), 1), {});
+  for (auto attempt = 1; attempt <= 3; ++attempt) {
+    fixture.clock.Advance(seconds(10));
+    REQUIRE(fixture.schedule.TakeStarts(kService, 1, fixture.clock.now())
+                .size() == 1);
+    CHECK(fixture.schedule.OnEnded({kLate, 0}, ItemEnd::kFailed,
+                                   fixture.clock.now()) == (attempt == 3));
+  }
+  CHECK(fixture.schedule.unfinished(kLate) == 0);
+}
+
+TEST_CASE("BatchSchedule.WaitsLongerAfterEachFailure") {
+  auto fixture = Fixture();
+  fixture.schedule.Add(fixture.Job(kLate, seconds(400), 1), {});
+  fixture.schedule.TakeStarts(kService, 1, fixture.clock.now());
+  fixture.schedule.OnEnded({kLate, 0}, ItemEnd::kFailed, fixture.clock.now());
+  fixture.clock.Advance(milliseconds(199));
+  CHECK(fixture.schedule.TakeStarts(kService, 1, fixture.clock.now()).empty());
+  fixture.clock.Advance(milliseconds(1));
+  CHECK(fixture.schedule.TakeStarts(kService, 1, fixture.clock.now()).size() ==
+        1);
+}
+
+// Guards against items that run again because a new configuration came while
+// their results were being stored.
+TEST_CASE("BatchSchedule.KeepsFinishedItemsFinishedWhenAJobChanges") {
+  auto fixture = Fixture();
+  fixture.schedule.Add(fixture.Job(kLate, seconds(40), 2), {});
+  fixture.schedule.TakeStarts(kService, 2, fixture.clock.now());
+  fixture.schedule.OnEnded({kLate, 0}, ItemEnd::kFinished,
+                           fixture.clock.now());
+  auto moved = fixture.Job(kLate, seconds(40), 2);
+  moved.service = ServiceName("other");
+  fixture.schedule.Update(moved);
+  CHECK(fixture.schedule.unfinished(kLate) == 1);
+  CHECK(fixture.schedule.running(ServiceName("other")) == 1);
+}
+
+// Guards against an ended job whose items start again.
+TEST_CASE("BatchSchedule.DoesNotBringBackARemovedJob") {
+  auto fixture = Fixture();
+  fixture.schedule.Add(fixture.Job(kLate, seconds(40), 2), {});
+  fixture.schedule.Remove(kLate);
+  fixture.schedule.Update(fixture.Job(kLate, seconds(40), 2));
+  CHECK(fixture.schedule.TakeStarts(kService, 9, fixture.clock.now()).empty());
+}
+
+TEST_CASE("BatchSchedule.LeavesOutItemsThatHaveAResult") {
+  auto fixture = Fixture();
+  fixture.schedule.Add(fixture.Job(kLate, seconds(40), 3), {0, 2});
+  const auto starts =
+      fixture.schedule.TakeStarts(kService, 9, fixture.clock.now());
+  REQUIRE(starts.size() == 1);
+  CHECK(starts.front().item == 1);
+}
+
+TEST_CASE("BatchSchedule.GivesUpUnfinishedItemsAfterTheirTime") {
+  auto fixture = Fixture();
+  auto job = fixture.Job(kLate, seconds(10), 2);
+  job.give_up = fixture.clock.now() + seconds(60);
+  fixture.schedule.Add(job, {1});
+  CHECK(fixture.schedule.TakeGivenUp(fixture.clock.now()).empty());
+  fixture.clock.Advance(seconds(60));
+  const auto given_up = fixture.schedule.TakeGivenUp(fixture.clock.now());
+  REQUIRE(given_up.size() == 1);
+  CHECK(given_up.front() == ItemRef{kLate, 0});
+}
+
+}  // namespace
+}  // namespace kumquatgauge::serving
--- /dev/null
+++ b/src/serving/disk_host.cc
@@ -0,0 +1,167 @@
+#include "kumquatgauge/serving/disk_host.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <random>
+#include <utility>
+
+#include "kumquatgauge/base/error.h"
+#include "kumquatgauge/base/log.h"
+#include "kumquatgauge/serving/store_feed.h"
+
+namespace kumquatgauge::serving {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
+// Bounds how late a request is noticed when the store forgets a watch; requests
+// give a host several seconds to empty itself.
+constexpr std::chrono::milliseconds kWatchTime{4'000};
+constexpr std::chrono::milliseconds kReportPause{300};
+
+auto SteadyNow() -> MonotonicTime {
+  return std::chrono::steady_clock::now();
+}
+
+auto DrawRandom() -> std::uint64_t {
+  static auto generator = std::mt19937_64(std::random_device{}());
+  return generator();
+}
+
+auto MakeStoreOptions(const GatewaySettings& settings)
+    -> store::PlatformOptions {
+  auto options = store::PlatformOptions();
+  options.address = settings.store.address;
+  options.limits.fleet_reads = settings.store.reads_per_second;
+  options.limits.fleet_writes = settings.store.writes_per_second;
+  return options;
+}
+
+}  // namespace
+
+class DiskHost::Impl {
+ public:
+  Impl(GatewaySettings settings, DiskHostParts parts)
+      : settings_(std::move(settings)),
+        parts_(std::move(parts)),
+        client_(context_.get_executor(),
+                MakeStoreOptions(settings_),
+                SteadyNow,
+                DrawRandom),
+        store_(parts_.make_store(client_)),
+        feed_(context_.get_executor(),
+              *store_.objects,
+              {.prefix = parts_.request_prefix},
+              MakeHooks(),
+              DrawRandom),
+        signals_(context_, SIGTERM, SIGHUP) {}
+
+  auto Run() -> void {
+    logger_.Info("starting", {{"event", "start"}, {"version", KQG_VERSION}});
+    AwaitSignal();
+    feed_.Start();
+    context_.run();
+    logger_.Info("stopped", {{"event", "stop"}});
+  }
+
+ private:
+  auto MakeHooks() -> StoreFeedHooks {
+    auto hooks = StoreFeedHooks();
+    hooks.watch_time = [] { return std::optional(kWatchTime); };
+    hooks.snapshot = [this](const std::vector<store::ListEntry>& entries,
+                            std::uint64_t /*revision*/) {
+      for (const auto& entry : entries) {
+        OnRequest(entry.key);
+      }
+    };
+    hooks.event = [this](const store::WatchEvent& event) {
+      if (event.version != 0) {
+        OnRequest(event.key);
+      }
+    };
+    hooks.lost = [this](const std::string& reason) {
+      if (!std::exchange(lost_, true)) {
+        logger_.Warning("the store does not answer",
+                        {{"event", "store_lost"}, {"reason", reason}});
+      }
+    };
+    hooks.answered = [this] {
+      if (std::exchange(lost_, false)) {
+        logger_.Info("the store answers again", {{"event", "store_regained"}});
+      }
+    };
+    return hooks;
+  }
+
+  auto OnRequest(const std::string& key) -> void {
+    const auto own = parts_.request_prefix + settings_.name.value();
+    if (key != own || std::exchange(reporting_, true)) {
+      return;
+    }
+    asio::co_spawn(context_, Report(), asio::detached);
+  }
+
+  auto Report() -> awaitable<void> {
+    auto timer = asio::steady_timer(context_);
+    for (auto reported = false; !reported;) {
+      auto failure = std::string();
+      try {
+        co_await store_.report_emptied(settings_.name.value());
+        reported = true;
+      } catch (const Error& error) {
+        failure = error.what();
+      }
+      logger_.Info("this host is to be emptied and holds nothing",
+                   {{"event", "host_emptied"},
+                    {"reported", reported ? "true" : "false"},
+                    {"reason", failure}});
+      if (!reported) {
+        timer.expires_after(kReportPause);
+        co_await timer.async_wait(kAwaitTuple);
+      }
+    }
+    reporting_ = false;
+  }
+
+  auto AwaitSignal() -> void {
+    signals_.async_wait(
+        [this](const boost::system::error_code& error, int signal) {
+          if (!error && signal == SIGHUP) {
+            logger_.Info("nothing to read again", {{"event", "reload"}});
+            AwaitSignal();
+          } else if (!error) {
+            context_.stop();
+          }
+        });
+  }
+
+  GatewaySettings settings_;
+  DiskHostParts parts_;
+  Logger logger_{"disk"};
+  asio::io_context context_{1};
+  store::PlatformClient client_;
+  DiskHostStore store_;
+  StoreFeed feed_;
+  asio::signal_set signals_;
+  bool lost_ = false;
+  bool reporting_ = false;
+};
+
+DiskHost::DiskHost(GatewaySettings settings, DiskHostParts parts)
+    : impl_(std::make_unique<Impl>(std::move(settings), std::move(parts))) {}
+
+DiskHost::~DiskHost() = default;
+
+auto DiskHost::Run() -> void {
+  impl_->Run();
+}
+
+}  // namespace kumquatgauge::serving
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -20,6 +20,7 @@
 #include "kumquatgauge/node/gossip.h"
 #include "kumquatgauge/node/peer_client.h"
 #include "kumquatgauge/node/peer_server.h"
+#include "kumquatgauge/routing/rendezvous.h"
 #include "kumquatgauge/routing/retry_budget.h"
 #include "kumquatgauge/serving/batch_runner.h"
 #include "kumquatgauge/serving/forwarder.h"
@@ -54,9 +55,9 @@
 // while it has requests in flight, well under the time after which they expire.
 constexpr milliseconds kCountsInterval{40};
 constexpr milliseconds kCountsRepeat{500};
-// Each node may receive this many count datagrams a second, so that their cost
-// does not grow with the fleet.
-constexpr std::size_t kCountsPerSecond = 250;
+// Nodes that share a part of the replicas and tell each other their counts. A
+// larger cell evens out load better; each node hears from all others of it.
+constexpr std::size_t kNodesPerCell = 8;
 // Replicas' entries change in groups, in releases above all; a node learns of a
 // change this much later, far within the time in which it must be known.
 constexpr milliseconds kReplicaSettle{200};
@@ -240,6 +241,7 @@
             .configuration = [this] { return configuration_; },
             .self = [this] { return gossip_.membership().self(); },
             .live = [this] { return gossip_.membership().live(); },
+            .sharers = [this] { return cell_peers_.size() + 1; },
             .has_ended = [this](const NodeId& id) { return HasEnded(id); },
             .counts_changed = [this] { OnCountsChanged(); },
             .announce = [this](const JobId& job) { Announce(job); },
@@ -521,6 +523,7 @@
       }
     }
     peers_ = std::move(alive);
+    ChooseCell(nodes);
     const auto size = static_cast<std::uint32_t>(std::max<std::size_t>(
         1, nodes.size()));
     store_client_.SetFleetSize(size);
@@ -592,6 +595,37 @@
     }
   }
 
+  // Deals the nodes out to cells of about kNodesPerCell, alike on all nodes that
+  // know the same members.
+  auto ChooseCell(const std::vector<routing::NodeInfo>& nodes) -> void {
+    auto order = std::vector<std::pair<std::uint64_t, routing::NodeInfo>>();
+    for (const auto& node : nodes) {
+      if (!node.leaving) {
+        order.emplace_back(routing::RendezvousHash(node.id.value()), node);
+      }
+    }
+    std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+      return std::pair(a.first, a.second.id) < std::pair(b.first, b.second.id);
+    });
+    const auto cells = std::max<std::size_t>(1, order.size() / kNodesPerCell);
+    const auto cell_of = [&](std::size_t at) {
+      return at * cells / order.size();
+    };
+    auto own = std::size_t{0};
+    for (std::size_t at = 0; at < order.size(); ++at) {
+      if (order[at].second.id == settings_.name) {
+        own = cell_of(at);
+      }
+    }
+    cell_peers_.clear();
+    for (std::size_t at = 0; at < order.size(); ++at) {
+      if (cell_of(at) == own && order[at].second.id != settings_.name) {
+        cell_peers_.push_back(order[at].second.node_address);
+      }
+    }
+    picture_.SetCell(own, cells);
+  }
+
   auto HasEnded(const NodeId& id) const -> bool {
     const auto record = gossip_.membership().Find(id);
     return record && (record->state == control::MemberState::kDead ||
@@ -640,11 +674,7 @@
     if (std::exchange(counts_pending_, true)) {
       return;
     }
-    const auto by_budget = milliseconds(
-        1'000 * static_cast<std::int64_t>(peers_.size()) /
-        static_cast<std::int64_t>(kCountsPerSecond));
-    const auto interval = std::max(kCountsInterval, by_budget);
-    counts_timer_.expires_at(counts_sent_ + interval);
+    counts_timer_.expires_at(counts_sent_ + kCountsInterval);
     counts_timer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) {
         counts_pending_ = false;
@@ -665,9 +695,9 @@
     }
     counts_empty_ = entries.empty();
     message["c"] = std::move(entries);
-    ForEachPeer([&](const std::string& address) {
+    for (const auto& address : cell_peers_) {
       gossip_.SendDatagram(address, message);
-    });
+    }
   }
 
   auto Announce(const JobId& job) -> void {
@@ -957,6 +987,7 @@
   std::shared_ptr<const Configuration> configuration_;
   std::string raw_configuration_;
   std::vector<NodeId> peers_;
+  std::vector<std::string> cell_peers_;  // Addresses.
   MonotonicTime counts_sent_;
   bool counts_pending_ = false;
   bool counts_empty_ = true;
--- /dev/null
+++ b/src/serving/job_archive_test.cc
@@ -0,0 +1,134 @@
+#include "kumquatgauge/serving/job_archive.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include "kumquatgauge/base/error.h"
+#include "testing/support/memory_object_store.h"
+#include "testing/support/run_awaitable.h"
+#include "testing/support/unreliable_object_store.h"
+
+namespace kumquatgauge::serving {
+namespace {
+
+using testing::RunAwaitable;
+using testing::StoreFault;
+
+const JobId kJob("7c41");
+
+auto MakeRecord() -> JobRecord {
+  return {kJob, "host.example", "/jobs/1", 1'000, R"({"items":[1,2]})"};
+}
+
+auto MakeState(const std::string& owner) -> JobState {
+  return {kJob, NodeId(owner), 5, 1'000, 2, false, false};
+}
+
+auto MakeChunk(const std::string& writer, std::vector<std::string> items)
+    -> ResultChunk {
+  auto chunk = ResultChunk{kJob, 0, writer, {}};
+  for (auto& item : items) {
+    chunk.results.push_back({item, true, "text of " + item});
+  }
+  return chunk;
+}
+
+struct Fixture {
+  boost::asio::io_context context;
+  testing::MemoryObjectStore store;
+  JobArchive archive{store};
+};
+
+TEST_CASE("JobArchive.KeepsRecordAndState") {
+  auto fixture = Fixture();
+  RunAwaitable(fixture.context,
+               fixture.archive.Create(MakeRecord(), MakeState("n1")));
+  CHECK(RunAwaitable(fixture.context, fixture.archive.LoadRecord(kJob)) ==
+        MakeRecord());
+  const auto state =
+      RunAwaitable(fixture.context, fixture.archive.LoadState(kJob));
+  REQUIRE(state);
+  CHECK(state->state == MakeState("n1"));
+}
+
+// Guards against a job that is accepted twice when its 202 was lost.
+TEST_CASE("JobArchive.GivesTheFirstStateWhenAJobComesAgain") {
+  auto fixture = Fixture();
+  RunAwaitable(fixture.context,
+               fixture.archive.Create(MakeRecord(), MakeState("n1")));
+  const auto again = RunAwaitable(
+      fixture.context, fixture.archive.Create(MakeRecord(), MakeState("n2")));
+  CHECK(again.state.owner == NodeId("n1"));
+}
+
+// Guards against a submission larger than one value of the store.
+TEST_CASE("JobArchive.SplitsLargeSubmissionsAndJoinsThemAgain") {
+  auto fixture = Fixture();
+  auto record = MakeRecord();
+  // Two-byte characters, so that a part could end inside one.
+  for (auto count = 0; count < 700'000; ++count) {
+    record.submission += "\xC3\xA9";
+  }
+  RunAwaitable(fixture.context,
+               fixture.archive.Create(record, MakeState("n1")));
+  CHECK(RunAwaitable(fixture.context, fixture.archive.LoadRecord(kJob)) ==
+        record);
+}
+
+// Guards against "not run" said of a job whose state may have been stored.
+TEST_CASE("JobArchive.SettlesALostAnswerByReadingBack") {
+  auto fixture = Fixture();
+  fixture.store.set_fault_hook(
+      [](const std::string& call, const std::string& key) {
+        return call == "write" && key == StateKey(kJob)
+                   ? StoreFault::kLoseAnswer
+                   : StoreFault::kNone;
+      });
+  const auto stored = RunAwaitable(
+      fixture.context, fixture.archive.Create(MakeRecord(), MakeState("n1")));
+  CHECK(stored.state == MakeState("n1"));
+}
+
+// Guards against a position that is given twice by two owners of a job.
+TEST_CASE("JobArchive.GivesTheStoredChunkToTheLaterWriter") {
+  auto fixture = Fixture();
+  const auto first = MakeChunk("n1.1", {"a", "b"});
+  const auto second = MakeChunk("n2.1", {"c"});
+  CHECK(RunAwaitable(fixture.context, fixture.archive.Append(first)) == first);
+  CHECK(RunAwaitable(fixture.context, fixture.archive.Append(second)) ==
+        first);
+}
+
+TEST_CASE("JobArchive.ReplacesAStateOnlyAtItsVersion") {
+  auto fixture = Fixture();
+  const auto created = RunAwaitable(
+      fixture.context, fixture.archive.Create(MakeRecord(), MakeState("n1")));
+  auto ended = created.state;
+  ended.ended = true;
+  const auto replaced = RunAwaitable(
+      fixture.context, fixture.archive.ReplaceState(ended, created.version));
+  REQUIRE(replaced);
+  CHECK(replaced->state.ended);
+  CHECK_FALSE(RunAwaitable(
+      fixture.context,
+      fixture.archive.ReplaceState(MakeState("n2"), created.version)));
+}
+
+TEST_CASE("JobArchive.RemovesEverythingOfAJob") {
+  auto fixture = Fixture();
+  const auto created = RunAwaitable(
+      fixture.context, fixture.archive.Create(MakeRecord(), MakeState("n1")));
+  RunAwaitable(fixture.context,
+               fixture.archive.Append(MakeChunk("n1.1", {"a", "b"})));
+  RunAwaitable(fixture.context,
+               fixture.archive.Remove(created.state, created.version));
+  CHECK(fixture.store.objects().empty());
+}
+
+TEST_CASE("JobArchive.RejectsAStateOfAnotherWriter") {
+  CHECK_THROWS_AS(DecodeState(kJob, R"({"owner":5})"), Error);
+  CHECK_THROWS_AS(DecodeState(kJob, "no json"), Error);
+}
+
+}  // namespace
+}  // namespace kumquatgauge::serving
--- a/src/serving/load_picture.cc
+++ b/src/serving/load_picture.cc
@@ -76,9 +76,33 @@
   }
   states_ = std::move(states);
   outliers_.SetReplicas(replicas);
+  DealOutReplicas();
   RebuildPeers();
 }
 
+auto LoadPicture::SetCell(std::size_t place, std::size_t cells) -> void {
+  cell_ = place;
+  cells_ = std::max<std::size_t>(1, cells);
+  DealOutReplicas();
+}
+
+auto LoadPicture::DealOutReplicas() -> void {
+  // With fewer a cell would depend on a single replica.
+  constexpr std::size_t kLeastPerCell = 2;
+  for (const auto& [service, ids] : services_) {
+    auto order = std::vector<std::pair<std::uint64_t, ReplicaId>>();
+    for (const auto& id : ids) {
+      order.emplace_back(states_.at(id).hash, id);
+    }
+    std::sort(order.begin(), order.end());
+    const auto shared = order.size() < kLeastPerCell * cells_;
+    for (std::size_t at = 0; at < order.size(); ++at) {
+      states_.at(order[at].second).in_cell =
+          shared || at * cells_ / order.size() == cell_;
+    }
+  }
+}
+
 auto LoadPicture::MarkGone(const ReplicaId& replica) -> void {
   const auto found = states_.find(replica);
   if (found != states_.end()) {
@@ -90,7 +114,11 @@
                            const ChoiceRequest& request) const -> bool {
   const auto tried =
       std::find(request.tried.begin(), request.tried.end(), state.replica.id);
-  return !state.gone && !state.replica.leaving && tried == request.tried.end();
+  // Room for batch is only known inside the cell.
+  const auto foreign =
+      request.work_class == WorkClass::kBatch && !state.in_cell;
+  return !state.gone && !state.replica.leaving && !foreign &&
+         tried == request.tried.end();
 }
 
 // Peers send counts at intervals and the replica's figure is dated, so neither
@@ -112,6 +140,9 @@
   if (state.replica.zone != zone_) {
     score += settings_.zone_margin;
   }
+  if (!state.in_cell) {
+    score += settings_.cell_margin;
+  }
   if (clock_() < state.full_until) {
     score += 1.0;
   }
@@ -153,7 +184,7 @@
       continue;
     }
     ++choice.candidates;
-    if (request.affinity != 0) {
+    if (request.affinity != 0 && state.in_cell) {
       const auto rank = routing::RendezvousScore(request.affinity, state.hash);
       if (holder == nullptr || rank > preferred) {
         holder = &state;
@@ -252,8 +283,10 @@
 
 auto LoadPicture::OnPeerCounts(const NodeId& peer, InFlightCounts counts)
     -> void {
-  peers_[peer] = {std::move(counts), clock_()};
-  RebuildPeers();
+  auto& known = peers_[peer];
+  Apply(known.counts, false);
+  Apply(counts, true);
+  known = {std::move(counts), clock_()};
 }
 
 auto LoadPicture::ForgetPeer(const NodeId& peer) -> void {
@@ -261,6 +294,23 @@
   RebuildPeers();
 }
 
+auto LoadPicture::Apply(const InFlightCounts& counts, bool add) -> void {
+  for (const auto& [id, in_flight] : counts) {
+    const auto found = states_.find(id);
+    if (found == states_.end()) {
+      continue;
+    }
+    auto& sum = found->second.peers;
+    if (add) {
+      sum.online += in_flight.online;
+      sum.batch += in_flight.batch;
+    } else {
+      sum.online -= std::min(sum.online, in_flight.online);
+      sum.batch -= std::min(sum.batch, in_flight.batch);
+    }
+  }
+}
+
 auto LoadPicture::ExpirePeers() -> void {
   const auto oldest = clock_() - settings_.peer_counts_expire;
   const auto erased = std::erase_if(
@@ -275,13 +325,7 @@
     state.peers = {};
   }
   for (const auto& [peer, entry] : peers_) {
-    for (const auto& [id, counts] : entry.counts) {
-      const auto found = states_.find(id);
-      if (found != states_.end()) {
-        found->second.peers.online += counts.online;
-        found->second.peers.batch += counts.batch;
-      }
-    }
+    Apply(entry.counts, true);
   }
 }
 
@@ -306,7 +350,7 @@
   }
   for (const auto& id : found->second) {
     const auto& state = states_.at(id);
-    if (state.gone || state.replica.leaving) {
+    if (state.gone || state.replica.leaving || !state.in_cell) {
       continue;
     }
     total.online += state.own.online + state.peers.online;
@@ -346,7 +390,7 @@
     const auto& state = states_.at(id);
     const auto ejected =
         outliers_.state(id) == routing::EjectionState::kEjected;
-    if (!state.gone && !state.replica.leaving && !ejected) {
+    if (!state.gone && !state.replica.leaving && !ejected && state.in_cell) {
       all += state.replica.capacity;
     }
   }
--- /dev/null
+++ b/src/serving/load_picture_test.cc
@@ -0,0 +1,208 @@
+#include "kumquatgauge/serving/load_picture.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+
+#include "testing/support/manual_clock.h"
+
+namespace kumquatgauge::serving {
+namespace {
+
+using routing::Replica;
+using routing::WorkClass;
+using std::chrono::milliseconds;
+
+const ServiceName kService("chat");
+const ZoneName kZone("a");
+constexpr std::uint32_t kSlots = 8;
+
+auto MakeReplica(const std::string& id) -> Replica {
+  auto replica = Replica();
+  replica.id = ReplicaId(id);
+  replica.service = kService;
+  replica.address = "10.0.0.1:" + std::to_string(1000 + id.back());
+  replica.zone = kZone;
+  replica.capacity = kSlots;
+  return replica;
+}
+
+struct Fixture {
+  Fixture() {
+    picture.SetReplicas({MakeReplica("r1"), MakeReplica("r2"),
+                         MakeReplica("r3")});
+  }
+
+  auto Request() const -> ChoiceRequest {
+    auto request = ChoiceRequest();
+    request.service = kService;
+    request.latency_target = milliseconds(300);
+    return request;
+  }
+
+  auto SendOne() -> Choice {
+    auto choice = picture.Choose(Request());
+    if (choice.replica) {
+      picture.OnStarted(choice.replica->id, WorkClass::kOnline);
+    }
+    return choice;
+  }
+
+  testing::ManualClock clock;
+  std::mt19937_64 random{7};
+  LoadPicture picture{LoadPictureSettings(), kZone, clock.AsHook(),
+                      [this] { return random(); }};
+};
+
+// Guards against a herd on the replica that reported last.
+TEST_CASE("LoadPicture.SpreadsABurstEvenlyWithoutFurtherReports") {
+  auto fixture = Fixture();
+  fixture.picture.OnReport(ReplicaId("r2"), 0, 0);
+  auto sent = std::map<ReplicaId, int>();
+  for (auto request = 0; request < 12; ++request) {
+    ++sent[fixture.SendOne().replica->id];
+  }
+  CHECK(sent[ReplicaId("r1")] == 4);
+  CHECK(sent[ReplicaId("r2")] == 4);
+  CHECK(sent[ReplicaId("r3")] == 4);
+}
+
+// Load pattern: a step to more than the slots. Guards against requests that
+// queue while a slot is free.
+TEST_CASE("LoadPicture.FillsEveryFreeSlotBeforeAnyRequestQueues") {
+  auto fixture = Fixture();
+  for (auto request = 0U; request < 3 * kSlots; ++request) {
+    REQUIRE(fixture.SendOne().room == Room::kFree);
+  }
+  CHECK(fixture.SendOne().room == Room::kQueued);
+}
+
+// Guards against a queue at the replicas in which requests miss their target.
+TEST_CASE("LoadPicture.IsFullOnceFurtherRequestsWouldBeLate") {
+  auto fixture = Fixture();
+  fixture.picture.OnHeld(kService, milliseconds(800));
+  auto queued = 0;
+  while (fixture.SendOne().room != Room::kFull && queued < 100) {
+    ++queued;
+  }
+  // 0.4 of 300 ms, with a slot of 8 becoming free each 100 ms: one each.
+  CHECK(queued == 3 * (kSlots + 1));
+}
+
+// Guards against counting only this node's own requests.
+TEST_CASE("LoadPicture.AvoidsReplicasThatPeersHaveFilled") {
+  auto fixture = Fixture();
+  fixture.picture.OnPeerCounts(
+      NodeId("n2"), {{ReplicaId("r1"), {8, 0}}, {ReplicaId("r2"), {6, 2}}});
+  for (auto request = 0; request < 4; ++request) {
+    CHECK(fixture.SendOne().replica->id == ReplicaId("r3"));
+  }
+}
+
+// Guards against replicas that stay shut because a lost peer had filled them.
+TEST_CASE("LoadPicture.ForgetsCountsOfAPeerThatFellSilent") {
+  auto fixture = Fixture();
+  fixture.picture.OnPeerCounts(NodeId("n2"), {{ReplicaId("r1"), {8, 0}},
+                                              {ReplicaId("r2"), {8, 0}},
+                                              {ReplicaId("r3"), {8, 0}}});
+  fixture.clock.Advance(std::chrono::seconds(3));
+  fixture.picture.OnTick();
+  CHECK(fixture.picture.Total(kService).total() == 0);
+}
+
+TEST_CASE("LoadPicture.UsesNoReplicaThatLeavesIsGoneOrWasTried") {
+  auto fixture = Fixture();
+  auto leaving = MakeReplica("r1");
+  leaving.leaving = true;
+  fixture.picture.SetReplicas(
+      {leaving, MakeReplica("r2"), MakeReplica("r3")});
+  fixture.picture.MarkGone(ReplicaId("r2"));
+  auto request = fixture.Request();
+  request.tried = {ReplicaId("r3")};
+  CHECK(fixture.picture.Choose(request).room == Room::kNoReplica);
+}
+
+// Guards against work sent to a replica that answers nothing, and against
+// shutting it out for ever.
+TEST_CASE("LoadPicture.AvoidsAFailingReplicaAndProbesItLater") {
+  auto fixture = Fixture();
+  fixture.picture.OnFailure(ReplicaId("r1"));
+  fixture.picture.OnFailure(ReplicaId("r1"));
+  for (auto request = 0; request < 10; ++request) {
+    CHECK(fixture.SendOne().replica->id != ReplicaId("r1"));
+  }
+  fixture.clock.Advance(std::chrono::seconds(2));
+  fixture.picture.OnTick();
+  auto probed = false;
+  for (auto request = 0; request < 4; ++request) {
+    probed = fixture.SendOne().replica->id == ReplicaId("r1") || probed;
+  }
+  CHECK(probed);
+}
+
+// A replica that restarts under its id may be used again at once.
+TEST_CASE("LoadPicture.UsesAReplicaAgainAfterItsRestart") {
+  auto fixture = Fixture();
+  fixture.picture.MarkGone(ReplicaId("r1"));
+  auto restarted = MakeReplica("r1");
+  restarted.started_ms = 5;
+  fixture.picture.SetReplicas({restarted});
+  CHECK(fixture.SendOne().replica->id == ReplicaId("r1"));
+}
+
+// Load pattern: online in steps, batch in the troughs. Guards against batch
+// that takes the slots of the next step's first requests.
+TEST_CASE("LoadPicture.LeavesBatchOnlyWhatOnlineAndTheReserveLeave") {
+  auto fixture = Fixture();
+  CHECK(fixture.picture.BatchRoom(kService) == 21);  // 24 less a tenth.
+  fixture.picture.OnPeerCounts(NodeId("n2"), {{ReplicaId("r1"), {8, 0}},
+                                              {ReplicaId("r2"), {8, 0}},
+                                              {ReplicaId("r3"), {2, 6}}});
+  CHECK(fixture.picture.BatchRoom(kService) == -3);
+}
+
+// Load pattern: a fleet of many nodes. Guards against counts that must go to
+// every node, and against a cell that refuses while others are idle.
+TEST_CASE("LoadPicture.KeepsToItsCellUntilThatIsMuchBusier") {
+  auto fixture = Fixture();
+  auto replicas = std::vector<Replica>();
+  for (auto at = 0; at < 8; ++at) {
+    replicas.push_back(MakeReplica("r" + std::to_string(at)));
+  }
+  fixture.picture.SetReplicas(replicas);
+  fixture.picture.SetCell(1, 4);
+  CHECK(fixture.picture.slots(kService) == 2 * kSlots);
+  auto used = std::map<ReplicaId, int>();
+  for (auto request = 0; request < 8; ++request) {
+    ++used[fixture.SendOne().replica->id];
+  }
+  CHECK(used.size() == 2);
+  for (auto request = 0; request < 16; ++request) {
+    const auto choice = fixture.SendOne();
+    CHECK(choice.room == Room::kFree);
+    ++used[choice.replica->id];
+  }
+  CHECK(used.size() == 8);
+}
+
+TEST_CASE("LoadPicture.SharesAServiceOfFewReplicasAmongAllCells") {
+  auto fixture = Fixture();
+  fixture.picture.SetCell(3, 4);
+  CHECK(fixture.picture.slots(kService) == 3 * kSlots);
+}
+
+// Guards against a caller that loses its affinity to a full replica's queue.
+TEST_CASE("LoadPicture.KeepsEqualPromptsTogetherWithinBoundedLoad") {
+  auto fixture = Fixture();
+  auto request = fixture.Request();
+  request.affinity = 99;
+  const auto home = fixture.picture.Choose(request).replica->id;
+  CHECK(fixture.picture.Choose(request).replica->id == home);
+  for (auto sent = 0U; sent < kSlots; ++sent) {
+    fixture.picture.OnStarted(home, WorkClass::kOnline);
+  }
+  CHECK(fixture.picture.Choose(request).replica->id != home);
+}
+
+}  // namespace
+}  // namespace kumquatgauge::serving
--- /dev/null
+++ b/src/serving/replica_table_test.cc
@@ -0,0 +1,139 @@
+#include "kumquatgauge/serving/replica_table.h"
+
+#include <catch2/catch.hpp>
+
+#include "testing/support/manual_clock.h"
+
+namespace kumquatgauge::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Values are the replica's address; "leaving" and "malformed" say so.
+auto Decode(const ReplicaId& id, const std::string& value)
+    -> std::optional<routing::Replica> {
+  if (value == "malformed") {
+    return std::nullopt;
+  }
+  auto replica = routing::Replica();
+  replica.id = id;
+  replica.address = value;
+  replica.leaving = value == "leaving";
+  return replica;
+}
+
+auto Entry(const std::string& id, std::uint64_t revision, std::string value)
+    -> EntryChange {
+  return {ReplicaId(id), revision, std::move(value), Duration::zero()};
+}
+
+auto Gone(const std::string& id, std::uint64_t revision) -> EntryChange {
+  return {ReplicaId(id), revision, std::nullopt, Duration::zero()};
+}
+
+struct Fixture {
+  Fixture() {
+    table.OnSnapshot({Entry("r1", 3, "one"), Entry("r2", 4, "two")}, 10);
+  }
+
+  testing::ManualClock clock;
+  ReplicaTable table{Decode, clock.AsHook()};
+};
+
+TEST_CASE("ReplicaTable.DropsAReplicaWhoseEntryIsRemoved") {
+  auto fixture = Fixture();
+  CHECK(fixture.table.OnChange(Gone("r1", 11)));
+  CHECK(fixture.table.replicas().size() == 1);
+}
+
+// Guards against one malformed entry that hides the sound ones.
+TEST_CASE("ReplicaTable.IgnoresMalformedEntriesAndKeepsTheOthers") {
+  auto fixture = Fixture();
+  fixture.table.OnSnapshot({Entry("r1", 3, "one"), Entry("r2", 4, "two"),
+                            Entry("r3", 12, "malformed")},
+                           12);
+  CHECK(fixture.table.replicas().size() == 2);
+}
+
+// Leases lapse in an outage with nobody to renew them. Guards against refusing
+// all traffic at the store's return.
+TEST_CASE("ReplicaTable.KeepsReplicasThatLapseInAnOutageForTheReturnTime") {
+  auto fixture = Fixture();
+  fixture.table.OnStoreLost();
+  fixture.clock.Advance(std::chrono::seconds(5));
+  fixture.table.OnStoreAnswered();
+  fixture.table.OnSnapshot({}, 20);
+  CHECK(fixture.table.replicas().size() == 2);
+  fixture.table.OnChange(Entry("r1", 21, "one"));
+  fixture.clock.Advance(kEntryReturnTime + milliseconds(1));
+  CHECK(fixture.table.OnTick());
+  REQUIRE(fixture.table.replicas().size() == 1);
+  CHECK(fixture.table.replicas().front().id == ReplicaId("r1"));
+}
+
+// Guards against a request to a replica that had left long ago, because the
+// watch that told of it was the first answer after an outage.
+TEST_CASE("ReplicaTable.DropsAtOnceWhenTheStoreHasBeenBackForLong") {
+  auto fixture = Fixture();
+  fixture.table.OnStoreLost();
+  fixture.table.OnStoreAnswered();
+  fixture.clock.Advance(kEntryReturnTime + milliseconds(1));
+  CHECK(fixture.table.OnChange(Gone("r1", 30)));
+}
+
+// Guards against a node that stopped following the store in an outage and kept
+// replicas for ever.
+TEST_CASE("ReplicaTable.DropsAtOnceWhenOthersFollowTheStore") {
+  auto fixture = Fixture();
+  fixture.table.OnStoreLost();
+  fixture.table.OnStoreNotWatched();
+  CHECK(fixture.table.OnChange(Gone("r1", 30)));
+}
+
+TEST_CASE("ReplicaTable.DropsALeavingReplicaEvenInAnOutage") {
+  auto fixture = Fixture();
+  fixture.table.OnChange(Entry("r1", 11, "leaving"));
+  fixture.table.OnStoreLost();
+  CHECK(fixture.table.OnChange(Gone("r1", 12)));
+}
+
+// Guards against an old entry that overtakes a new one on its way here.
+TEST_CASE("ReplicaTable.IgnoresChangesThatAreNotNewer") {
+  auto fixture = Fixture();
+  fixture.table.OnChange(Entry("r1", 15, "leaving"));
+  CHECK_FALSE(fixture.table.OnChange(Entry("r1", 14, "one")));
+  CHECK(fixture.table.replicas().front().leaving);
+}
+
+TEST_CASE("ReplicaTable.BringsAnotherNodeToTheSameState") {
+  auto fixture = Fixture();
+  fixture.table.OnChange(Gone("r2", 11));
+  fixture.table.OnChange(Entry("r3", 12, "three"));
+  auto other = ReplicaTable(Decode, fixture.clock.AsHook());
+  for (const auto& change : fixture.table.ChangesSince(0)) {
+    other.OnChange(change);
+  }
+  CHECK(other.replicas() == fixture.table.replicas());
+  CHECK(other.revision() == fixture.table.revision());
+  CHECK(fixture.table.ChangesSince(12).empty());
+}
+
+// Guards against a removal that others drop before its grace is over.
+TEST_CASE("ReplicaTable.PassesOnHowLongAMissingEntryStillCounts") {
+  auto fixture = Fixture();
+  fixture.table.OnStoreLost();
+  fixture.table.OnStoreAnswered();
+  fixture.table.OnChange(Gone("r1", 11));
+  auto other = ReplicaTable(Decode, fixture.clock.AsHook());
+  other.OnSnapshot({Entry("r1", 3, "one")}, 10);
+  for (const auto& change : fixture.table.ChangesSince(10)) {
+    other.OnChange(change);
+  }
+  CHECK(other.replicas().size() == 1);
+  fixture.clock.Advance(kEntryReturnTime + milliseconds(1));
+  CHECK(other.OnTick());
+  CHECK(other.replicas().empty());
+}
+
+}  // namespace
+}  // namespace kumquatgauge::serving
--- /dev/null
+++ b/testing/gateway/gateway_process_test.cc
@@ -0,0 +1,481 @@
+// The real gateway as a process between stand-ins of the users' platform.
+
+#include <csignal>
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <thread>
+
+#include "testing/gateway/stand_in.h"
+#include "testing/scenario/child_process.h"
+#include "testing/scenario/http_fetch.h"
+
+namespace kumquatgauge::testing {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr auto kLimit = std::chrono::seconds(15);
+constexpr auto kHost = "h.example";
+
+// Waits until `done` holds; false after the limit.
+template <typename Done>
+auto Eventually(Done done) -> bool {
+  const auto last = std::chrono::steady_clock::now() + kLimit;
+  while (!done()) {
+    if (std::chrono::steady_clock::now() > last) {
+      return false;
+    }
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  return true;
+}
+
+// A port that nothing listens on now.
+auto FreePort() -> std::string {
+  auto context = boost::asio::io_context();
+  auto acceptor = boost::asio::ip::tcp::acceptor(
+      context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return std::to_string(acceptor.local_endpoint().port());
+}
+
+auto MakeRoute(const std::string& prefix, const std::string& kind, json extra)
+    -> json {
+  json route = {{"name", "r" + prefix},   {"host", kHost},
+                {"path_prefix", prefix},  {"kind", kind},
+                {"timeout_ms", 5000},     {"target_latency_ms", 300},
+                {"priority", 0},          {"service", "svc"},
+                {"max_attempts", 2},      {"gap_aim_ms", 300}};
+  route.update(extra);
+  return route;
+}
+
+auto MakeConfiguration(int version) -> json {
+  return {{"version", version},
+          {"routes",
+           {MakeRoute("/plain/", "safe", json::object()),
+            MakeRoute("/plain/once/", "unsafe", {{"max_attempts", 1}}),
+            MakeRoute("/stream/", "stream", {{"resumable", true}}),
+            MakeRoute("/stream/once/", "stream", {{"max_attempts", 1}}),
+            MakeRoute("/jobs/", "batch",
+                      {{"completion_target_ms", 18000},
+                       {"max_attempts", 3},
+                       {"retention_s", 60}})}},
+          {"services", {{{"name", "svc"}, {"max_connections", 100}}}}};
+}
+
+// One gateway process with its addresses.
+class GatewayProcess {
+ public:
+  GatewayProcess(const std::string& name,
+                 const std::string& store,
+                 const std::string& folder)
+      : callers_("127.0.0.1:" + FreePort()),
+        readiness_("127.0.0.1:" + FreePort()),
+        directory_("127.0.0.1:" + FreePort()),
+        nodes_("127.0.0.1:" + FreePort()),
+        settings_(folder + "/" + name + ".toml"),
+        log_(folder + "/" + name + ".log") {
+    auto file = std::ofstream(settings_);
+    file << "[node]\nname = \"" << name << "\"\nzone = \"a\"\n"
+         << "fleet_credential = \"test\"\n[listen]\ncallers = \"" << callers_
+         << "\"\nreadiness = \"" << readiness_ << "\"\ndirectory = \""
+         << directory_ << "\"\nnodes = \"" << nodes_
+         << "\"\n[store]\naddress = \"" << store
+         << "\"\n[limits]\nstop_s = 8\n";
+    file.close();
+    process_ = std::make_unique<ChildProcess>(
+        std::vector<std::string>{KQG_GATEWAY, settings_}, log_,
+        folder + "/" + name + ".err");
+  }
+
+  auto Call(const std::string& method,
+            const std::string& target,
+            const std::string& id,
+            const std::string& body = "") const -> FetchReply {
+    auto request = FetchRequest();
+    request.address = callers_;
+    request.method = method;
+    request.target = target;
+    request.headers = {{"Host", kHost}, {"Request-Id", id}};
+    request.body = body;
+    return Fetch(request);
+  }
+
+  auto Ready() const -> bool {
+    return Fetch({readiness_, "GET", "/api/ready", {}, ""}).status == 200;
+  }
+
+  auto Addresses() const -> std::vector<std::string> {
+    const auto reply =
+        Fetch({directory_, "GET", "/api/resolve?name=x", {}, ""});
+    return reply.status == 200 ? json::parse(reply.body)
+                                     .at("addresses")
+                                     .get<std::vector<std::string>>()
+                               : std::vector<std::string>();
+  }
+
+  auto Log() const -> std::string {
+    auto file = std::ifstream(log_);
+    return {std::istreambuf_iterator<char>(file), {}};
+  }
+
+  auto process() -> ChildProcess& { return *process_; }
+  auto callers() const -> const std::string& { return callers_; }
+
+ private:
+  std::string callers_;
+  std::string readiness_;
+  std::string directory_;
+  std::string nodes_;
+  std::string settings_;
+  std::string log_;
+  std::unique_ptr<ChildProcess> process_;
+};
+
+struct Fleet {
+  explicit Fleet(int gateways = 1) {
+    folder = std::filesystem::temp_directory_path() /
+             ("kqg-gateway-test-" + std::to_string(std::random_device{}()));
+    std::filesystem::create_directories(folder);
+    Announce(*one);
+    Announce(*two);
+    for (auto at = 0; at < gateways; ++at) {
+      nodes.push_back(std::make_unique<GatewayProcess>(
+          "n" + std::to_string(at), store->address(), folder.string()));
+    }
+  }
+
+  ~Fleet() {
+    nodes.clear();
+    std::filesystem::remove_all(folder);
+  }
+
+  auto Announce(const ReplicaStandIn& replica) -> void {
+    store->Put("servers/" + replica.id(),
+               {{"service", "svc"},
+                {"address", replica.address()},
+                {"zone", "a"},
+                {"slots", 8},
+                {"state", "ready"},
+                {"cold_remaining_ms", 0},
+                {"sequence", 1}});
+  }
+
+  // Waits until every gateway serves and knows the others.
+  auto AwaitService() -> void {
+    store->Put("config/main", MakeConfiguration(3));
+    for (const auto& node : nodes) {
+      REQUIRE(Eventually([&] {
+        return node->Ready() && node->Addresses().size() == nodes.size() &&
+               node->Call("POST", "/plain/warm", "warm").status == 200;
+      }));
+    }
+  }
+
+  auto Runs(const std::string& request) const -> int {
+    return one->Runs(request) + two->Runs(request);
+  }
+
+  StandInThread thread;
+  std::unique_ptr<ObjectApiStandIn> store =
+      std::make_unique<ObjectApiStandIn>(thread.context());
+  std::unique_ptr<ReplicaStandIn> one =
+      std::make_unique<ReplicaStandIn>(thread.context(), "i-1");
+  std::unique_ptr<ReplicaStandIn> two =
+      std::make_unique<ReplicaStandIn>(thread.context(), "i-2");
+  std::filesystem::path folder;
+  std::vector<std::unique_ptr<GatewayProcess>> nodes;
+};
+
+auto JobBody(const std::vector<std::string>& items) -> std::string {
+  auto list = json::array();
+  for (const auto& item : items) {
+    list.push_back({{"id", item},
+                    {"path", "/jobs/1/" + item},
+                    {"headers", {{"Model", "m"}}},
+                    {"body", "q83vEjRWeJA="},
+                    {"tokens", 10}});
+  }
+  return json{{"items", list}}.dump();
+}
+
+TEST_CASE("Gateway.ServesEachKindOfRequestUnchanged") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  const auto& node = *fleet.nodes.front();
+  const auto plain = node.Call("POST", "/plain/x", "q1", "question");
+  CHECK(plain.status == 200);
+  CHECK(plain.body == "answer to question");
+  CHECK(plain.headers.at("response-signature").starts_with("signed.i-"));
+  const auto stream = node.Call("POST", "/stream/x", "q2");
+  CHECK(stream.whole);
+  CHECK(stream.body == ExpectedEvents("q2", 0));
+  CHECK(node.Call("POST", "/none/", "q3").status == 404);
+}
+
+// Guards against 404 from a node that does not know the routes yet.
+TEST_CASE("Gateway.RefusesAsNotRunBeforeAConfigurationIsKnown") {
+  auto fleet = Fleet();
+  const auto& node = *fleet.nodes.front();
+  REQUIRE(Eventually([&] { return node.Call("GET", "/x/", "q").connected; }));
+  const auto reply = node.Call("POST", "/plain/x", "q1");
+  CHECK(reply.status == 503);
+  CHECK(reply.headers.count("retry-after") == 1);
+  CHECK_FALSE(node.Ready());
+}
+
+TEST_CASE("Gateway.ServesOnceAStoreThatStartsLateAnswers") {
+  auto fleet = Fleet();
+  fleet.store->set_down(true);
+  fleet.store->Put("config/main", MakeConfiguration(3));
+  CHECK_FALSE(fleet.nodes.front()->Ready());
+  fleet.store->set_down(false);
+  fleet.AwaitService();
+}
+
+// Guards against a caller that sees a lost answer which could be repeated.
+TEST_CASE("Gateway.RepeatsAnIdempotentRequestWhoseAnswerWasLost") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  fleet.one->SetFault(ReplicaFault::kLoseAnswer, 1);
+  fleet.two->SetFault(ReplicaFault::kLoseAnswer, 1);
+  const auto& node = *fleet.nodes.front();
+  auto served = 0;
+  for (auto request = 0; request < 6; ++request) {
+    const auto id = "s" + std::to_string(request);
+    served += node.Call("POST", "/plain/x", id).status == 200 ? 1 : 0;
+    CHECK(fleet.Runs(id) <= 2);
+  }
+  CHECK(served >= 5);
+}
+
+// Guards against a charge that is confirmed twice, and against "not run" said
+// of one that ran.
+TEST_CASE("Gateway.RunsARequestAtMostOnceWhenItsAnswerIsLost") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  fleet.one->SetFault(ReplicaFault::kLoseAnswer, 1);
+  fleet.two->SetFault(ReplicaFault::kLoseAnswer, 1);
+  const auto reply =
+      fleet.nodes.front()->Call("POST", "/plain/once/x", "once", "pay");
+  CHECK(reply.status == 502);
+  CHECK(fleet.Runs("once") == 1);
+}
+
+TEST_CASE("Gateway.TriesAnotherReplicaWhenOneHasNotRunTheRequest") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  fleet.one->SetFault(ReplicaFault::kRefuse, 1);
+  fleet.two->SetFault(ReplicaFault::kRefuse, 0);
+  for (auto request = 0; request < 4; ++request) {
+    const auto id = "o" + std::to_string(request);
+    CHECK(fleet.nodes.front()->Call("POST", "/plain/once/x", id).status == 200);
+    CHECK(fleet.Runs(id) == 1);
+  }
+}
+
+// Guards against pieces that are lost or doubled when a stream goes on at
+// another replica.
+TEST_CASE("Gateway.ResumesAStreamThatBreaksOffInsideAnEvent") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  fleet.one->SetFault(ReplicaFault::kBreakMidEvent, 1);
+  fleet.two->SetFault(ReplicaFault::kBreakMidEvent, 0);
+  for (auto request = 0; request < 4; ++request) {
+    const auto id = "m" + std::to_string(request);
+    const auto reply = fleet.nodes.front()->Call("POST", "/stream/x", id);
+    CHECK(reply.whole);
+    CHECK(reply.body == ExpectedEvents(id, 0));
+  }
+}
+
+// Guards against a broken stream that looks complete.
+TEST_CASE("Gateway.EndsAStreamVisiblyThatMustNotBeResumed") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  fleet.one->SetFault(ReplicaFault::kBreakMidEvent, 1);
+  fleet.two->SetFault(ReplicaFault::kBreakMidEvent, 1);
+  const auto reply = fleet.nodes.front()->Call("POST", "/stream/once/x", "b1");
+  CHECK_FALSE(reply.whole);
+  CHECK(fleet.Runs("b1") == 1);
+}
+
+// Guards against an answer that belongs to another request.
+TEST_CASE("Gateway.NeverPassesOnTheAnswerToAnotherRequest") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  fleet.one->SetFault(ReplicaFault::kOtherRequest, 1);
+  fleet.two->SetFault(ReplicaFault::kOtherRequest, 1);
+  const auto reply =
+      fleet.nodes.front()->Call("POST", "/plain/once/x", "c1", "mine");
+  CHECK(reply.status != 200);
+}
+
+TEST_CASE("Gateway.KeepsServingBesideMalformedEntries") {
+  auto fleet = Fleet();
+  fleet.store->Put("servers/foreign", {{"service", 5}});
+  fleet.store->Put("servers/text", "not an entry");
+  fleet.AwaitService();
+  fleet.store->Put("servers/late", json::array());
+  CHECK(fleet.nodes.front()->Call("POST", "/plain/x", "q1").status == 200);
+}
+
+TEST_CASE("Gateway.SendsNothingToAReplicaThatLeaves") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  fleet.store->Remove("servers/i-1");
+  std::this_thread::sleep_for(milliseconds(1'500));
+  const auto before = fleet.one->runs();
+  for (auto request = 0; request < 10; ++request) {
+    fleet.nodes.front()->Call("POST", "/plain/x", std::to_string(request));
+  }
+  CHECK(fleet.one->runs() == before);
+}
+
+auto ReadJob(const GatewayProcess& node, const std::string& job) -> json {
+  const auto reply = node.Call("GET", "/api/lots/" + job + "?after=0", "");
+  return reply.status == 200 ? json::parse(reply.body) : json();
+}
+
+// Guards against results that differ between nodes, and against a job that is
+// lost or accepted twice when answers of the store are lost.
+TEST_CASE("Gateway.RunsAJobOnceAndShowsTheSameResultsAtEveryNode") {
+  auto fleet = Fleet(2);
+  fleet.AwaitService();
+  fleet.store->LoseAnswers("jobs", 1);
+  fleet.store->LoseAnswers("job-states", 1);
+  fleet.store->LoseAnswers("job-results", 1);
+  const auto body = JobBody({"a", "b", "c"});
+  CHECK(fleet.nodes[0]->Call("POST", "/jobs/1", "j1", body).status == 202);
+  CHECK(fleet.nodes[1]->Call("POST", "/jobs/1", "j1", body).status == 202);
+  REQUIRE(Eventually([&] {
+    const auto page = ReadJob(*fleet.nodes[1], "j1");
+    return page.is_object() && page.at("next") == 3;
+  }));
+  const auto page = ReadJob(*fleet.nodes[0], "j1");
+  CHECK(page == ReadJob(*fleet.nodes[1], "j1"));
+  for (const auto& result : page.at("results")) {
+    CHECK(result.at("state") == "completed");
+    CHECK(result.at("text") == ExpectedText(result.at("id")));
+  }
+  CHECK(fleet.Runs("a") + fleet.Runs("b") + fleet.Runs("c") == 3);
+  CHECK(fleet.nodes[1]->Call("GET", "/api/lots/none?after=0", "").status ==
+        404);
+}
+
+// Guards against items that are lost with the node that ran them.
+TEST_CASE("Gateway.TakesOverTheJobsOfALostNode") {
+  auto fleet = Fleet(2);
+  fleet.AwaitService();
+  fleet.one->set_pace(milliseconds(700));
+  fleet.two->set_pace(milliseconds(700));
+  const auto body = JobBody({"a", "b", "c", "d"});
+  REQUIRE(fleet.nodes[0]->Call("POST", "/jobs/1", "j1", body).status == 202);
+  fleet.nodes[0]->process().Signal(SIGKILL);
+  fleet.one->set_pace(milliseconds(0));
+  fleet.two->set_pace(milliseconds(0));
+  REQUIRE(Eventually([&] {
+    const auto page = ReadJob(*fleet.nodes[1], "j1");
+    return page.is_object() && page.at("next") == 4;
+  }));
+  const auto page = ReadJob(*fleet.nodes[1], "j1");
+  for (const auto& result : page.at("results")) {
+    CHECK(result.at("text") == ExpectedText(result.at("id")));
+  }
+}
+
+TEST_CASE("Gateway.ListsAnItemThatCanNeverBeDoneAsAnError") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  fleet.one->SetFault(ReplicaFault::kNeverDone, 1);
+  fleet.two->SetFault(ReplicaFault::kNeverDone, 1);
+  const auto& node = *fleet.nodes.front();
+  REQUIRE(node.Call("POST", "/jobs/1", "j1", JobBody({"a"})).status == 202);
+  REQUIRE(Eventually([&] {
+    const auto page = ReadJob(node, "j1");
+    return page.is_object() && page.at("next") == 1;
+  }));
+  CHECK(ReadJob(node, "j1").at("results")[0].at("state") == "errored");
+  CHECK(fleet.Runs("a") == 1);
+}
+
+// Guards against items that run on after their job was ended elsewhere.
+TEST_CASE("Gateway.StopsAJobThatIsEndedAtAnotherNode") {
+  auto fleet = Fleet(2);
+  fleet.AwaitService();
+  fleet.one->set_pace(milliseconds(2'000));
+  fleet.two->set_pace(milliseconds(2'000));
+  REQUIRE(fleet.nodes[0]
+              ->Call("POST", "/jobs/1", "j1", JobBody({"a", "b"}))
+              .status == 202);
+  CHECK(fleet.nodes[1]->Call("DELETE", "/api/lots/j1", "").status == 200);
+  CHECK(fleet.nodes[0]->Call("DELETE", "/api/lots/j1", "").status == 200);
+  const auto before = fleet.one->runs() + fleet.two->runs();
+  fleet.store->Put("config/main", MakeConfiguration(9));
+  std::this_thread::sleep_for(milliseconds(2'000));
+  CHECK(fleet.one->runs() + fleet.two->runs() == before);
+}
+
+// A refusal says that nothing of the job runs, so nothing may be stored.
+TEST_CASE("Gateway.RefusesAJobThatCannotBeStored") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  fleet.store->set_down(true);
+  const auto reply =
+      fleet.nodes.front()->Call("POST", "/jobs/1", "j1", JobBody({"a"}));
+  CHECK(reply.status == 503);
+  CHECK(reply.headers.count("retry-after") == 1);
+  fleet.store->set_down(false);
+  CHECK_FALSE(fleet.store->Has("job-states/j1"));
+}
+
+// Guards against a planned stop that cuts an answer off.
+TEST_CASE("Gateway.FinishesWhatItHasReadInAPlannedStop") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  fleet.one->set_pace(milliseconds(300));
+  fleet.two->set_pace(milliseconds(300));
+  auto& node = *fleet.nodes.front();
+  auto reply = FetchReply();
+  auto caller =
+      std::thread([&] { reply = node.Call("POST", "/stream/once/x", "t1"); });
+  REQUIRE(Eventually([&] { return fleet.Runs("t1") == 1; }));
+  node.process().Signal(SIGTERM);
+  CHECK(Eventually([&] { return !node.Ready(); }));
+  CHECK(node.process().WaitForExit(milliseconds(8'000)) == 0);
+  caller.join();
+  CHECK(reply.whole);
+  CHECK(reply.body == ExpectedEvents("t1", 0));
+}
+
+// On-call engineers start from a request's id alone.
+TEST_CASE("Gateway.LogsWhyARequestFailedUnderItsId") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  fleet.one->SetFault(ReplicaFault::kLoseAnswer, 1);
+  fleet.two->SetFault(ReplicaFault::kLoseAnswer, 1);
+  fleet.nodes.front()->Call("POST", "/plain/once/x", "trace-me");
+  auto attempt = json();
+  auto end = json();
+  auto lines = std::istringstream(fleet.nodes.front()->Log());
+  for (std::string line; std::getline(lines, line);) {
+    const auto object = json::parse(line);
+    if (object.value("request", "") == "trace-me") {
+      (object.at("event") == "attempt_failed" ? attempt : end) = object;
+    }
+  }
+  REQUIRE(attempt.is_object());
+  REQUIRE(end.is_object());
+  CHECK(attempt.at("end") == "broken");
+  CHECK(end.at("event") == "request_ended");
+  CHECK(end.at("status") == "502");
+  CHECK(end.at("configuration") == "3");
+  CHECK(end.at("replica") == attempt.at("replica"));
+}
+
+}  // namespace
+}  // namespace kumquatgauge::testing
--- /dev/null
+++ b/testing/gateway/stand_in.cc
@@ -0,0 +1,323 @@
+#include "testing/gateway/stand_in.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace kumquatgauge::testing {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
+constexpr auto kObjects = std::string_view("/api/objects/");
+constexpr milliseconds kWatchStep{10};
+
+auto QueryNumber(const std::string& target, const std::string& name)
+    -> std::uint64_t {
+  const auto at = target.find(name + "=");
+  return at == std::string::npos
+             ? 0
+             : std::stoull(target.substr(at + name.size() + 1));
+}
+
+auto Pause(asio::io_context& context, milliseconds time) -> awaitable<void> {
+  auto timer = asio::steady_timer(context, time);
+  co_await timer.async_wait(kAwaitTuple);
+}
+
+auto EventData(const std::string& request, int number) -> std::string {
+  return request + "-" + std::to_string(number);
+}
+
+auto EventText(const std::string& request, int number) -> std::string {
+  return "id: " + std::to_string(number) +
+         "\ndata: " + EventData(request, number) + "\n\n";
+}
+
+}  // namespace
+
+ObjectApiStandIn::ObjectApiStandIn(asio::io_context& context)
+    : context_(context),
+      listener_(context,
+                "127.0.0.1:0",
+                caller::ListenerLimits(),
+                [this](std::shared_ptr<const Request> request,
+                       std::shared_ptr<Writer> writer) {
+                  return Handle(std::move(request), std::move(writer));
+                }) {
+  listener_.Start();
+}
+
+auto ObjectApiStandIn::Put(const std::string& key, json spec) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  objects_[key] = {std::move(spec), ++revision_, false};
+}
+
+auto ObjectApiStandIn::Remove(const std::string& key) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  objects_[key].revision = ++revision_;
+  objects_[key].deleted = true;
+}
+
+auto ObjectApiStandIn::Has(const std::string& key) const -> bool {
+  const auto lock = std::lock_guard(mutex_);
+  const auto found = objects_.find(key);
+  return found != objects_.end() && !found->second.deleted;
+}
+
+auto ObjectApiStandIn::set_down(bool down) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  down_ = down;
+}
+
+auto ObjectApiStandIn::LoseAnswers(const std::string& kind, int count) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  lost_answers_[kind] = count;
+}
+
+auto ObjectApiStandIn::Handle(std::shared_ptr<const Request> request,
+                              std::shared_ptr<Writer> writer)
+    -> awaitable<void> {
+  const auto since = QueryNumber(request->target, "watch");
+  const auto wait = milliseconds(QueryNumber(request->target, "wait_ms"));
+  const auto mark = request->target.find('?');
+  const auto kind =
+      request->target.substr(kObjects.size(), mark - kObjects.size());
+  if (since > 0) {
+    const auto last = std::chrono::steady_clock::now() + wait;
+    while (Changes(kind, since).at("events").empty() &&
+           std::chrono::steady_clock::now() < last) {
+      co_await Pause(context_, kWatchStep);
+    }
+  }
+  auto [status, body] = since > 0 ? std::pair(200, Changes(kind, since))
+                                  : Answer(*request);
+  if (status == 0) {
+    co_return;  // The connection closes without an answer.
+  }
+  auto headers = HeaderList{{"Content-Type", "application/json"}};
+  auto text = body.dump();
+  co_await writer->Send(status, std::move(headers), std::move(text));
+}
+
+auto ObjectApiStandIn::Changes(const std::string& kind,
+                               std::uint64_t since) const -> json {
+  const auto lock = std::lock_guard(mutex_);
+  auto events = json::array();
+  for (const auto& [key, object] : objects_) {
+    if (key.starts_with(kind + "/") && object.revision > since) {
+      events.push_back(
+          {{"deleted", object.deleted},
+           {"object", Show(key.substr(kind.size() + 1), object)}});
+    }
+  }
+  return {{"events", std::move(events)}, {"as_of", revision_}};
+}
+
+auto ObjectApiStandIn::Show(const std::string& name,
+                            const Object& object) const -> json {
+  return {{"metadata", {{"name", name}, {"revision", object.revision}}},
+          {"spec", object.spec}};
+}
+
+auto ObjectApiStandIn::Answer(const Request& request) -> std::pair<int, json> {
+  const auto lock = std::lock_guard(mutex_);
+  if (down_) {
+    return {503, json::object()};
+  }
+  const auto mark = request.target.find('?');
+  const auto path =
+      request.target.substr(kObjects.size(), mark - kObjects.size());
+  return request.method == "GET" ? AnswerRead(path)
+                                 : AnswerWrite(request, path);
+}
+
+auto ObjectApiStandIn::AnswerRead(const std::string& path)
+    -> std::pair<int, json> {
+  if (path.find('/') != std::string::npos) {
+    const auto found = objects_.find(path);
+    if (found == objects_.end() || found->second.deleted) {
+      return {404, json::object()};
+    }
+    return {200, Show(path.substr(path.find('/') + 1), found->second)};
+  }
+  auto items = json::array();
+  for (const auto& [key, object] : objects_) {
+    if (key.starts_with(path + "/") && !object.deleted) {
+      items.push_back(Show(key.substr(path.size() + 1), object));
+    }
+  }
+  return {200,
+          {{"items", std::move(items)},
+           {"has_more", false},
+           {"as_of", revision_}}};
+}
+
+auto ObjectApiStandIn::AnswerWrite(const Request& request,
+                                   const std::string& path)
+    -> std::pair<int, json> {
+  const auto kind = path.substr(0, path.find('/'));
+  if (request.method == "DELETE") {
+    objects_[path].deleted = true;
+    objects_[path].revision = ++revision_;
+    return {200, json::object()};
+  }
+  const auto body = json::parse(request.body);
+  const auto name = body.at("metadata").at("name").get<std::string>();
+  const auto key = kind + "/" + name;
+  const auto found = objects_.find(key);
+  const auto exists = found != objects_.end() && !found->second.deleted;
+  const auto expected = body.at("metadata").value("revision", std::uint64_t{0});
+  const auto conflict = request.method == "POST"
+                            ? exists
+                            : !exists || found->second.revision != expected;
+  if (conflict) {
+    return {exists ? 409 : 404, json::object()};
+  }
+  objects_[key] = {body.at("spec"), ++revision_, false};
+  if (lost_answers_[kind] > 0) {
+    --lost_answers_[kind];
+    return {0, json::object()};
+  }
+  return {200, Show(name, objects_[key])};
+}
+
+ReplicaStandIn::ReplicaStandIn(asio::io_context& context, std::string id)
+    : id_(std::move(id)),
+      context_(context),
+      listener_(context,
+                "127.0.0.1:0",
+                caller::ListenerLimits(),
+                [this](std::shared_ptr<const caller::IncomingRequest> request,
+                       std::shared_ptr<caller::ResponseWriter> writer) {
+                  return Handle(std::move(request), std::move(writer));
+                }) {
+  listener_.Start();
+}
+
+auto ReplicaStandIn::SetFault(ReplicaFault fault, int count) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  fault_ = fault;
+  fault_count_ = count;
+}
+
+auto ReplicaStandIn::set_pace(milliseconds pace) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  pace_ = pace;
+}
+
+auto ReplicaStandIn::Runs(const std::string& request) const -> int {
+  const auto lock = std::lock_guard(mutex_);
+  const auto found = runs_.find(request);
+  return found == runs_.end() ? 0 : found->second;
+}
+
+auto ReplicaStandIn::runs() const -> int {
+  const auto lock = std::lock_guard(mutex_);
+  auto all = 0;
+  for (const auto& [request, count] : runs_) {
+    all += count;
+  }
+  return all;
+}
+
+auto ReplicaStandIn::TakeFault() -> ReplicaFault {
+  const auto lock = std::lock_guard(mutex_);
+  if (fault_count_ == 0) {
+    return ReplicaFault::kNone;
+  }
+  --fault_count_;
+  return fault_;
+}
+
+auto ReplicaStandIn::Handle(
+    std::shared_ptr<const caller::IncomingRequest> request,
+    std::shared_ptr<caller::ResponseWriter> writer) -> awaitable<void> {
+  const auto fault = TakeFault();
+  const auto request_id =
+      std::string(FindHeader(request->headers, "Request-Id"));
+  const auto target = FindHeader(request->headers, "Target-Instance");
+  auto headers = HeaderList{{"Request-Id", request_id},
+                            {"Response-Signature", "signed." + id_}};
+  if (target != id_ || fault == ReplicaFault::kRefuse) {
+    const auto status = target != id_ ? 421 : 503;
+    auto refusal = HeaderList{{"Not-Executed", "1"}};
+    co_await writer->Send(status, std::move(refusal), "");
+    co_return;
+  }
+  {
+    const auto lock = std::lock_guard(mutex_);
+    ++runs_[request_id];
+  }
+  if (fault == ReplicaFault::kLoseAnswer) {
+    co_return;
+  }
+  if (fault == ReplicaFault::kFail || fault == ReplicaFault::kNeverDone) {
+    const auto status = fault == ReplicaFault::kFail ? 500 : 422;
+    co_await writer->Send(status, std::move(headers), "failed");
+    co_return;
+  }
+  if (fault == ReplicaFault::kOtherRequest) {
+    headers.front().value = "another";
+  }
+  if (request->target.starts_with("/plain/")) {
+    auto body = "answer to " + request->body;
+    co_await writer->Send(200, std::move(headers), std::move(body));
+    co_return;
+  }
+  co_await Stream(*request, writer, std::move(headers), fault);
+}
+
+auto ReplicaStandIn::Stream(const caller::IncomingRequest& request,
+                            std::shared_ptr<caller::ResponseWriter> writer,
+                            HeaderList headers,
+                            ReplicaFault fault) -> awaitable<void> {
+  const auto id = std::string(FindHeader(request.headers, "Request-Id"));
+  const auto last = FindHeader(request.headers, "Last-Event-Id");
+  const auto after = last.empty() ? 0 : std::stoi(std::string(last));
+  headers.push_back({"Content-Type", "text/event-stream"});
+  co_await writer->BeginStream(200, std::move(headers));
+  for (auto number = after + 1; number <= kEvents; ++number) {
+    co_await Pause(context_, pace_);
+    auto text = EventText(id, number);
+    if (fault == ReplicaFault::kBreakMidEvent && number == 3) {
+      text.resize(text.size() / 2);
+      co_await writer->WritePiece(std::move(text));
+      co_return;
+    }
+    co_await writer->WritePiece(std::move(text));
+  }
+  co_await writer->FinishStream();
+}
+
+auto ExpectedText(const std::string& request) -> std::string {
+  auto text = std::string();
+  for (auto number = 1; number <= ReplicaStandIn::kEvents; ++number) {
+    text += (number > 1 ? "\n" : "") + EventData(request, number);
+  }
+  return text;
+}
+
+auto ExpectedEvents(const std::string& request, int after) -> std::string {
+  auto text = std::string();
+  for (auto number = after + 1; number <= ReplicaStandIn::kEvents; ++number) {
+    text += EventText(request, number);
+  }
+  return text;
+}
+
+StandInThread::StandInThread()
+    : guard_(asio::make_work_guard(context_)),
+      thread_([this] { context_.run(); }) {}
+
+StandInThread::~StandInThread() {
+  context_.stop();
+  thread_.join();
+}
+
+}  // namespace kumquatgauge::testing
--- /dev/null
+++ b/testing/gateway/stand_in.h
@@ -0,0 +1,133 @@
+#ifndef TESTING_GATEWAY_STAND_IN_H_
+#define TESTING_GATEWAY_STAND_IN_H_
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "kumquatgauge/caller/http_listener.h"
+
+namespace kumquatgauge::testing {
+
+// The users' object API on 127.0.0.1, with faults. Thread-safe.
+class ObjectApiStandIn {
+ public:
+  explicit ObjectApiStandIn(boost::asio::io_context& context);
+
+  auto address() const -> std::string { return listener_.address(); }
+  auto Put(const std::string& key, nlohmann::json spec) -> void;
+  auto Remove(const std::string& key) -> void;
+  auto Has(const std::string& key) const -> bool;
+  // While set, every call is answered 503.
+  auto set_down(bool down) -> void;
+  // The next writes of this kind are carried out and not answered.
+  auto LoseAnswers(const std::string& kind, int count) -> void;
+
+ private:
+  struct Object {
+    nlohmann::json spec;
+    std::uint64_t revision = 0;
+    bool deleted = false;
+  };
+  using Request = caller::IncomingRequest;
+  using Writer = caller::ResponseWriter;
+
+  auto Handle(std::shared_ptr<const Request> request,
+              std::shared_ptr<Writer> writer) -> boost::asio::awaitable<void>;
+  // Status and body; nothing for an answer that is to be lost.
+  auto Answer(const Request& request) -> std::pair<int, nlohmann::json>;
+  auto AnswerRead(const std::string& path) -> std::pair<int, nlohmann::json>;
+  auto AnswerWrite(const Request& request, const std::string& path)
+      -> std::pair<int, nlohmann::json>;
+  auto Show(const std::string& name, const Object& object) const
+      -> nlohmann::json;
+  auto Changes(const std::string& kind, std::uint64_t since) const
+      -> nlohmann::json;
+
+  mutable std::mutex mutex_;
+  std::map<std::string, Object> objects_;  // By "KIND/NAME".
+  std::map<std::string, int> lost_answers_;
+  std::uint64_t revision_ = 1;
+  bool down_ = false;
+  boost::asio::io_context& context_;
+  caller::HttpListener listener_;
+};
+
+// How a replica answers.
+enum class ReplicaFault {
+  kNone,
+  kLoseAnswer,     // Runs the request, then closes the connection.
+  kBreakMidEvent,  // Ends a stream inside its third event.
+  kRefuse,         // Says that it has not run it.
+  kOtherRequest,   // Answers under the id of another request.
+  kFail,           // Status 500.
+  kNeverDone,      // Status 422.
+};
+
+// A replica of the users' platform on 127.0.0.1. Streams have kEvents events
+// whose data depend on the request's id and the event's number alone.
+class ReplicaStandIn {
+ public:
+  static constexpr int kEvents = 5;
+
+  ReplicaStandIn(boost::asio::io_context& context, std::string id);
+
+  auto address() const -> std::string { return listener_.address(); }
+  auto id() const -> const std::string& { return id_; }
+  // Applies to the next `count` requests.
+  auto SetFault(ReplicaFault fault, int count) -> void;
+  // The pause before each event.
+  auto set_pace(std::chrono::milliseconds pace) -> void;
+  // How often a request has begun to run here.
+  auto Runs(const std::string& request) const -> int;
+  auto runs() const -> int;
+
+ private:
+  auto Handle(std::shared_ptr<const caller::IncomingRequest> request,
+              std::shared_ptr<caller::ResponseWriter> writer)
+      -> boost::asio::awaitable<void>;
+  auto Stream(const caller::IncomingRequest& request,
+              std::shared_ptr<caller::ResponseWriter> writer,
+              HeaderList headers,
+              ReplicaFault fault) -> boost::asio::awaitable<void>;
+  auto TakeFault() -> ReplicaFault;
+
+  mutable std::mutex mutex_;
+  std::string id_;
+  std::map<std::string, int> runs_;
+  ReplicaFault fault_ = ReplicaFault::kNone;
+  int fault_count_ = 0;
+  std::chrono::milliseconds pace_{0};
+  boost::asio::io_context& context_;
+  caller::HttpListener listener_;
+};
+
+// Text of a whole stream, as a batch result or as events.
+auto ExpectedText(const std::string& request) -> std::string;
+auto ExpectedEvents(const std::string& request, int after) -> std::string;
+
+// Runs stand-ins on a thread of its own.
+class StandInThread {
+ public:
+  StandInThread();
+  ~StandInThread();
+  auto context() -> boost::asio::io_context& { return context_; }
+
+ private:
+  boost::asio::io_context context_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      guard_;
+  std::thread thread_;
+};
+
+}  // namespace kumquatgauge::testing
+
+#endif  // TESTING_GATEWAY_STAND_IN_H_
