Probe all registered nodes at start instead of joining through them

Cause: a join asks seeds one after the other and ends with the first that answers; with the registered addresses as seeds, nodes that restarted together formed several fleets for seconds and took over each other's jobs.

Every node now starts alone and probes all addresses it knows of until it knows their nodes.

--- a/include/kumquatgauge/control/membership.h
+++ b/include/kumquatgauge/control/membership.h
@@ -161,6 +161,10 @@
   auto Leave() -> MembershipActions;
   auto Stop() -> MembershipActions;
 
+  // Probes every seed that is not the address of a live member. Nodes that
+  // start at the same moment find each other by it at once, while a join waits
+  // for each seed that does not answer.
+  auto ContactSeeds() -> MembershipActions;
   // Replaces the seeds, for example from the host list.
   auto SetSeeds(std::vector<std::string> seeds) -> void;
 
--- a/src/control/membership.cc
+++ b/src/control/membership.cc
@@ -814,6 +814,25 @@
   }
 }
 
+auto Membership::ContactSeeds() -> MembershipActions {
+  MembershipActions actions;
+  if (phase_ != Phase::kJoined) {
+    return actions;
+  }
+  for (const auto& seed : seeds_) {
+    const auto known =
+        std::any_of(table_.begin(), table_.end(), [&](const auto& entry) {
+          return entry.second.info.node_address == seed &&
+                 IsLiveState(entry.second.state);
+        });
+    if (!known) {
+      actions.datagrams.push_back(
+          {seed, MakeMessage(MembershipMessageType::kProbe)});
+    }
+  }
+  return actions;
+}
+
 auto Membership::ContactLost(MembershipActions& actions) -> void {
   std::vector<std::string> lost;
   std::vector<std::string> live;
--- a/src/node/gossip.cc
+++ b/src/node/gossip.cc
@@ -91,6 +91,8 @@
     membership_.SetSeeds(std::move(seeds));
   }
 
+  auto ContactSeeds() -> void { Run(membership_.ContactSeeds()); }
+
   auto SendDatagram(const std::string& address, const json& message) -> void {
     socket_.Send(address, message);
   }
@@ -392,6 +394,10 @@
   impl_->SetSeeds(std::move(seeds));
 }
 
+auto Gossip::ContactSeeds() -> void {
+  impl_->ContactSeeds();
+}
+
 auto Gossip::SendDatagram(const std::string& address, const json& message)
     -> void {
   impl_->SendDatagram(address, message);
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -63,10 +63,13 @@
 constexpr milliseconds kReplicaSettle{200};
 // Where nodes register their addresses for each other.
 constexpr auto kNodePrefix = "gateways/";
-// The store answers in milliseconds; a node that starts while it is out goes on
-// without it.
-constexpr milliseconds kRegistryWait{700};
+constexpr int kRegistryLists = 2;
+constexpr milliseconds kRegistryRetry{300};
 constexpr milliseconds kSecondList{1'500};
+// How often nodes that are not known yet are probed.
+constexpr milliseconds kStartContact{200};
+constexpr milliseconds kLaterContact{2'000};
+constexpr milliseconds kStartingTime{5'000};
 constexpr std::size_t kMaxSeeds = 500;
 // Where the directory answers with fewer addresses than there are nodes.
 constexpr std::size_t kMaxAddresses = 64;
@@ -116,7 +119,6 @@
   gossip.self.caller_address = settings.listen.callers;
   gossip.listen = settings.listen.nodes;
   gossip.fleet_credential = settings.fleet_credential;
-  gossip.seeds = settings.seeds;
   gossip.feeds = {kConfigurationFeed, kReplicaFeed};
   return gossip;
 }
@@ -171,7 +173,8 @@
                       DrawRandom),
         signals_(context_, SIGTERM, SIGHUP),
         house_keeping_(context_),
-        counts_timer_(context_) {}
+        counts_timer_(context_),
+        contact_timer_(context_) {}
 
   auto Run() -> void {
     logger_.Info("starting", {{"event", "start"},
@@ -531,27 +534,35 @@
     batch_.OnMembersChanged();
   }
 
-  // Finds the other nodes through the store, since the seeds of the settings may
-  // all be down or replaced; joins by the seeds alone when the store does not
-  // answer. Nodes that start together may miss each other in the first list, so
-  // a second one follows.
+  // Finds the other nodes by the seeds of the settings and, since these may all
+  // be down or replaced, by the addresses that nodes register in the store.
+  // Nodes that start together may miss each other in the first list, so a second
+  // one follows.
   auto JoinFleet() -> awaitable<void> {
-    const auto last = SteadyNow() + kRegistryWait;
-    auto registered = false;
-    auto timer = asio::steady_timer(context_);
-    while (!registered && SteadyNow() < last) {
-      registered = co_await Register();
-      timer.expires_after(kStopCheck);
-      co_await timer.async_wait(kAwaitTuple);
-    }
     gossip_.Start();
-    for (auto again = true; again && !stopping_;) {
-      timer.expires_after(kSecondList);
+    gossip_.SetSeeds(settings_.seeds);
+    KeepContact();
+    auto timer = asio::steady_timer(context_);
+    for (auto lists = 0; lists < kRegistryLists && !stopping_;) {
+      lists += co_await Register() ? 1 : 0;
+      timer.expires_after(lists == 0 ? kRegistryRetry : kSecondList);
       co_await timer.async_wait(kAwaitTuple);
-      again = !co_await Register();
     }
   }
 
+  // Addresses of nodes that are gone for good stay among the seeds, so contact
+  // is sought less often once this node has run for a while.
+  auto KeepContact() -> void {
+    gossip_.ContactSeeds();
+    const auto starting = SteadyNow() - started_ < kStartingTime;
+    contact_timer_.expires_after(starting ? kStartContact : kLaterContact);
+    contact_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error && !stopping_) {
+        KeepContact();
+      }
+    });
+  }
+
   // Lists the registered nodes as seeds and registers this one.
   auto Register() -> awaitable<bool> {
     const auto own_key = kNodePrefix + settings_.name.value();
@@ -902,7 +913,6 @@
     try {
       auto next = reload_();
       SetLogLevel(next.log_level);
-      gossip_.SetSeeds(next.seeds);
       const auto same = next == settings_;
       settings_.seeds = next.seeds;
       settings_.log_level = next.log_level;
@@ -983,6 +993,8 @@
   asio::signal_set signals_;
   asio::steady_timer house_keeping_;
   asio::steady_timer counts_timer_;
+  asio::steady_timer contact_timer_;
+  MonotonicTime started_ = SteadyNow();
 
   std::shared_ptr<const Configuration> configuration_;
   std::string raw_configuration_;
