--- a/apps/shared/program.cc
+++ b/apps/shared/program.cc
@@ -45,8 +45,9 @@
     int argc,
     char** argv,
     const std::string& name,
-    const std::function<auto(serving::GatewaySettings, const std::string& path)
-                            ->void>& run) -> int {
+    const std::function<
+        auto(serving::GatewaySettings, const std::string& path)->void>& run)
+    -> int {
   constexpr auto kCheckOption = 1;
   constexpr auto kVersionOption = 2;
   const auto options = std::array<option, 4>{
--- a/apps/shared/program.h
+++ b/apps/shared/program.h
@@ -9,15 +9,16 @@
 namespace kumquatgauge::apps {
 
 // The command line of a program that runs by one settings file. Reads the
-// options, the settings and, with --check-settings, stops there; otherwise calls
-// `run` with the settings and their path. Returns the exit status: 0 stopped as
-// planned, 1 failed, 2 bad usage or settings.
+// options, the settings and, with --check-settings, stops there; otherwise
+// calls `run` with the settings and their path. Returns the exit status: 0
+// stopped as planned, 1 failed, 2 bad usage or settings.
 auto RunProgram(
     int argc,
     char** argv,
     const std::string& name,
-    const std::function<auto(serving::GatewaySettings, const std::string& path)
-                            ->void>& run) -> int;
+    const std::function<
+        auto(serving::GatewaySettings, const std::string& path)->void>& run)
+    -> int;
 
 }  // namespace kumquatgauge::apps
 
--- a/bench/batch_memory.cc
+++ b/bench/batch_memory.cc
@@ -81,8 +81,7 @@
   auto Write(std::string key,
              std::string value,
              std::optional<std::uint64_t> /*expected*/,
-             store::CallClass /*class*/)
-      -> awaitable<std::uint64_t> override {
+             store::CallClass /*class*/) -> awaitable<std::uint64_t> override {
     if (key.find("/in/") == std::string::npos) {
       objects_[key] = {.value = std::move(value), .version = ++version_};
     }
@@ -97,8 +96,7 @@
   auto List(std::string /*prefix*/,
             std::string /*after*/,
             std::size_t /*limit*/,
-            store::CallClass /*class*/)
-      -> awaitable<store::ListPage> override {
+            store::CallClass /*class*/) -> awaitable<store::ListPage> override {
     co_return store::ListPage();
   }
   auto Watch(std::string /*prefix*/,
--- a/include/kumquatgauge/daemon/once_service.h
+++ b/include/kumquatgauge/daemon/once_service.h
@@ -23,8 +23,8 @@
 #include "kumquatgauge/daemon/routing_table.h"
 #include "kumquatgauge/daemon/traffic_pool.h"
 #include "kumquatgauge/node/peer.h"
-#include "kumquatgauge/store/object_store.h"
 #include "kumquatgauge/routing/once_registry.h"
+#include "kumquatgauge/store/object_store.h"
 
 namespace kumquatgauge::daemon {
 
--- a/include/kumquatgauge/daemon/service_directory.h
+++ b/include/kumquatgauge/daemon/service_directory.h
@@ -10,9 +10,9 @@
 
 #include "kumquatgauge/base/ids.h"
 #include "kumquatgauge/control/configuration.h"
-#include "kumquatgauge/store/host_list.h"
 #include "kumquatgauge/routing/batch_room.h"
 #include "kumquatgauge/routing/replica.h"
+#include "kumquatgauge/store/host_list.h"
 
 namespace kumquatgauge::daemon {
 
--- a/include/kumquatgauge/serving/attempt_policy.h
+++ b/include/kumquatgauge/serving/attempt_policy.h
@@ -13,8 +13,8 @@
 // How an attempt at one replica ended.
 struct AttemptEnd {
   upstream::CallEnd end = upstream::CallEnd::kComplete;
-  int status = 0;          // Of the answer's head; 0 when none came.
-  bool not_run = false;    // The replica states that it has not run.
+  int status = 0;           // Of the answer's head; 0 when none came.
+  bool not_run = false;     // The replica states that it has not run.
   bool bytes_sent = false;  // A byte of the request may have left.
 
   auto operator==(const AttemptEnd&) const -> bool = default;
@@ -38,12 +38,12 @@
 };
 
 enum class NextStep {
-  kDeliver,    // The attempt's answer is the final one.
-  kRetry,      // Try another replica.
-  kRefuse,     // Nothing has run: say so, and when to come back.
-  kUnknown,    // It may have run; it does not run again under this id.
-  kTimedOut,   // The time is over.
-  kBreakOff,   // The answer has begun and cannot go on: end it visibly.
+  kDeliver,   // The attempt's answer is the final one.
+  kRetry,     // Try another replica.
+  kRefuse,    // Nothing has run: say so, and when to come back.
+  kUnknown,   // It may have run; it does not run again under this id.
+  kTimedOut,  // The time is over.
+  kBreakOff,  // The answer has begun and cannot go on: end it visibly.
 };
 
 struct NextStepDecision {
--- a/include/kumquatgauge/serving/batch_runner.h
+++ b/include/kumquatgauge/serving/batch_runner.h
@@ -48,6 +48,7 @@
   std::function<auto(const JobId&)->void> announce;
   // How long jobs stay in the store after they were accepted.
   std::chrono::seconds retention;
+  std::size_t memory_bytes;  // Of the whole process.
 };
 
 // Accepts batch jobs, runs the items of those that this node owns, and answers
--- a/include/kumquatgauge/serving/dialect.h
+++ b/include/kumquatgauge/serving/dialect.h
@@ -67,9 +67,9 @@
 
 // What a replica says about itself and the request with its answer.
 struct AnswerFacts {
-  std::string request_id;  // Empty when the replica names none.
-  bool not_run = false;    // It states that the request has not run.
-  bool wrong_replica = false;  // Another replica has the address.
+  std::string request_id;       // Empty when the replica names none.
+  bool not_run = false;         // It states that the request has not run.
+  bool wrong_replica = false;   // Another replica has the address.
   bool not_to_be_done = false;  // The item can never be done.
   bool has_load = false;
   std::uint32_t running = 0;
@@ -105,8 +105,7 @@
   std::function<auto(const JobItem&, const std::string& host, const Delivery&)
                     ->HeaderList>
       encode_item;
-  std::function<auto(int status, const HeaderList&)->AnswerFacts>
-      decode_answer;
+  std::function<auto(int status, const HeaderList&)->AnswerFacts> decode_answer;
   // The headers of a replica's answer that callers get.
   std::function<auto(const HeaderList&)->HeaderList> answer_headers;
   std::function<auto(const Page&)->std::string> encode_page;
--- a/include/kumquatgauge/serving/job_archive.h
+++ b/include/kumquatgauge/serving/job_archive.h
@@ -33,8 +33,7 @@
   // state that holds, which is another one when the job was accepted before.
   auto Create(JobRecord record, JobState state)
       -> boost::asio::awaitable<StoredState>;
-  auto LoadRecord(JobId id)
-      -> boost::asio::awaitable<std::optional<JobRecord>>;
+  auto LoadRecord(JobId id) -> boost::asio::awaitable<std::optional<JobRecord>>;
   auto LoadState(JobId id)
       -> boost::asio::awaitable<std::optional<StoredState>>;
   // Replaces the state if its version is `version`. Returns nothing when
--- a/include/kumquatgauge/serving/replica_table.h
+++ b/include/kumquatgauge/serving/replica_table.h
@@ -24,7 +24,7 @@
 // One change of an entry in the store.
 struct EntryChange {
   ReplicaId id;
-  std::uint64_t revision = 0;  // Of the store; orders the changes.
+  std::uint64_t revision = 0;        // Of the store; orders the changes.
   std::optional<std::string> value;  // Nothing: the entry is gone.
   // How much longer the replica of a missing entry counts as present.
   Duration keep{0};
@@ -42,9 +42,8 @@
 class ReplicaTable {
  public:
   // Nothing for a value that names no usable replica.
-  using Decoder =
-      std::function<auto(const ReplicaId&, const std::string& value)
-                        ->std::optional<routing::Replica>>;
+  using Decoder = std::function<auto(const ReplicaId&, const std::string& value)
+                                    ->std::optional<routing::Replica>>;
 
   ReplicaTable(Decoder decode, Clock clock)
       : decode_(std::move(decode)), clock_(std::move(clock)) {}
--- a/include/kumquatgauge/serving/store_feed.h
+++ b/include/kumquatgauge/serving/store_feed.h
@@ -30,9 +30,8 @@
   // for this one.
   std::function<auto()->std::optional<std::chrono::milliseconds>> watch_time;
   // All objects as of one revision; replaces everything heard before.
-  std::function<auto(const std::vector<store::ListEntry>&,
-                     std::uint64_t revision)
-                    ->void>
+  std::function<
+      auto(const std::vector<store::ListEntry>&, std::uint64_t revision)->void>
       snapshot;
   std::function<auto(const store::WatchEvent&)->void> event;
   // A call failed, or one succeeded.
--- a/src/batch/observe_only_store.h
+++ b/src/batch/observe_only_store.h
@@ -25,8 +25,7 @@
   }
 
   auto Read(std::string key, store::CallClass call_class)
-      -> boost::asio::awaitable<
-          std::optional<store::StoredObject>> override {
+      -> boost::asio::awaitable<std::optional<store::StoredObject>> override {
     auto found = co_await store_.Read(std::move(key), call_class);
     const auto version = found ? std::optional(found->version) : std::nullopt;
     if (version != last_version_) {
--- a/src/batch/test_world.h
+++ b/src/batch/test_world.h
@@ -111,8 +111,7 @@
   auto Write(std::string key,
              std::string value,
              std::optional<std::uint64_t> expected,
-             store::CallClass call_class)
-      -> awaitable<std::uint64_t> override {
+             store::CallClass call_class) -> awaitable<std::uint64_t> override {
     co_await Wait();
     const auto version = co_await store_.Write(std::move(key), std::move(value),
                                                expected, call_class);
--- a/src/caller/http_listener.cc
+++ b/src/caller/http_listener.cc
@@ -209,9 +209,9 @@
     constexpr auto kContinue =
         std::string_view("HTTP/1.1 100 Continue\r\n\r\n");
     // A failure shows in the read that follows.
-    co_await asio::async_write(
-        io_->socket(), asio::buffer(kContinue.data(), kContinue.size()),
-        kAwaitTuple);
+    co_await asio::async_write(io_->socket(),
+                               asio::buffer(kContinue.data(), kContinue.size()),
+                               kAwaitTuple);
   }
 
   // Answers a request that cannot be read, unless the connection just ended.
@@ -222,15 +222,15 @@
     if (ended || !io_->socket().is_open()) {
       co_return;
     }
-    const auto malformed = error.category() ==
-                           make_error_code(http::error::bad_method).category();
+    const auto malformed =
+        error.category() == make_error_code(http::error::bad_method).category();
     if (!malformed) {
       co_return;
     }
     const auto status = io_->timed_out() ? kRequestTimeout : StatusOf(error);
-    shared_->logger.Warning("a request cannot be read",
-                            {{"reason", error.message()},
-                             {"status", std::to_string(status)}});
+    shared_->logger.Warning(
+        "a request cannot be read",
+        {{"reason", error.message()}, {"status", std::to_string(status)}});
     keep_alive_ = false;
     gone_ = false;
     auto body = error.message() + "\n";
@@ -251,9 +251,9 @@
     try {
       co_await shared_->handler(request, writer);
     } catch (const std::exception& error) {
-      shared_->logger.Error("a handler failed; closing the connection",
-                            {{"target", request->target},
-                             {"reason", error.what()}});
+      shared_->logger.Error(
+          "a handler failed; closing the connection",
+          {{"target", request->target}, {"reason", error.what()}});
     }
     gone_hook_ = nullptr;
     ++watch_;
@@ -407,8 +407,8 @@
                                       {{"address", self->address_}});
         continue;
       }
-      auto connection = std::make_shared<CallerConnection>(std::move(socket),
-                                                           self->shared_);
+      auto connection =
+          std::make_shared<CallerConnection>(std::move(socket), self->shared_);
       self->connections_.insert(connection);
       asio::co_spawn(self->context_, Run(self, connection), asio::detached);
     }
--- a/src/control/config_watcher.cc
+++ b/src/control/config_watcher.cc
@@ -81,8 +81,8 @@
 auto ConfigWatcher::Step() -> awaitable<void> {
   if (!since_) {
     // Taken before the head is read, so that no change falls in between.
-    const auto page = co_await objects_.List(
-        kConfigHeadKey, "", 1, store::CallClass::kConfiguration);
+    const auto page = co_await objects_.List(kConfigHeadKey, "", 1,
+                                             store::CallClass::kConfiguration);
     since_ = page.revision;
   }
   co_await ReadAndPublish();
--- a/src/control/lease.cc
+++ b/src/control/lease.cc
@@ -94,8 +94,7 @@
   observer_.Reset();
 }
 
-auto LeaseKeeper::ReadLease()
-    -> awaitable<std::optional<store::StoredObject>> {
+auto LeaseKeeper::ReadLease() -> awaitable<std::optional<store::StoredObject>> {
   auto key = key_;
   co_return co_await store_.Read(std::move(key), CallClass::kLease);
 }
--- a/src/control/membership_test.cc
+++ b/src/control/membership_test.cc
@@ -455,5 +455,34 @@
   CHECK(network->Restarts() == 0);
 }
 
+// Guards against a fleet that falls apart when several nodes restart at once
+// and each joins one of the others that knows nobody yet.
+TEST_CASE("Membership.ProbesEverySeedThatIsNotKnownAsLive") {
+  testing::ManualClock clock;
+  routing::NodeInfo self;
+  self.id = NodeId("n0");
+  self.node_address = "10.0.0.0:0";
+  Membership member(
+      self, {}, clock.AsHook(), [&] { return WallTime(std::chrono::hours(1)); },
+      [] { return 0U; });
+  member.Start();
+  REQUIRE(member.joined());
+  member.SetSeeds({"10.0.0.0:0", "10.0.0.0:1", "10.0.0.0:2"});
+  CHECK(member.ContactSeeds().datagrams.size() == 2);
+  MemberRecord record;
+  record.info.id = NodeId("n1");
+  record.info.incarnation = 5;
+  record.info.node_address = "10.0.0.0:1";
+  MembershipMessage notice;
+  notice.from = record.info.id;
+  notice.incarnation = 5;
+  notice.records = {record};
+  member.OnMessage(notice, "10.0.0.0:1");
+  const auto actions = member.ContactSeeds();
+  REQUIRE(actions.datagrams.size() == 1);
+  CHECK(actions.datagrams[0].address == "10.0.0.0:2");
+  CHECK(actions.datagrams[0].message.type == MembershipMessageType::kProbe);
+}
+
 }  // namespace
 }  // namespace kumquatgauge::control
--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -43,11 +43,11 @@
 #include "kumquatgauge/node/peer_server.h"
 #include "kumquatgauge/operator/command_executor.h"
 #include "kumquatgauge/operator/operator_server.h"
+#include "kumquatgauge/routing/load_sharing.h"
 #include "kumquatgauge/store/http_host_list.h"
 #include "kumquatgauge/store/http_object_store.h"
 #include "kumquatgauge/store/platform_client.h"
 #include "kumquatgauge/store/weight_store.h"
-#include "kumquatgauge/routing/load_sharing.h"
 #include "kumquatgauge/upstream/http_engine_client.h"
 #include "kumquatgauge/upstream/http_service_client.h"
 
@@ -129,8 +129,7 @@
   return content;
 }
 
-auto HostsFromJson(const nlohmann::json& content)
-    -> store::HostListSnapshot {
+auto HostsFromJson(const nlohmann::json& content) -> store::HostListSnapshot {
   auto hosts = store::HostListSnapshot();
   hosts.version = content.at("version").get<std::uint64_t>();
   for (const auto& row : content.at("hosts")) {
--- a/src/serving/attempt_policy_test.cc
+++ b/src/serving/attempt_policy_test.cc
@@ -60,13 +60,11 @@
 TEST_CASE("AttemptPolicy.TriesElsewhereWhenTheReplicaDidNotRunIt") {
   auto history = History(RequestKind::kAtMostOnce);
   history.may_have_run = 0;
-  CHECK(DecideNextStep(history, Answered(503, true)).step ==
-        NextStep::kRetry);
+  CHECK(DecideNextStep(history, Answered(503, true)).step == NextStep::kRetry);
   const auto unsent = AttemptEnd{CallEnd::kNotSent, 0, false, false};
   CHECK(DecideNextStep(history, unsent).step == NextStep::kRetry);
   history.attempts = kMaxAttemptsNotRun;
-  CHECK(DecideNextStep(history, Answered(503, true)).step ==
-        NextStep::kRefuse);
+  CHECK(DecideNextStep(history, Answered(503, true)).step == NextStep::kRefuse);
 }
 
 // Guards against a false promise when an earlier attempt may have run.
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -73,10 +73,12 @@
 constexpr std::chrono::seconds kScanInterval{10};
 // When the store is out, it is worth asking again after this.
 constexpr milliseconds kStoreRetryAfter{500};
-// Results that could not be stored yet; above it no further item starts.
-constexpr std::size_t kMaxUnstoredBytes = 16U << 20U;
-// Results of other nodes' jobs and own finished jobs that are kept for reading.
-constexpr std::size_t kMaxCachedBytes = 8U << 20U;
+// Parts of the process's memory: results that could not be stored yet, above
+// which no further item starts; results that were read from the store; results
+// of own jobs that are done. The rest is for connections and requests.
+constexpr std::size_t kUnstoredPart = 8;
+constexpr std::size_t kCachePart = 16;
+constexpr std::size_t kDonePart = 8;
 constexpr std::size_t kMaxAnnounced = 20'000;
 constexpr int kStateAttempts = 4;
 
@@ -116,6 +118,8 @@
 // least recently read job is dropped first.
 class ResultCache {
  public:
+  explicit ResultCache(std::size_t max_bytes) : max_bytes_(max_bytes) {}
+
   auto Find(const JobId& id) -> std::vector<ItemResult>* {
     const auto found = entries_.find(id);
     if (found == entries_.end()) {
@@ -130,7 +134,7 @@
     order_.push_front(id);
     bytes_ += BytesOf(results);
     entries_[id] = {std::move(results), order_.begin()};
-    while (bytes_ > kMaxCachedBytes && order_.size() > 1) {
+    while (bytes_ > max_bytes_ && order_.size() > 1) {
       Erase(JobId(order_.back()));
     }
   }
@@ -152,6 +156,7 @@
 
   std::map<JobId, Entry> entries_;
   std::list<JobId> order_;
+  std::size_t max_bytes_;
   std::size_t bytes_ = 0;
 };
 
@@ -215,8 +220,8 @@
       co_await Answer(writer, kBadRequest, std::move(problem));
       co_return;
     }
-    auto record = JobRecord{id, request.host, request.path, WallMs(),
-                            incoming->body};
+    auto record =
+        JobRecord{id, request.host, request.path, WallMs(), incoming->body};
     auto state = NewState(id, items.size(), record.accepted_ms);
     auto stored = std::optional<StoredState>();
     auto failure = std::string();
@@ -269,11 +274,10 @@
       co_await writer->Send(kOk, std::move(headers), std::move(body));
       co_return;
     }
-    logger_.Info("results cannot be given",
-                 {{"event", "read_refused"},
-                  {"job", call.job.value()},
-                  {"known", known ? "unsure" : "no"},
-                  {"reason", failure}});
+    logger_.Info("results cannot be given", {{"event", "read_refused"},
+                                             {"job", call.job.value()},
+                                             {"known", known ? "unsure" : "no"},
+                                             {"reason", failure}});
     if (!known) {
       co_await Answer(writer, kNotFound, "no such batch job");
       co_return;
@@ -291,17 +295,15 @@
       failure = error.what();
     }
     if (body) {
-      auto headers =
-          HeaderList{{"Content-Type", "application/octet-stream"}};
+      auto headers = HeaderList{{"Content-Type", "application/octet-stream"}};
       co_await writer->Send(kOk, std::move(headers), std::move(*body));
     } else if (failure.empty()) {
       co_await Answer(writer, kNotFound, "no such item");
     } else {
-      logger_.Info("an item's body cannot be given",
-                   {{"event", "read_refused"},
-                    {"job", call.job.value()},
-                    {"item", call.item},
-                    {"reason", failure}});
+      logger_.Info("an item's body cannot be given", {{"event", "read_refused"},
+                                                      {"job", call.job.value()},
+                                                      {"item", call.item},
+                                                      {"reason", failure}});
       co_await Refuse(writer, kServiceUnavailable, failure, kStoreRetryAfter);
     }
   }
@@ -315,11 +317,12 @@
     } catch (const std::exception& error) {
       failure = error.what();
     }
-    logger_.Info("a job is to end",
-                 {{"event", "job_end"},
-                  {"job", call.job.value()},
-                  {"outcome", !ended ? "unsure" : *ended ? "ended" : "unknown"},
-                  {"reason", failure}});
+    logger_.Info("a job is to end", {{"event", "job_end"},
+                                     {"job", call.job.value()},
+                                     {"outcome", !ended   ? "unsure"
+                                                 : *ended ? "ended"
+                                                          : "unknown"},
+                                     {"reason", failure}});
     if (!ended) {
       co_await Refuse(writer, kServiceUnavailable, failure, kStoreRetryAfter);
     } else if (*ended) {
@@ -446,7 +449,7 @@
   auto Own(const StoredState& stored,
            JobRecord record,
            std::vector<JobItem> items,
-           std::vector<ItemResult> results) -> void {
+           const std::vector<ItemResult>& results) -> void {
     if (jobs_.contains(stored.state.id)) {
       return;
     }
@@ -477,15 +480,15 @@
     auto scheduled = ScheduledJob();
     scheduled.id = job.state.id;
     scheduled.items = job.items.size();
-    const auto age = milliseconds(
-        static_cast<std::int64_t>(WallMs()) -
-        static_cast<std::int64_t>(job.state.accepted_ms));
+    const auto age =
+        milliseconds(static_cast<std::int64_t>(WallMs()) -
+                     static_cast<std::int64_t>(job.state.accepted_ms));
     const auto accepted = parts_.clock() - age;
     scheduled.due = accepted + kItemTimeLimit;
     scheduled.give_up = MonotonicTime::max();
     if (route != nullptr) {
-      scheduled.service = PickService(
-          *route, routing::RendezvousHash(job.state.id.value()));
+      scheduled.service =
+          PickService(*route, routing::RendezvousHash(job.state.id.value()));
       scheduled.max_attempts = route->max_attempts;
       if (route->due > milliseconds::zero()) {
         scheduled.due = accepted + route->due;
@@ -558,9 +561,10 @@
     for (const auto& service : schedule_.services()) {
       const auto room = parts_.picture.BatchRoom(service);
       if (room < 0) {
-        const auto share = YieldShare(service, static_cast<std::uint64_t>(-room));
+        const auto share =
+            YieldShare(service, static_cast<std::uint64_t>(-room));
         StopSome(service, share, "online requests leave fewer slots");
-      } else if (unstored < kMaxUnstoredBytes) {
+      } else if (unstored < parts_.memory_bytes / kUnstoredPart) {
         StartSome(service, room, now);
       }
     }
@@ -582,8 +586,9 @@
 
   // All owners see the same room, so each takes its part of it; half, because
   // their counts reach each other a moment later.
-  auto StartSome(const ServiceName& service, std::int64_t room, MonotonicTime now)
-      -> void {
+  auto StartSome(const ServiceName& service,
+                 std::int64_t room,
+                 MonotonicTime now) -> void {
     const auto nodes = 2 * std::max<std::size_t>(1, parts_.sharers());
     const auto all = static_cast<std::uint64_t>(room);
     const auto part = all / nodes + Fraction(all % nodes, nodes);
@@ -607,12 +612,12 @@
         continue;
       }
       yields_.Add();
-      logger_.Debug("an item yields",
-                    {{"event", "item_yielded"},
-                     {"item", job->second->items[ref.item].id},
-                     {"last_event",
-                      std::to_string(progress->second.last_event)},
-                     {"reason", reason}});
+      logger_.Debug(
+          "an item yields",
+          {{"event", "item_yielded"},
+           {"item", job->second->items[ref.item].id},
+           {"last_event", std::to_string(progress->second.last_event)},
+           {"reason", reason}});
       progress->second.call->Cancel();
     }
     return yields.size();
@@ -652,8 +657,7 @@
     if (route == nullptr) {
       return std::nullopt;
     }
-    return PickService(*route,
-                       routing::RendezvousHash(job.state.id.value()));
+    return PickService(*route, routing::RendezvousHash(job.state.id.value()));
   }
 
   auto Attempt(JobPtr job, ItemRef ref) -> awaitable<ItemOutcome> {
@@ -685,19 +689,19 @@
     job->progress[ref.item].call = nullptr;
     parts_.picture.OnEnded(replica.id, WorkClass::kBatch);
     parts_.counts_changed();
-    logger_.Info("an item's attempt ended",
-                 {{"event", "item_attempt"},
-                  {"job", ref.job.value()},
-                  {"item", item.id},
-                  {"replica", replica.id.value()},
-                  {"in_flight", std::to_string(choice.in_flight)},
-                  {"urgent", urgent ? "true" : "false"},
-                  {"end", EndName(outcome)},
-                  {"reason", call->reason()},
-                  {"last_event",
-                   std::to_string(job->progress[ref.item].last_event)},
-                  {"ran_ms", std::to_string(static_cast<std::int64_t>(
-                                 MillisecondsSince(began)))}});
+    logger_.Info(
+        "an item's attempt ended",
+        {{"event", "item_attempt"},
+         {"job", ref.job.value()},
+         {"item", item.id},
+         {"replica", replica.id.value()},
+         {"in_flight", std::to_string(choice.in_flight)},
+         {"urgent", urgent ? "true" : "false"},
+         {"end", EndName(outcome)},
+         {"reason", call->reason()},
+         {"last_event", std::to_string(job->progress[ref.item].last_event)},
+         {"ran_ms", std::to_string(
+                        static_cast<std::int64_t>(MillisecondsSince(began)))}});
     co_return outcome;
   }
 
@@ -761,8 +765,7 @@
       co_return outcome;
     }
     const auto head = call->head();
-    const auto facts =
-        parts_.dialect.decode_answer(head.status, head.headers);
+    const auto facts = parts_.dialect.decode_answer(head.status, head.headers);
     if (facts.has_load) {
       parts_.picture.OnReport(replica.id, facts.running, facts.waiting);
     }
@@ -881,12 +884,12 @@
       }
       self->append_ms_.Record(self->MillisecondsSince(began));
       if (!stored) {
-        self->logger_.Warning("results could not be stored yet",
-                              {{"event", "store_failed"},
-                               {"job", job->state.id.value()},
-                               {"results",
-                                std::to_string(chunk.results.size())},
-                               {"reason", failure}});
+        self->logger_.Warning(
+            "results could not be stored yet",
+            {{"event", "store_failed"},
+             {"job", job->state.id.value()},
+             {"results", std::to_string(chunk.results.size())},
+             {"reason", failure}});
         co_await self->Pause(kStorePause);
         continue;
       }
@@ -1054,8 +1057,8 @@
     const auto over = job->state.done || job->state.ended;
     if (call.after >= job->results.size() && !over &&
         call.wait > milliseconds::zero()) {
-      auto timer = std::make_shared<asio::steady_timer>(parts_.executor,
-                                                        call.wait);
+      auto timer =
+          std::make_shared<asio::steady_timer>(parts_.executor, call.wait);
       job->readers.push_back(timer);
       co_await timer->async_wait(kAwaitTuple);
     }
@@ -1081,11 +1084,10 @@
           peer.node_address, node::Channel::kBatch, name, std::move(request),
           [&answer](const json& frame) { answer = frame; }, timeout, nullptr);
     } catch (const Error& error) {
-      logger_.Info("a node does not answer",
-                   {{"event", "peer_failed"},
-                    {"peer", peer.id.value()},
-                    {"call", name},
-                    {"reason", error.what()}});
+      logger_.Info("a node does not answer", {{"event", "peer_failed"},
+                                              {"peer", peer.id.value()},
+                                              {"call", name},
+                                              {"reason", error.what()}});
       co_return std::nullopt;
     }
     if (!answer || !answer->value("known", false)) {
@@ -1171,8 +1173,8 @@
     }
     if (const auto owner = KnownOwner(id)) {
       json request = {{"job", id.value()}};
-      const auto answer = co_await AskPeer(*owner, "job-end",
-                                           std::move(request), kPeerTimeout);
+      const auto answer =
+          co_await AskPeer(*owner, "job-end", std::move(request), kPeerTimeout);
       if (answer && answer->value("ended", false)) {
         co_return true;
       }
@@ -1246,8 +1248,7 @@
     return [weak = weak_from_this(), answer](
                json request,
                std::shared_ptr<node::Responder> responder) -> awaitable<void> {
-      return AnswerPeer(weak, answer, std::move(request),
-                        std::move(responder));
+      return AnswerPeer(weak, answer, std::move(request), std::move(responder));
     };
   }
 
@@ -1351,6 +1352,7 @@
       }
     }
     self->ForgetOwnersNotIn(states);
+    self->EvictDone();
     const auto jitter =
         milliseconds(static_cast<std::int64_t>(self->parts_.random() % 2'000));
     self->ScheduleScan(self->absent_since_.empty()
@@ -1403,6 +1405,27 @@
     return IsChosen(state.id);
   }
 
+  // Jobs that are done are read from the store once they hold too much memory,
+  // those that were accepted first going first.
+  auto EvictDone() -> void {
+    auto done = std::vector<std::pair<std::uint64_t, JobPtr>>();
+    auto bytes = std::size_t{0};
+    for (const auto& [id, job] : jobs_) {
+      if (job->state.done || job->state.ended) {
+        done.emplace_back(job->state.accepted_ms, job);
+        bytes += BytesOf(job->results);
+      }
+    }
+    std::sort(done.begin(), done.end());
+    for (const auto& [accepted, job] : done) {
+      if (bytes <= parts_.memory_bytes / kDonePart) {
+        break;
+      }
+      bytes -= BytesOf(job->results);
+      Drop(job, "it is done and memory is short");
+    }
+  }
+
   auto ForgetOwnersNotIn(const std::vector<StoredState>& states) -> void {
     std::erase_if(absent_since_, [&](const auto& entry) {
       return std::none_of(states.begin(), states.end(),
@@ -1489,7 +1512,7 @@
                   {"from", stored.state.owner.value()},
                   {"listed", std::to_string(results.size())},
                   {"items", std::to_string(items.size())}});
-    Own(*taken, std::move(*record), std::move(items), std::move(results));
+    Own(*taken, std::move(*record), std::move(items), results);
   }
 
   BatchRunnerParts parts_;
@@ -1501,7 +1524,7 @@
   std::map<JobId, NodeId> announced_;
   // When the owner of an unfinished job was first found missing.
   std::map<JobId, MonotonicTime> absent_since_;
-  ResultCache cache_;
+  ResultCache cache_{parts_.memory_bytes / kCachePart};
   std::uint64_t scheduled_version_ = 0;
   bool stopped_ = false;
   Counter& accepted_;
--- a/src/serving/batch_schedule_test.cc
+++ b/src/serving/batch_schedule_test.cc
@@ -17,8 +17,7 @@
 struct Fixture {
   auto Job(const JobId& id, Duration due, std::size_t items) const
       -> ScheduledJob {
-    return {id,     kService, clock.now() + due, MonotonicTime::max(),
-            3,      items};
+    return {id, kService, clock.now() + due, MonotonicTime::max(), 3, items};
   }
 
   testing::ManualClock clock;
@@ -81,8 +80,9 @@
   fixture.schedule.Add(fixture.Job(kLate, seconds(400), 1), {});
   for (auto attempt = 1; attempt <= 3; ++attempt) {
     fixture.clock.Advance(seconds(10));
-    REQUIRE(fixture.schedule.TakeStarts(kService, 1, fixture.clock.now())
-                .size() == 1);
+    REQUIRE(
+        fixture.schedule.TakeStarts(kService, 1, fixture.clock.now()).size() ==
+        1);
     CHECK(fixture.schedule.OnEnded({kLate, 0}, ItemEnd::kFailed,
                                    fixture.clock.now()) == (attempt == 3));
   }
@@ -107,8 +107,7 @@
   auto fixture = Fixture();
   fixture.schedule.Add(fixture.Job(kLate, seconds(40), 2), {});
   fixture.schedule.TakeStarts(kService, 2, fixture.clock.now());
-  fixture.schedule.OnEnded({kLate, 0}, ItemEnd::kFinished,
-                           fixture.clock.now());
+  fixture.schedule.OnEnded({kLate, 0}, ItemEnd::kFinished, fixture.clock.now());
   auto moved = fixture.Job(kLate, seconds(40), 2);
   moved.service = ServiceName("other");
   fixture.schedule.Update(moved);
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -124,8 +124,7 @@
         cancelled_(parts_.metrics.counter(
             "kqg_requests_total{outcome=\"cancelled\"}")),
         attempts_(parts_.metrics.counter("kqg_attempts_total")),
-        first_ms_(
-            parts_.metrics.histogram("kqg_first_byte_latency_seconds")),
+        first_ms_(parts_.metrics.histogram("kqg_first_byte_latency_seconds")),
         total_ms_(parts_.metrics.histogram("kqg_request_latency_seconds")),
         wait_ms_(parts_.metrics.histogram("kqg_room_wait_seconds")) {}
 
@@ -231,8 +230,8 @@
       }
     }
     passage->waited += parts_.clock() - began;
-    wait_ms_.Record(static_cast<double>(
-        ToMilliseconds(parts_.clock() - began).count()));
+    wait_ms_.Record(
+        static_cast<double>(ToMilliseconds(parts_.clock() - began).count()));
     if (!HasRoom(passage->choice)) {
       passage->choice.replica.reset();
     }
@@ -250,6 +249,9 @@
   }
 
   auto Attempt(PassagePtr passage) -> awaitable<AttemptEnd> {
+    if (!passage->choice.replica) {
+      co_return AttemptEnd();
+    }
     const auto replica = *passage->choice.replica;
     passage->tried.push_back(replica.id);
     ++passage->history.attempts;
@@ -334,8 +336,8 @@
   auto Learn(const Passage& passage,
              const ReplicaId& replica,
              AttemptEnd& attempt) -> void {
-    const auto facts = parts_.dialect.decode_answer(passage.head.status,
-                                                    passage.head.headers);
+    const auto facts =
+        parts_.dialect.decode_answer(passage.head.status, passage.head.headers);
     attempt.not_run = facts.not_run || facts.wrong_replica;
     if (facts.has_load) {
       parts_.picture.OnReport(replica, facts.running, facts.waiting);
@@ -418,7 +420,7 @@
     passage.first_event = now - passage.incoming->arrived;
     first_ms_.Record(
         static_cast<double>(ToMilliseconds(passage.first_event).count()));
-    parts_.picture.OnSuccess(passage.choice.replica->id, now - began);
+    parts_.picture.OnSuccess(passage.tried.back(), now - began);
   }
 
   auto EndAttempt(Passage& passage,
@@ -433,26 +435,24 @@
     if (!not_run) {
       ++passage.history.may_have_run;
     }
-    const auto failed = attempt.end == CallEnd::kBroken ||
-                        attempt.end == CallEnd::kMalformed ||
-                        attempt.end == CallEnd::kSilent ||
-                        attempt.end == CallEnd::kNotSent;
+    const auto failed =
+        attempt.end == CallEnd::kBroken || attempt.end == CallEnd::kMalformed ||
+        attempt.end == CallEnd::kSilent || attempt.end == CallEnd::kNotSent;
     if (failed) {
       parts_.picture.OnFailure(replica.id);
     } else if (attempt.end == CallEnd::kComplete && !not_run) {
       parts_.picture.OnHeld(replica.service, held);
     }
     if (failed || not_run) {
-      logger_.Info(
-          "an attempt failed",
-          {{"event", "attempt_failed"},
-           {"request", passage.request.id.value()},
-           {"replica", replica.id.value()},
-           {"end", std::string(upstream::CallEndName(attempt.end))},
-           {"status", std::to_string(attempt.status)},
-           {"not_run", not_run ? "true" : "false"},
-           {"last_event", std::to_string(passage.last_event)},
-           {"held_ms", Text(held)}});
+      logger_.Info("an attempt failed",
+                   {{"event", "attempt_failed"},
+                    {"request", passage.request.id.value()},
+                    {"replica", replica.id.value()},
+                    {"end", std::string(upstream::CallEndName(attempt.end))},
+                    {"status", std::to_string(attempt.status)},
+                    {"not_run", not_run ? "true" : "false"},
+                    {"last_event", std::to_string(passage.last_event)},
+                    {"held_ms", Text(held)}});
     }
     OnRoom();
   }
@@ -470,9 +470,8 @@
     return decision;
   }
 
-  auto Finish(PassagePtr passage,
-              AttemptEnd attempt,
-              NextStepDecision decision) -> awaitable<void> {
+  auto Finish(PassagePtr passage, AttemptEnd attempt, NextStepDecision decision)
+      -> awaitable<void> {
     auto& writer = *passage->writer;
     auto status = passage->head.status;
     switch (decision.step) {
@@ -568,8 +567,7 @@
          {"route", passage.route->name},
          {"configuration", std::to_string(passage.configuration->version)},
          {"service", passage.service.value()},
-         {"replica",
-          passage.tried.empty() ? "" : passage.tried.back().value()},
+         {"replica", passage.tried.empty() ? "" : passage.tried.back().value()},
          {"attempts", std::to_string(passage.history.attempts)},
          {"in_flight", std::to_string(choice.in_flight)},
          {"slots", std::to_string(choice.slots)},
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -83,7 +83,7 @@
 constexpr milliseconds kStopMargin{500};
 // Descriptors that are kept for replicas, peers, the store and files.
 constexpr std::size_t kReservedDescriptors = 400;
-constexpr std::chrono::seconds kSettingsCheck{5};
+constexpr std::size_t kBytesPerMegabyte = 1'000'000;
 // Datagrams must not be split into fragments; an entry takes its id and a few
 // bytes.
 constexpr std::size_t kCountsPerDatagram = 40;
@@ -248,7 +248,9 @@
             .has_ended = [this](const NodeId& id) { return HasEnded(id); },
             .counts_changed = [this] { OnCountsChanged(); },
             .announce = [this](const JobId& job) { Announce(job); },
-            .retention = settings_.limits.job_retention};
+            .retention = settings_.limits.job_retention,
+            .memory_bytes =
+                std::size_t{settings_.limits.memory_mb} * kBytesPerMegabyte};
   }
 
   auto MakeForwarderParts() -> ForwarderParts {
@@ -407,8 +409,8 @@
       replica_table_.OnStoreNotWatched();
       return std::nullopt;
     }
-    const auto time_of_day = std::chrono::duration_cast<milliseconds>(
-        WallNow().time_since_epoch());
+    const auto time_of_day =
+        std::chrono::duration_cast<milliseconds>(WallNow().time_since_epoch());
     return WatchTime(static_cast<std::size_t>(place - watchers.begin()),
                      watchers.size(), time_of_day);
   }
@@ -431,15 +433,14 @@
                      std::uint64_t revision) -> void {
     auto changes = std::vector<EntryChange>();
     for (const auto& entry : entries) {
-      changes.push_back({IdOf(entry.key), entry.version, entry.value,
-                         Duration::zero()});
+      changes.push_back(
+          {IdOf(entry.key), entry.version, entry.value, Duration::zero()});
     }
     const auto changed = replica_table_.OnSnapshot(changes, revision);
     logger_.Info("replicas were listed",
                  {{"event", "replicas_listed"},
                   {"entries", std::to_string(entries.size())},
-                  {"usable",
-                   std::to_string(replica_table_.replicas().size())},
+                  {"usable", std::to_string(replica_table_.replicas().size())},
                   {"revision", std::to_string(revision)}});
     OnReplicasRead(changed);
   }
@@ -463,13 +464,12 @@
 
   auto LogReplicaChange(const EntryChange& change, const std::string& source)
       -> void {
-    logger_.Info(
-        "a replica's entry changed",
-        {{"event", "replica_changed"},
-         {"replica", change.id.value()},
-         {"revision", std::to_string(change.revision)},
-         {"entry", change.value ? *change.value : std::string("gone")},
-         {"source", source}});
+    logger_.Info("a replica's entry changed",
+                 {{"event", "replica_changed"},
+                  {"replica", change.id.value()},
+                  {"revision", std::to_string(change.revision)},
+                  {"entry", change.value ? *change.value : std::string("gone")},
+                  {"source", source}});
   }
 
   auto EncodeChanges(std::uint64_t since) const -> json {
@@ -527,8 +527,8 @@
     }
     peers_ = std::move(alive);
     ChooseCell(nodes);
-    const auto size = static_cast<std::uint32_t>(std::max<std::size_t>(
-        1, nodes.size()));
+    const auto size =
+        static_cast<std::uint32_t>(std::max<std::size_t>(1, nodes.size()));
     store_client_.SetFleetSize(size);
     retry_budget_.set_nodes(size);
     batch_.OnMembersChanged();
@@ -536,8 +536,8 @@
 
   // Finds the other nodes by the seeds of the settings and, since these may all
   // be down or replaced, by the addresses that nodes register in the store.
-  // Nodes that start together may miss each other in the first list, so a second
-  // one follows.
+  // Nodes that start together may miss each other in the first list, so a
+  // second one follows.
   auto JoinFleet() -> awaitable<void> {
     gossip_.Start();
     gossip_.SetSeeds(settings_.seeds);
@@ -569,8 +569,8 @@
     const auto own_value = json(settings_.listen.nodes).dump();
     auto failure = std::string();
     try {
-      const auto page = co_await store_->List(
-          kNodePrefix, "", kMaxSeeds, store::CallClass::kConfiguration);
+      const auto page = co_await store_->List(kNodePrefix, "", kMaxSeeds,
+                                              store::CallClass::kConfiguration);
       auto seeds = settings_.seeds;
       auto own_version = std::optional<std::uint64_t>();
       auto up_to_date = false;
@@ -606,8 +606,8 @@
     }
   }
 
-  // Deals the nodes out to cells of about kNodesPerCell, alike on all nodes that
-  // know the same members.
+  // Deals the nodes out to cells of about kNodesPerCell, alike on all nodes
+  // that know the same members.
   auto ChooseCell(const std::vector<routing::NodeInfo>& nodes) -> void {
     auto order = std::vector<std::pair<std::uint64_t, routing::NodeInfo>>();
     for (const auto& node : nodes) {
@@ -653,9 +653,9 @@
         batch_.OnAnnounced(JobId(message.at("j").get<std::string>()), from);
       }
     } catch (const json::exception& error) {
-      logger_.Warning("a datagram of a node cannot be read",
-                      {{"event", "datagram_malformed"},
-                       {"reason", error.what()}});
+      logger_.Warning(
+          "a datagram of a node cannot be read",
+          {{"event", "datagram_malformed"}, {"reason", error.what()}});
     }
   }
 
@@ -712,8 +712,8 @@
   }
 
   auto Announce(const JobId& job) -> void {
-    const auto message = json{
-        {"t", "job"}, {"n", settings_.name.value()}, {"j", job.value()}};
+    const auto message =
+        json{{"t", "job"}, {"n", settings_.name.value()}, {"j", job.value()}};
     ForEachPeer([&](const std::string& address) {
       gossip_.SendDatagram(address, message);
     });
@@ -726,8 +726,7 @@
     Listen(readiness_, settings_.listen.readiness, &Impl::HandleReadiness);
     Listen(directory_, settings_.listen.directory, &Impl::HandleDirectory);
     try {
-      Listen(metrics_listener_, settings_.listen.metrics,
-             &Impl::HandleMetrics);
+      Listen(metrics_listener_, settings_.listen.metrics, &Impl::HandleMetrics);
     } catch (const Error& error) {
       // Serving callers is worth more than being measured.
       logger_.Warning("metrics are not served",
@@ -735,8 +734,8 @@
     }
   }
 
-  using HandlerMember = auto (Impl::*)(std::shared_ptr<const IncomingRequest>,
-                                       WriterPtr) -> awaitable<void>;
+  using HandlerMember = auto(Impl::*)(std::shared_ptr<const IncomingRequest>,
+                                      WriterPtr) -> awaitable<void>;
 
   auto Listen(std::unique_ptr<HttpListener>& listener,
               const std::string& address,
@@ -821,8 +820,8 @@
     const auto ready = IsReady();
     auto text = std::string(ready ? "ready\n" : "not ready\n");
     auto headers = HeaderList{{"Content-Type", "text/plain"}};
-    co_await writer->Send(ready ? kOk : kServiceUnavailable,
-                          std::move(headers), std::move(text));
+    co_await writer->Send(ready ? kOk : kServiceUnavailable, std::move(headers),
+                          std::move(text));
   }
 
   auto HandleDirectory(std::shared_ptr<const IncomingRequest> incoming,
@@ -933,9 +932,8 @@
     stopping_ = true;
     logger_.Info("stopping as planned",
                  {{"event", "stop_begins"},
-                  {"active", std::to_string(callers_
-                                                ? callers_->active_requests()
-                                                : 0)}});
+                  {"active", std::to_string(
+                                 callers_ ? callers_->active_requests() : 0)}});
     gossip_.Leave();
     batch_.Stop();
     if (callers_) {
@@ -956,9 +954,8 @@
     }
     logger_.Info("closing",
                  {{"event", "stop_closes"},
-                  {"active", std::to_string(callers_
-                                                ? callers_->active_requests()
-                                                : 0)}});
+                  {"active", std::to_string(
+                                 callers_ ? callers_->active_requests() : 0)}});
     gossip_.Stop();
     // Datagrams and last bytes leave.
     timer.expires_after(kStopCheck);
--- a/src/serving/gateway_settings_test.cc
+++ b/src/serving/gateway_settings_test.cc
@@ -47,11 +47,10 @@
 }
 
 TEST_CASE("GatewaySettings.RejectsAMissingStore") {
-  CHECK_THROWS_AS(
-      ParseGatewaySettings("[node]\nname=\"n\"\nzone=\"z\"\n"
-                           "fleet_credential=\"c\"\n",
-                           "s"),
-      Error);
+  CHECK_THROWS_AS(ParseGatewaySettings("[node]\nname=\"n\"\nzone=\"z\"\n"
+                                       "fleet_credential=\"c\"\n",
+                                       "s"),
+                  Error);
 }
 
 TEST_CASE("GatewaySettings.RejectsABadAddress") {
--- a/src/serving/job.cc
+++ b/src/serving/job.cc
@@ -18,10 +18,10 @@
   try {
     return decode();
   } catch (const json::exception& error) {
-    throw Error(ErrorKind::kInvalidArgument,
-                std::string("unreadable object of a job (") + error.what() +
-                    ")",
-                id.value(), "remove the object; another program wrote it");
+    throw Error(
+        ErrorKind::kInvalidArgument,
+        std::string("unreadable object of a job (") + error.what() + ")",
+        id.value(), "remove the object; another program wrote it");
   }
 }
 
@@ -118,12 +118,13 @@
     at = end;
   } while (at < record.submission.size());
   auto values = std::vector<std::string>();
-  values.push_back(json{{"host", record.host},
-                        {"path", record.path},
-                        {"accepted_ms", record.accepted_ms},
-                        {"parts", texts.size() - 1},
-                        {"text", texts.front()}}
-                       .dump());
+  values.push_back(json{
+      {"host", record.host},
+      {"path", record.path},
+      {"accepted_ms", record.accepted_ms},
+      {"parts", texts.size() - 1},
+      {"text",
+       texts.front()}}.dump());
   for (std::size_t part = 1; part < texts.size(); ++part) {
     values.push_back(json{{"text", texts[part]}}.dump());
   }
@@ -131,9 +132,8 @@
 }
 
 auto RecordParts(const JobId& id, const std::string& first) -> std::size_t {
-  return Decoded(id, [&] {
-    return json::parse(first).at("parts").get<std::size_t>();
-  });
+  return Decoded(
+      id, [&] { return json::parse(first).at("parts").get<std::size_t>(); });
 }
 
 auto DecodeRecord(const JobId& id, const std::vector<std::string>& values)
--- a/src/serving/job_archive.cc
+++ b/src/serving/job_archive.cc
@@ -68,8 +68,8 @@
   const auto parts = RecordParts(id, first->value);
   auto values = std::vector<std::string>{std::move(first->value)};
   for (std::size_t part = 1; part <= parts; ++part) {
-    auto next = co_await store_.Read(RecordPartKey(id, part),
-                                     CallClass::kResult);
+    auto next =
+        co_await store_.Read(RecordPartKey(id, part), CallClass::kResult);
     if (!next) {
       co_return std::nullopt;
     }
@@ -115,14 +115,13 @@
   co_return std::nullopt;
 }
 
-auto JobArchive::ListStates(bool exact)
-    -> awaitable<std::vector<StoredState>> {
+auto JobArchive::ListStates(bool exact) -> awaitable<std::vector<StoredState>> {
   auto states = std::vector<StoredState>();
   auto after = std::string();
   while (true) {
-    const auto page = co_await store_.List(
-        kStatePrefix, after, kPageSize,
-        exact ? CallClass::kResult : CallClass::kStatus);
+    const auto page =
+        co_await store_.List(kStatePrefix, after, kPageSize,
+                             exact ? CallClass::kResult : CallClass::kStatus);
     for (const auto& entry : page.entries) {
       const auto id =
           JobId(entry.key.substr(std::string_view(kStatePrefix).size()));
--- a/src/serving/job_archive_test.cc
+++ b/src/serving/job_archive_test.cc
@@ -78,12 +78,11 @@
 // Guards against "not run" said of a job whose state may have been stored.
 TEST_CASE("JobArchive.SettlesALostAnswerByReadingBack") {
   auto fixture = Fixture();
-  fixture.store.set_fault_hook(
-      [](const std::string& call, const std::string& key) {
-        return call == "write" && key == StateKey(kJob)
-                   ? StoreFault::kLoseAnswer
-                   : StoreFault::kNone;
-      });
+  fixture.store.set_fault_hook([](const std::string& call,
+                                  const std::string& key) {
+    return call == "write" && key == StateKey(kJob) ? StoreFault::kLoseAnswer
+                                                    : StoreFault::kNone;
+  });
   const auto stored = RunAwaitable(
       fixture.context, fixture.archive.Create(MakeRecord(), MakeState("n1")));
   CHECK(stored.state == MakeState("n1"));
@@ -95,8 +94,7 @@
   const auto first = MakeChunk("n1.1", {"a", "b"});
   const auto second = MakeChunk("n2.1", {"c"});
   CHECK(RunAwaitable(fixture.context, fixture.archive.Append(first)) == first);
-  CHECK(RunAwaitable(fixture.context, fixture.archive.Append(second)) ==
-        first);
+  CHECK(RunAwaitable(fixture.context, fixture.archive.Append(second)) == first);
 }
 
 TEST_CASE("JobArchive.ReplacesAStateOnlyAtItsVersion") {
--- a/src/serving/load_picture.cc
+++ b/src/serving/load_picture.cc
@@ -149,8 +149,8 @@
   return score;
 }
 
-auto LoadPicture::QueueLimit(const State& state,
-                             Duration latency_target) const -> std::uint32_t {
+auto LoadPicture::QueueLimit(const State& state, Duration latency_target) const
+    -> std::uint32_t {
   const auto hold = ToSeconds(mean_hold(state.replica.service));
   const auto budget = ToSeconds(latency_target) * settings_.queue_share;
   const auto slots = static_cast<double>(state.replica.capacity);
@@ -177,8 +177,8 @@
       continue;
     }
     const auto ejection = outliers_.state(id);
-    const auto probing_now = ejection == routing::EjectionState::kProbing &&
-                             state.own.total() > 0;
+    const auto probing_now =
+        ejection == routing::EjectionState::kProbing && state.own.total() > 0;
     if (ejection == routing::EjectionState::kEjected || probing_now) {
       ejected = &state;
       continue;
--- a/src/serving/load_picture_test.cc
+++ b/src/serving/load_picture_test.cc
@@ -29,8 +29,8 @@
 
 struct Fixture {
   Fixture() {
-    picture.SetReplicas({MakeReplica("r1"), MakeReplica("r2"),
-                         MakeReplica("r3")});
+    picture.SetReplicas(
+        {MakeReplica("r1"), MakeReplica("r2"), MakeReplica("r3")});
   }
 
   auto Request() const -> ChoiceRequest {
@@ -114,8 +114,7 @@
   auto fixture = Fixture();
   auto leaving = MakeReplica("r1");
   leaving.leaving = true;
-  fixture.picture.SetReplicas(
-      {leaving, MakeReplica("r2"), MakeReplica("r3")});
+  fixture.picture.SetReplicas({leaving, MakeReplica("r2"), MakeReplica("r3")});
   fixture.picture.MarkGone(ReplicaId("r2"));
   auto request = fixture.Request();
   request.tried = {ReplicaId("r3")};
--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -169,8 +169,9 @@
     // Replicas may answer before they have read the whole request, so the
     // request is written while the answer is awaited.
     write_done_ = std::make_shared<bool>(false);
-    auto writing = Write(connection_, message_, write_done_,
-                         std::static_pointer_cast<HttpCall>(shared_from_this()));
+    auto writing =
+        Write(connection_, message_, write_done_,
+              std::static_pointer_cast<HttpCall>(shared_from_this()));
     asio::co_spawn(executor_, std::move(writing), asio::detached);
     head_deadline_ = std::chrono::steady_clock::now() + request_.head_silence;
     for (auto skipped = 0; skipped <= kMaxForeignAnswers; ++skipped) {
@@ -254,9 +255,9 @@
     auto& body = parser_->get().body();
     body.data = piece_.data();
     body.size = piece_.size();
-    io.ExpireAt(std::min(request_.deadline,
-                         std::chrono::steady_clock::now() + silence),
-                OnExpiry::kCloseIfSilent);
+    io.ExpireAt(
+        std::min(request_.deadline, std::chrono::steady_clock::now() + silence),
+        OnExpiry::kCloseIfSilent);
     const auto [error, read] = co_await http::async_read_some(
         io.socket(), io.buffer(), *parser_, kAwaitTuple);
     bytes.append(piece_.data(), piece_.size() - body.size);
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -1,7 +1,7 @@
 // The real gateway as a process between stand-ins of the users' platform.
 
-#include <csignal>
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -44,11 +44,11 @@
 
 auto MakeRoute(const std::string& prefix, const std::string& kind, json extra)
     -> json {
-  json route = {{"name", "r" + prefix},   {"host", kHost},
-                {"path_prefix", prefix},  {"kind", kind},
-                {"timeout_ms", 5000},     {"target_latency_ms", 300},
-                {"priority", 0},          {"service", "svc"},
-                {"max_attempts", 2},      {"gap_aim_ms", 300}};
+  json route = {{"name", "r" + prefix},  {"host", kHost},
+                {"path_prefix", prefix}, {"kind", kind},
+                {"timeout_ms", 5000},    {"target_latency_ms", 300},
+                {"priority", 0},         {"service", "svc"},
+                {"max_attempts", 2},     {"gap_aim_ms", 300}};
   route.update(extra);
   return route;
 }
@@ -155,14 +155,13 @@
   }
 
   auto Announce(const ReplicaStandIn& replica) -> void {
-    store->Put("servers/" + replica.id(),
-               {{"service", "svc"},
-                {"address", replica.address()},
-                {"zone", "a"},
-                {"slots", 8},
-                {"state", "ready"},
-                {"cold_remaining_ms", 0},
-                {"sequence", 1}});
+    store->Put("servers/" + replica.id(), {{"service", "svc"},
+                                           {"address", replica.address()},
+                                           {"zone", "a"},
+                                           {"slots", 8},
+                                           {"state", "ready"},
+                                           {"cold_remaining_ms", 0},
+                                           {"sequence", 1}});
   }
 
   // Waits until every gateway serves and knows the others.
--- a/testing/gateway/stand_in.cc
+++ b/testing/gateway/stand_in.cc
@@ -95,8 +95,8 @@
       co_await Pause(context_, kWatchStep);
     }
   }
-  auto [status, body] = since > 0 ? std::pair(200, Changes(kind, since))
-                                  : Answer(*request);
+  auto [status, body] =
+      since > 0 ? std::pair(200, Changes(kind, since)) : Answer(*request);
   if (status == 0) {
     co_return;  // The connection closes without an answer.
   }
@@ -111,16 +111,15 @@
   auto events = json::array();
   for (const auto& [key, object] : objects_) {
     if (key.starts_with(kind + "/") && object.revision > since) {
-      events.push_back(
-          {{"deleted", object.deleted},
-           {"object", Show(key.substr(kind.size() + 1), object)}});
+      events.push_back({{"deleted", object.deleted},
+                        {"object", Show(key.substr(kind.size() + 1), object)}});
     }
   }
   return {{"events", std::move(events)}, {"as_of", revision_}};
 }
 
-auto ObjectApiStandIn::Show(const std::string& name,
-                            const Object& object) const -> json {
+auto ObjectApiStandIn::Show(const std::string& name, const Object& object) const
+    -> json {
   return {{"metadata", {{"name", name}, {"revision", object.revision}}},
           {"spec", object.spec}};
 }
@@ -152,10 +151,9 @@
       items.push_back(Show(key.substr(path.size() + 1), object));
     }
   }
-  return {200,
-          {{"items", std::move(items)},
-           {"has_more", false},
-           {"as_of", revision_}}};
+  return {
+      200,
+      {{"items", std::move(items)}, {"has_more", false}, {"as_of", revision_}}};
 }
 
 auto ObjectApiStandIn::AnswerWrite(const Request& request,
