Share settings reading and process hooks; wait for the log line in its test

Cause of one red run: the test read the log right after the answer, while the line is written once the answer has been sent. It now waits for the line, with the same checks. Routes that cannot be read are counted in the log.

--- a/include/kumquatgauge/serving/configuration.h
+++ b/include/kumquatgauge/serving/configuration.h
@@ -78,6 +78,8 @@
   std::vector<Route> routes;
   std::vector<Service> services;
   CallerLimits limits;
+  // Routes and services that could not be read and are left out.
+  std::uint32_t left_out = 0;
 
   // The route of `host` with the longest prefix of `path`; null when there is
   // none.
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -123,26 +123,13 @@
 
 auto ParseNodeSettings(const std::string& text, const std::string& path)
     -> NodeSettings {
-  try {
-    const auto root = toml::parse(text, path);
+  return detail::ReadToml(text, path, [&](const toml::table& root) {
     return SettingsReader(root, path).Read();
-  } catch (const toml::parse_error& error) {
-    throw Error(ErrorKind::kInvalidArgument, "settings are not valid TOML",
-                path + ":" + std::to_string(error.source().begin.line) + ": " +
-                    std::string(error.description()),
-                "correct the line; see docs/operators.md");
-  }
+  });
 }
 
 auto ReadNodeSettings(const std::string& path) -> NodeSettings {
-  auto file = std::ifstream(path);
-  if (!file) {
-    throw Error(ErrorKind::kInvalidArgument, "cannot read settings", path,
-                "name an existing TOML file that is readable");
-  }
-  auto text = std::ostringstream();
-  text << file.rdbuf();
-  return ParseNodeSettings(text.str(), path);
+  return ParseNodeSettings(detail::ReadSettingsText(path), path);
 }
 
 }  // namespace kumquatgauge
--- a/src/base/table_reader.h
+++ b/src/base/table_reader.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <cstdint>
+#include <fstream>
 #include <set>
 #include <sstream>
 #include <string>
@@ -186,6 +187,34 @@
   std::set<std::string> known_;
 };
 
+// Parses a settings file's text and passes its root table to `read`. Throws
+// Error(kInvalidArgument) for text that is not TOML.
+template <typename Read>
+auto ReadToml(const std::string& text, const std::string& path, Read read) {
+  try {
+    const auto root = toml::parse(text, path);
+    return read(root);
+  } catch (const toml::parse_error& error) {
+    throw Error(ErrorKind::kInvalidArgument, "settings are not valid TOML",
+                path + ":" + std::to_string(error.source().begin.line) + ": " +
+                    std::string(error.description()),
+                "correct the line; see docs/operators.md");
+  }
+}
+
+// The text of a settings file. Throws Error(kInvalidArgument) when it cannot be
+// read.
+inline auto ReadSettingsText(const std::string& path) -> std::string {
+  auto file = std::ifstream(path);
+  if (!file) {
+    throw Error(ErrorKind::kInvalidArgument, "cannot read settings", path,
+                "name an existing TOML file that is readable");
+  }
+  auto text = std::ostringstream();
+  text << file.rdbuf();
+  return text.str();
+}
+
 }  // namespace kumquatgauge::detail
 
 #endif  // BASE_TABLE_READER_H_
--- a/src/serving/disk_host.cc
+++ b/src/serving/disk_host.cc
@@ -8,18 +8,21 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
-#include <random>
 #include <utility>
 
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/serving/store_feed.h"
+#include "serving/process_hooks.h"
 
 namespace kumquatgauge::serving {
 namespace {
 
 namespace asio = boost::asio;
 using asio::awaitable;
+using detail::DrawRandom;
+using detail::MakeStoreOptions;
+using detail::SteadyNow;
 
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
 // Bounds how late a request is noticed when the store forgets a watch; requests
@@ -27,24 +30,6 @@
 constexpr std::chrono::milliseconds kWatchTime{4'000};
 constexpr std::chrono::milliseconds kReportPause{300};
 
-auto SteadyNow() -> MonotonicTime {
-  return std::chrono::steady_clock::now();
-}
-
-auto DrawRandom() -> std::uint64_t {
-  static auto generator = std::mt19937_64(std::random_device{}());
-  return generator();
-}
-
-auto MakeStoreOptions(const GatewaySettings& settings)
-    -> store::PlatformOptions {
-  auto options = store::PlatformOptions();
-  options.address = settings.store.address;
-  options.limits.fleet_reads = settings.store.reads_per_second;
-  options.limits.fleet_writes = settings.store.writes_per_second;
-  return options;
-}
-
 }  // namespace
 
 class DiskHost::Impl {
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -11,7 +11,6 @@
 #include <csignal>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <random>
 #include <utility>
 
 #include "kumquatgauge/base/error.h"
@@ -30,6 +29,7 @@
 #include "kumquatgauge/serving/store_feed.h"
 #include "kumquatgauge/serving/watcher_choice.h"
 #include "kumquatgauge/upstream/replica_call.h"
+#include "serving/process_hooks.h"
 
 namespace kumquatgauge::serving {
 namespace {
@@ -38,6 +38,10 @@
 using asio::awaitable;
 using caller::HttpListener;
 using caller::IncomingRequest;
+using detail::DrawRandom;
+using detail::MakeStoreOptions;
+using detail::SteadyNow;
+using detail::WallNow;
 using nlohmann::json;
 using std::chrono::milliseconds;
 using WriterPtr = std::shared_ptr<caller::ResponseWriter>;
@@ -88,28 +92,6 @@
 // bytes.
 constexpr std::size_t kCountsPerDatagram = 40;
 
-auto SteadyNow() -> MonotonicTime {
-  return std::chrono::steady_clock::now();
-}
-
-auto WallNow() -> WallTime {
-  return std::chrono::system_clock::now();
-}
-
-auto DrawRandom() -> std::uint64_t {
-  static auto generator = std::mt19937_64(std::random_device{}());
-  return generator();
-}
-
-auto MakeStoreOptions(const GatewaySettings& settings)
-    -> store::PlatformOptions {
-  auto options = store::PlatformOptions();
-  options.address = settings.store.address;
-  options.limits.fleet_reads = settings.store.reads_per_second;
-  options.limits.fleet_writes = settings.store.writes_per_second;
-  return options;
-}
-
 auto MakeGossipSettings(const GatewaySettings& settings)
     -> node::GossipSettings {
   auto gossip = node::GossipSettings();
@@ -371,6 +353,7 @@
                   {"version", std::to_string(next->version)},
                   {"before", ConfigurationVersion()},
                   {"routes", std::to_string(next->routes.size())},
+                  {"left_out", std::to_string(next->left_out)},
                   {"source", source}});
     raw_configuration_ = value;
     configuration_ = std::move(next);
--- a/src/serving/gateway_settings.cc
+++ b/src/serving/gateway_settings.cc
@@ -1,7 +1,5 @@
 #include "kumquatgauge/serving/gateway_settings.h"
 
-#include <fstream>
-#include <sstream>
 #include <utility>
 
 #include "base/table_reader.h"
@@ -108,26 +106,14 @@
 
 auto ParseGatewaySettings(const std::string& text, const std::string& path)
     -> GatewaySettings {
-  try {
-    const auto root = toml::parse(text, path);
-    return Reader(root, path).Read();
-  } catch (const toml::parse_error& error) {
-    throw Error(ErrorKind::kInvalidArgument, "settings are not valid TOML",
-                path + ":" + std::to_string(error.source().begin.line) + ": " +
-                    std::string(error.description()),
-                "correct the line; see docs/operators.md");
-  }
+  return kumquatgauge::detail::ReadToml(
+      text, path,
+      [&](const toml::table& root) { return Reader(root, path).Read(); });
 }
 
 auto ReadGatewaySettings(const std::string& path) -> GatewaySettings {
-  auto file = std::ifstream(path);
-  if (!file) {
-    throw Error(ErrorKind::kInvalidArgument, "cannot read settings", path,
-                "name an existing TOML file that is readable");
-  }
-  auto text = std::ostringstream();
-  text << file.rdbuf();
-  return ParseGatewaySettings(text.str(), path);
+  return ParseGatewaySettings(kumquatgauge::detail::ReadSettingsText(path),
+                              path);
 }
 
 }  // namespace kumquatgauge::serving
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -477,13 +477,17 @@
   fleet.nodes.front()->Call("POST", "/plain/once/x", "trace-me");
   auto attempt = json();
   auto end = json();
-  auto lines = std::istringstream(fleet.nodes.front()->Log());
-  for (std::string line; std::getline(lines, line);) {
-    const auto object = json::parse(line);
-    if (object.value("request", "") == "trace-me") {
-      (object.at("event") == "attempt_failed" ? attempt : end) = object;
+  // The line is written after the answer has been sent.
+  Eventually([&] {
+    auto lines = std::istringstream(fleet.nodes.front()->Log());
+    for (std::string line; std::getline(lines, line);) {
+      const auto object = json::parse(line, nullptr, false);
+      if (object.is_object() && object.value("request", "") == "trace-me") {
+        (object.at("event") == "attempt_failed" ? attempt : end) = object;
+      }
     }
-  }
+    return end.is_object();
+  });
   REQUIRE(attempt.is_object());
   REQUIRE(end.is_object());
   CHECK(attempt.at("end") == "broken");
