--- a/include/kumquatgauge/serving/batch_schedule.h
+++ b/include/kumquatgauge/serving/batch_schedule.h
@@ -84,7 +84,6 @@
   auto TakeGivenUp(MonotonicTime now) -> std::vector<ItemRef>;
 
   auto IsUrgent(const ItemRef& ref, MonotonicTime now) const -> bool;
-  auto waiting(const ServiceName& service) const -> std::size_t;
   auto running(const ServiceName& service) const -> std::size_t;
   auto services() const -> std::vector<ServiceName>;
   auto unfinished(const JobId& job) const -> std::size_t;
--- a/include/kumquatgauge/serving/forwarder.h
+++ b/include/kumquatgauge/serving/forwarder.h
@@ -26,8 +26,6 @@
   MetricsRegistry& metrics;
   Clock clock;
   RandomSource random;
-  // The configuration in force; null when none is known yet.
-  std::function<auto()->std::shared_ptr<const Configuration>> configuration;
   // Asks batch work of this node to leave a slot of a service to an online
   // request; returns whether one was freed.
   std::function<auto(const ServiceName&)->bool> make_room;
--- a/include/kumquatgauge/serving/load_picture.h
+++ b/include/kumquatgauge/serving/load_picture.h
@@ -141,7 +141,6 @@
   auto slots(const ServiceName& service) const -> std::uint32_t;
   // How long a slot is held on average.
   auto mean_hold(const ServiceName& service) const -> Duration;
-  auto Find(const ReplicaId& replica) const -> std::optional<routing::Replica>;
 
  private:
   struct Report {
--- a/src/serving/batch_schedule.cc
+++ b/src/serving/batch_schedule.cc
@@ -195,18 +195,6 @@
          Slack(job->second, item->second, now) < settings_.urgent_slack;
 }
 
-auto BatchSchedule::waiting(const ServiceName& service) const -> std::size_t {
-  auto count = std::size_t{0};
-  for (const auto& [id, job] : jobs_) {
-    if (job.job.service == service) {
-      count += static_cast<std::size_t>(
-          std::count_if(job.items.begin(), job.items.end(),
-                        [](const auto& item) { return !item.second.running; }));
-    }
-  }
-  return count;
-}
-
 auto BatchSchedule::running(const ServiceName& service) const -> std::size_t {
   auto count = std::size_t{0};
   for (const auto& [id, job] : jobs_) {
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -244,7 +244,6 @@
             .metrics = metrics_,
             .clock = SteadyNow,
             .random = DrawRandom,
-            .configuration = [this] { return configuration_; },
             .make_room =
                 [this](const ServiceName& service) {
                   return batch_.MakeRoom(service);
--- a/src/serving/load_picture.cc
+++ b/src/serving/load_picture.cc
@@ -406,13 +406,4 @@
       std::chrono::duration<double>(found->second));
 }
 
-auto LoadPicture::Find(const ReplicaId& replica) const
-    -> std::optional<Replica> {
-  const auto found = states_.find(replica);
-  if (found == states_.end()) {
-    return std::nullopt;
-  }
-  return found->second.replica;
-}
-
 }  // namespace kumquatgauge::serving
