--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -44,11 +44,11 @@
     ReadCallers(settings);
     ReadOperators(settings);
     ReadNodes(settings);
-    auto platform = Table("platform");
+    auto platform = top_.Table("platform");
     settings.platform_address = platform.Endpoint("address");
     platform.CheckUnknown();
     ReadLog(settings);
-    auto limits = Table("limits");
+    auto limits = top_.Table("limits");
     settings.limits = ReadLimits(limits);
     limits.CheckUnknown();
     top_.CheckUnknown();
@@ -56,16 +56,8 @@
   }
 
  private:
-  auto Table(const std::string& name) -> TableReader {
-    const auto* node = top_.Find(name);
-    if (node != nullptr && !node->is_table()) {
-      top_.Fail(node->source().begin.line, name, "a value", "a table");
-    }
-    return {node == nullptr ? nullptr : node->as_table(), name, path_};
-  }
-
   auto ReadNode(NodeSettings& settings) -> void {
-    auto node = Table("node");
+    auto node = top_.Table("node");
     settings.name = NodeId(node.String("name"));
     settings.zone = ZoneName(node.String("zone"));
     settings.region = node.String("region", "");
@@ -76,7 +68,7 @@
   }
 
   auto ReadCallers(NodeSettings& settings) -> void {
-    auto callers = Table("callers");
+    auto callers = top_.Table("callers");
     settings.callers.listen = callers.Endpoint("listen");
     settings.callers.advertise =
         callers.Endpoint("advertise", settings.callers.listen);
@@ -86,14 +78,14 @@
   }
 
   auto ReadOperators(NodeSettings& settings) -> void {
-    auto operators = Table("operators");
+    auto operators = top_.Table("operators");
     settings.operators.listen = operators.Endpoint("listen");
     settings.operators.credentials_file = operators.String("credentials_file");
     operators.CheckUnknown();
   }
 
   auto ReadNodes(NodeSettings& settings) -> void {
-    auto nodes = Table("nodes");
+    auto nodes = top_.Table("nodes");
     settings.nodes.listen = nodes.Endpoint("listen");
     settings.nodes.fleet_credential_file =
         nodes.String("fleet_credential_file");
@@ -102,14 +94,8 @@
   }
 
   auto ReadLog(NodeSettings& settings) -> void {
-    auto log = Table("log");
-    const auto level = log.String("level", "info");
-    try {
-      settings.log_level = ParseLogLevel(level);
-    } catch (const Error&) {
-      log.Fail(log.LineOf("level"), "level", '"' + level + '"',
-               "debug, info, warning or error");
-    }
+    auto log = top_.Table("log");
+    settings.log_level = log.Level("level");
     settings.log_file = log.String("file", "");
     log.CheckUnknown();
   }
--- a/src/base/table_reader.h
+++ b/src/base/table_reader.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "kumquatgauge/base/error.h"
+#include "kumquatgauge/base/log.h"
 
 namespace kumquatgauge::detail {
 
@@ -121,6 +122,26 @@
         "allowed is " + allowed);
   }
 
+  // The table under `key`; without one, a reader that finds nothing.
+  auto Table(const std::string& key) -> TableReader {
+    const auto* node = Find(key);
+    if (node != nullptr && !node->is_table()) {
+      Fail(Line(node), key, "a value", "a table");
+    }
+    return {node == nullptr ? nullptr : node->as_table(), key, path_};
+  }
+
+  // The log level under `key`; info without one.
+  auto Level(const std::string& key) -> LogLevel {
+    const auto level = String(key, "info");
+    try {
+      return ParseLogLevel(level);
+    } catch (const Error&) {
+      Fail(LineOf(key), key, '"' + level + '"',
+           "debug, info, warning or error");
+    }
+  }
+
   auto LineOf(const std::string& key) const -> std::uint32_t {
     const auto* node = table_ == nullptr ? nullptr : table_->get(key);
     return Line(node);
--- a/src/serving/gateway_settings.cc
+++ b/src/serving/gateway_settings.cc
@@ -18,7 +18,7 @@
 class Reader {
  public:
   Reader(const toml::table& root, std::string path)
-      : path_(std::move(path)), top_(&root, "", path_) {}
+      : top_(&root, "", std::move(path)) {}
 
   auto Read() -> GatewaySettings {
     auto settings = GatewaySettings();
@@ -32,16 +32,8 @@
   }
 
  private:
-  auto Table(const std::string& name) -> TableReader {
-    const auto* node = top_.Find(name);
-    if (node != nullptr && !node->is_table()) {
-      top_.Fail(node->source().begin.line, name, "a value", "a table");
-    }
-    return {node == nullptr ? nullptr : node->as_table(), name, path_};
-  }
-
   auto ReadNode(GatewaySettings& settings) -> void {
-    auto node = Table("node");
+    auto node = top_.Table("node");
     settings.name = NodeId(node.String("name"));
     settings.zone = ZoneName(node.String("zone"));
     settings.fleet_credential = node.String("fleet_credential");
@@ -50,7 +42,7 @@
   }
 
   auto ReadListen(GatewaySettings::Listen& listen) -> void {
-    auto table = Table("listen");
+    auto table = top_.Table("listen");
     listen.callers = OptionalEndpoint(table, "callers");
     listen.readiness = OptionalEndpoint(table, "readiness");
     listen.directory = OptionalEndpoint(table, "directory");
@@ -61,7 +53,7 @@
 
   auto ReadStore(GatewaySettings::Store& store) -> void {
     constexpr double kMaxRate = 1'000'000;
-    auto table = Table("store");
+    auto table = top_.Table("store");
     store.address = table.Endpoint("address");
     store.writes_per_second =
         table.Number("writes_per_second", store.writes_per_second, 1, kMaxRate);
@@ -71,7 +63,7 @@
   }
 
   auto ReadLimits(GatewaySettings::Limits& limits) -> void {
-    auto table = Table("limits");
+    auto table = top_.Table("limits");
     limits.memory_mb = static_cast<std::uint32_t>(
         table.Integer("memory_mb", 256, {32, 1'000'000}));
     limits.max_descriptors = static_cast<std::uint32_t>(
@@ -87,18 +79,11 @@
   }
 
   auto ReadLog(GatewaySettings& settings) -> void {
-    auto table = Table("log");
-    const auto level = table.String("level", "info");
-    try {
-      settings.log_level = ParseLogLevel(level);
-    } catch (const Error&) {
-      table.Fail(table.LineOf("level"), "level", '"' + level + '"',
-                 "debug, info, warning or error");
-    }
+    auto table = top_.Table("log");
+    settings.log_level = table.Level("level");
     table.CheckUnknown();
   }
 
-  std::string path_;
   TableReader top_;
 };
 
