Keep to the cell's replicas, and put late items last

Cause: on fleets of several cells (62 gateways) a node took replicas of other cells, whose other senders it does not hear, for empty, so that at full load all nodes sent there: requests logged with 0 in flight waited 450 ms at the median. A request now leaves its cell only for room that another cell has told, of which each node takes its part. Counts go to cells of about 16 nodes every 15 ms, results of a job to the store after an eighth of the time until it is due.

--- a/include/kumquatgauge/serving/batch_schedule.h
+++ b/include/kumquatgauge/serving/batch_schedule.h
@@ -18,6 +18,9 @@
   Duration urgent_slack = std::chrono::milliseconds(2'500);
   // Running time of an item before one was seen.
   Duration first_run_time = std::chrono::seconds(6);
+  // An item with less than this part of its expected running time until it is
+  // due is late whatever is done; runs seldom take half of the average.
+  double hopeless_part = 0.5;
   // Weight of the newest sample in the moving averages.
   double smoothing = 0.1;
   // Pause before an item that failed is tried again, doubling each time.
@@ -51,7 +54,9 @@
 // load comes in steps: batch fills the slots that online leaves in the troughs,
 // the job that is due first goes first, and at a step up those items stop that
 // lose least. An item without slack left no longer yields, since it would miss
-// its due time and is worth as much as the online requests it delays.
+// its due time and is worth as much as the online requests it delays. One that
+// is late in any case goes last, in free slots only: after an outage whole jobs
+// are, and would otherwise displace what can still be on time.
 class BatchSchedule {
  public:
   explicit BatchSchedule(BatchScheduleSettings settings)
@@ -66,12 +71,15 @@
   auto Update(const ScheduledJob& job) -> void;
 
   // Up to `room` items of a service to start, those with the least slack first,
-  // and beyond it any that are urgent. They count as running from now on.
+  // and beyond it up to `urgent_room` that are urgent. They count as running
+  // from now on.
   auto TakeStarts(const ServiceName& service,
                   std::size_t room,
+                  std::size_t urgent_room,
                   MonotonicTime now) -> std::vector<ItemRef>;
-  // Running items that are to stop, at most `count`: those without urgency that
-  // have come least far, so that little is read again.
+  // Running items that are to stop, at most `count`: first those
+  // that are late in any case, then those without urgency that have come least
+  // far, so that little is read again.
   auto TakeYields(const ServiceName& service,
                   std::size_t count,
                   MonotonicTime now) -> std::vector<ItemRef>;
@@ -104,8 +112,18 @@
   };
 
   auto FindItem(const ItemRef& ref) -> Item*;
-  auto Slack(const Job& job, const Item& item, MonotonicTime now) const
-      -> Duration;
+  // Ordered as items start: those that can be on time, then the rest.
+  struct Standing {
+    bool hopeless = false;
+    Duration slack{0};
+
+    auto operator<=>(const Standing&) const = default;
+  };
+
+  auto ExpectedTime(const Item& item) const -> Duration;
+  auto StandingOf(const Job& job, const Item& item, MonotonicTime now) const
+      -> Standing;
+  auto IsUrgent(const Standing& standing) const -> bool;
   auto Learn(const Item& item, MonotonicTime now) -> void;
 
   BatchScheduleSettings settings_;
--- a/include/kumquatgauge/serving/load_picture.h
+++ b/include/kumquatgauge/serving/load_picture.h
@@ -5,7 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "kumquatgauge/base/ids.h"
@@ -29,9 +29,6 @@
   // Difference of utilisation up to which a replica of this node's zone is
   // preferred; about one request on a replica of eight slots.
   double zone_margin = 0.05;
-  // A replica outside this node's cell is used when those inside are busier by
-  // more than this; its other senders do not tell this node their counts.
-  double cell_margin = 0.5;
   // The same for the replica that probably holds the prompt's shared parts.
   double affinity_margin = 0.2;
   // Weight of the newest sample in the moving average of holding times.
@@ -40,6 +37,12 @@
   Duration first_hold = std::chrono::milliseconds(500);
   // Share of a service's slots that batch leaves free for arrivals.
   double batch_reserve = 0.1;
+  // Share of a service's slots up to which batch items whose due time is near
+  // take slots before online requests, so that neither kind starves the other.
+  double urgent_batch_share = 0.5;
+  // What another cell told of its room is used up to this age, twice the
+  // interval at which cells tell it.
+  Duration cell_room_expires = std::chrono::milliseconds(500);
 };
 
 // Requests in flight at one replica.
@@ -106,6 +109,15 @@
   // their counts, so that what a node sends and hears does not grow with the
   // fleet. A service with too few replicas belongs to all cells.
   auto SetCell(std::size_t place, std::size_t cells) -> void;
+  // This node's part of the free slots of another cell. Requests that find the
+  // own cell full may take them; the parts of all nodes together are no more
+  // than is free, so that the other cell is not flooded.
+  auto OnCellRoom(std::size_t cell,
+                  const ServiceName& service,
+                  std::uint32_t free_slots,
+                  std::size_t nodes_outside) -> void;
+  // Free slots of this node's cell by service, for the other cells.
+  auto cell_room() const -> std::map<ServiceName, std::uint32_t>;
   // The address is served by another replica, or the replica said it is gone.
   auto MarkGone(const ReplicaId& replica) -> void;
 
@@ -132,6 +144,8 @@
   // Batch items that may be started now in this node's cell; negative when more
   // run than fit, so that some must yield to online requests.
   auto BatchRoom(const ServiceName& service) const -> std::int64_t;
+  // The same for items whose due time is near, whatever online requests leave.
+  auto UrgentBatchRoom(const ServiceName& service) const -> std::uint32_t;
   // Requests in flight at a service's replicas of this cell by class, own and
   // peers'.
   auto Total(const ServiceName& service) const -> InFlight;
@@ -155,6 +169,7 @@
     InFlight peers;
     std::optional<Report> report;
     bool gone = false;
+    std::size_t cell = 0;
     bool in_cell = true;
     MonotonicTime full_until;  // Refused for lack of room.
   };
@@ -162,6 +177,10 @@
     InFlightCounts counts;
     MonotonicTime at;
   };
+  struct CellRoom {
+    std::uint32_t slots = 0;  // That this node may take.
+    MonotonicTime at;
+  };
 
   auto IsUsable(const State& state, const ChoiceRequest& request) const -> bool;
   auto Estimate(const State& state) const -> std::uint32_t;
@@ -169,6 +188,8 @@
   // Requests that may wait at a replica and still be on time.
   auto QueueLimit(const State& state, Duration latency_target) const
       -> std::uint32_t;
+  // The least loaded replica of another cell that told of room for this node.
+  auto TakeForeign(const ChoiceRequest& request) -> const State*;
   auto DealOutReplicas() -> void;
   auto RebuildPeers() -> void;
   // Adds the counts of one peer to the replicas', or takes them off.
@@ -184,6 +205,7 @@
   std::map<ServiceName, std::vector<ReplicaId>> services_;
   std::map<NodeId, PeerCounts> peers_;
   std::map<ServiceName, double> hold_s_;
+  std::map<std::pair<ServiceName, std::size_t>, CellRoom> cell_rooms_;
   std::size_t cell_ = 0;
   std::size_t cells_ = 1;
 };
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -46,8 +46,13 @@
 // How often room for batch is looked at; about the interval at which nodes tell
 // each other their counts.
 constexpr milliseconds kTick{50};
-// Results that are finished within this time are stored by one call.
-constexpr milliseconds kStoreDelay{100};
+// Results that are finished within this time are stored by one call: a part of
+// the time until the job is due, since calls to the store are dear and items of
+// a job end at different times. A result that waits is lost with its node and
+// its item runs again.
+constexpr int kStoreDelayPart = 8;
+constexpr milliseconds kLeastStoreDelay{100};
+constexpr milliseconds kMostStoreDelay{1'000};
 // Pause after a failed call to the store; the store answers in milliseconds
 // when it answers at all.
 constexpr milliseconds kStorePause{300};
@@ -564,7 +569,8 @@
         const auto share =
             YieldShare(service, static_cast<std::uint64_t>(-room));
         StopSome(service, share, "online requests leave fewer slots");
-      } else if (unstored < parts_.memory_bytes / kUnstoredPart) {
+      }
+      if (unstored < parts_.memory_bytes / kUnstoredPart) {
         StartSome(service, room, now);
       }
     }
@@ -590,9 +596,13 @@
                  std::int64_t room,
                  MonotonicTime now) -> void {
     const auto nodes = 2 * std::max<std::size_t>(1, parts_.sharers());
-    const auto all = static_cast<std::uint64_t>(room);
-    const auto part = all / nodes + Fraction(all % nodes, nodes);
-    for (const auto& ref : schedule_.TakeStarts(service, part, now)) {
+    const auto part_of = [&](std::uint64_t all) {
+      return all / nodes + Fraction(all % nodes, nodes);
+    };
+    const auto part =
+        part_of(static_cast<std::uint64_t>(std::max<std::int64_t>(0, room)));
+    const auto urgent = part_of(parts_.picture.UrgentBatchRoom(service));
+    for (const auto& ref : schedule_.TakeStarts(service, part, urgent, now)) {
       asio::co_spawn(parts_.executor, RunItem(shared_from_this(), ref),
                      asio::detached);
     }
@@ -867,9 +877,22 @@
     }
   }
 
+  auto StoreDelay(const OwnedJob& job) const -> milliseconds {
+    // Readers of a whole job wait for the last one.
+    if (job.finished.size() >= job.items.size()) {
+      return milliseconds::zero();
+    }
+    const auto configuration = parts_.configuration();
+    const auto due = Describe(job, configuration.get()).due;
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(due - parts_.clock());
+    return std::clamp(left / kStoreDelayPart, kLeastStoreDelay,
+                      kMostStoreDelay);
+  }
+
   static auto StoreResults(std::shared_ptr<Impl> self, JobPtr job)
       -> awaitable<void> {
-    co_await self->Pause(kStoreDelay);
+    co_await self->Pause(self->StoreDelay(*job));
     while (!job->unstored.empty() && !job->dropped) {
       auto chunk = ResultChunk{job->state.id, job->results.size(),
                                self->Nonce(), job->unstored};
--- a/src/serving/batch_schedule.cc
+++ b/src/serving/batch_schedule.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace kumquatgauge::serving {
@@ -47,37 +48,50 @@
   return item == job->second.items.end() ? nullptr : &item->second;
 }
 
-auto BatchSchedule::Slack(const Job& job,
-                          const Item& item,
-                          MonotonicTime now) const -> Duration {
-  auto left = settings_.first_run_time;
-  if (events_per_item_ > 0 && seconds_per_event_ > 0) {
-    const auto missing =
-        std::max(0.0, events_per_item_ - static_cast<double>(item.events));
-    left = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(missing * seconds_per_event_));
+auto BatchSchedule::ExpectedTime(const Item& item) const -> Duration {
+  if (events_per_item_ <= 0 || seconds_per_event_ <= 0) {
+    return settings_.first_run_time;
   }
-  return job.job.due - now - left;
+  const auto missing =
+      std::max(0.0, events_per_item_ - static_cast<double>(item.events));
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(missing * seconds_per_event_));
+}
+
+auto BatchSchedule::StandingOf(const Job& job,
+                               const Item& item,
+                               MonotonicTime now) const -> Standing {
+  const auto until_due = job.job.due - now;
+  const auto expected = ExpectedTime(item);
+  return {until_due < std::chrono::duration_cast<Duration>(
+                          expected * settings_.hopeless_part),
+          until_due - expected};
+}
+
+auto BatchSchedule::IsUrgent(const Standing& standing) const -> bool {
+  return !standing.hopeless && standing.slack < settings_.urgent_slack;
 }
 
 auto BatchSchedule::TakeStarts(const ServiceName& service,
                                std::size_t room,
+                               std::size_t urgent_room,
                                MonotonicTime now) -> std::vector<ItemRef> {
-  auto candidates = std::vector<std::pair<Duration, ItemRef>>();
+  auto candidates = std::vector<std::pair<Standing, ItemRef>>();
   for (const auto& [id, job] : jobs_) {
     if (job.job.service != service) {
       continue;
     }
     for (const auto& [index, item] : job.items) {
       if (!item.running && item.not_before <= now) {
-        candidates.emplace_back(Slack(job, item, now), ItemRef{id, index});
+        candidates.emplace_back(StandingOf(job, item, now), ItemRef{id, index});
       }
     }
   }
   std::sort(candidates.begin(), candidates.end());
   auto starts = std::vector<ItemRef>();
-  for (const auto& [slack, ref] : candidates) {
-    if (starts.size() >= room && slack >= settings_.urgent_slack) {
+  for (const auto& [standing, ref] : candidates) {
+    const auto most = room + (IsUrgent(standing) ? urgent_room : 0);
+    if (starts.size() >= most) {
       break;
     }
     auto& item = *FindItem(ref);
@@ -93,21 +107,23 @@
 auto BatchSchedule::TakeYields(const ServiceName& service,
                                std::size_t count,
                                MonotonicTime now) -> std::vector<ItemRef> {
-  auto candidates = std::vector<std::pair<std::uint64_t, ItemRef>>();
+  // Ordered by whether it can be on time, then by progress.
+  auto candidates = std::vector<std::tuple<bool, std::uint64_t, ItemRef>>();
   for (const auto& [id, job] : jobs_) {
     if (job.job.service != service) {
       continue;
     }
     for (const auto& [index, item] : job.items) {
-      if (item.running && !item.yielding &&
-          Slack(job, item, now) >= settings_.urgent_slack) {
-        candidates.emplace_back(item.events, ItemRef{id, index});
+      const auto standing = StandingOf(job, item, now);
+      if (item.running && !item.yielding && !IsUrgent(standing)) {
+        candidates.emplace_back(!standing.hopeless, item.events,
+                                ItemRef{id, index});
       }
     }
   }
   std::sort(candidates.begin(), candidates.end());
   auto yields = std::vector<ItemRef>();
-  for (const auto& [events, ref] : candidates) {
+  for (const auto& [on_time, events, ref] : candidates) {
     if (yields.size() >= count) {
       break;
     }
@@ -192,7 +208,7 @@
   }
   const auto item = job->second.items.find(ref.item);
   return item != job->second.items.end() &&
-         Slack(job->second, item->second, now) < settings_.urgent_slack;
+         IsUrgent(StandingOf(job->second, item->second, now));
 }
 
 auto BatchSchedule::running(const ServiceName& service) const -> std::size_t {
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -186,7 +186,10 @@
     request.latency_target = passage.route->latency_target;
     request.affinity = passage.request.affinity;
     request.tried = passage.tried;
-    request.even_if_full = passage.history.answer_begun;
+    // After an attempt that may have run a refusal would not be true, and an
+    // answer that comes late is worth more than none.
+    request.even_if_full =
+        passage.history.answer_begun || passage.history.may_have_run > 0;
     return request;
   }
 
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -55,13 +55,17 @@
 constexpr auto kConfigurationFeed = "config";
 constexpr auto kReplicaFeed = "replicas";
 constexpr milliseconds kHouseKeeping{250};
-// Shortest time between two datagrams with this node's counts, and the longest
-// while it has requests in flight, well under the time after which they expire.
-constexpr milliseconds kCountsInterval{40};
+// Shortest time between two datagrams with this node's counts: long enough that
+// a node hears about a thousand a second from its cell, a few hundredths of a
+// core, and not below the first. Older counts let requests queue at replicas.
+constexpr milliseconds kCountsInterval{15};
+constexpr milliseconds kCountsIntervalPerPeer{1};
+// The longest time between them while this node has requests in flight, well
+// under the time after which they expire.
 constexpr milliseconds kCountsRepeat{500};
 // Nodes that share a part of the replicas and tell each other their counts. A
 // larger cell evens out load better; each node hears from all others of it.
-constexpr std::size_t kNodesPerCell = 8;
+constexpr std::size_t kNodesPerCell = 16;
 // Replicas' entries change in groups, in releases above all; a node learns of a
 // change this much later, far within the time in which it must be known.
 constexpr milliseconds kReplicaSettle{200};
@@ -601,7 +605,8 @@
     std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
       return std::pair(a.first, a.second.id) < std::pair(b.first, b.second.id);
     });
-    const auto cells = std::max<std::size_t>(1, order.size() / kNodesPerCell);
+    const auto cells = std::max<std::size_t>(
+        1, (order.size() + kNodesPerCell / 2) / kNodesPerCell);
     const auto cell_of = [&](std::size_t at) {
       return at * cells / order.size();
     };
@@ -612,11 +617,16 @@
       }
     }
     cell_peers_.clear();
+    other_cells_.clear();
     for (std::size_t at = 0; at < order.size(); ++at) {
-      if (cell_of(at) == own && order[at].second.id != settings_.name) {
-        cell_peers_.push_back(order[at].second.node_address);
+      const auto& node = order[at].second;
+      if (cell_of(at) != own) {
+        other_cells_.push_back(node.node_address);
+      } else if (node.id != settings_.name) {
+        cell_peers_.push_back(node.node_address);
       }
     }
+    cell_ = own;
     picture_.SetCell(own, cells);
   }
 
@@ -632,6 +642,8 @@
       const auto from = NodeId(message.at("n").get<std::string>());
       if (type == "load") {
         OnPeerCounts(from, message);
+      } else if (type == "room") {
+        OnCellRoom(message);
       } else if (type == "job") {
         batch_.OnAnnounced(JobId(message.at("j").get<std::string>()), from);
       }
@@ -654,6 +666,36 @@
     forwarder_.OnRoom();
   }
 
+  auto OnCellRoom(const json& message) -> void {
+    const auto cell = message.at("c").get<std::size_t>();
+    const auto outside = message.at("o").get<std::size_t>();
+    for (const auto& [service, free_slots] : message.at("r").items()) {
+      picture_.OnCellRoom(cell, ServiceName(service),
+                          free_slots.get<std::uint32_t>(), outside);
+    }
+  }
+
+  // One node of the cell on average tells the others what is free in it.
+  auto TellCellRoom() -> void {
+    if (other_cells_.empty() || DrawRandom() % (cell_peers_.size() + 1) != 0) {
+      return;
+    }
+    auto rooms = json::object();
+    for (const auto& [service, free_slots] : picture_.cell_room()) {
+      if (free_slots > 0) {
+        rooms[service.value()] = free_slots;
+      }
+    }
+    const auto message = json{{"t", "room"},
+                              {"n", settings_.name.value()},
+                              {"c", cell_},
+                              {"o", other_cells_.size()},
+                              {"r", std::move(rooms)}};
+    for (const auto& address : other_cells_) {
+      gossip_.SendDatagram(address, message);
+    }
+  }
+
   auto ForEachPeer(const std::function<auto(const std::string&)->void>& send)
       -> void {
     const auto self = gossip_.membership().self().id;
@@ -668,7 +710,10 @@
     if (std::exchange(counts_pending_, true)) {
       return;
     }
-    counts_timer_.expires_at(counts_sent_ + kCountsInterval);
+    const auto interval = std::max(
+        kCountsInterval, kCountsIntervalPerPeer *
+                             static_cast<std::int64_t>(cell_peers_.size()));
+    counts_timer_.expires_at(counts_sent_ + interval);
     counts_timer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) {
         counts_pending_ = false;
@@ -860,6 +905,7 @@
       if (!counts_empty_ && SteadyNow() - counts_sent_ >= kCountsRepeat) {
         SendCounts();
       }
+      TellCellRoom();
       KeepHouse();
     });
   }
@@ -979,7 +1025,9 @@
   std::shared_ptr<const Configuration> configuration_;
   std::string raw_configuration_;
   std::vector<NodeId> peers_;
-  std::vector<std::string> cell_peers_;  // Addresses.
+  std::size_t cell_ = 0;
+  std::vector<std::string> cell_peers_;   // Addresses.
+  std::vector<std::string> other_cells_;  // Addresses.
   MonotonicTime counts_sent_;
   bool counts_pending_ = false;
   bool counts_empty_ = true;
--- a/src/serving/load_picture.cc
+++ b/src/serving/load_picture.cc
@@ -83,6 +83,7 @@
 auto LoadPicture::SetCell(std::size_t place, std::size_t cells) -> void {
   cell_ = place;
   cells_ = std::max<std::size_t>(1, cells);
+  cell_rooms_.clear();
   DealOutReplicas();
 }
 
@@ -97,12 +98,59 @@
     std::sort(order.begin(), order.end());
     const auto shared = order.size() < kLeastPerCell * cells_;
     for (std::size_t at = 0; at < order.size(); ++at) {
-      states_.at(order[at].second).in_cell =
-          shared || at * cells_ / order.size() == cell_;
+      auto& state = states_.at(order[at].second);
+      state.cell = at * cells_ / order.size();
+      state.in_cell = shared || state.cell == cell_;
     }
   }
 }
 
+auto LoadPicture::OnCellRoom(std::size_t cell,
+                             const ServiceName& service,
+                             std::uint32_t free_slots,
+                             std::size_t nodes_outside) -> void {
+  if (cell == cell_ || nodes_outside == 0) {
+    return;
+  }
+  // The remainder goes to some of the nodes at random.
+  const auto nodes = static_cast<std::uint32_t>(nodes_outside);
+  const auto one_more = random_() % nodes < free_slots % nodes ? 1U : 0U;
+  cell_rooms_[{service, cell}] = {free_slots / nodes + one_more, clock_()};
+}
+
+auto LoadPicture::cell_room() const -> std::map<ServiceName, std::uint32_t> {
+  auto rooms = std::map<ServiceName, std::uint32_t>();
+  for (const auto& [service, ids] : services_) {
+    const auto all = slots(service);
+    const auto taken = Total(service).total();
+    rooms[service] = all > taken ? all - taken : 0;
+  }
+  return rooms;
+}
+
+auto LoadPicture::TakeForeign(const ChoiceRequest& request) -> const State* {
+  const State* best = nullptr;
+  auto seen = std::uint64_t{0};
+  const auto oldest = clock_() - settings_.cell_room_expires;
+  for (const auto& id : services_.at(request.service)) {
+    const auto& state = states_.at(id);
+    const auto room = cell_rooms_.find({request.service, state.cell});
+    if (state.in_cell || room == cell_rooms_.end() || room->second.slots == 0 ||
+        room->second.at < oldest || !IsUsable(state, request) ||
+        outliers_.state(id) != routing::EjectionState::kInUse ||
+        Estimate(state) >= state.replica.capacity) {
+      continue;
+    }
+    if (random_() % ++seen == 0) {
+      best = &state;
+    }
+  }
+  if (best != nullptr) {
+    --cell_rooms_.at({request.service, best->cell}).slots;
+  }
+  return best;
+}
+
 auto LoadPicture::MarkGone(const ReplicaId& replica) -> void {
   const auto found = states_.find(replica);
   if (found != states_.end()) {
@@ -140,9 +188,6 @@
   if (state.replica.zone != zone_) {
     score += settings_.zone_margin;
   }
-  if (!state.in_cell) {
-    score += settings_.cell_margin;
-  }
   if (clock_() < state.full_until) {
     score += 1.0;
   }
@@ -153,8 +198,11 @@
     -> std::uint32_t {
   const auto hold = ToSeconds(mean_hold(state.replica.service));
   const auto budget = ToSeconds(latency_target) * settings_.queue_share;
-  const auto slots = static_cast<double>(state.replica.capacity);
-  // With all slots taken, one becomes free each hold / slots on average.
+  const auto batch =
+      std::min(state.own.batch + state.peers.batch, state.replica.capacity);
+  const auto slots = static_cast<double>(state.replica.capacity - batch);
+  // With all slots taken, one becomes free each hold / slots on average; batch
+  // items hold theirs many times longer.
   return static_cast<std::uint32_t>(
       std::clamp(budget * slots / std::max(hold, 0.001), 0.0, 4 * slots));
 }
@@ -168,6 +216,8 @@
   const State* best = nullptr;
   auto best_score = std::numeric_limits<double>::max();
   const State* ejected = nullptr;
+  const State* foreign = nullptr;
+  auto foreign_seen = std::uint64_t{0};
   auto ties = std::uint64_t{0};
   auto preferred = std::uint64_t{0};
   const State* holder = nullptr;
@@ -184,7 +234,14 @@
       continue;
     }
     ++choice.candidates;
-    if (request.affinity != 0 && state.in_cell) {
+    if (!state.in_cell) {
+      // Drawn evenly: this node does not hear the counts of its other senders.
+      if (random_() % ++foreign_seen == 0) {
+        foreign = &state;
+      }
+      continue;
+    }
+    if (request.affinity != 0) {
       const auto rank = routing::RendezvousScore(request.affinity, state.hash);
       if (holder == nullptr || rank > preferred) {
         holder = &state;
@@ -205,6 +262,16 @@
       Score(*holder) <= best_score + settings_.affinity_margin) {
     best = holder;
   }
+  const auto full =
+      best != nullptr && Estimate(*best) >= best->replica.capacity;
+  if (full && request.work_class == WorkClass::kOnline) {
+    if (const auto* elsewhere = TakeForeign(request)) {
+      best = elsewhere;
+    }
+  }
+  if (best == nullptr) {
+    best = foreign;
+  }
   if (best == nullptr) {
     // All are ejected: the least bad is better than a refusal.
     best = ejected;
@@ -345,6 +412,14 @@
   return usable - static_cast<std::int64_t>(total.total());
 }
 
+auto LoadPicture::UrgentBatchRoom(const ServiceName& service) const
+    -> std::uint32_t {
+  const auto most =
+      static_cast<std::uint32_t>(slots(service) * settings_.urgent_batch_share);
+  const auto batch = Total(service).batch;
+  return most > batch ? most - batch : 0;
+}
+
 auto LoadPicture::Total(const ServiceName& service) const -> InFlight {
   auto total = InFlight();
   const auto found = services_.find(service);
