--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -13,6 +13,7 @@
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/serving/attempt_policy.h"
 #include "kumquatgauge/serving/event_splitter.h"
+#include "kumquatgauge/serving/room_forecast.h"
 #include "kumquatgauge/serving/waiting_line.h"
 
 namespace kumquatgauge::serving {
@@ -237,6 +238,7 @@
         static_cast<double>(ToMilliseconds(parts_.clock() - began).count()));
     if (!HasRoom(passage->choice)) {
       passage->choice.replica.reset();
+      forecast_.OnFull(passage->service, parts_.clock());
     }
     if (ticket) {
       OnRoom();
@@ -550,16 +552,16 @@
     LogEnd(*passage, kServiceUnavailable, reason);
   }
 
-  // When slots will have become free: within one holding time all requests that
-  // run now have ended. Spread, so that callers return one after the other.
   auto RetryAfter(const Passage& passage) -> milliseconds {
     if (passage.choice.room == Room::kNoReplica) {
       return kNoReplicaRetry;
     }
     constexpr std::uint64_t kSteps = 1'000;
-    const auto hold = ToMilliseconds(parts_.picture.mean_hold(passage.service));
-    const auto draw = static_cast<std::int64_t>(parts_.random() % kSteps);
-    return hold / 2 + hold * draw / static_cast<std::int64_t>(kSteps);
+    const auto draw = static_cast<double>(parts_.random() % kSteps) / kSteps;
+    const auto now = parts_.clock();
+    return ToMilliseconds(forecast_.ComeBackAfter(
+        passage.service, now, parts_.picture.mean_hold(passage.service),
+        passage.deadline - now, draw));
   }
 
   auto LogEnd(const Passage& passage, int status, std::string_view reason)
@@ -591,6 +593,7 @@
   ForwarderParts parts_;
   Logger logger_{"forward"};
   WaitingLine line_;
+  RoomForecast forecast_{RoomForecastSettings()};
   std::map<WaitingLine::Ticket, std::shared_ptr<asio::steady_timer>> waiters_;
   std::map<ServiceName, std::uint32_t> waiting_services_;
   Counter& completed_;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -711,8 +711,8 @@
       return;
     }
     const auto interval = std::max(
-        kCountsInterval, kCountsIntervalPerPeer *
-                             static_cast<std::int64_t>(cell_peers_.size()));
+        kCountsInterval,
+        kCountsIntervalPerPeer * static_cast<std::int64_t>(cell_peers_.size()));
     counts_timer_.expires_at(counts_sent_ + interval);
     counts_timer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) {
--- /dev/null
+++ b/src/serving/room_forecast_test.cc
@@ -0,0 +1,84 @@
+#include "kumquatgauge/serving/room_forecast.h"
+
+#include <catch2/catch.hpp>
+
+#include "testing/support/manual_clock.h"
+
+namespace kumquatgauge::serving {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ServiceName kService("chat");
+constexpr auto kHold = milliseconds(800);
+
+struct Fixture {
+  // Requests find the service full for `length`, then not for `free`.
+  auto Step(Duration length, Duration free) -> void {
+    const auto end = clock.now() + length;
+    while (clock.now() < end) {
+      forecast.OnFull(kService, clock.now());
+      clock.Advance(milliseconds(100));
+    }
+    clock.Advance(free);
+  }
+
+  auto ComeBackAfter(Duration time_left, double draw) const -> Duration {
+    return forecast.ComeBackAfter(kService, clock.now(), kHold, time_left,
+                                  draw);
+  }
+
+  testing::ManualClock clock;
+  RoomForecast forecast{RoomForecastSettings()};
+};
+
+TEST_CASE("RoomForecast.ExpectsAHoldingTimeBeforeAnyStepWasSeen") {
+  auto fixture = Fixture();
+  fixture.forecast.OnFull(kService, fixture.clock.now());
+  CHECK(fixture.ComeBackAfter(seconds(60), 0.0) == kHold / 2);
+  CHECK(fixture.ComeBackAfter(seconds(60), 1.0) == kHold / 2 + 2 * kHold);
+}
+
+// Load pattern: steps of 2.4 s over capacity, 3.4 s apart. Guards against
+// callers who return within the step and are refused again.
+TEST_CASE("RoomForecast.AsksCallersBackAfterTheStepHasEnded") {
+  auto fixture = Fixture();
+  fixture.Step(milliseconds(2'400), milliseconds(3'400));
+  fixture.Step(milliseconds(2'400), milliseconds(3'400));
+  fixture.Step(milliseconds(1'000), milliseconds(0));
+  const auto soonest = fixture.ComeBackAfter(seconds(60), 0.0);
+  CHECK(soonest >= milliseconds(1'300));
+  CHECK(soonest <= milliseconds(1'400));
+}
+
+// Guards against all callers of a step returning in one moment.
+TEST_CASE("RoomForecast.SpreadsCallersOverTheTimeAfterTheStep") {
+  auto fixture = Fixture();
+  fixture.Step(milliseconds(2'400), milliseconds(3'400));
+  fixture.Step(milliseconds(2'000), milliseconds(0));
+  CHECK(fixture.ComeBackAfter(seconds(60), 1.0) -
+            fixture.ComeBackAfter(seconds(60), 0.0) ==
+        2 * kHold);
+}
+
+// Guards against telling callers a time at which they have given up.
+TEST_CASE("RoomForecast.AsksForNoMoreThanAThirdOfTheTimeLeft") {
+  auto fixture = Fixture();
+  fixture.Step(seconds(30), seconds(5));
+  fixture.forecast.OnFull(kService, fixture.clock.now());
+  CHECK(fixture.ComeBackAfter(milliseconds(4'500), 1.0) == milliseconds(1'500));
+  CHECK(fixture.ComeBackAfter(milliseconds(4'500), 0.0) < milliseconds(1'500));
+}
+
+// Guards against a step that lasts longer than the ones before: the end that
+// was expected has passed.
+TEST_CASE("RoomForecast.ExpectsAHoldingTimeOnceAStepOutlastsTheOthers") {
+  auto fixture = Fixture();
+  fixture.Step(seconds(1), seconds(5));
+  fixture.Step(seconds(3), seconds(0));
+  CHECK(fixture.ComeBackAfter(seconds(60), 0.0) == kHold / 2);
+}
+
+}  // namespace
+}  // namespace kumquatgauge::serving
