Believe nodes that follow the store on removals; add the fault soak

What another node has read now holds as that node says it, with the time for which it still counts.

The soak runs real gateways between stand-ins: nodes are killed, paused, stopped as planned and reloaded, links to the store and to replicas are delayed, reset, silenced or cut one way, replicas answer wrongly, leave and return, the store is out or loses answers, the configuration changes. A checker compares what callers were told with what back ends saw. Its tests plant each broken promise.

--- a/include/kumquatgauge/serving/replica_table.h
+++ b/include/kumquatgauge/serving/replica_table.h
@@ -35,10 +35,10 @@
 // Decides which replicas exist, from the entries in the store, whether this
 // node reads them there or hears of them from another node.
 //
-// An entry that goes missing in or just after an outage of the store keeps its
-// replica for kEntryReturnTime after the return: its lease may have lapsed with
-// nobody to renew it, and dropping all replicas at once would refuse all
-// traffic.
+// An entry that this node finds missing in or just after an outage of the store
+// keeps its replica for kEntryReturnTime after the return: its lease may have
+// lapsed with nobody to renew it, and dropping all replicas at once would
+// refuse all traffic.
 class ReplicaTable {
  public:
   // Nothing for a value that names no usable replica.
@@ -53,6 +53,10 @@
   auto OnSnapshot(const std::vector<EntryChange>& entries,
                   std::uint64_t revision) -> bool;
   auto OnChange(const EntryChange& change) -> bool;
+  // The same for a change that another node has read. It follows the store, so
+  // what it says of a missing entry holds here even when the store does not
+  // answer this node.
+  auto OnHeard(const EntryChange& change) -> bool;
   auto OnTick() -> bool;
 
   // The store does not answer; repeated for every failed call.
@@ -76,9 +80,13 @@
     bool removed = false;
     MonotonicTime removed_at;
     std::optional<MonotonicTime> drop_at;  // Missing, but still counted.
+    bool heard = false;  // Another node found it missing and set the time.
   };
 
-  auto Keep(const Row& row, Duration given) const -> Duration;
+  // Applies a newer change; `keep` says how long a missing entry still counts.
+  auto Apply(const EntryChange& change,
+             const std::function<auto(Row&)->Duration>& keep) -> bool;
+  auto OwnKeep(const Row& row) const -> Duration;
   auto Remove(Row& row, Duration keep) -> bool;
 
   Decoder decode_;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -484,7 +484,7 @@
         change.value = entry.at(3).get<std::string>();
       }
       LogReplicaChange(change, "a node");
-      changed = replica_table_.OnChange(change) || changed;
+      changed = replica_table_.OnHeard(change) || changed;
     }
     if (changed) {
       ApplyReplicas();
--- a/src/serving/replica_table.cc
+++ b/src/serving/replica_table.cc
@@ -17,7 +17,7 @@
   for (auto& [id, row] : rows_) {
     if (!listed.contains(id) && !row.removed && row.revision <= revision) {
       row.revision = revision;
-      changed = Remove(row, Duration::zero()) || changed;
+      changed = Remove(row, OwnKeep(row)) || changed;
     }
   }
   revision_ = std::max(revision_, revision);
@@ -25,6 +25,30 @@
 }
 
 auto ReplicaTable::OnChange(const EntryChange& change) -> bool {
+  return Apply(change, [this](Row& row) {
+    row.heard = false;
+    return OwnKeep(row);
+  });
+}
+
+auto ReplicaTable::OnHeard(const EntryChange& change) -> bool {
+  const auto found = rows_.find(change.id);
+  const auto known = found != rows_.end() && found->second.removed &&
+                     found->second.drop_at && !change.value &&
+                     found->second.revision == change.revision;
+  if (known && clock_() + change.keep < *found->second.drop_at) {
+    found->second.heard = true;
+    return Remove(found->second, change.keep);
+  }
+  return Apply(change, [&change](Row& row) {
+    row.heard = true;
+    return change.keep;
+  });
+}
+
+auto ReplicaTable::Apply(const EntryChange& change,
+                         const std::function<auto(Row&)->Duration>& keep)
+    -> bool {
   revision_ = std::max(revision_, change.revision);
   auto& row = rows_[change.id];
   if (change.revision <= row.revision) {
@@ -32,7 +56,7 @@
   }
   row.revision = change.revision;
   if (!change.value) {
-    return Remove(row, change.keep);
+    return Remove(row, keep(row));
   }
   auto replica = decode_(change.id, *change.value);
   const auto changed = row.removed || row.replica != replica;
@@ -49,29 +73,25 @@
   }
   returned_at_ = clock_();
   for (auto& [id, row] : rows_) {
-    if (row.drop_at) {
+    if (row.drop_at && !row.heard) {
       row.drop_at = *returned_at_ + kEntryReturnTime;
     }
   }
 }
 
-// How long a replica stays whose entry is gone. One that was leaving has left.
-auto ReplicaTable::Keep(const Row& row, Duration given) const -> Duration {
+// How long a replica stays whose entry this node finds missing.
+auto ReplicaTable::OwnKeep(const Row& row) const -> Duration {
   if (!row.replica || row.replica->leaving) {
-    return Duration::zero();
+    return Duration::zero();  // One that was leaving has left.
   }
   if (lost_) {
-    return std::max<Duration>(given, kEntryReturnTime);
-  }
-  if (returned_at_) {
-    const auto left = *returned_at_ + kEntryReturnTime - clock_();
-    return std::max(given, left);
+    return kEntryReturnTime;
   }
-  return given;
+  return returned_at_ ? *returned_at_ + kEntryReturnTime - clock_()
+                      : Duration::zero();
 }
 
-auto ReplicaTable::Remove(Row& row, Duration given) -> bool {
-  const auto keep = Keep(row, given);
+auto ReplicaTable::Remove(Row& row, Duration keep) -> bool {
   row.removed = true;
   row.removed_at = clock_();
   if (keep > Duration::zero()) {
@@ -86,7 +106,7 @@
   const auto now = clock_();
   auto changed = false;
   for (auto& [id, row] : rows_) {
-    if (row.drop_at && *row.drop_at <= now && !lost_) {
+    if (row.drop_at && *row.drop_at <= now && (!lost_ || row.heard)) {
       row.drop_at.reset();
       row.replica.reset();
       changed = true;
--- a/src/serving/replica_table_test.cc
+++ b/src/serving/replica_table_test.cc
@@ -90,6 +90,42 @@
   CHECK(fixture.table.OnChange(Gone("r1", 30)));
 }
 
+// The store does not answer this node alone, and a node that it answers tells
+// of a removal. Guards against requests to a replica that has left, until two
+// seconds after this node reaches the store again.
+TEST_CASE("ReplicaTable.DropsWhatOthersFoundMissingThoughItsOwnCallsFail") {
+  auto fixture = Fixture();
+  fixture.table.OnStoreLost();
+  CHECK(fixture.table.OnHeard(Gone("r1", 30)));
+  CHECK(fixture.table.replicas().size() == 1);
+  // Its own watch repeats the change later.
+  fixture.table.OnStoreAnswered();
+  CHECK_FALSE(fixture.table.OnChange(Gone("r1", 30)));
+  CHECK(fixture.table.replicas().size() == 1);
+}
+
+// The same for a removal that this node has read and others no longer doubt.
+TEST_CASE("ReplicaTable.ShortensItsOwnWaitToThatOfOthers") {
+  auto fixture = Fixture();
+  fixture.table.OnStoreLost();
+  fixture.table.OnStoreAnswered();
+  CHECK_FALSE(fixture.table.OnChange(Gone("r1", 30)));
+  CHECK(fixture.table.OnHeard(Gone("r1", 30)));
+}
+
+// Guards against a missing entry that waits for the return of this node's store
+// though others have set the time at which it is dropped.
+TEST_CASE("ReplicaTable.DropsAtTheTimeThatOthersSet") {
+  auto fixture = Fixture();
+  fixture.table.OnStoreLost();
+  auto gone = Gone("r1", 30);
+  gone.keep = milliseconds(500);
+  CHECK_FALSE(fixture.table.OnHeard(gone));
+  fixture.clock.Advance(milliseconds(501));
+  CHECK(fixture.table.OnTick());
+  CHECK(fixture.table.replicas().size() == 1);
+}
+
 TEST_CASE("ReplicaTable.DropsALeavingReplicaEvenInAnOutage") {
   auto fixture = Fixture();
   fixture.table.OnChange(Entry("r1", 11, "leaving"));
@@ -111,7 +147,7 @@
   fixture.table.OnChange(Entry("r3", 12, "three"));
   auto other = ReplicaTable(Decode, fixture.clock.AsHook());
   for (const auto& change : fixture.table.ChangesSince(0)) {
-    other.OnChange(change);
+    other.OnHeard(change);
   }
   CHECK(other.replicas() == fixture.table.replicas());
   CHECK(other.revision() == fixture.table.revision());
@@ -127,7 +163,7 @@
   auto other = ReplicaTable(Decode, fixture.clock.AsHook());
   other.OnSnapshot({Entry("r1", 3, "one")}, 10);
   for (const auto& change : fixture.table.ChangesSince(10)) {
-    other.OnChange(change);
+    other.OnHeard(change);
   }
   CHECK(other.replicas().size() == 1);
   fixture.clock.Advance(kEntryReturnTime + milliseconds(1));
--- /dev/null
+++ b/testing/gateway/gateway_process.h
@@ -0,0 +1,74 @@
+#ifndef TESTING_GATEWAY_GATEWAY_PROCESS_H_
+#define TESTING_GATEWAY_GATEWAY_PROCESS_H_
+
+#include <atomic>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "testing/scenario/child_process.h"
+#include "testing/scenario/http_fetch.h"
+
+namespace kumquatgauge::testing {
+
+// The host of all routes of a test configuration.
+inline constexpr auto kGatewayHost = "h.example";
+
+// A route of the users' configuration; `extra` adds and replaces fields.
+auto MakeRoute(const std::string& prefix,
+               const std::string& kind,
+               const nlohmann::json& extra) -> nlohmann::json;
+// A configuration with a route of each kind: /plain/ (safe, two attempts),
+// /plain/once/ (unsafe), /stream/ (resumable), /stream/once/ and /jobs/.
+auto MakeConfiguration(int version) -> nlohmann::json;
+// A job of these items, each sent to /jobs/1/ITEM.
+auto JobBody(const std::vector<std::string>& items) -> std::string;
+
+// One real gateway process on 127.0.0.1 with its addresses, which stay the same
+// when it is started again.
+class GatewayProcess {
+ public:
+  // Settings and logs go to `folder`.
+  GatewayProcess(std::string program,
+                 std::string name,
+                 const std::string& store,
+                 std::string folder);
+
+  // Starts it again after it has ended, with a log of its own.
+  auto StartAgain() -> void;
+  auto Call(const std::string& method,
+            const std::string& target,
+            const std::string& id,
+            const std::string& body = "") const -> FetchReply;
+  auto Ready() const -> bool;
+  // What the directory answers.
+  auto Addresses() const -> std::vector<std::string>;
+  // The page of a job's results; null when it is not given.
+  auto ReadJob(const std::string& job, std::size_t after = 0) const
+      -> nlohmann::json;
+  auto Log() const -> std::string;
+
+  auto process() -> ChildProcess& { return *process_; }
+  auto callers() const -> const std::string& { return callers_; }
+  auto name() const -> const std::string& { return name_; }
+  // Counts the starts of the process.
+  auto starts() const -> int { return starts_; }
+
+ private:
+  auto LogFile() const -> std::string;
+
+  std::string program_;
+  std::string name_;
+  std::string folder_;
+  std::string callers_;
+  std::string readiness_;
+  std::string directory_;
+  std::string settings_;
+  std::atomic<int> starts_ = 0;
+  std::unique_ptr<ChildProcess> process_;
+};
+
+}  // namespace kumquatgauge::testing
+
+#endif  // TESTING_GATEWAY_GATEWAY_PROCESS_H_
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -1,17 +1,15 @@
 // The real gateway as a process between stand-ins of the users' platform.
 
-#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <filesystem>
-#include <fstream>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <sstream>
 #include <thread>
 
+#include "testing/gateway/gateway_process.h"
 #include "testing/gateway/stand_in.h"
-#include "testing/scenario/child_process.h"
-#include "testing/scenario/http_fetch.h"
 
 namespace kumquatgauge::testing {
 namespace {
@@ -20,7 +18,6 @@
 using std::chrono::milliseconds;
 
 constexpr auto kLimit = std::chrono::seconds(15);
-constexpr auto kHost = "h.example";
 
 // Waits until `done` holds; false after the limit.
 template <typename Done>
@@ -35,109 +32,6 @@
   return true;
 }
 
-// A port that nothing listens on now.
-auto FreePort() -> std::string {
-  auto context = boost::asio::io_context();
-  auto acceptor = boost::asio::ip::tcp::acceptor(
-      context, {boost::asio::ip::make_address("127.0.0.1"), 0});
-  return std::to_string(acceptor.local_endpoint().port());
-}
-
-auto MakeRoute(const std::string& prefix,
-               const std::string& kind,
-               const json& extra) -> json {
-  json route = {{"name", "r" + prefix},  {"host", kHost},
-                {"path_prefix", prefix}, {"kind", kind},
-                {"timeout_ms", 5000},    {"target_latency_ms", 300},
-                {"priority", 0},         {"service", "svc"},
-                {"max_attempts", 2},     {"gap_aim_ms", 300}};
-  route.update(extra);
-  return route;
-}
-
-auto MakeConfiguration(int version) -> json {
-  return {{"version", version},
-          {"routes",
-           {MakeRoute("/plain/", "safe", json::object()),
-            MakeRoute("/plain/once/", "unsafe", {{"max_attempts", 1}}),
-            MakeRoute("/stream/", "stream", {{"resumable", true}}),
-            MakeRoute("/stream/once/", "stream", {{"max_attempts", 1}}),
-            MakeRoute("/jobs/", "batch",
-                      {{"completion_target_ms", 18000},
-                       {"max_attempts", 3},
-                       {"retention_s", 60}})}},
-          {"services", {{{"name", "svc"}, {"max_connections", 100}}}}};
-}
-
-// One gateway process with its addresses.
-class GatewayProcess {
- public:
-  GatewayProcess(const std::string& name,
-                 const std::string& store,
-                 const std::string& folder)
-      : callers_("127.0.0.1:" + FreePort()),
-        readiness_("127.0.0.1:" + FreePort()),
-        directory_("127.0.0.1:" + FreePort()),
-        nodes_("127.0.0.1:" + FreePort()),
-        settings_(folder + "/" + name + ".toml"),
-        log_(folder + "/" + name + ".log") {
-    auto file = std::ofstream(settings_);
-    file << "[node]\nname = \"" << name << "\"\nzone = \"a\"\n"
-         << "fleet_credential = \"test\"\n[listen]\ncallers = \"" << callers_
-         << "\"\nreadiness = \"" << readiness_ << "\"\ndirectory = \""
-         << directory_ << "\"\nnodes = \"" << nodes_
-         << "\"\n[store]\naddress = \"" << store
-         << "\"\n[limits]\nstop_s = 8\n";
-    file.close();
-    process_ = std::make_unique<ChildProcess>(
-        std::vector<std::string>{KQG_GATEWAY, settings_}, log_,
-        folder + "/" + name + ".err");
-  }
-
-  auto Call(const std::string& method,
-            const std::string& target,
-            const std::string& id,
-            const std::string& body = "") const -> FetchReply {
-    auto request = FetchRequest();
-    request.address = callers_;
-    request.method = method;
-    request.target = target;
-    request.headers = {{"Host", kHost}, {"Request-Id", id}};
-    request.body = body;
-    return Fetch(request);
-  }
-
-  auto Ready() const -> bool {
-    return Fetch({readiness_, "GET", "/api/ready", {}, ""}).status == 200;
-  }
-
-  auto Addresses() const -> std::vector<std::string> {
-    const auto reply =
-        Fetch({directory_, "GET", "/api/resolve?name=x", {}, ""});
-    return reply.status == 200 ? json::parse(reply.body)
-                                     .at("addresses")
-                                     .get<std::vector<std::string>>()
-                               : std::vector<std::string>();
-  }
-
-  auto Log() const -> std::string {
-    auto file = std::ifstream(log_);
-    return {std::istreambuf_iterator<char>(file), {}};
-  }
-
-  auto process() -> ChildProcess& { return *process_; }
-  auto callers() const -> const std::string& { return callers_; }
-
- private:
-  std::string callers_;
-  std::string readiness_;
-  std::string directory_;
-  std::string nodes_;
-  std::string settings_;
-  std::string log_;
-  std::unique_ptr<ChildProcess> process_;
-};
-
 struct Fleet {
   explicit Fleet(int gateways = 1) {
     folder = std::filesystem::temp_directory_path() /
@@ -147,7 +41,8 @@
     Announce(*two);
     for (auto at = 0; at < gateways; ++at) {
       nodes.push_back(std::make_unique<GatewayProcess>(
-          "n" + std::to_string(at), store->address(), folder.string()));
+          KQG_GATEWAY, "n" + std::to_string(at), store->address(),
+          folder.string()));
     }
   }
 
@@ -192,18 +87,6 @@
   std::vector<std::unique_ptr<GatewayProcess>> nodes;
 };
 
-auto JobBody(const std::vector<std::string>& items) -> std::string {
-  auto list = json::array();
-  for (const auto& item : items) {
-    list.push_back({{"id", item},
-                    {"path", "/jobs/1/" + item},
-                    {"headers", {{"Model", "m"}}},
-                    {"body", "q83vEjRWeJA="},
-                    {"tokens", 10}});
-  }
-  return json{{"items", list}}.dump();
-}
-
 TEST_CASE("Gateway.ServesEachKindOfRequestUnchanged") {
   auto fleet = Fleet();
   fleet.AwaitService();
@@ -354,11 +237,6 @@
   CHECK(fleet.one->runs() == before);
 }
 
-auto ReadJob(const GatewayProcess& node, const std::string& job) -> json {
-  const auto reply = node.Call("GET", "/api/lots/" + job + "?after=0", "");
-  return reply.status == 200 ? json::parse(reply.body) : json();
-}
-
 // Guards against results that differ between nodes, and against a job that is
 // lost or accepted twice when answers of the store are lost.
 TEST_CASE("Gateway.RunsAJobOnceAndShowsTheSameResultsAtEveryNode") {
@@ -371,11 +249,11 @@
   CHECK(fleet.nodes[0]->Call("POST", "/jobs/1", "j1", body).status == 202);
   CHECK(fleet.nodes[1]->Call("POST", "/jobs/1", "j1", body).status == 202);
   REQUIRE(Eventually([&] {
-    const auto page = ReadJob(*fleet.nodes[1], "j1");
+    const auto page = fleet.nodes[1]->ReadJob("j1");
     return page.is_object() && page.at("next") == 3;
   }));
-  const auto page = ReadJob(*fleet.nodes[0], "j1");
-  CHECK(page == ReadJob(*fleet.nodes[1], "j1"));
+  const auto page = fleet.nodes[0]->ReadJob("j1");
+  CHECK(page == fleet.nodes[1]->ReadJob("j1"));
   for (const auto& result : page.at("results")) {
     CHECK(result.at("state") == "completed");
     CHECK(result.at("text") == ExpectedText(result.at("id")));
@@ -397,10 +275,10 @@
   fleet.one->set_pace(milliseconds(0));
   fleet.two->set_pace(milliseconds(0));
   REQUIRE(Eventually([&] {
-    const auto page = ReadJob(*fleet.nodes[1], "j1");
+    const auto page = fleet.nodes[1]->ReadJob("j1");
     return page.is_object() && page.at("next") == 4;
   }));
-  const auto page = ReadJob(*fleet.nodes[1], "j1");
+  const auto page = fleet.nodes[1]->ReadJob("j1");
   for (const auto& result : page.at("results")) {
     CHECK(result.at("text") == ExpectedText(result.at("id")));
   }
@@ -414,10 +292,10 @@
   const auto& node = *fleet.nodes.front();
   REQUIRE(node.Call("POST", "/jobs/1", "j1", JobBody({"a"})).status == 202);
   REQUIRE(Eventually([&] {
-    const auto page = ReadJob(node, "j1");
+    const auto page = node.ReadJob("j1");
     return page.is_object() && page.at("next") == 1;
   }));
-  CHECK(ReadJob(node, "j1").at("results")[0].at("state") == "errored");
+  CHECK(node.ReadJob("j1").at("results")[0].at("state") == "errored");
   CHECK(fleet.Runs("a") == 1);
 }
 
--- /dev/null
+++ b/testing/soak/checker.cc
@@ -0,0 +1,175 @@
+#include "testing/soak/checker.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "testing/gateway/stand_in.h"
+
+namespace kumquatgauge::testing {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kAccepted = 202;
+constexpr int kNotFound = 404;
+
+// Statuses that say that the request has not run and never will.
+auto SaysNotRun(const FetchReply& reply) -> bool {
+  return reply.status == 503 || reply.status == 429 || reply.status == 408 ||
+         reply.status == 421;
+}
+
+auto Outcome(const FetchReply& reply) -> std::string {
+  if (reply.status == 0) {
+    return reply.connected ? "closed" : "no connection";
+  }
+  return std::to_string(reply.status) + (reply.whole ? "" : " cut");
+}
+
+}  // namespace
+
+auto SoakChecker::Add(const std::string& violation) -> void {
+  violations_.push_back(violation);
+}
+
+auto SoakChecker::OnReply(const std::string& id,
+                          const RequestPromise& promise,
+                          const FetchReply& reply) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  ++replies_[Outcome(reply)];
+  sent_[id] = {promise.max_runs, SaysNotRun(reply)};
+  if (reply.status == kNotFound) {
+    Add("request " + id + " has a route and got 404");
+  }
+  if (reply.status != kOk) {
+    return;
+  }
+  if (reply.whole && reply.body != promise.whole_body) {
+    Add("request " + id + " got a wrong answer: " + reply.body);
+  }
+  if (!reply.whole && promise.stream &&
+      !promise.whole_body.starts_with(reply.body)) {
+    Add("stream " + id + " lost or repeated events: " + reply.body);
+  }
+}
+
+auto SoakChecker::OnSubmitted(const std::string& job,
+                              const std::vector<std::string>& items,
+                              const FetchReply& reply) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  ++replies_["job " + Outcome(reply)];
+  jobs_[job].items = items;
+  jobs_[job].accepted = reply.status == kAccepted;
+  if (SaysNotRun(reply)) {
+    for (const auto& item : items) {
+      sent_[item] = {0, true};
+    }
+  }
+}
+
+auto SoakChecker::OnListed(const std::string& job,
+                           std::size_t position,
+                           const std::string& item,
+                           const std::string& state,
+                           const std::string& text) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  auto& known = jobs_[job];
+  const auto where =
+      "job " + job + ", position " + std::to_string(position) + ": ";
+  const auto content = item + "\n" + state + "\n" + text;
+  const auto [entry, added] = known.listed.emplace(position, content);
+  if (!added && entry->second != content) {
+    Add(where + "the result has changed");
+  }
+  const auto [place, first] = known.places.emplace(item, position);
+  if (!first && place->second != position) {
+    Add(where + "item " + item + " stands twice");
+  }
+  if (std::count(known.items.begin(), known.items.end(), item) == 0) {
+    Add(where + "item " + item + " is of another job");
+  }
+  if (state == "completed" && text != ExpectedText(item)) {
+    Add(where + "a wrong text: " + text);
+  }
+}
+
+auto SoakChecker::OnServedBy(const std::string& node, int start, int version)
+    -> void {
+  const auto lock = std::lock_guard(mutex_);
+  auto& newest = served_by_[{node, start}];
+  if (version < newest) {
+    Add("node " + node + " went back from configuration " +
+        std::to_string(newest) + " to " + std::to_string(version));
+  }
+  newest = std::max(newest, version);
+}
+
+auto SoakChecker::OnPlannedStop(const std::string& node,
+                                std::optional<int> exit_status) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  if (!exit_status) {
+    Add("node " + node + " has not stopped in time");
+  } else if (*exit_status != 0) {
+    Add("node " + node + " ended with " + std::to_string(*exit_status) +
+        " in a planned stop");
+  }
+}
+
+auto SoakChecker::Expect(bool holds, const std::string& what) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  if (!holds) {
+    Add(what);
+  }
+}
+
+auto SoakChecker::Finish() -> void {
+  const auto lock = std::lock_guard(mutex_);
+  for (const auto& [id, sent] : sent_) {
+    const auto runs = count_runs_(id);
+    if (sent.said_not_run && runs > 0) {
+      Add("request " + id + " was refused as not run and ran");
+    } else if (runs > sent.max_runs) {
+      Add("request " + id + " ran " + std::to_string(runs) + " times, of " +
+          std::to_string(sent.max_runs));
+    }
+  }
+  for (const auto& [id, job] : jobs_) {
+    if (job.accepted && job.listed.size() != job.items.size()) {
+      Add("job " + id + " lists " + std::to_string(job.listed.size()) + " of " +
+          std::to_string(job.items.size()) + " items");
+    }
+  }
+}
+
+auto SoakChecker::violations() const -> std::vector<std::string> {
+  const auto lock = std::lock_guard(mutex_);
+  return violations_;
+}
+
+auto SoakChecker::unfinished_jobs() const -> std::vector<std::string> {
+  const auto lock = std::lock_guard(mutex_);
+  auto jobs = std::vector<std::string>();
+  for (const auto& [id, job] : jobs_) {
+    if (job.accepted && job.listed.size() < job.items.size()) {
+      jobs.push_back(id);
+    }
+  }
+  return jobs;
+}
+
+auto SoakChecker::accepted_jobs() const -> std::vector<std::string> {
+  const auto lock = std::lock_guard(mutex_);
+  auto jobs = std::vector<std::string>();
+  for (const auto& [id, job] : jobs_) {
+    if (job.accepted) {
+      jobs.push_back(id);
+    }
+  }
+  return jobs;
+}
+
+auto SoakChecker::replies() const -> std::map<std::string, int> {
+  const auto lock = std::lock_guard(mutex_);
+  return replies_;
+}
+
+}  // namespace kumquatgauge::testing
--- /dev/null
+++ b/testing/soak/soak.cc
@@ -0,0 +1,493 @@
+#include "testing/soak/soak.h"
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include "testing/gateway/gateway_process.h"
+#include "testing/gateway/stand_in.h"
+#include "testing/soak/checker.h"
+#include "testing/soak/loopback_proxy.h"
+
+namespace kumquatgauge::testing {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+constexpr int kOk = 200;
+constexpr int kCallers = 6;
+constexpr int kSpareReplicas = 2;  // Beside one a node.
+constexpr int kMaxItems = 6;
+constexpr milliseconds kCallerPause{15};
+constexpr milliseconds kReaderPause{60};
+constexpr milliseconds kFaultPauseMin{100};
+constexpr milliseconds kFaultPauseMax{900};
+constexpr milliseconds kFaultMin{200};
+constexpr milliseconds kFaultMax{3'000};
+constexpr milliseconds kSlowestPace{60};
+// Of the settings' stop_s, and the time to be scheduled on a busy machine.
+constexpr milliseconds kStopTime{9'500};
+// Time for everything to be right again once the faults have ended.
+constexpr milliseconds kSettleTime{30'000};
+constexpr milliseconds kSettlePoll{100};
+
+// A source of draws; one a thread, so that a seed draws the same faults.
+class Draw {
+ public:
+  explicit Draw(std::uint64_t seed) : random_(seed) {}
+
+  auto Below(std::size_t count) -> std::size_t { return random_() % count; }
+  auto Between(milliseconds low, milliseconds high) -> milliseconds {
+    return low + milliseconds(
+                     Below(static_cast<std::size_t>((high - low).count()) + 1));
+  }
+
+ private:
+  std::mt19937_64 random_;
+};
+
+// A path that only the configuration of this version has a route for.
+auto VersionPath(int version) -> std::string {
+  return "/version-" + std::to_string(version) + "/";
+}
+
+auto MakeSoakConfiguration(int version) -> json {
+  auto configuration = MakeConfiguration(version);
+  for (auto& route : configuration.at("routes")) {
+    if (route.at("kind") == "batch") {
+      route["retention_s"] = 3'600;
+    }
+  }
+  configuration.at("routes").push_back(
+      MakeRoute(VersionPath(version), "safe", {{"name", "version"}}));
+  return configuration;
+}
+
+class Soak {
+ public:
+  explicit Soak(const SoakSettings& settings)
+      : settings_(settings),
+        faults_(settings.seed),
+        store_(thread_.context()),
+        checker_([this](const std::string& id) { return Runs(id); }) {
+    store_.Put("config/main", MakeSoakConfiguration(version_));
+    for (auto at = 0; at < settings_.nodes + kSpareReplicas; ++at) {
+      auto& replica = replicas_.emplace_back();
+      replica.server = std::make_unique<ReplicaStandIn>(
+          thread_.context(), "i-" + std::to_string(at));
+      replica.link = std::make_unique<LoopbackProxy>(thread_.context(),
+                                                     replica.server->address());
+      Announce(replica);
+    }
+    for (auto at = 0; at < settings_.nodes; ++at) {
+      auto& node = nodes_.emplace_back();
+      node.store_link =
+          std::make_unique<LoopbackProxy>(thread_.context(), store_.address());
+      node.process = std::make_unique<GatewayProcess>(
+          settings_.gateway, "n" + std::to_string(at),
+          node.store_link->address(), settings_.folder);
+    }
+  }
+
+  auto Run() -> SoakReport {
+    Settle("after the start");
+    auto workers = std::vector<std::thread>();
+    for (auto caller = 0; caller < kCallers; ++caller) {
+      workers.emplace_back([this, caller] { CallOn(caller); });
+    }
+    workers.emplace_back([this] { ReadOn(); });
+    InjectFaults();
+    done_ = true;
+    for (auto& worker : workers) {
+      worker.join();
+    }
+    EndFaults();
+    Settle("after the faults");
+    ReadAllJobs();
+    checker_.Finish();
+    return {checker_.violations(), checker_.replies(), counts_};
+  }
+
+ private:
+  struct Replica {
+    std::unique_ptr<ReplicaStandIn> server;
+    std::unique_ptr<LoopbackProxy> link;
+  };
+  struct Node {
+    std::unique_ptr<GatewayProcess> process;
+    std::unique_ptr<LoopbackProxy> store_link;
+    bool down = false;    // Killed, or stopping as planned.
+    bool paused = false;  // By SIGSTOP.
+  };
+  // Ends a fault, or goes on with one, at a time.
+  struct Later {
+    SteadyTime at;
+    std::function<auto()->void> act;
+  };
+
+  auto Runs(const std::string& id) const -> int {
+    auto runs = 0;
+    for (const auto& replica : replicas_) {
+      runs += replica.server->Runs(id);
+    }
+    return runs;
+  }
+
+  auto Announce(const Replica& replica) -> void {
+    store_.Put("servers/" + replica.server->id(),
+               {{"service", "svc"},
+                {"address", replica.link->address()},
+                {"zone", "a"},
+                {"slots", 8},
+                {"state", "ready"},
+                {"cold_remaining_ms", 0},
+                {"sequence", 1}});
+  }
+
+  // --- Callers.
+
+  auto CallOn(int caller) -> void {
+    auto draw = Draw(settings_.seed * kCallers + caller);
+    for (auto number = 0; !done_; ++number) {
+      const auto& node = *nodes_[draw.Below(nodes_.size())].process;
+      const auto id =
+          "q" + std::to_string(caller) + "-" + std::to_string(number);
+      switch (draw.Below(6)) {
+        case 0:
+          CallPlain(node, "/plain/x", id, 2);
+          break;
+        case 1:
+          CallPlain(node, "/plain/once/x", id, 1);
+          break;
+        case 2:
+          CallStream(node, "/stream/x", id, 2);
+          break;
+        case 3:
+          CallStream(node, "/stream/once/x", id, 1);
+          break;
+        case 4:
+          Submit(node, id, draw);
+          break;
+        default:
+          ReadSome(node, draw);
+          break;
+      }
+      std::this_thread::sleep_for(kCallerPause);
+    }
+  }
+
+  auto CallPlain(const GatewayProcess& node,
+                 const std::string& target,
+                 const std::string& id,
+                 int max_runs) -> void {
+    const auto reply = node.Call("POST", target, id, id);
+    checker_.OnReply(id, {max_runs, false, "answer to " + id}, reply);
+  }
+
+  auto CallStream(const GatewayProcess& node,
+                  const std::string& target,
+                  const std::string& id,
+                  int max_runs) -> void {
+    const auto reply = node.Call("POST", target, id);
+    checker_.OnReply(id, {max_runs, true, ExpectedEvents(id, 0)}, reply);
+  }
+
+  auto Submit(const GatewayProcess& node, const std::string& job, Draw& draw)
+      -> void {
+    auto items = std::vector<std::string>();
+    const auto count = draw.Below(kMaxItems) + 1;
+    for (std::size_t item = 0; item < count; ++item) {
+      items.push_back(job + "-item-" + std::to_string(item));
+    }
+    const auto reply = node.Call("POST", "/jobs/1", job, JobBody(items));
+    checker_.OnSubmitted(job, items, reply);
+  }
+
+  auto ReadSome(const GatewayProcess& node, Draw& draw) -> void {
+    const auto jobs = checker_.unfinished_jobs();
+    if (!jobs.empty()) {
+      ReadJob(node, jobs[draw.Below(jobs.size())]);
+    }
+  }
+
+  auto ReadJob(const GatewayProcess& node, const std::string& job) -> void {
+    const auto page = node.ReadJob(job);
+    if (!page.is_object()) {
+      return;
+    }
+    auto position = std::size_t{0};
+    for (const auto& result : page.at("results")) {
+      checker_.OnListed(job, position++, result.at("id"), result.at("state"),
+                        result.value("text", ""));
+    }
+  }
+
+  // Asks nodes by which configuration they serve.
+  auto ReadOn() -> void {
+    auto draw = Draw(settings_.seed + kCallers);
+    for (auto number = 0; !done_; ++number) {
+      const auto& node = *nodes_[draw.Below(nodes_.size())].process;
+      const auto newest = version_.load();
+      const auto version = newest - static_cast<int>(draw.Below(2));
+      const auto start = node.starts();
+      const auto served = ServesBy(node, version, "v" + std::to_string(number));
+      if (served && node.starts() == start) {
+        checker_.OnServedBy(node.name(), start, version);
+      }
+      std::this_thread::sleep_for(kReaderPause);
+    }
+  }
+
+  static auto ServesBy(const GatewayProcess& node,
+                       int version,
+                       const std::string& id) -> bool {
+    const auto reply = node.Call("POST", VersionPath(version), id);
+    return reply.status == kOk;
+  }
+
+  // --- Faults.
+
+  auto InjectFaults() -> void {
+    const auto end = std::chrono::steady_clock::now() + settings_.time;
+    while (std::chrono::steady_clock::now() < end) {
+      InjectOne();
+      std::this_thread::sleep_for(
+          faults_.Between(kFaultPauseMin, kFaultPauseMax));
+      RunDue(std::chrono::steady_clock::now());
+    }
+  }
+
+  auto RunDue(SteadyTime now) -> void {
+    auto due = std::vector<Later>();
+    std::erase_if(later_, [&](auto& entry) {
+      if (entry.at > now) {
+        return false;
+      }
+      due.push_back(std::move(entry));
+      return true;
+    });
+    for (const auto& entry : due) {
+      entry.act();
+    }
+  }
+
+  auto After(milliseconds time, std::function<auto()->void> act) -> void {
+    later_.push_back({std::chrono::steady_clock::now() + time, std::move(act)});
+  }
+
+  auto InjectOne() -> void {
+    using Fault = auto(Soak::*)()->void;
+    static constexpr std::pair<const char*, Fault> kFaults[] = {
+        {"kill", &Soak::Kill},
+        {"pause", &Soak::Pause},
+        {"planned stop", &Soak::StopAsPlanned},
+        {"reload", &Soak::Reload},
+        {"store link", &Soak::SpoilStoreLink},
+        {"replica link", &Soak::SpoilReplicaLink},
+        {"replica answers", &Soak::SpoilAnswers},
+        {"replica leaves", &Soak::RemoveReplica},
+        {"store down", &Soak::StopStore},
+        {"store answers lost", &Soak::LoseStoreAnswers},
+        {"configuration", &Soak::Configure},
+    };
+    const auto& [name, inject] = kFaults[faults_.Below(std::size(kFaults))];
+    ++counts_[name];
+    (this->*inject)();
+  }
+
+  auto Time() -> milliseconds { return faults_.Between(kFaultMin, kFaultMax); }
+  auto AnyNode() -> Node& { return nodes_[faults_.Below(nodes_.size())]; }
+  auto AnyReplica() -> Replica& {
+    return replicas_[faults_.Below(replicas_.size())];
+  }
+
+  auto Kill() -> void {
+    auto& node = AnyNode();
+    const auto time = Time();
+    if (!node.down) {
+      node.process->process().Signal(SIGKILL);
+      node.down = true;
+      After(time, [&node] { Revive(node); });
+    }
+  }
+
+  static auto Revive(Node& node) -> void {
+    node.process->StartAgain();
+    node.down = false;
+    node.paused = false;
+  }
+
+  auto Pause() -> void {
+    auto& node = AnyNode();
+    const auto time = Time();
+    if (!node.down && !node.paused) {
+      node.process->process().Signal(SIGSTOP);
+      node.paused = true;
+      After(time, [&node] {
+        node.process->process().Signal(SIGCONT);
+        node.paused = false;
+      });
+    }
+  }
+
+  auto StopAsPlanned() -> void {
+    auto& node = AnyNode();
+    if (!node.down && !node.paused) {
+      node.process->process().Signal(SIGTERM);
+      node.down = true;
+      After(kStopTime, [this, &node] { EndPlannedStop(node); });
+    }
+  }
+
+  auto EndPlannedStop(Node& node) -> void {
+    const auto exit = node.process->process().WaitForExit(milliseconds(0));
+    checker_.OnPlannedStop(node.process->name(), exit);
+    Revive(node);
+  }
+
+  auto Reload() -> void {
+    auto& node = AnyNode();
+    if (!node.down) {
+      node.process->process().Signal(SIGHUP);
+    }
+  }
+
+  auto SpoilLink(LoopbackProxy& link) -> void {
+    constexpr LinkFault kLinkFaults[] = {LinkFault::kNone, LinkFault::kDelay,
+                                         LinkFault::kSilence,
+                                         LinkFault::kOneWay};
+    const auto fault = kLinkFaults[faults_.Below(std::size(kLinkFaults))];
+    const auto time = Time();
+    if (fault == LinkFault::kNone) {
+      link.Reset();
+      return;
+    }
+    link.SetFault(fault);
+    After(time, [&link] { link.SetFault(LinkFault::kNone); });
+  }
+
+  auto SpoilStoreLink() -> void { SpoilLink(*AnyNode().store_link); }
+  auto SpoilReplicaLink() -> void { SpoilLink(*AnyReplica().link); }
+
+  auto SpoilAnswers() -> void {
+    constexpr ReplicaFault kReplicaFaults[] = {
+        ReplicaFault::kLoseAnswer, ReplicaFault::kBreakMidEvent,
+        ReplicaFault::kRefuse,     ReplicaFault::kOtherRequest,
+        ReplicaFault::kFail,
+    };
+    auto& server = *AnyReplica().server;
+    server.SetFault(kReplicaFaults[faults_.Below(std::size(kReplicaFaults))],
+                    static_cast<int>(faults_.Below(4)));
+    server.set_pace(faults_.Between(milliseconds(0), kSlowestPace));
+  }
+
+  auto RemoveReplica() -> void {
+    auto& replica = AnyReplica();
+    store_.Remove("servers/" + replica.server->id());
+    After(Time(), [this, &replica] { Announce(replica); });
+  }
+
+  auto StopStore() -> void {
+    store_.set_down(true);
+    After(Time(), [this] { store_.set_down(false); });
+  }
+
+  auto LoseStoreAnswers() -> void {
+    constexpr const char* kKinds[] = {"jobs", "job-states", "job-results"};
+    store_.LoseAnswers(kKinds[faults_.Below(std::size(kKinds))],
+                       static_cast<int>(faults_.Below(3)) + 1);
+  }
+
+  auto Configure() -> void {
+    const auto next = version_ + 1;
+    store_.Put("config/main", MakeSoakConfiguration(next));
+    version_ = next;
+  }
+
+  auto EndFaults() -> void {
+    RunDue(SteadyTime::max());
+    store_.set_down(false);
+    for (auto& replica : replicas_) {
+      replica.link->SetFault(LinkFault::kNone);
+      replica.server->SetFault(ReplicaFault::kNone, 0);
+      Announce(replica);
+    }
+    for (auto& node : nodes_) {
+      node.store_link->SetFault(LinkFault::kNone);
+    }
+  }
+
+  // --- What must hold without faults.
+
+  auto Settle(const std::string& when) -> void {
+    const auto last = std::chrono::steady_clock::now() + kSettleTime;
+    auto open = Unsettled();
+    while (!open.empty() && std::chrono::steady_clock::now() < last) {
+      std::this_thread::sleep_for(kSettlePoll);
+      open = Unsettled();
+    }
+    checker_.Expect(open.empty(), when + ": " + open);
+  }
+
+  // What does not hold yet; empty when all does.
+  auto Unsettled() -> std::string {
+    for (const auto& node : nodes_) {
+      const auto& process = *node.process;
+      const auto id = "s" + std::to_string(++settle_calls_);
+      if (!process.Ready()) {
+        return process.name() + " is not ready";
+      }
+      if (!ServesBy(process, version_, id)) {
+        return process.name() + " does not serve by the newest configuration";
+      }
+      for (const auto& job : checker_.unfinished_jobs()) {
+        ReadJob(process, job);
+      }
+    }
+    const auto jobs = checker_.unfinished_jobs();
+    return jobs.empty() ? "" : "job " + jobs.front() + " is unfinished";
+  }
+
+  // Every node must show the same results.
+  auto ReadAllJobs() -> void {
+    for (const auto& job : checker_.accepted_jobs()) {
+      for (const auto& node : nodes_) {
+        const auto page = node.process->ReadJob(job);
+        checker_.Expect(page.is_object(),
+                        node.process->name() + " does not give job " + job);
+        ReadJob(*node.process, job);
+      }
+    }
+  }
+
+  SoakSettings settings_;
+  Draw faults_;
+  StandInThread thread_;
+  ObjectApiStandIn store_;
+  SoakChecker checker_;
+  std::vector<Replica> replicas_;
+  std::vector<Node> nodes_;
+  std::vector<Later> later_;
+  std::map<std::string, int> counts_;
+  std::atomic<int> version_{3};
+  std::atomic<bool> done_{false};
+  int settle_calls_ = 0;
+};
+
+}  // namespace
+
+auto RunSoak(const SoakSettings& settings) -> SoakReport {
+  return Soak(settings).Run();
+}
+
+}  // namespace kumquatgauge::testing
--- /dev/null
+++ b/testing/soak/soak.h
@@ -0,0 +1,33 @@
+#ifndef TESTING_SOAK_SOAK_H_
+#define TESTING_SOAK_SOAK_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace kumquatgauge::testing {
+
+struct SoakSettings {
+  std::string gateway;  // The program.
+  std::string folder;   // For settings and logs; must exist.
+  std::uint64_t seed = 1;
+  std::chrono::seconds time{20};  // With faults; settling comes on top.
+  int nodes = 4;
+};
+
+struct SoakReport {
+  std::vector<std::string> violations;
+  std::map<std::string, int> replies;  // Count by outcome.
+  std::map<std::string, int> faults;   // Count by kind.
+};
+
+// Runs real gateway processes between stand-ins of the users' platform, with
+// callers of every kind and faults drawn from the seed, and checks what is
+// promised to callers while it runs and once all faults have ended.
+auto RunSoak(const SoakSettings& settings) -> SoakReport;
+
+}  // namespace kumquatgauge::testing
+
+#endif  // TESTING_SOAK_SOAK_H_
