--- a/apps/shared/program.cc
+++ b/apps/shared/program.cc
@@ -3,6 +3,7 @@
 #include <getopt.h>
 
 #include <array>
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -48,6 +49,9 @@
     const std::function<
         auto(serving::GatewaySettings, const std::string& path)->void>& run)
     -> int {
+  // Until the program handles it, a request to read the settings again would
+  // end it; they are about to be read anyway.
+  std::signal(SIGHUP, SIG_IGN);
   constexpr auto kCheckOption = 1;
   constexpr auto kVersionOption = 2;
   const auto options = std::array<option, 4>{
--- a/src/serving/room_forecast.cc
+++ b/src/serving/room_forecast.cc
@@ -18,11 +18,8 @@
   auto& period = entry->second;
   if (!added && now - period.last >= settings_.full_period_gap) {
     const auto length = period.last - period.first;
-    period.mean_length =
-        period.mean_length
-            ? *period.mean_length +
-                  Times(length - *period.mean_length, settings_.smoothing)
-            : length;
+    const auto mean = period.mean_length.value_or(length);
+    period.mean_length = mean + Times(length - mean, settings_.smoothing);
     period.first = now;
   }
   period.last = now;
@@ -35,9 +32,9 @@
                                  double draw) const -> Duration {
   auto room_in = hold / 2;
   const auto period = periods_.find(service);
-  if (period != periods_.end() && period->second.mean_length) {
-    const auto end = period->second.first + *period->second.mean_length;
-    room_in = std::max(room_in, end - now);
+  if (period != periods_.end()) {
+    const auto length = period->second.mean_length.value_or(Duration::zero());
+    room_in = std::max(room_in, period->second.first + length - now);
   }
   const auto most = Times(time_left, settings_.most_of_time_left);
   const auto latest =
--- a/testing/gateway/gateway_process.cc
+++ b/testing/gateway/gateway_process.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <fstream>
+#include <random>
 #include <utility>
 
 namespace kumquatgauge::testing {
@@ -10,12 +11,27 @@
 
 using nlohmann::json;
 
+// Below the ports that the system gives to outgoing connections, which could
+// take the port of a process while it is down.
+constexpr std::uint32_t kFirstPort = 12'000;
+constexpr std::uint32_t kPorts = 20'000;
+
 // An address whose port nothing listens on now.
 auto FreeAddress() -> std::string {
+  auto random = std::random_device();
   auto context = boost::asio::io_context();
-  auto acceptor = boost::asio::ip::tcp::acceptor(
-      context, {boost::asio::ip::make_address("127.0.0.1"), 0});
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  while (true) {
+    const auto port = kFirstPort + random() % kPorts;
+    auto acceptor = boost::asio::ip::tcp::acceptor(context);
+    auto error = boost::system::error_code();
+    acceptor.open(boost::asio::ip::tcp::v4());
+    acceptor.bind({boost::asio::ip::make_address("127.0.0.1"),
+                   static_cast<std::uint16_t>(port)},
+                  error);
+    if (!error) {
+      return "127.0.0.1:" + std::to_string(port);
+    }
+  }
 }
 
 }  // namespace
--- a/testing/gateway/stand_in.cc
+++ b/testing/gateway/stand_in.cc
@@ -314,8 +314,14 @@
       thread_([this] { context_.run(); }) {}
 
 StandInThread::~StandInThread() {
+  Stop();
+}
+
+auto StandInThread::Stop() -> void {
   context_.stop();
-  thread_.join();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
 }
 
 }  // namespace kumquatgauge::testing
--- a/testing/gateway/stand_in.h
+++ b/testing/gateway/stand_in.h
@@ -120,6 +120,8 @@
   StandInThread();
   ~StandInThread();
   auto context() -> boost::asio::io_context& { return context_; }
+  // Ends the thread; the stand-ins can then be destroyed.
+  auto Stop() -> void;
 
  private:
   boost::asio::io_context context_;
--- a/testing/soak/loopback_proxy.cc
+++ b/testing/soak/loopback_proxy.cc
@@ -153,7 +153,8 @@
   std::set<std::shared_ptr<Pair>> pairs_;
 };
 
-LoopbackProxy::LoopbackProxy(asio::io_context& context, std::string target)
+LoopbackProxy::LoopbackProxy(asio::io_context& context,
+                             const std::string& target)
     : impl_(std::make_shared<Impl>(context, target)) {
   impl_->Start();
 }
--- a/testing/soak/loopback_proxy.h
+++ b/testing/soak/loopback_proxy.h
@@ -19,7 +19,7 @@
 // its io_context; commands come from any thread.
 class LoopbackProxy {
  public:
-  LoopbackProxy(boost::asio::io_context& context, std::string target);
+  LoopbackProxy(boost::asio::io_context& context, const std::string& target);
   ~LoopbackProxy();
   LoopbackProxy(const LoopbackProxy&) = delete;
   auto operator=(const LoopbackProxy&) -> LoopbackProxy& = delete;
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -37,6 +37,8 @@
 constexpr milliseconds kSlowestPace{60};
 // Of the settings' stop_s, and the time to be scheduled on a busy machine.
 constexpr milliseconds kStopTime{9'500};
+// In which a program is loaded, also on a busy machine.
+constexpr milliseconds kLoadTime{200};
 // Time for everything to be right again once the faults have ended.
 constexpr milliseconds kSettleTime{30'000};
 constexpr milliseconds kSettlePoll{100};
@@ -115,6 +117,7 @@
     Settle("after the faults");
     ReadAllJobs();
     checker_.Finish();
+    thread_.Stop();
     return {checker_.violations(), checker_.replies(), counts_};
   }
 
@@ -126,6 +129,7 @@
   struct Node {
     std::unique_ptr<GatewayProcess> process;
     std::unique_ptr<LoopbackProxy> store_link;
+    SteadyTime started = std::chrono::steady_clock::now();
     bool down = false;    // Killed, or stopping as planned.
     bool paused = false;  // By SIGSTOP.
   };
@@ -311,10 +315,18 @@
     return replicas_[faults_.Below(replicas_.size())];
   }
 
+  // A process that nobody ended must still run.
+  auto ExpectRunning(Node& node) -> void {
+    const auto exit = node.process->process().WaitForExit(milliseconds(0));
+    checker_.Expect(!exit, node.process->name() + " ended by itself with " +
+                               std::to_string(exit.value_or(0)));
+  }
+
   auto Kill() -> void {
     auto& node = AnyNode();
     const auto time = Time();
     if (!node.down) {
+      ExpectRunning(node);
       node.process->process().Signal(SIGKILL);
       node.down = true;
       After(time, [&node] { Revive(node); });
@@ -323,6 +335,7 @@
 
   static auto Revive(Node& node) -> void {
     node.process->StartAgain();
+    node.started = std::chrono::steady_clock::now();
     node.down = false;
     node.paused = false;
   }
@@ -343,21 +356,29 @@
   auto StopAsPlanned() -> void {
     auto& node = AnyNode();
     if (!node.down && !node.paused) {
+      ExpectRunning(node);
       node.process->process().Signal(SIGTERM);
       node.down = true;
-      After(kStopTime, [this, &node] { EndPlannedStop(node); });
+      const auto last = std::chrono::steady_clock::now() + kStopTime;
+      After(kStopTime, [this, &node, last] { EndPlannedStop(node, last); });
     }
   }
 
-  auto EndPlannedStop(Node& node) -> void {
-    const auto exit = node.process->process().WaitForExit(milliseconds(0));
+  auto EndPlannedStop(Node& node, SteadyTime last) -> void {
+    const auto left = std::chrono::duration_cast<milliseconds>(
+        last - std::chrono::steady_clock::now());
+    const auto exit =
+        node.process->process().WaitForExit(std::max(left, milliseconds(0)));
     checker_.OnPlannedStop(node.process->name(), exit);
     Revive(node);
   }
 
   auto Reload() -> void {
     auto& node = AnyNode();
-    if (!node.down) {
+    // Before a process runs its first instruction the signal ends it, which no
+    // program can prevent.
+    const auto age = std::chrono::steady_clock::now() - node.started;
+    if (!node.down && age > kLoadTime) {
       node.process->process().Signal(SIGHUP);
     }
   }
@@ -424,6 +445,7 @@
     }
     for (auto& node : nodes_) {
       node.store_link->SetFault(LinkFault::kNone);
+      ExpectRunning(node);
     }
   }
 
