--- a/apps/shared/program.cc
+++ b/apps/shared/program.cc
@@ -49,9 +49,11 @@
     const std::function<
         auto(serving::GatewaySettings, const std::string& path)->void>& run)
     -> int {
-  // Until the program handles it, a request to read the settings again would
-  // end it; they are about to be read anyway.
+  // Until the program handles them itself, the default action of both would end
+  // it with a failure. The settings are about to be read anyway, and a planned
+  // stop has nothing to finish yet.
   std::signal(SIGHUP, SIG_IGN);
+  std::signal(SIGTERM, [](int) { std::_Exit(kExitOk); });
   constexpr auto kCheckOption = 1;
   constexpr auto kVersionOption = 2;
   const auto options = std::array<option, 4>{
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -48,6 +48,7 @@
 
   ~Fleet() {
     nodes.clear();
+    thread.Stop();  // Its handlers use the stand-ins.
     std::filesystem::remove_all(folder);
   }
 
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -322,6 +322,12 @@
                                std::to_string(exit.value_or(0)));
   }
 
+  // Before a process runs its first instruction a signal ends it, which no
+  // program can prevent.
+  static auto IsLoaded(const Node& node) -> bool {
+    return std::chrono::steady_clock::now() - node.started > kLoadTime;
+  }
+
   auto Kill() -> void {
     auto& node = AnyNode();
     const auto time = Time();
@@ -355,7 +361,7 @@
 
   auto StopAsPlanned() -> void {
     auto& node = AnyNode();
-    if (!node.down && !node.paused) {
+    if (!node.down && !node.paused && IsLoaded(node)) {
       ExpectRunning(node);
       node.process->process().Signal(SIGTERM);
       node.down = true;
@@ -375,10 +381,7 @@
 
   auto Reload() -> void {
     auto& node = AnyNode();
-    // Before a process runs its first instruction the signal ends it, which no
-    // program can prevent.
-    const auto age = std::chrono::steady_clock::now() - node.started;
-    if (!node.down && age > kLoadTime) {
+    if (!node.down && IsLoaded(node)) {
       node.process->process().Signal(SIGHUP);
     }
   }
