--- a/include/kumquatgauge/serving/load_picture.h
+++ b/include/kumquatgauge/serving/load_picture.h
@@ -188,7 +188,7 @@
   // Requests that may wait at a replica and still be on time.
   auto QueueLimit(const State& state, Duration latency_target) const
       -> std::uint32_t;
-  // The least loaded replica of another cell that told of room for this node.
+  // A replica, drawn, of another cell that told of room for this node.
   auto TakeForeign(const ChoiceRequest& request) -> const State*;
   auto DealOutReplicas() -> void;
   auto RebuildPeers() -> void;
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -483,11 +483,17 @@
     return jobs.empty() ? "" : "job " + jobs.front() + " is unfinished";
   }
 
-  // Every node must show the same results.
+  // Every node must show the same results. One that has just lost the store may
+  // refuse for some seconds more.
   auto ReadAllJobs() -> void {
+    const auto last = std::chrono::steady_clock::now() + kSettleTime;
     for (const auto& job : checker_.accepted_jobs()) {
       for (const auto& node : nodes_) {
-        const auto page = node.process->ReadJob(job);
+        auto page = node.process->ReadJob(job);
+        while (!page.is_object() && std::chrono::steady_clock::now() < last) {
+          std::this_thread::sleep_for(kSettlePoll);
+          page = node.process->ReadJob(job);
+        }
         checker_.Expect(page.is_object(),
                         node.process->name() + " does not give job " + job);
         ReadJob(*node.process, job);
