Read the options of kqg-node by the programs' shared code

kqg-node repeated the option loop of apps/shared. Both now call ReadOptions; the settings path of kqg-gateway may still come from its environment variable.

--- a/apps/kqg_node.cc
+++ b/apps/kqg_node.cc
@@ -1,9 +1,7 @@
-#include <getopt.h>
-
-#include <array>
 #include <iostream>
 #include <string>
 
+#include "apps/shared/program.h"
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/base/settings.h"
@@ -11,9 +9,9 @@
 
 namespace {
 
-constexpr auto kExitOk = 0;
-constexpr auto kExitFailed = 1;
-constexpr auto kExitUsage = 2;
+using kumquatgauge::apps::kExitFailed;
+using kumquatgauge::apps::kExitOk;
+using kumquatgauge::apps::kExitUsage;
 
 constexpr auto kUsage = R"(Usage: kqg-node [OPTION] SETTINGS.toml
 
@@ -30,41 +28,19 @@
 }  // namespace
 
 auto main(int argc, char** argv) -> int {
-  constexpr auto kCheckOption = 1;
-  constexpr auto kVersionOption = 2;
-  const auto options = std::array<option, 4>{
-      {{"check-settings", no_argument, nullptr, kCheckOption},
-       {"help", no_argument, nullptr, 'h'},
-       {"version", no_argument, nullptr, kVersionOption},
-       {nullptr, 0, nullptr, 0}}};
-  auto check_only = false;
-  auto letter = 0;
-  while ((letter = getopt_long(argc, argv, "h", options.data(), nullptr)) !=
-         -1) {
-    switch (letter) {
-      case kCheckOption:
-        check_only = true;
-        break;
-      case 'h':
-        std::cout << kUsage;
-        return kExitOk;
-      case kVersionOption:
-        std::cout << "kqg-node " << KQG_VERSION << "\n";
-        return kExitOk;
-      default:
-        std::cerr << "kqg-node: see kqg-node --help\n";
-        return kExitUsage;
-    }
+  const auto options =
+      kumquatgauge::apps::ReadOptions(argc, argv, "kqg-node", kUsage);
+  if (options.exit_status) {
+    return *options.exit_status;
   }
-  if (optind + 1 != argc) {
-    std::cerr << "kqg-node: name one settings file; see kqg-node --help\n";
-    return kExitUsage;
+  if (options.settings_path.empty()) {
+    return kumquatgauge::apps::RefuseArguments("kqg-node");
   }
   auto settings = kumquatgauge::NodeSettings();
   auto fleet_credential = std::string();
   auto operators = kumquatgauge::OperatorCredentials({});
   try {
-    settings = kumquatgauge::ReadNodeSettings(argv[optind]);
+    settings = kumquatgauge::ReadNodeSettings(options.settings_path);
     fleet_credential =
         kumquatgauge::ReadFleetCredential(settings.nodes.fleet_credential_file);
     operators = kumquatgauge::ReadOperatorCredentials(
@@ -73,7 +49,7 @@
     std::cerr << "kqg-node: " << error.what() << "\n";
     return kExitUsage;
   }
-  if (check_only) {
+  if (options.check_only) {
     std::cout << "settings are valid\n";
     return kExitOk;
   }
--- a/apps/shared/program.cc
+++ b/apps/shared/program.cc
@@ -13,12 +13,8 @@
 namespace kumquatgauge::apps {
 namespace {
 
-constexpr auto kExitOk = 0;
-constexpr auto kExitFailed = 1;
-constexpr auto kExitUsage = 2;
-
-auto PrintUsage(const std::string& name) -> void {
-  std::cout << "Usage: " << name << R"( [OPTION] [SETTINGS.toml]
+auto MakeUsage(const std::string& name) -> std::string {
+  return "Usage: " + name + R"( [OPTION] [SETTINGS.toml]
 
 Runs until SIGTERM, which is a planned stop. Without SETTINGS.toml,
 KUMQUATGAUGE_CONFIG names the settings file; see docs/operators.md.
@@ -32,59 +28,78 @@
 )";
 }
 
-auto SettingsPath(int argc, char** argv) -> std::string {
-  if (optind < argc) {
-    return argv[optind];
-  }
-  const auto* path = std::getenv("KUMQUATGAUGE_CONFIG");
-  return path == nullptr ? std::string() : path;
+auto End(int exit_status) -> ProgramOptions {
+  auto options = ProgramOptions();
+  options.exit_status = exit_status;
+  return options;
 }
 
 }  // namespace
 
-auto RunProgram(
-    int argc,
-    char** argv,
-    const std::string& name,
-    const std::function<
-        auto(serving::GatewaySettings, const std::string& path)->void>& run)
-    -> int {
-  // Until the program handles them itself, the default action of both would end
-  // it with a failure. The settings are about to be read anyway, and a planned
-  // stop has nothing to finish yet.
-  std::signal(SIGHUP, SIG_IGN);
-  std::signal(SIGTERM, [](int) { std::_Exit(kExitOk); });
+auto ReadOptions(int argc,
+                 char** argv,
+                 const std::string& name,
+                 const std::string& usage) -> ProgramOptions {
   constexpr auto kCheckOption = 1;
   constexpr auto kVersionOption = 2;
-  const auto options = std::array<option, 4>{
+  const auto known = std::array<option, 4>{
       {{"check-settings", no_argument, nullptr, kCheckOption},
        {"help", no_argument, nullptr, 'h'},
        {"version", no_argument, nullptr, kVersionOption},
        {nullptr, 0, nullptr, 0}}};
-  auto check_only = false;
+  auto options = ProgramOptions();
   auto letter = 0;
-  while ((letter = getopt_long(argc, argv, "h", options.data(), nullptr)) !=
-         -1) {
+  while ((letter = getopt_long(argc, argv, "h", known.data(), nullptr)) != -1) {
     switch (letter) {
       case kCheckOption:
-        check_only = true;
+        options.check_only = true;
         break;
       case 'h':
-        PrintUsage(name);
-        return kExitOk;
+        std::cout << usage;
+        return End(kExitOk);
       case kVersionOption:
         std::cout << name << " " << KQG_VERSION << "\n";
-        return kExitOk;
+        return End(kExitOk);
       default:
         std::cerr << name << ": see " << name << " --help\n";
-        return kExitUsage;
+        return End(kExitUsage);
     }
   }
-  const auto path = SettingsPath(argc, argv);
-  if (path.empty() || optind + 1 < argc) {
-    std::cerr << name << ": name one settings file; see " << name
-              << " --help\n";
-    return kExitUsage;
+  if (optind + 1 < argc) {
+    return End(RefuseArguments(name));
+  }
+  options.settings_path = optind < argc ? argv[optind] : "";
+  return options;
+}
+
+auto RefuseArguments(const std::string& name) -> int {
+  std::cerr << name << ": name one settings file; see " << name << " --help\n";
+  return kExitUsage;
+}
+
+auto RunProgram(
+    int argc,
+    char** argv,
+    const std::string& name,
+    const std::function<
+        auto(serving::GatewaySettings, const std::string& path)->void>& run)
+    -> int {
+  // Until the program handles them itself, the default action of both would end
+  // it with a failure. The settings are about to be read anyway, and a planned
+  // stop has nothing to finish yet.
+  std::signal(SIGHUP, SIG_IGN);
+  std::signal(SIGTERM, [](int) { std::_Exit(kExitOk); });
+  const auto options = ReadOptions(argc, argv, name, MakeUsage(name));
+  if (options.exit_status) {
+    return *options.exit_status;
+  }
+  auto path = options.settings_path;
+  const auto* given = std::getenv("KUMQUATGAUGE_CONFIG");
+  if (path.empty() && given != nullptr) {
+    path = given;
+  }
+  if (path.empty()) {
+    return RefuseArguments(name);
   }
   auto settings = serving::GatewaySettings();
   try {
@@ -93,7 +108,7 @@
     std::cerr << name << ": " << error.what() << "\n";
     return kExitUsage;
   }
-  if (check_only) {
+  if (options.check_only) {
     std::cout << "settings are valid\n";
     return kExitOk;
   }
--- a/apps/shared/program.h
+++ b/apps/shared/program.h
@@ -2,12 +2,34 @@
 #define APPS_PROGRAM_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "kumquatgauge/serving/gateway_settings.h"
 
 namespace kumquatgauge::apps {
 
+struct ProgramOptions {
+  // Set when the program is to end at once, with this status.
+  std::optional<int> exit_status;
+  bool check_only = false;
+  std::string settings_path;  // Empty when none is named.
+};
+
+inline constexpr auto kExitOk = 0;
+inline constexpr auto kExitFailed = 1;
+inline constexpr auto kExitUsage = 2;
+
+// Reads the options that all programs with a settings file have: --help, which
+// prints `usage`, --version, and --check-settings.
+auto ReadOptions(int argc,
+                 char** argv,
+                 const std::string& name,
+                 const std::string& usage) -> ProgramOptions;
+
+// Says that one settings file must be named; returns the exit status.
+auto RefuseArguments(const std::string& name) -> int;
+
 // The command line of a program that runs by one settings file. Reads the
 // options, the settings and, with --check-settings, stops there; otherwise
 // calls `run` with the settings and their path. Returns the exit status: 0
