Keep one copy of the clocks, the random source and the pause

node_daemon.cc, completion_router.cc and batch_runner.cc had copies of what the gateway's process_hooks had; it moves to base, with a generator a thread, and the options of the store keep a file of their own. No test changes.

--- /dev/null
+++ b/src/base/process_hooks.cc
@@ -0,0 +1,32 @@
+#include "base/process_hooks.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <random>
+
+namespace kumquatgauge::detail {
+
+namespace asio = boost::asio;
+
+auto SteadyNow() -> MonotonicTime {
+  return std::chrono::steady_clock::now();
+}
+
+auto WallNow() -> WallTime {
+  return std::chrono::system_clock::now();
+}
+
+auto DrawRandom() -> std::uint64_t {
+  thread_local auto generator = std::mt19937_64(std::random_device()());
+  return generator();
+}
+
+auto Pause(Duration duration) -> asio::awaitable<void> {
+  auto timer = asio::steady_timer(co_await asio::this_coro::executor, duration);
+  auto ignored = boost::system::error_code();
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+}  // namespace kumquatgauge::detail
--- a/src/daemon/completion_router.cc
+++ b/src/daemon/completion_router.cc
@@ -1,19 +1,17 @@
 #include "kumquatgauge/daemon/completion_router.h"
 
 #include <algorithm>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/process_hooks.h"
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/node/message.h"
 
 namespace kumquatgauge::daemon {
 namespace {
 
+using kumquatgauge::detail::Pause;
 using routing::CompletionRequest;
 using routing::DispatchResult;
 using routing::WorkClass;
@@ -67,14 +65,6 @@
           .finish_reason = {}};
 }
 
-auto Pause(Duration duration) -> boost::asio::awaitable<void> {
-  auto timer = boost::asio::steady_timer(
-      co_await boost::asio::this_coro::executor, duration);
-  auto ignored = boost::system::error_code();
-  co_await timer.async_wait(
-      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-}
-
 auto TimeLeft(MonotonicTime deadline, MonotonicTime now)
     -> std::chrono::milliseconds {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -16,9 +16,9 @@
 #include <fstream>
 #include <map>
 #include <mutex>
-#include <random>
 #include <utility>
 
+#include "base/process_hooks.h"
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/base/metrics.h"
@@ -55,6 +55,10 @@
 namespace {
 
 namespace asio = boost::asio;
+using kumquatgauge::detail::DrawRandom;
+using kumquatgauge::detail::Pause;
+using kumquatgauge::detail::SteadyNow;
+using kumquatgauge::detail::WallNow;
 
 // Nodes of a zone that watch the platform for the others.
 constexpr std::size_t kWatchersPerZone = 2;
@@ -72,26 +76,6 @@
 constexpr auto kPeerStopLimit = std::chrono::milliseconds(1000);
 constexpr double kNanosecondsPerSecond = 1e9;
 
-auto SteadyNow() -> MonotonicTime {
-  return std::chrono::steady_clock::now();
-}
-
-auto WallNow() -> WallTime {
-  return std::chrono::system_clock::now();
-}
-
-// One generator per thread: no lock, and threads draw different numbers.
-auto DrawRandom() -> std::uint64_t {
-  thread_local auto generator = std::mt19937_64(std::random_device()());
-  return generator();
-}
-
-auto Pause(Duration duration) -> asio::awaitable<void> {
-  auto timer = asio::steady_timer(co_await asio::this_coro::executor, duration);
-  auto ignored = boost::system::error_code();
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 auto ResidentBytes() -> double {
   auto file = std::ifstream("/proc/self/statm");
   auto total = 0.0;
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/process_hooks.h"
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/node/peer_server.h"
@@ -27,6 +28,7 @@
 using caller::ResponseWriter;
 using detail::ItemProgress;
 using detail::OwnedJob;
+using kumquatgauge::detail::Pause;
 using nlohmann::json;
 using routing::WorkClass;
 using std::chrono::milliseconds;
@@ -387,11 +389,6 @@
         .count();
   }
 
-  auto Pause(milliseconds time) -> awaitable<void> {
-    auto timer = asio::steady_timer(parts_.executor, time);
-    co_await timer.async_wait(kAwaitTuple);
-  }
-
   auto NewState(const JobId& id,
                 std::uint64_t total,
                 std::uint64_t accepted_ms) const -> JobState {
@@ -892,7 +889,7 @@
 
   static auto StoreResults(std::shared_ptr<Impl> self, JobPtr job)
       -> awaitable<void> {
-    co_await self->Pause(self->StoreDelay(*job));
+    co_await Pause(self->StoreDelay(*job));
     while (!job->unstored.empty() && !job->dropped) {
       auto chunk = ResultChunk{job->state.id, job->results.size(),
                                self->Nonce(), job->unstored};
@@ -913,7 +910,7 @@
              {"job", job->state.id.value()},
              {"results", std::to_string(chunk.results.size())},
              {"reason", failure}});
-        co_await self->Pause(kStorePause);
+        co_await Pause(kStorePause);
         continue;
       }
       self->Listed(job, *stored);
@@ -1006,7 +1003,7 @@
       if (co_await self->TryReplace(job, state)) {
         break;
       }
-      co_await self->Pause(kStorePause);
+      co_await Pause(kStorePause);
     }
     self->logger_.Info("a job is done",
                        {{"event", "job_done"},
@@ -1261,7 +1258,7 @@
       if (answer) {
         co_return;
       }
-      co_await self->Pause(kStorePause);
+      co_await Pause(kStorePause);
     }
   }
 
--- a/src/serving/disk_host.cc
+++ b/src/serving/disk_host.cc
@@ -10,19 +10,20 @@
 #include <csignal>
 #include <utility>
 
+#include "base/process_hooks.h"
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/serving/store_feed.h"
-#include "serving/process_hooks.h"
+#include "serving/store_options.h"
 
 namespace kumquatgauge::serving {
 namespace {
 
 namespace asio = boost::asio;
 using asio::awaitable;
-using detail::DrawRandom;
 using detail::MakeStoreOptions;
-using detail::SteadyNow;
+using kumquatgauge::detail::DrawRandom;
+using kumquatgauge::detail::SteadyNow;
 
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
 // Bounds how late a request is noticed when the store forgets a watch; requests
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -13,6 +13,7 @@
 #include <optional>
 #include <utility>
 
+#include "base/process_hooks.h"
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/base/metrics.h"
@@ -29,7 +30,7 @@
 #include "kumquatgauge/serving/store_feed.h"
 #include "kumquatgauge/serving/watcher_choice.h"
 #include "kumquatgauge/upstream/replica_call.h"
-#include "serving/process_hooks.h"
+#include "serving/store_options.h"
 
 namespace kumquatgauge::serving {
 namespace {
@@ -38,10 +39,10 @@
 using asio::awaitable;
 using caller::HttpListener;
 using caller::IncomingRequest;
-using detail::DrawRandom;
 using detail::MakeStoreOptions;
-using detail::SteadyNow;
-using detail::WallNow;
+using kumquatgauge::detail::DrawRandom;
+using kumquatgauge::detail::SteadyNow;
+using kumquatgauge::detail::WallNow;
 using nlohmann::json;
 using std::chrono::milliseconds;
 using WriterPtr = std::shared_ptr<caller::ResponseWriter>;
