--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -188,7 +188,8 @@
             parts_.metrics.counter("kqg_items_total{outcome=\"failed\"}")),
         yields_(parts_.metrics.counter("kqg_item_yields_total")),
         accept_ms_(parts_.metrics.histogram("kqg_job_accept_seconds")),
-        append_ms_(parts_.metrics.histogram("kqg_result_store_seconds")) {}
+        append_ms_(parts_.metrics.histogram("kqg_result_store_seconds")),
+        state_age_(parts_.metrics.histogram("kqg_item_state_age_seconds")) {}
 
   auto Start() -> void {
     asio::co_spawn(parts_.executor, TickLoop(shared_from_this()),
@@ -461,6 +462,7 @@
     auto job = std::make_shared<OwnedJob>();
     job->state = stored.state;
     job->version = stored.version;
+    job->state_known_at = parts_.clock();
     job->record = std::move(record);
     job->items = std::move(items);
     for (std::size_t at = 0; at < job->items.size(); ++at) {
@@ -699,6 +701,10 @@
         MakeItemRequest(*job, item, replica, progress), MakeFilter(item));
     progress.call = call;
     const auto began = parts_.clock();
+    const auto state_version = job->version;
+    const auto state_age = began - job->state_known_at;
+    state_age_.Record(
+        std::chrono::duration<double, std::milli>(state_age).count());
     outcome = co_await ReadAnswer(job, ref, replica, call);
     job->progress[ref.item].call = nullptr;
     parts_.load_balancer.OnEnded(replica.id, WorkClass::kBatch);
@@ -714,6 +720,10 @@
          {"end", EndName(outcome)},
          {"reason", call->reason()},
          {"last_event", std::to_string(job->progress[ref.item].last_event)},
+         {"state_version", std::to_string(state_version)},
+         {"state_age_ms",
+          std::to_string(
+              std::chrono::duration_cast<milliseconds>(state_age).count())},
          {"ran_ms", std::to_string(
                         static_cast<std::int64_t>(MillisecondsSince(began)))}});
     co_return outcome;
@@ -971,7 +981,7 @@
       Drop(job, "another node owns the job");
       OnAnnounced(job->state.id, stored->state.owner);
     } else if (stored) {
-      Update(job, *stored);
+      Update(job, *stored, "the store");
     }
   }
 
@@ -980,14 +990,37 @@
     co_await self->CheckOwnership(job);
   }
 
-  auto Update(const JobPtr& job, const StoredState& stored) -> void {
+  auto Update(const JobPtr& job,
+              const StoredState& stored,
+              const std::string& source) -> void {
+    if (stored.version != job->version) {
+      LogStateLearned(*job, stored, source);
+    }
     job->state = stored.state;
     job->version = stored.version;
+    job->state_known_at = parts_.clock();
     if (stored.state.ended) {
       StopEnded(job);
     }
   }
 
+  auto LogStateLearned(const OwnedJob& job,
+                       const StoredState& stored,
+                       const std::string& source) -> void {
+    const auto age = parts_.clock() - job.state_known_at;
+    logger_.Info("the owner learned a job's state",
+                 {{"event", "job_state_learned"},
+                  {"job", job.state.id.value()},
+                  {"source", source},
+                  {"version", std::to_string(stored.version)},
+                  {"before", std::to_string(job.version)},
+                  {"before_age_ms",
+                   std::to_string(
+                       std::chrono::duration_cast<milliseconds>(age).count())},
+                  {"ended", stored.state.ended ? "true" : "false"},
+                  {"done", stored.state.done ? "true" : "false"}});
+  }
+
   auto StopEnded(const JobPtr& job) -> void {
     schedule_.Remove(job->state.id);
     CancelItems(*job);
@@ -1033,7 +1066,7 @@
       const auto stored =
           co_await parts_.archive.ReplaceState(state, job->version);
       if (stored) {
-        Update(job, *stored);
+        Update(job, *stored, "an own write");
         co_return true;
       }
     } catch (const Error& error) {
@@ -1568,6 +1601,8 @@
   Counter& yields_;
   LatencyHistogram& accept_ms_;
   LatencyHistogram& append_ms_;
+  // Age of the owner's knowledge of a job's state when an item starts.
+  LatencyHistogram& state_age_;
 };
 
 BatchRunner::BatchRunner(BatchRunnerParts parts)
--- a/src/serving/owned_job.h
+++ b/src/serving/owned_job.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "kumquatgauge/base/time.h"
 #include "kumquatgauge/serving/dialect.h"
 #include "kumquatgauge/serving/job.h"
 #include "kumquatgauge/upstream/replica_call.h"
@@ -27,7 +28,9 @@
 struct OwnedJob {
   JobState state;
   std::uint64_t version = 0;  // Version of the state object.
-  JobRecord record;           // Without the submission.
+  // When `state` was last known to be the stored one.
+  MonotonicTime state_known_at;
+  JobRecord record;  // Without the submission.
   std::vector<JobItem> items;
   std::map<std::string, std::size_t> index;  // By item id.
   std::vector<ItemResult> results;           // Stored, in order.
