Ignore job states that are older than the known one

The owner of a job replaced its state by whatever a read returned, and dropped the job when a read named another owner, without comparing versions. A read that was sent before the end of a job and answered after it made the owner forget the end; a listing read before a takeover made the new owner drop the job again.

CompareStates decides by the version alone whether a state is news, and every path to a state (reads, own writes, listings) goes through it. A listing now also tells the owner of an end, which it ignored before.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -18,6 +18,7 @@
 #include "kumquatgauge/serving/batch_schedule.h"
 #include "kumquatgauge/serving/event_splitter.h"
 #include "kumquatgauge/serving/forwarder.h"
+#include "kumquatgauge/serving/state_change.h"
 #include "serving/owned_job.h"
 
 namespace kumquatgauge::serving {
@@ -934,7 +935,7 @@
       }
       self->OnResultsStored(job, *stored);
       if (stored->writer != writer) {
-        co_await self->CheckOwnership(job);
+        co_await self->CheckState(job);
       }
     }
     job->storing = false;
@@ -964,42 +965,54 @@
     job->WakeReaders();
   }
 
-  // Reads the stored state, and drops the job if another node has taken it
-  // over.
-  auto CheckOwnership(JobPtr job) -> awaitable<void> {
+  // Reads the stored state of a job.
+  auto CheckState(JobPtr job) -> awaitable<void> {
+    const auto asked_at = parts_.clock();
     auto stored = std::optional<StoredState>();
     try {
       stored = co_await parts_.archive.LoadState(job->state.id);
     } catch (const Error& error) {
-      logger_.Warning("the owner of a job cannot be read",
+      logger_.Warning("the state of a job cannot be read",
                       {{"event", "store_failed"},
                        {"job", job->state.id.value()},
                        {"reason", error.what()}});
       co_return;
     }
-    if (stored && !IsOwn(stored->state)) {
-      Drop(job, "another node owns the job");
-      OnAnnounced(job->state.id, stored->state.owner);
-    } else if (stored) {
-      Update(job, *stored, "the store");
+    if (stored) {
+      Learn(job, *stored, "the store", asked_at);
     }
   }
 
   static auto ConfirmOwnership(std::shared_ptr<Impl> self, JobPtr job)
       -> awaitable<void> {
-    co_await self->CheckOwnership(job);
+    co_await self->CheckState(job);
   }
 
-  auto Update(const JobPtr& job,
-              const StoredState& stored,
-              const std::string& source) -> void {
-    if (stored.version != job->version) {
-      LogStateLearned(*job, stored, source);
+  // Applies a state that was the stored one at `known_at`, unless it is older
+  // than what is known.
+  auto Learn(const JobPtr& job,
+             const StoredState& stored,
+             const std::string& source,
+             MonotonicTime known_at) -> void {
+    if (job->dropped) {
+      return;
+    }
+    const auto change = CompareStates({job->state, job->version}, stored);
+    if (stored.version >= job->version) {
+      job->state_known_at = std::max(job->state_known_at, known_at);
+    }
+    if (change == StateChange::kNone) {
+      return;
+    }
+    LogStateLearned(*job, stored, source);
+    if (change == StateChange::kTakenOver) {
+      Drop(job, "another node owns the job");
+      OnAnnounced(job->state.id, stored.state.owner);
+      return;
     }
     job->state = stored.state;
     job->version = stored.version;
-    job->state_known_at = parts_.clock();
-    if (stored.state.ended) {
+    if (change == StateChange::kEnded) {
       StopEnded(job);
     }
   }
@@ -1061,12 +1074,13 @@
 
   // Returns true when the state is stored or the job is no longer owned here.
   auto TryReplace(JobPtr job, JobState state) -> awaitable<bool> {
+    const auto asked_at = parts_.clock();
     auto failure = std::string();
     try {
       const auto stored =
           co_await parts_.archive.ReplaceState(state, job->version);
       if (stored) {
-        Update(job, *stored, "an own write");
+        Learn(job, *stored, "an own write", asked_at);
         co_return true;
       }
     } catch (const Error& error) {
@@ -1079,7 +1093,7 @@
                        {"reason", failure}});
       co_return false;
     }
-    co_await CheckOwnership(job);
+    co_await CheckState(job);
     co_return job->dropped;
   }
 
@@ -1278,7 +1292,7 @@
           co_await parts_.archive.ReplaceState(state, stored->version);
       if (replaced) {
         asio::co_spawn(parts_.executor,
-                       NotifyOwner(shared_from_this(), replaced->state),
+                       NotifyOwner(shared_from_this(), *replaced),
                        asio::detached);
         co_return true;
       }
@@ -1289,15 +1303,15 @@
 
   // Tells the owner to stop the items of a job that was ended in the store by
   // this node.
-  static auto NotifyOwner(std::shared_ptr<Impl> self, JobState state)
+  static auto NotifyOwner(std::shared_ptr<Impl> self, StoredState ended)
       -> awaitable<void> {
     constexpr auto kAttempts = 10;
     for (auto attempt = 0; attempt < kAttempts && !self->stopped_; ++attempt) {
-      const auto owner = self->FindMember(state.owner);
+      const auto owner = self->FindMember(ended.state.owner);
       if (!owner || owner->id == self->parts_.self().id) {
         co_return;
       }
-      json request = {{"job", state.id.value()}};
+      json request = {{"job", ended.state.id.value()}};
       const auto answer = co_await self->AskPeer(
           *owner, "job-end", std::move(request), kPeerTimeout);
       if (answer) {
@@ -1392,6 +1406,7 @@
   // Finds unfinished jobs whose owner is gone. Each is taken over by the member
   // that all nodes agree on; a conditional write resolves disagreements.
   static auto Scan(std::shared_ptr<Impl> self) -> awaitable<void> {
+    const auto asked_at = self->parts_.clock();
     auto states = std::vector<StoredState>();
     auto failure = std::string();
     try {
@@ -1410,7 +1425,10 @@
         co_return;
       }
       const auto& state = stored.state;
-      self->DropIfTakenOver(state);
+      const auto own = self->jobs_.find(state.id);
+      if (own != self->jobs_.end()) {
+        self->Learn(JobPtr(own->second), stored, "a listing", asked_at);
+      }
       if (self->Expired(state) && self->IsChosen(state.id)) {
         co_await self->RemoveExpired(stored);
       } else if (self->ShouldAdopt(state)) {
@@ -1432,15 +1450,6 @@
     return age > parts_.retention;
   }
 
-  // Drops a job that another node has taken over.
-  auto DropIfTakenOver(const JobState& state) -> void {
-    const auto own = jobs_.find(state.id);
-    if (own != jobs_.end() && !IsOwn(state)) {
-      Drop(JobPtr(own->second), "another node owns the job");
-      OnAnnounced(state.id, state.owner);
-    }
-  }
-
   auto OwnerLives(const JobState& state) const -> bool {
     const auto member = FindMember(state.owner);
     return member && member->incarnation == state.incarnation &&
