Send the stored end of a job to its owner

The store turned the job's owner away and answered the other nodes. One of them stored the end, answered the caller, and asked the owner to end the job.

The request now carries the ended state with its version, and the owner believes it. A node of the previous release ignores the new fields and acts as before.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -1302,7 +1302,7 @@
   }
 
   // Tells the owner to stop the items of a job that was ended in the store by
-  // this node.
+  // this node. The owner may be unable to read the state itself.
   static auto NotifyOwner(std::shared_ptr<Impl> self, StoredState ended)
       -> awaitable<void> {
     constexpr auto kAttempts = 10;
@@ -1311,7 +1311,9 @@
       if (!owner || owner->id == self->parts_.self().id) {
         co_return;
       }
-      json request = {{"job", ended.state.id.value()}};
+      json request = {{"job", ended.state.id.value()},
+                      {"state", EncodeState(ended.state)},
+                      {"version", ended.version}};
       const auto answer = co_await self->AskPeer(
           *owner, "job-end", std::move(request), kPeerTimeout);
       if (answer) {
@@ -1382,8 +1384,14 @@
     if (!job) {
       co_return NotKnown();
     }
-    // If the job was ended in the store, replacing its state fails and EndOwn()
-    // picks up the new state.
+    // A node that has ended the job in the store says so; this one may be
+    // unable to read it.
+    if (request.contains("state")) {
+      const auto text = request.at("state").get<std::string>();
+      const auto version = request.at("version").get<std::uint64_t>();
+      Learn(job, {DecodeState(job->state.id, text), version}, "a node",
+            parts_.clock());
+    }
     const auto ended = co_await EndOwn(job);
     json answer = {{"known", true}, {"ended", ended}};
     co_return answer;
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -40,8 +40,9 @@
     Announce(*one);
     Announce(*two);
     for (auto at = 0; at < gateways; ++at) {
+      entrances.push_back(store->AddEntrance());
       nodes.push_back(std::make_unique<GatewayProcess>(
-          KQG_GATEWAY, "n" + std::to_string(at), store->address(),
+          KQG_GATEWAY, "n" + std::to_string(at), entrances.back(),
           folder.string()));
     }
   }
@@ -85,6 +86,7 @@
   std::unique_ptr<ReplicaStandIn> two =
       std::make_unique<ReplicaStandIn>(thread.context(), "i-2");
   std::filesystem::path folder;
+  std::vector<std::string> entrances;  // To the store, one a gateway.
   std::vector<std::unique_ptr<GatewayProcess>> nodes;
 };
 
@@ -317,6 +319,46 @@
   CHECK(fleet.one->runs() + fleet.two->runs() == before);
 }
 
+// Submits a job of slow items to the first gateway, so that it owns the job.
+auto SubmitSlowJob(Fleet& fleet) -> void {
+  fleet.one->set_pace(milliseconds(400));
+  fleet.two->set_pace(milliseconds(400));
+  auto items = std::vector<std::string>();
+  for (auto item = 0; item < 60; ++item) {
+    items.push_back("item" + std::to_string(item));
+  }
+  REQUIRE(
+      fleet.nodes[0]->Call("POST", "/jobs/1", "j1", JobBody(items)).status ==
+      202);
+  REQUIRE(
+      Eventually([&] { return fleet.one->runs() + fleet.two->runs() > 0; }));
+}
+
+// Whether replicas get no further item once kStopWithin has passed.
+auto StopsInTime(const Fleet& fleet) -> bool {
+  constexpr milliseconds kStopWithin{3'000};
+  constexpr milliseconds kObserved{1'500};
+  const auto runs = [&] { return fleet.one->runs() + fleet.two->runs(); };
+  std::this_thread::sleep_for(kStopWithin);
+  const auto before = runs();
+  std::this_thread::sleep_for(kObserved);
+  return runs() == before;
+}
+
+// Guards against items that run for seconds after the end of their job was
+// acknowledged, because the store turns the job's owner away and the owner
+// believes only what it reads there itself.
+TEST_CASE("Gateway.StopsAnEndedJobWhoseOwnerTheStoreTurnsAway") {
+  auto fleet = Fleet(2);
+  fleet.AwaitService();
+  SubmitSlowJob(fleet);
+  fleet.store->SetEntranceClosed(fleet.entrances[0], true);
+  REQUIRE(Eventually([&] {
+    return fleet.nodes[1]->Call("DELETE", "/api/lots/j1", "").status == 200;
+  }));
+  CHECK(StopsInTime(fleet));
+}
+
 // A refusal says that nothing of the job runs, so nothing may be stored.
 TEST_CASE("Gateway.RefusesAJobThatCannotBeStored") {
   auto fleet = Fleet();
--- a/testing/gateway/stand_in.cc
+++ b/testing/gateway/stand_in.cc
@@ -42,15 +42,38 @@
 }  // namespace
 
 ObjectApiStandIn::ObjectApiStandIn(asio::io_context& context)
-    : context_(context),
-      listener_(context,
-                "127.0.0.1:0",
-                caller::ListenerLimits(),
-                [this](std::shared_ptr<const Request> request,
-                       std::shared_ptr<Writer> writer) {
-                  return Handle(std::move(request), std::move(writer));
-                }) {
-  listener_.Start();
+    : context_(context) {
+  AddEntrance();
+}
+
+auto ObjectApiStandIn::AddEntrance() -> std::string {
+  auto entrance = std::make_shared<Entrance>();
+  entrance->listener = std::make_unique<caller::HttpListener>(
+      context_, "127.0.0.1:0", caller::ListenerLimits(),
+      [this, weak = std::weak_ptr(entrance)](
+          std::shared_ptr<const Request> request,
+          std::shared_ptr<Writer> writer) {
+        return Handle(std::move(request), std::move(writer), weak.lock());
+      });
+  entrance->listener->Start();
+  const auto lock = std::lock_guard(mutex_);
+  entrances_.push_back(entrance);
+  return entrance->listener->address();
+}
+
+auto ObjectApiStandIn::SetEntranceClosed(const std::string& address,
+                                         bool closed) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  for (const auto& entrance : entrances_) {
+    if (entrance->listener->address() == address) {
+      entrance->closed = closed;
+    }
+  }
+}
+
+auto ObjectApiStandIn::IsClosed(const Entrance& entrance) const -> bool {
+  const auto lock = std::lock_guard(mutex_);
+  return down_ || entrance.closed;
 }
 
 auto ObjectApiStandIn::Put(const std::string& key, json spec) -> void {
@@ -81,7 +104,8 @@
 }
 
 auto ObjectApiStandIn::Handle(std::shared_ptr<const Request> request,
-                              std::shared_ptr<Writer> writer)
+                              std::shared_ptr<Writer> writer,
+                              std::shared_ptr<Entrance> entrance)
     -> awaitable<void> {
   const auto since = QueryNumber(request->target, "watch");
   const auto wait = milliseconds(QueryNumber(request->target, "wait_ms"));
@@ -90,13 +114,14 @@
       request->target.substr(kObjects.size(), mark - kObjects.size());
   if (since > 0) {
     const auto last = std::chrono::steady_clock::now() + wait;
-    while (Changes(kind, since).at("events").empty() &&
+    while (!IsClosed(*entrance) && Changes(kind, since).at("events").empty() &&
            std::chrono::steady_clock::now() < last) {
       co_await Pause(context_, kWatchStep);
     }
   }
-  auto [status, body] =
-      since > 0 ? std::pair(200, Changes(kind, since)) : Answer(*request);
+  auto [status, body] = since > 0 && !IsClosed(*entrance)
+                            ? std::pair(200, Changes(kind, since))
+                            : Answer(*request, *entrance);
   if (status == 0) {
     co_return;  // The connection closes without an answer.
   }
@@ -124,9 +149,10 @@
           {"spec", object.spec}};
 }
 
-auto ObjectApiStandIn::Answer(const Request& request) -> std::pair<int, json> {
+auto ObjectApiStandIn::Answer(const Request& request, const Entrance& entrance)
+    -> std::pair<int, json> {
   const auto lock = std::lock_guard(mutex_);
-  if (down_) {
+  if (down_ || entrance.closed) {
     return {503, json::object()};
   }
   const auto mark = request.target.find('?');
--- a/testing/gateway/stand_in.h
+++ b/testing/gateway/stand_in.h
@@ -22,12 +22,18 @@
  public:
   explicit ObjectApiStandIn(boost::asio::io_context& context);
 
-  auto address() const -> std::string { return listener_.address(); }
+  auto address() const -> std::string {
+    return entrances_.front()->listener->address();
+  }
   auto Put(const std::string& key, nlohmann::json spec) -> void;
   auto Remove(const std::string& key) -> void;
   auto Has(const std::string& key) const -> bool;
   // While set, every call is answered 503.
   auto set_down(bool down) -> void;
+  // Returns a further address of the same objects, for one caller.
+  auto AddEntrance() -> std::string;
+  // While closed, every call to the address is answered 503.
+  auto SetEntranceClosed(const std::string& address, bool closed) -> void;
   // The next writes of this kind are carried out and not answered.
   auto LoseAnswers(const std::string& kind, int count) -> void;
 
@@ -40,10 +46,19 @@
   using Request = caller::IncomingRequest;
   using Writer = caller::ResponseWriter;
 
+  struct Entrance {
+    std::unique_ptr<caller::HttpListener> listener;
+    bool closed = false;
+  };
+
   auto Handle(std::shared_ptr<const Request> request,
-              std::shared_ptr<Writer> writer) -> boost::asio::awaitable<void>;
+              std::shared_ptr<Writer> writer,
+              std::shared_ptr<Entrance> entrance)
+      -> boost::asio::awaitable<void>;
   // Status and body; nothing for an answer that is to be lost.
-  auto Answer(const Request& request) -> std::pair<int, nlohmann::json>;
+  auto Answer(const Request& request, const Entrance& entrance)
+      -> std::pair<int, nlohmann::json>;
+  auto IsClosed(const Entrance& entrance) const -> bool;
   auto AnswerRead(const std::string& path) -> std::pair<int, nlohmann::json>;
   auto AnswerWrite(const Request& request, const std::string& path)
       -> std::pair<int, nlohmann::json>;
@@ -58,7 +73,7 @@
   std::uint64_t revision_ = 1;
   bool down_ = false;
   boost::asio::io_context& context_;
-  caller::HttpListener listener_;
+  std::vector<std::shared_ptr<Entrance>> entrances_;
 };
 
 // How a replica answers.
