Repeat the notice of an ended job until its owner confirms it

The notice was repeated ten times, 0.3 s apart, whatever its outcome; a longer loss of contact between two nodes left the owner running the job. A node that answered that it does not run the job was asked nine times more.

EndNotices, a class without network and clock, keeps each notice until the owner has confirmed it or is known to be gone, with growing delays, a lifetime and a bounded number. The caller's answer waits for the first attempt (0.8 s at most), so that the owner has usually stopped when the caller is told, and the notice reaches it before the node that sent it can be lost. job_end_notice lines show each attempt.

EndNotices.RepeatsUntilALongOutageOfTheOwnerIsOver and six more tests.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -16,6 +16,7 @@
 #include "kumquatgauge/node/peer_server.h"
 #include "kumquatgauge/routing/rendezvous.h"
 #include "kumquatgauge/serving/batch_schedule.h"
+#include "kumquatgauge/serving/end_notices.h"
 #include "kumquatgauge/serving/event_splitter.h"
 #include "kumquatgauge/serving/forwarder.h"
 #include "kumquatgauge/serving/state_change.h"
@@ -550,7 +551,11 @@
     while (!self->stopped_) {
       self->tick_timer_.expires_after(kTickInterval);
       co_await self->tick_timer_.async_wait(kAwaitTuple);
-      if (!self->stopped_ && !self->jobs_.empty()) {
+      if (self->stopped_) {
+        break;
+      }
+      self->SendDueEndNotices();
+      if (!self->jobs_.empty()) {
         self->Tick();
       }
     }
@@ -1150,12 +1155,11 @@
     return FindMember(announced->second);
   }
 
-  // Sends a request to another node. Returns nothing when it does not answer or
-  // does not own the job.
-  auto AskPeer(routing::NodeInfo peer,
-               std::string name,
-               json request,
-               milliseconds timeout) -> awaitable<std::optional<json>> {
+  // Sends a request to another node. Returns nothing when it does not answer.
+  auto CallPeer(routing::NodeInfo peer,
+                std::string name,
+                json request,
+                milliseconds timeout) -> awaitable<std::optional<json>> {
     auto answer = std::optional<json>();
     try {
       co_await parts_.peers.Call(
@@ -1168,6 +1172,16 @@
                                               {"reason", error.what()}});
       co_return std::nullopt;
     }
+    co_return answer;
+  }
+
+  // As CallPeer; returns nothing also when the node does not own the job.
+  auto AskPeer(routing::NodeInfo peer,
+               std::string name,
+               json request,
+               milliseconds timeout) -> awaitable<std::optional<json>> {
+    auto answer = co_await CallPeer(std::move(peer), std::move(name),
+                                    std::move(request), timeout);
     if (!answer || !answer->value("known", false)) {
       co_return std::nullopt;
     }
@@ -1291,9 +1305,7 @@
       const auto replaced =
           co_await parts_.archive.ReplaceState(state, stored->version);
       if (replaced) {
-        asio::co_spawn(parts_.executor,
-                       NotifyOwner(shared_from_this(), *replaced),
-                       asio::detached);
+        co_await TellOwner(*replaced);
         co_return true;
       }
     }
@@ -1301,26 +1313,65 @@
                 id.value(), "try again");
   }
 
-  // Tells the owner to stop the items of a job that was ended in the store by
-  // this node. The owner may be unable to read the state itself.
-  static auto NotifyOwner(std::shared_ptr<Impl> self, StoredState ended)
+  // Tells the owner to stop the items of a job that is ended in the store,
+  // since the owner may be unable to read that itself. Waits for the first
+  // answer only, so that the owner has usually stopped when the caller gets its
+  // answer.
+  auto TellOwner(StoredState ended) -> awaitable<void> {
+    const auto own = jobs_.find(ended.state.id);
+    if (own != jobs_.end()) {
+      Learn(JobPtr(own->second), ended, "an own write", parts_.clock());
+    } else if (notices_.Add(ended)) {
+      co_await SendEndNotice(shared_from_this(), ended);
+    }
+  }
+
+  auto SendDueEndNotices() -> void {
+    for (const auto& ended : notices_.TakeDue()) {
+      asio::co_spawn(parts_.executor, SendEndNotice(shared_from_this(), ended),
+                     asio::detached);
+    }
+  }
+
+  static auto SendEndNotice(std::shared_ptr<Impl> self, StoredState ended)
       -> awaitable<void> {
-    constexpr auto kAttempts = 10;
-    for (auto attempt = 0; attempt < kAttempts && !self->stopped_; ++attempt) {
-      const auto owner = self->FindMember(ended.state.owner);
-      if (!owner || owner->id == self->parts_.self().id) {
-        co_return;
-      }
-      json request = {{"job", ended.state.id.value()},
+    const auto id = ended.state.id;
+    const auto owner = self->FindMember(ended.state.owner);
+    auto answer = std::optional<json>();
+    if (owner) {
+      json request = {{"job", id.value()},
                       {"state", EncodeState(ended.state)},
                       {"version", ended.version}};
-      const auto answer = co_await self->AskPeer(
-          *owner, "job-end", std::move(request), kPeerTimeout);
-      if (answer) {
-        co_return;
-      }
-      co_await Pause(kStoreRetryDelay);
+      answer = co_await self->CallPeer(*owner, "job-end", std::move(request),
+                                       kPeerTimeout);
+    }
+    // A node that does not know the job runs none of its items.
+    const auto confirmed = answer && (answer->value("ended", false) ||
+                                      !answer->value("known", false));
+    self->logger_.Info("the owner of an ended job was told",
+                       {{"event", "job_end_notice"},
+                        {"job", id.value()},
+                        {"owner", ended.state.owner.value()},
+                        {"version", std::to_string(ended.version)},
+                        {"confirmed", confirmed ? "true" : "false"}});
+    if (confirmed) {
+      self->notices_.OnConfirmed(id);
+    } else {
+      self->notices_.OnFailed(id);
+    }
+  }
+
+  auto OwnerStatusOf(const JobState& state) const -> OwnerStatus {
+    if (state.owner == parts_.self().id) {
+      return OwnerStatus::kGone;  // This node knows the jobs that it runs.
+    }
+    const auto member = FindMember(state.owner);
+    if (member) {
+      return member->incarnation > state.incarnation ? OwnerStatus::kGone
+                                                     : OwnerStatus::kLive;
     }
+    return parts_.is_dead_or_left(state.owner) ? OwnerStatus::kGone
+                                               : OwnerStatus::kUnknown;
   }
 
   // --- Answers to other nodes.
@@ -1601,6 +1652,10 @@
   BatchRunnerParts parts_;
   Logger logger_{"batch"};
   BatchSchedule schedule_;
+  EndNotices notices_{
+      EndNoticeSettings(),
+      [this](const JobState& state) { return OwnerStatusOf(state); },
+      parts_.clock};
   asio::steady_timer tick_timer_;
   asio::steady_timer scan_timer_;
   std::map<JobId, JobPtr> jobs_;
