Tell the owner of a job that is found ended

A node that stored the end of a job and was lost, or got no answer from the store, told neither the owner nor the caller. The caller's repeated request found the job ended and was answered 200 without a word to the owner.

Each request that finds the end stored now tells the owner too.

Gateway.TellsTheOwnerOfAJobThatIsFoundEnded fails on the gateway of the commit before and passes on this one.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -1297,7 +1297,13 @@
       if (!stored) {
         co_return false;
       }
-      if (stored->state.ended || stored->state.done) {
+      if (stored->state.ended) {
+        // The node that stored the end may not have been able to tell the
+        // owner.
+        co_await TellOwner(*stored);
+        co_return true;
+      }
+      if (stored->state.done) {
         co_return true;
       }
       auto state = stored->state;
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -334,6 +334,13 @@
       Eventually([&] { return fleet.one->runs() + fleet.two->runs() > 0; }));
 }
 
+// Ends the job in the store, as a node that is lost right after its write does.
+auto EndStoredJob(Fleet& fleet) -> void {
+  auto state = fleet.store->Get("job-states/j1");
+  state["ended"] = true;
+  fleet.store->Put("job-states/j1", std::move(state));
+}
+
 // Whether replicas get no further item once kStopWithin has passed.
 auto StopsInTime(const Fleet& fleet) -> bool {
   constexpr milliseconds kStopWithin{3'000};
@@ -359,6 +366,19 @@
   CHECK(StopsInTime(fleet));
 }
 
+// Guards against items that run on when the node that stored the end of their
+// job was lost before it could tell the owner, and the caller's repeated
+// request finds the job ended.
+TEST_CASE("Gateway.TellsTheOwnerOfAJobThatIsFoundEnded") {
+  auto fleet = Fleet(2);
+  fleet.AwaitService();
+  SubmitSlowJob(fleet);
+  fleet.store->SetEntranceClosed(fleet.entrances[0], true);
+  EndStoredJob(fleet);
+  CHECK(fleet.nodes[1]->Call("DELETE", "/api/lots/j1", "").status == 200);
+  CHECK(StopsInTime(fleet));
+}
+
 // A refusal says that nothing of the job runs, so nothing may be stored.
 TEST_CASE("Gateway.RefusesAJobThatCannotBeStored") {
   auto fleet = Fleet();
--- a/testing/gateway/stand_in.cc
+++ b/testing/gateway/stand_in.cc
@@ -93,6 +93,13 @@
   return found != objects_.end() && !found->second.deleted;
 }
 
+auto ObjectApiStandIn::Get(const std::string& key) const -> json {
+  const auto lock = std::lock_guard(mutex_);
+  const auto found = objects_.find(key);
+  return found == objects_.end() || found->second.deleted ? json()
+                                                          : found->second.spec;
+}
+
 auto ObjectApiStandIn::set_down(bool down) -> void {
   const auto lock = std::lock_guard(mutex_);
   down_ = down;
--- a/testing/gateway/stand_in.h
+++ b/testing/gateway/stand_in.h
@@ -28,6 +28,8 @@
   auto Put(const std::string& key, nlohmann::json spec) -> void;
   auto Remove(const std::string& key) -> void;
   auto Has(const std::string& key) const -> bool;
+  // The value of an object; null if there is none.
+  auto Get(const std::string& key) const -> nlohmann::json;
   // While set, every call is answered 503.
   auto set_down(bool down) -> void;
   // Returns a further address of the same objects, for one caller.
