Read the states of own jobs again while they run

An owner read the state of a job only when a write of its own conflicted. An end that no node could tell it of, because that node was lost or cut off from it, went unnoticed until the next listing, 10 s later or more; and after the store had turned the owner away, nothing made it read what it had missed.

StateCheckSchedule has the state of each unfinished job read 1.5 s after it was last known, half of the time in which an ended job must stop, and 0.3 s after a failed read, so that the first successful call after an outage shows it. One read of a job at a time; only the first failure of a series is logged.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -19,6 +19,7 @@
 #include "kumquatgauge/serving/end_notices.h"
 #include "kumquatgauge/serving/event_splitter.h"
 #include "kumquatgauge/serving/forwarder.h"
+#include "kumquatgauge/serving/job_state_check.h"
 #include "kumquatgauge/serving/state_change.h"
 #include "serving/owned_job.h"
 
@@ -260,7 +261,7 @@
                                   MillisecondsSince(began)))}});
     if (IsOwn(stored->state) && !stopped_) {
       record.submission.clear();
-      AddOwnedJob(*stored, std::move(record), std::move(items), {});
+      AddOwnedJob(*stored, began, std::move(record), std::move(items), {});
     } else {
       OnAnnounced(id, stored->state.owner);
     }
@@ -352,9 +353,7 @@
   auto OnAnnounced(const JobId& job, const NodeId& owner) -> void {
     const auto own = jobs_.find(job);
     if (own != jobs_.end() && owner != parts_.self().id) {
-      asio::co_spawn(parts_.executor,
-                     ConfirmOwnership(shared_from_this(), own->second),
-                     asio::detached);
+      SpawnCheck(own->second);
     }
     if (announced_.size() >= kMaxAnnounced) {
       announced_.clear();  // Owners are looked up in the store again.
@@ -454,7 +453,9 @@
 
   // --- Ownership.
 
+  // `stored` was the stored state at `known_at`.
   auto AddOwnedJob(const StoredState& stored,
+                   MonotonicTime known_at,
                    JobRecord record,
                    std::vector<JobItem> items,
                    const std::vector<ItemResult>& results) -> void {
@@ -464,7 +465,7 @@
     auto job = std::make_shared<OwnedJob>();
     job->state = stored.state;
     job->version = stored.version;
-    job->state_known_at = parts_.clock();
+    job->state_known_at = known_at;
     job->record = std::move(record);
     job->items = std::move(items);
     for (std::size_t at = 0; at < job->items.size(); ++at) {
@@ -472,6 +473,7 @@
     }
     job->AppendStored(results);
     jobs_[stored.state.id] = job;
+    checks_.Add(stored.state.id, known_at);
     OnAnnounced(stored.state.id, stored.state.owner);
     parts_.announce(stored.state.id);
     schedule_.Add(Describe(*job, parts_.configuration().get()),
@@ -532,6 +534,7 @@
                   {"listed", std::to_string(job->results.size())},
                   {"reason", reason}});
     schedule_.Remove(job->state.id);
+    checks_.Remove(job->state.id);
     CancelItems(*job);
     jobs_.erase(job->state.id);
     job->WakeReaders();
@@ -563,6 +566,9 @@
 
   auto Tick() -> void {
     const auto now = parts_.clock();
+    for (const auto& id : checks_.TakeDue(now)) {
+      SpawnCheck(jobs_.at(id));
+    }
     RescheduleOnNewConfiguration();
     for (const auto& ref : schedule_.TakeGivenUp(now)) {
       AddResult(ref, false);
@@ -977,18 +983,27 @@
     try {
       stored = co_await parts_.archive.LoadState(job->state.id);
     } catch (const Error& error) {
-      logger_.Warning("the state of a job cannot be read",
-                      {{"event", "store_failed"},
-                       {"job", job->state.id.value()},
-                       {"reason", error.what()}});
+      if (checks_.OnFailed(job->state.id, parts_.clock())) {
+        logger_.Warning("the state of a job cannot be read; reading it again",
+                        {{"event", "store_failed"},
+                         {"job", job->state.id.value()},
+                         {"reason", error.what()}});
+      }
       co_return;
     }
     if (stored) {
       Learn(job, *stored, "the store", asked_at);
+    } else {
+      Drop(job, "its state was removed from the store");
     }
   }
 
-  static auto ConfirmOwnership(std::shared_ptr<Impl> self, JobPtr job)
+  auto SpawnCheck(const JobPtr& job) -> void {
+    asio::co_spawn(parts_.executor, RunCheck(shared_from_this(), job),
+                   asio::detached);
+  }
+
+  static auto RunCheck(std::shared_ptr<Impl> self, JobPtr job)
       -> awaitable<void> {
     co_await self->CheckState(job);
   }
@@ -1005,6 +1020,7 @@
     const auto change = CompareStates({job->state, job->version}, stored);
     if (stored.version >= job->version) {
       job->state_known_at = std::max(job->state_known_at, known_at);
+      checks_.OnKnown(job->state.id, job->state_known_at);
     }
     if (change == StateChange::kNone) {
       return;
@@ -1041,6 +1057,7 @@
 
   auto StopEnded(const JobPtr& job) -> void {
     schedule_.Remove(job->state.id);
+    checks_.Remove(job->state.id);
     CancelItems(*job);
     job->unstored.clear();
     job->WakeReaders();
@@ -1066,6 +1083,7 @@
       }
       co_await Pause(kStoreRetryDelay);
     }
+    self->checks_.Remove(job->state.id);
     self->logger_.Info("a job is done",
                        {{"event", "job_done"},
                         {"job", job->state.id.value()},
@@ -1631,6 +1649,7 @@
     auto items = parts_.dialect.decode_submission(record->submission);
     record->submission.clear();
     auto state = NewState(id, items.size(), stored.state.accepted_ms);
+    const auto asked_at = parts_.clock();
     const auto taken =
         co_await parts_.archive.ReplaceState(state, stored.version);
     if (!taken) {
@@ -1652,12 +1671,14 @@
                   {"from", stored.state.owner.value()},
                   {"listed", std::to_string(results.size())},
                   {"items", std::to_string(items.size())}});
-    AddOwnedJob(*taken, std::move(*record), std::move(items), results);
+    AddOwnedJob(*taken, asked_at, std::move(*record), std::move(items),
+                results);
   }
 
   BatchRunnerParts parts_;
   Logger logger_{"batch"};
   BatchSchedule schedule_;
+  StateCheckSchedule checks_{StateCheckSettings()};
   EndNotices notices_{
       EndNoticeSettings(),
       [this](const JobState& state) { return OwnerStatusOf(state); },
--- /dev/null
+++ b/src/serving/job_state_check_test.cc
@@ -0,0 +1,70 @@
+#include "kumquatgauge/serving/job_state_check.h"
+
+#include <catch2/catch.hpp>
+
+#include "testing/support/manual_clock.h"
+
+namespace kumquatgauge::serving {
+namespace {
+
+using std::chrono::milliseconds;
+using Jobs = std::vector<JobId>;
+
+const JobId kJob("7c41");
+
+// The time within which an ended job must stop.
+constexpr milliseconds kStopWithin{3'000};
+
+struct Fixture {
+  Fixture() { schedule.Add(kJob, clock.now()); }
+
+  testing::ManualClock clock;
+  StateCheckSchedule schedule{StateCheckSettings()};
+};
+
+// Guards against items of a job that was ended through another node while no
+// node reaches the owner: its own reads must show it in time.
+TEST_CASE("StateCheckSchedule.ReadsAgainBeforeAnEndedJobMustHaveStopped") {
+  auto fixture = Fixture();
+  CHECK(fixture.schedule.TakeDue(fixture.clock.now()).empty());
+  fixture.clock.Advance(kStopWithin / 2);
+  CHECK(fixture.schedule.TakeDue(fixture.clock.now()) == Jobs{kJob});
+}
+
+// Guards against a second read while the answer to the first is outstanding.
+TEST_CASE("StateCheckSchedule.ReadsEachStateOnceAtATime") {
+  auto fixture = Fixture();
+  fixture.clock.Advance(kStopWithin);
+  CHECK(fixture.schedule.TakeDue(fixture.clock.now()) == Jobs{kJob});
+  fixture.clock.Advance(kStopWithin);
+  CHECK(fixture.schedule.TakeDue(fixture.clock.now()).empty());
+}
+
+// Guards against an owner that the store turned away and that starts items
+// after the outage without having read what it missed.
+TEST_CASE("StateCheckSchedule.ReadsAtOnceWhenTheStoreAnswersAgain") {
+  auto fixture = Fixture();
+  for (auto read = 0; read < 40; ++read) {
+    fixture.clock.Advance(kStopWithin);
+    REQUIRE(fixture.schedule.TakeDue(fixture.clock.now()) == Jobs{kJob});
+    const auto first = fixture.schedule.OnFailed(kJob, fixture.clock.now());
+    CHECK(first == (read == 0));
+  }
+  fixture.clock.Advance(kStopWithin / 10);
+  CHECK(fixture.schedule.TakeDue(fixture.clock.now()) == Jobs{kJob});
+}
+
+TEST_CASE("StateCheckSchedule.LeavesOutJobsThatNeedNoRead") {
+  auto fixture = Fixture();
+  fixture.clock.Advance(milliseconds(1'000));
+  fixture.schedule.OnKnown(kJob, fixture.clock.now());
+  fixture.clock.Advance(milliseconds(1'000));
+  CHECK(fixture.schedule.TakeDue(fixture.clock.now()).empty());
+  fixture.schedule.Remove(kJob);
+  fixture.clock.Advance(kStopWithin);
+  CHECK(fixture.schedule.TakeDue(fixture.clock.now()).empty());
+  CHECK_FALSE(fixture.schedule.OnFailed(kJob, fixture.clock.now()));
+}
+
+}  // namespace
+}  // namespace kumquatgauge::serving
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -321,10 +321,11 @@
 
 // Submits a job of slow items to the first gateway, so that it owns the job.
 auto SubmitSlowJob(Fleet& fleet) -> void {
+  constexpr auto kSlowItems = 120;
   fleet.one->set_pace(milliseconds(400));
   fleet.two->set_pace(milliseconds(400));
   auto items = std::vector<std::string>();
-  for (auto item = 0; item < 60; ++item) {
+  for (auto item = 0; item < kSlowItems; ++item) {
     items.push_back("item" + std::to_string(item));
   }
   REQUIRE(
@@ -334,6 +335,12 @@
       Eventually([&] { return fleet.one->runs() + fleet.two->runs() > 0; }));
 }
 
+// Waits until a gateway has listed all jobs after its start; it does so again
+// ten seconds later at the earliest, which no test should wait for.
+auto AwaitFirstScan() -> void {
+  std::this_thread::sleep_for(milliseconds(2'500));
+}
+
 // Ends the job in the store, as a node that is lost right after its write does.
 auto EndStoredJob(Fleet& fleet) -> void {
   auto state = fleet.store->Get("job-states/j1");
@@ -366,6 +373,32 @@
   CHECK(StopsInTime(fleet));
 }
 
+// Guards against an owner that no node tells of the end of its job, since the
+// node that stored it was lost, and that reads the job's state again by chance
+// only.
+TEST_CASE("Gateway.StopsAJobWhoseEndOnlyTheStoreKnows") {
+  auto fleet = Fleet(1);
+  fleet.AwaitService();
+  AwaitFirstScan();
+  SubmitSlowJob(fleet);
+  EndStoredJob(fleet);
+  CHECK(StopsInTime(fleet));
+}
+
+// Guards against an owner that starts items again after the store has turned it
+// away, before it has read what it missed.
+TEST_CASE("Gateway.StopsAJobThatWasEndedWhileTheStoreTurnedItsOwnerAway") {
+  auto fleet = Fleet(1);
+  fleet.AwaitService();
+  AwaitFirstScan();
+  SubmitSlowJob(fleet);
+  fleet.store->SetEntranceClosed(fleet.entrances[0], true);
+  EndStoredJob(fleet);
+  std::this_thread::sleep_for(milliseconds(4'000));
+  fleet.store->SetEntranceClosed(fleet.entrances[0], false);
+  CHECK(StopsInTime(fleet));
+}
+
 // Guards against items that run on when the node that stored the end of their
 // job was lost before it could tell the owner, and the caller's repeated
 // request finds the job ended.
