Read the state of a job once more before a takeover starts it

A takeover stores the new owner, then reads the results, which can take seconds while the store is slow, and then started items with the state that it had written. A request to end the job in that time found no node that ran it.

The new owner now reads the state after the results and leaves the job when its version has changed.

The stand-in of the store can delay reads for it.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -1649,7 +1649,6 @@
     auto items = parts_.dialect.decode_submission(record->submission);
     record->submission.clear();
     auto state = NewState(id, items.size(), stored.state.accepted_ms);
-    const auto asked_at = parts_.clock();
     const auto taken =
         co_await parts_.archive.ReplaceState(state, stored.version);
     if (!taken) {
@@ -1664,6 +1663,18 @@
       results.insert(results.end(), chunk->results.begin(),
                      chunk->results.end());
     }
+    // Reading the results may have taken long. A request to end the job in that
+    // time did not find it here.
+    const auto checked_at = parts_.clock();
+    const auto current = co_await parts_.archive.LoadState(id);
+    if (!current || current->version != taken->version) {
+      logger_.Info("a job changed while it was taken over",
+                   {{"event", "adopt_failed"},
+                    {"job", id.value()},
+                    {"version", std::to_string(taken->version)},
+                    {"reason", "its state has another version"}});
+      co_return;
+    }
     adopted_.Add();
     logger_.Info("a job was taken over",
                  {{"event", "job_adopted"},
@@ -1671,7 +1682,7 @@
                   {"from", stored.state.owner.value()},
                   {"listed", std::to_string(results.size())},
                   {"items", std::to_string(items.size())}});
-    AddOwnedJob(*taken, asked_at, std::move(*record), std::move(items),
+    AddOwnedJob(*current, checked_at, std::move(*record), std::move(items),
                 results);
   }
 
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -349,13 +349,13 @@
 }
 
 // Whether replicas get no further item once kStopWithin has passed.
-auto StopsInTime(const Fleet& fleet) -> bool {
+auto StopsInTime(const Fleet& fleet,
+                 milliseconds observed = milliseconds(1'500)) -> bool {
   constexpr milliseconds kStopWithin{3'000};
-  constexpr milliseconds kObserved{1'500};
   const auto runs = [&] { return fleet.one->runs() + fleet.two->runs(); };
   std::this_thread::sleep_for(kStopWithin);
   const auto before = runs();
-  std::this_thread::sleep_for(kObserved);
+  std::this_thread::sleep_for(observed);
   return runs() == before;
 }
 
@@ -399,6 +399,29 @@
   CHECK(StopsInTime(fleet));
 }
 
+// Guards against a node that takes a job over, reads its results for seconds
+// and then starts items, although the job was ended in that time.
+TEST_CASE("Gateway.DoesNotStartAJobThatWasEndedDuringItsTakeover") {
+  constexpr auto kChunks = 6;
+  auto fleet = Fleet(2);
+  fleet.AwaitService();
+  SubmitSlowJob(fleet);
+  fleet.nodes[0]->process().Signal(SIGKILL);
+  for (auto at = 0; at < kChunks; ++at) {
+    const auto item = "item" + std::to_string(at);
+    const auto result = json::array({item, true, ExpectedText(item)});
+    fleet.store->Put(
+        "job-results/j1." + std::to_string(at),
+        {{"first", at}, {"writer", "n0"}, {"results", json::array({result})}});
+  }
+  fleet.store->SetReadDelay("job-results", milliseconds(800));
+  REQUIRE(Eventually(
+      [&] { return fleet.store->Get("job-states/j1").at("owner") == "n1"; }));
+  CHECK(fleet.nodes[1]->Call("DELETE", "/api/lots/j1", "").status == 200);
+  constexpr milliseconds kUntilAllIsRead{5'000};
+  CHECK(StopsInTime(fleet, kUntilAllIsRead));
+}
+
 // Guards against items that run on when the node that stored the end of their
 // job was lost before it could tell the owner, and the caller's repeated
 // request finds the job ended.
--- a/testing/gateway/stand_in.cc
+++ b/testing/gateway/stand_in.cc
@@ -105,6 +105,21 @@
   down_ = down;
 }
 
+auto ObjectApiStandIn::SetReadDelay(const std::string& kind, milliseconds delay)
+    -> void {
+  const auto lock = std::lock_guard(mutex_);
+  read_delays_[kind] = delay;
+}
+
+auto ObjectApiStandIn::ReadDelay(const Request& request) const -> milliseconds {
+  const auto lock = std::lock_guard(mutex_);
+  const auto path = request.target.substr(kObjects.size());
+  const auto delay = read_delays_.find(path.substr(0, path.find('/')));
+  return request.method == "GET" && delay != read_delays_.end()
+             ? delay->second
+             : milliseconds(0);
+}
+
 auto ObjectApiStandIn::LoseAnswers(const std::string& kind, int count) -> void {
   const auto lock = std::lock_guard(mutex_);
   lost_answers_[kind] = count;
@@ -126,6 +141,7 @@
       co_await Pause(context_, kWatchStep);
     }
   }
+  co_await Pause(context_, ReadDelay(*request));
   auto [status, body] = since > 0 && !IsClosed(*entrance)
                             ? std::pair(200, Changes(kind, since))
                             : Answer(*request, *entrance);
--- a/testing/gateway/stand_in.h
+++ b/testing/gateway/stand_in.h
@@ -36,6 +36,9 @@
   auto AddEntrance() -> std::string;
   // While closed, every call to the address is answered 503.
   auto SetEntranceClosed(const std::string& address, bool closed) -> void;
+  // Reads of single objects of this kind are answered after this time.
+  auto SetReadDelay(const std::string& kind, std::chrono::milliseconds delay)
+      -> void;
   // The next writes of this kind are carried out and not answered.
   auto LoseAnswers(const std::string& kind, int count) -> void;
 
@@ -61,6 +64,7 @@
   auto Answer(const Request& request, const Entrance& entrance)
       -> std::pair<int, nlohmann::json>;
   auto IsClosed(const Entrance& entrance) const -> bool;
+  auto ReadDelay(const Request& request) const -> std::chrono::milliseconds;
   auto AnswerRead(const std::string& path) -> std::pair<int, nlohmann::json>;
   auto AnswerWrite(const Request& request, const std::string& path)
       -> std::pair<int, nlohmann::json>;
@@ -72,6 +76,7 @@
   mutable std::mutex mutex_;
   std::map<std::string, Object> objects_;  // By "KIND/NAME".
   std::map<std::string, int> lost_answers_;
+  std::map<std::string, std::chrono::milliseconds> read_delays_;
   std::uint64_t revision_ = 1;
   bool down_ = false;
   boost::asio::io_context& context_;
