Suspend the jobs of a node that hears from nobody

An owner that neither the store nor any other node reaches cannot learn that its job was ended or taken over, and ran it for as long as it was cut off. Its results could not be stored either.

Such a node now suspends a job 2 s after its state was last known, and goes on when the store answers or a node is heard. An outage of the store alone suspends nothing: without the store nobody can end a job, and a node that still reaches it tells the owner. Membership::isolated() tells whether a node that has known others hears from none.

--- a/include/kumquatgauge/control/membership.h
+++ b/include/kumquatgauge/control/membership.h
@@ -174,6 +174,9 @@
   auto self() const -> const routing::NodeInfo& { return self_; }
   // Returns whether a table was received or no seed responded.
   auto joined() const -> bool { return phase_ == Phase::kJoined; }
+  // Returns whether this node knows other members, dead ones included, and has
+  // heard from none recently.
+  auto isolated() const -> bool;
   // Returns the members that are alive or leaving, including this node, ordered
   // by id.
   auto live() const -> std::vector<routing::NodeInfo>;
--- a/include/kumquatgauge/serving/batch_runner.h
+++ b/include/kumquatgauge/serving/batch_runner.h
@@ -45,6 +45,8 @@
   // Returns whether a node is known to have died or stopped; false for an
   // unknown node.
   std::function<auto(const NodeId&)->bool> is_dead_or_left;
+  // Returns whether this node was part of a fleet and now hears from no member.
+  std::function<auto()->bool> isolated;
   std::function<auto()->void> counts_changed;
   // Tells the other nodes that this one owns a job.
   std::function<auto(const JobId&)->void> announce;
--- a/include/kumquatgauge/serving/end_notices.h
+++ b/include/kumquatgauge/serving/end_notices.h
@@ -42,8 +42,8 @@
         find_owner_(std::move(find_owner)),
         clock_(std::move(clock)) {}
 
-  // Adds the stored state of an ended job. Returns whether the caller is to send
-  // the first notice now.
+  // Adds the stored state of an ended job. Returns whether the caller is to
+  // send the first notice now.
   auto Add(const StoredState& ended) -> bool;
   // Returns the notices to send now; each is returned again only after
   // OnFailed. Drops those that have expired or whose owner is gone.
--- a/include/kumquatgauge/serving/job_state_check.h
+++ b/include/kumquatgauge/serving/job_state_check.h
@@ -16,6 +16,10 @@
   // Delay after a read that failed, so that an owner that was cut off from the
   // store learns what it missed as soon as the store answers it again.
   Duration retry_delay = std::chrono::milliseconds(300);
+  // How long a job runs on while its owner hears from neither the store nor any
+  // other node. Longer than the interval, and less than the time within which
+  // an ended job must stop.
+  Duration isolated_limit = std::chrono::milliseconds(2'000);
 
   auto operator==(const StateCheckSettings&) const -> bool = default;
 };
@@ -39,9 +43,14 @@
   // Returns the jobs whose state is to be read now. Each is returned again only
   // after OnKnown or OnFailed.
   auto TakeDue(MonotonicTime now) -> std::vector<JobId>;
+  // Returns whether items of the job may run. An isolated node hears from no
+  // other node. If the store does not answer it either, it cannot learn that a
+  // job was ended or taken over.
+  auto MayRun(const JobId& job, MonotonicTime now, bool isolated) const -> bool;
 
  private:
   struct Check {
+    MonotonicTime known_at;
     MonotonicTime next;
     bool reading = false;
     bool failed = false;
--- a/src/control/membership.cc
+++ b/src/control/membership.cc
@@ -490,6 +490,10 @@
   return true;
 }
 
+auto Membership::isolated() const -> bool {
+  return table_.size() > 1 && IsIsolated();
+}
+
 auto Membership::IsIsolated() const -> bool {
   return Now() - last_heard_ > kSuspectAfter;
 }
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -569,6 +569,7 @@
     for (const auto& id : checks_.TakeDue(now)) {
       SpawnCheck(jobs_.at(id));
     }
+    UpdateSuspensions(now);
     RescheduleOnNewConfiguration();
     for (const auto& ref : schedule_.TakeGivenUp(now)) {
       AddResult(ref, false);
@@ -591,6 +592,25 @@
     }
   }
 
+  auto UpdateSuspensions(MonotonicTime now) -> void {
+    const auto isolated = parts_.isolated();
+    for (const auto& [id, job] : jobs_) {
+      const auto suspend = !checks_.MayRun(id, now, isolated);
+      if (std::exchange(job->suspended, suspend) == suspend) {
+        continue;
+      }
+      logger_.Warning(suspend ? "a job is suspended: neither the store nor a "
+                                "node tells whether it was ended"
+                              : "a suspended job goes on",
+                      {{"event", suspend ? "job_suspended" : "job_resumed"},
+                       {"job", id.value()},
+                       {"version", std::to_string(job->version)}});
+      if (suspend) {
+        CancelItems(*job);
+      }
+    }
+  }
+
   // Returns how many of the `excess` items that must yield in the whole fleet
   // are this node's share.
   auto YieldShare(const ServiceName& service, std::uint64_t excess)
@@ -691,7 +711,7 @@
     const auto& item = job->items[ref.item];
     const auto service = ServiceOf(*job, item);
     auto outcome = ItemOutcome();
-    if (!service || job->state.ended) {
+    if (!service || job->state.ended || job->suspended) {
       co_return outcome;
     }
     auto request = ChoiceRequest();
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -241,6 +241,7 @@
             .cell_size = [this] { return cell_peers_.size() + 1; },
             .is_dead_or_left =
                 [this](const NodeId& id) { return IsDeadOrLeft(id); },
+            .isolated = [this] { return gossip_.membership().isolated(); },
             .counts_changed = [this] { OnCountsChanged(); },
             .announce = [this](const JobId& job) { Announce(job); },
             .retention = settings_.limits.job_retention,
--- a/src/serving/job_state_check.cc
+++ b/src/serving/job_state_check.cc
@@ -5,7 +5,7 @@
 namespace kumquatgauge::serving {
 
 auto StateCheckSchedule::Add(const JobId& job, MonotonicTime known_at) -> void {
-  checks_[job] = {known_at + settings_.interval, false, false};
+  checks_[job] = {known_at, known_at + settings_.interval, false, false};
 }
 
 auto StateCheckSchedule::Remove(const JobId& job) -> void {
@@ -16,7 +16,7 @@
     -> void {
   const auto found = checks_.find(job);
   if (found != checks_.end()) {
-    found->second = {known_at + settings_.interval, false, false};
+    found->second = {known_at, known_at + settings_.interval, false, false};
   }
 }
 
@@ -42,4 +42,12 @@
   return due;
 }
 
+auto StateCheckSchedule::MayRun(const JobId& job,
+                                MonotonicTime now,
+                                bool isolated) const -> bool {
+  const auto found = checks_.find(job);
+  return !isolated || found == checks_.end() ||
+         now - found->second.known_at <= settings_.isolated_limit;
+}
+
 }  // namespace kumquatgauge::serving
--- a/src/serving/job_state_check_test.cc
+++ b/src/serving/job_state_check_test.cc
@@ -54,6 +54,27 @@
   CHECK(fixture.schedule.TakeDue(fixture.clock.now()) == Jobs{kJob});
 }
 
+// Guards against items that run for as long as their owner is cut off from the
+// store and from all other nodes, since nobody can tell it that their job
+// ended.
+TEST_CASE("StateCheckSchedule.StopsJobsOfANodeThatHearsFromNobody") {
+  auto fixture = Fixture();
+  fixture.clock.Advance(kStopWithin / 2);
+  CHECK(fixture.schedule.MayRun(kJob, fixture.clock.now(), true));
+  fixture.clock.Advance(kStopWithin / 2);
+  CHECK_FALSE(fixture.schedule.MayRun(kJob, fixture.clock.now(), true));
+  fixture.schedule.OnKnown(kJob, fixture.clock.now());
+  CHECK(fixture.schedule.MayRun(kJob, fixture.clock.now(), true));
+}
+
+// An outage of the store alone stops no work: without it nobody can end a job,
+// and a node that still reaches it tells the owner.
+TEST_CASE("StateCheckSchedule.KeepsJobsRunningInAnOutageOfTheStore") {
+  auto fixture = Fixture();
+  fixture.clock.Advance(std::chrono::minutes(5));
+  CHECK(fixture.schedule.MayRun(kJob, fixture.clock.now(), false));
+}
+
 TEST_CASE("StateCheckSchedule.LeavesOutJobsThatNeedNoRead") {
   auto fixture = Fixture();
   fixture.clock.Advance(milliseconds(1'000));
--- a/src/serving/owned_job.h
+++ b/src/serving/owned_job.h
@@ -40,6 +40,8 @@
   std::map<std::size_t, ItemProgress> progress;
   bool storing = false;
   bool dropped = false;  // No longer owned here.
+  // No item runs, because this node is cut off and the job may have ended.
+  bool suspended = false;
   // Timers of the callers that wait for the next result.
   std::vector<std::weak_ptr<boost::asio::steady_timer>> readers;
 
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -422,6 +422,23 @@
   CHECK(StopsInTime(fleet, kUntilAllIsRead));
 }
 
+// Guards against items that run for as long as their owner is cut off from the
+// store and from all other nodes, since nobody can tell it that their job
+// ended.
+TEST_CASE("Gateway.SuspendsItsJobsWhileItHearsFromNobody") {
+  auto fleet = Fleet(2);
+  fleet.AwaitService();
+  SubmitSlowJob(fleet);
+  fleet.nodes[1]->process().Signal(SIGSTOP);
+  fleet.store->SetEntranceClosed(fleet.entrances[0], true);
+  CHECK(StopsInTime(fleet));
+  const auto before = fleet.one->runs() + fleet.two->runs();
+  fleet.store->SetEntranceClosed(fleet.entrances[0], false);
+  CHECK(Eventually(
+      [&] { return fleet.one->runs() + fleet.two->runs() > before; }));
+  fleet.nodes[1]->process().Signal(SIGCONT);
+}
+
 // Guards against items that run on when the node that stored the end of their
 // job was lost before it could tell the owner, and the caller's repeated
 // request finds the job ended.
