Do not count members that have left as lost contact

Membership::isolated() was true for two hours on the last node of a fleet whose other nodes had stopped as planned, because their records stay in the table. The node then suspended its jobs in an outage of the store, and whenever a read of a job's state took over 0.5 s.

Membership.IsNotIsolatedWhenTheOthersHaveLeft fails on the commit before and passes on this one; Membership.IsIsolatedWhileCutOff holds the other side.

--- a/include/kumquatgauge/control/membership.h
+++ b/include/kumquatgauge/control/membership.h
@@ -174,8 +174,9 @@
   auto self() const -> const routing::NodeInfo& { return self_; }
   // Returns whether a table was received or no seed responded.
   auto joined() const -> bool { return phase_ == Phase::kJoined; }
-  // Returns whether this node knows other members, dead ones included, and has
-  // heard from none recently.
+  // Returns whether this node has heard from no other member recently although
+  // it knows some that have not stopped as planned. Dead ones count, since a
+  // node that is cut off declares the others dead.
   auto isolated() const -> bool;
   // Returns the members that are alive or leaving, including this node, ordered
   // by id.
--- a/src/control/membership.cc
+++ b/src/control/membership.cc
@@ -491,7 +491,12 @@
 }
 
 auto Membership::isolated() const -> bool {
-  return table_.size() > 1 && IsIsolated();
+  const auto others =
+      std::any_of(table_.begin(), table_.end(), [this](const auto& entry) {
+        return entry.first != self_.id &&
+               entry.second.state != MemberState::kLeft;
+      });
+  return others && IsIsolated();
 }
 
 auto Membership::IsIsolated() const -> bool {
--- a/src/control/membership_test.cc
+++ b/src/control/membership_test.cc
@@ -440,6 +440,27 @@
   }
 }
 
+// Guards against treating the last member as cut off after the others have
+// stopped as planned.
+TEST_CASE("Membership.IsNotIsolatedWhenTheOthersHaveLeft") {
+  const auto network = Formed(2);
+  network->Run(1, network->at(1).Stop());
+  network->RunFor(milliseconds(100));
+  network->Kill(1);
+  network->RunFor(seconds(2));
+  CHECK(network->Sees(0, 1, MemberState::kLeft));
+  CHECK_FALSE(network->at(0).isolated());
+}
+
+TEST_CASE("Membership.IsIsolatedWhileCutOff") {
+  const auto network = Formed(2);
+  network->RunFor(seconds(2));
+  CHECK_FALSE(network->at(0).isolated());
+  network->set_loss([](auto, auto) { return true; });
+  network->RunFor(seconds(5));
+  CHECK(network->at(0).isolated());
+}
+
 // Guards against not detecting the loss of a zone whose members monitor only
 // each other.
 TEST_CASE("Membership.DetectsZoneLossWithinThreeSeconds") {
