Log the age of the state that a newer one replaced

job_state_learned took before_age_ms after the new state's time had been recorded, so it was always the time that the read took. docs/OPERATIONS.md reads it as the age of what the owner knew before.

Gateway.LogsHowOldTheStateWasThatAnEndReplaced fails on the gateway of the commit before (0 ms after an outage of 4 s) and passes on this one.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -1038,6 +1038,9 @@
       return;
     }
     const auto change = CompareStates({job->state, job->version}, stored);
+    if (change != StateChange::kNone) {
+      LogStateLearned(*job, stored, source);
+    }
     if (stored.version >= job->version) {
       job->state_known_at = std::max(job->state_known_at, known_at);
       checks_.OnKnown(job->state.id, job->state_known_at);
@@ -1045,7 +1048,6 @@
     if (change == StateChange::kNone) {
       return;
     }
-    LogStateLearned(*job, stored, source);
     if (change == StateChange::kTakenOver) {
       Drop(job, "another node owns the job");
       OnAnnounced(job->state.id, stored.state.owner);
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -513,5 +513,35 @@
   CHECK(end.at("replica") == attempt.at("replica"));
 }
 
+// Guards against a log that hides for how long an owner ran a job without
+// knowing that it had ended.
+TEST_CASE("Gateway.LogsHowOldTheStateWasThatAnEndReplaced") {
+  constexpr milliseconds kTurnedAway{4'000};
+  auto fleet = Fleet(1);
+  fleet.AwaitService();
+  AwaitFirstScan();
+  SubmitSlowJob(fleet);
+  fleet.store->SetEntranceClosed(fleet.entrances[0], true);
+  EndStoredJob(fleet);
+  std::this_thread::sleep_for(kTurnedAway);
+  fleet.store->SetEntranceClosed(fleet.entrances[0], false);
+  auto learned = json();
+  Eventually([&] {
+    auto lines = std::istringstream(fleet.nodes.front()->Log());
+    for (std::string line; std::getline(lines, line);) {
+      const auto object = json::parse(line, nullptr, false);
+      if (object.is_object() &&
+          object.value("event", "") == "job_state_learned" &&
+          object.value("ended", "") == "true") {
+        learned = object;
+      }
+    }
+    return learned.is_object();
+  });
+  REQUIRE(learned.is_object());
+  CHECK(std::stoll(learned.at("before_age_ms").get<std::string>()) >=
+        kTurnedAway.count());
+}
+
 }  // namespace
 }  // namespace kumquatgauge::testing
