Read the states of own jobs cheaply unless they are in doubt

Exact reads follow when there is a reason to doubt what is known: any call of this node to the store failed or was refused, or no other node is heard. An isolated node counts from the time it was found isolated, since without doubt no exact read refreshes what it knows.

--- a/include/kumquatgauge/serving/batch_runner.h
+++ b/include/kumquatgauge/serving/batch_runner.h
@@ -47,6 +47,8 @@
   std::function<auto(const NodeId&)->bool> is_dead_or_left;
   // Returns whether this node was part of a fleet and now hears from no member.
   std::function<auto()->bool> isolated;
+  // Returns the number of calls to the store that have failed or were refused.
+  std::function<auto()->std::uint64_t> store_failures;
   std::function<auto()->void> counts_changed;
   // Tells the other nodes that this one owns a job.
   std::function<auto(const JobId&)->void> announce;
--- a/include/kumquatgauge/serving/job_archive.h
+++ b/include/kumquatgauge/serving/job_archive.h
@@ -34,7 +34,8 @@
   auto Create(JobRecord record, JobState state)
       -> boost::asio::awaitable<StoredState>;
   auto LoadRecord(JobId id) -> boost::asio::awaitable<std::optional<JobRecord>>;
-  auto LoadState(JobId id)
+  // The state may be seconds old when `exact` is false.
+  auto LoadState(JobId id, bool exact = true)
       -> boost::asio::awaitable<std::optional<StoredState>>;
   // Replaces the state if its version is `version`. Returns nothing when
   // another writer has replaced it first.
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -353,7 +353,7 @@
   auto OnAnnounced(const JobId& job, const NodeId& owner) -> void {
     const auto own = jobs_.find(job);
     if (own != jobs_.end() && owner != parts_.self().id) {
-      SpawnCheck(own->second);
+      SpawnCheck(own->second, true);
     }
     if (announced_.size() >= kMaxAnnounced) {
       announced_.clear();  // Owners are looked up in the store again.
@@ -566,9 +566,7 @@
 
   auto Tick() -> void {
     const auto now = parts_.clock();
-    for (const auto& id : checks_.TakeDue(now)) {
-      SpawnCheck(jobs_.at(id));
-    }
+    CheckStates(now);
     UpdateSuspensions(now);
     RescheduleOnNewConfiguration();
     for (const auto& ref : schedule_.TakeGivenUp(now)) {
@@ -592,10 +590,20 @@
     }
   }
 
+  auto CheckStates(MonotonicTime now) -> void {
+    if (std::exchange(store_failures_, parts_.store_failures()) !=
+        parts_.store_failures()) {
+      checks_.OnStoreFailed(now);
+    }
+    checks_.SetIsolated(parts_.isolated(), now);
+    for (const auto& [id, exact] : checks_.TakeDue(now)) {
+      SpawnCheck(jobs_.at(id), exact);
+    }
+  }
+
   auto UpdateSuspensions(MonotonicTime now) -> void {
-    const auto isolated = parts_.isolated();
     for (const auto& [id, job] : jobs_) {
-      const auto suspend = !checks_.MayRun(id, now, isolated);
+      const auto suspend = !checks_.MayRun(id, now);
       if (std::exchange(job->suspended, suspend) == suspend) {
         continue;
       }
@@ -966,7 +974,7 @@
       }
       self->OnResultsStored(job, *stored);
       if (stored->writer != writer) {
-        co_await self->CheckState(job);
+        co_await self->CheckState(job, true);
       }
     }
     job->storing = false;
@@ -996,12 +1004,12 @@
     job->WakeReaders();
   }
 
-  // Reads the stored state of a job.
-  auto CheckState(JobPtr job) -> awaitable<void> {
+  // Reads the stored state of a job; an inexact read may show an old one.
+  auto CheckState(JobPtr job, bool exact) -> awaitable<void> {
     const auto asked_at = parts_.clock();
     auto stored = std::optional<StoredState>();
     try {
-      stored = co_await parts_.archive.LoadState(job->state.id);
+      stored = co_await parts_.archive.LoadState(job->state.id, exact);
     } catch (const Error& error) {
       if (checks_.OnFailed(job->state.id, parts_.clock())) {
         logger_.Warning("the state of a job cannot be read; reading it again",
@@ -1011,21 +1019,24 @@
       }
       co_return;
     }
+    if (!exact) {
+      checks_.OnInexactRead(job->state.id, parts_.clock());
+    }
     if (stored) {
-      Learn(job, *stored, "the store", asked_at);
-    } else {
+      Learn(job, *stored, "the store", exact ? asked_at : job->state_known_at);
+    } else if (exact) {
       Drop(job, "its state was removed from the store");
     }
   }
 
-  auto SpawnCheck(const JobPtr& job) -> void {
-    asio::co_spawn(parts_.executor, RunCheck(shared_from_this(), job),
+  auto SpawnCheck(const JobPtr& job, bool exact) -> void {
+    asio::co_spawn(parts_.executor, RunCheck(shared_from_this(), job, exact),
                    asio::detached);
   }
 
-  static auto RunCheck(std::shared_ptr<Impl> self, JobPtr job)
+  static auto RunCheck(std::shared_ptr<Impl> self, JobPtr job, bool exact)
       -> awaitable<void> {
-    co_await self->CheckState(job);
+    co_await self->CheckState(job, exact);
   }
 
   // Applies a state that was the stored one at `known_at`, unless it is older
@@ -1041,9 +1052,9 @@
     if (change != StateChange::kNone) {
       LogStateLearned(*job, stored, source);
     }
-    if (stored.version >= job->version) {
-      job->state_known_at = std::max(job->state_known_at, known_at);
-      checks_.OnKnown(job->state.id, job->state_known_at);
+    if (stored.version >= job->version && known_at > job->state_known_at) {
+      job->state_known_at = known_at;
+      checks_.OnKnown(job->state.id, known_at);
     }
     if (change == StateChange::kNone) {
       return;
@@ -1138,7 +1149,7 @@
                        {"reason", failure}});
       co_return false;
     }
-    co_await CheckState(job);
+    co_await CheckState(job, true);
     co_return job->dropped;
   }
 
@@ -1724,6 +1735,7 @@
   std::map<JobId, MonotonicTime> absent_since_;
   ResultCache cache_{parts_.memory_bytes / kCacheMemoryDivisor};
   std::uint64_t scheduled_version_ = 0;
+  std::uint64_t store_failures_ = 0;
   bool stopped_ = false;
   Counter& accepted_;
   Counter& refused_;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -242,6 +242,7 @@
             .is_dead_or_left =
                 [this](const NodeId& id) { return IsDeadOrLeft(id); },
             .isolated = [this] { return gossip_.membership().isolated(); },
+            .store_failures = [this] { return StoreFailures(); },
             .counts_changed = [this] { OnCountsChanged(); },
             .announce = [this](const JobId& job) { Announce(job); },
             .retention = settings_.limits.job_retention,
@@ -332,6 +333,11 @@
     }
   }
 
+  auto StoreFailures() const -> std::uint64_t {
+    const auto& counts = store_client_.counts();
+    return counts.failures + counts.rate_exceeded + counts.refused_by_circuit;
+  }
+
   auto OnStoreAnswered() -> void {
     replica_table_.OnStoreAnswered();
     if (std::exchange(store_lost_, false)) {
--- a/src/serving/job_archive.cc
+++ b/src/serving/job_archive.cc
@@ -78,8 +78,10 @@
   co_return DecodeRecord(id, values);
 }
 
-auto JobArchive::LoadState(JobId id) -> awaitable<std::optional<StoredState>> {
-  const auto stored = co_await store_.Read(StateKey(id), CallClass::kResult);
+auto JobArchive::LoadState(JobId id, bool exact)
+    -> awaitable<std::optional<StoredState>> {
+  const auto stored = co_await store_.Read(
+      StateKey(id), exact ? CallClass::kResult : CallClass::kStatus);
   if (!stored) {
     co_return std::nullopt;
   }
