Give up a takeover under an earlier incarnation

A node that was declared dead while it read the results of a job it was taking over dropped its jobs, but not that one, and then ran it under its earlier incarnation. Other nodes take such an owner for gone and do not tell it when the job is ended.

The takeover now checks the incarnation, and that the node is not stopping, before it starts the job. The outcome of every exact read is recorded too, also when an own write was newer, so that the next read of the job is not held back.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -1019,7 +1019,9 @@
       }
       co_return;
     }
-    if (!exact) {
+    if (exact) {
+      checks_.OnKnown(job->state.id, asked_at);
+    } else {
       checks_.OnInexactRead(job->state.id, parts_.clock());
     }
     if (stored) {
@@ -1696,16 +1698,17 @@
       results.insert(results.end(), chunk->results.begin(),
                      chunk->results.end());
     }
-    // Reading the results may have taken long. A request to end the job in that
-    // time did not find it here.
+    // Reading the results may have taken long. In that time the job may have
+    // been ended, and this node may have been declared dead.
     const auto checked_at = parts_.clock();
     const auto current = co_await parts_.archive.LoadState(id);
-    if (!current || current->version != taken->version) {
+    if (!current || current->version != taken->version ||
+        !IsOwn(current->state) || stopped_) {
       logger_.Info("a job changed while it was taken over",
                    {{"event", "adopt_failed"},
                     {"job", id.value()},
                     {"version", std::to_string(taken->version)},
-                    {"reason", "its state has another version"}});
+                    {"reason", "its state or this node has changed"}});
       co_return;
     }
     adopted_.Add();
