Keep the notice of an end that meets a takeover in progress

A node that was taking a job over answered a notice of its end that it did not know the job, which confirmed the notice. If the end was stored after the takeover had read the state for the last time, the node then started the job and nobody told it again; only its own reads stopped it.

Such a node now answers that it knows the job and has not ended it, so that the notice is repeated. A second scan that meets the same takeover leaves it alone.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <list>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <utility>
 
 #include "base/process_hooks.h"
@@ -1492,7 +1493,11 @@
   auto AnswerEnd(json request) -> awaitable<json> {
     const auto job = FindOwn(request);
     if (!job) {
-      co_return NotKnown();
+      const auto id = JobId(request.at("job").get<std::string>());
+      // A job that is being taken over may start here with the state from
+      // before its end.
+      json answer = {{"known", taking_over_.contains(id)}, {"ended", false}};
+      co_return answer;
     }
     // A node that has ended the job in the store says so; this one may be
     // unable to read it.
@@ -1661,11 +1666,15 @@
 
   auto Adopt(StoredState stored) -> awaitable<void> {
     auto failure = std::string();
+    if (!taking_over_.insert(stored.state.id).second) {
+      co_return;
+    }
     try {
       co_await TakeOver(stored);
     } catch (const Error& error) {
       failure = error.what();
     }
+    taking_over_.erase(stored.state.id);
     if (!failure.empty()) {
       logger_.Warning("a job could not be taken over",
                       {{"event", "adopt_failed"},
@@ -1733,6 +1742,7 @@
   asio::steady_timer tick_timer_;
   asio::steady_timer scan_timer_;
   std::map<JobId, JobPtr> jobs_;
+  std::set<JobId> taking_over_;
   std::map<JobId, NodeId> announced_;
   // When the owner of an unfinished job was first found absent.
   std::map<JobId, MonotonicTime> absent_since_;
--- a/src/serving/job_state_check.cc
+++ b/src/serving/job_state_check.cc
@@ -23,8 +23,8 @@
 
 auto StateCheckSchedule::OnKnown(const JobId& job, MonotonicTime known_at)
     -> void {
-  if (checks_.contains(job)) {
-    Add(job, known_at);
+  if (const auto* check = FindCheck(job)) {
+    Add(job, std::max(check->known_at, known_at));
   }
 }
 
