Resume a suspended job only when its state is known

A suspended job went on as soon as the node heard from any other node, although that does not tell whether the job was ended while the node was cut off; its own circuit to the store may refuse reads for seconds more.

It now waits for a state that was known after it was suspended.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -604,10 +604,14 @@
 
   auto UpdateSuspensions(MonotonicTime now) -> void {
     for (const auto& [id, job] : jobs_) {
-      const auto suspend = !checks_.MayRun(id, now);
-      if (std::exchange(job->suspended, suspend) == suspend) {
+      // Hearing a node again does not tell whether the job was ended meanwhile.
+      const auto suspend = job->suspended_at
+                               ? job->state_known_at < *job->suspended_at
+                               : !checks_.MayRun(id, now);
+      if (suspend == job->suspended_at.has_value()) {
         continue;
       }
+      job->suspended_at = suspend ? std::optional(now) : std::nullopt;
       logger_.Warning(suspend ? "a job is suspended: neither the store nor a "
                                 "node tells whether it was ended"
                               : "a suspended job goes on",
@@ -720,7 +724,7 @@
     const auto& item = job->items[ref.item];
     const auto service = ServiceOf(*job, item);
     auto outcome = ItemOutcome();
-    if (!service || job->state.ended || job->suspended) {
+    if (!service || job->state.ended || job->suspended_at) {
       co_return outcome;
     }
     auto request = ChoiceRequest();
--- a/src/serving/owned_job.h
+++ b/src/serving/owned_job.h
@@ -40,8 +40,9 @@
   std::map<std::size_t, ItemProgress> progress;
   bool storing = false;
   bool dropped = false;  // No longer owned here.
-  // No item runs, because this node is cut off and the job may have ended.
-  bool suspended = false;
+  // Set while no item runs because this node was cut off and the job may have
+  // been ended.
+  std::optional<MonotonicTime> suspended_at;
   // Timers of the callers that wait for the next result.
   std::vector<std::weak_ptr<boost::asio::steady_timer>> readers;
 
