Repeat notices of ended jobs during a planned stop

A node that stops as planned still answers callers for seconds, also requests to end a job. A notice that failed in that time was not repeated, since the loop that repeats it ended with the node's own jobs.

The loop now ends with the process.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -201,9 +201,14 @@
     ScheduleScan(kFirstScanDelay);
   }
 
+  auto Close() -> void {
+    Stop();
+    closed_ = true;
+    tick_timer_.cancel();
+  }
+
   auto Stop() -> void {
     stopped_ = true;
-    tick_timer_.cancel();
     scan_timer_.cancel();
     const auto jobs = jobs_;
     for (const auto& [id, job] : jobs) {
@@ -552,14 +557,15 @@
   // --- Running items.
 
   static auto TickLoop(std::shared_ptr<Impl> self) -> awaitable<void> {
-    while (!self->stopped_) {
+    // A node that stops still answers callers, and tells owners of ended jobs.
+    while (!self->closed_) {
       self->tick_timer_.expires_after(kTickInterval);
       co_await self->tick_timer_.async_wait(kAwaitTuple);
-      if (self->stopped_) {
+      if (self->closed_) {
         break;
       }
       self->SendDueEndNotices();
-      if (!self->jobs_.empty()) {
+      if (!self->stopped_ && !self->jobs_.empty()) {
         self->Tick();
       }
     }
@@ -1754,6 +1760,7 @@
   std::uint64_t scheduled_version_ = 0;
   std::uint64_t store_failures_ = 0;
   bool stopped_ = false;
+  bool closed_ = false;
   Counter& accepted_;
   Counter& refused_;
   Counter& adopted_;
@@ -1770,7 +1777,7 @@
     : impl_(std::make_shared<Impl>(std::move(parts))) {}
 
 BatchRunner::~BatchRunner() {
-  impl_->Stop();
+  impl_->Close();
 }
 
 auto BatchRunner::Start() -> void {
