Bound what a silent owner costs when its job is ended

A caller that ended a job of an owner that did not answer waited for two calls to it in a row. All notices that fell due together were sent together, up to 10,000 of them; a notice whose outcome was not reported stayed for good; and notices were given up without a log line.

The caller now waits for a notice only if the owner answered the first call or failed it quickly. TakeDue returns 50 notices at most, drops expired ones whatever their state, and counts what is dropped, which is logged.

EndNotices.SendsAFewAtATime and EndNotices.DropsAnExpiredNoticeThatIsBeingSent guard the limits; both behaviours were missing before.

--- a/include/kumquatgauge/serving/end_notices.h
+++ b/include/kumquatgauge/serving/end_notices.h
@@ -2,6 +2,7 @@
 #define KUMQUATGAUGE_SERVING_END_NOTICES_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <vector>
@@ -26,6 +27,9 @@
   // away or nodes are cut off from each other while both stay members.
   Duration lifetime = std::chrono::minutes(10);
   std::size_t max_notices = 10'000;
+  // Notices that one call of TakeDue returns, so that many owners that do not
+  // answer take little of this node's time.
+  std::size_t max_due = 50;
 
   auto operator==(const EndNoticeSettings&) const -> bool = default;
 };
@@ -52,6 +56,8 @@
   auto OnConfirmed(const JobId& job) -> void;
   auto OnFailed(const JobId& job) -> void;
 
+  // Returns the number of notices that were given up or not added.
+  auto dropped() const -> std::uint64_t { return dropped_; }
   auto size() const -> std::size_t { return notices_.size(); }
 
  private:
@@ -67,6 +73,7 @@
   FindOwner find_owner_;
   Clock clock_;
   std::map<JobId, Notice> notices_;
+  std::uint64_t dropped_ = 0;
 };
 
 }  // namespace kumquatgauge::serving
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -618,12 +618,13 @@
         continue;
       }
       job->suspended_at = suspend ? std::optional(now) : std::nullopt;
-      logger_.Warning(suspend ? "a job is suspended: neither the store nor a "
-                                "node tells whether it was ended"
-                              : "a suspended job goes on",
-                      {{"event", suspend ? "job_suspended" : "job_resumed"},
-                       {"job", id.value()},
-                       {"version", std::to_string(job->version)}});
+      logger_.Warning(
+          suspend ? "a job is suspended: no node is heard and its state "
+                    "cannot be read"
+                  : "a suspended job is resumed",
+          {{"event", suspend ? "job_suspended" : "job_resumed"},
+           {"job", id.value()},
+           {"version", std::to_string(job->version)}});
       if (suspend) {
         CancelItems(*job);
       }
@@ -1229,6 +1230,10 @@
       co_await parts_.peers.Call(
           peer.node_address, node::Channel::kBatch, name, std::move(request),
           [&answer](const json& frame) { answer = frame; }, timeout, nullptr);
+      if (answer && !answer->is_object()) {
+        throw Error(ErrorKind::kInvalidArgument, "an answer is no object", name,
+                    "check that both nodes run compatible releases");
+      }
     } catch (const Error& error) {
       logger_.Info("a node does not answer", {{"event", "peer_failed"},
                                               {"peer", peer.id.value()},
@@ -1327,15 +1332,19 @@
     if (own != jobs_.end()) {
       co_return co_await EndOwn(own->second);
     }
+    auto owner_answers = true;
     if (const auto owner = KnownOwner(id)) {
       json request = {{"job", id.value()}};
-      const auto answer =
-          co_await AskPeer(*owner, "job-end", std::move(request), kPeerTimeout);
+      const auto began = parts_.clock();
+      const auto answer = co_await CallPeer(*owner, "job-end",
+                                            std::move(request), kPeerTimeout);
       if (answer && answer->value("ended", false)) {
         co_return true;
       }
+      // An owner that the store turns away fails the call at once.
+      owner_answers = answer || parts_.clock() - began < kPeerTimeout / 2;
     }
-    co_return co_await EndInStore(id);
+    co_return co_await EndInStore(id, owner_answers);
   }
 
   auto EndOwn(JobPtr job) -> awaitable<bool> {
@@ -1352,10 +1361,11 @@
         break;
       }
     }
-    co_return co_await EndInStore(job->state.id);
+    co_return co_await EndInStore(job->state.id, true);
   }
 
-  auto EndInStore(JobId id) -> awaitable<bool> {
+  // The caller waits for the owner only if it answered before.
+  auto EndInStore(JobId id, bool owner_answers) -> awaitable<bool> {
     for (auto attempt = 0; attempt < kStateAttempts; ++attempt) {
       auto stored = co_await parts_.archive.LoadState(id);
       if (!stored) {
@@ -1364,7 +1374,7 @@
       if (stored->state.ended) {
         // The node that stored the end may not have been able to tell the
         // owner.
-        co_await TellOwner(*stored);
+        co_await NotifyOwner(*stored, owner_answers);
         co_return true;
       }
       if (stored->state.done) {
@@ -1375,7 +1385,7 @@
       const auto replaced =
           co_await parts_.archive.ReplaceState(state, stored->version);
       if (replaced) {
-        co_await TellOwner(*replaced);
+        co_await NotifyOwner(*replaced, owner_answers);
         co_return true;
       }
     }
@@ -1387,19 +1397,35 @@
   // since the owner may be unable to read that itself. Waits for the first
   // answer only, so that the owner has usually stopped when the caller gets its
   // answer.
-  auto TellOwner(StoredState ended) -> awaitable<void> {
+  auto NotifyOwner(StoredState ended, bool wait) -> awaitable<void> {
     const auto own = jobs_.find(ended.state.id);
     if (own != jobs_.end()) {
-      Learn(JobPtr(own->second), ended, "an own write", parts_.clock());
+      Learn(JobPtr(own->second), ended, "the store", parts_.clock());
     } else if (notices_.Add(ended)) {
-      co_await SendEndNotice(shared_from_this(), ended);
+      if (wait) {
+        co_await SendEndNotice(shared_from_this(), ended);
+      } else {
+        SpawnEndNotice(ended);
+      }
     }
   }
 
+  auto SpawnEndNotice(const StoredState& ended) -> void {
+    asio::co_spawn(parts_.executor, SendEndNotice(shared_from_this(), ended),
+                   asio::detached);
+  }
+
   auto SendDueEndNotices() -> void {
     for (const auto& ended : notices_.TakeDue()) {
-      asio::co_spawn(parts_.executor, SendEndNotice(shared_from_this(), ended),
-                     asio::detached);
+      SpawnEndNotice(ended);
+    }
+    const auto dropped = notices_.dropped();
+    if (std::exchange(notices_dropped_, dropped) != dropped) {
+      logger_.Warning(
+          "notices of ended jobs were given up; their owners learn "
+          "the ends from the store only",
+          {{"event", "job_end_notices_dropped"},
+           {"total", std::to_string(dropped)}});
     }
   }
 
@@ -1418,7 +1444,7 @@
     // A node that does not know the job runs none of its items.
     const auto confirmed = answer && (answer->value("ended", false) ||
                                       !answer->value("known", false));
-    self->logger_.Info("the owner of an ended job was told",
+    self->logger_.Info("sent a notice of an ended job to its owner",
                        {{"event", "job_end_notice"},
                         {"job", id.value()},
                         {"owner", ended.state.owner.value()},
@@ -1759,6 +1785,7 @@
   ResultCache cache_{parts_.memory_bytes / kCacheMemoryDivisor};
   std::uint64_t scheduled_version_ = 0;
   std::uint64_t store_failures_ = 0;
+  std::uint64_t notices_dropped_ = 0;
   bool stopped_ = false;
   bool closed_ = false;
   Counter& accepted_;
--- a/src/serving/end_notices.cc
+++ b/src/serving/end_notices.cc
@@ -7,7 +7,11 @@
 
 auto EndNotices::Add(const StoredState& ended) -> bool {
   const auto owner = find_owner_(ended.state);
-  if (owner == OwnerStatus::kGone || notices_.size() >= settings_.max_notices) {
+  if (owner == OwnerStatus::kGone) {
+    return false;
+  }
+  if (notices_.size() >= settings_.max_notices) {
+    ++dropped_;
     return false;
   }
   const auto now = clock_();
@@ -25,12 +29,18 @@
   auto due = std::vector<StoredState>();
   for (auto entry = notices_.begin(); entry != notices_.end();) {
     auto& notice = entry->second;
-    if (notice.sending || notice.next > now) {
+    if (notice.expires <= now) {
+      ++dropped_;
+      entry = notices_.erase(entry);
+      continue;
+    }
+    if (notice.sending || notice.next > now ||
+        due.size() == settings_.max_due) {
       ++entry;
       continue;
     }
     const auto owner = find_owner_(notice.ended.state);
-    if (owner == OwnerStatus::kGone || notice.expires <= now) {
+    if (owner == OwnerStatus::kGone) {
       entry = notices_.erase(entry);
       continue;
     }
--- a/src/serving/end_notices_test.cc
+++ b/src/serving/end_notices_test.cc
@@ -114,6 +114,38 @@
       settings, [](const JobState&) { return OwnerStatus::kLive; },
       fixture.clock.AsHook());
   CHECK_FALSE(full.Add(MakeEnded(8)));
+  CHECK(full.dropped() == 1);
+}
+
+// Guards against a burst of calls when many owners are reachable again.
+TEST_CASE("EndNotices.SendsAFewAtATime") {
+  auto fixture = Fixture();
+  auto settings = EndNoticeSettings();
+  settings.max_due = 2;
+  auto notices = EndNotices(
+      settings, [](const JobState&) { return OwnerStatus::kLive; },
+      fixture.clock.AsHook());
+  for (auto job = 0; job < 5; ++job) {
+    auto ended = MakeEnded(8);
+    ended.state.id = JobId("j" + std::to_string(job));
+    notices.Add(ended);
+    notices.OnFailed(ended.state.id);
+  }
+  fixture.clock.Advance(seconds(1));
+  CHECK(notices.TakeDue().size() == 2);
+  CHECK(notices.TakeDue().size() == 2);
+  CHECK(notices.TakeDue().size() == 1);
+}
+
+// Guards against a notice that stays for good because its outcome was not
+// reported.
+TEST_CASE("EndNotices.DropsAnExpiredNoticeThatIsBeingSent") {
+  auto fixture = Fixture();
+  REQUIRE(fixture.notices.Add(MakeEnded(8)));
+  fixture.clock.Advance(EndNoticeSettings().lifetime);
+  CHECK(fixture.notices.TakeDue().empty());
+  CHECK(fixture.notices.size() == 0);
+  CHECK(fixture.notices.dropped() == 1);
 }
 
 TEST_CASE("EndNotices.GivesUpAfterItsLifetime") {
