Run nothing of a job that is over when it is submitted again

Replicas got all items of a done job a second time. A node drops done jobs when their results exceed an eighth of its memory; when a caller then repeated the submission there, the store returned the node's own state with done set, and Submit added the job without its results.

Submit now adds a job only if its stored state is neither done nor ended. Reads find the results in the store, as before.

It needs a small memory limit, which GatewayProcess takes as a parameter.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -265,7 +265,9 @@
                   {"version", std::to_string(stored->version)},
                   {"took_ms", std::to_string(static_cast<std::int64_t>(
                                   MillisecondsSince(began)))}});
-    if (IsOwn(stored->state) && !stopped_) {
+    // A job that is over may have been dropped here to free memory.
+    const auto over = stored->state.done || stored->state.ended;
+    if (IsOwn(stored->state) && !over && !stopped_) {
       record.submission.clear();
       AddOwnedJob(*stored, began, std::move(record), std::move(items), {});
     } else {
--- a/testing/gateway/gateway_process.cc
+++ b/testing/gateway/gateway_process.cc
@@ -77,7 +77,8 @@
 GatewayProcess::GatewayProcess(std::string program,
                                std::string name,
                                const std::string& store,
-                               std::string folder)
+                               std::string folder,
+                               std::uint32_t memory_mb)
     : program_(std::move(program)),
       name_(std::move(name)),
       folder_(std::move(folder)),
@@ -90,7 +91,8 @@
        << "fleet_credential = \"test\"\n[listen]\ncallers = \"" << callers_
        << "\"\nreadiness = \"" << readiness_ << "\"\ndirectory = \""
        << directory_ << "\"\nnodes = \"" << FreeAddress()
-       << "\"\n[store]\naddress = \"" << store << "\"\n[limits]\nstop_s = 8\n";
+       << "\"\n[store]\naddress = \"" << store << "\"\n[limits]\nstop_s = 8\n"
+       << "memory_mb = " << memory_mb << "\n";
   file.close();
   StartAgain();
 }
--- a/testing/gateway/gateway_process.h
+++ b/testing/gateway/gateway_process.h
@@ -2,6 +2,7 @@
 #define TESTING_GATEWAY_GATEWAY_PROCESS_H_
 
 #include <atomic>
+#include <cstdint>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -29,11 +30,12 @@
 // when it is started again.
 class GatewayProcess {
  public:
-  // Settings and logs go to `folder`.
+  // Settings and logs go to `folder`. `memory_mb` is the limit in its settings.
   GatewayProcess(std::string program,
                  std::string name,
                  const std::string& store,
-                 std::string folder);
+                 std::string folder,
+                 std::uint32_t memory_mb = 256);
 
   // Starts it again after it has ended, with a log of its own.
   auto StartAgain() -> void;
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <sstream>
@@ -33,7 +34,7 @@
 }
 
 struct Fleet {
-  explicit Fleet(int gateways = 1) {
+  explicit Fleet(int gateways = 1, std::uint32_t memory_mb = 256) {
     folder = std::filesystem::temp_directory_path() /
              ("kqg-gateway-test-" + std::to_string(std::random_device{}()));
     std::filesystem::create_directories(folder);
@@ -43,7 +44,7 @@
       entrances.push_back(store->AddEntrance());
       nodes.push_back(std::make_unique<GatewayProcess>(
           KQG_GATEWAY, "n" + std::to_string(at), entrances.back(),
-          folder.string()));
+          folder.string(), memory_mb));
     }
   }
 
@@ -422,6 +423,49 @@
   CHECK(StopsInTime(fleet, kUntilAllIsRead));
 }
 
+// A job of `count` items whose ids, and so their results, are long.
+auto LongJobBody(const std::string& job, int count) -> std::string {
+  constexpr std::size_t kIdBytes = 7'000;
+  auto items = json::array();
+  for (auto item = 0; item < count; ++item) {
+    auto id = job + "." + std::to_string(item);
+    id.resize(kIdBytes, 'x');
+    items.push_back(
+        {{"id", std::move(id)}, {"path", "/jobs/1/x"}, {"body", ""}});
+  }
+  return json{{"items", std::move(items)}}.dump();
+}
+
+// Guards against items that run again when the submission of a job that is done
+// is repeated, after its node has dropped it because memory was low.
+TEST_CASE("Gateway.RunsNothingOfADoneJobThatIsSubmittedAgain") {
+  constexpr auto kJobs = 6;
+  constexpr auto kItems = 20;
+  // The results of all jobs exceed the eighth that is kept.
+  constexpr std::uint32_t kMemoryMegabytes = 32;
+  auto fleet = Fleet(1, kMemoryMegabytes);
+  fleet.AwaitService();
+  const auto& node = *fleet.nodes.front();
+  const auto submit_all = [&] {
+    for (auto at = 0; at < kJobs; ++at) {
+      const auto job = "j" + std::to_string(at);
+      CHECK(
+          node.Call("POST", "/jobs/1", job, LongJobBody(job, kItems)).status ==
+          202);
+    }
+  };
+  submit_all();
+  REQUIRE(Eventually(
+      [&] { return node.Log().find("\"job_dropped\"") != std::string::npos; }));
+  CHECK(fleet.store->Get("job-states/j0").at("done") == true);
+  const auto before = fleet.one->runs() + fleet.two->runs();
+  submit_all();
+  constexpr milliseconds kObserved{1'500};
+  std::this_thread::sleep_for(kObserved);
+  CHECK(fleet.one->runs() + fleet.two->runs() == before);
+  CHECK(node.ReadJob("j0").at("total") == kItems);
+}
+
 // Guards against items that run for as long as their owner is cut off from the
 // store and from all other nodes, since nobody can tell it that their job
 // ended.
