Refuse requests whose body has an unknown transfer encoding

The parser takes a request with a Transfer-Encoding other than "chunked" for one without a body. The listener then read the bytes of the body as the next request on the connection, so that a request inside another one was handled, and would have been forwarded.

The listener now answers 400 and closes the connection, as RFC 9112 section 6.1 asks for, unless the first Transfer-Encoding is exactly "chunked"; the parser refuses a second one after it.

Before the change, RefusesAmbiguousFraming failed for "gzip", "identity", "xchunked" and "chunked, gzip": the outer and the inner request were handled and no 400 was sent. The other ambiguous framings (Content-Length beside Transfer-Encoding, differing or malformed lengths) were already refused. SeparatesRequestsByTheirFraming also passed before; no test covered chunk extensions, a GET with a body, folded headers or pipelined bytes here.

--- a/src/caller/http_listener.cc
+++ b/src/caller/http_listener.cc
@@ -60,6 +60,14 @@
   return kBadRequest;
 }
 
+// Returns whether the length of a request's body depends on an encoding other
+// than chunks, which the parser takes for a request without a body.
+auto HasUnknownEncoding(const http::fields& fields) -> bool {
+  const auto encoding = fields.find(http::field::transfer_encoding);
+  return encoding != fields.end() &&
+         !beast::iequals(encoding->value(), "chunked");
+}
+
 // One connection of a caller; also the writer of the answer that is due on it.
 class CallerConnection : public ResponseWriter,
                          public std::enable_shared_from_this<CallerConnection> {
@@ -175,6 +183,11 @@
       co_await RefuseUnread(head_error);
       co_return nullptr;
     }
+    if (HasUnknownEncoding(parser.get())) {
+      co_await RefuseUnread(
+          make_error_code(http::error::bad_transfer_encoding));
+      co_return nullptr;
+    }
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
       co_await SendContinue();
     }
--- /dev/null
+++ b/src/caller/http_listener_test.cc
@@ -0,0 +1,91 @@
+#include "kumquatgauge/caller/http_listener.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "testing/support/raw_client.h"
+
+namespace kumquatgauge::caller {
+namespace {
+
+using testing::RawClient;
+
+struct Fixture {
+  Fixture() { listener.Start(); }
+
+  // Sends bytes on a connection of their own and returns all that comes back.
+  auto Exchange(const std::string& bytes) -> std::string {
+    auto client = RawClient(context, listener.address());
+    client.Send(bytes);
+    return client.ReadToEnd();
+  }
+
+  boost::asio::io_context context{1};
+  std::vector<IncomingRequest> requests;
+  HttpListener listener{context, "127.0.0.1:0", ListenerLimits(),
+                        [this](std::shared_ptr<const IncomingRequest> request,
+                               std::shared_ptr<ResponseWriter> writer)
+                            -> boost::asio::awaitable<void> {
+                          requests.push_back(*request);
+                          co_await writer->Send(200, {}, "ok");
+                        }};
+};
+
+constexpr auto kLast =
+    "GET /last HTTP/1.1\r\nHost: h\r\n"
+    "Connection: close\r\n\r\n";
+
+// Guards against bytes of one request that are taken for another one.
+TEST_CASE("HttpListener.SeparatesRequestsByTheirFraming") {
+  auto fixture = Fixture();
+  const std::string inner = "POST /inner HTTP/1.1\r\nHost: h\r\n\r\n";
+  const auto length = std::to_string(inner.size());
+  fixture.Exchange(
+      "GET /get HTTP/1.1\r\nHost: h\r\nContent-Length: " + length + "\r\n\r\n" +
+      inner +
+      "POST /chunks HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5;name=\"a;b\"\r\nhello\r\n0;x=y\r\n\r\n" +
+      "POST /folded HTTP/1.1\r\nHost: h\r\nModel: a\r\n  b\r\n"
+      "Content-Length: 2\r\n\r\nxy" +
+      kLast + inner);
+  REQUIRE(fixture.requests.size() == 4);
+  CHECK(fixture.requests[0].method == "GET");
+  CHECK(fixture.requests[0].target == "/get");
+  CHECK(fixture.requests[0].body == inner);
+  CHECK(fixture.requests[1].target == "/chunks");
+  CHECK(fixture.requests[1].body == "hello");
+  CHECK(fixture.requests[2].target == "/folded");
+  CHECK(fixture.requests[2].body == "xy");
+  CHECK(FindHeader(fixture.requests[2].headers, "Model") == "a b");
+  CHECK(fixture.requests[3].target == "/last");
+}
+
+// Guards against a request inside the body of one whose length is ambiguous or
+// given by an encoding that this server does not know.
+TEST_CASE("HttpListener.RefusesAmbiguousFraming") {
+  const std::string inner = "POST /inner HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (const auto* framing :
+       {"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+        "Content-Length: 4\r\nContent-Length: 5\r\n",
+        "Content-Length: 4, 5\r\n", "Content-Length: +4\r\n",
+        "Content-Length: -4\r\n", "Content-Length : 4\r\n",
+        "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: identity\r\n",
+        "Transfer-Encoding: xchunked\r\n",
+        "Transfer-Encoding: chunked, gzip\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 4\r\nTransfer-Encoding: identity\r\n"}) {
+    CAPTURE(framing);
+    auto fixture = Fixture();
+    const auto answer =
+        fixture.Exchange("POST /outer HTTP/1.1\r\nHost: h\r\n" +
+                         std::string(framing) + "\r\n" + inner + kLast);
+    CHECK(answer.starts_with("HTTP/1.1 400"));
+    CHECK(fixture.requests.empty());
+  }
+}
+
+}  // namespace
+}  // namespace kumquatgauge::caller
