Take no headers from the trailers of a body

The parser appends the trailers of a chunked body to the headers. A trailer Model or Request-Id was thus forwarded to the replica as a second header of that name, which the caller had not sent as a header.

The listener now copies the headers before it reads the body.

Before the change, TakesNoHeadersFromTrailers found six headers instead of four; now it passes.

--- a/src/caller/http_listener.cc
+++ b/src/caller/http_listener.cc
@@ -68,6 +68,15 @@
          !beast::iequals(encoding->value(), "chunked");
 }
 
+auto TakeHeaders(const http::fields& fields) -> HeaderList {
+  auto headers = HeaderList();
+  for (const auto& field : fields) {
+    headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  return headers;
+}
+
 // One connection of a caller; also the writer of the answer that is due on it.
 class CallerConnection : public ResponseWriter,
                          public std::enable_shared_from_this<CallerConnection> {
@@ -188,6 +197,8 @@
           make_error_code(http::error::bad_transfer_encoding));
       co_return nullptr;
     }
+    // The parser appends the trailers of a body to the headers.
+    auto headers = TakeHeaders(parser.get());
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
       co_await SendContinue();
     }
@@ -198,10 +209,10 @@
       co_return nullptr;
     }
     io_->Disarm();
-    co_return TakeRequest(parser);
+    co_return TakeRequest(parser, std::move(headers));
   }
 
-  auto TakeRequest(RequestParser& parser)
+  auto TakeRequest(RequestParser& parser, HeaderList headers)
       -> std::shared_ptr<const IncomingRequest> {
     auto& message = parser.get();
     keep_alive_ = message.keep_alive();
@@ -209,10 +220,7 @@
     auto request = std::make_shared<IncomingRequest>();
     request->method = std::string(message.method_string());
     request->target = std::string(message.target());
-    for (const auto& field : message) {
-      request->headers.push_back(
-          {std::string(field.name_string()), std::string(field.value())});
-    }
+    request->headers = std::move(headers);
     request->body = std::move(message.body());
     request->arrived = std::chrono::steady_clock::now();
     return request;
--- a/src/caller/http_listener_test.cc
+++ b/src/caller/http_listener_test.cc
@@ -87,5 +87,21 @@
   }
 }
 
+// Guards against fields after a body in chunks that change the request.
+TEST_CASE("HttpListener.TakesNoHeadersFromTrailers") {
+  auto fixture = Fixture();
+  fixture.Exchange(
+      "POST /chunks HTTP/1.1\r\nHost: h\r\nModel: m\r\n"
+      "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+      "5\r\nhello\r\n0\r\nModel: other\r\nRequest-Id: 7\r\n\r\n");
+  REQUIRE(fixture.requests.size() == 1);
+  CHECK(fixture.requests[0].body == "hello");
+  CHECK(fixture.requests[0].headers ==
+        HeaderList{{"Host", "h"},
+                   {"Model", "m"},
+                   {"Transfer-Encoding", "chunked"},
+                   {"Connection", "close"}});
+}
+
 }  // namespace
 }  // namespace kumquatgauge::caller
