Stop writing a request on a connection that is replaced

When a kept connection ended before any answer, a request that may be sent twice went to a new connection, while its write to the old one went on. If the replica had only stopped sending, it got the whole request there too, also after the call was cancelled, because Cancel closes the current connection alone: an item could reach a replica after the end of its job.

The old connection is now closed before it is replaced, which ends its write.

Before the change, the replica of the test read 24,000,109 bytes, the whole request, from the replaced connection after the call was cancelled; now it reads a part and the end of the connection.

--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -118,6 +118,8 @@
         co_return end;
       }
       reuse = detail::Reuse::kFreshOnly;
+      // The write may still be pending and holds the connection.
+      connection_->io().Close();
       connection_ = nullptr;
     }
   }
