Test early answers and unknown outcomes of submissions

Both tests pass without a change of the code and guard what no test guarded: a connection whose replica answered before it had read the body carries nothing but the rest of that body and is not used again; and a job whose state may have been stored is not reported as not run when reading it back fails.

--- a/src/serving/job_archive_test.cc
+++ b/src/serving/job_archive_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <optional>
 
 #include "kumquatgauge/base/error.h"
 #include "testing/support/memory_object_store.h"
@@ -90,6 +91,28 @@
   CHECK(stored.state == MakeState("n1"));
 }
 
+// Guards against answering that nothing of a job runs, although its state may
+// be stored and the job taken over.
+TEST_CASE("JobArchive.ReportsAnUnknownOutcomeWhenItCannotReadBack") {
+  auto fixture = Fixture();
+  fixture.store.set_fault_hook([](const std::string& call,
+                                  const std::string& key) {
+    if (key != StateKey(kJob)) {
+      return StoreFault::kNone;
+    }
+    return call == "write" ? StoreFault::kLoseAnswer : StoreFault::kUnavailable;
+  });
+  auto kind = std::optional<ErrorKind>();
+  try {
+    RunAwaitable(fixture.context,
+                 fixture.archive.Create(MakeRecord(), MakeState("n1")));
+  } catch (const Error& error) {
+    kind = error.kind();
+  }
+  CHECK(kind == ErrorKind::kUnknownOutcome);
+  CHECK(fixture.store.objects().contains(StateKey(kJob)));
+}
+
 // Guards against two owners of a job storing results at the same position.
 TEST_CASE("JobArchive.ReturnsTheStoredChunkToALaterWriter") {
   auto fixture = Fixture();
--- a/src/upstream/replica_call_test.cc
+++ b/src/upstream/replica_call_test.cc
@@ -98,6 +98,36 @@
   ReplicaCaller caller{context.get_executor(), ConnectionSettings()};
 };
 
+// Guards against other bytes where the rest of a body is due, at a replica that
+// answers before it has read the body.
+TEST_CASE("ReplicaCaller.KeepsNoConnectionOnWhichABodyIsStillDue") {
+  auto fixture = Fixture();
+  const auto first = fixture.Start("/first", std::string(kLongBody, 'b'));
+  auto opened = std::optional<CallEnd>();
+  asio::co_spawn(fixture.context, first->Open(),
+                 [&](const std::exception_ptr&, CallEnd end) { opened = end; });
+  const auto replica = fixture.Accept();
+  replica->Answer();
+  REQUIRE(RunUntil(fixture.context, [&] { return opened.has_value(); }));
+  CHECK(opened == CallEnd::kOpen);
+  CHECK(fixture.ReadWhole(first) == CallEnd::kComplete);
+  const auto second = fixture.Start("/second", "short");
+  fixture.Open(second);
+  const auto other = fixture.Accept();
+  CHECK(RunUntil(fixture.context, [&] {
+    replica->Read();
+    return replica->ended();
+  }));
+  const auto& bytes = replica->received();
+  CHECK(bytes.find("/second") == std::string::npos);
+  const auto body = bytes.find("\r\n\r\n") + 4;
+  CHECK(bytes.find_first_not_of('b', body) == std::string::npos);
+  CHECK(RunUntil(fixture.context, [&] {
+    other->Read();
+    return other->received().ends_with("short");
+  }));
+}
+
 // Guards against the first copy of a request that is still written after a
 // second one was sent and the call was cancelled.
 TEST_CASE("ReplicaCaller.StopsWritingOnAConnectionThatItReplaces") {
