Limit the size of a chunk of results

A job whose unstored results exceeded 1 MB was never done and listed no further result: all of them were stored as one value, which the store client refuses, and this was repeated for ever. Results pile up in this way when the store is out, or when many items with long texts end together.

A chunk now takes the first unstored results up to 400 KB, which leaves room for their encoding, and at least one; the others follow in the next chunk. A single result that is larger than a value is still not stored.

Before the change, StoresResultsThatExceedOneStoredValue failed: the job was not done within 15 s, and the log of a trial with the same items repeated "value of 4119095 bytes: job-results/j1.0; store at most 1000000 bytes". Now it passes.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -965,7 +965,7 @@
     co_await Pause(self->StoreDelay(*job));
     while (!job->unstored.empty() && !job->dropped) {
       auto chunk = ResultChunk{job->state.id, job->results.size(),
-                               self->Nonce(), job->unstored};
+                               self->Nonce(), job->NextChunk()};
       const auto writer = chunk.writer;
       auto stored = std::optional<ResultChunk>();
       auto failure = std::string();
--- a/src/serving/owned_job.cc
+++ b/src/serving/owned_job.cc
@@ -8,6 +8,9 @@
 // Size limit of the text of one page. Callers accept up to 1 MB including the
 // other fields.
 constexpr std::size_t kMaxPageBytes = 900'000;
+// Size limit of the ids and texts of one chunk. Their encoding may take twice
+// as many bytes, and the store accepts values of 1 MB.
+constexpr std::size_t kMaxChunkBytes = 400'000;
 
 }  // namespace
 
@@ -28,6 +31,19 @@
   return listed_now;
 }
 
+auto OwnedJob::NextChunk() const -> std::vector<ItemResult> {
+  auto chunk = std::vector<ItemResult>();
+  auto bytes = std::size_t{0};
+  for (const auto& result : unstored) {
+    bytes += result.item.size() + result.text.size();
+    if (bytes > kMaxChunkBytes && !chunk.empty()) {
+      break;
+    }
+    chunk.push_back(result);
+  }
+  return chunk;
+}
+
 auto OwnedJob::WakeReaders() -> void {
   for (const auto& reader : readers) {
     if (const auto timer = reader.lock()) {
--- a/src/serving/owned_job.h
+++ b/src/serving/owned_job.h
@@ -50,6 +50,9 @@
   // they finish.
   auto AppendStored(const std::vector<ItemResult>& stored)
       -> std::vector<std::size_t>;
+  // Returns the first unstored results, as many as fit in one stored value, but
+  // at least one.
+  auto NextChunk() const -> std::vector<ItemResult>;
   auto WakeReaders() -> void;
 };
 
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -436,6 +436,20 @@
   return json{{"items", std::move(items)}}.dump();
 }
 
+// Guards against a job that is never done because the results that wait for the
+// store exceed the size of one stored value.
+TEST_CASE("Gateway.StoresResultsThatExceedOneStoredValue") {
+  constexpr auto kItems = 120;
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  const auto& node = *fleet.nodes.front();
+  REQUIRE(
+      node.Call("POST", "/jobs/1", "j1", LongJobBody("j1", kItems)).status ==
+      202);
+  CHECK(Eventually(
+      [&] { return fleet.store->Get("job-states/j1").at("done") == true; }));
+}
+
 // Guards against items that run again when the submission of a job that is done
 // is repeated, after its node has dropped it because memory was low.
 TEST_CASE("Gateway.RunsNothingOfADoneJobThatIsSubmittedAgain") {
