Let the soak end jobs and turn single nodes away from the store

The soak did not find items that ran seconds after the end of their job was acknowledged: its callers ended no job, and the store was out for all nodes or none.

Callers now end short jobs now and then, and three more submit jobs of 200 slow items and end them while items run, at any node, again after 503 or no answer. A new fault closes one node's entrance to the store for up to 9 s. The checker reports items that start at a replica later than 3 s after the first 200 to the end of their job. It excuses starts while an owner of the job, also a former one, was down, paused or cut off from the store in the last 3 s, and at replicas whose link was harmed. A store that is out, loses answers or turns the owner away is no excuse, which is stricter than what is promised.

Test: SoakChecker.FindsAnItemThatStartsTooLongAfterTheEndOfItsJob feeds a start 3.5 s after the end, and one at exactly 3 s that is allowed.

--- a/testing/gateway/stand_in.cc
+++ b/testing/gateway/stand_in.cc
@@ -234,8 +234,11 @@
   return {200, Show(name, objects_[key])};
 }
 
-ReplicaStandIn::ReplicaStandIn(asio::io_context& context, std::string id)
+ReplicaStandIn::ReplicaStandIn(asio::io_context& context,
+                               std::string id,
+                               OnStart on_start)
     : id_(std::move(id)),
+      on_start_(std::move(on_start)),
       context_(context),
       listener_(context,
                 "127.0.0.1:0",
@@ -301,6 +304,9 @@
     const auto lock = std::lock_guard(mutex_);
     ++runs_[request_id];
   }
+  if (on_start_) {
+    on_start_(request_id);
+  }
   if (fault == ReplicaFault::kLoseAnswer) {
     co_return;
   }
@@ -328,9 +334,10 @@
   const auto last = FindHeader(request.headers, "Last-Event-Id");
   const auto after = last.empty() ? 0 : std::stoi(std::string(last));
   headers.push_back({"Content-Type", "text/event-stream"});
+  const auto slow = request.target.find(kSlowMark) != std::string::npos;
   co_await writer->BeginStream(200, std::move(headers));
   for (auto number = after + 1; number <= kEvents; ++number) {
-    co_await Pause(context_, pace_);
+    co_await Pause(context_, slow ? kSlowPace : pace_);
     auto text = EventText(id, number);
     if (fault == ReplicaFault::kBreakMidEvent && number == 3) {
       text.resize(text.size() / 2);
--- a/testing/gateway/stand_in.h
+++ b/testing/gateway/stand_in.h
@@ -99,8 +99,15 @@
 class ReplicaStandIn {
  public:
   static constexpr int kEvents = 5;
+  // Requests with this in their path take kSlowPace an event.
+  static constexpr auto kSlowMark = "/slow-";
+  static constexpr std::chrono::milliseconds kSlowPace{250};
+  // Called on the thread of `context` when a request begins to run.
+  using OnStart = std::function<auto(const std::string& request)->void>;
 
-  ReplicaStandIn(boost::asio::io_context& context, std::string id);
+  ReplicaStandIn(boost::asio::io_context& context,
+                 std::string id,
+                 OnStart on_start = nullptr);
 
   auto address() const -> std::string { return listener_.address(); }
   auto id() const -> const std::string& { return id_; }
@@ -124,6 +131,7 @@
 
   mutable std::mutex mutex_;
   std::string id_;
+  OnStart on_start_;
   std::map<std::string, int> runs_;
   ReplicaFault fault_ = ReplicaFault::kNone;
   int fault_count_ = 0;
--- a/testing/soak/checker.cc
+++ b/testing/soak/checker.cc
@@ -92,6 +92,70 @@
   }
 }
 
+auto SoakChecker::OnEndRequested(const std::string& job) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  jobs_[job].end_requested = true;
+}
+
+auto SoakChecker::OnEndAnswered(const std::string& job,
+                                const FetchReply& reply,
+                                Time at) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  ++replies_["end " + Outcome(reply)];
+  auto& ended = jobs_[job].ended;
+  if (reply.status == kOk && !ended) {
+    ended = at;
+  }
+}
+
+auto SoakChecker::OnDisrupted(const std::string& place) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  ++disruptions_[place].open;
+}
+
+auto SoakChecker::OnDisruptionEnded(const std::string& place, Time at) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  auto& disruptions = disruptions_[place];
+  --disruptions.open;
+  disruptions.in_touch_after = at + kContactTime;
+}
+
+auto SoakChecker::IsInTouch(const std::string& place, Time at) const -> bool {
+  const auto found = disruptions_.find(place);
+  return found == disruptions_.end() ||
+         (found->second.open == 0 && at > found->second.in_touch_after);
+}
+
+auto SoakChecker::OnItemStarted(const std::string& job,
+                                const std::string& item,
+                                const std::string& owner,
+                                const std::string& replica,
+                                Time at) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  auto& known = jobs_[job];
+  known.owners.insert(owner);
+  if (!known.ended || at <= *known.ended + kEndTime) {
+    return;
+  }
+  // A back end does not see which node has sent an item. It is an owner of the
+  // job, perhaps a former one that does not know of its successor yet, so the
+  // start counts if all of them are in touch. An item may also have waited on
+  // the link to the replica.
+  const auto in_touch =
+      IsInTouch(replica, at) &&
+      std::all_of(known.owners.begin(), known.owners.end(),
+                  [&](const auto& node) { return IsInTouch(node, at); });
+  if (!in_touch) {
+    return;
+  }
+  ++known.late_starts;
+  const auto late =
+      std::chrono::duration_cast<std::chrono::milliseconds>(at - *known.ended);
+  known.last_late_start = "item " + item + " at " + replica + ", owner " +
+                          owner + ", " + std::to_string(late.count()) +
+                          " ms after the end was answered";
+}
+
 auto SoakChecker::OnServedBy(const std::string& node, int start, int version)
     -> void {
   const auto lock = std::lock_guard(mutex_);
@@ -133,10 +197,15 @@
     }
   }
   for (const auto& [id, job] : jobs_) {
-    if (job.accepted && job.listed.size() != job.items.size()) {
+    if (job.accepted && !job.end_requested &&
+        job.listed.size() != job.items.size()) {
       Add("job " + id + " lists " + std::to_string(job.listed.size()) + " of " +
           std::to_string(job.items.size()) + " items");
     }
+    if (job.late_starts > 0) {
+      Add("job " + id + " was ended and " + std::to_string(job.late_starts) +
+          " items began too late, last " + job.last_late_start);
+    }
   }
 }
 
@@ -149,7 +218,8 @@
   const auto lock = std::lock_guard(mutex_);
   auto jobs = std::vector<std::string>();
   for (const auto& [id, job] : jobs_) {
-    if (job.accepted && job.listed.size() < job.items.size()) {
+    if (job.accepted && !job.end_requested &&
+        job.listed.size() < job.items.size()) {
       jobs.push_back(id);
     }
   }
--- a/testing/soak/checker.h
+++ b/testing/soak/checker.h
@@ -1,11 +1,13 @@
 #ifndef TESTING_SOAK_CHECKER_H_
 #define TESTING_SOAK_CHECKER_H_
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +28,12 @@
  public:
   // How often a request or item has begun to run at a back end.
   using CountRuns = std::function<auto(const std::string& id)->int>;
+  using Time = std::chrono::steady_clock::time_point;
+
+  // Within which the items of a job whose end was acknowledged stop starting.
+  static constexpr std::chrono::milliseconds kEndTime{3'000};
+  // A node is in touch once this has passed without a disruption of it.
+  static constexpr std::chrono::milliseconds kContactTime{3'000};
 
   explicit SoakChecker(CountRuns count_runs)
       : count_runs_(std::move(count_runs)) {}
@@ -44,6 +52,22 @@
                 const std::string& item,
                 const std::string& state,
                 const std::string& text) -> void;
+  // A caller is about to ask for the end of a job, which may take effect even
+  // if it is never acknowledged.
+  auto OnEndRequested(const std::string& job) -> void;
+  auto OnEndAnswered(const std::string& job, const FetchReply& reply, Time at)
+      -> void;
+  // A node is stopped, paused or cut off, or a replica's link is harmed. Such
+  // disruptions may overlap.
+  auto OnDisrupted(const std::string& place) -> void;
+  auto OnDisruptionEnded(const std::string& place, Time at) -> void;
+  // An item has begun to run at a replica while the store named this owner of
+  // its job.
+  auto OnItemStarted(const std::string& job,
+                     const std::string& item,
+                     const std::string& owner,
+                     const std::string& replica,
+                     Time at) -> void;
   // A node, in one run of its process, has served by a configuration version.
   auto OnServedBy(const std::string& node, int start, int version) -> void;
   // A process that was to stop as planned has ended, or not, within its time.
@@ -56,7 +80,7 @@
   auto Finish() -> void;
 
   auto violations() const -> std::vector<std::string>;
-  // Accepted jobs with results still to be listed.
+  // Accepted jobs with results still to be listed whose end nobody asked for.
   auto unfinished_jobs() const -> std::vector<std::string>;
   auto accepted_jobs() const -> std::vector<std::string>;
   auto replies() const -> std::map<std::string, int>;
@@ -71,14 +95,25 @@
     bool accepted = false;
     std::map<std::size_t, std::string> listed;  // Item and text by position.
     std::map<std::string, std::size_t> places;  // Position by item.
+    std::set<std::string> owners;               // All so far.
+    bool end_requested = false;
+    std::optional<Time> ended;  // When a caller first got 200 for its end.
+    int late_starts = 0;
+    std::string last_late_start;
+  };
+  struct Disruptions {
+    int open = 0;
+    Time in_touch_after = Time::min();
   };
 
   auto Add(const std::string& violation) -> void;
+  auto IsInTouch(const std::string& place, Time at) const -> bool;
 
   CountRuns count_runs_;
   mutable std::mutex mutex_;
   std::map<std::string, Sent> sent_;
   std::map<std::string, Job> jobs_;
+  std::map<std::string, Disruptions> disruptions_;  // By place.
   std::map<std::pair<std::string, int>, int> served_by_;
   std::map<std::string, int> replies_;  // Count by outcome.
   std::vector<std::string> violations_;
--- a/testing/soak/checker_test.cc
+++ b/testing/soak/checker_test.cc
@@ -20,6 +20,10 @@
   return reply;
 }
 
+auto At(int ms) -> SoakChecker::Time {
+  return SoakChecker::Time(std::chrono::milliseconds(ms));
+}
+
 struct Fixture {
   auto Found() -> std::size_t {
     checker.Finish();
@@ -114,5 +118,58 @@
   CHECK(fixture.Found() == 2);
 }
 
+// Guards against items that start after the time within which an acknowledged
+// end of their job must take effect.
+TEST_CASE("SoakChecker.FindsAnItemThatStartsTooLongAfterTheEndOfItsJob") {
+  auto fixture = Fixture();
+  auto& checker = fixture.checker;
+  checker.OnItemStarted("j", "a", "n", "i", At(0));
+  checker.OnEndRequested("j");
+  checker.OnEndAnswered("j", Reply(503, ""), At(0));
+  checker.OnItemStarted("j", "b", "n", "i", At(4'000));
+  checker.OnEndAnswered("j", Reply(200, ""), At(10'000));
+  checker.OnEndAnswered("j", Reply(200, ""), At(12'000));
+  checker.OnItemStarted("j", "c", "n", "i", At(13'000));
+  CHECK(fixture.Found() == 0);
+  checker.OnItemStarted("j", "d", "n", "i", At(13'500));
+  CHECK(fixture.Found() == 1);
+}
+
+// Guards against a check that blames a node for what it could not know, and
+// against one that excuses it for good.
+TEST_CASE("SoakChecker.AllowsLateItemsOfAnyOwnerThatIsNotInTouch") {
+  auto fixture = Fixture();
+  auto& checker = fixture.checker;
+  checker.OnItemStarted("j", "a", "former", "i", At(0));
+  checker.OnItemStarted("j", "b", "n", "i", At(0));
+  checker.OnEndAnswered("j", Reply(200, ""), At(0));
+  checker.OnDisrupted("former");
+  checker.OnItemStarted("j", "c", "n", "i", At(3'500));
+  checker.OnDisrupted("former");
+  checker.OnDisruptionEnded("former", At(4'000));
+  checker.OnItemStarted("j", "d", "n", "i", At(7'500));
+  checker.OnDisruptionEnded("former", At(8'000));
+  checker.OnItemStarted("j", "e", "n", "i", At(11'000));
+  checker.OnDisrupted("i");
+  checker.OnItemStarted("j", "f", "n", "i", At(11'500));
+  CHECK(fixture.Found() == 0);
+  checker.OnItemStarted("j", "g", "n", "other", At(11'500));
+  CHECK(fixture.Found() == 1);
+}
+
+// A caller that has asked for the end of a job may get all of its results, or
+// only those before the end.
+TEST_CASE("SoakChecker.AllowsMissingResultsOfAnEndedJobOnly") {
+  auto fixture = Fixture();
+  auto& checker = fixture.checker;
+  checker.OnSubmitted("j", {"a", "b"}, Reply(202, ""));
+  checker.OnListed("j", 0, "a", "completed", ExpectedText("a"));
+  checker.OnEndRequested("j");
+  CHECK(checker.unfinished_jobs().empty());
+  CHECK(fixture.Found() == 0);
+  checker.OnListed("j", 0, "b", "completed", ExpectedText("b"));
+  CHECK(fixture.Found() == 1);
+}
+
 }  // namespace
 }  // namespace kumquatgauge::testing
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -25,15 +25,26 @@
 using SteadyTime = std::chrono::steady_clock::time_point;
 
 constexpr int kOk = 200;
+constexpr int kAccepted = 202;
+constexpr int kServiceUnavailable = 503;
 constexpr int kCallers = 6;
 constexpr int kSpareReplicas = 2;  // Beside one a node.
 constexpr int kMaxItems = 6;
+// Callers that submit long jobs and end them. All slots together need some
+// seconds for one job, so that items are left well after its end.
+constexpr int kEnders = 3;
+constexpr int kLongJobItems = 200;
+constexpr auto kItemMark = "-item-";  // Between the ids of job and number.
+constexpr milliseconds kRunTimeMax{2'000};  // Of a long job before its end.
+constexpr milliseconds kRepeatPause{300};
+constexpr int kEndAttempts = 12;
 constexpr milliseconds kCallerPause{15};
 constexpr milliseconds kReaderPause{60};
 constexpr milliseconds kFaultPauseMin{100};
 constexpr milliseconds kFaultPauseMax{900};
 constexpr milliseconds kFaultMin{200};
 constexpr milliseconds kFaultMax{3'000};
+constexpr milliseconds kTurnAwayMax{9'000};
 constexpr milliseconds kSlowestPace{60};
 // Of the settings' stop_s, and the time to be scheduled on a busy machine.
 constexpr milliseconds kStopTime{9'500};
@@ -85,16 +96,19 @@
     store_.Put("config/main", MakeSoakConfiguration(version_));
     for (auto at = 0; at < settings_.nodes + kSpareReplicas; ++at) {
       auto& replica = replicas_.emplace_back();
+      const auto id = "i-" + std::to_string(at);
       replica.server = std::make_unique<ReplicaStandIn>(
-          thread_.context(), "i-" + std::to_string(at));
+          thread_.context(), id,
+          [this, id](const std::string& request) { OnStarted(request, id); });
       replica.link = std::make_unique<LoopbackProxy>(thread_.context(),
                                                      replica.server->address());
       Announce(replica);
     }
     for (auto at = 0; at < settings_.nodes; ++at) {
       auto& node = nodes_.emplace_back();
+      node.entrance = store_.AddEntrance();
       node.store_link =
-          std::make_unique<LoopbackProxy>(thread_.context(), store_.address());
+          std::make_unique<LoopbackProxy>(thread_.context(), node.entrance);
       node.process = std::make_unique<GatewayProcess>(
           settings_.gateway, "n" + std::to_string(at),
           node.store_link->address(), settings_.folder);
@@ -107,6 +121,9 @@
     for (auto caller = 0; caller < kCallers; ++caller) {
       workers.emplace_back([this, caller] { CallOn(caller); });
     }
+    for (auto ender = 0; ender < kEnders; ++ender) {
+      workers.emplace_back([this, ender] { EndOn(ender); });
+    }
     workers.emplace_back([this] { ReadOn(); });
     InjectFaults();
     done_ = true;
@@ -128,6 +145,7 @@
   };
   struct Node {
     std::unique_ptr<GatewayProcess> process;
+    std::string entrance;  // To the store.
     std::unique_ptr<LoopbackProxy> store_link;
     SteadyTime started = std::chrono::steady_clock::now();
     bool down = false;    // Killed, or stopping as planned.
@@ -147,6 +165,21 @@
     return runs;
   }
 
+  // A request has begun to run at a replica.
+  auto OnStarted(const std::string& request, const std::string& replica)
+      -> void {
+    const auto mark = request.find(kItemMark);
+    if (mark == std::string::npos) {
+      return;
+    }
+    const auto job = request.substr(0, mark);
+    const auto state = store_.Get("job-states/" + job);
+    const auto owner =
+        state.is_object() ? state.value("owner", "") : std::string();
+    checker_.OnItemStarted(job, request, owner, replica,
+                           std::chrono::steady_clock::now());
+  }
+
   auto Announce(const Replica& replica) -> void {
     store_.Put("servers/" + replica.server->id(),
                {{"service", "svc"},
@@ -166,7 +199,7 @@
       const auto& node = *nodes_[draw.Below(nodes_.size())].process;
       const auto id =
           "q" + std::to_string(caller) + "-" + std::to_string(number);
-      switch (draw.Below(6)) {
+      switch (draw.Below(7)) {
         case 0:
           CallPlain(node, "/plain/x", id, 2);
           break;
@@ -180,7 +213,10 @@
           CallStream(node, "/stream/once/x", id, 1);
           break;
         case 4:
-          Submit(node, id, draw);
+          Submit(node, id, draw.Below(kMaxItems) + 1);
+          break;
+        case 5:
+          EndSome(draw);
           break;
         default:
           ReadSome(node, draw);
@@ -206,15 +242,54 @@
     checker_.OnReply(id, {max_runs, true, ExpectedEvents(id, 0)}, reply);
   }
 
-  auto Submit(const GatewayProcess& node, const std::string& job, Draw& draw)
-      -> void {
+  // Returns whether the job was accepted.
+  auto Submit(const GatewayProcess& node,
+              const std::string& job,
+              std::size_t count) -> bool {
     auto items = std::vector<std::string>();
-    const auto count = draw.Below(kMaxItems) + 1;
     for (std::size_t item = 0; item < count; ++item) {
-      items.push_back(job + "-item-" + std::to_string(item));
+      items.push_back(job + kItemMark + std::to_string(item));
     }
     const auto reply = node.Call("POST", "/jobs/1", job, JobBody(items));
     checker_.OnSubmitted(job, items, reply);
+    return reply.status == kAccepted;
+  }
+
+  // Submits long jobs and ends them while their items run.
+  auto EndOn(int ender) -> void {
+    auto draw = Draw(settings_.seed * kEnders + ender);
+    for (auto number = 0; !done_; ++number) {
+      const auto& node = *nodes_[draw.Below(nodes_.size())].process;
+      const auto job =
+          "slow-" + std::to_string(ender) + "-" + std::to_string(number);
+      const auto time = draw.Between(milliseconds(0), kRunTimeMax);
+      if (Submit(node, job, kLongJobItems)) {
+        std::this_thread::sleep_for(time);
+        End(job, draw);
+      }
+      std::this_thread::sleep_for(kRepeatPause);
+    }
+  }
+
+  auto EndSome(Draw& draw) -> void {
+    const auto jobs = checker_.unfinished_jobs();
+    if (!jobs.empty()) {
+      End(jobs[draw.Below(jobs.size())], draw);
+    }
+  }
+
+  // Asks any node to end a job, and others until one has acknowledged it.
+  auto End(const std::string& job, Draw& draw) -> void {
+    checker_.OnEndRequested(job);
+    for (auto attempt = 0; attempt < kEndAttempts && !done_; ++attempt) {
+      const auto& node = *nodes_[draw.Below(nodes_.size())].process;
+      const auto reply = node.Call("DELETE", "/api/lots/" + job, "");
+      checker_.OnEndAnswered(job, reply, std::chrono::steady_clock::now());
+      if (reply.status != 0 && reply.status != kServiceUnavailable) {
+        return;
+      }
+      std::this_thread::sleep_for(kRepeatPause);
+    }
   }
 
   auto ReadSome(const GatewayProcess& node, Draw& draw) -> void {
@@ -301,6 +376,7 @@
         {"replica answers", &Soak::SpoilAnswers},
         {"replica leaves", &Soak::RemoveReplica},
         {"store down", &Soak::StopStore},
+        {"store turns a node away", &Soak::TurnAway},
         {"store answers lost", &Soak::LoseStoreAnswers},
         {"configuration", &Soak::Configure},
     };
@@ -333,28 +409,33 @@
     const auto time = Time();
     if (!node.down) {
       ExpectRunning(node);
+      checker_.OnDisrupted(node.process->name());
       node.process->process().Signal(SIGKILL);
       node.down = true;
-      After(time, [&node] { Revive(node); });
+      After(time, [this, &node] { Revive(node); });
     }
   }
 
-  static auto Revive(Node& node) -> void {
+  auto Revive(Node& node) -> void {
     node.process->StartAgain();
     node.started = std::chrono::steady_clock::now();
     node.down = false;
     node.paused = false;
+    checker_.OnDisruptionEnded(node.process->name(), node.started);
   }
 
   auto Pause() -> void {
     auto& node = AnyNode();
     const auto time = Time();
     if (!node.down && !node.paused) {
+      checker_.OnDisrupted(node.process->name());
       node.process->process().Signal(SIGSTOP);
       node.paused = true;
-      After(time, [&node] {
+      After(time, [this, &node] {
         node.process->process().Signal(SIGCONT);
         node.paused = false;
+        checker_.OnDisruptionEnded(node.process->name(),
+                                   std::chrono::steady_clock::now());
       });
     }
   }
@@ -363,6 +444,7 @@
     auto& node = AnyNode();
     if (!node.down && !node.paused && IsLoaded(node)) {
       ExpectRunning(node);
+      checker_.OnDisrupted(node.process->name());
       node.process->process().Signal(SIGTERM);
       node.down = true;
       const auto last = std::chrono::steady_clock::now() + kStopTime;
@@ -386,22 +468,34 @@
     }
   }
 
-  auto SpoilLink(LoopbackProxy& link) -> void {
+  // `place` is what the link disrupts.
+  auto SpoilLink(LoopbackProxy& link, const std::string& place) -> void {
     constexpr LinkFault kLinkFaults[] = {LinkFault::kNone, LinkFault::kDelay,
                                          LinkFault::kSilence,
                                          LinkFault::kOneWay};
     const auto fault = kLinkFaults[faults_.Below(std::size(kLinkFaults))];
     const auto time = Time();
+    checker_.OnDisrupted(place);
     if (fault == LinkFault::kNone) {
       link.Reset();
+      checker_.OnDisruptionEnded(place, std::chrono::steady_clock::now());
       return;
     }
     link.SetFault(fault);
-    After(time, [&link] { link.SetFault(LinkFault::kNone); });
+    After(time, [this, &link, place] {
+      link.SetFault(LinkFault::kNone);
+      checker_.OnDisruptionEnded(place, std::chrono::steady_clock::now());
+    });
   }
 
-  auto SpoilStoreLink() -> void { SpoilLink(*AnyNode().store_link); }
-  auto SpoilReplicaLink() -> void { SpoilLink(*AnyReplica().link); }
+  auto SpoilStoreLink() -> void {
+    auto& node = AnyNode();
+    SpoilLink(*node.store_link, node.process->name());
+  }
+  auto SpoilReplicaLink() -> void {
+    auto& replica = AnyReplica();
+    SpoilLink(*replica.link, replica.server->id());
+  }
 
   auto SpoilAnswers() -> void {
     constexpr ReplicaFault kReplicaFaults[] = {
@@ -426,6 +520,16 @@
     After(Time(), [this] { store_.set_down(false); });
   }
 
+  // No disruption of the node for the end of jobs: it answers other nodes,
+  // which tell it.
+  auto TurnAway() -> void {
+    const auto& entrance = AnyNode().entrance;
+    const auto time = faults_.Between(kFaultMin, kTurnAwayMax);
+    store_.SetEntranceClosed(entrance, true);
+    After(time,
+          [this, entrance] { store_.SetEntranceClosed(entrance, false); });
+  }
+
   auto LoseStoreAnswers() -> void {
     constexpr const char* kKinds[] = {"jobs", "job-states", "job-results"};
     store_.LoseAnswers(kKinds[faults_.Below(std::size(kKinds))],
@@ -448,6 +552,7 @@
     }
     for (auto& node : nodes_) {
       node.store_link->SetFault(LinkFault::kNone);
+      store_.SetEntranceClosed(node.entrance, false);
       ExpectRunning(node);
     }
   }
