--- a/src/store/circuit_test.cc
+++ b/src/store/circuit_test.cc
@@ -20,6 +20,11 @@
     }
   }
 
+  // Gives the longest jitter once the waits have reached their bound.
+  auto LongestDraw() const -> std::uint64_t {
+    return static_cast<std::uint64_t>(options.longest_wait.count());
+  }
+
   CircuitOptions options;
   std::uint64_t draw = 0;
   Circuit circuit{options, [this] { return draw; }};
@@ -67,7 +72,7 @@
 
 // Guards against waits above the bound, which would outlast lease terms.
 TEST_CASE_METHOD(Fixture, "Circuit.WaitsLongerUpToABound") {
-  draw = UINT64_MAX;
+  draw = LongestDraw();
   Fail(options.failures_to_open);
   for (auto i = 0; i < 10; ++i) {
     const auto decision = circuit.Ask(now, true);
@@ -79,6 +84,22 @@
   CHECK(circuit.Ask(now, true).retry_after > options.first_wait * 2);
 }
 
+// Guards against a node that acts for seconds after an outage on what it knew
+// before, because its last probe met silence just before the platform returned.
+TEST_CASE_METHOD(Fixture, "Circuit.LetsACallThroughSoonAfterALongOutage") {
+  constexpr auto kSoon = seconds(3);
+  constexpr auto kCallTimeout = seconds(1);
+  draw = LongestDraw();
+  Fail(options.failures_to_open);
+  for (auto probe = 0; probe < 20; ++probe) {
+    now += circuit.Ask(now, true).retry_after;
+    REQUIRE(circuit.Ask(now, true).allowed);
+    now += kCallTimeout;
+    circuit.OnFailure(now);
+    CHECK(kCallTimeout + circuit.Ask(now, true).retry_after <= kSoon);
+  }
+}
+
 // Guards against all nodes of a fleet returning at the same moment.
 TEST_CASE("Circuit.SpreadsTheReturnOfAFleet") {
   auto random = std::mt19937_64(5);
