Send the stored end of a batch job to its owner until confirmed

The notice after a cancel did not say that the job had ended. The owner read the state, and when the store turned away only the owner, it ran on. The notice was a single datagram, so a lost one had the same effect. A takeover whose write came before the cancel and whose response came after the notice missed it too.

The notice now carries status, end time and version of the stored state. The owner believes it without a read. The canceller repeats it after 0.3 s to 2 s for 10 min until the assigned owner has confirmed it. The end is remembered for a takeover that completes later.

EndNotices of serving is not reused: its types are a job state with an owner and a process run, which batch jobs do not have.

--- a/include/kumquatgauge/batch/batch_service.h
+++ b/include/kumquatgauge/batch/batch_service.h
@@ -14,6 +14,7 @@
 #include "kumquatgauge/base/time.h"
 #include "kumquatgauge/batch/item_runner.h"
 #include "kumquatgauge/batch/job.h"
+#include "kumquatgauge/batch/job_notice.h"
 #include "kumquatgauge/batch/job_store.h"
 #include "kumquatgauge/batch/scheduler.h"
 #include "kumquatgauge/batch/submission.h"
@@ -49,6 +50,13 @@
 // starts until the state of its job has been read again.
 inline constexpr std::chrono::milliseconds kPauseThreshold{1'000};
 inline constexpr std::chrono::minutes kSweepInterval{10};
+// The notice of an ended job is repeated until its owner has confirmed it. The
+// delay doubles up to the maximum.
+inline constexpr std::chrono::milliseconds kFirstNoticeDelay{300};
+inline constexpr std::chrono::milliseconds kMaxNoticeDelay{2'000};
+inline constexpr std::chrono::minutes kNoticeLifetime{10};
+// Limit on the repeated notices and on the remembered ends of one node.
+inline constexpr std::size_t kMaxJobEnds = 10'000;
 // Number of recent attempts kept for ExplainItem.
 inline constexpr std::size_t kAttemptLogSize = 4'096;
 
@@ -59,7 +67,7 @@
   // Returns the live nodes that are not leaving, including this one.
   std::function<auto()->std::vector<NodeId>> live_nodes;
   // Sends a job notice to another node, best effort.
-  std::function<auto(const NodeId&, const JobId&)->void> send_job_notice;
+  std::function<auto(const NodeId&, const JobNotice&)->void> send_job_notice;
   // Writes one log line; may be empty.
   std::function<auto(const std::string&)->void> log;
 };
@@ -143,8 +151,9 @@
   auto EstimateNew(const JobManifest& manifest) const -> JobEstimate;
   auto store() -> JobStore&;
 
-  // Handles a job notice, which says that the job has changed.
-  auto OnJobNotice(const JobId& job) -> void;
+  // Handles a job notice of another node. A job that has ended according to the
+  // notice is stopped without asking the platform.
+  auto OnJobNotice(const JobNotice& notice) -> void;
 
   // Starts to hand over all shards before a planned stop. Later calls of Tick
   // complete the handover.
--- a/src/batch/batch_service.cc
+++ b/src/batch/batch_service.cc
@@ -97,6 +97,22 @@
   return "retry";
 }
 
+// Repeated notice of a job that ended by a call on this node.
+struct EndNotice {
+  JobEnd end;
+  NodeId target;  // Node that the notice was last sent to.
+  MonotonicTime expires;
+  MonotonicTime next;
+  Duration delay = kFirstNoticeDelay;
+};
+
+// End of a job according to a notice. A takeover that began before the end was
+// stored may complete after the notice.
+struct KnownEnd {
+  JobEnd end;
+  MonotonicTime expires;
+};
+
 // Backoff of the manifest lookups for an id in the index.
 struct ManifestSearch {
   MonotonicTime next;
@@ -163,7 +179,7 @@
   auto Tick(boost::asio::any_io_executor executor) -> void;
   auto Stop() -> void { stopped_ = true; }
   auto Notify(const JobId& job) -> void;
-  auto OnJobNotice(const JobId& job) -> void;
+  auto OnJobNotice(const JobNotice& notice) -> void;
   auto Cancel(JobId job) -> awaitable<JobState>;
   auto Status(JobId job) -> awaitable<JobView>;
   auto EstimateNew(const JobManifest& manifest) const -> JobEstimate;
@@ -238,6 +254,13 @@
                      const AttemptResult& result,
                      const RetryDecision& decision) -> void;
 
+  auto SendNotice(const NodeId& node, const JobNotice& notice) -> void;
+  auto RepeatEndNotices(MonotonicTime now) -> void;
+  auto SendEndNotice(const JobId& job) -> void;
+  auto OnChanged(const JobId& job) -> void;
+  auto OnEnded(const JobId& job, const JobEnd& end) -> void;
+  auto RequireCheck(OwnedJob& job, MonotonicTime now) -> void;
+
   auto SweepStep() -> awaitable<void>;
   auto SweepShard(Shard& shard) -> awaitable<void>;
   auto SweepJobs(std::string key, ShardIndex old, WallMillis now)
@@ -258,6 +281,8 @@
   Scheduler scheduler_;
   boost::asio::any_io_executor executor_;
   std::optional<MonotonicTime> last_tick_;
+  std::map<JobId, EndNotice> end_notices_;
+  std::map<JobId, KnownEnd> known_ends_;
   bool stopped_ = false;
   bool draining_ = false;
   bool launch_scheduled_ = false;
@@ -309,6 +334,7 @@
   last_tick_ = now;
   memory_pressure_ = held_bytes() > kEarlyCommitBytes;
   UpdateAssignment();
+  RepeatEndNotices(now);
   for (auto& shard : shards_) {
     UpdateHandover(*shard, now);
     SpawnShardSteps(*shard, now);
@@ -329,11 +355,17 @@
   }
   for (auto& shard : shards_) {
     for (auto& [id, job] : shard->jobs) {
-      job->must_check = true;
+      RequireCheck(*job, now);
     }
   }
 }
 
+auto BatchService::Impl::RequireCheck(OwnedJob& job, MonotonicTime now)
+    -> void {
+  job.must_check = true;
+  job.retry_at = now;
+}
+
 auto BatchService::Impl::UpdateAssignment() -> void {
   auto live = hooks_.live_nodes();
   if (live != live_) {
@@ -645,6 +677,11 @@
                                           std::move(taken.stored), token);
   owned->last_check = Now();
   shard.jobs.emplace(job, std::move(owned));
+  const auto known = known_ends_.find(job);
+  if (known != known_ends_.end()) {
+    const auto end = known->second.end;
+    OnEnded(job, end);
+  }
   ScheduleLaunch();
 }
 
@@ -1041,20 +1078,85 @@
 }
 
 auto BatchService::Impl::Notify(const JobId& job) -> void {
-  const auto& owner = assignment_.owner(ShardOfJob(job));
-  if (owner == node_) {
-    OnJobNotice(job);
-  } else if (!owner.empty() && hooks_.send_job_notice) {
-    hooks_.send_job_notice(owner, job);
+  SendNotice(assignment_.owner(ShardOfJob(job)),
+             {.kind = JobNotice::Kind::kChanged,
+              .job = job,
+              .sender = node_,
+              .end = {}});
+}
+
+auto BatchService::Impl::SendNotice(const NodeId& node, const JobNotice& notice)
+    -> void {
+  if (node == node_) {
+    OnJobNotice(notice);
+  } else if (!node.empty() && hooks_.send_job_notice) {
+    hooks_.send_job_notice(node, notice);
+  }
+}
+
+// An owner that the platform turns away learns the end only from the notice,
+// which may be lost. Once an owner is gone, its successor gets the notice.
+auto BatchService::Impl::RepeatEndNotices(MonotonicTime now) -> void {
+  const auto expired = [now](const auto& entry) {
+    return now >= entry.second.expires;
+  };
+  std::erase_if(end_notices_, expired);
+  std::erase_if(known_ends_, expired);
+  auto due = std::vector<JobId>();
+  for (const auto& [job, notice] : end_notices_) {
+    if (now >= notice.next) {
+      due.push_back(job);
+    }
+  }
+  for (const auto& job : due) {
+    SendEndNotice(job);
+  }
+}
+
+auto BatchService::Impl::SendEndNotice(const JobId& job) -> void {
+  auto& notice = end_notices_.at(job);
+  notice.target = assignment_.owner(ShardOfJob(job));
+  notice.next = Now() + notice.delay;
+  notice.delay = std::min<Duration>(notice.delay * 2, kMaxNoticeDelay);
+  // The confirmation may arrive at once and remove the entry.
+  const auto target = notice.target;
+  const auto end = notice.end;
+  SendNotice(target, {.kind = JobNotice::Kind::kEnded,
+                      .job = job,
+                      .sender = node_,
+                      .end = end});
+}
+
+auto BatchService::Impl::OnJobNotice(const JobNotice& notice) -> void {
+  switch (notice.kind) {
+    case JobNotice::Kind::kChanged:
+      OnChanged(notice.job);
+      break;
+    case JobNotice::Kind::kEnded:
+      if (notice.end) {
+        OnEnded(notice.job, *notice.end);
+        SendNotice(notice.sender, {.kind = JobNotice::Kind::kEndConfirmed,
+                                   .job = notice.job,
+                                   .sender = node_,
+                                   .end = {}});
+      }
+      break;
+    case JobNotice::Kind::kEndConfirmed: {
+      const auto found = end_notices_.find(notice.job);
+      if (found != end_notices_.end() &&
+          found->second.target == notice.sender) {
+        end_notices_.erase(found);
+      }
+      break;
+    }
   }
 }
 
-auto BatchService::Impl::OnJobNotice(const JobId& job) -> void {
+auto BatchService::Impl::OnChanged(const JobId& job) -> void {
   auto& shard = *shards_.at(ShardOfJob(job));
   const auto owned = shard.jobs.find(job);
   if (owned != shard.jobs.end()) {
-    owned->second->must_check = true;
-    owned->second->retry_at = Now();
+    RequireCheck(*owned->second, Now());
     return;
   }
   shard.searches.erase(job);
@@ -1062,10 +1164,45 @@
   shard.next_lease = std::min(shard.next_lease, Now());
 }
 
+auto BatchService::Impl::OnEnded(const JobId& job, const JobEnd& end) -> void {
+  const auto known = known_ends_.find(job);
+  if (known == known_ends_.end() ? known_ends_.size() < kMaxJobEnds
+                                 : known->second.end.version <= end.version) {
+    known_ends_[job] = {.end = end, .expires = Now() + kNoticeLifetime};
+  }
+  auto& shard = *shards_.at(ShardOfJob(job));
+  const auto found = shard.jobs.find(job);
+  if (found == shard.jobs.end()) {
+    return;
+  }
+  const auto owned = found->second;
+  if (end.version <= owned->stored().version) {
+    // The notice is of an earlier submission under the same key.
+    RequireCheck(*owned, Now());
+    return;
+  }
+  auto stored = owned->stored();
+  stored.state.status = end.status;
+  stored.state.ended = end.ended;
+  stored.version = end.version;
+  owned->set_stored(std::move(stored));
+  EndJob(shard, owned, end.ended);
+}
+
 auto BatchService::Impl::Cancel(JobId job) -> awaitable<JobState> {
   const auto self = shared_from_this();
   auto result = co_await jobs_.Cancel(job, ToWallMillis(hooks_.wall_clock()));
-  Notify(job);
+  const auto& state = result.stored.state;
+  if (end_notices_.size() >= kMaxJobEnds) {
+    end_notices_.erase(end_notices_.begin());
+  }
+  end_notices_[job] = {.end = {.status = state.status,
+                               .ended = state.ended,
+                               .version = result.stored.version},
+                       .target = {},
+                       .expires = Now() + kNoticeLifetime,
+                       .next = Now()};
+  SendEndNotice(job);
   co_return std::move(result.stored.state);
 }
 
@@ -1215,8 +1352,8 @@
   return impl_->store();
 }
 
-auto BatchService::OnJobNotice(const JobId& job) -> void {
-  impl_->OnJobNotice(job);
+auto BatchService::OnJobNotice(const JobNotice& notice) -> void {
+  impl_->OnJobNotice(notice);
 }
 
 auto BatchService::BeginDrain() -> void {
--- a/src/batch/batch_service_test.cc
+++ b/src/batch/batch_service_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <iostream>
+#include <memory>
 
 #include "batch/test_cluster.h"
 #include "kumquatgauge/batch/item_retry.h"
@@ -36,6 +37,16 @@
     other = owner == "a" ? "b" : "a";
   }
 
+  // Returns the node that is neither the first owner nor `name`.
+  auto RemainingNode(const std::string& name) const -> std::string {
+    for (const auto& [other_name, node] : cluster.nodes) {
+      if (other_name != owner && other_name != name) {
+        return other_name;
+      }
+    }
+    return {};
+  }
+
   auto Finish() -> void {
     REQUIRE(cluster.AdvanceUntil(minutes(10),
                                  [&] { return cluster.Finished(job); }));
@@ -323,6 +334,72 @@
   CHECK(test.cluster.FindResultError(test.job) == kNoError);
 }
 
+// Returns a job whose open chunk provides items for more than 20 s.
+auto SlowPartlyDoneJob() -> std::unique_ptr<PartlyDoneJob> {
+  auto test = std::make_unique<PartlyDoneJob>(2'000);
+  for (auto& [name, node] : test->cluster.nodes) {
+    node.runner->slots = 2;
+  }
+  return test;
+}
+
+// Guards against items of a cancelled job that start because the store refuses
+// only the calls of the job's owner.
+TEST_CASE("BatchService.StopsACancelledJobWhoseOwnerTheStoreRefuses") {
+  const auto held = SlowPartlyDoneJob();
+  auto& test = *held;
+  test.cluster.RefuseStoreCalls(test.owner);
+  test.cluster.Advance(seconds(1));
+  test.cluster.Wait(test.cluster.Service(test.other).Cancel(test.job.id()));
+  const auto cancelled = test.cluster.clock.now();
+  test.cluster.Advance(seconds(2));
+  CHECK(Running(test.cluster) == 0);
+  test.cluster.Advance(seconds(6));
+  test.cluster.ServeStoreCalls(test.owner);
+  test.cluster.Advance(seconds(8));
+  CHECK(StartsAfter(test.cluster, cancelled) == 0);
+  CHECK(test.cluster.State(test.job).status == JobStatus::kCancelled);
+}
+
+// Guards against a single lost datagram that keeps an owner from learning a
+// cancellation.
+TEST_CASE("BatchService.RepeatsTheNoticeOfACancelledJobUntilItArrives") {
+  const auto held = SlowPartlyDoneJob();
+  auto& test = *held;
+  test.cluster.RefuseStoreCalls(test.owner);
+  test.cluster.Advance(seconds(1));
+  test.cluster.lose_notices = true;
+  test.cluster.Wait(test.cluster.Service(test.other).Cancel(test.job.id()));
+  const auto cancelled = test.cluster.clock.now();
+  test.cluster.Advance(seconds(1));
+  test.cluster.lose_notices = false;
+  test.cluster.Advance(seconds(15));
+  CHECK(StartsAfter(test.cluster, cancelled + seconds(3)) == 0);
+}
+
+// Guards against a takeover that misses a notice between its write and its
+// first item.
+TEST_CASE("BatchService.StartsNothingOfAJobCancelledDuringItsTakeover") {
+  auto test = PartlyDoneJob(2'000);
+  test.cluster.Kill(test.owner);
+  test.cluster.store_delay = seconds(1);
+  const auto token = test.cluster.State(test.job).token;
+  REQUIRE(test.cluster.AdvanceUntil(
+      minutes(1), [&] { return test.cluster.State(test.job).token > token; }));
+  const auto successor = test.cluster.OwnerOf(test.job);
+  REQUIRE_FALSE(successor.empty());
+  const auto other = test.RemainingNode(successor);
+  test.cluster.store_delay = Duration(0);
+  test.cluster.RefuseStoreCalls(
+      successor, [](const std::string& call, const std::string& key) {
+        return call == "read" && key.find("/state") != std::string::npos;
+      });
+  test.cluster.Wait(test.cluster.Service(other).Cancel(test.job.id()));
+  const auto cancelled = test.cluster.clock.now();
+  test.cluster.Advance(seconds(10));
+  CHECK(StartsAfter(test.cluster, cancelled) == 0);
+}
+
 // Guards against an item that blocks its job forever or crashes the replicas of
 // other items.
 TEST_CASE("BatchService.FailsItemsThatCanNeverComplete") {
--- a/src/batch/test_cluster.h
+++ b/src/batch/test_cluster.h
@@ -87,6 +87,10 @@
   }
 }
 
+// Selects the calls of one process that the store refuses.
+using Refusal =
+    std::function<auto(const std::string& call, const std::string& key)->bool>;
+
 // The store as seen by one process: half of `delay` passes before a call takes
 // effect and half before its response arrives. A freeze may fall into either.
 class SlowStore : public store::ObjectStore {
@@ -102,9 +106,12 @@
         delay_(delay),
         frozen_(std::move(frozen)) {}
 
+  auto set_refusal(Refusal refusal) -> void { refusal_ = std::move(refusal); }
+
   auto Read(std::string key, store::CallClass call_class)
       -> awaitable<std::optional<store::StoredObject>> override {
     co_await Wait();
+    CheckRefusal("read", key);
     auto found = co_await store_.Read(std::move(key), call_class);
     co_await Wait();
     co_return found;
@@ -114,6 +121,7 @@
              std::optional<std::uint64_t> expected,
              store::CallClass call_class) -> awaitable<std::uint64_t> override {
     co_await Wait();
+    CheckRefusal("write", key);
     const auto version = co_await store_.Write(std::move(key), std::move(value),
                                                expected, call_class);
     co_await Wait();
@@ -123,6 +131,7 @@
               std::uint64_t expected,
               store::CallClass call_class) -> awaitable<void> override {
     co_await Wait();
+    CheckRefusal("remove", key);
     co_await store_.Remove(std::move(key), expected, call_class);
   }
   auto List(std::string prefix,
@@ -131,6 +140,7 @@
             store::CallClass call_class)
       -> awaitable<store::ListPage> override {
     co_await Wait();
+    CheckRefusal("list", prefix);
     co_return co_await store_.List(std::move(prefix), std::move(after), limit,
                                    call_class);
   }
@@ -143,12 +153,20 @@
   auto Wait() -> awaitable<void> {
     co_await SleepAndAwaitThaw(clock_, timers_, delay_ / 2, frozen_);
   }
+  auto CheckRefusal(const std::string& call, const std::string& key) const
+      -> void {
+    if (refusal_ && refusal_(call, key)) {
+      throw Error(ErrorKind::kUnavailable, "the store refuses this node", key,
+                  "retry later");
+    }
+  }
 
   store::ObjectStore& store_;
   ManualClock& clock_;
   ManualTimers& timers_;
   const Duration& delay_;
   Frozen frozen_;
+  Refusal refusal_;
 };
 
 // Returns the expected response to a body.
@@ -299,6 +317,7 @@
   std::size_t slots = 64;
   Duration store_delay{0};      // Delay of every platform call of a node.
   Duration resolution = kStep;  // Smallest advance of the clock.
+  bool lose_notices = false;    // Job notices between nodes are lost.
 
   auto random() -> std::uint64_t { return random_(); }
   auto WallNow() const -> WallTime {
@@ -537,6 +556,17 @@
           return fault_ && !direct_ ? fault_(call, key) : StoreFault::kNone;
         });
   }
+  // Makes the store refuse calls of one node while it serves the others.
+  auto RefuseStoreCalls(
+      const std::string& node,
+      Refusal refusal = [](const auto& /*call*/, const auto& /*key*/) {
+        return true;
+      }) -> void {
+    nodes.at(node).store->set_refusal(std::move(refusal));
+  }
+  auto ServeStoreCalls(const std::string& node) -> void {
+    nodes.at(node).store->set_refusal({});
+  }
   auto MakeStoreUnavailable() -> void {
     set_fault([](const auto& /*call*/, const auto& /*key*/) {
       return StoreFault::kUnavailable;
@@ -585,10 +615,10 @@
             .random = [this] { return random_(); },
             .live_nodes = [this] { return Live(); },
             .send_job_notice =
-                [this](const NodeId& node, const JobId& job) {
+                [this](const NodeId& node, const JobNotice& notice) {
                   auto& target = nodes.at(node.value());
-                  if (target.service && !*target.paused) {
-                    target.service->OnJobNotice(job);
+                  if (target.service && !*target.paused && !lose_notices) {
+                    target.service->OnJobNotice(notice);
                   }
                 },
             .log = {}};
--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -400,15 +400,13 @@
     }
     return nodes;
   };
-  hooks.send_job_notice = [this](const NodeId& node, const JobId& job) {
+  hooks.send_job_notice = [this](const NodeId& node,
+                                 const batch::JobNotice& notice) {
     const auto record = gossip_.membership().Find(node);
     if (!record) {
       return;
     }
-    auto message = nlohmann::json();
-    message["t"] = "job-notice";
-    message["job"] = job.value();
-    gossip_.SendDatagram(record->info.node_address, message);
+    gossip_.SendDatagram(record->info.node_address, batch::ToMessage(notice));
   };
   hooks.log = [log = Logger("batch")](const std::string& line) {
     log.Info(line);
@@ -565,10 +563,10 @@
 
 auto NodeDaemon::Impl::OnDatagram(const nlohmann::json& message) -> void {
   const auto type = message.value("t", "");
-  if (type == "job-notice") {
-    batch_->OnJobNotice(JobId(message.value("job", "")));
-  } else if (type == "load") {
+  if (type == "load") {
     table_.OnLoad(node::ReplicaLoadFrom(message.at("load")));
+  } else if (const auto notice = batch::JobNoticeFrom(message)) {
+    batch_->OnJobNotice(*notice);
   }
 }
 
