Don't count a failed read of a batch job's state as a check

A failed read cleared the flag that a freeze sets, on the assumption that nobody can cancel a job while the platform is unavailable. That is untrue when the platform turns away only this node.

A failed read now leaves the flag set and is repeated after 0.5 to 1 s. A notice of a changed job causes a read but no longer stops the job, because an end is sent as such. An outage of the whole store still stops no job of a node that was not frozen (BatchService.ContinuesWhilePlatformIsUnavailable).

--- a/include/kumquatgauge/batch/batch_service.h
+++ b/include/kumquatgauge/batch/batch_service.h
@@ -34,8 +34,9 @@
 inline constexpr std::size_t kMaxHeldResultBytes = 16'000'000;
 // Maximum size of an output part; the platform's object limit is 1 MB.
 inline constexpr std::size_t kMaxPartBytes = 900'000;
-// Interval at which the state of a job with open chunks is read. A job notice
-// triggers an immediate read.
+// Interval at which the state of a job with open chunks is read, from the start
+// of one read to the start of the next. A notice of a changed job triggers an
+// immediate read.
 inline constexpr std::chrono::milliseconds kStateCheckInterval{1'000};
 // Interval at which the owner of a shard reads its index and lease, and the
 // standby reads its lease.
--- a/src/batch/batch_service.cc
+++ b/src/batch/batch_service.cc
@@ -31,6 +31,8 @@
 
 constexpr auto kFirstBackoff = milliseconds(500);
 constexpr auto kMaxBackoff = milliseconds(5'000);
+// Maximum delay after a failed read of a job's state.
+constexpr auto kMaxCheckRetryDelay = milliseconds(1'000);
 constexpr auto kLogInterval = std::chrono::seconds(30);
 // Maximum interval between manifest lookups of an id without one. The interval
 // starts at kShardPollInterval and doubles; a job notice resets it.
@@ -363,7 +365,7 @@
 auto BatchService::Impl::RequireCheck(OwnedJob& job, MonotonicTime now)
     -> void {
   job.must_check = true;
-  job.retry_at = now;
+  job.check_retry_at = now;
 }
 
 auto BatchService::Impl::UpdateAssignment() -> void {
@@ -653,6 +655,7 @@
 
 auto BatchService::Impl::Adopt(Shard& shard, JobId job) -> awaitable<void> {
   const auto token = shard.keeper.token();
+  const auto began = Now();
   auto stored = co_await jobs_.ReadState(job);
   if (!stored || stopped_) {
     co_return;
@@ -675,7 +678,7 @@
   }
   auto owned = std::make_shared<OwnedJob>(std::move(manifest),
                                           std::move(taken.stored), token);
-  owned->last_check = Now();
+  owned->last_check = began;
   shard.jobs.emplace(job, std::move(owned));
   const auto known = known_ends_.find(job);
   if (known != known_ends_.end()) {
@@ -687,6 +690,9 @@
 
 auto BatchService::Impl::CheckIsDue(const OwnedJob& job,
                                     MonotonicTime now) const -> bool {
+  if (now < job.check_retry_at) {
+    return false;
+  }
   const auto active = job.open_chunks() > 0 || job.wants_chunk;
   return job.must_check ||
          (active && now - job.last_check >= kStateCheckInterval);
@@ -748,18 +754,21 @@
 
 auto BatchService::Impl::CheckState(Shard& shard, JobPtr job)
     -> awaitable<void> {
+  const auto began = Now();
   auto found = std::optional<StoredState>();
   try {
     found = co_await jobs_.ReadState(job->manifest().id);
-  } catch (const Error&) {
-    // While the platform is unavailable, nobody can cancel or take over the
-    // job, so it continues.
-    job->must_check = false;
-    job->last_check = Now();
-    throw;
+  } catch (const Error& error) {
+    // The platform may serve other nodes, which may cancel or take over the
+    // job: a failed read is no check. Jitter prevents a thundering herd.
+    LogError("state of job " + job->manifest().id.value(), error);
+    const auto jitter =
+        Duration(hooks_.random() % Duration(kMaxCheckRetryDelay / 2).count());
+    job->check_retry_at = Now() + kMaxCheckRetryDelay / 2 + jitter;
+    co_return;
   }
   job->must_check = false;
-  job->last_check = Now();
+  job->last_check = began;
   if (stopped_ || job->dropped || !found) {
     co_return;
   }
@@ -1156,7 +1165,9 @@
   auto& shard = *shards_.at(ShardOfJob(job));
   const auto owned = shard.jobs.find(job);
   if (owned != shard.jobs.end()) {
-    RequireCheck(*owned->second, Now());
+    owned->second->last_check = Now() - kStateCheckInterval;
+    owned->second->check_retry_at = Now();
+    owned->second->retry_at = Now();
     return;
   }
   shard.searches.erase(job);
--- a/src/batch/batch_service_test.cc
+++ b/src/batch/batch_service_test.cc
@@ -377,6 +377,22 @@
   CHECK(StartsAfter(test.cluster, cancelled + seconds(3)) == 0);
 }
 
+// Guards against a resumed owner that counts a refused read as a check.
+TEST_CASE("BatchService.StartsNothingWhenResumedWhileTheStoreRefusesIt") {
+  const auto held = SlowPartlyDoneJob();
+  auto& test = *held;
+  test.cluster.death_detection_delay = minutes(10);  // Nobody takes over.
+  test.cluster.lose_notices = true;
+  test.cluster.Pause(test.owner);
+  test.cluster.Advance(seconds(2));
+  test.cluster.Wait(test.cluster.Service(test.other).Cancel(test.job.id()));
+  test.cluster.RefuseStoreCalls(test.owner);
+  test.cluster.Wake(test.owner);
+  const auto woken = test.cluster.clock.now();
+  test.cluster.Advance(seconds(10));
+  CHECK(StartsAfter(test.cluster, woken) == 0);
+}
+
 // Guards against a takeover that misses a notice between its write and its
 // first item.
 TEST_CASE("BatchService.StartsNothingOfAJobCancelledDuringItsTakeover") {
--- a/src/batch/owned_job.h
+++ b/src/batch/owned_job.h
@@ -119,8 +119,9 @@
   bool busy = false;        // A step is waiting for the platform.
   bool must_check = false;  // No item starts until the state is read again.
   bool wants_chunk = false;
-  MonotonicTime last_check;
-  MonotonicTime retry_at;  // Set after a platform error.
+  MonotonicTime last_check;      // Start of the last read that succeeded.
+  MonotonicTime check_retry_at;  // Set after a failed read.
+  MonotonicTime retry_at;        // Set after a platform error.
   Duration backoff{0};
 
  private:
