Check the state of a batch job during the backoff of its commits

After a failed commit the whole step of the job waited for up to 5 s, including the read of its state. A cancel whose notice was lost was noticed that late.

The read of the state is now due independently of the backoff.

--- a/src/batch/batch_service.cc
+++ b/src/batch/batch_service.cc
@@ -707,18 +707,20 @@
 auto BatchService::Impl::JobStepIsDue(const Shard& shard,
                                       OwnedJob& job,
                                       MonotonicTime now) const -> bool {
-  if (now < job.retry_at) {
-    return false;
+  if (CheckIsDue(job, now)) {
+    return true;
   }
-  return CheckIsDue(job, now) || job.wants_chunk ||
-         job.CommitIsDue(now, ForceCommit(shard, job));
+  return now >= job.retry_at &&
+         (job.wants_chunk || job.CommitIsDue(now, ForceCommit(shard, job)));
 }
 
 auto BatchService::Impl::JobStep(Shard& shard, JobPtr job) -> awaitable<void> {
   const auto self = shared_from_this();
   try {
     co_await AdvanceJob(shard, job);
-    job->backoff = Duration(0);
+    if (Now() >= job->retry_at) {
+      job->backoff = Duration(0);
+    }
   } catch (const std::exception& error) {
     LogError("job " + job->manifest().id.value(), error);
     job->backoff =
@@ -736,7 +738,8 @@
   if (CheckIsDue(*job, Now())) {
     co_await CheckState(shard, job);
   }
-  if (stopped_ || job->dropped) {
+  // The state is checked even during the backoff of other calls.
+  if (stopped_ || job->dropped || Now() < job->retry_at) {
     co_return;
   }
   if (job->wants_chunk) {
@@ -1167,7 +1170,6 @@
   if (owned != shard.jobs.end()) {
     owned->second->last_check = Now() - kStateCheckInterval;
     owned->second->check_retry_at = Now();
-    owned->second->retry_at = Now();
     return;
   }
   shard.searches.erase(job);
--- a/src/batch/batch_service_test.cc
+++ b/src/batch/batch_service_test.cc
@@ -393,6 +393,25 @@
   CHECK(StartsAfter(test.cluster, woken) == 0);
 }
 
+// Guards against a state check that waits for the backoff of a failed commit.
+TEST_CASE("BatchService.ChecksTheStateWhileCommitsFail") {
+  for (auto offset = milliseconds(0); offset < seconds(6);
+       offset += milliseconds(500)) {
+    auto test = PartlyDoneJob(4'000);
+    test.cluster.lose_notices = true;
+    test.cluster.RefuseStoreCalls(
+        test.owner, [](const std::string& call, const std::string& key) {
+          return call == "write" && key.find("/out/") != std::string::npos;
+        });
+    test.cluster.Advance(seconds(20) + offset);
+    test.cluster.Wait(test.cluster.Service(test.other).Cancel(test.job.id()));
+    const auto cancelled = test.cluster.clock.now();
+    test.cluster.Advance(seconds(10));
+    INFO("offset " << offset.count() << " ms");
+    CHECK(StartsAfter(test.cluster, cancelled + milliseconds(1'500)) == 0);
+  }
+}
+
 // Guards against a takeover that misses a notice between its write and its
 // first item.
 TEST_CASE("BatchService.StartsNothingOfAJobCancelledDuringItsTakeover") {
