Ignore reads from before a freeze when a batch job is checked

A read that was sent before a freeze and answered after it cleared the flag that the freeze had set, so a job cancelled during the freeze started items until the next check. A takeover in progress during a freeze was not checked at all.

Only a read that was sent after the flag was set clears it, and a job whose takeover spans a pause is checked first.

--- a/src/batch/batch_service.cc
+++ b/src/batch/batch_service.cc
@@ -283,6 +283,7 @@
   Scheduler scheduler_;
   boost::asio::any_io_executor executor_;
   std::optional<MonotonicTime> last_tick_;
+  std::optional<MonotonicTime> last_pause_;  // When it was detected.
   std::map<JobId, EndNotice> end_notices_;
   std::map<JobId, KnownEnd> known_ends_;
   bool stopped_ = false;
@@ -355,6 +356,7 @@
   if (!last_tick_ || now - *last_tick_ <= kPauseThreshold) {
     return;
   }
+  last_pause_ = now;
   for (auto& shard : shards_) {
     for (auto& [id, job] : shard->jobs) {
       RequireCheck(*job, now);
@@ -365,6 +367,7 @@
 auto BatchService::Impl::RequireCheck(OwnedJob& job, MonotonicTime now)
     -> void {
   job.must_check = true;
+  job.check_from = now;
   job.check_retry_at = now;
 }
 
@@ -679,6 +682,9 @@
   auto owned = std::make_shared<OwnedJob>(std::move(manifest),
                                           std::move(taken.stored), token);
   owned->last_check = began;
+  if (last_pause_ && *last_pause_ >= began) {
+    RequireCheck(*owned, Now());
+  }
   shard.jobs.emplace(job, std::move(owned));
   const auto known = known_ends_.find(job);
   if (known != known_ends_.end()) {
@@ -770,7 +776,10 @@
     job->check_retry_at = Now() + kMaxCheckRetryDelay / 2 + jitter;
     co_return;
   }
-  job->must_check = false;
+  // A freeze may have delayed the response of an earlier read.
+  if (began >= job->check_from) {
+    job->must_check = false;
+  }
   job->last_check = began;
   if (stopped_ || job->dropped || !found) {
     co_return;
--- a/src/batch/batch_service_test.cc
+++ b/src/batch/batch_service_test.cc
@@ -393,6 +393,28 @@
   CHECK(StartsAfter(test.cluster, woken) == 0);
 }
 
+// Guards against a response from before a freeze that counts as a check after
+// it.
+TEST_CASE("BatchService.IgnoresAReadFromBeforeAFreeze") {
+  for (auto offset = milliseconds(0); offset < seconds(5);
+       offset += milliseconds(200)) {
+    const auto held = SlowPartlyDoneJob();
+    auto& test = *held;
+    test.cluster.death_detection_delay = minutes(10);  // Nobody takes over.
+    test.cluster.store_delay = seconds(3);
+    test.cluster.Advance(seconds(4) + offset);
+    test.cluster.Pause(test.owner);
+    test.cluster.Advance(milliseconds(1'200));
+    auto direct = test.cluster.DirectStore();
+    test.cluster.Direct(direct.Cancel(test.job.id(), test.cluster.WallMs()));
+    test.cluster.Wake(test.owner);
+    const auto woken = test.cluster.clock.now();
+    test.cluster.Advance(seconds(10));
+    INFO("offset " << offset.count() << " ms");
+    CHECK(StartsAfter(test.cluster, woken) == 0);
+  }
+}
+
 // Guards against a state check that waits for the backoff of a failed commit.
 TEST_CASE("BatchService.ChecksTheStateWhileCommitsFail") {
   for (auto offset = milliseconds(0); offset < seconds(6);
--- a/src/batch/owned_job.h
+++ b/src/batch/owned_job.h
@@ -115,9 +115,10 @@
   auto Work(std::size_t parallel) const -> JobWork;
 
   // I/O state, managed by BatchService.
-  bool dropped = false;     // Results that arrive later are ignored.
-  bool busy = false;        // A step is waiting for the platform.
-  bool must_check = false;  // No item starts until the state is read again.
+  bool dropped = false;      // Results that arrive later are ignored.
+  bool busy = false;         // A step is waiting for the platform.
+  bool must_check = false;   // No item starts until the state is read again.
+  MonotonicTime check_from;  // Only a read sent since then clears must_check.
   bool wants_chunk = false;
   MonotonicTime last_check;      // Start of the last read that succeeded.
   MonotonicTime check_retry_at;  // Set after a failed read.
