Stop batch jobs of an isolated node whose state reads fail

A node that hears from no other node gets no notice of a cancel, and its job ran on while the store refused its reads.

It now starts no items of a job more than 2 s after the start of its last successful read, until a read succeeds. Between nodes that hear each other, an outage of the whole store still stops nothing.

--- a/include/kumquatgauge/batch/batch_service.h
+++ b/include/kumquatgauge/batch/batch_service.h
@@ -50,6 +50,8 @@
 // A longer gap between ticks means that the process was suspended. No item
 // starts until the state of its job has been read again.
 inline constexpr std::chrono::milliseconds kPauseThreshold{1'000};
+// How long a job of an isolated node continues without a read of its state.
+inline constexpr std::chrono::milliseconds kIsolatedLimit{2'000};
 inline constexpr std::chrono::minutes kSweepInterval{10};
 // The notice of an ended job is repeated until its owner has confirmed it. The
 // delay doubles up to the maximum.
@@ -67,6 +69,9 @@
   RandomSource random;
   // Returns the live nodes that are not leaving, including this one.
   std::function<auto()->std::vector<NodeId>> live_nodes;
+  // Returns whether this node currently hears from none of the others; may be
+  // empty.
+  std::function<auto()->bool> isolated;
   // Sends a job notice to another node, best effort.
   std::function<auto(const NodeId&, const JobNotice&)->void> send_job_notice;
   // Writes one log line; may be empty.
--- a/src/batch/batch_service.cc
+++ b/src/batch/batch_service.cc
@@ -904,8 +904,14 @@
   auto opening = std::vector<std::pair<Shard*, JobPtr>>();
   auto free_slots = std::map<ServiceName, std::size_t>();
   auto active = std::vector<OrganisationName>();
+  const auto isolated = hooks_.isolated && hooks_.isolated();
   for (const auto& shard : shards_) {
     for (const auto& [id, job] : shard->jobs) {
+      // Without the platform and other nodes, a cancellation cannot be learned.
+      if (isolated && !job->must_check &&
+          now - job->last_check > kIsolatedLimit) {
+        RequireCheck(*job, now);
+      }
       open_chunks += job->open_chunks() + (job->wants_chunk ? 1 : 0);
       open_bytes += job->input_bytes();
       active.push_back(job->manifest().organisation);
--- a/src/batch/batch_service_test.cc
+++ b/src/batch/batch_service_test.cc
@@ -377,6 +377,26 @@
   CHECK(StartsAfter(test.cluster, cancelled + seconds(3)) == 0);
 }
 
+// Guards against an owner that runs a cancelled job because neither the store
+// nor a notice can tell it, and against a stop while the store serves it.
+TEST_CASE("BatchService.StopsAJobWhoseOwnerReachesNeitherStoreNorNodes") {
+  const auto held = SlowPartlyDoneJob();
+  auto& test = *held;
+  test.cluster.isolated.insert(test.owner);
+  test.cluster.Advance(seconds(4));
+  const auto served = test.cluster.clock.now() - seconds(1);
+  CHECK(StartsAfter(test.cluster, served) > 0);
+  test.cluster.RefuseStoreCalls(test.owner);
+  test.cluster.Wait(test.cluster.Service(test.other).Cancel(test.job.id()));
+  const auto cancelled = test.cluster.clock.now();
+  test.cluster.Advance(seconds(10));
+  CHECK(StartsAfter(test.cluster, cancelled + milliseconds(2'500)) == 0);
+  test.cluster.isolated.clear();
+  test.cluster.ServeStoreCalls(test.owner);
+  test.cluster.Advance(seconds(10));
+  CHECK(StartsAfter(test.cluster, cancelled + milliseconds(2'500)) == 0);
+}
+
 // Guards against a resumed owner that counts a refused read as a check.
 TEST_CASE("BatchService.StartsNothingWhenResumedWhileTheStoreRefusesIt") {
   const auto held = SlowPartlyDoneJob();
--- a/src/batch/test_cluster.h
+++ b/src/batch/test_cluster.h
@@ -315,9 +315,10 @@
   Duration death_detection_delay = std::chrono::seconds(2);
   Duration item_time = std::chrono::seconds(1);
   std::size_t slots = 64;
-  Duration store_delay{0};      // Delay of every platform call of a node.
-  Duration resolution = kStep;  // Smallest advance of the clock.
-  bool lose_notices = false;    // Job notices between nodes are lost.
+  Duration store_delay{0};         // Delay of every platform call of a node.
+  Duration resolution = kStep;     // Smallest advance of the clock.
+  bool lose_notices = false;       // Job notices between nodes are lost.
+  std::set<std::string> isolated;  // Nodes that reach no other node.
 
   auto random() -> std::uint64_t { return random_(); }
   auto WallNow() const -> WallTime {
@@ -346,8 +347,9 @@
     stores_.push_back(node.store);
     runners_.push_back(node.runner);
     deaths_.erase(name);
-    node.service = std::make_unique<BatchService>(
-        *node.store, *node.runner, NodeId(name), ++incarnation_, MakeHooks());
+    node.service =
+        std::make_unique<BatchService>(*node.store, *node.runner, NodeId(name),
+                                       ++incarnation_, MakeHooks(name));
   }
   auto Kill(const std::string& name) -> void {
     auto& node = nodes.at(name);
@@ -609,15 +611,18 @@
   }
 
  private:
-  auto MakeHooks() -> BatchServiceHooks {
+  auto MakeHooks(const std::string& name = {}) -> BatchServiceHooks {
     return {.clock = clock.AsHook(),
             .wall_clock = [this] { return WallNow(); },
             .random = [this] { return random_(); },
             .live_nodes = [this] { return Live(); },
+            .isolated = [this, name] { return isolated.contains(name); },
             .send_job_notice =
                 [this](const NodeId& node, const JobNotice& notice) {
                   auto& target = nodes.at(node.value());
-                  if (target.service && !*target.paused && !lose_notices) {
+                  if (target.service && !*target.paused && !lose_notices &&
+                      !isolated.contains(node.value()) &&
+                      !isolated.contains(notice.sender.value())) {
                     target.service->OnJobNotice(notice);
                   }
                 },
--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -400,6 +400,7 @@
     }
     return nodes;
   };
+  hooks.isolated = [this] { return gossip_.membership().isolated(); };
   hooks.send_job_notice = [this](const NodeId& node,
                                  const batch::JobNotice& notice) {
     const auto record = gossip_.membership().Find(node);
