Check the state of a batch job apart from its commits and reads

The check was part of the job's step, so it waited for the step's calls: with calls of 1 s a commit of several parts delayed it past 3 s, and items of a cancelled job without a notice started until then.

The check is a step of its own beside the job's step. Commits remain conditional on the state.

--- a/src/batch/batch_service.cc
+++ b/src/batch/batch_service.cc
@@ -233,6 +233,7 @@
       -> bool;
   auto CheckIsDue(const OwnedJob& job, MonotonicTime now) const -> bool;
   auto ForceCommit(const Shard& shard, const OwnedJob& job) const -> bool;
+  auto CheckStep(Shard& shard, JobPtr job) -> awaitable<void>;
   auto CheckState(Shard& shard, JobPtr job) -> awaitable<void>;
   auto OpenChunk(JobPtr job) -> awaitable<void>;
   auto Commit(Shard& shard, JobPtr job) -> awaitable<void>;
@@ -434,6 +435,11 @@
 auto BatchService::Impl::SpawnJobStep(Shard& shard,
                                       const JobPtr& job,
                                       MonotonicTime now) -> void {
+  // A check must not wait for the calls of the job's step.
+  if (!job->checking && !job->dropped && CheckIsDue(*job, now)) {
+    job->checking = true;
+    Spawn([&shard, job](Impl& self) { return self.CheckStep(shard, job); });
+  }
   if (!job->busy && !job->dropped && JobStepIsDue(shard, *job, now)) {
     job->busy = true;
     Spawn([&shard, job](Impl& self) { return self.JobStep(shard, job); });
@@ -713,9 +719,6 @@
 auto BatchService::Impl::JobStepIsDue(const Shard& shard,
                                       OwnedJob& job,
                                       MonotonicTime now) const -> bool {
-  if (CheckIsDue(job, now)) {
-    return true;
-  }
   return now >= job.retry_at &&
          (job.wants_chunk || job.CommitIsDue(now, ForceCommit(shard, job)));
 }
@@ -724,9 +727,7 @@
   const auto self = shared_from_this();
   try {
     co_await AdvanceJob(shard, job);
-    if (Now() >= job->retry_at) {
-      job->backoff = Duration(0);
-    }
+    job->backoff = Duration(0);
   } catch (const std::exception& error) {
     LogError("job " + job->manifest().id.value(), error);
     job->backoff =
@@ -741,13 +742,6 @@
 
 auto BatchService::Impl::AdvanceJob(Shard& shard, JobPtr job)
     -> awaitable<void> {
-  if (CheckIsDue(*job, Now())) {
-    co_await CheckState(shard, job);
-  }
-  // The state is checked even during the backoff of other calls.
-  if (stopped_ || job->dropped || Now() < job->retry_at) {
-    co_return;
-  }
   if (job->wants_chunk) {
     co_await OpenChunk(job);
   }
@@ -761,13 +755,21 @@
   }
 }
 
+auto BatchService::Impl::CheckStep(Shard& shard, JobPtr job)
+    -> awaitable<void> {
+  const auto self = shared_from_this();
+  co_await CheckState(shard, job);
+  job->checking = false;
+  ScheduleLaunch();
+}
+
 auto BatchService::Impl::CheckState(Shard& shard, JobPtr job)
     -> awaitable<void> {
   const auto began = Now();
   auto found = std::optional<StoredState>();
   try {
     found = co_await jobs_.ReadState(job->manifest().id);
-  } catch (const Error& error) {
+  } catch (const std::exception& error) {
     // The platform may serve other nodes, which may cancel or take over the
     // job: a failed read is no check. Jitter prevents a thundering herd.
     LogError("state of job " + job->manifest().id.value(), error);
--- a/src/batch/batch_service_test.cc
+++ b/src/batch/batch_service_test.cc
@@ -413,6 +413,22 @@
   CHECK(StartsAfter(test.cluster, woken) == 0);
 }
 
+// Guards against a state check that waits for the slow calls of a commit.
+TEST_CASE("BatchService.ChecksTheStateDuringSlowCommits") {
+  for (auto offset = milliseconds(0); offset < seconds(8);
+       offset += milliseconds(200)) {
+    auto test = PartlyDoneJob(8'000);
+    test.cluster.store_delay = milliseconds(1'000);
+    test.cluster.Advance(seconds(4) + offset);
+    auto direct = test.cluster.DirectStore();
+    test.cluster.Direct(direct.Cancel(test.job.id(), test.cluster.WallMs()));
+    const auto cancelled = test.cluster.clock.now();
+    test.cluster.Advance(seconds(10));
+    INFO("offset " << offset.count() << " ms");
+    CHECK(StartsAfter(test.cluster, cancelled + seconds(3)) == 0);
+  }
+}
+
 // Guards against a response from before a freeze that counts as a check after
 // it.
 TEST_CASE("BatchService.IgnoresAReadFromBeforeAFreeze") {
--- a/src/batch/owned_job.h
+++ b/src/batch/owned_job.h
@@ -117,6 +117,7 @@
   // I/O state, managed by BatchService.
   bool dropped = false;      // Results that arrive later are ignored.
   bool busy = false;         // A step is waiting for the platform.
+  bool checking = false;     // Its state is being read.
   bool must_check = false;   // No item starts until the state is read again.
   MonotonicTime check_from;  // Only a read sent since then clears must_check.
   bool wants_chunk = false;
