Keep the ports of a test's gateways while they are down

In 50 soak runs, three at a time, two failed because a gateway could not listen and ended with status 1.

The addresses of a gateway are now bound for its whole life by sockets that never listen, which lets the gateway listen on them and keeps other draws off.

The new test fails before.

--- a/testing/gateway/gateway_process.cc
+++ b/testing/gateway/gateway_process.cc
@@ -1,7 +1,5 @@
 #include "testing/gateway/gateway_process.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <fstream>
 #include <random>
 #include <utility>
@@ -16,26 +14,27 @@
 constexpr std::uint32_t kFirstPort = 12'000;
 constexpr std::uint32_t kPorts = 20'000;
 
-// An address whose port nothing listens on now.
-auto FreeAddress() -> std::string {
+}  // namespace
+
+auto ReservedPorts::Add() -> std::string {
   auto random = std::random_device();
-  auto context = boost::asio::io_context();
   while (true) {
     const auto port = kFirstPort + random() % kPorts;
-    auto acceptor = boost::asio::ip::tcp::acceptor(context);
+    auto acceptor = boost::asio::ip::tcp::acceptor(context_);
     auto error = boost::system::error_code();
     acceptor.open(boost::asio::ip::tcp::v4());
     acceptor.bind({boost::asio::ip::make_address("127.0.0.1"),
                    static_cast<std::uint16_t>(port)},
                   error);
     if (!error) {
+      // Lets a process listen on the port, while Add finds it in use.
+      acceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true));
+      acceptors_.push_back(std::move(acceptor));
       return "127.0.0.1:" + std::to_string(port);
     }
   }
 }
 
-}  // namespace
-
 auto MakeRoute(const std::string& prefix,
                const std::string& kind,
                const json& extra) -> json {
@@ -82,15 +81,15 @@
     : program_(std::move(program)),
       name_(std::move(name)),
       folder_(std::move(folder)),
-      callers_(FreeAddress()),
-      readiness_(FreeAddress()),
-      directory_(FreeAddress()),
+      callers_(ports_.Add()),
+      readiness_(ports_.Add()),
+      directory_(ports_.Add()),
       settings_(folder_ + "/" + name_ + ".toml") {
   auto file = std::ofstream(settings_);
   file << "[node]\nname = \"" << name_ << "\"\nzone = \"a\"\n"
        << "fleet_credential = \"test\"\n[listen]\ncallers = \"" << callers_
        << "\"\nreadiness = \"" << readiness_ << "\"\ndirectory = \""
-       << directory_ << "\"\nnodes = \"" << FreeAddress()
+       << directory_ << "\"\nnodes = \"" << ports_.Add()
        << "\"\n[store]\naddress = \"" << store << "\"\n[limits]\nstop_s = 8\n"
        << "memory_mb = " << memory_mb << "\n";
   file.close();
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -1,5 +1,7 @@
 // The real gateway as a process between stand-ins of the users' platform.
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <filesystem>
@@ -125,6 +127,27 @@
   fleet.AwaitService();
 }
 
+// Guards against a gateway that cannot be started again, because another test
+// process took one of its ports while it was down.
+TEST_CASE("GatewayProcess.KeepsItsPortsWhileItIsDown") {
+  auto fleet = Fleet();
+  auto& node = *fleet.nodes.front();
+  node.process().Signal(SIGKILL);
+  REQUIRE(node.process().WaitForExit(kLimit));
+  const auto colon = node.callers().find(':');
+  auto context = boost::asio::io_context();
+  auto acceptor = boost::asio::ip::tcp::acceptor(context);
+  auto error = boost::system::error_code();
+  acceptor.open(boost::asio::ip::tcp::v4());
+  acceptor.bind(
+      {boost::asio::ip::make_address("127.0.0.1"),
+       static_cast<std::uint16_t>(std::stoi(node.callers().substr(colon + 1)))},
+      error);
+  CHECK(error == boost::asio::error::address_in_use);
+  node.StartAgain();
+  fleet.AwaitService();
+}
+
 // Guards against a caller that sees a lost answer which could be repeated.
 TEST_CASE("Gateway.RepeatsAnIdempotentRequestWhoseAnswerWasLost") {
   auto fleet = Fleet();
