--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -613,9 +613,10 @@
   auto UpdateSuspensions(MonotonicTime now) -> void {
     for (const auto& [id, job] : jobs_) {
       // Hearing a node again does not tell whether the job was ended meanwhile.
-      const auto suspend = job->suspended_at
-                               ? job->state_known_at < *job->suspended_at
-                               : !checks_.MayRun(id, now);
+      const auto suspend =
+          job->suspended_at
+              ? job->state_known_at < job->suspended_at.value_or(now)
+              : !checks_.MayRun(id, now);
       if (suspend == job->suspended_at.has_value()) {
         continue;
       }
