Probe seeds from the membership until they are known

A node tried each seed once while it joined and then probed one random seed every 5 s.

The membership now probes all seeds that are no live members by itself, every 0.2 s in the first 5 s and every 2 s later, also while it joins, and an exchange of the join without a result is given up after 5 s. This is the way of the gateway, whose own timer is removed, so both programs share it.

The test of ProbeSeeds checks the same addresses through OnTick.

--- a/include/kumquatgauge/control/membership.h
+++ b/include/kumquatgauge/control/membership.h
@@ -164,11 +164,8 @@
   auto Leave() -> MembershipActions;
   auto Stop() -> MembershipActions;
 
-  // Probes every seed that is not the address of a live member. This lets nodes
-  // that start simultaneously find each other at once, whereas a join waits for
-  // each seed that does not respond.
-  auto ProbeSeeds() -> MembershipActions;
-  // Replaces the seeds, for example from the host list.
+  // Replaces the seeds, for example from a registry. Those that are not the
+  // address of a live member are probed on the next tick.
   auto SetSeeds(std::vector<std::string> seeds) -> void;
 
   auto self() const -> const routing::NodeInfo& { return self_; }
@@ -308,6 +305,10 @@
                    const Suspicion& suspicion,
                    MembershipActions& actions) -> void;
   auto CompareTables(MembershipActions& actions) -> void;
+  // Probes every seed that is not the address of a live member. This lets nodes
+  // that start simultaneously find each other at once, whereas a join waits for
+  // each seed that does not respond and tries each only once.
+  auto ProbeSeeds(MembershipActions& actions) const -> void;
   auto ProbeUnreachable(MembershipActions& actions) -> void;
   auto RemoveExpired() -> void;
 
@@ -334,6 +335,9 @@
   mutable bool ring_valid_ = false;
   mutable std::size_t zone_count_ = 0;
   bool watches_valid_ = false;
+  MonotonicTime started_;
+  MonotonicTime join_attempt_expires_;
+  MonotonicTime next_seed_probe_;
   MonotonicTime last_tick_;
   MonotonicTime last_heard_;  // Last message from any live member.
   MonotonicTime next_heartbeat_;
--- a/include/kumquatgauge/node/gossip.h
+++ b/include/kumquatgauge/node/gossip.h
@@ -95,8 +95,6 @@
   // The owner of a feed has applied a revision that came from the platform.
   auto OnFeedApplied(const std::string& feed, std::uint64_t revision) -> void;
   auto SetSeeds(std::vector<std::string> seeds) -> void;
-  // Probes all seeds that are not known as live members.
-  auto ContactSeeds() -> void;
   // Sends a datagram of another type: `message` has field "t" with a name of
   // more than one letter.
   auto SendDatagram(const std::string& address, const nlohmann::json& message)
--- a/src/control/membership.cc
+++ b/src/control/membership.cc
@@ -28,9 +28,17 @@
 // silence of others, because their heartbeats may be waiting in its receive
 // buffer.
 constexpr milliseconds kLateTickThreshold{200};
-// Interval at which dead members and unresponsive seeds are probed, to heal a
-// partition.
+// Interval at which dead members are probed, to heal a partition.
 constexpr seconds kUnreachableProbeInterval{5};
+// Intervals at which seeds that are not known as live members are probed, in
+// the first time after the start and later. Seeds that are gone for good stay
+// in the list, so the later interval is longer.
+constexpr milliseconds kStartupSeedProbeInterval{200};
+constexpr milliseconds kSeedProbeInterval{2000};
+constexpr seconds kStartupPeriod{5};
+// A join continues with the next candidate if an exchange has no result after
+// this time. Longer than an exchange of the transport may take.
+constexpr seconds kJoinAttemptLimit{5};
 // Other nodes are asked to probe the subject of a claimed death after it has
 // not answered this node's probe for this long.
 constexpr milliseconds kClaimCheckDelay{250};
@@ -97,6 +105,7 @@
 auto Membership::SetSeeds(std::vector<std::string> seeds) -> void {
   seeds_ = std::move(seeds);
   std::erase(seeds_, self_.node_address);
+  next_seed_probe_ = MonotonicTime::min();
 }
 
 auto Membership::NextIncarnation(Incarnation above) const -> Incarnation {
@@ -140,6 +149,7 @@
 auto Membership::Start() -> MembershipActions {
   MembershipActions actions;
   const auto now = Now();
+  started_ = now;
   last_tick_ = now;
   next_heartbeat_ = now;
   next_unreachable_probe_ = now + kUnreachableProbeInterval;
@@ -173,6 +183,7 @@
   }
   const auto address = join_candidates_.front();
   join_candidates_.erase(join_candidates_.begin());
+  join_attempt_expires_ = Now() + kJoinAttemptLimit;
   actions.syncs.push_back({address, {SelfRecord(), table_hash(), {}}});
 }
 
@@ -694,7 +705,16 @@
       suspicion.started += gap;
     }
   }
+  if (now >= next_seed_probe_) {
+    const auto starting = now - started_ < kStartupPeriod;
+    next_seed_probe_ =
+        now + (starting ? kStartupSeedProbeInterval : kSeedProbeInterval);
+    ProbeSeeds(actions);
+  }
   if (phase_ == Phase::kJoining) {
+    if (now >= join_attempt_expires_) {
+      JoinNext(actions);
+    }
     return actions;
   }
   if (now >= next_heartbeat_) {
@@ -831,11 +851,7 @@
   }
 }
 
-auto Membership::ProbeSeeds() -> MembershipActions {
-  MembershipActions actions;
-  if (phase_ != Phase::kJoined) {
-    return actions;
-  }
+auto Membership::ProbeSeeds(MembershipActions& actions) const -> void {
   for (const auto& seed : seeds_) {
     const auto known =
         std::any_of(table_.begin(), table_.end(), [&](const auto& entry) {
@@ -847,25 +863,15 @@
           {seed, MakeMessage(MembershipMessageType::kProbe)});
     }
   }
-  return actions;
 }
 
 auto Membership::ProbeUnreachable(MembershipActions& actions) -> void {
   std::vector<std::string> lost;
-  std::vector<std::string> live;
   for (const auto& [id, entry] : table_) {
-    if (entry.state == MemberState::kDead) {
+    if (entry.state == MemberState::kDead && !entry.info.node_address.empty()) {
       lost.push_back(entry.info.node_address);
-    } else if (IsLiveState(entry.state)) {
-      live.push_back(entry.info.node_address);
-    }
-  }
-  for (const auto& seed : seeds_) {
-    if (std::find(live.begin(), live.end(), seed) == live.end()) {
-      lost.push_back(seed);
     }
   }
-  std::erase(lost, std::string());
   if (!lost.empty()) {
     actions.datagrams.push_back({lost[random_() % lost.size()],
                                  MakeMessage(MembershipMessageType::kProbe)});
--- a/src/control/membership_test.cc
+++ b/src/control/membership_test.cc
@@ -25,16 +25,22 @@
 const std::uint64_t kSeed = Seed();
 constexpr milliseconds kStep{10};
 constexpr int kZones = 6;
+// Time from the last start, or from the end of a partition, within which nodes
+// that reach each other form one fleet (docs/design.md, section 10).
+constexpr seconds kFormationLimit{3};
 
 // Nodes that exchange messages through a simulated network with a manual clock.
 class Network {
  public:
-  explicit Network(std::size_t size) : random_(kSeed) {
+  explicit Network(std::size_t size) : Network(size, kSeed) {
     for (std::size_t i = 0; i < size; ++i) {
-      hosts_.push_back(std::make_unique<Host>());
+      Boot(i);
     }
+  }
+  // A network whose nodes are not started yet.
+  Network(std::size_t size, std::uint64_t seed) : random_(seed) {
     for (std::size_t i = 0; i < size; ++i) {
-      Boot(i);
+      hosts_.push_back(std::make_unique<Host>());
     }
   }
 
@@ -51,16 +57,16 @@
 
   // Starts node `i` as a new process with the first three nodes as seeds.
   auto Boot(std::size_t i) -> void {
+    Boot(i, {Address(0), Address(1 % size()), Address(2 % size())});
+  }
+  auto Boot(std::size_t i, std::vector<std::string> seeds) -> void {
     routing::NodeInfo self;
     self.id = Id(i);
     self.zone = ZoneName("zone-" + std::to_string(i % kZones));
     self.node_address = Address(i);
     self.caller_address = Address(i) + "0";
     hosts_[i]->membership = std::make_unique<Membership>(
-        self,
-        std::vector<std::string>{Address(0), Address(1 % size()),
-                                 Address(2 % size())},
-        clock_.AsHook(),
+        self, std::move(seeds), clock_.AsHook(),
         [this] {
           return WallTime(std::chrono::duration_cast<WallTime::duration>(
               clock_.now().time_since_epoch()));
@@ -83,6 +89,11 @@
     loss_ = std::move(loss);
   }
 
+  // Decides whether an exchange over a stream ends without any result.
+  auto set_hang(std::function<auto()->bool> hang) -> void {
+    hang_ = std::move(hang);
+  }
+
   auto Run(std::size_t i, const MembershipActions& actions) -> void {
     hosts_[i]->restarts += actions.restarted ? 1 : 0;
     for (const auto& [address, message] : actions.datagrams) {
@@ -183,14 +194,19 @@
     events_.push({clock_.now() + latency, order_++, to, std::move(deliver)});
   }
 
-  // Simulates one exchange over a stream. Fails after a second without a
-  // response.
+  // Simulates one exchange over a stream. Fails at once if nothing listens at
+  // the address, and after a second without a response.
   auto Call(std::size_t from,
             const std::string& address,
             const SyncRequest& request) -> void {
+    if (hang_ && hang_()) {
+      return;
+    }
     const auto to = IndexOf(address);
     auto answered = std::make_shared<bool>(false);
     const auto* caller = hosts_[from]->membership.get();
+    const auto limit =
+        hosts_[to]->membership ? milliseconds(seconds(1)) : milliseconds(1);
     Post(from, to, [=, this](std::size_t) {
       SyncResponse response;
       Run(to, at(to).OnSyncRequest(request, response));
@@ -201,13 +217,12 @@
         }
       });
     });
-    events_.push(
-        {clock_.now() + seconds(1), order_++, from, [=, this](std::size_t) {
-           if (!*answered && caller == &at(from)) {
-             *answered = true;
-             Run(from, at(from).OnSyncFailed(address));
-           }
-         }});
+    events_.push({clock_.now() + limit, order_++, from, [=, this](std::size_t) {
+                    if (!*answered && caller == &at(from)) {
+                      *answered = true;
+                      Run(from, at(from).OnSyncFailed(address));
+                    }
+                  }});
   }
 
   auto Step() -> void {
@@ -242,6 +257,7 @@
   std::mt19937_64 random_;
   std::vector<std::unique_ptr<Host>> hosts_;
   std::function<auto(std::size_t, std::size_t)->bool> loss_;
+  std::function<auto()->bool> hang_;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
   std::uint64_t order_ = 0;
 };
@@ -480,6 +496,88 @@
   CHECK(network->Restarts() == 0);
 }
 
+// Starts four nodes in a random order within three seconds. Each has as seeds
+// either all nodes or those that were started before it. Returns the time from
+// the last start until all nodes know each other.
+auto TimeToForm(Network& network, milliseconds limit)
+    -> std::optional<milliseconds> {
+  constexpr std::uint64_t kSpreadMs = 3'000;
+  const auto all_seeds = network.Random() % 2 == 0;
+  const auto spread = network.Random() % kSpreadMs + 1;
+  std::vector<milliseconds> starts;
+  for (std::size_t i = 0; i < network.size(); ++i) {
+    starts.emplace_back(network.Random() % spread);
+  }
+  std::vector<std::pair<milliseconds, std::size_t>> order;
+  for (std::size_t i = 0; i < network.size(); ++i) {
+    order.emplace_back(starts[i], i);
+  }
+  std::sort(order.begin(), order.end());
+  auto now = milliseconds(0);
+  for (const auto& [start, node] : order) {
+    network.RunFor(std::max(milliseconds(0), start - now));
+    now = start;
+    std::vector<std::string> seeds;
+    for (std::size_t i = 0; i < (all_seeds ? network.size() : node); ++i) {
+      seeds.push_back(Network::Address(i));
+    }
+    network.Boot(node, std::move(seeds));
+  }
+  return network.RunUntil([&] { return network.AllSee(network.All()); }, limit);
+}
+
+constexpr std::uint64_t kFormations = 1'000;
+constexpr std::size_t kFormingNodes = 4;
+
+// Guards against nodes that start together, find none of their seeds listening
+// yet and stay apart.
+TEST_CASE("Membership.FormsOneFleetWhateverTheOrderOfStarts") {
+  for (std::uint64_t seed = 0; seed < kFormations; ++seed) {
+    INFO("seed " << seed);
+    Network network(kFormingNodes, seed);
+    REQUIRE(TimeToForm(network, kFormationLimit));
+    CHECK(network.Restarts() == 0);
+  }
+}
+
+// Guards against a split that lasts because the datagrams or the exchanges that
+// would end it are lost.
+TEST_CASE("Membership.FormsOneFleetUnderLoss") {
+  for (std::uint64_t seed = 0; seed < kFormations; ++seed) {
+    INFO("seed " << seed);
+    Network network(kFormingNodes, seed);
+    network.set_loss(
+        [&](std::size_t, std::size_t) { return network.Random() % 5 == 0; });
+    REQUIRE(TimeToForm(network, kFormationLimit * 2));
+  }
+}
+
+// Guards against a node that waits forever for the first exchange with a seed
+// and neither sends nor finds anything meanwhile.
+TEST_CASE("Membership.FormsOneFleetIfExchangesNeverEnd") {
+  for (std::uint64_t seed = 0; seed < kFormations; ++seed) {
+    INFO("seed " << seed);
+    Network network(kFormingNodes, seed);
+    network.set_hang([&] { return network.Random() % 2 == 0; });
+    REQUIRE(TimeToForm(network, kFormationLimit * 2));
+  }
+}
+
+// Guards against two halves that are cut off from each other while they start
+// and stay apart afterwards.
+TEST_CASE("Membership.FormsOneFleetAfterPartitionAtStart") {
+  for (std::uint64_t seed = 0; seed < kFormations; ++seed) {
+    INFO("seed " << seed);
+    Network network(kFormingNodes, seed);
+    network.set_loss(
+        [](std::size_t from, std::size_t to) { return from / 2 != to / 2; });
+    REQUIRE_FALSE(TimeToForm(network, seconds(5)));
+    network.set_loss(nullptr);
+    REQUIRE(network.RunUntil([&] { return network.AllSee(network.All()); },
+                             kFormationLimit));
+  }
+}
+
 // Guards against a fleet that splits when several nodes restart at once and
 // each joins another that does not know any member yet.
 TEST_CASE("Membership.ProbesEverySeedNotKnownToBeLive") {
@@ -493,7 +591,16 @@
   member.Start();
   REQUIRE(member.joined());
   member.SetSeeds({"10.0.0.0:0", "10.0.0.0:1", "10.0.0.0:2"});
-  CHECK(member.ProbeSeeds().datagrams.size() == 2);
+  const auto probed = [&] {
+    std::vector<std::string> addresses;
+    for (const auto& datagram : member.OnTick().datagrams) {
+      if (datagram.message.type == MembershipMessageType::kProbe) {
+        addresses.push_back(datagram.address);
+      }
+    }
+    return addresses;
+  };
+  CHECK(probed() == std::vector<std::string>{"10.0.0.0:1", "10.0.0.0:2"});
   MemberRecord record;
   record.info.id = NodeId("n1");
   record.info.incarnation = 5;
@@ -503,10 +610,8 @@
   notice.incarnation = 5;
   notice.records = {record};
   member.OnMessage(notice, "10.0.0.0:1");
-  const auto actions = member.ProbeSeeds();
-  REQUIRE(actions.datagrams.size() == 1);
-  CHECK(actions.datagrams[0].address == "10.0.0.0:2");
-  CHECK(actions.datagrams[0].message.type == MembershipMessageType::kProbe);
+  clock.Advance(milliseconds(200));
+  CHECK(probed() == std::vector<std::string>{"10.0.0.0:2"});
 }
 
 }  // namespace
--- a/src/node/gossip.cc
+++ b/src/node/gossip.cc
@@ -91,8 +91,6 @@
     membership_.SetSeeds(std::move(seeds));
   }
 
-  auto ContactSeeds() -> void { Run(membership_.ProbeSeeds()); }
-
   auto SendDatagram(const std::string& address, const json& message) -> void {
     socket_.Send(address, message);
   }
@@ -394,10 +392,6 @@
   impl_->SetSeeds(std::move(seeds));
 }
 
-auto Gossip::ContactSeeds() -> void {
-  impl_->ContactSeeds();
-}
-
 auto Gossip::SendDatagram(const std::string& address, const json& message)
     -> void {
   impl_->SendDatagram(address, message);
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -79,10 +79,6 @@
 constexpr int kRegistryLists = 2;
 constexpr milliseconds kRegistryRetryDelay{300};
 constexpr milliseconds kSecondListDelay{1'500};
-// How often seeds that are not members yet are probed, at startup and later.
-constexpr milliseconds kStartupContactInterval{200};
-constexpr milliseconds kContactInterval{2'000};
-constexpr milliseconds kStartupPeriod{5'000};
 constexpr std::size_t kMaxSeeds = 500;
 // Maximum number of addresses in an answer of the directory.
 constexpr std::size_t kMaxAddresses = 64;
@@ -167,8 +163,7 @@
                       DrawRandom),
         signals_(context_, SIGTERM, SIGHUP),
         maintenance_timer_(context_),
-        counts_timer_(context_),
-        contact_timer_(context_) {}
+        counts_timer_(context_) {}
 
   auto Run() -> void {
     logger_.Info("starting", {{"event", "start"},
@@ -551,7 +546,6 @@
   auto JoinFleet() -> awaitable<void> {
     gossip_.Start();
     gossip_.SetSeeds(settings_.seeds);
-    ContactSeedsPeriodically();
     auto timer = asio::steady_timer(context_);
     for (auto lists = 0; lists < kRegistryLists && !stopping_;) {
       lists += co_await Register() ? 1 : 0;
@@ -560,20 +554,6 @@
     }
   }
 
-  // Addresses of nodes that are gone for good stay among the seeds, so the
-  // seeds are contacted less often once this node has run for a while.
-  auto ContactSeedsPeriodically() -> void {
-    gossip_.ContactSeeds();
-    const auto starting = SteadyNow() - started_ < kStartupPeriod;
-    contact_timer_.expires_after(starting ? kStartupContactInterval
-                                          : kContactInterval);
-    contact_timer_.async_wait([this](const boost::system::error_code& error) {
-      if (!error && !stopping_) {
-        ContactSeedsPeriodically();
-      }
-    });
-  }
-
   // Adds the registered nodes to the seeds and registers this one. Returns
   // whether that succeeded.
   auto Register() -> awaitable<bool> {
@@ -1049,8 +1029,6 @@
   asio::signal_set signals_;
   asio::steady_timer maintenance_timer_;
   asio::steady_timer counts_timer_;
-  asio::steady_timer contact_timer_;
-  MonotonicTime started_ = SteadyNow();
 
   std::shared_ptr<const Configuration> configuration_;
   std::string raw_configuration_;
