Reserve the ports of the scenario's nodes and restart whole fleets

The runner drew a port for each listener at random and forgot it, so two listeners of a fleet could get the same one (12 of 18,000: 1 start in 270); the second process ended at once with "Address already in use", and the runner waited for it.

--- a/testing/gateway/gateway_process.cc
+++ b/testing/gateway/gateway_process.cc
@@ -1,7 +1,6 @@
 #include "testing/gateway/gateway_process.h"
 
 #include <fstream>
-#include <random>
 #include <utility>
 
 namespace kumquatgauge::testing {
@@ -9,32 +8,8 @@
 
 using nlohmann::json;
 
-// Below the ports that the system gives to outgoing connections, which could
-// take the port of a process while it is down.
-constexpr std::uint32_t kFirstPort = 12'000;
-constexpr std::uint32_t kPorts = 20'000;
-
 }  // namespace
 
-auto ReservedPorts::Add() -> std::string {
-  auto random = std::random_device();
-  while (true) {
-    const auto port = kFirstPort + random() % kPorts;
-    auto acceptor = boost::asio::ip::tcp::acceptor(context_);
-    auto error = boost::system::error_code();
-    acceptor.open(boost::asio::ip::tcp::v4());
-    acceptor.bind({boost::asio::ip::make_address("127.0.0.1"),
-                   static_cast<std::uint16_t>(port)},
-                  error);
-    if (!error) {
-      // Lets a process listen on the port, while Add finds it in use.
-      acceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true));
-      acceptors_.push_back(std::move(acceptor));
-      return "127.0.0.1:" + std::to_string(port);
-    }
-  }
-}
-
 auto MakeRoute(const std::string& prefix,
                const std::string& kind,
                const json& extra) -> json {
--- a/testing/gateway/gateway_process.h
+++ b/testing/gateway/gateway_process.h
@@ -2,8 +2,6 @@
 #define TESTING_GATEWAY_GATEWAY_PROCESS_H_
 
 #include <atomic>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -12,6 +10,7 @@
 
 #include "testing/scenario/child_process.h"
 #include "testing/scenario/http_fetch.h"
+#include "testing/support/reserved_ports.h"
 
 namespace kumquatgauge::testing {
 
@@ -28,19 +27,6 @@
 // A job of these items, each sent to /jobs/1/ITEM.
 auto JobBody(const std::vector<std::string>& items) -> std::string;
 
-// Ports of 127.0.0.1 for processes that are started again: no other user of
-// this class takes one while its process is down.
-class ReservedPorts {
- public:
-  // Reserves a port that nothing uses now and returns its address.
-  auto Add() -> std::string;
-
- private:
-  boost::asio::io_context context_;
-  // Bound, but not listening.
-  std::vector<boost::asio::ip::tcp::acceptor> acceptors_;
-};
-
 // One real gateway process on 127.0.0.1 with its addresses, which stay the same
 // when it is started again.
 class GatewayProcess {
--- a/testing/scenario/fleet.cc
+++ b/testing/scenario/fleet.cc
@@ -1,11 +1,8 @@
 #include "testing/scenario/fleet.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <chrono>
+#include <csignal>
 #include <fstream>
-#include <random>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -19,32 +16,6 @@
 constexpr auto kFleetCredential = "fleet-credential-for-scenarios";
 constexpr auto kListening = std::string_view("listening on ");
 
-// A port that is free for TCP and UDP. Below the range from which the kernel
-// takes ports for outgoing connections.
-auto FreeAddress() -> std::string {
-  namespace ip = boost::asio::ip;
-  static auto generator = std::mt19937(std::random_device()());
-  auto context = boost::asio::io_context();
-  constexpr auto kFirstPort = 12'000;
-  constexpr auto kPorts = 18'000;
-  while (true) {
-    const auto port = static_cast<std::uint16_t>(
-        kFirstPort + static_cast<int>(generator() % kPorts));
-    auto failed = boost::system::error_code();
-    auto acceptor = ip::tcp::acceptor(context);
-    acceptor.open(ip::tcp::v4());
-    acceptor.bind({ip::address_v4::loopback(), port}, failed);
-    auto socket = ip::udp::socket(context);
-    socket.open(ip::udp::v4());
-    if (!failed) {
-      socket.bind({ip::address_v4::loopback(), port}, failed);
-    }
-    if (!failed) {
-      return "127.0.0.1:" + std::to_string(port);
-    }
-  }
-}
-
 auto WriteFile(const std::string& path, const std::string& text) -> void {
   std::ofstream(path) << text;
 }
@@ -98,9 +69,9 @@
     seeds += (seeds.empty() ? "\"" : ", \"") + addresses.nodes + "\"";
   }
   const auto addresses = NodeAddresses{.zone = zone,
-                                       .callers = FreeAddress(),
-                                       .operators = FreeAddress(),
-                                       .nodes = FreeAddress()};
+                                       .callers = ports_.Add(),
+                                       .operators = ports_.Add(),
+                                       .nodes = ports_.Add()};
   nodes_[name] = addresses;
   WriteFile(folder_ + "/" + name + ".toml",
             "[node]\nname = \"" + name + "\"\nzone = \"" + zone +
@@ -126,6 +97,15 @@
       arguments, folder_ + "/" + name + ".out", log_file(name));
 }
 
+auto Fleet::RestartNodes(const std::vector<std::string>& order) -> void {
+  for (const auto& name : order) {
+    processes_.at(name)->Signal(SIGKILL);
+  }
+  for (const auto& name : order) {
+    RestartNode(name);
+  }
+}
+
 auto Fleet::process(const std::string& name) -> ChildProcess& {
   const auto found = processes_.find(name);
   if (found == processes_.end()) {
--- a/testing/scenario/fleet.h
+++ b/testing/scenario/fleet.h
@@ -9,6 +9,7 @@
 
 #include "testing/scenario/child_process.h"
 #include "testing/scenario/http_fetch.h"
+#include "testing/support/reserved_ports.h"
 
 namespace kumquatgauge::testing {
 
@@ -28,6 +29,8 @@
   auto StartNode(const std::string& name, const std::string& zone) -> void;
   // Starts a process again that has ended, with the same settings.
   auto RestartNode(const std::string& name) -> void;
+  // Kills all these nodes and starts them again in this order.
+  auto RestartNodes(const std::vector<std::string>& order) -> void;
 
   auto process(const std::string& name) -> ChildProcess&;
   // Address of a fake.
@@ -58,6 +61,7 @@
   std::map<std::string, std::unique_ptr<ChildProcess>> processes_;
   std::map<std::string, std::string> fakes_;
   std::map<std::string, NodeAddresses> nodes_;
+  ReservedPorts ports_;
 };
 
 }  // namespace kumquatgauge::testing
--- a/testing/scenario/interpreter.cc
+++ b/testing/scenario/interpreter.cc
@@ -152,6 +152,8 @@
   } else if (command.verb == "wake") {
     fleet_->process(Name(command)).Signal(SIGCONT);
     killed_.erase(Name(command));
+  } else if (command.verb == "restart" && command.kind == "fleet") {
+    RestartFleet(command);
   } else if (command.verb == "restart") {
     fleet_->RestartNode(Name(command));
     killed_.erase(Name(command));
@@ -191,23 +193,71 @@
   for (auto index = std::size_t{0}; index < count; ++index) {
     fleet_->StartNode("n" + std::to_string(index), zones[index % zones.size()]);
   }
-  const auto deadline = SteadyClock::now() + kNodeStartLimit;
-  for (const auto& node : fleet_->nodes()) {
-    while (true) {
-      const auto answer = fleet_->Operate(node, "show nodes");
-      if (answer.is_object() && answer.contains("rows") &&
-          answer["rows"].size() >= count) {
-        break;
+  WaitUntilFormed(kNodeStartLimit);
+  watching_ = true;
+  watcher_ = std::thread([this] { WatchRevisions(); });
+}
+
+auto Interpreter::LiveNodesSeenBy(const std::string& node) const
+    -> std::set<std::string> {
+  const auto answer = fleet_->Operate(node, "show nodes");
+  auto seen = std::set<std::string>();
+  if (answer.is_object() && answer.contains("rows")) {
+    for (const auto& row : answer["rows"]) {
+      if (row.value("state", "") == "alive") {
+        seen.insert(row.value("name", ""));
+      }
+    }
+  }
+  return seen;
+}
+
+auto Interpreter::WaitUntilFormed(std::chrono::milliseconds limit) -> void {
+  const auto names = fleet_->nodes();
+  const auto all = std::set<std::string>(names.begin(), names.end());
+  const auto deadline = SteadyClock::now() + limit;
+  for (const auto& node : names) {
+    while (LiveNodesSeenBy(node) != all) {
+      const auto status = fleet_->process(node).WaitForExit(milliseconds(0));
+      if (status) {
+        throw std::runtime_error(node + " ended with " +
+                                 std::to_string(*status) + " at its start");
       }
       if (SteadyClock::now() >= deadline) {
-        throw std::runtime_error(node + " does not see " +
-                                 std::to_string(count) + " nodes");
+        throw std::runtime_error("not all " + std::to_string(all.size()) +
+                                 " nodes see each other:" + WhatNodesSee());
       }
       std::this_thread::sleep_for(kPoll);
     }
   }
-  watching_ = true;
-  watcher_ = std::thread([this] { WatchRevisions(); });
+}
+
+auto Interpreter::WhatNodesSee() const -> std::string {
+  auto text = std::string();
+  for (const auto& node : fleet_->nodes()) {
+    text += " " + node + " sees";
+    for (const auto& seen : LiveNodesSeenBy(node)) {
+      text += " " + seen;
+    }
+    text += ";";
+  }
+  return text;
+}
+
+auto Interpreter::RestartFleet(const Command& command) -> void {
+  const auto rounds = FieldOr(command, "rounds", 1);
+  const auto limit = FieldOr(command, "limit_ms", 0);
+  auto order = fleet_->nodes();
+  for (auto round = 0; round < rounds; ++round) {
+    std::shuffle(order.begin(), order.end(), random_);
+    fleet_->RestartNodes(order);
+    try {
+      WaitUntilFormed(milliseconds(limit));
+    } catch (const std::runtime_error& error) {
+      throw std::runtime_error("round " + std::to_string(round) + ": " +
+                               error.what());
+    }
+  }
 }
 
 // Creates the services "summaries" (model tab-writer) and "payments" (plain,
--- a/testing/scenario/interpreter.h
+++ b/testing/scenario/interpreter.h
@@ -42,6 +42,15 @@
 
   auto Start(const Command& command) -> void;
   auto StartNodes(const Command& command) -> void;
+  // Names of the nodes that this node shows as alive; empty if it does not
+  // answer.
+  auto LiveNodesSeenBy(const std::string& node) const -> std::set<std::string>;
+  // Waits until all nodes see exactly each other. Throws std::runtime_error
+  // with what each node sees after `limit`, or if a node has ended.
+  auto WaitUntilFormed(std::chrono::milliseconds limit) -> void;
+  auto WhatNodesSee() const -> std::string;
+  // Kills all nodes and starts them again, several times.
+  auto RestartFleet(const Command& command) -> void;
   auto Configure(const Command& command) -> void;
   auto Send(const Command& command) -> void;
   auto Submit(const Command& command) -> void;
--- a/testing/scenario/main.cc
+++ b/testing/scenario/main.cc
@@ -72,10 +72,10 @@
   if (!failure.empty()) {
     std::cout << " " << failure;
     if (!options.keep.empty()) {
+      const auto kept = fs::path(options.keep) / folder.filename();
       fs::create_directories(options.keep);
-      fs::copy(
-          folder, fs::path(options.keep) / name,
-          fs::copy_options::recursive | fs::copy_options::overwrite_existing);
+      fs::copy(folder, kept, fs::copy_options::recursive);
+      std::cout << "; logs: " << kept.string();
     }
   }
   std::cout << std::endl;
