Register kqg-node with the platform and name nodes not heard of

"--wait" counted only the members that the asked node knew, so a node that was split from the rest answered {"everywhere":true,"nodes":1}. A node without seeds could not know of the others either.

kqg-node now enters its address under nodes/NAME, as the gateway does under gateways/NAME; both use control/NodeRegistry, taken from the gateway. The answer of "--wait" counts the members, the nodes on which the change is in force and those known to exist, and names the registered nodes and seeds of which this node has no record. With any of them, or if the registry cannot be listed, it does not say "everywhere".

--- a/include/kumquatgauge/daemon/node_operator_backend.h
+++ b/include/kumquatgauge/daemon/node_operator_backend.h
@@ -11,6 +11,7 @@
 #include "kumquatgauge/base/time.h"
 #include "kumquatgauge/batch/batch_service.h"
 #include "kumquatgauge/control/config_store.h"
+#include "kumquatgauge/control/node_registry.h"
 #include "kumquatgauge/control/orders.h"
 #include "kumquatgauge/daemon/dispatch_service.h"
 #include "kumquatgauge/daemon/request_traces.h"
@@ -35,6 +36,8 @@
     DispatchService& dispatch;
     RequestTraces& traces;
     store::PlatformClient& platform;
+    control::NodeRegistry& registry;
+    std::vector<std::string> seeds;  // Of the settings.
     std::function<auto()->std::shared_ptr<batch::BatchService>> batch;
     // The configuration in force here.
     std::function<auto()->control::Configuration> configuration;
@@ -65,6 +68,10 @@
       -> boost::asio::awaitable<nlohmann::json> override;
   auto RevisionsInForce()
       -> boost::asio::awaitable<std::vector<operators::NodeRevision>> override;
+  auto RegisteredNodes()
+      -> boost::asio::awaitable<std::vector<NodeId>> override;
+  auto NodesNotHeardOf(const std::vector<NodeId>& registered) const
+      -> std::vector<std::string> override;
   auto SetLogLevel(const std::string& level) -> void override;
 
   // Answers the message "query" of another node; on the control thread.
--- a/include/kumquatgauge/operator/operator_backend.h
+++ b/include/kumquatgauge/operator/operator_backend.h
@@ -71,6 +71,13 @@
       -> boost::asio::awaitable<nlohmann::json> = 0;
   virtual auto RevisionsInForce()
       -> boost::asio::awaitable<std::vector<NodeRevision>> = 0;
+  // Lists the names under which nodes are registered with the platform.
+  virtual auto RegisteredNodes()
+      -> boost::asio::awaitable<std::vector<NodeId>> = 0;
+  // Names or addresses of nodes that exist according to the registry or the
+  // settings, but of which this node has not heard yet.
+  virtual auto NodesNotHeardOf(const std::vector<NodeId>& registered) const
+      -> std::vector<std::string> = 0;
   // Changes the log level of this node.
   virtual auto SetLogLevel(const std::string& level) -> void = 0;
 };
--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -26,6 +26,7 @@
 #include "kumquatgauge/caller/caller_server.h"
 #include "kumquatgauge/control/config_store.h"
 #include "kumquatgauge/control/config_watcher.h"
+#include "kumquatgauge/control/node_registry.h"
 #include "kumquatgauge/control/orders.h"
 #include "kumquatgauge/daemon/batch_item_runner.h"
 #include "kumquatgauge/daemon/completion_router.h"
@@ -62,6 +63,8 @@
 
 // Nodes of a zone that watch the platform for the others.
 constexpr std::size_t kWatchersPerZone = 2;
+// Prefix of the keys under which nodes register their addresses for each other.
+constexpr auto kNodePrefix = "nodes/";
 constexpr auto kHostPollInterval = std::chrono::seconds(1);
 constexpr auto kBatchTickInterval = std::chrono::milliseconds(100);
 constexpr auto kDispatchTickInterval = std::chrono::milliseconds(20);
@@ -141,6 +144,8 @@
   auto MakeClientFactory() const -> ClientFactory;
   auto MakeGossipSettings() const -> node::GossipSettings;
   auto MakeGossipHooks() -> node::GossipHooks;
+  auto MakeRegistryHooks() -> control::NodeRegistryHooks;
+  auto RemoveFromRegistry() -> asio::awaitable<void>;
   auto MakeBatchService() -> std::shared_ptr<batch::BatchService>;
   auto MakeCallerDependencies() -> NodeCallerBackend::Dependencies;
   auto MakeOperatorDependencies() -> NodeOperatorBackend::Dependencies;
@@ -213,6 +218,7 @@
   upstream::HttpEngineClient control_engines_;
   node::PeerServer peer_server_;
   node::Gossip gossip_;
+  control::NodeRegistry registry_;
   OnceService once_;
   std::shared_ptr<batch::BatchService> batch_;
   std::mutex batch_mutex_;
@@ -293,6 +299,11 @@
               SteadyNow,
               WallNow,
               DrawRandom),
+      registry_(store_,
+                kNodePrefix,
+                settings_.name,
+                settings_.nodes.listen,
+                MakeRegistryHooks()),
       once_(
           settings_.name,
           gossip_.membership().self().incarnation,
@@ -365,6 +376,35 @@
   return settings;
 }
 
+auto NodeDaemon::Impl::MakeRegistryHooks() -> control::NodeRegistryHooks {
+  return {.pause = [](Duration duration) { return Pause(duration); },
+          .random = DrawRandom,
+          .is_member =
+              [this](const NodeId& node) {
+                return gossip_.membership().Find(node).has_value();
+              },
+          .found =
+              [this](std::vector<std::string> addresses) {
+                auto seeds = settings_.nodes.seeds;
+                seeds.insert(seeds.end(), addresses.begin(), addresses.end());
+                gossip_.SetSeeds(std::move(seeds));
+              },
+          .failed =
+              [this](const std::string& reason) {
+                log_.Warning("Cannot register with the platform yet.",
+                             {{"error", reason}});
+              }};
+}
+
+auto NodeDaemon::Impl::RemoveFromRegistry() -> asio::awaitable<void> {
+  try {
+    co_await registry_.Remove();
+  } catch (const Error& error) {
+    log_.Warning("Cannot remove this node from the registry.",
+                 {{"error", error.what()}});
+  }
+}
+
 auto NodeDaemon::Impl::MakeGossipHooks() -> node::GossipHooks {
   return {
       .members_changed =
@@ -445,6 +485,8 @@
           .dispatch = dispatch_,
           .traces = traces_,
           .platform = platform_,
+          .registry = registry_,
+          .seeds = settings_.nodes.seeds,
           .batch = [this] { return batch_; },
           .configuration = [this] { return configuration_; },
           .apply =
@@ -838,6 +880,8 @@
     co_await Pause(kStopCheckInterval);
   }
   const auto clean = TrafficIdle();
+  registry_.Stop();
+  co_await RemoveFromRegistry();
   gossip_.Stop();
   co_await peer_server_.Stop(kPeerStopLimit);
   if (clean) {
@@ -854,6 +898,7 @@
   traffic_.Start();
   gossip_.Start();
   OnMembersChanged(gossip_.membership().live());
+  asio::co_spawn(control_, registry_.Run(), asio::detached);
   asio::co_spawn(control_, WatchConfiguration(), asio::detached);
   asio::co_spawn(control_, PollHosts(), asio::detached);
   asio::co_spawn(control_, TickBatch(), asio::detached);
--- a/src/daemon/node_operator_backend.cc
+++ b/src/daemon/node_operator_backend.cc
@@ -664,6 +664,17 @@
   co_return revisions;
 }
 
+auto NodeOperatorBackend::RegisteredNodes()
+    -> asio::awaitable<std::vector<NodeId>> {
+  co_return co_await dependencies_.registry.Names();
+}
+
+auto NodeOperatorBackend::NodesNotHeardOf(
+    const std::vector<NodeId>& registered) const -> std::vector<std::string> {
+  return control::NodesNotHeardOf(dependencies_.gossip.membership().records(),
+                                  dependencies_.seeds, registered);
+}
+
 auto NodeOperatorBackend::SetLogLevel(const std::string& level) -> void {
   kumquatgauge::SetLogLevel(ParseLogLevel(level));
 }
--- a/src/operator/command_executor.cc
+++ b/src/operator/command_executor.cc
@@ -254,6 +254,14 @@
 auto CommandExecutor::WaitUntilInForce(std::uint64_t revision, Duration limit)
     -> boost::asio::awaitable<nlohmann::json> {
   const auto start = clock_();
+  auto registered = std::vector<NodeId>();
+  // Without the registry it is not known whether all nodes were asked.
+  auto registry_failure = std::string();
+  try {
+    registered = co_await backend_.RegisteredNodes();
+  } catch (const Error& error) {
+    registry_failure = error.what();
+  }
   while (true) {
     auto lagging = nlohmann::json::array();
     const auto nodes = co_await backend_.RevisionsInForce();
@@ -262,14 +270,25 @@
         lagging.push_back(node.node.value());
       }
     }
+    auto not_heard_of = nlohmann::json(backend_.NodesNotHeardOf(registered));
+    const auto complete =
+        lagging.empty() && not_heard_of.empty() && registry_failure.empty();
     const auto elapsed = clock_() - start;
-    if (lagging.empty() || elapsed >= limit) {
+    if (complete || elapsed >= limit) {
       const auto elapsed_ms =
           std::chrono::duration_cast<std::chrono::milliseconds>(elapsed);
-      co_return nlohmann::json{{"everywhere", lagging.empty()},
-                               {"nodes", nodes.size()},
-                               {"lagging", std::move(lagging)},
-                               {"waited_ms", elapsed_ms.count()}};
+      auto answer =
+          nlohmann::json{{"everywhere", complete},
+                         {"nodes", nodes.size()},
+                         {"in_force_on", nodes.size() - lagging.size()},
+                         {"known_nodes", nodes.size() + not_heard_of.size()},
+                         {"lagging", std::move(lagging)},
+                         {"not_heard_of", std::move(not_heard_of)},
+                         {"waited_ms", elapsed_ms.count()}};
+      if (!registry_failure.empty()) {
+        answer["registry_error"] = registry_failure;
+      }
+      co_return answer;
     }
     co_await pause_(kWaitStep);
   }
--- a/src/operator/command_executor_test.cc
+++ b/src/operator/command_executor_test.cc
@@ -53,6 +53,20 @@
     co_return std::vector<NodeRevision>{
         {NodeId("n1"), 5}, {NodeId("n2"), looks > looks_until_applied ? 5 : 4}};
   }
+  auto RegisteredNodes()
+      -> boost::asio::awaitable<std::vector<NodeId>> override {
+    if (registry_lost) {
+      throw Error(ErrorKind::kUnavailable, "no answer", "platform",
+                  "try again");
+    }
+    co_return std::vector<NodeId>{NodeId("n1"), NodeId("n2"), NodeId("n3")};
+  }
+  auto NodesNotHeardOf(const std::vector<NodeId>& registered) const
+      -> std::vector<std::string> override {
+    CHECK(registered.size() == (registry_lost ? 0U : 3U));
+    return looks > looks_until_heard ? std::vector<std::string>()
+                                     : std::vector<std::string>{"n3"};
+  }
   auto SetLogLevel(const std::string& level) -> void override {
     log_level = level;
   }
@@ -61,6 +75,8 @@
   std::string log_level;
   int looks = 0;
   int looks_until_applied = 2;
+  int looks_until_heard = 0;
+  bool registry_lost = false;
 };
 
 class Fixture {
@@ -140,6 +156,42 @@
   CHECK(answer["in_force"]["waited_ms"] == 2000);
 }
 
+// Guards against a node that knows only a part of the fleet and reports that a
+// change is in force everywhere.
+TEST_CASE("CommandExecutor.WaitNamesNodesNotHeardOf") {
+  auto fixture = Fixture();
+  fixture.backend.looks_until_heard = 1'000'000;
+  const auto answer =
+      fixture.Run("set service s lean = 1 --wait 2")["in_force"];
+  CHECK(answer["everywhere"] == false);
+  CHECK(answer["not_heard_of"] == nlohmann::json::array({"n3"}));
+  CHECK(answer["lagging"].empty());
+  CHECK(answer["in_force_on"] == 2);
+  CHECK(answer["known_nodes"] == 3);
+  CHECK(answer["waited_ms"] == 2000);
+}
+
+TEST_CASE("CommandExecutor.WaitEndsWhenAllKnownNodesAreHeardOf") {
+  auto fixture = Fixture();
+  fixture.backend.looks_until_heard = 4;
+  const auto answer =
+      fixture.Run("set service s lean = 1 --wait 9")["in_force"];
+  CHECK(answer["everywhere"] == true);
+  CHECK(answer["waited_ms"] == 400);
+}
+
+// Guards against "everywhere" being reported although the nodes that exist
+// could not be listed.
+TEST_CASE("CommandExecutor.WaitDoesNotReportEverywhereWithoutRegistry") {
+  auto fixture = Fixture();
+  fixture.backend.registry_lost = true;
+  const auto answer =
+      fixture.Run("set service s lean = 1 --wait 2")["in_force"];
+  CHECK(answer["everywhere"] == false);
+  CHECK(answer["registry_error"].get<std::string>().find("no answer") !=
+        std::string::npos);
+}
+
 TEST_CASE("CommandExecutor.PassesAuditFactsWithTheChange") {
   auto fixture = Fixture();
   fixture.Run("create service s kind = model if revision 0");
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -17,6 +17,7 @@
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/base/metrics.h"
+#include "kumquatgauge/control/node_registry.h"
 #include "kumquatgauge/node/gossip.h"
 #include "kumquatgauge/node/peer_client.h"
 #include "kumquatgauge/node/peer_server.h"
@@ -76,10 +77,6 @@
 constexpr milliseconds kReplicaDebounce{200};
 // Prefix of the keys under which nodes register their addresses for each other.
 constexpr auto kNodePrefix = "gateways/";
-constexpr int kRegistryLists = 2;
-constexpr milliseconds kRegistryRetryDelay{300};
-constexpr milliseconds kSecondListDelay{1'500};
-constexpr std::size_t kMaxSeeds = 500;
 // Maximum number of addresses in an answer of the directory.
 constexpr std::size_t kMaxAddresses = 64;
 // Retry-After while no configuration is known yet.
@@ -149,6 +146,11 @@
                 SteadyNow,
                 WallNow,
                 DrawRandom),
+        registry_(*store_,
+                  kNodePrefix,
+                  settings_.name,
+                  settings_.listen.nodes,
+                  MakeRegistryHooks()),
         batch_(MakeBatchParts()),
         forwarder_(MakeForwarderParts()),
         configuration_feed_(context_.get_executor(),
@@ -540,63 +542,35 @@
   }
 
   // Finds the other nodes through the seeds of the settings and, since all of
-  // these may be down or replaced, through the addresses that nodes register in
-  // the store. Nodes that start together may miss each other in the first list,
-  // so a second one follows.
+  // these may be down or replaced, through the registry in the store.
   auto JoinFleet() -> awaitable<void> {
     gossip_.Start();
     gossip_.SetSeeds(settings_.seeds);
-    auto timer = asio::steady_timer(context_);
-    for (auto lists = 0; lists < kRegistryLists && !stopping_;) {
-      lists += co_await Register() ? 1 : 0;
-      timer.expires_after(lists == 0 ? kRegistryRetryDelay : kSecondListDelay);
-      co_await timer.async_wait(kAwaitTuple);
-    }
+    co_await registry_.Run();
   }
 
-  // Adds the registered nodes to the seeds and registers this one. Returns
-  // whether that succeeded.
-  auto Register() -> awaitable<bool> {
-    const auto own_key = kNodePrefix + settings_.name.value();
-    const auto own_value = json(settings_.listen.nodes).dump();
-    auto failure = std::string();
-    try {
-      const auto page = co_await store_->List(kNodePrefix, "", kMaxSeeds,
-                                              store::CallClass::kConfiguration);
-      auto seeds = settings_.seeds;
-      auto own_version = std::optional<std::uint64_t>();
-      auto up_to_date = false;
-      for (const auto& entry : page.entries) {
-        if (entry.key == own_key) {
-          own_version = entry.version;
-          up_to_date = entry.value == own_value;
-        } else if (entry.value) {
-          AddSeed(*entry.value, seeds);
-        }
-      }
-      gossip_.SetSeeds(std::move(seeds));
-      if (!up_to_date) {
-        co_await store_->Write(own_key, own_value, own_version,
-                               store::CallClass::kConfiguration);
-      }
-    } catch (const Error& error) {
-      failure = error.what();
-    }
-    const auto registered = failure.empty();
-    if (!registered) {
-      logger_.Warning("this node cannot register itself in the store yet",
-                      {{"event", "register_failed"}, {"reason", failure}});
-    }
-    co_return registered;
-  }
-
-  // Ignores entries that are not a JSON string; another program wrote them.
-  static auto AddSeed(const std::string& value, std::vector<std::string>& seeds)
-      -> void {
-    const auto address = json::parse(value, nullptr, false);
-    if (address.is_string()) {
-      seeds.push_back(address.get<std::string>());
-    }
+  auto MakeRegistryHooks() -> control::NodeRegistryHooks {
+    return {.pause =
+                [](Duration duration) {
+                  return kumquatgauge::detail::Pause(duration);
+                },
+            .random = DrawRandom,
+            .is_member =
+                [this](const NodeId& node) {
+                  return gossip_.membership().Find(node).has_value();
+                },
+            .found =
+                [this](std::vector<std::string> addresses) {
+                  auto seeds = settings_.seeds;
+                  seeds.insert(seeds.end(), addresses.begin(), addresses.end());
+                  gossip_.SetSeeds(std::move(seeds));
+                },
+            .failed =
+                [this](const std::string& reason) {
+                  logger_.Warning(
+                      "this node cannot register itself in the store yet",
+                      {{"event", "register_failed"}, {"reason", reason}});
+                }};
   }
 
   // Divides the nodes into cells of about kNodesPerCell. All nodes that know
@@ -969,6 +943,7 @@
     const auto began = SteadyNow();
     const auto last = began + settings_.limits.stop - kStopMargin;
     stopping_ = true;
+    registry_.Stop();
     logger_.Info("shutting down gracefully",
                  {{"event", "stop_begins"},
                   {"active", std::to_string(
@@ -1018,6 +993,7 @@
   std::unique_ptr<node::PeerClient> peer_client_;
   node::PeerServer peer_server_;
   node::Gossip gossip_;
+  control::NodeRegistry registry_;
   BatchRunner batch_;
   Forwarder forwarder_;
   StoreFeed configuration_feed_;
