Count only running time of a gateway as time to load in the soak

A process that is stopped while it loads counts as loading until it goes on again. The faults and their order are the same.

--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -431,11 +431,19 @@
       checker_.OnDisrupted(node.process->name());
       node.process->process().Signal(SIGSTOP);
       node.paused = true;
-      After(time, [this, &node] {
+      // A process that is stopped while it loads goes on loading afterwards.
+      const auto loading = !IsLoaded(node);
+      if (loading) {
+        node.started = SteadyTime::max();
+      }
+      After(time, [this, &node, loading] {
+        const auto now = std::chrono::steady_clock::now();
         node.process->process().Signal(SIGCONT);
         node.paused = false;
-        checker_.OnDisruptionEnded(node.process->name(),
-                                   std::chrono::steady_clock::now());
+        if (loading) {
+          node.started = now;
+        }
+        checker_.OnDisruptionEnded(node.process->name(), now);
       });
     }
   }
