Decide the end of a missing entry's grace period among all watchers

Some nodes had been turned away by the store until just before. Such a node takes a removal for a lease that may have lapsed and keeps the replica until 2 s after its own first successful call. It told this end to the others with the removal; a node whose own watch had never failed then ignored its own event, since the revision was not newer, and nobody asked it.

ReplicaTable now ends the grace period at the earliest time that a node whose calls succeed decides on, also when the removal is known already or is known from a listing with a higher revision. A node whose calls fail, or that has stopped watching, passes a removal on as undecided, so that no node drops lapsed replicas in an outage on its word; a node that begins to watch keeps what its first listing lacks for 2 s. While a replica is kept, the gateway asks the watchers about its entry every 0.25 s by a new call "entries", and it drops replicas on time rather than at the next tick of 0.25 s. A line replica_dropped tells the revision and how long the replica was kept. Nodes of the previous build ignore the new field and answer the new call with "not known", which is logged.

--- a/include/kumquatgauge/serving/replica_table.h
+++ b/include/kumquatgauge/serving/replica_table.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "kumquatgauge/base/ids.h"
@@ -29,6 +30,9 @@
   std::optional<std::string> value;  // Empty if the entry was removed.
   // How much longer the replica of a removed entry counts as present.
   Duration grace_period{0};
+  // The node that reports the removal cannot tell when the grace period ends,
+  // because its own calls to the store fail.
+  bool undecided = false;
 
   auto operator==(const EntryChange&) const -> bool = default;
 };
@@ -36,21 +40,32 @@
 // Decides which replicas exist, based on the entries in the store, which this
 // node reads itself or receives from a peer.
 //
-// If an entry goes missing during or just after a store outage, its replica is
-// kept for kEntryGracePeriod after the store recovers: its lease may have
-// expired because it could not be renewed, and dropping all replicas at once
-// would refuse all traffic.
+// A removal that a node reads in order, from a store whose calls have succeeded
+// for kEntryGracePeriod, means that the replica has left. An entry that goes
+// missing during or just after an outage may have lapsed because its lease
+// could not be renewed; dropping all replicas at once would refuse all traffic.
+// Its replica is kept until kEntryGracePeriod after the outage. Nodes see the
+// end of an outage at different times, and some see an outage when others see
+// none, so the earliest end that any node decides on applies
+// (docs/platform.md, "Entries that go missing").
 class ReplicaTable {
  public:
   // Returns nothing for a value without a usable replica.
   using Decoder = std::function<auto(const ReplicaId&, const std::string& value)
                                     ->std::optional<routing::Replica>>;
+  // A replica is dropped whose entry was removed at `revision` and whose
+  // removal this node has known for `kept`.
+  using DropHook = std::function<
+      auto(const ReplicaId&, std::uint64_t revision, Duration kept)->void>;
 
-  ReplicaTable(Decoder decode, Clock clock)
-      : decode_(std::move(decode)), clock_(std::move(clock)) {}
+  ReplicaTable(Decoder decode, DropHook dropped, Clock clock)
+      : decode_(std::move(decode)),
+        dropped_(std::move(dropped)),
+        clock_(std::move(clock)) {}
 
   // The functions below return whether replicas() has changed. A change that is
-  // not newer than the known state of its entry is ignored.
+  // not newer than the known state of its entry is ignored, except that it may
+  // end a grace period sooner.
   auto OnSnapshot(const std::vector<EntryChange>& entries,
                   std::uint64_t revision) -> bool;
   auto OnChange(const EntryChange& change) -> bool;
@@ -58,6 +73,9 @@
   // its grace period for a missing entry applies here even if the store is
   // unavailable to this node.
   auto OnPeerChange(const EntryChange& change) -> bool;
+  // The same for one of ChangesOf another node. It does not raise revision(),
+  // because changes of other entries may be missing here.
+  auto OnPeerAnswer(const EntryChange& change) -> bool;
   auto OnTick() -> bool;
 
   // Called for every failed call to the store.
@@ -66,18 +84,31 @@
   // Called when other nodes watch the store instead of this one. This node no
   // longer knows whether the store is available and accepts their view of
   // missing entries.
-  auto OnStoreNotWatched() -> void { store_unavailable_ = false; }
+  auto OnStoreNotWatched() -> void {
+    store_unavailable_ = false;
+    watching_ = false;
+  }
 
   auto replicas() const -> std::vector<routing::Replica>;
   // Returns the revision of the newest change.
   auto revision() const -> std::uint64_t { return revision_; }
   // Returns the changes after a revision, to send to another node.
   auto ChangesSince(std::uint64_t revision) const -> std::vector<EntryChange>;
+  // Returns the replicas that are kept although their entry is missing. Other
+  // nodes may know better: their ChangesOf these go to OnPeerAnswer.
+  auto missing() const -> std::vector<ReplicaId>;
+  auto ChangesOf(const std::vector<ReplicaId>& ids) const
+      -> std::vector<EntryChange>;
+  // Returns when OnTick will drop a replica, if nothing changes until then.
+  auto next_drop() const -> std::optional<MonotonicTime>;
 
  private:
   struct Row {
     std::string value;
     std::uint64_t revision = 0;
+    // Revision of `value`. A listing shows that an entry is missing but not at
+    // which later revision it was removed.
+    std::uint64_t value_revision = 0;
     std::optional<routing::Replica> replica;
     bool removed = false;
     MonotonicTime removed_at;
@@ -85,18 +116,28 @@
     bool set_by_peer = false;  // A peer reported the removal and set the time.
   };
 
-  // Applies a newer change; `grace_period` returns how long a missing entry
-  // still counts as present.
-  auto Apply(const EntryChange& change,
-             const std::function<auto(Row&)->Duration>& grace_period) -> bool;
+  // Applies a change that is newer than the known state of its entry.
+  auto Apply(Row& row, const EntryChange& change, Duration grace_period)
+      -> bool;
   auto OwnGracePeriod(const Row& row) const -> Duration;
-  auto Remove(Row& row, Duration grace_period) -> bool;
+  // Returns whether `row` waits for the end of its grace period and `change`
+  // reports a removal of the value that it still has.
+  static auto IsSameRemoval(const Row& row, const EntryChange& change) -> bool;
+  // Returns whether the end of the row's grace period comes from a node whose
+  // calls to the store succeed.
+  auto IsDecided(const Row& row) const -> bool;
+  auto Remove(const ReplicaId& id, Row& row, Duration grace_period) -> bool;
+  auto Drop(const ReplicaId& id, Row& row) -> bool;
+  auto ChangeOf(const ReplicaId& id, const Row& row) const -> EntryChange;
 
   Decoder decode_;
+  DropHook dropped_;
   Clock clock_;
   std::map<ReplicaId, Row> rows_;
   std::uint64_t revision_ = 0;
   bool store_unavailable_ = false;
+  bool watching_ = false;  // The last call to the store was one of this node.
+  // When this node's calls began to succeed again, or for the first time.
   std::optional<MonotonicTime> store_recovered_at_;
 };
 
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include "base/process_hooks.h"
@@ -75,6 +76,11 @@
 // delays a change by this much, far less than the time within which it must be
 // known.
 constexpr milliseconds kReplicaDebounce{200};
+// How often other nodes are asked about a missing entry while its replica is
+// kept, and how long an answer may take.
+constexpr milliseconds kMissingQuestionInterval{250};
+constexpr milliseconds kMissingQuestionTimeout{1'000};
+constexpr auto kEntriesCall = "entries";
 // Prefix of the keys under which nodes register their addresses for each other.
 constexpr auto kNodePrefix = "gateways/";
 // Maximum number of addresses in an answer of the directory.
@@ -131,6 +137,9 @@
             [this](const ReplicaId& id, const std::string& value) {
               return DecodeReplica(id, value);
             },
+            [this](const ReplicaId& id, std::uint64_t revision, Duration kept) {
+              LogReplicaDropped(id, revision, kept);
+            },
             SteadyNow),
         replicas_(context_.get_executor(), upstream::ConnectionSettings()),
         retry_budget_(routing::RetryBudgetSettings(), SteadyNow),
@@ -165,7 +174,8 @@
                       DrawRandom),
         signals_(context_, SIGTERM, SIGHUP),
         maintenance_timer_(context_),
-        counts_timer_(context_) {}
+        counts_timer_(context_),
+        missing_timer_(context_) {}
 
   auto Run() -> void {
     logger_.Info("starting", {{"event", "start"},
@@ -176,6 +186,13 @@
     StartListeners();
     gossip_.RegisterHandlers(peer_server_);
     batch_.RegisterHandlers(peer_server_);
+    peer_server_.Register(
+        kEntriesCall,
+        [this](json request,
+               std::shared_ptr<node::Responder> responder) -> awaitable<void> {
+          responder->Send(EncodeEntries(request));
+          co_return;
+        });
     peer_server_.Start();
     asio::co_spawn(context_, JoinFleet(), asio::detached);
     configuration_feed_.Start();
@@ -209,7 +226,7 @@
     hooks.apply_feed = [this](const std::string& feed, std::uint64_t revision,
                               const json& content) {
       if (feed == kReplicaFeed) {
-        ApplyChanges(content);
+        ApplyChanges(content, &ReplicaTable::OnPeerChange);
         return std::max(revision, replica_table_.revision());
       }
       ApplyConfiguration(content.value("value", ""), "a node");
@@ -466,6 +483,7 @@
     if (changed) {
       ApplyReplicas();
     }
+    FollowMissing();
     gossip_.OnFeedApplied(kReplicaFeed, replica_table_.revision());
   }
 
@@ -479,9 +497,37 @@
                   {"source", source}});
   }
 
+  auto LogReplicaDropped(const ReplicaId& id,
+                         std::uint64_t revision,
+                         Duration kept) -> void {
+    const auto kept_ms = std::chrono::duration_cast<milliseconds>(kept).count();
+    logger_.Info("a replica is no longer used",
+                 {{"event", "replica_dropped"},
+                  {"replica", id.value()},
+                  {"revision", std::to_string(revision)},
+                  {"kept_ms", std::to_string(kept_ms)}});
+  }
+
   auto EncodeChanges(std::uint64_t since) const -> json {
+    return EncodeChanges(replica_table_.ChangesSince(since));
+  }
+
+  // What this node knows about the entries that another node asks for.
+  auto EncodeEntries(const json& request) const -> json {
+    auto ids = std::vector<ReplicaId>();
+    for (const auto& id : request.at("ids")) {
+      ids.emplace_back(id.get<std::string>());
+    }
+    return EncodeChanges(replica_table_.ChangesOf(ids));
+  }
+
+  static auto EncodeChanges(const std::vector<EntryChange>& entries) -> json {
     auto changes = json::array();
-    for (const auto& change : replica_table_.ChangesSince(since)) {
+    auto undecided = json::array();
+    for (const auto& change : entries) {
+      if (change.undecided) {
+        undecided.push_back(change.id.value());
+      }
       const auto keep =
           std::chrono::duration_cast<milliseconds>(change.grace_period).count();
       json entry = {change.id.value(), change.revision, keep};
@@ -490,11 +536,15 @@
       }
       changes.push_back(std::move(entry));
     }
-    return json{{"changes", std::move(changes)}};
+    return json{{"changes", std::move(changes)},
+                {"undecided", std::move(undecided)}};
   }
 
-  auto ApplyChanges(const json& content) -> void {
+  auto ApplyChanges(const json& content,
+                    auto(ReplicaTable::*apply)(const EntryChange&)->bool)
+      -> void {
     auto changed = false;
+    const auto undecided = content.value("undecided", std::set<std::string>());
     for (const auto& entry : content.at("changes")) {
       constexpr std::size_t kWithValue = 4;
       auto change = EntryChange();
@@ -504,12 +554,86 @@
       if (entry.size() >= kWithValue) {
         change.value = entry.at(3).get<std::string>();
       }
-      LogReplicaChange(change, "a node");
-      changed = replica_table_.OnPeerChange(change) || changed;
+      change.undecided = undecided.contains(change.id.value());
+      if (replica_table_.revision() < change.revision) {
+        LogReplicaChange(change, "a node");
+      }
+      changed = (replica_table_.*apply)(change) || changed;
     }
     if (changed) {
       ApplyReplicas();
     }
+    FollowMissing();
+  }
+
+  // Asks the nodes that watch the store about replicas that are kept although
+  // their entry is missing, and drops them on time.
+  auto FollowMissing() -> void {
+    if (!following_missing_ && !replica_table_.missing().empty()) {
+      following_missing_ = true;
+      asio::co_spawn(context_, FollowMissingEntries(), asio::detached);
+    }
+  }
+
+  auto FollowMissingEntries() -> awaitable<void> {
+    auto next_question = SteadyNow();
+    while (!stopping_) {
+      if (replica_table_.OnTick()) {
+        ApplyReplicas();
+      }
+      if (replica_table_.missing().empty()) {
+        break;
+      }
+      if (SteadyNow() >= next_question) {
+        next_question = SteadyNow() + kMissingQuestionInterval;
+        AskWatchersAboutMissing();
+      }
+      const auto next_drop = replica_table_.next_drop();
+      missing_timer_.expires_at(next_drop ? std::min(*next_drop, next_question)
+                                          : next_question);
+      co_await missing_timer_.async_wait(kAwaitTuple);
+    }
+    following_missing_ = false;
+  }
+
+  auto AskWatchersAboutMissing() -> void {
+    auto ids = json::array();
+    for (const auto& id : replica_table_.missing()) {
+      ids.push_back(id.value());
+    }
+    const auto live = gossip_.membership().live();
+    const auto watchers = ChooseWatchers(live);
+    for (const auto& node : live) {
+      if (node.id != settings_.name &&
+          std::find(watchers.begin(), watchers.end(), node.id) !=
+              watchers.end()) {
+        asio::co_spawn(context_, AskAboutMissing(node, ids), asio::detached);
+      }
+    }
+  }
+
+  auto AskAboutMissing(routing::NodeInfo node, json ids) -> awaitable<void> {
+    auto answer = std::optional<json>();
+    auto failure = std::string();
+    try {
+      json request = {{"ids", std::move(ids)}};
+      co_await peer_client_->Call(
+          node.node_address, node::Channel::kControl, kEntriesCall,
+          std::move(request), [&answer](const json& frame) { answer = frame; },
+          kMissingQuestionTimeout, nullptr);
+      if (answer) {
+        ApplyChanges(*answer, &ReplicaTable::OnPeerAnswer);
+      }
+    } catch (const std::exception& error) {
+      failure = error.what();
+    }
+    if (!failure.empty()) {
+      logger_.Info("a node does not answer about missing entries",
+                   {{"event", "peer_failed"},
+                    {"peer", node.id.value()},
+                    {"call", kEntriesCall},
+                    {"reason", failure}});
+    }
   }
 
   auto ApplyReplicas() -> void {
@@ -1005,6 +1129,8 @@
   asio::signal_set signals_;
   asio::steady_timer maintenance_timer_;
   asio::steady_timer counts_timer_;
+  asio::steady_timer missing_timer_;
+  bool following_missing_ = false;
 
   std::shared_ptr<const Configuration> configuration_;
   std::string raw_configuration_;
--- a/src/serving/replica_table.cc
+++ b/src/serving/replica_table.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <set>
-#include <utility>
 
 namespace kumquatgauge::serving {
 
@@ -15,9 +14,15 @@
     changed = OnChange(entry) || changed;
   }
   for (auto& [id, row] : rows_) {
-    if (!listed.contains(id) && !row.removed && row.revision <= revision) {
+    if (listed.contains(id) || row.revision > revision) {
+      continue;
+    }
+    if (!row.removed) {
       row.revision = revision;
-      changed = Remove(row, OwnGracePeriod(row)) || changed;
+      row.set_by_peer = false;
+      changed = Remove(id, row, OwnGracePeriod(row)) || changed;
+    } else if (row.drop_at) {
+      changed = Remove(id, row, OwnGracePeriod(row)) || changed;
     }
   }
   revision_ = std::max(revision_, revision);
@@ -25,42 +30,65 @@
 }
 
 auto ReplicaTable::OnChange(const EntryChange& change) -> bool {
-  return Apply(change, [this](Row& row) {
+  revision_ = std::max(revision_, change.revision);
+  auto& row = rows_[change.id];
+  const auto grace_period = OwnGracePeriod(row);
+  if (change.revision > row.revision) {
     row.set_by_peer = false;
-    return OwnGracePeriod(row);
-  });
+    return Apply(row, change, grace_period);
+  }
+  // A peer that could not tell may have reported the removal before.
+  return IsSameRemoval(row, change) && Remove(change.id, row, grace_period);
 }
 
 auto ReplicaTable::OnPeerChange(const EntryChange& change) -> bool {
-  const auto found = rows_.find(change.id);
-  const auto known = found != rows_.end() && found->second.removed &&
-                     found->second.drop_at && !change.value &&
-                     found->second.revision == change.revision;
-  if (known && clock_() + change.grace_period < *found->second.drop_at) {
-    found->second.set_by_peer = true;
-    return Remove(found->second, change.grace_period);
-  }
-  return Apply(change, [&change](Row& row) {
-    row.set_by_peer = true;
-    return change.grace_period;
-  });
+  revision_ = std::max(revision_, change.revision);
+  return OnPeerAnswer(change);
 }
 
-auto ReplicaTable::Apply(
-    const EntryChange& change,
-    const std::function<auto(Row&)->Duration>& grace_period) -> bool {
-  revision_ = std::max(revision_, change.revision);
+auto ReplicaTable::OnPeerAnswer(const EntryChange& change) -> bool {
   auto& row = rows_[change.id];
+  if (IsSameRemoval(row, change)) {
+    row.revision = std::max(row.revision, change.revision);
+    if (!change.undecided) {
+      if (!IsDecided(row)) {
+        row.drop_at.reset();
+      }
+      row.set_by_peer = true;
+      return Remove(change.id, row, change.grace_period);
+    }
+    if (!row.set_by_peer) {
+      row.drop_at = std::max(*row.drop_at, clock_() + change.grace_period);
+    }
+    return false;
+  }
   if (change.revision <= row.revision) {
     return false;
   }
+  row.set_by_peer = !change.undecided;
+  return Apply(row, change, change.grace_period);
+}
+
+auto ReplicaTable::IsSameRemoval(const Row& row, const EntryChange& change)
+    -> bool {
+  return row.drop_at && !change.value && change.revision > row.value_revision;
+}
+
+auto ReplicaTable::IsDecided(const Row& row) const -> bool {
+  return row.set_by_peer || (watching_ && !store_unavailable_);
+}
+
+auto ReplicaTable::Apply(Row& row,
+                         const EntryChange& change,
+                         Duration grace_period) -> bool {
   row.revision = change.revision;
   if (!change.value) {
-    return Remove(row, grace_period(row));
+    return Remove(change.id, row, grace_period);
   }
   auto replica = decode_(change.id, *change.value);
   const auto changed = row.removed || row.replica != replica;
   row.value = *change.value;
+  row.value_revision = change.revision;
   row.replica = std::move(replica);
   row.removed = false;
   row.drop_at.reset();
@@ -68,10 +96,14 @@
 }
 
 auto ReplicaTable::OnStoreAnswered() -> void {
-  if (!std::exchange(store_unavailable_, false)) {
+  const auto was_unavailable = std::exchange(store_unavailable_, false);
+  if (std::exchange(watching_, true) && !was_unavailable) {
     return;
   }
   store_recovered_at_ = clock_();
+  if (!was_unavailable) {
+    return;
+  }
   for (auto& [id, row] : rows_) {
     if (row.drop_at && !row.set_by_peer) {
       row.drop_at = *store_recovered_at_ + kEntryGracePeriod;
@@ -92,15 +124,27 @@
              : Duration::zero();
 }
 
-auto ReplicaTable::Remove(Row& row, Duration grace_period) -> bool {
-  row.removed = true;
-  row.removed_at = clock_();
-  if (grace_period > Duration::zero()) {
-    row.drop_at = clock_() + grace_period;
-    return false;
+auto ReplicaTable::Remove(const ReplicaId& id, Row& row, Duration grace_period)
+    -> bool {
+  const auto now = clock_();
+  if (!std::exchange(row.removed, true)) {
+    row.removed_at = now;
+  }
+  if (grace_period <= Duration::zero()) {
+    return Drop(id, row);
   }
+  row.drop_at = row.drop_at ? std::min(*row.drop_at, now + grace_period)
+                            : now + grace_period;
+  return false;
+}
+
+auto ReplicaTable::Drop(const ReplicaId& id, Row& row) -> bool {
   row.drop_at.reset();
-  return std::exchange(row.replica, std::nullopt).has_value();
+  if (!std::exchange(row.replica, std::nullopt)) {
+    return false;
+  }
+  dropped_(id, row.revision, clock_() - row.removed_at);
+  return true;
 }
 
 auto ReplicaTable::OnTick() -> bool {
@@ -109,9 +153,7 @@
   for (auto& [id, row] : rows_) {
     if (row.drop_at && *row.drop_at <= now &&
         (!store_unavailable_ || row.set_by_peer)) {
-      row.drop_at.reset();
-      row.replica.reset();
-      changed = true;
+      changed = Drop(id, row) || changed;
     }
   }
   std::erase_if(rows_, [&](const auto& entry) {
@@ -136,18 +178,58 @@
     -> std::vector<EntryChange> {
   auto changes = std::vector<EntryChange>();
   for (const auto& [id, row] : rows_) {
-    if (row.revision <= revision) {
-      continue;
+    if (row.revision > revision) {
+      changes.push_back(ChangeOf(id, row));
     }
-    auto change = EntryChange{id, row.revision, std::nullopt, Duration::zero()};
-    if (!row.removed) {
-      change.value = row.value;
-    } else if (row.drop_at) {
-      change.grace_period = std::max(Duration::zero(), *row.drop_at - clock_());
+  }
+  return changes;
+}
+
+auto ReplicaTable::missing() const -> std::vector<ReplicaId> {
+  auto ids = std::vector<ReplicaId>();
+  for (const auto& [id, row] : rows_) {
+    if (row.drop_at) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
+auto ReplicaTable::ChangesOf(const std::vector<ReplicaId>& ids) const
+    -> std::vector<EntryChange> {
+  auto changes = std::vector<EntryChange>();
+  for (const auto& id : ids) {
+    const auto row = rows_.find(id);
+    if (row != rows_.end()) {
+      changes.push_back(ChangeOf(id, row->second));
     }
-    changes.push_back(std::move(change));
   }
   return changes;
 }
 
+auto ReplicaTable::next_drop() const -> std::optional<MonotonicTime> {
+  auto next = std::optional<MonotonicTime>();
+  for (const auto& [id, row] : rows_) {
+    if (row.drop_at && (!store_unavailable_ || row.set_by_peer)) {
+      next = next ? std::min(*next, *row.drop_at) : row.drop_at;
+    }
+  }
+  return next;
+}
+
+auto ReplicaTable::ChangeOf(const ReplicaId& id, const Row& row) const
+    -> EntryChange {
+  auto change = EntryChange{id, row.revision, std::nullopt};
+  if (!row.removed) {
+    change.value = row.value;
+  } else if (row.drop_at) {
+    change.undecided = !IsDecided(row);
+    change.grace_period =
+        store_unavailable_ && change.undecided
+            ? kEntryGracePeriod
+            : std::max(Duration::zero(), *row.drop_at - clock_());
+  }
+  return change;
+}
+
 }  // namespace kumquatgauge::serving
--- a/src/serving/replica_table_test.cc
+++ b/src/serving/replica_table_test.cc
@@ -1,6 +1,7 @@
 #include "kumquatgauge/serving/replica_table.h"
 
 #include <catch2/catch.hpp>
+#include <tuple>
 
 #include "testing/support/manual_clock.h"
 
@@ -22,6 +23,10 @@
   return replica;
 }
 
+auto Undecided(const std::string& id, std::uint64_t revision) -> EntryChange {
+  return {ReplicaId(id), revision, std::nullopt, kEntryGracePeriod, true};
+}
+
 auto Entry(const std::string& id, std::uint64_t revision, std::string value)
     -> EntryChange {
   return {ReplicaId(id), revision, std::move(value), Duration::zero()};
@@ -36,8 +41,17 @@
     table.OnSnapshot({Entry("r1", 3, "one"), Entry("r2", 4, "two")}, 10);
   }
 
+  auto Table() -> ReplicaTable {
+    return {Decode,
+            [this](const ReplicaId& id, std::uint64_t revision, Duration kept) {
+              dropped.emplace_back(id.value(), revision, kept);
+            },
+            clock.AsHook()};
+  }
+
   testing::ManualClock clock;
-  ReplicaTable table{Decode, clock.AsHook()};
+  std::vector<std::tuple<std::string, std::uint64_t, Duration>> dropped;
+  ReplicaTable table = Table();
 };
 
 TEST_CASE("ReplicaTable.DropsAReplicaWhoseEntryIsRemoved") {
@@ -146,7 +160,7 @@
   auto fixture = Fixture();
   fixture.table.OnChange(Gone("r2", 11));
   fixture.table.OnChange(Entry("r3", 12, "three"));
-  auto other = ReplicaTable(Decode, fixture.clock.AsHook());
+  auto other = fixture.Table();
   for (const auto& change : fixture.table.ChangesSince(0)) {
     other.OnPeerChange(change);
   }
@@ -161,7 +175,7 @@
   fixture.table.OnStoreUnavailable();
   fixture.table.OnStoreAnswered();
   fixture.table.OnChange(Gone("r1", 11));
-  auto other = ReplicaTable(Decode, fixture.clock.AsHook());
+  auto other = fixture.Table();
   other.OnSnapshot({Entry("r1", 3, "one")}, 10);
   for (const auto& change : fixture.table.ChangesSince(10)) {
     other.OnPeerChange(change);
@@ -172,5 +186,143 @@
   CHECK(other.replicas().empty());
 }
 
+// A node whose own calls had failed until just before reports a removal sooner
+// than this node's watch, which has not failed. Guards against requests to a
+// replica that has left, until two seconds after the other node's outage.
+TEST_CASE("ReplicaTable.DropsAtOnceIfItsOwnWatchDecidesAfterAPeer") {
+  auto fixture = Fixture();
+  auto gone = Gone("r1", 30);
+  gone.grace_period = milliseconds(1'500);
+  CHECK_FALSE(fixture.table.OnPeerChange(gone));
+  CHECK(fixture.table.OnChange(Gone("r1", 30)));
+}
+
+// This node lists the entries after an outage of its own and then fails again.
+// Its listing has a higher revision than the removal that the others have read.
+// Guards against a replica that is kept for as long as the store turns this
+// node away.
+TEST_CASE("ReplicaTable.AcceptsOlderRemovalOfAPeerAfterItsOwnListing") {
+  auto fixture = Fixture();
+  fixture.table.OnStoreUnavailable();
+  fixture.table.OnStoreAnswered();
+  fixture.table.OnSnapshot({Entry("r2", 4, "two")}, 20);
+  fixture.table.OnStoreUnavailable();
+  fixture.clock.Advance(std::chrono::seconds(30));
+  CHECK_FALSE(fixture.table.OnTick());
+  CHECK(fixture.table.missing() == std::vector<ReplicaId>{ReplicaId("r1")});
+  CHECK(fixture.table.OnPeerAnswer(Gone("r1", 15)));
+  CHECK(fixture.table.missing().empty());
+}
+
+// A listing proves that a value from before it is gone again.
+TEST_CASE("ReplicaTable.IgnoresValueOlderThanTheListingWithoutIt") {
+  auto fixture = Fixture();
+  fixture.table.OnStoreUnavailable();
+  fixture.table.OnStoreAnswered();
+  fixture.table.OnSnapshot({Entry("r2", 4, "two")}, 20);
+  CHECK_FALSE(fixture.table.OnPeerChange(Entry("r1", 18, "one")));
+  CHECK(fixture.table.missing().size() == 1);
+}
+
+// The store is out for all nodes, and one that had read a removal before passes
+// it on. Guards against dropping replicas that could not renew their lease.
+TEST_CASE("ReplicaTable.KeepsWhatAPeerCannotDecideUntilTheStoreIsBack") {
+  auto fixture = Fixture();
+  auto other = fixture.Table();
+  other.OnSnapshot({Entry("r1", 3, "one"), Entry("r2", 4, "two")}, 10);
+  other.OnStoreUnavailable();
+  other.OnChange(Gone("r1", 30));
+  for (auto i = 0; i < 20; ++i) {
+    for (const auto& change : other.ChangesOf({ReplicaId("r1")})) {
+      CHECK(change.undecided);
+      fixture.table.OnPeerChange(change);
+    }
+    fixture.clock.Advance(milliseconds(250));
+    CHECK_FALSE(fixture.table.OnTick());
+  }
+  other.OnStoreAnswered();
+  for (const auto& change : other.ChangesOf({ReplicaId("r1")})) {
+    fixture.table.OnPeerChange(change);
+  }
+  fixture.clock.Advance(kEntryGracePeriod - milliseconds(1));
+  CHECK_FALSE(fixture.table.OnTick());
+  fixture.clock.Advance(milliseconds(1));
+  CHECK(fixture.table.OnTick());
+}
+
+// The same if this node hears from one that can decide.
+TEST_CASE("ReplicaTable.DropsAtOnceIfAnotherPeerDecides") {
+  auto fixture = Fixture();
+  fixture.table.OnPeerChange(Undecided("r1", 30));
+  CHECK(fixture.table.missing().size() == 1);
+  CHECK(fixture.table.OnPeerChange(Gone("r1", 30)));
+  fixture.table.OnPeerChange(Undecided("r1", 30));
+  CHECK(fixture.table.replicas().size() == 1);
+}
+
+// Guards against a node that begins to watch after an outage that it did not
+// see, and drops all replicas whose lease lapsed.
+TEST_CASE("ReplicaTable.KeepsMissingEntriesOfItsFirstListing") {
+  auto fixture = Fixture();
+  fixture.table.OnStoreNotWatched();
+  fixture.clock.Advance(std::chrono::minutes(1));
+  fixture.table.OnStoreAnswered();
+  CHECK_FALSE(fixture.table.OnSnapshot({}, 40));
+  CHECK(fixture.table.replicas().size() == 2);
+  CHECK(fixture.table.next_drop() == fixture.clock.now() + kEntryGracePeriod);
+  fixture.clock.Advance(kEntryGracePeriod);
+  CHECK(fixture.table.OnTick());
+  CHECK(fixture.table.replicas().empty());
+}
+
+// Guards against a node that no longer watches and passes on its own guess as a
+// decision.
+TEST_CASE("ReplicaTable.IsUndecidedAfterItStoppedWatching") {
+  auto fixture = Fixture();
+  fixture.table.OnStoreUnavailable();
+  fixture.table.OnStoreAnswered();
+  fixture.table.OnChange(Gone("r1", 30));
+  CHECK_FALSE(fixture.table.ChangesSince(10).front().undecided);
+  fixture.table.OnStoreNotWatched();
+  CHECK(fixture.table.ChangesSince(10).front().undecided);
+}
+
+// A replica that registers again while its entry is missing stays.
+TEST_CASE("ReplicaTable.KeepsReplicaThatRegistersAgain") {
+  auto fixture = Fixture();
+  fixture.table.OnPeerChange(Undecided("r1", 30));
+  fixture.table.OnPeerChange(Entry("r1", 31, "one"));
+  CHECK(fixture.table.missing().empty());
+  CHECK_FALSE(fixture.table.OnPeerChange(Gone("r1", 30)));
+  CHECK(fixture.table.replicas().size() == 2);
+}
+
+// Guards against changes of other entries that are never asked for, because an
+// answer about one entry had a higher revision.
+TEST_CASE("ReplicaTable.AnswerAboutOneEntryDoesNotRaiseTheRevision") {
+  auto fixture = Fixture();
+  fixture.table.OnPeerAnswer(Gone("r1", 30));
+  CHECK(fixture.table.revision() == 10);
+  CHECK(fixture.table.replicas().size() == 1);
+}
+
+// Guards against a failed request whose replica had left and whose drop shows
+// nowhere.
+TEST_CASE("ReplicaTable.ReportsDropWithRevisionAndTimeKept") {
+  auto fixture = Fixture();
+  auto gone = Gone("r1", 30);
+  gone.grace_period = milliseconds(700);
+  fixture.table.OnPeerChange(gone);
+  CHECK(fixture.dropped.empty());
+  fixture.clock.Advance(milliseconds(700));
+  fixture.table.OnTick();
+  fixture.table.OnChange(Gone("r2", 31));
+  REQUIRE(fixture.dropped.size() == 2);
+  CHECK(fixture.dropped[0] ==
+        std::tuple("r1", std::uint64_t{30}, Duration(milliseconds(700))));
+  CHECK(fixture.dropped[1] ==
+        std::tuple("r2", std::uint64_t{31}, Duration::zero()));
+}
+
 }  // namespace
 }  // namespace kumquatgauge::serving
