Do not reuse connections to the store after 10 s without a call

A cut may end an idle connection without a sign; the next call on it times out after 1 s, and its caller is refused although the store is up.

The pool does not hand out a connection that was idle for longer than 10 s. The new test fails without the limit: the connection is used again.

--- a/include/kumquatgauge/store/platform_client.h
+++ b/include/kumquatgauge/store/platform_client.h
@@ -25,6 +25,8 @@
   std::chrono::milliseconds call_timeout{1000};
   // Longest wait for admission by the rate limiter.
   std::chrono::milliseconds admission_timeout{2000};
+  // Longest time between two calls on one connection.
+  std::chrono::milliseconds idle_limit{10'000};
   RateLimits limits;
   CircuitOptions circuit;
 };
--- a/src/store/http_client.cc
+++ b/src/store/http_client.cc
@@ -74,6 +74,7 @@
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
+  TimePoint idle_since;
 };
 
 // Whether an idle connection was closed by the platform, or carries bytes that
@@ -93,25 +94,37 @@
 }  // namespace
 
 struct HttpClient::Pool {
-  Pool(asio::any_io_executor pool_executor, const std::string& address)
+  Pool(asio::any_io_executor pool_executor,
+       const std::string& address,
+       std::chrono::milliseconds pool_idle_limit)
       : executor(std::move(pool_executor)),
         endpoint(ParseEndpoint(address)),
-        host(address) {}
+        host(address),
+        idle_limit(pool_idle_limit) {}
 
   auto TakeIdle() -> std::shared_ptr<Connection> {
+    const auto oldest = std::chrono::steady_clock::now() - idle_limit;
     while (!idle.empty()) {
       auto connection = std::move(idle.back());
       idle.pop_back();
-      if (!IsStale(*connection)) {
+      if (connection->idle_since >= oldest && !IsStale(*connection)) {
         return connection;
       }
     }
     return nullptr;
   }
 
+  auto Keep(std::shared_ptr<Connection> connection) -> void {
+    if (idle.size() < kMaxIdle) {
+      connection->idle_since = std::chrono::steady_clock::now();
+      idle.push_back(std::move(connection));
+    }
+  }
+
   asio::any_io_executor executor;
   tcp::endpoint endpoint;
   std::string host;
+  std::chrono::milliseconds idle_limit;
   std::deque<std::shared_ptr<Connection>> idle;
 };
 
@@ -168,8 +181,9 @@
 }  // namespace
 
 HttpClient::HttpClient(asio::any_io_executor executor,
-                       const std::string& address)
-    : pool_(std::make_shared<Pool>(std::move(executor), address)) {}
+                       const std::string& address,
+                       std::chrono::milliseconds idle_limit)
+    : pool_(std::make_shared<Pool>(std::move(executor), address, idle_limit)) {}
 
 auto HttpClient::Call(HttpRequest request,
                       bool repeatable,
@@ -192,8 +206,8 @@
   if (connection) {
     auto exchange = co_await RunExchange(connection, message, deadline);
     if (exchange.result.response) {
-      if (exchange.keep_alive && pool->idle.size() < kMaxIdle) {
-        pool->idle.push_back(std::move(connection));
+      if (exchange.keep_alive) {
+        pool->Keep(std::move(connection));
       }
       co_return std::move(exchange.result);
     }
@@ -221,9 +235,8 @@
   kumquatgauge::detail::GuardAgainstSilence(connection->stream.socket(),
                                             kUserTimeout);
   auto exchange = co_await RunExchange(connection, message, deadline);
-  if (exchange.result.response && exchange.keep_alive &&
-      pool->idle.size() < kMaxIdle) {
-    pool->idle.push_back(std::move(connection));
+  if (exchange.result.response && exchange.keep_alive) {
+    pool->Keep(std::move(connection));
   }
   co_return std::move(exchange.result);
 }
--- a/src/store/http_client.h
+++ b/src/store/http_client.h
@@ -40,7 +40,11 @@
 // Copies share the pool.
 class HttpClient {
  public:
-  HttpClient(boost::asio::any_io_executor executor, const std::string& address);
+  // A connection that was idle for longer than `idle_limit` is not used again:
+  // a cut may have ended it without a sign, and a call on it would time out.
+  HttpClient(boost::asio::any_io_executor executor,
+             const std::string& address,
+             std::chrono::milliseconds idle_limit);
 
   // A read, which may be repeated, is sent once more on a new connection when a
   // pooled one turns out to be closed.
--- a/src/store/http_object_store_test.cc
+++ b/src/store/http_object_store_test.cc
@@ -150,6 +150,27 @@
   CHECK(Read("a")->value == "two");
 }
 
+// Guards against a call that times out on a connection that a cut has ended
+// without a sign while nothing was sent on it.
+TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReplacesLongIdleConnections") {
+  auto options = Options(fake.address());
+  options.idle_limit = milliseconds(200);
+  auto short_client = PlatformClient(context.get_executor(), options,
+                                     &std::chrono::steady_clock::now,
+                                     [this] { return random(); });
+  auto short_store = HttpObjectStore(short_client);
+  const auto read = [&] {
+    RunAwaitable(context, short_store.Read("a", CallClass::kStatus));
+  };
+  read();
+  read();
+  CHECK(fake.accepted_connections() == 1);
+  context.restart();
+  context.run_for(milliseconds(250));
+  read();
+  CHECK(fake.accepted_connections() == 2);
+}
+
 TEST_CASE_METHOD(Fixture, "HttpObjectStore.ListsPagesInOrder") {
   for (const auto* key : {"p/c", "p/a", "p/b", "q/a"}) {
     Write(key, "x");
--- a/src/store/platform_client.cc
+++ b/src/store/platform_client.cc
@@ -49,7 +49,7 @@
         clock(std::move(clock_hook)),
         limiter(options.limits),
         circuit(options.circuit, std::move(random)),
-        client(executor, options.address),
+        client(executor, options.address, options.idle_limit),
         pump_timer(executor) {}
 
   // Carries out what the limiter decides now, and arms the timer for the next
--- a/testing/support/fake_platform.cc
+++ b/testing/support/fake_platform.cc
@@ -182,6 +182,10 @@
            std::to_string(endpoint.port());
   }
 
+  auto accepted_connections() const -> std::size_t {
+    return accepted_connections_;
+  }
+
   auto SetFault(const json& fault) -> void {
     const auto mode = fault.at("mode").get<std::string>();
     if (mode == "none") {
@@ -241,6 +245,7 @@
         co_await self->Sleep(Milliseconds(10));  // Out of descriptors, say.
         continue;
       }
+      ++self->accepted_connections_;
       auto shared = std::make_shared<tcp::socket>(std::move(socket));
       std::erase_if(self->sessions_,
                     [](const auto& weak) { return weak.expired(); });
@@ -543,6 +548,7 @@
 
   asio::any_io_executor executor_;
   tcp::acceptor acceptor_;
+  std::size_t accepted_connections_ = 0;
   std::list<std::weak_ptr<tcp::socket>> sessions_;
   std::list<Watcher> watchers_;
   PlatformState state_;
@@ -573,6 +579,10 @@
   return impl_->address();
 }
 
+auto FakePlatform::accepted_connections() const -> std::size_t {
+  return impl_->accepted_connections();
+}
+
 auto FakePlatform::SetFault(const json& fault) -> void {
   impl_->SetFault(fault);
 }
--- a/testing/support/fake_platform.h
+++ b/testing/support/fake_platform.h
@@ -46,6 +46,8 @@
 
   // "IP:port" that it listens on.
   auto address() const -> std::string;
+  // Connections accepted since the start.
+  auto accepted_connections() const -> std::size_t;
   // As POST /faults. Throws Error(kInvalidArgument).
   auto SetFault(const nlohmann::json& fault) -> void;
   // As PUT /hosts: the array of hosts.
