--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -232,7 +232,7 @@
 
   std::mutex loads_mutex_;
   std::map<ReplicaId, routing::ReplicaLoad> changed_loads_;
-  routing::LoadPublisher load_sharing_;
+  routing::LoadPublisher load_publisher_;
   std::atomic<std::uint64_t> control_bytes_sent_{0};
   std::atomic<std::uint64_t> control_bytes_received_{0};
   std::atomic<std::uint64_t> platform_calls_{0};
@@ -331,7 +331,7 @@
                        settings_.operators.listen,
                        std::move(operators),
                        executor_),
-      load_sharing_(routing::LoadPublisherSettings(), SteadyNow) {
+      load_publisher_(routing::LoadPublisherSettings(), SteadyNow) {
   RegisterHandlers();
   RegisterMetrics();
   peer_server_.Start();
@@ -570,7 +570,7 @@
   const auto peers = std::count_if(
       nodes.begin(), nodes.end(),
       [&](const auto& node) { return HearsLoads(node, nodes.size()); });
-  load_sharing_.set_peers(static_cast<std::uint32_t>(peers));
+  load_publisher_.set_peers(static_cast<std::uint32_t>(peers));
 }
 
 auto NodeDaemon::Impl::OnRestarted(Incarnation incarnation) -> void {
@@ -710,9 +710,9 @@
     const auto lock = std::lock_guard(loads_mutex_);
     changed.swap(changed_loads_);
   }
-  auto due = load_sharing_.OnTick();
+  auto due = load_publisher_.OnTick();
   for (const auto& [replica, load] : changed) {
-    const auto more = load_sharing_.OnLoad(load);
+    const auto more = load_publisher_.OnLoad(load);
     due.insert(due.end(), more.begin(), more.end());
   }
   if (due.empty()) {
