Rename ShareLoads to PublishLoads and HearsLoads to ReceivesLoads

They use load_publisher_, and a load is a message that other nodes receive. kLoadShareInterval becomes kLoadPublishInterval, fleet becomes fleet_size.

--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -70,7 +70,7 @@
 constexpr auto kDispatchTickInterval = std::chrono::milliseconds(20);
 constexpr auto kHouseKeepingInterval = std::chrono::seconds(1);
 constexpr auto kLoadPollInterval = std::chrono::milliseconds(500);
-constexpr auto kLoadShareInterval = std::chrono::milliseconds(200);
+constexpr auto kLoadPublishInterval = std::chrono::milliseconds(200);
 // Over three times the target for the first token; an engine that takes longer
 // is treated as lost, and the request goes to another.
 constexpr auto kFirstByteTimeout = std::chrono::milliseconds(3000);
@@ -171,10 +171,10 @@
   auto IsWatcher() const -> bool;
   auto OwnsOrders(const ServiceName& service) const -> bool;
   auto OnLocalLoad(const routing::ReplicaLoad& load) -> void;
-  auto ShareLoads() -> void;
+  auto PublishLoads() -> void;
   // Whether this node's loads are sent to `node`, in a fleet of that size.
-  auto HearsLoads(const routing::NodeInfo& node, std::size_t fleet) const
-      -> bool;
+  auto ReceivesLoads(const routing::NodeInfo& node,
+                     std::size_t fleet_size) const -> bool;
 
   auto WatchConfiguration() -> asio::awaitable<void>;
   auto PollHosts() -> asio::awaitable<void>;
@@ -183,7 +183,7 @@
   auto TickDispatch() -> asio::awaitable<void>;
   auto PollLoads() -> asio::awaitable<void>;
   auto PollLoad(routing::Replica replica) -> asio::awaitable<void>;
-  auto ShareLoadsLoop() -> asio::awaitable<void>;
+  auto PublishLoadsLoop() -> asio::awaitable<void>;
   auto WaitForSignal() -> asio::awaitable<void>;
   auto BeginStop() -> void;
   auto StopGracefully() -> asio::awaitable<void>;
@@ -569,7 +569,7 @@
   platform_.SetFleetSize(static_cast<std::uint32_t>(nodes.size()));
   const auto peers = std::count_if(
       nodes.begin(), nodes.end(),
-      [&](const auto& node) { return HearsLoads(node, nodes.size()); });
+      [&](const auto& node) { return ReceivesLoads(node, nodes.size()); });
   load_publisher_.set_peers(static_cast<std::uint32_t>(peers));
 }
 
@@ -698,13 +698,14 @@
   changed_loads_[load.replica] = load;
 }
 
-auto NodeDaemon::Impl::HearsLoads(const routing::NodeInfo& node,
-                                  std::size_t fleet) const -> bool {
+auto NodeDaemon::Impl::ReceivesLoads(const routing::NodeInfo& node,
+                                     std::size_t fleet_size) const -> bool {
   return node.id != settings_.name &&
-         (fleet <= routing::kMaxBroadcastNodes || node.zone == settings_.zone);
+         (fleet_size <= routing::kMaxBroadcastNodes ||
+          node.zone == settings_.zone);
 }
 
-auto NodeDaemon::Impl::ShareLoads() -> void {
+auto NodeDaemon::Impl::PublishLoads() -> void {
   auto changed = std::map<ReplicaId, routing::ReplicaLoad>();
   {
     const auto lock = std::lock_guard(loads_mutex_);
@@ -720,7 +721,7 @@
   }
   const auto nodes = gossip_.membership().live();
   for (const auto& node : nodes) {
-    if (!HearsLoads(node, nodes.size())) {
+    if (!ReceivesLoads(node, nodes.size())) {
       continue;
     }
     for (const auto& load : due) {
@@ -732,10 +733,10 @@
   }
 }
 
-auto NodeDaemon::Impl::ShareLoadsLoop() -> asio::awaitable<void> {
+auto NodeDaemon::Impl::PublishLoadsLoop() -> asio::awaitable<void> {
   while (true) {
-    co_await Pause(kLoadShareInterval);
-    ShareLoads();
+    co_await Pause(kLoadPublishInterval);
+    PublishLoads();
   }
 }
 
@@ -903,7 +904,7 @@
   asio::co_spawn(control_, PollHosts(), asio::detached);
   asio::co_spawn(control_, TickBatch(), asio::detached);
   asio::co_spawn(control_, KeepHouse(), asio::detached);
-  asio::co_spawn(control_, ShareLoadsLoop(), asio::detached);
+  asio::co_spawn(control_, PublishLoadsLoop(), asio::detached);
   asio::co_spawn(control_, WaitForSignal(), asio::detached);
   asio::co_spawn(*traffic_.contexts().front(), TickDispatch(), asio::detached);
   asio::co_spawn(*traffic_.contexts().front(), PollLoads(), asio::detached);
