--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -68,7 +68,7 @@
 constexpr auto kHostPollInterval = std::chrono::seconds(1);
 constexpr auto kBatchTickInterval = std::chrono::milliseconds(100);
 constexpr auto kDispatchTickInterval = std::chrono::milliseconds(20);
-constexpr auto kHouseKeepingInterval = std::chrono::seconds(1);
+constexpr auto kMaintenanceInterval = std::chrono::seconds(1);
 constexpr auto kLoadPollInterval = std::chrono::milliseconds(500);
 constexpr auto kLoadPublishInterval = std::chrono::milliseconds(200);
 // Over three times the target for the first token; an engine that takes longer
@@ -179,7 +179,7 @@
   auto WatchConfiguration() -> asio::awaitable<void>;
   auto PollHosts() -> asio::awaitable<void>;
   auto TickBatch() -> asio::awaitable<void>;
-  auto KeepHouse() -> asio::awaitable<void>;
+  auto RunMaintenance() -> asio::awaitable<void>;
   auto TickDispatch() -> asio::awaitable<void>;
   auto PollLoads() -> asio::awaitable<void>;
   auto PollLoad(routing::Replica replica) -> asio::awaitable<void>;
@@ -795,9 +795,9 @@
   }
 }
 
-auto NodeDaemon::Impl::KeepHouse() -> asio::awaitable<void> {
+auto NodeDaemon::Impl::RunMaintenance() -> asio::awaitable<void> {
   while (true) {
-    co_await Pause(kHouseKeepingInterval);
+    co_await Pause(kMaintenanceInterval);
     table_.OnTick();
     once_.OnTick();
     const auto counters = gossip_.counters();
@@ -903,7 +903,7 @@
   asio::co_spawn(control_, WatchConfiguration(), asio::detached);
   asio::co_spawn(control_, PollHosts(), asio::detached);
   asio::co_spawn(control_, TickBatch(), asio::detached);
-  asio::co_spawn(control_, KeepHouse(), asio::detached);
+  asio::co_spawn(control_, RunMaintenance(), asio::detached);
   asio::co_spawn(control_, PublishLoadsLoop(), asio::detached);
   asio::co_spawn(control_, WaitForSignal(), asio::detached);
   asio::co_spawn(*traffic_.contexts().front(), TickDispatch(), asio::detached);
