--- a/include/kumquatgauge/daemon/routing_table.h
+++ b/include/kumquatgauge/daemon/routing_table.h
@@ -53,7 +53,7 @@
                    const routing::DispatchResult& result)
       -> routing::RetryDecision;
 
-  auto batch_room(const ServiceName& service) const -> std::uint32_t;
+  auto free_batch_slots(const ServiceName& service) const -> std::uint32_t;
   auto replicas() const -> std::vector<routing::Replica>;
   auto FindReplica(const ReplicaId& id) const
       -> std::optional<routing::Replica>;
--- a/src/daemon/batch_item_runner.cc
+++ b/src/daemon/batch_item_runner.cc
@@ -37,7 +37,7 @@
 
 auto BatchItemRunner::free_slots(const ServiceName& service) const
     -> std::size_t {
-  return table_.batch_room(service);
+  return table_.free_batch_slots(service);
 }
 
 }  // namespace kumquatgauge::daemon
--- a/src/daemon/routing_table.cc
+++ b/src/daemon/routing_table.cc
@@ -95,7 +95,7 @@
   return retry_policy_.Decide(state, result);
 }
 
-auto RoutingTable::batch_room(const ServiceName& service) const
+auto RoutingTable::free_batch_slots(const ServiceName& service) const
     -> std::uint32_t {
   const auto lock = std::lock_guard(mutex_);
   return router_.free_batch_slots(service);
