--- a/include/kumquatgauge/daemon/routing_table.h
+++ b/include/kumquatgauge/daemon/routing_table.h
@@ -62,7 +62,7 @@
   auto DispatcherOf(const routing::Replica& replica) const
       -> std::optional<routing::NodeInfo>;
   auto ejection(const ReplicaId& id) const -> routing::EjectionState;
-  auto figures(const ReplicaId& id) const
+  auto FindCandidate(const ReplicaId& id) const
       -> std::optional<routing::RouteCandidate>;
   // Reason of the last ejection of a replica; empty when there was none.
   auto ejection_reason(const ReplicaId& id) const -> std::string;
--- a/src/daemon/node_operator_backend.cc
+++ b/src/daemon/node_operator_backend.cc
@@ -176,7 +176,7 @@
   auto rows = nlohmann::json::array();
   for (const auto& replica : dependencies_.table.replicas()) {
     const auto dispatcher = dependencies_.table.DispatcherOf(replica);
-    const auto figures = dependencies_.table.figures(replica.id);
+    const auto candidate = dependencies_.table.FindCandidate(replica.id);
     auto row = nlohmann::json();
     row["name"] = replica.id.value();
     row["service"] = replica.service.value();
@@ -186,8 +186,8 @@
     row["capacity"] = replica.capacity;
     row["dispatcher"] = dispatcher ? dispatcher->id.value() : "-";
     row["state"] = EjectionName(dependencies_.table.ejection(replica.id));
-    row["in_flight"] = figures ? figures->known_in_flight : 0;
-    row["limit"] = figures ? figures->limit : 0;
+    row["in_flight"] = candidate ? candidate->known_in_flight : 0;
+    row["limit"] = candidate ? candidate->limit : 0;
     rows.push_back(std::move(row));
   }
   return rows;
@@ -497,7 +497,7 @@
                 "see show upstreams");
   }
   const auto dispatcher = dependencies_.table.DispatcherOf(*replica);
-  const auto figures = dependencies_.table.figures(id);
+  const auto candidate = dependencies_.table.FindCandidate(id);
   auto result = nlohmann::json();
   result["upstream"] = name;
   result["service"] = replica->service.value();
@@ -505,12 +505,12 @@
   result["state"] = EjectionName(dependencies_.table.ejection(id));
   result["why"] = dependencies_.table.ejection_reason(id);
   result["dispatcher"] = dispatcher ? dispatcher->id.value() : "-";
-  if (figures) {
-    result["utilisation"] = figures->utilisation;
-    result["known_in_flight"] = figures->known_in_flight;
-    result["limit"] = figures->limit;
-    result["batch_room"] = figures->free_batch_slots;
-    result["weight"] = figures->weight;
+  if (candidate) {
+    result["utilisation"] = candidate->utilisation;
+    result["known_in_flight"] = candidate->known_in_flight;
+    result["limit"] = candidate->limit;
+    result["batch_room"] = candidate->free_batch_slots;
+    result["weight"] = candidate->weight;
   }
   for (const auto& status : dependencies_.orders()) {
     if (status.upstream == id) {
--- a/src/daemon/routing_table.cc
+++ b/src/daemon/routing_table.cc
@@ -149,7 +149,7 @@
   return outlier_.state(id);
 }
 
-auto RoutingTable::figures(const ReplicaId& id) const
+auto RoutingTable::FindCandidate(const ReplicaId& id) const
     -> std::optional<routing::RouteCandidate> {
   const auto lock = std::lock_guard(mutex_);
   return router_.Inspect(id);
