--- a/include/kumquatgauge/daemon/completion_router.h
+++ b/include/kumquatgauge/daemon/completion_router.h
@@ -101,10 +101,10 @@
                      routing::TokenSink sink,
                      std::shared_ptr<node::StreamCancel> cancel)
       -> boost::asio::awaitable<AttemptEnd>;
-  auto Judge(const Route& route,
-             const AttemptEnd& attempt,
-             MonotonicTime start,
-             const Progress& progress) -> void;
+  auto RecordAttempt(const Route& route,
+                     const AttemptEnd& attempt,
+                     MonotonicTime start,
+                     const Progress& progress) -> void;
   auto Finish(RequestTrace trace, const CompletionEnd& end, MonotonicTime start)
       -> void;
 
--- a/src/daemon/completion_router.cc
+++ b/src/daemon/completion_router.cc
@@ -154,7 +154,7 @@
     };
     attempt =
         co_await Attempt(run.request, *route, direct, deliver, run.cancel);
-    Judge(*route, attempt, begin, run.progress);
+    RecordAttempt(*route, attempt, begin, run.progress);
     NoteTried(run, *route, attempt);
     run.state.can_resume = route->replica.can_resume;
     traced.result = ResultName(attempt.result.kind);
@@ -311,7 +311,7 @@
   }
   const auto end = co_await Attempt(
       request, *route, route->dispatcher.id.empty(), deliver, cancel);
-  Judge(*route, end, start, progress);
+  RecordAttempt(*route, end, start, progress);
   attempt.replica = route->replica.id;
   attempt.dispatch = end.result;
   attempt.dispatch.outcome.tokens = progress.next_offset;
@@ -388,10 +388,10 @@
   co_return end;
 }
 
-auto CompletionRouter::Judge(const Route& route,
-                             const AttemptEnd& attempt,
-                             MonotonicTime start,
-                             const Progress& progress) -> void {
+auto CompletionRouter::RecordAttempt(const Route& route,
+                                     const AttemptEnd& attempt,
+                                     MonotonicTime start,
+                                     const Progress& progress) -> void {
   if (attempt.dispatcher_lost) {
     return;  // Says nothing about the replica.
   }
