--- a/src/daemon/completion_router.cc
+++ b/src/daemon/completion_router.cc
@@ -18,7 +18,7 @@
 
 // Longest silence of a dispatcher within a stream. Lost connections are found
 // by PING within 1.5 s; this bounds a dispatcher that is alive but stuck.
-constexpr auto kPeerSilence = std::chrono::seconds(20);
+constexpr auto kPeerFrameTimeout = std::chrono::seconds(20);
 // When to come back if a service has no replica to offer.
 constexpr auto kNoReplicaRetryAfter = std::chrono::milliseconds(1000);
 
@@ -369,7 +369,7 @@
   try {
     co_await pool_.current().peer().Call(route.dispatcher.node_address, channel,
                                          "dispatch", message, on_frame,
-                                         kPeerSilence, cancel);
+                                         kPeerFrameTimeout, cancel);
   } catch (const Error& error) {
     failure = error.what();
   }
