Rename OnSign to OnResponse

A token or a load report of the replica is a response. last_sign_ becomes last_response_ and kSilence becomes kSilenceUntilDown, as kFailuresUntilDown.

--- a/src/daemon/dispatch_service.cc
+++ b/src/daemon/dispatch_service.cc
@@ -23,9 +23,9 @@
 constexpr std::uint64_t kProgressStep = 8;
 
 // A replica counts as down after this many failed requests and load reports in
-// a row, when it has answered before and gave no token for kSilence.
+// a row, when it has answered before and gave no token for kSilenceUntilDown.
 constexpr int kFailuresUntilDown = 2;
-constexpr auto kSilence = std::chrono::milliseconds(1000);
+constexpr auto kSilenceUntilDown = std::chrono::milliseconds(1000);
 // Added to the load of a replica that is down, so that entries prefer others.
 constexpr std::uint32_t kDownLoad = 10'000;
 
@@ -193,10 +193,10 @@
   }
 
   // The replica has answered something: a token or a load report.
-  auto OnSign(MonotonicTime now) -> void {
+  auto OnResponse(MonotonicTime now) -> void {
     const auto lock = std::lock_guard(mutex_);
     failures_ = 0;
-    last_sign_ = now;
+    last_response_ = now;
   }
 
   auto OnFailure() -> void {
@@ -221,14 +221,14 @@
 
  private:
   auto IsDown(MonotonicTime now) const -> bool {
-    return last_sign_ && failures_ >= kFailuresUntilDown &&
-           now - *last_sign_ > kSilence;
+    return last_response_ && failures_ >= kFailuresUntilDown &&
+           now - *last_response_ > kSilenceUntilDown;
   }
 
   mutable std::mutex mutex_;
   routing::Dispatcher dispatcher_;
   int failures_ = 0;
-  std::optional<MonotonicTime> last_sign_;
+  std::optional<MonotonicTime> last_response_;
   std::unordered_map<RequestId, std::shared_ptr<Waiter>> waiters_;
 };
 
@@ -418,7 +418,7 @@
     tokens_.Add();
     sink(token);
     if (first || token.offset % kProgressStep == 0) {
-      slot->OnSign(now);
+      slot->OnResponse(now);
     }
     if (first) {
       slot->Apply([&id](routing::Dispatcher& dispatcher) {
@@ -463,7 +463,7 @@
   if (!slot) {
     return;
   }
-  slot->OnSign(clock_());
+  slot->OnResponse(clock_());
   slot->Apply([&report](routing::Dispatcher& dispatcher) {
     return dispatcher.LoadReport({.running = report.running,
                                   .waiting = report.waiting,
