--- a/src/daemon/dispatch_service.cc
+++ b/src/daemon/dispatch_service.cc
@@ -27,7 +27,7 @@
 constexpr int kFailuresUntilDown = 2;
 constexpr auto kSilenceUntilDown = std::chrono::milliseconds(1000);
 // Added to the load of a replica that is down, so that entries prefer others.
-constexpr std::uint32_t kDownLoad = 10'000;
+constexpr std::uint32_t kDownLoadPenalty = 10'000;
 
 auto ToMilliseconds(Duration duration) -> double {
   return std::chrono::duration<double, std::milli>(duration).count();
@@ -186,7 +186,7 @@
     const auto lock = std::lock_guard(mutex_);
     auto load = dispatcher_.load();
     if (IsDown(now)) {
-      load.online_in_flight += kDownLoad;
+      load.online_in_flight += kDownLoadPenalty;
       load.free_batch_slots = 0;
     }
     return load;
