--- a/include/kumquatgauge/daemon/once_service.h
+++ b/include/kumquatgauge/daemon/once_service.h
@@ -77,7 +77,7 @@
 
  private:
   // A call with all that is needed to run or forward it.
-  struct Job {
+  struct ServiceCall {
     ServiceName service;
     upstream::ServiceRequest request;
     caller::ServiceCallOptions options;
@@ -91,15 +91,16 @@
   };
   struct Waiter;
 
-  auto CallOnce(Job job) -> boost::asio::awaitable<caller::ServiceCallEnd>;
-  auto CarryOut(const Job& job, routing::OnceDecision decision)
+  auto CallOnce(ServiceCall call)
       -> boost::asio::awaitable<caller::ServiceCallEnd>;
-  auto Decide(const Job& job) -> routing::OnceDecision;
-  auto RunOnce(const Job& job)
+  auto CarryOut(const ServiceCall& call, routing::OnceDecision decision)
       -> boost::asio::awaitable<caller::ServiceCallEnd>;
-  auto RunAtReplicas(const Job& job)
+  auto Decide(const ServiceCall& call) -> routing::OnceDecision;
+  auto RunOnce(const ServiceCall& call)
       -> boost::asio::awaitable<caller::ServiceCallEnd>;
-  auto Forward(const Job& job, const routing::OnceDecision& decision)
+  auto RunAtReplicas(const ServiceCall& call)
+      -> boost::asio::awaitable<caller::ServiceCallEnd>;
+  auto Forward(const ServiceCall& call, const routing::OnceDecision& decision)
       -> boost::asio::awaitable<caller::ServiceCallEnd>;
   auto Claim(const routing::OnceKey& key)
       -> boost::asio::awaitable<routing::ClaimResult>;
--- a/src/daemon/once_service.cc
+++ b/src/daemon/once_service.cc
@@ -204,26 +204,26 @@
                 "see show services for the names");
   }
   const auto start = clock_();
-  auto job = Job{.service = service,
-                 .request = std::move(request),
-                 .options = std::move(options),
-                 .deadline = start};
-  job.deadline += job.options.time_left;
-  job.repeatable = traits->repeatable && job.options.idempotency_key.empty();
-  job.body_hash = BodyHash(job.service, job.request);
-  job.key = {.organisation = job.options.organisation,
-             .key = job.options.idempotency_key};
-  const auto id = job.options.request_id;
+  auto call = ServiceCall{.service = service,
+                          .request = std::move(request),
+                          .options = std::move(options),
+                          .deadline = start};
+  call.deadline += call.options.time_left;
+  call.repeatable = traits->repeatable && call.options.idempotency_key.empty();
+  call.body_hash = BodyHash(call.service, call.request);
+  call.key = {.organisation = call.options.organisation,
+              .key = call.options.idempotency_key};
+  const auto id = call.options.request_id;
   auto trace = RequestTrace{.id = id,
-                            .organisation = job.options.organisation,
+                            .organisation = call.options.organisation,
                             .service = service,
                             .kind = "service"};
   auto end = ServiceCallEnd();
-  if (job.options.idempotency_key.empty()) {
+  if (call.options.idempotency_key.empty()) {
     // Without a key there is no resend to recognise: each request is its own.
-    end = co_await RunAtReplicas(job);
+    end = co_await RunAtReplicas(call);
   } else {
-    end = co_await CallOnce(std::move(job));
+    end = co_await CallOnce(std::move(call));
   }
   trace.outcome = OutcomeKindName(end.outcome.kind);
   trace.reason = end.outcome.reason;
@@ -236,61 +236,62 @@
   co_return end;
 }
 
-auto OnceService::Decide(const Job& job) -> OnceDecision {
+auto OnceService::Decide(const ServiceCall& call) -> OnceDecision {
   const auto lock = std::lock_guard(mutex_);
-  if (!job.options.ticket.empty()) {
-    return job.registry->DecideWithTicket(
-        job.key, job.body_hash, routing::ParseTicket(job.options.ticket));
+  if (!call.options.ticket.empty()) {
+    return call.registry->DecideWithTicket(
+        call.key, call.body_hash, routing::ParseTicket(call.options.ticket));
   }
-  return job.forwarded
-             ? job.registry->DecideForwardedClaim(job.key, job.body_hash)
-             : job.registry->DecideWithoutTicket(job.key, job.body_hash);
+  return call.forwarded
+             ? call.registry->DecideForwardedClaim(call.key, call.body_hash)
+             : call.registry->DecideWithoutTicket(call.key, call.body_hash);
 }
 
-auto OnceService::CallOnce(Job job) -> boost::asio::awaitable<ServiceCallEnd> {
+auto OnceService::CallOnce(ServiceCall call)
+    -> boost::asio::awaitable<ServiceCallEnd> {
   {
     const auto lock = std::lock_guard(mutex_);
-    job.registry = registry_;
+    call.registry = registry_;
   }
   while (true) {
-    auto decision = Decide(job);
+    auto decision = Decide(call);
     if (decision.kind == OnceDecision::Kind::kClaim) {
-      const auto claim = co_await Claim(job.key);
+      const auto claim = co_await Claim(call.key);
       {
         const auto lock = std::lock_guard(mutex_);
-        decision = job.registry->OnClaim(job.key, claim);
+        decision = call.registry->OnClaim(call.key, claim);
       }
       if (decision.kind != OnceDecision::Kind::kRun) {
-        WakeWaiters(job.key);
+        WakeWaiters(call.key);
       }
     } else if (decision.kind == OnceDecision::Kind::kReadClaim) {
-      const auto claim = co_await ReadClaim(job.key);
+      const auto claim = co_await ReadClaim(call.key);
       const auto lock = std::lock_guard(mutex_);
-      decision = job.registry->OnClaimRead(claim);
+      decision = call.registry->OnClaimRead(claim);
     }
     if (decision.kind != OnceDecision::Kind::kWait) {
-      co_return co_await CarryOut(job, std::move(decision));
+      co_return co_await CarryOut(call, std::move(decision));
     }
-    if (clock_() >= job.deadline) {
+    if (clock_() >= call.deadline) {
       co_return MakeEnd(OutcomeKind::kUnknown,
                         "the first request with this key is still running");
     }
-    co_await WaitForChange(job.key);
+    co_await WaitForChange(call.key);
   }
 }
 
-auto OnceService::CarryOut(const Job& job, OnceDecision decision)
+auto OnceService::CarryOut(const ServiceCall& call, OnceDecision decision)
     -> boost::asio::awaitable<ServiceCallEnd> {
   switch (decision.kind) {
     case OnceDecision::Kind::kRun:
-      co_return co_await RunOnce(job);
+      co_return co_await RunOnce(call);
     case OnceDecision::Kind::kForward:
-      if (job.forwarded) {
+      if (call.forwarded) {
         // The sender's view of the nodes differs; passing the request on again
         // could go in circles.
         co_return MakeEnd(OutcomeKind::kUnknown, "its executor has moved on");
       }
-      co_return co_await Forward(job, decision);
+      co_return co_await Forward(call, decision);
     case OnceDecision::Kind::kConflict: {
       auto end = MakeEnd(OutcomeKind::kFailed,
                          "the Idempotency-Key was used with another body");
@@ -302,27 +303,27 @@
   }
 }
 
-auto OnceService::RunOnce(const Job& job)
+auto OnceService::RunOnce(const ServiceCall& call)
     -> boost::asio::awaitable<ServiceCallEnd> {
-  auto end = co_await RunAtReplicas(job);
+  auto end = co_await RunAtReplicas(call);
   auto finished = routing::FinishResult();
   {
     const auto lock = std::lock_guard(mutex_);
-    finished = job.registry->Finished(
-        job.key, {.outcome = end.outcome, .response = EncodeResponse(end)});
+    finished = call.registry->Finished(
+        call.key, {.outcome = end.outcome, .response = EncodeResponse(end)});
   }
   if (finished.release_claim) {
-    co_await boost::asio::co_spawn(control_, ReleaseClaimOnControl(job.key),
+    co_await boost::asio::co_spawn(control_, ReleaseClaimOnControl(call.key),
                                    boost::asio::use_awaitable);
   }
-  WakeWaiters(job.key);
+  WakeWaiters(call.key);
   co_return end;
 }
 
-auto OnceService::RunAtReplicas(const Job& job)
+auto OnceService::RunAtReplicas(const ServiceCall& call)
     -> boost::asio::awaitable<ServiceCallEnd> {
-  auto route_request = routing::RouteRequest{.service = job.service,
-                                             .may_probe = job.repeatable};
+  auto route_request = routing::RouteRequest{.service = call.service,
+                                             .may_probe = call.repeatable};
   auto reason = std::string("no replica of the service is available");
   auto may_have_run = false;
   while (route_request.tried.size() < kMaxReplicas) {
@@ -330,7 +331,7 @@
     const auto route =
         table_.Choose(route_request, routing::WorkClass::kOnline, explanation);
     const auto time_left =
-        std::chrono::duration_cast<std::chrono::milliseconds>(job.deadline -
+        std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline -
                                                               clock_());
     if (!route || time_left <= std::chrono::milliseconds::zero()) {
       break;
@@ -342,7 +343,7 @@
     BeginCall(route->replica.id);
     try {
       end.response = co_await pool_.current().service().Send(
-          route->replica.address, job.request, job.repeatable, time_left);
+          route->replica.address, call.request, call.repeatable, time_left);
     } catch (const Error& error) {
       failure = error;
     }
@@ -354,7 +355,7 @@
     table_.OnFailure(route->replica.id);
     reason = failure->what();
     may_have_run = may_have_run || failure->kind() != ErrorKind::kUnavailable;
-    if (may_have_run && !job.repeatable) {
+    if (may_have_run && !call.repeatable) {
       break;
     }
   }
@@ -364,7 +365,7 @@
   co_return MakeEnd(OutcomeKind::kNotRun, reason, kNoReplicaRetryAfter);
 }
 
-auto OnceService::Forward(const Job& job, const OnceDecision& decision)
+auto OnceService::Forward(const ServiceCall& call, const OnceDecision& decision)
     -> boost::asio::awaitable<ServiceCallEnd> {
   const auto unknown =
       MakeEnd(OutcomeKind::kUnknown,
@@ -375,16 +376,16 @@
     co_return unknown;
   }
   auto message = nlohmann::json();
-  message["service"] = job.service.value();
-  message["organisation"] = job.options.organisation.value();
-  message["key"] = job.options.idempotency_key;
-  message["ticket"] = job.options.ticket;
-  message["request_id"] = job.options.request_id.value();
+  message["service"] = call.service.value();
+  message["organisation"] = call.options.organisation.value();
+  message["key"] = call.options.idempotency_key;
+  message["ticket"] = call.options.ticket;
+  message["request_id"] = call.options.request_id.value();
   message["incarnation"] = decision.incarnation;
   const auto time_left = std::chrono::duration_cast<std::chrono::milliseconds>(
-      job.deadline - clock_());
+      call.deadline - clock_());
   message["time_left_ms"] = time_left.count();
-  message["request"] = RequestToMessage(job.request);
+  message["request"] = RequestToMessage(call.request);
   auto end = std::optional<ServiceCallEnd>();
   const auto on_frame = [&end](const nlohmann::json& frame) {
     if (frame.contains("end")) {
@@ -404,26 +405,26 @@
 auto OnceService::HandleOnce(nlohmann::json request,
                              std::shared_ptr<node::Responder> responder)
     -> boost::asio::awaitable<void> {
-  auto job = Job();
-  job.service = ServiceName(request.at("service").get<std::string>());
-  job.request = RequestFromMessage(request.at("request"));
-  job.options.organisation =
+  auto call = ServiceCall();
+  call.service = ServiceName(request.at("service").get<std::string>());
+  call.request = RequestFromMessage(request.at("request"));
+  call.options.organisation =
       OrganisationName(request.at("organisation").get<std::string>());
-  job.options.idempotency_key = request.at("key").get<std::string>();
-  job.options.ticket = request.at("ticket").get<std::string>();
-  job.options.request_id =
+  call.options.idempotency_key = request.at("key").get<std::string>();
+  call.options.ticket = request.at("ticket").get<std::string>();
+  call.options.request_id =
       RequestId(request.at("request_id").get<std::string>());
-  job.options.time_left =
+  call.options.time_left =
       std::chrono::milliseconds(request.at("time_left_ms").get<std::int64_t>());
-  job.deadline = clock_() + job.options.time_left;
-  job.body_hash = BodyHash(job.service, job.request);
-  job.key = {.organisation = job.options.organisation,
-             .key = job.options.idempotency_key};
-  job.forwarded = true;
+  call.deadline = clock_() + call.options.time_left;
+  call.body_hash = BodyHash(call.service, call.request);
+  call.key = {.organisation = call.options.organisation,
+              .key = call.options.idempotency_key};
+  call.forwarded = true;
   auto end = MakeEnd(OutcomeKind::kUnknown,
                      "the node that alone may run this request was restarted");
   if (request.at("incarnation").get<Incarnation>() == incarnation_) {
-    end = co_await CallOnce(std::move(job));
+    end = co_await CallOnce(std::move(call));
   }
   auto frame = nlohmann::json();
   frame["end"] = EndToMessage(end);
