--- a/src/daemon/once_service.cc
+++ b/src/daemon/once_service.cc
@@ -519,14 +519,14 @@
     -> boost::asio::awaitable<void> {
   // Woken by the end of the first request; the limit covers an end that came
   // between the decision and the registration below.
-  constexpr auto kLookAgain = std::chrono::milliseconds(250);
+  constexpr auto kRecheckInterval = std::chrono::milliseconds(250);
   const auto waiter =
       std::make_shared<Waiter>(co_await boost::asio::this_coro::executor);
   {
     const auto lock = std::lock_guard(mutex_);
     waiters_.emplace(key, waiter);
   }
-  waiter->timer.expires_after(kLookAgain);
+  waiter->timer.expires_after(kRecheckInterval);
   auto ignored = boost::system::error_code();
   co_await waiter->timer.async_wait(
       boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
