--- a/src/daemon/node_operator_backend.cc
+++ b/src/daemon/node_operator_backend.cc
@@ -99,11 +99,11 @@
                       const nlohmann::json* before,
                       const control::Configuration& configuration)
     -> std::uint64_t {
-  constexpr auto kNeverARevision = UINT64_MAX;
+  constexpr auto kImpossibleRevision = UINT64_MAX;
   if (change.mode == operators::ConfigurationChange::Mode::kCreate) {
     return 0;
   }
-  return before == nullptr ? kNeverARevision
+  return before == nullptr ? kImpossibleRevision
                            : configuration.RevisionOf(change.key);
 }
 
