--- a/apps/kqg_bench.cc
+++ b/apps/kqg_bench.cc
@@ -50,7 +50,7 @@
   std::string model = "tab-writer";
 };
 
-struct Figures {
+struct Results {
   std::vector<double> first_ms;
   std::vector<double> total_ms;
   std::uint64_t tokens = 0;
@@ -62,21 +62,21 @@
       .count();
 }
 
-auto Percentile(std::vector<double>& figures, double share) -> double {
-  if (figures.empty()) {
+auto Percentile(std::vector<double>& samples, double fraction) -> double {
+  if (samples.empty()) {
     return 0.0;
   }
-  std::sort(figures.begin(), figures.end());
-  const auto last = static_cast<double>(figures.size() - 1);
-  return figures[static_cast<std::size_t>(share * last)];
+  std::sort(samples.begin(), samples.end());
+  const auto last = static_cast<double>(samples.size() - 1);
+  return samples[static_cast<std::size_t>(fraction * last)];
 }
 
 auto CountTokens(const std::string& body) -> std::uint64_t {
   auto count = std::uint64_t{0};
-  constexpr auto kMark = std::string_view("\"text\":\"");
-  for (auto place = body.find(kMark); place != std::string::npos;
-       place = body.find(kMark, place + 1)) {
-    count += body[place + kMark.size()] != '"' ? 1 : 0;
+  constexpr auto kTextField = std::string_view("\"text\":\"");
+  for (auto position = body.find(kTextField); position != std::string::npos;
+       position = body.find(kTextField, position + 1)) {
+    count += body[position + kTextField.size()] != '"' ? 1 : 0;
   }
   return count;
 }
@@ -120,16 +120,16 @@
     }
   }
 
-  auto Run() -> Figures {
+  auto Run() -> Results {
     start_ = SteadyClock::now();
     Schedule();
     context_.run();
-    return std::move(figures_);
+    return std::move(results_);
   }
 
   auto options() const -> const Options& { return options_; }
   auto endpoint() const -> const asio::ip::tcp::endpoint& { return endpoint_; }
-  auto figures() -> Figures& { return figures_; }
+  auto results() -> Results& { return results_; }
   auto Release(std::shared_ptr<Connection> connection) -> void {
     idle_.push_back(std::move(connection));
   }
@@ -166,7 +166,7 @@
   SteadyClock::time_point start_;
   std::uint64_t next_ = 0;
   std::deque<std::shared_ptr<Connection>> idle_;
-  Figures figures_;
+  Results results_;
 };
 
 auto Connection::Send(std::uint64_t number, SteadyClock::time_point due)
@@ -219,7 +219,7 @@
                               self->parser_->is_header_done() &&
                               !self->parser_->get().body().empty()) {
                             self->first_seen_ = true;
-                            self->runner_.figures().first_ms.push_back(
+                            self->runner_.results().first_ms.push_back(
                                 MillisecondsSince(self->due_));
                           }
                           if (error || self->parser_->is_done()) {
@@ -231,14 +231,15 @@
 }
 
 auto Connection::Finish(bool failed) -> void {
-  auto& figures = runner_.figures();
-  const auto whole = !failed && parser_->get().result() == http::status::ok &&
-                     parser_->get().body().find("[DONE]") != std::string::npos;
-  if (!whole) {
-    ++figures.errors;
+  auto& results = runner_.results();
+  const auto complete =
+      !failed && parser_->get().result() == http::status::ok &&
+      parser_->get().body().find("[DONE]") != std::string::npos;
+  if (!complete) {
+    ++results.errors;
   } else {
-    figures.total_ms.push_back(MillisecondsSince(due_));
-    figures.tokens += CountTokens(parser_->get().body());
+    results.total_ms.push_back(MillisecondsSince(due_));
+    results.tokens += CountTokens(parser_->get().body());
   }
   if (failed || !parser_->get().keep_alive()) {
     connected_ = false;
@@ -311,18 +312,18 @@
     if (const auto status = ParseOptions(argc, argv, options)) {
       return *status;
     }
-    auto figures = Runner(options).Run();
+    auto results = Runner(options).Run();
     auto report = nlohmann::json();
-    report["requests"] = figures.total_ms.size() + figures.errors;
-    report["errors"] = figures.errors;
-    report["tokens"] = figures.tokens;
-    report["first_p50_ms"] = Percentile(figures.first_ms, 0.5);
-    report["first_p95_ms"] = Percentile(figures.first_ms, 0.95);
-    report["first_p99_ms"] = Percentile(figures.first_ms, 0.99);
-    report["total_p50_ms"] = Percentile(figures.total_ms, 0.5);
-    report["total_p99_ms"] = Percentile(figures.total_ms, 0.99);
+    report["requests"] = results.total_ms.size() + results.errors;
+    report["errors"] = results.errors;
+    report["tokens"] = results.tokens;
+    report["first_p50_ms"] = Percentile(results.first_ms, 0.5);
+    report["first_p95_ms"] = Percentile(results.first_ms, 0.95);
+    report["first_p99_ms"] = Percentile(results.first_ms, 0.99);
+    report["total_p50_ms"] = Percentile(results.total_ms, 0.5);
+    report["total_p99_ms"] = Percentile(results.total_ms, 0.99);
     std::cout << report.dump() << std::endl;
-    return figures.errors == 0 ? 0 : 1;
+    return results.errors == 0 ? 0 : 1;
   } catch (const std::exception& error) {
     std::cerr << "kqg-bench: " << error.what() << "\n";
     return 2;
