--- a/include/kumquatgauge/daemon/dispatch_service.h
+++ b/include/kumquatgauge/daemon/dispatch_service.h
@@ -60,15 +60,18 @@
   auto in_flight() const -> std::size_t;
 
  private:
-  class Slot;
+  class ReplicaDispatcher;
   struct Waiter;
 
-  auto FindSlot(const ReplicaId& replica) -> std::shared_ptr<Slot>;
-  auto AllSlots() const -> std::vector<std::shared_ptr<Slot>>;
-  auto MakeSlot(const routing::Replica& replica) const -> std::shared_ptr<Slot>;
+  auto FindDispatcher(const ReplicaId& replica)
+      -> std::shared_ptr<ReplicaDispatcher>;
+  auto AllDispatchers() const
+      -> std::vector<std::shared_ptr<ReplicaDispatcher>>;
+  auto MakeDispatcher(const routing::Replica& replica) const
+      -> std::shared_ptr<ReplicaDispatcher>;
   auto WaitForAction(std::shared_ptr<Waiter> waiter)
       -> boost::asio::awaitable<void>;
-  auto StreamFromEngine(std::shared_ptr<Slot> slot,
+  auto StreamFromEngine(std::shared_ptr<ReplicaDispatcher> replica_dispatcher,
                         std::shared_ptr<Waiter> waiter,
                         routing::CompletionRequest request,
                         routing::TokenSink sink)
@@ -88,7 +91,7 @@
 
   mutable std::shared_mutex mutex_;
   std::map<ReplicaId, routing::Replica> replicas_;
-  std::map<ReplicaId, std::shared_ptr<Slot>> slots_;
+  std::map<ReplicaId, std::shared_ptr<ReplicaDispatcher>> dispatchers_;
 };
 
 }  // namespace kumquatgauge::daemon
--- a/src/daemon/dispatch_service.cc
+++ b/src/daemon/dispatch_service.cc
@@ -152,9 +152,9 @@
 };
 
 // One replica's dispatcher with the requests that wait or run under it.
-class DispatchService::Slot {
+class DispatchService::ReplicaDispatcher {
  public:
-  explicit Slot(routing::Dispatcher dispatcher)
+  explicit ReplicaDispatcher(routing::Dispatcher dispatcher)
       : dispatcher_(std::move(dispatcher)) {}
 
   auto Register(const RequestId& id, std::shared_ptr<Waiter> waiter) -> void {
@@ -258,45 +258,45 @@
   for (const auto& replica : replicas) {
     replicas_.emplace(replica.id, replica);
   }
-  for (auto& [id, slot] : slots_) {
+  for (auto& [id, replica_dispatcher] : dispatchers_) {
     const auto found = replicas_.find(id);
     if (found == replicas_.end()) {
-      slot->Apply([](routing::Dispatcher& dispatcher) {
+      replica_dispatcher->Apply([](routing::Dispatcher& dispatcher) {
         auto gone = dispatcher.replica();
         gone.leaving = true;
         return dispatcher.SetReplica(gone);
       });
       continue;
     }
-    slot->Apply([&found](routing::Dispatcher& dispatcher) {
+    replica_dispatcher->Apply([&found](routing::Dispatcher& dispatcher) {
       return dispatcher.SetReplica(found->second);
     });
     const auto batch = batch_settings_(found->second.service);
-    slot->Apply([&batch](routing::Dispatcher& dispatcher) {
+    replica_dispatcher->Apply([&batch](routing::Dispatcher& dispatcher) {
       return dispatcher.SetBatchSettings(batch);
     });
   }
-  std::erase_if(slots_, [this](const auto& entry) {
+  std::erase_if(dispatchers_, [this](const auto& entry) {
     return !replicas_.contains(entry.first) && entry.second->in_flight() == 0;
   });
 }
 
-auto DispatchService::MakeSlot(const routing::Replica& replica) const
-    -> std::shared_ptr<Slot> {
+auto DispatchService::MakeDispatcher(const routing::Replica& replica) const
+    -> std::shared_ptr<ReplicaDispatcher> {
   auto settings = settings_;
   settings.limit.initial = replica.capacity;
   settings.limit.max = replica.capacity;
   settings.batch = batch_settings_(replica.service);
-  return std::make_shared<Slot>(
+  return std::make_shared<ReplicaDispatcher>(
       routing::Dispatcher(replica, settings, clock_, weight_));
 }
 
-auto DispatchService::FindSlot(const ReplicaId& replica)
-    -> std::shared_ptr<Slot> {
+auto DispatchService::FindDispatcher(const ReplicaId& replica)
+    -> std::shared_ptr<ReplicaDispatcher> {
   {
     const auto lock = std::shared_lock(mutex_);
-    const auto found = slots_.find(replica);
-    if (found != slots_.end()) {
+    const auto found = dispatchers_.find(replica);
+    if (found != dispatchers_.end()) {
       return found->second;
     }
   }
@@ -305,20 +305,21 @@
   if (known == replicas_.end()) {
     return nullptr;
   }
-  auto& slot = slots_[replica];
-  if (!slot) {
-    slot = MakeSlot(known->second);
+  auto& replica_dispatcher = dispatchers_[replica];
+  if (!replica_dispatcher) {
+    replica_dispatcher = MakeDispatcher(known->second);
   }
-  return slot;
+  return replica_dispatcher;
 }
 
-auto DispatchService::AllSlots() const -> std::vector<std::shared_ptr<Slot>> {
+auto DispatchService::AllDispatchers() const
+    -> std::vector<std::shared_ptr<ReplicaDispatcher>> {
   const auto lock = std::shared_lock(mutex_);
-  auto slots = std::vector<std::shared_ptr<Slot>>();
-  for (const auto& [id, slot] : slots_) {
-    slots.push_back(slot);
+  auto dispatchers = std::vector<std::shared_ptr<ReplicaDispatcher>>();
+  for (const auto& [id, replica_dispatcher] : dispatchers_) {
+    dispatchers.push_back(replica_dispatcher);
   }
-  return slots;
+  return dispatchers;
 }
 
 auto DispatchService::Run(routing::CompletionRequest request,
@@ -326,20 +327,20 @@
                           routing::TokenSink sink,
                           std::shared_ptr<node::StreamCancel> cancel)
     -> boost::asio::awaitable<DispatchResult> {
-  const auto slot = FindSlot(replica);
-  if (!slot) {
+  const auto replica_dispatcher = FindDispatcher(replica);
+  if (!replica_dispatcher) {
     co_return UnknownReplica(replica);
   }
-  if (slot->down(clock_())) {
+  if (replica_dispatcher->down(clock_())) {
     refusals_.Add();
-    co_return DownResult(slot->load(clock_()));
+    co_return DownResult(replica_dispatcher->load(clock_()));
   }
   const auto id = request.id;
   const auto waiter =
       std::make_shared<Waiter>(co_await boost::asio::this_coro::executor);
   if (cancel) {
-    cancel->set_hook([slot, waiter, id] {
-      slot->Apply([&id](routing::Dispatcher& dispatcher) {
+    cancel->set_hook([replica_dispatcher, waiter, id] {
+      replica_dispatcher->Apply([&id](routing::Dispatcher& dispatcher) {
         return dispatcher.Cancelled(id);
       });
       waiter->OnCancel();
@@ -348,16 +349,16 @@
       waiter->cancelled = true;
     }
   }
-  slot->Register(id, waiter);
+  replica_dispatcher->Register(id, waiter);
   auto result = DispatchResult();
   try {
-    slot->Apply([&request](routing::Dispatcher& dispatcher) {
+    replica_dispatcher->Apply([&request](routing::Dispatcher& dispatcher) {
       return dispatcher.Arrive(routing::DispatchItemOf(request));
     });
     co_await WaitForAction(waiter);
     if (waiter->cancelled) {
       // The start may have been decided already; nothing was sent.
-      slot->Apply([&id](routing::Dispatcher& dispatcher) {
+      replica_dispatcher->Apply([&id](routing::Dispatcher& dispatcher) {
         auto actions = dispatcher.Cancelled(id);
         auto more = dispatcher.Finished(id, routing::UpstreamEnd::kCancelled);
         actions.insert(actions.end(), more.begin(), more.end());
@@ -368,8 +369,8 @@
                            .reason = "cancelled while it waited",
                            .tokens = request.resume_offset});
     } else if (waiter->admission.kind == DispatchAction::Kind::kStart) {
-      result = co_await StreamFromEngine(slot, waiter, std::move(request),
-                                         std::move(sink));
+      result = co_await StreamFromEngine(replica_dispatcher, waiter,
+                                         std::move(request), std::move(sink));
     } else {
       refusals_.Add();
       result =
@@ -383,9 +384,9 @@
   if (cancel) {
     cancel->set_hook(nullptr);
   }
-  slot->Unregister(id);
-  result.load = slot->load(clock_());
-  result.replica_down = slot->down(clock_());
+  replica_dispatcher->Unregister(id);
+  result.load = replica_dispatcher->load(clock_());
+  result.replica_down = replica_dispatcher->down(clock_());
   if (on_load_) {
     on_load_(result.load);
   }
@@ -402,11 +403,11 @@
   }
 }
 
-auto DispatchService::StreamFromEngine(std::shared_ptr<Slot> slot,
-                                       std::shared_ptr<Waiter> waiter,
-                                       routing::CompletionRequest request,
-                                       routing::TokenSink sink)
-    -> boost::asio::awaitable<DispatchResult> {
+auto DispatchService::StreamFromEngine(
+    std::shared_ptr<ReplicaDispatcher> replica_dispatcher,
+    std::shared_ptr<Waiter> waiter,
+    routing::CompletionRequest request,
+    routing::TokenSink sink) -> boost::asio::awaitable<DispatchResult> {
   const auto id = request.id;
   const auto start = clock_();
   auto last = start;
@@ -418,14 +419,14 @@
     tokens_.Add();
     sink(token);
     if (first || token.offset % kProgressStep == 0) {
-      slot->OnResponse(now);
+      replica_dispatcher->OnResponse(now);
     }
     if (first) {
-      slot->Apply([&id](routing::Dispatcher& dispatcher) {
+      replica_dispatcher->Apply([&id](routing::Dispatcher& dispatcher) {
         return dispatcher.FirstToken(id);
       });
     } else if (token.offset % kProgressStep == 0) {
-      slot->Apply([&](routing::Dispatcher& dispatcher) {
+      replica_dispatcher->Apply([&](routing::Dispatcher& dispatcher) {
         return dispatcher.TokenProgress(id, token.offset + 1);
       });
     }
@@ -437,18 +438,18 @@
       waiter->CancelStream();
     }
   };
-  slot->Apply([&id](routing::Dispatcher& dispatcher) {
+  replica_dispatcher->Apply([&id](routing::Dispatcher& dispatcher) {
     dispatcher.Started(id);
     return routing::Dispatcher::Actions();
   });
   const auto end = co_await pool_.current().engine().Stream(
-      slot->address(), std::move(request), on_start, on_token);
+      replica_dispatcher->address(), std::move(request), on_start, on_token);
   waiter->stream.reset();
   if (end.kind == StreamEnd::Kind::kLost ||
       end.kind == StreamEnd::Kind::kRefused) {
-    slot->OnFailure();
+    replica_dispatcher->OnFailure();
   }
-  slot->Apply([&](routing::Dispatcher& dispatcher) {
+  replica_dispatcher->Apply([&](routing::Dispatcher& dispatcher) {
     return dispatcher.Finished(id, UpstreamEndOf(end.kind));
   });
   if (waiter->preempted) {
@@ -459,52 +460,52 @@
 
 auto DispatchService::OnLoadReport(const ReplicaId& replica,
                                    const upstream::LoadReport& report) -> void {
-  const auto slot = FindSlot(replica);
-  if (!slot) {
+  const auto replica_dispatcher = FindDispatcher(replica);
+  if (!replica_dispatcher) {
     return;
   }
-  slot->OnResponse(clock_());
-  slot->Apply([&report](routing::Dispatcher& dispatcher) {
+  replica_dispatcher->OnResponse(clock_());
+  replica_dispatcher->Apply([&report](routing::Dispatcher& dispatcher) {
     return dispatcher.LoadReport({.running = report.running,
                                   .waiting = report.waiting,
                                   .capacity = report.capacity,
                                   .kv_used = report.kv_used});
   });
   if (on_load_) {
-    on_load_(slot->load(clock_()));
+    on_load_(replica_dispatcher->load(clock_()));
   }
 }
 
 auto DispatchService::OnLoadReportFailed(const ReplicaId& replica) -> void {
-  const auto slot = FindSlot(replica);
-  if (!slot) {
+  const auto replica_dispatcher = FindDispatcher(replica);
+  if (!replica_dispatcher) {
     return;
   }
-  slot->OnFailure();
-  if (on_load_ && slot->down(clock_())) {
-    on_load_(slot->load(clock_()));
+  replica_dispatcher->OnFailure();
+  if (on_load_ && replica_dispatcher->down(clock_())) {
+    on_load_(replica_dispatcher->load(clock_()));
   }
 }
 
 auto DispatchService::OnTick() -> void {
-  for (const auto& slot : AllSlots()) {
-    slot->Apply(
+  for (const auto& replica_dispatcher : AllDispatchers()) {
+    replica_dispatcher->Apply(
         [](routing::Dispatcher& dispatcher) { return dispatcher.Tick(); });
   }
 }
 
 auto DispatchService::loads() const -> std::vector<routing::ReplicaLoad> {
   auto loads = std::vector<routing::ReplicaLoad>();
-  for (const auto& slot : AllSlots()) {
-    loads.push_back(slot->load(clock_()));
+  for (const auto& replica_dispatcher : AllDispatchers()) {
+    loads.push_back(replica_dispatcher->load(clock_()));
   }
   return loads;
 }
 
 auto DispatchService::in_flight() const -> std::size_t {
   auto total = std::size_t{0};
-  for (const auto& slot : AllSlots()) {
-    total += slot->in_flight();
+  for (const auto& replica_dispatcher : AllDispatchers()) {
+    total += replica_dispatcher->in_flight();
   }
   return total;
 }
