--- a/src/daemon/node_operator_backend.cc
+++ b/src/daemon/node_operator_backend.cc
@@ -23,9 +23,9 @@
 constexpr auto kQueryTimeout = std::chrono::milliseconds(1500);
 // A field-wise change that meets another change of the same key is merged
 // again over the newer value this often.
-constexpr auto kMergeAttempts = 5;
-constexpr std::size_t kShownRequests = 200;
-constexpr std::size_t kShownAuditRecords = 1'000;
+constexpr auto kMaxMergeAttempts = 5;
+constexpr std::size_t kMaxShownRequests = 200;
+constexpr std::size_t kMaxShownAuditRecords = 1'000;
 
 auto KindOfPlural(const std::string& plural) -> std::string {
   return plural.ends_with('s') ? plural.substr(0, plural.size() - 1) : plural;
@@ -227,7 +227,7 @@
                       {"jobs", shard.jobs}});
     }
   } else if (kind == "requests") {
-    for (const auto& trace : dependencies_.traces.Recent(kShownRequests)) {
+    for (const auto& trace : dependencies_.traces.Recent(kMaxShownRequests)) {
       auto row = TraceToJson(trace);
       row["attempts"] = trace.attempts.size();
       rows.push_back(std::move(row));
@@ -280,7 +280,7 @@
 
 auto NodeOperatorBackend::AuditRows() -> asio::awaitable<nlohmann::json> {
   auto filter = control::AuditFilter();
-  filter.limit = kShownAuditRecords;
+  filter.limit = kMaxShownAuditRecords;
   auto rows = nlohmann::json::array();
   for (const auto& record :
        co_await dependencies_.config_store.ReadAudit(filter)) {
@@ -608,7 +608,7 @@
                   (co_await dependencies_.config_store.Load()).configuration);
     }
     if (failure->kind() != ErrorKind::kConflict || change.expected_revision ||
-        attempt == kMergeAttempts) {
+        attempt == kMaxMergeAttempts) {
       throw Error(*failure);
     }
   }
