--- a/src/daemon/node_operator_backend.cc
+++ b/src/daemon/node_operator_backend.cc
@@ -345,24 +345,24 @@
   const auto nodes = dependencies_.gossip.membership().live();
   const auto executor = co_await asio::this_coro::executor;
   auto answers = std::make_shared<std::vector<NodeAnswer>>(nodes.size());
-  auto open = std::make_shared<std::size_t>(nodes.size());
+  auto pending = std::make_shared<std::size_t>(nodes.size());
   const auto done = std::make_shared<asio::steady_timer>(executor);
   done->expires_at(MonotonicTime::max());
   for (auto index = std::size_t{0}; index < nodes.size(); ++index) {
     answers->at(index).node = nodes[index].id;
     asio::co_spawn(
         executor, Ask(nodes[index], query),
-        [answers, open, done, index](const std::exception_ptr& failure,
-                                     nlohmann::json answer) {
+        [answers, pending, done, index](const std::exception_ptr& failure,
+                                        nlohmann::json answer) {
           if (!failure) {
             answers->at(index).answer = std::move(answer);
           }
-          if (--*open == 0) {
+          if (--*pending == 0) {
             done->cancel();
           }
         });
   }
-  if (*open > 0) {
+  if (*pending > 0) {
     auto ignored = boost::system::error_code();
     co_await done->async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
