--- a/apps/kqg_disk_host.cc
+++ b/apps/kqg_disk_host.cc
@@ -18,12 +18,12 @@
   parts.make_store = [](store::PlatformClient& client) {
     auto api = std::make_unique<platform::ObjectApi>(client);
     auto* reporter = api.get();
-    auto made = serving::DiskHostStore();
-    made.objects = std::move(api);
-    made.report_emptied = [reporter](std::string host) {
+    auto disk_host_store = serving::DiskHostStore();
+    disk_host_store.objects = std::move(api);
+    disk_host_store.report_emptied = [reporter](std::string host) {
       return reporter->ReportRetired(std::move(host));
     };
-    return made;
+    return disk_host_store;
   };
   serving::DiskHost(std::move(settings), std::move(parts)).Run();
 }
