--- a/apps/shared/program.cc
+++ b/apps/shared/program.cc
@@ -28,7 +28,7 @@
 )";
 }
 
-auto End(int exit_status) -> ProgramOptions {
+auto ExitWith(int exit_status) -> ProgramOptions {
   auto options = ProgramOptions();
   options.exit_status = exit_status;
   return options;
@@ -56,17 +56,17 @@
         break;
       case 'h':
         std::cout << usage;
-        return End(kExitOk);
+        return ExitWith(kExitOk);
       case kVersionOption:
         std::cout << name << " " << KQG_VERSION << "\n";
-        return End(kExitOk);
+        return ExitWith(kExitOk);
       default:
         std::cerr << name << ": see " << name << " --help\n";
-        return End(kExitUsage);
+        return ExitWith(kExitUsage);
     }
   }
   if (optind + 1 < argc) {
-    return End(RefuseArguments(name));
+    return ExitWith(RefuseArguments(name));
   }
   options.settings_path = optind < argc ? argv[optind] : "";
   return options;
