--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -687,8 +687,8 @@
     }
   }
   std::sort(ranks.begin(), ranks.end());
-  const auto mine = WatchRank(settings_.name);
-  const auto place = std::lower_bound(ranks.begin(), ranks.end(), mine);
+  const auto own_rank = WatchRank(settings_.name);
+  const auto place = std::lower_bound(ranks.begin(), ranks.end(), own_rank);
   return static_cast<std::size_t>(place - ranks.begin()) < kWatchersPerZone;
 }
 
