--- a/src/daemon/once_service.cc
+++ b/src/daemon/once_service.cc
@@ -485,9 +485,10 @@
       co_return ClaimResult{.kind = ClaimResult::Kind::kAbsent};
     }
     const auto claim = nlohmann::json::parse(object->value);
-    const auto mine = !operation.empty() && claim.at("operation") == operation;
-    auto result = ClaimResult{.kind = mine ? ClaimResult::Kind::kCreated
-                                           : ClaimResult::Kind::kExists};
+    const auto is_own =
+        !operation.empty() && claim.at("operation") == operation;
+    auto result = ClaimResult{.kind = is_own ? ClaimResult::Kind::kCreated
+                                             : ClaimResult::Kind::kExists};
     result.node = NodeId(claim.at("node").get<std::string>());
     result.incarnation = claim.at("incarnation").get<Incarnation>();
     co_return result;
