--- a/include/kumquatgauge/daemon/batch_item_runner.h
+++ b/include/kumquatgauge/daemon/batch_item_runner.h
@@ -12,8 +12,8 @@
 
 namespace kumquatgauge::daemon {
 
-// Runs batch items on the traffic threads for the batch service, which lives
-// on the control thread.
+// Runs batch items on the traffic threads for the batch service, which runs on
+// the control thread.
 class BatchItemRunner : public batch::ItemRunner {
  public:
   BatchItemRunner(TrafficPool& pool,
--- a/include/kumquatgauge/daemon/completion_router.h
+++ b/include/kumquatgauge/daemon/completion_router.h
@@ -28,8 +28,9 @@
   auto operator==(const CompletionEnd&) const -> bool = default;
 };
 
-// The entry side of completions: chooses a replica, sends the request to its
-// dispatcher, here or on another node, and tries again where that is safe.
+// Routes the completions that this node receives: chooses a replica, sends the
+// request to the dispatcher of the replica, which runs on this or another node,
+// and retries where that is safe.
 // Thread-safe; coroutines run on traffic threads.
 class CompletionRouter {
  public:
@@ -47,7 +48,7 @@
                 std::shared_ptr<node::StreamCancel> cancel)
       -> boost::asio::awaitable<CompletionEnd>;
 
-  // One attempt at a batch item. `cancel` may be null.
+  // Makes one attempt at a batch item. `cancel` may be null.
   auto RunBatchItem(routing::CompletionRequest request,
                     ReplicaId avoid,
                     std::shared_ptr<node::StreamCancel> cancel)
@@ -59,7 +60,7 @@
       -> boost::asio::awaitable<void>;
 
  private:
-  // What has been received of an answer over all attempts.
+  // The part of the answer that all attempts together have delivered.
   struct Progress {
     std::uint64_t next_offset = 0;
     std::string text;
@@ -73,7 +74,7 @@
 
   struct OnlineRun;
 
-  // One attempt; the end when it was the last one.
+  // Makes one attempt. Returns the end of the request if no retry follows.
   auto RunAttempt(OnlineRun& run)
       -> boost::asio::awaitable<std::optional<CompletionEnd>>;
   static auto MustBypassDispatcher(const OnlineRun& run, const Route& route)
@@ -101,6 +102,8 @@
                      routing::TokenSink sink,
                      std::shared_ptr<node::StreamCancel> cancel)
       -> boost::asio::awaitable<AttemptEnd>;
+  // Records the load of the replica, and whether it failed, in the routing
+  // table.
   auto RecordAttempt(const Route& route,
                      const AttemptEnd& attempt,
                      MonotonicTime start,
--- a/include/kumquatgauge/daemon/dispatch_service.h
+++ b/include/kumquatgauge/daemon/dispatch_service.h
@@ -20,8 +20,9 @@
 
 namespace kumquatgauge::daemon {
 
-// The dispatching side: one Dispatcher per replica that requests were sent to
-// from here, and the streams that run under it. Thread-safe.
+// Dispatches requests to replicas: one Dispatcher per replica that requests
+// were sent to from this node, and the streams that it has admitted.
+// Thread-safe.
 class DispatchService {
  public:
   // Batch rule and lean of a service, from the configuration.
@@ -37,7 +38,8 @@
                   LoadHook on_load,
                   MetricsRegistry& metrics);
 
-  // Replaces the known replicas; a replica that goes or leaves starts nothing.
+  // Replaces the known replicas. Nothing more is started on a replica that is
+  // removed or leaving.
   auto SetReplicas(const std::vector<routing::Replica>& replicas) -> void;
 
   // Runs the request on `replica` when its dispatcher admits it. Runs on a
@@ -52,7 +54,7 @@
                     const upstream::LoadReport& report) -> void;
   // The replica did not answer a request for its load.
   auto OnLoadReportFailed(const ReplicaId& replica) -> void;
-  // Call about every 20 ms: ends waits that are over.
+  // Call about every 20 ms. Ends waits whose time has run out.
   auto OnTick() -> void;
 
   auto loads() const -> std::vector<routing::ReplicaLoad>;
--- a/include/kumquatgauge/daemon/node_caller_backend.h
+++ b/include/kumquatgauge/daemon/node_caller_backend.h
@@ -23,8 +23,8 @@
 // A job's status as callers and operators see it.
 auto JobToJson(const batch::JobView& view) -> nlohmann::json;
 
-// What the callers' listener needs, on the traffic threads; batch calls hop to
-// the control thread, where the batch service lives.
+// Serves the callers' listener on the traffic threads. Batch calls run on the
+// control thread, as the batch service does.
 class NodeCallerBackend : public caller::CallerBackend {
  public:
   // The batch service is replaced when the node restarts its incarnation.
--- a/include/kumquatgauge/daemon/node_daemon.h
+++ b/include/kumquatgauge/daemon/node_daemon.h
@@ -12,7 +12,7 @@
 // One node: all parts of the system in one process.
 class NodeDaemon {
  public:
-  // Binds the listen addresses; throws Error that names the one that is taken.
+  // Binds the listen addresses. Throws Error with the address that is in use.
   NodeDaemon(NodeSettings settings,
              std::string fleet_credential,
              OperatorCredentials operators);
--- a/include/kumquatgauge/daemon/node_operator_backend.h
+++ b/include/kumquatgauge/daemon/node_operator_backend.h
@@ -23,8 +23,8 @@
 
 namespace kumquatgauge::daemon {
 
-// Carries out operators' commands on the control thread. What only another
-// node knows is asked there with the message "query".
+// Executes operators' commands on the control thread. Fetches what only another
+// node knows from that node with the message "query".
 class NodeOperatorBackend : public operators::OperatorBackend {
  public:
   struct Dependencies {
@@ -37,7 +37,7 @@
     RequestTraces& traces;
     store::PlatformClient& platform;
     control::NodeRegistry& registry;
-    std::vector<std::string> seeds;  // Of the settings.
+    std::vector<std::string> seeds;  // From the settings.
     std::function<auto()->std::shared_ptr<batch::BatchService>> batch;
     // The configuration in force here.
     std::function<auto()->control::Configuration> configuration;
@@ -47,7 +47,7 @@
     std::function<auto()->void> drain;
     // For the operation ids of changes that come without one.
     RandomSource random;
-    // Desired against observed state of upstreams, per service.
+    // Differences between the desired and the observed state of upstreams.
     std::function<auto()->std::vector<control::OrderStatus>> orders;
   };
 
@@ -78,10 +78,10 @@
   auto AnswerQuery(const nlohmann::json& query) -> nlohmann::json;
 
  private:
-  // One answer per node that gave one.
+  // The answer of one live node.
   struct NodeAnswer {
     NodeId node;
-    nlohmann::json answer;  // null: no answer in time.
+    nlohmann::json answer;  // Null when there was none in time.
   };
 
   auto AskAll(nlohmann::json query)
--- a/include/kumquatgauge/daemon/once_service.h
+++ b/include/kumquatgauge/daemon/once_service.h
@@ -28,7 +28,7 @@
 
 namespace kumquatgauge::daemon {
 
-// What the configuration says of a plain service.
+// Properties of a plain service, from the configuration.
 struct PlainServiceTraits {
   bool repeatable = true;
 
@@ -67,8 +67,8 @@
                   std::shared_ptr<node::Responder> responder)
       -> boost::asio::awaitable<void>;
 
-  // Goes on under a new incarnation; what the old one promised to run and has
-  // not ended is forgotten here, so that resends get "unknown".
+  // Continues under a new incarnation. Requests that the old one accepted and
+  // has not finished are forgotten, so that resends of them get "unknown".
   auto Restart(Incarnation incarnation) -> void;
   // Call about once a second.
   auto OnTick() -> void;
@@ -76,7 +76,7 @@
   auto in_flight() const -> std::size_t;
 
  private:
-  // A call with all that is needed to run or forward it.
+  // A call with everything that is needed to run or forward it.
   struct ServiceCall {
     ServiceName service;
     upstream::ServiceRequest request;
@@ -86,7 +86,7 @@
     MonotonicTime deadline;
     bool repeatable = false;
     bool forwarded = false;
-    // The registry of the incarnation that took the request.
+    // The registry of the incarnation that accepted the request.
     std::shared_ptr<routing::OnceRegistry> registry;
   };
   struct Waiter;
--- a/include/kumquatgauge/daemon/routing_table.h
+++ b/include/kumquatgauge/daemon/routing_table.h
@@ -19,7 +19,7 @@
 
 namespace kumquatgauge::daemon {
 
-// Where an attempt goes.
+// The replica and the dispatcher that an attempt is sent to.
 struct Route {
   routing::Replica replica;
   // Empty id: no node can dispatch; the request is sent from here.
@@ -27,9 +27,9 @@
   routing::RouteExplanation explanation;
 };
 
-// The entry's routing state, shared by the traffic threads: replicas, nodes,
-// loads, ejections and the retry budget. Thread-safe; one mutex, held for
-// microseconds.
+// The routing state of this node, shared by the traffic threads: replicas,
+// nodes, loads, ejections and the retry budget. Thread-safe; one mutex, held
+// for microseconds.
 class RoutingTable {
  public:
   RoutingTable(ZoneName zone, const Clock& clock, const RandomSource& random);
@@ -38,8 +38,8 @@
   // The live nodes, this one included.
   auto SetNodes(std::vector<routing::NodeInfo> nodes) -> void;
 
-  // `route.replica` is meaningful when the result has a value; the explanation
-  // always is.
+  // Returns no value when no replica can take the request. Sets `explanation`
+  // in either case.
   auto Choose(const routing::RouteRequest& request,
               routing::WorkClass work_class,
               routing::RouteExplanation& explanation) -> std::optional<Route>;
@@ -48,6 +48,7 @@
   auto OnFailure(const ReplicaId& replica) -> void;
   auto OnTick() -> void;
 
+  // Counts a new request for the retry budget of the service.
   auto OnRequest(const ServiceName& service) -> void;
   auto DecideRetry(const routing::RetryState& state,
                    const routing::DispatchResult& result)
@@ -62,6 +63,8 @@
   auto DispatcherOf(const routing::Replica& replica) const
       -> std::optional<routing::NodeInfo>;
   auto ejection(const ReplicaId& id) const -> routing::EjectionState;
+  // The load, limit and weight by which the router compares the replica with
+  // others.
   auto FindCandidate(const ReplicaId& id) const
       -> std::optional<routing::RouteCandidate>;
   // Reason of the last ejection of a replica; empty when there was none.
--- a/include/kumquatgauge/daemon/service_directory.h
+++ b/include/kumquatgauge/daemon/service_directory.h
@@ -17,7 +17,7 @@
 namespace kumquatgauge::daemon {
 
 // The services and organisations of one configuration revision, in the form
-// that traffic needs. Immutable.
+// that the traffic threads need. Immutable.
 class ServiceView {
  public:
   ServiceView() = default;
@@ -54,8 +54,8 @@
 };
 
 // The replicas that the configuration names, with the state that the host list
-// shows for their addresses. A host that the lagging list does not show counts
-// as live: the configuration knows it, and failures eject it.
+// shows for their addresses. The list lags behind the configuration, so a host
+// that it does not show counts as live; if it is not, its failures eject it.
 auto BuildReplicas(const control::Configuration& configuration,
                    const store::HostListSnapshot& hosts)
     -> std::vector<routing::Replica>;
--- a/include/kumquatgauge/daemon/traffic_pool.h
+++ b/include/kumquatgauge/daemon/traffic_pool.h
@@ -28,7 +28,7 @@
       peer;
 };
 
-// The threads that carry traffic, each with an io_context and clients of its
+// The threads that handle traffic, each with an io_context and clients of its
 // own, so that no client is shared between threads.
 class TrafficPool {
  public:
@@ -55,7 +55,7 @@
   // Ends the threads; coroutines that still run are destroyed.
   auto Stop() -> void;
 
-  // The thread that the caller of this runs on. Must be a traffic thread.
+  // The thread that runs the call. Throws Error outside of the traffic threads.
   auto current() -> Thread&;
   // The next thread, round robin. May be called on any thread.
   auto Next() -> Thread&;
