--- a/src/daemon/completion_router.cc
+++ b/src/daemon/completion_router.cc
@@ -16,10 +16,10 @@
 using routing::DispatchResult;
 using routing::WorkClass;
 
-// Longest silence of a dispatcher within a stream. Lost connections are found
-// by PING within 1.5 s; this bounds a dispatcher that is alive but stuck.
+// Longest time between two frames of a dispatcher. Lost connections are found
+// by PING within 1.5 s; this limit is for a dispatcher that is alive but stuck.
 constexpr auto kPeerFrameTimeout = std::chrono::seconds(20);
-// When to come back if a service has no replica to offer.
+// When to retry if no replica of the service is available.
 constexpr auto kNoReplicaRetryAfter = std::chrono::milliseconds(1000);
 
 auto ToMilliseconds(Duration duration) -> double {
@@ -91,7 +91,7 @@
       online_total_(metrics.histogram("kqg_online_total_seconds")),
       retries_(metrics.counter("kqg_online_retries_total")) {}
 
-// One online request on its way through the attempts.
+// The state of one online request over all its attempts.
 struct CompletionRouter::OnlineRun {
   CompletionRequest request;  // As sent in the current attempt.
   RequestId id;               // As the caller knows it.
@@ -180,8 +180,8 @@
   co_return std::nullopt;
 }
 
-// A dispatcher that cannot be reached is bypassed: a second dispatcher costs
-// capacity only.
+// A dispatcher that cannot be reached is bypassed. Two nodes that dispatch to
+// the same replica cost only capacity.
 auto CompletionRouter::MustBypassDispatcher(const OnlineRun& run,
                                             const Route& route) -> bool {
   return route.dispatcher.id.empty() ||
@@ -239,7 +239,7 @@
   if (routed || run.state.response_started) {
     decision = table_.DecideRetry(run.state, attempt.result);
     if (!routed && decision.retry) {
-      // All replicas were tried; by now one may have room.
+      // All replicas were tried; one of them may have free capacity by now.
       run.route_request.tried.clear();
     }
     return decision;
@@ -306,7 +306,7 @@
   const auto route =
       table_.Choose(route_request, WorkClass::kBatch, explanation);
   if (!route) {
-    attempt.dispatch = BusyResult("no replica has room for batch");
+    attempt.dispatch = BusyResult("no replica has a free batch slot");
     co_return attempt;
   }
   const auto end = co_await Attempt(
@@ -393,7 +393,7 @@
                                      MonotonicTime start,
                                      const Progress& progress) -> void {
   if (attempt.dispatcher_lost) {
-    return;  // Says nothing about the replica.
+    return;  // The replica may be healthy.
   }
   const auto& result = attempt.result;
   if (!result.load.replica.empty()) {
--- a/src/daemon/dispatch_service.cc
+++ b/src/daemon/dispatch_service.cc
@@ -18,15 +18,15 @@
 using routing::DispatchResult;
 using upstream::StreamEnd;
 
-// The dispatcher hears of progress every so many tokens; a lock per token
-// would be paid two million times a second across the fleet.
+// Tokens between two reports of progress to the dispatcher. A report per token
+// would take a lock two million times per second across the fleet.
 constexpr std::uint64_t kProgressStep = 8;
 
 // A replica counts as down after this many failed requests and load reports in
 // a row, when it has answered before and gave no token for kSilenceUntilDown.
 constexpr int kFailuresUntilDown = 2;
 constexpr auto kSilenceUntilDown = std::chrono::milliseconds(1000);
-// Added to the load of a replica that is down, so that entries prefer others.
+// Added to the load of a replica that is down, so that routers prefer others.
 constexpr std::uint32_t kDownLoadPenalty = 10'000;
 
 auto ToMilliseconds(Duration duration) -> double {
@@ -113,8 +113,8 @@
 
 }  // namespace
 
-// A request at this dispatcher. Used on its own executor only; actions reach
-// it by post.
+// A request that waits or runs at a dispatcher. Used only on its own executor,
+// to which the actions of the dispatcher are posted.
 struct DispatchService::Waiter {
   explicit Waiter(boost::asio::any_io_executor on)
       : executor(std::move(on)), timer(executor) {}
@@ -192,7 +192,7 @@
     return load;
   }
 
-  // The replica has answered something: a token or a load report.
+  // The replica has sent a token or a load report.
   auto OnResponse(MonotonicTime now) -> void {
     const auto lock = std::lock_guard(mutex_);
     failures_ = 0;
@@ -357,7 +357,8 @@
     });
     co_await WaitForAction(waiter);
     if (waiter->cancelled) {
-      // The start may have been decided already; nothing was sent.
+      // The dispatcher may have started the request already, but nothing was
+      // sent to the replica.
       replica_dispatcher->Apply([&id](routing::Dispatcher& dispatcher) {
         auto actions = dispatcher.Cancelled(id);
         auto more = dispatcher.Finished(id, routing::UpstreamEnd::kCancelled);
@@ -377,7 +378,7 @@
           MakeResult(DispatchResult::Kind::kBusy, waiter->admission.outcome);
     }
   } catch (const Error& error) {
-    // The dispatcher already holds this id, so nothing was started here.
+    // The dispatcher already has a request with this ID, so none was started.
     result = MakeResult(DispatchResult::Kind::kBusy,
                         {.kind = OutcomeKind::kNotRun, .reason = error.what()});
   }
--- a/src/daemon/node_caller_backend.cc
+++ b/src/daemon/node_caller_backend.cc
@@ -36,7 +36,7 @@
          "\n";
 }
 
-// One batch upload. Its submission lives on the control thread.
+// One batch upload. Its submission is used and destroyed on the control thread.
 class Upload : public caller::BatchUpload {
  public:
   Upload(asio::io_context& control,
@@ -123,7 +123,7 @@
   };
   auto ranked = std::vector<Ranked>();
   {
-    // Callers spread over the nodes of the zone at random.
+    // The random order spreads callers over the nodes of a zone.
     const auto lock = std::lock_guard(random_mutex_);
     for (const auto& node : nodes) {
       if (!node.leaving) {
@@ -161,7 +161,7 @@
   if (!ready_) {
     throw Error(ErrorKind::kUnavailable, "node has no configuration yet",
                 dependencies_.self.value(),
-                "use another address of /v1/addresses or come back in 1 s");
+                "use another address of /v1/addresses or retry in 1 s");
   }
 }
 
--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -61,7 +61,7 @@
 using kumquatgauge::detail::SteadyNow;
 using kumquatgauge::detail::WallNow;
 
-// Nodes of a zone that watch the platform for the others.
+// Number of nodes per zone that watch the platform on behalf of the others.
 constexpr std::size_t kWatchersPerZone = 2;
 // Prefix of the keys under which nodes register their addresses for each other.
 constexpr auto kNodePrefix = "nodes/";
@@ -71,8 +71,8 @@
 constexpr auto kMaintenanceInterval = std::chrono::seconds(1);
 constexpr auto kLoadPollInterval = std::chrono::milliseconds(500);
 constexpr auto kLoadPublishInterval = std::chrono::milliseconds(200);
-// Over three times the target for the first token; an engine that takes longer
-// is treated as lost, and the request goes to another.
+// Over three times the target for the first token. An engine that takes longer
+// is treated as lost, and the request is sent to another.
 constexpr auto kFirstByteTimeout = std::chrono::milliseconds(3000);
 constexpr auto kWatcherIdleInterval = std::chrono::milliseconds(500);
 constexpr auto kStopCheckInterval = std::chrono::milliseconds(50);
@@ -172,7 +172,7 @@
   auto OwnsOrders(const ServiceName& service) const -> bool;
   auto OnLocalLoad(const routing::ReplicaLoad& load) -> void;
   auto PublishLoads() -> void;
-  // Whether this node's loads are sent to `node`, in a fleet of that size.
+  // Whether loads of this node are sent to `node` in a fleet of `fleet_size`.
   auto ReceivesLoads(const routing::NodeInfo& node,
                      std::size_t fleet_size) const -> bool;
 
@@ -747,7 +747,8 @@
         try {
           ApplyConfiguration(configuration_.Apply(delta));
         } catch (const Error&) {
-          // A gap: the peers are behind each other; the whole one is there.
+          // The delta does not follow the revision in force here, which came
+          // from a peer. The store has the complete configuration.
           ApplyConfiguration(config_store_.latest());
         }
       });
@@ -771,7 +772,8 @@
 }
 
 auto NodeDaemon::Impl::PollHosts() -> asio::awaitable<void> {
-  // A node reads the list once itself, and then hears of it from watchers.
+  // Every node reads the list once itself; later versions reach it from the
+  // watchers.
   auto fetched = false;
   while (true) {
     if (IsWatcher() || !fetched) {
@@ -873,7 +875,8 @@
   const auto limit = begin + settings_.limits.stop;
   gossip_.Leave();
   batch_->BeginDrain();
-  // Callers may use this node's address until their answers have expired.
+  // Callers may use this node's address until the address lists that they have
+  // received expire.
   co_await Pause(
       std::min<Duration>(settings_.callers.answer_ttl, settings_.limits.stop));
   caller_server_->Stop();
--- a/src/daemon/node_operator_backend.cc
+++ b/src/daemon/node_operator_backend.cc
@@ -19,10 +19,10 @@
 
 namespace asio = boost::asio;
 
-// An operator waits for the slowest node no longer than this.
+// Longest time that an operator waits for the slowest node.
 constexpr auto kQueryTimeout = std::chrono::milliseconds(1500);
-// A field-wise change that meets another change of the same key is merged
-// again over the newer value this often.
+// Attempts at a change of single fields. If another change of the same key is
+// stored first, the fields are merged into the newer value and tried again.
 constexpr auto kMaxMergeAttempts = 5;
 constexpr std::size_t kMaxShownRequests = 200;
 constexpr std::size_t kMaxShownAuditRecords = 1'000;
@@ -62,7 +62,7 @@
   return "probing";
 }
 
-// The value that the key has after the change; null when it is gone.
+// The value of the key after the change; null when the key is removed.
 auto ValueAfter(const operators::ConfigurationChange& change,
                 const nlohmann::json* before) -> nlohmann::json {
   using Mode = operators::ConfigurationChange::Mode;
@@ -92,9 +92,10 @@
   }
 }
 
-// A change of some fields is based on the value that it was merged with. The
-// store refuses a change of what does not exist, unless it knows the operation
-// id: then the command was sent again and gets its first answer.
+// A change of some fields expects the revision of the value that it was merged
+// with. For an entry that does not exist, the expected revision is impossible,
+// so that the store refuses the change unless it knows the operation ID: then
+// the command is a resend and gets the answer of the first one.
 auto ExpectedRevision(const operators::ConfigurationChange& change,
                       const nlohmann::json* before,
                       const control::Configuration& configuration)
@@ -428,7 +429,8 @@
     -> asio::awaitable<nlohmann::json> {
   auto job = JobToJson(co_await dependencies_.batch()->Status(JobId(id)));
   job["shard"] = batch::ShardOfJob(JobId(id));
-  // The owner knows what the platform does not: items in flight and slack.
+  // Only the owner knows the items in flight and whether the job is on time;
+  // the platform does not store them.
   for (auto& row : co_await CollectRows("jobs")) {
     if (row.value("id", "") == id) {
       job["owner"] = row["node"];
@@ -601,8 +603,8 @@
       dependencies_.apply(dependencies_.config_store.latest());
       co_return result;
     }
-    // The same command sent again is answered by the store even though the key
-    // exists by now, so existence is checked only after the store refused.
+    // The store answers a resend of the same command although the key exists by
+    // now, so existence is checked only after the store has refused.
     if (failure->kind() == ErrorKind::kConflict && !change.expected_revision) {
       CheckExists(change,
                   (co_await dependencies_.config_store.Load()).configuration);
--- a/src/daemon/once_service.cc
+++ b/src/daemon/once_service.cc
@@ -19,7 +19,8 @@
 using routing::ClaimResult;
 using routing::OnceDecision;
 
-// Replicas tried when the ones before certainly did not run the request.
+// Replicas that a request is tried on. A request that may not be repeated moves
+// on only if the replicas before certainly did not run it.
 constexpr std::size_t kMaxReplicas = 3;
 constexpr auto kNoReplicaRetryAfter = std::chrono::milliseconds(1000);
 constexpr auto kStatusConflict = 422;
@@ -220,7 +221,7 @@
                             .kind = "service"};
   auto end = ServiceCallEnd();
   if (call.options.idempotency_key.empty()) {
-    // Without a key there is no resend to recognise: each request is its own.
+    // Without a key resends cannot be recognised; each request runs by itself.
     end = co_await RunAtReplicas(call);
   } else {
     end = co_await CallOnce(std::move(call));
@@ -287,9 +288,11 @@
       co_return co_await RunOnce(call);
     case OnceDecision::Kind::kForward:
       if (call.forwarded) {
-        // The sender's view of the nodes differs; passing the request on again
-        // could go in circles.
-        co_return MakeEnd(OutcomeKind::kUnknown, "its executor has moved on");
+        // The sender has a different view of the membership. Forwarding the
+        // request again could loop.
+        co_return MakeEnd(
+            OutcomeKind::kUnknown,
+            "another node than the one asked must run this request");
       }
       co_return co_await Forward(call, decision);
     case OnceDecision::Kind::kConflict: {
@@ -469,7 +472,7 @@
   }
   auto result = co_await ReadClaimOnControl(key, operation);
   if (result.kind == ClaimResult::Kind::kAbsent) {
-    // The lost write may still arrive.
+    // The write without an answer may still be applied.
     result.kind = ClaimResult::Kind::kAmbiguous;
   }
   co_return result;
@@ -518,8 +521,8 @@
 
 auto OnceService::WaitForChange(const routing::OnceKey& key)
     -> boost::asio::awaitable<void> {
-  // Woken by the end of the first request; the limit covers an end that came
-  // between the decision and the registration below.
+  // The end of the first request wakes the waiter. The time limit covers an end
+  // between the decision to wait and the registration below.
   constexpr auto kRecheckInterval = std::chrono::milliseconds(250);
   const auto waiter =
       std::make_shared<Waiter>(co_await boost::asio::this_coro::executor);
@@ -559,8 +562,8 @@
     const auto lock = std::lock_guard(mutex_);
     load.online_in_flight = --in_flight_[replica.id];
   }
-  // A plain service has no dispatcher: this node's own count is the load it
-  // knows.
+  // A plain service has no dispatcher, so this node knows only the load that it
+  // causes itself.
   table_.OnLoad(load);
 }
 
