--- a/apps/kqg_bench.cc
+++ b/apps/kqg_bench.cc
@@ -83,7 +83,7 @@
 
 class Runner;
 
-// One kept connection that carries one request at a time.
+// One keep-alive connection that sends one request at a time.
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(asio::io_context& context, Runner& runner)
@@ -106,7 +106,7 @@
   bool first_seen_ = false;
 };
 
-// Starts requests on time, whatever the earlier ones do.
+// Starts requests at fixed times, whether or not earlier ones have finished.
 class Runner {
  public:
   explicit Runner(const Options& options)
@@ -250,7 +250,7 @@
   runner_.Release(shared_from_this());
 }
 
-// Returns the exit status when the program should end at once.
+// Returns the exit status if the program should exit at once.
 auto ParseOptions(int argc, char** argv, Options& options)
     -> std::optional<int> {
   constexpr auto kAddress = 1;
@@ -298,7 +298,8 @@
     }
   }
   if (options.address.empty() || options.rate <= 0.0) {
-    std::cerr << "kqg-bench: give --address; see kqg-bench --help\n";
+    std::cerr << "kqg-bench: give --address and a positive --rate; see "
+                 "kqg-bench --help\n";
     return 2;
   }
   return std::nullopt;
--- a/apps/kqgctl.cc
+++ b/apps/kqgctl.cc
@@ -77,7 +77,7 @@
   return id;
 }
 
-// Returns the exit status when the program should end at once.
+// Returns the exit status if the program should exit at once.
 auto ParseOptions(int argc, char** argv, Options& options)
     -> std::optional<int> {
   constexpr auto kOperationIdOption = 1;
@@ -91,7 +91,8 @@
       {"version", no_argument, nullptr, kVersionOption},
       {nullptr, 0, nullptr, 0}};
   auto letter = 0;
-  // The leading '+' leaves options behind the command to the language.
+  // The leading '+' ends the options at the first word of the command, so that
+  // options such as --wait reach the node as part of it.
   while ((letter = getopt_long(argc, argv, "+n:c:o:h", long_options.data(),
                                nullptr)) != -1) {
     switch (letter) {
@@ -221,7 +222,7 @@
 
 auto PrintAnswer(const nlohmann::json& answer) -> void {
   const auto& rows = answer["rows"];
-  // One row with nested values reads better as a document.
+  // A single row with nested values is easier to read as indented JSON.
   const auto nested =
       rows.size() == 1 &&
       std::any_of(rows[0].begin(), rows[0].end(), [](const auto& value) {
--- a/apps/shared/program.cc
+++ b/apps/shared/program.cc
@@ -84,9 +84,9 @@
     const std::function<
         auto(serving::GatewaySettings, const std::string& path)->void>& run)
     -> int {
-  // Until the program handles them itself, the default action of both would end
-  // it with a failure. The settings are about to be read anyway, and a planned
-  // stop has nothing to finish yet.
+  // By default either signal would end the program with a failure until it
+  // installs its own handlers. SIGHUP is ignored, as the settings are about to
+  // be read anyway; SIGTERM exits at once, as there is nothing to finish yet.
   std::signal(SIGHUP, SIG_IGN);
   std::signal(SIGTERM, [](int) { std::_Exit(kExitOk); });
   const auto options = ReadOptions(argc, argv, name, MakeUsage(name));
--- a/apps/shared/program.h
+++ b/apps/shared/program.h
@@ -10,7 +10,7 @@
 namespace kumquatgauge::apps {
 
 struct ProgramOptions {
-  // Set when the program is to end at once, with this status.
+  // Set when the program is to exit at once with this status.
   std::optional<int> exit_status;
   bool check_only = false;
   std::string settings_path;  // Empty when none is named.
@@ -27,13 +27,13 @@
                  const std::string& name,
                  const std::string& usage) -> ProgramOptions;
 
-// Says that one settings file must be named; returns the exit status.
+// Prints that one settings file must be named. Returns the exit status.
 auto RefuseArguments(const std::string& name) -> int;
 
-// The command line of a program that runs by one settings file. Reads the
-// options, the settings and, with --check-settings, stops there; otherwise
-// calls `run` with the settings and their path. Returns the exit status: 0
-// stopped as planned, 1 failed, 2 bad usage or settings.
+// Runs a program that takes one settings file. Reads the options and the
+// settings and calls `run` with the settings and their path, unless
+// --check-settings is given. Returns the exit status: 0 stopped as planned,
+// 1 failed, 2 bad usage or settings.
 auto RunProgram(
     int argc,
     char** argv,
