--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -747,8 +747,8 @@
         try {
           ApplyConfiguration(configuration_.Apply(delta));
         } catch (const Error&) {
-          // The delta does not follow the revision in force here, which came
-          // from a peer. The store has the complete configuration.
+          // Changes before the delta are missing here, as nodes apply revisions
+          // at different times. The store has the complete configuration.
           ApplyConfiguration(config_store_.latest());
         }
       });
--- a/src/daemon/once_service.cc
+++ b/src/daemon/once_service.cc
@@ -292,7 +292,7 @@
         // request again could loop.
         co_return MakeEnd(
             OutcomeKind::kUnknown,
-            "another node than the one asked must run this request");
+            "a node other than the one asked must run this request");
       }
       co_return co_await Forward(call, decision);
     case OnceDecision::Kind::kConflict: {
