--- a/include/kumquatgauge/daemon/routing_table.h
+++ b/include/kumquatgauge/daemon/routing_table.h
@@ -67,7 +67,7 @@
   // others.
   auto FindCandidate(const ReplicaId& id) const
       -> std::optional<routing::RouteCandidate>;
-  // Reason of the last ejection of a replica; empty when there was none.
+  // Reason of the last change of the ejection state; empty when there was none.
   auto ejection_reason(const ReplicaId& id) const -> std::string;
 
  private:
