--- a/apps/shared/program.cc
+++ b/apps/shared/program.cc
@@ -28,7 +28,7 @@
 )";
 }
 
-auto End(int exit_status) -> ProgramOptions {
+auto ExitWith(int exit_status) -> ProgramOptions {
   auto options = ProgramOptions();
   options.exit_status = exit_status;
   return options;
@@ -56,17 +56,17 @@
         break;
       case 'h':
         std::cout << usage;
-        return End(kExitOk);
+        return ExitWith(kExitOk);
       case kVersionOption:
         std::cout << name << " " << KQG_VERSION << "\n";
-        return End(kExitOk);
+        return ExitWith(kExitOk);
       default:
         std::cerr << name << ": see " << name << " --help\n";
-        return End(kExitUsage);
+        return ExitWith(kExitUsage);
     }
   }
   if (optind + 1 < argc) {
-    return End(RefuseArguments(name));
+    return ExitWith(RefuseArguments(name));
   }
   options.settings_path = optind < argc ? argv[optind] : "";
   return options;
@@ -84,9 +84,9 @@
     const std::function<
         auto(serving::GatewaySettings, const std::string& path)->void>& run)
     -> int {
-  // Until the program handles them itself, the default action of both would end
-  // it with a failure. The settings are about to be read anyway, and a planned
-  // stop has nothing to finish yet.
+  // By default either signal would end the program with a failure until it
+  // installs its own handlers. SIGHUP is ignored, as the settings are about to
+  // be read anyway; SIGTERM exits at once, as there is nothing to finish yet.
   std::signal(SIGHUP, SIG_IGN);
   std::signal(SIGTERM, [](int) { std::_Exit(kExitOk); });
   const auto options = ReadOptions(argc, argv, name, MakeUsage(name));
--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -61,18 +61,18 @@
 using kumquatgauge::detail::SteadyNow;
 using kumquatgauge::detail::WallNow;
 
-// Nodes of a zone that watch the platform for the others.
+// Number of nodes per zone that watch the platform on behalf of the others.
 constexpr std::size_t kWatchersPerZone = 2;
 // Prefix of the keys under which nodes register their addresses for each other.
 constexpr auto kNodePrefix = "nodes/";
 constexpr auto kHostPollInterval = std::chrono::seconds(1);
 constexpr auto kBatchTickInterval = std::chrono::milliseconds(100);
 constexpr auto kDispatchTickInterval = std::chrono::milliseconds(20);
-constexpr auto kHouseKeepingInterval = std::chrono::seconds(1);
+constexpr auto kMaintenanceInterval = std::chrono::seconds(1);
 constexpr auto kLoadPollInterval = std::chrono::milliseconds(500);
-constexpr auto kLoadShareInterval = std::chrono::milliseconds(200);
-// Over three times the target for the first token; an engine that takes longer
-// is treated as lost, and the request goes to another.
+constexpr auto kLoadPublishInterval = std::chrono::milliseconds(200);
+// Over three times the target for the first token. An engine that takes longer
+// is treated as lost, and the request is sent to another.
 constexpr auto kFirstByteTimeout = std::chrono::milliseconds(3000);
 constexpr auto kWatcherIdleInterval = std::chrono::milliseconds(500);
 constexpr auto kStopCheckInterval = std::chrono::milliseconds(50);
@@ -171,19 +171,19 @@
   auto IsWatcher() const -> bool;
   auto OwnsOrders(const ServiceName& service) const -> bool;
   auto OnLocalLoad(const routing::ReplicaLoad& load) -> void;
-  auto ShareLoads() -> void;
-  // Whether this node's loads are sent to `node`, in a fleet of that size.
-  auto HearsLoads(const routing::NodeInfo& node, std::size_t fleet) const
-      -> bool;
+  auto PublishLoads() -> void;
+  // Whether loads of this node are sent to `node` in a fleet of `fleet_size`.
+  auto ReceivesLoads(const routing::NodeInfo& node,
+                     std::size_t fleet_size) const -> bool;
 
   auto WatchConfiguration() -> asio::awaitable<void>;
   auto PollHosts() -> asio::awaitable<void>;
   auto TickBatch() -> asio::awaitable<void>;
-  auto KeepHouse() -> asio::awaitable<void>;
+  auto RunMaintenance() -> asio::awaitable<void>;
   auto TickDispatch() -> asio::awaitable<void>;
   auto PollLoads() -> asio::awaitable<void>;
   auto PollLoad(routing::Replica replica) -> asio::awaitable<void>;
-  auto ShareLoadsLoop() -> asio::awaitable<void>;
+  auto PublishLoadsLoop() -> asio::awaitable<void>;
   auto WaitForSignal() -> asio::awaitable<void>;
   auto BeginStop() -> void;
   auto StopGracefully() -> asio::awaitable<void>;
@@ -232,7 +232,7 @@
 
   std::mutex loads_mutex_;
   std::map<ReplicaId, routing::ReplicaLoad> changed_loads_;
-  routing::LoadPublisher load_sharing_;
+  routing::LoadPublisher load_publisher_;
   std::atomic<std::uint64_t> control_bytes_sent_{0};
   std::atomic<std::uint64_t> control_bytes_received_{0};
   std::atomic<std::uint64_t> platform_calls_{0};
@@ -331,7 +331,7 @@
                        settings_.operators.listen,
                        std::move(operators),
                        executor_),
-      load_sharing_(routing::LoadPublisherSettings(), SteadyNow) {
+      load_publisher_(routing::LoadPublisherSettings(), SteadyNow) {
   RegisterHandlers();
   RegisterMetrics();
   peer_server_.Start();
@@ -569,8 +569,8 @@
   platform_.SetFleetSize(static_cast<std::uint32_t>(nodes.size()));
   const auto peers = std::count_if(
       nodes.begin(), nodes.end(),
-      [&](const auto& node) { return HearsLoads(node, nodes.size()); });
-  load_sharing_.set_peers(static_cast<std::uint32_t>(peers));
+      [&](const auto& node) { return ReceivesLoads(node, nodes.size()); });
+  load_publisher_.set_peers(static_cast<std::uint32_t>(peers));
 }
 
 auto NodeDaemon::Impl::OnRestarted(Incarnation incarnation) -> void {
@@ -687,8 +687,8 @@
     }
   }
   std::sort(ranks.begin(), ranks.end());
-  const auto mine = WatchRank(settings_.name);
-  const auto place = std::lower_bound(ranks.begin(), ranks.end(), mine);
+  const auto own_rank = WatchRank(settings_.name);
+  const auto place = std::lower_bound(ranks.begin(), ranks.end(), own_rank);
   return static_cast<std::size_t>(place - ranks.begin()) < kWatchersPerZone;
 }
 
@@ -698,21 +698,22 @@
   changed_loads_[load.replica] = load;
 }
 
-auto NodeDaemon::Impl::HearsLoads(const routing::NodeInfo& node,
-                                  std::size_t fleet) const -> bool {
+auto NodeDaemon::Impl::ReceivesLoads(const routing::NodeInfo& node,
+                                     std::size_t fleet_size) const -> bool {
   return node.id != settings_.name &&
-         (fleet <= routing::kMaxBroadcastNodes || node.zone == settings_.zone);
+         (fleet_size <= routing::kMaxBroadcastNodes ||
+          node.zone == settings_.zone);
 }
 
-auto NodeDaemon::Impl::ShareLoads() -> void {
+auto NodeDaemon::Impl::PublishLoads() -> void {
   auto changed = std::map<ReplicaId, routing::ReplicaLoad>();
   {
     const auto lock = std::lock_guard(loads_mutex_);
     changed.swap(changed_loads_);
   }
-  auto due = load_sharing_.OnTick();
+  auto due = load_publisher_.OnTick();
   for (const auto& [replica, load] : changed) {
-    const auto more = load_sharing_.OnLoad(load);
+    const auto more = load_publisher_.OnLoad(load);
     due.insert(due.end(), more.begin(), more.end());
   }
   if (due.empty()) {
@@ -720,7 +721,7 @@
   }
   const auto nodes = gossip_.membership().live();
   for (const auto& node : nodes) {
-    if (!HearsLoads(node, nodes.size())) {
+    if (!ReceivesLoads(node, nodes.size())) {
       continue;
     }
     for (const auto& load : due) {
@@ -732,10 +733,10 @@
   }
 }
 
-auto NodeDaemon::Impl::ShareLoadsLoop() -> asio::awaitable<void> {
+auto NodeDaemon::Impl::PublishLoadsLoop() -> asio::awaitable<void> {
   while (true) {
-    co_await Pause(kLoadShareInterval);
-    ShareLoads();
+    co_await Pause(kLoadPublishInterval);
+    PublishLoads();
   }
 }
 
@@ -746,7 +747,8 @@
         try {
           ApplyConfiguration(configuration_.Apply(delta));
         } catch (const Error&) {
-          // A gap: the peers are behind each other; the whole one is there.
+          // Changes before the delta are missing here, as nodes apply revisions
+          // at different times. The store has the complete configuration.
           ApplyConfiguration(config_store_.latest());
         }
       });
@@ -770,7 +772,8 @@
 }
 
 auto NodeDaemon::Impl::PollHosts() -> asio::awaitable<void> {
-  // A node reads the list once itself, and then hears of it from watchers.
+  // Every node reads the list once itself; later versions reach it from the
+  // watchers.
   auto fetched = false;
   while (true) {
     if (IsWatcher() || !fetched) {
@@ -794,9 +797,9 @@
   }
 }
 
-auto NodeDaemon::Impl::KeepHouse() -> asio::awaitable<void> {
+auto NodeDaemon::Impl::RunMaintenance() -> asio::awaitable<void> {
   while (true) {
-    co_await Pause(kHouseKeepingInterval);
+    co_await Pause(kMaintenanceInterval);
     table_.OnTick();
     once_.OnTick();
     const auto counters = gossip_.counters();
@@ -872,7 +875,8 @@
   const auto limit = begin + settings_.limits.stop;
   gossip_.Leave();
   batch_->BeginDrain();
-  // Callers may use this node's address until their answers have expired.
+  // Callers may use this node's address until the address lists that they have
+  // received expire.
   co_await Pause(
       std::min<Duration>(settings_.callers.answer_ttl, settings_.limits.stop));
   caller_server_->Stop();
@@ -902,8 +906,8 @@
   asio::co_spawn(control_, WatchConfiguration(), asio::detached);
   asio::co_spawn(control_, PollHosts(), asio::detached);
   asio::co_spawn(control_, TickBatch(), asio::detached);
-  asio::co_spawn(control_, KeepHouse(), asio::detached);
-  asio::co_spawn(control_, ShareLoadsLoop(), asio::detached);
+  asio::co_spawn(control_, RunMaintenance(), asio::detached);
+  asio::co_spawn(control_, PublishLoadsLoop(), asio::detached);
   asio::co_spawn(control_, WaitForSignal(), asio::detached);
   asio::co_spawn(*traffic_.contexts().front(), TickDispatch(), asio::detached);
   asio::co_spawn(*traffic_.contexts().front(), PollLoads(), asio::detached);
--- a/src/daemon/node_operator_backend.cc
+++ b/src/daemon/node_operator_backend.cc
@@ -19,13 +19,13 @@
 
 namespace asio = boost::asio;
 
-// An operator waits for the slowest node no longer than this.
+// Longest time that an operator waits for the slowest node.
 constexpr auto kQueryTimeout = std::chrono::milliseconds(1500);
-// A field-wise change that meets another change of the same key is merged
-// again over the newer value this often.
-constexpr auto kMergeAttempts = 5;
-constexpr std::size_t kShownRequests = 200;
-constexpr std::size_t kShownAuditRecords = 1'000;
+// Attempts at a change of single fields. If another change of the same key is
+// stored first, the fields are merged into the newer value and tried again.
+constexpr auto kMaxMergeAttempts = 5;
+constexpr std::size_t kMaxShownRequests = 200;
+constexpr std::size_t kMaxShownAuditRecords = 1'000;
 
 auto KindOfPlural(const std::string& plural) -> std::string {
   return plural.ends_with('s') ? plural.substr(0, plural.size() - 1) : plural;
@@ -62,7 +62,7 @@
   return "probing";
 }
 
-// The value that the key has after the change; null when it is gone.
+// The value of the key after the change; null when the key is removed.
 auto ValueAfter(const operators::ConfigurationChange& change,
                 const nlohmann::json* before) -> nlohmann::json {
   using Mode = operators::ConfigurationChange::Mode;
@@ -92,18 +92,19 @@
   }
 }
 
-// A change of some fields is based on the value that it was merged with. The
-// store refuses a change of what does not exist, unless it knows the operation
-// id: then the command was sent again and gets its first answer.
+// A change of some fields expects the revision of the value that it was merged
+// with. For an entry that does not exist, the expected revision is impossible,
+// so that the store refuses the change unless it knows the operation ID: then
+// the command is a resend and gets the answer of the first one.
 auto ExpectedRevision(const operators::ConfigurationChange& change,
                       const nlohmann::json* before,
                       const control::Configuration& configuration)
     -> std::uint64_t {
-  constexpr auto kNeverARevision = UINT64_MAX;
+  constexpr auto kImpossibleRevision = UINT64_MAX;
   if (change.mode == operators::ConfigurationChange::Mode::kCreate) {
     return 0;
   }
-  return before == nullptr ? kNeverARevision
+  return before == nullptr ? kImpossibleRevision
                            : configuration.RevisionOf(change.key);
 }
 
@@ -176,7 +177,7 @@
   auto rows = nlohmann::json::array();
   for (const auto& replica : dependencies_.table.replicas()) {
     const auto dispatcher = dependencies_.table.DispatcherOf(replica);
-    const auto figures = dependencies_.table.figures(replica.id);
+    const auto candidate = dependencies_.table.FindCandidate(replica.id);
     auto row = nlohmann::json();
     row["name"] = replica.id.value();
     row["service"] = replica.service.value();
@@ -186,8 +187,8 @@
     row["capacity"] = replica.capacity;
     row["dispatcher"] = dispatcher ? dispatcher->id.value() : "-";
     row["state"] = EjectionName(dependencies_.table.ejection(replica.id));
-    row["in_flight"] = figures ? figures->known_in_flight : 0;
-    row["limit"] = figures ? figures->limit : 0;
+    row["in_flight"] = candidate ? candidate->known_in_flight : 0;
+    row["limit"] = candidate ? candidate->limit : 0;
     rows.push_back(std::move(row));
   }
   return rows;
@@ -227,7 +228,7 @@
                       {"jobs", shard.jobs}});
     }
   } else if (kind == "requests") {
-    for (const auto& trace : dependencies_.traces.Recent(kShownRequests)) {
+    for (const auto& trace : dependencies_.traces.Recent(kMaxShownRequests)) {
       auto row = TraceToJson(trace);
       row["attempts"] = trace.attempts.size();
       rows.push_back(std::move(row));
@@ -280,7 +281,7 @@
 
 auto NodeOperatorBackend::AuditRows() -> asio::awaitable<nlohmann::json> {
   auto filter = control::AuditFilter();
-  filter.limit = kShownAuditRecords;
+  filter.limit = kMaxShownAuditRecords;
   auto rows = nlohmann::json::array();
   for (const auto& record :
        co_await dependencies_.config_store.ReadAudit(filter)) {
@@ -345,24 +346,24 @@
   const auto nodes = dependencies_.gossip.membership().live();
   const auto executor = co_await asio::this_coro::executor;
   auto answers = std::make_shared<std::vector<NodeAnswer>>(nodes.size());
-  auto open = std::make_shared<std::size_t>(nodes.size());
+  auto pending = std::make_shared<std::size_t>(nodes.size());
   const auto done = std::make_shared<asio::steady_timer>(executor);
   done->expires_at(MonotonicTime::max());
   for (auto index = std::size_t{0}; index < nodes.size(); ++index) {
     answers->at(index).node = nodes[index].id;
     asio::co_spawn(
         executor, Ask(nodes[index], query),
-        [answers, open, done, index](const std::exception_ptr& failure,
-                                     nlohmann::json answer) {
+        [answers, pending, done, index](const std::exception_ptr& failure,
+                                        nlohmann::json answer) {
           if (!failure) {
             answers->at(index).answer = std::move(answer);
           }
-          if (--*open == 0) {
+          if (--*pending == 0) {
             done->cancel();
           }
         });
   }
-  if (*open > 0) {
+  if (*pending > 0) {
     auto ignored = boost::system::error_code();
     co_await done->async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
@@ -428,7 +429,8 @@
     -> asio::awaitable<nlohmann::json> {
   auto job = JobToJson(co_await dependencies_.batch()->Status(JobId(id)));
   job["shard"] = batch::ShardOfJob(JobId(id));
-  // The owner knows what the platform does not: items in flight and slack.
+  // Only the owner knows the items in flight and whether the job is on time;
+  // the platform does not store them.
   for (auto& row : co_await CollectRows("jobs")) {
     if (row.value("id", "") == id) {
       job["owner"] = row["node"];
@@ -497,7 +499,7 @@
                 "see show upstreams");
   }
   const auto dispatcher = dependencies_.table.DispatcherOf(*replica);
-  const auto figures = dependencies_.table.figures(id);
+  const auto candidate = dependencies_.table.FindCandidate(id);
   auto result = nlohmann::json();
   result["upstream"] = name;
   result["service"] = replica->service.value();
@@ -505,12 +507,12 @@
   result["state"] = EjectionName(dependencies_.table.ejection(id));
   result["why"] = dependencies_.table.ejection_reason(id);
   result["dispatcher"] = dispatcher ? dispatcher->id.value() : "-";
-  if (figures) {
-    result["utilisation"] = figures->utilisation;
-    result["known_in_flight"] = figures->known_in_flight;
-    result["limit"] = figures->limit;
-    result["batch_room"] = figures->free_batch_slots;
-    result["weight"] = figures->weight;
+  if (candidate) {
+    result["utilisation"] = candidate->utilisation;
+    result["known_in_flight"] = candidate->known_in_flight;
+    result["limit"] = candidate->limit;
+    result["batch_room"] = candidate->free_batch_slots;
+    result["weight"] = candidate->weight;
   }
   for (const auto& status : dependencies_.orders()) {
     if (status.upstream == id) {
@@ -601,14 +603,14 @@
       dependencies_.apply(dependencies_.config_store.latest());
       co_return result;
     }
-    // The same command sent again is answered by the store even though the key
-    // exists by now, so existence is checked only after the store refused.
+    // The store answers a resend of the same command although the key exists by
+    // now, so existence is checked only after the store has refused.
     if (failure->kind() == ErrorKind::kConflict && !change.expected_revision) {
       CheckExists(change,
                   (co_await dependencies_.config_store.Load()).configuration);
     }
     if (failure->kind() != ErrorKind::kConflict || change.expected_revision ||
-        attempt == kMergeAttempts) {
+        attempt == kMaxMergeAttempts) {
       throw Error(*failure);
     }
   }
--- a/src/daemon/routing_table.cc
+++ b/src/daemon/routing_table.cc
@@ -95,7 +95,7 @@
   return retry_policy_.Decide(state, result);
 }
 
-auto RoutingTable::batch_room(const ServiceName& service) const
+auto RoutingTable::free_batch_slots(const ServiceName& service) const
     -> std::uint32_t {
   const auto lock = std::lock_guard(mutex_);
   return router_.free_batch_slots(service);
@@ -149,7 +149,7 @@
   return outlier_.state(id);
 }
 
-auto RoutingTable::figures(const ReplicaId& id) const
+auto RoutingTable::FindCandidate(const ReplicaId& id) const
     -> std::optional<routing::RouteCandidate> {
   const auto lock = std::lock_guard(mutex_);
   return router_.Inspect(id);
