--- a/src/base/socket_options.cc
+++ b/src/base/socket_options.cc
@@ -12,23 +12,23 @@
 constexpr int kKeepAliveInterval = 1;
 constexpr int kKeepAliveProbes = 2;
 
-auto SetInteger(int socket, int level, int name, int value) -> void {
+auto SetIntegerOption(int socket, int level, int name, int value) -> void {
   // A kernel without the option leaves the timeouts of the callers as guard.
   ::setsockopt(socket, level, name, &value, sizeof(value));
 }
 
 }  // namespace
 
-auto GuardAgainstSilence(boost::asio::ip::tcp::socket& socket,
-                         std::chrono::milliseconds user_timeout) -> void {
+auto ConfigureTcpSocket(boost::asio::ip::tcp::socket& socket,
+                        std::chrono::milliseconds user_timeout) -> void {
   const auto handle = socket.native_handle();
-  SetInteger(handle, IPPROTO_TCP, TCP_NODELAY, 1);
-  SetInteger(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
-  SetInteger(handle, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdle);
-  SetInteger(handle, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveInterval);
-  SetInteger(handle, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-  SetInteger(handle, IPPROTO_TCP, TCP_USER_TIMEOUT,
-             static_cast<int>(user_timeout.count()));
+  SetIntegerOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetIntegerOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetIntegerOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdle);
+  SetIntegerOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveInterval);
+  SetIntegerOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  SetIntegerOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                   static_cast<int>(user_timeout.count()));
 }
 
 }  // namespace kumquatgauge::detail
--- a/src/base/socket_options.h
+++ b/src/base/socket_options.h
@@ -9,8 +9,8 @@
 // Disables Nagle's algorithm and makes the kernel break the connection when the
 // other side is unreachable: after `user_timeout` with unacknowledged data, or
 // after about 2 s without an answer to keep-alive probes when idle.
-auto GuardAgainstSilence(boost::asio::ip::tcp::socket& socket,
-                         std::chrono::milliseconds user_timeout) -> void;
+auto ConfigureTcpSocket(boost::asio::ip::tcp::socket& socket,
+                        std::chrono::milliseconds user_timeout) -> void;
 
 }  // namespace kumquatgauge::detail
 
--- a/src/caller/http_listener.cc
+++ b/src/caller/http_listener.cc
@@ -84,7 +84,7 @@
   CallerConnection(tcp::socket socket, std::shared_ptr<Shared> shared)
       : io_(std::make_shared<DeadlineSocket>(std::move(socket))),
         shared_(std::move(shared)) {
-    kumquatgauge::detail::GuardAgainstSilence(io_->socket(), kUserTimeout);
+    kumquatgauge::detail::ConfigureTcpSocket(io_->socket(), kUserTimeout);
   }
 
   auto Serve() -> awaitable<void> {
--- a/src/store/http_client.cc
+++ b/src/store/http_client.cc
@@ -232,8 +232,8 @@
     failed.reason = connect_error.message();
     co_return failed;
   }
-  kumquatgauge::detail::GuardAgainstSilence(connection->stream.socket(),
-                                            kUserTimeout);
+  kumquatgauge::detail::ConfigureTcpSocket(connection->stream.socket(),
+                                           kUserTimeout);
   auto exchange = co_await RunExchange(connection, message, deadline);
   if (exchange.result.response && exchange.keep_alive) {
     pool->Keep(std::move(connection));
--- a/src/upstream/connection_pool.cc
+++ b/src/upstream/connection_pool.cc
@@ -77,8 +77,8 @@
                 "use another replica or retry later");
   }
   io->Disarm();
-  kumquatgauge::detail::GuardAgainstSilence(io->socket(),
-                                            settings_.user_timeout);
+  kumquatgauge::detail::ConfigureTcpSocket(io->socket(),
+                                           settings_.user_timeout);
   co_return connection;
 }
 
