--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -46,12 +46,12 @@
     ReadNodes(settings);
     auto platform = top_.Table("platform");
     settings.platform_address = platform.Endpoint("address");
-    platform.CheckUnknown();
+    platform.RejectUnknownKeys();
     ReadLog(settings);
     auto limits = top_.Table("limits");
     settings.limits = ReadLimits(limits);
-    limits.CheckUnknown();
-    top_.CheckUnknown();
+    limits.RejectUnknownKeys();
+    top_.RejectUnknownKeys();
     return settings;
   }
 
@@ -64,7 +64,7 @@
     settings.data_folder = node.String("data_folder", "");
     settings.traffic_threads =
         static_cast<std::uint32_t>(node.Integer("traffic_threads", 2, {1, 64}));
-    node.CheckUnknown();
+    node.RejectUnknownKeys();
   }
 
   auto ReadCallers(NodeSettings& settings) -> void {
@@ -74,14 +74,14 @@
         callers.Endpoint("advertise", settings.callers.listen);
     settings.callers.answer_ttl =
         std::chrono::seconds(callers.Integer("answer_ttl_s", 10, {1, 3'600}));
-    callers.CheckUnknown();
+    callers.RejectUnknownKeys();
   }
 
   auto ReadOperators(NodeSettings& settings) -> void {
     auto operators = top_.Table("operators");
     settings.operators.listen = operators.Endpoint("listen");
     settings.operators.credentials_file = operators.String("credentials_file");
-    operators.CheckUnknown();
+    operators.RejectUnknownKeys();
   }
 
   auto ReadNodes(NodeSettings& settings) -> void {
@@ -90,14 +90,14 @@
     settings.nodes.fleet_credential_file =
         nodes.String("fleet_credential_file");
     settings.nodes.seeds = nodes.Endpoints("seeds");
-    nodes.CheckUnknown();
+    nodes.RejectUnknownKeys();
   }
 
   auto ReadLog(NodeSettings& settings) -> void {
     auto log = top_.Table("log");
     settings.log_level = log.Level("level");
     settings.log_file = log.String("file", "");
-    log.CheckUnknown();
+    log.RejectUnknownKeys();
   }
 
   const toml::table& root_;
--- a/src/base/table_reader.h
+++ b/src/base/table_reader.h
@@ -52,12 +52,12 @@
   }
 
   auto Endpoint(const std::string& key) -> std::string {
-    return CheckedEndpoint(key, String(key));
+    return ValidateEndpoint(key, String(key));
   }
 
   auto Endpoint(const std::string& key, const std::string& fallback)
       -> std::string {
-    return CheckedEndpoint(key, String(key, fallback));
+    return ValidateEndpoint(key, String(key, fallback));
   }
 
   auto Endpoints(const std::string& key) -> std::vector<std::string> {
@@ -68,10 +68,10 @@
     }
     const auto* array = node->as_array();
     if (array == nullptr) {
-      Fail(Line(node), key, Shown(*node), "a list of \"IP:port\"");
+      Fail(Line(node), key, ToText(*node), "a list of \"IP:port\"");
     }
     for (const auto& element : *array) {
-      endpoints.push_back(CheckedEndpoint(key, AsString(key, element)));
+      endpoints.push_back(ValidateEndpoint(key, AsString(key, element)));
     }
     return endpoints;
   }
@@ -86,11 +86,11 @@
     const auto allowed = "a whole number from " + std::to_string(range.low) +
                          " to " + std::to_string(range.high);
     if (!node->is_integer()) {
-      Fail(Line(node), key, Shown(*node), allowed);
+      Fail(Line(node), key, ToText(*node), allowed);
     }
     const auto value = node->as_integer()->get();
     if (value < range.low || value > range.high) {
-      Fail(Line(node), key, Shown(*node), allowed);
+      Fail(Line(node), key, ToText(*node), allowed);
     }
     return value;
   }
@@ -104,7 +104,7 @@
     }
     const auto value = node->value<double>();
     if (!value || *value < low || *value > high) {
-      Fail(Line(node), key, Shown(*node),
+      Fail(Line(node), key, ToText(*node),
            "a number from " + std::to_string(low) + " to " +
                std::to_string(high));
     }
@@ -148,7 +148,7 @@
   }
 
   // Throws for a key that was not read.
-  auto CheckUnknown() const -> void {
+  auto RejectUnknownKeys() const -> void {
     if (table_ == nullptr) {
       return;
     }
@@ -168,7 +168,7 @@
     return node == nullptr ? 1 : node->source().begin.line;
   }
 
-  static auto Shown(const toml::node& node) -> std::string {
+  static auto ToText(const toml::node& node) -> std::string {
     auto text = std::ostringstream();
     node.visit([&text](const auto& value) { text << value; });
     return text.str();
@@ -177,12 +177,12 @@
   auto AsString(const std::string& key, const toml::node& node) const
       -> std::string {
     if (!node.is_string()) {
-      Fail(Line(&node), key, Shown(node), "a string");
+      Fail(Line(&node), key, ToText(node), "a string");
     }
     return node.as_string()->get();
   }
 
-  auto CheckedEndpoint(const std::string& key, std::string value) const
+  auto ValidateEndpoint(const std::string& key, std::string value) const
       -> std::string {
     const auto colon = value.rfind(':');
     auto port = std::int64_t{-1};
--- a/src/serving/gateway_settings.cc
+++ b/src/serving/gateway_settings.cc
@@ -27,7 +27,7 @@
     ReadStore(settings.store);
     ReadLimits(settings.limits);
     ReadLog(settings);
-    top_.CheckUnknown();
+    top_.RejectUnknownKeys();
     return settings;
   }
 
@@ -38,7 +38,7 @@
     settings.zone = ZoneName(node.String("zone"));
     settings.fleet_credential = node.String("fleet_credential");
     settings.seeds = node.Endpoints("seeds");
-    node.CheckUnknown();
+    node.RejectUnknownKeys();
   }
 
   auto ReadListen(GatewaySettings::Listen& listen) -> void {
@@ -48,7 +48,7 @@
     listen.directory = OptionalEndpoint(table, "directory");
     listen.nodes = OptionalEndpoint(table, "nodes");
     listen.metrics = OptionalEndpoint(table, "metrics");
-    table.CheckUnknown();
+    table.RejectUnknownKeys();
   }
 
   auto ReadStore(GatewaySettings::Store& store) -> void {
@@ -59,7 +59,7 @@
         table.Number("writes_per_second", store.writes_per_second, 1, kMaxRate);
     store.reads_per_second =
         table.Number("reads_per_second", store.reads_per_second, 1, kMaxRate);
-    table.CheckUnknown();
+    table.RejectUnknownKeys();
   }
 
   auto ReadLimits(GatewaySettings::Limits& limits) -> void {
@@ -75,13 +75,13 @@
         std::chrono::seconds(table.Integer("address_ttl_s", 2, {1, 3'600}));
     limits.job_retention = std::chrono::seconds(static_cast<std::int64_t>(
         table.Number("job_retention_s", 600, 1, 10'000'000)));
-    table.CheckUnknown();
+    table.RejectUnknownKeys();
   }
 
   auto ReadLog(GatewaySettings& settings) -> void {
     auto table = top_.Table("log");
     settings.log_level = table.Level("level");
-    table.CheckUnknown();
+    table.RejectUnknownKeys();
   }
 
   TableReader top_;
