--- a/include/kumquatgauge/base/log.h
+++ b/include/kumquatgauge/base/log.h
@@ -20,11 +20,11 @@
 
 // Logs one JSON object a line to standard output: time, level, node, part,
 // message, and the fields. Writing never blocks: what a stalled reader does not
-// take waits in memory up to kMaxWaitingLogBytes and is then dropped; the
+// take waits in memory up to kMaxBufferedLogBytes and is then dropped; the
 // number of dropped lines is logged once writing works again.
 auto InitializeJsonLogging(LogLevel level, const std::string& node) -> void;
 
-inline constexpr std::size_t kMaxWaitingLogBytes = std::size_t{256} * 1024;
+inline constexpr std::size_t kMaxBufferedLogBytes = std::size_t{256} * 1024;
 // Lines per second of levels below warning; bounds what a busy node spends on
 // logs. Failures are never held back by it.
 inline constexpr std::uint32_t kMaxInfoLinesPerSecond = 400;
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -49,15 +49,15 @@
  protected:
   auto append(const log4cplus::spi::InternalLoggingEvent& event)
       -> void override {
-    if (dropped_ > 0 && waiting_.empty()) {
-      waiting_ = R"({"event":"log_dropped","lines":)" +
-                 std::to_string(std::exchange(dropped_, 0)) + "}\n";
+    if (dropped_ > 0 && buffer_.empty()) {
+      buffer_ = R"({"event":"log_dropped","lines":)" +
+                std::to_string(std::exchange(dropped_, 0)) + "}\n";
     }
     const auto& line = event.getMessage();
-    if (waiting_.size() + line.size() + 1 > kMaxWaitingLogBytes) {
+    if (buffer_.size() + line.size() + 1 > kMaxBufferedLogBytes) {
       ++dropped_;
     } else {
-      waiting_.append(line).push_back('\n');
+      buffer_.append(line).push_back('\n');
     }
     Flush();
   }
@@ -65,22 +65,22 @@
  private:
   // Up to PIPE_BUF bytes, a pipe that polls as writable takes a write whole.
   auto Flush() -> void {
-    while (!waiting_.empty()) {
+    while (!buffer_.empty()) {
       auto entry = pollfd{descriptor_, POLLOUT, 0};
       if (::poll(&entry, 1, 0) <= 0 || (entry.revents & POLLOUT) == 0) {
         return;
       }
-      const auto size = std::min<std::size_t>(waiting_.size(), PIPE_BUF);
-      const auto written = ::write(descriptor_, waiting_.data(), size);
+      const auto size = std::min<std::size_t>(buffer_.size(), PIPE_BUF);
+      const auto written = ::write(descriptor_, buffer_.data(), size);
       if (written <= 0) {
         return;
       }
-      waiting_.erase(0, static_cast<std::size_t>(written));
+      buffer_.erase(0, static_cast<std::size_t>(written));
     }
   }
 
   int descriptor_;
-  std::string waiting_;
+  std::string buffer_;
   std::uint64_t dropped_ = 0;
 };
 
@@ -88,7 +88,7 @@
 struct JsonFormat {
   bool enabled = false;
   std::string node;
-  std::chrono::steady_clock::time_point second;
+  std::chrono::steady_clock::time_point rate_window_start;
   std::atomic<std::uint32_t> info_lines{0};
 };
 
@@ -98,11 +98,11 @@
 }
 
 // Whether a line below warning still fits into this second.
-auto TakeInfoLine() -> bool {
+auto AllowInfoLine() -> bool {
   auto& format = Format();
   const auto now = std::chrono::steady_clock::now();
-  if (now - format.second >= std::chrono::seconds(1)) {
-    format.second = now;
+  if (now - format.rate_window_start >= std::chrono::seconds(1)) {
+    format.rate_window_start = now;
     format.info_lines = 0;
   }
   return ++format.info_lines <= kMaxInfoLinesPerSecond;
@@ -111,14 +111,14 @@
 auto AppendJsonString(std::string& line, std::string_view text) -> void {
   constexpr unsigned char kFirstPrintable = 0x20;
   line.push_back('"');
-  for (const auto letter : text) {
-    if (letter == '"' || letter == '\\') {
+  for (const auto character : text) {
+    if (character == '"' || character == '\\') {
       line.push_back('\\');
-      line.push_back(letter);
-    } else if (static_cast<unsigned char>(letter) < kFirstPrintable) {
+      line.push_back(character);
+    } else if (static_cast<unsigned char>(character) < kFirstPrintable) {
       line.push_back(' ');
     } else {
-      line.push_back(letter);
+      line.push_back(character);
     }
   }
   line.push_back('"');
@@ -182,11 +182,11 @@
     return;
   }
   line.push_back('"');
-  for (const auto letter : field.value) {
-    if (letter == '"' || letter == '\\') {
+  for (const auto character : field.value) {
+    if (character == '"' || character == '\\') {
       line.push_back('\\');
     }
-    line.push_back(letter == '\n' ? ' ' : letter);
+    line.push_back(character == '\n' ? ' ' : character);
   }
   line.push_back('"');
 }
@@ -273,7 +273,7 @@
     return;
   }
   if (Format().enabled) {
-    if (level >= LogLevel::kWarning || TakeInfoLine()) {
+    if (level >= LogLevel::kWarning || AllowInfoLine()) {
       logger.log(NativeLevel(level), JsonLine(level, part_, sentence, fields));
     }
     return;
