--- a/include/kumquatgauge/base/metrics.h
+++ b/include/kumquatgauge/base/metrics.h
@@ -33,7 +33,7 @@
   auto count() const -> std::uint64_t;
   // Upper edge in ms of the step that holds the given share (0..1) of the
   // figures; 0 when there are none.
-  auto Quantile(double share) const -> double;
+  auto Quantile(double quantile) const -> double;
   // Appends the series in the text exposition format, in seconds.
   auto WriteText(const std::string& name, std::string& out) const -> void;
 
--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -12,7 +12,7 @@
 
 namespace bh = boost::histogram;
 
-constexpr unsigned kSteps = 60;
+constexpr unsigned kBuckets = 60;
 constexpr double kLowestMs = 0.1;
 constexpr double kHighestMs = 100'000.0;
 constexpr double kMsPerSecond = 1'000.0;
@@ -20,28 +20,28 @@
 using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
 
 auto MakeHistogram() {
-  return bh::make_histogram(LogAxis(kSteps, kLowestMs, kHighestMs));
+  return bh::make_histogram(LogAxis(kBuckets, kLowestMs, kHighestMs));
 }
 
 // Splits `name{labels}` into the name and the labels without braces.
-auto SplitLabels(const std::string& full)
+auto SplitLabels(const std::string& series)
     -> std::pair<std::string, std::string> {
-  const auto brace = full.find('{');
+  const auto brace = series.find('{');
   if (brace == std::string::npos) {
-    return {full, ""};
+    return {series, ""};
   }
-  return {full.substr(0, brace),
-          full.substr(brace + 1, full.size() - brace - 2)};
+  return {series.substr(0, brace),
+          series.substr(brace + 1, series.size() - brace - 2)};
 }
 
-auto WriteType(const std::string& full,
+auto WriteType(const std::string& series,
                const char* type,
-               std::string& last,
+               std::string& last_name,
                std::string& out) -> void {
-  const auto name = SplitLabels(full).first;
-  if (name != last) {
+  const auto name = SplitLabels(series).first;
+  if (name != last_name) {
     out.append("# TYPE ").append(name).append(" ").append(type).append("\n");
-    last = name;
+    last_name = name;
   }
 }
 
@@ -77,20 +77,20 @@
   return data_->count;
 }
 
-auto LatencyHistogram::Quantile(double share) const -> double {
+auto LatencyHistogram::Quantile(double quantile) const -> double {
   const auto lock = std::lock_guard(data_->mutex);
   if (data_->count == 0) {
     return 0.0;
   }
-  const auto wanted = share * static_cast<double>(data_->count);
-  auto seen = static_cast<double>(data_->histogram.at(-1));
-  if (seen >= wanted) {
+  const auto target = quantile * static_cast<double>(data_->count);
+  auto cumulative = static_cast<double>(data_->histogram.at(-1));
+  if (cumulative >= target) {
     return kLowestMs;
   }
   const auto& axis = data_->histogram.axis();
   for (auto index = 0; index < axis.size(); ++index) {
-    seen += static_cast<double>(data_->histogram.at(index));
-    if (seen >= wanted) {
+    cumulative += static_cast<double>(data_->histogram.at(index));
+    if (cumulative >= target) {
       return axis.bin(index).upper();
     }
   }
@@ -103,14 +103,14 @@
   const auto [base, labels] = SplitLabels(name);
   const auto separator = labels.empty() ? "" : ",";
   const auto& axis = data_->histogram.axis();
-  auto seen = static_cast<std::uint64_t>(data_->histogram.at(-1));
+  auto cumulative = static_cast<std::uint64_t>(data_->histogram.at(-1));
   for (auto index = 0; index < axis.size(); ++index) {
-    seen += static_cast<std::uint64_t>(data_->histogram.at(index));
+    cumulative += static_cast<std::uint64_t>(data_->histogram.at(index));
     out.append(base).append("_bucket{").append(labels).append(separator);
     out.append("le=\"")
         .append(FormatNumber(axis.bin(index).upper() / kMsPerSecond))
         .append("\"} ")
-        .append(std::to_string(seen))
+        .append(std::to_string(cumulative))
         .append("\n");
   }
   const auto suffix = labels.empty() ? "" : "{" + labels + "}";
@@ -148,17 +148,17 @@
 auto MetricsRegistry::Text() const -> std::string {
   const auto lock = std::lock_guard(mutex_);
   auto out = std::string();
-  auto last = std::string();
+  auto last_name = std::string();
   for (const auto& [name, counter] : counters_) {
-    WriteType(name, "counter", last, out);
+    WriteType(name, "counter", last_name, out);
     out += name + " " + std::to_string(counter->value()) + "\n";
   }
   for (const auto& [name, read] : gauges_) {
-    WriteType(name, "gauge", last, out);
+    WriteType(name, "gauge", last_name, out);
     out += name + " " + FormatNumber(read()) + "\n";
   }
   for (const auto& [name, histogram] : histograms_) {
-    WriteType(name, "histogram", last, out);
+    WriteType(name, "histogram", last_name, out);
     histogram->WriteText(name, out);
   }
   return out;
--- a/src/base/metrics_test.cc
+++ b/src/base/metrics_test.cc
@@ -7,8 +7,8 @@
 
 TEST_CASE("Metrics.QuantileFallsIntoTheStepOfTheFigure") {
   auto histogram = LatencyHistogram();
-  for (auto figure = 1; figure <= 100; ++figure) {
-    histogram.Record(figure);
+  for (auto sample = 1; sample <= 100; ++sample) {
+    histogram.Record(sample);
   }
   CHECK(histogram.Quantile(0.5) >= 50.0);
   CHECK(histogram.Quantile(0.5) <= 65.0);
