--- a/src/node/http2_connection.cc
+++ b/src/node/http2_connection.cc
@@ -33,14 +33,14 @@
   return result;
 }
 
-auto ReadOutBuffer(nghttp2_session*,
-                   std::int32_t,
-                   std::uint8_t* target,
-                   std::size_t length,
-                   std::uint32_t* flags,
-                   nghttp2_data_source* source,
-                   void*) -> ssize_t {
-  auto& out = *static_cast<OutBuffer*>(source->ptr);
+auto ReadSendBuffer(nghttp2_session*,
+                    std::int32_t,
+                    std::uint8_t* target,
+                    std::size_t length,
+                    std::uint32_t* flags,
+                    nghttp2_data_source* source,
+                    void*) -> ssize_t {
+  auto& out = *static_cast<SendBuffer*>(source->ptr);
   const auto size = std::min(length, out.queued());
   std::memcpy(target, out.bytes.data() + out.offset, size);
   out.offset += size;
@@ -57,10 +57,10 @@
   return static_cast<ssize_t>(size);
 }
 
-auto Provider(OutBuffer& out) -> nghttp2_data_provider {
+auto MakeDataProvider(SendBuffer& out) -> nghttp2_data_provider {
   nghttp2_data_provider provider;
   provider.source.ptr = &out;
-  provider.read_callback = ReadOutBuffer;
+  provider.read_callback = ReadSendBuffer;
   return provider;
 }
 
@@ -211,7 +211,7 @@
       break;
     case NGHTTP2_PING:
       if ((flags & NGHTTP2_FLAG_ACK) != 0) {
-        OnPingAnswer();
+        OnPingAck();
       }
       break;
     case NGHTTP2_GOAWAY:
@@ -222,10 +222,10 @@
   }
 }
 
-auto Http2Connection::SubmitRequest(const HeaderList& headers, OutBuffer& body)
+auto Http2Connection::SubmitRequest(const HeaderList& headers, SendBuffer& body)
     -> std::int32_t {
   const auto list = MakeHeaders(headers);
-  const auto provider = Provider(body);
+  const auto provider = MakeDataProvider(body);
   const auto id = nghttp2_submit_request(session_, nullptr, list.data(),
                                          list.size(), &provider, nullptr);
   ScheduleWrite();
@@ -234,11 +234,11 @@
 
 auto Http2Connection::SubmitResponse(std::int32_t stream_id,
                                      const HeaderList& headers,
-                                     OutBuffer* body) -> int {
+                                     SendBuffer* body) -> int {
   const auto list = MakeHeaders(headers);
   auto result = 0;
   if (body != nullptr) {
-    const auto provider = Provider(*body);
+    const auto provider = MakeDataProvider(*body);
     result = nghttp2_submit_response(session_, stream_id, list.data(),
                                      list.size(), &provider);
   } else {
@@ -257,7 +257,8 @@
   }
 }
 
-auto Http2Connection::Resume(std::int32_t stream_id, OutBuffer& out) -> void {
+auto Http2Connection::ResumeStream(std::int32_t stream_id, SendBuffer& out)
+    -> void {
   if (closed_ || !out.deferred) {
     return;
   }
@@ -288,7 +289,7 @@
   // One buffer per thread: a node keeps connections to hundreds of others, and
   // what was read is used up before the next read.
   thread_local std::array<std::uint8_t, kReadBufferBytes> buffer;
-  for (auto reads = 0; reads < kReadsPerWait; ++reads) {
+  for (auto reads = 0; reads < kMaxReadsPerWait; ++reads) {
     boost::system::error_code error;
     const auto size = socket_.read_some(boost::asio::buffer(buffer), error);
     if (error == boost::asio::error::would_block) {
@@ -298,7 +299,7 @@
       Close("the connection was lost: " + error.message());
       return false;
     }
-    bytes_in_ += size;
+    bytes_received_ += size;
     const auto used = nghttp2_session_mem_recv(session_, buffer.data(), size);
     if (closed_) {
       return false;
@@ -331,8 +332,8 @@
   if (closed_ || writing_) {
     return;
   }
-  out_.clear();
-  while (out_.size() < kWriteBatchBytes) {
+  write_buffer_.clear();
+  while (write_buffer_.size() < kWriteBatchBytes) {
     const std::uint8_t* bytes = nullptr;
     const auto size = nghttp2_session_mem_send(session_, &bytes);
     if (closed_) {
@@ -345,19 +346,19 @@
     if (size == 0) {
       break;
     }
-    out_.append(reinterpret_cast<const char*>(bytes),
-                static_cast<std::size_t>(size));
+    write_buffer_.append(reinterpret_cast<const char*>(bytes),
+                         static_cast<std::size_t>(size));
   }
-  if (out_.empty()) {
-    if (out_.capacity() > kIdleWriteBytes) {
-      out_.shrink_to_fit();
+  if (write_buffer_.empty()) {
+    if (write_buffer_.capacity() > kMaxIdleWriteBufferBytes) {
+      write_buffer_.shrink_to_fit();
     }
     CloseIfDone();
     return;
   }
   writing_ = true;
   boost::asio::async_write(
-      socket_, boost::asio::buffer(out_),
+      socket_, boost::asio::buffer(write_buffer_),
       [self = shared_from_this()](const boost::system::error_code& error,
                                   std::size_t) {
         self->writing_ = false;
--- a/src/node/http2_connection.h
+++ b/src/node/http2_connection.h
@@ -23,14 +23,14 @@
 inline constexpr std::size_t kWriteBatchBytes = std::size_t{256} << 10;
 inline constexpr std::size_t kReadBufferBytes = std::size_t{64} << 10;
 // Reads before the other connections of the thread get their turn.
-inline constexpr int kReadsPerWait = 4;
+inline constexpr int kMaxReadsPerWait = 4;
 // Write memory that a connection keeps while it has nothing to send.
-inline constexpr std::size_t kIdleWriteBytes = std::size_t{16} << 10;
+inline constexpr std::size_t kMaxIdleWriteBufferBytes = std::size_t{16} << 10;
 // TCP gives up on unacknowledged data after this.
 inline constexpr int kTcpUserTimeoutMs = 3000;
 
 // Bytes of one stream that wait to be sent; owned by the stream.
-struct OutBuffer {
+struct SendBuffer {
   std::string bytes;
   std::size_t offset = 0;
   bool ended = false;     // No more bytes follow.
@@ -57,7 +57,7 @@
   // Sends what the session wants to send, after the handlers now ready.
   auto ScheduleWrite() -> void;
   // Sends more of a stream after bytes were added to `out`.
-  auto Resume(std::int32_t stream_id, OutBuffer& out) -> void;
+  auto ResumeStream(std::int32_t stream_id, SendBuffer& out) -> void;
 
  protected:
   enum class Side { kServer, kClient };
@@ -70,14 +70,14 @@
 
   auto socket() -> boost::asio::ip::tcp::socket& { return socket_; }
   auto session() -> nghttp2_session* { return session_; }
-  auto bytes_in() const -> std::uint64_t { return bytes_in_; }
+  auto bytes_received() const -> std::uint64_t { return bytes_received_; }
 
   // Each returns the stream id or a negative nghttp2 error.
-  auto SubmitRequest(const HeaderList& headers, OutBuffer& body)
+  auto SubmitRequest(const HeaderList& headers, SendBuffer& body)
       -> std::int32_t;
   auto SubmitResponse(std::int32_t stream_id,
                       const HeaderList& headers,
-                      OutBuffer* body) -> int;
+                      SendBuffer* body) -> int;
   auto SubmitReset(std::int32_t stream_id, std::uint32_t code) -> void;
 
   virtual auto OnHeader(std::int32_t stream_id,
@@ -92,7 +92,7 @@
   virtual auto OnClosed(std::string_view reason) -> void = 0;
   virtual auto OnHeadersSent(std::int32_t) -> void {}
   virtual auto OnSettings() -> void {}
-  virtual auto OnPingAnswer() -> void {}
+  virtual auto OnPingAck() -> void {}
   virtual auto OnGoaway() -> void {}
 
  private:
@@ -108,8 +108,8 @@
   boost::asio::ip::tcp::socket socket_;
   Side side_;
   nghttp2_session* session_ = nullptr;
-  std::string out_;
-  std::uint64_t bytes_in_ = 0;
+  std::string write_buffer_;
+  std::uint64_t bytes_received_ = 0;
   bool flush_posted_ = false;
   bool writing_ = false;
   bool closed_ = false;
--- a/src/node/peer_client.cc
+++ b/src/node/peer_client.cc
@@ -51,7 +51,7 @@
   }
 
   FrameSink sink;
-  detail::OutBuffer body;
+  detail::SendBuffer body;
   detail::FrameReader frames;
   std::int32_t id = -1;
   int status = 0;
@@ -243,7 +243,7 @@
     WakeWaiting();
   }
 
-  auto OnPingAnswer() -> void override { unanswered_ = 0; }
+  auto OnPingAck() -> void override { unanswered_ = 0; }
 
   auto OnClosed(std::string_view reason) -> void override {
     state_ = State::kClosed;
--- a/src/node/peer_server.cc
+++ b/src/node/peer_server.cc
@@ -101,7 +101,7 @@
   std::string body;
   bool refused = false;
   bool responded = false;
-  detail::OutBuffer out;
+  detail::SendBuffer out;
 
  private:
   std::weak_ptr<ServerConnection> connection_;
@@ -148,7 +148,7 @@
   // Queues bytes that `stream` has added to its buffer.
   auto SendMore(ServerStream& stream) -> void {
     if (stream.responded) {
-      Resume(stream.id(), stream.out);
+      ResumeStream(stream.id(), stream.out);
       return;
     }
     stream.responded = true;
@@ -307,7 +307,7 @@
       return;
     }
     watching_ = true;
-    last_bytes_in_ = bytes_in();
+    last_bytes_received_ = bytes_received();
     timer_.expires_after(kReaderCheckInterval);
     timer_.async_wait([self = Self()](const boost::system::error_code& error) {
       if (error || self->closed()) {
@@ -315,12 +315,12 @@
       }
       self->watching_ = false;
       const auto expects_bytes =
-          !self->streams_.empty() || self->bytes_in() == 0;
+          !self->streams_.empty() || self->bytes_received() == 0;
       if (!expects_bytes) {
         self->quiet_checks_ = 0;
         return;
       }
-      self->quiet_checks_ = self->bytes_in() == self->last_bytes_in_
+      self->quiet_checks_ = self->bytes_received() == self->last_bytes_received_
                                 ? self->quiet_checks_ + 1
                                 : 0;
       if (self->quiet_checks_ >= kQuietChecksUntilDead) {
@@ -335,7 +335,7 @@
   std::unordered_map<std::int32_t, std::shared_ptr<ServerStream>> streams_;
   std::vector<std::shared_ptr<ServerStream>> closing_;
   boost::asio::steady_timer timer_;
-  std::uint64_t last_bytes_in_ = 0;
+  std::uint64_t last_bytes_received_ = 0;
   int quiet_checks_ = 0;
   bool watching_ = false;
 };
