--- a/src/node/peer_server.cc
+++ b/src/node/peer_server.cc
@@ -38,17 +38,17 @@
 constexpr std::string_view kCredentialHeader = "kqg-fleet";
 // A new connection on which nothing arrives for 4 s is closed, and so is
 // one with open streams: clients send a PING every 500 ms.
-constexpr std::chrono::seconds kReaderCheckInterval{1};
-constexpr int kQuietChecksUntilDead = 4;
-constexpr std::chrono::milliseconds kStopPoll{10};
+constexpr std::chrono::seconds kLivenessCheckInterval{1};
+constexpr int kMissedChecksUntilClose = 4;
+constexpr std::chrono::milliseconds kStopPollInterval{10};
 // From the notice to the final GOAWAY, so that requests already on their way
 // are still accepted.
 constexpr std::chrono::milliseconds kGoawayDelay{50};
 // Pause after accept failed, for example when out of file descriptors.
-constexpr std::chrono::milliseconds kAcceptRetry{100};
+constexpr std::chrono::milliseconds kAcceptRetryDelay{100};
 
 // Equal lengths for the comparison in constant time.
-auto DigestOf(std::string_view text) -> Digest {
+auto ComputeDigest(std::string_view text) -> Digest {
   Digest digest;
   SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(),
          digest.data());
@@ -57,7 +57,7 @@
 
 // What all connections of a server share. Constant once started but for the
 // counters.
-struct Shared {
+struct SharedState {
   std::unordered_map<std::string, Handler> handlers;
   Digest credential{};
   std::atomic<std::uint64_t> connections{0};
@@ -113,7 +113,7 @@
 
 class ServerConnection : public detail::Http2Connection {
  public:
-  ServerConnection(tcp::socket socket, std::shared_ptr<Shared> shared)
+  ServerConnection(tcp::socket socket, std::shared_ptr<SharedState> shared)
       : Http2Connection(std::move(socket), Side::kServer),
         shared_(std::move(shared)),
         timer_(executor()) {
@@ -123,7 +123,7 @@
 
   auto Start() -> void {
     StartSession(kMaxStreamsPerConnection);
-    WatchReader();
+    ScheduleLivenessCheck();
   }
 
   auto Shutdown() -> void {
@@ -146,7 +146,7 @@
   }
 
   // Queues bytes that `stream` has added to its buffer.
-  auto SendMore(ServerStream& stream) -> void {
+  auto SendQueued(ServerStream& stream) -> void {
     if (stream.responded) {
       ResumeStream(stream.id(), stream.out);
       return;
@@ -176,7 +176,7 @@
     auto& stream = streams_[id];
     if (!stream) {
       stream = std::make_shared<ServerStream>(Self(), id);
-      WatchReader();
+      ScheduleLivenessCheck();
     }
     stream->header_bytes += name.size() + value.size();
     if (stream->header_bytes > kMaxRequestHeaderBytes) {
@@ -195,7 +195,7 @@
     if (!stream || stream->refused || stream->handler != nullptr) {
       return;
     }
-    const auto digest = DigestOf(stream->credential);
+    const auto digest = ComputeDigest(stream->credential);
     if (CRYPTO_memcmp(digest.data(), shared_->credential.data(),
                       digest.size()) != 0) {
       ++shared_->rejected;
@@ -252,11 +252,11 @@
     if (found != streams_.end()) {
       const auto stream = found->second;
       streams_.erase(found);
-      closing_.push_back(stream);
+      closed_streams_.push_back(stream);
       stream->Cancel();
       // nghttp2 may still hold the buffer until this callback returns.
       boost::asio::post(executor(),
-                        [self = Self()] { self->closing_.clear(); });
+                        [self = Self()] { self->closed_streams_.clear(); });
     }
   }
 
@@ -266,7 +266,7 @@
     for (auto& [id, stream] : streams) {
       stream->Cancel();
       // nghttp2 refers to the buffers until the session is deleted.
-      closing_.push_back(stream);
+      closed_streams_.push_back(stream);
     }
   }
 
@@ -283,8 +283,9 @@
   }
 
   // `keep` holds the connection until the handler has returned.
-  static auto Serve([[maybe_unused]] std::shared_ptr<ServerConnection> keep,
-                    std::shared_ptr<ServerStream> stream) -> awaitable<void> {
+  static auto Serve(
+      [[maybe_unused]] std::shared_ptr<ServerConnection> connection,
+      std::shared_ptr<ServerStream> stream) -> awaitable<void> {
     std::optional<Error> error;
     try {
       auto request = DecodeMessage(stream->body);
@@ -302,42 +303,43 @@
     stream->End();
   }
 
-  auto WatchReader() -> void {
-    if (watching_) {
+  auto ScheduleLivenessCheck() -> void {
+    if (liveness_check_scheduled_) {
       return;
     }
-    watching_ = true;
+    liveness_check_scheduled_ = true;
     last_bytes_received_ = bytes_received();
-    timer_.expires_after(kReaderCheckInterval);
+    timer_.expires_after(kLivenessCheckInterval);
     timer_.async_wait([self = Self()](const boost::system::error_code& error) {
       if (error || self->closed()) {
         return;
       }
-      self->watching_ = false;
+      self->liveness_check_scheduled_ = false;
       const auto expects_bytes =
           !self->streams_.empty() || self->bytes_received() == 0;
       if (!expects_bytes) {
-        self->quiet_checks_ = 0;
+        self->missed_checks_ = 0;
         return;
       }
-      self->quiet_checks_ = self->bytes_received() == self->last_bytes_received_
-                                ? self->quiet_checks_ + 1
-                                : 0;
-      if (self->quiet_checks_ >= kQuietChecksUntilDead) {
+      self->missed_checks_ =
+          self->bytes_received() == self->last_bytes_received_
+              ? self->missed_checks_ + 1
+              : 0;
+      if (self->missed_checks_ >= kMissedChecksUntilClose) {
         self->Close("nothing arrived from the other side");
         return;
       }
-      self->WatchReader();
+      self->ScheduleLivenessCheck();
     });
   }
 
-  std::shared_ptr<Shared> shared_;
+  std::shared_ptr<SharedState> shared_;
   std::unordered_map<std::int32_t, std::shared_ptr<ServerStream>> streams_;
-  std::vector<std::shared_ptr<ServerStream>> closing_;
+  std::vector<std::shared_ptr<ServerStream>> closed_streams_;
   boost::asio::steady_timer timer_;
   std::uint64_t last_bytes_received_ = 0;
-  int quiet_checks_ = 0;
-  bool watching_ = false;
+  int missed_checks_ = 0;
+  bool liveness_check_scheduled_ = false;
 };
 
 auto ServerStream::Send(const json& frame) -> bool {
@@ -356,7 +358,7 @@
     return false;
   }
   detail::AppendFrame(payload, out.bytes);
-  connection->SendMore(*this);
+  connection->SendQueued(*this);
   return !cancelled_;
 }
 
@@ -368,7 +370,7 @@
   }
   ended_ = true;
   out.ended = true;
-  connection->SendMore(*this);
+  connection->SendQueued(*this);
 }
 
 }  // namespace
@@ -382,11 +384,11 @@
         workers_(std::move(workers)),
         settings_(std::move(settings)),
         acceptor_(context_),
-        shared_(std::make_shared<Shared>()) {
+        shared_(std::make_shared<SharedState>()) {
     if (workers_.empty()) {
       workers_.push_back(&context_);
     }
-    shared_->credential = DigestOf(settings_.fleet_credential);
+    shared_->credential = ComputeDigest(settings_.fleet_credential);
   }
 
   auto Start() -> void {
@@ -414,7 +416,7 @@
     boost::asio::steady_timer timer(context_);
     while (shared_->connections > 0 &&
            std::chrono::steady_clock::now() < deadline) {
-      timer.expires_after(kStopPoll);
+      timer.expires_after(kStopPollInterval);
       co_await timer.async_wait(boost::asio::use_awaitable);
     }
     CloseAll();
@@ -456,18 +458,19 @@
         co_return;
       }
       if (error) {
-        retry.expires_after(kAcceptRetry);
+        retry.expires_after(kAcceptRetryDelay);
         co_await retry.async_wait(boost::asio::use_awaitable);
         continue;
       }
       auto connection =
           std::make_shared<ServerConnection>(std::move(socket), self->shared_);
-      self->Remember(connection);
+      self->TrackConnection(connection);
       boost::asio::post(worker, [connection] { connection->Start(); });
     }
   }
 
-  auto Remember(const std::shared_ptr<ServerConnection>& connection) -> void {
+  auto TrackConnection(const std::shared_ptr<ServerConnection>& connection)
+      -> void {
     const std::lock_guard lock(mutex_);
     std::erase_if(connections_,
                   [](const auto& known) { return known.expired(); });
@@ -489,7 +492,7 @@
   std::vector<io_context*> workers_;
   PeerServerSettings settings_;
   tcp::acceptor acceptor_;
-  std::shared_ptr<Shared> shared_;
+  std::shared_ptr<SharedState> shared_;
   std::string address_;
   std::mutex mutex_;
   std::vector<std::weak_ptr<ServerConnection>> connections_;
