--- a/src/node/peer_client.cc
+++ b/src/node/peer_client.cc
@@ -29,7 +29,7 @@
 
 constexpr int kStatusOk = 200;
 // The client accepts no streams that the server opens.
-constexpr std::uint32_t kNoStreams = 0;
+constexpr std::uint32_t kMaxServerStreams = 0;
 
 auto Unavailable(const std::string& address, std::string_view reason) -> Error {
   return Error(ErrorKind::kUnavailable,
@@ -88,7 +88,7 @@
           if (error) {
             self->Close(error.message());
           } else {
-            self->StartSession(kNoStreams);
+            self->StartSession(kMaxServerStreams);
           }
         });
   }
@@ -97,11 +97,11 @@
   auto WaitUntilConnected(std::shared_ptr<steady_timer> wake)
       -> awaitable<void> {
     while (state_ == State::kConnecting && wake->expiry() > Now()) {
-      waiting_.push_back(wake);
+      waiters_.push_back(wake);
       boost::system::error_code ignored;
       co_await wake->async_wait(
           boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-      std::erase(waiting_, wake);
+      std::erase(waiters_, wake);
       if (ignored) {
         break;
       }
@@ -140,7 +140,7 @@
   // Whether new calls may use it or wait for it.
   auto usable() const -> bool {
     return state_ == State::kConnecting ||
-           (state_ == State::kOpen && unanswered_ < 2);
+           (state_ == State::kOpen && unanswered_pings_ < 2);
   }
 
  private:
@@ -182,7 +182,7 @@
     try {
       stream->frames.Add(bytes, [&](std::string_view frame) {
         if (!stream->done) {
-          PassOn(*stream, DecodeMessage(frame));
+          DeliverFrame(*stream, DecodeMessage(frame));
         }
       });
     } catch (...) {
@@ -191,7 +191,7 @@
     }
   }
 
-  static auto PassOn(ClientStream& stream, const json& frame) -> void {
+  static auto DeliverFrame(ClientStream& stream, const json& frame) -> void {
     const auto error = frame.find(kErrorField);
     if (error != frame.end()) {
       throw ErrorFrom(*error);
@@ -216,12 +216,12 @@
     }
     const auto stream = found->second;
     streams_.erase(found);
-    KeepUntilReturn(stream);
+    ReleaseAfterCallback(stream);
     if (stream->done) {
       return;
     }
     stream->refused = code == NGHTTP2_REFUSED_STREAM;
-    Lose(*stream, "the other side reset the stream");
+    FailStream(*stream, "the other side reset the stream");
   }
 
   auto OnHeadersSent(std::int32_t id) -> void override {
@@ -234,31 +234,31 @@
     if (state_ == State::kConnecting) {
       state_ = State::kOpen;
       timer_.cancel();
-      WakeWaiting();
+      NotifyWaiters();
     }
   }
 
   auto OnGoaway() -> void override {
     state_ = State::kDraining;
-    WakeWaiting();
+    NotifyWaiters();
   }
 
-  auto OnPingAck() -> void override { unanswered_ = 0; }
+  auto OnPingAck() -> void override { unanswered_pings_ = 0; }
 
   auto OnClosed(std::string_view reason) -> void override {
     state_ = State::kClosed;
     reason_ = reason;
     timer_.cancel();
-    WakeWaiting();
+    NotifyWaiters();
     auto streams = std::exchange(streams_, {});
     for (auto& [id, stream] : streams) {
-      kept_.push_back(stream);
-      Lose(*stream, reason);
+      closed_streams_.push_back(stream);
+      FailStream(*stream, reason);
     }
   }
 
   // Ends a stream that got no complete response.
-  auto Lose(ClientStream& stream, std::string_view reason) -> void {
+  auto FailStream(ClientStream& stream, std::string_view reason) -> void {
     if (!stream.sent) {
       stream.refused = true;
       stream.Finish(std::make_exception_ptr(Unavailable(address_, reason)));
@@ -293,8 +293,8 @@
     }
   }
 
-  auto WakeWaiting() -> void {
-    for (const auto& wake : std::exchange(waiting_, {})) {
+  auto NotifyWaiters() -> void {
+    for (const auto& wake : std::exchange(waiters_, {})) {
       wake->cancel();
     }
   }
@@ -310,16 +310,16 @@
 
   auto SendPing() -> void {
     nghttp2_submit_ping(session(), NGHTTP2_FLAG_NONE, nullptr);
-    ++unanswered_;
+    ++unanswered_pings_;
     ScheduleWrite();
     timer_.expires_after(kPingInterval);
     timer_.async_wait([self = Self()](const boost::system::error_code& error) {
       if (error || self->closed()) {
         return;
       }
-      if (self->unanswered_ >= kPingIntervalsUntilDead) {
+      if (self->unanswered_pings_ >= kPingIntervalsUntilDead) {
         self->Close("no answer to PING");
-      } else if (self->streams_.empty() && self->unanswered_ == 0) {
+      } else if (self->streams_.empty() && self->unanswered_pings_ == 0) {
         self->pinging_ = false;
         self->CloseWhenIdle();
       } else {
@@ -337,21 +337,22 @@
     });
   }
 
-  auto KeepUntilReturn(std::shared_ptr<ClientStream> stream) -> void {
+  auto ReleaseAfterCallback(std::shared_ptr<ClientStream> stream) -> void {
     // nghttp2 may still hold the body until this callback returns.
-    kept_.push_back(std::move(stream));
-    boost::asio::post(context_, [self = Self()] { self->kept_.clear(); });
+    closed_streams_.push_back(std::move(stream));
+    boost::asio::post(context_,
+                      [self = Self()] { self->closed_streams_.clear(); });
   }
 
   io_context& context_;
   std::string address_;
   State state_ = State::kConnecting;
   std::string reason_;
-  std::vector<std::shared_ptr<steady_timer>> waiting_;
+  std::vector<std::shared_ptr<steady_timer>> waiters_;
   std::unordered_map<std::int32_t, std::shared_ptr<ClientStream>> streams_;
-  std::vector<std::shared_ptr<ClientStream>> kept_;
-  steady_timer timer_;  // For the connect timeout, then for PINGs.
-  int unanswered_ = 0;  // PINGs sent since the last answer.
+  std::vector<std::shared_ptr<ClientStream>> closed_streams_;
+  steady_timer timer_;        // For the connect timeout, then for PINGs.
+  int unanswered_pings_ = 0;  // PINGs sent since the last answer.
   bool pinging_ = false;
 };
 
@@ -392,7 +393,7 @@
 
   ~Http2PeerClient() override {
     for (auto& [key, link] : links_) {
-      for (const auto& connection : {link.current, link.judged}) {
+      for (const auto& connection : {link.current, link.suspect}) {
         if (connection) {
           connection->Close("the client was closed");
         }
@@ -431,7 +432,7 @@
         throw Unavailable(address, "no stream could be opened");
       }
       const CallGuard guard(connection, stream, cancel);
-      co_await Wait(*stream, timeout, address);
+      co_await WaitForEnd(*stream, timeout, address);
       if (stream->refused && attempt == 0) {
         continue;
       }
@@ -444,19 +445,19 @@
 
  private:
   // The connection for new calls, and the one that it replaced while that one
-  // is judged.
+  // is suspect.
   struct Link {
     std::shared_ptr<ClientConnection> current;
-    std::shared_ptr<ClientConnection> judged;
+    std::shared_ptr<ClientConnection> suspect;
 
-    auto unused() const -> bool {
-      return (!current || current->closed()) && (!judged || judged->closed());
+    auto closed() const -> bool {
+      return (!current || current->closed()) && (!suspect || suspect->closed());
     }
   };
 
-  static auto Wait(ClientStream& stream,
-                   std::chrono::milliseconds timeout,
-                   const std::string& address) -> awaitable<void> {
+  static auto WaitForEnd(ClientStream& stream,
+                         std::chrono::milliseconds timeout,
+                         const std::string& address) -> awaitable<void> {
     while (!stream.done) {
       const auto deadline = stream.last_frame + timeout;
       if (deadline <= steady_clock::now()) {
@@ -472,7 +473,7 @@
     }
   }
 
-  auto Pick(const std::string& address, Channel channel)
+  auto SelectConnection(const std::string& address, Channel channel)
       -> std::shared_ptr<ClientConnection> {
     const std::pair key(address, channel);
     const auto known = links_.find(key);
@@ -481,14 +482,15 @@
     }
     const auto endpoint = ParseTcpAddress(address);
     std::erase_if(links_,
-                  [](const auto& item) { return item.second.unused(); });
+                  [](const auto& item) { return item.second.closed(); });
     auto& link = links_[key];
-    if (link.judged && link.judged->state() == ClientConnection::State::kOpen &&
-        link.judged->usable()) {
-      link.current = std::move(link.judged);
+    if (link.suspect &&
+        link.suspect->state() == ClientConnection::State::kOpen &&
+        link.suspect->usable()) {
+      link.current = std::move(link.suspect);
       return link.current;
     }
-    link.judged = std::move(link.current);
+    link.suspect = std::move(link.current);
     link.current = std::make_shared<ClientConnection>(context_, address);
     link.current->Connect(endpoint);
     return link.current;
@@ -500,7 +502,7 @@
                std::chrono::milliseconds timeout,
                const std::shared_ptr<StreamCancel>& cancel)
       -> awaitable<std::shared_ptr<ClientConnection>> {
-    auto connection = Pick(address, channel);
+    auto connection = SelectConnection(address, channel);
     if (connection->state() == ClientConnection::State::kConnecting) {
       const auto wake = std::make_shared<steady_timer>(context_, timeout);
       if (cancel) {
