--- a/src/node/datagram_socket.cc
+++ b/src/node/datagram_socket.cc
@@ -29,15 +29,15 @@
 constexpr int kSocketBufferBytes = 1 << 20;
 
 // MAC of the version byte and `content`.
-auto MacOf(const std::string& key, char version, std::string_view content)
+auto ComputeMac(const std::string& key, char version, std::string_view content)
     -> Mac {
-  std::string covered(1, version);
-  covered.append(content);
+  std::string authenticated(1, version);
+  authenticated.append(content);
   std::array<unsigned char, EVP_MAX_MD_SIZE> full{};
   unsigned int length = 0;
   HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
-       reinterpret_cast<const unsigned char*>(covered.data()), covered.size(),
-       full.data(), &length);
+       reinterpret_cast<const unsigned char*>(authenticated.data()),
+       authenticated.size(), full.data(), &length);
   Mac mac;
   std::copy_n(full.begin(), mac.size(), mac.begin());
   return mac;
@@ -77,7 +77,7 @@
       return;
     }
     const auto version = static_cast<char>(kMessageVersion);
-    const auto mac = MacOf(key_, version, content);
+    const auto mac = ComputeMac(key_, version, content);
     std::string bytes(1, version);
     bytes.append(mac.begin(), mac.end());
     bytes.append(content);
@@ -107,7 +107,7 @@
  private:
   auto Receive() -> void {
     socket_.async_receive_from(
-        boost::asio::buffer(in_), from_,
+        boost::asio::buffer(receive_buffer_), from_,
         [self = shared_from_this()](const boost::system::error_code& error,
                                     std::size_t size) {
           if (!self->socket_.is_open()) {
@@ -115,7 +115,7 @@
           }
           // An error here reports an earlier send that was refused.
           if (!error) {
-            self->Accept({self->in_.data(), size});
+            self->HandleDatagram({self->receive_buffer_.data(), size});
           }
           if (self->socket_.is_open()) {
             self->Receive();
@@ -123,7 +123,7 @@
         });
   }
 
-  auto Accept(std::string_view bytes) -> void {
+  auto HandleDatagram(std::string_view bytes) -> void {
     if (bytes.size() <= kDatagramOverheadBytes ||
         bytes.size() > kMaxDatagramBytes) {
       ++counters_.wrong_size;
@@ -134,7 +134,7 @@
       return;
     }
     const auto content = bytes.substr(kDatagramOverheadBytes);
-    const auto mac = MacOf(key_, bytes.front(), content);
+    const auto mac = ComputeMac(key_, bytes.front(), content);
     if (CRYPTO_memcmp(mac.data(), bytes.data() + 1, mac.size()) != 0) {
       ++counters_.wrong_mac;
       return;
@@ -158,7 +158,7 @@
   udp::socket socket_;
   std::string key_;
   Receiver receiver_;
-  std::array<char, kReceiveBufferBytes> in_{};
+  std::array<char, kReceiveBufferBytes> receive_buffer_{};
   udp::endpoint from_;
   DatagramCounters counters_;
 };
