--- a/src/node/frame_codec.cc
+++ b/src/node/frame_codec.cc
@@ -29,7 +29,7 @@
   bytes.append(payload);
 }
 
-auto FrameReader::Cut(std::string_view bytes, const Sink& sink)
+auto FrameReader::ExtractFrames(std::string_view bytes, const Sink& sink)
     -> std::string_view {
   while (bytes.size() >= kFrameHeaderBytes) {
     const auto length = FrameLength(bytes);
@@ -49,13 +49,13 @@
 }
 
 auto FrameReader::Add(std::string_view bytes, const Sink& sink) -> void {
-  if (rest_.empty()) {
-    rest_ = Cut(bytes, sink);
+  if (partial_frame_.empty()) {
+    partial_frame_ = ExtractFrames(bytes, sink);
     return;
   }
-  rest_.append(bytes);
-  const auto left = Cut(rest_, sink).size();
-  rest_.erase(0, rest_.size() - left);
+  partial_frame_.append(bytes);
+  const auto left = ExtractFrames(partial_frame_, sink).size();
+  partial_frame_.erase(0, partial_frame_.size() - left);
 }
 
 }  // namespace kumquatgauge::node::detail
--- a/src/node/frame_codec.h
+++ b/src/node/frame_codec.h
@@ -24,9 +24,10 @@
 
  private:
   // Passes on the complete frames of `bytes`; returns the rest.
-  static auto Cut(std::string_view bytes, const Sink& sink) -> std::string_view;
+  static auto ExtractFrames(std::string_view bytes, const Sink& sink)
+      -> std::string_view;
 
-  std::string rest_;
+  std::string partial_frame_;
 };
 
 }  // namespace kumquatgauge::node::detail
