--- a/src/node/gossip.cc
+++ b/src/node/gossip.cc
@@ -28,7 +28,7 @@
 // HTTP/2 frame headers and compressed header fields of one call, both ways.
 constexpr std::size_t kCallOverheadBytes = 150;
 
-auto StopsWork() -> Error {
+auto StoppedError() -> Error {
   return Error(ErrorKind::kUnavailable, "control stopped", "this node",
                "ask another node");
 }
@@ -56,7 +56,7 @@
                     random),
         feeds_(
             std::move(settings.feeds),
-            [this] { return Others(); },
+            [this] { return OtherMembers(); },
             std::move(clock),
             std::move(random)) {}
 
@@ -67,14 +67,14 @@
         impl->OnDatagram(message, from);
       }
     });
-    Run(membership_.Start());
+    Execute(membership_.Start());
     ScheduleTick();
   }
 
-  auto Leave() -> void { Run(membership_.Leave()); }
+  auto Leave() -> void { Execute(membership_.Leave()); }
 
   auto Stop() -> void {
-    Run(membership_.Stop());
+    Execute(membership_.Stop());
     Close();
   }
 
@@ -84,7 +84,7 @@
   }
 
   auto OnFeedApplied(const std::string& feed, std::uint64_t revision) -> void {
-    Run(feeds_.OnApplied(feed, revision));
+    Execute(feeds_.OnApplied(feed, revision));
   }
 
   auto SetSeeds(std::vector<std::string> seeds) -> void {
@@ -107,23 +107,23 @@
   auto feeds() const -> const control::FeedRelay& { return feeds_; }
 
   // A handler that computes its one frame on the control io_context.
-  auto MakeHandler(auto(Impl::*answer)(const json&)->json) -> Handler {
-    return [weak = weak_from_this(), answer, &control = control_](
+  auto MakeHandler(auto(Impl::*handler)(const json&)->json) -> Handler {
+    return [weak = weak_from_this(), handler, &control = control_](
                json request,
                std::shared_ptr<Responder> responder) -> awaitable<void> {
-      return Answer(weak, answer, control, std::move(request),
-                    std::move(responder));
+      return RunHandler(weak, handler, control, std::move(request),
+                        std::move(responder));
     };
   }
 
-  auto AnswerSync(const json& message) -> json {
+  auto HandleSync(const json& message) -> json {
     const auto request = detail::DecodeSyncRequest(message);
     control::SyncResponse response;
-    Run(membership_.OnSyncRequest(request, response));
+    Execute(membership_.OnSyncRequest(request, response));
     return detail::EncodeSyncResponse(response);
   }
 
-  auto AnswerFeed(const json& message) -> json {
+  auto HandleFeed(const json& message) -> json {
     std::string feed;
     std::uint64_t since = 0;
     detail::Read(message, "feed", feed);
@@ -134,42 +134,44 @@
       throw Error(ErrorKind::kNotFound, "no such feed", feed,
                   "check that both nodes run compatible releases");
     }
-    json answer = {{"revision", revision->second}};
+    json response = {{"revision", revision->second}};
     if (revision->second > since) {
-      answer["content"] = hooks_.read_feed(feed, since);
+      response["content"] = hooks_.read_feed(feed, since);
     }
-    return answer;
+    return response;
   }
 
  private:
-  using Answerer = auto(Impl::*)(const json&) -> json;
+  using RequestHandler = auto(Impl::*)(const json&) -> json;
 
-  static auto Answer(std::weak_ptr<Impl> weak,
-                     Answerer answer,
-                     boost::asio::io_context& control,
-                     json request,
-                     std::shared_ptr<Responder> responder) -> awaitable<void> {
+  static auto RunHandler(std::weak_ptr<Impl> weak,
+                         RequestHandler handler,
+                         boost::asio::io_context& control,
+                         json request,
+                         std::shared_ptr<Responder> responder)
+      -> awaitable<void> {
     // co_spawn returns to the stream's io_context with the result.
     const auto frame = co_await boost::asio::co_spawn(
-        control, Compute(std::move(weak), answer, std::move(request)),
+        control, ComputeResponse(std::move(weak), handler, std::move(request)),
         boost::asio::use_awaitable);
     responder->Send(frame);
   }
 
-  static auto Compute(std::weak_ptr<Impl> weak, Answerer answer, json request)
-      -> awaitable<json> {
+  static auto ComputeResponse(std::weak_ptr<Impl> weak,
+                              RequestHandler handler,
+                              json request) -> awaitable<json> {
     const auto impl = weak.lock();
     if (!impl || impl->closed_) {
-      throw StopsWork();
+      throw StoppedError();
     }
-    auto frame = ((*impl).*answer)(request);
+    auto frame = ((*impl).*handler)(request);
     impl->counters_.received_bytes += EncodeMessage(request).size();
     impl->counters_.sent_bytes +=
         EncodeMessage(frame).size() + kCallOverheadBytes;
     co_return frame;
   }
 
-  auto Others() const -> std::vector<routing::NodeInfo> {
+  auto OtherMembers() const -> std::vector<routing::NodeInfo> {
     auto nodes = membership_.live();
     std::erase_if(nodes, [&](const auto& node) {
       return node.id == membership_.self().id;
@@ -185,8 +187,8 @@
           if (error || !self || self->closed_) {
             return;
           }
-          self->Run(self->membership_.OnTick());
-          self->Run(self->feeds_.OnTick());
+          self->Execute(self->membership_.OnTick());
+          self->Execute(self->feeds_.OnTick());
           self->ScheduleTick();
         });
   }
@@ -204,16 +206,16 @@
       }
       const auto decoded = detail::DecodeMembership(message);
       const auto revisions = detail::DecodeRevisions(message);
-      Run(membership_.OnMessage(decoded, from));
+      Execute(membership_.OnMessage(decoded, from));
       if (membership_.IsLive(decoded.from, decoded.incarnation)) {
-        Run(feeds_.OnPeerRevisions(from, revisions));
+        Execute(feeds_.OnPeerRevisions(from, revisions));
       }
     } catch (const Error&) {
       ++counters_.malformed;
     }
   }
 
-  auto Run(const MembershipActions& actions) -> void {
+  auto Execute(const MembershipActions& actions) -> void {
     for (const auto& [address, message] : actions.datagrams) {
       // Replies of a probe carry no revisions, to keep them short.
       const auto with_revisions =
@@ -232,11 +234,11 @@
       hooks_.restarted(*actions.restarted);
     }
     if (actions.members_changed) {
-      ReportMembers();
+      ScheduleMembersReport();
     }
   }
 
-  auto Run(const FeedActions& actions) -> void {
+  auto Execute(const FeedActions& actions) -> void {
     for (const auto& notice : actions.notices) {
       control::MembershipMessage message;
       message.from = membership_.self().id;
@@ -261,35 +263,35 @@
   }
 
   // Changes of one burst are reported once.
-  auto ReportMembers() -> void {
-    if (report_posted_ || !hooks_.members_changed) {
+  auto ScheduleMembersReport() -> void {
+    if (members_report_scheduled_ || !hooks_.members_changed) {
       return;
     }
-    report_posted_ = true;
+    members_report_scheduled_ = true;
     boost::asio::post(control_, [weak = weak_from_this()] {
       const auto self = weak.lock();
       if (self && !self->closed_) {
-        self->report_posted_ = false;
+        self->members_report_scheduled_ = false;
         self->hooks_.members_changed(self->membership_.live());
       }
     });
   }
 
   // One call on the control channel that answers with one frame.
-  auto Ask(std::string address, std::string name, json request)
+  auto CallForResponse(std::string address, std::string name, json request)
       -> awaitable<json> {
-    std::optional<json> answer;
+    std::optional<json> response;
     counters_.sent_bytes += EncodeMessage(request).size() + kCallOverheadBytes;
     co_await client_.Call(
         address, Channel::kControl, std::move(name), std::move(request),
-        [&answer](const json& frame) { answer = frame; }, kSyncTimeout,
+        [&response](const json& frame) { response = frame; }, kSyncTimeout,
         nullptr);
-    if (!answer) {
+    if (!response) {
       throw Error(ErrorKind::kUnavailable, "no answer of node", address,
                   "try another node");
     }
-    counters_.received_bytes += EncodeMessage(*answer).size();
-    co_return std::move(*answer);
+    counters_.received_bytes += EncodeMessage(*response).size();
+    co_return std::move(*response);
   }
 
   static auto Sync(std::shared_ptr<Impl> self,
@@ -298,13 +300,14 @@
     std::optional<control::SyncResponse> response;
     try {
       response = detail::DecodeSyncResponse(
-          co_await self->Ask(address, "sync", std::move(request)));
+          co_await self->CallForResponse(address, "sync", std::move(request)));
     } catch (const std::exception&) {
       ++self->counters_.failed_syncs;
     }
     if (!self->closed_) {
-      self->Run(response ? self->membership_.OnSyncResponse(address, *response)
-                         : self->membership_.OnSyncFailed(address));
+      self->Execute(response
+                        ? self->membership_.OnSyncResponse(address, *response)
+                        : self->membership_.OnSyncFailed(address));
     }
   }
 
@@ -314,24 +317,24 @@
     try {
       // A named value: g++ 12 rejects the list inside co_await.
       json request = {{"feed", pull.feed}, {"since", pull.since}};
-      const auto answer =
-          co_await self->Ask(pull.address, "feed", std::move(request));
+      const auto response = co_await self->CallForResponse(pull.address, "feed",
+                                                           std::move(request));
       std::uint64_t revision = 0;
-      detail::Read(answer, "revision", revision);
-      const auto* content = detail::Find(answer, "content");
+      detail::Read(response, "revision", revision);
+      const auto* content = detail::Find(response, "content");
       if (!self->closed_ && content != nullptr && self->hooks_.apply_feed &&
           self->feeds_.Accepts(pull.feed, revision)) {
         const auto held =
             self->hooks_.apply_feed(pull.feed, revision, *content);
-        self->Run(self->feeds_.OnApplied(pull.feed, held));
+        self->Execute(self->feeds_.OnApplied(pull.feed, held));
       }
       pulled = true;
     } catch (const std::exception&) {
       ++self->counters_.failed_pulls;
     }
     if (!self->closed_) {
-      self->Run(pulled ? self->feeds_.OnPulled(pull.feed, pull.id)
-                       : self->feeds_.OnPullFailed(pull.feed, pull.id));
+      self->Execute(pulled ? self->feeds_.OnPulled(pull.feed, pull.id)
+                           : self->feeds_.OnPullFailed(pull.feed, pull.id));
     }
   }
 
@@ -343,7 +346,7 @@
   control::Membership membership_;
   control::FeedRelay feeds_;
   GossipCounters counters_;
-  bool report_posted_ = false;
+  bool members_report_scheduled_ = false;
   bool closed_ = false;
 };
 
@@ -367,8 +370,8 @@
 }
 
 auto Gossip::RegisterHandlers(PeerServer& server) -> void {
-  server.Register("sync", impl_->MakeHandler(&Impl::AnswerSync));
-  server.Register("feed", impl_->MakeHandler(&Impl::AnswerFeed));
+  server.Register("sync", impl_->MakeHandler(&Impl::HandleSync));
+  server.Register("feed", impl_->MakeHandler(&Impl::HandleFeed));
 }
 
 auto Gossip::Start() -> void {
