--- a/include/kumquatgauge/base/log.h
+++ b/include/kumquatgauge/base/log.h
@@ -42,23 +42,23 @@
 class Logger {
  public:
   // `part` is the fixed prefix, such as "dispatch".
-  explicit Logger(std::string part);
+  explicit Logger(std::string component);
 
-  auto Debug(const std::string& sentence,
+  auto Debug(const std::string& message,
              std::initializer_list<LogField> fields = {}) const -> void;
-  auto Info(const std::string& sentence,
+  auto Info(const std::string& message,
             std::initializer_list<LogField> fields = {}) const -> void;
-  auto Warning(const std::string& sentence,
+  auto Warning(const std::string& message,
                std::initializer_list<LogField> fields = {}) const -> void;
-  auto Error(const std::string& sentence,
+  auto Error(const std::string& message,
              std::initializer_list<LogField> fields = {}) const -> void;
 
  private:
   auto Write(LogLevel level,
-             const std::string& sentence,
+             const std::string& message,
              std::initializer_list<LogField> fields) const -> void;
 
-  std::string part_;
+  std::string component_;
 };
 
 }  // namespace kumquatgauge
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -148,8 +148,8 @@
 }
 
 auto JsonLine(LogLevel level,
-              const std::string& part,
-              const std::string& sentence,
+              const std::string& component,
+              const std::string& message,
               std::initializer_list<LogField> fields) -> std::string {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   auto line =
@@ -158,8 +158,8 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
   AppendJsonField(line, "level", LevelName(level));
   AppendJsonField(line, "node", Format().node);
-  AppendJsonField(line, "part", part);
-  AppendJsonField(line, "message", sentence);
+  AppendJsonField(line, "part", component);
+  AppendJsonField(line, "message", message);
   for (const auto& field : fields) {
     AppendJsonField(line, field.name, field.value);
   }
@@ -242,30 +242,30 @@
   RootLogger().setLogLevel(NativeLevel(level));
 }
 
-Logger::Logger(std::string part) : part_(std::move(part)) {}
+Logger::Logger(std::string component) : component_(std::move(component)) {}
 
-auto Logger::Debug(const std::string& sentence,
+auto Logger::Debug(const std::string& message,
                    std::initializer_list<LogField> fields) const -> void {
-  Write(LogLevel::kDebug, sentence, fields);
+  Write(LogLevel::kDebug, message, fields);
 }
 
-auto Logger::Info(const std::string& sentence,
+auto Logger::Info(const std::string& message,
                   std::initializer_list<LogField> fields) const -> void {
-  Write(LogLevel::kInfo, sentence, fields);
+  Write(LogLevel::kInfo, message, fields);
 }
 
-auto Logger::Warning(const std::string& sentence,
+auto Logger::Warning(const std::string& message,
                      std::initializer_list<LogField> fields) const -> void {
-  Write(LogLevel::kWarning, sentence, fields);
+  Write(LogLevel::kWarning, message, fields);
 }
 
-auto Logger::Error(const std::string& sentence,
+auto Logger::Error(const std::string& message,
                    std::initializer_list<LogField> fields) const -> void {
-  Write(LogLevel::kError, sentence, fields);
+  Write(LogLevel::kError, message, fields);
 }
 
 auto Logger::Write(LogLevel level,
-                   const std::string& sentence,
+                   const std::string& message,
                    std::initializer_list<LogField> fields) const -> void {
   auto& logger = RootLogger();
   if (!logger.isEnabledFor(NativeLevel(level)) ||
@@ -274,11 +274,12 @@
   }
   if (Format().enabled) {
     if (level >= LogLevel::kWarning || AllowInfoLine()) {
-      logger.log(NativeLevel(level), JsonLine(level, part_, sentence, fields));
+      logger.log(NativeLevel(level),
+                 JsonLine(level, component_, message, fields));
     }
     return;
   }
-  auto line = part_ + ": " + sentence;
+  auto line = component_ + ": " + message;
   for (const auto& field : fields) {
     AppendField(line, field);
   }
