--- a/include/kumquatgauge/base/credential.h
+++ b/include/kumquatgauge/base/credential.h
@@ -8,8 +8,8 @@
 
 namespace kumquatgauge {
 
-// Compares in a time that depends on the length of `left` only, so that an
-// attacker cannot learn a credential byte by byte.
+// Compares in a time that depends on the lengths only, not on the contents, so
+// that an attacker cannot guess a credential byte by byte.
 auto ConstantTimeEqual(std::string_view left, std::string_view right) -> bool;
 
 enum class OperatorRole { kRead, kChange };
@@ -22,25 +22,28 @@
   auto operator==(const OperatorCredential&) const -> bool = default;
 };
 
-// The operators who may send commands.
+// The credentials of the operators who may send commands.
 class OperatorCredentials {
  public:
   explicit OperatorCredentials(std::vector<OperatorCredential> credentials);
 
-  // Who holds `token`; nothing when nobody does. Compares with every token, so
-  // that the time does not tell which one came close.
+  // Returns the credential with `token`, or nothing if there is none. Always
+  // compares with every token, so that the time reveals no partial match.
   auto Find(std::string_view token) const -> std::optional<OperatorCredential>;
 
  private:
   std::vector<OperatorCredential> credentials_;
 };
 
-// Reads the fleet credential: the first line of `path`, at least 16 characters.
+// Reads the fleet credential, which is the first line of `path` and must have
+// at least 16 characters.
 // Throws Error(kInvalidArgument).
 auto ReadFleetCredential(const std::string& path) -> std::string;
 
-// Reads lines "NAME read|change TOKEN"; empty lines and lines that start with
-// '#' are skipped. Throws Error(kInvalidArgument) with file and line.
+// Reads lines of the form "NAME read|change TOKEN"; empty lines and lines that
+// start with
+// '#' are skipped. Throws Error(kInvalidArgument) that names the file
+// and the line.
 auto ReadOperatorCredentials(const std::string& path) -> OperatorCredentials;
 
 }  // namespace kumquatgauge
--- a/include/kumquatgauge/base/error.h
+++ b/include/kumquatgauge/base/error.h
@@ -11,9 +11,9 @@
   kInvalidArgument,
   kNotFound,
   kConflict,
-  kUnavailable,  // The operation certainly had no effect.
-  kOverloaded,   // Refused for now; certainly had no effect.
-  kTimeout,      // Gave up waiting; the call says if it may have had an effect.
+  kUnavailable,  // The operation had no effect.
+  kOverloaded,   // Rejected for now; the operation had no effect.
+  kTimeout,  // The called function documents whether it may have had an effect.
   kPermissionDenied,
   kUnknownOutcome,  // The operation may have taken effect.
   kInternal,
@@ -22,8 +22,7 @@
 // Stable lower-case name such as "not_found", for JSON and logs.
 auto ErrorKindName(ErrorKind kind) -> std::string_view;
 
-// An error whose message says what happened, to which object, and what to do
-// next: "<what happened>: <object>; <remedy>".
+// An error whose message has the form "<what happened>: <object>; <remedy>".
 class Error : public std::runtime_error {
  public:
   Error(ErrorKind kind,
--- a/include/kumquatgauge/base/http_header.h
+++ b/include/kumquatgauge/base/http_header.h
@@ -16,12 +16,12 @@
 
 using HeaderList = std::vector<HttpHeader>;
 
-// The value of the first header of that name, compared without regard to case;
-// empty when there is none.
+// Returns the value of the first header called `name`, ignoring case, or an
+// empty string if there is none.
 auto FindHeader(const HeaderList& headers, std::string_view name)
     -> std::string_view;
 
-// Whether a header concerns one connection only and is not to be forwarded.
+// Returns true for hop-by-hop headers, which must not be forwarded.
 auto IsHopByHop(std::string_view name) -> bool;
 
 }  // namespace kumquatgauge
--- a/include/kumquatgauge/base/ids.h
+++ b/include/kumquatgauge/base/ids.h
@@ -10,8 +10,8 @@
 
 namespace kumquatgauge {
 
-// A string with a type of its own, so that names of different things cannot be
-// mixed up. Immutable.
+// A string with a distinct type per `Tag`, so that identifiers of different
+// kinds cannot be mixed up. Immutable.
 template <typename Tag>
 class StringId {
  public:
--- a/include/kumquatgauge/base/log.h
+++ b/include/kumquatgauge/base/log.h
@@ -14,19 +14,19 @@
 // Throws Error(kInvalidArgument) unless name is debug, info, warning or error.
 auto ParseLogLevel(std::string_view name) -> LogLevel;
 
-// Logs to `file`, or to standard error when it is empty. Call once, before the
-// first line.
+// Logs plain text to `file`, or to standard error if it is empty. Call once,
+// before the first line is logged.
 auto InitializeLogging(LogLevel level, const std::string& file) -> void;
 
-// Logs one JSON object a line to standard output: time, level, node, part,
-// message, and the fields. Writing never blocks: what a stalled reader does not
-// take waits in memory up to kMaxBufferedLogBytes and is then dropped; the
-// number of dropped lines is logged once writing works again.
+// Logs one JSON object per line to standard output, with time, level, node,
+// part (the component), message and the fields. Writing never blocks: if the
+// reader stalls, lines are buffered up to kMaxBufferedLogBytes and then
+// dropped. The number of dropped lines is logged once the buffer is empty.
 auto InitializeJsonLogging(LogLevel level, const std::string& node) -> void;
 
 inline constexpr std::size_t kMaxBufferedLogBytes = std::size_t{256} * 1024;
-// Lines per second of levels below warning; bounds what a busy node spends on
-// logs. Failures are never held back by it.
+// Limit on JSON log lines per second below level warning, which bounds the cost
+// of logging on a busy node. Warnings and errors are not limited.
 inline constexpr std::uint32_t kMaxInfoLinesPerSecond = 400;
 
 // Changes the level while the program runs.
@@ -37,11 +37,11 @@
   std::string value;
 };
 
-// Writes lines "<part>: <sentence> name=value ..." for one part of the program.
-// Thread-safe.
+// Writes lines "<component>: <message> name=value ..." for one component of the
+// program. Thread-safe.
 class Logger {
  public:
-  // `part` is the fixed prefix, such as "dispatch".
+  // `component` is the fixed prefix, such as "dispatch".
   explicit Logger(std::string component);
 
   auto Debug(const std::string& message,
--- a/include/kumquatgauge/base/metrics.h
+++ b/include/kumquatgauge/base/metrics.h
@@ -12,7 +12,7 @@
 
 namespace kumquatgauge {
 
-// A count that only rises. Thread-safe.
+// A monotonically increasing counter. Thread-safe.
 class Counter {
  public:
   auto Add(std::uint64_t amount = 1) -> void { value_ += amount; }
@@ -22,8 +22,8 @@
   std::atomic<std::uint64_t> value_{0};
 };
 
-// The distribution of a time in milliseconds, in logarithmic steps from 0.1 ms
-// to 100 s. Thread-safe.
+// A histogram of latencies in milliseconds, with logarithmic buckets from 0.1
+// ms to 100 s. Thread-safe.
 class LatencyHistogram {
  public:
   LatencyHistogram();
@@ -31,10 +31,10 @@
 
   auto Record(double milliseconds) -> void;
   auto count() const -> std::uint64_t;
-  // Upper edge in ms of the step that holds the given share (0..1) of the
-  // figures; 0 when there are none.
+  // Returns the upper bound in ms of the bucket that contains `quantile`
+  // (0..1), or 0 if nothing was recorded.
   auto Quantile(double quantile) const -> double;
-  // Appends the series in the text exposition format, in seconds.
+  // Appends the time series to `out` in the Prometheus text format, in seconds.
   auto WriteText(const std::string& name, std::string& out) const -> void;
 
  private:
@@ -42,13 +42,13 @@
   std::unique_ptr<Data> data_;
 };
 
-// The metrics of one node by name, written in the text exposition format. A
-// name may carry labels: `requests_total{class="online"}`. Thread-safe.
+// The metrics of one node by name, exported in the Prometheus text format. A
+// name may contain labels: `requests_total{class="online"}`. Thread-safe.
 class MetricsRegistry {
  public:
   auto counter(const std::string& name) -> Counter&;
   auto histogram(const std::string& name) -> LatencyHistogram&;
-  // Registers a figure that is read when the metrics are asked for.
+  // Registers a gauge whose value is read by each call of Text().
   auto AddGauge(const std::string& name, std::function<auto()->double> read)
       -> void;
 
--- a/include/kumquatgauge/base/outcome.h
+++ b/include/kumquatgauge/base/outcome.h
@@ -8,13 +8,13 @@
 
 namespace kumquatgauge {
 
-// The ways in which a request ends. Each is a promise to the caller.
+// How a request ended. Each value is a guarantee to the caller.
 enum class OutcomeKind {
-  kCompleted,  // The whole answer was delivered.
-  kNotRun,     // No upstream has started it and none will.
-  kUnknown,    // It may have run; it never runs again under this request id.
-  kFailed,     // It ran and ended in an error.
-  kCancelled,  // It was stopped on request.
+  kCompleted,  // The complete response was delivered.
+  kNotRun,     // No upstream has started the request and none will.
+  kUnknown,    // It may have run; this request id never runs again.
+  kFailed,     // It ran and ended with an error.
+  kCancelled,  // It was cancelled on request.
 };
 
 // Stable lower-case name such as "not_run", for headers, JSON and logs.
@@ -24,11 +24,11 @@
 
 struct Outcome {
   OutcomeKind kind = OutcomeKind::kCompleted;
-  // Why, in a short sentence for the caller; empty for kCompleted.
+  // A short explanation for the caller; empty for kCompleted.
   std::string reason = {};
-  // When to come back; meaningful for kNotRun only.
+  // Delay before a retry; meaningful for kNotRun only.
   std::chrono::milliseconds retry_after{0};
-  // Number of tokens delivered so far, counted from the start of the answer.
+  // Tokens delivered so far, counted from the start of the response.
   std::uint64_t tokens = 0;
 
   auto operator==(const Outcome&) const -> bool = default;
--- a/include/kumquatgauge/base/settings.h
+++ b/include/kumquatgauge/base/settings.h
@@ -16,7 +16,7 @@
 struct NodeSettings {
   struct Callers {
     std::string listen;     // "IP:port"
-    std::string advertise;  // What callers are told; default: listen.
+    std::string advertise;  // Address given to callers; default: listen.
     std::chrono::seconds answer_ttl{10};
     auto operator==(const Callers&) const -> bool = default;
   };
@@ -46,24 +46,24 @@
   NodeId name;
   ZoneName zone;
   std::string region;
-  std::string data_folder;  // Empty: none.
+  std::string data_folder;  // Empty if there is none.
   std::uint32_t traffic_threads = 2;
   Callers callers;
   Operators operators;
   Nodes nodes;
   std::string platform_address;
   LogLevel log_level = LogLevel::kInfo;
-  std::string log_file;  // Empty: standard error.
+  std::string log_file;  // Empty for standard error.
   Limits limits;
 
   auto operator==(const NodeSettings&) const -> bool = default;
 };
 
-// Reads and checks the settings. Throws Error(kInvalidArgument) whose message
-// names file, line, key, what was found and what is allowed.
+// Reads and validates the settings. Throws Error(kInvalidArgument) whose
+// message contains the file, line, key, actual value and allowed values.
 auto ReadNodeSettings(const std::string& path) -> NodeSettings;
 
-// The same from text; `path` is used in messages.
+// Parses settings from `text`; `path` is used in error messages only.
 auto ParseNodeSettings(const std::string& text, const std::string& path)
     -> NodeSettings;
 
--- a/include/kumquatgauge/base/time.h
+++ b/include/kumquatgauge/base/time.h
@@ -11,8 +11,8 @@
 using MonotonicTime = std::chrono::steady_clock::time_point;
 using WallTime = std::chrono::system_clock::time_point;
 
-// Hooks by which decision classes learn the time and draw random numbers; tests
-// pass a manual clock and a seeded generator.
+// Sources of time and randomness that are injected into classes with decision
+// logic, so that tests can use a manual clock and a seeded generator.
 using Clock = std::function<auto()->MonotonicTime>;
 using WallClock = std::function<auto()->WallTime>;
 using RandomSource = std::function<auto()->std::uint64_t>;
--- a/src/base/credential.cc
+++ b/src/base/credential.cc
@@ -11,14 +11,14 @@
 namespace kumquatgauge {
 namespace {
 
-// Shorter credentials can be guessed over the network.
+// Shorter tokens could be guessed over the network.
 constexpr std::size_t kMinTokenLength = 16;
 
 auto OpenFile(const std::string& path) -> std::ifstream {
   auto file = std::ifstream(path);
   if (!file) {
     throw Error(ErrorKind::kInvalidArgument, "cannot read credentials", path,
-                "create the file and make it readable for the node");
+                "create the file and make it readable by the node");
   }
   return file;
 }
@@ -40,7 +40,7 @@
   fields >> name >> role >> token;
   if (role != "read" && role != "change") {
     throw Error(ErrorKind::kInvalidArgument, "bad operator credential", where,
-                "write: NAME read|change TOKEN");
+                "use the form: NAME read|change TOKEN");
   }
   CheckLength(token, where);
   return {.name = name,
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -37,8 +37,9 @@
   return log4cplus::ERROR_LOG_LEVEL;
 }
 
-// Writes lines to a descriptor without blocking. Lines that the reader does not
-// take wait in memory; beyond the bound they are dropped and counted.
+// Writes lines to a file descriptor without blocking. Lines that cannot be
+// written yet are buffered; lines that exceed the buffer are dropped and
+// counted.
 class NonBlockingAppender : public log4cplus::Appender {
  public:
   explicit NonBlockingAppender(int descriptor) : descriptor_(descriptor) {}
@@ -63,7 +64,8 @@
   }
 
  private:
-  // Up to PIPE_BUF bytes, a pipe that polls as writable takes a write whole.
+  // A pipe that poll() reports as writable accepts PIPE_BUF bytes without
+  // blocking.
   auto Flush() -> void {
     while (!buffer_.empty()) {
       auto entry = pollfd{descriptor_, POLLOUT, 0};
@@ -84,7 +86,7 @@
   std::uint64_t dropped_ = 0;
 };
 
-// State of the JSON format; unused while lines are plain text.
+// State of JSON logging; unused for plain text.
 struct JsonFormat {
   bool enabled = false;
   std::string node;
@@ -97,7 +99,8 @@
   return format;
 }
 
-// Whether a line below warning still fits into this second.
+// Counts a line below level warning. Returns false if the limit for the current
+// second is exceeded.
 auto AllowInfoLine() -> bool {
   auto& format = Format();
   const auto now = std::chrono::steady_clock::now();
@@ -173,7 +176,8 @@
   return logger;
 }
 
-// A value with spaces or quotes is quoted, so that lines can be split again.
+// Quotes values that are empty or contain spaces, quotes or '=', so that lines
+// can be parsed.
 auto AppendField(std::string& line, const LogField& field) -> void {
   line.append(" ").append(field.name).append("=");
   if (field.value.find_first_of(" \"=\n") == std::string::npos &&
--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -23,7 +23,7 @@
   return bh::make_histogram(LogAxis(kBuckets, kLowestMs, kHighestMs));
 }
 
-// Splits `name{labels}` into the name and the labels without braces.
+// Splits `name{labels}` into the name and the labels without the braces.
 auto SplitLabels(const std::string& series)
     -> std::pair<std::string, std::string> {
   const auto brace = series.find('{');
--- a/src/base/metrics_test.cc
+++ b/src/base/metrics_test.cc
@@ -15,7 +15,7 @@
   CHECK(histogram.Quantile(0.99) >= 99.0);
 }
 
-// Guards against label sets that a scraper cannot read.
+// Guards against label sets that a scraper cannot parse.
 TEST_CASE("Metrics.TextKeepsLabelsBesideBucketLabel") {
   auto registry = MetricsRegistry();
   registry.counter("requests_total{class=\"online\"}").Add(3);
--- a/src/base/outcome_test.cc
+++ b/src/base/outcome_test.cc
@@ -7,7 +7,7 @@
 namespace kumquatgauge {
 namespace {
 
-// Guards against a name that a newer peer cannot read back.
+// Guards against a name that ParseOutcomeKind does not accept.
 TEST_CASE("Outcome.NameReadsBackForEveryKind") {
   for (auto kind :
        {OutcomeKind::kCompleted, OutcomeKind::kNotRun, OutcomeKind::kUnknown,
--- a/src/base/process_hooks.h
+++ b/src/base/process_hooks.h
@@ -8,13 +8,13 @@
 
 namespace kumquatgauge::detail {
 
-// The clocks and the random source of a real process. Each thread draws from a
-// generator of its own.
+// The clocks and the random source for production use. DrawRandom uses one
+// generator per thread.
 auto SteadyNow() -> MonotonicTime;
 auto WallNow() -> WallTime;
 auto DrawRandom() -> std::uint64_t;
 
-// Waits on the calling coroutine's executor.
+// Suspends the calling coroutine for `duration` on its executor.
 auto Pause(Duration duration) -> boost::asio::awaitable<void>;
 
 }  // namespace kumquatgauge::detail
--- a/src/base/settings_test.cc
+++ b/src/base/settings_test.cc
@@ -49,7 +49,7 @@
   CHECK(settings.limits.queue == std::chrono::milliseconds(500));
 }
 
-// Guards against a typing error that silently leaves a default in force.
+// Guards against a misspelled key that is ignored, so that its default applies.
 TEST_CASE("Settings.NamesLineAndAllowedKeysOfUnknownKey") {
   CHECK(MessageFor(Replaced("zone =", "zoone = \"x\"\nzone =")) ==
         "bad setting: node.toml:4: node.zoone: found an unknown key; allowed "
--- a/src/base/socket_options.cc
+++ b/src/base/socket_options.cc
@@ -6,14 +6,16 @@
 namespace kumquatgauge::detail {
 namespace {
 
-// Seconds; the smallest that the kernel takes, since a silent connection must
-// be replaced within the few seconds that a change may take to apply.
+// In seconds. These are the smallest values that the kernel accepts, since an
+// unresponsive connection must be replaced within the few seconds in which a
+// configuration change must apply.
 constexpr int kKeepAliveIdle = 1;
 constexpr int kKeepAliveInterval = 1;
 constexpr int kKeepAliveProbes = 2;
 
 auto SetIntegerOption(int socket, int level, int name, int value) -> void {
-  // A kernel without the option leaves the timeouts of the callers as guard.
+  // Errors are ignored: if the kernel lacks the option, the callers' timeouts
+  // still apply.
   ::setsockopt(socket, level, name, &value, sizeof(value));
 }
 
--- a/src/base/socket_options.h
+++ b/src/base/socket_options.h
@@ -6,9 +6,9 @@
 
 namespace kumquatgauge::detail {
 
-// Disables Nagle's algorithm and makes the kernel break the connection when the
-// other side is unreachable: after `user_timeout` with unacknowledged data, or
-// after about 2 s without an answer to keep-alive probes when idle.
+// Disables Nagle's algorithm and makes the kernel close the connection if the
+// peer is unreachable: after `user_timeout` with unacknowledged data, or after
+// about 2 s without a response to keep-alive probes if idle.
 auto ConfigureTcpSocket(boost::asio::ip::tcp::socket& socket,
                         std::chrono::milliseconds user_timeout) -> void;
 
--- a/src/base/table_reader.h
+++ b/src/base/table_reader.h
@@ -25,13 +25,14 @@
   std::int64_t high;
 };
 
-// Reads the keys of one TOML table and reports those nobody asked for.
+// Reads the keys of one TOML table and reports keys that were never read.
 class TableReader {
  public:
   TableReader(const toml::table* table, std::string name, std::string path)
       : table_(table), name_(std::move(name)), path_(std::move(path)) {}
 
-  // The value of `key`, which from now on counts as known; null if absent.
+  // Returns the value of `key`, or null if it is absent, and records the key as
+  // known.
   auto Find(const std::string& key) -> const toml::node* {
     known_.insert(key);
     return table_ == nullptr ? nullptr : table_->get(key);
@@ -95,7 +96,7 @@
     return value;
   }
 
-  // A number that may have a fraction.
+  // Returns a floating-point number.
   auto Number(const std::string& key, double fallback, double low, double high)
       -> double {
     const auto* node = Find(key);
@@ -122,7 +123,8 @@
         "allowed is " + allowed);
   }
 
-  // The table under `key`; without one, a reader that finds nothing.
+  // Returns a reader for the table `key`, or for an empty table if it is
+  // absent.
   auto Table(const std::string& key) -> TableReader {
     const auto* node = Find(key);
     if (node != nullptr && !node->is_table()) {
@@ -131,7 +133,7 @@
     return {node == nullptr ? nullptr : node->as_table(), key, path_};
   }
 
-  // The log level under `key`; info without one.
+  // Returns the log level of `key`; the default is info.
   auto Level(const std::string& key) -> LogLevel {
     const auto level = String(key, "info");
     try {
@@ -147,7 +149,7 @@
     return Line(node);
   }
 
-  // Throws for a key that was not read.
+  // Throws Error(kInvalidArgument) if the table has a key that was not read.
   auto RejectUnknownKeys() const -> void {
     if (table_ == nullptr) {
       return;
@@ -208,8 +210,8 @@
   std::set<std::string> known_;
 };
 
-// Parses a settings file's text and passes its root table to `read`. Throws
-// Error(kInvalidArgument) for text that is not TOML.
+// Parses the text of a settings file and returns the result of `read` for its
+// root table. Throws Error(kInvalidArgument) if the text is not valid TOML.
 template <typename Read>
 auto ReadToml(const std::string& text, const std::string& path, Read read) {
   try {
@@ -223,13 +225,13 @@
   }
 }
 
-// The text of a settings file. Throws Error(kInvalidArgument) when it cannot be
-// read.
+// Returns the text of a settings file. Throws Error(kInvalidArgument) if it
+// cannot be read.
 inline auto ReadSettingsText(const std::string& path) -> std::string {
   auto file = std::ifstream(path);
   if (!file) {
     throw Error(ErrorKind::kInvalidArgument, "cannot read settings", path,
-                "name an existing TOML file that is readable");
+                "use the path of a readable TOML file");
   }
   auto text = std::ostringstream();
   text << file.rdbuf();
