--- a/include/kumquatgauge/node/datagram_socket.h
+++ b/include/kumquatgauge/node/datagram_socket.h
@@ -11,37 +11,37 @@
 
 namespace kumquatgauge::node {
 
-// Larger messages are not sent: they would be split into IP fragments.
+// Larger datagrams are not sent, because IP would fragment them.
 inline constexpr std::size_t kMaxDatagramBytes = 1400;
-// Bytes of HMAC-SHA-256 that are sent.
+// Length of the truncated HMAC-SHA-256 in each datagram.
 inline constexpr std::size_t kDatagramMacBytes = 16;
-// A datagram is one version byte, the MAC of version and content, and the
-// content.
+// A datagram consists of a version byte, the MAC of version and content, and
+// the content.
 inline constexpr std::size_t kDatagramOverheadBytes = 1 + kDatagramMacBytes;
 
 struct DatagramCounters {
   std::uint64_t sent = 0;
   std::uint64_t sent_bytes = 0;
-  std::uint64_t received = 0;  // Accepted ones.
+  std::uint64_t received = 0;  // Accepted datagrams only.
   std::uint64_t received_bytes = 0;
-  // Dropped ones, by the first fault found.
+  // Received datagrams that were dropped, by the first failed check.
   std::uint64_t wrong_size = 0;
   std::uint64_t wrong_version = 0;
   std::uint64_t wrong_mac = 0;
   std::uint64_t malformed = 0;
-  std::uint64_t unsent = 0;  // Too long, or refused by the system.
+  std::uint64_t unsent = 0;  // Too long, or rejected by the operating system.
 };
 
 // Sends and receives MessagePack maps over UDP, authenticated with the fleet
 // credential. Used on `context` only, which is run by one thread.
 class DatagramSocket {
  public:
-  // Gets the message and the sender's "IP:port".
+  // Called with the message and the sender's "IP:port".
   using Receiver = std::function<
       auto(const nlohmann::json& message, const std::string& from)->void>;
 
   // Binds `listen`, "IP:port". Throws Error(kInvalidArgument) for a bad address
-  // and Error(kUnavailable) when it cannot be bound.
+  // and Error(kUnavailable) if it cannot be bound.
   DatagramSocket(boost::asio::io_context& context,
                  const std::string& listen,
                  std::string fleet_credential);
@@ -49,10 +49,11 @@
   DatagramSocket(const DatagramSocket&) = delete;
   auto operator=(const DatagramSocket&) -> DatagramSocket& = delete;
 
-  // Starts to pass messages to `receiver`.
+  // Starts to deliver messages to `receiver`.
   auto Start(Receiver receiver) -> void;
-  // Sends without waiting; a datagram that the system does not take is counted
-  // and dropped.
+  // Sends without blocking. A datagram that is too long or that the operating
+  // system does not accept is counted in `unsent` and dropped. Throws
+  // Error(kInvalidArgument) for a bad address.
   auto Send(const std::string& address, const nlohmann::json& message) -> void;
 
   auto address() const -> std::string;
--- a/include/kumquatgauge/node/gossip.h
+++ b/include/kumquatgauge/node/gossip.h
@@ -22,8 +22,8 @@
 class PeerServer;
 
 struct GossipSettings {
-  // This node; the datagram socket listens on `listen`, whose port number is
-  // that of self.node_address.
+  // This node. The datagram socket is bound to `listen`, whose port is the same
+  // as that of self.node_address.
   routing::NodeInfo self;
   std::string listen;
   std::string fleet_credential;
@@ -31,32 +31,35 @@
   std::vector<std::string> feeds = {"config", "hosts"};
 };
 
-// All are called on the control io_context; any may be empty.
+// All hooks are called on the control io_context; any may be empty.
 struct GossipHooks {
-  // Members that are alive or leaving, this node included, after each change.
+  // Called after each change with the members that are alive or leaving,
+  // including this node.
   std::function<auto(const std::vector<routing::NodeInfo>&)->void>
       members_changed;
-  // This node goes on under a new incarnation; work of the old one must stop.
+  // Called when this node continues under a new incarnation; work of the old
+  // one must stop.
   std::function<auto(Incarnation)->void> restarted;
-  // Content that brings a node from revision `since` to the current one.
+  // Returns content that updates a node from revision `since` to the current
+  // one.
   std::function<
       auto(const std::string& feed, std::uint64_t since)->nlohmann::json>
       read_feed;
-  // Applies content of read_feed that leads to `revision`, which is higher than
-  // the current one. Returns the revision that is now held; may throw Error.
+  // Applies content from read_feed that leads to `revision`, which is higher
+  // than the current one. Returns the revision now in use; may throw Error.
   std::function<auto(const std::string& feed,
                      std::uint64_t revision,
                      const nlohmann::json& content)
                     ->std::uint64_t>
       apply_feed;
-  // Datagrams of other types, such as "load".
+  // Called for datagrams that are not membership messages, such as "load".
   std::function<
       auto(const nlohmann::json& message, const std::string& from)->void>
       datagram;
 };
 
-// Payload bytes of control traffic, without IP and TCP headers; streams are
-// counted with an estimate of their HTTP/2 headers.
+// Byte counts cover the payload of control traffic without IP and TCP headers.
+// Calls include an estimate of their HTTP/2 headers.
 struct GossipCounters {
   std::uint64_t sent_bytes = 0;
   std::uint64_t received_bytes = 0;
@@ -66,12 +69,12 @@
   DatagramCounters datagrams;
 };
 
-// Runs membership and the relay of feeds over datagrams and node streams. Used
-// on the control io_context only, which is run by one thread.
+// Runs membership and the feed relay over datagrams and streams between nodes.
+// Used on the control io_context only, which is run by one thread.
 class Gossip {
  public:
-  // `client` belongs to the control io_context and must outlive it. Throws
-  // Error when the datagram socket cannot be bound.
+  // `client` runs on the control io_context and must outlive this object.
+  // Throws Error if the datagram socket cannot be bound.
   Gossip(boost::asio::io_context& control,
          GossipSettings settings,
          PeerClient& client,
@@ -83,20 +86,24 @@
   Gossip(const Gossip&) = delete;
   auto operator=(const Gossip&) -> Gossip& = delete;
 
-  // Registers "sync" and "feed"; call before the server is started. Handlers
-  // run on the server's io_contexts and hop to the control io_context.
+  // Registers the handlers "sync" and "feed"; call before the server is
+  // started. They are invoked on the server's io_contexts and do their work on
+  // the control io_context.
   auto RegisterHandlers(PeerServer& server) -> void;
 
   auto Start() -> void;
-  // Planned stop: Leave first; Stop when the work of this node has ended.
+  // For a planned stop, call Leave first and Stop when the work of this node
+  // has ended.
   auto Leave() -> void;
   auto Stop() -> void;
 
-  // The owner of a feed has applied a revision that came from the platform.
+  // Must be called when the owner of a feed has applied a revision from the
+  // platform.
   auto OnFeedApplied(const std::string& feed, std::uint64_t revision) -> void;
   auto SetSeeds(std::vector<std::string> seeds) -> void;
-  // Sends a datagram of another type: `message` has field "t" with a name of
-  // more than one letter.
+  // Sends a datagram that is not a membership message. Field "t" of `message`
+  // must be a name of more than one letter. Throws Error(kInvalidArgument) for
+  // a bad address.
   auto SendDatagram(const std::string& address, const nlohmann::json& message)
       -> void;
 
--- a/include/kumquatgauge/node/peer.h
+++ b/include/kumquatgauge/node/peer.h
@@ -10,30 +10,31 @@
 
 namespace kumquatgauge::node {
 
-// Traffic between two nodes uses one connection per kind, so that online
-// streams share no flow-control window and no TCP stream with batch.
+// Two nodes use a separate connection per channel, so that online streams share
+// neither a flow-control window nor a TCP stream with batch traffic.
 enum class Channel { kOnline, kBatch, kControl };
 
-// Version of the messages between nodes, field "v" of each.
+// Version of the messages between nodes, sent as field "v" of each message.
 inline constexpr int kMessageVersion = 1;
 
-// The answering side of one stream. Used on the io_context that the stream's
-// handler runs on.
+// The server side of one stream. Used on the io_context on which the stream's
+// handler runs.
 class Responder {
  public:
   virtual ~Responder() = default;
 
-  // Sends one frame. Returns false when the other side is gone or has reset
-  // the stream; the handler should then stop its work.
+  // Sends one frame. Returns false if the peer has disconnected or reset the
+  // stream; the handler should then stop its work.
   virtual auto Send(const nlohmann::json& frame) -> bool = 0;
-  // True once the other side is gone or has reset the stream.
+  // True once the peer has disconnected or reset the stream.
   virtual auto cancelled() const -> bool = 0;
-  // Called once, on the stream's io_context, when the other side goes away.
+  // Sets a hook that is called once, on the stream's io_context, when the peer
+  // disconnects or the stream is reset.
   virtual auto OnCancel(std::function<auto()->void> hook) -> void = 0;
 };
 
 // Handles one request; the stream ends when the coroutine returns. A thrown
-// Error is sent to the other side as an error frame and rethrown there.
+// Error is sent to the client as an error frame and rethrown there.
 using Handler = std::function<auto(nlohmann::json request,
                                    std::shared_ptr<Responder> responder)
                                   ->boost::asio::awaitable<void>>;
@@ -41,8 +42,8 @@
 // Receives the frames of one stream in order.
 using FrameSink = std::function<auto(const nlohmann::json&)->void>;
 
-// Cancels the stream it was given to; may be called more than once, on the
-// io_context of the call.
+// Cancels the call that it was passed to. Cancel may be called more than once,
+// on the io_context of the call.
 class StreamCancel {
  public:
   auto Cancel() -> void {
@@ -61,18 +62,20 @@
   std::function<auto()->void> hook_;
 };
 
-// The asking side: streams to other nodes, connections made on demand and kept.
-// One instance per io_context; not thread-safe.
+// The client side of calls to other nodes. Connections are made on demand and
+// reused. One instance per io_context; not thread-safe.
 class PeerClient {
  public:
   virtual ~PeerClient() = default;
 
   // Sends `request` to /node/v1/NAME at `address` ("IP:port") and passes each
-  // frame to `sink`; returns when the stream has ended. `cancel` may be null.
-  // Errors: the other side's Error; kUnavailable when no byte of the request
-  // was sent; kUnknownOutcome when the connection was lost or silent after
-  // that; kTimeout when `timeout` passed without a frame, after which the
-  // request may still run; kPermissionDenied when the fleet credential differs.
+  // frame to `sink`. Returns when the stream has ended. `cancel` may be null.
+  // Throws the Error of the handler, or an Error of kind kUnavailable if no
+  // byte of the request was sent; kOverloaded if the node refused the stream;
+  // kUnknownOutcome if the connection was lost or unresponsive after the
+  // request was sent; kTimeout if `timeout` passed without a frame, in which
+  // case the request may still run; kPermissionDenied if the fleet credential
+  // differs.
   virtual auto Call(std::string address,
                     Channel channel,
                     std::string name,
--- a/include/kumquatgauge/node/peer_client.h
+++ b/include/kumquatgauge/node/peer_client.h
@@ -10,27 +10,28 @@
 
 namespace kumquatgauge::node {
 
-// A PING is sent this often while streams are open; after one that is
-// unanswered for the same time, new calls use a fresh connection.
+// Interval between PINGs while streams are open. If a PING is not acknowledged
+// within one interval, new calls use a new connection.
 inline constexpr std::chrono::milliseconds kPingInterval{500};
-// Unanswered intervals after which a connection is judged dead (1.5 s). Counted
-// in intervals, so that a stall of this process does not count as silence.
+// Number of intervals without a PING ACK after which a connection is considered
+// dead (1.5 s). Intervals are counted instead of time, so that a stall of this
+// process is not taken for an unresponsive peer.
 inline constexpr int kPingIntervalsUntilDead = 3;
-// Time for TCP to connect and for the other side's SETTINGS to arrive.
+// Limit for the TCP connect and the arrival of the server's SETTINGS.
 inline constexpr std::chrono::milliseconds kConnectTimeout{1500};
 
-// A connection without streams is closed after this: table comparison alone
-// would otherwise leave a connection to every node of the fleet.
+// A connection without streams is closed after this time. Otherwise membership
+// syncs alone would keep a connection open to every node of the fleet.
 inline constexpr std::chrono::seconds kIdleTimeout{60};
 
 struct PeerClientSettings {
   std::string fleet_credential;
 };
 
-// A client for use on `context`, which is run by one thread and must outlive
-// it; the client must outlive its calls. A call that is cancelled returns
-// without an error. No request is sent before the other side's SETTINGS
-// arrived, so that a host that accepts connections but answers nothing gives
+// Creates a client for use on `context`, which is run by one thread and must
+// outlive the client; the client must outlive its calls. A cancelled call
+// returns without an error. No request is sent before the server's SETTINGS
+// arrive, so that a host that accepts connections but never responds results in
 // kUnavailable.
 auto MakePeerClient(boost::asio::io_context& context,
                     PeerClientSettings settings) -> std::unique_ptr<PeerClient>;
--- a/include/kumquatgauge/node/peer_server.h
+++ b/include/kumquatgauge/node/peer_server.h
@@ -14,26 +14,27 @@
 
 namespace kumquatgauge::node {
 
-// Limits on what one connection may ask for.
+// Limits per connection.
 inline constexpr std::uint32_t kMaxStreamsPerConnection = 4096;
 inline constexpr std::size_t kMaxRequestHeaderBytes = 8192;
-// A stream whose reader lags by more than this is reset.
+// A stream with more unsent bytes than this, because its reader is slow, is
+// reset.
 inline constexpr std::size_t kMaxQueuedBytesPerStream = std::size_t{32} << 20;
 
 struct PeerServerSettings {
-  std::string listen;            // "IP:port"; port 0 takes a free one.
+  std::string listen;            // "IP:port"; port 0 picks a free port.
   std::string fleet_credential;  // Expected in header kqg-fleet.
 };
 
 struct PeerServerCounters {
-  std::uint64_t connections = 0;  // Open now.
-  std::uint64_t streams = 0;      // Requests accepted since the start.
+  std::uint64_t connections = 0;  // Currently open.
+  std::uint64_t streams = 0;      // Requests accepted since Start.
   std::uint64_t rejected = 0;     // Requests with a wrong credential.
 };
 
-// The answering side of HTTP/2 between nodes. Accepts on `accept_context` and
-// hands connections round robin to `workers`, each of which is run by one
-// thread; a handler runs on the io_context of its connection.
+// The HTTP/2 server for calls from other nodes. Accepts on `accept_context` and
+// distributes connections round robin to `workers`, each of which is run by one
+// thread. A handler runs on the io_context of its connection.
 class PeerServer {
  public:
   PeerServer(boost::asio::io_context& accept_context,
@@ -48,14 +49,14 @@
   // Registers the handler of POST /node/v1/NAME; call before Start.
   auto Register(std::string name, Handler handler) -> void;
 
-  // Listens. Throws Error(kInvalidArgument) for a bad address and
-  // Error(kUnavailable) when it cannot be bound.
+  // Starts to listen. Throws Error(kInvalidArgument) for a bad address and
+  // Error(kUnavailable) if it cannot be bound.
   auto Start() -> void;
-  // The bound address, with the real port; empty before Start.
+  // The bound address with the actual port; empty before Start.
   auto address() const -> std::string;
 
-  // Stops accepting, sends GOAWAY, lets the open streams end and closes what is
-  // still open after `limit`. Await on `accept_context`.
+  // Stops accepting, sends GOAWAY, waits for the open streams to end and closes
+  // the remaining connections after `limit`. Await on `accept_context`.
   auto Stop(std::chrono::milliseconds limit) -> boost::asio::awaitable<void>;
 
   auto counters() const -> PeerServerCounters;
--- a/src/node/datagram_socket.cc
+++ b/src/node/datagram_socket.cc
@@ -24,11 +24,11 @@
 using nlohmann::json;
 using Mac = std::array<unsigned char, kDatagramMacBytes>;
 
-// Longer than any accepted datagram, so that a longer one is seen as such.
+// One byte more than the limit, so that longer datagrams can be detected.
 constexpr std::size_t kReceiveBufferBytes = kMaxDatagramBytes + 1;
 constexpr int kSocketBufferBytes = 1 << 20;
 
-// MAC of the version byte and `content`.
+// Returns the MAC of the version byte and `content`.
 auto ComputeMac(const std::string& key, char version, std::string_view content)
     -> Mac {
   std::string authenticated(1, version);
@@ -113,7 +113,7 @@
           if (!self->socket_.is_open()) {
             return;
           }
-          // An error here reports an earlier send that was refused.
+          // Errors are ignored: they report that an earlier send was rejected.
           if (!error) {
             self->HandleDatagram({self->receive_buffer_.data(), size});
           }
@@ -149,7 +149,7 @@
     ++counters_.received;
     counters_.received_bytes += bytes.size();
     if (receiver_) {
-      // A copy: the receiver may close this socket.
+      // A copy, because the receiver may close this socket.
       const auto receiver = receiver_;
       receiver(message, FormatAddress(from_));
     }
--- a/src/node/datagram_socket_test.cc
+++ b/src/node/datagram_socket_test.cc
@@ -35,7 +35,7 @@
     return done();
   }
 
-  // Sends bytes as they are from a socket without a key.
+  // Sends raw bytes from a plain UDP socket.
   auto SendRaw(const std::string& bytes) -> void {
     stranger.send_to(boost::asio::buffer(bytes),
                      ParseUdpAddress(receiver.address()));
@@ -49,7 +49,7 @@
   std::string last_from;
 };
 
-// Guards against a message that is changed or attributed to another node.
+// Guards against a message that is altered or attributed to another node.
 TEST_CASE("DatagramSocket.DeliversMessageWithSender") {
   Fixture sockets;
   sockets.sender.Send(sockets.receiver.address(), {{"t", "h"}});
@@ -60,7 +60,7 @@
         sockets.sender.counters().sent_bytes);
 }
 
-// Guards against control messages from outside of the fleet.
+// Guards against control messages from outside the fleet.
 TEST_CASE("DatagramSocket.DropsOtherCredential") {
   Fixture sockets;
   DatagramSocket other(sockets.context, "127.0.0.1:0", "secreT");
@@ -70,7 +70,7 @@
   CHECK(sockets.messages.empty());
 }
 
-// Guards against datagrams that would be cut into IP fragments.
+// Guards against datagrams that IP would fragment.
 TEST_CASE("DatagramSocket.CountsTooLongMessage") {
   Fixture sockets;
   sockets.sender.Send(sockets.receiver.address(),
--- a/src/node/frame_codec.h
+++ b/src/node/frame_codec.h
@@ -13,17 +13,18 @@
 // Appends the 4-byte big-endian length and `payload` to `bytes`.
 auto AppendFrame(std::string_view payload, std::string& bytes) -> void;
 
-// Cuts a stream of bytes into frames.
+// Splits a byte stream into frames.
 class FrameReader {
  public:
   using Sink = std::function<auto(std::string_view)->void>;
 
-  // Passes each complete frame to `sink`. Throws Error(kInvalidArgument) for a
-  // frame of more than kMaxFrameBytes.
+  // Passes each complete frame to `sink` and keeps an incomplete one. Throws
+  // Error(kInvalidArgument) for a frame longer than kMaxFrameBytes.
   auto Add(std::string_view bytes, const Sink& sink) -> void;
 
  private:
-  // Passes on the complete frames of `bytes`; returns the rest.
+  // Passes the complete frames in `bytes` to `sink`; returns the remaining
+  // bytes.
   static auto ExtractFrames(std::string_view bytes, const Sink& sink)
       -> std::string_view;
 
--- a/src/node/gossip.cc
+++ b/src/node/gossip.cc
@@ -25,12 +25,13 @@
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds kSyncTimeout{2000};
-// HTTP/2 frame headers and compressed header fields of one call, both ways.
+// Estimated HTTP/2 overhead of one call in both directions: frame headers and
+// compressed header fields.
 constexpr std::size_t kCallOverheadBytes = 150;
 
 auto StoppedError() -> Error {
-  return Error(ErrorKind::kUnavailable, "control stopped", "this node",
-               "ask another node");
+  return Error(ErrorKind::kUnavailable, "gossip has stopped", "this node",
+               "try another node");
 }
 
 }  // namespace
@@ -106,7 +107,8 @@
   auto membership() const -> const control::Membership& { return membership_; }
   auto feeds() const -> const control::FeedRelay& { return feeds_; }
 
-  // A handler that computes its one frame on the control io_context.
+  // Returns a handler that computes its single response frame on the control
+  // io_context.
   auto MakeHandler(auto(Impl::*handler)(const json&)->json) -> Handler {
     return [weak = weak_from_this(), handler, &control = control_](
                json request,
@@ -150,7 +152,7 @@
                          json request,
                          std::shared_ptr<Responder> responder)
       -> awaitable<void> {
-    // co_spawn returns to the stream's io_context with the result.
+    // co_await resumes on the stream's io_context with the result.
     const auto frame = co_await boost::asio::co_spawn(
         control, ComputeResponse(std::move(weak), handler, std::move(request)),
         boost::asio::use_awaitable);
@@ -217,7 +219,7 @@
 
   auto Execute(const MembershipActions& actions) -> void {
     for (const auto& [address, message] : actions.datagrams) {
-      // Replies of a probe carry no revisions, to keep them short.
+      // Only heartbeats carry revisions, to keep probes and replies short.
       const auto with_revisions =
           message.type == control::MembershipMessageType::kHeartbeat;
       SendMessage(
@@ -257,12 +259,12 @@
     try {
       socket_.Send(address, detail::EncodeDatagram(message, revisions));
     } catch (const Error&) {
-      // A seed or a member whose address is none.
+      // A seed or member with an invalid address.
       ++counters_.malformed;
     }
   }
 
-  // Changes of one burst are reported once.
+  // Reports a burst of changes once.
   auto ScheduleMembersReport() -> void {
     if (members_report_scheduled_ || !hooks_.members_changed) {
       return;
@@ -277,7 +279,7 @@
     });
   }
 
-  // One call on the control channel that answers with one frame.
+  // Makes a call on the control channel whose response is one frame.
   auto CallForResponse(std::string address, std::string name, json request)
       -> awaitable<json> {
     std::optional<json> response;
@@ -287,7 +289,7 @@
         [&response](const json& frame) { response = frame; }, kSyncTimeout,
         nullptr);
     if (!response) {
-      throw Error(ErrorKind::kUnavailable, "no answer of node", address,
+      throw Error(ErrorKind::kUnavailable, "no response from node", address,
                   "try another node");
     }
     counters_.received_bytes += EncodeMessage(*response).size();
@@ -315,7 +317,8 @@
       -> awaitable<void> {
     auto pulled = false;
     try {
-      // A named value: g++ 12 rejects the list inside co_await.
+      // A named variable, because g++ 12 rejects the initializer list inside
+      // co_await.
       json request = {{"feed", pull.feed}, {"since", pull.since}};
       const auto response = co_await self->CallForResponse(pull.address, "feed",
                                                            std::move(request));
--- a/src/node/gossip_test.cc
+++ b/src/node/gossip_test.cc
@@ -27,7 +27,7 @@
   return FormatAddress(acceptor.local_endpoint());
 }
 
-// One node: server, client and gossip on one io_context.
+// One node with server, client and gossip on one io_context.
 struct Node {
   Node(boost::asio::io_context& context,
        const std::string& name,
@@ -107,8 +107,8 @@
   std::vector<std::unique_ptr<Node>> nodes;
 };
 
-// Guards against a fleet that does not form, or that keeps a node which has
-// stopped as planned.
+// Guards against a fleet that does not form, or that keeps a node as a member
+// after a planned stop.
 TEST_CASE("Gossip.FormsFleetAndDropsStoppedNode") {
   Fleet fleet(5);
   REQUIRE(fleet.RunUntil([&] { return fleet.AllSee(5); }));
@@ -123,7 +123,7 @@
   CHECK(fleet.RunUntil([&] { return fleet.AllSee(4); }));
 }
 
-// Guards against a crashed node that stays a member.
+// Guards against a crashed node that remains a member.
 TEST_CASE("Gossip.DropsNodeThatCrashed") {
   Fleet fleet(4);
   REQUIRE(fleet.RunUntil([&] { return fleet.AllSee(4); }));
--- a/src/node/http2_connection.cc
+++ b/src/node/http2_connection.cc
@@ -23,7 +23,7 @@
   std::vector<nghttp2_nv> result;
   result.reserve(headers.size());
   for (const auto& [name, value] : headers) {
-    // nghttp2 copies names and values and does not write through the pointers.
+    // nghttp2 copies names and values and does not modify them.
     result.push_back({const_cast<std::uint8_t*>(
                           reinterpret_cast<const std::uint8_t*>(name.data())),
                       const_cast<std::uint8_t*>(
@@ -66,8 +66,8 @@
 
 }  // namespace
 
-// Entry points for nghttp2. No exception may pass through C code: one that a
-// virtual function throws ends the connection.
+// Callbacks for nghttp2. Exceptions must not propagate through C code, so an
+// exception from a virtual function closes the connection.
 struct Http2Connection::Callbacks {
   template <typename Function>
   static auto Run(void* user, Function function) -> int {
@@ -286,8 +286,8 @@
 }
 
 auto Http2Connection::ReadAvailable() -> bool {
-  // One buffer per thread: a node keeps connections to hundreds of others, and
-  // what was read is used up before the next read.
+  // One buffer per thread saves memory, since a node has connections to
+  // hundreds of others. The bytes are consumed before the next read.
   thread_local std::array<std::uint8_t, kReadBufferBytes> buffer;
   for (auto reads = 0; reads < kMaxReadsPerWait; ++reads) {
     boost::system::error_code error;
@@ -305,7 +305,7 @@
       return false;
     }
     if (used < 0) {
-      Close("the other side broke the protocol");
+      Close("HTTP/2 protocol error");
       return false;
     }
     if (size < buffer.size()) {
@@ -320,8 +320,8 @@
     return;
   }
   flush_posted_ = true;
-  // Runs behind the handlers that are ready now, so that what they submit goes
-  // out with the same system call.
+  // Runs after the handlers that are ready now, so that the frames they submit
+  // are sent with the same system call.
   boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
     self->flush_posted_ = false;
     self->Flush();
@@ -340,7 +340,7 @@
       return;
     }
     if (size < 0) {
-      Close("sending failed");
+      Close("cannot serialize HTTP/2 frames");
       return;
     }
     if (size == 0) {
--- a/src/node/http2_connection.h
+++ b/src/node/http2_connection.h
@@ -15,35 +15,37 @@
 
 namespace kumquatgauge::node::detail {
 
-// Flow-control windows. The stream window exceeds the largest burst of tokens;
-// the connection window keeps one slow stream from blocking the others.
+// Flow-control windows. The stream window is larger than the largest burst of
+// tokens. The connection window is larger still, so that one slow stream does
+// not block the others.
 inline constexpr std::int32_t kStreamWindowBytes = 1 << 20;
 inline constexpr std::int32_t kConnectionWindowBytes = 64 << 20;
-// Bytes gathered for one write to the socket.
+// Bytes that are collected before each write to the socket.
 inline constexpr std::size_t kWriteBatchBytes = std::size_t{256} << 10;
 inline constexpr std::size_t kReadBufferBytes = std::size_t{64} << 10;
-// Reads before the other connections of the thread get their turn.
+// Reads in a row before other connections of the thread are served.
 inline constexpr int kMaxReadsPerWait = 4;
-// Write memory that a connection keeps while it has nothing to send.
+// Capacity of the write buffer that an idle connection may keep.
 inline constexpr std::size_t kMaxIdleWriteBufferBytes = std::size_t{16} << 10;
-// TCP gives up on unacknowledged data after this.
+// The kernel closes a connection whose data is unacknowledged for this time.
 inline constexpr int kTcpUserTimeoutMs = 3000;
 
-// Bytes of one stream that wait to be sent; owned by the stream.
+// Unsent bytes of one stream; owned by the stream.
 struct SendBuffer {
   std::string bytes;
   std::size_t offset = 0;
-  bool ended = false;     // No more bytes follow.
-  bool deferred = false;  // nghttp2 waits for nghttp2_session_resume_data.
+  bool ended = false;     // No more bytes will be added.
+  bool deferred = false;  // nghttp2 needs nghttp2_session_resume_data.
 
   auto queued() const -> std::size_t { return bytes.size() - offset; }
 };
 
 using HeaderList = std::vector<std::pair<std::string_view, std::string_view>>;
 
-// One HTTP/2 connection: moves bytes between a socket and an nghttp2 session
-// and passes events to the derived class. Frames submitted by all handlers that
-// are ready are sent with one write. Used on the executor of its socket only.
+// An HTTP/2 connection that transfers bytes between a socket and an nghttp2
+// session and reports events to the derived class. Frames that are submitted by
+// all ready handlers are sent with one write. Used on the executor of its
+// socket only.
 class Http2Connection : public std::enable_shared_from_this<Http2Connection> {
  public:
   Http2Connection(const Http2Connection&) = delete;
@@ -54,9 +56,10 @@
   auto closed() const -> bool { return closed_; }
   auto executor() -> boost::asio::any_io_executor;
 
-  // Sends what the session wants to send, after the handlers now ready.
+  // Sends the pending frames of the session after the handlers that are ready
+  // now.
   auto ScheduleWrite() -> void;
-  // Sends more of a stream after bytes were added to `out`.
+  // Continues to send a stream after bytes were added to `out`.
   auto ResumeStream(std::int32_t stream_id, SendBuffer& out) -> void;
 
  protected:
@@ -65,16 +68,17 @@
   Http2Connection(boost::asio::ip::tcp::socket socket, Side side);
   virtual ~Http2Connection();
 
-  // Sets socket options, queues SETTINGS and starts to read.
+  // Sets socket options, submits SETTINGS and starts to read.
   auto StartSession(std::uint32_t max_streams) -> void;
 
   auto socket() -> boost::asio::ip::tcp::socket& { return socket_; }
   auto session() -> nghttp2_session* { return session_; }
   auto bytes_received() const -> std::uint64_t { return bytes_received_; }
 
-  // Each returns the stream id or a negative nghttp2 error.
+  // Returns the stream id or a negative nghttp2 error.
   auto SubmitRequest(const HeaderList& headers, SendBuffer& body)
       -> std::int32_t;
+  // Returns 0 or a negative nghttp2 error. `body` may be null.
   auto SubmitResponse(std::int32_t stream_id,
                       const HeaderList& headers,
                       SendBuffer* body) -> int;
@@ -99,7 +103,7 @@
   struct Callbacks;
 
   auto Read() -> void;
-  // Returns false when the connection was closed.
+  // Returns false if the connection was closed.
   auto ReadAvailable() -> bool;
   auto Flush() -> void;
   auto Dispatch(const nghttp2_frame& frame) -> void;
--- a/src/node/membership_codec.cc
+++ b/src/node/membership_codec.cc
@@ -29,7 +29,7 @@
         {MembershipMessageType::kNotice, "n"},
     }};
 
-// Records of one message; a table at the target scale has a few hundred.
+// Limit on records per message; a table at the target scale has a few hundred.
 constexpr std::size_t kMaxRecords = 20000;
 
 auto EncodeRecord(const MemberRecord& record) -> json {
--- a/src/node/membership_codec.h
+++ b/src/node/membership_codec.h
@@ -6,14 +6,15 @@
 #include "kumquatgauge/control/feed_relay.h"
 #include "kumquatgauge/control/membership.h"
 
-// Control messages as MessagePack fields. Names are one letter long because
-// heartbeats make up most of the control traffic (3 KB/s per node). Decoding
-// throws Error(kInvalidArgument) and ignores unknown fields.
+// Conversions between control messages and MessagePack maps. Field names have
+// one letter because heartbeats make up most of the control traffic (3 KB/s per
+// node). Decoding throws Error(kInvalidArgument) and ignores unknown fields.
 namespace kumquatgauge::node::detail {
 
 auto EncodeDatagram(const control::MembershipMessage& message,
                     const control::FeedRevisions& revisions) -> nlohmann::json;
-// Whether a datagram is a membership message, not another type such as "load".
+// Returns true for membership messages and false for other types such as
+// "load".
 auto IsMembershipDatagram(const nlohmann::json& datagram) -> bool;
 auto DecodeMembership(const nlohmann::json& datagram)
     -> control::MembershipMessage;
--- a/src/node/message.cc
+++ b/src/node/message.cc
@@ -44,8 +44,8 @@
         {routing::DispatchResult::Kind::kLost, "lost"},
     }};
 
-// Builds a value from MessagePack and gives up beyond kMaxMessageDepth, since
-// the reader recurses and would otherwise exhaust the stack.
+// Builds a value from MessagePack and fails beyond kMaxMessageDepth, since the
+// parser is recursive and would otherwise overflow the stack.
 class DepthLimitedBuilder : public nlohmann::detail::json_sax_dom_parser<json> {
  public:
   using Base = nlohmann::detail::json_sax_dom_parser<json>;
@@ -82,7 +82,8 @@
   return names.back().second;
 }
 
-// what() without the object and the remedy, which travel in their own fields.
+// Returns what() without the object and the remedy, which have their own
+// fields.
 auto WhatHappened(const Error& error) -> std::string {
   const std::string what = error.what();
   const auto tail = ": " + error.object() + "; " + error.remedy();
@@ -107,7 +108,7 @@
     json::to_msgpack(copy, bytes);
     return bytes;
   }
-  // Puts the version in front of the fields without a copy of the message.
+  // Inserts the version before the other fields without copying the message.
   json::to_msgpack(message, bytes);
   static_assert(kMessageVersion > 0 && kMessageVersion < 128);
   const std::array<char, 4> head = {
@@ -259,7 +260,7 @@
 }
 
 auto ErrorFrom(const json& message) -> Error {
-  // A kind that a newer release added is reported as internal.
+  // An unknown kind, from a newer release, is reported as internal.
   std::string name;
   Read(message, "kind", name);
   auto kind = ErrorKind::kInternal;
--- a/src/node/message_fields.h
+++ b/src/node/message_fields.h
@@ -15,8 +15,8 @@
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/ids.h"
 
-// Reads fields of a message from another node. An absent field leaves the value
-// as it is; one of a wrong type or range throws Error(kInvalidArgument).
+// Reads fields of a message from another node. If a field is absent, the value
+// is unchanged. A wrong type or range throws Error(kInvalidArgument).
 namespace kumquatgauge::node::detail {
 
 inline auto Malformed(const std::string& object) -> Error {
--- a/src/node/message_test.cc
+++ b/src/node/message_test.cc
@@ -43,12 +43,12 @@
   return result;
 }
 
-// Sends a message through its bytes, as between two nodes.
+// Encodes and decodes a message, as between two nodes.
 auto Through(const json& message) -> json {
   return DecodeMessage(EncodeMessage(message));
 }
 
-// Guards against a field that is lost or changed on the way.
+// Guards against a field that is lost or altered by encoding and decoding.
 TEST_CASE("Message.ReadsBackEveryValue") {
   const auto request = SampleRequest();
   CHECK(CompletionRequestFrom(Through(ToMessage(request))) == request);
@@ -62,7 +62,7 @@
   CHECK(std::string(back.what()) == error.what());
 }
 
-// Guards against two releases that cannot run side by side.
+// Guards against two releases that cannot run in the same fleet.
 TEST_CASE("Message.IgnoresUnknownFieldsAndDefaultsAbsentOnes") {
   CHECK(TokenFrom(Through({{"t", "x"}, {"new", json::array({1, 2})}})) ==
         routing::Token{0, "x"});
@@ -71,7 +71,7 @@
   CHECK(ErrorFrom(Through({{"kind", "newer"}})).kind() == ErrorKind::kInternal);
 }
 
-// Guards against the version being written over or left out.
+// Guards against the version being overwritten or omitted.
 TEST_CASE("Message.AddsVersionToMapsOfAnySize") {
   for (const auto size : {0, 1, 14, 15, 16, 40}) {
     json message = json::object();
@@ -85,7 +85,7 @@
   CHECK_THROWS_AS(Through({{"v", 2}}), Error);
 }
 
-// Guards against values that overflow or have another type.
+// Guards against values that overflow or have the wrong type.
 TEST_CASE("Message.RefusesWrongTypesAndRanges") {
   CHECK_THROWS_AS(TokenFrom({{"o", -1}}), Error);
   CHECK_THROWS_AS(TokenFrom({{"t", 5}}), Error);
@@ -96,7 +96,7 @@
   CHECK_THROWS_AS(DispatchResultFrom({{"load", 3}}), Error);
 }
 
-// Guards against a stack overflow by deeply nested input.
+// Guards against a stack overflow on deeply nested input.
 TEST_CASE("Message.RefusesDeepNesting") {
   for (const auto* level : {"\x91", "\x81\xa1x"}) {
     std::string bytes = "\x81\xa1n";
@@ -107,7 +107,8 @@
   }
 }
 
-// Guards against a crash or another exception on changed or random bytes.
+// Guards against a crash or an unexpected exception on corrupted or random
+// bytes.
 TEST_CASE("Message.SurvivesGarbage") {
   INFO("seed " << kSeed);
   std::mt19937_64 random(kSeed);
@@ -151,7 +152,7 @@
   CHECK(refused > 0);
 }
 
-// Guards against frames that break when the network cuts them elsewhere.
+// Guards against frames that are lost or altered when they arrive in pieces.
 TEST_CASE("FrameReader.CutsFramesAtAnyBoundary") {
   std::string bytes;
   const std::vector<std::string> frames = {"a", "", std::string(300, 'x'), "b"};
@@ -169,7 +170,7 @@
   }
 }
 
-// Guards against memory that a length alone makes this node reserve.
+// Guards against a large allocation caused by a length field alone.
 TEST_CASE("FrameReader.RefusesTooLongFrame") {
   detail::FrameReader reader;
   CHECK_THROWS_AS(reader.Add("\x7f\xff\xff\xff", [](std::string_view) {}),
--- a/src/node/peer_client.cc
+++ b/src/node/peer_client.cc
@@ -28,7 +28,7 @@
 using std::chrono::steady_clock;
 
 constexpr int kStatusOk = 200;
-// The client accepts no streams that the server opens.
+// The client accepts no streams opened by the server.
 constexpr std::uint32_t kMaxServerStreams = 0;
 
 auto Unavailable(const std::string& address, std::string_view reason) -> Error {
@@ -37,7 +37,7 @@
                "try another node");
 }
 
-// One request and what has arrived of its response.
+// One request and the state of its response.
 struct ClientStream {
   explicit ClientStream(io_context& context) : wake(context) {}
 
@@ -55,8 +55,8 @@
   detail::FrameReader frames;
   std::int32_t id = -1;
   int status = 0;
-  bool sent = false;     // A byte of the request may have left.
-  bool refused = false;  // The other side has certainly not handled it.
+  bool sent = false;     // Part of the request may have been sent.
+  bool refused = false;  // The server has not processed the request.
   bool done = false;
   std::exception_ptr error;
   steady_clock::time_point last_frame;
@@ -77,7 +77,7 @@
     timer_.expires_after(kConnectTimeout);
     timer_.async_wait([self = Self()](const boost::system::error_code& error) {
       if (!error && self->state_ == State::kConnecting) {
-        self->Close("no answer in time");
+        self->Close("connect timeout");
       }
     });
     socket().async_connect(
@@ -93,7 +93,8 @@
         });
   }
 
-  // Returns when the connection is open or has failed.
+  // Returns when the connection is open or has failed, or when `wake` expires
+  // or is cancelled.
   auto WaitUntilConnected(std::shared_ptr<steady_timer> wake)
       -> awaitable<void> {
     while (state_ == State::kConnecting && wake->expiry() > Now()) {
@@ -127,7 +128,7 @@
     return true;
   }
 
-  // Stops the stream without an error; later frames are dropped.
+  // Ends the stream without an error; later frames are dropped.
   auto Cancel(ClientStream& stream) -> void {
     if (!stream.done) {
       stream.Finish(nullptr);
@@ -137,7 +138,7 @@
 
   auto state() const -> State { return state_; }
   auto reason() const -> const std::string& { return reason_; }
-  // Whether new calls may use it or wait for it.
+  // Returns true if new calls may use this connection or wait for it.
   auto usable() const -> bool {
     return state_ == State::kConnecting ||
            (state_ == State::kOpen && unanswered_pings_ < 2);
@@ -196,7 +197,7 @@
     if (error != frame.end()) {
       throw ErrorFrom(*error);
     }
-    // A copy: the sink may end the stream, which releases its sink.
+    // A copy, because the sink may end the stream, which releases its sink.
     const auto sink = stream.sink;
     if (sink) {
       sink(frame);
@@ -221,7 +222,7 @@
       return;
     }
     stream->refused = code == NGHTTP2_REFUSED_STREAM;
-    FailStream(*stream, "the other side reset the stream");
+    FailStream(*stream, "the server reset the stream");
   }
 
   auto OnHeadersSent(std::int32_t id) -> void override {
@@ -257,7 +258,7 @@
     }
   }
 
-  // Ends a stream that got no complete response.
+  // Ends a stream without a complete response.
   auto FailStream(ClientStream& stream, std::string_view reason) -> void {
     if (!stream.sent) {
       stream.refused = true;
@@ -268,8 +269,9 @@
                 "try another node")));
     } else {
       stream.Finish(std::make_exception_ptr(Error(
-          ErrorKind::kUnknownOutcome, "lost node (" + std::string(reason) + ")",
-          address_, "ask whether the request ran before it is repeated")));
+          ErrorKind::kUnknownOutcome,
+          "connection to node lost (" + std::string(reason) + ")", address_,
+          "check whether the request ran before repeating it")));
     }
   }
 
@@ -280,7 +282,7 @@
                      "node refused the fleet credential", address_,
                      "use the same fleet credential on all nodes");
       case 404:
-        return Error(ErrorKind::kNotFound, "node does not know the request",
+        return Error(ErrorKind::kNotFound, "node does not support the request",
                      address_, "check that both nodes run compatible releases");
       case 413:
       case 431:
@@ -318,7 +320,7 @@
         return;
       }
       if (self->unanswered_pings_ >= kPingIntervalsUntilDead) {
-        self->Close("no answer to PING");
+        self->Close("no response to PING");
       } else if (self->streams_.empty() && self->unanswered_pings_ == 0) {
         self->pinging_ = false;
         self->CloseWhenIdle();
@@ -332,13 +334,13 @@
     timer_.expires_after(kIdleTimeout);
     timer_.async_wait([self = Self()](const boost::system::error_code& error) {
       if (!error && !self->pinging_ && !self->closed()) {
-        self->Close("it was idle");
+        self->Close("idle timeout");
       }
     });
   }
 
   auto ReleaseAfterCallback(std::shared_ptr<ClientStream> stream) -> void {
-    // nghttp2 may still hold the body until this callback returns.
+    // nghttp2 may use the body until this callback returns.
     closed_streams_.push_back(std::move(stream));
     boost::asio::post(context_,
                       [self = Self()] { self->closed_streams_.clear(); });
@@ -351,12 +353,12 @@
   std::vector<std::shared_ptr<steady_timer>> waiters_;
   std::unordered_map<std::int32_t, std::shared_ptr<ClientStream>> streams_;
   std::vector<std::shared_ptr<ClientStream>> closed_streams_;
-  steady_timer timer_;        // For the connect timeout, then for PINGs.
-  int unanswered_pings_ = 0;  // PINGs sent since the last answer.
+  steady_timer timer_;  // For the connect timeout, PINGs and the idle timeout.
+  int unanswered_pings_ = 0;  // PINGs sent since the last ACK.
   bool pinging_ = false;
 };
 
-// Cancels the stream when the call ends early, and detaches the cancel hook.
+// Cancels the stream if the call ends early, and removes the cancel hook.
 class CallGuard {
  public:
   CallGuard(std::shared_ptr<ClientConnection> connection,
@@ -395,7 +397,7 @@
     for (auto& [key, link] : links_) {
       for (const auto& connection : {link.current, link.suspect}) {
         if (connection) {
-          connection->Close("the client was closed");
+          connection->Close("the client was destroyed");
         }
       }
     }
@@ -416,8 +418,8 @@
                   "send a smaller request");
     }
     const auto path = "/node/v1/" + name;
-    // A refused stream has not been handled: HTTP/2 lets it be sent again on a
-    // fresh connection.
+    // A refused stream was not processed, so HTTP/2 allows a retry on a new
+    // connection.
     for (auto attempt = 0;; ++attempt) {
       const auto connection =
           co_await Connect(address, channel, timeout, cancel);
@@ -444,8 +446,8 @@
   }
 
  private:
-  // The connection for new calls, and the one that it replaced while that one
-  // is suspect.
+  // The connection for new calls, and the one that it replaced because PINGs
+  // were not acknowledged.
   struct Link {
     std::shared_ptr<ClientConnection> current;
     std::shared_ptr<ClientConnection> suspect;
@@ -496,7 +498,8 @@
     return link.current;
   }
 
-  // A connection that is open. Throws Error(kUnavailable).
+  // Returns an open connection. Throws Error(kUnavailable) if there is none in
+  // time.
   auto Connect(const std::string& address,
                Channel channel,
                std::chrono::milliseconds timeout,
--- a/src/node/peer_server.cc
+++ b/src/node/peer_server.cc
@@ -36,18 +36,19 @@
 
 constexpr std::string_view kPathPrefix = "/node/v1/";
 constexpr std::string_view kCredentialHeader = "kqg-fleet";
-// A new connection on which nothing arrives for 4 s is closed, and so is
-// one with open streams: clients send a PING every 500 ms.
+// A connection that is new or has open streams is closed if nothing arrives for
+// 4 s; clients send a PING every 500 ms while streams are open.
 constexpr std::chrono::seconds kLivenessCheckInterval{1};
 constexpr int kMissedChecksUntilClose = 4;
 constexpr std::chrono::milliseconds kStopPollInterval{10};
-// From the notice to the final GOAWAY, so that requests already on their way
-// are still accepted.
+// Delay between the shutdown notice and the final GOAWAY, so that requests
+// already in transit are still accepted.
 constexpr std::chrono::milliseconds kGoawayDelay{50};
-// Pause after accept failed, for example when out of file descriptors.
+// Delay after a failed accept, for example when out of file descriptors.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{100};
 
-// Equal lengths for the comparison in constant time.
+// Credentials are compared by digest, because a constant-time comparison needs
+// equal lengths.
 auto ComputeDigest(std::string_view text) -> Digest {
   Digest digest;
   SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(),
@@ -55,8 +56,8 @@
   return digest;
 }
 
-// What all connections of a server share. Constant once started but for the
-// counters.
+// State shared by all connections of a server. Only the counters change after
+// Start.
 struct SharedState {
   std::unordered_map<std::string, Handler> handlers;
   Digest credential{};
@@ -97,7 +98,7 @@
   std::string path;
   std::string credential;
   std::size_t header_bytes = 0;
-  const Handler* handler = nullptr;  // Set when the request was accepted.
+  const Handler* handler = nullptr;  // Set when the request is accepted.
   std::string body;
   bool refused = false;
   bool responded = false;
@@ -145,7 +146,8 @@
     });
   }
 
-  // Queues bytes that `stream` has added to its buffer.
+  // Schedules sending of the bytes in the buffer of `stream`, with the response
+  // headers first.
   auto SendQueued(ServerStream& stream) -> void {
     if (stream.responded) {
       ResumeStream(stream.id(), stream.out);
@@ -231,8 +233,8 @@
   auto OnStreamEnd(std::int32_t id) -> void override {
     auto stream = Find(id);
     if (stream && stream->handler != nullptr && !stream->refused) {
-      // A handler may send and end at once, which nghttp2 does not expect in
-      // the middle of a callback; co_spawn starts it from the event loop.
+      // A handler may send and end the stream immediately, which nghttp2 does
+      // not support inside a callback, so it is started from the event loop.
       boost::asio::post(executor(), [self = Self(), stream] {
         boost::asio::co_spawn(self->executor(), Serve(self, stream),
                               boost::asio::detached);
@@ -254,7 +256,7 @@
       streams_.erase(found);
       closed_streams_.push_back(stream);
       stream->Cancel();
-      // nghttp2 may still hold the buffer until this callback returns.
+      // nghttp2 may use the buffer until this callback returns.
       boost::asio::post(executor(),
                         [self = Self()] { self->closed_streams_.clear(); });
     }
@@ -265,13 +267,13 @@
     auto streams = std::exchange(streams_, {});
     for (auto& [id, stream] : streams) {
       stream->Cancel();
-      // nghttp2 refers to the buffers until the session is deleted.
+      // nghttp2 may use the buffers until the session is deleted.
       closed_streams_.push_back(stream);
     }
   }
 
-  // Answers with a status alone; the rest of the request is stopped once the
-  // status is on its way, since nghttp2 drops what follows a reset.
+  // Responds with a status only. The stream is reset after the headers are sent,
+  // because nghttp2 sends no more frames of a stream once a reset is submitted.
   auto Refuse(ServerStream& stream, std::string_view status) -> void {
     if (stream.refused) {
       return;
@@ -282,7 +284,7 @@
     SubmitResponse(stream.id(), {{":status", status}}, nullptr);
   }
 
-  // `keep` holds the connection until the handler has returned.
+  // `connection` is kept alive until the handler returns.
   static auto Serve(
       [[maybe_unused]] std::shared_ptr<ServerConnection> connection,
       std::shared_ptr<ServerStream> stream) -> awaitable<void> {
@@ -294,8 +296,8 @@
     } catch (const Error& thrown) {
       error = thrown;
     } catch (const std::exception& thrown) {
-      error = Error(ErrorKind::kInternal, "a handler failed", stream->path,
-                    thrown.what());
+      error = Error(ErrorKind::kInternal, "request handler failed",
+                    stream->path, thrown.what());
     }
     if (error) {
       stream->Send({{std::string(kErrorField), ToMessage(*error)}});
@@ -326,7 +328,7 @@
               ? self->missed_checks_ + 1
               : 0;
       if (self->missed_checks_ >= kMissedChecksUntilClose) {
-        self->Close("nothing arrived from the other side");
+        self->Close("no data received from the client");
         return;
       }
       self->ScheduleLivenessCheck();
--- a/src/node/peer_test.cc
+++ b/src/node/peer_test.cc
@@ -26,8 +26,8 @@
 constexpr std::chrono::seconds kTestLimit{20};
 constexpr std::uint64_t kSeed = 31;
 
-// Forwards connections to a server until it is told to go silent: then it keeps
-// the open ones but moves no more bytes, while new ones work.
+// Forwards connections to a server. After SilenceOpenConnections, the open ones
+// stay open but no bytes are forwarded on them, while new ones work.
 class SilencingProxy {
  public:
   SilencingProxy(boost::asio::io_context& context, const std::string& target)
@@ -87,7 +87,7 @@
   std::size_t silent_below_ = 0;
 };
 
-// A server and a client on one io_context that is run by the test.
+// A server and a client on one io_context, which the test runs.
 class PeerFixture {
  public:
   PeerFixture()
@@ -116,7 +116,7 @@
   PeerFixture(const PeerFixture&) = delete;
   auto operator=(const PeerFixture&) -> PeerFixture& = delete;
 
-  // Sends {"i": 0} to {"i": n-1}.
+  // Sends the frames {"i": 0} to {"i": n-1}.
   static auto Count(json request, std::shared_ptr<Responder> responder)
       -> awaitable<void> {
     const auto end = request.at("n").get<int>();
@@ -126,7 +126,7 @@
     co_return;
   }
 
-  // Sends more than the flow-control window at once.
+  // Sends more than the flow-control window without waiting.
   static auto Large(json, std::shared_ptr<Responder> responder)
       -> awaitable<void> {
     const std::string text(std::size_t{1} << 20, 'x');
@@ -146,7 +146,7 @@
     ++ended_handlers;
   }
 
-  // Runs the context until `done` or the limit; returns done().
+  // Runs the context until done() is true or the limit expires; returns done().
   auto RunUntil(const std::function<auto()->bool>& done) -> bool {
     const auto limit = steady_clock::now() + kTestLimit;
     while (!done() && steady_clock::now() < limit) {
@@ -217,7 +217,7 @@
   }
 }
 
-// Guards against an error that arrives as another kind or as success.
+// Guards against an error that is reported as another kind or as success.
 TEST_CASE("Peer.RethrowsErrorOfHandler") {
   PeerFixture peers;
   peers.server->Start();
@@ -225,7 +225,7 @@
   CHECK(peers.Call("absent", json::object())->error == ErrorKind::kNotFound);
 }
 
-// Guards against a node of another fleet being served.
+// Guards against serving a node of another fleet.
 TEST_CASE("Peer.RefusesWrongCredential") {
   PeerFixture peers;
   peers.server->Start();
@@ -238,7 +238,7 @@
   CHECK(peers.server->counters().rejected == 1);
 }
 
-// Guards against work that goes on for a request that nobody reads.
+// Guards against a handler that continues after its request was cancelled.
 TEST_CASE("Peer.StopsHandlerWhenCallIsCancelled") {
   PeerFixture peers;
   peers.server->Start();
@@ -256,7 +256,7 @@
   CHECK_FALSE(peers.Call("count", {{"n", 3}})->error);
 }
 
-// Guards against "may have run" for a request that never left this node.
+// Guards against kUnknownOutcome for a request that was never sent.
 TEST_CASE("Peer.IsUnavailableWhenNothingListens") {
   PeerFixture peers;
   peers.server->Start();
@@ -268,7 +268,8 @@
   CHECK(result->error == ErrorKind::kUnavailable);
 }
 
-// Guards against waiting for ever on a host that accepts and never answers.
+// Guards against waiting forever for a host that accepts connections but never
+// responds.
 TEST_CASE("Peer.IsUnavailableWhenHostAcceptsAndIsSilent") {
   PeerFixture peers;
   tcp::acceptor acceptor(peers.context, ParseTcpAddress("127.0.0.1:0"));
@@ -281,8 +282,8 @@
   CHECK(steady_clock::now() - start < std::chrono::seconds(2));
 }
 
-// Guards against a stream that hangs on a connection which has gone silent, and
-// against new calls that wait for it to be judged.
+// Guards against a stream that hangs on an unresponsive connection, and against
+// new calls that wait until that connection is closed.
 TEST_CASE("Peer.JudgesSilentConnectionAndUsesFreshOneMeanwhile") {
   PeerFixture peers;
   peers.server->Start();
@@ -304,12 +305,12 @@
   CHECK(stuck->error == ErrorKind::kUnknownOutcome);
   // 1.5 s after the first unanswered PING, which is sent within 0.5 s.
   CHECK(steady_clock::now() - start < milliseconds(2300));
-  // The server notices too that nobody reads.
+  // The server also detects that the connection is dead.
   CHECK(peers.RunUntil([&] { return peers.ended_handlers == 1; }));
   proxy.Close();
 }
 
-// Guards against a planned stop that breaks a running stream.
+// Guards against a planned stop that interrupts a running stream.
 TEST_CASE("Peer.FinishesStreamsWhenServerStops") {
   PeerFixture peers;
   peers.server->Start();
@@ -336,7 +337,7 @@
   CHECK_FALSE(running->error);
 }
 
-// Guards against a stream that waits for ever for a handler that is stuck.
+// Guards against a call that waits forever for a handler that hangs.
 TEST_CASE("Peer.TimesOutWithoutFrame") {
   PeerFixture peers;
   peers.server->Register(
@@ -351,7 +352,8 @@
   CHECK(result->error == ErrorKind::kTimeout);
 }
 
-// Guards against small frames that wait behind another stream's large ones.
+// Guards against small frames that are delayed by the large frames of another
+// stream.
 TEST_CASE("Peer.SendsTokensBesideLargeStream") {
   PeerFixture peers;
   peers.server->Start();
@@ -367,7 +369,7 @@
   CHECK(large->frames.size() == 16);
 }
 
-// Guards against a server that a stranger's bytes bring down.
+// Guards against a server that crashes or stops serving after invalid input.
 TEST_CASE("Peer.ServesOnAfterGarbage") {
   INFO("seed " << kSeed);
   std::mt19937_64 random(kSeed);
@@ -376,7 +378,7 @@
   for (auto i = 0; i < 300; ++i) {
     tcp::socket socket(peers.context);
     socket.connect(ParseTcpAddress(peers.server->address()));
-    // Half begin like HTTP/2 and go on with random frames.
+    // Half start with the HTTP/2 preface, followed by random frames.
     std::string bytes = i % 2 == 0 ? "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" : "";
     for (auto left = random() % 400; left > 0; --left) {
       bytes.push_back(static_cast<char>(random() % (left % 9 < 3 ? 2 : 256)));
@@ -391,7 +393,7 @@
   CHECK(result->frames.size() == 3);
 }
 
-// Guards against all connections on one thread.
+// Guards against serving all connections on one thread.
 TEST_CASE("Peer.HandsConnectionsToWorkersInTurn") {
   boost::asio::io_context context;
   std::array<boost::asio::io_context, 2> workers;
