--- a/src/node/datagram_socket_test.cc
+++ b/src/node/datagram_socket_test.cc
@@ -15,7 +15,7 @@
 using std::chrono::steady_clock;
 
 constexpr std::uint64_t kSeed = 4711;
-constexpr int kGarbage = 2000;
+constexpr int kGarbageDatagrams = 2000;
 constexpr std::chrono::seconds kTestLimit{10};
 
 struct Fixture {
@@ -37,14 +37,14 @@
 
   // Sends raw bytes from a plain UDP socket.
   auto SendRaw(const std::string& bytes) -> void {
-    stranger.send_to(boost::asio::buffer(bytes),
-                     ParseUdpAddress(receiver.address()));
+    raw_socket.send_to(boost::asio::buffer(bytes),
+                       ParseUdpAddress(receiver.address()));
   }
 
   boost::asio::io_context context;
   DatagramSocket receiver{context, "127.0.0.1:0", "secret"};
   DatagramSocket sender{context, "127.0.0.1:0", "secret"};
-  udp::socket stranger{context, udp::endpoint(udp::v4(), 0)};
+  udp::socket raw_socket{context, udp::endpoint(udp::v4(), 0)};
   std::vector<json> messages;
   std::string last_from;
 };
@@ -84,7 +84,7 @@
   INFO("seed " << kSeed);
   Fixture sockets;
   std::mt19937_64 random(kSeed);
-  for (auto i = 0; i < kGarbage; ++i) {
+  for (auto i = 0; i < kGarbageDatagrams; ++i) {
     std::string bytes(random() % (kMaxDatagramBytes + 100), '\0');
     for (auto& byte : bytes) {
       byte = static_cast<char>(random());
@@ -100,7 +100,7 @@
     const auto counters = sockets.receiver.counters();
     return counters.wrong_size + counters.wrong_version + counters.wrong_mac;
   };
-  CHECK(sockets.RunUntil([&] { return dropped() == kGarbage; }));
+  CHECK(sockets.RunUntil([&] { return dropped() == kGarbageDatagrams; }));
   CHECK(sockets.receiver.counters().wrong_size > 0);
   CHECK(sockets.receiver.counters().wrong_version > 0);
   CHECK(sockets.receiver.counters().wrong_mac > 0);
--- a/src/node/message_test.cc
+++ b/src/node/message_test.cc
@@ -13,7 +13,7 @@
 using nlohmann::json;
 
 constexpr std::uint64_t kSeed = 99;
-constexpr int kRounds = 20000;
+constexpr int kGarbageMessages = 20000;
 
 auto SampleRequest() -> routing::CompletionRequest {
   routing::CompletionRequest request;
@@ -44,31 +44,32 @@
 }
 
 // Encodes and decodes a message, as between two nodes.
-auto Through(const json& message) -> json {
+auto RoundTrip(const json& message) -> json {
   return DecodeMessage(EncodeMessage(message));
 }
 
 // Guards against a field that is lost or altered by encoding and decoding.
 TEST_CASE("Message.ReadsBackEveryValue") {
   const auto request = SampleRequest();
-  CHECK(CompletionRequestFrom(Through(ToMessage(request))) == request);
+  CHECK(CompletionRequestFrom(RoundTrip(ToMessage(request))) == request);
   const auto result = SampleResult();
-  CHECK(DispatchResultFrom(Through(ToMessage(result))) == result);
+  CHECK(DispatchResultFrom(RoundTrip(ToMessage(result))) == result);
   const routing::Token token{1234567, "w\xc3\xb6rd"};
-  CHECK(TokenFrom(Through(ToMessage(token))) == token);
+  CHECK(TokenFrom(RoundTrip(ToMessage(token))) == token);
   const Error error(ErrorKind::kUnknownOutcome, "lost", "node-1", "ask again");
-  const auto back = ErrorFrom(Through(ToMessage(error)));
+  const auto back = ErrorFrom(RoundTrip(ToMessage(error)));
   CHECK(back.kind() == error.kind());
   CHECK(std::string(back.what()) == error.what());
 }
 
 // Guards against two releases that cannot run in the same fleet.
 TEST_CASE("Message.IgnoresUnknownFieldsAndDefaultsAbsentOnes") {
-  CHECK(TokenFrom(Through({{"t", "x"}, {"new", json::array({1, 2})}})) ==
+  CHECK(TokenFrom(RoundTrip({{"t", "x"}, {"new", json::array({1, 2})}})) ==
         routing::Token{0, "x"});
-  CHECK(CompletionRequestFrom(Through(json::object())) ==
+  CHECK(CompletionRequestFrom(RoundTrip(json::object())) ==
         routing::CompletionRequest{});
-  CHECK(ErrorFrom(Through({{"kind", "newer"}})).kind() == ErrorKind::kInternal);
+  CHECK(ErrorFrom(RoundTrip({{"kind", "newer"}})).kind() ==
+        ErrorKind::kInternal);
 }
 
 // Guards against the version being overwritten or omitted.
@@ -80,9 +81,9 @@
     }
     auto expected = message;
     expected["v"] = 1;
-    CHECK(Through(message) == expected);
+    CHECK(RoundTrip(message) == expected);
   }
-  CHECK_THROWS_AS(Through({{"v", 2}}), Error);
+  CHECK_THROWS_AS(RoundTrip({{"v", 2}}), Error);
 }
 
 // Guards against values that overflow or have the wrong type.
@@ -121,7 +122,7 @@
       EncodeMessage(detail::EncodeDatagram(notice, {{"config", 5}}))};
   auto decoded = 0;
   auto refused = 0;
-  for (auto i = 0; i < kRounds; ++i) {
+  for (auto i = 0; i < kGarbageMessages; ++i) {
     auto bytes = samples[random() % samples.size()];
     if (i % 4 == 0) {
       bytes.resize(random() % 64);
--- a/src/node/peer_test.cc
+++ b/src/node/peer_test.cc
@@ -41,7 +41,7 @@
     return FormatAddress(acceptor_.local_endpoint());
   }
   auto connections() const -> std::size_t { return sockets_.size() / 2; }
-  auto SilenceOpenConnections() -> void { silent_below_ = sockets_.size(); }
+  auto SilenceOpenConnections() -> void { first_forwarded_ = sockets_.size(); }
   auto Close() -> void {
     acceptor_.close();
     for (auto& socket : sockets_) {
@@ -73,7 +73,7 @@
     for (;;) {
       const auto size = co_await from->async_read_some(
           boost::asio::buffer(buffer), boost::asio::use_awaitable);
-      if (number >= silent_below_) {
+      if (number >= first_forwarded_) {
         co_await boost::asio::async_write(
             *to, boost::asio::buffer(buffer, size), boost::asio::use_awaitable);
       }
@@ -84,7 +84,7 @@
   tcp::acceptor acceptor_;
   tcp::endpoint target_;
   std::vector<Socket> sockets_;
-  std::size_t silent_below_ = 0;
+  std::size_t first_forwarded_ = 0;
 };
 
 // A server and a client on one io_context, which the test runs.
@@ -229,9 +229,9 @@
 TEST_CASE("Peer.RefusesWrongCredential") {
   PeerFixture peers;
   peers.server->Start();
-  const auto stranger = MakePeerClient(peers.context, {"secreT"});
-  const auto result =
-      peers.Spawn(*stranger, peers.server->address(), "count", {{"n", 1}});
+  const auto other_fleet_client = MakePeerClient(peers.context, {"secreT"});
+  const auto result = peers.Spawn(*other_fleet_client, peers.server->address(),
+                                  "count", {{"n", 1}});
   REQUIRE(peers.RunUntil([&] { return result->done; }));
   CHECK(result->error == ErrorKind::kPermissionDenied);
   CHECK(result->frames.empty());
