--- a/src/node/peer_test.cc
+++ b/src/node/peer_test.cc
@@ -284,7 +284,7 @@
 
 // Guards against a stream that hangs on an unresponsive connection, and against
 // new calls that wait until that connection is closed.
-TEST_CASE("Peer.JudgesSilentConnectionAndUsesFreshOneMeanwhile") {
+TEST_CASE("Peer.ClosesSilentConnectionAndUsesNewOneMeanwhile") {
   PeerFixture peers;
   peers.server->Start();
   SilencingProxy proxy(peers.context, peers.server->address());
