--- a/include/kumquatgauge/node/address.h
+++ b/include/kumquatgauge/node/address.h
@@ -8,8 +8,8 @@
 
 namespace kumquatgauge::node {
 
-// Parse "IP:port", with an IPv6 address in brackets. Throw
-// Error(kInvalidArgument). Names are not resolved.
+// Parse "IP:port", with an IPv6 address in brackets. Host names are not
+// resolved. Throw Error(kInvalidArgument) for any other text.
 auto ParseTcpAddress(std::string_view address)
     -> boost::asio::ip::tcp::endpoint;
 auto ParseUdpAddress(std::string_view address)
--- a/src/node/peer_client.cc
+++ b/src/node/peer_client.cc
@@ -446,8 +446,8 @@
   }
 
  private:
-  // The connection for new calls, and the one that it replaced because PINGs
-  // were not acknowledged.
+  // The connection for new calls, and the one that it replaced, which is used
+  // again if it recovers.
   struct Link {
     std::shared_ptr<ClientConnection> current;
     std::shared_ptr<ClientConnection> suspect;
