--- a/src/node/peer_server.cc
+++ b/src/node/peer_server.cc
@@ -272,8 +272,9 @@
     }
   }
 
-  // Responds with a status only. The stream is reset after the headers are sent,
-  // because nghttp2 sends no more frames of a stream once a reset is submitted.
+  // Responds with a status only. The stream is reset after the headers are
+  // sent, because nghttp2 sends no more frames of a stream once a reset is
+  // submitted.
   auto Refuse(ServerStream& stream, std::string_view status) -> void {
     if (stream.refused) {
       return;
