--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -37,8 +37,9 @@
   return log4cplus::ERROR_LOG_LEVEL;
 }
 
-// Writes lines to a descriptor without blocking. Lines that the reader does not
-// take wait in memory; beyond the bound they are dropped and counted.
+// Writes lines to a file descriptor without blocking. Lines that cannot be
+// written yet are buffered; lines that exceed the buffer are dropped and
+// counted.
 class NonBlockingAppender : public log4cplus::Appender {
  public:
   explicit NonBlockingAppender(int descriptor) : descriptor_(descriptor) {}
@@ -49,46 +50,47 @@
  protected:
   auto append(const log4cplus::spi::InternalLoggingEvent& event)
       -> void override {
-    if (dropped_ > 0 && waiting_.empty()) {
-      waiting_ = R"({"event":"log_dropped","lines":)" +
-                 std::to_string(std::exchange(dropped_, 0)) + "}\n";
+    if (dropped_ > 0 && buffer_.empty()) {
+      buffer_ = R"({"event":"log_dropped","lines":)" +
+                std::to_string(std::exchange(dropped_, 0)) + "}\n";
     }
     const auto& line = event.getMessage();
-    if (waiting_.size() + line.size() + 1 > kMaxWaitingLogBytes) {
+    if (buffer_.size() + line.size() + 1 > kMaxBufferedLogBytes) {
       ++dropped_;
     } else {
-      waiting_.append(line).push_back('\n');
+      buffer_.append(line).push_back('\n');
     }
     Flush();
   }
 
  private:
-  // Up to PIPE_BUF bytes, a pipe that polls as writable takes a write whole.
+  // A pipe that poll() reports as writable accepts PIPE_BUF bytes without
+  // blocking.
   auto Flush() -> void {
-    while (!waiting_.empty()) {
+    while (!buffer_.empty()) {
       auto entry = pollfd{descriptor_, POLLOUT, 0};
       if (::poll(&entry, 1, 0) <= 0 || (entry.revents & POLLOUT) == 0) {
         return;
       }
-      const auto size = std::min<std::size_t>(waiting_.size(), PIPE_BUF);
-      const auto written = ::write(descriptor_, waiting_.data(), size);
+      const auto size = std::min<std::size_t>(buffer_.size(), PIPE_BUF);
+      const auto written = ::write(descriptor_, buffer_.data(), size);
       if (written <= 0) {
         return;
       }
-      waiting_.erase(0, static_cast<std::size_t>(written));
+      buffer_.erase(0, static_cast<std::size_t>(written));
     }
   }
 
   int descriptor_;
-  std::string waiting_;
+  std::string buffer_;
   std::uint64_t dropped_ = 0;
 };
 
-// State of the JSON format; unused while lines are plain text.
+// State of JSON logging; unused for plain text.
 struct JsonFormat {
   bool enabled = false;
   std::string node;
-  std::chrono::steady_clock::time_point second;
+  std::chrono::steady_clock::time_point rate_window_start;
   std::atomic<std::uint32_t> info_lines{0};
 };
 
@@ -97,12 +99,13 @@
   return format;
 }
 
-// Whether a line below warning still fits into this second.
-auto TakeInfoLine() -> bool {
+// Counts a line below level warning. Returns false if the limit for the current
+// second is exceeded.
+auto AllowInfoLine() -> bool {
   auto& format = Format();
   const auto now = std::chrono::steady_clock::now();
-  if (now - format.second >= std::chrono::seconds(1)) {
-    format.second = now;
+  if (now - format.rate_window_start >= std::chrono::seconds(1)) {
+    format.rate_window_start = now;
     format.info_lines = 0;
   }
   return ++format.info_lines <= kMaxInfoLinesPerSecond;
@@ -111,14 +114,14 @@
 auto AppendJsonString(std::string& line, std::string_view text) -> void {
   constexpr unsigned char kFirstPrintable = 0x20;
   line.push_back('"');
-  for (const auto letter : text) {
-    if (letter == '"' || letter == '\\') {
+  for (const auto character : text) {
+    if (character == '"' || character == '\\') {
       line.push_back('\\');
-      line.push_back(letter);
-    } else if (static_cast<unsigned char>(letter) < kFirstPrintable) {
+      line.push_back(character);
+    } else if (static_cast<unsigned char>(character) < kFirstPrintable) {
       line.push_back(' ');
     } else {
-      line.push_back(letter);
+      line.push_back(character);
     }
   }
   line.push_back('"');
@@ -148,8 +151,8 @@
 }
 
 auto JsonLine(LogLevel level,
-              const std::string& part,
-              const std::string& sentence,
+              const std::string& component,
+              const std::string& message,
               std::initializer_list<LogField> fields) -> std::string {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   auto line =
@@ -158,8 +161,8 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
   AppendJsonField(line, "level", LevelName(level));
   AppendJsonField(line, "node", Format().node);
-  AppendJsonField(line, "part", part);
-  AppendJsonField(line, "message", sentence);
+  AppendJsonField(line, "part", component);
+  AppendJsonField(line, "message", message);
   for (const auto& field : fields) {
     AppendJsonField(line, field.name, field.value);
   }
@@ -173,7 +176,8 @@
   return logger;
 }
 
-// A value with spaces or quotes is quoted, so that lines can be split again.
+// Quotes values that are empty or contain spaces, quotes or '=', so that lines
+// can be parsed.
 auto AppendField(std::string& line, const LogField& field) -> void {
   line.append(" ").append(field.name).append("=");
   if (field.value.find_first_of(" \"=\n") == std::string::npos &&
@@ -182,11 +186,11 @@
     return;
   }
   line.push_back('"');
-  for (const auto letter : field.value) {
-    if (letter == '"' || letter == '\\') {
+  for (const auto character : field.value) {
+    if (character == '"' || character == '\\') {
       line.push_back('\\');
     }
-    line.push_back(letter == '\n' ? ' ' : letter);
+    line.push_back(character == '\n' ? ' ' : character);
   }
   line.push_back('"');
 }
@@ -242,30 +246,30 @@
   RootLogger().setLogLevel(NativeLevel(level));
 }
 
-Logger::Logger(std::string part) : part_(std::move(part)) {}
+Logger::Logger(std::string component) : component_(std::move(component)) {}
 
-auto Logger::Debug(const std::string& sentence,
+auto Logger::Debug(const std::string& message,
                    std::initializer_list<LogField> fields) const -> void {
-  Write(LogLevel::kDebug, sentence, fields);
+  Write(LogLevel::kDebug, message, fields);
 }
 
-auto Logger::Info(const std::string& sentence,
+auto Logger::Info(const std::string& message,
                   std::initializer_list<LogField> fields) const -> void {
-  Write(LogLevel::kInfo, sentence, fields);
+  Write(LogLevel::kInfo, message, fields);
 }
 
-auto Logger::Warning(const std::string& sentence,
+auto Logger::Warning(const std::string& message,
                      std::initializer_list<LogField> fields) const -> void {
-  Write(LogLevel::kWarning, sentence, fields);
+  Write(LogLevel::kWarning, message, fields);
 }
 
-auto Logger::Error(const std::string& sentence,
+auto Logger::Error(const std::string& message,
                    std::initializer_list<LogField> fields) const -> void {
-  Write(LogLevel::kError, sentence, fields);
+  Write(LogLevel::kError, message, fields);
 }
 
 auto Logger::Write(LogLevel level,
-                   const std::string& sentence,
+                   const std::string& message,
                    std::initializer_list<LogField> fields) const -> void {
   auto& logger = RootLogger();
   if (!logger.isEnabledFor(NativeLevel(level)) ||
@@ -273,12 +277,13 @@
     return;
   }
   if (Format().enabled) {
-    if (level >= LogLevel::kWarning || TakeInfoLine()) {
-      logger.log(NativeLevel(level), JsonLine(level, part_, sentence, fields));
+    if (level >= LogLevel::kWarning || AllowInfoLine()) {
+      logger.log(NativeLevel(level),
+                 JsonLine(level, component_, message, fields));
     }
     return;
   }
-  auto line = part_ + ": " + sentence;
+  auto line = component_ + ": " + message;
   for (const auto& field : fields) {
     AppendField(line, field);
   }
--- a/src/base/metrics_test.cc
+++ b/src/base/metrics_test.cc
@@ -7,15 +7,15 @@
 
 TEST_CASE("Metrics.QuantileFallsIntoTheStepOfTheFigure") {
   auto histogram = LatencyHistogram();
-  for (auto figure = 1; figure <= 100; ++figure) {
-    histogram.Record(figure);
+  for (auto sample = 1; sample <= 100; ++sample) {
+    histogram.Record(sample);
   }
   CHECK(histogram.Quantile(0.5) >= 50.0);
   CHECK(histogram.Quantile(0.5) <= 65.0);
   CHECK(histogram.Quantile(0.99) >= 99.0);
 }
 
-// Guards against label sets that a scraper cannot read.
+// Guards against label sets that a scraper cannot parse.
 TEST_CASE("Metrics.TextKeepsLabelsBesideBucketLabel") {
   auto registry = MetricsRegistry();
   registry.counter("requests_total{class=\"online\"}").Add(3);
--- a/src/base/socket_options.cc
+++ b/src/base/socket_options.cc
@@ -6,29 +6,31 @@
 namespace kumquatgauge::detail {
 namespace {
 
-// Seconds; the smallest that the kernel takes, since a silent connection must
-// be replaced within the few seconds that a change may take to apply.
+// In seconds. These are the smallest values that the kernel accepts, since an
+// unresponsive connection must be replaced within the few seconds in which a
+// configuration change must apply.
 constexpr int kKeepAliveIdle = 1;
 constexpr int kKeepAliveInterval = 1;
 constexpr int kKeepAliveProbes = 2;
 
-auto SetInteger(int socket, int level, int name, int value) -> void {
-  // A kernel without the option leaves the timeouts of the callers as guard.
+auto SetIntegerOption(int socket, int level, int name, int value) -> void {
+  // Errors are ignored: if the kernel lacks the option, the callers' timeouts
+  // still apply.
   ::setsockopt(socket, level, name, &value, sizeof(value));
 }
 
 }  // namespace
 
-auto GuardAgainstSilence(boost::asio::ip::tcp::socket& socket,
-                         std::chrono::milliseconds user_timeout) -> void {
+auto ConfigureTcpSocket(boost::asio::ip::tcp::socket& socket,
+                        std::chrono::milliseconds user_timeout) -> void {
   const auto handle = socket.native_handle();
-  SetInteger(handle, IPPROTO_TCP, TCP_NODELAY, 1);
-  SetInteger(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
-  SetInteger(handle, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdle);
-  SetInteger(handle, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveInterval);
-  SetInteger(handle, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-  SetInteger(handle, IPPROTO_TCP, TCP_USER_TIMEOUT,
-             static_cast<int>(user_timeout.count()));
+  SetIntegerOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetIntegerOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetIntegerOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdle);
+  SetIntegerOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveInterval);
+  SetIntegerOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  SetIntegerOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                   static_cast<int>(user_timeout.count()));
 }
 
 }  // namespace kumquatgauge::detail
--- a/src/node/message_test.cc
+++ b/src/node/message_test.cc
@@ -13,7 +13,7 @@
 using nlohmann::json;
 
 constexpr std::uint64_t kSeed = 99;
-constexpr int kRounds = 20000;
+constexpr int kGarbageMessages = 20000;
 
 auto SampleRequest() -> routing::CompletionRequest {
   routing::CompletionRequest request;
@@ -43,35 +43,36 @@
   return result;
 }
 
-// Sends a message through its bytes, as between two nodes.
-auto Through(const json& message) -> json {
+// Encodes and decodes a message, as between two nodes.
+auto RoundTrip(const json& message) -> json {
   return DecodeMessage(EncodeMessage(message));
 }
 
-// Guards against a field that is lost or changed on the way.
+// Guards against a field that is lost or altered by encoding and decoding.
 TEST_CASE("Message.ReadsBackEveryValue") {
   const auto request = SampleRequest();
-  CHECK(CompletionRequestFrom(Through(ToMessage(request))) == request);
+  CHECK(CompletionRequestFrom(RoundTrip(ToMessage(request))) == request);
   const auto result = SampleResult();
-  CHECK(DispatchResultFrom(Through(ToMessage(result))) == result);
+  CHECK(DispatchResultFrom(RoundTrip(ToMessage(result))) == result);
   const routing::Token token{1234567, "w\xc3\xb6rd"};
-  CHECK(TokenFrom(Through(ToMessage(token))) == token);
+  CHECK(TokenFrom(RoundTrip(ToMessage(token))) == token);
   const Error error(ErrorKind::kUnknownOutcome, "lost", "node-1", "ask again");
-  const auto back = ErrorFrom(Through(ToMessage(error)));
+  const auto back = ErrorFrom(RoundTrip(ToMessage(error)));
   CHECK(back.kind() == error.kind());
   CHECK(std::string(back.what()) == error.what());
 }
 
-// Guards against two releases that cannot run side by side.
+// Guards against two releases that cannot run in the same fleet.
 TEST_CASE("Message.IgnoresUnknownFieldsAndDefaultsAbsentOnes") {
-  CHECK(TokenFrom(Through({{"t", "x"}, {"new", json::array({1, 2})}})) ==
+  CHECK(TokenFrom(RoundTrip({{"t", "x"}, {"new", json::array({1, 2})}})) ==
         routing::Token{0, "x"});
-  CHECK(CompletionRequestFrom(Through(json::object())) ==
+  CHECK(CompletionRequestFrom(RoundTrip(json::object())) ==
         routing::CompletionRequest{});
-  CHECK(ErrorFrom(Through({{"kind", "newer"}})).kind() == ErrorKind::kInternal);
+  CHECK(ErrorFrom(RoundTrip({{"kind", "newer"}})).kind() ==
+        ErrorKind::kInternal);
 }
 
-// Guards against the version being written over or left out.
+// Guards against the version being overwritten or omitted.
 TEST_CASE("Message.AddsVersionToMapsOfAnySize") {
   for (const auto size : {0, 1, 14, 15, 16, 40}) {
     json message = json::object();
@@ -80,12 +81,12 @@
     }
     auto expected = message;
     expected["v"] = 1;
-    CHECK(Through(message) == expected);
+    CHECK(RoundTrip(message) == expected);
   }
-  CHECK_THROWS_AS(Through({{"v", 2}}), Error);
+  CHECK_THROWS_AS(RoundTrip({{"v", 2}}), Error);
 }
 
-// Guards against values that overflow or have another type.
+// Guards against values that overflow or have the wrong type.
 TEST_CASE("Message.RefusesWrongTypesAndRanges") {
   CHECK_THROWS_AS(TokenFrom({{"o", -1}}), Error);
   CHECK_THROWS_AS(TokenFrom({{"t", 5}}), Error);
@@ -96,7 +97,7 @@
   CHECK_THROWS_AS(DispatchResultFrom({{"load", 3}}), Error);
 }
 
-// Guards against a stack overflow by deeply nested input.
+// Guards against a stack overflow on deeply nested input.
 TEST_CASE("Message.RefusesDeepNesting") {
   for (const auto* level : {"\x91", "\x81\xa1x"}) {
     std::string bytes = "\x81\xa1n";
@@ -107,7 +108,8 @@
   }
 }
 
-// Guards against a crash or another exception on changed or random bytes.
+// Guards against a crash or an unexpected exception on corrupted or random
+// bytes.
 TEST_CASE("Message.SurvivesGarbage") {
   INFO("seed " << kSeed);
   std::mt19937_64 random(kSeed);
@@ -120,7 +122,7 @@
       EncodeMessage(detail::EncodeDatagram(notice, {{"config", 5}}))};
   auto decoded = 0;
   auto refused = 0;
-  for (auto i = 0; i < kRounds; ++i) {
+  for (auto i = 0; i < kGarbageMessages; ++i) {
     auto bytes = samples[random() % samples.size()];
     if (i % 4 == 0) {
       bytes.resize(random() % 64);
@@ -151,7 +153,7 @@
   CHECK(refused > 0);
 }
 
-// Guards against frames that break when the network cuts them elsewhere.
+// Guards against frames that are lost or altered when they arrive in pieces.
 TEST_CASE("FrameReader.CutsFramesAtAnyBoundary") {
   std::string bytes;
   const std::vector<std::string> frames = {"a", "", std::string(300, 'x'), "b"};
@@ -169,7 +171,7 @@
   }
 }
 
-// Guards against memory that a length alone makes this node reserve.
+// Guards against a large allocation caused by a length field alone.
 TEST_CASE("FrameReader.RefusesTooLongFrame") {
   detail::FrameReader reader;
   CHECK_THROWS_AS(reader.Add("\x7f\xff\xff\xff", [](std::string_view) {}),
--- a/src/node/peer_client.cc
+++ b/src/node/peer_client.cc
@@ -28,8 +28,8 @@
 using std::chrono::steady_clock;
 
 constexpr int kStatusOk = 200;
-// The client accepts no streams that the server opens.
-constexpr std::uint32_t kNoStreams = 0;
+// The client accepts no streams opened by the server.
+constexpr std::uint32_t kMaxServerStreams = 0;
 
 auto Unavailable(const std::string& address, std::string_view reason) -> Error {
   return Error(ErrorKind::kUnavailable,
@@ -37,7 +37,7 @@
                "try another node");
 }
 
-// One request and what has arrived of its response.
+// One request and the state of its response.
 struct ClientStream {
   explicit ClientStream(io_context& context) : wake(context) {}
 
@@ -51,12 +51,12 @@
   }
 
   FrameSink sink;
-  detail::OutBuffer body;
+  detail::SendBuffer body;
   detail::FrameReader frames;
   std::int32_t id = -1;
   int status = 0;
-  bool sent = false;     // A byte of the request may have left.
-  bool refused = false;  // The other side has certainly not handled it.
+  bool sent = false;     // Part of the request may have been sent.
+  bool refused = false;  // The server has not processed the request.
   bool done = false;
   std::exception_ptr error;
   steady_clock::time_point last_frame;
@@ -77,7 +77,7 @@
     timer_.expires_after(kConnectTimeout);
     timer_.async_wait([self = Self()](const boost::system::error_code& error) {
       if (!error && self->state_ == State::kConnecting) {
-        self->Close("no answer in time");
+        self->Close("connect timeout");
       }
     });
     socket().async_connect(
@@ -88,20 +88,21 @@
           if (error) {
             self->Close(error.message());
           } else {
-            self->StartSession(kNoStreams);
+            self->StartSession(kMaxServerStreams);
           }
         });
   }
 
-  // Returns when the connection is open or has failed.
+  // Returns when the connection is open or has failed, or when `wake` expires
+  // or is cancelled.
   auto WaitUntilConnected(std::shared_ptr<steady_timer> wake)
       -> awaitable<void> {
     while (state_ == State::kConnecting && wake->expiry() > Now()) {
-      waiting_.push_back(wake);
+      waiters_.push_back(wake);
       boost::system::error_code ignored;
       co_await wake->async_wait(
           boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-      std::erase(waiting_, wake);
+      std::erase(waiters_, wake);
       if (ignored) {
         break;
       }
@@ -127,7 +128,7 @@
     return true;
   }
 
-  // Stops the stream without an error; later frames are dropped.
+  // Ends the stream without an error; later frames are dropped.
   auto Cancel(ClientStream& stream) -> void {
     if (!stream.done) {
       stream.Finish(nullptr);
@@ -137,10 +138,10 @@
 
   auto state() const -> State { return state_; }
   auto reason() const -> const std::string& { return reason_; }
-  // Whether new calls may use it or wait for it.
+  // Returns true if new calls may use this connection or wait for it.
   auto usable() const -> bool {
     return state_ == State::kConnecting ||
-           (state_ == State::kOpen && unanswered_ < 2);
+           (state_ == State::kOpen && unanswered_pings_ < 2);
   }
 
  private:
@@ -182,7 +183,7 @@
     try {
       stream->frames.Add(bytes, [&](std::string_view frame) {
         if (!stream->done) {
-          PassOn(*stream, DecodeMessage(frame));
+          DeliverFrame(*stream, DecodeMessage(frame));
         }
       });
     } catch (...) {
@@ -191,12 +192,12 @@
     }
   }
 
-  static auto PassOn(ClientStream& stream, const json& frame) -> void {
+  static auto DeliverFrame(ClientStream& stream, const json& frame) -> void {
     const auto error = frame.find(kErrorField);
     if (error != frame.end()) {
       throw ErrorFrom(*error);
     }
-    // A copy: the sink may end the stream, which releases its sink.
+    // A copy, because the sink may end the stream, which releases its sink.
     const auto sink = stream.sink;
     if (sink) {
       sink(frame);
@@ -216,12 +217,12 @@
     }
     const auto stream = found->second;
     streams_.erase(found);
-    KeepUntilReturn(stream);
+    ReleaseAfterCallback(stream);
     if (stream->done) {
       return;
     }
     stream->refused = code == NGHTTP2_REFUSED_STREAM;
-    Lose(*stream, "the other side reset the stream");
+    FailStream(*stream, "the server reset the stream");
   }
 
   auto OnHeadersSent(std::int32_t id) -> void override {
@@ -234,31 +235,31 @@
     if (state_ == State::kConnecting) {
       state_ = State::kOpen;
       timer_.cancel();
-      WakeWaiting();
+      NotifyWaiters();
     }
   }
 
   auto OnGoaway() -> void override {
     state_ = State::kDraining;
-    WakeWaiting();
+    NotifyWaiters();
   }
 
-  auto OnPingAnswer() -> void override { unanswered_ = 0; }
+  auto OnPingAck() -> void override { unanswered_pings_ = 0; }
 
   auto OnClosed(std::string_view reason) -> void override {
     state_ = State::kClosed;
     reason_ = reason;
     timer_.cancel();
-    WakeWaiting();
+    NotifyWaiters();
     auto streams = std::exchange(streams_, {});
     for (auto& [id, stream] : streams) {
-      kept_.push_back(stream);
-      Lose(*stream, reason);
+      closed_streams_.push_back(stream);
+      FailStream(*stream, reason);
     }
   }
 
-  // Ends a stream that got no complete response.
-  auto Lose(ClientStream& stream, std::string_view reason) -> void {
+  // Ends a stream without a complete response.
+  auto FailStream(ClientStream& stream, std::string_view reason) -> void {
     if (!stream.sent) {
       stream.refused = true;
       stream.Finish(std::make_exception_ptr(Unavailable(address_, reason)));
@@ -268,8 +269,9 @@
                 "try another node")));
     } else {
       stream.Finish(std::make_exception_ptr(Error(
-          ErrorKind::kUnknownOutcome, "lost node (" + std::string(reason) + ")",
-          address_, "ask whether the request ran before it is repeated")));
+          ErrorKind::kUnknownOutcome,
+          "connection to node lost (" + std::string(reason) + ")", address_,
+          "check whether the request ran before repeating it")));
     }
   }
 
@@ -280,7 +282,7 @@
                      "node refused the fleet credential", address_,
                      "use the same fleet credential on all nodes");
       case 404:
-        return Error(ErrorKind::kNotFound, "node does not know the request",
+        return Error(ErrorKind::kNotFound, "node does not support the request",
                      address_, "check that both nodes run compatible releases");
       case 413:
       case 431:
@@ -293,8 +295,8 @@
     }
   }
 
-  auto WakeWaiting() -> void {
-    for (const auto& wake : std::exchange(waiting_, {})) {
+  auto NotifyWaiters() -> void {
+    for (const auto& wake : std::exchange(waiters_, {})) {
       wake->cancel();
     }
   }
@@ -310,16 +312,16 @@
 
   auto SendPing() -> void {
     nghttp2_submit_ping(session(), NGHTTP2_FLAG_NONE, nullptr);
-    ++unanswered_;
+    ++unanswered_pings_;
     ScheduleWrite();
     timer_.expires_after(kPingInterval);
     timer_.async_wait([self = Self()](const boost::system::error_code& error) {
       if (error || self->closed()) {
         return;
       }
-      if (self->unanswered_ >= kPingIntervalsUntilDead) {
-        self->Close("no answer to PING");
-      } else if (self->streams_.empty() && self->unanswered_ == 0) {
+      if (self->unanswered_pings_ >= kPingIntervalsUntilDead) {
+        self->Close("no response to PING");
+      } else if (self->streams_.empty() && self->unanswered_pings_ == 0) {
         self->pinging_ = false;
         self->CloseWhenIdle();
       } else {
@@ -332,30 +334,31 @@
     timer_.expires_after(kIdleTimeout);
     timer_.async_wait([self = Self()](const boost::system::error_code& error) {
       if (!error && !self->pinging_ && !self->closed()) {
-        self->Close("it was idle");
+        self->Close("idle timeout");
       }
     });
   }
 
-  auto KeepUntilReturn(std::shared_ptr<ClientStream> stream) -> void {
-    // nghttp2 may still hold the body until this callback returns.
-    kept_.push_back(std::move(stream));
-    boost::asio::post(context_, [self = Self()] { self->kept_.clear(); });
+  auto ReleaseAfterCallback(std::shared_ptr<ClientStream> stream) -> void {
+    // nghttp2 may use the body until this callback returns.
+    closed_streams_.push_back(std::move(stream));
+    boost::asio::post(context_,
+                      [self = Self()] { self->closed_streams_.clear(); });
   }
 
   io_context& context_;
   std::string address_;
   State state_ = State::kConnecting;
   std::string reason_;
-  std::vector<std::shared_ptr<steady_timer>> waiting_;
+  std::vector<std::shared_ptr<steady_timer>> waiters_;
   std::unordered_map<std::int32_t, std::shared_ptr<ClientStream>> streams_;
-  std::vector<std::shared_ptr<ClientStream>> kept_;
-  steady_timer timer_;  // For the connect timeout, then for PINGs.
-  int unanswered_ = 0;  // PINGs sent since the last answer.
+  std::vector<std::shared_ptr<ClientStream>> closed_streams_;
+  steady_timer timer_;  // For the connect timeout, PINGs and the idle timeout.
+  int unanswered_pings_ = 0;  // PINGs sent since the last ACK.
   bool pinging_ = false;
 };
 
-// Cancels the stream when the call ends early, and detaches the cancel hook.
+// Cancels the stream if the call ends early, and removes the cancel hook.
 class CallGuard {
  public:
   CallGuard(std::shared_ptr<ClientConnection> connection,
@@ -392,9 +395,9 @@
 
   ~Http2PeerClient() override {
     for (auto& [key, link] : links_) {
-      for (const auto& connection : {link.current, link.judged}) {
+      for (const auto& connection : {link.current, link.suspect}) {
         if (connection) {
-          connection->Close("the client was closed");
+          connection->Close("the client was destroyed");
         }
       }
     }
@@ -415,8 +418,8 @@
                   "send a smaller request");
     }
     const auto path = "/node/v1/" + name;
-    // A refused stream has not been handled: HTTP/2 lets it be sent again on a
-    // fresh connection.
+    // A refused stream was not processed, so HTTP/2 allows a retry on a new
+    // connection.
     for (auto attempt = 0;; ++attempt) {
       const auto connection =
           co_await Connect(address, channel, timeout, cancel);
@@ -431,7 +434,7 @@
         throw Unavailable(address, "no stream could be opened");
       }
       const CallGuard guard(connection, stream, cancel);
-      co_await Wait(*stream, timeout, address);
+      co_await WaitForEnd(*stream, timeout, address);
       if (stream->refused && attempt == 0) {
         continue;
       }
@@ -443,20 +446,20 @@
   }
 
  private:
-  // The connection for new calls, and the one that it replaced while that one
-  // is judged.
+  // The connection for new calls, and the one that it replaced, which is used
+  // again if it recovers.
   struct Link {
     std::shared_ptr<ClientConnection> current;
-    std::shared_ptr<ClientConnection> judged;
+    std::shared_ptr<ClientConnection> suspect;
 
-    auto unused() const -> bool {
-      return (!current || current->closed()) && (!judged || judged->closed());
+    auto closed() const -> bool {
+      return (!current || current->closed()) && (!suspect || suspect->closed());
     }
   };
 
-  static auto Wait(ClientStream& stream,
-                   std::chrono::milliseconds timeout,
-                   const std::string& address) -> awaitable<void> {
+  static auto WaitForEnd(ClientStream& stream,
+                         std::chrono::milliseconds timeout,
+                         const std::string& address) -> awaitable<void> {
     while (!stream.done) {
       const auto deadline = stream.last_frame + timeout;
       if (deadline <= steady_clock::now()) {
@@ -472,7 +475,7 @@
     }
   }
 
-  auto Pick(const std::string& address, Channel channel)
+  auto SelectConnection(const std::string& address, Channel channel)
       -> std::shared_ptr<ClientConnection> {
     const std::pair key(address, channel);
     const auto known = links_.find(key);
@@ -481,26 +484,28 @@
     }
     const auto endpoint = ParseTcpAddress(address);
     std::erase_if(links_,
-                  [](const auto& item) { return item.second.unused(); });
+                  [](const auto& item) { return item.second.closed(); });
     auto& link = links_[key];
-    if (link.judged && link.judged->state() == ClientConnection::State::kOpen &&
-        link.judged->usable()) {
-      link.current = std::move(link.judged);
+    if (link.suspect &&
+        link.suspect->state() == ClientConnection::State::kOpen &&
+        link.suspect->usable()) {
+      link.current = std::move(link.suspect);
       return link.current;
     }
-    link.judged = std::move(link.current);
+    link.suspect = std::move(link.current);
     link.current = std::make_shared<ClientConnection>(context_, address);
     link.current->Connect(endpoint);
     return link.current;
   }
 
-  // A connection that is open. Throws Error(kUnavailable).
+  // Returns an open connection. Throws Error(kUnavailable) if there is none in
+  // time.
   auto Connect(const std::string& address,
                Channel channel,
                std::chrono::milliseconds timeout,
                const std::shared_ptr<StreamCancel>& cancel)
       -> awaitable<std::shared_ptr<ClientConnection>> {
-    auto connection = Pick(address, channel);
+    auto connection = SelectConnection(address, channel);
     if (connection->state() == ClientConnection::State::kConnecting) {
       const auto wake = std::make_shared<steady_timer>(context_, timeout);
       if (cancel) {
