--- a/include/kumquatgauge/store/circuit.h
+++ b/include/kumquatgauge/store/circuit.h
@@ -12,12 +12,12 @@
   // Consecutive failures that open the circuit. A single slow or lost answer
   // is no outage.
   std::uint32_t failures_to_open = 5;
-  Duration first_wait = std::chrono::milliseconds(500);
+  Duration initial_backoff = std::chrono::milliseconds(500);
   // A node must have read what it missed within 3 s of the platform's return,
   // also if its last probe met silence. Well under the lease term of 6 s too,
   // so that an owner renews its leases before another node may have observed
   // them for a term.
-  Duration longest_wait = std::chrono::seconds(1);
+  Duration max_backoff = std::chrono::seconds(1);
   // After this time a probe without a result no longer blocks the next one.
   Duration probe_timeout = std::chrono::seconds(3);
 
--- a/src/control/config_watcher_test.cc
+++ b/src/control/config_watcher_test.cc
@@ -20,8 +20,8 @@
   auto options = store::PlatformOptions();
   options.address = address;
   options.call_timeout = milliseconds(300);
-  options.circuit.first_wait = milliseconds(20);
-  options.circuit.longest_wait = milliseconds(50);
+  options.circuit.initial_backoff = milliseconds(20);
+  options.circuit.max_backoff = milliseconds(50);
   return options;
 }
 
--- a/src/store/circuit.cc
+++ b/src/store/circuit.cc
@@ -8,7 +8,7 @@
 Circuit::Circuit(CircuitOptions options, RandomSource random)
     : options_(options),
       random_(std::move(random)),
-      wait_(options.first_wait) {}
+      wait_(options.initial_backoff) {}
 
 auto Circuit::Ask(MonotonicTime now, bool may_probe) -> Decision {
   if (state_ == State::kClosed) {
@@ -20,7 +20,7 @@
     return {.allowed = false, .retry_after = blocked_until - now};
   }
   if (!may_probe) {
-    return {.allowed = false, .retry_after = options_.first_wait};
+    return {.allowed = false, .retry_after = options_.initial_backoff};
   }
   state_ = State::kProbing;
   probe_until_ = now + options_.probe_timeout;
@@ -31,13 +31,13 @@
   recovered_ = recovered_ || state_ != State::kClosed;
   state_ = State::kClosed;
   failures_ = 0;
-  wait_ = options_.first_wait;
+  wait_ = options_.initial_backoff;
 }
 
 auto Circuit::OnFailure(MonotonicTime now) -> void {
   ++failures_;
   if (state_ == State::kProbing) {
-    wait_ = std::min(wait_ * 2, options_.longest_wait);
+    wait_ = std::min(wait_ * 2, options_.max_backoff);
     Open(now);
   } else if (state_ == State::kClosed &&
              failures_ >= options_.failures_to_open) {
--- a/src/store/circuit_test.cc
+++ b/src/store/circuit_test.cc
@@ -22,7 +22,7 @@
 
   // Gives the longest jitter once the waits have reached their bound.
   auto LongestDraw() const -> std::uint64_t {
-    return static_cast<std::uint64_t>(options.longest_wait.count());
+    return static_cast<std::uint64_t>(options.max_backoff.count());
   }
 
   CircuitOptions options;
@@ -46,13 +46,13 @@
   Fail(options.failures_to_open);
   const auto decision = circuit.Ask(now, true);
   CHECK_FALSE(decision.allowed);
-  CHECK(decision.retry_after == options.first_wait / 2);
+  CHECK(decision.retry_after == options.initial_backoff / 2);
 }
 
 // Guards against a load of probes on a platform that is coming back.
 TEST_CASE_METHOD(Fixture, "Circuit.LetsOneProbeThrough") {
   Fail(options.failures_to_open);
-  now += options.first_wait;
+  now += options.initial_backoff;
   CHECK_FALSE(circuit.Ask(now, false).allowed);
   CHECK(circuit.Ask(now, true).allowed);
   CHECK_FALSE(circuit.Ask(now, true).allowed);
@@ -64,7 +64,7 @@
 // Guards against a circuit that stays open because a probe was never answered.
 TEST_CASE_METHOD(Fixture, "Circuit.ProbesAgainWhenAProbeGotLost") {
   Fail(options.failures_to_open);
-  now += options.first_wait;
+  now += options.initial_backoff;
   REQUIRE(circuit.Ask(now, true).allowed);
   now += options.probe_timeout;
   CHECK(circuit.Ask(now, true).allowed);
@@ -76,12 +76,12 @@
   Fail(options.failures_to_open);
   for (auto i = 0; i < 10; ++i) {
     const auto decision = circuit.Ask(now, true);
-    CHECK(decision.retry_after <= options.longest_wait * 3 / 2);
+    CHECK(decision.retry_after <= options.max_backoff * 3 / 2);
     now += decision.retry_after;
     REQUIRE(circuit.Ask(now, true).allowed);
     circuit.OnFailure(now);
   }
-  CHECK(circuit.Ask(now, true).retry_after > options.first_wait * 2);
+  CHECK(circuit.Ask(now, true).retry_after > options.initial_backoff * 2);
 }
 
 // Guards against a node that acts for seconds after an outage on what it knew
--- a/src/store/platform_client.cc
+++ b/src/store/platform_client.cc
@@ -119,7 +119,7 @@
                   call.object, "retry in " + InMilliseconds(retry_after));
     }
     if (circuit.state() == Circuit::State::kOpen) {
-      RefuseByCircuit(call, options.circuit.first_wait);
+      RefuseByCircuit(call, options.circuit.initial_backoff);
     }
   }
 
