--- a/include/kumquatgauge/store/circuit.h
+++ b/include/kumquatgauge/store/circuit.h
@@ -60,7 +60,7 @@
   RandomSource random_;
   State state_ = State::kClosed;
   std::uint32_t failures_ = 0;
-  Duration wait_;
+  Duration backoff_;
   MonotonicTime open_until_;
   MonotonicTime probe_until_;
   bool recovered_ = false;
--- a/src/store/circuit.cc
+++ b/src/store/circuit.cc
@@ -8,7 +8,7 @@
 Circuit::Circuit(CircuitOptions options, RandomSource random)
     : options_(options),
       random_(std::move(random)),
-      wait_(options.initial_backoff) {}
+      backoff_(options.initial_backoff) {}
 
 auto Circuit::Ask(MonotonicTime now, bool may_probe) -> Decision {
   if (state_ == State::kClosed) {
@@ -31,13 +31,13 @@
   recovered_ = recovered_ || state_ != State::kClosed;
   state_ = State::kClosed;
   failures_ = 0;
-  wait_ = options_.initial_backoff;
+  backoff_ = options_.initial_backoff;
 }
 
 auto Circuit::OnFailure(MonotonicTime now) -> void {
   ++failures_;
   if (state_ == State::kProbing) {
-    wait_ = std::min(wait_ * 2, options_.max_backoff);
+    backoff_ = std::min(backoff_ * 2, options_.max_backoff);
     Open(now);
   } else if (state_ == State::kClosed &&
              failures_ >= options_.failures_to_open) {
@@ -48,8 +48,8 @@
 auto Circuit::Open(MonotonicTime now) -> void {
   state_ = State::kOpen;
   const auto jitter = Duration(static_cast<Duration::rep>(
-      random_() % static_cast<std::uint64_t>(wait_.count() + 1)));
-  open_until_ = now + wait_ / 2 + jitter;
+      random_() % static_cast<std::uint64_t>(backoff_.count() + 1)));
+  open_until_ = now + backoff_ / 2 + jitter;
 }
 
 auto Circuit::TakeRecovered() -> bool {
