--- a/src/store/circuit_test.cc
+++ b/src/store/circuit_test.cc
@@ -21,7 +21,7 @@
   }
 
   // Gives the longest jitter once the waits have reached their bound.
-  auto LongestDraw() const -> std::uint64_t {
+  auto MaxJitter() const -> std::uint64_t {
     return static_cast<std::uint64_t>(options.max_backoff.count());
   }
 
@@ -72,7 +72,7 @@
 
 // Guards against waits above the bound, which would outlast lease terms.
 TEST_CASE_METHOD(Fixture, "Circuit.WaitsLongerUpToABound") {
-  draw = LongestDraw();
+  draw = MaxJitter();
   Fail(options.failures_to_open);
   for (auto i = 0; i < 10; ++i) {
     const auto decision = circuit.Ask(now, true);
@@ -89,7 +89,7 @@
 TEST_CASE_METHOD(Fixture, "Circuit.LetsACallThroughSoonAfterALongOutage") {
   constexpr auto kSoon = seconds(3);
   constexpr auto kCallTimeout = seconds(1);
-  draw = LongestDraw();
+  draw = MaxJitter();
   Fail(options.failures_to_open);
   for (auto probe = 0; probe < 20; ++probe) {
     now += circuit.Ask(now, true).retry_after;
