--- a/include/kumquatgauge/upstream/replica_call.h
+++ b/include/kumquatgauge/upstream/replica_call.h
@@ -26,8 +26,8 @@
   // Nothing is read or sent after this.
   MonotonicTime deadline;
   // Longest wait for the head of the answer, and then for each next byte.
-  Duration head_silence{};
-  Duration body_silence{};
+  Duration head_timeout{};
+  Duration body_idle_timeout{};
 };
 
 struct ReplicaHead {
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -815,8 +815,8 @@
     request.body = item.body;
     request.max_sends = 2;
     request.deadline = parts_.clock() + kItemTimeLimit;
-    request.head_silence = kHeadSilence;
-    request.body_silence = kEventSilence;
+    request.head_timeout = kHeadSilence;
+    request.body_idle_timeout = kEventSilence;
     return request;
   }
 
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -322,8 +322,8 @@
     const auto& route = *exchange.route;
     const auto& history = exchange.history;
     const auto remaining = exchange.deadline - parts_.clock();
-    request.head_silence = remaining;
-    request.body_silence = remaining;
+    request.head_timeout = remaining;
+    request.body_idle_timeout = remaining;
     if (!MayRepeat(history.kind, history.resumable) ||
         history.may_have_run + 1 >= history.max_attempts ||
         parts_.retry_budget.available(exchange.service) < 1.0) {
@@ -333,9 +333,9 @@
         route.latency_target * kHeadSilenceFactor);
     const auto gap = std::chrono::duration_cast<Duration>(route.longest_gap *
                                                           kGapSilenceFactor);
-    request.head_silence = std::max<Duration>(kMinSilence, head);
+    request.head_timeout = std::max<Duration>(kMinSilence, head);
     if (route.kind == RequestKind::kStream) {
-      request.body_silence = std::max<Duration>(request.head_silence, gap);
+      request.body_idle_timeout = std::max<Duration>(request.head_timeout, gap);
     }
   }
 
--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -129,7 +129,7 @@
     auto end = CallEnd::kOpen;
     const auto before = bytes.size();
     while (end == CallEnd::kOpen && bytes.size() == before) {
-      end = co_await ReadPiece(bytes, request_.body_silence);
+      end = co_await ReadPiece(bytes, request_.body_idle_timeout);
     }
     if (end == CallEnd::kComplete) {
       Release();
@@ -175,7 +175,7 @@
         Write(connection_, message_, write_done_,
               std::static_pointer_cast<HttpCall>(shared_from_this()));
     asio::co_spawn(executor_, std::move(writing), asio::detached);
-    head_deadline_ = std::chrono::steady_clock::now() + request_.head_silence;
+    head_deadline_ = std::chrono::steady_clock::now() + request_.head_timeout;
     for (auto skipped = 0; skipped <= kMaxForeignAnswers; ++skipped) {
       const auto end = co_await ReadHead();
       if (end != CallEnd::kOpen) {
@@ -243,7 +243,7 @@
     auto end = CallEnd::kOpen;
     auto ignored = std::string();
     while (end == CallEnd::kOpen) {
-      end = co_await ReadPiece(ignored, request_.body_silence);
+      end = co_await ReadPiece(ignored, request_.body_idle_timeout);
       ignored.clear();
     }
     co_return end;
--- a/src/upstream/replica_call_test.cc
+++ b/src/upstream/replica_call_test.cc
@@ -66,8 +66,8 @@
     request.max_sends = max_sends;
     request.deadline =
         std::chrono::steady_clock::now() + std::chrono::seconds(15);
-    request.head_silence = std::chrono::seconds(15);
-    request.body_silence = std::chrono::seconds(15);
+    request.head_timeout = std::chrono::seconds(15);
+    request.body_idle_timeout = std::chrono::seconds(15);
     return caller.Start(std::move(request),
                         [](const ReplicaHead&) { return true; });
   }
