--- a/include/kumquatgauge/upstream/replica_call.h
+++ b/include/kumquatgauge/upstream/replica_call.h
@@ -65,8 +65,8 @@
   auto operator=(const ReplicaCaller&) -> ReplicaCaller& = delete;
 
   class Call;
-  // `own_answer` must accept the head of the answer to this request.
-  auto Start(ReplicaRequest request, HeadFilter own_answer)
+  // `accept_head` must accept the head of the answer to this request.
+  auto Start(ReplicaRequest request, HeadFilter accept_head)
       -> std::shared_ptr<Call>;
   // Connections opened since the start.
   auto opened() const -> std::uint64_t;
--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -88,12 +88,12 @@
            std::shared_ptr<detail::ConnectionPool> pool,
            std::function<auto()->void> on_opened,
            ReplicaRequest request,
-           HeadFilter own_answer)
+           HeadFilter accept_head)
       : executor_(std::move(executor)),
         pool_(std::move(pool)),
         on_opened_(std::move(on_opened)),
         request_(std::move(request)),
-        own_answer_(std::move(own_answer)),
+        accept_head_(std::move(accept_head)),
         message_(ToMessage(request_)) {}
 
   ~HttpCall() override {
@@ -181,7 +181,7 @@
       if (end != CallEnd::kOpen) {
         co_return end;
       }
-      if (own_answer_(head_)) {
+      if (accept_head_(head_)) {
         co_return CallEnd::kOpen;
       }
       const auto skip_end = co_await SkipBody();
@@ -299,7 +299,7 @@
   std::shared_ptr<detail::ConnectionPool> pool_;
   std::function<auto()->void> on_opened_;
   ReplicaRequest request_;
-  HeadFilter own_answer_;
+  HeadFilter accept_head_;
   std::shared_ptr<http::request<http::string_body>> message_;
   std::shared_ptr<Connection> connection_;
   std::shared_ptr<bool> write_done_;
@@ -323,7 +323,7 @@
   impl_->pool->Close();
 }
 
-auto ReplicaCaller::Start(ReplicaRequest request, HeadFilter own_answer)
+auto ReplicaCaller::Start(ReplicaRequest request, HeadFilter accept_head)
     -> std::shared_ptr<Call> {
   auto count = [weak = std::weak_ptr<Impl>(impl_)] {
     if (const auto impl = weak.lock()) {
@@ -332,7 +332,7 @@
   };
   return std::make_shared<HttpCall>(impl_->executor, impl_->pool,
                                     std::move(count), std::move(request),
-                                    std::move(own_answer));
+                                    std::move(accept_head));
 }
 
 auto ReplicaCaller::opened() const -> std::uint64_t {
