--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -30,7 +30,7 @@
 constexpr std::uint32_t kMaxHeadBytes = 32'768;
 constexpr std::size_t kReadBytes = 16'384;
 // Answers to earlier requests that are skipped on one connection.
-constexpr int kMaxForeignAnswers = 2;
+constexpr int kMaxSkippedResponses = 2;
 
 auto ToMessage(ReplicaRequest& request)
     -> std::shared_ptr<http::request<http::string_body>> {
@@ -176,7 +176,7 @@
               std::static_pointer_cast<HttpCall>(shared_from_this()));
     asio::co_spawn(executor_, std::move(writing), asio::detached);
     head_deadline_ = std::chrono::steady_clock::now() + request_.head_timeout;
-    for (auto skipped = 0; skipped <= kMaxForeignAnswers; ++skipped) {
+    for (auto skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
       const auto end = co_await ReadHead();
       if (end != CallEnd::kOpen) {
         co_return end;
