--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -113,7 +113,7 @@
       }
       end = co_await SendAndReadHead();
       const auto stale = end == CallEnd::kBroken && connection_->reused() &&
-                         !answer_begun_ && !cancelled_;
+                         !response_begun_ && !cancelled_;
       if (!stale || sends_ >= request_.max_sends) {
         co_return end;
       }
@@ -129,7 +129,7 @@
     auto end = CallEnd::kOpen;
     const auto before = bytes.size();
     while (end == CallEnd::kOpen && bytes.size() == before) {
-      end = co_await ReadPiece(bytes, request_.body_idle_timeout);
+      end = co_await ReadSome(bytes, request_.body_idle_timeout);
     }
     if (end == CallEnd::kComplete) {
       Release();
@@ -218,19 +218,19 @@
                   OnExpiry::kCloseIfSilent);
       const auto [error, read] = co_await http::async_read_header(
           io.socket(), io.buffer(), *parser_, kAwaitTuple);
-      answer_begun_ = answer_begun_ || read > 0;
+      response_begun_ = response_begun_ || read > 0;
       if (error) {
-        co_return Judge(error);
+        co_return ToCallEnd(error);
       }
       if (parser_->get().result_int() >= kFirstFinalStatus) {
         break;
       }
     }
-    TakeHead();
+    StoreHead();
     co_return CallEnd::kOpen;
   }
 
-  auto TakeHead() -> void {
+  auto StoreHead() -> void {
     head_ = ReplicaHead();
     head_.status = static_cast<int>(parser_->get().result_int());
     for (const auto& field : parser_->get()) {
@@ -243,33 +243,33 @@
     auto end = CallEnd::kOpen;
     auto ignored = std::string();
     while (end == CallEnd::kOpen) {
-      end = co_await ReadPiece(ignored, request_.body_idle_timeout);
+      end = co_await ReadSome(ignored, request_.body_idle_timeout);
       ignored.clear();
     }
     co_return end;
   }
 
-  auto ReadPiece(std::string& bytes, Duration silence) -> awaitable<CallEnd> {
+  auto ReadSome(std::string& bytes, Duration silence) -> awaitable<CallEnd> {
     if (parser_->is_done()) {
       co_return CallEnd::kComplete;
     }
     auto& io = connection_->io();
     auto& body = parser_->get().body();
-    body.data = piece_.data();
-    body.size = piece_.size();
+    body.data = read_buffer_.data();
+    body.size = read_buffer_.size();
     io.ExpireAt(
         std::min(request_.deadline, std::chrono::steady_clock::now() + silence),
         OnExpiry::kCloseIfSilent);
     const auto [error, read] = co_await http::async_read_some(
         io.socket(), io.buffer(), *parser_, kAwaitTuple);
-    bytes.append(piece_.data(), piece_.size() - body.size);
+    bytes.append(read_buffer_.data(), read_buffer_.size() - body.size);
     if (error && error != http::error::need_buffer) {
-      co_return Judge(error);
+      co_return ToCallEnd(error);
     }
     co_return parser_->is_done() ? CallEnd::kComplete : CallEnd::kOpen;
   }
 
-  auto Judge(const error_code& error) -> CallEnd {
+  auto ToCallEnd(const error_code& error) -> CallEnd {
     reason_ = error.message();
     if (cancelled_) {
       return CallEnd::kCancelled;
@@ -305,11 +305,11 @@
   std::shared_ptr<bool> write_done_;
   std::unique_ptr<Parser> parser_;
   ReplicaHead head_;
-  std::array<char, kReadBytes> piece_{};
+  std::array<char, kReadBytes> read_buffer_{};
   MonotonicTime head_deadline_;
   std::string reason_;
   std::uint32_t sends_ = 0;
-  bool answer_begun_ = false;
+  bool response_begun_ = false;
   bool cancelled_ = false;
 };
 
