--- a/src/upstream/deadline_socket.cc
+++ b/src/upstream/deadline_socket.cc
@@ -81,7 +81,7 @@
 auto DeadlineSocket::Expire() -> void {
   // Bytes may wait in the socket, or have been read while their handler still
   // waits for its turn in this thread: the second look comes after that turn.
-  if (on_expiry_ == OnExpiry::kCloseIfSilent &&
+  if (on_expiry_ == OnExpiry::kCloseIfNoData &&
       (!second_look_ || (Readable() && !PeerClosed()))) {
     ExpireAfter(kLateReadGrace, on_expiry_);
     second_look_ = true;
--- a/src/upstream/deadline_socket.h
+++ b/src/upstream/deadline_socket.h
@@ -20,7 +20,7 @@
     // Closes only when no byte waits unread. Otherwise this thread was late,
     // not the other side, and gets a moment to read: a busy node must not give
     // up streams that go on.
-    kCloseIfSilent,
+    kCloseIfNoData,
   };
 
   explicit DeadlineSocket(boost::asio::ip::tcp::socket socket);
--- a/src/upstream/http_engine_client.cc
+++ b/src/upstream/http_engine_client.cc
@@ -169,7 +169,7 @@
     }
     auto& io = connection_->io();
     boost::system::error_code error;
-    io.ExpireAt(first_byte_by_, OnExpiry::kCloseIfSilent);
+    io.ExpireAt(first_byte_by_, OnExpiry::kCloseIfNoData);
     const auto written = co_await http::async_write(
         io.socket(), message, asio::redirect_error(asio::use_awaitable, error));
     if (written > 0) {
@@ -268,7 +268,7 @@
         co_return;
       }
       if (begun) {
-        io.ExpireAfter(settings_.progress_timeout, OnExpiry::kCloseIfSilent);
+        io.ExpireAfter(settings_.progress_timeout, OnExpiry::kCloseIfNoData);
       }
     }
     if (end_.kind == Kind::kCompleted) {
--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -215,7 +215,7 @@
       parser_->body_limit(boost::none);
       auto& io = connection_->io();
       io.ExpireAt(std::min(request_.deadline, head_deadline_),
-                  OnExpiry::kCloseIfSilent);
+                  OnExpiry::kCloseIfNoData);
       const auto [error, read] = co_await http::async_read_header(
           io.socket(), io.buffer(), *parser_, kAwaitTuple);
       response_begun_ = response_begun_ || read > 0;
@@ -259,7 +259,7 @@
     body.size = read_buffer_.size();
     io.ExpireAt(
         std::min(request_.deadline, std::chrono::steady_clock::now() + silence),
-        OnExpiry::kCloseIfSilent);
+        OnExpiry::kCloseIfNoData);
     const auto [error, read] = co_await http::async_read_some(
         io.socket(), io.buffer(), *parser_, kAwaitTuple);
     bytes.append(read_buffer_.data(), read_buffer_.size() - body.size);
