--- a/src/upstream/deadline_socket.cc
+++ b/src/upstream/deadline_socket.cc
@@ -22,7 +22,7 @@
 auto DeadlineSocket::ExpireAt(MonotonicTime deadline, OnExpiry on_expiry)
     -> void {
   timed_out_ = false;
-  second_look_ = false;
+  in_read_grace_ = false;
   deadline_ = deadline;
   on_expiry_ = on_expiry;
   if (deadline_ < armed_for_) {
@@ -82,9 +82,9 @@
   // Bytes may wait in the socket, or have been read while their handler still
   // waits for its turn in this thread: the second look comes after that turn.
   if (on_expiry_ == OnExpiry::kCloseIfNoData &&
-      (!second_look_ || (Readable() && !PeerClosed()))) {
+      (!in_read_grace_ || (Readable() && !PeerClosed()))) {
     ExpireAfter(kLateReadGrace, on_expiry_);
-    second_look_ = true;
+    in_read_grace_ = true;
     return;
   }
   timed_out_ = true;
--- a/src/upstream/deadline_socket.h
+++ b/src/upstream/deadline_socket.h
@@ -50,7 +50,7 @@
   std::uint64_t generation_ = 0;
   OnExpiry on_expiry_ = OnExpiry::kClose;
   bool timed_out_ = false;
-  bool second_look_ = false;  // The deadline has passed once already.
+  bool in_read_grace_ = false;  // The deadline has passed once already.
 };
 
 }  // namespace kumquatgauge::upstream::detail
