--- a/src/upstream/connection_pool.cc
+++ b/src/upstream/connection_pool.cc
@@ -29,7 +29,7 @@
 Connection::~Connection() {
   if (io_) {
     io_->Close();
-    pool_->Forget(address_);
+    pool_->OnClosed(address_);
   }
 }
 
@@ -129,7 +129,7 @@
   SchedulePrune();
 }
 
-auto ConnectionPool::Forget(const std::string& address) -> void {
+auto ConnectionPool::OnClosed(const std::string& address) -> void {
   const auto found = addresses_.find(address);
   --found->second.in_use;
   if (found->second.in_use == 0 && found->second.idle.empty()) {
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -73,7 +73,7 @@
   auto TakeIdle(const std::string& address) -> std::shared_ptr<DeadlineSocket>;
   auto Return(const std::string& address, std::shared_ptr<DeadlineSocket> io)
       -> void;
-  auto Forget(const std::string& address) -> void;
+  auto OnClosed(const std::string& address) -> void;
   auto DropExpired() -> void;
   auto SchedulePrune() -> void;
 
