--- a/src/upstream/http_exchange.cc
+++ b/src/upstream/http_exchange.cc
@@ -58,8 +58,8 @@
 // How far one attempt on one connection got.
 struct Attempt {
   std::optional<ServiceResponse> response = std::nullopt;
-  bool bytes_left = false;    // A byte of the request may have been sent.
-  bool answer_begun = false;  // A byte of the response arrived.
+  bool bytes_sent = false;      // A byte of the request may have been sent.
+  bool response_begun = false;  // A byte of the response arrived.
   bool timed_out = false;
   std::string reason = {};
 };
@@ -77,7 +77,7 @@
     const auto bytes = co_await http::async_read(
         io.socket(), io.buffer(), parser,
         asio::redirect_error(asio::use_awaitable, error));
-    attempt.answer_begun = attempt.answer_begun || bytes > 0;
+    attempt.response_begun = attempt.response_begun || bytes > 0;
     if (error) {
       attempt.reason = error.message();
       co_return;
@@ -104,8 +104,8 @@
   boost::system::error_code error;
   const auto written = co_await http::async_write(
       io.socket(), message, asio::redirect_error(asio::use_awaitable, error));
-  attempt.bytes_left = written > 0;
-  if (error && !attempt.bytes_left) {
+  attempt.bytes_sent = written > 0;
+  if (error && !attempt.bytes_sent) {
     attempt.timed_out = io.timed_out();
     attempt.reason = error.message();
     co_return attempt;
@@ -151,11 +151,11 @@
     if (attempt.response) {
       co_return std::move(*attempt.response);
     }
-    may_have_run = may_have_run || attempt.bytes_left;
+    may_have_run = may_have_run || attempt.bytes_sent;
     reason = attempt.timed_out ? "no response in time" : attempt.reason;
     // Only a reused connection can have been closed before this request.
     const auto stale =
-        connection->reused() && !attempt.answer_begun && !attempt.timed_out;
+        connection->reused() && !attempt.response_begun && !attempt.timed_out;
     if (!stale || reuse == Reuse::kFreshOnly) {
       break;
     }
