--- a/src/upstream/http_engine_client.cc
+++ b/src/upstream/http_engine_client.cc
@@ -122,7 +122,7 @@
   auto Run(Request message) -> asio::awaitable<StreamEnd> {
     co_await Attempt(message, Reuse::kAllowed);
     if (stale_ && !cancelled_) {
-      maybe_run_before_ = sent_;
+      may_have_run_ = sent_;
       co_await Attempt(message, Reuse::kFreshOnly);
     }
     connection_ = nullptr;
@@ -151,7 +151,7 @@
   }
 
   // Lost for an engine that may have begun, refused for one that has not.
-  auto EndWithoutAnswer(std::string reason) -> void {
+  auto EndWithoutResponse(std::string reason) -> void {
     End(sent_ ? Kind::kLost : Kind::kRefused, std::move(reason));
   }
 
@@ -161,7 +161,7 @@
       const auto left = first_byte_by_ - std::chrono::steady_clock::now();
       connection_ = co_await pool_->Acquire(address_, reuse, left);
     } catch (const Error& error) {
-      EndWithoutAnswer(error.what());
+      EndWithoutResponse(error.what());
       co_return;
     }
     if (cancelled_) {
@@ -177,13 +177,13 @@
     }
     if (error && written == 0) {
       stale_ = connection_->reused() && !io.timed_out();
-      EndWithoutAnswer("request not sent: " + error.message());
+      EndWithoutResponse("request not sent: " + error.message());
       co_return;
     }
-    co_await ReadAnswer();
+    co_await ReadResponse();
   }
 
-  auto ReadAnswer() -> asio::awaitable<void> {
+  auto ReadResponse() -> asio::awaitable<void> {
     auto& io = connection_->io();
     boost::system::error_code error;
     Parser parser;
@@ -195,8 +195,9 @@
       // Nothing of an answer came on a connection that was idle before: the
       // engine had most likely closed it before this request.
       stale_ = connection_->reused() && bytes == 0 && !io.timed_out();
-      EndWithoutAnswer(io.timed_out() ? "no answer in time"
-                                      : "connection lost: " + error.message());
+      EndWithoutResponse(io.timed_out()
+                             ? "no answer in time"
+                             : "connection lost: " + error.message());
       co_return;
     }
     const auto status = static_cast<int>(parser.get().result_int());
@@ -222,7 +223,7 @@
         "engine answered " + std::to_string(status) + ": " + ErrorMessage(body);
     if (IsRefusal(status)) {
       // A first attempt on a stale connection may have reached the engine.
-      End(maybe_run_before_ ? Kind::kLost : Kind::kRefused, reason);
+      End(may_have_run_ ? Kind::kLost : Kind::kRefused, reason);
     } else if (status >= kStatusBadRequest && status < kStatusInternalError) {
       End(Kind::kRejected, reason);
     } else {
@@ -251,7 +252,7 @@
       const auto size = bytes.size() - target.size;
       if (size > 0) {
         begun = true;
-        TakeBytes({bytes.data(), size});
+        HandleBytes({bytes.data(), size});
       }
       if (finished_) {
         break;
@@ -291,9 +292,9 @@
     }
   }
 
-  auto TakeBytes(std::string_view bytes) -> void {
+  auto HandleBytes(std::string_view bytes) -> void {
     const auto fits = events_.Feed(bytes, [this](std::string_view data) {
-      TakeEvent(data);
+      HandleEvent(data);
       return !finished_ && !cancelled_;
     });
     if (!fits && !finished_) {
@@ -306,7 +307,7 @@
     End(kind, std::move(reason));
   }
 
-  auto TakeEvent(std::string_view data) -> void {
+  auto HandleEvent(std::string_view data) -> void {
     if (data == "[DONE]") {
       if (end_.finish_reason.empty()) {
         end_.finish_reason = "stop";
@@ -329,13 +330,13 @@
              "engine error: " + event.error_message);
       return;
     }
-    TakeToken(event);
+    HandleToken(event);
     if (!event.finish_reason.empty()) {
       end_.finish_reason = std::move(event.finish_reason);
     }
   }
 
-  auto TakeToken(detail::EngineEvent& event) -> void {
+  auto HandleToken(detail::EngineEvent& event) -> void {
     if (!event.offset) {
       if (!event.text.empty()) {
         Finish(Kind::kLost, "token without kqg_offset");
@@ -401,8 +402,8 @@
   std::shared_ptr<Connection> connection_;
   detail::SseParser events_;
   StreamEnd end_;
-  bool sent_ = false;              // A byte of the request may have left.
-  bool maybe_run_before_ = false;  // By an attempt on a stale connection.
+  bool sent_ = false;          // A byte of the request may have left.
+  bool may_have_run_ = false;  // By an attempt on a stale connection.
   bool stale_ = false;
   bool cancelled_ = false;
   bool finished_ = false;  // An event has ended the stream.
--- a/src/upstream/sse_parser.h
+++ b/src/upstream/sse_parser.h
@@ -30,7 +30,7 @@
       const auto line = std::string_view(pending_).substr(start, end - start);
       start = end + 1;
       scanned_ = start;
-      if (!TakeLine(line)) {
+      if (!ProcessLine(line)) {
         continue;
       }
       const auto more = on_event(std::string_view(data_));
@@ -47,7 +47,7 @@
 
  private:
   // Returns true when the line ends an event that has data.
-  auto TakeLine(std::string_view line) -> bool {
+  auto ProcessLine(std::string_view line) -> bool {
     if (!line.empty() && line.back() == '\r') {
       line.remove_suffix(1);
     }
