--- a/include/kumquatgauge/store/rate_limiter.h
+++ b/include/kumquatgauge/store/rate_limiter.h
@@ -24,9 +24,9 @@
   std::uint32_t fleet_size = 1;
   // A node may borrow up to this part of the fleet's rate while the platform
   // does not complain, since most nodes are idle at any moment.
-  double largest_share = 0.1;
+  double max_share = 0.1;
   // Calls that may be made at once after a quiet time, in seconds of the rate;
-  // at least kSmallestBurst calls.
+  // at least kMinBurst calls.
   double burst_seconds = 1.0;
 
   auto operator==(const RateLimits&) const -> bool = default;
@@ -34,7 +34,7 @@
 
 // Lets a node that has just started read its state without waiting, although
 // its share of a large fleet is a few calls per second.
-inline constexpr double kSmallestBurst = 20;
+inline constexpr double kMinBurst = 20;
 
 // Keeps a node's platform calls within its share of the fleet's rate: one token
 // bucket for reads and one for writes, each with a queue in which a more urgent
--- a/src/store/rate_limiter.cc
+++ b/src/store/rate_limiter.cc
@@ -39,11 +39,11 @@
 auto RateLimiter::Ceiling(CallKind kind) const -> double {
   const auto fleet =
       kind == CallKind::kRead ? limits_.fleet_reads : limits_.fleet_writes;
-  return std::max(Share(kind), fleet * limits_.largest_share);
+  return std::max(Share(kind), fleet * limits_.max_share);
 }
 
 auto RateLimiter::Capacity(const Bucket& bucket) const -> double {
-  return std::max(kSmallestBurst, bucket.rate * limits_.burst_seconds);
+  return std::max(kMinBurst, bucket.rate * limits_.burst_seconds);
 }
 
 auto RateLimiter::Arrive(CallKind kind,
--- a/src/store/rate_limiter_test.cc
+++ b/src/store/rate_limiter_test.cc
@@ -18,7 +18,7 @@
   }
   // Takes what may be done at once.
   auto UseBurst() -> void {
-    for (auto i = 0; i < kSmallestBurst; ++i) {
+    for (auto i = 0; i < kMinBurst; ++i) {
       Arrive(CallClass::kStatus);
     }
     limiter.Tick(now);
