--- a/include/kumquatgauge/store/rate_limiter.h
+++ b/include/kumquatgauge/store/rate_limiter.h
@@ -84,8 +84,8 @@
     std::array<std::deque<Waiting>, kCallClasses> queues;
   };
 
-  auto Share(CallKind kind) const -> double;
-  auto Ceiling(CallKind kind) const -> double;
+  auto FairShare(CallKind kind) const -> double;
+  auto MaxRate(CallKind kind) const -> double;
   auto Capacity(const Bucket& bucket) const -> double;
   auto Refill(CallKind kind, MonotonicTime now) -> void;
   auto bucket(CallKind kind) -> Bucket& {
--- a/src/store/rate_limiter.cc
+++ b/src/store/rate_limiter.cc
@@ -6,11 +6,11 @@
 namespace kumquatgauge::store {
 namespace {
 
-// Share of the node's equal share by which the rate rises per second while
+// FairShare of the node's equal share by which the rate rises per second while
 // calls wait. At the target scale a busy node reaches the ceiling of a tenth of
 // the fleet's rate in about half a minute.
-constexpr double kRisePerSecond = 1.0;
-constexpr double kBackoff = 0.5;
+constexpr double kIncreasePerSecond = 1.0;
+constexpr double kDecreaseFactor = 0.5;
 
 auto Seconds(Duration duration) -> double {
   return std::chrono::duration<double>(duration).count();
@@ -25,21 +25,21 @@
 
 RateLimiter::RateLimiter(RateLimits limits) : limits_(limits) {
   for (const auto kind : {CallKind::kRead, CallKind::kWrite}) {
-    bucket(kind).rate = Share(kind);
+    bucket(kind).rate = FairShare(kind);
     bucket(kind).tokens = Capacity(bucket(kind));
   }
 }
 
-auto RateLimiter::Share(CallKind kind) const -> double {
+auto RateLimiter::FairShare(CallKind kind) const -> double {
   const auto fleet =
       kind == CallKind::kRead ? limits_.fleet_reads : limits_.fleet_writes;
   return fleet / std::max<std::uint32_t>(limits_.fleet_size, 1);
 }
 
-auto RateLimiter::Ceiling(CallKind kind) const -> double {
+auto RateLimiter::MaxRate(CallKind kind) const -> double {
   const auto fleet =
       kind == CallKind::kRead ? limits_.fleet_reads : limits_.fleet_writes;
-  return std::max(Share(kind), fleet * limits_.max_share);
+  return std::max(FairShare(kind), fleet * limits_.max_share);
 }
 
 auto RateLimiter::Capacity(const Bucket& bucket) const -> double {
@@ -74,8 +74,8 @@
       std::any_of(refilled.queues.begin(), refilled.queues.end(),
                   [](const auto& queue) { return !queue.empty(); });
   if (calls_wait && refilled.tokens < 1) {
-    const auto rise = Share(kind) * kRisePerSecond * elapsed;
-    refilled.rate = std::min(Ceiling(kind), refilled.rate + rise);
+    const auto increase = FairShare(kind) * kIncreasePerSecond * elapsed;
+    refilled.rate = std::min(MaxRate(kind), refilled.rate + increase);
   }
   refilled.tokens =
       std::min(Capacity(refilled), refilled.tokens + elapsed * refilled.rate);
@@ -117,7 +117,7 @@
 auto RateLimiter::OnRateExceeded(CallKind kind, MonotonicTime now) -> void {
   Refill(kind, now);
   auto& exceeded = bucket(kind);
-  exceeded.rate = std::max(Share(kind), exceeded.rate * kBackoff);
+  exceeded.rate = std::max(FairShare(kind), exceeded.rate * kDecreaseFactor);
   exceeded.tokens = std::min(exceeded.tokens, 0.0);
 }
 
@@ -132,7 +132,7 @@
   limits_.fleet_size = nodes;
   for (const auto kind : {CallKind::kRead, CallKind::kWrite}) {
     auto& current = bucket(kind);
-    current.rate = std::clamp(current.rate, Share(kind), Ceiling(kind));
+    current.rate = std::clamp(current.rate, FairShare(kind), MaxRate(kind));
   }
 }
 
