--- a/include/kumquatgauge/store/rate_limiter.h
+++ b/include/kumquatgauge/store/rate_limiter.h
@@ -54,7 +54,7 @@
   explicit RateLimiter(RateLimits limits);
 
   // Queues one call that is worth making until `deadline`. Tick admits it.
-  auto Arrive(CallKind kind, CallClass call_class, MonotonicTime deadline)
+  auto Enqueue(CallKind kind, CallClass call_class, MonotonicTime deadline)
       -> Ticket;
   // Removes a call that no longer wants to be made.
   auto Cancel(Ticket ticket) -> void;
--- a/src/store/platform_client.cc
+++ b/src/store/platform_client.cc
@@ -100,8 +100,8 @@
   }
 
   auto Admit(const PlatformCall& call, CallKind kind) -> awaitable<void> {
-    const auto ticket = limiter.Arrive(kind, call.call_class,
-                                       clock() + options.admission_timeout);
+    const auto ticket = limiter.Enqueue(kind, call.call_class,
+                                        clock() + options.admission_timeout);
     const auto waiter = std::make_shared<Waiter>(executor);
     waiters.emplace(ticket, waiter);
     Pump();
--- a/src/store/rate_limiter.cc
+++ b/src/store/rate_limiter.cc
@@ -46,9 +46,9 @@
   return std::max(kMinBurst, bucket.rate * limits_.burst_seconds);
 }
 
-auto RateLimiter::Arrive(CallKind kind,
-                         CallClass call_class,
-                         MonotonicTime deadline) -> Ticket {
+auto RateLimiter::Enqueue(CallKind kind,
+                          CallClass call_class,
+                          MonotonicTime deadline) -> Ticket {
   const auto ticket = ++last_ticket_;
   bucket(kind)
       .queues.at(static_cast<std::size_t>(call_class))
--- a/src/store/rate_limiter_test.cc
+++ b/src/store/rate_limiter_test.cc
@@ -12,14 +12,14 @@
     RateLimits{.fleet_reads = 2000, .fleet_writes = 600, .fleet_size = 300};
 
 struct Fixture {
-  auto Arrive(CallClass call_class, Duration patience = seconds(60))
+  auto Enqueue(CallClass call_class, Duration patience = seconds(60))
       -> RateLimiter::Ticket {
-    return limiter.Arrive(CallKind::kWrite, call_class, now + patience);
+    return limiter.Enqueue(CallKind::kWrite, call_class, now + patience);
   }
   // Takes what may be done at once.
   auto UseBurst() -> void {
     for (auto i = 0; i < kMinBurst; ++i) {
-      Arrive(CallClass::kStatus);
+      Enqueue(CallClass::kStatus);
     }
     limiter.Tick(now);
   }
@@ -28,7 +28,7 @@
     auto admitted = std::size_t{0};
     for (const auto end = now + duration; now < end; now += milliseconds(100)) {
       while (limiter.waiting() < 10) {
-        Arrive(CallClass::kResult);
+        Enqueue(CallClass::kResult);
       }
       admitted += limiter.Tick(now).admitted.size();
     }
@@ -42,9 +42,9 @@
 // Guards against lease renewals that wait behind results.
 TEST_CASE_METHOD(Fixture, "RateLimiter.AdmitsTheMoreUrgentClassFirst") {
   UseBurst();
-  const auto status = Arrive(CallClass::kStatus);
-  const auto result = Arrive(CallClass::kResult);
-  const auto lease = Arrive(CallClass::kLease);
+  const auto status = Enqueue(CallClass::kStatus);
+  const auto result = Enqueue(CallClass::kResult);
+  const auto lease = Enqueue(CallClass::kLease);
   auto admitted = std::vector<RateLimiter::Ticket>();
   for (auto i = 0; i < 30; ++i) {
     now += milliseconds(100);
@@ -80,7 +80,7 @@
 // Guards against calls that wait for ever.
 TEST_CASE_METHOD(Fixture, "RateLimiter.ExpiresACallAtItsDeadline") {
   UseBurst();
-  const auto ticket = Arrive(CallClass::kLease, milliseconds(100));
+  const auto ticket = Enqueue(CallClass::kLease, milliseconds(100));
   const auto first = limiter.Tick(now);
   CHECK(first.admitted.empty());
   CHECK(first.next == now + milliseconds(100));
@@ -92,15 +92,15 @@
 // Guards against writes that are starved by reads.
 TEST_CASE_METHOD(Fixture, "RateLimiter.CountsReadsAndWritesApart") {
   UseBurst();
-  limiter.Arrive(CallKind::kRead, CallClass::kStatus, now + seconds(1));
+  limiter.Enqueue(CallKind::kRead, CallClass::kStatus, now + seconds(1));
   CHECK(limiter.Tick(now).admitted.size() == 1);
 }
 
 // Guards against a burst of the whole fleet when an outage ends.
 TEST_CASE_METHOD(Fixture, "RateLimiter.HasNoBurstAfterDrain") {
   limiter.DrainBurst(now);
-  Arrive(CallClass::kResult);
-  Arrive(CallClass::kResult);
+  Enqueue(CallClass::kResult);
+  Enqueue(CallClass::kResult);
   CHECK(limiter.Tick(now).admitted.size() == 1);
 }
 
