--- a/include/kumquatgauge/store/platform_client.h
+++ b/include/kumquatgauge/store/platform_client.h
@@ -56,7 +56,7 @@
   CallClass call_class = CallClass::kStatus;
   bool watch = false;
   // The target has a rate limit of its own: its 429 is an answer.
-  bool own_rate = false;
+  bool own_rate_limit = false;
   std::chrono::milliseconds extra_timeout{0};  // How long a watch waits.
 };
 
--- a/src/store/platform_client.cc
+++ b/src/store/platform_client.cc
@@ -159,7 +159,7 @@
   auto ThrowOnErrorStatus(const PlatformCall& call,
                           CallKind kind,
                           const detail::HttpResponse& response) -> void {
-    if (response.status == kTooManyRequests && !call.own_rate) {
+    if (response.status == kTooManyRequests && !call.own_rate_limit) {
       ++counts.rate_exceeded;
       limiter.OnRateExceeded(kind, clock());
       retry_after = response.retry_after.value_or(std::chrono::seconds(1));
--- a/src/store/weight_store.cc
+++ b/src/store/weight_store.cc
@@ -18,7 +18,7 @@
   call.method = "GET";
   call.target = "/weights/" + detail::UrlEncode(name);
   call.object = "weights " + name;
-  call.own_rate = true;
+  call.own_rate_limit = true;
   const auto response = co_await client_.Call(std::move(call));
   if (response.status == kTooManyRequests) {
     co_return response.retry_after.value_or(std::chrono::seconds(1));
