--- a/src/store/http_client.cc
+++ b/src/store/http_client.cc
@@ -33,7 +33,7 @@
 constexpr std::uint64_t kMaxResponseBytes = 8'000'000;
 constexpr auto kHex = std::string_view("0123456789ABCDEF");
 // Besides letters and digits, what stands for itself in a path or query.
-constexpr auto kPlain = std::string_view("-._~/");
+constexpr auto kUnreserved = std::string_view("-._~/");
 
 auto ParseEndpoint(const std::string& address) -> tcp::endpoint {
   const auto colon = address.rfind(':');
@@ -248,7 +248,8 @@
     const auto letter_or_digit = (byte >= '0' && byte <= '9') ||
                                  (byte >= 'A' && byte <= 'Z') ||
                                  (byte >= 'a' && byte <= 'z');
-    if (letter_or_digit || kPlain.find(character) != std::string_view::npos) {
+    if (letter_or_digit ||
+        kUnreserved.find(character) != std::string_view::npos) {
       encoded += character;
     } else {
       encoded += '%';
