--- a/src/store/http_object_store_test.cc
+++ b/src/store/http_object_store_test.cc
@@ -52,7 +52,7 @@
   }
   // Kind of the error that the call throws; nothing when it throws none.
   template <typename Call>
-  auto KindOf(Call call) -> std::optional<ErrorKind> {
+  auto ErrorKindOf(Call call) -> std::optional<ErrorKind> {
     try {
       call();
     } catch (const Error& error) {
@@ -84,33 +84,34 @@
 // reverse.
 TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReportsConflictAndNotFound") {
   Write("a", "one");
-  CHECK(KindOf([&] { Write("a", "two"); }) == ErrorKind::kConflict);
-  CHECK(KindOf([&] { Write("a", "two", 7); }) == ErrorKind::kConflict);
-  CHECK(KindOf([&] { Write("none", "x", 1); }) == ErrorKind::kConflict);
-  CHECK(KindOf([&] { Remove("a", 7); }) == ErrorKind::kConflict);
-  CHECK(KindOf([&] { Remove("none", 1); }) == ErrorKind::kNotFound);
-  CHECK(KindOf([&] { Write("big", std::string(kMaxValueBytes + 1, 'x')); }) ==
-        ErrorKind::kInvalidArgument);
+  CHECK(ErrorKindOf([&] { Write("a", "two"); }) == ErrorKind::kConflict);
+  CHECK(ErrorKindOf([&] { Write("a", "two", 7); }) == ErrorKind::kConflict);
+  CHECK(ErrorKindOf([&] { Write("none", "x", 1); }) == ErrorKind::kConflict);
+  CHECK(ErrorKindOf([&] { Remove("a", 7); }) == ErrorKind::kConflict);
+  CHECK(ErrorKindOf([&] { Remove("none", 1); }) == ErrorKind::kNotFound);
+  CHECK(ErrorKindOf([&] {
+          Write("big", std::string(kMaxValueBytes + 1, 'x'));
+        }) == ErrorKind::kInvalidArgument);
 }
 
 TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReportsALostAnswerAsUnknown") {
   fake.SetFault({{"mode", "lose_answers"}});
-  CHECK(KindOf([&] { Write("a", "one"); }) == ErrorKind::kUnknownOutcome);
+  CHECK(ErrorKindOf([&] { Write("a", "one"); }) == ErrorKind::kUnknownOutcome);
   CHECK(fake.Value("a") == "one");
-  CHECK(KindOf([&] { Remove("a", 1); }) == ErrorKind::kUnknownOutcome);
+  CHECK(ErrorKindOf([&] { Remove("a", 1); }) == ErrorKind::kUnknownOutcome);
   CHECK_FALSE(fake.Value("a").has_value());
 }
 
 TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReportsASilentPlatform") {
   fake.SetFault({{"mode", "outage"}, {"kind", "hang"}});
-  CHECK(KindOf([&] { Read("a"); }) == ErrorKind::kTimeout);
-  CHECK(KindOf([&] { Write("a", "one"); }) == ErrorKind::kUnknownOutcome);
+  CHECK(ErrorKindOf([&] { Read("a"); }) == ErrorKind::kTimeout);
+  CHECK(ErrorKindOf([&] { Write("a", "one"); }) == ErrorKind::kUnknownOutcome);
 }
 
 TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReportsAnOutageAsUnavailable") {
   fake.SetFault({{"mode", "outage"}, {"kind", "error"}});
-  CHECK(KindOf([&] { Read("a"); }) == ErrorKind::kUnavailable);
-  CHECK(KindOf([&] { Write("a", "one"); }) == ErrorKind::kUnavailable);
+  CHECK(ErrorKindOf([&] { Read("a"); }) == ErrorKind::kUnavailable);
+  CHECK(ErrorKindOf([&] { Write("a", "one"); }) == ErrorKind::kUnavailable);
   CHECK_FALSE(fake.Value("a").has_value());
 }
 
@@ -118,8 +119,8 @@
   Write("a", "one");
   fake.Stop();
   RunUntil(context, [&] { return context.poll() == 0; });
-  CHECK(KindOf([&] { Write("a", "two", 1); }) == ErrorKind::kUnavailable);
-  CHECK(KindOf([&] { Read("a"); }) == ErrorKind::kUnavailable);
+  CHECK(ErrorKindOf([&] { Write("a", "two", 1); }) == ErrorKind::kUnavailable);
+  CHECK(ErrorKindOf([&] { Read("a"); }) == ErrorKind::kUnavailable);
 }
 
 // Guards against callers that wait for a timeout each while the platform is
@@ -127,15 +128,15 @@
 TEST_CASE_METHOD(Fixture, "HttpObjectStore.RefusesAtOnceInAnOutageAndReturns") {
   fake.SetFault({{"mode", "outage"}, {"kind", "error"}});
   for (auto i = 0; i < 5; ++i) {
-    KindOf([&] { Read("a"); });
+    ErrorKindOf([&] { Read("a"); });
   }
   const auto sent = client.counts().failures;
-  CHECK(KindOf([&] { Read("a"); }) == ErrorKind::kUnavailable);
+  CHECK(ErrorKindOf([&] { Read("a"); }) == ErrorKind::kUnavailable);
   CHECK_THAT(last_message, Catch::Contains("retry in "));
   CHECK(client.counts().failures == sent);
   CHECK(client.last_retry_after() > Duration(0));
   fake.SetFault({{"mode", "none"}});
-  RunUntil(context, [&] { return !KindOf([&] { Read("a"); }); });
+  RunUntil(context, [&] { return !ErrorKindOf([&] { Read("a"); }); });
   CHECK(client.circuit_state() == Circuit::State::kClosed);
 }
 
@@ -144,7 +145,7 @@
 TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReplacesClosedIdleConnections") {
   Write("a", "one");
   fake.SetFault({{"mode", "lose_answers"}, {"prefix", "b"}});
-  KindOf([&] { Write("b", "x"); });
+  ErrorKindOf([&] { Write("b", "x"); });
   fake.SetFault({{"mode", "none"}});
   CHECK(Write("a", "two", 1) == 2);
   CHECK(Read("a")->value == "two");
@@ -210,7 +211,7 @@
 
 TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReportsAnExceededRate") {
   fake.SetFault({{"mode", "rates"}, {"writes_per_second", 0.1}});
-  CHECK(KindOf([&] { Write("a", "one"); }) == ErrorKind::kOverloaded);
+  CHECK(ErrorKindOf([&] { Write("a", "one"); }) == ErrorKind::kOverloaded);
   CHECK(client.counts().rate_exceeded == 1);
   CHECK(client.last_retry_after() >= std::chrono::seconds(1));
 }
