--- a/bench/batch_platform_load.cc
+++ b/bench/batch_platform_load.cc
@@ -31,11 +31,11 @@
 };
 
 auto Measure(std::size_t jobs, std::size_t items) -> Calls {
-  auto world = TestCluster();
-  world.slots = kSlots;
-  world.item_time = kItemTime;
+  auto cluster = TestCluster();
+  cluster.slots = kSlots;
+  cluster.item_time = kItemTime;
   auto calls = Calls();
-  world.set_fault([&](const auto& call, const auto& key) {
+  cluster.set_fault([&](const auto& call, const auto& key) {
     const auto job = key.starts_with("job/");
     if (call == "read") {
       (job ? calls.job_reads : calls.shard_reads) += 1;
@@ -44,18 +44,18 @@
     }
     return StoreFault::kNone;
   });
-  world.StartNode("a");
-  world.StartNode("b");
-  const auto start = world.clock.now();
+  cluster.StartNode("a");
+  cluster.StartNode("b");
+  const auto start = cluster.clock.now();
   for (std::size_t i = 0; i < jobs; ++i) {
-    const auto job = world.MakeJob("j" + std::to_string(i), items);
-    world.Submit("a", job);
-    world.AdvanceUntil(std::chrono::hours(24),
-                       [&] { return world.Finished(job); });
+    const auto job = cluster.MakeJob("j" + std::to_string(i), items);
+    cluster.Submit("a", job);
+    cluster.AdvanceUntil(std::chrono::hours(24),
+                         [&] { return cluster.Finished(job); });
   }
   calls.items = static_cast<double>(jobs * items);
   calls.seconds =
-      std::chrono::duration<double>(world.clock.now() - start).count();
+      std::chrono::duration<double>(cluster.clock.now() - start).count();
   return calls;
 }
 
--- a/bench/batch_takeover.cc
+++ b/bench/batch_takeover.cc
@@ -22,28 +22,28 @@
 
 // `known_after`: time until the other nodes know of the death.
 auto Measure(int phase, Duration known_after, Duration call_time) -> double {
-  auto world = TestCluster(static_cast<std::uint64_t>(phase));
-  world.death_detection_delay = known_after;
-  world.resolution = milliseconds(1);
+  auto cluster = TestCluster(static_cast<std::uint64_t>(phase));
+  cluster.death_detection_delay = known_after;
+  cluster.resolution = milliseconds(1);
   for (const auto* name : {"a", "b", "c", "d"}) {
-    world.StartNode(name);
+    cluster.StartNode(name);
   }
-  const auto job = world.MakeJob("j", 4'000);
-  world.Submit("a", job);
-  world.store_delay = call_time;
-  world.AdvanceUntil(std::chrono::minutes(1),
-                     [&] { return world.State(job).results() >= 500; });
-  world.Advance(TestCluster::kStep * phase);
-  const auto owner = world.OwnerOf(job);
-  world.Kill(owner);
-  const auto death = world.clock.now();
-  world.AdvanceUntil(std::chrono::minutes(1), [&] {
+  const auto job = cluster.MakeJob("j", 4'000);
+  cluster.Submit("a", job);
+  cluster.store_delay = call_time;
+  cluster.AdvanceUntil(std::chrono::minutes(1),
+                       [&] { return cluster.State(job).results() >= 500; });
+  cluster.Advance(TestCluster::kStep * phase);
+  const auto owner = cluster.OwnerOf(job);
+  cluster.Kill(owner);
+  const auto death = cluster.clock.now();
+  cluster.AdvanceUntil(std::chrono::minutes(1), [&] {
     return std::any_of(
-        world.nodes.begin(), world.nodes.end(), [&](const auto& node) {
+        cluster.nodes.begin(), cluster.nodes.end(), [&](const auto& node) {
           return node.first != owner && !node.second.runner->starts.empty();
         });
   });
-  return InSeconds(world.clock.now() - death);
+  return InSeconds(cluster.clock.now() - death);
 }
 
 }  // namespace
--- a/bench/batch_writes.cc
+++ b/bench/batch_writes.cc
@@ -25,8 +25,8 @@
 // the parts that each state update names are compared after each step.
 class WriteCounter {
  public:
-  WriteCounter(TestCluster& world, JobId job) : job_(std::move(job)) {
-    world.set_fault([this](const auto& call, const auto& key) {
+  WriteCounter(TestCluster& cluster, JobId job) : job_(std::move(job)) {
+    cluster.set_fault([this](const auto& call, const auto& key) {
       if (call == "write") {
         Count(key);
       }
@@ -74,20 +74,20 @@
 };
 
 auto Measure(Duration item_time, bool takeover) -> ChunkWrites {
-  auto world = TestCluster();
-  world.item_time = item_time;
-  world.StartNode("a");
-  world.StartNode("b");
-  const auto job = world.MakeJob("j", kChunks * kChunkItems);
-  auto counter = WriteCounter(world, job.id());
-  world.Submit("a", job);
+  auto cluster = TestCluster();
+  cluster.item_time = item_time;
+  cluster.StartNode("a");
+  cluster.StartNode("b");
+  const auto job = cluster.MakeJob("j", kChunks * kChunkItems);
+  auto counter = WriteCounter(cluster, job.id());
+  cluster.Submit("a", job);
   auto killed = !takeover;
-  while (!world.Finished(job)) {
-    world.Advance(TestCluster::kStep);
-    const auto state = world.State(job);
+  while (!cluster.Finished(job)) {
+    cluster.Advance(TestCluster::kStep);
+    const auto state = cluster.State(job);
     counter.Observe(state);
     if (!killed && state.results() >= kChunks * kChunkItems / 2) {
-      world.Kill(world.OwnerOf(job));
+      cluster.Kill(cluster.OwnerOf(job));
       killed = true;
     }
   }
