--- a/bench/routing_fleet.h
+++ b/bench/routing_fleet.h
@@ -307,8 +307,8 @@
     request.measured = request.arrived >= measuring_from_;
     if (service == kModel) {
       std::exponential_distribution<double> length(1.0 / options_.mean_tokens);
-      constexpr double kMostTokens = 400.0;
-      auto drawn = std::min(length(simulation_.random()), kMostTokens);
+      constexpr double kMaxTokens = 400.0;
+      auto drawn = std::min(length(simulation_.random()), kMaxTokens);
       request.tokens = 1 + static_cast<std::uint32_t>(drawn);
       result_.arrived += request.measured ? 1 : 0;
       ++result_.all_arrived;
--- a/bench/routing_overload.cc
+++ b/bench/routing_overload.cc
@@ -56,10 +56,10 @@
   report.Measured("offered_load_without_retry_budget",
                   amplification(unbounded));
   // The budget starts with what it earns in one second.
-  auto most_retries = kRetryShare * static_cast<double>(overload.all_arrived) +
-                      kRetriesPerSecond * (overload.attempt_seconds + 1.0);
+  auto max_retries = kRetryShare * static_cast<double>(overload.all_arrived) +
+                     kRetriesPerSecond * (overload.attempt_seconds + 1.0);
   report.AtMost("offered_load_with_retry_budget", amplification(overload),
-                1.0 + most_retries / static_cast<double>(overload.all_arrived));
+                1.0 + max_retries / static_cast<double>(overload.all_arrived));
 
   for (auto load : {1.0, 2.0}) {
     auto adaptive = RunWithLimit(report, load, true);
