--- a/src/store/http_host_list.cc
+++ b/src/store/http_host_list.cc
@@ -14,7 +14,7 @@
   call.object = "host list";
   call.call_class = CallClass::kConfiguration;
   const auto response = co_await client_.Call(std::move(call));
-  const auto json = detail::ParseAnswer(response, "host list");
+  const auto json = detail::ParseResponse(response, "host list");
   auto snapshot = HostListSnapshot();
   detail::Convert("host list", [&] {
     snapshot.version = json.at("version").get<std::uint64_t>();
--- a/src/store/http_object_store.cc
+++ b/src/store/http_object_store.cc
@@ -109,7 +109,7 @@
   call.object = prefix;
   call.call_class = call_class;
   const auto response = co_await client_.Call(std::move(call));
-  const auto json = detail::ParseAnswer(response, prefix);
+  const auto json = detail::ParseResponse(response, prefix);
   auto page = ListPage();
   detail::Convert(prefix, [&] {
     for (const auto& entry : json.at("objects")) {
@@ -135,7 +135,7 @@
   call.watch = true;
   call.extra_timeout = timeout;
   const auto response = co_await client_.Call(std::move(call));
-  const auto json = detail::ParseAnswer(response, prefix);
+  const auto json = detail::ParseResponse(response, prefix);
   auto batch = WatchBatch();
   detail::Convert(prefix, [&] {
     for (const auto& event : json.at("events")) {
--- a/src/store/response_json.cc
+++ b/src/store/response_json.cc
@@ -36,7 +36,7 @@
   }
 }
 
-auto ParseAnswer(const PlatformResponse& response, const std::string& object)
+auto ParseResponse(const PlatformResponse& response, const std::string& object)
     -> nlohmann::json {
   CheckOk(response, object);
   auto json = nlohmann::json();
--- a/src/store/response_json.h
+++ b/src/store/response_json.h
@@ -15,7 +15,7 @@
     -> void;
 
 // Parses the body of an answer with status 200.
-auto ParseAnswer(const PlatformResponse& response, const std::string& object)
+auto ParseResponse(const PlatformResponse& response, const std::string& object)
     -> nlohmann::json;
 
 // Runs `convert` and turns JSON exceptions into Error(kInternal).
