--- a/src/store/rate_limiter_test.cc
+++ b/src/store/rate_limiter_test.cc
@@ -12,9 +12,9 @@
     RateLimits{.fleet_reads = 2000, .fleet_writes = 600, .fleet_size = 300};
 
 struct Fixture {
-  auto Enqueue(CallClass call_class, Duration patience = seconds(60))
+  auto Enqueue(CallClass call_class, Duration timeout = seconds(60))
       -> RateLimiter::Ticket {
-    return limiter.Enqueue(CallKind::kWrite, call_class, now + patience);
+    return limiter.Enqueue(CallKind::kWrite, call_class, now + timeout);
   }
   // Takes what may be done at once.
   auto UseBurst() -> void {
