--- a/bench/routing_fleet.h
+++ b/bench/routing_fleet.h
@@ -352,7 +352,7 @@
     auto& request = requests_.at(id);
     auto picked = Choose(request);
     if (!picked) {
-      return Refused(id);
+      return OnRefused(id);
     }
     request.replica = *picked;
     if (request.service == kModel) {
@@ -395,14 +395,15 @@
       }
       auto load = replicas_[replica].dispatcher->load();
       auto outcome = action.outcome;
-      simulation_.After(Milliseconds(0.3),
-                        [this, id, load, outcome] { Busy(id, load, outcome); });
+      simulation_.After(Milliseconds(0.3), [this, id, load, outcome] {
+        OnBusy(id, load, outcome);
+      });
     }
     Share(replica);
   }
-  auto Busy(std::uint64_t id,
-            const routing::ReplicaLoad& load,
-            const Outcome& outcome) -> void {
+  auto OnBusy(std::uint64_t id,
+              const routing::ReplicaLoad& load,
+              const Outcome& outcome) -> void {
     auto& request = requests_.at(id);
     auto& node = *nodes_[request.entry];
     node.router->OnLoad(load);
@@ -414,12 +415,12 @@
     auto decision = options_.retry ? node.policy->Decide(request.retry, result)
                                    : routing::RetryDecision();
     if (!decision.retry) {
-      return Refused(id);
+      return OnRefused(id);
     }
     ++request.retry.busy_retries;
     Attempt(id);
   }
-  auto Refused(std::uint64_t id) -> void {
+  auto OnRefused(std::uint64_t id) -> void {
     const auto& request = requests_.at(id);
     if (request.measured && request.service == kModel) {
       ++result_.refused;
@@ -441,9 +442,9 @@
         nodes_[request.entry]->router->OnLoad(upstream.dispatcher->load());
       }
       if (options_.outlier) {
-        Ejections(*nodes_[request.entry],
-                  nodes_[request.entry]->outliers->OnSuccess(upstream.info.id,
-                                                             latency));
+        ApplyEjections(*nodes_[request.entry],
+                       nodes_[request.entry]->outliers->OnSuccess(
+                           upstream.info.id, latency));
       }
     } else if (tokens % kProgressEvery == 0 &&
                options_.choice != Choice::kDirect) {
@@ -492,12 +493,12 @@
   auto TickOutliers() -> void {
     for (auto& node : nodes_) {
       if (options_.outlier) {
-        Ejections(*node, node->outliers->OnTick());
+        ApplyEjections(*node, node->outliers->OnTick());
       }
     }
   }
-  static auto Ejections(Node& node,
-                        const routing::OutlierDetector::Changes& changes)
+  static auto ApplyEjections(Node& node,
+                             const routing::OutlierDetector::Changes& changes)
       -> void {
     for (const auto& change : changes) {
       node.router->SetEjection(change.replica, change.state);
