--- a/include/kumquatgauge/upstream/engine_client.h
+++ b/include/kumquatgauge/upstream/engine_client.h
@@ -14,13 +14,13 @@
 
 namespace kumquatgauge::upstream {
 
-// Load as an engine or plain service reports it, with its lag.
+// Load reported by an engine or a plain service.
 struct LoadReport {
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t capacity = 1;
   double kv_used = 0.0;              // Share of the KV cache in use, 0..1.
-  std::chrono::milliseconds age{0};  // Age of the figures when answered.
+  std::chrono::milliseconds age{0};  // Age of the figures when sent.
   std::vector<std::string> models;   // "model@version" loaded now.
 
   auto operator==(const LoadReport&) const -> bool = default;
@@ -28,9 +28,9 @@
 
 // An order to an engine; see docs/design.md, section 10.
 struct EngineOrder {
-  std::uint64_t fence = 0;
-  std::string operation;  // Operation id; a repeated one has no new effect.
-  std::string action;     // "load", "unload" or "role"
+  std::uint64_t fence = 0;  // Fencing token.
+  std::string operation;    // Operation id; a repeated one has no new effect.
+  std::string action;       // "load", "unload" or "role"
   std::string model;
   std::string version;
 
@@ -49,8 +49,8 @@
 struct StreamEnd {
   enum class Kind {
     kCompleted,
-    kRejected,   // 4xx: the request itself is bad; nothing was generated.
-    kRefused,    // Connection refused or 429/503 before the start: not run.
+    kRejected,   // 4xx: the request is invalid; nothing was generated.
+    kRefused,    // Connection refused or 429/503 before the start; not run.
     kFailed,     // 5xx: it may have run.
     kLost,       // Connection lost or no progress in time; resumable.
     kCancelled,  // Cancelled through the handle.
@@ -72,8 +72,8 @@
 
   // Streams the completion from the engine at `address` and passes tokens from
   // request.resume_offset on to `sink`, each once and in order. `on_start` gets
-  // the handle before the first byte is sent. Does not throw for failures of
-  // the engine: StreamEnd says what happened.
+  // the handle before the first byte is sent. Failures of the engine are not
+  // thrown but reported in StreamEnd.
   virtual auto Stream(
       std::string address,
       routing::CompletionRequest request,
@@ -84,8 +84,8 @@
   virtual auto Load(std::string address)
       -> boost::asio::awaitable<LoadReport> = 0;
 
-  // Throws Error(kConflict) when the engine refused an old fencing number,
-  // Error(kUnknownOutcome) when the answer was lost.
+  // Throws Error(kConflict) when the engine rejects an outdated fencing token,
+  // and Error(kUnknownOutcome) when the response was lost.
   virtual auto SendOrder(std::string address, EngineOrder order)
       -> boost::asio::awaitable<void> = 0;
 };
--- a/include/kumquatgauge/upstream/http_engine_client.h
+++ b/include/kumquatgauge/upstream/http_engine_client.h
@@ -18,23 +18,23 @@
 
 struct EngineClientSettings {
   ConnectionSettings connections;
-  // From the request to the response header and from there to the first
-  // event; the time left of the request shortens it.
+  // From the request to the first event of the response; at most the time left
+  // for the request.
   std::chrono::milliseconds first_byte_timeout{10'000};
   // Between two reads of a stream that has begun.
   std::chrono::milliseconds progress_timeout{2'000};
   std::chrono::milliseconds load_timeout{1'000};
   std::chrono::milliseconds order_timeout{30'000};
-  // How long a cancelled stream waits for the engine to confirm, so that a
-  // later stream of the same request id cannot meet the old cancel.
+  // How long a cancelled stream waits for the engine to confirm, so that the
+  // cancel cannot stop a later stream with the same request id.
   std::chrono::milliseconds cancel_timeout{100};
 
   auto operator==(const EngineClientSettings&) const -> bool = default;
 };
 
 // EngineClient over HTTP/1.1. One instance per io_context; not thread-safe.
-// Running calls must end before the executor's context does, not before the
-// client.
+// Running calls must end before the executor's context is destroyed, but may
+// outlive the client.
 class HttpEngineClient : public EngineClient {
  public:
   explicit HttpEngineClient(const boost::asio::any_io_executor& executor,
--- a/include/kumquatgauge/upstream/http_service_client.h
+++ b/include/kumquatgauge/upstream/http_service_client.h
@@ -25,9 +25,9 @@
   auto operator==(const ServiceClientSettings&) const -> bool = default;
 };
 
-// ServiceClient over HTTP/1.1. One instance per io_context; not thread-safe.
-// A repeatable request that met a reused connection closed by the service
-// before any byte of a response is sent once more, on a fresh connection.
+// ServiceClient over HTTP/1.1. One instance per io_context; not thread-safe. A
+// repeatable request is sent once more on a new connection if the service
+// closes a reused connection before any byte of a response.
 class HttpServiceClient : public ServiceClient {
  public:
   explicit HttpServiceClient(const boost::asio::any_io_executor& executor,
--- a/include/kumquatgauge/upstream/replica_call.h
+++ b/include/kumquatgauge/upstream/replica_call.h
@@ -20,12 +20,13 @@
   std::string target;
   HeaderList headers;
   std::string body;
-  // How often it may be sent, each of which may run it. With more than one, a
-  // kept connection that closes before any answer is replaced by a new one.
+  // How often the request may be sent; it may run each time. If more than once,
+  // it is sent again on a new connection when a reused one is closed before any
+  // byte of a response.
   std::uint32_t max_sends = 1;
-  // Nothing is read or sent after this.
+  // Nothing is sent or read after this time.
   MonotonicTime deadline;
-  // Longest wait for the head of the answer, and then for each next byte.
+  // Timeouts for the response head and then for each further read of the body.
   Duration head_timeout{};
   Duration body_idle_timeout{};
 };
@@ -37,25 +38,26 @@
   auto operator==(const ReplicaHead&) const -> bool = default;
 };
 
-// Why no further byte comes.
+// State of a call, or why it ended.
 enum class CallEnd {
-  kOpen,       // More may come.
-  kComplete,   // The whole answer was read.
-  kNotSent,    // No byte of the request has left.
-  kBroken,     // The connection ended or broke.
-  kMalformed,  // The bytes are no answer to this request.
-  kSilent,     // A silence limit passed.
+  kOpen,       // More may follow.
+  kComplete,   // The whole response was read.
+  kNotSent,    // No byte of the request was sent.
+  kBroken,     // The connection was closed or lost.
+  kMalformed,  // The bytes are no response to this request.
+  kSilent,     // head_timeout or body_idle_timeout passed.
   kDeadline,   // The deadline passed.
   kCancelled,
 };
 
 auto CallEndName(CallEnd end) -> std::string_view;
 
-// Judges a head before it is taken as the answer: false for the answer to
-// another request, which may lie on a kept connection.
+// Returns whether a response head belongs to the request: false for the
+// response to an earlier request, which may arrive on a reused connection.
 using HeadFilter = std::function<auto(const ReplicaHead&)->bool>;
 
-// Makes requests to replicas on kept connections. One instance per io_context.
+// Sends requests to replicas over pooled connections. One instance per
+// io_context.
 class ReplicaCaller {
  public:
   ReplicaCaller(const boost::asio::any_io_executor& executor,
@@ -65,10 +67,10 @@
   auto operator=(const ReplicaCaller&) -> ReplicaCaller& = delete;
 
   class Call;
-  // `accept_head` must accept the head of the answer to this request.
+  // `accept_head` must accept the response head of this request.
   auto Start(ReplicaRequest request, HeadFilter accept_head)
       -> std::shared_ptr<Call>;
-  // Connections opened since the start.
+  // Number of connections opened so far.
   auto opened() const -> std::uint64_t;
 
  private:
@@ -76,25 +78,26 @@
   std::shared_ptr<Impl> impl_;
 };
 
-// One request on its way. Not thread-safe. Destroying it closes the connection
-// unless the answer was complete.
+// One request in flight. Not thread-safe. Destroying it closes the connection
+// unless the response was complete.
 class ReplicaCaller::Call : public std::enable_shared_from_this<Call> {
  public:
   virtual ~Call() = default;
 
-  // Sends the request and waits for the head of the answer; kOpen on success.
+  // Sends the request and waits for the response head; returns kOpen on
+  // success.
   virtual auto Open() -> boost::asio::awaitable<CallEnd> = 0;
   // Waits for further bytes of the body and appends them to `bytes`. Returns
-  // kOpen while more may come; the last bytes may come with kComplete.
+  // kOpen while more may follow; the last bytes may be returned with kComplete.
   virtual auto Read(std::string& bytes) -> boost::asio::awaitable<CallEnd> = 0;
-  // Ends the call from outside; pending calls return kCancelled.
+  // Cancels the call; pending operations return kCancelled.
   virtual auto Cancel() -> void = 0;
 
   virtual auto head() const -> const ReplicaHead& = 0;
   virtual auto bytes_sent() const -> bool = 0;
   // How often the request was sent so far.
   virtual auto sends() const -> std::uint32_t = 0;
-  // Text of the failure, for logs.
+  // Description of the failure, for logs.
   virtual auto reason() const -> const std::string& = 0;
 };
 
--- a/include/kumquatgauge/upstream/service_client.h
+++ b/include/kumquatgauge/upstream/service_client.h
@@ -15,7 +15,7 @@
 
 struct ServiceRequest {
   std::string method;
-  std::string target;  // Path and query as the service sees them.
+  std::string target;  // Path and query.
   std::vector<HttpHeader> headers;
   std::string body;
 
@@ -35,11 +35,11 @@
  public:
   virtual ~ServiceClient() = default;
 
-  // Sends the request once; never retries by itself. A request that may not be
-  // repeated is sent on a fresh connection, so that a connection which the
-  // service has just closed cannot leave its outcome in doubt. Errors:
+  // Sends the request once; never retries by itself. A request that must not be
+  // repeated is sent on a new connection, because a reused one that the service
+  // has just closed would leave its outcome unknown. Errors:
   //   kUnavailable: no byte of the request was written; it has not run.
-  //   kUnknownOutcome: bytes may have left and no whole answer came back.
+  //   kUnknownOutcome: bytes may have been sent; no whole response arrived.
   virtual auto Send(std::string address,
                     ServiceRequest request,
                     bool repeatable,
--- a/src/upstream/connection_pool.cc
+++ b/src/upstream/connection_pool.cc
@@ -72,7 +72,7 @@
       endpoint, asio::redirect_error(asio::use_awaitable, error));
   if (error) {
     const std::string what =
-        io->timed_out() ? "no connection in time" : error.message();
+        io->timed_out() ? "connection timed out" : error.message();
     throw Error(ErrorKind::kUnavailable, what, address,
                 "use another replica or retry later");
   }
@@ -109,7 +109,8 @@
     // The most recently used one is the least likely to have been closed.
     auto io = std::move(entry.idle.back().io);
     entry.idle.pop_back();
-    // An unread byte between requests belongs to no request.
+    // Unread data between requests belongs to no request, and at an end of
+    // stream the peer has closed the connection.
     if (!io->Readable()) {
       ++entry.in_use;
       return io;
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -16,7 +16,7 @@
 
 class ConnectionPool;
 
-// A connection out of the pool; closed when destroyed without Release.
+// A connection taken from the pool; closed if destroyed without Release.
 class Connection {
  public:
   Connection(std::shared_ptr<DeadlineSocket> io,
@@ -28,9 +28,9 @@
   ~Connection();
 
   auto io() -> DeadlineSocket& { return *io_; }
-  // It has carried an earlier request.
+  // Whether it has carried an earlier request.
   auto reused() const -> bool { return reused_; }
-  // Gives the connection back for reuse; not used afterwards.
+  // Returns the connection to the pool; must not be used afterwards.
   auto Release() -> void;
 
  private:
@@ -42,14 +42,15 @@
 
 enum class Reuse { kAllowed, kFreshOnly };
 
-// Keep-alive connections per address, for one io_context.
+// Pool of keep-alive connections per address, for one io_context.
 class ConnectionPool : public std::enable_shared_from_this<ConnectionPool> {
  public:
   ConnectionPool(const boost::asio::any_io_executor& executor,
                  ConnectionSettings settings);
 
-  // Throws Error(kUnavailable): refused, unreachable, not connected within the
-  // connect timeout or `limit`, or the cap is reached.
+  // Throws Error(kUnavailable) if the connection is refused, the address is
+  // unreachable, connecting takes longer than the connect timeout or `limit`,
+  // or max_connections are in use.
   auto Acquire(std::string address, Reuse reuse, Duration limit)
       -> boost::asio::awaitable<std::shared_ptr<Connection>>;
 
--- a/src/upstream/deadline_socket.cc
+++ b/src/upstream/deadline_socket.cc
@@ -79,8 +79,9 @@
 // A composed read may be between two reads when the deadline passes, so
 // cancelling the pending operation alone would not end it.
 auto DeadlineSocket::Expire() -> void {
-  // Bytes may wait in the socket, or have been read while their handler still
-  // waits for its turn in this thread: the second look comes after that turn.
+  // Data may be unread in the socket, or have been read while its handler is
+  // still queued on this thread: the check after the grace period runs after
+  // that handler.
   if (on_expiry_ == OnExpiry::kCloseIfNoData &&
       (!in_read_grace_ || (Readable() && !PeerClosed()))) {
     ExpireAfter(kLateReadGrace, on_expiry_);
--- a/src/upstream/deadline_socket.h
+++ b/src/upstream/deadline_socket.h
@@ -10,16 +10,16 @@
 
 namespace kumquatgauge::upstream::detail {
 
-// A TCP socket with a read buffer and a deadline that may be moved while an
-// operation runs. Moving it later costs no timer operation.
+// A TCP socket with a read buffer and a deadline that may be changed while an
+// operation runs. Postponing it needs no timer operation.
 class DeadlineSocket : public std::enable_shared_from_this<DeadlineSocket> {
  public:
   enum class OnExpiry {
     kStopReading,  // Reads end as at end of stream; writing stays possible.
     kClose,
-    // Closes only when no byte waits unread. Otherwise this thread was late,
-    // not the other side, and gets a moment to read: a busy node must not give
-    // up streams that go on.
+    // Closes only if there is no unread data. Otherwise this thread was late,
+    // not the peer, and gets a grace period to read: a busy node must not abort
+    // streams that make progress.
     kCloseIfNoData,
   };
 
@@ -33,9 +33,9 @@
   auto ExpireAt(MonotonicTime deadline, OnExpiry on_expiry) -> void;
   auto Disarm() -> void;
   auto Close() -> void;
-  // True when the other side has closed, without waiting.
+  // Whether the peer has closed the connection. Does not block.
   auto PeerClosed() -> bool;
-  // True when unread bytes or an end of stream wait, without waiting.
+  // Whether unread data or an end of stream is pending. Does not block.
   auto Readable() -> bool;
 
  private:
@@ -50,7 +50,7 @@
   std::uint64_t generation_ = 0;
   OnExpiry on_expiry_ = OnExpiry::kClose;
   bool timed_out_ = false;
-  bool in_read_grace_ = false;  // The deadline has passed once already.
+  bool in_read_grace_ = false;  // The deadline has passed once.
 };
 
 }  // namespace kumquatgauge::upstream::detail
--- a/src/upstream/endpoint.h
+++ b/src/upstream/endpoint.h
@@ -6,7 +6,7 @@
 
 namespace kumquatgauge::upstream::detail {
 
-// Reads "IP:port" or "[IPv6]:port"; throws Error(kInvalidArgument).
+// Parses "IP:port" or "[IPv6]:port"; throws Error(kInvalidArgument).
 auto ParseEndpoint(const std::string& address)
     -> boost::asio::ip::tcp::endpoint;
 
--- a/src/upstream/engine_event.cc
+++ b/src/upstream/engine_event.cc
@@ -34,7 +34,7 @@
   return key == "code" ? Field::kCode : Field::kOther;
 }
 
-// Picks the few fields out of an event without building a document: at 100,000
+// Extracts the few needed fields without building a document: at 100,000
 // tokens/s the allocations of a document tree would take most of a core.
 class EventReader : public nlohmann::json_sax<nlohmann::json> {
  public:
--- a/src/upstream/engine_event.h
+++ b/src/upstream/engine_event.h
@@ -8,7 +8,7 @@
 
 namespace kumquatgauge::upstream::detail {
 
-// What one event of a completion stream says.
+// Contents of one event of a completion stream.
 struct EngineEvent {
   std::string text;
   std::optional<std::uint64_t> offset;  // "kqg_offset"
@@ -20,7 +20,7 @@
   auto operator==(const EngineEvent&) const -> bool = default;
 };
 
-// Reads the data of one event into `event`; false when it is malformed.
+// Parses the data of one event into `event`; returns false if it is malformed.
 auto ParseEngineEvent(std::string_view data, EngineEvent& event) -> bool;
 
 }  // namespace kumquatgauge::upstream::detail
--- a/src/upstream/http_engine_client.cc
+++ b/src/upstream/http_engine_client.cc
@@ -32,7 +32,7 @@
 using OnExpiry = detail::DeadlineSocket::OnExpiry;
 
 constexpr std::size_t kReadBytes = 32U << 10U;
-constexpr std::size_t kShownBytes = 200;  // Of an error body.
+constexpr std::size_t kShownBytes = 200;  // Of an error body in messages.
 constexpr std::size_t kMaxErrorBodyBytes = 64U << 10U;
 constexpr std::size_t kMaxReplyBytes = 1U << 20U;
 constexpr int kStatusOk = 200;
@@ -42,7 +42,7 @@
 constexpr int kStatusInternalError = 500;
 constexpr int kStatusUnavailable = 503;
 // After [DONE] the end of the message usually follows in the same segment; a
-// connection whose end has not come by then is not worth waiting for.
+// connection on which it has not arrived by then is closed instead of reused.
 constexpr std::chrono::milliseconds kTailTimeout{20};
 
 auto IsRefusal(int status) -> bool {
@@ -75,7 +75,7 @@
   return message;
 }
 
-// "message" of an error object, or the start of the body.
+// Returns "message" of an error object, or the start of the body.
 auto ErrorMessage(const std::string& body) -> std::string {
   const auto value = json::parse(body, nullptr, false);
   if (value.is_object() && value.contains("error")) {
@@ -88,7 +88,7 @@
   return body.substr(0, kShownBytes);
 }
 
-// One stream from one engine; also the handle that cancels it.
+// A stream from one engine, and the handle that cancels it.
 class EngineStream : public StreamHandle {
  public:
   EngineStream(std::shared_ptr<ConnectionPool> pool,
@@ -103,7 +103,7 @@
         sink_(std::move(sink)),
         first_byte_by_(std::chrono::steady_clock::now() +
                        FirstByteLimit(settings, request)) {
-    end_.kind = Kind::kLost;  // Until something says otherwise.
+    end_.kind = Kind::kLost;  // Until another end is known.
     end_.next_offset = request.resume_offset;
   }
 
@@ -150,7 +150,7 @@
     end_.reason = std::move(reason);
   }
 
-  // Lost for an engine that may have begun, refused for one that has not.
+  // Reports the request as lost if it may have run, else as refused.
   auto EndWithoutResponse(std::string reason) -> void {
     End(sent_ ? Kind::kLost : Kind::kRefused, std::move(reason));
   }
@@ -192,7 +192,7 @@
         io.socket(), io.buffer(), parser,
         asio::redirect_error(asio::use_awaitable, error));
     if (error) {
-      // Nothing of an answer came on a connection that was idle before: the
+      // No byte of a response arrived on a connection that was idle before: the
       // engine had most likely closed it before this request.
       stale_ = connection_->reused() && bytes == 0 && !io.timed_out();
       EndWithoutResponse(io.timed_out()
@@ -278,8 +278,8 @@
     }
   }
 
-  // Parses the chunks that are here already. An eager parser would do so too,
-  // but its async_read_some reads on until the body buffer is full.
+  // Parses the chunks that are already buffered. An eager parser would do so
+  // too, but its async_read_some keeps reading until the body buffer is full.
   auto ParseBuffered(Parser& parser, boost::system::error_code& error) -> void {
     auto& buffer = connection_->io().buffer();
     while (!error && buffer.size() > 0 && !parser.is_done() &&
@@ -321,8 +321,7 @@
       return;
     }
     if (event.error) {
-      // A refusal after the start says nothing against another engine going
-      // on at this offset.
+      // After a refusal in mid-stream another engine may resume at this offset.
       const auto resumable = event.error_code == "429" ||
                              event.error_code == "503" ||
                              event.error_code == "overloaded";
@@ -379,8 +378,8 @@
     }
   }
 
-  // Frees the engine's slot even when it does not notice the closed
-  // connection. Failures do not matter: the connection is closed anyway.
+  // Frees the engine's slot even if it does not notice the closed connection.
+  // Failures do not matter: the connection is closed anyway.
   auto CancelAtEngine() -> asio::awaitable<void> {
     ServiceRequest request;
     request.method = "POST";
@@ -402,16 +401,17 @@
   std::shared_ptr<Connection> connection_;
   detail::SseParser events_;
   StreamEnd end_;
-  bool sent_ = false;          // A byte of the request may have left.
-  bool may_have_run_ = false;  // By an attempt on a stale connection.
+  bool sent_ = false;          // A byte of the request may have been sent.
+  bool may_have_run_ = false;  // In an attempt on a stale connection.
   bool stale_ = false;
   bool cancelled_ = false;
   bool finished_ = false;  // An event has ended the stream.
   bool ended_ = false;
 };
 
-// Releases the sink with the coroutine, also when its io_context is destroyed
-// first: a sink usually leads to a cancel hook that holds the stream's handle.
+// Releases the sink when the coroutine is destroyed, even if by the destruction
+// of its io_context. A sink usually refers to a cancel hook that holds the
+// stream's handle, which would be a reference cycle.
 struct SinkGuard {
   explicit SinkGuard(std::shared_ptr<EngineStream> guarded)
       : stream(std::move(guarded)) {}
@@ -476,15 +476,17 @@
   try {
     response = co_await detail::Exchange(pool_, address, request, true, limits);
   } catch (const Error& error) {
-    // Reading the load has no effect, so a lost answer is no unknown outcome.
+    // Reading the load has no effect, so a lost response leaves no unknown
+    // outcome.
     throw Error(error.kind() == ErrorKind::kUnknownOutcome ? ErrorKind::kTimeout
                                                            : error.kind(),
                 "no load report", address, "wait for the next report");
   }
   if (response.status != kStatusOk) {
-    throw Error(ErrorKind::kUnavailable,
-                "load report answered " + std::to_string(response.status),
-                address, "check the upstream");
+    throw Error(
+        ErrorKind::kUnavailable,
+        "load report returned status " + std::to_string(response.status),
+        address, "check the upstream");
   }
   try {
     co_return ToLoadReport(response.body);
@@ -512,10 +514,10 @@
   if (response.status == kStatusOk) {
     co_return;
   }
-  const auto what = "order answered " + std::to_string(response.status) + ": " +
-                    ErrorMessage(response.body);
+  const auto what = "order returned status " + std::to_string(response.status) +
+                    ": " + ErrorMessage(response.body);
   if (response.status == kStatusConflict) {
-    throw Error(ErrorKind::kConflict, "fencing number is too old", address,
+    throw Error(ErrorKind::kConflict, "fencing token is outdated", address,
                 "stop: another holder of the lease has taken over");
   }
   if (IsRefusal(response.status)) {
--- a/src/upstream/http_engine_client_test.cc
+++ b/src/upstream/http_engine_client_test.cc
@@ -144,7 +144,6 @@
   CHECK(fixture.text == FakeAnswer("crossover", kTokens));
 }
 
-// Guards against chat bodies being sent to the completion endpoint.
 // Guards against a client that reads on until its buffer is full: the caller
 // then saw the first token only when the answer was complete.
 TEST_CASE("HttpEngineClient.DeliversTokensAsTheyAreGenerated") {
@@ -158,6 +157,7 @@
   CHECK(fixture.Finish().kind == Kind::kCompleted);
 }
 
+// Guards against chat bodies being sent to the completion endpoint.
 TEST_CASE("HttpEngineClient.StreamsChatCompletions") {
   Fixture fixture;
   auto request = MakeRequest("");
@@ -198,7 +198,7 @@
   CHECK(fixture.engine.executions().size() == 2);
 }
 
-// Guards against "lost" for a request that certainly has not run.
+// Guards against reporting a request as lost that certainly did not run.
 TEST_CASE("HttpEngineClient.ReportsRefusedWhenNothingListens") {
   Fixture fixture;
   const auto address = fixture.engine.address();
@@ -229,7 +229,7 @@
   CHECK(fixture.Run(MakeRequest("[[engine error]]")).kind == Kind::kFailed);
 }
 
-// Guards against a partial answer taken for a whole one.
+// Guards against a partial response taken for a complete one.
 TEST_CASE("HttpEngineClient.ReportsLostWhenEngineDiesMidStream") {
   Fixture fixture;
   FakeEngineFaults faults;
@@ -241,7 +241,8 @@
   CHECK(fixture.text == FakeAnswer("die", 5));
 }
 
-// Guards against "refused" for a request that an engine may have begun.
+// Guards against reporting a request as refused that an engine may have
+// started.
 TEST_CASE("HttpEngineClient.ReportsLostWhenKilledOnReusedConnection") {
   Fixture fixture;
   fixture.Run(MakeRequest("first"));
@@ -250,7 +251,7 @@
   CHECK(fixture.engine.executions().size() == 2);
 }
 
-// Guards against waiting for ever on a silent connection.
+// Guards against waiting forever on a connection without data.
 TEST_CASE("HttpEngineClient.ReportsLostWhenEngineFreezesBeforeFirstToken") {
   Fixture fixture;
   FakeEngineFaults faults;
@@ -274,7 +275,8 @@
   CHECK(fixture.text == FakeAnswer("freeze", end.next_offset));
 }
 
-// Guards against a busy node giving up streams whose tokens wait in the socket.
+// Guards against a busy node aborting streams whose tokens are unread in the
+// socket.
 TEST_CASE("HttpEngineClient.KeepsAStreamWhenItsOwnThreadWasLate") {
   asio::io_context engine_context(1);
   FakeEngine engine(engine_context, FastEngine());
@@ -297,7 +299,7 @@
   CHECK(end.reason.empty());
 }
 
-// Guards against a refusal after tokens being reported as not run.
+// Guards against reporting a refusal after the first tokens as not run.
 TEST_CASE("HttpEngineClient.ReportsLostWhenEngineRefusesAfterTheStart") {
   Fixture fixture;
   FakeEngineFaults faults;
@@ -318,7 +320,7 @@
   CHECK(fixture.WaitForOutcome("dropped"));
 }
 
-// Guards against work that goes on after a cancel.
+// Guards against an engine that keeps running a cancelled request.
 TEST_CASE("HttpEngineClient.CancelStopsTheRunningRequestAtTheEngine") {
   Fixture fixture;
   fixture.Start(fixture.engine.address(), MakeRequest("cancel", 100'000));
@@ -395,7 +397,7 @@
   CHECK(fixture.text == "a");
 }
 
-// Guards against line ends or event borders being taken for data.
+// Guards against line ends or event boundaries being taken for data.
 TEST_CASE("HttpEngineClient.ReadsEventsWithCarriageReturnsAndComments") {
   Fixture fixture;
   ScriptedEngine engine(
@@ -407,7 +409,7 @@
   CHECK(fixture.text == "a\nb");
 }
 
-// Guards against more connections than the engine was meant to get.
+// Guards against opening more than max_connections to an engine.
 TEST_CASE("HttpEngineClient.RefusesAboveTheConnectionCap") {
   Fixture fixture;
   auto settings = ShortLimits();
@@ -443,7 +445,7 @@
   CHECK(load.models == std::vector<std::string>{"small@1"});
 }
 
-// Guards against "unknown" for a read without effect.
+// Guards against reporting an unknown outcome for a read, which has no effect.
 TEST_CASE("HttpEngineClient.LoadTimesOutWhenEngineIsFrozen") {
   Fixture fixture;
   FakeEngineFaults faults;
@@ -488,7 +490,7 @@
   CHECK_FALSE(OrderError(fixture, MakeOrder(4, "b")));
 }
 
-// Guards against a lost order answer taken for "not done".
+// Guards against taking an order whose response was lost as not executed.
 TEST_CASE("HttpEngineClient.OrderWithLostAnswerIsUnknown") {
   Fixture fixture;
   FakeEngineFaults faults;
--- a/src/upstream/http_exchange.cc
+++ b/src/upstream/http_exchange.cc
@@ -110,7 +110,7 @@
     attempt.reason = error.message();
     co_return attempt;
   }
-  // The response is read even after a failed write: a service may answer and
+  // The response is read even after a failed write: a service may respond and
   // close before it has read the whole request.
   const auto head = message.method() == http::verb::head;
   co_await ReadResponse(connection, head, max_bytes, attempt);
@@ -163,7 +163,7 @@
   }
   if (may_have_run) {
     throw Error(ErrorKind::kUnknownOutcome, reason, address,
-                "the request may have run; do not send it again blindly");
+                "the request may have run; check before sending it again");
   }
   throw Error(ErrorKind::kUnavailable, reason, address,
               "use another replica or retry later");
--- a/src/upstream/http_exchange.h
+++ b/src/upstream/http_exchange.h
@@ -13,7 +13,7 @@
 namespace kumquatgauge::upstream::detail {
 
 struct ExchangeLimits {
-  Duration timeout{};  // For everything, connecting included.
+  Duration timeout{};  // For the whole exchange, connecting included.
   std::size_t max_response_bytes = 0;
 };
 
--- a/src/upstream/http_service_client_test.cc
+++ b/src/upstream/http_service_client_test.cc
@@ -46,7 +46,7 @@
   HttpServiceClient client{context.get_executor()};
 };
 
-// Guards against headers of the hop or of the path being mixed up.
+// Guards against forwarding hop-by-hop headers and against dropping others.
 TEST_CASE("HttpServiceClient.PassesMethodTargetHeadersAndBody") {
   Fixture fixture;
   const auto response = fixture.Send(!kRepeatable);
@@ -59,7 +59,8 @@
   CHECK_FALSE(body["headers"].contains("connection"));
 }
 
-// Guards against a payment sent on a connection that may just be closing.
+// Guards against a payment sent on a connection that the service may be
+// closing.
 TEST_CASE("HttpServiceClient.SendsEachNonRepeatableCallOnAFreshConnection") {
   Fixture fixture;
   fixture.Send(!kRepeatable);
@@ -74,7 +75,7 @@
   CHECK(fixture.service.server().accepted() == 1);
 }
 
-// Guards against "unknown" for a repeatable call on a stale connection.
+// Guards against an unknown outcome of a repeatable call on a stale connection.
 TEST_CASE("HttpServiceClient.RepeatableCallSurvivesClosedIdleConnection") {
   Fixture fixture;
   fixture.Send(kRepeatable);
@@ -83,7 +84,7 @@
   CHECK(fixture.service.executions().size() == 2);
 }
 
-// Guards against "unknown" for a call that certainly has not run.
+// Guards against an unknown outcome of a call that certainly did not run.
 TEST_CASE("HttpServiceClient.IsUnavailableWhenNothingListens") {
   Fixture fixture;
   fixture.service.server().Close();
@@ -91,7 +92,7 @@
   CHECK(fixture.service.executions().empty());
 }
 
-// Guards against a second execution after a lost answer.
+// Guards against a second execution after a lost response.
 TEST_CASE("HttpServiceClient.LostAnswerIsUnknownAndIsSentOnce") {
   Fixture fixture;
   FakeServiceFaults faults;
@@ -127,7 +128,7 @@
   CHECK(fixture.service.executions().empty());
 }
 
-// A listener that accepts, reads and then behaves as `answer` says.
+// A listener that accepts a connection, reads a request and sends `answer`.
 struct ScriptedService {
   ScriptedService(asio::io_context& context, std::string answer)
       : acceptor(context, {asio::ip::make_address("127.0.0.1"), 0}) {
@@ -155,7 +156,7 @@
   int accepted = 0;
 };
 
-// Guards against half an answer being passed on as a whole one.
+// Guards against an incomplete response being returned as a complete one.
 TEST_CASE("HttpServiceClient.BrokenAnswerIsUnknownAndNotSentAgain") {
   const std::string answer =
       GENERATE("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
@@ -174,7 +175,7 @@
   CHECK(service.accepted == 1);
 }
 
-// Guards against an interim response taken for the answer.
+// Guards against an interim response taken for the final one.
 TEST_CASE("HttpServiceClient.SkipsInterimResponses") {
   Fixture fixture;
   ScriptedService service(
--- a/src/upstream/json_body.cc
+++ b/src/upstream/json_body.cc
@@ -36,7 +36,7 @@
 
 auto ParseJsonObject(std::string_view text) -> nlohmann::json {
   if (TooDeep(text)) {
-    throw Error(ErrorKind::kInvalidArgument, "JSON nested too deep",
+    throw Error(ErrorKind::kInvalidArgument, "JSON is nested too deeply",
                 "request body",
                 "nest at most " + std::to_string(kMaxJsonDepth) + " levels");
   }
--- a/src/upstream/json_body.h
+++ b/src/upstream/json_body.h
@@ -6,8 +6,8 @@
 
 namespace kumquatgauge::upstream::detail {
 
-// Deeper JSON is rejected: copying and writing a value recurse once per level,
-// so that a small body of brackets would overflow the stack.
+// Deeper JSON is rejected: copying and serialising a value recurse once per
+// level, so a small body of nested brackets would overflow the stack.
 inline constexpr int kMaxJsonDepth = 64;
 
 // Parses a JSON object from an untrusted source; throws
--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -26,10 +26,10 @@
 
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr int kFirstFinalStatus = 200;
-// Head of an answer; replicas send a few short headers.
+// Limit of a response head; replicas send a few short headers.
 constexpr std::uint32_t kMaxHeadBytes = 32'768;
 constexpr std::size_t kReadBytes = 16'384;
-// Answers to earlier requests that are skipped on one connection.
+// Responses to earlier requests that are skipped on one connection.
 constexpr int kMaxSkippedResponses = 2;
 
 auto ToMessage(ReplicaRequest& request)
@@ -97,7 +97,7 @@
         message_(ToMessage(request_)) {}
 
   ~HttpCall() override {
-    // The pending write holds the connection; closing it ends the write.
+    // The pending write keeps the connection alive; closing it ends the write.
     if (connection_) {
       connection_->io().Close();
     }
@@ -118,7 +118,7 @@
         co_return end;
       }
       reuse = detail::Reuse::kFreshOnly;
-      // The write may still be pending and holds the connection.
+      // The write may still be pending and keep the connection alive.
       connection_->io().Close();
       connection_ = nullptr;
     }
@@ -168,8 +168,8 @@
   }
 
   auto SendAndReadHead() -> awaitable<CallEnd> {
-    // Replicas may answer before they have read the whole request, so the
-    // request is written while the answer is awaited.
+    // Replicas may respond before they have read the whole request, so the
+    // response is awaited while the request is written.
     write_done_ = std::make_shared<bool>(false);
     auto writing =
         Write(connection_, message_, write_done_,
@@ -189,12 +189,12 @@
         co_return skip_end;
       }
     }
-    reason_ = "answers to other requests";
+    reason_ = "responses to other requests";
     co_return CallEnd::kMalformed;
   }
 
-  // Marks bytes as sent before the first one leaves: a write that fails may
-  // have sent a part.
+  // Counts the send before the first byte is written, because a failed write
+  // may have sent a part.
   static auto Write(std::shared_ptr<Connection> connection,
                     std::shared_ptr<http::request<http::string_body>> message,
                     std::shared_ptr<bool> done,
@@ -285,7 +285,7 @@
     return from_parser && !ended ? CallEnd::kMalformed : CallEnd::kBroken;
   }
 
-  // Keeps the connection for the next request if nothing is left on it.
+  // Returns the connection to the pool if the exchange on it is complete.
   auto Release() -> void {
     const auto clean = *write_done_ && parser_->get().keep_alive() &&
                        connection_->io().buffer().size() == 0 && !cancelled_;
--- a/src/upstream/replica_call_test.cc
+++ b/src/upstream/replica_call_test.cc
@@ -17,12 +17,12 @@
 using testing::RunAwait;
 using testing::RunUntil;
 
-// More than the buffers of two sockets take.
+// Larger than the buffers of two sockets, so that writing it blocks.
 constexpr std::size_t kLongBody = 24'000'000;
 constexpr auto kAnswer =
     std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
 
-// One connection of a replica that reads and writes as a test says.
+// The replica's end of a connection, controlled by a test.
 class ReplicaEnd {
  public:
   explicit ReplicaEnd(tcp::socket socket) : socket_(std::move(socket)) {
@@ -98,8 +98,8 @@
   ReplicaCaller caller{context.get_executor(), ConnectionSettings()};
 };
 
-// Guards against other bytes where the rest of a body is due, at a replica that
-// answers before it has read the body.
+// Guards against a request in the middle of the body of an earlier one: the
+// replica responded before it had read the body, and the connection was reused.
 TEST_CASE("ReplicaCaller.KeepsNoConnectionOnWhichABodyIsStillDue") {
   auto fixture = Fixture();
   const auto first = fixture.Start("/first", std::string(kLongBody, 'b'));
@@ -128,8 +128,8 @@
   }));
 }
 
-// Guards against the first copy of a request that is still written after a
-// second one was sent and the call was cancelled.
+// Guards against writing the first copy of a request to the end after a second
+// one was sent and the call was cancelled.
 TEST_CASE("ReplicaCaller.StopsWritingOnAConnectionThatItReplaces") {
   constexpr std::uint32_t kSends = 2;
   auto fixture = Fixture();
