--- a/include/kumquatgauge/store/circuit.h
+++ b/include/kumquatgauge/store/circuit.h
@@ -9,14 +9,14 @@
 namespace kumquatgauge::store {
 
 struct CircuitOptions {
-  // Consecutive failures that open the circuit. A single slow or lost answer
-  // is no outage.
+  // Consecutive failures that open the circuit. A single slow or lost response
+  // is not an outage.
   std::uint32_t failures_to_open = 5;
   Duration initial_backoff = std::chrono::milliseconds(500);
-  // A node must have read what it missed within 3 s of the platform's return,
-  // also if its last probe met silence. Well under the lease term of 6 s too,
-  // so that an owner renews its leases before another node may have observed
-  // them for a term.
+  // A node must have read what it missed within 3 s of the end of an outage,
+  // even if its last probe timed out. Also well below the lease term of 6 s, so
+  // that an owner renews its leases before another node can have observed them
+  // for a whole term.
   Duration max_backoff = std::chrono::seconds(1);
   // After this time a probe without a result no longer blocks the next one.
   Duration probe_timeout = std::chrono::seconds(3);
@@ -24,11 +24,11 @@
   auto operator==(const CircuitOptions&) const -> bool = default;
 };
 
-// Refuses calls at once while the platform is out. It opens after consecutive
-// failures, lets one probe through after a wait, and closes when the probe
-// succeeds. Waits double up to a bound and are drawn at random between half and
-// one and a half times their length, so that the nodes of a fleet do not return
-// at the same moment.
+// Circuit breaker that refuses calls immediately while the platform is
+// unavailable. It opens after consecutive failures, allows one probe after a
+// backoff, and closes when the probe succeeds. The backoff doubles up to
+// max_backoff, with random jitter between half and one and a half times its
+// length, so that the nodes of a fleet do not return at the same moment.
 class Circuit {
  public:
   enum class State { kClosed, kOpen, kProbing };
@@ -42,15 +42,17 @@
 
   Circuit(CircuitOptions options, RandomSource random);
 
-  // Asks before a call. `may_probe` is false for calls whose result comes late,
-  // such as watches; they wait for another call to close the circuit.
+  // Decides whether a call may be made now. `may_probe` is false for calls
+  // whose result comes late, such as watches; they wait for another call to
+  // close the circuit.
   auto Ask(MonotonicTime now, bool may_probe) -> Decision;
   auto OnSuccess() -> void;
-  // The platform did not answer, or answered that it is out.
+  // The platform did not respond, or responded that it is unavailable.
   auto OnFailure(MonotonicTime now) -> void;
 
   auto state() const -> State { return state_; }
-  // Whether a call succeeded after the circuit was open, since last asked.
+  // Whether a call has closed the open circuit since the last call of this
+  // function.
   auto TakeRecovered() -> bool;
 
  private:
--- a/include/kumquatgauge/store/host_list.h
+++ b/include/kumquatgauge/store/host_list.h
@@ -21,9 +21,9 @@
   auto operator==(const Host&) const -> bool = default;
 };
 
-// The platform's list of hosts; it lags behind the truth.
+// The platform's list of hosts, which may be out of date.
 struct HostListSnapshot {
-  std::uint64_t version = 0;  // Rises with every change of the list.
+  std::uint64_t version = 0;  // Increases with every change of the list.
   std::vector<Host> hosts;    // Ordered by name.
 
   auto operator==(const HostListSnapshot&) const -> bool = default;
@@ -33,7 +33,7 @@
  public:
   virtual ~HostList() = default;
 
-  // Throws Error(kUnavailable or kTimeout) when the platform does not answer.
+  // Throws Error(kUnavailable or kTimeout) when the platform does not respond.
   virtual auto Fetch() -> boost::asio::awaitable<HostListSnapshot> = 0;
 };
 
--- a/include/kumquatgauge/store/http_object_store.h
+++ b/include/kumquatgauge/store/http_object_store.h
@@ -29,7 +29,7 @@
             std::string after,
             std::size_t limit,
             CallClass call_class) -> boost::asio::awaitable<ListPage> override;
-  // Counts towards the rate as one configuration read.
+  // Counts as one configuration read in the rate limits.
   auto Watch(std::string prefix,
              std::uint64_t since,
              std::chrono::milliseconds timeout)
--- a/include/kumquatgauge/store/object_store.h
+++ b/include/kumquatgauge/store/object_store.h
@@ -28,7 +28,7 @@
 struct ListEntry {
   std::string key;
   std::uint64_t version = 0;
-  // Set by stores whose listing carries the values.
+  // Set by stores whose listing includes the values.
   std::optional<std::string> value = {};
 
   auto operator==(const ListEntry&) const -> bool = default;
@@ -36,8 +36,8 @@
 
 struct ListPage {
   std::vector<ListEntry> entries;  // Ordered by key.
-  std::uint64_t revision = 0;      // Where a watch may start.
-  bool more = false;               // Go on after the last key.
+  std::uint64_t revision = 0;      // From which a watch may start.
+  bool more = false;               // Entries follow the last key.
 
   auto operator==(const ListPage&) const -> bool = default;
 };
@@ -46,7 +46,7 @@
   std::string key;
   std::uint64_t version = 0;  // 0: the object was removed.
   std::uint64_t revision = 0;
-  // Set by stores whose events carry the values.
+  // Set by stores whose events include the values.
   std::optional<std::string> value = {};
 
   auto operator==(const WatchEvent&) const -> bool = default;
@@ -62,8 +62,8 @@
 // The platform's object API: values of up to kMaxValueBytes with versions,
 // conditional updates and watches. All calls run on the control thread and end
 // within the client's timeout. Errors of every call:
-//   kUnavailable, kTimeout, kOverloaded: certainly had no effect.
-//   kUnknownOutcome: a write may have taken effect; read back to find out.
+//   kUnavailable, kTimeout, kOverloaded: the call had no effect.
+//   kUnknownOutcome: a write may have taken effect; read the object back.
 class ObjectStore {
  public:
   virtual ~ObjectStore() = default;
@@ -95,7 +95,8 @@
       -> boost::asio::awaitable<ListPage> = 0;
 
   // Waits up to `timeout` for changes under `prefix` after `since`. Throws
-  // kNotFound when the store no longer has the history since then; list again.
+  // kNotFound when the store no longer keeps the history since then; the caller
+  // must list again.
   virtual auto Watch(std::string prefix,
                      std::uint64_t since,
                      std::chrono::milliseconds timeout)
--- a/include/kumquatgauge/store/platform_client.h
+++ b/include/kumquatgauge/store/platform_client.h
@@ -21,17 +21,17 @@
 
 struct PlatformOptions {
   std::string address;  // "IP:port"
-  // Longest time of one call after its admission by the rate limiter.
+  // Timeout of a call after its admission by the rate limiter.
   std::chrono::milliseconds call_timeout{1000};
-  // Longest wait for admission by the rate limiter.
+  // Timeout of the admission by the rate limiter.
   std::chrono::milliseconds admission_timeout{2000};
-  // Longest time between two calls on one connection.
+  // Connections that were idle for longer are not reused.
   std::chrono::milliseconds idle_limit{10'000};
   RateLimits limits;
   CircuitOptions circuit;
 };
 
-// Calls that were sent, by class, and what became of them.
+// Counters of calls by class and by result.
 struct CallCounts {
   std::array<std::uint64_t, kCallClasses> reads{};
   std::array<std::uint64_t, kCallClasses> writes{};
@@ -39,8 +39,8 @@
   std::uint32_t watches_waiting = 0;  // Open now.
   std::uint64_t refused_by_circuit = 0;
   std::uint64_t refused_by_limiter = 0;
-  std::uint64_t rate_exceeded = 0;  // The platform answered 429.
-  std::uint64_t failures = 0;       // No answer, or the platform is out.
+  std::uint64_t rate_exceeded = 0;  // The platform returned 429.
+  std::uint64_t failures = 0;       // No response, or status 5xx.
   std::uint64_t unknown_outcomes = 0;
 
   auto operator==(const CallCounts&) const -> bool = default;
@@ -52,10 +52,10 @@
   std::string target;
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
-  std::string object;  // For messages.
+  std::string object;  // For error messages.
   CallClass call_class = CallClass::kStatus;
   bool watch = false;
-  // The target has a rate limit of its own: its 429 is an answer.
+  // The target has a rate limit of its own: a 429 is returned to the caller.
   bool own_rate_limit = false;
   std::chrono::milliseconds extra_timeout{0};  // How long a watch waits.
 };
@@ -77,21 +77,22 @@
                  Clock clock,
                  RandomSource random);
 
-  // Returns answers below 500 other than 429. Errors:
-  //   kUnavailable: the circuit is open, the platform answered 503, the
-  //     connection was refused, or a read got no answer.
-  //   kTimeout: a read got no answer in time, or no connection could be made.
+  // Returns responses with a status below 500 other than 429. Errors:
+  //   kUnavailable: the circuit is open, the platform returned 503, the
+  //     connection was refused, or a read got no response.
+  //   kTimeout: a read got no response in time, or connecting timed out.
   //   kOverloaded: the rate limiter or the platform (429) refused it.
-  //   kUnknownOutcome: a write was sent and got no answer, or a 5xx but 503.
+  //   kUnknownOutcome: a write was sent and got no response, or a status 5xx
+  //     other than 503.
   auto Call(PlatformCall call) -> boost::asio::awaitable<PlatformResponse>;
 
-  // Adapts the node's share of the platform's rate.
+  // Updates the node's share of the platform's rate.
   auto SetFleetSize(std::uint32_t nodes) -> void;
 
   auto counts() const -> const CallCounts&;
   auto circuit_state() const -> Circuit::State;
   auto limiter() const -> const RateLimiter&;
-  // When the last refused call is worth repeating, for Retry-After.
+  // Time after which the last refused call may be retried, for Retry-After.
   auto last_retry_after() const -> Duration;
 
  private:
--- a/include/kumquatgauge/store/rate_limiter.h
+++ b/include/kumquatgauge/store/rate_limiter.h
@@ -18,15 +18,16 @@
 inline constexpr std::size_t kCallClasses = 5;
 
 struct RateLimits {
-  // Calls per second that the platform grants the whole fleet.
+  // Calls per second that the platform allows the whole fleet.
   double fleet_reads = 2000;
   double fleet_writes = 600;
   std::uint32_t fleet_size = 1;
   // A node may borrow up to this part of the fleet's rate while the platform
-  // does not complain, since most nodes are idle at any moment.
+  // does not report its rate as exceeded, since most nodes are idle at any
+  // moment.
   double max_share = 0.1;
-  // Calls that may be made at once after a quiet time, in seconds of the rate;
-  // at least kMinBurst calls.
+  // Burst that is allowed after idle time, in seconds of the rate; at least
+  // kMinBurst calls.
   double burst_seconds = 1.0;
 
   auto operator==(const RateLimits&) const -> bool = default;
@@ -38,37 +39,37 @@
 
 // Keeps a node's platform calls within its share of the fleet's rate: one token
 // bucket for reads and one for writes, each with a queue in which a more urgent
-// class goes first. The rate starts at the node's equal share, rises while
-// calls wait, and halves, not below the share, when the platform answers that
-// its rate is exceeded.
+// class goes first. The rate starts at the node's fair share, an equal part of
+// the fleet's rate. It increases while calls wait, and halves, but not below
+// the share, when the platform reports that its rate is exceeded.
 class RateLimiter {
  public:
   using Ticket = std::uint64_t;
 
   struct Actions {
     std::vector<Ticket> admitted;
-    std::vector<Ticket> expired;        // Their deadline passed; refuse them.
+    std::vector<Ticket> expired;        // Their deadline has passed.
     std::optional<MonotonicTime> next;  // When to call Tick again.
   };
 
   explicit RateLimiter(RateLimits limits);
 
-  // Queues one call that is worth making until `deadline`. Tick admits it.
+  // Queues a call. Tick admits it, or expires it at `deadline`.
   auto Enqueue(CallKind kind, CallClass call_class, MonotonicTime deadline)
       -> Ticket;
-  // Removes a call that no longer wants to be made.
+  // Removes a queued call.
   auto Cancel(Ticket ticket) -> void;
   // Admits and expires waiting calls.
   auto Tick(MonotonicTime now) -> Actions;
 
-  // The platform answered that the rate is exceeded.
+  // The platform reported that its rate is exceeded.
   auto OnRateExceeded(CallKind kind, MonotonicTime now) -> void;
-  // Empties the buckets, so that the calls held up by an outage come back at
-  // the rate and not in one burst.
+  // Empties the buckets, so that calls delayed by an outage resume at the rate
+  // and not in one burst.
   auto DrainBurst(MonotonicTime now) -> void;
   auto SetFleetSize(std::uint32_t nodes) -> void;
 
-  // Calls per second that this node makes at most at present.
+  // Current limit of this node in calls per second.
   auto rate(CallKind kind) const -> double;
   auto waiting() const -> std::size_t;
 
--- a/include/kumquatgauge/store/weight_store.h
+++ b/include/kumquatgauge/store/weight_store.h
@@ -15,10 +15,10 @@
  public:
   virtual ~WeightStore() = default;
 
-  // Asks for the weights of "MODEL@VERSION". Returns nothing when granted,
-  // otherwise how long to wait before asking again. Throws Error(kNotFound)
+  // Requests the weights of "MODEL@VERSION". Returns nothing when granted,
+  // otherwise how long to wait before the next request. Throws Error(kNotFound)
   // for unknown weights, and kUnavailable, kTimeout or kOverloaded when the
-  // platform does not answer.
+  // platform does not respond.
   virtual auto Request(std::string name)
       -> boost::asio::awaitable<std::optional<std::chrono::milliseconds>> = 0;
 };
--- a/src/store/circuit_test.cc
+++ b/src/store/circuit_test.cc
@@ -20,7 +20,7 @@
     }
   }
 
-  // Gives the longest jitter once the waits have reached their bound.
+  // Random value that gives the largest jitter when the backoff is max_backoff.
   auto MaxJitter() const -> std::uint64_t {
     return static_cast<std::uint64_t>(options.max_backoff.count());
   }
@@ -31,7 +31,7 @@
   MonotonicTime now{seconds(100)};
 };
 
-// Guards against refusing calls because of a single lost answer.
+// Guards against refusing calls because of a single lost response.
 TEST_CASE_METHOD(Fixture, "Circuit.StaysClosedUnderScatteredFailures") {
   for (auto i = 0; i < 100; ++i) {
     Fail(options.failures_to_open - 1);
@@ -41,7 +41,8 @@
   CHECK_FALSE(circuit.TakeRecovered());
 }
 
-// Guards against calls that wait for timeouts while the platform is out.
+// Guards against calls that wait for timeouts while the platform is
+// unavailable.
 TEST_CASE_METHOD(Fixture, "Circuit.RefusesAtOnceWithRetryTimeWhenOpen") {
   Fail(options.failures_to_open);
   const auto decision = circuit.Ask(now, true);
@@ -49,7 +50,7 @@
   CHECK(decision.retry_after == options.initial_backoff / 2);
 }
 
-// Guards against a load of probes on a platform that is coming back.
+// Guards against overloading a recovering platform with probes.
 TEST_CASE_METHOD(Fixture, "Circuit.LetsOneProbeThrough") {
   Fail(options.failures_to_open);
   now += options.initial_backoff;
@@ -61,7 +62,7 @@
   CHECK(circuit.TakeRecovered());
 }
 
-// Guards against a circuit that stays open because a probe was never answered.
+// Guards against a circuit that stays open because a probe got no response.
 TEST_CASE_METHOD(Fixture, "Circuit.ProbesAgainWhenAProbeGotLost") {
   Fail(options.failures_to_open);
   now += options.initial_backoff;
@@ -70,7 +71,7 @@
   CHECK(circuit.Ask(now, true).allowed);
 }
 
-// Guards against waits above the bound, which would outlast lease terms.
+// Guards against backoffs above the bound, which would exceed lease terms.
 TEST_CASE_METHOD(Fixture, "Circuit.WaitsLongerUpToABound") {
   draw = MaxJitter();
   Fail(options.failures_to_open);
@@ -84,8 +85,8 @@
   CHECK(circuit.Ask(now, true).retry_after > options.initial_backoff * 2);
 }
 
-// Guards against a node that acts for seconds after an outage on what it knew
-// before, because its last probe met silence just before the platform returned.
+// Guards against a node that acts on outdated state for seconds after an
+// outage, because its last probe timed out just before the platform recovered.
 TEST_CASE_METHOD(Fixture, "Circuit.LetsACallThroughSoonAfterALongOutage") {
   constexpr auto kSoon = seconds(3);
   constexpr auto kCallTimeout = seconds(1);
--- a/src/store/http_client.cc
+++ b/src/store/http_client.cc
@@ -23,16 +23,17 @@
 using boost::system::error_code;
 using TimePoint = std::chrono::steady_clock::time_point;
 
-// A watch may be silent for long, so only the transport can tell that the
-// connection is dead. Half of the shortest time in which a change must apply.
+// A watch may receive no data for a long time, so only TCP can detect a dead
+// connection. Half of the shortest time in which a change must take effect.
 constexpr auto kUserTimeout = std::chrono::milliseconds(1000);
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
 // A node makes a few calls at a time; more idle connections only cost memory.
 constexpr std::size_t kMaxIdle = 4;
-// A listing page and a value of kMaxValueBytes fit with room to spare.
+// Well above the size of a listing page and of a value of kMaxValueBytes.
 constexpr std::uint64_t kMaxResponseBytes = 8'000'000;
 constexpr auto kHex = std::string_view("0123456789ABCDEF");
-// Besides letters and digits, what stands for itself in a path or query.
+// Characters besides letters and digits that UrlEncode keeps: the unreserved
+// ones of RFC 3986, and '/'.
 constexpr auto kUnreserved = std::string_view("-._~/");
 
 auto ParseEndpoint(const std::string& address) -> tcp::endpoint {
@@ -51,8 +52,8 @@
       return {ip, port};
     }
   }
-  throw Error(ErrorKind::kInvalidArgument, "not a platform address", address,
-              "use IP:port");
+  throw Error(ErrorKind::kInvalidArgument, "malformed platform address",
+              address, "use IP:port");
 }
 
 template <typename Headers>
@@ -77,8 +78,7 @@
   TimePoint idle_since;
 };
 
-// Whether an idle connection was closed by the platform, or carries bytes that
-// nobody asked for.
+// Whether an idle connection was closed by the platform or has unexpected data.
 auto IsStale(Connection& connection) -> bool {
   auto& socket = connection.stream.socket();
   auto error = error_code();
@@ -146,7 +146,7 @@
   return response;
 }
 
-// One request and its answer on a connected stream.
+// Sends one request on a connected stream and reads its response.
 auto RunExchange(std::shared_ptr<Connection> connection,
                  std::shared_ptr<http::request<http::string_body>> message,
                  TimePoint deadline) -> awaitable<Exchange> {
@@ -212,7 +212,8 @@
       co_return std::move(exchange.result);
     }
     if (exchange.result.timed_out) {
-      // A silent connection seldom comes alone: the others are replaced too.
+      // When one connection times out, the others are likely to be dead as
+      // well, so they are replaced too.
       pool->idle.clear();
     }
     const auto retry = !exchange.result.timed_out &&
--- a/src/store/http_client.h
+++ b/src/store/http_client.h
@@ -27,10 +27,10 @@
   std::string body;
 };
 
-// How a call ended. `response` is empty when no whole answer came.
+// Result of a call. `response` is empty when no whole response arrived.
 struct HttpResult {
   std::optional<HttpResponse> response;
-  bool may_have_been_sent = false;  // At least one byte may have left.
+  bool may_have_been_sent = false;  // At least one byte.
   bool timed_out = false;
   std::string reason;
 };
@@ -40,14 +40,15 @@
 // Copies share the pool.
 class HttpClient {
  public:
-  // A connection that was idle for longer than `idle_limit` is not used again:
-  // a cut may have ended it without a sign, and a call on it would time out.
+  // A connection that was idle for longer than `idle_limit` is not reused: a
+  // network failure may have broken it unnoticed, and a call on it would time
+  // out.
   HttpClient(boost::asio::any_io_executor executor,
              const std::string& address,
              std::chrono::milliseconds idle_limit);
 
-  // A read, which may be repeated, is sent once more on a new connection when a
-  // pooled one turns out to be closed.
+  // A repeatable call is sent once more on a new connection when a pooled one
+  // turns out to be closed.
   auto Call(HttpRequest request,
             bool repeatable,
             std::chrono::milliseconds timeout)
@@ -59,7 +60,8 @@
   std::shared_ptr<Pool> pool_;
 };
 
-// Percent-encodes what may not stand in a path or query; keeps '/'.
+// Percent-encodes characters that are not allowed in a path or query; keeps
+// '/'.
 auto UrlEncode(const std::string& text) -> std::string;
 
 }  // namespace kumquatgauge::store::detail
--- a/src/store/http_object_store.cc
+++ b/src/store/http_object_store.cc
@@ -58,9 +58,10 @@
                             std::optional<std::uint64_t> expected_version,
                             CallClass call_class) -> awaitable<std::uint64_t> {
   if (value.size() > kMaxValueBytes) {
-    throw Error(ErrorKind::kInvalidArgument,
-                "value of " + std::to_string(value.size()) + " bytes", key,
-                "store at most " + std::to_string(kMaxValueBytes) + " bytes");
+    throw Error(
+        ErrorKind::kInvalidArgument,
+        "a value of " + std::to_string(value.size()) + " bytes is too large",
+        key, "store at most " + std::to_string(kMaxValueBytes) + " bytes");
   }
   auto call = ObjectCall("PUT", key, call_class);
   if (expected_version) {
@@ -82,8 +83,8 @@
   } catch (const nlohmann::json::exception& error) {
     throw Error(
         ErrorKind::kUnknownOutcome,
-        std::string("malformed answer to a write (") + error.what() + ")", key,
-        "read the object back");
+        std::string("malformed response to a write (") + error.what() + ")",
+        key, "read the object back");
   }
   co_return version;
 }
--- a/src/store/http_object_store_test.cc
+++ b/src/store/http_object_store_test.cc
@@ -50,7 +50,7 @@
   auto Remove(const std::string& key, std::uint64_t expected) -> void {
     RunAwaitable(context, store.Remove(key, expected, CallClass::kStatus));
   }
-  // Kind of the error that the call throws; nothing when it throws none.
+  // Kind of the error that the call throws, if any.
   template <typename Call>
   auto ErrorKindOf(Call call) -> std::optional<ErrorKind> {
     try {
@@ -80,7 +80,7 @@
   CHECK_FALSE(Read("a/b c%").has_value());
 }
 
-// Guards against errors that say "no effect" of a write that had one, or the
+// Guards against errors that report no effect of a write that had one, or the
 // reverse.
 TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReportsConflictAndNotFound") {
   Write("a", "one");
@@ -123,8 +123,8 @@
   CHECK(ErrorKindOf([&] { Read("a"); }) == ErrorKind::kUnavailable);
 }
 
-// Guards against callers that wait for a timeout each while the platform is
-// out, and against a client that does not come back.
+// Guards against calls that each wait for a timeout during an outage, and
+// against a client that does not recover after it.
 TEST_CASE_METHOD(Fixture, "HttpObjectStore.RefusesAtOnceInAnOutageAndReturns") {
   fake.SetFault({{"mode", "outage"}, {"kind", "error"}});
   for (auto i = 0; i < 5; ++i) {
@@ -151,8 +151,8 @@
   CHECK(Read("a")->value == "two");
 }
 
-// Guards against a call that times out on a connection that a cut has ended
-// without a sign while nothing was sent on it.
+// Guards against a call that times out on an idle connection that a network
+// failure has broken unnoticed.
 TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReplacesLongIdleConnections") {
   auto options = Options(fake.address());
   options.idle_limit = milliseconds(200);
@@ -226,7 +226,8 @@
   CHECK(fake.Stats().at("calls") == json{{"read", 2}, {"write", 1}});
 }
 
-// Guards against acting on the truth in tests that are about its lag.
+// Guards against a fake platform that shows the current hosts while a lag is
+// set.
 TEST_CASE_METHOD(Fixture, "HttpHostList.ShowsHostsWithALag") {
   auto hosts = HttpHostList(client);
   const auto host = json{{"name", "h"},
@@ -244,8 +245,8 @@
         Host{"h", "127.0.0.1:1", ZoneName("z"), HostState::kLeaving});
 }
 
-// Guards against a refusal of the weight store that counts as an outage or
-// slows the object API down.
+// Guards against a 429 of the weight store that counts as an outage or reduces
+// the rate of the object API.
 TEST_CASE_METHOD(Fixture, "HttpWeightStore.SaysWhenToComeBack") {
   auto weights = HttpWeightStore(client);
   CHECK_FALSE(RunAwaitable(context, weights.Request("m@1")).has_value());
--- a/src/store/platform_client.cc
+++ b/src/store/platform_client.cc
@@ -52,8 +52,7 @@
         client(executor, options.address, options.idle_limit),
         pump_timer(executor) {}
 
-  // Carries out what the limiter decides now, and arms the timer for the next
-  // decision.
+  // Applies the limiter's decisions and sets the timer for the next ones.
   auto Pump() -> void {
     const auto actions = limiter.Tick(clock());
     for (const auto ticket : actions.admitted) {
@@ -95,8 +94,8 @@
   auto RefuseByCircuit(const PlatformCall& call, Duration wait) -> void {
     ++counts.refused_by_circuit;
     retry_after = wait;
-    throw Error(ErrorKind::kUnavailable, "the platform is out", call.object,
-                "retry in " + InMilliseconds(wait));
+    throw Error(ErrorKind::kUnavailable, "the platform is unavailable",
+                call.object, "retry in " + InMilliseconds(wait));
   }
 
   auto Admit(const PlatformCall& call, CallKind kind) -> awaitable<void> {
@@ -131,7 +130,7 @@
     }
   }
 
-  // Returns the answer; without one, throws the error that is true of the call.
+  // Returns the response; without one, throws the error that matches the call.
   auto TakeResponse(const PlatformCall& call,
                     CallKind kind,
                     detail::HttpResult& result) -> detail::HttpResponse {
@@ -144,7 +143,7 @@
     }
     throw Error(
         result.timed_out ? ErrorKind::kTimeout : ErrorKind::kUnavailable,
-        "the platform does not answer (" + result.reason + ")", call.object,
+        "the platform does not respond (" + result.reason + ")", call.object,
         "retry later or check [platform] address " + options.address);
   }
 
@@ -152,8 +151,8 @@
       -> void {
     ++counts.unknown_outcomes;
     throw Error(ErrorKind::kUnknownOutcome,
-                "the platform's answer was lost (" + reason + ")", call.object,
-                "read the object back");
+                "the platform's response was lost (" + reason + ")",
+                call.object, "read the object back");
   }
 
   auto ThrowOnErrorStatus(const PlatformCall& call,
@@ -174,11 +173,12 @@
     if (kind == CallKind::kWrite && response.status != kServiceUnavailable) {
       ThrowUnknown(call, status);
     }
-    throw Error(ErrorKind::kUnavailable, "the platform is out (" + status + ")",
-                call.object, "retry later");
+    throw Error(ErrorKind::kUnavailable,
+                "the platform is unavailable (" + status + ")", call.object,
+                "retry later");
   }
 
-  // Tells the circuit how a call ended. A 429 is an answer.
+  // Reports the result of a call to the circuit. A 429 is no failure.
   auto Report(const detail::HttpResult& result) -> void {
     if (!result.response || result.response->status >= kServerError) {
       circuit.OnFailure(clock());
--- a/src/store/rate_limiter.cc
+++ b/src/store/rate_limiter.cc
@@ -6,9 +6,9 @@
 namespace kumquatgauge::store {
 namespace {
 
-// FairShare of the node's equal share by which the rate rises per second while
-// calls wait. At the target scale a busy node reaches the ceiling of a tenth of
-// the fleet's rate in about half a minute.
+// Part of the fair share by which the rate increases per second while calls
+// wait. At the target scale a busy node reaches the limit of a tenth of the
+// fleet's rate in about half a minute.
 constexpr double kIncreasePerSecond = 1.0;
 constexpr double kDecreaseFactor = 0.5;
 
--- a/src/store/rate_limiter_test.cc
+++ b/src/store/rate_limiter_test.cc
@@ -16,14 +16,14 @@
       -> RateLimiter::Ticket {
     return limiter.Enqueue(CallKind::kWrite, call_class, now + timeout);
   }
-  // Takes what may be done at once.
+  // Uses up the burst.
   auto UseBurst() -> void {
     for (auto i = 0; i < kMinBurst; ++i) {
       Enqueue(CallClass::kStatus);
     }
     limiter.Tick(now);
   }
-  // Calls admitted within `duration` while there are always some waiting.
+  // Number of calls admitted within `duration` while some are always waiting.
   auto AdmittedIn(Duration duration) -> std::size_t {
     auto admitted = std::size_t{0};
     for (const auto end = now + duration; now < end; now += milliseconds(100)) {
@@ -68,7 +68,7 @@
   CHECK(limiter.rate(CallKind::kWrite) == Approx(share));
 }
 
-// Guards against a busy node that crawls while the fleet's rate lies idle.
+// Guards against slowing down a busy node while the fleet's rate is unused.
 TEST_CASE_METHOD(Fixture,
                  "RateLimiter.BorrowsWhileThePlatformDoesNotComplain") {
   UseBurst();
@@ -77,7 +77,7 @@
   CHECK(AdmittedIn(seconds(10)) == Approx(600).margin(70));
 }
 
-// Guards against calls that wait for ever.
+// Guards against calls that wait forever.
 TEST_CASE_METHOD(Fixture, "RateLimiter.ExpiresACallAtItsDeadline") {
   UseBurst();
   const auto ticket = Enqueue(CallClass::kLease, milliseconds(100));
@@ -89,7 +89,7 @@
   CHECK(limiter.waiting() == 0);
 }
 
-// Guards against writes that are starved by reads.
+// Guards against reads that are starved by writes.
 TEST_CASE_METHOD(Fixture, "RateLimiter.CountsReadsAndWritesApart") {
   UseBurst();
   limiter.Enqueue(CallKind::kRead, CallClass::kStatus, now + seconds(1));
--- a/src/store/response_json.cc
+++ b/src/store/response_json.cc
@@ -19,8 +19,8 @@
   }
   throw Error(response.status >= kBadRequest ? ErrorKind::kInvalidArgument
                                              : ErrorKind::kInternal,
-              "the platform answered " + std::to_string(response.status) + " " +
-                  response.body,
+              "the platform returned status " +
+                  std::to_string(response.status) + " " + response.body,
               object, "check that node and platform speak the same protocol");
 }
 
@@ -30,7 +30,7 @@
     convert();
   } catch (const nlohmann::json::exception& error) {
     throw Error(ErrorKind::kInternal,
-                std::string("the platform's answer is malformed (") +
+                std::string("the platform's response is malformed (") +
                     error.what() + ")",
                 object, "check that node and platform speak the same protocol");
   }
--- a/src/store/response_json.h
+++ b/src/store/response_json.h
@@ -14,7 +14,7 @@
 auto CheckOk(const PlatformResponse& response, const std::string& object)
     -> void;
 
-// Parses the body of an answer with status 200.
+// Checks that the status is 200 and parses the body.
 auto ParseResponse(const PlatformResponse& response, const std::string& object)
     -> nlohmann::json;
 
