--- a/bench/batch_memory.cc
+++ b/bench/batch_memory.cc
@@ -57,14 +57,14 @@
 
 constexpr std::size_t kItems = 110'000;
 constexpr std::size_t kPieceBytes = 65'536;
-// Megabytes: 2 for chunk, copy and JSON; the rest for the set of custom_ids,
-// which doubles while it holds its former half.
+// In megabytes: 2 for the chunk, its copy and JSON; the rest for the set of
+// custom_ids, which holds its old table while it doubles.
 constexpr auto kAcceptBound = 10.0;
-// Megabytes: the parts of one chunk as text and as values.
+// In megabytes: the parts of one chunk as text and as values.
 constexpr auto kStreamBound = 6.0;
 
-// Keeps small objects only. Input chunks are dropped, and output parts are made
-// up when they are read, so that the store itself takes no memory.
+// Keeps small objects only. Input chunks are dropped, and output parts are
+// generated when they are read, so that the store itself takes no memory.
 class SyntheticStore : public store::ObjectStore {
  public:
   auto Read(std::string key, store::CallClass /*class*/)
@@ -183,7 +183,7 @@
   }
   if (count < kItems) {
     throw Error(ErrorKind::kInternal, "results are missing",
-                std::to_string(count), "look at ResultReader");
+                std::to_string(count), "check ResultReader");
   }
   return InMegabytes(peak_bytes - before);
 }
--- a/bench/batch_platform_load.cc
+++ b/bench/batch_platform_load.cc
@@ -23,7 +23,7 @@
 
 struct Calls {
   double items = 0;
-  double job_writes = 0;  // All but leases.
+  double job_writes = 0;  // Other than leases.
   double lease_writes = 0;
   double shard_reads = 0;  // Indexes and leases; of all shards.
   double job_reads = 0;    // While one job is active.
--- a/bench/batch_report.h
+++ b/bench/batch_report.h
@@ -6,7 +6,7 @@
 
 namespace kumquatgauge::bench {
 
-// Prints the figures of a batch benchmark and remembers whether one failed.
+// Prints the figures of a batch benchmark and records whether one failed.
 class BatchReport {
  public:
   // A figure that must not exceed its bound.
--- a/bench/batch_takeover.cc
+++ b/bench/batch_takeover.cc
@@ -1,5 +1,6 @@
-// Time from the death of an owner to the first item that its successor starts,
-// on a manual clock, over deaths at different moments of the renewal interval.
+// Measures the time from the death of an owner to the first item that its
+// successor starts, on a manual clock, for deaths at different moments of the
+// renewal interval.
 #include <algorithm>
 #include <iostream>
 
@@ -13,7 +14,7 @@
 using std::chrono::milliseconds;
 using testing::TestCluster;
 
-// Deaths 100 ms apart, over one renewal interval.
+// Deaths at intervals of 100 ms over one renewal interval.
 constexpr auto kPhases = 20;
 
 auto InSeconds(Duration duration) -> double {
--- a/bench/batch_writes.cc
+++ b/bench/batch_writes.cc
@@ -21,8 +21,8 @@
   double largest = 0;  // Of one chunk, without its share of the takeover.
 };
 
-// Counts what the store is asked to write. The store's hook sees keys only, so
-// the parts that each state update names are compared after each step.
+// Counts the writes to the store. The store's hook receives only keys, so the
+// parts that are listed in the state are compared after each step.
 class WriteCounter {
  public:
   WriteCounter(TestCluster& cluster, JobId job) : job_(std::move(job)) {
--- a/bench/caller_relay.cc
+++ b/bench/caller_relay.cc
@@ -1,6 +1,6 @@
 // Tokens per second that one core relays from engines to callers. Engines and
-// callers run on threads of their own; the figure divides the tokens by the CPU
-// time of the relaying thread alone.
+// callers run on their own threads; the figure is the number of tokens divided
+// by the CPU time of the relaying thread alone.
 #include <boost/asio.hpp>
 #include <cstdio>
 #include <cstdlib>
@@ -45,7 +45,7 @@
          static_cast<double>(time.tv_nsec) / kNanoseconds;
 }
 
-// Asks for one stream and reads it to its end; counts the tokens.
+// Requests one stream and reads it to its end; counts the tokens.
 auto RunCaller(std::string address, std::uint64_t tokens, std::uint64_t& total)
     -> asio::awaitable<void> {
   const auto executor = co_await asio::this_coro::executor;
--- a/bench/routing_batch.cc
+++ b/bench/routing_batch.cc
@@ -1,5 +1,6 @@
-// Batch beside bursts of online requests on one replica: fixed share, idle
-// slots only, feedback; on both measures, with the curve over `lean`.
+// Compares the rules for batch admission (fixed share, idle slots only,
+// feedback) beside bursts of online requests on one replica, by online latency
+// and batch throughput over values of `lean`.
 //
 // Batch throughput is stated as a share of the idle capacity: the tokens that
 // the engine would generate with all slots taken all the time, less those of
@@ -76,9 +77,9 @@
  private:
   struct Request {
     bool batch = false;
-    std::uint32_t tokens = 0;  // Wanted in all.
-    std::uint32_t offset = 0;  // Had before this run.
-    std::uint32_t now = 0;     // Had now.
+    std::uint32_t tokens = 0;  // Requested in total.
+    std::uint32_t offset = 0;  // Generated before this run.
+    std::uint32_t now = 0;     // Generated so far.
     MonotonicTime arrived = {};
     MonotonicTime first_token = {};
   };
@@ -95,9 +96,9 @@
     settings.batch = batch.value_or(BatchAdmissionSettings());
     return settings;
   }
-  // Tokens that batch could have had: the time that the online prefills leave,
-  // in steps with all slots taken, less the slots of online tokens; batch items
-  // are prefilled once.
+  // Tokens that batch items could have generated: the time that the online
+  // prefills leave, in steps with all slots taken, less the slots of online
+  // tokens; batch items are prefilled once.
   auto IdleTokens() const -> double {
     EngineModel model;
     auto step_ms = model.StepMs(model.capacity);
@@ -117,7 +118,8 @@
   }
 
   auto ChangeRate() -> void {
-    // Mean load a third of the slots; seconds of nothing, seconds of bursts.
+    // Mean load of a third of the slots, with idle phases and bursts of a few
+    // seconds each.
     const std::vector<double> rates = {0.0, 0.5, 1.0, 2.0, 4.0, 6.0};
     rate_ = rates[online_random_() % rates.size()];
     std::exponential_distribution<double> stay(1.0 / 6.0);
@@ -138,7 +140,8 @@
       ArriveOnline();
     });
   }
-  // The batch owner: always has items, and sends as many as there is room for.
+  // The batch owner always has items and sends as many as there are free batch
+  // slots.
   auto ArriveBatch() -> void {
     if (!batch_) {
       return;
@@ -269,7 +272,7 @@
   BatchAdmissionSettings settings;
   settings.rule = rule;
   settings.lean = lean;
-  // The share is what the setting stands for under this rule.
+  // Under kFixedShare the setting stands for the share.
   settings.share = lean;
   return Scenario(report.seed(), settings).Run();
 }
--- a/bench/routing_choice.cc
+++ b/bench/routing_choice.cc
@@ -1,5 +1,6 @@
-// The choice of a replica at growing sizes, against random and round robin,
-// and one dispatcher per replica against direct sending with stale shared load.
+// Compares the router's choice of a replica at growing fleet sizes with random
+// and round-robin choice, and one dispatcher per replica with direct sending by
+// stale shared load.
 
 #include <string>
 #include <vector>
--- a/bench/routing_decision_time.cc
+++ b/bench/routing_decision_time.cc
@@ -1,4 +1,5 @@
-// Time of one choice of a replica, with all 810 replicas in one service.
+// Measures the time of one choice of a replica, with all 810 replicas in one
+// service.
 
 #include <chrono>
 #include <random>
@@ -47,8 +48,8 @@
 
 enum class Variant { kOnline, kAffinity, kTried, kBatch };
 
-// Median over rounds of the mean time of a choice in microseconds; a round
-// disturbed by other load on the machine does not count.
+// Median over rounds of the mean time of a choice in microseconds; the median
+// ignores rounds disturbed by other load on the machine.
 auto TimeOf(Variant variant, std::uint64_t seed) -> double {
   testing::ManualClock clock;
   std::mt19937_64 random(seed);
--- a/bench/routing_fleet.h
+++ b/bench/routing_fleet.h
@@ -25,7 +25,7 @@
   kRouter,
   kRandom,
   kRoundRobin,
-  // Every node sends straight to the engines, by the router's rule over load
+  // Every node sends directly to the engines, by the router's rule with load
   // figures that are shared within the byte budget of a node.
   kDirect,
 };
@@ -38,7 +38,7 @@
   int model_replicas = 12;
   int plain_replicas = 3;
   int zones = 3;
-  // Arrivals as a share of what the engines can do.
+  // Arrival rate as a share of the engines' capacity.
   double load = 0.8;
   double warmup_s = 20.0;
   double measured_s = 60.0;
@@ -47,7 +47,7 @@
   bool outlier = true;
   bool retry = true;
   bool retry_budget = true;
-  // Off: the limit is the engine's capacity, whatever the latency.
+  // When off, the limit is the engine's capacity, whatever the latency.
   bool adaptive_limit = true;
   EngineModel engine = {};
   int slow_replica = -1;
@@ -76,8 +76,8 @@
   double imbalance = 0.0;
 };
 
-// A fleet of nodes, each an entry and the dispatcher of some replicas, in front
-// of batching engines.
+// A fleet of nodes in front of batching engines. Each node is an entry for
+// requests and the dispatcher of some replicas.
 class Fleet {
  public:
   explicit Fleet(FleetOptions options)
@@ -92,8 +92,8 @@
     Every(Milliseconds(100), [this] { SampleBalance(); });
   }
 
-  // Requests per second that the model engines can do at their best rate
-  // within the targets.
+  // Highest rate of requests per second that the model engines can serve within
+  // the targets.
   static auto CapacityPerSecond(const FleetOptions& options) -> double {
     constexpr double kInterTokenTargetMs = 55.0;
     double best = 0.0;
@@ -118,8 +118,8 @@
     auto end = measuring_from_ + Milliseconds(1e3 * options_.measured_s);
     arrivals_end_ = end;
     simulation_.RunUntil(end);
-    // All requests end: one that is left out because it is slow would make the
-    // tail look better than it is.
+    // Waits for all requests: leaving out slow ones would understate the tail
+    // latency.
     while (!requests_.empty()) {
       simulation_.RunUntil(simulation_.now() + std::chrono::seconds(5));
     }
@@ -149,7 +149,7 @@
     std::unique_ptr<routing::RetryBudget> budget;
     std::unique_ptr<routing::RetryPolicy> policy;
     std::unique_ptr<routing::LoadPublisher> sharing;
-    std::vector<std::size_t> replicas;  // That it dispatches to.
+    std::vector<std::size_t> replicas;  // Those that it dispatches to.
     std::array<std::size_t, 2> round_robin = {};
     std::uint64_t shared_bytes = 0;
   };
@@ -525,7 +525,8 @@
       SharePeriodically();
     }
   }
-  // Each node sends all its loads in turn, as often as the budget allows.
+  // Each node sends the loads of all its replicas as often as the budget
+  // allows.
   auto SharePeriodically() -> void {
     for (std::size_t index = 0; index < nodes_.size(); ++index) {
       auto& node = *nodes_[index];
@@ -572,8 +573,8 @@
       }
     });
   }
-  // Direct sending: every node gets every engine's figures as often as its
-  // 3 KB/s allow.
+  // With direct sending, every node receives every engine's figures as often as
+  // its 3 KB/s allow.
   auto ShareDirect() -> void {
     constexpr double kBudget = 3000.0;
     if (simulation_.now() < next_direct_) {
--- a/bench/routing_overload.cc
+++ b/bench/routing_overload.cc
@@ -1,5 +1,5 @@
-// Goodput at twice the capacity, offered load with and without the retry
-// budget, and the adaptive limit against fixed ones.
+// Measures goodput at twice the capacity and offered load, with and without the
+// retry budget, and compares the adaptive limit with fixed ones.
 
 #include <string>
 
@@ -28,7 +28,7 @@
   return Fleet(options).Run();
 }
 
-// Engines that run more requests side by side than the targets allow.
+// Engines that run more concurrent requests than the targets allow.
 auto RunWithLimit(const Report& report, double load, bool adaptive)
     -> FleetResult {
   auto options = Options(report, load);
@@ -55,7 +55,7 @@
   };
   report.Measured("offered_load_without_retry_budget",
                   amplification(unbounded));
-  // The budget starts with what it earns in one second.
+  // The budget starts with the retries of one second.
   auto max_retries = kRetryShare * static_cast<double>(overload.all_arrived) +
                      kRetriesPerSecond * (overload.attempt_seconds + 1.0);
   report.AtMost("offered_load_with_retry_budget", amplification(overload),
--- a/bench/routing_sharing.cc
+++ b/bench/routing_sharing.cc
@@ -1,5 +1,6 @@
-// Load sharing between nodes: on change beyond a threshold against periodic
-// sending within the same byte budget, by bytes sent and balance reached.
+// Compares load sharing between nodes on changes beyond a threshold with
+// periodic sending within the same byte budget, by bytes sent and balance
+// reached.
 
 #include <string>
 #include <vector>
@@ -10,7 +11,7 @@
 
 using namespace kumquatgauge::bench;
 
-// All control traffic of a node.
+// For all control traffic of a node.
 constexpr double kBytesBound = 3000.0;
 
 struct Size {
--- a/bench/routing_simulation.h
+++ b/bench/routing_simulation.h
@@ -41,7 +41,7 @@
   return *place;
 }
 
-// Discrete events on a manual clock.
+// Discrete-event simulation on a manual clock.
 class Simulation {
  public:
   explicit Simulation(std::uint64_t seed) : random_(seed) {}
@@ -61,7 +61,8 @@
   auto now() const -> MonotonicTime { return clock_.now(); }
   auto AsHook() -> Clock { return clock_.AsHook(); }
   auto random() -> std::mt19937_64& { return random_; }
-  // Time until the next of events that come `per_second` times a second.
+  // Random time until the next event of a Poisson process with `per_second`
+  // events per second.
   auto Poisson(double per_second) -> Duration {
     std::exponential_distribution<double> gap(per_second);
     return std::chrono::duration_cast<Duration>(
@@ -87,8 +88,8 @@
 
 struct EngineModel {
   std::uint32_t capacity = 16;
-  // A step gives every running request one token; its time grows with their
-  // number and with the requests that join in it.
+  // A step gives every running request one token; its duration grows with their
+  // number and with the number of requests that join in it.
   double step_ms = 12.0;
   double step_per_request_ms = 1.2;
   double prefill_ms = 15.0;
@@ -97,8 +98,8 @@
   auto StepMs(std::uint32_t running) const -> double {
     return slow_factor * (step_ms + step_per_request_ms * running);
   }
-  // Tokens per second with `running` requests all the time, prefills included
-  // for requests of `mean_tokens`.
+  // Tokens per second with `running` requests at all times, including the
+  // prefills for requests of `mean_tokens`.
   auto TokenRate(std::uint32_t running, double mean_tokens) const -> double {
     auto step =
         StepMs(running) + slow_factor * prefill_ms * running / mean_tokens;
@@ -109,8 +110,8 @@
 // A batching engine: admits requests in arrival order up to its capacity.
 class Engine {
  public:
-  // Called with the request and the tokens it has, at the end of each step;
-  // `last` when it is complete.
+  // Called at the end of each step with the request and the number of its
+  // tokens; `last` when it is complete.
   using TokenHook = std::function<
       auto(std::uint64_t id, std::uint32_t tokens, bool last)->void>;
 
@@ -134,7 +135,7 @@
     return static_cast<std::uint32_t>(running_.size());
   }
   auto model() -> EngineModel& { return model_; }
-  // Called when a cancelled request has left.
+  // Called when a cancelled request has been removed.
   std::function<auto(std::uint64_t id)->void> on_cancelled;
 
  private:
--- a/bench/routing_tail.cc
+++ b/bench/routing_tail.cc
@@ -1,5 +1,6 @@
-// Tail latency with one of 18 replicas ten times slower, against the tail
-// without it. The simplest rule is round robin with a fixed limit.
+// Compares the tail latency with one of 18 replicas ten times slower to that
+// with all replicas healthy. The simplest rule is round robin with a fixed
+// limit.
 
 #include <string>
 
