--- a/include/kumquatgauge/store/circuit.h
+++ b/include/kumquatgauge/store/circuit.h
@@ -45,7 +45,7 @@
   // Decides whether a call may be made now. `may_probe` is false for calls
   // whose result comes late, such as watches; they wait for another call to
   // close the circuit.
-  auto Ask(MonotonicTime now, bool may_probe) -> Decision;
+  auto AllowCall(MonotonicTime now, bool may_probe) -> Decision;
   auto OnSuccess() -> void;
   // The platform did not respond, or responded that it is unavailable.
   auto OnFailure(MonotonicTime now) -> void;
--- a/src/store/circuit.cc
+++ b/src/store/circuit.cc
@@ -10,7 +10,7 @@
       random_(std::move(random)),
       backoff_(options.initial_backoff) {}
 
-auto Circuit::Ask(MonotonicTime now, bool may_probe) -> Decision {
+auto Circuit::AllowCall(MonotonicTime now, bool may_probe) -> Decision {
   if (state_ == State::kClosed) {
     return {.allowed = true};
   }
--- a/src/store/circuit_test.cc
+++ b/src/store/circuit_test.cc
@@ -37,7 +37,7 @@
     Fail(options.failures_to_open - 1);
     circuit.OnSuccess();
   }
-  CHECK(circuit.Ask(now, true).allowed);
+  CHECK(circuit.AllowCall(now, true).allowed);
   CHECK_FALSE(circuit.TakeRecovered());
 }
 
@@ -45,7 +45,7 @@
 // unavailable.
 TEST_CASE_METHOD(Fixture, "Circuit.RefusesAtOnceWithRetryTimeWhenOpen") {
   Fail(options.failures_to_open);
-  const auto decision = circuit.Ask(now, true);
+  const auto decision = circuit.AllowCall(now, true);
   CHECK_FALSE(decision.allowed);
   CHECK(decision.retry_after == options.initial_backoff / 2);
 }
@@ -54,11 +54,11 @@
 TEST_CASE_METHOD(Fixture, "Circuit.LetsOneProbeThrough") {
   Fail(options.failures_to_open);
   now += options.initial_backoff;
-  CHECK_FALSE(circuit.Ask(now, false).allowed);
-  CHECK(circuit.Ask(now, true).allowed);
-  CHECK_FALSE(circuit.Ask(now, true).allowed);
+  CHECK_FALSE(circuit.AllowCall(now, false).allowed);
+  CHECK(circuit.AllowCall(now, true).allowed);
+  CHECK_FALSE(circuit.AllowCall(now, true).allowed);
   circuit.OnSuccess();
-  CHECK(circuit.Ask(now, false).allowed);
+  CHECK(circuit.AllowCall(now, false).allowed);
   CHECK(circuit.TakeRecovered());
 }
 
@@ -66,9 +66,9 @@
 TEST_CASE_METHOD(Fixture, "Circuit.ProbesAgainWhenAProbeGotLost") {
   Fail(options.failures_to_open);
   now += options.initial_backoff;
-  REQUIRE(circuit.Ask(now, true).allowed);
+  REQUIRE(circuit.AllowCall(now, true).allowed);
   now += options.probe_timeout;
-  CHECK(circuit.Ask(now, true).allowed);
+  CHECK(circuit.AllowCall(now, true).allowed);
 }
 
 // Guards against backoffs above the bound, which would exceed lease terms.
@@ -76,13 +76,13 @@
   draw = MaxJitter();
   Fail(options.failures_to_open);
   for (auto i = 0; i < 10; ++i) {
-    const auto decision = circuit.Ask(now, true);
+    const auto decision = circuit.AllowCall(now, true);
     CHECK(decision.retry_after <= options.max_backoff * 3 / 2);
     now += decision.retry_after;
-    REQUIRE(circuit.Ask(now, true).allowed);
+    REQUIRE(circuit.AllowCall(now, true).allowed);
     circuit.OnFailure(now);
   }
-  CHECK(circuit.Ask(now, true).retry_after > options.initial_backoff * 2);
+  CHECK(circuit.AllowCall(now, true).retry_after > options.initial_backoff * 2);
 }
 
 // Guards against a node that acts on outdated state for seconds after an
@@ -93,11 +93,11 @@
   draw = MaxJitter();
   Fail(options.failures_to_open);
   for (auto probe = 0; probe < 20; ++probe) {
-    now += circuit.Ask(now, true).retry_after;
-    REQUIRE(circuit.Ask(now, true).allowed);
+    now += circuit.AllowCall(now, true).retry_after;
+    REQUIRE(circuit.AllowCall(now, true).allowed);
     now += kCallTimeout;
     circuit.OnFailure(now);
-    CHECK(kCallTimeout + circuit.Ask(now, true).retry_after <= kSoon);
+    CHECK(kCallTimeout + circuit.AllowCall(now, true).retry_after <= kSoon);
   }
 }
 
@@ -112,7 +112,7 @@
     for (std::uint32_t i = 0; i < options.failures_to_open; ++i) {
       circuit.OnFailure(now);
     }
-    ++per_bucket[circuit.Ask(now, true).retry_after / milliseconds(50)];
+    ++per_bucket[circuit.AllowCall(now, true).retry_after / milliseconds(50)];
   }
   for (const auto& [bucket, nodes] : per_bucket) {
     CHECK(nodes < kNodes / 5);
--- a/src/store/platform_client.cc
+++ b/src/store/platform_client.cc
@@ -85,7 +85,7 @@
   }
 
   auto CheckCircuit(const PlatformCall& call) -> void {
-    const auto decision = circuit.Ask(clock(), !call.watch);
+    const auto decision = circuit.AllowCall(clock(), !call.watch);
     if (!decision.allowed) {
       RefuseByCircuit(call, decision.retry_after);
     }
