--- a/src/upstream/replica_call_test.cc
+++ b/src/upstream/replica_call_test.cc
@@ -19,17 +19,17 @@
 
 // Larger than the buffers of two sockets, so that writing it blocks.
 constexpr std::size_t kLongBody = 24'000'000;
-constexpr auto kAnswer =
+constexpr auto kResponse =
     std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
 
 // The replica's end of a connection, controlled by a test.
-class ReplicaEnd {
+class ReplicaConnection {
  public:
-  explicit ReplicaEnd(tcp::socket socket) : socket_(std::move(socket)) {
+  explicit ReplicaConnection(tcp::socket socket) : socket_(std::move(socket)) {
     socket_.non_blocking(true);
   }
 
-  auto Answer() -> void { asio::write(socket_, asio::buffer(kAnswer)); }
+  auto Respond() -> void { asio::write(socket_, asio::buffer(kResponse)); }
 
   // Reads what has arrived.
   auto Read() -> void {
@@ -40,7 +40,7 @@
     ended_ = ended_ || (error && error != asio::error::would_block);
   }
 
-  auto StopAnswering() -> void { socket_.shutdown(tcp::socket::shutdown_send); }
+  auto ShutdownSend() -> void { socket_.shutdown(tcp::socket::shutdown_send); }
 
   auto received() const -> const std::string& { return received_; }
   auto ended() const -> bool { return ended_; }
@@ -73,11 +73,11 @@
   }
 
   // Waits for the next connection.
-  auto Accept() -> std::unique_ptr<ReplicaEnd> {
-    auto end = std::unique_ptr<ReplicaEnd>();
+  auto Accept() -> std::unique_ptr<ReplicaConnection> {
+    auto end = std::unique_ptr<ReplicaConnection>();
     acceptor.async_accept([&](const auto& error, tcp::socket socket) {
       REQUIRE_FALSE(error);
-      end = std::make_unique<ReplicaEnd>(std::move(socket));
+      end = std::make_unique<ReplicaConnection>(std::move(socket));
     });
     REQUIRE(RunUntil(context, [&] { return end != nullptr; }));
     return end;
@@ -107,7 +107,7 @@
   asio::co_spawn(fixture.context, first->Open(),
                  [&](const std::exception_ptr&, CallEnd end) { opened = end; });
   const auto replica = fixture.Accept();
-  replica->Answer();
+  replica->Respond();
   REQUIRE(RunUntil(fixture.context, [&] { return opened.has_value(); }));
   CHECK(opened == CallEnd::kOpen);
   CHECK(fixture.ReadWhole(first) == CallEnd::kComplete);
@@ -138,7 +138,7 @@
   asio::co_spawn(fixture.context, warm->Open(),
                  [&](const std::exception_ptr&, CallEnd end) { opened = end; });
   const auto kept = fixture.Accept();
-  kept->Answer();
+  kept->Respond();
   REQUIRE(RunUntil(fixture.context, [&] { return opened.has_value(); }));
   REQUIRE(fixture.ReadWhole(warm) == CallEnd::kComplete);
   const auto call = fixture.Start("/long", std::string(kLongBody, 'b'), kSends);
@@ -147,7 +147,7 @@
     kept->Read();
     return kept->received().find("/long") != std::string::npos;
   }));
-  kept->StopAnswering();
+  kept->ShutdownSend();
   const auto fresh = fixture.Accept();
   call->Cancel();
   CHECK(RunUntil(fixture.context, [&] {
