--- a/bench/routing_batch.cc
+++ b/bench/routing_batch.cc
@@ -152,14 +152,14 @@
       auto room = dispatcher_.load().free_batch_slots;
       for (std::uint32_t sent = 0; sent < room; ++sent) {
         std::uint64_t id = 0;
-        if (handed_back_.empty()) {
+        if (returned_.empty()) {
           id = next_++;
           requests_[id] = {
               .batch = true,
               .tokens = Length(kMeanBatchTokens, simulation_.random())};
         } else {
-          id = handed_back_.back();
-          handed_back_.pop_back();
+          id = returned_.back();
+          returned_.pop_back();
         }
         Arrive(id, WorkClass::kBatch);
       }
@@ -190,7 +190,7 @@
         case DispatchAction::Kind::kRefuse:
         case DispatchAction::Kind::kExpire:
           if (request.batch) {
-            handed_back_.push_back(id);
+            returned_.push_back(id);
           } else {
             result_.refused += IsMeasured() ? 1 : 0;
             requests_.erase(id);
@@ -224,7 +224,7 @@
     auto& request = requests_.at(id);
     if (end == UpstreamEnd::kCancelled) {
       request.offset = request.now;
-      handed_back_.push_back(id);
+      returned_.push_back(id);
     } else {
       if (!request.batch && request.arrived >= measuring_from_) {
         first_token_ms_.push_back(
@@ -249,7 +249,7 @@
   Engine engine_;
   Dispatcher dispatcher_;
   std::unordered_map<std::uint64_t, Request> requests_;
-  std::vector<std::uint64_t> handed_back_;
+  std::vector<std::uint64_t> returned_;
   std::uint64_t next_ = 0;
   double rate_ = 0.0;
   bool owner_due_ = false;
