--- a/src/store/platform_client.cc
+++ b/src/store/platform_client.cc
@@ -41,11 +41,11 @@
   };
 
   Impl(const asio::any_io_executor& io_executor,
-       PlatformOptions given,
+       PlatformOptions client_options,
        Clock clock_hook,
        RandomSource random)
       : executor(io_executor),
-        options(std::move(given)),
+        options(std::move(client_options)),
         clock(std::move(clock_hook)),
         limiter(options.limits),
         circuit(options.circuit, std::move(random)),
