--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -249,7 +249,8 @@
     co_return end;
   }
 
-  auto ReadSome(std::string& bytes, Duration silence) -> awaitable<CallEnd> {
+  auto ReadSome(std::string& bytes, Duration idle_timeout)
+      -> awaitable<CallEnd> {
     if (parser_->is_done()) {
       co_return CallEnd::kComplete;
     }
@@ -257,9 +258,9 @@
     auto& body = parser_->get().body();
     body.data = read_buffer_.data();
     body.size = read_buffer_.size();
-    io.ExpireAt(
-        std::min(request_.deadline, std::chrono::steady_clock::now() + silence),
-        OnExpiry::kCloseIfNoData);
+    io.ExpireAt(std::min(request_.deadline,
+                         std::chrono::steady_clock::now() + idle_timeout),
+                OnExpiry::kCloseIfNoData);
     const auto [error, read] = co_await http::async_read_some(
         io.socket(), io.buffer(), *parser_, kAwaitTuple);
     bytes.append(read_buffer_.data(), read_buffer_.size() - body.size);
