--- a/src/store/http_object_store_test.cc
+++ b/src/store/http_object_store_test.cc
@@ -247,7 +247,7 @@
 
 // Guards against a 429 of the weight store that counts as an outage or reduces
 // the rate of the object API.
-TEST_CASE_METHOD(Fixture, "HttpWeightStore.SaysWhenToComeBack") {
+TEST_CASE_METHOD(Fixture, "HttpWeightStore.ReturnsTheRetryTime") {
   auto weights = HttpWeightStore(client);
   CHECK_FALSE(RunAwaitable(context, weights.Request("m@1")).has_value());
   const auto wait = RunAwaitable(context, weights.Request("m@1"));
--- a/src/store/rate_limiter_test.cc
+++ b/src/store/rate_limiter_test.cc
@@ -69,8 +69,7 @@
 }
 
 // Guards against slowing down a busy node while the fleet's rate is unused.
-TEST_CASE_METHOD(Fixture,
-                 "RateLimiter.BorrowsWhileThePlatformDoesNotComplain") {
+TEST_CASE_METHOD(Fixture, "RateLimiter.BorrowsWhileTheRateIsNotExceeded") {
   UseBurst();
   AdmittedIn(seconds(40));
   CHECK(limiter.rate(CallKind::kWrite) == Approx(60));
