--- a/bench/routing_batch.cc
+++ b/bench/routing_batch.cc
@@ -1,5 +1,6 @@
-// Batch beside bursts of online requests on one replica: fixed share, idle
-// slots only, feedback; on both measures, with the curve over `lean`.
+// Compares the rules for batch admission (fixed share, idle slots only,
+// feedback) beside bursts of online requests on one replica, by online latency
+// and batch throughput over values of `lean`.
 //
 // Batch throughput is stated as a share of the idle capacity: the tokens that
 // the engine would generate with all slots taken all the time, less those of
@@ -76,9 +77,9 @@
  private:
   struct Request {
     bool batch = false;
-    std::uint32_t tokens = 0;  // Wanted in all.
-    std::uint32_t offset = 0;  // Had before this run.
-    std::uint32_t now = 0;     // Had now.
+    std::uint32_t tokens = 0;  // Requested in total.
+    std::uint32_t offset = 0;  // Generated before this run.
+    std::uint32_t now = 0;     // Generated so far.
     MonotonicTime arrived = {};
     MonotonicTime first_token = {};
   };
@@ -95,9 +96,9 @@
     settings.batch = batch.value_or(BatchAdmissionSettings());
     return settings;
   }
-  // Tokens that batch could have had: the time that the online prefills leave,
-  // in steps with all slots taken, less the slots of online tokens; batch items
-  // are prefilled once.
+  // Tokens that batch items could have generated: the time that the online
+  // prefills leave, in steps with all slots taken, less the slots of online
+  // tokens; batch items are prefilled once.
   auto IdleTokens() const -> double {
     EngineModel model;
     auto step_ms = model.StepMs(model.capacity);
@@ -117,7 +118,8 @@
   }
 
   auto ChangeRate() -> void {
-    // Mean load a third of the slots; seconds of nothing, seconds of bursts.
+    // Mean load of a third of the slots, with idle phases and bursts of a few
+    // seconds each.
     const std::vector<double> rates = {0.0, 0.5, 1.0, 2.0, 4.0, 6.0};
     rate_ = rates[online_random_() % rates.size()];
     std::exponential_distribution<double> stay(1.0 / 6.0);
@@ -138,7 +140,8 @@
       ArriveOnline();
     });
   }
-  // The batch owner: always has items, and sends as many as there is room for.
+  // The batch owner always has items and sends as many as there are free batch
+  // slots.
   auto ArriveBatch() -> void {
     if (!batch_) {
       return;
@@ -149,14 +152,14 @@
       auto room = dispatcher_.load().free_batch_slots;
       for (std::uint32_t sent = 0; sent < room; ++sent) {
         std::uint64_t id = 0;
-        if (handed_back_.empty()) {
+        if (returned_.empty()) {
           id = next_++;
           requests_[id] = {
               .batch = true,
               .tokens = Length(kMeanBatchTokens, simulation_.random())};
         } else {
-          id = handed_back_.back();
-          handed_back_.pop_back();
+          id = returned_.back();
+          returned_.pop_back();
         }
         Arrive(id, WorkClass::kBatch);
       }
@@ -187,7 +190,7 @@
         case DispatchAction::Kind::kRefuse:
         case DispatchAction::Kind::kExpire:
           if (request.batch) {
-            handed_back_.push_back(id);
+            returned_.push_back(id);
           } else {
             result_.refused += IsMeasured() ? 1 : 0;
             requests_.erase(id);
@@ -221,7 +224,7 @@
     auto& request = requests_.at(id);
     if (end == UpstreamEnd::kCancelled) {
       request.offset = request.now;
-      handed_back_.push_back(id);
+      returned_.push_back(id);
     } else {
       if (!request.batch && request.arrived >= measuring_from_) {
         first_token_ms_.push_back(
@@ -246,7 +249,7 @@
   Engine engine_;
   Dispatcher dispatcher_;
   std::unordered_map<std::uint64_t, Request> requests_;
-  std::vector<std::uint64_t> handed_back_;
+  std::vector<std::uint64_t> returned_;
   std::uint64_t next_ = 0;
   double rate_ = 0.0;
   bool owner_due_ = false;
@@ -269,7 +272,7 @@
   BatchAdmissionSettings settings;
   settings.rule = rule;
   settings.lean = lean;
-  // The share is what the setting stands for under this rule.
+  // Under kFixedShare the setting stands for the share.
   settings.share = lean;
   return Scenario(report.seed(), settings).Run();
 }
--- a/bench/routing_fleet.h
+++ b/bench/routing_fleet.h
@@ -25,7 +25,7 @@
   kRouter,
   kRandom,
   kRoundRobin,
-  // Every node sends straight to the engines, by the router's rule over load
+  // Every node sends directly to the engines, by the router's rule with load
   // figures that are shared within the byte budget of a node.
   kDirect,
 };
@@ -38,7 +38,7 @@
   int model_replicas = 12;
   int plain_replicas = 3;
   int zones = 3;
-  // Arrivals as a share of what the engines can do.
+  // Arrival rate as a share of the engines' capacity.
   double load = 0.8;
   double warmup_s = 20.0;
   double measured_s = 60.0;
@@ -47,7 +47,7 @@
   bool outlier = true;
   bool retry = true;
   bool retry_budget = true;
-  // Off: the limit is the engine's capacity, whatever the latency.
+  // When off, the limit is the engine's capacity, whatever the latency.
   bool adaptive_limit = true;
   EngineModel engine = {};
   int slow_replica = -1;
@@ -76,8 +76,8 @@
   double imbalance = 0.0;
 };
 
-// A fleet of nodes, each an entry and the dispatcher of some replicas, in front
-// of batching engines.
+// A fleet of nodes in front of batching engines. Each node is an entry for
+// requests and the dispatcher of some replicas.
 class Fleet {
  public:
   explicit Fleet(FleetOptions options)
@@ -92,8 +92,8 @@
     Every(Milliseconds(100), [this] { SampleBalance(); });
   }
 
-  // Requests per second that the model engines can do at their best rate
-  // within the targets.
+  // Highest rate of requests per second that the model engines can serve within
+  // the targets.
   static auto CapacityPerSecond(const FleetOptions& options) -> double {
     constexpr double kInterTokenTargetMs = 55.0;
     double best = 0.0;
@@ -118,8 +118,8 @@
     auto end = measuring_from_ + Milliseconds(1e3 * options_.measured_s);
     arrivals_end_ = end;
     simulation_.RunUntil(end);
-    // All requests end: one that is left out because it is slow would make the
-    // tail look better than it is.
+    // Waits for all requests: leaving out slow ones would understate the tail
+    // latency.
     while (!requests_.empty()) {
       simulation_.RunUntil(simulation_.now() + std::chrono::seconds(5));
     }
@@ -149,7 +149,7 @@
     std::unique_ptr<routing::RetryBudget> budget;
     std::unique_ptr<routing::RetryPolicy> policy;
     std::unique_ptr<routing::LoadPublisher> sharing;
-    std::vector<std::size_t> replicas;  // That it dispatches to.
+    std::vector<std::size_t> replicas;  // Those that it dispatches to.
     std::array<std::size_t, 2> round_robin = {};
     std::uint64_t shared_bytes = 0;
   };
@@ -307,8 +307,8 @@
     request.measured = request.arrived >= measuring_from_;
     if (service == kModel) {
       std::exponential_distribution<double> length(1.0 / options_.mean_tokens);
-      constexpr double kMostTokens = 400.0;
-      auto drawn = std::min(length(simulation_.random()), kMostTokens);
+      constexpr double kMaxTokens = 400.0;
+      auto drawn = std::min(length(simulation_.random()), kMaxTokens);
       request.tokens = 1 + static_cast<std::uint32_t>(drawn);
       result_.arrived += request.measured ? 1 : 0;
       ++result_.all_arrived;
@@ -352,7 +352,7 @@
     auto& request = requests_.at(id);
     auto picked = Choose(request);
     if (!picked) {
-      return Refused(id);
+      return OnRefused(id);
     }
     request.replica = *picked;
     if (request.service == kModel) {
@@ -395,14 +395,15 @@
       }
       auto load = replicas_[replica].dispatcher->load();
       auto outcome = action.outcome;
-      simulation_.After(Milliseconds(0.3),
-                        [this, id, load, outcome] { Busy(id, load, outcome); });
+      simulation_.After(Milliseconds(0.3), [this, id, load, outcome] {
+        OnBusy(id, load, outcome);
+      });
     }
     Share(replica);
   }
-  auto Busy(std::uint64_t id,
-            const routing::ReplicaLoad& load,
-            const Outcome& outcome) -> void {
+  auto OnBusy(std::uint64_t id,
+              const routing::ReplicaLoad& load,
+              const Outcome& outcome) -> void {
     auto& request = requests_.at(id);
     auto& node = *nodes_[request.entry];
     node.router->OnLoad(load);
@@ -414,12 +415,12 @@
     auto decision = options_.retry ? node.policy->Decide(request.retry, result)
                                    : routing::RetryDecision();
     if (!decision.retry) {
-      return Refused(id);
+      return OnRefused(id);
     }
     ++request.retry.busy_retries;
     Attempt(id);
   }
-  auto Refused(std::uint64_t id) -> void {
+  auto OnRefused(std::uint64_t id) -> void {
     const auto& request = requests_.at(id);
     if (request.measured && request.service == kModel) {
       ++result_.refused;
@@ -441,9 +442,9 @@
         nodes_[request.entry]->router->OnLoad(upstream.dispatcher->load());
       }
       if (options_.outlier) {
-        Ejections(*nodes_[request.entry],
-                  nodes_[request.entry]->outliers->OnSuccess(upstream.info.id,
-                                                             latency));
+        ApplyEjections(*nodes_[request.entry],
+                       nodes_[request.entry]->outliers->OnSuccess(
+                           upstream.info.id, latency));
       }
     } else if (tokens % kProgressEvery == 0 &&
                options_.choice != Choice::kDirect) {
@@ -492,12 +493,12 @@
   auto TickOutliers() -> void {
     for (auto& node : nodes_) {
       if (options_.outlier) {
-        Ejections(*node, node->outliers->OnTick());
+        ApplyEjections(*node, node->outliers->OnTick());
       }
     }
   }
-  static auto Ejections(Node& node,
-                        const routing::OutlierDetector::Changes& changes)
+  static auto ApplyEjections(Node& node,
+                             const routing::OutlierDetector::Changes& changes)
       -> void {
     for (const auto& change : changes) {
       node.router->SetEjection(change.replica, change.state);
@@ -524,7 +525,8 @@
       SharePeriodically();
     }
   }
-  // Each node sends all its loads in turn, as often as the budget allows.
+  // Each node sends the loads of all its replicas as often as the budget
+  // allows.
   auto SharePeriodically() -> void {
     for (std::size_t index = 0; index < nodes_.size(); ++index) {
       auto& node = *nodes_[index];
@@ -571,8 +573,8 @@
       }
     });
   }
-  // Direct sending: every node gets every engine's figures as often as its
-  // 3 KB/s allow.
+  // With direct sending, every node receives every engine's figures as often as
+  // its 3 KB/s allow.
   auto ShareDirect() -> void {
     constexpr double kBudget = 3000.0;
     if (simulation_.now() < next_direct_) {
--- a/src/store/circuit_test.cc
+++ b/src/store/circuit_test.cc
@@ -20,9 +20,9 @@
     }
   }
 
-  // Gives the longest jitter once the waits have reached their bound.
-  auto LongestDraw() const -> std::uint64_t {
-    return static_cast<std::uint64_t>(options.longest_wait.count());
+  // Random value that gives the largest jitter when the backoff is max_backoff.
+  auto MaxJitter() const -> std::uint64_t {
+    return static_cast<std::uint64_t>(options.max_backoff.count());
   }
 
   CircuitOptions options;
@@ -31,72 +31,73 @@
   MonotonicTime now{seconds(100)};
 };
 
-// Guards against refusing calls because of a single lost answer.
+// Guards against refusing calls because of a single lost response.
 TEST_CASE_METHOD(Fixture, "Circuit.StaysClosedUnderScatteredFailures") {
   for (auto i = 0; i < 100; ++i) {
     Fail(options.failures_to_open - 1);
     circuit.OnSuccess();
   }
-  CHECK(circuit.Ask(now, true).allowed);
+  CHECK(circuit.AllowCall(now, true).allowed);
   CHECK_FALSE(circuit.TakeRecovered());
 }
 
-// Guards against calls that wait for timeouts while the platform is out.
+// Guards against calls that wait for timeouts while the platform is
+// unavailable.
 TEST_CASE_METHOD(Fixture, "Circuit.RefusesAtOnceWithRetryTimeWhenOpen") {
   Fail(options.failures_to_open);
-  const auto decision = circuit.Ask(now, true);
+  const auto decision = circuit.AllowCall(now, true);
   CHECK_FALSE(decision.allowed);
-  CHECK(decision.retry_after == options.first_wait / 2);
+  CHECK(decision.retry_after == options.initial_backoff / 2);
 }
 
-// Guards against a load of probes on a platform that is coming back.
+// Guards against overloading a recovering platform with probes.
 TEST_CASE_METHOD(Fixture, "Circuit.LetsOneProbeThrough") {
   Fail(options.failures_to_open);
-  now += options.first_wait;
-  CHECK_FALSE(circuit.Ask(now, false).allowed);
-  CHECK(circuit.Ask(now, true).allowed);
-  CHECK_FALSE(circuit.Ask(now, true).allowed);
+  now += options.initial_backoff;
+  CHECK_FALSE(circuit.AllowCall(now, false).allowed);
+  CHECK(circuit.AllowCall(now, true).allowed);
+  CHECK_FALSE(circuit.AllowCall(now, true).allowed);
   circuit.OnSuccess();
-  CHECK(circuit.Ask(now, false).allowed);
+  CHECK(circuit.AllowCall(now, false).allowed);
   CHECK(circuit.TakeRecovered());
 }
 
-// Guards against a circuit that stays open because a probe was never answered.
+// Guards against a circuit that stays open because a probe got no response.
 TEST_CASE_METHOD(Fixture, "Circuit.ProbesAgainWhenAProbeGotLost") {
   Fail(options.failures_to_open);
-  now += options.first_wait;
-  REQUIRE(circuit.Ask(now, true).allowed);
+  now += options.initial_backoff;
+  REQUIRE(circuit.AllowCall(now, true).allowed);
   now += options.probe_timeout;
-  CHECK(circuit.Ask(now, true).allowed);
+  CHECK(circuit.AllowCall(now, true).allowed);
 }
 
-// Guards against waits above the bound, which would outlast lease terms.
+// Guards against backoffs above the bound, which would exceed lease terms.
 TEST_CASE_METHOD(Fixture, "Circuit.WaitsLongerUpToABound") {
-  draw = LongestDraw();
+  draw = MaxJitter();
   Fail(options.failures_to_open);
   for (auto i = 0; i < 10; ++i) {
-    const auto decision = circuit.Ask(now, true);
-    CHECK(decision.retry_after <= options.longest_wait * 3 / 2);
+    const auto decision = circuit.AllowCall(now, true);
+    CHECK(decision.retry_after <= options.max_backoff * 3 / 2);
     now += decision.retry_after;
-    REQUIRE(circuit.Ask(now, true).allowed);
+    REQUIRE(circuit.AllowCall(now, true).allowed);
     circuit.OnFailure(now);
   }
-  CHECK(circuit.Ask(now, true).retry_after > options.first_wait * 2);
+  CHECK(circuit.AllowCall(now, true).retry_after > options.initial_backoff * 2);
 }
 
-// Guards against a node that acts for seconds after an outage on what it knew
-// before, because its last probe met silence just before the platform returned.
+// Guards against a node that acts on outdated state for seconds after an
+// outage, because its last probe timed out just before the platform recovered.
 TEST_CASE_METHOD(Fixture, "Circuit.LetsACallThroughSoonAfterALongOutage") {
   constexpr auto kSoon = seconds(3);
   constexpr auto kCallTimeout = seconds(1);
-  draw = LongestDraw();
+  draw = MaxJitter();
   Fail(options.failures_to_open);
   for (auto probe = 0; probe < 20; ++probe) {
-    now += circuit.Ask(now, true).retry_after;
-    REQUIRE(circuit.Ask(now, true).allowed);
+    now += circuit.AllowCall(now, true).retry_after;
+    REQUIRE(circuit.AllowCall(now, true).allowed);
     now += kCallTimeout;
     circuit.OnFailure(now);
-    CHECK(kCallTimeout + circuit.Ask(now, true).retry_after <= kSoon);
+    CHECK(kCallTimeout + circuit.AllowCall(now, true).retry_after <= kSoon);
   }
 }
 
@@ -111,7 +112,7 @@
     for (std::uint32_t i = 0; i < options.failures_to_open; ++i) {
       circuit.OnFailure(now);
     }
-    ++per_bucket[circuit.Ask(now, true).retry_after / milliseconds(50)];
+    ++per_bucket[circuit.AllowCall(now, true).retry_after / milliseconds(50)];
   }
   for (const auto& [bucket, nodes] : per_bucket) {
     CHECK(nodes < kNodes / 5);
--- a/src/store/http_object_store_test.cc
+++ b/src/store/http_object_store_test.cc
@@ -50,9 +50,9 @@
   auto Remove(const std::string& key, std::uint64_t expected) -> void {
     RunAwaitable(context, store.Remove(key, expected, CallClass::kStatus));
   }
-  // Kind of the error that the call throws; nothing when it throws none.
+  // Kind of the error that the call throws, if any.
   template <typename Call>
-  auto KindOf(Call call) -> std::optional<ErrorKind> {
+  auto ErrorKindOf(Call call) -> std::optional<ErrorKind> {
     try {
       call();
     } catch (const Error& error) {
@@ -80,37 +80,38 @@
   CHECK_FALSE(Read("a/b c%").has_value());
 }
 
-// Guards against errors that say "no effect" of a write that had one, or the
+// Guards against errors that report no effect of a write that had one, or the
 // reverse.
 TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReportsConflictAndNotFound") {
   Write("a", "one");
-  CHECK(KindOf([&] { Write("a", "two"); }) == ErrorKind::kConflict);
-  CHECK(KindOf([&] { Write("a", "two", 7); }) == ErrorKind::kConflict);
-  CHECK(KindOf([&] { Write("none", "x", 1); }) == ErrorKind::kConflict);
-  CHECK(KindOf([&] { Remove("a", 7); }) == ErrorKind::kConflict);
-  CHECK(KindOf([&] { Remove("none", 1); }) == ErrorKind::kNotFound);
-  CHECK(KindOf([&] { Write("big", std::string(kMaxValueBytes + 1, 'x')); }) ==
-        ErrorKind::kInvalidArgument);
+  CHECK(ErrorKindOf([&] { Write("a", "two"); }) == ErrorKind::kConflict);
+  CHECK(ErrorKindOf([&] { Write("a", "two", 7); }) == ErrorKind::kConflict);
+  CHECK(ErrorKindOf([&] { Write("none", "x", 1); }) == ErrorKind::kConflict);
+  CHECK(ErrorKindOf([&] { Remove("a", 7); }) == ErrorKind::kConflict);
+  CHECK(ErrorKindOf([&] { Remove("none", 1); }) == ErrorKind::kNotFound);
+  CHECK(ErrorKindOf([&] {
+          Write("big", std::string(kMaxValueBytes + 1, 'x'));
+        }) == ErrorKind::kInvalidArgument);
 }
 
 TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReportsALostAnswerAsUnknown") {
   fake.SetFault({{"mode", "lose_answers"}});
-  CHECK(KindOf([&] { Write("a", "one"); }) == ErrorKind::kUnknownOutcome);
+  CHECK(ErrorKindOf([&] { Write("a", "one"); }) == ErrorKind::kUnknownOutcome);
   CHECK(fake.Value("a") == "one");
-  CHECK(KindOf([&] { Remove("a", 1); }) == ErrorKind::kUnknownOutcome);
+  CHECK(ErrorKindOf([&] { Remove("a", 1); }) == ErrorKind::kUnknownOutcome);
   CHECK_FALSE(fake.Value("a").has_value());
 }
 
 TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReportsASilentPlatform") {
   fake.SetFault({{"mode", "outage"}, {"kind", "hang"}});
-  CHECK(KindOf([&] { Read("a"); }) == ErrorKind::kTimeout);
-  CHECK(KindOf([&] { Write("a", "one"); }) == ErrorKind::kUnknownOutcome);
+  CHECK(ErrorKindOf([&] { Read("a"); }) == ErrorKind::kTimeout);
+  CHECK(ErrorKindOf([&] { Write("a", "one"); }) == ErrorKind::kUnknownOutcome);
 }
 
 TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReportsAnOutageAsUnavailable") {
   fake.SetFault({{"mode", "outage"}, {"kind", "error"}});
-  CHECK(KindOf([&] { Read("a"); }) == ErrorKind::kUnavailable);
-  CHECK(KindOf([&] { Write("a", "one"); }) == ErrorKind::kUnavailable);
+  CHECK(ErrorKindOf([&] { Read("a"); }) == ErrorKind::kUnavailable);
+  CHECK(ErrorKindOf([&] { Write("a", "one"); }) == ErrorKind::kUnavailable);
   CHECK_FALSE(fake.Value("a").has_value());
 }
 
@@ -118,24 +119,24 @@
   Write("a", "one");
   fake.Stop();
   RunUntil(context, [&] { return context.poll() == 0; });
-  CHECK(KindOf([&] { Write("a", "two", 1); }) == ErrorKind::kUnavailable);
-  CHECK(KindOf([&] { Read("a"); }) == ErrorKind::kUnavailable);
+  CHECK(ErrorKindOf([&] { Write("a", "two", 1); }) == ErrorKind::kUnavailable);
+  CHECK(ErrorKindOf([&] { Read("a"); }) == ErrorKind::kUnavailable);
 }
 
-// Guards against callers that wait for a timeout each while the platform is
-// out, and against a client that does not come back.
+// Guards against calls that each wait for a timeout during an outage, and
+// against a client that does not recover after it.
 TEST_CASE_METHOD(Fixture, "HttpObjectStore.RefusesAtOnceInAnOutageAndReturns") {
   fake.SetFault({{"mode", "outage"}, {"kind", "error"}});
   for (auto i = 0; i < 5; ++i) {
-    KindOf([&] { Read("a"); });
+    ErrorKindOf([&] { Read("a"); });
   }
   const auto sent = client.counts().failures;
-  CHECK(KindOf([&] { Read("a"); }) == ErrorKind::kUnavailable);
+  CHECK(ErrorKindOf([&] { Read("a"); }) == ErrorKind::kUnavailable);
   CHECK_THAT(last_message, Catch::Contains("retry in "));
   CHECK(client.counts().failures == sent);
   CHECK(client.last_retry_after() > Duration(0));
   fake.SetFault({{"mode", "none"}});
-  RunUntil(context, [&] { return !KindOf([&] { Read("a"); }); });
+  RunUntil(context, [&] { return !ErrorKindOf([&] { Read("a"); }); });
   CHECK(client.circuit_state() == Circuit::State::kClosed);
 }
 
@@ -144,14 +145,14 @@
 TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReplacesClosedIdleConnections") {
   Write("a", "one");
   fake.SetFault({{"mode", "lose_answers"}, {"prefix", "b"}});
-  KindOf([&] { Write("b", "x"); });
+  ErrorKindOf([&] { Write("b", "x"); });
   fake.SetFault({{"mode", "none"}});
   CHECK(Write("a", "two", 1) == 2);
   CHECK(Read("a")->value == "two");
 }
 
-// Guards against a call that times out on a connection that a cut has ended
-// without a sign while nothing was sent on it.
+// Guards against a call that times out on an idle connection that a network
+// failure has broken unnoticed.
 TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReplacesLongIdleConnections") {
   auto options = Options(fake.address());
   options.idle_limit = milliseconds(200);
@@ -210,7 +211,7 @@
 
 TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReportsAnExceededRate") {
   fake.SetFault({{"mode", "rates"}, {"writes_per_second", 0.1}});
-  CHECK(KindOf([&] { Write("a", "one"); }) == ErrorKind::kOverloaded);
+  CHECK(ErrorKindOf([&] { Write("a", "one"); }) == ErrorKind::kOverloaded);
   CHECK(client.counts().rate_exceeded == 1);
   CHECK(client.last_retry_after() >= std::chrono::seconds(1));
 }
@@ -225,7 +226,8 @@
   CHECK(fake.Stats().at("calls") == json{{"read", 2}, {"write", 1}});
 }
 
-// Guards against acting on the truth in tests that are about its lag.
+// Guards against a fake platform that shows the current hosts while a lag is
+// set.
 TEST_CASE_METHOD(Fixture, "HttpHostList.ShowsHostsWithALag") {
   auto hosts = HttpHostList(client);
   const auto host = json{{"name", "h"},
@@ -243,9 +245,9 @@
         Host{"h", "127.0.0.1:1", ZoneName("z"), HostState::kLeaving});
 }
 
-// Guards against a refusal of the weight store that counts as an outage or
-// slows the object API down.
-TEST_CASE_METHOD(Fixture, "HttpWeightStore.SaysWhenToComeBack") {
+// Guards against a 429 of the weight store that counts as an outage or reduces
+// the rate of the object API.
+TEST_CASE_METHOD(Fixture, "HttpWeightStore.ReturnsTheRetryTime") {
   auto weights = HttpWeightStore(client);
   CHECK_FALSE(RunAwaitable(context, weights.Request("m@1")).has_value());
   const auto wait = RunAwaitable(context, weights.Request("m@1"));
--- a/src/store/platform_client.cc
+++ b/src/store/platform_client.cc
@@ -41,19 +41,18 @@
   };
 
   Impl(const asio::any_io_executor& io_executor,
-       PlatformOptions given,
+       PlatformOptions client_options,
        Clock clock_hook,
        RandomSource random)
       : executor(io_executor),
-        options(std::move(given)),
+        options(std::move(client_options)),
         clock(std::move(clock_hook)),
         limiter(options.limits),
         circuit(options.circuit, std::move(random)),
         client(executor, options.address, options.idle_limit),
         pump_timer(executor) {}
 
-  // Carries out what the limiter decides now, and arms the timer for the next
-  // decision.
+  // Applies the limiter's decisions and sets the timer for the next ones.
   auto Pump() -> void {
     const auto actions = limiter.Tick(clock());
     for (const auto ticket : actions.admitted) {
@@ -86,7 +85,7 @@
   }
 
   auto CheckCircuit(const PlatformCall& call) -> void {
-    const auto decision = circuit.Ask(clock(), !call.watch);
+    const auto decision = circuit.AllowCall(clock(), !call.watch);
     if (!decision.allowed) {
       RefuseByCircuit(call, decision.retry_after);
     }
@@ -95,13 +94,13 @@
   auto RefuseByCircuit(const PlatformCall& call, Duration wait) -> void {
     ++counts.refused_by_circuit;
     retry_after = wait;
-    throw Error(ErrorKind::kUnavailable, "the platform is out", call.object,
-                "retry in " + InMilliseconds(wait));
+    throw Error(ErrorKind::kUnavailable, "the platform is unavailable",
+                call.object, "retry in " + InMilliseconds(wait));
   }
 
   auto Admit(const PlatformCall& call, CallKind kind) -> awaitable<void> {
-    const auto ticket = limiter.Arrive(kind, call.call_class,
-                                       clock() + options.admission_timeout);
+    const auto ticket = limiter.Enqueue(kind, call.call_class,
+                                        clock() + options.admission_timeout);
     const auto waiter = std::make_shared<Waiter>(executor);
     waiters.emplace(ticket, waiter);
     Pump();
@@ -119,7 +118,7 @@
                   call.object, "retry in " + InMilliseconds(retry_after));
     }
     if (circuit.state() == Circuit::State::kOpen) {
-      RefuseByCircuit(call, options.circuit.first_wait);
+      RefuseByCircuit(call, options.circuit.initial_backoff);
     }
   }
 
@@ -131,7 +130,7 @@
     }
   }
 
-  // Returns the answer; without one, throws the error that is true of the call.
+  // Returns the response; without one, throws the error that matches the call.
   auto TakeResponse(const PlatformCall& call,
                     CallKind kind,
                     detail::HttpResult& result) -> detail::HttpResponse {
@@ -144,7 +143,7 @@
     }
     throw Error(
         result.timed_out ? ErrorKind::kTimeout : ErrorKind::kUnavailable,
-        "the platform does not answer (" + result.reason + ")", call.object,
+        "the platform does not respond (" + result.reason + ")", call.object,
         "retry later or check [platform] address " + options.address);
   }
 
@@ -152,14 +151,14 @@
       -> void {
     ++counts.unknown_outcomes;
     throw Error(ErrorKind::kUnknownOutcome,
-                "the platform's answer was lost (" + reason + ")", call.object,
-                "read the object back");
+                "the platform's response was lost (" + reason + ")",
+                call.object, "read the object back");
   }
 
   auto ThrowOnErrorStatus(const PlatformCall& call,
                           CallKind kind,
                           const detail::HttpResponse& response) -> void {
-    if (response.status == kTooManyRequests && !call.own_rate) {
+    if (response.status == kTooManyRequests && !call.own_rate_limit) {
       ++counts.rate_exceeded;
       limiter.OnRateExceeded(kind, clock());
       retry_after = response.retry_after.value_or(std::chrono::seconds(1));
@@ -174,11 +173,12 @@
     if (kind == CallKind::kWrite && response.status != kServiceUnavailable) {
       ThrowUnknown(call, status);
     }
-    throw Error(ErrorKind::kUnavailable, "the platform is out (" + status + ")",
-                call.object, "retry later");
+    throw Error(ErrorKind::kUnavailable,
+                "the platform is unavailable (" + status + ")", call.object,
+                "retry later");
   }
 
-  // Tells the circuit how a call ended. A 429 is an answer.
+  // Reports the result of a call to the circuit. A 429 is no failure.
   auto Report(const detail::HttpResult& result) -> void {
     if (!result.response || result.response->status >= kServerError) {
       circuit.OnFailure(clock());
--- a/src/store/response_json.h
+++ b/src/store/response_json.h
@@ -14,8 +14,8 @@
 auto CheckOk(const PlatformResponse& response, const std::string& object)
     -> void;
 
-// Parses the body of an answer with status 200.
-auto ParseAnswer(const PlatformResponse& response, const std::string& object)
+// Checks that the status is 200 and parses the body.
+auto ParseResponse(const PlatformResponse& response, const std::string& object)
     -> nlohmann::json;
 
 // Runs `convert` and turns JSON exceptions into Error(kInternal).
--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -26,11 +26,11 @@
 
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr int kFirstFinalStatus = 200;
-// Head of an answer; replicas send a few short headers.
+// Limit of a response head; replicas send a few short headers.
 constexpr std::uint32_t kMaxHeadBytes = 32'768;
 constexpr std::size_t kReadBytes = 16'384;
-// Answers to earlier requests that are skipped on one connection.
-constexpr int kMaxForeignAnswers = 2;
+// Responses to earlier requests that are skipped on one connection.
+constexpr int kMaxSkippedResponses = 2;
 
 auto ToMessage(ReplicaRequest& request)
     -> std::shared_ptr<http::request<http::string_body>> {
@@ -88,16 +88,16 @@
            std::shared_ptr<detail::ConnectionPool> pool,
            std::function<auto()->void> on_opened,
            ReplicaRequest request,
-           HeadFilter own_answer)
+           HeadFilter accept_head)
       : executor_(std::move(executor)),
         pool_(std::move(pool)),
         on_opened_(std::move(on_opened)),
         request_(std::move(request)),
-        own_answer_(std::move(own_answer)),
+        accept_head_(std::move(accept_head)),
         message_(ToMessage(request_)) {}
 
   ~HttpCall() override {
-    // The pending write holds the connection; closing it ends the write.
+    // The pending write keeps the connection alive; closing it ends the write.
     if (connection_) {
       connection_->io().Close();
     }
@@ -113,12 +113,12 @@
       }
       end = co_await SendAndReadHead();
       const auto stale = end == CallEnd::kBroken && connection_->reused() &&
-                         !answer_begun_ && !cancelled_;
+                         !response_begun_ && !cancelled_;
       if (!stale || sends_ >= request_.max_sends) {
         co_return end;
       }
       reuse = detail::Reuse::kFreshOnly;
-      // The write may still be pending and holds the connection.
+      // The write may still be pending and keep the connection alive.
       connection_->io().Close();
       connection_ = nullptr;
     }
@@ -129,7 +129,7 @@
     auto end = CallEnd::kOpen;
     const auto before = bytes.size();
     while (end == CallEnd::kOpen && bytes.size() == before) {
-      end = co_await ReadPiece(bytes, request_.body_silence);
+      end = co_await ReadSome(bytes, request_.body_idle_timeout);
     }
     if (end == CallEnd::kComplete) {
       Release();
@@ -168,20 +168,20 @@
   }
 
   auto SendAndReadHead() -> awaitable<CallEnd> {
-    // Replicas may answer before they have read the whole request, so the
-    // request is written while the answer is awaited.
+    // Replicas may respond before they have read the whole request, so the
+    // response is awaited while the request is written.
     write_done_ = std::make_shared<bool>(false);
     auto writing =
         Write(connection_, message_, write_done_,
               std::static_pointer_cast<HttpCall>(shared_from_this()));
     asio::co_spawn(executor_, std::move(writing), asio::detached);
-    head_deadline_ = std::chrono::steady_clock::now() + request_.head_silence;
-    for (auto skipped = 0; skipped <= kMaxForeignAnswers; ++skipped) {
+    head_deadline_ = std::chrono::steady_clock::now() + request_.head_timeout;
+    for (auto skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
       const auto end = co_await ReadHead();
       if (end != CallEnd::kOpen) {
         co_return end;
       }
-      if (own_answer_(head_)) {
+      if (accept_head_(head_)) {
         co_return CallEnd::kOpen;
       }
       const auto skip_end = co_await SkipBody();
@@ -189,12 +189,12 @@
         co_return skip_end;
       }
     }
-    reason_ = "answers to other requests";
+    reason_ = "responses to other requests";
     co_return CallEnd::kMalformed;
   }
 
-  // Marks bytes as sent before the first one leaves: a write that fails may
-  // have sent a part.
+  // Counts the send before the first byte is written, because a failed write
+  // may have sent a part.
   static auto Write(std::shared_ptr<Connection> connection,
                     std::shared_ptr<http::request<http::string_body>> message,
                     std::shared_ptr<bool> done,
@@ -215,22 +215,22 @@
       parser_->body_limit(boost::none);
       auto& io = connection_->io();
       io.ExpireAt(std::min(request_.deadline, head_deadline_),
-                  OnExpiry::kCloseIfSilent);
+                  OnExpiry::kCloseIfNoData);
       const auto [error, read] = co_await http::async_read_header(
           io.socket(), io.buffer(), *parser_, kAwaitTuple);
-      answer_begun_ = answer_begun_ || read > 0;
+      response_begun_ = response_begun_ || read > 0;
       if (error) {
-        co_return Judge(error);
+        co_return ToCallEnd(error);
       }
       if (parser_->get().result_int() >= kFirstFinalStatus) {
         break;
       }
     }
-    TakeHead();
+    StoreHead();
     co_return CallEnd::kOpen;
   }
 
-  auto TakeHead() -> void {
+  auto StoreHead() -> void {
     head_ = ReplicaHead();
     head_.status = static_cast<int>(parser_->get().result_int());
     for (const auto& field : parser_->get()) {
@@ -243,33 +243,34 @@
     auto end = CallEnd::kOpen;
     auto ignored = std::string();
     while (end == CallEnd::kOpen) {
-      end = co_await ReadPiece(ignored, request_.body_silence);
+      end = co_await ReadSome(ignored, request_.body_idle_timeout);
       ignored.clear();
     }
     co_return end;
   }
 
-  auto ReadPiece(std::string& bytes, Duration silence) -> awaitable<CallEnd> {
+  auto ReadSome(std::string& bytes, Duration idle_timeout)
+      -> awaitable<CallEnd> {
     if (parser_->is_done()) {
       co_return CallEnd::kComplete;
     }
     auto& io = connection_->io();
     auto& body = parser_->get().body();
-    body.data = piece_.data();
-    body.size = piece_.size();
-    io.ExpireAt(
-        std::min(request_.deadline, std::chrono::steady_clock::now() + silence),
-        OnExpiry::kCloseIfSilent);
+    body.data = read_buffer_.data();
+    body.size = read_buffer_.size();
+    io.ExpireAt(std::min(request_.deadline,
+                         std::chrono::steady_clock::now() + idle_timeout),
+                OnExpiry::kCloseIfNoData);
     const auto [error, read] = co_await http::async_read_some(
         io.socket(), io.buffer(), *parser_, kAwaitTuple);
-    bytes.append(piece_.data(), piece_.size() - body.size);
+    bytes.append(read_buffer_.data(), read_buffer_.size() - body.size);
     if (error && error != http::error::need_buffer) {
-      co_return Judge(error);
+      co_return ToCallEnd(error);
     }
     co_return parser_->is_done() ? CallEnd::kComplete : CallEnd::kOpen;
   }
 
-  auto Judge(const error_code& error) -> CallEnd {
+  auto ToCallEnd(const error_code& error) -> CallEnd {
     reason_ = error.message();
     if (cancelled_) {
       return CallEnd::kCancelled;
@@ -285,7 +286,7 @@
     return from_parser && !ended ? CallEnd::kMalformed : CallEnd::kBroken;
   }
 
-  // Keeps the connection for the next request if nothing is left on it.
+  // Returns the connection to the pool if the exchange on it is complete.
   auto Release() -> void {
     const auto clean = *write_done_ && parser_->get().keep_alive() &&
                        connection_->io().buffer().size() == 0 && !cancelled_;
@@ -299,17 +300,17 @@
   std::shared_ptr<detail::ConnectionPool> pool_;
   std::function<auto()->void> on_opened_;
   ReplicaRequest request_;
-  HeadFilter own_answer_;
+  HeadFilter accept_head_;
   std::shared_ptr<http::request<http::string_body>> message_;
   std::shared_ptr<Connection> connection_;
   std::shared_ptr<bool> write_done_;
   std::unique_ptr<Parser> parser_;
   ReplicaHead head_;
-  std::array<char, kReadBytes> piece_{};
+  std::array<char, kReadBytes> read_buffer_{};
   MonotonicTime head_deadline_;
   std::string reason_;
   std::uint32_t sends_ = 0;
-  bool answer_begun_ = false;
+  bool response_begun_ = false;
   bool cancelled_ = false;
 };
 
@@ -323,7 +324,7 @@
   impl_->pool->Close();
 }
 
-auto ReplicaCaller::Start(ReplicaRequest request, HeadFilter own_answer)
+auto ReplicaCaller::Start(ReplicaRequest request, HeadFilter accept_head)
     -> std::shared_ptr<Call> {
   auto count = [weak = std::weak_ptr<Impl>(impl_)] {
     if (const auto impl = weak.lock()) {
@@ -332,7 +333,7 @@
   };
   return std::make_shared<HttpCall>(impl_->executor, impl_->pool,
                                     std::move(count), std::move(request),
-                                    std::move(own_answer));
+                                    std::move(accept_head));
 }
 
 auto ReplicaCaller::opened() const -> std::uint64_t {
