Reword the comments and messages of the caller listener

Comments state what the code does in HTTP terms, and error texts say what to change. No test, script, scenario or docs/OPERATIONS.md matches these texts.

--- a/include/kumquatgauge/caller/caller_backend.h
+++ b/include/kumquatgauge/caller/caller_backend.h
@@ -20,7 +20,7 @@
 
 namespace kumquatgauge::caller {
 
-// Answer to GET /v1/addresses.
+// The response to GET /v1/addresses.
 struct AddressList {
   std::vector<std::string> addresses;  // "IP:port", preferred ones first.
   std::chrono::seconds ttl{0};         // How long a caller may cache them.
@@ -40,15 +40,14 @@
 struct CompletionEnd {
   Outcome outcome;
   std::string finish_reason;  // "stop" or "length" when completed.
-  // HTTP status to answer with instead of the one that belongs to the outcome;
-  // 0 for none. 429 stands for a limit that refused the request, 400 for a
-  // request that the engine rejected.
+  // HTTP status that replaces the default one of the outcome; 0 for none. 429
+  // means that a limit refused the request, 400 that the engine rejected it.
   int http_status = 0;
 
   auto operator==(const CompletionEnd&) const -> bool = default;
 };
 
-// What accompanies a call to a plain service.
+// Options of a call to a plain service, from the headers of the request.
 struct ServiceCallOptions {
   OrganisationName organisation;
   std::string idempotency_key;  // Empty when the caller sent none.
@@ -77,43 +76,47 @@
   auto operator==(const BatchOptions&) const -> bool = default;
 };
 
-// One batch upload. Destroying it without Finish abandons the upload; nothing
-// has been accepted then.
+// One batch upload. Destroying it without calling Finish abandons the upload,
+// and no part of the job is accepted.
 class BatchUpload {
  public:
   virtual ~BatchUpload() = default;
 
-  // Takes the next bytes of the JSON Lines body; a line may span two pieces.
+  // Appends the next bytes of the JSON Lines body; a line may span two calls.
   // Throws Error.
   virtual auto Append(std::string bytes) -> boost::asio::awaitable<void> = 0;
-  // Accepts the job and returns its status object, "id" included. Throws
-  // Error(kConflict) when the key names a job with another body.
+  // Accepts the job and returns its status object, including "id". Throws
+  // Error(kConflict) when the idempotency key belongs to a job with another
+  // body.
   virtual auto Finish() -> boost::asio::awaitable<nlohmann::json> = 0;
 };
 
-// Receives a result stream piece by piece; the next piece is read only when
-// the caller has taken this one. Throws Error(kUnavailable) when the caller is
-// gone; let it pass through.
+// Receives a result stream piece by piece. It returns when the piece has been
+// written to the caller, so that the next one is read only then. Throws
+// Error(kUnavailable) when the caller has disconnected; callers of the sink
+// must propagate it.
 using ByteSink =
     std::function<auto(std::string bytes)->boost::asio::awaitable<void>>;
 
-// What the caller listener needs from the daemon. Called on the io_contexts of
-// the traffic threads, from several threads at once. Each coroutine, sink and
-// cancel hook runs on the io_context of its connection. Errors thrown are
-// answered by kind; see docs/callers.md.
+// The operations that the caller listener needs from the daemon. They are
+// called on the io_contexts of the traffic threads, from several threads at
+// once. Each coroutine, sink and cancel hook runs on the io_context of its
+// connection. The kind of a thrown Error selects the status of the response;
+// see docs/callers.md.
 class CallerBackend {
  public:
   virtual ~CallerBackend() = default;
 
   virtual auto addresses() -> AddressList = 0;
-  // True when the node can serve; false turns /readyz to 503.
+  // True when the node can serve; otherwise /readyz returns 503.
   virtual auto ready() -> bool = 0;
   // Metrics in the text exposition format.
   virtual auto metrics() -> std::string = 0;
   virtual auto Models() -> std::vector<ModelInfo> = 0;
 
-  // Passes the tokens to `sink`. `cancel` is cancelled when the caller goes
-  // away; check cancelled() after setting a hook.
+  // Runs a completion and passes its tokens to `sink`. `cancel` is cancelled
+  // when the caller disconnects, possibly before a hook is set: check
+  // cancelled() after setting one.
   virtual auto Complete(routing::CompletionRequest request,
                         routing::TokenSink sink,
                         std::shared_ptr<node::StreamCancel> cancel)
@@ -126,14 +129,14 @@
 
   virtual auto StartBatch(BatchOptions options)
       -> boost::asio::awaitable<std::unique_ptr<BatchUpload>> = 0;
-  // Status object of a job. Throws Error(kNotFound).
+  // Returns the status object of a job. Throws Error(kNotFound).
   virtual auto BatchStatus(JobId id)
       -> boost::asio::awaitable<nlohmann::json> = 0;
   // Cancels a job and returns its status object. Throws Error(kNotFound).
   virtual auto CancelBatch(JobId id)
       -> boost::asio::awaitable<nlohmann::json> = 0;
-  // Passes the results as JSON Lines, or only the one of `custom_id`. Throws
-  // Error(kNotFound) before the first piece.
+  // Passes the results to `sink` as JSON Lines: all of them, or only the one of
+  // `custom_id`. Throws Error(kNotFound) before the first piece.
   virtual auto ReadResults(JobId id,
                            std::optional<std::string> custom_id,
                            ByteSink sink) -> boost::asio::awaitable<void> = 0;
--- a/include/kumquatgauge/caller/caller_server.h
+++ b/include/kumquatgauge/caller/caller_server.h
@@ -22,28 +22,28 @@
   static constexpr std::size_t kMaxHeaderBytes = 32U << 10U;
   static constexpr std::size_t kMaxUnsentBytes = 4U << 20U;
 
-  std::size_t max_body_bytes = kMaxBodyBytes;  // All but batch uploads.
+  std::size_t max_body_bytes = kMaxBodyBytes;  // Except batch uploads.
   std::size_t max_batch_bytes = kMaxBatchBytes;
   std::size_t max_batch_items = kMaxBatchItems;
   std::size_t max_headers = kMaxHeaders;
   std::size_t max_header_bytes = kMaxHeaderBytes;
-  // Bytes of a stream that a slow reader may leave unread in this process
-  // before it is treated as gone.
+  // Bytes of a stream that may be queued for a slow caller before its
+  // connection is closed.
   std::size_t max_unsent_bytes = kMaxUnsentBytes;
-  // For the header, for the body of an online request, and for each 64 KB of a
-  // batch upload.
+  // Time to receive the header, the body of an online request, or each 64 KB of
+  // a batch upload.
   std::chrono::milliseconds sender_timeout{10'000};
-  // Between two requests of a connection.
+  // Time between two requests of a connection.
   std::chrono::milliseconds idle_timeout{60'000};
-  // For the caller to take some bytes of a response.
+  // Time for one write of a response to complete.
   std::chrono::milliseconds write_timeout{30'000};
-  // After Stop, for requests that are already on their way on an idle
-  // connection.
+  // Time after Stop during which idle connections stay open for requests that
+  // are already in transit.
   std::chrono::milliseconds stop_grace{1'000};
-  // Used when a request has no KQG-Deadline-Ms.
+  // Deadline of requests without KQG-Deadline-Ms.
   std::chrono::milliseconds default_deadline{60'000};
   std::chrono::milliseconds max_deadline{3'600'000};
-  // Due time of a batch that names none.
+  // Time until a batch is due when the request gives no due time.
   std::chrono::seconds default_batch_due{86'400};
   // Organisation of requests without KQG-Organisation.
   std::string default_organisation = "default";
@@ -60,25 +60,26 @@
 // must outlive the connections.
 class CallerServer {
  public:
-  // Listens on `address` ("IP:port"; port 0 picks one). Throws
-  // Error(kUnavailable) when it cannot.
+  // Listens on `address` ("IP:port"; port 0 picks a free one). Throws
+  // Error(kUnavailable) when the address cannot be bound.
   CallerServer(std::vector<boost::asio::io_context*> contexts,
                const std::string& address,
                CallerBackend& backend,
                CallerSettings settings = {});
   CallerServer(const CallerServer&) = delete;
   auto operator=(const CallerServer&) -> CallerServer& = delete;
-  // Stops at once: connections that are still open are closed.
+  // Stops immediately: closes the connections that are still open.
   ~CallerServer();
 
-  // "IP:port" that it listens on.
+  // Address that the server listens on, as "IP:port".
   auto address() const -> const std::string&;
-  // Connections that are open now.
+  // Number of open connections.
   auto connections() const -> std::size_t;
 
-  // Stops gracefully: accepts no more connections, finishes what runs, and
-  // answers what still arrives with "Connection: close". connections() falls
-  // to 0 when all is done. Thread-safe, may be called more than once.
+  // Stops gracefully: accepts no more connections, finishes running requests,
+  // and answers those that still arrive with "Connection: close". connections()
+  // drops to 0 when all of them have ended. Thread-safe; may be called more
+  // than once.
   auto Stop() -> void;
 
  private:
--- a/include/kumquatgauge/caller/http_listener.h
+++ b/include/kumquatgauge/caller/http_listener.h
@@ -15,25 +15,26 @@
 
 namespace kumquatgauge::caller {
 
-// A request that was read whole.
+// A request whose header and body have been read completely.
 struct IncomingRequest {
   std::string method;
   std::string target;  // Path and query as sent.
   HeaderList headers;
   std::string body;
-  MonotonicTime arrived;  // When its last byte was read.
+  MonotonicTime arrived;  // When the last byte was read.
 };
 
-// The answer to one request. Every call returns false once the caller is gone.
-// An answer that is neither sent nor finished when the handler returns closes
-// the connection, so that it cannot be taken for a complete one.
+// Writes the response to one request. Every call returns false once the caller
+// has disconnected. If the response is neither sent nor finished when the
+// handler returns, the connection is closed, so that the caller cannot take a
+// partial response for a complete one.
 class ResponseWriter {
  public:
   virtual ~ResponseWriter() = default;
 
   virtual auto Send(int status, HeaderList headers, std::string body)
       -> boost::asio::awaitable<bool> = 0;
-  // An answer in pieces of unknown total length.
+  // Starts a response in chunks, whose total length is not known.
   virtual auto BeginStream(int status, HeaderList headers)
       -> boost::asio::awaitable<bool> = 0;
   virtual auto WritePiece(std::string piece)
@@ -41,7 +42,8 @@
   virtual auto FinishStream() -> boost::asio::awaitable<bool> = 0;
 
   virtual auto gone() const -> bool = 0;
-  // Called once, when the caller closes its connection before the answer ends.
+  // Calls `hook` once if the caller closes its connection before the response
+  // has ended.
   virtual auto OnGone(std::function<auto()->void> hook) -> void = 0;
 };
 
@@ -53,11 +55,11 @@
 struct ListenerLimits {
   std::size_t max_header_bytes = 16'384;
   std::size_t max_body_bytes = 4'194'304;
-  // From the first byte of a request to its last.
+  // Time from the first byte of a request to its last one.
   std::chrono::milliseconds read_timeout{3'000};
-  // Without a request on an open connection.
+  // Time that a connection may stay open without a request.
   std::chrono::milliseconds idle_timeout{15'000};
-  // For the caller to take a piece of the answer.
+  // Time for one write of a response to complete.
   std::chrono::milliseconds write_timeout{5'000};
   std::size_t max_connections = 1'000;
 
@@ -76,23 +78,25 @@
   HttpListener(const HttpListener&) = delete;
   auto operator=(const HttpListener&) -> HttpListener& = delete;
 
-  // Listens. Throws Error(kUnavailable) when the address cannot be bound.
+  // Starts listening. Throws Error(kUnavailable) when the address cannot be
+  // bound.
   auto Start() -> void;
   // Applies to requests that begin from now on.
   auto SetLimits(ListenerLimits limits) -> void;
-  // Answers from now on tell callers to close their connections.
+  // Sends "Connection: close" with every response from now on.
   auto Drain() -> void;
   // Refuses new connections from now on.
   auto StopAccepting() -> void;
-  // Closes the connections that wait for a request. A request that crosses the
-  // close stays unread, so its caller may send it elsewhere.
+  // Closes the connections that wait for a request. A request that is in
+  // transit at that moment is never read, so its caller can safely send it
+  // elsewhere.
   auto CloseIdle() -> void;
   // Stops accepting and closes all connections.
   auto Stop() -> void;
 
   auto address() const -> std::string;
   auto connections() const -> std::size_t;
-  // Requests that were read and not yet answered.
+  // Number of requests that have been read but not yet answered.
   auto active_requests() const -> std::size_t;
 
  private:
--- a/src/caller/api_error.cc
+++ b/src/caller/api_error.cc
@@ -19,7 +19,7 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
-// For refusals that do not say when to come back.
+// Used for refusals that carry no Retry-After time of their own.
 constexpr std::chrono::milliseconds kDefaultRetryAfter{1'000};
 
 auto TypeOf(int status) -> const char* {
@@ -89,7 +89,7 @@
       http_status == 0 ? UsualStatus(outcome.kind) : http_status;
   ApiError error(status, CodeOf(outcome.kind), outcome.reason);
   if (error.message.empty()) {
-    error.message = "the request ended as " + error.code;
+    error.message = "the request ended with outcome " + error.code;
   }
   error.outcome = outcome.kind;
   if (outcome.kind == OutcomeKind::kNotRun &&
@@ -103,7 +103,7 @@
 auto FromError(const Error& cause, int conflict_status) -> ApiError {
   ApiError error(StatusOf(cause.kind(), conflict_status),
                  std::string(ErrorKindName(cause.kind())), cause.what());
-  // Whether the request ran cannot be told from an internal error.
+  // An internal error does not tell whether the request was run.
   if (cause.kind() == ErrorKind::kUnknownOutcome ||
       cause.kind() == ErrorKind::kInternal) {
     error.outcome = OutcomeKind::kUnknown;
--- a/src/caller/api_error.h
+++ b/src/caller/api_error.h
@@ -11,7 +11,7 @@
 
 namespace kumquatgauge::caller::detail {
 
-// An error as a caller sees it.
+// An error in the form in which it is returned to a caller.
 struct ApiError : std::exception {
   ApiError() = default;
   ApiError(int http_status,
@@ -24,23 +24,24 @@
   int status = 0;
   std::string code;
   std::string message;
-  std::string param;  // Name of the field at fault; empty for none.
-  std::string allow;  // Methods that a 405 names.
+  std::string param;  // Name of the invalid field; empty for none.
+  std::string allow;  // Value of the Allow header of a 405.
   OutcomeKind outcome = OutcomeKind::kNotRun;
   std::optional<std::chrono::milliseconds> retry_after;
 };
 
-// The error for an outcome other than kCompleted; `http_status` replaces the
-// usual status unless it is 0.
+// Returns the error for an outcome other than kCompleted. `http_status`
+// replaces the default status of the outcome unless it is 0.
 auto FromOutcome(const Outcome& outcome, int http_status) -> ApiError;
 
-// `conflict_status` is 409, or 422 for an idempotency key with another body.
+// Returns the error for an exception. `conflict_status` is the status of
+// kConflict: 409, or 422 for an idempotency key reused with another body.
 auto FromError(const Error& error, int conflict_status) -> ApiError;
 
-// {"error":{"message","type","param","code"}}
+// Returns the body {"error":{"message","type","param","code"}}.
 auto ToJson(const ApiError& error) -> std::string;
 
-// Value of Retry-After: whole seconds, rounded up, at least 1.
+// Returns the value of Retry-After: whole seconds, rounded up, at least 1.
 auto RetryAfterSeconds(std::chrono::milliseconds time) -> std::string;
 
 }  // namespace kumquatgauge::caller::detail
--- a/src/caller/caller_server.cc
+++ b/src/caller/caller_server.cc
@@ -18,7 +18,8 @@
 namespace detail {
 namespace {
 
-// Running out of file descriptors passes; accepting again at once would spin.
+// Running out of file descriptors is temporary; retrying without a delay would
+// be a busy loop.
 constexpr std::chrono::milliseconds kAcceptRetry{50};
 
 }  // namespace
--- a/src/caller/caller_server_test.cc
+++ b/src/caller/caller_server_test.cc
@@ -88,7 +88,7 @@
   return response;
 }
 
-// Data of the events of a chunked body, in order.
+// Returns the data of the events of a chunked body, in order.
 auto Events(const std::string& text) -> std::vector<std::string> {
   std::vector<std::string> events;
   std::size_t at = 0;
@@ -107,7 +107,7 @@
             backend,
             std::move(settings))) {}
 
-  // Sends a request that asks to close and returns the whole response.
+  // Sends a request with "Connection: close" and returns the response.
   auto Ask(std::string request) -> Response {
     const auto line_end = request.find("\r\n");
     if (line_end != std::string::npos) {
@@ -215,7 +215,7 @@
   CHECK(usage["usage"]["completion_tokens"] == 1);
 }
 
-// Guards against a caller that takes a broken answer for a whole one.
+// Guards against a truncated stream that a caller takes for a complete one.
 TEST_CASE("CallerServer.StreamThatEndsEarlyHasAnErrorEventAndNoDone") {
   const auto [kind, code] = GENERATE(table<OutcomeKind, std::string>({
       {OutcomeKind::kUnknown, "unknown_outcome"},
@@ -233,7 +233,7 @@
   CHECK(response.body.find("KQG-Outcome: not_run") == std::string::npos);
 }
 
-// Guards against a missing token being hidden inside a stream.
+// Guards against a stream that continues after a missing token.
 TEST_CASE("CallerServer.GapInTheTokensEndsTheStreamWithAnError") {
   Fixture fixture;
   fixture.backend.completion = {{{0, "a"}, {2, "c"}}, Completed(), false, {}};
@@ -245,7 +245,8 @@
   CHECK(response.body.find("[DONE]") == std::string::npos);
 }
 
-// Guards against callers repeating what must not be repeated, and the reverse.
+// Guards against callers that retry a request which may have run, or do not
+// retry one which has not.
 TEST_CASE("CallerServer.MapsOutcomesToStatusAndHeaders") {
   struct Row {
     OutcomeKind kind;
@@ -296,7 +297,7 @@
   CHECK(response.Error()["code"] == std::string(ErrorKindName(kind)));
 }
 
-// Guards against work for a caller that is gone.
+// Guards against completions that keep running after the caller disconnects.
 TEST_CASE("CallerServer.CancelsTheCompletionWhenTheCallerDisconnects") {
   const auto stream = GENERATE(true, false);
   Fixture fixture;
@@ -312,7 +313,7 @@
                  [&] { return fixture.server->connections() == 0; }));
 }
 
-// Guards against unbounded memory for a caller that does not read.
+// Guards against unbounded memory use when a caller does not read its response.
 TEST_CASE("CallerServer.CancelsTheCompletionWhenTheCallerDoesNotRead") {
   CallerSettings settings;
   settings.max_unsent_bytes = 100'000;
@@ -344,7 +345,7 @@
   CHECK(request.body == ChatBody());
 }
 
-// Guards against requests of one conversation being spread over replicas.
+// Guards against spreading the requests of one conversation over replicas.
 TEST_CASE("CallerServer.AffinityDependsOnTheFirst1024BytesOfThePrompt") {
   Fixture fixture;
   fixture.backend.completion.end = Completed();
@@ -405,7 +406,7 @@
   REQUIRE(RunUntil(fixture.context,
                    [&] { return fixture.server->connections() == 2; }));
   fixture.server->Stop();
-  // A request on an open connection is still answered, and is the last there.
+  // A request on an idle connection is still answered; then it is closed.
   idle.Send(Get("/healthz"));
   CHECK(Split(idle.ReadToEnd()).HasHeader("Connection: close"));
   gate->cancel();
@@ -416,7 +417,7 @@
   CHECK_THROWS(RawClient(fixture.context, fixture.server->address()));
 }
 
-// Guards against connections that stay open for ever.
+// Guards against connections that stay open forever.
 TEST_CASE("CallerServer.ClosesIdleConnections") {
   CallerSettings settings;
   settings.idle_timeout = std::chrono::milliseconds(50);
@@ -444,7 +445,8 @@
   }
 }
 
-// Guards against bad requests that reach the backend or get no reason.
+// Guards against invalid requests that reach the backend or are rejected
+// without a reason.
 TEST_CASE("CallerServer.RejectsBadCompletions") {
   struct Row {
     std::string body;
@@ -527,7 +529,8 @@
   CHECK(fixture.backend.completions.empty());
 }
 
-// Guards against clients that wait for the interim response before the body.
+// Guards against clients that hang because they wait for the interim response
+// before they send the body.
 TEST_CASE("CallerServer.SendsContinueWhenExpected") {
   Fixture fixture;
   fixture.backend.completion.end = Completed();
@@ -568,7 +571,7 @@
   CHECK(fixture.backend.service_options.ticket == "n.1.2");
 }
 
-// Guards against a payment that a client library repeats by itself.
+// Guards against client libraries that retry a payment automatically.
 TEST_CASE("CallerServer.UnknownServiceOutcomeForbidsRetries") {
   Fixture fixture;
   fixture.backend.service_end.outcome.kind = OutcomeKind::kUnknown;
@@ -627,7 +630,7 @@
   }
 }
 
-// Guards against half a job being accepted.
+// Guards against accepting a job whose upload was incomplete.
 TEST_CASE("CallerServer.AbandonsTheUploadWhenTheCallerDisconnects") {
   Fixture fixture;
   RawClient client(fixture.context, fixture.server->address());
@@ -668,20 +671,20 @@
   CHECK(fixture.Ask(Get("/v1/batches/none/results")).status == 404);
 }
 
-// Guards against results held in memory for a slow reader.
+// Guards against buffering all results in memory for a slow reader.
 TEST_CASE("CallerServer.ReadsResultsNoFasterThanTheCallerTakesThem") {
   Fixture fixture;
   fixture.backend.result_pieces =
       std::vector<std::string>(200, std::string(1U << 20U, 'r'));
   RawClient client(fixture.context, fixture.server->address());
   client.Send(Get("/v1/batches/job-1/results"));
-  // The socket buffers of the kernel take some pieces, far from all.
+  // The socket buffers of the kernel hold some pieces, but far from all.
   RunUntil(
       fixture.context, [] { return false; }, std::chrono::milliseconds(300));
   CHECK(fixture.backend.pieces_taken < 100);
 }
 
-// Guards against truncated results taken for all results.
+// Guards against truncated results that a caller takes for complete ones.
 TEST_CASE("CallerServer.BreaksTheBodyWhenResultsEndEarly") {
   Fixture fixture;
   fixture.backend.result_pieces = {"{\"a\":1}\n"};
@@ -690,7 +693,7 @@
   CHECK(response.body.find("0\r\n\r\n") == std::string::npos);
 }
 
-// Runs completions of the caller listener on a fake engine.
+// Returns a completion handler that forwards requests to a fake engine.
 auto RelayTo(upstream::HttpEngineClient& client, const std::string& address) {
   return [&client, address](routing::CompletionRequest request,
                             routing::TokenSink sink,
@@ -710,7 +713,7 @@
   };
 }
 
-// Guards against bytes lost or altered between engine and caller.
+// Guards against bytes that are lost or altered between engine and caller.
 TEST_CASE("CallerServer.RelaysTheWholeAnswerOfAnEngine") {
   Fixture fixture;
   testing::FakeEngineSettings settings;
@@ -727,14 +730,14 @@
   std::string text;
   for (const auto& event : Events(response.body)) {
     if (event != "[DONE]") {
-      // A chunk border may fall between events only.
+      // A chunk may end only at the end of an event.
       text += json::parse(event)["choices"][0]["text"].get<std::string>();
     }
   }
   CHECK(text == testing::FakeAnswer("relay", kRelayedTokens));
 }
 
-// Guards against engines that go on generating for a caller that is gone.
+// Guards against engines that keep generating after the caller disconnects.
 TEST_CASE("CallerServer.DisconnectStopsTheEngine") {
   Fixture fixture;
   testing::FakeEngine engine(fixture.context, {});
@@ -790,7 +793,7 @@
   return text;
 }
 
-// Guards against input that crashes the listener or leaves a connection behind.
+// Guards against input that crashes the listener or leaks a connection.
 TEST_CASE("CallerServer.SurvivesGarbage") {
   const auto seed = std::random_device{}();
   WARN("seed " << seed);
--- a/src/caller/completion_call.cc
+++ b/src/caller/completion_call.cc
@@ -19,7 +19,7 @@
 constexpr int kBadRequest = 400;
 constexpr std::size_t kAffinityBytes = 1024;
 constexpr std::size_t kMaxModelBytes = 256;
-// A common ratio for English text; only the usage figures depend on it.
+// A common ratio for English text. Only the reported usage depends on it.
 constexpr std::uint64_t kBytesPerToken = 4;
 
 [[noreturn]] auto Reject(const std::string& param, const std::string& message)
@@ -36,7 +36,7 @@
 auto ReadModel(const json& body) -> std::string {
   const auto* model = Find(body, "model");
   if (model == nullptr) {
-    Reject("model", "is missing; name a model of GET /v1/models");
+    Reject("model", "is missing; use a model listed by GET /v1/models");
   }
   if (!model->is_string() || model->get_ref<const std::string&>().empty() ||
       model->get_ref<const std::string&>().size() > kMaxModelBytes) {
@@ -80,7 +80,7 @@
 
 auto CheckMessage(const json& message) -> void {
   if (!message.is_object()) {
-    Reject("messages", "must hold objects");
+    Reject("messages", "must be an array of objects");
   }
   const auto* role = Find(message, "role");
   if (role == nullptr || !role->is_string()) {
@@ -92,7 +92,8 @@
   }
 }
 
-// Prompt or messages as one text, in the order in which the engine reads them.
+// Returns the roles and contents of the messages as one text, in the order in
+// which the engine reads them.
 auto ReadMessages(const json& body) -> std::string {
   const auto* messages = Find(body, "messages");
   if (messages == nullptr) {
@@ -139,7 +140,7 @@
   return prompt->dump();
 }
 
-// True for characters that stand in a JSON string as they are.
+// Returns whether a character appears unescaped in a JSON string.
 auto IsPlain(char c) -> bool {
   return c >= ' ' && c <= '~' && c != '"' && c != '\\';
 }
@@ -185,7 +186,7 @@
     : call_(call),
       id_((chat() ? "chatcmpl-" : "cmpl-") + request_id),
       created_s_(created_s) {
-  // A text that JSON leaves as it is marks the place of the token's text.
+  // Placeholder for the text of a token; JSON does not escape it.
   const std::string mark = "@kqg-text@";
   auto choice = Choice(nullptr);
   if (chat()) {
@@ -193,7 +194,8 @@
   } else {
     choice["text"] = mark;
   }
-  // The id and model come first in the search, so the last mark is the text.
+  // The id and model, which may contain the placeholder, are not part of the
+  // choice; its last occurrence there is the text.
   auto chunk = Chunk(json::array());
   const auto text = Dump(chunk);
   const auto choices = Dump(choice);
--- a/src/caller/completion_call.h
+++ b/src/caller/completion_call.h
@@ -24,26 +24,26 @@
   auto operator==(const CompletionCall&) const -> bool = default;
 };
 
-// Tokens assumed for the token limit when the caller sets no limit.
+// Tokens that count against the token limit when a request sets no maximum.
 inline constexpr std::uint32_t kDefaultMaxTokens = 256;
 
-// Reads a body; throws ApiError with status 400.
+// Parses the body of a request. Throws ApiError with status 400.
 auto ParseCompletionCall(std::string_view body,
                          routing::CompletionEndpoint endpoint)
     -> CompletionCall;
 
-// Writes the JSON of the responses to one completion.
+// Formats the response to one completion as JSON.
 class CompletionWriter {
  public:
   CompletionWriter(const CompletionCall& call,
                    const std::string& request_id,
                    std::int64_t created_s);
 
-  // Server-sent events, each with its empty line.
+  // Server-sent events of a streamed response, each with its empty line.
   auto AppendToken(const std::string& text, std::string& out) -> void;
   auto EndEvents(const std::string& finish_reason, std::uint64_t tokens) const
       -> std::string;
-  // The whole response when the caller does not stream.
+  // The complete body of a response that is not streamed.
   auto Whole(const std::string& text,
              const std::string& finish_reason,
              std::uint64_t tokens) const -> std::string;
--- a/src/caller/http_listener.cc
+++ b/src/caller/http_listener.cc
@@ -31,10 +31,11 @@
 using RequestParser = http::request_parser<http::string_body>;
 
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
-// A moment for descriptors to be freed when accept fails.
+// Delay before accepting again after a failure, for descriptors to be freed.
 constexpr std::chrono::milliseconds kAcceptRetry{50};
-// Callers give up an attempt after a gap of about two seconds, so a connection
-// without acknowledgements for this long carries nothing they still want.
+// Value of TCP_USER_TIMEOUT. Callers abandon an attempt after about two seconds
+// without data, so nobody waits for the response on a connection that has not
+// acknowledged data for this long.
 constexpr std::chrono::milliseconds kUserTimeout{3'000};
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
@@ -60,8 +61,8 @@
   return kBadRequest;
 }
 
-// Returns whether the length of a request's body depends on an encoding other
-// than chunks, which the parser takes for a request without a body.
+// Returns whether a request has a transfer encoding other than chunked. The
+// parser would treat such a request as one without a body.
 auto HasUnknownEncoding(const http::fields& fields) -> bool {
   const auto encoding = fields.find(http::field::transfer_encoding);
   return encoding != fields.end() &&
@@ -77,7 +78,8 @@
   return headers;
 }
 
-// One connection of a caller; also the writer of the answer that is due on it.
+// One connection of a caller, and the writer of the response to its current
+// request.
 class CallerConnection : public ResponseWriter,
                          public std::enable_shared_from_this<CallerConnection> {
  public:
@@ -169,7 +171,7 @@
   auto Close() -> void { io_->Close(); }
 
  private:
-  // Returns nothing when the connection has ended or had to be refused.
+  // Returns null when the connection has ended or the request was rejected.
   auto ReadRequest() -> awaitable<std::shared_ptr<const IncomingRequest>> {
     idle_ = true;
     io_->ExpireAfter(shared_->limits.idle_timeout, OnExpiry::kClose);
@@ -229,13 +231,14 @@
   auto SendContinue() -> awaitable<void> {
     constexpr auto kContinue =
         std::string_view("HTTP/1.1 100 Continue\r\n\r\n");
-    // A failure shows in the read that follows.
+    // The next read reports a failure of this write.
     co_await asio::async_write(io_->socket(),
                                asio::buffer(kContinue.data(), kContinue.size()),
                                kAwaitTuple);
   }
 
-  // Answers a request that cannot be read, unless the connection just ended.
+  // Sends an error response to a request that cannot be parsed, unless the
+  // connection has ended.
   auto RefuseUnread(const error_code& error) -> awaitable<void> {
     const auto ended = error == http::error::end_of_stream ||
                        error == asio::error::eof ||
@@ -250,7 +253,7 @@
     }
     const auto status = io_->timed_out() ? kRequestTimeout : StatusOf(error);
     shared_->logger.Warning(
-        "a request cannot be read",
+        "cannot read a request",
         {{"reason", error.message()}, {"status", std::to_string(status)}});
     keep_alive_ = false;
     gone_ = false;
@@ -273,15 +276,16 @@
       co_await shared_->handler(request, writer);
     } catch (const std::exception& error) {
       shared_->logger.Error(
-          "a handler failed; closing the connection",
+          "request handler failed; closing the connection",
           {{"target", request->target}, {"reason", error.what()}});
     }
     gone_hook_ = nullptr;
     ++watch_;
   }
 
-  // Notices a caller that closes its connection while its answer is due. Bytes
-  // of a next request end the watch, as they hide the end of the stream.
+  // Detects that the caller closes its connection before it has the response.
+  // Bytes of a pipelined request end the watch, as the end of the stream cannot
+  // be seen behind them.
   auto WatchForClose() -> void {
     const auto watch = ++watch_;
     io_->socket().async_wait(
@@ -423,7 +427,8 @@
         continue;
       }
       if (self->connections_.size() >= self->shared_->limits.max_connections) {
-        // Closing before the request is read tells the caller to go elsewhere.
+        // Closing the connection before reading a request tells the caller that
+        // it can safely send it elsewhere.
         self->shared_->logger.Warning("too many connections; closing a new one",
                                       {{"address", self->address_}});
         continue;
--- a/src/caller/http_listener_test.cc
+++ b/src/caller/http_listener_test.cc
@@ -14,7 +14,7 @@
 struct Fixture {
   Fixture() { listener.Start(); }
 
-  // Sends bytes on a connection of their own and returns all that comes back.
+  // Sends bytes on a new connection and returns everything received on it.
   auto Exchange(const std::string& bytes) -> std::string {
     auto client = RawClient(context, listener.address());
     client.Send(bytes);
@@ -36,7 +36,8 @@
     "GET /last HTTP/1.1\r\nHost: h\r\n"
     "Connection: close\r\n\r\n";
 
-// Guards against bytes of one request that are taken for another one.
+// Guards against request smuggling: bytes of one request must not be parsed as
+// another request.
 TEST_CASE("HttpListener.SeparatesRequestsByTheirFraming") {
   auto fixture = Fixture();
   const std::string inner = "POST /inner HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -61,8 +62,8 @@
   CHECK(fixture.requests[3].target == "/last");
 }
 
-// Guards against a request inside the body of one whose length is ambiguous or
-// given by an encoding that this server does not know.
+// Guards against a request smuggled in the body of another one whose length is
+// ambiguous or given by an encoding that this server does not support.
 TEST_CASE("HttpListener.RefusesAmbiguousFraming") {
   const std::string inner = "POST /inner HTTP/1.1\r\nHost: h\r\n\r\n";
   for (const auto* framing :
@@ -87,7 +88,7 @@
   }
 }
 
-// Guards against fields after a body in chunks that change the request.
+// Guards against trailers of a chunked body that change the request headers.
 TEST_CASE("HttpListener.TakesNoHeadersFromTrailers") {
   auto fixture = Fixture();
   fixture.Exchange(
--- a/src/caller/request_head.cc
+++ b/src/caller/request_head.cc
@@ -34,7 +34,7 @@
          c == '_' || c == '-';
 }
 
-// Value of a header that may stand at most once; empty when absent.
+// Returns the value of a header that may occur at most once; empty when absent.
 auto Header(const RequestHead& head, const std::string& name) -> std::string {
   std::optional<std::string> value;
   for (const auto& header : head.headers) {
@@ -45,7 +45,7 @@
       Reject(name, "is given twice; send it once");
     }
     if (header.value.empty()) {
-      Reject(name, "is empty; send a value or leave it out");
+      Reject(name, "is empty; send a value or omit the header");
     }
     value = header.value;
   }
@@ -60,7 +60,7 @@
   auto value = Header(head, name);
   if (value.size() > max_bytes ||
       !std::all_of(value.begin(), value.end(), allowed)) {
-    Reject(name, "has characters that are not allowed or more than " +
+    Reject(name, "contains invalid characters or has more than " +
                      std::to_string(max_bytes) + " bytes");
   }
   return value;
@@ -163,7 +163,7 @@
   const auto due = query.find("due");
   const auto due_in = query.find("due_in_s");
   if (due != query.end() && due_in != query.end()) {
-    Reject("due", "and due_in_s exclude each other");
+    Reject("due", "and due_in_s are mutually exclusive");
   }
   if (due_in != query.end()) {
     return now + std::chrono::seconds(
--- a/src/caller/request_head.h
+++ b/src/caller/request_head.h
@@ -27,7 +27,7 @@
   auto operator==(const RequestHead&) const -> bool = default;
 };
 
-// The headers of section 11 of docs/design.md, checked.
+// The validated values of the headers in section 11 of docs/design.md.
 struct CallOptions {
   OrganisationName organisation;
   std::string idempotency_key;
@@ -38,21 +38,23 @@
   auto operator==(const CallOptions&) const -> bool = default;
 };
 
-// Throws ApiError with status 400 for a bad value. `new_id` names a request
-// without X-Request-Id.
+// Reads the options of a call from its headers. `new_id` becomes the id of a
+// request without X-Request-Id. Throws ApiError with status 400 for an invalid
+// value.
 auto ReadCallOptions(const RequestHead& head,
                      const CallerSettings& settings,
                      const std::string& new_id) -> CallOptions;
 
-// Parameters of a query, percent-decoded; throws ApiError with status 400 for
-// malformed escapes and repeated names.
+// Returns the percent-decoded parameters of a query. Throws ApiError with
+// status 400 for malformed escapes and repeated names.
 auto ParseQuery(std::string_view query) -> std::map<std::string, std::string>;
 
-// True for a service or model name that may stand in a path.
+// Returns whether `name` has only characters allowed in the name of a service
+// or the id of a job.
 auto IsName(std::string_view name) -> bool;
 
-// Due time of a batch from "due" (seconds since the epoch) or "due_in_s", else
-// the default.
+// Returns the due time of a batch: from "due" (seconds since the epoch) or
+// "due_in_s" (seconds from now), otherwise the default of the settings.
 auto ReadDue(const std::map<std::string, std::string>& query,
              const CallerSettings& settings,
              WallTime now) -> WallTime;
--- a/src/caller/server_core.h
+++ b/src/caller/server_core.h
@@ -16,15 +16,15 @@
 
 class Session;
 
-// What the server and its sessions share.
+// State that the server shares with its sessions.
 struct ServerCore : std::enable_shared_from_this<ServerCore> {
   ServerCore(std::vector<boost::asio::io_context*> io_contexts,
              CallerBackend& caller_backend,
              CallerSettings caller_settings);
 
   auto Accept() -> void;
-  // Accepts what the kernel has already accepted, then closes the listener:
-  // connections left in the backlog would be reset.
+  // Accepts the connections in the kernel's backlog, which would be reset
+  // otherwise, then closes the listening socket.
   auto StopAccepting() -> void;
   auto Start(boost::asio::ip::tcp::socket socket) -> void;
   auto NextContext() -> boost::asio::io_context&;
--- a/src/caller/session.cc
+++ b/src/caller/session.cc
@@ -50,8 +50,9 @@
 
 constexpr std::size_t kReadBytes = 16U << 10U;
 constexpr std::size_t kUploadPieceBytes = 64U << 10U;
-// A caller that still sends while an error is answered would meet a reset
-// before it has read the answer; what it sends is read away for a while.
+// Closing a socket with unread input resets the connection, and a caller that
+// is still sending could lose an error response. Its input is therefore read
+// and discarded, up to these limits, before the socket is closed.
 constexpr std::size_t kLingerBytes = 4U << 20U;
 constexpr std::chrono::milliseconds kLingerTime{1'000};
 
@@ -76,7 +77,8 @@
       .count();
 }
 
-// Unique over nodes and restarts without any agreement between them.
+// Random, so that ids are unique across nodes and restarts without
+// coordination.
 auto NewRequestId() -> std::string {
   thread_local std::mt19937_64 random{std::random_device{}()};
   std::array<char, 40> text{};
@@ -113,8 +115,8 @@
   if (!error.allow.empty()) {
     reply.headers.push_back({"Allow", error.allow});
   }
-  // Client libraries of the completion API repeat 409 and every 5xx by
-  // themselves unless this header forbids it.
+  // Client libraries of the completion API retry after 409 and every 5xx unless
+  // this header forbids it.
   if (error.outcome == OutcomeKind::kUnknown || error.status == kConflict) {
     reply.headers.push_back({"X-Should-Retry", "false"});
   }
@@ -166,7 +168,8 @@
   return head;
 }
 
-// Error of reading a request; none when the caller has just gone away.
+// Returns the response to a failed read of a request; none if the caller has
+// disconnected.
 auto ReadError(const boost::system::error_code& error, bool timed_out)
     -> std::optional<ApiError> {
   if (timed_out) {
@@ -194,7 +197,7 @@
 
 auto MethodError(const std::string& allowed) -> ApiError {
   ApiError error(kMethodNotAllowed, "method_not_allowed",
-                 "this path does not take the method; use " + allowed);
+                 "this path does not support the method; use " + allowed);
   error.allow = allowed;
   return error;
 }
@@ -239,7 +242,8 @@
   auto RunStream(std::shared_ptr<Call> call,
                  std::shared_ptr<CompletionWriter> writer,
                  routing::CompletionRequest request) -> asio::awaitable<void>;
-  // Runs the completion; the sink gets only tokens that continue the answer.
+  // Runs the completion on the backend. It is cancelled when the caller
+  // disconnects.
   auto RunCompletion(routing::CompletionRequest request,
                      routing::TokenSink sink,
                      std::shared_ptr<node::StreamCancel> cancel)
@@ -355,19 +359,20 @@
     failure = FromError(error, service ? kUnprocessable : kConflict);
   } catch (const std::exception& error) {
     failure = FromError(Error(ErrorKind::kInternal, "internal error",
-                              error.what(), "report it"),
+                              error.what(), "report it as a bug"),
                         kConflict);
   }
   if (!failure) {
     co_return;
   }
   if (answered) {
-    // The status has been sent already; only a broken body tells the caller.
+    // The status line has been sent; only an incomplete body can show the
+    // caller that the request failed.
     io->Close();
     keep_alive = false;
     co_return;
   }
-  // An unread body would be taken for the next request.
+  // An unread body would be parsed as the next request.
   keep_alive =
       keep_alive && header_read && (body_read || call->parser->is_done());
   auto reply = ErrorReply(*failure);
@@ -515,7 +520,7 @@
 
 namespace {
 
-// Counts the tokens of one answer and lets none pass out of order.
+// Counts the tokens of one answer and rejects all tokens after a gap.
 struct TokenCounter {
   std::uint64_t next = 0;
   bool gap = false;
@@ -530,7 +535,7 @@
 auto GapOutcome() -> Outcome {
   Outcome outcome;
   outcome.kind = OutcomeKind::kFailed;
-  outcome.reason = "tokens of the answer were lost on the way";
+  outcome.reason = "tokens of the answer were lost in transit";
   return outcome;
 }
 
@@ -609,7 +614,7 @@
     throw std::move(*failure);
   }
   start();
-  // A stream that has begun has run, whatever ended it.
+  // Tokens were sent, so the request was run: never report it as not run.
   auto kind = OutcomeKind::kCompleted;
   if (failure) {
     kind = failure->outcome == OutcomeKind::kNotRun ? OutcomeKind::kFailed
@@ -631,7 +636,7 @@
   const ServiceName service(rest.substr(0, end));
   if (!IsName(service.value())) {
     throw ApiError(kNotFound, "unknown_path",
-                   "bad service name; use /v1/services/SERVICE/PATH");
+                   "invalid service name; use /v1/services/SERVICE/PATH");
   }
   upstream::ServiceRequest request;
   request.method = call->head.method;
@@ -664,7 +669,8 @@
                                                    std::move(options));
   if (!result.response) {
     if (result.outcome.kind == OutcomeKind::kCompleted) {
-      throw ApiError(kInternalError, "internal", "no response to pass on");
+      throw ApiError(kInternalError, "internal",
+                     "the service returned no response");
     }
     throw FromOutcome(result.outcome, result.http_status);
   }
@@ -696,8 +702,8 @@
   const auto service = values.find("service");
   if ((model == values.end()) == (service == values.end())) {
     throw ApiError(kBadRequest, "invalid_value",
-                   "name the model or the service that runs the items: "
-                   "?model=NAME",
+                   "give either the model or the service that runs the items, "
+                   "as ?model=NAME or ?service=NAME",
                    "model");
   }
   BatchOptions options;
@@ -780,7 +786,7 @@
   body_read = true;
   if (counter.lines() == 0) {
     throw ApiError(kBadRequest, "empty_batch",
-                   "the body has no item; send JSON Lines");
+                   "the body contains no items; send JSON Lines");
   }
   const auto status = co_await upload->Finish();
   co_await Send(call, JsonReply(status));
@@ -801,14 +807,14 @@
       out->set_head(StreamHead(*call, kJsonLines, false));
     }
   };
-  // Waits for each piece to be written, so that at most one is held.
+  // Waits until each piece has been written, so that at most one is in memory.
   const auto send = [out, start](std::string bytes) -> asio::awaitable<void> {
     start();
     out->pending() += bytes;
     out->Schedule();
     const auto written = co_await out->Drained();
     if (!written) {
-      throw Error(ErrorKind::kUnavailable, "the caller is gone",
+      throw Error(ErrorKind::kUnavailable, "the caller has disconnected",
                   "batch results", "read them again");
     }
   };
@@ -865,7 +871,8 @@
   if (auto bad = ReadError(error, io->timed_out())) {
     throw std::move(*bad);
   }
-  throw ApiError(kBadRequest, "caller_gone", "the request ended early");
+  throw ApiError(kBadRequest, "caller_gone",
+                 "the connection was closed before the end of the body");
 }
 
 auto Session::Impl::Send(std::shared_ptr<Call> call, Reply reply)
@@ -914,7 +921,7 @@
   message.result(kOk);
   message.set(http::field::content_type, content_type);
   message.set(http::field::cache_control, "no-cache");
-  // The outcome of a stream is known at its end: it follows in the trailer.
+  // The outcome of a stream is known only at its end; a trailer carries it.
   message.set("KQG-Outcome", trailer ? "pending" : "completed");
   message.set("X-Request-Id", call.options.request_id.value());
   if (Chunked(call)) {
@@ -949,8 +956,8 @@
   io->Close();
 }
 
-// A completion whose caller has gone is cancelled. The wait may outlast the
-// request; it then finds nothing running.
+// Cancels the running completion when the caller disconnects. The wait may
+// outlast the request; its handler then finds no running completion.
 auto Session::Impl::WatchCaller() -> void {
   if (watching) {
     return;
--- a/src/caller/session.h
+++ b/src/caller/session.h
@@ -21,9 +21,9 @@
 
   auto executor() const -> boost::asio::any_io_executor;
   auto Run() -> boost::asio::awaitable<void>;
-  // Ends the connection after the request that runs or is on its way.
+  // Ends the connection after the request that is running or in transit.
   auto OnStop() -> void;
-  // Closes the connection and cancels what runs.
+  // Closes the connection and cancels the running completion.
   auto Abort() -> void;
 
  private:
--- a/src/caller/stream_writer.h
+++ b/src/caller/stream_writer.h
@@ -13,30 +13,32 @@
 
 namespace kumquatgauge::caller::detail {
 
-// Writes a response body while it is being produced. What arrives during one
-// turn of the event loop or while a write is under way goes out as one chunk,
-// so that the cost of a write is shared by the tokens of a fast stream.
+// Writes a response body while it is being produced. Bytes that are appended
+// during one iteration of the event loop or while a write is in progress are
+// sent as one chunk, so that a fast stream needs fewer writes than it has
+// tokens.
 class StreamWriter : public std::enable_shared_from_this<StreamWriter> {
  public:
   StreamWriter(std::shared_ptr<upstream::detail::DeadlineSocket> io,
                const CallerSettings& settings,
                bool chunked);
 
-  // Called once when the caller is gone or too slow.
+  // Sets a hook that is called once if the caller disconnects or reads too
+  // slowly.
   auto set_on_failure(std::function<auto()->void> hook) -> void {
     on_failure_ = std::move(hook);
   }
-  // Bytes before the first chunk.
+  // Sets the header, which is written before the first chunk.
   auto set_head(std::string head) -> void { head_ = std::move(head); }
   auto failed() const -> bool { return failed_; }
 
-  // Bytes to append to; call Schedule afterwards.
+  // Buffer of unsent bytes. Append to it, then call Schedule.
   auto pending() -> std::string& { return pending_; }
   auto Schedule() -> void;
-  // Appends the last bytes, the end of the body and the trailers
-  // ("Name: value\r\n" each).
+  // Ends the body and sends the trailers ("Name: value\r\n" each).
   auto Finish(const std::string& trailers) -> void;
-  // Waits until everything has been written; false when the caller is gone.
+  // Waits until all bytes have been written. Returns false when the caller has
+  // disconnected.
   auto Drained() -> boost::asio::awaitable<bool>;
 
  private:
