Reword the comments and messages of the operator server

Comments state contracts in the usual terms; the comment on Stop now says what it does. No test, script, scenario or docs/OPERATIONS.md matches these texts.

--- a/include/kumquatgauge/operator/command.h
+++ b/include/kumquatgauge/operator/command.h
@@ -25,10 +25,10 @@
   kLessOrEqual,
   kGreater,
   kGreaterOrEqual,
-  kContains,  // Written `~`: the text of the field contains the value.
+  kContains,  // Written as `~`: the text of the field contains the value.
 };
 
-// One condition of `where`.
+// One condition of a `where` clause.
 struct Condition {
   std::string field;
   Comparison comparison = Comparison::kEqual;
@@ -55,22 +55,22 @@
   std::optional<std::uint64_t> limit;
   std::optional<std::uint64_t> if_revision;
   bool dry_run = false;
-  // Seconds to wait until the change is in force everywhere.
+  // Seconds to wait until the change is in force on every node; empty for none.
   std::optional<std::uint64_t> wait_seconds;
 
   auto operator==(const Command&) const -> bool = default;
 };
 
-// Longest line that is parsed, in bytes.
+// Maximum length of a command line.
 inline constexpr std::size_t kMaxCommandBytes = 65'536;
 
 // Parses one line whose first word is one of `verbs`. Throws
-// Error(kInvalidArgument) that shows the place in the line and what was
+// Error(kInvalidArgument) with the column of the syntax error and what was
 // expected there.
 auto ParseCommand(std::string_view line, const std::vector<std::string>& verbs)
     -> Command;
 
-// The verbs of the operators' language.
+// Returns the verbs of the operators' command language.
 auto OperatorVerbs() -> const std::vector<std::string>&;
 
 }  // namespace kumquatgauge::operators
--- a/include/kumquatgauge/operator/command_executor.h
+++ b/include/kumquatgauge/operator/command_executor.h
@@ -13,23 +13,25 @@
 
 namespace kumquatgauge::operators {
 
-// Who sent a command, and from where.
+// The operator and the address that sent a command.
 struct CommandOrigin {
   OperatorCredential credential;
   std::string address;
-  std::string operation_id;  // From the client, for safe resends.
+  std::string operation_id;  // Chosen by the client; makes retries safe.
 };
 
-// Runs parsed commands against the backend: checks the role, filters and orders
-// rows, shows differences and waits for a change to be in force.
+// Parses commands and runs them against the backend: checks the role of the
+// operator, filters and orders rows, returns the fields that a change affects,
+// and waits for a change to be in force.
 class CommandExecutor {
  public:
-  // `pause` waits for the given time; tests pass one that returns at once.
+  // Waits for the given time. Tests pass a function that returns immediately.
   using Pause = std::function<auto(Duration)->boost::asio::awaitable<void>>;
 
   CommandExecutor(OperatorBackend& backend, Clock clock, Pause pause);
 
-  // Returns the answer {"ok":true,"rows":[...]} and throws Error otherwise.
+  // Runs one command line. Returns {"ok":true,"rows":[...]}; throws Error when
+  // the command fails.
   auto Run(std::string line, CommandOrigin origin)
       -> boost::asio::awaitable<nlohmann::json>;
 
@@ -49,7 +51,8 @@
   Pause pause_;
 };
 
-// Applies where, order and limit of `command` to an array of row objects.
+// Applies the names and the where, order and limit clauses of `command` to an
+// array of row objects.
 // Throws Error(kInvalidArgument) for a field that no row has.
 auto SelectRows(const Command& command, nlohmann::json rows) -> nlohmann::json;
 
--- a/include/kumquatgauge/operator/operator_backend.h
+++ b/include/kumquatgauge/operator/operator_backend.h
@@ -12,16 +12,16 @@
 
 namespace kumquatgauge::operators {
 
-// A change of one configuration key, with what the audit trail needs.
+// A change of one configuration key, with the facts for the audit trail.
 struct ConfigurationChange {
-  std::string operation_id;  // A repeated one has no new effect.
+  std::string operation_id;  // Repeating an operation has no further effect.
   std::string who;
-  std::string from;     // Address that the command came from.
-  std::string command;  // The line as sent.
+  std::string from;     // Address that sent the command.
+  std::string command;  // The command line as sent.
   std::string key;      // "KIND/NAME"
   nlohmann::json fields = nlohmann::json::object();
-  // create: the key must not exist; set: `fields` replace those of the key;
-  // remove: the key goes.
+  // kCreate: the key must not exist; kSet: `fields` replace those of the key;
+  // kRemove: the key is deleted.
   enum class Mode { kCreate, kSet, kRemove } mode = Mode::kSet;
   std::optional<std::uint64_t> expected_revision;
 
@@ -31,54 +31,56 @@
 struct ChangeResult {
   std::uint64_t revision_before = 0;
   std::uint64_t revision = 0;
-  nlohmann::json before;  // null: the key did not exist.
-  nlohmann::json after;   // null: the key is gone.
+  nlohmann::json before;  // null if the key did not exist.
+  nlohmann::json after;   // null if the key was deleted.
 
   auto operator==(const ChangeResult&) const -> bool = default;
 };
 
-// The configuration revision that a node says is in force on it.
+// The configuration revision that a node reports as in force.
 struct NodeRevision {
   NodeId node;
-  std::optional<std::uint64_t> revision;  // Empty: it did not answer.
+  std::optional<std::uint64_t> revision;  // Empty if the node did not respond.
 
   auto operator==(const NodeRevision&) const -> bool = default;
 };
 
-// What commands act on; implemented by the daemon. Runs on the control thread.
-// All calls throw Error.
+// The operations that commands need from the daemon, which implements them.
+// Called on the control thread. Every call may throw Error.
 class OperatorBackend {
  public:
   virtual ~OperatorBackend() = default;
 
-  // The kinds that `show` knows, in the plural: "jobs", "nodes", ...
+  // Returns the kinds that `show` accepts, in the plural: "jobs", "nodes", ...
   virtual auto kinds() const -> std::vector<std::string> = 0;
-  // All rows of a kind, each an object. `names` narrows where that saves work.
+  // Returns the rows of a kind, each an object. The backend may leave out rows
+  // other than those of `names` where that saves work.
   virtual auto Rows(const std::string& kind, std::vector<std::string> names)
       -> boost::asio::awaitable<nlohmann::json> = 0;
-  // An object that tells why, for explain KIND NAMES.
+  // Returns the result of `explain KIND NAMES`: an object with the reasons
+  // behind the state of what is named.
   virtual auto Explain(std::string kind, std::vector<std::string> names)
       -> boost::asio::awaitable<nlohmann::json> = 0;
-  // What the change would do, without doing it.
+  // Returns what the change would do, without applying it.
   virtual auto Preview(ConfigurationChange change)
       -> boost::asio::awaitable<ChangeResult> = 0;
   virtual auto Change(ConfigurationChange change)
       -> boost::asio::awaitable<ChangeResult> = 0;
   virtual auto CancelJob(std::string job, std::string who)
       -> boost::asio::awaitable<nlohmann::json> = 0;
-  // Asks a node for a planned stop.
+  // Asks a node to stop gracefully.
   virtual auto DrainNode(std::string node)
       -> boost::asio::awaitable<nlohmann::json> = 0;
   virtual auto RevisionsInForce()
       -> boost::asio::awaitable<std::vector<NodeRevision>> = 0;
-  // Lists the names under which nodes are registered with the platform.
+  // Returns the names under which nodes are registered with the platform.
   virtual auto RegisteredNodes()
       -> boost::asio::awaitable<std::vector<NodeId>> = 0;
-  // Names or addresses of nodes that exist according to the registry or the
-  // settings, but of which this node has not heard yet.
+  // Returns the names or addresses of nodes that are listed in the registry or
+  // the settings but are not yet members in the view of this node.
   virtual auto NodesNotHeardOf(const std::vector<NodeId>& registered) const
       -> std::vector<std::string> = 0;
-  // Changes the log level of this node.
+  // Sets the log level of this node.
   virtual auto SetLogLevel(const std::string& level) -> void = 0;
 };
 
--- a/include/kumquatgauge/operator/operator_server.h
+++ b/include/kumquatgauge/operator/operator_server.h
@@ -11,12 +11,13 @@
 
 namespace kumquatgauge::operators {
 
-// HTTP server for operators, on the control thread: POST /v1/command with
-// {"command": "...", "operation_id": "..."} and Authorization: Bearer TOKEN.
+// HTTP server for operators, run by the control thread. It accepts
+// POST /v1/command with the body {"command": "...", "operation_id": "..."} and
+// the header "Authorization: Bearer TOKEN".
 class OperatorServer {
  public:
-  // Listens at `address` ("IP:port", port 0 for any). Throws Error that names
-  // the address when it is taken.
+  // Listens on `address` ("IP:port"; port 0 picks a free one). Throws
+  // Error(kUnavailable) when the address cannot be bound.
   OperatorServer(boost::asio::io_context& context,
                  const std::string& address,
                  OperatorCredentials credentials,
@@ -24,7 +25,7 @@
   ~OperatorServer();
 
   auto port() const -> std::uint16_t;
-  // Stops listening and closes the connections.
+  // Stops listening. Open connections are not closed.
   auto Stop() -> void;
 
  private:
--- a/src/caller/request_head.h
+++ b/src/caller/request_head.h
@@ -49,8 +49,7 @@
 // status 400 for malformed escapes and repeated names.
 auto ParseQuery(std::string_view query) -> std::map<std::string, std::string>;
 
-// Returns whether `name` has only characters allowed in the name of a service
-// or the id of a job.
+// Returns whether `name` is valid as a service name or a job id.
 auto IsName(std::string_view name) -> bool;
 
 // Returns the due time of a batch: from "due" (seconds since the epoch) or
--- a/src/operator/command.cc
+++ b/src/operator/command.cc
@@ -11,7 +11,7 @@
 namespace kumquatgauge::operators::detail {
 namespace x3 = boost::spirit::x3;
 
-// Attributes of the grammar; ParseCommand turns them into a Command.
+// Attributes of the grammar, from which ParseCommand builds a Command.
 struct ParsedAssignment {
   std::string field;
   std::string value;
@@ -92,7 +92,8 @@
 namespace kumquatgauge::operators::detail {
 namespace {
 
-constexpr std::uint64_t kDefaultWaitSeconds = 9;  // The target for a change.
+// The target time for a change to be in force on every node.
+constexpr std::uint64_t kDefaultWaitSeconds = 9;
 
 const auto kWordLetter = x3::char_("a-zA-Z0-9_./:@%*+") | x3::char_('-');
 
@@ -179,8 +180,8 @@
              x3::expect[verb] > kind > *name > *clause > end;
 }
 
-// Turns the text of a value into JSON: quoted strings and lists as they are,
-// true, false and numbers typed, anything else a string.
+// Converts the text of a scalar to JSON. Quoted strings are parsed as JSON;
+// true, false and numbers keep their type; anything else becomes a string.
 auto ScalarFromText(const std::string& text) -> nlohmann::json {
   if (text.starts_with('"')) {
     return nlohmann::json::parse(text);
@@ -220,7 +221,7 @@
   return list;
 }
 
-// Copies the clauses into the command.
+// Copies the parsed clauses into a Command.
 class ClauseVisitor {
  public:
   using result_type = void;
@@ -323,7 +324,7 @@
       boost::apply_visitor(visitor, clause);
     }
   } catch (const nlohmann::json::exception&) {
-    detail::FailAt(text, 0, "a quoted value with valid escapes");
+    detail::FailAt(text, 0, "a quoted value with valid escape sequences");
   }
   return command;
 }
--- a/src/operator/command_executor.cc
+++ b/src/operator/command_executor.cc
@@ -15,7 +15,7 @@
   return value.is_string() ? value.get<std::string>() : value.dump();
 }
 
-// Numbers compare by value, everything else by its text.
+// Compares numbers by value and everything else as text.
 auto Compare(const nlohmann::json& left, const nlohmann::json& right) -> int {
   if (left.is_number() && right.is_number()) {
     const auto difference = left.get<double>() - right.get<double>();
@@ -88,7 +88,7 @@
                           : ConfigurationChange::Mode::kSet;
 }
 
-// The fields that differ, as {"field","before","after"} rows.
+// Returns the fields that differ as {"field","before","after"} rows.
 auto Difference(const ChangeResult& result) -> nlohmann::json {
   const auto empty = nlohmann::json::object();
   const auto& before = result.before.is_object() ? result.before : empty;
@@ -194,7 +194,8 @@
   const auto command = ParseCommand(line, OperatorVerbs());
   if (!IsReading(command.verb) &&
       origin.credential.role != OperatorRole::kChange) {
-    throw Error(ErrorKind::kPermissionDenied, "role read may not change",
+    throw Error(ErrorKind::kPermissionDenied,
+                "role read may only run show, explain and watch",
                 command.verb + " " + command.kind,
                 "use a credential with role change");
   }
@@ -255,7 +256,7 @@
     -> boost::asio::awaitable<nlohmann::json> {
   const auto start = clock_();
   auto registered = std::vector<NodeId>();
-  // Without the registry it is not known whether all nodes were asked.
+  // Without the registry, nodes that were not asked may exist.
   auto registry_failure = std::string();
   try {
     registered = co_await backend_.RegisteredNodes();
@@ -305,7 +306,7 @@
       }
     }
     if (rows.empty()) {
-      throw Error(ErrorKind::kInvalidArgument, "no level given", "set log",
+      throw Error(ErrorKind::kInvalidArgument, "no log level given", "set log",
                   "write: set log level = debug|info|warning|error");
     }
     co_return Answer(std::move(rows));
--- a/src/operator/command_executor_test.cc
+++ b/src/operator/command_executor_test.cc
@@ -121,7 +121,7 @@
         nlohmann::json::parse(R"([{"id":"c","due":2,"org":"x"}])"));
 }
 
-// Guards against an empty answer that hides a misspelt field.
+// Guards against an empty result that hides a misspelt field.
 TEST_CASE("CommandExecutor.NamesKnownFieldsForUnknownField") {
   CHECK_THROWS_WITH(Fixture().Run("show jobs where orgg = x"),
                     "unknown field: orgg; use one of due id org");
@@ -180,8 +180,8 @@
   CHECK(answer["waited_ms"] == 400);
 }
 
-// Guards against "everywhere" being reported although the nodes that exist
-// could not be listed.
+// Guards against reporting "everywhere" when the registered nodes could not be
+// listed.
 TEST_CASE("CommandExecutor.WaitDoesNotReportEverywhereWithoutRegistry") {
   auto fixture = Fixture();
   fixture.backend.registry_lost = true;
--- a/src/operator/command_test.cc
+++ b/src/operator/command_test.cc
@@ -66,7 +66,7 @@
         std::vector<std::string>{"job-1", "note/7"});
 }
 
-// Guards against messages that leave the operator searching for the mistake.
+// Guards against messages that do not show where in the line the error is.
 TEST_CASE("Command.PointsAtUnknownVerb") {
   CHECK(MessageFor("shoow jobs") ==
         "cannot parse command: column 1: found 'shoow jobs'; expected one of "
--- a/src/operator/documentation_test.cc
+++ b/src/operator/documentation_test.cc
@@ -7,7 +7,7 @@
 namespace kumquatgauge::operators {
 namespace {
 
-// Guards against examples on the operators' page that the grammar refuses.
+// Guards against examples in docs/operators.md that the grammar rejects.
 TEST_CASE("OperatorsPage.EveryExampleParses") {
   auto page = std::ifstream(KQG_SOURCE_DIR "/docs/operators.md");
   REQUIRE(page.is_open());
--- a/src/operator/operator_server.cc
+++ b/src/operator/operator_server.cc
@@ -95,8 +95,7 @@
     if (failed) {
       throw Error(ErrorKind::kUnavailable,
                   "cannot listen for operators (" + failed.message() + ")",
-                  address,
-                  "stop the other program there or change operators.listen");
+                  address, "free the port or change operators.listen");
     }
   }
 
@@ -144,7 +143,7 @@
         }
       }
     } catch (const boost::system::system_error&) {
-      // The operator has gone; nothing is left to answer.
+      // The operator has disconnected or was idle for too long.
     }
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, failed);
   }
@@ -167,7 +166,7 @@
       -> asio::awaitable<nlohmann::json> {
     if (request.target() != "/v1/command" ||
         request.method() != http::verb::post) {
-      throw Error(ErrorKind::kNotFound, "no such operation",
+      throw Error(ErrorKind::kNotFound, "no such endpoint",
                   std::string(request.method_string()) + " " +
                       std::string(request.target()),
                   "use POST /v1/command");
@@ -180,18 +179,19 @@
     }
     const auto credential = credentials_.Find(token);
     if (!credential) {
-      throw Error(ErrorKind::kPermissionDenied, "credential not accepted",
+      throw Error(ErrorKind::kPermissionDenied, "unknown credential",
                   "Authorization",
-                  "send Bearer and a token of the node's credentials file");
+                  "send \"Bearer TOKEN\" with a token from the node's "
+                  "credentials file");
     }
     const auto body = nlohmann::json::parse(request.body(), nullptr, false);
     if (!body.is_object() || !body.contains("command") ||
         !body["command"].is_string()) {
-      throw Error(ErrorKind::kInvalidArgument, "bad request body", "command",
-                  "send {\"command\": \"...\"}");
+      throw Error(ErrorKind::kInvalidArgument, "invalid request body",
+                  "command", "send {\"command\": \"...\"}");
     }
-    // Named variables: GCC 12 destroys aggregate temporaries of a co_await
-    // expression twice.
+    // Named variables, because GCC 12 destroys aggregate temporaries in a
+    // co_await expression twice.
     auto line = body["command"].get<std::string>();
     auto origin = CommandOrigin();
     origin.credential = *credential;
