--- a/include/kumquatgauge/caller/http_listener.h
+++ b/include/kumquatgauge/caller/http_listener.h
@@ -41,10 +41,10 @@
       -> boost::asio::awaitable<bool> = 0;
   virtual auto FinishStream() -> boost::asio::awaitable<bool> = 0;
 
-  virtual auto gone() const -> bool = 0;
+  virtual auto disconnected() const -> bool = 0;
   // Calls `hook` once if the caller closes its connection before the response
   // has ended.
-  virtual auto OnGone(std::function<auto()->void> hook) -> void = 0;
+  virtual auto OnDisconnect(std::function<auto()->void> hook) -> void = 0;
 };
 
 using RequestHandler =
--- a/src/caller/http_listener.cc
+++ b/src/caller/http_listener.cc
@@ -113,7 +113,7 @@
     FillHead(response, status, headers);
     response.body() = std::move(body);
     response.prepare_payload();
-    if (gone_) {
+    if (disconnected_) {
       co_return false;
     }
     auto serializer = http::response_serializer<http::string_body>(response);
@@ -128,7 +128,7 @@
     auto response = http::response<http::empty_body>();
     FillHead(response, status, headers);
     response.chunked(true);
-    if (gone_) {
+    if (disconnected_) {
       co_return false;
     }
     auto serializer = http::response_serializer<http::empty_body>(response);
@@ -139,7 +139,7 @@
   }
 
   auto WritePiece(std::string piece) -> awaitable<bool> override {
-    if (gone_) {
+    if (disconnected_) {
       co_return false;
     }
     ArmWrite();
@@ -150,7 +150,7 @@
   }
 
   auto FinishStream() -> awaitable<bool> override {
-    if (gone_) {
+    if (disconnected_) {
       co_return false;
     }
     ArmWrite();
@@ -161,10 +161,10 @@
     co_return EndWrite(error);
   }
 
-  auto gone() const -> bool override { return gone_; }
+  auto disconnected() const -> bool override { return disconnected_; }
 
-  auto OnGone(std::function<auto()->void> hook) -> void override {
-    gone_hook_ = std::move(hook);
+  auto OnDisconnect(std::function<auto()->void> hook) -> void override {
+    disconnect_hook_ = std::move(hook);
   }
 
   auto idle() const -> bool { return idle_; }
@@ -256,7 +256,7 @@
         "cannot read a request",
         {{"reason", error.message()}, {"status", std::to_string(status)}});
     keep_alive_ = false;
-    gone_ = false;
+    disconnected_ = false;
     auto body = error.message() + "\n";
     co_await Send(status, {}, std::move(body));
   }
@@ -264,8 +264,8 @@
   auto BeginAnswer(const std::shared_ptr<const IncomingRequest>& /*request*/)
       -> void {
     answered_ = false;
-    gone_ = false;
-    gone_hook_ = nullptr;
+    disconnected_ = false;
+    disconnect_hook_ = nullptr;
     WatchForClose();
   }
 
@@ -279,7 +279,7 @@
           "request handler failed; closing the connection",
           {{"target", request->target}, {"reason", error.what()}});
     }
-    gone_hook_ = nullptr;
+    disconnect_hook_ = nullptr;
     ++watch_;
   }
 
@@ -297,18 +297,18 @@
             return;
           }
           if (error || self->io_->PeerClosed()) {
-            self->MarkGone();
+            self->MarkDisconnected();
           }
         });
   }
 
-  auto MarkGone() -> void {
-    if (gone_) {
+  auto MarkDisconnected() -> void {
+    if (disconnected_) {
       return;
     }
-    gone_ = true;
-    if (gone_hook_) {
-      const auto hook = std::exchange(gone_hook_, nullptr);
+    disconnected_ = true;
+    if (disconnect_hook_) {
+      const auto hook = std::exchange(disconnect_hook_, nullptr);
       hook();
     }
   }
@@ -334,7 +334,7 @@
   auto EndWrite(const error_code& error) -> bool {
     io_->Disarm();
     if (error) {
-      MarkGone();
+      MarkDisconnected();
     }
     return !error;
   }
@@ -345,9 +345,9 @@
   bool keep_alive_ = true;
   unsigned version_ = 11;
   bool answered_ = false;
-  bool gone_ = false;
+  bool disconnected_ = false;
   std::uint64_t watch_ = 0;
-  std::function<auto()->void> gone_hook_;
+  std::function<auto()->void> disconnect_hook_;
 };
 
 }  // namespace
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -223,7 +223,7 @@
       const auto placed = HasRoom(exchange->choice) && !must_queue;
       const auto no_replica =
           exchange->choice.availability == Availability::kNoReplica;
-      if (placed || no_replica || exchange->writer->gone() ||
+      if (placed || no_replica || exchange->writer->disconnected() ||
           parts_.clock() >= start_by) {
         break;
       }
@@ -273,10 +273,11 @@
     const auto began = parts_.clock();
     exchange->call = parts_.replicas.Start(
         MakeReplicaRequest(*exchange, replica), MakeFilter(*exchange));
-    exchange->writer->OnGone([call = exchange->call] { call->Cancel(); });
+    exchange->writer->OnDisconnect([call = exchange->call] { call->Cancel(); });
     auto attempt = AttemptEnd();
-    attempt.end = exchange->writer->gone() ? CallEnd::kCancelled
-                                           : co_await exchange->call->Open();
+    attempt.end = exchange->writer->disconnected()
+                      ? CallEnd::kCancelled
+                      : co_await exchange->call->Open();
     if (attempt.end == CallEnd::kOpen) {
       exchange->head = exchange->call->head();
       attempt.status = exchange->head.status;
@@ -447,7 +448,7 @@
                   Duration held) -> void {
     const auto sends = exchange.call->sends();
     exchange.call.reset();
-    exchange.writer->OnGone(nullptr);
+    exchange.writer->OnDisconnect(nullptr);
     parts_.load_balancer.OnEnded(replica.id, WorkClass::kOnline);
     parts_.counts_changed();
     const auto not_run = attempt.not_run || !attempt.bytes_sent;
@@ -538,8 +539,8 @@
   }
 
   auto EndWithoutReplica(ExchangePtr exchange) -> awaitable<void> {
-    if (exchange->writer->gone() || exchange->history.answer_begun) {
-      (exchange->writer->gone() ? cancelled_ : broken_off_).Add();
+    if (exchange->writer->disconnected() || exchange->history.answer_begun) {
+      (exchange->writer->disconnected() ? cancelled_ : broken_off_).Add();
       LogEnd(*exchange, 0, "no replica can continue the request");
       co_return;
     }
