--- a/include/kumquatgauge/caller/http_listener.h
+++ b/include/kumquatgauge/caller/http_listener.h
@@ -37,7 +37,7 @@
   // Starts a response in chunks, whose total length is not known.
   virtual auto BeginStream(int status, HeaderList headers)
       -> boost::asio::awaitable<bool> = 0;
-  virtual auto WritePiece(std::string piece)
+  virtual auto WriteChunk(std::string piece)
       -> boost::asio::awaitable<bool> = 0;
   virtual auto FinishStream() -> boost::asio::awaitable<bool> = 0;
 
--- a/src/caller/http_listener.cc
+++ b/src/caller/http_listener.cc
@@ -138,7 +138,7 @@
     co_return EndWrite(error);
   }
 
-  auto WritePiece(std::string piece) -> awaitable<bool> override {
+  auto WriteChunk(std::string piece) -> awaitable<bool> override {
     if (disconnected_) {
       co_return false;
     }
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -431,7 +431,7 @@
         co_return false;
       }
     }
-    co_return co_await exchange->writer->WritePiece(std::move(piece));
+    co_return co_await exchange->writer->WriteChunk(std::move(piece));
   }
 
   auto RecordFirstByte(Exchange& exchange, MonotonicTime began) -> void {
--- a/testing/gateway/stand_in.cc
+++ b/testing/gateway/stand_in.cc
@@ -341,10 +341,10 @@
     auto text = EventText(id, number);
     if (fault == ReplicaFault::kBreakMidEvent && number == 3) {
       text.resize(text.size() / 2);
-      co_await writer->WritePiece(std::move(text));
+      co_await writer->WriteChunk(std::move(text));
       co_return;
     }
-    co_await writer->WritePiece(std::move(text));
+    co_await writer->WriteChunk(std::move(text));
   }
   co_await writer->FinishStream();
 }
