--- a/src/caller/http_listener.cc
+++ b/src/caller/http_listener.cc
@@ -69,7 +69,7 @@
          !beast::iequals(encoding->value(), "chunked");
 }
 
-auto TakeHeaders(const http::fields& fields) -> HeaderList {
+auto CopyHeaders(const http::fields& fields) -> HeaderList {
   auto headers = HeaderList();
   for (const auto& field : fields) {
     headers.push_back(
@@ -97,10 +97,10 @@
         break;
       }
       ++shared_->active;
-      BeginAnswer(request);
+      BeginResponse(request);
       co_await HandleRequest(request);
       --shared_->active;
-      if (!answered_ || !keep_alive_) {
+      if (!response_complete_ || !keep_alive_) {
         break;
       }
     }
@@ -120,7 +120,7 @@
     ArmWrite();
     const auto [error, written] =
         co_await http::async_write(io_->socket(), serializer, kAwaitTuple);
-    answered_ = !error;
+    response_complete_ = !error;
     co_return EndWrite(error);
   }
 
@@ -157,7 +157,7 @@
     const auto chunk = http::make_chunk_last();
     const auto [error, written] =
         co_await asio::async_write(io_->socket(), chunk, kAwaitTuple);
-    answered_ = !error;
+    response_complete_ = !error;
     co_return EndWrite(error);
   }
 
@@ -191,30 +191,30 @@
     const auto [head_error, head_bytes] = co_await http::async_read_header(
         io_->socket(), io_->buffer(), parser, kAwaitTuple);
     if (head_error) {
-      co_await RefuseUnread(head_error);
+      co_await RejectUnreadable(head_error);
       co_return nullptr;
     }
     if (HasUnknownEncoding(parser.get())) {
-      co_await RefuseUnread(
+      co_await RejectUnreadable(
           make_error_code(http::error::bad_transfer_encoding));
       co_return nullptr;
     }
     // The parser appends the trailers of a body to the headers.
-    auto headers = TakeHeaders(parser.get());
+    auto headers = CopyHeaders(parser.get());
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
       co_await SendContinue();
     }
     const auto [body_error, body_bytes] = co_await http::async_read(
         io_->socket(), io_->buffer(), parser, kAwaitTuple);
     if (body_error) {
-      co_await RefuseUnread(body_error);
+      co_await RejectUnreadable(body_error);
       co_return nullptr;
     }
     io_->Disarm();
-    co_return TakeRequest(parser, std::move(headers));
+    co_return MakeRequest(parser, std::move(headers));
   }
 
-  auto TakeRequest(RequestParser& parser, HeaderList headers)
+  auto MakeRequest(RequestParser& parser, HeaderList headers)
       -> std::shared_ptr<const IncomingRequest> {
     auto& message = parser.get();
     keep_alive_ = message.keep_alive();
@@ -239,7 +239,7 @@
 
   // Sends an error response to a request that cannot be parsed, unless the
   // connection has ended.
-  auto RefuseUnread(const error_code& error) -> awaitable<void> {
+  auto RejectUnreadable(const error_code& error) -> awaitable<void> {
     const auto ended = error == http::error::end_of_stream ||
                        error == asio::error::eof ||
                        error == asio::error::connection_reset;
@@ -261,9 +261,9 @@
     co_await Send(status, {}, std::move(body));
   }
 
-  auto BeginAnswer(const std::shared_ptr<const IncomingRequest>& /*request*/)
+  auto BeginResponse(const std::shared_ptr<const IncomingRequest>& /*request*/)
       -> void {
-    answered_ = false;
+    response_complete_ = false;
     disconnected_ = false;
     disconnect_hook_ = nullptr;
     WatchForClose();
@@ -344,7 +344,7 @@
   bool idle_ = true;
   bool keep_alive_ = true;
   unsigned version_ = 11;
-  bool answered_ = false;
+  bool response_complete_ = false;
   bool disconnected_ = false;
   std::uint64_t watch_ = 0;
   std::function<auto()->void> disconnect_hook_;
