--- a/src/caller/caller_server.cc
+++ b/src/caller/caller_server.cc
@@ -20,7 +20,7 @@
 
 // Running out of file descriptors is temporary; retrying without a delay would
 // be a busy loop.
-constexpr std::chrono::milliseconds kAcceptRetry{50};
+constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
 
 }  // namespace
 
@@ -48,7 +48,7 @@
           self->Accept();
           return;
         }
-        self->retry_timer_.expires_after(kAcceptRetry);
+        self->retry_timer_.expires_after(kAcceptRetryDelay);
         self->retry_timer_.async_wait(
             [self](const boost::system::error_code& cancelled) {
               if (!cancelled && self->acceptor_.is_open()) {
--- a/src/caller/http_listener.cc
+++ b/src/caller/http_listener.cc
@@ -32,7 +32,7 @@
 
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
 // Delay before accepting again after a failure, for descriptors to be freed.
-constexpr std::chrono::milliseconds kAcceptRetry{50};
+constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
 // Value of TCP_USER_TIMEOUT. Callers abandon an attempt after about two seconds
 // without data, so nobody waits for the response on a connection that has not
 // acknowledged data for this long.
@@ -422,7 +422,7 @@
       if (error) {
         self->shared_->logger.Warning("cannot accept a connection",
                                       {{"reason", error.message()}});
-        auto timer = asio::steady_timer(self->context_, kAcceptRetry);
+        auto timer = asio::steady_timer(self->context_, kAcceptRetryDelay);
         co_await timer.async_wait(kAwaitTuple);
         continue;
       }
