--- a/include/kumquatgauge/caller/caller_server.h
+++ b/include/kumquatgauge/caller/caller_server.h
@@ -32,7 +32,7 @@
   std::size_t max_unsent_bytes = kMaxUnsentBytes;
   // Time to receive the header, the body of an online request, or each 64 KB of
   // a batch upload.
-  std::chrono::milliseconds sender_timeout{10'000};
+  std::chrono::milliseconds read_timeout{10'000};
   // Time between two requests of a connection.
   std::chrono::milliseconds idle_timeout{60'000};
   // Time for one write of a response to complete.
--- a/src/caller/caller_server_test.cc
+++ b/src/caller/caller_server_test.cc
@@ -429,7 +429,7 @@
 
 TEST_CASE("CallerServer.RejectsSlowSenders") {
   CallerSettings settings;
-  settings.sender_timeout = std::chrono::milliseconds(50);
+  settings.read_timeout = std::chrono::milliseconds(50);
   Fixture fixture(settings);
   const std::string part = GENERATE(
       "POST /v1/chat/comp", "POST /v1/completions HTTP/1.1\r\nHost: x\r\n",
@@ -799,7 +799,7 @@
   WARN("seed " << seed);
   std::mt19937_64 random(seed);
   CallerSettings settings;
-  settings.sender_timeout = std::chrono::milliseconds(5);
+  settings.read_timeout = std::chrono::milliseconds(5);
   settings.idle_timeout = std::chrono::milliseconds(5);
   Fixture fixture(settings);
   fixture.backend.completion.end = Completed();
--- a/src/caller/session.cc
+++ b/src/caller/session.cc
@@ -315,7 +315,7 @@
   parser->header_limit(static_cast<std::uint32_t>(settings.max_header_bytes));
   // Checked per endpoint once the path is known.
   parser->body_limit(boost::none);
-  io->ExpireAfter(settings.sender_timeout, OnExpiry::kStopReading);
+  io->ExpireAfter(settings.read_timeout, OnExpiry::kStopReading);
   boost::system::error_code error;
   co_await http::async_read_header(
       io->socket(), io->buffer(), *parser,
@@ -761,7 +761,7 @@
     target.data = piece.data();
     target.size = piece.size();
     target.more = true;
-    io->ExpireAfter(settings.sender_timeout, OnExpiry::kStopReading);
+    io->ExpireAfter(settings.read_timeout, OnExpiry::kStopReading);
     boost::system::error_code error;
     co_await http::async_read(io->socket(), io->buffer(), parser,
                               asio::redirect_error(asio::use_awaitable, error));
@@ -856,7 +856,7 @@
   co_await SendContinue(call);
   http::request_parser<http::string_body> parser(std::move(*call->parser));
   parser.body_limit(settings.max_body_bytes);
-  io->ExpireAfter(settings.sender_timeout, OnExpiry::kStopReading);
+  io->ExpireAfter(settings.read_timeout, OnExpiry::kStopReading);
   boost::system::error_code error;
   if (!parser.is_done()) {
     co_await http::async_read(io->socket(), io->buffer(), parser,
