Rename Session members after connections and responses

answered to response_started, as it is set when a response begins; WatchCaller to WatchForDisconnect and watching to watching_for_disconnect, after what is watched for.

--- a/src/caller/session.cc
+++ b/src/caller/session.cc
@@ -261,7 +261,7 @@
                   const std::string& content_type,
                   bool trailer) const -> std::string;
   auto Linger() -> asio::awaitable<void>;
-  auto WatchCaller() -> void;
+  auto WatchForDisconnect() -> void;
   auto Chunked(const Call& call) const -> bool;
 
   std::shared_ptr<ServerCore> core;
@@ -272,9 +272,10 @@
   std::shared_ptr<node::StreamCancel> running;  // Null between completions.
   bool idle = false;
   bool keep_alive = true;
-  bool answered = false;   // A response to the current request has begun.
+  bool response_started =
+      false;               // A response to the current request has begun.
   bool body_read = false;  // The request's body has been read to its end.
-  bool watching = false;
+  bool watching_for_disconnect = false;
 };
 
 auto Session::Impl::Run() -> asio::awaitable<void> {
@@ -286,7 +287,7 @@
     auto call = std::make_shared<Call>();
     call->parser = std::make_shared<HeaderParser>();
     keep_alive = true;
-    answered = false;
+    response_started = false;
     body_read = false;
     co_await Handle(call);
   }
@@ -365,7 +366,7 @@
   if (!failure) {
     co_return;
   }
-  if (answered) {
+  if (response_started) {
     // The status line has been sent; only an incomplete body can show the
     // caller that the request failed.
     io->Close();
@@ -505,7 +506,7 @@
                                   std::shared_ptr<node::StreamCancel> cancel)
     -> asio::awaitable<CompletionEnd> {
   running = cancel;
-  WatchCaller();
+  WatchForDisconnect();
   CompletionEnd end;
   try {
     end = co_await core->backend.Complete(std::move(request), std::move(sink),
@@ -577,8 +578,8 @@
   auto out = std::make_shared<StreamWriter>(io, settings, Chunked(*call));
   out->set_on_failure([cancel] { cancel->Cancel(); });
   const auto start = [this, call, out] {
-    if (!answered) {
-      answered = true;
+    if (!response_started) {
+      response_started = true;
       keep_alive = keep_alive && Chunked(*call) && !core->stopping;
       out->set_head(StreamHead(*call, kEventStream, true));
     }
@@ -610,7 +611,7 @@
     failure = FromError(error, kConflict);
   }
   out->set_on_failure(nullptr);
-  if (failure && !answered) {
+  if (failure && !response_started) {
     throw std::move(*failure);
   }
   start();
@@ -801,8 +802,8 @@
   }
   auto out = std::make_shared<StreamWriter>(io, settings, Chunked(*call));
   const auto start = [this, call, out] {
-    if (!answered) {
-      answered = true;
+    if (!response_started) {
+      response_started = true;
       keep_alive = keep_alive && Chunked(*call) && !core->stopping;
       out->set_head(StreamHead(*call, kJsonLines, false));
     }
@@ -877,7 +878,7 @@
 
 auto Session::Impl::Send(std::shared_ptr<Call> call, Reply reply)
     -> asio::awaitable<void> {
-  answered = true;
+  response_started = true;
   keep_alive = keep_alive && !core->stopping;
   http::response<http::string_body> message;
   message.version(call->head.method.empty()
@@ -958,22 +959,22 @@
 
 // Cancels the running completion when the caller disconnects. The wait may
 // outlast the request; its handler then finds no running completion.
-auto Session::Impl::WatchCaller() -> void {
-  if (watching) {
+auto Session::Impl::WatchForDisconnect() -> void {
+  if (watching_for_disconnect) {
     return;
   }
-  watching = true;
+  watching_for_disconnect = true;
   io->socket().async_wait(
       tcp::socket::wait_read,
       [self = shared_from_this()](const boost::system::error_code& error) {
-        self->watching = false;
+        self->watching_for_disconnect = false;
         if (!self->running) {
           return;
         }
         if (error || self->io->PeerClosed()) {
           self->running->Cancel();
         } else if (!self->io->Readable()) {
-          self->WatchCaller();
+          self->WatchForDisconnect();
         }
       });
 }
