--- a/src/caller/completion_call.cc
+++ b/src/caller/completion_call.cc
@@ -243,9 +243,9 @@
   return events + "data: [DONE]\n\n";
 }
 
-auto CompletionWriter::Whole(const std::string& text,
-                             const std::string& finish_reason,
-                             std::uint64_t tokens) const -> std::string {
+auto CompletionWriter::FullResponse(const std::string& text,
+                                    const std::string& finish_reason,
+                                    std::uint64_t tokens) const -> std::string {
   json choice{
       {"index", 0}, {"logprobs", nullptr}, {"finish_reason", finish_reason}};
   if (chat()) {
--- a/src/caller/completion_call.h
+++ b/src/caller/completion_call.h
@@ -44,9 +44,9 @@
   auto EndEvents(const std::string& finish_reason, std::uint64_t tokens) const
       -> std::string;
   // The complete body of a response that is not streamed.
-  auto Whole(const std::string& text,
-             const std::string& finish_reason,
-             std::uint64_t tokens) const -> std::string;
+  auto FullResponse(const std::string& text,
+                    const std::string& finish_reason,
+                    std::uint64_t tokens) const -> std::string;
 
  private:
   auto chat() const -> bool;
--- a/src/caller/session.cc
+++ b/src/caller/session.cc
@@ -236,12 +236,14 @@
 
   auto Complete(std::shared_ptr<Call> call,
                 routing::CompletionEndpoint endpoint) -> asio::awaitable<void>;
-  auto RunWhole(std::shared_ptr<Call> call,
-                std::shared_ptr<CompletionWriter> writer,
-                routing::CompletionRequest request) -> asio::awaitable<void>;
-  auto RunStream(std::shared_ptr<Call> call,
-                 std::shared_ptr<CompletionWriter> writer,
-                 routing::CompletionRequest request) -> asio::awaitable<void>;
+  auto RunNonStreaming(std::shared_ptr<Call> call,
+                       std::shared_ptr<CompletionWriter> writer,
+                       routing::CompletionRequest request)
+      -> asio::awaitable<void>;
+  auto RunStreaming(std::shared_ptr<Call> call,
+                    std::shared_ptr<CompletionWriter> writer,
+                    routing::CompletionRequest request)
+      -> asio::awaitable<void>;
   // Runs the completion on the backend. It is cancelled when the caller
   // disconnects.
   auto RunCompletion(routing::CompletionRequest request,
@@ -495,9 +497,9 @@
   auto writer =
       std::make_shared<CompletionWriter>(parsed, request.id.value(), NowS());
   if (parsed.stream) {
-    co_await RunStream(call, writer, std::move(request));
+    co_await RunStreaming(call, writer, std::move(request));
   } else {
-    co_await RunWhole(call, writer, std::move(request));
+    co_await RunNonStreaming(call, writer, std::move(request));
   }
 }
 
@@ -542,9 +544,9 @@
 
 }  // namespace
 
-auto Session::Impl::RunWhole(std::shared_ptr<Call> call,
-                             std::shared_ptr<CompletionWriter> writer,
-                             routing::CompletionRequest request)
+auto Session::Impl::RunNonStreaming(std::shared_ptr<Call> call,
+                                    std::shared_ptr<CompletionWriter> writer,
+                                    routing::CompletionRequest request)
     -> asio::awaitable<void> {
   auto cancel = std::make_shared<node::StreamCancel>();
   auto text = std::make_shared<std::string>();
@@ -565,13 +567,13 @@
     throw FromOutcome(end.outcome, end.http_status);
   }
   Reply reply;
-  reply.body = writer->Whole(*text, end.finish_reason, counter->next);
+  reply.body = writer->FullResponse(*text, end.finish_reason, counter->next);
   co_await Send(call, std::move(reply));
 }
 
-auto Session::Impl::RunStream(std::shared_ptr<Call> call,
-                              std::shared_ptr<CompletionWriter> writer,
-                              routing::CompletionRequest request)
+auto Session::Impl::RunStreaming(std::shared_ptr<Call> call,
+                                 std::shared_ptr<CompletionWriter> writer,
+                                 routing::CompletionRequest request)
     -> asio::awaitable<void> {
   auto cancel = std::make_shared<node::StreamCancel>();
   auto counter = std::make_shared<TokenCounter>();
