--- a/src/caller/session.cc
+++ b/src/caller/session.cc
@@ -597,7 +597,7 @@
     }
     start();
     writer->AppendToken(token.text, out->pending());
-    out->Schedule();
+    out->ScheduleFlush();
   };
   std::optional<ApiError> failure;
   CompletionEnd end;
@@ -628,7 +628,7 @@
     out->pending() += writer->EndEvents(end.finish_reason, counter->next);
   }
   out->Finish("KQG-Outcome: " + std::string(OutcomeKindName(kind)) + "\r\n");
-  const auto written = co_await out->Drained();
+  const auto written = co_await out->WaitUntilDrained();
   keep_alive = keep_alive && written;
 }
 
@@ -814,8 +814,8 @@
   const auto send = [out, start](std::string bytes) -> asio::awaitable<void> {
     start();
     out->pending() += bytes;
-    out->Schedule();
-    const auto written = co_await out->Drained();
+    out->ScheduleFlush();
+    const auto written = co_await out->WaitUntilDrained();
     if (!written) {
       throw Error(ErrorKind::kUnavailable, "the caller has disconnected",
                   "batch results", "read them again");
@@ -825,7 +825,7 @@
   co_await core->backend.ReadResults(std::move(id), std::move(custom_id), sink);
   start();
   out->Finish("");
-  const auto written = co_await out->Drained();
+  const auto written = co_await out->WaitUntilDrained();
   keep_alive = keep_alive && written;
 }
 
--- a/src/caller/stream_writer.cc
+++ b/src/caller/stream_writer.cc
@@ -30,7 +30,7 @@
       chunked_(chunked),
       drained_(io_->socket().get_executor()) {}
 
-auto StreamWriter::Schedule() -> void {
+auto StreamWriter::ScheduleFlush() -> void {
   if (failed_) {
     pending_.clear();
     return;
@@ -39,7 +39,7 @@
     Fail();
     return;
   }
-  if (!busy_ && !flush_posted_) {
+  if (!write_in_progress_ && !flush_posted_) {
     flush_posted_ = true;
     asio::post(io_->socket().get_executor(), [self = shared_from_this()] {
       self->flush_posted_ = false;
@@ -52,11 +52,11 @@
   if (chunked_) {
     tail_ = "0\r\n" + trailers + "\r\n";
   }
-  Schedule();
+  ScheduleFlush();
 }
 
-auto StreamWriter::Drained() -> asio::awaitable<bool> {
-  while ((busy_ || flush_posted_) && !failed_) {
+auto StreamWriter::WaitUntilDrained() -> asio::awaitable<bool> {
+  while ((write_in_progress_ || flush_posted_) && !failed_) {
     drained_.expires_at(std::chrono::steady_clock::time_point::max());
     boost::system::error_code ignored;
     co_await drained_.async_wait(
@@ -66,14 +66,14 @@
 }
 
 auto StreamWriter::Flush() -> void {
-  if (failed_ || busy_) {
+  if (failed_ || write_in_progress_) {
     return;
   }
   if (head_.empty() && pending_.empty() && tail_.empty()) {
     drained_.cancel();
     return;
   }
-  busy_ = true;
+  write_in_progress_ = true;
   writing_head_ = std::exchange(head_, {});
   writing_.clear();
   std::swap(writing_, pending_);
@@ -91,7 +91,7 @@
                     [self = shared_from_this()](
                         const boost::system::error_code& error, std::size_t) {
                       self->io_->Disarm();
-                      self->busy_ = false;
+                      self->write_in_progress_ = false;
                       if (error) {
                         self->Fail();
                         return;
--- a/src/caller/stream_writer.h
+++ b/src/caller/stream_writer.h
@@ -32,14 +32,14 @@
   auto set_head(std::string head) -> void { head_ = std::move(head); }
   auto failed() const -> bool { return failed_; }
 
-  // Buffer of unsent bytes. Append to it, then call Schedule.
+  // Buffer of unsent bytes. Append to it, then call ScheduleFlush.
   auto pending() -> std::string& { return pending_; }
-  auto Schedule() -> void;
+  auto ScheduleFlush() -> void;
   // Ends the body and sends the trailers ("Name: value\r\n" each).
   auto Finish(const std::string& trailers) -> void;
   // Waits until all bytes have been written. Returns false when the caller has
   // disconnected.
-  auto Drained() -> boost::asio::awaitable<bool>;
+  auto WaitUntilDrained() -> boost::asio::awaitable<bool>;
 
  private:
   auto Flush() -> void;
@@ -56,7 +56,7 @@
   std::string writing_;
   std::string writing_tail_;
   bool flush_posted_ = false;
-  bool busy_ = false;
+  bool write_in_progress_ = false;
   bool failed_ = false;
   boost::asio::steady_timer drained_;
   std::function<auto()->void> on_failure_;
