--- a/src/caller/request_head.cc
+++ b/src/caller/request_head.cc
@@ -35,7 +35,8 @@
 }
 
 // Returns the value of a header that may occur at most once; empty when absent.
-auto Header(const RequestHead& head, const std::string& name) -> std::string {
+auto SingleHeader(const RequestHead& head, const std::string& name)
+    -> std::string {
   std::optional<std::string> value;
   for (const auto& header : head.headers) {
     if (!boost::algorithm::iequals(header.name, name)) {
@@ -57,7 +58,7 @@
                    const std::string& name,
                    std::size_t max_bytes,
                    Allowed allowed) -> std::string {
-  auto value = Header(head, name);
+  auto value = SingleHeader(head, name);
   if (value.size() > max_bytes ||
       !std::all_of(value.begin(), value.end(), allowed)) {
     Reject(name, "contains invalid characters or has more than " +
@@ -79,7 +80,7 @@
   return value;
 }
 
-auto Decode(std::string_view text) -> std::string {
+auto PercentDecode(std::string_view text) -> std::string {
   std::string decoded;
   for (std::size_t i = 0; i < text.size(); ++i) {
     if (text[i] != '%') {
@@ -125,7 +126,7 @@
   const auto request_id =
       CheckedHeader(head, "X-Request-Id", kMaxRequestIdBytes, IsNameCharacter);
   options.request_id = RequestId(request_id.empty() ? new_id : request_id);
-  const auto deadline = Header(head, "KQG-Deadline-Ms");
+  const auto deadline = SingleHeader(head, "KQG-Deadline-Ms");
   options.time_left =
       deadline.empty()
           ? settings.default_deadline
@@ -143,8 +144,9 @@
       continue;
     }
     const auto equals = std::min(pair.find('='), pair.size());
-    const auto name = Decode(pair.substr(0, equals));
-    const auto value = Decode(pair.substr(std::min(pair.size(), equals + 1)));
+    const auto name = PercentDecode(pair.substr(0, equals));
+    const auto value =
+        PercentDecode(pair.substr(std::min(pair.size(), equals + 1)));
     if (!values.emplace(name, value).second) {
       Reject(name, "is given twice; send it once");
     }
@@ -152,7 +154,7 @@
   return values;
 }
 
-auto IsName(std::string_view name) -> bool {
+auto IsValidName(std::string_view name) -> bool {
   return !name.empty() && name.size() <= kMaxNameBytes &&
          std::all_of(name.begin(), name.end(), IsNameCharacter);
 }
--- a/src/caller/request_head.h
+++ b/src/caller/request_head.h
@@ -50,7 +50,7 @@
 auto ParseQuery(std::string_view query) -> std::map<std::string, std::string>;
 
 // Returns whether `name` is valid as a service name or a job id.
-auto IsName(std::string_view name) -> bool;
+auto IsValidName(std::string_view name) -> bool;
 
 // Returns the due time of a batch: from "due" (seconds since the epoch) or
 // "due_in_s" (seconds from now), otherwise the default of the settings.
--- a/src/caller/session.cc
+++ b/src/caller/session.cc
@@ -455,7 +455,7 @@
   const auto slash = std::min(rest.find('/'), rest.size());
   const JobId id(rest.substr(0, slash));
   const auto action = rest.substr(slash);
-  if (!IsName(id.value()) ||
+  if (!IsValidName(id.value()) ||
       (!action.empty() && action != "/cancel" && action != "/results")) {
     throw NotFoundError(path);
   }
@@ -637,7 +637,7 @@
   const auto rest = call->head.target.substr(kServicesPrefix.size());
   const auto end = std::min(rest.find_first_of("/?"), rest.size());
   const ServiceName service(rest.substr(0, end));
-  if (!IsName(service.value())) {
+  if (!IsValidName(service.value())) {
     throw ApiError(kNotFound, "unknown_path",
                    "invalid service name; use /v1/services/SERVICE/PATH");
   }
