--- a/src/caller/api_error.cc
+++ b/src/caller/api_error.cc
@@ -29,7 +29,7 @@
   return status < kInternalError ? "invalid_request_error" : "server_error";
 }
 
-auto UsualStatus(OutcomeKind kind) -> int {
+auto DefaultStatus(OutcomeKind kind) -> int {
   switch (kind) {
     case OutcomeKind::kNotRun:
       return kUnavailable;
@@ -86,7 +86,7 @@
 
 auto FromOutcome(const Outcome& outcome, int http_status) -> ApiError {
   const auto status =
-      http_status == 0 ? UsualStatus(outcome.kind) : http_status;
+      http_status == 0 ? DefaultStatus(outcome.kind) : http_status;
   ApiError error(status, CodeOf(outcome.kind), outcome.reason);
   if (error.message.empty()) {
     error.message = "the request ended with outcome " + error.code;
