--- a/src/caller/completion_call.cc
+++ b/src/caller/completion_call.cc
@@ -141,7 +141,7 @@
 }
 
 // Returns whether a character appears unescaped in a JSON string.
-auto IsPlain(char c) -> bool {
+auto NeedsNoEscape(char c) -> bool {
   return c >= ' ' && c <= '~' && c != '"' && c != '\\';
 }
 
@@ -187,24 +187,24 @@
       id_((chat() ? "chatcmpl-" : "cmpl-") + request_id),
       created_s_(created_s) {
   // Placeholder for the text of a token; JSON does not escape it.
-  const std::string mark = "@kqg-text@";
+  const std::string placeholder = "@kqg-text@";
   auto choice = Choice(nullptr);
   if (chat()) {
-    choice["delta"]["content"] = mark;
+    choice["delta"]["content"] = placeholder;
   } else {
-    choice["text"] = mark;
+    choice["text"] = placeholder;
   }
   // The id and model, which may contain the placeholder, are not part of the
   // choice; its last occurrence there is the text.
   auto chunk = Chunk(json::array());
   const auto text = Dump(chunk);
   const auto choices = Dump(choice);
-  const auto at = choices.rfind('"' + mark + '"');
+  const auto at = choices.rfind('"' + placeholder + '"');
   const std::string empty_list = R"("choices":[])";
   const auto list = text.find(empty_list);
   token_prefix_ = "data: " + text.substr(0, list) + R"("choices":[)" +
                   choices.substr(0, at);
-  token_suffix_ = choices.substr(at + mark.size() + 2) + "]" +
+  token_suffix_ = choices.substr(at + placeholder.size() + 2) + "]" +
                   text.substr(list + empty_list.size()) + "\n\n";
 }
 
@@ -218,7 +218,7 @@
   }
   first_ = false;
   out += token_prefix_;
-  if (std::all_of(text.begin(), text.end(), IsPlain)) {
+  if (std::all_of(text.begin(), text.end(), NeedsNoEscape)) {
     out += '"';
     out += text;
     out += '"';
