--- a/src/caller/session.cc
+++ b/src/caller/session.cc
@@ -648,12 +648,12 @@
     request.target.insert(0, "/");
   }
   for (const auto& header : call->head.headers) {
-    const auto own = beast::iequals(header.name, "Host") ||
-                     beast::iequals(header.name, "Content-Length") ||
-                     beast::iequals(header.name, "Expect") ||
-                     beast::iequals(header.name, "X-Request-Id") ||
-                     beast::iequals(header.name.substr(0, 4), "KQG-");
-    if (!own && !IsHopByHop(header.name)) {
+    const auto not_forwarded = beast::iequals(header.name, "Host") ||
+                               beast::iequals(header.name, "Content-Length") ||
+                               beast::iequals(header.name, "Expect") ||
+                               beast::iequals(header.name, "X-Request-Id") ||
+                               beast::iequals(header.name.substr(0, 4), "KQG-");
+    if (!not_forwarded && !IsHopByHop(header.name)) {
       request.headers.push_back(header);
     }
   }
@@ -730,7 +730,7 @@
 // Counts the non-empty lines of an upload.
 class LineCounter {
  public:
-  auto Take(std::string_view bytes) -> void {
+  auto Add(std::string_view bytes) -> void {
     for (const auto c : bytes) {
       if (c == '\n') {
         in_line_ = false;
@@ -778,7 +778,7 @@
       co_return;
     }
     piece.resize(piece.size() - target.size);
-    counter.Take(piece);
+    counter.Add(piece);
     if (counter.lines() > settings.max_batch_items) {
       throw ApiError(kPayloadTooLarge, "too_many_items",
                      "more than " + std::to_string(settings.max_batch_items) +
