--- a/include/kumquatgauge/operator/operator_backend.h
+++ b/include/kumquatgauge/operator/operator_backend.h
@@ -15,10 +15,10 @@
 // A change of one configuration key, with the facts for the audit trail.
 struct ConfigurationChange {
   std::string operation_id;  // Repeating an operation has no further effect.
-  std::string who;
-  std::string from;     // Address that sent the command.
-  std::string command;  // The command line as sent.
-  std::string key;      // "KIND/NAME"
+  std::string operator_name;
+  std::string source_address;  // Address that sent the command.
+  std::string command;         // The command line as sent.
+  std::string key;             // "KIND/NAME"
   nlohmann::json fields = nlohmann::json::object();
   // kCreate: the key must not exist; kSet: `fields` replace those of the key;
   // kRemove: the key is deleted.
@@ -66,7 +66,7 @@
       -> boost::asio::awaitable<ChangeResult> = 0;
   virtual auto Change(ConfigurationChange change)
       -> boost::asio::awaitable<ChangeResult> = 0;
-  virtual auto CancelJob(std::string job, std::string who)
+  virtual auto CancelJob(std::string job, std::string operator_name)
       -> boost::asio::awaitable<nlohmann::json> = 0;
   // Asks a node to stop gracefully.
   virtual auto DrainNode(std::string node)
--- a/src/daemon/node_operator_backend.cc
+++ b/src/daemon/node_operator_backend.cc
@@ -582,8 +582,8 @@
     request.expected_revision = change.expected_revision.value_or(
         ExpectedRevision(change, before, configuration));
     request.operation = change.operation_id;
-    request.who = change.who;
-    request.from = change.from;
+    request.who = change.operator_name;
+    request.from = change.source_address;
     request.command = change.command;
     auto failure = std::optional<Error>();
     auto record = control::AuditRecord();
--- a/src/operator/command_executor.cc
+++ b/src/operator/command_executor.cc
@@ -114,8 +114,8 @@
                 const CommandOrigin& origin) -> ConfigurationChange {
   auto change = ConfigurationChange();
   change.operation_id = origin.operation_id;
-  change.who = origin.credential.name;
-  change.from = origin.address;
+  change.operator_name = origin.credential.name;
+  change.source_address = origin.address;
   change.command = line;
   change.key = KeyOf(command);
   change.mode = ModeOf(command.verb);
--- a/src/operator/command_executor_test.cc
+++ b/src/operator/command_executor_test.cc
@@ -39,7 +39,7 @@
                            .before = nullptr,
                            .after = change.fields};
   }
-  auto CancelJob(std::string job, std::string /*who*/)
+  auto CancelJob(std::string job, std::string /*operator_name*/)
       -> boost::asio::awaitable<nlohmann::json> override {
     co_return nlohmann::json{{"id", job}, {"status", "cancelled"}};
   }
@@ -197,7 +197,7 @@
   fixture.Run("create service s kind = model if revision 0");
   REQUIRE(fixture.backend.changes.size() == 1);
   const auto& change = fixture.backend.changes.front();
-  CHECK(change.who == "ana");
+  CHECK(change.operator_name == "ana");
   CHECK(change.operation_id == "op1");
   CHECK(change.key == "service/s");
   CHECK(change.command == "create service s kind = model if revision 0");
