--- a/include/kumquatgauge/operator/command_executor.h
+++ b/include/kumquatgauge/operator/command_executor.h
@@ -43,7 +43,7 @@
       -> boost::asio::awaitable<nlohmann::json>;
   auto WaitUntilInForce(std::uint64_t revision, Duration limit)
       -> boost::asio::awaitable<nlohmann::json>;
-  auto Act(const Command& command, const CommandOrigin& origin)
+  auto RunAction(const Command& command, const CommandOrigin& origin)
       -> boost::asio::awaitable<nlohmann::json>;
 
   OperatorBackend& backend_;
--- a/src/operator/command_executor.cc
+++ b/src/operator/command_executor.cc
@@ -9,7 +9,7 @@
 namespace kumquatgauge::operators {
 namespace {
 
-constexpr auto kWaitStep = std::chrono::milliseconds(100);
+constexpr auto kPollInterval = std::chrono::milliseconds(100);
 
 auto TextOf(const nlohmann::json& value) -> std::string {
   return value.is_string() ? value.get<std::string>() : value.dump();
@@ -134,11 +134,11 @@
   return change;
 }
 
-auto Answer(nlohmann::json rows) -> nlohmann::json {
+auto SuccessResponse(nlohmann::json rows) -> nlohmann::json {
   return {{"ok", true}, {"rows", std::move(rows)}};
 }
 
-auto IsReading(const std::string& verb) -> bool {
+auto IsReadOnly(const std::string& verb) -> bool {
   return verb == "show" || verb == "explain" || verb == "watch";
 }
 
@@ -192,7 +192,7 @@
 auto CommandExecutor::Run(std::string line, CommandOrigin origin)
     -> boost::asio::awaitable<nlohmann::json> {
   const auto command = ParseCommand(line, OperatorVerbs());
-  if (!IsReading(command.verb) &&
+  if (!IsReadOnly(command.verb) &&
       origin.credential.role != OperatorRole::kChange) {
     throw Error(ErrorKind::kPermissionDenied,
                 "role read may only run show, explain and watch",
@@ -205,11 +205,11 @@
   if (command.verb == "explain") {
     auto rows = nlohmann::json::array();
     rows.push_back(co_await backend_.Explain(command.kind, command.names));
-    co_return Answer(std::move(rows));
+    co_return SuccessResponse(std::move(rows));
   }
   if (command.verb == "cancel" || command.verb == "drain" ||
       command.kind == "log") {
-    co_return co_await Act(command, origin);
+    co_return co_await RunAction(command, origin);
   }
   co_return co_await ChangeConfiguration(command, line, origin);
 }
@@ -226,7 +226,7 @@
                 remedy);
   }
   auto rows = co_await backend_.Rows(command.kind, command.names);
-  co_return Answer(SelectRows(command, std::move(rows)));
+  co_return SuccessResponse(SelectRows(command, std::move(rows)));
 }
 
 auto CommandExecutor::ChangeConfiguration(const Command& command,
@@ -236,13 +236,13 @@
   const auto change = MakeChange(command, line, origin);
   if (command.dry_run) {
     const auto preview = co_await backend_.Preview(change);
-    auto answer = Answer(Difference(preview));
+    auto answer = SuccessResponse(Difference(preview));
     answer["dry_run"] = true;
     answer["revision"] = preview.revision_before;
     co_return answer;
   }
   const auto result = co_await backend_.Change(change);
-  auto answer = Answer(Difference(result));
+  auto answer = SuccessResponse(Difference(result));
   answer["revision_before"] = result.revision_before;
   answer["revision"] = result.revision;
   if (command.wait_seconds) {
@@ -291,11 +291,12 @@
       }
       co_return answer;
     }
-    co_await pause_(kWaitStep);
+    co_await pause_(kPollInterval);
   }
 }
 
-auto CommandExecutor::Act(const Command& command, const CommandOrigin& origin)
+auto CommandExecutor::RunAction(const Command& command,
+                                const CommandOrigin& origin)
     -> boost::asio::awaitable<nlohmann::json> {
   auto rows = nlohmann::json::array();
   if (command.kind == "log") {
@@ -309,7 +310,7 @@
       throw Error(ErrorKind::kInvalidArgument, "no log level given", "set log",
                   "write: set log level = debug|info|warning|error");
     }
-    co_return Answer(std::move(rows));
+    co_return SuccessResponse(std::move(rows));
   }
   CheckOneName(command);
   const auto& name = command.names.front();
@@ -325,7 +326,7 @@
                 command.kind,
                 "write: cancel job ID, drain node NAME or drain upstream NAME");
   }
-  co_return Answer(std::move(rows));
+  co_return SuccessResponse(std::move(rows));
 }
 
 }  // namespace kumquatgauge::operators
