Rename Answer and Run of the operator server

Answer to HandleRequest and Run to RunCommand, which is the part that executes the command. kBearer to kBearerPrefix, as it is the prefix of a header value.

--- a/src/operator/operator_server.cc
+++ b/src/operator/operator_server.cc
@@ -21,7 +21,7 @@
 namespace http = beast::http;
 
 constexpr auto kIdleTimeout = std::chrono::seconds(60);
-constexpr auto kBearer = std::string_view("Bearer ");
+constexpr auto kBearerPrefix = std::string_view("Bearer ");
 
 using Request = http::request<http::string_body>;
 using Response = http::response<http::string_body>;
@@ -135,7 +135,8 @@
         co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
         stream.expires_never();
         const auto request = parser.release();
-        auto response = co_await Answer(request, from.address().to_string());
+        auto response =
+            co_await HandleRequest(request, from.address().to_string());
         stream.expires_after(kIdleTimeout);
         co_await http::async_write(stream, response, asio::use_awaitable);
         if (!response.keep_alive()) {
@@ -148,11 +149,11 @@
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, failed);
   }
 
-  auto Answer(const Request& request, std::string from)
+  auto HandleRequest(const Request& request, std::string from)
       -> asio::awaitable<Response> {
     try {
       co_return MakeResponse(request, http::status::ok,
-                             co_await Run(request, std::move(from)));
+                             co_await RunCommand(request, std::move(from)));
     } catch (const Error& error) {
       co_return ErrorResponse(request, error);
     } catch (const std::exception& error) {
@@ -162,7 +163,7 @@
     }
   }
 
-  auto Run(const Request& request, std::string from)
+  auto RunCommand(const Request& request, std::string from)
       -> asio::awaitable<nlohmann::json> {
     if (request.target() != "/v1/command" ||
         request.method() != http::verb::post) {
@@ -172,10 +173,10 @@
                   "use POST /v1/command");
     }
     auto token = std::string_view(request[http::field::authorization]);
-    if (!token.starts_with(kBearer)) {
+    if (!token.starts_with(kBearerPrefix)) {
       token = {};
     } else {
-      token.remove_prefix(kBearer.size());
+      token.remove_prefix(kBearerPrefix.size());
     }
     const auto credential = credentials_.Find(token);
     if (!credential) {
