--- a/src/operator/command.cc
+++ b/src/operator/command.cc
@@ -95,7 +95,7 @@
 // The target time for a change to be in force on every node.
 constexpr std::uint64_t kDefaultWaitSeconds = 9;
 
-const auto kWordLetter = x3::char_("a-zA-Z0-9_./:@%*+") | x3::char_('-');
+const auto kWordCharacter = x3::char_("a-zA-Z0-9_./:@%*+") | x3::char_('-');
 
 struct ComparisonSymbols : x3::symbols<Comparison> {
   ComparisonSymbols() {
@@ -117,9 +117,9 @@
   for (const auto& verb : verbs) {
     verb_symbols.add(verb, verb);
   }
-  const auto end_of_word = !kWordLetter;
+  const auto end_of_word = !kWordCharacter;
   const auto keyword = x3::lexeme[ClauseKeywords() >> end_of_word];
-  const auto word_text = x3::lexeme[+kWordLetter];
+  const auto word_text = x3::lexeme[+kWordCharacter];
 
   const auto verb = x3::rule<class VerbTag, std::string>{"a verb"} =
       x3::lexeme[verb_symbols >> end_of_word];
@@ -131,8 +131,9 @@
       !keyword >> word_text;
   const auto name = x3::rule<class NameTag, std::string>{"a name"} =
       !keyword >> word_text >> !x3::lit('=');
-  const auto quoted_letter = (x3::char_('\\') >> x3::char_) | ~x3::char_('"');
-  const auto quoted = x3::lexeme['"' >> *quoted_letter >> '"'];
+  const auto quoted_character =
+      (x3::char_('\\') >> x3::char_) | ~x3::char_('"');
+  const auto quoted = x3::lexeme['"' >> *quoted_character >> '"'];
   const auto list_element = quoted | word_text;
   const auto list = '[' >> -(list_element % ',') >> ']';
   const auto value = x3::rule<class ValueTag, std::string>{"a value"} =
@@ -211,7 +212,7 @@
   const auto element =
       x3::raw[x3::lexeme['"' >> *(("\\" >> x3::char_) | ~x3::char_('"')) >>
                          '"'] |
-              x3::lexeme[+kWordLetter]];
+              x3::lexeme[+kWordCharacter]];
   x3::phrase_parse(text.begin(), text.end(), '[' >> -(element % ',') >> ']',
                    x3::space, elements);
   auto list = nlohmann::json::array();
@@ -258,9 +259,9 @@
   Command& command_;
 };
 
-[[noreturn]] auto FailAt(std::string_view line,
-                         std::size_t column,
-                         const std::string& expected) -> void {
+[[noreturn]] auto ThrowSyntaxError(std::string_view line,
+                                   std::size_t column,
+                                   const std::string& expected) -> void {
   const auto found = column >= line.size()
                          ? std::string("the end of the line")
                          : "'" + std::string(line.substr(column, 20)) + "'";
@@ -293,8 +294,9 @@
     -> Command {
   namespace x3 = boost::spirit::x3;
   if (line.size() > kMaxCommandBytes) {
-    detail::FailAt(line, kMaxCommandBytes,
-                   "at most " + std::to_string(kMaxCommandBytes) + " bytes");
+    detail::ThrowSyntaxError(
+        line, kMaxCommandBytes,
+        "at most " + std::to_string(kMaxCommandBytes) + " bytes");
   }
   const auto text = std::string(line);
   auto parsed = detail::ParsedCommand();
@@ -306,7 +308,7 @@
         text, static_cast<std::size_t>(error.where() - text.begin()));
     const auto expected =
         error.which() == "a verb" ? detail::VerbList(verbs) : error.which();
-    detail::FailAt(text, column, expected);
+    detail::ThrowSyntaxError(text, column, expected);
   }
   auto command = Command{.verb = parsed.verb,
                          .kind = parsed.kind,
@@ -324,7 +326,8 @@
       boost::apply_visitor(visitor, clause);
     }
   } catch (const nlohmann::json::exception&) {
-    detail::FailAt(text, 0, "a quoted value with valid escape sequences");
+    detail::ThrowSyntaxError(text, 0,
+                             "a quoted value with valid escape sequences");
   }
   return command;
 }
