Rename the counters of the fake operator backend

looks to polls, looks_until_heard to polls_until_member and registry_lost to registry_unavailable: the executor polls the backend. Nothing() to ReturnImmediately().

--- a/src/operator/command_executor_test.cc
+++ b/src/operator/command_executor_test.cc
@@ -49,13 +49,13 @@
   }
   auto RevisionsInForce()
       -> boost::asio::awaitable<std::vector<NodeRevision>> override {
-    ++looks;
+    ++polls;
     co_return std::vector<NodeRevision>{
-        {NodeId("n1"), 5}, {NodeId("n2"), looks > looks_until_applied ? 5 : 4}};
+        {NodeId("n1"), 5}, {NodeId("n2"), polls > polls_until_applied ? 5 : 4}};
   }
   auto RegisteredNodes()
       -> boost::asio::awaitable<std::vector<NodeId>> override {
-    if (registry_lost) {
+    if (registry_unavailable) {
       throw Error(ErrorKind::kUnavailable, "no answer", "platform",
                   "try again");
     }
@@ -63,9 +63,9 @@
   }
   auto NodesNotHeardOf(const std::vector<NodeId>& registered) const
       -> std::vector<std::string> override {
-    CHECK(registered.size() == (registry_lost ? 0U : 3U));
-    return looks > looks_until_heard ? std::vector<std::string>()
-                                     : std::vector<std::string>{"n3"};
+    CHECK(registered.size() == (registry_unavailable ? 0U : 3U));
+    return polls > polls_until_member ? std::vector<std::string>()
+                                      : std::vector<std::string>{"n3"};
   }
   auto SetLogLevel(const std::string& level) -> void override {
     log_level = level;
@@ -73,10 +73,10 @@
 
   std::vector<ConfigurationChange> changes;
   std::string log_level;
-  int looks = 0;
-  int looks_until_applied = 2;
-  int looks_until_heard = 0;
-  bool registry_lost = false;
+  int polls = 0;
+  int polls_until_applied = 2;
+  int polls_until_member = 0;
+  bool registry_unavailable = false;
 };
 
 class Fixture {
@@ -86,7 +86,7 @@
     auto executor =
         CommandExecutor(backend, clock.AsHook(), [this](Duration duration) {
           clock.Advance(duration);
-          return Nothing();
+          return ReturnImmediately();
         });
     auto context = boost::asio::io_context();
     auto answer = nlohmann::json();
@@ -108,7 +108,7 @@
     return answer;
   }
 
-  static auto Nothing() -> boost::asio::awaitable<void> { co_return; }
+  static auto ReturnImmediately() -> boost::asio::awaitable<void> { co_return; }
 
   FakeBackend backend;
   testing::ManualClock clock;
@@ -150,7 +150,7 @@
 
 TEST_CASE("CommandExecutor.WaitNamesLaggingNodesAfterTheLimit") {
   auto fixture = Fixture();
-  fixture.backend.looks_until_applied = 1'000'000;
+  fixture.backend.polls_until_applied = 1'000'000;
   const auto answer = fixture.Run("set service s lean = 1 --wait 2");
   CHECK(answer["in_force"]["lagging"] == nlohmann::json::array({"n2"}));
   CHECK(answer["in_force"]["waited_ms"] == 2000);
@@ -160,7 +160,7 @@
 // change is in force everywhere.
 TEST_CASE("CommandExecutor.WaitNamesNodesNotHeardOf") {
   auto fixture = Fixture();
-  fixture.backend.looks_until_heard = 1'000'000;
+  fixture.backend.polls_until_member = 1'000'000;
   const auto answer =
       fixture.Run("set service s lean = 1 --wait 2")["in_force"];
   CHECK(answer["everywhere"] == false);
@@ -173,7 +173,7 @@
 
 TEST_CASE("CommandExecutor.WaitEndsWhenAllKnownNodesAreHeardOf") {
   auto fixture = Fixture();
-  fixture.backend.looks_until_heard = 4;
+  fixture.backend.polls_until_member = 4;
   const auto answer =
       fixture.Run("set service s lean = 1 --wait 9")["in_force"];
   CHECK(answer["everywhere"] == true);
@@ -184,7 +184,7 @@
 // listed.
 TEST_CASE("CommandExecutor.WaitDoesNotReportEverywhereWithoutRegistry") {
   auto fixture = Fixture();
-  fixture.backend.registry_lost = true;
+  fixture.backend.registry_unavailable = true;
   const auto answer =
       fixture.Run("set service s lean = 1 --wait 2")["in_force"];
   CHECK(answer["everywhere"] == false);
