--- a/src/caller/caller_server_test.cc
+++ b/src/caller/caller_server_test.cc
@@ -108,7 +108,7 @@
             std::move(settings))) {}
 
   // Sends a request with "Connection: close" and returns the response.
-  auto Ask(std::string request) -> Response {
+  auto SendRequest(std::string request) -> Response {
     const auto line_end = request.find("\r\n");
     if (line_end != std::string::npos) {
       request.insert(line_end + 2, "Connection: close\r\n");
@@ -117,8 +117,8 @@
     client.Send(request);
     return Split(client.ReadToEnd());
   }
-  auto AskChat(bool stream = false) -> Response {
-    return Ask(Post(kChat, ChatBody(stream)));
+  auto SendChatRequest(bool stream = false) -> Response {
+    return SendRequest(Post(kChat, ChatBody(stream)));
   }
 
   asio::io_context context{1};
@@ -128,16 +128,16 @@
 
 TEST_CASE("CallerServer.AnswersHealthReadinessAndMetrics") {
   Fixture fixture;
-  CHECK(fixture.Ask(Get("/healthz")).status == 200);
-  CHECK(fixture.Ask(Get("/readyz")).status == 200);
-  CHECK(fixture.Ask(Get("/metrics")).body == "kqg_up 1\n");
+  CHECK(fixture.SendRequest(Get("/healthz")).status == 200);
+  CHECK(fixture.SendRequest(Get("/readyz")).status == 200);
+  CHECK(fixture.SendRequest(Get("/metrics")).body == "kqg_up 1\n");
   fixture.backend.is_ready = false;
-  CHECK(fixture.Ask(Get("/readyz")).status == 503);
+  CHECK(fixture.SendRequest(Get("/readyz")).status == 503);
 }
 
 TEST_CASE("CallerServer.ListsAddressesWithTtlAndTicket") {
   Fixture fixture;
-  const auto body = json::parse(fixture.Ask(Get("/v1/addresses")).body);
+  const auto body = json::parse(fixture.SendRequest(Get("/v1/addresses")).body);
   CHECK(body["addresses"] == json({"127.0.0.1:1", "127.0.0.1:2"}));
   CHECK(body["ttl_s"] == 30);
   CHECK(body["ticket"] == "n.1.2");
@@ -145,18 +145,18 @@
 
 TEST_CASE("CallerServer.ListsModelsAndFindsOneWithASlash") {
   Fixture fixture;
-  const auto list = json::parse(fixture.Ask(Get("/v1/models")).body);
+  const auto list = json::parse(fixture.SendRequest(Get("/v1/models")).body);
   CHECK(list["object"] == "list");
   CHECK(list["data"][0]["id"] == "small");
-  CHECK(fixture.Ask(Get("/v1/models/org/large")).status == 200);
-  CHECK(fixture.Ask(Get("/v1/models/none")).status == 404);
+  CHECK(fixture.SendRequest(Get("/v1/models/org/large")).status == 200);
+  CHECK(fixture.SendRequest(Get("/v1/models/none")).status == 404);
 }
 
 // Guards against a response that client libraries cannot read.
 TEST_CASE("CallerServer.AnswersAChatCompletionAsOneObject") {
   Fixture fixture;
   fixture.backend.completion = {Tokens({"Hel", "lo"}), Completed(), false, {}};
-  const auto response = fixture.AskChat();
+  const auto response = fixture.SendChatRequest();
   CHECK(response.status == 200);
   CHECK(response.HasHeader("KQG-Outcome: completed"));
   const auto body = json::parse(response.body);
@@ -172,9 +172,11 @@
   Fixture fixture;
   fixture.backend.completion = {
       Tokens({"a", "b"}), Completed("length"), false, {}};
-  const auto body = json::parse(
-      fixture.Ask(Post("/v1/completions", R"({"model":"small","prompt":"x"})"))
-          .body);
+  const auto body =
+      json::parse(fixture
+                      .SendRequest(Post("/v1/completions",
+                                        R"({"model":"small","prompt":"x"})"))
+                      .body);
   CHECK(body["object"] == "text_completion");
   CHECK(body["choices"][0]["text"] == "ab");
   CHECK(body["choices"][0]["finish_reason"] == "length");
@@ -184,7 +186,7 @@
   Fixture fixture;
   fixture.backend.completion = {
       Tokens({"\"q\"\n", "\xc3\xa9"}), Completed(), false, {}};
-  const auto response = fixture.AskChat(true);
+  const auto response = fixture.SendChatRequest(true);
   CHECK(response.HasHeader("Content-Type: text/event-stream"));
   CHECK(response.HasHeader("Trailer: KQG-Outcome"));
   const auto events = Events(response.body);
@@ -205,7 +207,7 @@
 TEST_CASE("CallerServer.StreamsUsageWhenAsked") {
   Fixture fixture;
   fixture.backend.completion = {Tokens({"a"}), Completed(), false, {}};
-  const auto response = fixture.Ask(
+  const auto response = fixture.SendRequest(
       Post("/v1/completions", R"({"model":"small","prompt":"x","stream":true,
                               "stream_options":{"include_usage":true}})"));
   const auto events = Events(response.body);
@@ -224,7 +226,7 @@
   }));
   Fixture fixture;
   fixture.backend.completion = {Tokens({"a"}), Ended(kind, "lost"), false, {}};
-  const auto response = fixture.AskChat(true);
+  const auto response = fixture.SendChatRequest(true);
   const auto events = Events(response.body);
   REQUIRE(events.size() == 3);
   CHECK(json::parse(events[2])["error"]["code"] == code);
@@ -238,7 +240,7 @@
   Fixture fixture;
   fixture.backend.completion = {{{0, "a"}, {2, "c"}}, Completed(), false, {}};
   const auto stream = GENERATE(true, false);
-  const auto response = fixture.AskChat(stream);
+  const auto response = fixture.SendChatRequest(stream);
   CHECK(response.status == (stream ? 200 : 502));
   CHECK(response.body.find("tokens of the answer were lost") !=
         std::string::npos);
@@ -269,7 +271,7 @@
   end.http_status = row.http_status;
   end.outcome.retry_after = std::chrono::milliseconds(1'200);
   fixture.backend.completion.end = end;
-  const auto response = fixture.AskChat(stream);
+  const auto response = fixture.SendChatRequest(stream);
   CHECK(response.status == row.status);
   CHECK(response.Error()["code"] == row.code);
   CHECK(response.Error()["message"] == "because");
@@ -292,7 +294,7 @@
   }));
   Fixture fixture;
   fixture.backend.completion.error = Error(kind, "what", "object", "remedy");
-  const auto response = fixture.AskChat();
+  const auto response = fixture.SendChatRequest();
   CHECK(response.status == status);
   CHECK(response.Error()["code"] == std::string(ErrorKindName(kind)));
 }
@@ -331,10 +333,10 @@
 TEST_CASE("CallerServer.PassesTheHeadersOfTheCallOn") {
   Fixture fixture;
   fixture.backend.completion.end = Completed();
-  const auto response =
-      fixture.Ask(Post(kChat, ChatBody(),
-                       "KQG-Organisation: bar-7\r\nKQG-Deadline-Ms: 1500\r\n"
-                       "X-Request-Id: id-9\r\n"));
+  const auto response = fixture.SendRequest(
+      Post(kChat, ChatBody(),
+           "KQG-Organisation: bar-7\r\nKQG-Deadline-Ms: 1500\r\n"
+           "X-Request-Id: id-9\r\n"));
   CHECK(response.HasHeader("X-Request-Id: id-9"));
   REQUIRE(fixture.backend.completions.size() == 1);
   const auto& request = fixture.backend.completions[0];
@@ -350,8 +352,8 @@
   Fixture fixture;
   fixture.backend.completion.end = Completed();
   const auto affinity = [&](const std::string& prompt) {
-    fixture.Ask(Post("/v1/completions",
-                     json{{"model", "m"}, {"prompt", prompt}}.dump()));
+    fixture.SendRequest(Post("/v1/completions",
+                             json{{"model", "m"}, {"prompt", prompt}}.dump()));
     return fixture.backend.completions.back().affinity;
   };
   const std::string prefix(1'024, 'p');
@@ -470,7 +472,7 @@
        "max_tokens"},
   }));
   Fixture fixture;
-  const auto response = fixture.Ask(Post(kChat, row.body));
+  const auto response = fixture.SendRequest(Post(kChat, row.body));
   INFO(row.body.substr(0, 80));
   CHECK(response.status == 400);
   CHECK(response.Error()["type"] == "invalid_request_error");
@@ -487,7 +489,8 @@
                "X-Request-Id: a/b", "KQG-Ticket: {}", "Idempotency-Key: \xc3",
                "KQG-Ticket: a\r\nKQG-Ticket: b", "Idempotency-Key:");
   Fixture fixture;
-  const auto response = fixture.Ask(Post(kChat, ChatBody(), header + "\r\n"));
+  const auto response =
+      fixture.SendRequest(Post(kChat, ChatBody(), header + "\r\n"));
   INFO(header);
   CHECK(response.status == 400);
   CHECK(fixture.backend.completions.empty());
@@ -495,14 +498,14 @@
 
 TEST_CASE("CallerServer.RejectsUnknownPathsAndWrongMethods") {
   Fixture fixture;
-  CHECK(fixture.Ask(Get("/nothing")).status == 404);
-  CHECK(fixture.Ask(Get("/v1/batches/a/b")).status == 404);
-  CHECK(fixture.Ask(Get("/v1/services/")).status == 404);
-  const auto response = fixture.Ask(Get(kChat));
+  CHECK(fixture.SendRequest(Get("/nothing")).status == 404);
+  CHECK(fixture.SendRequest(Get("/v1/batches/a/b")).status == 404);
+  CHECK(fixture.SendRequest(Get("/v1/services/")).status == 404);
+  const auto response = fixture.SendRequest(Get(kChat));
   CHECK(response.status == 405);
   CHECK(response.HasHeader("Allow: POST"));
-  CHECK(fixture.Ask(Post("/healthz", "")).status == 405);
-  CHECK(fixture.Ask(Get("/v1/batches/a/cancel")).status == 405);
+  CHECK(fixture.SendRequest(Post("/healthz", "")).status == 405);
+  CHECK(fixture.SendRequest(Get("/v1/batches/a/cancel")).status == 405);
 }
 
 TEST_CASE("CallerServer.RejectsOversizedRequests") {
@@ -511,20 +514,22 @@
   settings.max_headers = 10;
   settings.max_header_bytes = 2'000;
   Fixture fixture(settings);
-  CHECK(fixture.Ask(Post(kChat, std::string(1'001, ' '))).status == 413);
+  CHECK(fixture.SendRequest(Post(kChat, std::string(1'001, ' '))).status ==
+        413);
   CHECK(fixture
-            .Ask("POST " + kChat +
-                 " HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" +
-                 std::string(2'000, ' ') + "\r\n0\r\n\r\n")
+            .SendRequest(
+                "POST " + kChat +
+                " HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" +
+                std::string(2'000, ' ') + "\r\n0\r\n\r\n")
             .status == 413);
   std::string many;
   for (auto i = 0; i < 11; ++i) {
     many += "X-" + std::to_string(i) + ": 1\r\n";
   }
-  CHECK(fixture.Ask(Post(kChat, ChatBody(), many)).status == 431);
+  CHECK(fixture.SendRequest(Post(kChat, ChatBody(), many)).status == 431);
   CHECK(fixture
-            .Ask(Post(kChat, ChatBody(),
-                      "X-Long: " + std::string(3'000, 'x') + "\r\n"))
+            .SendRequest(Post(kChat, ChatBody(),
+                              "X-Long: " + std::string(3'000, 'x') + "\r\n"))
             .status == 431);
   CHECK(fixture.backend.completions.empty());
 }
@@ -548,7 +553,7 @@
   Fixture fixture;
   fixture.backend.service_end.response =
       upstream::ServiceResponse{201, {{"X-Bar", "7"}}, "done"};
-  const auto response = fixture.Ask(
+  const auto response = fixture.SendRequest(
       "PUT /v1/services/pay/confirm/4?x=%20 HTTP/1.1\r\nHost: n\r\n"
       "Idempotency-Key: k1\r\nKQG-Ticket: n.1.2\r\nX-Own: v\r\n"
       "Content-Length: 2\r\n\r\nhi");
@@ -575,7 +580,8 @@
 TEST_CASE("CallerServer.UnknownServiceOutcomeForbidsRetries") {
   Fixture fixture;
   fixture.backend.service_end.outcome.kind = OutcomeKind::kUnknown;
-  const auto response = fixture.Ask(Post("/v1/services/pay/confirm", "{}"));
+  const auto response =
+      fixture.SendRequest(Post("/v1/services/pay/confirm", "{}"));
   CHECK(response.status == 504);
   CHECK(response.Error()["code"] == "unknown_outcome");
   CHECK(response.HasHeader("X-Should-Retry: false"));
@@ -586,7 +592,8 @@
   Fixture fixture;
   fixture.backend.service_error = Error(
       ErrorKind::kConflict, "key has another body", "k1", "use a new key");
-  CHECK(fixture.Ask(Post("/v1/services/pay/confirm", "{}")).status == 422);
+  CHECK(fixture.SendRequest(Post("/v1/services/pay/confirm", "{}")).status ==
+        422);
 }
 
 auto Batch(const std::string& body, const std::string& query = "?model=small")
@@ -600,7 +607,8 @@
   for (auto i = 0; i < 5'000; ++i) {
     body += R"({"custom_id":")" + std::to_string(i) + R"(","body":{}})" + "\n";
   }
-  const auto response = fixture.Ask(Batch(body, "?model=small&due_in_s=60"));
+  const auto response =
+      fixture.SendRequest(Batch(body, "?model=small&due_in_s=60"));
   CHECK(response.status == 200);
   CHECK(json::parse(response.body)["id"] == "job-1");
   REQUIRE(fixture.backend.uploads.size() == 1);
@@ -615,16 +623,18 @@
   settings.max_batch_items = 3;
   settings.max_batch_bytes = 100;
   Fixture fixture(settings);
-  CHECK(fixture.Ask(Batch("{}\n", "")).status == 400);
-  CHECK(fixture.Ask(Batch("{}\n", "?model=a&service=b")).status == 400);
-  CHECK(fixture.Ask(Batch("{}\n", "?model=a&model=b")).status == 400);
-  CHECK(fixture.Ask(Batch("{}\n", "?model=%zz")).status == 400);
-  CHECK(fixture.Ask(Batch("{}\n", "?model=a&due_in_s=-1")).status == 400);
-  CHECK(fixture.Ask(Batch("{}\n", "?model=a&colour=red")).status == 400);
-  CHECK(fixture.Ask(Post("/v1/batches?model=a", "{}\n")).status == 400);
-  CHECK(fixture.Ask(Batch("\n\r\n")).status == 400);
-  CHECK(fixture.Ask(Batch("{}\n{}\n{}\n{}\n")).status == 413);
-  CHECK(fixture.Ask(Batch(std::string(101, ' '))).status == 413);
+  CHECK(fixture.SendRequest(Batch("{}\n", "")).status == 400);
+  CHECK(fixture.SendRequest(Batch("{}\n", "?model=a&service=b")).status == 400);
+  CHECK(fixture.SendRequest(Batch("{}\n", "?model=a&model=b")).status == 400);
+  CHECK(fixture.SendRequest(Batch("{}\n", "?model=%zz")).status == 400);
+  CHECK(fixture.SendRequest(Batch("{}\n", "?model=a&due_in_s=-1")).status ==
+        400);
+  CHECK(fixture.SendRequest(Batch("{}\n", "?model=a&colour=red")).status ==
+        400);
+  CHECK(fixture.SendRequest(Post("/v1/batches?model=a", "{}\n")).status == 400);
+  CHECK(fixture.SendRequest(Batch("\n\r\n")).status == 400);
+  CHECK(fixture.SendRequest(Batch("{}\n{}\n{}\n{}\n")).status == 413);
+  CHECK(fixture.SendRequest(Batch(std::string(101, ' '))).status == 413);
   for (const auto& upload : fixture.backend.uploads) {
     CHECK(upload->abandoned);
   }
@@ -647,28 +657,28 @@
   Fixture fixture;
   fixture.backend.finish_error =
       Error(ErrorKind::kConflict, "job has another body", "job-1", "new key");
-  CHECK(fixture.Ask(Batch("{}\n")).status == 409);
+  CHECK(fixture.SendRequest(Batch("{}\n")).status == 409);
 }
 
 TEST_CASE("CallerServer.AnswersStatusAndCancelOfABatch") {
   Fixture fixture;
-  const auto status = fixture.Ask(Get("/v1/batches/job-1"));
+  const auto status = fixture.SendRequest(Get("/v1/batches/job-1"));
   CHECK(json::parse(status.body)["status"] == "running");
-  const auto cancel = fixture.Ask(Post("/v1/batches/job-1/cancel", ""));
+  const auto cancel = fixture.SendRequest(Post("/v1/batches/job-1/cancel", ""));
   CHECK(json::parse(cancel.body)["status"] == "cancelled");
-  CHECK(fixture.Ask(Get("/v1/batches/none")).status == 404);
+  CHECK(fixture.SendRequest(Get("/v1/batches/none")).status == 404);
 }
 
 TEST_CASE("CallerServer.StreamsBatchResults") {
   Fixture fixture;
   fixture.backend.result_pieces = {"{\"a\":1}\n", "{\"b\":2}\n"};
   const auto response =
-      fixture.Ask(Get("/v1/batches/job-1/results?custom_id=a%2Fb"));
+      fixture.SendRequest(Get("/v1/batches/job-1/results?custom_id=a%2Fb"));
   CHECK(response.status == 200);
   CHECK(response.body.find("{\"b\":2}\n") != std::string::npos);
   CHECK(response.body.find("0\r\n\r\n") != std::string::npos);
   CHECK(fixture.backend.result_custom_id == "a/b");
-  CHECK(fixture.Ask(Get("/v1/batches/none/results")).status == 404);
+  CHECK(fixture.SendRequest(Get("/v1/batches/none/results")).status == 404);
 }
 
 // Guards against buffering all results in memory for a slow reader.
@@ -689,7 +699,7 @@
   Fixture fixture;
   fixture.backend.result_pieces = {"{\"a\":1}\n"};
   fixture.backend.results_break = true;
-  const auto response = fixture.Ask(Get("/v1/batches/job-1/results"));
+  const auto response = fixture.SendRequest(Get("/v1/batches/job-1/results"));
   CHECK(response.body.find("0\r\n\r\n") == std::string::npos);
 }
 
@@ -726,7 +736,8 @@
                   {"prompt", "relay"},
                   {"max_tokens", kRelayedTokens},
                   {"stream", true}};
-  const auto response = fixture.Ask(Post("/v1/completions", body.dump()));
+  const auto response =
+      fixture.SendRequest(Post("/v1/completions", body.dump()));
   std::string text;
   for (const auto& event : Events(response.body)) {
     if (event != "[DONE]") {
@@ -815,7 +826,7 @@
   }
   CHECK(RunUntil(fixture.context,
                  [&] { return fixture.server->connections() == 0; }));
-  CHECK(fixture.Ask(Get("/healthz")).status == 200);
+  CHECK(fixture.SendRequest(Get("/healthz")).status == 200);
 }
 
 }  // namespace
