--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -1,5 +1,6 @@
-# Starts fakes and nodes as processes on 127.0.0.1 and ends them by process id.
-# Source this file; needs $build (folder of the programs). Sets $fleet_dir.
+# Functions that start fakes and nodes as processes on 127.0.0.1 and end them by
+# process id. Source this file with $build set to the folder of the programs. It
+# sets $fleet_dir.
 
 fleet_dir=$(mktemp -d)
 declare -A fleet_pid fleet_address node_callers node_operators node_nodes
@@ -10,7 +11,7 @@
 echo "local change $operator_token" >"$fleet_dir/operators.txt"
 echo "$operator_token" >"$fleet_dir/token.txt"
 
-# Prints a port of 127.0.0.1 that nothing listens on.
+# Sets $free_port_result to a port of 127.0.0.1 that nothing listens on.
 free_port() {
   while (exec 3<>"/dev/tcp/127.0.0.1/$fleet_next_port") 2>/dev/null; do
     fleet_next_port=$((fleet_next_port + 1))
@@ -40,7 +41,7 @@
   fleet_address[$name]=$(sed -n 's/^listening on //p;q' "$fleet_dir/$name.out")
 }
 
-# start_node NAME ZONE: starts a node; its seeds are up to three nodes that
+# start_node NAME ZONE: starts a node whose seeds are up to three nodes that
 # were started before.
 start_node() {
   local name=$1 zone=$2 seeds= other count=0
@@ -78,14 +79,15 @@
   fleet_pid[$name]=$!
 }
 
-# kill_process NAME: ends a process at once, as a lost host would.
+# kill_process NAME: kills a process without a graceful stop, as the loss of its
+# host would.
 kill_process() {
   kill -KILL "${fleet_pid[$1]}"
   wait "${fleet_pid[$1]}" 2>/dev/null || true
   unset "fleet_pid[$1]"
 }
 
-# Ends everything that was started here, by process id.
+# Kills all processes that were started here, by process id.
 stop_fleet() {
   local name
   for name in "${!fleet_pid[@]}"; do
@@ -96,7 +98,7 @@
   rm -rf "$fleet_dir"
 }
 
-# ctl NODE COMMAND...: one command of the operators' language.
+# ctl NODE COMMAND...: sends one operator command to a node.
 ctl() {
   local node=$1
   shift
