--- a/src/caller/session.cc
+++ b/src/caller/session.cc
@@ -274,9 +274,10 @@
   std::shared_ptr<node::StreamCancel> running;  // Null between completions.
   bool idle = false;
   bool keep_alive = true;
-  bool response_started =
-      false;               // A response to the current request has begun.
-  bool body_read = false;  // The request's body has been read to its end.
+  // For the current request: whether the response has begun, and whether the
+  // body has been read to its end.
+  bool response_started = false;
+  bool body_read = false;
   bool watching_for_disconnect = false;
 };
 
