--- a/src/caller/caller_server_test.cc
+++ b/src/caller/caller_server_test.cc
@@ -88,7 +88,7 @@
   return response;
 }
 
-// Data of the events of a chunked body, in order.
+// Returns the data of the events of a chunked body, in order.
 auto Events(const std::string& text) -> std::vector<std::string> {
   std::vector<std::string> events;
   std::size_t at = 0;
@@ -107,8 +107,8 @@
             backend,
             std::move(settings))) {}
 
-  // Sends a request that asks to close and returns the whole response.
-  auto Ask(std::string request) -> Response {
+  // Sends a request with "Connection: close" and returns the response.
+  auto SendRequest(std::string request) -> Response {
     const auto line_end = request.find("\r\n");
     if (line_end != std::string::npos) {
       request.insert(line_end + 2, "Connection: close\r\n");
@@ -117,8 +117,8 @@
     client.Send(request);
     return Split(client.ReadToEnd());
   }
-  auto AskChat(bool stream = false) -> Response {
-    return Ask(Post(kChat, ChatBody(stream)));
+  auto SendChatRequest(bool stream = false) -> Response {
+    return SendRequest(Post(kChat, ChatBody(stream)));
   }
 
   asio::io_context context{1};
@@ -128,16 +128,16 @@
 
 TEST_CASE("CallerServer.AnswersHealthReadinessAndMetrics") {
   Fixture fixture;
-  CHECK(fixture.Ask(Get("/healthz")).status == 200);
-  CHECK(fixture.Ask(Get("/readyz")).status == 200);
-  CHECK(fixture.Ask(Get("/metrics")).body == "kqg_up 1\n");
+  CHECK(fixture.SendRequest(Get("/healthz")).status == 200);
+  CHECK(fixture.SendRequest(Get("/readyz")).status == 200);
+  CHECK(fixture.SendRequest(Get("/metrics")).body == "kqg_up 1\n");
   fixture.backend.is_ready = false;
-  CHECK(fixture.Ask(Get("/readyz")).status == 503);
+  CHECK(fixture.SendRequest(Get("/readyz")).status == 503);
 }
 
 TEST_CASE("CallerServer.ListsAddressesWithTtlAndTicket") {
   Fixture fixture;
-  const auto body = json::parse(fixture.Ask(Get("/v1/addresses")).body);
+  const auto body = json::parse(fixture.SendRequest(Get("/v1/addresses")).body);
   CHECK(body["addresses"] == json({"127.0.0.1:1", "127.0.0.1:2"}));
   CHECK(body["ttl_s"] == 30);
   CHECK(body["ticket"] == "n.1.2");
@@ -145,18 +145,18 @@
 
 TEST_CASE("CallerServer.ListsModelsAndFindsOneWithASlash") {
   Fixture fixture;
-  const auto list = json::parse(fixture.Ask(Get("/v1/models")).body);
+  const auto list = json::parse(fixture.SendRequest(Get("/v1/models")).body);
   CHECK(list["object"] == "list");
   CHECK(list["data"][0]["id"] == "small");
-  CHECK(fixture.Ask(Get("/v1/models/org/large")).status == 200);
-  CHECK(fixture.Ask(Get("/v1/models/none")).status == 404);
+  CHECK(fixture.SendRequest(Get("/v1/models/org/large")).status == 200);
+  CHECK(fixture.SendRequest(Get("/v1/models/none")).status == 404);
 }
 
 // Guards against a response that client libraries cannot read.
 TEST_CASE("CallerServer.AnswersAChatCompletionAsOneObject") {
   Fixture fixture;
   fixture.backend.completion = {Tokens({"Hel", "lo"}), Completed(), false, {}};
-  const auto response = fixture.AskChat();
+  const auto response = fixture.SendChatRequest();
   CHECK(response.status == 200);
   CHECK(response.HasHeader("KQG-Outcome: completed"));
   const auto body = json::parse(response.body);
@@ -172,9 +172,11 @@
   Fixture fixture;
   fixture.backend.completion = {
       Tokens({"a", "b"}), Completed("length"), false, {}};
-  const auto body = json::parse(
-      fixture.Ask(Post("/v1/completions", R"({"model":"small","prompt":"x"})"))
-          .body);
+  const auto body =
+      json::parse(fixture
+                      .SendRequest(Post("/v1/completions",
+                                        R"({"model":"small","prompt":"x"})"))
+                      .body);
   CHECK(body["object"] == "text_completion");
   CHECK(body["choices"][0]["text"] == "ab");
   CHECK(body["choices"][0]["finish_reason"] == "length");
@@ -184,7 +186,7 @@
   Fixture fixture;
   fixture.backend.completion = {
       Tokens({"\"q\"\n", "\xc3\xa9"}), Completed(), false, {}};
-  const auto response = fixture.AskChat(true);
+  const auto response = fixture.SendChatRequest(true);
   CHECK(response.HasHeader("Content-Type: text/event-stream"));
   CHECK(response.HasHeader("Trailer: KQG-Outcome"));
   const auto events = Events(response.body);
@@ -205,7 +207,7 @@
 TEST_CASE("CallerServer.StreamsUsageWhenAsked") {
   Fixture fixture;
   fixture.backend.completion = {Tokens({"a"}), Completed(), false, {}};
-  const auto response = fixture.Ask(
+  const auto response = fixture.SendRequest(
       Post("/v1/completions", R"({"model":"small","prompt":"x","stream":true,
                               "stream_options":{"include_usage":true}})"));
   const auto events = Events(response.body);
@@ -215,7 +217,7 @@
   CHECK(usage["usage"]["completion_tokens"] == 1);
 }
 
-// Guards against a caller that takes a broken answer for a whole one.
+// Guards against a truncated stream that a caller takes for a complete one.
 TEST_CASE("CallerServer.StreamThatEndsEarlyHasAnErrorEventAndNoDone") {
   const auto [kind, code] = GENERATE(table<OutcomeKind, std::string>({
       {OutcomeKind::kUnknown, "unknown_outcome"},
@@ -224,7 +226,7 @@
   }));
   Fixture fixture;
   fixture.backend.completion = {Tokens({"a"}), Ended(kind, "lost"), false, {}};
-  const auto response = fixture.AskChat(true);
+  const auto response = fixture.SendChatRequest(true);
   const auto events = Events(response.body);
   REQUIRE(events.size() == 3);
   CHECK(json::parse(events[2])["error"]["code"] == code);
@@ -233,19 +235,20 @@
   CHECK(response.body.find("KQG-Outcome: not_run") == std::string::npos);
 }
 
-// Guards against a missing token being hidden inside a stream.
+// Guards against a stream that continues after a missing token.
 TEST_CASE("CallerServer.GapInTheTokensEndsTheStreamWithAnError") {
   Fixture fixture;
   fixture.backend.completion = {{{0, "a"}, {2, "c"}}, Completed(), false, {}};
   const auto stream = GENERATE(true, false);
-  const auto response = fixture.AskChat(stream);
+  const auto response = fixture.SendChatRequest(stream);
   CHECK(response.status == (stream ? 200 : 502));
   CHECK(response.body.find("tokens of the answer were lost") !=
         std::string::npos);
   CHECK(response.body.find("[DONE]") == std::string::npos);
 }
 
-// Guards against callers repeating what must not be repeated, and the reverse.
+// Guards against callers that retry a request which may have run, or do not
+// retry one which has not.
 TEST_CASE("CallerServer.MapsOutcomesToStatusAndHeaders") {
   struct Row {
     OutcomeKind kind;
@@ -268,7 +271,7 @@
   end.http_status = row.http_status;
   end.outcome.retry_after = std::chrono::milliseconds(1'200);
   fixture.backend.completion.end = end;
-  const auto response = fixture.AskChat(stream);
+  const auto response = fixture.SendChatRequest(stream);
   CHECK(response.status == row.status);
   CHECK(response.Error()["code"] == row.code);
   CHECK(response.Error()["message"] == "because");
@@ -291,12 +294,12 @@
   }));
   Fixture fixture;
   fixture.backend.completion.error = Error(kind, "what", "object", "remedy");
-  const auto response = fixture.AskChat();
+  const auto response = fixture.SendChatRequest();
   CHECK(response.status == status);
   CHECK(response.Error()["code"] == std::string(ErrorKindName(kind)));
 }
 
-// Guards against work for a caller that is gone.
+// Guards against completions that keep running after the caller disconnects.
 TEST_CASE("CallerServer.CancelsTheCompletionWhenTheCallerDisconnects") {
   const auto stream = GENERATE(true, false);
   Fixture fixture;
@@ -312,7 +315,7 @@
                  [&] { return fixture.server->connections() == 0; }));
 }
 
-// Guards against unbounded memory for a caller that does not read.
+// Guards against unbounded memory use when a caller does not read its response.
 TEST_CASE("CallerServer.CancelsTheCompletionWhenTheCallerDoesNotRead") {
   CallerSettings settings;
   settings.max_unsent_bytes = 100'000;
@@ -330,10 +333,10 @@
 TEST_CASE("CallerServer.PassesTheHeadersOfTheCallOn") {
   Fixture fixture;
   fixture.backend.completion.end = Completed();
-  const auto response =
-      fixture.Ask(Post(kChat, ChatBody(),
-                       "KQG-Organisation: bar-7\r\nKQG-Deadline-Ms: 1500\r\n"
-                       "X-Request-Id: id-9\r\n"));
+  const auto response = fixture.SendRequest(
+      Post(kChat, ChatBody(),
+           "KQG-Organisation: bar-7\r\nKQG-Deadline-Ms: 1500\r\n"
+           "X-Request-Id: id-9\r\n"));
   CHECK(response.HasHeader("X-Request-Id: id-9"));
   REQUIRE(fixture.backend.completions.size() == 1);
   const auto& request = fixture.backend.completions[0];
@@ -344,13 +347,13 @@
   CHECK(request.body == ChatBody());
 }
 
-// Guards against requests of one conversation being spread over replicas.
+// Guards against spreading the requests of one conversation over replicas.
 TEST_CASE("CallerServer.AffinityDependsOnTheFirst1024BytesOfThePrompt") {
   Fixture fixture;
   fixture.backend.completion.end = Completed();
   const auto affinity = [&](const std::string& prompt) {
-    fixture.Ask(Post("/v1/completions",
-                     json{{"model", "m"}, {"prompt", prompt}}.dump()));
+    fixture.SendRequest(Post("/v1/completions",
+                             json{{"model", "m"}, {"prompt", prompt}}.dump()));
     return fixture.backend.completions.back().affinity;
   };
   const std::string prefix(1'024, 'p');
@@ -405,7 +408,7 @@
   REQUIRE(RunUntil(fixture.context,
                    [&] { return fixture.server->connections() == 2; }));
   fixture.server->Stop();
-  // A request on an open connection is still answered, and is the last there.
+  // A request on an idle connection is still answered; then it is closed.
   idle.Send(Get("/healthz"));
   CHECK(Split(idle.ReadToEnd()).HasHeader("Connection: close"));
   gate->cancel();
@@ -416,7 +419,7 @@
   CHECK_THROWS(RawClient(fixture.context, fixture.server->address()));
 }
 
-// Guards against connections that stay open for ever.
+// Guards against connections that stay open forever.
 TEST_CASE("CallerServer.ClosesIdleConnections") {
   CallerSettings settings;
   settings.idle_timeout = std::chrono::milliseconds(50);
@@ -428,7 +431,7 @@
 
 TEST_CASE("CallerServer.RejectsSlowSenders") {
   CallerSettings settings;
-  settings.sender_timeout = std::chrono::milliseconds(50);
+  settings.read_timeout = std::chrono::milliseconds(50);
   Fixture fixture(settings);
   const std::string part = GENERATE(
       "POST /v1/chat/comp", "POST /v1/completions HTTP/1.1\r\nHost: x\r\n",
@@ -444,7 +447,8 @@
   }
 }
 
-// Guards against bad requests that reach the backend or get no reason.
+// Guards against invalid requests that reach the backend or are rejected
+// without a reason.
 TEST_CASE("CallerServer.RejectsBadCompletions") {
   struct Row {
     std::string body;
@@ -468,7 +472,7 @@
        "max_tokens"},
   }));
   Fixture fixture;
-  const auto response = fixture.Ask(Post(kChat, row.body));
+  const auto response = fixture.SendRequest(Post(kChat, row.body));
   INFO(row.body.substr(0, 80));
   CHECK(response.status == 400);
   CHECK(response.Error()["type"] == "invalid_request_error");
@@ -485,7 +489,8 @@
                "X-Request-Id: a/b", "KQG-Ticket: {}", "Idempotency-Key: \xc3",
                "KQG-Ticket: a\r\nKQG-Ticket: b", "Idempotency-Key:");
   Fixture fixture;
-  const auto response = fixture.Ask(Post(kChat, ChatBody(), header + "\r\n"));
+  const auto response =
+      fixture.SendRequest(Post(kChat, ChatBody(), header + "\r\n"));
   INFO(header);
   CHECK(response.status == 400);
   CHECK(fixture.backend.completions.empty());
@@ -493,14 +498,14 @@
 
 TEST_CASE("CallerServer.RejectsUnknownPathsAndWrongMethods") {
   Fixture fixture;
-  CHECK(fixture.Ask(Get("/nothing")).status == 404);
-  CHECK(fixture.Ask(Get("/v1/batches/a/b")).status == 404);
-  CHECK(fixture.Ask(Get("/v1/services/")).status == 404);
-  const auto response = fixture.Ask(Get(kChat));
+  CHECK(fixture.SendRequest(Get("/nothing")).status == 404);
+  CHECK(fixture.SendRequest(Get("/v1/batches/a/b")).status == 404);
+  CHECK(fixture.SendRequest(Get("/v1/services/")).status == 404);
+  const auto response = fixture.SendRequest(Get(kChat));
   CHECK(response.status == 405);
   CHECK(response.HasHeader("Allow: POST"));
-  CHECK(fixture.Ask(Post("/healthz", "")).status == 405);
-  CHECK(fixture.Ask(Get("/v1/batches/a/cancel")).status == 405);
+  CHECK(fixture.SendRequest(Post("/healthz", "")).status == 405);
+  CHECK(fixture.SendRequest(Get("/v1/batches/a/cancel")).status == 405);
 }
 
 TEST_CASE("CallerServer.RejectsOversizedRequests") {
@@ -509,25 +514,28 @@
   settings.max_headers = 10;
   settings.max_header_bytes = 2'000;
   Fixture fixture(settings);
-  CHECK(fixture.Ask(Post(kChat, std::string(1'001, ' '))).status == 413);
+  CHECK(fixture.SendRequest(Post(kChat, std::string(1'001, ' '))).status ==
+        413);
   CHECK(fixture
-            .Ask("POST " + kChat +
-                 " HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" +
-                 std::string(2'000, ' ') + "\r\n0\r\n\r\n")
+            .SendRequest(
+                "POST " + kChat +
+                " HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" +
+                std::string(2'000, ' ') + "\r\n0\r\n\r\n")
             .status == 413);
   std::string many;
   for (auto i = 0; i < 11; ++i) {
     many += "X-" + std::to_string(i) + ": 1\r\n";
   }
-  CHECK(fixture.Ask(Post(kChat, ChatBody(), many)).status == 431);
+  CHECK(fixture.SendRequest(Post(kChat, ChatBody(), many)).status == 431);
   CHECK(fixture
-            .Ask(Post(kChat, ChatBody(),
-                      "X-Long: " + std::string(3'000, 'x') + "\r\n"))
+            .SendRequest(Post(kChat, ChatBody(),
+                              "X-Long: " + std::string(3'000, 'x') + "\r\n"))
             .status == 431);
   CHECK(fixture.backend.completions.empty());
 }
 
-// Guards against clients that wait for the interim response before the body.
+// Guards against clients that hang because they wait for the interim response
+// before they send the body.
 TEST_CASE("CallerServer.SendsContinueWhenExpected") {
   Fixture fixture;
   fixture.backend.completion.end = Completed();
@@ -545,7 +553,7 @@
   Fixture fixture;
   fixture.backend.service_end.response =
       upstream::ServiceResponse{201, {{"X-Bar", "7"}}, "done"};
-  const auto response = fixture.Ask(
+  const auto response = fixture.SendRequest(
       "PUT /v1/services/pay/confirm/4?x=%20 HTTP/1.1\r\nHost: n\r\n"
       "Idempotency-Key: k1\r\nKQG-Ticket: n.1.2\r\nX-Own: v\r\n"
       "Content-Length: 2\r\n\r\nhi");
@@ -568,11 +576,12 @@
   CHECK(fixture.backend.service_options.ticket == "n.1.2");
 }
 
-// Guards against a payment that a client library repeats by itself.
+// Guards against client libraries that retry a payment automatically.
 TEST_CASE("CallerServer.UnknownServiceOutcomeForbidsRetries") {
   Fixture fixture;
   fixture.backend.service_end.outcome.kind = OutcomeKind::kUnknown;
-  const auto response = fixture.Ask(Post("/v1/services/pay/confirm", "{}"));
+  const auto response =
+      fixture.SendRequest(Post("/v1/services/pay/confirm", "{}"));
   CHECK(response.status == 504);
   CHECK(response.Error()["code"] == "unknown_outcome");
   CHECK(response.HasHeader("X-Should-Retry: false"));
@@ -583,7 +592,8 @@
   Fixture fixture;
   fixture.backend.service_error = Error(
       ErrorKind::kConflict, "key has another body", "k1", "use a new key");
-  CHECK(fixture.Ask(Post("/v1/services/pay/confirm", "{}")).status == 422);
+  CHECK(fixture.SendRequest(Post("/v1/services/pay/confirm", "{}")).status ==
+        422);
 }
 
 auto Batch(const std::string& body, const std::string& query = "?model=small")
@@ -597,7 +607,8 @@
   for (auto i = 0; i < 5'000; ++i) {
     body += R"({"custom_id":")" + std::to_string(i) + R"(","body":{}})" + "\n";
   }
-  const auto response = fixture.Ask(Batch(body, "?model=small&due_in_s=60"));
+  const auto response =
+      fixture.SendRequest(Batch(body, "?model=small&due_in_s=60"));
   CHECK(response.status == 200);
   CHECK(json::parse(response.body)["id"] == "job-1");
   REQUIRE(fixture.backend.uploads.size() == 1);
@@ -612,22 +623,24 @@
   settings.max_batch_items = 3;
   settings.max_batch_bytes = 100;
   Fixture fixture(settings);
-  CHECK(fixture.Ask(Batch("{}\n", "")).status == 400);
-  CHECK(fixture.Ask(Batch("{}\n", "?model=a&service=b")).status == 400);
-  CHECK(fixture.Ask(Batch("{}\n", "?model=a&model=b")).status == 400);
-  CHECK(fixture.Ask(Batch("{}\n", "?model=%zz")).status == 400);
-  CHECK(fixture.Ask(Batch("{}\n", "?model=a&due_in_s=-1")).status == 400);
-  CHECK(fixture.Ask(Batch("{}\n", "?model=a&colour=red")).status == 400);
-  CHECK(fixture.Ask(Post("/v1/batches?model=a", "{}\n")).status == 400);
-  CHECK(fixture.Ask(Batch("\n\r\n")).status == 400);
-  CHECK(fixture.Ask(Batch("{}\n{}\n{}\n{}\n")).status == 413);
-  CHECK(fixture.Ask(Batch(std::string(101, ' '))).status == 413);
+  CHECK(fixture.SendRequest(Batch("{}\n", "")).status == 400);
+  CHECK(fixture.SendRequest(Batch("{}\n", "?model=a&service=b")).status == 400);
+  CHECK(fixture.SendRequest(Batch("{}\n", "?model=a&model=b")).status == 400);
+  CHECK(fixture.SendRequest(Batch("{}\n", "?model=%zz")).status == 400);
+  CHECK(fixture.SendRequest(Batch("{}\n", "?model=a&due_in_s=-1")).status ==
+        400);
+  CHECK(fixture.SendRequest(Batch("{}\n", "?model=a&colour=red")).status ==
+        400);
+  CHECK(fixture.SendRequest(Post("/v1/batches?model=a", "{}\n")).status == 400);
+  CHECK(fixture.SendRequest(Batch("\n\r\n")).status == 400);
+  CHECK(fixture.SendRequest(Batch("{}\n{}\n{}\n{}\n")).status == 413);
+  CHECK(fixture.SendRequest(Batch(std::string(101, ' '))).status == 413);
   for (const auto& upload : fixture.backend.uploads) {
     CHECK(upload->abandoned);
   }
 }
 
-// Guards against half a job being accepted.
+// Guards against accepting a job whose upload was incomplete.
 TEST_CASE("CallerServer.AbandonsTheUploadWhenTheCallerDisconnects") {
   Fixture fixture;
   RawClient client(fixture.context, fixture.server->address());
@@ -644,53 +657,53 @@
   Fixture fixture;
   fixture.backend.finish_error =
       Error(ErrorKind::kConflict, "job has another body", "job-1", "new key");
-  CHECK(fixture.Ask(Batch("{}\n")).status == 409);
+  CHECK(fixture.SendRequest(Batch("{}\n")).status == 409);
 }
 
 TEST_CASE("CallerServer.AnswersStatusAndCancelOfABatch") {
   Fixture fixture;
-  const auto status = fixture.Ask(Get("/v1/batches/job-1"));
+  const auto status = fixture.SendRequest(Get("/v1/batches/job-1"));
   CHECK(json::parse(status.body)["status"] == "running");
-  const auto cancel = fixture.Ask(Post("/v1/batches/job-1/cancel", ""));
+  const auto cancel = fixture.SendRequest(Post("/v1/batches/job-1/cancel", ""));
   CHECK(json::parse(cancel.body)["status"] == "cancelled");
-  CHECK(fixture.Ask(Get("/v1/batches/none")).status == 404);
+  CHECK(fixture.SendRequest(Get("/v1/batches/none")).status == 404);
 }
 
 TEST_CASE("CallerServer.StreamsBatchResults") {
   Fixture fixture;
   fixture.backend.result_pieces = {"{\"a\":1}\n", "{\"b\":2}\n"};
   const auto response =
-      fixture.Ask(Get("/v1/batches/job-1/results?custom_id=a%2Fb"));
+      fixture.SendRequest(Get("/v1/batches/job-1/results?custom_id=a%2Fb"));
   CHECK(response.status == 200);
   CHECK(response.body.find("{\"b\":2}\n") != std::string::npos);
   CHECK(response.body.find("0\r\n\r\n") != std::string::npos);
   CHECK(fixture.backend.result_custom_id == "a/b");
-  CHECK(fixture.Ask(Get("/v1/batches/none/results")).status == 404);
+  CHECK(fixture.SendRequest(Get("/v1/batches/none/results")).status == 404);
 }
 
-// Guards against results held in memory for a slow reader.
+// Guards against buffering all results in memory for a slow reader.
 TEST_CASE("CallerServer.ReadsResultsNoFasterThanTheCallerTakesThem") {
   Fixture fixture;
   fixture.backend.result_pieces =
       std::vector<std::string>(200, std::string(1U << 20U, 'r'));
   RawClient client(fixture.context, fixture.server->address());
   client.Send(Get("/v1/batches/job-1/results"));
-  // The socket buffers of the kernel take some pieces, far from all.
+  // The socket buffers of the kernel hold some pieces, but far from all.
   RunUntil(
       fixture.context, [] { return false; }, std::chrono::milliseconds(300));
   CHECK(fixture.backend.pieces_taken < 100);
 }
 
-// Guards against truncated results taken for all results.
+// Guards against truncated results that a caller takes for complete ones.
 TEST_CASE("CallerServer.BreaksTheBodyWhenResultsEndEarly") {
   Fixture fixture;
   fixture.backend.result_pieces = {"{\"a\":1}\n"};
   fixture.backend.results_break = true;
-  const auto response = fixture.Ask(Get("/v1/batches/job-1/results"));
+  const auto response = fixture.SendRequest(Get("/v1/batches/job-1/results"));
   CHECK(response.body.find("0\r\n\r\n") == std::string::npos);
 }
 
-// Runs completions of the caller listener on a fake engine.
+// Returns a completion handler that forwards requests to a fake engine.
 auto RelayTo(upstream::HttpEngineClient& client, const std::string& address) {
   return [&client, address](routing::CompletionRequest request,
                             routing::TokenSink sink,
@@ -710,7 +723,7 @@
   };
 }
 
-// Guards against bytes lost or altered between engine and caller.
+// Guards against bytes that are lost or altered between engine and caller.
 TEST_CASE("CallerServer.RelaysTheWholeAnswerOfAnEngine") {
   Fixture fixture;
   testing::FakeEngineSettings settings;
@@ -723,18 +736,19 @@
                   {"prompt", "relay"},
                   {"max_tokens", kRelayedTokens},
                   {"stream", true}};
-  const auto response = fixture.Ask(Post("/v1/completions", body.dump()));
+  const auto response =
+      fixture.SendRequest(Post("/v1/completions", body.dump()));
   std::string text;
   for (const auto& event : Events(response.body)) {
     if (event != "[DONE]") {
-      // A chunk border may fall between events only.
+      // A chunk may end only at the end of an event.
       text += json::parse(event)["choices"][0]["text"].get<std::string>();
     }
   }
   CHECK(text == testing::FakeAnswer("relay", kRelayedTokens));
 }
 
-// Guards against engines that go on generating for a caller that is gone.
+// Guards against engines that keep generating after the caller disconnects.
 TEST_CASE("CallerServer.DisconnectStopsTheEngine") {
   Fixture fixture;
   testing::FakeEngine engine(fixture.context, {});
@@ -790,13 +804,13 @@
   return text;
 }
 
-// Guards against input that crashes the listener or leaves a connection behind.
+// Guards against input that crashes the listener or leaks a connection.
 TEST_CASE("CallerServer.SurvivesGarbage") {
   const auto seed = std::random_device{}();
   WARN("seed " << seed);
   std::mt19937_64 random(seed);
   CallerSettings settings;
-  settings.sender_timeout = std::chrono::milliseconds(5);
+  settings.read_timeout = std::chrono::milliseconds(5);
   settings.idle_timeout = std::chrono::milliseconds(5);
   Fixture fixture(settings);
   fixture.backend.completion.end = Completed();
@@ -812,7 +826,7 @@
   }
   CHECK(RunUntil(fixture.context,
                  [&] { return fixture.server->connections() == 0; }));
-  CHECK(fixture.Ask(Get("/healthz")).status == 200);
+  CHECK(fixture.SendRequest(Get("/healthz")).status == 200);
 }
 
 }  // namespace
--- a/src/caller/completion_call.cc
+++ b/src/caller/completion_call.cc
@@ -19,7 +19,7 @@
 constexpr int kBadRequest = 400;
 constexpr std::size_t kAffinityBytes = 1024;
 constexpr std::size_t kMaxModelBytes = 256;
-// A common ratio for English text; only the usage figures depend on it.
+// A common ratio for English text. Only the reported usage depends on it.
 constexpr std::uint64_t kBytesPerToken = 4;
 
 [[noreturn]] auto Reject(const std::string& param, const std::string& message)
@@ -36,7 +36,7 @@
 auto ReadModel(const json& body) -> std::string {
   const auto* model = Find(body, "model");
   if (model == nullptr) {
-    Reject("model", "is missing; name a model of GET /v1/models");
+    Reject("model", "is missing; use a model listed by GET /v1/models");
   }
   if (!model->is_string() || model->get_ref<const std::string&>().empty() ||
       model->get_ref<const std::string&>().size() > kMaxModelBytes) {
@@ -80,7 +80,7 @@
 
 auto CheckMessage(const json& message) -> void {
   if (!message.is_object()) {
-    Reject("messages", "must hold objects");
+    Reject("messages", "must be an array of objects");
   }
   const auto* role = Find(message, "role");
   if (role == nullptr || !role->is_string()) {
@@ -92,7 +92,8 @@
   }
 }
 
-// Prompt or messages as one text, in the order in which the engine reads them.
+// Returns the roles and contents of the messages as one text, in the order in
+// which the engine reads them.
 auto ReadMessages(const json& body) -> std::string {
   const auto* messages = Find(body, "messages");
   if (messages == nullptr) {
@@ -139,8 +140,8 @@
   return prompt->dump();
 }
 
-// True for characters that stand in a JSON string as they are.
-auto IsPlain(char c) -> bool {
+// Returns whether a character appears unescaped in a JSON string.
+auto NeedsNoEscape(char c) -> bool {
   return c >= ' ' && c <= '~' && c != '"' && c != '\\';
 }
 
@@ -185,24 +186,25 @@
     : call_(call),
       id_((chat() ? "chatcmpl-" : "cmpl-") + request_id),
       created_s_(created_s) {
-  // A text that JSON leaves as it is marks the place of the token's text.
-  const std::string mark = "@kqg-text@";
+  // Placeholder for the text of a token; JSON does not escape it.
+  const std::string placeholder = "@kqg-text@";
   auto choice = Choice(nullptr);
   if (chat()) {
-    choice["delta"]["content"] = mark;
+    choice["delta"]["content"] = placeholder;
   } else {
-    choice["text"] = mark;
+    choice["text"] = placeholder;
   }
-  // The id and model come first in the search, so the last mark is the text.
+  // The id and model, which may contain the placeholder, are not part of the
+  // choice; its last occurrence there is the text.
   auto chunk = Chunk(json::array());
   const auto text = Dump(chunk);
   const auto choices = Dump(choice);
-  const auto at = choices.rfind('"' + mark + '"');
+  const auto at = choices.rfind('"' + placeholder + '"');
   const std::string empty_list = R"("choices":[])";
   const auto list = text.find(empty_list);
   token_prefix_ = "data: " + text.substr(0, list) + R"("choices":[)" +
                   choices.substr(0, at);
-  token_suffix_ = choices.substr(at + mark.size() + 2) + "]" +
+  token_suffix_ = choices.substr(at + placeholder.size() + 2) + "]" +
                   text.substr(list + empty_list.size()) + "\n\n";
 }
 
@@ -216,7 +218,7 @@
   }
   first_ = false;
   out += token_prefix_;
-  if (std::all_of(text.begin(), text.end(), IsPlain)) {
+  if (std::all_of(text.begin(), text.end(), NeedsNoEscape)) {
     out += '"';
     out += text;
     out += '"';
@@ -241,9 +243,9 @@
   return events + "data: [DONE]\n\n";
 }
 
-auto CompletionWriter::Whole(const std::string& text,
-                             const std::string& finish_reason,
-                             std::uint64_t tokens) const -> std::string {
+auto CompletionWriter::FullResponse(const std::string& text,
+                                    const std::string& finish_reason,
+                                    std::uint64_t tokens) const -> std::string {
   json choice{
       {"index", 0}, {"logprobs", nullptr}, {"finish_reason", finish_reason}};
   if (chat()) {
--- a/src/caller/http_listener.cc
+++ b/src/caller/http_listener.cc
@@ -31,10 +31,11 @@
 using RequestParser = http::request_parser<http::string_body>;
 
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
-// A moment for descriptors to be freed when accept fails.
-constexpr std::chrono::milliseconds kAcceptRetry{50};
-// Callers give up an attempt after a gap of about two seconds, so a connection
-// without acknowledgements for this long carries nothing they still want.
+// Delay before accepting again after a failure, for descriptors to be freed.
+constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
+// Value of TCP_USER_TIMEOUT. Callers abandon an attempt after about two seconds
+// without data, so nobody waits for the response on a connection that has not
+// acknowledged data for this long.
 constexpr std::chrono::milliseconds kUserTimeout{3'000};
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
@@ -60,15 +61,15 @@
   return kBadRequest;
 }
 
-// Returns whether the length of a request's body depends on an encoding other
-// than chunks, which the parser takes for a request without a body.
+// Returns whether a request has a transfer encoding other than chunked. The
+// parser would treat such a request as one without a body.
 auto HasUnknownEncoding(const http::fields& fields) -> bool {
   const auto encoding = fields.find(http::field::transfer_encoding);
   return encoding != fields.end() &&
          !beast::iequals(encoding->value(), "chunked");
 }
 
-auto TakeHeaders(const http::fields& fields) -> HeaderList {
+auto CopyHeaders(const http::fields& fields) -> HeaderList {
   auto headers = HeaderList();
   for (const auto& field : fields) {
     headers.push_back(
@@ -77,7 +78,8 @@
   return headers;
 }
 
-// One connection of a caller; also the writer of the answer that is due on it.
+// One connection of a caller, and the writer of the response to its current
+// request.
 class CallerConnection : public ResponseWriter,
                          public std::enable_shared_from_this<CallerConnection> {
  public:
@@ -95,10 +97,10 @@
         break;
       }
       ++shared_->active;
-      BeginAnswer(request);
+      BeginResponse(request);
       co_await HandleRequest(request);
       --shared_->active;
-      if (!answered_ || !keep_alive_) {
+      if (!response_complete_ || !keep_alive_) {
         break;
       }
     }
@@ -111,14 +113,14 @@
     FillHead(response, status, headers);
     response.body() = std::move(body);
     response.prepare_payload();
-    if (gone_) {
+    if (disconnected_) {
       co_return false;
     }
     auto serializer = http::response_serializer<http::string_body>(response);
     ArmWrite();
     const auto [error, written] =
         co_await http::async_write(io_->socket(), serializer, kAwaitTuple);
-    answered_ = !error;
+    response_complete_ = !error;
     co_return EndWrite(error);
   }
 
@@ -126,7 +128,7 @@
     auto response = http::response<http::empty_body>();
     FillHead(response, status, headers);
     response.chunked(true);
-    if (gone_) {
+    if (disconnected_) {
       co_return false;
     }
     auto serializer = http::response_serializer<http::empty_body>(response);
@@ -136,8 +138,8 @@
     co_return EndWrite(error);
   }
 
-  auto WritePiece(std::string piece) -> awaitable<bool> override {
-    if (gone_) {
+  auto WriteChunk(std::string piece) -> awaitable<bool> override {
+    if (disconnected_) {
       co_return false;
     }
     ArmWrite();
@@ -148,28 +150,28 @@
   }
 
   auto FinishStream() -> awaitable<bool> override {
-    if (gone_) {
+    if (disconnected_) {
       co_return false;
     }
     ArmWrite();
     const auto chunk = http::make_chunk_last();
     const auto [error, written] =
         co_await asio::async_write(io_->socket(), chunk, kAwaitTuple);
-    answered_ = !error;
+    response_complete_ = !error;
     co_return EndWrite(error);
   }
 
-  auto gone() const -> bool override { return gone_; }
+  auto disconnected() const -> bool override { return disconnected_; }
 
-  auto OnGone(std::function<auto()->void> hook) -> void override {
-    gone_hook_ = std::move(hook);
+  auto OnDisconnect(std::function<auto()->void> hook) -> void override {
+    disconnect_hook_ = std::move(hook);
   }
 
   auto idle() const -> bool { return idle_; }
   auto Close() -> void { io_->Close(); }
 
  private:
-  // Returns nothing when the connection has ended or had to be refused.
+  // Returns null when the connection has ended or the request was rejected.
   auto ReadRequest() -> awaitable<std::shared_ptr<const IncomingRequest>> {
     idle_ = true;
     io_->ExpireAfter(shared_->limits.idle_timeout, OnExpiry::kClose);
@@ -189,30 +191,30 @@
     const auto [head_error, head_bytes] = co_await http::async_read_header(
         io_->socket(), io_->buffer(), parser, kAwaitTuple);
     if (head_error) {
-      co_await RefuseUnread(head_error);
+      co_await RejectUnreadable(head_error);
       co_return nullptr;
     }
     if (HasUnknownEncoding(parser.get())) {
-      co_await RefuseUnread(
+      co_await RejectUnreadable(
           make_error_code(http::error::bad_transfer_encoding));
       co_return nullptr;
     }
     // The parser appends the trailers of a body to the headers.
-    auto headers = TakeHeaders(parser.get());
+    auto headers = CopyHeaders(parser.get());
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
       co_await SendContinue();
     }
     const auto [body_error, body_bytes] = co_await http::async_read(
         io_->socket(), io_->buffer(), parser, kAwaitTuple);
     if (body_error) {
-      co_await RefuseUnread(body_error);
+      co_await RejectUnreadable(body_error);
       co_return nullptr;
     }
     io_->Disarm();
-    co_return TakeRequest(parser, std::move(headers));
+    co_return MakeRequest(parser, std::move(headers));
   }
 
-  auto TakeRequest(RequestParser& parser, HeaderList headers)
+  auto MakeRequest(RequestParser& parser, HeaderList headers)
       -> std::shared_ptr<const IncomingRequest> {
     auto& message = parser.get();
     keep_alive_ = message.keep_alive();
@@ -229,14 +231,15 @@
   auto SendContinue() -> awaitable<void> {
     constexpr auto kContinue =
         std::string_view("HTTP/1.1 100 Continue\r\n\r\n");
-    // A failure shows in the read that follows.
+    // The next read reports a failure of this write.
     co_await asio::async_write(io_->socket(),
                                asio::buffer(kContinue.data(), kContinue.size()),
                                kAwaitTuple);
   }
 
-  // Answers a request that cannot be read, unless the connection just ended.
-  auto RefuseUnread(const error_code& error) -> awaitable<void> {
+  // Sends an error response to a request that cannot be parsed, unless the
+  // connection has ended.
+  auto RejectUnreadable(const error_code& error) -> awaitable<void> {
     const auto ended = error == http::error::end_of_stream ||
                        error == asio::error::eof ||
                        error == asio::error::connection_reset;
@@ -250,19 +253,19 @@
     }
     const auto status = io_->timed_out() ? kRequestTimeout : StatusOf(error);
     shared_->logger.Warning(
-        "a request cannot be read",
+        "cannot read a request",
         {{"reason", error.message()}, {"status", std::to_string(status)}});
     keep_alive_ = false;
-    gone_ = false;
+    disconnected_ = false;
     auto body = error.message() + "\n";
     co_await Send(status, {}, std::move(body));
   }
 
-  auto BeginAnswer(const std::shared_ptr<const IncomingRequest>& /*request*/)
+  auto BeginResponse(const std::shared_ptr<const IncomingRequest>& /*request*/)
       -> void {
-    answered_ = false;
-    gone_ = false;
-    gone_hook_ = nullptr;
+    response_complete_ = false;
+    disconnected_ = false;
+    disconnect_hook_ = nullptr;
     WatchForClose();
   }
 
@@ -273,15 +276,16 @@
       co_await shared_->handler(request, writer);
     } catch (const std::exception& error) {
       shared_->logger.Error(
-          "a handler failed; closing the connection",
+          "request handler failed; closing the connection",
           {{"target", request->target}, {"reason", error.what()}});
     }
-    gone_hook_ = nullptr;
+    disconnect_hook_ = nullptr;
     ++watch_;
   }
 
-  // Notices a caller that closes its connection while its answer is due. Bytes
-  // of a next request end the watch, as they hide the end of the stream.
+  // Detects that the caller closes its connection before it has the response.
+  // Bytes of a pipelined request end the watch, as the end of the stream cannot
+  // be seen behind them.
   auto WatchForClose() -> void {
     const auto watch = ++watch_;
     io_->socket().async_wait(
@@ -293,18 +297,18 @@
             return;
           }
           if (error || self->io_->PeerClosed()) {
-            self->MarkGone();
+            self->MarkDisconnected();
           }
         });
   }
 
-  auto MarkGone() -> void {
-    if (gone_) {
+  auto MarkDisconnected() -> void {
+    if (disconnected_) {
       return;
     }
-    gone_ = true;
-    if (gone_hook_) {
-      const auto hook = std::exchange(gone_hook_, nullptr);
+    disconnected_ = true;
+    if (disconnect_hook_) {
+      const auto hook = std::exchange(disconnect_hook_, nullptr);
       hook();
     }
   }
@@ -330,7 +334,7 @@
   auto EndWrite(const error_code& error) -> bool {
     io_->Disarm();
     if (error) {
-      MarkGone();
+      MarkDisconnected();
     }
     return !error;
   }
@@ -340,10 +344,10 @@
   bool idle_ = true;
   bool keep_alive_ = true;
   unsigned version_ = 11;
-  bool answered_ = false;
-  bool gone_ = false;
+  bool response_complete_ = false;
+  bool disconnected_ = false;
   std::uint64_t watch_ = 0;
-  std::function<auto()->void> gone_hook_;
+  std::function<auto()->void> disconnect_hook_;
 };
 
 }  // namespace
@@ -418,12 +422,13 @@
       if (error) {
         self->shared_->logger.Warning("cannot accept a connection",
                                       {{"reason", error.message()}});
-        auto timer = asio::steady_timer(self->context_, kAcceptRetry);
+        auto timer = asio::steady_timer(self->context_, kAcceptRetryDelay);
         co_await timer.async_wait(kAwaitTuple);
         continue;
       }
       if (self->connections_.size() >= self->shared_->limits.max_connections) {
-        // Closing before the request is read tells the caller to go elsewhere.
+        // Closing the connection before reading a request tells the caller that
+        // it can safely send it elsewhere.
         self->shared_->logger.Warning("too many connections; closing a new one",
                                       {{"address", self->address_}});
         continue;
--- a/src/caller/request_head.cc
+++ b/src/caller/request_head.cc
@@ -34,8 +34,9 @@
          c == '_' || c == '-';
 }
 
-// Value of a header that may stand at most once; empty when absent.
-auto Header(const RequestHead& head, const std::string& name) -> std::string {
+// Returns the value of a header that may occur at most once; empty when absent.
+auto SingleHeader(const RequestHead& head, const std::string& name)
+    -> std::string {
   std::optional<std::string> value;
   for (const auto& header : head.headers) {
     if (!boost::algorithm::iequals(header.name, name)) {
@@ -45,7 +46,7 @@
       Reject(name, "is given twice; send it once");
     }
     if (header.value.empty()) {
-      Reject(name, "is empty; send a value or leave it out");
+      Reject(name, "is empty; send a value or omit the header");
     }
     value = header.value;
   }
@@ -57,10 +58,10 @@
                    const std::string& name,
                    std::size_t max_bytes,
                    Allowed allowed) -> std::string {
-  auto value = Header(head, name);
+  auto value = SingleHeader(head, name);
   if (value.size() > max_bytes ||
       !std::all_of(value.begin(), value.end(), allowed)) {
-    Reject(name, "has characters that are not allowed or more than " +
+    Reject(name, "contains invalid characters or has more than " +
                      std::to_string(max_bytes) + " bytes");
   }
   return value;
@@ -79,7 +80,7 @@
   return value;
 }
 
-auto Decode(std::string_view text) -> std::string {
+auto PercentDecode(std::string_view text) -> std::string {
   std::string decoded;
   for (std::size_t i = 0; i < text.size(); ++i) {
     if (text[i] != '%') {
@@ -125,7 +126,7 @@
   const auto request_id =
       CheckedHeader(head, "X-Request-Id", kMaxRequestIdBytes, IsNameCharacter);
   options.request_id = RequestId(request_id.empty() ? new_id : request_id);
-  const auto deadline = Header(head, "KQG-Deadline-Ms");
+  const auto deadline = SingleHeader(head, "KQG-Deadline-Ms");
   options.time_left =
       deadline.empty()
           ? settings.default_deadline
@@ -143,8 +144,9 @@
       continue;
     }
     const auto equals = std::min(pair.find('='), pair.size());
-    const auto name = Decode(pair.substr(0, equals));
-    const auto value = Decode(pair.substr(std::min(pair.size(), equals + 1)));
+    const auto name = PercentDecode(pair.substr(0, equals));
+    const auto value =
+        PercentDecode(pair.substr(std::min(pair.size(), equals + 1)));
     if (!values.emplace(name, value).second) {
       Reject(name, "is given twice; send it once");
     }
@@ -152,7 +154,7 @@
   return values;
 }
 
-auto IsName(std::string_view name) -> bool {
+auto IsValidName(std::string_view name) -> bool {
   return !name.empty() && name.size() <= kMaxNameBytes &&
          std::all_of(name.begin(), name.end(), IsNameCharacter);
 }
@@ -163,7 +165,7 @@
   const auto due = query.find("due");
   const auto due_in = query.find("due_in_s");
   if (due != query.end() && due_in != query.end()) {
-    Reject("due", "and due_in_s exclude each other");
+    Reject("due", "and due_in_s are mutually exclusive");
   }
   if (due_in != query.end()) {
     return now + std::chrono::seconds(
--- a/src/caller/session.cc
+++ b/src/caller/session.cc
@@ -50,8 +50,9 @@
 
 constexpr std::size_t kReadBytes = 16U << 10U;
 constexpr std::size_t kUploadPieceBytes = 64U << 10U;
-// A caller that still sends while an error is answered would meet a reset
-// before it has read the answer; what it sends is read away for a while.
+// Closing a socket with unread input resets the connection, and a caller that
+// is still sending could lose an error response. Its input is therefore read
+// and discarded, up to these limits, before the socket is closed.
 constexpr std::size_t kLingerBytes = 4U << 20U;
 constexpr std::chrono::milliseconds kLingerTime{1'000};
 
@@ -76,7 +77,8 @@
       .count();
 }
 
-// Unique over nodes and restarts without any agreement between them.
+// Random, so that ids are unique across nodes and restarts without
+// coordination.
 auto NewRequestId() -> std::string {
   thread_local std::mt19937_64 random{std::random_device{}()};
   std::array<char, 40> text{};
@@ -113,8 +115,8 @@
   if (!error.allow.empty()) {
     reply.headers.push_back({"Allow", error.allow});
   }
-  // Client libraries of the completion API repeat 409 and every 5xx by
-  // themselves unless this header forbids it.
+  // Client libraries of the completion API retry after 409 and every 5xx unless
+  // this header forbids it.
   if (error.outcome == OutcomeKind::kUnknown || error.status == kConflict) {
     reply.headers.push_back({"X-Should-Retry", "false"});
   }
@@ -166,7 +168,8 @@
   return head;
 }
 
-// Error of reading a request; none when the caller has just gone away.
+// Returns the response to a failed read of a request; none if the caller has
+// disconnected.
 auto ReadError(const boost::system::error_code& error, bool timed_out)
     -> std::optional<ApiError> {
   if (timed_out) {
@@ -194,7 +197,7 @@
 
 auto MethodError(const std::string& allowed) -> ApiError {
   ApiError error(kMethodNotAllowed, "method_not_allowed",
-                 "this path does not take the method; use " + allowed);
+                 "this path does not support the method; use " + allowed);
   error.allow = allowed;
   return error;
 }
@@ -233,13 +236,16 @@
 
   auto Complete(std::shared_ptr<Call> call,
                 routing::CompletionEndpoint endpoint) -> asio::awaitable<void>;
-  auto RunWhole(std::shared_ptr<Call> call,
-                std::shared_ptr<CompletionWriter> writer,
-                routing::CompletionRequest request) -> asio::awaitable<void>;
-  auto RunStream(std::shared_ptr<Call> call,
-                 std::shared_ptr<CompletionWriter> writer,
-                 routing::CompletionRequest request) -> asio::awaitable<void>;
-  // Runs the completion; the sink gets only tokens that continue the answer.
+  auto RunNonStreaming(std::shared_ptr<Call> call,
+                       std::shared_ptr<CompletionWriter> writer,
+                       routing::CompletionRequest request)
+      -> asio::awaitable<void>;
+  auto RunStreaming(std::shared_ptr<Call> call,
+                    std::shared_ptr<CompletionWriter> writer,
+                    routing::CompletionRequest request)
+      -> asio::awaitable<void>;
+  // Runs the completion on the backend. It is cancelled when the caller
+  // disconnects.
   auto RunCompletion(routing::CompletionRequest request,
                      routing::TokenSink sink,
                      std::shared_ptr<node::StreamCancel> cancel)
@@ -257,7 +263,7 @@
                   const std::string& content_type,
                   bool trailer) const -> std::string;
   auto Linger() -> asio::awaitable<void>;
-  auto WatchCaller() -> void;
+  auto WatchForDisconnect() -> void;
   auto Chunked(const Call& call) const -> bool;
 
   std::shared_ptr<ServerCore> core;
@@ -268,9 +274,11 @@
   std::shared_ptr<node::StreamCancel> running;  // Null between completions.
   bool idle = false;
   bool keep_alive = true;
-  bool answered = false;   // A response to the current request has begun.
-  bool body_read = false;  // The request's body has been read to its end.
-  bool watching = false;
+  // For the current request: whether the response has begun, and whether the
+  // body has been read to its end.
+  bool response_started = false;
+  bool body_read = false;
+  bool watching_for_disconnect = false;
 };
 
 auto Session::Impl::Run() -> asio::awaitable<void> {
@@ -282,7 +290,7 @@
     auto call = std::make_shared<Call>();
     call->parser = std::make_shared<HeaderParser>();
     keep_alive = true;
-    answered = false;
+    response_started = false;
     body_read = false;
     co_await Handle(call);
   }
@@ -311,7 +319,7 @@
   parser->header_limit(static_cast<std::uint32_t>(settings.max_header_bytes));
   // Checked per endpoint once the path is known.
   parser->body_limit(boost::none);
-  io->ExpireAfter(settings.sender_timeout, OnExpiry::kStopReading);
+  io->ExpireAfter(settings.read_timeout, OnExpiry::kStopReading);
   boost::system::error_code error;
   co_await http::async_read_header(
       io->socket(), io->buffer(), *parser,
@@ -355,19 +363,20 @@
     failure = FromError(error, service ? kUnprocessable : kConflict);
   } catch (const std::exception& error) {
     failure = FromError(Error(ErrorKind::kInternal, "internal error",
-                              error.what(), "report it"),
+                              error.what(), "report it as a bug"),
                         kConflict);
   }
   if (!failure) {
     co_return;
   }
-  if (answered) {
-    // The status has been sent already; only a broken body tells the caller.
+  if (response_started) {
+    // The status line has been sent; only an incomplete body can show the
+    // caller that the request failed.
     io->Close();
     keep_alive = false;
     co_return;
   }
-  // An unread body would be taken for the next request.
+  // An unread body would be parsed as the next request.
   keep_alive =
       keep_alive && header_read && (body_read || call->parser->is_done());
   auto reply = ErrorReply(*failure);
@@ -447,7 +456,7 @@
   const auto slash = std::min(rest.find('/'), rest.size());
   const JobId id(rest.substr(0, slash));
   const auto action = rest.substr(slash);
-  if (!IsName(id.value()) ||
+  if (!IsValidName(id.value()) ||
       (!action.empty() && action != "/cancel" && action != "/results")) {
     throw NotFoundError(path);
   }
@@ -489,9 +498,9 @@
   auto writer =
       std::make_shared<CompletionWriter>(parsed, request.id.value(), NowS());
   if (parsed.stream) {
-    co_await RunStream(call, writer, std::move(request));
+    co_await RunStreaming(call, writer, std::move(request));
   } else {
-    co_await RunWhole(call, writer, std::move(request));
+    co_await RunNonStreaming(call, writer, std::move(request));
   }
 }
 
@@ -500,7 +509,7 @@
                                   std::shared_ptr<node::StreamCancel> cancel)
     -> asio::awaitable<CompletionEnd> {
   running = cancel;
-  WatchCaller();
+  WatchForDisconnect();
   CompletionEnd end;
   try {
     end = co_await core->backend.Complete(std::move(request), std::move(sink),
@@ -515,7 +524,7 @@
 
 namespace {
 
-// Counts the tokens of one answer and lets none pass out of order.
+// Counts the tokens of one answer and rejects all tokens after a gap.
 struct TokenCounter {
   std::uint64_t next = 0;
   bool gap = false;
@@ -530,15 +539,15 @@
 auto GapOutcome() -> Outcome {
   Outcome outcome;
   outcome.kind = OutcomeKind::kFailed;
-  outcome.reason = "tokens of the answer were lost on the way";
+  outcome.reason = "tokens of the answer were lost in transit";
   return outcome;
 }
 
 }  // namespace
 
-auto Session::Impl::RunWhole(std::shared_ptr<Call> call,
-                             std::shared_ptr<CompletionWriter> writer,
-                             routing::CompletionRequest request)
+auto Session::Impl::RunNonStreaming(std::shared_ptr<Call> call,
+                                    std::shared_ptr<CompletionWriter> writer,
+                                    routing::CompletionRequest request)
     -> asio::awaitable<void> {
   auto cancel = std::make_shared<node::StreamCancel>();
   auto text = std::make_shared<std::string>();
@@ -559,21 +568,21 @@
     throw FromOutcome(end.outcome, end.http_status);
   }
   Reply reply;
-  reply.body = writer->Whole(*text, end.finish_reason, counter->next);
+  reply.body = writer->FullResponse(*text, end.finish_reason, counter->next);
   co_await Send(call, std::move(reply));
 }
 
-auto Session::Impl::RunStream(std::shared_ptr<Call> call,
-                              std::shared_ptr<CompletionWriter> writer,
-                              routing::CompletionRequest request)
+auto Session::Impl::RunStreaming(std::shared_ptr<Call> call,
+                                 std::shared_ptr<CompletionWriter> writer,
+                                 routing::CompletionRequest request)
     -> asio::awaitable<void> {
   auto cancel = std::make_shared<node::StreamCancel>();
   auto counter = std::make_shared<TokenCounter>();
   auto out = std::make_shared<StreamWriter>(io, settings, Chunked(*call));
   out->set_on_failure([cancel] { cancel->Cancel(); });
   const auto start = [this, call, out] {
-    if (!answered) {
-      answered = true;
+    if (!response_started) {
+      response_started = true;
       keep_alive = keep_alive && Chunked(*call) && !core->stopping;
       out->set_head(StreamHead(*call, kEventStream, true));
     }
@@ -589,7 +598,7 @@
     }
     start();
     writer->AppendToken(token.text, out->pending());
-    out->Schedule();
+    out->ScheduleFlush();
   };
   std::optional<ApiError> failure;
   CompletionEnd end;
@@ -605,11 +614,11 @@
     failure = FromError(error, kConflict);
   }
   out->set_on_failure(nullptr);
-  if (failure && !answered) {
+  if (failure && !response_started) {
     throw std::move(*failure);
   }
   start();
-  // A stream that has begun has run, whatever ended it.
+  // Tokens were sent, so the request was run: never report it as not run.
   auto kind = OutcomeKind::kCompleted;
   if (failure) {
     kind = failure->outcome == OutcomeKind::kNotRun ? OutcomeKind::kFailed
@@ -620,7 +629,7 @@
     out->pending() += writer->EndEvents(end.finish_reason, counter->next);
   }
   out->Finish("KQG-Outcome: " + std::string(OutcomeKindName(kind)) + "\r\n");
-  const auto written = co_await out->Drained();
+  const auto written = co_await out->WaitUntilDrained();
   keep_alive = keep_alive && written;
 }
 
@@ -629,9 +638,9 @@
   const auto rest = call->head.target.substr(kServicesPrefix.size());
   const auto end = std::min(rest.find_first_of("/?"), rest.size());
   const ServiceName service(rest.substr(0, end));
-  if (!IsName(service.value())) {
+  if (!IsValidName(service.value())) {
     throw ApiError(kNotFound, "unknown_path",
-                   "bad service name; use /v1/services/SERVICE/PATH");
+                   "invalid service name; use /v1/services/SERVICE/PATH");
   }
   upstream::ServiceRequest request;
   request.method = call->head.method;
@@ -640,12 +649,12 @@
     request.target.insert(0, "/");
   }
   for (const auto& header : call->head.headers) {
-    const auto own = beast::iequals(header.name, "Host") ||
-                     beast::iequals(header.name, "Content-Length") ||
-                     beast::iequals(header.name, "Expect") ||
-                     beast::iequals(header.name, "X-Request-Id") ||
-                     beast::iequals(header.name.substr(0, 4), "KQG-");
-    if (!own && !IsHopByHop(header.name)) {
+    const auto not_forwarded = beast::iequals(header.name, "Host") ||
+                               beast::iequals(header.name, "Content-Length") ||
+                               beast::iequals(header.name, "Expect") ||
+                               beast::iequals(header.name, "X-Request-Id") ||
+                               beast::iequals(header.name.substr(0, 4), "KQG-");
+    if (!not_forwarded && !IsHopByHop(header.name)) {
       request.headers.push_back(header);
     }
   }
@@ -664,7 +673,8 @@
                                                    std::move(options));
   if (!result.response) {
     if (result.outcome.kind == OutcomeKind::kCompleted) {
-      throw ApiError(kInternalError, "internal", "no response to pass on");
+      throw ApiError(kInternalError, "internal",
+                     "the service returned no response");
     }
     throw FromOutcome(result.outcome, result.http_status);
   }
@@ -696,8 +706,8 @@
   const auto service = values.find("service");
   if ((model == values.end()) == (service == values.end())) {
     throw ApiError(kBadRequest, "invalid_value",
-                   "name the model or the service that runs the items: "
-                   "?model=NAME",
+                   "give either the model or the service that runs the items, "
+                   "as ?model=NAME or ?service=NAME",
                    "model");
   }
   BatchOptions options;
@@ -721,7 +731,7 @@
 // Counts the non-empty lines of an upload.
 class LineCounter {
  public:
-  auto Take(std::string_view bytes) -> void {
+  auto Add(std::string_view bytes) -> void {
     for (const auto c : bytes) {
       if (c == '\n') {
         in_line_ = false;
@@ -755,7 +765,7 @@
     target.data = piece.data();
     target.size = piece.size();
     target.more = true;
-    io->ExpireAfter(settings.sender_timeout, OnExpiry::kStopReading);
+    io->ExpireAfter(settings.read_timeout, OnExpiry::kStopReading);
     boost::system::error_code error;
     co_await http::async_read(io->socket(), io->buffer(), parser,
                               asio::redirect_error(asio::use_awaitable, error));
@@ -769,7 +779,7 @@
       co_return;
     }
     piece.resize(piece.size() - target.size);
-    counter.Take(piece);
+    counter.Add(piece);
     if (counter.lines() > settings.max_batch_items) {
       throw ApiError(kPayloadTooLarge, "too_many_items",
                      "more than " + std::to_string(settings.max_batch_items) +
@@ -780,7 +790,7 @@
   body_read = true;
   if (counter.lines() == 0) {
     throw ApiError(kBadRequest, "empty_batch",
-                   "the body has no item; send JSON Lines");
+                   "the body contains no items; send JSON Lines");
   }
   const auto status = co_await upload->Finish();
   co_await Send(call, JsonReply(status));
@@ -795,20 +805,20 @@
   }
   auto out = std::make_shared<StreamWriter>(io, settings, Chunked(*call));
   const auto start = [this, call, out] {
-    if (!answered) {
-      answered = true;
+    if (!response_started) {
+      response_started = true;
       keep_alive = keep_alive && Chunked(*call) && !core->stopping;
       out->set_head(StreamHead(*call, kJsonLines, false));
     }
   };
-  // Waits for each piece to be written, so that at most one is held.
+  // Waits until each piece has been written, so that at most one is in memory.
   const auto send = [out, start](std::string bytes) -> asio::awaitable<void> {
     start();
     out->pending() += bytes;
-    out->Schedule();
-    const auto written = co_await out->Drained();
+    out->ScheduleFlush();
+    const auto written = co_await out->WaitUntilDrained();
     if (!written) {
-      throw Error(ErrorKind::kUnavailable, "the caller is gone",
+      throw Error(ErrorKind::kUnavailable, "the caller has disconnected",
                   "batch results", "read them again");
     }
   };
@@ -816,7 +826,7 @@
   co_await core->backend.ReadResults(std::move(id), std::move(custom_id), sink);
   start();
   out->Finish("");
-  const auto written = co_await out->Drained();
+  const auto written = co_await out->WaitUntilDrained();
   keep_alive = keep_alive && written;
 }
 
@@ -850,7 +860,7 @@
   co_await SendContinue(call);
   http::request_parser<http::string_body> parser(std::move(*call->parser));
   parser.body_limit(settings.max_body_bytes);
-  io->ExpireAfter(settings.sender_timeout, OnExpiry::kStopReading);
+  io->ExpireAfter(settings.read_timeout, OnExpiry::kStopReading);
   boost::system::error_code error;
   if (!parser.is_done()) {
     co_await http::async_read(io->socket(), io->buffer(), parser,
@@ -865,12 +875,13 @@
   if (auto bad = ReadError(error, io->timed_out())) {
     throw std::move(*bad);
   }
-  throw ApiError(kBadRequest, "caller_gone", "the request ended early");
+  throw ApiError(kBadRequest, "caller_gone",
+                 "the connection was closed before the end of the body");
 }
 
 auto Session::Impl::Send(std::shared_ptr<Call> call, Reply reply)
     -> asio::awaitable<void> {
-  answered = true;
+  response_started = true;
   keep_alive = keep_alive && !core->stopping;
   http::response<http::string_body> message;
   message.version(call->head.method.empty()
@@ -914,7 +925,7 @@
   message.result(kOk);
   message.set(http::field::content_type, content_type);
   message.set(http::field::cache_control, "no-cache");
-  // The outcome of a stream is known at its end: it follows in the trailer.
+  // The outcome of a stream is known only at its end; a trailer carries it.
   message.set("KQG-Outcome", trailer ? "pending" : "completed");
   message.set("X-Request-Id", call.options.request_id.value());
   if (Chunked(call)) {
@@ -949,24 +960,24 @@
   io->Close();
 }
 
-// A completion whose caller has gone is cancelled. The wait may outlast the
-// request; it then finds nothing running.
-auto Session::Impl::WatchCaller() -> void {
-  if (watching) {
+// Cancels the running completion when the caller disconnects. The wait may
+// outlast the request; its handler then finds no running completion.
+auto Session::Impl::WatchForDisconnect() -> void {
+  if (watching_for_disconnect) {
     return;
   }
-  watching = true;
+  watching_for_disconnect = true;
   io->socket().async_wait(
       tcp::socket::wait_read,
       [self = shared_from_this()](const boost::system::error_code& error) {
-        self->watching = false;
+        self->watching_for_disconnect = false;
         if (!self->running) {
           return;
         }
         if (error || self->io->PeerClosed()) {
           self->running->Cancel();
         } else if (!self->io->Readable()) {
-          self->WatchCaller();
+          self->WatchForDisconnect();
         }
       });
 }
--- a/src/operator/command_executor.cc
+++ b/src/operator/command_executor.cc
@@ -9,13 +9,13 @@
 namespace kumquatgauge::operators {
 namespace {
 
-constexpr auto kWaitStep = std::chrono::milliseconds(100);
+constexpr auto kPollInterval = std::chrono::milliseconds(100);
 
 auto TextOf(const nlohmann::json& value) -> std::string {
   return value.is_string() ? value.get<std::string>() : value.dump();
 }
 
-// Numbers compare by value, everything else by its text.
+// Compares numbers by value and everything else as text.
 auto Compare(const nlohmann::json& left, const nlohmann::json& right) -> int {
   if (left.is_number() && right.is_number()) {
     const auto difference = left.get<double>() - right.get<double>();
@@ -88,7 +88,7 @@
                           : ConfigurationChange::Mode::kSet;
 }
 
-// The fields that differ, as {"field","before","after"} rows.
+// Returns the fields that differ as {"field","before","after"} rows.
 auto Difference(const ChangeResult& result) -> nlohmann::json {
   const auto empty = nlohmann::json::object();
   const auto& before = result.before.is_object() ? result.before : empty;
@@ -114,8 +114,8 @@
                 const CommandOrigin& origin) -> ConfigurationChange {
   auto change = ConfigurationChange();
   change.operation_id = origin.operation_id;
-  change.who = origin.credential.name;
-  change.from = origin.address;
+  change.operator_name = origin.credential.name;
+  change.source_address = origin.address;
   change.command = line;
   change.key = KeyOf(command);
   change.mode = ModeOf(command.verb);
@@ -134,11 +134,11 @@
   return change;
 }
 
-auto Answer(nlohmann::json rows) -> nlohmann::json {
+auto SuccessResponse(nlohmann::json rows) -> nlohmann::json {
   return {{"ok", true}, {"rows", std::move(rows)}};
 }
 
-auto IsReading(const std::string& verb) -> bool {
+auto IsReadOnly(const std::string& verb) -> bool {
   return verb == "show" || verb == "explain" || verb == "watch";
 }
 
@@ -192,9 +192,10 @@
 auto CommandExecutor::Run(std::string line, CommandOrigin origin)
     -> boost::asio::awaitable<nlohmann::json> {
   const auto command = ParseCommand(line, OperatorVerbs());
-  if (!IsReading(command.verb) &&
+  if (!IsReadOnly(command.verb) &&
       origin.credential.role != OperatorRole::kChange) {
-    throw Error(ErrorKind::kPermissionDenied, "role read may not change",
+    throw Error(ErrorKind::kPermissionDenied,
+                "role read may only run show, explain and watch",
                 command.verb + " " + command.kind,
                 "use a credential with role change");
   }
@@ -204,11 +205,11 @@
   if (command.verb == "explain") {
     auto rows = nlohmann::json::array();
     rows.push_back(co_await backend_.Explain(command.kind, command.names));
-    co_return Answer(std::move(rows));
+    co_return SuccessResponse(std::move(rows));
   }
   if (command.verb == "cancel" || command.verb == "drain" ||
       command.kind == "log") {
-    co_return co_await Act(command, origin);
+    co_return co_await RunAction(command, origin);
   }
   co_return co_await ChangeConfiguration(command, line, origin);
 }
@@ -225,7 +226,7 @@
                 remedy);
   }
   auto rows = co_await backend_.Rows(command.kind, command.names);
-  co_return Answer(SelectRows(command, std::move(rows)));
+  co_return SuccessResponse(SelectRows(command, std::move(rows)));
 }
 
 auto CommandExecutor::ChangeConfiguration(const Command& command,
@@ -235,13 +236,13 @@
   const auto change = MakeChange(command, line, origin);
   if (command.dry_run) {
     const auto preview = co_await backend_.Preview(change);
-    auto answer = Answer(Difference(preview));
+    auto answer = SuccessResponse(Difference(preview));
     answer["dry_run"] = true;
     answer["revision"] = preview.revision_before;
     co_return answer;
   }
   const auto result = co_await backend_.Change(change);
-  auto answer = Answer(Difference(result));
+  auto answer = SuccessResponse(Difference(result));
   answer["revision_before"] = result.revision_before;
   answer["revision"] = result.revision;
   if (command.wait_seconds) {
@@ -255,7 +256,7 @@
     -> boost::asio::awaitable<nlohmann::json> {
   const auto start = clock_();
   auto registered = std::vector<NodeId>();
-  // Without the registry it is not known whether all nodes were asked.
+  // Without the registry, nodes that were not asked may exist.
   auto registry_failure = std::string();
   try {
     registered = co_await backend_.RegisteredNodes();
@@ -290,11 +291,12 @@
       }
       co_return answer;
     }
-    co_await pause_(kWaitStep);
+    co_await pause_(kPollInterval);
   }
 }
 
-auto CommandExecutor::Act(const Command& command, const CommandOrigin& origin)
+auto CommandExecutor::RunAction(const Command& command,
+                                const CommandOrigin& origin)
     -> boost::asio::awaitable<nlohmann::json> {
   auto rows = nlohmann::json::array();
   if (command.kind == "log") {
@@ -305,10 +307,10 @@
       }
     }
     if (rows.empty()) {
-      throw Error(ErrorKind::kInvalidArgument, "no level given", "set log",
+      throw Error(ErrorKind::kInvalidArgument, "no log level given", "set log",
                   "write: set log level = debug|info|warning|error");
     }
-    co_return Answer(std::move(rows));
+    co_return SuccessResponse(std::move(rows));
   }
   CheckOneName(command);
   const auto& name = command.names.front();
@@ -324,7 +326,7 @@
                 command.kind,
                 "write: cancel job ID, drain node NAME or drain upstream NAME");
   }
-  co_return Answer(std::move(rows));
+  co_return SuccessResponse(std::move(rows));
 }
 
 }  // namespace kumquatgauge::operators
--- a/src/operator/operator_server.cc
+++ b/src/operator/operator_server.cc
@@ -21,7 +21,7 @@
 namespace http = beast::http;
 
 constexpr auto kIdleTimeout = std::chrono::seconds(60);
-constexpr auto kBearer = std::string_view("Bearer ");
+constexpr auto kBearerPrefix = std::string_view("Bearer ");
 
 using Request = http::request<http::string_body>;
 using Response = http::response<http::string_body>;
@@ -95,8 +95,7 @@
     if (failed) {
       throw Error(ErrorKind::kUnavailable,
                   "cannot listen for operators (" + failed.message() + ")",
-                  address,
-                  "stop the other program there or change operators.listen");
+                  address, "free the port or change operators.listen");
     }
   }
 
@@ -136,7 +135,8 @@
         co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
         stream.expires_never();
         const auto request = parser.release();
-        auto response = co_await Answer(request, from.address().to_string());
+        auto response =
+            co_await HandleRequest(request, from.address().to_string());
         stream.expires_after(kIdleTimeout);
         co_await http::async_write(stream, response, asio::use_awaitable);
         if (!response.keep_alive()) {
@@ -144,16 +144,16 @@
         }
       }
     } catch (const boost::system::system_error&) {
-      // The operator has gone; nothing is left to answer.
+      // The operator has disconnected or was idle for too long.
     }
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, failed);
   }
 
-  auto Answer(const Request& request, std::string from)
+  auto HandleRequest(const Request& request, std::string from)
       -> asio::awaitable<Response> {
     try {
       co_return MakeResponse(request, http::status::ok,
-                             co_await Run(request, std::move(from)));
+                             co_await RunCommand(request, std::move(from)));
     } catch (const Error& error) {
       co_return ErrorResponse(request, error);
     } catch (const std::exception& error) {
@@ -163,35 +163,36 @@
     }
   }
 
-  auto Run(const Request& request, std::string from)
+  auto RunCommand(const Request& request, std::string from)
       -> asio::awaitable<nlohmann::json> {
     if (request.target() != "/v1/command" ||
         request.method() != http::verb::post) {
-      throw Error(ErrorKind::kNotFound, "no such operation",
+      throw Error(ErrorKind::kNotFound, "no such endpoint",
                   std::string(request.method_string()) + " " +
                       std::string(request.target()),
                   "use POST /v1/command");
     }
     auto token = std::string_view(request[http::field::authorization]);
-    if (!token.starts_with(kBearer)) {
+    if (!token.starts_with(kBearerPrefix)) {
       token = {};
     } else {
-      token.remove_prefix(kBearer.size());
+      token.remove_prefix(kBearerPrefix.size());
     }
     const auto credential = credentials_.Find(token);
     if (!credential) {
-      throw Error(ErrorKind::kPermissionDenied, "credential not accepted",
+      throw Error(ErrorKind::kPermissionDenied, "unknown credential",
                   "Authorization",
-                  "send Bearer and a token of the node's credentials file");
+                  "send \"Bearer TOKEN\" with a token from the node's "
+                  "credentials file");
     }
     const auto body = nlohmann::json::parse(request.body(), nullptr, false);
     if (!body.is_object() || !body.contains("command") ||
         !body["command"].is_string()) {
-      throw Error(ErrorKind::kInvalidArgument, "bad request body", "command",
-                  "send {\"command\": \"...\"}");
+      throw Error(ErrorKind::kInvalidArgument, "invalid request body",
+                  "command", "send {\"command\": \"...\"}");
     }
-    // Named variables: GCC 12 destroys aggregate temporaries of a co_await
-    // expression twice.
+    // Named variables, because GCC 12 destroys aggregate temporaries in a
+    // co_await expression twice.
     auto line = body["command"].get<std::string>();
     auto origin = CommandOrigin();
     origin.credential = *credential;
