--- a/testing/soak/checker.cc
+++ b/testing/soak/checker.cc
@@ -167,8 +167,8 @@
   newest = std::max(newest, version);
 }
 
-auto SoakChecker::OnPlannedStop(const std::string& node,
-                                std::optional<int> exit_status) -> void {
+auto SoakChecker::OnGracefulStop(const std::string& node,
+                                 std::optional<int> exit_status) -> void {
   const auto lock = std::lock_guard(mutex_);
   if (!exit_status) {
     Add("node " + node + " has not stopped in time");
--- a/testing/soak/checker.h
+++ b/testing/soak/checker.h
@@ -71,7 +71,7 @@
   // A node, in one run of its process, has served by a configuration version.
   auto OnServedBy(const std::string& node, int start, int version) -> void;
   // A process that was to stop as planned has ended, or not, within its time.
-  auto OnPlannedStop(const std::string& node, std::optional<int> exit_status)
+  auto OnGracefulStop(const std::string& node, std::optional<int> exit_status)
       -> void;
   // A condition that must hold once all faults have ended.
   auto Expect(bool holds, const std::string& what) -> void;
--- a/testing/soak/checker_test.cc
+++ b/testing/soak/checker_test.cc
@@ -111,10 +111,10 @@
 
 TEST_CASE("SoakChecker.FindsAPlannedStopThatFailsOrHangs") {
   auto fixture = Fixture();
-  fixture.checker.OnPlannedStop("n", 0);
+  fixture.checker.OnGracefulStop("n", 0);
   CHECK(fixture.Found() == 0);
-  fixture.checker.OnPlannedStop("n", 139);
-  fixture.checker.OnPlannedStop("n", std::nullopt);
+  fixture.checker.OnGracefulStop("n", 139);
+  fixture.checker.OnGracefulStop("n", std::nullopt);
   CHECK(fixture.Found() == 2);
 }
 
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -369,7 +369,7 @@
     static constexpr std::pair<const char*, Fault> kFaults[] = {
         {"kill", &Soak::Kill},
         {"pause", &Soak::Pause},
-        {"planned stop", &Soak::StopAsPlanned},
+        {"planned stop", &Soak::StopGracefully},
         {"reload", &Soak::Reload},
         {"store link", &Soak::SpoilStoreLink},
         {"replica link", &Soak::SpoilReplicaLink},
@@ -448,7 +448,7 @@
     }
   }
 
-  auto StopAsPlanned() -> void {
+  auto StopGracefully() -> void {
     auto& node = AnyNode();
     if (!node.down && !node.paused && IsLoaded(node)) {
       ExpectRunning(node);
@@ -456,16 +456,16 @@
       node.process->process().Signal(SIGTERM);
       node.down = true;
       const auto last = std::chrono::steady_clock::now() + kStopTime;
-      After(kStopTime, [this, &node, last] { EndPlannedStop(node, last); });
+      After(kStopTime, [this, &node, last] { EndGracefulStop(node, last); });
     }
   }
 
-  auto EndPlannedStop(Node& node, SteadyTime last) -> void {
+  auto EndGracefulStop(Node& node, SteadyTime last) -> void {
     const auto left = std::chrono::duration_cast<milliseconds>(
         last - std::chrono::steady_clock::now());
     const auto exit =
         node.process->process().WaitForExit(std::max(left, milliseconds(0)));
-    checker_.OnPlannedStop(node.process->name(), exit);
+    checker_.OnGracefulStop(node.process->name(), exit);
     Revive(node);
   }
 
