--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -43,9 +43,9 @@
     Announce(*one);
     Announce(*two);
     for (auto at = 0; at < gateways; ++at) {
-      entrances.push_back(store->AddEntrance());
+      store_addresses.push_back(store->AddEndpoint());
       nodes.push_back(std::make_unique<GatewayProcess>(
-          KQG_GATEWAY, "n" + std::to_string(at), entrances.back(),
+          KQG_GATEWAY, "n" + std::to_string(at), store_addresses.back(),
           folder.string(), memory_mb));
     }
   }
@@ -89,7 +89,7 @@
   std::unique_ptr<ReplicaStandIn> two =
       std::make_unique<ReplicaStandIn>(thread.context(), "i-2");
   std::filesystem::path folder;
-  std::vector<std::string> entrances;  // To the store, one a gateway.
+  std::vector<std::string> store_addresses;  // To the store, one a gateway.
   std::vector<std::unique_ptr<GatewayProcess>> nodes;
 };
 
@@ -392,7 +392,7 @@
   auto fleet = Fleet(2);
   fleet.AwaitService();
   SubmitSlowJob(fleet);
-  fleet.store->SetEntranceClosed(fleet.entrances[0], true);
+  fleet.store->SetEndpointDown(fleet.store_addresses[0], true);
   REQUIRE(Eventually([&] {
     return fleet.nodes[1]->Call("DELETE", "/api/lots/j1", "").status == 200;
   }));
@@ -418,10 +418,10 @@
   fleet.AwaitService();
   AwaitFirstScan();
   SubmitSlowJob(fleet);
-  fleet.store->SetEntranceClosed(fleet.entrances[0], true);
+  fleet.store->SetEndpointDown(fleet.store_addresses[0], true);
   EndStoredJob(fleet);
   std::this_thread::sleep_for(milliseconds(4'000));
-  fleet.store->SetEntranceClosed(fleet.entrances[0], false);
+  fleet.store->SetEndpointDown(fleet.store_addresses[0], false);
   CHECK(StopsInTime(fleet));
 }
 
@@ -513,10 +513,10 @@
   fleet.AwaitService();
   SubmitSlowJob(fleet);
   fleet.nodes[1]->process().Signal(SIGSTOP);
-  fleet.store->SetEntranceClosed(fleet.entrances[0], true);
+  fleet.store->SetEndpointDown(fleet.store_addresses[0], true);
   CHECK(StopsInTime(fleet));
   const auto before = fleet.one->runs() + fleet.two->runs();
-  fleet.store->SetEntranceClosed(fleet.entrances[0], false);
+  fleet.store->SetEndpointDown(fleet.store_addresses[0], false);
   CHECK(Eventually(
       [&] { return fleet.one->runs() + fleet.two->runs() > before; }));
   fleet.nodes[1]->process().Signal(SIGCONT);
@@ -529,7 +529,7 @@
   auto fleet = Fleet(2);
   fleet.AwaitService();
   SubmitSlowJob(fleet);
-  fleet.store->SetEntranceClosed(fleet.entrances[0], true);
+  fleet.store->SetEndpointDown(fleet.store_addresses[0], true);
   EndStoredJob(fleet);
   CHECK(fleet.nodes[1]->Call("DELETE", "/api/lots/j1", "").status == 200);
   CHECK(StopsInTime(fleet));
@@ -604,10 +604,10 @@
   fleet.AwaitService();
   AwaitFirstScan();
   SubmitSlowJob(fleet);
-  fleet.store->SetEntranceClosed(fleet.entrances[0], true);
+  fleet.store->SetEndpointDown(fleet.store_addresses[0], true);
   EndStoredJob(fleet);
   std::this_thread::sleep_for(kTurnedAway);
-  fleet.store->SetEntranceClosed(fleet.entrances[0], false);
+  fleet.store->SetEndpointDown(fleet.store_addresses[0], false);
   auto learned = json();
   Eventually([&] {
     auto lines = std::istringstream(fleet.nodes.front()->Log());
--- a/testing/gateway/stand_in.cc
+++ b/testing/gateway/stand_in.cc
@@ -43,37 +43,37 @@
 
 ObjectApiStandIn::ObjectApiStandIn(asio::io_context& context)
     : context_(context) {
-  AddEntrance();
+  AddEndpoint();
 }
 
-auto ObjectApiStandIn::AddEntrance() -> std::string {
-  auto entrance = std::make_shared<Entrance>();
-  entrance->listener = std::make_unique<caller::HttpListener>(
+auto ObjectApiStandIn::AddEndpoint() -> std::string {
+  auto endpoint = std::make_shared<Endpoint>();
+  endpoint->listener = std::make_unique<caller::HttpListener>(
       context_, "127.0.0.1:0", caller::ListenerLimits(),
-      [this, weak = std::weak_ptr(entrance)](
+      [this, weak = std::weak_ptr(endpoint)](
           std::shared_ptr<const Request> request,
           std::shared_ptr<Writer> writer) {
         return Handle(std::move(request), std::move(writer), weak.lock());
       });
-  entrance->listener->Start();
+  endpoint->listener->Start();
   const auto lock = std::lock_guard(mutex_);
-  entrances_.push_back(entrance);
-  return entrance->listener->address();
+  endpoints_.push_back(endpoint);
+  return endpoint->listener->address();
 }
 
-auto ObjectApiStandIn::SetEntranceClosed(const std::string& address,
-                                         bool closed) -> void {
+auto ObjectApiStandIn::SetEndpointDown(const std::string& address, bool down)
+    -> void {
   const auto lock = std::lock_guard(mutex_);
-  for (const auto& entrance : entrances_) {
-    if (entrance->listener->address() == address) {
-      entrance->closed = closed;
+  for (const auto& endpoint : endpoints_) {
+    if (endpoint->listener->address() == address) {
+      endpoint->down = down;
     }
   }
 }
 
-auto ObjectApiStandIn::IsClosed(const Entrance& entrance) const -> bool {
+auto ObjectApiStandIn::IsDown(const Endpoint& endpoint) const -> bool {
   const auto lock = std::lock_guard(mutex_);
-  return down_ || entrance.closed;
+  return down_ || endpoint.down;
 }
 
 auto ObjectApiStandIn::Put(const std::string& key, json spec) -> void {
@@ -127,7 +127,7 @@
 
 auto ObjectApiStandIn::Handle(std::shared_ptr<const Request> request,
                               std::shared_ptr<Writer> writer,
-                              std::shared_ptr<Entrance> entrance)
+                              std::shared_ptr<Endpoint> endpoint)
     -> awaitable<void> {
   const auto since = QueryNumber(request->target, "watch");
   const auto wait = milliseconds(QueryNumber(request->target, "wait_ms"));
@@ -136,15 +136,15 @@
       request->target.substr(kObjects.size(), mark - kObjects.size());
   if (since > 0) {
     const auto last = std::chrono::steady_clock::now() + wait;
-    while (!IsClosed(*entrance) && Changes(kind, since).at("events").empty() &&
+    while (!IsDown(*endpoint) && Changes(kind, since).at("events").empty() &&
            std::chrono::steady_clock::now() < last) {
       co_await Pause(context_, kWatchStep);
     }
   }
   co_await Pause(context_, ReadDelay(*request));
-  auto [status, body] = since > 0 && !IsClosed(*entrance)
+  auto [status, body] = since > 0 && !IsDown(*endpoint)
                             ? std::pair(200, Changes(kind, since))
-                            : Answer(*request, *entrance);
+                            : Answer(*request, *endpoint);
   if (status == 0) {
     co_return;  // The connection closes without an answer.
   }
@@ -172,10 +172,10 @@
           {"spec", object.spec}};
 }
 
-auto ObjectApiStandIn::Answer(const Request& request, const Entrance& entrance)
+auto ObjectApiStandIn::Answer(const Request& request, const Endpoint& endpoint)
     -> std::pair<int, json> {
   const auto lock = std::lock_guard(mutex_);
-  if (down_ || entrance.closed) {
+  if (down_ || endpoint.down) {
     return {503, json::object()};
   }
   const auto mark = request.target.find('?');
--- a/testing/gateway/stand_in.h
+++ b/testing/gateway/stand_in.h
@@ -23,7 +23,7 @@
   explicit ObjectApiStandIn(boost::asio::io_context& context);
 
   auto address() const -> std::string {
-    return entrances_.front()->listener->address();
+    return endpoints_.front()->listener->address();
   }
   auto Put(const std::string& key, nlohmann::json spec) -> void;
   auto Remove(const std::string& key) -> void;
@@ -33,9 +33,9 @@
   // While set, every call is answered 503.
   auto set_down(bool down) -> void;
   // Returns a further address of the same objects, for one caller.
-  auto AddEntrance() -> std::string;
-  // While closed, every call to the address is answered 503.
-  auto SetEntranceClosed(const std::string& address, bool closed) -> void;
+  auto AddEndpoint() -> std::string;
+  // While down, every call to the address is answered 503.
+  auto SetEndpointDown(const std::string& address, bool down) -> void;
   // Reads of single objects of this kind are answered after this time.
   auto SetReadDelay(const std::string& kind, std::chrono::milliseconds delay)
       -> void;
@@ -51,19 +51,19 @@
   using Request = caller::IncomingRequest;
   using Writer = caller::ResponseWriter;
 
-  struct Entrance {
+  struct Endpoint {
     std::unique_ptr<caller::HttpListener> listener;
-    bool closed = false;
+    bool down = false;
   };
 
   auto Handle(std::shared_ptr<const Request> request,
               std::shared_ptr<Writer> writer,
-              std::shared_ptr<Entrance> entrance)
+              std::shared_ptr<Endpoint> endpoint)
       -> boost::asio::awaitable<void>;
   // Status and body; nothing for an answer that is to be lost.
-  auto Answer(const Request& request, const Entrance& entrance)
+  auto Answer(const Request& request, const Endpoint& endpoint)
       -> std::pair<int, nlohmann::json>;
-  auto IsClosed(const Entrance& entrance) const -> bool;
+  auto IsDown(const Endpoint& endpoint) const -> bool;
   auto ReadDelay(const Request& request) const -> std::chrono::milliseconds;
   auto AnswerRead(const std::string& path) -> std::pair<int, nlohmann::json>;
   auto AnswerWrite(const Request& request, const std::string& path)
@@ -80,7 +80,7 @@
   std::uint64_t revision_ = 1;
   bool down_ = false;
   boost::asio::io_context& context_;
-  std::vector<std::shared_ptr<Entrance>> entrances_;
+  std::vector<std::shared_ptr<Endpoint>> endpoints_;
 };
 
 // How a replica answers.
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -106,9 +106,9 @@
     }
     for (auto at = 0; at < settings_.nodes; ++at) {
       auto& node = nodes_.emplace_back();
-      node.entrance = store_.AddEntrance();
-      node.store_link =
-          std::make_unique<LoopbackProxy>(thread_.context(), node.entrance);
+      node.store_address = store_.AddEndpoint();
+      node.store_link = std::make_unique<LoopbackProxy>(thread_.context(),
+                                                        node.store_address);
       node.process = std::make_unique<GatewayProcess>(
           settings_.gateway, "n" + std::to_string(at),
           node.store_link->address(), settings_.folder);
@@ -145,7 +145,7 @@
   };
   struct Node {
     std::unique_ptr<GatewayProcess> process;
-    std::string entrance;  // To the store.
+    std::string store_address;  // To the store.
     std::unique_ptr<LoopbackProxy> store_link;
     SteadyTime started = std::chrono::steady_clock::now();
     bool down = false;    // Killed, or stopping as planned.
@@ -531,11 +531,12 @@
   // No disruption of the node for the end of jobs: it answers other nodes,
   // which tell it.
   auto TurnAway() -> void {
-    const auto& entrance = AnyNode().entrance;
+    const auto& store_address = AnyNode().store_address;
     const auto time = faults_.Between(kFaultMin, kTurnAwayMax);
-    store_.SetEntranceClosed(entrance, true);
-    After(time,
-          [this, entrance] { store_.SetEntranceClosed(entrance, false); });
+    store_.SetEndpointDown(store_address, true);
+    After(time, [this, store_address] {
+      store_.SetEndpointDown(store_address, false);
+    });
   }
 
   auto LoseStoreAnswers() -> void {
@@ -560,7 +561,7 @@
     }
     for (auto& node : nodes_) {
       node.store_link->SetFault(LinkFault::kNone);
-      store_.SetEntranceClosed(node.entrance, false);
+      store_.SetEndpointDown(node.store_address, false);
       ExpectRunning(node);
     }
   }
