--- a/testing/gateway/stand_in.cc
+++ b/testing/gateway/fake_servers.cc
@@ -1,4 +1,4 @@
-#include "testing/gateway/stand_in.h"
+#include "testing/gateway/fake_servers.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -41,12 +41,11 @@
 
 }  // namespace
 
-ObjectApiStandIn::ObjectApiStandIn(asio::io_context& context)
-    : context_(context) {
+FakeObjectApi::FakeObjectApi(asio::io_context& context) : context_(context) {
   AddEndpoint();
 }
 
-auto ObjectApiStandIn::AddEndpoint() -> std::string {
+auto FakeObjectApi::AddEndpoint() -> std::string {
   auto endpoint = std::make_shared<Endpoint>();
   endpoint->listener = std::make_unique<caller::HttpListener>(
       context_, "127.0.0.1:0", caller::ListenerLimits(),
@@ -61,7 +60,7 @@
   return endpoint->listener->address();
 }
 
-auto ObjectApiStandIn::SetEndpointDown(const std::string& address, bool down)
+auto FakeObjectApi::SetEndpointDown(const std::string& address, bool down)
     -> void {
   const auto lock = std::lock_guard(mutex_);
   for (const auto& endpoint : endpoints_) {
@@ -71,47 +70,47 @@
   }
 }
 
-auto ObjectApiStandIn::IsDown(const Endpoint& endpoint) const -> bool {
+auto FakeObjectApi::IsDown(const Endpoint& endpoint) const -> bool {
   const auto lock = std::lock_guard(mutex_);
   return down_ || endpoint.down;
 }
 
-auto ObjectApiStandIn::Put(const std::string& key, json spec) -> void {
+auto FakeObjectApi::Put(const std::string& key, json spec) -> void {
   const auto lock = std::lock_guard(mutex_);
   objects_[key] = {std::move(spec), ++revision_, false};
 }
 
-auto ObjectApiStandIn::Remove(const std::string& key) -> void {
+auto FakeObjectApi::Remove(const std::string& key) -> void {
   const auto lock = std::lock_guard(mutex_);
   objects_[key].revision = ++revision_;
   objects_[key].deleted = true;
 }
 
-auto ObjectApiStandIn::Has(const std::string& key) const -> bool {
+auto FakeObjectApi::Has(const std::string& key) const -> bool {
   const auto lock = std::lock_guard(mutex_);
   const auto found = objects_.find(key);
   return found != objects_.end() && !found->second.deleted;
 }
 
-auto ObjectApiStandIn::Get(const std::string& key) const -> json {
+auto FakeObjectApi::Get(const std::string& key) const -> json {
   const auto lock = std::lock_guard(mutex_);
   const auto found = objects_.find(key);
   return found == objects_.end() || found->second.deleted ? json()
                                                           : found->second.spec;
 }
 
-auto ObjectApiStandIn::set_down(bool down) -> void {
+auto FakeObjectApi::set_down(bool down) -> void {
   const auto lock = std::lock_guard(mutex_);
   down_ = down;
 }
 
-auto ObjectApiStandIn::SetReadDelay(const std::string& kind, milliseconds delay)
+auto FakeObjectApi::SetReadDelay(const std::string& kind, milliseconds delay)
     -> void {
   const auto lock = std::lock_guard(mutex_);
   read_delays_[kind] = delay;
 }
 
-auto ObjectApiStandIn::ReadDelay(const Request& request) const -> milliseconds {
+auto FakeObjectApi::ReadDelay(const Request& request) const -> milliseconds {
   const auto lock = std::lock_guard(mutex_);
   const auto path = request.target.substr(kObjects.size());
   const auto delay = read_delays_.find(path.substr(0, path.find('/')));
@@ -120,14 +119,14 @@
              : milliseconds(0);
 }
 
-auto ObjectApiStandIn::LoseAnswers(const std::string& kind, int count) -> void {
+auto FakeObjectApi::LoseAnswers(const std::string& kind, int count) -> void {
   const auto lock = std::lock_guard(mutex_);
   lost_answers_[kind] = count;
 }
 
-auto ObjectApiStandIn::Handle(std::shared_ptr<const Request> request,
-                              std::shared_ptr<Writer> writer,
-                              std::shared_ptr<Endpoint> endpoint)
+auto FakeObjectApi::Handle(std::shared_ptr<const Request> request,
+                           std::shared_ptr<Writer> writer,
+                           std::shared_ptr<Endpoint> endpoint)
     -> awaitable<void> {
   const auto since = QueryNumber(request->target, "watch");
   const auto wait = milliseconds(QueryNumber(request->target, "wait_ms"));
@@ -153,8 +152,8 @@
   co_await writer->Send(status, std::move(headers), std::move(text));
 }
 
-auto ObjectApiStandIn::Changes(const std::string& kind,
-                               std::uint64_t since) const -> json {
+auto FakeObjectApi::Changes(const std::string& kind, std::uint64_t since) const
+    -> json {
   const auto lock = std::lock_guard(mutex_);
   auto events = json::array();
   for (const auto& [key, object] : objects_) {
@@ -166,13 +165,13 @@
   return {{"events", std::move(events)}, {"as_of", revision_}};
 }
 
-auto ObjectApiStandIn::Show(const std::string& name, const Object& object) const
+auto FakeObjectApi::Show(const std::string& name, const Object& object) const
     -> json {
   return {{"metadata", {{"name", name}, {"revision", object.revision}}},
           {"spec", object.spec}};
 }
 
-auto ObjectApiStandIn::Answer(const Request& request, const Endpoint& endpoint)
+auto FakeObjectApi::Answer(const Request& request, const Endpoint& endpoint)
     -> std::pair<int, json> {
   const auto lock = std::lock_guard(mutex_);
   if (down_ || endpoint.down) {
@@ -185,7 +184,7 @@
                                  : AnswerWrite(request, path);
 }
 
-auto ObjectApiStandIn::AnswerRead(const std::string& path)
+auto FakeObjectApi::AnswerRead(const std::string& path)
     -> std::pair<int, json> {
   if (path.find('/') != std::string::npos) {
     const auto found = objects_.find(path);
@@ -205,8 +204,7 @@
       {{"items", std::move(items)}, {"has_more", false}, {"as_of", revision_}}};
 }
 
-auto ObjectApiStandIn::AnswerWrite(const Request& request,
-                                   const std::string& path)
+auto FakeObjectApi::AnswerWrite(const Request& request, const std::string& path)
     -> std::pair<int, json> {
   const auto kind = path.substr(0, path.find('/'));
   if (request.method == "DELETE") {
@@ -234,9 +232,9 @@
   return {200, Show(name, objects_[key])};
 }
 
-ReplicaStandIn::ReplicaStandIn(asio::io_context& context,
-                               std::string id,
-                               OnStart on_start)
+FakeReplica::FakeReplica(asio::io_context& context,
+                         std::string id,
+                         OnStart on_start)
     : id_(std::move(id)),
       on_start_(std::move(on_start)),
       context_(context),
@@ -250,24 +248,24 @@
   listener_.Start();
 }
 
-auto ReplicaStandIn::SetFault(ReplicaFault fault, int count) -> void {
+auto FakeReplica::SetFault(ReplicaFault fault, int count) -> void {
   const auto lock = std::lock_guard(mutex_);
   fault_ = fault;
   fault_count_ = count;
 }
 
-auto ReplicaStandIn::set_pace(milliseconds pace) -> void {
+auto FakeReplica::set_pace(milliseconds pace) -> void {
   const auto lock = std::lock_guard(mutex_);
   pace_ = pace;
 }
 
-auto ReplicaStandIn::Runs(const std::string& request) const -> int {
+auto FakeReplica::Runs(const std::string& request) const -> int {
   const auto lock = std::lock_guard(mutex_);
   const auto found = runs_.find(request);
   return found == runs_.end() ? 0 : found->second;
 }
 
-auto ReplicaStandIn::runs() const -> int {
+auto FakeReplica::runs() const -> int {
   const auto lock = std::lock_guard(mutex_);
   auto all = 0;
   for (const auto& [request, count] : runs_) {
@@ -276,7 +274,7 @@
   return all;
 }
 
-auto ReplicaStandIn::TakeFault() -> ReplicaFault {
+auto FakeReplica::TakeFault() -> ReplicaFault {
   const auto lock = std::lock_guard(mutex_);
   if (fault_count_ == 0) {
     return ReplicaFault::kNone;
@@ -285,9 +283,9 @@
   return fault_;
 }
 
-auto ReplicaStandIn::Handle(
-    std::shared_ptr<const caller::IncomingRequest> request,
-    std::shared_ptr<caller::ResponseWriter> writer) -> awaitable<void> {
+auto FakeReplica::Handle(std::shared_ptr<const caller::IncomingRequest> request,
+                         std::shared_ptr<caller::ResponseWriter> writer)
+    -> awaitable<void> {
   const auto fault = TakeFault();
   const auto request_id =
       std::string(FindHeader(request->headers, "Request-Id"));
@@ -326,10 +324,10 @@
   co_await Stream(*request, writer, std::move(headers), fault);
 }
 
-auto ReplicaStandIn::Stream(const caller::IncomingRequest& request,
-                            std::shared_ptr<caller::ResponseWriter> writer,
-                            HeaderList headers,
-                            ReplicaFault fault) -> awaitable<void> {
+auto FakeReplica::Stream(const caller::IncomingRequest& request,
+                         std::shared_ptr<caller::ResponseWriter> writer,
+                         HeaderList headers,
+                         ReplicaFault fault) -> awaitable<void> {
   const auto id = std::string(FindHeader(request.headers, "Request-Id"));
   const auto last = FindHeader(request.headers, "Last-Event-Id");
   const auto after = last.empty() ? 0 : std::stoi(std::string(last));
@@ -351,7 +349,7 @@
 
 auto ExpectedText(const std::string& request) -> std::string {
   auto text = std::string();
-  for (auto number = 1; number <= ReplicaStandIn::kEvents; ++number) {
+  for (auto number = 1; number <= FakeReplica::kEvents; ++number) {
     text += (number > 1 ? "\n" : "") + EventData(request, number);
   }
   return text;
@@ -359,21 +357,21 @@
 
 auto ExpectedEvents(const std::string& request, int after) -> std::string {
   auto text = std::string();
-  for (auto number = after + 1; number <= ReplicaStandIn::kEvents; ++number) {
+  for (auto number = after + 1; number <= FakeReplica::kEvents; ++number) {
     text += EventText(request, number);
   }
   return text;
 }
 
-StandInThread::StandInThread()
+FakeServerThread::FakeServerThread()
     : guard_(asio::make_work_guard(context_)),
       thread_([this] { context_.run(); }) {}
 
-StandInThread::~StandInThread() {
+FakeServerThread::~FakeServerThread() {
   Stop();
 }
 
-auto StandInThread::Stop() -> void {
+auto FakeServerThread::Stop() -> void {
   context_.stop();
   if (thread_.joinable()) {
     thread_.join();
--- a/testing/gateway/stand_in.h
+++ b/testing/gateway/fake_servers.h
@@ -1,5 +1,5 @@
-#ifndef TESTING_GATEWAY_STAND_IN_H_
-#define TESTING_GATEWAY_STAND_IN_H_
+#ifndef TESTING_GATEWAY_FAKE_SERVERS_H_
+#define TESTING_GATEWAY_FAKE_SERVERS_H_
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -18,9 +18,9 @@
 namespace kumquatgauge::testing {
 
 // The users' object API on 127.0.0.1, with faults. Thread-safe.
-class ObjectApiStandIn {
+class FakeObjectApi {
  public:
-  explicit ObjectApiStandIn(boost::asio::io_context& context);
+  explicit FakeObjectApi(boost::asio::io_context& context);
 
   auto address() const -> std::string {
     return endpoints_.front()->listener->address();
@@ -96,7 +96,7 @@
 
 // A replica of the users' platform on 127.0.0.1. Streams have kEvents events
 // whose data depend on the request's id and the event's number alone.
-class ReplicaStandIn {
+class FakeReplica {
  public:
   static constexpr int kEvents = 5;
   // Requests with this in their path take kSlowPace an event.
@@ -105,9 +105,9 @@
   // Called on the thread of `context` when a request begins to run.
   using OnStart = std::function<auto(const std::string& request)->void>;
 
-  ReplicaStandIn(boost::asio::io_context& context,
-                 std::string id,
-                 OnStart on_start = nullptr);
+  FakeReplica(boost::asio::io_context& context,
+              std::string id,
+              OnStart on_start = nullptr);
 
   auto address() const -> std::string { return listener_.address(); }
   auto id() const -> const std::string& { return id_; }
@@ -145,10 +145,10 @@
 auto ExpectedEvents(const std::string& request, int after) -> std::string;
 
 // Runs stand-ins on a thread of its own.
-class StandInThread {
+class FakeServerThread {
  public:
-  StandInThread();
-  ~StandInThread();
+  FakeServerThread();
+  ~FakeServerThread();
   auto context() -> boost::asio::io_context& { return context_; }
   // Ends the thread; the stand-ins can then be destroyed.
   auto Stop() -> void;
@@ -162,4 +162,4 @@
 
 }  // namespace kumquatgauge::testing
 
-#endif  // TESTING_GATEWAY_STAND_IN_H_
+#endif  // TESTING_GATEWAY_FAKE_SERVERS_H_
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -11,8 +11,8 @@
 #include <sstream>
 #include <thread>
 
+#include "testing/gateway/fake_servers.h"
 #include "testing/gateway/gateway_process.h"
-#include "testing/gateway/stand_in.h"
 
 namespace kumquatgauge::testing {
 namespace {
@@ -56,7 +56,7 @@
     std::filesystem::remove_all(folder);
   }
 
-  auto Announce(const ReplicaStandIn& replica) -> void {
+  auto Announce(const FakeReplica& replica) -> void {
     store->Put("servers/" + replica.id(), {{"service", "svc"},
                                            {"address", replica.address()},
                                            {"zone", "a"},
@@ -81,13 +81,13 @@
     return one->Runs(request) + two->Runs(request);
   }
 
-  StandInThread thread;
-  std::unique_ptr<ObjectApiStandIn> store =
-      std::make_unique<ObjectApiStandIn>(thread.context());
-  std::unique_ptr<ReplicaStandIn> one =
-      std::make_unique<ReplicaStandIn>(thread.context(), "i-1");
-  std::unique_ptr<ReplicaStandIn> two =
-      std::make_unique<ReplicaStandIn>(thread.context(), "i-2");
+  FakeServerThread thread;
+  std::unique_ptr<FakeObjectApi> store =
+      std::make_unique<FakeObjectApi>(thread.context());
+  std::unique_ptr<FakeReplica> one =
+      std::make_unique<FakeReplica>(thread.context(), "i-1");
+  std::unique_ptr<FakeReplica> two =
+      std::make_unique<FakeReplica>(thread.context(), "i-2");
   std::filesystem::path folder;
   std::vector<std::string> store_addresses;  // To the store, one a gateway.
   std::vector<std::unique_ptr<GatewayProcess>> nodes;
--- a/testing/soak/checker.cc
+++ b/testing/soak/checker.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "testing/gateway/stand_in.h"
+#include "testing/gateway/fake_servers.h"
 
 namespace kumquatgauge::testing {
 namespace {
--- a/testing/soak/checker_test.cc
+++ b/testing/soak/checker_test.cc
@@ -5,7 +5,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "testing/gateway/stand_in.h"
+#include "testing/gateway/fake_servers.h"
 
 namespace kumquatgauge::testing {
 namespace {
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -12,8 +12,8 @@
 #include <thread>
 #include <utility>
 
+#include "testing/gateway/fake_servers.h"
 #include "testing/gateway/gateway_process.h"
-#include "testing/gateway/stand_in.h"
 #include "testing/soak/checker.h"
 #include "testing/soak/loopback_proxy.h"
 
@@ -97,7 +97,7 @@
     for (auto at = 0; at < settings_.nodes + kSpareReplicas; ++at) {
       auto& replica = replicas_.emplace_back();
       const auto id = "i-" + std::to_string(at);
-      replica.server = std::make_unique<ReplicaStandIn>(
+      replica.server = std::make_unique<FakeReplica>(
           thread_.context(), id,
           [this, id](const std::string& request) { OnStarted(request, id); });
       replica.link = std::make_unique<LoopbackProxy>(thread_.context(),
@@ -140,7 +140,7 @@
 
  private:
   struct Replica {
-    std::unique_ptr<ReplicaStandIn> server;
+    std::unique_ptr<FakeReplica> server;
     std::unique_ptr<LoopbackProxy> link;
   };
   struct Node {
@@ -617,8 +617,8 @@
 
   SoakSettings settings_;
   Draw faults_;
-  StandInThread thread_;
-  ObjectApiStandIn store_;
+  FakeServerThread thread_;
+  FakeObjectApi store_;
   SoakChecker checker_;
   std::vector<Replica> replicas_;
   std::vector<Node> nodes_;
