--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -254,9 +254,9 @@
   fault_count_ = count;
 }
 
-auto FakeReplica::set_pace(milliseconds pace) -> void {
+auto FakeReplica::set_event_delay(milliseconds delay) -> void {
   const auto lock = std::lock_guard(mutex_);
-  pace_ = pace;
+  event_delay_ = delay;
 }
 
 auto FakeReplica::Runs(const std::string& request) const -> int {
@@ -332,10 +332,10 @@
   const auto last = FindHeader(request.headers, "Last-Event-Id");
   const auto after = last.empty() ? 0 : std::stoi(std::string(last));
   headers.push_back({"Content-Type", "text/event-stream"});
-  const auto slow = request.target.find(kSlowMark) != std::string::npos;
+  const auto slow = request.target.find(kSlowPathPart) != std::string::npos;
   co_await writer->BeginStream(200, std::move(headers));
   for (auto number = after + 1; number <= kEvents; ++number) {
-    co_await Pause(context_, slow ? kSlowPace : pace_);
+    co_await Pause(context_, slow ? kSlowEventDelay : event_delay_);
     auto text = EventText(id, number);
     if (fault == ReplicaFault::kBreakMidEvent && number == 3) {
       text.resize(text.size() / 2);
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -99,9 +99,9 @@
 class FakeReplica {
  public:
   static constexpr int kEvents = 5;
-  // Requests with this in their path take kSlowPace an event.
-  static constexpr auto kSlowMark = "/slow-";
-  static constexpr std::chrono::milliseconds kSlowPace{250};
+  // Requests with this in their path take kSlowEventDelay an event.
+  static constexpr auto kSlowPathPart = "/slow-";
+  static constexpr std::chrono::milliseconds kSlowEventDelay{250};
   // Called on the thread of `context` when a request begins to run.
   using OnStart = std::function<auto(const std::string& request)->void>;
 
@@ -114,7 +114,7 @@
   // Applies to the next `count` requests.
   auto SetFault(ReplicaFault fault, int count) -> void;
   // The pause before each event.
-  auto set_pace(std::chrono::milliseconds pace) -> void;
+  auto set_event_delay(std::chrono::milliseconds delay) -> void;
   // How often a request has begun to run here.
   auto Runs(const std::string& request) const -> int;
   auto runs() const -> int;
@@ -135,7 +135,7 @@
   std::map<std::string, int> runs_;
   ReplicaFault fault_ = ReplicaFault::kNone;
   int fault_count_ = 0;
-  std::chrono::milliseconds pace_{0};
+  std::chrono::milliseconds event_delay_{0};
   boost::asio::io_context& context_;
   caller::HttpListener listener_;
 };
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -294,13 +294,13 @@
 TEST_CASE("Gateway.TakesOverTheJobsOfALostNode") {
   auto fleet = Fleet(2);
   fleet.AwaitService();
-  fleet.one->set_pace(milliseconds(700));
-  fleet.two->set_pace(milliseconds(700));
+  fleet.one->set_event_delay(milliseconds(700));
+  fleet.two->set_event_delay(milliseconds(700));
   const auto body = JobBody({"a", "b", "c", "d"});
   REQUIRE(fleet.nodes[0]->Call("POST", "/jobs/1", "j1", body).status == 202);
   fleet.nodes[0]->process().Signal(SIGKILL);
-  fleet.one->set_pace(milliseconds(0));
-  fleet.two->set_pace(milliseconds(0));
+  fleet.one->set_event_delay(milliseconds(0));
+  fleet.two->set_event_delay(milliseconds(0));
   REQUIRE(Eventually([&] {
     const auto page = fleet.nodes[1]->ReadJob("j1");
     return page.is_object() && page.at("next") == 4;
@@ -330,8 +330,8 @@
 TEST_CASE("Gateway.StopsAJobThatIsEndedAtAnotherNode") {
   auto fleet = Fleet(2);
   fleet.AwaitService();
-  fleet.one->set_pace(milliseconds(2'000));
-  fleet.two->set_pace(milliseconds(2'000));
+  fleet.one->set_event_delay(milliseconds(2'000));
+  fleet.two->set_event_delay(milliseconds(2'000));
   REQUIRE(fleet.nodes[0]
               ->Call("POST", "/jobs/1", "j1", JobBody({"a", "b"}))
               .status == 202);
@@ -347,8 +347,8 @@
 // Enough to be running still when the test ends.
 constexpr auto kSlowItems = 120;
 auto SubmitSlowJob(Fleet& fleet) -> void {
-  fleet.one->set_pace(milliseconds(400));
-  fleet.two->set_pace(milliseconds(400));
+  fleet.one->set_event_delay(milliseconds(400));
+  fleet.two->set_event_delay(milliseconds(400));
   auto items = std::vector<std::string>();
   for (auto item = 0; item < kSlowItems; ++item) {
     items.push_back("item" + std::to_string(item));
@@ -552,8 +552,8 @@
 TEST_CASE("Gateway.FinishesWhatItHasReadInAPlannedStop") {
   auto fleet = Fleet();
   fleet.AwaitService();
-  fleet.one->set_pace(milliseconds(300));
-  fleet.two->set_pace(milliseconds(300));
+  fleet.one->set_event_delay(milliseconds(300));
+  fleet.two->set_event_delay(milliseconds(300));
   auto& node = *fleet.nodes.front();
   auto reply = FetchReply();
   auto caller =
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -45,7 +45,7 @@
 constexpr milliseconds kFaultMin{200};
 constexpr milliseconds kFaultMax{3'000};
 constexpr milliseconds kTurnAwayMax{9'000};
-constexpr milliseconds kSlowestPace{60};
+constexpr milliseconds kMaxEventDelay{60};
 // Of the settings' stop_s, and the time to be scheduled on a busy machine.
 constexpr milliseconds kStopTime{9'500};
 // In which a program is loaded, also on a busy machine.
@@ -514,7 +514,7 @@
     auto& server = *AnyReplica().server;
     server.SetFault(kReplicaFaults[faults_.Below(std::size(kReplicaFaults))],
                     static_cast<int>(faults_.Below(4)));
-    server.set_pace(faults_.Between(milliseconds(0), kSlowestPace));
+    server.set_event_delay(faults_.Between(milliseconds(0), kMaxEventDelay));
   }
 
   auto RemoveReplica() -> void {
