--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -308,12 +308,12 @@
   if (fault == ReplicaFault::kLoseAnswer) {
     co_return;
   }
-  if (fault == ReplicaFault::kFail || fault == ReplicaFault::kNeverDone) {
+  if (fault == ReplicaFault::kFail || fault == ReplicaFault::kUnprocessable) {
     const auto status = fault == ReplicaFault::kFail ? 500 : 422;
     co_await writer->Send(status, std::move(headers), "failed");
     co_return;
   }
-  if (fault == ReplicaFault::kOtherRequest) {
+  if (fault == ReplicaFault::kWrongRequestId) {
     headers.front().value = "another";
   }
   if (request->target.starts_with("/plain/")) {
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -86,12 +86,12 @@
 // How a replica answers.
 enum class ReplicaFault {
   kNone,
-  kLoseAnswer,     // Runs the request, then closes the connection.
-  kBreakMidEvent,  // Ends a stream inside its third event.
-  kRefuse,         // Says that it has not run it.
-  kOtherRequest,   // Answers under the id of another request.
-  kFail,           // Status 500.
-  kNeverDone,      // Status 422.
+  kLoseAnswer,      // Runs the request, then closes the connection.
+  kBreakMidEvent,   // Ends a stream inside its third event.
+  kRefuse,          // Says that it has not run it.
+  kWrongRequestId,  // Answers under the id of another request.
+  kFail,            // Status 500.
+  kUnprocessable,   // Status 422.
 };
 
 // A replica of the users' platform on 127.0.0.1. Streams have kEvents events
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -236,8 +236,8 @@
 TEST_CASE("Gateway.NeverPassesOnTheAnswerToAnotherRequest") {
   auto fleet = Fleet();
   fleet.AwaitService();
-  fleet.one->SetFault(ReplicaFault::kOtherRequest, 1);
-  fleet.two->SetFault(ReplicaFault::kOtherRequest, 1);
+  fleet.one->SetFault(ReplicaFault::kWrongRequestId, 1);
+  fleet.two->SetFault(ReplicaFault::kWrongRequestId, 1);
   const auto reply =
       fleet.nodes.front()->Call("POST", "/plain/once/x", "c1", "mine");
   CHECK(reply.status != 200);
@@ -314,8 +314,8 @@
 TEST_CASE("Gateway.ListsAnItemThatCanNeverBeDoneAsAnError") {
   auto fleet = Fleet();
   fleet.AwaitService();
-  fleet.one->SetFault(ReplicaFault::kNeverDone, 1);
-  fleet.two->SetFault(ReplicaFault::kNeverDone, 1);
+  fleet.one->SetFault(ReplicaFault::kUnprocessable, 1);
+  fleet.two->SetFault(ReplicaFault::kUnprocessable, 1);
   const auto& node = *fleet.nodes.front();
   REQUIRE(node.Call("POST", "/jobs/1", "j1", JobBody({"a"})).status == 202);
   REQUIRE(Eventually([&] {
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -508,7 +508,7 @@
   auto SpoilAnswers() -> void {
     constexpr ReplicaFault kReplicaFaults[] = {
         ReplicaFault::kLoseAnswer, ReplicaFault::kBreakMidEvent,
-        ReplicaFault::kRefuse,     ReplicaFault::kOtherRequest,
+        ReplicaFault::kRefuse,     ReplicaFault::kWrongRequestId,
         ReplicaFault::kFail,
     };
     auto& server = *AnyReplica().server;
