--- a/testing/gateway/gateway_process.cc
+++ b/testing/gateway/gateway_process.cc
@@ -68,14 +68,14 @@
        << "\"\n[store]\naddress = \"" << store << "\"\n[limits]\nstop_s = 8\n"
        << "memory_mb = " << memory_mb << "\n";
   file.close();
-  StartAgain();
+  Start();
 }
 
 auto GatewayProcess::LogFile() const -> std::string {
   return folder_ + "/" + name_ + "." + std::to_string(starts_) + ".log";
 }
 
-auto GatewayProcess::StartAgain() -> void {
+auto GatewayProcess::Start() -> void {
   process_.reset();
   ++starts_;
   process_ = std::make_unique<ChildProcess>(
--- a/testing/gateway/gateway_process.h
+++ b/testing/gateway/gateway_process.h
@@ -39,7 +39,7 @@
                  std::uint32_t memory_mb = 256);
 
   // Starts it again after it has ended, with a log of its own.
-  auto StartAgain() -> void;
+  auto Start() -> void;
   auto Call(const std::string& method,
             const std::string& target,
             const std::string& id,
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -144,7 +144,7 @@
        static_cast<std::uint16_t>(std::stoi(node.callers().substr(colon + 1)))},
       error);
   CHECK(error == boost::asio::error::address_in_use);
-  node.StartAgain();
+  node.Start();
   fleet.AwaitService();
 }
 
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -412,12 +412,12 @@
       checker_.OnDisrupted(node.process->name());
       node.process->process().Signal(SIGKILL);
       node.down = true;
-      After(time, [this, &node] { Revive(node); });
+      After(time, [this, &node] { RestartNode(node); });
     }
   }
 
-  auto Revive(Node& node) -> void {
-    node.process->StartAgain();
+  auto RestartNode(Node& node) -> void {
+    node.process->Start();
     node.started = std::chrono::steady_clock::now();
     node.down = false;
     node.paused = false;
@@ -466,7 +466,7 @@
     const auto exit =
         node.process->process().WaitForExit(std::max(left, milliseconds(0)));
     checker_.OnGracefulStop(node.process->name(), exit);
-    Revive(node);
+    RestartNode(node);
   }
 
   auto Reload() -> void {
