--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -55,18 +55,18 @@
 constexpr milliseconds kSettlePoll{100};
 
 // A source of draws; one a thread, so that a seed draws the same faults.
-class Draw {
+class RandomSource {
  public:
-  explicit Draw(std::uint64_t seed) : random_(seed) {}
+  explicit RandomSource(std::uint64_t seed) : engine_(seed) {}
 
-  auto Below(std::size_t count) -> std::size_t { return random_() % count; }
+  auto Below(std::size_t count) -> std::size_t { return engine_() % count; }
   auto Between(milliseconds low, milliseconds high) -> milliseconds {
     return low + milliseconds(
                      Below(static_cast<std::size_t>((high - low).count()) + 1));
   }
 
  private:
-  std::mt19937_64 random_;
+  std::mt19937_64 engine_;
 };
 
 // A path that only the configuration of this version has a route for.
@@ -90,7 +90,7 @@
  public:
   explicit Soak(const SoakSettings& settings)
       : settings_(settings),
-        faults_(settings.seed),
+        fault_random_(settings.seed),
         store_(thread_.context()),
         checker_([this](const std::string& id) { return Runs(id); }) {
     store_.Put("config/main", MakeSoakConfiguration(version_));
@@ -194,12 +194,12 @@
   // --- Callers.
 
   auto CallOn(int caller) -> void {
-    auto draw = Draw(settings_.seed * kCallers + caller);
+    auto random = RandomSource(settings_.seed * kCallers + caller);
     for (auto number = 0; !done_; ++number) {
-      const auto& node = *nodes_[draw.Below(nodes_.size())].process;
+      const auto& node = *nodes_[random.Below(nodes_.size())].process;
       const auto id =
           "q" + std::to_string(caller) + "-" + std::to_string(number);
-      switch (draw.Below(7)) {
+      switch (random.Below(7)) {
         case 0:
           CallPlain(node, "/plain/x", id, 2);
           break;
@@ -213,13 +213,13 @@
           CallStream(node, "/stream/once/x", id, 1);
           break;
         case 4:
-          Submit(node, id, draw.Below(kMaxItems) + 1);
+          Submit(node, id, random.Below(kMaxItems) + 1);
           break;
         case 5:
-          EndSome(draw);
+          EndSome(random);
           break;
         default:
-          ReadSome(node, draw);
+          ReadSome(node, random);
           break;
       }
       std::this_thread::sleep_for(kCallerPause);
@@ -257,32 +257,32 @@
 
   // Submits long jobs and ends them while their items run.
   auto EndOn(int ender) -> void {
-    auto draw = Draw(settings_.seed * kEnders + ender);
+    auto random = RandomSource(settings_.seed * kEnders + ender);
     for (auto number = 0; !done_; ++number) {
-      const auto& node = *nodes_[draw.Below(nodes_.size())].process;
+      const auto& node = *nodes_[random.Below(nodes_.size())].process;
       const auto job =
           "slow-" + std::to_string(ender) + "-" + std::to_string(number);
-      const auto time = draw.Between(milliseconds(0), kRunTimeMax);
+      const auto time = random.Between(milliseconds(0), kRunTimeMax);
       if (Submit(node, job, kLongJobItems)) {
         std::this_thread::sleep_for(time);
-        End(job, draw);
+        End(job, random);
       }
       std::this_thread::sleep_for(kRepeatPause);
     }
   }
 
-  auto EndSome(Draw& draw) -> void {
+  auto EndSome(RandomSource& random) -> void {
     const auto jobs = checker_.unfinished_jobs();
     if (!jobs.empty()) {
-      End(jobs[draw.Below(jobs.size())], draw);
+      End(jobs[random.Below(jobs.size())], random);
     }
   }
 
   // Asks any node to end a job, and others until one has acknowledged it.
-  auto End(const std::string& job, Draw& draw) -> void {
+  auto End(const std::string& job, RandomSource& random) -> void {
     checker_.OnEndRequested(job);
     for (auto attempt = 0; attempt < kEndAttempts && !done_; ++attempt) {
-      const auto& node = *nodes_[draw.Below(nodes_.size())].process;
+      const auto& node = *nodes_[random.Below(nodes_.size())].process;
       const auto reply = node.Call("DELETE", "/api/lots/" + job, "");
       checker_.OnEndAnswered(job, reply, std::chrono::steady_clock::now());
       if (reply.status != 0 && reply.status != kServiceUnavailable) {
@@ -292,10 +292,10 @@
     }
   }
 
-  auto ReadSome(const GatewayProcess& node, Draw& draw) -> void {
+  auto ReadSome(const GatewayProcess& node, RandomSource& random) -> void {
     const auto jobs = checker_.unfinished_jobs();
     if (!jobs.empty()) {
-      ReadJob(node, jobs[draw.Below(jobs.size())]);
+      ReadJob(node, jobs[random.Below(jobs.size())]);
     }
   }
 
@@ -313,11 +313,11 @@
 
   // Asks nodes by which configuration they serve.
   auto ReadOn() -> void {
-    auto draw = Draw(settings_.seed + kCallers);
+    auto random = RandomSource(settings_.seed + kCallers);
     for (auto number = 0; !done_; ++number) {
-      const auto& node = *nodes_[draw.Below(nodes_.size())].process;
+      const auto& node = *nodes_[random.Below(nodes_.size())].process;
       const auto newest = version_.load();
-      const auto version = newest - static_cast<int>(draw.Below(2));
+      const auto version = newest - static_cast<int>(random.Below(2));
       const auto start = node.starts();
       const auto served = ServesBy(node, version, "v" + std::to_string(number));
       if (served && node.starts() == start) {
@@ -341,7 +341,7 @@
     while (std::chrono::steady_clock::now() < end) {
       InjectOne();
       std::this_thread::sleep_for(
-          faults_.Between(kFaultPauseMin, kFaultPauseMax));
+          fault_random_.Between(kFaultPauseMin, kFaultPauseMax));
       RunDue(std::chrono::steady_clock::now());
     }
   }
@@ -380,15 +380,18 @@
         {"store answers lost", &Soak::LoseStoreAnswers},
         {"configuration", &Soak::Configure},
     };
-    const auto& [name, inject] = kFaults[faults_.Below(std::size(kFaults))];
+    const auto& [name, inject] =
+        kFaults[fault_random_.Below(std::size(kFaults))];
     ++counts_[name];
     (this->*inject)();
   }
 
-  auto Time() -> milliseconds { return faults_.Between(kFaultMin, kFaultMax); }
-  auto AnyNode() -> Node& { return nodes_[faults_.Below(nodes_.size())]; }
+  auto Time() -> milliseconds {
+    return fault_random_.Between(kFaultMin, kFaultMax);
+  }
+  auto AnyNode() -> Node& { return nodes_[fault_random_.Below(nodes_.size())]; }
   auto AnyReplica() -> Replica& {
-    return replicas_[faults_.Below(replicas_.size())];
+    return replicas_[fault_random_.Below(replicas_.size())];
   }
 
   // A process that nobody ended must still run.
@@ -481,7 +484,7 @@
     constexpr LinkFault kLinkFaults[] = {LinkFault::kNone, LinkFault::kDelay,
                                          LinkFault::kSilence,
                                          LinkFault::kOneWay};
-    const auto fault = kLinkFaults[faults_.Below(std::size(kLinkFaults))];
+    const auto fault = kLinkFaults[fault_random_.Below(std::size(kLinkFaults))];
     const auto time = Time();
     checker_.OnDisrupted(place);
     if (fault == LinkFault::kNone) {
@@ -512,9 +515,11 @@
         ReplicaFault::kFail,
     };
     auto& server = *AnyReplica().server;
-    server.SetFault(kReplicaFaults[faults_.Below(std::size(kReplicaFaults))],
-                    static_cast<int>(faults_.Below(4)));
-    server.set_event_delay(faults_.Between(milliseconds(0), kMaxEventDelay));
+    server.SetFault(
+        kReplicaFaults[fault_random_.Below(std::size(kReplicaFaults))],
+        static_cast<int>(fault_random_.Below(4)));
+    server.set_event_delay(
+        fault_random_.Between(milliseconds(0), kMaxEventDelay));
   }
 
   auto RemoveReplica() -> void {
@@ -532,7 +537,7 @@
   // which tell it.
   auto TurnAway() -> void {
     const auto& store_address = AnyNode().store_address;
-    const auto time = faults_.Between(kFaultMin, kTurnAwayMax);
+    const auto time = fault_random_.Between(kFaultMin, kTurnAwayMax);
     store_.SetEndpointDown(store_address, true);
     After(time, [this, store_address] {
       store_.SetEndpointDown(store_address, false);
@@ -541,8 +546,8 @@
 
   auto LoseStoreAnswers() -> void {
     constexpr const char* kKinds[] = {"jobs", "job-states", "job-results"};
-    store_.LoseAnswers(kKinds[faults_.Below(std::size(kKinds))],
-                       static_cast<int>(faults_.Below(3)) + 1);
+    store_.LoseAnswers(kKinds[fault_random_.Below(std::size(kKinds))],
+                       static_cast<int>(fault_random_.Below(3)) + 1);
   }
 
   auto Configure() -> void {
@@ -616,7 +621,7 @@
   }
 
   SoakSettings settings_;
-  Draw faults_;
+  RandomSource fault_random_;
   FakeServerThread thread_;
   FakeObjectApi store_;
   SoakChecker checker_;
