--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -44,7 +44,7 @@
 constexpr milliseconds kFaultPauseMax{900};
 constexpr milliseconds kFaultMin{200};
 constexpr milliseconds kFaultMax{3'000};
-constexpr milliseconds kTurnAwayMax{9'000};
+constexpr milliseconds kMaxStoreRefusalTime{9'000};
 constexpr milliseconds kMaxEventDelay{60};
 // Of the settings' stop_s, and the time to be scheduled on a busy machine.
 constexpr milliseconds kStopTime{9'500};
@@ -371,12 +371,12 @@
         {"pause", &Soak::Pause},
         {"planned stop", &Soak::StopGracefully},
         {"reload", &Soak::Reload},
-        {"store link", &Soak::SpoilStoreLink},
-        {"replica link", &Soak::SpoilReplicaLink},
-        {"replica answers", &Soak::SpoilAnswers},
+        {"store link", &Soak::DisruptStoreLink},
+        {"replica link", &Soak::DisruptReplicaLink},
+        {"replica answers", &Soak::SetReplicaFault},
         {"replica leaves", &Soak::RemoveReplica},
         {"store down", &Soak::StopStore},
-        {"store turns a node away", &Soak::TurnAway},
+        {"store turns a node away", &Soak::RefuseNodeAtStore},
         {"store answers lost", &Soak::LoseStoreAnswers},
         {"configuration", &Soak::Configure},
     };
@@ -480,7 +480,7 @@
   }
 
   // `place` is what the link disrupts.
-  auto SpoilLink(LoopbackProxy& link, const std::string& place) -> void {
+  auto DisruptLink(LoopbackProxy& link, const std::string& place) -> void {
     constexpr LinkFault kLinkFaults[] = {LinkFault::kNone, LinkFault::kDelay,
                                          LinkFault::kSilence,
                                          LinkFault::kOneWay};
@@ -499,16 +499,16 @@
     });
   }
 
-  auto SpoilStoreLink() -> void {
+  auto DisruptStoreLink() -> void {
     auto& node = AnyNode();
-    SpoilLink(*node.store_link, node.process->name());
+    DisruptLink(*node.store_link, node.process->name());
   }
-  auto SpoilReplicaLink() -> void {
+  auto DisruptReplicaLink() -> void {
     auto& replica = AnyReplica();
-    SpoilLink(*replica.link, replica.server->id());
+    DisruptLink(*replica.link, replica.server->id());
   }
 
-  auto SpoilAnswers() -> void {
+  auto SetReplicaFault() -> void {
     constexpr ReplicaFault kReplicaFaults[] = {
         ReplicaFault::kLoseAnswer, ReplicaFault::kBreakMidEvent,
         ReplicaFault::kRefuse,     ReplicaFault::kWrongRequestId,
@@ -535,9 +535,9 @@
 
   // No disruption of the node for the end of jobs: it answers other nodes,
   // which tell it.
-  auto TurnAway() -> void {
+  auto RefuseNodeAtStore() -> void {
     const auto& store_address = AnyNode().store_address;
-    const auto time = fault_random_.Between(kFaultMin, kTurnAwayMax);
+    const auto time = fault_random_.Between(kFaultMin, kMaxStoreRefusalTime);
     store_.SetEndpointDown(store_address, true);
     After(time, [this, store_address] {
       store_.SetEndpointDown(store_address, false);
