--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -32,7 +32,7 @@
 constexpr int kMaxItems = 6;
 // Callers that submit long jobs and end them. All slots together need some
 // seconds for one job, so that items are left well after its end.
-constexpr int kEnders = 3;
+constexpr int kJobEnders = 3;
 constexpr int kLongJobItems = 200;
 constexpr auto kItemMark = "-item-";  // Between the ids of job and number.
 constexpr milliseconds kRunTimeMax{2'000};  // Of a long job before its end.
@@ -119,12 +119,12 @@
     Settle("after the start");
     auto workers = std::vector<std::thread>();
     for (auto caller = 0; caller < kCallers; ++caller) {
-      workers.emplace_back([this, caller] { CallOn(caller); });
+      workers.emplace_back([this, caller] { RunCaller(caller); });
     }
-    for (auto ender = 0; ender < kEnders; ++ender) {
-      workers.emplace_back([this, ender] { EndOn(ender); });
+    for (auto job_ender = 0; job_ender < kJobEnders; ++job_ender) {
+      workers.emplace_back([this, job_ender] { RunJobEnder(job_ender); });
     }
-    workers.emplace_back([this] { ReadOn(); });
+    workers.emplace_back([this] { RunVersionReader(); });
     InjectFaults();
     done_ = true;
     for (auto& worker : workers) {
@@ -193,7 +193,7 @@
 
   // --- Callers.
 
-  auto CallOn(int caller) -> void {
+  auto RunCaller(int caller) -> void {
     auto random = RandomSource(settings_.seed * kCallers + caller);
     for (auto number = 0; !done_; ++number) {
       const auto& node = *nodes_[random.Below(nodes_.size())].process;
@@ -256,12 +256,12 @@
   }
 
   // Submits long jobs and ends them while their items run.
-  auto EndOn(int ender) -> void {
-    auto random = RandomSource(settings_.seed * kEnders + ender);
+  auto RunJobEnder(int job_ender) -> void {
+    auto random = RandomSource(settings_.seed * kJobEnders + job_ender);
     for (auto number = 0; !done_; ++number) {
       const auto& node = *nodes_[random.Below(nodes_.size())].process;
       const auto job =
-          "slow-" + std::to_string(ender) + "-" + std::to_string(number);
+          "slow-" + std::to_string(job_ender) + "-" + std::to_string(number);
       const auto time = random.Between(milliseconds(0), kRunTimeMax);
       if (Submit(node, job, kLongJobItems)) {
         std::this_thread::sleep_for(time);
@@ -312,7 +312,7 @@
   }
 
   // Asks nodes by which configuration they serve.
-  auto ReadOn() -> void {
+  auto RunVersionReader() -> void {
     auto random = RandomSource(settings_.seed + kCallers);
     for (auto number = 0; !done_; ++number) {
       const auto& node = *nodes_[random.Below(nodes_.size())].process;
