--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -152,7 +152,7 @@
     bool paused = false;  // By SIGSTOP.
   };
   // Ends a fault, or goes on with one, at a time.
-  struct Later {
+  struct ScheduledAction {
     SteadyTime at;
     std::function<auto()->void> act;
   };
@@ -347,8 +347,8 @@
   }
 
   auto RunDue(SteadyTime now) -> void {
-    auto due = std::vector<Later>();
-    std::erase_if(later_, [&](auto& entry) {
+    auto due = std::vector<ScheduledAction>();
+    std::erase_if(scheduled_, [&](auto& entry) {
       if (entry.at > now) {
         return false;
       }
@@ -360,8 +360,9 @@
     }
   }
 
-  auto After(milliseconds time, std::function<auto()->void> act) -> void {
-    later_.push_back({std::chrono::steady_clock::now() + time, std::move(act)});
+  auto RunAfter(milliseconds time, std::function<auto()->void> act) -> void {
+    scheduled_.push_back(
+        {std::chrono::steady_clock::now() + time, std::move(act)});
   }
 
   auto InjectOne() -> void {
@@ -415,7 +416,7 @@
       checker_.OnDisrupted(node.process->name());
       node.process->process().Signal(SIGKILL);
       node.down = true;
-      After(time, [this, &node] { RestartNode(node); });
+      RunAfter(time, [this, &node] { RestartNode(node); });
     }
   }
 
@@ -439,7 +440,7 @@
       if (loading) {
         node.started = SteadyTime::max();
       }
-      After(time, [this, &node, loading] {
+      RunAfter(time, [this, &node, loading] {
         const auto now = std::chrono::steady_clock::now();
         node.process->process().Signal(SIGCONT);
         node.paused = false;
@@ -459,7 +460,7 @@
       node.process->process().Signal(SIGTERM);
       node.down = true;
       const auto last = std::chrono::steady_clock::now() + kStopTime;
-      After(kStopTime, [this, &node, last] { EndGracefulStop(node, last); });
+      RunAfter(kStopTime, [this, &node, last] { EndGracefulStop(node, last); });
     }
   }
 
@@ -493,7 +494,7 @@
       return;
     }
     link.SetFault(fault);
-    After(time, [this, &link, place] {
+    RunAfter(time, [this, &link, place] {
       link.SetFault(LinkFault::kNone);
       checker_.OnDisruptionEnded(place, std::chrono::steady_clock::now());
     });
@@ -525,12 +526,12 @@
   auto RemoveReplica() -> void {
     auto& replica = AnyReplica();
     store_.Remove("servers/" + replica.server->id());
-    After(Time(), [this, &replica] { Announce(replica); });
+    RunAfter(Time(), [this, &replica] { Announce(replica); });
   }
 
   auto StopStore() -> void {
     store_.set_down(true);
-    After(Time(), [this] { store_.set_down(false); });
+    RunAfter(Time(), [this] { store_.set_down(false); });
   }
 
   // No disruption of the node for the end of jobs: it answers other nodes,
@@ -539,7 +540,7 @@
     const auto& store_address = AnyNode().store_address;
     const auto time = fault_random_.Between(kFaultMin, kMaxStoreRefusalTime);
     store_.SetEndpointDown(store_address, true);
-    After(time, [this, store_address] {
+    RunAfter(time, [this, store_address] {
       store_.SetEndpointDown(store_address, false);
     });
   }
@@ -627,7 +628,7 @@
   SoakChecker checker_;
   std::vector<Replica> replicas_;
   std::vector<Node> nodes_;
-  std::vector<Later> later_;
+  std::vector<ScheduledAction> scheduled_;
   std::map<std::string, int> counts_;
   std::atomic<int> version_{3};
   std::atomic<bool> done_{false};
