--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -387,11 +387,13 @@
     (this->*inject)();
   }
 
-  auto Time() -> milliseconds {
+  auto FaultDuration() -> milliseconds {
     return fault_random_.Between(kFaultMin, kFaultMax);
   }
-  auto AnyNode() -> Node& { return nodes_[fault_random_.Below(nodes_.size())]; }
-  auto AnyReplica() -> Replica& {
+  auto RandomNode() -> Node& {
+    return nodes_[fault_random_.Below(nodes_.size())];
+  }
+  auto RandomReplica() -> Replica& {
     return replicas_[fault_random_.Below(replicas_.size())];
   }
 
@@ -409,8 +411,8 @@
   }
 
   auto Kill() -> void {
-    auto& node = AnyNode();
-    const auto time = Time();
+    auto& node = RandomNode();
+    const auto time = FaultDuration();
     if (!node.down) {
       ExpectRunning(node);
       checker_.OnDisrupted(node.process->name());
@@ -429,8 +431,8 @@
   }
 
   auto Pause() -> void {
-    auto& node = AnyNode();
-    const auto time = Time();
+    auto& node = RandomNode();
+    const auto time = FaultDuration();
     if (!node.down && !node.paused) {
       checker_.OnDisrupted(node.process->name());
       node.process->process().Signal(SIGSTOP);
@@ -453,7 +455,7 @@
   }
 
   auto StopGracefully() -> void {
-    auto& node = AnyNode();
+    auto& node = RandomNode();
     if (!node.down && !node.paused && IsLoaded(node)) {
       ExpectRunning(node);
       checker_.OnDisrupted(node.process->name());
@@ -474,7 +476,7 @@
   }
 
   auto Reload() -> void {
-    auto& node = AnyNode();
+    auto& node = RandomNode();
     if (!node.down && IsLoaded(node)) {
       node.process->process().Signal(SIGHUP);
     }
@@ -486,7 +488,7 @@
                                          LinkFault::kSilence,
                                          LinkFault::kOneWay};
     const auto fault = kLinkFaults[fault_random_.Below(std::size(kLinkFaults))];
-    const auto time = Time();
+    const auto time = FaultDuration();
     checker_.OnDisrupted(place);
     if (fault == LinkFault::kNone) {
       link.Reset();
@@ -501,11 +503,11 @@
   }
 
   auto DisruptStoreLink() -> void {
-    auto& node = AnyNode();
+    auto& node = RandomNode();
     DisruptLink(*node.store_link, node.process->name());
   }
   auto DisruptReplicaLink() -> void {
-    auto& replica = AnyReplica();
+    auto& replica = RandomReplica();
     DisruptLink(*replica.link, replica.server->id());
   }
 
@@ -515,7 +517,7 @@
         ReplicaFault::kRefuse,     ReplicaFault::kWrongRequestId,
         ReplicaFault::kFail,
     };
-    auto& server = *AnyReplica().server;
+    auto& server = *RandomReplica().server;
     server.SetFault(
         kReplicaFaults[fault_random_.Below(std::size(kReplicaFaults))],
         static_cast<int>(fault_random_.Below(4)));
@@ -524,20 +526,20 @@
   }
 
   auto RemoveReplica() -> void {
-    auto& replica = AnyReplica();
+    auto& replica = RandomReplica();
     store_.Remove("servers/" + replica.server->id());
-    RunAfter(Time(), [this, &replica] { Announce(replica); });
+    RunAfter(FaultDuration(), [this, &replica] { Announce(replica); });
   }
 
   auto StopStore() -> void {
     store_.set_down(true);
-    RunAfter(Time(), [this] { store_.set_down(false); });
+    RunAfter(FaultDuration(), [this] { store_.set_down(false); });
   }
 
   // No disruption of the node for the end of jobs: it answers other nodes,
   // which tell it.
   auto RefuseNodeAtStore() -> void {
-    const auto& store_address = AnyNode().store_address;
+    const auto& store_address = RandomNode().store_address;
     const auto time = fault_random_.Between(kFaultMin, kMaxStoreRefusalTime);
     store_.SetEndpointDown(store_address, true);
     RunAfter(time, [this, store_address] {
