--- a/testing/soak/checker.cc
+++ b/testing/soak/checker.cc
@@ -32,22 +32,22 @@
 }
 
 auto SoakChecker::OnReply(const std::string& id,
-                          const RequestPromise& promise,
+                          const RequestExpectation& expected,
                           const FetchReply& reply) -> void {
   const auto lock = std::lock_guard(mutex_);
   ++replies_[Outcome(reply)];
-  sent_[id] = {promise.max_runs, SaysNotRun(reply)};
+  sent_[id] = {expected.max_runs, SaysNotRun(reply)};
   if (reply.status == kNotFound) {
     Add("request " + id + " has a route and got 404");
   }
   if (reply.status != kOk) {
     return;
   }
-  if (reply.whole && reply.body != promise.whole_body) {
+  if (reply.whole && reply.body != expected.full_body) {
     Add("request " + id + " got a wrong answer: " + reply.body);
   }
-  if (!reply.whole && promise.stream &&
-      !promise.whole_body.starts_with(reply.body)) {
+  if (!reply.whole && expected.stream &&
+      !expected.full_body.starts_with(reply.body)) {
     Add("stream " + id + " lost or repeated events: " + reply.body);
   }
 }
--- a/testing/soak/checker.h
+++ b/testing/soak/checker.h
@@ -16,10 +16,10 @@
 namespace kumquatgauge::testing {
 
 // What a route promises of its requests.
-struct RequestPromise {
+struct RequestExpectation {
   int max_runs = 1;
   bool stream = false;
-  std::string whole_body;  // Of an answer with success.
+  std::string full_body;  // Of an answer with success.
 };
 
 // Compares what callers were told with what back ends saw, and collects every
@@ -40,7 +40,7 @@
 
   // A caller's request has ended as `reply` says.
   auto OnReply(const std::string& id,
-               const RequestPromise& promise,
+               const RequestExpectation& expected,
                const FetchReply& reply) -> void;
   // The answer to a submission of a job.
   auto OnSubmitted(const std::string& job,
--- a/testing/soak/checker_test.cc
+++ b/testing/soak/checker_test.cc
@@ -64,12 +64,12 @@
 TEST_CASE("SoakChecker.FindsAStreamWithALostEvent") {
   auto fixture = Fixture();
   const auto whole = ExpectedEvents("a", 0);
-  const auto promise = RequestPromise{2, true, whole};
+  const auto expected = RequestExpectation{2, true, whole};
   const auto half = whole.substr(0, whole.size() / 2);
-  fixture.checker.OnReply("a", promise, Reply(200, half, false));
+  fixture.checker.OnReply("a", expected, Reply(200, half, false));
   CHECK(fixture.Found() == 0);
-  fixture.checker.OnReply("a", promise, Reply(200, half, true));
-  fixture.checker.OnReply("a", promise,
+  fixture.checker.OnReply("a", expected, Reply(200, half, true));
+  fixture.checker.OnReply("a", expected,
                           Reply(200, ExpectedEvents("a", 1), false));
   CHECK(fixture.Found() == 2);
 }
