--- a/testing/soak/checker.cc
+++ b/testing/soak/checker.cc
@@ -13,7 +13,7 @@
 constexpr int kNotFound = 404;
 
 // Statuses that say that the request has not run and never will.
-auto SaysNotRun(const FetchReply& reply) -> bool {
+auto ReportsNotRun(const FetchReply& reply) -> bool {
   return reply.status == 503 || reply.status == 429 || reply.status == 408 ||
          reply.status == 421;
 }
@@ -36,7 +36,7 @@
                           const FetchReply& reply) -> void {
   const auto lock = std::lock_guard(mutex_);
   ++replies_[Outcome(reply)];
-  sent_[id] = {expected.max_runs, SaysNotRun(reply)};
+  sent_[id] = {expected.max_runs, ReportsNotRun(reply)};
   if (reply.status == kNotFound) {
     Add("request " + id + " has a route and got 404");
   }
@@ -59,7 +59,7 @@
   ++replies_["job " + Outcome(reply)];
   jobs_[job].items = items;
   jobs_[job].accepted = reply.status == kAccepted;
-  if (SaysNotRun(reply)) {
+  if (ReportsNotRun(reply)) {
     for (const auto& item : items) {
       sent_[item] = {0, true};
     }
@@ -189,7 +189,7 @@
   const auto lock = std::lock_guard(mutex_);
   for (const auto& [id, sent] : sent_) {
     const auto runs = count_runs_(id);
-    if (sent.said_not_run && runs > 0) {
+    if (sent.refused_as_not_run && runs > 0) {
       Add("request " + id + " was refused as not run and ran");
     } else if (runs > sent.max_runs) {
       Add("request " + id + " ran " + std::to_string(runs) + " times, of " +
--- a/testing/soak/checker.h
+++ b/testing/soak/checker.h
@@ -86,9 +86,9 @@
   auto replies() const -> std::map<std::string, int>;
 
  private:
-  struct Sent {
+  struct SentRequest {
     int max_runs = 1;
-    bool said_not_run = false;
+    bool refused_as_not_run = false;
   };
   struct Job {
     std::vector<std::string> items;
@@ -111,7 +111,7 @@
 
   CountRuns count_runs_;
   mutable std::mutex mutex_;
-  std::map<std::string, Sent> sent_;
+  std::map<std::string, SentRequest> sent_;
   std::map<std::string, Job> jobs_;
   std::map<std::string, Disruptions> disruptions_;  // By place.
   std::map<std::pair<std::string, int>, int> served_by_;
