--- a/testing/soak/checker.cc
+++ b/testing/soak/checker.cc
@@ -117,13 +117,13 @@
   const auto lock = std::lock_guard(mutex_);
   auto& disruptions = disruptions_[place];
   --disruptions.open;
-  disruptions.in_touch_after = at + kContactTime;
+  disruptions.reachable_after = at + kRecoveryTime;
 }
 
-auto SoakChecker::IsInTouch(const std::string& place, Time at) const -> bool {
+auto SoakChecker::IsReachable(const std::string& place, Time at) const -> bool {
   const auto found = disruptions_.find(place);
   return found == disruptions_.end() ||
-         (found->second.open == 0 && at > found->second.in_touch_after);
+         (found->second.open == 0 && at > found->second.reachable_after);
 }
 
 auto SoakChecker::OnItemStarted(const std::string& job,
@@ -134,18 +134,18 @@
   const auto lock = std::lock_guard(mutex_);
   auto& known = jobs_[job];
   known.owners.insert(owner);
-  if (!known.ended || at <= *known.ended + kEndTime) {
+  if (!known.ended || at <= *known.ended + kMaxEndDelay) {
     return;
   }
   // A back end does not see which node has sent an item. It is an owner of the
   // job, perhaps a former one that does not know of its successor yet, so the
   // start counts if all of them are in touch. An item may also have waited on
   // the link to the replica.
-  const auto in_touch =
-      IsInTouch(replica, at) &&
+  const auto reachable =
+      IsReachable(replica, at) &&
       std::all_of(known.owners.begin(), known.owners.end(),
-                  [&](const auto& node) { return IsInTouch(node, at); });
-  if (!in_touch) {
+                  [&](const auto& node) { return IsReachable(node, at); });
+  if (!reachable) {
     return;
   }
   ++known.late_starts;
--- a/testing/soak/checker.h
+++ b/testing/soak/checker.h
@@ -31,9 +31,9 @@
   using Time = std::chrono::steady_clock::time_point;
 
   // Within which the items of a job whose end was acknowledged stop starting.
-  static constexpr std::chrono::milliseconds kEndTime{3'000};
+  static constexpr std::chrono::milliseconds kMaxEndDelay{3'000};
   // A node is in touch once this has passed without a disruption of it.
-  static constexpr std::chrono::milliseconds kContactTime{3'000};
+  static constexpr std::chrono::milliseconds kRecoveryTime{3'000};
 
   explicit SoakChecker(CountRuns count_runs)
       : count_runs_(std::move(count_runs)) {}
@@ -103,11 +103,11 @@
   };
   struct Disruptions {
     int open = 0;
-    Time in_touch_after = Time::min();
+    Time reachable_after = Time::min();
   };
 
   auto Add(const std::string& violation) -> void;
-  auto IsInTouch(const std::string& place, Time at) const -> bool;
+  auto IsReachable(const std::string& place, Time at) const -> bool;
 
   CountRuns count_runs_;
   mutable std::mutex mutex_;
