--- a/testing/soak/checker.cc
+++ b/testing/soak/checker.cc
@@ -156,10 +156,11 @@
                           " ms after the end was answered";
 }
 
-auto SoakChecker::OnServedBy(const std::string& node, int start, int version)
-    -> void {
+auto SoakChecker::OnVersionServed(const std::string& node,
+                                  int start,
+                                  int version) -> void {
   const auto lock = std::lock_guard(mutex_);
-  auto& newest = served_by_[{node, start}];
+  auto& newest = newest_served_[{node, start}];
   if (version < newest) {
     Add("node " + node + " went back from configuration " +
         std::to_string(newest) + " to " + std::to_string(version));
--- a/testing/soak/checker.h
+++ b/testing/soak/checker.h
@@ -69,7 +69,7 @@
                      const std::string& replica,
                      Time at) -> void;
   // A node, in one run of its process, has served by a configuration version.
-  auto OnServedBy(const std::string& node, int start, int version) -> void;
+  auto OnVersionServed(const std::string& node, int start, int version) -> void;
   // A process that was to stop as planned has ended, or not, within its time.
   auto OnGracefulStop(const std::string& node, std::optional<int> exit_status)
       -> void;
@@ -114,7 +114,7 @@
   std::map<std::string, SentRequest> sent_;
   std::map<std::string, Job> jobs_;
   std::map<std::string, Disruptions> disruptions_;  // By place.
-  std::map<std::pair<std::string, int>, int> served_by_;
+  std::map<std::pair<std::string, int>, int> newest_served_;
   std::map<std::string, int> replies_;  // Count by outcome.
   std::vector<std::string> violations_;
 };
--- a/testing/soak/checker_test.cc
+++ b/testing/soak/checker_test.cc
@@ -101,11 +101,11 @@
 
 TEST_CASE("SoakChecker.FindsANodeThatGoesBackToAnOlderConfiguration") {
   auto fixture = Fixture();
-  fixture.checker.OnServedBy("n", 1, 5);
-  fixture.checker.OnServedBy("n", 2, 4);
-  fixture.checker.OnServedBy("m", 1, 4);
+  fixture.checker.OnVersionServed("n", 1, 5);
+  fixture.checker.OnVersionServed("n", 2, 4);
+  fixture.checker.OnVersionServed("m", 1, 4);
   CHECK(fixture.Found() == 0);
-  fixture.checker.OnServedBy("n", 1, 4);
+  fixture.checker.OnVersionServed("n", 1, 4);
   CHECK(fixture.Found() == 1);
 }
 
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -319,17 +319,18 @@
       const auto newest = version_.load();
       const auto version = newest - static_cast<int>(random.Below(2));
       const auto start = node.starts();
-      const auto served = ServesBy(node, version, "v" + std::to_string(number));
+      const auto served =
+          ServesVersion(node, version, "v" + std::to_string(number));
       if (served && node.starts() == start) {
-        checker_.OnServedBy(node.name(), start, version);
+        checker_.OnVersionServed(node.name(), start, version);
       }
       std::this_thread::sleep_for(kReaderPause);
     }
   }
 
-  static auto ServesBy(const GatewayProcess& node,
-                       int version,
-                       const std::string& id) -> bool {
+  static auto ServesVersion(const GatewayProcess& node,
+                            int version,
+                            const std::string& id) -> bool {
     const auto reply = node.Call("POST", VersionPath(version), id);
     return reply.status == kOk;
   }
@@ -594,7 +595,7 @@
       if (!process.Ready()) {
         return process.name() + " is not ready";
       }
-      if (!ServesBy(process, version_, id)) {
+      if (!ServesVersion(process, version_, id)) {
         return process.name() + " does not serve by the newest configuration";
       }
       for (const auto& job : checker_.unfinished_jobs()) {
