--- a/testing/soak/checker.cc
+++ b/testing/soak/checker.cc
@@ -80,8 +80,8 @@
   if (!added && entry->second != content) {
     Add(where + "the result has changed");
   }
-  const auto [place, first] = known.places.emplace(item, position);
-  if (!first && place->second != position) {
+  const auto [known_position, first] = known.positions.emplace(item, position);
+  if (!first && known_position->second != position) {
     Add(where + "item " + item + " stands twice");
   }
   if (std::count(known.items.begin(), known.items.end(), item) == 0) {
@@ -108,20 +108,22 @@
   }
 }
 
-auto SoakChecker::OnDisrupted(const std::string& place) -> void {
+auto SoakChecker::OnDisrupted(const std::string& component) -> void {
   const auto lock = std::lock_guard(mutex_);
-  ++disruptions_[place].open;
+  ++disruptions_[component].open;
 }
 
-auto SoakChecker::OnDisruptionEnded(const std::string& place, Time at) -> void {
+auto SoakChecker::OnDisruptionEnded(const std::string& component, Time at)
+    -> void {
   const auto lock = std::lock_guard(mutex_);
-  auto& disruptions = disruptions_[place];
+  auto& disruptions = disruptions_[component];
   --disruptions.open;
   disruptions.reachable_after = at + kRecoveryTime;
 }
 
-auto SoakChecker::IsReachable(const std::string& place, Time at) const -> bool {
-  const auto found = disruptions_.find(place);
+auto SoakChecker::IsReachable(const std::string& component, Time at) const
+    -> bool {
+  const auto found = disruptions_.find(component);
   return found == disruptions_.end() ||
          (found->second.open == 0 && at > found->second.reachable_after);
 }
--- a/testing/soak/checker.h
+++ b/testing/soak/checker.h
@@ -59,8 +59,8 @@
       -> void;
   // A node is stopped, paused or cut off, or a replica's link is harmed. Such
   // disruptions may overlap.
-  auto OnDisrupted(const std::string& place) -> void;
-  auto OnDisruptionEnded(const std::string& place, Time at) -> void;
+  auto OnDisrupted(const std::string& component) -> void;
+  auto OnDisruptionEnded(const std::string& component, Time at) -> void;
   // An item has begun to run at a replica while the store named this owner of
   // its job.
   auto OnItemStarted(const std::string& job,
@@ -93,9 +93,9 @@
   struct Job {
     std::vector<std::string> items;
     bool accepted = false;
-    std::map<std::size_t, std::string> listed;  // Item and text by position.
-    std::map<std::string, std::size_t> places;  // Position by item.
-    std::set<std::string> owners;               // All so far.
+    std::map<std::size_t, std::string> listed;     // Item and text by position.
+    std::map<std::string, std::size_t> positions;  // Position by item.
+    std::set<std::string> owners;                  // All so far.
     bool end_requested = false;
     std::optional<Time> ended;  // When a caller first got 200 for its end.
     int late_starts = 0;
@@ -107,13 +107,13 @@
   };
 
   auto Add(const std::string& violation) -> void;
-  auto IsReachable(const std::string& place, Time at) const -> bool;
+  auto IsReachable(const std::string& component, Time at) const -> bool;
 
   CountRuns count_runs_;
   mutable std::mutex mutex_;
   std::map<std::string, SentRequest> sent_;
   std::map<std::string, Job> jobs_;
-  std::map<std::string, Disruptions> disruptions_;  // By place.
+  std::map<std::string, Disruptions> disruptions_;  // By component.
   std::map<std::pair<std::string, int>, int> newest_served_;
   std::map<std::string, int> replies_;  // Count by outcome.
   std::vector<std::string> violations_;
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -483,23 +483,23 @@
     }
   }
 
-  // `place` is what the link disrupts.
-  auto DisruptLink(LoopbackProxy& link, const std::string& place) -> void {
+  // `component` is what the link disrupts.
+  auto DisruptLink(LoopbackProxy& link, const std::string& component) -> void {
     constexpr LinkFault kLinkFaults[] = {LinkFault::kNone, LinkFault::kDelay,
                                          LinkFault::kSilence,
                                          LinkFault::kOneWay};
     const auto fault = kLinkFaults[fault_random_.Below(std::size(kLinkFaults))];
     const auto time = FaultDuration();
-    checker_.OnDisrupted(place);
+    checker_.OnDisrupted(component);
     if (fault == LinkFault::kNone) {
       link.Reset();
-      checker_.OnDisruptionEnded(place, std::chrono::steady_clock::now());
+      checker_.OnDisruptionEnded(component, std::chrono::steady_clock::now());
       return;
     }
     link.SetFault(fault);
-    RunAfter(time, [this, &link, place] {
+    RunAfter(time, [this, &link, component] {
       link.SetFault(LinkFault::kNone);
-      checker_.OnDisruptionEnded(place, std::chrono::steady_clock::now());
+      checker_.OnDisruptionEnded(component, std::chrono::steady_clock::now());
     });
   }
 
