--- a/testing/gateway/gateway_process.cc
+++ b/testing/gateway/gateway_process.cc
@@ -112,7 +112,8 @@
     -> json {
   const auto reply =
       Call("GET", "/api/lots/" + job + "?after=" + std::to_string(after), "");
-  return reply.status == 200 && reply.whole ? json::parse(reply.body) : json();
+  return reply.status == 200 && reply.complete ? json::parse(reply.body)
+                                               : json();
 }
 
 auto GatewayProcess::Log() const -> std::string {
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -102,7 +102,7 @@
   CHECK(plain.body == "answer to question");
   CHECK(plain.headers.at("response-signature").starts_with("signed.i-"));
   const auto stream = node.Call("POST", "/stream/x", "q2");
-  CHECK(stream.whole);
+  CHECK(stream.complete);
   CHECK(stream.body == ExpectedEvents("q2", 0));
   CHECK(node.Call("POST", "/none/", "q3").status == 404);
 }
@@ -216,7 +216,7 @@
   for (auto request = 0; request < 4; ++request) {
     const auto id = "m" + std::to_string(request);
     const auto reply = fleet.nodes.front()->Call("POST", "/stream/x", id);
-    CHECK(reply.whole);
+    CHECK(reply.complete);
     CHECK(reply.body == ExpectedEvents(id, 0));
   }
 }
@@ -228,7 +228,7 @@
   fleet.one->SetFault(ReplicaFault::kBreakMidEvent, 1);
   fleet.two->SetFault(ReplicaFault::kBreakMidEvent, 1);
   const auto reply = fleet.nodes.front()->Call("POST", "/stream/once/x", "b1");
-  CHECK_FALSE(reply.whole);
+  CHECK_FALSE(reply.complete);
   CHECK(fleet.Runs("b1") == 1);
 }
 
@@ -563,7 +563,7 @@
   CHECK(Eventually([&] { return !node.Ready(); }));
   CHECK(node.process().WaitForExit(milliseconds(8'000)) == 0);
   caller.join();
-  CHECK(reply.whole);
+  CHECK(reply.complete);
   CHECK(reply.body == ExpectedEvents("t1", 0));
 }
 
--- a/testing/scenario/http_fetch.cc
+++ b/testing/scenario/http_fetch.cc
@@ -59,7 +59,7 @@
 
   auto Run() -> FetchReply {
     context_.run();
-    reply_.whole = parser_.is_done();
+    reply_.complete = parser_.is_done();
     if (parser_.is_header_done()) {
       const auto& response = parser_.get();
       reply_.status = static_cast<int>(response.result_int());
--- a/testing/scenario/http_fetch.h
+++ b/testing/scenario/http_fetch.h
@@ -19,7 +19,7 @@
 
 struct FetchReply {
   bool connected = false;
-  bool whole = false;  // The whole response was received.
+  bool complete = false;  // The whole response was received.
   int status = 0;
   std::map<std::string, std::string> headers;  // Lower-case names.
   std::string body;
--- a/testing/scenario/interpreter.cc
+++ b/testing/scenario/interpreter.cc
@@ -531,7 +531,7 @@
       ++started_late;
     }
   }
-  row["readable"] = results.whole && results.status == kStatusOk;
+  row["readable"] = results.complete && results.status == kStatusOk;
   row["missing"] = missing;
   row["duplicated"] = duplicated;
   row["wrong"] = wrong;
--- a/testing/scenario/load.cc
+++ b/testing/scenario/load.cc
@@ -105,7 +105,7 @@
         Fetch({.address = entry_nodes_[(number + place) % entry_nodes_.size()],
                .target = "/v1/addresses",
                .timeout = kAskTimeout});
-    if (reply.whole && reply.status == kStatusOk) {
+    if (reply.complete && reply.status == kStatusOk) {
       return nlohmann::json::parse(reply.body);
     }
   }
@@ -154,9 +154,9 @@
     constexpr auto kDetailBytes = std::size_t{300};
     result.detail = reply.body.substr(
         reply.body.size() - std::min(reply.body.size(), kDetailBytes));
-    result.outcome = reply.whole && reply.status != kStatusOk && !told.empty()
-                         ? told
-                         : "broken";
+    result.outcome =
+        reply.complete && reply.status != kStatusOk && !told.empty() ? told
+                                                                     : "broken";
     if (result.outcome == "not_run") {
       std::this_thread::sleep_for(RetryAfter(reply));
     } else if (reply.connected) {
@@ -192,7 +192,7 @@
     request.address = addresses[round % addresses.size()];
     const auto reply = Fetch(request);
     const auto told = Header(reply, "kqg-outcome");
-    if (!reply.whole || told.empty()) {
+    if (!reply.complete || told.empty()) {
       // Nothing was heard; what an earlier round was told still holds.
       continue;
     }
--- a/testing/soak/checker.cc
+++ b/testing/soak/checker.cc
@@ -22,7 +22,7 @@
   if (reply.status == 0) {
     return reply.connected ? "closed" : "no connection";
   }
-  return std::to_string(reply.status) + (reply.whole ? "" : " cut");
+  return std::to_string(reply.status) + (reply.complete ? "" : " cut");
 }
 
 }  // namespace
@@ -43,10 +43,10 @@
   if (reply.status != kOk) {
     return;
   }
-  if (reply.whole && reply.body != expected.full_body) {
+  if (reply.complete && reply.body != expected.full_body) {
     Add("request " + id + " got a wrong answer: " + reply.body);
   }
-  if (!reply.whole && expected.stream &&
+  if (!reply.complete && expected.stream &&
       !expected.full_body.starts_with(reply.body)) {
     Add("stream " + id + " lost or repeated events: " + reply.body);
   }
--- a/testing/soak/checker_test.cc
+++ b/testing/soak/checker_test.cc
@@ -10,12 +10,12 @@
 namespace kumquatgauge::testing {
 namespace {
 
-auto Reply(int status, const std::string& body, bool whole = true)
+auto Reply(int status, const std::string& body, bool complete = true)
     -> FetchReply {
   auto reply = FetchReply();
   reply.connected = true;
   reply.status = status;
-  reply.whole = whole;
+  reply.complete = complete;
   reply.body = body;
   return reply;
 }
