--- a/src/caller/caller_server_test.cc
+++ b/src/caller/caller_server_test.cc
@@ -678,14 +678,14 @@
   // The socket buffers of the kernel take some pieces, far from all.
   RunUntil(
       fixture.context, [] { return false; }, std::chrono::milliseconds(300));
-  CHECK(fixture.backend.pieces_taken < 100);
+  CHECK(fixture.backend.pieces_read < 100);
 }
 
 // Guards against truncated results taken for all results.
 TEST_CASE("CallerServer.BreaksTheBodyWhenResultsEndEarly") {
   Fixture fixture;
   fixture.backend.result_pieces = {"{\"a\":1}\n"};
-  fixture.backend.results_break = true;
+  fixture.backend.fail_results = true;
   const auto response = fixture.Ask(Get("/v1/batches/job-1/results"));
   CHECK(response.body.find("0\r\n\r\n") == std::string::npos);
 }
--- a/testing/support/fake_backend.h
+++ b/testing/support/fake_backend.h
@@ -91,7 +91,7 @@
       -> boost::asio::awaitable<std::unique_ptr<caller::BatchUpload>> override {
     batch_options = std::move(options);
     uploads.push_back(std::make_shared<Upload>());
-    co_return std::make_unique<BatchUploadTo>(*this, uploads.back());
+    co_return std::make_unique<FakeBatchUpload>(*this, uploads.back());
   }
   auto BatchStatus(JobId id)
       -> boost::asio::awaitable<nlohmann::json> override {
@@ -109,9 +109,9 @@
     result_custom_id = std::move(custom_id);
     for (const auto& piece : result_pieces) {
       co_await sink(piece);
-      ++pieces_taken;
+      ++pieces_read;
     }
-    if (results_break) {
+    if (fail_results) {
       throw Error(ErrorKind::kUnavailable, "platform is out", "results",
                   "read them again");
     }
@@ -136,17 +136,17 @@
   std::optional<Error> finish_error;
   std::vector<std::string> result_pieces;
   std::optional<std::string> result_custom_id;
-  std::size_t pieces_taken = 0;
-  bool results_break = false;
+  std::size_t pieces_read = 0;
+  bool fail_results = false;
 
  private:
-  class BatchUploadTo : public caller::BatchUpload {
+  class FakeBatchUpload : public caller::BatchUpload {
    public:
-    BatchUploadTo(FakeBackend& backend, std::shared_ptr<Upload> upload)
+    FakeBatchUpload(FakeBackend& backend, std::shared_ptr<Upload> upload)
         : backend_(backend), upload_(std::move(upload)) {}
-    BatchUploadTo(const BatchUploadTo&) = delete;
-    auto operator=(const BatchUploadTo&) -> BatchUploadTo& = delete;
-    ~BatchUploadTo() override { upload_->abandoned = !upload_->finished; }
+    FakeBatchUpload(const FakeBatchUpload&) = delete;
+    auto operator=(const FakeBatchUpload&) -> FakeBatchUpload& = delete;
+    ~FakeBatchUpload() override { upload_->abandoned = !upload_->finished; }
 
     auto Append(std::string bytes) -> boost::asio::awaitable<void> override {
       upload_->body += bytes;
