--- a/testing/scenario/interpreter.cc
+++ b/testing/scenario/interpreter.cc
@@ -55,13 +55,13 @@
   return value.is_string() ? value.get<std::string>() : value.dump();
 }
 
-auto Name(const operators::Command& command, std::size_t place = 0)
+auto Name(const operators::Command& command, std::size_t index = 0)
     -> const std::string& {
-  if (command.names.size() <= place) {
+  if (command.names.size() <= index) {
     throw std::runtime_error(command.verb + " " + command.kind +
                              " needs a name");
   }
-  return command.names[place];
+  return command.names[index];
 }
 
 auto ZonesOf(const operators::Command& command) -> std::vector<std::string> {
@@ -142,21 +142,21 @@
     Wait(command);
   } else if (command.verb == "kill") {
     fleet_->process(Name(command)).Signal(SIGKILL);
-    killed_.insert(Name(command));
+    unavailable_.insert(Name(command));
   } else if (command.verb == "stop") {
     fleet_->process(Name(command)).Signal(SIGTERM);
-    killed_.insert(Name(command));
+    unavailable_.insert(Name(command));
   } else if (command.verb == "freeze") {
     fleet_->process(Name(command)).Signal(SIGSTOP);
-    killed_.insert(Name(command));
+    unavailable_.insert(Name(command));
   } else if (command.verb == "wake") {
     fleet_->process(Name(command)).Signal(SIGCONT);
-    killed_.erase(Name(command));
+    unavailable_.erase(Name(command));
   } else if (command.verb == "restart" && command.kind == "fleet") {
     RestartFleet(command);
   } else if (command.verb == "restart") {
     fleet_->RestartNode(Name(command));
-    killed_.erase(Name(command));
+    unavailable_.erase(Name(command));
   } else if (command.verb == "fault") {
     Fault(command);
   } else {
@@ -193,7 +193,7 @@
   for (auto index = std::size_t{0}; index < count; ++index) {
     fleet_->StartNode("n" + std::to_string(index), zones[index % zones.size()]);
   }
-  WaitUntilFormed(kNodeStartLimit);
+  WaitForFullMembership(kNodeStartLimit);
   watching_ = true;
   watcher_ = std::thread([this] { WatchRevisions(); });
 }
@@ -212,7 +212,8 @@
   return seen;
 }
 
-auto Interpreter::WaitUntilFormed(std::chrono::milliseconds limit) -> void {
+auto Interpreter::WaitForFullMembership(std::chrono::milliseconds limit)
+    -> void {
   const auto names = fleet_->nodes();
   const auto all = std::set<std::string>(names.begin(), names.end());
   const auto deadline = SteadyClock::now() + limit;
@@ -224,15 +225,16 @@
                                  std::to_string(*status) + " at its start");
       }
       if (SteadyClock::now() >= deadline) {
-        throw std::runtime_error("not all " + std::to_string(all.size()) +
-                                 " nodes see each other:" + WhatNodesSee());
+        throw std::runtime_error(
+            "not all " + std::to_string(all.size()) +
+            " nodes see each other:" + DescribeMembershipViews());
       }
       std::this_thread::sleep_for(kPoll);
     }
   }
 }
 
-auto Interpreter::WhatNodesSee() const -> std::string {
+auto Interpreter::DescribeMembershipViews() const -> std::string {
   auto text = std::string();
   for (const auto& node : fleet_->nodes()) {
     text += " " + node + " sees";
@@ -252,7 +254,7 @@
     std::shuffle(order.begin(), order.end(), random_);
     fleet_->RestartNodes(order);
     try {
-      WaitUntilFormed(milliseconds(limit));
+      WaitForFullMembership(milliseconds(limit));
     } catch (const std::runtime_error& error) {
       throw std::runtime_error("round " + std::to_string(round) + ": " +
                                error.what());
@@ -304,7 +306,7 @@
 auto Interpreter::LiveNode() -> std::string {
   auto live = std::vector<std::string>();
   for (const auto& node : fleet_->nodes()) {
-    if (!killed_.contains(node)) {
+    if (!unavailable_.contains(node)) {
       live.push_back(node);
     }
   }
@@ -337,8 +339,8 @@
   auto body = std::string();
   for (auto index = std::size_t{0}; index < items; ++index) {
     auto prompt = "item " + std::to_string(index) + " of job " + name;
-    const auto never = index < bad;
-    if (never) {
+    const auto fails = index < bad;
+    if (fails) {
       prompt += index % 2 == 0 ? " [[bad item]]" : " [[engine error]]";
     }
     constexpr auto kShortest = 8;
@@ -350,7 +352,7 @@
     line["body"]["max_tokens"] = tokens;
     body += line.dump() + "\n";
     job.custom_ids.push_back(line["custom_id"]);
-    job.expected.push_back(never ? "" : FakeAnswer(prompt, tokens));
+    job.expected.push_back(fails ? "" : FakeAnswer(prompt, tokens));
   }
   return body;
 }
@@ -375,8 +377,9 @@
     last_answer_ = nlohmann::json::object();
   }
   last_answer_["http_status"] = reply.status;
-  const auto told = reply.headers.find("kqg-outcome");
-  last_answer_["outcome"] = told == reply.headers.end() ? "" : told->second;
+  const auto outcome = reply.headers.find("kqg-outcome");
+  last_answer_["outcome"] =
+      outcome == reply.headers.end() ? "" : outcome->second;
   if (last_answer_.contains("id")) {
     job.id = last_answer_["id"];
     jobs_[name] = std::move(job);
@@ -509,13 +512,13 @@
   auto duplicated = 0;
   auto wrong = 0;
   for (auto index = std::size_t{0}; index < job.custom_ids.size(); ++index) {
-    const auto place = found.find(job.custom_ids[index]);
-    if (place == found.end()) {
+    const auto entry = found.find(job.custom_ids[index]);
+    if (entry == found.end()) {
       ++missing;
       continue;
     }
-    duplicated += place->second.size() > 1 ? 1 : 0;
-    const auto& result = place->second.front();
+    duplicated += entry->second.size() > 1 ? 1 : 0;
+    const auto& result = entry->second.front();
     const auto text = result.contains("response")
                           ? result["response"].value("text", "")
                           : std::string();
@@ -574,7 +577,7 @@
   return row;
 }
 
-auto Interpreter::ExpectedRow(const Command& command) -> nlohmann::json {
+auto Interpreter::ObservedRow(const Command& command) -> nlohmann::json {
   if (command.kind == "load") {
     return loads_.at(Name(command))->Row();
   }
@@ -622,7 +625,7 @@
 }
 
 auto Interpreter::Expect(const Command& command) -> void {
-  const auto row = ExpectedRow(command);
+  const auto row = ObservedRow(command);
   auto conditions = Command();
   conditions.where = command.where;
   const auto rows = nlohmann::json::array({row});
@@ -639,14 +642,14 @@
       const auto reply = Fetch({.address = fleet_->caller_address(node),
                                 .target = "/metrics",
                                 .timeout = milliseconds(500)});
-      const auto place = reply.body.find(kMetric);
-      if (place == std::string::npos) {
+      const auto position = reply.body.find(kMetric);
+      if (position == std::string::npos) {
         const auto lock = std::lock_guard(revisions_mutex_);
         revisions_.erase(node);  // A restarted node may start from 0.
         continue;
       }
       const auto revision =
-          std::stod(reply.body.substr(place + kMetric.size(), 20));
+          std::stod(reply.body.substr(position + kMetric.size(), 20));
       const auto lock = std::lock_guard(revisions_mutex_);
       revisions_back_ += revision < revisions_[node] ? 1 : 0;
       revisions_[node] = std::max(revisions_[node], revision);
--- a/testing/scenario/interpreter.h
+++ b/testing/scenario/interpreter.h
@@ -47,8 +47,8 @@
   auto LiveNodesSeenBy(const std::string& node) const -> std::set<std::string>;
   // Waits until all nodes see exactly each other. Throws std::runtime_error
   // with what each node sees after `limit`, or if a node has ended.
-  auto WaitUntilFormed(std::chrono::milliseconds limit) -> void;
-  auto WhatNodesSee() const -> std::string;
+  auto WaitForFullMembership(std::chrono::milliseconds limit) -> void;
+  auto DescribeMembershipViews() const -> std::string;
   // Kills all nodes and starts them again, several times.
   auto RestartFleet(const Command& command) -> void;
   auto Configure(const Command& command) -> void;
@@ -61,7 +61,7 @@
   auto HostList(const std::string& name, const std::string& state) const
       -> nlohmann::json;
   auto Expect(const Command& command) -> void;
-  auto ExpectedRow(const Command& command) -> nlohmann::json;
+  auto ObservedRow(const Command& command) -> nlohmann::json;
   auto JobRow(const std::string& name) -> nlohmann::json;
   auto InvariantsRow() -> nlohmann::json;
   auto NodeRow(const std::string& name) -> nlohmann::json;
@@ -80,7 +80,7 @@
   std::unique_ptr<Fleet> fleet_;
   std::map<std::string, std::unique_ptr<Load>> loads_;
   std::map<std::string, Job> jobs_;
-  std::set<std::string> killed_;
+  std::set<std::string> unavailable_;
   nlohmann::json last_answer_;
 
   // Highest revision seen per node, read from its metrics in the background.
