--- a/testing/scenario/load.cc
+++ b/testing/scenario/load.cc
@@ -13,8 +13,8 @@
 
 using SteadyClock = std::chrono::steady_clock;
 
-constexpr auto kAskTimeout = std::chrono::milliseconds(1'000);
-constexpr auto kTryAgain = std::chrono::milliseconds(100);
+constexpr auto kAddressTimeout = std::chrono::milliseconds(1'000);
+constexpr auto kDefaultRetryDelay = std::chrono::milliseconds(100);
 constexpr auto kStatusOk = 200;
 
 auto Header(const FetchReply& reply, const std::string& name) -> std::string {
@@ -24,7 +24,7 @@
 
 auto RetryAfter(const FetchReply& reply) -> std::chrono::milliseconds {
   const auto text = Header(reply, "retry-after");
-  return text.empty() ? kTryAgain
+  return text.empty() ? kDefaultRetryDelay
                       : std::chrono::milliseconds(std::stoul(text) * 1'000);
 }
 
@@ -51,9 +51,9 @@
     return 0.0;
   }
   std::sort(figures.begin(), figures.end());
-  const auto place = static_cast<std::size_t>(
+  const auto rank = static_cast<std::size_t>(
       std::lround(share * static_cast<double>(figures.size() - 1)));
-  return figures[std::min(place, figures.size() - 1)];
+  return figures[std::min(rank, figures.size() - 1)];
 }
 
 }  // namespace
@@ -61,19 +61,19 @@
 Load::Load(LoadSpec spec, std::vector<std::string> entry_nodes)
     : spec_(std::move(spec)),
       entry_nodes_(std::move(entry_nodes)),
-      pacer_([this] { Pace(); }) {}
+      thread_([this] { RunCallers(); }) {}
 
 Load::~Load() {
   Join();
 }
 
 auto Load::Join() -> void {
-  if (pacer_.joinable()) {
-    pacer_.join();
+  if (thread_.joinable()) {
+    thread_.join();
   }
 }
 
-auto Load::Pace() -> void {
+auto Load::RunCallers() -> void {
   const auto start = SteadyClock::now();
   const auto gap = std::chrono::duration<double>(1.0 / spec_.rate);
   auto callers = std::vector<std::thread>();
@@ -99,12 +99,12 @@
   results_.push_back(std::move(result));
 }
 
-auto Load::AskAddresses(std::size_t number) const -> nlohmann::json {
-  for (auto place = std::size_t{0}; place < entry_nodes_.size(); ++place) {
+auto Load::FetchAddresses(std::size_t number) const -> nlohmann::json {
+  for (auto index = std::size_t{0}; index < entry_nodes_.size(); ++index) {
     const auto reply =
-        Fetch({.address = entry_nodes_[(number + place) % entry_nodes_.size()],
+        Fetch({.address = entry_nodes_[(number + index) % entry_nodes_.size()],
                .target = "/v1/addresses",
-               .timeout = kAskTimeout});
+               .timeout = kAddressTimeout});
     if (reply.complete && reply.status == kStatusOk) {
       return nlohmann::json::parse(reply.body);
     }
@@ -124,9 +124,9 @@
   const auto deadline = SteadyClock::now() + spec_.deadline;
   while (SteadyClock::now() < deadline) {
     ++result.tries;
-    const auto answer = AskAddresses(number + result.tries);
+    const auto answer = FetchAddresses(number + result.tries);
     if (!answer.is_object() || answer["addresses"].empty()) {
-      std::this_thread::sleep_for(kTryAgain);
+      std::this_thread::sleep_for(kDefaultRetryDelay);
       continue;
     }
     const auto reply =
@@ -150,13 +150,14 @@
       result.outcome = "wrong";
       return result;
     }
-    const auto told = Header(reply, "kqg-outcome");
+    const auto outcome = Header(reply, "kqg-outcome");
     constexpr auto kDetailBytes = std::size_t{300};
     result.detail = reply.body.substr(
         reply.body.size() - std::min(reply.body.size(), kDetailBytes));
     result.outcome =
-        reply.complete && reply.status != kStatusOk && !told.empty() ? told
-                                                                     : "broken";
+        reply.complete && reply.status != kStatusOk && !outcome.empty()
+            ? outcome
+            : "broken";
     if (result.outcome == "not_run") {
       std::this_thread::sleep_for(RetryAfter(reply));
     } else if (reply.connected) {
@@ -171,7 +172,7 @@
 auto Load::Pay(std::size_t number) -> Result {
   auto result = Result{.outcome = "broken"};
   result.key = spec_.name + "-" + std::to_string(number);
-  const auto answer = AskAddresses(number);
+  const auto answer = FetchAddresses(number);
   if (!answer.is_object() || answer["addresses"].empty()) {
     return result;
   }
@@ -191,18 +192,18 @@
     ++result.tries;
     request.address = addresses[round % addresses.size()];
     const auto reply = Fetch(request);
-    const auto told = Header(reply, "kqg-outcome");
-    if (!reply.complete || told.empty()) {
+    const auto outcome = Header(reply, "kqg-outcome");
+    if (!reply.complete || outcome.empty()) {
       // Nothing was heard; what an earlier round was told still holds.
       continue;
     }
     // Once it was told to have run, no later answer may say "not run".
-    if (told == "not_run" && result.outcome == "completed") {
+    if (outcome == "not_run" && result.outcome == "completed") {
       result.outcome = "wrong";
       return result;
     }
     if (result.outcome != "completed") {
-      result.outcome = told;
+      result.outcome = outcome;
     }
   }
   return result;
--- a/testing/scenario/load.h
+++ b/testing/scenario/load.h
@@ -56,17 +56,17 @@
     std::string detail;  // End of the response that was not a whole answer.
   };
 
-  auto Pace() -> void;
+  auto RunCallers() -> void;
   auto RunOne(std::size_t number) -> void;
   auto Complete(std::size_t number) -> Result;
   auto Pay(std::size_t number) -> Result;
-  auto AskAddresses(std::size_t number) const -> nlohmann::json;
+  auto FetchAddresses(std::size_t number) const -> nlohmann::json;
 
   LoadSpec spec_;
   std::vector<std::string> entry_nodes_;
   mutable std::mutex mutex_;
   std::vector<Result> results_;
-  std::thread pacer_;
+  std::thread thread_;
 };
 
 }  // namespace kumquatgauge::testing
