--- a/testing/support/platform_state.cc
+++ b/testing/support/platform_state.cc
@@ -11,12 +11,12 @@
     return std::nullopt;
   }
   const auto& history = found->second.history;
-  for (auto past = history.rbegin(); past != history.rend(); ++past) {
-    if (past->from <= time) {
-      if (!past->value) {
+  for (auto entry = history.rbegin(); entry != history.rend(); ++entry) {
+    if (entry->from <= time) {
+      if (!entry->value) {
         return std::nullopt;
       }
-      return store::StoredObject{*past->value, past->version};
+      return store::StoredObject{*entry->value, entry->version};
     }
   }
   return std::nullopt;
@@ -46,7 +46,7 @@
   if (!matches) {
     return {Change::kVersionDiffers, current ? current->version : 0};
   }
-  live_ += current ? 0 : 1;
+  object_count_ += current ? 0 : 1;
   return {Change::kDone, Record(key, std::move(value), now)};
 }
 
@@ -60,7 +60,7 @@
   if (expected && current->version != *expected) {
     return {Change::kVersionDiffers, current->version};
   }
-  --live_;
+  --object_count_;
   return {Change::kDone, Record(key, std::nullopt, now)};
 }
 
@@ -105,9 +105,9 @@
 }
 
 auto PlatformState::Hosts(MonotonicTime time) const -> nlohmann::json {
-  for (auto past = hosts_.rbegin(); past != hosts_.rend(); ++past) {
-    if (past->first <= time) {
-      return past->second;
+  for (auto entry = hosts_.rbegin(); entry != hosts_.rend(); ++entry) {
+    if (entry->first <= time) {
+      return entry->second;
     }
   }
   return {{"version", 0}, {"hosts", nlohmann::json::array()}};
@@ -116,7 +116,7 @@
 auto PlatformState::Clear() -> void {
   objects_.clear();
   revision_ = 0;
-  live_ = 0;
+  object_count_ = 0;
 }
 
 }  // namespace kumquatgauge::testing
--- a/testing/support/platform_state.h
+++ b/testing/support/platform_state.h
@@ -43,7 +43,7 @@
   auto Events(const std::string& prefix, std::uint64_t since) const
       -> store::WatchBatch;
   auto revision() const -> std::uint64_t { return revision_; }
-  auto object_count() const -> std::size_t { return live_; }
+  auto object_count() const -> std::size_t { return object_count_; }
 
   // Hosts as in PUT /hosts; they show `lag` later.
   auto SetHosts(nlohmann::json hosts, MonotonicTime now) -> void;
@@ -54,13 +54,13 @@
   auto Clear() -> void;
 
  private:
-  struct Past {
+  struct HistoryEntry {
     MonotonicTime from;
     std::optional<std::string> value;  // Empty: removed.
     std::uint64_t version = 0;
   };
   struct Object {
-    std::deque<Past> history;  // Never empty; the last one is current.
+    std::deque<HistoryEntry> history;  // Never empty; the last one is current.
     std::uint64_t revision = 0;
   };
 
@@ -70,7 +70,7 @@
 
   std::map<std::string, Object> objects_;
   std::uint64_t revision_ = 0;
-  std::size_t live_ = 0;
+  std::size_t object_count_ = 0;
   std::deque<std::pair<MonotonicTime, nlohmann::json>> hosts_;
   std::uint64_t hosts_version_ = 0;
 };
