--- a/testing/soak/loopback_proxy.cc
+++ b/testing/soak/loopback_proxy.cc
@@ -26,8 +26,8 @@
 constexpr std::chrono::milliseconds kDelay{120};
 constexpr std::size_t kPieceBytes = 16'384;
 
-struct Pair {
-  explicit Pair(tcp::socket from)
+struct ConnectionPair {
+  explicit ConnectionPair(tcp::socket from)
       : caller(std::move(from)), server(caller.get_executor()) {}
 
   // Closes both sides; with a reset where `linger` is zero.
@@ -43,8 +43,8 @@
 
   tcp::socket caller;
   tcp::socket server;
-  bool dead_to_server = false;
-  bool dead_to_caller = false;
+  bool silent_to_server = false;
+  bool silent_to_caller = false;
 };
 
 auto ParseEndpoint(const std::string& address) -> tcp::endpoint {
@@ -98,7 +98,7 @@
       if (error) {
         co_return;
       }
-      auto pair = std::make_shared<Pair>(std::move(socket));
+      auto pair = std::make_shared<ConnectionPair>(std::move(socket));
       const auto [failed] =
           co_await pair->server.async_connect(self->target_, kAwaitTuple);
       if (failed) {
@@ -106,25 +106,26 @@
         continue;
       }
       self->pairs_.insert(pair);
-      asio::co_spawn(self->context_, Pump(self, pair, true), asio::detached);
-      asio::co_spawn(self->context_, Pump(self, pair, false), asio::detached);
+      asio::co_spawn(self->context_, Forward(self, pair, true), asio::detached);
+      asio::co_spawn(self->context_, Forward(self, pair, false),
+                     asio::detached);
     }
   }
 
-  static auto Pump(std::shared_ptr<Impl> self,
-                   std::shared_ptr<Pair> pair,
-                   bool to_server) -> awaitable<void> {
+  static auto Forward(std::shared_ptr<Impl> self,
+                      std::shared_ptr<ConnectionPair> pair,
+                      bool to_server) -> awaitable<void> {
     auto& from = to_server ? pair->caller : pair->server;
     auto& to = to_server ? pair->server : pair->caller;
-    auto& dead = to_server ? pair->dead_to_server : pair->dead_to_caller;
+    auto& silent = to_server ? pair->silent_to_server : pair->silent_to_caller;
     auto piece = std::array<char, kPieceBytes>();
     while (true) {
       const auto [error, size] =
           co_await from.async_read_some(asio::buffer(piece), kAwaitTuple);
       const auto fault = self->fault_.load();
-      dead = dead || fault == LinkFault::kSilence ||
-             (fault == LinkFault::kOneWay && !to_server);
-      if (error && dead) {
+      silent = silent || fault == LinkFault::kSilence ||
+               (fault == LinkFault::kOneWay && !to_server);
+      if (error && silent) {
         co_return;  // The other side does not hear of the end either.
       }
       if (error) {
@@ -132,7 +133,7 @@
         self->pairs_.erase(pair);
         co_return;
       }
-      if (dead) {
+      if (silent) {
         continue;
       }
       if (fault == LinkFault::kDelay) {
@@ -150,7 +151,7 @@
   std::string address_;
   std::atomic<LinkFault> fault_{LinkFault::kNone};
   std::atomic<bool> stopped_{false};
-  std::set<std::shared_ptr<Pair>> pairs_;
+  std::set<std::shared_ptr<ConnectionPair>> pairs_;
 };
 
 LoopbackProxy::LoopbackProxy(asio::io_context& context,
