--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -259,13 +259,13 @@
   event_delay_ = delay;
 }
 
-auto FakeReplica::Runs(const std::string& request) const -> int {
+auto FakeReplica::RunCount(const std::string& request) const -> int {
   const auto lock = std::lock_guard(mutex_);
   const auto found = runs_.find(request);
   return found == runs_.end() ? 0 : found->second;
 }
 
-auto FakeReplica::runs() const -> int {
+auto FakeReplica::total_runs() const -> int {
   const auto lock = std::lock_guard(mutex_);
   auto all = 0;
   for (const auto& [request, count] : runs_) {
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -116,8 +116,8 @@
   // The pause before each event.
   auto set_event_delay(std::chrono::milliseconds delay) -> void;
   // How often a request has begun to run here.
-  auto Runs(const std::string& request) const -> int;
-  auto runs() const -> int;
+  auto RunCount(const std::string& request) const -> int;
+  auto total_runs() const -> int;
 
  private:
   auto Handle(std::shared_ptr<const caller::IncomingRequest> request,
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -77,8 +77,8 @@
     }
   }
 
-  auto Runs(const std::string& request) const -> int {
-    return one->Runs(request) + two->Runs(request);
+  auto RunCount(const std::string& request) const -> int {
+    return one->RunCount(request) + two->RunCount(request);
   }
 
   FakeServerThread thread;
@@ -159,7 +159,7 @@
   for (auto request = 0; request < 6; ++request) {
     const auto id = "s" + std::to_string(request);
     served += node.Call("POST", "/plain/x", id).status == 200 ? 1 : 0;
-    CHECK(fleet.Runs(id) <= 2);
+    CHECK(fleet.RunCount(id) <= 2);
   }
   CHECK(served >= 5);
 }
@@ -177,7 +177,7 @@
     fleet.two->SetFault(ReplicaFault::kLoseAnswer, 1);
     const auto id = "k" + std::to_string(round);
     node.Call("POST", "/plain/x", id);
-    CHECK(fleet.Runs(id) <= 2);
+    CHECK(fleet.RunCount(id) <= 2);
   }
 }
 
@@ -191,7 +191,7 @@
   const auto reply =
       fleet.nodes.front()->Call("POST", "/plain/once/x", "once", "pay");
   CHECK(reply.status == 502);
-  CHECK(fleet.Runs("once") == 1);
+  CHECK(fleet.RunCount("once") == 1);
 }
 
 TEST_CASE("Gateway.TriesAnotherReplicaWhenOneHasNotRunTheRequest") {
@@ -202,7 +202,7 @@
   for (auto request = 0; request < 4; ++request) {
     const auto id = "o" + std::to_string(request);
     CHECK(fleet.nodes.front()->Call("POST", "/plain/once/x", id).status == 200);
-    CHECK(fleet.Runs(id) == 1);
+    CHECK(fleet.RunCount(id) == 1);
   }
 }
 
@@ -229,7 +229,7 @@
   fleet.two->SetFault(ReplicaFault::kBreakMidEvent, 1);
   const auto reply = fleet.nodes.front()->Call("POST", "/stream/once/x", "b1");
   CHECK_FALSE(reply.complete);
-  CHECK(fleet.Runs("b1") == 1);
+  CHECK(fleet.RunCount("b1") == 1);
 }
 
 // Guards against an answer that belongs to another request.
@@ -257,11 +257,11 @@
   fleet.AwaitService();
   fleet.store->Remove("servers/i-1");
   std::this_thread::sleep_for(milliseconds(1'500));
-  const auto before = fleet.one->runs();
+  const auto before = fleet.one->total_runs();
   for (auto request = 0; request < 10; ++request) {
     fleet.nodes.front()->Call("POST", "/plain/x", std::to_string(request));
   }
-  CHECK(fleet.one->runs() == before);
+  CHECK(fleet.one->total_runs() == before);
 }
 
 // Guards against results that differ between nodes, and against a job that is
@@ -285,7 +285,7 @@
     CHECK(result.at("state") == "completed");
     CHECK(result.at("text") == ExpectedText(result.at("id")));
   }
-  CHECK(fleet.Runs("a") + fleet.Runs("b") + fleet.Runs("c") == 3);
+  CHECK(fleet.RunCount("a") + fleet.RunCount("b") + fleet.RunCount("c") == 3);
   CHECK(fleet.nodes[1]->Call("GET", "/api/lots/none?after=0", "").status ==
         404);
 }
@@ -323,7 +323,7 @@
     return page.is_object() && page.at("next") == 1;
   }));
   CHECK(node.ReadJob("j1").at("results")[0].at("state") == "errored");
-  CHECK(fleet.Runs("a") == 1);
+  CHECK(fleet.RunCount("a") == 1);
 }
 
 // Guards against items that run on after their job was ended elsewhere.
@@ -337,10 +337,10 @@
               .status == 202);
   CHECK(fleet.nodes[1]->Call("DELETE", "/api/lots/j1", "").status == 200);
   CHECK(fleet.nodes[0]->Call("DELETE", "/api/lots/j1", "").status == 200);
-  const auto before = fleet.one->runs() + fleet.two->runs();
+  const auto before = fleet.one->total_runs() + fleet.two->total_runs();
   fleet.store->Put("config/main", MakeConfiguration(9));
   std::this_thread::sleep_for(milliseconds(2'000));
-  CHECK(fleet.one->runs() + fleet.two->runs() == before);
+  CHECK(fleet.one->total_runs() + fleet.two->total_runs() == before);
 }
 
 // Submits a job of slow items to the first gateway, so that it owns the job.
@@ -356,8 +356,8 @@
   REQUIRE(
       fleet.nodes[0]->Call("POST", "/jobs/1", "j1", JobBody(items)).status ==
       202);
-  REQUIRE(
-      Eventually([&] { return fleet.one->runs() + fleet.two->runs() > 0; }));
+  REQUIRE(Eventually(
+      [&] { return fleet.one->total_runs() + fleet.two->total_runs() > 0; }));
 }
 
 // Waits until a gateway has listed all jobs after its start; it does so again
@@ -378,7 +378,9 @@
 auto StopsInTime(const Fleet& fleet,
                  milliseconds observed = milliseconds(1'500)) -> bool {
   constexpr milliseconds kStopWithin{3'000};
-  const auto runs = [&] { return fleet.one->runs() + fleet.two->runs(); };
+  const auto runs = [&] {
+    return fleet.one->total_runs() + fleet.two->total_runs();
+  };
   std::this_thread::sleep_for(kStopWithin);
   const auto before = runs();
   std::this_thread::sleep_for(observed);
@@ -497,11 +499,11 @@
   REQUIRE(Eventually(
       [&] { return node.Log().find("\"job_dropped\"") != std::string::npos; }));
   CHECK(fleet.store->Get("job-states/j0").at("done") == true);
-  const auto before = fleet.one->runs() + fleet.two->runs();
+  const auto before = fleet.one->total_runs() + fleet.two->total_runs();
   submit_all();
   constexpr milliseconds kObserved{1'500};
   std::this_thread::sleep_for(kObserved);
-  CHECK(fleet.one->runs() + fleet.two->runs() == before);
+  CHECK(fleet.one->total_runs() + fleet.two->total_runs() == before);
   CHECK(node.ReadJob("j0").at("total") == kItems);
 }
 
@@ -515,10 +517,11 @@
   fleet.nodes[1]->process().Signal(SIGSTOP);
   fleet.store->SetEndpointDown(fleet.store_addresses[0], true);
   CHECK(StopsInTime(fleet));
-  const auto before = fleet.one->runs() + fleet.two->runs();
+  const auto before = fleet.one->total_runs() + fleet.two->total_runs();
   fleet.store->SetEndpointDown(fleet.store_addresses[0], false);
-  CHECK(Eventually(
-      [&] { return fleet.one->runs() + fleet.two->runs() > before; }));
+  CHECK(Eventually([&] {
+    return fleet.one->total_runs() + fleet.two->total_runs() > before;
+  }));
   fleet.nodes[1]->process().Signal(SIGCONT);
 }
 
@@ -558,7 +561,7 @@
   auto reply = FetchReply();
   auto caller =
       std::thread([&] { reply = node.Call("POST", "/stream/once/x", "t1"); });
-  REQUIRE(Eventually([&] { return fleet.Runs("t1") == 1; }));
+  REQUIRE(Eventually([&] { return fleet.RunCount("t1") == 1; }));
   node.process().Signal(SIGTERM);
   CHECK(Eventually([&] { return !node.Ready(); }));
   CHECK(node.process().WaitForExit(milliseconds(8'000)) == 0);
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -92,7 +92,7 @@
       : settings_(settings),
         fault_random_(settings.seed),
         store_(thread_.context()),
-        checker_([this](const std::string& id) { return Runs(id); }) {
+        checker_([this](const std::string& id) { return RunCount(id); }) {
     store_.Put("config/main", MakeSoakConfiguration(version_));
     for (auto at = 0; at < settings_.nodes + kSpareReplicas; ++at) {
       auto& replica = replicas_.emplace_back();
@@ -157,10 +157,10 @@
     std::function<auto()->void> act;
   };
 
-  auto Runs(const std::string& id) const -> int {
+  auto RunCount(const std::string& id) const -> int {
     auto runs = 0;
     for (const auto& replica : replicas_) {
-      runs += replica.server->Runs(id);
+      runs += replica.server->RunCount(id);
     }
     return runs;
   }
