--- a/testing/soak/checker_test.cc
+++ b/testing/soak/checker_test.cc
@@ -25,7 +25,7 @@
 }
 
 struct Fixture {
-  auto Found() -> std::size_t {
+  auto CountViolations() -> std::size_t {
     checker.Finish();
     return checker.violations().size();
   }
@@ -40,25 +40,25 @@
   fixture.checker.OnReply("a", {1, false, "x"}, Reply(503, ""));
   fixture.checker.OnReply("c", {1, false, "x"}, Reply(502, ""));
   fixture.runs["c"] = 1;
-  CHECK(fixture.Found() == 0);
+  CHECK(fixture.CountViolations() == 0);
   fixture.checker.OnReply("b", {1, false, "x"}, Reply(503, ""));
-  CHECK(fixture.Found() == 1);
+  CHECK(fixture.CountViolations() == 1);
 }
 
 TEST_CASE("SoakChecker.FindsARequestThatRanTooOften") {
   auto fixture = Fixture();
   fixture.runs["a"] = 2;
   fixture.checker.OnReply("a", {2, false, "x"}, Reply(200, "x"));
-  CHECK(fixture.Found() == 0);
+  CHECK(fixture.CountViolations() == 0);
   fixture.checker.OnReply("a", {1, false, "x"}, Reply(200, "x"));
-  CHECK(fixture.Found() == 1);
+  CHECK(fixture.CountViolations() == 1);
 }
 
 TEST_CASE("SoakChecker.FindsAWrongAnswerAndARouteThatIsDenied") {
   auto fixture = Fixture();
   fixture.checker.OnReply("a", {1, false, "x"}, Reply(200, "y"));
   fixture.checker.OnReply("b", {1, false, "x"}, Reply(404, ""));
-  CHECK(fixture.Found() == 2);
+  CHECK(fixture.CountViolations() == 2);
 }
 
 TEST_CASE("SoakChecker.FindsAStreamWithALostEvent") {
@@ -67,11 +67,11 @@
   const auto expected = RequestExpectation{2, true, whole};
   const auto half = whole.substr(0, whole.size() / 2);
   fixture.checker.OnReply("a", expected, Reply(200, half, false));
-  CHECK(fixture.Found() == 0);
+  CHECK(fixture.CountViolations() == 0);
   fixture.checker.OnReply("a", expected, Reply(200, half, true));
   fixture.checker.OnReply("a", expected,
                           Reply(200, ExpectedEvents("a", 1), false));
-  CHECK(fixture.Found() == 2);
+  CHECK(fixture.CountViolations() == 2);
 }
 
 TEST_CASE("SoakChecker.FindsResultsThatAreLostDoubledChangedOrWrong") {
@@ -80,9 +80,9 @@
   checker.OnSubmitted("j", {"a", "b"}, Reply(202, ""));
   checker.OnListed("j", 0, "a", "completed", ExpectedText("a"));
   CHECK(checker.unfinished_jobs().size() == 1);
-  CHECK(fixture.Found() == 1);
+  CHECK(fixture.CountViolations() == 1);
   checker.OnListed("j", 1, "b", "completed", ExpectedText("b"));
-  CHECK(fixture.Found() == 1);
+  CHECK(fixture.CountViolations() == 1);
   checker.OnListed("j", 0, "a", "errored", "");
   checker.OnListed("j", 2, "b", "completed", ExpectedText("b"));
   checker.OnListed("j", 3, "other", "completed", ExpectedText("other"));
@@ -96,7 +96,7 @@
   auto fixture = Fixture();
   fixture.runs["a"] = 1;
   fixture.checker.OnSubmitted("j", {"a"}, Reply(503, ""));
-  CHECK(fixture.Found() == 1);
+  CHECK(fixture.CountViolations() == 1);
 }
 
 TEST_CASE("SoakChecker.FindsANodeThatGoesBackToAnOlderConfiguration") {
@@ -104,18 +104,18 @@
   fixture.checker.OnVersionServed("n", 1, 5);
   fixture.checker.OnVersionServed("n", 2, 4);
   fixture.checker.OnVersionServed("m", 1, 4);
-  CHECK(fixture.Found() == 0);
+  CHECK(fixture.CountViolations() == 0);
   fixture.checker.OnVersionServed("n", 1, 4);
-  CHECK(fixture.Found() == 1);
+  CHECK(fixture.CountViolations() == 1);
 }
 
 TEST_CASE("SoakChecker.FindsAPlannedStopThatFailsOrHangs") {
   auto fixture = Fixture();
   fixture.checker.OnGracefulStop("n", 0);
-  CHECK(fixture.Found() == 0);
+  CHECK(fixture.CountViolations() == 0);
   fixture.checker.OnGracefulStop("n", 139);
   fixture.checker.OnGracefulStop("n", std::nullopt);
-  CHECK(fixture.Found() == 2);
+  CHECK(fixture.CountViolations() == 2);
 }
 
 // Guards against items that start after the time within which an acknowledged
@@ -130,9 +130,9 @@
   checker.OnEndAnswered("j", Reply(200, ""), At(10'000));
   checker.OnEndAnswered("j", Reply(200, ""), At(12'000));
   checker.OnItemStarted("j", "c", "n", "i", At(13'000));
-  CHECK(fixture.Found() == 0);
+  CHECK(fixture.CountViolations() == 0);
   checker.OnItemStarted("j", "d", "n", "i", At(13'500));
-  CHECK(fixture.Found() == 1);
+  CHECK(fixture.CountViolations() == 1);
 }
 
 // Guards against a check that blames a node for what it could not know, and
@@ -152,9 +152,9 @@
   checker.OnItemStarted("j", "e", "n", "i", At(11'000));
   checker.OnDisrupted("i");
   checker.OnItemStarted("j", "f", "n", "i", At(11'500));
-  CHECK(fixture.Found() == 0);
+  CHECK(fixture.CountViolations() == 0);
   checker.OnItemStarted("j", "g", "n", "other", At(11'500));
-  CHECK(fixture.Found() == 1);
+  CHECK(fixture.CountViolations() == 1);
 }
 
 // A caller that has asked for the end of a job may get all of its results, or
@@ -166,9 +166,9 @@
   checker.OnListed("j", 0, "a", "completed", ExpectedText("a"));
   checker.OnEndRequested("j");
   CHECK(checker.unfinished_jobs().empty());
-  CHECK(fixture.Found() == 0);
+  CHECK(fixture.CountViolations() == 0);
   checker.OnListed("j", 0, "b", "completed", ExpectedText("b"));
-  CHECK(fixture.Found() == 1);
+  CHECK(fixture.CountViolations() == 1);
 }
 
 }  // namespace
