--- a/testing/soak/checker.cc
+++ b/testing/soak/checker.cc
@@ -12,7 +12,7 @@
 constexpr int kAccepted = 202;
 constexpr int kNotFound = 404;
 
-// Statuses that say that the request has not run and never will.
+// Whether the status means that the request has not run and never will.
 auto ReportsNotRun(const FetchReply& reply) -> bool {
   return reply.status == 503 || reply.status == 429 || reply.status == 408 ||
          reply.status == 421;
@@ -82,13 +82,13 @@
   }
   const auto [known_position, first] = known.positions.emplace(item, position);
   if (!first && known_position->second != position) {
-    Add(where + "item " + item + " stands twice");
+    Add(where + "item " + item + " is listed at two positions");
   }
   if (std::count(known.items.begin(), known.items.end(), item) == 0) {
-    Add(where + "item " + item + " is of another job");
+    Add(where + "item " + item + " belongs to another job");
   }
   if (state == "completed" && text != ExpectedText(item)) {
-    Add(where + "a wrong text: " + text);
+    Add(where + "wrong text: " + text);
   }
 }
 
@@ -141,8 +141,8 @@
   }
   // A back end does not see which node has sent an item. It is an owner of the
   // job, perhaps a former one that does not know of its successor yet, so the
-  // start counts if all of them are in touch. An item may also have waited on
-  // the link to the replica.
+  // start counts only if all owners are reachable. An item may also have been
+  // delayed on the link to the replica.
   const auto reachable =
       IsReachable(replica, at) &&
       std::all_of(known.owners.begin(), known.owners.end(),
@@ -174,7 +174,7 @@
                                  std::optional<int> exit_status) -> void {
   const auto lock = std::lock_guard(mutex_);
   if (!exit_status) {
-    Add("node " + node + " has not stopped in time");
+    Add("node " + node + " did not stop in time");
   } else if (*exit_status != 0) {
     Add("node " + node + " ended with " + std::to_string(*exit_status) +
         " in a planned stop");
@@ -193,10 +193,10 @@
   for (const auto& [id, sent] : sent_) {
     const auto runs = count_runs_(id);
     if (sent.refused_as_not_run && runs > 0) {
-      Add("request " + id + " was refused as not run and ran");
+      Add("request " + id + " was refused as not run but ran");
     } else if (runs > sent.max_runs) {
-      Add("request " + id + " ran " + std::to_string(runs) + " times, of " +
-          std::to_string(sent.max_runs));
+      Add("request " + id + " ran " + std::to_string(runs) +
+          " times, at most " + std::to_string(sent.max_runs) + " allowed");
     }
   }
   for (const auto& [id, job] : jobs_) {
@@ -207,7 +207,7 @@
     }
     if (job.late_starts > 0) {
       Add("job " + id + " was ended and " + std::to_string(job.late_starts) +
-          " items began too late, last " + job.last_late_start);
+          " items started too late, last " + job.last_late_start);
     }
   }
 }
--- a/testing/soak/checker.h
+++ b/testing/soak/checker.h
@@ -15,30 +15,30 @@
 
 namespace kumquatgauge::testing {
 
-// What a route promises of its requests.
+// What is expected of a request and its answer.
 struct RequestExpectation {
   int max_runs = 1;
   bool stream = false;
-  std::string full_body;  // Of an answer with success.
+  std::string full_body;  // Of a successful answer.
 };
 
-// Compares what callers were told with what back ends saw, and collects every
-// broken promise. Thread-safe.
+// Compares the answers to callers with the runs at the back ends and collects
+// every violation. Thread-safe.
 class SoakChecker {
  public:
   // How often a request or item has begun to run at a back end.
   using CountRuns = std::function<auto(const std::string& id)->int>;
   using Time = std::chrono::steady_clock::time_point;
 
-  // Within which the items of a job whose end was acknowledged stop starting.
+  // Items of a job may start for this long after its end was acknowledged.
   static constexpr std::chrono::milliseconds kMaxEndDelay{3'000};
-  // A node is in touch once this has passed without a disruption of it.
+  // A component is reachable once this has passed without a disruption of it.
   static constexpr std::chrono::milliseconds kRecoveryTime{3'000};
 
   explicit SoakChecker(CountRuns count_runs)
       : count_runs_(std::move(count_runs)) {}
 
-  // A caller's request has ended as `reply` says.
+  // A caller's request has ended with `reply`.
   auto OnReply(const std::string& id,
                const RequestExpectation& expected,
                const FetchReply& reply) -> void;
@@ -57,8 +57,8 @@
   auto OnEndRequested(const std::string& job) -> void;
   auto OnEndAnswered(const std::string& job, const FetchReply& reply, Time at)
       -> void;
-  // A node is stopped, paused or cut off, or a replica's link is harmed. Such
-  // disruptions may overlap.
+  // A node is stopped, paused or cut off, or a replica's link is disrupted. The
+  // disruptions of a component may overlap.
   auto OnDisrupted(const std::string& component) -> void;
   auto OnDisruptionEnded(const std::string& component, Time at) -> void;
   // An item has begun to run at a replica while the store named this owner of
@@ -68,19 +68,20 @@
                      const std::string& owner,
                      const std::string& replica,
                      Time at) -> void;
-  // A node, in one run of its process, has served by a configuration version.
+  // A node has served by a configuration version; `start` is the number of the
+  // start of its process.
   auto OnVersionServed(const std::string& node, int start, int version) -> void;
-  // A process that was to stop as planned has ended, or not, within its time.
+  // A process in a planned stop has ended in time; no status if it has not.
   auto OnGracefulStop(const std::string& node, std::optional<int> exit_status)
       -> void;
   // A condition that must hold once all faults have ended.
   auto Expect(bool holds, const std::string& what) -> void;
-  // Checks what only shows at the end: counts of runs, and that each accepted
-  // job is listed whole.
+  // Checks what is known only at the end: the numbers of runs, and that the
+  // results of each accepted job are complete.
   auto Finish() -> void;
 
   auto violations() const -> std::vector<std::string>;
-  // Accepted jobs with results still to be listed whose end nobody asked for.
+  // Accepted jobs with incomplete results whose end was not requested.
   auto unfinished_jobs() const -> std::vector<std::string>;
   auto accepted_jobs() const -> std::vector<std::string>;
   auto replies() const -> std::map<std::string, int>;
--- a/testing/soak/checker_test.cc
+++ b/testing/soak/checker_test.cc
@@ -1,5 +1,5 @@
-// Each test plants one broken promise, which the checker must find, beside the
-// nearest case that is allowed.
+// Each test checks that one kind of violation is found and that the closest
+// allowed case is not reported.
 
 #include "testing/soak/checker.h"
 
@@ -135,8 +135,8 @@
   CHECK(fixture.CountViolations() == 1);
 }
 
-// Guards against a check that blames a node for what it could not know, and
-// against one that excuses it for good.
+// Guards against a violation that is reported although an owner could not know
+// of the end, and against owners that are never checked after a disruption.
 TEST_CASE("SoakChecker.AllowsLateItemsOfAnyOwnerThatIsNotInTouch") {
   auto fixture = Fixture();
   auto& checker = fixture.checker;
--- a/testing/soak/loopback_proxy.cc
+++ b/testing/soak/loopback_proxy.cc
@@ -30,7 +30,7 @@
   explicit ConnectionPair(tcp::socket from)
       : caller(std::move(from)), server(caller.get_executor()) {}
 
-  // Closes both sides; with a reset where `linger` is zero.
+  // Closes both sides; with a TCP reset if `reset` is true.
   auto Close(bool reset) -> void {
     error_code ignored;
     if (reset) {
@@ -126,7 +126,7 @@
       silent = silent || fault == LinkFault::kSilence ||
                (fault == LinkFault::kOneWay && !to_server);
       if (error && silent) {
-        co_return;  // The other side does not hear of the end either.
+        co_return;  // The other side is not told of the end either.
       }
       if (error) {
         pair->Close(false);
--- a/testing/soak/loopback_proxy.h
+++ b/testing/soak/loopback_proxy.h
@@ -10,13 +10,13 @@
 
 enum class LinkFault {
   kNone,
-  kDelay,    // Each piece waits before it is passed on.
-  kSilence,  // Nothing is passed on; connections of that time stay dead.
+  kDelay,    // Each piece is forwarded with a delay.
+  kSilence,  // Nothing is forwarded; connections with data then stay silent.
   kOneWay,   // The same for answers only, so that requests still arrive.
 };
 
-// A TCP proxy on 127.0.0.1 that misbehaves on command. Runs on the thread of
-// its io_context; commands come from any thread.
+// A TCP proxy on 127.0.0.1 that injects faults. Runs on the thread of its
+// io_context; its functions can be called from any thread.
 class LoopbackProxy {
  public:
   LoopbackProxy(boost::asio::io_context& context, const std::string& target);
--- a/testing/soak/main.cc
+++ b/testing/soak/main.cc
@@ -1,4 +1,4 @@
-// Runs the soak: real gateways before stand-ins, with faults from outside.
+// Runs the soak: real gateway processes against fakes, with injected faults.
 
 #include <getopt.h>
 
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -28,14 +28,14 @@
 constexpr int kAccepted = 202;
 constexpr int kServiceUnavailable = 503;
 constexpr int kCallers = 6;
-constexpr int kSpareReplicas = 2;  // Beside one a node.
+constexpr int kSpareReplicas = 2;  // In addition to one per node.
 constexpr int kMaxItems = 6;
 // Callers that submit long jobs and end them. All slots together need some
 // seconds for one job, so that items are left well after its end.
 constexpr int kJobEnders = 3;
 constexpr int kLongJobItems = 200;
-constexpr auto kItemMark = "-item-";  // Between the ids of job and number.
-constexpr milliseconds kRunTimeMax{2'000};  // Of a long job before its end.
+constexpr auto kItemMark = "-item-";        // Between job id and item number.
+constexpr milliseconds kRunTimeMax{2'000};  // Of a long job until it is ended.
 constexpr milliseconds kRepeatPause{300};
 constexpr int kEndAttempts = 12;
 constexpr milliseconds kCallerPause{15};
@@ -46,15 +46,16 @@
 constexpr milliseconds kFaultMax{3'000};
 constexpr milliseconds kMaxStoreRefusalTime{9'000};
 constexpr milliseconds kMaxEventDelay{60};
-// Of the settings' stop_s, and the time to be scheduled on a busy machine.
+// The settings' stop_s plus time to be scheduled on a busy machine.
 constexpr milliseconds kStopTime{9'500};
-// In which a program is loaded, also on a busy machine.
+// Time to load a program, also on a busy machine.
 constexpr milliseconds kLoadTime{200};
-// Time for everything to be right again once the faults have ended.
+// Limit for all conditions to hold again once the faults have ended.
 constexpr milliseconds kSettleTime{30'000};
 constexpr milliseconds kSettlePoll{100};
 
-// A source of draws; one a thread, so that a seed draws the same faults.
+// A seeded random source. Each thread has its own, so that a seed always yields
+// the same faults.
 class RandomSource {
  public:
   explicit RandomSource(std::uint64_t seed) : engine_(seed) {}
@@ -145,13 +146,13 @@
   };
   struct Node {
     std::unique_ptr<GatewayProcess> process;
-    std::string store_address;  // To the store.
+    std::string store_address;  // Of the store, for this node only.
     std::unique_ptr<LoopbackProxy> store_link;
     SteadyTime started = std::chrono::steady_clock::now();
-    bool down = false;    // Killed, or stopping as planned.
+    bool down = false;    // Killed, or in a planned stop.
     bool paused = false;  // By SIGSTOP.
   };
-  // Ends a fault, or goes on with one, at a time.
+  // Ends or continues a fault when it is due.
   struct ScheduledAction {
     SteadyTime at;
     std::function<auto()->void> act;
@@ -165,7 +166,7 @@
     return runs;
   }
 
-  // A request has begun to run at a replica.
+  // Called when a request begins to run at a replica.
   auto OnStarted(const std::string& request, const std::string& replica)
       -> void {
     const auto mark = request.find(kItemMark);
@@ -278,7 +279,7 @@
     }
   }
 
-  // Asks any node to end a job, and others until one has acknowledged it.
+  // Asks random nodes to end a job until one has acknowledged it.
   auto End(const std::string& job, RandomSource& random) -> void {
     checker_.OnEndRequested(job);
     for (auto attempt = 0; attempt < kEndAttempts && !done_; ++attempt) {
@@ -311,7 +312,7 @@
     }
   }
 
-  // Asks nodes by which configuration they serve.
+  // Checks which configuration version the nodes serve by.
   auto RunVersionReader() -> void {
     auto random = RandomSource(settings_.seed + kCallers);
     for (auto number = 0; !done_; ++number) {
@@ -398,15 +399,15 @@
     return replicas_[fault_random_.Below(replicas_.size())];
   }
 
-  // A process that nobody ended must still run.
+  // A process that the soak has not ended must still run.
   auto ExpectRunning(Node& node) -> void {
     const auto exit = node.process->process().WaitForExit(milliseconds(0));
     checker_.Expect(!exit, node.process->name() + " ended by itself with " +
                                std::to_string(exit.value_or(0)));
   }
 
-  // Before a process runs its first instruction a signal ends it, which no
-  // program can prevent.
+  // Any signal ends a process that has not run its first instruction yet, which
+  // no program can prevent.
   static auto IsLoaded(const Node& node) -> bool {
     return std::chrono::steady_clock::now() - node.started > kLoadTime;
   }
@@ -483,7 +484,7 @@
     }
   }
 
-  // `component` is what the link disrupts.
+  // `component` is the node or replica that the link belongs to.
   auto DisruptLink(LoopbackProxy& link, const std::string& component) -> void {
     constexpr LinkFault kLinkFaults[] = {LinkFault::kNone, LinkFault::kDelay,
                                          LinkFault::kSilence,
@@ -537,8 +538,8 @@
     RunAfter(FaultDuration(), [this] { store_.set_down(false); });
   }
 
-  // No disruption of the node for the end of jobs: it answers other nodes,
-  // which tell it.
+  // Not recorded as a disruption of the node: other nodes still reach it and
+  // tell it of the end of jobs.
   auto RefuseNodeAtStore() -> void {
     const auto& store_address = RandomNode().store_address;
     const auto time = fault_random_.Between(kFaultMin, kMaxStoreRefusalTime);
@@ -575,7 +576,7 @@
     }
   }
 
-  // --- What must hold without faults.
+  // --- Checks without faults.
 
   auto Settle(const std::string& when) -> void {
     const auto last = std::chrono::steady_clock::now() + kSettleTime;
@@ -587,7 +588,7 @@
     checker_.Expect(open.empty(), when + ": " + open);
   }
 
-  // What does not hold yet; empty when all does.
+  // Describes the first condition that does not hold; empty if all hold.
   auto Unsettled() -> std::string {
     for (const auto& node : nodes_) {
       const auto& process = *node.process;
@@ -606,8 +607,8 @@
     return jobs.empty() ? "" : "job " + jobs.front() + " is unfinished";
   }
 
-  // Every node must show the same results. One that has just lost the store may
-  // refuse for some seconds more.
+  // Every node must show the same results. A node whose calls to the store have
+  // just failed may refuse for a few more seconds.
   auto ReadAllJobs() -> void {
     const auto last = std::chrono::steady_clock::now() + kSettleTime;
     for (const auto& job : checker_.accepted_jobs()) {
--- a/testing/soak/soak.h
+++ b/testing/soak/soak.h
@@ -13,7 +13,7 @@
   std::string gateway;  // The program.
   std::string folder;   // For settings and logs; must exist.
   std::uint64_t seed = 1;
-  std::chrono::seconds time{20};  // With faults; settling comes on top.
+  std::chrono::seconds time{20};  // With faults, without the time to settle.
   int nodes = 4;
 };
 
@@ -23,9 +23,9 @@
   std::map<std::string, int> faults;   // Count by kind.
 };
 
-// Runs real gateway processes between stand-ins of the users' platform, with
-// callers of every kind and faults drawn from the seed, and checks what is
-// promised to callers while it runs and once all faults have ended.
+// Runs real gateway processes against fakes of the users' platform, with
+// callers of every kind and faults drawn from the seed, and checks the
+// guarantees to callers while it runs and once all faults have ended.
 auto RunSoak(const SoakSettings& settings) -> SoakReport;
 
 }  // namespace kumquatgauge::testing
