--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -602,14 +602,14 @@
 // Guards against a log that hides for how long an owner ran a job without
 // knowing that it had ended.
 TEST_CASE("Gateway.LogsHowOldTheStateWasThatAnEndReplaced") {
-  constexpr milliseconds kTurnedAway{4'000};
+  constexpr milliseconds kStoreRefusalTime{4'000};
   auto fleet = Fleet(1);
   fleet.AwaitService();
   AwaitFirstScan();
   SubmitSlowJob(fleet);
   fleet.store->SetEndpointDown(fleet.store_addresses[0], true);
   EndStoredJob(fleet);
-  std::this_thread::sleep_for(kTurnedAway);
+  std::this_thread::sleep_for(kStoreRefusalTime);
   fleet.store->SetEndpointDown(fleet.store_addresses[0], false);
   auto learned = json();
   Eventually([&] {
@@ -626,7 +626,7 @@
   });
   REQUIRE(learned.is_object());
   CHECK(std::stoll(learned.at("before_age_ms").get<std::string>()) >=
-        kTurnedAway.count());
+        kStoreRefusalTime.count());
 }
 
 }  // namespace
