--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -17,7 +17,7 @@
 
 namespace kumquatgauge::testing {
 
-// The users' object API on 127.0.0.1, with faults. Thread-safe.
+// A fake of the users' object API on 127.0.0.1, with faults. Thread-safe.
 class FakeObjectApi {
  public:
   explicit FakeObjectApi(boost::asio::io_context& context);
@@ -32,14 +32,14 @@
   auto Get(const std::string& key) const -> nlohmann::json;
   // While set, every call is answered 503.
   auto set_down(bool down) -> void;
-  // Returns a further address of the same objects, for one caller.
+  // Returns another address that serves the same objects, for one caller.
   auto AddEndpoint() -> std::string;
   // While down, every call to the address is answered 503.
   auto SetEndpointDown(const std::string& address, bool down) -> void;
   // Reads of single objects of this kind are answered after this time.
   auto SetReadDelay(const std::string& kind, std::chrono::milliseconds delay)
       -> void;
-  // The next writes of this kind are carried out and not answered.
+  // The next `count` writes of this kind take effect but are not answered.
   auto LoseAnswers(const std::string& kind, int count) -> void;
 
  private:
@@ -60,7 +60,7 @@
               std::shared_ptr<Writer> writer,
               std::shared_ptr<Endpoint> endpoint)
       -> boost::asio::awaitable<void>;
-  // Status and body; nothing for an answer that is to be lost.
+  // Status and body; status 0 for an answer that is to be lost.
   auto Answer(const Request& request, const Endpoint& endpoint)
       -> std::pair<int, nlohmann::json>;
   auto IsDown(const Endpoint& endpoint) const -> bool;
@@ -83,23 +83,23 @@
   std::vector<std::shared_ptr<Endpoint>> endpoints_;
 };
 
-// How a replica answers.
+// Faults of a replica's answers.
 enum class ReplicaFault {
   kNone,
   kLoseAnswer,      // Runs the request, then closes the connection.
   kBreakMidEvent,   // Ends a stream inside its third event.
-  kRefuse,          // Says that it has not run it.
+  kRefuse,          // Answers that the request has not run.
   kWrongRequestId,  // Answers under the id of another request.
   kFail,            // Status 500.
   kUnprocessable,   // Status 422.
 };
 
-// A replica of the users' platform on 127.0.0.1. Streams have kEvents events
-// whose data depend on the request's id and the event's number alone.
+// A fake replica of the users' platform on 127.0.0.1. Streams have kEvents
+// events whose data depend on the request's id and the event's number alone.
 class FakeReplica {
  public:
   static constexpr int kEvents = 5;
-  // Requests with this in their path take kSlowEventDelay an event.
+  // Requests with this in their path take kSlowEventDelay per event.
   static constexpr auto kSlowPathPart = "/slow-";
   static constexpr std::chrono::milliseconds kSlowEventDelay{250};
   // Called on the thread of `context` when a request begins to run.
@@ -113,7 +113,7 @@
   auto id() const -> const std::string& { return id_; }
   // Applies to the next `count` requests.
   auto SetFault(ReplicaFault fault, int count) -> void;
-  // The pause before each event.
+  // The delay before each event.
   auto set_event_delay(std::chrono::milliseconds delay) -> void;
   // How often a request has begun to run here.
   auto RunCount(const std::string& request) const -> int;
@@ -144,13 +144,13 @@
 auto ExpectedText(const std::string& request) -> std::string;
 auto ExpectedEvents(const std::string& request, int after) -> std::string;
 
-// Runs stand-ins on a thread of its own.
+// Runs the io_context of fake servers on a thread of its own.
 class FakeServerThread {
  public:
   FakeServerThread();
   ~FakeServerThread();
   auto context() -> boost::asio::io_context& { return context_; }
-  // Ends the thread; the stand-ins can then be destroyed.
+  // Ends the thread; the fake servers can then be destroyed.
   auto Stop() -> void;
 
  private:
--- a/testing/gateway/gateway_process.h
+++ b/testing/gateway/gateway_process.h
@@ -27,8 +27,8 @@
 // A job of these items, each sent to /jobs/1/ITEM.
 auto JobBody(const std::vector<std::string>& items) -> std::string;
 
-// One real gateway process on 127.0.0.1 with its addresses, which stay the same
-// when it is started again.
+// A real gateway process on 127.0.0.1, whose addresses stay the same when it is
+// restarted.
 class GatewayProcess {
  public:
   // Settings and logs go to `folder`. `memory_mb` is the limit in its settings.
@@ -38,16 +38,16 @@
                  std::string folder,
                  std::uint32_t memory_mb = 256);
 
-  // Starts it again after it has ended, with a log of its own.
+  // Starts the process, also after it has ended, with a log file of its own.
   auto Start() -> void;
   auto Call(const std::string& method,
             const std::string& target,
             const std::string& id,
             const std::string& body = "") const -> FetchReply;
   auto Ready() const -> bool;
-  // What the directory answers.
+  // The addresses that the directory returns.
   auto Addresses() const -> std::vector<std::string>;
-  // The page of a job's results; null when it is not given.
+  // A page of a job's results; null if the gateway does not return it.
   auto ReadJob(const std::string& job, std::size_t after = 0) const
       -> nlohmann::json;
   auto Log() const -> std::string;
@@ -55,7 +55,7 @@
   auto process() -> ChildProcess& { return *process_; }
   auto callers() const -> const std::string& { return callers_; }
   auto name() const -> const std::string& { return name_; }
-  // Counts the starts of the process.
+  // Number of starts of the process.
   auto starts() const -> int { return starts_; }
 
  private:
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -1,4 +1,4 @@
-// The real gateway as a process between stand-ins of the users' platform.
+// Runs the real gateway process against fakes of the users' platform.
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -52,7 +52,7 @@
 
   ~Fleet() {
     nodes.clear();
-    thread.Stop();  // Its handlers use the stand-ins.
+    thread.Stop();  // Its handlers use the fakes.
     std::filesystem::remove_all(folder);
   }
 
@@ -89,7 +89,7 @@
   std::unique_ptr<FakeReplica> two =
       std::make_unique<FakeReplica>(thread.context(), "i-2");
   std::filesystem::path folder;
-  std::vector<std::string> store_addresses;  // To the store, one a gateway.
+  std::vector<std::string> store_addresses;  // Of the store, one per gateway.
   std::vector<std::unique_ptr<GatewayProcess>> nodes;
 };
 
@@ -148,7 +148,8 @@
   fleet.AwaitService();
 }
 
-// Guards against a caller that sees a lost answer which could be repeated.
+// Guards against an error for a lost answer although the request may be
+// repeated.
 TEST_CASE("Gateway.RepeatsAnIdempotentRequestWhoseAnswerWasLost") {
   auto fleet = Fleet();
   fleet.AwaitService();
@@ -164,9 +165,9 @@
   CHECK(served >= 5);
 }
 
-// A kept connection that closes without an answer looks like one that was
-// closed before the request. Guards against counting its two sends as one
-// attempt.
+// A reused connection that closes without an answer looks like one that was
+// closed before the request. Guards against counting the two sends of a request
+// as one attempt.
 TEST_CASE("Gateway.SendsNoMoreOftenThanTheRouteAllowsOnKeptConnections") {
   auto fleet = Fleet();
   fleet.AwaitService();
@@ -181,8 +182,8 @@
   }
 }
 
-// Guards against a charge that is confirmed twice, and against "not run" said
-// of one that ran.
+// Guards against a payment that is confirmed twice, and against the answer "not
+// run" to one that ran.
 TEST_CASE("Gateway.RunsARequestAtMostOnceWhenItsAnswerIsLost") {
   auto fleet = Fleet();
   fleet.AwaitService();
@@ -206,7 +207,7 @@
   }
 }
 
-// Guards against pieces that are lost or doubled when a stream goes on at
+// Guards against events that are lost or repeated when a stream is resumed at
 // another replica.
 TEST_CASE("Gateway.ResumesAStreamThatBreaksOffInsideAnEvent") {
   auto fleet = Fleet();
@@ -344,7 +345,7 @@
 }
 
 // Submits a job of slow items to the first gateway, so that it owns the job.
-// Enough to be running still when the test ends.
+// Enough items to be running still when the test ends.
 constexpr auto kSlowItems = 120;
 auto SubmitSlowJob(Fleet& fleet) -> void {
   fleet.one->set_event_delay(milliseconds(400));
@@ -360,13 +361,14 @@
       [&] { return fleet.one->total_runs() + fleet.two->total_runs() > 0; }));
 }
 
-// Waits until a gateway has listed all jobs after its start; it does so again
-// ten seconds later at the earliest, which no test should wait for.
+// Waits until a gateway has listed all jobs after its start. It lists them
+// again ten seconds later at the earliest, too late for the tests.
 auto AwaitFirstScan() -> void {
   std::this_thread::sleep_for(milliseconds(2'500));
 }
 
-// Ends the job in the store, as a node that is lost right after its write does.
+// Ends the job in the store only, as if the node that stored the end was lost
+// right after its write.
 auto EndStoredJob(Fleet& fleet) -> void {
   auto state = fleet.store->Get("job-states/j1");
   state["ended"] = true;
@@ -388,8 +390,8 @@
 }
 
 // Guards against items that run for seconds after the end of their job was
-// acknowledged, because the store turns the job's owner away and the owner
-// believes only what it reads there itself.
+// acknowledged, because the store refuses the calls of the job's owner and the
+// owner relies only on what it reads there itself.
 TEST_CASE("Gateway.StopsAnEndedJobWhoseOwnerTheStoreTurnsAway") {
   auto fleet = Fleet(2);
   fleet.AwaitService();
@@ -401,9 +403,9 @@
   CHECK(StopsInTime(fleet));
 }
 
-// Guards against an owner that no node tells of the end of its job, since the
-// node that stored it was lost, and that reads the job's state again by chance
-// only.
+// Guards against an owner that runs an ended job on: the node that stored the
+// end was lost before it could tell the owner, which reads the job's state
+// again only by chance.
 TEST_CASE("Gateway.StopsAJobWhoseEndOnlyTheStoreKnows") {
   auto fleet = Fleet(1);
   fleet.AwaitService();
@@ -413,8 +415,8 @@
   CHECK(StopsInTime(fleet));
 }
 
-// Guards against an owner that starts items again after the store has turned it
-// away, before it has read what it missed.
+// Guards against an owner that starts items again when the store answers it
+// again, before it has read the changes that it missed.
 TEST_CASE("Gateway.StopsAJobThatWasEndedWhileTheStoreTurnedItsOwnerAway") {
   auto fleet = Fleet(1);
   fleet.AwaitService();
@@ -570,7 +572,8 @@
   CHECK(reply.body == ExpectedEvents("t1", 0));
 }
 
-// On-call engineers start from a request's id alone.
+// Guards against a failed request that on-call engineers cannot trace by its
+// id.
 TEST_CASE("Gateway.LogsWhyARequestFailedUnderItsId") {
   auto fleet = Fleet();
   fleet.AwaitService();
