--- a/testing/fake_engine/fake_engine.cc
+++ b/testing/fake_engine/fake_engine.cc
@@ -17,7 +17,7 @@
 using std::chrono::steady_clock;
 
 constexpr std::size_t kMaxCacheEvents = 10'000;
-constexpr std::size_t kShownBytes = 200;  // Of a prompt in a record.
+constexpr std::size_t kShownBytes = 200;  // Of a prompt in an execution record.
 constexpr double kBytesPerKb = 1024.0;
 constexpr std::uint64_t kBurstTokens = 64;
 constexpr milliseconds kFrozenPoll{5};
--- a/testing/fake_engine/fake_engine.h
+++ b/testing/fake_engine/fake_engine.h
@@ -22,9 +22,10 @@
 struct FakeEngineSettings {
   std::string listen = "127.0.0.1:0";
   std::vector<std::string> models = {"small@1"};
-  std::uint32_t capacity = 16;      // Requests that run side by side.
+  std::uint32_t capacity = 16;      // Requests that run concurrently.
   std::uint32_t max_waiting = 256;  // More get 429.
-  // Times with one request running; each further one adds `growth` of them.
+  // Times with one request running; each further request adds the share
+  // `growth` of them.
   std::chrono::microseconds first_token_time{40'000};
   std::chrono::microseconds token_time{10'000};
   double growth = 0.02;
@@ -41,26 +42,26 @@
   auto operator==(const FakeEngineSettings&) const -> bool = default;
 };
 
-// Faults as POST /faults sets them; each call replaces all of them.
+// Faults set by POST /faults; each call replaces all of them.
 struct FakeEngineFaults {
   std::int64_t die_after_tokens = -1;     // Counted from now, over all streams.
   std::int64_t refuse_after_tokens = -1;  // Per stream: error event 503.
   bool freeze = false;                    // Answers nothing, keeps connections.
   double slow_factor = 1.0;
   bool drop_answers = false;          // Runs, then closes without an answer.
-  std::chrono::milliseconds late{0};  // Runs on, answers this much later.
+  std::chrono::milliseconds late{0};  // Runs normally, answers this much later.
 
   auto operator==(const FakeEngineFaults&) const -> bool = default;
 };
 
-// A model engine with continuous batching that generates the tokens of
+// A fake model engine with continuous batching that generates the tokens of
 // fake_tokens.h. Runs on one io_context and must outlive its requests.
 class FakeEngine {
  public:
   using DieHook = std::function<auto()->void>;
 
-  // `die` replaces the default way to die, which closes every connection and
-  // stops listening.
+  // Die() first calls `die`, which may end the process, and then closes every
+  // connection and stops listening.
   FakeEngine(boost::asio::io_context& context,
              FakeEngineSettings settings,
              DieHook die = {});
--- a/testing/fake_engine/prefix_cache.h
+++ b/testing/fake_engine/prefix_cache.h
@@ -10,7 +10,7 @@
 namespace kumquatgauge::testing {
 
 // Prompt prefixes in limited memory: blocks of kBlockBytes, each named by the
-// hash of the prompt up to its end; the least recently used ones go first.
+// hash of the prompt up to its end. Evicts the least recently used block.
 class PrefixCache {
  public:
   static constexpr std::size_t kBlockBytes = 256;
--- a/testing/fake_service/fake_service.h
+++ b/testing/fake_service/fake_service.h
@@ -24,7 +24,7 @@
   auto operator==(const FakeServiceSettings&) const -> bool = default;
 };
 
-// Faults as POST /faults sets them; each call replaces all of them.
+// Faults set by POST /faults; each call replaces all of them.
 struct FakeServiceFaults {
   bool lose_answers = false;  // Executes, then closes without an answer.
   std::chrono::milliseconds slow{0};
@@ -35,8 +35,9 @@
   auto operator==(const FakeServiceFaults&) const -> bool = default;
 };
 
-// A plain service: every path but /load, /faults and /executions executes and
-// is recorded. Runs on one io_context and must outlive its requests.
+// A fake plain service: a call to any path but /load, /faults and /executions
+// is executed and recorded. Runs on one io_context and must outlive its
+// requests.
 class FakeService {
  public:
   using DieHook = std::function<auto()->void>;
