--- a/testing/support/execution_log.h
+++ b/testing/support/execution_log.h
@@ -9,10 +9,10 @@
 
 namespace kumquatgauge::testing {
 
-// What a fake has executed, for checkers. Each execution has "seq", "start_ms"
-// and, once it has ended, "end_ms" and "outcome"; times are in milliseconds
-// since the epoch. The file gets one line with "event":"start" and one with
-// "event":"end" per execution, so that it also shows those cut short.
+// Records what a fake has executed, for checks. Each execution has "seq",
+// "start_ms" and, once it has ended, "end_ms" and "outcome"; times are in
+// milliseconds since the epoch. The file gets one line with "event":"start" and
+// one with "event":"end" per execution, so that it also shows interrupted ones.
 class ExecutionLog {
  public:
   // The latest executions kept in memory; the file has all of them.
--- a/testing/support/fake_backend.h
+++ b/testing/support/fake_backend.h
@@ -19,12 +19,11 @@
 
 namespace kumquatgauge::testing {
 
-// A CallerBackend whose answers a test sets, and which remembers what it was
-// asked for.
+// A fake CallerBackend: tests set its answers, and it records the requests.
 class FakeBackend : public caller::CallerBackend {
  public:
-  // One completion: `tokens` are passed on, then `end` is returned, unless
-  // `until_cancelled` holds it back or `error` is thrown.
+  // One completion: passes `tokens` to the sink, then waits for a cancel if
+  // `until_cancelled`, else throws `error` if it is set, else returns `end`.
   struct Completion {
     std::vector<routing::Token> tokens;
     caller::CompletionEnd end;
@@ -32,7 +31,7 @@
     std::optional<Error> error;
   };
 
-  // Memory of one upload, kept after the upload is gone.
+  // State of one upload, kept after the upload is destroyed.
   struct Upload {
     std::string body;
     bool finished = false;
@@ -112,7 +111,7 @@
       ++pieces_read;
     }
     if (fail_results) {
-      throw Error(ErrorKind::kUnavailable, "platform is out", "results",
+      throw Error(ErrorKind::kUnavailable, "platform is unavailable", "results",
                   "read them again");
     }
   }
--- a/testing/support/fake_platform.cc
+++ b/testing/support/fake_platform.cc
@@ -242,7 +242,8 @@
     while (self->acceptor_.is_open()) {
       auto [error, socket] = co_await self->acceptor_.async_accept(kAwaitTuple);
       if (error) {
-        co_await self->Sleep(Milliseconds(10));  // Out of descriptors, say.
+        co_await self->Sleep(
+            Milliseconds(10));  // For example, out of descriptors.
         continue;
       }
       ++self->accepted_connections_;
@@ -330,7 +331,7 @@
     co_await timer.async_wait(kAwaitTuple);
   }
 
-  // Answers a call; nothing means that the connection closes without an answer.
+  // Answers a call; without a value the connection closes without an answer.
   auto Handle(const Request& request, std::shared_ptr<tcp::socket> socket)
       -> awaitable<std::optional<Answer>> {
     const auto target = Target(std::string_view(request.target()));
@@ -427,7 +428,7 @@
     return answer;
   }
 
-  // Answers with nothing when an outage cuts the watch off.
+  // Returns no value when an outage interrupts the watch.
   auto HandleWatch(const Target& target) -> awaitable<std::optional<Answer>> {
     const auto prefix = target.Text("prefix");
     const auto since = target.Number("since", 0);
--- a/testing/support/fake_platform.h
+++ b/testing/support/fake_platform.h
@@ -20,7 +20,8 @@
   std::uint64_t seed = 1;
 };
 
-// The platform of docs/design.md, section 11, in memory, on one io_context.
+// A fake of the platform of docs/design.md, section 11, in memory, on one
+// io_context.
 //
 // POST /faults takes one fault; others stay as they are. Each may carry
 // "duration_ms", after which it ends.
@@ -32,7 +33,7 @@
 //   {"mode":"lose_answers","share":1.0,"prefix":""}  writes take effect, then
 //                              the connection closes
 //   {"mode":"lag","lag_ms":N}  lag of the host list
-//   {"mode":"stale","by_ms":N,"share":1.0}  reads show the past
+//   {"mode":"stale","by_ms":N,"share":1.0}  reads return old values
 //   {"mode":"rates","reads_per_second":R,"writes_per_second":W,
 //    "weights_per_second":V}   each optional
 //   {"mode":"reset"}           forgets all objects; revisions start again
--- a/testing/support/http_server.h
+++ b/testing/support/http_server.h
@@ -25,7 +25,7 @@
   auto query(const std::string& name) const -> std::string;
 };
 
-// The answering side of one request.
+// The response side of one request.
 class HttpExchange {
  public:
   virtual ~HttpExchange() = default;
@@ -34,10 +34,10 @@
       -> boost::asio::awaitable<void> = 0;
   // Begins a chunked response of server-sent events.
   virtual auto StartEvents() -> boost::asio::awaitable<void> = 0;
-  // Returns false when the client is gone.
+  // Returns false when the client has disconnected.
   virtual auto Write(std::string bytes) -> boost::asio::awaitable<bool> = 0;
   virtual auto FinishEvents() -> boost::asio::awaitable<void> = 0;
-  // Closes the connection without a further byte.
+  // Closes the connection without sending anything more.
   virtual auto Abort() -> void = 0;
   // Called at most once, when the client closes while the handler runs.
   virtual auto OnClose(std::function<auto()->void> hook) -> void = 0;
--- a/testing/support/manual_clock.h
+++ b/testing/support/manual_clock.h
@@ -5,13 +5,14 @@
 
 namespace kumquatgauge::testing {
 
-// A clock that only moves when a test says so.
+// A clock that advances only when a test calls Advance.
 class ManualClock {
  public:
   auto now() const -> MonotonicTime { return now_; }
   auto Advance(Duration duration) -> void { now_ += duration; }
 
-  // The hook that decision classes take. The clock must outlive it.
+  // The Clock function that the classes under test take. This object must
+  // outlive it.
   auto AsHook() -> Clock {
     return [this] { return now_; };
   }
--- a/testing/support/memory_object_store.h
+++ b/testing/support/memory_object_store.h
@@ -11,7 +11,7 @@
 
 namespace kumquatgauge::testing {
 
-// What a fault hook wants done with a call.
+// The fault that a hook injects into a call.
 enum class StoreFault {
   kNone,
   kUnavailable,      // Fails with kUnavailable, no effect.
@@ -19,10 +19,10 @@
   kUnknownNoEffect,  // Has no effect and fails with kUnknownOutcome.
 };
 
-// An ObjectStore in memory for tests; answers at once.
+// An ObjectStore in memory for tests; calls complete immediately.
 class MemoryObjectStore : public store::ObjectStore {
  public:
-  // Asked before each write or remove ("write", key) and read ("read", key).
+  // Called before each write or remove ("write", key) and read ("read", key).
   using FaultHook = std::function<
       auto(const std::string& call, const std::string& key)->StoreFault>;
 
--- a/testing/support/platform_state.h
+++ b/testing/support/platform_state.h
@@ -13,8 +13,8 @@
 
 namespace kumquatgauge::testing {
 
-// Objects, watches' events and the host list of a platform, without I/O. An
-// object's version counts its changes and goes on after a removal.
+// Objects, watch events and the host list of a platform, without I/O. An
+// object's version counts its changes and keeps counting after a removal.
 class PlatformState {
  public:
   enum class Change { kDone, kVersionDiffers, kNotFound };
@@ -45,12 +45,13 @@
   auto revision() const -> std::uint64_t { return revision_; }
   auto object_count() const -> std::size_t { return object_count_; }
 
-  // Hosts as in PUT /hosts; they show `lag` later.
+  // Sets the hosts as in PUT /hosts.
   auto SetHosts(nlohmann::json hosts, MonotonicTime now) -> void;
   // {"version", "hosts"} as it was at `time`.
   auto Hosts(MonotonicTime time) const -> nlohmann::json;
 
-  // Forgets every object, as a platform restored from nothing.
+  // Removes all objects and restarts the revisions, like a platform that is
+  // restored empty.
   auto Clear() -> void;
 
  private:
@@ -75,7 +76,7 @@
   std::uint64_t hosts_version_ = 0;
 };
 
-// How far back stale reads and the lagging host list may look.
+// The longest time by which stale reads and the host list may lag.
 inline constexpr auto kLongestHistory = std::chrono::seconds(60);
 
 }  // namespace kumquatgauge::testing
--- a/testing/support/raw_client.h
+++ b/testing/support/raw_client.h
@@ -53,7 +53,7 @@
     return received_;
   }
 
-  // Forgets what has been received.
+  // Discards the bytes received so far.
   auto Clear() -> void { received_.clear(); }
   auto closed() const -> bool { return closed_; }
   auto Close() -> void { socket_.close(); }
--- a/testing/support/reserved_ports_test.cc
+++ b/testing/support/reserved_ports_test.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // Guards against two processes of a fleet that get the same port: one of them
-// ends at its start, and the fleet never forms.
+// fails to start, and the nodes never all see each other.
 TEST_CASE("ReservedPorts.NeverReturnsThePortOfAnother") {
   constexpr std::size_t kAddresses = 1'000;
   ReservedPorts ports;
--- a/testing/support/unreliable_object_store.cc
+++ b/testing/support/unreliable_object_store.cc
@@ -20,7 +20,7 @@
         std::move(write.key), std::move(write.value), write.expected_version,
         CallClass::kStatus);
   } catch (const Error&) {
-    // Too late: the version has moved on, or another fault struck.
+    // The version has changed meanwhile, or another fault was injected.
   }
 }
 
--- a/testing/support/unreliable_object_store.h
+++ b/testing/support/unreliable_object_store.h
@@ -10,16 +10,17 @@
 
 namespace kumquatgauge::testing {
 
-// Adds to the faults of MemoryObjectStore stale reads and writes that take
-// effect late. The hooks are asked before each read and write.
+// A MemoryObjectStore with two more faults: stale reads and writes that take
+// effect late. The hooks are called before each read and write.
 class UnreliableObjectStore : public MemoryObjectStore {
  public:
   using Hook = std::function<auto()->bool>;
 
-  // The read shows the value before the last change of the object.
+  // If true, the read returns the value before the last change of the object.
   auto set_stale_hook(Hook hook) -> void { stale_ = std::move(hook); }
-  // The write fails with kUnknownOutcome and is carried out, if its version
-  // still matches, before a later call for which the arrival hook is true.
+  // If true, the write fails with kUnknownOutcome and is carried out, if its
+  // version still matches, before a later call for which the arrival hook is
+  // true.
   auto set_late_hook(Hook hook) -> void { late_ = std::move(hook); }
   auto set_arrival_hook(Hook hook) -> void { arrival_ = std::move(hook); }
 
