--- a/testing/scenario/fleet.h
+++ b/testing/scenario/fleet.h
@@ -27,7 +27,7 @@
                  const std::string& program,
                  const ProgramOptions& options) -> void;
   auto StartNode(const std::string& name, const std::string& zone) -> void;
-  // Starts a process again that has ended, with the same settings.
+  // Restarts a node, which is killed if it still runs, with the same settings.
   auto RestartNode(const std::string& name) -> void;
   // Kills all these nodes and starts them again in this order.
   auto RestartNodes(const std::vector<std::string>& order) -> void;
@@ -42,7 +42,8 @@
   auto record_file(const std::string& name) const -> std::string;
   auto log_file(const std::string& name) const -> std::string;
 
-  // One command of the operators' language; the answer, or null without one.
+  // Runs one command of the operators' language. Returns the answer, which is
+  // not an object if there was none.
   auto Operate(const std::string& node, const std::string& command) const
       -> nlohmann::json;
 
--- a/testing/scenario/interpreter.cc
+++ b/testing/scenario/interpreter.cc
@@ -437,7 +437,7 @@
     std::this_thread::sleep_for(kPoll);
   }
   throw std::runtime_error("job " + Name(command) +
-                           " did not get there: " + last);
+                           " did not reach the awaited state: " + last);
 }
 
 auto Interpreter::Fault(const Command& command) -> void {
--- a/testing/scenario/interpreter.h
+++ b/testing/scenario/interpreter.h
@@ -36,7 +36,7 @@
   struct Job {
     std::string id;
     std::vector<std::string> custom_ids;
-    std::vector<std::string> expected;  // Text per item; empty: never done.
+    std::vector<std::string> expected;  // Text per item; empty: must fail.
     std::int64_t cancelled_ms = 0;      // Wall time; 0: not cancelled.
   };
 
--- a/testing/scenario/load.cc
+++ b/testing/scenario/load.cc
@@ -28,7 +28,7 @@
                       : std::chrono::milliseconds(std::stoul(text) * 1'000);
 }
 
-// The text of a stream of completion chunks; `done` says whether it was whole.
+// The text of a stream of completion chunks; `done` is set if it was complete.
 auto StreamText(const std::string& body, bool& done) -> std::string {
   auto text = std::string();
   auto lines = std::istringstream(body);
@@ -161,8 +161,8 @@
     if (result.outcome == "not_run") {
       std::this_thread::sleep_for(RetryAfter(reply));
     } else if (reply.connected) {
-      // A stream that was cut off, or another typed end: not sent again here,
-      // so that the figures show what one request got.
+      // A stream that broke off or any other outcome is not retried here, so
+      // that the figures show what one request got.
       return result;
     }
   }
@@ -194,10 +194,10 @@
     const auto reply = Fetch(request);
     const auto outcome = Header(reply, "kqg-outcome");
     if (!reply.complete || outcome.empty()) {
-      // Nothing was heard; what an earlier round was told still holds.
+      // No outcome was received; that of an earlier round still holds.
       continue;
     }
-    // Once it was told to have run, no later answer may say "not run".
+    // After the outcome "completed", no later answer may say "not run".
     if (outcome == "not_run" && result.outcome == "completed") {
       result.outcome = "wrong";
       return result;
--- a/testing/scenario/load.h
+++ b/testing/scenario/load.h
@@ -28,12 +28,12 @@
   bool ticket = true;
 };
 
-// One caller after another, as the documentation asks callers to behave: ask a
-// node for addresses, connect to the first, come back after Retry-After when
-// told "not run", go to another address when a connection is refused or lost.
+// Sends requests at a fixed rate from callers that behave as documented: they
+// ask a node for addresses, connect to the first, retry after Retry-After when
+// told "not run", and ask again when a connection is refused.
 class Load {
  public:
-  // `entry_nodes` are addresses to ask for addresses.
+  // `entry_nodes` are the addresses of the nodes that are asked for addresses.
   Load(LoadSpec spec, std::vector<std::string> entry_nodes);
   ~Load();
   Load(const Load&) = delete;
@@ -48,12 +48,12 @@
 
  private:
   struct Result {
-    std::string outcome;  // As told, or "broken", or "wrong".
+    std::string outcome;  // As reported, or "broken" or "wrong".
     double first_byte_ms = 0.0;
     double total_ms = 0.0;
     std::size_t tries = 0;
     std::string key;
-    std::string detail;  // End of the response that was not a whole answer.
+    std::string detail;  // End of a response without a complete answer.
   };
 
   auto RunCallers() -> void;
