--- a/testing/support/fake_platform.cc
+++ b/testing/support/fake_platform.cc
@@ -242,8 +242,7 @@
     while (self->acceptor_.is_open()) {
       auto [error, socket] = co_await self->acceptor_.async_accept(kAwaitTuple);
       if (error) {
-        co_await self->Sleep(
-            Milliseconds(10));  // For example, out of descriptors.
+        co_await self->Sleep(Milliseconds(10));  // For example EMFILE.
         continue;
       }
       ++self->accepted_connections_;
--- a/testing/support/memory_object_store.h
+++ b/testing/support/memory_object_store.h
@@ -19,7 +19,8 @@
   kUnknownNoEffect,  // Has no effect and fails with kUnknownOutcome.
 };
 
-// An ObjectStore in memory for tests; calls complete immediately.
+// An ObjectStore in memory for tests. Calls complete immediately, except for a
+// Watch without new events, which waits for its timeout.
 class MemoryObjectStore : public store::ObjectStore {
  public:
   // Called before each write or remove ("write", key) and read ("read", key).
