--- a/testing/gateway/stand_in.cc
+++ b/testing/gateway/fake_servers.cc
@@ -1,4 +1,4 @@
-#include "testing/gateway/stand_in.h"
+#include "testing/gateway/fake_servers.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -41,77 +41,76 @@
 
 }  // namespace
 
-ObjectApiStandIn::ObjectApiStandIn(asio::io_context& context)
-    : context_(context) {
-  AddEntrance();
+FakeObjectApi::FakeObjectApi(asio::io_context& context) : context_(context) {
+  AddEndpoint();
 }
 
-auto ObjectApiStandIn::AddEntrance() -> std::string {
-  auto entrance = std::make_shared<Entrance>();
-  entrance->listener = std::make_unique<caller::HttpListener>(
+auto FakeObjectApi::AddEndpoint() -> std::string {
+  auto endpoint = std::make_shared<Endpoint>();
+  endpoint->listener = std::make_unique<caller::HttpListener>(
       context_, "127.0.0.1:0", caller::ListenerLimits(),
-      [this, weak = std::weak_ptr(entrance)](
+      [this, weak = std::weak_ptr(endpoint)](
           std::shared_ptr<const Request> request,
           std::shared_ptr<Writer> writer) {
         return Handle(std::move(request), std::move(writer), weak.lock());
       });
-  entrance->listener->Start();
+  endpoint->listener->Start();
   const auto lock = std::lock_guard(mutex_);
-  entrances_.push_back(entrance);
-  return entrance->listener->address();
+  endpoints_.push_back(endpoint);
+  return endpoint->listener->address();
 }
 
-auto ObjectApiStandIn::SetEntranceClosed(const std::string& address,
-                                         bool closed) -> void {
+auto FakeObjectApi::SetEndpointDown(const std::string& address, bool down)
+    -> void {
   const auto lock = std::lock_guard(mutex_);
-  for (const auto& entrance : entrances_) {
-    if (entrance->listener->address() == address) {
-      entrance->closed = closed;
+  for (const auto& endpoint : endpoints_) {
+    if (endpoint->listener->address() == address) {
+      endpoint->down = down;
     }
   }
 }
 
-auto ObjectApiStandIn::IsClosed(const Entrance& entrance) const -> bool {
+auto FakeObjectApi::IsDown(const Endpoint& endpoint) const -> bool {
   const auto lock = std::lock_guard(mutex_);
-  return down_ || entrance.closed;
+  return down_ || endpoint.down;
 }
 
-auto ObjectApiStandIn::Put(const std::string& key, json spec) -> void {
+auto FakeObjectApi::Put(const std::string& key, json spec) -> void {
   const auto lock = std::lock_guard(mutex_);
   objects_[key] = {std::move(spec), ++revision_, false};
 }
 
-auto ObjectApiStandIn::Remove(const std::string& key) -> void {
+auto FakeObjectApi::Remove(const std::string& key) -> void {
   const auto lock = std::lock_guard(mutex_);
   objects_[key].revision = ++revision_;
   objects_[key].deleted = true;
 }
 
-auto ObjectApiStandIn::Has(const std::string& key) const -> bool {
+auto FakeObjectApi::Has(const std::string& key) const -> bool {
   const auto lock = std::lock_guard(mutex_);
   const auto found = objects_.find(key);
   return found != objects_.end() && !found->second.deleted;
 }
 
-auto ObjectApiStandIn::Get(const std::string& key) const -> json {
+auto FakeObjectApi::Get(const std::string& key) const -> json {
   const auto lock = std::lock_guard(mutex_);
   const auto found = objects_.find(key);
   return found == objects_.end() || found->second.deleted ? json()
                                                           : found->second.spec;
 }
 
-auto ObjectApiStandIn::set_down(bool down) -> void {
+auto FakeObjectApi::set_down(bool down) -> void {
   const auto lock = std::lock_guard(mutex_);
   down_ = down;
 }
 
-auto ObjectApiStandIn::SetReadDelay(const std::string& kind, milliseconds delay)
+auto FakeObjectApi::SetReadDelay(const std::string& kind, milliseconds delay)
     -> void {
   const auto lock = std::lock_guard(mutex_);
   read_delays_[kind] = delay;
 }
 
-auto ObjectApiStandIn::ReadDelay(const Request& request) const -> milliseconds {
+auto FakeObjectApi::ReadDelay(const Request& request) const -> milliseconds {
   const auto lock = std::lock_guard(mutex_);
   const auto path = request.target.substr(kObjects.size());
   const auto delay = read_delays_.find(path.substr(0, path.find('/')));
@@ -120,14 +119,14 @@
              : milliseconds(0);
 }
 
-auto ObjectApiStandIn::LoseAnswers(const std::string& kind, int count) -> void {
+auto FakeObjectApi::LoseAnswers(const std::string& kind, int count) -> void {
   const auto lock = std::lock_guard(mutex_);
   lost_answers_[kind] = count;
 }
 
-auto ObjectApiStandIn::Handle(std::shared_ptr<const Request> request,
-                              std::shared_ptr<Writer> writer,
-                              std::shared_ptr<Entrance> entrance)
+auto FakeObjectApi::Handle(std::shared_ptr<const Request> request,
+                           std::shared_ptr<Writer> writer,
+                           std::shared_ptr<Endpoint> endpoint)
     -> awaitable<void> {
   const auto since = QueryNumber(request->target, "watch");
   const auto wait = milliseconds(QueryNumber(request->target, "wait_ms"));
@@ -136,15 +135,15 @@
       request->target.substr(kObjects.size(), mark - kObjects.size());
   if (since > 0) {
     const auto last = std::chrono::steady_clock::now() + wait;
-    while (!IsClosed(*entrance) && Changes(kind, since).at("events").empty() &&
+    while (!IsDown(*endpoint) && Changes(kind, since).at("events").empty() &&
            std::chrono::steady_clock::now() < last) {
       co_await Pause(context_, kWatchStep);
     }
   }
   co_await Pause(context_, ReadDelay(*request));
-  auto [status, body] = since > 0 && !IsClosed(*entrance)
+  auto [status, body] = since > 0 && !IsDown(*endpoint)
                             ? std::pair(200, Changes(kind, since))
-                            : Answer(*request, *entrance);
+                            : Answer(*request, *endpoint);
   if (status == 0) {
     co_return;  // The connection closes without an answer.
   }
@@ -153,8 +152,8 @@
   co_await writer->Send(status, std::move(headers), std::move(text));
 }
 
-auto ObjectApiStandIn::Changes(const std::string& kind,
-                               std::uint64_t since) const -> json {
+auto FakeObjectApi::Changes(const std::string& kind, std::uint64_t since) const
+    -> json {
   const auto lock = std::lock_guard(mutex_);
   auto events = json::array();
   for (const auto& [key, object] : objects_) {
@@ -166,16 +165,16 @@
   return {{"events", std::move(events)}, {"as_of", revision_}};
 }
 
-auto ObjectApiStandIn::Show(const std::string& name, const Object& object) const
+auto FakeObjectApi::Show(const std::string& name, const Object& object) const
     -> json {
   return {{"metadata", {{"name", name}, {"revision", object.revision}}},
           {"spec", object.spec}};
 }
 
-auto ObjectApiStandIn::Answer(const Request& request, const Entrance& entrance)
+auto FakeObjectApi::Answer(const Request& request, const Endpoint& endpoint)
     -> std::pair<int, json> {
   const auto lock = std::lock_guard(mutex_);
-  if (down_ || entrance.closed) {
+  if (down_ || endpoint.down) {
     return {503, json::object()};
   }
   const auto mark = request.target.find('?');
@@ -185,7 +184,7 @@
                                  : AnswerWrite(request, path);
 }
 
-auto ObjectApiStandIn::AnswerRead(const std::string& path)
+auto FakeObjectApi::AnswerRead(const std::string& path)
     -> std::pair<int, json> {
   if (path.find('/') != std::string::npos) {
     const auto found = objects_.find(path);
@@ -205,8 +204,7 @@
       {{"items", std::move(items)}, {"has_more", false}, {"as_of", revision_}}};
 }
 
-auto ObjectApiStandIn::AnswerWrite(const Request& request,
-                                   const std::string& path)
+auto FakeObjectApi::AnswerWrite(const Request& request, const std::string& path)
     -> std::pair<int, json> {
   const auto kind = path.substr(0, path.find('/'));
   if (request.method == "DELETE") {
@@ -234,9 +232,9 @@
   return {200, Show(name, objects_[key])};
 }
 
-ReplicaStandIn::ReplicaStandIn(asio::io_context& context,
-                               std::string id,
-                               OnStart on_start)
+FakeReplica::FakeReplica(asio::io_context& context,
+                         std::string id,
+                         OnStart on_start)
     : id_(std::move(id)),
       on_start_(std::move(on_start)),
       context_(context),
@@ -250,24 +248,24 @@
   listener_.Start();
 }
 
-auto ReplicaStandIn::SetFault(ReplicaFault fault, int count) -> void {
+auto FakeReplica::SetFault(ReplicaFault fault, int count) -> void {
   const auto lock = std::lock_guard(mutex_);
   fault_ = fault;
   fault_count_ = count;
 }
 
-auto ReplicaStandIn::set_pace(milliseconds pace) -> void {
+auto FakeReplica::set_event_delay(milliseconds delay) -> void {
   const auto lock = std::lock_guard(mutex_);
-  pace_ = pace;
+  event_delay_ = delay;
 }
 
-auto ReplicaStandIn::Runs(const std::string& request) const -> int {
+auto FakeReplica::RunCount(const std::string& request) const -> int {
   const auto lock = std::lock_guard(mutex_);
   const auto found = runs_.find(request);
   return found == runs_.end() ? 0 : found->second;
 }
 
-auto ReplicaStandIn::runs() const -> int {
+auto FakeReplica::total_runs() const -> int {
   const auto lock = std::lock_guard(mutex_);
   auto all = 0;
   for (const auto& [request, count] : runs_) {
@@ -276,7 +274,7 @@
   return all;
 }
 
-auto ReplicaStandIn::TakeFault() -> ReplicaFault {
+auto FakeReplica::TakeFault() -> ReplicaFault {
   const auto lock = std::lock_guard(mutex_);
   if (fault_count_ == 0) {
     return ReplicaFault::kNone;
@@ -285,9 +283,9 @@
   return fault_;
 }
 
-auto ReplicaStandIn::Handle(
-    std::shared_ptr<const caller::IncomingRequest> request,
-    std::shared_ptr<caller::ResponseWriter> writer) -> awaitable<void> {
+auto FakeReplica::Handle(std::shared_ptr<const caller::IncomingRequest> request,
+                         std::shared_ptr<caller::ResponseWriter> writer)
+    -> awaitable<void> {
   const auto fault = TakeFault();
   const auto request_id =
       std::string(FindHeader(request->headers, "Request-Id"));
@@ -310,12 +308,12 @@
   if (fault == ReplicaFault::kLoseAnswer) {
     co_return;
   }
-  if (fault == ReplicaFault::kFail || fault == ReplicaFault::kNeverDone) {
+  if (fault == ReplicaFault::kFail || fault == ReplicaFault::kUnprocessable) {
     const auto status = fault == ReplicaFault::kFail ? 500 : 422;
     co_await writer->Send(status, std::move(headers), "failed");
     co_return;
   }
-  if (fault == ReplicaFault::kOtherRequest) {
+  if (fault == ReplicaFault::kWrongRequestId) {
     headers.front().value = "another";
   }
   if (request->target.starts_with("/plain/")) {
@@ -326,18 +324,18 @@
   co_await Stream(*request, writer, std::move(headers), fault);
 }
 
-auto ReplicaStandIn::Stream(const caller::IncomingRequest& request,
-                            std::shared_ptr<caller::ResponseWriter> writer,
-                            HeaderList headers,
-                            ReplicaFault fault) -> awaitable<void> {
+auto FakeReplica::Stream(const caller::IncomingRequest& request,
+                         std::shared_ptr<caller::ResponseWriter> writer,
+                         HeaderList headers,
+                         ReplicaFault fault) -> awaitable<void> {
   const auto id = std::string(FindHeader(request.headers, "Request-Id"));
   const auto last = FindHeader(request.headers, "Last-Event-Id");
   const auto after = last.empty() ? 0 : std::stoi(std::string(last));
   headers.push_back({"Content-Type", "text/event-stream"});
-  const auto slow = request.target.find(kSlowMark) != std::string::npos;
+  const auto slow = request.target.find(kSlowPathPart) != std::string::npos;
   co_await writer->BeginStream(200, std::move(headers));
   for (auto number = after + 1; number <= kEvents; ++number) {
-    co_await Pause(context_, slow ? kSlowPace : pace_);
+    co_await Pause(context_, slow ? kSlowEventDelay : event_delay_);
     auto text = EventText(id, number);
     if (fault == ReplicaFault::kBreakMidEvent && number == 3) {
       text.resize(text.size() / 2);
@@ -351,7 +349,7 @@
 
 auto ExpectedText(const std::string& request) -> std::string {
   auto text = std::string();
-  for (auto number = 1; number <= ReplicaStandIn::kEvents; ++number) {
+  for (auto number = 1; number <= FakeReplica::kEvents; ++number) {
     text += (number > 1 ? "\n" : "") + EventData(request, number);
   }
   return text;
@@ -359,21 +357,21 @@
 
 auto ExpectedEvents(const std::string& request, int after) -> std::string {
   auto text = std::string();
-  for (auto number = after + 1; number <= ReplicaStandIn::kEvents; ++number) {
+  for (auto number = after + 1; number <= FakeReplica::kEvents; ++number) {
     text += EventText(request, number);
   }
   return text;
 }
 
-StandInThread::StandInThread()
+FakeServerThread::FakeServerThread()
     : guard_(asio::make_work_guard(context_)),
       thread_([this] { context_.run(); }) {}
 
-StandInThread::~StandInThread() {
+FakeServerThread::~FakeServerThread() {
   Stop();
 }
 
-auto StandInThread::Stop() -> void {
+auto FakeServerThread::Stop() -> void {
   context_.stop();
   if (thread_.joinable()) {
     thread_.join();
--- a/testing/gateway/stand_in.h
+++ b/testing/gateway/fake_servers.h
@@ -1,5 +1,5 @@
-#ifndef TESTING_GATEWAY_STAND_IN_H_
-#define TESTING_GATEWAY_STAND_IN_H_
+#ifndef TESTING_GATEWAY_FAKE_SERVERS_H_
+#define TESTING_GATEWAY_FAKE_SERVERS_H_
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -17,13 +17,13 @@
 
 namespace kumquatgauge::testing {
 
-// The users' object API on 127.0.0.1, with faults. Thread-safe.
-class ObjectApiStandIn {
+// A fake of the users' object API on 127.0.0.1, with faults. Thread-safe.
+class FakeObjectApi {
  public:
-  explicit ObjectApiStandIn(boost::asio::io_context& context);
+  explicit FakeObjectApi(boost::asio::io_context& context);
 
   auto address() const -> std::string {
-    return entrances_.front()->listener->address();
+    return endpoints_.front()->listener->address();
   }
   auto Put(const std::string& key, nlohmann::json spec) -> void;
   auto Remove(const std::string& key) -> void;
@@ -32,14 +32,14 @@
   auto Get(const std::string& key) const -> nlohmann::json;
   // While set, every call is answered 503.
   auto set_down(bool down) -> void;
-  // Returns a further address of the same objects, for one caller.
-  auto AddEntrance() -> std::string;
-  // While closed, every call to the address is answered 503.
-  auto SetEntranceClosed(const std::string& address, bool closed) -> void;
+  // Returns another address that serves the same objects, for one caller.
+  auto AddEndpoint() -> std::string;
+  // While down, every call to the address is answered 503.
+  auto SetEndpointDown(const std::string& address, bool down) -> void;
   // Reads of single objects of this kind are answered after this time.
   auto SetReadDelay(const std::string& kind, std::chrono::milliseconds delay)
       -> void;
-  // The next writes of this kind are carried out and not answered.
+  // The next `count` writes of this kind take effect but are not answered.
   auto LoseAnswers(const std::string& kind, int count) -> void;
 
  private:
@@ -51,19 +51,19 @@
   using Request = caller::IncomingRequest;
   using Writer = caller::ResponseWriter;
 
-  struct Entrance {
+  struct Endpoint {
     std::unique_ptr<caller::HttpListener> listener;
-    bool closed = false;
+    bool down = false;
   };
 
   auto Handle(std::shared_ptr<const Request> request,
               std::shared_ptr<Writer> writer,
-              std::shared_ptr<Entrance> entrance)
+              std::shared_ptr<Endpoint> endpoint)
       -> boost::asio::awaitable<void>;
-  // Status and body; nothing for an answer that is to be lost.
-  auto Answer(const Request& request, const Entrance& entrance)
+  // Status and body; status 0 for an answer that is to be lost.
+  auto Answer(const Request& request, const Endpoint& endpoint)
       -> std::pair<int, nlohmann::json>;
-  auto IsClosed(const Entrance& entrance) const -> bool;
+  auto IsDown(const Endpoint& endpoint) const -> bool;
   auto ReadDelay(const Request& request) const -> std::chrono::milliseconds;
   auto AnswerRead(const std::string& path) -> std::pair<int, nlohmann::json>;
   auto AnswerWrite(const Request& request, const std::string& path)
@@ -80,44 +80,44 @@
   std::uint64_t revision_ = 1;
   bool down_ = false;
   boost::asio::io_context& context_;
-  std::vector<std::shared_ptr<Entrance>> entrances_;
+  std::vector<std::shared_ptr<Endpoint>> endpoints_;
 };
 
-// How a replica answers.
+// Faults of a replica's answers.
 enum class ReplicaFault {
   kNone,
-  kLoseAnswer,     // Runs the request, then closes the connection.
-  kBreakMidEvent,  // Ends a stream inside its third event.
-  kRefuse,         // Says that it has not run it.
-  kOtherRequest,   // Answers under the id of another request.
-  kFail,           // Status 500.
-  kNeverDone,      // Status 422.
+  kLoseAnswer,      // Runs the request, then closes the connection.
+  kBreakMidEvent,   // Ends a stream inside its third event.
+  kRefuse,          // Answers that the request has not run.
+  kWrongRequestId,  // Answers under the id of another request.
+  kFail,            // Status 500.
+  kUnprocessable,   // Status 422.
 };
 
-// A replica of the users' platform on 127.0.0.1. Streams have kEvents events
-// whose data depend on the request's id and the event's number alone.
-class ReplicaStandIn {
+// A fake replica of the users' platform on 127.0.0.1. Streams have kEvents
+// events whose data depend on the request's id and the event's number alone.
+class FakeReplica {
  public:
   static constexpr int kEvents = 5;
-  // Requests with this in their path take kSlowPace an event.
-  static constexpr auto kSlowMark = "/slow-";
-  static constexpr std::chrono::milliseconds kSlowPace{250};
+  // Requests with this in their path take kSlowEventDelay per event.
+  static constexpr auto kSlowPathPart = "/slow-";
+  static constexpr std::chrono::milliseconds kSlowEventDelay{250};
   // Called on the thread of `context` when a request begins to run.
   using OnStart = std::function<auto(const std::string& request)->void>;
 
-  ReplicaStandIn(boost::asio::io_context& context,
-                 std::string id,
-                 OnStart on_start = nullptr);
+  FakeReplica(boost::asio::io_context& context,
+              std::string id,
+              OnStart on_start = nullptr);
 
   auto address() const -> std::string { return listener_.address(); }
   auto id() const -> const std::string& { return id_; }
   // Applies to the next `count` requests.
   auto SetFault(ReplicaFault fault, int count) -> void;
-  // The pause before each event.
-  auto set_pace(std::chrono::milliseconds pace) -> void;
+  // The delay before each event.
+  auto set_event_delay(std::chrono::milliseconds delay) -> void;
   // How often a request has begun to run here.
-  auto Runs(const std::string& request) const -> int;
-  auto runs() const -> int;
+  auto RunCount(const std::string& request) const -> int;
+  auto total_runs() const -> int;
 
  private:
   auto Handle(std::shared_ptr<const caller::IncomingRequest> request,
@@ -135,7 +135,7 @@
   std::map<std::string, int> runs_;
   ReplicaFault fault_ = ReplicaFault::kNone;
   int fault_count_ = 0;
-  std::chrono::milliseconds pace_{0};
+  std::chrono::milliseconds event_delay_{0};
   boost::asio::io_context& context_;
   caller::HttpListener listener_;
 };
@@ -144,13 +144,13 @@
 auto ExpectedText(const std::string& request) -> std::string;
 auto ExpectedEvents(const std::string& request, int after) -> std::string;
 
-// Runs stand-ins on a thread of its own.
-class StandInThread {
+// Runs the io_context of fake servers on a thread of its own.
+class FakeServerThread {
  public:
-  StandInThread();
-  ~StandInThread();
+  FakeServerThread();
+  ~FakeServerThread();
   auto context() -> boost::asio::io_context& { return context_; }
-  // Ends the thread; the stand-ins can then be destroyed.
+  // Ends the thread; the fake servers can then be destroyed.
   auto Stop() -> void;
 
  private:
@@ -162,4 +162,4 @@
 
 }  // namespace kumquatgauge::testing
 
-#endif  // TESTING_GATEWAY_STAND_IN_H_
+#endif  // TESTING_GATEWAY_FAKE_SERVERS_H_
--- a/testing/gateway/gateway_process.cc
+++ b/testing/gateway/gateway_process.cc
@@ -68,14 +68,14 @@
        << "\"\n[store]\naddress = \"" << store << "\"\n[limits]\nstop_s = 8\n"
        << "memory_mb = " << memory_mb << "\n";
   file.close();
-  StartAgain();
+  Start();
 }
 
 auto GatewayProcess::LogFile() const -> std::string {
   return folder_ + "/" + name_ + "." + std::to_string(starts_) + ".log";
 }
 
-auto GatewayProcess::StartAgain() -> void {
+auto GatewayProcess::Start() -> void {
   process_.reset();
   ++starts_;
   process_ = std::make_unique<ChildProcess>(
@@ -112,7 +112,8 @@
     -> json {
   const auto reply =
       Call("GET", "/api/lots/" + job + "?after=" + std::to_string(after), "");
-  return reply.status == 200 && reply.whole ? json::parse(reply.body) : json();
+  return reply.status == 200 && reply.complete ? json::parse(reply.body)
+                                               : json();
 }
 
 auto GatewayProcess::Log() const -> std::string {
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -1,4 +1,4 @@
-// The real gateway as a process between stand-ins of the users' platform.
+// Runs the real gateway process against fakes of the users' platform.
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -11,8 +11,8 @@
 #include <sstream>
 #include <thread>
 
+#include "testing/gateway/fake_servers.h"
 #include "testing/gateway/gateway_process.h"
-#include "testing/gateway/stand_in.h"
 
 namespace kumquatgauge::testing {
 namespace {
@@ -43,20 +43,20 @@
     Announce(*one);
     Announce(*two);
     for (auto at = 0; at < gateways; ++at) {
-      entrances.push_back(store->AddEntrance());
+      store_addresses.push_back(store->AddEndpoint());
       nodes.push_back(std::make_unique<GatewayProcess>(
-          KQG_GATEWAY, "n" + std::to_string(at), entrances.back(),
+          KQG_GATEWAY, "n" + std::to_string(at), store_addresses.back(),
           folder.string(), memory_mb));
     }
   }
 
   ~Fleet() {
     nodes.clear();
-    thread.Stop();  // Its handlers use the stand-ins.
+    thread.Stop();  // Its handlers use the fakes.
     std::filesystem::remove_all(folder);
   }
 
-  auto Announce(const ReplicaStandIn& replica) -> void {
+  auto Announce(const FakeReplica& replica) -> void {
     store->Put("servers/" + replica.id(), {{"service", "svc"},
                                            {"address", replica.address()},
                                            {"zone", "a"},
@@ -77,19 +77,19 @@
     }
   }
 
-  auto Runs(const std::string& request) const -> int {
-    return one->Runs(request) + two->Runs(request);
+  auto RunCount(const std::string& request) const -> int {
+    return one->RunCount(request) + two->RunCount(request);
   }
 
-  StandInThread thread;
-  std::unique_ptr<ObjectApiStandIn> store =
-      std::make_unique<ObjectApiStandIn>(thread.context());
-  std::unique_ptr<ReplicaStandIn> one =
-      std::make_unique<ReplicaStandIn>(thread.context(), "i-1");
-  std::unique_ptr<ReplicaStandIn> two =
-      std::make_unique<ReplicaStandIn>(thread.context(), "i-2");
+  FakeServerThread thread;
+  std::unique_ptr<FakeObjectApi> store =
+      std::make_unique<FakeObjectApi>(thread.context());
+  std::unique_ptr<FakeReplica> one =
+      std::make_unique<FakeReplica>(thread.context(), "i-1");
+  std::unique_ptr<FakeReplica> two =
+      std::make_unique<FakeReplica>(thread.context(), "i-2");
   std::filesystem::path folder;
-  std::vector<std::string> entrances;  // To the store, one a gateway.
+  std::vector<std::string> store_addresses;  // Of the store, one per gateway.
   std::vector<std::unique_ptr<GatewayProcess>> nodes;
 };
 
@@ -102,7 +102,7 @@
   CHECK(plain.body == "answer to question");
   CHECK(plain.headers.at("response-signature").starts_with("signed.i-"));
   const auto stream = node.Call("POST", "/stream/x", "q2");
-  CHECK(stream.whole);
+  CHECK(stream.complete);
   CHECK(stream.body == ExpectedEvents("q2", 0));
   CHECK(node.Call("POST", "/none/", "q3").status == 404);
 }
@@ -144,11 +144,12 @@
        static_cast<std::uint16_t>(std::stoi(node.callers().substr(colon + 1)))},
       error);
   CHECK(error == boost::asio::error::address_in_use);
-  node.StartAgain();
+  node.Start();
   fleet.AwaitService();
 }
 
-// Guards against a caller that sees a lost answer which could be repeated.
+// Guards against an error for a lost answer although the request may be
+// repeated.
 TEST_CASE("Gateway.RepeatsAnIdempotentRequestWhoseAnswerWasLost") {
   auto fleet = Fleet();
   fleet.AwaitService();
@@ -159,14 +160,14 @@
   for (auto request = 0; request < 6; ++request) {
     const auto id = "s" + std::to_string(request);
     served += node.Call("POST", "/plain/x", id).status == 200 ? 1 : 0;
-    CHECK(fleet.Runs(id) <= 2);
+    CHECK(fleet.RunCount(id) <= 2);
   }
   CHECK(served >= 5);
 }
 
-// A kept connection that closes without an answer looks like one that was
-// closed before the request. Guards against counting its two sends as one
-// attempt.
+// A reused connection that closes without an answer looks like one that was
+// closed before the request. Guards against counting the two sends of a request
+// as one attempt.
 TEST_CASE("Gateway.SendsNoMoreOftenThanTheRouteAllowsOnKeptConnections") {
   auto fleet = Fleet();
   fleet.AwaitService();
@@ -177,12 +178,12 @@
     fleet.two->SetFault(ReplicaFault::kLoseAnswer, 1);
     const auto id = "k" + std::to_string(round);
     node.Call("POST", "/plain/x", id);
-    CHECK(fleet.Runs(id) <= 2);
+    CHECK(fleet.RunCount(id) <= 2);
   }
 }
 
-// Guards against a charge that is confirmed twice, and against "not run" said
-// of one that ran.
+// Guards against a payment that is confirmed twice, and against the answer "not
+// run" to one that ran.
 TEST_CASE("Gateway.RunsARequestAtMostOnceWhenItsAnswerIsLost") {
   auto fleet = Fleet();
   fleet.AwaitService();
@@ -191,7 +192,7 @@
   const auto reply =
       fleet.nodes.front()->Call("POST", "/plain/once/x", "once", "pay");
   CHECK(reply.status == 502);
-  CHECK(fleet.Runs("once") == 1);
+  CHECK(fleet.RunCount("once") == 1);
 }
 
 TEST_CASE("Gateway.TriesAnotherReplicaWhenOneHasNotRunTheRequest") {
@@ -202,11 +203,11 @@
   for (auto request = 0; request < 4; ++request) {
     const auto id = "o" + std::to_string(request);
     CHECK(fleet.nodes.front()->Call("POST", "/plain/once/x", id).status == 200);
-    CHECK(fleet.Runs(id) == 1);
+    CHECK(fleet.RunCount(id) == 1);
   }
 }
 
-// Guards against pieces that are lost or doubled when a stream goes on at
+// Guards against events that are lost or repeated when a stream is resumed at
 // another replica.
 TEST_CASE("Gateway.ResumesAStreamThatBreaksOffInsideAnEvent") {
   auto fleet = Fleet();
@@ -216,7 +217,7 @@
   for (auto request = 0; request < 4; ++request) {
     const auto id = "m" + std::to_string(request);
     const auto reply = fleet.nodes.front()->Call("POST", "/stream/x", id);
-    CHECK(reply.whole);
+    CHECK(reply.complete);
     CHECK(reply.body == ExpectedEvents(id, 0));
   }
 }
@@ -228,16 +229,16 @@
   fleet.one->SetFault(ReplicaFault::kBreakMidEvent, 1);
   fleet.two->SetFault(ReplicaFault::kBreakMidEvent, 1);
   const auto reply = fleet.nodes.front()->Call("POST", "/stream/once/x", "b1");
-  CHECK_FALSE(reply.whole);
-  CHECK(fleet.Runs("b1") == 1);
+  CHECK_FALSE(reply.complete);
+  CHECK(fleet.RunCount("b1") == 1);
 }
 
 // Guards against an answer that belongs to another request.
 TEST_CASE("Gateway.NeverPassesOnTheAnswerToAnotherRequest") {
   auto fleet = Fleet();
   fleet.AwaitService();
-  fleet.one->SetFault(ReplicaFault::kOtherRequest, 1);
-  fleet.two->SetFault(ReplicaFault::kOtherRequest, 1);
+  fleet.one->SetFault(ReplicaFault::kWrongRequestId, 1);
+  fleet.two->SetFault(ReplicaFault::kWrongRequestId, 1);
   const auto reply =
       fleet.nodes.front()->Call("POST", "/plain/once/x", "c1", "mine");
   CHECK(reply.status != 200);
@@ -257,11 +258,11 @@
   fleet.AwaitService();
   fleet.store->Remove("servers/i-1");
   std::this_thread::sleep_for(milliseconds(1'500));
-  const auto before = fleet.one->runs();
+  const auto before = fleet.one->total_runs();
   for (auto request = 0; request < 10; ++request) {
     fleet.nodes.front()->Call("POST", "/plain/x", std::to_string(request));
   }
-  CHECK(fleet.one->runs() == before);
+  CHECK(fleet.one->total_runs() == before);
 }
 
 // Guards against results that differ between nodes, and against a job that is
@@ -285,7 +286,7 @@
     CHECK(result.at("state") == "completed");
     CHECK(result.at("text") == ExpectedText(result.at("id")));
   }
-  CHECK(fleet.Runs("a") + fleet.Runs("b") + fleet.Runs("c") == 3);
+  CHECK(fleet.RunCount("a") + fleet.RunCount("b") + fleet.RunCount("c") == 3);
   CHECK(fleet.nodes[1]->Call("GET", "/api/lots/none?after=0", "").status ==
         404);
 }
@@ -294,13 +295,13 @@
 TEST_CASE("Gateway.TakesOverTheJobsOfALostNode") {
   auto fleet = Fleet(2);
   fleet.AwaitService();
-  fleet.one->set_pace(milliseconds(700));
-  fleet.two->set_pace(milliseconds(700));
+  fleet.one->set_event_delay(milliseconds(700));
+  fleet.two->set_event_delay(milliseconds(700));
   const auto body = JobBody({"a", "b", "c", "d"});
   REQUIRE(fleet.nodes[0]->Call("POST", "/jobs/1", "j1", body).status == 202);
   fleet.nodes[0]->process().Signal(SIGKILL);
-  fleet.one->set_pace(milliseconds(0));
-  fleet.two->set_pace(milliseconds(0));
+  fleet.one->set_event_delay(milliseconds(0));
+  fleet.two->set_event_delay(milliseconds(0));
   REQUIRE(Eventually([&] {
     const auto page = fleet.nodes[1]->ReadJob("j1");
     return page.is_object() && page.at("next") == 4;
@@ -314,8 +315,8 @@
 TEST_CASE("Gateway.ListsAnItemThatCanNeverBeDoneAsAnError") {
   auto fleet = Fleet();
   fleet.AwaitService();
-  fleet.one->SetFault(ReplicaFault::kNeverDone, 1);
-  fleet.two->SetFault(ReplicaFault::kNeverDone, 1);
+  fleet.one->SetFault(ReplicaFault::kUnprocessable, 1);
+  fleet.two->SetFault(ReplicaFault::kUnprocessable, 1);
   const auto& node = *fleet.nodes.front();
   REQUIRE(node.Call("POST", "/jobs/1", "j1", JobBody({"a"})).status == 202);
   REQUIRE(Eventually([&] {
@@ -323,32 +324,32 @@
     return page.is_object() && page.at("next") == 1;
   }));
   CHECK(node.ReadJob("j1").at("results")[0].at("state") == "errored");
-  CHECK(fleet.Runs("a") == 1);
+  CHECK(fleet.RunCount("a") == 1);
 }
 
 // Guards against items that run on after their job was ended elsewhere.
 TEST_CASE("Gateway.StopsAJobThatIsEndedAtAnotherNode") {
   auto fleet = Fleet(2);
   fleet.AwaitService();
-  fleet.one->set_pace(milliseconds(2'000));
-  fleet.two->set_pace(milliseconds(2'000));
+  fleet.one->set_event_delay(milliseconds(2'000));
+  fleet.two->set_event_delay(milliseconds(2'000));
   REQUIRE(fleet.nodes[0]
               ->Call("POST", "/jobs/1", "j1", JobBody({"a", "b"}))
               .status == 202);
   CHECK(fleet.nodes[1]->Call("DELETE", "/api/lots/j1", "").status == 200);
   CHECK(fleet.nodes[0]->Call("DELETE", "/api/lots/j1", "").status == 200);
-  const auto before = fleet.one->runs() + fleet.two->runs();
+  const auto before = fleet.one->total_runs() + fleet.two->total_runs();
   fleet.store->Put("config/main", MakeConfiguration(9));
   std::this_thread::sleep_for(milliseconds(2'000));
-  CHECK(fleet.one->runs() + fleet.two->runs() == before);
+  CHECK(fleet.one->total_runs() + fleet.two->total_runs() == before);
 }
 
 // Submits a job of slow items to the first gateway, so that it owns the job.
-// Enough to be running still when the test ends.
+// Enough items to be running still when the test ends.
 constexpr auto kSlowItems = 120;
 auto SubmitSlowJob(Fleet& fleet) -> void {
-  fleet.one->set_pace(milliseconds(400));
-  fleet.two->set_pace(milliseconds(400));
+  fleet.one->set_event_delay(milliseconds(400));
+  fleet.two->set_event_delay(milliseconds(400));
   auto items = std::vector<std::string>();
   for (auto item = 0; item < kSlowItems; ++item) {
     items.push_back("item" + std::to_string(item));
@@ -356,17 +357,18 @@
   REQUIRE(
       fleet.nodes[0]->Call("POST", "/jobs/1", "j1", JobBody(items)).status ==
       202);
-  REQUIRE(
-      Eventually([&] { return fleet.one->runs() + fleet.two->runs() > 0; }));
+  REQUIRE(Eventually(
+      [&] { return fleet.one->total_runs() + fleet.two->total_runs() > 0; }));
 }
 
-// Waits until a gateway has listed all jobs after its start; it does so again
-// ten seconds later at the earliest, which no test should wait for.
+// Waits until a gateway has listed all jobs after its start. It lists them
+// again ten seconds later at the earliest, too late for the tests.
 auto AwaitFirstScan() -> void {
   std::this_thread::sleep_for(milliseconds(2'500));
 }
 
-// Ends the job in the store, as a node that is lost right after its write does.
+// Ends the job in the store only, as if the node that stored the end was lost
+// right after its write.
 auto EndStoredJob(Fleet& fleet) -> void {
   auto state = fleet.store->Get("job-states/j1");
   state["ended"] = true;
@@ -378,7 +380,9 @@
 auto StopsInTime(const Fleet& fleet,
                  milliseconds observed = milliseconds(1'500)) -> bool {
   constexpr milliseconds kStopWithin{3'000};
-  const auto runs = [&] { return fleet.one->runs() + fleet.two->runs(); };
+  const auto runs = [&] {
+    return fleet.one->total_runs() + fleet.two->total_runs();
+  };
   std::this_thread::sleep_for(kStopWithin);
   const auto before = runs();
   std::this_thread::sleep_for(observed);
@@ -386,22 +390,22 @@
 }
 
 // Guards against items that run for seconds after the end of their job was
-// acknowledged, because the store turns the job's owner away and the owner
-// believes only what it reads there itself.
+// acknowledged, because the store refuses the calls of the job's owner and the
+// owner relies only on what it reads there itself.
 TEST_CASE("Gateway.StopsAnEndedJobWhoseOwnerTheStoreTurnsAway") {
   auto fleet = Fleet(2);
   fleet.AwaitService();
   SubmitSlowJob(fleet);
-  fleet.store->SetEntranceClosed(fleet.entrances[0], true);
+  fleet.store->SetEndpointDown(fleet.store_addresses[0], true);
   REQUIRE(Eventually([&] {
     return fleet.nodes[1]->Call("DELETE", "/api/lots/j1", "").status == 200;
   }));
   CHECK(StopsInTime(fleet));
 }
 
-// Guards against an owner that no node tells of the end of its job, since the
-// node that stored it was lost, and that reads the job's state again by chance
-// only.
+// Guards against an owner that runs an ended job on: the node that stored the
+// end was lost before it could tell the owner, which reads the job's state
+// again only by chance.
 TEST_CASE("Gateway.StopsAJobWhoseEndOnlyTheStoreKnows") {
   auto fleet = Fleet(1);
   fleet.AwaitService();
@@ -411,17 +415,17 @@
   CHECK(StopsInTime(fleet));
 }
 
-// Guards against an owner that starts items again after the store has turned it
-// away, before it has read what it missed.
+// Guards against an owner that starts items again when the store answers it
+// again, before it has read the changes that it missed.
 TEST_CASE("Gateway.StopsAJobThatWasEndedWhileTheStoreTurnedItsOwnerAway") {
   auto fleet = Fleet(1);
   fleet.AwaitService();
   AwaitFirstScan();
   SubmitSlowJob(fleet);
-  fleet.store->SetEntranceClosed(fleet.entrances[0], true);
+  fleet.store->SetEndpointDown(fleet.store_addresses[0], true);
   EndStoredJob(fleet);
   std::this_thread::sleep_for(milliseconds(4'000));
-  fleet.store->SetEntranceClosed(fleet.entrances[0], false);
+  fleet.store->SetEndpointDown(fleet.store_addresses[0], false);
   CHECK(StopsInTime(fleet));
 }
 
@@ -497,11 +501,11 @@
   REQUIRE(Eventually(
       [&] { return node.Log().find("\"job_dropped\"") != std::string::npos; }));
   CHECK(fleet.store->Get("job-states/j0").at("done") == true);
-  const auto before = fleet.one->runs() + fleet.two->runs();
+  const auto before = fleet.one->total_runs() + fleet.two->total_runs();
   submit_all();
   constexpr milliseconds kObserved{1'500};
   std::this_thread::sleep_for(kObserved);
-  CHECK(fleet.one->runs() + fleet.two->runs() == before);
+  CHECK(fleet.one->total_runs() + fleet.two->total_runs() == before);
   CHECK(node.ReadJob("j0").at("total") == kItems);
 }
 
@@ -513,12 +517,13 @@
   fleet.AwaitService();
   SubmitSlowJob(fleet);
   fleet.nodes[1]->process().Signal(SIGSTOP);
-  fleet.store->SetEntranceClosed(fleet.entrances[0], true);
+  fleet.store->SetEndpointDown(fleet.store_addresses[0], true);
   CHECK(StopsInTime(fleet));
-  const auto before = fleet.one->runs() + fleet.two->runs();
-  fleet.store->SetEntranceClosed(fleet.entrances[0], false);
-  CHECK(Eventually(
-      [&] { return fleet.one->runs() + fleet.two->runs() > before; }));
+  const auto before = fleet.one->total_runs() + fleet.two->total_runs();
+  fleet.store->SetEndpointDown(fleet.store_addresses[0], false);
+  CHECK(Eventually([&] {
+    return fleet.one->total_runs() + fleet.two->total_runs() > before;
+  }));
   fleet.nodes[1]->process().Signal(SIGCONT);
 }
 
@@ -529,7 +534,7 @@
   auto fleet = Fleet(2);
   fleet.AwaitService();
   SubmitSlowJob(fleet);
-  fleet.store->SetEntranceClosed(fleet.entrances[0], true);
+  fleet.store->SetEndpointDown(fleet.store_addresses[0], true);
   EndStoredJob(fleet);
   CHECK(fleet.nodes[1]->Call("DELETE", "/api/lots/j1", "").status == 200);
   CHECK(StopsInTime(fleet));
@@ -552,22 +557,23 @@
 TEST_CASE("Gateway.FinishesWhatItHasReadInAPlannedStop") {
   auto fleet = Fleet();
   fleet.AwaitService();
-  fleet.one->set_pace(milliseconds(300));
-  fleet.two->set_pace(milliseconds(300));
+  fleet.one->set_event_delay(milliseconds(300));
+  fleet.two->set_event_delay(milliseconds(300));
   auto& node = *fleet.nodes.front();
   auto reply = FetchReply();
   auto caller =
       std::thread([&] { reply = node.Call("POST", "/stream/once/x", "t1"); });
-  REQUIRE(Eventually([&] { return fleet.Runs("t1") == 1; }));
+  REQUIRE(Eventually([&] { return fleet.RunCount("t1") == 1; }));
   node.process().Signal(SIGTERM);
   CHECK(Eventually([&] { return !node.Ready(); }));
   CHECK(node.process().WaitForExit(milliseconds(8'000)) == 0);
   caller.join();
-  CHECK(reply.whole);
+  CHECK(reply.complete);
   CHECK(reply.body == ExpectedEvents("t1", 0));
 }
 
-// On-call engineers start from a request's id alone.
+// Guards against a failed request that on-call engineers cannot trace by its
+// id.
 TEST_CASE("Gateway.LogsWhyARequestFailedUnderItsId") {
   auto fleet = Fleet();
   fleet.AwaitService();
@@ -599,15 +605,15 @@
 // Guards against a log that hides for how long an owner ran a job without
 // knowing that it had ended.
 TEST_CASE("Gateway.LogsHowOldTheStateWasThatAnEndReplaced") {
-  constexpr milliseconds kTurnedAway{4'000};
+  constexpr milliseconds kStoreRefusalTime{4'000};
   auto fleet = Fleet(1);
   fleet.AwaitService();
   AwaitFirstScan();
   SubmitSlowJob(fleet);
-  fleet.store->SetEntranceClosed(fleet.entrances[0], true);
+  fleet.store->SetEndpointDown(fleet.store_addresses[0], true);
   EndStoredJob(fleet);
-  std::this_thread::sleep_for(kTurnedAway);
-  fleet.store->SetEntranceClosed(fleet.entrances[0], false);
+  std::this_thread::sleep_for(kStoreRefusalTime);
+  fleet.store->SetEndpointDown(fleet.store_addresses[0], false);
   auto learned = json();
   Eventually([&] {
     auto lines = std::istringstream(fleet.nodes.front()->Log());
@@ -623,7 +629,7 @@
   });
   REQUIRE(learned.is_object());
   CHECK(std::stoll(learned.at("before_age_ms").get<std::string>()) >=
-        kTurnedAway.count());
+        kStoreRefusalTime.count());
 }
 
 }  // namespace
--- a/testing/soak/checker.cc
+++ b/testing/soak/checker.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "testing/gateway/stand_in.h"
+#include "testing/gateway/fake_servers.h"
 
 namespace kumquatgauge::testing {
 namespace {
@@ -12,8 +12,8 @@
 constexpr int kAccepted = 202;
 constexpr int kNotFound = 404;
 
-// Statuses that say that the request has not run and never will.
-auto SaysNotRun(const FetchReply& reply) -> bool {
+// Whether the status means that the request has not run and never will.
+auto ReportsNotRun(const FetchReply& reply) -> bool {
   return reply.status == 503 || reply.status == 429 || reply.status == 408 ||
          reply.status == 421;
 }
@@ -22,7 +22,7 @@
   if (reply.status == 0) {
     return reply.connected ? "closed" : "no connection";
   }
-  return std::to_string(reply.status) + (reply.whole ? "" : " cut");
+  return std::to_string(reply.status) + (reply.complete ? "" : " cut");
 }
 
 }  // namespace
@@ -32,22 +32,22 @@
 }
 
 auto SoakChecker::OnReply(const std::string& id,
-                          const RequestPromise& promise,
+                          const RequestExpectation& expected,
                           const FetchReply& reply) -> void {
   const auto lock = std::lock_guard(mutex_);
   ++replies_[Outcome(reply)];
-  sent_[id] = {promise.max_runs, SaysNotRun(reply)};
+  sent_[id] = {expected.max_runs, ReportsNotRun(reply)};
   if (reply.status == kNotFound) {
     Add("request " + id + " has a route and got 404");
   }
   if (reply.status != kOk) {
     return;
   }
-  if (reply.whole && reply.body != promise.whole_body) {
+  if (reply.complete && reply.body != expected.full_body) {
     Add("request " + id + " got a wrong answer: " + reply.body);
   }
-  if (!reply.whole && promise.stream &&
-      !promise.whole_body.starts_with(reply.body)) {
+  if (!reply.complete && expected.stream &&
+      !expected.full_body.starts_with(reply.body)) {
     Add("stream " + id + " lost or repeated events: " + reply.body);
   }
 }
@@ -59,7 +59,7 @@
   ++replies_["job " + Outcome(reply)];
   jobs_[job].items = items;
   jobs_[job].accepted = reply.status == kAccepted;
-  if (SaysNotRun(reply)) {
+  if (ReportsNotRun(reply)) {
     for (const auto& item : items) {
       sent_[item] = {0, true};
     }
@@ -80,15 +80,15 @@
   if (!added && entry->second != content) {
     Add(where + "the result has changed");
   }
-  const auto [place, first] = known.places.emplace(item, position);
-  if (!first && place->second != position) {
-    Add(where + "item " + item + " stands twice");
+  const auto [known_position, first] = known.positions.emplace(item, position);
+  if (!first && known_position->second != position) {
+    Add(where + "item " + item + " is listed at two positions");
   }
   if (std::count(known.items.begin(), known.items.end(), item) == 0) {
-    Add(where + "item " + item + " is of another job");
+    Add(where + "item " + item + " belongs to another job");
   }
   if (state == "completed" && text != ExpectedText(item)) {
-    Add(where + "a wrong text: " + text);
+    Add(where + "wrong text: " + text);
   }
 }
 
@@ -108,22 +108,24 @@
   }
 }
 
-auto SoakChecker::OnDisrupted(const std::string& place) -> void {
+auto SoakChecker::OnDisrupted(const std::string& component) -> void {
   const auto lock = std::lock_guard(mutex_);
-  ++disruptions_[place].open;
+  ++disruptions_[component].open;
 }
 
-auto SoakChecker::OnDisruptionEnded(const std::string& place, Time at) -> void {
+auto SoakChecker::OnDisruptionEnded(const std::string& component, Time at)
+    -> void {
   const auto lock = std::lock_guard(mutex_);
-  auto& disruptions = disruptions_[place];
+  auto& disruptions = disruptions_[component];
   --disruptions.open;
-  disruptions.in_touch_after = at + kContactTime;
+  disruptions.reachable_after = at + kRecoveryTime;
 }
 
-auto SoakChecker::IsInTouch(const std::string& place, Time at) const -> bool {
-  const auto found = disruptions_.find(place);
+auto SoakChecker::IsReachable(const std::string& component, Time at) const
+    -> bool {
+  const auto found = disruptions_.find(component);
   return found == disruptions_.end() ||
-         (found->second.open == 0 && at > found->second.in_touch_after);
+         (found->second.open == 0 && at > found->second.reachable_after);
 }
 
 auto SoakChecker::OnItemStarted(const std::string& job,
@@ -134,18 +136,18 @@
   const auto lock = std::lock_guard(mutex_);
   auto& known = jobs_[job];
   known.owners.insert(owner);
-  if (!known.ended || at <= *known.ended + kEndTime) {
+  if (!known.ended || at <= *known.ended + kMaxEndDelay) {
     return;
   }
   // A back end does not see which node has sent an item. It is an owner of the
   // job, perhaps a former one that does not know of its successor yet, so the
-  // start counts if all of them are in touch. An item may also have waited on
-  // the link to the replica.
-  const auto in_touch =
-      IsInTouch(replica, at) &&
+  // start counts only if all owners are reachable. An item may also have been
+  // delayed on the link to the replica.
+  const auto reachable =
+      IsReachable(replica, at) &&
       std::all_of(known.owners.begin(), known.owners.end(),
-                  [&](const auto& node) { return IsInTouch(node, at); });
-  if (!in_touch) {
+                  [&](const auto& node) { return IsReachable(node, at); });
+  if (!reachable) {
     return;
   }
   ++known.late_starts;
@@ -156,10 +158,11 @@
                           " ms after the end was answered";
 }
 
-auto SoakChecker::OnServedBy(const std::string& node, int start, int version)
-    -> void {
+auto SoakChecker::OnVersionServed(const std::string& node,
+                                  int start,
+                                  int version) -> void {
   const auto lock = std::lock_guard(mutex_);
-  auto& newest = served_by_[{node, start}];
+  auto& newest = newest_served_[{node, start}];
   if (version < newest) {
     Add("node " + node + " went back from configuration " +
         std::to_string(newest) + " to " + std::to_string(version));
@@ -167,11 +170,11 @@
   newest = std::max(newest, version);
 }
 
-auto SoakChecker::OnPlannedStop(const std::string& node,
-                                std::optional<int> exit_status) -> void {
+auto SoakChecker::OnGracefulStop(const std::string& node,
+                                 std::optional<int> exit_status) -> void {
   const auto lock = std::lock_guard(mutex_);
   if (!exit_status) {
-    Add("node " + node + " has not stopped in time");
+    Add("node " + node + " did not stop in time");
   } else if (*exit_status != 0) {
     Add("node " + node + " ended with " + std::to_string(*exit_status) +
         " in a planned stop");
@@ -189,11 +192,11 @@
   const auto lock = std::lock_guard(mutex_);
   for (const auto& [id, sent] : sent_) {
     const auto runs = count_runs_(id);
-    if (sent.said_not_run && runs > 0) {
-      Add("request " + id + " was refused as not run and ran");
+    if (sent.refused_as_not_run && runs > 0) {
+      Add("request " + id + " was refused as not run but ran");
     } else if (runs > sent.max_runs) {
-      Add("request " + id + " ran " + std::to_string(runs) + " times, of " +
-          std::to_string(sent.max_runs));
+      Add("request " + id + " ran " + std::to_string(runs) +
+          " times, at most " + std::to_string(sent.max_runs) + " allowed");
     }
   }
   for (const auto& [id, job] : jobs_) {
@@ -204,7 +207,7 @@
     }
     if (job.late_starts > 0) {
       Add("job " + id + " was ended and " + std::to_string(job.late_starts) +
-          " items began too late, last " + job.last_late_start);
+          " items started too late, last " + job.last_late_start);
     }
   }
 }
--- a/testing/soak/checker.h
+++ b/testing/soak/checker.h
@@ -15,32 +15,32 @@
 
 namespace kumquatgauge::testing {
 
-// What a route promises of its requests.
-struct RequestPromise {
+// What is expected of a request and its answer.
+struct RequestExpectation {
   int max_runs = 1;
   bool stream = false;
-  std::string whole_body;  // Of an answer with success.
+  std::string full_body;  // Of a successful answer.
 };
 
-// Compares what callers were told with what back ends saw, and collects every
-// broken promise. Thread-safe.
+// Compares the answers to callers with the runs at the back ends and collects
+// every violation. Thread-safe.
 class SoakChecker {
  public:
   // How often a request or item has begun to run at a back end.
   using CountRuns = std::function<auto(const std::string& id)->int>;
   using Time = std::chrono::steady_clock::time_point;
 
-  // Within which the items of a job whose end was acknowledged stop starting.
-  static constexpr std::chrono::milliseconds kEndTime{3'000};
-  // A node is in touch once this has passed without a disruption of it.
-  static constexpr std::chrono::milliseconds kContactTime{3'000};
+  // Items of a job may start for this long after its end was acknowledged.
+  static constexpr std::chrono::milliseconds kMaxEndDelay{3'000};
+  // A component is reachable once this has passed without a disruption of it.
+  static constexpr std::chrono::milliseconds kRecoveryTime{3'000};
 
   explicit SoakChecker(CountRuns count_runs)
       : count_runs_(std::move(count_runs)) {}
 
-  // A caller's request has ended as `reply` says.
+  // A caller's request has ended with `reply`.
   auto OnReply(const std::string& id,
-               const RequestPromise& promise,
+               const RequestExpectation& expected,
                const FetchReply& reply) -> void;
   // The answer to a submission of a job.
   auto OnSubmitted(const std::string& job,
@@ -57,10 +57,10 @@
   auto OnEndRequested(const std::string& job) -> void;
   auto OnEndAnswered(const std::string& job, const FetchReply& reply, Time at)
       -> void;
-  // A node is stopped, paused or cut off, or a replica's link is harmed. Such
-  // disruptions may overlap.
-  auto OnDisrupted(const std::string& place) -> void;
-  auto OnDisruptionEnded(const std::string& place, Time at) -> void;
+  // A node is stopped, paused or cut off, or a replica's link is disrupted. The
+  // disruptions of a component may overlap.
+  auto OnDisrupted(const std::string& component) -> void;
+  auto OnDisruptionEnded(const std::string& component, Time at) -> void;
   // An item has begun to run at a replica while the store named this owner of
   // its job.
   auto OnItemStarted(const std::string& job,
@@ -68,34 +68,35 @@
                      const std::string& owner,
                      const std::string& replica,
                      Time at) -> void;
-  // A node, in one run of its process, has served by a configuration version.
-  auto OnServedBy(const std::string& node, int start, int version) -> void;
-  // A process that was to stop as planned has ended, or not, within its time.
-  auto OnPlannedStop(const std::string& node, std::optional<int> exit_status)
+  // A node has served by a configuration version; `start` is the number of the
+  // start of its process.
+  auto OnVersionServed(const std::string& node, int start, int version) -> void;
+  // A process in a planned stop has ended in time; no status if it has not.
+  auto OnGracefulStop(const std::string& node, std::optional<int> exit_status)
       -> void;
   // A condition that must hold once all faults have ended.
   auto Expect(bool holds, const std::string& what) -> void;
-  // Checks what only shows at the end: counts of runs, and that each accepted
-  // job is listed whole.
+  // Checks what is known only at the end: the numbers of runs, and that the
+  // results of each accepted job are complete.
   auto Finish() -> void;
 
   auto violations() const -> std::vector<std::string>;
-  // Accepted jobs with results still to be listed whose end nobody asked for.
+  // Accepted jobs with incomplete results whose end was not requested.
   auto unfinished_jobs() const -> std::vector<std::string>;
   auto accepted_jobs() const -> std::vector<std::string>;
   auto replies() const -> std::map<std::string, int>;
 
  private:
-  struct Sent {
+  struct SentRequest {
     int max_runs = 1;
-    bool said_not_run = false;
+    bool refused_as_not_run = false;
   };
   struct Job {
     std::vector<std::string> items;
     bool accepted = false;
-    std::map<std::size_t, std::string> listed;  // Item and text by position.
-    std::map<std::string, std::size_t> places;  // Position by item.
-    std::set<std::string> owners;               // All so far.
+    std::map<std::size_t, std::string> listed;     // Item and text by position.
+    std::map<std::string, std::size_t> positions;  // Position by item.
+    std::set<std::string> owners;                  // All so far.
     bool end_requested = false;
     std::optional<Time> ended;  // When a caller first got 200 for its end.
     int late_starts = 0;
@@ -103,18 +104,18 @@
   };
   struct Disruptions {
     int open = 0;
-    Time in_touch_after = Time::min();
+    Time reachable_after = Time::min();
   };
 
   auto Add(const std::string& violation) -> void;
-  auto IsInTouch(const std::string& place, Time at) const -> bool;
+  auto IsReachable(const std::string& component, Time at) const -> bool;
 
   CountRuns count_runs_;
   mutable std::mutex mutex_;
-  std::map<std::string, Sent> sent_;
+  std::map<std::string, SentRequest> sent_;
   std::map<std::string, Job> jobs_;
-  std::map<std::string, Disruptions> disruptions_;  // By place.
-  std::map<std::pair<std::string, int>, int> served_by_;
+  std::map<std::string, Disruptions> disruptions_;  // By component.
+  std::map<std::pair<std::string, int>, int> newest_served_;
   std::map<std::string, int> replies_;  // Count by outcome.
   std::vector<std::string> violations_;
 };
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -12,8 +12,8 @@
 #include <thread>
 #include <utility>
 
+#include "testing/gateway/fake_servers.h"
 #include "testing/gateway/gateway_process.h"
-#include "testing/gateway/stand_in.h"
 #include "testing/soak/checker.h"
 #include "testing/soak/loopback_proxy.h"
 
@@ -28,14 +28,14 @@
 constexpr int kAccepted = 202;
 constexpr int kServiceUnavailable = 503;
 constexpr int kCallers = 6;
-constexpr int kSpareReplicas = 2;  // Beside one a node.
+constexpr int kSpareReplicas = 2;  // In addition to one per node.
 constexpr int kMaxItems = 6;
 // Callers that submit long jobs and end them. All slots together need some
 // seconds for one job, so that items are left well after its end.
-constexpr int kEnders = 3;
+constexpr int kJobEnders = 3;
 constexpr int kLongJobItems = 200;
-constexpr auto kItemMark = "-item-";  // Between the ids of job and number.
-constexpr milliseconds kRunTimeMax{2'000};  // Of a long job before its end.
+constexpr auto kItemMark = "-item-";        // Between job id and item number.
+constexpr milliseconds kRunTimeMax{2'000};  // Of a long job until it is ended.
 constexpr milliseconds kRepeatPause{300};
 constexpr int kEndAttempts = 12;
 constexpr milliseconds kCallerPause{15};
@@ -44,29 +44,30 @@
 constexpr milliseconds kFaultPauseMax{900};
 constexpr milliseconds kFaultMin{200};
 constexpr milliseconds kFaultMax{3'000};
-constexpr milliseconds kTurnAwayMax{9'000};
-constexpr milliseconds kSlowestPace{60};
-// Of the settings' stop_s, and the time to be scheduled on a busy machine.
+constexpr milliseconds kMaxStoreRefusalTime{9'000};
+constexpr milliseconds kMaxEventDelay{60};
+// The settings' stop_s plus time to be scheduled on a busy machine.
 constexpr milliseconds kStopTime{9'500};
-// In which a program is loaded, also on a busy machine.
+// Time to load a program, also on a busy machine.
 constexpr milliseconds kLoadTime{200};
-// Time for everything to be right again once the faults have ended.
+// Limit for all conditions to hold again once the faults have ended.
 constexpr milliseconds kSettleTime{30'000};
 constexpr milliseconds kSettlePoll{100};
 
-// A source of draws; one a thread, so that a seed draws the same faults.
-class Draw {
+// A seeded random source. Each thread has its own, so that a seed always yields
+// the same faults.
+class RandomSource {
  public:
-  explicit Draw(std::uint64_t seed) : random_(seed) {}
+  explicit RandomSource(std::uint64_t seed) : engine_(seed) {}
 
-  auto Below(std::size_t count) -> std::size_t { return random_() % count; }
+  auto Below(std::size_t count) -> std::size_t { return engine_() % count; }
   auto Between(milliseconds low, milliseconds high) -> milliseconds {
     return low + milliseconds(
                      Below(static_cast<std::size_t>((high - low).count()) + 1));
   }
 
  private:
-  std::mt19937_64 random_;
+  std::mt19937_64 engine_;
 };
 
 // A path that only the configuration of this version has a route for.
@@ -90,14 +91,14 @@
  public:
   explicit Soak(const SoakSettings& settings)
       : settings_(settings),
-        faults_(settings.seed),
+        fault_random_(settings.seed),
         store_(thread_.context()),
-        checker_([this](const std::string& id) { return Runs(id); }) {
+        checker_([this](const std::string& id) { return RunCount(id); }) {
     store_.Put("config/main", MakeSoakConfiguration(version_));
     for (auto at = 0; at < settings_.nodes + kSpareReplicas; ++at) {
       auto& replica = replicas_.emplace_back();
       const auto id = "i-" + std::to_string(at);
-      replica.server = std::make_unique<ReplicaStandIn>(
+      replica.server = std::make_unique<FakeReplica>(
           thread_.context(), id,
           [this, id](const std::string& request) { OnStarted(request, id); });
       replica.link = std::make_unique<LoopbackProxy>(thread_.context(),
@@ -106,9 +107,9 @@
     }
     for (auto at = 0; at < settings_.nodes; ++at) {
       auto& node = nodes_.emplace_back();
-      node.entrance = store_.AddEntrance();
-      node.store_link =
-          std::make_unique<LoopbackProxy>(thread_.context(), node.entrance);
+      node.store_address = store_.AddEndpoint();
+      node.store_link = std::make_unique<LoopbackProxy>(thread_.context(),
+                                                        node.store_address);
       node.process = std::make_unique<GatewayProcess>(
           settings_.gateway, "n" + std::to_string(at),
           node.store_link->address(), settings_.folder);
@@ -119,12 +120,12 @@
     Settle("after the start");
     auto workers = std::vector<std::thread>();
     for (auto caller = 0; caller < kCallers; ++caller) {
-      workers.emplace_back([this, caller] { CallOn(caller); });
+      workers.emplace_back([this, caller] { RunCaller(caller); });
     }
-    for (auto ender = 0; ender < kEnders; ++ender) {
-      workers.emplace_back([this, ender] { EndOn(ender); });
+    for (auto job_ender = 0; job_ender < kJobEnders; ++job_ender) {
+      workers.emplace_back([this, job_ender] { RunJobEnder(job_ender); });
     }
-    workers.emplace_back([this] { ReadOn(); });
+    workers.emplace_back([this] { RunVersionReader(); });
     InjectFaults();
     done_ = true;
     for (auto& worker : workers) {
@@ -140,32 +141,32 @@
 
  private:
   struct Replica {
-    std::unique_ptr<ReplicaStandIn> server;
+    std::unique_ptr<FakeReplica> server;
     std::unique_ptr<LoopbackProxy> link;
   };
   struct Node {
     std::unique_ptr<GatewayProcess> process;
-    std::string entrance;  // To the store.
+    std::string store_address;  // Of the store, for this node only.
     std::unique_ptr<LoopbackProxy> store_link;
     SteadyTime started = std::chrono::steady_clock::now();
-    bool down = false;    // Killed, or stopping as planned.
+    bool down = false;    // Killed, or in a planned stop.
     bool paused = false;  // By SIGSTOP.
   };
-  // Ends a fault, or goes on with one, at a time.
-  struct Later {
+  // Ends or continues a fault when it is due.
+  struct ScheduledAction {
     SteadyTime at;
     std::function<auto()->void> act;
   };
 
-  auto Runs(const std::string& id) const -> int {
+  auto RunCount(const std::string& id) const -> int {
     auto runs = 0;
     for (const auto& replica : replicas_) {
-      runs += replica.server->Runs(id);
+      runs += replica.server->RunCount(id);
     }
     return runs;
   }
 
-  // A request has begun to run at a replica.
+  // Called when a request begins to run at a replica.
   auto OnStarted(const std::string& request, const std::string& replica)
       -> void {
     const auto mark = request.find(kItemMark);
@@ -193,13 +194,13 @@
 
   // --- Callers.
 
-  auto CallOn(int caller) -> void {
-    auto draw = Draw(settings_.seed * kCallers + caller);
+  auto RunCaller(int caller) -> void {
+    auto random = RandomSource(settings_.seed * kCallers + caller);
     for (auto number = 0; !done_; ++number) {
-      const auto& node = *nodes_[draw.Below(nodes_.size())].process;
+      const auto& node = *nodes_[random.Below(nodes_.size())].process;
       const auto id =
           "q" + std::to_string(caller) + "-" + std::to_string(number);
-      switch (draw.Below(7)) {
+      switch (random.Below(7)) {
         case 0:
           CallPlain(node, "/plain/x", id, 2);
           break;
@@ -213,13 +214,13 @@
           CallStream(node, "/stream/once/x", id, 1);
           break;
         case 4:
-          Submit(node, id, draw.Below(kMaxItems) + 1);
+          Submit(node, id, random.Below(kMaxItems) + 1);
           break;
         case 5:
-          EndSome(draw);
+          EndSome(random);
           break;
         default:
-          ReadSome(node, draw);
+          ReadSome(node, random);
           break;
       }
       std::this_thread::sleep_for(kCallerPause);
@@ -256,33 +257,33 @@
   }
 
   // Submits long jobs and ends them while their items run.
-  auto EndOn(int ender) -> void {
-    auto draw = Draw(settings_.seed * kEnders + ender);
+  auto RunJobEnder(int job_ender) -> void {
+    auto random = RandomSource(settings_.seed * kJobEnders + job_ender);
     for (auto number = 0; !done_; ++number) {
-      const auto& node = *nodes_[draw.Below(nodes_.size())].process;
+      const auto& node = *nodes_[random.Below(nodes_.size())].process;
       const auto job =
-          "slow-" + std::to_string(ender) + "-" + std::to_string(number);
-      const auto time = draw.Between(milliseconds(0), kRunTimeMax);
+          "slow-" + std::to_string(job_ender) + "-" + std::to_string(number);
+      const auto time = random.Between(milliseconds(0), kRunTimeMax);
       if (Submit(node, job, kLongJobItems)) {
         std::this_thread::sleep_for(time);
-        End(job, draw);
+        End(job, random);
       }
       std::this_thread::sleep_for(kRepeatPause);
     }
   }
 
-  auto EndSome(Draw& draw) -> void {
+  auto EndSome(RandomSource& random) -> void {
     const auto jobs = checker_.unfinished_jobs();
     if (!jobs.empty()) {
-      End(jobs[draw.Below(jobs.size())], draw);
+      End(jobs[random.Below(jobs.size())], random);
     }
   }
 
-  // Asks any node to end a job, and others until one has acknowledged it.
-  auto End(const std::string& job, Draw& draw) -> void {
+  // Asks random nodes to end a job until one has acknowledged it.
+  auto End(const std::string& job, RandomSource& random) -> void {
     checker_.OnEndRequested(job);
     for (auto attempt = 0; attempt < kEndAttempts && !done_; ++attempt) {
-      const auto& node = *nodes_[draw.Below(nodes_.size())].process;
+      const auto& node = *nodes_[random.Below(nodes_.size())].process;
       const auto reply = node.Call("DELETE", "/api/lots/" + job, "");
       checker_.OnEndAnswered(job, reply, std::chrono::steady_clock::now());
       if (reply.status != 0 && reply.status != kServiceUnavailable) {
@@ -292,10 +293,10 @@
     }
   }
 
-  auto ReadSome(const GatewayProcess& node, Draw& draw) -> void {
+  auto ReadSome(const GatewayProcess& node, RandomSource& random) -> void {
     const auto jobs = checker_.unfinished_jobs();
     if (!jobs.empty()) {
-      ReadJob(node, jobs[draw.Below(jobs.size())]);
+      ReadJob(node, jobs[random.Below(jobs.size())]);
     }
   }
 
@@ -311,25 +312,26 @@
     }
   }
 
-  // Asks nodes by which configuration they serve.
-  auto ReadOn() -> void {
-    auto draw = Draw(settings_.seed + kCallers);
+  // Checks which configuration version the nodes serve by.
+  auto RunVersionReader() -> void {
+    auto random = RandomSource(settings_.seed + kCallers);
     for (auto number = 0; !done_; ++number) {
-      const auto& node = *nodes_[draw.Below(nodes_.size())].process;
+      const auto& node = *nodes_[random.Below(nodes_.size())].process;
       const auto newest = version_.load();
-      const auto version = newest - static_cast<int>(draw.Below(2));
+      const auto version = newest - static_cast<int>(random.Below(2));
       const auto start = node.starts();
-      const auto served = ServesBy(node, version, "v" + std::to_string(number));
+      const auto served =
+          ServesVersion(node, version, "v" + std::to_string(number));
       if (served && node.starts() == start) {
-        checker_.OnServedBy(node.name(), start, version);
+        checker_.OnVersionServed(node.name(), start, version);
       }
       std::this_thread::sleep_for(kReaderPause);
     }
   }
 
-  static auto ServesBy(const GatewayProcess& node,
-                       int version,
-                       const std::string& id) -> bool {
+  static auto ServesVersion(const GatewayProcess& node,
+                            int version,
+                            const std::string& id) -> bool {
     const auto reply = node.Call("POST", VersionPath(version), id);
     return reply.status == kOk;
   }
@@ -341,14 +343,14 @@
     while (std::chrono::steady_clock::now() < end) {
       InjectOne();
       std::this_thread::sleep_for(
-          faults_.Between(kFaultPauseMin, kFaultPauseMax));
+          fault_random_.Between(kFaultPauseMin, kFaultPauseMax));
       RunDue(std::chrono::steady_clock::now());
     }
   }
 
   auto RunDue(SteadyTime now) -> void {
-    auto due = std::vector<Later>();
-    std::erase_if(later_, [&](auto& entry) {
+    auto due = std::vector<ScheduledAction>();
+    std::erase_if(scheduled_, [&](auto& entry) {
       if (entry.at > now) {
         return false;
       }
@@ -360,8 +362,9 @@
     }
   }
 
-  auto After(milliseconds time, std::function<auto()->void> act) -> void {
-    later_.push_back({std::chrono::steady_clock::now() + time, std::move(act)});
+  auto RunAfter(milliseconds time, std::function<auto()->void> act) -> void {
+    scheduled_.push_back(
+        {std::chrono::steady_clock::now() + time, std::move(act)});
   }
 
   auto InjectOne() -> void {
@@ -369,55 +372,60 @@
     static constexpr std::pair<const char*, Fault> kFaults[] = {
         {"kill", &Soak::Kill},
         {"pause", &Soak::Pause},
-        {"planned stop", &Soak::StopAsPlanned},
+        {"planned stop", &Soak::StopGracefully},
         {"reload", &Soak::Reload},
-        {"store link", &Soak::SpoilStoreLink},
-        {"replica link", &Soak::SpoilReplicaLink},
-        {"replica answers", &Soak::SpoilAnswers},
+        {"store link", &Soak::DisruptStoreLink},
+        {"replica link", &Soak::DisruptReplicaLink},
+        {"replica answers", &Soak::SetReplicaFault},
         {"replica leaves", &Soak::RemoveReplica},
         {"store down", &Soak::StopStore},
-        {"store turns a node away", &Soak::TurnAway},
+        {"store turns a node away", &Soak::RefuseNodeAtStore},
         {"store answers lost", &Soak::LoseStoreAnswers},
         {"configuration", &Soak::Configure},
     };
-    const auto& [name, inject] = kFaults[faults_.Below(std::size(kFaults))];
+    const auto& [name, inject] =
+        kFaults[fault_random_.Below(std::size(kFaults))];
     ++counts_[name];
     (this->*inject)();
   }
 
-  auto Time() -> milliseconds { return faults_.Between(kFaultMin, kFaultMax); }
-  auto AnyNode() -> Node& { return nodes_[faults_.Below(nodes_.size())]; }
-  auto AnyReplica() -> Replica& {
-    return replicas_[faults_.Below(replicas_.size())];
+  auto FaultDuration() -> milliseconds {
+    return fault_random_.Between(kFaultMin, kFaultMax);
+  }
+  auto RandomNode() -> Node& {
+    return nodes_[fault_random_.Below(nodes_.size())];
+  }
+  auto RandomReplica() -> Replica& {
+    return replicas_[fault_random_.Below(replicas_.size())];
   }
 
-  // A process that nobody ended must still run.
+  // A process that the soak has not ended must still run.
   auto ExpectRunning(Node& node) -> void {
     const auto exit = node.process->process().WaitForExit(milliseconds(0));
     checker_.Expect(!exit, node.process->name() + " ended by itself with " +
                                std::to_string(exit.value_or(0)));
   }
 
-  // Before a process runs its first instruction a signal ends it, which no
-  // program can prevent.
+  // Any signal ends a process that has not run its first instruction yet, which
+  // no program can prevent.
   static auto IsLoaded(const Node& node) -> bool {
     return std::chrono::steady_clock::now() - node.started > kLoadTime;
   }
 
   auto Kill() -> void {
-    auto& node = AnyNode();
-    const auto time = Time();
+    auto& node = RandomNode();
+    const auto time = FaultDuration();
     if (!node.down) {
       ExpectRunning(node);
       checker_.OnDisrupted(node.process->name());
       node.process->process().Signal(SIGKILL);
       node.down = true;
-      After(time, [this, &node] { Revive(node); });
+      RunAfter(time, [this, &node] { RestartNode(node); });
     }
   }
 
-  auto Revive(Node& node) -> void {
-    node.process->StartAgain();
+  auto RestartNode(Node& node) -> void {
+    node.process->Start();
     node.started = std::chrono::steady_clock::now();
     node.down = false;
     node.paused = false;
@@ -425,8 +433,8 @@
   }
 
   auto Pause() -> void {
-    auto& node = AnyNode();
-    const auto time = Time();
+    auto& node = RandomNode();
+    const auto time = FaultDuration();
     if (!node.down && !node.paused) {
       checker_.OnDisrupted(node.process->name());
       node.process->process().Signal(SIGSTOP);
@@ -436,7 +444,7 @@
       if (loading) {
         node.started = SteadyTime::max();
       }
-      After(time, [this, &node, loading] {
+      RunAfter(time, [this, &node, loading] {
         const auto now = std::chrono::steady_clock::now();
         node.process->process().Signal(SIGCONT);
         node.paused = false;
@@ -448,100 +456,103 @@
     }
   }
 
-  auto StopAsPlanned() -> void {
-    auto& node = AnyNode();
+  auto StopGracefully() -> void {
+    auto& node = RandomNode();
     if (!node.down && !node.paused && IsLoaded(node)) {
       ExpectRunning(node);
       checker_.OnDisrupted(node.process->name());
       node.process->process().Signal(SIGTERM);
       node.down = true;
       const auto last = std::chrono::steady_clock::now() + kStopTime;
-      After(kStopTime, [this, &node, last] { EndPlannedStop(node, last); });
+      RunAfter(kStopTime, [this, &node, last] { EndGracefulStop(node, last); });
     }
   }
 
-  auto EndPlannedStop(Node& node, SteadyTime last) -> void {
+  auto EndGracefulStop(Node& node, SteadyTime last) -> void {
     const auto left = std::chrono::duration_cast<milliseconds>(
         last - std::chrono::steady_clock::now());
     const auto exit =
         node.process->process().WaitForExit(std::max(left, milliseconds(0)));
-    checker_.OnPlannedStop(node.process->name(), exit);
-    Revive(node);
+    checker_.OnGracefulStop(node.process->name(), exit);
+    RestartNode(node);
   }
 
   auto Reload() -> void {
-    auto& node = AnyNode();
+    auto& node = RandomNode();
     if (!node.down && IsLoaded(node)) {
       node.process->process().Signal(SIGHUP);
     }
   }
 
-  // `place` is what the link disrupts.
-  auto SpoilLink(LoopbackProxy& link, const std::string& place) -> void {
+  // `component` is the node or replica that the link belongs to.
+  auto DisruptLink(LoopbackProxy& link, const std::string& component) -> void {
     constexpr LinkFault kLinkFaults[] = {LinkFault::kNone, LinkFault::kDelay,
                                          LinkFault::kSilence,
                                          LinkFault::kOneWay};
-    const auto fault = kLinkFaults[faults_.Below(std::size(kLinkFaults))];
-    const auto time = Time();
-    checker_.OnDisrupted(place);
+    const auto fault = kLinkFaults[fault_random_.Below(std::size(kLinkFaults))];
+    const auto time = FaultDuration();
+    checker_.OnDisrupted(component);
     if (fault == LinkFault::kNone) {
       link.Reset();
-      checker_.OnDisruptionEnded(place, std::chrono::steady_clock::now());
+      checker_.OnDisruptionEnded(component, std::chrono::steady_clock::now());
       return;
     }
     link.SetFault(fault);
-    After(time, [this, &link, place] {
+    RunAfter(time, [this, &link, component] {
       link.SetFault(LinkFault::kNone);
-      checker_.OnDisruptionEnded(place, std::chrono::steady_clock::now());
+      checker_.OnDisruptionEnded(component, std::chrono::steady_clock::now());
     });
   }
 
-  auto SpoilStoreLink() -> void {
-    auto& node = AnyNode();
-    SpoilLink(*node.store_link, node.process->name());
+  auto DisruptStoreLink() -> void {
+    auto& node = RandomNode();
+    DisruptLink(*node.store_link, node.process->name());
   }
-  auto SpoilReplicaLink() -> void {
-    auto& replica = AnyReplica();
-    SpoilLink(*replica.link, replica.server->id());
+  auto DisruptReplicaLink() -> void {
+    auto& replica = RandomReplica();
+    DisruptLink(*replica.link, replica.server->id());
   }
 
-  auto SpoilAnswers() -> void {
+  auto SetReplicaFault() -> void {
     constexpr ReplicaFault kReplicaFaults[] = {
         ReplicaFault::kLoseAnswer, ReplicaFault::kBreakMidEvent,
-        ReplicaFault::kRefuse,     ReplicaFault::kOtherRequest,
+        ReplicaFault::kRefuse,     ReplicaFault::kWrongRequestId,
         ReplicaFault::kFail,
     };
-    auto& server = *AnyReplica().server;
-    server.SetFault(kReplicaFaults[faults_.Below(std::size(kReplicaFaults))],
-                    static_cast<int>(faults_.Below(4)));
-    server.set_pace(faults_.Between(milliseconds(0), kSlowestPace));
+    auto& server = *RandomReplica().server;
+    server.SetFault(
+        kReplicaFaults[fault_random_.Below(std::size(kReplicaFaults))],
+        static_cast<int>(fault_random_.Below(4)));
+    server.set_event_delay(
+        fault_random_.Between(milliseconds(0), kMaxEventDelay));
   }
 
   auto RemoveReplica() -> void {
-    auto& replica = AnyReplica();
+    auto& replica = RandomReplica();
     store_.Remove("servers/" + replica.server->id());
-    After(Time(), [this, &replica] { Announce(replica); });
+    RunAfter(FaultDuration(), [this, &replica] { Announce(replica); });
   }
 
   auto StopStore() -> void {
     store_.set_down(true);
-    After(Time(), [this] { store_.set_down(false); });
+    RunAfter(FaultDuration(), [this] { store_.set_down(false); });
   }
 
-  // No disruption of the node for the end of jobs: it answers other nodes,
-  // which tell it.
-  auto TurnAway() -> void {
-    const auto& entrance = AnyNode().entrance;
-    const auto time = faults_.Between(kFaultMin, kTurnAwayMax);
-    store_.SetEntranceClosed(entrance, true);
-    After(time,
-          [this, entrance] { store_.SetEntranceClosed(entrance, false); });
+  // Not recorded as a disruption of the node: other nodes still reach it and
+  // tell it of the end of jobs.
+  auto RefuseNodeAtStore() -> void {
+    const auto& store_address = RandomNode().store_address;
+    const auto time = fault_random_.Between(kFaultMin, kMaxStoreRefusalTime);
+    store_.SetEndpointDown(store_address, true);
+    RunAfter(time, [this, store_address] {
+      store_.SetEndpointDown(store_address, false);
+    });
   }
 
   auto LoseStoreAnswers() -> void {
     constexpr const char* kKinds[] = {"jobs", "job-states", "job-results"};
-    store_.LoseAnswers(kKinds[faults_.Below(std::size(kKinds))],
-                       static_cast<int>(faults_.Below(3)) + 1);
+    store_.LoseAnswers(kKinds[fault_random_.Below(std::size(kKinds))],
+                       static_cast<int>(fault_random_.Below(3)) + 1);
   }
 
   auto Configure() -> void {
@@ -560,12 +571,12 @@
     }
     for (auto& node : nodes_) {
       node.store_link->SetFault(LinkFault::kNone);
-      store_.SetEntranceClosed(node.entrance, false);
+      store_.SetEndpointDown(node.store_address, false);
       ExpectRunning(node);
     }
   }
 
-  // --- What must hold without faults.
+  // --- Checks without faults.
 
   auto Settle(const std::string& when) -> void {
     const auto last = std::chrono::steady_clock::now() + kSettleTime;
@@ -577,7 +588,7 @@
     checker_.Expect(open.empty(), when + ": " + open);
   }
 
-  // What does not hold yet; empty when all does.
+  // Describes the first condition that does not hold; empty if all hold.
   auto Unsettled() -> std::string {
     for (const auto& node : nodes_) {
       const auto& process = *node.process;
@@ -585,7 +596,7 @@
       if (!process.Ready()) {
         return process.name() + " is not ready";
       }
-      if (!ServesBy(process, version_, id)) {
+      if (!ServesVersion(process, version_, id)) {
         return process.name() + " does not serve by the newest configuration";
       }
       for (const auto& job : checker_.unfinished_jobs()) {
@@ -596,8 +607,8 @@
     return jobs.empty() ? "" : "job " + jobs.front() + " is unfinished";
   }
 
-  // Every node must show the same results. One that has just lost the store may
-  // refuse for some seconds more.
+  // Every node must show the same results. A node whose calls to the store have
+  // just failed may refuse for a few more seconds.
   auto ReadAllJobs() -> void {
     const auto last = std::chrono::steady_clock::now() + kSettleTime;
     for (const auto& job : checker_.accepted_jobs()) {
@@ -615,13 +626,13 @@
   }
 
   SoakSettings settings_;
-  Draw faults_;
-  StandInThread thread_;
-  ObjectApiStandIn store_;
+  RandomSource fault_random_;
+  FakeServerThread thread_;
+  FakeObjectApi store_;
   SoakChecker checker_;
   std::vector<Replica> replicas_;
   std::vector<Node> nodes_;
-  std::vector<Later> later_;
+  std::vector<ScheduledAction> scheduled_;
   std::map<std::string, int> counts_;
   std::atomic<int> version_{3};
   std::atomic<bool> done_{false};
