Drop at once what leaves just after a node began to watch

The grace period for what goes missing before a node begins to watch was applied to every removal in the first 2 s after that too, so a gateway that had just started went on sending to a replica that had left.

It now applies to the first listing and to removals that other nodes had told already. A removal that the node reads first is decided by the outages that it has seen, as before.

--- a/include/kumquatgauge/serving/replica_table.h
+++ b/include/kumquatgauge/serving/replica_table.h
@@ -120,6 +120,7 @@
   auto Apply(Row& row, const EntryChange& change, Duration grace_period)
       -> bool;
   auto OwnGracePeriod(const Row& row) const -> Duration;
+  auto CautiousGracePeriod(const Row& row) const -> Duration;
   // Returns whether `row` waits for the end of its grace period and `change`
   // reports a removal of the value that it still has.
   static auto IsSameRemoval(const Row& row, const EntryChange& change) -> bool;
@@ -137,7 +138,7 @@
   std::uint64_t revision_ = 0;
   bool store_unavailable_ = false;
   bool watching_ = false;  // The last call to the store was one of this node.
-  // When this node's calls began to succeed again, or for the first time.
+  std::optional<MonotonicTime> watching_since_;
   std::optional<MonotonicTime> store_recovered_at_;
 };
 
--- a/src/serving/replica_table.cc
+++ b/src/serving/replica_table.cc
@@ -20,9 +20,9 @@
     if (!row.removed) {
       row.revision = revision;
       row.set_by_peer = false;
-      changed = Remove(id, row, OwnGracePeriod(row)) || changed;
+      changed = Remove(id, row, CautiousGracePeriod(row)) || changed;
     } else if (row.drop_at) {
-      changed = Remove(id, row, OwnGracePeriod(row)) || changed;
+      changed = Remove(id, row, CautiousGracePeriod(row)) || changed;
     }
   }
   revision_ = std::max(revision_, revision);
@@ -32,13 +32,13 @@
 auto ReplicaTable::OnChange(const EntryChange& change) -> bool {
   revision_ = std::max(revision_, change.revision);
   auto& row = rows_[change.id];
-  const auto grace_period = OwnGracePeriod(row);
   if (change.revision > row.revision) {
     row.set_by_peer = false;
-    return Apply(row, change, grace_period);
+    return Apply(row, change, OwnGracePeriod(row));
   }
   // A peer that could not tell may have reported the removal before.
-  return IsSameRemoval(row, change) && Remove(change.id, row, grace_period);
+  return IsSameRemoval(row, change) &&
+         Remove(change.id, row, CautiousGracePeriod(row));
 }
 
 auto ReplicaTable::OnPeerChange(const EntryChange& change) -> bool {
@@ -96,14 +96,13 @@
 }
 
 auto ReplicaTable::OnStoreAnswered() -> void {
-  const auto was_unavailable = std::exchange(store_unavailable_, false);
-  if (std::exchange(watching_, true) && !was_unavailable) {
-    return;
+  if (!std::exchange(watching_, true)) {
+    watching_since_ = clock_();
   }
-  store_recovered_at_ = clock_();
-  if (!was_unavailable) {
+  if (!std::exchange(store_unavailable_, false)) {
     return;
   }
+  store_recovered_at_ = clock_();
   for (auto& [id, row] : rows_) {
     if (row.drop_at && !row.set_by_peer) {
       row.drop_at = *store_recovered_at_ + kEntryGracePeriod;
@@ -124,6 +123,16 @@
              : Duration::zero();
 }
 
+// The same for an entry that may have gone missing before this node began to
+// watch, in an outage that it did not see.
+auto ReplicaTable::CautiousGracePeriod(const Row& row) const -> Duration {
+  const auto own = OwnGracePeriod(row);
+  if (!watching_since_ || !row.replica || row.replica->leaving) {
+    return own;
+  }
+  return std::max(own, *watching_since_ + kEntryGracePeriod - clock_());
+}
+
 auto ReplicaTable::Remove(const ReplicaId& id, Row& row, Duration grace_period)
     -> bool {
   const auto now = clock_();
--- a/src/serving/replica_table_test.cc
+++ b/src/serving/replica_table_test.cc
@@ -275,6 +275,26 @@
   CHECK(fixture.table.replicas().empty());
 }
 
+// Guards against a node that has just started and keeps using a replica that
+// leaves, although it has seen no outage.
+TEST_CASE("ReplicaTable.DropsAtOnceWhatLeavesJustAfterItBeganToWatch") {
+  auto fixture = Fixture();
+  fixture.table.OnStoreAnswered();
+  CHECK(fixture.table.OnChange(Gone("r1", 11)));
+}
+
+// Guards against a node that begins to watch after an outage that it did not
+// see, and ends the grace period that the other nodes had told it.
+TEST_CASE("ReplicaTable.KeepsWhatOthersKeepWhenItBeginsToWatch") {
+  auto fixture = Fixture();
+  auto gone = Gone("r1", 30);
+  gone.grace_period = milliseconds(1'500);
+  fixture.table.OnPeerChange(gone);
+  fixture.table.OnStoreAnswered();
+  CHECK_FALSE(fixture.table.OnChange(Gone("r1", 30)));
+  CHECK(fixture.table.next_drop() == fixture.clock.now() + milliseconds(1'500));
+}
+
 // Guards against a node that no longer watches and passes on its own guess as a
 // decision.
 TEST_CASE("ReplicaTable.IsUndecidedAfterItStoppedWatching") {
