--- a/include/kumquatgauge/serving/replica_table.h
+++ b/include/kumquatgauge/serving/replica_table.h
@@ -137,7 +137,7 @@
   std::map<ReplicaId, Row> rows_;
   std::uint64_t revision_ = 0;
   bool store_unavailable_ = false;
-  bool watching_ = false;  // The last call to the store was one of this node.
+  bool watching_ = false;  // This node watches the store.
   std::optional<MonotonicTime> watching_since_;
   std::optional<MonotonicTime> store_recovered_at_;
 };
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -733,8 +733,8 @@
 TEST_CASE("Gateway.ServesWhileNothingReadsItsLog") {
   constexpr auto kRequests = 2'500;
   constexpr auto kSlowest = std::chrono::seconds(1);
-  constexpr std::size_t kPipeBytes = 64 * 1024;
-  constexpr std::size_t kWaitingBytes = 256 * 1024;
+  constexpr std::size_t kPipeBytes = std::size_t{64} * 1024;
+  constexpr std::size_t kWaitingBytes = std::size_t{256} * 1024;
   constexpr std::size_t kLineBytes = 1'024;
   auto fleet = Fleet(0);
   const auto log = (fleet.folder / "n0.1.log").string();
