Share the hooks of the node registry between both programs

kqg-node and kqg-gateway built the same hooks: which nodes are members, and that the configured seeds and the registered addresses become the seeds. node/registry_hooks makes them for both; only the seeds and the log line differ.

--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -42,6 +42,7 @@
 #include "kumquatgauge/node/message.h"
 #include "kumquatgauge/node/peer_client.h"
 #include "kumquatgauge/node/peer_server.h"
+#include "kumquatgauge/node/registry_hooks.h"
 #include "kumquatgauge/operator/command_executor.h"
 #include "kumquatgauge/operator/operator_server.h"
 #include "kumquatgauge/routing/load_publisher.h"
@@ -377,23 +378,12 @@
 }
 
 auto NodeDaemon::Impl::MakeRegistryHooks() -> control::NodeRegistryHooks {
-  return {.pause = [](Duration duration) { return Pause(duration); },
-          .random = DrawRandom,
-          .is_member =
-              [this](const NodeId& node) {
-                return gossip_.membership().Find(node).has_value();
-              },
-          .found =
-              [this](std::vector<std::string> addresses) {
-                auto seeds = settings_.nodes.seeds;
-                seeds.insert(seeds.end(), addresses.begin(), addresses.end());
-                gossip_.SetSeeds(std::move(seeds));
-              },
-          .failed =
-              [this](const std::string& reason) {
-                log_.Warning("Cannot register with the platform yet.",
-                             {{"error", reason}});
-              }};
+  return node::MakeRegistryHooks(
+      gossip_, [this] { return settings_.nodes.seeds; },
+      [this](const std::string& reason) {
+        log_.Warning("Cannot register with the platform yet.",
+                     {{"error", reason}});
+      });
 }
 
 auto NodeDaemon::Impl::RemoveFromRegistry() -> asio::awaitable<void> {
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -22,6 +22,7 @@
 #include "kumquatgauge/node/gossip.h"
 #include "kumquatgauge/node/peer_client.h"
 #include "kumquatgauge/node/peer_server.h"
+#include "kumquatgauge/node/registry_hooks.h"
 #include "kumquatgauge/routing/rendezvous.h"
 #include "kumquatgauge/routing/retry_budget.h"
 #include "kumquatgauge/serving/batch_runner.h"
@@ -674,27 +675,12 @@
   }
 
   auto MakeRegistryHooks() -> control::NodeRegistryHooks {
-    return {.pause =
-                [](Duration duration) {
-                  return kumquatgauge::detail::Pause(duration);
-                },
-            .random = DrawRandom,
-            .is_member =
-                [this](const NodeId& node) {
-                  return gossip_.membership().Find(node).has_value();
-                },
-            .found =
-                [this](std::vector<std::string> addresses) {
-                  auto seeds = settings_.seeds;
-                  seeds.insert(seeds.end(), addresses.begin(), addresses.end());
-                  gossip_.SetSeeds(std::move(seeds));
-                },
-            .failed =
-                [this](const std::string& reason) {
-                  logger_.Warning(
-                      "this node cannot register itself in the store yet",
-                      {{"event", "register_failed"}, {"reason", reason}});
-                }};
+    return node::MakeRegistryHooks(
+        gossip_, [this] { return settings_.seeds; },
+        [this](const std::string& reason) {
+          logger_.Warning("this node cannot register itself in the store yet",
+                          {{"event", "register_failed"}, {"reason", reason}});
+        });
   }
 
   // Divides the nodes into cells of about kNodesPerCell. All nodes that know
