Read the count of store failures once a tick

The batch runner read it twice, which adds up three counters each time, and compared the two reads. Behaviour is the same; test_testing passes.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -601,8 +601,8 @@
   }
 
   auto CheckStates(MonotonicTime now) -> void {
-    if (std::exchange(store_failures_, parts_.store_failures()) !=
-        parts_.store_failures()) {
+    const auto failures = parts_.store_failures();
+    if (std::exchange(store_failures_, failures) != failures) {
       checks_.OnStoreFailed(now);
     }
     checks_.SetIsolated(parts_.isolated(), now);
