--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -577,6 +577,21 @@
   CHECK(reply.body == ExpectedEvents("t1", 0));
 }
 
+// Returns the lines of a gateway's log whose `field` is `value`.
+auto LinesOf(const std::string& log,
+             const std::string& field,
+             const std::string& value) -> std::vector<json> {
+  auto lines = std::vector<json>();
+  auto stream = std::istringstream(log);
+  for (std::string line; std::getline(stream, line);) {
+    auto object = json::parse(line, nullptr, false);
+    if (object.is_object() && object.value(field, "") == value) {
+      lines.push_back(std::move(object));
+    }
+  }
+  return lines;
+}
+
 // Guards against a failed request that on-call engineers cannot trace by its
 // id.
 TEST_CASE("Gateway.LogsWhyARequestFailedUnderItsId") {
@@ -589,12 +604,9 @@
   auto end = json();
   // The line is written after the answer has been sent.
   Eventually([&] {
-    auto lines = std::istringstream(fleet.nodes.front()->Log());
-    for (std::string line; std::getline(lines, line);) {
-      const auto object = json::parse(line, nullptr, false);
-      if (object.is_object() && object.value("request", "") == "trace-me") {
-        (object.at("event") == "attempt_failed" ? attempt : end) = object;
-      }
+    const auto log = fleet.nodes.front()->Log();
+    for (const auto& line : LinesOf(log, "request", "trace-me")) {
+      (line.at("event") == "attempt_failed" ? attempt : end) = line;
     }
     return end.is_object();
   });
@@ -621,14 +633,9 @@
   fleet.store->SetEndpointDown(fleet.store_addresses[0], false);
   auto learned = json();
   Eventually([&] {
-    auto lines = std::istringstream(fleet.nodes.front()->Log());
-    for (std::string line; std::getline(lines, line);) {
-      const auto object = json::parse(line, nullptr, false);
-      if (object.is_object() &&
-          object.value("event", "") == "job_state_learned" &&
-          object.value("ended", "") == "true") {
-        learned = object;
-      }
+    const auto log = fleet.nodes.front()->Log();
+    for (const auto& line : LinesOf(log, "event", "job_state_learned")) {
+      learned = line.value("ended", "") == "true" ? line : learned;
     }
     return learned.is_object();
   });
@@ -637,21 +644,6 @@
         kStoreRefusalTime.count());
 }
 
-// Returns the lines of a gateway's log that carry `id` in `field`.
-auto LinesOf(const std::string& log,
-             const std::string& field,
-             const std::string& id) -> std::vector<json> {
-  auto lines = std::vector<json>();
-  auto stream = std::istringstream(log);
-  for (std::string line; std::getline(stream, line);) {
-    auto object = json::parse(line, nullptr, false);
-    if (object.is_object() && object.value(field, "") == id) {
-      lines.push_back(std::move(object));
-    }
-  }
-  return lines;
-}
-
 // Finds why a request failed, by the steps of docs/OPERATIONS.md.
 auto CauseOf(const std::string& log, const std::string& request)
     -> std::string {
