--- a/include/kumquatgauge/store/circuit.h
+++ b/include/kumquatgauge/store/circuit.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 
 #include "kumquatgauge/base/time.h"
 
@@ -32,6 +33,7 @@
 class Circuit {
  public:
   enum class State { kClosed, kOpen, kProbing };
+  static auto StateName(State state) -> std::string_view;
 
   struct Decision {
     bool allowed = false;
--- a/include/kumquatgauge/store/platform_client.h
+++ b/include/kumquatgauge/store/platform_client.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -72,10 +73,13 @@
 // Runs on one io_context; not thread-safe.
 class PlatformClient {
  public:
-  PlatformClient(const boost::asio::any_io_executor& executor,
-                 PlatformOptions options,
-                 Clock clock,
-                 RandomSource random);
+  // `circuit_changed` is called with each new state of the circuit.
+  PlatformClient(
+      const boost::asio::any_io_executor& executor,
+      PlatformOptions options,
+      Clock clock,
+      RandomSource random,
+      std::function<auto(Circuit::State)->void> circuit_changed = nullptr);
 
   // Returns responses with a status below 500 other than 429. Errors:
   //   kUnavailable: the circuit is open, the platform returned 503, the
--- a/src/serving/store_options.cc
+++ b/src/serving/store_options.cc
@@ -1,5 +1,7 @@
 #include "serving/store_options.h"
 
+#include <string>
+
 namespace kumquatgauge::serving::detail {
 
 auto MakeStoreOptions(const GatewaySettings& settings)
@@ -11,4 +13,13 @@
   return options;
 }
 
+auto LogCircuit(const Logger& logger)
+    -> std::function<auto(store::Circuit::State)->void> {
+  return [&logger](store::Circuit::State state) {
+    logger.Info("the circuit of the store changed its state",
+                {{"event", "store_circuit"},
+                 {"state", std::string(store::Circuit::StateName(state))}});
+  };
+}
+
 }  // namespace kumquatgauge::serving::detail
--- a/src/store/circuit.cc
+++ b/src/store/circuit.cc
@@ -10,6 +10,18 @@
       random_(std::move(random)),
       backoff_(options.initial_backoff) {}
 
+auto Circuit::StateName(State state) -> std::string_view {
+  switch (state) {
+    case State::kClosed:
+      return "closed";
+    case State::kOpen:
+      return "open";
+    case State::kProbing:
+      return "probing";
+  }
+  return "";
+}
+
 auto Circuit::AllowCall(MonotonicTime now, bool may_probe) -> Decision {
   if (state_ == State::kClosed) {
     return {.allowed = true};
--- a/src/store/platform_client.cc
+++ b/src/store/platform_client.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <unordered_map>
+#include <utility>
 
 #include "kumquatgauge/base/error.h"
 #include "store/http_client.h"
@@ -43,14 +44,16 @@
   Impl(const asio::any_io_executor& io_executor,
        PlatformOptions client_options,
        Clock clock_hook,
-       RandomSource random)
+       RandomSource random,
+       std::function<auto(Circuit::State)->void> circuit_changed_hook)
       : executor(io_executor),
         options(std::move(client_options)),
         clock(std::move(clock_hook)),
         limiter(options.limits),
         circuit(options.circuit, std::move(random)),
         client(executor, options.address, options.idle_limit),
-        pump_timer(executor) {}
+        pump_timer(executor),
+        circuit_changed(std::move(circuit_changed_hook)) {}
 
   // Applies the limiter's decisions and sets the timer for the next ones.
   auto Pump() -> void {
@@ -86,6 +89,7 @@
 
   auto CheckCircuit(const PlatformCall& call) -> void {
     const auto decision = circuit.AllowCall(clock(), !call.watch);
+    ReportCircuit();
     if (!decision.allowed) {
       RefuseByCircuit(call, decision.retry_after);
     }
@@ -182,14 +186,22 @@
   auto Report(const detail::HttpResult& result) -> void {
     if (!result.response || result.response->status >= kServerError) {
       circuit.OnFailure(clock());
-      return;
+    } else {
+      circuit.OnSuccess();
     }
-    circuit.OnSuccess();
+    ReportCircuit();
     if (circuit.TakeRecovered()) {
       limiter.DrainBurst(clock());
     }
   }
 
+  auto ReportCircuit() -> void {
+    const auto state = circuit.state();
+    if (std::exchange(reported_state, state) != state && circuit_changed) {
+      circuit_changed(state);
+    }
+  }
+
   asio::any_io_executor executor;
   PlatformOptions options;
   Clock clock;
@@ -197,19 +209,24 @@
   Circuit circuit;
   detail::HttpClient client;
   asio::steady_timer pump_timer;
+  std::function<auto(Circuit::State)->void> circuit_changed;
+  Circuit::State reported_state = Circuit::State::kClosed;
   std::unordered_map<RateLimiter::Ticket, std::shared_ptr<Waiter>> waiters;
   CallCounts counts;
   Duration retry_after{0};
 };
 
-PlatformClient::PlatformClient(const asio::any_io_executor& executor,
-                               PlatformOptions options,
-                               Clock clock,
-                               RandomSource random)
+PlatformClient::PlatformClient(
+    const asio::any_io_executor& executor,
+    PlatformOptions options,
+    Clock clock,
+    RandomSource random,
+    std::function<auto(Circuit::State)->void> circuit_changed)
     : impl_(std::make_shared<Impl>(executor,
                                    std::move(options),
                                    std::move(clock),
-                                   std::move(random))) {}
+                                   std::move(random),
+                                   std::move(circuit_changed))) {}
 
 auto PlatformClient::Call(PlatformCall call) -> awaitable<PlatformResponse> {
   const auto impl = impl_;
