Probe the store with a short watch after a failed call

Callers got 404 from two nodes 2.3 s after a configuration with their route was acknowledged, just after an outage of the store.

Cause: Circuit lets no watch through while it is open, since the result of a watch comes late. StoreFeed repeated the watch that had failed, so a node with no other call to make refused its own watches until a scan for jobs or a request of a caller happened to close the circuit.

After a failure the feed now asks for changes with a wait of 10 ms, which the circuit may use as its probe, and waits again only after a success.

--- a/include/kumquatgauge/serving/store_feed.h
+++ b/include/kumquatgauge/serving/store_feed.h
@@ -17,8 +17,8 @@
   std::string prefix;
   // Delay after events, so that changes in quick succession share one call.
   std::chrono::milliseconds debounce{0};
-  // Backoff after a failed call: doubles from the initial to the maximum value.
-  // The maximum is well below the time in which a change must apply.
+  // Backoff after a call without an answer (FeedRetry). The maximum is well
+  // below the time in which a change must apply.
   std::chrono::milliseconds initial_backoff{100};
   std::chrono::milliseconds max_backoff{800};
 
--- a/include/kumquatgauge/store/circuit.h
+++ b/include/kumquatgauge/store/circuit.h
@@ -1,10 +1,13 @@
 #ifndef KUMQUATGAUGE_STORE_CIRCUIT_H_
 #define KUMQUATGAUGE_STORE_CIRCUIT_H_
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
+#include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/time.h"
 
 namespace kumquatgauge::store {
@@ -25,6 +28,23 @@
   auto operator==(const CircuitOptions&) const -> bool = default;
 };
 
+// Longest wait of a watch that may probe the platform while the circuit is
+// open.
+inline constexpr std::chrono::milliseconds kMaxProbeWait{10};
+
+// The circuit refused a call, which was not sent.
+class CircuitOpenError : public Error {
+ public:
+  CircuitOpenError(const std::string& object, Duration retry_after);
+
+  // Time after which the circuit may allow a call; earlier if another call
+  // closes it.
+  auto retry_after() const -> Duration { return retry_after_; }
+
+ private:
+  Duration retry_after_;
+};
+
 // Circuit breaker that refuses calls immediately while the platform is
 // unavailable. It opens after consecutive failures, allows one probe after a
 // backoff, and closes when the probe succeeds. The backoff doubles up to
@@ -45,8 +65,8 @@
   Circuit(CircuitOptions options, RandomSource random);
 
   // Decides whether a call may be made now. `may_probe` is false for calls
-  // whose result comes late, such as watches; they wait for another call to
-  // close the circuit.
+  // whose result comes late, such as watches of more than kMaxProbeWait; they
+  // are refused until another call has closed the circuit.
   auto AllowCall(MonotonicTime now, bool may_probe) -> Decision;
   auto OnSuccess() -> void;
   // The platform did not respond, or responded that it is unavailable.
--- a/src/serving/store_feed.cc
+++ b/src/serving/store_feed.cc
@@ -10,6 +10,8 @@
 #include <utility>
 
 #include "kumquatgauge/base/error.h"
+#include "kumquatgauge/serving/feed_retry.h"
+#include "kumquatgauge/store/circuit.h"
 
 namespace kumquatgauge::serving {
 namespace {
@@ -36,8 +38,9 @@
         store_(store),
         settings_(std::move(settings)),
         hooks_(std::move(hooks)),
-        random_(std::move(random)),
-        backoff_(settings_.initial_backoff) {}
+        retry_(settings_.initial_backoff,
+               settings_.max_backoff,
+               std::move(random)) {}
 
   auto Start() -> void {
     asio::co_spawn(executor_, Run(shared_from_this()), asio::detached);
@@ -52,16 +55,21 @@
   static auto Run(std::shared_ptr<Impl> self) -> awaitable<void> {
     while (!self->stopped_) {
       auto failed = std::optional<std::string>();
+      auto pause = milliseconds::zero();
       try {
         co_await self->ListOrWatch();
+      } catch (const store::CircuitOpenError& error) {
+        failed = error.what();
+        pause = self->retry_.OnRefused(error.retry_after());
       } catch (const Error& error) {
         failed = error.what();
+        pause = self->retry_.OnFailure();
       }
       if (!failed || self->stopped_) {
         continue;
       }
       self->hooks_.call_failed(*failed);
-      co_await self->Pause(self->NextBackoff());
+      co_await self->Pause(pause);
     }
   }
 
@@ -74,9 +82,10 @@
     } else if (!since_) {
       co_await List();
     } else {
-      co_await Watch(*since_, *watch_time);
+      co_await Watch(*since_,
+                     retry_.failed() ? store::kMaxProbeWait : *watch_time);
     }
-    backoff_ = settings_.initial_backoff;
+    retry_.OnSuccess();
   }
 
   auto List() -> awaitable<void> {
@@ -141,24 +150,13 @@
     }
   }
 
-  // Returns 0.5 to 1.5 times the nominal backoff, so that the nodes do not
-  // retry at the same time.
-  auto NextBackoff() -> milliseconds {
-    const auto nominal = backoff_;
-    backoff_ = std::min(backoff_ * 2, settings_.max_backoff);
-    const auto draw =
-        static_cast<std::int64_t>(random_() % (nominal.count() + 1));
-    return nominal / 2 + milliseconds(draw);
-  }
-
   asio::any_io_executor executor_;
   asio::steady_timer timer_;
   store::ObjectStore& store_;
   StoreFeedSettings settings_;
   StoreFeedHooks hooks_;
-  RandomSource random_;
+  FeedRetry retry_;
   std::optional<std::uint64_t> since_;
-  milliseconds backoff_;
   bool stopped_ = false;
 };
 
--- a/src/store/circuit.cc
+++ b/src/store/circuit.cc
@@ -5,6 +5,18 @@
 
 namespace kumquatgauge::store {
 
+CircuitOpenError::CircuitOpenError(const std::string& object,
+                                   Duration retry_after)
+    : Error(ErrorKind::kUnavailable,
+            "the platform is unavailable",
+            object,
+            "retry in " +
+                std::to_string(
+                    std::chrono::ceil<std::chrono::milliseconds>(retry_after)
+                        .count()) +
+                " ms"),
+      retry_after_(retry_after) {}
+
 Circuit::Circuit(CircuitOptions options, RandomSource random)
     : options_(options),
       random_(std::move(random)),
--- a/src/store/platform_client.cc
+++ b/src/store/platform_client.cc
@@ -88,7 +88,8 @@
   }
 
   auto CheckCircuit(const PlatformCall& call) -> void {
-    const auto decision = circuit.AllowCall(clock(), !call.watch);
+    const auto decision = circuit.AllowCall(
+        clock(), !call.watch || call.extra_timeout <= kMaxProbeWait);
     ReportCircuit();
     if (!decision.allowed) {
       RefuseByCircuit(call, decision.retry_after);
@@ -98,8 +99,7 @@
   auto RefuseByCircuit(const PlatformCall& call, Duration wait) -> void {
     ++counts.refused_by_circuit;
     retry_after = wait;
-    throw Error(ErrorKind::kUnavailable, "the platform is unavailable",
-                call.object, "retry in " + InMilliseconds(wait));
+    throw CircuitOpenError(call.object, wait);
   }
 
   auto Admit(const PlatformCall& call, CallKind kind) -> awaitable<void> {
