--- a/include/kumquatgauge/serving/batch_schedule.h
+++ b/include/kumquatgauge/serving/batch_schedule.h
@@ -25,6 +25,8 @@
   double smoothing = 0.1;
   // Backoff before a failed item is retried; doubles with each failure.
   Duration retry_backoff = std::chrono::milliseconds(200);
+  // Time after which a withheld item is considered again.
+  Duration withheld_backoff = std::chrono::seconds(1);
 };
 
 struct ItemRef {
@@ -48,6 +50,7 @@
   kStopped,    // Interrupted; resumes where it stopped.
   kFailed,     // The replica ran the item and failed.
   kNotPlaced,  // No replica was available.
+  kWithheld,   // Not sent, since replicas crash on its prompt.
 };
 
 // Decides which batch items of one node's jobs run. Designed for online load
--- a/include/kumquatgauge/serving/dialect.h
+++ b/include/kumquatgauge/serving/dialect.h
@@ -15,6 +15,7 @@
 #include "kumquatgauge/routing/replica.h"
 #include "kumquatgauge/serving/configuration.h"
 #include "kumquatgauge/serving/job.h"
+#include "kumquatgauge/serving/prompt_quarantine.h"
 
 namespace kumquatgauge::serving {
 
@@ -29,6 +30,7 @@
   std::uint64_t resume_after = 0;
   // Hash of the prompt parts shared with other requests; 0 for none.
   std::uint64_t affinity = 0;
+  PromptParts shared_parts;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_output_tokens = 0;
 
--- a/include/kumquatgauge/serving/forwarder.h
+++ b/include/kumquatgauge/serving/forwarder.h
@@ -12,6 +12,7 @@
 #include "kumquatgauge/routing/retry_budget.h"
 #include "kumquatgauge/serving/dialect.h"
 #include "kumquatgauge/serving/load_balancer.h"
+#include "kumquatgauge/serving/prompt_quarantine.h"
 #include "kumquatgauge/upstream/replica_call.h"
 
 namespace kumquatgauge::serving {
@@ -23,6 +24,7 @@
   LoadBalancer& load_balancer;
   upstream::ReplicaCaller& replicas;
   routing::RetryBudget& retry_budget;
+  PromptQuarantine& quarantine;
   MetricsRegistry& metrics;
   Clock clock;
   RandomSource random;
--- a/include/kumquatgauge/serving/job.h
+++ b/include/kumquatgauge/serving/job.h
@@ -7,6 +7,7 @@
 
 #include "kumquatgauge/base/http_header.h"
 #include "kumquatgauge/base/ids.h"
+#include "kumquatgauge/serving/prompt_quarantine.h"
 
 namespace kumquatgauge::serving {
 
@@ -17,6 +18,7 @@
   HeaderList headers;
   std::string body;
   std::uint32_t tokens = 0;  // Prompt plus maximum output.
+  PromptParts shared_parts;
 
   auto operator==(const JobItem&) const -> bool = default;
 };
--- /dev/null
+++ b/include/kumquatgauge/serving/prompt_quarantine.h
@@ -0,0 +1,186 @@
+#ifndef KUMQUATGAUGE_SERVING_PROMPT_QUARANTINE_H_
+#define KUMQUATGAUGE_SERVING_PROMPT_QUARANTINE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "kumquatgauge/base/ids.h"
+#include "kumquatgauge/base/time.h"
+
+namespace kumquatgauge::serving {
+
+// Hash of the id of a prompt part that several requests share.
+using PromptPart = std::uint64_t;
+// The shared parts of one prompt, in order.
+using PromptParts = std::vector<PromptPart>;
+
+// Hexadecimal text for logs; the parts of a list are separated by commas.
+auto PartName(PromptPart part) -> std::string;
+auto PartNames(const PromptParts& parts) -> std::string;
+
+struct PromptQuarantineSettings {
+  // Crashes within this time count as one: replicas may fail in groups.
+  Duration group_time = std::chrono::milliseconds(50);
+  // Groups of crashes after which a part that no replica has answered is
+  // quarantined.
+  std::size_t min_crashes = 3;
+  // The same for a part that some replica has answered within
+  // `answered_memory`, counted from the last answer. The crashes must also span
+  // `min_span`.
+  std::size_t min_crashes_answered = 6;
+  Duration min_span = std::chrono::seconds(5);
+  Duration answered_memory = std::chrono::seconds(60);
+  // Time for other nodes to report that they have an answer to the part.
+  Duration objection_time = std::chrono::milliseconds(300);
+  // A part that is not quarantined is forgotten this long after a crash, and
+  // sooner if it was answered since.
+  Duration suspicion_time = std::chrono::seconds(60);
+  Duration cleared_time = std::chrono::seconds(5);
+  // Delay of the first trial after the last crash; doubles with each trial up
+  // to the maximum. The part is forgotten `forget_time` after the last crash.
+  Duration trial_delay = std::chrono::seconds(30);
+  Duration max_trial_delay = std::chrono::minutes(4);
+  Duration forget_time = std::chrono::minutes(10);
+  // A trial without a result no longer blocks the next one after this time.
+  Duration trial_time = std::chrono::seconds(10);
+  std::size_t max_suspects = 256;
+  std::size_t max_answered = 4'096;
+  std::size_t max_crashes = 16;  // Kept per part.
+  std::size_t max_report = 6;    // Parts in one report to another node.
+
+  auto operator==(const PromptQuarantineSettings&) const -> bool = default;
+};
+
+// What one node tells another about a part. Ages are relative to the message.
+struct PartReport {
+  struct Crash {
+    std::uint64_t replica = 0;  // Hash of the replica's id.
+    Duration age{0};
+
+    auto operator==(const Crash&) const -> bool = default;
+  };
+
+  PromptPart part = 0;
+  std::size_t depth = 0;  // Position in the prompt.
+  std::vector<Crash> crashes;
+  std::optional<Duration> answered_age;
+
+  auto operator==(const PartReport&) const -> bool = default;
+};
+
+struct QuarantineChange {
+  PromptPart part = 0;
+  bool quarantined = false;
+  std::size_t crashes = 0;
+
+  auto operator==(const QuarantineChange&) const -> bool = default;
+};
+
+// Finds prompt parts on which replicas crash and keeps requests with them away
+// from the replicas of the whole fleet.
+//
+// All parts of a request are suspects when its replica breaks off before the
+// first byte of the answer. Parts that other requests share are cleared when a
+// replica answers one of these. Nodes exchange what they know by reports that
+// may be lost or repeated in any order.
+class PromptQuarantine {
+ public:
+  // Returns whether this node is the one that tries a quarantined part again.
+  using RunsTrials = std::function<auto(PromptPart)->bool>;
+
+  // `changed` is called when there is news for the other nodes.
+  PromptQuarantine(PromptQuarantineSettings settings,
+                   RunsTrials runs_trials,
+                   std::function<auto()->void> changed,
+                   Clock clock)
+      : settings_(settings),
+        runs_trials_(std::move(runs_trials)),
+        changed_(std::move(changed)),
+        clock_(std::move(clock)) {}
+
+  struct Admission {
+    bool allowed = true;
+    // The request tests whether the part still crashes replicas. It must not be
+    // sent to a second replica.
+    bool trial = false;
+    PromptPart part = 0;  // The quarantined part.
+    Duration retry_after{0};
+
+    auto operator==(const Admission&) const -> bool = default;
+  };
+
+  // Decides whether a request with these parts may be sent to a replica.
+  auto Check(const PromptParts& parts) const -> Admission;
+  // The same just before each attempt: a trial begins.
+  auto Admit(const PromptParts& parts) -> Admission;
+  // Called when a replica has begun to answer a request.
+  auto OnAnswered(const PromptParts& parts) -> void;
+  // Called when a replica broke off before it began to answer.
+  auto OnCrash(const ReplicaId& replica, const PromptParts& parts) -> void;
+
+  // Returns what to report to other nodes: quarantined parts and the latest
+  // changes first.
+  auto Report() const -> std::vector<PartReport>;
+  auto OnReport(const std::vector<PartReport>& reports) -> void;
+
+  // Must be called several times a second while `active`. Returns the changes
+  // since the last call.
+  auto OnTick() -> std::vector<QuarantineChange>;
+
+  // Whether there is anything to report.
+  auto active() const -> bool { return !suspects_.empty(); }
+  // Time since the last change.
+  auto unchanged_for() const -> Duration { return clock_() - changed_at_; }
+  auto quarantined() const -> std::size_t;
+
+ private:
+  struct Suspect {
+    std::size_t depth = 0;
+    // Crashes after the last answer, by replica.
+    std::map<std::uint64_t, MonotonicTime> crashes;
+    MonotonicTime last_crash;
+    MonotonicTime changed;
+    bool quarantined = false;
+    Duration trial_delay{0};
+    std::optional<MonotonicTime> trial_began;
+  };
+  using Suspects = std::map<PromptPart, Suspect>;
+
+  auto AddCrash(PromptPart part,
+                std::size_t depth,
+                std::uint64_t replica,
+                MonotonicTime at) -> void;
+  auto AddAnswer(PromptPart part, MonotonicTime at) -> void;
+  auto AnsweredAt(PromptPart part) const -> std::optional<MonotonicTime>;
+  // Whether a quarantined part is the reason for the crash.
+  auto IsExplained(std::uint64_t replica) const -> bool;
+  auto GroupCount(const Suspect& suspect) const -> std::size_t;
+  auto MustQuarantine(PromptPart part, const Suspect& suspect) const -> bool;
+  // Quarantines the most likely part, if any.
+  auto QuarantineNext() -> bool;
+  auto Quarantine(Suspects::iterator chosen) -> void;
+  auto ForgetOld() -> void;
+  auto EvictSuspects() -> void;
+  auto EvictAnswers() -> void;
+  auto Touch(Suspect& suspect) -> void;
+
+  PromptQuarantineSettings settings_;
+  RunsTrials runs_trials_;
+  std::function<auto()->void> changed_;
+  Clock clock_;
+  Suspects suspects_;
+  std::map<PromptPart, MonotonicTime> answered_;
+  std::vector<QuarantineChange> changes_;
+  MonotonicTime changed_at_;
+};
+
+}  // namespace kumquatgauge::serving
+
+#endif  // KUMQUATGAUGE_SERVING_PROMPT_QUARANTINE_H_
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -715,6 +715,7 @@
   struct ItemOutcome {
     ItemEnd end = ItemEnd::kNotPlaced;
     bool completed = false;
+    bool broken = false;  // The replica broke off.
   };
 
   // Returns the service that the current configuration routes an item to.
@@ -749,6 +750,10 @@
     if (!placed || !choice.replica) {
       co_return outcome;
     }
+    if (!parts_.quarantine.Admit(item.shared_parts).allowed) {
+      outcome.end = ItemEnd::kWithheld;
+      co_return outcome;
+    }
     const auto replica = *choice.replica;
     auto& progress = job->progress[ref.item];
     parts_.load_balancer.OnStarted(replica.id, WorkClass::kBatch);
@@ -761,8 +766,11 @@
     const auto state_age = began - job->state_known_at;
     state_age_.Record(
         std::chrono::duration<double, std::milli>(state_age).count());
+    const auto events_before = progress.last_event;
     outcome = co_await ReadAnswer(job, ref, replica, call);
     job->progress[ref.item].call = nullptr;
+    ReportToQuarantine(item, replica.id, *call, outcome,
+                       job->progress[ref.item].last_event > events_before);
     parts_.load_balancer.OnEnded(replica.id, WorkClass::kBatch);
     parts_.counts_changed();
     const auto failed =
@@ -789,6 +797,20 @@
     co_return outcome;
   }
 
+  // Reports whether the replica has begun to answer the item or broke off
+  // before.
+  auto ReportToQuarantine(const JobItem& item,
+                          const ReplicaId& replica,
+                          const upstream::ReplicaCaller::Call& call,
+                          const ItemOutcome& outcome,
+                          bool answered) -> void {
+    if (answered) {
+      parts_.quarantine.OnAnswered(item.shared_parts);
+    } else if (outcome.broken && call.bytes_sent()) {
+      parts_.quarantine.OnCrash(replica, item.shared_parts);
+    }
+  }
+
   static auto EndName(const ItemOutcome& outcome) -> std::string {
     switch (outcome.end) {
       case ItemEnd::kFinished:
@@ -798,6 +820,7 @@
       case ItemEnd::kFailed:
         return "failed";
       case ItemEnd::kNotPlaced:
+      case ItemEnd::kWithheld:
         break;
     }
     return "not_run";
@@ -846,6 +869,7 @@
       RecordFailure(replica.id, end);
       outcome.end =
           end == CallEnd::kCancelled ? ItemEnd::kStopped : ItemEnd::kNotPlaced;
+      outcome.broken = end == CallEnd::kBroken || end == CallEnd::kNotSent;
       co_return outcome;
     }
     const auto head = call->head();
@@ -875,6 +899,7 @@
     }
     RecordFailure(replica.id, end);
     outcome.end = ItemEnd::kStopped;
+    outcome.broken = end == CallEnd::kBroken;
     co_return outcome;
   }
 
--- a/src/serving/batch_schedule.cc
+++ b/src/serving/batch_schedule.cc
@@ -156,7 +156,7 @@
   if (item == nullptr) {
     return false;
   }
-  if (end != ItemEnd::kNotPlaced) {
+  if (end != ItemEnd::kNotPlaced && end != ItemEnd::kWithheld) {
     UpdateEventTime(*item, now);
   }
   item->running = false;
@@ -174,6 +174,9 @@
     case ItemEnd::kNotPlaced:
       item->not_before = now + settings_.retry_backoff;
       return false;
+    case ItemEnd::kWithheld:
+      item->not_before = now + settings_.withheld_backoff;
+      return false;
     case ItemEnd::kFailed:
       break;
   }
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -70,7 +70,9 @@
 
   AttemptHistory history;
   std::vector<ReplicaId> tried;
-  Choice choice;  // Of the last attempt.
+  Choice choice;                          // Of the last attempt.
+  PromptQuarantine::Admission admission;  // Of the last attempt.
+  bool attempt_answered = false;  // The last attempt has begun to answer.
   std::uint64_t last_event = 0;
   Duration first_event{0};  // Since the request arrived.
   Duration waited{0};
@@ -137,8 +139,16 @@
     Prepare(*exchange);
     parts_.retry_budget.OnRequest(exchange->service);
     while (true) {
-      co_await ChooseReplica(exchange);
-      if (!exchange->choice.replica) {
+      const auto& parts = exchange->request.shared_parts;
+      exchange->admission = parts_.quarantine.Check(parts);
+      if (exchange->admission.allowed) {
+        co_await ChooseReplica(exchange);
+      }
+      if (exchange->admission.allowed && exchange->choice.replica) {
+        // A part may have been quarantined while the request waited.
+        exchange->admission = parts_.quarantine.Admit(parts);
+      }
+      if (!exchange->admission.allowed || !exchange->choice.replica) {
         co_await EndWithoutReplica(exchange);
         co_return;
       }
@@ -266,7 +276,11 @@
     }
     const auto replica = *chosen;
     exchange->tried.push_back(replica.id);
+    exchange->attempt_answered = false;
     ++exchange->history.attempts;
+    if (exchange->admission.trial) {
+      exchange->history.max_attempts = 1;
+    }
     attempts_.Add();
     parts_.load_balancer.OnStarted(replica.id, WorkClass::kOnline);
     parts_.counts_changed();
@@ -421,6 +435,7 @@
 
   auto WriteEvents(ExchangePtr exchange, std::string piece, MonotonicTime began)
       -> awaitable<bool> {
+    OnAnswered(*exchange);
     if (!exchange->history.answer_begun) {
       RecordFirstByte(*exchange, began);
       exchange->history.answer_begun = true;
@@ -436,12 +451,31 @@
 
   auto RecordFirstByte(Exchange& exchange, MonotonicTime began) -> void {
     const auto now = parts_.clock();
+    OnAnswered(exchange);
     exchange.first_event = now - exchange.incoming->arrived;
     first_ms_.Record(
         static_cast<double>(ToMilliseconds(exchange.first_event).count()));
     parts_.load_balancer.OnSuccess(exchange.tried.back(), now - began);
   }
 
+  auto OnAnswered(Exchange& exchange) -> void {
+    if (!std::exchange(exchange.attempt_answered, true)) {
+      parts_.quarantine.OnAnswered(exchange.request.shared_parts);
+    }
+  }
+
+  // Reports an attempt that the replica broke off before it began to answer.
+  // The connection may have been replaced before the call ended.
+  auto ReportCrash(const Exchange& exchange,
+                   const ReplicaId& replica,
+                   const AttemptEnd& attempt) -> void {
+    const auto broken =
+        attempt.end == CallEnd::kBroken || attempt.end == CallEnd::kNotSent;
+    if (broken && attempt.bytes_sent && !exchange.attempt_answered) {
+      parts_.quarantine.OnCrash(replica, exchange.request.shared_parts);
+    }
+  }
+
   auto EndAttempt(Exchange& exchange,
                   const routing::Replica& replica,
                   const AttemptEnd& attempt,
@@ -459,6 +493,7 @@
     const auto failed =
         attempt.end == CallEnd::kBroken || attempt.end == CallEnd::kMalformed ||
         attempt.end == CallEnd::kSilent || attempt.end == CallEnd::kNotSent;
+    ReportCrash(exchange, replica.id, attempt);
     if (failed) {
       parts_.load_balancer.OnFailure(replica.id);
     } else if (attempt.end == CallEnd::kComplete && !not_run) {
@@ -473,6 +508,7 @@
                        {"status", std::to_string(attempt.status)},
                        {"not_run", not_run ? "true" : "false"},
                        {"last_event", std::to_string(exchange.last_event)},
+                       {"parts", PartNames(exchange.request.shared_parts)},
                        {"held_ms", Text(held)}});
     }
     OnCapacityFreed();
@@ -552,10 +588,17 @@
              "no replica is left; an earlier attempt may have run");
       co_return;
     }
-    co_await EndRefused(
-        exchange, exchange->choice.availability == Availability::kNoReplica
-                      ? "no replica is known"
-                      : "all replicas are full");
+    co_await EndRefused(exchange, WhyWithoutReplica(*exchange));
+  }
+
+  static auto WhyWithoutReplica(const Exchange& exchange) -> std::string {
+    if (!exchange.admission.allowed) {
+      return "replicas crash on part " + PartName(exchange.admission.part) +
+             " of the prompt";
+    }
+    return exchange.choice.availability == Availability::kNoReplica
+               ? "no replica is known"
+               : "all replicas are full";
   }
 
   auto EndRefused(ExchangePtr exchange, std::string reason) -> awaitable<void> {
@@ -568,6 +611,9 @@
   }
 
   auto RetryAfter(const Exchange& exchange) -> milliseconds {
+    if (!exchange.admission.allowed) {
+      return ToMilliseconds(exchange.admission.retry_after);
+    }
     if (exchange.choice.availability == Availability::kNoReplica) {
       return kNoReplicaRetry;
     }
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -29,6 +29,7 @@
 #include "kumquatgauge/serving/forwarder.h"
 #include "kumquatgauge/serving/job_archive.h"
 #include "kumquatgauge/serving/load_balancer.h"
+#include "kumquatgauge/serving/prompt_quarantine.h"
 #include "kumquatgauge/serving/replica_table.h"
 #include "kumquatgauge/serving/store_feed.h"
 #include "kumquatgauge/serving/watcher_choice.h"
@@ -82,6 +83,13 @@
 constexpr milliseconds kMissingQuestionInterval{250};
 constexpr milliseconds kMissingQuestionTimeout{1'000};
 constexpr auto kEntriesCall = "entries";
+// News of prompt parts on which replicas crash is sent to kQuarantineFanout
+// random nodes, then repeated at each maintenance for kQuarantineNewsTime, and
+// after that every kQuarantineReportInterval.
+constexpr std::size_t kQuarantineFanout = 4;
+constexpr milliseconds kQuarantineReportDelay{20};
+constexpr milliseconds kQuarantineNewsTime{2'000};
+constexpr milliseconds kQuarantineReportInterval{1'000};
 // Prefix of the keys under which nodes register their addresses for each other.
 constexpr auto kNodePrefix = "gateways/";
 // Maximum number of addresses in an answer of the directory.
@@ -145,6 +153,11 @@
             SteadyNow),
         replicas_(context_.get_executor(), upstream::ConnectionSettings()),
         retry_budget_(routing::RetryBudgetSettings(), SteadyNow),
+        quarantine_(
+            PromptQuarantineSettings(),
+            [this](PromptPart part) { return RunsTrials(part); },
+            [this] { ScheduleQuarantineReport(); },
+            SteadyNow),
         peer_client_(
             node::MakePeerClient(context_, {settings_.fleet_credential})),
         peer_server_(context_,
@@ -177,7 +190,8 @@
         signals_(context_, SIGTERM, SIGHUP),
         maintenance_timer_(context_),
         counts_timer_(context_),
-        missing_timer_(context_) {}
+        missing_timer_(context_),
+        quarantine_timer_(context_) {}
 
   auto Run() -> void {
     logger_.Info("starting", {{"event", "start"},
@@ -245,6 +259,7 @@
             .dialect = parts_.dialect,
             .load_balancer = load_balancer_,
             .replicas = replicas_,
+            .quarantine = quarantine_,
             .archive = archive_,
             .peers = *peer_client_,
             .metrics = metrics_,
@@ -272,6 +287,7 @@
             .load_balancer = load_balancer_,
             .replicas = replicas_,
             .retry_budget = retry_budget_,
+            .quarantine = quarantine_,
             .metrics = metrics_,
             .clock = SteadyNow,
             .random = DrawRandom,
@@ -735,6 +751,8 @@
         OnPeerCounts(from, message);
       } else if (type == "room") {
         OnCellCapacity(message);
+      } else if (type == "crash") {
+        quarantine_.OnReport(DecodeReports(message.at("p")));
       } else if (type == "job") {
         batch_.OnAnnounced(JobId(message.at("j").get<std::string>()), from);
       }
@@ -832,6 +850,117 @@
     }
   }
 
+  // --- Prompt parts on which replicas crash.
+
+  // The live nodes agree on one that tries a part again.
+  auto RunsTrials(PromptPart part) const -> bool {
+    auto best = std::pair<std::uint64_t, NodeId>();
+    for (const auto& node : gossip_.membership().live()) {
+      if (!node.leaving) {
+        const auto hash = routing::RendezvousHash(node.id.value());
+        best = std::max(best, {routing::RendezvousScore(part, hash), node.id});
+      }
+    }
+    return best.second == settings_.name;
+  }
+
+  auto ScheduleQuarantineReport() -> void {
+    if (std::exchange(quarantine_report_pending_, true)) {
+      return;
+    }
+    quarantine_timer_.expires_after(kQuarantineReportDelay);
+    quarantine_timer_.async_wait(
+        [this](const boost::system::error_code& error) {
+          quarantine_report_pending_ = false;
+          if (!error) {
+            SendQuarantineReport();
+          }
+        });
+  }
+
+  // Sends the report to random nodes, each of which passes news on.
+  auto SendQuarantineReport() -> void {
+    quarantine_reported_ = SteadyNow();
+    const auto message = json{{"t", "crash"},
+                              {"n", settings_.name.value()},
+                              {"p", EncodeReports(quarantine_.Report())}};
+    auto addresses = std::vector<std::string>();
+    ForEachPeer(
+        [&](const std::string& address) { addresses.push_back(address); });
+    for (std::size_t sent = 0; sent < kQuarantineFanout && !addresses.empty();
+         ++sent) {
+      std::swap(addresses[DrawRandom() % addresses.size()], addresses.back());
+      gossip_.SendDatagram(addresses.back(), message);
+      addresses.pop_back();
+    }
+  }
+
+  // Repeats news, since datagrams may be lost, and tells nodes that have
+  // started what the others know.
+  auto UpdateQuarantine() -> void {
+    for (const auto& change : quarantine_.OnTick()) {
+      LogQuarantine(change);
+    }
+    const auto interval = quarantine_.unchanged_for() < kQuarantineNewsTime
+                              ? Duration(kMaintenanceInterval)
+                              : Duration(kQuarantineReportInterval);
+    if (quarantine_.active() &&
+        SteadyNow() - quarantine_reported_ >= interval) {
+      SendQuarantineReport();
+    }
+  }
+
+  auto LogQuarantine(const QuarantineChange& change) -> void {
+    logger_.Warning(
+        change.quarantined
+            ? "a prompt part is quarantined: replicas crash on it"
+            : "a prompt part is no longer quarantined",
+        {{"event", change.quarantined ? "part_quarantined" : "part_released"},
+         {"part", PartName(change.part)},
+         {"crashes", std::to_string(change.crashes)}});
+  }
+
+  // Rounds in favour of answers: a crash seems earlier and an answer later.
+  static auto EncodeReports(const std::vector<PartReport>& reports) -> json {
+    auto encoded = json::array();
+    for (const auto& report : reports) {
+      auto crashes = json::array();
+      for (const auto& crash : report.crashes) {
+        crashes.push_back({crash.replica,
+                           std::chrono::ceil<milliseconds>(crash.age).count()});
+      }
+      json entry = {report.part, report.depth, std::move(crashes)};
+      if (report.answered_age) {
+        entry.push_back(
+            std::chrono::floor<milliseconds>(*report.answered_age).count());
+      }
+      encoded.push_back(std::move(entry));
+    }
+    return encoded;
+  }
+
+  static auto DecodeReports(const json& encoded) -> std::vector<PartReport> {
+    constexpr std::size_t kWithAnswer = 4;
+    const auto read_age = [](const json& age) {
+      return milliseconds(std::max<std::int64_t>(0, age.get<std::int64_t>()));
+    };
+    auto reports = std::vector<PartReport>();
+    for (const auto& entry : encoded) {
+      auto report = PartReport();
+      report.part = entry.at(0).get<PromptPart>();
+      report.depth = entry.at(1).get<std::size_t>();
+      for (const auto& crash : entry.at(2)) {
+        report.crashes.push_back(
+            {crash.at(0).get<std::uint64_t>(), read_age(crash.at(1))});
+      }
+      if (entry.size() >= kWithAnswer) {
+        report.answered_age = read_age(entry.at(3));
+      }
+      reports.push_back(std::move(report));
+    }
+    return reports;
+  }
+
   auto Announce(const JobId& job) -> void {
     const auto message =
         json{{"t", "job"}, {"n", settings_.name.value()}, {"j", job.value()}};
@@ -1001,6 +1130,7 @@
             SendCounts();
           }
           SendCellCapacity();
+          UpdateQuarantine();
           RunMaintenance();
         });
   }
@@ -1101,6 +1231,7 @@
   ReplicaTable replica_table_;
   upstream::ReplicaCaller replicas_;
   routing::RetryBudget retry_budget_;
+  PromptQuarantine quarantine_;
   std::unique_ptr<node::PeerClient> peer_client_;
   node::PeerServer peer_server_;
   node::Gossip gossip_;
@@ -1117,6 +1248,9 @@
   asio::steady_timer maintenance_timer_;
   asio::steady_timer counts_timer_;
   asio::steady_timer missing_timer_;
+  asio::steady_timer quarantine_timer_;
+  bool quarantine_report_pending_ = false;
+  MonotonicTime quarantine_reported_;
   bool following_missing_ = false;
 
   std::shared_ptr<const Configuration> configuration_;
--- /dev/null
+++ b/src/serving/prompt_quarantine.cc
@@ -0,0 +1,360 @@
+#include "kumquatgauge/serving/prompt_quarantine.h"
+
+#include <algorithm>
+#include <array>
+#include <cinttypes>
+#include <cstdio>
+#include <iterator>
+#include <tuple>
+#include <utility>
+
+#include "kumquatgauge/routing/rendezvous.h"
+
+namespace kumquatgauge::serving {
+
+auto PartName(PromptPart part) -> std::string {
+  constexpr std::size_t kDigits = 16;
+  auto text = std::array<char, kDigits + 1>();
+  std::snprintf(text.data(), text.size(), "%016" PRIx64, part);
+  return text.data();
+}
+
+auto PartNames(const PromptParts& parts) -> std::string {
+  auto text = std::string();
+  for (const auto part : parts) {
+    text += (text.empty() ? "" : ",") + PartName(part);
+  }
+  return text;
+}
+
+auto PromptQuarantine::Check(const PromptParts& parts) const -> Admission {
+  auto admission = Admission();
+  if (suspects_.empty()) {
+    return admission;
+  }
+  const auto now = clock_();
+  for (const auto part : parts) {
+    const auto found = suspects_.find(part);
+    if (found == suspects_.end() || !found->second.quarantined) {
+      continue;
+    }
+    const auto& suspect = found->second;
+    const auto trial_due = suspect.last_crash + suspect.trial_delay;
+    const auto in_trial = suspect.trial_began &&
+                          now - *suspect.trial_began < settings_.trial_time;
+    admission.part = part;
+    if (now < trial_due || in_trial || !runs_trials_(part)) {
+      admission.allowed = false;
+      admission.trial = false;
+      admission.retry_after = std::max(trial_due - now, settings_.trial_time);
+      return admission;
+    }
+    admission.trial = true;
+  }
+  return admission;
+}
+
+auto PromptQuarantine::Admit(const PromptParts& parts) -> Admission {
+  while (QuarantineNext()) {
+  }
+  const auto admission = Check(parts);
+  if (admission.trial) {
+    for (const auto part : parts) {
+      const auto found = suspects_.find(part);
+      if (found != suspects_.end() && found->second.quarantined) {
+        found->second.trial_began = clock_();
+      }
+    }
+  }
+  return admission;
+}
+
+auto PromptQuarantine::OnAnswered(const PromptParts& parts) -> void {
+  const auto now = clock_();
+  for (const auto part : parts) {
+    AddAnswer(part, now);
+  }
+}
+
+auto PromptQuarantine::AddAnswer(PromptPart part, MonotonicTime at) -> void {
+  auto& answered = answered_.try_emplace(part, at).first->second;
+  answered = std::max(answered, at);
+  const auto found = suspects_.find(part);
+  if (found != suspects_.end()) {
+    auto& suspect = found->second;
+    const auto before = suspect.crashes.size();
+    std::erase_if(suspect.crashes,
+                  [&](const auto& crash) { return crash.second <= answered; });
+    if (suspect.crashes.size() != before) {
+      Touch(suspect);
+    }
+    if (suspect.quarantined && suspect.crashes.empty()) {
+      suspect.quarantined = false;
+      changes_.push_back({part, false, before});
+    }
+  }
+  EvictAnswers();
+}
+
+auto PromptQuarantine::OnCrash(const ReplicaId& replica,
+                               const PromptParts& parts) -> void {
+  const auto now = clock_();
+  const auto id = routing::RendezvousHash(replica.value());
+  const auto known = std::any_of(parts.begin(), parts.end(), [&](auto part) {
+    const auto found = suspects_.find(part);
+    return found != suspects_.end() && found->second.quarantined;
+  });
+  for (std::size_t depth = 0; depth < parts.size(); ++depth) {
+    const auto found = suspects_.find(parts[depth]);
+    const auto quarantined =
+        found != suspects_.end() && found->second.quarantined;
+    if (quarantined || !known) {
+      AddCrash(parts[depth], depth, id, now);
+    }
+  }
+}
+
+auto PromptQuarantine::AddCrash(PromptPart part,
+                                std::size_t depth,
+                                std::uint64_t replica,
+                                MonotonicTime at) -> void {
+  const auto answered = AnsweredAt(part);
+  if (answered && at <= *answered) {
+    return;
+  }
+  const auto known = suspects_.find(part);
+  const auto quarantined =
+      known != suspects_.end() && known->second.quarantined;
+  if (!quarantined && IsExplained(replica)) {
+    return;
+  }
+  auto& suspect = suspects_[part];
+  suspect.depth = depth;
+  if (!suspect.crashes.try_emplace(replica, at).second) {
+    return;
+  }
+  suspect.last_crash = std::max(suspect.last_crash, at);
+  if (suspect.trial_began && at >= *suspect.trial_began) {
+    suspect.trial_began.reset();
+    suspect.trial_delay =
+        std::min(suspect.trial_delay * 2, settings_.max_trial_delay);
+  }
+  if (suspect.crashes.size() > settings_.max_crashes) {
+    suspect.crashes.erase(std::min_element(
+        suspect.crashes.begin(), suspect.crashes.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; }));
+  }
+  Touch(suspect);
+  EvictSuspects();
+}
+
+auto PromptQuarantine::AnsweredAt(PromptPart part) const
+    -> std::optional<MonotonicTime> {
+  const auto found = answered_.find(part);
+  if (found == answered_.end() ||
+      clock_() - found->second > settings_.answered_memory) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+auto PromptQuarantine::IsExplained(std::uint64_t replica) const -> bool {
+  return std::any_of(suspects_.begin(), suspects_.end(), [&](const auto& item) {
+    return item.second.quarantined && item.second.crashes.contains(replica);
+  });
+}
+
+auto PromptQuarantine::GroupCount(const Suspect& suspect) const -> std::size_t {
+  auto times = std::vector<MonotonicTime>();
+  for (const auto& [replica, at] : suspect.crashes) {
+    times.push_back(at);
+  }
+  std::sort(times.begin(), times.end());
+  auto groups = std::size_t{0};
+  auto last = MonotonicTime::min();
+  for (const auto at : times) {
+    if (groups == 0 || at - last >= settings_.group_time) {
+      ++groups;
+      last = at;
+    }
+  }
+  return groups;
+}
+
+auto PromptQuarantine::MustQuarantine(PromptPart part,
+                                      const Suspect& suspect) const -> bool {
+  if (suspect.quarantined || suspect.crashes.size() < settings_.min_crashes) {
+    return false;
+  }
+  auto first = MonotonicTime::max();
+  for (const auto& [replica, at] : suspect.crashes) {
+    first = std::min(first, at);
+  }
+  if (clock_() - first < settings_.objection_time) {
+    return false;
+  }
+  const auto groups = GroupCount(suspect);
+  if (!AnsweredAt(part)) {
+    return groups >= settings_.min_crashes;
+  }
+  return groups >= settings_.min_crashes_answered &&
+         suspect.last_crash - first >= settings_.min_span;
+}
+
+auto PromptQuarantine::QuarantineNext() -> bool {
+  auto chosen = suspects_.end();
+  const auto rank = [&](Suspects::iterator suspect) {
+    // A part without an answer is the likeliest. Of several that were in the
+    // same requests, the last one stops the fewest others.
+    return std::tuple(!AnsweredAt(suspect->first).has_value(),
+                      suspect->second.crashes.size(), suspect->second.depth);
+  };
+  for (auto suspect = suspects_.begin(); suspect != suspects_.end();
+       ++suspect) {
+    if (MustQuarantine(suspect->first, suspect->second) &&
+        (chosen == suspects_.end() || rank(suspect) > rank(chosen))) {
+      chosen = suspect;
+    }
+  }
+  if (chosen == suspects_.end()) {
+    return false;
+  }
+  Quarantine(chosen);
+  return true;
+}
+
+auto PromptQuarantine::Quarantine(Suspects::iterator chosen) -> void {
+  auto& quarantined = chosen->second;
+  quarantined.quarantined = true;
+  quarantined.trial_delay = settings_.trial_delay;
+  changes_.push_back({chosen->first, true, quarantined.crashes.size()});
+  Touch(quarantined);
+  for (auto& [part, suspect] : suspects_) {
+    if (!suspect.quarantined) {
+      std::erase_if(suspect.crashes, [&](const auto& crash) {
+        return quarantined.crashes.contains(crash.first);
+      });
+    }
+  }
+}
+
+auto PromptQuarantine::Report() const -> std::vector<PartReport> {
+  auto order = std::vector<Suspects::const_iterator>();
+  for (auto suspect = suspects_.begin(); suspect != suspects_.end();
+       ++suspect) {
+    order.push_back(suspect);
+  }
+  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+    return std::pair(a->second.quarantined, a->second.changed) >
+           std::pair(b->second.quarantined, b->second.changed);
+  });
+  order.resize(std::min(order.size(), settings_.max_report));
+  const auto now = clock_();
+  auto reports = std::vector<PartReport>();
+  for (const auto& item : order) {
+    const auto& suspect = item->second;
+    auto report = PartReport();
+    report.part = item->first;
+    report.depth = suspect.depth;
+    for (const auto& [replica, at] : suspect.crashes) {
+      report.crashes.push_back({replica, now - at});
+    }
+    if (const auto answered = AnsweredAt(item->first)) {
+      report.answered_age = now - *answered;
+    }
+    reports.push_back(std::move(report));
+  }
+  return reports;
+}
+
+auto PromptQuarantine::OnReport(const std::vector<PartReport>& reports)
+    -> void {
+  const auto now = clock_();
+  for (const auto& report : reports) {
+    if (report.answered_age) {
+      AddAnswer(report.part, now - *report.answered_age);
+    }
+    for (const auto& crash : report.crashes) {
+      AddCrash(report.part, report.depth, crash.replica, now - crash.age);
+    }
+    // Objects to crashes that the other node counts although this one has a
+    // later answer.
+    const auto answered = AnsweredAt(report.part);
+    const auto outdated =
+        answered && std::any_of(report.crashes.begin(), report.crashes.end(),
+                                [&](const auto& crash) {
+                                  return now - crash.age <= *answered;
+                                });
+    if (outdated ||
+        (answered && !report.answered_age && !report.crashes.empty())) {
+      auto& suspect = suspects_[report.part];
+      suspect.depth = report.depth;
+      Touch(suspect);
+      EvictSuspects();
+    }
+  }
+}
+
+auto PromptQuarantine::OnTick() -> std::vector<QuarantineChange> {
+  while (QuarantineNext()) {
+  }
+  ForgetOld();
+  return std::exchange(changes_, {});
+}
+
+auto PromptQuarantine::ForgetOld() -> void {
+  const auto now = clock_();
+  std::erase_if(suspects_, [&](const auto& item) {
+    const auto& [part, suspect] = item;
+    const auto kept = suspect.quarantined       ? settings_.forget_time
+                      : suspect.crashes.empty() ? settings_.cleared_time
+                                                : settings_.suspicion_time;
+    const auto forgotten =
+        now - std::max(suspect.last_crash, suspect.changed) > kept;
+    if (forgotten && suspect.quarantined) {
+      changes_.push_back({part, false, suspect.crashes.size()});
+    }
+    return forgotten;
+  });
+}
+
+auto PromptQuarantine::EvictSuspects() -> void {
+  while (suspects_.size() > settings_.max_suspects) {
+    suspects_.erase(std::min_element(
+        suspects_.begin(), suspects_.end(), [](const auto& a, const auto& b) {
+          return std::pair(a.second.quarantined, a.second.last_crash) <
+                 std::pair(b.second.quarantined, b.second.last_crash);
+        }));
+  }
+}
+
+auto PromptQuarantine::EvictAnswers() -> void {
+  if (answered_.size() <= settings_.max_answered) {
+    return;
+  }
+  // Drops the older half at once, so that this happens rarely.
+  auto times = std::vector<MonotonicTime>();
+  for (const auto& [part, at] : answered_) {
+    times.push_back(at);
+  }
+  const auto middle =
+      std::next(times.begin(), static_cast<std::ptrdiff_t>(times.size() / 2));
+  std::nth_element(times.begin(), middle, times.end());
+  const auto oldest = *middle;
+  std::erase_if(answered_,
+                [&](const auto& item) { return item.second < oldest; });
+}
+
+auto PromptQuarantine::Touch(Suspect& suspect) -> void {
+  suspect.changed = clock_();
+  changed_at_ = suspect.changed;
+  changed_();
+}
+
+auto PromptQuarantine::quarantined() const -> std::size_t {
+  return static_cast<std::size_t>(
+      std::count_if(suspects_.begin(), suspects_.end(),
+                    [](const auto& item) { return item.second.quarantined; }));
+}
+
+}  // namespace kumquatgauge::serving
--- /dev/null
+++ b/src/serving/prompt_quarantine_test.cc
@@ -0,0 +1,278 @@
+#include "kumquatgauge/serving/prompt_quarantine.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+
+#include "testing/support/manual_clock.h"
+
+namespace kumquatgauge::serving {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr PromptPart kDeadly = 666;
+constexpr PromptPart kCaller = 1;  // First part of all requests of one caller.
+constexpr milliseconds kBetweenCrashes{300};
+
+// Nodes that exchange reports when the test says so. Node 0 runs trials.
+struct Fixture {
+  explicit Fixture(std::size_t count = 1) {
+    for (std::size_t node = 0; node < count; ++node) {
+      nodes.push_back(Make(node == 0));
+    }
+  }
+
+  auto Make(bool runs_trials) -> std::unique_ptr<PromptQuarantine> {
+    return std::make_unique<PromptQuarantine>(
+        settings, [runs_trials](PromptPart /*part*/) { return runs_trials; },
+        [] {}, [this] { return clock.now(); });
+  }
+
+  auto node(std::size_t at = 0) -> PromptQuarantine& { return *nodes[at]; }
+
+  // A request with these parts ends a replica that no other request has ended.
+  auto Crash(const PromptParts& parts, std::size_t at = 0) -> void {
+    node(at).OnCrash(ReplicaId("i-" + std::to_string(++replicas)), parts);
+    clock.Advance(kBetweenCrashes);
+  }
+
+  auto Exchange() -> void {
+    for (auto& from : nodes) {
+      const auto report = from->Report();
+      for (auto& to : nodes) {
+        if (to != from) {
+          to->OnReport(report);
+        }
+      }
+    }
+  }
+
+  auto Refuses(const PromptParts& parts, std::size_t at = 0) -> bool {
+    return !node(at).Admit(parts).allowed;
+  }
+
+  // Quarantines the deadly part at all nodes.
+  auto QuarantineDeadlyPart() -> void {
+    for (auto crash = 0U; crash < settings.min_crashes; ++crash) {
+      Crash({kCaller, kDeadly});
+      node().OnAnswered({kCaller});
+    }
+    Exchange();
+    for (auto& each : nodes) {
+      each->OnTick();
+    }
+  }
+
+  testing::ManualClock clock;
+  PromptQuarantineSettings settings;
+  std::vector<std::unique_ptr<PromptQuarantine>> nodes;
+  int replicas = 0;
+};
+
+// Guards against requests that crash one replica after the other.
+TEST_CASE("PromptQuarantine.RefusesAPartAfterThreeCrashes") {
+  auto fixture = Fixture();
+  for (PromptPart subject = 10; subject < 13; ++subject) {
+    CHECK_FALSE(fixture.Refuses({kCaller, subject, kDeadly}));
+    fixture.Crash({kCaller, subject, kDeadly});
+    fixture.node().OnAnswered({kCaller, subject});
+  }
+  CHECK(fixture.Refuses({kCaller, 99, kDeadly}));
+  CHECK(fixture.Refuses({kDeadly}));
+  const auto refusal = fixture.node().Check({kDeadly});
+  CHECK(refusal.part == kDeadly);
+  CHECK(refusal.retry_after > Duration::zero());
+}
+
+// Guards against refusing the sound requests of a caller, which share all other
+// parts with those that crash replicas.
+TEST_CASE("PromptQuarantine.AdmitsRequestsThatShareTheOtherParts") {
+  auto fixture = Fixture();
+  fixture.node().OnAnswered({kCaller, 10});
+  for (auto crash = 0; crash < 30; ++crash) {
+    fixture.Crash({kCaller, 10, kDeadly});
+  }
+  CHECK(fixture.Refuses({kCaller, 10, kDeadly}));
+  CHECK_FALSE(fixture.Refuses({kCaller, 10}));
+  CHECK_FALSE(fixture.Refuses({kCaller, 11}));
+}
+
+// Guards against refusing a caller before any answer to it is known: the last
+// of the parts in the same requests stops the fewest others.
+TEST_CASE("PromptQuarantine.PrefersTheLastOfPartsInTheSameRequests") {
+  auto fixture = Fixture();
+  for (auto crash = 0; crash < 5; ++crash) {
+    fixture.Crash({kCaller, kDeadly});
+  }
+  CHECK(fixture.Refuses({kCaller, kDeadly}));
+  CHECK_FALSE(fixture.Refuses({kCaller}));
+}
+
+// Guards against blaming the sound requests that ran on the same replica.
+TEST_CASE("PromptQuarantine.ClearsOtherRequestsOfTheSameReplica") {
+  auto fixture = Fixture();
+  for (auto crash = 0; crash < 6; ++crash) {
+    const auto replica = ReplicaId("i-" + std::to_string(crash));
+    fixture.node().OnCrash(replica, {kCaller, kDeadly});
+    fixture.node().OnCrash(replica, {2, 20});
+    fixture.clock.Advance(kBetweenCrashes);
+    fixture.node().OnAnswered({2, 20});
+  }
+  CHECK(fixture.Refuses({kDeadly}));
+  CHECK_FALSE(fixture.Refuses({2, 20}));
+}
+
+// Guards against a quarantine after replicas have failed together for a reason
+// of their own.
+TEST_CASE("PromptQuarantine.CountsReplicasThatFailTogetherOnce") {
+  auto fixture = Fixture();
+  for (auto replica = 0; replica < 10; ++replica) {
+    fixture.node().OnCrash(ReplicaId("g-" + std::to_string(replica)), {7});
+    fixture.clock.Advance(milliseconds(2));
+  }
+  fixture.clock.Advance(seconds(1));
+  CHECK_FALSE(fixture.Refuses({7}));
+}
+
+// Guards against a quarantine of a part in constant use while replicas fail one
+// after the other for a reason of their own, as in a release.
+TEST_CASE("PromptQuarantine.AdmitsAPartThatIsAnsweredBetweenCrashes") {
+  auto fixture = Fixture();
+  for (auto crash = 0; crash < 20; ++crash) {
+    fixture.Crash({7});
+    if (crash % 3 == 2) {
+      fixture.node().OnAnswered({7});
+    }
+    CHECK_FALSE(fixture.Refuses({7}));
+  }
+}
+
+// Guards against nodes that each let the part crash replicas before they refuse
+// it.
+TEST_CASE("PromptQuarantine.CountsTheCrashesOfAllNodes") {
+  auto fixture = Fixture(4);
+  for (std::size_t node = 0; node < 3; ++node) {
+    fixture.Crash({kCaller, kDeadly}, node);
+    fixture.Exchange();
+  }
+  for (std::size_t node = 0; node < 4; ++node) {
+    CHECK(fixture.Refuses({kDeadly}, node));
+  }
+}
+
+// Guards against counting one crash once for each node that reports it.
+TEST_CASE("PromptQuarantine.CountsARepeatedReportOnce") {
+  auto fixture = Fixture(3);
+  fixture.Crash({kDeadly}, 0);
+  fixture.Crash({kDeadly}, 1);
+  for (auto round = 0; round < 20; ++round) {
+    fixture.Exchange();
+    fixture.clock.Advance(kBetweenCrashes);
+  }
+  CHECK_FALSE(fixture.Refuses({kDeadly}, 2));
+}
+
+// Guards against refusing a part that another node knows an answer to.
+TEST_CASE("PromptQuarantine.AcceptsTheObjectionOfANodeWithAnAnswer") {
+  auto fixture = Fixture(2);
+  fixture.node(1).OnAnswered({7});
+  for (auto crash = 0; crash < 4; ++crash) {
+    fixture.Crash({7}, 0);
+    fixture.Exchange();
+    fixture.node(1).OnAnswered({7});
+    fixture.Exchange();
+  }
+  CHECK_FALSE(fixture.Refuses({7}, 0));
+  CHECK_FALSE(fixture.Refuses({7}, 1));
+}
+
+// Guards against a restarted node that lets the part through until it has seen
+// crashes itself.
+TEST_CASE("PromptQuarantine.InformsANodeThatHasRestarted") {
+  auto fixture = Fixture(2);
+  fixture.QuarantineDeadlyPart();
+  REQUIRE(fixture.Refuses({kDeadly}, 1));
+  fixture.clock.Advance(seconds(20));
+  fixture.nodes[1] = fixture.Make(false);
+  fixture.Exchange();
+  CHECK(fixture.Refuses({kDeadly}, 1));
+}
+
+// Guards against a part that is refused for ever, and against each node testing
+// it with a replica of its own.
+TEST_CASE("PromptQuarantine.TriesThePartAgainAtOneNode") {
+  auto fixture = Fixture(2);
+  fixture.QuarantineDeadlyPart();
+  fixture.clock.Advance(fixture.settings.trial_delay);
+  CHECK(fixture.Refuses({kDeadly}, 1));
+  const auto trial = fixture.node(0).Admit({kCaller, kDeadly});
+  CHECK(trial.allowed);
+  CHECK(trial.trial);
+  CHECK(fixture.Refuses({kDeadly}, 0));
+  fixture.node(0).OnAnswered({kCaller, kDeadly});
+  fixture.Exchange();
+  CHECK_FALSE(fixture.Refuses({kDeadly}, 0));
+  CHECK_FALSE(fixture.Refuses({kDeadly}, 1));
+  CHECK(fixture.node(1).OnTick().size() == 1);
+}
+
+// Guards against a replica lost at a constant rate to a part that stays deadly.
+TEST_CASE("PromptQuarantine.WaitsLongerAfterEachFailedTrial") {
+  auto fixture = Fixture();
+  fixture.QuarantineDeadlyPart();
+  auto trials = 0;
+  for (auto second = 0; second < 600; ++second) {
+    if (fixture.node().Admit({kDeadly}).allowed) {
+      ++trials;
+      fixture.node().OnCrash(ReplicaId("t-" + std::to_string(second)),
+                             {kDeadly});
+    }
+    fixture.clock.Advance(seconds(1));
+  }
+  CHECK(trials >= 3);
+  CHECK(trials <= 5);
+}
+
+// Guards against a trial without a result, whose caller has left, that blocks
+// all later ones.
+TEST_CASE("PromptQuarantine.TriesAgainAfterATrialWithoutAResult") {
+  auto fixture = Fixture();
+  fixture.QuarantineDeadlyPart();
+  fixture.clock.Advance(fixture.settings.trial_delay);
+  REQUIRE(fixture.node().Admit({kDeadly}).trial);
+  fixture.clock.Advance(fixture.settings.trial_time);
+  CHECK(fixture.node().Admit({kDeadly}).trial);
+}
+
+// Guards against state that grows with the number of parts that are seen, and
+// against losing a quarantine to it.
+TEST_CASE("PromptQuarantine.KeepsBoundedStateForUnboundedParts") {
+  auto fixture = Fixture();
+  fixture.QuarantineDeadlyPart();
+  for (PromptPart part = 1'000; part < 21'000; ++part) {
+    fixture.node().OnAnswered({part});
+    fixture.node().OnCrash(ReplicaId("x"), {part + 100'000});
+    fixture.clock.Advance(milliseconds(1));
+  }
+  CHECK(fixture.Refuses({kDeadly}));
+  CHECK(fixture.node().quarantined() == 1);
+  CHECK(fixture.node().Report().size() <= fixture.settings.max_report);
+}
+
+// Guards against a quarantine that outlasts the last request with the part.
+TEST_CASE("PromptQuarantine.ForgetsAPartLongAfterItsLastCrash") {
+  auto fixture = Fixture(2);
+  fixture.QuarantineDeadlyPart();
+  fixture.clock.Advance(fixture.settings.forget_time + minutes(1));
+  const auto changes = fixture.node(1).OnTick();
+  REQUIRE(changes.size() == 1);
+  CHECK_FALSE(changes.front().quarantined);
+  CHECK_FALSE(fixture.node(1).active());
+  CHECK_FALSE(fixture.Refuses({kDeadly}, 1));
+}
+
+}  // namespace
+}  // namespace kumquatgauge::serving
--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -235,7 +235,8 @@
 FakeReplica::FakeReplica(asio::io_context& context,
                          std::string id,
                          OnStart on_start)
-    : id_(std::move(id)),
+    : name_(std::move(id)),
+      id_(name_),
       on_start_(std::move(on_start)),
       context_(context),
       listener_(context,
@@ -254,6 +255,32 @@
   fault_count_ = count;
 }
 
+auto FakeReplica::id() const -> std::string {
+  const auto lock = std::lock_guard(mutex_);
+  return id_;
+}
+
+auto FakeReplica::set_deadly_part(const std::string& part) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  deadly_part_ = part;
+}
+
+auto FakeReplica::crashes() const -> int {
+  const auto lock = std::lock_guard(mutex_);
+  return crashes_;
+}
+
+auto FakeReplica::Crashes(const caller::IncomingRequest& request) -> bool {
+  const auto lock = std::lock_guard(mutex_);
+  const auto prompt = FindHeader(request.headers, "Prompt-Prefix");
+  if (deadly_part_.empty() ||
+      prompt.find(deadly_part_ + ":") == std::string_view::npos) {
+    return false;
+  }
+  id_ = name_ + "-" + std::to_string(++crashes_);
+  return true;
+}
+
 auto FakeReplica::set_event_delay(milliseconds delay) -> void {
   const auto lock = std::lock_guard(mutex_);
   event_delay_ = delay;
@@ -287,13 +314,14 @@
                          std::shared_ptr<caller::ResponseWriter> writer)
     -> awaitable<void> {
   const auto fault = TakeFault();
+  const auto own_id = id();
   const auto request_id =
       std::string(FindHeader(request->headers, "Request-Id"));
   const auto target = FindHeader(request->headers, "Target-Instance");
   auto headers = HeaderList{{"Request-Id", request_id},
-                            {"Response-Signature", "signed." + id_}};
-  if (target != id_ || fault == ReplicaFault::kRefuse) {
-    const auto status = target != id_ ? 421 : 503;
+                            {"Response-Signature", "signed." + own_id}};
+  if (target != own_id || fault == ReplicaFault::kRefuse) {
+    const auto status = target != own_id ? 421 : 503;
     auto refusal = HeaderList{{"Not-Executed", "1"}};
     co_await writer->Send(status, std::move(refusal), "");
     co_return;
@@ -305,7 +333,7 @@
   if (on_start_) {
     on_start_(request_id);
   }
-  if (fault == ReplicaFault::kLoseAnswer) {
+  if (fault == ReplicaFault::kLoseAnswer || Crashes(*request)) {
     co_return;
   }
   if (fault == ReplicaFault::kFail || fault == ReplicaFault::kUnprocessable) {
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -110,9 +110,14 @@
               OnStart on_start = nullptr);
 
   auto address() const -> std::string { return listener_.address(); }
-  auto id() const -> const std::string& { return id_; }
+  // Changes when the replica restarts.
+  auto id() const -> std::string;
   // Applies to the next `count` requests.
   auto SetFault(ReplicaFault fault, int count) -> void;
+  // A request whose prompt has this part ends the replica before its answer
+  // begins; the replica is back at once under another id.
+  auto set_deadly_part(const std::string& part) -> void;
+  auto crashes() const -> int;
   // The delay before each event.
   auto set_event_delay(std::chrono::milliseconds delay) -> void;
   // How often a request has begun to run here.
@@ -128,9 +133,14 @@
               HeaderList headers,
               ReplicaFault fault) -> boost::asio::awaitable<void>;
   auto TakeFault() -> ReplicaFault;
+  // Returns whether the request has ended the replica.
+  auto Crashes(const caller::IncomingRequest& request) -> bool;
 
   mutable std::mutex mutex_;
+  std::string name_;
   std::string id_;
+  std::string deadly_part_;
+  int crashes_ = 0;
   OnStart on_start_;
   std::map<std::string, int> runs_;
   ReplicaFault fault_ = ReplicaFault::kNone;
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -187,6 +187,69 @@
   }
 }
 
+// Guards against requests that end one replica after the other, at whichever
+// node they arrive, and against refusing sound requests of the same caller.
+TEST_CASE("Gateway.KeepsAPromptPartThatCrashesReplicasAwayFromThem") {
+  constexpr auto kDeadlyPrompt = "ca11e4:100,dead:50,";
+  constexpr auto kSoundPrompt = "ca11e4:100,50bd:50,";
+  constexpr auto kSpread = std::chrono::seconds(3);
+  constexpr auto kLastCrashes = 3;
+  auto fleet = Fleet(3);
+  fleet.AwaitService();
+  auto number = 0;
+  const auto call = [&](const std::string& prompt) {
+    const auto id = "p" + std::to_string(++number);
+    const auto& node = *fleet.nodes[number % fleet.nodes.size()];
+    return Fetch({node.callers(),
+                  "POST",
+                  "/stream/x",
+                  {{"Host", kGatewayHost},
+                   {"Request-Id", id},
+                   {"Prompt-Prefix", prompt + id + ":10"}},
+                  ""});
+  };
+  const auto crashes = [&] {
+    return fleet.one->crashes() + fleet.two->crashes();
+  };
+  const auto restart = [&](FakeReplica& replica, std::string& announced) {
+    if (announced != replica.id()) {
+      fleet.store->Remove("servers/" + announced);
+      fleet.Announce(replica);
+      announced = replica.id();
+    }
+  };
+  auto announced_one = fleet.one->id();
+  auto announced_two = fleet.two->id();
+  fleet.one->set_deadly_part("dead");
+  fleet.two->set_deadly_part("dead");
+  auto fifth = std::optional<std::chrono::steady_clock::time_point>();
+  auto late = 0;
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(7);
+  while (std::chrono::steady_clock::now() < end) {
+    const auto before = crashes();
+    const auto began = std::chrono::steady_clock::now();
+    const auto reply = call(kDeadlyPrompt);
+    if (crashes() == before) {
+      CHECK(reply.status == 503);
+      CHECK(reply.headers.count("retry-after") == 1);
+    }
+    if (fifth && began > *fifth + kSpread) {
+      late += crashes() - before;
+    }
+    if (!fifth && crashes() >= 5) {
+      fifth = std::chrono::steady_clock::now();
+    }
+    restart(*fleet.one, announced_one);
+    restart(*fleet.two, announced_two);
+    std::this_thread::sleep_for(milliseconds(60));
+  }
+  CHECK(late <= kLastCrashes);
+  CHECK(crashes() < 20);
+  for (auto sound = 0; sound < 6; ++sound) {
+    CHECK(call(kSoundPrompt).status == 200);
+  }
+}
+
 // Guards against a payment that is confirmed twice, and against the answer "not
 // run" to one that ran.
 TEST_CASE("Gateway.RunsARequestAtMostOnceWhenItsAnswerIsLost") {
