End calls whose replica sends bytes without end

A replica in trouble may send bytes that are no answer until its caller closes the connection. Of twelve kinds of such bytes, four held a request for ever: informational heads, a chunked body, a body that ends with its connection, and the body of an answer to another request. There is always data for the next read, which set the deadline anew each time.

The call now ends 0.1 s after its deadline whatever arrives, an answer to another request must end within the time for the head, and at most 16 informational heads are read.

ReplicaCaller.EndsACallWhoseReplicaSendsBytesWithoutEnd failed in these four cases before and passes now. ReplicaCaller.ReadsAnAnswerThatEndsWithItsConnection passed before; it keeps what the users' pages say of such answers.

--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -31,6 +31,11 @@
 constexpr std::size_t kReadBytes = 16'384;
 // Responses to earlier requests that are skipped on one connection.
 constexpr int kMaxSkippedResponses = 2;
+// Informational heads (1xx) before a final one.
+constexpr int kMaxInformationalHeads = 16;
+// A replica that sends without end always has data for the next read. Data that
+// arrived in time is read within this time after a deadline.
+constexpr std::chrono::milliseconds kLateReadTime{100};
 
 auto ToMessage(ReplicaRequest& request)
     -> std::shared_ptr<http::request<http::string_body>> {
@@ -129,7 +134,7 @@
     auto end = CallEnd::kOpen;
     const auto before = bytes.size();
     while (end == CallEnd::kOpen && bytes.size() == before) {
-      end = co_await ReadSome(bytes, request_.body_idle_timeout);
+      end = co_await ReadSome(bytes, request_.deadline);
     }
     if (end == CallEnd::kComplete) {
       Release();
@@ -209,7 +214,7 @@
   }
 
   auto ReadHead() -> awaitable<CallEnd> {
-    while (true) {
+    for (auto heads = 0; heads <= kMaxInformationalHeads; ++heads) {
       parser_ = std::make_unique<Parser>();
       parser_->header_limit(kMaxHeadBytes);
       parser_->body_limit(boost::none);
@@ -223,11 +228,12 @@
         co_return ToCallEnd(error);
       }
       if (parser_->get().result_int() >= kFirstFinalStatus) {
-        break;
+        StoreHead();
+        co_return CallEnd::kOpen;
       }
     }
-    StoreHead();
-    co_return CallEnd::kOpen;
+    reason_ = "informational responses without end";
+    co_return CallEnd::kMalformed;
   }
 
   auto StoreHead() -> void {
@@ -243,23 +249,29 @@
     auto end = CallEnd::kOpen;
     auto ignored = std::string();
     while (end == CallEnd::kOpen) {
-      end = co_await ReadSome(ignored, request_.body_idle_timeout);
+      end = co_await ReadSome(ignored,
+                              std::min(request_.deadline, head_deadline_));
       ignored.clear();
     }
     co_return end;
   }
 
-  auto ReadSome(std::string& bytes, Duration idle_timeout)
-      -> awaitable<CallEnd> {
+  auto ReadSome(std::string& bytes, MonotonicTime last) -> awaitable<CallEnd> {
     if (parser_->is_done()) {
       co_return CallEnd::kComplete;
     }
     auto& io = connection_->io();
+    const auto now = std::chrono::steady_clock::now();
+    if (now >= last + kLateReadTime) {
+      io.Close();
+      reason_ = "the response goes on after its time limit";
+      co_return now >= request_.deadline ? CallEnd::kDeadline
+                                         : CallEnd::kSilent;
+    }
     auto& body = parser_->get().body();
     body.data = read_buffer_.data();
     body.size = read_buffer_.size();
-    io.ExpireAt(std::min(request_.deadline,
-                         std::chrono::steady_clock::now() + idle_timeout),
+    io.ExpireAt(std::min(last, now + request_.body_idle_timeout),
                 OnExpiry::kCloseIfNoData);
     const auto [error, read] = co_await http::async_read_some(
         io.socket(), io.buffer(), *parser_, kAwaitTuple);
--- a/src/upstream/replica_call_test.cc
+++ b/src/upstream/replica_call_test.cc
@@ -3,6 +3,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <optional>
@@ -29,7 +31,10 @@
     socket_.non_blocking(true);
   }
 
-  auto Respond() -> void { asio::write(socket_, asio::buffer(kResponse)); }
+  auto Respond() -> void { Write(kResponse); }
+  auto Write(std::string_view text) -> void {
+    asio::write(socket_, asio::buffer(text));
+  }
 
   // Reads what has arrived.
   auto Read() -> void {
@@ -40,6 +45,10 @@
     ended_ = ended_ || (error && error != asio::error::would_block);
   }
 
+  auto Reset() -> void {
+    socket_.set_option(asio::socket_base::linger(true, 0));
+    socket_.close();
+  }
   auto ShutdownSend() -> void { socket_.shutdown(tcp::socket::shutdown_send); }
 
   auto received() const -> const std::string& { return received_; }
@@ -51,11 +60,44 @@
   bool ended_ = false;
 };
 
+// Accepts a connection and writes `begin`, then `repeated` until the caller
+// closes it.
+auto WriteWithoutEnd(tcp::acceptor& acceptor,
+                     std::string begin,
+                     std::string repeated,
+                     bool& closed) -> asio::awaitable<void> {
+  constexpr std::size_t kWriteSize = 16'000;
+  auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+  auto text = std::string();
+  while (text.size() < kWriteSize) {
+    text += repeated;
+  }
+  auto error = boost::system::error_code();
+  co_await asio::async_write(socket, asio::buffer(begin),
+                             asio::redirect_error(asio::use_awaitable, error));
+  while (!error) {
+    co_await asio::async_write(
+        socket, asio::buffer(text),
+        asio::redirect_error(asio::use_awaitable, error));
+  }
+  closed = true;
+}
+
+// Reads an answer without keeping its body.
+auto ReadToTheEnd(std::shared_ptr<ReplicaCaller::Call> call)
+    -> asio::awaitable<CallEnd> {
+  auto end = co_await call->Open();
+  while (end == CallEnd::kOpen) {
+    auto body = std::string();
+    end = co_await call->Read(body);
+  }
+  co_return end;
+}
+
 struct Fixture {
-  auto Start(const std::string& target,
-             std::string body,
-             std::uint32_t max_sends = 1)
-      -> std::shared_ptr<ReplicaCaller::Call> {
+  auto MakeRequest(const std::string& target,
+                   std::string body,
+                   std::uint32_t max_sends = 1) const -> ReplicaRequest {
     auto request = ReplicaRequest();
     request.address =
         "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
@@ -68,7 +110,14 @@
         std::chrono::steady_clock::now() + std::chrono::seconds(15);
     request.head_timeout = std::chrono::seconds(15);
     request.body_idle_timeout = std::chrono::seconds(15);
-    return caller.Start(std::move(request),
+    return request;
+  }
+
+  auto Start(const std::string& target,
+             std::string body,
+             std::uint32_t max_sends = 1)
+      -> std::shared_ptr<ReplicaCaller::Call> {
+    return caller.Start(MakeRequest(target, std::move(body), max_sends),
                         [](const ReplicaHead&) { return true; });
   }
 
@@ -157,5 +206,84 @@
   CHECK(kept->received().size() < kLongBody);
 }
 
+// Guards against a request that is held beyond its deadline, and against memory
+// that grows, while a replica sends bytes that are no answer until its caller
+// closes the connection.
+TEST_CASE("ReplicaCaller.EndsACallWhoseReplicaSendsBytesWithoutEnd") {
+  struct Case {
+    std::string begin;
+    std::string repeated;
+  };
+  const auto ok = std::string("HTTP/1.1 200 OK\r\n");
+  const auto cases = std::vector<Case>{
+      {"", "x"},
+      {"HTTP/1.1 200 ", "O"},
+      {ok, "Name: value\r\n"},
+      {ok + "Name: ", "v"},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {ok + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+      {ok + "Transfer-Encoding: chunked\r\n\r\n1;", "e"},
+      {ok + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+      {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "Name: value\r\n"},
+      {ok + "\r\n", "body"},
+      {ok + "Other: 1\r\n\r\n", "body"},
+      {"", ok + "Other: 1\r\nContent-Length: 0\r\n\r\n"},
+  };
+  for (const auto& [begin, repeated] : cases) {
+    CAPTURE(begin, repeated);
+    constexpr std::chrono::milliseconds kDeadline{600};
+    constexpr std::chrono::milliseconds kTimeout{300};
+    constexpr std::chrono::milliseconds kLateness{1'000};
+    auto fixture = Fixture();
+    auto closed = false;
+    asio::co_spawn(fixture.context,
+                   WriteWithoutEnd(fixture.acceptor, begin, repeated, closed),
+                   asio::detached);
+    auto request = fixture.MakeRequest("/endless", "");
+    request.deadline = std::chrono::steady_clock::now() + kDeadline;
+    request.head_timeout = kTimeout;
+    request.body_idle_timeout = kTimeout;
+    auto call =
+        fixture.caller.Start(std::move(request), [](const ReplicaHead& head) {
+          return FindHeader(head.headers, "Other").empty();
+        });
+    auto end = std::optional<CallEnd>();
+    asio::co_spawn(
+        fixture.context, ReadToTheEnd(call),
+        [&](const std::exception_ptr&, CallEnd result) { end = result; });
+    CHECK(RunUntil(
+        fixture.context, [&] { return end.has_value(); },
+        kDeadline + kLateness));
+    CHECK(end != CallEnd::kComplete);
+    call->Cancel();
+    call = nullptr;
+    CHECK(RunUntil(fixture.context, [&] { return closed; }));
+  }
+}
+
+// Guards against an answer that is lost because it has neither a length nor
+// chunks, and against one that is cut by a reset and looks complete.
+TEST_CASE("ReplicaCaller.ReadsAnAnswerThatEndsWithItsConnection") {
+  for (const auto reset : {false, true}) {
+    CAPTURE(reset);
+    auto fixture = Fixture();
+    const auto call = fixture.Start("/plain", "");
+    auto opened = std::optional<CallEnd>();
+    asio::co_spawn(
+        fixture.context, call->Open(),
+        [&](const std::exception_ptr&, CallEnd end) { opened = end; });
+    auto replica = fixture.Accept();
+    replica->Write("HTTP/1.1 200 OK\r\n\r\nwhole");
+    REQUIRE(RunUntil(fixture.context, [&] { return opened.has_value(); }));
+    REQUIRE(opened == CallEnd::kOpen);
+    auto body = std::string();
+    CHECK(RunAwait(fixture.context, call->Read(body)) == CallEnd::kOpen);
+    reset ? replica->Reset() : replica->ShutdownSend();
+    const auto end = RunAwait(fixture.context, call->Read(body));
+    CHECK(end == (reset ? CallEnd::kBroken : CallEnd::kComplete));
+    CHECK(body == "whole");
+  }
+}
+
 }  // namespace
 }  // namespace kumquatgauge::upstream
