Leave out replicas that take no connection

Cause: a replica that has ended has no requests in flight, so it was preferred by every request until the store removed its entry some seconds later. A refused connection counts as a failure, but five in a row are needed to eject a replica and only a fifth of a service may be ejected. The slots of such replicas still counted for batch items, which kept theirs.

LoadBalancer leaves a replica out for 0.25 to 1 s after a connection to it could not be opened, and does not count its slots. If there is no other, it is tried.

The four tests LoadBalancer.*Unreachable* and .LeavesOutAReplicaThatTakesNoConnection do not compile before, since there was no such state.

--- a/include/kumquatgauge/serving/load_balancer.h
+++ b/include/kumquatgauge/serving/load_balancer.h
@@ -40,6 +40,10 @@
   // Maximum share of a service's slots that urgent batch items may take ahead
   // of online requests, so that neither class starves the other.
   double urgent_batch_share = 0.5;
+  // How long a replica that took no connection is left out; doubles up to the
+  // maximum until one succeeds.
+  Duration unreachable_time = std::chrono::milliseconds(250);
+  Duration max_unreachable_time = std::chrono::seconds(1);
   // Maximum age of another cell's capacity report; twice the interval at which
   // cells send it.
   Duration cell_capacity_expires = std::chrono::milliseconds(500);
@@ -135,6 +139,10 @@
   auto OnSuccess(const ReplicaId& replica, Duration first) -> void;
   // Records a broken, missing or malformed response.
   auto OnFailure(const ReplicaId& replica) -> void;
+  // Records that no connection to the replica could be opened. Its slots do not
+  // count until it may be tried again: it has no requests in flight and would
+  // otherwise be preferred to all others.
+  auto OnUnreachable(const ReplicaId& replica) -> void;
   // Records that the replica refused a request for lack of capacity.
   auto OnRefused(const ReplicaId& replica) -> void;
   auto OnReport(const ReplicaId& replica,
@@ -176,6 +184,8 @@
     std::size_t cell = 0;
     bool in_cell = true;
     MonotonicTime full_until;  // Set when it refused a request as full.
+    MonotonicTime unreachable_until;
+    Duration unreachable_time{0};  // Zero after a successful contact.
   };
   struct PeerCounts {
     InFlightCounts counts;
@@ -187,6 +197,9 @@
   };
 
   auto IsUsable(const State& state, const ChoiceRequest& request) const -> bool;
+  auto IsUnreachable(const State& state) const -> bool {
+    return clock_() < state.unreachable_until;
+  }
   auto Estimate(const State& state) const -> std::uint32_t;
   auto Score(const State& state) const -> double;
   // Returns how many requests may queue at a replica and still be on time.
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -904,6 +904,9 @@
   }
 
   auto RecordFailure(const ReplicaId& replica, CallEnd end) -> void {
+    if (end == CallEnd::kNotSent) {
+      parts_.load_balancer.OnUnreachable(replica);
+    }
     if (end != CallEnd::kCancelled) {
       parts_.load_balancer.OnFailure(replica);
     }
--- a/src/serving/batch_schedule_test.cc
+++ b/src/serving/batch_schedule_test.cc
@@ -130,6 +130,23 @@
   CHECK(fixture.schedule.unfinished(kLate) == 0);
 }
 
+// Guards against withheld items that take the free slots of others at each
+// tick, and against one that is given up before its job allows it.
+TEST_CASE("BatchSchedule.KeepsAWithheldItemUntilItMayBeGivenUp") {
+  auto fixture = Fixture();
+  fixture.schedule.Add(fixture.Job(kLate, seconds(5), 1), {});
+  for (auto attempt = 0; attempt < 10; ++attempt) {
+    REQUIRE(fixture.schedule.TakeStarts(kService, 1, 0, fixture.clock.now())
+                .size() == 1);
+    CHECK_FALSE(fixture.schedule.OnEnded({kLate, 0}, ItemEnd::kWithheld,
+                                         fixture.clock.now()));
+    CHECK(fixture.schedule.TakeStarts(kService, 1, 0, fixture.clock.now())
+              .empty());
+    fixture.clock.Advance(seconds(1));
+  }
+  CHECK(fixture.schedule.unfinished(kLate) == 1);
+}
+
 TEST_CASE("BatchSchedule.WaitsLongerAfterEachFailure") {
   auto fixture = Fixture();
   fixture.schedule.Add(fixture.Job(kLate, seconds(400), 1), {});
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -494,6 +494,9 @@
         attempt.end == CallEnd::kBroken || attempt.end == CallEnd::kMalformed ||
         attempt.end == CallEnd::kSilent || attempt.end == CallEnd::kNotSent;
     ReportCrash(exchange, replica.id, attempt);
+    if (attempt.end == CallEnd::kNotSent) {
+      parts_.load_balancer.OnUnreachable(replica.id);
+    }
     if (failed) {
       parts_.load_balancer.OnFailure(replica.id);
     } else if (attempt.end == CallEnd::kComplete && !not_run) {
--- a/src/serving/load_balancer.cc
+++ b/src/serving/load_balancer.cc
@@ -144,7 +144,7 @@
     const auto capacity = by_cell.find(state.cell);
     if (state.in_cell || capacity == by_cell.end() ||
         capacity->second.slots == 0 || capacity->second.at < oldest ||
-        !IsUsable(state, request) ||
+        !IsUsable(state, request) || IsUnreachable(state) ||
         outliers_.state(id) != routing::EjectionState::kInUse ||
         Estimate(state) >= state.replica.capacity) {
       continue;
@@ -237,7 +237,8 @@
     const auto ejection = outliers_.state(id);
     const auto probing_now =
         ejection == routing::EjectionState::kProbing && state.own.total() > 0;
-    if (ejection == routing::EjectionState::kEjected || probing_now) {
+    if (ejection == routing::EjectionState::kEjected || probing_now ||
+        IsUnreachable(state)) {
       ejected = &state;
       continue;
     }
@@ -282,7 +283,8 @@
     best = other_cell_replica;
   }
   if (best == nullptr) {
-    // All replicas are ejected; using one is better than refusing.
+    // All replicas are ejected or unreachable; using one is better than
+    // refusing.
     best = ejected;
   }
   if (best == nullptr) {
@@ -338,12 +340,29 @@
 
 auto LoadBalancer::OnSuccess(const ReplicaId& replica, Duration first) -> void {
   outliers_.OnSuccess(replica, first);
+  const auto found = states_.find(replica);
+  if (found != states_.end()) {
+    found->second.unreachable_until = MonotonicTime();
+    found->second.unreachable_time = Duration::zero();
+  }
 }
 
 auto LoadBalancer::OnFailure(const ReplicaId& replica) -> void {
   outliers_.OnFailure(replica);
 }
 
+auto LoadBalancer::OnUnreachable(const ReplicaId& replica) -> void {
+  const auto found = states_.find(replica);
+  if (found == states_.end() || IsUnreachable(found->second)) {
+    return;
+  }
+  auto& state = found->second;
+  state.unreachable_time =
+      std::clamp(state.unreachable_time * 2, settings_.unreachable_time,
+                 settings_.max_unreachable_time);
+  state.unreachable_until = clock_() + state.unreachable_time;
+}
+
 auto LoadBalancer::OnRefused(const ReplicaId& replica) -> void {
   const auto found = states_.find(replica);
   if (found != states_.end()) {
@@ -479,7 +498,8 @@
     const auto& state = states_.at(id);
     const auto ejected =
         outliers_.state(id) == routing::EjectionState::kEjected;
-    if (!state.gone && !state.replica.leaving && !ejected && state.in_cell) {
+    if (!state.gone && !state.replica.leaving && !ejected &&
+        !IsUnreachable(state) && state.in_cell) {
       all += state.replica.capacity;
     }
   }
--- a/src/serving/load_balancer_test.cc
+++ b/src/serving/load_balancer_test.cc
@@ -98,6 +98,62 @@
   CHECK(queued == 3 * (kSlots + 1));
 }
 
+// Guards against replicas that have ended and attract every request, since they
+// have none in flight, until the request has used up its attempts.
+TEST_CASE("LoadBalancer.LeavesOutAReplicaThatTakesNoConnection") {
+  auto fixture = Fixture();
+  const auto gone = ReplicaId("r1");
+  fixture.balancer.OnUnreachable(gone);
+  for (auto request = 0U; request < 2 * kSlots; ++request) {
+    const auto choice = fixture.SendOne();
+    CHECK(choice.availability == Availability::kFree);
+    CHECK(IdOf(choice) != gone);
+  }
+  fixture.clock.Advance(LoadBalancerSettings().unreachable_time);
+  CHECK(IdOf(fixture.SendOne()) == gone);
+}
+
+// Guards against refusing all requests because no replica took a connection a
+// moment ago.
+TEST_CASE("LoadBalancer.UsesAnUnreachableReplicaIfThereIsNoOther") {
+  auto fixture = Fixture();
+  for (const auto* id : {"r1", "r2", "r3"}) {
+    fixture.balancer.OnUnreachable(ReplicaId(id));
+  }
+  CHECK(fixture.SendOne().replica.has_value());
+}
+
+// Guards against batch items that take the last slots from online requests when
+// replicas have ended, because the slots of those still count.
+TEST_CASE("LoadBalancer.CountsNoSlotsOfUnreachableReplicasForBatch") {
+  auto fixture = Fixture();
+  fixture.balancer.OnPeerCounts(NodeId("n2"), {{ReplicaId("r3"), {0, 8}}});
+  CHECK(fixture.balancer.BatchCapacity(kService) > 0);
+  fixture.balancer.OnUnreachable(ReplicaId("r1"));
+  fixture.balancer.OnUnreachable(ReplicaId("r2"));
+  CHECK(fixture.balancer.slots(kService) == kSlots);
+  CHECK(fixture.balancer.BatchCapacity(kService) < 0);
+}
+
+// Guards against a delay that keeps growing for a replica that works again.
+TEST_CASE("LoadBalancer.TriesAnUnreachableReplicaLessOftenUntilItAnswers") {
+  auto fixture = Fixture();
+  const auto settings = LoadBalancerSettings();
+  const auto replica = ReplicaId("r1");
+  for (auto failure = 0; failure < 10; ++failure) {
+    fixture.balancer.OnUnreachable(replica);
+    fixture.clock.Advance(settings.max_unreachable_time);
+  }
+  fixture.balancer.OnUnreachable(replica);
+  fixture.clock.Advance(settings.unreachable_time);
+  CHECK(fixture.balancer.slots(kService) == 2 * kSlots);
+  fixture.balancer.OnSuccess(replica, milliseconds(50));
+  CHECK(fixture.balancer.slots(kService) == 3 * kSlots);
+  fixture.balancer.OnUnreachable(replica);
+  fixture.clock.Advance(settings.unreachable_time);
+  CHECK(fixture.balancer.slots(kService) == 3 * kSlots);
+}
+
 // Guards against counting only this node's own requests.
 TEST_CASE("LoadBalancer.AvoidsReplicasThatPeersHaveFilled") {
   auto fixture = Fixture();
