Limit the memory of answers that are being read

A replica in trouble may send a body without end.

All answers that are being read may now take an eighth of the memory limit together. The one that exceeds it ends as malformed, which callers see as any other broken answer.

--- a/include/kumquatgauge/serving/forwarder.h
+++ b/include/kumquatgauge/serving/forwarder.h
@@ -33,6 +33,9 @@
   std::function<auto(const ServiceName&)->bool> yield_batch_slot;
   // Called when this node's in-flight counts have changed.
   std::function<auto()->void> counts_changed;
+  // Limit of all answers that are being read. A replica in trouble may send
+  // bytes without end.
+  std::size_t answer_memory_bytes;
 };
 
 // Forwards requests of callers to replicas and returns the answers, trying
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -45,6 +45,8 @@
 constexpr milliseconds kMinSilence{400};
 // Used when neither the route nor the caller sets a time limit.
 constexpr milliseconds kDefaultTimeLimit{60'000};
+// Limit of an answer that is not an event stream. All of them together are
+// limited by ForwarderParts::answer_memory_bytes.
 constexpr std::size_t kMaxBufferedAnswer = 8'000'000;
 // Retry-After when no replica is known; one may register with the next
 // heartbeats.
@@ -138,6 +140,25 @@
     const auto self = shared_from_this();
     Prepare(*exchange);
     parts_.retry_budget.OnRequest(exchange->service);
+    co_await TryReplicas(exchange);
+    TakeBody(*exchange);
+  }
+
+  auto OnCapacityFreed() -> void {
+    for (const auto& [service, count] : waiting_services_) {
+      const auto first = wait_queue_.Front(service);
+      if (first) {
+        const auto waiter = waiters_.find(*first);
+        if (waiter != waiters_.end()) {
+          waiter->second->cancel();
+        }
+      }
+    }
+  }
+
+ private:
+  // Sends the request to replicas until it has ended.
+  auto TryReplicas(ExchangePtr exchange) -> awaitable<void> {
     while (true) {
       const auto& parts = exchange->request.shared_parts;
       exchange->admission = parts_.quarantine.Check(parts);
@@ -162,19 +183,6 @@
     }
   }
 
-  auto OnCapacityFreed() -> void {
-    for (const auto& [service, count] : waiting_services_) {
-      const auto first = wait_queue_.Front(service);
-      if (first) {
-        const auto waiter = waiters_.find(*first);
-        if (waiter != waiters_.end()) {
-          waiter->second->cancel();
-        }
-      }
-    }
-  }
-
- private:
   auto Prepare(Exchange& exchange) -> void {
     const auto& route = *exchange.route;
     exchange.service = PickService(route, parts_.random());
@@ -384,14 +392,19 @@
 
   auto ReadAnswer(ExchangePtr exchange, MonotonicTime began)
       -> awaitable<CallEnd> {
-    exchange->body.clear();
+    TakeBody(*exchange);
     if (IsEventStream(*exchange)) {
       co_return co_await RelayEvents(exchange, began);
     }
     auto end = CallEnd::kOpen;
     while (end == CallEnd::kOpen) {
+      const auto before = exchange->body.size();
       end = co_await exchange->call->Read(exchange->body);
-      if (exchange->body.size() > kMaxBufferedAnswer) {
+      buffered_bytes_ += exchange->body.size() - before;
+      if (exchange->body.size() > kMaxBufferedAnswer ||
+          buffered_bytes_ > parts_.answer_memory_bytes) {
+        exchange->call->Cancel();
+        TakeBody(*exchange);
         co_return CallEnd::kMalformed;
       }
     }
@@ -401,6 +414,12 @@
     co_return end;
   }
 
+  // Returns the buffered body of the last attempt, which no longer counts.
+  auto TakeBody(Exchange& exchange) -> std::string {
+    buffered_bytes_ -= exchange.body.size();
+    return std::exchange(exchange.body, {});
+  }
+
   // Forwards complete events as they arrive. The response head is sent with the
   // first event, so that an attempt without events leaves the status undecided.
   auto RelayEvents(ExchangePtr exchange, MonotonicTime began)
@@ -542,8 +561,8 @@
           co_await writer.FinishStream();
         } else {
           auto headers = parts_.dialect.answer_headers(exchange->head.headers);
-          co_await writer.Send(status, std::move(headers),
-                               std::move(exchange->body));
+          auto body = TakeBody(*exchange);
+          co_await writer.Send(status, std::move(headers), std::move(body));
         }
         completed_.Add();
         break;
@@ -669,6 +688,7 @@
   RetryAfterEstimator retry_after_estimator_{RetryAfterEstimatorSettings()};
   std::map<WaitQueue::Ticket, std::shared_ptr<asio::steady_timer>> waiters_;
   std::map<ServiceName, std::uint32_t> waiting_services_;
+  std::size_t buffered_bytes_ = 0;  // Of all answers that are being read.
   Counter& completed_;
   Counter& refused_;
   Counter& unknown_;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -105,6 +105,8 @@
 // File descriptors reserved for replicas, peers, the store and files.
 constexpr std::size_t kReservedDescriptors = 400;
 constexpr std::size_t kBytesPerMegabyte = 1'000'000;
+// Share of the memory limit that answers may take while they are read.
+constexpr std::size_t kAnswerMemoryDivisor = 8;
 // Keeps datagrams small enough not to be fragmented; an entry takes its id and
 // a few bytes.
 constexpr std::size_t kCountsPerDatagram = 40;
@@ -295,7 +297,9 @@
                 [this](const ServiceName& service) {
                   return batch_.YieldSlot(service);
                 },
-            .counts_changed = [this] { OnCountsChanged(); }};
+            .counts_changed = [this] { OnCountsChanged(); },
+            .answer_memory_bytes = std::size_t{settings_.limits.memory_mb} *
+                                   kBytesPerMegabyte / kAnswerMemoryDivisor};
   }
 
   auto MakeConfigurationFeed() const -> StoreFeedSettings {
--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -16,6 +16,7 @@
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr auto kObjects = std::string_view("/api/objects/");
 constexpr milliseconds kWatchStep{10};
+constexpr std::size_t kEndlessPiece = 64'000;
 
 auto QueryNumber(const std::string& target, const std::string& name)
     -> std::uint64_t {
@@ -341,6 +342,12 @@
     co_await writer->Send(status, std::move(headers), "failed");
     co_return;
   }
+  if (fault == ReplicaFault::kEndlessBody) {
+    co_await writer->BeginStream(200, std::move(headers));
+    while (co_await writer->WriteChunk(std::string(kEndlessPiece, 'x'))) {
+    }
+    co_return;
+  }
   if (fault == ReplicaFault::kWrongRequestId) {
     headers.front().value = "another";
   }
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -92,6 +92,7 @@
   kWrongRequestId,  // Answers under the id of another request.
   kFail,            // Status 500.
   kUnprocessable,   // Status 422.
+  kEndlessBody,     // Sends a body until the caller closes the connection.
 };
 
 // A fake replica of the users' platform on 127.0.0.1. Streams have kEvents
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
@@ -250,6 +251,46 @@
   }
 }
 
+// Guards against a gateway that uses up its memory, and against callers that
+// wait without end, while all replicas send bodies without end.
+TEST_CASE("Gateway.LimitsTheMemoryOfBodiesWithoutEnd") {
+  constexpr std::uint32_t kMemoryMb = 100;
+  constexpr auto kCallers = 60;
+  constexpr auto kMaxGrowth = std::size_t{60'000'000};
+  auto fleet = Fleet(1, kMemoryMb);
+  fleet.AwaitService();
+  auto& node = *fleet.nodes.front();
+  const auto before = node.process().memory_bytes();
+  fleet.one->SetFault(ReplicaFault::kEndlessBody, 1'000);
+  fleet.two->SetFault(ReplicaFault::kEndlessBody, 1'000);
+  auto failed = std::atomic<int>(0);
+  auto callers = std::vector<std::thread>();
+  for (auto caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&, caller] {
+      const auto id = "e" + std::to_string(caller);
+      const auto reply = node.Call("POST", "/plain/once/x", id);
+      failed +=
+          reply.status == 502 || reply.status == 503 || reply.status == 504 ? 1
+                                                                            : 0;
+    });
+  }
+  auto most = std::size_t{0};
+  const auto ended = Eventually([&] {
+    most = std::max(most, node.process().memory_bytes());
+    return failed == kCallers;
+  });
+  CHECK(ended);
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  CHECK(most > 0);
+  CHECK(most <= before + kMaxGrowth);
+  fleet.one->SetFault(ReplicaFault::kNone, 0);
+  fleet.two->SetFault(ReplicaFault::kNone, 0);
+  CHECK(Eventually(
+      [&] { return node.Call("POST", "/plain/x", "after").status == 200; }));
+}
+
 // Guards against a payment that is confirmed twice, and against the answer "not
 // run" to one that ran.
 TEST_CASE("Gateway.RunsARequestAtMostOnceWhenItsAnswerIsLost") {
--- a/testing/scenario/child_process.cc
+++ b/testing/scenario/child_process.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <fstream>
 #include <stdexcept>
 #include <thread>
 
@@ -53,6 +54,14 @@
   }
 }
 
+auto ChildProcess::memory_bytes() const -> std::size_t {
+  auto file = std::ifstream("/proc/" + std::to_string(pid_) + "/statm");
+  auto total_pages = std::size_t{0};
+  auto resident_pages = std::size_t{0};
+  file >> total_pages >> resident_pages;
+  return resident_pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 auto ChildProcess::WaitForExit(std::chrono::milliseconds limit)
     -> std::optional<int> {
   const auto deadline = std::chrono::steady_clock::now() + limit;
--- a/testing/scenario/child_process.h
+++ b/testing/scenario/child_process.h
@@ -23,6 +23,8 @@
   auto operator=(const ChildProcess&) -> ChildProcess& = delete;
 
   auto Signal(int signal) -> void;
+  // Resident memory of the running process.
+  auto memory_bytes() const -> std::size_t;
   // Exit status, 128 + signal for a killed process; nothing while it runs
   // after `limit`.
   auto WaitForExit(std::chrono::milliseconds limit) -> std::optional<int>;
