Keep reports of crashes within a datagram

A report of six parts with 16 crashes each takes 1,743 bytes, more than the 1,400 that a datagram may have, so it was not sent: with many crashes the other nodes would have learned nothing. Ten crashes are kept per part now.

--- a/include/kumquatgauge/serving/prompt_quarantine.h
+++ b/include/kumquatgauge/serving/prompt_quarantine.h
@@ -52,7 +52,7 @@
   Duration trial_time = std::chrono::seconds(10);
   std::size_t max_suspects = 256;
   std::size_t max_answered = 4'096;
-  std::size_t max_crashes = 16;  // Kept per part.
+  std::size_t max_crashes = 10;  // Kept per part.
   std::size_t max_report = 6;    // Parts in one report to another node.
 
   auto operator==(const PromptQuarantineSettings&) const -> bool = default;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -34,6 +34,7 @@
 #include "kumquatgauge/serving/store_feed.h"
 #include "kumquatgauge/serving/watcher_choice.h"
 #include "kumquatgauge/upstream/replica_call.h"
+#include "serving/part_report_codec.h"
 #include "serving/store_options.h"
 
 namespace kumquatgauge::serving {
@@ -756,7 +757,7 @@
       } else if (type == "room") {
         OnCellCapacity(message);
       } else if (type == "crash") {
-        quarantine_.OnReport(DecodeReports(message.at("p")));
+        quarantine_.OnReport(detail::DecodeReports(message.at("p")));
       } else if (type == "job") {
         batch_.OnAnnounced(JobId(message.at("j").get<std::string>()), from);
       }
@@ -885,9 +886,10 @@
   // Sends the report to random nodes, each of which passes news on.
   auto SendQuarantineReport() -> void {
     quarantine_reported_ = SteadyNow();
-    const auto message = json{{"t", "crash"},
-                              {"n", settings_.name.value()},
-                              {"p", EncodeReports(quarantine_.Report())}};
+    const auto message =
+        json{{"t", "crash"},
+             {"n", settings_.name.value()},
+             {"p", detail::EncodeReports(quarantine_.Report())}};
     auto addresses = std::vector<std::string>();
     ForEachPeer(
         [&](const std::string& address) { addresses.push_back(address); });
@@ -924,47 +926,6 @@
          {"crashes", std::to_string(change.crashes)}});
   }
 
-  // Rounds in favour of answers: a crash seems earlier and an answer later.
-  static auto EncodeReports(const std::vector<PartReport>& reports) -> json {
-    auto encoded = json::array();
-    for (const auto& report : reports) {
-      auto crashes = json::array();
-      for (const auto& crash : report.crashes) {
-        crashes.push_back({crash.replica,
-                           std::chrono::ceil<milliseconds>(crash.age).count()});
-      }
-      json entry = {report.part, report.depth, std::move(crashes)};
-      if (report.answered_age) {
-        entry.push_back(
-            std::chrono::floor<milliseconds>(*report.answered_age).count());
-      }
-      encoded.push_back(std::move(entry));
-    }
-    return encoded;
-  }
-
-  static auto DecodeReports(const json& encoded) -> std::vector<PartReport> {
-    constexpr std::size_t kWithAnswer = 4;
-    const auto read_age = [](const json& age) {
-      return milliseconds(std::max<std::int64_t>(0, age.get<std::int64_t>()));
-    };
-    auto reports = std::vector<PartReport>();
-    for (const auto& entry : encoded) {
-      auto report = PartReport();
-      report.part = entry.at(0).get<PromptPart>();
-      report.depth = entry.at(1).get<std::size_t>();
-      for (const auto& crash : entry.at(2)) {
-        report.crashes.push_back(
-            {crash.at(0).get<std::uint64_t>(), read_age(crash.at(1))});
-      }
-      if (entry.size() >= kWithAnswer) {
-        report.answered_age = read_age(entry.at(3));
-      }
-      reports.push_back(std::move(report));
-    }
-    return reports;
-  }
-
   auto Announce(const JobId& job) -> void {
     const auto message =
         json{{"t", "job"}, {"n", settings_.name.value()}, {"j", job.value()}};
--- a/src/serving/prompt_quarantine_test.cc
+++ b/src/serving/prompt_quarantine_test.cc
@@ -262,6 +262,33 @@
   CHECK(fixture.node().Report().size() <= fixture.settings.max_report);
 }
 
+// Guards against nodes that report crashes to each other without end, since
+// each keeps others than the next one and reports take time.
+TEST_CASE("PromptQuarantine.HasNoNewsOnceAllNodesKnowManyCrashes") {
+  constexpr milliseconds kReportTime{3};
+  auto fixture = Fixture(3);
+  for (std::size_t crash = 0; crash < 60; ++crash) {
+    fixture.node(crash % 3).OnCrash(ReplicaId("r-" + std::to_string(crash)),
+                                    {kDeadly});
+    fixture.clock.Advance(milliseconds(1));
+  }
+  for (auto round = 0; round < 20; ++round) {
+    const auto reports =
+        std::vector{fixture.node(0).Report(), fixture.node(1).Report(),
+                    fixture.node(2).Report()};
+    fixture.clock.Advance(kReportTime);
+    for (const auto& report : reports) {
+      for (const auto& node : fixture.nodes) {
+        node->OnReport(report);
+      }
+    }
+    fixture.clock.Advance(milliseconds(250));
+  }
+  for (const auto& node : fixture.nodes) {
+    CHECK(node->unchanged_for() >= seconds(4));
+  }
+}
+
 // Guards against a quarantine that outlasts the last request with the part.
 TEST_CASE("PromptQuarantine.ForgetsAPartLongAfterItsLastCrash") {
   auto fixture = Fixture(2);
