--- a/src/serving/prompt_quarantine_test.cc
+++ b/src/serving/prompt_quarantine_test.cc
@@ -13,7 +13,7 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-constexpr PromptPart kDeadly = 666;
+constexpr PromptPart kCrashing = 666;
 constexpr PromptPart kCaller = 1;  // First part of all requests of one caller.
 constexpr milliseconds kBetweenCrashes{300};
 
@@ -54,10 +54,10 @@
     return !node(at).Admit(parts).allowed;
   }
 
-  // Quarantines the deadly part at all nodes.
-  auto QuarantineDeadlyPart() -> void {
+  // Quarantines the crashing part at all nodes.
+  auto QuarantineCrashingPart() -> void {
     for (auto crash = 0U; crash < settings.min_crashes; ++crash) {
-      Crash({kCaller, kDeadly});
+      Crash({kCaller, kCrashing});
       node().OnAnswered({kCaller});
     }
     Exchange();
@@ -76,14 +76,14 @@
 TEST_CASE("PromptQuarantine.RefusesAPartAfterThreeCrashes") {
   auto fixture = Fixture();
   for (PromptPart subject = 10; subject < 13; ++subject) {
-    CHECK_FALSE(fixture.Refuses({kCaller, subject, kDeadly}));
-    fixture.Crash({kCaller, subject, kDeadly});
+    CHECK_FALSE(fixture.Refuses({kCaller, subject, kCrashing}));
+    fixture.Crash({kCaller, subject, kCrashing});
     fixture.node().OnAnswered({kCaller, subject});
   }
-  CHECK(fixture.Refuses({kCaller, 99, kDeadly}));
-  CHECK(fixture.Refuses({kDeadly}));
-  const auto refusal = fixture.node().Check({kDeadly});
-  CHECK(refusal.part == kDeadly);
+  CHECK(fixture.Refuses({kCaller, 99, kCrashing}));
+  CHECK(fixture.Refuses({kCrashing}));
+  const auto refusal = fixture.node().Check({kCrashing});
+  CHECK(refusal.part == kCrashing);
   CHECK(refusal.retry_after > Duration::zero());
 }
 
@@ -93,9 +93,9 @@
   auto fixture = Fixture();
   fixture.node().OnAnswered({kCaller, 10});
   for (auto crash = 0; crash < 30; ++crash) {
-    fixture.Crash({kCaller, 10, kDeadly});
+    fixture.Crash({kCaller, 10, kCrashing});
   }
-  CHECK(fixture.Refuses({kCaller, 10, kDeadly}));
+  CHECK(fixture.Refuses({kCaller, 10, kCrashing}));
   CHECK_FALSE(fixture.Refuses({kCaller, 10}));
   CHECK_FALSE(fixture.Refuses({kCaller, 11}));
 }
@@ -105,9 +105,9 @@
 TEST_CASE("PromptQuarantine.PrefersTheLastOfPartsInTheSameRequests") {
   auto fixture = Fixture();
   for (auto crash = 0; crash < 5; ++crash) {
-    fixture.Crash({kCaller, kDeadly});
+    fixture.Crash({kCaller, kCrashing});
   }
-  CHECK(fixture.Refuses({kCaller, kDeadly}));
+  CHECK(fixture.Refuses({kCaller, kCrashing}));
   CHECK_FALSE(fixture.Refuses({kCaller}));
 }
 
@@ -116,12 +116,12 @@
   auto fixture = Fixture();
   for (auto crash = 0; crash < 6; ++crash) {
     const auto replica = ReplicaId("i-" + std::to_string(crash));
-    fixture.node().OnCrash(replica, {kCaller, kDeadly});
+    fixture.node().OnCrash(replica, {kCaller, kCrashing});
     fixture.node().OnCrash(replica, {2, 20});
     fixture.clock.Advance(kBetweenCrashes);
     fixture.node().OnAnswered({2, 20});
   }
-  CHECK(fixture.Refuses({kDeadly}));
+  CHECK(fixture.Refuses({kCrashing}));
   CHECK_FALSE(fixture.Refuses({2, 20}));
 }
 
@@ -155,24 +155,24 @@
 TEST_CASE("PromptQuarantine.CountsTheCrashesOfAllNodes") {
   auto fixture = Fixture(4);
   for (std::size_t node = 0; node < 3; ++node) {
-    fixture.Crash({kCaller, kDeadly}, node);
+    fixture.Crash({kCaller, kCrashing}, node);
     fixture.Exchange();
   }
   for (std::size_t node = 0; node < 4; ++node) {
-    CHECK(fixture.Refuses({kDeadly}, node));
+    CHECK(fixture.Refuses({kCrashing}, node));
   }
 }
 
 // Guards against counting one crash once for each node that reports it.
 TEST_CASE("PromptQuarantine.CountsARepeatedReportOnce") {
   auto fixture = Fixture(3);
-  fixture.Crash({kDeadly}, 0);
-  fixture.Crash({kDeadly}, 1);
+  fixture.Crash({kCrashing}, 0);
+  fixture.Crash({kCrashing}, 1);
   for (auto round = 0; round < 20; ++round) {
     fixture.Exchange();
     fixture.clock.Advance(kBetweenCrashes);
   }
-  CHECK_FALSE(fixture.Refuses({kDeadly}, 2));
+  CHECK_FALSE(fixture.Refuses({kCrashing}, 2));
 }
 
 // Guards against refusing a part that another node knows an answer to.
@@ -193,42 +193,43 @@
 // crashes itself.
 TEST_CASE("PromptQuarantine.InformsANodeThatHasRestarted") {
   auto fixture = Fixture(2);
-  fixture.QuarantineDeadlyPart();
-  REQUIRE(fixture.Refuses({kDeadly}, 1));
+  fixture.QuarantineCrashingPart();
+  REQUIRE(fixture.Refuses({kCrashing}, 1));
   fixture.clock.Advance(seconds(20));
   fixture.nodes[1] = fixture.Make(false);
   fixture.Exchange();
-  CHECK(fixture.Refuses({kDeadly}, 1));
+  CHECK(fixture.Refuses({kCrashing}, 1));
 }
 
 // Guards against a part that is refused for ever, and against each node testing
 // it with a replica of its own.
 TEST_CASE("PromptQuarantine.TriesThePartAgainAtOneNode") {
   auto fixture = Fixture(2);
-  fixture.QuarantineDeadlyPart();
+  fixture.QuarantineCrashingPart();
   fixture.clock.Advance(fixture.settings.trial_delay);
-  CHECK(fixture.Refuses({kDeadly}, 1));
-  const auto trial = fixture.node(0).Admit({kCaller, kDeadly});
+  CHECK(fixture.Refuses({kCrashing}, 1));
+  const auto trial = fixture.node(0).Admit({kCaller, kCrashing});
   CHECK(trial.allowed);
   CHECK(trial.trial);
-  CHECK(fixture.Refuses({kDeadly}, 0));
-  fixture.node(0).OnAnswered({kCaller, kDeadly});
+  CHECK(fixture.Refuses({kCrashing}, 0));
+  fixture.node(0).OnAnswered({kCaller, kCrashing});
   fixture.Exchange();
-  CHECK_FALSE(fixture.Refuses({kDeadly}, 0));
-  CHECK_FALSE(fixture.Refuses({kDeadly}, 1));
+  CHECK_FALSE(fixture.Refuses({kCrashing}, 0));
+  CHECK_FALSE(fixture.Refuses({kCrashing}, 1));
   CHECK(fixture.node(1).OnTick().size() == 1);
 }
 
-// Guards against a replica lost at a constant rate to a part that stays deadly.
+// Guards against a replica lost at a constant rate to a part that keeps
+// crashing replicas.
 TEST_CASE("PromptQuarantine.WaitsLongerAfterEachFailedTrial") {
   auto fixture = Fixture();
-  fixture.QuarantineDeadlyPart();
+  fixture.QuarantineCrashingPart();
   auto trials = 0;
   for (auto second = 0; second < 600; ++second) {
-    if (fixture.node().Admit({kDeadly}).allowed) {
+    if (fixture.node().Admit({kCrashing}).allowed) {
       ++trials;
       fixture.node().OnCrash(ReplicaId("t-" + std::to_string(second)),
-                             {kDeadly});
+                             {kCrashing});
     }
     fixture.clock.Advance(seconds(1));
   }
@@ -240,24 +241,24 @@
 // all later ones.
 TEST_CASE("PromptQuarantine.TriesAgainAfterATrialWithoutAResult") {
   auto fixture = Fixture();
-  fixture.QuarantineDeadlyPart();
+  fixture.QuarantineCrashingPart();
   fixture.clock.Advance(fixture.settings.trial_delay);
-  REQUIRE(fixture.node().Admit({kDeadly}).trial);
+  REQUIRE(fixture.node().Admit({kCrashing}).trial);
   fixture.clock.Advance(fixture.settings.trial_time);
-  CHECK(fixture.node().Admit({kDeadly}).trial);
+  CHECK(fixture.node().Admit({kCrashing}).trial);
 }
 
 // Guards against state that grows with the number of parts that are seen, and
 // against losing a quarantine to it.
 TEST_CASE("PromptQuarantine.KeepsBoundedStateForUnboundedParts") {
   auto fixture = Fixture();
-  fixture.QuarantineDeadlyPart();
+  fixture.QuarantineCrashingPart();
   for (PromptPart part = 1'000; part < 21'000; ++part) {
     fixture.node().OnAnswered({part});
     fixture.node().OnCrash(ReplicaId("x"), {part + 100'000});
     fixture.clock.Advance(milliseconds(1));
   }
-  CHECK(fixture.Refuses({kDeadly}));
+  CHECK(fixture.Refuses({kCrashing}));
   CHECK(fixture.node().quarantined() == 1);
   CHECK(fixture.node().Report().size() <= fixture.settings.max_report);
 }
@@ -269,7 +270,7 @@
   auto fixture = Fixture(3);
   for (std::size_t crash = 0; crash < 60; ++crash) {
     fixture.node(crash % 3).OnCrash(ReplicaId("r-" + std::to_string(crash)),
-                                    {kDeadly});
+                                    {kCrashing});
     fixture.clock.Advance(milliseconds(1));
   }
   for (auto round = 0; round < 20; ++round) {
@@ -292,13 +293,13 @@
 // Guards against a quarantine that outlasts the last request with the part.
 TEST_CASE("PromptQuarantine.ForgetsAPartLongAfterItsLastCrash") {
   auto fixture = Fixture(2);
-  fixture.QuarantineDeadlyPart();
+  fixture.QuarantineCrashingPart();
   fixture.clock.Advance(fixture.settings.forget_time + minutes(1));
   const auto changes = fixture.node(1).OnTick();
   REQUIRE(changes.size() == 1);
   CHECK_FALSE(changes.front().quarantined);
   CHECK_FALSE(fixture.node(1).active());
-  CHECK_FALSE(fixture.Refuses({kDeadly}, 1));
+  CHECK_FALSE(fixture.Refuses({kCrashing}, 1));
 }
 
 }  // namespace
--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -261,9 +261,9 @@
   return id_;
 }
 
-auto FakeReplica::set_deadly_part(const std::string& part) -> void {
+auto FakeReplica::set_crashing_part(const std::string& part) -> void {
   const auto lock = std::lock_guard(mutex_);
-  deadly_part_ = part;
+  crashing_part_ = part;
 }
 
 auto FakeReplica::crashes() const -> int {
@@ -274,8 +274,8 @@
 auto FakeReplica::Crashes(const caller::IncomingRequest& request) -> bool {
   const auto lock = std::lock_guard(mutex_);
   const auto prompt = FindHeader(request.headers, "Prompt-Prefix");
-  if (deadly_part_.empty() ||
-      prompt.find(deadly_part_ + ":") == std::string_view::npos) {
+  if (crashing_part_.empty() ||
+      prompt.find(crashing_part_ + ":") == std::string_view::npos) {
     return false;
   }
   id_ = name_ + "-" + std::to_string(++crashes_);
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -117,7 +117,7 @@
   auto SetFault(ReplicaFault fault, int count) -> void;
   // A request whose prompt has this part ends the replica before its answer
   // begins; the replica is back at once under another id.
-  auto set_deadly_part(const std::string& part) -> void;
+  auto set_crashing_part(const std::string& part) -> void;
   auto crashes() const -> int;
   // The delay before each event.
   auto set_event_delay(std::chrono::milliseconds delay) -> void;
@@ -140,7 +140,7 @@
   mutable std::mutex mutex_;
   std::string name_;
   std::string id_;
-  std::string deadly_part_;
+  std::string crashing_part_;
   int crashes_ = 0;
   OnStart on_start_;
   std::map<std::string, int> runs_;
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -191,7 +191,7 @@
 // Guards against requests that end one replica after the other, at whichever
 // node they arrive, and against refusing sound requests of the same caller.
 TEST_CASE("Gateway.KeepsAPromptPartThatCrashesReplicasAwayFromThem") {
-  constexpr auto kDeadlyPrompt = "ca11e4:100,dead:50,";
+  constexpr auto kCrashingPrompt = "ca11e4:100,dead:50,";
   constexpr auto kSoundPrompt = "ca11e4:100,50bd:50,";
   constexpr auto kSpread = std::chrono::seconds(3);
   constexpr auto kLastCrashes = 3;
@@ -221,15 +221,15 @@
   };
   auto announced_one = fleet.one->id();
   auto announced_two = fleet.two->id();
-  fleet.one->set_deadly_part("dead");
-  fleet.two->set_deadly_part("dead");
+  fleet.one->set_crashing_part("dead");
+  fleet.two->set_crashing_part("dead");
   auto fifth = std::optional<std::chrono::steady_clock::time_point>();
   auto late = 0;
   const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(7);
   while (std::chrono::steady_clock::now() < end) {
     const auto before = crashes();
     const auto began = std::chrono::steady_clock::now();
-    const auto reply = call(kDeadlyPrompt);
+    const auto reply = call(kCrashingPrompt);
     if (crashes() == before) {
       CHECK(reply.status == 503);
       CHECK(reply.headers.count("retry-after") == 1);
