--- a/include/kumquatgauge/routing/rendezvous.h
+++ b/include/kumquatgauge/routing/rendezvous.h
@@ -3,6 +3,10 @@
 
 #include <cstdint>
 #include <string_view>
+#include <vector>
+
+#include "kumquatgauge/base/ids.h"
+#include "kumquatgauge/routing/replica.h"
 
 namespace kumquatgauge::routing {
 
@@ -14,6 +18,12 @@
 // When a member is added or removed, only its own keys move.
 auto RendezvousScore(std::uint64_t key, std::uint64_t member) -> std::uint64_t;
 
+// Returns the node with the highest score for a key among those that are not
+// leaving; an empty id if there is none. All nodes that know the same members
+// choose the same one.
+auto ChooseNode(std::uint64_t key, const std::vector<NodeInfo>& nodes)
+    -> NodeId;
+
 }  // namespace kumquatgauge::routing
 
 #endif  // KUMQUATGAUGE_ROUTING_RENDEZVOUS_H_
--- a/src/routing/rendezvous.cc
+++ b/src/routing/rendezvous.cc
@@ -15,4 +15,18 @@
   return XXH3_64bits(pair.data(), sizeof(pair));
 }
 
+auto ChooseNode(std::uint64_t key, const std::vector<NodeInfo>& nodes)
+    -> NodeId {
+  auto best = std::uint64_t{0};
+  auto chosen = NodeId();
+  for (const auto& node : nodes) {
+    const auto score = RendezvousScore(key, RendezvousHash(node.id.value()));
+    if (!node.leaving && (chosen.empty() || score > best)) {
+      best = score;
+      chosen = node.id;
+    }
+  }
+  return chosen;
+}
+
 }  // namespace kumquatgauge::routing
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -1709,17 +1709,7 @@
 
   auto IsChosen(const JobId& id) const -> bool {
     const auto key = routing::RendezvousHash(id.value());
-    auto best = std::uint64_t{0};
-    auto chosen = NodeId();
-    for (const auto& node : parts_.live()) {
-      const auto score = routing::RendezvousScore(
-          key, routing::RendezvousHash(node.id.value()));
-      if (!node.leaving && (chosen.empty() || score > best)) {
-        best = score;
-        chosen = node.id;
-      }
-    }
-    return chosen == parts_.self().id;
+    return routing::ChooseNode(key, parts_.live()) == parts_.self().id;
   }
 
   auto RemoveExpired(StoredState stored) -> awaitable<void> {
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -859,14 +859,8 @@
 
   // The live nodes agree on one that tries a part again.
   auto RunsTrials(PromptPart part) const -> bool {
-    auto best = std::pair<std::uint64_t, NodeId>();
-    for (const auto& node : gossip_.membership().live()) {
-      if (!node.leaving) {
-        const auto hash = routing::RendezvousHash(node.id.value());
-        best = std::max(best, {routing::RendezvousScore(part, hash), node.id});
-      }
-    }
-    return best.second == settings_.name;
+    return routing::ChooseNode(part, gossip_.membership().live()) ==
+           settings_.name;
   }
 
   auto ScheduleQuarantineReport() -> void {
