--- a/include/kumquatgauge/serving/dialect.h
+++ b/include/kumquatgauge/serving/dialect.h
@@ -15,7 +15,7 @@
 #include "kumquatgauge/routing/replica.h"
 #include "kumquatgauge/serving/configuration.h"
 #include "kumquatgauge/serving/job.h"
-#include "kumquatgauge/serving/prompt_quarantine.h"
+#include "kumquatgauge/serving/prompt_parts.h"
 
 namespace kumquatgauge::serving {
 
--- a/include/kumquatgauge/serving/job.h
+++ b/include/kumquatgauge/serving/job.h
@@ -7,7 +7,7 @@
 
 #include "kumquatgauge/base/http_header.h"
 #include "kumquatgauge/base/ids.h"
-#include "kumquatgauge/serving/prompt_quarantine.h"
+#include "kumquatgauge/serving/prompt_parts.h"
 
 namespace kumquatgauge::serving {
 
--- a/include/kumquatgauge/serving/prompt_quarantine.h
+++ b/include/kumquatgauge/serving/prompt_quarantine.h
@@ -7,24 +7,15 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <string>
 #include <utility>
 #include <vector>
 
 #include "kumquatgauge/base/ids.h"
 #include "kumquatgauge/base/time.h"
+#include "kumquatgauge/serving/prompt_parts.h"
 
 namespace kumquatgauge::serving {
 
-// Hash of the id of a prompt part that several requests share.
-using PromptPart = std::uint64_t;
-// The shared parts of one prompt, in order.
-using PromptParts = std::vector<PromptPart>;
-
-// Hexadecimal text for logs; the parts of a list are separated by commas.
-auto PartName(PromptPart part) -> std::string;
-auto PartNames(const PromptParts& parts) -> std::string;
-
 struct PromptQuarantineSettings {
   // Crashes within this time count as one: replicas may fail in groups.
   Duration group_time = std::chrono::milliseconds(50);
