Log the limits that replicas name and count what is sent to them

Whether replicas above their limit got too much by one way (items, second attempts) or by all, and whether one node or only the sum was over, could not be told: no node read the limit.

The adapter decodes it (a decimal number; anything else is logged and changes nothing), StartLimiter keeps the last one of each replica, `replica_limit` lines tell each change, and `limited` in the lines of requests and items as well as kqg_limited_starts_total tell what was sent to such replicas. The two runners now report the head of an answer through one function. No choice depends on it yet.

--- a/include/kumquatgauge/serving/dialect.h
+++ b/include/kumquatgauge/serving/dialect.h
@@ -76,6 +76,10 @@
   bool has_load = false;
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
+  // Requests a second that the replica takes from all nodes together, if it
+  // named a limit.
+  std::optional<double> start_limit;
+  bool malformed_start_limit = false;
 
   auto operator==(const AnswerMetadata&) const -> bool = default;
 };
--- a/include/kumquatgauge/serving/load_balancer.h
+++ b/include/kumquatgauge/serving/load_balancer.h
@@ -12,6 +12,7 @@
 #include "kumquatgauge/routing/completion.h"
 #include "kumquatgauge/routing/outlier.h"
 #include "kumquatgauge/routing/replica.h"
+#include "kumquatgauge/serving/start_limiter.h"
 
 namespace kumquatgauge::serving {
 
@@ -148,6 +149,12 @@
   auto OnReport(const ReplicaId& replica,
                 std::uint32_t running,
                 std::uint32_t waiting) -> void;
+  // Records the limit that an answer of the replica named; nothing if it named
+  // none.
+  auto OnStartLimit(const ReplicaId& replica, std::optional<double> limit)
+      -> void;
+  auto start_limiter() -> StartLimiter& { return start_limiter_; }
+  auto start_limiter() const -> const StartLimiter& { return start_limiter_; }
   auto OnPeerCounts(const NodeId& peer, InFlightCounts counts) -> void;
   auto ForgetPeer(const NodeId& peer) -> void;
   // Must be called about once a second.
@@ -219,6 +226,7 @@
   Clock clock_;
   RandomSource random_;
   routing::OutlierDetector outliers_;
+  StartLimiter start_limiter_;
   std::map<ReplicaId, State> states_;
   std::map<ServiceName, std::vector<ReplicaId>> services_;
   std::map<NodeId, PeerCounts> peers_;
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -16,6 +16,7 @@
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/node/peer_server.h"
 #include "kumquatgauge/routing/rendezvous.h"
+#include "kumquatgauge/serving/answer_report.h"
 #include "kumquatgauge/serving/batch_schedule.h"
 #include "kumquatgauge/serving/end_notices.h"
 #include "kumquatgauge/serving/event_splitter.h"
@@ -191,6 +192,7 @@
         failed_items_(
             parts_.metrics.counter("kqg_items_total{outcome=\"failed\"}")),
         yields_(parts_.metrics.counter("kqg_item_yields_total")),
+        limited_starts_(parts_.metrics.counter("kqg_limited_starts_total")),
         accept_ms_(parts_.metrics.histogram("kqg_job_accept_seconds")),
         append_ms_(parts_.metrics.histogram("kqg_result_store_seconds")),
         state_age_(parts_.metrics.histogram("kqg_item_state_age_seconds")) {}
@@ -756,6 +758,11 @@
     }
     const auto replica = *choice.replica;
     auto& progress = job->progress[ref.item];
+    const auto limited =
+        parts_.load_balancer.start_limiter().IsLimited(replica.id);
+    if (limited) {
+      limited_starts_.Add();
+    }
     parts_.load_balancer.OnStarted(replica.id, WorkClass::kBatch);
     parts_.counts_changed();
     const auto call = parts_.replicas.Start(
@@ -784,6 +791,7 @@
          {"item", item.id},
          {"replica", replica.id.value()},
          {"in_flight", std::to_string(choice.in_flight)},
+         {"limited", limited ? "true" : "false"},
          {"urgent", urgent ? "true" : "false"},
          {"end", EndName(outcome)},
          {"reason", call->reason()},
@@ -875,12 +883,9 @@
     const auto head = call->head();
     const auto metadata =
         parts_.dialect.decode_answer(head.status, head.headers);
-    if (metadata.has_load) {
-      parts_.load_balancer.OnReport(replica.id, metadata.running,
-                                    metadata.waiting);
-    }
+    ReportAnswer(replica.id, metadata, logger_, parts_.load_balancer);
     if (head.status != kOk) {
-      co_return OutcomeOfStatus(replica.id, head.status, metadata);
+      co_return OutcomeOfStatus(head.status, metadata);
     }
     auto splitter = EventSplitter();
     auto intact = true;
@@ -912,15 +917,9 @@
     }
   }
 
-  auto OutcomeOfStatus(const ReplicaId& replica,
-                       int status,
-                       const AnswerMetadata& metadata) -> ItemOutcome {
-    if (metadata.wrong_replica) {
-      parts_.load_balancer.MarkGone(replica);
-      return {ItemEnd::kNotPlaced, false};
-    }
-    if (metadata.not_run) {
-      parts_.load_balancer.OnRefused(replica);
+  static auto OutcomeOfStatus(int status, const AnswerMetadata& metadata)
+      -> ItemOutcome {
+    if (metadata.wrong_replica || metadata.not_run) {
       return {ItemEnd::kNotPlaced, false};
     }
     if (metadata.permanent_failure) {
@@ -1821,6 +1820,7 @@
   Counter& completed_items_;
   Counter& failed_items_;
   Counter& yields_;
+  Counter& limited_starts_;
   LatencyHistogram& accept_ms_;
   LatencyHistogram& append_ms_;
   // Age of the owner's knowledge of a job's state when an item starts.
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -11,6 +11,7 @@
 
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
+#include "kumquatgauge/serving/answer_report.h"
 #include "kumquatgauge/serving/attempt_policy.h"
 #include "kumquatgauge/serving/event_splitter.h"
 #include "kumquatgauge/serving/retry_after_estimator.h"
@@ -75,6 +76,7 @@
   Choice choice;                          // Of the last attempt.
   PromptQuarantine::Admission admission;  // Of the last attempt.
   bool attempt_answered = false;  // The last attempt has begun to answer.
+  bool limited = false;  // The replica of the last attempt had named a limit.
   std::uint64_t last_event = 0;
   Duration first_event{0};  // Since the request arrived.
   Duration waited{0};
@@ -132,6 +134,7 @@
         cancelled_(parts_.metrics.counter(
             "kqg_requests_total{outcome=\"cancelled\"}")),
         attempts_(parts_.metrics.counter("kqg_attempts_total")),
+        limited_starts_(parts_.metrics.counter("kqg_limited_starts_total")),
         first_ms_(parts_.metrics.histogram("kqg_first_byte_latency_seconds")),
         total_ms_(parts_.metrics.histogram("kqg_request_latency_seconds")),
         wait_ms_(parts_.metrics.histogram("kqg_room_wait_seconds")) {}
@@ -290,6 +293,11 @@
       exchange->history.max_attempts = 1;
     }
     attempts_.Add();
+    exchange->limited =
+        parts_.load_balancer.start_limiter().IsLimited(replica.id);
+    if (exchange->limited) {
+      limited_starts_.Add();
+    }
     parts_.load_balancer.OnStarted(replica.id, WorkClass::kOnline);
     parts_.counts_changed();
     const auto began = parts_.clock();
@@ -379,15 +387,7 @@
     const auto metadata = parts_.dialect.decode_answer(exchange.head.status,
                                                        exchange.head.headers);
     attempt.not_run = metadata.not_run || metadata.wrong_replica;
-    if (metadata.has_load) {
-      parts_.load_balancer.OnReport(replica, metadata.running,
-                                    metadata.waiting);
-    }
-    if (metadata.wrong_replica) {
-      parts_.load_balancer.MarkGone(replica);
-    } else if (metadata.not_run) {
-      parts_.load_balancer.OnRefused(replica);
-    }
+    ReportAnswer(replica, metadata, logger_, parts_.load_balancer);
   }
 
   auto ReadAnswer(ExchangePtr exchange, MonotonicTime began)
@@ -674,6 +674,7 @@
          {"attempts", std::to_string(exchange.history.attempts)},
          {"in_flight", std::to_string(choice.in_flight)},
          {"slots", std::to_string(choice.slots)},
+         {"limited", exchange.limited ? "true" : "false"},
          {"report_age_ms", Text(choice.report_age)},
          {"candidates", std::to_string(choice.candidates)},
          {"waited_ms", Text(exchange.waited)},
@@ -696,6 +697,7 @@
   Counter& broken_off_;
   Counter& cancelled_;
   Counter& attempts_;
+  Counter& limited_starts_;
   LatencyHistogram& first_ms_;
   LatencyHistogram& total_ms_;
   LatencyHistogram& wait_ms_;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -217,6 +217,9 @@
     configuration_feed_.Start();
     replica_feed_.Start();
     batch_.Start();
+    metrics_.AddGauge("kqg_limited_replicas", [this] {
+      return static_cast<double>(load_balancer_.start_limiter().limited());
+    });
     AwaitSignal();
     RunMaintenance();
     context_.run();
@@ -1073,25 +1076,28 @@
 
   auto RunMaintenance() -> void {
     maintenance_timer_.expires_after(kMaintenanceInterval);
-    maintenance_timer_.async_wait(
-        [this](const boost::system::error_code& error) {
-          if (error) {
-            return;
-          }
-          if (replica_table_.OnTick()) {
-            ApplyReplicas();
-          }
-          for (const auto& change : load_balancer_.OnTick()) {
-            LogEjection(change);
-          }
-          if (!counts_empty_ &&
-              SteadyNow() - counts_sent_ >= kCountsRefreshInterval) {
-            SendCounts();
-          }
-          SendCellCapacity();
-          UpdateQuarantine();
-          RunMaintenance();
-        });
+    maintenance_timer_.async_wait([this](
+                                      const boost::system::error_code& error) {
+      if (error) {
+        return;
+      }
+      if (replica_table_.OnTick()) {
+        ApplyReplicas();
+      }
+      for (const auto& change : load_balancer_.OnTick()) {
+        LogEjection(change);
+      }
+      if (!counts_empty_ &&
+          SteadyNow() - counts_sent_ >= kCountsRefreshInterval) {
+        SendCounts();
+      }
+      for (const auto& change : load_balancer_.start_limiter().TakeChanges()) {
+        LogStartLimit(change);
+      }
+      SendCellCapacity();
+      UpdateQuarantine();
+      RunMaintenance();
+    });
   }
 
   auto LogEjection(const routing::EjectionChange& change) -> void {
@@ -1106,6 +1112,20 @@
                   {"reason", change.reason}});
   }
 
+  auto LogStartLimit(const StartLimitChange& change) -> void {
+    const auto text = [](const std::optional<double>& limit) {
+      return limit ? std::to_string(*limit) : std::string("none");
+    };
+    const auto age =
+        std::chrono::duration_cast<milliseconds>(change.age).count();
+    logger_.Info("a replica named another limit of requests a second",
+                 {{"event", "replica_limit"},
+                  {"replica", change.replica.value()},
+                  {"limit", text(change.limit)},
+                  {"before", text(change.before)},
+                  {"age_ms", std::to_string(age)}});
+  }
+
   auto AwaitSignal() -> void {
     signals_.async_wait(
         [this](const boost::system::error_code& error, int signal) {
--- a/src/serving/load_balancer.cc
+++ b/src/serving/load_balancer.cc
@@ -51,7 +51,8 @@
       zone_(std::move(zone)),
       clock_(std::move(clock)),
       random_(std::move(random)),
-      outliers_(MakeOutlierSettings(), clock_) {}
+      outliers_(MakeOutlierSettings(), clock_),
+      start_limiter_(clock_) {}
 
 auto LoadBalancer::SetReplicas(const std::vector<Replica>& replicas) -> void {
   auto states = std::map<ReplicaId, State>();
@@ -76,6 +77,7 @@
   }
   states_ = std::move(states);
   outliers_.SetReplicas(replicas);
+  start_limiter_.SetReplicas(replicas);
   AssignReplicasToCells();
   RebuildPeers();
 }
@@ -380,6 +382,11 @@
   }
 }
 
+auto LoadBalancer::OnStartLimit(const ReplicaId& replica,
+                                std::optional<double> limit) -> void {
+  start_limiter_.OnAnswer(replica, limit);
+}
+
 auto LoadBalancer::OnPeerCounts(const NodeId& peer, InFlightCounts counts)
     -> void {
   auto& known = peers_[peer];
--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -266,6 +266,11 @@
   crashing_part_ = part;
 }
 
+auto FakeReplica::set_start_limit(const std::string& limit) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  start_limit_ = limit;
+}
+
 auto FakeReplica::crashes() const -> int {
   const auto lock = std::lock_guard(mutex_);
   return crashes_;
@@ -321,6 +326,12 @@
   const auto target = FindHeader(request->headers, "Target-Instance");
   auto headers = HeaderList{{"Request-Id", request_id},
                             {"Response-Signature", "signed." + own_id}};
+  {
+    const auto lock = std::lock_guard(mutex_);
+    if (!start_limit_.empty()) {
+      headers.push_back({"Server-Limit", start_limit_});
+    }
+  }
   if (target != own_id || fault == ReplicaFault::kRefuse) {
     const auto status = target != own_id ? 421 : 503;
     auto refusal = HeaderList{{"Not-Executed", "1"}};
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -119,6 +119,9 @@
   // begins; the replica is back at once under another id.
   auto set_crashing_part(const std::string& part) -> void;
   auto crashes() const -> int;
+  // Named in every answer from now on as the requests a second that the
+  // replica takes; empty for none.
+  auto set_start_limit(const std::string& limit) -> void;
   // The delay before each event.
   auto set_event_delay(std::chrono::milliseconds delay) -> void;
   // How often a request has begun to run here.
@@ -141,6 +144,7 @@
   std::string name_;
   std::string id_;
   std::string crashing_part_;
+  std::string start_limit_;
   int crashes_ = 0;
   OnStart on_start_;
   std::map<std::string, int> runs_;
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -723,6 +723,39 @@
   CHECK(end.at("replica") == attempt.at("replica"));
 }
 
+// Guards against logs and metrics that do not tell which replicas named a
+// limit, when it changed, and what this node sent them since.
+TEST_CASE("Gateway.LogsTheLimitThatAReplicaNames") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  const auto& node = *fleet.nodes.front();
+  const auto limits = [&] {
+    auto named = std::vector<std::string>();
+    for (const auto& line : LinesOf(node.Log(), "event", "replica_limit")) {
+      named.push_back(line.at("replica").get<std::string>() + " " +
+                      line.at("limit").get<std::string>());
+    }
+    return named;
+  };
+  fleet.store->Remove("servers/i-2");
+  fleet.one->set_start_limit("200.5");
+  REQUIRE(Eventually([&] {
+    node.Call("POST", "/plain/x", "q1");
+    return limits() == std::vector<std::string>{"i-1 200.500000"};
+  }));
+  fleet.one->set_start_limit("");
+  REQUIRE(Eventually([&] {
+    node.Call("POST", "/plain/x", "q2");
+    return limits().size() == 2;
+  }));
+  CHECK(limits().back() == "i-1 none");
+  auto limited = 0;
+  for (const auto& line : LinesOf(node.Log(), "event", "request_ended")) {
+    limited += line.at("limited") == "true" ? 1 : 0;
+  }
+  CHECK(limited > 0);
+}
+
 // Guards against a log that hides for how long an owner ran a job without
 // knowing that it had ended.
 TEST_CASE("Gateway.LogsHowOldTheStateWasThatAnEndReplaced") {
