Keep the limits that replicas name over all nodes together

Cause: capacity was counted in slots alone. A replica that is short of something else has free slots and looks like the best choice. A limit that each node kept by itself would not help: limits of 2 to 3 a second over 8 nodes are less than one request per node and second, and in the window that broke the rule each node was below the limit that the sum exceeded.

StartLimiter keeps an account of starts for each limited replica at each node. Nodes cut off from others use their share of the limit; other cells leave limited replicas alone. All ways to a replica go through LoadBalancer::Choose, also resumed streams, trials, items and the choice when all are ejected; repeated sends are counted afterwards. What may run, waits, is refused and when to return follows the starts: a request that no replica takes in time is refused at once, with a Retry-After after the next start. Items prefer limited replicas, where each start does the most, leave a quarter of the slots and, while online requests find nothing, all the starts.

--- a/include/kumquatgauge/serving/batch_schedule.h
+++ b/include/kumquatgauge/serving/batch_schedule.h
@@ -2,6 +2,7 @@
 #define KUMQUATGAUGE_SERVING_BATCH_SCHEDULE_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -84,9 +85,12 @@
   // Returns at most `count` running items to stop: first those that cannot meet
   // their due time, then non-urgent ones with the least progress, so that
   // little has to be read again.
+  // Items that `may_yield` rejects go on; an empty function accepts all.
+  using MayYield = std::function<auto(const ItemRef&)->bool>;
   auto TakeYields(const ServiceName& service,
                   std::size_t count,
-                  MonotonicTime now) -> std::vector<ItemRef>;
+                  MonotonicTime now,
+                  const MayYield& may_yield = nullptr) -> std::vector<ItemRef>;
   // Records that an item has produced `events` events in total.
   auto OnProgress(const ItemRef& ref, std::uint64_t events) -> void;
   // Returns true when the item has used up its attempts and is removed from the
--- a/include/kumquatgauge/serving/load_balancer.h
+++ b/include/kumquatgauge/serving/load_balancer.h
@@ -41,6 +41,12 @@
   // Maximum share of a service's slots that urgent batch items may take ahead
   // of online requests, so that neither class starves the other.
   double urgent_batch_share = 0.5;
+  // Share of the slots of a limited replica that batch items may take, so that
+  // online requests find a slot for the starts saved up there.
+  double limited_batch_share = 0.75;
+  // How long items that are not urgent take no start of a limited replica after
+  // an online request found none.
+  Duration online_shortage_time = std::chrono::milliseconds(500);
   // How long a replica that took no connection is left out; doubles up to the
   // maximum until one succeeds.
   Duration unreachable_time = std::chrono::milliseconds(250);
@@ -67,10 +73,14 @@
   Duration latency_target{0};
   // Hash of the shared prompt parts; 0 for none.
   std::uint64_t affinity = 0;
+  // Set for a batch item that would otherwise miss its due time.
+  bool urgent = false;
   std::vector<ReplicaId> tried;
   // Chooses a replica even if all are full, for a started response that resumes
   // at another replica.
   bool even_if_full = false;
+  // Leaves out replicas that have named a limit.
+  bool avoid_limited = false;
 };
 
 enum class Availability {
@@ -89,6 +99,12 @@
   Duration report_age{0};  // Zero when the replica has not reported.
   // Number of usable replicas that were compared.
   std::uint32_t candidates = 0;
+  bool limited = false;  // The replica has named a limit.
+  // Number of replicas left out because they get as much as they take.
+  std::uint32_t at_limit = 0;
+  // Set if all replicas are at their limits: the time until one of them takes
+  // another request.
+  std::optional<Duration> next_start;
 };
 
 // Chooses replicas for the requests of one node and computes how much batch
@@ -115,6 +131,9 @@
   // traffic of a node does not grow with the fleet. A service with too few
   // replicas is shared by all cells.
   auto SetCell(std::size_t index, std::size_t cells) -> void;
+  // Sets the share of the fleet's nodes that this node can reach. Nodes that
+  // are cut off from each other keep limits together, each by its share.
+  auto SetReachableShare(double share) -> void;
   // Records this node's share of the free slots of another cell, for requests
   // that find their own cell full. The shares of all nodes add up to no more
   // than the free slots, so that the other cell is not overloaded.
@@ -133,6 +152,8 @@
   auto OnStarted(const ReplicaId& replica, routing::WorkClass work_class)
       -> void;
   auto OnEnded(const ReplicaId& replica, routing::WorkClass work_class) -> void;
+  // Records that a request was sent again on another connection.
+  auto OnSentAgain(const ReplicaId& replica, std::uint32_t times) -> void;
   // Records how long a completed online request held its slot.
   auto OnHoldingTime(const ServiceName& service, Duration held) -> void;
   // Records a complete response; `first` is the time to its head or first
@@ -168,7 +189,14 @@
   // Returns the in-flight requests of this node and its peers at a service's
   // replicas in this cell, by class.
   auto Total(const ServiceName& service) const -> InFlight;
-  auto OwnBatch(const ServiceName& service) const -> std::uint32_t;
+  // Batch items at replicas without a limit.
+  struct BatchCounts {
+    std::uint32_t own = 0;
+    std::uint32_t fleet = 0;  // Of this node and its peers, in this cell.
+
+    auto operator==(const BatchCounts&) const -> bool = default;
+  };
+  auto YieldableBatch(const ServiceName& service) const -> BatchCounts;
   // Returns this node's in-flight requests by replica, to send to peers.
   auto own_counts() const -> InFlightCounts;
   auto slots(const ServiceName& service) const -> std::uint32_t;
@@ -198,17 +226,38 @@
     InFlightCounts counts;
     MonotonicTime at;
   };
+  // Room at the replicas of a service in this cell.
+  struct Room {
+    // Of replicas without a limit.
+    std::uint32_t slots = 0;
+    std::uint32_t in_flight = 0;
+    // Items that limited replicas take now. Running ones need not yield there
+    // for the sake of a reserve.
+    std::uint32_t batch_starts = 0;
+  };
   struct CellCapacity {
     std::uint32_t slots = 0;  // Slots that this node may use.
     MonotonicTime at;
   };
 
   auto IsUsable(const State& state, const ChoiceRequest& request) const -> bool;
+  // Whether the replica's limit leaves a start for the request. Only nodes of
+  // its cell know how many starts others make.
+  auto MayStart(const State& state, const ChoiceRequest& request) const -> bool;
+  auto IsOnlineShort(const ServiceName& service) const -> bool;
+  // Returns how many batch items may start at a limited replica.
+  auto BatchStarts(const State& state) const -> std::uint32_t;
+  // Returns the slots that requests use or may use now: at a limited replica
+  // those in use and the starts that it takes.
+  auto UsableSlots(const State& state) const -> std::uint32_t;
+  auto RoomOf(const ServiceName& service) const -> Room;
+  // Whether the replica belongs to this cell and takes work.
+  auto TakesWork(const State& state) const -> bool;
   auto IsUnreachable(const State& state) const -> bool {
     return clock_() < state.unreachable_until;
   }
   auto Estimate(const State& state) const -> std::uint32_t;
-  auto Score(const State& state) const -> double;
+  auto Score(const State& state, routing::WorkClass work_class) const -> double;
   // Returns how many requests may queue at a replica and still be on time.
   auto QueueLimit(const State& state, Duration latency_target) const
       -> std::uint32_t;
@@ -231,9 +280,12 @@
   std::map<ServiceName, std::vector<ReplicaId>> services_;
   std::map<NodeId, PeerCounts> peers_;
   std::map<ServiceName, double> hold_s_;
+  // When an online request last found the replicas full or at their limits.
+  std::map<ServiceName, MonotonicTime> online_short_at_;
   std::map<ServiceName, std::map<std::size_t, CellCapacity>> cell_capacities_;
   std::size_t cell_ = 0;
   std::size_t cells_ = 1;
+  double reachable_share_ = 1.0;
 };
 
 }  // namespace kumquatgauge::serving
--- a/include/kumquatgauge/serving/retry_after_estimator.h
+++ b/include/kumquatgauge/serving/retry_after_estimator.h
@@ -43,6 +43,12 @@
                   Duration hold,
                   Duration time_left,
                   double draw) const -> Duration;
+  // The same for callers that replicas at their limits do not take before
+  // `next_start`. They are spread over all the time that they can wait, since
+  // the replicas take them one by one.
+  auto RetryAfterStart(Duration next_start,
+                       Duration time_left,
+                       double draw) const -> Duration;
 
  private:
   struct Period {
--- a/src/serving/answer_report.cc
+++ b/src/serving/answer_report.cc
@@ -5,7 +5,8 @@
 auto ReportAnswer(const ReplicaId& replica,
                   const AnswerMetadata& metadata,
                   const Logger& logger,
-                  LoadBalancer& load_balancer) -> void {
+                  LoadBalancer& load_balancer,
+                  const std::function<auto()->void>& counts_changed) -> void {
   if (metadata.has_load) {
     load_balancer.OnReport(replica, metadata.running, metadata.waiting);
   }
@@ -21,6 +22,9 @@
   } else {
     load_balancer.OnStartLimit(replica, metadata.start_limit);
   }
+  if (load_balancer.start_limiter().has_news()) {
+    counts_changed();
+  }
   if (metadata.not_run) {
     load_balancer.OnRefused(replica);
   }
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -641,8 +641,9 @@
   // are this node's share.
   auto YieldShare(const ServiceName& service, std::uint64_t excess)
       -> std::size_t {
-    const auto all = std::max(1U, parts_.load_balancer.Total(service).batch);
-    const auto own = excess * parts_.load_balancer.OwnBatch(service);
+    const auto batch = parts_.load_balancer.YieldableBatch(service);
+    const auto all = std::max(1U, batch.fleet);
+    const auto own = excess * batch.own;
     return own / all + Fraction(own % all, all);
   }
 
@@ -671,10 +672,32 @@
     }
   }
 
+  // Returns the replica that runs an item; null while none does.
+  auto RunningAt(const ItemRef& ref) const -> const ReplicaId* {
+    const auto job = jobs_.find(ref.job);
+    if (job == jobs_.end()) {
+      return nullptr;
+    }
+    const auto progress = job->second->progress.find(ref.item);
+    return progress == job->second->progress.end() || !progress->second.call
+               ? nullptr
+               : &progress->second.replica;
+  }
+
+  // Whether a running item may stop for online requests. One at a limited
+  // replica goes on: it would need another start to resume.
+  auto MayYield(const ItemRef& ref) const -> bool {
+    const auto* replica = RunningAt(ref);
+    return replica != nullptr &&
+           !parts_.load_balancer.start_limiter().IsLimited(*replica);
+  }
+
   auto YieldItems(const ServiceName& service,
                   std::size_t count,
                   const std::string& reason) -> std::size_t {
-    const auto yields = schedule_.TakeYields(service, count, parts_.clock());
+    const auto yields = schedule_.TakeYields(
+        service, count, parts_.clock(),
+        [this](const ItemRef& ref) { return MayYield(ref); });
     for (const auto& ref : yields) {
       const auto job = jobs_.find(ref.job);
       if (job == jobs_.end()) {
@@ -744,8 +767,9 @@
     auto request = ChoiceRequest();
     request.service = *service;
     request.work_class = WorkClass::kBatch;
-    const auto choice = parts_.load_balancer.Choose(request);
     const auto urgent = schedule_.IsUrgent(ref, parts_.clock());
+    request.urgent = urgent;
+    const auto choice = parts_.load_balancer.Choose(request);
     const auto placed =
         choice.availability == Availability::kFree ||
         (urgent && choice.availability != Availability::kNoReplica);
@@ -768,6 +792,7 @@
     const auto call = parts_.replicas.Start(
         MakeItemRequest(*job, item, replica, progress), MakeFilter(item));
     progress.call = call;
+    progress.replica = replica.id;
     const auto began = parts_.clock();
     const auto state_version = job->version;
     const auto state_age = began - job->state_known_at;
@@ -779,6 +804,9 @@
     ReportToQuarantine(item, replica.id, *call, outcome,
                        job->progress[ref.item].last_event > events_before);
     parts_.load_balancer.OnEnded(replica.id, WorkClass::kBatch);
+    if (call->sends() > 1) {
+      parts_.load_balancer.OnSentAgain(replica.id, call->sends() - 1);
+    }
     parts_.counts_changed();
     const auto failed =
         outcome.end == ItemEnd::kFailed ||
@@ -883,7 +911,8 @@
     const auto head = call->head();
     const auto metadata =
         parts_.dialect.decode_answer(head.status, head.headers);
-    ReportAnswer(replica.id, metadata, logger_, parts_.load_balancer);
+    ReportAnswer(replica.id, metadata, logger_, parts_.load_balancer,
+                 parts_.counts_changed);
     if (head.status != kOk) {
       co_return OutcomeOfStatus(head.status, metadata);
     }
--- a/src/serving/batch_schedule.cc
+++ b/src/serving/batch_schedule.cc
@@ -106,7 +106,9 @@
 
 auto BatchSchedule::TakeYields(const ServiceName& service,
                                std::size_t count,
-                               MonotonicTime now) -> std::vector<ItemRef> {
+                               MonotonicTime now,
+                               const MayYield& may_yield)
+    -> std::vector<ItemRef> {
   // Sorted by whether the due time can be met, then by progress.
   auto candidates = std::vector<std::tuple<bool, std::uint64_t, ItemRef>>();
   for (const auto& [id, job] : jobs_) {
@@ -115,9 +117,10 @@
     }
     for (const auto& [index, item] : job.items) {
       const auto priority = PriorityOf(job, item, now);
-      if (item.running && !item.yielding && !IsUrgent(priority)) {
-        candidates.emplace_back(!priority.due_unreachable, item.events,
-                                ItemRef{id, index});
+      const auto ref = ItemRef{id, index};
+      if (item.running && !item.yielding && !IsUrgent(priority) &&
+          (!may_yield || may_yield(ref))) {
+        candidates.emplace_back(!priority.due_unreachable, item.events, ref);
       }
     }
   }
--- a/src/serving/batch_schedule_test.cc
+++ b/src/serving/batch_schedule_test.cc
@@ -206,5 +206,18 @@
   CHECK(given_up.front() == ItemRef{kLate, 0});
 }
 
+// Guards against items that stop at a replica where this frees nothing.
+TEST_CASE("BatchSchedule.StopsOnlyItemsThatMayYield") {
+  auto fixture = Fixture();
+  fixture.schedule.Add(fixture.Job(kLate, seconds(40), 3), {});
+  const auto started =
+      fixture.schedule.TakeStarts(kService, 3, 0, fixture.clock.now());
+  REQUIRE(started.size() == 3);
+  const auto yields = fixture.schedule.TakeYields(
+      kService, 3, fixture.clock.now(),
+      [&](const ItemRef& ref) { return ref == started[1]; });
+  CHECK(yields == std::vector<ItemRef>{started[1]});
+}
+
 }  // namespace
 }  // namespace kumquatgauge::serving
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -37,6 +37,12 @@
 // refused. A caller that is refused early has time to retry and still be served
 // on time.
 constexpr double kWaitShare = 0.2;
+// Minimum time until a request that waits for a replica below its limit looks
+// again.
+constexpr milliseconds kMinStartWait{5};
+// How long a request that may have run, and can no longer be refused, waits for
+// a replica below its limit; less than the gap at which callers give up.
+constexpr milliseconds kMaxContinuationWait{1'000};
 // Silence timeouts of requests that may be repeated, as multiples of the
 // latency target and of the longest gap between events. A request is sent to
 // another replica after them. They exceed the ordinary queueing delay of a
@@ -230,29 +236,38 @@
     const auto began = parts_.clock();
     auto max_wait = std::chrono::duration_cast<Duration>(
         exchange->route->latency_target * kWaitShare);
-    const auto start_by = exchange->incoming->arrived + max_wait;
+    auto start_by = exchange->incoming->arrived + max_wait;
     const auto urgency = Urgency{exchange->route->rank, start_by};
+    if (request.even_if_full) {
+      // Only limits of the replicas can hold it up.
+      start_by = std::min(exchange->deadline, began + kMaxContinuationWait);
+    }
     auto ticket = std::optional<WaitQueue::Ticket>();
     while (true) {
       const auto must_queue =
           !ticket && wait_queue_.MustWait(exchange->service, urgency);
       exchange->choice = parts_.load_balancer.Choose(request);
-      if (exchange->choice.availability != Availability::kFree &&
-          parts_.yield_batch_slot(exchange->service)) {
-        exchange->choice = parts_.load_balancer.Choose(request);
-      }
+      YieldForOnline(*exchange, request);
       const auto placed = HasRoom(exchange->choice) && !must_queue;
       const auto no_replica =
           exchange->choice.availability == Availability::kNoReplica;
       if (placed || no_replica || exchange->writer->disconnected() ||
-          parts_.clock() >= start_by) {
+          parts_.clock() >= start_by ||
+          parts_.clock() +
+                  exchange->choice.next_start.value_or(Duration::zero()) >
+              start_by) {
         break;
       }
       if (!ticket) {
         ticket = wait_queue_.Enqueue(exchange->service, urgency);
         ++waiting_services_[exchange->service];
       }
-      co_await WaitForRoom(*ticket, start_by);
+      auto until = start_by;
+      if (exchange->choice.next_start) {
+        until = std::min(until, parts_.clock() + kMinStartWait +
+                                    *exchange->choice.next_start);
+      }
+      co_await WaitForRoom(*ticket, until);
     }
     if (ticket) {
       wait_queue_.Remove(exchange->service, *ticket);
@@ -265,13 +280,33 @@
         static_cast<double>(ToMilliseconds(parts_.clock() - began).count()));
     if (!HasRoom(exchange->choice)) {
       exchange->choice.replica.reset();
-      retry_after_estimator_.OnFull(exchange->service, parts_.clock());
+      if (!exchange->choice.next_start) {
+        retry_after_estimator_.OnFull(exchange->service, parts_.clock());
+      }
     }
     if (ticket) {
       OnCapacityFreed();
     }
   }
 
+  // Stops a batch item and chooses again if the request found no free slot
+  // except at a limited replica, whose starts are saved for bursts.
+  auto YieldForOnline(Exchange& exchange, ChoiceRequest request) -> void {
+    const auto& choice = exchange.choice;
+    const auto has_slot =
+        choice.availability == Availability::kFree && !choice.limited;
+    // A slot does not help if the replicas take no further start.
+    if (has_slot || choice.next_start ||
+        !parts_.yield_batch_slot(exchange.service)) {
+      return;
+    }
+    request.avoid_limited = choice.limited;
+    const auto after_yield = parts_.load_balancer.Choose(request);
+    if (HasRoom(after_yield) || !choice.limited) {
+      exchange.choice = after_yield;
+    }
+  }
+
   auto WaitForRoom(WaitQueue::Ticket ticket, MonotonicTime until)
       -> awaitable<void> {
     auto timer = std::make_shared<asio::steady_timer>(parts_.executor, until);
@@ -387,7 +422,8 @@
     const auto metadata = parts_.dialect.decode_answer(exchange.head.status,
                                                        exchange.head.headers);
     attempt.not_run = metadata.not_run || metadata.wrong_replica;
-    ReportAnswer(replica, metadata, logger_, parts_.load_balancer);
+    ReportAnswer(replica, metadata, logger_, parts_.load_balancer,
+                 parts_.counts_changed);
   }
 
   auto ReadAnswer(ExchangePtr exchange, MonotonicTime began)
@@ -503,6 +539,9 @@
     exchange.call.reset();
     exchange.writer->OnDisconnect(nullptr);
     parts_.load_balancer.OnEnded(replica.id, WorkClass::kOnline);
+    if (sends > 1) {
+      parts_.load_balancer.OnSentAgain(replica.id, sends - 1);
+    }
     parts_.counts_changed();
     const auto not_run = attempt.not_run || !attempt.bytes_sent;
     // When the replica refused the last send, an earlier one may still have
@@ -618,6 +657,9 @@
       return "replicas crash on part " + PartName(exchange.admission.part) +
              " of the prompt";
     }
+    if (exchange.choice.next_start) {
+      return "all replicas are at the limits that they named";
+    }
     return exchange.choice.availability == Availability::kNoReplica
                ? "no replica is known"
                : "all replicas are full";
@@ -642,6 +684,10 @@
     constexpr std::uint64_t kSteps = 1'000;
     const auto draw = static_cast<double>(parts_.random() % kSteps) / kSteps;
     const auto now = parts_.clock();
+    if (const auto& next_start = exchange.choice.next_start) {
+      return ToMilliseconds(retry_after_estimator_.RetryAfterStart(
+          *next_start, exchange.deadline - now, draw));
+    }
     return ToMilliseconds(retry_after_estimator_.RetryAfter(
         exchange.service, now, parts_.load_balancer.mean_hold(exchange.service),
         exchange.deadline - now, draw));
@@ -677,6 +723,7 @@
          {"limited", exchange.limited ? "true" : "false"},
          {"report_age_ms", Text(choice.report_age)},
          {"candidates", std::to_string(choice.candidates)},
+         {"at_limit", std::to_string(choice.at_limit)},
          {"waited_ms", Text(exchange.waited)},
          {"first_ms", Text(exchange.first_event)},
          {"total_ms", Text(total)},
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -35,6 +35,7 @@
 #include "kumquatgauge/serving/watcher_choice.h"
 #include "kumquatgauge/upstream/replica_call.h"
 #include "serving/part_report_codec.h"
+#include "serving/start_report_codec.h"
 #include "serving/store_options.h"
 
 namespace kumquatgauge::serving {
@@ -111,6 +112,9 @@
 // Keeps datagrams small enough not to be fragmented; an entry takes its id and
 // a few bytes.
 constexpr std::size_t kCountsPerDatagram = 40;
+// The same for reports about replicas with limits; an entry takes up to 50
+// bytes.
+constexpr std::ptrdiff_t kReportsPerDatagram = 25;
 
 auto MakeGossipSettings(const GatewaySettings& settings)
     -> node::GossipSettings {
@@ -684,6 +688,7 @@
     }
     peers_ = std::move(alive);
     AssignCells(nodes);
+    load_balancer_.SetReachableShare(ReachableShare());
     const auto size =
         static_cast<std::uint32_t>(std::max<std::size_t>(1, nodes.size()));
     store_client_.SetFleetSize(size);
@@ -691,6 +696,22 @@
     batch_.OnMembersChanged();
   }
 
+  // Returns the share of the fleet's nodes that are alive. Those that have
+  // stopped as planned do not count.
+  auto ReachableShare() const -> double {
+    auto alive = std::size_t{0};
+    auto dead = std::size_t{0};
+    for (const auto& record : gossip_.membership().records()) {
+      dead += record.state == control::MemberState::kDead ? 1 : 0;
+      alive += record.state == control::MemberState::kAlive ||
+                       record.state == control::MemberState::kLeaving
+                   ? 1
+                   : 0;
+    }
+    return static_cast<double>(std::max<std::size_t>(1, alive)) /
+           static_cast<double>(std::max<std::size_t>(1, alive + dead));
+  }
+
   // Finds the other nodes through the seeds of the settings and, since all of
   // these may be down or replaced, through the registry in the store.
   auto JoinFleet() -> awaitable<void> {
@@ -733,16 +754,27 @@
     }
     cell_peers_.clear();
     other_cells_.clear();
+    auto cell_nodes = std::vector<NodeId>();
+    auto self = std::size_t{0};
     for (std::size_t at = 0; at < order.size(); ++at) {
       const auto& node = order[at].second;
       if (cell_of(at) != own) {
         other_cells_.push_back(node.node_address);
-      } else if (node.id != settings_.name) {
+        continue;
+      }
+      if (node.id != settings_.name) {
         cell_peers_.push_back(node.node_address);
+      } else {
+        self = cell_nodes.size();
       }
+      cell_nodes.push_back(node.id);
+    }
+    if (cell_nodes.empty()) {
+      cell_nodes.push_back(settings_.name);  // This node leaves, alone.
     }
     cell_ = own;
     load_balancer_.SetCell(own, cells);
+    load_balancer_.start_limiter().SetNodes(std::move(cell_nodes), self);
   }
 
   auto IsDeadOrLeft(const NodeId& id) const -> bool {
@@ -759,6 +791,10 @@
         OnPeerCounts(from, message);
       } else if (type == "room") {
         OnCellCapacity(message);
+      } else if (type == "limit") {
+        load_balancer_.start_limiter().OnReports(
+            from, message.at("r").get<std::uint64_t>(),
+            detail::DecodeStartReports(message.at("l")));
       } else if (type == "crash") {
         quarantine_.OnReport(detail::DecodeReports(message.at("p")));
       } else if (type == "job") {
@@ -786,6 +822,8 @@
   auto OnCellCapacity(const json& message) -> void {
     const auto cell = message.at("c").get<std::size_t>();
     const auto outside = message.at("o").get<std::size_t>();
+    load_balancer_.start_limiter().OnLimits(
+        detail::DecodeStartReports(message.value("l", json::array())));
     for (const auto& [service, free_slots] : message.at("r").items()) {
       load_balancer_.OnCellCapacity(cell, ServiceName(service),
                                     free_slots.get<std::uint32_t>(), outside);
@@ -805,11 +843,14 @@
         slots_by_service[service.value()] = free_slots;
       }
     }
-    const auto message = json{{"t", "room"},
-                              {"n", settings_.name.value()},
-                              {"c", cell_},
-                              {"o", other_cells_.size()},
-                              {"r", std::move(slots_by_service)}};
+    const auto message = json{
+        {"t", "room"},
+        {"n", settings_.name.value()},
+        {"c", cell_},
+        {"o", other_cells_.size()},
+        {"r", std::move(slots_by_service)},
+        {"l",
+         detail::EncodeStartReports(load_balancer_.start_limiter().limits())}};
     for (const auto& address : other_cells_) {
       gossip_.SendDatagram(address, message);
     }
@@ -856,6 +897,38 @@
     for (const auto& address : cell_peers_) {
       gossip_.SendDatagram(address, message);
     }
+    SendStartReports(false);
+  }
+
+  // Tells the nodes of the cell how many requests this node has sent to
+  // replicas with limits, and the limits that it was told.
+  auto SendStartReports(bool everything) -> void {
+    const auto reports = load_balancer_.start_limiter().TakeReports(everything);
+    for (auto first = reports.begin(); first != reports.end();) {
+      const auto size = std::min<std::ptrdiff_t>(
+          kReportsPerDatagram, std::distance(first, reports.end()));
+      const auto message =
+          json{{"t", "limit"},
+               {"n", settings_.name.value()},
+               {"r", run_},
+               {"l", detail::EncodeStartReports({first, first + size})}};
+      for (const auto& address : cell_peers_) {
+        gossip_.SendDatagram(address, message);
+      }
+      first += size;
+    }
+  }
+
+  // Repeats the reports, since datagrams may be lost, and tells nodes that have
+  // started what the others know.
+  auto UpdateStartLimits() -> void {
+    for (const auto& change : load_balancer_.start_limiter().TakeChanges()) {
+      LogStartLimit(change);
+    }
+    if (SteadyNow() - start_reports_sent_ >= kCountsRefreshInterval) {
+      start_reports_sent_ = SteadyNow();
+      SendStartReports(true);
+    }
   }
 
   // --- Prompt parts on which replicas crash.
@@ -1076,28 +1149,26 @@
 
   auto RunMaintenance() -> void {
     maintenance_timer_.expires_after(kMaintenanceInterval);
-    maintenance_timer_.async_wait([this](
-                                      const boost::system::error_code& error) {
-      if (error) {
-        return;
-      }
-      if (replica_table_.OnTick()) {
-        ApplyReplicas();
-      }
-      for (const auto& change : load_balancer_.OnTick()) {
-        LogEjection(change);
-      }
-      if (!counts_empty_ &&
-          SteadyNow() - counts_sent_ >= kCountsRefreshInterval) {
-        SendCounts();
-      }
-      for (const auto& change : load_balancer_.start_limiter().TakeChanges()) {
-        LogStartLimit(change);
-      }
-      SendCellCapacity();
-      UpdateQuarantine();
-      RunMaintenance();
-    });
+    maintenance_timer_.async_wait(
+        [this](const boost::system::error_code& error) {
+          if (error) {
+            return;
+          }
+          if (replica_table_.OnTick()) {
+            ApplyReplicas();
+          }
+          for (const auto& change : load_balancer_.OnTick()) {
+            LogEjection(change);
+          }
+          if (!counts_empty_ &&
+              SteadyNow() - counts_sent_ >= kCountsRefreshInterval) {
+            SendCounts();
+          }
+          UpdateStartLimits();
+          SendCellCapacity();
+          UpdateQuarantine();
+          RunMaintenance();
+        });
   }
 
   auto LogEjection(const routing::EjectionChange& change) -> void {
@@ -1239,6 +1310,8 @@
   std::vector<std::string> cell_peers_;   // Addresses.
   std::vector<std::string> other_cells_;  // Addresses.
   MonotonicTime counts_sent_;
+  MonotonicTime start_reports_sent_;
+  std::uint64_t run_ = DrawRandom();  // Differs after each start.
   bool counts_pending_ = false;
   bool counts_empty_ = true;
   bool store_lost_ = false;
--- a/src/serving/load_balancer.cc
+++ b/src/serving/load_balancer.cc
@@ -52,7 +52,7 @@
       clock_(std::move(clock)),
       random_(std::move(random)),
       outliers_(MakeOutlierSettings(), clock_),
-      start_limiter_(clock_) {}
+      start_limiter_(StartLimiterSettings(), clock_) {}
 
 auto LoadBalancer::SetReplicas(const std::vector<Replica>& replicas) -> void {
   auto states = std::map<ReplicaId, State>();
@@ -89,6 +89,11 @@
   AssignReplicasToCells();
 }
 
+auto LoadBalancer::SetReachableShare(double share) -> void {
+  reachable_share_ = share;
+  AssignReplicasToCells();
+}
+
 auto LoadBalancer::AssignReplicasToCells() -> void {
   // With fewer replicas a cell would depend on a single one.
   constexpr std::size_t kMinReplicasPerCell = 2;
@@ -103,6 +108,8 @@
       auto& state = states_.at(order[at].second);
       state.cell = at * cells_ / order.size();
       state.in_cell = shared || state.cell == cell_;
+      const auto cells = shared ? static_cast<double>(cells_) : 1.0;
+      start_limiter_.SetShare(order[at].second, reachable_share_ / cells);
     }
   }
 }
@@ -124,9 +131,10 @@
     -> std::map<ServiceName, std::uint32_t> {
   auto capacities = std::map<ServiceName, std::uint32_t>();
   for (const auto& [service, ids] : services_) {
-    const auto all = slots(service);
-    const auto taken = Total(service).total();
-    capacities[service] = all > taken ? all - taken : 0;
+    // Nodes of other cells do not send to limited replicas.
+    const auto room = RoomOf(service);
+    capacities[service] =
+        room.slots > room.in_flight ? room.slots - room.in_flight : 0;
   }
   return capacities;
 }
@@ -146,7 +154,8 @@
     const auto capacity = by_cell.find(state.cell);
     if (state.in_cell || capacity == by_cell.end() ||
         capacity->second.slots == 0 || capacity->second.at < oldest ||
-        !IsUsable(state, request) || IsUnreachable(state) ||
+        !IsUsable(state, request) || !MayStart(state, request) ||
+        IsUnreachable(state) ||
         outliers_.state(id) != routing::EjectionState::kInUse ||
         Estimate(state) >= state.replica.capacity) {
       continue;
@@ -179,6 +188,51 @@
          tried == request.tried.end();
 }
 
+auto LoadBalancer::MayStart(const State& state,
+                            const ChoiceRequest& request) const -> bool {
+  const auto& id = state.replica.id;
+  if (!start_limiter_.IsLimited(id)) {
+    return true;
+  }
+  const auto patient =
+      request.work_class == WorkClass::kBatch && !request.urgent;
+  return state.in_cell && !request.avoid_limited &&
+         start_limiter_.MayStart(id, request.work_class, request.urgent) &&
+         (!patient || BatchStarts(state) > 0);
+}
+
+auto LoadBalancer::IsOnlineShort(const ServiceName& service) const -> bool {
+  const auto found = online_short_at_.find(service);
+  return found != online_short_at_.end() &&
+         clock_() - found->second < settings_.online_shortage_time;
+}
+
+auto LoadBalancer::BatchStarts(const State& state) const -> std::uint32_t {
+  if (IsOnlineShort(state.replica.service)) {
+    return 0;
+  }
+  const auto most = static_cast<std::uint32_t>(state.replica.capacity *
+                                               settings_.limited_batch_share);
+  const auto batch = state.own.batch + state.peers.batch;
+  return std::min(most - std::min(most, batch),
+                  start_limiter_.available(state.replica.id));
+}
+
+auto LoadBalancer::TakesWork(const State& state) const -> bool {
+  return !state.gone && !state.replica.leaving && state.in_cell &&
+         !IsUnreachable(state) &&
+         outliers_.state(state.replica.id) != routing::EjectionState::kEjected;
+}
+
+auto LoadBalancer::UsableSlots(const State& state) const -> std::uint32_t {
+  const auto capacity = state.replica.capacity;
+  if (!start_limiter_.IsLimited(state.replica.id)) {
+    return capacity;
+  }
+  return std::min(capacity, state.own.total() + state.peers.total() +
+                                start_limiter_.available(state.replica.id));
+}
+
 // Peers send counts at intervals and the replica's report is outdated, so
 // neither includes all requests. The larger of the two misses fewer.
 auto LoadBalancer::Estimate(const State& state) const -> std::uint32_t {
@@ -192,7 +246,8 @@
   return state.own.total() + others;
 }
 
-auto LoadBalancer::Score(const State& state) const -> double {
+auto LoadBalancer::Score(const State& state, WorkClass work_class) const
+    -> double {
   const auto slots = static_cast<double>(state.replica.capacity);
   auto score = Estimate(state) / slots;
   if (state.replica.zone != zone_) {
@@ -201,6 +256,17 @@
   if (clock_() < state.full_until) {
     score += 1.0;
   }
+  // An item runs many times longer than an online request. A replica that takes
+  // few starts does the most with items, and they leave the slots of the others
+  // to online requests. These come here rather than queue elsewhere.
+  if (start_limiter_.IsLimited(state.replica.id)) {
+    constexpr double kJustBelowFull = 0.99;
+    if (work_class == WorkClass::kBatch) {
+      score -= 1.0;
+    } else if (score < kJustBelowFull) {
+      score = kJustBelowFull + (1.0 - kJustBelowFull) * score;
+    }
+  }
   return score;
 }
 
@@ -231,11 +297,20 @@
   auto ties = std::uint64_t{0};
   auto preferred = std::uint64_t{0};
   const State* affinity_replica = nullptr;
+  auto next_start = std::optional<Duration>();
   for (const auto& id : service->second) {
     const auto& state = states_.at(id);
     if (!IsUsable(state, request)) {
       continue;
     }
+    if (!MayStart(state, request)) {
+      ++choice.at_limit;
+      if (state.in_cell) {
+        const auto next = start_limiter_.NextStart(id);
+        next_start = std::min(next, next_start.value_or(next));
+      }
+      continue;
+    }
     const auto ejection = outliers_.state(id);
     const auto probing_now =
         ejection == routing::EjectionState::kProbing && state.own.total() > 0;
@@ -260,7 +335,7 @@
         preferred = rank;
       }
     }
-    const auto score = Score(state);
+    const auto score = Score(state, request.work_class);
     if (best == nullptr || score < best_score) {
       best = &state;
       best_score = score;
@@ -271,7 +346,8 @@
   }
   if (affinity_replica != nullptr && best != nullptr &&
       Estimate(*affinity_replica) < affinity_replica->replica.capacity &&
-      Score(*affinity_replica) <= best_score + settings_.affinity_margin) {
+      Score(*affinity_replica, request.work_class) <=
+          best_score + settings_.affinity_margin) {
     best = affinity_replica;
   }
   const auto full =
@@ -289,13 +365,23 @@
     // refusing.
     best = ejected;
   }
+  const auto online = request.work_class == WorkClass::kOnline;
+  if (online && choice.at_limit > 0 && !request.avoid_limited &&
+      (best == nullptr || Estimate(*best) >= best->replica.capacity)) {
+    online_short_at_[request.service] = clock_();
+  }
   if (best == nullptr) {
+    if (choice.at_limit > 0) {
+      choice.availability = Availability::kFull;
+      choice.next_start = next_start.value_or(settings_.initial_hold);
+    }
     return choice;
   }
   const auto in_flight = Estimate(*best);
   choice.replica = best->replica;
   choice.in_flight = in_flight;
   choice.slots = best->replica.capacity;
+  choice.limited = start_limiter_.IsLimited(best->replica.id);
   const auto now = clock_();
   const auto report = best->report;
   if (report.has_value()) {
@@ -313,8 +399,14 @@
   return choice;
 }
 
+auto LoadBalancer::OnSentAgain(const ReplicaId& replica, std::uint32_t times)
+    -> void {
+  start_limiter_.OnStarted(replica, times);
+}
+
 auto LoadBalancer::OnStarted(const ReplicaId& replica, WorkClass work_class)
     -> void {
+  start_limiter_.OnStarted(replica);
   const auto found = states_.find(replica);
   if (found != states_.end()) {
     ++CountOf(found->second.own, work_class);
@@ -442,11 +534,33 @@
 
 auto LoadBalancer::BatchCapacity(const ServiceName& service) const
     -> std::int64_t {
-  const auto total = Total(service);
-  const auto all = static_cast<double>(slots(service));
+  const auto room = RoomOf(service);
   const auto usable =
-      static_cast<std::int64_t>(all * (1.0 - settings_.batch_reserve));
-  return usable - static_cast<std::int64_t>(total.total());
+      static_cast<std::int64_t>(room.slots * (1.0 - settings_.batch_reserve));
+  return usable - static_cast<std::int64_t>(room.in_flight) +
+         static_cast<std::int64_t>(room.batch_starts);
+}
+
+auto LoadBalancer::RoomOf(const ServiceName& service) const -> Room {
+  auto room = Room();
+  const auto found = services_.find(service);
+  if (found == services_.end()) {
+    return room;
+  }
+  for (const auto& id : found->second) {
+    const auto& state = states_.at(id);
+    const auto in_flight = state.own.total() + state.peers.total();
+    if (state.gone || state.replica.leaving || !state.in_cell) {
+      continue;
+    }
+    if (start_limiter_.IsLimited(id)) {
+      room.batch_starts += TakesWork(state) ? BatchStarts(state) : 0;
+      continue;
+    }
+    room.in_flight += in_flight;
+    room.slots += TakesWork(state) ? state.replica.capacity : 0;
+  }
+  return room;
 }
 
 auto LoadBalancer::UrgentBatchCapacity(const ServiceName& service) const
@@ -474,15 +588,24 @@
   return total;
 }
 
-auto LoadBalancer::OwnBatch(const ServiceName& service) const -> std::uint32_t {
-  auto count = std::uint32_t{0};
+auto LoadBalancer::YieldableBatch(const ServiceName& service) const
+    -> BatchCounts {
+  auto counts = BatchCounts();
   const auto found = services_.find(service);
-  if (found != services_.end()) {
-    for (const auto& id : found->second) {
-      count += states_.at(id).own.batch;
+  if (found == services_.end()) {
+    return counts;
+  }
+  for (const auto& id : found->second) {
+    const auto& state = states_.at(id);
+    if (start_limiter_.IsLimited(id)) {
+      continue;
+    }
+    counts.own += state.own.batch;
+    if (!state.gone && !state.replica.leaving && state.in_cell) {
+      counts.fleet += state.own.batch + state.peers.batch;
     }
   }
-  return count;
+  return counts;
 }
 
 auto LoadBalancer::own_counts() const -> InFlightCounts {
@@ -503,11 +626,8 @@
   }
   for (const auto& id : found->second) {
     const auto& state = states_.at(id);
-    const auto ejected =
-        outliers_.state(id) == routing::EjectionState::kEjected;
-    if (!state.gone && !state.replica.leaving && !ejected &&
-        !IsUnreachable(state) && state.in_cell) {
-      all += state.replica.capacity;
+    if (TakesWork(state)) {
+      all += UsableSlots(state);
     }
   }
   return all;
--- a/src/serving/load_balancer_test.cc
+++ b/src/serving/load_balancer_test.cc
@@ -1,5 +1,6 @@
 #include "kumquatgauge/serving/load_balancer.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 #include <random>
@@ -331,5 +332,183 @@
   CHECK(IdOf(fixture.balancer.Choose(request)) != home);
 }
 
+// Uses up the starts saved at a replica.
+auto UseUpStarts(Fixture& fixture, const ReplicaId& replica) -> void {
+  auto& limiter = fixture.balancer.start_limiter();
+  while (limiter.MayStart(replica, WorkClass::kOnline, false)) {
+    limiter.OnStarted(replica);
+  }
+}
+
+// Guards against requests that reach a replica at its limit by any way: first
+// attempts, those that go on whether there is a slot or not, and items.
+TEST_CASE("LoadBalancer.SendsNothingToAReplicaAtItsLimit") {
+  auto fixture = Fixture();
+  const auto limited = ReplicaId("r1");
+  fixture.balancer.OnStartLimit(limited, 1.0);
+  auto request = fixture.Request();
+  const auto check = [&] {
+    for (auto draw = 0; draw < 20; ++draw) {
+      const auto choice = fixture.balancer.Choose(request);
+      CHECK(IdOf(choice) != limited);
+      CHECK(choice.at_limit == 1);
+    }
+  };
+  check();
+  request.even_if_full = true;
+  check();
+  request = fixture.Request();
+  request.work_class = WorkClass::kBatch;
+  check();
+  request.urgent = true;
+  check();
+  // Not even if no other replica takes a connection.
+  fixture.balancer.OnUnreachable(ReplicaId("r2"));
+  fixture.balancer.OnUnreachable(ReplicaId("r3"));
+  check();
+}
+
+// Guards against requests that wait for a slot although none would help, and
+// against a refusal that does not know when to come back.
+TEST_CASE("LoadBalancer.TellsWhenAReplicaTakesTheNextRequest") {
+  auto fixture = Fixture();
+  for (const auto* id : {"r1", "r2", "r3"}) {
+    fixture.balancer.OnStartLimit(ReplicaId(id), 2.0);
+  }
+  const auto choice = fixture.balancer.Choose(fixture.Request());
+  CHECK(choice.availability == Availability::kFull);
+  CHECK_FALSE(choice.replica);
+  REQUIRE(choice.next_start);
+  const auto next = choice.next_start.value_or(Duration::zero());
+  CHECK(next == milliseconds(500));
+  fixture.clock.Advance(next + milliseconds(1));
+  CHECK(fixture.SendOne().availability == Availability::kFree);
+}
+
+// Load pattern: most replicas limited, others with free slots. Guards against
+// online requests that use up the few starts, which items need more.
+TEST_CASE("LoadBalancer.PrefersFreeSlotsElsewhereToLimitedStarts") {
+  auto fixture = Fixture();
+  const auto limited = ReplicaId("r1");
+  fixture.balancer.OnStartLimit(limited, 10.0);
+  fixture.clock.Advance(std::chrono::seconds(2));
+  for (auto request = 0U; request < 2 * kSlots; ++request) {
+    CHECK(IdOf(fixture.SendOne()) != limited);
+  }
+  // It is used before anything queues at the others.
+  const auto choice = fixture.SendOne();
+  CHECK(IdOf(choice) == limited);
+  CHECK(choice.limited);
+  CHECK(choice.availability == Availability::kFree);
+}
+
+TEST_CASE("LoadBalancer.PlacesItemsAtLimitedReplicasFirst") {
+  auto fixture = Fixture();
+  const auto limited = ReplicaId("r1");
+  fixture.balancer.OnStartLimit(limited, 10.0);
+  fixture.clock.Advance(std::chrono::seconds(2));
+  auto request = fixture.Request();
+  request.work_class = WorkClass::kBatch;
+  auto placed = 0U;
+  while (IdOf(fixture.balancer.Choose(request)) == limited) {
+    fixture.balancer.OnStarted(limited, WorkClass::kBatch);
+    ++placed;
+    fixture.clock.Advance(std::chrono::seconds(2));
+  }
+  // The rest of its slots is for the online requests of a burst.
+  CHECK(placed == kSlots * 3 / 4);
+}
+
+// Guards against free slots of replicas that take no further start: they count
+// neither as room for items nor as room for other cells, and items there do not
+// yield.
+TEST_CASE("LoadBalancer.CountsStartsRatherThanSlotsOfLimitedReplicas") {
+  auto fixture = Fixture();
+  for (const auto* id : {"r1", "r2", "r3"}) {
+    fixture.balancer.OnStartLimit(ReplicaId(id), 1.0);
+  }
+  CHECK(fixture.balancer.slots(kService) == 0);
+  CHECK(fixture.balancer.BatchCapacity(kService) == 0);
+  CHECK(fixture.balancer.free_cell_slots().at(kService) == 0);
+  fixture.balancer.OnPeerCounts(NodeId("n2"), {{ReplicaId("r1"), {0, 8}}});
+  CHECK(fixture.balancer.BatchCapacity(kService) == 0);
+  CHECK(fixture.balancer.YieldableBatch(kService) ==
+        LoadBalancer::BatchCounts{0, 0});
+  fixture.clock.Advance(std::chrono::seconds(1));
+  CHECK(fixture.balancer.BatchCapacity(kService) == 2);
+  CHECK(fixture.balancer.free_cell_slots().at(kService) == 0);
+}
+
+// Guards against nodes of other cells, which do not hear how many requests the
+// replica gets, and against cells that each use the whole limit.
+TEST_CASE("LoadBalancer.LeavesLimitedReplicasOfOtherCellsAlone") {
+  auto fixture = Fixture();
+  auto replicas = std::vector<Replica>();
+  for (const auto* id : {"r1", "r2", "r3", "r4"}) {
+    replicas.push_back(MakeReplica(id));
+  }
+  fixture.balancer.SetReplicas(replicas);
+  fixture.balancer.SetCell(0, 2);
+  auto in_cell = std::vector<ReplicaId>();
+  for (auto draw = 0; draw < 50; ++draw) {
+    in_cell.push_back(IdOf(fixture.balancer.Choose(fixture.Request())));
+  }
+  for (const auto& replica : replicas) {
+    const auto own =
+        std::find(in_cell.begin(), in_cell.end(), replica.id) != in_cell.end();
+    fixture.balancer.OnStartLimit(replica.id, own ? 0.0 : 1e6);
+  }
+  fixture.clock.Advance(std::chrono::seconds(1));
+  fixture.balancer.OnCellCapacity(1, kService, 100, 1);
+  const auto choice = fixture.balancer.Choose(fixture.Request());
+  CHECK_FALSE(choice.replica);
+  CHECK(choice.at_limit == 4);
+}
+
+// Guards against a service shared by all cells whose replicas get a whole limit
+// from each of them.
+TEST_CASE("LoadBalancer.DividesLimitsOfSharedReplicasAmongTheCells") {
+  auto fixture = Fixture();
+  fixture.balancer.SetCell(0, 3);
+  const auto limited = ReplicaId("r1");
+  fixture.balancer.OnStartLimit(limited, 3.0);
+  fixture.clock.Advance(milliseconds(900));
+  CHECK_FALSE(fixture.balancer.start_limiter().MayStart(
+      limited, WorkClass::kOnline, false));
+  UseUpStarts(fixture, limited);
+  fixture.clock.Advance(milliseconds(1'600));
+  CHECK(fixture.balancer.start_limiter().MayStart(limited, WorkClass::kOnline,
+                                                  false));
+}
+
+// Guards against sends of the connection pool that nobody counts.
+TEST_CASE("LoadBalancer.CountsRequestsThatWereSentAgain") {
+  auto fixture = Fixture();
+  const auto limited = ReplicaId("r1");
+  fixture.balancer.OnStartLimit(limited, 1.0);
+  fixture.clock.Advance(std::chrono::seconds(10));
+  const auto before = fixture.balancer.start_limiter().available(limited);
+  fixture.balancer.OnSentAgain(limited, 1);
+  CHECK(fixture.balancer.start_limiter().available(limited) == before - 1);
+}
+
+// Guards against items that take the starts for which online requests wait.
+TEST_CASE("LoadBalancer.StartsNoItemsAtLimitsWhereOnlineRequestsFindNothing") {
+  auto fixture = Fixture();
+  for (const auto* id : {"r1", "r2", "r3"}) {
+    fixture.balancer.OnStartLimit(ReplicaId(id), 4.0);
+  }
+  CHECK(fixture.balancer.Choose(fixture.Request()).next_start);
+  fixture.clock.Advance(milliseconds(400));
+  auto batch = fixture.Request();
+  batch.work_class = WorkClass::kBatch;
+  CHECK_FALSE(fixture.balancer.Choose(batch).replica);
+  batch.urgent = true;
+  CHECK(fixture.balancer.Choose(batch).replica);
+  batch.urgent = false;
+  fixture.clock.Advance(milliseconds(600));
+  CHECK(fixture.balancer.Choose(batch).replica);
+}
+
 }  // namespace
 }  // namespace kumquatgauge::serving
--- a/src/serving/owned_job.h
+++ b/src/serving/owned_job.h
@@ -22,6 +22,7 @@
   std::string text;
   std::uint64_t last_event = 0;
   std::shared_ptr<upstream::ReplicaCaller::Call> call;  // While it runs.
+  ReplicaId replica;  // That runs it, or ran it last.
 };
 
 // A job that this node owns and runs.
--- a/src/serving/retry_after_estimator.cc
+++ b/src/serving/retry_after_estimator.cc
@@ -43,4 +43,12 @@
   return std::min(max_wait, earliest + Scale(latest - earliest, draw));
 }
 
+auto RetryAfterEstimator::RetryAfterStart(Duration next_start,
+                                          Duration time_left,
+                                          double draw) const -> Duration {
+  const auto latest = Scale(time_left, settings_.max_share_of_time_left);
+  const auto earliest = std::min(next_start, latest);
+  return earliest + Scale(latest - earliest, draw);
+}
+
 }  // namespace kumquatgauge::serving
--- a/src/serving/retry_after_estimator_test.cc
+++ b/src/serving/retry_after_estimator_test.cc
@@ -79,5 +79,17 @@
   CHECK(fixture.RetryAfter(seconds(60), 0.0) == kHold / 2);
 }
 
+// Guards against callers that come back before a limited replica takes another
+// request, or all at the same moment.
+TEST_CASE("RetryAfterEstimator.SpreadsCallersAfterTheNextStart") {
+  const auto estimator = RetryAfterEstimator(RetryAfterEstimatorSettings());
+  const auto after = [&](Duration next_start, double draw) {
+    return estimator.RetryAfterStart(next_start, seconds(3), draw);
+  };
+  CHECK(after(milliseconds(200), 0.0) == milliseconds(200));
+  CHECK(after(milliseconds(200), 0.5) == milliseconds(600));
+  CHECK(after(seconds(60), 0.0) == seconds(1));
+}
+
 }  // namespace
 }  // namespace kumquatgauge::serving
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -756,6 +756,51 @@
   CHECK(limited > 0);
 }
 
+// Guards against a replica in need that gets more from all nodes together than
+// it says that it takes: online requests, second attempts and batch items.
+TEST_CASE("Gateway.KeepsTheLimitThatAReplicaNamesOnAllNodesTogether") {
+  constexpr auto kRate = 2.0;
+  constexpr auto kSettle = std::chrono::seconds(3);
+  constexpr auto kSpan = std::chrono::seconds(4);
+  // The users' bound on the requests in any kSpan.
+  constexpr auto kBound = 1.5 * kRate * kSpan.count() + 5;
+  auto fleet = Fleet(4);
+  fleet.AwaitService();
+  fleet.one->set_start_limit("2.0");
+  const auto began = std::chrono::steady_clock::now();
+  auto starts = std::vector<std::pair<Duration, int>>();
+  auto number = 0;
+  auto served = 0;
+  auto submitted = false;
+  while (std::chrono::steady_clock::now() < began + kSettle + 2 * kSpan) {
+    const auto passed = std::chrono::steady_clock::now() - began;
+    if (!submitted && passed > kSettle) {
+      submitted = true;
+      fleet.nodes.front()->Call(
+          "POST", "/jobs/1", "j1",
+          JobBody({"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}));
+      fleet.two->SetFault(ReplicaFault::kRefuse, 5);
+    }
+    const auto& node = *fleet.nodes[++number % fleet.nodes.size()];
+    const auto reply =
+        node.Call("POST", "/plain/x", "q" + std::to_string(number));
+    served += reply.status == 200 ? 1 : 0;
+    starts.emplace_back(passed, fleet.one->total_runs());
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  auto most = 0;
+  for (auto first = starts.begin(); first != starts.end(); ++first) {
+    for (auto last = first; first->first >= kSettle && last != starts.end() &&
+                            last->first - first->first <= kSpan;
+         ++last) {
+      most = std::max(most, last->second - first->second);
+    }
+  }
+  CHECK(most <= kBound);
+  // The other replica takes the rest.
+  CHECK(served >= number - 5);
+}
+
 // Guards against a log that hides for how long an owner ran a job without
 // knowing that it had ended.
 TEST_CASE("Gateway.LogsHowOldTheStateWasThatAnEndReplaced") {
