--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -263,9 +263,8 @@
         ++waiting_services_[exchange->service];
       }
       auto until = start_by;
-      if (exchange->choice.next_start) {
-        until = std::min(until, parts_.clock() + kMinStartWait +
-                                    *exchange->choice.next_start);
+      if (const auto& next_start = exchange->choice.next_start) {
+        until = std::min(until, parts_.clock() + kMinStartWait + *next_start);
       }
       co_await WaitForRoom(*ticket, until);
     }
