Log a fingerprint of requests under which replicas broke off

Whether the requests under which the replicas of a service ended were one that came again could not be told: its id is new each time, and it has no prompt parts.

--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -14,6 +14,7 @@
 #include "kumquatgauge/serving/answer_report.h"
 #include "kumquatgauge/serving/attempt_policy.h"
 #include "kumquatgauge/serving/event_splitter.h"
+#include "kumquatgauge/serving/request_fingerprint.h"
 #include "kumquatgauge/serving/retry_after_estimator.h"
 #include "kumquatgauge/serving/wait_queue.h"
 
@@ -518,14 +519,25 @@
     }
   }
 
-  // Reports an attempt that the replica broke off before it began to answer.
-  // The connection may have been replaced before the call ended.
+  // Whether the replica broke off before it began to answer. The connection may
+  // have been replaced before the call ended.
+  static auto BrokeOff(const Exchange& exchange, const AttemptEnd& attempt)
+      -> bool {
+    const auto broken =
+        attempt.end == CallEnd::kBroken || attempt.end == CallEnd::kNotSent;
+    return broken && attempt.bytes_sent && !exchange.attempt_answered;
+  }
+
+  static auto FingerprintName(const Exchange& exchange) -> std::string {
+    const auto& incoming = *exchange.incoming;
+    return PartName(FingerprintOf(incoming.method, exchange.request.host,
+                                  incoming.target, incoming.body));
+  }
+
   auto ReportCrash(const Exchange& exchange,
                    const ReplicaId& replica,
                    const AttemptEnd& attempt) -> void {
-    const auto broken =
-        attempt.end == CallEnd::kBroken || attempt.end == CallEnd::kNotSent;
-    if (broken && attempt.bytes_sent && !exchange.attempt_answered) {
+    if (BrokeOff(exchange, attempt)) {
       parts_.quarantine.OnCrash(replica, exchange.request.shared_parts);
     }
   }
@@ -569,6 +581,9 @@
                        {"not_run", not_run ? "true" : "false"},
                        {"last_event", std::to_string(exchange.last_event)},
                        {"parts", PartNames(exchange.request.shared_parts)},
+                       {"fingerprint", BrokeOff(exchange, attempt)
+                                           ? FingerprintName(exchange)
+                                           : std::string()},
                        {"held_ms", Text(held)}});
     }
     OnCapacityFreed();
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -717,6 +717,7 @@
   REQUIRE(attempt.is_object());
   REQUIRE(end.is_object());
   CHECK(attempt.at("end") == "broken");
+  CHECK(attempt.at("fingerprint").get<std::string>().size() == 16);
   CHECK(end.at("event") == "request_ended");
   CHECK(end.at("status") == "502");
   CHECK(end.at("configuration") == "3");
