--- a/include/kumquatgauge/serving/batch_runner.h
+++ b/include/kumquatgauge/serving/batch_runner.h
@@ -15,7 +15,7 @@
 #include "kumquatgauge/serving/dialect.h"
 #include "kumquatgauge/serving/job_archive.h"
 #include "kumquatgauge/serving/load_balancer.h"
-#include "kumquatgauge/serving/prompt_quarantine.h"
+#include "kumquatgauge/serving/request_quarantine.h"
 #include "kumquatgauge/upstream/replica_call.h"
 
 namespace kumquatgauge::node {
@@ -30,7 +30,7 @@
   const Dialect& dialect;
   LoadBalancer& load_balancer;
   upstream::ReplicaCaller& replicas;
-  PromptQuarantine& quarantine;
+  RequestQuarantine& quarantine;
   JobArchive& archive;
   node::PeerClient& peers;
   MetricsRegistry& metrics;
--- a/include/kumquatgauge/serving/forwarder.h
+++ b/include/kumquatgauge/serving/forwarder.h
@@ -12,7 +12,7 @@
 #include "kumquatgauge/routing/retry_budget.h"
 #include "kumquatgauge/serving/dialect.h"
 #include "kumquatgauge/serving/load_balancer.h"
-#include "kumquatgauge/serving/prompt_quarantine.h"
+#include "kumquatgauge/serving/request_quarantine.h"
 #include "kumquatgauge/upstream/replica_call.h"
 
 namespace kumquatgauge::serving {
@@ -24,7 +24,7 @@
   LoadBalancer& load_balancer;
   upstream::ReplicaCaller& replicas;
   routing::RetryBudget& retry_budget;
-  PromptQuarantine& quarantine;
+  RequestQuarantine& quarantine;
   MetricsRegistry& metrics;
   Clock clock;
   RandomSource random;
--- a/include/kumquatgauge/serving/prompt_quarantine.h
+++ b/include/kumquatgauge/serving/request_quarantine.h
@@ -1,5 +1,5 @@
-#ifndef KUMQUATGAUGE_SERVING_PROMPT_QUARANTINE_H_
-#define KUMQUATGAUGE_SERVING_PROMPT_QUARANTINE_H_
+#ifndef KUMQUATGAUGE_SERVING_REQUEST_QUARANTINE_H_
+#define KUMQUATGAUGE_SERVING_REQUEST_QUARANTINE_H_
 
 #include <chrono>
 #include <cstddef>
@@ -16,7 +16,7 @@
 
 namespace kumquatgauge::serving {
 
-struct PromptQuarantineSettings {
+struct RequestQuarantineSettings {
   // Crashes within this time count as one: replicas may fail in groups.
   Duration group_time = std::chrono::milliseconds(50);
   // Groups of crashes after which a part that no replica has answered is
@@ -46,11 +46,11 @@
   std::size_t max_crashes = 10;  // Kept per part.
   std::size_t max_report = 6;    // Parts in one report to another node.
 
-  auto operator==(const PromptQuarantineSettings&) const -> bool = default;
+  auto operator==(const RequestQuarantineSettings&) const -> bool = default;
 };
 
 // What one node tells another about a part. Ages are relative to the message.
-struct PartReport {
+struct SuspectReport {
   struct Crash {
     std::uint64_t replica = 0;  // Hash of the replica's id.
     Duration age{0};
@@ -63,7 +63,7 @@
   std::vector<Crash> crashes;
   std::optional<Duration> answered_age;
 
-  auto operator==(const PartReport&) const -> bool = default;
+  auto operator==(const SuspectReport&) const -> bool = default;
 };
 
 struct QuarantineChange {
@@ -81,16 +81,16 @@
 // first byte of the answer. Parts that other requests share are cleared when a
 // replica answers one of these. Nodes exchange what they know by reports that
 // may be lost or repeated in any order.
-class PromptQuarantine {
+class RequestQuarantine {
  public:
   // Returns whether this node is the one that tries a quarantined part again.
   using RunsTrials = std::function<auto(PromptPart)->bool>;
 
   // `changed` is called when there is news for the other nodes.
-  PromptQuarantine(PromptQuarantineSettings settings,
-                   RunsTrials runs_trials,
-                   std::function<auto()->void> changed,
-                   Clock clock)
+  RequestQuarantine(RequestQuarantineSettings settings,
+                    RunsTrials runs_trials,
+                    std::function<auto()->void> changed,
+                    Clock clock)
       : settings_(settings),
         runs_trials_(std::move(runs_trials)),
         changed_(std::move(changed)),
@@ -118,8 +118,8 @@
 
   // Returns what to report to other nodes: quarantined parts and the latest
   // changes first.
-  auto Report() const -> std::vector<PartReport>;
-  auto OnReport(const std::vector<PartReport>& reports) -> void;
+  auto Report() const -> std::vector<SuspectReport>;
+  auto OnReport(const std::vector<SuspectReport>& reports) -> void;
 
   // Must be called several times a second while `active`. Returns the changes
   // since the last call.
@@ -162,7 +162,7 @@
   auto EvictAnswers() -> void;
   auto Touch(Suspect& suspect) -> void;
 
-  PromptQuarantineSettings settings_;
+  RequestQuarantineSettings settings_;
   RunsTrials runs_trials_;
   std::function<auto()->void> changed_;
   Clock clock_;
@@ -174,4 +174,4 @@
 
 }  // namespace kumquatgauge::serving
 
-#endif  // KUMQUATGAUGE_SERVING_PROMPT_QUARANTINE_H_
+#endif  // KUMQUATGAUGE_SERVING_REQUEST_QUARANTINE_H_
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -80,8 +80,8 @@
 
   AttemptHistory history;
   std::vector<ReplicaId> tried;
-  Choice choice;                          // Of the last attempt.
-  PromptQuarantine::Admission admission;  // Of the last attempt.
+  Choice choice;                           // Of the last attempt.
+  RequestQuarantine::Admission admission;  // Of the last attempt.
   bool attempt_answered = false;  // The last attempt has begun to answer.
   bool limited = false;  // The replica of the last attempt had named a limit.
   std::uint64_t last_event = 0;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -29,14 +29,14 @@
 #include "kumquatgauge/serving/forwarder.h"
 #include "kumquatgauge/serving/job_archive.h"
 #include "kumquatgauge/serving/load_balancer.h"
-#include "kumquatgauge/serving/prompt_quarantine.h"
 #include "kumquatgauge/serving/replica_table.h"
+#include "kumquatgauge/serving/request_quarantine.h"
 #include "kumquatgauge/serving/store_feed.h"
 #include "kumquatgauge/serving/watcher_choice.h"
 #include "kumquatgauge/upstream/replica_call.h"
-#include "serving/part_report_codec.h"
 #include "serving/start_report_codec.h"
 #include "serving/store_options.h"
+#include "serving/suspect_report_codec.h"
 
 namespace kumquatgauge::serving {
 namespace {
@@ -161,7 +161,7 @@
         replicas_(context_.get_executor(), upstream::ConnectionSettings()),
         retry_budget_(routing::RetryBudgetSettings(), SteadyNow),
         quarantine_(
-            PromptQuarantineSettings(),
+            RequestQuarantineSettings(),
             [this](PromptPart part) { return RunsTrials(part); },
             [this] { ScheduleQuarantineReport(); },
             SteadyNow),
@@ -1281,7 +1281,7 @@
   ReplicaTable replica_table_;
   upstream::ReplicaCaller replicas_;
   routing::RetryBudget retry_budget_;
-  PromptQuarantine quarantine_;
+  RequestQuarantine quarantine_;
   std::unique_ptr<node::PeerClient> peer_client_;
   node::PeerServer peer_server_;
   node::Gossip gossip_;
--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/request_quarantine.cc
@@ -1,4 +1,4 @@
-#include "kumquatgauge/serving/prompt_quarantine.h"
+#include "kumquatgauge/serving/request_quarantine.h"
 
 #include <algorithm>
 #include <iterator>
@@ -9,7 +9,7 @@
 
 namespace kumquatgauge::serving {
 
-auto PromptQuarantine::Check(const PromptParts& parts) const -> Admission {
+auto RequestQuarantine::Check(const PromptParts& parts) const -> Admission {
   auto admission = Admission();
   if (suspects_.empty()) {
     return admission;
@@ -36,7 +36,7 @@
   return admission;
 }
 
-auto PromptQuarantine::Admit(const PromptParts& parts) -> Admission {
+auto RequestQuarantine::Admit(const PromptParts& parts) -> Admission {
   while (QuarantineNext()) {
   }
   const auto admission = Check(parts);
@@ -51,14 +51,14 @@
   return admission;
 }
 
-auto PromptQuarantine::OnAnswered(const PromptParts& parts) -> void {
+auto RequestQuarantine::OnAnswered(const PromptParts& parts) -> void {
   const auto now = clock_();
   for (const auto part : parts) {
     AddAnswer(part, now);
   }
 }
 
-auto PromptQuarantine::AddAnswer(PromptPart part, MonotonicTime at) -> void {
+auto RequestQuarantine::AddAnswer(PromptPart part, MonotonicTime at) -> void {
   auto& answered = answered_.try_emplace(part, at).first->second;
   answered = std::max(answered, at);
   const auto found = suspects_.find(part);
@@ -78,8 +78,8 @@
   EvictAnswers();
 }
 
-auto PromptQuarantine::OnCrash(const ReplicaId& replica,
-                               const PromptParts& parts) -> void {
+auto RequestQuarantine::OnCrash(const ReplicaId& replica,
+                                const PromptParts& parts) -> void {
   const auto now = clock_();
   const auto id = routing::RendezvousHash(replica.value());
   const auto known = std::any_of(parts.begin(), parts.end(), [&](auto part) {
@@ -96,10 +96,10 @@
   }
 }
 
-auto PromptQuarantine::AddCrash(PromptPart part,
-                                std::size_t depth,
-                                std::uint64_t replica,
-                                MonotonicTime at) -> void {
+auto RequestQuarantine::AddCrash(PromptPart part,
+                                 std::size_t depth,
+                                 std::uint64_t replica,
+                                 MonotonicTime at) -> void {
   const auto answered = AnsweredAt(part);
   if (answered && at <= *answered) {
     return;
@@ -130,7 +130,7 @@
   EvictSuspects();
 }
 
-auto PromptQuarantine::AnsweredAt(PromptPart part) const
+auto RequestQuarantine::AnsweredAt(PromptPart part) const
     -> std::optional<MonotonicTime> {
   const auto found = answered_.find(part);
   if (found == answered_.end() ||
@@ -140,13 +140,14 @@
   return found->second;
 }
 
-auto PromptQuarantine::IsExplained(std::uint64_t replica) const -> bool {
+auto RequestQuarantine::IsExplained(std::uint64_t replica) const -> bool {
   return std::any_of(suspects_.begin(), suspects_.end(), [&](const auto& item) {
     return item.second.quarantined && item.second.crashes.contains(replica);
   });
 }
 
-auto PromptQuarantine::GroupCount(const Suspect& suspect) const -> std::size_t {
+auto RequestQuarantine::GroupCount(const Suspect& suspect) const
+    -> std::size_t {
   auto times = std::vector<MonotonicTime>();
   for (const auto& [replica, at] : suspect.crashes) {
     times.push_back(at);
@@ -163,8 +164,8 @@
   return groups;
 }
 
-auto PromptQuarantine::MustQuarantine(PromptPart part,
-                                      const Suspect& suspect) const -> bool {
+auto RequestQuarantine::MustQuarantine(PromptPart part,
+                                       const Suspect& suspect) const -> bool {
   if (suspect.quarantined || suspect.crashes.size() < settings_.min_crashes) {
     return false;
   }
@@ -183,7 +184,7 @@
          suspect.last_crash - first >= settings_.min_span;
 }
 
-auto PromptQuarantine::QuarantineNext() -> bool {
+auto RequestQuarantine::QuarantineNext() -> bool {
   auto chosen = suspects_.end();
   const auto rank = [&](Suspects::iterator suspect) {
     // A part without an answer is the likeliest. Of several that were in the
@@ -205,7 +206,7 @@
   return true;
 }
 
-auto PromptQuarantine::Quarantine(Suspects::iterator chosen) -> void {
+auto RequestQuarantine::Quarantine(Suspects::iterator chosen) -> void {
   auto& quarantined = chosen->second;
   quarantined.quarantined = true;
   quarantined.trial_delay = settings_.trial_delay;
@@ -220,7 +221,7 @@
   }
 }
 
-auto PromptQuarantine::Report() const -> std::vector<PartReport> {
+auto RequestQuarantine::Report() const -> std::vector<SuspectReport> {
   auto order = std::vector<Suspects::const_iterator>();
   for (auto suspect = suspects_.begin(); suspect != suspects_.end();
        ++suspect) {
@@ -232,10 +233,10 @@
   });
   order.resize(std::min(order.size(), settings_.max_report));
   const auto now = clock_();
-  auto reports = std::vector<PartReport>();
+  auto reports = std::vector<SuspectReport>();
   for (const auto& item : order) {
     const auto& suspect = item->second;
-    auto report = PartReport();
+    auto report = SuspectReport();
     report.part = item->first;
     report.depth = suspect.depth;
     for (const auto& [replica, at] : suspect.crashes) {
@@ -249,7 +250,7 @@
   return reports;
 }
 
-auto PromptQuarantine::OnReport(const std::vector<PartReport>& reports)
+auto RequestQuarantine::OnReport(const std::vector<SuspectReport>& reports)
     -> void {
   const auto now = clock_();
   for (const auto& report : reports) {
@@ -277,14 +278,14 @@
   }
 }
 
-auto PromptQuarantine::OnTick() -> std::vector<QuarantineChange> {
+auto RequestQuarantine::OnTick() -> std::vector<QuarantineChange> {
   while (QuarantineNext()) {
   }
   ForgetOld();
   return std::exchange(changes_, {});
 }
 
-auto PromptQuarantine::ForgetOld() -> void {
+auto RequestQuarantine::ForgetOld() -> void {
   const auto now = clock_();
   std::erase_if(suspects_, [&](const auto& item) {
     const auto& [part, suspect] = item;
@@ -300,7 +301,7 @@
   });
 }
 
-auto PromptQuarantine::EvictSuspects() -> void {
+auto RequestQuarantine::EvictSuspects() -> void {
   while (suspects_.size() > settings_.max_suspects) {
     suspects_.erase(std::min_element(
         suspects_.begin(), suspects_.end(), [](const auto& a, const auto& b) {
@@ -310,7 +311,7 @@
   }
 }
 
-auto PromptQuarantine::EvictAnswers() -> void {
+auto RequestQuarantine::EvictAnswers() -> void {
   if (answered_.size() <= settings_.max_answered) {
     return;
   }
@@ -327,13 +328,13 @@
                 [&](const auto& item) { return item.second < oldest; });
 }
 
-auto PromptQuarantine::Touch(Suspect& suspect) -> void {
+auto RequestQuarantine::Touch(Suspect& suspect) -> void {
   suspect.changed = clock_();
   changed_at_ = suspect.changed;
   changed_();
 }
 
-auto PromptQuarantine::quarantined() const -> std::size_t {
+auto RequestQuarantine::quarantined() const -> std::size_t {
   return static_cast<std::size_t>(
       std::count_if(suspects_.begin(), suspects_.end(),
                     [](const auto& item) { return item.second.quarantined; }));
--- a/src/serving/prompt_quarantine_test.cc
+++ b/src/serving/request_quarantine_test.cc
@@ -1,4 +1,4 @@
-#include "kumquatgauge/serving/prompt_quarantine.h"
+#include "kumquatgauge/serving/request_quarantine.h"
 
 #include <catch2/catch.hpp>
 #include <memory>
@@ -25,13 +25,13 @@
     }
   }
 
-  auto Make(bool runs_trials) -> std::unique_ptr<PromptQuarantine> {
-    return std::make_unique<PromptQuarantine>(
+  auto Make(bool runs_trials) -> std::unique_ptr<RequestQuarantine> {
+    return std::make_unique<RequestQuarantine>(
         settings, [runs_trials](PromptPart /*part*/) { return runs_trials; },
         [] {}, [this] { return clock.now(); });
   }
 
-  auto node(std::size_t at = 0) -> PromptQuarantine& { return *nodes[at]; }
+  auto node(std::size_t at = 0) -> RequestQuarantine& { return *nodes[at]; }
 
   // A request with these parts ends a replica that no other request has ended.
   auto Crash(const PromptParts& parts, std::size_t at = 0) -> void {
@@ -67,13 +67,13 @@
   }
 
   testing::ManualClock clock;
-  PromptQuarantineSettings settings;
-  std::vector<std::unique_ptr<PromptQuarantine>> nodes;
+  RequestQuarantineSettings settings;
+  std::vector<std::unique_ptr<RequestQuarantine>> nodes;
   int replicas = 0;
 };
 
 // Guards against requests that crash one replica after the other.
-TEST_CASE("PromptQuarantine.RefusesAPartAfterThreeCrashes") {
+TEST_CASE("RequestQuarantine.RefusesAPartAfterThreeCrashes") {
   auto fixture = Fixture();
   for (PromptPart subject = 10; subject < 13; ++subject) {
     CHECK_FALSE(fixture.Refuses({kCaller, subject, kCrashing}));
@@ -89,7 +89,7 @@
 
 // Guards against refusing the sound requests of a caller, which share all other
 // parts with those that crash replicas.
-TEST_CASE("PromptQuarantine.AdmitsRequestsThatShareTheOtherParts") {
+TEST_CASE("RequestQuarantine.AdmitsRequestsThatShareTheOtherParts") {
   auto fixture = Fixture();
   fixture.node().OnAnswered({kCaller, 10});
   for (auto crash = 0; crash < 30; ++crash) {
@@ -102,7 +102,7 @@
 
 // Guards against refusing a caller before any answer to it is known: the last
 // of the parts in the same requests stops the fewest others.
-TEST_CASE("PromptQuarantine.PrefersTheLastOfPartsInTheSameRequests") {
+TEST_CASE("RequestQuarantine.PrefersTheLastOfPartsInTheSameRequests") {
   auto fixture = Fixture();
   for (auto crash = 0; crash < 5; ++crash) {
     fixture.Crash({kCaller, kCrashing});
@@ -112,7 +112,7 @@
 }
 
 // Guards against blaming the sound requests that ran on the same replica.
-TEST_CASE("PromptQuarantine.ClearsOtherRequestsOfTheSameReplica") {
+TEST_CASE("RequestQuarantine.ClearsOtherRequestsOfTheSameReplica") {
   auto fixture = Fixture();
   for (auto crash = 0; crash < 6; ++crash) {
     const auto replica = ReplicaId("i-" + std::to_string(crash));
@@ -127,7 +127,7 @@
 
 // Guards against a quarantine after replicas have failed together for a reason
 // of their own.
-TEST_CASE("PromptQuarantine.CountsReplicasThatFailTogetherOnce") {
+TEST_CASE("RequestQuarantine.CountsReplicasThatFailTogetherOnce") {
   auto fixture = Fixture();
   for (auto replica = 0; replica < 10; ++replica) {
     fixture.node().OnCrash(ReplicaId("g-" + std::to_string(replica)), {7});
@@ -139,7 +139,7 @@
 
 // Guards against a quarantine of a part in constant use while replicas fail one
 // after the other for a reason of their own, as in a release.
-TEST_CASE("PromptQuarantine.AdmitsAPartThatIsAnsweredBetweenCrashes") {
+TEST_CASE("RequestQuarantine.AdmitsAPartThatIsAnsweredBetweenCrashes") {
   auto fixture = Fixture();
   for (auto crash = 0; crash < 20; ++crash) {
     fixture.Crash({7});
@@ -152,7 +152,7 @@
 
 // Guards against nodes that each let the part crash replicas before they refuse
 // it.
-TEST_CASE("PromptQuarantine.CountsTheCrashesOfAllNodes") {
+TEST_CASE("RequestQuarantine.CountsTheCrashesOfAllNodes") {
   auto fixture = Fixture(4);
   for (std::size_t node = 0; node < 3; ++node) {
     fixture.Crash({kCaller, kCrashing}, node);
@@ -164,7 +164,7 @@
 }
 
 // Guards against counting one crash once for each node that reports it.
-TEST_CASE("PromptQuarantine.CountsARepeatedReportOnce") {
+TEST_CASE("RequestQuarantine.CountsARepeatedReportOnce") {
   auto fixture = Fixture(3);
   fixture.Crash({kCrashing}, 0);
   fixture.Crash({kCrashing}, 1);
@@ -176,7 +176,7 @@
 }
 
 // Guards against refusing a part that another node knows an answer to.
-TEST_CASE("PromptQuarantine.AcceptsTheObjectionOfANodeWithAnAnswer") {
+TEST_CASE("RequestQuarantine.AcceptsTheObjectionOfANodeWithAnAnswer") {
   auto fixture = Fixture(2);
   fixture.node(1).OnAnswered({7});
   for (auto crash = 0; crash < 4; ++crash) {
@@ -191,7 +191,7 @@
 
 // Guards against a restarted node that lets the part through until it has seen
 // crashes itself.
-TEST_CASE("PromptQuarantine.InformsANodeThatHasRestarted") {
+TEST_CASE("RequestQuarantine.InformsANodeThatHasRestarted") {
   auto fixture = Fixture(2);
   fixture.QuarantineCrashingPart();
   REQUIRE(fixture.Refuses({kCrashing}, 1));
@@ -203,7 +203,7 @@
 
 // Guards against a part that is refused for ever, and against each node testing
 // it with a replica of its own.
-TEST_CASE("PromptQuarantine.TriesThePartAgainAtOneNode") {
+TEST_CASE("RequestQuarantine.TriesThePartAgainAtOneNode") {
   auto fixture = Fixture(2);
   fixture.QuarantineCrashingPart();
   fixture.clock.Advance(fixture.settings.trial_delay);
@@ -221,7 +221,7 @@
 
 // Guards against a replica lost at a constant rate to a part that keeps
 // crashing replicas.
-TEST_CASE("PromptQuarantine.WaitsLongerAfterEachFailedTrial") {
+TEST_CASE("RequestQuarantine.WaitsLongerAfterEachFailedTrial") {
   auto fixture = Fixture();
   fixture.QuarantineCrashingPart();
   auto trials = 0;
@@ -239,7 +239,7 @@
 
 // Guards against a trial without a result, whose caller has left, that blocks
 // all later ones.
-TEST_CASE("PromptQuarantine.TriesAgainAfterATrialWithoutAResult") {
+TEST_CASE("RequestQuarantine.TriesAgainAfterATrialWithoutAResult") {
   auto fixture = Fixture();
   fixture.QuarantineCrashingPart();
   fixture.clock.Advance(fixture.settings.trial_delay);
@@ -250,7 +250,7 @@
 
 // Guards against state that grows with the number of parts that are seen, and
 // against losing a quarantine to it.
-TEST_CASE("PromptQuarantine.KeepsBoundedStateForUnboundedParts") {
+TEST_CASE("RequestQuarantine.KeepsBoundedStateForUnboundedParts") {
   auto fixture = Fixture();
   fixture.QuarantineCrashingPart();
   for (PromptPart part = 1'000; part < 21'000; ++part) {
@@ -265,7 +265,7 @@
 
 // Guards against nodes that report crashes to each other without end, since
 // each keeps others than the next one and reports take time.
-TEST_CASE("PromptQuarantine.HasNoNewsOnceAllNodesKnowManyCrashes") {
+TEST_CASE("RequestQuarantine.HasNoNewsOnceAllNodesKnowManyCrashes") {
   constexpr milliseconds kReportTime{3};
   auto fixture = Fixture(3);
   for (std::size_t crash = 0; crash < 60; ++crash) {
@@ -291,7 +291,7 @@
 }
 
 // Guards against a quarantine that outlasts the last request with the part.
-TEST_CASE("PromptQuarantine.ForgetsAPartLongAfterItsLastCrash") {
+TEST_CASE("RequestQuarantine.ForgetsAPartLongAfterItsLastCrash") {
   auto fixture = Fixture(2);
   fixture.QuarantineCrashingPart();
   fixture.clock.Advance(fixture.settings.forget_time + minutes(1));
--- a/src/serving/part_report_codec.cc
+++ b/src/serving/suspect_report_codec.cc
@@ -1,4 +1,4 @@
-#include "serving/part_report_codec.h"
+#include "serving/suspect_report_codec.h"
 
 #include <algorithm>
 #include <chrono>
@@ -21,7 +21,7 @@
 
 }  // namespace
 
-auto EncodeReports(const std::vector<PartReport>& reports) -> json {
+auto EncodeReports(const std::vector<SuspectReport>& reports) -> json {
   auto encoded = json::array();
   for (const auto& report : reports) {
     auto crashes = json::array();
@@ -39,10 +39,10 @@
   return encoded;
 }
 
-auto DecodeReports(const json& encoded) -> std::vector<PartReport> {
-  auto reports = std::vector<PartReport>();
+auto DecodeReports(const json& encoded) -> std::vector<SuspectReport> {
+  auto reports = std::vector<SuspectReport>();
   for (const auto& entry : encoded) {
-    auto report = PartReport();
+    auto report = SuspectReport();
     report.part = entry.at(0).get<PromptPart>();
     report.depth = entry.at(1).get<std::size_t>();
     for (const auto& crash : entry.at(2)) {
--- a/src/serving/part_report_codec.h
+++ b/src/serving/suspect_report_codec.h
@@ -1,19 +1,19 @@
-#ifndef SERVING_PART_REPORT_CODEC_H_
-#define SERVING_PART_REPORT_CODEC_H_
+#ifndef SERVING_SUSPECT_REPORT_CODEC_H_
+#define SERVING_SUSPECT_REPORT_CODEC_H_
 
 #include <nlohmann/json_fwd.hpp>
 #include <vector>
 
-#include "kumquatgauge/serving/prompt_quarantine.h"
+#include "kumquatgauge/serving/request_quarantine.h"
 
 namespace kumquatgauge::serving::detail {
 
 // Encodes reports for a datagram. Ages are rounded to milliseconds in favour of
 // answers: a crash seems earlier and an answer later.
-auto EncodeReports(const std::vector<PartReport>& reports) -> nlohmann::json;
+auto EncodeReports(const std::vector<SuspectReport>& reports) -> nlohmann::json;
 // Throws nlohmann::json::exception.
-auto DecodeReports(const nlohmann::json& encoded) -> std::vector<PartReport>;
+auto DecodeReports(const nlohmann::json& encoded) -> std::vector<SuspectReport>;
 
 }  // namespace kumquatgauge::serving::detail
 
-#endif  // SERVING_PART_REPORT_CODEC_H_
+#endif  // SERVING_SUSPECT_REPORT_CODEC_H_
--- a/src/serving/part_report_codec_test.cc
+++ b/src/serving/suspect_report_codec_test.cc
@@ -1,4 +1,4 @@
-#include "serving/part_report_codec.h"
+#include "serving/suspect_report_codec.h"
 
 #include <catch2/catch.hpp>
 #include <cstdint>
@@ -16,12 +16,12 @@
 
 constexpr auto kLargest = std::numeric_limits<std::uint64_t>::max();
 
-TEST_CASE("PartReportCodec.ReturnsWhatItEncoded") {
-  auto report = PartReport();
+TEST_CASE("SuspectReportCodec.ReturnsWhatItEncoded") {
+  auto report = SuspectReport();
   report.part = kLargest;
   report.depth = 2;
   report.crashes = {{7, milliseconds(40)}, {kLargest, milliseconds(0)}};
-  auto answered = PartReport();
+  auto answered = SuspectReport();
   answered.part = 3;
   answered.answered_age = milliseconds(1'500);
   const auto reports = std::vector{report, answered};
@@ -30,8 +30,8 @@
 
 // Guards against rounding by which an answer no longer clears the crash before
 // it.
-TEST_CASE("PartReportCodec.RoundsInFavourOfAnswers") {
-  auto report = PartReport();
+TEST_CASE("SuspectReportCodec.RoundsInFavourOfAnswers") {
+  auto report = SuspectReport();
   report.crashes = {{7, std::chrono::microseconds(1'500)}};
   report.answered_age = std::chrono::microseconds(1'500);
   const auto decoded = DecodeReports(EncodeReports({report}));
@@ -41,10 +41,10 @@
 
 // Guards against reports that are not sent, because they do not fit in a
 // datagram when many replicas have ended.
-TEST_CASE("PartReportCodec.FitsTheLargestReportInADatagram") {
+TEST_CASE("SuspectReportCodec.FitsTheLargestReportInADatagram") {
   constexpr std::size_t kRest = 200;  // Header, checksum and the node's name.
-  const auto settings = PromptQuarantineSettings();
-  auto report = PartReport();
+  const auto settings = RequestQuarantineSettings();
+  auto report = SuspectReport();
   report.part = kLargest;
   report.depth = 63;
   report.crashes.assign(settings.max_crashes, {kLargest, settings.forget_time});
@@ -56,7 +56,7 @@
 }
 
 // Guards against a node that ends because of a malformed datagram.
-TEST_CASE("PartReportCodec.ThrowsForMalformedReports") {
+TEST_CASE("SuspectReportCodec.ThrowsForMalformedReports") {
   for (const auto* text :
        {"[1]", "[[1]]", R"([["a",0,[]]])", "[[1,0,[[2]]]]", "[[1,0,[],[]]]"}) {
     CAPTURE(text);
