Quarantine requests that crash replicas each time they come

Callers of the payment service got 502 and then refusals for seconds at a time: a request ended each replica that ran it and came again under another id; 14 replicas of a service of three ended in the record.

Cause: crashes were linked by the parts of prompts alone, and these requests have none. Nothing knew the request again. The class of fault is that of the prompt parts: an attribute of the work, counted only by the place where it shows.

RequestQuarantine now suspects the whole request as well, by a fingerprint. After three crashes without an answer it is refused at every node, at once. It is not tried again while it keeps coming, since its crashes count for good. Blaming a request does not take its crashes away from its parts, so that a part behind several requests is found after five crashes at most. Reports put what crashed most first, because every request at a crashed replica is a suspect. Items have no fingerprint.

--- a/include/kumquatgauge/serving/request_quarantine.h
+++ b/include/kumquatgauge/serving/request_quarantine.h
@@ -13,6 +13,7 @@
 #include "kumquatgauge/base/ids.h"
 #include "kumquatgauge/base/time.h"
 #include "kumquatgauge/serving/prompt_parts.h"
+#include "kumquatgauge/serving/request_traits.h"
 
 namespace kumquatgauge::serving {
 
@@ -35,7 +36,9 @@
   Duration suspicion_time = std::chrono::seconds(60);
   Duration cleared_time = std::chrono::seconds(5);
   // Delay of the first trial after the last crash; doubles with each trial up
-  // to the maximum. The part is forgotten `forget_time` after the last crash.
+  // to the maximum. The part is forgotten `forget_time` after the last crash. A
+  // whole request is not tried again; it is forgotten that long after it last
+  // came.
   Duration trial_delay = std::chrono::seconds(30);
   Duration max_trial_delay = std::chrono::minutes(4);
   Duration forget_time = std::chrono::minutes(10);
@@ -58,8 +61,8 @@
     auto operator==(const Crash&) const -> bool = default;
   };
 
-  PromptPart part = 0;
-  std::size_t depth = 0;  // Position in the prompt.
+  RequestTrait trait;
+  std::size_t depth = 0;  // Position in the prompt, for a part.
   std::vector<Crash> crashes;
   std::optional<Duration> answered_age;
 
@@ -67,20 +70,25 @@
 };
 
 struct QuarantineChange {
-  PromptPart part = 0;
+  RequestTrait trait;
   bool quarantined = false;
   std::size_t crashes = 0;
 
   auto operator==(const QuarantineChange&) const -> bool = default;
 };
 
-// Finds prompt parts on which replicas crash and keeps requests with them away
-// from the replicas of the whole fleet.
+// Finds what replicas crash on and keeps requests with it away from the
+// replicas of the whole fleet: parts of prompts, and whole requests that come
+// again under other ids.
 //
-// All parts of a request are suspects when its replica breaks off before the
-// first byte of the answer. Parts that other requests share are cleared when a
+// All traits of a request are suspects when its replica breaks off before the
+// first byte of the answer. Those that other requests share are cleared when a
 // replica answers one of these. Nodes exchange what they know by reports that
 // may be lost or repeated in any order.
+//
+// A request that crashes replicas because of a part has a fingerprint as well,
+// and the other way round. The fingerprint stops the fewest other requests and
+// is blamed first, but explains no crashes away from the parts.
 class RequestQuarantine {
  public:
   // Returns whether this node is the one that tries a quarantined part again.
@@ -101,23 +109,23 @@
     // The request tests whether the part still crashes replicas. It must not be
     // sent to a second replica.
     bool trial = false;
-    PromptPart part = 0;  // The quarantined part.
+    RequestTrait trait;  // The quarantined one.
     Duration retry_after{0};
 
     auto operator==(const Admission&) const -> bool = default;
   };
 
   // Decides whether a request with these parts may be sent to a replica.
-  auto Check(const PromptParts& parts) const -> Admission;
+  auto Check(const RequestTraits& traits) const -> Admission;
   // The same just before each attempt: a trial begins.
-  auto Admit(const PromptParts& parts) -> Admission;
+  auto Admit(const RequestTraits& traits) -> Admission;
   // Called when a replica has begun to answer a request.
-  auto OnAnswered(const PromptParts& parts) -> void;
+  auto OnAnswered(const RequestTraits& traits) -> void;
   // Called when a replica broke off before it began to answer.
-  auto OnCrash(const ReplicaId& replica, const PromptParts& parts) -> void;
+  auto OnCrash(const ReplicaId& replica, const RequestTraits& traits) -> void;
 
-  // Returns what to report to other nodes: quarantined parts and the latest
-  // changes first.
+  // Returns what to report to other nodes: what is quarantined, has
+  // crashed the most and changed last comes first.
   auto Report() const -> std::vector<SuspectReport>;
   auto OnReport(const std::vector<SuspectReport>& reports) -> void;
 
@@ -138,22 +146,25 @@
     std::map<std::uint64_t, MonotonicTime> crashes;
     MonotonicTime last_crash;
     MonotonicTime changed;
+    MonotonicTime last_refused;
     bool quarantined = false;
     Duration trial_delay{0};
     std::optional<MonotonicTime> trial_began;
   };
-  using Suspects = std::map<PromptPart, Suspect>;
+  using Suspects = std::map<RequestTrait, Suspect>;
 
-  auto AddCrash(PromptPart part,
+  auto AddCrash(const RequestTrait& trait,
                 std::size_t depth,
                 std::uint64_t replica,
                 MonotonicTime at) -> void;
-  auto AddAnswer(PromptPart part, MonotonicTime at) -> void;
-  auto AnsweredAt(PromptPart part) const -> std::optional<MonotonicTime>;
+  auto AddAnswer(const RequestTrait& trait, MonotonicTime at) -> void;
+  auto AnsweredAt(const RequestTrait& trait) const
+      -> std::optional<MonotonicTime>;
   // Whether a quarantined part is the reason for the crash.
   auto IsExplained(std::uint64_t replica) const -> bool;
   auto GroupCount(const Suspect& suspect) const -> std::size_t;
-  auto MustQuarantine(PromptPart part, const Suspect& suspect) const -> bool;
+  auto MustQuarantine(const RequestTrait& trait, const Suspect& suspect) const
+      -> bool;
   // Quarantines the most likely part, if any.
   auto QuarantineNext() -> bool;
   auto Quarantine(Suspects::iterator chosen) -> void;
@@ -167,7 +178,7 @@
   std::function<auto()->void> changed_;
   Clock clock_;
   Suspects suspects_;
-  std::map<PromptPart, MonotonicTime> answered_;
+  std::map<RequestTrait, MonotonicTime> answered_;
   std::vector<QuarantineChange> changes_;
   MonotonicTime changed_at_;
 };
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -776,7 +776,7 @@
     if (!placed || !choice.replica) {
       co_return outcome;
     }
-    if (!parts_.quarantine.Admit(item.shared_parts).allowed) {
+    if (!parts_.quarantine.Admit(TraitsOf(item)).allowed) {
       outcome.end = ItemEnd::kWithheld;
       co_return outcome;
     }
@@ -833,6 +833,10 @@
     co_return outcome;
   }
 
+  static auto TraitsOf(const JobItem& item) -> RequestTraits {
+    return {item.shared_parts, std::nullopt};
+  }
+
   // Reports whether the replica has begun to answer the item or broke off
   // before.
   auto ReportToQuarantine(const JobItem& item,
@@ -841,9 +845,9 @@
                           const ItemOutcome& outcome,
                           bool answered) -> void {
     if (answered) {
-      parts_.quarantine.OnAnswered(item.shared_parts);
+      parts_.quarantine.OnAnswered(TraitsOf(item));
     } else if (outcome.broken && call.bytes_sent()) {
-      parts_.quarantine.OnCrash(replica, item.shared_parts);
+      parts_.quarantine.OnCrash(replica, TraitsOf(item));
     }
   }
 
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -82,6 +82,8 @@
   std::vector<ReplicaId> tried;
   Choice choice;                           // Of the last attempt.
   RequestQuarantine::Admission admission;  // Of the last attempt.
+  // Once there is something to suspect.
+  std::optional<RequestFingerprint> fingerprint;
   bool attempt_answered = false;  // The last attempt has begun to answer.
   bool limited = false;  // The replica of the last attempt had named a limit.
   std::uint64_t last_event = 0;
@@ -170,14 +172,13 @@
   // Sends the request to replicas until it has ended.
   auto TryReplicas(ExchangePtr exchange) -> awaitable<void> {
     while (true) {
-      const auto& parts = exchange->request.shared_parts;
-      exchange->admission = parts_.quarantine.Check(parts);
+      exchange->admission = parts_.quarantine.Check(TraitsOf(*exchange));
       if (exchange->admission.allowed) {
         co_await ChooseReplica(exchange);
       }
       if (exchange->admission.allowed && exchange->choice.replica) {
         // A part may have been quarantined while the request waited.
-        exchange->admission = parts_.quarantine.Admit(parts);
+        exchange->admission = parts_.quarantine.Admit(TraitsOf(*exchange));
       }
       if (!exchange->admission.allowed || !exchange->choice.replica) {
         co_await EndWithoutReplica(exchange);
@@ -515,7 +516,7 @@
 
   auto OnAnswered(Exchange& exchange) -> void {
     if (!std::exchange(exchange.attempt_answered, true)) {
-      parts_.quarantine.OnAnswered(exchange.request.shared_parts);
+      parts_.quarantine.OnAnswered(TraitsOf(exchange));
     }
   }
 
@@ -528,17 +529,30 @@
     return broken && attempt.bytes_sent && !exchange.attempt_answered;
   }
 
-  static auto FingerprintName(const Exchange& exchange) -> std::string {
+  // Computed only for requests that matter to the quarantine, as bodies may be
+  // long.
+  static auto ComputeFingerprint(Exchange& exchange) -> void {
     const auto& incoming = *exchange.incoming;
-    return PartName(FingerprintOf(incoming.method, exchange.request.host,
-                                  incoming.target, incoming.body));
+    if (!exchange.fingerprint) {
+      exchange.fingerprint =
+          FingerprintOf(incoming.method, exchange.request.host, incoming.target,
+                        incoming.body);
+    }
+  }
+
+  auto TraitsOf(Exchange& exchange) const -> RequestTraits {
+    if (parts_.quarantine.active()) {
+      ComputeFingerprint(exchange);
+    }
+    return {exchange.request.shared_parts, exchange.fingerprint};
   }
 
-  auto ReportCrash(const Exchange& exchange,
+  auto ReportCrash(Exchange& exchange,
                    const ReplicaId& replica,
                    const AttemptEnd& attempt) -> void {
     if (BrokeOff(exchange, attempt)) {
-      parts_.quarantine.OnCrash(replica, exchange.request.shared_parts);
+      ComputeFingerprint(exchange);
+      parts_.quarantine.OnCrash(replica, TraitsOf(exchange));
     }
   }
 
@@ -581,8 +595,8 @@
                        {"not_run", not_run ? "true" : "false"},
                        {"last_event", std::to_string(exchange.last_event)},
                        {"parts", PartNames(exchange.request.shared_parts)},
-                       {"fingerprint", BrokeOff(exchange, attempt)
-                                           ? FingerprintName(exchange)
+                       {"fingerprint", exchange.fingerprint
+                                           ? PartName(*exchange.fingerprint)
                                            : std::string()},
                        {"held_ms", Text(held)}});
     }
@@ -668,8 +682,10 @@
 
   static auto WhyWithoutReplica(const Exchange& exchange) -> std::string {
     if (!exchange.admission.allowed) {
-      return "replicas crash on part " + PartName(exchange.admission.part) +
-             " of the prompt";
+      return exchange.admission.trait.whole_request()
+                 ? "replicas crash on this request"
+                 : "replicas crash on " + TraitName(exchange.admission.trait) +
+                       " of the prompt";
     }
     if (exchange.choice.next_start) {
       return "all replicas are at the limits that they named";
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -987,12 +987,14 @@
   }
 
   auto LogQuarantine(const QuarantineChange& change) -> void {
+    const auto whole = change.trait.whole_request();
+    const auto event = std::string(whole ? "request" : "part") +
+                       (change.quarantined ? "_quarantined" : "_released");
     logger_.Warning(
-        change.quarantined
-            ? "a prompt part is quarantined: replicas crash on it"
-            : "a prompt part is no longer quarantined",
-        {{"event", change.quarantined ? "part_quarantined" : "part_released"},
-         {"part", PartName(change.part)},
+        change.quarantined ? "requests are quarantined: replicas crash on them"
+                           : "requests are no longer quarantined",
+        {{"event", event},
+         {whole ? "fingerprint" : "part", PartName(change.trait.value)},
          {"crashes", std::to_string(change.crashes)}});
   }
 
--- a/src/serving/request_quarantine.cc
+++ b/src/serving/request_quarantine.cc
@@ -8,24 +8,47 @@
 #include "kumquatgauge/routing/rendezvous.h"
 
 namespace kumquatgauge::serving {
+namespace {
 
-auto RequestQuarantine::Check(const PromptParts& parts) const -> Admission {
+// Returns the traits of a request with the position of each in the prompt. The
+// whole request comes last, since it is shared by the fewest.
+auto ListTraits(const RequestTraits& traits)
+    -> std::vector<std::pair<RequestTrait, std::size_t>> {
+  auto list = std::vector<std::pair<RequestTrait, std::size_t>>();
+  for (const auto part : traits.parts) {
+    list.emplace_back(RequestTrait{RequestTrait::Kind::kPromptPart, part},
+                      list.size());
+  }
+  if (traits.fingerprint) {
+    list.emplace_back(
+        RequestTrait{RequestTrait::Kind::kWholeRequest, *traits.fingerprint},
+        list.size());
+  }
+  return list;
+}
+
+}  // namespace
+
+auto RequestQuarantine::Check(const RequestTraits& traits) const -> Admission {
   auto admission = Admission();
   if (suspects_.empty()) {
     return admission;
   }
   const auto now = clock_();
-  for (const auto part : parts) {
-    const auto found = suspects_.find(part);
+  for (const auto& [trait, depth] : ListTraits(traits)) {
+    const auto found = suspects_.find(trait);
     if (found == suspects_.end() || !found->second.quarantined) {
       continue;
     }
     const auto& suspect = found->second;
+    if (trait.whole_request()) {
+      return {false, false, trait, settings_.forget_time};
+    }
     const auto trial_due = suspect.last_crash + suspect.trial_delay;
     const auto in_trial = suspect.trial_began &&
                           now - *suspect.trial_began < settings_.trial_time;
-    admission.part = part;
-    if (now < trial_due || in_trial || !runs_trials_(part)) {
+    admission.trait = trait;
+    if (now < trial_due || in_trial || !runs_trials_(trait.value)) {
       admission.allowed = false;
       admission.trial = false;
       admission.retry_after = std::max(trial_due - now, settings_.trial_time);
@@ -36,32 +59,36 @@
   return admission;
 }
 
-auto RequestQuarantine::Admit(const PromptParts& parts) -> Admission {
+auto RequestQuarantine::Admit(const RequestTraits& traits) -> Admission {
   while (QuarantineNext()) {
   }
-  const auto admission = Check(parts);
-  if (admission.trial) {
-    for (const auto part : parts) {
-      const auto found = suspects_.find(part);
-      if (found != suspects_.end() && found->second.quarantined) {
-        found->second.trial_began = clock_();
-      }
+  const auto admission = Check(traits);
+  for (const auto& [trait, depth] : ListTraits(traits)) {
+    const auto found = suspects_.find(trait);
+    if (found == suspects_.end() || !found->second.quarantined) {
+      continue;
+    }
+    if (admission.trial) {
+      found->second.trial_began = clock_();
+    } else if (!admission.allowed) {
+      found->second.last_refused = clock_();
     }
   }
   return admission;
 }
 
-auto RequestQuarantine::OnAnswered(const PromptParts& parts) -> void {
+auto RequestQuarantine::OnAnswered(const RequestTraits& traits) -> void {
   const auto now = clock_();
-  for (const auto part : parts) {
-    AddAnswer(part, now);
+  for (const auto& [trait, depth] : ListTraits(traits)) {
+    AddAnswer(trait, now);
   }
 }
 
-auto RequestQuarantine::AddAnswer(PromptPart part, MonotonicTime at) -> void {
-  auto& answered = answered_.try_emplace(part, at).first->second;
+auto RequestQuarantine::AddAnswer(const RequestTrait& trait, MonotonicTime at)
+    -> void {
+  auto& answered = answered_.try_emplace(trait, at).first->second;
   answered = std::max(answered, at);
-  const auto found = suspects_.find(part);
+  const auto found = suspects_.find(trait);
   if (found != suspects_.end()) {
     auto& suspect = found->second;
     const auto before = suspect.crashes.size();
@@ -72,45 +99,46 @@
     }
     if (suspect.quarantined && suspect.crashes.empty()) {
       suspect.quarantined = false;
-      changes_.push_back({part, false, before});
+      changes_.push_back({trait, false, before});
     }
   }
   EvictAnswers();
 }
 
 auto RequestQuarantine::OnCrash(const ReplicaId& replica,
-                                const PromptParts& parts) -> void {
+                                const RequestTraits& traits) -> void {
   const auto now = clock_();
   const auto id = routing::RendezvousHash(replica.value());
-  const auto known = std::any_of(parts.begin(), parts.end(), [&](auto part) {
-    const auto found = suspects_.find(part);
+  const auto list = ListTraits(traits);
+  const auto is_quarantined = [&](const RequestTrait& trait) {
+    const auto found = suspects_.find(trait);
     return found != suspects_.end() && found->second.quarantined;
-  });
-  for (std::size_t depth = 0; depth < parts.size(); ++depth) {
-    const auto found = suspects_.find(parts[depth]);
-    const auto quarantined =
-        found != suspects_.end() && found->second.quarantined;
-    if (quarantined || !known) {
-      AddCrash(parts[depth], depth, id, now);
+  };
+  const auto known =
+      std::any_of(list.begin(), list.end(),
+                  [&](const auto& item) { return is_quarantined(item.first); });
+  for (const auto& [trait, depth] : list) {
+    if (is_quarantined(trait) || !known) {
+      AddCrash(trait, depth, id, now);
     }
   }
 }
 
-auto RequestQuarantine::AddCrash(PromptPart part,
+auto RequestQuarantine::AddCrash(const RequestTrait& trait,
                                  std::size_t depth,
                                  std::uint64_t replica,
                                  MonotonicTime at) -> void {
-  const auto answered = AnsweredAt(part);
+  const auto answered = AnsweredAt(trait);
   if (answered && at <= *answered) {
     return;
   }
-  const auto known = suspects_.find(part);
+  const auto known = suspects_.find(trait);
   const auto quarantined =
       known != suspects_.end() && known->second.quarantined;
   if (!quarantined && IsExplained(replica)) {
     return;
   }
-  auto& suspect = suspects_[part];
+  auto& suspect = suspects_[trait];
   suspect.depth = depth;
   if (!suspect.crashes.try_emplace(replica, at).second) {
     return;
@@ -130,9 +158,9 @@
   EvictSuspects();
 }
 
-auto RequestQuarantine::AnsweredAt(PromptPart part) const
+auto RequestQuarantine::AnsweredAt(const RequestTrait& trait) const
     -> std::optional<MonotonicTime> {
-  const auto found = answered_.find(part);
+  const auto found = answered_.find(trait);
   if (found == answered_.end() ||
       clock_() - found->second > settings_.answered_memory) {
     return std::nullopt;
@@ -164,7 +192,7 @@
   return groups;
 }
 
-auto RequestQuarantine::MustQuarantine(PromptPart part,
+auto RequestQuarantine::MustQuarantine(const RequestTrait& trait,
                                        const Suspect& suspect) const -> bool {
   if (suspect.quarantined || suspect.crashes.size() < settings_.min_crashes) {
     return false;
@@ -177,7 +205,7 @@
     return false;
   }
   const auto groups = GroupCount(suspect);
-  if (!AnsweredAt(part)) {
+  if (!AnsweredAt(trait)) {
     return groups >= settings_.min_crashes;
   }
   return groups >= settings_.min_crashes_answered &&
@@ -212,8 +240,11 @@
   quarantined.trial_delay = settings_.trial_delay;
   changes_.push_back({chosen->first, true, quarantined.crashes.size()});
   Touch(quarantined);
-  for (auto& [part, suspect] : suspects_) {
-    if (!suspect.quarantined) {
+  const auto& trait = chosen->first;
+  for (auto& [other, suspect] : suspects_) {
+    // A part may be the reason why several requests crash replicas.
+    if (!suspect.quarantined &&
+        (!trait.whole_request() || other.whole_request())) {
       std::erase_if(suspect.crashes, [&](const auto& crash) {
         return quarantined.crashes.contains(crash.first);
       });
@@ -227,9 +258,15 @@
        ++suspect) {
     order.push_back(suspect);
   }
-  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
-    return std::pair(a->second.quarantined, a->second.changed) >
-           std::pair(b->second.quarantined, b->second.changed);
+  const auto order_of = [](const Suspect& suspect) {
+    // An objection has no crashes and matters as much as a second one.
+    constexpr std::size_t kObjection = 2;
+    const auto crashes =
+        suspect.crashes.empty() ? kObjection : suspect.crashes.size();
+    return std::tuple(suspect.quarantined, crashes, suspect.changed);
+  };
+  std::sort(order.begin(), order.end(), [&](const auto& a, const auto& b) {
+    return order_of(a->second) > order_of(b->second);
   });
   order.resize(std::min(order.size(), settings_.max_report));
   const auto now = clock_();
@@ -237,7 +274,7 @@
   for (const auto& item : order) {
     const auto& suspect = item->second;
     auto report = SuspectReport();
-    report.part = item->first;
+    report.trait = item->first;
     report.depth = suspect.depth;
     for (const auto& [replica, at] : suspect.crashes) {
       report.crashes.push_back({replica, now - at});
@@ -255,14 +292,14 @@
   const auto now = clock_();
   for (const auto& report : reports) {
     if (report.answered_age) {
-      AddAnswer(report.part, now - *report.answered_age);
+      AddAnswer(report.trait, now - *report.answered_age);
     }
     for (const auto& crash : report.crashes) {
-      AddCrash(report.part, report.depth, crash.replica, now - crash.age);
+      AddCrash(report.trait, report.depth, crash.replica, now - crash.age);
     }
     // Objects to crashes that the other node counts although this one has a
     // later answer.
-    const auto answered = AnsweredAt(report.part);
+    const auto answered = AnsweredAt(report.trait);
     const auto outdated =
         answered && std::any_of(report.crashes.begin(), report.crashes.end(),
                                 [&](const auto& crash) {
@@ -270,7 +307,7 @@
                                 });
     if (outdated ||
         (answered && !report.answered_age && !report.crashes.empty())) {
-      auto& suspect = suspects_[report.part];
+      auto& suspect = suspects_[report.trait];
       suspect.depth = report.depth;
       Touch(suspect);
       EvictSuspects();
@@ -288,14 +325,17 @@
 auto RequestQuarantine::ForgetOld() -> void {
   const auto now = clock_();
   std::erase_if(suspects_, [&](const auto& item) {
-    const auto& [part, suspect] = item;
+    const auto& [trait, suspect] = item;
     const auto kept = suspect.quarantined       ? settings_.forget_time
                       : suspect.crashes.empty() ? settings_.cleared_time
                                                 : settings_.suspicion_time;
     const auto forgotten =
-        now - std::max(suspect.last_crash, suspect.changed) > kept;
+        now - std::max({suspect.last_crash, suspect.changed,
+                        trait.whole_request() ? suspect.last_refused
+                                              : suspect.last_crash}) >
+        kept;
     if (forgotten && suspect.quarantined) {
-      changes_.push_back({part, false, suspect.crashes.size()});
+      changes_.push_back({trait, false, suspect.crashes.size()});
     }
     return forgotten;
   });
@@ -317,7 +357,7 @@
   }
   // Drops the older half at once, so that this happens rarely.
   auto times = std::vector<MonotonicTime>();
-  for (const auto& [part, at] : answered_) {
+  for (const auto& [trait, at] : answered_) {
     times.push_back(at);
   }
   const auto middle =
--- a/src/serving/request_quarantine_test.cc
+++ b/src/serving/request_quarantine_test.cc
@@ -17,6 +17,11 @@
 constexpr PromptPart kCaller = 1;  // First part of all requests of one caller.
 constexpr milliseconds kBetweenCrashes{300};
 
+// A request without a fingerprint, or an item.
+auto Parts(PromptParts parts) -> RequestTraits {
+  return {std::move(parts), std::nullopt};
+}
+
 // Nodes that exchange reports when the test says so. Node 0 runs trials.
 struct Fixture {
   explicit Fixture(std::size_t count = 1) {
@@ -35,7 +40,8 @@
 
   // A request with these parts ends a replica that no other request has ended.
   auto Crash(const PromptParts& parts, std::size_t at = 0) -> void {
-    node(at).OnCrash(ReplicaId("i-" + std::to_string(++replicas)), parts);
+    node(at).OnCrash(ReplicaId("i-" + std::to_string(++replicas)),
+                     Parts(parts));
     clock.Advance(kBetweenCrashes);
   }
 
@@ -51,14 +57,14 @@
   }
 
   auto Refuses(const PromptParts& parts, std::size_t at = 0) -> bool {
-    return !node(at).Admit(parts).allowed;
+    return !node(at).Admit(Parts(parts)).allowed;
   }
 
   // Quarantines the crashing part at all nodes.
   auto QuarantineCrashingPart() -> void {
     for (auto crash = 0U; crash < settings.min_crashes; ++crash) {
       Crash({kCaller, kCrashing});
-      node().OnAnswered({kCaller});
+      node().OnAnswered(Parts({kCaller}));
     }
     Exchange();
     for (auto& each : nodes) {
@@ -78,12 +84,12 @@
   for (PromptPart subject = 10; subject < 13; ++subject) {
     CHECK_FALSE(fixture.Refuses({kCaller, subject, kCrashing}));
     fixture.Crash({kCaller, subject, kCrashing});
-    fixture.node().OnAnswered({kCaller, subject});
+    fixture.node().OnAnswered(Parts({kCaller, subject}));
   }
   CHECK(fixture.Refuses({kCaller, 99, kCrashing}));
   CHECK(fixture.Refuses({kCrashing}));
-  const auto refusal = fixture.node().Check({kCrashing});
-  CHECK(refusal.part == kCrashing);
+  const auto refusal = fixture.node().Check(Parts({kCrashing}));
+  CHECK(refusal.trait.value == kCrashing);
   CHECK(refusal.retry_after > Duration::zero());
 }
 
@@ -91,7 +97,7 @@
 // parts with those that crash replicas.
 TEST_CASE("RequestQuarantine.AdmitsRequestsThatShareTheOtherParts") {
   auto fixture = Fixture();
-  fixture.node().OnAnswered({kCaller, 10});
+  fixture.node().OnAnswered(Parts({kCaller, 10}));
   for (auto crash = 0; crash < 30; ++crash) {
     fixture.Crash({kCaller, 10, kCrashing});
   }
@@ -116,10 +122,10 @@
   auto fixture = Fixture();
   for (auto crash = 0; crash < 6; ++crash) {
     const auto replica = ReplicaId("i-" + std::to_string(crash));
-    fixture.node().OnCrash(replica, {kCaller, kCrashing});
-    fixture.node().OnCrash(replica, {2, 20});
+    fixture.node().OnCrash(replica, Parts({kCaller, kCrashing}));
+    fixture.node().OnCrash(replica, Parts({2, 20}));
     fixture.clock.Advance(kBetweenCrashes);
-    fixture.node().OnAnswered({2, 20});
+    fixture.node().OnAnswered(Parts({2, 20}));
   }
   CHECK(fixture.Refuses({kCrashing}));
   CHECK_FALSE(fixture.Refuses({2, 20}));
@@ -130,7 +136,8 @@
 TEST_CASE("RequestQuarantine.CountsReplicasThatFailTogetherOnce") {
   auto fixture = Fixture();
   for (auto replica = 0; replica < 10; ++replica) {
-    fixture.node().OnCrash(ReplicaId("g-" + std::to_string(replica)), {7});
+    fixture.node().OnCrash(ReplicaId("g-" + std::to_string(replica)),
+                           Parts({7}));
     fixture.clock.Advance(milliseconds(2));
   }
   fixture.clock.Advance(seconds(1));
@@ -144,7 +151,7 @@
   for (auto crash = 0; crash < 20; ++crash) {
     fixture.Crash({7});
     if (crash % 3 == 2) {
-      fixture.node().OnAnswered({7});
+      fixture.node().OnAnswered(Parts({7}));
     }
     CHECK_FALSE(fixture.Refuses({7}));
   }
@@ -178,11 +185,11 @@
 // Guards against refusing a part that another node knows an answer to.
 TEST_CASE("RequestQuarantine.AcceptsTheObjectionOfANodeWithAnAnswer") {
   auto fixture = Fixture(2);
-  fixture.node(1).OnAnswered({7});
+  fixture.node(1).OnAnswered(Parts({7}));
   for (auto crash = 0; crash < 4; ++crash) {
     fixture.Crash({7}, 0);
     fixture.Exchange();
-    fixture.node(1).OnAnswered({7});
+    fixture.node(1).OnAnswered(Parts({7}));
     fixture.Exchange();
   }
   CHECK_FALSE(fixture.Refuses({7}, 0));
@@ -208,11 +215,11 @@
   fixture.QuarantineCrashingPart();
   fixture.clock.Advance(fixture.settings.trial_delay);
   CHECK(fixture.Refuses({kCrashing}, 1));
-  const auto trial = fixture.node(0).Admit({kCaller, kCrashing});
+  const auto trial = fixture.node(0).Admit(Parts({kCaller, kCrashing}));
   CHECK(trial.allowed);
   CHECK(trial.trial);
   CHECK(fixture.Refuses({kCrashing}, 0));
-  fixture.node(0).OnAnswered({kCaller, kCrashing});
+  fixture.node(0).OnAnswered(Parts({kCaller, kCrashing}));
   fixture.Exchange();
   CHECK_FALSE(fixture.Refuses({kCrashing}, 0));
   CHECK_FALSE(fixture.Refuses({kCrashing}, 1));
@@ -226,10 +233,10 @@
   fixture.QuarantineCrashingPart();
   auto trials = 0;
   for (auto second = 0; second < 600; ++second) {
-    if (fixture.node().Admit({kCrashing}).allowed) {
+    if (fixture.node().Admit(Parts({kCrashing})).allowed) {
       ++trials;
       fixture.node().OnCrash(ReplicaId("t-" + std::to_string(second)),
-                             {kCrashing});
+                             Parts({kCrashing}));
     }
     fixture.clock.Advance(seconds(1));
   }
@@ -243,9 +250,9 @@
   auto fixture = Fixture();
   fixture.QuarantineCrashingPart();
   fixture.clock.Advance(fixture.settings.trial_delay);
-  REQUIRE(fixture.node().Admit({kCrashing}).trial);
+  REQUIRE(fixture.node().Admit(Parts({kCrashing})).trial);
   fixture.clock.Advance(fixture.settings.trial_time);
-  CHECK(fixture.node().Admit({kCrashing}).trial);
+  CHECK(fixture.node().Admit(Parts({kCrashing})).trial);
 }
 
 // Guards against state that grows with the number of parts that are seen, and
@@ -254,8 +261,8 @@
   auto fixture = Fixture();
   fixture.QuarantineCrashingPart();
   for (PromptPart part = 1'000; part < 21'000; ++part) {
-    fixture.node().OnAnswered({part});
-    fixture.node().OnCrash(ReplicaId("x"), {part + 100'000});
+    fixture.node().OnAnswered(Parts({part}));
+    fixture.node().OnCrash(ReplicaId("x"), Parts({part + 100'000}));
     fixture.clock.Advance(milliseconds(1));
   }
   CHECK(fixture.Refuses({kCrashing}));
@@ -270,7 +277,7 @@
   auto fixture = Fixture(3);
   for (std::size_t crash = 0; crash < 60; ++crash) {
     fixture.node(crash % 3).OnCrash(ReplicaId("r-" + std::to_string(crash)),
-                                    {kCrashing});
+                                    Parts({kCrashing}));
     fixture.clock.Advance(milliseconds(1));
   }
   for (auto round = 0; round < 20; ++round) {
@@ -302,5 +309,123 @@
   CHECK_FALSE(fixture.Refuses({kCrashing}, 1));
 }
 
+constexpr RequestFingerprint kRepeated = 4'711;
+constexpr RequestFingerprint kSound = 815;
+
+// A request with these traits ends a replica.
+auto CrashRequest(Fixture& fixture, const RequestTraits& traits, int at = 0)
+    -> void {
+  fixture.node(at).OnCrash(ReplicaId("i-" + std::to_string(++fixture.replicas)),
+                           traits);
+  fixture.clock.Advance(kBetweenCrashes);
+}
+
+// Guards against a request without prompt parts that ends every replica each
+// time its caller sends it again, at any node.
+TEST_CASE("RequestQuarantine.RefusesARequestThatComesAgainAtEveryNode") {
+  auto fixture = Fixture(3);
+  for (auto crash = 0; crash < 3; ++crash) {
+    CHECK(fixture.node(crash).Admit({{}, kRepeated}).allowed);
+    CrashRequest(fixture, {{}, kRepeated}, crash);
+    fixture.Exchange();
+  }
+  for (auto& node : fixture.nodes) {
+    const auto admission = node->Admit({{}, kRepeated});
+    CHECK_FALSE(admission.allowed);
+    CHECK(admission.trait.whole_request());
+    CHECK(node->Admit({{}, kSound}).allowed);
+  }
+}
+
+// Guards against sound requests that are blamed because they were at the same
+// replicas.
+TEST_CASE("RequestQuarantine.BlamesNoRequestThatWasAnswered") {
+  auto fixture = Fixture();
+  for (auto crash = 0; crash < 3; ++crash) {
+    const auto replica = ReplicaId("s-" + std::to_string(crash));
+    fixture.node().OnCrash(replica, {{}, kRepeated});
+    fixture.node().OnCrash(replica, {{}, kSound});
+    fixture.node().OnAnswered({{}, kSound});
+    fixture.clock.Advance(kBetweenCrashes);
+  }
+  CHECK_FALSE(fixture.node().Admit({{}, kRepeated}).allowed);
+  CHECK(fixture.node().Admit({{}, kSound}).allowed);
+}
+
+// Guards against trials that crash more replicas than a request may in all.
+TEST_CASE("RequestQuarantine.NeverTriesARequestAgainThatKeepsComing") {
+  auto fixture = Fixture();
+  for (auto crash = 0; crash < 3; ++crash) {
+    CrashRequest(fixture, {{}, kRepeated});
+  }
+  for (auto minute = 0; minute < 60; ++minute) {
+    CHECK_FALSE(fixture.node().Admit({{}, kRepeated}).allowed);
+    fixture.clock.Advance(minutes(1));
+    fixture.node().OnTick();
+  }
+  fixture.clock.Advance(fixture.settings.forget_time + seconds(1));
+  fixture.node().OnTick();
+  CHECK(fixture.node().Admit({{}, kRepeated}).allowed);
+}
+
+// Guards against a request that is blamed first and hides the prompt part on
+// which it and all others with the part crash replicas.
+TEST_CASE("RequestQuarantine.FindsThePartBehindRequestsThatComeAgain") {
+  auto fixture = Fixture();
+  auto crashes = 0;
+  for (RequestFingerprint request = 1; request <= 5; ++request) {
+    const auto traits = RequestTraits{{kCaller, kCrashing}, request};
+    for (auto attempt = 0; attempt < 3; ++attempt) {
+      if (fixture.node().Admit(traits).allowed) {
+        CrashRequest(fixture, traits);
+        ++crashes;
+      }
+    }
+    fixture.node().OnAnswered(Parts({kCaller}));
+  }
+  CHECK(crashes <= 5);
+  CHECK(fixture.Refuses({kCaller, kCrashing}));
+  CHECK_FALSE(fixture.Refuses({kCaller}));
+}
+
+// Guards against a part that is blamed for a request that crashes replicas by
+// itself, though other requests with the part are answered.
+TEST_CASE("RequestQuarantine.BlamesTheRequestIfItsPartsAreAnswered") {
+  auto fixture = Fixture();
+  for (auto crash = 0; crash < 3; ++crash) {
+    CrashRequest(fixture, {{kCaller}, kRepeated});
+    fixture.node().OnAnswered({{kCaller}, kSound});
+  }
+  CHECK_FALSE(fixture.node().Admit({{kCaller}, kRepeated}).allowed);
+  CHECK(fixture.node().Admit({{kCaller}, kSound}).allowed);
+}
+
+// Guards against a caller that chooses the id of a prompt part so that another
+// request is refused.
+TEST_CASE("RequestQuarantine.TakesNoPartForARequest") {
+  auto fixture = Fixture();
+  for (auto crash = 0; crash < 3; ++crash) {
+    fixture.Crash({kRepeated});
+  }
+  CHECK(fixture.Refuses({kRepeated}));
+  CHECK(fixture.node().Admit({{}, kRepeated}).allowed);
+}
+
+// Guards against the request that crashes replicas being left out of reports,
+// since every request that was at one of them is a suspect.
+TEST_CASE("RequestQuarantine.ReportsWhatCrashedMostBesideManySuspects") {
+  auto fixture = Fixture();
+  for (auto crash = 0U; crash < 2; ++crash) {
+    const auto replica = ReplicaId("m-" + std::to_string(crash));
+    fixture.node().OnCrash(replica, {{}, kRepeated});
+    for (auto other = 0U; other < 20; ++other) {
+      fixture.node().OnCrash(replica, {{}, 100 * crash + other});
+    }
+    fixture.clock.Advance(kBetweenCrashes);
+  }
+  const auto report = fixture.node().Report();
+  CHECK(report.front().trait.value == kRepeated);
+}
+
 }  // namespace
 }  // namespace kumquatgauge::serving
--- a/src/serving/suspect_report_codec.cc
+++ b/src/serving/suspect_report_codec.cc
@@ -12,7 +12,10 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-// Fields of an entry: part, depth, crashes, and the age of the answer, if any.
+// In place of the position in the prompt, for a whole request.
+constexpr std::int64_t kWholeRequest = -1;
+// Fields of an entry: value, position, crashes, and the age of the answer, if
+// any.
 constexpr std::size_t kFieldsWithAnswer = 4;
 
 auto ReadAge(const json& age) -> Duration {
@@ -29,7 +32,10 @@
       crashes.push_back(
           {crash.replica, std::chrono::ceil<milliseconds>(crash.age).count()});
     }
-    json entry = {report.part, report.depth, std::move(crashes)};
+    json entry = {
+        report.trait.value,
+        report.trait.whole_request() ? json(kWholeRequest) : json(report.depth),
+        std::move(crashes)};
     if (report.answered_age) {
       entry.push_back(
           std::chrono::floor<milliseconds>(*report.answered_age).count());
@@ -43,8 +49,12 @@
   auto reports = std::vector<SuspectReport>();
   for (const auto& entry : encoded) {
     auto report = SuspectReport();
-    report.part = entry.at(0).get<PromptPart>();
-    report.depth = entry.at(1).get<std::size_t>();
+    report.trait.value = entry.at(0).get<std::uint64_t>();
+    if (entry.at(1).get<std::int64_t>() == kWholeRequest) {
+      report.trait.kind = RequestTrait::Kind::kWholeRequest;
+    } else {
+      report.depth = entry.at(1).get<std::size_t>();
+    }
     for (const auto& crash : entry.at(2)) {
       report.crashes.push_back(
           {crash.at(0).get<std::uint64_t>(), ReadAge(crash.at(1))});
--- a/src/serving/suspect_report_codec_test.cc
+++ b/src/serving/suspect_report_codec_test.cc
@@ -18,13 +18,15 @@
 
 TEST_CASE("SuspectReportCodec.ReturnsWhatItEncoded") {
   auto report = SuspectReport();
-  report.part = kLargest;
+  report.trait.value = kLargest;
   report.depth = 2;
   report.crashes = {{7, milliseconds(40)}, {kLargest, milliseconds(0)}};
   auto answered = SuspectReport();
-  answered.part = 3;
+  answered.trait.value = 3;
   answered.answered_age = milliseconds(1'500);
-  const auto reports = std::vector{report, answered};
+  auto request = SuspectReport();
+  request.trait = {RequestTrait::Kind::kWholeRequest, kLargest};
+  const auto reports = std::vector{report, answered, request};
   CHECK(DecodeReports(EncodeReports(reports)) == reports);
 }
 
@@ -45,7 +47,7 @@
   constexpr std::size_t kRest = 200;  // Header, checksum and the node's name.
   const auto settings = RequestQuarantineSettings();
   auto report = SuspectReport();
-  report.part = kLargest;
+  report.trait.value = kLargest;
   report.depth = 63;
   report.crashes.assign(settings.max_crashes, {kLargest, settings.forget_time});
   report.answered_age = settings.answered_memory;
--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -266,6 +266,11 @@
   crashing_part_ = part;
 }
 
+auto FakeReplica::set_crashing_body(const std::string& body) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  crashing_body_ = body;
+}
+
 auto FakeReplica::set_start_limit(const std::string& limit) -> void {
   const auto lock = std::lock_guard(mutex_);
   start_limit_ = limit;
@@ -279,8 +284,12 @@
 auto FakeReplica::Crashes(const caller::IncomingRequest& request) -> bool {
   const auto lock = std::lock_guard(mutex_);
   const auto prompt = FindHeader(request.headers, "Prompt-Prefix");
-  if (crashing_part_.empty() ||
-      prompt.find(crashing_part_ + ":") == std::string_view::npos) {
+  const auto by_part =
+      !crashing_part_.empty() &&
+      prompt.find(crashing_part_ + ":") != std::string_view::npos;
+  const auto by_body =
+      !crashing_body_.empty() && request.body == crashing_body_;
+  if (!by_part && !by_body) {
     return false;
   }
   id_ = name_ + "-" + std::to_string(++crashes_);
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -118,6 +118,8 @@
   // A request whose prompt has this part ends the replica before its answer
   // begins; the replica is back at once under another id.
   auto set_crashing_part(const std::string& part) -> void;
+  // The same for a request with this body.
+  auto set_crashing_body(const std::string& body) -> void;
   auto crashes() const -> int;
   // Named in every answer from now on as the requests a second that the
   // replica takes; empty for none.
@@ -144,6 +146,7 @@
   std::string name_;
   std::string id_;
   std::string crashing_part_;
+  std::string crashing_body_;
   std::string start_limit_;
   int crashes_ = 0;
   OnStart on_start_;
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -251,6 +251,60 @@
   }
 }
 
+// Guards against a request that ends every replica that runs it, and comes again
+// from its caller under another id, at any node.
+TEST_CASE("Gateway.KeepsARequestThatCrashesReplicasAwayFromThem") {
+  constexpr auto kSpread = std::chrono::seconds(3);
+  constexpr auto kLastCrashes = 3;
+  auto fleet = Fleet(3);
+  fleet.AwaitService();
+  auto number = 0;
+  const auto call = [&](const std::string& body) {
+    const auto id = "r" + std::to_string(++number);
+    const auto& node = *fleet.nodes[number % fleet.nodes.size()];
+    return node.Call("POST", "/plain/x", id, body);
+  };
+  const auto crashes = [&] {
+    return fleet.one->crashes() + fleet.two->crashes();
+  };
+  const auto restart = [&](FakeReplica& replica, std::string& announced) {
+    if (announced != replica.id()) {
+      fleet.store->Remove("servers/" + announced);
+      fleet.Announce(replica);
+      announced = replica.id();
+    }
+  };
+  auto announced_one = fleet.one->id();
+  auto announced_two = fleet.two->id();
+  fleet.one->set_crashing_body("crashing");
+  fleet.two->set_crashing_body("crashing");
+  auto third = std::optional<std::chrono::steady_clock::time_point>();
+  auto late = 0;
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(8);
+  while (std::chrono::steady_clock::now() < end) {
+    const auto before = crashes();
+    const auto began = std::chrono::steady_clock::now();
+    const auto reply = call("crashing");
+    if (third && began > *third + kSpread) {
+      late += crashes() - before;
+      CHECK(reply.status == 503);
+    }
+    if (!third && crashes() >= 3) {
+      third = std::chrono::steady_clock::now();
+    }
+    call("sound");
+    restart(*fleet.one, announced_one);
+    restart(*fleet.two, announced_two);
+    std::this_thread::sleep_for(milliseconds(60));
+  }
+  REQUIRE(third);
+  CHECK(late <= kLastCrashes);
+  CHECK(crashes() < 12);
+  for (auto sound = 0; sound < 6; ++sound) {
+    CHECK(call("sound").status == 200);
+  }
+}
+
 // Guards against a gateway that uses up its memory, and against callers that
 // wait without end, while all replicas send bodies without end.
 TEST_CASE("Gateway.LimitsTheMemoryOfBodiesWithoutEnd") {
