Let only limits hold up requests that may have run

A request that goes on at another replica waited behind the queue for up to a second even without limited replicas, where it had waited for a fifth of its target since it arrived. The longer time now applies only while all replicas are at their limits.

--- a/include/kumquatgauge/serving/start_limiter.h
+++ b/include/kumquatgauge/serving/start_limiter.h
@@ -31,8 +31,9 @@
   // Starts a second of a replica whose limit is lower. Its answers tell when it
   // takes more again.
   double min_rate = 0.2;
-  // Starts that other nodes made before this node knew the limit and that were
-  // paid for at most, as a number and as time at the limit.
+  // The account is overdrawn by no more than these starts and those of
+  // `max_debt_time` at the limit, so that a wrong count does not keep a replica
+  // idle for long.
   double max_debt_starts = 4.0;
   Duration max_debt_time = std::chrono::seconds(4);
   // How long this node reports that a limit has ended.
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -238,26 +238,25 @@
     const auto began = parts_.clock();
     auto max_wait = std::chrono::duration_cast<Duration>(
         exchange->route->latency_target * kWaitShare);
-    auto start_by = exchange->incoming->arrived + max_wait;
-    const auto urgency = Urgency{exchange->route->rank, start_by};
-    if (request.even_if_full) {
-      // Only limits of the replicas can hold it up.
-      start_by = std::min(exchange->deadline, began + kMaxContinuationWait);
-    }
+    const auto arrival_limit = exchange->incoming->arrived + max_wait;
+    const auto urgency = Urgency{exchange->route->rank, arrival_limit};
     auto ticket = std::optional<WaitQueue::Ticket>();
     while (true) {
       const auto must_queue =
           !ticket && wait_queue_.MustWait(exchange->service, urgency);
       exchange->choice = parts_.load_balancer.Choose(request);
       YieldForOnline(*exchange, request);
+      const auto& next_start = exchange->choice.next_start;
+      const auto start_by =
+          next_start && request.even_if_full
+              ? std::min(exchange->deadline, began + kMaxContinuationWait)
+              : arrival_limit;
       const auto placed = HasRoom(exchange->choice) && !must_queue;
       const auto no_replica =
           exchange->choice.availability == Availability::kNoReplica;
       if (placed || no_replica || exchange->writer->disconnected() ||
           parts_.clock() >= start_by ||
-          parts_.clock() +
-                  exchange->choice.next_start.value_or(Duration::zero()) >
-              start_by) {
+          parts_.clock() + next_start.value_or(Duration::zero()) > start_by) {
         break;
       }
       if (!ticket) {
@@ -265,7 +264,7 @@
         ++waiting_services_[exchange->service];
       }
       auto until = start_by;
-      if (const auto& next_start = exchange->choice.next_start) {
+      if (next_start) {
         until = std::min(until, parts_.clock() + kMinStartWait + *next_start);
       }
       co_await WaitForRoom(*ticket, until);
