Remember a request that crashes replicas for as long as it comes

The time of the last refusal was recorded only just before an attempt, which a refused request never reaches. It was forgotten ten minutes after its last crash although it kept coming, and could then end three more replicas.

Check records it now. RequestQuarantine.NeverTriesARequestAgainThatKeepsComing used the wrong call; with the one that the forwarder makes it failed before from the eleventh minute on.

--- a/include/kumquatgauge/serving/request_quarantine.h
+++ b/include/kumquatgauge/serving/request_quarantine.h
@@ -116,7 +116,7 @@
   };
 
   // Decides whether a request with these parts may be sent to a replica.
-  auto Check(const RequestTraits& traits) const -> Admission;
+  auto Check(const RequestTraits& traits) -> Admission;
   // The same just before each attempt: a trial begins.
   auto Admit(const RequestTraits& traits) -> Admission;
   // Called when a replica has begun to answer a request.
--- a/src/serving/request_quarantine.cc
+++ b/src/serving/request_quarantine.cc
@@ -29,7 +29,7 @@
 
 }  // namespace
 
-auto RequestQuarantine::Check(const RequestTraits& traits) const -> Admission {
+auto RequestQuarantine::Check(const RequestTraits& traits) -> Admission {
   auto admission = Admission();
   if (suspects_.empty()) {
     return admission;
@@ -40,8 +40,9 @@
     if (found == suspects_.end() || !found->second.quarantined) {
       continue;
     }
-    const auto& suspect = found->second;
+    auto& suspect = found->second;
     if (trait.whole_request()) {
+      suspect.last_refused = now;
       return {false, false, trait, settings_.forget_time};
     }
     const auto trial_due = suspect.last_crash + suspect.trial_delay;
@@ -63,15 +64,12 @@
   while (QuarantineNext()) {
   }
   const auto admission = Check(traits);
-  for (const auto& [trait, depth] : ListTraits(traits)) {
-    const auto found = suspects_.find(trait);
-    if (found == suspects_.end() || !found->second.quarantined) {
-      continue;
-    }
-    if (admission.trial) {
-      found->second.trial_began = clock_();
-    } else if (!admission.allowed) {
-      found->second.last_refused = clock_();
+  if (admission.trial) {
+    for (const auto& [trait, depth] : ListTraits(traits)) {
+      const auto found = suspects_.find(trait);
+      if (found != suspects_.end() && found->second.quarantined) {
+        found->second.trial_began = clock_();
+      }
     }
   }
   return admission;
--- a/src/serving/request_quarantine_test.cc
+++ b/src/serving/request_quarantine_test.cc
@@ -358,8 +358,9 @@
   for (auto crash = 0; crash < 3; ++crash) {
     CrashRequest(fixture, {{}, kRepeated});
   }
+  fixture.node().OnTick();
   for (auto minute = 0; minute < 60; ++minute) {
-    CHECK_FALSE(fixture.node().Admit({{}, kRepeated}).allowed);
+    CHECK_FALSE(fixture.node().Check({{}, kRepeated}).allowed);
     fixture.clock.Advance(minutes(1));
     fixture.node().OnTick();
   }
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -251,8 +251,8 @@
   }
 }
 
-// Guards against a request that ends every replica that runs it, and comes again
-// from its caller under another id, at any node.
+// Guards against a request that ends every replica that runs it, and comes
+// again from its caller under another id, at any node.
 TEST_CASE("Gateway.KeepsARequestThatCrashesReplicasAwayFromThem") {
   constexpr auto kSpread = std::chrono::seconds(3);
   constexpr auto kLastCrashes = 3;
