--- a/include/kumquatgauge/serving/load_balancer.h
+++ b/include/kumquatgauge/serving/load_balancer.h
@@ -47,6 +47,9 @@
   // How long items that are not urgent take no start of a limited replica after
   // an online request found none.
   Duration online_shortage_time = std::chrono::milliseconds(500);
+  // Longest time until the next start that is told; replicas of other cells do
+  // not tell theirs.
+  Duration max_next_start = std::chrono::seconds(10);
   // How long a replica that took no connection is left out; doubles up to the
   // maximum until one succeeds.
   Duration unreachable_time = std::chrono::milliseconds(250);
--- a/src/serving/load_balancer.cc
+++ b/src/serving/load_balancer.cc
@@ -297,7 +297,7 @@
   auto ties = std::uint64_t{0};
   auto preferred = std::uint64_t{0};
   const State* affinity_replica = nullptr;
-  auto next_start = std::optional<Duration>();
+  auto next_start = Duration::max();
   for (const auto& id : service->second) {
     const auto& state = states_.at(id);
     if (!IsUsable(state, request)) {
@@ -306,8 +306,7 @@
     if (!MayStart(state, request)) {
       ++choice.at_limit;
       if (state.in_cell) {
-        const auto next = start_limiter_.NextStart(id);
-        next_start = std::min(next, next_start.value_or(next));
+        next_start = std::min(next_start, start_limiter_.NextStart(id));
       }
       continue;
     }
@@ -373,7 +372,7 @@
   if (best == nullptr) {
     if (choice.at_limit > 0) {
       choice.availability = Availability::kFull;
-      choice.next_start = next_start.value_or(settings_.initial_hold);
+      choice.next_start = std::min(next_start, settings_.max_next_start);
     }
     return choice;
   }
