Give each run of the soak its own folder

A gateway that was started again read the settings that the other run had written: n3.err names port 27958, which n3.toml in the folder gave to n3 of the other run. The folder has the process id in its name now.

--- a/testing/soak/main.cc
+++ b/testing/soak/main.cc
@@ -1,6 +1,7 @@
 // Runs the soak: real gateway processes against fakes, with injected faults.
 
 #include <getopt.h>
+#include <unistd.h>
 
 #include <filesystem>
 #include <iostream>
@@ -33,7 +34,8 @@
 auto RunOnce(SoakSettings settings, const std::string& keep) -> int {
   namespace fs = std::filesystem;
   const auto folder =
-      fs::path(keep) / ("soak-" + std::to_string(settings.seed));
+      fs::path(keep) / ("soak-" + std::to_string(settings.seed) + "-" +
+                        std::to_string(getpid()));
   fs::remove_all(folder);
   fs::create_directories(folder);
   settings.folder = folder.string();
