--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <sstream>
@@ -63,6 +64,7 @@
   }
 
   auto Announce(const FakeReplica& replica) -> void {
+    announced[&replica] = replica.id();
     store->Put("servers/" + replica.id(), {{"service", "svc"},
                                            {"address", replica.address()},
                                            {"zone", "a"},
@@ -83,6 +85,19 @@
     }
   }
 
+  // Replaces the entries of replicas that have crashed and are back.
+  auto AnnounceRestarted() -> void {
+    for (const auto* replica : {one.get(), two.get()}) {
+      auto& id = announced[replica];
+      if (id != replica->id()) {
+        store->Remove("servers/" + id);
+        Announce(*replica);
+      }
+    }
+  }
+
+  auto Crashes() const -> int { return one->crashes() + two->crashes(); }
+
   auto RunCount(const std::string& request) const -> int {
     return one->RunCount(request) + two->RunCount(request);
   }
@@ -94,6 +109,7 @@
       std::make_unique<FakeReplica>(thread.context(), "i-1");
   std::unique_ptr<FakeReplica> two =
       std::make_unique<FakeReplica>(thread.context(), "i-2");
+  std::map<const FakeReplica*, std::string> announced;  // Ids in the store.
   std::filesystem::path folder;
   std::vector<std::string> store_addresses;  // Of the store, one per gateway.
   std::vector<std::unique_ptr<GatewayProcess>> nodes;
@@ -209,43 +225,30 @@
                    {"Prompt-Prefix", prompt + id + ":10"}},
                   ""});
   };
-  const auto crashes = [&] {
-    return fleet.one->crashes() + fleet.two->crashes();
-  };
-  const auto restart = [&](FakeReplica& replica, std::string& announced) {
-    if (announced != replica.id()) {
-      fleet.store->Remove("servers/" + announced);
-      fleet.Announce(replica);
-      announced = replica.id();
-    }
-  };
-  auto announced_one = fleet.one->id();
-  auto announced_two = fleet.two->id();
   fleet.one->set_crashing_part("dead");
   fleet.two->set_crashing_part("dead");
   auto fifth = std::optional<std::chrono::steady_clock::time_point>();
   auto late = 0;
   const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(7);
   while (std::chrono::steady_clock::now() < end) {
-    const auto before = crashes();
+    const auto before = fleet.Crashes();
     const auto began = std::chrono::steady_clock::now();
     const auto reply = call(kCrashingPrompt);
-    if (crashes() == before) {
+    if (fleet.Crashes() == before) {
       CHECK(reply.status == 503);
       CHECK(reply.headers.count("retry-after") == 1);
     }
     if (fifth && began > *fifth + kSpread) {
-      late += crashes() - before;
+      late += fleet.Crashes() - before;
     }
-    if (!fifth && crashes() >= 5) {
+    if (!fifth && fleet.Crashes() >= 5) {
       fifth = std::chrono::steady_clock::now();
     }
-    restart(*fleet.one, announced_one);
-    restart(*fleet.two, announced_two);
+    fleet.AnnounceRestarted();
     std::this_thread::sleep_for(milliseconds(60));
   }
   CHECK(late <= kLastCrashes);
-  CHECK(crashes() < 20);
+  CHECK(fleet.Crashes() < 20);
   for (auto sound = 0; sound < 6; ++sound) {
     CHECK(call(kSoundPrompt).status == 200);
   }
@@ -264,42 +267,29 @@
     const auto& node = *fleet.nodes[number % fleet.nodes.size()];
     return node.Call("POST", "/plain/x", id, body);
   };
-  const auto crashes = [&] {
-    return fleet.one->crashes() + fleet.two->crashes();
-  };
-  const auto restart = [&](FakeReplica& replica, std::string& announced) {
-    if (announced != replica.id()) {
-      fleet.store->Remove("servers/" + announced);
-      fleet.Announce(replica);
-      announced = replica.id();
-    }
-  };
-  auto announced_one = fleet.one->id();
-  auto announced_two = fleet.two->id();
   fleet.one->set_crashing_body("crashing");
   fleet.two->set_crashing_body("crashing");
   auto third = std::optional<std::chrono::steady_clock::time_point>();
   auto late = 0;
   const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(8);
   while (std::chrono::steady_clock::now() < end) {
-    const auto before = crashes();
+    const auto before = fleet.Crashes();
     const auto began = std::chrono::steady_clock::now();
     const auto reply = call("crashing");
     if (third && began > *third + kSpread) {
-      late += crashes() - before;
+      late += fleet.Crashes() - before;
       CHECK(reply.status == 503);
     }
-    if (!third && crashes() >= 3) {
+    if (!third && fleet.Crashes() >= 3) {
       third = std::chrono::steady_clock::now();
     }
     call("sound");
-    restart(*fleet.one, announced_one);
-    restart(*fleet.two, announced_two);
+    fleet.AnnounceRestarted();
     std::this_thread::sleep_for(milliseconds(60));
   }
   REQUIRE(third);
   CHECK(late <= kLastCrashes);
-  CHECK(crashes() < 12);
+  CHECK(fleet.Crashes() < 12);
   for (auto sound = 0; sound < 6; ++sound) {
     CHECK(call("sound").status == 200);
   }
