Log which answers say that their replica leaves

The logs could not tell a request that reached a leaving replica because the node did not know from one that reached it late. A value that is not known is logged and ignored. Nothing acts on it yet.

--- a/include/kumquatgauge/serving/dialect.h
+++ b/include/kumquatgauge/serving/dialect.h
@@ -80,6 +80,9 @@
   // named a limit.
   std::optional<double> start_limit;
   bool malformed_start_limit = false;
+  // The replica is leaving: it takes no requests that are sent later.
+  bool leaving = false;
+  bool malformed_leaving = false;
 
   auto operator==(const AnswerMetadata&) const -> bool = default;
 };
--- a/src/serving/answer_report.cc
+++ b/src/serving/answer_report.cc
@@ -14,6 +14,11 @@
     load_balancer.MarkGone(replica);
     return;  // The rest describes the replica that uses the address now.
   }
+  if (metadata.malformed_leaving) {
+    logger.Warning(
+        "a replica names a state of leaving that is not known; ignoring it",
+        {{"event", "leaving_malformed"}, {"replica", replica.value()}});
+  }
   if (metadata.malformed_start_limit) {
     logger.Warning(
         "a replica names a limit that is not a decimal number; "
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -740,7 +740,8 @@
   struct ItemOutcome {
     ItemEnd end = ItemEnd::kNotPlaced;
     bool completed = false;
-    bool broken = false;  // The replica broke off.
+    bool broken = false;   // The replica broke off.
+    bool leaving = false;  // It said in its answer that it leaves.
   };
 
   // Returns the service that the current configuration routes an item to.
@@ -820,6 +821,7 @@
          {"replica", replica.id.value()},
          {"in_flight", std::to_string(choice.in_flight)},
          {"limited", limited ? "true" : "false"},
+         {"leaving", outcome.leaving ? "true" : "false"},
          {"urgent", urgent ? "true" : "false"},
          {"end", EndName(outcome)},
          {"reason", call->reason()},
@@ -918,8 +920,11 @@
     ReportAnswer(replica.id, metadata, logger_, parts_.load_balancer,
                  parts_.counts_changed);
     if (head.status != kOk) {
-      co_return OutcomeOfStatus(head.status, metadata);
+      outcome = OutcomeOfStatus(head.status, metadata);
+      outcome.leaving = metadata.leaving;
+      co_return outcome;
     }
+    outcome.leaving = metadata.leaving;
     auto splitter = EventSplitter();
     auto intact = true;
     while (end == CallEnd::kOpen && intact) {
@@ -932,7 +937,8 @@
       end = CallEnd::kMalformed;
     }
     if (end == CallEnd::kComplete && splitter.rest().empty()) {
-      outcome = {ItemEnd::kFinished, true};
+      outcome.end = ItemEnd::kFinished;
+      outcome.completed = true;
       co_return outcome;
     }
     RecordFailure(replica.id, end);
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -86,6 +86,7 @@
   std::optional<RequestFingerprint> fingerprint;
   bool attempt_answered = false;  // The last attempt has begun to answer.
   bool limited = false;  // The replica of the last attempt had named a limit.
+  bool leaving = false;  // It said in its answer that it leaves.
   std::uint64_t last_event = 0;
   Duration first_event{0};  // Since the request arrived.
   Duration waited{0};
@@ -328,6 +329,7 @@
       exchange->history.max_attempts = 1;
     }
     attempts_.Add();
+    exchange->leaving = false;
     exchange->limited =
         parts_.load_balancer.start_limiter().IsLimited(replica.id);
     if (exchange->limited) {
@@ -416,12 +418,13 @@
     };
   }
 
-  auto ApplyAnswerMetadata(const Exchange& exchange,
+  auto ApplyAnswerMetadata(Exchange& exchange,
                            const ReplicaId& replica,
                            AttemptEnd& attempt) -> void {
     const auto metadata = parts_.dialect.decode_answer(exchange.head.status,
                                                        exchange.head.headers);
     attempt.not_run = metadata.not_run || metadata.wrong_replica;
+    exchange.leaving = metadata.leaving;
     ReportAnswer(replica, metadata, logger_, parts_.load_balancer,
                  parts_.counts_changed);
   }
@@ -592,6 +595,7 @@
                        {"end", std::string(upstream::CallEndName(attempt.end))},
                        {"status", std::to_string(attempt.status)},
                        {"not_run", not_run ? "true" : "false"},
+                       {"leaving", exchange.leaving ? "true" : "false"},
                        {"last_event", std::to_string(exchange.last_event)},
                        {"parts", PartNames(exchange.request.shared_parts)},
                        {"fingerprint", exchange.fingerprint
@@ -750,6 +754,7 @@
          {"in_flight", std::to_string(choice.in_flight)},
          {"slots", std::to_string(choice.slots)},
          {"limited", exchange.limited ? "true" : "false"},
+         {"leaving", exchange.leaving ? "true" : "false"},
          {"report_age_ms", Text(choice.report_age)},
          {"candidates", std::to_string(choice.candidates)},
          {"at_limit", std::to_string(choice.at_limit)},
--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -31,6 +31,10 @@
   co_await timer.async_wait(kAwaitTuple);
 }
 
+auto LeavingHeader() -> HttpHeader {
+  return {"Server-Leaving", "1"};
+}
+
 auto EventData(const std::string& request, int number) -> std::string {
   return request + "-" + std::to_string(number);
 }
@@ -276,6 +280,11 @@
   start_limit_ = limit;
 }
 
+auto FakeReplica::set_leaving(bool leaving) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  leaving_ = leaving;
+}
+
 auto FakeReplica::crashes() const -> int {
   const auto lock = std::lock_guard(mutex_);
   return crashes_;
@@ -335,15 +344,19 @@
   const auto target = FindHeader(request->headers, "Target-Instance");
   auto headers = HeaderList{{"Request-Id", request_id},
                             {"Response-Signature", "signed." + own_id}};
+  auto refusal = HeaderList{{"Not-Executed", "1"}};
   {
     const auto lock = std::lock_guard(mutex_);
     if (!start_limit_.empty()) {
       headers.push_back({"Server-Limit", start_limit_});
     }
+    if (leaving_) {
+      headers.push_back(LeavingHeader());
+      refusal.push_back(LeavingHeader());
+    }
   }
   if (target != own_id || fault == ReplicaFault::kRefuse) {
     const auto status = target != own_id ? 421 : 503;
-    auto refusal = HeaderList{{"Not-Executed", "1"}};
     co_await writer->Send(status, std::move(refusal), "");
     co_return;
   }
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -124,6 +124,9 @@
   // Named in every answer from now on as the requests a second that the
   // replica takes; empty for none.
   auto set_start_limit(const std::string& limit) -> void;
+  // While set, every answer says that the replica leaves; its entry does not
+  // change.
+  auto set_leaving(bool leaving) -> void;
   // The delay before each event.
   auto set_event_delay(std::chrono::milliseconds delay) -> void;
   // How often a request has begun to run here.
@@ -148,6 +151,7 @@
   std::string crashing_part_;
   std::string crashing_body_;
   std::string start_limit_;
+  bool leaving_ = false;
   int crashes_ = 0;
   OnStart on_start_;
   std::map<std::string, int> runs_;
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -801,6 +801,26 @@
   CHECK(limited > 0);
 }
 
+// Guards against logs that do not tell a replica that leaves by its entry from
+// one whose answers say so.
+TEST_CASE("Gateway.LogsThatAnAnswerSaysThatItsReplicaLeaves") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  const auto& node = *fleet.nodes.front();
+  fleet.one->set_leaving(true);
+  const auto leaving = [&](const std::string& replica) {
+    const auto lines = LinesOf(node.Log(), "event", "request_ended");
+    return std::any_of(lines.begin(), lines.end(), [&](const auto& line) {
+      return line.at("replica") == replica && line.at("leaving") == "true";
+    });
+  };
+  CHECK(Eventually([&] {
+    node.Call("POST", "/plain/x", "q1");
+    return leaving("i-1");
+  }));
+  CHECK_FALSE(leaving("i-2"));
+}
+
 // Guards against a replica in need that gets more from all nodes together than
 // it says that it takes: online requests, second attempts and batch items.
 TEST_CASE("Gateway.KeepsTheLimitThatAReplicaNamesOnAllNodesTogether") {
