--- a/include/kumquatgauge/serving/answer_report.h
+++ b/include/kumquatgauge/serving/answer_report.h
@@ -3,20 +3,34 @@
 
 #include <functional>
 
-#include "kumquatgauge/base/ids.h"
 #include "kumquatgauge/base/log.h"
+#include "kumquatgauge/routing/replica.h"
 #include "kumquatgauge/serving/dialect.h"
 #include "kumquatgauge/serving/load_balancer.h"
 
 namespace kumquatgauge::serving {
 
-// Tells the load balancer what the head of an answer says about its replica.
-// Calls `counts_changed` if there is news for the other nodes.
-auto ReportAnswer(const ReplicaId& replica,
+// What the heads of answers change for the whole node.
+struct AnswerHooks {
+  // The load or the limits of replicas have changed; other nodes are told.
+  std::function<auto()->void> counts_changed;
+  // A replica has said that it leaves. Called for each of its answers.
+  std::function<auto(const routing::Replica&)->void> replica_leaves;
+};
+
+// Tells the load balancer and the hooks what the head of an answer says about
+// the replica that the request was sent to.
+auto ReportAnswer(const routing::Replica& replica,
                   const AnswerMetadata& metadata,
                   const Logger& logger,
                   LoadBalancer& load_balancer,
-                  const std::function<auto()->void>& counts_changed) -> void;
+                  const AnswerHooks& hooks) -> void;
+
+// The same for an answer to an earlier request on the same connection, whose
+// other contents are of no use.
+auto ReportSkippedAnswer(const routing::Replica& replica,
+                         const AnswerMetadata& metadata,
+                         const AnswerHooks& hooks) -> void;
 
 }  // namespace kumquatgauge::serving
 
--- a/include/kumquatgauge/serving/batch_runner.h
+++ b/include/kumquatgauge/serving/batch_runner.h
@@ -12,6 +12,7 @@
 #include "kumquatgauge/caller/http_listener.h"
 #include "kumquatgauge/node/peer.h"
 #include "kumquatgauge/routing/replica.h"
+#include "kumquatgauge/serving/answer_report.h"
 #include "kumquatgauge/serving/dialect.h"
 #include "kumquatgauge/serving/job_archive.h"
 #include "kumquatgauge/serving/load_balancer.h"
@@ -51,7 +52,7 @@
   std::function<auto()->bool> isolated;
   // Returns the number of calls to the store that have failed or were refused.
   std::function<auto()->std::uint64_t> store_failures;
-  std::function<auto()->void> counts_changed;
+  const AnswerHooks& hooks;
   // Tells the other nodes that this one owns a job.
   std::function<auto(const JobId&)->void> announce;
   // How long jobs stay in the store after their acceptance.
--- a/include/kumquatgauge/serving/forwarder.h
+++ b/include/kumquatgauge/serving/forwarder.h
@@ -10,6 +10,7 @@
 #include "kumquatgauge/base/time.h"
 #include "kumquatgauge/caller/http_listener.h"
 #include "kumquatgauge/routing/retry_budget.h"
+#include "kumquatgauge/serving/answer_report.h"
 #include "kumquatgauge/serving/dialect.h"
 #include "kumquatgauge/serving/load_balancer.h"
 #include "kumquatgauge/serving/request_quarantine.h"
@@ -31,8 +32,7 @@
   // Makes batch work of this node yield a slot of a service to an online
   // request. Returns whether a slot was freed.
   std::function<auto(const ServiceName&)->bool> yield_batch_slot;
-  // Called when this node's in-flight counts have changed.
-  std::function<auto()->void> counts_changed;
+  const AnswerHooks& hooks;
   // Limit of all answers that are being read. A replica in trouble may send
   // bytes without end.
   std::size_t answer_memory_bytes;
--- a/include/kumquatgauge/serving/load_balancer.h
+++ b/include/kumquatgauge/serving/load_balancer.h
@@ -151,6 +151,9 @@
   // that it is gone.
   auto MarkGone(const ReplicaId& replica) -> void;
 
+  // Whether requests may be sent to the replica: false for one that leaves or
+  // is gone. It may have changed since the replica was chosen.
+  auto TakesRequests(const ReplicaId& replica) const -> bool;
   auto Choose(const ChoiceRequest& request) -> Choice;
   auto OnStarted(const ReplicaId& replica, routing::WorkClass work_class)
       -> void;
@@ -256,6 +259,9 @@
   auto RoomOf(const ServiceName& service) const -> Room;
   // Whether the replica belongs to this cell and takes work.
   auto TakesWork(const State& state) const -> bool;
+  static auto IsGoneOrLeaving(const State& state) -> bool {
+    return state.gone || state.replica.leaving;
+  }
   auto IsUnreachable(const State& state) const -> bool {
     return clock_() < state.unreachable_until;
   }
--- a/include/kumquatgauge/serving/replica_table.h
+++ b/include/kumquatgauge/serving/replica_table.h
@@ -22,6 +22,9 @@
 // peers; several times longer than a node may be partitioned and still keep
 // running.
 inline constexpr std::chrono::minutes kRemovedEntryRetention{10};
+// Maximum number of replicas known from other nodes to leave; far more than
+// leave within kRemovedEntryRetention.
+inline constexpr std::size_t kMaxLeavingNotices = 4'096;
 
 // A change of an entry in the store.
 struct EntryChange {
@@ -37,8 +40,18 @@
   auto operator==(const EntryChange&) const -> bool = default;
 };
 
-// Decides which replicas exist, based on the entries in the store, which this
-// node reads itself or receives from a peer.
+// One start of a replica that has said in an answer that it leaves.
+struct LeavingNotice {
+  ReplicaId id;
+  // As in its entry when the answer came; 0 if its entry names none.
+  std::uint64_t started_ms = 0;
+
+  auto operator==(const LeavingNotice&) const -> bool = default;
+};
+
+// Decides which replicas exist and which of them leave, based on the entries in
+// the store, which this node reads itself or receives from a peer, and on the
+// answers of the replicas to any node.
 //
 // A removal that a node reads in order, from a store whose calls have succeeded
 // for kEntryGracePeriod, means that the replica has left. An entry that goes
@@ -48,6 +61,10 @@
 // end of an outage at different times, and some see an outage when others see
 // none, so the earliest end that any node decides on applies
 // (docs/platform.md, "Entries that go missing").
+//
+// A replica that says in an answer that it leaves does so for good. An entry
+// that still calls it ready is older, or was written by a process that does not
+// know, so only a later start under the same id ends it.
 class ReplicaTable {
  public:
   // Returns nothing for a value without a usable replica.
@@ -76,6 +93,10 @@
   // The same for one of ChangesOf another node. It does not raise revision(),
   // because changes of other entries may be missing here.
   auto OnPeerAnswer(const EntryChange& change) -> bool;
+  // Called when a replica has said in an answer to this node or to a peer that
+  // it leaves.
+  auto OnLeaving(const LeavingNotice& notice) -> bool;
+  auto OnPeerLeaving(const LeavingNotice& notice) -> bool;
   auto OnTick() -> bool;
 
   // Called for every failed call to the store.
@@ -99,6 +120,9 @@
   auto missing() const -> std::vector<ReplicaId>;
   auto ChangesOf(const std::vector<ReplicaId>& ids) const
       -> std::vector<EntryChange>;
+  // Returns the replicas that leave although their entry does not say so. Nodes
+  // that have not heard it from the replica itself rely on these notices.
+  auto leaving_notices() const -> std::vector<LeavingNotice>;
   // Returns when OnTick will drop a replica, if nothing changes until then.
   auto next_drop() const -> std::optional<MonotonicTime>;
 
@@ -116,6 +140,13 @@
     bool set_by_peer = false;  // A peer reported the removal and set the time.
   };
 
+  struct Leaving {
+    std::uint64_t started_ms = 0;
+    MonotonicTime known_at;
+  };
+
+  // Whether the replica leaves by its entry or by its answers.
+  auto Leaves(const routing::Replica& replica) const -> bool;
   // Applies a change that is newer than the known state of its entry.
   auto Apply(Row& row, const EntryChange& change, Duration grace_period)
       -> bool;
@@ -135,6 +166,7 @@
   DropHook dropped_;
   Clock clock_;
   std::map<ReplicaId, Row> rows_;
+  std::map<ReplicaId, Leaving> leaving_;  // By their answers.
   std::uint64_t revision_ = 0;
   bool store_unavailable_ = false;
   bool watching_ = false;  // This node watches the store.
--- a/include/kumquatgauge/upstream/replica_call.h
+++ b/include/kumquatgauge/upstream/replica_call.h
@@ -24,6 +24,9 @@
   // it is sent again on a new connection when a reused one is closed before any
   // byte of a response.
   std::uint32_t max_sends = 1;
+  // Checked before each send, since opening a connection takes time; nothing is
+  // sent once it returns false. May be empty.
+  std::function<auto()->bool> may_send;
   // Nothing is sent or read after this time.
   MonotonicTime deadline;
   // Timeouts for the response head and then for each further read of the body.
--- a/src/serving/answer_report.cc
+++ b/src/serving/answer_report.cc
@@ -2,36 +2,46 @@
 
 namespace kumquatgauge::serving {
 
-auto ReportAnswer(const ReplicaId& replica,
+auto ReportAnswer(const routing::Replica& replica,
                   const AnswerMetadata& metadata,
                   const Logger& logger,
                   LoadBalancer& load_balancer,
-                  const std::function<auto()->void>& counts_changed) -> void {
+                  const AnswerHooks& hooks) -> void {
   if (metadata.has_load) {
-    load_balancer.OnReport(replica, metadata.running, metadata.waiting);
+    load_balancer.OnReport(replica.id, metadata.running, metadata.waiting);
   }
   if (metadata.wrong_replica) {
-    load_balancer.MarkGone(replica);
+    load_balancer.MarkGone(replica.id);
     return;  // The rest describes the replica that uses the address now.
   }
   if (metadata.malformed_leaving) {
     logger.Warning(
         "a replica names a state of leaving that is not known; ignoring it",
-        {{"event", "leaving_malformed"}, {"replica", replica.value()}});
+        {{"event", "leaving_malformed"}, {"replica", replica.id.value()}});
+  } else if (metadata.leaving) {
+    hooks.replica_leaves(replica);
   }
   if (metadata.malformed_start_limit) {
     logger.Warning(
         "a replica names a limit that is not a decimal number; "
         "keeping the last one",
-        {{"event", "limit_malformed"}, {"replica", replica.value()}});
+        {{"event", "limit_malformed"}, {"replica", replica.id.value()}});
   } else {
-    load_balancer.OnStartLimit(replica, metadata.start_limit);
+    load_balancer.OnStartLimit(replica.id, metadata.start_limit);
   }
   if (load_balancer.start_limiter().has_news()) {
-    counts_changed();
+    hooks.counts_changed();
   }
   if (metadata.not_run) {
-    load_balancer.OnRefused(replica);
+    load_balancer.OnRefused(replica.id);
+  }
+}
+
+auto ReportSkippedAnswer(const routing::Replica& replica,
+                         const AnswerMetadata& metadata,
+                         const AnswerHooks& hooks) -> void {
+  if (metadata.leaving && !metadata.wrong_replica) {
+    hooks.replica_leaves(replica);
   }
 }
 
--- /dev/null
+++ b/src/serving/answer_report_test.cc
@@ -0,0 +1,73 @@
+#include "kumquatgauge/serving/answer_report.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "testing/support/manual_clock.h"
+
+namespace kumquatgauge::serving {
+namespace {
+
+struct Fixture {
+  Fixture() {
+    replica.id = ReplicaId("r1");
+    replica.service = ServiceName("chat");
+  }
+
+  auto Report(const AnswerMetadata& metadata) -> void {
+    ReportAnswer(replica, metadata, logger, balancer, hooks);
+  }
+
+  routing::Replica replica;
+  Logger logger{"test"};
+  testing::ManualClock clock;
+  LoadBalancer balancer{LoadBalancerSettings(), ZoneName("a"), clock.AsHook(),
+                        [] { return 0; }};
+  std::vector<std::string> leaving;
+  AnswerHooks hooks{.counts_changed = [] {},
+                    .replica_leaves =
+                        [this](const routing::Replica& replica) {
+                          leaving.push_back(replica.id.value());
+                        }};
+};
+
+// Guards against a replica that is used although an answer of any kind, also
+// one that refuses the request, says that it leaves.
+TEST_CASE("AnswerReport.TellsThatAReplicaLeavesWhateverItsAnswer") {
+  auto fixture = Fixture();
+  fixture.Report({.leaving = true});
+  fixture.Report({.not_run = true, .leaving = true});
+  fixture.Report({.permanent_failure = true, .leaving = true});
+  CHECK(fixture.leaving == std::vector<std::string>(3, "r1"));
+  fixture.Report({});
+  fixture.Report({.malformed_leaving = true});
+  CHECK(fixture.leaving.size() == 3);
+}
+
+// Guards against a replica that is taken for leaving because another one, which
+// uses its address now, leaves.
+TEST_CASE("AnswerReport.IgnoresThatAnotherReplicaAtTheAddressLeaves") {
+  auto fixture = Fixture();
+  const auto other =
+      AnswerMetadata{.not_run = true, .wrong_replica = true, .leaving = true};
+  fixture.Report(other);
+  ReportSkippedAnswer(fixture.replica, other, fixture.hooks);
+  CHECK(fixture.leaving.empty());
+}
+
+// Guards against the same as the first for an answer to an earlier request,
+// which arrives late on a kept connection.
+TEST_CASE("AnswerReport.TellsThatAReplicaLeavesByASkippedAnswer") {
+  auto fixture = Fixture();
+  ReportSkippedAnswer(fixture.replica, {.request_id = "earlier"},
+                      fixture.hooks);
+  CHECK(fixture.leaving.empty());
+  ReportSkippedAnswer(fixture.replica,
+                      {.request_id = "earlier", .leaving = true},
+                      fixture.hooks);
+  CHECK(fixture.leaving == std::vector<std::string>{"r1"});
+}
+
+}  // namespace
+}  // namespace kumquatgauge::serving
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -16,7 +16,6 @@
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/node/peer_server.h"
 #include "kumquatgauge/routing/rendezvous.h"
-#include "kumquatgauge/serving/answer_report.h"
 #include "kumquatgauge/serving/batch_schedule.h"
 #include "kumquatgauge/serving/end_notices.h"
 #include "kumquatgauge/serving/event_splitter.h"
@@ -685,10 +684,11 @@
   }
 
   // Whether a running item may stop for online requests. One at a limited
-  // replica goes on: it would need another start to resume.
+  // replica goes on, since it would need another start to resume, and one at a
+  // replica that leaves, whose slot is of no use to others.
   auto MayYield(const ItemRef& ref) const -> bool {
     const auto* replica = RunningAt(ref);
-    return replica != nullptr &&
+    return replica != nullptr && parts_.load_balancer.TakesRequests(*replica) &&
            !parts_.load_balancer.start_limiter().IsLimited(*replica);
   }
 
@@ -789,9 +789,10 @@
       limited_starts_.Add();
     }
     parts_.load_balancer.OnStarted(replica.id, WorkClass::kBatch);
-    parts_.counts_changed();
-    const auto call = parts_.replicas.Start(
-        MakeItemRequest(*job, item, replica, progress), MakeFilter(item));
+    parts_.hooks.counts_changed();
+    const auto call =
+        parts_.replicas.Start(MakeItemRequest(*job, item, replica, progress),
+                              MakeFilter(item, replica));
     progress.call = call;
     progress.replica = replica.id;
     const auto began = parts_.clock();
@@ -808,7 +809,7 @@
     if (call->sends() > 1) {
       parts_.load_balancer.OnSentAgain(replica.id, call->sends() - 1);
     }
-    parts_.counts_changed();
+    parts_.hooks.counts_changed();
     const auto failed =
         outcome.end == ItemEnd::kFailed ||
         (outcome.end == ItemEnd::kFinished && !outcome.completed);
@@ -884,18 +885,27 @@
         parts_.dialect.encode_item(item, job.record.host, delivery);
     request.body = item.body;
     request.max_sends = 2;
+    request.may_send = [&load_balancer = parts_.load_balancer,
+                        id = replica.id] {
+      return load_balancer.TakesRequests(id);
+    };
     request.deadline = parts_.clock() + kItemTimeLimit;
     request.head_timeout = kHeadSilence;
     request.body_idle_timeout = kEventSilence;
     return request;
   }
 
-  auto MakeFilter(const JobItem& item) -> upstream::HeadFilter {
-    return [&dialect = parts_.dialect,
+  auto MakeFilter(const JobItem& item, const routing::Replica& replica)
+      -> upstream::HeadFilter {
+    return [&dialect = parts_.dialect, &hooks = parts_.hooks, replica,
             id = item.id](const upstream::ReplicaHead& head) {
       const auto metadata = dialect.decode_answer(head.status, head.headers);
-      return metadata.request_id == id ||
-             (metadata.request_id.empty() && head.status != kOk);
+      const auto accepted = metadata.request_id == id ||
+                            (metadata.request_id.empty() && head.status != kOk);
+      if (!accepted) {
+        ReportSkippedAnswer(replica, metadata, hooks);
+      }
+      return accepted;
     };
   }
 
@@ -917,8 +927,8 @@
     const auto head = call->head();
     const auto metadata =
         parts_.dialect.decode_answer(head.status, head.headers);
-    ReportAnswer(replica.id, metadata, logger_, parts_.load_balancer,
-                 parts_.counts_changed);
+    ReportAnswer(replica, metadata, logger_, parts_.load_balancer,
+                 parts_.hooks);
     if (head.status != kOk) {
       outcome = OutcomeOfStatus(head.status, metadata);
       outcome.leaving = metadata.leaving;
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -11,7 +11,6 @@
 
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
-#include "kumquatgauge/serving/answer_report.h"
 #include "kumquatgauge/serving/attempt_policy.h"
 #include "kumquatgauge/serving/event_splitter.h"
 #include "kumquatgauge/serving/request_fingerprint.h"
@@ -336,10 +335,10 @@
       limited_starts_.Add();
     }
     parts_.load_balancer.OnStarted(replica.id, WorkClass::kOnline);
-    parts_.counts_changed();
+    parts_.hooks.counts_changed();
     const auto began = parts_.clock();
     exchange->call = parts_.replicas.Start(
-        MakeReplicaRequest(*exchange, replica), MakeFilter(*exchange));
+        MakeReplicaRequest(*exchange, replica), MakeFilter(*exchange, replica));
     exchange->writer->OnDisconnect([call = exchange->call] { call->Cancel(); });
     auto attempt = AttemptEnd();
     attempt.end = exchange->writer->disconnected()
@@ -348,7 +347,7 @@
     if (attempt.end == CallEnd::kOpen) {
       exchange->head = exchange->call->head();
       attempt.status = exchange->head.status;
-      ApplyAnswerMetadata(*exchange, replica.id, attempt);
+      ApplyAnswerMetadata(*exchange, replica, attempt);
       attempt.end = co_await ReadAnswer(exchange, began);
     }
     attempt.bytes_sent = exchange->call->bytes_sent();
@@ -377,6 +376,10 @@
         history.max_attempts > history.may_have_run) {
       request.max_sends = history.max_attempts - history.may_have_run;
     }
+    request.may_send = [&load_balancer = parts_.load_balancer,
+                        id = replica.id] {
+      return load_balancer.TakesRequests(id);
+    };
     request.deadline = exchange.deadline;
     SetSilenceTimeouts(exchange, request);
     return request;
@@ -407,26 +410,31 @@
     }
   }
 
-  auto MakeFilter(const Exchange& exchange) -> upstream::HeadFilter {
-    return [&dialect = parts_.dialect,
+  auto MakeFilter(const Exchange& exchange, const routing::Replica& replica)
+      -> upstream::HeadFilter {
+    return [&dialect = parts_.dialect, &hooks = parts_.hooks, replica,
             id = exchange.request.id](const upstream::ReplicaHead& head) {
       const auto metadata = dialect.decode_answer(head.status, head.headers);
       // Refusals of malformed requests carry no request id.
       const auto unnamed =
           metadata.request_id.empty() && head.status >= kMultipleChoices;
-      return unnamed || metadata.request_id == id.value();
+      const auto accepted = unnamed || metadata.request_id == id.value();
+      if (!accepted) {
+        ReportSkippedAnswer(replica, metadata, hooks);
+      }
+      return accepted;
     };
   }
 
   auto ApplyAnswerMetadata(Exchange& exchange,
-                           const ReplicaId& replica,
+                           const routing::Replica& replica,
                            AttemptEnd& attempt) -> void {
     const auto metadata = parts_.dialect.decode_answer(exchange.head.status,
                                                        exchange.head.headers);
     attempt.not_run = metadata.not_run || metadata.wrong_replica;
     exchange.leaving = metadata.leaving;
     ReportAnswer(replica, metadata, logger_, parts_.load_balancer,
-                 parts_.counts_changed);
+                 parts_.hooks);
   }
 
   auto ReadAnswer(ExchangePtr exchange, MonotonicTime began)
@@ -563,13 +571,14 @@
                   const AttemptEnd& attempt,
                   Duration held) -> void {
     const auto sends = exchange.call->sends();
+    const auto reason = exchange.call->reason();
     exchange.call.reset();
     exchange.writer->OnDisconnect(nullptr);
     parts_.load_balancer.OnEnded(replica.id, WorkClass::kOnline);
     if (sends > 1) {
       parts_.load_balancer.OnSentAgain(replica.id, sends - 1);
     }
-    parts_.counts_changed();
+    parts_.hooks.counts_changed();
     const auto not_run = attempt.not_run || !attempt.bytes_sent;
     // When the replica refused the last send, an earlier one may still have
     // run.
@@ -593,6 +602,7 @@
                        {"request", exchange.request.id.value()},
                        {"replica", replica.id.value()},
                        {"end", std::string(upstream::CallEndName(attempt.end))},
+                       {"reason", reason},
                        {"status", std::to_string(attempt.status)},
                        {"not_run", not_run ? "true" : "false"},
                        {"leaving", exchange.leaving ? "true" : "false"},
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -85,13 +85,14 @@
 constexpr milliseconds kMissingQuestionInterval{250};
 constexpr milliseconds kMissingQuestionTimeout{1'000};
 constexpr auto kEntriesCall = "entries";
-// News of prompt parts on which replicas crash is sent to kQuarantineFanout
-// random nodes, then repeated at each maintenance for kQuarantineNewsTime, and
-// after that every kQuarantineReportInterval.
-constexpr std::size_t kQuarantineFanout = 4;
+// News that nodes spread without the store, of requests on which replicas crash
+// and of replicas that leave, is sent to kNewsFanout random nodes, then
+// repeated at each maintenance for kNewsTime, and after that every
+// kNewsRepeatInterval.
+constexpr std::size_t kNewsFanout = 4;
+constexpr milliseconds kNewsTime{2'000};
+constexpr milliseconds kNewsRepeatInterval{1'000};
 constexpr milliseconds kQuarantineReportDelay{20};
-constexpr milliseconds kQuarantineNewsTime{2'000};
-constexpr milliseconds kQuarantineReportInterval{1'000};
 // Prefix of the keys under which nodes register their addresses for each other.
 constexpr auto kNodePrefix = "gateways/";
 // Maximum number of addresses in an answer of the directory.
@@ -115,6 +116,8 @@
 // The same for reports about replicas with limits; an entry takes up to 50
 // bytes.
 constexpr std::ptrdiff_t kReportsPerDatagram = 25;
+// The same for replicas that leave.
+constexpr std::size_t kLeavingPerDatagram = 25;
 
 auto MakeGossipSettings(const GatewaySettings& settings)
     -> node::GossipSettings {
@@ -182,6 +185,11 @@
                   settings_.name,
                   settings_.listen.nodes,
                   MakeRegistryHooks()),
+        answer_hooks_{.counts_changed = [this] { OnCountsChanged(); },
+                      .replica_leaves =
+                          [this](const routing::Replica& replica) {
+                            OnReplicaLeaves(replica);
+                          }},
         batch_(MakeBatchParts()),
         forwarder_(MakeForwarderParts()),
         configuration_feed_(context_.get_executor(),
@@ -224,6 +232,9 @@
     metrics_.AddGauge("kqg_limited_replicas", [this] {
       return static_cast<double>(load_balancer_.start_limiter().limited());
     });
+    metrics_.AddGauge("kqg_leaving_replicas", [this] {
+      return static_cast<double>(replica_table_.leaving_notices().size());
+    });
     AwaitSignal();
     RunMaintenance();
     context_.run();
@@ -284,7 +295,7 @@
                 [this](const NodeId& id) { return IsDeadOrLeft(id); },
             .isolated = [this] { return gossip_.membership().isolated(); },
             .store_failures = [this] { return StoreFailures(); },
-            .counts_changed = [this] { OnCountsChanged(); },
+            .hooks = answer_hooks_,
             .announce = [this](const JobId& job) { Announce(job); },
             .retention = settings_.limits.job_retention,
             .memory_bytes =
@@ -305,7 +316,7 @@
                 [this](const ServiceName& service) {
                   return batch_.YieldSlot(service);
                 },
-            .counts_changed = [this] { OnCountsChanged(); },
+            .hooks = answer_hooks_,
             .answer_memory_bytes = std::size_t{settings_.limits.memory_mb} *
                                    kBytesPerMegabyte / kAnswerMemoryDivisor};
   }
@@ -671,8 +682,84 @@
     forwarder_.OnCapacityFreed();
   }
 
+  // --- Replicas that say in their answers that they leave.
+
+  auto OnReplicaLeaves(const routing::Replica& replica) -> void {
+    const auto notice = LeavingNotice{replica.id, replica.started_ms};
+    if (replica_table_.OnLeaving(notice)) {
+      OnLeavingLearned(notice, "an answer");
+      SendLeavingNotices();
+    }
+  }
+
+  auto OnLeavingDatagram(const json& message) -> void {
+    for (const auto& entry : message.at("l")) {
+      const auto notice =
+          LeavingNotice{ReplicaId(entry.at(0).get<std::string>()),
+                        entry.at(1).get<std::uint64_t>()};
+      if (replica_table_.OnPeerLeaving(notice)) {
+        OnLeavingLearned(notice, "node " + message.at("n").get<std::string>());
+      }
+    }
+  }
+
+  auto OnLeavingLearned(const LeavingNotice& notice, const std::string& source)
+      -> void {
+    leaving_learned_ = SteadyNow();
+    logger_.Info("a replica leaves though its entry does not say so",
+                 {{"event", "replica_leaving"},
+                  {"replica", notice.id.value()},
+                  {"source", source},
+                  {"started_ms", std::to_string(notice.started_ms)},
+                  {"revision", std::to_string(replica_table_.revision())},
+                  {"store", store_lost_ ? "lost" : "answers"}});
+    ApplyReplicas();
+  }
+
+  auto SendLeavingNotices() -> void {
+    leaving_sent_ = SteadyNow();
+    const auto notices = replica_table_.leaving_notices();
+    auto entries = json::array();
+    for (std::size_t at = 0; at < notices.size(); ++at) {
+      entries.push_back({notices[at].id.value(), notices[at].started_ms});
+      if (entries.size() == kLeavingPerDatagram || at + 1 == notices.size()) {
+        SendNews(json{{"t", "leaving"},
+                      {"n", settings_.name.value()},
+                      {"l", std::exchange(entries, json::array())}});
+      }
+    }
+  }
+
+  auto SpreadLeavingNotices() -> void {
+    if (IsNewsDue(SteadyNow() - leaving_learned_, leaving_sent_)) {
+      SendLeavingNotices();
+    }
+  }
+
   // --- Other nodes.
 
+  // Sends a message to random nodes, each of which passes news on.
+  auto SendNews(const json& message) -> void {
+    auto addresses = std::vector<std::string>();
+    ForEachPeer(
+        [&](const std::string& address) { addresses.push_back(address); });
+    for (std::size_t sent = 0; sent < kNewsFanout && !addresses.empty();
+         ++sent) {
+      std::swap(addresses[DrawRandom() % addresses.size()], addresses.back());
+      gossip_.SendDatagram(addresses.back(), message);
+      addresses.pop_back();
+    }
+  }
+
+  // Whether news is sent again, since datagrams may be lost, and since nodes
+  // that have started know nothing.
+  static auto IsNewsDue(Duration unchanged_for, MonotonicTime sent) -> bool {
+    const auto interval = unchanged_for < kNewsTime
+                              ? Duration(kMaintenanceInterval)
+                              : Duration(kNewsRepeatInterval);
+    return SteadyNow() - sent >= interval;
+  }
+
   auto OnMembersChanged(const std::vector<routing::NodeInfo>& nodes) -> void {
     logger_.Info("the members changed",
                  {{"event", "members_changed"},
@@ -795,6 +882,8 @@
         load_balancer_.start_limiter().OnReports(
             from, message.at("r").get<std::uint64_t>(),
             detail::DecodeStartReports(message.at("l")));
+      } else if (type == "leaving") {
+        OnLeavingDatagram(message);
       } else if (type == "crash") {
         quarantine_.OnReport(detail::DecodeReports(message.at("p")));
       } else if (type == "job") {
@@ -953,35 +1042,19 @@
         });
   }
 
-  // Sends the report to random nodes, each of which passes news on.
   auto SendQuarantineReport() -> void {
     quarantine_reported_ = SteadyNow();
-    const auto message =
-        json{{"t", "crash"},
-             {"n", settings_.name.value()},
-             {"p", detail::EncodeReports(quarantine_.Report())}};
-    auto addresses = std::vector<std::string>();
-    ForEachPeer(
-        [&](const std::string& address) { addresses.push_back(address); });
-    for (std::size_t sent = 0; sent < kQuarantineFanout && !addresses.empty();
-         ++sent) {
-      std::swap(addresses[DrawRandom() % addresses.size()], addresses.back());
-      gossip_.SendDatagram(addresses.back(), message);
-      addresses.pop_back();
-    }
+    SendNews(json{{"t", "crash"},
+                  {"n", settings_.name.value()},
+                  {"p", detail::EncodeReports(quarantine_.Report())}});
   }
 
-  // Repeats news, since datagrams may be lost, and tells nodes that have
-  // started what the others know.
   auto UpdateQuarantine() -> void {
     for (const auto& change : quarantine_.OnTick()) {
       LogQuarantine(change);
     }
-    const auto interval = quarantine_.unchanged_for() < kQuarantineNewsTime
-                              ? Duration(kMaintenanceInterval)
-                              : Duration(kQuarantineReportInterval);
     if (quarantine_.active() &&
-        SteadyNow() - quarantine_reported_ >= interval) {
+        IsNewsDue(quarantine_.unchanged_for(), quarantine_reported_)) {
       SendQuarantineReport();
     }
   }
@@ -1169,6 +1242,7 @@
           UpdateStartLimits();
           SendCellCapacity();
           UpdateQuarantine();
+          SpreadLeavingNotices();
           RunMaintenance();
         });
   }
@@ -1288,6 +1362,7 @@
   node::PeerServer peer_server_;
   node::Gossip gossip_;
   control::NodeRegistry registry_;
+  AnswerHooks answer_hooks_;
   BatchRunner batch_;
   Forwarder forwarder_;
   StoreFeed configuration_feed_;
@@ -1303,6 +1378,8 @@
   asio::steady_timer quarantine_timer_;
   bool quarantine_report_pending_ = false;
   MonotonicTime quarantine_reported_;
+  MonotonicTime leaving_learned_;
+  MonotonicTime leaving_sent_;
   bool following_missing_ = false;
 
   std::shared_ptr<const Configuration> configuration_;
--- a/src/serving/load_balancer.cc
+++ b/src/serving/load_balancer.cc
@@ -177,6 +177,11 @@
   }
 }
 
+auto LoadBalancer::TakesRequests(const ReplicaId& replica) const -> bool {
+  const auto found = states_.find(replica);
+  return found != states_.end() && !IsGoneOrLeaving(found->second);
+}
+
 auto LoadBalancer::IsUsable(const State& state,
                             const ChoiceRequest& request) const -> bool {
   const auto tried =
@@ -184,7 +189,7 @@
   // Batch capacity is known only within the cell.
   const auto batch_elsewhere =
       request.work_class == WorkClass::kBatch && !state.in_cell;
-  return !state.gone && !state.replica.leaving && !batch_elsewhere &&
+  return !IsGoneOrLeaving(state) && !batch_elsewhere &&
          tried == request.tried.end();
 }
 
@@ -219,8 +224,7 @@
 }
 
 auto LoadBalancer::TakesWork(const State& state) const -> bool {
-  return !state.gone && !state.replica.leaving && state.in_cell &&
-         !IsUnreachable(state) &&
+  return !IsGoneOrLeaving(state) && state.in_cell && !IsUnreachable(state) &&
          outliers_.state(state.replica.id) != routing::EjectionState::kEjected;
 }
 
@@ -549,7 +553,7 @@
   for (const auto& id : found->second) {
     const auto& state = states_.at(id);
     const auto in_flight = state.own.total() + state.peers.total();
-    if (state.gone || state.replica.leaving || !state.in_cell) {
+    if (IsGoneOrLeaving(state) || !state.in_cell) {
       continue;
     }
     if (start_limiter_.IsLimited(id)) {
@@ -578,7 +582,7 @@
   }
   for (const auto& id : found->second) {
     const auto& state = states_.at(id);
-    if (state.gone || state.replica.leaving || !state.in_cell) {
+    if (IsGoneOrLeaving(state) || !state.in_cell) {
       continue;
     }
     total.online += state.own.online + state.peers.online;
@@ -596,11 +600,12 @@
   }
   for (const auto& id : found->second) {
     const auto& state = states_.at(id);
-    if (start_limiter_.IsLimited(id)) {
+    // Slots of replicas that leave do not become free for others.
+    if (start_limiter_.IsLimited(id) || IsGoneOrLeaving(state)) {
       continue;
     }
     counts.own += state.own.batch;
-    if (!state.gone && !state.replica.leaving && state.in_cell) {
+    if (state.in_cell) {
       counts.fleet += state.own.batch + state.peers.batch;
     }
   }
--- a/src/serving/load_balancer_test.cc
+++ b/src/serving/load_balancer_test.cc
@@ -510,5 +510,48 @@
   CHECK(fixture.balancer.Choose(batch).replica);
 }
 
+// Guards against a request that is sent to a replica which said that it leaves
+// while the request waited for a connection.
+TEST_CASE("LoadBalancer.TakesNoRequestsForReplicasThatLeaveOrAreGone") {
+  auto fixture = Fixture();
+  auto leaving = MakeReplica("r1");
+  leaving.leaving = true;
+  fixture.balancer.SetReplicas({leaving, MakeReplica("r2"), MakeReplica("r3")});
+  fixture.balancer.MarkGone(ReplicaId("r2"));
+  CHECK_FALSE(fixture.balancer.TakesRequests(ReplicaId("r1")));
+  CHECK_FALSE(fixture.balancer.TakesRequests(ReplicaId("r2")));
+  CHECK(fixture.balancer.TakesRequests(ReplicaId("r3")));
+  CHECK_FALSE(fixture.balancer.TakesRequests(ReplicaId("removed")));
+}
+
+// Guards against requests that wait, or are sent, when all replicas leave.
+TEST_CASE("LoadBalancer.KnowsNoReplicaWhenAllLeave") {
+  auto fixture = Fixture();
+  auto replicas = std::vector<Replica>();
+  for (const auto* id : {"r1", "r2"}) {
+    replicas.push_back(MakeReplica(id));
+    replicas.back().leaving = true;
+  }
+  fixture.balancer.SetReplicas(replicas);
+  auto request = fixture.Request();
+  request.even_if_full = true;
+  CHECK(fixture.balancer.Choose(request).availability ==
+        Availability::kNoReplica);
+  CHECK(fixture.balancer.free_cell_slots().at(kService) == 0);
+}
+
+// Guards against items of leaving replicas that stop for online requests, which
+// cannot use their slots.
+TEST_CASE("LoadBalancer.DoesNotCountItemsOfLeavingReplicasAsYieldable") {
+  auto fixture = Fixture();
+  fixture.balancer.OnStarted(ReplicaId("r1"), WorkClass::kBatch);
+  fixture.balancer.OnStarted(ReplicaId("r2"), WorkClass::kBatch);
+  auto leaving = MakeReplica("r1");
+  leaving.leaving = true;
+  fixture.balancer.SetReplicas({leaving, MakeReplica("r2")});
+  CHECK(fixture.balancer.YieldableBatch(kService) ==
+        LoadBalancer::BatchCounts{1, 1});
+}
+
 }  // namespace
 }  // namespace kumquatgauge::serving
--- a/src/serving/replica_table.cc
+++ b/src/serving/replica_table.cc
@@ -95,6 +95,35 @@
   return changed;
 }
 
+auto ReplicaTable::OnLeaving(const LeavingNotice& notice) -> bool {
+  const auto [entry, added] = leaving_.try_emplace(notice.id);
+  if (!added && entry->second.started_ms >= notice.started_ms) {
+    return false;
+  }
+  entry->second = {notice.started_ms, clock_()};
+  const auto row = rows_.find(notice.id);
+  if (row == rows_.end() || !row->second.replica ||
+      row->second.replica->leaving || !Leaves(*row->second.replica)) {
+    return false;
+  }
+  if (row->second.drop_at) {
+    Drop(row->first, row->second);  // Its entry is missing because it has left.
+  }
+  return true;
+}
+
+auto ReplicaTable::OnPeerLeaving(const LeavingNotice& notice) -> bool {
+  return (leaving_.size() < kMaxLeavingNotices ||
+          leaving_.contains(notice.id)) &&
+         OnLeaving(notice);
+}
+
+auto ReplicaTable::Leaves(const routing::Replica& replica) const -> bool {
+  const auto found = leaving_.find(replica.id);
+  return replica.leaving || (found != leaving_.end() &&
+                             replica.started_ms <= found->second.started_ms);
+}
+
 auto ReplicaTable::OnStoreAnswered() -> void {
   if (!std::exchange(watching_, true)) {
     watching_since_ = clock_();
@@ -112,7 +141,7 @@
 
 // Returns how long to keep a replica whose entry this node found missing.
 auto ReplicaTable::OwnGracePeriod(const Row& row) const -> Duration {
-  if (!row.replica || row.replica->leaving) {
+  if (!row.replica || Leaves(*row.replica)) {
     return Duration::zero();  // A leaving replica has left.
   }
   if (store_unavailable_) {
@@ -127,7 +156,7 @@
 // watch, in an outage that it did not see.
 auto ReplicaTable::CautiousGracePeriod(const Row& row) const -> Duration {
   const auto own = OwnGracePeriod(row);
-  if (!watching_since_ || !row.replica || row.replica->leaving) {
+  if (!watching_since_ || !row.replica || Leaves(*row.replica)) {
     return own;
   }
   return std::max(own, *watching_since_ + kEntryGracePeriod - clock_());
@@ -139,7 +168,9 @@
   if (!std::exchange(row.removed, true)) {
     row.removed_at = now;
   }
-  if (grace_period <= Duration::zero()) {
+  // A leaving replica has left. Another node may not know that it leaves.
+  const auto leaves = row.replica && Leaves(*row.replica);
+  if (leaves || grace_period <= Duration::zero()) {
     return Drop(id, row);
   }
   row.drop_at = row.drop_at ? std::min(*row.drop_at, now + grace_period)
@@ -170,6 +201,11 @@
     return row.removed && !row.drop_at &&
            now - row.removed_at > kRemovedEntryRetention;
   });
+  std::erase_if(leaving_, [&](const auto& entry) {
+    const auto row = rows_.find(entry.first);
+    const auto present = row != rows_.end() && row->second.replica;
+    return !present && now - entry.second.known_at > kRemovedEntryRetention;
+  });
   return changed;
 }
 
@@ -178,6 +214,7 @@
   for (const auto& [id, row] : rows_) {
     if (row.replica) {
       replicas.push_back(*row.replica);
+      replicas.back().leaving = Leaves(*row.replica);
     }
   }
   return replicas;
@@ -216,6 +253,18 @@
   return changes;
 }
 
+auto ReplicaTable::leaving_notices() const -> std::vector<LeavingNotice> {
+  auto notices = std::vector<LeavingNotice>();
+  for (const auto& [id, leaving] : leaving_) {
+    const auto row = rows_.find(id);
+    if (row != rows_.end() && row->second.replica &&
+        !row->second.replica->leaving && Leaves(*row->second.replica)) {
+      notices.push_back({id, leaving.started_ms});
+    }
+  }
+  return notices;
+}
+
 auto ReplicaTable::next_drop() const -> std::optional<MonotonicTime> {
   auto next = std::optional<MonotonicTime>();
   for (const auto& [id, row] : rows_) {
--- a/src/serving/replica_table_test.cc
+++ b/src/serving/replica_table_test.cc
@@ -42,7 +42,13 @@
   }
 
   auto Table() -> ReplicaTable {
-    return {Decode,
+    return {[this](const ReplicaId& id, const std::string& value) {
+              auto replica = Decode(id, value);
+              if (replica) {
+                replica->started_ms = started_ms;
+              }
+              return replica;
+            },
             [this](const ReplicaId& id, std::uint64_t revision, Duration kept) {
               dropped.emplace_back(id.value(), revision, kept);
             },
@@ -50,6 +56,7 @@
   }
 
   testing::ManualClock clock;
+  std::uint64_t started_ms = 0;  // Of the replicas in entries that follow.
   std::vector<std::tuple<std::string, std::uint64_t, Duration>> dropped;
   ReplicaTable table = Table();
 };
@@ -344,5 +351,92 @@
         std::tuple("r2", std::uint64_t{31}, Duration::zero()));
 }
 
+auto IdsOfLeaving(const ReplicaTable& table) -> std::vector<std::string> {
+  auto ids = std::vector<std::string>();
+  for (const auto& replica : table.replicas()) {
+    if (replica.leaving) {
+      ids.push_back(replica.id.value());
+    }
+  }
+  return ids;
+}
+
+// Guards against requests to a replica that said in an answer that it leaves,
+// because its entry, from before or from another writer, still calls it ready.
+TEST_CASE("ReplicaTable.KeepsReplicaLeavingThoughItsEntrySaysReady") {
+  auto fixture = Fixture();
+  CHECK(fixture.table.OnLeaving({ReplicaId("r1")}));
+  CHECK_FALSE(fixture.table.OnLeaving({ReplicaId("r1")}));
+  fixture.table.OnChange(Entry("r1", 20, "other"));
+  fixture.table.OnPeerChange(Entry("r1", 21, "one"));
+  fixture.table.OnSnapshot({Entry("r1", 22, "one"), Entry("r2", 4, "two")}, 22);
+  CHECK(IdsOfLeaving(fixture.table) == std::vector<std::string>{"r1"});
+}
+
+// Guards against a replica that is never used again, because an earlier process
+// under its id has left.
+TEST_CASE("ReplicaTable.UsesALaterStartOfAReplicaThatWasLeaving") {
+  auto fixture = Fixture();
+  fixture.started_ms = 100;
+  fixture.table.OnChange(Entry("r1", 20, "one"));
+  CHECK(fixture.table.OnLeaving({ReplicaId("r1"), 100}));
+  fixture.started_ms = 200;
+  CHECK(fixture.table.OnChange(Entry("r1", 21, "one")));
+  CHECK(IdsOfLeaving(fixture.table).empty());
+  CHECK_FALSE(fixture.table.OnLeaving({ReplicaId("r1"), 100}));
+  CHECK(IdsOfLeaving(fixture.table).empty());
+}
+
+// Guards against a replica that is used for the grace period of missing entries
+// although it has left, also when the nodes that give that period do not know.
+TEST_CASE("ReplicaTable.DropsALeavingReplicaWhoseEntryIsMissing") {
+  auto fixture = Fixture();
+  fixture.table.OnStoreUnavailable();
+  fixture.table.OnLeaving({ReplicaId("r1")});
+  CHECK(fixture.table.OnPeerChange(Undecided("r1", 30)));
+  fixture.table.OnPeerChange(Undecided("r2", 31));
+  CHECK(fixture.table.replicas().size() == 1);
+  CHECK(fixture.table.OnLeaving({ReplicaId("r2")}));
+  CHECK(fixture.table.replicas().empty());
+}
+
+// Guards against nodes that go on telling each other what the store tells them
+// all, and against a node that does not pass on what it has heard.
+TEST_CASE("ReplicaTable.HasNoticesWhileEntriesDoNotSayThatReplicasLeave") {
+  auto fixture = Fixture();
+  fixture.table.OnLeaving({ReplicaId("r1")});
+  fixture.table.OnPeerLeaving({ReplicaId("r2")});
+  fixture.table.OnPeerLeaving({ReplicaId("unknown")});
+  CHECK(fixture.table.leaving_notices() ==
+        std::vector<LeavingNotice>{{ReplicaId("r1")}, {ReplicaId("r2")}});
+  fixture.table.OnChange(Entry("r1", 20, "leaving"));
+  fixture.table.OnChange(Gone("r2", 21));
+  CHECK(fixture.table.leaving_notices().empty());
+}
+
+// Guards against a node that uses a leaving replica because it heard of that
+// before it knew the entry.
+TEST_CASE("ReplicaTable.RemembersANoticeOfAReplicaThatItDoesNotKnowYet") {
+  auto fixture = Fixture();
+  CHECK_FALSE(fixture.table.OnPeerLeaving({ReplicaId("r3")}));
+  fixture.table.OnChange(Entry("r3", 20, "three"));
+  CHECK(IdsOfLeaving(fixture.table) == std::vector<std::string>{"r3"});
+}
+
+// Guards against notices that use up memory, and against a leaving replica that
+// is used again because they do.
+TEST_CASE("ReplicaTable.LimitsNoticesOfPeersButNotItsOwn") {
+  auto fixture = Fixture();
+  for (std::size_t at = 0; at <= kMaxLeavingNotices; ++at) {
+    fixture.table.OnPeerLeaving({ReplicaId("x" + std::to_string(at))});
+  }
+  CHECK_FALSE(fixture.table.OnPeerLeaving({ReplicaId("r2")}));
+  CHECK(fixture.table.OnLeaving({ReplicaId("r1")}));
+  fixture.clock.Advance(kRemovedEntryRetention + milliseconds(1));
+  fixture.table.OnTick();
+  CHECK(fixture.table.OnPeerLeaving({ReplicaId("r2")}));
+  CHECK(IdsOfLeaving(fixture.table) == std::vector<std::string>{"r1", "r2"});
+}
+
 }  // namespace
 }  // namespace kumquatgauge::serving
--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -116,6 +116,9 @@
       if (end != CallEnd::kOpen) {
         co_return end;
       }
+      if (request_.may_send && !request_.may_send()) {
+        co_return Withhold();
+      }
       end = co_await SendAndReadHead();
       const auto stale = end == CallEnd::kBroken && connection_->reused() &&
                          !response_begun_ && !cancelled_;
@@ -172,6 +175,14 @@
     co_return cancelled_ ? CallEnd::kCancelled : CallEnd::kOpen;
   }
 
+  // Ends the call without sending the request, or without sending it again.
+  auto Withhold() -> CallEnd {
+    reason_ = "the replica takes no requests any more";
+    connection_->Release();
+    connection_ = nullptr;
+    return sends_ > 0 ? CallEnd::kBroken : CallEnd::kNotSent;
+  }
+
   auto SendAndReadHead() -> awaitable<CallEnd> {
     // Replicas may respond before they have read the whole request, so the
     // response is awaited while the request is written.
--- a/src/upstream/replica_call_test.cc
+++ b/src/upstream/replica_call_test.cc
@@ -285,5 +285,55 @@
   }
 }
 
+// Guards against a request that reaches a replica long after this has become
+// unusable, because its connection took long to open.
+TEST_CASE("ReplicaCaller.SendsNothingOnceTheRequestMayNotBeSent") {
+  auto fixture = Fixture();
+  auto request = fixture.MakeRequest("/withheld", "");
+  request.may_send = [] { return false; };
+  const auto call = fixture.caller.Start(
+      std::move(request), [](const ReplicaHead&) { return true; });
+  CHECK(RunAwait(fixture.context, call->Open()) == CallEnd::kNotSent);
+  CHECK_FALSE(call->bytes_sent());
+  CHECK_FALSE(call->reason().empty());
+}
+
+// Guards against the same when a kept connection was lost and the request would
+// be sent again, and against a report that it was not sent.
+TEST_CASE("ReplicaCaller.SendsNotAgainOnceTheRequestMayNotBeSent") {
+  constexpr std::uint32_t kSends = 2;
+  auto fixture = Fixture();
+  const auto warm = fixture.Start("/warm", "");
+  auto opened = std::optional<CallEnd>();
+  asio::co_spawn(
+      fixture.context, warm->Open(),
+      [&](const std::exception_ptr&, CallEnd result) { opened = result; });
+  const auto kept = fixture.Accept();
+  kept->Respond();
+  REQUIRE(RunUntil(fixture.context, [&] { return opened.has_value(); }));
+  REQUIRE(fixture.ReadWhole(warm) == CallEnd::kComplete);
+  auto may_send = true;
+  auto request = fixture.MakeRequest("/withheld", "", kSends);
+  request.may_send = [&] { return may_send; };
+  const auto call = fixture.caller.Start(
+      std::move(request), [](const ReplicaHead&) { return true; });
+  auto end = std::optional<CallEnd>();
+  asio::co_spawn(
+      fixture.context, call->Open(),
+      [&](const std::exception_ptr&, CallEnd result) { end = result; });
+  REQUIRE(RunUntil(fixture.context, [&] {
+    kept->Read();
+    return kept->received().find("/withheld") != std::string::npos;
+  }));
+  may_send = false;
+  kept->Reset();
+  const auto fresh = fixture.Accept();
+  REQUIRE(RunUntil(fixture.context, [&] { return end.has_value(); }));
+  CHECK(end == CallEnd::kBroken);
+  CHECK(call->sends() == 1);
+  fresh->Read();
+  CHECK(fresh->received().empty());
+}
+
 }  // namespace
 }  // namespace kumquatgauge::upstream
--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -285,6 +285,12 @@
   leaving_ = leaving;
 }
 
+auto FakeReplica::Restart() -> void {
+  const auto lock = std::lock_guard(mutex_);
+  id_ = name_ + "-r" + std::to_string(++restarts_);
+  leaving_ = false;
+}
+
 auto FakeReplica::crashes() const -> int {
   const auto lock = std::lock_guard(mutex_);
   return crashes_;
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -127,6 +127,8 @@
   // While set, every answer says that the replica leaves; its entry does not
   // change.
   auto set_leaving(bool leaving) -> void;
+  // Ends the replica and starts it at once under another id.
+  auto Restart() -> void;
   // The delay before each event.
   auto set_event_delay(std::chrono::milliseconds delay) -> void;
   // How often a request has begun to run here.
@@ -153,6 +155,7 @@
   std::string start_limit_;
   bool leaving_ = false;
   int crashes_ = 0;
+  int restarts_ = 0;
   OnStart on_start_;
   std::map<std::string, int> runs_;
   ReplicaFault fault_ = ReplicaFault::kNone;
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -418,6 +418,78 @@
   CHECK(fleet.one->total_runs() == before);
 }
 
+// Guards against requests and items that a node sends to a replica whose
+// answers say that it leaves, while its entry says ready and the store does not
+// answer; also from nodes to which it has not answered.
+TEST_CASE("Gateway.SendsNothingToAReplicaWhoseAnswerSaysThatItLeaves") {
+  // Of the users: how long requests may go on reaching the replica.
+  constexpr auto kDrainTime = std::chrono::seconds(2);
+  // More than both replicas finish in this time.
+  constexpr auto kItems = 100;
+  auto fleet = Fleet(3);
+  fleet.AwaitService();
+  const auto& first = *fleet.nodes.front();
+  auto items = std::vector<std::string>();
+  for (auto item = 0; item < kItems; ++item) {
+    items.push_back("slow-" + std::to_string(item));
+  }
+  REQUIRE(first.Call("POST", "/jobs/1", "j1", JobBody(items)).status == 202);
+  fleet.store->set_down(true);
+  fleet.one->set_leaving(true);
+  REQUIRE(Eventually([&] {
+    return first.Call("POST", "/stream/x", "q1")
+        .headers.contains("server-leaving");
+  }));
+  std::this_thread::sleep_for(kDrainTime);
+  const auto before = fleet.one->total_runs();
+  for (auto round = 0; round < 10; ++round) {
+    for (const auto& node : fleet.nodes) {
+      const auto id = node->name() + "-" + std::to_string(round);
+      CHECK(node->Call("POST", "/plain/x", "p" + id).status == 200);
+      CHECK(node->Call("POST", "/stream/x", "s" + id).status == 200);
+    }
+  }
+  // The first attempts fail at the other replica, so that second ones look for
+  // another.
+  fleet.two->SetFault(ReplicaFault::kRefuse, 3);
+  first.Call("POST", "/plain/x", "again");
+  CHECK(fleet.one->total_runs() == before);
+}
+
+// Guards against requests that wait for replicas which all leave, and against
+// the answer "not run" to one that ran.
+TEST_CASE("Gateway.RefusesAtOnceWhenAllReplicasSayThatTheyLeave") {
+  constexpr milliseconds kAtOnce{100};
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  const auto& node = *fleet.nodes.front();
+  fleet.store->set_down(true);
+  fleet.one->set_leaving(true);
+  fleet.two->set_leaving(true);
+  REQUIRE(Eventually(
+      [&] { return node.Call("POST", "/plain/x", "q1").status == 503; }));
+  const auto before = fleet.one->total_runs() + fleet.two->total_runs();
+  const auto began = std::chrono::steady_clock::now();
+  const auto reply = node.Call("POST", "/plain/x", "q2");
+  CHECK(std::chrono::steady_clock::now() - began < kAtOnce);
+  CHECK(reply.status == 503);
+  CHECK(reply.headers.contains("retry-after"));
+  CHECK(fleet.one->total_runs() + fleet.two->total_runs() == before);
+}
+
+// Guards against a stream that is broken off because its replica, which goes on
+// writing it, has said that it leaves.
+TEST_CASE("Gateway.LetsStreamsOfALeavingReplicaEnd") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  fleet.one->set_leaving(true);
+  fleet.two->set_leaving(true);
+  const auto reply = fleet.nodes.front()->Call("POST", "/stream/slow-x", "q1");
+  CHECK(reply.complete);
+  CHECK(reply.body == ExpectedEvents("q1", 0));
+  CHECK(fleet.RunCount("q1") == 1);
+}
+
 // Guards against results that differ between nodes, and against a job that is
 // lost or accepted twice when answers of the store are lost.
 TEST_CASE("Gateway.RunsAJobOnceAndShowsTheSameResultsAtEveryNode") {
--- a/testing/soak/checker.cc
+++ b/testing/soak/checker.cc
@@ -31,6 +31,54 @@
   violations_.push_back(violation);
 }
 
+auto SoakChecker::OnSent(const std::string& id,
+                         const std::string& node,
+                         int start,
+                         Time at) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  entries_[id] = {node, start, at};
+}
+
+auto SoakChecker::OnPassedOn(const std::string& node,
+                             int start,
+                             const FetchReply& reply,
+                             Time at) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  const auto signature = reply.headers.find("response-signature");
+  if (reply.headers.contains("server-leaving") &&
+      signature != reply.headers.end()) {
+    const auto replica =
+        signature->second.substr(signature->second.find('.') + 1);
+    leaving_[{node, start}].emplace(replica, at);
+  }
+}
+
+auto SoakChecker::OnStarted(const std::string& id,
+                            const std::string& replica,
+                            Time at) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  const auto entry = entries_.find(id);
+  if (entry == entries_.end()) {
+    return;
+  }
+  const auto& [node, start, sent] = entry->second;
+  const auto& known = leaving_[{node, start}];
+  const auto leaving = known.find(replica);
+  if (leaving != known.end() && sent > leaving->second + kDrainTime) {
+    const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(
+        at - leaving->second);
+    Add("request " + id + " reached " + replica + " by node " + node + " " +
+        std::to_string(late.count()) +
+        " ms after an answer which said that it leaves");
+  }
+}
+
+auto SoakChecker::OnPaused(const std::string& node) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  std::erase_if(leaving_,
+                [&](const auto& entry) { return entry.first.first == node; });
+}
+
 auto SoakChecker::OnReply(const std::string& id,
                           const RequestExpectation& expected,
                           const FetchReply& reply) -> void {
--- a/testing/soak/checker.h
+++ b/testing/soak/checker.h
@@ -38,6 +38,26 @@
   explicit SoakChecker(CountRuns count_runs)
       : count_runs_(std::move(count_runs)) {}
 
+  // Requests that a caller sends later than this after a node passed on an
+  // answer which says that its replica leaves do not reach that replica.
+  static constexpr std::chrono::milliseconds kDrainTime{2'000};
+
+  // A caller is about to send a request to a node; `start` is the number of the
+  // start of its process.
+  auto OnSent(const std::string& id,
+              const std::string& node,
+              int start,
+              Time at) -> void;
+  // The node has passed on an answer.
+  auto OnPassedOn(const std::string& node,
+                  int start,
+                  const FetchReply& reply,
+                  Time at) -> void;
+  // A request has begun to run at a replica.
+  auto OnStarted(const std::string& id, const std::string& replica, Time at)
+      -> void;
+  // A node was paused, which excuses it from what it had passed on.
+  auto OnPaused(const std::string& node) -> void;
   // A caller's request has ended with `reply`.
   auto OnReply(const std::string& id,
                const RequestExpectation& expected,
@@ -91,6 +111,12 @@
     int max_runs = 1;
     bool refused_as_not_run = false;
   };
+  // The node that a request was sent to.
+  struct Entry {
+    std::string node;
+    int start = 0;
+    Time at;
+  };
   struct Job {
     std::vector<std::string> items;
     bool accepted = false;
@@ -113,6 +139,9 @@
   CountRuns count_runs_;
   mutable std::mutex mutex_;
   std::map<std::string, SentRequest> sent_;
+  std::map<std::string, Entry> entries_;  // By request.
+  // When a node first passed on that a replica leaves, by node and start.
+  std::map<std::pair<std::string, int>, std::map<std::string, Time>> leaving_;
   std::map<std::string, Job> jobs_;
   std::map<std::string, Disruptions> disruptions_;  // By component.
   std::map<std::pair<std::string, int>, int> newest_served_;
--- a/testing/soak/checker_test.cc
+++ b/testing/soak/checker_test.cc
@@ -171,5 +171,30 @@
   CHECK(fixture.CountViolations() == 1);
 }
 
+TEST_CASE("SoakChecker.FindsARequestAtAReplicaThatSaidThatItLeaves") {
+  auto fixture = Fixture();
+  auto& checker = fixture.checker;
+  auto leaving = Reply(200, "x");
+  leaving.headers = {{"server-leaving", "1"},
+                     {"response-signature", "signed.r1"}};
+  checker.OnPassedOn("n1", 1, leaving, At(1'000));
+  checker.OnPassedOn("n2", 1, Reply(200, "x"), At(1'000));
+  checker.OnSent("in time", "n1", 1, At(2'900));
+  checker.OnSent("elsewhere", "n1", 1, At(3'100));
+  checker.OnSent("another node", "n2", 1, At(3'100));
+  checker.OnSent("restarted", "n1", 2, At(3'100));
+  checker.OnStarted("in time", "r1", At(9'000));
+  checker.OnStarted("elsewhere", "r2", At(3'200));
+  checker.OnStarted("another node", "r1", At(3'200));
+  checker.OnStarted("restarted", "r1", At(3'200));
+  CHECK(fixture.CountViolations() == 0);
+  checker.OnSent("late", "n1", 1, At(3'100));
+  checker.OnStarted("late", "r1", At(3'200));
+  CHECK(fixture.CountViolations() == 1);
+  checker.OnPaused("n1");
+  checker.OnStarted("late", "r1", At(3'300));
+  CHECK(fixture.CountViolations() == 1);
+}
+
 }  // namespace
 }  // namespace kumquatgauge::testing
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -45,6 +45,8 @@
 constexpr milliseconds kFaultMin{200};
 constexpr milliseconds kFaultMax{3'000};
 constexpr milliseconds kMaxStoreRefusalTime{9'000};
+// Of the faults, so many are followed by a replica that says that it leaves.
+constexpr std::size_t kLeavingOneIn = 6;
 constexpr milliseconds kMaxEventDelay{60};
 // The settings' stop_s plus time to be scheduled on a busy machine.
 constexpr milliseconds kStopTime{9'500};
@@ -92,15 +94,20 @@
   explicit Soak(const SoakSettings& settings)
       : settings_(settings),
         fault_random_(settings.seed),
+        replica_random_(~settings.seed),
         store_(thread_.context()),
         checker_([this](const std::string& id) { return RunCount(id); }) {
     store_.Put("config/main", MakeSoakConfiguration(version_));
-    for (auto at = 0; at < settings_.nodes + kSpareReplicas; ++at) {
+    const auto replicas =
+        static_cast<std::size_t>(settings_.nodes) + kSpareReplicas;
+    replicas_.reserve(replicas);
+    for (std::size_t at = 0; at < replicas; ++at) {
       auto& replica = replicas_.emplace_back();
-      const auto id = "i-" + std::to_string(at);
       replica.server = std::make_unique<FakeReplica>(
-          thread_.context(), id,
-          [this, id](const std::string& request) { OnStarted(request, id); });
+          thread_.context(), "i-" + std::to_string(at),
+          [this, at](const std::string& request) {
+            OnStarted(request, replicas_[at].server->id());
+          });
       replica.link = std::make_unique<LoopbackProxy>(thread_.context(),
                                                      replica.server->address());
       Announce(replica);
@@ -143,6 +150,7 @@
   struct Replica {
     std::unique_ptr<FakeReplica> server;
     std::unique_ptr<LoopbackProxy> link;
+    bool leaving = false;  // Says so in its answers, not in its entry.
   };
   struct Node {
     std::unique_ptr<GatewayProcess> process;
@@ -169,6 +177,7 @@
   // Called when a request begins to run at a replica.
   auto OnStarted(const std::string& request, const std::string& replica)
       -> void {
+    checker_.OnStarted(request, replica, std::chrono::steady_clock::now());
     const auto mark = request.find(kItemMark);
     if (mark == std::string::npos) {
       return;
@@ -227,11 +236,24 @@
     }
   }
 
+  // Sends a request and tells the checker by which node it went when.
+  auto Call(const GatewayProcess& node,
+            const std::string& target,
+            const std::string& id,
+            const std::string& body = "") -> FetchReply {
+    const auto start = node.starts();
+    checker_.OnSent(id, node.name(), start, std::chrono::steady_clock::now());
+    auto reply = node.Call("POST", target, id, body);
+    checker_.OnPassedOn(node.name(), start, reply,
+                        std::chrono::steady_clock::now());
+    return reply;
+  }
+
   auto CallPlain(const GatewayProcess& node,
                  const std::string& target,
                  const std::string& id,
                  int max_runs) -> void {
-    const auto reply = node.Call("POST", target, id, id);
+    const auto reply = Call(node, target, id, id);
     checker_.OnReply(id, {max_runs, false, "answer to " + id}, reply);
   }
 
@@ -239,7 +261,7 @@
                   const std::string& target,
                   const std::string& id,
                   int max_runs) -> void {
-    const auto reply = node.Call("POST", target, id);
+    const auto reply = Call(node, target, id);
     checker_.OnReply(id, {max_runs, true, ExpectedEvents(id, 0)}, reply);
   }
 
@@ -342,6 +364,9 @@
     const auto end = std::chrono::steady_clock::now() + settings_.time;
     while (std::chrono::steady_clock::now() < end) {
       InjectOne();
+      if (replica_random_.Below(kLeavingOneIn) == 0) {
+        LetReplicaLeave();
+      }
       std::this_thread::sleep_for(
           fault_random_.Between(kFaultPauseMin, kFaultPauseMax));
       RunDue(std::chrono::steady_clock::now());
@@ -437,6 +462,7 @@
     const auto time = FaultDuration();
     if (!node.down && !node.paused) {
       checker_.OnDisrupted(node.process->name());
+      checker_.OnPaused(node.process->name());
       node.process->process().Signal(SIGSTOP);
       node.paused = true;
       // A process that is stopped while it loads goes on loading afterwards.
@@ -446,6 +472,7 @@
       }
       RunAfter(time, [this, &node, loading] {
         const auto now = std::chrono::steady_clock::now();
+        checker_.OnPaused(node.process->name());
         node.process->process().Signal(SIGCONT);
         node.paused = false;
         if (loading) {
@@ -533,6 +560,24 @@
     RunAfter(FaultDuration(), [this, &replica] { Announce(replica); });
   }
 
+  auto LetReplicaLeave() -> void {
+    auto& replica = replicas_[replica_random_.Below(replicas_.size())];
+    const auto time =
+        SoakChecker::kDrainTime + replica_random_.Between(kFaultMin, kFaultMax);
+    if (!std::exchange(replica.leaving, true)) {
+      ++counts_["replica says that it leaves"];
+      replica.server->set_leaving(true);
+      RunAfter(time, [this, &replica] { ReplaceReplica(replica); });
+    }
+  }
+
+  auto ReplaceReplica(Replica& replica) -> void {
+    store_.Remove("servers/" + replica.server->id());
+    replica.server->Restart();
+    replica.leaving = false;
+    Announce(replica);
+  }
+
   auto StopStore() -> void {
     store_.set_down(true);
     RunAfter(FaultDuration(), [this] { store_.set_down(false); });
@@ -627,6 +672,8 @@
 
   SoakSettings settings_;
   RandomSource fault_random_;
+  // Of faults that came later, so that a seed keeps the others.
+  RandomSource replica_random_;
   FakeServerThread thread_;
   FakeObjectApi store_;
   SoakChecker checker_;
