Log software versions and what callers take up

The logs could not tell a stream that went on at another software version because its caller took it up at another node from one that a node went on with itself. Nothing acts on it yet.

--- a/include/kumquatgauge/routing/replica.h
+++ b/include/kumquatgauge/routing/replica.h
@@ -21,6 +21,9 @@
   std::uint32_t capacity = 1;  // Requests that it runs concurrently.
   bool checks_fencing = false;
   bool can_resume = true;
+  // Version of its software; opaque and without order. Empty if it names none,
+  // which is a version of its own.
+  std::string version;
   // Start time of the process in ms since the epoch; 0 when unknown. A replica
   // that restarts under the same id has lost its previous state.
   std::uint64_t started_ms = 0;
--- a/include/kumquatgauge/serving/dialect.h
+++ b/include/kumquatgauge/serving/dialect.h
@@ -28,6 +28,9 @@
   std::chrono::milliseconds time_limit{0};
   // The last event that the caller has already received.
   std::uint64_t resume_after = 0;
+  // The caller's request that brought the first of these events; empty if it
+  // does not say.
+  RequestId resumes;
   // Hash of the prompt parts shared with other requests; 0 for none.
   std::uint64_t affinity = 0;
   PromptParts shared_parts;
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -820,6 +820,8 @@
          {"job", ref.job.value()},
          {"item", item.id},
          {"replica", replica.id.value()},
+         {"version", replica.version},
+         {"resume_after", std::to_string(events_before)},
          {"in_flight", std::to_string(choice.in_flight)},
          {"limited", limited ? "true" : "false"},
          {"leaving", outcome.leaving ? "true" : "false"},
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -86,6 +86,7 @@
   bool attempt_answered = false;  // The last attempt has begun to answer.
   bool limited = false;  // The replica of the last attempt had named a limit.
   bool leaving = false;  // It said in its answer that it leaves.
+  std::string version;   // Of its software.
   std::uint64_t last_event = 0;
   Duration first_event{0};  // Since the request arrived.
   Duration waited{0};
@@ -322,6 +323,7 @@
     }
     const auto replica = *chosen;
     exchange->tried.push_back(replica.id);
+    exchange->version = replica.version;
     exchange->attempt_answered = false;
     ++exchange->history.attempts;
     if (exchange->admission.trial) {
@@ -601,6 +603,7 @@
                       {{"event", "attempt_failed"},
                        {"request", exchange.request.id.value()},
                        {"replica", replica.id.value()},
+                       {"version", replica.version},
                        {"end", std::string(upstream::CallEndName(attempt.end))},
                        {"reason", reason},
                        {"status", std::to_string(attempt.status)},
@@ -760,6 +763,9 @@
          {"service", exchange.service.value()},
          {"replica",
           exchange.tried.empty() ? "" : exchange.tried.back().value()},
+         {"version", exchange.tried.empty() ? "" : exchange.version},
+         {"resume_after", std::to_string(exchange.request.resume_after)},
+         {"resumes", exchange.request.resumes.value()},
          {"attempts", std::to_string(exchange.history.attempts)},
          {"in_flight", std::to_string(choice.in_flight)},
          {"slots", std::to_string(choice.slots)},
--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -35,13 +35,18 @@
   return {"Server-Leaving", "1"};
 }
 
-auto EventData(const std::string& request, int number) -> std::string {
-  return request + "-" + std::to_string(number);
+auto EventData(const std::string& request,
+               int number,
+               const std::string& version) -> std::string {
+  return request + "-" + std::to_string(number) +
+         (version.empty() ? "" : "@" + version);
 }
 
-auto EventText(const std::string& request, int number) -> std::string {
+auto EventText(const std::string& request,
+               int number,
+               const std::string& version) -> std::string {
   return "id: " + std::to_string(number) +
-         "\ndata: " + EventData(request, number) + "\n\n";
+         "\ndata: " + EventData(request, number, version) + "\n\n";
 }
 
 }  // namespace
@@ -285,6 +290,16 @@
   leaving_ = leaving;
 }
 
+auto FakeReplica::version() const -> std::string {
+  const auto lock = std::lock_guard(mutex_);
+  return version_;
+}
+
+auto FakeReplica::set_version(const std::string& version) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  version_ = version;
+}
+
 auto FakeReplica::Restart() -> void {
   const auto lock = std::lock_guard(mutex_);
   id_ = name_ + "-r" + std::to_string(++restarts_);
@@ -405,12 +420,13 @@
   const auto id = std::string(FindHeader(request.headers, "Request-Id"));
   const auto last = FindHeader(request.headers, "Last-Event-Id");
   const auto after = last.empty() ? 0 : std::stoi(std::string(last));
+  const auto own_version = version();
   headers.push_back({"Content-Type", "text/event-stream"});
   const auto slow = request.target.find(kSlowPathPart) != std::string::npos;
   co_await writer->BeginStream(200, std::move(headers));
   for (auto number = after + 1; number <= kEvents; ++number) {
     co_await Pause(context_, slow ? kSlowEventDelay : event_delay_);
-    auto text = EventText(id, number);
+    auto text = EventText(id, number, own_version);
     if (fault == ReplicaFault::kBreakMidEvent && number == 3) {
       text.resize(text.size() / 2);
       co_await writer->WriteChunk(std::move(text));
@@ -421,18 +437,21 @@
   co_await writer->FinishStream();
 }
 
-auto ExpectedText(const std::string& request) -> std::string {
+auto ExpectedText(const std::string& request, const std::string& version)
+    -> std::string {
   auto text = std::string();
   for (auto number = 1; number <= FakeReplica::kEvents; ++number) {
-    text += (number > 1 ? "\n" : "") + EventData(request, number);
+    text += (number > 1 ? "\n" : "") + EventData(request, number, version);
   }
   return text;
 }
 
-auto ExpectedEvents(const std::string& request, int after) -> std::string {
+auto ExpectedEvents(const std::string& request,
+                    int after,
+                    const std::string& version) -> std::string {
   auto text = std::string();
   for (auto number = after + 1; number <= FakeReplica::kEvents; ++number) {
-    text += EventText(request, number);
+    text += EventText(request, number, version);
   }
   return text;
 }
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -127,6 +127,9 @@
   // While set, every answer says that the replica leaves; its entry does not
   // change.
   auto set_leaving(bool leaving) -> void;
+  // The version of its software, which its events name unless it is empty.
+  auto version() const -> std::string;
+  auto set_version(const std::string& version) -> void;
   // Ends the replica and starts it at once under another id.
   auto Restart() -> void;
   // The delay before each event.
@@ -153,6 +156,7 @@
   std::string crashing_part_;
   std::string crashing_body_;
   std::string start_limit_;
+  std::string version_;
   bool leaving_ = false;
   int crashes_ = 0;
   int restarts_ = 0;
@@ -165,9 +169,12 @@
   caller::HttpListener listener_;
 };
 
-// Text of a whole stream, as a batch result or as events.
-auto ExpectedText(const std::string& request) -> std::string;
-auto ExpectedEvents(const std::string& request, int after) -> std::string;
+// Text of a whole stream, as a batch result or as events, of one version.
+auto ExpectedText(const std::string& request, const std::string& version = "")
+    -> std::string;
+auto ExpectedEvents(const std::string& request,
+                    int after,
+                    const std::string& version = "") -> std::string;
 
 // Runs the io_context of fake servers on a thread of its own.
 class FakeServerThread {
--- a/testing/gateway/gateway_process.cc
+++ b/testing/gateway/gateway_process.cc
@@ -96,6 +96,23 @@
   return Fetch(request);
 }
 
+auto GatewayProcess::Resume(const std::string& target,
+                            const std::string& id,
+                            const std::string& resumes,
+                            int after) const -> FetchReply {
+  auto request = FetchRequest();
+  request.address = callers_;
+  request.method = "POST";
+  request.target = target;
+  request.headers = {{"Host", kGatewayHost},
+                     {"Request-Id", id},
+                     {"Last-Event-Id", std::to_string(after)}};
+  if (!resumes.empty()) {
+    request.headers["Resumes"] = resumes;
+  }
+  return Fetch(request);
+}
+
 auto GatewayProcess::Ready() const -> bool {
   return Fetch({readiness_, "GET", "/api/ready", {}, ""}).status == 200;
 }
--- a/testing/gateway/gateway_process.h
+++ b/testing/gateway/gateway_process.h
@@ -44,6 +44,11 @@
             const std::string& target,
             const std::string& id,
             const std::string& body = "") const -> FetchReply;
+  // Takes up a stream after an event; `resumes` is the request that began it.
+  auto Resume(const std::string& target,
+              const std::string& id,
+              const std::string& resumes,
+              int after) const -> FetchReply;
   auto Ready() const -> bool;
   // The addresses that the directory returns.
   auto Addresses() const -> std::vector<std::string>;
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -68,6 +68,7 @@
     store->Put("servers/" + replica.id(), {{"service", "svc"},
                                            {"address", replica.address()},
                                            {"zone", "a"},
+                                           {"version", replica.version()},
                                            {"slots", 8},
                                            {"state", "ready"},
                                            {"cold_remaining_ms", 0},
@@ -893,6 +894,34 @@
   CHECK_FALSE(leaving("i-2"));
 }
 
+// Guards against logs that do not tell which software version wrote a stream,
+// and that a caller took one up.
+TEST_CASE("Gateway.LogsTheVersionAndTheRequestThatIsResumed") {
+  auto fleet = Fleet();
+  for (auto* replica : {fleet.one.get(), fleet.two.get()}) {
+    replica->set_version("v1");
+    fleet.Announce(*replica);
+  }
+  fleet.AwaitService();
+  const auto& node = *fleet.nodes.front();
+  node.Call("POST", "/stream/x", "q1");
+  auto lines = json::array();
+  CHECK(Eventually([&] {
+    lines = LinesOf(node.Log(), "request", "q1");
+    return !lines.empty();
+  }));
+  CHECK(lines.back().at("version") == "v1");
+  CHECK(lines.back().at("resume_after") == "0");
+  CHECK(lines.back().at("resumes") == "");
+  node.Resume("/stream/x", "q2", "q1", 3);
+  CHECK(Eventually([&] {
+    lines = LinesOf(node.Log(), "request", "q2");
+    return !lines.empty();
+  }));
+  CHECK(lines.back().at("resume_after") == "3");
+  CHECK(lines.back().at("resumes") == "q1");
+}
+
 // Guards against a replica in need that gets more from all nodes together than
 // it says that it takes: online requests, second attempts and batch items.
 TEST_CASE("Gateway.KeepsTheLimitThatAReplicaNamesOnAllNodesTogether") {
