Let streams go on only at the software version that began them

A node chose the replica at which a stream, an attempt or a batch item goes on without its version, and a node at which a caller takes a stream up did not know what began it.

The node that begins a stream of a service with several versions now tells four nodes, chosen by a hash of the request, before the first event is sent. A node that is asked to go on asks these and the watchers of the store. Without a record, it relies on there having been one version only if a watcher that has just read the store says so; otherwise the request is refused at once as not run. An item whose version has no replica left runs from the start. A stream that is taken up queues at full replicas of its version, since no others can go on with it.

--- a/include/kumquatgauge/serving/batch_runner.h
+++ b/include/kumquatgauge/serving/batch_runner.h
@@ -5,6 +5,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "kumquatgauge/base/metrics.h"
@@ -86,9 +88,10 @@
   auto End(EndJob call, std::shared_ptr<caller::ResponseWriter> writer)
       -> boost::asio::awaitable<void>;
 
-  // Makes one item of this node yield its slot to an online request. Returns
-  // whether one did.
-  auto YieldSlot(const ServiceName& service) -> bool;
+  // Makes one item of this node, at a replica of `version` if it is given,
+  // yield its slot to an online request. Returns whether one did.
+  auto YieldSlot(const ServiceName& service,
+                 const std::optional<std::string>& version) -> bool;
   // Records that `owner` owns a job.
   auto OnAnnounced(const JobId& job, const NodeId& owner) -> void;
   // Schedules a scan that takes over the jobs of lost members.
--- a/include/kumquatgauge/serving/forwarder.h
+++ b/include/kumquatgauge/serving/forwarder.h
@@ -5,6 +5,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include "kumquatgauge/base/metrics.h"
 #include "kumquatgauge/base/time.h"
@@ -14,6 +16,7 @@
 #include "kumquatgauge/serving/dialect.h"
 #include "kumquatgauge/serving/load_balancer.h"
 #include "kumquatgauge/serving/request_quarantine.h"
+#include "kumquatgauge/serving/stream_versions.h"
 #include "kumquatgauge/upstream/replica_call.h"
 
 namespace kumquatgauge::serving {
@@ -26,12 +29,16 @@
   upstream::ReplicaCaller& replicas;
   routing::RetryBudget& retry_budget;
   RequestQuarantine& quarantine;
+  StreamVersions& streams;
   MetricsRegistry& metrics;
   Clock clock;
   RandomSource random;
-  // Makes batch work of this node yield a slot of a service to an online
-  // request. Returns whether a slot was freed.
-  std::function<auto(const ServiceName&)->bool> yield_batch_slot;
+  // Makes batch work of this node yield a slot of a service, of replicas of one
+  // version if it is given, to an online request. Returns whether a slot was
+  // freed.
+  std::function<
+      auto(const ServiceName&, const std::optional<std::string>& version)->bool>
+      yield_batch_slot;
   const AnswerHooks& hooks;
   // Limit of all answers that are being read. A replica in trouble may send
   // bytes without end.
--- a/include/kumquatgauge/serving/load_balancer.h
+++ b/include/kumquatgauge/serving/load_balancer.h
@@ -79,6 +79,9 @@
   // Set for a batch item that would otherwise miss its due time.
   bool urgent = false;
   std::vector<ReplicaId> tried;
+  // Set for a stream or item that goes on: only replicas of this software
+  // version can write the rest.
+  std::optional<std::string> version;
   // Chooses a replica even if all are full, for a started response that resumes
   // at another replica.
   bool even_if_full = false;
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -356,8 +356,10 @@
     }
   }
 
-  auto YieldSlot(const ServiceName& service) -> bool {
-    return YieldItems(service, 1, "an online request found no free slot") > 0;
+  auto YieldSlot(const ServiceName& service,
+                 const std::optional<std::string>& version) -> bool {
+    return YieldItems(service, 1, "an online request found no free slot",
+                      version) > 0;
   }
 
   auto OnAnnounced(const JobId& job, const NodeId& owner) -> void {
@@ -593,7 +595,8 @@
         const auto share =
             YieldShare(service, static_cast<std::uint64_t>(-capacity));
         YieldItems(service, share,
-                   "online requests leave fewer slots for batch work");
+                   "online requests leave fewer slots for batch work",
+                   std::nullopt);
       }
       if (unstored < parts_.memory_bytes / kUnstoredMemoryDivisor) {
         StartItems(service, capacity, now);
@@ -671,8 +674,8 @@
     }
   }
 
-  // Returns the replica that runs an item; null while none does.
-  auto RunningAt(const ItemRef& ref) const -> const ReplicaId* {
+  // Returns the progress of an item that runs; null while it does not.
+  auto RunningItem(const ItemRef& ref) const -> const ItemProgress* {
     const auto job = jobs_.find(ref.job);
     if (job == jobs_.end()) {
       return nullptr;
@@ -680,24 +683,29 @@
     const auto progress = job->second->progress.find(ref.item);
     return progress == job->second->progress.end() || !progress->second.call
                ? nullptr
-               : &progress->second.replica;
+               : &progress->second;
   }
 
   // Whether a running item may stop for online requests. One at a limited
   // replica goes on, since it would need another start to resume, and one at a
   // replica that leaves, whose slot is of no use to others.
-  auto MayYield(const ItemRef& ref) const -> bool {
-    const auto* replica = RunningAt(ref);
-    return replica != nullptr && parts_.load_balancer.TakesRequests(*replica) &&
-           !parts_.load_balancer.start_limiter().IsLimited(*replica);
+  auto MayYield(const ItemRef& ref,
+                const std::optional<std::string>& version) const -> bool {
+    const auto* item = RunningItem(ref);
+    const auto& balancer = parts_.load_balancer;
+    return item != nullptr && (!version || *version == item->version) &&
+           balancer.TakesRequests(item->replica) &&
+           !balancer.start_limiter().IsLimited(item->replica);
   }
 
+  // Stops items at replicas of `version`, or of any if it is not given.
   auto YieldItems(const ServiceName& service,
                   std::size_t count,
-                  const std::string& reason) -> std::size_t {
+                  const std::string& reason,
+                  const std::optional<std::string>& version) -> std::size_t {
     const auto yields = schedule_.TakeYields(
         service, count, parts_.clock(),
-        [this](const ItemRef& ref) { return MayYield(ref); });
+        [&](const ItemRef& ref) { return MayYield(ref, version); });
     for (const auto& ref : yields) {
       const auto job = jobs_.find(ref.job);
       if (job == jobs_.end()) {
@@ -770,7 +778,7 @@
     request.work_class = WorkClass::kBatch;
     const auto urgent = schedule_.IsUrgent(ref, parts_.clock());
     request.urgent = urgent;
-    const auto choice = parts_.load_balancer.Choose(request);
+    const auto choice = ChooseForItem(*job, ref, request);
     const auto placed =
         choice.availability == Availability::kFree ||
         (urgent && choice.availability != Availability::kNoReplica);
@@ -795,6 +803,7 @@
                               MakeFilter(item, replica));
     progress.call = call;
     progress.replica = replica.id;
+    progress.version = replica.version;
     const auto began = parts_.clock();
     const auto state_version = job->version;
     const auto state_age = began - job->state_known_at;
@@ -838,6 +847,34 @@
     co_return outcome;
   }
 
+  // Chooses a replica of the version that wrote the item's text so far. Once
+  // there is none, the item runs from the start.
+  auto ChooseForItem(OwnedJob& job, const ItemRef& ref, ChoiceRequest request)
+      -> Choice {
+    auto& progress = job.progress[ref.item];
+    if (progress.last_event == 0) {
+      return parts_.load_balancer.Choose(request);
+    }
+    request.version = progress.version;
+    const auto choice = parts_.load_balancer.Choose(request);
+    if (choice.availability != Availability::kNoReplica) {
+      return choice;
+    }
+    logger_.Info(
+        "an item runs from the start: no replica of the version that "
+        "began it is left",
+        {{"event", "item_restarted"},
+         {"job", ref.job.value()},
+         {"item", job.items[ref.item].id},
+         {"version", progress.version},
+         {"last_event", std::to_string(progress.last_event)}});
+    progress.text.clear();
+    progress.last_event = 0;
+    schedule_.OnProgress(ref, 0);
+    request.version.reset();
+    return parts_.load_balancer.Choose(request);
+  }
+
   static auto TraitsOf(const JobItem& item) -> RequestTraits {
     return {item.shared_parts, std::nullopt};
   }
@@ -1923,8 +1960,9 @@
   return impl_->End(std::move(call), std::move(writer));
 }
 
-auto BatchRunner::YieldSlot(const ServiceName& service) -> bool {
-  return impl_->YieldSlot(service);
+auto BatchRunner::YieldSlot(const ServiceName& service,
+                            const std::optional<std::string>& version) -> bool {
+  return impl_->YieldSlot(service, version);
 }
 
 auto BatchRunner::OnAnnounced(const JobId& job, const NodeId& owner) -> void {
--- a/src/serving/batch_schedule.cc
+++ b/src/serving/batch_schedule.cc
@@ -140,6 +140,8 @@
     -> void {
   if (auto* item = FindItem(ref)) {
     item->events = events;
+    // Fewer if the item runs from the start again.
+    item->events_at_start = std::min(item->events_at_start, events);
   }
 }
 
--- a/src/serving/batch_schedule_test.cc
+++ b/src/serving/batch_schedule_test.cc
@@ -219,5 +219,27 @@
   CHECK(yields == std::vector<ItemRef>{started[1]});
 }
 
+// Guards against an item that is taken for nearly done, because it runs from
+// the start after it had got far.
+TEST_CASE("BatchSchedule.CountsTheEventsOfAnItemThatRunsFromTheStart") {
+  auto fixture = Fixture();
+  fixture.schedule.Add(fixture.Job(kLate, seconds(40), 2), {});
+  const auto start = [&] {
+    fixture.schedule.TakeStarts(kService, 2, 0, fixture.clock.now());
+  };
+  start();
+  fixture.schedule.OnProgress({kLate, 0}, 100);
+  fixture.schedule.OnProgress({kLate, 1}, 50);
+  fixture.schedule.OnEnded({kLate, 0}, ItemEnd::kStopped, fixture.clock.now());
+  fixture.clock.Advance(seconds(1));
+  start();
+  fixture.schedule.OnProgress({kLate, 0}, 0);
+  fixture.clock.Advance(seconds(1));
+  const auto yields =
+      fixture.schedule.TakeYields(kService, 1, fixture.clock.now());
+  REQUIRE(yields.size() == 1);
+  CHECK(yields[0].item == 0);
+}
+
 }  // namespace
 }  // namespace kumquatgauge::serving
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -52,6 +52,9 @@
 constexpr milliseconds kMinSilence{400};
 // Used when neither the route nor the caller sets a time limit.
 constexpr milliseconds kDefaultTimeLimit{60'000};
+// How long a caller may take up a stream at most, as a multiple of the time
+// limit of one attempt.
+constexpr auto kStreamLifeFactor = 2;
 // Limit of an answer that is not an event stream. All of them together are
 // limited by ForwarderParts::answer_memory_bytes.
 constexpr std::size_t kMaxBufferedAnswer = 8'000'000;
@@ -87,6 +90,9 @@
   bool limited = false;  // The replica of the last attempt had named a limit.
   bool leaving = false;  // It said in its answer that it leaves.
   std::string version;   // Of its software.
+  // The version that began the stream, once it is known or the first event was
+  // sent. Only replicas of this version can go on with it.
+  std::optional<std::string> stream_version;
   std::uint64_t last_event = 0;
   Duration first_event{0};  // Since the request arrived.
   Duration waited{0};
@@ -172,6 +178,11 @@
  private:
   // Sends the request to replicas until it has ended.
   auto TryReplicas(ExchangePtr exchange) -> awaitable<void> {
+    if (IsResumed(*exchange) && !co_await FindOrigin(exchange)) {
+      co_await EndRefused(
+          exchange, "the software version that began the stream is not known");
+      co_return;
+    }
     while (true) {
       exchange->admission = parts_.quarantine.Check(TraitsOf(*exchange));
       if (exchange->admission.allowed) {
@@ -195,6 +206,42 @@
     }
   }
 
+  static auto IsResumed(const Exchange& exchange) -> bool {
+    return exchange.route->kind == RequestKind::kStream &&
+           exchange.request.resume_after > 0;
+  }
+
+  // Finds out which version began the stream that a caller takes up. Returns
+  // whether it is known.
+  auto FindOrigin(ExchangePtr exchange) -> awaitable<bool> {
+    const auto stream = StreamOf(*exchange, exchange->request.resumes);
+    const auto origin = co_await parts_.streams.Find(stream);
+    if (!origin) {
+      co_return false;
+    }
+    exchange->stream_version = origin->version;
+    // Otherwise the route has been moved to another service.
+    const auto& services = exchange->route->services;
+    if (std::any_of(services.begin(), services.end(), [&](const auto& entry) {
+          return entry.service == origin->service;
+        })) {
+      exchange->service = origin->service;
+    }
+    co_return true;
+  }
+
+  static auto StreamOf(const Exchange& exchange, const RequestId& request)
+      -> CallerStream {
+    auto stream = CallerStream();
+    stream.key = StreamKeyOf(exchange.request.host, request);
+    stream.service = exchange.service;
+    // The caller's time for all of its attempts is not told.
+    const auto limit = exchange.route->time_limit;
+    stream.life = kStreamLifeFactor *
+                  (limit > milliseconds::zero() ? limit : kDefaultTimeLimit);
+    return stream;
+  }
+
   auto Prepare(Exchange& exchange) -> void {
     const auto& route = *exchange.route;
     exchange.service = PickService(route, parts_.random());
@@ -222,8 +269,11 @@
     request.tried = exchange.tried;
     // After an attempt that may have run, the request can no longer be refused
     // as not run, and a late answer is better than none.
-    request.even_if_full =
-        exchange.history.answer_begun || exchange.history.may_have_run > 0;
+    request.version = exchange.stream_version;
+    // Other replicas cannot go on with a stream, though they may have room.
+    request.even_if_full = exchange.history.answer_begun ||
+                           exchange.history.may_have_run > 0 ||
+                           exchange.stream_version;
     return request;
   }
 
@@ -298,7 +348,7 @@
         choice.availability == Availability::kFree && !choice.limited;
     // A slot does not help if the replicas take no further start.
     if (has_slot || choice.next_start ||
-        !parts_.yield_batch_slot(exchange.service)) {
+        !parts_.yield_batch_slot(exchange.service, request.version)) {
       return;
     }
     request.avoid_limited = choice.limited;
@@ -507,6 +557,7 @@
     if (!exchange->history.answer_begun) {
       RecordFirstByte(*exchange, began);
       exchange->history.answer_begun = true;
+      OnStreamBegun(*exchange);
       auto headers = parts_.dialect.answer_headers(exchange->head.headers);
       const auto begun =
           co_await exchange->writer->BeginStream(kOk, std::move(headers));
@@ -517,6 +568,15 @@
     co_return co_await exchange->writer->WriteChunk(std::move(piece));
   }
 
+  // A caller may take up the stream from its first event on, at any node.
+  auto OnStreamBegun(Exchange& exchange) -> void {
+    const auto version = exchange.stream_version.value_or(exchange.version);
+    exchange.stream_version = version;
+    if (exchange.route->resumable) {
+      parts_.streams.OnBegan(StreamOf(exchange, exchange.request.id), version);
+    }
+  }
+
   auto RecordFirstByte(Exchange& exchange, MonotonicTime began) -> void {
     const auto now = parts_.clock();
     OnAnswered(exchange);
@@ -706,9 +766,13 @@
     if (exchange.choice.next_start) {
       return "all replicas are at the limits that they named";
     }
-    return exchange.choice.availability == Availability::kNoReplica
-               ? "no replica is known"
-               : "all replicas are full";
+    if (exchange.choice.availability != Availability::kNoReplica) {
+      return "all replicas are full";
+    }
+    return exchange.stream_version
+               ? "no replica of the software version that began the stream is "
+                 "known"
+               : "no replica is known";
   }
 
   auto EndRefused(ExchangePtr exchange, std::string reason) -> awaitable<void> {
@@ -764,6 +828,7 @@
          {"replica",
           exchange.tried.empty() ? "" : exchange.tried.back().value()},
          {"version", exchange.tried.empty() ? "" : exchange.version},
+         {"stream_version", exchange.stream_version.value_or("")},
          {"resume_after", std::to_string(exchange.request.resume_after)},
          {"resumes", exchange.request.resumes.value()},
          {"attempts", std::to_string(exchange.history.attempts)},
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -32,6 +32,7 @@
 #include "kumquatgauge/serving/replica_table.h"
 #include "kumquatgauge/serving/request_quarantine.h"
 #include "kumquatgauge/serving/store_feed.h"
+#include "kumquatgauge/serving/stream_versions.h"
 #include "kumquatgauge/serving/watcher_choice.h"
 #include "kumquatgauge/upstream/replica_call.h"
 #include "serving/start_report_codec.h"
@@ -190,6 +191,7 @@
                           [this](const routing::Replica& replica) {
                             OnReplicaLeaves(replica);
                           }},
+        streams_(MakeStreamVersionsParts()),
         batch_(MakeBatchParts()),
         forwarder_(MakeForwarderParts()),
         configuration_feed_(context_.get_executor(),
@@ -217,6 +219,7 @@
     StartListeners();
     gossip_.RegisterHandlers(peer_server_);
     batch_.RegisterHandlers(peer_server_);
+    streams_.RegisterHandlers(peer_server_);
     peer_server_.Register(
         kEntriesCall,
         [this](json request,
@@ -302,6 +305,20 @@
                 std::size_t{settings_.limits.memory_mb} * kBytesPerMegabyte};
   }
 
+  auto MakeStreamVersionsParts() -> StreamVersionsParts {
+    return {.executor = context_.get_executor(),
+            .peers = *peer_client_,
+            .metrics = metrics_,
+            .clock = SteadyNow,
+            .self = [this] { return settings_.name; },
+            .live = [this] { return gossip_.membership().live(); },
+            .send_datagram =
+                [this](const std::string& address, const json& message) {
+                  gossip_.SendDatagram(address, message);
+                },
+            .entries_age = [this] { return EntriesAge(); }};
+  }
+
   auto MakeForwarderParts() -> ForwarderParts {
     return {.executor = context_.get_executor(),
             .dialect = parts_.dialect,
@@ -309,12 +326,14 @@
             .replicas = replicas_,
             .retry_budget = retry_budget_,
             .quarantine = quarantine_,
+            .streams = streams_,
             .metrics = metrics_,
             .clock = SteadyNow,
             .random = DrawRandom,
             .yield_batch_slot =
-                [this](const ServiceName& service) {
-                  return batch_.YieldSlot(service);
+                [this](const ServiceName& service,
+                       const std::optional<std::string>& version) {
+                  return batch_.YieldSlot(service, version);
                 },
             .hooks = answer_hooks_,
             .answer_memory_bytes = std::size_t{settings_.limits.memory_mb} *
@@ -369,7 +388,10 @@
     hooks.call_failed = [this](const std::string& reason) {
       OnStoreLost(reason);
     };
-    hooks.call_succeeded = [this] { OnStoreAnswered(); };
+    hooks.call_succeeded = [this] {
+      entries_read_at_ = SteadyNow();
+      OnStoreAnswered();
+    };
     return hooks;
   }
 
@@ -472,6 +494,7 @@
         std::find(watchers.begin(), watchers.end(), settings_.name);
     if (place == watchers.end()) {
       replica_table_.OnStoreNotWatched();
+      entries_read_at_.reset();
       return std::nullopt;
     }
     const auto time_of_day =
@@ -480,6 +503,11 @@
                      watchers.size(), time_of_day);
   }
 
+  auto EntriesAge() const -> std::optional<Duration> {
+    return entries_read_at_ ? std::optional(SteadyNow() - *entries_read_at_)
+                            : std::nullopt;
+  }
+
   auto DecodeReplica(const ReplicaId& id, const std::string& value)
       -> std::optional<routing::Replica> {
     auto replica = parts_.dialect.decode_replica(id.value(), value);
@@ -678,7 +706,9 @@
   }
 
   auto ApplyReplicas() -> void {
-    load_balancer_.SetReplicas(replica_table_.replicas());
+    const auto replicas = replica_table_.replicas();
+    load_balancer_.SetReplicas(replicas);
+    streams_.SetReplicas(replicas);
     forwarder_.OnCapacityFreed();
   }
 
@@ -882,6 +912,8 @@
         load_balancer_.start_limiter().OnReports(
             from, message.at("r").get<std::uint64_t>(),
             detail::DecodeStartReports(message.at("l")));
+      } else if (type == kOriginDatagram) {
+        streams_.OnDatagram(message);
       } else if (type == "leaving") {
         OnLeavingDatagram(message);
       } else if (type == "crash") {
@@ -1243,6 +1275,7 @@
           SendCellCapacity();
           UpdateQuarantine();
           SpreadLeavingNotices();
+          streams_.OnTick();
           RunMaintenance();
         });
   }
@@ -1363,6 +1396,7 @@
   node::Gossip gossip_;
   control::NodeRegistry registry_;
   AnswerHooks answer_hooks_;
+  StreamVersions streams_;
   BatchRunner batch_;
   Forwarder forwarder_;
   StoreFeed configuration_feed_;
@@ -1393,6 +1427,9 @@
   std::uint64_t run_ = DrawRandom();  // Differs after each start.
   bool counts_pending_ = false;
   bool counts_empty_ = true;
+  // When this node last read the replicas' entries; empty unless it watches the
+  // store.
+  std::optional<MonotonicTime> entries_read_at_;
   bool store_lost_ = false;
   bool stopping_ = false;
 };
--- a/src/serving/load_balancer.cc
+++ b/src/serving/load_balancer.cc
@@ -189,7 +189,9 @@
   // Batch capacity is known only within the cell.
   const auto batch_elsewhere =
       request.work_class == WorkClass::kBatch && !state.in_cell;
-  return !IsGoneOrLeaving(state) && !batch_elsewhere &&
+  const auto fits =
+      !request.version || *request.version == state.replica.version;
+  return !IsGoneOrLeaving(state) && !batch_elsewhere && fits &&
          tried == request.tried.end();
 }
 
--- a/src/serving/load_balancer_test.cc
+++ b/src/serving/load_balancer_test.cc
@@ -553,5 +553,52 @@
         LoadBalancer::BatchCounts{1, 1});
 }
 
+auto MakeVersion(const std::string& id, const std::string& version) -> Replica {
+  auto replica = MakeReplica(id);
+  replica.version = version;
+  return replica;
+}
+
+// Guards against a stream that goes on at a replica of another software version
+// because the replicas of its own are full, ejected or in another cell.
+TEST_CASE("LoadBalancer.ChoosesOnlyReplicasOfTheVersion") {
+  auto fixture = Fixture();
+  fixture.balancer.SetReplicas({MakeVersion("r1", "v1"), MakeVersion("r2", ""),
+                                MakeVersion("r3", "v2"),
+                                MakeVersion("r4", "v2")});
+  auto request = fixture.Request();
+  request.version = "v1";
+  request.even_if_full = true;
+  for (std::uint32_t sent = 0; sent < 3 * kSlots; ++sent) {
+    CHECK(IdOf(fixture.balancer.Choose(request)) == ReplicaId("r1"));
+    fixture.balancer.OnStarted(ReplicaId("r1"), WorkClass::kOnline);
+  }
+  fixture.balancer.OnUnreachable(ReplicaId("r1"));
+  CHECK(IdOf(fixture.balancer.Choose(request)) == ReplicaId("r1"));
+  for (auto cell = 0U; cell < 2; ++cell) {
+    fixture.balancer.SetCell(cell, 2);
+    CHECK(IdOf(fixture.balancer.Choose(request)) == ReplicaId("r1"));
+  }
+  request.version = "";
+  CHECK(IdOf(fixture.balancer.Choose(request)) == ReplicaId("r2"));
+}
+
+// Guards against a wait, or a choice of another version, when no replica of the
+// version is left.
+TEST_CASE("LoadBalancer.KnowsNoReplicaOnceTheVersionIsGone") {
+  auto fixture = Fixture();
+  auto leaving = MakeVersion("r1", "v1");
+  leaving.leaving = true;
+  fixture.balancer.SetReplicas({leaving, MakeVersion("r2", "v2")});
+  auto request = fixture.Request();
+  request.even_if_full = true;
+  for (const auto* version : {"v1", "v1.1", ""}) {
+    INFO(version);
+    request.version = version;
+    CHECK(fixture.balancer.Choose(request).availability ==
+          Availability::kNoReplica);
+  }
+}
+
 }  // namespace
 }  // namespace kumquatgauge::serving
--- a/src/serving/owned_job.h
+++ b/src/serving/owned_job.h
@@ -23,6 +23,8 @@
   std::uint64_t last_event = 0;
   std::shared_ptr<upstream::ReplicaCaller::Call> call;  // While it runs.
   ReplicaId replica;  // That runs it, or ran it last.
+  // Of the software of that replica; all of the text is of this version.
+  std::string version;
 };
 
 // A job that this node owns and runs.
--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -456,6 +456,22 @@
   return text;
 }
 
+auto LastEventIn(const std::string& text) -> int {
+  const auto end = text.rfind("\n\n");
+  if (end == std::string::npos) {
+    return 0;
+  }
+  const auto id = text.rfind("id: ", end);
+  return id == std::string::npos ? 0 : std::stoi(text.substr(id + 4));
+}
+
+auto VersionIn(const std::string& text) -> std::string {
+  const auto begin = text.find('@');
+  return begin == std::string::npos
+             ? ""
+             : text.substr(begin + 1, text.find('\n', begin) - begin - 1);
+}
+
 FakeServerThread::FakeServerThread()
     : guard_(asio::make_work_guard(context_)),
       thread_([this] { context_.run(); }) {}
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -176,6 +176,12 @@
                     int after,
                     const std::string& version = "") -> std::string;
 
+// Returns the number of the last whole event of a text; 0 for none.
+auto LastEventIn(const std::string& text) -> int;
+
+// Returns the version that the first event of a text names; empty for none.
+auto VersionIn(const std::string& text) -> std::string;
+
 // Runs the io_context of fake servers on a thread of its own.
 class FakeServerThread {
  public:
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -116,6 +116,41 @@
   std::vector<std::unique_ptr<GatewayProcess>> nodes;
 };
 
+// A fleet whose replicas have two software versions, two replicas of each.
+struct TwoVersionFleet : Fleet {
+  explicit TwoVersionFleet(int gateways = 1) : Fleet(gateways) {
+    for (auto* replica : {one.get(), two.get()}) {
+      replica->set_version("v1");
+    }
+    for (auto* replica : {three.get(), four.get()}) {
+      replica->set_version("v2");
+    }
+    for (const auto* replica : replicas) {
+      Announce(*replica);
+    }
+  }
+
+  ~TwoVersionFleet() {
+    nodes.clear();
+    thread.Stop();
+  }
+
+  auto TotalRunCount(const std::string& request) const -> int {
+    auto runs = 0;
+    for (const auto* replica : replicas) {
+      runs += replica->RunCount(request);
+    }
+    return runs;
+  }
+
+  std::unique_ptr<FakeReplica> three =
+      std::make_unique<FakeReplica>(thread.context(), "i-3");
+  std::unique_ptr<FakeReplica> four =
+      std::make_unique<FakeReplica>(thread.context(), "i-4");
+  std::vector<FakeReplica*> replicas{one.get(), two.get(), three.get(),
+                                     four.get()};
+};
+
 TEST_CASE("Gateway.ServesEachKindOfRequestUnchanged") {
   auto fleet = Fleet();
   fleet.AwaitService();
@@ -377,6 +412,119 @@
 }
 
 // Guards against a broken stream that looks complete.
+// Guards against one answer that holds events of two software versions.
+TEST_CASE("Gateway.ContinuesAStreamAtTheVersionThatBeganIt") {
+  auto fleet = TwoVersionFleet();
+  fleet.AwaitService();
+  for (auto number = 0; number < 24; ++number) {
+    fleet.one->SetFault(ReplicaFault::kBreakMidEvent, 1);
+    fleet.three->SetFault(ReplicaFault::kBreakMidEvent, 1);
+    const auto id = "q" + std::to_string(number);
+    const auto reply = fleet.nodes.front()->Call("POST", "/stream/x", id);
+    CHECK(reply.complete);
+    CHECK(reply.body == ExpectedEvents(id, 0, VersionIn(reply.body)));
+  }
+}
+
+// Guards against a stream that its caller takes up at another node, and that
+// goes on at another software version there; also after the first node has
+// ended, and when the caller takes up a stream that it had taken up before.
+TEST_CASE("Gateway.ResumesAStreamAtItsVersionAtAnyNode") {
+  constexpr std::size_t kStreamsPerVersion = 5;
+  auto fleet = TwoVersionFleet(3);
+  fleet.AwaitService();
+  const auto resume = [&](std::size_t node, const std::string& id,
+                          const std::string& first,
+                          const std::string& version) {
+    const auto reply = fleet.nodes[node]->Resume("/stream/x", id, first, 3);
+    CHECK(reply.complete);
+    CHECK(reply.body == ExpectedEvents(id, 3, version));
+  };
+  auto begun =
+      std::map<std::string, std::vector<std::string>>();  // By version.
+  auto number = 0;
+  REQUIRE(Eventually([&] {
+    const auto id = "q" + std::to_string(++number);
+    const auto reply = fleet.nodes.front()->Call("POST", "/stream/x", id);
+    const auto version = VersionIn(reply.body);
+    begun[version].push_back(id);
+    resume(1, "r" + id, id, version);
+    resume(2, "s" + id, "r" + id, version);
+    return begun["v1"].size() >= kStreamsPerVersion &&
+           begun["v2"].size() >= kStreamsPerVersion;
+  }));
+  fleet.nodes.front()->process().Signal(SIGKILL);
+  for (const auto& [version, ids] : begun) {
+    for (const auto& id : ids) {
+      resume(1, "t" + id, id, version);
+      resume(2, "u" + id, "s" + id, version);
+    }
+  }
+}
+
+// Guards against a stream that goes on at a guess, and against the answer "not
+// run" to one that ran.
+TEST_CASE("Gateway.RefusesToResumeAStreamWhoseVersionIsNotKnown") {
+  auto fleet = TwoVersionFleet(2);
+  fleet.AwaitService();
+  const auto& node = *fleet.nodes.front();
+  for (const auto* first : {"never", ""}) {
+    const auto id = std::string("r-") + first;
+    CHECK(node.Resume("/stream/x", id, first, 3).status == 503);
+    CHECK(fleet.TotalRunCount(id) == 0);
+  }
+  const auto whole = node.Call("POST", "/stream/x", "q1");
+  for (auto* replica : fleet.replicas) {
+    if (replica->version() == VersionIn(whole.body)) {
+      fleet.store->Remove("servers/" + replica->id());
+    }
+  }
+  CHECK(Eventually([&] {
+    return node.Resume("/stream/x", "r-gone", "q1", 3).status == 503;
+  }));
+}
+
+// Guards against streams that nobody can take up although there is one software
+// version only, of which nodes keep no records.
+TEST_CASE("Gateway.ResumesAnyStreamWhileThereIsOneVersion") {
+  auto fleet = Fleet(2);
+  fleet.AwaitService();
+  auto configuration = MakeConfiguration(4);
+  for (auto& route : configuration.at("routes")) {
+    route["timeout_ms"] = 500;
+  }
+  fleet.store->Put("config/main", configuration);
+  const auto& node = *fleet.nodes.back();
+  auto reply = FetchReply();
+  CHECK(Eventually([&] {
+    reply = node.Resume("/stream/x", "r1", "q1", 3);
+    return reply.status == 200;
+  }));
+  CHECK(reply.body == ExpectedEvents("r1", 3));
+}
+
+// Guards against a result whose text two software versions wrote.
+TEST_CASE("Gateway.RunsAnItemFromTheStartOnceItsVersionIsGone") {
+  auto fleet = TwoVersionFleet();
+  for (const auto* id : {"i-2", "i-3", "i-4"}) {
+    fleet.store->Remove(std::string("servers/") + id);
+  }
+  fleet.AwaitService();
+  const auto& node = *fleet.nodes.front();
+  fleet.one->SetFault(ReplicaFault::kBreakMidEvent, 1);
+  REQUIRE(node.Call("POST", "/jobs/1", "j1", JobBody({"slow-a"})).status ==
+          202);
+  REQUIRE(Eventually([&] { return fleet.one->RunCount("slow-a") > 0; }));
+  fleet.Announce(*fleet.three);
+  fleet.store->Remove("servers/i-1");
+  auto page = json();
+  CHECK(Eventually([&] {
+    page = node.ReadJob("j1");
+    return page.is_object() && !page.at("results").empty();
+  }));
+  CHECK(page.at("results").at(0).at("text") == ExpectedText("slow-a", "v2"));
+}
+
 TEST_CASE("Gateway.EndsAStreamVisiblyThatMustNotBeResumed") {
   auto fleet = Fleet();
   fleet.AwaitService();
--- a/testing/soak/checker.cc
+++ b/testing/soak/checker.cc
@@ -135,7 +135,7 @@
   if (std::count(known.items.begin(), known.items.end(), item) == 0) {
     Add(where + "item " + item + " belongs to another job");
   }
-  if (state == "completed" && text != ExpectedText(item)) {
+  if (state == "completed" && text != ExpectedText(item, VersionIn(text))) {
     Add(where + "wrong text: " + text);
   }
 }
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -47,6 +47,10 @@
 constexpr milliseconds kMaxStoreRefusalTime{9'000};
 // Of the faults, so many are followed by a replica that says that it leaves.
 constexpr std::size_t kLeavingOneIn = 6;
+// Software versions of the replicas at the start; later ones are released.
+constexpr std::size_t kFirstVersions = 2;
+// How often a caller takes up a stream.
+constexpr auto kResumes = 2;
 constexpr milliseconds kMaxEventDelay{60};
 // The settings' stop_s plus time to be scheduled on a busy machine.
 constexpr milliseconds kStopTime{9'500};
@@ -108,6 +112,7 @@
           [this, at](const std::string& request) {
             OnStarted(request, replicas_[at].server->id());
           });
+      replica.server->set_version("v" + std::to_string(at % kFirstVersions));
       replica.link = std::make_unique<LoopbackProxy>(thread_.context(),
                                                      replica.server->address());
       Announce(replica);
@@ -143,6 +148,8 @@
     ReadAllJobs();
     checker_.Finish();
     thread_.Stop();
+    counts_["stream resumed"] = resumed_;
+    counts_["stream not resumed"] = not_resumed_;
     return {checker_.violations(), checker_.replies(), counts_};
   }
 
@@ -195,6 +202,7 @@
                {{"service", "svc"},
                 {"address", replica.link->address()},
                 {"zone", "a"},
+                {"version", replica.server->version()},
                 {"slots", 8},
                 {"state", "ready"},
                 {"cold_remaining_ms", 0},
@@ -217,10 +225,10 @@
           CallPlain(node, "/plain/once/x", id, 1);
           break;
         case 2:
-          CallStream(node, "/stream/x", id, 2);
+          CallStream(node, "/stream/x", id, 2, true, random);
           break;
         case 3:
-          CallStream(node, "/stream/once/x", id, 1);
+          CallStream(node, "/stream/once/x", id, 1, false, random);
           break;
         case 4:
           Submit(node, id, random.Below(kMaxItems) + 1);
@@ -260,9 +268,38 @@
   auto CallStream(const GatewayProcess& node,
                   const std::string& target,
                   const std::string& id,
-                  int max_runs) -> void {
+                  int max_runs,
+                  bool resumable,
+                  RandomSource& random) -> void {
     const auto reply = Call(node, target, id);
-    checker_.OnReply(id, {max_runs, true, ExpectedEvents(id, 0)}, reply);
+    const auto version = VersionIn(reply.body);
+    checker_.OnReply(id, {max_runs, true, ExpectedEvents(id, 0, version)},
+                     reply);
+    if (resumable) {
+      ResumeStream(id, target, version, reply, random);
+    }
+  }
+
+  // Takes up a stream after one of its events at random nodes, as a caller does
+  // whose connection broke there.
+  auto ResumeStream(const std::string& first,
+                    const std::string& target,
+                    const std::string& version,
+                    const FetchReply& reply,
+                    RandomSource& random) -> void {
+    const auto events = LastEventIn(reply.body);
+    for (auto attempt = 1; attempt <= kResumes && events > 0; ++attempt) {
+      const auto after =
+          1 + static_cast<int>(random.Below(static_cast<std::size_t>(events)));
+      const auto id = first + "-again" + std::to_string(attempt);
+      const auto& node = *nodes_[random.Below(nodes_.size())].process;
+      checker_.OnSent(id, node.name(), node.starts(),
+                      std::chrono::steady_clock::now());
+      const auto resumed = node.Resume(target, id, first, after);
+      checker_.OnReply(id, {2, true, ExpectedEvents(id, after, version)},
+                       resumed);
+      ++(resumed.status == kOk ? resumed_ : not_resumed_);
+    }
   }
 
   // Returns whether the job was accepted.
@@ -574,6 +611,8 @@
   auto ReplaceReplica(Replica& replica) -> void {
     store_.Remove("servers/" + replica.server->id());
     replica.server->Restart();
+    replica.server->set_version(
+        "v" + std::to_string(kFirstVersions + ++replacements_ / 2));
     replica.leaving = false;
     Announce(replica);
   }
@@ -683,7 +722,10 @@
   std::map<std::string, int> counts_;
   std::atomic<int> version_{3};
   std::atomic<bool> done_{false};
+  std::atomic<int> resumed_{0};
+  std::atomic<int> not_resumed_{0};
   int settle_calls_ = 0;
+  std::size_t replacements_ = 0;  // Two in a row have the same version.
 };
 
 }  // namespace
