--- a/include/kumquatgauge/serving/stream_origins.h
+++ b/include/kumquatgauge/serving/stream_origins.h
@@ -46,7 +46,7 @@
   explicit StreamOrigins(Clock clock) : clock_(std::move(clock)) {}
 
   // Keeps the first record of a stream.
-  auto Add(StreamKey stream, StreamOrigin origin) -> void;
+  auto Add(StreamKey stream, const StreamOrigin& origin) -> void;
   auto Find(StreamKey stream) const -> std::optional<StreamOrigin>;
   auto RemoveExpired() -> void;
   auto size() const -> std::size_t { return origins_.size(); }
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -856,7 +856,7 @@
       return parts_.load_balancer.Choose(request);
     }
     request.version = progress.version;
-    const auto choice = parts_.load_balancer.Choose(request);
+    auto choice = parts_.load_balancer.Choose(request);
     if (choice.availability != Availability::kNoReplica) {
       return choice;
     }
--- a/src/serving/stream_origins.cc
+++ b/src/serving/stream_origins.cc
@@ -16,8 +16,8 @@
   return XXH3_64bits(text.data(), text.size());
 }
 
-auto StreamOrigins::Add(StreamKey stream, StreamOrigin origin) -> void {
-  if (!origins_.try_emplace(stream, std::move(origin)).second) {
+auto StreamOrigins::Add(StreamKey stream, const StreamOrigin& origin) -> void {
+  if (!origins_.try_emplace(stream, origin).second) {
     return;
   }
   order_.emplace_back(clock_(), stream);
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -1060,7 +1060,7 @@
   }));
   CHECK(lines.back().at("version") == "v1");
   CHECK(lines.back().at("resume_after") == "0");
-  CHECK(lines.back().at("resumes") == "");
+  CHECK(lines.back().at("resumes").get<std::string>().empty());
   node.Resume("/stream/x", "q2", "q1", 3);
   CHECK(Eventually([&] {
     lines = LinesOf(node.Log(), "request", "q2");
