Take up streams promptly while a node does not answer

With one software version a stream was taken up only after all nodes that were asked had answered or 0.3 s were over, as after each loss of a node. Once a node that has just read the store says that there is one version, 60 ms are enough for a record to arrive.

--- a/src/serving/stream_versions.cc
+++ b/src/serving/stream_versions.cc
@@ -28,6 +28,9 @@
 // How long other nodes are asked; callers leave a stream after two seconds
 // without an event.
 constexpr milliseconds kQueryTimeout{300};
+// The same once a node has said that there is one version only. A node that has
+// just died does not answer, and a record would have arrived by then.
+constexpr milliseconds kRecordTimeout{60};
 
 auto ToMilliseconds(Duration duration) -> std::int64_t {
   return std::chrono::duration_cast<milliseconds>(duration).count();
@@ -69,7 +72,13 @@
 // A question to several nodes, which outlives its wait.
 struct Question {
   Question(const asio::any_io_executor& executor, std::size_t asked)
-      : query(asked), answered(executor, kQueryTimeout) {}
+      : query(asked), answered(executor) {}
+
+  // Waits for the answers; returns after `limit` at the latest.
+  auto Await(milliseconds limit) -> awaitable<void> {
+    answered.expires_after(limit);
+    co_await answered.async_wait(kAwaitTuple);
+  }
 
   OriginQuery query;
   asio::steady_timer answered;  // Cancelled once the query is done.
@@ -201,7 +210,10 @@
                      asio::detached);
     }
     if (!question->query.done()) {
-      co_await question->answered.async_wait(kAwaitTuple);
+      co_await question->Await(kRecordTimeout);
+    }
+    if (!question->query.done() && !question->query.origin()) {
+      co_await question->Await(kQueryTimeout - kRecordTimeout);
     }
     co_return question->query.origin();
   }
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -485,9 +485,12 @@
 }
 
 // Guards against streams that nobody can take up although there is one software
-// version only, of which nodes keep no records.
+// version only, of which nodes keep no records, and against those that wait for
+// a node that has just died.
 TEST_CASE("Gateway.ResumesAnyStreamWhileThereIsOneVersion") {
-  auto fleet = Fleet(2);
+  // Less than a node that does not answer is waited for if nothing is known.
+  constexpr auto kPromptMs = 200.0;
+  auto fleet = Fleet(3);
   fleet.AwaitService();
   auto configuration = MakeConfiguration(4);
   for (auto& route : configuration.at("routes")) {
@@ -501,6 +504,11 @@
     return reply.status == 200;
   }));
   CHECK(reply.body == ExpectedEvents("r1", 3));
+  fleet.nodes.front()->process().Signal(SIGSTOP);
+  reply = node.Resume("/stream/x", "r2", "q1", 3);
+  fleet.nodes.front()->process().Signal(SIGCONT);
+  CHECK(reply.body == ExpectedEvents("r2", 3));
+  CHECK(reply.first_byte_ms.value_or(kPromptMs) < kPromptMs);
 }
 
 // Guards against a result whose text two software versions wrote.
