Keep no record of a stream whose request has no id

A request without an id was recorded under the empty id, and a caller that took up any stream of the same host without naming its first request was taken for naming that one: the stream went on at a version which need not have begun it. Found by reading.

Gateway.RefusesToResumeAStreamWhoseVersionIsNotKnown failed with such a request before it (200 instead of 503) and passes now.

--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -572,7 +572,8 @@
   auto OnStreamBegun(Exchange& exchange) -> void {
     const auto version = exchange.stream_version.value_or(exchange.version);
     exchange.stream_version = version;
-    if (exchange.route->resumable) {
+    // Nobody can name a request without an id.
+    if (exchange.route->resumable && !exchange.request.id.empty()) {
       parts_.streams.OnBegan(StreamOf(exchange, exchange.request.id), version);
     }
   }
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -483,6 +483,8 @@
   auto fleet = TwoVersionFleet(2);
   fleet.AwaitService();
   const auto& node = *fleet.nodes.front();
+  // A request without an id is not the one that a caller fails to name.
+  node.Call("POST", "/stream/x", "");
   for (const auto* first : {"never", ""}) {
     const auto id = std::string("r-") + first;
     CHECK(node.Resume("/stream/x", id, first, 3).status == 503);
