--- a/include/kumquatgauge/serving/origin_query.h
+++ b/include/kumquatgauge/serving/origin_query.h
@@ -10,8 +10,8 @@
 namespace kumquatgauge::serving {
 
 // Maximum age of a statement that a service has had one version only. A replica
-// of another version may have begun streams since. Long enough for some watchers
-// to be lost: one of them reads every 0.8 s.
+// of another version may have begun streams since. Long enough for some
+// watchers to be lost: one of them reads every 0.8 s.
 inline constexpr std::chrono::milliseconds kMaxSoleVersionAge{3'000};
 
 // What one node knows of what began a stream.
