--- a/src/serving/configuration_delay_test.cc
+++ b/src/serving/configuration_delay_test.cc
@@ -331,9 +331,10 @@
     }
     const auto time_of_day =
         std::chrono::duration_cast<milliseconds>(now - Start());
-    const auto watch = probes ? store::kMaxProbeWait
-                              : WatchTime(static_cast<std::size_t>(*node.turn),
-                                          watchers_, time_of_day);
+    const auto watch =
+        probes ? store::kMaxProbeWait
+               : WatchTime(static_cast<std::size_t>(node.turn.value_or(0)),
+                           watchers_, time_of_day);
     feed.call = MakeCall(watch + kAnswerTime);
   }
 
