Decide in one place that a leaving replica has left

Remove drops a leaving replica whose entry is missing, whoever gives a grace period, so that the two functions which compute that period need not check it again.

--- a/src/serving/replica_table.cc
+++ b/src/serving/replica_table.cc
@@ -141,8 +141,8 @@
 
 // Returns how long to keep a replica whose entry this node found missing.
 auto ReplicaTable::OwnGracePeriod(const Row& row) const -> Duration {
-  if (!row.replica || Leaves(*row.replica)) {
-    return Duration::zero();  // A leaving replica has left.
+  if (!row.replica) {
+    return Duration::zero();
   }
   if (store_unavailable_) {
     return kEntryGracePeriod;
@@ -156,7 +156,7 @@
 // watch, in an outage that it did not see.
 auto ReplicaTable::CautiousGracePeriod(const Row& row) const -> Duration {
   const auto own = OwnGracePeriod(row);
-  if (!watching_since_ || !row.replica || Leaves(*row.replica)) {
+  if (!watching_since_ || !row.replica) {
     return own;
   }
   return std::max(own, *watching_since_ + kEntryGracePeriod - clock_());
