Tell the soak's checker of all answers that nodes pass on

Streams that callers take up repeated the steps of the other requests but left out the last one: what their answers say of leaving replicas was not checked. One function now sends all of them, so that more is checked.

--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -244,19 +244,26 @@
     }
   }
 
-  // Sends a request and tells the checker by which node it went when.
-  auto Call(const GatewayProcess& node,
-            const std::string& target,
+  // Sends a request with `send` and tells the checker by which node it went
+  // when, and what the node passed on.
+  auto Send(const GatewayProcess& node,
             const std::string& id,
-            const std::string& body = "") -> FetchReply {
+            const std::function<auto()->FetchReply>& send) -> FetchReply {
     const auto start = node.starts();
     checker_.OnSent(id, node.name(), start, std::chrono::steady_clock::now());
-    auto reply = node.Call("POST", target, id, body);
+    auto reply = send();
     checker_.OnPassedOn(node.name(), start, reply,
                         std::chrono::steady_clock::now());
     return reply;
   }
 
+  auto Call(const GatewayProcess& node,
+            const std::string& target,
+            const std::string& id,
+            const std::string& body = "") -> FetchReply {
+    return Send(node, id, [&] { return node.Call("POST", target, id, body); });
+  }
+
   auto CallPlain(const GatewayProcess& node,
                  const std::string& target,
                  const std::string& id,
@@ -293,9 +300,8 @@
           1 + static_cast<int>(random.Below(static_cast<std::size_t>(events)));
       const auto id = first + "-again" + std::to_string(attempt);
       const auto& node = *nodes_[random.Below(nodes_.size())].process;
-      checker_.OnSent(id, node.name(), node.starts(),
-                      std::chrono::steady_clock::now());
-      const auto resumed = node.Resume(target, id, first, after);
+      const auto resumed =
+          Send(node, id, [&] { return node.Resume(target, id, first, after); });
       checker_.OnReply(id, {2, true, ExpectedEvents(id, after, version)},
                        resumed);
       ++(resumed.status == kOk ? resumed_ : not_resumed_);
