Close a job's list of results at each takeover

Cause: a write of results by a former owner could take effect after another node had taken the job over and read the list. Positions were never given twice, but answers rested on a copy that was taken to be whole.

Ruled out: reads of results that look at the store when the owner changed lately (a read for each page, and the new owner cannot know for how long); a former owner that confirms its ownership before it answers (a call for each result). Neither stops the write itself.

Change: a new owner stores a chunk without results at the end of the list before it serves or runs anything. The stored object is created only if absent, so the former owner's write fails. One further write for each takeover of an unfinished job.

The unit test JobArchive.ClosesTheListToWritesOfAFormerOwner needs the new call.

--- a/include/kumquatgauge/serving/job.h
+++ b/include/kumquatgauge/serving/job.h
@@ -56,21 +56,45 @@
   auto operator==(const JobState&) const -> bool = default;
 };
 
-// Results that were stored together. The first one has the position `first` in
-// the job's list. The stored object is named after that position and created
-// only if absent, so that no position is assigned twice.
+// Where the next results of a job are stored.
+struct ResultPlace {
+  std::uint64_t position = 0;  // In the job's list of results.
+  // Number of closing chunks before it.
+  std::uint64_t closings = 0;
+
+  auto operator==(const ResultPlace&) const -> bool = default;
+};
+
+// Results that were stored together, from a place on. The stored object is named
+// after that place and created only if absent, so that no position is assigned
+// twice. A chunk without results closes its place: a new owner stores one, so
+// that writes of a former owner that are still under way fail, and its results
+// follow under the next number of closings.
 struct ResultChunk {
   JobId id;
-  std::uint64_t first = 0;
+  ResultPlace place;
   std::string writer;  // Unique for each attempt to write.
   std::vector<ItemResult> results;
 
   auto operator==(const ResultChunk&) const -> bool = default;
 };
 
+// The results of a job that are known to be stored, from the first one on.
+struct StoredResults {
+  std::vector<ItemResult> results;
+  std::uint64_t closings = 0;
+
+  // Returns where the next chunk is stored.
+  auto end() const -> ResultPlace { return {results.size(), closings}; }
+  // Appends the chunk that is stored at end().
+  auto Append(const ResultChunk& chunk) -> void;
+
+  auto operator==(const StoredResults&) const -> bool = default;
+};
+
 auto RecordKey(const JobId& id) -> std::string;
 auto StateKey(const JobId& id) -> std::string;
-auto ChunkKey(const JobId& id, std::uint64_t first) -> std::string;
+auto ChunkKey(const JobId& id, const ResultPlace& place) -> std::string;
 inline constexpr auto kStatePrefix = "job-states/";
 
 // Values are JSON text. The decoders throw Error(kInvalidArgument) for text
--- a/include/kumquatgauge/serving/job_archive.h
+++ b/include/kumquatgauge/serving/job_archive.h
@@ -46,11 +46,18 @@
   auto ListStates(bool exact)
       -> boost::asio::awaitable<std::vector<StoredState>>;
 
-  // Appends results at a position. Returns the chunk stored there, which
-  // differs from `chunk` when another writer was first.
+  // Appends results at a place. Returns the chunk stored there, which differs
+  // from `chunk` when another writer was first.
   auto Append(ResultChunk chunk) -> boost::asio::awaitable<ResultChunk>;
-  auto LoadChunk(JobId id, std::uint64_t first)
-      -> boost::asio::awaitable<std::optional<ResultChunk>>;
+  // Returns all results of a job with `total` items, of which `known` were read
+  // before.
+  auto LoadResults(JobId id, StoredResults known, std::uint64_t total)
+      -> boost::asio::awaitable<StoredResults>;
+  // The same, and closes the list to all former owners, whose writes may still
+  // take effect, unless it is complete. Must be called by a new owner, with a
+  // name that is unique for each call, before it tells anyone what is listed.
+  auto CloseResults(JobId id, std::string writer, std::uint64_t total)
+      -> boost::asio::awaitable<StoredResults>;
 
   // Removes all objects of a job.
   auto Remove(JobState state, std::uint64_t version)
@@ -65,6 +72,8 @@
   };
   auto CreateIfAbsent(std::string key, std::string value, store::CallClass call)
       -> boost::asio::awaitable<Created>;
+  auto LoadChunk(JobId id, ResultPlace place)
+      -> boost::asio::awaitable<std::optional<ResultChunk>>;
 
   store::ObjectStore& store_;
 };
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -133,20 +133,20 @@
  public:
   explicit ResultCache(std::size_t max_bytes) : max_bytes_(max_bytes) {}
 
-  auto Find(const JobId& id) -> std::vector<ItemResult>* {
+  auto Find(const JobId& id) -> StoredResults* {
     const auto found = entries_.find(id);
     if (found == entries_.end()) {
       return nullptr;
     }
     order_.splice(order_.begin(), order_, found->second.place);
-    return &found->second.results;
+    return &found->second.stored;
   }
 
-  auto Put(const JobId& id, std::vector<ItemResult> results) -> void {
+  auto Put(const JobId& id, StoredResults stored) -> void {
     Erase(id);
     order_.push_front(id);
-    bytes_ += BytesOf(results);
-    entries_[id] = {std::move(results), order_.begin()};
+    bytes_ += BytesOf(stored.results);
+    entries_[id] = {std::move(stored), order_.begin()};
     while (bytes_ > max_bytes_ && order_.size() > 1) {
       Erase(JobId(order_.back()));
     }
@@ -154,14 +154,14 @@
 
  private:
   struct Entry {
-    std::vector<ItemResult> results;
+    StoredResults stored;
     std::list<JobId>::iterator place;
   };
 
   auto Erase(const JobId& id) -> void {
     const auto found = entries_.find(id);
     if (found != entries_.end()) {
-      bytes_ -= BytesOf(found->second.results);
+      bytes_ -= BytesOf(found->second.stored.results);
       order_.erase(found->second.place);
       entries_.erase(found);
     }
@@ -470,7 +470,7 @@
                    MonotonicTime known_at,
                    JobRecord record,
                    std::vector<JobItem> items,
-                   const std::vector<ItemResult>& results) -> void {
+                   const StoredResults& results) -> void {
     if (jobs_.contains(stored.state.id)) {
       return;
     }
@@ -543,7 +543,7 @@
     logger_.Info("a job is no longer run here",
                  {{"event", "job_dropped"},
                   {"job", job->state.id.value()},
-                  {"listed", std::to_string(job->results.size())},
+                  {"listed", std::to_string(job->stored.results.size())},
                   {"reason", reason}});
     schedule_.Remove(job->state.id);
     checks_.Remove(job->state.id);
@@ -1085,8 +1085,8 @@
       -> awaitable<void> {
     co_await Pause(self->StoreDelay(*job));
     while (!job->unstored.empty() && !job->dropped) {
-      auto chunk = ResultChunk{job->state.id, job->results.size(),
-                               self->Nonce(), job->NextChunk()};
+      auto chunk = ResultChunk{job->state.id, job->stored.end(), self->Nonce(),
+                               job->NextChunk()};
       const auto writer = chunk.writer;
       auto stored = std::optional<ResultChunk>();
       auto failure = std::string();
@@ -1107,10 +1107,15 @@
         co_await Pause(kStoreRetryDelay);
         continue;
       }
-      self->OnResultsStored(job, *stored);
       if (stored->writer != writer) {
         co_await self->CheckState(job, true);
       }
+      if (stored->results.empty()) {
+        // A new owner has closed the list and continues it.
+        co_await Pause(kStoreRetryDelay);
+      } else if (!job->dropped) {
+        self->OnResultsStored(job, *stored);
+      }
     }
     job->storing = false;
     self->FinishIfComplete(job);
@@ -1121,12 +1126,12 @@
   }
 
   auto OnResultsStored(const JobPtr& job, const ResultChunk& stored) -> void {
-    for (const auto item : job->AppendStored(stored.results)) {
+    for (const auto item : job->AppendStored(stored)) {
       logger_.Info("a result is listed",
                    {{"event", "result_listed"},
                     {"job", job->state.id.value()},
                     {"item", job->items[item].id},
-                    {"first", std::to_string(stored.first)},
+                    {"first", std::to_string(stored.place.position)},
                     {"writer", stored.writer}});
       // Another owner may have finished it while it runs here.
       const auto progress = job->progress.find(item);
@@ -1326,14 +1331,14 @@
 
   auto OwnPage(JobPtr job, ReadResults call) -> awaitable<Page> {
     const auto over = job->state.done || job->state.ended;
-    if (call.after >= job->results.size() && !over &&
+    if (call.after >= job->stored.results.size() && !over &&
         call.wait > milliseconds::zero()) {
       auto timer =
           std::make_shared<asio::steady_timer>(parts_.executor, call.wait);
       job->readers.push_back(timer);
       co_await timer->async_wait(kAwaitTuple);
     }
-    co_return detail::MakePage(job->results, job->state.total, call.after);
+    co_return detail::MakePage(job->stored.results, job->state.total, call.after);
   }
 
   auto KnownOwner(const JobId& job) const -> std::optional<routing::NodeInfo> {
@@ -1398,23 +1403,16 @@
   // Reads results from the store. Stored results never change, so they are
   // cached.
   auto StoredPage(JobState state, std::size_t after) -> awaitable<Page> {
-    auto results = std::vector<ItemResult>();
+    auto known = StoredResults();
     if (const auto* cached = cache_.Find(state.id)) {
-      results = *cached;
-    }
-    const auto before = results.size();
-    while (results.size() < state.total) {
-      const auto chunk =
-          co_await parts_.archive.LoadChunk(state.id, results.size());
-      if (!chunk || chunk->results.empty()) {
-        break;
-      }
-      results.insert(results.end(), chunk->results.begin(),
-                     chunk->results.end());
+      known = *cached;
     }
-    auto page = detail::MakePage(results, state.total, after);
-    if (results.size() > before) {
-      cache_.Put(state.id, std::move(results));
+    const auto before = known.end();
+    known = co_await parts_.archive.LoadResults(state.id, std::move(known),
+                                                state.total);
+    auto page = detail::MakePage(known.results, state.total, after);
+    if (known.end() != before) {
+      cache_.Put(state.id, std::move(known));
     }
     co_return page;
   }
@@ -1771,7 +1769,7 @@
     for (const auto& [id, job] : jobs_) {
       if (job->state.done || job->state.ended) {
         done.emplace_back(job->state.accepted_ms, job);
-        bytes += BytesOf(job->results);
+        bytes += BytesOf(job->stored.results);
       }
     }
     std::sort(done.begin(), done.end());
@@ -1779,7 +1777,7 @@
       if (bytes <= parts_.memory_bytes / kDoneMemoryDivisor) {
         break;
       }
-      bytes -= BytesOf(job->results);
+      bytes -= BytesOf(job->stored.results);
       Drop(job, "it is done and memory is low");
     }
   }
@@ -1848,15 +1846,9 @@
     if (!taken) {
       co_return;  // Another node was first.
     }
-    auto results = std::vector<ItemResult>();
-    while (results.size() < items.size()) {
-      const auto chunk = co_await parts_.archive.LoadChunk(id, results.size());
-      if (!chunk || chunk->results.empty()) {
-        break;
-      }
-      results.insert(results.end(), chunk->results.begin(),
-                     chunk->results.end());
-    }
+    auto nonce = Nonce();
+    const auto results = co_await parts_.archive.CloseResults(
+        id, std::move(nonce), items.size());
     // Reading the results may have taken long. In that time the job may have
     // been ended, and this node may have been declared dead.
     const auto checked_at = parts_.clock();
@@ -1875,7 +1867,8 @@
                  {{"event", "job_adopted"},
                   {"job", id.value()},
                   {"from", stored.state.owner.value()},
-                  {"listed", std::to_string(results.size())},
+                  {"listed", std::to_string(results.results.size())},
+                  {"closings", std::to_string(results.closings)},
                   {"items", std::to_string(items.size())}});
     AddOwnedJob(*current, checked_at, std::move(*record), std::move(items),
                 results);
--- a/src/serving/job.cc
+++ b/src/serving/job.cc
@@ -53,8 +53,16 @@
   return kStatePrefix + id.value();
 }
 
-auto ChunkKey(const JobId& id, std::uint64_t first) -> std::string {
-  return "job-results/" + id.value() + "." + std::to_string(first);
+auto ChunkKey(const JobId& id, const ResultPlace& place) -> std::string {
+  auto key =
+      "job-results/" + id.value() + "." + std::to_string(place.position);
+  return place.closings == 0 ? key
+                             : key + "-" + std::to_string(place.closings);
+}
+
+auto StoredResults::Append(const ResultChunk& chunk) -> void {
+  closings += chunk.results.empty() ? 1 : 0;
+  results.insert(results.end(), chunk.results.begin(), chunk.results.end());
 }
 
 auto EncodeState(const JobState& state) -> std::string {
@@ -87,7 +95,8 @@
   for (const auto& result : chunk.results) {
     results.push_back({result.item, result.completed, result.text});
   }
-  return json{{"first", chunk.first},
+  return json{{"first", chunk.place.position},
+              {"closings", chunk.place.closings},
               {"writer", chunk.writer},
               {"results", std::move(results)}}
       .dump(-1, ' ', false, json::error_handler_t::replace);
@@ -98,7 +107,8 @@
     const auto object = json::parse(value);
     auto chunk = ResultChunk();
     chunk.id = id;
-    chunk.first = object.at("first").get<std::uint64_t>();
+    chunk.place.position = object.at("first").get<std::uint64_t>();
+    chunk.place.closings = object.value("closings", std::uint64_t{0});
     chunk.writer = object.at("writer").get<std::string>();
     for (const auto& result : object.at("results")) {
       chunk.results.push_back({result.at(0).get<std::string>(),
--- a/src/serving/job_archive.cc
+++ b/src/serving/job_archive.cc
@@ -141,33 +141,62 @@
 
 auto JobArchive::Append(ResultChunk chunk) -> awaitable<ResultChunk> {
   auto text = EncodeChunk(chunk);
-  const auto key = ChunkKey(chunk.id, chunk.first);
+  const auto key = ChunkKey(chunk.id, chunk.place);
   const auto created =
       co_await CreateIfAbsent(key, std::move(text), CallClass::kResult);
   co_return DecodeChunk(chunk.id, created.value);
 }
 
-auto JobArchive::LoadChunk(JobId id, std::uint64_t first)
+auto JobArchive::LoadChunk(JobId id, ResultPlace place)
     -> awaitable<std::optional<ResultChunk>> {
   const auto stored =
-      co_await store_.Read(ChunkKey(id, first), CallClass::kResult);
+      co_await store_.Read(ChunkKey(id, place), CallClass::kResult);
   if (!stored) {
     co_return std::nullopt;
   }
   co_return DecodeChunk(id, stored->value);
 }
 
+auto JobArchive::LoadResults(JobId id, StoredResults known, std::uint64_t total)
+    -> awaitable<StoredResults> {
+  while (known.results.size() < total) {
+    const auto chunk = co_await LoadChunk(id, known.end());
+    if (!chunk) {
+      break;
+    }
+    known.Append(*chunk);
+  }
+  co_return known;
+}
+
+auto JobArchive::CloseResults(JobId id, std::string writer, std::uint64_t total)
+    -> awaitable<StoredResults> {
+  auto known = StoredResults();
+  auto closed = false;
+  while (!closed) {
+    known = co_await LoadResults(id, std::move(known), total);
+    if (known.results.size() >= total) {
+      break;
+    }
+    const auto closing = ResultChunk{id, known.end(), writer, {}};
+    const auto stored = co_await Append(closing);
+    closed = stored == closing;
+    known.Append(stored);
+  }
+  co_return known;
+}
+
 auto JobArchive::Remove(JobState state, std::uint64_t version)
     -> awaitable<void> {
   const auto id = state.id;
-  auto first = std::uint64_t{0};
+  auto known = StoredResults();
   while (true) {
-    const auto key = ChunkKey(id, first);
+    const auto key = ChunkKey(id, known.end());
     const auto stored = co_await store_.Read(key, CallClass::kStatus);
     if (!stored) {
       break;
     }
-    first += DecodeChunk(id, stored->value).results.size();
+    known.Append(DecodeChunk(id, stored->value));
     co_await store_.Remove(key, stored->version, CallClass::kStatus);
   }
   const auto record = co_await store_.Read(RecordKey(id), CallClass::kStatus);
--- a/src/serving/job_archive_test.cc
+++ b/src/serving/job_archive_test.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <optional>
+#include <utility>
 
 #include "kumquatgauge/base/error.h"
 #include "testing/support/memory_object_store.h"
@@ -27,7 +28,7 @@
 
 auto MakeChunk(const std::string& writer, const std::vector<std::string>& items)
     -> ResultChunk {
-  auto chunk = ResultChunk{kJob, 0, writer, {}};
+  auto chunk = ResultChunk{kJob, {}, writer, {}};
   for (const auto& item : items) {
     chunk.results.push_back({item, true, "text of " + item});
   }
@@ -122,6 +123,72 @@
   CHECK(RunAwaitable(fixture.context, fixture.archive.Append(second)) == first);
 }
 
+// Guards against a former owner whose write takes effect after the takeover: it
+// would answer reads with results that the new owner does not know, so that
+// results that callers have read are gone at other nodes.
+TEST_CASE("JobArchive.ClosesTheListToWritesOfAFormerOwner") {
+  auto fixture = Fixture();
+  const auto listed = MakeChunk("n1.1", {"a"});
+  RunAwaitable(fixture.context, fixture.archive.Append(listed));
+  const auto known = RunAwaitable(
+      fixture.context, fixture.archive.CloseResults(kJob, "n2.1", 3));
+  CHECK(known.results == listed.results);
+  auto late = MakeChunk("n1.2", {"b"});
+  late.place = {1, 0};
+  CHECK(RunAwaitable(fixture.context, fixture.archive.Append(late)) != late);
+  auto next = MakeChunk("n2.2", {"c"});
+  next.place = known.end();
+  CHECK(RunAwaitable(fixture.context, fixture.archive.Append(next)) == next);
+  const auto all = RunAwaitable(
+      fixture.context, fixture.archive.LoadResults(kJob, StoredResults(), 3));
+  REQUIRE(all.results.size() == 2);
+  CHECK(all.results[1].item == "c");
+}
+
+// Guards against a new owner that overlooks what the former one has stored
+// while the list was read.
+TEST_CASE("JobArchive.KeepsResultsThatWereStoredBeforeTheListIsClosed") {
+  auto fixture = Fixture();
+  auto written = false;
+  auto former_owner = boost::asio::io_context();
+  fixture.store.set_fault_hook(
+      [&](const std::string& call, const std::string& /*key*/) {
+        if (call == "write" && !std::exchange(written, true)) {
+          RunAwaitable(former_owner, fixture.archive.Append(
+                                         MakeChunk("n1.1", {"a", "b"})));
+        }
+        return StoreFault::kNone;
+      });
+  const auto known = RunAwaitable(
+      fixture.context, fixture.archive.CloseResults(kJob, "n2.1", 3));
+  CHECK(known.results.size() == 2);
+  CHECK(known.closings == 1);
+}
+
+// Guards against a takeover that ends in the middle, and a second one after it.
+TEST_CASE("JobArchive.ClosesAListAgainAtTheNextTakeover") {
+  auto fixture = Fixture();
+  RunAwaitable(fixture.context,
+               fixture.archive.CloseResults(kJob, "n2.1", 3));
+  const auto second = RunAwaitable(
+      fixture.context, fixture.archive.CloseResults(kJob, "n3.1", 3));
+  CHECK(second.closings == 2);
+  auto late = MakeChunk("n2.2", {"a"});
+  late.place = {0, 1};
+  CHECK(RunAwaitable(fixture.context, fixture.archive.Append(late)) != late);
+}
+
+// Guards against a further write for each takeover of a complete list.
+TEST_CASE("JobArchive.DoesNotCloseACompleteList") {
+  auto fixture = Fixture();
+  RunAwaitable(fixture.context,
+               fixture.archive.Append(MakeChunk("n1.1", {"a", "b"})));
+  const auto known = RunAwaitable(
+      fixture.context, fixture.archive.CloseResults(kJob, "n2.1", 2));
+  CHECK(known.results.size() == 2);
+  CHECK(fixture.store.write_count() == 1);
+}
+
 TEST_CASE("JobArchive.ReplacesAStateOnlyAtItsVersion") {
   auto fixture = Fixture();
   const auto created = RunAwaitable(
@@ -143,6 +210,11 @@
       fixture.context, fixture.archive.Create(MakeRecord(), MakeState("n1")));
   RunAwaitable(fixture.context,
                fixture.archive.Append(MakeChunk("n1.1", {"a", "b"})));
+  const auto known = RunAwaitable(
+      fixture.context, fixture.archive.CloseResults(kJob, "n2.1", 3));
+  auto further = MakeChunk("n2.2", {"c"});
+  further.place = known.end();
+  RunAwaitable(fixture.context, fixture.archive.Append(further));
   RunAwaitable(fixture.context,
                fixture.archive.Remove(created.state, created.version));
   CHECK(fixture.store.objects().empty());
--- a/src/serving/owned_job.cc
+++ b/src/serving/owned_job.cc
@@ -14,11 +14,22 @@
 
 }  // namespace
 
-auto OwnedJob::AppendStored(const std::vector<ItemResult>& stored)
+auto OwnedJob::AppendStored(const StoredResults& listed_results)
+    -> std::vector<std::size_t> {
+  stored = listed_results;
+  return Finish(stored.results);
+}
+
+auto OwnedJob::AppendStored(const ResultChunk& chunk)
+    -> std::vector<std::size_t> {
+  stored.Append(chunk);
+  return Finish(chunk.results);
+}
+
+auto OwnedJob::Finish(const std::vector<ItemResult>& results)
     -> std::vector<std::size_t> {
   auto listed_now = std::vector<std::size_t>();
-  for (const auto& result : stored) {
-    results.push_back(result);
+  for (const auto& result : results) {
     std::erase_if(unstored, [&](const auto& waiting) {
       return waiting.item == result.item;
     });
--- a/src/serving/owned_job.h
+++ b/src/serving/owned_job.h
@@ -36,7 +36,7 @@
   JobRecord record;  // Without the submission.
   std::vector<JobItem> items;
   std::map<std::string, std::size_t> index;  // By item id.
-  std::vector<ItemResult> results;           // Stored, in order.
+  StoredResults stored;
   std::set<std::size_t> listed;
   std::set<std::size_t> finished;  // Listed or waiting to be stored.
   std::vector<ItemResult> unstored;
@@ -49,14 +49,19 @@
   // Timers of the callers that wait for the next result.
   std::vector<std::weak_ptr<boost::asio::steady_timer>> readers;
 
-  // Appends stored results to the list. Returns the indices of the items that
-  // they finish.
-  auto AppendStored(const std::vector<ItemResult>& stored)
+  // Records results that are stored and listed. Returns the indices of the
+  // items that they finish.
+  auto AppendStored(const StoredResults& listed_results)
       -> std::vector<std::size_t>;
+  auto AppendStored(const ResultChunk& chunk) -> std::vector<std::size_t>;
   // Returns the first unstored results, as many as fit in one stored value, but
   // at least one.
   auto NextChunk() const -> std::vector<ItemResult>;
   auto WakeReaders() -> void;
+
+ private:
+  auto Finish(const std::vector<ItemResult>& results)
+      -> std::vector<std::size_t>;
 };
 
 // Returns a page of results from position `after`, of limited size.
--- a/src/serving/owned_job_test.cc
+++ b/src/serving/owned_job_test.cc
@@ -18,7 +18,7 @@
   REQUIRE(first.size() == 2);
   CHECK(first[0].item == "a");
   CHECK(first[1].item == "b");
-  job.AppendStored(first);
+  job.AppendStored(ResultChunk{JobId("j"), {}, "n1.1", first});
   CHECK(job.NextChunk() == job.unstored);
   job.unstored = {{"d", true, std::string(kTooLong, 't')},
                   {"e", true, std::string()}};
