Refuse batch jobs over the quota of their route with 429

The state of a job tells who accepted it and its tokens, so that the account can be read from the store after the loss of all nodes. A job that does not fit may be a repeated one: its state is read before it is refused.

Nodes of earlier releases do not count; states without the new fields count as of no account.

--- a/include/kumquatgauge/serving/batch_runner.h
+++ b/include/kumquatgauge/serving/batch_runner.h
@@ -18,6 +18,7 @@
 #include "kumquatgauge/serving/dialect.h"
 #include "kumquatgauge/serving/job_archive.h"
 #include "kumquatgauge/serving/load_balancer.h"
+#include "kumquatgauge/serving/quota_keeper.h"
 #include "kumquatgauge/serving/request_quarantine.h"
 #include "kumquatgauge/upstream/replica_call.h"
 
@@ -35,6 +36,7 @@
   upstream::ReplicaCaller& replicas;
   RequestQuarantine& quarantine;
   JobArchive& archive;
+  QuotaKeeper& quotas;
   node::PeerClient& peers;
   MetricsRegistry& metrics;
   Clock clock;
--- a/include/kumquatgauge/serving/configuration.h
+++ b/include/kumquatgauge/serving/configuration.h
@@ -50,10 +50,16 @@
   // given up.
   std::chrono::milliseconds due{0};
   std::chrono::milliseconds give_up_after{0};
+  // Batch only: the tokens of unfinished items that may wait on the route, in
+  // all jobs together; 0 is no limit.
+  std::uint64_t token_limit = 0;
 
   auto operator==(const Route&) const -> bool = default;
 };
 
+// Returns the name under which the waiting tokens of a route are counted.
+auto AccountNameOf(const Route& route) -> std::string;
+
 struct Service {
   ServiceName name;
   std::string health_path;
--- a/include/kumquatgauge/serving/job.h
+++ b/include/kumquatgauge/serving/job.h
@@ -52,6 +52,12 @@
   std::uint64_t total = 0;  // Number of items.
   bool ended = false;       // Stopped on request.
   bool done = false;        // Every item has a result.
+  // Who accepted the job and answers for its tokens until it is over; never
+  // changes. The tokens are those of all items.
+  std::string account = {};  // See AccountNameOf.
+  NodeId acceptor = {};
+  Incarnation acceptor_incarnation = 0;
+  std::uint64_t tokens = 0;
 
   auto operator==(const JobState&) const -> bool = default;
 };
@@ -65,11 +71,11 @@
   auto operator==(const ResultPlace&) const -> bool = default;
 };
 
-// Results that were stored together, from a place on. The stored object is named
-// after that place and created only if absent, so that no position is assigned
-// twice. A chunk without results closes its place: a new owner stores one, so
-// that writes of a former owner that are still under way fail, and its results
-// follow under the next number of closings.
+// Results that were stored together, from a place on. The stored object is
+// named after that place and created only if absent, so that no position is
+// assigned twice. A chunk without results closes its place: a new owner stores
+// one, so that writes of a former owner that are still under way fail, and its
+// results follow under the next number of closings.
 struct ResultChunk {
   JobId id;
   ResultPlace place;
--- a/src/base/process_hooks.cc
+++ b/src/base/process_hooks.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <ctime>
 #include <random>
 
 namespace kumquatgauge::detail {
@@ -14,6 +15,14 @@
   return std::chrono::steady_clock::now();
 }
 
+auto BootNow() -> MonotonicTime {
+  auto time = timespec();
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return MonotonicTime(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec)));
+}
+
 auto WallNow() -> WallTime {
   return std::chrono::system_clock::now();
 }
--- a/src/base/process_hooks.h
+++ b/src/base/process_hooks.h
@@ -11,6 +11,8 @@
 // The clocks and the random source for production use. DrawRandom uses one
 // generator per thread.
 auto SteadyNow() -> MonotonicTime;
+// The same with the time in which the host was suspended.
+auto BootNow() -> MonotonicTime;
 auto WallNow() -> WallTime;
 auto DrawRandom() -> std::uint64_t;
 
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -45,6 +45,7 @@
 constexpr int kAccepted = 202;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
 constexpr int kServerError = 500;
 constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
@@ -242,6 +243,26 @@
     auto record =
         JobRecord{id, request.host, request.path, WallMs(), incoming->body};
     auto state = NewState(id, items.size(), record.accepted_ms);
+    AddAccount(state, record, items);
+    auto decision = co_await CheckQuota(state);
+    if (stopped_) {
+      parts_.quotas.OnOver(state.account, id);
+      decision = {JobAdmission::kUnavailable, "this node stops", {}};
+    }
+    if (decision.admission == JobAdmission::kExists) {
+      co_await Answer(writer, kAccepted, "");
+      co_return;
+    }
+    if (decision.admission == JobAdmission::kOverQuota) {
+      refused_.Add();
+      co_await Refuse(writer, kTooManyRequests, decision.reason,
+                      decision.retry_after);
+      co_return;
+    }
+    if (decision.admission == JobAdmission::kUnavailable) {
+      co_await RefuseJob(id, decision.reason, true, writer);
+      co_return;
+    }
     auto stored = std::optional<StoredState>();
     auto failure = std::string();
     auto not_run = true;
@@ -253,6 +274,11 @@
       not_run = error.kind() != ErrorKind::kUnknownOutcome;
     }
     accept_ms_.Record(MillisecondsSince(began));
+    const auto reserved_in_vain =
+        stored ? !AcceptedHere(stored->state) : not_run;
+    if (reserved_in_vain) {
+      parts_.quotas.OnOver(state.account, id);
+    }
     if (!stored) {
       co_await RefuseJob(id, failure, not_run, writer);
       co_return;
@@ -450,6 +476,63 @@
     return items.empty() ? "a batch job needs items" : "";
   }
 
+  enum class JobAdmission { kGranted, kExists, kOverQuota, kUnavailable };
+  struct QuotaCheck {
+    JobAdmission admission = JobAdmission::kGranted;
+    std::string reason;
+    milliseconds retry_after{0};
+  };
+
+  auto AddAccount(JobState& state,
+                  const JobRecord& record,
+                  const std::vector<JobItem>& items) const -> void {
+    const auto self = parts_.self();
+    state.acceptor = self.id;
+    state.acceptor_incarnation = self.incarnation;
+    for (const auto& item : items) {
+      state.tokens += item.tokens;
+    }
+    const auto configuration = parts_.configuration();
+    const auto* route =
+        configuration == nullptr
+            ? nullptr
+            : configuration->FindRoute(record.host, record.path);
+    if (route != nullptr) {
+      state.account = AccountNameOf(*route);
+    }
+  }
+
+  auto AcceptedHere(const JobState& state) const -> bool {
+    const auto self = parts_.self();
+    return state.acceptor == self.id &&
+           state.acceptor_incarnation == self.incarnation;
+  }
+
+  // Reserves the tokens of a job, unless it is known to be accepted. A job that
+  // does not fit may be a repeated one that was accepted before.
+  auto CheckQuota(JobState state) -> awaitable<QuotaCheck> {
+    if (announced_.contains(state.id) || state.account.empty()) {
+      co_return QuotaCheck();
+    }
+    auto check = QuotaCheck();
+    try {
+      const auto decision =
+          co_await parts_.quotas.Reserve(state.account, state.id, state.tokens);
+      if (decision.granted) {
+        co_return check;
+      }
+      check = {JobAdmission::kOverQuota, decision.reason, decision.retry_after};
+      const auto stored = co_await parts_.archive.LoadState(state.id);
+      if (stored) {
+        OnAnnounced(state.id, stored->state.owner);
+        check.admission = JobAdmission::kExists;
+      }
+    } catch (const Error& error) {
+      check = {JobAdmission::kUnavailable, error.what(), {}};
+    }
+    co_return check;
+  }
+
   auto RefuseJob(JobId id, std::string failure, bool not_run, WriterPtr writer)
       -> awaitable<void> {
     refused_.Add();
@@ -1061,6 +1144,8 @@
     }
     progress.text.clear();
     (completed ? completed_items_ : failed_items_).Add();
+    parts_.quotas.OnFinished(job->state.account, job->state.id,
+                             job->items[ref.item].tokens);
     job->unstored.push_back(std::move(result));
     if (!std::exchange(job->storing, true)) {
       asio::co_spawn(parts_.executor, StoreResults(shared_from_this(), job),
@@ -1126,6 +1211,7 @@
   }
 
   auto OnResultsStored(const JobPtr& job, const ResultChunk& stored) -> void {
+    const auto known = job->finished;
     for (const auto item : job->AppendStored(stored)) {
       logger_.Info("a result is listed",
                    {{"event", "result_listed"},
@@ -1140,6 +1226,10 @@
       }
       schedule_.OnEnded({job->state.id, item}, ItemEnd::kFinished,
                         parts_.clock());
+      if (!known.contains(item)) {
+        parts_.quotas.OnFinished(job->state.account, job->state.id,
+                                 job->items[item].tokens);
+      }
     }
     job->WakeReaders();
   }
@@ -1232,6 +1322,7 @@
   }
 
   auto StopEnded(const JobPtr& job) -> void {
+    parts_.quotas.OnOver(job->state.account, job->state.id);
     schedule_.Remove(job->state.id);
     checks_.Remove(job->state.id);
     CancelItems(*job);
@@ -1260,6 +1351,7 @@
       co_await Pause(kStoreRetryDelay);
     }
     self->checks_.Remove(job->state.id);
+    self->parts_.quotas.OnOver(job->state.account, job->state.id);
     self->logger_.Info("a job is done",
                        {{"event", "job_done"},
                         {"job", job->state.id.value()},
@@ -1338,7 +1430,8 @@
       job->readers.push_back(timer);
       co_await timer->async_wait(kAwaitTuple);
     }
-    co_return detail::MakePage(job->stored.results, job->state.total, call.after);
+    co_return detail::MakePage(job->stored.results, job->state.total,
+                               call.after);
   }
 
   auto KnownOwner(const JobId& job) const -> std::optional<routing::NodeInfo> {
@@ -1701,6 +1794,9 @@
       self->ScheduleScan(kScanRetryDelay);
       co_return;
     }
+    self->parts_.quotas.OnListing(states, [&](const JobId& id) {
+      return self->jobs_.contains(id) || self->taking_over_.contains(id);
+    });
     for (const auto& stored : states) {
       if (self->stopped_) {
         co_return;
@@ -1840,7 +1936,10 @@
     }
     auto items = parts_.dialect.decode_submission(record->submission);
     record->submission.clear();
-    auto state = NewState(id, items.size(), stored.state.accepted_ms);
+    auto state = stored.state;
+    const auto owner = parts_.self();
+    state.owner = owner.id;
+    state.incarnation = owner.incarnation;
     const auto taken =
         co_await parts_.archive.ReplaceState(state, stored.version);
     if (!taken) {
--- a/src/serving/configuration.cc
+++ b/src/serving/configuration.cc
@@ -17,6 +17,10 @@
   return best;
 }
 
+auto AccountNameOf(const Route& route) -> std::string {
+  return route.name.empty() ? route.host + route.path_prefix : route.name;
+}
+
 auto Configuration::FindService(const ServiceName& name) const
     -> const Service* {
   const auto found =
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -29,6 +29,7 @@
 #include "kumquatgauge/serving/forwarder.h"
 #include "kumquatgauge/serving/job_archive.h"
 #include "kumquatgauge/serving/load_balancer.h"
+#include "kumquatgauge/serving/quota_keeper.h"
 #include "kumquatgauge/serving/replica_table.h"
 #include "kumquatgauge/serving/request_quarantine.h"
 #include "kumquatgauge/serving/store_feed.h"
@@ -47,6 +48,7 @@
 using caller::HttpListener;
 using caller::IncomingRequest;
 using detail::MakeStoreOptions;
+using kumquatgauge::detail::BootNow;
 using kumquatgauge::detail::DrawRandom;
 using kumquatgauge::detail::SteadyNow;
 using kumquatgauge::detail::WallNow;
@@ -192,6 +194,7 @@
                             OnReplicaLeaves(replica);
                           }},
         streams_(MakeStreamVersionsParts()),
+        quotas_(MakeQuotaParts()),
         batch_(MakeBatchParts()),
         forwarder_(MakeForwarderParts()),
         configuration_feed_(context_.get_executor(),
@@ -220,6 +223,7 @@
     gossip_.RegisterHandlers(peer_server_);
     batch_.RegisterHandlers(peer_server_);
     streams_.RegisterHandlers(peer_server_);
+    quotas_.RegisterHandlers(peer_server_);
     peer_server_.Register(
         kEntriesCall,
         [this](json request,
@@ -285,6 +289,7 @@
             .replicas = replicas_,
             .quarantine = quarantine_,
             .archive = archive_,
+            .quotas = quotas_,
             .peers = *peer_client_,
             .metrics = metrics_,
             .clock = SteadyNow,
@@ -305,6 +310,18 @@
                 std::size_t{settings_.limits.memory_mb} * kBytesPerMegabyte};
   }
 
+  auto MakeQuotaParts() -> QuotaKeeperParts {
+    return {.executor = context_.get_executor(),
+            .store = *store_,
+            .archive = archive_,
+            .peers = *peer_client_,
+            .metrics = metrics_,
+            .clock = BootNow,
+            .random = DrawRandom,
+            .self = [this] { return gossip_.membership().self(); },
+            .live = [this] { return gossip_.membership().live(); }};
+  }
+
   auto MakeStreamVersionsParts() -> StreamVersionsParts {
     return {.executor = context_.get_executor(),
             .peers = *peer_client_,
@@ -460,6 +477,7 @@
                   {"source", source}});
     raw_configuration_ = value;
     configuration_ = std::move(next);
+    quotas_.SetConfiguration(*configuration_);
     ApplyCallerLimits();
     gossip_.OnFeedApplied(kConfigurationFeed, configuration_->version);
   }
@@ -1397,6 +1415,7 @@
   control::NodeRegistry registry_;
   AnswerHooks answer_hooks_;
   StreamVersions streams_;
+  QuotaKeeper quotas_;
   BatchRunner batch_;
   Forwarder forwarder_;
   StoreFeed configuration_feed_;
--- a/src/serving/job.cc
+++ b/src/serving/job.cc
@@ -54,10 +54,8 @@
 }
 
 auto ChunkKey(const JobId& id, const ResultPlace& place) -> std::string {
-  auto key =
-      "job-results/" + id.value() + "." + std::to_string(place.position);
-  return place.closings == 0 ? key
-                             : key + "-" + std::to_string(place.closings);
+  auto key = "job-results/" + id.value() + "." + std::to_string(place.position);
+  return place.closings == 0 ? key : key + "-" + std::to_string(place.closings);
 }
 
 auto StoredResults::Append(const ResultChunk& chunk) -> void {
@@ -71,7 +69,11 @@
               {"accepted_ms", state.accepted_ms},
               {"total", state.total},
               {"ended", state.ended},
-              {"done", state.done}}
+              {"done", state.done},
+              {"account", state.account},
+              {"acceptor", state.acceptor.value()},
+              {"acceptor_incarnation", state.acceptor_incarnation},
+              {"tokens", state.tokens}}
       .dump();
 }
 
@@ -86,6 +88,12 @@
     state.total = object.at("total").get<std::uint64_t>();
     state.ended = object.at("ended").get<bool>();
     state.done = object.at("done").get<bool>();
+    // Jobs of releases without quotas lack these.
+    state.account = object.value("account", "");
+    state.acceptor = NodeId(object.value("acceptor", state.owner.value()));
+    state.acceptor_incarnation =
+        object.value("acceptor_incarnation", state.incarnation);
+    state.tokens = object.value("tokens", std::uint64_t{0});
     return state;
   });
 }
--- a/src/serving/job_archive_test.cc
+++ b/src/serving/job_archive_test.cc
@@ -154,8 +154,8 @@
   fixture.store.set_fault_hook(
       [&](const std::string& call, const std::string& /*key*/) {
         if (call == "write" && !std::exchange(written, true)) {
-          RunAwaitable(former_owner, fixture.archive.Append(
-                                         MakeChunk("n1.1", {"a", "b"})));
+          RunAwaitable(former_owner,
+                       fixture.archive.Append(MakeChunk("n1.1", {"a", "b"})));
         }
         return StoreFault::kNone;
       });
@@ -168,8 +168,7 @@
 // Guards against a takeover that ends in the middle, and a second one after it.
 TEST_CASE("JobArchive.ClosesAListAgainAtTheNextTakeover") {
   auto fixture = Fixture();
-  RunAwaitable(fixture.context,
-               fixture.archive.CloseResults(kJob, "n2.1", 3));
+  RunAwaitable(fixture.context, fixture.archive.CloseResults(kJob, "n2.1", 3));
   const auto second = RunAwaitable(
       fixture.context, fixture.archive.CloseResults(kJob, "n3.1", 3));
   CHECK(second.closings == 2);
