Use no replica before the store knows its software version

Cause: a node that watched the store stated "one version only" from a view of up to 3 s.

Ruled out: a new version that gets no streams until all statements of the old view have lapsed (3.5 s without the first new replicas at each release); statements by several nodes (they may be out of step together).

Change: the versions of each service are an object of the store. A replica is used only once its version is there; those that watch the store add it at once and tell the others. A statement of one version rests on a read of the store that begins after the question; a node that cannot read it asks two that watch it. A version that has been gone for 60 s is removed. A node that stood still forgets what was registered. A service whose only replicas cannot be registered for 5 s uses them all the same.

Cost: a read, and a write by one node, for each new version and each start; a read for each question; when the store is out, streams that callers take up are refused at once, no longer after 3 s.

--- a/include/kumquatgauge/serving/origin_query.h
+++ b/include/kumquatgauge/serving/origin_query.h
@@ -9,16 +9,17 @@
 
 namespace kumquatgauge::serving {
 
-// Maximum age of a statement that a service has had one version only. A replica
-// of another version may have begun streams since. Long enough for some
-// watchers to be lost: one of them reads every 0.8 s.
-inline constexpr std::chrono::milliseconds kMaxSoleVersionAge{3'000};
+// Maximum age of a statement that a service has had one version only, from the
+// beginning of the read of the store that it rests on. The read begins after
+// the question; what was read before may lack a version that has begun streams
+// since.
+inline constexpr std::chrono::milliseconds kMaxSoleVersionAge{1'000};
 
 // What one node knows of what began a stream.
 struct OriginAnswer {
   std::optional<StreamOrigin> recorded;
-  // The only version of the service, by a node that watches the store, and how
-  // long ago it has read the store.
+  // The only version of the service by the store, and how long ago that read
+  // began.
   std::optional<StreamOrigin> sole;
   Duration sole_age{0};
 
@@ -33,6 +34,8 @@
  public:
   explicit OriginQuery(std::size_t asked) : open_(asked) {}
 
+  // Further nodes were asked.
+  auto OnAsked(std::size_t count) -> void { open_ += count; }
   // Called once for each node that was asked; nothing if it did not answer.
   auto OnAnswer(const std::optional<OriginAnswer>& answer) -> void;
   // Whether further answers change nothing.
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -52,9 +52,6 @@
 constexpr milliseconds kMinSilence{400};
 // Used when neither the route nor the caller sets a time limit.
 constexpr milliseconds kDefaultTimeLimit{60'000};
-// How long a caller may take up a stream at most, as a multiple of the time
-// limit of one attempt.
-constexpr auto kStreamLifeFactor = 2;
 // Limit of an answer that is not an event stream. All of them together are
 // limited by ForwarderParts::answer_memory_bytes.
 constexpr std::size_t kMaxBufferedAnswer = 8'000'000;
@@ -235,10 +232,6 @@
     auto stream = CallerStream();
     stream.key = StreamKeyOf(exchange.request.host, request);
     stream.service = exchange.service;
-    // The caller's time for all of its attempts is not told.
-    const auto limit = exchange.route->time_limit;
-    stream.life = kStreamLifeFactor *
-                  (limit > milliseconds::zero() ? limit : kDefaultTimeLimit);
     return stream;
   }
 
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -325,15 +325,20 @@
   auto MakeStreamVersionsParts() -> StreamVersionsParts {
     return {.executor = context_.get_executor(),
             .peers = *peer_client_,
+            .store = *store_,
             .metrics = metrics_,
             .clock = SteadyNow,
+            .boot_clock = BootNow,
+            .random = DrawRandom,
             .self = [this] { return settings_.name; },
             .live = [this] { return gossip_.membership().live(); },
             .send_datagram =
                 [this](const std::string& address, const json& message) {
                   gossip_.SendDatagram(address, message);
                 },
-            .entries_age = [this] { return EntriesAge(); }};
+            .send_news = [this](const json& message) { SendNews(message); },
+            .watches = [this] { return watches_store_; },
+            .usable_changed = [this] { UseReplicas(); }};
   }
 
   auto MakeForwarderParts() -> ForwarderParts {
@@ -405,10 +410,7 @@
     hooks.call_failed = [this](const std::string& reason) {
       OnStoreLost(reason);
     };
-    hooks.call_succeeded = [this] {
-      entries_read_at_ = SteadyNow();
-      OnStoreAnswered();
-    };
+    hooks.call_succeeded = [this] { OnStoreAnswered(); };
     return hooks;
   }
 
@@ -512,20 +514,16 @@
         std::find(watchers.begin(), watchers.end(), settings_.name);
     if (place == watchers.end()) {
       replica_table_.OnStoreNotWatched();
-      entries_read_at_.reset();
+      watches_store_ = false;
       return std::nullopt;
     }
+    watches_store_ = true;
     const auto time_of_day =
         std::chrono::duration_cast<milliseconds>(WallNow().time_since_epoch());
     return WatchTime(static_cast<std::size_t>(place - watchers.begin()),
                      watchers.size(), time_of_day);
   }
 
-  auto EntriesAge() const -> std::optional<Duration> {
-    return entries_read_at_ ? std::optional(SteadyNow() - *entries_read_at_)
-                            : std::nullopt;
-  }
-
   auto DecodeReplica(const ReplicaId& id, const std::string& value)
       -> std::optional<routing::Replica> {
     auto replica = parts_.dialect.decode_replica(id.value(), value);
@@ -596,7 +594,9 @@
   }
 
   auto EncodeChanges(std::uint64_t since) const -> json {
-    return EncodeChanges(replica_table_.ChangesSince(since));
+    auto changes = EncodeChanges(replica_table_.ChangesSince(since));
+    changes["versions"] = streams_.EncodeRegistered();
+    return changes;
   }
 
   // What this node knows about the entries that another node asks for.
@@ -647,6 +647,7 @@
       }
       changed = (replica_table_.*apply)(change) || changed;
     }
+    streams_.OnPeerRegistered(content.value("versions", json::array()));
     if (changed) {
       ApplyReplicas();
     }
@@ -724,9 +725,12 @@
   }
 
   auto ApplyReplicas() -> void {
-    const auto replicas = replica_table_.replicas();
-    load_balancer_.SetReplicas(replicas);
-    streams_.SetReplicas(replicas);
+    streams_.SetReplicas(replica_table_.replicas());
+    UseReplicas();
+  }
+
+  auto UseReplicas() -> void {
+    load_balancer_.SetReplicas(streams_.Usable(replica_table_.replicas()));
     forwarder_.OnCapacityFreed();
   }
 
@@ -930,7 +934,7 @@
         load_balancer_.start_limiter().OnReports(
             from, message.at("r").get<std::uint64_t>(),
             detail::DecodeStartReports(message.at("l")));
-      } else if (type == kOriginDatagram) {
+      } else if (type == kOriginDatagram || type == kVersionsDatagram) {
         streams_.OnDatagram(message);
       } else if (type == "leaving") {
         OnLeavingDatagram(message);
@@ -1446,9 +1450,7 @@
   std::uint64_t run_ = DrawRandom();  // Differs after each start.
   bool counts_pending_ = false;
   bool counts_empty_ = true;
-  // When this node last read the replicas' entries; empty unless it watches the
-  // store.
-  std::optional<MonotonicTime> entries_read_at_;
+  bool watches_store_ = false;
   bool store_lost_ = false;
   bool stopping_ = false;
 };
--- a/src/serving/stream_versions.cc
+++ b/src/serving/stream_versions.cc
@@ -9,10 +9,12 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/process_hooks.h"
+#include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/node/peer_server.h"
 #include "kumquatgauge/serving/origin_query.h"
-#include "kumquatgauge/serving/version_history.h"
+#include "kumquatgauge/serving/version_registry.h"
 #include "kumquatgauge/serving/watcher_choice.h"
 
 namespace kumquatgauge::serving {
@@ -20,18 +22,25 @@
 
 namespace asio = boost::asio;
 using asio::awaitable;
+using kumquatgauge::detail::Pause;
 using nlohmann::json;
 using std::chrono::milliseconds;
+using store::CallClass;
 
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr auto kOriginCall = "stream-origin";
-// How long other nodes are asked; callers leave a stream after two seconds
-// without an event.
-constexpr milliseconds kQueryTimeout{300};
-// The same once a node has said that there is one version only. A node that has
-// just died does not answer, and a record would have arrived by then.
+// How long other nodes and the store are asked; callers leave a stream after
+// two seconds without an event.
+constexpr milliseconds kQueryTimeout{500};
+// The same once the store has said that there is one version only. A node that
+// has just died does not answer, and a record would have arrived by then. If
+// the store has not answered by then, other nodes are asked to read it.
 constexpr milliseconds kRecordTimeout{60};
-
+constexpr std::size_t kReadersToAsk = 2;
+// A node that does not watch the store waits for news of a new version before
+// it reads the store itself; up to twice this time.
+constexpr milliseconds kNewsWait{400};
+constexpr milliseconds kStoreRetryDelay{300};
 auto ToMilliseconds(Duration duration) -> std::int64_t {
   return std::chrono::duration_cast<milliseconds>(duration).count();
 }
@@ -69,29 +78,12 @@
   return answer;
 }
 
-// A question to several nodes, which outlives its wait.
-struct Question {
-  Question(const asio::any_io_executor& executor, std::size_t asked)
-      : query(asked), answered(executor) {}
-
-  // Waits for the answers; returns after `limit` at the latest.
-  auto Await(milliseconds limit) -> awaitable<void> {
-    answered.expires_after(limit);
-    co_await answered.async_wait(kAwaitTuple);
-  }
-
-  OriginQuery query;
-  asio::steady_timer answered;  // Cancelled once the query is done.
-};
-
-}  // namespace
-
 class StreamVersions::Impl : public std::enable_shared_from_this<Impl> {
  public:
   explicit Impl(StreamVersionsParts parts)
       : parts_(std::move(parts)),
         origins_(parts_.clock),
-        history_(parts_.clock),
+        registry_(parts_.boot_clock),
         recorded_(parts_.metrics.counter("kqg_stream_origins_total")),
         found_(parts_.metrics.counter(
             "kqg_resumed_streams_total{origin=\"found\"}")),
@@ -109,16 +101,41 @@
   }
 
   auto SetReplicas(const std::vector<routing::Replica>& replicas) -> void {
-    history_.SetReplicas(replicas);
+    registry_.SetReplicas(replicas);
+    if (!registry_.Unregistered().empty() && !registering_) {
+      registering_ = true;
+      asio::co_spawn(parts_.executor, RegisterVersions(shared_from_this()),
+                     asio::detached);
+    }
+  }
+
+  auto Usable(const std::vector<routing::Replica>& replicas) const
+      -> std::vector<routing::Replica> {
+    return registry_.Usable(replicas);
+  }
+
+  auto EncodeRegistered() const -> json {
+    auto services = json::array();
+    for (const auto& [service, versions] : registry_.registered()) {
+      services.push_back({service.value(), versions});
+    }
+    return services;
+  }
+
+  auto OnPeerRegistered(const json& services) -> void {
+    for (const auto& entry : services) {
+      OnRegistered(ServiceName(entry.at(0).get<std::string>()),
+                   entry.at(1).get<VersionSet>(), "a node");
+    }
   }
 
   auto OnBegan(const CallerStream& stream, const std::string& version) -> void {
-    if (history_.SoleVersion(stream.service, stream.life)) {
+    const auto origin = StreamOrigin{stream.service, version};
+    origins_.Add(stream.key, origin);
+    if (!registry_.HasSeveral(stream.service)) {
       return;
     }
     recorded_.Add();
-    const auto origin = StreamOrigin{stream.service, version};
-    origins_.Add(stream.key, origin);
     const auto message = json{{"t", kOriginDatagram},
                               {"n", parts_.self().value()},
                               {"s", stream.key},
@@ -143,24 +160,188 @@
   }
 
   auto OnDatagram(const json& message) -> void {
+    if (message.at("t").get<std::string>() == kVersionsDatagram) {
+      OnPeerRegistered(message.at("v"));
+      return;
+    }
     origins_.Add(message.at("s").get<StreamKey>(),
                  DecodeOrigin(message.at("o")));
   }
 
-  auto OnTick() -> void { origins_.RemoveExpired(); }
+  auto OnTick() -> void {
+    origins_.RemoveExpired();
+    registry_.OnTick();
+    if (!registry_.Unregistered().empty()) {
+      parts_.usable_changed();  // They may have waited for long enough.
+    }
+    if (parts_.watches() && !removing_) {
+      RemoveOldVersions();
+    }
+  }
 
  private:
-  auto Know(const CallerStream& stream) const -> OriginAnswer {
-    auto answer = OriginAnswer();
-    answer.recorded = origins_.Find(stream.key);
-    if (const auto age = parts_.entries_age()) {
-      const auto sole = history_.SoleVersion(stream.service, stream.life);
-      if (sole) {
-        answer.sole = StreamOrigin{stream.service, *sole};
-        answer.sole_age = *age;
+  // --- The versions of each service in the store.
+
+  auto OnRegistered(const ServiceName& service,
+                    const VersionSet& versions,
+                    const std::string& source) -> void {
+    if (!registry_.OnRegistered(service, versions)) {
+      return;
+    }
+    auto list = std::string();
+    for (const auto& version : versions) {
+      list += (list.empty() ? "" : " ") + version;
+    }
+    logger_.Info("the store knows the software versions of a service",
+                 {{"event", "versions_registered"},
+                  {"service", service.value()},
+                  {"versions", list},
+                  {"source", source}});
+    auto message = json{{"t", kVersionsDatagram},
+                        {"n", parts_.self().value()},
+                        {"v", json::array()}};
+    message["v"].push_back({service.value(), versions});
+    parts_.send_news(message);
+    parts_.usable_changed();
+  }
+
+  // Stores the versions that are not in the store yet. Those that watch the
+  // store do so at once, the others if they hear nothing of it.
+  static auto RegisterVersions(std::shared_ptr<Impl> self) -> awaitable<void> {
+    while (true) {
+      const auto services = self->registry_.Unregistered();
+      if (services.empty()) {
+        break;
+      }
+      const auto first = std::any_of(
+          services.begin(), services.end(), [&](const auto& service) {
+            return self->registry_.Registered(service).empty();
+          });
+      if (!self->parts_.watches() && !first) {
+        co_await Pause(kNewsWait +
+                       milliseconds(static_cast<std::int64_t>(
+                           self->parts_.random() %
+                           static_cast<std::uint64_t>(kNewsWait.count()))));
+      }
+      auto failed = false;
+      for (const auto& service : self->registry_.Unregistered()) {
+        auto failure = std::string();
+        try {
+          co_await self->Register(service);
+        } catch (const Error& error) {
+          failure = error.what();
+        }
+        if (!failure.empty()) {
+          failed = true;
+          self->logger_.Warning("a software version cannot be registered yet",
+                                {{"event", "store_failed"},
+                                 {"service", service.value()},
+                                 {"reason", failure}});
+        }
+      }
+      if (failed) {
+        co_await Pause(kStoreRetryDelay);
       }
     }
-    return answer;
+    self->registering_ = false;
+  }
+
+  auto Register(ServiceName service) -> awaitable<void> {
+    const auto key = VersionsKey(service);
+    const auto stored = co_await parts_.store.Read(key, CallClass::kResult);
+    auto versions = VersionSet();
+    if (stored) {
+      versions = DecodeVersions(key, stored->value);
+    }
+    const auto before = versions;
+    versions.merge(registry_.Current(service));
+    if (versions != before) {
+      auto text = EncodeVersions(versions);
+      const auto expected = stored ? std::optional(stored->version)
+                                   : std::optional<std::uint64_t>();
+      try {
+        co_await parts_.store.Write(key, std::move(text), expected,
+                                    CallClass::kClaim);
+      } catch (const Error& error) {
+        // Another node was first, or the answer was lost.
+        if (error.kind() != ErrorKind::kConflict &&
+            error.kind() != ErrorKind::kUnknownOutcome) {
+          throw;
+        }
+        co_return;
+      }
+    }
+    OnRegistered(service, versions, "the store");
+  }
+
+  // Returns the versions that may have begun streams of a service, as they are
+  // in the store after this call.
+  auto ReadVersions(ServiceName service) -> awaitable<VersionSet> {
+    const auto key = VersionsKey(service);
+    const auto stored = co_await parts_.store.Read(key, CallClass::kResult);
+    co_return stored ? DecodeVersions(key, stored->value) : VersionSet();
+  }
+
+  auto RemoveOldVersions() -> void {
+    for (const auto& [service, versions] : registry_.registered()) {
+      const auto remaining = registry_.Remaining(service);
+      const auto known = stored_versions_.find(service);
+      if (remaining && (known == stored_versions_.end() ||
+                        known->second != VersionSet{*remaining})) {
+        removing_ = true;
+        asio::co_spawn(parts_.executor,
+                       RemoveOthers(shared_from_this(), service, *remaining),
+                       asio::detached);
+        return;
+      }
+    }
+  }
+
+  static auto RemoveOthers(std::shared_ptr<Impl> self,
+                           ServiceName service,
+                           std::string remaining) -> awaitable<void> {
+    const auto key = VersionsKey(service);
+    try {
+      const auto stored =
+          co_await self->parts_.store.Read(key, CallClass::kStatus);
+      const auto wanted = VersionSet{remaining};
+      // Another version may have come since it was read.
+      const auto known =
+          stored ? DecodeVersions(key, stored->value) : VersionSet();
+      if (stored && known != wanted && known.contains(remaining) &&
+          self->registry_.Remaining(service) == remaining) {
+        auto text = EncodeVersions(wanted);
+        co_await self->parts_.store.Write(key, std::move(text), stored->version,
+                                          CallClass::kStatus);
+        self->logger_.Info("software versions are gone for long",
+                           {{"event", "versions_removed"},
+                            {"service", service.value()},
+                            {"remaining", remaining}});
+      }
+      self->stored_versions_[service] = wanted;
+      self->registry_.OnRemoved(service, wanted);
+    } catch (const Error& error) {
+      self->logger_.Info("old software versions cannot be removed yet",
+                         {{"event", "store_failed"},
+                          {"service", service.value()},
+                          {"reason", error.what()}});
+    }
+    self->removing_ = false;
+  }
+
+  // --- Questions.
+
+  // What the store says of a stream. A version is in the store before it begins
+  // its first stream, so the only version there has begun it.
+  auto ReadOrigin(CallerStream stream) -> awaitable<OriginAnswer> {
+    const auto asked_at = parts_.boot_clock();
+    auto answer = OriginAnswer();
+    const auto versions = co_await ReadVersions(stream.service);
+    if (versions.size() == 1) {
+      answer.sole = StreamOrigin{stream.service, *versions.begin()};
+    }
+    answer.sole_age = parts_.boot_clock() - asked_at;
+    co_return answer;
   }
 
   static auto AnswerPeer(std::weak_ptr<Impl> weak,
@@ -174,24 +355,24 @@
     auto stream = CallerStream();
     stream.key = request.at("s").get<StreamKey>();
     stream.service = ServiceName(request.at("service").get<std::string>());
-    stream.life = milliseconds(request.at("life_ms").get<std::int64_t>());
-    responder->Send(EncodeAnswer(self->Know(stream)));
+    auto answer = OriginAnswer();
+    answer.recorded = self->origins_.Find(stream.key);
+    if (!answer.recorded && request.value("read", false)) {
+      answer = co_await self->ReadOrigin(stream);
+    }
+    responder->Send(EncodeAnswer(answer));
   }
 
   // Returns the nodes that may know: those that hold the record, and those that
-  // watch the store.
-  auto NodesToAsk(StreamKey stream) const -> std::vector<routing::NodeInfo> {
+  // watch the store, which are asked for it when this node cannot read it.
+  auto Watchers() const -> std::vector<routing::NodeInfo> {
     const auto live = parts_.live();
     const auto self = parts_.self();
-    auto nodes = ChooseOriginHolders(stream, live, self);
-    const auto watchers = ChooseWatchers(live);
+    const auto names = ChooseWatchers(live);
+    auto nodes = std::vector<routing::NodeInfo>();
     for (const auto& node : live) {
-      const auto watches = std::find(watchers.begin(), watchers.end(),
-                                     node.id) != watchers.end();
-      const auto listed =
-          std::any_of(nodes.begin(), nodes.end(),
-                      [&](const auto& other) { return other.id == node.id; });
-      if (watches && !listed && node.id != self) {
+      if (node.id != self && nodes.size() < kReadersToAsk &&
+          std::find(names.begin(), names.end(), node.id) != names.end()) {
         nodes.push_back(node);
       }
     }
@@ -199,18 +380,27 @@
   }
 
   auto AskNodes(CallerStream stream) -> awaitable<std::optional<StreamOrigin>> {
-    const auto nodes = NodesToAsk(stream.key);
-    // This node answers as well.
+    const auto holders =
+        ChooseOriginHolders(stream.key, parts_.live(), parts_.self());
     const auto question =
-        std::make_shared<Question>(parts_.executor, nodes.size() + 1);
-    question->query.OnAnswer(Know(stream));
-    for (const auto& node : nodes) {
+        std::make_shared<Question>(parts_.executor, holders.size() + 1);
+    asio::co_spawn(parts_.executor,
+                   AskStore(shared_from_this(), question, stream),
+                   asio::detached);
+    for (const auto& node : holders) {
       asio::co_spawn(parts_.executor,
-                     Ask(shared_from_this(), question, node, stream),
+                     Ask(shared_from_this(), question, node, stream, false),
                      asio::detached);
     }
-    if (!question->query.done()) {
-      co_await question->Await(kRecordTimeout);
+    co_await question->Await(kRecordTimeout);
+    if (!question->query.done() && !question->store_answered) {
+      const auto readers = Watchers();
+      question->query.OnAsked(readers.size());
+      for (const auto& node : readers) {
+        asio::co_spawn(parts_.executor,
+                       Ask(shared_from_this(), question, node, stream, true),
+                       asio::detached);
+      }
     }
     if (!question->query.done() && !question->query.origin()) {
       co_await question->Await(kQueryTimeout - kRecordTimeout);
@@ -218,16 +408,35 @@
     co_return question->query.origin();
   }
 
+  static auto AskStore(std::shared_ptr<Impl> self,
+                       std::shared_ptr<Question> question,
+                       CallerStream stream) -> awaitable<void> {
+    auto answer = std::optional<OriginAnswer>();
+    auto failure = std::string();
+    try {
+      answer = co_await self->ReadOrigin(stream);
+      question->store_answered = true;
+    } catch (const std::exception& error) {
+      failure = error.what();
+    }
+    if (!failure.empty()) {
+      self->logger_.Info("the store does not tell which version began a stream",
+                         {{"event", "store_failed"}, {"reason", failure}});
+    }
+    question->OnAnswer(answer);
+  }
+
   static auto Ask(std::shared_ptr<Impl> self,
                   std::shared_ptr<Question> question,
                   routing::NodeInfo node,
-                  CallerStream stream) -> awaitable<void> {
+                  CallerStream stream,
+                  bool read) -> awaitable<void> {
     auto answer = std::optional<OriginAnswer>();
     auto failure = std::string();
     try {
       json request = {{"s", stream.key},
                       {"service", stream.service.value()},
-                      {"life_ms", ToMilliseconds(stream.life)}};
+                      {"read", read}};
       co_await self->parts_.peers.Call(
           node.node_address, node::Channel::kControl, kOriginCall,
           std::move(request),
@@ -243,16 +452,17 @@
                           {"call", kOriginCall},
                           {"reason", failure}});
     }
-    question->query.OnAnswer(answer);
-    if (question->query.done()) {
-      question->answered.cancel();
-    }
+    question->OnAnswer(answer);
   }
 
   StreamVersionsParts parts_;
   Logger logger_{"versions"};
   StreamOrigins origins_;
-  VersionHistory history_;
+  VersionRegistry registry_;
+  bool registering_ = false;
+  bool removing_ = false;
+  // The versions that are the only ones in the store by the last look.
+  std::map<ServiceName, VersionSet> stored_versions_;
   Counter& recorded_;
   Counter& found_;
   Counter& unknown_;
@@ -268,6 +478,19 @@
   impl_->RegisterHandlers(server);
 }
 
+auto StreamVersions::Usable(const std::vector<routing::Replica>& replicas) const
+    -> std::vector<routing::Replica> {
+  return impl_->Usable(replicas);
+}
+
+auto StreamVersions::EncodeRegistered() const -> json {
+  return impl_->EncodeRegistered();
+}
+
+auto StreamVersions::OnPeerRegistered(const json& versions) -> void {
+  impl_->OnPeerRegistered(versions);
+}
+
 auto StreamVersions::SetReplicas(const std::vector<routing::Replica>& replicas)
     -> void {
   impl_->SetReplicas(replicas);
--- /dev/null
+++ b/src/serving/version_registry_test.cc
@@ -0,0 +1,140 @@
+#include "kumquatgauge/serving/version_registry.h"
+
+#include <catch2/catch.hpp>
+
+#include "kumquatgauge/base/error.h"
+#include "kumquatgauge/serving/stream_origins.h"
+#include "testing/support/manual_clock.h"
+
+namespace kumquatgauge::serving {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ServiceName kService("chat");
+// The longest time limit of a stream on the users' sheets. Callers take up
+// streams within it.
+constexpr seconds kLongestTimeLimit{5};
+
+auto Replicas(const std::vector<std::string>& versions)
+    -> std::vector<routing::Replica> {
+  auto replicas = std::vector<routing::Replica>();
+  for (const auto& version : versions) {
+    auto replica = routing::Replica();
+    replica.id = ReplicaId("r" + std::to_string(replicas.size()));
+    replica.service = kService;
+    replica.version = version;
+    replicas.push_back(replica);
+  }
+  return replicas;
+}
+
+struct Fixture {
+  testing::ManualClock clock;
+  VersionRegistry registry{clock.AsHook()};
+
+  // Lets time pass with the ticks of a node that runs.
+  auto Run(Duration time) -> void {
+    for (auto passed = Duration::zero(); passed < time; passed += seconds(1)) {
+      clock.Advance(seconds(1));
+      registry.OnTick();
+    }
+  }
+};
+
+// Guards against a stream that begins at a new version while other nodes still
+// take the service to have had one version only.
+TEST_CASE("VersionRegistry.UsesNoReplicaBeforeItsVersionIsRegistered") {
+  auto fixture = Fixture();
+  auto& registry = fixture.registry;
+  const auto replicas = Replicas({"v1", "v2"});
+  registry.SetReplicas(replicas);
+  CHECK(registry.Usable(replicas).empty());
+  CHECK(registry.Unregistered() == std::vector<ServiceName>{kService});
+  CHECK(registry.OnRegistered(kService, {"v1"}));
+  CHECK(registry.Usable(replicas) ==
+        std::vector<routing::Replica>{replicas.front()});
+  CHECK(registry.OnRegistered(kService, {"v2"}));
+  CHECK(registry.Usable(replicas) == replicas);
+  CHECK(registry.Unregistered().empty());
+  CHECK_FALSE(registry.OnRegistered(kService, {"v1", "v2"}));
+}
+
+// Guards against a service that ends because the store takes no writes.
+TEST_CASE("VersionRegistry.UsesUnregisteredReplicasIfNoneElseAreLeftForLong") {
+  auto fixture = Fixture();
+  auto& registry = fixture.registry;
+  registry.SetReplicas(Replicas({"v2"}));
+  fixture.Run(kMaxRegistrationWait);
+  CHECK(registry.Usable(Replicas({"v2"})).empty());
+  fixture.Run(seconds(1));
+  CHECK(registry.Usable(Replicas({"v2"})).size() == 1);
+  registry.OnRegistered(kService, {"v1"});
+  registry.SetReplicas(Replicas({"v1", "v2"}));
+  CHECK(registry.Usable(Replicas({"v1", "v2"})).size() == 1);
+}
+
+// Guards against streams that are not recorded while two versions serve, or
+// just after one of them has left.
+TEST_CASE("VersionRegistry.KnowsSeveralVersionsUntilOthersAreLongGone") {
+  auto fixture = Fixture();
+  auto& registry = fixture.registry;
+  registry.SetReplicas(Replicas({"v1"}));
+  registry.OnRegistered(kService, {"v1"});
+  CHECK_FALSE(registry.HasSeveral(kService));
+  registry.SetReplicas(Replicas({"v1", "v2"}));
+  CHECK(registry.HasSeveral(kService));
+  registry.OnRegistered(kService, {"v2"});
+  registry.SetReplicas(Replicas({"v2"}));
+  fixture.Run(kRegistrationTime - seconds(1));
+  CHECK(registry.HasSeveral(kService));
+  CHECK_FALSE(registry.Remaining(kService));
+  fixture.Run(kVersionRetention);
+  CHECK_FALSE(registry.HasSeveral(kService));
+  CHECK(registry.Remaining(kService) == "v2");
+}
+
+// Guards against an old version that comes back and is used at once by a node
+// that still knows it, while the store holds it no more.
+TEST_CASE("VersionRegistry.RegistersAVersionAgainThatWasGone") {
+  auto fixture = Fixture();
+  auto& registry = fixture.registry;
+  registry.OnRegistered(kService, {"v1", "v2"});
+  registry.SetReplicas(Replicas({"v1", "v2"}));
+  registry.SetReplicas(Replicas({"v2"}));
+  fixture.Run(kRegistrationTime + seconds(2));
+  const auto replicas = Replicas({"v1", "v2"});
+  registry.SetReplicas(replicas);
+  CHECK(registry.Usable(replicas).size() == 1);
+  CHECK(kRegistrationTime < kVersionRetention);
+}
+
+// Guards against a host that wakes, and uses replicas of a version that was
+// removed from the store while it stood still.
+TEST_CASE("VersionRegistry.ForgetsWhatWasRegisteredWhenItStoodStill") {
+  auto fixture = Fixture();
+  auto& registry = fixture.registry;
+  registry.SetReplicas(Replicas({"v1"}));
+  registry.OnRegistered(kService, {"v1"});
+  registry.OnTick();
+  fixture.clock.Advance(kMaxStandstill + milliseconds(1));
+  registry.OnTick();
+  CHECK(registry.Usable(Replicas({"v1"})).empty());
+  CHECK(kMaxStandstill < kVersionRetention - kRegistrationTime);
+}
+
+TEST_CASE("VersionRegistry.KeepsVersionsLongerThanStreamsAreTakenUp") {
+  CHECK(kVersionRetention > 2 * kLongestTimeLimit);
+  CHECK(kOriginRetention > 2 * kLongestTimeLimit);
+}
+
+TEST_CASE("VersionRegistry.ReadsVersionsAsTheyWereWritten") {
+  const auto versions = VersionSet{"", "v1", "v 2"};
+  CHECK(DecodeVersions("k", EncodeVersions(versions)) == versions);
+  CHECK_THROWS_AS(DecodeVersions("k", R"({"versions":5})"), Error);
+  CHECK_THROWS_AS(DecodeVersions("k", "no json"), Error);
+}
+
+}  // namespace
+}  // namespace kumquatgauge::serving
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -426,7 +426,6 @@
   }
 }
 
-// Guards against a broken stream that looks complete.
 // Guards against one answer that holds events of two software versions.
 TEST_CASE("Gateway.ContinuesAStreamAtTheVersionThatBeganIt") {
   auto fleet = TwoVersionFleet();
@@ -477,6 +476,41 @@
   }
 }
 
+// Guards against a node that is out of step while replicas of a new version
+// join: it takes the service to have had one version only, and goes on there
+// with a stream that began at the new one.
+TEST_CASE("Gateway.DoesNotResumeByAViewThatLacksANewVersion") {
+  auto fleet = TwoVersionFleet(2);  // Both watch the store.
+  for (const auto* id : {"i-3", "i-4"}) {
+    fleet.store->Remove(std::string("servers/") + id);
+  }
+  fleet.AwaitService();
+  auto configuration = MakeConfiguration(4);
+  for (auto& route : configuration.at("routes")) {
+    route["timeout_ms"] = 500;
+  }
+  fleet.store->Put("config/main", configuration);
+  auto& first = *fleet.nodes.front();
+  auto& last = *fleet.nodes.back();
+  // The last node knows the service well.
+  REQUIRE(Eventually(
+      [&] { return last.Resume("/stream/x", "w", "warm", 3).status == 200; }));
+  fleet.store->SetEndpointDown(fleet.store_addresses.back(), true);
+  last.process().Signal(SIGSTOP);
+  fleet.Announce(*fleet.three);
+  auto id = std::string();
+  auto number = 0;
+  REQUIRE(Eventually([&] {
+    id = "q" + std::to_string(++number);
+    return VersionIn(first.Call("POST", "/stream/x", id).body) == "v2";
+  }));
+  first.process().Signal(SIGKILL);
+  last.process().Signal(SIGCONT);
+  const auto reply = last.Resume("/stream/x", "r1", id, 3);
+  CHECK(reply.status == 503);
+  CHECK(fleet.TotalRunCount("r1") == 0);
+}
+
 // Guards against a stream that goes on at a guess, and against the answer "not
 // run" to one that ran.
 TEST_CASE("Gateway.RefusesToResumeAStreamWhoseVersionIsNotKnown") {
@@ -550,6 +584,7 @@
   CHECK(page.at("results").at(0).at("text") == ExpectedText("slow-a", "v2"));
 }
 
+// Guards against a broken stream that looks complete.
 TEST_CASE("Gateway.EndsAStreamVisiblyThatMustNotBeResumed") {
   auto fleet = Fleet();
   fleet.AwaitService();
