Keep in the store what began a stream while two versions serve

Cause: the records of what began a stream were in the memory of nodes only, and a node knew nothing of versions before its start.

Ruled out: copies in the programs on hosts with disks (they lose power as well, and would have to become members); a write for each stream.

A question reads them, if the store holds several versions of the service; concurrent questions share the read. With one version nothing is stored, and the object with the versions answers at once after a restart.

After: 12 of 12 streams go on at their version, one that was never begun is refused.

--- a/include/kumquatgauge/serving/stream_versions.h
+++ b/include/kumquatgauge/serving/stream_versions.h
@@ -64,6 +64,8 @@
   auto operator=(const StreamVersions&) -> StreamVersions& = delete;
 
   auto RegisterHandlers(node::PeerServer& server) -> void;
+  // Begins to store records.
+  auto Start() -> void;
   auto SetReplicas(const std::vector<routing::Replica>& replicas) -> void;
   // Returns the replicas whose version is known to the store, or could not be
   // made known for long. Others may not begin a stream yet.
@@ -73,7 +75,7 @@
   auto EncodeRegistered() const -> nlohmann::json;
   auto OnPeerRegistered(const nlohmann::json& versions) -> void;
   // Must be called before the first event of a stream is sent. Tells other
-  // nodes, unless the service has had one version only.
+  // nodes and the store, unless the service has had one version only.
   auto OnBegan(const CallerStream& stream, const std::string& version) -> void;
   // Returns what began a stream that is taken up; nothing if it is not known.
   auto Find(CallerStream stream)
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -236,6 +236,7 @@
     configuration_feed_.Start();
     replica_feed_.Start();
     batch_.Start();
+    streams_.Start();
     metrics_.AddGauge("kqg_limited_replicas", [this] {
       return static_cast<double>(load_balancer_.start_limiter().limited());
     });
--- a/src/serving/stream_versions.cc
+++ b/src/serving/stream_versions.cc
@@ -14,6 +14,7 @@
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/node/peer_server.h"
 #include "kumquatgauge/serving/origin_query.h"
+#include "kumquatgauge/serving/stream_records.h"
 #include "kumquatgauge/serving/version_registry.h"
 #include "kumquatgauge/serving/watcher_choice.h"
 
@@ -41,6 +42,15 @@
 // it reads the store itself; up to twice this time.
 constexpr milliseconds kNewsWait{400};
 constexpr milliseconds kStoreRetryDelay{300};
+// Interval at which this node stores its new records, while a service has
+// several versions: a fraction of the time that a stream takes, so that most
+// streams that run when all nodes end are recorded. It grows with the number of
+// nodes, so that all together use a fraction of the store's rate.
+constexpr milliseconds kMinStoreInterval{250};
+constexpr milliseconds kMaxStoreInterval{500};
+constexpr milliseconds kStoreIntervalPerNode{4};
+constexpr std::size_t kPageSize = 500;
+
 auto ToMilliseconds(Duration duration) -> std::int64_t {
   return std::chrono::duration_cast<milliseconds>(duration).count();
 }
@@ -78,12 +88,85 @@
   return answer;
 }
 
+// Lets concurrent callers share reads: a caller takes part in a read that
+// begins after its call.
+class SharedRead {
+ public:
+  using Read = std::function<auto()->awaitable<void>>;
+
+  explicit SharedRead(asio::any_io_executor executor)
+      : executor_(std::move(executor)) {}
+
+  auto Run(Read read) -> awaitable<void> {
+    const auto needed = begun_ + 1;
+    while (finished_ < needed) {
+      if (!running_) {
+        running_ = true;
+        const auto number = ++begun_;
+        auto failure = std::exception_ptr();
+        try {
+          co_await read();
+        } catch (const std::exception&) {
+          failure = std::current_exception();
+        }
+        running_ = false;
+        finished_ = failure ? finished_ : number;
+        for (const auto& timer : std::exchange(waiting_, {})) {
+          timer->cancel();
+        }
+        if (failure) {
+          std::rethrow_exception(failure);
+        }
+      } else {
+        auto timer = std::make_shared<asio::steady_timer>(
+            executor_, asio::steady_timer::time_point::max());
+        waiting_.push_back(timer);
+        co_await timer->async_wait(kAwaitTuple);
+      }
+    }
+  }
+
+ private:
+  asio::any_io_executor executor_;
+  bool running_ = false;
+  std::uint64_t begun_ = 0;
+  std::uint64_t finished_ = 0;
+  std::vector<std::shared_ptr<asio::steady_timer>> waiting_;
+};
+
+// A question to several nodes, which outlives its wait.
+struct Question {
+  Question(const asio::any_io_executor& executor, std::size_t asked)
+      : query(asked), answered(executor) {}
+
+  // Waits for the answers; returns after `limit` at the latest.
+  auto Await(milliseconds limit) -> awaitable<void> {
+    answered.expires_after(limit);
+    co_await answered.async_wait(kAwaitTuple);
+  }
+
+  auto OnAnswer(const std::optional<OriginAnswer>& answer) -> void {
+    query.OnAnswer(answer);
+    if (query.done()) {
+      answered.cancel();
+    }
+  }
+
+  OriginQuery query;
+  bool store_answered = false;  // To this node itself.
+  asio::steady_timer answered;  // Cancelled once the query is done.
+};
+
+}  // namespace
+
 class StreamVersions::Impl : public std::enable_shared_from_this<Impl> {
  public:
   explicit Impl(StreamVersionsParts parts)
       : parts_(std::move(parts)),
         origins_(parts_.clock),
         registry_(parts_.boot_clock),
+        records_(parts_.clock),
+        load_records_(parts_.executor),
         recorded_(parts_.metrics.counter("kqg_stream_origins_total")),
         found_(parts_.metrics.counter(
             "kqg_resumed_streams_total{origin=\"found\"}")),
@@ -100,6 +183,11 @@
         });
   }
 
+  auto Start() -> void {
+    asio::co_spawn(parts_.executor, StoreRecords(shared_from_this()),
+                   asio::detached);
+  }
+
   auto SetReplicas(const std::vector<routing::Replica>& replicas) -> void {
     registry_.SetReplicas(replicas);
     if (!registry_.Unregistered().empty() && !registering_) {
@@ -132,6 +220,7 @@
   auto OnBegan(const CallerStream& stream, const std::string& version) -> void {
     const auto origin = StreamOrigin{stream.service, version};
     origins_.Add(stream.key, origin);
+    records_.Add({stream.key, origin});
     if (!registry_.HasSeveral(stream.service)) {
       return;
     }
@@ -170,6 +259,7 @@
 
   auto OnTick() -> void {
     origins_.RemoveExpired();
+    records_.RemoveExpired();
     registry_.OnTick();
     if (!registry_.Unregistered().empty()) {
       parts_.usable_changed();  // They may have waited for long enough.
@@ -329,6 +419,79 @@
     self->removing_ = false;
   }
 
+  // --- Records in the store.
+
+  auto StoreInterval() const -> milliseconds {
+    const auto nodes = static_cast<std::int64_t>(parts_.live().size());
+    return std::clamp(kStoreIntervalPerNode * nodes, kMinStoreInterval,
+                      kMaxStoreInterval);
+  }
+
+  auto SeveralVersions() const -> bool {
+    const auto& services = registry_.registered();
+    return std::any_of(
+        services.begin(), services.end(),
+        [&](const auto& entry) { return registry_.HasSeveral(entry.first); });
+  }
+
+  static auto StoreRecords(std::shared_ptr<Impl> self) -> awaitable<void> {
+    while (true) {
+      co_await Pause(self->StoreInterval());
+      if (!self->records_.changed() || !self->SeveralVersions()) {
+        continue;
+      }
+      auto failure = std::string();
+      try {
+        co_await self->StoreOwnRecords();
+      } catch (const Error& error) {
+        failure = error.what();
+      }
+      if (!failure.empty()) {
+        self->records_.OnFailed();
+        self->records_version_.reset();
+        self->logger_.Info("records of streams cannot be stored yet",
+                           {{"event", "store_failed"}, {"reason", failure}});
+      }
+    }
+  }
+
+  auto StoreOwnRecords() -> awaitable<void> {
+    const auto key = RecordsKey(parts_.self());
+    if (!records_version_) {
+      const auto stored = co_await parts_.store.Read(key, CallClass::kResult);
+      if (stored && !std::exchange(records_read_, true)) {
+        records_.AddStored(DecodeRecords(key, stored->value));
+      }
+      records_version_ = stored ? std::optional(stored->version)
+                                : std::optional<std::uint64_t>();
+      records_read_ = true;
+    }
+    auto text = EncodeRecords(records_.Take());
+    records_version_ = co_await parts_.store.Write(
+        key, std::move(text), records_version_, CallClass::kResult);
+  }
+
+  // Reads the records of all nodes.
+  auto LoadRecords() -> awaitable<void> {
+    auto after = std::string();
+    auto more = true;
+    while (more) {
+      const auto page = co_await parts_.store.List(
+          kRecordsPrefix, after, kPageSize, CallClass::kResult);
+      for (const auto& entry : page.entries) {
+        if (entry.value) {
+          for (const auto& record : DecodeRecords(entry.key, *entry.value)) {
+            origins_.Add(record.stream, record.origin);
+          }
+        }
+      }
+      more = page.more && !page.entries.empty();
+      if (more) {
+        after = page.entries.back().key;
+      }
+    }
+  }
+
   // --- Questions.
 
   // What the store says of a stream. A version is in the store before it begins
@@ -339,6 +502,11 @@
     const auto versions = co_await ReadVersions(stream.service);
     if (versions.size() == 1) {
       answer.sole = StreamOrigin{stream.service, *versions.begin()};
+    } else if (versions.size() > 1) {
+      const auto self = shared_from_this();
+      const SharedRead::Read read = [self] { return self->LoadRecords(); };
+      co_await load_records_.Run(read);
+      answer.recorded = origins_.Find(stream.key);
     }
     answer.sole_age = parts_.boot_clock() - asked_at;
     co_return answer;
@@ -459,8 +627,14 @@
   Logger logger_{"versions"};
   StreamOrigins origins_;
   VersionRegistry registry_;
+  StreamRecords records_;
+  SharedRead load_records_;
   bool registering_ = false;
   bool removing_ = false;
+  // Version of the object with the own records; empty if there is none, or if
+  // it is not known.
+  std::optional<std::uint64_t> records_version_;
+  bool records_read_ = false;
   // The versions that are the only ones in the store by the last look.
   std::map<ServiceName, VersionSet> stored_versions_;
   Counter& recorded_;
@@ -478,6 +652,10 @@
   impl_->RegisterHandlers(server);
 }
 
+auto StreamVersions::Start() -> void {
+  impl_->Start();
+}
+
 auto StreamVersions::Usable(const std::vector<routing::Replica>& replicas) const
     -> std::vector<routing::Replica> {
   return impl_->Usable(replicas);
--- a/src/serving/version_registry_test.cc
+++ b/src/serving/version_registry_test.cc
@@ -3,7 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "kumquatgauge/base/error.h"
-#include "kumquatgauge/serving/stream_origins.h"
+#include "kumquatgauge/serving/stream_records.h"
 #include "testing/support/manual_clock.h"
 
 namespace kumquatgauge::serving {
@@ -126,6 +126,7 @@
 
 TEST_CASE("VersionRegistry.KeepsVersionsLongerThanStreamsAreTakenUp") {
   CHECK(kVersionRetention > 2 * kLongestTimeLimit);
+  CHECK(kStoredRecordTime > 2 * kLongestTimeLimit);
   CHECK(kOriginRetention > 2 * kLongestTimeLimit);
 }
 
@@ -136,5 +137,29 @@
   CHECK_THROWS_AS(DecodeVersions("k", "no json"), Error);
 }
 
+TEST_CASE("StreamRecords.AreReadAsTheyWereWritten") {
+  const auto records =
+      std::vector<StreamRecord>{{1, {kService, "v1"}},
+                                {~StreamKey{0}, {kService, "v1"}},
+                                {3, {kService, "v2"}}};
+  CHECK(DecodeRecords("k", EncodeRecords(records)) == records);
+  CHECK_THROWS_AS(DecodeRecords("k", R"({"streams":[[1]]})"), Error);
+  CHECK_THROWS_AS(DecodeRecords("k", "no json"), Error);
+}
+
+// Guards against records that a restarted node overwrites, though callers may
+// still take up the streams, and against an object that grows without end.
+TEST_CASE("StreamRecords.KeepWhatAnEarlierStartStoredForSomeTime") {
+  auto clock = testing::ManualClock();
+  auto records = StreamRecords(clock.AsHook());
+  records.Add({2, {kService, "v2"}});
+  records.AddStored({{1, {kService, "v1"}}});
+  CHECK(records.changed());
+  CHECK(records.Take().size() == 2);
+  CHECK_FALSE(records.changed());
+  clock.Advance(kStoredRecordTime + seconds(1));
+  CHECK(records.Take().empty());
+}
+
 }  // namespace
 }  // namespace kumquatgauge::serving
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -476,6 +476,50 @@
   }
 }
 
+// Guards against streams that nobody can take up once all nodes have ended at
+// once while two versions serve, and against those that go on at a guess then.
+TEST_CASE("Gateway.ResumesAStreamAtItsVersionAfterTheLossOfAllNodes") {
+  constexpr auto kStreams = 12;
+  auto fleet = TwoVersionFleet(3);
+  fleet.AwaitService();
+  auto versions = std::map<std::string, std::string>();
+  for (auto number = 0; number < kStreams; ++number) {
+    const auto id = "q" + std::to_string(number);
+    const auto& node = *fleet.nodes[number % fleet.nodes.size()];
+    versions[id] = VersionIn(node.Call("POST", "/stream/x", id).body);
+  }
+  REQUIRE(Eventually([&] {
+    return fleet.store->Has("stream-origins/n0") &&
+           fleet.store->Has("stream-origins/n1") &&
+           fleet.store->Has("stream-origins/n2");
+  }));
+  // The longest time until a record is stored.
+  std::this_thread::sleep_for(milliseconds(600));
+  for (const auto& node : fleet.nodes) {
+    node->process().Signal(SIGKILL);
+  }
+  for (const auto& node : fleet.nodes) {
+    node->process().WaitForExit(milliseconds(5'000));
+    node->Start();
+  }
+  for (const auto& node : fleet.nodes) {
+    REQUIRE(Eventually([&] {
+      return node->Ready() &&
+             node->Call("POST", "/plain/warm", "warm").status == 200;
+    }));
+  }
+  auto resumed = 0;
+  for (const auto& [id, version] : versions) {
+    const auto& node = *fleet.nodes[resumed % fleet.nodes.size()];
+    const auto reply = node.Resume("/stream/x", "r" + id, id, 3);
+    CHECK(reply.status == 200);
+    CHECK(reply.body == ExpectedEvents("r" + id, 3, version));
+    ++resumed;
+  }
+  CHECK(fleet.nodes.front()->Resume("/stream/x", "r", "never", 3).status ==
+        503);
+}
+
 // Guards against a node that is out of step while replicas of a new version
 // join: it takes the service to have had one version only, and goes on there
 // with a stream that began at the new one.
