Keep the reservation of a job that is still being stored

Cause: a listing of all jobs dropped the reservation of a job that two listings in a row did not show.

Change: a job that is being submitted keeps its reservation; one whose outcome is not known loses it after it has been in no listing for 10 s. The status of holders comes from one look at the members.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -244,6 +244,10 @@
         JobRecord{id, request.host, request.path, WallMs(), incoming->body};
     auto state = NewState(id, items.size(), record.accepted_ms);
     AddAccount(state, record, items);
+    submitting_.insert(id);
+    const auto submitted = std::shared_ptr<void>(nullptr, [self, id](void*) {
+      self->submitting_.erase(self->submitting_.find(id));
+    });
     auto decision = co_await CheckQuota(state);
     if (stopped_) {
       parts_.quotas.OnOver(state.account, id);
@@ -1795,7 +1799,8 @@
       co_return;
     }
     self->parts_.quotas.OnListing(states, [&](const JobId& id) {
-      return self->jobs_.contains(id) || self->taking_over_.contains(id);
+      return self->jobs_.contains(id) || self->taking_over_.contains(id) ||
+             self->submitting_.contains(id);
     });
     for (const auto& stored : states) {
       if (self->stopped_) {
@@ -1985,6 +1990,7 @@
   asio::steady_timer scan_timer_;
   std::map<JobId, JobPtr> jobs_;
   std::set<JobId> taking_over_;
+  std::multiset<JobId> submitting_;  // Once for each submission under way.
   std::map<JobId, NodeId> announced_;
   // When the owner of an unfinished job was first found absent.
   std::map<JobId, MonotonicTime> absent_since_;
--- a/src/serving/quota_keeper.cc
+++ b/src/serving/quota_keeper.cc
@@ -29,6 +29,9 @@
 
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr auto kReleaseCall = "token-release";
+// A reserved job that is in no listing for so long was not stored: the store
+// may carry out a write without an answer seconds later.
+constexpr std::chrono::seconds kUnstoredTime{10};
 // How long the other holders are asked; a job waits for the answers.
 constexpr milliseconds kReleaseTimeout{300};
 
@@ -43,8 +46,8 @@
   TokenQuota quota;
   bool busy = false;  // One job takes steps.
   std::vector<std::shared_ptr<asio::steady_timer>> waiting;
-  // Jobs that were not found in the listing before.
-  std::set<JobId> missing;
+  // Since when jobs are in no listing.
+  std::map<JobId, MonotonicTime> missing;
 };
 
 }  // namespace
@@ -133,16 +136,18 @@
       (state.done || state.ended ? over : unfinished).insert(state.id);
     }
     for (auto& [name, route] : routes_) {
-      auto missing = std::set<JobId>();
+      const auto now = parts_.clock();
+      auto missing = std::map<JobId, MonotonicTime>();
       for (const auto& job : route.quota.jobs()) {
         if (runs_here(job) || unfinished.contains(job)) {
           continue;
         }
-        // A job that is not listed may be stored at this moment.
-        if (over.contains(job) || route.missing.contains(job)) {
+        const auto before = route.missing.find(job);
+        const auto since = before == route.missing.end() ? now : before->second;
+        if (over.contains(job) || now - since >= kUnstoredTime) {
           route.quota.OnOver(job);
         } else {
-          missing.insert(job);
+          missing[job] = since;
         }
       }
       route.missing = std::move(missing);
@@ -182,23 +187,29 @@
   auto Update(RouteAccount& route) -> void {
     const auto self = parts_.self();
     route.quota.SetSelf({self.id, self.incarnation});
-    route.quota.set_nodes(parts_.live().size());
+    incarnations_.clear();
+    for (const auto& node : parts_.live()) {
+      incarnations_[node.id] = node.incarnation;
+    }
+    route.quota.set_nodes(incarnations_.size());
   }
 
   auto StatusOf(const TokenHolder& holder) const -> HolderStatus {
-    for (const auto& node : parts_.live()) {
-      if (node.id == holder.node) {
-        return node.incarnation > holder.incarnation ? HolderStatus::kReplaced
-                                                     : HolderStatus::kLive;
-      }
+    const auto found = incarnations_.find(holder.node);
+    if (found == incarnations_.end()) {
+      return HolderStatus::kGone;
     }
-    return HolderStatus::kGone;
+    return found->second > holder.incarnation ? HolderStatus::kReplaced
+                                              : HolderStatus::kLive;
   }
 
   auto TakeSteps(std::string name, TokenRequest request)
       -> awaitable<QuotaDecision> {
     auto& route = Find(name);
     while (true) {
+      if (request.steps > 0) {
+        Update(route);
+      }
       auto step = route.quota.Next(request);
       switch (step.kind) {
         case QuotaStep::Kind::kGranted:
@@ -394,6 +405,7 @@
   QuotaKeeperParts parts_;
   Logger logger_{"quota"};
   std::map<std::string, RouteAccount> routes_;
+  std::map<NodeId, Incarnation> incarnations_;  // Of the live members.
   Counter& granted_;
   Counter& refused_;
   Counter& steps_;
