Prepare the MAC of datagrams once and sign a broadcast once

Cause: the one-shot HMAC call of OpenSSL looks up the algorithm for each datagram.

Ruled out: counts less often (coalescing changes nothing while a node has nine changes a second); fewer peers in a cell (measured earlier: cells of 8 serve less).

Change: one prepared context for each socket; the counts, the free slots of a cell, and news are encoded and signed once for all receivers.

--- a/include/kumquatgauge/node/datagram_socket.h
+++ b/include/kumquatgauge/node/datagram_socket.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
+#include <vector>
 
 namespace kumquatgauge::node {
 
@@ -44,7 +45,7 @@
   // and Error(kUnavailable) if it cannot be bound.
   DatagramSocket(boost::asio::io_context& context,
                  const std::string& listen,
-                 std::string fleet_credential);
+                 const std::string& fleet_credential);
   ~DatagramSocket();
   DatagramSocket(const DatagramSocket&) = delete;
   auto operator=(const DatagramSocket&) -> DatagramSocket& = delete;
@@ -55,6 +56,9 @@
   // system does not accept is counted in `unsent` and dropped. Throws
   // Error(kInvalidArgument) for a bad address.
   auto Send(const std::string& address, const nlohmann::json& message) -> void;
+  // The same to several addresses; encodes and signs the message once.
+  auto Send(const std::vector<std::string>& addresses,
+            const nlohmann::json& message) -> void;
 
   auto address() const -> std::string;
   auto counters() const -> DatagramCounters;
--- a/include/kumquatgauge/node/gossip.h
+++ b/include/kumquatgauge/node/gossip.h
@@ -106,6 +106,8 @@
   // a bad address.
   auto SendDatagram(const std::string& address, const nlohmann::json& message)
       -> void;
+  auto SendDatagrams(const std::vector<std::string>& addresses,
+                     const nlohmann::json& message) -> void;
 
   auto membership() const -> const control::Membership&;
   auto feeds() const -> const control::FeedRelay&;
--- a/src/node/datagram_socket.cc
+++ b/src/node/datagram_socket.cc
@@ -2,12 +2,13 @@
 
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
-#include <openssl/hmac.h>
+#include <openssl/params.h>
 
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string_view>
 #include <utility>
@@ -28,20 +29,62 @@
 constexpr std::size_t kReceiveBufferBytes = kMaxDatagramBytes + 1;
 constexpr int kSocketBufferBytes = 1 << 20;
 
-// Returns the MAC of the version byte and `content`.
-auto ComputeMac(const std::string& key, char version, std::string_view content)
-    -> Mac {
-  std::string authenticated(1, version);
-  authenticated.append(content);
-  std::array<unsigned char, EVP_MAX_MD_SIZE> full{};
-  unsigned int length = 0;
-  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
-       reinterpret_cast<const unsigned char*>(authenticated.data()),
-       authenticated.size(), full.data(), &length);
-  Mac mac;
-  std::copy_n(full.begin(), mac.size(), mac.begin());
-  return mac;
-}
+// Computes the MACs of datagrams under one key. The context is prepared once:
+// looking up the algorithm takes several times as long as a MAC of a datagram.
+class Signer {
+ public:
+  explicit Signer(const std::string& key)
+      : mac_(EVP_MAC_fetch(nullptr, "HMAC", nullptr)),
+        context_(EVP_MAC_CTX_new(mac_.get())) {
+    auto digest = std::string("SHA256");
+    const OSSL_PARAM parameters[] = {
+        OSSL_PARAM_construct_utf8_string("digest", digest.data(), 0),
+        OSSL_PARAM_construct_end()};
+    const auto ready =
+        context_ &&
+        EVP_MAC_init(context_.get(),
+                     reinterpret_cast<const unsigned char*>(key.data()),
+                     key.size(), parameters) == 1;
+    if (!ready) {
+      throw Error(ErrorKind::kInternal, "cannot compute a MAC", "HMAC-SHA256",
+                  "install a build of OpenSSL that has it");
+    }
+  }
+
+  // Returns the MAC of the version byte and `content`.
+  auto Compute(char version, std::string_view content) -> Mac {
+    auto full = std::array<unsigned char, EVP_MAX_MD_SIZE>();
+    auto length = std::size_t{0};
+    const auto bytes = [](const char* data) {
+      return reinterpret_cast<const unsigned char*>(data);
+    };
+    // A null key keeps the key of the context.
+    const auto computed =
+        EVP_MAC_init(context_.get(), nullptr, 0, nullptr) == 1 &&
+        EVP_MAC_update(context_.get(), bytes(&version), 1) == 1 &&
+        EVP_MAC_update(context_.get(), bytes(content.data()), content.size()) ==
+            1 &&
+        EVP_MAC_final(context_.get(), full.data(), &length, full.size()) == 1;
+    if (!computed) {
+      throw Error(ErrorKind::kInternal, "cannot compute a MAC", "HMAC-SHA256",
+                  "check the installation of OpenSSL");
+    }
+    auto mac = Mac();
+    std::copy_n(full.begin(), mac.size(), mac.begin());
+    return mac;
+  }
+
+ private:
+  struct Free {
+    auto operator()(EVP_MAC* mac) const -> void { EVP_MAC_free(mac); }
+    auto operator()(EVP_MAC_CTX* context) const -> void {
+      EVP_MAC_CTX_free(context);
+    }
+  };
+
+  std::unique_ptr<EVP_MAC, Free> mac_;
+  std::unique_ptr<EVP_MAC_CTX, Free> context_;
+};
 
 }  // namespace
 
@@ -49,8 +92,8 @@
  public:
   Impl(boost::asio::io_context& context,
        const std::string& listen,
-       std::string key)
-      : socket_(context), key_(std::move(key)) {
+       const std::string& key)
+      : socket_(context), signer_(key) {
     const auto endpoint = ParseUdpAddress(listen);
     try {
       socket_.open(endpoint.protocol());
@@ -69,27 +112,22 @@
     Receive();
   }
 
-  auto Send(const std::string& address, const json& message) -> void {
+  auto Send(const std::vector<std::string>& addresses, const json& message)
+      -> void {
     std::string content;
     json::to_msgpack(message, content);
     if (content.size() + kDatagramOverheadBytes > kMaxDatagramBytes) {
-      ++counters_.unsent;
+      counters_.unsent += addresses.size();
       return;
     }
     const auto version = static_cast<char>(kMessageVersion);
-    const auto mac = ComputeMac(key_, version, content);
+    const auto mac = signer_.Compute(version, content);
     std::string bytes(1, version);
     bytes.append(mac.begin(), mac.end());
     bytes.append(content);
-    boost::system::error_code error;
-    socket_.send_to(boost::asio::buffer(bytes), ParseUdpAddress(address), 0,
-                    error);
-    if (error) {
-      ++counters_.unsent;
-      return;
+    for (const auto& address : addresses) {
+      SendBytes(address, bytes);
     }
-    ++counters_.sent;
-    counters_.sent_bytes += bytes.size();
   }
 
   auto Close() -> void {
@@ -105,6 +143,18 @@
   auto counters() const -> const DatagramCounters& { return counters_; }
 
  private:
+  auto SendBytes(const std::string& address, const std::string& bytes) -> void {
+    boost::system::error_code error;
+    socket_.send_to(boost::asio::buffer(bytes), ParseUdpAddress(address), 0,
+                    error);
+    if (error) {
+      ++counters_.unsent;
+      return;
+    }
+    ++counters_.sent;
+    counters_.sent_bytes += bytes.size();
+  }
+
   auto Receive() -> void {
     socket_.async_receive_from(
         boost::asio::buffer(receive_buffer_), from_,
@@ -134,7 +184,7 @@
       return;
     }
     const auto content = bytes.substr(kDatagramOverheadBytes);
-    const auto mac = ComputeMac(key_, bytes.front(), content);
+    const auto mac = signer_.Compute(bytes.front(), content);
     if (CRYPTO_memcmp(mac.data(), bytes.data() + 1, mac.size()) != 0) {
       ++counters_.wrong_mac;
       return;
@@ -156,7 +206,7 @@
   }
 
   udp::socket socket_;
-  std::string key_;
+  Signer signer_;
   Receiver receiver_;
   std::array<char, kReceiveBufferBytes> receive_buffer_{};
   udp::endpoint from_;
@@ -165,10 +215,8 @@
 
 DatagramSocket::DatagramSocket(boost::asio::io_context& context,
                                const std::string& listen,
-                               std::string fleet_credential)
-    : impl_(std::make_shared<Impl>(context,
-                                   listen,
-                                   std::move(fleet_credential))) {}
+                               const std::string& fleet_credential)
+    : impl_(std::make_shared<Impl>(context, listen, fleet_credential)) {}
 
 DatagramSocket::~DatagramSocket() {
   impl_->Close();
@@ -180,7 +228,12 @@
 
 auto DatagramSocket::Send(const std::string& address, const json& message)
     -> void {
-  impl_->Send(address, message);
+  impl_->Send({address}, message);
+}
+
+auto DatagramSocket::Send(const std::vector<std::string>& addresses,
+                          const json& message) -> void {
+  impl_->Send(addresses, message);
 }
 
 auto DatagramSocket::address() const -> std::string {
--- a/src/node/gossip.cc
+++ b/src/node/gossip.cc
@@ -92,8 +92,9 @@
     membership_.SetSeeds(std::move(seeds));
   }
 
-  auto SendDatagram(const std::string& address, const json& message) -> void {
-    socket_.Send(address, message);
+  auto SendDatagrams(const std::vector<std::string>& addresses,
+                     const json& message) -> void {
+    socket_.Send(addresses, message);
   }
 
   auto counters() const -> GossipCounters {
@@ -400,7 +401,12 @@
 
 auto Gossip::SendDatagram(const std::string& address, const json& message)
     -> void {
-  impl_->SendDatagram(address, message);
+  impl_->SendDatagrams({address}, message);
+}
+
+auto Gossip::SendDatagrams(const std::vector<std::string>& addresses,
+                           const json& message) -> void {
+  impl_->SendDatagrams(addresses, message);
 }
 
 auto Gossip::membership() const -> const control::Membership& {
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -793,15 +793,14 @@
 
   // Sends a message to random nodes, each of which passes news on.
   auto SendNews(const json& message) -> void {
-    auto addresses = std::vector<std::string>();
-    ForEachPeer(
-        [&](const std::string& address) { addresses.push_back(address); });
-    for (std::size_t sent = 0; sent < kNewsFanout && !addresses.empty();
-         ++sent) {
-      std::swap(addresses[DrawRandom() % addresses.size()], addresses.back());
-      gossip_.SendDatagram(addresses.back(), message);
-      addresses.pop_back();
+    auto addresses = PeerAddresses();
+    const auto count = std::min(kNewsFanout, addresses.size());
+    for (std::size_t at = 0; at < count; ++at) {
+      std::swap(addresses[at],
+                addresses[at + DrawRandom() % (addresses.size() - at)]);
     }
+    addresses.resize(count);
+    gossip_.SendDatagrams(addresses, message);
   }
 
   // Whether news is sent again, since datagrams may be lost, and since nodes
@@ -995,19 +994,18 @@
         {"r", std::move(slots_by_service)},
         {"l",
          detail::EncodeStartReports(load_balancer_.start_limiter().limits())}};
-    for (const auto& address : other_cells_) {
-      gossip_.SendDatagram(address, message);
-    }
+    gossip_.SendDatagrams(other_cells_, message);
   }
 
-  auto ForEachPeer(const std::function<auto(const std::string&)->void>& send)
-      -> void {
+  auto PeerAddresses() const -> std::vector<std::string> {
     const auto self = gossip_.membership().self().id;
+    auto addresses = std::vector<std::string>();
     for (const auto& node : gossip_.membership().live()) {
       if (node.id != self) {
-        send(node.node_address);
+        addresses.push_back(node.node_address);
       }
     }
+    return addresses;
   }
 
   auto OnCountsChanged() -> void {
@@ -1038,9 +1036,7 @@
     }
     counts_empty_ = entries.empty();
     message["c"] = std::move(entries);
-    for (const auto& address : cell_peers_) {
-      gossip_.SendDatagram(address, message);
-    }
+    gossip_.SendDatagrams(cell_peers_, message);
     SendStartReports(false);
   }
 
@@ -1056,9 +1052,7 @@
                {"n", settings_.name.value()},
                {"r", run_},
                {"l", detail::EncodeStartReports({first, first + size})}};
-      for (const auto& address : cell_peers_) {
-        gossip_.SendDatagram(address, message);
-      }
+      gossip_.SendDatagrams(cell_peers_, message);
       first += size;
     }
   }
@@ -1129,9 +1123,7 @@
   auto Announce(const JobId& job) -> void {
     const auto message =
         json{{"t", "job"}, {"n", settings_.name.value()}, {"j", job.value()}};
-    ForEachPeer([&](const std::string& address) {
-      gossip_.SendDatagram(address, message);
-    });
+    gossip_.SendDatagrams(PeerAddresses(), message);
   }
 
   // --- Callers.
