--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -1033,6 +1033,72 @@
   CHECK_FALSE(fleet.store->Has("job-states/j1"));
 }
 
+// Guards against nodes that accept more jobs together than may wait, also after
+// each of them was killed in turn, against a refusal of a job that was accepted
+// before, and against a quota that stays used up.
+TEST_CASE("Gateway.KeepsTheQuotaOfARouteOnAllNodesTogether") {
+  constexpr auto kJobsThatFit = 10;
+  constexpr auto kJobTokens = 10;  // Of JobBody with one item.
+  constexpr auto kMostAccepted = kJobsThatFit * 11 / 10;  // The users' bound.
+  auto fleet = Fleet(3);
+  for (auto* replica : {fleet.one.get(), fleet.two.get()}) {
+    replica->set_event_delay(std::chrono::seconds(30));
+  }
+  fleet.AwaitService();
+  auto configuration = MakeConfiguration(4);
+  for (auto& route : configuration.at("routes")) {
+    if (route.at("kind") == "batch") {
+      route["cap"] = kJobsThatFit * kJobTokens;
+    }
+  }
+  fleet.store->Put("config/main", configuration);
+  for (const auto& node : fleet.nodes) {
+    REQUIRE(Eventually(
+        [&] { return !LinesOf(node->Log(), "version", "4").empty(); }));
+  }
+  auto number = 0;
+  auto accepted = 0;
+  const auto submit = [&](std::size_t node) {
+    const auto job = "j" + std::to_string(++number);
+    const auto reply =
+        fleet.nodes[node]->Call("POST", "/jobs/1", job, JobBody({"i-" + job}));
+    accepted += reply.status == 202 ? 1 : 0;
+    return reply;
+  };
+  for (auto at = 0; at < 2 * kJobsThatFit; ++at) {
+    const auto reply = submit(at % fleet.nodes.size());
+    CHECK((reply.status == 202 || reply.status == 429));
+    CHECK((reply.headers.count("retry-after") == 1) == (reply.status == 429));
+  }
+  CHECK(accepted == kJobsThatFit);
+  CHECK(fleet.nodes.back()
+            ->Call("POST", "/jobs/1", "j1", JobBody({"i-j1"}))
+            .status == 202);
+  for (std::size_t at = 0; at < fleet.nodes.size(); ++at) {
+    auto& node = *fleet.nodes[at];
+    node.process().Signal(SIGKILL);
+    node.process().WaitForExit(milliseconds(5'000));
+    submit((at + 1) % fleet.nodes.size());
+    node.Start();
+    REQUIRE(Eventually([&] {
+      return node.Ready() &&
+             node.Call("POST", "/plain/warm", "warm").status == 200;
+    }));
+    for (std::size_t other = 0; other < fleet.nodes.size(); ++other) {
+      submit(other);
+    }
+  }
+  CHECK(accepted <= kMostAccepted);
+  for (auto* replica : {fleet.one.get(), fleet.two.get()}) {
+    replica->set_event_delay(milliseconds(0));
+  }
+  const auto before = accepted;
+  CHECK(Eventually([&] {
+    submit(0);
+    return accepted > before;
+  }));
+}
+
 // Guards against a planned stop that cuts an answer off.
 TEST_CASE("Gateway.FinishesWhatItHasReadInAPlannedStop") {
   auto fleet = Fleet();
