--- a/testing/gateway/gateway_process.cc
+++ b/testing/gateway/gateway_process.cc
@@ -59,13 +59,15 @@
       callers_(ports_.Add()),
       readiness_(ports_.Add()),
       directory_(ports_.Add()),
+      nodes_(ports_.Add()),
       settings_(folder_ + "/" + name_ + ".toml") {
   auto file = std::ofstream(settings_);
   file << "[node]\nname = \"" << name_ << "\"\nzone = \"a\"\n"
-       << "fleet_credential = \"test\"\n[listen]\ncallers = \"" << callers_
-       << "\"\nreadiness = \"" << readiness_ << "\"\ndirectory = \""
-       << directory_ << "\"\nnodes = \"" << ports_.Add()
-       << "\"\n[store]\naddress = \"" << store << "\"\n[limits]\nstop_s = 8\n"
+       << "fleet_credential = \"" << kTestCredential
+       << "\"\n[listen]\ncallers = \"" << callers_ << "\"\nreadiness = \""
+       << readiness_ << "\"\ndirectory = \"" << directory_ << "\"\nnodes = \""
+       << nodes_ << "\"\n[store]\naddress = \"" << store
+       << "\"\n[limits]\nstop_s = 8\n"
        << "memory_mb = " << memory_mb << "\n";
   file.close();
   Start();
--- a/testing/gateway/gateway_process.h
+++ b/testing/gateway/gateway_process.h
@@ -14,6 +14,8 @@
 
 namespace kumquatgauge::testing {
 
+// The credential by which the gateways of a test know each other.
+inline constexpr auto kTestCredential = "test";
 // The host of all routes of a test configuration.
 inline constexpr auto kGatewayHost = "h.example";
 
@@ -59,6 +61,8 @@
 
   auto process() -> ChildProcess& { return *process_; }
   auto callers() const -> const std::string& { return callers_; }
+  // Its address for other gateways.
+  auto nodes() const -> const std::string& { return nodes_; }
   auto name() const -> const std::string& { return name_; }
   // Number of starts of the process.
   auto starts() const -> int { return starts_; }
@@ -73,6 +77,7 @@
   std::string callers_;
   std::string readiness_;
   std::string directory_;
+  std::string nodes_;
   std::string settings_;
   std::atomic<int> starts_ = 0;
   std::unique_ptr<ChildProcess> process_;
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -18,6 +18,7 @@
 #include <sstream>
 #include <thread>
 
+#include "kumquatgauge/node/datagram_socket.h"
 #include "testing/gateway/fake_servers.h"
 #include "testing/gateway/gateway_process.h"
 
@@ -1227,6 +1228,76 @@
   CHECK(lines.back().at("resumes") == "q1");
 }
 
+// A value of any type, of limited depth.
+auto RandomValue(std::mt19937& random, int depth) -> json {
+  switch (random() % (depth > 0 ? 8 : 6)) {
+    case 0:
+      return nullptr;
+    case 1:
+      return random() % 2 == 0;
+    case 2:
+      return static_cast<std::int64_t>(random()) * (random() % 2 == 0 ? 1 : -1);
+    case 3:
+      return ~std::uint64_t{0} - random() % 2;
+    case 4:
+      return "n" + std::to_string(random() % 3);
+    case 5:
+      return 1e300;
+    case 6: {
+      auto list = json::array();
+      for (auto size = random() % 4; size > 0; --size) {
+        list.push_back(RandomValue(random, depth - 1));
+      }
+      return list;
+    }
+    default: {
+      auto object = json::object();
+      for (auto size = random() % 4; size > 0; --size) {
+        object["n" + std::to_string(random() % 3)] =
+            RandomValue(random, depth - 1);
+      }
+      return object;
+    }
+  }
+}
+
+// Guards against one malformed datagram that ends the process: another release
+// may send anything under the names of this one.
+TEST_CASE("Gateway.OutlivesDatagramsOfAnyContent") {
+  constexpr auto kDatagrams = 4'000;
+  constexpr auto kPerBurst = 50;
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  auto& node = *fleet.nodes.front();
+  auto context = boost::asio::io_context();
+  auto socket = node::DatagramSocket(context, "127.0.0.1:0", kTestCredential);
+  auto random = std::mt19937(5);
+  const auto types = std::vector<std::string>{
+      "h",     "p",      "q",        "r",       "n",     "load", "room",
+      "limit", "origin", "versions", "leaving", "crash", "job"};
+  const auto names = std::string("abcdefgijklmnopqrsvx");
+  for (auto number = 0; number < kDatagrams; ++number) {
+    auto message = json::object();
+    message["t"] = types[random() % types.size()];
+    if (random() % 4 != 0) {
+      message["n"] = "n" + std::to_string(random() % 3);
+    }
+    for (const auto name : names) {
+      if (random() % 2 == 0) {
+        message[std::string(1, name)] = RandomValue(random, 3);
+      }
+    }
+    socket.Send(node.nodes(), message);
+    if (number % kPerBurst == 0) {
+      INFO("datagram " << number << " " << message.dump());
+      REQUIRE(node.Call("POST", "/plain/x", "q1").status != 0);
+    }
+  }
+  CHECK(Eventually(
+      [&] { return node.Call("POST", "/plain/x", "q2").status == 200; }));
+  CHECK_FALSE(LinesOf(node.Log(), "event", "datagram_malformed").empty());
+}
+
 // Guards against a replica in need that gets more from all nodes together than
 // it says that it takes: online requests, second attempts and batch items.
 TEST_CASE("Gateway.KeepsTheLimitThatAReplicaNamesOnAllNodesTogether") {
