--- a/src/serving/quota_keeper.cc
+++ b/src/serving/quota_keeper.cc
@@ -172,7 +172,7 @@
     const auto label = "{route=\"" + name + "\"}";
     const auto add =
         [&](const std::string& metric,
-            std::function<auto(const TokenQuota&)->std::uint64_t> read) {
+            const std::function<auto(const TokenQuota&)->std::uint64_t>& read) {
           parts_.metrics.AddGauge(metric + label, [weak = weak_from_this(),
                                                    name, read] {
             const auto self = weak.lock();
--- a/src/serving/token_quota_test.cc
+++ b/src/serving/token_quota_test.cc
@@ -177,7 +177,7 @@
     using Run = std::function<auto()->void>;
     RunOnNode(at, delay, std::make_shared<const Run>(std::move(run)));
   }
-  auto RunOnNode(std::size_t at, Duration delay, Task run) -> void {
+  auto RunOnNode(std::size_t at, Duration delay, const Task& run) -> void {
     After(delay, [this, at, starts = nodes_[at]->starts, run] {
       const auto& node = *nodes_[at];
       if (node.up && node.starts == starts) {
@@ -216,7 +216,8 @@
     Step(at, request);
   }
 
-  auto Step(std::size_t at, std::shared_ptr<TokenRequest> request) -> void {
+  auto Step(std::size_t at, const std::shared_ptr<TokenRequest>& request)
+      -> void {
     auto& node = *nodes_[at];
     const auto shared_step =
         std::make_shared<const QuotaStep>(node.quota->Next(*request));
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -1061,7 +1061,7 @@
   auto accepted = 0;
   const auto submit = [&](std::size_t node) {
     const auto job = "j" + std::to_string(++number);
-    const auto reply =
+    auto reply =
         fleet.nodes[node]->Call("POST", "/jobs/1", job, JobBody({"i-" + job}));
     accepted += reply.status == 202 ? 1 : 0;
     return reply;
