Scan jobs periodically by reads that may be seconds old

Cause: every node lists the states of all jobs every ten seconds, at the full price of a read.

Scans after a change of the members, after a failure and while an owner is absent stay exact. A takeover is a conditional write, and a stale listing does not count as knowledge of a job's state.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -82,7 +82,9 @@
 // Time that the members of a fleet that starts all at once need to find each
 // other.
 constexpr milliseconds kUnknownOwnerWait{2'000};
-// The periodic scan makes up for lost announcements of takeovers.
+// The periodic scan makes up for lost announcements of takeovers. It may show
+// states that are seconds old, at a fraction of the store's price: every node
+// scans, and a takeover is a conditional write.
 constexpr std::chrono::seconds kScanInterval{10};
 // Retry-After while the store is unavailable.
 constexpr milliseconds kStoreRetryAfter{500};
@@ -200,7 +202,7 @@
   auto Start() -> void {
     asio::co_spawn(parts_.executor, TickLoop(shared_from_this()),
                    asio::detached);
-    ScheduleScan(kFirstScanDelay);
+    ScheduleScan(kFirstScanDelay, true);
   }
 
   auto Close() -> void {
@@ -403,14 +405,14 @@
     announced_[job] = owner;
   }
 
-  auto OnMembersChanged() -> void { ScheduleScan(kScanDelay); }
+  auto OnMembersChanged() -> void { ScheduleScan(kScanDelay, true); }
 
   auto OnRestarted() -> void {
     const auto jobs = jobs_;
     for (const auto& [id, job] : jobs) {
       Drop(job, "other nodes considered this node dead");
     }
-    ScheduleScan(kFirstScanDelay);
+    ScheduleScan(kFirstScanDelay, true);
   }
 
   auto RegisterHandlers(node::PeerServer& server) -> void {
@@ -1769,7 +1771,9 @@
 
   // --- Takeover.
 
-  auto ScheduleScan(milliseconds delay) -> void {
+  // An exact scan shows the newest states.
+  auto ScheduleScan(milliseconds delay, bool exact) -> void {
+    scan_exactly_ = scan_exactly_ || exact;
     scan_timer_.expires_after(delay);
     scan_timer_.async_wait(
         [weak = weak_from_this()](const boost::system::error_code& error) {
@@ -1785,17 +1789,18 @@
   // that all nodes agree on; a conditional write resolves disagreements.
   static auto Scan(std::shared_ptr<Impl> self) -> awaitable<void> {
     const auto asked_at = self->parts_.clock();
+    const auto exact = std::exchange(self->scan_exactly_, false);
     auto states = std::vector<StoredState>();
     auto failure = std::string();
     try {
-      states = co_await self->parts_.archive.ListStates(true);
+      states = co_await self->parts_.archive.ListStates(exact);
     } catch (const Error& error) {
       failure = error.what();
     }
     if (!failure.empty()) {
       self->logger_.Warning("jobs cannot be listed",
                             {{"event", "scan_failed"}, {"reason", failure}});
-      self->ScheduleScan(kScanRetryDelay);
+      self->ScheduleScan(kScanRetryDelay, exact);
       co_return;
     }
     self->parts_.quotas.OnListing(states, [&](const JobId& id) {
@@ -1809,7 +1814,8 @@
       const auto& state = stored.state;
       const auto own = self->jobs_.find(state.id);
       if (own != self->jobs_.end()) {
-        self->ApplyState(JobPtr(own->second), stored, "a listing", asked_at);
+        self->ApplyState(JobPtr(own->second), stored, "a listing",
+                         exact ? asked_at : own->second->state_known_at);
       }
       if (self->Expired(state) && self->IsChosen(state.id)) {
         co_await self->RemoveExpired(stored);
@@ -1821,9 +1827,11 @@
     self->EvictDone();
     const auto jitter =
         milliseconds(static_cast<std::int64_t>(self->parts_.random() % 2'000));
-    self->ScheduleScan(self->absent_since_.empty()
-                           ? kScanInterval + jitter
-                           : milliseconds(kUnknownOwnerWait));
+    if (self->absent_since_.empty()) {
+      self->ScheduleScan(kScanInterval + jitter, false);
+    } else {
+      self->ScheduleScan(kUnknownOwnerWait, true);
+    }
   }
 
   auto Expired(const JobState& state) const -> bool {
@@ -1929,7 +1937,7 @@
                       {{"event", "adopt_failed"},
                        {"job", stored.state.id.value()},
                        {"reason", failure}});
-      ScheduleScan(kScanRetryDelay);
+      ScheduleScan(kScanRetryDelay, true);
     }
   }
 
@@ -1995,6 +2003,7 @@
   // When the owner of an unfinished job was first found absent.
   std::map<JobId, MonotonicTime> absent_since_;
   ResultCache cache_{parts_.memory_bytes / kCacheMemoryDivisor};
+  bool scan_exactly_ = true;
   std::uint64_t scheduled_version_ = 0;
   std::uint64_t store_failures_ = 0;
   std::uint64_t notices_dropped_ = 0;
