Let nodes that do not watch the store wait for news of versions at their start

Cause: every node read the versions of each service in the store when it started, although the entries that it gets from other nodes come with the versions.

Change: a node that has peers and does not watch the store waits 0.4 to 0.8 s for them before it reads, also for a service of which it knows no version yet.

--- a/src/serving/stream_versions.cc
+++ b/src/serving/stream_versions.cc
@@ -303,11 +303,7 @@
       if (services.empty()) {
         break;
       }
-      const auto first = std::any_of(
-          services.begin(), services.end(), [&](const auto& service) {
-            return self->registry_.Registered(service).empty();
-          });
-      if (!self->parts_.watches() && !first) {
+      if (!self->parts_.watches() && self->parts_.live().size() > 1) {
         co_await Pause(kNewsWait +
                        milliseconds(static_cast<std::int64_t>(
                            self->parts_.random() %
