--- a/src/serving/token_quota_test.cc
+++ b/src/serving/token_quota_test.cc
@@ -605,8 +605,8 @@
   CHECK(fixture.Ask("j1", 10) == Kind::kWriteAccount);
 }
 
-// Guards against a node that repeats a write on a copy of the account that others
-// have changed, until it refuses the job although it fits.
+// Guards against a node that repeats a write on a copy of the account that
+// others have changed, until it refuses the job although it fits.
 TEST_CASE("TokenQuota.ReadsTheAccountAgainAfterAConflict") {
   auto fixture = Fixture();
   fixture.Lend(100);
