Start the gateways of a test after its replicas have their versions

The test announced replicas of two versions, started the gateways and removed the entries of the new one; a gateway that read them in between had stored the new version as a possible origin, for a minute, so that a stream without a record is refused, as it should be.

Change: the replicas have their versions before a gateway starts, and the replicas of the second version are announced only where a test wants them. No condition is changed.

--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -58,13 +58,20 @@
   return lines;
 }
 
+constexpr std::uint32_t kGatewayMegabytes = 256;
+
 struct Fleet {
-  explicit Fleet(int gateways = 1, std::uint32_t memory_mb = 256) {
+  // `version` is that of the replicas.
+  explicit Fleet(int gateways = 1,
+                 std::uint32_t memory_mb = kGatewayMegabytes,
+                 const std::string& version = "") {
     folder = std::filesystem::temp_directory_path() /
              ("kqg-gateway-test-" + std::to_string(std::random_device{}()));
     std::filesystem::create_directories(folder);
-    Announce(*one);
-    Announce(*two);
+    for (auto* replica : {one.get(), two.get()}) {
+      replica->set_version(version);
+      Announce(*replica);
+    }
     for (auto at = 0; at < gateways; ++at) {
       store_addresses.push_back(store->AddEndpoint());
       nodes.push_back(std::make_unique<GatewayProcess>(
@@ -134,15 +141,13 @@
 
 // A fleet whose replicas have two software versions, two replicas of each.
 struct TwoVersionFleet : Fleet {
-  explicit TwoVersionFleet(int gateways = 1) : Fleet(gateways) {
-    for (auto* replica : {one.get(), two.get()}) {
-      replica->set_version("v1");
-    }
+  explicit TwoVersionFleet(int gateways = 1, bool announce_second = true)
+      : Fleet(gateways, kGatewayMegabytes, "v1") {
     for (auto* replica : {three.get(), four.get()}) {
       replica->set_version("v2");
-    }
-    for (const auto* replica : replicas) {
-      Announce(*replica);
+      if (announce_second) {
+        Announce(*replica);
+      }
     }
   }
 
@@ -525,10 +530,7 @@
 // join: it takes the service to have had one version only, and goes on there
 // with a stream that began at the new one.
 TEST_CASE("Gateway.DoesNotResumeByAViewThatLacksANewVersion") {
-  auto fleet = TwoVersionFleet(2);  // Both watch the store.
-  for (const auto* id : {"i-3", "i-4"}) {
-    fleet.store->Remove(std::string("servers/") + id);
-  }
+  auto fleet = TwoVersionFleet(2, false);  // Both watch the store.
   fleet.AwaitService();
   auto configuration = MakeConfiguration(4);
   for (auto& route : configuration.at("routes")) {
@@ -609,10 +611,8 @@
 
 // Guards against a result whose text two software versions wrote.
 TEST_CASE("Gateway.RunsAnItemFromTheStartOnceItsVersionIsGone") {
-  auto fleet = TwoVersionFleet();
-  for (const auto* id : {"i-2", "i-3", "i-4"}) {
-    fleet.store->Remove(std::string("servers/") + id);
-  }
+  auto fleet = TwoVersionFleet(1, false);
+  fleet.store->Remove("servers/i-2");
   fleet.AwaitService();
   const auto& node = *fleet.nodes.front();
   fleet.one->SetFault(ReplicaFault::kBreakMidEvent, 1);
