Suspend the jobs of a node that does not know yet whether there are others

Cause: gateways that start while the store is out know no other node, and a node that has met none did not count as isolated.

Change: NodeRegistry::alone tells whether the store has shown that no other node is registered. A node that knows no other one and was not told so is isolated.

--- a/include/kumquatgauge/control/node_registry.h
+++ b/include/kumquatgauge/control/node_registry.h
@@ -42,6 +42,9 @@
   // Returns when that is done or Stop has been called.
   auto Run() -> boost::asio::awaitable<void>;
   auto Stop() -> void { stopped_ = true; }
+  // Whether the store has shown, after this node was registered there, that
+  // there is no other node.
+  auto alone() const -> bool { return alone_; }
   // Lists the names of all registered nodes. Throws Error.
   auto Names() -> boost::asio::awaitable<std::vector<NodeId>>;
   // Removes the entry of this node, for a planned stop. Throws Error.
@@ -59,6 +62,7 @@
   std::string value_;
   NodeRegistryHooks hooks_;
   bool stopped_ = false;
+  bool alone_ = false;
 };
 
 // Returns the nodes that are known to exist but of which there is no record:
--- a/src/control/node_registry.cc
+++ b/src/control/node_registry.cc
@@ -74,8 +74,10 @@
     up_to_date = value == value_;
     page.entries.erase(own);
   }
+  const auto others = !page.entries.empty();
   auto addresses = co_await ReadAddresses(std::move(page.entries));
   hooks_.found(std::move(addresses));
+  alone_ = up_to_date && !others;
   if (!up_to_date) {
     co_await store_.Write(key_, value_, version,
                           store::CallClass::kConfiguration);
--- a/src/control/node_registry_test.cc
+++ b/src/control/node_registry_test.cc
@@ -79,6 +79,19 @@
   CHECK(nodes.Names(node) == std::vector<NodeId>{NodeId("n0")});
 }
 
+// Guards against a node that takes itself to be alone because it has not found
+// the others yet.
+TEST_CASE("NodeRegistry.IsAloneOnlyIfTheStoreSaysSo") {
+  Registries nodes;
+  auto& first = nodes.Add("n0");
+  CHECK_FALSE(first.alone());
+  nodes.Run(first);
+  CHECK(first.alone());
+  auto& second = nodes.Add("n1");
+  nodes.Run(second);
+  CHECK_FALSE(second.alone());
+}
+
 // Guards against a read per node of the fleet at each start of a node.
 TEST_CASE("NodeRegistry.ReadsFewAddressesOfNodesThatAreNotMembers") {
   Registries nodes;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -302,7 +302,7 @@
             .cell_size = [this] { return cell_peers_.size() + 1; },
             .is_dead_or_left =
                 [this](const NodeId& id) { return IsDeadOrLeft(id); },
-            .isolated = [this] { return gossip_.membership().isolated(); },
+            .isolated = [this] { return IsIsolated(); },
             .store_failures = [this] { return StoreFailures(); },
             .hooks = answer_hooks_,
             .announce = [this](const JobId& job) { Announce(job); },
@@ -868,6 +868,14 @@
         });
   }
 
+  // Whether this node hears no other one though there may be some. One that
+  // has met none since its start is alone only if the store says so.
+  auto IsIsolated() const -> bool {
+    const auto& membership = gossip_.membership();
+    return membership.isolated() ||
+           (membership.live().size() <= 1 && !registry_.alone());
+  }
+
   // Divides the nodes into cells of about kNodesPerCell. All nodes that know
   // the same members compute the same cells.
   auto AssignCells(const std::vector<routing::NodeInfo>& nodes) -> void {
--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -80,6 +80,15 @@
   }
 }
 
+auto FakeObjectApi::SetKindDown(const std::string& kind, bool down) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  if (down) {
+    kinds_down_.insert(kind);
+  } else {
+    kinds_down_.erase(kind);
+  }
+}
+
 auto FakeObjectApi::IsDown(const Endpoint& endpoint) const -> bool {
   const auto lock = std::lock_guard(mutex_);
   return down_ || endpoint.down;
@@ -190,6 +199,9 @@
   const auto mark = request.target.find('?');
   const auto path =
       request.target.substr(kObjects.size(), mark - kObjects.size());
+  if (kinds_down_.contains(path.substr(0, path.find('/')))) {
+    return {503, json::object()};
+  }
   return request.method == "GET" ? AnswerRead(path)
                                  : AnswerWrite(request, path);
 }
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -36,6 +37,8 @@
   auto AddEndpoint() -> std::string;
   // While down, every call to the address is answered 503.
   auto SetEndpointDown(const std::string& address, bool down) -> void;
+  // While down, every call about objects of this kind is answered 503.
+  auto SetKindDown(const std::string& kind, bool down) -> void;
   // Reads of single objects of this kind are answered after this time.
   auto SetReadDelay(const std::string& kind, std::chrono::milliseconds delay)
       -> void;
@@ -77,6 +80,7 @@
   std::map<std::string, Object> objects_;  // By "KIND/NAME".
   std::map<std::string, int> lost_answers_;
   std::map<std::string, std::chrono::milliseconds> read_delays_;
+  std::set<std::string> kinds_down_;
   std::uint64_t revision_ = 1;
   bool down_ = false;
   boost::asio::io_context& context_;
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -1008,6 +1008,32 @@
   fleet.nodes[1]->process().Signal(SIGCONT);
 }
 
+// Guards against items that run on after their end because the nodes started
+// while the store was out and have not found each other, so that the one that
+// stored the end cannot tell the owner.
+TEST_CASE("Gateway.SuspendsItsJobsUntilItKnowsWhetherThereAreOthers") {
+  auto fleet = Fleet(2);
+  fleet.AwaitService();
+  for (const auto& node : fleet.nodes) {
+    node->process().Signal(SIGKILL);
+    REQUIRE(node->process().WaitForExit(kLimit));
+    fleet.store->Remove("gateways/" + node->name());
+  }
+  fleet.store->SetKindDown("gateways", true);
+  for (const auto& node : fleet.nodes) {
+    node->Start();
+    REQUIRE(Eventually([&] {
+      return node->Ready() &&
+             node->Call("POST", "/plain/warm", "warm").status == 200;
+    }));
+    REQUIRE(node->Addresses().size() == 1);
+  }
+  SubmitSlowJob(fleet);
+  CHECK(fleet.nodes[1]->Call("DELETE", "/api/lots/j1", "").status == 200);
+  fleet.store->set_down(true);
+  CHECK(StopsInTime(fleet));
+}
+
 // Guards against items that run on when the node that stored the end of their
 // job was lost before it could tell the owner, and the caller's repeated
 // request finds the job ended.
