Remove a software version from the store each time it has left

Cause: a node remembered for each service the version that was the only one in the store. When another one came and left again it took the store to be clean, so that the version that had left stayed there, and streams without a record were refused for good. It also took a version to be registered that the object did not hold, and a node that had stood still registered its versions only at the next change of a replica.

Change: VersionRegistry decides what is to be removed; what is registered anew makes it look again, and OnStored records what the object holds. Missing versions are registered at each tick.

Result: VersionRegistry.FindsAVersionToRemoveEachTimeItHasLeft and VersionRegistry.RegistersAVersionAgainThatTheStoreLacks; both need the new functions, so that they were not run on the code before.

--- a/include/kumquatgauge/serving/version_registry.h
+++ b/include/kumquatgauge/serving/version_registry.h
@@ -43,9 +43,8 @@
   // Records that the store holds these versions. Returns whether that is news.
   auto OnRegistered(const ServiceName& service, const VersionSet& versions)
       -> bool;
-  // Records that the store holds no other version any more.
-  auto OnRemoved(const ServiceName& service, const VersionSet& remaining)
-      -> void;
+  // Records that the store holds these versions and no others.
+  auto OnStored(const ServiceName& service, const VersionSet& versions) -> void;
   // Must be called about once a second.
   auto OnTick() -> void;
 
@@ -59,10 +58,13 @@
   }
   // Whether more than one version may have begun streams that go on.
   auto HasSeveral(const ServiceName& service) const -> bool;
-  // Returns the only version that is left of several that are registered, once
-  // the others have been gone for kVersionRetention.
+  // Returns the only version that is left of a service, once the others have
+  // been gone for kVersionRetention.
   auto Remaining(const ServiceName& service) const
       -> std::optional<std::string>;
+  // Returns a service with a remaining version beside which the store may hold
+  // others.
+  auto FindRemovable() const -> std::optional<ServiceName>;
   // Returns the replicas that may be used.
   auto Usable(const std::vector<routing::Replica>& replicas) const
       -> std::vector<routing::Replica>;
@@ -75,6 +77,8 @@
   VersionHistory history_;
   std::map<ServiceName, VersionSet> current_;
   std::map<ServiceName, VersionSet> registered_;
+  // The only version of a service in the store, as last read.
+  std::map<ServiceName, std::string> sole_stored_;
   // Since when a version of the service waits to be registered.
   std::map<ServiceName, MonotonicTime> waiting_since_;
   std::optional<MonotonicTime> last_tick_;
--- a/src/serving/stream_versions.cc
+++ b/src/serving/stream_versions.cc
@@ -190,11 +190,7 @@
 
   auto SetReplicas(const std::vector<routing::Replica>& replicas) -> void {
     registry_.SetReplicas(replicas);
-    if (!registry_.Unregistered().empty() && !registering_) {
-      registering_ = true;
-      asio::co_spawn(parts_.executor, RegisterVersions(shared_from_this()),
-                     asio::detached);
-    }
+    RegisterMissing();
   }
 
   auto Usable(const std::vector<routing::Replica>& replicas) const
@@ -264,8 +260,13 @@
     if (!registry_.Unregistered().empty()) {
       parts_.usable_changed();  // They may have waited for long enough.
     }
-    if (parts_.watches() && !removing_) {
-      RemoveOldVersions();
+    RegisterMissing();
+    const auto removable = registry_.FindRemovable();
+    if (removable && parts_.watches() && !removing_) {
+      removing_ = true;
+      asio::co_spawn(parts_.executor,
+                     RemoveOthers(shared_from_this(), *removable),
+                     asio::detached);
     }
   }
 
@@ -295,6 +296,14 @@
     parts_.usable_changed();
   }
 
+  auto RegisterMissing() -> void {
+    if (!registering_ && !registry_.Unregistered().empty()) {
+      registering_ = true;
+      asio::co_spawn(parts_.executor, RegisterVersions(shared_from_this()),
+                     asio::detached);
+    }
+  }
+
   // Stores the versions that are not in the store yet. Those that watch the
   // store do so at once, the others if they hear nothing of it.
   static auto RegisterVersions(std::shared_ptr<Impl> self) -> awaitable<void> {
@@ -368,44 +377,28 @@
     co_return stored ? DecodeVersions(key, stored->value) : VersionSet();
   }
 
-  auto RemoveOldVersions() -> void {
-    for (const auto& [service, versions] : registry_.registered()) {
-      const auto remaining = registry_.Remaining(service);
-      const auto known = stored_versions_.find(service);
-      if (remaining && (known == stored_versions_.end() ||
-                        known->second != VersionSet{*remaining})) {
-        removing_ = true;
-        asio::co_spawn(parts_.executor,
-                       RemoveOthers(shared_from_this(), service, *remaining),
-                       asio::detached);
-        return;
-      }
-    }
-  }
-
-  static auto RemoveOthers(std::shared_ptr<Impl> self,
-                           ServiceName service,
-                           std::string remaining) -> awaitable<void> {
+  // Removes the versions from the store that have been gone for long.
+  static auto RemoveOthers(std::shared_ptr<Impl> self, ServiceName service)
+      -> awaitable<void> {
     const auto key = VersionsKey(service);
     try {
       const auto stored =
           co_await self->parts_.store.Read(key, CallClass::kStatus);
-      const auto wanted = VersionSet{remaining};
-      // Another version may have come since it was read.
-      const auto known =
+      auto versions =
           stored ? DecodeVersions(key, stored->value) : VersionSet();
-      if (stored && known != wanted && known.contains(remaining) &&
-          self->registry_.Remaining(service) == remaining) {
-        auto text = EncodeVersions(wanted);
+      // Another version may have come meanwhile.
+      const auto remaining = self->registry_.Remaining(service);
+      if (remaining && versions.contains(*remaining) && versions.size() > 1) {
+        versions = {*remaining};
+        auto text = EncodeVersions(versions);
         co_await self->parts_.store.Write(key, std::move(text), stored->version,
                                           CallClass::kStatus);
         self->logger_.Info("software versions are gone for long",
                            {{"event", "versions_removed"},
                             {"service", service.value()},
-                            {"remaining", remaining}});
+                            {"remaining", *remaining}});
       }
-      self->stored_versions_[service] = wanted;
-      self->registry_.OnRemoved(service, wanted);
+      self->registry_.OnStored(service, versions);
     } catch (const Error& error) {
       self->logger_.Info("old software versions cannot be removed yet",
                          {{"event", "store_failed"},
@@ -631,8 +624,6 @@
   // it is not known.
   std::optional<std::uint64_t> records_version_;
   bool records_read_ = false;
-  // The versions that are the only ones in the store by the last look.
-  std::map<ServiceName, VersionSet> stored_versions_;
   Counter& recorded_;
   Counter& found_;
   Counter& unknown_;
--- a/src/serving/version_registry.cc
+++ b/src/serving/version_registry.cc
@@ -34,12 +34,21 @@
   const auto before = known.size();
   known.insert(versions.begin(), versions.end());
   UpdateWaiting();
-  return known.size() != before;
+  if (known.size() == before) {
+    return false;
+  }
+  sole_stored_.erase(service);
+  return true;
 }
 
-auto VersionRegistry::OnRemoved(const ServiceName& service,
-                                const VersionSet& remaining) -> void {
-  registered_[service] = remaining;
+auto VersionRegistry::OnStored(const ServiceName& service,
+                               const VersionSet& versions) -> void {
+  registered_[service] = versions;
+  sole_stored_.erase(service);
+  if (versions.size() == 1) {
+    sole_stored_[service] = *versions.begin();
+  }
+  UpdateWaiting();
 }
 
 auto VersionRegistry::OnTick() -> void {
@@ -89,6 +98,18 @@
   return history_.SoleVersion(service, kVersionRetention);
 }
 
+auto VersionRegistry::FindRemovable() const -> std::optional<ServiceName> {
+  for (const auto& [service, versions] : registered_) {
+    const auto remaining = Remaining(service);
+    const auto stored = sole_stored_.find(service);
+    if (remaining &&
+        (stored == sole_stored_.end() || stored->second != *remaining)) {
+      return service;
+    }
+  }
+  return std::nullopt;
+}
+
 auto VersionRegistry::Usable(const std::vector<routing::Replica>& replicas)
     const -> std::vector<routing::Replica> {
   auto usable = std::vector<routing::Replica>();
--- a/src/serving/version_registry_test.cc
+++ b/src/serving/version_registry_test.cc
@@ -95,6 +95,38 @@
   CHECK(registry.Remaining(kService) == "v2");
 }
 
+// Guards against streams that are refused because the store names a version
+// that left for the second time.
+TEST_CASE("VersionRegistry.FindsAVersionToRemoveEachTimeItHasLeft") {
+  auto fixture = Fixture();
+  auto& registry = fixture.registry;
+  registry.SetReplicas(Replicas({"v1"}));
+  registry.OnRegistered(kService, {"v1"});
+  for (auto time = 0; time < 2; ++time) {
+    CAPTURE(time);
+    registry.SetReplicas(Replicas({"v1", "v2"}));
+    registry.OnRegistered(kService, {"v1", "v2"});
+    CHECK_FALSE(registry.FindRemovable());
+    registry.SetReplicas(Replicas({"v1"}));
+    fixture.Run(kVersionRetention + seconds(2));
+    CHECK(registry.FindRemovable() == kService);
+    registry.OnStored(kService, {"v1"});
+    CHECK_FALSE(registry.FindRemovable());
+  }
+}
+
+// Guards against replicas that are used although the object with their version
+// was removed.
+TEST_CASE("VersionRegistry.RegistersAVersionAgainThatTheStoreLacks") {
+  auto fixture = Fixture();
+  auto& registry = fixture.registry;
+  registry.SetReplicas(Replicas({"v1"}));
+  registry.OnRegistered(kService, {"v1"});
+  registry.OnStored(kService, {});
+  CHECK(registry.Unregistered() == std::vector<ServiceName>{kService});
+  CHECK(registry.Usable(Replicas({"v1"})).empty());
+}
+
 // Guards against an old version that comes back and is used at once by a node
 // that still knows it, while the store holds it no more.
 TEST_CASE("VersionRegistry.RegistersAVersionAgainThatWasGone") {
