Leave a replica that sends bytes but no whole event

Cause: each byte of an answer counted as progress. An item whose replica sent a byte now and then ran for ten minutes, and a stream until its route's time limit, though another replica could have gone on (the report of stalled streams that never end).

Change: upstream::Call has OnProgress, and a request may limit the time without it. The forwarder and the batch runner call it for whole events. An event may take twice the silence after which a stream is resumed, and 3 s for an item. Other answers make progress with each byte as before, and a caller that reads slowly does not count.

Gateway.KeepsAStreamWhoseEventsComeInPieces passes before and after; ReplicaCaller.EndsAnAnswerThatMakesNoProgress is new.

--- a/include/kumquatgauge/upstream/replica_call.h
+++ b/include/kumquatgauge/upstream/replica_call.h
@@ -32,6 +32,9 @@
   // Timeouts for the response head and then for each further read of the body.
   Duration head_timeout{};
   Duration body_idle_timeout{};
+  // How long the body may go on without a call of OnProgress although bytes
+  // arrive; zero for no limit.
+  Duration progress_timeout{};
 };
 
 struct ReplicaHead {
@@ -48,7 +51,7 @@
   kNotSent,    // No byte of the request was sent.
   kBroken,     // The connection was closed or lost.
   kMalformed,  // The bytes are no response to this request.
-  kSilent,     // head_timeout or body_idle_timeout passed.
+  kSilent,     // One of the request's timeouts passed.
   kDeadline,   // The deadline passed.
   kCancelled,
 };
@@ -93,6 +96,9 @@
   // Waits for further bytes of the body and appends them to `bytes`. Returns
   // kOpen while more may follow; the last bytes may be returned with kComplete.
   virtual auto Read(std::string& bytes) -> boost::asio::awaitable<CallEnd> = 0;
+  // Records that the bytes read so far hold something of use, such as a whole
+  // event.
+  virtual auto OnProgress() -> void = 0;
   // Cancels the call; pending operations return kCancelled.
   virtual auto Cancel() -> void = 0;
 
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -67,6 +67,8 @@
 // regular gap, is considered lost; the item continues on another replica.
 constexpr milliseconds kHeadSilence{3'000};
 constexpr milliseconds kEventSilence{1'500};
+// The same if bytes arrive but no whole event.
+constexpr milliseconds kEventTimeout{3'000};
 // An item normally takes seconds; this bounds an answer that never ends.
 constexpr std::chrono::minutes kItemTimeLimit{10};
 // Longest time that a read waits for a result, and the additional time allowed
@@ -1020,6 +1022,7 @@
     request.deadline = parts_.clock() + kItemTimeLimit;
     request.head_timeout = kHeadSilence;
     request.body_idle_timeout = kEventSilence;
+    request.progress_timeout = kEventTimeout;
     return request;
   }
 
@@ -1068,7 +1071,11 @@
     while (end == CallEnd::kOpen && intact) {
       auto bytes = std::string();
       end = co_await call->Read(bytes);
+      const auto before = job->progress[ref.item].last_event;
       intact = TakeEvents(*job, ref, splitter, bytes);
+      if (job->progress[ref.item].last_event > before) {
+        call->OnProgress();
+      }
     }
     if (!intact) {
       call->Cancel();
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -50,6 +50,9 @@
 constexpr double kHeadSilenceFactor = 2.5;
 constexpr double kGapSilenceFactor = 2.0;
 constexpr milliseconds kMinSilence{400};
+// How long an event may take while its bytes arrive, as a multiple of the
+// silence between events.
+constexpr int kEventTimeFactor = 2;
 // Used when neither the route nor the caller sets a time limit.
 constexpr milliseconds kDefaultTimeLimit{60'000};
 // Limit of an answer that is not an event stream. All of them together are
@@ -452,6 +455,7 @@
     request.head_timeout = std::max<Duration>(kMinSilence, head);
     if (route.kind == RequestKind::kStream) {
       request.body_idle_timeout = std::max<Duration>(request.head_timeout, gap);
+      request.progress_timeout = kEventTimeFactor * request.body_idle_timeout;
     }
   }
 
@@ -492,6 +496,7 @@
     while (end == CallEnd::kOpen) {
       const auto before = exchange->body.size();
       end = co_await exchange->call->Read(exchange->body);
+      exchange->call->OnProgress();
       buffered_bytes_ += exchange->body.size() - before;
       if (exchange->body.size() > kMaxBufferedAnswer ||
           buffered_bytes_ > parts_.answer_memory_bytes) {
@@ -522,7 +527,9 @@
       auto bytes = std::string();
       end = co_await exchange->call->Read(bytes);
       auto piece = std::string();
+      auto has_event = false;
       const auto fits = splitter.Feed(bytes, [&](const Event& event) {
+        has_event = has_event || event.id != 0 || !event.data.empty();
         if (event.id != 0 && event.id <= exchange->last_event) {
           return;  // An earlier attempt has already sent it.
         }
@@ -537,6 +544,10 @@
         exchange->call->Cancel();
         co_return CallEnd::kCancelled;
       }
+      // After the write, since a slow caller delays the next read.
+      if (has_event) {
+        exchange->call->OnProgress();
+      }
     }
     if (end == CallEnd::kComplete && !splitter.rest().empty()) {
       co_return CallEnd::kBroken;  // The stream ended inside an event.
--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -137,7 +137,7 @@
     auto end = CallEnd::kOpen;
     const auto before = bytes.size();
     while (end == CallEnd::kOpen && bytes.size() == before) {
-      end = co_await ReadSome(bytes, request_.deadline);
+      end = co_await ReadSome(bytes, BodyDeadline());
     }
     if (end == CallEnd::kComplete) {
       Release();
@@ -145,6 +145,10 @@
     co_return end;
   }
 
+  auto OnProgress() -> void override {
+    progress_at_ = std::chrono::steady_clock::now();
+  }
+
   auto Cancel() -> void override {
     cancelled_ = true;
     if (connection_) {
@@ -198,6 +202,7 @@
         co_return end;
       }
       if (accept_head_(head_)) {
+        OnProgress();
         co_return CallEnd::kOpen;
       }
       const auto skip_end = co_await SkipBody();
@@ -267,6 +272,13 @@
     co_return end;
   }
 
+  auto BodyDeadline() const -> MonotonicTime {
+    return request_.progress_timeout == Duration::zero()
+               ? request_.deadline
+               : std::min(request_.deadline,
+                          progress_at_ + request_.progress_timeout);
+  }
+
   auto ReadSome(std::string& bytes, MonotonicTime last) -> awaitable<CallEnd> {
     if (parser_->is_done()) {
       co_return CallEnd::kComplete;
@@ -331,6 +343,7 @@
   ReplicaHead head_;
   std::array<char, kReadBytes> read_buffer_{};
   MonotonicTime head_deadline_;
+  MonotonicTime progress_at_;
   std::string reason_;
   std::uint32_t sends_ = 0;
   bool response_begun_ = false;
--- a/src/upstream/replica_call_test.cc
+++ b/src/upstream/replica_call_test.cc
@@ -84,12 +84,15 @@
 }
 
 // Reads an answer without keeping its body.
-auto ReadToTheEnd(std::shared_ptr<ReplicaCaller::Call> call)
-    -> asio::awaitable<CallEnd> {
+auto ReadToTheEnd(std::shared_ptr<ReplicaCaller::Call> call,
+                  bool progress = false) -> asio::awaitable<CallEnd> {
   auto end = co_await call->Open();
   while (end == CallEnd::kOpen) {
     auto body = std::string();
     end = co_await call->Read(body);
+    if (progress) {
+      call->OnProgress();
+    }
   }
   co_return end;
 }
@@ -261,6 +264,33 @@
   }
 }
 
+// Guards against an answer that never ends because bytes arrive that are of no
+// use, and against one that is cut although it makes progress.
+TEST_CASE("ReplicaCaller.EndsAnAnswerThatMakesNoProgress") {
+  constexpr std::chrono::milliseconds kDeadline{1'000};
+  constexpr std::chrono::milliseconds kTimeout{250};
+  for (const auto progress : {false, true}) {
+    CAPTURE(progress);
+    auto fixture = Fixture();
+    auto closed = false;
+    asio::co_spawn(
+        fixture.context,
+        WriteWithoutEnd(fixture.acceptor,
+                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                        "1\r\nx\r\n", closed),
+        asio::detached);
+    auto request = fixture.MakeRequest("/endless", "");
+    request.deadline = std::chrono::steady_clock::now() + kDeadline;
+    request.head_timeout = kDeadline;
+    request.body_idle_timeout = kDeadline;
+    request.progress_timeout = kTimeout;
+    const auto call = fixture.caller.Start(
+        std::move(request), [](const ReplicaHead&) { return true; });
+    CHECK(RunAwait(fixture.context, ReadToTheEnd(call, progress)) ==
+          (progress ? CallEnd::kDeadline : CallEnd::kSilent));
+  }
+}
+
 // Guards against an answer that is lost because it has neither a length nor
 // chunks, and against one that is cut by a reset and looks complete.
 TEST_CASE("ReplicaCaller.ReadsAnAnswerThatEndsWithItsConnection") {
--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -17,6 +17,9 @@
 constexpr auto kObjects = std::string_view("/api/objects/");
 constexpr milliseconds kWatchStep{10};
 constexpr std::size_t kEndlessPiece = 64'000;
+constexpr milliseconds kTrickleStep{50};
+constexpr std::size_t kPieces = 4;  // Of an event.
+constexpr milliseconds kPieceStep{250};
 
 auto QueryNumber(const std::string& target, const std::string& name)
     -> std::uint64_t {
@@ -425,6 +428,24 @@
   co_await Stream(*request, writer, std::move(headers), fault);
 }
 
+// Begins an event that never ends.
+auto FakeReplica::Trickle(std::shared_ptr<caller::ResponseWriter> writer)
+    -> awaitable<void> {
+  auto text = std::string("data: ");
+  while (co_await writer->WriteChunk(std::exchange(text, "x"))) {
+    co_await Pause(context_, kTrickleStep);
+  }
+}
+
+auto FakeReplica::WriteInPieces(std::shared_ptr<caller::ResponseWriter> writer,
+                                std::string text) -> awaitable<void> {
+  const auto size = text.size() / kPieces + 1;
+  for (std::size_t at = 0; at < text.size(); at += size) {
+    co_await Pause(context_, kPieceStep);
+    co_await writer->WriteChunk(text.substr(at, size));
+  }
+}
+
 auto FakeReplica::Stream(const caller::IncomingRequest& request,
                          std::shared_ptr<caller::ResponseWriter> writer,
                          HeaderList headers,
@@ -444,7 +465,15 @@
       co_await writer->WriteChunk(std::move(text));
       co_return;
     }
-    co_await writer->WriteChunk(std::move(text));
+    if (fault == ReplicaFault::kTrickle && number == 3) {
+      co_await Trickle(writer);
+      co_return;
+    }
+    if (fault == ReplicaFault::kPieces && number == 3) {
+      co_await WriteInPieces(writer, std::move(text));
+    } else {
+      co_await writer->WriteChunk(std::move(text));
+    }
   }
   co_await writer->FinishStream();
 }
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -97,6 +97,8 @@
   kFail,            // Status 500.
   kUnprocessable,   // Status 422.
   kEndlessBody,     // Sends a body until the caller closes the connection.
+  kTrickle,         // Sends its third event a byte at a time, without end.
+  kPieces,          // Sends its third event in pieces within a second.
 };
 
 // A fake replica of the users' platform on 127.0.0.1. Streams have kEvents
@@ -150,6 +152,10 @@
               std::shared_ptr<caller::ResponseWriter> writer,
               HeaderList headers,
               ReplicaFault fault) -> boost::asio::awaitable<void>;
+  auto Trickle(std::shared_ptr<caller::ResponseWriter> writer)
+      -> boost::asio::awaitable<void>;
+  auto WriteInPieces(std::shared_ptr<caller::ResponseWriter> writer,
+                     std::string text) -> boost::asio::awaitable<void>;
   auto TakeFault() -> ReplicaFault;
   // Returns whether the request has ended the replica.
   auto Crashes(const caller::IncomingRequest& request) -> bool;
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -432,6 +432,47 @@
   }
 }
 
+// Guards against streams and items that never end because their replica sends a
+// byte now and then but no event.
+TEST_CASE("Gateway.LeavesAReplicaThatSendsBytesButNoEvents") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  const auto& node = *fleet.nodes.front();
+  for (auto request = 0; request < 2; ++request) {
+    fleet.one->SetFault(ReplicaFault::kTrickle, 1);
+    const auto id = "m" + std::to_string(request);
+    const auto reply = node.Call("POST", "/stream/x", id);
+    CHECK(reply.complete);
+    CHECK(reply.body == ExpectedEvents(id, 0));
+  }
+  fleet.one->SetFault(ReplicaFault::kTrickle, 1);
+  fleet.two->SetFault(ReplicaFault::kTrickle, 1);
+  REQUIRE(node.Call("POST", "/jobs/1", "j1", JobBody({"a", "b"})).status ==
+          202);
+  auto page = json();
+  CHECK(Eventually([&] {
+    page = node.ReadJob("j1");
+    return page.is_object() && page.at("next") == 2;
+  }));
+  for (const auto& result : page.at("results")) {
+    CHECK(result.at("text") == ExpectedText(result.at("id")));
+  }
+}
+
+// Guards against a stream that is cut although its events arrive, because one
+// comes slowly in pieces.
+TEST_CASE("Gateway.KeepsAStreamWhoseEventsComeInPieces") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  for (auto* replica : {fleet.one.get(), fleet.two.get()}) {
+    replica->SetFault(ReplicaFault::kPieces, 1);
+  }
+  const auto reply = fleet.nodes.front()->Call("POST", "/stream/x", "p1");
+  CHECK(reply.complete);
+  CHECK(reply.body == ExpectedEvents("p1", 0));
+  CHECK(fleet.RunCount("p1") == 1);
+}
+
 // Guards against one answer that holds events of two software versions.
 TEST_CASE("Gateway.ContinuesAStreamAtTheVersionThatBeganIt") {
   auto fleet = TwoVersionFleet();
