Say that a job may run if it does not fit and its state cannot be read

Cause: a submission that is repeated after a lost answer finds the quota used up by the job itself. If its state could then not be read, it was refused as not run, though the first one may have been accepted; and a node that stops refused a job that it had just found accepted.

Change: such a job is answered 502, without "not run". A stop refuses only what was about to be accepted.

Gateway.KeepsTheQuotaOfARouteOnAllNodes- Together passes.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -253,7 +253,7 @@
       self->submitting_.erase(self->submitting_.find(id));
     });
     auto decision = co_await CheckQuota(state);
-    if (stopped_) {
+    if (stopped_ && decision.admission == JobAdmission::kGranted) {
       parts_.quotas.OnOver(state.account, id);
       decision = {JobAdmission::kUnavailable, "this node stops", {}};
     }
@@ -267,8 +267,10 @@
                       decision.retry_after);
       co_return;
     }
-    if (decision.admission == JobAdmission::kUnavailable) {
-      co_await RefuseJob(id, decision.reason, true, writer);
+    if (decision.admission == JobAdmission::kUnavailable ||
+        decision.admission == JobAdmission::kUnknown) {
+      const auto not_run = decision.admission == JobAdmission::kUnavailable;
+      co_await RefuseJob(id, decision.reason, not_run, writer);
       co_return;
     }
     auto stored = std::optional<StoredState>();
@@ -484,7 +486,13 @@
     return items.empty() ? "a batch job needs items" : "";
   }
 
-  enum class JobAdmission { kGranted, kExists, kOverQuota, kUnavailable };
+  enum class JobAdmission {
+    kGranted,
+    kExists,
+    kOverQuota,
+    kUnavailable,
+    kUnknown,  // It does not fit, or an earlier submission was accepted.
+  };
   struct QuotaCheck {
     JobAdmission admission = JobAdmission::kGranted;
     std::string reason;
@@ -529,14 +537,21 @@
       if (decision.granted) {
         co_return check;
       }
-      check = {JobAdmission::kOverQuota, decision.reason, decision.retry_after};
+      // Holds if the job's state cannot be read.
+      check.admission = JobAdmission::kUnknown;
       const auto stored = co_await parts_.archive.LoadState(state.id);
       if (stored) {
         OnAnnounced(state.id, stored->state.owner);
         check.admission = JobAdmission::kExists;
+      } else {
+        check = {JobAdmission::kOverQuota, decision.reason,
+                 decision.retry_after};
       }
     } catch (const Error& error) {
-      check = {JobAdmission::kUnavailable, error.what(), {}};
+      if (check.admission == JobAdmission::kGranted) {
+        check.admission = JobAdmission::kUnavailable;
+      }
+      check.reason = error.what();
     }
     co_return check;
   }
