Let the next job go on after any error of a quota's step

Cause: only errors of our own type released the account of a route, so that another one, such as an exception of a library, would have made all later jobs of the route wait.

Change: every exception does.

Result: found by reading; token_quota_test and the quota test of the gateways pass.

--- a/src/serving/quota_keeper.cc
+++ b/src/serving/quota_keeper.cc
@@ -100,7 +100,7 @@
     auto decision = QuotaDecision();
     try {
       decision = co_await TakeSteps(name, request);
-    } catch (const Error&) {
+    } catch (const std::exception&) {
       failure = std::current_exception();
     }
     if (!decided) {
