Keep running after any error in a datagram

Cause: handlers of datagrams caught only errors of the decoder that was expected there; another one would have ended the process.

Change: any exception is counted and logged as a malformed datagram.

Result: found by reading; Gateway.OutlivesDatagramsOfAnyContent passed before and after.

--- a/src/node/gossip.cc
+++ b/src/node/gossip.cc
@@ -213,7 +213,7 @@
       if (membership_.IsLive(decoded.from, decoded.incarnation)) {
         Execute(feeds_.OnPeerRevisions(from, revisions));
       }
-    } catch (const Error&) {
+    } catch (const std::exception&) {
       ++counters_.malformed;
     }
   }
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -951,7 +951,7 @@
       } else if (type == "job") {
         batch_.OnAnnounced(JobId(message.at("j").get<std::string>()), from);
       }
-    } catch (const json::exception& error) {
+    } catch (const std::exception& error) {
       logger_.Warning(
           "cannot decode a datagram of another node",
           {{"event", "datagram_malformed"}, {"reason", error.what()}});
