Let a few nodes store the records of streams of a large fleet

Cause: while a service has several software versions each node stored its records every 250 to 500 ms.

Change: in a fleet of more than 8 nodes a node hands its new records over to one that watches the store, in its availability zone, every 250 ms. A node that cannot hand them over stores them itself.

Result: Gateway.ResumesAStreamAtItsVersionAfterTheLossOfAllNodes also runs with ten gateways, of which two store the records; all twelve streams go on at their version after all gateways were killed.

--- a/include/kumquatgauge/serving/stream_records.h
+++ b/include/kumquatgauge/serving/stream_records.h
@@ -26,8 +26,9 @@
 // below the size limit of a stored value.
 inline constexpr std::size_t kMaxStoredRecords = 20'000;
 
-// The streams that this node began lately, as they are stored in the object of
-// this node: the last source of what began a stream when all nodes have ended.
+// The streams that this node began lately and those that other nodes handed
+// over to it, as they are stored in the object of this node: the last source of
+// what began a stream when all nodes have ended.
 class StreamRecords {
  public:
   explicit StreamRecords(Clock clock) : clock_(std::move(clock)) {}
@@ -36,16 +37,20 @@
   // Adds the records that an earlier start of this node has stored.
   auto AddStored(const std::vector<StreamRecord>& records) -> void;
   auto RemoveExpired() -> void;
-  // Returns the records to store, and that nothing has to be stored until the
-  // next Add().
+  // Returns all records, to be stored here. Nothing has to be stored again
+  // until the next Add().
   auto Take() -> std::vector<StreamRecord>;
-  // What was taken could not be stored.
+  // Returns the records since the last Take() or TakeNew(), to be handed over
+  // to a node that stores them.
+  auto TakeNew() -> std::vector<StreamRecord>;
+  // What was taken could not be stored or handed over.
   auto OnFailed() -> void { changed_ = true; }
   auto changed() const -> bool { return changed_; }
 
  private:
   Clock clock_;
   std::deque<std::pair<MonotonicTime, StreamRecord>> records_;
+  std::size_t new_records_ = 0;  // The last ones.
   bool changed_ = false;
 };
 
--- a/src/serving/stream_records.cc
+++ b/src/serving/stream_records.cc
@@ -1,7 +1,9 @@
 #include "kumquatgauge/serving/stream_records.h"
 
+#include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "kumquatgauge/base/error.h"
 
@@ -14,6 +16,7 @@
 
 auto StreamRecords::Add(const StreamRecord& record) -> void {
   records_.emplace_back(clock_(), record);
+  ++new_records_;
   changed_ = true;
   if (records_.size() > kMaxStoredRecords) {
     records_.pop_front();
@@ -35,12 +38,18 @@
 }
 
 auto StreamRecords::Take() -> std::vector<StreamRecord> {
+  new_records_ = records_.size();
+  return TakeNew();
+}
+
+auto StreamRecords::TakeNew() -> std::vector<StreamRecord> {
   RemoveExpired();
   changed_ = false;
+  const auto count = std::min(std::exchange(new_records_, 0), records_.size());
   auto records = std::vector<StreamRecord>();
-  records.reserve(records_.size());
-  for (const auto& [added, record] : records_) {
-    records.push_back(record);
+  records.reserve(count);
+  for (auto at = records_.size() - count; at < records_.size(); ++at) {
+    records.push_back(records_[at].second);
   }
   return records;
 }
--- a/src/serving/stream_versions.cc
+++ b/src/serving/stream_versions.cc
@@ -13,6 +13,7 @@
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/node/peer_server.h"
+#include "kumquatgauge/routing/rendezvous.h"
 #include "kumquatgauge/serving/origin_query.h"
 #include "kumquatgauge/serving/stream_records.h"
 #include "kumquatgauge/serving/version_registry.h"
@@ -30,6 +31,7 @@
 
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr auto kOriginCall = "stream-origin";
+constexpr auto kRecordsCall = "stream-records";
 // How long other nodes and the store are asked; callers leave a stream after
 // two seconds without an event.
 constexpr milliseconds kQueryTimeout{500};
@@ -42,13 +44,16 @@
 // it reads the store itself; up to twice this time.
 constexpr milliseconds kNewsWait{400};
 constexpr milliseconds kStoreRetryDelay{300};
-// Interval at which this node stores its new records, while a service has
-// several versions: a fraction of the time that a stream takes, so that most
-// streams that run when all nodes end are recorded. It grows with the number of
-// nodes, so that all together use a fraction of the store's rate.
-constexpr milliseconds kMinStoreInterval{250};
-constexpr milliseconds kMaxStoreInterval{500};
-constexpr milliseconds kStoreIntervalPerNode{4};
+// Interval at which this node stores its new records or hands them over, while
+// a service has several versions: a fraction of the time that a stream takes,
+// so that most streams that run when all nodes end are recorded.
+constexpr milliseconds kStoreInterval{250};
+// In a larger fleet the nodes that watch the store keep the records of all, so
+// that the number of calls to the store does not grow with the fleet.
+constexpr std::size_t kMaxStoringNodes = 8;
+// How long a node that takes records over may take; then this node stores them
+// itself.
+constexpr milliseconds kHandOverTimeout{300};
 constexpr std::size_t kPageSize = 500;
 
 auto ToMilliseconds(Duration duration) -> std::int64_t {
@@ -181,6 +186,17 @@
                                   std::shared_ptr<node::Responder> responder) {
           return AnswerPeer(weak, std::move(request), std::move(responder));
         });
+    server.Register(
+        kRecordsCall,
+        [weak = weak_from_this()](
+            json request,
+            std::shared_ptr<node::Responder> responder) -> awaitable<void> {
+          if (const auto self = weak.lock()) {
+            self->TakeOver(request);
+            responder->Send(json::object());
+          }
+          co_return;
+        });
   }
 
   auto Start() -> void {
@@ -410,12 +426,6 @@
 
   // --- Records in the store.
 
-  auto StoreInterval() const -> milliseconds {
-    const auto nodes = static_cast<std::int64_t>(parts_.live().size());
-    return std::clamp(kStoreIntervalPerNode * nodes, kMinStoreInterval,
-                      kMaxStoreInterval);
-  }
-
   auto SeveralVersions() const -> bool {
     const auto& services = registry_.registered();
     return std::any_of(
@@ -425,13 +435,15 @@
 
   static auto StoreRecords(std::shared_ptr<Impl> self) -> awaitable<void> {
     while (true) {
-      co_await Pause(self->StoreInterval());
+      co_await Pause(kStoreInterval);
       if (!self->records_.changed() || !self->SeveralVersions()) {
         continue;
       }
       auto failure = std::string();
       try {
-        co_await self->StoreOwnRecords();
+        if (!co_await self->HandOver()) {
+          co_await self->StoreOwnRecords();
+        }
       } catch (const Error& error) {
         failure = error.what();
       }
@@ -444,6 +456,69 @@
     }
   }
 
+  // Gives the new records to a node that stores them. Returns false if this
+  // node has to store its records itself.
+  auto HandOver() -> awaitable<bool> {
+    const auto keeper = FindRecordKeeper();
+    if (!keeper) {
+      co_return false;
+    }
+    auto failure = std::string();
+    try {
+      json request = {{"records", EncodeRecords(records_.TakeNew())}};
+      co_await parts_.peers.Call(
+          keeper->node_address, node::Channel::kControl, kRecordsCall,
+          std::move(request), [](const json&) {}, kHandOverTimeout, nullptr);
+    } catch (const std::exception& error) {
+      failure = error.what();
+    }
+    if (!failure.empty()) {
+      logger_.Info("a node does not take records of streams over",
+                   {{"event", "peer_failed"},
+                    {"peer", keeper->id.value()},
+                    {"call", kRecordsCall},
+                    {"reason", failure}});
+    }
+    co_return failure.empty();
+  }
+
+  auto TakeOver(const json& request) -> void {
+    const auto text = request.at("records").get<std::string>();
+    for (const auto& record : DecodeRecords(kRecordsCall, text)) {
+      records_.Add(record);
+      origins_.Add(record.stream, record.origin);
+    }
+  }
+
+  // Returns the node that stores the records of this one, in its availability
+  // zone if there is one; nothing if this node stores them itself.
+  auto FindRecordKeeper() const -> std::optional<routing::NodeInfo> {
+    const auto live = parts_.live();
+    const auto self = parts_.self();
+    const auto watchers = ChooseWatchers(live);
+    if (live.size() <= kMaxStoringNodes ||
+        std::find(watchers.begin(), watchers.end(), self) != watchers.end()) {
+      return std::nullopt;
+    }
+    const auto own =
+        std::find_if(live.begin(), live.end(),
+                     [&](const auto& node) { return node.id == self; });
+    auto candidates = Watchers(live.size());
+    const auto others = std::partition(
+        candidates.begin(), candidates.end(), [&](const auto& node) {
+          return own != live.end() && node.zone == own->zone;
+        });
+    if (others != candidates.begin()) {
+      candidates.erase(others, candidates.end());
+    }
+    const auto key = routing::RendezvousHash(self.value());
+    const auto id = routing::ChooseNode(key, candidates);
+    const auto chosen =
+        std::find_if(candidates.begin(), candidates.end(),
+                     [&](const auto& node) { return node.id == id; });
+    return chosen == candidates.end() ? std::nullopt : std::optional(*chosen);
+  }
+
   auto StoreOwnRecords() -> awaitable<void> {
     const auto key = RecordsKey(parts_.self());
     if (!records_version_) {
@@ -520,15 +595,14 @@
     responder->Send(EncodeAnswer(answer));
   }
 
-  // Returns the nodes that may know: those that hold the record, and those that
-  // watch the store, which are asked for it when this node cannot read it.
-  auto Watchers() const -> std::vector<routing::NodeInfo> {
+  // Returns other nodes that watch the store, at most `count`.
+  auto Watchers(std::size_t count) const -> std::vector<routing::NodeInfo> {
     const auto live = parts_.live();
     const auto self = parts_.self();
     const auto names = ChooseWatchers(live);
     auto nodes = std::vector<routing::NodeInfo>();
     for (const auto& node : live) {
-      if (node.id != self && nodes.size() < kReadersToAsk &&
+      if (node.id != self && nodes.size() < count &&
           std::find(names.begin(), names.end(), node.id) != names.end()) {
         nodes.push_back(node);
       }
@@ -551,7 +625,8 @@
     }
     co_await question->Await(kRecordTimeout);
     if (!question->query.done() && !question->store_answered) {
-      const auto readers = Watchers();
+      // They are asked to read the store, as this node cannot.
+      const auto readers = Watchers(kReadersToAsk);
       question->query.OnAsked(readers.size());
       for (const auto& node : readers) {
         asio::co_spawn(parts_.executor,
--- a/src/serving/version_registry_test.cc
+++ b/src/serving/version_registry_test.cc
@@ -193,5 +193,25 @@
   CHECK(records.Take().empty());
 }
 
+// Guards against records that are handed over twice, or not at all because
+// older ones have expired meanwhile.
+TEST_CASE("StreamRecords.AreHandedOverOnce") {
+  auto clock = testing::ManualClock();
+  auto records = StreamRecords(clock.AsHook());
+  const auto first = StreamRecord{1, {kService, "v1"}};
+  const auto second = StreamRecord{2, {kService, "v2"}};
+  records.Add(first);
+  CHECK(records.TakeNew() == std::vector{first});
+  CHECK(records.TakeNew().empty());
+  clock.Advance(kStoredRecordTime);
+  records.Add(second);
+  clock.Advance(seconds(1));
+  CHECK(records.TakeNew() == std::vector{second});
+  CHECK(records.Take() == std::vector{second});
+  records.Add(first);
+  clock.Advance(kStoredRecordTime + seconds(1));
+  CHECK(records.TakeNew().empty());
+}
+
 }  // namespace
 }  // namespace kumquatgauge::serving
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -527,7 +527,10 @@
 // once while two versions serve, and against those that go on at a guess then.
 TEST_CASE("Gateway.ResumesAStreamAtItsVersionAfterTheLossOfAllNodes") {
   constexpr auto kStreams = 12;
-  auto fleet = TwoVersionFleet(3);
+  // In the larger fleet two nodes, which watch the store, store all records.
+  const auto [nodes, storing] = GENERATE(std::pair(3, 3), std::pair(10, 2));
+  CAPTURE(nodes);
+  auto fleet = TwoVersionFleet(nodes);
   fleet.AwaitService();
   auto versions = std::map<std::string, std::string>();
   for (auto number = 0; number < kStreams; ++number) {
@@ -535,13 +538,16 @@
     const auto& node = *fleet.nodes[number % fleet.nodes.size()];
     versions[id] = VersionIn(node.Call("POST", "/stream/x", id).body);
   }
-  REQUIRE(Eventually([&] {
-    return fleet.store->Has("stream-origins/n0") &&
-           fleet.store->Has("stream-origins/n1") &&
-           fleet.store->Has("stream-origins/n2");
-  }));
+  const auto objects = [&] {
+    return std::count_if(
+        fleet.nodes.begin(), fleet.nodes.end(), [&](const auto& node) {
+          return fleet.store->Has("stream-origins/" + node->name());
+        });
+  };
+  REQUIRE(Eventually([&] { return objects() == storing; }));
   // The longest time until a record is stored.
-  std::this_thread::sleep_for(milliseconds(600));
+  std::this_thread::sleep_for(milliseconds(900));
+  CHECK(objects() == storing);
   for (const auto& node : fleet.nodes) {
     node->process().Signal(SIGKILL);
   }
