Count waiting tokens in the soak, and let replicas stall and all nodes be killed

The soak's checker counts the tokens of accepted items that no replica has begun, from outside, at each accepted job; the route of its jobs has a limit that two long jobs fill. New faults with a random source of their own: a replica that sends bytes without an event, and the loss of all nodes at once.

--- a/testing/gateway/gateway_process.cc
+++ b/testing/gateway/gateway_process.cc
@@ -43,7 +43,7 @@
                     {"path", "/jobs/1/" + item},
                     {"headers", {{"Model", "m"}}},
                     {"body", "q83vEjRWeJA="},
-                    {"tokens", 10}});
+                    {"tokens", kItemTokens}});
   }
   return json{{"items", list}}.dump();
 }
--- a/testing/gateway/gateway_process.h
+++ b/testing/gateway/gateway_process.h
@@ -26,6 +26,7 @@
 // A configuration with a route of each kind: /plain/ (safe, two attempts),
 // /plain/once/ (unsafe), /stream/ (resumable), /stream/once/ and /jobs/.
 auto MakeConfiguration(int version) -> nlohmann::json;
+inline constexpr std::uint64_t kItemTokens = 10;  // Of each item of JobBody.
 // A job of these items, each sent to /jobs/1/ITEM.
 auto JobBody(const std::vector<std::string>& items) -> std::string;
 
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -1112,7 +1112,6 @@
 // before, and against a quota that stays used up.
 TEST_CASE("Gateway.KeepsTheQuotaOfARouteOnAllNodesTogether") {
   constexpr auto kJobsThatFit = 10;
-  constexpr auto kJobTokens = 10;  // Of JobBody with one item.
   constexpr auto kMostAccepted = kJobsThatFit * 11 / 10;  // The users' bound.
   auto fleet = Fleet(3);
   for (auto* replica : {fleet.one.get(), fleet.two.get()}) {
@@ -1122,7 +1121,7 @@
   auto configuration = MakeConfiguration(4);
   for (auto& route : configuration.at("routes")) {
     if (route.at("kind") == "batch") {
-      route["cap"] = kJobsThatFit * kJobTokens;
+      route["cap"] = kJobsThatFit * kItemTokens;
     }
   }
   fleet.store->Put("config/main", configuration);
--- a/testing/soak/checker.cc
+++ b/testing/soak/checker.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "testing/gateway/fake_servers.h"
+#include "testing/gateway/gateway_process.h"
 
 namespace kumquatgauge::testing {
 namespace {
@@ -11,6 +12,7 @@
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
 constexpr int kNotFound = 404;
+constexpr std::uint64_t kOverageDivisor = 10;  // The users' tenth.
 
 // Whether the status means that the request has not run and never will.
 auto ReportsNotRun(const FetchReply& reply) -> bool {
@@ -112,6 +114,26 @@
       sent_[item] = {0, true};
     }
   }
+  if (reply.status == kAccepted && token_limit_ != kNoTokenLimit) {
+    const auto waiting = WaitingTokens();
+    if (waiting > token_limit_ + token_limit_ / kOverageDivisor) {
+      Add("job " + job + " was accepted and " + std::to_string(waiting) +
+          " tokens wait, though the limit is " + std::to_string(token_limit_));
+    }
+  }
+}
+
+auto SoakChecker::WaitingTokens() const -> std::uint64_t {
+  auto tokens = std::uint64_t{0};
+  for (const auto& [id, job] : jobs_) {
+    if (job.accepted && !job.end_requested) {
+      tokens += kItemTokens *
+                static_cast<std::uint64_t>(std::count_if(
+                    job.items.begin(), job.items.end(),
+                    [&](const auto& item) { return count_runs_(item) == 0; }));
+    }
+  }
+  return tokens;
 }
 
 auto SoakChecker::OnListed(const std::string& job,
--- a/testing/soak/checker.h
+++ b/testing/soak/checker.h
@@ -3,7 +3,9 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -34,9 +36,13 @@
   static constexpr std::chrono::milliseconds kMaxEndDelay{3'000};
   // A component is reachable once this has passed without a disruption of it.
   static constexpr std::chrono::milliseconds kRecoveryTime{3'000};
+  static constexpr auto kNoTokenLimit =
+      std::numeric_limits<std::uint64_t>::max();
 
-  explicit SoakChecker(CountRuns count_runs)
-      : count_runs_(std::move(count_runs)) {}
+  // At most `token_limit` tokens of accepted items may wait, and a tenth more.
+  explicit SoakChecker(CountRuns count_runs,
+                       std::uint64_t token_limit = kNoTokenLimit)
+      : count_runs_(std::move(count_runs)), token_limit_(token_limit) {}
 
   // Requests that a caller sends later than this after a node passed on an
   // answer which says that its replica leaves do not reach that replica.
@@ -134,9 +140,13 @@
   };
 
   auto Add(const std::string& violation) -> void;
+  // Tokens of accepted items that no replica has begun, of jobs whose end was
+  // not requested.
+  auto WaitingTokens() const -> std::uint64_t;
   auto IsReachable(const std::string& component, Time at) const -> bool;
 
   CountRuns count_runs_;
+  std::uint64_t token_limit_;
   mutable std::mutex mutex_;
   std::map<std::string, SentRequest> sent_;
   std::map<std::string, Entry> entries_;  // By request.
--- a/testing/soak/checker_test.cc
+++ b/testing/soak/checker_test.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include "testing/gateway/fake_servers.h"
+#include "testing/gateway/gateway_process.h"
 
 namespace kumquatgauge::testing {
 namespace {
@@ -74,6 +75,21 @@
   CHECK(fixture.CountViolations() == 2);
 }
 
+TEST_CASE("SoakChecker.FindsMoreTokensThanMayWait") {
+  auto runs = std::map<std::string, int>();
+  auto checker = SoakChecker([&](const std::string& id) { return runs[id]; },
+                             2 * kItemTokens);
+  checker.OnSubmitted("j1", {"a", "b"}, Reply(202, ""));
+  checker.OnSubmitted("j2", {"c"}, Reply(429, ""));
+  runs["a"] = 1;
+  checker.OnSubmitted("j3", {"d"}, Reply(202, ""));
+  checker.OnEndRequested("j3");
+  checker.OnSubmitted("j4", {"e"}, Reply(202, ""));
+  CHECK(checker.violations().empty());
+  checker.OnSubmitted("j5", {"f"}, Reply(202, ""));
+  CHECK(checker.violations().size() == 1);
+}
+
 TEST_CASE("SoakChecker.FindsResultsThatAreLostDoubledChangedOrWrong") {
   auto fixture = Fixture();
   auto& checker = fixture.checker;
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -34,6 +34,9 @@
 // seconds for one job, so that items are left well after its end.
 constexpr int kJobEnders = 3;
 constexpr int kLongJobItems = 200;
+// Tokens of batch items that may wait: those of two long jobs and some short
+// ones, so that the third long job is refused while all items wait.
+constexpr std::uint64_t kTokenLimit = 4'500;
 constexpr auto kItemMark = "-item-";        // Between job id and item number.
 constexpr milliseconds kRunTimeMax{2'000};  // Of a long job until it is ended.
 constexpr milliseconds kRepeatPause{300};
@@ -47,6 +50,10 @@
 constexpr milliseconds kMaxStoreRefusalTime{9'000};
 // Of the faults, so many are followed by a replica that says that it leaves.
 constexpr std::size_t kLeavingOneIn = 6;
+// The same of a replica whose answers stall, and of the loss of all nodes.
+constexpr std::size_t kStallOneIn = 4;
+constexpr std::size_t kAllLostOneIn = 20;
+constexpr std::uint64_t kLateSeed = 1'000'003;
 // Software versions of the replicas at the start; later ones are released.
 constexpr std::size_t kFirstVersions = 2;
 // How often a caller takes up a stream.
@@ -86,6 +93,7 @@
   for (auto& route : configuration.at("routes")) {
     if (route.at("kind") == "batch") {
       route["retention_s"] = 3'600;
+      route["cap"] = kTokenLimit;
     }
   }
   configuration.at("routes").push_back(
@@ -99,8 +107,10 @@
       : settings_(settings),
         fault_random_(settings.seed),
         replica_random_(~settings.seed),
+        late_random_(settings.seed + kLateSeed),
         store_(thread_.context()),
-        checker_([this](const std::string& id) { return RunCount(id); }) {
+        checker_([this](const std::string& id) { return RunCount(id); },
+                 kTokenLimit) {
     store_.Put("config/main", MakeSoakConfiguration(version_));
     const auto replicas =
         static_cast<std::size_t>(settings_.nodes) + kSpareReplicas;
@@ -410,6 +420,14 @@
       if (replica_random_.Below(kLeavingOneIn) == 0) {
         LetReplicaLeave();
       }
+      if (late_random_.Below(kStallOneIn) == 0) {
+        ++counts_["replica stalls"];
+        replicas_[late_random_.Below(replicas_.size())].server->SetFault(
+            ReplicaFault::kTrickle, 1);
+      }
+      if (late_random_.Below(kAllLostOneIn) == 0) {
+        KillAll();
+      }
       std::this_thread::sleep_for(
           fault_random_.Between(kFaultPauseMin, kFaultPauseMax));
       RunDue(std::chrono::steady_clock::now());
@@ -482,7 +500,18 @@
 
   auto Kill() -> void {
     auto& node = RandomNode();
-    const auto time = FaultDuration();
+    Kill(node, FaultDuration());
+  }
+
+  auto KillAll() -> void {
+    ++counts_["all nodes killed"];
+    const auto time = late_random_.Between(kFaultMin, kFaultMax);
+    for (auto& node : nodes_) {
+      Kill(node, time);
+    }
+  }
+
+  auto Kill(Node& node, milliseconds time) -> void {
     if (!node.down) {
       ExpectRunning(node);
       checker_.OnDisrupted(node.process->name());
@@ -717,8 +746,9 @@
 
   SoakSettings settings_;
   RandomSource fault_random_;
-  // Of faults that came later, so that a seed keeps the others.
+  // Each of faults that came later, so that a seed keeps the others.
   RandomSource replica_random_;
+  RandomSource late_random_;
   FakeServerThread thread_;
   FakeObjectApi store_;
   SoakChecker checker_;
