Follow the configuration after one with a field of another type

Cause: a limit that was no number made the decoder throw an exception that the feed of the store did not expect. It ended the feed for good: the node applied no later configuration.

The feed tries again after any exception.

--- a/src/serving/store_feed.cc
+++ b/src/serving/store_feed.cc
@@ -61,7 +61,7 @@
       } catch (const store::CircuitOpenError& error) {
         failed = error.what();
         pause = self->retry_.OnRefused(error.retry_after());
-      } catch (const Error& error) {
+      } catch (const std::exception& error) {
         failed = error.what();
         pause = self->retry_.OnFailure();
       }
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -1370,6 +1370,22 @@
   CHECK_FALSE(LinesOf(node.Log(), "event", "datagram_malformed").empty());
 }
 
+// Guards against a node that keeps a configuration for good because a later one
+// had a field of another type.
+TEST_CASE("Gateway.FollowsTheConfigurationAfterAMalformedOne") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  const auto& node = *fleet.nodes.front();
+  auto malformed = MakeConfiguration(4);
+  malformed["limits"] = {{"max_header_bytes", "many"}};
+  fleet.store->Put("config/main", malformed);
+  CHECK(
+      Eventually([&] { return !LinesOf(node.Log(), "version", "4").empty(); }));
+  fleet.store->Put("config/main", MakeConfiguration(5));
+  CHECK(
+      Eventually([&] { return !LinesOf(node.Log(), "version", "5").empty(); }));
+}
+
 // Guards against a replica in need that gets more from all nodes together than
 // it says that it takes: online requests, second attempts and batch items.
 TEST_CASE("Gateway.KeepsTheLimitThatAReplicaNamesOnAllNodesTogether") {
