Let job ids of callers name no other object of the store

Cause: the name of an object went into the path of a call to the store as it was, and the id of a job, which the caller chooses, is part of such names. "../config/main", "a?revision=1" or "a b" named other objects or calls. An id or a path that is no valid UTF-8 made the encoder throw, and the caller's connection was closed without an answer.

A job whose id is not printable ASCII, or longer than 256 bytes, is malformed (400).

Result: Gateway.StoresNothingUnderNamesThatCallersChoose fails before (no answer for the id \xFF) and passes now. Gateway.OutlivesRequestsOfAnyContent (480 malformed requests, then a planned stop) and Gateway.OutlivesAnswersOfTheStoreOfAnyContent pass before and after.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -98,6 +98,7 @@
 constexpr std::size_t kCacheMemoryDivisor = 16;
 constexpr std::size_t kDoneMemoryDivisor = 8;
 constexpr std::size_t kMaxAnnounced = 20'000;
+constexpr std::size_t kMaxIdBytes = 256;  // Of a job.
 constexpr int kStateAttempts = 4;
 
 auto BytesOf(const std::vector<ItemResult>& results) -> std::size_t {
@@ -472,11 +473,23 @@
     co_await writer->Send(status, std::move(headers), std::move(text));
   }
 
+  // Ids and paths are stored, and ids name objects of the store.
+  static auto IsPrintable(std::string_view text) -> bool {
+    return std::all_of(text.begin(), text.end(), [](char character) {
+      return character >= ' ' && character <= '~';
+    });
+  }
+
   auto CheckSubmission(const caller::IncomingRequest& incoming,
                        const JobId& id,
                        std::vector<JobItem>& items) const -> std::string {
-    if (id.empty()) {
-      return "a batch job needs an id";
+    const auto& name = id.value();
+    if (name.empty() || name.size() > kMaxIdBytes || !IsPrintable(name) ||
+        name == "." || name == "..") {
+      return "a batch job needs an id of printable ASCII characters";
+    }
+    if (!IsPrintable(incoming.target)) {
+      return "encode the characters of the path that are not ASCII";
     }
     try {
       items = parts_.dialect.decode_submission(incoming.body);
--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -29,6 +29,21 @@
              : std::stoull(target.substr(at + name.size() + 1));
 }
 
+auto DecodePercent(const std::string& text) -> std::string {
+  constexpr auto kHexadecimal = 16;
+  auto decoded = std::string();
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    if (text[at] == '%' && at + 2 < text.size()) {
+      decoded.push_back(static_cast<char>(
+          std::stoi(text.substr(at + 1, 2), nullptr, kHexadecimal)));
+      at += 2;
+    } else {
+      decoded.push_back(text[at]);
+    }
+  }
+  return decoded;
+}
+
 auto Pause(asio::io_context& context, milliseconds time) -> awaitable<void> {
   auto timer = asio::steady_timer(context, time);
   co_await timer.async_wait(kAwaitTuple);
@@ -170,10 +185,20 @@
     co_return;  // The connection closes without an answer.
   }
   auto headers = HeaderList{{"Content-Type", "application/json"}};
-  auto text = body.dump();
+  auto text = MaybeMutate(body.dump());
   co_await writer->Send(status, std::move(headers), std::move(text));
 }
 
+auto FakeObjectApi::MaybeMutate(std::string text) -> std::string {
+  const auto lock = std::lock_guard(mutex_);
+  return malformed_ ? mutator_.Mutate({text}) : text;
+}
+
+auto FakeObjectApi::set_malformed(bool malformed) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  malformed_ = malformed;
+}
+
 auto FakeObjectApi::Changes(const std::string& kind, std::uint64_t since) const
     -> json {
   const auto lock = std::lock_guard(mutex_);
@@ -200,8 +225,8 @@
     return {503, json::object()};
   }
   const auto mark = request.target.find('?');
-  const auto path =
-      request.target.substr(kObjects.size(), mark - kObjects.size());
+  const auto path = DecodePercent(
+      request.target.substr(kObjects.size(), mark - kObjects.size()));
   if (kinds_down_.contains(path.substr(0, path.find('/')))) {
     return {503, json::object()};
   }
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "kumquatgauge/caller/http_listener.h"
+#include "testing/support/mutator.h"
 
 namespace kumquatgauge::testing {
 
@@ -42,6 +43,8 @@
   // Reads of single objects of this kind are answered after this time.
   auto SetReadDelay(const std::string& kind, std::chrono::milliseconds delay)
       -> void;
+  // While set, answers are malformed.
+  auto set_malformed(bool malformed) -> void;
   // The next `count` writes of this kind take effect but are not answered.
   auto LoseAnswers(const std::string& kind, int count) -> void;
 
@@ -67,6 +70,7 @@
   auto Answer(const Request& request, const Endpoint& endpoint)
       -> std::pair<int, nlohmann::json>;
   auto IsDown(const Endpoint& endpoint) const -> bool;
+  auto MaybeMutate(std::string text) -> std::string;
   auto ReadDelay(const Request& request) const -> std::chrono::milliseconds;
   auto AnswerRead(const std::string& path) -> std::pair<int, nlohmann::json>;
   auto AnswerWrite(const Request& request, const std::string& path)
@@ -83,6 +87,8 @@
   std::set<std::string> kinds_down_;
   std::uint64_t revision_ = 1;
   bool down_ = false;
+  bool malformed_ = false;
+  Mutator mutator_{1};
   boost::asio::io_context& context_;
   std::vector<std::shared_ptr<Endpoint>> endpoints_;
 };
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <filesystem>
@@ -21,6 +22,7 @@
 #include "kumquatgauge/node/datagram_socket.h"
 #include "testing/gateway/fake_servers.h"
 #include "testing/gateway/gateway_process.h"
+#include "testing/support/mutator.h"
 
 namespace kumquatgauge::testing {
 namespace {
@@ -1370,6 +1372,91 @@
   CHECK_FALSE(LinesOf(node.Log(), "event", "datagram_malformed").empty());
 }
 
+// Sends bytes on a connection of its own and waits a little for an answer.
+auto SendRaw(const std::string& address, const std::string& bytes) -> void {
+  constexpr milliseconds kWait{40};
+  auto context = boost::asio::io_context();
+  const auto colon = address.rfind(':');
+  auto socket = boost::asio::ip::tcp::socket(context);
+  auto error = boost::system::error_code();
+  socket.connect(
+      {boost::asio::ip::make_address(address.substr(0, colon)),
+       static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))},
+      error);
+  boost::asio::write(socket, boost::asio::buffer(bytes), error);
+  std::this_thread::sleep_for(kWait);
+}
+
+auto RawRequest(const std::string& method,
+                const std::string& target,
+                const std::string& headers,
+                const std::string& body) -> std::string {
+  return method + " " + target + " HTTP/1.1\r\nHost: " + kGatewayHost +
+         "\r\nRequest-Id: raw1\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Guards against one malformed request that ends the process, or that leaves
+// connections, jobs or calls to the store that serve nobody any more.
+TEST_CASE("Gateway.OutlivesRequestsOfAnyContent") {
+  constexpr auto kThreads = 8;
+  constexpr auto kRequests = 60;  // Of each thread.
+  const auto samples = std::vector<std::string>{
+      RawRequest("POST", "/plain/x", "Timeout-Ms: 500\r\n", "question"),
+      RawRequest("POST", "/stream/x", "Last-Event-Id: 2\r\nResumes: q\r\n", ""),
+      RawRequest("POST", "/jobs/1", "", JobBody({"raw-a", "raw-b"})),
+      RawRequest("GET", "/api/lots/raw1?after=0", "Wait-Ms: 10\r\n", ""),
+      RawRequest("GET", "/api/items/raw1?id=raw-a", "", ""),
+      RawRequest("DELETE", "/api/lots/raw1", "", "")};
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  auto& node = *fleet.nodes.front();
+  auto threads = std::vector<std::thread>();
+  for (auto thread = 0; thread < kThreads; ++thread) {
+    threads.emplace_back([&, thread] {
+      auto mutator = Mutator(static_cast<std::uint64_t>(thread));
+      for (auto request = 0; request < FuzzInputs(kRequests); ++request) {
+        SendRaw(node.callers(), mutator.Mutate(samples));
+      }
+    });
+  }
+  for (auto& thread : threads) {
+    thread.join();
+  }
+  CHECK_FALSE(node.process().WaitForExit(milliseconds(0)));
+  REQUIRE(Eventually(
+      [&] { return node.Call("POST", "/plain/x", "q1").status == 200; }));
+  REQUIRE(node.Call("POST", "/jobs/1", "j1", JobBody({"a"})).status == 202);
+  CHECK(Eventually([&] {
+    const auto page = node.ReadJob("j1");
+    return page.is_object() && page.at("next") == 1;
+  }));
+  CHECK(LinesOf(node.Log(), "message",
+                "request handler failed; closing the connection")
+            .empty());
+  // A planned stop waits for nothing that is left of them.
+  node.process().Signal(SIGTERM);
+  CHECK(node.process().WaitForExit(std::chrono::seconds(5)) == 0);
+}
+
+// Guards against a job id that names another object of the store than that of
+// the job.
+TEST_CASE("Gateway.StoresNothingUnderNamesThatCallersChoose") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  const auto& node = *fleet.nodes.front();
+  const auto before = fleet.store->Get("config/main");
+  for (const auto* id :
+       {"../config/main", "a?revision=1", "a b", "a#b", "\xFF", "a/b"}) {
+    CAPTURE(id);
+    const auto status =
+        node.Call("POST", "/jobs/1", id, JobBody({"item"})).status;
+    CHECK((status == 202 || status == 400));
+    CHECK((status == 202) == fleet.store->Has(std::string("job-states/") + id));
+  }
+  CHECK(fleet.store->Get("config/main") == before);
+}
+
 // Guards against a node that keeps a configuration for good because a later one
 // had a field of another type.
 TEST_CASE("Gateway.FollowsTheConfigurationAfterAMalformedOne") {
@@ -1386,6 +1473,44 @@
       Eventually([&] { return !LinesOf(node.Log(), "version", "5").empty(); }));
 }
 
+// Guards against a node that follows the store no longer after one malformed
+// answer of it.
+TEST_CASE("Gateway.OutlivesAnswersOfTheStoreOfAnyContent") {
+  constexpr std::chrono::seconds kTime{4};
+  auto fleet = Fleet(2);
+  fleet.AwaitService();
+  fleet.store->set_malformed(true);
+  const auto last = std::chrono::steady_clock::now() + kTime;
+  for (auto number = 0; std::chrono::steady_clock::now() < last; ++number) {
+    const auto& node = *fleet.nodes[number % fleet.nodes.size()];
+    const auto job = "m" + std::to_string(number);
+    node.Call("POST", "/jobs/1", job, JobBody({"item-" + job}));
+    node.ReadJob(job);
+    auto configuration = MakeConfiguration(4 + number);
+    configuration["limits"] = {{"max_header_bytes", 16'384},
+                               {"max_body_bytes", 4'194'304},
+                               {"header_timeout_ms", 3'000},
+                               {"idle_timeout_ms", 15'000}};
+    fleet.store->Put("config/main", configuration);
+  }
+  fleet.store->set_malformed(false);
+  constexpr auto kVersion = 100'000;
+  fleet.store->Put("config/main", MakeConfiguration(kVersion));
+  for (const auto& node : fleet.nodes) {
+    CHECK_FALSE(node->process().WaitForExit(milliseconds(0)));
+    CHECK(Eventually([&] {
+      return !LinesOf(node->Log(), "version", std::to_string(kVersion)).empty();
+    }));
+    CHECK(Eventually(
+        [&] { return node->Call("POST", "/plain/x", "after").status == 200; }));
+    const auto job = "after-" + node->name();
+    CHECK(Eventually([&] {
+      return node->Call("POST", "/jobs/1", job, JobBody({"i-" + job})).status ==
+             202;
+    }));
+  }
+}
+
 // Guards against a replica in need that gets more from all nodes together than
 // it says that it takes: online requests, second attempts and batch items.
 TEST_CASE("Gateway.KeepsTheLimitThatAReplicaNamesOnAllNodesTogether") {
