Let a few nodes of a large fleet look for jobs without an owner

Cause: every node listed the states of all jobs in their newest form at each change of the members, and every 2 s while an owner was absent, since any of them might be the one to take a job over. With 250 nodes each change cost 250 lists.

Change: in a fleet of more than 8 nodes those that watch the store list, and tell the chosen node of a job without an owner, which reads the job's state and takes it over. It is told again every 2 s until the job has an owner. The periodic scans of all nodes, which make up for what was lost, are as frequent as those of 64 nodes together.

--- a/include/kumquatgauge/serving/batch_runner.h
+++ b/include/kumquatgauge/serving/batch_runner.h
@@ -49,16 +49,20 @@
   // Returns the number of nodes that share this node's part of the replicas,
   // including this node.
   std::function<auto()->std::size_t> cell_size;
+  // Returns whether this node watches the store for the others.
+  std::function<auto()->bool> is_watcher;
   // Returns whether a node is known to have died or stopped; false for an
   // unknown node.
   std::function<auto(const NodeId&)->bool> is_dead_or_left;
-  // Returns whether this node was part of a fleet and now hears from no member.
+  // Returns whether this node hears no other one though there may be some.
   std::function<auto()->bool> isolated;
   // Returns the number of calls to the store that have failed or were refused.
   std::function<auto()->std::uint64_t> store_failures;
   const AnswerHooks& hooks;
   // Tells the other nodes that this one owns a job.
   std::function<auto(const JobId&)->void> announce;
+  // Tells a node that it is to take over a job whose owner is gone.
+  std::function<auto(const JobId&, const NodeId&)->void> tell_orphan;
   // How long jobs stay in the store after their acceptance.
   std::chrono::seconds retention;
   std::size_t memory_bytes;  // Memory limit of the whole process.
@@ -96,6 +100,8 @@
                  const std::optional<std::string>& version) -> bool;
   // Records that `owner` owns a job.
   auto OnAnnounced(const JobId& job, const NodeId& owner) -> void;
+  // A node that watches the store has found a job without an owner.
+  auto OnOrphan(const JobId& job) -> void;
   // Schedules a scan that takes over the jobs of lost members.
   auto OnMembersChanged() -> void;
   // Drops all jobs after other nodes considered this node dead, since they may
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -88,6 +88,13 @@
 // states that are seconds old, at a fraction of the store's price: every node
 // scans, and a takeover is a conditional write.
 constexpr std::chrono::seconds kScanInterval{10};
+// In a larger fleet the nodes that watch the store scan for all when the
+// members change, and tell the nodes that are to take jobs over; the periodic
+// scans of all together are as frequent as those of kScanningNodes.
+constexpr std::size_t kMaxScanningNodes = 8;
+constexpr std::size_t kScanningNodes = 64;
+// Several nodes tell of the same job at about the same time.
+constexpr milliseconds kOrphanRepeat{1'000};
 // Retry-After while the store is unavailable.
 constexpr milliseconds kStoreRetryAfter{500};
 // Fractions of the process's memory, as divisors: results that are not stored
@@ -410,7 +417,23 @@
     announced_[job] = owner;
   }
 
-  auto OnMembersChanged() -> void { ScheduleScan(kScanDelay, true); }
+  auto OnMembersChanged() -> void {
+    if (ScansForOthers()) {
+      ScheduleScan(kScanDelay, true);
+    }
+  }
+
+  auto OnOrphan(const JobId& job) -> void {
+    const auto now = parts_.clock();
+    std::erase_if(orphans_told_, [&](const auto& entry) {
+      return now - entry.second > kOrphanRepeat;
+    });
+    if (!stopped_ && !jobs_.contains(job) &&
+        orphans_told_.try_emplace(job, now).second) {
+      asio::co_spawn(parts_.executor, AdoptOrphan(shared_from_this(), job),
+                     asio::detached);
+    }
+  }
 
   auto OnRestarted() -> void {
     const auto jobs = jobs_;
@@ -1854,21 +1877,62 @@
       }
       if (self->Expired(state) && self->IsChosen(state.id)) {
         co_await self->RemoveExpired(stored);
-      } else if (self->ShouldAdopt(state)) {
-        co_await self->Adopt(stored);
+      } else if (self->IsOrphan(state)) {
+        co_await self->AdoptOrTell(stored);
       }
     }
     self->PruneAbsentOwners(states);
     self->EvictDone();
     const auto jitter =
         milliseconds(static_cast<std::int64_t>(self->parts_.random() % 2'000));
-    if (self->absent_since_.empty()) {
-      self->ScheduleScan(kScanInterval + jitter, false);
+    if (self->absent_since_.empty() || !self->ScansForOthers()) {
+      self->ScheduleScan(self->ScanInterval() + jitter, false);
     } else {
       self->ScheduleScan(kUnknownOwnerWait, true);
     }
   }
 
+  auto ScansForOthers() const -> bool {
+    return parts_.live().size() <= kMaxScanningNodes || parts_.is_watcher();
+  }
+
+  auto ScanInterval() const -> milliseconds {
+    const auto share =
+        std::max<std::size_t>(1, parts_.live().size() / kScanningNodes);
+    return kScanInterval * static_cast<std::int64_t>(share);
+  }
+
+  // The members agree on the node that takes an orphan over.
+  auto AdoptOrTell(StoredState stored) -> awaitable<void> {
+    const auto& id = stored.state.id;
+    const auto chosen = ChosenFor(id);
+    if (chosen == parts_.self().id || IsOwn(stored.state)) {
+      co_await Adopt(stored);
+    } else if (ScansForOthers()) {
+      parts_.tell_orphan(id, chosen);
+    }
+  }
+
+  static auto AdoptOrphan(std::shared_ptr<Impl> self, JobId id)
+      -> awaitable<void> {
+    auto stored = std::optional<StoredState>();
+    auto failure = std::string();
+    try {
+      stored = co_await self->parts_.archive.LoadState(id);
+    } catch (const Error& error) {
+      failure = error.what();
+    }
+    if (!failure.empty()) {
+      self->logger_.Warning("the state of an orphan cannot be read",
+                            {{"event", "adopt_failed"},
+                             {"job", id.value()},
+                             {"reason", failure}});
+    } else if (stored && !self->stopped_ && self->IsOrphan(stored->state) &&
+               self->IsChosen(id)) {
+      co_await self->Adopt(*stored);
+    }
+  }
+
   auto Expired(const JobState& state) const -> bool {
     const auto age = milliseconds(static_cast<std::int64_t>(WallMs()) -
                                   static_cast<std::int64_t>(state.accepted_ms));
@@ -1881,10 +1945,10 @@
            !member->leaving;
   }
 
-  // Returns whether this node should take over a job. The owner must be known
-  // to have ended or restarted. An owner that is merely unknown, as all are to
-  // a node that has just started, must stay unknown for kUnknownOwnerWait.
-  auto ShouldAdopt(const JobState& state) -> bool {
+  // Returns whether a job is to be taken over. The owner must be known to have
+  // ended or restarted. An owner that is merely unknown, as all are to a node
+  // that has just started, must stay unknown for kUnknownOwnerWait.
+  auto IsOrphan(const JobState& state) -> bool {
     if (state.done || state.ended || jobs_.contains(state.id)) {
       return false;
     }
@@ -1899,10 +1963,7 @@
     const auto since = absent_since_.try_emplace(state.id, now).first->second;
     const auto ended = parts_.is_dead_or_left(state.owner) ||
                        FindMember(state.owner).has_value();
-    if (!ended && now - since < kUnknownOwnerWait) {
-      return false;
-    }
-    return IsChosen(state.id);
+    return ended || now - since >= kUnknownOwnerWait;
   }
 
   // Drops jobs that are done, oldest first, once their results use too much
@@ -1936,9 +1997,13 @@
     });
   }
 
-  auto IsChosen(const JobId& id) const -> bool {
+  auto ChosenFor(const JobId& id) const -> NodeId {
     const auto key = routing::RendezvousHash(id.value());
-    return routing::ChooseNode(key, parts_.live()) == parts_.self().id;
+    return routing::ChooseNode(key, parts_.live());
+  }
+
+  auto IsChosen(const JobId& id) const -> bool {
+    return ChosenFor(id) == parts_.self().id;
   }
 
   auto RemoveExpired(StoredState stored) -> awaitable<void> {
@@ -2037,6 +2102,8 @@
   std::map<JobId, NodeId> announced_;
   // When the owner of an unfinished job was first found absent.
   std::map<JobId, MonotonicTime> absent_since_;
+  // When a node last told of an orphan.
+  std::map<JobId, MonotonicTime> orphans_told_;
   ResultCache cache_{parts_.memory_bytes / kCacheMemoryDivisor};
   bool scan_exactly_ = true;
   std::uint64_t scheduled_version_ = 0;
@@ -2111,6 +2178,10 @@
   impl_->OnAnnounced(job, owner);
 }
 
+auto BatchRunner::OnOrphan(const JobId& job) -> void {
+  impl_->OnOrphan(job);
+}
+
 auto BatchRunner::OnMembersChanged() -> void {
   impl_->OnMembersChanged();
 }
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -284,31 +284,40 @@
   }
 
   auto MakeBatchParts() -> BatchRunnerParts {
-    return {.executor = context_.get_executor(),
-            .dialect = parts_.dialect,
-            .load_balancer = load_balancer_,
-            .replicas = replicas_,
-            .quarantine = quarantine_,
-            .archive = archive_,
-            .quotas = quotas_,
-            .peers = *peer_client_,
-            .metrics = metrics_,
-            .clock = SteadyNow,
-            .wall_clock = WallNow,
-            .random = DrawRandom,
-            .configuration = [this] { return configuration_; },
-            .self = [this] { return gossip_.membership().self(); },
-            .live = [this] { return gossip_.membership().live(); },
-            .cell_size = [this] { return cell_peers_.size() + 1; },
-            .is_dead_or_left =
-                [this](const NodeId& id) { return IsDeadOrLeft(id); },
-            .isolated = [this] { return IsIsolated(); },
-            .store_failures = [this] { return StoreFailures(); },
-            .hooks = answer_hooks_,
-            .announce = [this](const JobId& job) { Announce(job); },
-            .retention = settings_.limits.job_retention,
-            .memory_bytes =
-                std::size_t{settings_.limits.memory_mb} * kBytesPerMegabyte};
+    return {
+        .executor = context_.get_executor(),
+        .dialect = parts_.dialect,
+        .load_balancer = load_balancer_,
+        .replicas = replicas_,
+        .quarantine = quarantine_,
+        .archive = archive_,
+        .quotas = quotas_,
+        .peers = *peer_client_,
+        .metrics = metrics_,
+        .clock = SteadyNow,
+        .wall_clock = WallNow,
+        .random = DrawRandom,
+        .configuration = [this] { return configuration_; },
+        .self = [this] { return gossip_.membership().self(); },
+        .live = [this] { return gossip_.membership().live(); },
+        .cell_size = [this] { return cell_peers_.size() + 1; },
+        .is_watcher =
+            [this] {
+              const auto watchers = ChooseWatchers(gossip_.membership().live());
+              return std::find(watchers.begin(), watchers.end(),
+                               settings_.name) != watchers.end();
+            },
+        .is_dead_or_left =
+            [this](const NodeId& id) { return IsDeadOrLeft(id); },
+        .isolated = [this] { return IsIsolated(); },
+        .store_failures = [this] { return StoreFailures(); },
+        .hooks = answer_hooks_,
+        .announce = [this](const JobId& job) { Announce(job); },
+        .tell_orphan = [this](const JobId& job,
+                              const NodeId& node) { TellOrphan(job, node); },
+        .retention = settings_.limits.job_retention,
+        .memory_bytes =
+            std::size_t{settings_.limits.memory_mb} * kBytesPerMegabyte};
   }
 
   auto MakeQuotaParts() -> QuotaKeeperParts {
@@ -948,6 +957,8 @@
         OnLeavingDatagram(message);
       } else if (type == "crash") {
         quarantine_.OnReport(detail::DecodeReports(message.at("p")));
+      } else if (type == "orphan") {
+        batch_.OnOrphan(JobId(message.at("j").get<std::string>()));
       } else if (type == "job") {
         batch_.OnAnnounced(JobId(message.at("j").get<std::string>()), from);
       }
@@ -1134,6 +1145,16 @@
     gossip_.SendDatagrams(PeerAddresses(), message);
   }
 
+  auto TellOrphan(const JobId& job, const NodeId& node) -> void {
+    const auto record = gossip_.membership().Find(node);
+    if (record) {
+      gossip_.SendDatagram(record->info.node_address,
+                           json{{"t", "orphan"},
+                                {"n", settings_.name.value()},
+                                {"j", job.value()}});
+    }
+  }
+
   // --- Callers.
 
   auto StartListeners() -> void {
--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -194,6 +194,12 @@
   return malformed_ ? mutator_.Mutate({text}) : text;
 }
 
+auto FakeObjectApi::ExactLists(const std::string& kind) const -> int {
+  const auto lock = std::lock_guard(mutex_);
+  const auto found = exact_lists_.find(kind);
+  return found == exact_lists_.end() ? 0 : found->second;
+}
+
 auto FakeObjectApi::set_malformed(bool malformed) -> void {
   const auto lock = std::lock_guard(mutex_);
   malformed_ = malformed;
@@ -230,6 +236,10 @@
   if (kinds_down_.contains(path.substr(0, path.find('/')))) {
     return {503, json::object()};
   }
+  if (request.method == "GET" && path.find('/') == std::string::npos &&
+      request.target.find("stale_ok") == std::string::npos) {
+    ++exact_lists_[path];
+  }
   return request.method == "GET" ? AnswerRead(path)
                                  : AnswerWrite(request, path);
 }
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -43,6 +43,8 @@
   // Reads of single objects of this kind are answered after this time.
   auto SetReadDelay(const std::string& kind, std::chrono::milliseconds delay)
       -> void;
+  // How often the objects of this kind were listed in their newest state.
+  auto ExactLists(const std::string& kind) const -> int;
   // While set, answers are malformed.
   auto set_malformed(bool malformed) -> void;
   // The next `count` writes of this kind take effect but are not answered.
@@ -83,6 +85,7 @@
   mutable std::mutex mutex_;
   std::map<std::string, Object> objects_;  // By "KIND/NAME".
   std::map<std::string, int> lost_answers_;
+  std::map<std::string, int> exact_lists_;
   std::map<std::string, std::chrono::milliseconds> read_delays_;
   std::set<std::string> kinds_down_;
   std::uint64_t revision_ = 1;
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -821,6 +821,44 @@
         404);
 }
 
+// Waits until a gateway has listed all jobs after its start. It lists them
+// again ten seconds later at the earliest, too late for the tests.
+auto AwaitFirstScan() -> void {
+  std::this_thread::sleep_for(milliseconds(2'500));
+}
+
+// Guards against jobs that nobody takes over in a fleet in which two nodes look
+// for them, and against calls to the store by every node.
+TEST_CASE("Gateway.TakesOverJobsInALargeFleetWithFewCalls") {
+  constexpr auto kNodes = 12;
+  constexpr auto kJobs = 8;
+  constexpr auto kMostLists = kNodes / 2;
+  auto fleet = Fleet(kNodes);
+  fleet.AwaitService();
+  AwaitFirstScan();
+  for (auto* replica : {fleet.one.get(), fleet.two.get()}) {
+    replica->set_event_delay(milliseconds(700));
+  }
+  auto& lost = *fleet.nodes.front();
+  for (auto job = 0; job < kJobs; ++job) {
+    const auto id = "j" + std::to_string(job);
+    REQUIRE(lost.Call("POST", "/jobs/1", id, JobBody({"i-" + id})).status ==
+            202);
+  }
+  const auto before = fleet.store->ExactLists("job-states");
+  lost.process().Signal(SIGKILL);
+  for (auto* replica : {fleet.one.get(), fleet.two.get()}) {
+    replica->set_event_delay(milliseconds(0));
+  }
+  for (auto job = 0; job < kJobs; ++job) {
+    CHECK(Eventually([&] {
+      const auto page = fleet.nodes.back()->ReadJob("j" + std::to_string(job));
+      return page.is_object() && page.at("next") == 1;
+    }));
+  }
+  CHECK(fleet.store->ExactLists("job-states") - before <= kMostLists);
+}
+
 // Guards against items that are lost with the node that ran them.
 TEST_CASE("Gateway.TakesOverTheJobsOfALostNode") {
   auto fleet = Fleet(2);
@@ -891,12 +929,6 @@
       [&] { return fleet.one->total_runs() + fleet.two->total_runs() > 0; }));
 }
 
-// Waits until a gateway has listed all jobs after its start. It lists them
-// again ten seconds later at the earliest, too late for the tests.
-auto AwaitFirstScan() -> void {
-  std::this_thread::sleep_for(milliseconds(2'500));
-}
-
 // Ends the job in the store only, as if the node that stored the end was lost
 // right after its write.
 auto EndStoredJob(Fleet& fleet) -> void {
