--- a/src/serving/stream_versions.cc
+++ b/src/serving/stream_versions.cc
@@ -188,14 +188,9 @@
         });
     server.Register(
         kRecordsCall,
-        [weak = weak_from_this()](
-            json request,
-            std::shared_ptr<node::Responder> responder) -> awaitable<void> {
-          if (const auto self = weak.lock()) {
-            self->TakeOver(request);
-            responder->Send(json::object());
-          }
-          co_return;
+        [weak = weak_from_this()](json request,
+                                  std::shared_ptr<node::Responder> responder) {
+          return TakeOver(weak, std::move(request), std::move(responder));
         });
   }
 
@@ -404,7 +399,8 @@
           stored ? DecodeVersions(key, stored->value) : VersionSet();
       // Another version may have come meanwhile.
       const auto remaining = self->registry_.Remaining(service);
-      if (remaining && versions.contains(*remaining) && versions.size() > 1) {
+      if (stored && remaining && versions.contains(*remaining) &&
+          versions.size() > 1) {
         versions = {*remaining};
         auto text = EncodeVersions(versions);
         co_await self->parts_.store.Write(key, std::move(text), stored->version,
@@ -479,15 +475,24 @@
                     {"call", kRecordsCall},
                     {"reason", failure}});
     }
-    co_return failure.empty();
+    const auto handed_over = failure.empty();
+    co_return handed_over;
   }
 
-  auto TakeOver(const json& request) -> void {
+  static auto TakeOver(std::weak_ptr<Impl> weak,
+                       json request,
+                       std::shared_ptr<node::Responder> responder)
+      -> awaitable<void> {
+    const auto self = weak.lock();
+    if (!self) {
+      co_return;
+    }
     const auto text = request.at("records").get<std::string>();
     for (const auto& record : DecodeRecords(kRecordsCall, text)) {
-      records_.Add(record);
-      origins_.Add(record.stream, record.origin);
+      self->records_.Add(record);
+      self->origins_.Add(record.stream, record.origin);
     }
+    responder->Send(json::object());
   }
 
   // Returns the node that stores the records of this one, in its availability
--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -189,7 +189,7 @@
   co_await writer->Send(status, std::move(headers), std::move(text));
 }
 
-auto FakeObjectApi::MaybeMutate(std::string text) -> std::string {
+auto FakeObjectApi::MaybeMutate(const std::string& text) -> std::string {
   const auto lock = std::lock_guard(mutex_);
   return malformed_ ? mutator_.Mutate({text}) : text;
 }
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -72,7 +72,7 @@
   auto Answer(const Request& request, const Endpoint& endpoint)
       -> std::pair<int, nlohmann::json>;
   auto IsDown(const Endpoint& endpoint) const -> bool;
-  auto MaybeMutate(std::string text) -> std::string;
+  auto MaybeMutate(const std::string& text) -> std::string;
   auto ReadDelay(const Request& request) const -> std::chrono::milliseconds;
   auto AnswerRead(const std::string& path) -> std::pair<int, nlohmann::json>;
   auto AnswerWrite(const Request& request, const std::string& path)
--- a/testing/support/mutator.cc
+++ b/testing/support/mutator.cc
@@ -90,7 +90,7 @@
   const auto end =
       std::min(text.find_first_of(kSeparators, begin), text.size());
   const auto& values = UnusualValues();
-  auto value = values[Below(values.size())];
+  const auto& value = values[Below(values.size())];
   const auto quoted = begin > 0 && text[begin - 1] == '"' &&
                       end < text.size() && text[end] == '"';
   // Also replaces the quotes now and then, and with them the type.
