Reserve the tokens of a job again if its node was taken for dead meanwhile

Cause: a node that stood still while it stored a job was taken for dead. When it woke it went on under a new incarnation; the share of the old one was given away at once, as that of a process that has ended, since the job was not in the store yet. Then the job was stored and accepted, and its tokens counted nowhere.

Change: a node that finds itself under another incarnation once a job is stored reserves the tokens anew and makes itself the owner. A job that no longer fits is removed and answered 429; if that fails, 502.

--- a/include/kumquatgauge/serving/job.h
+++ b/include/kumquatgauge/serving/job.h
@@ -52,8 +52,8 @@
   std::uint64_t total = 0;  // Number of items.
   bool ended = false;       // Stopped on request.
   bool done = false;        // Every item has a result.
-  // Who accepted the job and answers for its tokens until it is over; never
-  // changes. The tokens are those of all items.
+  // Who accepted the job and answers for its tokens until it is over; does not
+  // change once the job is accepted. The tokens are those of all items.
   std::string account = {};  // See AccountNameOf.
   NodeId acceptor = {};
   Incarnation acceptor_incarnation = 0;
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -265,20 +265,8 @@
       parts_.quotas.OnOver(state.account, id);
       decision = {JobAdmission::kUnavailable, "this node stops", {}};
     }
-    if (decision.admission == JobAdmission::kExists) {
-      co_await Answer(writer, kAccepted, "");
-      co_return;
-    }
-    if (decision.admission == JobAdmission::kOverQuota) {
-      refused_.Add();
-      co_await Refuse(writer, kTooManyRequests, decision.reason,
-                      decision.retry_after);
-      co_return;
-    }
-    if (decision.admission == JobAdmission::kUnavailable ||
-        decision.admission == JobAdmission::kUnknown) {
-      const auto not_run = decision.admission == JobAdmission::kUnavailable;
-      co_await RefuseJob(id, decision.reason, not_run, writer);
+    if (decision.admission != JobAdmission::kGranted) {
+      co_await AnswerNotAccepted(id, decision, writer);
       co_return;
     }
     auto stored = std::optional<StoredState>();
@@ -292,10 +280,14 @@
       not_run = error.kind() != ErrorKind::kUnknownOutcome;
     }
     accept_ms_.Record(MillisecondsSince(began));
-    const auto reserved_in_vain =
-        stored ? !AcceptedHere(stored->state) : not_run;
-    if (reserved_in_vain) {
-      parts_.quotas.OnOver(state.account, id);
+    if (stored && stored->state == state && !AcceptedHere(state)) {
+      decision = co_await AcceptAgain(stored);
+      if (decision.admission != JobAdmission::kGranted) {
+        co_await AnswerNotAccepted(id, decision, writer);
+        co_return;
+      }
+    } else if (stored ? !AcceptedHere(stored->state) : not_run) {
+      parts_.quotas.OnOver(state.account, id);  // It was reserved in vain.
     }
     if (!stored) {
       co_await RefuseJob(id, failure, not_run, writer);
@@ -592,6 +584,68 @@
     co_return check;
   }
 
+  // Accepts a stored job again, and as its owner, after other nodes considered
+  // this node dead while it stored the job: they may have lent its share to
+  // others before the job was in the store. A job that no longer fits is
+  // removed.
+  auto AcceptAgain(std::optional<StoredState>& stored)
+      -> awaitable<QuotaCheck> {
+    auto state = stored->state;
+    const auto self = parts_.self();
+    state.owner = self.id;
+    state.incarnation = self.incarnation;
+    state.acceptor = self.id;
+    state.acceptor_incarnation = self.incarnation;
+    auto check = QuotaCheck();
+    try {
+      if (!state.account.empty()) {
+        const auto decision = co_await parts_.quotas.Reserve(
+            state.account, state.id, state.tokens);
+        if (!decision.granted) {
+          check.admission = JobAdmission::kUnknown;  // Until it is removed.
+          co_await parts_.archive.Remove(stored->state, stored->version);
+          check = {JobAdmission::kOverQuota, decision.reason,
+                   decision.retry_after};
+          co_return check;
+        }
+      }
+      check.admission = JobAdmission::kUnknown;
+      const auto replaced =
+          co_await parts_.archive.ReplaceState(state, stored->version);
+      // Otherwise another node has taken the job over, and the tokens that are
+      // reserved here cover it.
+      if (replaced) {
+        stored = replaced;
+      }
+      check.admission = JobAdmission::kGranted;
+    } catch (const Error& error) {
+      check.admission = JobAdmission::kUnknown;
+      check.reason = error.what();
+    }
+    co_return check;
+  }
+
+  auto AnswerNotAccepted(JobId id, QuotaCheck check, WriterPtr writer)
+      -> awaitable<void> {
+    switch (check.admission) {
+      case JobAdmission::kGranted:
+      case JobAdmission::kExists:
+        co_await Answer(writer, kAccepted, "");
+        break;
+      case JobAdmission::kOverQuota:
+        refused_.Add();
+        co_await Refuse(writer, kTooManyRequests, check.reason,
+                        check.retry_after);
+        break;
+      case JobAdmission::kUnavailable:
+        co_await RefuseJob(id, check.reason, true, writer);
+        break;
+      case JobAdmission::kUnknown:
+        co_await RefuseJob(id, check.reason, false, writer);
+        break;
+    }
+  }
+
   auto RefuseJob(JobId id, std::string failure, bool not_run, WriterPtr writer)
       -> awaitable<void> {
     refused_.Add();
--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -147,13 +147,18 @@
   read_delays_[kind] = delay;
 }
 
-auto FakeObjectApi::ReadDelay(const Request& request) const -> milliseconds {
+auto FakeObjectApi::SetWriteDelay(const std::string& kind, milliseconds delay)
+    -> void {
+  const auto lock = std::lock_guard(mutex_);
+  write_delays_[kind] = delay;
+}
+
+auto FakeObjectApi::Delay(const Request& request) const -> milliseconds {
   const auto lock = std::lock_guard(mutex_);
   const auto path = request.target.substr(kObjects.size());
-  const auto delay = read_delays_.find(path.substr(0, path.find('/')));
-  return request.method == "GET" && delay != read_delays_.end()
-             ? delay->second
-             : milliseconds(0);
+  const auto& delays = request.method == "GET" ? read_delays_ : write_delays_;
+  const auto delay = delays.find(path.substr(0, path.find('/')));
+  return delay == delays.end() ? milliseconds(0) : delay->second;
 }
 
 auto FakeObjectApi::LoseAnswers(const std::string& kind, int count) -> void {
@@ -177,7 +182,7 @@
       co_await Pause(context_, kWatchStep);
     }
   }
-  co_await Pause(context_, ReadDelay(*request));
+  co_await Pause(context_, Delay(*request));
   auto [status, body] = since > 0 && !IsDown(*endpoint)
                             ? std::pair(200, Changes(kind, since))
                             : Answer(*request, *endpoint);
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -47,6 +47,9 @@
   auto ExactLists(const std::string& kind) const -> int;
   // While set, answers are malformed.
   auto set_malformed(bool malformed) -> void;
+  // Writes of objects of this kind take effect after this time.
+  auto SetWriteDelay(const std::string& kind, std::chrono::milliseconds delay)
+      -> void;
   // The next `count` writes of this kind take effect but are not answered.
   auto LoseAnswers(const std::string& kind, int count) -> void;
 
@@ -73,7 +76,7 @@
       -> std::pair<int, nlohmann::json>;
   auto IsDown(const Endpoint& endpoint) const -> bool;
   auto MaybeMutate(const std::string& text) -> std::string;
-  auto ReadDelay(const Request& request) const -> std::chrono::milliseconds;
+  auto Delay(const Request& request) const -> std::chrono::milliseconds;
   auto AnswerRead(const std::string& path) -> std::pair<int, nlohmann::json>;
   auto AnswerWrite(const Request& request, const std::string& path)
       -> std::pair<int, nlohmann::json>;
@@ -87,6 +90,7 @@
   std::map<std::string, int> lost_answers_;
   std::map<std::string, int> exact_lists_;
   std::map<std::string, std::chrono::milliseconds> read_delays_;
+  std::map<std::string, std::chrono::milliseconds> write_delays_;
   std::set<std::string> kinds_down_;
   std::uint64_t revision_ = 1;
   bool down_ = false;
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -1206,6 +1206,46 @@
   }));
 }
 
+// Guards against a reservation that other nodes give away while its job is
+// being stored, since this node stands still and they take it for dead.
+TEST_CASE("Gateway.KeepsTheQuotaIfItIsTakenForDeadWhileItAcceptsAJob") {
+  constexpr milliseconds kWriteDelay{300};
+  constexpr milliseconds kUntilDead{3'500};
+  auto fleet = Fleet(2);
+  for (auto* replica : {fleet.one.get(), fleet.two.get()}) {
+    replica->set_event_delay(std::chrono::seconds(30));
+  }
+  fleet.AwaitService();
+  auto configuration = MakeConfiguration(4);
+  for (auto& route : configuration.at("routes")) {
+    if (route.at("kind") == "batch") {
+      route["cap"] = kItemTokens;
+    }
+  }
+  fleet.store->Put("config/main", configuration);
+  auto& node = *fleet.nodes.front();
+  REQUIRE(
+      Eventually([&] { return !LinesOf(node.Log(), "version", "4").empty(); }));
+  fleet.store->SetWriteDelay("jobs", kWriteDelay);
+  fleet.store->SetWriteDelay("job-states", kWriteDelay);
+  auto first = FetchReply();
+  auto submission = std::thread(
+      [&] { first = node.Call("POST", "/jobs/1", "j1", JobBody({"a"})); });
+  // Until the job has its tokens and its record is being stored.
+  std::this_thread::sleep_for(kWriteDelay / 2);
+  node.process().Signal(SIGSTOP);
+  std::this_thread::sleep_for(kUntilDead);
+  node.process().Signal(SIGCONT);
+  CHECK(Eventually(
+      [&] { return !LinesOf(node.Log(), "event", "rejoined").empty(); }));
+  const auto second = node.Call("POST", "/jobs/1", "j2", JobBody({"b"}));
+  submission.join();
+  CAPTURE(first.status, second.status);
+  CHECK((first.status == 202) + (second.status == 202) == 1);
+  CHECK(fleet.store->Has("job-states/j1") == (first.status == 202));
+  CHECK(fleet.store->Has("job-states/j2") == (second.status == 202));
+}
+
 // Guards against a planned stop that cuts an answer off.
 TEST_CASE("Gateway.FinishesWhatItHasReadInAPlannedStop") {
   auto fleet = Fleet();
