--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -281,7 +281,7 @@
     }
     accept_ms_.Record(MillisecondsSince(began));
     if (stored && stored->state == state && !AcceptedHere(state)) {
-      decision = co_await AcceptAgain(stored);
+      decision = co_await AcceptAgain(*stored);
       if (decision.admission != JobAdmission::kGranted) {
         co_await AnswerNotAccepted(id, decision, writer);
         co_return;
@@ -588,9 +588,8 @@
   // this node dead while it stored the job: they may have lent its share to
   // others before the job was in the store. A job that no longer fits is
   // removed.
-  auto AcceptAgain(std::optional<StoredState>& stored)
-      -> awaitable<QuotaCheck> {
-    auto state = stored->state;
+  auto AcceptAgain(StoredState& stored) -> awaitable<QuotaCheck> {
+    auto state = stored.state;
     const auto self = parts_.self();
     state.owner = self.id;
     state.incarnation = self.incarnation;
@@ -603,7 +602,7 @@
             state.account, state.id, state.tokens);
         if (!decision.granted) {
           check.admission = JobAdmission::kUnknown;  // Until it is removed.
-          co_await parts_.archive.Remove(stored->state, stored->version);
+          co_await parts_.archive.Remove(stored.state, stored.version);
           check = {JobAdmission::kOverQuota, decision.reason,
                    decision.retry_after};
           co_return check;
@@ -611,11 +610,11 @@
       }
       check.admission = JobAdmission::kUnknown;
       const auto replaced =
-          co_await parts_.archive.ReplaceState(state, stored->version);
+          co_await parts_.archive.ReplaceState(state, stored.version);
       // Otherwise another node has taken the job over, and the tokens that are
       // reserved here cover it.
       if (replaced) {
-        stored = replaced;
+        stored = *replaced;
       }
       check.admission = JobAdmission::kGranted;
     } catch (const Error& error) {
