Share the replicas of the tests of versions

The tests of VersionRegistry and VersionHistory each built replicas of one service with given versions by the same function. It stands once now, in testing/support.

--- a/src/serving/version_history_test.cc
+++ b/src/serving/version_history_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "testing/support/manual_clock.h"
+#include "testing/support/version_replicas.h"
 
 namespace kumquatgauge::serving {
 namespace {
@@ -14,15 +15,7 @@
 
 auto Replicas(const std::vector<std::string>& versions)
     -> std::vector<routing::Replica> {
-  auto replicas = std::vector<routing::Replica>();
-  for (const auto& version : versions) {
-    auto replica = routing::Replica();
-    replica.id = ReplicaId("r" + std::to_string(replicas.size()));
-    replica.service = kService;
-    replica.version = version;
-    replicas.push_back(replica);
-  }
-  return replicas;
+  return testing::ReplicasOfVersions(kService, versions);
 }
 
 struct Fixture {
--- a/src/serving/version_registry_test.cc
+++ b/src/serving/version_registry_test.cc
@@ -5,6 +5,7 @@
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/serving/stream_records.h"
 #include "testing/support/manual_clock.h"
+#include "testing/support/version_replicas.h"
 
 namespace kumquatgauge::serving {
 namespace {
@@ -19,15 +20,7 @@
 
 auto Replicas(const std::vector<std::string>& versions)
     -> std::vector<routing::Replica> {
-  auto replicas = std::vector<routing::Replica>();
-  for (const auto& version : versions) {
-    auto replica = routing::Replica();
-    replica.id = ReplicaId("r" + std::to_string(replicas.size()));
-    replica.service = kService;
-    replica.version = version;
-    replicas.push_back(replica);
-  }
-  return replicas;
+  return testing::ReplicasOfVersions(kService, versions);
 }
 
 struct Fixture {
