Show that a request goes on crashing replicas that keep their ids

The quarantine counts one crash for each replica id, but a replica keeps its id when it starts again, so a service of three never has the three crashes that are wanted.

--- a/review/stand_in/net.cc
+++ b/review/stand_in/net.cc
@@ -24,7 +24,9 @@
 
 auto Listen(int& port) -> int {
   const auto socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  auto address = MakeAddress("127.0.0.1:0");
+  const auto on = 1;
+  ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  auto address = MakeAddress("127.0.0.1:" + std::to_string(port));
   auto size = socklen_t(sizeof(address));
   if (::bind(socket, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
       ::listen(socket, 256) != 0) {
@@ -188,22 +190,36 @@
 
 Server::~Server() {
   stopped_ = true;
-  ::shutdown(listener_, SHUT_RDWR);
-  thread_.join();
-  ::close(listener_);
-  {
-    const auto lock = std::lock_guard(mutex_);
-    for (const auto& connection : connections_) {
-      connection->Shutdown();
-    }
+  if (!ended_) {
+    End();
   }
   while (running_ > 0) {
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
   }
 }
 
+auto Server::End() -> void {
+  ended_ = true;
+  ::shutdown(listener_, SHUT_RDWR);
+  thread_.join();
+  ::close(listener_);
+  const auto lock = std::lock_guard(mutex_);
+  for (const auto& connection : connections_) {
+    connection->Reset();
+    connection->Shutdown();
+  }
+}
+
+auto Server::StartAgain() -> void {
+  auto port = static_cast<int>(
+      std::strtol(&address_[address_.rfind(':') + 1], nullptr, 10));
+  listener_ = Listen(port);
+  ended_ = false;
+  thread_ = std::thread([this] { Accept(); });
+}
+
 auto Server::Accept() -> void {
-  while (!stopped_) {
+  while (!ended_) {
     const auto socket = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
     if (socket < 0) {
       continue;
--- a/review/stand_in/net.h
+++ b/review/stand_in/net.h
@@ -73,6 +73,10 @@
   Server(const Server&) = delete;
   auto operator=(const Server&) -> Server& = delete;
   auto address() const -> const std::string& { return address_; }
+  // As when the process ends: resets all connections and refuses new ones.
+  auto End() -> void;
+  // Listens on the same port again.
+  auto StartAgain() -> void;
 
  private:
   auto Accept() -> void;
@@ -81,6 +85,7 @@
   Handler handler_;
   int listener_ = -1;
   std::string address_;
+  std::atomic<bool> ended_ = false;
   std::mutex mutex_;
   std::set<std::shared_ptr<Connection>> connections_;
   std::atomic<bool> stopped_ = false;
--- a/review/stand_in/world.cc
+++ b/review/stand_in/world.cc
@@ -41,6 +41,12 @@
   return values;
 }
 
+auto UnixMs() -> std::int64_t {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 auto Unescape(const std::string& text) -> std::string {
   constexpr int kHex = 16;
   auto plain = std::string();
@@ -267,6 +273,7 @@
       id_(std::move(id)),
       events_(events),
       event_ms_(event_ms),
+      born_(UnixMs()),
       server_(std::make_unique<Server>(
           [this](const Request& request, Connection& connection) {
             return Handle(request, connection);
@@ -281,12 +288,18 @@
               {"state", state},
               {"cold_remaining_ms", 0},
               {"sequence", 1},
+              {"born", born_.load()},
               {"stage", "both"},
               {"models",
                {{{"name", "m"}, {"version", 1}, {"adapters", json::array()}}}}}
       .dump();
 }
 
+auto Replica::StartAgain() -> void {
+  born_ = UnixMs();
+  server_->StartAgain();
+}
+
 auto Replica::Runs(const std::string& request) -> int {
   const auto lock = std::lock_guard(mutex_);
   return runs_[request];
--- a/review/stand_in/world.h
+++ b/review/stand_in/world.h
@@ -115,6 +115,10 @@
   auto set_hook(Hook hook) -> void { hook_ = std::move(hook); }
   // Whether it says in its answers that it leaves.
   auto set_leaving(bool leaving) -> void { leaving_ = leaving; }
+  // The process ends, and its connections with it.
+  auto End() -> void { server_->End(); }
+  // It starts again under the same id and address.
+  auto StartAgain() -> void;
   // How often a request began to run, and how many run now.
   auto Runs(const std::string& request) -> int;
   auto running() const -> int { return running_; }
@@ -129,6 +133,7 @@
   int event_ms_;
   Hook hook_;
   std::atomic<bool> leaving_ = false;
+  std::atomic<std::int64_t> born_;  // When it started, in Unix milliseconds.
   std::atomic<int> running_ = 0;
   std::mutex mutex_;
   std::map<std::string, int> runs_;
