Show what the late requests to a removed replica lose

Requests that may not be repeated are sent to it 4 s after the removal and are cut off when it exits.

--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <iostream>
 #include <memory>
+#include <thread>
 #include <vector>
 
 #include "review/stand_in/world.h"
@@ -28,7 +29,8 @@
 constexpr int kRemovedAfterMs = 100;
 constexpr int kStartedAfterMs = 500;
 constexpr int kAskedAfterMs = 4'000;  // Twice `drain_timeout_ms`.
-constexpr int kRequests = 8;
+constexpr int kExitAfterMs = 4'100;   // "At times many seconds" later.
+constexpr std::size_t kRequests = 8;
 
 struct World {
   World(Record& own_record, const std::string& folder)
@@ -73,14 +75,15 @@
   return up;
 }
 
-auto Ask(World& world, const std::string& id) -> int {
+// Returns whether the whole answer came.
+auto Ask(World& world, const std::string& id) -> bool {
   constexpr int kTimeoutMs = 5'000;
   const auto& gateway = *world.gateways[kAsked];
   world.record.Add("client: sends " + id + " to " + gateway.callers());
   const auto answer =
       Call(gateway.callers(),
            {"POST",
-            "/summary/" + id,
+            "/hint/" + id,
             {{"Host", kHost},
              {"Request-Id", id},
              {"Timeout-Ms", "5000"},
@@ -90,20 +93,38 @@
             "text"},
            kTimeoutMs);
   world.record.Add("client: " + id + " is answered " +
-                   std::to_string(answer.status));
-  return answer.status;
+                   std::to_string(answer.status) +
+                   (answer.complete ? "" : ", cut off before its end"));
+  return answer.complete;
 }
 
-auto AskSeveral(World& world, const std::string& name) -> int {
-  auto at_leaving = 0;
-  for (auto number = 0; number < kRequests; ++number) {
-    const auto id = name + std::to_string(number);
-    Ask(world, id);
-    at_leaving += world.leaving.Runs(id);
+struct Asked {
+  int at_leaving = 0;
+  int cut = 0;  // Of these, not answered in full.
+};
+
+// Several clients ask at about the same time.
+auto AskSeveral(World& world, const std::string& name) -> Asked {
+  auto whole = std::vector<char>(kRequests);
+  auto clients = std::vector<std::thread>();
+  for (auto number = std::size_t{0}; number < kRequests; ++number) {
+    clients.emplace_back([&world, &whole, &name, number] {
+      whole[number] = Ask(world, name + std::to_string(number)) ? 1 : 0;
+    });
+  }
+  for (auto& client : clients) {
+    client.join();
   }
-  world.record.Add(name + ": " + std::to_string(at_leaving) + " of " +
-                   std::to_string(kRequests) + " requests reached i-1");
-  return at_leaving;
+  auto asked = Asked();
+  for (auto number = std::size_t{0}; number < kRequests; ++number) {
+    const auto runs = world.leaving.Runs(name + std::to_string(number));
+    asked.at_leaving += runs;
+    asked.cut += runs > 0 && whole[number] == 0 ? 1 : 0;
+  }
+  world.record.Add(name + ": " + std::to_string(asked.at_leaving) + " of " +
+                   std::to_string(kRequests) + " requests reached i-1, " +
+                   std::to_string(asked.cut) + " of them were cut off");
+  return asked;
 }
 
 auto Run(World& world) -> int {
@@ -111,7 +132,7 @@
     world.record.Add("the gateways did not start");
     return kNotRun;
   }
-  if (AskSeveral(world, "a0") == 0) {
+  if (AskSeveral(world, "a0").at_leaving == 0) {
     world.record.Add("i-1 is not used before its entry is gone");
     return kNotRun;
   }
@@ -133,7 +154,13 @@
     second.Start();
   }
   Sleep(kAskedAfterMs - kStartedAfterMs);
-  const auto late = AskSeveral(world, "b0");
+  auto exit = std::thread([&world] {
+    Sleep(kExitAfterMs - kAskedAfterMs);
+    world.record.Add("i-1: exits");
+    world.leaving.End();
+  });
+  const auto late = AskSeveral(world, "b0").at_leaving;
+  exit.join();
   world.record.Add(
       std::string(late > 0 ? "BROKEN" : "held") + ": " + std::to_string(late) +
       " requests reached i-1 later than drain_timeout_ms (" +
