Share the fleet of the gateway tests and extend its fakes

The fake store can hold values that are no JSON; a fake replica can fail only requests with a path and counts the streams that it has written to their end. No test changes.

--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -53,6 +53,11 @@
   return {"Server-Leaving", "1"};
 }
 
+// Stands for a value that is put into the text of an answer.
+auto TextMark(std::size_t number) -> std::string {
+  return "@text-" + std::to_string(number) + "@";
+}
+
 auto EventData(const std::string& request,
                int number,
                const std::string& version) -> std::string {
@@ -117,6 +122,30 @@
   objects_[key] = {std::move(spec), ++revision_, false};
 }
 
+auto FakeObjectApi::PutText(const std::string& key, const std::string& text)
+    -> void {
+  auto mark = std::string();
+  {
+    const auto lock = std::lock_guard(mutex_);
+    mark = TextMark(texts_.size());
+    texts_.push_back(text);
+  }
+  Put(key, mark);
+}
+
+auto FakeObjectApi::TextOf(const json& body) const -> std::string {
+  const auto lock = std::lock_guard(mutex_);
+  auto text = body.dump();
+  for (std::size_t at = 0; at < texts_.size(); ++at) {
+    const auto mark = "\"" + TextMark(at) + "\"";
+    for (auto found = text.find(mark); found != std::string::npos;
+         found = text.find(mark, found + texts_[at].size())) {
+      text.replace(found, mark.size(), texts_[at]);
+    }
+  }
+  return text;
+}
+
 auto FakeObjectApi::Remove(const std::string& key) -> void {
   const auto lock = std::lock_guard(mutex_);
   objects_[key].revision = ++revision_;
@@ -190,7 +219,7 @@
     co_return;  // The connection closes without an answer.
   }
   auto headers = HeaderList{{"Content-Type", "application/json"}};
-  auto text = MaybeMutate(body.dump());
+  auto text = MaybeMutate(TextOf(body));
   co_await writer->Send(status, std::move(headers), std::move(text));
 }
 
@@ -401,9 +430,19 @@
   return all;
 }
 
-auto FakeReplica::TakeFault() -> ReplicaFault {
+auto FakeReplica::SetFaultyPathPart(const std::string& part) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  faulty_path_part_ = part;
+}
+
+auto FakeReplica::finished_runs() const -> int {
   const auto lock = std::lock_guard(mutex_);
-  if (fault_count_ == 0) {
+  return finished_runs_;
+}
+
+auto FakeReplica::TakeFault(const std::string& path) -> ReplicaFault {
+  const auto lock = std::lock_guard(mutex_);
+  if (fault_count_ == 0 || path.find(faulty_path_part_) == std::string::npos) {
     return ReplicaFault::kNone;
   }
   --fault_count_;
@@ -413,7 +452,7 @@
 auto FakeReplica::Handle(std::shared_ptr<const caller::IncomingRequest> request,
                          std::shared_ptr<caller::ResponseWriter> writer)
     -> awaitable<void> {
-  const auto fault = TakeFault();
+  const auto fault = TakeFault(request->target);
   const auto own_id = id();
   const auto request_id =
       std::string(FindHeader(request->headers, "Request-Id"));
@@ -515,7 +554,9 @@
       co_await writer->WriteChunk(std::move(text));
     }
   }
-  co_await writer->FinishStream();
+  const auto finished = co_await writer->FinishStream();
+  const auto lock = std::lock_guard(mutex_);
+  finished_runs_ += finished ? 1 : 0;
 }
 
 auto ExpectedText(const std::string& request, const std::string& version)
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -28,6 +28,8 @@
     return endpoints_.front()->listener->address();
   }
   auto Put(const std::string& key, nlohmann::json spec) -> void;
+  // The object's value is `text`, which need not be JSON.
+  auto PutText(const std::string& key, const std::string& text) -> void;
   auto Remove(const std::string& key) -> void;
   auto Has(const std::string& key) const -> bool;
   // The value of an object; null if there is none.
@@ -76,6 +78,8 @@
       -> std::pair<int, nlohmann::json>;
   auto IsDown(const Endpoint& endpoint) const -> bool;
   auto MaybeMutate(const std::string& text) -> std::string;
+  // Returns the text of an answer, with the values of PutText in place.
+  auto TextOf(const nlohmann::json& body) const -> std::string;
   auto Delay(const Request& request) const -> std::chrono::milliseconds;
   auto AnswerRead(const std::string& path) -> std::pair<int, nlohmann::json>;
   auto AnswerWrite(const Request& request, const std::string& path)
@@ -87,6 +91,7 @@
 
   mutable std::mutex mutex_;
   std::map<std::string, Object> objects_;  // By "KIND/NAME".
+  std::vector<std::string> texts_;         // Of PutText.
   std::map<std::string, int> lost_answers_;
   std::map<std::string, int> exact_lists_;
   std::map<std::string, std::chrono::milliseconds> read_delays_;
@@ -134,6 +139,8 @@
   auto id() const -> std::string;
   // Applies to the next `count` requests.
   auto SetFault(ReplicaFault fault, int count) -> void;
+  // Faults apply only to requests with this in their path.
+  auto SetFaultyPathPart(const std::string& part) -> void;
   // A request whose prompt has this part ends the replica before its answer
   // begins; the replica is back at once under another id.
   auto set_crashing_part(const std::string& part) -> void;
@@ -156,6 +163,8 @@
   // How often a request has begun to run here.
   auto RunCount(const std::string& request) const -> int;
   auto total_runs() const -> int;
+  // Streams that were written to their end.
+  auto finished_runs() const -> int;
 
  private:
   auto Handle(std::shared_ptr<const caller::IncomingRequest> request,
@@ -169,7 +178,7 @@
       -> boost::asio::awaitable<void>;
   auto WriteInPieces(std::shared_ptr<caller::ResponseWriter> writer,
                      std::string text) -> boost::asio::awaitable<void>;
-  auto TakeFault() -> ReplicaFault;
+  auto TakeFault(const std::string& path) -> ReplicaFault;
   // Returns whether the request has ended the replica.
   auto Crashes(const caller::IncomingRequest& request) -> bool;
 
@@ -187,6 +196,8 @@
   std::map<std::string, int> runs_;
   ReplicaFault fault_ = ReplicaFault::kNone;
   int fault_count_ = 0;
+  std::string faulty_path_part_;
+  int finished_runs_ = 0;
   std::chrono::milliseconds event_delay_{0};
   boost::asio::io_context& context_;
   caller::HttpListener listener_;
--- a/testing/gateway/gateway_process.h
+++ b/testing/gateway/gateway_process.h
@@ -62,6 +62,8 @@
 
   auto process() -> ChildProcess& { return *process_; }
   auto callers() const -> const std::string& { return callers_; }
+  auto readiness() const -> const std::string& { return readiness_; }
+  auto directory() const -> const std::string& { return directory_; }
   // Its address for other gateways.
   auto nodes() const -> const std::string& { return nodes_; }
   auto name() const -> const std::string& { return name_; }
