List the results of a job that is repeated during its takeover

Cause: a node could become the owner of a job in two ways at the same time. While a takeover had stored the new owner and still read and closed the list of results, a repeated submission found this node as the owner and added the job without results and without the closing. The owner then met its own closing and waited for a newer owner to go on, for ever. The same wait followed a closing by a takeover that came too late and was given up.

Why it works: a submission adds a job only if this call has created it and no takeover is under way; otherwise the takeover adds it, with what it has read. An owner that meets a closing reads the job's state after it and goes on behind the closing if nobody has replaced the state. Nothing is listed twice, as each place is created only if absent, and a former owner finds itself replaced first (Gateway.AddsNothingToAListThatItsNewOwnerHasClosed).

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -280,7 +280,8 @@
       not_run = error.kind() != ErrorKind::kUnknownOutcome;
     }
     accept_ms_.Record(MillisecondsSince(began));
-    if (stored && stored->state == state && !AcceptedHere(state)) {
+    const auto created = stored && stored->state == state;
+    if (created && !AcceptedHere(state)) {
       decision = co_await AcceptAgain(*stored);
       if (decision.admission != JobAdmission::kGranted) {
         co_await AnswerNotAccepted(id, decision, writer);
@@ -304,11 +305,17 @@
                                   MillisecondsSince(began)))}});
     // A job that is over may have been dropped here to free memory.
     const auto over = stored->state.done || stored->state.ended;
-    if (IsOwn(stored->state) && !over && !stopped_) {
+    const auto known = jobs_.contains(id) || taking_over_.contains(id);
+    if (!IsOwn(stored->state) || over || stopped_) {
+      OnAnnounced(id, stored->state.owner);
+    } else if (created && !known) {
       record.submission.clear();
       AddOwnedJob(*stored, began, std::move(record), std::move(items), {});
-    } else {
-      OnAnnounced(id, stored->state.owner);
+    } else if (!known) {
+      // An earlier takeover or submission has not been completed. Results may
+      // be stored, and the list may be closed.
+      asio::co_spawn(parts_.executor, AdoptAgain(self, *stored),
+                     asio::detached);
     }
     co_await Answer(writer, kAccepted, "");
   }
@@ -1309,11 +1316,12 @@
         co_await Pause(kStoreRetryDelay);
         continue;
       }
+      auto confirmed = true;
       if (stored->writer != writer) {
-        co_await self->CheckState(job, true);
+        confirmed = co_await self->CheckState(job, true);
       }
-      if (stored->results.empty()) {
-        // A new owner has closed the list and continues it.
+      if (stored->results.empty() && !confirmed) {
+        // Perhaps a new owner has closed the list and continues it.
         co_await Pause(kStoreRetryDelay);
       } else if (!job->dropped) {
         self->OnResultsStored(job, *stored);
@@ -1328,6 +1336,17 @@
   }
 
   auto OnResultsStored(const JobPtr& job, const ResultChunk& stored) -> void {
+    if (stored.results.empty()) {
+      logger_.Warning(
+          "the list of results was closed by a takeover that was given up; "
+          "continuing behind it",
+          {{"event", "closing_passed"},
+           {"job", job->state.id.value()},
+           {"first", std::to_string(stored.place.position)},
+           {"closings", std::to_string(stored.place.closings)},
+           {"writer", stored.writer},
+           {"version", std::to_string(job->version)}});
+    }
     const auto known = job->finished;
     for (const auto item : job->AppendStored(stored)) {
       logger_.Info("a result is listed",
@@ -1352,7 +1371,8 @@
   }
 
   // Reads the stored state of a job; an inexact read may show an old one.
-  auto CheckState(JobPtr job, bool exact) -> awaitable<void> {
+  // Returns whether it could be read.
+  auto CheckState(JobPtr job, bool exact) -> awaitable<bool> {
     const auto asked_at = parts_.clock();
     auto stored = std::optional<StoredState>();
     try {
@@ -1364,7 +1384,7 @@
                          {"job", job->state.id.value()},
                          {"reason", error.what()}});
       }
-      co_return;
+      co_return false;
     }
     if (exact) {
       checks_.OnKnown(job->state.id, asked_at);
@@ -1377,6 +1397,7 @@
     } else if (exact) {
       Drop(job, "its state was removed from the store");
     }
+    co_return true;
   }
 
   auto SpawnCheck(const JobPtr& job, bool exact) -> void {
@@ -2094,6 +2115,11 @@
     }
   }
 
+  static auto AdoptAgain(std::shared_ptr<Impl> self, StoredState stored)
+      -> awaitable<void> {
+    co_await self->Adopt(std::move(stored));
+  }
+
   auto TakeOver(StoredState stored) -> awaitable<void> {
     const auto id = stored.state.id;
     auto record = co_await parts_.archive.LoadRecord(id);
