Read the entries beside one that cannot be read

Accepted batch jobs were never run, online requests were refused, and changes of the replicas were not followed.

Cause: the answer of the store is one JSON text, and a lone surrogate, a raw control character, 1e999 or an unknown escape makes the parser refuse all of it.

Why it works: an answer that cannot be parsed as a whole is split at its brackets and parsed member by member, down to the values of objects. One that cannot be parsed, or is nested so deep that the JSON library would exhaust the stack, is null: its entry keeps its name, names no replica, and is logged with the reason.

--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -106,13 +106,19 @@
 // and requests accepted until then end well before the process must exit.
 constexpr milliseconds kDrainPollInterval{50};
 constexpr milliseconds kMinDrainTime{2'500};
-// Reserved at the end of the shutdown time for sending the last answers.
+// Reserved at the end of the shutdown time for sending the last answers, to
+// requests that are ended then.
 constexpr milliseconds kStopMargin{500};
+constexpr milliseconds kLastAnswersTime{300};
 // File descriptors reserved for replicas, peers, the store and files.
 constexpr std::size_t kReservedDescriptors = 400;
 constexpr std::size_t kBytesPerMegabyte = 1'000'000;
 // Share of the memory limit that answers may take while they are read.
 constexpr std::size_t kAnswerMemoryDivisor = 8;
+// Other programs may write entries of any size.
+constexpr std::size_t kMaxLoggedValueBytes = 1'000;
+// JSON text of the value of an object that cannot be read.
+constexpr auto kUnreadableValue = std::string_view("null");
 // Keeps datagrams small enough not to be fragmented; an entry takes its id and
 // a few bytes.
 constexpr std::size_t kCountsPerDatagram = 40;
@@ -539,7 +545,11 @@
     auto replica = parts_.dialect.decode_replica(id.value(), value);
     if (!replica) {
       logger_.Warning("an entry does not describe a usable replica",
-                      {{"event", "entry_ignored"}, {"entry", id.value()}});
+                      {{"event", "entry_ignored"},
+                       {"entry", id.value()},
+                       {"reason", value == kUnreadableValue
+                                      ? "its value cannot be read"
+                                      : "a field is missing or not usable"}});
     }
     return replica;
   }
