List the states of jobs beside one that cannot be decoded

What callers would see: a job of a lost node that nobody takes over, because another program has left an object among the states of jobs; a stream that cannot be taken up, because one object of records cannot be decoded.

The first object that could not be decoded ended the whole listing.

The records of streams were changed by reading only.

Why it works: such an object is left out, and logged with its name and reason; the others do not depend on it.

--- a/include/kumquatgauge/serving/job_archive.h
+++ b/include/kumquatgauge/serving/job_archive.h
@@ -5,9 +5,11 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "kumquatgauge/base/log.h"
 #include "kumquatgauge/serving/job.h"
 #include "kumquatgauge/store/object_store.h"
 
@@ -42,7 +44,7 @@
   auto ReplaceState(JobState state, std::uint64_t version)
       -> boost::asio::awaitable<std::optional<StoredState>>;
   // Returns the states of all jobs; they may be seconds old when `exact` is
-  // false.
+  // false. Objects that cannot be decoded are left out and logged once.
   auto ListStates(bool exact)
       -> boost::asio::awaitable<std::vector<StoredState>>;
 
@@ -76,6 +78,8 @@
       -> boost::asio::awaitable<std::optional<ResultChunk>>;
 
   store::ObjectStore& store_;
+  Logger logger_{"archive"};
+  std::set<std::string> unreadable_;  // Keys, of the last listing.
 };
 
 }  // namespace kumquatgauge::serving
--- a/src/serving/job_archive.cc
+++ b/src/serving/job_archive.cc
@@ -119,6 +119,7 @@
 
 auto JobArchive::ListStates(bool exact) -> awaitable<std::vector<StoredState>> {
   auto states = std::vector<StoredState>();
+  auto unreadable = std::set<std::string>();
   auto after = std::string();
   while (true) {
     const auto page =
@@ -127,8 +128,19 @@
     for (const auto& entry : page.entries) {
       const auto id =
           JobId(entry.key.substr(std::string_view(kStatePrefix).size()));
-      if (entry.value) {
+      if (!entry.value) {
+        continue;
+      }
+      try {
         states.push_back({DecodeState(id, *entry.value), entry.version});
+      } catch (const Error& error) {
+        unreadable.insert(entry.key);
+        if (!unreadable_.contains(entry.key)) {
+          logger_.Warning("the state of a job cannot be decoded",
+                          {{"event", "object_ignored"},
+                           {"object", entry.key},
+                           {"reason", error.what()}});
+        }
       }
     }
     if (!page.more || page.entries.empty()) {
@@ -136,6 +148,7 @@
     }
     after = page.entries.back().key;
   }
+  unreadable_ = std::move(unreadable);
   co_return states;
 }
 
--- a/src/serving/stream_versions.cc
+++ b/src/serving/stream_versions.cc
@@ -540,6 +540,21 @@
         key, std::move(text), records_version_, CallClass::kResult);
   }
 
+  // Leaves out what cannot be decoded, since the records of the other nodes do
+  // not depend on it.
+  auto AddRecords(const std::string& key, const std::string& value) -> void {
+    try {
+      for (const auto& record : DecodeRecords(key, value)) {
+        origins_.Add(record.stream, record.origin);
+      }
+    } catch (const Error& error) {
+      logger_.Warning("records of streams cannot be decoded",
+                      {{"event", "object_ignored"},
+                       {"object", key},
+                       {"reason", error.what()}});
+    }
+  }
+
   // Reads the records of all nodes.
   auto LoadRecords() -> awaitable<void> {
     auto after = std::string();
@@ -549,9 +564,7 @@
           kRecordsPrefix, after, kPageSize, CallClass::kResult);
       for (const auto& entry : page.entries) {
         if (entry.value) {
-          for (const auto& record : DecodeRecords(entry.key, *entry.value)) {
-            origins_.Add(record.stream, record.origin);
-          }
+          AddRecords(entry.key, *entry.value);
         }
       }
       more = page.more && !page.entries.empty();
--- a/testing/gateway/unreadable_entry_test.cc
+++ b/testing/gateway/unreadable_entry_test.cc
@@ -2,6 +2,7 @@
 // read, at real gateway processes.
 
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -169,5 +170,30 @@
   }
 }
 
+// Guards against a job that nobody takes over, or whose quota is not known,
+// because another program has left an object among the states of jobs that
+// cannot be read.
+TEST_CASE("Gateway.TakesOverJobsBesideObjectsThatCannotBeRead") {
+  auto fleet = Fleet(2);
+  fleet.store->Put("job-states/x-1", json::array());
+  fleet.store->Put("job-states/x-2", {{"owner", 7}});
+  fleet.store->PutText("job-states/x-3", R"({"owner":"\udc80"})");
+  fleet.store->PutText("gateways/x-4", R"({"address":"\udc80"})");
+  fleet.store->Put("gateways/x-5", {{"address", 7}});
+  fleet.AwaitService();
+  fleet.one->set_event_delay(milliseconds(700));
+  fleet.two->set_event_delay(milliseconds(700));
+  REQUIRE(fleet.nodes[0]
+              ->Call("POST", "/jobs/1", "j1", JobBody({"a", "b"}))
+              .status == 202);
+  fleet.nodes[0]->process().Signal(SIGKILL);
+  fleet.one->set_event_delay(milliseconds(0));
+  fleet.two->set_event_delay(milliseconds(0));
+  CHECK(Eventually([&] {
+    const auto page = fleet.nodes[1]->ReadJob("j1");
+    return page.is_object() && page.at("next") == 2;
+  }));
+}
+
 }  // namespace
 }  // namespace kumquatgauge::testing
