Tell other nodes of removals before the first listing of a node

The gateways that watch the store had been killed and were back after half a second.

Cause: a node that has listed the entries of replicas does not know which were removed before, but answered the question for changes since an older revision as if it did. The asking node took over the revision without the removal, and never asked again. The same held for removals that a node had forgotten after ten minutes, and for a listing after the store's history was gone.

Why it works: a table knows from which revision on it has seen all removals, and sends all entries to a node that asks from before, saying that there are no others. Whether an entry that is missing from a first listing lapsed in an outage is in doubt; its replica now gets no requests in that time while at least half of the entries of its service are there.

--- a/include/kumquatgauge/serving/replica_table.h
+++ b/include/kumquatgauge/serving/replica_table.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -36,10 +37,24 @@
   // The node that reports the removal cannot tell when the grace period ends,
   // because its own calls to the store fail.
   bool undecided = false;
+  // The grace period is given only because the node that found the entry
+  // missing had begun to watch the store shortly before.
+  bool doubtful = false;
 
   auto operator==(const EntryChange&) const -> bool = default;
 };
 
+// Changes of entries for another node.
+struct EntryChanges {
+  std::vector<EntryChange> changes;
+  std::uint64_t revision = 0;  // All changes up to it are applied.
+  // Set if some removals may be missing among the changes: this one then holds
+  // for all entries that are not among them.
+  std::optional<EntryChange> others;
+
+  auto operator==(const EntryChanges&) const -> bool = default;
+};
+
 // One start of a replica that has said in an answer that it leaves.
 struct LeavingNotice {
   ReplicaId id;
@@ -53,6 +68,11 @@
 // the store, which this node reads itself or receives from a peer, and on the
 // answers of the replicas to any node.
 //
+// A node that has listed the entries does not know which were removed before,
+// and a node that receives changes from it may know entries that were. It
+// therefore sends all entries to a node that has not seen its listing, and says
+// that there are no others.
+//
 // A removal that a node reads in order, from a store whose calls have succeeded
 // for kEntryGracePeriod, means that the replica has left. An entry that goes
 // missing during or just after an outage may have lapsed because its lease
@@ -62,6 +82,10 @@
 // none, so the earliest end that any node decides on applies
 // (docs/platform.md, "Entries that go missing").
 //
+// If an entry is missing from the first listing of a node and no node has seen
+// an outage, it is in doubt whether the replica has left. It gets no requests
+// unless most entries of its service are missing, as after an outage.
+//
 // A replica that says in an answer that it leaves does so for good. An entry
 // that still calls it ready is older, or was written by a process that does not
 // know, so only a later start under the same id ends it.
@@ -86,10 +110,10 @@
   auto OnSnapshot(const std::vector<EntryChange>& entries,
                   std::uint64_t revision) -> bool;
   auto OnChange(const EntryChange& change) -> bool;
-  // The same for a change read by another node. That node watches the store, so
-  // its grace period for a missing entry applies here even if the store is
-  // unavailable to this node.
-  auto OnPeerChange(const EntryChange& change) -> bool;
+  // The same for ChangesSince(revision()) of another node. That node learns
+  // from one that watches the store, so its grace period for a missing entry
+  // applies here even if the store is unavailable to this node.
+  auto OnPeerChanges(const EntryChanges& changes) -> bool;
   // The same for one of ChangesOf another node. It does not raise revision(),
   // because changes of other entries may be missing here.
   auto OnPeerAnswer(const EntryChange& change) -> bool;
@@ -114,7 +138,7 @@
   // Returns the revision of the newest change.
   auto revision() const -> std::uint64_t { return revision_; }
   // Returns the changes after a revision, to send to another node.
-  auto ChangesSince(std::uint64_t revision) const -> std::vector<EntryChange>;
+  auto ChangesSince(std::uint64_t revision) const -> EntryChanges;
   // Returns the replicas that are kept although their entry is missing. Other
   // nodes may know better: their ChangesOf these go to OnPeerAnswer.
   auto missing() const -> std::vector<ReplicaId>;
@@ -138,6 +162,7 @@
     MonotonicTime removed_at;
     std::optional<MonotonicTime> drop_at;  // End of the grace period.
     bool set_by_peer = false;  // A peer reported the removal and set the time.
+    bool doubtful = false;     // See EntryChange.
   };
 
   struct Leaving {
@@ -150,8 +175,16 @@
   // Applies a change that is newer than the known state of its entry.
   auto Apply(Row& row, const EntryChange& change, Duration grace_period)
       -> bool;
-  auto OwnGracePeriod(const Row& row) const -> Duration;
-  auto CautiousGracePeriod(const Row& row) const -> Duration;
+  auto ApplyPeerChange(const EntryChange& change) -> bool;
+  auto OwnGracePeriod() const -> Duration;
+  auto CautiousGracePeriod() const -> Duration;
+  // Whether only the caution at the begin of a watch gives a grace period.
+  auto InDoubt() const -> bool;
+  // Returns the replicas whose doubtful absence counts as leaving.
+  auto Doubted() const -> std::set<ReplicaId>;
+  // Applies the absence of all entries but `listed` at a revision.
+  auto OnOthersAbsent(const std::set<ReplicaId>& listed,
+                      const EntryChange& others) -> bool;
   // Returns whether `row` waits for the end of its grace period and `change`
   // reports a removal of the value that it still has.
   static auto IsSameRemoval(const Row& row, const EntryChange& change) -> bool;
@@ -168,6 +201,13 @@
   std::map<ReplicaId, Row> rows_;
   std::map<ReplicaId, Leaving> leaving_;  // By their answers.
   std::uint64_t revision_ = 0;
+  // All removals after this revision are known.
+  std::uint64_t removals_known_from_ = 0;
+  // How long entries that were gone by then count as present, and whether that
+  // is in doubt; see EntryChange.
+  MonotonicTime others_kept_until_{};
+  bool others_undecided_ = false;
+  bool others_doubtful_ = false;
   bool store_unavailable_ = false;
   bool watching_ = false;  // This node watches the store.
   std::optional<MonotonicTime> watching_since_;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -277,7 +277,7 @@
     hooks.apply_feed = [this](const std::string& feed, std::uint64_t revision,
                               const json& content) {
       if (feed == kReplicaFeed) {
-        ApplyChanges(content, &ReplicaTable::OnPeerChange);
+        ApplyPeerChanges(content);
         return std::max(revision, replica_table_.revision());
       }
       ApplyConfiguration(content.value("value", ""), "a node");
@@ -594,12 +594,14 @@
 
   auto LogReplicaChange(const EntryChange& change, const std::string& source)
       -> void {
-    logger_.Info("a replica's entry changed",
-                 {{"event", "replica_changed"},
-                  {"replica", change.id.value()},
-                  {"revision", std::to_string(change.revision)},
-                  {"entry", change.value ? *change.value : std::string("gone")},
-                  {"source", source}});
+    logger_.Info(
+        "a replica's entry changed",
+        {{"event", "replica_changed"},
+         {"replica", change.id.value()},
+         {"revision", std::to_string(change.revision)},
+         {"entry", change.value ? change.value->substr(0, kMaxLoggedValueBytes)
+                                : std::string("gone")},
+         {"source", source}});
   }
 
   auto LogReplicaDropped(const ReplicaId& id,
@@ -614,9 +616,14 @@
   }
 
   auto EncodeChanges(std::uint64_t since) const -> json {
-    auto changes = EncodeChanges(replica_table_.ChangesSince(since));
-    changes["versions"] = streams_.EncodeRegistered();
-    return changes;
+    const auto changes = replica_table_.ChangesSince(since);
+    auto content = EncodeChanges(changes.changes);
+    content["revision"] = changes.revision;
+    if (changes.others) {
+      content["others"] = EncodeChanges({*changes.others});
+    }
+    content["versions"] = streams_.EncodeRegistered();
+    return content;
   }
 
   // What this node knows about the entries that another node asks for.
@@ -631,10 +638,14 @@
   static auto EncodeChanges(const std::vector<EntryChange>& entries) -> json {
     auto changes = json::array();
     auto undecided = json::array();
+    auto doubtful = json::array();
     for (const auto& change : entries) {
       if (change.undecided) {
         undecided.push_back(change.id.value());
       }
+      if (change.doubtful) {
+        doubtful.push_back(change.id.value());
+      }
       const auto keep =
           std::chrono::duration_cast<milliseconds>(change.grace_period).count();
       json entry = {change.id.value(), change.revision, keep};
@@ -644,16 +655,17 @@
       changes.push_back(std::move(entry));
     }
     return json{{"changes", std::move(changes)},
-                {"undecided", std::move(undecided)}};
+                {"undecided", std::move(undecided)},
+                {"doubtful", std::move(doubtful)}};
   }
 
-  auto ApplyChanges(const json& content,
-                    auto(ReplicaTable::*apply)(const EntryChange&)->bool)
-      -> void {
-    auto changed = false;
+  static auto DecodeChanges(const json& content) -> std::vector<EntryChange> {
+    constexpr std::size_t kWithValue = 4;
     const auto undecided = content.value("undecided", std::set<std::string>());
+    // Nodes of earlier releases do not send these.
+    const auto doubtful = content.value("doubtful", std::set<std::string>());
+    auto changes = std::vector<EntryChange>();
     for (const auto& entry : content.at("changes")) {
-      constexpr std::size_t kWithValue = 4;
       auto change = EntryChange();
       change.id = ReplicaId(entry.at(0).get<std::string>());
       change.revision = entry.at(1).get<std::uint64_t>();
@@ -662,11 +674,33 @@
         change.value = entry.at(3).get<std::string>();
       }
       change.undecided = undecided.contains(change.id.value());
-      if (replica_table_.revision() < change.revision) {
-        LogReplicaChange(change, "a node");
-      }
-      changed = (replica_table_.*apply)(change) || changed;
+      change.doubtful = doubtful.contains(change.id.value());
+      changes.push_back(std::move(change));
+    }
+    return changes;
+  }
+
+  auto ApplyPeerChanges(const json& content) -> void {
+    auto changes = EntryChanges();
+    changes.changes = DecodeChanges(content);
+    changes.revision = content.value("revision", std::uint64_t{0});
+    if (content.contains("others")) {
+      changes.others = DecodeChanges(content.at("others")).at(0);
     }
+    LogPeerChanges(changes);
+    const auto changed = replica_table_.OnPeerChanges(changes);
+    OnPeerTold(content, changed);
+  }
+
+  auto ApplyPeerAnswer(const json& content) -> void {
+    auto changed = false;
+    for (const auto& change : DecodeChanges(content)) {
+      changed = replica_table_.OnPeerAnswer(change) || changed;
+    }
+    OnPeerTold(content, changed);
+  }
+
+  auto OnPeerTold(const json& content, bool changed) -> void {
     streams_.OnPeerRegistered(content.value("versions", json::array()));
     if (changed) {
       ApplyReplicas();
@@ -674,6 +708,27 @@
     FollowMissing();
   }
 
+  auto LogPeerChanges(const EntryChanges& changes) -> void {
+    for (const auto& change : changes.changes) {
+      if (replica_table_.revision() < change.revision) {
+        LogReplicaChange(change, "a node");
+      }
+    }
+    if (changes.others) {
+      const auto& others = *changes.others;
+      const auto keep =
+          std::chrono::duration_cast<milliseconds>(others.grace_period);
+      logger_.Info("a node sent all entries of replicas",
+                   {{"event", "replicas_received"},
+                    {"entries", std::to_string(changes.changes.size())},
+                    {"revision", std::to_string(others.revision)},
+                    {"before", std::to_string(replica_table_.revision())},
+                    {"others_kept_ms", std::to_string(keep.count())},
+                    {"doubtful", others.doubtful ? "true" : "false"},
+                    {"undecided", others.undecided ? "true" : "false"}});
+    }
+  }
+
   // Asks the nodes that watch the store about replicas that are kept although
   // their entry is missing, and drops them on time.
   auto FollowMissing() -> void {
@@ -730,7 +785,7 @@
           std::move(request), [&answer](const json& frame) { answer = frame; },
           kMissingQuestionTimeout, nullptr);
       if (answer) {
-        ApplyChanges(*answer, &ReplicaTable::OnPeerAnswer);
+        ApplyPeerAnswer(*answer);
       }
     } catch (const std::exception& error) {
       failure = error.what();
--- a/src/serving/replica_table.cc
+++ b/src/serving/replica_table.cc
@@ -7,12 +7,14 @@
 
 auto ReplicaTable::OnSnapshot(const std::vector<EntryChange>& entries,
                               std::uint64_t revision) -> bool {
+  const auto doubted = Doubted();
   auto changed = false;
   auto listed = std::set<ReplicaId>();
   for (const auto& entry : entries) {
     listed.insert(entry.id);
     changed = OnChange(entry) || changed;
   }
+  const auto doubtful = InDoubt();
   for (auto& [id, row] : rows_) {
     if (listed.contains(id) || row.revision > revision) {
       continue;
@@ -20,13 +22,18 @@
     if (!row.removed) {
       row.revision = revision;
       row.set_by_peer = false;
-      changed = Remove(id, row, CautiousGracePeriod(row)) || changed;
+      row.doubtful = doubtful;
+      changed = Remove(id, row, CautiousGracePeriod()) || changed;
     } else if (row.drop_at) {
-      changed = Remove(id, row, CautiousGracePeriod(row)) || changed;
+      changed = Remove(id, row, CautiousGracePeriod()) || changed;
     }
   }
   revision_ = std::max(revision_, revision);
-  return changed;
+  removals_known_from_ = std::max(removals_known_from_, revision);
+  others_kept_until_ = clock_() + CautiousGracePeriod();
+  others_undecided_ = store_unavailable_;
+  others_doubtful_ = doubtful;
+  return changed || doubted != Doubted();
 }
 
 auto ReplicaTable::OnChange(const EntryChange& change) -> bool {
@@ -34,22 +41,60 @@
   auto& row = rows_[change.id];
   if (change.revision > row.revision) {
     row.set_by_peer = false;
-    return Apply(row, change, OwnGracePeriod(row));
+    return Apply(row, change, OwnGracePeriod());
   }
   // A peer that could not tell may have reported the removal before.
   return IsSameRemoval(row, change) &&
-         Remove(change.id, row, CautiousGracePeriod(row));
+         Remove(change.id, row, CautiousGracePeriod());
 }
 
-auto ReplicaTable::OnPeerChange(const EntryChange& change) -> bool {
-  revision_ = std::max(revision_, change.revision);
-  return OnPeerAnswer(change);
+auto ReplicaTable::OnPeerChanges(const EntryChanges& changes) -> bool {
+  const auto doubted = Doubted();
+  auto changed = false;
+  auto listed = std::set<ReplicaId>();
+  for (const auto& change : changes.changes) {
+    listed.insert(change.id);
+    revision_ = std::max(revision_, change.revision);
+    changed = ApplyPeerChange(change) || changed;
+  }
+  if (changes.others) {
+    changed = OnOthersAbsent(listed, *changes.others) || changed;
+  }
+  revision_ = std::max(revision_, changes.revision);
+  return changed || doubted != Doubted();
+}
+
+auto ReplicaTable::OnOthersAbsent(const std::set<ReplicaId>& listed,
+                                  const EntryChange& others) -> bool {
+  auto changed = false;
+  for (const auto& [id, row] : rows_) {
+    const auto present = !row.removed || row.drop_at;
+    if (present && !listed.contains(id) && row.revision <= others.revision) {
+      auto absence = others;
+      absence.id = id;
+      changed = ApplyPeerChange(absence) || changed;
+    }
+  }
+  if (others.revision > removals_known_from_) {
+    removals_known_from_ = others.revision;
+    others_kept_until_ = clock_() + others.grace_period;
+    others_undecided_ = others.undecided;
+    others_doubtful_ = others.doubtful;
+  }
+  return changed;
 }
 
 auto ReplicaTable::OnPeerAnswer(const EntryChange& change) -> bool {
+  const auto doubted = Doubted();
+  const auto changed = ApplyPeerChange(change);
+  return changed || doubted != Doubted();
+}
+
+auto ReplicaTable::ApplyPeerChange(const EntryChange& change) -> bool {
   auto& row = rows_[change.id];
   if (IsSameRemoval(row, change)) {
     row.revision = std::max(row.revision, change.revision);
+    row.doubtful = row.doubtful && change.doubtful;
     if (!change.undecided) {
       if (!IsDecided(row)) {
         row.drop_at.reset();
@@ -66,6 +111,7 @@
     return false;
   }
   row.set_by_peer = !change.undecided;
+  row.doubtful = change.doubtful;
   return Apply(row, change, change.grace_period);
 }
 
@@ -91,6 +137,7 @@
   row.value_revision = change.revision;
   row.replica = std::move(replica);
   row.removed = false;
+  row.doubtful = false;
   row.drop_at.reset();
   return changed;
 }
@@ -140,10 +187,7 @@
 }
 
 // Returns how long to keep a replica whose entry this node found missing.
-auto ReplicaTable::OwnGracePeriod(const Row& row) const -> Duration {
-  if (!row.replica) {
-    return Duration::zero();
-  }
+auto ReplicaTable::OwnGracePeriod() const -> Duration {
   if (store_unavailable_) {
     return kEntryGracePeriod;
   }
@@ -154,12 +198,40 @@
 
 // The same for an entry that may have gone missing before this node began to
 // watch, in an outage that it did not see.
-auto ReplicaTable::CautiousGracePeriod(const Row& row) const -> Duration {
-  const auto own = OwnGracePeriod(row);
-  if (!watching_since_ || !row.replica) {
-    return own;
+auto ReplicaTable::CautiousGracePeriod() const -> Duration {
+  const auto own = OwnGracePeriod();
+  return watching_since_
+             ? std::max(own, *watching_since_ + kEntryGracePeriod - clock_())
+             : own;
+}
+
+auto ReplicaTable::InDoubt() const -> bool {
+  return OwnGracePeriod() <= Duration::zero() &&
+         CautiousGracePeriod() > Duration::zero();
+}
+
+auto ReplicaTable::Doubted() const -> std::set<ReplicaId> {
+  struct Count {
+    std::size_t present = 0;
+    std::size_t missing = 0;
+  };
+  auto counts = std::map<ServiceName, Count>();
+  for (const auto& [id, row] : rows_) {
+    if (row.replica) {
+      auto& count = counts[row.replica->service];
+      ++(row.drop_at ? count.missing : count.present);
+    }
   }
-  return std::max(own, *watching_since_ + kEntryGracePeriod - clock_());
+  auto doubted = std::set<ReplicaId>();
+  for (const auto& [id, row] : rows_) {
+    if (row.replica && row.drop_at && row.doubtful) {
+      const auto& count = counts[row.replica->service];
+      if (count.present >= count.missing) {
+        doubted.insert(id);
+      }
+    }
+  }
+  return doubted;
 }
 
 auto ReplicaTable::Remove(const ReplicaId& id, Row& row, Duration grace_period)
@@ -169,7 +241,7 @@
     row.removed_at = now;
   }
   // A leaving replica has left. Another node may not know that it leaves.
-  const auto leaves = row.replica && Leaves(*row.replica);
+  const auto leaves = !row.replica || Leaves(*row.replica);
   if (leaves || grace_period <= Duration::zero()) {
     return Drop(id, row);
   }
@@ -198,8 +270,12 @@
   }
   std::erase_if(rows_, [&](const auto& entry) {
     const auto& row = entry.second;
-    return row.removed && !row.drop_at &&
-           now - row.removed_at > kRemovedEntryRetention;
+    const auto forgotten = row.removed && !row.drop_at &&
+                           now - row.removed_at > kRemovedEntryRetention;
+    if (forgotten) {
+      removals_known_from_ = std::max(removals_known_from_, row.revision);
+    }
+    return forgotten;
   });
   std::erase_if(leaving_, [&](const auto& entry) {
     const auto row = rows_.find(entry.first);
@@ -210,24 +286,35 @@
 }
 
 auto ReplicaTable::replicas() const -> std::vector<routing::Replica> {
+  const auto doubted = Doubted();
   auto replicas = std::vector<routing::Replica>();
   for (const auto& [id, row] : rows_) {
     if (row.replica) {
       replicas.push_back(*row.replica);
-      replicas.back().leaving = Leaves(*row.replica);
+      replicas.back().leaving = Leaves(*row.replica) || doubted.contains(id);
     }
   }
   return replicas;
 }
 
-auto ReplicaTable::ChangesSince(std::uint64_t revision) const
-    -> std::vector<EntryChange> {
-  auto changes = std::vector<EntryChange>();
+auto ReplicaTable::ChangesSince(std::uint64_t revision) const -> EntryChanges {
+  const auto removals_missing = revision < removals_known_from_;
+  auto changes = EntryChanges();
+  changes.revision = revision_;
   for (const auto& [id, row] : rows_) {
-    if (row.revision > revision) {
-      changes.push_back(ChangeOf(id, row));
+    if (removals_missing || row.revision > revision) {
+      changes.changes.push_back(ChangeOf(id, row));
     }
   }
+  if (removals_missing) {
+    auto others = EntryChange();
+    others.revision = removals_known_from_;
+    others.grace_period =
+        std::max(Duration::zero(), others_kept_until_ - clock_());
+    others.undecided = others_undecided_;
+    others.doubtful = others_doubtful_;
+    changes.others = others;
+  }
   return changes;
 }
 
@@ -282,6 +369,7 @@
     change.value = row.value;
   } else if (row.drop_at) {
     change.undecided = !IsDecided(row);
+    change.doubtful = row.doubtful;
     change.grace_period =
         store_unavailable_ && change.undecided
             ? kEntryGracePeriod
--- a/src/serving/replica_table_test.cc
+++ b/src/serving/replica_table_test.cc
@@ -36,6 +36,10 @@
   return {ReplicaId(id), revision, std::nullopt, Duration::zero()};
 }
 
+auto OnPeerChange(ReplicaTable& table, const EntryChange& change) -> bool {
+  return table.OnPeerChanges({{change}, change.revision, std::nullopt});
+}
+
 struct Fixture {
   Fixture() {
     table.OnSnapshot({Entry("r1", 3, "one"), Entry("r2", 4, "two")}, 10);
@@ -117,7 +121,7 @@
 TEST_CASE("ReplicaTable.DropsWhatPeersFoundMissingWhileItsOwnCallsFail") {
   auto fixture = Fixture();
   fixture.table.OnStoreUnavailable();
-  CHECK(fixture.table.OnPeerChange(Gone("r1", 30)));
+  CHECK(OnPeerChange(fixture.table, Gone("r1", 30)));
   CHECK(fixture.table.replicas().size() == 1);
   // This node's own watch reports the change again later.
   fixture.table.OnStoreAnswered();
@@ -132,7 +136,7 @@
   fixture.table.OnStoreUnavailable();
   fixture.table.OnStoreAnswered();
   CHECK_FALSE(fixture.table.OnChange(Gone("r1", 30)));
-  CHECK(fixture.table.OnPeerChange(Gone("r1", 30)));
+  CHECK(OnPeerChange(fixture.table, Gone("r1", 30)));
 }
 
 // Guards against keeping a missing entry until this node's store recovers
@@ -142,7 +146,7 @@
   fixture.table.OnStoreUnavailable();
   auto gone = Gone("r1", 30);
   gone.grace_period = milliseconds(500);
-  CHECK_FALSE(fixture.table.OnPeerChange(gone));
+  CHECK_FALSE(OnPeerChange(fixture.table, gone));
   fixture.clock.Advance(milliseconds(501));
   CHECK(fixture.table.OnTick());
   CHECK(fixture.table.replicas().size() == 1);
@@ -168,12 +172,10 @@
   fixture.table.OnChange(Gone("r2", 11));
   fixture.table.OnChange(Entry("r3", 12, "three"));
   auto other = fixture.Table();
-  for (const auto& change : fixture.table.ChangesSince(0)) {
-    other.OnPeerChange(change);
-  }
+  other.OnPeerChanges(fixture.table.ChangesSince(0));
   CHECK(other.replicas() == fixture.table.replicas());
   CHECK(other.revision() == fixture.table.revision());
-  CHECK(fixture.table.ChangesSince(12).empty());
+  CHECK(fixture.table.ChangesSince(12).changes.empty());
 }
 
 // Guards against peers that drop a removed entry before its grace period ends.
@@ -184,9 +186,7 @@
   fixture.table.OnChange(Gone("r1", 11));
   auto other = fixture.Table();
   other.OnSnapshot({Entry("r1", 3, "one")}, 10);
-  for (const auto& change : fixture.table.ChangesSince(10)) {
-    other.OnPeerChange(change);
-  }
+  other.OnPeerChanges(fixture.table.ChangesSince(10));
   CHECK(other.replicas().size() == 1);
   fixture.clock.Advance(kEntryGracePeriod + milliseconds(1));
   CHECK(other.OnTick());
@@ -200,7 +200,7 @@
   auto fixture = Fixture();
   auto gone = Gone("r1", 30);
   gone.grace_period = milliseconds(1'500);
-  CHECK_FALSE(fixture.table.OnPeerChange(gone));
+  CHECK_FALSE(OnPeerChange(fixture.table, gone));
   CHECK(fixture.table.OnChange(Gone("r1", 30)));
 }
 
@@ -227,7 +227,7 @@
   fixture.table.OnStoreUnavailable();
   fixture.table.OnStoreAnswered();
   fixture.table.OnSnapshot({Entry("r2", 4, "two")}, 20);
-  CHECK_FALSE(fixture.table.OnPeerChange(Entry("r1", 18, "one")));
+  CHECK_FALSE(OnPeerChange(fixture.table, Entry("r1", 18, "one")));
   CHECK(fixture.table.missing().size() == 1);
 }
 
@@ -242,14 +242,14 @@
   for (auto i = 0; i < 20; ++i) {
     for (const auto& change : other.ChangesOf({ReplicaId("r1")})) {
       CHECK(change.undecided);
-      fixture.table.OnPeerChange(change);
+      OnPeerChange(fixture.table, change);
     }
     fixture.clock.Advance(milliseconds(250));
     CHECK_FALSE(fixture.table.OnTick());
   }
   other.OnStoreAnswered();
   for (const auto& change : other.ChangesOf({ReplicaId("r1")})) {
-    fixture.table.OnPeerChange(change);
+    OnPeerChange(fixture.table, change);
   }
   fixture.clock.Advance(kEntryGracePeriod - milliseconds(1));
   CHECK_FALSE(fixture.table.OnTick());
@@ -260,10 +260,10 @@
 // The same if this node hears from one that can decide.
 TEST_CASE("ReplicaTable.DropsAtOnceIfAnotherPeerDecides") {
   auto fixture = Fixture();
-  fixture.table.OnPeerChange(Undecided("r1", 30));
+  OnPeerChange(fixture.table, Undecided("r1", 30));
   CHECK(fixture.table.missing().size() == 1);
-  CHECK(fixture.table.OnPeerChange(Gone("r1", 30)));
-  fixture.table.OnPeerChange(Undecided("r1", 30));
+  CHECK(OnPeerChange(fixture.table, Gone("r1", 30)));
+  OnPeerChange(fixture.table, Undecided("r1", 30));
   CHECK(fixture.table.replicas().size() == 1);
 }
 
@@ -296,7 +296,7 @@
   auto fixture = Fixture();
   auto gone = Gone("r1", 30);
   gone.grace_period = milliseconds(1'500);
-  fixture.table.OnPeerChange(gone);
+  OnPeerChange(fixture.table, gone);
   fixture.table.OnStoreAnswered();
   CHECK_FALSE(fixture.table.OnChange(Gone("r1", 30)));
   CHECK(fixture.table.next_drop() == fixture.clock.now() + milliseconds(1'500));
@@ -309,18 +309,18 @@
   fixture.table.OnStoreUnavailable();
   fixture.table.OnStoreAnswered();
   fixture.table.OnChange(Gone("r1", 30));
-  CHECK_FALSE(fixture.table.ChangesSince(10).front().undecided);
+  CHECK_FALSE(fixture.table.ChangesSince(10).changes.front().undecided);
   fixture.table.OnStoreNotWatched();
-  CHECK(fixture.table.ChangesSince(10).front().undecided);
+  CHECK(fixture.table.ChangesSince(10).changes.front().undecided);
 }
 
 // A replica that registers again while its entry is missing stays.
 TEST_CASE("ReplicaTable.KeepsReplicaThatRegistersAgain") {
   auto fixture = Fixture();
-  fixture.table.OnPeerChange(Undecided("r1", 30));
-  fixture.table.OnPeerChange(Entry("r1", 31, "one"));
+  OnPeerChange(fixture.table, Undecided("r1", 30));
+  OnPeerChange(fixture.table, Entry("r1", 31, "one"));
   CHECK(fixture.table.missing().empty());
-  CHECK_FALSE(fixture.table.OnPeerChange(Gone("r1", 30)));
+  CHECK_FALSE(OnPeerChange(fixture.table, Gone("r1", 30)));
   CHECK(fixture.table.replicas().size() == 2);
 }
 
@@ -339,7 +339,7 @@
   auto fixture = Fixture();
   auto gone = Gone("r1", 30);
   gone.grace_period = milliseconds(700);
-  fixture.table.OnPeerChange(gone);
+  OnPeerChange(fixture.table, gone);
   CHECK(fixture.dropped.empty());
   fixture.clock.Advance(milliseconds(700));
   fixture.table.OnTick();
@@ -351,6 +351,81 @@
         std::tuple("r2", std::uint64_t{31}, Duration::zero()));
 }
 
+// Guards against a replica that is used for ever by a node that does not watch
+// the store: the nodes that do have started after its entry was removed.
+TEST_CASE("ReplicaTable.TellsOfRemovalsBeforeItsFirstListing") {
+  auto fixture = Fixture();
+  auto started = fixture.Table();
+  started.OnStoreAnswered();
+  fixture.clock.Advance(kEntryGracePeriod);
+  started.OnSnapshot({Entry("r2", 4, "two")}, 20);
+  CHECK(fixture.table.OnPeerChanges(started.ChangesSince(10)));
+  REQUIRE(fixture.table.replicas().size() == 1);
+  CHECK(fixture.table.replicas().front().id == ReplicaId("r2"));
+  CHECK(fixture.table.revision() == 20);
+  // It tells others as well, in any order.
+  auto third = Fixture();
+  CHECK(third.table.OnPeerChanges(fixture.table.ChangesSince(10)));
+  CHECK(third.table.replicas().size() == 1);
+}
+
+// The same if it learned the entries from another node that had started.
+TEST_CASE("ReplicaTable.TellsOfRemovalsThatItWasNeverToldOf") {
+  auto fixture = Fixture();
+  auto started = fixture.Table();
+  started.OnSnapshot({Entry("r2", 4, "two")}, 20);
+  auto follower = fixture.Table();
+  follower.OnPeerChanges(started.ChangesSince(0));
+  follower.OnPeerChanges(started.ChangesSince(follower.revision()));
+  CHECK(fixture.table.OnPeerChanges(follower.ChangesSince(10)));
+  CHECK(fixture.table.replicas().size() == 1);
+}
+
+// A replica came and went before the listing of a node that knows neither.
+TEST_CASE("ReplicaTable.TellsOfRemovalsBetweenItsWatchAndALaterListing") {
+  auto fixture = Fixture();
+  auto other = Fixture();
+  OnPeerChange(other.table, Entry("r3", 12, "three"));
+  REQUIRE(other.table.replicas().size() == 3);
+  // The history of the store was gone, so that this node listed again.
+  fixture.table.OnSnapshot({Entry("r1", 3, "one"), Entry("r2", 4, "two")}, 20);
+  CHECK(other.table.OnPeerChanges(fixture.table.ChangesSince(12)));
+  CHECK(other.table.replicas() == fixture.table.replicas());
+}
+
+// The same once the removal has been forgotten here.
+TEST_CASE("ReplicaTable.TellsOfRemovalsThatItHasForgotten") {
+  auto fixture = Fixture();
+  auto other = Fixture();
+  fixture.table.OnChange(Gone("r1", 11));
+  fixture.clock.Advance(kRemovedEntryRetention + milliseconds(1));
+  fixture.table.OnTick();
+  CHECK(other.table.OnPeerChanges(fixture.table.ChangesSince(10)));
+  CHECK(other.table.replicas().size() == 1);
+}
+
+// Guards against all entries being sent again and again.
+TEST_CASE("ReplicaTable.SendsOnlyChangesToNodesThatKnowItsListing") {
+  auto fixture = Fixture();
+  CHECK(fixture.table.ChangesSince(9).others.has_value());
+  CHECK_FALSE(fixture.table.ChangesSince(10).others.has_value());
+  fixture.table.OnChange(Gone("r1", 11));
+  const auto changes = fixture.table.ChangesSince(10);
+  CHECK_FALSE(changes.others.has_value());
+  CHECK(changes.changes == std::vector<EntryChange>{Gone("r1", 11)});
+}
+
+// A change that this node knows is newer than the listing of the other one.
+TEST_CASE("ReplicaTable.KeepsEntriesThatAreNewerThanAListingWithoutThem") {
+  auto fixture = Fixture();
+  auto started = fixture.Table();
+  started.OnSnapshot({Entry("r1", 3, "one"), Entry("r2", 4, "two")}, 20);
+  OnPeerChange(fixture.table, Entry("r3", 21, "three"));
+  fixture.table.OnPeerChanges(started.ChangesSince(10));
+  CHECK(fixture.table.replicas().size() == 3);
+  CHECK(fixture.table.revision() == 21);
+}
+
 auto IdsOfLeaving(const ReplicaTable& table) -> std::vector<std::string> {
   auto ids = std::vector<std::string>();
   for (const auto& replica : table.replicas()) {
@@ -361,6 +436,73 @@
   return ids;
 }
 
+// A node lists the entries just after its start and cannot know whether missing
+// ones lapsed in an outage. Guards against requests to a replica that has left,
+// and against its return to use before the doubt ends.
+TEST_CASE("ReplicaTable.UsesNoReplicaWhoseAbsenceIsInDoubt") {
+  auto fixture = Fixture();
+  auto started = fixture.Table();
+  started.OnStoreAnswered();
+  started.OnSnapshot({Entry("r2", 4, "two")}, 20);
+  CHECK(fixture.table.OnPeerChanges(started.ChangesSince(10)));
+  CHECK(fixture.table.replicas().size() == 2);
+  CHECK(IdsOfLeaving(fixture.table) == std::vector<std::string>{"r1"});
+  auto third = Fixture();
+  CHECK(third.table.OnPeerChanges(fixture.table.ChangesSince(10)));
+  CHECK(IdsOfLeaving(third.table) == std::vector<std::string>{"r1"});
+  fixture.clock.Advance(kEntryGracePeriod);
+  CHECK(fixture.table.OnTick());
+  CHECK(fixture.table.replicas().size() == 1);
+  // Its entry had lapsed, and is back.
+  CHECK(third.table.OnChange(Entry("r1", 21, "one")));
+  CHECK(IdsOfLeaving(third.table).empty());
+}
+
+// The same at a node that begins to watch in place of others that are lost.
+TEST_CASE("ReplicaTable.DoubtsAbsencesInItsOwnFirstListing") {
+  auto fixture = Fixture();
+  fixture.clock.Advance(std::chrono::minutes(1));
+  fixture.table.OnStoreAnswered();
+  CHECK(fixture.table.OnSnapshot({Entry("r2", 4, "two")}, 20));
+  CHECK(IdsOfLeaving(fixture.table) == std::vector<std::string>{"r1"});
+}
+
+// Guards against a service without replicas after an outage in which all nodes
+// that watch the store were restarted.
+TEST_CASE("ReplicaTable.UsesReplicasInDoubtIfMostEntriesAreMissing") {
+  auto fixture = Fixture();
+  fixture.table.OnChange(Entry("r3", 11, "three"));
+  auto started = fixture.Table();
+  started.OnStoreAnswered();
+  started.OnSnapshot({Entry("r3", 11, "three")}, 20);
+  fixture.table.OnPeerChanges(started.ChangesSince(11));
+  CHECK(fixture.table.replicas().size() == 3);
+  CHECK(IdsOfLeaving(fixture.table).empty());
+  // As the others register again, the doubt about the last one grows.
+  CHECK(fixture.table.OnChange(Entry("r1", 21, "one")));
+  CHECK(IdsOfLeaving(fixture.table) == std::vector<std::string>{"r2"});
+}
+
+// Guards against replicas that are not used after an outage that only another
+// node has seen.
+TEST_CASE("ReplicaTable.UsesReplicasInDoubtOnceANodeTellsOfAnOutage") {
+  auto fixture = Fixture();
+  auto started = fixture.Table();
+  started.OnStoreAnswered();
+  started.OnSnapshot({Entry("r2", 4, "two")}, 20);
+  fixture.table.OnPeerChanges(started.ChangesSince(10));
+  REQUIRE(IdsOfLeaving(fixture.table) == std::vector<std::string>{"r1"});
+  auto watcher = fixture.Table();
+  watcher.OnSnapshot({Entry("r1", 3, "one"), Entry("r2", 4, "two")}, 10);
+  watcher.OnStoreUnavailable();
+  watcher.OnStoreAnswered();
+  watcher.OnChange(Gone("r1", 19));
+  for (const auto& change : watcher.ChangesOf({ReplicaId("r1")})) {
+    fixture.table.OnPeerAnswer(change);
+  }
+  CHECK(IdsOfLeaving(fixture.table).empty());
+}
+
 // Guards against requests to a replica that said in an answer that it leaves,
 // because its entry, from before or from another writer, still calls it ready.
 TEST_CASE("ReplicaTable.KeepsReplicaLeavingThoughItsEntrySaysReady") {
@@ -368,7 +510,7 @@
   CHECK(fixture.table.OnLeaving({ReplicaId("r1")}));
   CHECK_FALSE(fixture.table.OnLeaving({ReplicaId("r1")}));
   fixture.table.OnChange(Entry("r1", 20, "other"));
-  fixture.table.OnPeerChange(Entry("r1", 21, "one"));
+  OnPeerChange(fixture.table, Entry("r1", 21, "one"));
   fixture.table.OnSnapshot({Entry("r1", 22, "one"), Entry("r2", 4, "two")}, 22);
   CHECK(IdsOfLeaving(fixture.table) == std::vector<std::string>{"r1"});
 }
@@ -393,8 +535,8 @@
   auto fixture = Fixture();
   fixture.table.OnStoreUnavailable();
   fixture.table.OnLeaving({ReplicaId("r1")});
-  CHECK(fixture.table.OnPeerChange(Undecided("r1", 30)));
-  fixture.table.OnPeerChange(Undecided("r2", 31));
+  CHECK(OnPeerChange(fixture.table, Undecided("r1", 30)));
+  OnPeerChange(fixture.table, Undecided("r2", 31));
   CHECK(fixture.table.replicas().size() == 1);
   CHECK(fixture.table.OnLeaving({ReplicaId("r2")}));
   CHECK(fixture.table.replicas().empty());
