Hand batch jobs over in a planned stop

Cause: at SIGTERM a node dropped its jobs with results that were finished but not stored, and with its counts of failed runs; the next owner began anew.

Why it works: a node that stops waits up to 250 ms for replicas that have not begun to answer, stores what is finished, closes the list with the failed runs, and then tells the node that takes over. Others leave it two seconds, so that they do not close the list first. Results of items that cannot be done are stored without delay, for a node that is killed.

--- a/include/kumquatgauge/serving/batch_runner.h
+++ b/include/kumquatgauge/serving/batch_runner.h
@@ -68,6 +68,10 @@
   std::size_t memory_bytes;  // Memory limit of the whole process.
 };
 
+// How long a node that stops may take to hand its jobs over. Other nodes wait
+// this long before they take its jobs over without being told.
+inline constexpr std::chrono::milliseconds kHandoverTime{2'000};
+
 // Accepts batch jobs, runs the items of the jobs that this node owns, and lets
 // callers read and end any job.
 class BatchRunner {
@@ -78,7 +82,9 @@
   auto operator=(const BatchRunner&) -> BatchRunner& = delete;
 
   auto Start() -> void;
-  // Stops all items; the jobs stay in the store for other nodes.
+  // Stops all items and hands the jobs over to other nodes: stores what is
+  // finished and which items have failed, then tells the nodes that take over.
+  // Ends within kHandoverTime.
   auto Stop() -> void;
   auto RegisterHandlers(node::PeerServer& server) -> void;
 
@@ -100,8 +106,8 @@
                  const std::optional<std::string>& version) -> bool;
   // Records that `owner` owns a job.
   auto OnAnnounced(const JobId& job, const NodeId& owner) -> void;
-  // A node that watches the store has found a job without an owner.
-  auto OnOrphan(const JobId& job) -> void;
+  // The node `from` has found a job without an owner, or hands its own over.
+  auto OnOrphan(const JobId& job, const NodeId& from) -> void;
   // Schedules a scan that takes over the jobs of lost members.
   auto OnMembersChanged() -> void;
   // Drops all jobs after other nodes considered this node dead, since they may
--- a/include/kumquatgauge/serving/batch_schedule.h
+++ b/include/kumquatgauge/serving/batch_schedule.h
@@ -67,9 +67,14 @@
   explicit BatchSchedule(BatchScheduleSettings settings)
       : settings_(settings) {}
 
-  // Adds a job. `finished` lists the items that already have a result.
-  auto Add(const ScheduledJob& job, const std::vector<std::size_t>& finished)
-      -> void;
+  // Failed runs by item.
+  using Failures = std::map<std::size_t, std::uint32_t>;
+
+  // Adds a job. `finished` lists the items that already have a result;
+  // `failures` counts the failed runs of the others.
+  auto Add(const ScheduledJob& job,
+           const std::vector<std::size_t>& finished,
+           const Failures& failures = {}) -> void;
   auto Remove(const JobId& job) -> void;
   // Updates a job after a configuration change and keeps the state of its
   // items. Does nothing for a job that is not scheduled.
@@ -103,6 +108,8 @@
   auto running(const ServiceName& service) const -> std::size_t;
   auto services() const -> std::vector<ServiceName>;
   auto unfinished(const JobId& job) const -> std::size_t;
+  // Returns the unfinished items that have failed.
+  auto failures(const JobId& job) const -> Failures;
 
  private:
   struct Item {
--- a/include/kumquatgauge/serving/job.h
+++ b/include/kumquatgauge/serving/job.h
@@ -2,6 +2,7 @@
 #define KUMQUATGAUGE_SERVING_JOB_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -71,16 +72,21 @@
   auto operator==(const ResultPlace&) const -> bool = default;
 };
 
+// Failed runs of unfinished items, by item.
+using FailedRuns = std::map<std::string, std::uint32_t>;
+
 // Results that were stored together, from a place on. The stored object is
 // named after that place and created only if absent, so that no position is
 // assigned twice. A chunk without results closes its place: a new owner stores
 // one, so that writes of a former owner that are still under way fail, and its
-// results follow under the next number of closings.
+// results follow under the next number of closings. An owner that hands its job
+// over stores one that holds the failed runs.
 struct ResultChunk {
   JobId id;
   ResultPlace place;
   std::string writer;  // Unique for each attempt to write.
   std::vector<ItemResult> results;
+  FailedRuns failures = {};  // All that the writer knows.
 
   auto operator==(const ResultChunk&) const -> bool = default;
 };
@@ -89,6 +95,7 @@
 struct StoredResults {
   std::vector<ItemResult> results;
   std::uint64_t closings = 0;
+  FailedRuns failures = {};
 
   // Returns where the next chunk is stored.
   auto end() const -> ResultPlace { return {results.size(), closings}; }
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -81,6 +81,11 @@
 constexpr milliseconds kFirstScanDelay{1'500};
 // Delay after a scan that the store did not answer.
 constexpr milliseconds kScanRetryDelay{1'000};
+// How long a node that stops waits for replicas that have not begun to answer:
+// an answer that an item cannot be done or has failed comes quickly, and would
+// be lost.
+constexpr milliseconds kHandoverAnswerTime{250};
+constexpr milliseconds kHandoverPoll{10};
 // Time that the members of a fleet that starts all at once need to find each
 // other.
 constexpr milliseconds kUnknownOwnerWait{2'000};
@@ -216,9 +221,14 @@
   }
 
   auto Close() -> void {
-    Stop();
+    stopped_ = true;
     closed_ = true;
+    scan_timer_.cancel();
     tick_timer_.cancel();
+    const auto jobs = jobs_;
+    for (const auto& [id, job] : jobs) {
+      Drop(job, "this node has stopped");
+    }
   }
 
   auto Stop() -> void {
@@ -226,7 +236,8 @@
     scan_timer_.cancel();
     const auto jobs = jobs_;
     for (const auto& [id, job] : jobs) {
-      Drop(job, "this node stops");
+      asio::co_spawn(parts_.executor, HandOver(shared_from_this(), job),
+                     asio::detached);
     }
   }
 
@@ -422,14 +433,15 @@
     }
   }
 
-  auto OnOrphan(const JobId& job) -> void {
+  auto OnOrphan(const JobId& job, const NodeId& from) -> void {
     const auto now = parts_.clock();
     std::erase_if(orphans_told_, [&](const auto& entry) {
       return now - entry.second > kOrphanRepeat;
     });
     if (!stopped_ && !jobs_.contains(job) &&
         orphans_told_.try_emplace(job, now).second) {
-      asio::co_spawn(parts_.executor, AdoptOrphan(shared_from_this(), job),
+      asio::co_spawn(parts_.executor,
+                     AdoptOrphan(shared_from_this(), job, from),
                      asio::detached);
     }
   }
@@ -690,8 +702,15 @@
     checks_.Add(stored.state.id, known_at);
     OnAnnounced(stored.state.id, stored.state.owner);
     parts_.announce(stored.state.id);
+    auto failures = BatchSchedule::Failures();
+    for (const auto& [item, count] : results.failures) {
+      const auto found = job->index.find(item);
+      if (found != job->index.end()) {
+        failures.emplace(found->second, count);
+      }
+    }
     schedule_.Add(Describe(*job, parts_.configuration().get()),
-                  {job->listed.begin(), job->listed.end()});
+                  {job->listed.begin(), job->listed.end()}, failures);
     FinishIfComplete(job);
   }
 
@@ -755,13 +774,96 @@
   }
 
   static auto CancelItems(OwnedJob& job) -> void {
+    CancelItems(job, [](const ItemProgress& /*item*/) { return true; });
+  }
+
+  static auto CancelItems(
+      OwnedJob& job,
+      const std::function<auto(const ItemProgress&)->bool>& chosen) -> void {
     for (auto& [item, progress] : job.progress) {
-      if (progress.call) {
+      if (progress.call && chosen(progress)) {
         progress.call->Cancel();
       }
     }
   }
 
+  // --- Handing over.
+
+  // Gives up a job in a planned stop. What the replicas have answered must not
+  // be lost with this process: an item that fails at each run would run again
+  // at each node that owns its job in turn.
+  static auto HandOver(std::shared_ptr<Impl> self, JobPtr job)
+      -> awaitable<void> {
+    const auto began = self->parts_.clock();
+    job->EndStoreDelay();
+    CancelItems(*job, [](const ItemProgress& item) { return item.answered; });
+    while (IsRunning(*job) &&
+           self->parts_.clock() - began < kHandoverAnswerTime) {
+      co_await Pause(kHandoverPoll);
+    }
+    CancelItems(*job);
+    while (!job->dropped && (IsRunning(*job) || job->storing) &&
+           self->parts_.clock() - began < kHandoverTime) {
+      co_await Pause(kHandoverPoll);
+    }
+    const auto over = job->state.done || job->state.ended;
+    if (!job->dropped && !over && !job->storing) {
+      co_await self->StoreFailures(job);
+    }
+    if (job->dropped) {
+      co_return;
+    }
+    const auto id = job->state.id;
+    const auto chosen = self->ChosenFor(id);
+    self->logger_.Info(
+        "a job is handed over",
+        {{"event", "job_handed_over"},
+         {"job", id.value()},
+         {"to", over ? std::string() : chosen.value()},
+         {"listed", std::to_string(job->stored.results.size())},
+         {"unstored", std::to_string(job->unstored.size())},
+         {"failed_items", std::to_string(job->stored.failures.size())},
+         {"took_ms", std::to_string(static_cast<std::int64_t>(
+                         self->MillisecondsSince(began)))}});
+    self->Drop(job, "this node stops");
+    if (!over && chosen != self->parts_.self().id) {
+      self->parts_.tell_orphan(id, chosen);
+    }
+  }
+
+  static auto IsRunning(const OwnedJob& job) -> bool {
+    return std::any_of(
+        job.progress.begin(), job.progress.end(),
+        [](const auto& entry) { return entry.second.call != nullptr; });
+  }
+
+  // Closes the list of results with what is known of items that failed.
+  auto StoreFailures(JobPtr job) -> awaitable<void> {
+    auto chunk = ResultChunk{job->state.id, job->stored.end(), Nonce(), {}};
+    chunk.failures = FailuresOf(*job);
+    if (chunk.failures.empty()) {
+      co_return;
+    }
+    try {
+      const auto stored = co_await parts_.archive.Append(chunk);
+      job->AppendStored(stored);
+    } catch (const Error& error) {
+      logger_.Warning("the failures of a job's items could not be stored",
+                      {{"event", "store_failed"},
+                       {"job", job->state.id.value()},
+                       {"items", std::to_string(chunk.failures.size())},
+                       {"reason", error.what()}});
+    }
+  }
+
+  auto FailuresOf(const OwnedJob& job) const -> FailedRuns {
+    auto failures = FailedRuns();
+    for (const auto& [item, count] : schedule_.failures(job.state.id)) {
+      failures.emplace(job.items[item].id, count);
+    }
+    return failures;
+  }
+
   // --- Running items.
 
   static auto TickLoop(std::shared_ptr<Impl> self) -> awaitable<void> {
@@ -1004,6 +1106,7 @@
         parts_.replicas.Start(MakeItemRequest(*job, item, replica, progress),
                               MakeFilter(item, replica));
     progress.call = call;
+    progress.answered = false;
     progress.replica = replica.id;
     progress.version = replica.version;
     const auto began = parts_.clock();
@@ -1169,6 +1272,7 @@
     const auto head = call->head();
     const auto metadata =
         parts_.dialect.decode_answer(head.status, head.headers);
+    job->progress[ref.item].answered = true;
     ReportAnswer(replica, metadata, logger_, parts_.load_balancer,
                  parts_.hooks);
     if (head.status != kOk) {
@@ -1271,6 +1375,10 @@
     parts_.quotas.OnFinished(job->state.account, job->state.id,
                              job->items[ref.item].tokens);
     job->unstored.push_back(std::move(result));
+    if (!completed) {
+      // If this node is lost before it is stored, the item fails once more.
+      job->EndStoreDelay();
+    }
     if (!std::exchange(job->storing, true)) {
       asio::co_spawn(parts_.executor, StoreResults(shared_from_this(), job),
                      asio::detached);
@@ -1278,8 +1386,11 @@
   }
 
   auto StoreDelay(const OwnedJob& job) const -> milliseconds {
+    const auto failed =
+        std::any_of(job.unstored.begin(), job.unstored.end(),
+                    [](const auto& result) { return !result.completed; });
     // Readers of a whole job wait for the last one.
-    if (job.finished.size() >= job.items.size()) {
+    if (stopped_ || failed || job.finished.size() >= job.items.size()) {
       return milliseconds::zero();
     }
     const auto configuration = parts_.configuration();
@@ -1290,12 +1401,22 @@
                       kMaxStoreDelay);
   }
 
+  auto AwaitStoreDelay(JobPtr job) -> awaitable<void> {
+    const auto delay = StoreDelay(*job);
+    if (delay > milliseconds::zero()) {
+      job->store_delay =
+          std::make_shared<asio::steady_timer>(parts_.executor, delay);
+      co_await job->store_delay->async_wait(kAwaitTuple);
+      job->store_delay.reset();
+    }
+  }
+
   static auto StoreResults(std::shared_ptr<Impl> self, JobPtr job)
       -> awaitable<void> {
-    co_await Pause(self->StoreDelay(*job));
+    co_await self->AwaitStoreDelay(job);
     while (!job->unstored.empty() && !job->dropped) {
       auto chunk = ResultChunk{job->state.id, job->stored.end(), self->Nonce(),
-                               job->NextChunk()};
+                               job->NextChunk(), self->FailuresOf(*job)};
       const auto writer = chunk.writer;
       auto stored = std::optional<ResultChunk>();
       auto failure = std::string();
@@ -1987,7 +2108,7 @@
     }
   }
 
-  static auto AdoptOrphan(std::shared_ptr<Impl> self, JobId id)
+  static auto AdoptOrphan(std::shared_ptr<Impl> self, JobId id, NodeId from)
       -> awaitable<void> {
     auto stored = std::optional<StoredState>();
     auto failure = std::string();
@@ -2001,8 +2122,8 @@
                             {{"event", "adopt_failed"},
                              {"job", id.value()},
                              {"reason", failure}});
-    } else if (stored && !self->stopped_ && self->IsOrphan(stored->state) &&
-               self->IsChosen(id)) {
+    } else if (stored && !self->stopped_ &&
+               self->IsOrphan(stored->state, from) && self->IsChosen(id)) {
       co_await self->Adopt(*stored);
     }
   }
@@ -2020,13 +2141,15 @@
   }
 
   // Returns whether a job is to be taken over. The owner must be known to have
-  // ended or restarted. An owner that is merely unknown, as all are to a node
-  // that has just started, must stay unknown for kUnknownOwnerWait.
-  auto IsOrphan(const JobState& state) -> bool {
+  // ended or restarted, or have told, as `from`, that it hands the job over. An
+  // owner that is merely unknown, as all are to a node that has just started,
+  // must stay unknown for kUnknownOwnerWait; one that leaves has kHandoverTime.
+  auto IsOrphan(const JobState& state,
+                const std::optional<NodeId>& from = std::nullopt) -> bool {
     if (state.done || state.ended || jobs_.contains(state.id)) {
       return false;
     }
-    if (IsOwn(state)) {
+    if (IsOwn(state) || from == state.owner) {
       return true;
     }
     if (OwnerLives(state)) {
@@ -2035,9 +2158,14 @@
     }
     const auto now = parts_.clock();
     const auto since = absent_since_.try_emplace(state.id, now).first->second;
-    const auto ended = parts_.is_dead_or_left(state.owner) ||
-                       FindMember(state.owner).has_value();
-    return ended || now - since >= kUnknownOwnerWait;
+    const auto member = FindMember(state.owner);
+    const auto leaves =
+        member && member->incarnation == state.incarnation && member->leaving;
+    if (leaves) {
+      return now - since >= kHandoverTime;
+    }
+    return parts_.is_dead_or_left(state.owner) || member ||
+           now - since >= kUnknownOwnerWait;
   }
 
   // Drops jobs that are done, oldest first, once their results use too much
@@ -2151,6 +2279,9 @@
                     {"job", id.value()},
                     {"version", std::to_string(taken->version)},
                     {"reason", "its state or this node has changed"}});
+      if (stopped_) {
+        parts_.tell_orphan(id, ChosenFor(id));
+      }
       co_return;
     }
     adopted_.Add();
@@ -2257,8 +2388,8 @@
   impl_->OnAnnounced(job, owner);
 }
 
-auto BatchRunner::OnOrphan(const JobId& job) -> void {
-  impl_->OnOrphan(job);
+auto BatchRunner::OnOrphan(const JobId& job, const NodeId& from) -> void {
+  impl_->OnOrphan(job, from);
 }
 
 auto BatchRunner::OnMembersChanged() -> void {
--- a/src/serving/batch_schedule.cc
+++ b/src/serving/batch_schedule.cc
@@ -17,12 +17,16 @@
 }  // namespace
 
 auto BatchSchedule::Add(const ScheduledJob& job,
-                        const std::vector<std::size_t>& finished) -> void {
+                        const std::vector<std::size_t>& finished,
+                        const Failures& failures) -> void {
   const auto done = std::set<std::size_t>(finished.begin(), finished.end());
   auto entry = Job{job, {}};
-  for (std::size_t item = 0; item < job.items; ++item) {
-    if (!done.contains(item)) {
-      entry.items.emplace(item, Item());
+  for (std::size_t index = 0; index < job.items; ++index) {
+    if (!done.contains(index)) {
+      auto item = Item();
+      const auto failed = failures.find(index);
+      item.failures = failed == failures.end() ? 0 : failed->second;
+      entry.items.emplace(index, item);
     }
   }
   jobs_.insert_or_assign(job.id, std::move(entry));
@@ -245,4 +249,18 @@
   return found == jobs_.end() ? 0 : found->second.items.size();
 }
 
+auto BatchSchedule::failures(const JobId& job) const -> Failures {
+  auto failures = Failures();
+  const auto found = jobs_.find(job);
+  if (found == jobs_.end()) {
+    return failures;
+  }
+  for (const auto& [index, item] : found->second.items) {
+    if (item.failures > 0) {
+      failures.emplace(index, item.failures);
+    }
+  }
+  return failures;
+}
+
 }  // namespace kumquatgauge::serving
--- a/src/serving/batch_schedule_test.cc
+++ b/src/serving/batch_schedule_test.cc
@@ -241,5 +241,22 @@
   CHECK(yields[0].item == 0);
 }
 
+// Guards against an item that fails at each run and gets all its attempts again
+// from each owner of its job.
+TEST_CASE("BatchSchedule.CountsTheFailuresAtFormerOwners") {
+  auto fixture = Fixture();
+  auto job = fixture.Job(kLate, seconds(40), 3);
+  job.max_attempts = 3;
+  fixture.schedule.Add(job, {2}, {{1, 2}, {2, 1}});
+  CHECK(fixture.schedule.failures(kLate) == BatchSchedule::Failures{{1, 2}});
+  fixture.schedule.TakeStarts(kService, 2, 0, fixture.clock.now());
+  CHECK_FALSE(fixture.schedule.OnEnded({kLate, 0}, ItemEnd::kFailed,
+                                       fixture.clock.now()));
+  CHECK(fixture.schedule.OnEnded({kLate, 1}, ItemEnd::kFailed,
+                                 fixture.clock.now()));
+  CHECK(fixture.schedule.failures(kLate) == BatchSchedule::Failures{{0, 1}});
+  CHECK(fixture.schedule.failures(kEarly).empty());
+}
+
 }  // namespace
 }  // namespace kumquatgauge::serving
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -1023,7 +1023,7 @@
       } else if (type == "crash") {
         quarantine_.OnReport(detail::DecodeReports(message.at("p")));
       } else if (type == "orphan") {
-        batch_.OnOrphan(JobId(message.at("j").get<std::string>()));
+        batch_.OnOrphan(JobId(message.at("j").get<std::string>()), from);
       } else if (type == "job") {
         batch_.OnAnnounced(JobId(message.at("j").get<std::string>()), from);
       }
--- a/src/serving/job.cc
+++ b/src/serving/job.cc
@@ -60,6 +60,10 @@
 
 auto StoredResults::Append(const ResultChunk& chunk) -> void {
   closings += chunk.results.empty() ? 1 : 0;
+  for (const auto& [item, count] : chunk.failures) {
+    auto& known = failures[item];
+    known = std::max(known, count);
+  }
   results.insert(results.end(), chunk.results.begin(), chunk.results.end());
 }
 
@@ -103,11 +107,14 @@
   for (const auto& result : chunk.results) {
     results.push_back({result.item, result.completed, result.text});
   }
-  return json{{"first", chunk.place.position},
-              {"closings", chunk.place.closings},
-              {"writer", chunk.writer},
-              {"results", std::move(results)}}
-      .dump(-1, ' ', false, json::error_handler_t::replace);
+  auto object = json{{"first", chunk.place.position},
+                     {"closings", chunk.place.closings},
+                     {"writer", chunk.writer},
+                     {"results", std::move(results)}};
+  if (!chunk.failures.empty()) {
+    object["failures"] = chunk.failures;
+  }
+  return object.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 auto DecodeChunk(const JobId& id, const std::string& value) -> ResultChunk {
@@ -123,6 +130,8 @@
                                result.at(1).get<bool>(),
                                result.at(2).get<std::string>()});
     }
+    // Chunks of earlier releases lack these.
+    chunk.failures = object.value("failures", FailedRuns());
     return chunk;
   });
 }
--- a/src/serving/job_archive_test.cc
+++ b/src/serving/job_archive_test.cc
@@ -224,5 +224,22 @@
   CHECK_THROWS_AS(DecodeState(kJob, "no json"), Error);
 }
 
+// Guards against failures of items that a new owner does not learn of.
+TEST_CASE("JobArchive.KeepsTheFailuresThatAnOwnerHandsOver") {
+  auto fixture = Fixture();
+  auto first = MakeChunk("n1.1", {"a"});
+  first.failures = {{"b", 1}, {"c", 1}};
+  RunAwaitable(fixture.context, fixture.archive.Append(first));
+  auto handover = MakeChunk("n1.2", {});
+  handover.place.position = 1;
+  handover.failures = {{"b", 2}};
+  RunAwaitable(fixture.context, fixture.archive.Append(handover));
+  const auto closed = RunAwaitable(
+      fixture.context, fixture.archive.CloseResults(kJob, "n2.1", 3));
+  CHECK(closed.results == first.results);
+  CHECK(closed.closings == 2);
+  CHECK(closed.failures == FailedRuns{{"b", 2}, {"c", 1}});
+}
+
 }  // namespace
 }  // namespace kumquatgauge::serving
--- a/src/serving/owned_job.cc
+++ b/src/serving/owned_job.cc
@@ -55,6 +55,12 @@
   return chunk;
 }
 
+auto OwnedJob::EndStoreDelay() -> void {
+  if (store_delay) {
+    store_delay->cancel();
+  }
+}
+
 auto OwnedJob::WakeReaders() -> void {
   for (const auto& reader : readers) {
     if (const auto timer = reader.lock()) {
--- a/src/serving/owned_job.h
+++ b/src/serving/owned_job.h
@@ -22,7 +22,8 @@
   std::string text;
   std::uint64_t last_event = 0;
   std::shared_ptr<upstream::ReplicaCaller::Call> call;  // While it runs.
-  ReplicaId replica;  // That runs it, or ran it last.
+  bool answered = false;  // The replica has begun to answer the call.
+  ReplicaId replica;      // That runs it, or ran it last.
   // Of the software of that replica; all of the text is of this version.
   std::string version;
 };
@@ -42,6 +43,8 @@
   std::vector<ItemResult> unstored;
   std::map<std::size_t, ItemProgress> progress;
   bool storing = false;
+  // While finished results wait for others, to be stored by one call.
+  std::shared_ptr<boost::asio::steady_timer> store_delay;
   bool dropped = false;  // No longer owned here.
   // Set while no item runs because this node was cut off and the job may have
   // been ended.
@@ -58,6 +61,8 @@
   // at least one.
   auto NextChunk() const -> std::vector<ItemResult>;
   auto WakeReaders() -> void;
+  // Stores the results that wait without further delay.
+  auto EndStoreDelay() -> void;
 
  private:
   auto Finish(const std::vector<ItemResult>& results)
