Limit the bytes that HTTP readers keep before they are parsed

Cause: headers and bodies had limits, but a parser also waits for the end of a chunk extension, of a chunk's size or of the trailer, and the buffer before it had none.

Why it works: all readers of HTTP/1.1 share one limit for bytes that are not parsed yet; a read beyond it ends the exchange. Bodies are not affected, since the parser takes them as they come.

--- a/src/caller/http_listener.cc
+++ b/src/caller/http_listener.cc
@@ -1,5 +1,6 @@
 #include "kumquatgauge/caller/http_listener.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -11,6 +12,7 @@
 #include <unordered_set>
 #include <utility>
 
+#include "base/read_limits.h"
 #include "base/socket_options.h"
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
@@ -55,7 +57,9 @@
   if (error == http::error::body_limit) {
     return kPayloadTooLarge;
   }
-  if (error == http::error::header_limit) {
+  // A chunk extension or trailer fields can also be too long.
+  if (error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
     return kHeaderTooLarge;
   }
   return kBadRequest;
@@ -185,6 +189,9 @@
     idle_ = false;
     io_->ExpireAfter(shared_->limits.read_timeout, OnExpiry::kClose);
     auto parser = RequestParser();
+    io_->buffer().max_size(std::max(
+        io_->buffer().size(), shared_->limits.max_header_bytes +
+                                  kumquatgauge::detail::kMaxUnparsedBytes));
     parser.header_limit(
         static_cast<std::uint32_t>(shared_->limits.max_header_bytes));
     parser.body_limit(shared_->limits.max_body_bytes);
--- a/src/operator/operator_server.cc
+++ b/src/operator/operator_server.cc
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <utility>
 
+#include "base/read_limits.h"
 #include "kumquatgauge/base/error.h"
 
 namespace kumquatgauge::operators {
@@ -126,7 +127,7 @@
     auto failed = boost::system::error_code();
     const auto from = socket.remote_endpoint(failed);
     auto stream = beast::tcp_stream(std::move(socket));
-    auto buffer = beast::flat_buffer();
+    auto buffer = beast::flat_buffer(kumquatgauge::detail::kMaxUnparsedBytes);
     try {
       while (true) {
         auto parser = http::request_parser<http::string_body>();
--- a/src/store/http_client.cc
+++ b/src/store/http_client.cc
@@ -9,6 +9,7 @@
 #include <charconv>
 #include <deque>
 
+#include "base/read_limits.h"
 #include "base/socket_options.h"
 #include "kumquatgauge/base/error.h"
 
@@ -74,7 +75,7 @@
       : stream(executor) {}
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kumquatgauge::detail::kMaxUnparsedBytes};
   TimePoint idle_since;
 };
 
--- a/src/upstream/deadline_socket.h
+++ b/src/upstream/deadline_socket.h
@@ -6,6 +6,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <memory>
 
+#include "base/read_limits.h"
 #include "kumquatgauge/base/time.h"
 
 namespace kumquatgauge::upstream::detail {
@@ -44,7 +45,7 @@
 
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_{kumquatgauge::detail::kMaxUnparsedBytes};
   MonotonicTime deadline_ = MonotonicTime::max();
   MonotonicTime armed_for_ = MonotonicTime::max();
   std::uint64_t generation_ = 0;
--- /dev/null
+++ b/testing/gateway/endless_bytes_test.cc
@@ -0,0 +1,299 @@
+// Bytes without end, from replicas, callers and the store, to real gateway
+// processes.
+
+#include <sys/socket.h>
+
+#include <array>
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "testing/gateway/fleet.h"
+
+namespace kumquatgauge::testing {
+namespace {
+
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+// Far less than arrives in the time that is observed.
+constexpr std::size_t kMaxGrowth = 60'000'000;
+constexpr std::size_t kPieceBytes = 256'000;
+constexpr milliseconds kObserved{3'000};
+
+// A message that never ends: `begin`, then `repeated` again and again.
+struct EndlessMessage {
+  std::string name;
+  std::string begin;
+  std::string repeated;
+};
+
+auto Piece(const std::string& repeated) -> std::string {
+  auto piece = std::string();
+  while (piece.size() < kPieceBytes) {
+    piece += repeated;
+  }
+  return piece;
+}
+
+// Messages that end at no part of the grammar of HTTP/1.1. `head` is a first
+// line with header fields, each with its end.
+auto EndlessMessages(const std::string& line, const std::string& fields)
+    -> std::vector<EndlessMessage> {
+  const auto chunked =
+      line + "\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n";
+  return {
+      {"first line", line, "x"},
+      {"header field", line + "\r\n" + fields + "X-Long: ", "x"},
+      {"header fields", line + "\r\n" + fields, "X-Field: value\r\n"},
+      {"chunk size", chunked, "0"},
+      {"chunk extension", chunked + "1;name=", "x"},
+      {"quoted chunk extension", chunked + "1;name=\"", "\\\""},
+      {"chunk extensions", chunked, "1;name=value\r\nx\r\n"},
+      {"last chunk extension", chunked + "0;name=", "x"},
+      {"trailer field", chunked + "0\r\nX-Long: ", "x"},
+      {"trailer fields", chunked + "0\r\n", "X-Field: value\r\n"},
+      {"chunks", chunked, "4\r\nabcd\r\n"},
+      {"chunk", chunked + "fffffffffffffff\r\n", "x"},
+  };
+}
+
+// Accepts connections, reads a little of each and answers with a message that
+// never ends, until the other side closes.
+class EndlessServer {
+ public:
+  // `fields` makes header fields from the request.
+  using Fields = std::function<auto(const std::string& request)->std::string>;
+
+  EndlessServer(EndlessMessage (*choose)(const std::string& fields,
+                                         std::size_t number),
+                std::size_t number,
+                Fields fields)
+      : choose_(choose),
+        number_(number),
+        fields_(std::move(fields)),
+        acceptor_(context_, tcp::endpoint(tcp::v4(), 0)),
+        thread_([this] { Accept(); }) {}
+
+  ~EndlessServer() {
+    stopped_ = true;
+    // Ends the pending accept.
+    auto error = boost::system::error_code();
+    auto socket = tcp::socket(context_);
+    socket.connect({boost::asio::ip::address_v4::loopback(), port()}, error);
+    thread_.join();
+    for (const auto& connection : sockets_) {
+      ::shutdown(connection->native_handle(), SHUT_RDWR);
+    }
+    for (auto& connection : connections_) {
+      connection.join();
+    }
+  }
+
+  auto port() const -> std::uint16_t {
+    return acceptor_.local_endpoint().port();
+  }
+  auto address() const -> std::string {
+    return "127.0.0.1:" + std::to_string(port());
+  }
+
+ private:
+  auto Accept() -> void {
+    while (!stopped_) {
+      auto error = boost::system::error_code();
+      auto socket = std::make_shared<tcp::socket>(context_);
+      acceptor_.accept(*socket, error);
+      if (!error && !stopped_) {
+        sockets_.push_back(socket);
+        connections_.emplace_back([this, socket] { Serve(*socket); });
+      }
+    }
+  }
+
+  auto Serve(tcp::socket& socket) -> void {
+    auto request = std::string();
+    auto bytes = std::array<char, 4'096>();
+    auto error = boost::system::error_code();
+    while (!error && request.find("\r\n\r\n") == std::string::npos) {
+      const auto size = socket.read_some(boost::asio::buffer(bytes), error);
+      request.append(bytes.data(), size);
+    }
+    const auto message = choose_(fields_(request), number_);
+    const auto piece = Piece(message.repeated);
+    boost::asio::write(socket, boost::asio::buffer(message.begin), error);
+    while (!error && !stopped_) {
+      boost::asio::write(socket, boost::asio::buffer(piece), error);
+    }
+  }
+
+  EndlessMessage (*choose_)(const std::string&, std::size_t);
+  std::size_t number_;
+  Fields fields_;
+  boost::asio::io_context context_;
+  tcp::acceptor acceptor_;
+  std::atomic<bool> stopped_ = false;
+  std::vector<std::shared_ptr<tcp::socket>> sockets_;
+  std::vector<std::thread> connections_;
+  std::thread thread_;
+};
+
+auto ChooseAnswer(const std::string& fields, std::size_t number)
+    -> EndlessMessage {
+  return EndlessMessages("HTTP/1.1 200 OK", fields)[number];
+}
+
+// The fields of an answer that belongs to the request.
+auto AnswerFields(const std::string& request) -> std::string {
+  constexpr auto kName = std::string_view("Request-Id: ");
+  const auto at = request.find(kName);
+  const auto id =
+      at == std::string::npos
+          ? std::string()
+          : request.substr(at + kName.size(),
+                           request.find('\r', at) - at - kName.size());
+  return "Request-Id: " + id +
+         "\r\nResponse-Signature: s\r\nContent-Type: text/event-stream\r\n";
+}
+
+// Watches the memory of a process. Returns whether it stays below the limit.
+auto StaysSmall(GatewayProcess& node, std::size_t before) -> bool {
+  const auto last = std::chrono::steady_clock::now() + kObserved;
+  auto small = true;
+  while (small && std::chrono::steady_clock::now() < last) {
+    small = node.process().memory_bytes() <= before + kMaxGrowth;
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  if (!small) {
+    node.process().Signal(SIGKILL);  // Before it takes the machine's memory.
+  }
+  return small;
+}
+
+// Guards against a host that keeps all that a replica sends, without end, at a
+// place of an answer where its reader looks for the end of a line, until the
+// host's memory is used up.
+TEST_CASE("Gateway.LimitsTheMemoryOfAnswersWithoutEnd") {
+  const auto count = EndlessMessages("", "").size();
+  for (std::size_t number = 0; number < count; ++number) {
+    const auto name = EndlessMessages("", "")[number].name;
+    INFO(name);
+    auto fleet = Fleet();
+    auto server = EndlessServer(ChooseAnswer, number, AnswerFields);
+    fleet.AwaitService();
+    auto& node = *fleet.nodes.front();
+    const auto before = node.process().memory_bytes();
+    fleet.store->Put("servers/i-9", {{"service", "svc"},
+                                     {"address", server.address()},
+                                     {"zone", "a"},
+                                     {"version", ""},
+                                     {"slots", 8},
+                                     {"state", "ready"},
+                                     {"cold_remaining_ms", 0},
+                                     {"sequence", 1}});
+    auto stopped = std::atomic<bool>(false);
+    auto served = std::atomic<int>(0);
+    auto sent = std::atomic<int>(0);
+    auto callers = std::vector<std::thread>();
+    for (const auto* target :
+         {"/stream/x", "/stream/once/x", "/plain/x", "/plain/once/x"}) {
+      callers.emplace_back([&, target] {
+        for (auto at = 0; !stopped; ++at) {
+          const auto id = std::string(target) + std::to_string(at);
+          served += node.Call("POST", target, id).status == 200 ? 1 : 0;
+          ++sent;
+        }
+      });
+    }
+    CHECK(node.Call("POST", "/jobs/1", "j1", JobBody({"a", "b", "c"})).status ==
+          202);
+    CHECK(StaysSmall(node, before));
+    stopped = true;
+    for (auto& caller : callers) {
+      caller.join();
+    }
+    // Other replicas serve meanwhile.
+    CHECK(served > 0);
+    CHECK(node.process().WaitForExit(milliseconds(0)) == std::nullopt);
+  }
+}
+
+// Sends a message that never ends until the other side closes, or for
+// kObserved at most.
+auto SendEndlessly(const std::string& address, const EndlessMessage& message)
+    -> void {
+  auto context = boost::asio::io_context();
+  auto socket = tcp::socket(context);
+  auto error = boost::system::error_code();
+  const auto colon = address.rfind(':');
+  socket.connect(
+      {boost::asio::ip::make_address(address.substr(0, colon)),
+       static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))},
+      error);
+  const auto last = std::chrono::steady_clock::now() + kObserved;
+  const auto piece = Piece(message.repeated);
+  boost::asio::write(socket, boost::asio::buffer(message.begin), error);
+  while (!error && std::chrono::steady_clock::now() < last) {
+    boost::asio::write(socket, boost::asio::buffer(piece), error);
+  }
+}
+
+// Guards against a host whose memory anyone can use up who reaches one of its
+// addresses.
+TEST_CASE("Gateway.LimitsTheMemoryOfRequestsWithoutEnd") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  auto& node = *fleet.nodes.front();
+  const auto before = node.process().memory_bytes();
+  const auto fields =
+      std::string("Host: ") + kGatewayHost + "\r\nRequest-Id: q\r\n";
+  auto senders = std::vector<std::thread>();
+  for (const auto& address :
+       {node.callers(), node.readiness(), node.directory(), node.nodes()}) {
+    for (const auto& message :
+         EndlessMessages("POST /plain/x HTTP/1.1", fields)) {
+      senders.emplace_back(
+          [address, message] { SendEndlessly(address, message); });
+    }
+  }
+  CHECK(StaysSmall(node, before));
+  for (auto& sender : senders) {
+    sender.join();
+  }
+  CHECK(node.process().WaitForExit(milliseconds(0)) == std::nullopt);
+  CHECK(Eventually(
+      [&] { return node.Call("POST", "/plain/x", "after").status == 200; }));
+}
+
+// Guards against the same from what should be the store.
+TEST_CASE("Gateway.LimitsTheMemoryOfAnswersOfTheStoreWithoutEnd") {
+  const auto count = EndlessMessages("", "").size();
+  for (std::size_t number = 0; number < count; ++number) {
+    INFO(EndlessMessages("", "")[number].name);
+    auto server =
+        EndlessServer(ChooseAnswer, number, [](const std::string& /*request*/) {
+          return std::string("Content-Type: application/json\r\n");
+        });
+    const auto folder =
+        std::filesystem::temp_directory_path() /
+        ("kqg-store-test-" + std::to_string(std::random_device{}()));
+    std::filesystem::create_directories(folder);
+    {
+      auto node = GatewayProcess(KQG_GATEWAY, "n0", server.address(),
+                                 folder.string(), kGatewayMegabytes);
+      REQUIRE(
+          Eventually([&] { return node.Call("GET", "/x/", "q").connected; }));
+      CHECK(StaysSmall(node, node.process().memory_bytes()));
+      CHECK(node.process().WaitForExit(milliseconds(0)) == std::nullopt);
+    }
+    std::filesystem::remove_all(folder);
+  }
+}
+
+}  // namespace
+}  // namespace kumquatgauge::testing
