Answer every request that a planned stop cannot serve

Cause: the stop waits for requests under way, but nothing compared their time limits with its end: a request whose body arrives slowly is read when most of the time is over, and a route may allow more time than is left.

Why it works: a request that arrives after callers have learned other addresses is refused as not run, and so is one that must not be repeated and whose time limit is later than the end. What is unanswered at the end is answered 504, or 503 if it was not sent; the time reserved for last answers is enough to write them.

--- a/include/kumquatgauge/serving/attempt_policy.h
+++ b/include/kumquatgauge/serving/attempt_policy.h
@@ -35,6 +35,8 @@
   // Whether the retry budget, which keeps retries from amplifying an overload,
   // allows another retry.
   bool retry_allowed = true;
+  // This node stops and has ended the attempt.
+  bool stopping = false;
 
   auto operator==(const AttemptHistory&) const -> bool = default;
 };
--- a/include/kumquatgauge/serving/forwarder.h
+++ b/include/kumquatgauge/serving/forwarder.h
@@ -62,6 +62,12 @@
       -> boost::asio::awaitable<void>;
   // Retries waiting requests after capacity may have become free.
   auto OnCapacityFreed() -> void;
+  // In a planned stop that ends at `end`: refuses requests that arrive after
+  // `last_start`, and those that must not be repeated and whose time limit is
+  // later than `end`.
+  auto BeginStop(MonotonicTime last_start, MonotonicTime end) -> void;
+  // Answers the requests that are still under way.
+  auto EndAll() -> void;
 
  private:
   class Impl;
--- a/src/serving/attempt_policy.cc
+++ b/src/serving/attempt_policy.cc
@@ -16,7 +16,7 @@
 }
 
 auto DecideAfterNotRun(const AttemptHistory& history) -> NextStepDecision {
-  if (history.attempts < kMaxAttemptsNotRun &&
+  if (history.attempts < kMaxAttemptsNotRun && !history.stopping &&
       history.time_left > kMinRetryTime) {
     return {NextStep::kRetry, "the replica did not run the request"};
   }
@@ -57,12 +57,19 @@
 
 auto DecideNextStep(const AttemptHistory& history, const AttemptEnd& attempt)
     -> NextStepDecision {
-  if (attempt.end == CallEnd::kCancelled) {
+  if (attempt.end == CallEnd::kCancelled && !history.stopping) {
     return {NextStep::kAbort, "the caller has left"};
   }
   if (CertainlyNotRun(attempt)) {
     return DecideAfterNotRun(history);
   }
+  if (history.stopping && attempt.end != CallEnd::kComplete) {
+    return history.answer_begun
+               ? NextStepDecision{NextStep::kAbort,
+                                  "the response was interrupted"}
+               : NextStepDecision{NextStep::kTimedOut,
+                                  "no answer before this node stops"};
+  }
   if (attempt.end != CallEnd::kComplete) {
     if (MayRetry(history)) {
       return {NextStep::kRetry, "the attempt failed and may be repeated"};
--- a/src/serving/attempt_policy_test.cc
+++ b/src/serving/attempt_policy_test.cc
@@ -114,5 +114,24 @@
   CHECK(DecideNextStep(history, late).step == NextStep::kTimedOut);
 }
 
+// Guards against a request without an answer when its node stops, and against a
+// second run of one that must not be repeated.
+TEST_CASE("AttemptPolicy.AnswersWhatANodeEndsWhenItStops") {
+  const auto ended = AttemptEnd{CallEnd::kCancelled, 0, false, true};
+  const auto not_sent = AttemptEnd{CallEnd::kCancelled, 0, false, false};
+  for (const auto kind : {RequestKind::kAtMostOnce, RequestKind::kIdempotent,
+                          RequestKind::kStream}) {
+    auto history = History(kind);
+    history.stopping = true;
+    history.may_have_run = 0;
+    CHECK(DecideNextStep(history, not_sent).step == NextStep::kRefuse);
+    history.may_have_run = 1;
+    CHECK(DecideNextStep(history, ended).step == NextStep::kTimedOut);
+    CHECK(DecideNextStep(history, not_sent).step == NextStep::kUnknown);
+    history.answer_begun = true;
+    CHECK(DecideNextStep(history, ended).step == NextStep::kAbort);
+  }
+}
+
 }  // namespace
 }  // namespace kumquatgauge::serving
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <cstdio>
 #include <map>
+#include <set>
 #include <utility>
 
 #include "kumquatgauge/base/error.h"
@@ -61,6 +62,8 @@
 // Retry-After when no replica is known; one may register with the next
 // heartbeats.
 constexpr milliseconds kNoReplicaRetry{500};
+// Retry-After in a planned stop; other nodes can serve the request at once.
+constexpr milliseconds kStoppingRetry{20};
 
 auto ToMilliseconds(Duration duration) -> milliseconds {
   return std::chrono::duration_cast<milliseconds>(duration);
@@ -158,11 +161,32 @@
   auto Handle(ExchangePtr exchange) -> awaitable<void> {
     const auto self = shared_from_this();
     Prepare(*exchange);
+    if (IsTooLate(*exchange)) {
+      co_await EndTooLate(exchange);
+      co_return;
+    }
+    exchanges_.insert(exchange);
+    const auto under_way = std::shared_ptr<void>(
+        nullptr, [self, exchange](void*) { self->exchanges_.erase(exchange); });
     parts_.retry_budget.OnRequest(exchange->service);
     co_await TryReplicas(exchange);
     TakeBody(*exchange);
   }
 
+  auto BeginStop(MonotonicTime last_start, MonotonicTime end) -> void {
+    stop_ = Stop{last_start, end};
+  }
+
+  auto EndAll() -> void {
+    const auto exchanges = exchanges_;
+    for (const auto& exchange : exchanges) {
+      exchange->history.stopping = true;
+      if (exchange->call) {
+        exchange->call->Cancel();
+      }
+    }
+  }
+
   auto OnCapacityFreed() -> void {
     for (const auto& [service, count] : waiting_services_) {
       const auto first = wait_queue_.Front(service);
@@ -176,6 +200,29 @@
   }
 
  private:
+  struct Stop {
+    MonotonicTime last_start;
+    MonotonicTime end;
+  };
+
+  // Whether this node may stop before it can answer the request. One that may
+  // be repeated is sent to a replica early in the stop all the same: most are
+  // answered long before their time limit.
+  auto IsTooLate(const Exchange& exchange) const -> bool {
+    return stop_ &&
+           (exchange.incoming->arrived > stop_->last_start ||
+            (exchange.deadline > stop_->end &&
+             !MayRepeat(exchange.route->kind, exchange.route->resumable)));
+  }
+
+  auto EndTooLate(ExchangePtr exchange) -> awaitable<void> {
+    constexpr auto kReason = "this node stops";
+    refused_.Add();
+    co_await Refuse(exchange->writer, kServiceUnavailable, kReason,
+                    kStoppingRetry);
+    LogEnd(*exchange, kServiceUnavailable, kReason);
+  }
+
   // Sends the request to replicas until it has ended.
   auto TryReplicas(ExchangePtr exchange) -> awaitable<void> {
     if (IsResumed(*exchange) && !co_await FindOrigin(exchange)) {
@@ -389,7 +436,7 @@
         MakeReplicaRequest(*exchange, replica), MakeFilter(*exchange, replica));
     exchange->writer->OnDisconnect([call = exchange->call] { call->Cancel(); });
     auto attempt = AttemptEnd();
-    attempt.end = exchange->writer->disconnected()
+    attempt.end = exchange->writer->disconnected() || exchange->history.stopping
                       ? CallEnd::kCancelled
                       : co_await exchange->call->Open();
     if (attempt.end == CallEnd::kOpen) {
@@ -856,7 +903,9 @@
   RetryAfterEstimator retry_after_estimator_{RetryAfterEstimatorSettings()};
   std::map<WaitQueue::Ticket, std::shared_ptr<asio::steady_timer>> waiters_;
   std::map<ServiceName, std::uint32_t> waiting_services_;
-  std::size_t buffered_bytes_ = 0;  // Of all answers that are being read.
+  std::size_t buffered_bytes_ = 0;   // Of all answers that are being read.
+  std::set<ExchangePtr> exchanges_;  // Under way.
+  std::optional<Stop> stop_;         // Once a planned stop has begun.
   Counter& completed_;
   Counter& refused_;
   Counter& unknown_;
@@ -894,4 +943,12 @@
   impl_->OnCapacityFreed();
 }
 
+auto Forwarder::BeginStop(MonotonicTime last_start, MonotonicTime end) -> void {
+  impl_->BeginStop(last_start, end);
+}
+
+auto Forwarder::EndAll() -> void {
+  impl_->EndAll();
+}
+
 }  // namespace kumquatgauge::serving
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -1459,6 +1459,7 @@
                                  callers_ ? callers_->active_requests() : 0)}});
     gossip_.Leave();
     batch_.Stop();
+    forwarder_.BeginStop(began + kMinDrainTime, last);
     if (callers_) {
       callers_->Drain();
     }
@@ -1475,6 +1476,13 @@
         break;
       }
     }
+    forwarder_.EndAll();
+    const auto answers_last = SteadyNow() + kLastAnswersTime;
+    while (callers_ && callers_->active_requests() > 0 &&
+           SteadyNow() < answers_last) {
+      timer.expires_after(kDrainPollInterval);
+      co_await timer.async_wait(kAwaitTuple);
+    }
     logger_.Info("closing",
                  {{"event", "stop_closes"},
                   {"active", std::to_string(
--- a/testing/gateway/planned_stop_test.cc
+++ b/testing/gateway/planned_stop_test.cc
@@ -1,5 +1,7 @@
 // Planned stops of real gateway processes.
 
+#include <atomic>
+#include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <nlohmann/json.hpp>
@@ -8,6 +10,7 @@
 #include <vector>
 
 #include "testing/gateway/fleet.h"
+#include "testing/support/raw_client.h"
 
 namespace kumquatgauge::testing {
 namespace {
@@ -123,5 +126,95 @@
   CHECK(fleet.one->finished_runs() + fleet.two->finished_runs() == kItems);
 }
 
+auto SlowRequestHead(const std::string& target, const std::string& id)
+    -> std::string {
+  return "POST " + target + " HTTP/1.1\r\nHost: " + kGatewayHost +
+         "\r\nRequest-Id: " + id + "\r\nContent-Length: 4\r\n\r\nbo";
+}
+
+// Guards against requests that a host takes and passes on so late in a planned
+// stop that it ends before their answers come: it cut them off unanswered, also
+// those that must not be repeated.
+TEST_CASE("Gateway.RefusesWhatItCannotAnswerBeforeItsPlannedStopEnds") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  fleet.one->set_event_delay(milliseconds(4'500));
+  fleet.two->set_event_delay(milliseconds(4'500));
+  auto& node = *fleet.nodes.front();
+  auto context = boost::asio::io_context();
+  auto once = RawClient(context, node.callers());
+  auto resumable = RawClient(context, node.callers());
+  node.process().Signal(SIGTERM);
+  // The bodies of both arrive slowly.
+  std::this_thread::sleep_for(milliseconds(2'200));
+  REQUIRE(once.Send(SlowRequestHead("/stream/once/x", "late-1")));
+  REQUIRE(resumable.Send(SlowRequestHead("/stream/x", "late-2")));
+  std::this_thread::sleep_for(milliseconds(1'800));
+  REQUIRE(once.Send("dy"));
+  REQUIRE(resumable.Send("dy"));
+  for (auto* client : {&once, &resumable}) {
+    const auto reply = client->ReadToEnd();
+    CHECK(reply.starts_with("HTTP/1.1 503"));
+    CHECK(reply.find("Retry-After: ") != std::string::npos);
+    CHECK(reply.find("Connection: close") != std::string::npos);
+  }
+  CHECK(fleet.RunCount("late-1") == 0);
+  CHECK(fleet.RunCount("late-2") == 0);
+  CHECK(node.process().WaitForExit(milliseconds(8'000)) == 0);
+}
+
+// Guards against requests without an answer at the end of a planned stop: those
+// whose time limit lies beyond it.
+TEST_CASE("Gateway.AnswersWhatIsUnfinishedWhenItsPlannedStopEnds") {
+  auto fleet = Fleet();
+  auto configuration = MakeConfiguration(4);
+  for (auto& route : configuration.at("routes")) {
+    route["timeout_ms"] = 20'000;
+  }
+  fleet.AwaitService();
+  fleet.store->Put("config/main", configuration);
+  fleet.one->set_event_delay(milliseconds(12'000));
+  fleet.two->set_event_delay(milliseconds(12'000));
+  auto& node = *fleet.nodes.front();
+  REQUIRE(
+      Eventually([&] { return !LinesOf(node.Log(), "version", "4").empty(); }));
+  const auto call = [&](const std::string& target, const std::string& id,
+                        FetchReply& reply) {
+    return std::thread([&, target, id] {
+      auto request = FetchRequest();
+      request.address = node.callers();
+      request.method = "POST";
+      request.target = target;
+      request.headers = {{"Host", kGatewayHost}, {"Request-Id", id}};
+      request.timeout = milliseconds(15'000);
+      reply = Fetch(request);
+    });
+  };
+  // Under way when the stop begins, and sent while it goes on.
+  auto early = FetchReply();
+  auto late = FetchReply();
+  auto late_once = FetchReply();
+  auto callers = std::vector<std::thread>();
+  callers.push_back(call("/stream/once/x", "early", early));
+  REQUIRE(Eventually([&] { return fleet.RunCount("early") == 1; }));
+  node.process().Signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(500));
+  callers.push_back(call("/stream/x", "late", late));
+  callers.push_back(call("/stream/once/x", "late-once", late_once));
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  // They may have run.
+  CHECK(early.complete);
+  CHECK(early.status == 504);
+  CHECK(late.complete);
+  CHECK(late.status == 504);
+  // It has time at another host, and could not be repeated.
+  CHECK(late_once.status == 503);
+  CHECK(late_once.headers.contains("retry-after"));
+  CHECK(fleet.RunCount("late-once") == 0);
+  CHECK(node.process().WaitForExit(milliseconds(8'000)) == 0);
+}
+
 }  // namespace
 }  // namespace kumquatgauge::testing
