Name entries that another node knows instead of sending them again

A node that has started lists the entries at a revision that is newer than that of all others, since every write in the store counts, so that each of them asked it for changes and got the values of all entries (about 300 bytes each). The asking node knows the entries that have not changed since its own revision, so their names are enough to tell which are gone.

Test: ReplicaTable.NamesEntriesThatTheOtherNodeKnows; the tests of removed replicas pass as before.

--- a/include/kumquatgauge/serving/replica_table.h
+++ b/include/kumquatgauge/serving/replica_table.h
@@ -49,8 +49,9 @@
   std::vector<EntryChange> changes;
   std::uint64_t revision = 0;  // All changes up to it are applied.
   // Set if some removals may be missing among the changes: this one then holds
-  // for all entries that are not among them.
+  // for all entries that are neither among them nor `unchanged`.
   std::optional<EntryChange> others;
+  std::set<ReplicaId> unchanged;
 
   auto operator==(const EntryChanges&) const -> bool = default;
 };
@@ -70,7 +71,7 @@
 //
 // A node that has listed the entries does not know which were removed before,
 // and a node that receives changes from it may know entries that were. It
-// therefore sends all entries to a node that has not seen its listing, and says
+// therefore names all entries to a node that has not seen its listing, and says
 // that there are no others.
 //
 // A removal that a node reads in order, from a store whose calls have succeeded
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -621,6 +621,11 @@
     content["revision"] = changes.revision;
     if (changes.others) {
       content["others"] = EncodeChanges({*changes.others});
+      auto unchanged = json::array();
+      for (const auto& id : changes.unchanged) {
+        unchanged.push_back(id.value());
+      }
+      content["unchanged"] = std::move(unchanged);
     }
     content["versions"] = streams_.EncodeRegistered();
     return content;
@@ -686,6 +691,9 @@
     changes.revision = content.value("revision", std::uint64_t{0});
     if (content.contains("others")) {
       changes.others = DecodeChanges(content.at("others")).at(0);
+      for (const auto& id : content.at("unchanged")) {
+        changes.unchanged.insert(ReplicaId(id.get<std::string>()));
+      }
     }
     LogPeerChanges(changes);
     const auto changed = replica_table_.OnPeerChanges(changes);
@@ -718,9 +726,10 @@
       const auto& others = *changes.others;
       const auto keep =
           std::chrono::duration_cast<milliseconds>(others.grace_period);
-      logger_.Info("a node sent all entries of replicas",
+      logger_.Info("a node named all entries of replicas",
                    {{"event", "replicas_received"},
-                    {"entries", std::to_string(changes.changes.size())},
+                    {"changed", std::to_string(changes.changes.size())},
+                    {"unchanged", std::to_string(changes.unchanged.size())},
                     {"revision", std::to_string(others.revision)},
                     {"before", std::to_string(replica_table_.revision())},
                     {"others_kept_ms", std::to_string(keep.count())},
--- a/src/serving/replica_table.cc
+++ b/src/serving/replica_table.cc
@@ -51,7 +51,7 @@
 auto ReplicaTable::OnPeerChanges(const EntryChanges& changes) -> bool {
   const auto doubted = Doubted();
   auto changed = false;
-  auto listed = std::set<ReplicaId>();
+  auto listed = changes.unchanged;
   for (const auto& change : changes.changes) {
     listed.insert(change.id);
     revision_ = std::max(revision_, change.revision);
@@ -302,8 +302,10 @@
   auto changes = EntryChanges();
   changes.revision = revision_;
   for (const auto& [id, row] : rows_) {
-    if (removals_missing || row.revision > revision) {
+    if (row.revision > revision) {
       changes.changes.push_back(ChangeOf(id, row));
+    } else if (removals_missing && (!row.removed || row.drop_at)) {
+      changes.unchanged.insert(id);
     }
   }
   if (removals_missing) {
--- a/src/serving/replica_table_test.cc
+++ b/src/serving/replica_table_test.cc
@@ -37,7 +37,7 @@
 }
 
 auto OnPeerChange(ReplicaTable& table, const EntryChange& change) -> bool {
-  return table.OnPeerChanges({{change}, change.revision, std::nullopt});
+  return table.OnPeerChanges({{change}, change.revision, std::nullopt, {}});
 }
 
 struct Fixture {
@@ -415,6 +415,19 @@
   CHECK(changes.changes == std::vector<EntryChange>{Gone("r1", 11)});
 }
 
+// Guards against the values of all entries being sent to all nodes whenever one
+// has started.
+TEST_CASE("ReplicaTable.NamesEntriesThatTheOtherNodeKnows") {
+  auto fixture = Fixture();
+  auto started = fixture.Table();
+  started.OnSnapshot({Entry("r2", 4, "two"), Entry("r3", 15, "three")}, 20);
+  const auto changes = started.ChangesSince(10);
+  CHECK(changes.changes == std::vector<EntryChange>{Entry("r3", 15, "three")});
+  CHECK(changes.unchanged == std::set<ReplicaId>{ReplicaId("r2")});
+  CHECK(fixture.table.OnPeerChanges(changes));
+  CHECK(fixture.table.replicas() == started.replicas());
+}
+
 // A change that this node knows is newer than the listing of the other one.
 TEST_CASE("ReplicaTable.KeepsEntriesThatAreNewerThanAListingWithoutThem") {
   auto fixture = Fixture();
