Submit the jobs of the takeover tests by one function

The tests of takeovers submitted a job to slow replicas in three places with the same lines, and the endless server of the tests took a function that was always the same one.

--- a/testing/gateway/endless_bytes_test.cc
+++ b/testing/gateway/endless_bytes_test.cc
@@ -71,12 +71,9 @@
   // `fields` makes header fields from the request.
   using Fields = std::function<auto(const std::string& request)->std::string>;
 
-  EndlessServer(EndlessMessage (*choose)(const std::string& fields,
-                                         std::size_t number),
-                std::size_t number,
-                Fields fields)
-      : choose_(choose),
-        number_(number),
+  // Answers with the message `number` of EndlessMessages.
+  EndlessServer(std::size_t number, Fields fields)
+      : number_(number),
         fields_(std::move(fields)),
         acceptor_(context_, tcp::endpoint(tcp::v4(), 0)),
         thread_([this] { Accept(); }) {}
@@ -124,7 +121,8 @@
       const auto size = socket.read_some(boost::asio::buffer(bytes), error);
       request.append(bytes.data(), size);
     }
-    const auto message = choose_(fields_(request), number_);
+    const auto message =
+        EndlessMessages("HTTP/1.1 200 OK", fields_(request))[number_];
     const auto piece = Piece(message.repeated);
     boost::asio::write(socket, boost::asio::buffer(message.begin), error);
     while (!error && !stopped_) {
@@ -132,7 +130,6 @@
     }
   }
 
-  EndlessMessage (*choose_)(const std::string&, std::size_t);
   std::size_t number_;
   Fields fields_;
   boost::asio::io_context context_;
@@ -143,11 +140,6 @@
   std::thread thread_;
 };
 
-auto ChooseAnswer(const std::string& fields, std::size_t number)
-    -> EndlessMessage {
-  return EndlessMessages("HTTP/1.1 200 OK", fields)[number];
-}
-
 // The fields of an answer that belongs to the request.
 auto AnswerFields(const std::string& request) -> std::string {
   constexpr auto kName = std::string_view("Request-Id: ");
@@ -184,7 +176,7 @@
     const auto name = EndlessMessages("", "")[number].name;
     INFO(name);
     auto fleet = Fleet();
-    auto server = EndlessServer(ChooseAnswer, number, AnswerFields);
+    auto server = EndlessServer(number, AnswerFields);
     fleet.AwaitService();
     auto& node = *fleet.nodes.front();
     const auto before = node.process().memory_bytes();
@@ -275,10 +267,9 @@
   const auto count = EndlessMessages("", "").size();
   for (std::size_t number = 0; number < count; ++number) {
     INFO(EndlessMessages("", "")[number].name);
-    auto server =
-        EndlessServer(ChooseAnswer, number, [](const std::string& /*request*/) {
-          return std::string("Content-Type: application/json\r\n");
-        });
+    auto server = EndlessServer(number, [](const std::string& /*request*/) {
+      return std::string("Content-Type: application/json\r\n");
+    });
     const auto folder =
         std::filesystem::temp_directory_path() /
         ("kqg-store-test-" + std::to_string(std::random_device{}()));
--- a/testing/gateway/job_takeover_test.cc
+++ b/testing/gateway/job_takeover_test.cc
@@ -25,6 +25,17 @@
   return items;
 }
 
+// Submits a job to the first gateway, which then owns it. Replicas take this
+// delay before each event.
+auto SubmitDelayed(Fleet& fleet, const std::string& job, milliseconds delay)
+    -> void {
+  fleet.one->set_event_delay(delay);
+  fleet.two->set_event_delay(delay);
+  REQUIRE(fleet.nodes.front()
+              ->Call("POST", "/jobs/1", job, JobBody(ItemsOf(job)))
+              .status == 202);
+}
+
 // Delays the answers of the store that a takeover needs.
 auto SlowDownStore(FakeObjectApi& store, milliseconds delay) -> void {
   for (const auto* kind : {"jobs", "job-states", "job-results"}) {
@@ -70,12 +81,8 @@
 struct LostOwner {
   LostOwner(int gateways, milliseconds delay) : fleet(gateways) {
     fleet.AwaitService();
-    fleet.one->set_event_delay(milliseconds(700));
-    fleet.two->set_event_delay(milliseconds(700));
     for (const auto& job : jobs) {
-      REQUIRE(fleet.nodes.front()
-                  ->Call("POST", "/jobs/1", job, JobBody(ItemsOf(job)))
-                  .status == 202);
+      SubmitDelayed(fleet, job, milliseconds(700));
     }
     fleet.nodes.front()->process().Signal(SIGKILL);
     for (std::size_t at = 0; at < jobs.size(); ++at) {
@@ -171,11 +178,7 @@
 TEST_CASE("Gateway.ContinuesAListThatALateTakeoverHasClosed") {
   auto fleet = Fleet(2);
   fleet.AwaitService();
-  fleet.one->set_event_delay(milliseconds(200));
-  fleet.two->set_event_delay(milliseconds(200));
-  REQUIRE(fleet.nodes[0]
-              ->Call("POST", "/jobs/1", "j1", JobBody(ItemsOf("j1")))
-              .status == 202);
+  SubmitDelayed(fleet, "j1", milliseconds(200));
   StoreClosing(fleet, "j1", 0, 0);
   StoreClosing(fleet, "j1", 0, 1);
   CHECK(Eventually([&] { return IsListed(*fleet.nodes[1], "j1"); }));
@@ -187,11 +190,7 @@
 TEST_CASE("Gateway.AddsNothingToAListThatItsNewOwnerHasClosed") {
   auto fleet = Fleet(1);
   fleet.AwaitService();
-  fleet.one->set_event_delay(milliseconds(200));
-  fleet.two->set_event_delay(milliseconds(200));
-  REQUIRE(fleet.nodes[0]
-              ->Call("POST", "/jobs/1", "j1", JobBody(ItemsOf("j1")))
-              .status == 202);
+  SubmitDelayed(fleet, "j1", milliseconds(200));
   auto state = fleet.store->Get("job-states/j1");
   state["owner"] = "n9";
   fleet.store->Put("job-states/j1", std::move(state));
