--- a/apps/shared/program.cc
+++ b/apps/shared/program.cc
@@ -116,6 +116,10 @@
     InitializeJsonLogging(settings.log_level, settings.name.value());
     run(std::move(settings), path);
   } catch (const std::exception& error) {
+    // Also in the log, which is kept where standard error may not be.
+    Logger("program").Error(
+        "ended by an error",
+        {{"event", "failed"}, {"program", name}, {"reason", error.what()}});
     std::cerr << name << ": " << error.what() << "\n";
     return kExitFailed;
   }
--- a/src/base/process_hooks.cc
+++ b/src/base/process_hooks.cc
@@ -1,10 +1,13 @@
 #include "base/process_hooks.h"
 
+#include <unistd.h>
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <ctime>
+#include <fstream>
 #include <random>
 
 namespace kumquatgauge::detail {
@@ -32,6 +35,14 @@
   return generator();
 }
 
+auto ResidentBytes() -> double {
+  auto file = std::ifstream("/proc/self/statm");
+  auto total_pages = 0.0;
+  auto resident_pages = 0.0;
+  file >> total_pages >> resident_pages;
+  return resident_pages * static_cast<double>(::sysconf(_SC_PAGESIZE));
+}
+
 auto Pause(Duration duration) -> asio::awaitable<void> {
   auto timer = asio::steady_timer(co_await asio::this_coro::executor, duration);
   auto ignored = boost::system::error_code();
--- a/src/base/process_hooks.h
+++ b/src/base/process_hooks.h
@@ -16,6 +16,9 @@
 auto WallNow() -> WallTime;
 auto DrawRandom() -> std::uint64_t;
 
+// Resident memory of this process in bytes; 0 if the kernel does not tell.
+auto ResidentBytes() -> double;
+
 // Suspends the calling coroutine for `duration` on its executor.
 auto Pause(Duration duration) -> boost::asio::awaitable<void>;
 
--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -13,7 +13,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
-#include <fstream>
 #include <map>
 #include <mutex>
 #include <utility>
@@ -59,6 +58,7 @@
 namespace asio = boost::asio;
 using kumquatgauge::detail::DrawRandom;
 using kumquatgauge::detail::Pause;
+using kumquatgauge::detail::ResidentBytes;
 using kumquatgauge::detail::SteadyNow;
 using kumquatgauge::detail::WallNow;
 
@@ -80,15 +80,6 @@
 constexpr auto kPeerStopLimit = std::chrono::milliseconds(1000);
 constexpr double kNanosecondsPerSecond = 1e9;
 
-auto ResidentBytes() -> double {
-  auto file = std::ifstream("/proc/self/statm");
-  auto total = 0.0;
-  auto resident = 0.0;
-  file >> total >> resident;
-  constexpr auto kPageBytes = 4096.0;
-  return resident * kPageBytes;
-}
-
 auto CpuSeconds(pthread_t thread) -> double {
   auto clock = clockid_t();
   auto time = timespec();
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -249,6 +249,8 @@
     metrics_.AddGauge("kqg_leaving_replicas", [this] {
       return static_cast<double>(replica_table_.leaving_notices().size());
     });
+    metrics_.AddGauge("kqg_process_resident_bytes",
+                      kumquatgauge::detail::ResidentBytes);
     AwaitSignal();
     RunMaintenance();
     context_.run();
