Ignore signals that ask for nothing but end a process by default

When the collector of its log restarts, a gateway or disk host was ended by SIGPIPE at its next log line, and callers lost their requests on it; when the file that takes the log reached a size limit, by SIGXFSZ.

Cause: only sockets are written to in a way that raises no signal, and the programs left these signals at their default actions. They are now ignored from the start of main, so that a failed write of the log is an error that the appender already handles.

--- a/apps/kqg_node.cc
+++ b/apps/kqg_node.cc
@@ -28,6 +28,7 @@
 }  // namespace
 
 auto main(int argc, char** argv) -> int {
+  kumquatgauge::apps::PrepareProcess();
   const auto options =
       kumquatgauge::apps::ReadOptions(argc, argv, "kqg-node", kUsage);
   if (options.exit_status) {
--- a/apps/shared/program.cc
+++ b/apps/shared/program.cc
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "base/process_signals.h"
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
 
@@ -72,6 +73,10 @@
   return options;
 }
 
+auto PrepareProcess() -> void {
+  detail::PrepareSignals();
+}
+
 auto RefuseArguments(const std::string& name) -> int {
   std::cerr << name << ": name one settings file; see " << name << " --help\n";
   return kExitUsage;
@@ -84,6 +89,7 @@
     const std::function<
         auto(serving::GatewaySettings, const std::string& path)->void>& run)
     -> int {
+  PrepareProcess();
   // By default either signal would end the program with a failure until it
   // installs its own handlers. SIGHUP is ignored, as the settings are about to
   // be read anyway; SIGTERM exits at once, as there is nothing to finish yet.
--- a/apps/shared/program.h
+++ b/apps/shared/program.h
@@ -27,6 +27,10 @@
                  const std::string& name,
                  const std::string& usage) -> ProgramOptions;
 
+// To be called first in the main function of a daemon: makes it independent of
+// the signals that it was started with.
+auto PrepareProcess() -> void;
+
 // Prints that one settings file must be named. Returns the exit status.
 auto RefuseArguments(const std::string& name) -> int;
 
--- /dev/null
+++ b/testing/gateway/process_end_test.cc
@@ -0,0 +1,152 @@
+// What ends a process, or keeps it from starting, though nobody asked for that.
+
+#include <fcntl.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "testing/gateway/fleet.h"
+#include "testing/scenario/child_process.h"
+#include "testing/support/reserved_ports.h"
+
+namespace kumquatgauge::testing {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::asio::ip::udp;
+using std::chrono::milliseconds;
+
+constexpr const char* kPrograms[] = {KQG_GATEWAY, KQG_DISK_HOST};
+// Far longer than a process takes to end on an error.
+constexpr milliseconds kNoticeTime{1'000};
+constexpr milliseconds kStopLimit{10'000};
+constexpr std::chrono::microseconds kSignalPause{200};
+
+auto PortOf(const std::string& address) -> std::uint16_t {
+  return static_cast<std::uint16_t>(
+      std::stoi(address.substr(address.find(':') + 1)));
+}
+
+auto TcpEndpoint(const std::string& address) -> tcp::endpoint {
+  return {boost::asio::ip::address_v4::loopback(), PortOf(address)};
+}
+
+auto SettingsOf(const Fleet& fleet) -> std::string {
+  return (fleet.folder / "n0.toml").string();
+}
+
+// Holds the reading end of a named pipe that takes a program's standard output.
+class LogReader {
+ public:
+  explicit LogReader(std::string path) : path_(std::move(path)) {
+    REQUIRE(::mkfifo(path_.c_str(), 0600) == 0);
+    descriptor_ = ::open(path_.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+    REQUIRE(descriptor_ >= 0);
+  }
+  ~LogReader() { Close(); }
+  LogReader(const LogReader&) = delete;
+  auto operator=(const LogReader&) -> LogReader& = delete;
+
+  auto Close() -> void {
+    if (descriptor_ >= 0) {
+      ::close(std::exchange(descriptor_, -1));
+    }
+  }
+
+  auto HasData() const -> bool {
+    auto byte = char{0};
+    return ::read(descriptor_, &byte, 1) == 1;
+  }
+
+ private:
+  std::string path_;
+  int descriptor_ = -1;
+};
+
+// Guards against a process that SIGPIPE ends when the collector of its log
+// restarts.
+TEST_CASE("Process.OutlivesTheReaderOfItsLog") {
+  for (const auto* program : kPrograms) {
+    auto fleet = Fleet();
+    auto& node = *fleet.nodes.front();
+    node.process().Signal(SIGKILL);
+    REQUIRE(node.process().WaitForExit(kLimit));
+    const auto pipe = (fleet.folder / "log.pipe").string();
+    auto reader = LogReader(pipe);
+    auto process = ChildProcess({program, SettingsOf(fleet)}, pipe,
+                                (fleet.folder / "errors").string());
+    REQUIRE(Eventually([&] { return reader.HasData(); }));
+    reader.Close();
+    // Each writes a line.
+    for (auto signal = 0; signal < 5; ++signal) {
+      process.Signal(SIGHUP);
+      std::this_thread::sleep_for(milliseconds(50));
+    }
+    CHECK_FALSE(process.WaitForExit(kNoticeTime));
+    process.Signal(SIGTERM);
+    CHECK(process.WaitForExit(kStopLimit) == 0);
+  }
+}
+
+// Guards against a process that SIGXFSZ ends when the file that takes its log
+// has reached the limit on the size of files.
+TEST_CASE("Process.OutlivesTheSizeLimitOfItsLogFile") {
+  for (const auto* program : kPrograms) {
+    auto fleet = Fleet();
+    auto& node = *fleet.nodes.front();
+    node.process().Signal(SIGKILL);
+    REQUIRE(node.process().WaitForExit(kLimit));
+    auto process =
+        ChildProcess({program, SettingsOf(fleet)}, fleet.folder / "log",
+                     (fleet.folder / "errors").string());
+    REQUIRE(Eventually(
+        [&] { return std::filesystem::file_size(fleet.folder / "log") > 0; }));
+    const auto limit = rlimit{1, 1};
+    REQUIRE(::prlimit(process.id(), RLIMIT_FSIZE, &limit, nullptr) == 0);
+    for (auto signal = 0; signal < 5; ++signal) {
+      process.Signal(SIGHUP);
+      std::this_thread::sleep_for(milliseconds(50));
+    }
+    CHECK_FALSE(process.WaitForExit(kNoticeTime));
+  }
+}
+
+// Guards against processes that a signal ends which log rotation or an operator
+// may send and that is no request to stop.
+TEST_CASE("Process.OutlivesSignalsThatAskForNothing") {
+  for (const auto* program : kPrograms) {
+    auto fleet = Fleet();
+    auto& node = *fleet.nodes.front();
+    fleet.AwaitService();
+    node.process().Signal(SIGKILL);
+    REQUIRE(node.process().WaitForExit(kLimit));
+    auto process =
+        ChildProcess({program, SettingsOf(fleet)}, fleet.folder / "log",
+                     (fleet.folder / "errors").string());
+    REQUIRE(Eventually(
+        [&] { return std::filesystem::file_size(fleet.folder / "log") > 0; }));
+    for (const auto signal : {SIGUSR1, SIGUSR2, SIGPIPE}) {
+      process.Signal(signal);
+    }
+    CHECK_FALSE(process.WaitForExit(kNoticeTime));
+  }
+}
+
+}  // namespace
+}  // namespace kumquatgauge::testing
--- a/testing/scenario/child_process.h
+++ b/testing/scenario/child_process.h
@@ -14,7 +14,7 @@
 class ChildProcess {
  public:
   // Standard output goes to `out_file`, standard error is appended to
-  // `err_file`.
+  // `err_file`. Without both, the process has no standard descriptors.
   ChildProcess(const std::vector<std::string>& arguments,
                const std::string& out_file,
                const std::string& err_file);
@@ -23,6 +23,7 @@
   auto operator=(const ChildProcess&) -> ChildProcess& = delete;
 
   auto Signal(int signal) -> void;
+  auto id() const -> pid_t { return pid_; }
   // Resident memory of the running process.
   auto memory_bytes() const -> std::size_t;
   // Exit status, 128 + signal for a killed process; nothing while it runs
