Let no further signal end a process that is stopping

Cause: Asio restores the default action when the last signal set is destroyed, before the process is gone. ProcessSignals, which the three daemons now share, blocks the signals once a stop has begun, and takes SIGINT as SIGTERM. PrepareSignals also unblocks them, as a process inherits the mask of whoever starts it, and would never stop.

--- a/apps/shared/program.cc
+++ b/apps/shared/program.cc
@@ -3,7 +3,6 @@
 #include <getopt.h>
 
 #include <array>
-#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -90,11 +89,6 @@
         auto(serving::GatewaySettings, const std::string& path)->void>& run)
     -> int {
   PrepareProcess();
-  // By default either signal would end the program with a failure until it
-  // installs its own handlers. SIGHUP is ignored, as the settings are about to
-  // be read anyway; SIGTERM exits at once, as there is nothing to finish yet.
-  std::signal(SIGHUP, SIG_IGN);
-  std::signal(SIGTERM, [](int) { std::_Exit(kExitOk); });
   const auto options = ReadOptions(argc, argv, name, MakeUsage(name));
   if (options.exit_status) {
     return *options.exit_status;
--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -9,7 +9,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
@@ -18,6 +17,7 @@
 #include <utility>
 
 #include "base/process_hooks.h"
+#include "base/process_signals.h"
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/base/metrics.h"
@@ -176,7 +176,7 @@
   auto PollLoads() -> asio::awaitable<void>;
   auto PollLoad(routing::Replica replica) -> asio::awaitable<void>;
   auto PublishLoadsLoop() -> asio::awaitable<void>;
-  auto WaitForSignal() -> asio::awaitable<void>;
+  auto AwaitSignals() -> void;
   auto BeginStop() -> void;
   auto StopGracefully() -> asio::awaitable<void>;
   auto TrafficIdle() const -> bool;
@@ -186,7 +186,7 @@
   Logger log_{"node"};
   MetricsRegistry metrics_;
   asio::io_context control_{1};
-  asio::signal_set signals_;
+  kumquatgauge::detail::ProcessSignals signals_;
   std::atomic<bool> stopping_{false};
   pthread_t control_thread_ = pthread_self();
 
@@ -236,7 +236,7 @@
                        OperatorCredentials operators)
     : settings_(std::move(settings)),
       fleet_credential_(std::move(fleet_credential)),
-      signals_(control_, SIGTERM, SIGINT),
+      signals_(control_),
       traffic_(settings_.traffic_threads, MakeClientFactory()),
       table_(settings_.zone, SteadyNow, DrawRandom),
       dispatch_(
@@ -829,13 +829,15 @@
   dispatch_.OnLoadReportFailed(replica.id);
 }
 
-auto NodeDaemon::Impl::WaitForSignal() -> asio::awaitable<void> {
-  auto failed = boost::system::error_code();
-  co_await signals_.async_wait(
-      asio::redirect_error(asio::use_awaitable, failed));
-  if (!failed) {
+auto NodeDaemon::Impl::AwaitSignals() -> void {
+  signals_.Start([this](int signal) {
+    if (signal == SIGHUP) {
+      log_.Info("SIGHUP ignored; the configuration is in the store.");
+      return true;
+    }
     BeginStop();
-  }
+    return false;
+  });
 }
 
 auto NodeDaemon::Impl::BeginStop() -> void {
@@ -881,6 +883,7 @@
 auto NodeDaemon::Impl::Run() -> void {
   control_thread_ = pthread_self();
   traffic_.Start();
+  AwaitSignals();
   gossip_.Start();
   OnMembersChanged(gossip_.membership().live());
   asio::co_spawn(control_, registry_.Run(), asio::detached);
@@ -889,7 +892,6 @@
   asio::co_spawn(control_, TickBatch(), asio::detached);
   asio::co_spawn(control_, RunMaintenance(), asio::detached);
   asio::co_spawn(control_, PublishLoadsLoop(), asio::detached);
-  asio::co_spawn(control_, WaitForSignal(), asio::detached);
   asio::co_spawn(*traffic_.contexts().front(), TickDispatch(), asio::detached);
   asio::co_spawn(*traffic_.contexts().front(), PollLoads(), asio::detached);
   log_.Info("Node started.", {{"name", settings_.name.value()},
--- a/src/serving/disk_host.cc
+++ b/src/serving/disk_host.cc
@@ -4,13 +4,13 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <utility>
 
 #include "base/process_hooks.h"
+#include "base/process_signals.h"
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/serving/store_feed.h"
@@ -49,11 +49,11 @@
               {.prefix = parts_.request_prefix},
               MakeHooks(),
               DrawRandom),
-        signals_(context_, SIGTERM, SIGHUP) {}
+        signals_(context_) {}
 
   auto Run() -> void {
     logger_.Info("starting", {{"event", "start"}, {"version", KQG_VERSION}});
-    AwaitSignal();
+    AwaitSignals();
     feed_.Start();
     context_.run();
     logger_.Info("stopped", {{"event", "stop"}});
@@ -118,17 +118,16 @@
     reporting_ = false;
   }
 
-  auto AwaitSignal() -> void {
-    signals_.async_wait(
-        [this](const boost::system::error_code& error, int signal) {
-          if (!error && signal == SIGHUP) {
-            logger_.Info("SIGHUP ignored; this process has nothing to reload",
-                         {{"event", "reload"}});
-            AwaitSignal();
-          } else if (!error) {
-            context_.stop();
-          }
-        });
+  auto AwaitSignals() -> void {
+    signals_.Start([this](int signal) {
+      if (signal == SIGHUP) {
+        logger_.Info("SIGHUP ignored; this process has nothing to reload",
+                     {{"event", "reload"}});
+        return true;
+      }
+      context_.stop();
+      return false;
+    });
   }
 
   GatewaySettings settings_;
@@ -138,7 +137,7 @@
   store::PlatformClient client_;
   DiskHostStore store_;
   StoreFeed feed_;
-  asio::signal_set signals_;
+  kumquatgauge::detail::ProcessSignals signals_;
   bool store_lost_ = false;
   bool reporting_ = false;
 };
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -5,7 +5,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
@@ -15,6 +14,7 @@
 #include <utility>
 
 #include "base/process_hooks.h"
+#include "base/process_signals.h"
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/base/metrics.h"
@@ -213,7 +213,7 @@
                       MakeReplicaFeed(),
                       MakeReplicaHooks(),
                       DrawRandom),
-        signals_(context_, SIGTERM, SIGHUP),
+        signals_(context_),
         maintenance_timer_(context_),
         counts_timer_(context_),
         missing_timer_(context_),
@@ -251,7 +251,7 @@
     });
     metrics_.AddGauge("kqg_process_resident_bytes",
                       kumquatgauge::detail::ResidentBytes);
-    AwaitSignal();
+    AwaitSignals();
     RunMaintenance();
     context_.run();
     logger_.Info("stopped", {{"event", "stop"}});
@@ -1426,19 +1426,15 @@
                   {"age_ms", std::to_string(age)}});
   }
 
-  auto AwaitSignal() -> void {
-    signals_.async_wait(
-        [this](const boost::system::error_code& error, int signal) {
-          if (error) {
-            return;
-          }
-          if (signal == SIGHUP) {
-            Reload();
-            AwaitSignal();
-            return;
-          }
-          asio::co_spawn(context_, ShutDownGracefully(), asio::detached);
-        });
+  auto AwaitSignals() -> void {
+    signals_.Start([this](int signal) {
+      if (signal == SIGHUP) {
+        Reload();
+        return true;
+      }
+      asio::co_spawn(context_, ShutDownGracefully(signal), asio::detached);
+      return false;
+    });
   }
 
   auto Reload() -> void {
@@ -1459,13 +1455,14 @@
 
   // Leaves the directory at once, serves requests while callers still use this
   // address, then exits when no connection is open or the time is over.
-  auto ShutDownGracefully() -> awaitable<void> {
+  auto ShutDownGracefully(int signal) -> awaitable<void> {
     const auto began = SteadyNow();
     const auto last = began + settings_.limits.stop - kStopMargin;
     stopping_ = true;
     registry_.Stop();
     logger_.Info("shutting down gracefully",
                  {{"event", "stop_begins"},
+                  {"signal", kumquatgauge::detail::SignalName(signal)},
                   {"active", std::to_string(
                                  callers_ ? callers_->active_requests() : 0)}});
     gossip_.Leave();
@@ -1534,7 +1531,7 @@
   std::unique_ptr<HttpListener> readiness_;
   std::unique_ptr<HttpListener> directory_;
   std::unique_ptr<HttpListener> metrics_listener_;
-  asio::signal_set signals_;
+  kumquatgauge::detail::ProcessSignals signals_;
   asio::steady_timer maintenance_timer_;
   asio::steady_timer counts_timer_;
   asio::steady_timer missing_timer_;
--- a/testing/gateway/process_end_test.cc
+++ b/testing/gateway/process_end_test.cc
@@ -148,5 +148,50 @@
   }
 }
 
+// Guards against SIGINT, which ended a process with its requests unanswered.
+TEST_CASE("Process.TakesSigintAsAPlannedStop") {
+  auto fleet = Fleet();
+  fleet.AwaitService();
+  fleet.one->set_event_delay(milliseconds(300));
+  fleet.two->set_event_delay(milliseconds(300));
+  auto& node = *fleet.nodes.front();
+  auto reply = FetchReply();
+  auto caller =
+      std::thread([&] { reply = node.Call("POST", "/stream/once/x", "q1"); });
+  CHECK(Eventually([&] { return fleet.RunCount("q1") == 1; }));
+  node.process().Signal(SIGINT);
+  caller.join();
+  CHECK(reply.complete);
+  CHECK(node.process().WaitForExit(kStopLimit) == 0);
+}
+
+// Guards against a planned stop that ends by the signal when it is sent again,
+// at any moment until the process is gone.
+TEST_CASE("Process.EndsItsPlannedStopWhenSignalsComeAgain") {
+  constexpr auto kStarts = 15;
+  for (const auto* program : kPrograms) {
+    auto fleet = Fleet();
+    auto& node = *fleet.nodes.front();
+    node.process().Signal(SIGKILL);
+    REQUIRE(node.process().WaitForExit(kLimit));
+    for (auto start = 0; start < kStarts; ++start) {
+      const auto signal = start % 2 == 0 ? SIGTERM : SIGHUP;
+      const auto log = fleet.folder / ("log" + std::to_string(start));
+      auto process = ChildProcess({program, SettingsOf(fleet)}, log.string(),
+                                  (fleet.folder / "errors").string());
+      REQUIRE(Eventually([&] { return std::filesystem::file_size(log) > 0; }));
+      process.Signal(SIGTERM);
+      auto exit = std::optional<int>();
+      const auto last = std::chrono::steady_clock::now() + kStopLimit;
+      while (!exit && std::chrono::steady_clock::now() < last) {
+        process.Signal(signal);
+        exit = process.WaitForExit(milliseconds(0));
+        std::this_thread::sleep_for(kSignalPause);
+      }
+      CHECK(exit == 0);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace kumquatgauge::testing
