--- a/apps/shared/program.cc
+++ b/apps/shared/program.cc
@@ -7,6 +7,7 @@
 #include <iostream>
 
 #include "base/process_signals.h"
+#include "base/standard_descriptors.h"
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
 
@@ -73,6 +74,7 @@
 }
 
 auto PrepareProcess() -> void {
+  detail::OpenStandardDescriptors();
   detail::PrepareSignals();
 }
 
--- a/apps/shared/program.h
+++ b/apps/shared/program.h
@@ -28,7 +28,7 @@
                  const std::string& usage) -> ProgramOptions;
 
 // To be called first in the main function of a daemon: makes it independent of
-// the signals that it was started with.
+// the signals and standard descriptors that it was started with.
 auto PrepareProcess() -> void;
 
 // Prints that one settings file must be named. Returns the exit status.
--- a/testing/gateway/process_end_test.cc
+++ b/testing/gateway/process_end_test.cc
@@ -193,5 +193,27 @@
   }
 }
 
+// Guards against log lines in a client's answer or in a message between hosts:
+// a process that is started without standard descriptors would otherwise get
+// these numbers for its sockets.
+TEST_CASE("Process.KeepsStandardDescriptorsFromItsSockets") {
+  for (const auto* program : kPrograms) {
+    auto fleet = Fleet();
+    auto& node = *fleet.nodes.front();
+    node.process().Signal(SIGKILL);
+    REQUIRE(node.process().WaitForExit(kLimit));
+    auto process = ChildProcess({program, SettingsOf(fleet)}, "", "");
+    std::this_thread::sleep_for(kNoticeTime);
+    for (auto descriptor = 0; descriptor <= 2; ++descriptor) {
+      auto error = std::error_code();
+      const auto link = std::filesystem::read_symlink(
+          "/proc/" + std::to_string(process.id()) + "/fd/" +
+              std::to_string(descriptor),
+          error);
+      CHECK(link == "/dev/null");
+    }
+  }
+}
+
 }  // namespace
 }  // namespace kumquatgauge::testing
--- a/testing/scenario/child_process.cc
+++ b/testing/scenario/child_process.cc
@@ -29,10 +29,16 @@
   argv.push_back(nullptr);
   auto actions = posix_spawn_file_actions_t();
   posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, out_file.c_str(),
-                                   O_WRONLY | O_CREAT | O_TRUNC, kFileMode);
-  posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, err_file.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, kFileMode);
+  if (out_file.empty() && err_file.empty()) {
+    for (const auto descriptor : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
+      posix_spawn_file_actions_addclose(&actions, descriptor);
+    }
+  } else {
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, out_file.c_str(),
+                                     O_WRONLY | O_CREAT | O_TRUNC, kFileMode);
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, err_file.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, kFileMode);
+  }
   const auto failed =
       posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
