Wait for listen addresses that are in use instead of ending

Cause: bind was tried once. All listeners, and the datagram socket, now open their address through one function, which tries again while the reason may pass and ends the process only for others. Until every address is open a gateway neither joins the fleet nor calls the store: callers get no address that does not answer, and those that reach it are refused as not run. The log says which address is waited for. A stop signal ends the wait.

--- a/include/kumquatgauge/caller/caller_server.h
+++ b/include/kumquatgauge/caller/caller_server.h
@@ -71,7 +71,9 @@
   // Stops immediately: closes the connections that are still open.
   ~CallerServer();
 
-  // Address that the server listens on, as "IP:port".
+  // Whether callers can connect; false while another process uses the address.
+  auto listening() const -> bool;
+  // Address that the server listens on, as "IP:port"; empty before that.
   auto address() const -> const std::string&;
   // Number of open connections.
   auto connections() const -> std::size_t;
--- a/include/kumquatgauge/caller/http_listener.h
+++ b/include/kumquatgauge/caller/http_listener.h
@@ -78,9 +78,10 @@
   HttpListener(const HttpListener&) = delete;
   auto operator=(const HttpListener&) -> HttpListener& = delete;
 
-  // Starts listening. Throws Error(kUnavailable) when the address cannot be
-  // bound.
+  // Starts listening, as soon as nobody else uses the address. Throws
+  // Error(kUnavailable) when it cannot be bound for another reason.
   auto Start() -> void;
+  auto listening() const -> bool;
   // Applies to requests that begin from now on.
   auto SetLimits(ListenerLimits limits) -> void;
   // Sends "Connection: close" with every response from now on.
--- a/include/kumquatgauge/node/datagram_socket.h
+++ b/include/kumquatgauge/node/datagram_socket.h
@@ -41,8 +41,9 @@
   using Receiver = std::function<
       auto(const nlohmann::json& message, const std::string& from)->void>;
 
-  // Binds `listen`, "IP:port". Throws Error(kInvalidArgument) for a bad address
-  // and Error(kUnavailable) if it cannot be bound.
+  // Binds `listen`, "IP:port", as soon as nobody else uses it. Throws
+  // Error(kInvalidArgument) for a bad address and Error(kUnavailable) if it
+  // cannot be bound for another reason.
   DatagramSocket(boost::asio::io_context& context,
                  const std::string& listen,
                  const std::string& fleet_credential);
@@ -60,6 +61,7 @@
   auto Send(const std::vector<std::string>& addresses,
             const nlohmann::json& message) -> void;
 
+  auto bound() const -> bool;
   auto address() const -> std::string;
   auto counters() const -> DatagramCounters;
 
--- a/include/kumquatgauge/node/gossip.h
+++ b/include/kumquatgauge/node/gossip.h
@@ -74,7 +74,8 @@
 class Gossip {
  public:
   // `client` runs on the control io_context and must outlive this object.
-  // Throws Error if the datagram socket cannot be bound.
+  // Binds the datagram socket as soon as nobody else uses its address. Throws
+  // Error if it cannot be bound for another reason.
   Gossip(boost::asio::io_context& control,
          GossipSettings settings,
          PeerClient& client,
@@ -91,7 +92,9 @@
   // the control io_context.
   auto RegisterHandlers(PeerServer& server) -> void;
 
+  // To be called once the datagram socket is bound.
   auto Start() -> void;
+  auto bound() const -> bool;
   // For a planned stop, call Leave first and Stop when the work of this node
   // has ended.
   auto Leave() -> void;
--- a/include/kumquatgauge/node/peer_server.h
+++ b/include/kumquatgauge/node/peer_server.h
@@ -49,10 +49,12 @@
   // Registers the handler of POST /node/v1/NAME; call before Start.
   auto Register(std::string name, Handler handler) -> void;
 
-  // Starts to listen. Throws Error(kInvalidArgument) for a bad address and
-  // Error(kUnavailable) if it cannot be bound.
+  // Starts to listen, as soon as nobody else uses the address. Throws
+  // Error(kInvalidArgument) for a bad address and Error(kUnavailable) if it
+  // cannot be bound for another reason.
   auto Start() -> void;
-  // The bound address with the actual port; empty before Start.
+  auto listening() const -> bool;
+  // The bound address with the actual port; empty until it is bound.
   auto address() const -> std::string;
 
   // Stops accepting, sends GOAWAY, waits for the open streams to end and closes
--- a/include/kumquatgauge/operator/operator_server.h
+++ b/include/kumquatgauge/operator/operator_server.h
@@ -16,8 +16,9 @@
 // the header "Authorization: Bearer TOKEN".
 class OperatorServer {
  public:
-  // Listens on `address` ("IP:port"; port 0 picks a free one). Throws
-  // Error(kUnavailable) when the address cannot be bound.
+  // Listens on `address` ("IP:port"; port 0 picks a free one), as soon as
+  // nobody else uses it. Throws Error(kUnavailable) when it cannot be bound for
+  // another reason.
   OperatorServer(boost::asio::io_context& context,
                  const std::string& address,
                  OperatorCredentials credentials,
--- a/src/caller/caller_server.cc
+++ b/src/caller/caller_server.cc
@@ -5,9 +5,9 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "base/listen_address.h"
 #include "caller/server_core.h"
 #include "caller/session.h"
-#include "kumquatgauge/base/error.h"
 #include "upstream/endpoint.h"
 
 namespace kumquatgauge::caller {
@@ -58,6 +58,19 @@
       });
 }
 
+auto ServerCore::Open() -> boost::system::error_code {
+  if (stopping) {
+    return asio::error::operation_aborted;
+  }
+  return kumquatgauge::detail::OpenAcceptor(acceptor_, endpoint_);
+}
+
+auto ServerCore::OnOpened() -> void {
+  address = upstream::detail::FormatEndpoint(acceptor_.local_endpoint());
+  listening = true;
+  Accept();
+}
+
 auto ServerCore::StopAccepting() -> void {
   if (!acceptor_.is_open()) {
     return;
@@ -124,20 +137,10 @@
     : core_(std::make_shared<detail::ServerCore>(std::move(contexts),
                                                  backend,
                                                  std::move(settings))) {
-  const auto endpoint = upstream::detail::ParseEndpoint(address);
-  try {
-    core_->acceptor_.open(endpoint.protocol());
-    core_->acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    core_->acceptor_.bind(endpoint);
-    core_->acceptor_.listen();
-  } catch (const boost::system::system_error& error) {
-    throw Error(ErrorKind::kUnavailable,
-                "cannot listen for callers: " + error.code().message(), address,
-                "free the port or choose another listen address");
-  }
-  core_->address =
-      upstream::detail::FormatEndpoint(core_->acceptor_.local_endpoint());
-  core_->Accept();
+  core_->endpoint_ = upstream::detail::ParseEndpoint(address);
+  kumquatgauge::detail::OpenListenAddress(
+      core_->contexts[0]->get_executor(), address,
+      kumquatgauge::detail::MakeListenHooks(core_->weak_from_this()));
 }
 
 CallerServer::~CallerServer() {
@@ -148,6 +151,10 @@
   }
 }
 
+auto CallerServer::listening() const -> bool {
+  return core_->listening;
+}
+
 auto CallerServer::address() const -> const std::string& {
   return core_->address;
 }
--- a/src/caller/http_listener.cc
+++ b/src/caller/http_listener.cc
@@ -12,6 +12,7 @@
 #include <unordered_set>
 #include <utility>
 
+#include "base/listen_address.h"
 #include "base/read_limits.h"
 #include "base/socket_options.h"
 #include "kumquatgauge/base/error.h"
@@ -28,6 +29,9 @@
 using asio::awaitable;
 using asio::ip::tcp;
 using boost::system::error_code;
+using kumquatgauge::detail::MakeListenHooks;
+using kumquatgauge::detail::OpenAcceptor;
+using kumquatgauge::detail::OpenListenAddress;
 using upstream::detail::DeadlineSocket;
 using OnExpiry = DeadlineSocket::OnExpiry;
 using RequestParser = http::request_parser<http::string_body>;
@@ -374,20 +378,23 @@
   }
 
   auto Start() -> void {
-    const auto endpoint = upstream::detail::ParseEndpoint(address_);
-    try {
-      acceptor_.open(endpoint.protocol());
-      acceptor_.set_option(tcp::acceptor::reuse_address(true));
-      acceptor_.bind(endpoint);
-      acceptor_.listen();
-    } catch (const boost::system::system_error& error) {
-      throw Error(ErrorKind::kUnavailable,
-                  "cannot listen: " + error.code().message(), address_,
-                  "free the port or choose another listen address");
+    OpenListenAddress(context_.get_executor(), address_,
+                      MakeListenHooks(weak_from_this()));
+  }
+
+  auto Open() -> error_code {
+    if (!accepting_) {
+      return asio::error::operation_aborted;
     }
+    return OpenAcceptor(acceptor_, upstream::detail::ParseEndpoint(address_));
+  }
+
+  auto OnOpened() -> void {
     asio::co_spawn(context_, Accept(shared_from_this()), asio::detached);
   }
 
+  auto listening() const -> bool { return acceptor_.is_open(); }
+
   auto StopAccepting() -> void {
     accepting_ = false;
     auto error = error_code();
@@ -479,6 +486,10 @@
   impl_->Start();
 }
 
+auto HttpListener::listening() const -> bool {
+  return impl_->listening();
+}
+
 auto HttpListener::SetLimits(ListenerLimits limits) -> void {
   impl_->shared().limits = limits;
 }
--- a/src/caller/server_core.h
+++ b/src/caller/server_core.h
@@ -22,6 +22,9 @@
              CallerBackend& caller_backend,
              CallerSettings caller_settings);
 
+  // Opens the listening socket.
+  auto Open() -> boost::system::error_code;
+  auto OnOpened() -> void;
   auto Accept() -> void;
   // Accepts the connections in the kernel's backlog, which would be reset
   // otherwise, then closes the listening socket.
@@ -36,6 +39,7 @@
   CallerBackend& backend;
   const CallerSettings settings;
   std::string address;
+  std::atomic<bool> listening{false};
   std::atomic<bool> stopping{false};
   std::atomic<std::size_t> connections{0};
 
@@ -43,6 +47,7 @@
   friend class caller::CallerServer;
 
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::tcp::endpoint endpoint_;
   boost::asio::steady_timer retry_timer_;
   std::size_t next_context_ = 0;
   std::mutex mutex_;
--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -76,6 +76,7 @@
 // is treated as lost, and the request is sent to another.
 constexpr auto kFirstByteTimeout = std::chrono::milliseconds(3000);
 constexpr auto kWatcherIdleInterval = std::chrono::milliseconds(500);
+constexpr auto kListenPollInterval = std::chrono::milliseconds(50);
 constexpr auto kStopCheckInterval = std::chrono::milliseconds(50);
 constexpr auto kPeerStopLimit = std::chrono::milliseconds(1000);
 constexpr double kNanosecondsPerSecond = 1e9;
@@ -133,6 +134,7 @@
   auto Run() -> void;
 
  private:
+  auto JoinFleet() -> asio::awaitable<void>;
   auto MakeClientFactory() const -> ClientFactory;
   auto MakeGossipSettings() const -> node::GossipSettings;
   auto MakeGossipHooks() -> node::GossipHooks;
@@ -880,13 +882,25 @@
   control_.stop();
 }
 
+// Waits until other nodes and callers can reach this node.
+auto NodeDaemon::Impl::JoinFleet() -> asio::awaitable<void> {
+  while (!caller_server_->listening() || !peer_server_.listening() ||
+         !gossip_.bound()) {
+    co_await Pause(kListenPollInterval);
+    if (stopping_) {
+      co_return;
+    }
+  }
+  gossip_.Start();
+  OnMembersChanged(gossip_.membership().live());
+  co_await registry_.Run();
+}
+
 auto NodeDaemon::Impl::Run() -> void {
   control_thread_ = pthread_self();
   traffic_.Start();
   AwaitSignals();
-  gossip_.Start();
-  OnMembersChanged(gossip_.membership().live());
-  asio::co_spawn(control_, registry_.Run(), asio::detached);
+  asio::co_spawn(control_, JoinFleet(), asio::detached);
   asio::co_spawn(control_, WatchConfiguration(), asio::detached);
   asio::co_spawn(control_, PollHosts(), asio::detached);
   asio::co_spawn(control_, TickBatch(), asio::detached);
--- a/src/node/datagram_socket.cc
+++ b/src/node/datagram_socket.cc
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <utility>
 
+#include "base/listen_address.h"
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/node/address.h"
 #include "kumquatgauge/node/message.h"
@@ -22,6 +23,7 @@
 namespace {
 
 using boost::asio::ip::udp;
+using boost::system::error_code;
 using nlohmann::json;
 using Mac = std::array<unsigned char, kDatagramMacBytes>;
 
@@ -93,25 +95,55 @@
   Impl(boost::asio::io_context& context,
        const std::string& listen,
        const std::string& key)
-      : socket_(context), signer_(key) {
-    const auto endpoint = ParseUdpAddress(listen);
-    try {
-      socket_.open(endpoint.protocol());
-      socket_.set_option(udp::socket::receive_buffer_size(kSocketBufferBytes));
-      socket_.bind(endpoint);
-      socket_.non_blocking(true);
-    } catch (const boost::system::system_error& error) {
-      throw Error(ErrorKind::kUnavailable,
-                  "cannot receive datagrams (" + error.code().message() + ")",
-                  listen, "choose a free address in nodes.listen");
+      : socket_(context),
+        listen_(listen),
+        endpoint_(ParseUdpAddress(listen)),
+        signer_(key) {}
+
+  auto Bind() -> void {
+    kumquatgauge::detail::OpenListenAddress(
+        socket_.get_executor(), listen_,
+        kumquatgauge::detail::MakeListenHooks(weak_from_this()));
+  }
+
+  auto Open() -> error_code {
+    auto error = error_code();
+    if (closed_) {
+      return boost::asio::error::operation_aborted;
+    }
+    socket_.open(endpoint_.protocol(), error);
+    if (!error) {
+      socket_.set_option(udp::socket::receive_buffer_size(kSocketBufferBytes),
+                         error);
+    }
+    if (!error) {
+      socket_.bind(endpoint_, error);
+    }
+    if (!error) {
+      socket_.non_blocking(true, error);
+    }
+    if (error) {
+      auto ignored = error_code();
+      socket_.close(ignored);
+    }
+    return error;
+  }
+
+  auto OnOpened() -> void {
+    if (receiver_) {
+      Receive();
     }
   }
 
   auto Start(Receiver receiver) -> void {
     receiver_ = std::move(receiver);
-    Receive();
+    if (bound()) {
+      Receive();
+    }
   }
 
+  auto bound() const -> bool { return socket_.is_open(); }
+
   auto Send(const std::vector<std::string>& addresses, const json& message)
       -> void {
     std::string content;
@@ -131,6 +163,7 @@
   }
 
   auto Close() -> void {
+    closed_ = true;
     receiver_ = nullptr;
     boost::system::error_code ignored;
     socket_.close(ignored);
@@ -206,6 +239,9 @@
   }
 
   udp::socket socket_;
+  std::string listen_;
+  udp::endpoint endpoint_;
+  bool closed_ = false;
   Signer signer_;
   Receiver receiver_;
   std::array<char, kReceiveBufferBytes> receive_buffer_{};
@@ -216,7 +252,9 @@
 DatagramSocket::DatagramSocket(boost::asio::io_context& context,
                                const std::string& listen,
                                const std::string& fleet_credential)
-    : impl_(std::make_shared<Impl>(context, listen, fleet_credential)) {}
+    : impl_(std::make_shared<Impl>(context, listen, fleet_credential)) {
+  impl_->Bind();
+}
 
 DatagramSocket::~DatagramSocket() {
   impl_->Close();
@@ -236,6 +274,10 @@
   impl_->Send(addresses, message);
 }
 
+auto DatagramSocket::bound() const -> bool {
+  return impl_->bound();
+}
+
 auto DatagramSocket::address() const -> std::string {
   return impl_->address();
 }
--- a/src/node/gossip.cc
+++ b/src/node/gossip.cc
@@ -72,6 +72,8 @@
     ScheduleTick();
   }
 
+  auto bound() const -> bool { return socket_.bound(); }
+
   auto Leave() -> void { Execute(membership_.Leave()); }
 
   auto Stop() -> void {
@@ -383,6 +385,10 @@
   impl_->Start();
 }
 
+auto Gossip::bound() const -> bool {
+  return impl_->bound();
+}
+
 auto Gossip::Leave() -> void {
   impl_->Leave();
 }
--- a/src/node/peer_server.cc
+++ b/src/node/peer_server.cc
@@ -19,6 +19,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "base/listen_address.h"
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/node/address.h"
 #include "kumquatgauge/node/message.h"
@@ -395,17 +396,20 @@
   }
 
   auto Start() -> void {
-    const auto endpoint = ParseTcpAddress(settings_.listen);
-    try {
-      acceptor_.open(endpoint.protocol());
-      acceptor_.set_option(tcp::acceptor::reuse_address(true));
-      acceptor_.bind(endpoint);
-      acceptor_.listen();
-    } catch (const boost::system::system_error& error) {
-      throw Error(ErrorKind::kUnavailable,
-                  "cannot listen for nodes (" + error.code().message() + ")",
-                  settings_.listen, "choose a free address in nodes.listen");
+    kumquatgauge::detail::OpenListenAddress(
+        context_.get_executor(), settings_.listen,
+        kumquatgauge::detail::MakeListenHooks(weak_from_this()));
+  }
+
+  auto Open() -> boost::system::error_code {
+    if (closed_) {
+      return boost::asio::error::operation_aborted;
     }
+    return kumquatgauge::detail::OpenAcceptor(
+        acceptor_, ParseTcpAddress(settings_.listen));
+  }
+
+  auto OnOpened() -> void {
     address_ = FormatAddress(acceptor_.local_endpoint());
     boost::asio::co_spawn(context_, Accept(shared_from_this()),
                           boost::asio::detached);
@@ -426,6 +430,7 @@
   }
 
   auto CloseAcceptor() -> void {
+    closed_ = true;
     boost::system::error_code ignored;
     acceptor_.close(ignored);
   }
@@ -440,6 +445,7 @@
     shared_->handlers[std::move(name)] = std::move(handler);
   }
 
+  auto listening() const -> bool { return acceptor_.is_open(); }
   auto address() const -> const std::string& { return address_; }
 
   auto counters() const -> PeerServerCounters {
@@ -495,6 +501,7 @@
   std::vector<io_context*> workers_;
   PeerServerSettings settings_;
   tcp::acceptor acceptor_;
+  bool closed_ = false;
   std::shared_ptr<SharedState> shared_;
   std::string address_;
   std::mutex mutex_;
@@ -521,6 +528,10 @@
   impl_->Start();
 }
 
+auto PeerServer::listening() const -> bool {
+  return impl_->listening();
+}
+
 auto PeerServer::address() const -> std::string {
   return impl_->address();
 }
--- a/src/operator/operator_server.cc
+++ b/src/operator/operator_server.cc
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <utility>
 
+#include "base/listen_address.h"
 #include "base/read_limits.h"
 #include "kumquatgauge/base/error.h"
 
@@ -83,21 +84,23 @@
 
   auto Listen(const std::string& address) -> void {
     const auto colon = address.rfind(':');
-    const auto endpoint = asio::ip::tcp::endpoint(
+    endpoint_ = {
         asio::ip::make_address(address.substr(0, colon)),
-        static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))));
-    auto failed = boost::system::error_code();
-    acceptor_.open(endpoint.protocol());
-    acceptor_.set_option(asio::socket_base::reuse_address(true));
-    acceptor_.bind(endpoint, failed);
-    if (!failed) {
-      acceptor_.listen(asio::socket_base::max_listen_connections, failed);
-    }
-    if (failed) {
-      throw Error(ErrorKind::kUnavailable,
-                  "cannot listen for operators (" + failed.message() + ")",
-                  address, "free the port or change operators.listen");
+        static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
+    kumquatgauge::detail::OpenListenAddress(
+        context_.get_executor(), address,
+        kumquatgauge::detail::MakeListenHooks(weak_from_this()));
+  }
+
+  auto Open() -> boost::system::error_code {
+    if (stopped_) {
+      return asio::error::operation_aborted;
     }
+    return kumquatgauge::detail::OpenAcceptor(acceptor_, endpoint_);
+  }
+
+  auto OnOpened() -> void {
+    asio::co_spawn(context_, Accept(), asio::detached);
   }
 
   auto port() const -> std::uint16_t {
@@ -105,6 +108,7 @@
   }
 
   auto Stop() -> void {
+    stopped_ = true;
     auto ignored = boost::system::error_code();
     acceptor_.close(ignored);
   }
@@ -204,6 +208,8 @@
 
   asio::io_context& context_;
   asio::ip::tcp::acceptor acceptor_;
+  asio::ip::tcp::endpoint endpoint_;
+  bool stopped_ = false;
   OperatorCredentials credentials_;
   CommandExecutor& executor_;
 };
@@ -215,7 +221,6 @@
     : state_(
           std::make_shared<State>(context, std::move(credentials), executor)) {
   state_->Listen(address);
-  asio::co_spawn(context, state_->Accept(), asio::detached);
 }
 
 OperatorServer::~OperatorServer() {
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <exception>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
@@ -50,6 +51,7 @@
 using detail::MakeStoreOptions;
 using kumquatgauge::detail::BootNow;
 using kumquatgauge::detail::DrawRandom;
+using kumquatgauge::detail::Pause;
 using kumquatgauge::detail::SteadyNow;
 using kumquatgauge::detail::WallNow;
 using nlohmann::json;
@@ -65,6 +67,7 @@
 constexpr auto kConfigurationFeed = "config";
 constexpr auto kReplicaFeed = "replicas";
 constexpr milliseconds kMaintenanceInterval{250};
+constexpr milliseconds kListenPollInterval{50};
 // Minimum interval between two datagrams with this node's counts: one
 // millisecond per peer of the cell, and at least kCountsInterval. At this rate
 // a node receives about a thousand datagrams a second from its cell, which
@@ -237,12 +240,6 @@
           responder->Send(EncodeEntries(request));
           co_return;
         });
-    peer_server_.Start();
-    asio::co_spawn(context_, JoinFleet(), asio::detached);
-    configuration_feed_.Start();
-    replica_feed_.Start();
-    batch_.Start();
-    streams_.Start();
     metrics_.AddGauge("kqg_limited_replicas", [this] {
       return static_cast<double>(load_balancer_.start_limiter().limited());
     });
@@ -252,7 +249,11 @@
     metrics_.AddGauge("kqg_process_resident_bytes",
                       kumquatgauge::detail::ResidentBytes);
     AwaitSignals();
-    RunMaintenance();
+    asio::co_spawn(context_, Begin(), [](const std::exception_ptr& error) {
+      if (error) {
+        std::rethrow_exception(error);
+      }
+    });
     context_.run();
     logger_.Info("stopped", {{"event", "stop"}});
   }
@@ -938,6 +939,30 @@
 
   // Finds the other nodes through the seeds of the settings and, since all of
   // these may be down or replaced, through the registry in the store.
+  // Starts all work once every address is open: until then no other node learns
+  // of this one, so that nobody is sent to an address that does not answer.
+  auto Begin() -> awaitable<void> {
+    while (!IsOpen(callers_) || !IsOpen(readiness_) || !IsOpen(directory_) ||
+           !gossip_.bound()) {
+      co_await Pause(kListenPollInterval);
+    }
+    peer_server_.Start();
+    while (!peer_server_.listening()) {
+      co_await Pause(kListenPollInterval);
+    }
+    started_ = true;
+    asio::co_spawn(context_, JoinFleet(), asio::detached);
+    configuration_feed_.Start();
+    replica_feed_.Start();
+    batch_.Start();
+    streams_.Start();
+    RunMaintenance();
+  }
+
+  static auto IsOpen(const std::unique_ptr<HttpListener>& listener) -> bool {
+    return !listener || listener->listening();
+  }
+
   auto JoinFleet() -> awaitable<void> {
     gossip_.Start();
     gossip_.SetSeeds(settings_.seeds);
@@ -1266,6 +1291,10 @@
 
   auto HandleCaller(std::shared_ptr<const IncomingRequest> incoming,
                     WriterPtr writer) -> awaitable<void> {
+    if (!started_) {
+      co_await RefuseAtStart(writer);
+      co_return;
+    }
     auto call = CallerCall();
     auto problem = std::string();
     try {
@@ -1294,8 +1323,7 @@
     const auto configuration = configuration_;
     if (!configuration) {
       LogRefused(request, kServiceUnavailable, "no configuration is known yet");
-      co_await Refuse(writer, kServiceUnavailable, "this node is starting",
-                      kStartupRetryAfter);
+      co_await RefuseAtStart(writer);
       co_return;
     }
     const auto* route = configuration->FindRoute(request.host, request.path);
@@ -1313,6 +1341,11 @@
                                route, writer);
   }
 
+  static auto RefuseAtStart(WriterPtr writer) -> awaitable<void> {
+    co_await Refuse(writer, kServiceUnavailable, "this node is starting",
+                    kStartupRetryAfter);
+  }
+
   auto LogRefused(const CallerRequest& request,
                   int status,
                   const std::string& reason) -> void {
@@ -1338,6 +1371,10 @@
 
   auto HandleDirectory(std::shared_ptr<const IncomingRequest> incoming,
                        WriterPtr writer) -> awaitable<void> {
+    if (!started_) {
+      co_await RefuseAtStart(writer);
+      co_return;
+    }
     auto body = parts_.encode_addresses(*incoming, CallerAddresses(),
                                         settings_.limits.address_ttl);
     if (body.empty()) {
@@ -1432,7 +1469,11 @@
         Reload();
         return true;
       }
-      asio::co_spawn(context_, ShutDownGracefully(signal), asio::detached);
+      if (started_) {
+        asio::co_spawn(context_, ShutDownGracefully(signal), asio::detached);
+      } else {
+        context_.stop();
+      }
       return false;
     });
   }
@@ -1555,6 +1596,7 @@
   bool counts_empty_ = true;
   bool watches_store_ = false;
   bool store_lost_ = false;
+  bool started_ = false;
   bool stopping_ = false;
 };
 
--- a/testing/gateway/process_end_test.cc
+++ b/testing/gateway/process_end_test.cc
@@ -215,5 +215,128 @@
   }
 }
 
+// --- Listen addresses.
+
+// What holds a listen address when a process starts; destroyed to free it.
+using Holder = std::shared_ptr<void>;
+
+struct HeldAddress {
+  const char* key;  // In the settings.
+  std::function<auto(boost::asio::io_context&, const std::string&)->Holder>
+      hold;
+};
+
+// Keeps a socket from the processes that are started while it is open.
+template <typename Socket>
+auto SetCloseOnExec(Socket& socket) -> void {
+  REQUIRE(::fcntl(socket.native_handle(), F_SETFD, FD_CLOEXEC) == 0);
+}
+
+auto HoldByListener(boost::asio::io_context& context,
+                    const std::string& address) -> Holder {
+  auto acceptor = std::make_shared<tcp::acceptor>(context);
+  acceptor->open(tcp::v4());
+  SetCloseOnExec(*acceptor);
+  acceptor->set_option(tcp::acceptor::reuse_address(true));
+  acceptor->bind(TcpEndpoint(address));
+  acceptor->listen();
+  return acceptor;
+}
+
+auto HoldByDatagramSocket(boost::asio::io_context& context,
+                          const std::string& address) -> Holder {
+  auto socket = std::make_shared<udp::socket>(
+      context,
+      udp::endpoint(boost::asio::ip::address_v4::loopback(), PortOf(address)));
+  SetCloseOnExec(*socket);
+  return socket;
+}
+
+// A connection of another program whose source is the listen address.
+auto HoldByConnection(boost::asio::io_context& context,
+                      const std::string& address) -> Holder {
+  struct Connection {
+    explicit Connection(boost::asio::io_context& io)
+        : acceptor(io, {boost::asio::ip::address_v4::loopback(), 0}),
+          socket(io),
+          accepted(io) {}
+    ~Connection() {
+      // Leaves nothing in TIME_WAIT. The destructor of the socket would.
+      socket.set_option(tcp::socket::linger(true, 0));
+      socket.close();
+    }
+    Connection(const Connection&) = delete;
+    auto operator=(const Connection&) -> Connection& = delete;
+    tcp::acceptor acceptor;
+    tcp::socket socket;
+    tcp::socket accepted;
+  };
+  auto connection = std::make_shared<Connection>(context);
+  connection->socket.open(tcp::v4());
+  SetCloseOnExec(connection->socket);
+  connection->socket.set_option(tcp::socket::reuse_address(true));
+  connection->socket.bind(TcpEndpoint(address));
+  // As with a port that the kernel has chosen.
+  connection->socket.set_option(tcp::socket::reuse_address(false));
+  connection->socket.connect(connection->acceptor.local_endpoint());
+  connection->acceptor.accept(connection->accepted);
+  return connection;
+}
+
+// Guards against a process that ends at each start for as long as one of its
+// addresses is in use.
+TEST_CASE("Process.StartsOnceItsListenAddressesAreFree") {
+  const auto held = std::vector<HeldAddress>{
+      {"callers", HoldByListener},     {"readiness", HoldByListener},
+      {"directory", HoldByListener},   {"nodes", HoldByListener},
+      {"nodes", HoldByDatagramSocket}, {"callers", HoldByConnection},
+      {"readiness", HoldByConnection}, {"directory", HoldByConnection},
+      {"nodes", HoldByConnection},
+  };
+  for (const auto& [key, hold] : held) {
+    INFO(key);
+    auto fleet = Fleet(2);
+    fleet.AwaitService();
+    auto& node = *fleet.nodes.front();
+    node.process().Signal(SIGKILL);
+    REQUIRE(node.process().WaitForExit(kLimit));
+    const auto name = std::string(key);
+    const auto& address = name == "callers"     ? node.callers()
+                          : name == "readiness" ? node.readiness()
+                          : name == "directory" ? node.directory()
+                                                : node.nodes();
+    auto context = boost::asio::io_context();
+    auto holder = hold(context, address);
+    node.Start();
+    CHECK_FALSE(node.process().WaitForExit(kNoticeTime));
+    CHECK_FALSE(node.Ready());
+    // Callers are not sent to a host that cannot serve them.
+    CHECK(Eventually(
+        [&] { return fleet.nodes.back()->Addresses().size() == 1; }));
+    const auto waiting = LinesOf(node.Log(), "event", "listen_waiting");
+    REQUIRE(waiting.size() == 1);
+    CHECK(waiting.front().value("address", "") == address);
+    holder.reset();
+    INFO(node.Log());
+    fleet.AwaitService();
+    CHECK(LinesOf(node.Log(), "event", "listen_regained").size() == 1);
+  }
+}
+
+// Guards against a process that does not stop while it waits for an address.
+TEST_CASE("Process.StopsWhileItWaitsForAnAddress") {
+  auto fleet = Fleet();
+  auto& node = *fleet.nodes.front();
+  node.process().Signal(SIGKILL);
+  REQUIRE(node.process().WaitForExit(kLimit));
+  auto context = boost::asio::io_context();
+  const auto holder = HoldByListener(context, node.nodes());
+  node.Start();
+  REQUIRE_FALSE(node.process().WaitForExit(kNoticeTime));
+  node.process().Signal(SIGHUP);
+  node.process().Signal(SIGTERM);
+  CHECK(node.process().WaitForExit(kStopLimit) == 0);
+}
+
 }  // namespace
 }  // namespace kumquatgauge::testing
