Let others listen at the source addresses of outgoing connections

Cause: the sockets lacked SO_REUSEADDR, which both sides need. They now set it before they connect. Connections of other programs still lack it; for these the process waits.

--- a/src/base/socket_options.cc
+++ b/src/base/socket_options.cc
@@ -21,6 +21,15 @@
 
 }  // namespace
 
+auto OpenForConnect(boost::asio::ip::tcp::socket& socket,
+                    const boost::asio::ip::tcp::endpoint& endpoint) -> void {
+  auto error = boost::system::error_code();
+  socket.open(endpoint.protocol(), error);
+  if (!error) {
+    SetIntegerOption(socket.native_handle(), SOL_SOCKET, SO_REUSEADDR, 1);
+  }
+}
+
 auto ConfigureTcpSocket(boost::asio::ip::tcp::socket& socket,
                         std::chrono::milliseconds user_timeout) -> void {
   const auto handle = socket.native_handle();
--- a/src/node/peer_client.cc
+++ b/src/node/peer_client.cc
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/socket_options.h"
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/node/address.h"
 #include "kumquatgauge/node/message.h"
@@ -80,6 +81,7 @@
         self->Close("connect timeout");
       }
     });
+    kumquatgauge::detail::OpenForConnect(socket(), endpoint);
     socket().async_connect(
         endpoint, [self = Self()](const boost::system::error_code& error) {
           if (self->closed()) {
--- a/src/store/http_client.cc
+++ b/src/store/http_client.cc
@@ -226,6 +226,8 @@
 
   connection = std::make_shared<Connection>(pool->executor);
   connection->stream.expires_at(deadline);
+  kumquatgauge::detail::OpenForConnect(connection->stream.socket(),
+                                       pool->endpoint);
   const auto [connect_error] =
       co_await connection->stream.async_connect(pool->endpoint, kAwaitTuple);
   if (connect_error) {
--- a/src/upstream/connection_pool.cc
+++ b/src/upstream/connection_pool.cc
@@ -67,6 +67,7 @@
       std::make_shared<Connection>(io, address, false, shared_from_this());
   io->ExpireAfter(std::min<Duration>(settings_.connect_timeout, limit),
                   DeadlineSocket::OnExpiry::kClose);
+  kumquatgauge::detail::OpenForConnect(io->socket(), endpoint);
   boost::system::error_code error;
   co_await io->socket().async_connect(
       endpoint, asio::redirect_error(asio::use_awaitable, error));
--- a/testing/gateway/process_end_test.cc
+++ b/testing/gateway/process_end_test.cc
@@ -338,5 +338,69 @@
   CHECK(node.process().WaitForExit(kStopLimit) == 0);
 }
 
+// Source ports of the connections from 127.0.0.1 to `address`.
+auto SourcePortsTo(const std::string& address) -> std::vector<std::uint16_t> {
+  constexpr auto kHex = 16;
+  constexpr auto kEstablished = std::string_view("01");
+  auto ports = std::vector<std::uint16_t>();
+  auto file = std::ifstream("/proc/net/tcp");
+  auto line = std::string();
+  std::getline(file, line);
+  while (std::getline(file, line)) {
+    auto fields = std::istringstream(line);
+    auto number = std::string();
+    auto local = std::string();
+    auto remote = std::string();
+    auto state = std::string();
+    fields >> number >> local >> remote >> state;
+    const auto port = [](const std::string& end) {
+      return static_cast<std::uint16_t>(
+          std::stoul(end.substr(end.find(':') + 1), nullptr, kHex));
+    };
+    if (state == kEstablished && port(remote) == PortOf(address)) {
+      ports.push_back(port(local));
+    }
+  }
+  return ports;
+}
+
+auto CanListenAt(std::uint16_t port) -> bool {
+  auto context = boost::asio::io_context();
+  auto acceptor = tcp::acceptor(context);
+  auto error = boost::system::error_code();
+  acceptor.open(tcp::v4());
+  acceptor.set_option(tcp::acceptor::reuse_address(true));
+  acceptor.bind({boost::asio::ip::address_v4::loopback(), port}, error);
+  return !error;
+}
+
+// Guards against outgoing connections of one process that keep another one from
+// starting whose listen address is their source. The kernel may give the same
+// port to a connection of another program, too, so some are tried.
+TEST_CASE("Process.ListensAtTheSourceOfAConnectionOfAnotherProcess") {
+  constexpr auto kFleets = 5;
+  enum Peer { kStore, kReplica, kOtherGateway, kPeers };
+  auto free = std::array<bool, kPeers>{};
+  for (auto number = 0; number < kFleets; ++number) {
+    auto fleet = Fleet(2);
+    fleet.AwaitService();
+    const auto addresses = std::array<std::vector<std::string>, kPeers>{{
+        fleet.store_addresses,
+        {fleet.one->address(), fleet.two->address()},
+        {fleet.nodes[0]->nodes(), fleet.nodes[1]->nodes()},
+    }};
+    for (auto peer = 0; peer < kPeers; ++peer) {
+      for (const auto& address : addresses[peer]) {
+        for (const auto port : SourcePortsTo(address)) {
+          free[peer] = free[peer] || CanListenAt(port);
+        }
+      }
+    }
+  }
+  CHECK(free[kStore]);
+  CHECK(free[kReplica]);
+  CHECK(free[kOtherGateway]);
+}
+
 }  // namespace
 }  // namespace kumquatgauge::testing
