--- a/testing/gateway/endless_bytes_test.cc
+++ b/testing/gateway/endless_bytes_test.cc
@@ -1,9 +1,6 @@
 // Bytes without end, from replicas, callers and the store, to real gateway
 // processes.
 
-#include <sys/socket.h>
-
-#include <array>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -15,6 +12,7 @@
 #include <vector>
 
 #include "testing/gateway/fleet.h"
+#include "testing/gateway/raw_server.h"
 
 namespace kumquatgauge::testing {
 namespace {
@@ -64,92 +62,31 @@
   };
 }
 
-// Accepts connections, reads a little of each and answers with a message that
-// never ends, until the other side closes.
-class EndlessServer {
- public:
-  // `fields` makes header fields from the request.
-  using Fields = std::function<auto(const std::string& request)->std::string>;
-
-  // Answers with the message `number` of EndlessMessages.
-  EndlessServer(std::size_t number, Fields fields)
-      : number_(number),
-        fields_(std::move(fields)),
-        acceptor_(context_, tcp::endpoint(tcp::v4(), 0)),
-        thread_([this] { Accept(); }) {}
-
-  ~EndlessServer() {
-    stopped_ = true;
-    // Ends the pending accept.
-    auto error = boost::system::error_code();
-    auto socket = tcp::socket(context_);
-    socket.connect({boost::asio::ip::address_v4::loopback(), port()}, error);
-    thread_.join();
-    for (const auto& connection : sockets_) {
-      ::shutdown(connection->native_handle(), SHUT_RDWR);
-    }
-    for (auto& connection : connections_) {
-      connection.join();
-    }
-  }
-
-  auto port() const -> std::uint16_t {
-    return acceptor_.local_endpoint().port();
-  }
-  auto address() const -> std::string {
-    return "127.0.0.1:" + std::to_string(port());
-  }
-
- private:
-  auto Accept() -> void {
-    while (!stopped_) {
-      auto error = boost::system::error_code();
-      auto socket = std::make_shared<tcp::socket>(context_);
-      acceptor_.accept(*socket, error);
-      if (!error && !stopped_) {
-        sockets_.push_back(socket);
-        connections_.emplace_back([this, socket] { Serve(*socket); });
-      }
-    }
-  }
-
-  auto Serve(tcp::socket& socket) -> void {
-    auto request = std::string();
-    auto bytes = std::array<char, 4'096>();
-    auto error = boost::system::error_code();
-    while (!error && request.find("\r\n\r\n") == std::string::npos) {
-      const auto size = socket.read_some(boost::asio::buffer(bytes), error);
-      request.append(bytes.data(), size);
-    }
-    const auto message =
-        EndlessMessages("HTTP/1.1 200 OK", fields_(request))[number_];
-    const auto piece = Piece(message.repeated);
-    boost::asio::write(socket, boost::asio::buffer(message.begin), error);
-    while (!error && !stopped_) {
-      boost::asio::write(socket, boost::asio::buffer(piece), error);
-    }
-  }
-
-  std::size_t number_;
-  Fields fields_;
-  boost::asio::io_context context_;
-  tcp::acceptor acceptor_;
-  std::atomic<bool> stopped_ = false;
-  std::vector<std::shared_ptr<tcp::socket>> sockets_;
-  std::vector<std::thread> connections_;
-  std::thread thread_;
-};
+// Makes header fields from a request.
+using Fields = std::function<auto(const std::string& request)->std::string>;
+
+// A server that reads a little and answers with the message `number` of
+// EndlessMessages, which never ends, until the other side closes.
+auto MakeEndlessServer(std::size_t number, Fields fields)
+    -> std::unique_ptr<RawServer> {
+  return std::make_unique<RawServer>(
+      [number, fields = std::move(fields)](tcp::socket& socket,
+                                           const std::atomic<bool>& stopped) {
+        const auto request = ReadRequestHead(socket);
+        const auto message =
+            EndlessMessages("HTTP/1.1 200 OK", fields(request))[number];
+        const auto piece = Piece(message.repeated);
+        auto error = boost::system::error_code();
+        boost::asio::write(socket, boost::asio::buffer(message.begin), error);
+        while (!error && !stopped) {
+          boost::asio::write(socket, boost::asio::buffer(piece), error);
+        }
+      });
+}
 
 // The fields of an answer that belongs to the request.
 auto AnswerFields(const std::string& request) -> std::string {
-  constexpr auto kName = std::string_view("Request-Id: ");
-  const auto at = request.find(kName);
-  const auto id =
-      at == std::string::npos
-          ? std::string()
-          : request.substr(at + kName.size(),
-                           request.find('\r', at) - at - kName.size());
-  return "Request-Id: " + id +
+  return "Request-Id: " + HeaderIn(request, "Request-Id") +
          "\r\nResponse-Signature: s\r\nContent-Type: text/event-stream\r\n";
 }
 
@@ -176,12 +113,12 @@
     const auto name = EndlessMessages("", "")[number].name;
     INFO(name);
     auto fleet = Fleet();
-    auto server = EndlessServer(number, AnswerFields);
+    const auto server = MakeEndlessServer(number, AnswerFields);
     fleet.AwaitService();
     auto& node = *fleet.nodes.front();
     const auto before = node.process().memory_bytes();
     fleet.store->Put("servers/i-9", {{"service", "svc"},
-                                     {"address", server.address()},
+                                     {"address", server->address()},
                                      {"zone", "a"},
                                      {"version", ""},
                                      {"slots", 8},
@@ -267,15 +204,16 @@
   const auto count = EndlessMessages("", "").size();
   for (std::size_t number = 0; number < count; ++number) {
     INFO(EndlessMessages("", "")[number].name);
-    auto server = EndlessServer(number, [](const std::string& /*request*/) {
-      return std::string("Content-Type: application/json\r\n");
-    });
+    const auto server =
+        MakeEndlessServer(number, [](const std::string& /*request*/) {
+          return std::string("Content-Type: application/json\r\n");
+        });
     const auto folder =
         std::filesystem::temp_directory_path() /
         ("kqg-store-test-" + std::to_string(std::random_device{}()));
     std::filesystem::create_directories(folder);
     {
-      auto node = GatewayProcess(KQG_GATEWAY, "n0", server.address(),
+      auto node = GatewayProcess(KQG_GATEWAY, "n0", server->address(),
                                  folder.string(), kGatewayMegabytes);
       REQUIRE(
           Eventually([&] { return node.Call("GET", "/x/", "q").connected; }));
--- /dev/null
+++ b/testing/gateway/replica_answer_test.cc
@@ -0,0 +1,113 @@
+// Answers of faulty replicas that could be taken for those of other requests or
+// for whole ones, at real gateway processes.
+
+#include <atomic>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "testing/gateway/fleet.h"
+#include "testing/gateway/raw_server.h"
+
+namespace kumquatgauge::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Longer than the second copy of an answer takes.
+constexpr milliseconds kRunTime{150};
+
+auto Head(const std::string& line, const std::string& request) -> std::string {
+  const auto id = HeaderIn(request, "Request-Id");
+  return "HTTP/1.1 " + line + "\r\n" +
+         (id.empty() ? "" : "Request-Id: " + id + "\r\n");
+}
+
+auto WholeAnswer(const std::string& request) -> std::string {
+  const auto body = "answer to " + HeaderIn(request, "Request-Id");
+  return Head("200 OK", request) + "Response-Signature: s\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+auto Write(RawServer::Socket& socket, const std::string& bytes) -> void {
+  auto error = boost::system::error_code();
+  boost::asio::write(socket, boost::asio::buffer(bytes), error);
+}
+
+// A fleet whose only replicas answer by plain bytes.
+struct RawFleet : Fleet {
+  explicit RawFleet(RawServer::Serve serve, int replicas = 1) {
+    store->Remove("servers/" + one->id());
+    store->Remove("servers/" + two->id());
+    for (auto at = 0; at < replicas; ++at) {
+      servers.push_back(std::make_unique<RawServer>(serve));
+      store->Put("servers/raw-" + std::to_string(at),
+                 {{"service", "svc"},
+                  {"address", servers.back()->address()},
+                  {"zone", "a"},
+                  {"version", ""},
+                  {"slots", 8},
+                  {"state", "ready"},
+                  {"cold_remaining_ms", 0},
+                  {"sequence", 1}});
+    }
+    store->Put("config/main", MakeConfiguration(3));
+    REQUIRE(Eventually([&] { return nodes.front()->Ready(); }));
+  }
+
+  ~RawFleet() {
+    nodes.clear();
+    thread.Stop();
+  }
+
+  auto node() const -> const GatewayProcess& { return *nodes.front(); }
+
+  std::vector<std::unique_ptr<RawServer>> servers;
+};
+
+// Guards against a success with an empty or short body, framed as whole, when a
+// replica stops inside the head of its answer and closes.
+TEST_CASE("Gateway.TakesNoPartOfAHeadForAnAnswer") {
+  const auto example = Head("200 OK", "\r\nRequest-Id: h000\r\n") +
+                       "Response-Signature: s\r\nContent-Length: 14\r\n\r\n";
+  auto size = std::atomic<std::size_t>(0);
+  const auto serve = [&](RawServer::Socket& socket,
+                         const std::atomic<bool>& stopped) {
+    while (!stopped) {
+      const auto request = ReadRequestHead(socket);
+      const auto id = HeaderIn(request, "Request-Id");
+      if (id.empty()) {
+        break;
+      }
+      if (id.starts_with("warm")) {
+        Write(socket, WholeAnswer(request));
+        continue;
+      }
+      Write(socket, WholeAnswer(request).substr(0, size));
+      break;
+    }
+    socket.close();
+  };
+  auto fleet = RawFleet(serve);
+  for (size = 1; size < example.size(); ++size) {
+    INFO(size.load());
+    const auto id = std::to_string(100 + size.load());
+    // On new connections and on kept ones.
+    if (size % 2 == 0) {
+      static_cast<void>(fleet.node().Call("POST", "/plain/x", "warm" + id));
+    }
+    for (const auto* target :
+         {"/plain/x", "/plain/once/x", "/stream/x", "/stream/once/x"}) {
+      const auto reply = fleet.node().Call("POST", target, "h" + id);
+      CHECK((reply.status == 502 || reply.status == 503));
+    }
+  }
+}
+
+}  // namespace
+}  // namespace kumquatgauge::testing
