Take no refusal of an earlier request for the answer to a running one

Cause: a refusal without a request id was taken for the answer to whichever request was waiting, since refusals of malformed requests carry none. Such an answer now counts only on a connection that has carried no other request; on others it is skipped as late answers are. Names do not tell two sends of one request apart, so one that goes to a replica again, or has no id, gets a new connection. Items of batch jobs follow the same rule; their refused attempts close their connection anyway.

The fake replica's refusals now echo the id, as the protocol says of all answers.

--- a/include/kumquatgauge/serving/answer_report.h
+++ b/include/kumquatgauge/serving/answer_report.h
@@ -2,11 +2,13 @@
 #define KUMQUATGAUGE_SERVING_ANSWER_REPORT_H_
 
 #include <functional>
+#include <string_view>
 
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/routing/replica.h"
 #include "kumquatgauge/serving/dialect.h"
 #include "kumquatgauge/serving/load_balancer.h"
+#include "kumquatgauge/upstream/replica_call.h"
 
 namespace kumquatgauge::serving {
 
@@ -18,6 +20,14 @@
   std::function<auto(const routing::Replica&)->void> replica_leaves;
 };
 
+// Whether a response head is that of the request `id`, which was sent on its
+// connection only once, or of an earlier request, whose answer a replica may
+// write late or once more. A head without an id, as refusals of malformed
+// requests have, can only be told by its connection.
+auto IsAnswerTo(std::string_view id,
+                const AnswerMetadata& metadata,
+                const upstream::ReplicaHead& head) -> bool;
+
 // Tells the load balancer and the hooks what the head of an answer says about
 // the replica that the request was sent to.
 auto ReportAnswer(const routing::Replica& replica,
--- a/include/kumquatgauge/upstream/replica_call.h
+++ b/include/kumquatgauge/upstream/replica_call.h
@@ -24,6 +24,8 @@
   // it is sent again on a new connection when a reused one is closed before any
   // byte of a response.
   std::uint32_t max_sends = 1;
+  // Uses no kept connection.
+  bool new_connection = false;
   // Checked before each send, since opening a connection takes time; nothing is
   // sent once it returns false. May be empty.
   std::function<auto()->bool> may_send;
@@ -40,6 +42,8 @@
 struct ReplicaHead {
   int status = 0;
   HeaderList headers;
+  // No earlier request was sent on the connection.
+  bool first_on_connection = true;
 
   auto operator==(const ReplicaHead&) const -> bool = default;
 };
--- a/src/serving/answer_report.cc
+++ b/src/serving/answer_report.cc
@@ -1,6 +1,21 @@
 #include "kumquatgauge/serving/answer_report.h"
 
 namespace kumquatgauge::serving {
+namespace {
+
+constexpr int kMultipleChoices = 300;
+
+}  // namespace
+
+auto IsAnswerTo(std::string_view id,
+                const AnswerMetadata& metadata,
+                const upstream::ReplicaHead& head) -> bool {
+  if (!metadata.request_id.empty()) {
+    return metadata.request_id == id;
+  }
+  return head.first_on_connection &&
+         (id.empty() || head.status >= kMultipleChoices);
+}
 
 auto ReportAnswer(const routing::Replica& replica,
                   const AnswerMetadata& metadata,
--- a/src/serving/answer_report_test.cc
+++ b/src/serving/answer_report_test.cc
@@ -69,5 +69,27 @@
   CHECK(fixture.leaving == std::vector<std::string>{"r1"});
 }
 
+// Guards against an earlier refusal that a replica writes once more on a kept
+// connection and that is taken for the answer to a request which runs there.
+TEST_CASE("AnswerReport.TellsAnswersToEarlierRequestsApart") {
+  const auto belongs = [](const std::string& id, const std::string& named,
+                          int status, bool first) {
+    return IsAnswerTo(id, {.request_id = named}, {status, {}, first});
+  };
+  for (const auto first : {false, true}) {
+    for (const auto status : {200, 421, 429, 503}) {
+      CHECK(belongs("q2", "q2", status, first));
+      CHECK_FALSE(belongs("q2", "q1", status, first));
+    }
+  }
+  for (const auto status : {400, 421, 429, 500, 503}) {
+    CHECK(belongs("q2", "", status, true));
+    CHECK_FALSE(belongs("q2", "", status, false));
+    CHECK_FALSE(belongs("", "", status, false));
+  }
+  CHECK(belongs("", "", 200, true));
+  CHECK_FALSE(belongs("q2", "", 200, true));
+}
+
 }  // namespace
 }  // namespace kumquatgauge::serving
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -1245,8 +1245,7 @@
     return [&dialect = parts_.dialect, &hooks = parts_.hooks, replica,
             id = item.id](const upstream::ReplicaHead& head) {
       const auto metadata = dialect.decode_answer(head.status, head.headers);
-      const auto accepted = metadata.request_id == id ||
-                            (metadata.request_id.empty() && head.status != kOk);
+      const auto accepted = IsAnswerTo(id, metadata, head);
       if (!accepted) {
         ReportSkippedAnswer(replica, metadata, hooks);
       }
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -415,6 +415,10 @@
       co_return AttemptEnd();
     }
     const auto replica = *chosen;
+    // Else an earlier refusal of this request could be taken for its answer.
+    const auto sent_before =
+        std::find(exchange->tried.begin(), exchange->tried.end(), replica.id) !=
+        exchange->tried.end();
     exchange->tried.push_back(replica.id);
     exchange->version = replica.version;
     exchange->attempt_answered = false;
@@ -432,8 +436,10 @@
     parts_.load_balancer.OnStarted(replica.id, WorkClass::kOnline);
     parts_.hooks.counts_changed();
     const auto began = parts_.clock();
-    exchange->call = parts_.replicas.Start(
-        MakeReplicaRequest(*exchange, replica), MakeFilter(*exchange, replica));
+    auto request = MakeReplicaRequest(*exchange, replica);
+    request.new_connection = sent_before || exchange->request.id.empty();
+    exchange->call = parts_.replicas.Start(std::move(request),
+                                           MakeFilter(*exchange, replica));
     exchange->writer->OnDisconnect([call = exchange->call] { call->Cancel(); });
     auto attempt = AttemptEnd();
     attempt.end = exchange->writer->disconnected() || exchange->history.stopping
@@ -511,10 +517,7 @@
     return [&dialect = parts_.dialect, &hooks = parts_.hooks, replica,
             id = exchange.request.id](const upstream::ReplicaHead& head) {
       const auto metadata = dialect.decode_answer(head.status, head.headers);
-      // Refusals of malformed requests carry no request id.
-      const auto unnamed =
-          metadata.request_id.empty() && head.status >= kMultipleChoices;
-      const auto accepted = unnamed || metadata.request_id == id.value();
+      const auto accepted = IsAnswerTo(id.value(), metadata, head);
       if (!accepted) {
         ReportSkippedAnswer(replica, metadata, hooks);
       }
--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -110,7 +110,8 @@
 
   auto Open() -> awaitable<CallEnd> override {
     const auto self = shared_from_this();
-    auto reuse = detail::Reuse::kAllowed;
+    auto reuse = request_.new_connection ? detail::Reuse::kFreshOnly
+                                         : detail::Reuse::kAllowed;
     while (true) {
       auto end = co_await Connect(reuse);
       if (end != CallEnd::kOpen) {
@@ -254,6 +255,7 @@
 
   auto StoreHead() -> void {
     head_ = ReplicaHead();
+    head_.first_on_connection = !connection_->reused();
     head_.status = static_cast<int>(parser_->get().result_int());
     for (const auto& field : parser_->get()) {
       head_.headers.push_back(
--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -459,7 +459,7 @@
   const auto target = FindHeader(request->headers, "Target-Instance");
   auto headers = HeaderList{{"Request-Id", request_id},
                             {"Response-Signature", "signed." + own_id}};
-  auto refusal = HeaderList{{"Not-Executed", "1"}};
+  auto refusal = HeaderList{{"Request-Id", request_id}, {"Not-Executed", "1"}};
   {
     const auto lock = std::lock_guard(mutex_);
     if (!start_limit_.empty()) {
--- a/testing/gateway/replica_answer_test.cc
+++ b/testing/gateway/replica_answer_test.cc
@@ -70,6 +70,82 @@
   std::vector<std::unique_ptr<RawServer>> servers;
 };
 
+// How often requests have begun to run.
+class Runs {
+ public:
+  auto Add(const std::string& id) -> int {
+    const auto lock = std::lock_guard(mutex_);
+    return ++runs_[id];
+  }
+  auto count(const std::string& id) const -> int {
+    const auto lock = std::lock_guard(mutex_);
+    const auto found = runs_.find(id);
+    return found == runs_.end() ? 0 : found->second;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::map<std::string, int> runs_;
+};
+
+// Guards against a request that is reported as not run, or sent to a second
+// replica, while it runs: its replica wrote the refusal of an earlier request
+// once more on the kept connection. `named` is whether refusals name requests.
+auto CheckRepeatedRefusal(bool named) -> void {
+  auto runs = Runs();
+  const auto serve = [&](RawServer::Socket& socket,
+                         const std::atomic<bool>& stopped) {
+    auto refusal = std::string();
+    while (!stopped) {
+      const auto request = ReadRequestHead(socket);
+      const auto id = HeaderIn(request, "Request-Id");
+      if (id.empty()) {
+        return;
+      }
+      if (refusal.empty()) {
+        refusal = (named ? Head("503 Full", request)
+                         : std::string("HTTP/1.1 503 Full\r\n")) +
+                  "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        Write(socket, refusal);
+        continue;
+      }
+      runs.Add(id);
+      Write(socket, refusal);
+      std::this_thread::sleep_for(kRunTime);
+      Write(socket, WholeAnswer(request));
+    }
+  };
+  auto fleet = RawFleet(serve);
+  auto served = 0;
+  for (auto number = 0; number < 8; ++number) {
+    for (const auto* target : {"/plain/once/x", "/plain/x"}) {
+      const auto id =
+          std::string(target == std::string("/plain/x") ? "safe" : "once") +
+          std::to_string(number);
+      const auto reply = fleet.node().Call("POST", target, id);
+      INFO(id << " " << reply.status << " runs " << runs.count(id));
+      const auto not_run = reply.status == 503 || reply.status == 429;
+      CHECK_FALSE((not_run && runs.count(id) > 0));
+      if (target == std::string("/plain/once/x")) {
+        CHECK(runs.count(id) <= 1);
+      }
+      if (reply.status == 200) {
+        CHECK(reply.body == "answer to " + id);
+        ++served;
+      }
+    }
+  }
+  CHECK(served > 0);
+}
+
+TEST_CASE("Gateway.TakesNoEarlierRefusalForThatOfARunningRequest") {
+  CheckRepeatedRefusal(true);
+}
+
+TEST_CASE("Gateway.TakesNoUnnamedRefusalForThatOfARunningRequest") {
+  CheckRepeatedRefusal(false);
+}
+
 // Guards against a success with an empty or short body, framed as whole, when a
 // replica stops inside the head of its answer and closes.
 TEST_CASE("Gateway.TakesNoPartOfAHeadForAnAnswer") {
