Break off a stream that the next replica answers with something else

Cause: the policy asked whether an answer was whole, not whether it was one that can follow events. Once the caller has events, only a stream of events is delivered; anything else is tried at another replica or breaks the stream off. The listener sends no second head on any path.

AttemptPolicy.DeliversOnlyEventsOnceAStreamHasBegun and HttpListener.SendsNoSecondAnswer are new.

--- a/include/kumquatgauge/serving/attempt_policy.h
+++ b/include/kumquatgauge/serving/attempt_policy.h
@@ -16,6 +16,7 @@
   int status = 0;           // From the response head; 0 without a response.
   bool not_run = false;     // The replica states that it did not run.
   bool bytes_sent = false;  // At least one byte may have been sent.
+  bool stream = false;      // The response is a stream of events.
 
   auto operator==(const AttemptEnd&) const -> bool = default;
 };
--- a/src/caller/http_listener.cc
+++ b/src/caller/http_listener.cc
@@ -121,7 +121,7 @@
     FillHead(response, status, headers);
     response.body() = std::move(body);
     response.prepare_payload();
-    if (disconnected_) {
+    if (!TakeHead()) {
       co_return false;
     }
     auto serializer = http::response_serializer<http::string_body>(response);
@@ -136,7 +136,7 @@
     auto response = http::response<http::empty_body>();
     FillHead(response, status, headers);
     response.chunked(true);
-    if (disconnected_) {
+    if (!TakeHead()) {
       co_return false;
     }
     auto serializer = http::response_serializer<http::empty_body>(response);
@@ -268,6 +268,7 @@
         {{"reason", error.message()}, {"status", std::to_string(status)}});
     keep_alive_ = false;
     disconnected_ = false;
+    head_sent_ = false;
     auto body = error.message() + "\n";
     co_await Send(status, {}, std::move(body));
   }
@@ -276,6 +277,7 @@
       -> void {
     response_complete_ = false;
     disconnected_ = false;
+    head_sent_ = false;
     disconnect_hook_ = nullptr;
     WatchForClose();
   }
@@ -324,6 +326,12 @@
     }
   }
 
+  // Whether a response head can be sent: a second one would become a part of
+  // the first response's body.
+  auto TakeHead() -> bool {
+    return !disconnected_ && !std::exchange(head_sent_, true);
+  }
+
   template <typename Response>
   auto FillHead(Response& response, int status, const HeaderList& headers)
       -> void {
@@ -355,6 +363,7 @@
   bool idle_ = true;
   bool keep_alive_ = true;
   unsigned version_ = 11;
+  bool head_sent_ = false;
   bool response_complete_ = false;
   bool disconnected_ = false;
   std::uint64_t watch_ = 0;
--- a/src/caller/http_listener_test.cc
+++ b/src/caller/http_listener_test.cc
@@ -32,6 +32,28 @@
                         }};
 };
 
+// Guards against an error whose head and text stand in the middle of a stream
+// that has begun, or which ends it as if it were complete.
+TEST_CASE("HttpListener.SendsNoSecondAnswer") {
+  auto context = boost::asio::io_context(1);
+  auto sent = true;
+  auto listener =
+      HttpListener(context, "127.0.0.1:0", ListenerLimits(),
+                   [&](std::shared_ptr<const IncomingRequest> /*request*/,
+                       std::shared_ptr<ResponseWriter> writer)
+                       -> boost::asio::awaitable<void> {
+                     co_await writer->BeginStream(200, {});
+                     co_await writer->WriteChunk("event");
+                     sent = co_await writer->Send(502, {}, "error");
+                   });
+  listener.Start();
+  auto client = RawClient(context, listener.address());
+  client.Send("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+  const auto answer = client.ReadToEnd();
+  CHECK_FALSE(sent);
+  CHECK(answer.ends_with("5\r\nevent\r\n"));
+}
+
 constexpr auto kLast =
     "GET /last HTTP/1.1\r\nHost: h\r\n"
     "Connection: close\r\n\r\n";
--- a/src/serving/attempt_policy.cc
+++ b/src/serving/attempt_policy.cc
@@ -76,10 +76,12 @@
     }
     return DecideWithoutRetry(history, attempt);
   }
-  if (attempt.status >= kServerError && MayRetry(history)) {
+  // Once the caller has events, only more events can follow.
+  const auto fits = attempt.stream || !history.answer_begun;
+  if ((attempt.status >= kServerError || !fits) && MayRetry(history)) {
     return {NextStep::kRetry, "the replica failed"};
   }
-  if (attempt.status >= kServerError && history.answer_begun) {
+  if (!fits) {
     return {NextStep::kAbort, "the replica failed to resume the response"};
   }
   // Callers read these statuses as a guarantee that nothing ran, which the
--- a/src/serving/attempt_policy_test.cc
+++ b/src/serving/attempt_policy_test.cc
@@ -94,6 +94,30 @@
   CHECK(DecideNextStep(history, Broken()).step == NextStep::kAbort);
 }
 
+// Guards against an error, or the end of another answer, in the middle of a
+// stream that broke off at another replica.
+TEST_CASE("AttemptPolicy.DeliversOnlyEventsOnceAStreamHasBegun") {
+  for (const auto resumable : {false, true}) {
+    for (const auto status :
+         {200, 204, 302, 400, 404, 408, 409, 422, 429, 500, 503, 504}) {
+      auto history = History(RequestKind::kStream, resumable);
+      history.answer_begun = true;
+      CHECK(DecideNextStep(history, Answered(status)).step ==
+            (resumable ? NextStep::kRetry : NextStep::kAbort));
+      history.may_have_run = history.max_attempts;
+      CHECK(DecideNextStep(history, Answered(status)).step == NextStep::kAbort);
+      history.attempts = kMaxAttemptsNotRun;
+      CHECK(DecideNextStep(history, Answered(status, true)).step ==
+            NextStep::kAbort);
+    }
+    auto history = History(RequestKind::kStream, resumable);
+    history.answer_begun = true;
+    auto events = Answered(200);
+    events.stream = true;
+    CHECK(DecideNextStep(history, events).step == NextStep::kDeliver);
+  }
+}
+
 TEST_CASE("AttemptPolicy.ResumesAStreamEvenWithoutRetryBudget") {
   auto history = History(RequestKind::kStream, true);
   history.answer_begun = true;
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -449,6 +449,7 @@
       exchange->head = exchange->call->head();
       attempt.status = exchange->head.status;
       ApplyAnswerMetadata(*exchange, replica, attempt);
+      attempt.stream = IsEventStream(*exchange);
       attempt.end = co_await ReadAnswer(exchange, began);
     }
     attempt.bytes_sent = exchange->call->bytes_sent();
--- a/testing/gateway/replica_answer_test.cc
+++ b/testing/gateway/replica_answer_test.cc
@@ -146,6 +146,77 @@
   CheckRepeatedRefusal(false);
 }
 
+// What a second replica answers to a stream that broke off at the first one.
+struct Continuation {
+  std::string line;
+  std::string fields;
+};
+
+// Guards against the text of an error, or its whole head, in the middle of a
+// stream, and against a stream that ends as if it were complete, when the
+// replica that is to go on with it answers otherwise.
+TEST_CASE("Gateway.BreaksOffAStreamThatNoReplicaGoesOnWith") {
+  const auto continuations = std::vector<Continuation>{
+      {"400 Bad Request", ""},
+      {"404 Not Found", ""},
+      {"408 Request Timeout", ""},
+      {"409 Conflict", ""},
+      {"422 Unprocessable", ""},
+      {"429 Too Many Requests", ""},
+      {"429 Too Many", "Not-Executed: 1\r\n"},
+      {"500 Failed", ""},
+      {"501 Unknown", ""},
+      {"502 Bad Gateway", ""},
+      {"503 Full", ""},
+      {"503 Full", "Not-Executed: 1\r\n"},
+      {"504 Timeout", ""},
+      {"200 OK", "Content-Type: text/plain\r\n"},
+      {"204 No Content", ""},
+      {"302 Found", "Location: /x\r\n"},
+  };
+  for (const auto& [line, fields] : continuations) {
+    INFO(line << " " << fields);
+    const auto serve = [&](RawServer::Socket& socket,
+                           const std::atomic<bool>& stopped) {
+      while (!stopped) {
+        const auto request = ReadRequestHead(socket);
+        if (HeaderIn(request, "Request-Id").empty()) {
+          return;
+        }
+        if (!HeaderIn(request, "Last-Event-Id").empty()) {
+          const auto body =
+              line.starts_with("204")
+                  ? std::string("\r\n")
+                  : std::string("Content-Length: 7\r\n\r\nfailure");
+          Write(socket, Head(line, request) + "Response-Signature: s\r\n" +
+                            fields + body);
+          continue;
+        }
+        Write(socket,
+              Head("200 OK", request) +
+                  "Response-Signature: s\r\nContent-Type: text/event-stream\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n"
+                  "11\r\nid: 1\ndata: one\n\n\r\n");
+        std::this_thread::sleep_for(milliseconds(30));
+        return;  // Closes the connection.
+      }
+    };
+    auto fleet = RawFleet(
+        [&](RawServer::Socket& socket, const std::atomic<bool>& stopped) {
+          serve(socket, stopped);
+          socket.close();
+        },
+        2);
+    for (auto number = 0; number < 3; ++number) {
+      const auto reply =
+          fleet.node().Call("POST", "/stream/x", "s" + std::to_string(number));
+      CHECK(reply.status == 200);
+      CHECK_FALSE(reply.complete);
+      CHECK(reply.body == "id: 1\ndata: one\n\n");
+    }
+  }
+}
+
 // Guards against a success with an empty or short body, framed as whole, when a
 // replica stops inside the head of its answer and closes.
 TEST_CASE("Gateway.TakesNoPartOfAHeadForAnAnswer") {
