Let the soak disturb what a process takes over from its machine

It now sends signals that ask for nothing and further ones during planned stops, takes the log away, and holds an address of one in three processes that it starts again.

--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -1,5 +1,7 @@
 #include "testing/soak/soak.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <atomic>
 #include <csignal>
@@ -16,6 +18,7 @@
 #include "testing/gateway/gateway_process.h"
 #include "testing/soak/checker.h"
 #include "testing/soak/loopback_proxy.h"
+#include "testing/support/held_address.h"
 
 namespace kumquatgauge::testing {
 namespace {
@@ -54,6 +57,13 @@
 constexpr std::size_t kStallOneIn = 4;
 constexpr std::size_t kAllLostOneIn = 20;
 constexpr std::uint64_t kLateSeed = 1'000'003;
+// The same of signals that ask for nothing, and of a log that can no longer be
+// written; of restarts, so many find one of their addresses in use.
+constexpr std::size_t kSignalOneIn = 3;
+constexpr std::size_t kLogLostOneIn = 8;
+constexpr std::size_t kAddressHeldOneIn = 3;
+constexpr int kSignalsDuringStop = 3;
+constexpr std::uint64_t kProcessSeed = 2'000'003;
 // Software versions of the replicas at the start; later ones are released.
 constexpr std::size_t kFirstVersions = 2;
 // How often a caller takes up a stream.
@@ -108,6 +118,7 @@
         fault_random_(settings.seed),
         replica_random_(~settings.seed),
         late_random_(settings.seed + kLateSeed),
+        process_random_(settings.seed + kProcessSeed),
         store_(thread_.context()),
         checker_([this](const std::string& id) { return RunCount(id); },
                  kTokenLimit) {
@@ -428,6 +439,7 @@
       if (late_random_.Below(kAllLostOneIn) == 0) {
         KillAll();
       }
+      DisturbProcesses();
       std::this_thread::sleep_for(
           fault_random_.Between(kFaultPauseMin, kFaultPauseMax));
       RunDue(std::chrono::steady_clock::now());
@@ -521,7 +533,51 @@
     }
   }
 
+  // What no process may end by.
+  auto DisturbProcesses() -> void {
+    constexpr int kNoRequests[] = {SIGPIPE, SIGXFSZ, SIGUSR1, SIGUSR2};
+    auto& node = nodes_[process_random_.Below(nodes_.size())];
+    const auto signal =
+        kNoRequests[process_random_.Below(std::size(kNoRequests))];
+    const auto send_signal = process_random_.Below(kSignalOneIn) == 0;
+    const auto lose_log = process_random_.Below(kLogLostOneIn) == 0;
+    if (node.down || !IsLoaded(node)) {
+      return;
+    }
+    if (send_signal) {
+      ++counts_["signal"];
+      node.process->process().Signal(signal);
+    }
+    if (lose_log) {
+      ++counts_["log lost"];
+      const auto limit = rlimit{0, 0};
+      ::prlimit(node.process->process().id(), RLIMIT_FSIZE, &limit, nullptr);
+    }
+  }
+
+  // Keeps one of the addresses of a node that is about to start in use.
+  auto HoldAddress(Node& node) -> void {
+    const auto& process = *node.process;
+    const std::string* addresses[] = {&process.callers(), &process.readiness(),
+                                      &process.directory(), &process.nodes()};
+    const auto& address =
+        *addresses[process_random_.Below(std::size(addresses))];
+    const auto time = process_random_.Between(kFaultMin, kFaultMax);
+    if (process_random_.Below(kAddressHeldOneIn) != 0) {
+      return;
+    }
+    ++counts_["address in use"];
+    checker_.OnDisrupted(process.name());
+    RunAfter(time, [this, &process,
+                    held = std::make_shared<HeldAddress>(address)]() mutable {
+      held.reset();
+      checker_.OnDisruptionEnded(process.name(),
+                                 std::chrono::steady_clock::now());
+    });
+  }
+
   auto RestartNode(Node& node) -> void {
+    HoldAddress(node);
     node.process->Start();
     node.started = std::chrono::steady_clock::now();
     node.down = false;
@@ -562,11 +618,22 @@
       checker_.OnDisrupted(node.process->name());
       node.process->process().Signal(SIGTERM);
       node.down = true;
+      SendSignalsDuringStop(node);
       const auto last = std::chrono::steady_clock::now() + kStopTime;
       RunAfter(kStopTime, [this, &node, last] { EndGracefulStop(node, last); });
     }
   }
 
+  auto SendSignalsDuringStop(Node& node) -> void {
+    constexpr int kRequests[] = {SIGTERM, SIGINT, SIGHUP};
+    for (auto number = 0; number < kSignalsDuringStop; ++number) {
+      const auto signal =
+          kRequests[process_random_.Below(std::size(kRequests))];
+      RunAfter(process_random_.Between(milliseconds(0), kFaultMax),
+               [&node, signal] { node.process->process().Signal(signal); });
+    }
+  }
+
   auto EndGracefulStop(Node& node, SteadyTime last) -> void {
     const auto left = std::chrono::duration_cast<milliseconds>(
         last - std::chrono::steady_clock::now());
@@ -681,7 +748,10 @@
   }
 
   auto EndFaults() -> void {
-    RunDue(SteadyTime::max());
+    // A restart may schedule more.
+    while (!scheduled_.empty()) {
+      RunDue(SteadyTime::max());
+    }
     store_.set_down(false);
     for (auto& replica : replicas_) {
       replica.link->SetFault(LinkFault::kNone);
@@ -749,6 +819,7 @@
   // Each of faults that came later, so that a seed keeps the others.
   RandomSource replica_random_;
   RandomSource late_random_;
+  RandomSource process_random_;
   FakeServerThread thread_;
   FakeObjectApi store_;
   SoakChecker checker_;
