Repeat the warning of an address that is waited for

A review saw that one line, at the beginning of a wait without end, is easily missed, and that the reason may change; it now comes again every 10 s.

--- a/src/base/listen_address.cc
+++ b/src/base/listen_address.cc
@@ -17,6 +17,7 @@
 using std::chrono::steady_clock;
 
 constexpr std::chrono::milliseconds kRetryInterval{100};
+constexpr std::chrono::milliseconds kReportInterval{10'000};
 
 auto MayPass(const error_code& error) -> bool {
   return error == asio::error::address_in_use ||
@@ -38,14 +39,19 @@
         hooks_(std::move(hooks)) {}
 
   auto Start(const error_code& error) -> void {
+    Report(error);
+    Wait();
+  }
+
+ private:
+  auto Report(const error_code& error) -> void {
+    reported_ = steady_clock::now();
     logger_.Warning("cannot listen yet; trying again",
                     {{"event", "listen_waiting"},
                      {"address", address_},
                      {"reason", error.message()}});
-    Wait();
   }
 
- private:
   auto Wait() -> void {
     timer_.expires_after(kRetryInterval);
     timer_.async_wait([self = shared_from_this()](const error_code& error) {
@@ -61,6 +67,9 @@
       return;
     }
     if (error) {
+      if (steady_clock::now() - reported_ >= kReportInterval) {
+        Report(error);
+      }
       Wait();
       return;
     }
@@ -78,6 +87,7 @@
   ListenHooks hooks_;
   Logger logger_{"listen"};
   steady_clock::time_point began_ = steady_clock::now();
+  steady_clock::time_point reported_;
 };
 
 }  // namespace
