Start the work of a node once all its addresses are open

A review of the wait for listen addresses saw that kqg-node began to watch, to tick batch jobs and to publish loads while it waited, and so while it knew no other node, whose work it could then take over. It now begins all of this afterwards, as kqg-gateway does. test_operator and the scenarios membership-frozen, exactly-once-owner-dies, graceful-stop-rolling and fleet-starts pass; the takeover itself was not shown.

--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -134,7 +134,7 @@
   auto Run() -> void;
 
  private:
-  auto JoinFleet() -> asio::awaitable<void>;
+  auto Begin() -> asio::awaitable<void>;
   auto MakeClientFactory() const -> ClientFactory;
   auto MakeGossipSettings() const -> node::GossipSettings;
   auto MakeGossipHooks() -> node::GossipHooks;
@@ -882,8 +882,9 @@
   control_.stop();
 }
 
-// Waits until other nodes and callers can reach this node.
-auto NodeDaemon::Impl::JoinFleet() -> asio::awaitable<void> {
+// Starts all work once other nodes and callers can reach this node: one that
+// knows no others would take over their work.
+auto NodeDaemon::Impl::Begin() -> asio::awaitable<void> {
   while (!caller_server_->listening() || !peer_server_.listening() ||
          !gossip_.bound()) {
     co_await Pause(kListenPollInterval);
@@ -893,14 +894,7 @@
   }
   gossip_.Start();
   OnMembersChanged(gossip_.membership().live());
-  co_await registry_.Run();
-}
-
-auto NodeDaemon::Impl::Run() -> void {
-  control_thread_ = pthread_self();
-  traffic_.Start();
-  AwaitSignals();
-  asio::co_spawn(control_, JoinFleet(), asio::detached);
+  asio::co_spawn(control_, registry_.Run(), asio::detached);
   asio::co_spawn(control_, WatchConfiguration(), asio::detached);
   asio::co_spawn(control_, PollHosts(), asio::detached);
   asio::co_spawn(control_, TickBatch(), asio::detached);
@@ -913,6 +907,13 @@
                               {"callers", settings_.callers.listen},
                               {"operators", settings_.operators.listen},
                               {"nodes", settings_.nodes.listen}});
+}
+
+auto NodeDaemon::Impl::Run() -> void {
+  control_thread_ = pthread_self();
+  traffic_.Start();
+  AwaitSignals();
+  asio::co_spawn(control_, Begin(), asio::detached);
   control_.run();
   traffic_.Stop();
 }
