Pause before the operators' listener accepts again

Without free descriptors it accepted and failed in a loop on the control thread of kqg-node, as a review saw; the other listeners pause.

--- a/src/operator/operator_server.cc
+++ b/src/operator/operator_server.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "base/listen_address.h"
+#include "base/process_hooks.h"
 #include "base/read_limits.h"
 #include "kumquatgauge/base/error.h"
 
@@ -23,6 +24,8 @@
 namespace http = beast::http;
 
 constexpr auto kIdleTimeout = std::chrono::seconds(60);
+// Running out of descriptors is temporary.
+constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(50);
 constexpr auto kBearerPrefix = std::string_view("Bearer ");
 
 using Request = http::request<http::string_body>;
@@ -121,6 +124,8 @@
           asio::redirect_error(asio::use_awaitable, failed));
       if (!failed) {
         asio::co_spawn(context_, Serve(std::move(socket)), asio::detached);
+      } else if (acceptor_.is_open()) {
+        co_await kumquatgauge::detail::Pause(kAcceptRetryDelay);
       }
     }
   }
