End a process or keep it by any error of its settings or its stop

As a review saw: an error of another type than Error ended a serving gateway at SIGHUP, and ended a starting one without a message; an error in a planned stop left a process that no signal but SIGKILL could end, since signals are blocked from then on. No input is known that raises such an error.

--- a/apps/shared/program.cc
+++ b/apps/shared/program.cc
@@ -8,7 +8,6 @@
 
 #include "base/process_signals.h"
 #include "base/standard_descriptors.h"
-#include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
 
 namespace kumquatgauge::apps {
@@ -106,7 +105,7 @@
   auto settings = serving::GatewaySettings();
   try {
     settings = serving::ReadGatewaySettings(path);
-  } catch (const Error& error) {
+  } catch (const std::exception& error) {
     std::cerr << name << ": " << error.what() << "\n";
     return kExitUsage;
   }
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -937,8 +937,6 @@
            static_cast<double>(std::max<std::size_t>(1, alive + dead));
   }
 
-  // Finds the other nodes through the seeds of the settings and, since all of
-  // these may be down or replaced, through the registry in the store.
   // Starts all work once every address is open: until then no other node learns
   // of this one, so that nobody is sent to an address that does not answer.
   auto Begin() -> awaitable<void> {
@@ -963,6 +961,8 @@
     return !listener || listener->listening();
   }
 
+  // Finds the other nodes through the seeds of the settings and, since all of
+  // these may be down or replaced, through the registry in the store.
   auto JoinFleet() -> awaitable<void> {
     gossip_.Start();
     gossip_.SetSeeds(settings_.seeds);
@@ -1470,7 +1470,14 @@
         return true;
       }
       if (started_) {
-        asio::co_spawn(context_, ShutDownGracefully(signal), asio::detached);
+        // Signals are blocked from now on, so an error ends the process, too.
+        asio::co_spawn(context_, ShutDownGracefully(signal),
+                       [this](const std::exception_ptr& error) {
+                         context_.stop();
+                         if (error) {
+                           std::rethrow_exception(error);
+                         }
+                       });
       } else {
         context_.stop();
       }
@@ -1488,7 +1495,7 @@
       settings_.limits.address_ttl = next.limits.address_ttl;
       logger_.Info("reloaded the settings",
                    {{"event", "reload"}, {"changed", same ? "no" : "yes"}});
-    } catch (const Error& error) {
+    } catch (const std::exception& error) {
       logger_.Error("cannot read the settings; keeping the current ones",
                     {{"event", "reload_failed"}, {"reason", error.what()}});
     }
