--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -902,11 +902,6 @@
   asio::co_spawn(control_, PublishLoadsLoop(), asio::detached);
   asio::co_spawn(*traffic_.contexts().front(), TickDispatch(), asio::detached);
   asio::co_spawn(*traffic_.contexts().front(), PollLoads(), asio::detached);
-  log_.Info("Node started.", {{"name", settings_.name.value()},
-                              {"zone", settings_.zone.value()},
-                              {"callers", settings_.callers.listen},
-                              {"operators", settings_.operators.listen},
-                              {"nodes", settings_.nodes.listen}});
 }
 
 auto NodeDaemon::Impl::Run() -> void {
@@ -914,6 +909,11 @@
   traffic_.Start();
   AwaitSignals();
   asio::co_spawn(control_, Begin(), asio::detached);
+  log_.Info("Node started.", {{"name", settings_.name.value()},
+                              {"zone", settings_.zone.value()},
+                              {"callers", settings_.callers.listen},
+                              {"operators", settings_.operators.listen},
+                              {"nodes", settings_.nodes.listen}});
   control_.run();
   traffic_.Stop();
 }
