Limit the memory of the bodies of all requests together

A host whose memory is limited otherwise is killed.

Cause: each body was limited, not their sum, and each was copied twice more to be sent. All bodies now share an eighth of memory_mb, as answers do; a request whose body does not fit is refused as not run, with Retry-After, before its body is read if its length is known. The refused connection is read on for up to a second, since closing it with unread bytes would reset it and lose the answer. One copy is gone.

--- a/include/kumquatgauge/caller/http_listener.h
+++ b/include/kumquatgauge/caller/http_listener.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -62,6 +63,9 @@
   // Time for one write of a response to complete.
   std::chrono::milliseconds write_timeout{5'000};
   std::size_t max_connections = 1'000;
+  // Bodies of all requests that are being read or under way. Requests beyond it
+  // are refused as not run.
+  std::size_t max_total_body_bytes = std::numeric_limits<std::size_t>::max();
 
   auto operator==(const ListenerLimits&) const -> bool = default;
 };
--- a/src/caller/http_listener.cc
+++ b/src/caller/http_listener.cc
@@ -1,6 +1,7 @@
 #include "kumquatgauge/caller/http_listener.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -47,6 +48,12 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeaderTooLarge = 431;
+constexpr int kServiceUnavailable = 503;
+// Retry-After, in seconds, of requests whose bodies do not fit in memory.
+constexpr auto kNoMemoryRetry = "0.5";
+// How long such a request is read on, so that its caller sees the response.
+constexpr std::chrono::milliseconds kLingerTime{1'000};
+constexpr std::size_t kLingerReadBytes = 16'384;
 
 struct Shared {
   ListenerLimits limits;
@@ -55,6 +62,35 @@
   bool draining = false;
   bool stopped = false;
   std::size_t active = 0;
+  std::size_t body_bytes = 0;  // Of all requests, by their reservations.
+};
+
+// A part of the memory for bodies, held until a request is destroyed.
+class BodyReservation {
+ public:
+  explicit BodyReservation(std::shared_ptr<Shared> shared)
+      : shared_(std::move(shared)) {}
+  ~BodyReservation() { shared_->body_bytes -= bytes_; }
+  BodyReservation(const BodyReservation&) = delete;
+  auto operator=(const BodyReservation&) -> BodyReservation& = delete;
+
+  // Returns false if the memory is used up.
+  auto GrowTo(std::size_t bytes) -> bool {
+    if (bytes <= bytes_) {
+      return true;
+    }
+    const auto others = shared_->body_bytes - bytes_;
+    if (others + bytes > shared_->limits.max_total_body_bytes) {
+      return false;
+    }
+    shared_->body_bytes = others + bytes;
+    bytes_ = bytes;
+    return true;
+  }
+
+ private:
+  std::shared_ptr<Shared> shared_;
+  std::size_t bytes_ = 0;
 };
 
 auto StatusOf(const error_code& error) -> int {
@@ -212,25 +248,73 @@
     }
     // The parser appends the trailers of a body to the headers.
     auto headers = CopyHeaders(parser.get());
+    auto reservation = std::make_shared<BodyReservation>(shared_);
+    if (!reservation->GrowTo(DueBytes(parser))) {
+      co_await RefuseForMemory();
+      co_return nullptr;
+    }
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
       co_await SendContinue();
     }
-    const auto [body_error, body_bytes] = co_await http::async_read(
-        io_->socket(), io_->buffer(), parser, kAwaitTuple);
-    if (body_error) {
-      co_await RejectUnreadable(body_error);
-      co_return nullptr;
+    parser.eager(true);
+    while (!parser.is_done()) {
+      const auto [body_error, body_bytes] = co_await http::async_read_some(
+          io_->socket(), io_->buffer(), parser, kAwaitTuple);
+      if (body_error) {
+        co_await RejectUnreadable(body_error);
+        co_return nullptr;
+      }
+      if (!reservation->GrowTo(DueBytes(parser))) {
+        co_await RefuseForMemory();
+        co_return nullptr;
+      }
     }
     io_->Disarm();
-    co_return MakeRequest(parser, std::move(headers));
+    co_return MakeRequest(parser, std::move(headers), std::move(reservation));
+  }
+
+  // The size of a request's body, as far as it is known.
+  static auto DueBytes(const RequestParser& parser) -> std::size_t {
+    return std::max<std::size_t>(parser.content_length().value_or(0),
+                                 parser.get().body().size());
+  }
+
+  auto RefuseForMemory() -> awaitable<void> {
+    shared_->logger.Warning("no memory for another body; refusing a request",
+                            {{"event", "body_refused"}});
+    keep_alive_ = false;
+    disconnected_ = false;
+    head_sent_ = false;
+    auto headers = HeaderList{{"Retry-After", kNoMemoryRetry}};
+    auto body = std::string("no memory for another body\n");
+    co_await Send(kServiceUnavailable, std::move(headers), std::move(body));
+    co_await Linger();
+  }
+
+  // Discards what the caller still sends: closing a connection with unread
+  // bytes resets it, and the caller would lose the response.
+  auto Linger() -> awaitable<void> {
+    auto error = error_code();
+    io_->socket().shutdown(tcp::socket::shutdown_send, error);
+    io_->ExpireAfter(kLingerTime, OnExpiry::kClose);
+    auto discarded = std::array<char, kLingerReadBytes>();
+    while (!error) {
+      const auto [read_error, size] = co_await io_->socket().async_read_some(
+          asio::buffer(discarded), kAwaitTuple);
+      error = read_error;
+    }
   }
 
-  auto MakeRequest(RequestParser& parser, HeaderList headers)
+  auto MakeRequest(RequestParser& parser,
+                   HeaderList headers,
+                   std::shared_ptr<BodyReservation> reservation)
       -> std::shared_ptr<const IncomingRequest> {
     auto& message = parser.get();
     keep_alive_ = message.keep_alive();
     version_ = message.version();
-    auto request = std::make_shared<IncomingRequest>();
+    auto request = std::shared_ptr<IncomingRequest>(
+        new IncomingRequest(), [reservation = std::move(reservation)](
+                                   IncomingRequest* ended) { delete ended; });
     request->method = std::string(message.method_string());
     request->target = std::string(message.target());
     request->headers = std::move(headers);
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -118,6 +118,9 @@
 constexpr std::size_t kBytesPerMegabyte = 1'000'000;
 // Share of the memory limit that answers may take while they are read.
 constexpr std::size_t kAnswerMemoryDivisor = 8;
+// The same for the bodies of requests, of which there is a copy while they are
+// sent.
+constexpr std::size_t kBodyMemoryDivisor = 8;
 // Other programs may write entries of any size.
 constexpr std::size_t kMaxLoggedValueBytes = 1'000;
 // JSON text of the value of an object that cannot be read.
@@ -522,6 +525,10 @@
       limits.read_timeout = given.header_timeout;
       limits.idle_timeout = given.idle_timeout;
     }
+    limits.max_total_body_bytes =
+        std::max(std::size_t{settings_.limits.memory_mb} * kBytesPerMegabyte /
+                     kBodyMemoryDivisor,
+                 limits.max_body_bytes);
     return limits;
   }
 
--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -46,7 +46,7 @@
   for (const auto& header : request.headers) {
     message->insert(header.name, header.value);
   }
-  message->body() = request.body;
+  message->body() = std::move(request.body);
   message->prepare_payload();
   return message;
 }
--- a/testing/gateway/endless_bytes_test.cc
+++ b/testing/gateway/endless_bytes_test.cc
@@ -199,6 +199,48 @@
       [&] { return node.Call("POST", "/plain/x", "after").status == 200; }));
 }
 
+// Guards against a host that runs out of memory and ends, since it reads the
+// bodies of any number of requests at once.
+TEST_CASE("Gateway.LimitsTheMemoryOfTheBodiesOfAllRequests") {
+  constexpr auto kCallers = 40;
+  constexpr std::size_t kBodyBytes = 4'000'000;
+  constexpr std::uint32_t kMegabytes = 110;
+  auto fleet = Fleet(1, kMegabytes);
+  fleet.AwaitService();
+  auto& node = *fleet.nodes.front();
+  const auto before = node.process().memory_bytes();
+  const auto body = std::string(kBodyBytes, 'x');
+  auto stopped = std::atomic<bool>(false);
+  auto served = std::atomic<int>(0);
+  auto refused = std::atomic<int>(0);
+  auto wrong = std::atomic<int>(0);  // Refused as not run, though they ran.
+  auto callers = std::vector<std::thread>();
+  for (auto caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&, caller] {
+      for (auto at = 0; !stopped; ++at) {
+        const auto id = "b" + std::to_string(caller) + "-" + std::to_string(at);
+        const auto status = node.Call("POST", "/plain/once/x", id, body).status;
+        served += status == 200 ? 1 : 0;
+        refused += status == 503 ? 1 : 0;
+        wrong += status == 503 && fleet.RunCount(id) > 0 ? 1 : 0;
+      }
+    });
+  }
+  CHECK(StaysSmall(node, before));
+  // Small requests are served meanwhile.
+  CHECK(Eventually(
+      [&] { return node.Call("POST", "/plain/x", "small").status == 200; }));
+  stopped = true;
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  CHECK(served > 0);
+  CHECK(refused > 0);
+  CHECK(wrong == 0);
+  CHECK(node.process().WaitForExit(milliseconds(0)) == std::nullopt);
+  CHECK(node.Call("POST", "/plain/x", "after", body).status == 200);
+}
+
 // Guards against the same from what should be the store.
 TEST_CASE("Gateway.LimitsTheMemoryOfAnswersOfTheStoreWithoutEnd") {
   const auto count = EndlessMessages("", "").size();
