--- a/testing/gateway/node_process_end_test.cc
+++ b/testing/gateway/node_process_end_test.cc
@@ -14,7 +14,6 @@
 #include <fstream>
 #include <iterator>
 #include <memory>
-#include <optional>
 #include <random>
 #include <string>
 #include <thread>
@@ -189,6 +188,31 @@
   int descriptor_ = -1;
 };
 
+// Whether a process still runs after the time in which it would have ended.
+auto RunsOn(ChildProcess& process) -> bool {
+  return !process.WaitForExit(kNoticeTime);
+}
+
+// Whether a process ends with status 0 after SIGTERM.
+auto Stops(ChildProcess& process) -> bool {
+  process.Signal(SIGTERM);
+  return process.WaitForExit(kStopLimit) == 0;
+}
+
+// Sends a signal again and again until the process has ended. Returns whether
+// it ended with status 0.
+auto EndsWellUnderSignals(ChildProcess& process, int signal) -> bool {
+  const auto last = std::chrono::steady_clock::now() + kStopLimit;
+  while (std::chrono::steady_clock::now() < last) {
+    process.Signal(signal);
+    if (process.WaitForExit(milliseconds(0))) {
+      break;
+    }
+    std::this_thread::sleep_for(kSignalPause);
+  }
+  return process.WaitForExit(milliseconds(0)) == 0;
+}
+
 // Guards against a node that SIGPIPE ends when the collector of its log
 // restarts, and against one that fails on the lines that it cannot write.
 TEST_CASE("NodeProcess.OutlivesTheReaderOfItsLog") {
@@ -205,10 +229,9 @@
     node.process().Signal(SIGHUP);
     std::this_thread::sleep_for(kLinePause);
   }
-  CHECK_FALSE(node.process().WaitForExit(kNoticeTime));
+  CHECK(RunsOn(node.process()));
   CHECK(node.ServesCallers());
-  node.process().Signal(SIGTERM);
-  CHECK(node.process().WaitForExit(kStopLimit) == 0);
+  CHECK(Stops(node.process()));
 }
 
 // Guards against a node that is ended by a signal that log rotation or an
@@ -221,7 +244,7 @@
     node.Start();
     REQUIRE(node.AwaitStart());
     node.process().Signal(signal);
-    CHECK_FALSE(node.process().WaitForExit(kNoticeTime));
+    CHECK(RunsOn(node.process()));
     CHECK(node.ServesCallers());
   }
 }
@@ -240,15 +263,9 @@
     node.Start();
     REQUIRE(node.AwaitStart());
     node.process().Signal(first);
-    auto exit = std::optional<int>();
-    const auto last = std::chrono::steady_clock::now() + kStopLimit;
-    while (!exit && std::chrono::steady_clock::now() < last) {
-      node.process().Signal(again);
-      exit = node.process().WaitForExit(milliseconds(0));
-      std::this_thread::sleep_for(kSignalPause);
-    }
+    const auto ended = EndsWellUnderSignals(node.process(), again);
     INFO(node.Log());
-    CHECK(exit == 0);
+    CHECK(ended);
     CHECK(CountOf(node.Log(), "Planned stop ended.") == 1);
   }
 }
@@ -269,7 +286,7 @@
                                                : node.nodes();
     auto context = boost::asio::io_context();
     auto datagrams = udp::socket(context);
-    auto holder = std::optional<HeldAddress>();
+    auto holder = std::unique_ptr<HeldAddress>();
     if (held == kNodeDatagrams) {
       datagrams.open(udp::v4());
       REQUIRE(::fcntl(datagrams.native_handle(), F_SETFD, FD_CLOEXEC) == 0);
@@ -277,11 +294,11 @@
       datagrams.bind({boost::asio::ip::address_v4::loopback(),
                       static_cast<std::uint16_t>(port)});
     } else {
-      holder.emplace(address);
+      holder = std::make_unique<HeldAddress>(address);
     }
     node.Start();
     REQUIRE(node.AwaitStart());
-    CHECK_FALSE(node.process().WaitForExit(kNoticeTime));
+    CHECK(RunsOn(node.process()));
     CHECK(node.ServesCallers() == (held != kCallers));
     // Other nodes do not count on one that they or callers cannot reach.
     if (held == kOperators) {
@@ -299,8 +316,7 @@
     }));
     INFO(node.Log());
     CHECK(CountOf(node.Log(), "event=listen_regained address=" + address) == 1);
-    node.process().Signal(SIGTERM);
-    CHECK(node.process().WaitForExit(kStopLimit) == 0);
+    CHECK(Stops(node.process()));
     REQUIRE(Eventually([&] { return other.ShowsNodes(1); }));
   }
 }
@@ -314,11 +330,10 @@
     const auto holder = HeldAddress(address);
     node.Start();
     REQUIRE(node.AwaitStart());
-    REQUIRE_FALSE(node.process().WaitForExit(kNoticeTime));
+    REQUIRE(RunsOn(node.process()));
     CHECK(CountOf(node.Log(), "event=listen_waiting address=" + address) == 1);
     node.process().Signal(SIGHUP);
-    node.process().Signal(SIGTERM);
-    CHECK(node.process().WaitForExit(kStopLimit) == 0);
+    CHECK(Stops(node.process()));
   }
 }
 
