--- a/testing/gateway/replica_answer_test.cc
+++ b/testing/gateway/replica_answer_test.cc
@@ -188,8 +188,11 @@
               line.starts_with("204")
                   ? std::string("\r\n")
                   : std::string("Content-Length: 7\r\n\r\nfailure");
-          Write(socket, Head(line, request) + "Response-Signature: s\r\n" +
-                            fields + body);
+          auto answer = Head(line, request);
+          answer.append("Response-Signature: s\r\n")
+              .append(fields)
+              .append(body);
+          Write(socket, answer);
           continue;
         }
         Write(socket,
