--- a/testing/gateway/replica_answer_test.cc
+++ b/testing/gateway/replica_answer_test.cc
@@ -41,7 +41,7 @@
 
 // A fleet whose only replicas answer by plain bytes.
 struct RawFleet : Fleet {
-  explicit RawFleet(RawServer::Serve serve, int replicas = 1) {
+  explicit RawFleet(const RawServer::Serve& serve, int replicas = 1) {
     store->Remove("servers/" + one->id());
     store->Remove("servers/" + two->id());
     for (auto at = 0; at < replicas; ++at) {
