Share what the tests of ends of processes have in common

The reader of a log stood in two files, and the start of a program beside a stopped gateway five times. The count of listen_waiting lines, which had loosened, is strict again: one line, and another one not before 10 s.

--- a/testing/gateway/node_process_end_test.cc
+++ b/testing/gateway/node_process_end_test.cc
@@ -2,8 +2,6 @@
 // The platform is absent in all tests; a node starts without it.
 
 #include <fcntl.h>
-#include <sys/stat.h>
-#include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -24,6 +22,7 @@
 #include "testing/scenario/child_process.h"
 #include "testing/scenario/http_fetch.h"
 #include "testing/support/held_address.h"
+#include "testing/support/log_reader.h"
 #include "testing/support/reserved_ports.h"
 
 namespace kumquatgauge::testing {
@@ -161,33 +160,6 @@
   std::unique_ptr<ChildProcess> process_;
 };
 
-// Holds the reading end of a named pipe that takes a node's standard error.
-class LogReader {
- public:
-  explicit LogReader(const std::string& path) {
-    REQUIRE(::mkfifo(path.c_str(), 0600) == 0);
-    descriptor_ = ::open(path.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
-    REQUIRE(descriptor_ >= 0);
-  }
-  ~LogReader() { Close(); }
-  LogReader(const LogReader&) = delete;
-  auto operator=(const LogReader&) -> LogReader& = delete;
-
-  auto Close() -> void {
-    if (descriptor_ >= 0) {
-      ::close(std::exchange(descriptor_, -1));
-    }
-  }
-
-  auto HasData() const -> bool {
-    auto byte = char{0};
-    return ::read(descriptor_, &byte, 1) == 1;
-  }
-
- private:
-  int descriptor_ = -1;
-};
-
 // Whether a process still runs after the time in which it would have ended.
 auto RunsOn(ChildProcess& process) -> bool {
   return !process.WaitForExit(kNoticeTime);
--- a/testing/gateway/process_end_test.cc
+++ b/testing/gateway/process_end_test.cc
@@ -2,8 +2,6 @@
 
 #include <fcntl.h>
 #include <sys/resource.h>
-#include <sys/stat.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -24,7 +22,7 @@
 
 #include "testing/gateway/fleet.h"
 #include "testing/scenario/child_process.h"
-#include "testing/support/reserved_ports.h"
+#include "testing/support/log_reader.h"
 
 namespace kumquatgauge::testing {
 namespace {
@@ -48,60 +46,56 @@
   return {boost::asio::ip::address_v4::loopback(), PortOf(address)};
 }
 
-auto SettingsOf(const Fleet& fleet) -> std::string {
-  return (fleet.folder / "n0.toml").string();
-}
+// Settings of a program whose addresses are free, in a fleet that goes on
+// without it.
+struct StoppedProcess {
+  StoppedProcess() {
+    auto& process = fleet.nodes.front()->process();
+    process.Signal(SIGKILL);
+    REQUIRE(process.WaitForExit(kLimit));
+  }
 
-// Holds the reading end of a named pipe that takes a program's standard output.
-class LogReader {
- public:
-  explicit LogReader(std::string path) : path_(std::move(path)) {
-    REQUIRE(::mkfifo(path_.c_str(), 0600) == 0);
-    descriptor_ = ::open(path_.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
-    REQUIRE(descriptor_ >= 0);
+  // Starts a program with its log in a file, and waits for the first line.
+  auto StartWithLog(const char* program, const std::string& name = "log") const
+      -> std::unique_ptr<ChildProcess> {
+    const auto log = fleet.folder / name;
+    auto process = Start(program, log.string());
+    REQUIRE(Eventually([&] { return std::filesystem::file_size(log) > 0; }));
+    return process;
   }
-  ~LogReader() { Close(); }
-  LogReader(const LogReader&) = delete;
-  auto operator=(const LogReader&) -> LogReader& = delete;
 
-  auto Close() -> void {
-    if (descriptor_ >= 0) {
-      ::close(std::exchange(descriptor_, -1));
-    }
+  auto Start(const char* program, const std::string& log) const
+      -> std::unique_ptr<ChildProcess> {
+    return std::make_unique<ChildProcess>(
+        std::vector<std::string>{program, settings()}, log,
+        (fleet.folder / "errors").string());
   }
 
-  auto HasData() const -> bool {
-    auto byte = char{0};
-    return ::read(descriptor_, &byte, 1) == 1;
+  auto settings() const -> std::string {
+    return (fleet.folder / "n0.toml").string();
   }
 
- private:
-  std::string path_;
-  int descriptor_ = -1;
+  Fleet fleet;
 };
 
 // Guards against a process that SIGPIPE ends when the collector of its log
 // restarts.
 TEST_CASE("Process.OutlivesTheReaderOfItsLog") {
   for (const auto* program : kPrograms) {
-    auto fleet = Fleet();
-    auto& node = *fleet.nodes.front();
-    node.process().Signal(SIGKILL);
-    REQUIRE(node.process().WaitForExit(kLimit));
-    const auto pipe = (fleet.folder / "log.pipe").string();
+    const auto stopped = StoppedProcess();
+    const auto pipe = (stopped.fleet.folder / "log.pipe").string();
     auto reader = LogReader(pipe);
-    auto process = ChildProcess({program, SettingsOf(fleet)}, pipe,
-                                (fleet.folder / "errors").string());
+    const auto process = stopped.Start(program, pipe);
     REQUIRE(Eventually([&] { return reader.HasData(); }));
     reader.Close();
     // Each writes a line.
     for (auto signal = 0; signal < 5; ++signal) {
-      process.Signal(SIGHUP);
+      process->Signal(SIGHUP);
       std::this_thread::sleep_for(milliseconds(50));
     }
-    CHECK_FALSE(process.WaitForExit(kNoticeTime));
-    process.Signal(SIGTERM);
-    CHECK(process.WaitForExit(kStopLimit) == 0);
+    CHECK_FALSE(process->WaitForExit(kNoticeTime));
+    process->Signal(SIGTERM);
+    CHECK(process->WaitForExit(kStopLimit) == 0);
   }
 }
 
@@ -109,22 +103,15 @@
 // has reached the limit on the size of files.
 TEST_CASE("Process.OutlivesTheSizeLimitOfItsLogFile") {
   for (const auto* program : kPrograms) {
-    auto fleet = Fleet();
-    auto& node = *fleet.nodes.front();
-    node.process().Signal(SIGKILL);
-    REQUIRE(node.process().WaitForExit(kLimit));
-    auto process =
-        ChildProcess({program, SettingsOf(fleet)}, fleet.folder / "log",
-                     (fleet.folder / "errors").string());
-    REQUIRE(Eventually(
-        [&] { return std::filesystem::file_size(fleet.folder / "log") > 0; }));
+    const auto stopped = StoppedProcess();
+    const auto process = stopped.StartWithLog(program);
     const auto limit = rlimit{1, 1};
-    REQUIRE(::prlimit(process.id(), RLIMIT_FSIZE, &limit, nullptr) == 0);
+    REQUIRE(::prlimit(process->id(), RLIMIT_FSIZE, &limit, nullptr) == 0);
     for (auto signal = 0; signal < 5; ++signal) {
-      process.Signal(SIGHUP);
+      process->Signal(SIGHUP);
       std::this_thread::sleep_for(milliseconds(50));
     }
-    CHECK_FALSE(process.WaitForExit(kNoticeTime));
+    CHECK_FALSE(process->WaitForExit(kNoticeTime));
   }
 }
 
@@ -132,20 +119,12 @@
 // may send and that is no request to stop.
 TEST_CASE("Process.OutlivesSignalsThatAskForNothing") {
   for (const auto* program : kPrograms) {
-    auto fleet = Fleet();
-    auto& node = *fleet.nodes.front();
-    fleet.AwaitService();
-    node.process().Signal(SIGKILL);
-    REQUIRE(node.process().WaitForExit(kLimit));
-    auto process =
-        ChildProcess({program, SettingsOf(fleet)}, fleet.folder / "log",
-                     (fleet.folder / "errors").string());
-    REQUIRE(Eventually(
-        [&] { return std::filesystem::file_size(fleet.folder / "log") > 0; }));
+    const auto stopped = StoppedProcess();
+    const auto process = stopped.StartWithLog(program);
     for (const auto signal : {SIGUSR1, SIGUSR2, SIGPIPE}) {
-      process.Signal(signal);
+      process->Signal(signal);
     }
-    CHECK_FALSE(process.WaitForExit(kNoticeTime));
+    CHECK_FALSE(process->WaitForExit(kNoticeTime));
   }
 }
 
@@ -171,22 +150,17 @@
 TEST_CASE("Process.EndsItsPlannedStopWhenSignalsComeAgain") {
   constexpr auto kStarts = 15;
   for (const auto* program : kPrograms) {
-    auto fleet = Fleet();
-    auto& node = *fleet.nodes.front();
-    node.process().Signal(SIGKILL);
-    REQUIRE(node.process().WaitForExit(kLimit));
+    const auto stopped = StoppedProcess();
     for (auto start = 0; start < kStarts; ++start) {
       const auto signal = start % 2 == 0 ? SIGTERM : SIGHUP;
-      const auto log = fleet.folder / ("log" + std::to_string(start));
-      auto process = ChildProcess({program, SettingsOf(fleet)}, log.string(),
-                                  (fleet.folder / "errors").string());
-      REQUIRE(Eventually([&] { return std::filesystem::file_size(log) > 0; }));
-      process.Signal(SIGTERM);
+      const auto process =
+          stopped.StartWithLog(program, "log" + std::to_string(start));
+      process->Signal(SIGTERM);
       auto exit = std::optional<int>();
       const auto last = std::chrono::steady_clock::now() + kStopLimit;
       while (!exit && std::chrono::steady_clock::now() < last) {
-        process.Signal(signal);
-        exit = process.WaitForExit(milliseconds(0));
+        process->Signal(signal);
+        exit = process->WaitForExit(milliseconds(0));
         std::this_thread::sleep_for(kSignalPause);
       }
       CHECK(exit == 0);
@@ -199,11 +173,8 @@
 // these numbers for its sockets.
 TEST_CASE("Process.KeepsStandardDescriptorsFromItsSockets") {
   for (const auto* program : kPrograms) {
-    auto fleet = Fleet();
-    auto& node = *fleet.nodes.front();
-    node.process().Signal(SIGKILL);
-    REQUIRE(node.process().WaitForExit(kLimit));
-    auto process = ChildProcess({program, SettingsOf(fleet)}, "", "");
+    const auto stopped = StoppedProcess();
+    const auto process = ChildProcess({program, stopped.settings()}, "", "");
     std::this_thread::sleep_for(kNoticeTime);
     for (auto descriptor = 0; descriptor <= 2; ++descriptor) {
       auto error = std::error_code();
@@ -315,10 +286,14 @@
     CHECK(Eventually(
         [&] { return fleet.nodes.back()->Addresses().size() == 1; }));
     const auto waiting = LinesOf(node.Log(), "event", "listen_waiting");
-    CHECK_FALSE(waiting.empty());
-    // The line is repeated, so that it is found in the log of a long wait.
+    // One line, and another one every 10 s.
+    constexpr std::int64_t kRepeatMs = 10'000;
+    auto next = std::int64_t{0};
+    REQUIRE_FALSE(waiting.empty());
     for (const auto& line : waiting) {
       CHECK(line.value("address", "") == address);
+      CHECK(line.at("time_ms") >= next);
+      next = line.at("time_ms").get<std::int64_t>() + kRepeatMs;
     }
     holder.reset();
     INFO(node.Log());
