--- a/include/kumquatgauge/serving/answer_report.h
+++ b/include/kumquatgauge/serving/answer_report.h
@@ -2,6 +2,7 @@
 #define KUMQUATGAUGE_SERVING_ANSWER_REPORT_H_
 
 #include <functional>
+#include <string>
 #include <string_view>
 
 #include "kumquatgauge/base/log.h"
@@ -42,6 +43,13 @@
                          const AnswerMetadata& metadata,
                          const AnswerHooks& hooks) -> void;
 
+// Accepts the answer to the request `id` and reports the answers to earlier
+// requests that it skips. `dialect` and `hooks` must outlive the filter.
+auto MakeHeadFilter(const Dialect& dialect,
+                    const AnswerHooks& hooks,
+                    const routing::Replica& replica,
+                    const std::string& id) -> upstream::HeadFilter;
+
 }  // namespace kumquatgauge::serving
 
 #endif  // KUMQUATGAUGE_SERVING_ANSWER_REPORT_H_
--- a/src/caller/http_listener.cc
+++ b/src/caller/http_listener.cc
@@ -282,15 +282,21 @@
   auto RefuseForMemory() -> awaitable<void> {
     shared_->logger.Warning("no memory for another body; refusing a request",
                             {{"event", "body_refused"}});
-    keep_alive_ = false;
-    disconnected_ = false;
-    head_sent_ = false;
+    BeginLastResponse();
     auto headers = HeaderList{{"Retry-After", kNoMemoryRetry}};
     auto body = std::string("no memory for another body\n");
     co_await Send(kServiceUnavailable, std::move(headers), std::move(body));
     co_await Linger();
   }
 
+  // Allows a response to a request that was not read, which ends the
+  // connection.
+  auto BeginLastResponse() -> void {
+    keep_alive_ = false;
+    disconnected_ = false;
+    head_sent_ = false;
+  }
+
   // Discards what the caller still sends: closing a connection with unread
   // bytes resets it, and the caller would lose the response.
   auto Linger() -> awaitable<void> {
@@ -350,9 +356,7 @@
     shared_->logger.Warning(
         "cannot read a request",
         {{"reason", error.message()}, {"status", std::to_string(status)}});
-    keep_alive_ = false;
-    disconnected_ = false;
-    head_sent_ = false;
+    BeginLastResponse();
     auto body = error.message() + "\n";
     co_await Send(status, {}, std::move(body));
   }
--- a/src/serving/answer_report.cc
+++ b/src/serving/answer_report.cc
@@ -60,4 +60,18 @@
   }
 }
 
+auto MakeHeadFilter(const Dialect& dialect,
+                    const AnswerHooks& hooks,
+                    const routing::Replica& replica,
+                    const std::string& id) -> upstream::HeadFilter {
+  return [&dialect, &hooks, replica, id](const upstream::ReplicaHead& head) {
+    const auto metadata = dialect.decode_answer(head.status, head.headers);
+    const auto accepted = IsAnswerTo(id, metadata, head);
+    if (!accepted) {
+      ReportSkippedAnswer(replica, metadata, hooks);
+    }
+    return accepted;
+  };
+}
+
 }  // namespace kumquatgauge::serving
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -1102,9 +1102,9 @@
     }
     parts_.load_balancer.OnStarted(replica.id, WorkClass::kBatch);
     parts_.hooks.counts_changed();
-    const auto call =
-        parts_.replicas.Start(MakeItemRequest(*job, item, replica, progress),
-                              MakeFilter(item, replica));
+    const auto call = parts_.replicas.Start(
+        MakeItemRequest(*job, item, replica, progress),
+        MakeHeadFilter(parts_.dialect, parts_.hooks, replica, item.id));
     progress.call = call;
     progress.answered = false;
     progress.replica = replica.id;
@@ -1240,19 +1240,6 @@
     return request;
   }
 
-  auto MakeFilter(const JobItem& item, const routing::Replica& replica)
-      -> upstream::HeadFilter {
-    return [&dialect = parts_.dialect, &hooks = parts_.hooks, replica,
-            id = item.id](const upstream::ReplicaHead& head) {
-      const auto metadata = dialect.decode_answer(head.status, head.headers);
-      const auto accepted = IsAnswerTo(id, metadata, head);
-      if (!accepted) {
-        ReportSkippedAnswer(replica, metadata, hooks);
-      }
-      return accepted;
-    };
-  }
-
   // Reads the answer to an item and appends its events to the item's progress.
   auto ReadAnswer(JobPtr job,
                   ItemRef ref,
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -438,8 +438,10 @@
     const auto began = parts_.clock();
     auto request = MakeReplicaRequest(*exchange, replica);
     request.new_connection = sent_before || exchange->request.id.empty();
-    exchange->call = parts_.replicas.Start(std::move(request),
-                                           MakeFilter(*exchange, replica));
+    exchange->call = parts_.replicas.Start(
+        std::move(request),
+        MakeHeadFilter(parts_.dialect, parts_.hooks, replica,
+                       exchange->request.id.value()));
     exchange->writer->OnDisconnect([call = exchange->call] { call->Cancel(); });
     auto attempt = AttemptEnd();
     attempt.end = exchange->writer->disconnected() || exchange->history.stopping
@@ -513,19 +515,6 @@
     }
   }
 
-  auto MakeFilter(const Exchange& exchange, const routing::Replica& replica)
-      -> upstream::HeadFilter {
-    return [&dialect = parts_.dialect, &hooks = parts_.hooks, replica,
-            id = exchange.request.id](const upstream::ReplicaHead& head) {
-      const auto metadata = dialect.decode_answer(head.status, head.headers);
-      const auto accepted = IsAnswerTo(id.value(), metadata, head);
-      if (!accepted) {
-        ReportSkippedAnswer(replica, metadata, hooks);
-      }
-      return accepted;
-    };
-  }
-
   auto ApplyAnswerMetadata(Exchange& exchange,
                            const routing::Replica& replica,
                            AttemptEnd& attempt) -> void {
