--- a/src/base/standard_descriptors.cc
+++ b/src/base/standard_descriptors.cc
@@ -3,6 +3,8 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <initializer_list>
+
 namespace kumquatgauge::detail {
 
 auto OpenStandardDescriptors() -> void {
