Limit the memory of batch jobs

Callers saw a gateway end by itself, with std::bad_alloc under a hard limit of its memory, and all requests that it served cut off.

Cause: a job stays in memory until its last item has a result, and its items until the job is removed from the store. Nothing limited how many jobs a gateway accepts; only the results of finished jobs were limited.

JobMemory counts the items, the results and the submissions under way, and the results that unfinished items are expected to have. Above a quarter of limits.memory_mb a job is refused as not run, with a Retry-After of 1 s, unless the store shows that an earlier submission was accepted. Jobs that are over make room first. Jobs of lost nodes may use a fifth more, and wait above it until there is room. The gauge kqg_job_memory_bytes shows the estimate.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -20,6 +20,7 @@
 #include "kumquatgauge/serving/end_notices.h"
 #include "kumquatgauge/serving/event_splitter.h"
 #include "kumquatgauge/serving/forwarder.h"
+#include "kumquatgauge/serving/job_memory.h"
 #include "kumquatgauge/serving/job_state_check.h"
 #include "kumquatgauge/serving/state_change.h"
 #include "serving/owned_job.h"
@@ -102,13 +103,19 @@
 constexpr milliseconds kOrphanRepeat{1'000};
 // Retry-After while the store is unavailable.
 constexpr milliseconds kStoreRetryAfter{500};
+// Retry-After while the jobs of this node use all memory for them; their items
+// run for seconds.
+constexpr milliseconds kMemoryRetryAfter{1'000};
 // Fractions of the process's memory, as divisors: results that are not stored
 // yet, above which no further item starts; results that were read from the
-// store; results of own jobs that are done. The rest is for connections and
-// requests.
+// store. JobMemory limits the rest of the jobs.
 constexpr std::size_t kUnstoredMemoryDivisor = 8;
 constexpr std::size_t kCacheMemoryDivisor = 16;
-constexpr std::size_t kDoneMemoryDivisor = 8;
+// Copies of a submission while it is stored: the caller's body, the record, its
+// encoding and the call to the store.
+constexpr std::size_t kSubmissionCopies = 4;
+// Assumed memory of an item whose job was not read from the store yet.
+constexpr std::size_t kAssumedItemBytes = 1'000;
 constexpr std::size_t kMaxAnnounced = 20'000;
 constexpr std::size_t kMaxIdBytes = 256;  // Of a job.
 constexpr int kStateAttempts = 4;
@@ -212,7 +219,11 @@
         limited_starts_(parts_.metrics.counter("kqg_limited_starts_total")),
         accept_ms_(parts_.metrics.histogram("kqg_job_accept_seconds")),
         append_ms_(parts_.metrics.histogram("kqg_result_store_seconds")),
-        state_age_(parts_.metrics.histogram("kqg_item_state_age_seconds")) {}
+        state_age_(parts_.metrics.histogram("kqg_item_state_age_seconds")) {
+    parts_.metrics.AddGauge("kqg_job_memory_bytes", [this] {
+      return static_cast<double>(memory_.used_bytes());
+    });
+  }
 
   auto Start() -> void {
     asio::co_spawn(parts_.executor, TickLoop(shared_from_this()),
@@ -254,8 +265,23 @@
       co_await RefuseJob(id, "this node stops", true, writer);
       co_return;
     }
+    auto problem = CheckNames(*incoming, id);
+    MakeRoom();
+    if (problem.empty() && !memory_.MayAccept()) {
+      auto refusal = AdmissionDecision();
+      refusal.admission = JobAdmission::kUnavailable;
+      refusal.reason = "the jobs of this node use all memory for jobs";
+      refusal.retry_after = kMemoryRetryAfter;
+      const auto decision = co_await UnlessAccepted(id, std::move(refusal));
+      co_await AnswerNotAccepted(id, decision, writer);
+      co_return;
+    }
+    const auto copies =
+        ReserveMemory(kSubmissionCopies * incoming->body.size());
     auto items = std::vector<JobItem>();
-    auto problem = CheckSubmission(*incoming, id, items);
+    if (problem.empty()) {
+      problem = DecodeSubmission(*incoming, items);
+    }
     if (!problem.empty()) {
       logger_.Warning("refused a malformed job", {{"event", "job_malformed"},
                                                   {"job", id.value()},
@@ -267,6 +293,7 @@
         JobRecord{id, request.host, request.path, WallMs(), incoming->body};
     auto state = NewState(id, items.size(), record.accepted_ms);
     AddAccount(state, record, items);
+    const auto decoded = ReserveMemory(MemoryOf(items));
     submitting_.insert(id);
     const auto submitted = std::shared_ptr<void>(nullptr, [self, id](void*) {
       self->submitting_.erase(self->submitting_.find(id));
@@ -514,9 +541,9 @@
     });
   }
 
-  auto CheckSubmission(const caller::IncomingRequest& incoming,
-                       const JobId& id,
-                       std::vector<JobItem>& items) const -> std::string {
+  // Returns what is wrong with the names of a submission; empty if nothing is.
+  static auto CheckNames(const caller::IncomingRequest& incoming,
+                         const JobId& id) -> std::string {
     const auto& name = id.value();
     if (name.empty() || name.size() > kMaxIdBytes || !IsPrintable(name) ||
         name == "." || name == "..") {
@@ -525,6 +552,12 @@
     if (!IsPrintable(incoming.target)) {
       return "encode the characters of the path that are not ASCII";
     }
+    return "";
+  }
+
+  // The same for its items.
+  auto DecodeSubmission(const caller::IncomingRequest& incoming,
+                        std::vector<JobItem>& items) const -> std::string {
     try {
       items = parts_.dialect.decode_submission(incoming.body);
     } catch (const Error& error) {
@@ -540,10 +573,10 @@
     kUnavailable,
     kUnknown,  // It does not fit, or an earlier submission was accepted.
   };
-  struct QuotaCheck {
+  struct AdmissionDecision {
     JobAdmission admission = JobAdmission::kGranted;
     std::string reason;
-    milliseconds retry_after{0};
+    milliseconds retry_after = kStoreRetryAfter;
   };
 
   auto AddAccount(JobState& state,
@@ -573,48 +606,54 @@
 
   // Reserves the tokens of a job, unless it is known to be accepted. A job that
   // does not fit may be a repeated one that was accepted before.
-  auto CheckQuota(JobState state) -> awaitable<QuotaCheck> {
+  auto CheckQuota(JobState state) -> awaitable<AdmissionDecision> {
     if (announced_.contains(state.id) || state.account.empty()) {
-      co_return QuotaCheck();
+      co_return AdmissionDecision();
     }
-    auto check = QuotaCheck();
+    auto refusal = AdmissionDecision();
     try {
       const auto decision =
           co_await parts_.quotas.Reserve(state.account, state.id, state.tokens);
       if (decision.granted) {
-        co_return check;
+        co_return refusal;
       }
-      // Holds if the job's state cannot be read.
-      check.admission = JobAdmission::kUnknown;
-      const auto stored = co_await parts_.archive.LoadState(state.id);
-      if (stored) {
-        OnAnnounced(state.id, stored->state.owner);
-        check.admission = JobAdmission::kExists;
-      } else {
-        check = {JobAdmission::kOverQuota, decision.reason,
+      refusal = {JobAdmission::kOverQuota, decision.reason,
                  decision.retry_after};
-      }
     } catch (const Error& error) {
-      if (check.admission == JobAdmission::kGranted) {
-        check.admission = JobAdmission::kUnavailable;
+      refusal.admission = JobAdmission::kUnavailable;
+      refusal.reason = error.what();
+      co_return refusal;
+    }
+    co_return co_await UnlessAccepted(state.id, std::move(refusal));
+  }
+
+  // Returns `refusal` unless an earlier submission of the job was accepted.
+  auto UnlessAccepted(JobId id, AdmissionDecision refusal)
+      -> awaitable<AdmissionDecision> {
+    try {
+      const auto stored = co_await parts_.archive.LoadState(id);
+      if (stored) {
+        OnAnnounced(id, stored->state.owner);
+        refusal.admission = JobAdmission::kExists;
       }
-      check.reason = error.what();
+    } catch (const Error& error) {
+      refusal = {JobAdmission::kUnknown, error.what()};
     }
-    co_return check;
+    co_return refusal;
   }
 
   // Accepts a stored job again, and as its owner, after other nodes considered
   // this node dead while it stored the job: they may have lent its share to
   // others before the job was in the store. A job that no longer fits is
   // removed.
-  auto AcceptAgain(StoredState& stored) -> awaitable<QuotaCheck> {
+  auto AcceptAgain(StoredState& stored) -> awaitable<AdmissionDecision> {
     auto state = stored.state;
     const auto self = parts_.self();
     state.owner = self.id;
     state.incarnation = self.incarnation;
     state.acceptor = self.id;
     state.acceptor_incarnation = self.incarnation;
-    auto check = QuotaCheck();
+    auto check = AdmissionDecision();
     try {
       if (!state.account.empty()) {
         const auto decision = co_await parts_.quotas.Reserve(
@@ -643,7 +682,7 @@
     co_return check;
   }
 
-  auto AnswerNotAccepted(JobId id, QuotaCheck check, WriterPtr writer)
+  auto AnswerNotAccepted(JobId id, AdmissionDecision check, WriterPtr writer)
       -> awaitable<void> {
     switch (check.admission) {
       case JobAdmission::kGranted:
@@ -656,7 +695,7 @@
                         check.retry_after);
         break;
       case JobAdmission::kUnavailable:
-        co_await RefuseJob(id, check.reason, true, writer);
+        co_await RefuseJob(id, check.reason, true, writer, check.retry_after);
         break;
       case JobAdmission::kUnknown:
         co_await RefuseJob(id, check.reason, false, writer);
@@ -664,17 +703,46 @@
     }
   }
 
-  auto RefuseJob(JobId id, std::string failure, bool not_run, WriterPtr writer)
+  auto RefuseJob(JobId id,
+                 std::string failure,
+                 bool not_run,
+                 WriterPtr writer,
+                 milliseconds retry_after = kStoreRetryAfter)
       -> awaitable<void> {
     refused_.Add();
-    logger_.Warning("a job could not be stored",
+    logger_.Warning("a job was not accepted",
                     {{"event", "job_refused"},
                      {"job", id.value()},
                      {"not_run", not_run ? "true" : "unsure"},
                      {"reason", failure}});
     const auto status = not_run ? kServiceUnavailable : kBadGateway;
     co_await Refuse(writer, status, std::move(failure),
-                    not_run ? kStoreRetryAfter : milliseconds::zero());
+                    not_run ? retry_after : milliseconds::zero());
+  }
+
+  // --- Memory.
+
+  // Counts memory that a job needs while it is accepted or taken over, until
+  // the returned handle is destroyed.
+  auto ReserveMemory(std::size_t bytes) -> std::shared_ptr<void> {
+    memory_.Reserve(bytes);
+    return {nullptr, [self = shared_from_this(), bytes](void*) {
+              self->memory_.Release(bytes);
+            }};
+  }
+
+  auto AccountFor(const OwnedJob& job) -> void {
+    memory_.Set(job.state.id, {job.item_bytes, job.stored_bytes,
+                               job.items.size() - job.listed.size(),
+                               job.state.accepted_ms, job.IsOver()});
+  }
+
+  // Drops jobs that are over, oldest first, once jobs use too much memory.
+  // Their results are then read from the store.
+  auto MakeRoom() -> void {
+    for (const auto& id : memory_.Evictions()) {
+      Drop(JobPtr(jobs_.at(id)), "it is over and memory is low");
+    }
   }
 
   // --- Ownership.
@@ -698,7 +766,9 @@
       job->index[job->items[at].id] = at;
     }
     job->AppendStored(results);
+    job->item_bytes = MemoryOf(job->items);
     jobs_[stored.state.id] = job;
+    AccountFor(*job);
     checks_.Add(stored.state.id, known_at);
     OnAnnounced(stored.state.id, stored.state.owner);
     parts_.announce(stored.state.id);
@@ -768,6 +838,7 @@
                   {"reason", reason}});
     schedule_.Remove(job->state.id);
     checks_.Remove(job->state.id);
+    memory_.Remove(job->state.id);
     CancelItems(*job);
     jobs_.erase(job->state.id);
     job->WakeReaders();
@@ -883,6 +954,7 @@
 
   auto Tick() -> void {
     const auto now = parts_.clock();
+    MakeRoom();
     CheckStates(now);
     UpdateSuspensions(now);
     RescheduleOnNewConfiguration();
@@ -1355,6 +1427,7 @@
     auto& progress = job->progress[ref.item];
     if (completed) {
       result.text = std::move(progress.text);
+      memory_.OnResult(result.text.size());
     }
     progress.text.clear();
     (completed ? completed_items_ : failed_items_).Add();
@@ -1432,6 +1505,7 @@
         co_await Pause(kStoreRetryDelay);
       } else if (!job->dropped) {
         self->OnResultsStored(job, *stored);
+        self->AccountFor(*job);
       }
     }
     job->storing = false;
@@ -1572,6 +1646,7 @@
     checks_.Remove(job->state.id);
     CancelItems(*job);
     job->unstored.clear();
+    AccountFor(*job);
     job->WakeReaders();
   }
 
@@ -1606,6 +1681,10 @@
       item.headers.clear();
     }
     job->progress.clear();
+    job->completed = true;
+    if (!job->dropped) {
+      self->AccountFor(*job);
+    }
   }
 
   // Returns true when the state is stored or the job is no longer owned here.
@@ -2063,7 +2142,7 @@
       }
     }
     self->PruneAbsentOwners(states);
-    self->EvictDone();
+    self->MakeRoom();
     const auto jitter =
         milliseconds(static_cast<std::int64_t>(self->parts_.random() % 2'000));
     if (self->absent_since_.empty() || !self->ScansForOthers()) {
@@ -2154,27 +2233,6 @@
            now - since >= kUnknownOwnerWait;
   }
 
-  // Drops jobs that are done, oldest first, once their results use too much
-  // memory. Their results are then read from the store.
-  auto EvictDone() -> void {
-    auto done = std::vector<std::pair<std::uint64_t, JobPtr>>();
-    auto bytes = std::size_t{0};
-    for (const auto& [id, job] : jobs_) {
-      if (job->state.done || job->state.ended) {
-        done.emplace_back(job->state.accepted_ms, job);
-        bytes += BytesOf(job->stored.results);
-      }
-    }
-    std::sort(done.begin(), done.end());
-    for (const auto& [accepted, job] : done) {
-      if (bytes <= parts_.memory_bytes / kDoneMemoryDivisor) {
-        break;
-      }
-      bytes -= BytesOf(job->stored.results);
-      Drop(job, "it is done and memory is low");
-    }
-  }
-
   auto PruneAbsentOwners(const std::vector<StoredState>& states) -> void {
     std::erase_if(absent_since_, [&](const auto& entry) {
       return std::none_of(states.begin(), states.end(),
@@ -2215,6 +2273,12 @@
       co_return;
     }
     try {
+      if (!memory_.MayTakeOver()) {
+        throw Error(ErrorKind::kOverloaded,
+                    "the jobs of this node use all memory for jobs",
+                    stored.state.id.value(),
+                    "raise limits.memory_mb or add nodes");
+      }
       co_await TakeOver(stored);
     } catch (const Error& error) {
       failure = error.what();
@@ -2236,6 +2300,7 @@
 
   auto TakeOver(StoredState stored) -> awaitable<void> {
     const auto id = stored.state.id;
+    const auto assumed = ReserveMemory(kAssumedItemBytes * stored.state.total);
     auto record = co_await parts_.archive.LoadRecord(id);
     if (!record) {
       co_return;  // It was never accepted.
@@ -2286,6 +2351,7 @@
   Logger logger_{"batch"};
   BatchSchedule schedule_;
   StateCheckSchedule checks_{StateCheckSettings()};
+  JobMemory memory_{parts_.memory_bytes};
   EndNotices notices_{
       EndNoticeSettings(),
       [this](const JobState& state) { return OwnerStatusOf(state); },
--- a/src/serving/owned_job.cc
+++ b/src/serving/owned_job.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "kumquatgauge/serving/job_memory.h"
+
 namespace kumquatgauge::serving::detail {
 namespace {
 
@@ -17,12 +19,14 @@
 auto OwnedJob::AppendStored(const StoredResults& listed_results)
     -> std::vector<std::size_t> {
   stored = listed_results;
+  stored_bytes = MemoryOf(stored.results);
   return Finish(stored.results);
 }
 
 auto OwnedJob::AppendStored(const ResultChunk& chunk)
     -> std::vector<std::size_t> {
   stored.Append(chunk);
+  stored_bytes += MemoryOf(chunk.results);
   return Finish(chunk.results);
 }
 
--- a/src/serving/owned_job.h
+++ b/src/serving/owned_job.h
@@ -36,8 +36,10 @@
   MonotonicTime state_known_at;
   JobRecord record;  // Without the submission.
   std::vector<JobItem> items;
+  std::size_t item_bytes = 0;                // Memory of the items.
   std::map<std::string, std::size_t> index;  // By item id.
   StoredResults stored;
+  std::size_t stored_bytes = 0;  // Memory of the stored results.
   std::set<std::size_t> listed;
   std::set<std::size_t> finished;  // Listed or waiting to be stored.
   std::vector<ItemResult> unstored;
@@ -46,6 +48,8 @@
   // While finished results wait for others, to be stored by one call.
   std::shared_ptr<boost::asio::steady_timer> store_delay;
   bool dropped = false;  // No longer owned here.
+  // Every item has a result, and its state was marked as done or could not be.
+  bool completed = false;
   // Set while no item runs because this node was cut off and the job may have
   // been ended.
   std::optional<MonotonicTime> suspended_at;
@@ -63,6 +67,8 @@
   auto WakeReaders() -> void;
   // Stores the results that wait without further delay.
   auto EndStoreDelay() -> void;
+  // Whether it runs no more items. Callers can read it from the store.
+  auto IsOver() const -> bool { return state.done || state.ended || completed; }
 
  private:
   auto Finish(const std::vector<ItemResult>& results)
--- a/testing/gateway/endless_bytes_test.cc
+++ b/testing/gateway/endless_bytes_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
@@ -91,8 +92,10 @@
 }
 
 // Watches the memory of a process. Returns whether it stays below the limit.
-auto StaysSmall(GatewayProcess& node, std::size_t before) -> bool {
-  const auto last = std::chrono::steady_clock::now() + kObserved;
+auto StaysSmall(GatewayProcess& node,
+                std::size_t before,
+                milliseconds observed = kObserved) -> bool {
+  const auto last = std::chrono::steady_clock::now() + observed;
   auto small = true;
   while (small && std::chrono::steady_clock::now() < last) {
     small = node.process().memory_bytes() <= before + kMaxGrowth;
@@ -241,6 +244,66 @@
   CHECK(node.Call("POST", "/plain/x", "after", body).status == 200);
 }
 
+// Guards against a host that runs out of memory and ends, since it accepts
+// batch jobs faster than replicas run their items.
+TEST_CASE("Gateway.LimitsTheMemoryOfBatchJobs") {
+  constexpr auto kCallers = 60;
+  constexpr auto kItems = 200;
+  constexpr std::uint32_t kMegabytes = 110;
+  constexpr milliseconds kSubmitting{10'000};
+  auto fleet = Fleet(1, kMegabytes);
+  fleet.one->set_event_delay(milliseconds(20));
+  fleet.two->set_event_delay(milliseconds(20));
+  fleet.AwaitService();
+  auto& node = *fleet.nodes.front();
+  auto items = std::vector<std::string>();
+  for (auto item = 0; item < kItems; ++item) {
+    items.push_back("i" + std::to_string(item));
+  }
+  const auto body = JobBody(items);
+  auto stopped = std::atomic<bool>(false);
+  auto refused = std::atomic<int>(0);
+  auto mutex = std::mutex();
+  auto accepted = std::vector<std::string>();
+  auto callers = std::vector<std::thread>();
+  for (auto caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&, caller] {
+      for (auto at = 0; !stopped; ++at) {
+        const auto id = "j" + std::to_string(caller) + "-" + std::to_string(at);
+        const auto status = node.Call("POST", "/jobs/1", id, body).status;
+        refused += status == 503 ? 1 : 0;
+        if (status == 202) {
+          const auto lock = std::lock_guard(mutex);
+          accepted.push_back(id);
+        }
+      }
+    });
+  }
+  CHECK(StaysSmall(node, node.process().memory_bytes(), kSubmitting));
+  stopped = true;
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  CHECK(node.process().WaitForExit(milliseconds(0)) == std::nullopt);
+  CHECK(refused > 0);
+  // Items of accepted jobs still run.
+  REQUIRE(!accepted.empty());
+  CHECK(Eventually([&] {
+    const auto page = node.ReadJob(accepted.front(), 0);
+    return page.is_object() && page.at("total") == kItems &&
+           page.at("results").size() == kItems;
+  }));
+  // The memory of ended jobs is used for new ones.
+  for (const auto& job : accepted) {
+    REQUIRE(Eventually([&] {
+      return node.Call("DELETE", "/api/lots/" + job, "").status == 200;
+    }));
+  }
+  CHECK(Eventually([&] {
+    return node.Call("POST", "/jobs/1", "after", body).status == 202;
+  }));
+}
+
 // Guards against the same from what should be the store.
 TEST_CASE("Gateway.LimitsTheMemoryOfAnswersOfTheStoreWithoutEnd") {
   const auto count = EndlessMessages("", "").size();
