Submit series of batch jobs in the soak, and limit the memory of its processes

The soak did not show that batch jobs use memory without a limit: its jobs are limited by tokens, and its processes could use any memory. A further thread submits jobs of about 1 MB to one node without a pause, then ends them, and every process has an RLIMIT_DATA of 64 MB, which is its memory_mb.

--- a/testing/gateway/gateway_process.cc
+++ b/testing/gateway/gateway_process.cc
@@ -36,13 +36,14 @@
           {"services", {{{"name", "svc"}, {"max_connections", 100}}}}};
 }
 
-auto JobBody(const std::vector<std::string>& items) -> std::string {
+auto JobBody(const std::vector<std::string>& items, const std::string& body)
+    -> std::string {
   auto list = json::array();
   for (const auto& item : items) {
     list.push_back({{"id", item},
                     {"path", "/jobs/1/" + item},
                     {"headers", {{"Model", "m"}}},
-                    {"body", "q83vEjRWeJA="},
+                    {"body", body},
                     {"tokens", kItemTokens}});
   }
   return json{{"items", list}}.dump();
--- a/testing/gateway/gateway_process.h
+++ b/testing/gateway/gateway_process.h
@@ -27,8 +27,9 @@
 // /plain/once/ (unsafe), /stream/ (resumable), /stream/once/ and /jobs/.
 auto MakeConfiguration(int version) -> nlohmann::json;
 inline constexpr std::uint64_t kItemTokens = 10;  // Of each item of JobBody.
-// A job of these items, each sent to /jobs/1/ITEM.
-auto JobBody(const std::vector<std::string>& items) -> std::string;
+// A job of these items, each sent to /jobs/1/ITEM with this body, in Base64.
+auto JobBody(const std::vector<std::string>& items,
+             const std::string& body = "q83vEjRWeJA=") -> std::string;
 
 // A real gateway process on 127.0.0.1, whose addresses stay the same when it is
 // restarted.
--- a/testing/soak/checker.cc
+++ b/testing/soak/checker.cc
@@ -104,17 +104,19 @@
 
 auto SoakChecker::OnSubmitted(const std::string& job,
                               const std::vector<std::string>& items,
-                              const FetchReply& reply) -> void {
+                              const FetchReply& reply,
+                              bool limited) -> void {
   const auto lock = std::lock_guard(mutex_);
   ++replies_["job " + Outcome(reply)];
   jobs_[job].items = items;
+  jobs_[job].limited = limited;
   jobs_[job].accepted = reply.status == kAccepted;
   if (ReportsNotRun(reply)) {
     for (const auto& item : items) {
       sent_[item] = {0, true};
     }
   }
-  if (reply.status == kAccepted && token_limit_ != kNoTokenLimit) {
+  if (reply.status == kAccepted && limited && token_limit_ != kNoTokenLimit) {
     const auto waiting = WaitingTokens();
     if (waiting > token_limit_ + token_limit_ / kOverageDivisor) {
       Add("job " + job + " was accepted and " + std::to_string(waiting) +
@@ -126,7 +128,7 @@
 auto SoakChecker::WaitingTokens() const -> std::uint64_t {
   auto tokens = std::uint64_t{0};
   for (const auto& [id, job] : jobs_) {
-    if (job.accepted && !job.end_requested) {
+    if (job.accepted && job.limited && !job.end_requested) {
       tokens += kItemTokens *
                 static_cast<std::uint64_t>(std::count_if(
                     job.items.begin(), job.items.end(),
--- a/testing/soak/checker.h
+++ b/testing/soak/checker.h
@@ -68,10 +68,12 @@
   auto OnReply(const std::string& id,
                const RequestExpectation& expected,
                const FetchReply& reply) -> void;
-  // The answer to a submission of a job.
+  // The answer to a submission of a job. Its tokens count toward the limit if
+  // `limited`.
   auto OnSubmitted(const std::string& job,
                    const std::vector<std::string>& items,
-                   const FetchReply& reply) -> void;
+                   const FetchReply& reply,
+                   bool limited = true) -> void;
   // A node has shown a result of a job at a position.
   auto OnListed(const std::string& job,
                 std::size_t position,
@@ -126,6 +128,7 @@
   struct Job {
     std::vector<std::string> items;
     bool accepted = false;
+    bool limited = true;
     std::map<std::size_t, std::string> listed;     // Item and text by position.
     std::map<std::string, std::size_t> positions;  // Position by item.
     std::set<std::string> owners;                  // All so far.
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -63,6 +63,16 @@
 constexpr std::size_t kLogLostOneIn = 8;
 constexpr std::size_t kAddressHeldOneIn = 3;
 constexpr int kSignalsDuringStop = 3;
+// Memory that the kernel grants a node, and a series of long jobs without a
+// pause, several of which would exceed it.
+constexpr std::uint32_t kNodeMegabytes = 64;
+constexpr std::uint64_t kBytesPerMegabyte = 1'000'000;
+constexpr int kSeriesJobs = 60;
+constexpr std::size_t kSeriesItems = 24;
+constexpr std::size_t kSeriesBodyBytes = 40'000;  // Of an item, in Base64.
+constexpr milliseconds kSeriesPauseMax{1'000};
+constexpr auto kSeriesPath = "/series/";
+constexpr std::uint64_t kSeriesSeed = 3'000'003;
 constexpr std::uint64_t kProcessSeed = 2'000'003;
 // Software versions of the replicas at the start; later ones are released.
 constexpr std::size_t kFirstVersions = 2;
@@ -106,6 +116,17 @@
       route["cap"] = kTokenLimit;
     }
   }
+  // Jobs of this route are limited by the memory of the nodes alone.
+  auto series = json();
+  for (const auto& route : configuration.at("routes")) {
+    if (route.at("kind") == "batch") {
+      series = route;
+    }
+  }
+  series["name"] = "series";
+  series["path_prefix"] = kSeriesPath;
+  series.erase("cap");
+  configuration.at("routes").push_back(series);
   configuration.at("routes").push_back(
       MakeRoute(VersionPath(version), "safe", {{"name", "version"}}));
   return configuration;
@@ -145,7 +166,8 @@
                                                         node.store_address);
       node.process = std::make_unique<GatewayProcess>(
           settings_.gateway, "n" + std::to_string(at),
-          node.store_link->address(), settings_.folder);
+          node.store_link->address(), settings_.folder, kNodeMegabytes);
+      LimitMemory(node);
     }
   }
 
@@ -159,6 +181,7 @@
       workers.emplace_back([this, job_ender] { RunJobEnder(job_ender); });
     }
     workers.emplace_back([this] { RunVersionReader(); });
+    workers.emplace_back([this] { RunSeriesOfJobs(); });
     InjectFaults();
     done_ = true;
     for (auto& worker : workers) {
@@ -329,19 +352,51 @@
     }
   }
 
-  // Returns whether the job was accepted.
-  auto Submit(const GatewayProcess& node,
-              const std::string& job,
-              std::size_t count) -> bool {
+  static auto ItemsOf(const std::string& job, std::size_t count)
+      -> std::vector<std::string> {
     auto items = std::vector<std::string>();
     for (std::size_t item = 0; item < count; ++item) {
       items.push_back(job + kItemMark + std::to_string(item));
     }
+    return items;
+  }
+
+  // Returns whether the job was accepted.
+  auto Submit(const GatewayProcess& node,
+              const std::string& job,
+              std::size_t count) -> bool {
+    const auto items = ItemsOf(job, count);
     const auto reply = node.Call("POST", "/jobs/1", job, JobBody(items));
     checker_.OnSubmitted(job, items, reply);
     return reply.status == kAccepted;
   }
 
+  // Submits long jobs to one node faster than they can run, then ends them.
+  auto RunSeriesOfJobs() -> void {
+    auto random = RandomSource(settings_.seed + kSeriesSeed);
+    const auto body = std::string(kSeriesBodyBytes, 'A');
+    for (auto number = 0; !done_; ++number) {
+      std::this_thread::sleep_for(
+          random.Between(milliseconds(0), kSeriesPauseMax));
+      const auto& node = *nodes_[random.Below(nodes_.size())].process;
+      auto accepted = std::vector<std::string>();
+      for (auto at = 0; at < kSeriesJobs && !done_; ++at) {
+        const auto job =
+            "series-" + std::to_string(number) + "-" + std::to_string(at);
+        const auto items = ItemsOf(job, kSeriesItems);
+        const auto reply = node.Call("POST", std::string(kSeriesPath) + "1",
+                                     job, JobBody(items, body));
+        checker_.OnSubmitted(job, items, reply, false);
+        if (reply.status == kAccepted) {
+          accepted.push_back(job);
+        }
+      }
+      for (const auto& job : accepted) {
+        End(job, random);
+      }
+    }
+  }
+
   // Submits long jobs and ends them while their items run.
   auto RunJobEnder(int job_ender) -> void {
     auto random = RandomSource(settings_.seed * kJobEnders + job_ender);
@@ -576,9 +631,17 @@
     });
   }
 
+  // A process that uses more memory ends.
+  static auto LimitMemory(Node& node) -> void {
+    const auto bytes = kNodeMegabytes * kBytesPerMegabyte;
+    const auto limit = rlimit{bytes, bytes};
+    ::prlimit(node.process->process().id(), RLIMIT_DATA, &limit, nullptr);
+  }
+
   auto RestartNode(Node& node) -> void {
     HoldAddress(node);
     node.process->Start();
+    LimitMemory(node);
     node.started = std::chrono::steady_clock::now();
     node.down = false;
     node.paused = false;
