--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -72,7 +72,7 @@
 constexpr std::size_t kSeriesBodyBytes = 40'000;  // Of an item, in Base64.
 constexpr milliseconds kSeriesPauseMax{1'000};
 constexpr auto kSeriesPath = "/series/";
-constexpr std::uint64_t kSeriesSeed = 3'000'003;
+constexpr std::uint64_t kSeriesSeed = 4'000'003;
 constexpr std::uint64_t kProcessSeed = 2'000'003;
 // Software versions of the replicas at the start; later ones are released.
 constexpr std::size_t kFirstVersions = 2;
