Send no two requests with one id on one connection to a replica

What callers saw: (a) a client that sent a request again under its id, after a refusal, was told "not run" while a replica ran it, and its next attempt ran too (REFUSED, TWICE). (b) An item of a batch job got the result of an item of an earlier job that had the same id.

Cause: an answer counts if it names the id of the request, but a kept connection can have carried this id before. When a faulty replica writes the answer to the earlier request once more, nothing in it tells the two apart.

A kept connection now remembers the ids that it has carried, and a request goes on another or a new one if its id is among them. Each id is then sent at most once per connection, so an answer that names it belongs to that request. Hashes are kept, since a collision only costs a connection; after 256 ids the connection is closed, which limits the memory. This replaces the rule of the forwarder that compared ids of replicas.

The alternative, not to keep connections over which a refusal came, leaves (b) open, since that answer was no refusal, and costs a connection per refusal.

--- a/include/kumquatgauge/upstream/replica_call.h
+++ b/include/kumquatgauge/upstream/replica_call.h
@@ -16,6 +16,10 @@
 
 struct ReplicaRequest {
   std::string address;  // "IP:port"
+  // Not sent on a connection that has carried a request with the same id, since
+  // the answer to that one may be written once more. A request without an id
+  // gets a new connection.
+  std::string id;
   std::string method;
   std::string target;
   HeaderList headers;
@@ -24,8 +28,6 @@
   // it is sent again on a new connection when a reused one is closed before any
   // byte of a response.
   std::uint32_t max_sends = 1;
-  // Uses no kept connection.
-  bool new_connection = false;
   // Checked before each send, since opening a connection takes time; nothing is
   // sent once it returns false. May be empty.
   std::function<auto()->bool> may_send;
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -1295,6 +1295,7 @@
     delivery.resume_after = progress.last_event;
     auto request = upstream::ReplicaRequest();
     request.address = replica.address;
+    request.id = item.id;
     request.method = "POST";
     request.target = item.path;
     request.headers =
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -415,10 +415,6 @@
       co_return AttemptEnd();
     }
     const auto replica = *chosen;
-    // Else an earlier refusal of this request could be taken for its answer.
-    const auto sent_before =
-        std::find(exchange->tried.begin(), exchange->tried.end(), replica.id) !=
-        exchange->tried.end();
     exchange->tried.push_back(replica.id);
     exchange->version = replica.version;
     exchange->attempt_answered = false;
@@ -436,10 +432,8 @@
     parts_.load_balancer.OnStarted(replica.id, WorkClass::kOnline);
     parts_.hooks.counts_changed();
     const auto began = parts_.clock();
-    auto request = MakeReplicaRequest(*exchange, replica);
-    request.new_connection = sent_before || exchange->request.id.empty();
     exchange->call = parts_.replicas.Start(
-        std::move(request),
+        MakeReplicaRequest(*exchange, replica),
         MakeHeadFilter(parts_.dialect, parts_.hooks, replica,
                        exchange->request.id.value()));
     exchange->writer->OnDisconnect([call = exchange->call] { call->Cancel(); });
@@ -465,6 +459,7 @@
     const auto& route = *exchange.route;
     auto request = upstream::ReplicaRequest();
     request.address = replica.address;
+    request.id = exchange.request.id.value();
     request.method = exchange.incoming->method;
     request.target = exchange.incoming->target;
     auto delivery = Delivery();
--- a/src/upstream/connection_pool.cc
+++ b/src/upstream/connection_pool.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <functional>
 #include <utility>
 
 #include "base/socket_options.h"
@@ -17,13 +18,27 @@
 
 }  // namespace
 
+auto CarriedIds::Add(std::string_view id) -> void {
+  if (!id.empty()) {
+    hashes_.push_back(std::hash<std::string_view>()(id));
+  }
+}
+
+auto CarriedIds::Contains(std::string_view id) const -> bool {
+  const auto hash = std::hash<std::string_view>()(id);
+  return !id.empty() &&
+         std::find(hashes_.begin(), hashes_.end(), hash) != hashes_.end();
+}
+
 Connection::Connection(std::shared_ptr<DeadlineSocket> io,
                        std::string address,
                        bool reused,
+                       CarriedIds ids,
                        std::shared_ptr<ConnectionPool> pool)
     : io_(std::move(io)),
       address_(std::move(address)),
       reused_(reused),
+      ids_(std::move(ids)),
       pool_(std::move(pool)) {}
 
 Connection::~Connection() {
@@ -35,7 +50,12 @@
 
 auto Connection::Release() -> void {
   io_->Disarm();
-  pool_->Return(address_, std::move(io_));
+  if (ids_.full()) {
+    io_->Close();
+    pool_->OnClosed(address_);
+  } else {
+    pool_->Return(address_, io_, std::move(ids_));
+  }
   io_ = nullptr;
 }
 
@@ -43,11 +63,16 @@
                                ConnectionSettings settings)
     : executor_(executor), settings_(settings), prune_timer_(executor) {}
 
-auto ConnectionPool::Acquire(std::string address, Reuse reuse, Duration limit)
+auto ConnectionPool::Acquire(std::string address,
+                             Reuse reuse,
+                             Duration limit,
+                             std::string id)
     -> asio::awaitable<std::shared_ptr<Connection>> {
   if (reuse == Reuse::kAllowed) {
-    if (auto io = TakeIdle(address)) {
-      co_return std::make_shared<Connection>(std::move(io), address, true,
+    if (auto idle = TakeIdle(address, id)) {
+      idle->ids.Add(id);
+      co_return std::make_shared<Connection>(std::move(idle->io), address, true,
+                                             std::move(idle->ids),
                                              shared_from_this());
     }
   }
@@ -63,8 +88,10 @@
   const auto endpoint = ParseEndpoint(address);
   ++entry.in_use;
   auto io = std::make_shared<DeadlineSocket>(tcp::socket(executor_));
-  auto connection =
-      std::make_shared<Connection>(io, address, false, shared_from_this());
+  auto ids = CarriedIds();
+  ids.Add(id);
+  auto connection = std::make_shared<Connection>(
+      io, address, false, std::move(ids), shared_from_this());
   io->ExpireAfter(std::min<Duration>(settings_.connect_timeout, limit),
                   DeadlineSocket::OnExpiry::kClose);
   kumquatgauge::detail::OpenForConnect(io->socket(), endpoint);
@@ -98,36 +125,41 @@
   }
 }
 
-auto ConnectionPool::TakeIdle(const std::string& address)
-    -> std::shared_ptr<DeadlineSocket> {
+auto ConnectionPool::TakeIdle(const std::string& address, const std::string& id)
+    -> std::optional<IdleConnection> {
   DropExpired();
   const auto found = addresses_.find(address);
   if (found == addresses_.end()) {
-    return nullptr;
+    return std::nullopt;
   }
   auto& entry = found->second;
-  while (!entry.idle.empty()) {
-    // The most recently used one is the least likely to have been closed.
-    auto io = std::move(entry.idle.back().io);
-    entry.idle.pop_back();
+  // The most recently used one is the least likely to have been closed.
+  for (auto at = entry.idle.size(); at-- > 0;) {
+    if (entry.idle[at].ids.Contains(id)) {
+      continue;
+    }
+    auto idle = std::move(entry.idle[at]);
+    entry.idle.erase(entry.idle.begin() + static_cast<std::ptrdiff_t>(at));
     // Unread data between requests belongs to no request, and at an end of
     // stream the peer has closed the connection.
-    if (!io->Readable()) {
+    if (!idle.io->Readable()) {
       ++entry.in_use;
-      return io;
+      return idle;
     }
   }
-  return nullptr;
+  return std::nullopt;
 }
 
 auto ConnectionPool::Return(const std::string& address,
-                            std::shared_ptr<DeadlineSocket> io) -> void {
+                            std::shared_ptr<DeadlineSocket> io,
+                            CarriedIds ids) -> void {
   auto& entry = addresses_[address];
   --entry.in_use;
   if (closed_) {
     return;
   }
-  entry.idle.push_back({std::move(io), std::chrono::steady_clock::now()});
+  entry.idle.push_back(
+      {std::move(io), std::move(ids), std::chrono::steady_clock::now()});
   SchedulePrune();
 }
 
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -6,8 +6,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "kumquatgauge/upstream/connection_settings.h"
 #include "upstream/deadline_socket.h"
@@ -16,12 +19,28 @@
 
 class ConnectionPool;
 
+// The ids of the requests that a connection has carried, as hashes; two ids
+// with one hash only cost a connection.
+class CarriedIds {
+ public:
+  // A connection that has carried so many is closed, which limits the memory.
+  static constexpr std::size_t kMax = 256;
+
+  auto Add(std::string_view id) -> void;
+  auto Contains(std::string_view id) const -> bool;
+  auto full() const -> bool { return hashes_.size() >= kMax; }
+
+ private:
+  std::vector<std::size_t> hashes_;
+};
+
 // A connection taken from the pool; closed if destroyed without Release.
 class Connection {
  public:
   Connection(std::shared_ptr<DeadlineSocket> io,
              std::string address,
              bool reused,
+             CarriedIds ids,
              std::shared_ptr<ConnectionPool> pool);
   Connection(const Connection&) = delete;
   auto operator=(const Connection&) -> Connection& = delete;
@@ -30,13 +49,15 @@
   auto io() -> DeadlineSocket& { return *io_; }
   // Whether it has carried an earlier request.
   auto reused() const -> bool { return reused_; }
-  // Returns the connection to the pool; must not be used afterwards.
+  // Returns the connection to the pool, or closes it if it has carried too many
+  // ids; must not be used afterwards.
   auto Release() -> void;
 
  private:
   std::shared_ptr<DeadlineSocket> io_;
   std::string address_;
   bool reused_;
+  CarriedIds ids_;
   std::shared_ptr<ConnectionPool> pool_;
 };
 
@@ -48,10 +69,15 @@
   ConnectionPool(const boost::asio::any_io_executor& executor,
                  ConnectionSettings settings);
 
-  // Throws Error(kUnavailable) if the connection is refused, the address is
-  // unreachable, connecting takes longer than the connect timeout or `limit`,
-  // or max_connections are in use.
-  auto Acquire(std::string address, Reuse reuse, Duration limit)
+  // A kept connection that has carried a request with the same `id` is not
+  // used, since the answer to that one may be written once more. Empty if the
+  // request has no id. Throws Error(kUnavailable) if the connection is refused,
+  // the address is unreachable, connecting takes longer than the connect
+  // timeout or `limit`, or max_connections are in use.
+  auto Acquire(std::string address,
+               Reuse reuse,
+               Duration limit,
+               std::string id = "")
       -> boost::asio::awaitable<std::shared_ptr<Connection>>;
 
   // Open connections to `address`, idle ones included.
@@ -64,6 +90,7 @@
 
   struct IdleConnection {
     std::shared_ptr<DeadlineSocket> io;
+    CarriedIds ids;
     MonotonicTime since;
   };
   struct Address {
@@ -71,9 +98,11 @@
     std::deque<IdleConnection> idle;  // The longest idle one first.
   };
 
-  auto TakeIdle(const std::string& address) -> std::shared_ptr<DeadlineSocket>;
-  auto Return(const std::string& address, std::shared_ptr<DeadlineSocket> io)
-      -> void;
+  auto TakeIdle(const std::string& address, const std::string& id)
+      -> std::optional<IdleConnection>;
+  auto Return(const std::string& address,
+              std::shared_ptr<DeadlineSocket> io,
+              CarriedIds ids) -> void;
   auto OnClosed(const std::string& address) -> void;
   auto DropExpired() -> void;
   auto SchedulePrune() -> void;
--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -110,8 +110,8 @@
 
   auto Open() -> awaitable<CallEnd> override {
     const auto self = shared_from_this();
-    auto reuse = request_.new_connection ? detail::Reuse::kFreshOnly
-                                         : detail::Reuse::kAllowed;
+    auto reuse = request_.id.empty() ? detail::Reuse::kFreshOnly
+                                     : detail::Reuse::kAllowed;
     while (true) {
       auto end = co_await Connect(reuse);
       if (end != CallEnd::kOpen) {
@@ -169,7 +169,8 @@
       co_return cancelled_ ? CallEnd::kCancelled : CallEnd::kDeadline;
     }
     try {
-      connection_ = co_await pool_->Acquire(request_.address, reuse, left);
+      connection_ =
+          co_await pool_->Acquire(request_.address, reuse, left, request_.id);
     } catch (const Error& error) {
       reason_ = error.what();
       co_return CallEnd::kNotSent;
--- a/src/upstream/replica_call_test.cc
+++ b/src/upstream/replica_call_test.cc
@@ -10,6 +10,7 @@
 #include <optional>
 
 #include "testing/support/run_until.h"
+#include "upstream/connection_pool.h"
 
 namespace kumquatgauge::upstream {
 namespace {
@@ -21,6 +22,7 @@
 
 // Larger than the buffers of two sockets, so that writing it blocks.
 constexpr std::size_t kLongBody = 24'000'000;
+constexpr int kStatus = 200;
 constexpr auto kResponse =
     std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
 
@@ -104,6 +106,7 @@
     auto request = ReplicaRequest();
     request.address =
         "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    request.id = target;
     request.method = "POST";
     request.target = target;
     request.headers = {{"Host", "h"}};
@@ -145,6 +148,33 @@
     asio::co_spawn(context, call->Open(), asio::detached);
   }
 
+  // Sends a request, which arrives at `replica`, and reads the whole answer.
+  auto Run(const std::string& target, ReplicaConnection& replica) -> void {
+    const auto call = Start(target, "");
+    Open(call);
+    Answer(call, target, replica);
+  }
+  // The same on the next connection.
+  auto RunOnNewConnection(const std::string& target)
+      -> std::unique_ptr<ReplicaConnection> {
+    const auto call = Start(target, "");
+    Open(call);
+    auto replica = Accept();
+    Answer(call, target, *replica);
+    return replica;
+  }
+  auto Answer(const std::shared_ptr<ReplicaCaller::Call>& call,
+              const std::string& target,
+              ReplicaConnection& replica) -> void {
+    REQUIRE(RunUntil(context, [&] {
+      replica.Read();
+      return replica.received().find(target + " ") != std::string::npos;
+    }));
+    replica.Respond();
+    REQUIRE(RunUntil(context, [&] { return call->head().status == kStatus; }));
+    REQUIRE(ReadWhole(call) == CallEnd::kComplete);
+  }
+
   asio::io_context context{1};
   tcp::acceptor acceptor{context, {asio::ip::address_v4::loopback(), 0}};
   ReplicaCaller caller{context.get_executor(), ConnectionSettings()};
@@ -180,6 +210,32 @@
   }));
 }
 
+// Guards against an answer that belongs to an earlier request with the same id,
+// and against a new connection for each request.
+TEST_CASE("ReplicaCaller.SendsNoIdTwiceOnAConnection") {
+  auto fixture = Fixture();
+  const auto first = fixture.RunOnNewConnection("/a");
+  const auto second = fixture.RunOnNewConnection("/a");
+  fixture.Run("/b", *second);
+  fixture.Run("/b", *first);
+  CHECK(fixture.caller.opened() == 2);
+}
+
+// Guards against memory that grows with the number of requests on a connection.
+TEST_CASE("ReplicaCaller.ClosesAConnectionThatHasCarriedManyIds") {
+  auto fixture = Fixture();
+  const auto replica = fixture.RunOnNewConnection("/first");
+  for (std::size_t number = 1; number < detail::CarriedIds::kMax; ++number) {
+    fixture.Run("/" + std::to_string(number), *replica);
+  }
+  CHECK(fixture.caller.opened() == 1);
+  CHECK(RunUntil(fixture.context, [&] {
+    replica->Read();
+    return replica->ended();
+  }));
+  fixture.RunOnNewConnection("/last");
+}
+
 // Guards against writing the first copy of a request to the end after a second
 // one was sent and the call was cancelled.
 TEST_CASE("ReplicaCaller.StopsWritingOnAConnectionThatItReplaces") {
--- a/testing/gateway/replica_answer_test.cc
+++ b/testing/gateway/replica_answer_test.cc
@@ -146,6 +146,163 @@
   CheckRepeatedRefusal(false);
 }
 
+// Serves one connection of a replica that refuses each request twice, then runs
+// it. On the connection of an earlier refusal it writes that one once more
+// while the request runs.
+auto RefuseTwice(RawServer::Socket& socket,
+                 const std::atomic<bool>& stopped,
+                 Runs& refusals,
+                 Runs& runs) -> void {
+  constexpr int kRefusals = 2;
+  auto refused = std::map<std::string, std::string>();
+  while (!stopped) {
+    const auto request = ReadRequestHead(socket);
+    const auto id = HeaderIn(request, "Request-Id");
+    if (id.empty()) {
+      return;
+    }
+    if (refusals.count(id) < kRefusals) {
+      refusals.Add(id);
+      refused[id] = Head("503 Full", request) +
+                    "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+      Write(socket, refused[id]);
+      continue;
+    }
+    runs.Add(id);
+    Write(socket, refused[id]);
+    std::this_thread::sleep_for(kRunTime);
+    Write(socket, WholeAnswer(request));
+  }
+}
+
+// Guards against a request that is reported as not run, or runs twice, because
+// its id was sent before on the same kept connection and the replica wrote the
+// refusal of that attempt once more.
+TEST_CASE("Gateway.TakesNoRefusalOfAnEarlierAttemptWithTheSameId") {
+  constexpr int kCalls = 4;
+  auto refusals = Runs();
+  auto runs = Runs();
+  auto fleet = RawFleet(
+      [&](RawServer::Socket& socket, const std::atomic<bool>& stopped) {
+        RefuseTwice(socket, stopped, refusals, runs);
+      });
+  for (auto number = 0; number < 8; ++number) {
+    for (const auto* target : {"/plain/once/x", "/plain/x"}) {
+      const auto id = target + std::to_string(number);
+      auto reply = FetchReply();
+      for (auto call = 0; call < kCalls && reply.status != 200; ++call) {
+        reply = fleet.node().Call("POST", target, id);
+        INFO(id << " " << reply.status << " runs " << runs.count(id));
+        CHECK_FALSE((reply.status == 503 && runs.count(id) > 0));
+      }
+      CHECK(reply.body == "answer to " + id);
+      CHECK(runs.count(id) == 1);
+    }
+  }
+}
+
+// Guards against a new connection for each request that full replicas refuse.
+TEST_CASE("Gateway.KeepsConnectionsOverWhichRequestsWereRefused") {
+  constexpr int kRequests = 200;
+  auto connections = std::atomic<int>(0);
+  auto requests = std::atomic<int>(0);
+  auto fleet = RawFleet(
+      [&](RawServer::Socket& socket, const std::atomic<bool>& stopped) {
+        ++connections;
+        while (!stopped) {
+          const auto request = ReadRequestHead(socket);
+          if (HeaderIn(request, "Request-Id").empty()) {
+            return;
+          }
+          // Replicas that refuse everything are soon not asked any more.
+          if (++requests % 3 == 0) {
+            Write(socket, WholeAnswer(request));
+          } else {
+            Write(socket, Head("503 Full", request) +
+                              "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+          }
+        }
+      });
+  for (auto number = 0; number < kRequests; ++number) {
+    const auto id = "q" + std::to_string(number);
+    for (const auto* target : {"/plain/once/x", "/plain/x"}) {
+      static_cast<void>(fleet.node().Call("POST", target, id + target));
+    }
+  }
+  INFO(requests.load() << " requests, two of three refused, "
+                       << connections.load() << " connections");
+  CHECK(requests > kRequests);
+  CHECK(connections < requests / 20);
+}
+
+// Answers an item with one event, whose data is `text`.
+auto ItemAnswer(const std::string& request, const std::string& text)
+    -> std::string {
+  const auto body = "id: 1\ndata: " + text + "\n\n";
+  return Head("200 OK", request) +
+         "Response-Signature: s\r\nContent-Type: text/event-stream\r\n"
+         "Content-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// The text of the only result of a job, once it is listed.
+auto ResultOf(const GatewayProcess& node, const std::string& job)
+    -> std::string {
+  auto page = nlohmann::json();
+  REQUIRE(Eventually([&] {
+    page = node.ReadJob(job);
+    return page.is_object() && !page.at("results").empty();
+  }));
+  return page.at("results").at(0).value("text", "");
+}
+
+// Guards against a result that belongs to an item of another job with the same
+// id: the replica wrote that answer once more on the kept connection.
+TEST_CASE("Gateway.TakesNoResultOfAnItemOfAnotherJobWithTheSameId") {
+  auto runs = Runs();
+  auto fleet = RawFleet([&](RawServer::Socket& socket,
+                            const std::atomic<bool>& stopped) {
+    auto last = std::string();
+    while (!stopped) {
+      const auto request = ReadRequestHead(socket);
+      const auto id = HeaderIn(request, "Request-Id");
+      if (id.empty()) {
+        return;
+      }
+      const auto run = runs.Add(id);
+      Write(socket, last);
+      std::this_thread::sleep_for(last.empty() ? milliseconds(0) : kRunTime);
+      last = ItemAnswer(request, "run " + std::to_string(run));
+      Write(socket, last);
+    }
+  });
+  for (auto number = 1; number <= 4; ++number) {
+    const auto job = "job" + std::to_string(number);
+    const auto body = JobBody({"item"});
+    REQUIRE(fleet.node().Call("POST", "/jobs/1", job, body).status == 202);
+    CHECK(ResultOf(fleet.node(), job) == "run " + std::to_string(number));
+    CHECK(runs.count("item") == number);
+  }
+}
+
+// Guards against an item that runs twice because the refusal of an earlier
+// attempt was written once more while it ran.
+TEST_CASE("Gateway.TakesNoRefusalOfAnEarlierAttemptOfAnItem") {
+  auto refusals = Runs();
+  auto runs = Runs();
+  auto fleet = RawFleet(
+      [&](RawServer::Socket& socket, const std::atomic<bool>& stopped) {
+        RefuseTwice(socket, stopped, refusals, runs);
+      });
+  for (auto number = 1; number <= 4; ++number) {
+    const auto job = "job" + std::to_string(number);
+    const auto item = "item" + std::to_string(number);
+    const auto body = JobBody({item});
+    REQUIRE(fleet.node().Call("POST", "/jobs/1", job, body).status == 202);
+    CHECK(Eventually([&] { return runs.count(item) > 0; }));
+  }
+}
+
 // What a second replica answers to a stream that broke off at the first one.
 struct Continuation {
   std::string line;
