Let the soak's replicas write refusals once more on kept connections

At times all replicas now refuse one to four requests each, and their links write a refusal once more when the next request arrives on its connection. Callers send refused plain requests again under their id meanwhile, and the checker looks before each repeat, too, whether the refused request ran. The disruption has a random source and a counter of refusals of its own, so that seeds keep the others.

Batch items with the same id in several jobs are not covered.

--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -349,6 +349,11 @@
   fault_count_ = count;
 }
 
+auto FakeReplica::Refuse(int count) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  refusals_ = count;
+}
+
 auto FakeReplica::id() const -> std::string {
   const auto lock = std::lock_guard(mutex_);
   return id_;
@@ -442,6 +447,10 @@
 
 auto FakeReplica::TakeFault(const std::string& path) -> ReplicaFault {
   const auto lock = std::lock_guard(mutex_);
+  if (refusals_ > 0) {
+    --refusals_;
+    return ReplicaFault::kRefuse;
+  }
   if (fault_count_ == 0 || path.find(faulty_path_part_) == std::string::npos) {
     return ReplicaFault::kNone;
   }
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -139,6 +139,8 @@
   auto id() const -> std::string;
   // Applies to the next `count` requests.
   auto SetFault(ReplicaFault fault, int count) -> void;
+  // Answers the next `count` requests as not run, whatever the fault is.
+  auto Refuse(int count) -> void;
   // Faults apply only to requests with this in their path.
   auto SetFaultyPathPart(const std::string& part) -> void;
   // A request whose prompt has this part ends the replica before its answer
@@ -196,6 +198,7 @@
   std::map<std::string, int> runs_;
   ReplicaFault fault_ = ReplicaFault::kNone;
   int fault_count_ = 0;
+  int refusals_ = 0;
   std::string faulty_path_part_;
   int finished_runs_ = 0;
   std::chrono::milliseconds event_delay_{0};
--- a/testing/soak/checker.cc
+++ b/testing/soak/checker.cc
@@ -102,6 +102,13 @@
   }
 }
 
+auto SoakChecker::OnRepeat(const std::string& id) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  if (count_runs_(id) > 0) {
+    Add("request " + id + " was refused as not run but ran");
+  }
+}
+
 auto SoakChecker::OnSubmitted(const std::string& job,
                               const std::vector<std::string>& items,
                               const FetchReply& reply,
--- a/testing/soak/checker.h
+++ b/testing/soak/checker.h
@@ -68,6 +68,9 @@
   auto OnReply(const std::string& id,
                const RequestExpectation& expected,
                const FetchReply& reply) -> void;
+  // A caller is about to send a request once more, under the same id, because
+  // it was refused as not run.
+  auto OnRepeat(const std::string& id) -> void;
   // The answer to a submission of a job. Its tokens count toward the limit if
   // `limited`.
   auto OnSubmitted(const std::string& job,
--- a/testing/soak/checker_test.cc
+++ b/testing/soak/checker_test.cc
@@ -46,6 +46,20 @@
   CHECK(fixture.CountViolations() == 1);
 }
 
+TEST_CASE("SoakChecker.FindsARepeatedRequestWhoseRefusedAttemptRan") {
+  auto fixture = Fixture();
+  fixture.checker.OnReply("a", {1, false, "x"}, Reply(503, ""));
+  fixture.checker.OnRepeat("a");
+  fixture.runs["a"] = 1;
+  fixture.checker.OnReply("a", {1, false, "x"}, Reply(200, "x"));
+  CHECK(fixture.CountViolations() == 0);
+  fixture.runs["b"] = 1;
+  fixture.checker.OnReply("b", {1, false, "x"}, Reply(503, ""));
+  fixture.checker.OnRepeat("b");
+  fixture.checker.OnReply("b", {1, false, "x"}, Reply(200, "x"));
+  CHECK(fixture.CountViolations() == 1);
+}
+
 TEST_CASE("SoakChecker.FindsARequestThatRanTooOften") {
   auto fixture = Fixture();
   fixture.runs["a"] = 2;
--- a/testing/soak/loopback_proxy.cc
+++ b/testing/soak/loopback_proxy.cc
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <set>
+#include <string_view>
 #include <utility>
 
 namespace kumquatgauge::testing {
@@ -45,6 +46,7 @@
   tcp::socket server;
   bool silent_to_server = false;
   bool silent_to_caller = false;
+  std::string last_refusal;
 };
 
 auto ParseEndpoint(const std::string& address) -> tcp::endpoint {
@@ -83,6 +85,9 @@
 
   auto address() const -> const std::string& { return address_; }
   auto SetFault(LinkFault fault) -> void { fault_ = fault; }
+  auto set_repeats_refusals(bool repeats) -> void {
+    repeats_refusals_ = repeats;
+  }
 
  private:
   auto CloseAll(bool reset) -> void {
@@ -140,6 +145,14 @@
         auto timer = asio::steady_timer(self->context_, kDelay);
         co_await timer.async_wait(kAwaitTuple);
       }
+      const auto bytes = std::string_view(piece.data(), size);
+      if (!to_server && bytes.find(kRefusalMark) != std::string_view::npos) {
+        pair->last_refusal = bytes;
+      }
+      if (to_server && self->repeats_refusals_ && bytes.starts_with("POST ")) {
+        co_await asio::async_write(
+            pair->caller, asio::buffer(pair->last_refusal), kAwaitTuple);
+      }
       co_await asio::async_write(to, asio::buffer(piece.data(), size),
                                  kAwaitTuple);
     }
@@ -150,6 +163,7 @@
   tcp::acceptor acceptor_;
   std::string address_;
   std::atomic<LinkFault> fault_{LinkFault::kNone};
+  std::atomic<bool> repeats_refusals_{false};
   std::atomic<bool> stopped_{false};
   std::set<std::shared_ptr<ConnectionPair>> pairs_;
 };
@@ -172,6 +186,10 @@
   impl_->SetFault(fault);
 }
 
+auto LoopbackProxy::set_repeats_refusals(bool repeats) -> void {
+  impl_->set_repeats_refusals(repeats);
+}
+
 auto LoopbackProxy::Reset() -> void {
   impl_->Reset();
 }
--- a/testing/soak/loopback_proxy.h
+++ b/testing/soak/loopback_proxy.h
@@ -19,6 +19,9 @@
 // io_context; its functions can be called from any thread.
 class LoopbackProxy {
  public:
+  // The header by which replicas say that a request has not run.
+  static constexpr auto kRefusalMark = "Not-Executed:";
+
   LoopbackProxy(boost::asio::io_context& context, const std::string& target);
   ~LoopbackProxy();
   LoopbackProxy(const LoopbackProxy&) = delete;
@@ -26,6 +29,10 @@
 
   auto address() const -> std::string;
   auto SetFault(LinkFault fault) -> void;
+  // While set, an answer that holds `kRefusalMark` is written once more when
+  // the next request arrives on its connection, before that request is
+  // forwarded.
+  auto set_repeats_refusals(bool repeats) -> void;
   // Resets all connections that are open now.
   auto Reset() -> void;
 
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -74,6 +74,12 @@
 constexpr auto kSeriesPath = "/series/";
 constexpr std::uint64_t kSeriesSeed = 4'000'003;
 constexpr std::uint64_t kProcessSeed = 2'000'003;
+// The same of replicas that refuse some requests and write the refusals twice.
+constexpr std::size_t kRefusalsOneIn = 4;
+constexpr std::size_t kMaxRefusals = 4;
+constexpr std::uint64_t kRefusalSeed = 3'000'003;
+// How often a caller sends a refused request meanwhile.
+constexpr int kMaxSends = 4;
 // Software versions of the replicas at the start; later ones are released.
 constexpr std::size_t kFirstVersions = 2;
 // How often a caller takes up a stream.
@@ -140,6 +146,7 @@
         replica_random_(~settings.seed),
         late_random_(settings.seed + kLateSeed),
         process_random_(settings.seed + kProcessSeed),
+        refusal_random_(settings.seed + kRefusalSeed),
         store_(thread_.context()),
         checker_([this](const std::string& id) { return RunCount(id); },
                  kTokenLimit) {
@@ -194,6 +201,7 @@
     thread_.Stop();
     counts_["stream resumed"] = resumed_;
     counts_["stream not resumed"] = not_resumed_;
+    counts_["refused request repeated"] = sent_again_;
     return {checker_.violations(), checker_.replies(), counts_};
   }
 
@@ -312,8 +320,19 @@
                  const std::string& target,
                  const std::string& id,
                  int max_runs) -> void {
-    const auto reply = Call(node, target, id, id);
-    checker_.OnReply(id, {max_runs, false, "answer to " + id}, reply);
+    const auto expected =
+        RequestExpectation{max_runs, false, "answer to " + id};
+    auto reply = Call(node, target, id, id);
+    checker_.OnReply(id, expected, reply);
+    for (auto sends = 1; refusals_repeated_ && sends < kMaxSends &&
+                         reply.status == kServiceUnavailable;
+         ++sends) {
+      std::this_thread::sleep_for(kCallerPause);
+      checker_.OnRepeat(id);
+      ++sent_again_;
+      reply = Call(node, target, id, id);
+      checker_.OnReply(id, expected, reply);
+    }
   }
 
   auto CallStream(const GatewayProcess& node,
@@ -495,6 +514,9 @@
         KillAll();
       }
       DisturbProcesses();
+      if (refusal_random_.Below(kRefusalsOneIn) == 0) {
+        RepeatRefusals();
+      }
       std::this_thread::sleep_for(
           fault_random_.Between(kFaultPauseMin, kFaultPauseMax));
       RunDue(std::chrono::steady_clock::now());
@@ -610,6 +632,32 @@
     }
   }
 
+  // Callers repeat refused requests meanwhile, so that a second copy of a
+  // refusal can meet a request with the id that it names.
+  auto RepeatRefusals() -> void {
+    ++counts_["refusals written twice"];
+    const auto time = refusal_random_.Between(kFaultMin, kFaultMax);
+    for (auto& replica : replicas_) {
+      replica.server->Refuse(
+          static_cast<int>(refusal_random_.Below(kMaxRefusals)) + 1);
+      replica.link->set_repeats_refusals(true);
+    }
+    refusals_repeated_ = true;
+    const auto number = ++refusal_repeats_;
+    RunAfter(time, [this, number] {
+      if (number == refusal_repeats_) {
+        EndRepeatedRefusals();
+      }
+    });
+  }
+
+  auto EndRepeatedRefusals() -> void {
+    refusals_repeated_ = false;
+    for (auto& replica : replicas_) {
+      replica.link->set_repeats_refusals(false);
+    }
+  }
+
   // Keeps one of the addresses of a node that is about to start in use.
   auto HoldAddress(Node& node) -> void {
     const auto& process = *node.process;
@@ -816,9 +864,11 @@
       RunDue(SteadyTime::max());
     }
     store_.set_down(false);
+    EndRepeatedRefusals();
     for (auto& replica : replicas_) {
       replica.link->SetFault(LinkFault::kNone);
       replica.server->SetFault(ReplicaFault::kNone, 0);
+      replica.server->Refuse(0);
       Announce(replica);
     }
     for (auto& node : nodes_) {
@@ -883,6 +933,7 @@
   RandomSource replica_random_;
   RandomSource late_random_;
   RandomSource process_random_;
+  RandomSource refusal_random_;
   FakeServerThread thread_;
   FakeObjectApi store_;
   SoakChecker checker_;
@@ -894,6 +945,9 @@
   std::atomic<bool> done_{false};
   std::atomic<int> resumed_{0};
   std::atomic<int> not_resumed_{0};
+  std::atomic<int> sent_again_{0};
+  std::atomic<bool> refusals_repeated_{false};
+  int refusal_repeats_ = 0;
   int settle_calls_ = 0;
   std::size_t replacements_ = 0;  // Two in a row have the same version.
 };
