--- a/src/upstream/replica_call_test.cc
+++ b/src/upstream/replica_call_test.cc
@@ -149,10 +149,12 @@
   }
 
   // Sends a request, which arrives at `replica`, and reads the whole answer.
-  auto Run(const std::string& target, ReplicaConnection& replica) -> void {
+  auto Run(const std::string& target,
+           ReplicaConnection& replica,
+           std::string_view answer = kResponse) -> void {
     const auto call = Start(target, "");
     Open(call);
-    Answer(call, target, replica);
+    Answer(call, target, replica, answer);
   }
   // The same on the next connection.
   auto RunOnNewConnection(const std::string& target)
@@ -160,17 +162,18 @@
     const auto call = Start(target, "");
     Open(call);
     auto replica = Accept();
-    Answer(call, target, *replica);
+    Answer(call, target, *replica, kResponse);
     return replica;
   }
   auto Answer(const std::shared_ptr<ReplicaCaller::Call>& call,
               const std::string& target,
-              ReplicaConnection& replica) -> void {
+              ReplicaConnection& replica,
+              std::string_view answer) -> void {
     REQUIRE(RunUntil(context, [&] {
       replica.Read();
       return replica.received().find(target + " ") != std::string::npos;
     }));
-    replica.Respond();
+    replica.Write(answer);
     REQUIRE(RunUntil(context, [&] { return call->head().status == kStatus; }));
     REQUIRE(ReadWhole(call) == CallEnd::kComplete);
   }
@@ -221,6 +224,17 @@
   CHECK(fixture.caller.opened() == 2);
 }
 
+// Guards against a second copy of an answer that is taken for the answer to the
+// next request on its connection.
+TEST_CASE("ReplicaCaller.UsesNoConnectionWithBytesThatNoRequestWaitsFor") {
+  auto fixture = Fixture();
+  const auto first = fixture.RunOnNewConnection("/a");
+  first->Respond();
+  const auto second = fixture.RunOnNewConnection("/b");
+  fixture.Run("/c", *second, std::string(kResponse).append(kResponse));
+  fixture.RunOnNewConnection("/d");
+}
+
 // Guards against memory that grows with the number of requests on a connection.
 TEST_CASE("ReplicaCaller.ClosesAConnectionThatHasCarriedManyIds") {
   auto fixture = Fixture();
