Log an item that is withheld because replicas crash on its prompt

An item whose prompt has a quarantined part waited without a line in the log between its attempts, so that a late item could not be told from one that found no free slot. item_withheld names the item and the part, once until it is admitted.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -1161,12 +1161,14 @@
     if (!placed || !choice.replica) {
       co_return outcome;
     }
-    if (!parts_.quarantine.Admit(TraitsOf(item)).allowed) {
+    auto& progress = job->progress[ref.item];
+    const auto admission = parts_.quarantine.Admit(TraitsOf(item));
+    LogWithheld(ref, item, admission, progress);
+    if (!admission.allowed) {
       outcome.end = ItemEnd::kWithheld;
       co_return outcome;
     }
     const auto replica = *choice.replica;
-    auto& progress = job->progress[ref.item];
     const auto limited =
         parts_.load_balancer.start_limiter().IsLimited(replica.id);
     if (limited) {
@@ -1256,6 +1258,22 @@
     return {item.shared_parts, std::nullopt};
   }
 
+  // Logs once that an item is withheld, which is decided again every second.
+  auto LogWithheld(const ItemRef& ref,
+                   const JobItem& item,
+                   const RequestQuarantine::Admission& admission,
+                   ItemProgress& progress) -> void {
+    const auto before = std::exchange(progress.withheld, !admission.allowed);
+    if (!admission.allowed && !before) {
+      logger_.Warning(
+          "an item is withheld: replicas crash on a part of its prompt",
+          {{"event", "item_withheld"},
+           {"job", ref.job.value()},
+           {"item", item.id},
+           {"part", PartName(admission.trait.value)}});
+    }
+  }
+
   // Reports whether the replica has begun to answer the item or broke off
   // before.
   auto ReportToQuarantine(const JobItem& item,
--- a/src/serving/owned_job.h
+++ b/src/serving/owned_job.h
@@ -23,6 +23,7 @@
   std::uint64_t last_event = 0;
   std::shared_ptr<upstream::ReplicaCaller::Call> call;  // While it runs.
   bool answered = false;  // The replica has begun to answer the call.
+  bool withheld = false;  // Since replicas crash on a part of its prompt.
   ReplicaId replica;      // That runs it, or ran it last.
   // Of the software of that replica; all of the text is of this version.
   std::string version;
