Tell a node at once that a part which it refuses was answered

A node that knows a later answer to a suspected part objects by putting the part into its next reports, which go to four random nodes and hold six suspects, those with the most crashes first. After replicas have reset connections for some seconds, each node knows more than six suspects with three crashes for up to a minute. The objections are then in no report, and a node that had missed the answer refuses the part until these suspects are forgotten, though it asks four others each second. It withholds the items of its jobs meanwhile.

OnReport now returns the objections, and the gateway sends them back to the node that reported. RequestQuarantine.AcceptsAnObjectionBesideManySuspects failed before.

--- a/include/kumquatgauge/serving/request_quarantine.h
+++ b/include/kumquatgauge/serving/request_quarantine.h
@@ -127,7 +127,11 @@
   // Returns what to report to other nodes: what is quarantined, has
   // crashed the most and changed last comes first.
   auto Report() const -> std::vector<SuspectReport>;
-  auto OnReport(const std::vector<SuspectReport>& reports) -> void;
+  // Applies the report of another node. Returns the objections to it, which are
+  // reports to send back to that node: a report to random nodes holds only a
+  // few suspects and may never tell it.
+  auto OnReport(const std::vector<SuspectReport>& reports)
+      -> std::vector<SuspectReport>;
 
   // Must be called several times a second while `active`. Returns the changes
   // since the last call.
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -1064,7 +1064,7 @@
       } else if (type == "leaving") {
         OnLeavingDatagram(message);
       } else if (type == "crash") {
-        quarantine_.OnReport(detail::DecodeReports(message.at("p")));
+        OnCrashReport(from, message);
       } else if (type == "orphan") {
         batch_.OnOrphan(JobId(message.at("j").get<std::string>()), from);
       } else if (type == "job") {
@@ -1225,6 +1225,18 @@
                   {"p", detail::EncodeReports(quarantine_.Report())}});
   }
 
+  auto OnCrashReport(const NodeId& from, const json& message) -> void {
+    const auto objections =
+        quarantine_.OnReport(detail::DecodeReports(message.at("p")));
+    const auto record = gossip_.membership().Find(from);
+    if (!objections.empty() && record) {
+      gossip_.SendDatagram(record->info.node_address,
+                           json{{"t", "crash"},
+                                {"n", settings_.name.value()},
+                                {"p", detail::EncodeReports(objections)}});
+    }
+  }
+
   auto UpdateQuarantine() -> void {
     for (const auto& change : quarantine_.OnTick()) {
       LogQuarantine(change);
--- a/src/serving/request_quarantine.cc
+++ b/src/serving/request_quarantine.cc
@@ -286,8 +286,9 @@
 }
 
 auto RequestQuarantine::OnReport(const std::vector<SuspectReport>& reports)
-    -> void {
+    -> std::vector<SuspectReport> {
   const auto now = clock_();
+  auto objections = std::vector<SuspectReport>();
   for (const auto& report : reports) {
     if (report.answered_age) {
       AddAnswer(report.trait, now - *report.answered_age);
@@ -309,8 +310,10 @@
       suspect.depth = report.depth;
       Touch(suspect);
       EvictSuspects();
+      objections.push_back({report.trait, report.depth, {}, now - *answered});
     }
   }
+  return objections;
 }
 
 auto RequestQuarantine::OnTick() -> std::vector<QuarantineChange> {
--- a/src/serving/request_quarantine_test.cc
+++ b/src/serving/request_quarantine_test.cc
@@ -50,7 +50,8 @@
       const auto report = from->Report();
       for (auto& to : nodes) {
         if (to != from) {
-          to->OnReport(report);
+          const auto objections = to->OnReport(report);
+          CHECK(from->OnReport(objections).empty());
         }
       }
     }
@@ -196,6 +197,29 @@
   CHECK_FALSE(fixture.Refuses({7}, 1));
 }
 
+// Guards against a node that goes on refusing a part alone: the nodes with an
+// answer to it report only what has crashed more replicas.
+TEST_CASE("RequestQuarantine.AcceptsAnObjectionBesideManySuspects") {
+  constexpr PromptPart kRare = 7;
+  auto fixture = Fixture(2);
+  for (auto replica = 0; replica < 3; ++replica) {
+    const auto id = ReplicaId("g-" + std::to_string(replica));
+    for (auto request = 0U; request < fixture.settings.max_report; ++request) {
+      fixture.node(1).OnCrash(id, {{}, 100 + request});
+    }
+  }
+  for (auto crash = 0U; crash < fixture.settings.min_crashes; ++crash) {
+    fixture.Crash({kRare}, 0);
+  }
+  fixture.node(1).OnAnswered(Parts({kRare}));
+  REQUIRE(fixture.Refuses({kRare}, 0));
+  for (auto round = 0; round < 20; ++round) {
+    fixture.Exchange();
+    fixture.clock.Advance(milliseconds(250));
+  }
+  CHECK_FALSE(fixture.Refuses({kRare}, 0));
+}
+
 // Guards against a restarted node that lets the part through until it has seen
 // crashes itself.
 TEST_CASE("RequestQuarantine.InformsANodeThatHasRestarted") {
