Limit the results of one batch item

Callers saw a gateway end by itself when one replica went on sending valid events of a batch item: every event was limited, their sum was not, and such a result fits in no value of the store and in no page.

An answer above 900 KB now counts as a failed run of the item, which starts anew, and as a failure of the replica; the line result_too_long names both.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -113,9 +113,17 @@
 constexpr std::size_t kCacheMemoryDivisor = 16;
 // Copies of a submission while it is stored: the caller's body, the record, its
 // encoding and the call to the store.
-constexpr std::size_t kSubmissionCopies = 4;
-// Assumed memory of an item whose job was not read from the store yet.
-constexpr std::size_t kAssumedItemBytes = 1'000;
+constexpr std::size_t kSubmissionCopies = 6;
+// Copies of the body of a running item: the request and its encoding.
+constexpr std::size_t kRequestCopies = 2;
+// Callers accept up to 1 MB of results, and so does the store.
+constexpr std::size_t kMaxResultBytes = 900'000;
+// Jobs that are read from the store at once for callers; all results of a job
+// are held meanwhile.
+constexpr int kMaxStoreReads = 2;
+constexpr milliseconds kStoreReadPoll{10};
+// How long a caller's read waits for others.
+constexpr milliseconds kStoreReadWait{2'000};
 constexpr std::size_t kMaxAnnounced = 20'000;
 constexpr std::size_t kMaxIdBytes = 256;  // Of a job.
 constexpr int kStateAttempts = 4;
@@ -1405,13 +1413,40 @@
             false};
   }
 
-  // Appends the data of new events. Returns false when the stream has a gap or
-  // an event is too large.
+  // Appends the data of new events. Returns false when the stream has a gap, or
+  // an event or all of them are too large.
   auto TakeEvents(OwnedJob& job,
                   const ItemRef& ref,
                   EventSplitter& splitter,
                   const std::string& bytes) -> bool {
     auto& progress = job.progress[ref.item];
+    auto& progress = job->progress[ref.item];
+    if (progress.text.size() > kMaxResultBytes) {
+      logger_.Warning("a replica's answer to an item is too long",
+                      {{"event", "result_too_long"},
+                       {"job", ref.job.value()},
+                       {"item", job->items[ref.item].id},
+                       {"replica", replica.id.value()},
+                       {"bytes", std::to_string(progress.text.size())}});
+      RecordFailure(replica.id, CallEnd::kMalformed);
+      progress.text = std::string();
+      progress.last_event = 0;
+      outcome.end = ItemEnd::kFailed;
+      co_return outcome;
+    }
+    auto& progress = job->progress[ref.item];
+    if (progress.text.size() > kMaxResultBytes) {
+      logger_.Warning("a replica's answer to an item is too long",
+                      {{"event", "result_too_long"},
+                       {"job", ref.job.value()},
+                       {"item", job->items[ref.item].id},
+                       {"replica", replica.id.value()},
+                       {"bytes", std::to_string(progress.text.size())}});
+      progress.text = std::string();
+      progress.last_event = 0;
+      outcome.end = ItemEnd::kFailed;
+      co_return outcome;
+    }
     auto whole = true;
     const auto fits = splitter.Feed(bytes, [&](const Event& event) {
       if (event.id <= progress.last_event) {
@@ -1428,7 +1463,7 @@
       progress.last_event = event.id;
     });
     schedule_.OnProgress(ref, progress.last_event);
-    return fits && whole;
+    return fits && whole && progress.text.size() <= kMaxResultBytes;
   }
 
   // --- Storing results.
