Limit the memory of reads of batch jobs

Callers saw a gateway end by itself when many of them read a job at once. Each read of a job that the node does not own loaded all its results from the store and copied them, and each held its page and the text of it until the caller had taken it.

At most two jobs are read from the store at once; further reads wait up to 2 s, and use what is cached if it is complete. The answers that are being sent share an eighth of limits.memory_mb; a read that does not fit is refused with a Retry-After of 0.5 s.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -111,6 +111,12 @@
 // store. JobMemory limits the rest of the jobs.
 constexpr std::size_t kUnstoredMemoryDivisor = 8;
 constexpr std::size_t kCacheMemoryDivisor = 16;
+// The same of answers to reads that are being sent.
+constexpr std::size_t kAnswerMemoryDivisor = 8;
+// Copies of an answer: its parts and its text.
+constexpr std::size_t kAnswerCopies = 2;
+constexpr auto kAnswersTooLong =
+    "answers to other reads use all memory for them";
 // Copies of a submission while it is stored: the caller's body, the record, its
 // encoding and the call to the store.
 constexpr std::size_t kSubmissionCopies = 6;
@@ -382,9 +388,15 @@
       auto headers = HeaderList{{"Content-Type", "application/json"}};
       auto body = parts_.dialect.encode_page(*page);
       co_await writer->Send(kOk, std::move(headers), std::move(body));
+    auto answering = std::shared_ptr<void>();
       co_return;
+      answering = ReserveAnswer(MemoryOf(page->results));
+      failure = answering ? "" : kAnswersTooLong;
+    }
+    if (answering) {
     }
     logger_.Warning("results are unavailable",
+      page.reset();
                     {{"event", "read_refused"},
                      {"job", call.job.value()},
                      {"known", known ? "unsure" : "no"},
@@ -409,7 +421,12 @@
       auto headers = HeaderList{{"Content-Type", "application/octet-stream"}};
       co_await writer->Send(kOk, std::move(headers), std::move(*body));
     } else if (failure.empty()) {
+    auto answering = std::shared_ptr<void>();
       co_await Answer(writer, kNotFound, "no such item");
+      answering = ReserveAnswer(body->size());
+      failure = answering ? "" : kAnswersTooLong;
+    }
+    if (answering) {
     } else {
       logger_.Warning("the body of an item is unavailable",
                       {{"event", "read_refused"},
@@ -743,6 +760,22 @@
     memory_.Set(job.state.id, {job.item_bytes, job.stored_bytes,
                                job.items.size() - job.listed.size(),
                                job.state.accepted_ms, job.IsOver()});
+  // Limits the memory of answers to reads that callers have not taken yet. The
+  // answer may be sent while the returned handle exists; null if there is no
+  // room.
+  auto ReserveAnswer(std::size_t bytes) -> std::shared_ptr<void> {
+    const auto all = kAnswerCopies * bytes;
+    if (answer_bytes_ > 0 &&
+        answer_bytes_ + all > parts_.memory_bytes / kAnswerMemoryDivisor) {
+      return nullptr;
+    }
+    answer_bytes_ += all;
+    // A null pointer would look like a refusal.
+    return {this, [self = shared_from_this(), all](void*) {
+              self->answer_bytes_ -= all;
+            }};
+  }
+
   }
 
   // Drops jobs that are over, oldest first, once jobs use too much memory.
@@ -1864,9 +1897,31 @@
                     {"wait_ms", call.wait.count()}};
     const auto answer =
         co_await AskPeer(std::move(peer), "job-results", std::move(request),
+  // Limits how many jobs are read from the store at once. The read of the
+  // caller may begin, and lasts until the returned handle is destroyed.
+  auto AwaitStoreRead(JobId id) -> awaitable<std::shared_ptr<void>> {
+    const auto began = parts_.clock();
+    while (store_reads_ >= kMaxStoreReads) {
+      if (parts_.clock() - began >= kStoreReadWait) {
+        throw Error(ErrorKind::kOverloaded,
+                    "too many jobs are read from the store", id.value(),
+                    "try again");
+      }
+      co_await Pause(kStoreReadPoll);
+    }
+    ++store_reads_;
+    co_return std::shared_ptr<void>(
+        nullptr, [self = shared_from_this()](void*) { --self->store_reads_; });
+  }
+
                          call.wait + kPeerTimeout);
     if (!answer) {
       co_return std::nullopt;
+    const auto turn = co_await AwaitStoreRead(state.id);
+    const auto* complete = cache_.Find(state.id);
+    if (complete != nullptr && complete->results.size() >= state.total) {
+      co_return detail::MakePage(complete->results, state.total, after);
+    }
     }
     co_return DecodePeerPage(*answer);
   }
@@ -1898,6 +1953,7 @@
       co_return own->second->items[item->second].body;
     }
     if (const auto owner = KnownOwner(call.job)) {
+    const auto turn = co_await AwaitStoreRead(call.job);
       json request = {{"job", call.job.value()}, {"item", call.item}};
       const auto answer = co_await AskPeer(*owner, "job-item",
                                            std::move(request), kPeerTimeout);
@@ -2419,6 +2475,8 @@
   // When the owner of an unfinished job was first found absent.
   std::map<JobId, MonotonicTime> absent_since_;
   // When a node last told of an orphan.
+  int store_reads_ = 0;           // For callers, under way.
+  std::size_t answer_bytes_ = 0;  // To reads, being sent.
   std::map<JobId, MonotonicTime> orphans_told_;
   ResultCache cache_{parts_.memory_bytes / kCacheMemoryDivisor};
   bool scan_exactly_ = true;
