Count the memory of jobs that are being accepted, taken over or run

Callers saw a gateway above its memory limit after another one had stopped as planned: all jobs that it handed over were taken over at once, each counted as 1 KB an item until it was read. Submissions under way were counted without the results that they will have, and running items without the copies of their bodies.

A job that is taken over now counts as the jobs seen so far do, an item under way with its result, and a running item with two copies of its body. Two faults of beside it, both by reading and without a test: the refusal of a job by a node that stops had no Retry-After, and a job was refused as not run while an earlier submission of it was under way.

--- a/include/kumquatgauge/serving/job_memory.h
+++ b/include/kumquatgauge/serving/job_memory.h
@@ -37,6 +37,8 @@
 
   // Sets what an owned job uses.
   auto Set(const JobId& job, const Use& use) -> void;
+  // Learns how long items are.
+  auto OnJob(std::size_t items, std::size_t bytes) -> void;
   auto Remove(const JobId& job) -> void;
   // Counts a job that is being accepted or taken over.
   auto Reserve(std::size_t bytes) -> void { reserved_ += bytes; }
@@ -55,6 +57,11 @@
   // first.
   auto Evictions() const -> std::vector<JobId>;
 
+  // Returns the memory of results that so many items are expected to have.
+  auto ExpectedResults(std::size_t items) const -> std::size_t;
+  // The same of a whole job, by the jobs that were seen so far.
+  auto ExpectedJob(std::size_t items) const -> std::size_t;
+
   auto used_bytes() const -> std::size_t { return used_ + reserved_; }
 
  private:
@@ -66,7 +73,9 @@
   std::size_t used_ = 0;  // By owned jobs.
   std::size_t over_ = 0;  // By those that are over.
   std::size_t unfinished_ = 0;
-  double result_bytes_;  // Moving average.
+  // Moving averages.
+  double result_bytes_;
+  double item_bytes_;
   std::map<JobId, Use> jobs_;
 };
 
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -286,6 +286,9 @@
       refusal.admission = JobAdmission::kUnavailable;
       refusal.reason = "the jobs of this node use all memory for jobs";
       refusal.retry_after = kMemoryRetryAfter;
+      if (submitting_.contains(id)) {
+        refusal.admission = JobAdmission::kUnknown;  // That may be accepted.
+      }
       const auto decision = co_await UnlessAccepted(id, std::move(refusal));
       co_await AnswerNotAccepted(id, decision, writer);
       co_return;
@@ -307,7 +310,8 @@
         JobRecord{id, request.host, request.path, WallMs(), incoming->body};
     auto state = NewState(id, items.size(), record.accepted_ms);
     AddAccount(state, record, items);
-    const auto decoded = ReserveMemory(MemoryOf(items));
+    const auto decoded =
+        ReserveMemory(MemoryOf(items) + memory_.ExpectedResults(items.size()));
     submitting_.insert(id);
     const auto submitted = std::shared_ptr<void>(nullptr, [self, id](void*) {
       self->submitting_.erase(self->submitting_.find(id));
@@ -315,7 +319,7 @@
     auto decision = co_await CheckQuota(state);
     if (stopped_ && decision.admission == JobAdmission::kGranted) {
       parts_.quotas.OnOver(state.account, id);
-      decision = {JobAdmission::kUnavailable, "this node stops", {}};
+      decision = {JobAdmission::kUnavailable, "this node stops"};
     }
     if (decision.admission != JobAdmission::kGranted) {
       co_await AnswerNotAccepted(id, decision, writer);
@@ -384,19 +388,19 @@
     } catch (const std::exception& error) {
       failure = error.what();
     }
-    if (page) {
-      auto headers = HeaderList{{"Content-Type", "application/json"}};
-      auto body = parts_.dialect.encode_page(*page);
-      co_await writer->Send(kOk, std::move(headers), std::move(body));
     auto answering = std::shared_ptr<void>();
-      co_return;
+    if (page) {
       answering = ReserveAnswer(MemoryOf(page->results));
       failure = answering ? "" : kAnswersTooLong;
     }
     if (answering) {
+      auto headers = HeaderList{{"Content-Type", "application/json"}};
+      auto body = parts_.dialect.encode_page(*page);
+      page.reset();
+      co_await writer->Send(kOk, std::move(headers), std::move(body));
+      co_return;
     }
     logger_.Warning("results are unavailable",
-      page.reset();
                     {{"event", "read_refused"},
                      {"job", call.job.value()},
                      {"known", known ? "unsure" : "no"},
@@ -417,16 +421,16 @@
     } catch (const std::exception& error) {
       failure = error.what();
     }
-    if (body) {
-      auto headers = HeaderList{{"Content-Type", "application/octet-stream"}};
-      co_await writer->Send(kOk, std::move(headers), std::move(*body));
-    } else if (failure.empty()) {
     auto answering = std::shared_ptr<void>();
-      co_await Answer(writer, kNotFound, "no such item");
+    if (body) {
       answering = ReserveAnswer(body->size());
       failure = answering ? "" : kAnswersTooLong;
     }
     if (answering) {
+      auto headers = HeaderList{{"Content-Type", "application/octet-stream"}};
+      co_await writer->Send(kOk, std::move(headers), std::move(*body));
+    } else if (failure.empty()) {
+      co_await Answer(writer, kNotFound, "no such item");
     } else {
       logger_.Warning("the body of an item is unavailable",
                       {{"event", "read_refused"},
@@ -756,10 +760,6 @@
             }};
   }
 
-  auto AccountFor(const OwnedJob& job) -> void {
-    memory_.Set(job.state.id, {job.item_bytes, job.stored_bytes,
-                               job.items.size() - job.listed.size(),
-                               job.state.accepted_ms, job.IsOver()});
   // Limits the memory of answers to reads that callers have not taken yet. The
   // answer may be sent while the returned handle exists; null if there is no
   // room.
@@ -776,6 +776,10 @@
             }};
   }
 
+  auto AccountFor(const OwnedJob& job) -> void {
+    memory_.Set(job.state.id, {job.item_bytes, job.stored_bytes,
+                               job.items.size() - job.listed.size(),
+                               job.state.accepted_ms, job.IsOver()});
   }
 
   // Drops jobs that are over, oldest first, once jobs use too much memory.
@@ -808,6 +812,7 @@
     }
     job->AppendStored(results);
     job->item_bytes = MemoryOf(job->items);
+    memory_.OnJob(job->items.size(), job->item_bytes);
     jobs_[stored.state.id] = job;
     AccountFor(*job);
     checks_.Add(stored.state.id, known_at);
@@ -1215,6 +1220,7 @@
     if (limited) {
       limited_starts_.Add();
     }
+    const auto copies = ReserveMemory(kRequestCopies * item.body.size());
     parts_.load_balancer.OnStarted(replica.id, WorkClass::kBatch);
     parts_.hooks.counts_changed();
     const auto call = parts_.replicas.Start(
@@ -1414,6 +1420,20 @@
       call->Cancel();
       end = CallEnd::kMalformed;
     }
+    auto& progress = job->progress[ref.item];
+    if (progress.text.size() > kMaxResultBytes) {
+      logger_.Warning("a replica's answer to an item is too long",
+                      {{"event", "result_too_long"},
+                       {"job", ref.job.value()},
+                       {"item", job->items[ref.item].id},
+                       {"replica", replica.id.value()},
+                       {"bytes", std::to_string(progress.text.size())}});
+      RecordFailure(replica.id, CallEnd::kMalformed);
+      progress.text = std::string();
+      progress.last_event = 0;
+      outcome.end = ItemEnd::kFailed;
+      co_return outcome;
+    }
     if (end == CallEnd::kComplete && splitter.rest().empty()) {
       outcome.end = ItemEnd::kFinished;
       outcome.completed = true;
@@ -1453,33 +1473,6 @@
                   EventSplitter& splitter,
                   const std::string& bytes) -> bool {
     auto& progress = job.progress[ref.item];
-    auto& progress = job->progress[ref.item];
-    if (progress.text.size() > kMaxResultBytes) {
-      logger_.Warning("a replica's answer to an item is too long",
-                      {{"event", "result_too_long"},
-                       {"job", ref.job.value()},
-                       {"item", job->items[ref.item].id},
-                       {"replica", replica.id.value()},
-                       {"bytes", std::to_string(progress.text.size())}});
-      RecordFailure(replica.id, CallEnd::kMalformed);
-      progress.text = std::string();
-      progress.last_event = 0;
-      outcome.end = ItemEnd::kFailed;
-      co_return outcome;
-    }
-    auto& progress = job->progress[ref.item];
-    if (progress.text.size() > kMaxResultBytes) {
-      logger_.Warning("a replica's answer to an item is too long",
-                      {{"event", "result_too_long"},
-                       {"job", ref.job.value()},
-                       {"item", job->items[ref.item].id},
-                       {"replica", replica.id.value()},
-                       {"bytes", std::to_string(progress.text.size())}});
-      progress.text = std::string();
-      progress.last_event = 0;
-      outcome.end = ItemEnd::kFailed;
-      co_return outcome;
-    }
     auto whole = true;
     const auto fits = splitter.Feed(bytes, [&](const Event& event) {
       if (event.id <= progress.last_event) {
@@ -1897,6 +1890,13 @@
                     {"wait_ms", call.wait.count()}};
     const auto answer =
         co_await AskPeer(std::move(peer), "job-results", std::move(request),
+                         call.wait + kPeerTimeout);
+    if (!answer) {
+      co_return std::nullopt;
+    }
+    co_return DecodePeerPage(*answer);
+  }
+
   // Limits how many jobs are read from the store at once. The read of the
   // caller may begin, and lasts until the returned handle is destroyed.
   auto AwaitStoreRead(JobId id) -> awaitable<std::shared_ptr<void>> {
@@ -1914,21 +1914,14 @@
         nullptr, [self = shared_from_this()](void*) { --self->store_reads_; });
   }
 
-                         call.wait + kPeerTimeout);
-    if (!answer) {
-      co_return std::nullopt;
+  // Reads results from the store. Stored results never change, so they are
+  // cached.
+  auto StoredPage(JobState state, std::size_t after) -> awaitable<Page> {
     const auto turn = co_await AwaitStoreRead(state.id);
     const auto* complete = cache_.Find(state.id);
     if (complete != nullptr && complete->results.size() >= state.total) {
       co_return detail::MakePage(complete->results, state.total, after);
     }
-    }
-    co_return DecodePeerPage(*answer);
-  }
-
-  // Reads results from the store. Stored results never change, so they are
-  // cached.
-  auto StoredPage(JobState state, std::size_t after) -> awaitable<Page> {
     auto known = StoredResults();
     if (const auto* cached = cache_.Find(state.id)) {
       known = *cached;
@@ -1953,7 +1946,6 @@
       co_return own->second->items[item->second].body;
     }
     if (const auto owner = KnownOwner(call.job)) {
-    const auto turn = co_await AwaitStoreRead(call.job);
       json request = {{"job", call.job.value()}, {"item", call.item}};
       const auto answer = co_await AskPeer(*owner, "job-item",
                                            std::move(request), kPeerTimeout);
@@ -1961,6 +1953,7 @@
         co_return answer->at("body").get<std::string>();
       }
     }
+    const auto turn = co_await AwaitStoreRead(call.job);
     const auto record = co_await parts_.archive.LoadRecord(call.job);
     if (!record) {
       co_return std::nullopt;
@@ -2410,7 +2403,8 @@
 
   auto TakeOver(StoredState stored) -> awaitable<void> {
     const auto id = stored.state.id;
-    const auto assumed = ReserveMemory(kAssumedItemBytes * stored.state.total);
+    const auto expected = ReserveMemory(
+        memory_.ExpectedJob(static_cast<std::size_t>(stored.state.total)));
     auto record = co_await parts_.archive.LoadRecord(id);
     if (!record) {
       co_return;  // It was never accepted.
@@ -2475,14 +2469,14 @@
   // When the owner of an unfinished job was first found absent.
   std::map<JobId, MonotonicTime> absent_since_;
   // When a node last told of an orphan.
-  int store_reads_ = 0;           // For callers, under way.
-  std::size_t answer_bytes_ = 0;  // To reads, being sent.
   std::map<JobId, MonotonicTime> orphans_told_;
   ResultCache cache_{parts_.memory_bytes / kCacheMemoryDivisor};
   bool scan_exactly_ = true;
   std::uint64_t scheduled_version_ = 0;
   std::uint64_t store_failures_ = 0;
   std::uint64_t notices_dropped_ = 0;
+  int store_reads_ = 0;           // For callers, under way.
+  std::size_t answer_bytes_ = 0;  // To reads, being sent.
   bool stopped_ = false;
   bool closed_ = false;
   Counter& accepted_;
--- a/src/serving/job_memory.cc
+++ b/src/serving/job_memory.cc
@@ -17,8 +17,12 @@
 constexpr std::size_t kTakeOverDivisor = 10;
 // Assumed size of a result before any is known, about a page of text.
 constexpr double kInitialResultBytes = 4'000;
-// Weight of the newest result in the moving average.
+constexpr double kInitialItemBytes = 4'000;
+// Weights of the newest result and of the newest job in the moving averages.
 constexpr double kSmoothing = 0.02;
+constexpr double kJobSmoothing = 0.2;
+// While a job is read from the store: its encoding, its text and its items.
+constexpr double kReadCopies = 3;
 // Of an item: nodes of the trees that hold its index, its place in the
 // schedule, its progress and the state of its result.
 constexpr std::size_t kItemOverheadBytes = 600;
@@ -56,7 +60,9 @@
 }
 
 JobMemory::JobMemory(std::size_t process_bytes)
-    : process_bytes_(process_bytes), result_bytes_(kInitialResultBytes) {}
+    : process_bytes_(process_bytes),
+      result_bytes_(kInitialResultBytes),
+      item_bytes_(kInitialItemBytes) {}
 
 auto JobMemory::Set(const JobId& job, const Use& use) -> void {
   Remove(job);
@@ -83,11 +89,26 @@
   result_bytes_ += kSmoothing * (static_cast<double>(bytes) - result_bytes_);
 }
 
+auto JobMemory::OnJob(std::size_t items, std::size_t bytes) -> void {
+  if (items > 0) {
+    const auto mean = static_cast<double>(bytes) / static_cast<double>(items);
+    item_bytes_ += kJobSmoothing * (mean - item_bytes_);
+  }
+}
+
+auto JobMemory::ExpectedResults(std::size_t items) const -> std::size_t {
+  return static_cast<std::size_t>(result_bytes_ * static_cast<double>(items));
+}
+
+auto JobMemory::ExpectedJob(std::size_t items) const -> std::size_t {
+  return static_cast<std::size_t>(kReadCopies * item_bytes_ *
+                                  static_cast<double>(items)) +
+         ExpectedResults(items);
+}
+
 auto JobMemory::ExpectedBytes() const -> std::size_t {
   // Jobs that are over make room for others.
-  return used_bytes() - over_ +
-         static_cast<std::size_t>(result_bytes_ *
-                                  static_cast<double>(unfinished_));
+  return used_bytes() - over_ + ExpectedResults(unfinished_);
 }
 
 auto JobMemory::MayAccept() const -> bool {
--- a/src/serving/job_memory_test.cc
+++ b/src/serving/job_memory_test.cc
@@ -72,6 +72,22 @@
         std::vector{JobId("old"), JobId("middle"), JobId("new")});
 }
 
+// Guards against takeovers that all begin before the first of them is counted.
+TEST_CASE("JobMemory.ExpectsTheSizeOfJobsByThoseThatItHasSeen") {
+  constexpr std::size_t kItemBytes = 50'000;
+  constexpr std::size_t kItems = 10;
+  auto memory = JobMemory(kProcessBytes);
+  const auto before = memory.ExpectedJob(kItems);
+  for (auto job = 0; job < 100; ++job) {
+    memory.OnJob(kItems, kItems * kItemBytes);
+  }
+  CHECK(memory.ExpectedJob(kItems) > before);
+  CHECK(memory.ExpectedJob(kItems) >=
+        kItems * kItemBytes + memory.ExpectedResults(kItems));
+  memory.Reserve(memory.ExpectedJob(kItems));
+  CHECK(!memory.MayTakeOver());
+}
+
 TEST_CASE("JobMemory.CountsTheParts") {
   auto item = JobItem();
   const auto empty = MemoryOf(std::vector{item});
