Send the answers to reads within the scope of their reservation

The linter found accesses to optional values that it could not follow, and a value that was copied instead of moved.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -388,17 +388,15 @@
     } catch (const std::exception& error) {
       failure = error.what();
     }
-    auto answering = std::shared_ptr<void>();
     if (page) {
-      answering = ReserveAnswer(MemoryOf(page->results));
-      failure = answering ? "" : kAnswersTooLong;
-    }
-    if (answering) {
-      auto headers = HeaderList{{"Content-Type", "application/json"}};
-      auto body = parts_.dialect.encode_page(*page);
-      page.reset();
-      co_await writer->Send(kOk, std::move(headers), std::move(body));
-      co_return;
+      if (const auto answering = ReserveAnswer(MemoryOf(page->results))) {
+        auto headers = HeaderList{{"Content-Type", "application/json"}};
+        auto body = parts_.dialect.encode_page(*page);
+        page.reset();
+        co_await writer->Send(kOk, std::move(headers), std::move(body));
+        co_return;
+      }
+      failure = kAnswersTooLong;
     }
     logger_.Warning("results are unavailable",
                     {{"event", "read_refused"},
@@ -421,15 +419,15 @@
     } catch (const std::exception& error) {
       failure = error.what();
     }
-    auto answering = std::shared_ptr<void>();
     if (body) {
-      answering = ReserveAnswer(body->size());
-      failure = answering ? "" : kAnswersTooLong;
+      if (const auto answering = ReserveAnswer(body->size())) {
+        auto headers = HeaderList{{"Content-Type", "application/octet-stream"}};
+        co_await writer->Send(kOk, std::move(headers), std::move(*body));
+        co_return;
+      }
+      failure = kAnswersTooLong;
     }
-    if (answering) {
-      auto headers = HeaderList{{"Content-Type", "application/octet-stream"}};
-      co_await writer->Send(kOk, std::move(headers), std::move(*body));
-    } else if (failure.empty()) {
+    if (failure.empty()) {
       co_await Answer(writer, kNotFound, "no such item");
     } else {
       logger_.Warning("the body of an item is unavailable",
--- a/testing/gateway/job_memory_test.cc
+++ b/testing/gateway/job_memory_test.cc
@@ -44,7 +44,7 @@
 // Reads a request with its body; returns its head.
 auto ReadWholeRequest(tcp::socket& socket, boost::system::error_code& error)
     -> std::string {
-  const auto request = ReadRequestHead(socket);
+  auto request = ReadRequestHead(socket);
   const auto end = request.find("\r\n\r\n");
   const auto length = HeaderIn(request, "Content-Length");
   if (end == std::string::npos || length.empty()) {
