End a stopped daemon without destroying static objects

RunProgram now ends the process once the daemon has stopped or failed; lines of the log are written by then.

--- a/apps/shared/program.cc
+++ b/apps/shared/program.cc
@@ -77,6 +77,11 @@
   detail::PrepareSignals();
 }
 
+auto EndProcess(int exit_status) -> void {
+  std::cout.flush();
+  std::_Exit(exit_status);
+}
+
 auto RefuseArguments(const std::string& name) -> int {
   std::cerr << name << ": name one settings file; see " << name << " --help\n";
   return kExitUsage;
@@ -122,9 +127,9 @@
         "ended by an error",
         {{"event", "failed"}, {"program", name}, {"reason", error.what()}});
     std::cerr << name << ": " << error.what() << "\n";
-    return kExitFailed;
+    EndProcess(kExitFailed);
   }
-  return kExitOk;
+  EndProcess(kExitOk);
 }
 
 }  // namespace kumquatgauge::apps
--- a/apps/shared/program.h
+++ b/apps/shared/program.h
@@ -31,6 +31,10 @@
 // the signals and standard descriptors that it was started with.
 auto PrepareProcess() -> void;
 
+// Ends a daemon at once. Destroying the static objects of the log library waits
+// for its threads, which can keep a stopped process alive for seconds.
+[[noreturn]] auto EndProcess(int exit_status) -> void;
+
 // Prints that one settings file must be named. Returns the exit status.
 auto RefuseArguments(const std::string& name) -> int;
 
