--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -64,6 +64,7 @@
 constexpr std::size_t kLogLostOneIn = 8;
 constexpr std::size_t kAddressHeldOneIn = 3;
 constexpr int kSignalsDuringStop = 3;
+constexpr std::uint64_t kProcessSeed = 2'000'003;
 // Memory limit of a node, and a series of long jobs without a pause, several of
 // which would exceed it.
 constexpr std::uint32_t kNodeMegabytes = 64;
@@ -74,7 +75,6 @@
 constexpr milliseconds kSeriesPauseMax{1'000};
 constexpr auto kSeriesPath = "/series/";
 constexpr std::uint64_t kSeriesSeed = 4'000'003;
-constexpr std::uint64_t kProcessSeed = 2'000'003;
 // The same of replicas that refuse some requests and write the refusals twice.
 constexpr std::size_t kRefusalsOneIn = 4;
 constexpr std::size_t kMaxRefusals = 4;
