Share callers that call without a pause, and the entry of a replica, in tests

Four tests held the same loop of threads, and five places the same entry of the store. A counter that nothing read is gone. The assertions are as before.

--- a/testing/gateway/endless_bytes_test.cc
+++ b/testing/gateway/endless_bytes_test.cc
@@ -12,6 +12,7 @@
 #include <thread>
 #include <vector>
 
+#include "testing/gateway/caller_threads.h"
 #include "testing/gateway/fleet.h"
 #include "testing/gateway/raw_server.h"
 
@@ -120,35 +121,20 @@
     fleet.AwaitService();
     auto& node = *fleet.nodes.front();
     const auto before = node.process().memory_bytes();
-    fleet.store->Put("servers/i-9", {{"service", "svc"},
-                                     {"address", server->address()},
-                                     {"zone", "a"},
-                                     {"version", ""},
-                                     {"slots", 8},
-                                     {"state", "ready"},
-                                     {"cold_remaining_ms", 0},
-                                     {"sequence", 1}});
-    auto stopped = std::atomic<bool>(false);
+    fleet.store->Put("servers/i-9", ServerEntry(server->address()));
     auto served = std::atomic<int>(0);
-    auto sent = std::atomic<int>(0);
-    auto callers = std::vector<std::thread>();
-    for (const auto* target :
-         {"/stream/x", "/stream/once/x", "/plain/x", "/plain/once/x"}) {
-      callers.emplace_back([&, target] {
-        for (auto at = 0; !stopped; ++at) {
-          const auto id = std::string(target) + std::to_string(at);
+    const auto targets = std::vector<std::string>{"/stream/x", "/stream/once/x",
+                                                  "/plain/x", "/plain/once/x"};
+    auto callers = CallerThreads(
+        static_cast<int>(targets.size()), [&](int caller, int at) {
+          const auto& target = targets.at(static_cast<std::size_t>(caller));
+          const auto id = target + std::to_string(at);
           served += node.Call("POST", target, id).status == 200 ? 1 : 0;
-          ++sent;
-        }
-      });
-    }
+        });
     CHECK(node.Call("POST", "/jobs/1", "j1", JobBody({"a", "b", "c"})).status ==
           202);
     CHECK(StaysSmall(node, before));
-    stopped = true;
-    for (auto& caller : callers) {
-      caller.join();
-    }
+    callers.Stop();
     // Other replicas serve meanwhile.
     CHECK(served > 0);
     CHECK(node.process().WaitForExit(milliseconds(0)) == std::nullopt);
@@ -213,30 +199,21 @@
   auto& node = *fleet.nodes.front();
   const auto before = node.process().memory_bytes();
   const auto body = std::string(kBodyBytes, 'x');
-  auto stopped = std::atomic<bool>(false);
   auto served = std::atomic<int>(0);
   auto refused = std::atomic<int>(0);
   auto wrong = std::atomic<int>(0);  // Refused as not run, though they ran.
-  auto callers = std::vector<std::thread>();
-  for (auto caller = 0; caller < kCallers; ++caller) {
-    callers.emplace_back([&, caller] {
-      for (auto at = 0; !stopped; ++at) {
-        const auto id = "b" + std::to_string(caller) + "-" + std::to_string(at);
-        const auto status = node.Call("POST", "/plain/once/x", id, body).status;
-        served += status == 200 ? 1 : 0;
-        refused += status == 503 ? 1 : 0;
-        wrong += status == 503 && fleet.RunCount(id) > 0 ? 1 : 0;
-      }
-    });
-  }
+  auto callers = CallerThreads(kCallers, [&](int caller, int at) {
+    const auto id = "b" + std::to_string(caller) + "-" + std::to_string(at);
+    const auto status = node.Call("POST", "/plain/once/x", id, body).status;
+    served += status == 200 ? 1 : 0;
+    refused += status == 503 ? 1 : 0;
+    wrong += status == 503 && fleet.RunCount(id) > 0 ? 1 : 0;
+  });
   CHECK(StaysSmall(node, before));
   // Small requests are served meanwhile.
   CHECK(Eventually(
       [&] { return node.Call("POST", "/plain/x", "small").status == 200; }));
-  stopped = true;
-  for (auto& caller : callers) {
-    caller.join();
-  }
+  callers.Stop();
   CHECK(served > 0);
   CHECK(refused > 0);
   CHECK(wrong == 0);
@@ -261,29 +238,20 @@
     items.push_back("i" + std::to_string(item));
   }
   const auto body = JobBody(items);
-  auto stopped = std::atomic<bool>(false);
   auto refused = std::atomic<int>(0);
   auto mutex = std::mutex();
   auto accepted = std::vector<std::string>();
-  auto callers = std::vector<std::thread>();
-  for (auto caller = 0; caller < kCallers; ++caller) {
-    callers.emplace_back([&, caller] {
-      for (auto at = 0; !stopped; ++at) {
-        const auto id = "j" + std::to_string(caller) + "-" + std::to_string(at);
-        const auto status = node.Call("POST", "/jobs/1", id, body).status;
-        refused += status == 503 ? 1 : 0;
-        if (status == 202) {
-          const auto lock = std::lock_guard(mutex);
-          accepted.push_back(id);
-        }
-      }
-    });
-  }
+  auto callers = CallerThreads(kCallers, [&](int caller, int at) {
+    const auto id = "j" + std::to_string(caller) + "-" + std::to_string(at);
+    const auto status = node.Call("POST", "/jobs/1", id, body).status;
+    refused += status == 503 ? 1 : 0;
+    if (status == 202) {
+      const auto lock = std::lock_guard(mutex);
+      accepted.push_back(id);
+    }
+  });
   CHECK(StaysSmall(node, node.process().memory_bytes(), kSubmitting));
-  stopped = true;
-  for (auto& caller : callers) {
-    caller.join();
-  }
+  callers.Stop();
   CHECK(node.process().WaitForExit(milliseconds(0)) == std::nullopt);
   CHECK(refused > 0);
   // Items of accepted jobs still run.
--- a/testing/gateway/fleet.h
+++ b/testing/gateway/fleet.h
@@ -80,14 +80,8 @@
 
   auto Announce(const FakeReplica& replica) -> void {
     announced[&replica] = replica.id();
-    store->Put("servers/" + replica.id(), {{"service", "svc"},
-                                           {"address", replica.address()},
-                                           {"zone", "a"},
-                                           {"version", replica.version()},
-                                           {"slots", 8},
-                                           {"state", "ready"},
-                                           {"cold_remaining_ms", 0},
-                                           {"sequence", 1}});
+    store->Put("servers/" + replica.id(),
+               ServerEntry(replica.address(), replica.version()));
   }
 
   // Waits until every gateway serves and knows the others.
--- a/testing/gateway/gateway_process.cc
+++ b/testing/gateway/gateway_process.cc
@@ -49,6 +49,14 @@
   return json{{"items", list}}.dump();
 }
 
+auto ServerEntry(const std::string& address,
+                 const std::string& version,
+                 int slots) -> json {
+  return {{"service", "svc"},       {"address", address}, {"zone", "a"},
+          {"version", version},     {"slots", slots},     {"state", "ready"},
+          {"cold_remaining_ms", 0}, {"sequence", 1}};
+}
+
 GatewayProcess::GatewayProcess(std::string program,
                                std::string name,
                                const std::string& store,
--- a/testing/gateway/gateway_process.h
+++ b/testing/gateway/gateway_process.h
@@ -31,6 +31,11 @@
 auto JobBody(const std::vector<std::string>& items,
              const std::string& body = "q83vEjRWeJA=") -> std::string;
 
+// The store's entry of a replica that is ready.
+auto ServerEntry(const std::string& address,
+                 const std::string& version = "",
+                 int slots = 8) -> nlohmann::json;
+
 // A real gateway process on 127.0.0.1, whose addresses stay the same when it is
 // restarted.
 class GatewayProcess {
--- a/testing/gateway/job_memory_test.cc
+++ b/testing/gateway/job_memory_test.cc
@@ -13,6 +13,7 @@
 #include <thread>
 #include <vector>
 
+#include "testing/gateway/caller_threads.h"
 #include "testing/gateway/fleet.h"
 #include "testing/gateway/raw_server.h"
 
@@ -78,14 +79,7 @@
           SendEvents(socket, stopped, bytes, count);
         }) {
     AwaitService();
-    store->Put("servers/i-9", {{"service", "svc"},
-                               {"address", server.address()},
-                               {"zone", "a"},
-                               {"version", ""},
-                               {"slots", kSlots},
-                               {"state", "ready"},
-                               {"cold_remaining_ms", 0},
-                               {"sequence", 1}});
+    store->Put("servers/i-9", ServerEntry(server.address(), "", kSlots));
     store->Remove("servers/i-1");
     store->Remove("servers/i-2");
     // The gateways learn it before the first job.
@@ -204,23 +198,14 @@
   fleet.AwaitService();
   auto& node = *fleet.nodes.front();
   const auto body = LongJob(bytes);
-  auto stopped = std::atomic<bool>(false);
   auto accepted = std::atomic<int>(0);
-  auto callers = std::vector<std::thread>();
-  for (auto caller = 0; caller < kCallers; ++caller) {
-    callers.emplace_back([&, caller] {
-      for (auto at = 0; !stopped; ++at) {
-        const auto id = "j" + std::to_string(caller) + "-" + std::to_string(at);
-        const auto status = node.Call("POST", "/jobs/1", id, body).status;
-        accepted += status == 202 ? 1 : 0;
-      }
-    });
-  }
+  auto callers = CallerThreads(kCallers, [&](int caller, int at) {
+    const auto id = "j" + std::to_string(caller) + "-" + std::to_string(at);
+    const auto status = node.Call("POST", "/jobs/1", id, body).status;
+    accepted += status == 202 ? 1 : 0;
+  });
   CHECK(MostMemory(node, milliseconds(6'000)) < kMaxBytes);
-  stopped = true;
-  for (auto& caller : callers) {
-    caller.join();
-  }
+  callers.Stop();
   CHECK(accepted > 0);
   CHECK(node.process().WaitForExit(milliseconds(0)) == std::nullopt);
 }
--- a/testing/gateway/replica_answer_test.cc
+++ b/testing/gateway/replica_answer_test.cc
@@ -47,14 +47,7 @@
     for (auto at = 0; at < replicas; ++at) {
       servers.push_back(std::make_unique<RawServer>(serve));
       store->Put("servers/raw-" + std::to_string(at),
-                 {{"service", "svc"},
-                  {"address", servers.back()->address()},
-                  {"zone", "a"},
-                  {"version", ""},
-                  {"slots", 8},
-                  {"state", "ready"},
-                  {"cold_remaining_ms", 0},
-                  {"sequence", 1}});
+                 ServerEntry(servers.back()->address()));
     }
     store->Put("config/main", MakeConfiguration(3));
     REQUIRE(Eventually([&] { return nodes.front()->Ready(); }));
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -255,14 +255,7 @@
 
   auto Announce(const Replica& replica) -> void {
     store_.Put("servers/" + replica.server->id(),
-               {{"service", "svc"},
-                {"address", replica.link->address()},
-                {"zone", "a"},
-                {"version", replica.server->version()},
-                {"slots", 8},
-                {"state", "ready"},
-                {"cold_remaining_ms", 0},
-                {"sequence", 1}});
+               ServerEntry(replica.link->address(), replica.server->version()));
   }
 
   // --- Callers.
