--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -1220,9 +1220,14 @@
 
   auto SendQuarantineReport() -> void {
     quarantine_reported_ = SteadyNow();
-    SendNews(json{{"t", "crash"},
-                  {"n", settings_.name.value()},
-                  {"p", detail::EncodeReports(quarantine_.Report())}});
+    SendNews(MakeCrashReport(quarantine_.Report()));
+  }
+
+  auto MakeCrashReport(const std::vector<SuspectReport>& reports) const
+      -> json {
+    return {{"t", "crash"},
+            {"n", settings_.name.value()},
+            {"p", detail::EncodeReports(reports)}};
   }
 
   auto OnCrashReport(const NodeId& from, const json& message) -> void {
@@ -1231,9 +1236,7 @@
     const auto record = gossip_.membership().Find(from);
     if (!objections.empty() && record) {
       gossip_.SendDatagram(record->info.node_address,
-                           json{{"t", "crash"},
-                                {"n", settings_.name.value()},
-                                {"p", detail::EncodeReports(objections)}});
+                           MakeCrashReport(objections));
     }
   }
 
