Answer reads from complete cached results without a turn at the store

A read that needs nothing from the store waited for those that do. The comment on the copies of a submission names what they are, and the reason of a refused read has a name that fits.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -115,10 +115,11 @@
 constexpr std::size_t kAnswerMemoryDivisor = 8;
 // Copies of an answer: its parts and its text.
 constexpr std::size_t kAnswerCopies = 2;
-constexpr auto kAnswersTooLong =
+constexpr auto kNoRoomForAnswer =
     "answers to other reads use all memory for them";
-// Copies of a submission while it is stored: the caller's body, the record, its
-// encoding and the call to the store.
+// Copies of a submission while it is decoded and stored, at most: among them
+// the caller's body, its JSON, the record, its encoding and the call to the
+// store.
 constexpr std::size_t kSubmissionCopies = 6;
 // Copies of the body of a running item: the request and its encoding.
 constexpr std::size_t kRequestCopies = 2;
@@ -396,7 +397,7 @@
         co_await writer->Send(kOk, std::move(headers), std::move(body));
         co_return;
       }
-      failure = kAnswersTooLong;
+      failure = kNoRoomForAnswer;
     }
     logger_.Warning("results are unavailable",
                     {{"event", "read_refused"},
@@ -425,7 +426,7 @@
         co_await writer->Send(kOk, std::move(headers), std::move(*body));
         co_return;
       }
-      failure = kAnswersTooLong;
+      failure = kNoRoomForAnswer;
     }
     if (failure.empty()) {
       co_await Answer(writer, kNotFound, "no such item");
@@ -1915,10 +1916,15 @@
   // Reads results from the store. Stored results never change, so they are
   // cached.
   auto StoredPage(JobState state, std::size_t after) -> awaitable<Page> {
+    auto cached_page = CachedPage(state, after);
+    if (cached_page) {
+      co_return std::move(*cached_page);
+    }
     const auto turn = co_await AwaitStoreRead(state.id);
-    const auto* complete = cache_.Find(state.id);
-    if (complete != nullptr && complete->results.size() >= state.total) {
-      co_return detail::MakePage(complete->results, state.total, after);
+    // Another read may have completed the results meanwhile.
+    cached_page = CachedPage(state, after);
+    if (cached_page) {
+      co_return std::move(*cached_page);
     }
     auto known = StoredResults();
     if (const auto* cached = cache_.Find(state.id)) {
@@ -1934,6 +1940,16 @@
     co_return page;
   }
 
+  // Returns a page if all results of the job are cached.
+  auto CachedPage(const JobState& state, std::size_t after)
+      -> std::optional<Page> {
+    const auto* cached = cache_.Find(state.id);
+    if (cached == nullptr || cached->results.size() < state.total) {
+      return std::nullopt;
+    }
+    return detail::MakePage(cached->results, state.total, after);
+  }
+
   auto FindBody(ReadItemBody call) -> awaitable<std::optional<std::string>> {
     const auto own = jobs_.find(call.job);
     if (own != jobs_.end()) {
