Identify callers by the API keys of their organisation

The gateway passed the caller's key on to replicas and ran requests with keys that no configuration held: it knew no organisations. It now finds the organisation of each call, sends its name instead of the key, and answers 401 to others. Jobs are kept under an id that includes the organisation, so that a key of another one finds no such job.

--- a/include/kumquatgauge/serving/configuration.h
+++ b/include/kumquatgauge/serving/configuration.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -53,10 +54,24 @@
   // Batch only: the tokens of unfinished items that may wait on the route, in
   // all jobs together; 0 is no limit.
   std::uint64_t token_limit = 0;
+  // Requests need no API key, even if the configuration has organisations.
+  bool is_public = false;
 
   auto operator==(const Route&) const -> bool = default;
 };
 
+// A customer whose requests are identified by API keys.
+struct Organisation {
+  OrganisationName name;
+  std::vector<std::string> api_keys;
+  std::uint32_t priority = 0;  // 0 is the most urgent.
+  // Limit of its online requests over all nodes; 0 is no limit.
+  double requests_per_second = 0;
+  double burst = 0;
+
+  auto operator==(const Organisation&) const -> bool = default;
+};
+
 // Returns the name under which the waiting tokens of a route are counted.
 auto AccountNameOf(const Route& route) -> std::string;
 
@@ -85,6 +100,8 @@
   std::vector<Route> routes;
   std::vector<Service> services;
   CallerLimits limits;
+  // Absent if requests need no API keys.
+  std::optional<std::vector<Organisation>> organisations;
   // Number of routes and services that were skipped as unreadable.
   std::uint32_t left_out = 0;
 
--- a/include/kumquatgauge/serving/dialect.h
+++ b/include/kumquatgauge/serving/dialect.h
@@ -19,6 +19,20 @@
 
 namespace kumquatgauge::serving {
 
+// The API key of a call.
+struct ApiKey {
+  enum class Presence {
+    kMissing,
+    kGiven,
+    kMalformed,  // Empty, or given several times.
+  };
+
+  Presence presence = Presence::kMissing;
+  std::string value;
+
+  auto operator==(const ApiKey&) const -> bool = default;
+};
+
 // A caller's request to forward.
 struct CallerRequest {
   RequestId id;
@@ -36,6 +50,10 @@
   PromptParts shared_parts;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_output_tokens = 0;
+  // Set by the gateway; see Delivery::organisation.
+  std::optional<OrganisationName> organisation;
+  // Of the organisation; goes before the rank of the route.
+  std::uint32_t priority = 0;
 
   auto operator==(const CallerRequest&) const -> bool = default;
 };
@@ -68,6 +86,11 @@
   // Time left for the caller; zero omits the limit.
   std::chrono::milliseconds time_left{0};
   std::uint64_t resume_after = 0;
+  // The organisation that sends the request. Empty on a public route of a
+  // configuration with organisations: the caller's key is removed, and no name
+  // is sent. Absent if the configuration has no organisations: all headers of
+  // the caller are passed on.
+  std::optional<OrganisationName> organisation;
 };
 
 // Information about the replica and the request in a replica's response.
@@ -110,6 +133,7 @@
   // Throws Error(kInvalidArgument) for a request that lacks a part required by
   // the protocol.
   std::function<auto(const caller::IncomingRequest&)->CallerCall> decode_call;
+  std::function<auto(const HeaderList&)->ApiKey> decode_api_key;
   std::function<auto(const std::string& body)->std::vector<JobItem>>
       decode_submission;
   std::function<auto(const HeaderList&, const Delivery&)->HeaderList>
--- a/include/kumquatgauge/serving/job.h
+++ b/include/kumquatgauge/serving/job.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,8 @@
   std::string path;
   std::uint64_t accepted_ms = 0;  // Since the Unix epoch.
   std::string submission;         // The caller's body as received.
+  // As in Delivery::organisation.
+  std::optional<OrganisationName> organisation = {};
 
   auto operator==(const JobRecord&) const -> bool = default;
 };
@@ -105,6 +108,11 @@
   auto operator==(const StoredResults&) const -> bool = default;
 };
 
+// Returns the id under which a job of an organisation is kept. Callers of
+// different organisations cannot name each other's jobs, even by equal ids.
+auto ScopedJobId(const JobId& id,
+                 const std::optional<OrganisationName>& organisation) -> JobId;
+
 auto RecordKey(const JobId& id) -> std::string;
 auto StateKey(const JobId& id) -> std::string;
 auto ChunkKey(const JobId& id, const ResultPlace& place) -> std::string;
--- a/include/kumquatgauge/serving/wait_queue.h
+++ b/include/kumquatgauge/serving/wait_queue.h
@@ -11,9 +11,11 @@
 
 namespace kumquatgauge::serving {
 
-// Order in which waiting requests are retried: by rank, most urgent first, then
-// by the latest time at which they must start.
+// Order in which waiting requests are retried: by the priority of the
+// organisation and the rank of the route, most urgent first, then by the latest
+// time at which they must start.
 struct Urgency {
+  std::uint32_t priority = 0;
   std::uint32_t rank = 0;
   MonotonicTime start_by;
 
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -271,7 +271,8 @@
               CallerRequest request,
               WriterPtr writer) -> awaitable<void> {
     const auto self = shared_from_this();
-    const auto id = JobId(request.id.value());
+    const auto id =
+        ScopedJobId(JobId(request.id.value()), request.organisation);
     if (jobs_.contains(id)) {
       co_await Answer(writer, kAccepted, "");
       co_return;
@@ -307,8 +308,8 @@
       co_await Answer(writer, kBadRequest, std::move(problem));
       co_return;
     }
-    auto record =
-        JobRecord{id, request.host, request.path, WallMs(), incoming->body};
+    auto record = JobRecord{id,       request.host,   request.path,
+                            WallMs(), incoming->body, request.organisation};
     auto state = NewState(id, items.size(), record.accepted_ms);
     AddAccount(state, record, items);
     const auto decoded =
@@ -1357,6 +1358,7 @@
     auto delivery = Delivery();
     delivery.replica = replica.id;
     delivery.resume_after = progress.last_event;
+    delivery.organisation = job.record.organisation;
     auto request = upstream::ReplicaRequest();
     request.address = replica.address;
     request.id = item.id;
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -333,7 +333,8 @@
     auto max_wait = std::chrono::duration_cast<Duration>(
         exchange->route->latency_target * kWaitShare);
     const auto arrival_limit = exchange->incoming->arrived + max_wait;
-    const auto urgency = Urgency{exchange->route->rank, arrival_limit};
+    const auto urgency = Urgency{exchange->request.priority,
+                                 exchange->route->rank, arrival_limit};
     auto ticket = std::optional<WaitQueue::Ticket>();
     while (true) {
       const auto must_queue =
@@ -467,6 +468,7 @@
     delivery.time_left = std::max(
         milliseconds(1), ToMilliseconds(exchange.deadline - parts_.clock()));
     delivery.resume_after = exchange.last_event;
+    delivery.organisation = exchange.request.organisation;
     request.headers =
         parts_.dialect.encode_delivery(exchange.incoming->headers, delivery);
     request.body = exchange.incoming->body;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -27,6 +27,7 @@
 #include "kumquatgauge/routing/rendezvous.h"
 #include "kumquatgauge/routing/retry_budget.h"
 #include "kumquatgauge/serving/batch_runner.h"
+#include "kumquatgauge/serving/caller_authorizer.h"
 #include "kumquatgauge/serving/forwarder.h"
 #include "kumquatgauge/serving/job_archive.h"
 #include "kumquatgauge/serving/load_balancer.h"
@@ -61,6 +62,7 @@
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kServiceUnavailable = 503;
 
@@ -105,6 +107,9 @@
 constexpr std::size_t kMaxAddresses = 64;
 // Retry-After while no configuration is known yet.
 constexpr milliseconds kStartupRetryAfter{500};
+// Retry-After while the configuration is not known to be recent. Another node,
+// to which the caller may turn, can serve the request at once.
+constexpr milliseconds kStaleRetryAfter{50};
 // Graceful shutdown: within kMinDrainTime most callers ask for addresses again,
 // and requests accepted until then end well before the process must exit.
 constexpr milliseconds kDrainPollInterval{50};
@@ -501,6 +506,7 @@
                   {"source", source}});
     raw_configuration_ = value;
     configuration_ = std::move(next);
+    authorizer_.SetConfiguration(configuration_);
     quotas_.SetConfiguration(*configuration_);
     ApplyCallerLimits();
     gossip_.OnFeedApplied(kConfigurationFeed, configuration_->version);
@@ -1330,15 +1336,54 @@
       co_await Refuse(writer, kBadRequest, problem, milliseconds::zero());
     } else if (auto* request = std::get_if<CallerRequest>(&call)) {
       co_await HandleRequest(incoming, std::move(*request), writer);
-    } else if (auto* read = std::get_if<ReadResults>(&call)) {
+    } else {
+      co_await HandleJobCall(incoming, std::move(call), writer);
+    }
+  }
+
+  auto HandleJobCall(std::shared_ptr<const IncomingRequest> incoming,
+                     CallerCall call,
+                     WriterPtr writer) -> awaitable<void> {
+    if (!configuration_) {
+      co_await RefuseAtStart(writer);
+      co_return;
+    }
+    const auto authorization = authorizer_.AuthorizeJobCall(
+        std::string(FindHeader(incoming->headers, "Host")),
+        parts_.dialect.decode_api_key(incoming->headers));
+    if (authorization.outcome != Authorization::Outcome::kAllowed) {
+      co_await RefuseUnauthorized(authorization, incoming->target, writer);
+      co_return;
+    }
+    const auto& organisation = authorization.organisation;
+    if (auto* read = std::get_if<ReadResults>(&call)) {
+      read->job = ScopedJobId(read->job, organisation);
       co_await batch_.Read(std::move(*read), writer);
     } else if (auto* body = std::get_if<ReadItemBody>(&call)) {
+      body->job = ScopedJobId(body->job, organisation);
       co_await batch_.ReadBody(std::move(*body), writer);
     } else if (auto* end = std::get_if<EndJob>(&call)) {
+      end->job = ScopedJobId(end->job, organisation);
       co_await batch_.End(std::move(*end), writer);
     }
   }
 
+  auto RefuseUnauthorized(Authorization authorization,
+                          std::string target,
+                          WriterPtr writer) -> awaitable<void> {
+    const auto stale = authorization.outcome == Authorization::Outcome::kStale;
+    const auto status = stale ? kServiceUnavailable : kUnauthorized;
+    (stale ? stale_refusals_ : unauthorized_).Add();
+    logger_.Warning("refused a call by its API key",
+                    {{"event", "key_refused"},
+                     {"status", std::to_string(status)},
+                     {"reason", authorization.reason},
+                     {"target", target},
+                     {"configuration", ConfigurationVersion()}});
+    co_await Refuse(writer, status, std::move(authorization.reason),
+                    stale ? kStaleRetryAfter : milliseconds::zero());
+  }
+
   auto HandleRequest(std::shared_ptr<const IncomingRequest> incoming,
                      CallerRequest request,
                      WriterPtr writer) -> awaitable<void> {
@@ -1355,6 +1400,14 @@
                       milliseconds::zero());
       co_return;
     }
+    const auto authorization = authorizer_.AuthorizeRequest(
+        *route, parts_.dialect.decode_api_key(incoming->headers));
+    if (authorization.outcome != Authorization::Outcome::kAllowed) {
+      co_await RefuseUnauthorized(authorization, incoming->target, writer);
+      co_return;
+    }
+    request.organisation = authorization.organisation;
+    request.priority = authorization.priority;
     if (route->kind == RequestKind::kBatch) {
       co_await batch_.Submit(incoming, std::move(request), writer);
       co_return;
@@ -1578,6 +1631,12 @@
   Logger logger_{"gateway"};
   asio::io_context context_{1};
   MetricsRegistry metrics_;
+  Counter& unauthorized_ =
+      metrics_.counter("kqg_key_refusals_total{reason=\"unauthorized\"}");
+  Counter& stale_refusals_ =
+      metrics_.counter("kqg_key_refusals_total{reason=\"stale\"}");
+  // TODO: needs the age of the configuration.
+  CallerAuthorizer authorizer_{[] { return true; }};
   store::PlatformClient store_client_;
   std::unique_ptr<store::ObjectStore> store_;
   JobArchive archive_;
--- a/src/serving/job.cc
+++ b/src/serving/job.cc
@@ -1,6 +1,10 @@
 #include "kumquatgauge/serving/job.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <nlohmann/json.hpp>
 
 #include "kumquatgauge/base/error.h"
@@ -41,6 +45,22 @@
 
 }  // namespace
 
+auto ScopedJobId(const JobId& id,
+                 const std::optional<OrganisationName>& organisation) -> JobId {
+  if (!organisation || organisation->empty()) {
+    return id;
+  }
+  // Names may have characters that keys of the store may not have. The width is
+  // fixed, so that the id of one scope cannot be that of another one.
+  constexpr auto kDigits = 16;
+  const auto& name = organisation->value();
+  auto digits = std::array<char, kDigits + 1>();
+  std::snprintf(
+      digits.data(), digits.size(), "%016llx",
+      static_cast<unsigned long long>(XXH3_64bits(name.data(), name.size())));
+  return JobId(id.value() + "~" + digits.data());
+}
+
 auto RecordKey(const JobId& id) -> std::string {
   return "jobs/" + id.value();
 }
@@ -145,13 +165,15 @@
     at = end;
   } while (at < record.submission.size());
   auto values = std::vector<std::string>();
-  values.push_back(json{
-      {"host", record.host},
-      {"path", record.path},
-      {"accepted_ms", record.accepted_ms},
-      {"parts", texts.size() - 1},
-      {"text",
-       texts.front()}}.dump());
+  auto head = json{{"host", record.host},
+                   {"path", record.path},
+                   {"accepted_ms", record.accepted_ms},
+                   {"parts", texts.size() - 1},
+                   {"text", texts.front()}};
+  if (record.organisation) {
+    head["organisation"] = record.organisation->value();
+  }
+  values.push_back(head.dump());
   for (std::size_t part = 1; part < texts.size(); ++part) {
     values.push_back(json{{"text", texts[part]}}.dump());
   }
@@ -173,6 +195,10 @@
     record.path = head.at("path").get<std::string>();
     record.accepted_ms = head.at("accepted_ms").get<std::uint64_t>();
     record.submission = head.at("text").get<std::string>();
+    const auto organisation = head.find("organisation");
+    if (organisation != head.end()) {
+      record.organisation = OrganisationName(organisation->get<std::string>());
+    }
     for (std::size_t part = 1; part < values.size(); ++part) {
       record.submission +=
           json::parse(values[part]).at("text").get<std::string>();
