Keep the token quotas of batch jobs for each organisation

The tokens that may wait on a route held for all callers together. With organisations in the configuration the account is that of route and organisation, so that one organisation cannot use up what another may have waiting. An account of a route that is gone keeps its limit, as before.

--- a/include/kumquatgauge/serving/configuration.h
+++ b/include/kumquatgauge/serving/configuration.h
@@ -72,8 +72,11 @@
   auto operator==(const Organisation&) const -> bool = default;
 };
 
-// Returns the name under which the waiting tokens of a route are counted.
-auto AccountNameOf(const Route& route) -> std::string;
+// Returns the name under which the waiting tokens of a route are counted: for
+// each organisation by itself, if the job has one.
+auto AccountNameOf(const Route& route,
+                   const std::optional<OrganisationName>& organisation = {})
+    -> std::string;
 
 struct Service {
   ServiceName name;
@@ -114,6 +117,11 @@
   auto operator==(const Configuration&) const -> bool = default;
 };
 
+// Returns the tokens that may wait in an account, 0 for no limit; nothing if
+// its route is not in the configuration.
+auto TokenLimitOf(const Configuration& configuration,
+                  const std::string& account) -> std::optional<std::uint64_t>;
+
 // Picks one of a route's services by weight. `draw` may be any number; equal
 // draws pick the same service.
 auto PickService(const Route& route, std::uint64_t draw) -> ServiceName;
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -623,7 +623,7 @@
             ? nullptr
             : configuration->FindRoute(record.host, record.path);
     if (route != nullptr) {
-      state.account = AccountNameOf(*route);
+      state.account = AccountNameOf(*route, record.organisation);
     }
   }
 
--- a/src/serving/configuration.cc
+++ b/src/serving/configuration.cc
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace kumquatgauge::serving {
+namespace {
+
+// Between a route and an organisation in the name of an account.
+constexpr auto kAccountSeparator = "|";
+
+}  // namespace
 
 auto Configuration::FindRoute(std::string_view host,
                               std::string_view path) const -> const Route* {
@@ -17,8 +23,30 @@
   return best;
 }
 
-auto AccountNameOf(const Route& route) -> std::string {
-  return route.name.empty() ? route.host + route.path_prefix : route.name;
+auto AccountNameOf(const Route& route,
+                   const std::optional<OrganisationName>& organisation)
+    -> std::string {
+  auto name = route.name.empty() ? route.host + route.path_prefix : route.name;
+  return organisation && !organisation->empty()
+             ? name + kAccountSeparator + organisation->value()
+             : name;
+}
+
+auto TokenLimitOf(const Configuration& configuration,
+                  const std::string& account) -> std::optional<std::uint64_t> {
+  const Route* found = nullptr;
+  auto longest = std::size_t{0};
+  for (const auto& route : configuration.routes) {
+    const auto name = AccountNameOf(route);
+    const auto fits =
+        account == name || account.starts_with(name + kAccountSeparator);
+    if (route.kind == RequestKind::kBatch && fits &&
+        (found == nullptr || name.size() > longest)) {
+      found = &route;
+      longest = name.size();
+    }
+  }
+  return found == nullptr ? std::nullopt : std::optional(found->token_limit);
 }
 
 auto Configuration::FindService(const ServiceName& name) const
--- a/src/serving/quota_keeper.cc
+++ b/src/serving/quota_keeper.cc
@@ -72,10 +72,13 @@
   }
 
   auto SetConfiguration(const Configuration& configuration) -> void {
-    for (const auto& route : configuration.routes) {
+    configuration_ = configuration;
+    for (auto& [name, account] : routes_) {
+      ApplyLimit(name, account.quota);
+    }
+    for (const auto& route : configuration_.routes) {
       if (route.kind == RequestKind::kBatch) {
-        Find(AccountNameOf(route))
-            .quota.SetLimit(route.token_limit, configuration.version);
+        Find(AccountNameOf(route));
       }
     }
   }
@@ -155,6 +158,12 @@
   }
 
  private:
+  auto ApplyLimit(const std::string& name, TokenQuota& quota) const -> void {
+    if (const auto limit = TokenLimitOf(configuration_, name)) {
+      quota.SetLimit(*limit, configuration_.version);
+    }
+  }
+
   auto Find(const std::string& name) -> RouteAccount& {
     const auto found = routes_.find(name);
     if (found != routes_.end()) {
@@ -164,6 +173,7 @@
         TokenQuotaSettings(),
         [this](const TokenHolder& holder) { return StatusOf(holder); },
         parts_.clock);
+    ApplyLimit(name, quota);
     AddGauges(name);
     return routes_.emplace(name, RouteAccount(std::move(quota))).first->second;
   }
@@ -404,6 +414,7 @@
 
   QuotaKeeperParts parts_;
   Logger logger_{"quota"};
+  Configuration configuration_;
   std::map<std::string, RouteAccount> routes_;
   std::map<NodeId, Incarnation> incarnations_;  // Of the live members.
   Counter& granted_;
