--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -420,6 +420,12 @@
   event_delay_ = delay;
 }
 
+auto FakeReplica::HeadersOf(const std::string& request) const -> HeaderList {
+  const auto lock = std::lock_guard(mutex_);
+  const auto found = headers_.find(request);
+  return found == headers_.end() ? HeaderList() : found->second;
+}
+
 auto FakeReplica::RunCount(const std::string& request) const -> int {
   const auto lock = std::lock_guard(mutex_);
   const auto found = runs_.find(request);
@@ -487,6 +493,7 @@
   {
     const auto lock = std::lock_guard(mutex_);
     ++runs_[request_id];
+    headers_[request_id] = request->headers;
   }
   if (on_start_) {
     on_start_(request_id);
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -164,6 +164,8 @@
   auto set_event_delay(std::chrono::milliseconds delay) -> void;
   // How often a request has begun to run here.
   auto RunCount(const std::string& request) const -> int;
+  // The headers with which a request last began to run here.
+  auto HeadersOf(const std::string& request) const -> HeaderList;
   auto total_runs() const -> int;
   // Streams that were written to their end.
   auto finished_runs() const -> int;
@@ -196,6 +198,7 @@
   int restarts_ = 0;
   OnStart on_start_;
   std::map<std::string, int> runs_;
+  std::map<std::string, HeaderList> headers_;  // Of each request.
   ReplicaFault fault_ = ReplicaFault::kNone;
   int fault_count_ = 0;
   int refusals_ = 0;
--- /dev/null
+++ b/testing/gateway/organisations_test.cc
@@ -0,0 +1,163 @@
+// Organisations and their API keys, with real gateway processes.
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "testing/gateway/fleet.h"
+
+namespace kumquatgauge::testing {
+namespace {
+
+using nlohmann::json;
+
+auto ConfigurationOf(int version, const json& organisations) -> json {
+  auto configuration = MakeConfiguration(version);
+  configuration["tenants"] = organisations;
+  configuration["routes"].push_back(
+      MakeRoute("/open/", "safe", {{"public", true}}));
+  return configuration;
+}
+
+// Two gateways before two replicas, and two organisations.
+struct Organisations : Fleet {
+  Organisations() : Fleet(2) {
+    store->Put("config/main", ConfigurationOf(1, both));
+    for (const auto& node : nodes) {
+      REQUIRE(Eventually([&] {
+        return node->Ready() && node->Addresses().size() == nodes.size() &&
+               Call(*node, "POST", "/plain/warm", "warm", "key-a1").status ==
+                   200;
+      }));
+    }
+  }
+
+  // Without a key if it is empty.
+  static auto Call(const GatewayProcess& node,
+                   const std::string& method,
+                   const std::string& target,
+                   const std::string& id,
+                   const std::string& key,
+                   const std::string& body = "") -> FetchReply {
+    auto request = FetchRequest();
+    request.address = node.callers();
+    request.method = method;
+    request.target = target;
+    request.headers = {
+        {"Host", kGatewayHost}, {"Request-Id", id}, {"Tenant", "forged"}};
+    if (!key.empty()) {
+      request.headers["X-Api-Key"] = key;
+    }
+    request.body = body;
+    return Fetch(request);
+  }
+
+  // What a replica got in a header of a request that ran.
+  auto SeenBy(const std::string& request, const std::string& header) const
+      -> std::string {
+    const auto& replica = one->RunCount(request) > 0 ? *one : *two;
+    return std::string(FindHeader(replica.HeadersOf(request), header));
+  }
+
+  const json both = {{{"name", "a"}, {"api_keys", {"key-a1", "key-a2"}}},
+                     {{"name", "b"}, {"api_keys", {"key-b1"}}}};
+};
+
+// Guards against keys that reach replicas, names that callers choose, and
+// requests that run without a key of any organisation.
+TEST_CASE("Gateway.SendsTheNameOfTheOrganisationAndNeverItsKey") {
+  const auto fleet = Organisations();
+  const auto& node = *fleet.nodes.front();
+  for (const auto* path : {"/plain/1", "/plain/once/1", "/stream/1"}) {
+    const auto id = std::string(path) + "-b";
+    REQUIRE(Organisations::Call(node, "POST", path, id, "key-b1").status ==
+            200);
+    CHECK(fleet.SeenBy(id, "Tenant") == "b");
+    CHECK(fleet.SeenBy(id, "X-Api-Key").empty());
+    for (const auto* key : {"", "key-c", "b", "KEY-B1"}) {
+      const auto refused = id + "-not-" + key;
+      CHECK(Organisations::Call(node, "POST", path, refused, key).status ==
+            401);
+      CHECK(fleet.RunCount(refused) == 0);
+    }
+  }
+  REQUIRE(
+      Organisations::Call(node, "POST", "/open/1", "open", "key-b1").status ==
+      200);
+  CHECK(fleet.SeenBy("open", "Tenant").empty());
+  CHECK(fleet.SeenBy("open", "X-Api-Key").empty());
+}
+
+// Guards against jobs that callers of another organisation can read, end or
+// take for their own, at the owner or at another gateway, and against a job
+// that is lost with the key by which it was submitted.
+TEST_CASE("Gateway.ShowsAJobToItsOrganisationOnly") {
+  auto fleet = Organisations();
+  const auto& node = *fleet.nodes.front();
+  const auto submit = [&](const std::string& key, const std::string& item) {
+    return Organisations::Call(node, "POST", "/jobs/1", "q1", key,
+                               JobBody({item}))
+        .status;
+  };
+  REQUIRE(submit("key-a1", "q1-a") == 202);
+  fleet.store->Put(
+      "config/main",
+      ConfigurationOf(
+          2, {{{"name", "a"}, {"api_keys", {"key-a2"}}}, fleet.both.at(1)}));
+  for (const auto& gateway : fleet.nodes) {
+    REQUIRE(Eventually([&] {
+      return Organisations::Call(*gateway, "POST", "/plain/1", "p", "key-a1")
+                 .status == 401;
+    }));
+    const auto read = [&](const std::string& key) {
+      return Organisations::Call(*gateway, "GET", "/api/lots/q1?after=0", "",
+                                 key);
+    };
+    REQUIRE(Eventually([&] {
+      const auto reply = read("key-a2");
+      return reply.status == 200 && json::parse(reply.body).at("next") == 1;
+    }));
+    CHECK(read("key-a1").status == 401);
+    CHECK(read("").status == 401);
+    CHECK(read("key-b1").status == 404);
+    CHECK(Organisations::Call(*gateway, "DELETE", "/api/lots/q1", "", "key-b1")
+              .status == 404);
+    CHECK(Organisations::Call(*gateway, "GET", "/api/items/q1?id=q1-a", "",
+                              "key-b1")
+              .status == 404);
+  }
+  CHECK(fleet.SeenBy("q1-a", "Tenant") == "a");
+  CHECK(fleet.SeenBy("q1-a", "X-Api-Key").empty());
+  // The same id names another job in another organisation.
+  REQUIRE(submit("key-b1", "q1-b") == 202);
+  REQUIRE(Eventually([&] { return fleet.RunCount("q1-b") > 0; }));
+  CHECK(fleet.SeenBy("q1-b", "Tenant") == "b");
+}
+
+// Guards against keys and limits that are lost because one member of a
+// configuration cannot be read.
+TEST_CASE("Gateway.KeepsTheLastConfigurationWithReadableOrganisations") {
+  auto fleet = Organisations();
+  const auto& node = *fleet.nodes.front();
+  fleet.store->Put(
+      "config/main",
+      ConfigurationOf(2, {{{"name", "a"}, {"api_keys", {"key-a3"}}},
+                          {{"name", "b"}, {"rate_per_s", -1}}}));
+  REQUIRE(Eventually([&] {
+    return !LinesOf(node.Log(), "event", "configuration_unreadable").empty();
+  }));
+  const auto status = [&](const std::string& key) {
+    return Organisations::Call(node, "POST", "/plain/1", "p-" + key, key)
+        .status;
+  };
+  CHECK(status("key-a1") == 200);
+  CHECK(status("key-b1") == 200);
+  CHECK(status("key-a3") == 401);
+  const auto lines = LinesOf(node.Log(), "event", "configuration_unreadable");
+  CHECK_THAT(lines.front().value("reason", ""),
+             Catch::Contains("tenants[1].rate_per_s"));
+}
+
+}  // namespace
+}  // namespace kumquatgauge::testing
