Run the disk host process on one host of each availability zone

The hosts with a disk hold nothing, and each ran a process that only answered requests to empty its own host: 14 of 88 hosts on one deployment, with a watch of the store each. One process in each availability zone now answers for all of them, and stops when a request was withdrawn.

--- a/include/kumquatgauge/serving/disk_host.h
+++ b/include/kumquatgauge/serving/disk_host.h
@@ -27,9 +27,10 @@
   std::string request_prefix;
 };
 
-// The process on a host with a disk. All durable data is in the store, so the
-// disk stays empty, and a request to empty the host is answered at once. Runs
-// on the calling thread until SIGTERM.
+// The process on some hosts with a disk. All durable data is in the store, so
+// the disks stay empty, and a request to empty any of these hosts is answered
+// at once, whether or not it runs this process. Runs on the calling thread
+// until SIGTERM.
 class DiskHost {
  public:
   DiskHost(GatewaySettings settings, DiskHostParts parts);
--- a/src/serving/disk_host.cc
+++ b/src/serving/disk_host.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <set>
 #include <utility>
 
 #include "base/process_hooks.h"
@@ -89,25 +90,30 @@
   }
 
   auto OnRequest(const std::string& key) -> void {
-    const auto own = parts_.request_prefix + settings_.name.value();
-    if (key != own || std::exchange(reporting_, true)) {
-      return;
+    const auto host = key.substr(parts_.request_prefix.size());
+    if (reporting_.insert(host).second) {
+      asio::co_spawn(context_, Report(host), asio::detached);
     }
-    asio::co_spawn(context_, Report(), asio::detached);
   }
 
-  auto Report() -> awaitable<void> {
+  // No host holds data, so any of these processes may report for each: most
+  // hosts with a disk run none.
+  auto Report(std::string host) -> awaitable<void> {
     auto timer = asio::steady_timer(context_);
     for (auto reported = false; !reported;) {
       auto failure = std::string();
       try {
-        co_await store_.report_emptied(settings_.name.value());
+        co_await store_.report_emptied(host);
         reported = true;
       } catch (const Error& error) {
         failure = error.what();
+        if (error.kind() == ErrorKind::kNotFound) {
+          break;  // The request was withdrawn.
+        }
       }
-      logger_.Info("this host was asked to empty itself and holds no data",
+      logger_.Info("a host is to be emptied and holds no data",
                    {{"event", "host_emptied"},
+                    {"host", host},
                     {"reported", reported ? "true" : "false"},
                     {"reason", failure}});
       if (!reported) {
@@ -115,7 +121,7 @@
         co_await timer.async_wait(kAwaitTuple);
       }
     }
-    reporting_ = false;
+    reporting_.erase(host);
   }
 
   auto AwaitSignals() -> void {
@@ -139,7 +145,7 @@
   StoreFeed feed_;
   kumquatgauge::detail::ProcessSignals signals_;
   bool store_lost_ = false;
-  bool reporting_ = false;
+  std::set<std::string> reporting_;  // Hosts whose report is under way.
 };
 
 DiskHost::DiskHost(GatewaySettings settings, DiskHostParts parts)
--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -298,6 +298,12 @@
       {{"items", std::move(items)}, {"has_more", false}, {"as_of", revision_}}};
 }
 
+auto FakeObjectApi::StatusOf(const std::string& key) const -> json {
+  const auto lock = std::lock_guard(mutex_);
+  const auto found = statuses_.find(key);
+  return found == statuses_.end() ? json() : found->second;
+}
+
 auto FakeObjectApi::AnswerWrite(const Request& request, const std::string& path)
     -> std::pair<int, json> {
   const auto kind = path.substr(0, path.find('/'));
@@ -311,6 +317,10 @@
   const auto key = kind + "/" + name;
   const auto found = objects_.find(key);
   const auto exists = found != objects_.end() && !found->second.deleted;
+  if (path == key + "/status") {
+    statuses_[key] = body.at("status");
+    return {exists ? 200 : 404, json::object()};
+  }
   const auto expected = body.at("metadata").value("revision", std::uint64_t{0});
   const auto conflict = request.method == "POST"
                             ? exists
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -34,6 +34,8 @@
   auto Has(const std::string& key) const -> bool;
   // The value of an object; null if there is none.
   auto Get(const std::string& key) const -> nlohmann::json;
+  // The last status that was written of an object; null if there is none.
+  auto StatusOf(const std::string& key) const -> nlohmann::json;
   // While set, every call is answered 503.
   auto set_down(bool down) -> void;
   // Returns another address that serves the same objects, for one caller.
@@ -91,7 +93,8 @@
 
   mutable std::mutex mutex_;
   std::map<std::string, Object> objects_;  // By "KIND/NAME".
-  std::vector<std::string> texts_;         // Of PutText.
+  std::map<std::string, nlohmann::json> statuses_;
+  std::vector<std::string> texts_;  // Of PutText.
   std::map<std::string, int> lost_answers_;
   std::map<std::string, int> exact_lists_;
   std::map<std::string, std::chrono::milliseconds> read_delays_;
