Refuse API keys when the configuration is not known to be recent

With [keys] max_configuration_age_ms a gateway now accepts a key only if it can show that its configuration was the newest one less than this time ago. ConfigurationFreshness decides this from exact reads and lists, counted from their beginning, and from the answers of other gateways, counted from the question. FreshnessKeeper carries out its reads and datagrams. Without the setting, or without organisations, nothing changes.

A configuration that cannot be decoded, is older than the one in force or differs from it under the same version does not count.

--- a/include/kumquatgauge/serving/gateway_settings.h
+++ b/include/kumquatgauge/serving/gateway_settings.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,12 @@
     std::chrono::seconds job_retention{600};
     auto operator==(const Limits&) const -> bool = default;
   };
+  struct Keys {
+    // How long after a change of the configuration API keys may still be
+    // accepted by an older one; absent: without limit.
+    std::optional<std::chrono::milliseconds> max_configuration_age;
+    auto operator==(const Keys&) const -> bool = default;
+  };
 
   NodeId name;
   ZoneName zone;
@@ -46,6 +53,7 @@
   Listen listen;
   Store store;
   Limits limits;
+  Keys keys;
   LogLevel log_level = LogLevel::kInfo;
 
   auto operator==(const GatewaySettings&) const -> bool = default;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -29,6 +29,7 @@
 #include "kumquatgauge/serving/batch_runner.h"
 #include "kumquatgauge/serving/caller_authorizer.h"
 #include "kumquatgauge/serving/forwarder.h"
+#include "kumquatgauge/serving/freshness_keeper.h"
 #include "kumquatgauge/serving/job_archive.h"
 #include "kumquatgauge/serving/load_balancer.h"
 #include "kumquatgauge/serving/quota_keeper.h"
@@ -214,6 +215,7 @@
         quotas_(MakeQuotaParts()),
         batch_(MakeBatchParts()),
         forwarder_(MakeForwarderParts()),
+        freshness_(MakeFreshnessParts()),
         configuration_feed_(context_.get_executor(),
                             *store_,
                             MakeConfigurationFeed(),
@@ -389,6 +391,32 @@
                                    kBytesPerMegabyte / kAnswerMemoryDivisor};
   }
 
+  auto MakeFreshnessParts() -> FreshnessKeeperParts {
+    return {
+        .executor = context_.get_executor(),
+        .store = *store_,
+        .configuration_key = parts_.dialect.configuration_key,
+        .metrics = metrics_,
+        .clock = BootNow,
+        .random = DrawRandom,
+        .self = settings_.name,
+        .live = [this] { return gossip_.membership().live(); },
+        .address_of = [this](const NodeId& id) -> std::optional<std::string> {
+          const auto record = gossip_.membership().Find(id);
+          return record ? std::optional(record->info.node_address)
+                        : std::nullopt;
+        },
+        .send_datagram =
+            [this](const std::string& address, const json& message) {
+              gossip_.SendDatagram(address, message);
+            },
+        .apply =
+            [this](const std::string& value) {
+              return ApplyConfiguration(value, "the store");
+            },
+        .max_age = settings_.keys.max_configuration_age};
+  }
+
   auto MakeConfigurationFeed() const -> StoreFeedSettings {
     auto feed = StoreFeedSettings();
     const auto& key = parts_.dialect.configuration_key;
@@ -398,11 +426,17 @@
 
   auto MakeConfigurationHooks() -> StoreFeedHooks {
     auto hooks = StoreFeedHooks();
-    hooks.watch_time = [this] { return NextWatchTime(); };
+    hooks.watch_time = [this] {
+      freshness_.OnListBegun();
+      return NextWatchTime();
+    };
     hooks.snapshot = [this](const std::vector<store::ListEntry>& entries,
                             std::uint64_t /*revision*/) {
       for (const auto& entry : entries) {
-        OnConfigurationObject(entry.key, entry.value);
+        const auto version = OnConfigurationObject(entry.key, entry.value);
+        if (version) {
+          freshness_.OnListed(*version);
+        }
       }
     };
     hooks.event = [this](const store::WatchEvent& event) {
@@ -468,11 +502,13 @@
     }
   }
 
+  // As ApplyConfiguration; nothing for other objects, too.
   auto OnConfigurationObject(const std::string& key,
-                             const std::optional<std::string>& value) -> void {
-    if (key == parts_.dialect.configuration_key && value) {
-      ApplyConfiguration(*value, "the store");
-    }
+                             const std::optional<std::string>& value)
+      -> std::optional<std::uint64_t> {
+    return key == parts_.dialect.configuration_key && value
+               ? ApplyConfiguration(*value, "the store")
+               : std::nullopt;
   }
 
   auto ConfigurationVersion() const -> std::string {
@@ -480,9 +516,10 @@
   }
 
   // Applies a configuration only if it is newer, so that this node never goes
-  // back to an older one.
+  // back to an older one. Returns its version; nothing if it cannot be decoded,
+  // or differs from the configuration in force under the same version.
   auto ApplyConfiguration(const std::string& value, const std::string& source)
-      -> void {
+      -> std::optional<std::uint64_t> {
     auto next = std::make_shared<Configuration>();
     try {
       *next = parts_.dialect.decode_configuration(value);
@@ -492,10 +529,12 @@
           {{"event", "configuration_unreadable"},
            {"reason", error.what()},
            {"in_force", ConfigurationVersion()}});
-      return;
+      return std::nullopt;
     }
     if (configuration_ && next->version <= configuration_->version) {
-      return;
+      const auto differs = next->version == configuration_->version &&
+                           value != raw_configuration_;
+      return differs ? std::nullopt : std::optional(next->version);
     }
     logger_.Info("applied a configuration",
                  {{"event", "configuration_applied"},
@@ -507,9 +546,11 @@
     raw_configuration_ = value;
     configuration_ = std::move(next);
     authorizer_.SetConfiguration(configuration_);
+    freshness_.SetConfiguration(*configuration_);
     quotas_.SetConfiguration(*configuration_);
     ApplyCallerLimits();
     gossip_.OnFeedApplied(kConfigurationFeed, configuration_->version);
+    return configuration_->version;
   }
 
   auto ApplyCallerLimits() -> void {
@@ -1067,6 +1108,8 @@
             detail::DecodeStartReports(message.at("l")));
       } else if (type == kOriginDatagram || type == kVersionsDatagram) {
         streams_.OnDatagram(message);
+      } else if (type == kFreshnessDatagram) {
+        freshness_.OnDatagram(from, message);
       } else if (type == "leaving") {
         OnLeavingDatagram(message);
       } else if (type == "crash") {
@@ -1635,8 +1678,7 @@
       metrics_.counter("kqg_key_refusals_total{reason=\"unauthorized\"}");
   Counter& stale_refusals_ =
       metrics_.counter("kqg_key_refusals_total{reason=\"stale\"}");
-  // TODO: needs the age of the configuration.
-  CallerAuthorizer authorizer_{[] { return true; }};
+  CallerAuthorizer authorizer_{[this] { return freshness_.IsFresh(); }};
   store::PlatformClient store_client_;
   std::unique_ptr<store::ObjectStore> store_;
   JobArchive archive_;
@@ -1654,6 +1696,7 @@
   QuotaKeeper quotas_;
   BatchRunner batch_;
   Forwarder forwarder_;
+  FreshnessKeeper freshness_;
   StoreFeed configuration_feed_;
   StoreFeed replica_feed_;
   std::unique_ptr<HttpListener> callers_;
--- a/src/serving/gateway_settings.cc
+++ b/src/serving/gateway_settings.cc
@@ -26,6 +26,7 @@
     ReadListen(settings.listen);
     ReadStore(settings.store);
     ReadLimits(settings.limits);
+    ReadKeys(settings.keys);
     ReadLog(settings);
     top_.RejectUnknownKeys();
     return settings;
@@ -78,6 +79,20 @@
     table.RejectUnknownKeys();
   }
 
+  auto ReadKeys(GatewaySettings::Keys& keys) -> void {
+    // Well above the margin by which the age is checked earlier.
+    constexpr double kMinAgeMs = 1'000;
+    constexpr double kMaxAgeMs = 3'600'000;
+    constexpr auto kAgeKey = "max_configuration_age_ms";
+    auto table = top_.Table("keys");
+    if (table.Find(kAgeKey) != nullptr) {
+      keys.max_configuration_age =
+          std::chrono::milliseconds(static_cast<std::int64_t>(
+              table.Number(kAgeKey, kMaxAgeMs, kMinAgeMs, kMaxAgeMs)));
+    }
+    table.RejectUnknownKeys();
+  }
+
   auto ReadLog(GatewaySettings& settings) -> void {
     auto table = top_.Table("log");
     settings.log_level = table.Level("level");
--- a/src/serving/gateway_settings_test.cc
+++ b/src/serving/gateway_settings_test.cc
@@ -1,6 +1,8 @@
 #include "kumquatgauge/serving/gateway_settings.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
+#include <string>
 
 #include "kumquatgauge/base/error.h"
 
@@ -53,6 +55,28 @@
                   Error);
 }
 
+// Guards against an age limit for deployments that set none, and against one
+// that is ignored or within the margin of its check.
+TEST_CASE("GatewaySettings.ReadsTheAgeLimitOfTheConfiguration") {
+  const auto read = [](const std::string& keys) {
+    return ParseGatewaySettings(std::string(kWhole) + keys, "s")
+        .keys.max_configuration_age;
+  };
+  CHECK(read("") == std::nullopt);
+  CHECK(read("[keys]\n") == std::nullopt);
+  CHECK(read("[keys]\nmax_configuration_age_ms = 5000\n") ==
+        std::chrono::milliseconds(5'000));
+  CHECK(read("[keys]\nmax_configuration_age_ms = 5000.0\n") ==
+        std::chrono::milliseconds(5'000));
+  for (const auto* bad : {"0", "-5000", "999", "4e6", "\"5000\"", "true"}) {
+    CAPTURE(bad);
+    CHECK_THROWS_AS(
+        read(std::string("[keys]\nmax_configuration_age_ms = ") + bad + "\n"),
+        Error);
+  }
+  CHECK_THROWS_AS(read("[keys]\nmax_age_ms = 5000\n"), Error);
+}
+
 TEST_CASE("GatewaySettings.RejectsABadAddress") {
   auto text = std::string(kWhole);
   text.replace(text.find("10.0.0.9:80"), 11, "10.0.0.9:xx");
