Limit the online requests of organisations over all gateways

The limits of an organisation were decoded and not applied. One gateway, the keeper chosen by rendezvous hashing, now holds a token bucket for each organisation; the others ask it by datagrams and decide locally while it does not reply. Requests above the limit get 429 and Retry-After. A request that the forwarder refuses as not run gives its token back.

--- a/include/kumquatgauge/serving/dialect.h
+++ b/include/kumquatgauge/serving/dialect.h
@@ -52,6 +52,9 @@
   std::uint32_t max_output_tokens = 0;
   // Set by the gateway; see Delivery::organisation.
   std::optional<OrganisationName> organisation;
+  // Set by the gateway if a token of the organisation's request limit was used
+  // for it, which is given back if the request is not run.
+  bool holds_quota_token = false;
   // Of the organisation; goes before the rank of the route.
   std::uint32_t priority = 0;
 
--- a/include/kumquatgauge/serving/forwarder.h
+++ b/include/kumquatgauge/serving/forwarder.h
@@ -40,6 +40,8 @@
       auto(const ServiceName&, const std::optional<std::string>& version)->bool>
       yield_batch_slot;
   const AnswerHooks& hooks;
+  // Called when a request is refused that has not run.
+  std::function<auto(const CallerRequest&)->void> not_run;
   // Limit of all answers that are being read. A replica in trouble may send
   // bytes without end.
   std::size_t answer_memory_bytes;
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -218,6 +218,7 @@
   auto EndTooLate(ExchangePtr exchange) -> awaitable<void> {
     constexpr auto kReason = "this node stops";
     refused_.Add();
+    parts_.not_run(exchange->request);
     co_await Refuse(exchange->writer, kServiceUnavailable, kReason,
                     kStoppingRetry);
     LogEnd(*exchange, kServiceUnavailable, kReason);
@@ -819,6 +820,7 @@
 
   auto EndRefused(ExchangePtr exchange, std::string reason) -> awaitable<void> {
     refused_.Add();
+    parts_.not_run(exchange->request);
     const auto retry_after = RetryAfter(*exchange);
     auto text = reason;
     co_await Refuse(exchange->writer, kServiceUnavailable, std::move(text),
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -34,6 +34,7 @@
 #include "kumquatgauge/serving/quota_keeper.h"
 #include "kumquatgauge/serving/replica_table.h"
 #include "kumquatgauge/serving/request_quarantine.h"
+#include "kumquatgauge/serving/request_quota_keeper.h"
 #include "kumquatgauge/serving/store_feed.h"
 #include "kumquatgauge/serving/stream_versions.h"
 #include "kumquatgauge/serving/watcher_choice.h"
@@ -64,6 +65,7 @@
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 
 constexpr auto kConfigurationFeed = "config";
@@ -212,6 +214,7 @@
                           }},
         streams_(MakeStreamVersionsParts()),
         quotas_(MakeQuotaParts()),
+        request_quotas_(MakeRequestQuotaParts()),
         batch_(MakeBatchParts()),
         forwarder_(MakeForwarderParts()),
         configuration_feed_(context_.get_executor(),
@@ -349,6 +352,25 @@
             .live = [this] { return gossip_.membership().live(); }};
   }
 
+  auto MakeRequestQuotaParts() -> RequestQuotaKeeperParts {
+    return {.executor = context_.get_executor(),
+            .metrics = metrics_,
+            .clock = SteadyNow,
+            .random = DrawRandom,
+            .first_sequence = static_cast<std::uint64_t>(
+                std::chrono::duration_cast<std::chrono::microseconds>(
+                    WallNow().time_since_epoch())
+                    .count()),
+            .self = settings_.name,
+            .live = [this] { return gossip_.membership().live(); },
+            .known_nodes = [this] { return KnownNodes(); },
+            .isolated = [this] { return IsIsolated(); },
+            .send_datagram =
+                [this](const std::string& address, const json& message) {
+                  gossip_.SendDatagram(address, message);
+                }};
+  }
+
   auto MakeStreamVersionsParts() -> StreamVersionsParts {
     return {.executor = context_.get_executor(),
             .peers = *peer_client_,
@@ -385,6 +407,12 @@
                   return batch_.YieldSlot(service, version);
                 },
             .hooks = answer_hooks_,
+            .not_run =
+                [this](const CallerRequest& request) {
+                  if (request.holds_quota_token) {
+                    request_quotas_.Refund(*request.organisation);
+                  }
+                },
             .answer_memory_bytes = std::size_t{settings_.limits.memory_mb} *
                                    kBytesPerMegabyte / kAnswerMemoryDivisor};
   }
@@ -508,6 +536,7 @@
     configuration_ = std::move(next);
     authorizer_.SetConfiguration(configuration_);
     quotas_.SetConfiguration(*configuration_);
+    request_quotas_.SetConfiguration(*configuration_);
     ApplyCallerLimits();
     gossip_.OnFeedApplied(kConfigurationFeed, configuration_->version);
   }
@@ -932,6 +961,17 @@
     store_client_.SetFleetSize(size);
     retry_budget_.set_nodes(size);
     batch_.OnMembersChanged();
+    request_quotas_.OnMembersChanged();
+  }
+
+  // Returns the number of nodes that have not stopped as planned, including
+  // this one.
+  auto KnownNodes() const -> std::size_t {
+    const auto records = gossip_.membership().records();
+    return static_cast<std::size_t>(
+        std::count_if(records.begin(), records.end(), [](const auto& record) {
+          return record.state != control::MemberState::kLeft;
+        }));
   }
 
   // Returns the share of the fleet's nodes that are alive. Those that have
@@ -1067,6 +1107,8 @@
             detail::DecodeStartReports(message.at("l")));
       } else if (type == kOriginDatagram || type == kVersionsDatagram) {
         streams_.OnDatagram(message);
+      } else if (RequestQuotaKeeper::Handles(type)) {
+        request_quotas_.OnDatagram(message);
       } else if (type == "leaving") {
         OnLeavingDatagram(message);
       } else if (type == "crash") {
@@ -1412,6 +1454,19 @@
       co_await batch_.Submit(incoming, std::move(request), writer);
       co_return;
     }
+    if (request.organisation) {
+      auto organisation = *request.organisation;
+      const auto decision =
+          co_await request_quotas_.Reserve(std::move(organisation));
+      if (!decision.granted) {
+        co_await Refuse(writer, kTooManyRequests,
+                        "the organisation is at its limit of requests",
+                        std::chrono::ceil<milliseconds>(decision.retry_after));
+        co_return;
+      }
+      request.holds_quota_token =
+          decision.reason == RequestQuotaReason::kGranted;
+    }
     co_await forwarder_.Handle(incoming, std::move(request), configuration,
                                route, writer);
   }
@@ -1652,6 +1707,7 @@
   AnswerHooks answer_hooks_;
   StreamVersions streams_;
   QuotaKeeper quotas_;
+  RequestQuotaKeeper request_quotas_;
   BatchRunner batch_;
   Forwarder forwarder_;
   StoreFeed configuration_feed_;
