--- a/testing/gateway/fleet.h
+++ b/testing/gateway/fleet.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <random>
 #include <sstream>
 #include <string>
@@ -56,7 +57,8 @@
   // `version` is that of the replicas.
   explicit Fleet(int gateways = 1,
                  std::uint32_t memory_mb = kGatewayMegabytes,
-                 const std::string& version = "") {
+                 const std::string& version = "",
+                 std::optional<int> max_configuration_age_ms = std::nullopt) {
     folder = std::filesystem::temp_directory_path() /
              ("kqg-gateway-test-" + std::to_string(std::random_device{}()));
     std::filesystem::create_directories(folder);
@@ -68,7 +70,7 @@
       store_addresses.push_back(store->AddEndpoint());
       nodes.push_back(std::make_unique<GatewayProcess>(
           KQG_GATEWAY, "n" + std::to_string(at), store_addresses.back(),
-          folder.string(), memory_mb));
+          folder.string(), memory_mb, max_configuration_age_ms));
     }
   }
 
--- a/testing/gateway/gateway_process.cc
+++ b/testing/gateway/gateway_process.cc
@@ -61,7 +61,8 @@
                                std::string name,
                                const std::string& store,
                                std::string folder,
-                               std::uint32_t memory_mb)
+                               std::uint32_t memory_mb,
+                               std::optional<int> max_configuration_age_ms)
     : program_(std::move(program)),
       name_(std::move(name)),
       folder_(std::move(folder)),
@@ -78,6 +79,10 @@
        << nodes_ << "\"\n[store]\naddress = \"" << store
        << "\"\n[limits]\nstop_s = 8\n"
        << "memory_mb = " << memory_mb << "\n";
+  if (max_configuration_age_ms) {
+    file << "[keys]\nmax_configuration_age_ms = " << *max_configuration_age_ms
+         << "\n";
+  }
   file.close();
   Start();
 }
--- a/testing/gateway/gateway_process.h
+++ b/testing/gateway/gateway_process.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,11 +42,13 @@
 class GatewayProcess {
  public:
   // Settings and logs go to `folder`. `memory_mb` is the limit in its settings.
+  // `max_configuration_age_ms` is in them only if it is given.
   GatewayProcess(std::string program,
                  std::string name,
                  const std::string& store,
                  std::string folder,
-                 std::uint32_t memory_mb = 256);
+                 std::uint32_t memory_mb = 256,
+                 std::optional<int> max_configuration_age_ms = std::nullopt);
 
   // Starts the process, also after it has ended, with a log file of its own.
   auto Start() -> void;
