Hold request limits during partitions and on delayed hosts

A keeper that loses nodes now debits what they may have accepted in 2 s, and an account that is opened meanwhile starts empty.

A node that got no CPU time took the reply in its socket for missing and decided locally. An ask whose time-out comes late now gets 5 ms more, once.

--- a/include/kumquatgauge/serving/request_quota.h
+++ b/include/kumquatgauge/serving/request_quota.h
@@ -21,6 +21,10 @@
   // and the request is decided locally after `ask_timeout`.
   Duration repeat_after = std::chrono::milliseconds(15);
   Duration ask_timeout = std::chrono::milliseconds(40);
+  // If OnTick is called later than this after the time-out, the node itself was
+  // delayed, as hosts with a small share of a core are, and the reply may wait
+  // in its socket. The ask gets this much more time, once.
+  Duration late_tick = std::chrono::milliseconds(5);
   // After an ask without a reply, requests are decided locally at once.
   Duration local_time = std::chrono::milliseconds(100);
   // Tokens for as many requests as were granted in this time are asked for
@@ -110,6 +114,7 @@
     std::optional<RequestAsk> ask;  // Outstanding.
     MonotonicTime asked;
     bool repeated = false;
+    bool extended = false;  // See RequestQuotaSettings::late_tick.
     MonotonicTime refused_until;
     MonotonicTime next_retry;
     std::uint32_t rejected = 0;  // Not yet reported to the keeper.
--- a/include/kumquatgauge/serving/request_rate_account.h
+++ b/include/kumquatgauge/serving/request_rate_account.h
@@ -69,6 +69,8 @@
   // A node answers no asks for this long after its start. Nodes that start
   // together know few of the others at first, and many would be the keeper.
   Duration settle_time = std::chrono::seconds(1);
+  // Time after which a node that cannot be reached is declared dead.
+  Duration loss_detection_time = std::chrono::seconds(2);
   // How long the last ask of a node is remembered to recognise duplicates.
   Duration peer_memory = std::chrono::seconds(60);
 };
@@ -85,6 +87,9 @@
   auto SetLimit(const RequestLimit& limit) -> void;
   // Applies the balance of an earlier keeper if it is lower.
   auto LimitBalance(double balance) -> void;
+  // Counts requests that were accepted without an ask; the balance may become
+  // negative.
+  auto Debit(double tokens) -> void;
   // Returns nothing for an ask that is older than the last one or needs no
   // answer. A repeated ask gets the same answer and debits nothing.
   auto OnAsk(const NodeId& from, const RequestAsk& ask)
--- a/src/serving/request_quota.cc
+++ b/src/serving/request_quota.cc
@@ -170,6 +170,7 @@
   state.ask = ask;
   state.asked = hooks_.clock();
   state.repeated = false;
+  state.extended = false;
   ++asks_;
   hooks_.send(ask);
 }
@@ -250,7 +251,13 @@
   const auto now = hooks_.clock();
   auto timed_out = std::vector<OrganisationName>();
   for (auto& [organisation, state] : states_) {
-    if (state.ask && now - state.asked >= settings_.ask_timeout) {
+    const auto late = now - state.asked - settings_.ask_timeout;
+    if (!state.ask || late < Duration::zero()) {
+      continue;
+    }
+    if (late >= settings_.late_tick && !std::exchange(state.extended, true)) {
+      state.asked = now - settings_.ask_timeout + settings_.late_tick;
+    } else {
       timed_out.push_back(organisation);
     }
   }
--- a/src/serving/request_quota_simulation_test.cc
+++ b/src/serving/request_quota_simulation_test.cc
@@ -91,6 +91,7 @@
   NodeId id;
   bool up = false;
   bool cut = false;  // No datagram reaches it or leaves it.
+  int side = 0;      // No datagram goes to another side of a partition.
   std::uint64_t start = 0;
   std::vector<routing::NodeInfo> view;  // Live members.
   std::size_t known = 1;
@@ -217,10 +218,10 @@
     }
   }
 
-  auto LiveNodes() const -> std::vector<routing::NodeInfo> {
+  auto LiveNodes(int side = 0) const -> std::vector<routing::NodeInfo> {
     auto nodes = std::vector<routing::NodeInfo>();
     for (const auto& gateway : gateways_) {
-      if (gateway->up && !gateway->cut) {
+      if (gateway->up && !gateway->cut && gateway->side == side) {
         nodes.push_back(Info(*gateway));
       }
     }
@@ -238,7 +239,7 @@
       const auto start = gateway->start;
       At(now_ + Uniform(from, to), [this, gateway, start] {
         if (gateway->up && !gateway->cut && gateway->start == start) {
-          SetView(*gateway, LiveNodes());
+          SetView(*gateway, LiveNodes(gateway->side));
         }
       });
     }
@@ -393,7 +394,7 @@
                const std::function<auto(Gateway&)->void>& receive) -> void {
     auto* target = Find(to);
     ++datagrams_;
-    if (target == nullptr || from.cut) {
+    if (target == nullptr || from.cut || from.side != target->side) {
       return;
     }
     const auto copies = Uniform(0, 1) < faults_.duplicated ? 2 : 1;
@@ -405,8 +406,9 @@
       if (Uniform(0, 1) < faults_.slow) {
         delay += Uniform(0, faults_.slow_delay);
       }
-      At(now_ + delay, [this, target, receive] {
-        if (target->up && !target->cut) {
+      const auto side = from.side;
+      At(now_ + delay, [this, target, receive, side] {
+        if (target->up && !target->cut && target->side == side) {
           receive(*target);
           Tick(*target);
         }
@@ -697,6 +699,29 @@
   simulation.CheckWindows();
 }
 
+// Guards against the whole rate on each side of a partition.
+TEST_CASE("RequestQuota.HoldsTheLimitWhenAThirdIsPartitioned") {
+  const auto seed = GENERATE(81, 82, 83);
+  auto simulation = Simulation(seed);
+  simulation.RunUntil(10);
+  simulation.SetFactor(0, 5);
+  simulation.SetFactor(2, 5);
+  simulation.RunUntil(10.5);
+  const auto third = kGateways / 3;
+  for (std::size_t at = 0; at < third; ++at) {
+    simulation.gateways()[at]->side = 1;
+  }
+  simulation.SpreadView(2, 2.5);
+  simulation.RunUntil(17);
+  for (std::size_t at = 0; at < third; ++at) {
+    simulation.gateways()[at]->side = 0;
+  }
+  simulation.SpreadView(0.05, 0.6);
+  simulation.RunUntil(24);
+  INFO("seed " << seed);
+  simulation.CheckWindows();
+}
+
 // Guards against a balance from before a limit was lowered.
 TEST_CASE("RequestQuota.AppliesALoweredLimitAfterOneWindow") {
   constexpr double kKnown = 12.5;  // Everywhere.
--- a/src/serving/request_quota_test.cc
+++ b/src/serving/request_quota_test.cc
@@ -116,6 +116,22 @@
   CHECK(node.reason(0) == RequestQuotaReason::kGranted);
 }
 
+// Guards against a refusal, and a lost token, because this node got no CPU time
+// while the reply waited in its socket.
+TEST_CASE("RequestQuota.ReadsTheReplyAfterItWasDelayedItself") {
+  auto node = Node();
+  node.Reserve();
+  node.Advance(milliseconds(90));
+  CHECK_FALSE(node.decisions[0]);
+  node.Grant(1);
+  CHECK(node.reason(0) == RequestQuotaReason::kGranted);
+  node.Reserve();
+  node.Advance(milliseconds(90));
+  CHECK_FALSE(node.decisions[1]);
+  node.Advance(milliseconds(90));  // Only once.
+  CHECK(node.decisions[1]);
+}
+
 // Guards against all gateways together exceeding the rate without a keeper, and
 // against requests that wait for each time-out.
 TEST_CASE("RequestQuota.DecidesLocallyWithoutAReply") {
--- a/src/serving/request_rate_account.cc
+++ b/src/serving/request_rate_account.cc
@@ -60,6 +60,11 @@
   balance_ = std::min(balance_, std::max(0.0, balance));
 }
 
+auto RequestRateAccount::Debit(double tokens) -> void {
+  Refill();
+  balance_ -= tokens;
+}
+
 auto RequestRateAccount::balance() -> double {
   Refill();
   return balance_;
@@ -117,11 +122,13 @@
   auto grant = RequestGrant();
   grant.organisation = ask.organisation;
   grant.sequence = ask.sequence;
-  const auto needed = std::min<double>(ask.needed, std::floor(balance_));
+  const auto needed =
+      std::min<double>(ask.needed, std::floor(std::max(0.0, balance_)));
   balance_ -= needed;
   // No more than half of the rest, since others may need it before this node
   // does.
-  const auto ahead = std::min<double>(ask.ahead, std::floor(balance_ / 2));
+  const auto ahead =
+      std::min<double>(ask.ahead, std::floor(std::max(0.0, balance_) / 2));
   balance_ -= ahead;
   grant.tokens = static_cast<std::uint32_t>(needed + ahead);
   const auto refused = ask.needed - static_cast<std::uint32_t>(needed);
@@ -157,10 +164,15 @@
   if (!limit) {
     return nullptr;
   }
-  return &accounts_
-              .emplace(organisation,
-                       RequestRateAccount(settings_, *limit, clock_))
-              .first->second;
+  auto& account =
+      accounts_
+          .emplace(organisation, RequestRateAccount(settings_, *limit, clock_))
+          .first->second;
+  if (share_ < 1) {
+    // The previous keeper may go on granting behind a partition.
+    account.LimitBalance(0);
+  }
+  return &account;
 }
 
 auto RequestRateAccounts::ApplyLimits() -> void {
@@ -182,9 +194,16 @@
 
 auto RequestRateAccounts::SetReachableShare(double share) -> void {
   const auto next = share >= kFullShare ? 1.0 : share;
-  if (next != share_) {
-    share_ = next;
-    ApplyLimits();
+  if (next == share_) {
+    return;
+  }
+  const auto lost = std::max(0.0, share_ - next);
+  share_ = next;
+  ApplyLimits();
+  // The nodes that were lost may have decided locally since then.
+  for (auto& [organisation, account] : accounts_) {
+    account.Debit(limits_.at(organisation).rate * lost *
+                  Seconds(settings_.loss_detection_time));
   }
 }
 
--- a/src/serving/request_rate_account_test.cc
+++ b/src/serving/request_rate_account_test.cc
@@ -165,11 +165,23 @@
   CHECK(Granted(test.accounts.OnAsk(kOther, Ask(1, 54), false).grant).tokens ==
         54);
   test.accounts.SetReachableShare(0.5);
-  test.clock.Advance(milliseconds(200));
+  // The other half may have accepted 100 requests in 2 s.
+  test.clock.Advance(milliseconds(2'000));
   CHECK(Granted(test.accounts.OnAsk(kOther, Ask(2, 50), false).grant).tokens ==
+        0);
+  test.clock.Advance(milliseconds(200));
+  CHECK(Granted(test.accounts.OnAsk(kOther, Ask(3, 50), false).grant).tokens ==
         10);
 }
 
+// Guards against the start balance of a second keeper behind a partition.
+TEST_CASE("RequestRateAccounts.StartsEmptyWhenNodesAreLost") {
+  auto test = Keeper();
+  test.accounts.SetReachableShare(0.5);
+  CHECK(Granted(test.accounts.OnAsk(kOther, Ask(1, 1), false).grant).tokens ==
+        0);
+}
+
 // Guards against an account of an organisation whose limit was removed.
 TEST_CASE("RequestRateAccounts.DropsAccountsWithoutALimit") {
   auto test = Keeper();
