Check organisations in the soak

With odd seeds the soak's configuration has an organisation whose keys are removed while it runs and which sends more than its limit.

--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -19,6 +19,7 @@
 #include "testing/gateway/gateway_process.h"
 #include "testing/soak/checker.h"
 #include "testing/soak/loopback_proxy.h"
+#include "testing/soak/organisation_load.h"
 #include "testing/support/held_address.h"
 
 namespace kumquatgauge::testing {
@@ -81,6 +82,10 @@
 constexpr std::uint64_t kRefusalSeed = 3'000'003;
 // How often a caller sends a refused request meanwhile.
 constexpr int kMaxSends = 4;
+// Threads that send requests of an organisation, with odd seeds only: the
+// others play a fleet without organisations.
+constexpr int kKeyedCallers = 2;
+constexpr std::uint64_t kKeyedSeed = 5'000'003;
 // Software versions of the replicas at the start; later ones are released.
 constexpr std::size_t kFirstVersions = 2;
 // How often a caller takes up a stream.
@@ -116,7 +121,7 @@
   return "/version-" + std::to_string(version) + "/";
 }
 
-auto MakeSoakConfiguration(int version) -> json {
+auto MakeSoakConfiguration(int version, bool organisations) -> json {
   auto configuration = MakeConfiguration(version);
   for (auto& route : configuration.at("routes")) {
     if (route.at("kind") == "batch") {
@@ -137,6 +142,9 @@
   configuration.at("routes").push_back(series);
   configuration.at("routes").push_back(
       MakeRoute(VersionPath(version), "safe", {{"name", "version"}}));
+  if (organisations) {
+    OrganisationLoad::AddTo(configuration, version);
+  }
   return configuration;
 }
 
@@ -152,7 +160,7 @@
         store_(thread_.context()),
         checker_([this](const std::string& id) { return RunCount(id); },
                  kTokenLimit) {
-    store_.Put("config/main", MakeSoakConfiguration(version_));
+    PutConfiguration(version_);
     const auto replicas =
         static_cast<std::size_t>(settings_.nodes) + kSpareReplicas;
     replicas_.reserve(replicas);
@@ -175,7 +183,11 @@
                                                         node.store_address);
       node.process = std::make_unique<GatewayProcess>(
           settings_.gateway, "n" + std::to_string(at),
-          node.store_link->address(), settings_.folder, kNodeMegabytes);
+          node.store_link->address(), settings_.folder, kNodeMegabytes,
+          has_organisations()
+              ? std::optional(static_cast<int>(
+                    OrganisationLoad::kMaxConfigurationAge.count()))
+              : std::nullopt);
     }
   }
 
@@ -190,6 +202,13 @@
     }
     workers.emplace_back([this] { RunVersionReader(); });
     workers.emplace_back([this] { RunSeriesOfJobs(); });
+    for (auto caller = 0; has_organisations() && caller < kKeyedCallers;
+         ++caller) {
+      workers.emplace_back([this, caller] {
+        organisation_load_.Run(settings_.seed + kKeyedSeed * (caller + 1),
+                               done_);
+      });
+    }
     InjectFaults();
     done_ = true;
     for (auto& worker : workers) {
@@ -202,6 +221,7 @@
                       node.process->name() + " does not handle every signal");
     }
     ReadAllJobs();
+    CheckOrganisation();
     checker_.Finish();
     thread_.Stop();
     counts_["stream resumed"] = resumed_;
@@ -229,6 +249,28 @@
     std::function<auto()->void> act;
   };
 
+  auto has_organisations() const -> bool { return settings_.seed % 2 == 1; }
+
+  auto PutConfiguration(int version) -> void {
+    store_.Put("config/main",
+               MakeSoakConfiguration(version, has_organisations()));
+    organisation_load_.OnVersionStored(version);
+  }
+
+  auto CheckOrganisation() -> void {
+    auto replicas = std::vector<const FakeReplica*>();
+    for (const auto& replica : replicas_) {
+      replicas.push_back(replica.server.get());
+    }
+    for (const auto& violation : organisation_load_.Violations(replicas)) {
+      checker_.Expect(false, violation);
+    }
+    if (has_organisations()) {
+      counts_["requests of an organisation"] =
+          static_cast<int>(organisation_load_.runs());
+    }
+  }
+
   auto RunCount(const std::string& id) const -> int {
     auto runs = 0;
     for (const auto& replica : replicas_) {
@@ -241,6 +283,7 @@
   auto OnStarted(const std::string& request, const std::string& replica)
       -> void {
     checker_.OnStarted(request, replica, std::chrono::steady_clock::now());
+    organisation_load_.OnStarted(request);
     const auto mark = request.find(kItemMark);
     if (mark == std::string::npos) {
       return;
@@ -853,7 +896,7 @@
 
   auto Configure() -> void {
     const auto next = version_ + 1;
-    store_.Put("config/main", MakeSoakConfiguration(next));
+    PutConfiguration(next);
     version_ = next;
   }
 
@@ -941,6 +984,10 @@
   std::vector<ScheduledAction> scheduled_;
   std::map<std::string, int> counts_;
   std::atomic<int> version_{3};
+  OrganisationLoad organisation_load_{
+      [this](std::uint64_t random) -> const GatewayProcess& {
+        return *nodes_[random % nodes_.size()].process;
+      }};
   std::atomic<bool> done_{false};
   std::atomic<int> resumed_{0};
   std::atomic<int> not_resumed_{0};
