--- a/include/kumquatgauge/serving/request_quota.h
+++ b/include/kumquatgauge/serving/request_quota.h
@@ -36,6 +36,15 @@
   // start together know few of the others at first.
   std::size_t unknown_fleet_size = 64;
   Duration settle_time = std::chrono::seconds(1);
+  // Bounds the asks for an organisation above its limit: a node that was paused
+  // `max_short_pauses` times within `pause_window` pauses for `long_pause`
+  // after each further grant. A long pause after each refusal would refuse
+  // requests although tokens are there again.
+  std::uint32_t max_short_pauses = 2;
+  Duration pause_window = std::chrono::seconds(1);
+  Duration long_pause = std::chrono::milliseconds(100);
+  // Bounds the time that a local decision leaves to the next one.
+  Duration max_local_carry = std::chrono::seconds(1);
   Duration min_retry_after = std::chrono::milliseconds(10);
   // Upper bound for a locally rejected request: the keeper may be reachable
   // again by then.
@@ -116,6 +125,8 @@
     bool repeated = false;
     bool extended = false;  // See RequestQuotaSettings::late_tick.
     MonotonicTime refused_until;
+    MonotonicTime pause_window;  // Its begin.
+    std::uint32_t pauses = 0;    // In that window.
     MonotonicTime next_retry;
     std::uint32_t rejected = 0;  // Not yet reported to the keeper.
     MonotonicTime local_until;
--- a/include/kumquatgauge/serving/request_rate_account.h
+++ b/include/kumquatgauge/serving/request_rate_account.h
@@ -55,22 +55,23 @@
 struct RequestRateSettings {
   // A new account starts with this many tokens and those of `start_time`, not
   // with the full burst: the previous keeper may just have granted that. With
-  // one change of the keeper in 5 s, at most 5.7 times the rate, the burst,
+  // one change of the keeper in 5 s, at most 5.4 times the rate, the burst,
   // `extra_capacity` and these 4 are granted, of (5 x rate + burst) x 1.1 + 20
-  // that are allowed.
+  // that are allowed. About a quarter of a second of the rate is accepted
+  // besides, by nodes that do not know the new keeper yet and decide locally.
   double start_tokens = 4;
-  Duration start_time = std::chrono::milliseconds(500);
+  Duration start_time = std::chrono::milliseconds(200);
   // Capacity beyond the burst. Organisations with a rate below about one per
   // second have a burst below one request and would be refused at random.
   double extra_capacity = 8;
-  // Bounds the asks of a node for an organisation above its limit.
+  // Longest time for which a node rejects requests after a grant.
   Duration max_pause = std::chrono::milliseconds(100);
   Duration max_retry_after = std::chrono::seconds(30);
   // A node answers no asks for this long after its start. Nodes that start
   // together know few of the others at first, and many would be the keeper.
   Duration settle_time = std::chrono::seconds(1);
-  // Time after which a node that cannot be reached is declared dead.
-  Duration loss_detection_time = std::chrono::seconds(2);
+  // Longest time after which a node that cannot be reached is declared dead.
+  Duration loss_detection_time = std::chrono::milliseconds(2'500);
   // How long the last ask of a node is remembered to recognise duplicates.
   Duration peer_memory = std::chrono::seconds(60);
 };
--- a/src/serving/request_quota.cc
+++ b/src/serving/request_quota.cc
@@ -145,10 +145,17 @@
   const auto now = hooks_.clock();
   const auto rate = state.limit.rate / static_cast<double>(FleetSize());
   const auto probability = rate * Seconds(now - state.decided);
+  const auto per_request = FromSeconds(1.0 / rate, settings_.max_local_carry);
+  // What exceeds the time of one request counts for the next one, so that
+  // irregular arrivals below the rate are accepted.
+  const auto carry = std::clamp(
+      now - state.decided - FromSeconds(1.0 / rate, std::chrono::hours(1)),
+      Duration::zero(), per_request);
   state.decided = now;
   const auto draw =
       static_cast<double>(hooks_.random() % kSteps) / double{kSteps};
   if (draw < probability) {
+    state.decided = now - carry;
     return {.granted = true, .reason = RequestQuotaReason::kGrantedLocally};
   }
   return {.granted = false,
@@ -188,7 +195,14 @@
   state.tokens += grant.tokens;
   state.tokens_expire = now + settings_.hold_time;
   if (grant.pause > Duration::zero()) {
-    state.refused_until = now + grant.pause;
+    if (now - state.pause_window >= settings_.pause_window) {
+      state.pause_window = now;
+      state.pauses = 0;
+    }
+    const auto is_short = ++state.pauses <= settings_.max_short_pauses;
+    state.refused_until =
+        now +
+        (is_short ? grant.pause : std::max(grant.pause, settings_.long_pause));
     state.next_retry = now + grant.retry_after;
   }
   ServeWaiting(grant.organisation);
--- a/src/serving/request_rate_account.cc
+++ b/src/serving/request_rate_account.cc
@@ -62,7 +62,9 @@
 
 auto RequestRateAccount::Debit(double tokens) -> void {
   Refill();
-  balance_ -= tokens;
+  // A node that was cut off itself must not reject for long once it is back.
+  const auto most = limit_.rate * Seconds(settings_.loss_detection_time);
+  balance_ = std::max(balance_ - tokens, std::min(balance_, -most));
 }
 
 auto RequestRateAccount::balance() -> double {
@@ -132,9 +134,7 @@
   balance_ -= ahead;
   grant.tokens = static_cast<std::uint32_t>(needed + ahead);
   const auto refused = ask.needed - static_cast<std::uint32_t>(needed);
-  if (refused > 0) {
-    grant.pause = settings_.max_pause;
-  } else if (balance_ < 1) {
+  if (balance_ < 1) {
     grant.pause = std::min(settings_.max_pause, TokenDelay());
   }
   if (refused + ask.rejected > 0 || grant.pause > Duration::zero()) {
@@ -234,9 +234,14 @@
 auto RequestRateAccounts::OnHandover(const OrganisationName& organisation,
                                      double balance) -> void {
   auto* account = AccountOf(organisation);
-  if (account != nullptr) {
-    account->LimitBalance(balance);
+  if (account == nullptr) {
+    return;
   }
+  account->LimitBalance(balance);
+  // Until this node answers asks, the others decide locally at the same rate.
+  const auto unanswered = settings_.settle_time -
+                          std::min(settings_.settle_time, clock_() - started_);
+  account->Debit(limits_.at(organisation).rate * Seconds(unanswered));
 }
 
 auto RequestRateAccounts::OnMembersChanged() -> std::vector<Handover> {
