Keep requests away from replicas that accept them and write nothing

Ejection counts failures, and a silent request fails only when its caller has left.

Change: serving/silence_detector learns the time to the first event for each start of a replica. A suspected replica gets no batch item and no request that must not be repeated, and one request at a time that may be repeated, as a probe. Requests that wait there and may be repeated move to another replica within max_attempts and the retry budget.

--- a/include/kumquatgauge/serving/forwarder.h
+++ b/include/kumquatgauge/serving/forwarder.h
@@ -62,6 +62,9 @@
       -> boost::asio::awaitable<void>;
   // Retries waiting requests after capacity may have become free.
   auto OnCapacityFreed() -> void;
+  // Sends requests without an event at replicas that are suspected to be silent
+  // to others, if they may be repeated and the retry budget allows it.
+  auto MoveSilent() -> void;
   // In a planned stop that ends at `end`: refuses requests that arrive after
   // `last_start`, and those that must not be repeated and whose time limit is
   // later than `end`.
--- a/include/kumquatgauge/serving/load_balancer.h
+++ b/include/kumquatgauge/serving/load_balancer.h
@@ -12,6 +12,7 @@
 #include "kumquatgauge/routing/completion.h"
 #include "kumquatgauge/routing/outlier.h"
 #include "kumquatgauge/routing/replica.h"
+#include "kumquatgauge/serving/silence_detector.h"
 #include "kumquatgauge/serving/start_limiter.h"
 
 namespace kumquatgauge::serving {
@@ -87,6 +88,9 @@
   bool even_if_full = false;
   // Leaves out replicas that have named a limit.
   bool avoid_limited = false;
+  // Whether the request may be sent again if its replica does not answer. Only
+  // such a request may probe a replica that is suspected to be silent.
+  bool may_repeat = false;
 };
 
 enum class Availability {
@@ -185,7 +189,16 @@
       -> void;
   auto start_limiter() -> StartLimiter& { return start_limiter_; }
   auto start_limiter() const -> const StartLimiter& { return start_limiter_; }
-  auto OnPeerCounts(const NodeId& peer, InFlightCounts counts) -> void;
+  auto silence_detector() -> SilenceDetector& { return silence_; }
+  auto silence_detector() const -> const SilenceDetector& { return silence_; }
+  // Records a request that is sent, for the detection of silent replicas; call
+  // before OnStarted.
+  auto OnSent(const ReplicaId& replica) -> SilenceDetector::Ticket;
+  // Whether a replica that is not suspected could take the request.
+  auto CanMove(const ChoiceRequest& request) const -> bool;
+  auto OnPeerCounts(const NodeId& peer,
+                    InFlightCounts counts,
+                    const SilenceReports& reports = {}) -> void;
   auto ForgetPeer(const NodeId& peer) -> void;
   // Must be called about once a second.
   auto OnTick() -> routing::OutlierDetector::Changes;
@@ -208,6 +221,8 @@
   auto YieldableBatch(const ServiceName& service) const -> BatchCounts;
   // Returns this node's in-flight requests by replica, to send to peers.
   auto own_counts() const -> InFlightCounts;
+  // Returns what this node knows about silent replicas, to send with them.
+  auto own_silence_reports() const -> SilenceReports;
   auto slots(const ServiceName& service) const -> std::uint32_t;
   // Returns the average time that a request holds a slot.
   auto mean_hold(const ServiceName& service) const -> Duration;
@@ -270,6 +285,15 @@
   }
   auto Estimate(const State& state) const -> std::uint32_t;
   auto Score(const State& state, routing::WorkClass work_class) const -> double;
+  // Keeps requests that must not be repeated away from a replica that may have
+  // fallen silent, while others have a free slot.
+  auto SilencePenalty(const State& state, const ChoiceRequest& request) const
+      -> double;
+  // Whether the replica is left out because it is suspected to be silent and
+  // the request is no probe.
+  auto IsSilenced(const State& state, const ChoiceRequest& request) const
+      -> bool;
+  auto MayProbe(const State& state, const ChoiceRequest& request) const -> bool;
   // Returns how many requests may queue at a replica and still be on time.
   auto QueueLimit(const State& state, Duration latency_target) const
       -> std::uint32_t;
@@ -288,6 +312,7 @@
   RandomSource random_;
   routing::OutlierDetector outliers_;
   StartLimiter start_limiter_;
+  SilenceDetector silence_;
   std::map<ReplicaId, State> states_;
   std::map<ServiceName, std::vector<ReplicaId>> services_;
   std::map<NodeId, PeerCounts> peers_;
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -1394,6 +1394,7 @@
       outcome.broken = end == CallEnd::kBroken || end == CallEnd::kNotSent;
       co_return outcome;
     }
+    OnBytes(replica.id);
     const auto head = call->head();
     const auto metadata =
         parts_.dialect.decode_answer(head.status, head.headers);
@@ -1411,6 +1412,9 @@
     while (end == CallEnd::kOpen && intact) {
       auto bytes = std::string();
       end = co_await call->Read(bytes);
+      if (!bytes.empty()) {
+        OnBytes(replica.id);
+      }
       const auto before = job->progress[ref.item].last_event;
       intact = TakeEvents(*job, ref, splitter, bytes);
       if (job->progress[ref.item].last_event > before) {
@@ -1446,6 +1450,15 @@
     co_return outcome;
   }
 
+  // Ends a suspicion that the replica is silent.
+  auto OnBytes(const ReplicaId& replica) -> void {
+    auto& detector = parts_.load_balancer.silence_detector();
+    detector.OnBytes(replica);
+    if (detector.has_news()) {
+      parts_.hooks.counts_changed();
+    }
+  }
+
   auto RecordFailure(const ReplicaId& replica, CallEnd end) -> void {
     if (end == CallEnd::kNotSent) {
       parts_.load_balancer.OnUnreachable(replica);
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -90,6 +90,10 @@
   // Once there is something to suspect.
   std::optional<RequestFingerprint> fingerprint;
   bool attempt_answered = false;  // The last attempt has begun to answer.
+  SilenceDetector::Ticket silence_ticket = 0;  // Of the last attempt.
+  // The last attempt is abandoned since its replica is suspected to be silent;
+  // the retry is taken from the budget.
+  bool moving = false;
   bool limited = false;  // The replica of the last attempt had named a limit.
   bool leaving = false;  // It said in its answer that it leaves.
   std::string version;   // Of its software.
@@ -154,6 +158,7 @@
             "kqg_requests_total{outcome=\"cancelled\"}")),
         attempts_(parts_.metrics.counter("kqg_attempts_total")),
         limited_starts_(parts_.metrics.counter("kqg_limited_starts_total")),
+        silence_moves_(parts_.metrics.counter("kqg_silence_moves_total")),
         first_ms_(parts_.metrics.histogram("kqg_first_byte_latency_seconds")),
         total_ms_(parts_.metrics.histogram("kqg_request_latency_seconds")),
         wait_ms_(parts_.metrics.histogram("kqg_room_wait_seconds")) {}
@@ -187,6 +192,18 @@
     }
   }
 
+  auto MoveSilent() -> void {
+    const auto exchanges = exchanges_;
+    for (const auto& exchange : exchanges) {
+      if (MayMove(*exchange) &&
+          parts_.retry_budget.TryRetry(exchange->service)) {
+        silence_moves_.Add();
+        exchange->moving = true;
+        exchange->call->Cancel();
+      }
+    }
+  }
+
   auto OnCapacityFreed() -> void {
     for (const auto& [service, count] : waiting_services_) {
       const auto first = wait_queue_.Front(service);
@@ -215,6 +232,22 @@
              !MayRepeat(exchange.route->kind, exchange.route->resumable)));
   }
 
+  // Whether the request is at a silent replica, may be repeated and could run
+  // at another one.
+  auto MayMove(const Exchange& exchange) const -> bool {
+    const auto& history = exchange.history;
+    return exchange.call && !exchange.moving && !history.stopping &&
+           !exchange.writer->disconnected() &&
+           MayRepeat(history.kind, history.resumable) &&
+           history.may_have_run + exchange.call->sends() <
+               history.max_attempts &&
+           history.attempts < history.max_attempts + kMaxAttemptsNotRun &&
+           exchange.deadline - parts_.clock() > kMinRetryTime &&
+           parts_.load_balancer.silence_detector().ShouldMove(
+               exchange.silence_ticket) &&
+           parts_.load_balancer.CanMove(MakeChoiceRequest(exchange));
+  }
+
   auto EndTooLate(ExchangePtr exchange) -> awaitable<void> {
     constexpr auto kReason = "this node stops";
     refused_.Add();
@@ -310,6 +343,10 @@
     request.latency_target = exchange.route->latency_target;
     request.affinity = exchange.request.affinity;
     request.tried = exchange.tried;
+    const auto& history = exchange.history;
+    request.may_repeat = MayRepeat(history.kind, history.resumable) &&
+                         history.may_have_run + 1 < history.max_attempts &&
+                         parts_.retry_budget.available(exchange.service) >= 1.0;
     // After an attempt that may have run, the request can no longer be refused
     // as not run, and a late answer is better than none.
     request.version = exchange.stream_version;
@@ -430,6 +467,7 @@
     if (exchange->limited) {
       limited_starts_.Add();
     }
+    exchange->silence_ticket = parts_.load_balancer.OnSent(replica.id);
     parts_.load_balancer.OnStarted(replica.id, WorkClass::kOnline);
     parts_.hooks.counts_changed();
     const auto began = parts_.clock();
@@ -447,9 +485,17 @@
       attempt.status = exchange->head.status;
       ApplyAnswerMetadata(*exchange, replica, attempt);
       attempt.stream = IsEventStream(*exchange);
+      OnBytes(replica.id);
+      if (!attempt.stream && attempt.status < kMultipleChoices) {
+        OnFirstEvent(*exchange);
+      }
       attempt.end = co_await ReadAnswer(exchange, began);
     }
     attempt.bytes_sent = exchange->call->bytes_sent();
+    if (exchange->moving && !exchange->writer->disconnected() &&
+        attempt.end == CallEnd::kCancelled) {
+      attempt.end = CallEnd::kSilent;
+    }
     EndAttempt(*exchange, replica, attempt, parts_.clock() - began);
     co_return attempt;
   }
@@ -563,6 +609,9 @@
     while (end == CallEnd::kOpen) {
       auto bytes = std::string();
       end = co_await exchange->call->Read(bytes);
+      if (!bytes.empty()) {
+        OnBytes(exchange->tried.back());
+      }
       auto piece = std::string();
       auto has_event = false;
       const auto fits = splitter.Feed(bytes, [&](const Event& event) {
@@ -592,8 +641,33 @@
     co_return end;
   }
 
+  auto OnBytes(const ReplicaId& replica) -> void {
+    auto& detector = parts_.load_balancer.silence_detector();
+    detector.OnBytes(replica);
+    if (detector.has_news()) {
+      parts_.hooks.counts_changed();
+    }
+  }
+
+  auto OnFirstEvent(const Exchange& exchange) -> void {
+    parts_.load_balancer.silence_detector().OnFirstEvent(
+        exchange.silence_ticket);
+  }
+
+  // Tells the detection of silent replicas how an attempt ended. An attempt
+  // that its replica broke off says nothing about silence.
+  auto EndSilence(const Exchange& exchange, CallEnd end) -> void {
+    const auto gave_up = end == CallEnd::kSilent || end == CallEnd::kDeadline ||
+                         end == CallEnd::kCancelled;
+    parts_.load_balancer.silence_detector().OnEnded(
+        exchange.silence_ticket, gave_up
+                                     ? SilenceDetector::SilentEnd::kGivenUp
+                                     : SilenceDetector::SilentEnd::kNoEvidence);
+  }
+
   auto WriteEvents(ExchangePtr exchange, std::string piece, MonotonicTime began)
       -> awaitable<bool> {
+    OnFirstEvent(*exchange);
     OnAnswered(*exchange);
     if (!exchange->history.answer_begun) {
       RecordFirstByte(*exchange, began);
@@ -679,6 +753,7 @@
     exchange.call.reset();
     exchange.writer->OnDisconnect(nullptr);
     parts_.load_balancer.OnEnded(replica.id, WorkClass::kOnline);
+    EndSilence(exchange, attempt.end);
     if (sends > 1) {
       parts_.load_balancer.OnSentAgain(replica.id, sends - 1);
     }
@@ -695,7 +770,12 @@
     if (attempt.end == CallEnd::kNotSent) {
       parts_.load_balancer.OnUnreachable(replica.id);
     }
-    if (failed) {
+    const auto silence_known =
+        attempt.end == CallEnd::kSilent &&
+        parts_.load_balancer.silence_detector().IsSuspected(replica.id);
+    if (silence_known) {
+      // An ejection would last longer than the silence.
+    } else if (failed) {
       parts_.load_balancer.OnFailure(replica.id);
     } else if (attempt.end == CallEnd::kComplete && !not_run) {
       parts_.load_balancer.OnHoldingTime(replica.service, held);
@@ -725,10 +805,11 @@
       -> NextStepDecision {
     auto& history = exchange.history;
     history.time_left = exchange.deadline - parts_.clock();
+    const auto moved = std::exchange(exchange.moving, false);
     history.retry_allowed =
-        parts_.retry_budget.available(exchange.service) >= 1.0;
+        moved || parts_.retry_budget.available(exchange.service) >= 1.0;
     const auto decision = DecideNextStep(history, attempt);
-    const auto ran = !attempt.not_run && attempt.bytes_sent;
+    const auto ran = !attempt.not_run && attempt.bytes_sent && !moved;
     if (decision.step == NextStep::kRetry && ran) {
       parts_.retry_budget.TryRetry(exchange.service);
     }
@@ -904,6 +985,7 @@
   Counter& cancelled_;
   Counter& attempts_;
   Counter& limited_starts_;
+  Counter& silence_moves_;
   LatencyHistogram& first_ms_;
   LatencyHistogram& total_ms_;
   LatencyHistogram& wait_ms_;
@@ -933,6 +1015,10 @@
   impl_->OnCapacityFreed();
 }
 
+auto Forwarder::MoveSilent() -> void {
+  impl_->MoveSilent();
+}
+
 auto Forwarder::BeginStop(MonotonicTime last_start, MonotonicTime end) -> void {
   impl_->BeginStop(last_start, end);
 }
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -38,6 +38,7 @@
 #include "kumquatgauge/serving/stream_versions.h"
 #include "kumquatgauge/serving/watcher_choice.h"
 #include "kumquatgauge/upstream/replica_call.h"
+#include "serving/counts_codec.h"
 #include "serving/start_report_codec.h"
 #include "serving/store_options.h"
 #include "serving/suspect_report_codec.h"
@@ -77,6 +78,9 @@
 // replicas.
 constexpr milliseconds kCountsInterval{15};
 constexpr milliseconds kCountsIntervalPerPeer{1};
+// Minimum interval between two of them when a replica has become suspected or
+// has written again, which others must know at once.
+constexpr milliseconds kSuspicionInterval{5};
 // Maximum interval between them while this node has requests in flight, well
 // below the time after which counts expire.
 constexpr milliseconds kCountsRefreshInterval{500};
@@ -227,6 +231,7 @@
         signals_(context_),
         maintenance_timer_(context_),
         counts_timer_(context_),
+        silence_timer_(context_),
         missing_timer_(context_),
         quarantine_timer_(context_) {}
 
@@ -251,6 +256,12 @@
     metrics_.AddGauge("kqg_limited_replicas", [this] {
       return static_cast<double>(load_balancer_.start_limiter().limited());
     });
+    metrics_.AddGauge("kqg_suspected_replicas", [this] {
+      return static_cast<double>(load_balancer_.silence_detector().suspected());
+    });
+    metrics_.AddGauge("kqg_silence_probes", [this] {
+      return static_cast<double>(load_balancer_.silence_detector().probes());
+    });
     metrics_.AddGauge("kqg_leaving_replicas", [this] {
       return static_cast<double>(replica_table_.leaving_notices().size());
     });
@@ -1084,14 +1095,9 @@
   }
 
   auto OnPeerCounts(const NodeId& from, const json& message) -> void {
-    auto counts = InFlightCounts();
-    for (const auto& entry : message.at("c")) {
-      auto in_flight = InFlight();
-      in_flight.online = entry.at(1).get<std::uint32_t>();
-      in_flight.batch = entry.at(2).get<std::uint32_t>();
-      counts.emplace(ReplicaId(entry.at(0).get<std::string>()), in_flight);
-    }
-    load_balancer_.OnPeerCounts(from, std::move(counts));
+    auto [counts, reports] = detail::DecodeCounts(message.at("c"));
+    load_balancer_.OnPeerCounts(from, std::move(counts), reports);
+    UpdateSilence();
     forwarder_.OnCapacityFreed();
   }
 
@@ -1142,12 +1148,21 @@
   }
 
   auto OnCountsChanged() -> void {
-    if (std::exchange(counts_pending_, true)) {
+    UpdateSilence();
+    ScheduleCounts(false);
+  }
+
+  auto ScheduleCounts(bool urgent) -> void {
+    const auto pending = std::exchange(counts_pending_, true);
+    if (pending && (!urgent || counts_urgent_)) {
       return;
     }
-    const auto interval = std::max(
-        kCountsInterval,
-        kCountsIntervalPerPeer * static_cast<std::int64_t>(cell_peers_.size()));
+    counts_urgent_ = urgent;
+    const auto interval =
+        urgent ? kSuspicionInterval
+               : std::max(kCountsInterval,
+                          kCountsIntervalPerPeer *
+                              static_cast<std::int64_t>(cell_peers_.size()));
     counts_timer_.expires_at(counts_sent_ + interval);
     counts_timer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) {
@@ -1157,20 +1172,73 @@
     });
   }
 
+  // --- Replicas that accept requests and write nothing.
+
+  // Acts on what the silence detector has found out since the last call.
+  auto UpdateSilence() -> void {
+    auto& detector = load_balancer_.silence_detector();
+    const auto changes = detector.TakeChanges();
+    for (const auto& change : changes) {
+      LogSuspicion(change);
+    }
+    if (detector.suspected() > 0) {
+      forwarder_.MoveSilent();
+    }
+    if (!changes.empty()) {
+      forwarder_.OnCapacityFreed();
+    }
+    if (detector.has_news()) {
+      ScheduleCounts(detector.is_urgent());
+    }
+    const auto next = detector.next_check();
+    if (next && (!silence_check_ || *next < *silence_check_)) {
+      AwaitSilenceCheck(*next);
+    }
+  }
+
+  auto AwaitSilenceCheck(MonotonicTime time) -> void {
+    silence_check_ = time;
+    silence_timer_.expires_at(time);
+    silence_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        silence_check_.reset();
+        load_balancer_.silence_detector().Check();
+        UpdateSilence();
+      }
+    });
+  }
+
+  auto LogSuspicion(const SuspicionChange& change) -> void {
+    const auto silent =
+        std::chrono::duration_cast<milliseconds>(change.silent).count();
+    if (change.suspected) {
+      suspicions_.Add();
+    }
+    logger_.Write(
+        change.suspected ? LogLevel::kWarning : LogLevel::kInfo,
+        change.suspected ? "a replica is suspected to be silent"
+                         : "a replica is no longer suspected to be silent",
+        {{"event", change.suspected ? "suspicion_begins" : "suspicion_ends"},
+         {"replica", change.replica.value()},
+         {"overdue", std::to_string(change.overdue)},
+         {"silent_ms", std::to_string(silent)},
+         {"reason", change.reason}});
+  }
+
   auto SendCounts() -> void {
     counts_sent_ = SteadyNow();
     auto message = json{{"t", "load"}, {"n", settings_.name.value()}};
-    auto entries = json::array();
-    for (const auto& [id, counts] : load_balancer_.own_counts()) {
-      if (entries.size() == kCountsPerDatagram) {
-        break;  // The replicas' own load reports cover the rest.
-      }
-      entries.push_back({id.value(), counts.online, counts.batch});
-    }
+    auto entries = detail::EncodeCounts(load_balancer_.own_counts(),
+                                        load_balancer_.own_silence_reports(),
+                                        kCountsPerDatagram);
     counts_empty_ = entries.empty();
     message["c"] = std::move(entries);
     gossip_.SendDatagrams(cell_peers_, message);
     SendStartReports(false);
+    load_balancer_.silence_detector().OnTold();
+    if (load_balancer_.silence_detector().has_news()) {
+      ScheduleCounts(false);
+    }
   }
 
   // Tells the nodes of the cell how many requests this node has sent to
@@ -1499,6 +1567,7 @@
           for (const auto& change : load_balancer_.OnTick()) {
             LogEjection(change);
           }
+          UpdateSilence();
           if (!counts_empty_ &&
               SteadyNow() - counts_sent_ >= kCountsRefreshInterval) {
             SendCounts();
@@ -1635,6 +1704,7 @@
       metrics_.counter("kqg_key_refusals_total{reason=\"unauthorized\"}");
   Counter& stale_refusals_ =
       metrics_.counter("kqg_key_refusals_total{reason=\"stale\"}");
+  Counter& suspicions_ = metrics_.counter("kqg_suspicions_total");
   // TODO: needs the age of the configuration.
   CallerAuthorizer authorizer_{[] { return true; }};
   store::PlatformClient store_client_;
@@ -1663,6 +1733,8 @@
   kumquatgauge::detail::ProcessSignals signals_;
   asio::steady_timer maintenance_timer_;
   asio::steady_timer counts_timer_;
+  asio::steady_timer silence_timer_;
+  std::optional<MonotonicTime> silence_check_;  // When the timer ends.
   asio::steady_timer missing_timer_;
   asio::steady_timer quarantine_timer_;
   bool quarantine_report_pending_ = false;
@@ -1681,6 +1753,7 @@
   MonotonicTime start_reports_sent_;
   std::uint64_t run_ = DrawRandom();  // Differs after each start.
   bool counts_pending_ = false;
+  bool counts_urgent_ = false;  // The pending datagram is urgent.
   bool counts_empty_ = true;
   bool watches_store_ = false;
   bool store_lost_ = false;
--- a/src/serving/load_balancer.cc
+++ b/src/serving/load_balancer.cc
@@ -52,7 +52,8 @@
       clock_(std::move(clock)),
       random_(std::move(random)),
       outliers_(MakeOutlierSettings(), clock_),
-      start_limiter_(StartLimiterSettings(), clock_) {}
+      start_limiter_(StartLimiterSettings(), clock_),
+      silence_(SilenceSettings(), clock_, random_) {}
 
 auto LoadBalancer::SetReplicas(const std::vector<Replica>& replicas) -> void {
   auto states = std::map<ReplicaId, State>();
@@ -112,6 +113,11 @@
       start_limiter_.SetShare(order[at].second, reachable_share_ / cells);
     }
   }
+  auto members = std::vector<SilenceDetector::Member>();
+  for (const auto& [id, state] : states_) {
+    members.push_back({state.replica, state.in_cell});
+  }
+  silence_.SetReplicas(members);
 }
 
 auto LoadBalancer::OnCellCapacity(std::size_t cell,
@@ -155,7 +161,7 @@
     if (state.in_cell || capacity == by_cell.end() ||
         capacity->second.slots == 0 || capacity->second.at < oldest ||
         !IsUsable(state, request) || !MayStart(state, request) ||
-        IsUnreachable(state) ||
+        IsUnreachable(state) || silence_.IsSuspected(id) ||
         outliers_.state(id) != routing::EjectionState::kInUse ||
         Estimate(state) >= state.replica.capacity) {
       continue;
@@ -227,6 +233,7 @@
 
 auto LoadBalancer::TakesWork(const State& state) const -> bool {
   return !IsGoneOrLeaving(state) && state.in_cell && !IsUnreachable(state) &&
+         !silence_.IsSuspected(state.replica.id) &&
          outliers_.state(state.replica.id) != routing::EjectionState::kEjected;
 }
 
@@ -276,6 +283,39 @@
   return score;
 }
 
+auto LoadBalancer::SilencePenalty(const State& state,
+                                  const ChoiceRequest& request) const
+    -> double {
+  return !request.may_repeat && silence_.IsDoubtful(state.replica.id) ? 1.0
+                                                                      : 0.0;
+}
+
+auto LoadBalancer::IsSilenced(const State& state,
+                              const ChoiceRequest& request) const -> bool {
+  return silence_.IsSuspected(state.replica.id) && !MayProbe(state, request);
+}
+
+// A request that was tried elsewhere is late already, and one that goes on with
+// a stream has few other replicas.
+auto LoadBalancer::MayProbe(const State& state,
+                            const ChoiceRequest& request) const -> bool {
+  return request.may_repeat && request.work_class == WorkClass::kOnline &&
+         request.tried.empty() && !request.version && state.in_cell &&
+         Estimate(state) < state.replica.capacity &&
+         silence_.MayProbe(state.replica.id);
+}
+
+auto LoadBalancer::CanMove(const ChoiceRequest& request) const -> bool {
+  const auto service = services_.find(request.service);
+  return service != services_.end() &&
+         std::any_of(service->second.begin(), service->second.end(),
+                     [&](const ReplicaId& id) {
+                       const auto& state = states_.at(id);
+                       return TakesWork(state) && IsUsable(state, request) &&
+                              MayStart(state, request);
+                     });
+}
+
 auto LoadBalancer::QueueLimit(const State& state, Duration latency_target) const
     -> std::uint32_t {
   const auto hold = ToSeconds(mean_hold(state.replica.service));
@@ -298,6 +338,8 @@
   const State* best = nullptr;
   auto best_score = std::numeric_limits<double>::max();
   const State* ejected = nullptr;
+  const State* silent = nullptr;
+  const State* probe = nullptr;
   const State* other_cell_replica = nullptr;
   auto other_cell_seen = std::uint64_t{0};
   auto ties = std::uint64_t{0};
@@ -321,7 +363,19 @@
         ejection == routing::EjectionState::kProbing && state.own.total() > 0;
     if (ejection == routing::EjectionState::kEjected || probing_now ||
         IsUnreachable(state)) {
-      ejected = &state;
+      if (ejected == nullptr || !silence_.IsSuspected(id)) {
+        ejected = &state;
+      }
+      continue;
+    }
+    if (IsSilenced(state, request)) {
+      if (silent == nullptr || Estimate(state) < Estimate(*silent)) {
+        silent = &state;
+      }
+      continue;
+    }
+    if (silence_.IsSuspected(id)) {
+      probe = &state;
       continue;
     }
     ++choice.candidates;
@@ -340,7 +394,8 @@
         preferred = rank;
       }
     }
-    const auto score = Score(state, request.work_class);
+    const auto score =
+        Score(state, request.work_class) + SilencePenalty(state, request);
     if (best == nullptr || score < best_score) {
       best = &state;
       best_score = score;
@@ -351,10 +406,14 @@
   }
   if (affinity_replica != nullptr && best != nullptr &&
       Estimate(*affinity_replica) < affinity_replica->replica.capacity &&
-      Score(*affinity_replica, request.work_class) <=
+      Score(*affinity_replica, request.work_class) +
+              SilencePenalty(*affinity_replica, request) <=
           best_score + settings_.affinity_margin) {
     best = affinity_replica;
   }
+  if (probe != nullptr) {
+    best = probe;
+  }
   const auto full =
       best != nullptr && Estimate(*best) >= best->replica.capacity;
   if (full && request.work_class == WorkClass::kOnline) {
@@ -365,6 +424,10 @@
   if (best == nullptr) {
     best = other_cell_replica;
   }
+  if (best == nullptr) {
+    // All replicas in use are silent.
+    best = silent;
+  }
   if (best == nullptr) {
     // All replicas are ejected or unreachable; using one is better than
     // refusing.
@@ -484,8 +547,25 @@
   start_limiter_.OnAnswer(replica, limit);
 }
 
-auto LoadBalancer::OnPeerCounts(const NodeId& peer, InFlightCounts counts)
-    -> void {
+auto LoadBalancer::OnSent(const ReplicaId& replica) -> SilenceDetector::Ticket {
+  auto queue_time = Duration::zero();
+  const auto found = states_.find(replica);
+  if (found != states_.end()) {
+    const auto& state = found->second;
+    const auto in_flight = Estimate(state);
+    const auto slots = std::max(1U, state.replica.capacity);
+    if (in_flight >= slots) {
+      queue_time =
+          mean_hold(state.replica.service) * (in_flight - slots + 1) / slots;
+    }
+  }
+  return silence_.OnSent(replica, queue_time);
+}
+
+auto LoadBalancer::OnPeerCounts(const NodeId& peer,
+                                InFlightCounts counts,
+                                const SilenceReports& reports) -> void {
+  silence_.OnPeerReports(peer, reports);
   auto& known = peers_[peer];
   Apply(known.counts, false);
   Apply(counts, true);
@@ -494,6 +574,7 @@
 
 auto LoadBalancer::ForgetPeer(const NodeId& peer) -> void {
   peers_.erase(peer);
+  silence_.ForgetPeer(peer);
   RebuildPeers();
 }
 
@@ -534,6 +615,7 @@
 
 auto LoadBalancer::OnTick() -> routing::OutlierDetector::Changes {
   ExpirePeers();
+  silence_.ExpirePeers();
   return outliers_.OnTick();
 }
 
@@ -624,6 +706,13 @@
   return counts;
 }
 
+auto LoadBalancer::own_silence_reports() const -> SilenceReports {
+  return silence_.own_reports([this](const ReplicaId& id) {
+    const auto found = states_.find(id);
+    return found != states_.end() && found->second.own.total() > 0;
+  });
+}
+
 auto LoadBalancer::slots(const ServiceName& service) const -> std::uint32_t {
   auto all = std::uint32_t{0};
   const auto found = services_.find(service);
