Compare bytes and requests of several nodes on one clock

Cause: a trial of the process test showed a suspicion that lapsed after 0.3 s. The time of a peer's last byte was taken from the time of receipt, so that a datagram that was read late made an old byte newer than the requests that waited.

Change: datagrams carry the sender's clock, and the shortest delay of the last two to four seconds gives the difference. A silence that has ended is not learned as the usual time. A replica with one overdue request comes after every free slot for requests that must not be repeated. Suspicions are logged as warnings, since routine lines are dropped first under load.

--- a/include/kumquatgauge/serving/load_balancer.h
+++ b/include/kumquatgauge/serving/load_balancer.h
@@ -285,9 +285,9 @@
   }
   auto Estimate(const State& state) const -> std::uint32_t;
   auto Score(const State& state, routing::WorkClass work_class) const -> double;
-  // Keeps requests that must not be repeated away from a replica that may have
-  // fallen silent, while others have a free slot.
-  auto SilencePenalty(const State& state, const ChoiceRequest& request) const
+  // The score for one request. Keeps requests that must not be repeated away
+  // from a replica that may have fallen silent while others have a free slot.
+  auto ScoreFor(const State& state, const ChoiceRequest& request) const
       -> double;
   // Whether the replica is left out because it is suspected to be silent and
   // the request is no probe.
--- a/include/kumquatgauge/serving/silence_detector.h
+++ b/include/kumquatgauge/serving/silence_detector.h
@@ -41,6 +41,9 @@
   // after this time.
   Duration evidence_expires = std::chrono::seconds(10);
   Duration peer_reports_expire = std::chrono::seconds(2);
+  // The shortest delay of a peer's datagrams is taken from those of one to two
+  // of these times.
+  Duration clock_window = std::chrono::seconds(2);
   // Time between probes of a replica by all nodes of the cell. The random part
   // lets one node begin before the others.
   Duration probe_interval = std::chrono::milliseconds(250);
@@ -73,7 +76,15 @@
   auto operator==(const SilenceReport&) const -> bool = default;
 };
 
-using SilenceReports = std::map<ReplicaId, SilenceReport>;
+struct SilenceReports {
+  // On the sender's monotonic clock. The ages in the reports are compared with
+  // each other across nodes; with the time of receipt alone, a datagram that
+  // was read late would make an old byte newer than the requests after it.
+  std::optional<Duration> sender_time;
+  std::map<ReplicaId, SilenceReport> replicas;
+
+  auto operator==(const SilenceReports&) const -> bool = default;
+};
 
 struct SuspicionChange {
   ReplicaId replica;
@@ -206,8 +217,16 @@
   struct PeerEntry {
     std::vector<ReplicaId> replicas;
     MonotonicTime at;
+    // Smallest differences between the clocks, in the window that began at
+    // `window_began` and in the one before.
+    MonotonicTime window_began;
+    std::optional<MonotonicTime> offset;
+    std::optional<MonotonicTime> offset_before;
   };
 
+  // Returns the time at which a report was sent, on this node's clock.
+  auto TimeSent(PeerEntry& entry, const SilenceReports& reports) const
+      -> MonotonicTime;
   static auto HasEvidence(const State& state) -> bool;
   // Forgets evidence that is too old or that a byte has refuted, and sums up
   // the rest.
--- a/src/serving/counts_codec.cc
+++ b/src/serving/counts_codec.cc
@@ -71,7 +71,7 @@
                   std::size_t max_entries) -> json {
   auto encoded = json::array();
   auto room = max_entries;
-  for (const auto& [id, report] : reports) {
+  for (const auto& [id, report] : reports.replicas) {
     const auto found = counts.find(id);
     const auto counted = found != counts.end();
     if ((counted && !report.has_evidence()) || room < kEvidenceEntries) {
@@ -85,8 +85,8 @@
     if (room == 0) {
       break;  // The replicas' own load reports cover the rest.
     }
-    const auto report = reports.find(id);
-    const auto known = report != reports.end();
+    const auto report = reports.replicas.find(id);
+    const auto known = report != reports.replicas.end();
     if (!known || !report->second.has_evidence()) {
       encoded.push_back(
           EncodeEntry(id, in_flight, known ? &report->second : nullptr));
@@ -107,7 +107,7 @@
     const auto id = ReplicaId(entry.at(0).get<std::string>());
     counts.emplace(id, in_flight);
     if (entry.size() > kHeard) {
-      reports.emplace(id, DecodeReport(entry));
+      reports.replicas.emplace(id, DecodeReport(entry));
     }
   }
   return {std::move(counts), std::move(reports)};
--- a/src/serving/counts_codec_test.cc
+++ b/src/serving/counts_codec_test.cc
@@ -15,13 +15,13 @@
                                {ReplicaId("r2"), {3, 0}},
                                {ReplicaId("r4"), {4, 0}}};
   auto reports = SilenceReports();
-  reports[ReplicaId("r1")].heard = milliseconds(7);
-  auto& silent = reports[ReplicaId("r2")];
+  reports.replicas[ReplicaId("r1")].heard = milliseconds(7);
+  auto& silent = reports.replicas[ReplicaId("r2")];
   silent.started_ms = 1'700'000'000'000;
   silent.probing = true;
   silent.overdue = {{milliseconds(150), 1}, {milliseconds(401), 2}};
   // Its request has ended.
-  reports[ReplicaId("r3")].overdue = {{milliseconds(900), 2}};
+  reports.replicas[ReplicaId("r3")].overdue = {{milliseconds(900), 2}};
   const auto text = detail::EncodeCounts(counts, reports, kMaxEntries).dump();
   const auto [read_counts, read_reports] =
       detail::DecodeCounts(json::parse(text));
@@ -34,7 +34,7 @@
 // and the other way round.
 TEST_CASE("CountsCodec.ExchangesCountsWithEarlierReleases") {
   auto reports = SilenceReports();
-  reports[ReplicaId("r1")].overdue = {{milliseconds(200), 1}};
+  reports.replicas[ReplicaId("r1")].overdue = {{milliseconds(200), 1}};
   const auto encoded =
       detail::EncodeCounts({{ReplicaId("r1"), {1, 2}}}, reports, kMaxEntries);
   REQUIRE(encoded.size() == 1);
@@ -44,7 +44,7 @@
   const auto [counts, none] =
       detail::DecodeCounts(json::parse(R"([["r1", 5, 6]])"));
   CHECK(counts == InFlightCounts{{ReplicaId("r1"), {5, 6}}});
-  CHECK(none.empty());
+  CHECK(none.replicas.empty());
 }
 
 // Guards against silent replicas that nobody learns of because the datagram has
@@ -57,18 +57,18 @@
   for (auto at = 0; at < 60; ++at) {
     const auto id = ReplicaId("i-01234567" + std::to_string(10 + at));
     counts[id] = {8, 0};
-    reports[id].heard = milliseconds(1'234);
+    reports.replicas[id].heard = milliseconds(1'234);
     if (at >= 50) {
-      reports[id].started_ms = 1'700'000'000'000;
-      reports[id].overdue = {{milliseconds(1'234), 1},
-                             {milliseconds(1'234), 2}};
+      reports.replicas[id].started_ms = 1'700'000'000'000;
+      reports.replicas[id].overdue = {{milliseconds(1'234), 1},
+                                      {milliseconds(1'234), 2}};
     }
   }
   const auto encoded = detail::EncodeCounts(counts, reports, kMaxEntries);
   CHECK(encoded.dump().size() < kDatagramBytes);
   const auto [read_counts, read] = detail::DecodeCounts(encoded);
   for (auto at = 50; at < 60; ++at) {
-    CHECK(read.at(ReplicaId("i-01234567" + std::to_string(10 + at)))
+    CHECK(read.replicas.at(ReplicaId("i-01234567" + std::to_string(10 + at)))
               .overdue.size() == 2);
   }
 }
@@ -78,7 +78,7 @@
 TEST_CASE("CountsCodec.LimitsWhatAnotherNodeSays") {
   const auto [counts, reports] = detail::DecodeCounts(
       json::parse(R"([["r1", 1, 0, 9223372036854775807, 0, 0, -5, 9, 7]])"));
-  const auto& report = reports.at(ReplicaId("r1"));
+  const auto& report = reports.replicas.at(ReplicaId("r1"));
   CHECK(report.heard == std::chrono::hours(1));
   CHECK(report.overdue ==
         std::vector<OverdueRequest>{{std::chrono::seconds(0), 2}});
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -1096,6 +1096,9 @@
 
   auto OnPeerCounts(const NodeId& from, const json& message) -> void {
     auto [counts, reports] = detail::DecodeCounts(message.at("c"));
+    if (message.contains("s")) {
+      reports.sender_time = milliseconds(message.at("s").get<std::int64_t>());
+    }
     load_balancer_.OnPeerCounts(from, std::move(counts), reports);
     UpdateSilence();
     forwarder_.OnCapacityFreed();
@@ -1214,8 +1217,8 @@
     if (change.suspected) {
       suspicions_.Add();
     }
-    logger_.Write(
-        change.suspected ? LogLevel::kWarning : LogLevel::kInfo,
+    // Both are warnings: they are few, and routine lines are dropped first.
+    logger_.Warning(
         change.suspected ? "a replica is suspected to be silent"
                          : "a replica is no longer suspected to be silent",
         {{"event", change.suspected ? "suspicion_begins" : "suspicion_ends"},
@@ -1228,8 +1231,12 @@
   auto SendCounts() -> void {
     counts_sent_ = SteadyNow();
     auto message = json{{"t", "load"}, {"n", settings_.name.value()}};
-    auto entries = detail::EncodeCounts(load_balancer_.own_counts(),
-                                        load_balancer_.own_silence_reports(),
+    const auto reports = load_balancer_.own_silence_reports();
+    if (reports.sender_time) {
+      message["s"] =
+          std::chrono::floor<milliseconds>(*reports.sender_time).count();
+    }
+    auto entries = detail::EncodeCounts(load_balancer_.own_counts(), reports,
                                         kCountsPerDatagram);
     counts_empty_ = entries.empty();
     message["c"] = std::move(entries);
--- a/src/serving/load_balancer.cc
+++ b/src/serving/load_balancer.cc
@@ -283,11 +283,15 @@
   return score;
 }
 
-auto LoadBalancer::SilencePenalty(const State& state,
-                                  const ChoiceRequest& request) const
-    -> double {
-  return !request.may_repeat && silence_.IsDoubtful(state.replica.id) ? 1.0
-                                                                      : 0.0;
+auto LoadBalancer::ScoreFor(const State& state,
+                            const ChoiceRequest& request) const -> double {
+  // Comes after every free slot and before any queue.
+  constexpr double kJustBelowFull = 0.99;
+  const auto score = Score(state, request.work_class);
+  return !request.may_repeat && score < kJustBelowFull &&
+                 silence_.IsDoubtful(state.replica.id)
+             ? kJustBelowFull + (1.0 - kJustBelowFull) * score
+             : score;
 }
 
 auto LoadBalancer::IsSilenced(const State& state,
@@ -394,8 +398,7 @@
         preferred = rank;
       }
     }
-    const auto score =
-        Score(state, request.work_class) + SilencePenalty(state, request);
+    const auto score = ScoreFor(state, request);
     if (best == nullptr || score < best_score) {
       best = &state;
       best_score = score;
@@ -406,8 +409,7 @@
   }
   if (affinity_replica != nullptr && best != nullptr &&
       Estimate(*affinity_replica) < affinity_replica->replica.capacity &&
-      Score(*affinity_replica, request.work_class) +
-              SilencePenalty(*affinity_replica, request) <=
+      ScoreFor(*affinity_replica, request) <=
           best_score + settings_.affinity_margin) {
     best = affinity_replica;
   }
--- a/src/serving/load_balancer_test.cc
+++ b/src/serving/load_balancer_test.cc
@@ -600,5 +600,95 @@
   }
 }
 
+// A replica, r1, that has been silent for 400 ms.
+struct SilentFixture : Fixture {
+  SilentFixture() {
+    for (auto request = 0; request < 10; ++request) {
+      const auto ticket = balancer.OnSent(silent);
+      clock.Advance(milliseconds(40));
+      balancer.silence_detector().OnFirstEvent(ticket);
+    }
+    clock.Advance(milliseconds(1));
+    ticket = balancer.OnSent(silent);
+    for (auto step = 0; step < 400; ++step) {
+      clock.Advance(milliseconds(1));
+      balancer.silence_detector().Check();
+    }
+    REQUIRE(balancer.silence_detector().IsSuspected(silent));
+  }
+
+  ReplicaId silent{"r1"};
+  SilenceDetector::Ticket ticket = 0;
+};
+
+// Guards against requests that must not be repeated and batch items at a
+// replica that is suspected to be silent, also while all others are full.
+TEST_CASE("LoadBalancer.KeepsUnrepeatableRequestsAndItemsFromASilentReplica") {
+  auto fixture = SilentFixture();
+  auto item = fixture.Request();
+  item.work_class = WorkClass::kBatch;
+  item.may_repeat = true;
+  item.urgent = true;
+  for (auto request = 0U; request < 2 * kSlots; ++request) {
+    CHECK(IdOf(fixture.balancer.Choose(item)) != fixture.silent);
+    const auto choice = fixture.SendOne();
+    CHECK(choice.availability == Availability::kFree);
+    CHECK(IdOf(choice) != fixture.silent);
+  }
+  CHECK(IdOf(fixture.SendOne()) != fixture.silent);
+  CHECK(IdOf(fixture.balancer.Choose(item)) != fixture.silent);
+  // Its slots do not count either.
+  CHECK(fixture.balancer.slots(kService) == 2 * kSlots);
+}
+
+// Guards against a replica that is not used again since nothing is sent to it.
+TEST_CASE("LoadBalancer.ProbesASilentReplicaWithARepeatableRequest") {
+  auto fixture = SilentFixture();
+  auto request = fixture.Request();
+  request.may_repeat = true;
+  CHECK(IdOf(fixture.balancer.Choose(request)) != fixture.silent);
+  fixture.clock.Advance(milliseconds(351));
+  auto moved = request;
+  moved.tried.push_back(ReplicaId("r2"));
+  CHECK(IdOf(fixture.balancer.Choose(moved)) == ReplicaId("r3"));
+  REQUIRE(IdOf(fixture.balancer.Choose(request)) == fixture.silent);
+  const auto probe = fixture.balancer.OnSent(fixture.silent);
+  CHECK(IdOf(fixture.balancer.Choose(request)) != fixture.silent);
+  fixture.clock.Advance(milliseconds(40));
+  fixture.balancer.silence_detector().OnFirstEvent(probe);
+  CHECK(fixture.balancer.slots(kService) == 3 * kSlots);
+}
+
+// Guards against refusing requests because the only usable replica is
+// suspected.
+TEST_CASE("LoadBalancer.UsesASilentReplicaIfThereIsNoOther") {
+  auto fixture = SilentFixture();
+  auto request = fixture.Request();
+  request.tried = {ReplicaId("r2"), ReplicaId("r3")};
+  CHECK(IdOf(fixture.balancer.Choose(request)) == fixture.silent);
+  CHECK_FALSE(fixture.balancer.CanMove(request));
+  request.tried = {fixture.silent};
+  CHECK(fixture.balancer.CanMove(request));
+}
+
+// Guards against the loss of the second request at a replica where the first
+// one is overdue, while other replicas have free slots.
+TEST_CASE("LoadBalancer.PrefersOthersToAReplicaWithAnOverdueRequest") {
+  auto fixture = SilentFixture();
+  auto& detector = fixture.balancer.silence_detector();
+  detector.OnFirstEvent(fixture.ticket);
+  fixture.clock.Advance(milliseconds(1));
+  fixture.balancer.OnSent(fixture.silent);
+  for (auto step = 0; step < 150; ++step) {
+    fixture.clock.Advance(milliseconds(1));
+    detector.Check();
+  }
+  REQUIRE(detector.IsDoubtful(fixture.silent));
+  for (auto request = 0U; request < 2 * kSlots; ++request) {
+    CHECK(IdOf(fixture.SendOne()) != fixture.silent);
+  }
+  CHECK(IdOf(fixture.SendOne()) == fixture.silent);
+}
+
 }  // namespace
 }  // namespace kumquatgauge::serving
--- a/src/serving/silence_detector.cc
+++ b/src/serving/silence_detector.cc
@@ -108,8 +108,12 @@
   tickets_.erase(found);
   auto& state = states_.at(replica);
   const auto sent = state.sent.extract(ticket);
-  if (!sent.mapped().queued) {
-    Learn(state, clock_() - sent.mapped().at);
+  // A silence that has ended must not be learned as the usual time, or the next
+  // one would be noticed late. A replica that has become slower is learned in
+  // steps.
+  const auto& request = sent.mapped();
+  if (!request.queued && (!state.suspected || request.probe)) {
+    Learn(state, std::min(clock_() - request.at, request.overdue_after));
   }
   OnBytes(replica);
 }
@@ -163,11 +167,30 @@
   }
 }
 
+auto SilenceDetector::TimeSent(PeerEntry& entry,
+                               const SilenceReports& reports) const
+    -> MonotonicTime {
+  const auto now = clock_();
+  if (!reports.sender_time) {
+    return now;
+  }
+  if (now - entry.window_began >= settings_.clock_window) {
+    entry.offset_before = std::exchange(entry.offset, std::nullopt);
+    entry.window_began = now;
+  }
+  const auto offset = now - *reports.sender_time;
+  entry.offset = std::min(entry.offset.value_or(offset), offset);
+  const auto least =
+      std::min(*entry.offset, entry.offset_before.value_or(*entry.offset));
+  return least + *reports.sender_time;
+}
+
 auto SilenceDetector::OnPeerReports(const NodeId& peer,
                                     const SilenceReports& reports) -> void {
   const auto now = clock_();
   auto& entry = peers_[peer];
   entry.at = now;
+  const auto told = TimeSent(entry, reports);
   auto changed = std::set<Group>();
   for (const auto& id : std::exchange(entry.replicas, {})) {
     const auto found = states_.find(id);
@@ -175,7 +198,7 @@
       changed.insert(GroupOf(found->second));
     }
   }
-  for (const auto& [id, report] : reports) {
+  for (const auto& [id, report] : reports.replicas) {
     const auto found = states_.find(id);
     if (found == states_.end() ||
         (report.has_evidence() &&
@@ -184,7 +207,7 @@
     }
     auto& state = found->second;
     if (report.heard) {
-      state.heard = std::max(state.heard, now - *report.heard);
+      state.heard = std::max(state.heard, told - *report.heard);
       if (state.weight > 0) {
         changed.insert(GroupOf(state));
       }
@@ -195,7 +218,7 @@
     auto view = PeerView();
     view.probing = report.probing;
     for (const auto& request : report.overdue) {
-      const auto at = now - request.age;
+      const auto at = told - request.age;
       view.overdue.push_back({at, request.weight, MonotonicTime::max()});
       if (state.own_heard && *state.own_heard > at) {
         // The peer does not know yet that the replica has written since.
@@ -437,6 +460,7 @@
     -> SilenceReports {
   auto reports = SilenceReports();
   const auto now = clock_();
+  reports.sender_time = now.time_since_epoch();
   for (const auto& [id, state] : states_) {
     auto report = SilenceReport();
     report.started_ms = state.replica.started_ms;
@@ -465,7 +489,7 @@
     const auto heard_matters =
         report.heard && (!state.peers.empty() || in_flight(id));
     if (heard_matters || report.has_evidence()) {
-      reports.emplace(id, std::move(report));
+      reports.replicas.emplace(id, std::move(report));
     }
   }
   return reports;
--- a/src/serving/silence_detector_test.cc
+++ b/src/serving/silence_detector_test.cc
@@ -319,6 +319,41 @@
   CHECK(fixture.a.OverdueAfter(IdAt(0)) == milliseconds(150));
 }
 
+// Guards against a second silence that is noticed late because the first one
+// was learned as the usual time.
+TEST_CASE("SilenceDetector.LearnsNoSilenceAsTheUsualTime") {
+  auto fixture = Fixture();
+  for (auto silence = 0; silence < 3; ++silence) {
+    fixture.Pass(milliseconds(1));
+    auto tickets = std::vector<Ticket>();
+    for (auto request = 0; request < 4; ++request) {
+      tickets.push_back(fixture.Send(fixture.a, 0));
+    }
+    fixture.Pass(milliseconds(150));
+    CHECK(fixture.a.IsSuspected(IdAt(0)));
+    fixture.Pass(seconds(8));
+    for (const auto ticket : tickets) {
+      fixture.a.OnFirstEvent(ticket);
+    }
+    for (auto request = 0; request < 20; ++request) {
+      fixture.Answer(fixture.a, IdAt(0), kUsualFirst);
+    }
+    fixture.Pass(milliseconds(30));
+  }
+}
+
+// Load pattern: a replica that has become much slower. Guards against false
+// alarms that never end.
+TEST_CASE("SilenceDetector.LearnsThatAReplicaHasBecomeSlower") {
+  auto fixture = Fixture();
+  for (auto request = 0; request < 20; ++request) {
+    const auto ticket = fixture.Send(fixture.a, 0);
+    fixture.Pass(milliseconds(300));
+    fixture.a.OnFirstEvent(ticket);
+  }
+  CHECK(fixture.a.OverdueAfter(IdAt(0)) > milliseconds(600));
+}
+
 // Guards against a suspicion of a replica that outlives its restart under the
 // same id, also in datagrams of nodes that do not know of the restart yet.
 TEST_CASE("SilenceDetector.ARestartEndsTheSuspicion") {
@@ -388,6 +423,52 @@
   CHECK_FALSE(fixture.a.is_urgent());
 }
 
+// Guards against a datagram that was read late, by which an old byte seems to
+// have come after the requests that wait.
+TEST_CASE("SilenceDetector.TakesNoLateDatagramForANewByte") {
+  auto fixture = Fixture();
+  const auto all = [](const ReplicaId&) { return true; };
+  fixture.b.OnBytes(IdAt(0));
+  fixture.Tell(fixture.b, fixture.a);
+  fixture.Pass(milliseconds(20));
+  fixture.Send(fixture.a, 0);
+  fixture.Send(fixture.a, 0);
+  fixture.Pass(milliseconds(110));
+  const auto late = fixture.b.own_reports(all);
+  fixture.Pass(milliseconds(90));
+  REQUIRE(fixture.a.IsSuspected(IdAt(0)));
+  fixture.a.OnPeerReports(NodeId("b"), late);
+  CHECK(fixture.a.IsSuspected(IdAt(0)));
+  // Bytes that the peer has read since do count.
+  fixture.b.OnBytes(IdAt(0));
+  fixture.Tell(fixture.b, fixture.a);
+  CHECK_FALSE(fixture.a.IsSuspected(IdAt(0)));
+}
+
+// The same after the peer's clock stood still while its host was suspended.
+TEST_CASE("SilenceDetector.AdaptsToANewDifferenceOfClocks") {
+  auto fixture = Fixture();
+  const auto tell = [&](Duration heard, Duration clock_lag) {
+    auto reports = SilenceReports();
+    reports.sender_time = fixture.clock.now().time_since_epoch() - clock_lag;
+    reports.replicas[IdAt(0)].heard = heard;
+    fixture.a.OnPeerReports(NodeId("b"), reports);
+  };
+  tell(seconds(0), seconds(0));
+  fixture.Pass(seconds(1));
+  for (auto step = 0; step < 45; ++step) {
+    fixture.Pass(milliseconds(100));
+    tell(seconds(0), seconds(30));
+  }
+  fixture.Pass(milliseconds(1));
+  fixture.Send(fixture.a, 0);
+  fixture.Send(fixture.a, 0);
+  fixture.Pass(milliseconds(200));
+  REQUIRE(fixture.a.IsSuspected(IdAt(0)));
+  tell(seconds(0), seconds(30));
+  CHECK_FALSE(fixture.a.IsSuspected(IdAt(0)));
+}
+
 // Guards against evidence of a peer that has ended or is cut off.
 TEST_CASE("SilenceDetector.ForgetsPeersThatTellNothing") {
   auto fixture = Fixture();
