--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -20,6 +20,7 @@
 constexpr milliseconds kTrickleStep{50};
 constexpr std::size_t kPieces = 4;  // Of an event.
 constexpr milliseconds kPieceStep{250};
+constexpr milliseconds kHangStep{5};
 
 auto QueryNumber(const std::string& target, const std::string& name)
     -> std::uint64_t {
@@ -379,6 +380,16 @@
   leaving_ = leaving;
 }
 
+auto FakeReplica::set_hanging(bool hanging) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  hanging_ = hanging;
+}
+
+auto FakeReplica::hanging() const -> bool {
+  const auto lock = std::lock_guard(mutex_);
+  return hanging_;
+}
+
 auto FakeReplica::version() const -> std::string {
   const auto lock = std::lock_guard(mutex_);
   return version_;
@@ -491,6 +502,9 @@
   if (on_start_) {
     on_start_(request_id);
   }
+  while (hanging()) {
+    co_await Pause(context_, kHangStep);
+  }
   if (fault == ReplicaFault::kLoseAnswer || Crashes(*request)) {
     co_return;
   }
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -160,6 +160,9 @@
   auto set_version(const std::string& version) -> void;
   // Ends the replica and starts it at once under another id.
   auto Restart() -> void;
+  // While set, requests are accepted and counted as runs but nothing is
+  // written; they are answered once it is reset.
+  auto set_hanging(bool hanging) -> void;
   // The delay before each event.
   auto set_event_delay(std::chrono::milliseconds delay) -> void;
   // How often a request has begun to run here.
@@ -181,6 +184,7 @@
   auto WriteInPieces(std::shared_ptr<caller::ResponseWriter> writer,
                      std::string text) -> boost::asio::awaitable<void>;
   auto TakeFault(const std::string& path) -> ReplicaFault;
+  auto hanging() const -> bool;
   // Returns whether the request has ended the replica.
   auto Crashes(const caller::IncomingRequest& request) -> bool;
 
@@ -192,6 +196,7 @@
   std::string start_limit_;
   std::string version_;
   bool leaving_ = false;
+  bool hanging_ = false;
   int crashes_ = 0;
   int restarts_ = 0;
   OnStart on_start_;
