Reject "not a number" as a setting

TOML has a value nan, and every comparison with it is false, so the check of the allowed range accepted it. The check now requires that the number lies in the range.

--- a/src/base/table_reader.h
+++ b/src/base/table_reader.h
@@ -104,7 +104,8 @@
       return fallback;
     }
     const auto value = node->value<double>();
-    if (!value || *value < low || *value > high) {
+    // TOML has a value for "not a number", for which every comparison fails.
+    if (!value || !(*value >= low && *value <= high)) {
       Fail(Line(node), key, ToText(*node),
            "a number from " + std::to_string(low) + " to " +
                std::to_string(high));
