Decide when requests leave the zone by the wait that this saves

Cause: another zone was used as soon as its replicas were less busy by 0.05 of their slots, less than one request on a replica with eight.

Change: with the new settings table [zones], ZonePolicy compares for each request the expected wait in the gateway's own zone and in the others, counted over the replicas of its cell, with two crossings and the service's measured bytes. Nothing leaves while a quarter of the zone's slots is free. Above the point of equal gain and cost, the share that may leave rises to all at a full zone; each request is drawn, so that gateways do not act together. Leaving begins at 1.25 times the cost and ends below the cost.

--- a/include/kumquatgauge/serving/gateway_settings.h
+++ b/include/kumquatgauge/serving/gateway_settings.h
@@ -3,11 +3,13 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "kumquatgauge/base/ids.h"
 #include "kumquatgauge/base/log.h"
+#include "kumquatgauge/serving/zone_policy.h"
 
 namespace kumquatgauge::serving {
 
@@ -46,6 +48,7 @@
   Listen listen;
   Store store;
   Limits limits;
+  std::optional<ZoneCosts> zones;  // Absent without the table [zones].
   LogLevel log_level = LogLevel::kInfo;
 
   auto operator==(const GatewaySettings&) const -> bool = default;
--- a/include/kumquatgauge/serving/load_balancer.h
+++ b/include/kumquatgauge/serving/load_balancer.h
@@ -13,6 +13,7 @@
 #include "kumquatgauge/routing/outlier.h"
 #include "kumquatgauge/routing/replica.h"
 #include "kumquatgauge/serving/start_limiter.h"
+#include "kumquatgauge/serving/zone_policy.h"
 
 namespace kumquatgauge::serving {
 
@@ -150,6 +151,13 @@
   // Returns the free slots of this node's cell by service, to report to other
   // cells.
   auto free_cell_slots() const -> std::map<ServiceName, std::uint32_t>;
+  // Sets the price of leaving the zone. Without one, replicas of other zones
+  // are used as soon as those of this zone are busier by `zone_margin`.
+  auto SetZoneCosts(std::optional<ZoneCosts> costs) -> void;
+  // Null without a price.
+  auto zone_policy() -> ZonePolicy* {
+    return zone_policy_ ? &*zone_policy_ : nullptr;
+  }
   // Marks a replica as gone: another replica uses its address, or it reported
   // that it is gone.
   auto MarkGone(const ReplicaId& replica) -> void;
@@ -165,6 +173,8 @@
   auto OnSentAgain(const ReplicaId& replica, std::uint32_t times) -> void;
   // Records how long a completed online request held its slot.
   auto OnHoldingTime(const ServiceName& service, Duration held) -> void;
+  // Records the bytes of a request's prompt and answer.
+  auto OnBytes(const ReplicaId& replica, std::uint64_t bytes) -> void;
   // Records a complete response; `first` is the time to its head or first
   // event.
   auto OnSuccess(const ReplicaId& replica, Duration first) -> void;
@@ -249,6 +259,9 @@
     MonotonicTime at;
   };
 
+  auto ChooseFrom(const ChoiceRequest& request, bool own_zone_only) -> Choice;
+  // Whether the request may use replicas of other zones from the start.
+  auto MayLeaveZone(const ChoiceRequest& request) -> bool;
   auto IsUsable(const State& state, const ChoiceRequest& request) const -> bool;
   // Whether the replica's limit leaves a start for the request. Only nodes of
   // its cell know how many starts others make.
@@ -288,6 +301,7 @@
   RandomSource random_;
   routing::OutlierDetector outliers_;
   StartLimiter start_limiter_;
+  std::optional<ZonePolicy> zone_policy_;
   std::map<ReplicaId, State> states_;
   std::map<ServiceName, std::vector<ReplicaId>> services_;
   std::map<NodeId, PeerCounts> peers_;
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -1172,6 +1172,7 @@
     bool completed = false;
     bool broken = false;   // The replica broke off.
     bool leaving = false;  // It said in its answer that it leaves.
+    std::uint64_t answer_bytes = 0;
   };
 
   // Returns the service that the current configuration routes an item to.
@@ -1244,6 +1245,10 @@
     if (call->sends() > 1) {
       parts_.load_balancer.OnSentAgain(replica.id, call->sends() - 1);
     }
+    if (call->bytes_sent()) {
+      parts_.load_balancer.OnBytes(replica.id,
+                                   item.body.size() + outcome.answer_bytes);
+    }
     parts_.hooks.counts_changed();
     const auto failed =
         outcome.end == ItemEnd::kFailed ||
@@ -1411,6 +1416,7 @@
     while (end == CallEnd::kOpen && intact) {
       auto bytes = std::string();
       end = co_await call->Read(bytes);
+      outcome.answer_bytes += bytes.size();
       const auto before = job->progress[ref.item].last_event;
       intact = TakeEvents(*job, ref, splitter, bytes);
       if (job->progress[ref.item].last_event > before) {
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -104,6 +104,7 @@
   // relayed as a stream.
   upstream::ReplicaHead head;
   std::string body;
+  std::uint64_t answer_bytes = 0;
 
   std::shared_ptr<upstream::ReplicaCaller::Call> call;
 };
@@ -419,6 +420,7 @@
     exchange->tried.push_back(replica.id);
     exchange->version = replica.version;
     exchange->attempt_answered = false;
+    exchange->answer_bytes = 0;
     ++exchange->history.attempts;
     if (exchange->admission.trial) {
       exchange->history.max_attempts = 1;
@@ -535,6 +537,7 @@
       end = co_await exchange->call->Read(exchange->body);
       exchange->call->OnProgress();
       buffered_bytes_ += exchange->body.size() - before;
+      exchange->answer_bytes += exchange->body.size() - before;
       if (exchange->body.size() > kMaxBufferedAnswer ||
           buffered_bytes_ > parts_.answer_memory_bytes) {
         exchange->call->Cancel();
@@ -563,6 +566,7 @@
     while (end == CallEnd::kOpen) {
       auto bytes = std::string();
       end = co_await exchange->call->Read(bytes);
+      exchange->answer_bytes += bytes.size();
       auto piece = std::string();
       auto has_event = false;
       const auto fits = splitter.Feed(bytes, [&](const Event& event) {
@@ -692,6 +696,10 @@
         attempt.end == CallEnd::kBroken || attempt.end == CallEnd::kMalformed ||
         attempt.end == CallEnd::kSilent || attempt.end == CallEnd::kNotSent;
     ReportCrash(exchange, replica.id, attempt);
+    if (attempt.bytes_sent) {
+      parts_.load_balancer.OnBytes(
+          replica.id, exchange.incoming->body.size() + exchange.answer_bytes);
+    }
     if (attempt.end == CallEnd::kNotSent) {
       parts_.load_balancer.OnUnreachable(replica.id);
     }
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -37,6 +37,7 @@
 #include "kumquatgauge/serving/store_feed.h"
 #include "kumquatgauge/serving/stream_versions.h"
 #include "kumquatgauge/serving/watcher_choice.h"
+#include "kumquatgauge/serving/zone_report.h"
 #include "kumquatgauge/upstream/replica_call.h"
 #include "serving/start_report_codec.h"
 #include "serving/store_options.h"
@@ -236,6 +237,7 @@
                               {"zone", settings_.zone.value()},
                               {"store", settings_.store.address},
                               {"callers", settings_.listen.callers}});
+    load_balancer_.SetZoneCosts(settings_.zones);
     StartListeners();
     gossip_.RegisterHandlers(peer_server_);
     batch_.RegisterHandlers(peer_server_);
@@ -1503,6 +1505,7 @@
               SteadyNow() - counts_sent_ >= kCountsRefreshInterval) {
             SendCounts();
           }
+          ReportZones(load_balancer_.zone_policy(), metrics_, logger_);
           UpdateStartLimits();
           SendCellCapacity();
           UpdateQuarantine();
@@ -1568,6 +1571,8 @@
       settings_.seeds = next.seeds;
       settings_.log_level = next.log_level;
       settings_.limits.address_ttl = next.limits.address_ttl;
+      settings_.zones = next.zones;
+      load_balancer_.SetZoneCosts(settings_.zones);
       logger_.Info("reloaded the settings",
                    {{"event", "reload"}, {"changed", same ? "no" : "yes"}});
     } catch (const std::exception& error) {
--- a/src/serving/gateway_settings.cc
+++ b/src/serving/gateway_settings.cc
@@ -26,6 +26,7 @@
     ReadListen(settings.listen);
     ReadStore(settings.store);
     ReadLimits(settings.limits);
+    ReadZones(settings);
     ReadLog(settings);
     top_.RejectUnknownKeys();
     return settings;
@@ -78,6 +79,22 @@
     table.RejectUnknownKeys();
   }
 
+  auto ReadZones(GatewaySettings& settings) -> void {
+    constexpr double kMaxDelay = 10'000;
+    constexpr double kMaxCost = 1'000'000;
+    if (top_.Find("zones") == nullptr) {
+      return;
+    }
+    auto table = top_.Table("zones");
+    auto costs = ZoneCosts();
+    costs.delay_ms_per_crossing =
+        table.Number("delay_ms_per_crossing", 0, 0, kMaxDelay);
+    costs.cost_ms_per_megabyte =
+        table.Number("cost_ms_per_megabyte", 0, 0, kMaxCost);
+    table.RejectUnknownKeys();
+    settings.zones = costs;
+  }
+
   auto ReadLog(GatewaySettings& settings) -> void {
     auto table = top_.Table("log");
     settings.log_level = table.Level("level");
--- a/src/serving/gateway_settings_test.cc
+++ b/src/serving/gateway_settings_test.cc
@@ -59,5 +59,32 @@
   CHECK_THROWS_AS(ParseGatewaySettings(text, "s"), Error);
 }
 
+// Guards against a changed choice of zones in deployments without the table.
+TEST_CASE("GatewaySettings.HasNoZoneCostsWithoutTheirTable") {
+  CHECK_FALSE(ParseGatewaySettings(kWhole, "s").zones);
+}
+
+TEST_CASE("GatewaySettings.ReadsZoneCosts") {
+  const auto text = std::string(kWhole) +
+                    "[zones]\ndelay_ms_per_crossing = 1.4\n"
+                    "cost_ms_per_megabyte = 20\n";
+  CHECK(ParseGatewaySettings(text, "s").zones == ZoneCosts{1.4, 20.0});
+}
+
+// Guards against costs that make every comparison of gain and cost false or
+// leaving the zone profitable at any load.
+TEST_CASE("GatewaySettings.RejectsZoneCostsThatAreNoCosts") {
+  for (const auto* line :
+       {"delay_ms_per_crossing = -0.1", "delay_ms_per_crossing = nan",
+        "cost_ms_per_megabyte = inf", "cost_ms_per_megabyte = \"1\"",
+        "cost_ms_per_gigabyte = 1"}) {
+    INFO(line);
+    const auto text = std::string(kWhole) + "[zones]\n" + line + "\n";
+    CHECK_THROWS_AS(ParseGatewaySettings(text, "s"), Error);
+  }
+  const auto no_table = "zones = 1\n" + std::string(kWhole);
+  CHECK_THROWS_AS(ParseGatewaySettings(no_table, "s"), Error);
+}
+
 }  // namespace
 }  // namespace kumquatgauge::serving
--- a/src/serving/load_balancer.cc
+++ b/src/serving/load_balancer.cc
@@ -289,7 +289,59 @@
       std::clamp(budget * slots / std::max(hold, 0.001), 0.0, 4 * slots));
 }
 
+auto LoadBalancer::SetZoneCosts(std::optional<ZoneCosts> costs) -> void {
+  if (!costs) {
+    zone_policy_.reset();
+  } else if (zone_policy_) {
+    zone_policy_->SetCosts(*costs);
+  } else {
+    zone_policy_.emplace(ZonePolicySettings(), *costs, clock_, random_);
+  }
+}
+
+auto LoadBalancer::MayLeaveZone(const ChoiceRequest& request) -> bool {
+  const auto service = services_.find(request.service);
+  if (!zone_policy_ || service == services_.end()) {
+    return true;
+  }
+  const auto hold = mean_hold(request.service);
+  auto own = ZoneLoad{.hold = hold};
+  auto others = own;
+  for (const auto& id : service->second) {
+    const auto& state = states_.at(id);
+    if (!TakesWork(state)) {
+      continue;
+    }
+    const auto slots = UsableSlots(state);
+    // A replica that has just refused a request has no free slot, whatever the
+    // counts say.
+    const auto in_flight = clock_() < state.full_until
+                               ? std::max(Estimate(state), slots)
+                               : Estimate(state);
+    auto& load = state.replica.zone == zone_ ? own : others;
+    load.replicas += 1;
+    load.slots += slots;
+    load.in_flight += in_flight;
+  }
+  return zone_policy_->MayLeave(request.service, own, others);
+}
+
 auto LoadBalancer::Choose(const ChoiceRequest& request) -> Choice {
+  if (!MayLeaveZone(request)) {
+    auto choice = ChooseFrom(request, true);
+    const auto queued = choice.availability == Availability::kQueued &&
+                        request.work_class == WorkClass::kOnline;
+    if (choice.replica &&
+        (choice.availability == Availability::kFree || queued)) {
+      return choice;
+    }
+    // Leaving the zone costs less than a refusal.
+  }
+  return ChooseFrom(request, false);
+}
+
+auto LoadBalancer::ChooseFrom(const ChoiceRequest& request, bool own_zone_only)
+    -> Choice {
   auto choice = Choice();
   const auto service = services_.find(request.service);
   if (service == services_.end()) {
@@ -306,7 +358,8 @@
   auto next_start = Duration::max();
   for (const auto& id : service->second) {
     const auto& state = states_.at(id);
-    if (!IsUsable(state, request)) {
+    if (!IsUsable(state, request) ||
+        (own_zone_only && (!state.in_cell || state.replica.zone != zone_))) {
       continue;
     }
     if (!MayStart(state, request)) {
@@ -355,9 +408,12 @@
           best_score + settings_.affinity_margin) {
     best = affinity_replica;
   }
+  if (own_zone_only && best == nullptr) {
+    return choice;
+  }
   const auto full =
       best != nullptr && Estimate(*best) >= best->replica.capacity;
-  if (full && request.work_class == WorkClass::kOnline) {
+  if (full && !own_zone_only && request.work_class == WorkClass::kOnline) {
     if (const auto* elsewhere = TakeFromOtherCell(request)) {
       best = elsewhere;
     }
@@ -371,7 +427,8 @@
     best = ejected;
   }
   const auto online = request.work_class == WorkClass::kOnline;
-  if (online && choice.at_limit > 0 && !request.avoid_limited &&
+  if (online && !own_zone_only && choice.at_limit > 0 &&
+      !request.avoid_limited &&
       (best == nullptr || Estimate(*best) >= best->replica.capacity)) {
     online_short_at_[request.service] = clock_();
   }
@@ -415,6 +472,19 @@
   const auto found = states_.find(replica);
   if (found != states_.end()) {
     ++CountOf(found->second.own, work_class);
+    if (zone_policy_) {
+      const auto& sent_to = found->second.replica;
+      zone_policy_->OnSent(sent_to.service, sent_to.zone != zone_);
+    }
+  }
+}
+
+auto LoadBalancer::OnBytes(const ReplicaId& replica, std::uint64_t bytes)
+    -> void {
+  const auto found = states_.find(replica);
+  if (zone_policy_ && found != states_.end()) {
+    const auto& sent_to = found->second.replica;
+    zone_policy_->OnBytes(sent_to.service, bytes, sent_to.zone != zone_);
   }
 }
 
