Choose replicas of different speeds by what one more request costs there

Cause: replicas were filled to equal shares of their slots, also where one takes 2.7 times as long as another.

Change: ReplicaSpeed learns for each start of a replica how long requests hold a slot, relative to the service's mean, and scales it by the fourth field of Server-Load (the load of the host, in percent) while that is less than 300 ms old. It is used for services with a replica that sends this field, or whose learned speeds differ by more than 15 % beyond two standard errors; otherwise the choice is as before. The score of a free slot grows with speed * (1 + 2 * utilisation), the time that one more request adds for all requests of the replica; queues come after all free slots and are ordered by their wait. A field that cannot be read is ignored, and the first three count.

--- a/include/kumquatgauge/serving/dialect.h
+++ b/include/kumquatgauge/serving/dialect.h
@@ -102,6 +102,9 @@
   bool has_load = false;
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
+  // How long work takes on the replica's host, as a multiple of what is normal;
+  // absent if the replica does not say or the value is unreadable.
+  std::optional<double> host_load;
   // Requests a second that the replica takes from all nodes together, if it
   // named a limit.
   std::optional<double> start_limit;
--- a/include/kumquatgauge/serving/load_balancer.h
+++ b/include/kumquatgauge/serving/load_balancer.h
@@ -12,6 +12,7 @@
 #include "kumquatgauge/routing/completion.h"
 #include "kumquatgauge/routing/outlier.h"
 #include "kumquatgauge/routing/replica.h"
+#include "kumquatgauge/serving/replica_speed.h"
 #include "kumquatgauge/serving/start_limiter.h"
 #include "kumquatgauge/serving/zone_policy.h"
 
@@ -154,6 +155,7 @@
   // Sets the price of leaving the zone. Without one, replicas of other zones
   // are used as soon as those of this zone are busier by `zone_margin`.
   auto SetZoneCosts(std::optional<ZoneCosts> costs) -> void;
+  auto replica_speed() -> ReplicaSpeed& { return replica_speed_; }
   // Null without a price.
   auto zone_policy() -> ZonePolicy* {
     return zone_policy_ ? &*zone_policy_ : nullptr;
@@ -173,6 +175,8 @@
   auto OnSentAgain(const ReplicaId& replica, std::uint32_t times) -> void;
   // Records how long a completed online request held its slot.
   auto OnHoldingTime(const ServiceName& service, Duration held) -> void;
+  // The same, and learns from it how fast the replica is.
+  auto OnCompleted(const ReplicaId& replica, Duration held) -> void;
   // Records the bytes of a request's prompt and answer.
   auto OnBytes(const ReplicaId& replica, std::uint64_t bytes) -> void;
   // Records a complete response; `first` is the time to its head or first
@@ -188,7 +192,8 @@
   auto OnRefused(const ReplicaId& replica) -> void;
   auto OnReport(const ReplicaId& replica,
                 std::uint32_t running,
-                std::uint32_t waiting) -> void;
+                std::uint32_t waiting,
+                std::optional<double> host_load = std::nullopt) -> void;
   // Records the limit that an answer of the replica named; nothing if it named
   // none.
   auto OnStartLimit(const ReplicaId& replica, std::optional<double> limit)
@@ -283,6 +288,9 @@
   }
   auto Estimate(const State& state) const -> std::uint32_t;
   auto Score(const State& state, routing::WorkClass work_class) const -> double;
+  // Returns the utilisation, or a number that orders replicas of different
+  // speeds by what one more request costs there.
+  auto LoadScore(const State& state) const -> double;
   // Returns how many requests may queue at a replica and still be on time.
   auto QueueLimit(const State& state, Duration latency_target) const
       -> std::uint32_t;
@@ -301,6 +309,7 @@
   RandomSource random_;
   routing::OutlierDetector outliers_;
   StartLimiter start_limiter_;
+  ReplicaSpeed replica_speed_;
   std::optional<ZonePolicy> zone_policy_;
   std::map<ReplicaId, State> states_;
   std::map<ServiceName, std::vector<ReplicaId>> services_;
--- a/src/serving/answer_report.cc
+++ b/src/serving/answer_report.cc
@@ -23,7 +23,8 @@
                   LoadBalancer& load_balancer,
                   const AnswerHooks& hooks) -> void {
   if (metadata.has_load) {
-    load_balancer.OnReport(replica.id, metadata.running, metadata.waiting);
+    load_balancer.OnReport(replica.id, metadata.running, metadata.waiting,
+                           metadata.host_load);
   }
   if (metadata.wrong_replica) {
     load_balancer.MarkGone(replica.id);
--- a/src/serving/answer_report_test.cc
+++ b/src/serving/answer_report_test.cc
@@ -45,6 +45,20 @@
   CHECK(fixture.leaving.size() == 3);
 }
 
+// Guards against a load of the host that does not reach the choice of replicas.
+TEST_CASE("AnswerReport.PassesOnTheLoadOfAReplicasHost") {
+  auto fixture = Fixture();
+  auto other = fixture.replica;
+  other.id = ReplicaId("r2");
+  fixture.balancer.SetReplicas({fixture.replica, other});
+  fixture.Report({.has_load = true, .host_load = 1.6});
+  auto request = ChoiceRequest();
+  request.service = fixture.replica.service;
+  const auto choice = fixture.balancer.Choose(request);
+  REQUIRE(choice.replica.has_value());
+  CHECK(choice.replica.value_or(fixture.replica).id == other.id);
+}
+
 // Guards against a replica that is taken for leaving because another one, which
 // uses its address now, leaves.
 TEST_CASE("AnswerReport.IgnoresThatAnotherReplicaAtTheAddressLeaves") {
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -706,7 +706,7 @@
     if (failed) {
       parts_.load_balancer.OnFailure(replica.id);
     } else if (attempt.end == CallEnd::kComplete && !not_run) {
-      parts_.load_balancer.OnHoldingTime(replica.service, held);
+      parts_.load_balancer.OnCompleted(replica.id, held);
     }
     if (failed || not_run) {
       logger_.Warning("an attempt failed",
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -34,6 +34,7 @@
 #include "kumquatgauge/serving/quota_keeper.h"
 #include "kumquatgauge/serving/replica_table.h"
 #include "kumquatgauge/serving/request_quarantine.h"
+#include "kumquatgauge/serving/speed_report.h"
 #include "kumquatgauge/serving/store_feed.h"
 #include "kumquatgauge/serving/stream_versions.h"
 #include "kumquatgauge/serving/watcher_choice.h"
@@ -253,6 +254,10 @@
     metrics_.AddGauge("kqg_limited_replicas", [this] {
       return static_cast<double>(load_balancer_.start_limiter().limited());
     });
+    metrics_.AddGauge("kqg_uneven_services", [this] {
+      return static_cast<double>(
+          load_balancer_.replica_speed().used_services());
+    });
     metrics_.AddGauge("kqg_leaving_replicas", [this] {
       return static_cast<double>(replica_table_.leaving_notices().size());
     });
@@ -1505,6 +1510,7 @@
               SteadyNow() - counts_sent_ >= kCountsRefreshInterval) {
             SendCounts();
           }
+          ReportSpeeds(load_balancer_.replica_speed(), logger_);
           ReportZones(load_balancer_.zone_policy(), metrics_, logger_);
           UpdateStartLimits();
           SendCellCapacity();
--- a/src/serving/load_balancer.cc
+++ b/src/serving/load_balancer.cc
@@ -52,7 +52,8 @@
       clock_(std::move(clock)),
       random_(std::move(random)),
       outliers_(MakeOutlierSettings(), clock_),
-      start_limiter_(StartLimiterSettings(), clock_) {}
+      start_limiter_(StartLimiterSettings(), clock_),
+      replica_speed_(ReplicaSpeedSettings(), clock_) {}
 
 auto LoadBalancer::SetReplicas(const std::vector<Replica>& replicas) -> void {
   auto states = std::map<ReplicaId, State>();
@@ -78,6 +79,7 @@
   states_ = std::move(states);
   outliers_.SetReplicas(replicas);
   start_limiter_.SetReplicas(replicas);
+  replica_speed_.SetReplicas(replicas);
   AssignReplicasToCells();
   RebuildPeers();
 }
@@ -252,10 +254,24 @@
   return state.own.total() + others;
 }
 
+auto LoadBalancer::LoadScore(const State& state) const -> double {
+  const auto slots = static_cast<double>(state.replica.capacity);
+  const auto in_flight = static_cast<double>(Estimate(state));
+  if (!replica_speed_.IsUsed(state.replica.service)) {
+    return in_flight / slots;
+  }
+  const auto speed = replica_speed_.speed(state.replica.id);
+  if (in_flight >= slots) {
+    // Every free slot comes before any queue, and the shortest wait comes
+    // first.
+    return 1.0 + speed * (in_flight - slots + 1.0) / slots;
+  }
+  return detail::FreeSlotScore(speed, in_flight / slots);
+}
+
 auto LoadBalancer::Score(const State& state, WorkClass work_class) const
     -> double {
-  const auto slots = static_cast<double>(state.replica.capacity);
-  auto score = Estimate(state) / slots;
+  auto score = LoadScore(state);
   if (state.replica.zone != zone_) {
     score += settings_.zone_margin;
   }
@@ -278,7 +294,13 @@
 
 auto LoadBalancer::QueueLimit(const State& state, Duration latency_target) const
     -> std::uint32_t {
-  const auto hold = ToSeconds(mean_hold(state.replica.service));
+  const auto& service = state.replica.service;
+  // A fast replica takes a longer queue. That of a slow one is not shortened,
+  // so that uneven replicas refuse no more than even ones.
+  const auto speed = replica_speed_.IsUsed(service)
+                         ? std::min(replica_speed_.speed(state.replica.id), 1.0)
+                         : 1.0;
+  const auto hold = ToSeconds(mean_hold(service)) * speed;
   const auto budget = ToSeconds(latency_target) * settings_.queue_share;
   const auto batch =
       std::min(state.own.batch + state.peers.batch, state.replica.capacity);
@@ -393,7 +415,15 @@
         preferred = rank;
       }
     }
-    const auto score = Score(state, request.work_class);
+    auto score = Score(state, request.work_class);
+    // The queues of uneven replicas differ in length, so that the shortest wait
+    // may be at one that is full.
+    if (replica_speed_.IsUsed(request.service) &&
+        Estimate(state) >= state.replica.capacity +
+                               QueueLimit(state, request.latency_target)) {
+      constexpr double kFullQueue = 100.0;
+      score += kFullQueue;
+    }
     if (best == nullptr || score < best_score) {
       best = &state;
       best_score = score;
@@ -539,9 +569,22 @@
   }
 }
 
+auto LoadBalancer::OnCompleted(const ReplicaId& replica, Duration held)
+    -> void {
+  const auto found = states_.find(replica);
+  if (found != states_.end()) {
+    OnHoldingTime(found->second.replica.service, held);
+    replica_speed_.OnCompleted(replica, held);
+  }
+}
+
 auto LoadBalancer::OnReport(const ReplicaId& replica,
                             std::uint32_t running,
-                            std::uint32_t waiting) -> void {
+                            std::uint32_t waiting,
+                            std::optional<double> host_load) -> void {
+  if (host_load) {
+    replica_speed_.OnHostLoad(replica, *host_load);
+  }
   const auto found = states_.find(replica);
   if (found != states_.end()) {
     auto& state = found->second;
--- a/testing/support/load_model.cc
+++ b/testing/support/load_model.cc
@@ -307,8 +307,11 @@
   auto Report(const Request& request) -> void {
     const auto& replica = replicas_[request.replica];
     const auto waiting = static_cast<std::uint32_t>(replica.queue.size());
-    gateways_[request.gateway].balancer->OnReport(ReplicaId(replica.model.id),
-                                                  replica.running, waiting);
+    const auto host_load = settings_.reports_host_load
+                               ? std::optional(replica.host_load)
+                               : std::nullopt;
+    gateways_[request.gateway].balancer->OnReport(
+        ReplicaId(replica.model.id), replica.running, waiting, host_load);
   }
 
   auto Continue(const RequestPtr& request) -> void {
@@ -336,7 +339,12 @@
     After(request->crossing_ms, [this, request, id] {
       auto& balancer = *gateways_[request->gateway].balancer;
       balancer.OnEnded(id, WorkClass::kOnline);
-      balancer.OnHoldingTime(kService, FromMs(now_ms_ - request->sent_ms));
+      const auto held = FromMs(now_ms_ - request->sent_ms);
+      if (settings_.learns_speeds) {
+        balancer.OnCompleted(id, held);
+      } else {
+        balancer.OnHoldingTime(kService, held);
+      }
       balancer.OnBytes(id, settings_.bytes);
     });
     if (!replica.queue.empty()) {
--- a/testing/support/load_model.h
+++ b/testing/support/load_model.h
@@ -48,6 +48,8 @@
   bool host_load_varies = false;
   // Replicas report the load of their hosts.
   bool reports_host_load = false;
+  // Whether the gateways learn how fast replicas are.
+  bool learns_speeds = false;
   Duration counts_interval = std::chrono::milliseconds(15);
   // When and which replicas end; their requests are lost.
   Duration ends_at{0};
