--- a/include/kumquatgauge/serving/load_balancer.h
+++ b/include/kumquatgauge/serving/load_balancer.h
@@ -13,7 +13,9 @@
 #include "kumquatgauge/routing/outlier.h"
 #include "kumquatgauge/routing/replica.h"
 #include "kumquatgauge/serving/silence_detector.h"
+#include "kumquatgauge/serving/replica_speed.h"
 #include "kumquatgauge/serving/start_limiter.h"
+#include "kumquatgauge/serving/zone_policy.h"
 
 namespace kumquatgauge::serving {
 
@@ -154,6 +156,14 @@
   // Returns the free slots of this node's cell by service, to report to other
   // cells.
   auto free_cell_slots() const -> std::map<ServiceName, std::uint32_t>;
+  // Sets the price of leaving the zone. Without one, replicas of other zones
+  // are used as soon as those of this zone are busier by `zone_margin`.
+  auto SetZoneCosts(std::optional<ZoneCosts> costs) -> void;
+  auto replica_speed() -> ReplicaSpeed& { return replica_speed_; }
+  // Null without a price.
+  auto zone_policy() -> ZonePolicy* {
+    return zone_policy_ ? &*zone_policy_ : nullptr;
+  }
   // Marks a replica as gone: another replica uses its address, or it reported
   // that it is gone.
   auto MarkGone(const ReplicaId& replica) -> void;
@@ -169,6 +179,10 @@
   auto OnSentAgain(const ReplicaId& replica, std::uint32_t times) -> void;
   // Records how long a completed online request held its slot.
   auto OnHoldingTime(const ServiceName& service, Duration held) -> void;
+  // The same, and learns from it how fast the replica is.
+  auto OnCompleted(const ReplicaId& replica, Duration held) -> void;
+  // Records the bytes of a request's prompt and answer.
+  auto OnBytes(const ReplicaId& replica, std::uint64_t bytes) -> void;
   // Records a complete response; `first` is the time to its head or first
   // event.
   auto OnSuccess(const ReplicaId& replica, Duration first) -> void;
@@ -182,7 +196,8 @@
   auto OnRefused(const ReplicaId& replica) -> void;
   auto OnReport(const ReplicaId& replica,
                 std::uint32_t running,
-                std::uint32_t waiting) -> void;
+                std::uint32_t waiting,
+                std::optional<double> host_load = std::nullopt) -> void;
   // Records the limit that an answer of the replica named; nothing if it named
   // none.
   auto OnStartLimit(const ReplicaId& replica, std::optional<double> limit)
@@ -264,6 +279,9 @@
     MonotonicTime at;
   };
 
+  auto ChooseFrom(const ChoiceRequest& request, bool own_zone_only) -> Choice;
+  // Whether the request may use replicas of other zones from the start.
+  auto MayLeaveZone(const ChoiceRequest& request) -> bool;
   auto IsUsable(const State& state, const ChoiceRequest& request) const -> bool;
   // Whether the replica's limit leaves a start for the request. Only nodes of
   // its cell know how many starts others make.
@@ -294,6 +312,9 @@
   auto IsSilenced(const State& state, const ChoiceRequest& request) const
       -> bool;
   auto MayProbe(const State& state, const ChoiceRequest& request) const -> bool;
+  // Returns the utilisation, or a number that orders replicas of different
+  // speeds by what one more request costs there.
+  auto LoadScore(const State& state) const -> double;
   // Returns how many requests may queue at a replica and still be on time.
   auto QueueLimit(const State& state, Duration latency_target) const
       -> std::uint32_t;
@@ -313,6 +334,8 @@
   routing::OutlierDetector outliers_;
   StartLimiter start_limiter_;
   SilenceDetector silence_;
+  ReplicaSpeed replica_speed_;
+  std::optional<ZonePolicy> zone_policy_;
   std::map<ReplicaId, State> states_;
   std::map<ServiceName, std::vector<ReplicaId>> services_;
   std::map<NodeId, PeerCounts> peers_;
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -108,6 +108,7 @@
   // relayed as a stream.
   upstream::ReplicaHead head;
   std::string body;
+  std::uint64_t answer_bytes = 0;
 
   std::shared_ptr<upstream::ReplicaCaller::Call> call;
 };
@@ -457,6 +458,7 @@
     exchange->tried.push_back(replica.id);
     exchange->version = replica.version;
     exchange->attempt_answered = false;
+    exchange->answer_bytes = 0;
     ++exchange->history.attempts;
     if (exchange->admission.trial) {
       exchange->history.max_attempts = 1;
@@ -582,6 +584,7 @@
       end = co_await exchange->call->Read(exchange->body);
       exchange->call->OnProgress();
       buffered_bytes_ += exchange->body.size() - before;
+      exchange->answer_bytes += exchange->body.size() - before;
       if (exchange->body.size() > kMaxBufferedAnswer ||
           buffered_bytes_ > parts_.answer_memory_bytes) {
         exchange->call->Cancel();
@@ -613,6 +616,7 @@
       if (!bytes.empty()) {
         OnBytes(exchange->tried.back());
       }
+      exchange->answer_bytes += bytes.size();
       auto piece = std::string();
       auto has_event = false;
       const auto fits = splitter.Feed(bytes, [&](const Event& event) {
@@ -768,6 +772,10 @@
         attempt.end == CallEnd::kBroken || attempt.end == CallEnd::kMalformed ||
         attempt.end == CallEnd::kSilent || attempt.end == CallEnd::kNotSent;
     ReportCrash(exchange, replica.id, attempt);
+    if (attempt.bytes_sent) {
+      parts_.load_balancer.OnBytes(
+          replica.id, exchange.incoming->body.size() + exchange.answer_bytes);
+    }
     if (attempt.end == CallEnd::kNotSent) {
       parts_.load_balancer.OnUnreachable(replica.id);
     }
@@ -779,7 +787,7 @@
     } else if (failed) {
       parts_.load_balancer.OnFailure(replica.id);
     } else if (attempt.end == CallEnd::kComplete && !not_run) {
-      parts_.load_balancer.OnHoldingTime(replica.service, held);
+      parts_.load_balancer.OnCompleted(replica.id, held);
     }
     if (failed || not_run) {
       logger_.Warning("an attempt failed",
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -36,9 +36,11 @@
 #include "kumquatgauge/serving/replica_table.h"
 #include "kumquatgauge/serving/request_quarantine.h"
 #include "kumquatgauge/serving/request_quota_keeper.h"
+#include "kumquatgauge/serving/speed_report.h"
 #include "kumquatgauge/serving/store_feed.h"
 #include "kumquatgauge/serving/stream_versions.h"
 #include "kumquatgauge/serving/watcher_choice.h"
+#include "kumquatgauge/serving/zone_report.h"
 #include "kumquatgauge/upstream/replica_call.h"
 #include "serving/counts_codec.h"
 #include "serving/start_report_codec.h"
@@ -246,6 +248,7 @@
                               {"zone", settings_.zone.value()},
                               {"store", settings_.store.address},
                               {"callers", settings_.listen.callers}});
+    load_balancer_.SetZoneCosts(settings_.zones);
     StartListeners();
     gossip_.RegisterHandlers(peer_server_);
     batch_.RegisterHandlers(peer_server_);
@@ -267,6 +270,10 @@
     metrics_.AddGauge("kqg_silence_probes", [this] {
       return static_cast<double>(load_balancer_.silence_detector().probes());
     });
+    metrics_.AddGauge("kqg_uneven_services", [this] {
+      return static_cast<double>(
+          load_balancer_.replica_speed().used_services());
+    });
     metrics_.AddGauge("kqg_leaving_replicas", [this] {
       return static_cast<double>(replica_table_.leaving_notices().size());
     });
@@ -1677,6 +1684,8 @@
               SteadyNow() - counts_sent_ >= kCountsRefreshInterval) {
             SendCounts();
           }
+          ReportSpeeds(load_balancer_.replica_speed(), logger_);
+          ReportZones(load_balancer_.zone_policy(), metrics_, logger_);
           UpdateStartLimits();
           SendCellCapacity();
           UpdateQuarantine();
@@ -1742,6 +1751,8 @@
       settings_.seeds = next.seeds;
       settings_.log_level = next.log_level;
       settings_.limits.address_ttl = next.limits.address_ttl;
+      settings_.zones = next.zones;
+      load_balancer_.SetZoneCosts(settings_.zones);
       logger_.Info("reloaded the settings",
                    {{"event", "reload"}, {"changed", same ? "no" : "yes"}});
     } catch (const std::exception& error) {
--- a/src/serving/load_balancer.cc
+++ b/src/serving/load_balancer.cc
@@ -53,7 +53,8 @@
       random_(std::move(random)),
       outliers_(MakeOutlierSettings(), clock_),
       start_limiter_(StartLimiterSettings(), clock_),
-      silence_(SilenceSettings(), clock_, random_) {}
+      silence_(SilenceSettings(), clock_, random_),
+      replica_speed_(ReplicaSpeedSettings(), clock_) {}
 
 auto LoadBalancer::SetReplicas(const std::vector<Replica>& replicas) -> void {
   auto states = std::map<ReplicaId, State>();
@@ -79,6 +80,7 @@
   states_ = std::move(states);
   outliers_.SetReplicas(replicas);
   start_limiter_.SetReplicas(replicas);
+  replica_speed_.SetReplicas(replicas);
   AssignReplicasToCells();
   RebuildPeers();
 }
@@ -259,10 +261,24 @@
   return state.own.total() + others;
 }
 
+auto LoadBalancer::LoadScore(const State& state) const -> double {
+  const auto slots = static_cast<double>(state.replica.capacity);
+  const auto in_flight = static_cast<double>(Estimate(state));
+  if (!replica_speed_.IsUsed(state.replica.service)) {
+    return in_flight / slots;
+  }
+  const auto speed = replica_speed_.speed(state.replica.id);
+  if (in_flight >= slots) {
+    // Every free slot comes before any queue, and the shortest wait comes
+    // first.
+    return 1.0 + speed * (in_flight - slots + 1.0) / slots;
+  }
+  return detail::FreeSlotScore(speed, in_flight / slots);
+}
+
 auto LoadBalancer::Score(const State& state, WorkClass work_class) const
     -> double {
-  const auto slots = static_cast<double>(state.replica.capacity);
-  auto score = Estimate(state) / slots;
+  auto score = LoadScore(state);
   if (state.replica.zone != zone_) {
     score += settings_.zone_margin;
   }
@@ -322,7 +338,13 @@
 
 auto LoadBalancer::QueueLimit(const State& state, Duration latency_target) const
     -> std::uint32_t {
-  const auto hold = ToSeconds(mean_hold(state.replica.service));
+  const auto& service = state.replica.service;
+  // A fast replica takes a longer queue. That of a slow one is not shortened,
+  // so that uneven replicas refuse no more than even ones.
+  const auto speed = replica_speed_.IsUsed(service)
+                         ? std::min(replica_speed_.speed(state.replica.id), 1.0)
+                         : 1.0;
+  const auto hold = ToSeconds(mean_hold(service)) * speed;
   const auto budget = ToSeconds(latency_target) * settings_.queue_share;
   const auto batch =
       std::min(state.own.batch + state.peers.batch, state.replica.capacity);
@@ -333,7 +355,59 @@
       std::clamp(budget * slots / std::max(hold, 0.001), 0.0, 4 * slots));
 }
 
+auto LoadBalancer::SetZoneCosts(std::optional<ZoneCosts> costs) -> void {
+  if (!costs) {
+    zone_policy_.reset();
+  } else if (zone_policy_) {
+    zone_policy_->SetCosts(*costs);
+  } else {
+    zone_policy_.emplace(ZonePolicySettings(), *costs, clock_, random_);
+  }
+}
+
+auto LoadBalancer::MayLeaveZone(const ChoiceRequest& request) -> bool {
+  const auto service = services_.find(request.service);
+  if (!zone_policy_ || service == services_.end()) {
+    return true;
+  }
+  const auto hold = mean_hold(request.service);
+  auto own = ZoneLoad{.hold = hold};
+  auto others = own;
+  for (const auto& id : service->second) {
+    const auto& state = states_.at(id);
+    if (!TakesWork(state)) {
+      continue;
+    }
+    const auto slots = UsableSlots(state);
+    // A replica that has just refused a request has no free slot, whatever the
+    // counts say.
+    const auto in_flight = clock_() < state.full_until
+                               ? std::max(Estimate(state), slots)
+                               : Estimate(state);
+    auto& load = state.replica.zone == zone_ ? own : others;
+    load.replicas += 1;
+    load.slots += slots;
+    load.in_flight += in_flight;
+  }
+  return zone_policy_->MayLeave(request.service, own, others);
+}
+
 auto LoadBalancer::Choose(const ChoiceRequest& request) -> Choice {
+  if (!MayLeaveZone(request)) {
+    auto choice = ChooseFrom(request, true);
+    const auto queued = choice.availability == Availability::kQueued &&
+                        request.work_class == WorkClass::kOnline;
+    if (choice.replica &&
+        (choice.availability == Availability::kFree || queued)) {
+      return choice;
+    }
+    // Leaving the zone costs less than a refusal.
+  }
+  return ChooseFrom(request, false);
+}
+
+auto LoadBalancer::ChooseFrom(const ChoiceRequest& request, bool own_zone_only)
+    -> Choice {
   auto choice = Choice();
   const auto service = services_.find(request.service);
   if (service == services_.end()) {
@@ -352,7 +426,8 @@
   auto next_start = Duration::max();
   for (const auto& id : service->second) {
     const auto& state = states_.at(id);
-    if (!IsUsable(state, request)) {
+    if (!IsUsable(state, request) ||
+        (own_zone_only && (!state.in_cell || state.replica.zone != zone_))) {
       continue;
     }
     if (!MayStart(state, request)) {
@@ -398,7 +473,15 @@
         preferred = rank;
       }
     }
-    const auto score = ScoreFor(state, request);
+    auto score = ScoreFor(state, request);
+    // The queues of uneven replicas differ in length, so that the shortest wait
+    // may be at one that is full.
+    if (replica_speed_.IsUsed(request.service) &&
+        Estimate(state) >= state.replica.capacity +
+                               QueueLimit(state, request.latency_target)) {
+      constexpr double kFullQueue = 100.0;
+      score += kFullQueue;
+    }
     if (best == nullptr || score < best_score) {
       best = &state;
       best_score = score;
@@ -416,9 +499,12 @@
   if (probe != nullptr) {
     best = probe;
   }
+  if (own_zone_only && best == nullptr) {
+    return choice;
+  }
   const auto full =
       best != nullptr && Estimate(*best) >= best->replica.capacity;
-  if (full && request.work_class == WorkClass::kOnline) {
+  if (full && !own_zone_only && request.work_class == WorkClass::kOnline) {
     if (const auto* elsewhere = TakeFromOtherCell(request)) {
       best = elsewhere;
     }
@@ -436,7 +522,8 @@
     best = ejected;
   }
   const auto online = request.work_class == WorkClass::kOnline;
-  if (online && choice.at_limit > 0 && !request.avoid_limited &&
+  if (online && !own_zone_only && choice.at_limit > 0 &&
+      !request.avoid_limited &&
       (best == nullptr || Estimate(*best) >= best->replica.capacity)) {
     online_short_at_[request.service] = clock_();
   }
@@ -480,6 +567,19 @@
   const auto found = states_.find(replica);
   if (found != states_.end()) {
     ++CountOf(found->second.own, work_class);
+    if (zone_policy_) {
+      const auto& sent_to = found->second.replica;
+      zone_policy_->OnSent(sent_to.service, sent_to.zone != zone_);
+    }
+  }
+}
+
+auto LoadBalancer::OnBytes(const ReplicaId& replica, std::uint64_t bytes)
+    -> void {
+  const auto found = states_.find(replica);
+  if (zone_policy_ && found != states_.end()) {
+    const auto& sent_to = found->second.replica;
+    zone_policy_->OnBytes(sent_to.service, bytes, sent_to.zone != zone_);
   }
 }
 
@@ -534,9 +634,22 @@
   }
 }
 
+auto LoadBalancer::OnCompleted(const ReplicaId& replica, Duration held)
+    -> void {
+  const auto found = states_.find(replica);
+  if (found != states_.end()) {
+    OnHoldingTime(found->second.replica.service, held);
+    replica_speed_.OnCompleted(replica, held);
+  }
+}
+
 auto LoadBalancer::OnReport(const ReplicaId& replica,
                             std::uint32_t running,
-                            std::uint32_t waiting) -> void {
+                            std::uint32_t waiting,
+                            std::optional<double> host_load) -> void {
+  if (host_load) {
+    replica_speed_.OnHostLoad(replica, *host_load);
+  }
   const auto found = states_.find(replica);
   if (found != states_.end()) {
     auto& state = found->second;
