--- a/src/serving/request_quota_simulation_test.cc
+++ b/src/serving/request_quota_simulation_test.cc
@@ -565,7 +565,8 @@
 // The same on a day with long peaks, in which large organisations are above
 // their limit for many seconds.
 TEST_CASE("RequestQuota.RefusesNothingBelowTheLimitInLongPeaks") {
-  CheckCalmDay(1024);
+  const auto seed = GENERATE(1024, 2027, 2034);
+  CheckCalmDay(seed);
 }
 
 // Guards against an organisation far above its limit that gets more than it, or
@@ -711,9 +712,7 @@
   simulation.CheckWindows();
 }
 
-// Guards against the whole rate on each side of a partition.
-TEST_CASE("RequestQuota.HoldsTheLimitWhenAThirdIsPartitioned") {
-  const auto seed = GENERATE(81, 82, 83);
+auto CheckPartition(std::uint64_t seed) -> void {
   auto simulation = Simulation(seed);
   simulation.RunUntil(10);
   simulation.SetFactor(0, 5);
@@ -734,6 +733,18 @@
   simulation.CheckWindows();
 }
 
+// Guards against the whole rate on each side of a partition.
+TEST_CASE("RequestQuota.HoldsTheLimitWhenAThirdIsPartitioned") {
+  const auto seed = GENERATE(81, 82, 83);
+  CheckPartition(seed);
+}
+
+// The same when the burst is used up just before the partition is found out.
+TEST_CASE("RequestQuota.HoldsTheLimitInAPartitionAfterABurst") {
+  const auto seed = GENERATE(2006, 2021);
+  CheckPartition(seed);
+}
+
 // Guards against a balance from before a limit was lowered.
 TEST_CASE("RequestQuota.AppliesALoweredLimitAfterOneWindow") {
   constexpr double kKnown = 12.5;  // Everywhere.
