--- a/include/kumquatgauge/serving/load_balancer.h
+++ b/include/kumquatgauge/serving/load_balancer.h
@@ -12,8 +12,8 @@
 #include "kumquatgauge/routing/completion.h"
 #include "kumquatgauge/routing/outlier.h"
 #include "kumquatgauge/routing/replica.h"
-#include "kumquatgauge/serving/silence_detector.h"
 #include "kumquatgauge/serving/replica_speed.h"
+#include "kumquatgauge/serving/silence_detector.h"
 #include "kumquatgauge/serving/start_limiter.h"
 #include "kumquatgauge/serving/zone_policy.h"
 
