Choose keepers of request limits among gateways that are known for 1.5 s

A gateway answers no asks in the first second after its start, yet it became the keeper of its share of the organisations at once. In a rolling restart these were without a keeper for a second at each restart, in which about a quarter of the requests near a limit were refused locally. Gateways that have been known for less than 1.5 s are left out, unless that leaves fewer than half, as after a restart of the whole fleet.

--- a/src/serving/request_quota_keeper.cc
+++ b/src/serving/request_quota_keeper.cc
@@ -11,6 +11,7 @@
 
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/routing/rendezvous.h"
+#include "kumquatgauge/serving/keeper_candidates.h"
 
 namespace kumquatgauge::serving {
 namespace {
@@ -96,6 +97,7 @@
             parts_.clock),
         quota_(RequestQuotaSettings(), parts_.first_sequence, MakeHooks()),
         event_timer_(parts_.executor),
+        candidates_timer_(parts_.executor),
         batch_timer_(parts_.executor) {
     UpdateMembers();
     parts_.metrics.AddGauge("kqg_quota_accounts", [this] {
@@ -105,6 +107,7 @@
 
   auto Stop() -> void {
     event_timer_.cancel();
+    candidates_timer_.cancel();
     batch_timer_.cancel();
   }
 
@@ -129,17 +132,17 @@
 
   auto OnMembersChanged() -> void {
     UpdateMembers();
-    for (const auto& handover : accounts_.OnMembersChanged()) {
-      const auto address = addresses_.find(handover.keeper);
-      if (address != addresses_.end()) {
-        parts_.send_datagram(
-            address->second,
-            json{{"t", kBalanceDatagram},
-                 {"n", parts_.self.value()},
-                 {"b", json::array({json::array({handover.organisation.value(),
-                                                 handover.balance})})}});
-      }
-    }
+    HandOver();
+    // Nodes that have just started may keep accounts from then on.
+    candidates_timer_.expires_after(KeeperCandidates::kMinKnownTime);
+    candidates_timer_.async_wait(
+        [self = weak_from_this()](const boost::system::error_code& error) {
+          const auto impl = self.lock();
+          if (impl && !error && impl->candidates_.Update()) {
+            impl->keepers_.clear();
+            impl->HandOver();
+          }
+        });
   }
 
   auto OnDatagram(const json& message) -> void {
@@ -218,23 +221,39 @@
             .clock = parts_.clock};
   }
 
+  // Sends the balances of accounts that another node keeps from now on.
+  auto HandOver() -> void {
+    for (const auto& handover : accounts_.OnMembersChanged()) {
+      const auto address = addresses_.find(handover.keeper);
+      if (address != addresses_.end()) {
+        parts_.send_datagram(
+            address->second,
+            json{{"t", kBalanceDatagram},
+                 {"n", parts_.self.value()},
+                 {"b", json::array({json::array({handover.organisation.value(),
+                                                 handover.balance})})}});
+      }
+    }
+  }
+
   auto UpdateMembers() -> void {
     keepers_.clear();
     addresses_.clear();
-    live_ = parts_.live();
-    for (const auto& node : live_) {
+    auto live = parts_.live();
+    for (const auto& node : live) {
       addresses_[node.id] = node.node_address;
     }
     const auto known = std::max<std::size_t>(1, parts_.known_nodes());
-    accounts_.SetReachableShare(static_cast<double>(live_.size()) /
+    accounts_.SetReachableShare(static_cast<double>(live.size()) /
                                 static_cast<double>(known));
+    candidates_.SetMembers(std::move(live));
   }
 
   auto KeeperOf(const OrganisationName& organisation) -> NodeId {
     const auto [entry, added] = keepers_.try_emplace(organisation);
     if (added) {
       entry->second = routing::ChooseNode(
-          routing::RendezvousHash(organisation.value()), live_);
+          routing::RendezvousHash(organisation.value()), candidates_.nodes());
     }
     return entry->second;
   }
@@ -388,7 +407,7 @@
   Counter& asks_received_ =
       parts_.metrics.counter("kqg_quota_asks_received_total");
   Counter& timeouts_ = parts_.metrics.counter("kqg_quota_ask_timeouts_total");
-  std::vector<routing::NodeInfo> live_;
+  KeeperCandidates candidates_{parts_.clock};
   std::map<NodeId, std::string> addresses_;
   std::map<OrganisationName, NodeId> keepers_;  // Of the current members.
   std::map<OrganisationName, Refusals> refusals_;
@@ -396,6 +415,7 @@
   RequestRateAccounts accounts_;
   RequestQuota quota_;
   asio::steady_timer event_timer_;
+  asio::steady_timer candidates_timer_;
   asio::steady_timer batch_timer_;
   std::optional<MonotonicTime> event_at_;
   bool batch_pending_ = false;
