--- a/include/kumquatgauge/serving/configuration.h
+++ b/include/kumquatgauge/serving/configuration.h
@@ -63,7 +63,7 @@
 // A customer whose requests are identified by API keys.
 struct Organisation {
   OrganisationName name;
-  std::vector<std::string> api_keys;
+  std::vector<std::string> keys;
   std::uint32_t priority = 0;  // 0 is the most urgent.
   // Limit of its online requests over all nodes; 0 is no limit.
   double requests_per_second = 0;
--- a/src/serving/caller_authorizer.cc
+++ b/src/serving/caller_authorizer.cc
@@ -33,7 +33,7 @@
   }
   const auto& organisations = *configuration_->organisations;
   for (std::size_t at = 0; at < organisations.size(); ++at) {
-    for (const auto& key : organisations[at].api_keys) {
+    for (const auto& key : organisations[at].keys) {
       const auto [owner, added] = owners_.try_emplace(key, at);
       if (!added && owner->second != at) {
         owner->second.reset();
--- a/src/serving/caller_authorizer_test.cc
+++ b/src/serving/caller_authorizer_test.cc
@@ -12,7 +12,7 @@
     -> Organisation {
   auto organisation = Organisation();
   organisation.name = OrganisationName(name);
-  organisation.api_keys = std::move(keys);
+  organisation.keys = std::move(keys);
   return organisation;
 }
 
