--- a/include/kumquatgauge/serving/caller_authorizer.h
+++ b/include/kumquatgauge/serving/caller_authorizer.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "kumquatgauge/serving/configuration.h"
 #include "kumquatgauge/serving/dialect.h"
@@ -55,12 +56,11 @@
 
  private:
   auto AuthorizeKey(const ApiKey& key) const -> Authorization;
-  auto has_organisations() const -> bool {
-    return configuration_ && configuration_->organisations;
-  }
 
   std::function<auto()->bool> is_fresh_;
   std::shared_ptr<const Configuration> configuration_;
+  // Those of the configuration; null if it has none.
+  const std::vector<Organisation>* organisations_ = nullptr;
   // Index of each key's organisation; nothing for a key of several ones, which
   // identifies none of them.
   std::map<std::string, std::optional<std::size_t>, std::less<>> owners_;
--- a/src/serving/caller_authorizer.cc
+++ b/src/serving/caller_authorizer.cc
@@ -28,12 +28,14 @@
     std::shared_ptr<const Configuration> configuration) -> void {
   configuration_ = std::move(configuration);
   owners_.clear();
-  if (!has_organisations()) {
+  organisations_ = nullptr;
+  const auto& organisations = configuration_->organisations;
+  if (!organisations) {
     return;
   }
-  const auto& organisations = *configuration_->organisations;
-  for (std::size_t at = 0; at < organisations.size(); ++at) {
-    for (const auto& key : organisations[at].keys) {
+  organisations_ = &*organisations;
+  for (std::size_t at = 0; at < organisations->size(); ++at) {
+    for (const auto& key : (*organisations)[at].keys) {
       const auto [owner, added] = owners_.try_emplace(key, at);
       if (!added && owner->second != at) {
         owner->second.reset();
@@ -45,7 +47,7 @@
 auto CallerAuthorizer::AuthorizeRequest(const Route& route,
                                         const ApiKey& key) const
     -> Authorization {
-  if (!has_organisations()) {
+  if (organisations_ == nullptr) {
     return {};
   }
   return route.is_public ? Anonymous() : AuthorizeKey(key);
@@ -54,7 +56,7 @@
 auto CallerAuthorizer::AuthorizeJobCall(const std::string& host,
                                         const ApiKey& key) const
     -> Authorization {
-  if (!has_organisations()) {
+  if (organisations_ == nullptr) {
     return {};
   }
   const auto& routes = configuration_->routes;
@@ -95,7 +97,7 @@
         "several organisations have this API key; ask the operator for one of "
         "your own");
   }
-  const auto& organisation = configuration_->organisations->at(*owner->second);
+  const auto& organisation = organisations_->at(owner->second.value_or(0));
   auto authorization = Authorization();
   authorization.organisation = organisation.name;
   authorization.priority = organisation.priority;
