--- a/testing/gateway/replica_answer_test.cc
+++ b/testing/gateway/replica_answer_test.cc
@@ -50,7 +50,11 @@
                  ServerEntry(servers.back()->address()));
     }
     store->Put("config/main", MakeConfiguration(3));
-    REQUIRE(Eventually([&] { return nodes.front()->Ready(); }));
+    // A replica is used once its version is in the store, which a busy machine
+    // may delay beyond the readiness.
+    REQUIRE(Eventually([&] {
+      return nodes.front()->Ready() && store->Has("service-versions/svc");
+    }));
   }
 
   ~RawFleet() {
