--- a/include/kumquatgauge/serving/gateway_settings.h
+++ b/include/kumquatgauge/serving/gateway_settings.h
@@ -9,6 +9,7 @@
 
 #include "kumquatgauge/base/ids.h"
 #include "kumquatgauge/base/log.h"
+#include "kumquatgauge/serving/zone_policy.h"
 
 namespace kumquatgauge::serving {
 
@@ -54,6 +55,7 @@
   Store store;
   Limits limits;
   Keys keys;
+  std::optional<ZoneCosts> zones;  // Absent without the table [zones].
   LogLevel log_level = LogLevel::kInfo;
 
   auto operator==(const GatewaySettings&) const -> bool = default;
--- a/include/kumquatgauge/serving/load_balancer.h
+++ b/include/kumquatgauge/serving/load_balancer.h
@@ -12,7 +12,10 @@
 #include "kumquatgauge/routing/completion.h"
 #include "kumquatgauge/routing/outlier.h"
 #include "kumquatgauge/routing/replica.h"
+#include "kumquatgauge/serving/replica_speed.h"
+#include "kumquatgauge/serving/silence_detector.h"
 #include "kumquatgauge/serving/start_limiter.h"
+#include "kumquatgauge/serving/zone_policy.h"
 
 namespace kumquatgauge::serving {
 
@@ -87,6 +90,9 @@
   bool even_if_full = false;
   // Leaves out replicas that have named a limit.
   bool avoid_limited = false;
+  // Whether the request may be sent again if its replica does not answer. Only
+  // such a request may probe a replica that is suspected to be silent.
+  bool may_repeat = false;
 };
 
 enum class Availability {
@@ -150,6 +156,14 @@
   // Returns the free slots of this node's cell by service, to report to other
   // cells.
   auto free_cell_slots() const -> std::map<ServiceName, std::uint32_t>;
+  // Sets the price of leaving the zone. Without one, replicas of other zones
+  // are used as soon as those of this zone are busier by `zone_margin`.
+  auto SetZoneCosts(std::optional<ZoneCosts> costs) -> void;
+  auto replica_speed() -> ReplicaSpeed& { return replica_speed_; }
+  // Null without a price.
+  auto zone_policy() -> ZonePolicy* {
+    return zone_policy_ ? &*zone_policy_ : nullptr;
+  }
   // Marks a replica as gone: another replica uses its address, or it reported
   // that it is gone.
   auto MarkGone(const ReplicaId& replica) -> void;
@@ -165,6 +179,10 @@
   auto OnSentAgain(const ReplicaId& replica, std::uint32_t times) -> void;
   // Records how long a completed online request held its slot.
   auto OnHoldingTime(const ServiceName& service, Duration held) -> void;
+  // The same, and learns from it how fast the replica is.
+  auto OnCompleted(const ReplicaId& replica, Duration held) -> void;
+  // Records the bytes of a request's prompt and answer.
+  auto OnBytes(const ReplicaId& replica, std::uint64_t bytes) -> void;
   // Records a complete response; `first` is the time to its head or first
   // event.
   auto OnSuccess(const ReplicaId& replica, Duration first) -> void;
@@ -178,14 +196,24 @@
   auto OnRefused(const ReplicaId& replica) -> void;
   auto OnReport(const ReplicaId& replica,
                 std::uint32_t running,
-                std::uint32_t waiting) -> void;
+                std::uint32_t waiting,
+                std::optional<double> host_load = std::nullopt) -> void;
   // Records the limit that an answer of the replica named; nothing if it named
   // none.
   auto OnStartLimit(const ReplicaId& replica, std::optional<double> limit)
       -> void;
   auto start_limiter() -> StartLimiter& { return start_limiter_; }
   auto start_limiter() const -> const StartLimiter& { return start_limiter_; }
-  auto OnPeerCounts(const NodeId& peer, InFlightCounts counts) -> void;
+  auto silence_detector() -> SilenceDetector& { return silence_; }
+  auto silence_detector() const -> const SilenceDetector& { return silence_; }
+  // Records a request that is sent, for the detection of silent replicas; call
+  // before OnStarted.
+  auto OnSent(const ReplicaId& replica) -> SilenceDetector::Ticket;
+  // Whether a replica that is not suspected could take the request.
+  auto CanMove(const ChoiceRequest& request) const -> bool;
+  auto OnPeerCounts(const NodeId& peer,
+                    InFlightCounts counts,
+                    const SilenceReports& reports = {}) -> void;
   auto ForgetPeer(const NodeId& peer) -> void;
   // Must be called about once a second.
   auto OnTick() -> routing::OutlierDetector::Changes;
@@ -208,6 +236,8 @@
   auto YieldableBatch(const ServiceName& service) const -> BatchCounts;
   // Returns this node's in-flight requests by replica, to send to peers.
   auto own_counts() const -> InFlightCounts;
+  // Returns what this node knows about silent replicas, to send with them.
+  auto own_silence_reports() const -> SilenceReports;
   auto slots(const ServiceName& service) const -> std::uint32_t;
   // Returns the average time that a request holds a slot.
   auto mean_hold(const ServiceName& service) const -> Duration;
@@ -249,6 +279,9 @@
     MonotonicTime at;
   };
 
+  auto ChooseFrom(const ChoiceRequest& request, bool own_zone_only) -> Choice;
+  // Whether the request may use replicas of other zones from the start.
+  auto MayLeaveZone(const ChoiceRequest& request) -> bool;
   auto IsUsable(const State& state, const ChoiceRequest& request) const -> bool;
   // Whether the replica's limit leaves a start for the request. Only nodes of
   // its cell know how many starts others make.
@@ -270,6 +303,18 @@
   }
   auto Estimate(const State& state) const -> std::uint32_t;
   auto Score(const State& state, routing::WorkClass work_class) const -> double;
+  // The score for one request. Keeps requests that must not be repeated away
+  // from a replica that may have fallen silent while others have a free slot.
+  auto ScoreFor(const State& state, const ChoiceRequest& request) const
+      -> double;
+  // Whether the replica is left out because it is suspected to be silent and
+  // the request is no probe.
+  auto IsSilenced(const State& state, const ChoiceRequest& request) const
+      -> bool;
+  auto MayProbe(const State& state, const ChoiceRequest& request) const -> bool;
+  // Returns the utilisation, or a number that orders replicas of different
+  // speeds by what one more request costs there.
+  auto LoadScore(const State& state) const -> double;
   // Returns how many requests may queue at a replica and still be on time.
   auto QueueLimit(const State& state, Duration latency_target) const
       -> std::uint32_t;
@@ -288,6 +333,9 @@
   RandomSource random_;
   routing::OutlierDetector outliers_;
   StartLimiter start_limiter_;
+  SilenceDetector silence_;
+  ReplicaSpeed replica_speed_;
+  std::optional<ZonePolicy> zone_policy_;
   std::map<ReplicaId, State> states_;
   std::map<ServiceName, std::vector<ReplicaId>> services_;
   std::map<NodeId, PeerCounts> peers_;
--- a/include/kumquatgauge/serving/request_quota.h
+++ b/include/kumquatgauge/serving/request_quota.h
@@ -21,6 +21,10 @@
   // and the request is decided locally after `ask_timeout`.
   Duration repeat_after = std::chrono::milliseconds(15);
   Duration ask_timeout = std::chrono::milliseconds(40);
+  // If OnTick is called later than this after the time-out, the node itself was
+  // delayed, as hosts with a small share of a core are, and the reply may wait
+  // in its socket. The ask gets this much more time, once.
+  Duration late_tick = std::chrono::milliseconds(5);
   // After an ask without a reply, requests are decided locally at once.
   Duration local_time = std::chrono::milliseconds(100);
   // Tokens for as many requests as were granted in this time are asked for
@@ -32,6 +36,15 @@
   // start together know few of the others at first.
   std::size_t unknown_fleet_size = 64;
   Duration settle_time = std::chrono::seconds(1);
+  // Bounds the asks for an organisation above its limit: a node that was paused
+  // `max_short_pauses` times within `pause_window` pauses for `long_pause`
+  // after each further grant. A long pause after each refusal would refuse
+  // requests although tokens are there again.
+  std::uint32_t max_short_pauses = 2;
+  Duration pause_window = std::chrono::seconds(1);
+  Duration long_pause = std::chrono::milliseconds(100);
+  // Bounds the time that a local decision leaves to the next one.
+  Duration max_local_carry = std::chrono::seconds(1);
   Duration min_retry_after = std::chrono::milliseconds(10);
   // Upper bound for a locally rejected request: the keeper may be reachable
   // again by then.
@@ -110,7 +123,10 @@
     std::optional<RequestAsk> ask;  // Outstanding.
     MonotonicTime asked;
     bool repeated = false;
+    bool extended = false;  // See RequestQuotaSettings::late_tick.
     MonotonicTime refused_until;
+    MonotonicTime pause_window;  // Its begin.
+    std::uint32_t pauses = 0;    // In that window.
     MonotonicTime next_retry;
     std::uint32_t rejected = 0;  // Not yet reported to the keeper.
     MonotonicTime local_until;
--- a/src/serving/load_balancer.cc
+++ b/src/serving/load_balancer.cc
@@ -52,7 +52,9 @@
       clock_(std::move(clock)),
       random_(std::move(random)),
       outliers_(MakeOutlierSettings(), clock_),
-      start_limiter_(StartLimiterSettings(), clock_) {}
+      start_limiter_(StartLimiterSettings(), clock_),
+      silence_(SilenceSettings(), clock_, random_),
+      replica_speed_(ReplicaSpeedSettings(), clock_) {}
 
 auto LoadBalancer::SetReplicas(const std::vector<Replica>& replicas) -> void {
   auto states = std::map<ReplicaId, State>();
@@ -78,6 +80,7 @@
   states_ = std::move(states);
   outliers_.SetReplicas(replicas);
   start_limiter_.SetReplicas(replicas);
+  replica_speed_.SetReplicas(replicas);
   AssignReplicasToCells();
   RebuildPeers();
 }
@@ -112,6 +115,11 @@
       start_limiter_.SetShare(order[at].second, reachable_share_ / cells);
     }
   }
+  auto members = std::vector<SilenceDetector::Member>();
+  for (const auto& [id, state] : states_) {
+    members.push_back({state.replica, state.in_cell});
+  }
+  silence_.SetReplicas(members);
 }
 
 auto LoadBalancer::OnCellCapacity(std::size_t cell,
@@ -155,7 +163,7 @@
     if (state.in_cell || capacity == by_cell.end() ||
         capacity->second.slots == 0 || capacity->second.at < oldest ||
         !IsUsable(state, request) || !MayStart(state, request) ||
-        IsUnreachable(state) ||
+        IsUnreachable(state) || silence_.IsSuspected(id) ||
         outliers_.state(id) != routing::EjectionState::kInUse ||
         Estimate(state) >= state.replica.capacity) {
       continue;
@@ -227,6 +235,7 @@
 
 auto LoadBalancer::TakesWork(const State& state) const -> bool {
   return !IsGoneOrLeaving(state) && state.in_cell && !IsUnreachable(state) &&
+         !silence_.IsSuspected(state.replica.id) &&
          outliers_.state(state.replica.id) != routing::EjectionState::kEjected;
 }
 
@@ -252,10 +261,24 @@
   return state.own.total() + others;
 }
 
+auto LoadBalancer::LoadScore(const State& state) const -> double {
+  const auto slots = static_cast<double>(state.replica.capacity);
+  const auto in_flight = static_cast<double>(Estimate(state));
+  if (!replica_speed_.IsUsed(state.replica.service)) {
+    return in_flight / slots;
+  }
+  const auto speed = replica_speed_.speed(state.replica.id);
+  if (in_flight >= slots) {
+    // Every free slot comes before any queue, and the shortest wait comes
+    // first.
+    return 1.0 + speed * (in_flight - slots + 1.0) / slots;
+  }
+  return detail::FreeSlotScore(speed, in_flight / slots);
+}
+
 auto LoadBalancer::Score(const State& state, WorkClass work_class) const
     -> double {
-  const auto slots = static_cast<double>(state.replica.capacity);
-  auto score = Estimate(state) / slots;
+  auto score = LoadScore(state);
   if (state.replica.zone != zone_) {
     score += settings_.zone_margin;
   }
@@ -276,9 +299,52 @@
   return score;
 }
 
+auto LoadBalancer::ScoreFor(const State& state,
+                            const ChoiceRequest& request) const -> double {
+  // Comes after every free slot and before any queue.
+  constexpr double kJustBelowFull = 0.99;
+  const auto score = Score(state, request.work_class);
+  return !request.may_repeat && score < kJustBelowFull &&
+                 silence_.IsDoubtful(state.replica.id)
+             ? kJustBelowFull + (1.0 - kJustBelowFull) * score
+             : score;
+}
+
+auto LoadBalancer::IsSilenced(const State& state,
+                              const ChoiceRequest& request) const -> bool {
+  return silence_.IsSuspected(state.replica.id) && !MayProbe(state, request);
+}
+
+// A request that was tried elsewhere is late already, and one that goes on with
+// a stream has few other replicas.
+auto LoadBalancer::MayProbe(const State& state,
+                            const ChoiceRequest& request) const -> bool {
+  return request.may_repeat && request.work_class == WorkClass::kOnline &&
+         request.tried.empty() && !request.version && state.in_cell &&
+         Estimate(state) < state.replica.capacity &&
+         silence_.MayProbe(state.replica.id);
+}
+
+auto LoadBalancer::CanMove(const ChoiceRequest& request) const -> bool {
+  const auto service = services_.find(request.service);
+  return service != services_.end() &&
+         std::any_of(service->second.begin(), service->second.end(),
+                     [&](const ReplicaId& id) {
+                       const auto& state = states_.at(id);
+                       return TakesWork(state) && IsUsable(state, request) &&
+                              MayStart(state, request);
+                     });
+}
+
 auto LoadBalancer::QueueLimit(const State& state, Duration latency_target) const
     -> std::uint32_t {
-  const auto hold = ToSeconds(mean_hold(state.replica.service));
+  const auto& service = state.replica.service;
+  // A fast replica takes a longer queue. That of a slow one is not shortened,
+  // so that uneven replicas refuse no more than even ones.
+  const auto speed = replica_speed_.IsUsed(service)
+                         ? std::min(replica_speed_.speed(state.replica.id), 1.0)
+                         : 1.0;
+  const auto hold = ToSeconds(mean_hold(service)) * speed;
   const auto budget = ToSeconds(latency_target) * settings_.queue_share;
   const auto batch =
       std::min(state.own.batch + state.peers.batch, state.replica.capacity);
@@ -289,7 +355,59 @@
       std::clamp(budget * slots / std::max(hold, 0.001), 0.0, 4 * slots));
 }
 
+auto LoadBalancer::SetZoneCosts(std::optional<ZoneCosts> costs) -> void {
+  if (!costs) {
+    zone_policy_.reset();
+  } else if (zone_policy_) {
+    zone_policy_->SetCosts(*costs);
+  } else {
+    zone_policy_.emplace(ZonePolicySettings(), *costs, clock_, random_);
+  }
+}
+
+auto LoadBalancer::MayLeaveZone(const ChoiceRequest& request) -> bool {
+  const auto service = services_.find(request.service);
+  if (!zone_policy_ || service == services_.end()) {
+    return true;
+  }
+  const auto hold = mean_hold(request.service);
+  auto own = ZoneLoad{.hold = hold};
+  auto others = own;
+  for (const auto& id : service->second) {
+    const auto& state = states_.at(id);
+    if (!TakesWork(state)) {
+      continue;
+    }
+    const auto slots = UsableSlots(state);
+    // A replica that has just refused a request has no free slot, whatever the
+    // counts say.
+    const auto in_flight = clock_() < state.full_until
+                               ? std::max(Estimate(state), slots)
+                               : Estimate(state);
+    auto& load = state.replica.zone == zone_ ? own : others;
+    load.replicas += 1;
+    load.slots += slots;
+    load.in_flight += in_flight;
+  }
+  return zone_policy_->MayLeave(request.service, own, others);
+}
+
 auto LoadBalancer::Choose(const ChoiceRequest& request) -> Choice {
+  if (!MayLeaveZone(request)) {
+    auto choice = ChooseFrom(request, true);
+    const auto queued = choice.availability == Availability::kQueued &&
+                        request.work_class == WorkClass::kOnline;
+    if (choice.replica &&
+        (choice.availability == Availability::kFree || queued)) {
+      return choice;
+    }
+    // Leaving the zone costs less than a refusal.
+  }
+  return ChooseFrom(request, false);
+}
+
+auto LoadBalancer::ChooseFrom(const ChoiceRequest& request, bool own_zone_only)
+    -> Choice {
   auto choice = Choice();
   const auto service = services_.find(request.service);
   if (service == services_.end()) {
@@ -298,6 +416,8 @@
   const State* best = nullptr;
   auto best_score = std::numeric_limits<double>::max();
   const State* ejected = nullptr;
+  const State* silent = nullptr;
+  const State* probe = nullptr;
   const State* other_cell_replica = nullptr;
   auto other_cell_seen = std::uint64_t{0};
   auto ties = std::uint64_t{0};
@@ -306,7 +426,8 @@
   auto next_start = Duration::max();
   for (const auto& id : service->second) {
     const auto& state = states_.at(id);
-    if (!IsUsable(state, request)) {
+    if (!IsUsable(state, request) ||
+        (own_zone_only && (!state.in_cell || state.replica.zone != zone_))) {
       continue;
     }
     if (!MayStart(state, request)) {
@@ -321,7 +442,19 @@
         ejection == routing::EjectionState::kProbing && state.own.total() > 0;
     if (ejection == routing::EjectionState::kEjected || probing_now ||
         IsUnreachable(state)) {
-      ejected = &state;
+      if (ejected == nullptr || !silence_.IsSuspected(id)) {
+        ejected = &state;
+      }
+      continue;
+    }
+    if (IsSilenced(state, request)) {
+      if (silent == nullptr || Estimate(state) < Estimate(*silent)) {
+        silent = &state;
+      }
+      continue;
+    }
+    if (silence_.IsSuspected(id)) {
+      probe = &state;
       continue;
     }
     ++choice.candidates;
@@ -340,7 +473,15 @@
         preferred = rank;
       }
     }
-    const auto score = Score(state, request.work_class);
+    auto score = ScoreFor(state, request);
+    // The queues of uneven replicas differ in length, so that the shortest wait
+    // may be at one that is full.
+    if (replica_speed_.IsUsed(request.service) &&
+        Estimate(state) >= state.replica.capacity +
+                               QueueLimit(state, request.latency_target)) {
+      constexpr double kFullQueue = 100.0;
+      score += kFullQueue;
+    }
     if (best == nullptr || score < best_score) {
       best = &state;
       best_score = score;
@@ -351,13 +492,19 @@
   }
   if (affinity_replica != nullptr && best != nullptr &&
       Estimate(*affinity_replica) < affinity_replica->replica.capacity &&
-      Score(*affinity_replica, request.work_class) <=
+      ScoreFor(*affinity_replica, request) <=
           best_score + settings_.affinity_margin) {
     best = affinity_replica;
   }
+  if (probe != nullptr) {
+    best = probe;
+  }
+  if (own_zone_only && best == nullptr) {
+    return choice;
+  }
   const auto full =
       best != nullptr && Estimate(*best) >= best->replica.capacity;
-  if (full && request.work_class == WorkClass::kOnline) {
+  if (full && !own_zone_only && request.work_class == WorkClass::kOnline) {
     if (const auto* elsewhere = TakeFromOtherCell(request)) {
       best = elsewhere;
     }
@@ -365,13 +512,18 @@
   if (best == nullptr) {
     best = other_cell_replica;
   }
+  if (best == nullptr) {
+    // All replicas in use are silent.
+    best = silent;
+  }
   if (best == nullptr) {
     // All replicas are ejected or unreachable; using one is better than
     // refusing.
     best = ejected;
   }
   const auto online = request.work_class == WorkClass::kOnline;
-  if (online && choice.at_limit > 0 && !request.avoid_limited &&
+  if (online && !own_zone_only && choice.at_limit > 0 &&
+      !request.avoid_limited &&
       (best == nullptr || Estimate(*best) >= best->replica.capacity)) {
     online_short_at_[request.service] = clock_();
   }
@@ -415,6 +567,19 @@
   const auto found = states_.find(replica);
   if (found != states_.end()) {
     ++CountOf(found->second.own, work_class);
+    if (zone_policy_) {
+      const auto& sent_to = found->second.replica;
+      zone_policy_->OnSent(sent_to.service, sent_to.zone != zone_);
+    }
+  }
+}
+
+auto LoadBalancer::OnBytes(const ReplicaId& replica, std::uint64_t bytes)
+    -> void {
+  const auto found = states_.find(replica);
+  if (zone_policy_ && found != states_.end()) {
+    const auto& sent_to = found->second.replica;
+    zone_policy_->OnBytes(sent_to.service, bytes, sent_to.zone != zone_);
   }
 }
 
@@ -469,9 +634,22 @@
   }
 }
 
+auto LoadBalancer::OnCompleted(const ReplicaId& replica, Duration held)
+    -> void {
+  const auto found = states_.find(replica);
+  if (found != states_.end()) {
+    OnHoldingTime(found->second.replica.service, held);
+    replica_speed_.OnCompleted(replica, held);
+  }
+}
+
 auto LoadBalancer::OnReport(const ReplicaId& replica,
                             std::uint32_t running,
-                            std::uint32_t waiting) -> void {
+                            std::uint32_t waiting,
+                            std::optional<double> host_load) -> void {
+  if (host_load) {
+    replica_speed_.OnHostLoad(replica, *host_load);
+  }
   const auto found = states_.find(replica);
   if (found != states_.end()) {
     auto& state = found->second;
@@ -484,8 +662,25 @@
   start_limiter_.OnAnswer(replica, limit);
 }
 
-auto LoadBalancer::OnPeerCounts(const NodeId& peer, InFlightCounts counts)
-    -> void {
+auto LoadBalancer::OnSent(const ReplicaId& replica) -> SilenceDetector::Ticket {
+  auto queue_time = Duration::zero();
+  const auto found = states_.find(replica);
+  if (found != states_.end()) {
+    const auto& state = found->second;
+    const auto in_flight = Estimate(state);
+    const auto slots = std::max(1U, state.replica.capacity);
+    if (in_flight >= slots) {
+      queue_time =
+          mean_hold(state.replica.service) * (in_flight - slots + 1) / slots;
+    }
+  }
+  return silence_.OnSent(replica, queue_time);
+}
+
+auto LoadBalancer::OnPeerCounts(const NodeId& peer,
+                                InFlightCounts counts,
+                                const SilenceReports& reports) -> void {
+  silence_.OnPeerReports(peer, reports);
   auto& known = peers_[peer];
   Apply(known.counts, false);
   Apply(counts, true);
@@ -494,6 +689,7 @@
 
 auto LoadBalancer::ForgetPeer(const NodeId& peer) -> void {
   peers_.erase(peer);
+  silence_.ForgetPeer(peer);
   RebuildPeers();
 }
 
@@ -534,6 +730,7 @@
 
 auto LoadBalancer::OnTick() -> routing::OutlierDetector::Changes {
   ExpirePeers();
+  silence_.ExpirePeers();
   return outliers_.OnTick();
 }
 
@@ -624,6 +821,13 @@
   return counts;
 }
 
+auto LoadBalancer::own_silence_reports() const -> SilenceReports {
+  return silence_.own_reports([this](const ReplicaId& id) {
+    const auto found = states_.find(id);
+    return found != states_.end() && found->second.own.total() > 0;
+  });
+}
+
 auto LoadBalancer::slots(const ServiceName& service) const -> std::uint32_t {
   auto all = std::uint32_t{0};
   const auto found = services_.find(service);
--- a/src/serving/request_quota.cc
+++ b/src/serving/request_quota.cc
@@ -145,10 +145,17 @@
   const auto now = hooks_.clock();
   const auto rate = state.limit.rate / static_cast<double>(FleetSize());
   const auto probability = rate * Seconds(now - state.decided);
+  const auto per_request = FromSeconds(1.0 / rate, settings_.max_local_carry);
+  // What exceeds the time of one request counts for the next one, so that
+  // irregular arrivals below the rate are accepted.
+  const auto carry = std::clamp(
+      now - state.decided - FromSeconds(1.0 / rate, std::chrono::hours(1)),
+      Duration::zero(), per_request);
   state.decided = now;
   const auto draw =
       static_cast<double>(hooks_.random() % kSteps) / double{kSteps};
   if (draw < probability) {
+    state.decided = now - carry;
     return {.granted = true, .reason = RequestQuotaReason::kGrantedLocally};
   }
   return {.granted = false,
@@ -170,6 +177,7 @@
   state.ask = ask;
   state.asked = hooks_.clock();
   state.repeated = false;
+  state.extended = false;
   ++asks_;
   hooks_.send(ask);
 }
@@ -187,7 +195,14 @@
   state.tokens += grant.tokens;
   state.tokens_expire = now + settings_.hold_time;
   if (grant.pause > Duration::zero()) {
-    state.refused_until = now + grant.pause;
+    if (now - state.pause_window >= settings_.pause_window) {
+      state.pause_window = now;
+      state.pauses = 0;
+    }
+    const auto is_short = ++state.pauses <= settings_.max_short_pauses;
+    state.refused_until =
+        now +
+        (is_short ? grant.pause : std::max(grant.pause, settings_.long_pause));
     state.next_retry = now + grant.retry_after;
   }
   ServeWaiting(grant.organisation);
@@ -250,7 +265,13 @@
   const auto now = hooks_.clock();
   auto timed_out = std::vector<OrganisationName>();
   for (auto& [organisation, state] : states_) {
-    if (state.ask && now - state.asked >= settings_.ask_timeout) {
+    const auto late = now - state.asked - settings_.ask_timeout;
+    if (!state.ask || late < Duration::zero()) {
+      continue;
+    }
+    if (late >= settings_.late_tick && !std::exchange(state.extended, true)) {
+      state.asked = now - settings_.ask_timeout + settings_.late_tick;
+    } else {
       timed_out.push_back(organisation);
     }
   }
