Hash names of store objects in one place

The ids of jobs of organisations and the keys of token accounts each had the same formatting of a hash. Both now call HexHash; the names are the same. The tests of test_serving, organisations and job_takeover pass.

--- a/src/serving/job.cc
+++ b/src/serving/job.cc
@@ -1,12 +1,9 @@
 #include "kumquatgauge/serving/job.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <nlohmann/json.hpp>
 
+#include "base/hex_hash.h"
 #include "kumquatgauge/base/error.h"
 
 namespace kumquatgauge::serving {
@@ -50,15 +47,10 @@
   if (!organisation || organisation->empty()) {
     return id;
   }
-  // Names may have characters that keys of the store may not have. The width is
-  // fixed, so that the id of one scope cannot be that of another one.
-  constexpr auto kDigits = 16;
-  const auto& name = organisation->value();
-  auto digits = std::array<char, kDigits + 1>();
-  std::snprintf(
-      digits.data(), digits.size(), "%016llx",
-      static_cast<unsigned long long>(XXH3_64bits(name.data(), name.size())));
-  return JobId(id.value() + "~" + digits.data());
+  // The width of the hash is fixed, so that the id of one scope cannot be that
+  // of another one.
+  return JobId(id.value() + "~" +
+               kumquatgauge::detail::HexHash(organisation->value()));
 }
 
 auto RecordKey(const JobId& id) -> std::string {
--- a/src/serving/token_account.cc
+++ b/src/serving/token_account.cc
@@ -1,11 +1,8 @@
 #include "kumquatgauge/serving/token_account.h"
 
-#include <xxhash.h>
-
-#include <array>
-#include <cstdio>
 #include <nlohmann/json.hpp>
 
+#include "base/hex_hash.h"
 #include "kumquatgauge/base/error.h"
 
 namespace kumquatgauge::serving {
@@ -24,12 +21,7 @@
 }
 
 auto AccountKey(const std::string& route) -> std::string {
-  // Names of routes may contain any character.
-  auto name = std::array<char, 17>();
-  std::snprintf(
-      name.data(), name.size(), "%016llx",
-      static_cast<unsigned long long>(XXH3_64bits(route.data(), route.size())));
-  return std::string("token-accounts/") + name.data();
+  return "token-accounts/" + kumquatgauge::detail::HexHash(route);
 }
 
 auto EncodeAccount(const TokenAccount& account) -> std::string {
