Report bytes of silent replicas in one place

The forwarder and the batch runner each had the same function that records bytes of an answer and tells other nodes of the end of a suspicion. It stands in answer_report now, beside the other reports. No behaviour changes; test_serving and silent_replica pass.

--- a/include/kumquatgauge/serving/answer_report.h
+++ b/include/kumquatgauge/serving/answer_report.h
@@ -37,8 +37,14 @@
                   LoadBalancer& load_balancer,
                   const AnswerHooks& hooks) -> void;
 
-// The same for an answer to an earlier request on the same connection, whose
-// other contents are of no use.
+// Records bytes of any answer of a replica, which end a suspicion that it is
+// silent.
+auto ReportBytes(const ReplicaId& replica,
+                 LoadBalancer& load_balancer,
+                 const AnswerHooks& hooks) -> void;
+
+// As ReportAnswer for an answer to an earlier request on the same connection,
+// whose other contents are of no use.
 auto ReportSkippedAnswer(const routing::Replica& replica,
                          const AnswerMetadata& metadata,
                          const AnswerHooks& hooks) -> void;
--- a/src/serving/answer_report.cc
+++ b/src/serving/answer_report.cc
@@ -53,6 +53,16 @@
   }
 }
 
+auto ReportBytes(const ReplicaId& replica,
+                 LoadBalancer& load_balancer,
+                 const AnswerHooks& hooks) -> void {
+  auto& detector = load_balancer.silence_detector();
+  detector.OnBytes(replica);
+  if (detector.has_news()) {
+    hooks.counts_changed();
+  }
+}
+
 auto ReportSkippedAnswer(const routing::Replica& replica,
                          const AnswerMetadata& metadata,
                          const AnswerHooks& hooks) -> void {
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -1399,7 +1399,7 @@
       outcome.broken = end == CallEnd::kBroken || end == CallEnd::kNotSent;
       co_return outcome;
     }
-    OnBytes(replica.id);
+    ReportBytes(replica.id, parts_.load_balancer, parts_.hooks);
     const auto head = call->head();
     const auto metadata =
         parts_.dialect.decode_answer(head.status, head.headers);
@@ -1418,7 +1418,7 @@
       auto bytes = std::string();
       end = co_await call->Read(bytes);
       if (!bytes.empty()) {
-        OnBytes(replica.id);
+        ReportBytes(replica.id, parts_.load_balancer, parts_.hooks);
       }
       outcome.answer_bytes += bytes.size();
       const auto before = job->progress[ref.item].last_event;
@@ -1456,15 +1456,6 @@
     co_return outcome;
   }
 
-  // Ends a suspicion that the replica is silent.
-  auto OnBytes(const ReplicaId& replica) -> void {
-    auto& detector = parts_.load_balancer.silence_detector();
-    detector.OnBytes(replica);
-    if (detector.has_news()) {
-      parts_.hooks.counts_changed();
-    }
-  }
-
   auto RecordFailure(const ReplicaId& replica, CallEnd end) -> void {
     if (end == CallEnd::kNotSent) {
       parts_.load_balancer.OnUnreachable(replica);
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -488,7 +488,7 @@
       attempt.status = exchange->head.status;
       ApplyAnswerMetadata(*exchange, replica, attempt);
       attempt.stream = IsEventStream(*exchange);
-      OnBytes(replica.id);
+      ReportBytes(replica.id, parts_.load_balancer, parts_.hooks);
       if (!attempt.stream && attempt.status < kMultipleChoices) {
         OnFirstEvent(*exchange);
       }
@@ -614,7 +614,7 @@
       auto bytes = std::string();
       end = co_await exchange->call->Read(bytes);
       if (!bytes.empty()) {
-        OnBytes(exchange->tried.back());
+        ReportBytes(exchange->tried.back(), parts_.load_balancer, parts_.hooks);
       }
       exchange->answer_bytes += bytes.size();
       auto piece = std::string();
@@ -646,14 +646,6 @@
     co_return end;
   }
 
-  auto OnBytes(const ReplicaId& replica) -> void {
-    auto& detector = parts_.load_balancer.silence_detector();
-    detector.OnBytes(replica);
-    if (detector.has_news()) {
-      parts_.hooks.counts_changed();
-    }
-  }
-
   auto OnFirstEvent(const Exchange& exchange) -> void {
     parts_.load_balancer.silence_detector().OnFirstEvent(
         exchange.silence_ticket);
