Keep the work for a request independent of the size of the fleet

In a fleet of 300 machines with 3,000 replicas a gateway used half of its core: each choice, each datagram with counts and each completed request went over all replicas, although a gateway uses those of its cell only. The balancer now keeps the replicas of the cell and those with own requests apart, the silence detector those with requests or evidence, and the speeds their two extremes.

--- a/include/kumquatgauge/serving/load_balancer.h
+++ b/include/kumquatgauge/serving/load_balancer.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -261,6 +262,12 @@
     MonotonicTime unreachable_until;
     Duration unreachable_time{0};  // Zero after a successful contact.
   };
+  // The replicas of a service. Most decisions compare those of this node's cell
+  // only, so that their cost does not grow with the fleet.
+  struct ServiceReplicas {
+    std::vector<State*> all;
+    std::vector<State*> in_cell;
+  };
   struct PeerCounts {
     InFlightCounts counts;
     MonotonicTime at;
@@ -279,7 +286,28 @@
     MonotonicTime at;
   };
 
+  // What a comparison of replicas has found.
+  struct Comparison {
+    const State* best = nullptr;
+    const State* ejected = nullptr;
+    const State* silent = nullptr;
+    Duration next_start = Duration::max();
+  };
+
   auto ChooseFrom(const ChoiceRequest& request, bool own_zone_only) -> Choice;
+  // Compares the replicas of this node's cell.
+  auto CompareCell(const ServiceReplicas& replicas,
+                   const ChoiceRequest& request,
+                   bool own_zone_only,
+                   Choice& choice) -> Comparison;
+  // Returns a random usable replica of another cell. This node does not receive
+  // the counts of the other nodes that send to it.
+  auto AnyOfOtherCells(const ServiceReplicas& replicas,
+                       const ChoiceRequest& request,
+                       Choice& choice,
+                       Comparison& comparison) -> const State*;
+  // Whether the replica is ejected, or cannot be tried now.
+  auto IsOutOfUse(const State& state) const -> bool;
   // Whether the request may use replicas of other zones from the start.
   auto MayLeaveZone(const ChoiceRequest& request) -> bool;
   auto IsUsable(const State& state, const ChoiceRequest& request) const -> bool;
@@ -322,6 +350,9 @@
   // the free slots, and uses up one of them.
   auto TakeFromOtherCell(const ChoiceRequest& request) -> const State*;
   auto AssignReplicasToCells() -> void;
+  // Returns the replicas of the service in this node's cell.
+  auto CellReplicas(const ServiceName& service) const
+      -> const std::vector<State*>&;
   auto RebuildPeers() -> void;
   // Adds the counts of one peer to the replicas' totals, or subtracts them.
   auto Apply(const InFlightCounts& counts, bool add) -> void;
@@ -337,7 +368,9 @@
   ReplicaSpeed replica_speed_;
   std::optional<ZonePolicy> zone_policy_;
   std::map<ReplicaId, State> states_;
-  std::map<ServiceName, std::vector<ReplicaId>> services_;
+  std::map<ServiceName, ServiceReplicas> services_;
+  // Replicas at which this node has requests in flight.
+  std::set<ReplicaId> busy_;
   std::map<NodeId, PeerCounts> peers_;
   std::map<ServiceName, double> hold_s_;
   // When an online request last found the replicas full or at their limits.
--- a/include/kumquatgauge/serving/replica_speed.h
+++ b/include/kumquatgauge/serving/replica_speed.h
@@ -84,15 +84,33 @@
     double load = 1.0;
     MonotonicTime load_at;
   };
+  // The replica with the least or the largest bound of its mean.
+  struct Extreme {
+    ReplicaId replica;
+    double bound = 0.0;
+  };
   struct Service {
     bool reports = false;  // One of its replicas reports its host's load.
-    bool differ = false;
+    std::optional<Extreme> fastest;
+    std::optional<Extreme> slowest;
     double mean_hold_s = 0.0;
     bool told_used = false;  // By the last change.
   };
 
   auto HasFreshLoad(const State& state) const -> bool;
-  auto Differ(const ServiceName& service) const -> bool;
+  auto Differ(const Service& service) const -> bool;
+  // Compares all replicas of the service.
+  auto FindExtremes(const ServiceName& name, Service& service) const -> void;
+  // Compares a replica whose mean has changed with the extremes, so that the
+  // cost of a completed request does not grow with the number of replicas.
+  auto UpdateExtremes(const ReplicaId& replica,
+                      const State& state,
+                      Service& service) const -> void;
+  auto Compare(const ReplicaId& replica,
+               const State& state,
+               Service& service) const -> void;
+  // Returns the standard errors by which the mean may differ.
+  auto MeanError(const State& state) const -> double;
 
   ReplicaSpeedSettings settings_;
   Clock clock_;
--- a/include/kumquatgauge/serving/silence_detector.h
+++ b/include/kumquatgauge/serving/silence_detector.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -228,6 +229,9 @@
   auto TimeSent(PeerEntry& entry, const SilenceReports& reports) const
       -> MonotonicTime;
   static auto HasEvidence(const State& state) -> bool;
+  // Whether the replica may matter for a report or a check.
+  auto IsActive(const State& state, MonotonicTime now) const -> bool;
+  auto DropInactive() -> void;
   // Forgets evidence that is too old or that a byte has refuted, and sums up
   // the rest.
   auto Weigh(State& state) -> void;
@@ -246,6 +250,9 @@
   Clock clock_;
   RandomSource random_;
   std::unordered_map<ReplicaId, State> states_;
+  // Replicas with requests or evidence, or heard lately; some others too. In a
+  // large fleet a node uses few of the replicas, and reports are made often.
+  std::unordered_set<ReplicaId> active_;
   std::map<Group, std::vector<ReplicaId>> groups_;
   std::map<ServiceName, Average> services_;
   std::unordered_map<Ticket, ReplicaId> tickets_;
--- a/src/serving/load_balancer.cc
+++ b/src/serving/load_balancer.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 #include "kumquatgauge/routing/rendezvous.h"
@@ -58,7 +59,6 @@
 
 auto LoadBalancer::SetReplicas(const std::vector<Replica>& replicas) -> void {
   auto states = std::map<ReplicaId, State>();
-  services_.clear();
   for (const auto& replica : replicas) {
     auto state = State();
     const auto known = states_.find(replica.id);
@@ -74,10 +74,17 @@
     }
     state.replica = replica;
     state.hash = routing::RendezvousHash(replica.id.value());
-    services_[replica.service].push_back(replica.id);
     states.emplace(replica.id, std::move(state));
   }
   states_ = std::move(states);
+  services_.clear();
+  busy_.clear();
+  for (auto& [id, state] : states_) {
+    services_[state.replica.service].all.push_back(&state);
+    if (state.own.total() > 0) {
+      busy_.insert(id);
+    }
+  }
   outliers_.SetReplicas(replicas);
   start_limiter_.SetReplicas(replicas);
   replica_speed_.SetReplicas(replicas);
@@ -100,19 +107,24 @@
 auto LoadBalancer::AssignReplicasToCells() -> void {
   // With fewer replicas a cell would depend on a single one.
   constexpr std::size_t kMinReplicasPerCell = 2;
-  for (const auto& [service, ids] : services_) {
-    auto order = std::vector<std::pair<std::uint64_t, ReplicaId>>();
-    for (const auto& id : ids) {
-      order.emplace_back(states_.at(id).hash, id);
-    }
-    std::sort(order.begin(), order.end());
+  for (auto& [service, replicas] : services_) {
+    auto order = replicas.all;
+    std::sort(order.begin(), order.end(),
+              [](const State* left, const State* right) {
+                return std::tie(left->hash, left->replica.id) <
+                       std::tie(right->hash, right->replica.id);
+              });
     const auto shared = order.size() < kMinReplicasPerCell * cells_;
+    replicas.in_cell.clear();
     for (std::size_t at = 0; at < order.size(); ++at) {
-      auto& state = states_.at(order[at].second);
+      auto& state = *order[at];
       state.cell = at * cells_ / order.size();
       state.in_cell = shared || state.cell == cell_;
+      if (state.in_cell) {
+        replicas.in_cell.push_back(&state);
+      }
       const auto cells = shared ? static_cast<double>(cells_) : 1.0;
-      start_limiter_.SetShare(order[at].second, reachable_share_ / cells);
+      start_limiter_.SetShare(state.replica.id, reachable_share_ / cells);
     }
   }
   auto members = std::vector<SilenceDetector::Member>();
@@ -138,7 +150,7 @@
 auto LoadBalancer::free_cell_slots() const
     -> std::map<ServiceName, std::uint32_t> {
   auto capacities = std::map<ServiceName, std::uint32_t>();
-  for (const auto& [service, ids] : services_) {
+  for (const auto& [service, replicas] : services_) {
     // Nodes of other cells do not send to limited replicas.
     const auto room = RoomOf(service);
     capacities[service] =
@@ -157,13 +169,22 @@
   const State* selected = nullptr;
   auto seen = std::uint64_t{0};
   const auto oldest = clock_() - settings_.cell_capacity_expires;
-  for (const auto& id : services_.at(request.service)) {
-    const auto& state = states_.at(id);
+  const auto has_slots = [&](const CellCapacity& capacity) {
+    return capacity.slots > 0 && capacity.at >= oldest;
+  };
+  if (std::none_of(by_cell.begin(), by_cell.end(), [&](const auto& entry) {
+        return has_slots(entry.second);
+      })) {
+    return nullptr;
+  }
+  for (const auto* replica : services_.at(request.service).all) {
+    const auto& state = *replica;
+    const auto& id = state.replica.id;
     const auto capacity = by_cell.find(state.cell);
     if (state.in_cell || capacity == by_cell.end() ||
-        capacity->second.slots == 0 || capacity->second.at < oldest ||
-        !IsUsable(state, request) || !MayStart(state, request) ||
-        IsUnreachable(state) || silence_.IsSuspected(id) ||
+        !has_slots(capacity->second) || !IsUsable(state, request) ||
+        !MayStart(state, request) || IsUnreachable(state) ||
+        silence_.IsSuspected(id) ||
         outliers_.state(id) != routing::EjectionState::kInUse ||
         Estimate(state) >= state.replica.capacity) {
       continue;
@@ -326,14 +347,12 @@
 }
 
 auto LoadBalancer::CanMove(const ChoiceRequest& request) const -> bool {
-  const auto service = services_.find(request.service);
-  return service != services_.end() &&
-         std::any_of(service->second.begin(), service->second.end(),
-                     [&](const ReplicaId& id) {
-                       const auto& state = states_.at(id);
-                       return TakesWork(state) && IsUsable(state, request) &&
-                              MayStart(state, request);
-                     });
+  // Only replicas in the cell take work.
+  const auto& replicas = CellReplicas(request.service);
+  return std::any_of(replicas.begin(), replicas.end(), [&](const State* state) {
+    return TakesWork(*state) && IsUsable(*state, request) &&
+           MayStart(*state, request);
+  });
 }
 
 auto LoadBalancer::QueueLimit(const State& state, Duration latency_target) const
@@ -366,15 +385,14 @@
 }
 
 auto LoadBalancer::MayLeaveZone(const ChoiceRequest& request) -> bool {
-  const auto service = services_.find(request.service);
-  if (!zone_policy_ || service == services_.end()) {
+  if (!zone_policy_ || !services_.contains(request.service)) {
     return true;
   }
   const auto hold = mean_hold(request.service);
   auto own = ZoneLoad{.hold = hold};
   auto others = own;
-  for (const auto& id : service->second) {
-    const auto& state = states_.at(id);
+  for (const auto* replica : CellReplicas(request.service)) {
+    const auto& state = *replica;
     if (!TakesWork(state)) {
       continue;
     }
@@ -406,50 +424,47 @@
   return ChooseFrom(request, false);
 }
 
-auto LoadBalancer::ChooseFrom(const ChoiceRequest& request, bool own_zone_only)
-    -> Choice {
-  auto choice = Choice();
-  const auto service = services_.find(request.service);
-  if (service == services_.end()) {
-    return choice;
-  }
-  const State* best = nullptr;
+auto LoadBalancer::IsOutOfUse(const State& state) const -> bool {
+  const auto ejection = outliers_.state(state.replica.id);
+  const auto probing_now =
+      ejection == routing::EjectionState::kProbing && state.own.total() > 0;
+  return ejection == routing::EjectionState::kEjected || probing_now ||
+         IsUnreachable(state);
+}
+
+auto LoadBalancer::CompareCell(const ServiceReplicas& replicas,
+                               const ChoiceRequest& request,
+                               bool own_zone_only,
+                               Choice& choice) -> Comparison {
+  auto found = Comparison();
   auto best_score = std::numeric_limits<double>::max();
-  const State* ejected = nullptr;
-  const State* silent = nullptr;
   const State* probe = nullptr;
-  const State* other_cell_replica = nullptr;
-  auto other_cell_seen = std::uint64_t{0};
   auto ties = std::uint64_t{0};
   auto preferred = std::uint64_t{0};
   const State* affinity_replica = nullptr;
-  auto next_start = Duration::max();
-  for (const auto& id : service->second) {
-    const auto& state = states_.at(id);
+  for (const auto* replica : replicas.in_cell) {
+    const auto& state = *replica;
+    const auto& id = state.replica.id;
     if (!IsUsable(state, request) ||
-        (own_zone_only && (!state.in_cell || state.replica.zone != zone_))) {
+        (own_zone_only && state.replica.zone != zone_)) {
       continue;
     }
     if (!MayStart(state, request)) {
       ++choice.at_limit;
-      if (state.in_cell) {
-        next_start = std::min(next_start, start_limiter_.NextStart(id));
-      }
+      found.next_start =
+          std::min(found.next_start, start_limiter_.NextStart(id));
       continue;
     }
-    const auto ejection = outliers_.state(id);
-    const auto probing_now =
-        ejection == routing::EjectionState::kProbing && state.own.total() > 0;
-    if (ejection == routing::EjectionState::kEjected || probing_now ||
-        IsUnreachable(state)) {
-      if (ejected == nullptr || !silence_.IsSuspected(id)) {
-        ejected = &state;
+    if (IsOutOfUse(state)) {
+      if (found.ejected == nullptr || !silence_.IsSuspected(id)) {
+        found.ejected = &state;
       }
       continue;
     }
     if (IsSilenced(state, request)) {
-      if (silent == nullptr || Estimate(state) < Estimate(*silent)) {
-        silent = &state;
+      if (found.silent == nullptr ||
+          Estimate(state) < Estimate(*found.silent)) {
+        found.silent = &state;
       }
       continue;
     }
@@ -458,14 +473,6 @@
       continue;
     }
     ++choice.candidates;
-    if (!state.in_cell) {
-      // Choose uniformly, because this node does not receive the counts of the
-      // other nodes that send to it.
-      if (random_() % ++other_cell_seen == 0) {
-        other_cell_replica = &state;
-      }
-      continue;
-    }
     if (request.affinity != 0) {
       const auto rank = routing::RendezvousScore(request.affinity, state.hash);
       if (affinity_replica == nullptr || rank > preferred) {
@@ -482,23 +489,68 @@
       constexpr double kFullQueue = 100.0;
       score += kFullQueue;
     }
-    if (best == nullptr || score < best_score) {
-      best = &state;
+    if (found.best == nullptr || score < best_score) {
+      found.best = &state;
       best_score = score;
       ties = 1;
     } else if (score == best_score && random_() % ++ties == 0) {
-      best = &state;
+      found.best = &state;
     }
   }
-  if (affinity_replica != nullptr && best != nullptr &&
+  if (affinity_replica != nullptr && found.best != nullptr &&
       Estimate(*affinity_replica) < affinity_replica->replica.capacity &&
       ScoreFor(*affinity_replica, request) <=
           best_score + settings_.affinity_margin) {
-    best = affinity_replica;
+    found.best = affinity_replica;
   }
   if (probe != nullptr) {
-    best = probe;
+    found.best = probe;
+  }
+  return found;
+}
+
+auto LoadBalancer::AnyOfOtherCells(const ServiceReplicas& replicas,
+                                   const ChoiceRequest& request,
+                                   Choice& choice,
+                                   Comparison& comparison) -> const State* {
+  const State* selected = nullptr;
+  auto seen = std::uint64_t{0};
+  for (const auto* replica : replicas.all) {
+    const auto& state = *replica;
+    if (state.in_cell || !IsUsable(state, request)) {
+      continue;
+    }
+    if (!MayStart(state, request)) {
+      ++choice.at_limit;
+    } else if (IsOutOfUse(state)) {
+      if (comparison.ejected == nullptr ||
+          !silence_.IsSuspected(state.replica.id)) {
+        comparison.ejected = &state;
+      }
+    } else if (silence_.IsSuspected(state.replica.id)) {
+      if (comparison.silent == nullptr) {
+        comparison.silent = &state;
+      }
+    } else {
+      ++choice.candidates;
+      if (random_() % ++seen == 0) {
+        selected = &state;
+      }
+    }
+  }
+  return selected;
+}
+
+auto LoadBalancer::ChooseFrom(const ChoiceRequest& request, bool own_zone_only)
+    -> Choice {
+  auto choice = Choice();
+  const auto service = services_.find(request.service);
+  if (service == services_.end()) {
+    return choice;
   }
+  auto comparison =
+      CompareCell(service->second, request, own_zone_only, choice);
+  const auto* best = comparison.best;
   if (own_zone_only && best == nullptr) {
     return choice;
   }
@@ -510,16 +562,16 @@
     }
   }
   if (best == nullptr) {
-    best = other_cell_replica;
+    best = AnyOfOtherCells(service->second, request, choice, comparison);
   }
   if (best == nullptr) {
     // All replicas in use are silent.
-    best = silent;
+    best = comparison.silent;
   }
   if (best == nullptr) {
     // All replicas are ejected or unreachable; using one is better than
     // refusing.
-    best = ejected;
+    best = comparison.ejected;
   }
   const auto online = request.work_class == WorkClass::kOnline;
   if (online && !own_zone_only && choice.at_limit > 0 &&
@@ -530,7 +582,8 @@
   if (best == nullptr) {
     if (choice.at_limit > 0) {
       choice.availability = Availability::kFull;
-      choice.next_start = std::min(next_start, settings_.max_next_start);
+      choice.next_start =
+          std::min(comparison.next_start, settings_.max_next_start);
     }
     return choice;
   }
@@ -567,6 +620,7 @@
   const auto found = states_.find(replica);
   if (found != states_.end()) {
     ++CountOf(found->second.own, work_class);
+    busy_.insert(replica);
     if (zone_policy_) {
       const auto& sent_to = found->second.replica;
       zone_policy_->OnSent(sent_to.service, sent_to.zone != zone_);
@@ -591,6 +645,9 @@
   }
   auto& count = CountOf(found->second.own, work_class);
   count = count > 0 ? count - 1 : 0;
+  if (found->second.own.total() == 0) {
+    busy_.erase(replica);
+  }
 }
 
 auto LoadBalancer::OnHoldingTime(const ServiceName& service, Duration held)
@@ -745,17 +802,13 @@
 
 auto LoadBalancer::RoomOf(const ServiceName& service) const -> Room {
   auto room = Room();
-  const auto found = services_.find(service);
-  if (found == services_.end()) {
-    return room;
-  }
-  for (const auto& id : found->second) {
-    const auto& state = states_.at(id);
+  for (const auto* replica : CellReplicas(service)) {
+    const auto& state = *replica;
     const auto in_flight = state.own.total() + state.peers.total();
-    if (IsGoneOrLeaving(state) || !state.in_cell) {
+    if (IsGoneOrLeaving(state)) {
       continue;
     }
-    if (start_limiter_.IsLimited(id)) {
+    if (start_limiter_.IsLimited(state.replica.id)) {
       room.batch_starts += TakesWork(state) ? BatchStarts(state) : 0;
       continue;
     }
@@ -775,13 +828,9 @@
 
 auto LoadBalancer::Total(const ServiceName& service) const -> InFlight {
   auto total = InFlight();
-  const auto found = services_.find(service);
-  if (found == services_.end()) {
-    return total;
-  }
-  for (const auto& id : found->second) {
-    const auto& state = states_.at(id);
-    if (IsGoneOrLeaving(state) || !state.in_cell) {
+  for (const auto* replica : CellReplicas(service)) {
+    const auto& state = *replica;
+    if (IsGoneOrLeaving(state)) {
       continue;
     }
     total.online += state.own.online + state.peers.online;
@@ -797,10 +846,10 @@
   if (found == services_.end()) {
     return counts;
   }
-  for (const auto& id : found->second) {
-    const auto& state = states_.at(id);
+  for (const auto* replica : found->second.all) {
+    const auto& state = *replica;
     // Slots of replicas that leave do not become free for others.
-    if (start_limiter_.IsLimited(id) || IsGoneOrLeaving(state)) {
+    if (IsGoneOrLeaving(state) || start_limiter_.IsLimited(state.replica.id)) {
       continue;
     }
     counts.own += state.own.batch;
@@ -813,36 +862,34 @@
 
 auto LoadBalancer::own_counts() const -> InFlightCounts {
   auto counts = InFlightCounts();
-  for (const auto& [id, state] : states_) {
-    if (state.own.total() > 0) {
-      counts.emplace(id, state.own);
-    }
+  for (const auto& id : busy_) {
+    counts.emplace(id, states_.at(id).own);
   }
   return counts;
 }
 
 auto LoadBalancer::own_silence_reports() const -> SilenceReports {
-  return silence_.own_reports([this](const ReplicaId& id) {
-    const auto found = states_.find(id);
-    return found != states_.end() && found->second.own.total() > 0;
-  });
+  return silence_.own_reports(
+      [this](const ReplicaId& id) { return busy_.contains(id); });
 }
 
 auto LoadBalancer::slots(const ServiceName& service) const -> std::uint32_t {
   auto all = std::uint32_t{0};
-  const auto found = services_.find(service);
-  if (found == services_.end()) {
-    return all;
-  }
-  for (const auto& id : found->second) {
-    const auto& state = states_.at(id);
-    if (TakesWork(state)) {
-      all += UsableSlots(state);
+  for (const auto* state : CellReplicas(service)) {
+    if (TakesWork(*state)) {
+      all += UsableSlots(*state);
     }
   }
   return all;
 }
 
+auto LoadBalancer::CellReplicas(const ServiceName& service) const
+    -> const std::vector<State*>& {
+  static const auto kNone = std::vector<State*>();
+  const auto found = services_.find(service);
+  return found == services_.end() ? kNone : found->second.in_cell;
+}
+
 auto LoadBalancer::mean_hold(const ServiceName& service) const -> Duration {
   const auto found = hold_s_.find(service);
   if (found == hold_s_.end()) {
--- a/src/serving/replica_speed.cc
+++ b/src/serving/replica_speed.cc
@@ -54,7 +54,7 @@
   states_ = std::move(states);
   services_ = std::move(services);
   for (auto& [name, service] : services_) {
-    service.differ = Differ(name);
+    FindExtremes(name, service);
   }
 }
 
@@ -80,7 +80,7 @@
   state.mean_square += (ratio * ratio - state.mean_square) * weight;
   const auto load = HasFreshLoad(state) ? state.load : 1.0;
   state.mean_load += (load - state.mean_load) * weight;
-  service.differ = Differ(state.service);
+  UpdateExtremes(replica, state, service);
 }
 
 auto ReplicaSpeed::OnHostLoad(const ReplicaId& replica, double load) -> void {
@@ -101,31 +101,73 @@
 
 // Requests differ in length, so that averages of few requests differ even for
 // equal replicas. Two standard errors of each average are left out.
-auto ReplicaSpeed::Differ(const ServiceName& service) const -> bool {
+auto ReplicaSpeed::MeanError(const State& state) const -> double {
   constexpr double kStandardErrors = 2.0;
-  auto fastest = std::numeric_limits<double>::max();
-  auto slowest = 0.0;
+  const auto variance =
+      std::max(state.mean_square - state.mean * state.mean, 0.0);
+  // An average with the weight w for the newest has the variance of about
+  // 2 / w samples.
+  const auto samples =
+      std::min(static_cast<double>(state.requests), 2.0 / settings_.smoothing);
+  return kStandardErrors * std::sqrt(variance / samples);
+}
+
+auto ReplicaSpeed::Compare(const ReplicaId& replica,
+                           const State& state,
+                           Service& service) const -> void {
+  if (state.requests < settings_.least_requests) {
+    return;
+  }
+  const auto error = MeanError(state);
+  const auto most = state.mean + error;
+  const auto least = state.mean - error;
+  if (!service.fastest || most < service.fastest->bound) {
+    service.fastest = Extreme{replica, most};
+  }
+  if (!service.slowest || least > service.slowest->bound) {
+    service.slowest = Extreme{replica, least};
+  }
+}
+
+auto ReplicaSpeed::FindExtremes(const ServiceName& name, Service& service) const
+    -> void {
+  service.fastest.reset();
+  service.slowest.reset();
   for (const auto& [id, state] : states_) {
-    if (state.service != service || state.requests < settings_.least_requests) {
-      continue;
+    if (state.service == name) {
+      Compare(id, state, service);
     }
-    const auto variance =
-        std::max(state.mean_square - state.mean * state.mean, 0.0);
-    // An average with the weight w for the newest has the variance of about
-    // 2 / w samples.
-    const auto samples = std::min(static_cast<double>(state.requests),
-                                  2.0 / settings_.smoothing);
-    const auto error = kStandardErrors * std::sqrt(variance / samples);
-    fastest = std::min(fastest, state.mean + error);
-    slowest = std::max(slowest, state.mean - error);
   }
-  return slowest > (1.0 + settings_.least_difference) * fastest;
+}
+
+auto ReplicaSpeed::UpdateExtremes(const ReplicaId& replica,
+                                  const State& state,
+                                  Service& service) const -> void {
+  const auto is = [&](const std::optional<Extreme>& extreme) {
+    return extreme && extreme->replica == replica;
+  };
+  const auto error = MeanError(state);
+  const auto lost_fastest =
+      is(service.fastest) && state.mean + error > service.fastest->bound;
+  const auto lost_slowest =
+      is(service.slowest) && state.mean - error < service.slowest->bound;
+  if (lost_fastest || lost_slowest) {
+    FindExtremes(state.service, service);
+  } else {
+    Compare(replica, state, service);
+  }
+}
+
+auto ReplicaSpeed::Differ(const Service& service) const -> bool {
+  return service.fastest && service.slowest &&
+         service.slowest->bound >
+             (1.0 + settings_.least_difference) * service.fastest->bound;
 }
 
 auto ReplicaSpeed::IsUsed(const ServiceName& service) const -> bool {
   const auto found = services_.find(service);
   return found != services_.end() &&
-         (found->second.reports || found->second.differ);
+         (found->second.reports || Differ(found->second));
 }
 
 auto ReplicaSpeed::speed(const ReplicaId& replica) const -> double {
@@ -146,9 +188,8 @@
 
 auto ReplicaSpeed::used_services() const -> std::size_t {
   return static_cast<std::size_t>(
-      std::count_if(services_.begin(), services_.end(), [](const auto& entry) {
-        return entry.second.reports || entry.second.differ;
-      }));
+      std::count_if(services_.begin(), services_.end(),
+                    [this](const auto& entry) { return IsUsed(entry.first); }));
 }
 
 auto ReplicaSpeed::TakeChanges() -> std::vector<SpeedChange> {
--- a/src/serving/silence_detector.cc
+++ b/src/serving/silence_detector.cc
@@ -65,10 +65,26 @@
       SetSuspected(state, false, "it was removed, restarted or leaves");
     }
   }
+  DropInactive();
   UpdateAll();
   FindNextCheck();
 }
 
+auto SilenceDetector::IsActive(const State& state, MonotonicTime now) const
+    -> bool {
+  return HasEvidence(state) ||
+         (state.own_heard &&
+          now - *state.own_heard < settings_.evidence_expires);
+}
+
+auto SilenceDetector::DropInactive() -> void {
+  const auto now = clock_();
+  std::erase_if(active_, [&](const ReplicaId& id) {
+    const auto found = states_.find(id);
+    return found == states_.end() || !IsActive(found->second, now);
+  });
+}
+
 auto SilenceDetector::OnSent(const ReplicaId& replica, Duration queue_time)
     -> Ticket {
   const auto ticket = ++last_ticket_;
@@ -95,6 +111,7 @@
   const auto due = sent.at + overdue_after;
   next_check_ = std::min(next_check_.value_or(due), due);
   state.sent.emplace(ticket, sent);
+  active_.insert(replica);
   tickets_.emplace(ticket, replica);
   return ticket;
 }
@@ -139,6 +156,7 @@
     return;
   }
   auto& state = found->second;
+  active_.insert(replica);
   state.own_heard = clock_();
   state.heard = *state.own_heard;
   if (state.weight > 0) {
@@ -229,6 +247,7 @@
       state.next_probe = std::max(state.next_probe, NextProbeAfter(now));
     }
     state.peers[peer] = std::move(view);
+    active_.insert(id);
     entry.replicas.push_back(id);
     changed.insert(GroupOf(state));
   }
@@ -258,6 +277,7 @@
   for (const auto& peer : expired) {
     ForgetPeer(peer);
   }
+  DropInactive();
 }
 
 auto SilenceDetector::Check() -> void {
@@ -272,7 +292,8 @@
   }
   delayed_ = false;
   auto changed = std::set<Group>();
-  for (auto& [id, state] : states_) {
+  for (const auto& id : active_) {
+    auto& state = states_.at(id);
     for (auto& [ticket, sent] : state.sent) {
       const auto silent = now - sent.at;
       const auto weight = silent >= sent.long_after      ? kSuspicionWeight
@@ -301,7 +322,8 @@
   const auto add = [&](MonotonicTime time) {
     next_check_ = std::min(next_check_.value_or(time), time);
   };
-  for (const auto& [id, state] : states_) {
+  for (const auto& id : active_) {
+    const auto& state = states_.at(id);
     for (const auto& [ticket, sent] : state.sent) {
       if (sent.weight == 0) {
         add(sent.at + sent.overdue_after);
@@ -461,7 +483,8 @@
   auto reports = SilenceReports();
   const auto now = clock_();
   reports.sender_time = now.time_since_epoch();
-  for (const auto& [id, state] : states_) {
+  for (const auto& id : active_) {
+    const auto& state = states_.at(id);
     auto report = SilenceReport();
     report.started_ms = state.replica.started_ms;
     if (state.own_heard &&
