Count the calls to the store by kind

PlatformClient now counts each call that it sends by object kind and method, reads that may return old data apart since they cost a tenth. The gateway exports the counts as kqg_store_calls_total{kind,method} and logs the totals every 10 s and at a stop (event store_calls).

--- a/include/kumquatgauge/store/platform_client.h
+++ b/include/kumquatgauge/store/platform_client.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "kumquatgauge/base/time.h"
+#include "kumquatgauge/store/call_tally.h"
 #include "kumquatgauge/store/circuit.h"
 #include "kumquatgauge/store/object_store.h"
 #include "kumquatgauge/store/rate_limiter.h"
@@ -94,6 +95,8 @@
   auto SetFleetSize(std::uint32_t nodes) -> void;
 
   auto counts() const -> const CallCounts&;
+  // Calls that were sent, whatever their result.
+  auto calls_by_kind() const -> const CallTally&;
   auto circuit_state() const -> Circuit::State;
   auto limiter() const -> const RateLimiter&;
   // Time after which the last refused call may be retried, for Retry-After.
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -33,11 +33,13 @@
 #include "kumquatgauge/serving/job_archive.h"
 #include "kumquatgauge/serving/load_balancer.h"
 #include "kumquatgauge/serving/quota_keeper.h"
+#include "kumquatgauge/serving/replica_report.h"
 #include "kumquatgauge/serving/replica_table.h"
 #include "kumquatgauge/serving/request_quarantine.h"
 #include "kumquatgauge/serving/request_quota_keeper.h"
 #include "kumquatgauge/serving/speed_report.h"
 #include "kumquatgauge/serving/store_feed.h"
+#include "kumquatgauge/serving/store_report.h"
 #include "kumquatgauge/serving/stream_versions.h"
 #include "kumquatgauge/serving/watcher_choice.h"
 #include "kumquatgauge/serving/zone_report.h"
@@ -286,6 +288,7 @@
       }
     });
     context_.run();
+    store_report_.Log(store_client_.calls_by_kind(), logger_);
     logger_.Info("stopped", {{"event", "stop"}});
   }
 
@@ -1274,7 +1277,10 @@
     auto& detector = load_balancer_.silence_detector();
     const auto changes = detector.TakeChanges();
     for (const auto& change : changes) {
-      LogSuspicion(change);
+      LogSuspicion(change, logger_);
+      if (change.suspected) {
+        suspicions_.Add();
+      }
     }
     if (detector.suspected() > 0) {
       forwarder_.MoveSilent();
@@ -1303,23 +1309,6 @@
     });
   }
 
-  auto LogSuspicion(const SuspicionChange& change) -> void {
-    const auto silent =
-        std::chrono::duration_cast<milliseconds>(change.silent).count();
-    if (change.suspected) {
-      suspicions_.Add();
-    }
-    // Both are warnings: they are few, and routine lines are dropped first.
-    logger_.Warning(
-        change.suspected ? "a replica is suspected to be silent"
-                         : "a replica is no longer suspected to be silent",
-        {{"event", change.suspected ? "suspicion_begins" : "suspicion_ends"},
-         {"replica", change.replica.value()},
-         {"overdue", std::to_string(change.overdue)},
-         {"silent_ms", std::to_string(silent)},
-         {"reason", change.reason}});
-  }
-
   auto SendCounts() -> void {
     counts_sent_ = SteadyNow();
     auto message = json{{"t", "load"}, {"n", settings_.name.value()}};
@@ -1361,7 +1350,7 @@
   // started what the others know.
   auto UpdateStartLimits() -> void {
     for (const auto& change : load_balancer_.start_limiter().TakeChanges()) {
-      LogStartLimit(change);
+      LogStartLimit(change, logger_);
     }
     if (SteadyNow() - start_reports_sent_ >= kCountsRefreshInterval) {
       start_reports_sent_ = SteadyNow();
@@ -1677,7 +1666,7 @@
             ApplyReplicas();
           }
           for (const auto& change : load_balancer_.OnTick()) {
-            LogEjection(change);
+            LogEjection(change, logger_);
           }
           UpdateSilence();
           if (!counts_empty_ &&
@@ -1686,6 +1675,7 @@
           }
           ReportSpeeds(load_balancer_.replica_speed(), logger_);
           ReportZones(load_balancer_.zone_policy(), metrics_, logger_);
+          store_report_.Update(store_client_.calls_by_kind(), logger_);
           UpdateStartLimits();
           SendCellCapacity();
           UpdateQuarantine();
@@ -1695,32 +1685,6 @@
         });
   }
 
-  auto LogEjection(const routing::EjectionChange& change) -> void {
-    const auto state = change.state == routing::EjectionState::kInUse ? "in_use"
-                       : change.state == routing::EjectionState::kEjected
-                           ? "ejected"
-                           : "probing";
-    logger_.Info("the ejection state of a replica changed",
-                 {{"event", "replica_standing"},
-                  {"replica", change.replica.value()},
-                  {"standing", state},
-                  {"reason", change.reason}});
-  }
-
-  auto LogStartLimit(const StartLimitChange& change) -> void {
-    const auto text = [](const std::optional<double>& limit) {
-      return limit ? std::to_string(*limit) : std::string("none");
-    };
-    const auto age =
-        std::chrono::duration_cast<milliseconds>(change.age).count();
-    logger_.Info("a replica named another limit of requests a second",
-                 {{"event", "replica_limit"},
-                  {"replica", change.replica.value()},
-                  {"limit", text(change.limit)},
-                  {"before", text(change.before)},
-                  {"age_ms", std::to_string(age)}});
-  }
-
   auto AwaitSignals() -> void {
     signals_.Start([this](int signal) {
       if (signal == SIGHUP) {
@@ -1823,6 +1787,7 @@
   Counter& suspicions_ = metrics_.counter("kqg_suspicions_total");
   CallerAuthorizer authorizer_{[this] { return freshness_.IsFresh(); }};
   store::PlatformClient store_client_;
+  StoreReport store_report_{metrics_, SteadyNow};
   std::unique_ptr<store::ObjectStore> store_;
   JobArchive archive_;
   LoadBalancer load_balancer_;
--- a/src/store/platform_client.cc
+++ b/src/store/platform_client.cc
@@ -132,6 +132,7 @@
     if (call.watch) {
       ++counts.watches;
     }
+    ++calls_by_kind[KindOf(call)];
   }
 
   // Returns the response; without one, throws the error that matches the call.
@@ -213,6 +214,7 @@
   Circuit::State reported_state = Circuit::State::kClosed;
   std::unordered_map<RateLimiter::Ticket, std::shared_ptr<Waiter>> waiters;
   CallCounts counts;
+  CallTally calls_by_kind;
   Duration retry_after{0};
 };
 
@@ -263,6 +265,10 @@
   return impl_->counts;
 }
 
+auto PlatformClient::calls_by_kind() const -> const CallTally& {
+  return impl_->calls_by_kind;
+}
+
 auto PlatformClient::circuit_state() const -> Circuit::State {
   return impl_->circuit.state();
 }
