Store the results of a job by fewer calls

Results of a job were stored after an eighth of the time until it was due, at most 1 s.

ResultWritePolicy now decides when to write: a result waits for others of its job for at most a third of the time until the due time, and 4 s, which bounds the runs that a lost gateway costs. It is written soon if no other item is expected to end in time, if memory for results is low, and as before after 1 s if the job has no due time or is late, or if the node has more than 16 results that wait. Complete jobs and failures are still written at once.

Gateway.RunsNothingOfADoneJobThatIsSubmittedAgain counted the runs at the first dropped job and relied on all items having started by then. It waits for all jobs to be done first; the check is the same.

ResultCache moves out of batch_runner.cc, which gets shorter.

--- a/include/kumquatgauge/serving/batch_schedule.h
+++ b/include/kumquatgauge/serving/batch_schedule.h
@@ -105,6 +105,10 @@
   auto TakeGivenUp(MonotonicTime now) -> std::vector<ItemRef>;
 
   auto IsUrgent(const ItemRef& ref, MonotonicTime now) const -> bool;
+  // Returns the earliest time from now at which an unfinished item of the job
+  // may finish; nothing if there is none. Runs rarely take less than a share of
+  // the average, as in BatchScheduleSettings::unreachable_share.
+  auto NextEnd(const JobId& job) const -> std::optional<Duration>;
   auto running(const ServiceName& service) const -> std::size_t;
   auto services() const -> std::vector<ServiceName>;
   auto unfinished(const JobId& job) const -> std::size_t;
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -6,7 +6,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <list>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
@@ -22,8 +21,10 @@
 #include "kumquatgauge/serving/forwarder.h"
 #include "kumquatgauge/serving/job_memory.h"
 #include "kumquatgauge/serving/job_state_check.h"
+#include "kumquatgauge/serving/result_write_policy.h"
 #include "kumquatgauge/serving/state_change.h"
 #include "serving/owned_job.h"
+#include "serving/result_cache.h"
 
 namespace kumquatgauge::serving {
 namespace {
@@ -31,8 +32,10 @@
 namespace asio = boost::asio;
 using asio::awaitable;
 using caller::ResponseWriter;
+using detail::BytesOf;
 using detail::ItemProgress;
 using detail::OwnedJob;
+using detail::ResultCache;
 using kumquatgauge::detail::Pause;
 using nlohmann::json;
 using routing::WorkClass;
@@ -54,13 +57,8 @@
 // How often the capacity for batch work is checked; about the interval at which
 // nodes send each other their counts.
 constexpr milliseconds kTickInterval{50};
-// Results that finish within this delay are stored by one call, because calls
-// to the store are expensive and the items of a job end at different times. The
-// delay is a fraction of the time until the job is due. A result that waits is
-// lost if its node dies, and its item runs again.
-constexpr int kStoreDelayDivisor = 8;
-constexpr milliseconds kMinStoreDelay{100};
-constexpr milliseconds kMaxStoreDelay{1'000};
+// How often the time at which waiting results are stored is decided again.
+constexpr milliseconds kStoreCheckInterval{100};
 // Delay after a failed call to the store, which answers within milliseconds
 // when it is available.
 constexpr milliseconds kStoreRetryDelay{300};
@@ -135,14 +133,6 @@
 constexpr std::size_t kMaxIdBytes = 256;  // Of a job.
 constexpr int kStateAttempts = 4;
 
-auto BytesOf(const std::vector<ItemResult>& results) -> std::size_t {
-  auto bytes = std::size_t{0};
-  for (const auto& result : results) {
-    bytes += result.text.size() + result.item.size();
-  }
-  return bytes;
-}
-
 auto EncodePeerPage(const Page& page) -> json {
   auto results = json::array();
   for (const auto& result : page.results) {
@@ -167,52 +157,6 @@
   return page;
 }
 
-// Caches results that were read from the store, contiguous from the first
-// position. Evicts the least recently read job first.
-class ResultCache {
- public:
-  explicit ResultCache(std::size_t max_bytes) : max_bytes_(max_bytes) {}
-
-  auto Find(const JobId& id) -> StoredResults* {
-    const auto found = entries_.find(id);
-    if (found == entries_.end()) {
-      return nullptr;
-    }
-    order_.splice(order_.begin(), order_, found->second.place);
-    return &found->second.stored;
-  }
-
-  auto Put(const JobId& id, StoredResults stored) -> void {
-    Erase(id);
-    order_.push_front(id);
-    bytes_ += BytesOf(stored.results);
-    entries_[id] = {std::move(stored), order_.begin()};
-    while (bytes_ > max_bytes_ && order_.size() > 1) {
-      Erase(JobId(order_.back()));
-    }
-  }
-
- private:
-  struct Entry {
-    StoredResults stored;
-    std::list<JobId>::iterator place;
-  };
-
-  auto Erase(const JobId& id) -> void {
-    const auto found = entries_.find(id);
-    if (found != entries_.end()) {
-      bytes_ -= BytesOf(found->second.stored.results);
-      order_.erase(found->second.place);
-      entries_.erase(found);
-    }
-  }
-
-  std::map<JobId, Entry> entries_;
-  std::list<JobId> order_;
-  std::size_t max_bytes_;
-  std::size_t bytes_ = 0;
-};
-
 }  // namespace
 
 class BatchRunner::Impl : public std::enable_shared_from_this<Impl> {
@@ -1007,9 +951,11 @@
     for (const auto& ref : schedule_.TakeGivenUp(now)) {
       AddResult(ref, false);
     }
-    auto unstored = std::size_t{0};
+    unstored_bytes_ = 0;
+    unstored_results_ = 0;
     for (const auto& [id, job] : jobs_) {
-      unstored += BytesOf(job->unstored);
+      unstored_bytes_ += BytesOf(job->unstored);
+      unstored_results_ += job->unstored.size();
     }
     for (const auto& service : schedule_.services()) {
       const auto capacity = parts_.load_balancer.BatchCapacity(service);
@@ -1020,12 +966,16 @@
                    "online requests leave fewer slots for batch work",
                    std::nullopt);
       }
-      if (unstored < parts_.memory_bytes / kUnstoredMemoryDivisor) {
+      if (unstored_bytes_ < MaxUnstoredBytes()) {
         StartItems(service, capacity, now);
       }
     }
   }
 
+  auto MaxUnstoredBytes() const -> std::size_t {
+    return parts_.memory_bytes / kUnstoredMemoryDivisor;
+  }
+
   auto CheckStates(MonotonicTime now) -> void {
     const auto failures = parts_.store_failures();
     if (std::exchange(store_failures_, failures) != failures) {
@@ -1524,38 +1474,54 @@
     (completed ? completed_items_ : failed_items_).Add();
     parts_.quotas.OnFinished(job->state.account, job->state.id,
                              job->items[ref.item].tokens);
-    job->unstored.push_back(std::move(result));
-    if (!completed) {
-      // If this node is lost before it is stored, the item fails once more.
-      job->EndStoreDelay();
+    if (job->unstored.empty()) {
+      job->unstored_since = parts_.clock();
     }
+    job->unstored.push_back(std::move(result));
+    job->EndStoreDelay();  // The result may be the last one, or a failure.
     if (!std::exchange(job->storing, true)) {
       asio::co_spawn(parts_.executor, StoreResults(shared_from_this(), job),
                      asio::detached);
     }
   }
 
-  auto StoreDelay(const OwnedJob& job) const -> milliseconds {
-    const auto failed =
+  // Returns when the job is due; nothing without a route that has a due time.
+  auto DueTime(const OwnedJob& job) const -> std::optional<MonotonicTime> {
+    const auto configuration = parts_.configuration();
+    const auto* route =
+        configuration == nullptr
+            ? nullptr
+            : configuration->FindRoute(job.record.host, job.record.path);
+    if (route == nullptr || route->due <= milliseconds::zero()) {
+      return std::nullopt;
+    }
+    return Describe(job, configuration.get()).due;
+  }
+
+  auto StoreTime(const OwnedJob& job) const -> MonotonicTime {
+    const auto now = parts_.clock();
+    if (stopped_ || job.dropped || job.unstored.empty()) {
+      return now;
+    }
+    auto results = WaitingResults();
+    results.since = job.unstored_since;
+    results.due = DueTime(job);
+    results.complete = job.finished.size() >= job.items.size();
+    results.failed =
         std::any_of(job.unstored.begin(), job.unstored.end(),
                     [](const auto& result) { return !result.completed; });
-    // Readers of a whole job wait for the last one.
-    if (stopped_ || failed || job.finished.size() >= job.items.size()) {
-      return milliseconds::zero();
-    }
-    const auto configuration = parts_.configuration();
-    const auto due = Describe(job, configuration.get()).due;
-    const auto left =
-        std::chrono::duration_cast<milliseconds>(due - parts_.clock());
-    return std::clamp(left / kStoreDelayDivisor, kMinStoreDelay,
-                      kMaxStoreDelay);
-  }
-
-  auto AwaitStoreDelay(JobPtr job) -> awaitable<void> {
-    const auto delay = StoreDelay(*job);
-    if (delay > milliseconds::zero()) {
-      job->store_delay =
-          std::make_shared<asio::steady_timer>(parts_.executor, delay);
+    results.next_end = schedule_.NextEnd(job.state.id);
+    results.waiting_on_node = unstored_results_;
+    results.low_memory = unstored_bytes_ > MaxUnstoredBytes() / 2;
+    return write_policy_.WriteTime(results, now);
+  }
+
+  auto AwaitStoreTime(JobPtr job) -> awaitable<void> {
+    for (auto time = StoreTime(*job); time > parts_.clock();
+         time = StoreTime(*job)) {
+      job->store_delay = std::make_shared<asio::steady_timer>(
+          parts_.executor,
+          std::min<Duration>(time - parts_.clock(), kStoreCheckInterval));
       co_await job->store_delay->async_wait(kAwaitTuple);
       job->store_delay.reset();
     }
@@ -1563,8 +1529,11 @@
 
   static auto StoreResults(std::shared_ptr<Impl> self, JobPtr job)
       -> awaitable<void> {
-    co_await self->AwaitStoreDelay(job);
     while (!job->unstored.empty() && !job->dropped) {
+      co_await self->AwaitStoreTime(job);
+      if (job->unstored.empty() || job->dropped) {
+        break;
+      }
       auto chunk = ResultChunk{job->state.id, job->stored.end(), self->Nonce(),
                                job->NextChunk(), self->FailuresOf(*job)};
       const auto writer = chunk.writer;
@@ -2480,6 +2449,9 @@
   BatchRunnerParts parts_;
   Logger logger_{"batch"};
   BatchSchedule schedule_;
+  ResultWritePolicy write_policy_{ResultWriteSettings()};
+  std::size_t unstored_bytes_ = 0;    // Of all jobs, at the last tick.
+  std::size_t unstored_results_ = 0;  // The same.
   StateCheckSchedule checks_{StateCheckSettings()};
   JobMemory memory_{parts_.memory_bytes};
   EndNotices notices_{
--- a/src/serving/batch_schedule.cc
+++ b/src/serving/batch_schedule.cc
@@ -224,6 +224,19 @@
          IsUrgent(PriorityOf(job->second, item->second, now));
 }
 
+auto BatchSchedule::NextEnd(const JobId& job) const -> std::optional<Duration> {
+  auto next = std::optional<Duration>();
+  const auto found = jobs_.find(job);
+  if (found != jobs_.end()) {
+    for (const auto& [index, item] : found->second.items) {
+      const auto end = std::chrono::duration_cast<Duration>(
+          ExpectedTime(item) * settings_.unreachable_share);
+      next = next ? std::min(*next, end) : end;
+    }
+  }
+  return next;
+}
+
 auto BatchSchedule::running(const ServiceName& service) const -> std::size_t {
   auto count = std::size_t{0};
   for (const auto& [id, job] : jobs_) {
--- a/src/serving/owned_job.h
+++ b/src/serving/owned_job.h
@@ -44,6 +44,7 @@
   std::set<std::size_t> listed;
   std::set<std::size_t> finished;  // Listed or waiting to be stored.
   std::vector<ItemResult> unstored;
+  MonotonicTime unstored_since;  // When the first of them was finished.
   std::map<std::size_t, ItemProgress> progress;
   bool storing = false;
   // While finished results wait for others, to be stored by one call.
--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -200,6 +200,7 @@
                            std::shared_ptr<Writer> writer,
                            std::shared_ptr<Endpoint> endpoint)
     -> awaitable<void> {
+  CountCall(*request);
   const auto since = QueryNumber(request->target, "watch");
   const auto wait = milliseconds(QueryNumber(request->target, "wait_ms"));
   const auto mark = request->target.find('?');
@@ -229,6 +230,31 @@
   return malformed_ ? mutator_.Mutate({text}) : text;
 }
 
+auto FakeObjectApi::CountCall(const Request& request) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  const auto mark = request.target.find('?');
+  const auto path =
+      request.target.substr(kObjects.size(), mark - kObjects.size());
+  const auto name = path.find('/');
+  auto method = std::string(request.method == "POST"     ? "create"
+                            : request.method == "PUT"    ? "replace"
+                            : request.method == "DELETE" ? "remove"
+                            : name == std::string::npos  ? "list"
+                                                         : "read");
+  if (request.target.find("stale_ok") != std::string::npos) {
+    method += "_stale";
+  } else if (request.target.find("watch=") != std::string::npos) {
+    method = "watch";
+  }
+  ++calls_[path.substr(0, name) + "." + method];
+}
+
+auto FakeObjectApi::Calls(const std::string& kind_and_method) const -> int {
+  const auto lock = std::lock_guard(mutex_);
+  const auto found = calls_.find(kind_and_method);
+  return found == calls_.end() ? 0 : found->second;
+}
+
 auto FakeObjectApi::ExactLists(const std::string& kind) const -> int {
   const auto lock = std::lock_guard(mutex_);
   const auto found = exact_lists_.find(kind);
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -49,6 +49,8 @@
       -> void;
   // How often the objects of this kind were listed in their newest state.
   auto ExactLists(const std::string& kind) const -> int;
+  // Calls so far by "KIND.METHOD", with the names of StoreCallKind.
+  auto Calls(const std::string& kind_and_method) const -> int;
   // While set, answers are malformed.
   auto set_malformed(bool malformed) -> void;
   // Writes of objects of this kind take effect after this time.
@@ -79,6 +81,7 @@
   auto Answer(const Request& request, const Endpoint& endpoint)
       -> std::pair<int, nlohmann::json>;
   auto IsDown(const Endpoint& endpoint) const -> bool;
+  auto CountCall(const Request& request) -> void;
   auto MaybeMutate(const std::string& text) -> std::string;
   // Returns the text of an answer, with the values of PutText in place.
   auto TextOf(const nlohmann::json& body) const -> std::string;
@@ -97,6 +100,7 @@
   std::vector<std::string> texts_;  // Of PutText.
   std::map<std::string, int> lost_answers_;
   std::map<std::string, int> exact_lists_;
+  std::map<std::string, int> calls_;
   std::map<std::string, std::chrono::milliseconds> read_delays_;
   std::map<std::string, std::chrono::milliseconds> write_delays_;
   std::set<std::string> kinds_down_;
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -920,6 +920,12 @@
   REQUIRE(Eventually(
       [&] { return node.Log().find("\"job_dropped\"") != std::string::npos; }));
   CHECK(fleet.store->Get("job-states/j0").at("done") == true);
+  // The other jobs may still run when the first one is dropped.
+  for (auto at = 1; at < kJobs; ++at) {
+    const auto state = "job-states/j" + std::to_string(at);
+    REQUIRE(
+        Eventually([&] { return fleet.store->Get(state).at("done") == true; }));
+  }
   const auto before = fleet.one->total_runs() + fleet.two->total_runs();
   submit_all();
   constexpr milliseconds kObserved{1'500};
