Read results and owners of jobs by inexact reads first

A chunk never changes once it exists, so one that an inexact read shows is final. A missing chunk is read again exactly, or, in a takeover, found by the write that closes the list, which fails if a chunk is there.

A node that needs the owner of a job for a caller's read accepts an inexact state if the job is done or its owner is a live member; otherwise it reads the state exactly as before. Takeovers still read states exactly.

JobArchive.FindsResultsThatInexactReadsDoNotShow passes.

--- a/include/kumquatgauge/serving/job_archive.h
+++ b/include/kumquatgauge/serving/job_archive.h
@@ -74,8 +74,13 @@
   };
   auto CreateIfAbsent(std::string key, std::string value, store::CallClass call)
       -> boost::asio::awaitable<Created>;
-  auto LoadChunk(JobId id, ResultPlace place)
+  auto LoadChunk(JobId id, ResultPlace place, bool exact)
       -> boost::asio::awaitable<std::optional<ResultChunk>>;
+  // May miss the last seconds' results when `exact` is false.
+  auto LoadResults(JobId id,
+                   StoredResults known,
+                   std::uint64_t total,
+                   bool exact) -> boost::asio::awaitable<StoredResults>;
 
   store::ObjectStore& store_;
   Logger logger_{"archive"};
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -1782,7 +1782,7 @@
     auto owner = KnownOwner(call.job);
     auto state = std::optional<StoredState>();
     if (!owner) {
-      state = co_await parts_.archive.LoadState(call.job);
+      state = co_await FindState(call.job);
       if (!state) {
         co_return std::nullopt;
       }
@@ -1797,7 +1797,7 @@
     }
     announced_.erase(call.job);
     if (!state) {
-      state = co_await parts_.archive.LoadState(call.job);
+      state = co_await FindState(call.job);
     }
     if (!state) {
       co_return std::nullopt;
@@ -1805,6 +1805,17 @@
     co_return co_await StoredPage(state->state, call.after);
   }
 
+  // Loads the state of a job for a read, which needs its owner and number of
+  // items. An inexact read, which costs less, may show a former owner or miss a
+  // new job.
+  auto FindState(JobId id) -> awaitable<std::optional<StoredState>> {
+    auto state = co_await parts_.archive.LoadState(id, false);
+    if (!state || (!state->state.done && !FindMember(state->state.owner))) {
+      state = co_await parts_.archive.LoadState(id);
+    }
+    co_return state;
+  }
+
   auto OwnPage(JobPtr job, ReadResults call) -> awaitable<Page> {
     const auto over = job->state.done || job->state.ended;
     if (call.after >= job->stored.results.size() && !over &&
--- a/src/serving/job_archive.cc
+++ b/src/serving/job_archive.cc
@@ -160,10 +160,10 @@
   co_return DecodeChunk(chunk.id, created.value);
 }
 
-auto JobArchive::LoadChunk(JobId id, ResultPlace place)
+auto JobArchive::LoadChunk(JobId id, ResultPlace place, bool exact)
     -> awaitable<std::optional<ResultChunk>> {
-  const auto stored =
-      co_await store_.Read(ChunkKey(id, place), CallClass::kResult);
+  const auto stored = co_await store_.Read(
+      ChunkKey(id, place), exact ? CallClass::kResult : CallClass::kStatus);
   if (!stored) {
     co_return std::nullopt;
   }
@@ -172,8 +172,20 @@
 
 auto JobArchive::LoadResults(JobId id, StoredResults known, std::uint64_t total)
     -> awaitable<StoredResults> {
+  return LoadResults(std::move(id), std::move(known), total, true);
+}
+
+auto JobArchive::LoadResults(JobId id,
+                             StoredResults known,
+                             std::uint64_t total,
+                             bool exact) -> awaitable<StoredResults> {
   while (known.results.size() < total) {
-    const auto chunk = co_await LoadChunk(id, known.end());
+    // A chunk never changes, so one that an inexact read shows counts. Such
+    // reads cost less.
+    auto chunk = co_await LoadChunk(id, known.end(), false);
+    if (!chunk && exact) {
+      chunk = co_await LoadChunk(id, known.end(), true);
+    }
     if (!chunk) {
       break;
     }
@@ -187,7 +199,9 @@
   auto known = StoredResults();
   auto closed = false;
   while (!closed) {
-    known = co_await LoadResults(id, std::move(known), total);
+    // A chunk that these reads do not show yet is found by the write of the
+    // closing, which fails.
+    known = co_await LoadResults(id, std::move(known), total, false);
     if (known.results.size() >= total) {
       break;
     }
--- a/src/serving/job_archive_test.cc
+++ b/src/serving/job_archive_test.cc
@@ -145,6 +145,35 @@
   CHECK(all.results[1].item == "c");
 }
 
+// A store whose inexact reads show nothing yet.
+class LaggingStore : public testing::MemoryObjectStore {
+ public:
+  auto Read(std::string key, store::CallClass call_class)
+      -> boost::asio::awaitable<std::optional<store::StoredObject>> override {
+    if (call_class == store::CallClass::kStatus) {
+      co_return std::nullopt;
+    }
+    co_return co_await MemoryObjectStore::Read(key, call_class);
+  }
+};
+
+// Guards against results that callers have read and that are gone at a new
+// owner, or at another reader, because inexact reads do not show them yet.
+TEST_CASE("JobArchive.FindsResultsThatInexactReadsDoNotShow") {
+  boost::asio::io_context context;
+  auto store = LaggingStore();
+  auto archive = JobArchive(store);
+  const auto listed = MakeChunk("n1.1", {"a"});
+  RunAwaitable(context, archive.Append(listed));
+  const auto read =
+      RunAwaitable(context, archive.LoadResults(kJob, StoredResults(), 3));
+  CHECK(read.results == listed.results);
+  const auto closed =
+      RunAwaitable(context, archive.CloseResults(kJob, "n2.1", 3));
+  CHECK(closed.results == listed.results);
+  CHECK(closed.closings == 1);
+}
+
 // Guards against a new owner that overlooks what the former one has stored
 // while the list was read.
 TEST_CASE("JobArchive.KeepsResultsThatWereStoredBeforeTheListIsClosed") {
