Log how long a gateway takes until it is ready

After all gateways were killed it was not visible what a new one waits for. ReadinessReport records when the gateway has its configuration, accepted API keys, usable replicas and other gateways, and logs the times once it can serve (event ready), and the first other gateway if it comes later (event peers_known).

--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -33,6 +33,7 @@
 #include "kumquatgauge/serving/job_archive.h"
 #include "kumquatgauge/serving/load_balancer.h"
 #include "kumquatgauge/serving/quota_keeper.h"
+#include "kumquatgauge/serving/readiness_report.h"
 #include "kumquatgauge/serving/replica_report.h"
 #include "kumquatgauge/serving/replica_table.h"
 #include "kumquatgauge/serving/request_quarantine.h"
@@ -600,6 +601,7 @@
     request_quotas_.SetConfiguration(*configuration_);
     ApplyCallerLimits();
     gossip_.OnFeedApplied(kConfigurationFeed, configuration_->version);
+    ReportReadiness();
     return configuration_->version;
   }
 
@@ -921,8 +923,11 @@
   }
 
   auto UseReplicas() -> void {
-    load_balancer_.SetReplicas(streams_.Usable(replica_table_.replicas()));
+    const auto usable = streams_.Usable(replica_table_.replicas());
+    has_replicas_ = !usable.empty();
+    load_balancer_.SetReplicas(usable);
     forwarder_.OnCapacityFreed();
+    ReportReadiness();
   }
 
   // --- Replicas that say in their answers that they leave.
@@ -1024,6 +1029,17 @@
     retry_budget_.set_nodes(size);
     batch_.OnMembersChanged();
     request_quotas_.OnMembersChanged();
+    ReportReadiness();
+  }
+
+  auto ReportReadiness() -> void {
+    const auto keys = configuration_ &&
+                      (!configuration_->organisations || freshness_.IsFresh());
+    readiness_report_.Update({.configuration = configuration_ != nullptr,
+                              .keys = keys,
+                              .replicas = has_replicas_,
+                              .peers = gossip_.membership().live().size() > 1},
+                             logger_);
   }
 
   // Returns the number of nodes that have not stopped as planned, including
@@ -1676,6 +1692,7 @@
           ReportSpeeds(load_balancer_.replica_speed(), logger_);
           ReportZones(load_balancer_.zone_policy(), metrics_, logger_);
           store_report_.Update(store_client_.calls_by_kind(), logger_);
+          ReportReadiness();
           UpdateStartLimits();
           SendCellCapacity();
           UpdateQuarantine();
@@ -1788,6 +1805,7 @@
   CallerAuthorizer authorizer_{[this] { return freshness_.IsFresh(); }};
   store::PlatformClient store_client_;
   StoreReport store_report_{metrics_, SteadyNow};
+  ReadinessReport readiness_report_{SteadyNow};
   std::unique_ptr<store::ObjectStore> store_;
   JobArchive archive_;
   LoadBalancer load_balancer_;
@@ -1839,6 +1857,7 @@
   bool counts_empty_ = true;
   bool watches_store_ = false;
   bool store_lost_ = false;
+  bool has_replicas_ = false;
   bool started_ = false;
   bool stopping_ = false;
 };
