Start a gateway with fewer calls to the store

When all gateways start at once each one listed the registry twice, listed the states of jobs exactly and began to watch the configuration before it knew that other nodes do so.

- A node lists the registry again only if it has met none of the nodes of its first list.
Groups of nodes cannot stay apart by this: the first list of the later group names a node of the earlier one.
- The first scan of jobs is exact only at nodes that scan for the others, as after changes of the members; the others scan by an inexact read.
- The first watch of the configuration begins 0.8 s after the first list.

--- a/include/kumquatgauge/control/node_registry.h
+++ b/include/kumquatgauge/control/node_registry.h
@@ -37,9 +37,12 @@
                const std::string& address,
                NodeRegistryHooks hooks);
 
-  // Registers this node and lists the others twice, because nodes that start
-  // together may miss each other in the first list. Repeats calls that failed.
-  // Returns when that is done or Stop has been called.
+  // Registers this node and lists the others, a second time unless it has met
+  // one of the first list, because nodes that start together may miss each
+  // other there. Two groups of nodes that have met cannot both do without the
+  // second list: the first list of the later one names a node of the earlier
+  // one. Repeats calls that failed. Returns when that is done or Stop has been
+  // called.
   auto Run() -> boost::asio::awaitable<void>;
   auto Stop() -> void { stopped_ = true; }
   // Whether the store has shown, after this node was registered there, that
@@ -51,6 +54,7 @@
   auto Remove() -> boost::asio::awaitable<void>;
 
  private:
+  auto HasMetListed() const -> bool;
   // Throws Error.
   auto Register() -> boost::asio::awaitable<void>;
   auto ReadAddresses(std::vector<store::ListEntry> entries)
@@ -61,6 +65,7 @@
   std::string key_;
   std::string value_;
   NodeRegistryHooks hooks_;
+  std::vector<NodeId> listed_;  // Other nodes in the last list.
   bool stopped_ = false;
   bool alone_ = false;
 };
--- a/include/kumquatgauge/serving/store_feed.h
+++ b/include/kumquatgauge/serving/store_feed.h
@@ -17,6 +17,9 @@
   std::string prefix;
   // Delay after events, so that changes in quick succession share one call.
   std::chrono::milliseconds debounce{0};
+  // Delay between the first list and the first watch. A node that starts learns
+  // meanwhile whether other nodes follow the store for it.
+  std::chrono::milliseconds first_watch_delay{0};
   // Backoff after a call without an answer (FeedRetry). The maximum is well
   // below the time in which a change must apply.
   std::chrono::milliseconds initial_backoff{100};
--- a/src/control/node_registry.cc
+++ b/src/control/node_registry.cc
@@ -51,9 +51,16 @@
     if (lists < kLists) {
       co_await hooks_.pause(lists == 0 ? kRetryDelay : kSecondListDelay);
     }
+    if (lists > 0 && HasMetListed()) {
+      co_return;
+    }
   }
 }
 
+auto NodeRegistry::HasMetListed() const -> bool {
+  return std::any_of(listed_.begin(), listed_.end(), hooks_.is_member);
+}
+
 auto NodeRegistry::Register() -> awaitable<void> {
   auto page = co_await store_.List(prefix_, "", kMaxEntries,
                                    store::CallClass::kConfiguration);
@@ -75,6 +82,10 @@
     page.entries.erase(own);
   }
   const auto others = !page.entries.empty();
+  listed_.clear();
+  for (const auto& entry : page.entries) {
+    listed_.emplace_back(entry.key.substr(prefix_.size()));
+  }
   auto addresses = co_await ReadAddresses(std::move(page.entries));
   hooks_.found(std::move(addresses));
   alone_ = up_to_date && !others;
--- a/src/control/node_registry_test.cc
+++ b/src/control/node_registry_test.cc
@@ -79,6 +79,26 @@
   CHECK(nodes.Names(node) == std::vector<NodeId>{NodeId("n0")});
 }
 
+// Guards against a second list by each node when a whole fleet starts, and
+// against nodes that start together and stay apart without it.
+TEST_CASE("NodeRegistry.ListsAgainUnlessItHasMetANodeOfTheFirstList") {
+  Registries nodes;
+  auto lists = 0;
+  nodes.store.set_fault_hook(
+      [&](const std::string& call, const std::string& key) {
+        lists += call == "read" && key == "nodes/" ? 1 : 0;
+        return testing::StoreFault::kNone;
+      });
+  nodes.members = {"n0"};
+  nodes.Run(nodes.Add("n0"));
+  CHECK(lists == 2);
+  nodes.Run(nodes.Add("n1"));
+  CHECK(lists == 3);
+  nodes.members = {"elsewhere"};
+  nodes.Run(nodes.Add("n2"));
+  CHECK(lists == 5);
+}
+
 // Guards against a node that takes itself to be alone because it has not found
 // the others yet.
 TEST_CASE("NodeRegistry.IsAloneOnlyIfTheStoreSaysSo") {
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -2216,7 +2216,11 @@
   // that all nodes agree on; a conditional write resolves disagreements.
   static auto Scan(std::shared_ptr<Impl> self) -> awaitable<void> {
     const auto asked_at = self->parts_.clock();
-    const auto exact = std::exchange(self->scan_exactly_, false);
+    // In a large fleet the nodes that watch the store look for the jobs of lost
+    // owners, also when all nodes start at once.
+    const auto first = !std::exchange(self->scanned_, true);
+    const auto exact = std::exchange(self->scan_exactly_, false) &&
+                       (!first || self->ScansForOthers());
     auto states = std::vector<StoredState>();
     auto failure = std::string();
     try {
@@ -2481,6 +2485,7 @@
   std::map<JobId, MonotonicTime> orphans_told_;
   ResultCache cache_{parts_.memory_bytes / kCacheMemoryDivisor};
   bool scan_exactly_ = true;
+  bool scanned_ = false;  // Since the start.
   std::uint64_t scheduled_version_ = 0;
   std::uint64_t store_failures_ = 0;
   std::uint64_t notices_dropped_ = 0;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -100,6 +100,10 @@
 // delays a change by this much, far less than the time within which it must be
 // known.
 constexpr milliseconds kReplicaDebounce{200};
+// About the time in which a node that starts meets the others. Less than half
+// of the time within which a configuration must apply. Entries of replicas
+// change more often, so they are watched at once.
+constexpr milliseconds kFirstWatchDelay{800};
 // How often other nodes are asked about a missing entry while its replica is
 // kept, and how long an answer may take.
 constexpr milliseconds kMissingQuestionInterval{250};
@@ -471,6 +475,7 @@
     auto feed = StoreFeedSettings();
     const auto& key = parts_.dialect.configuration_key;
     feed.prefix = key.substr(0, key.find('/') + 1);
+    feed.first_watch_delay = kFirstWatchDelay;
     return feed;
   }
 
--- a/src/serving/store_feed.cc
+++ b/src/serving/store_feed.cc
@@ -81,6 +81,8 @@
       co_await Pause(kIdleFeedInterval);
     } else if (!since_) {
       co_await List();
+      co_await Pause(
+          std::exchange(settings_.first_watch_delay, milliseconds::zero()));
     } else {
       co_await Watch(*since_,
                      retry_.failed() ? store::kMaxProbeWait : *watch_time);
--- a/testing/gateway/store_calls_test.cc
+++ b/testing/gateway/store_calls_test.cc
@@ -83,5 +83,31 @@
   CHECK(calls.at("job-results.create") <= 2 * kJobs);
 }
 
+// Guards against calls of each gateway when all are started at once: they need
+// the store to find each other, but only some of them follow it.
+TEST_CASE("Gateway.StartsWithFewCallsToTheStore") {
+  constexpr auto kNodes = 12;
+  auto fleet = Fleet(kNodes);
+  fleet.AwaitService();
+  std::this_thread::sleep_for(milliseconds(4'000));
+  for (const auto& node : fleet.nodes) {
+    const auto lines = LinesOf(node->Log(), "event", "ready");
+    REQUIRE(lines.size() == 1);
+    CHECK(lines.front().at("replicas_ms") != "none");
+  }
+  StopAll(fleet);
+  // Each needs the configuration, the replicas, their versions, the registry
+  // and its own entry there.
+  constexpr auto kCallsOfEach = 5;
+  constexpr auto kOthers = kNodes;
+  auto exact = 0;
+  for (const auto& [kind, count] : LoggedCalls(fleet)) {
+    UNSCOPED_INFO(kind << " " << count);
+    const auto watch = kind.ends_with(".watch");
+    exact += watch || kind.ends_with("_stale") ? 0 : count;
+  }
+  CHECK(exact <= kCallsOfEach * kNodes + kOthers);
+}
+
 }  // namespace
 }  // namespace kumquatgauge::testing
