Choose batch items to start and stop by what an interruption costs

The item with the least progress stopped, often the one that had just resumed, and also one that would have ended before the online request ran out of time. Items at full replicas stop first, then those interrupted least often, with the most slack and the least progress; one that ends within the time that an online request can wait goes on. Starts are ordered by the slack that includes the usual time of interruptions. Items with much slack wait if a rise of the online load would stop them early.

--- a/include/kumquatgauge/serving/batch_schedule.h
+++ b/include/kumquatgauge/serving/batch_schedule.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "kumquatgauge/base/ids.h"
@@ -28,6 +29,29 @@
   Duration retry_backoff = std::chrono::milliseconds(200);
   // Time after which a withheld item is considered again.
   Duration withheld_backoff = std::chrono::seconds(1);
+  // An item that will be interrupted is started only if this share of its
+  // remaining run fits before. Each interruption costs another reading of the
+  // prompt and another start.
+  double useful_share = 0.3;
+  // An item with less slack than this many runs, beyond the slack of urgent
+  // ones, does not wait for a slot that lasts.
+  double patient_runs = 1;
+  // Slacks within one such interval are equal when items that were interrupted
+  // often take precedence; the time of one interruption.
+  Duration slack_step = std::chrono::milliseconds(2'500);
+  // Interruptions from which on an item takes precedence over others.
+  std::uint32_t many_interruptions = 2;
+};
+
+// How many items may start.
+struct StartLimits {
+  std::size_t free = 0;    // In free slots.
+  std::size_t urgent = 0;  // Further urgent ones.
+  // Of those in free slots, how many may still run after the next rise of the
+  // online load.
+  std::size_t lasting = 0;
+  // Earliest time until that rise.
+  Duration until_rise = Duration::max();
 };
 
 struct ItemRef {
@@ -80,22 +104,31 @@
   // items. Does nothing for a job that is not scheduled.
   auto Update(const ScheduledJob& job) -> void;
 
-  // Returns the items of a service to start and marks them as running: up to
-  // `free_slots` items with the least slack first, and up to `urgent_slots`
-  // further urgent ones.
+  // Returns the items of a service to start and marks them as running: those
+  // with the least slack first, and among similar ones those that were
+  // interrupted often. Items with much slack that would be interrupted before
+  // they progress usefully are left out.
+  auto TakeStarts(const ServiceName& service,
+                  const StartLimits& limits,
+                  MonotonicTime now) -> std::vector<ItemRef>;
+  // The same without an expected rise.
   auto TakeStarts(const ServiceName& service,
                   std::size_t free_slots,
                   std::size_t urgent_slots,
                   MonotonicTime now) -> std::vector<ItemRef>;
   // Returns at most `count` running items to stop: first those that cannot meet
-  // their due time, then non-urgent ones with the least progress, so that
-  // little has to be read again.
+  // their due time, then non-urgent ones that are `preferred`, that were
+  // interrupted least often, that have the most slack and the least progress,
+  // so that little has to be read again. Items that end within `wait`, the time
+  // that an online request can wait, go on.
   // Items that `may_yield` rejects go on; an empty function accepts all.
-  using MayYield = std::function<auto(const ItemRef&)->bool>;
+  using Filter = std::function<auto(const ItemRef&)->bool>;
   auto TakeYields(const ServiceName& service,
                   std::size_t count,
                   MonotonicTime now,
-                  const MayYield& may_yield = nullptr) -> std::vector<ItemRef>;
+                  const Filter& may_yield = nullptr,
+                  const Filter& preferred = nullptr,
+                  Duration wait = Duration::zero()) -> std::vector<ItemRef>;
   // Records that an item has produced `events` events in total.
   auto OnProgress(const ItemRef& ref, std::uint64_t events) -> void;
   // Returns true when the item has used up its attempts and is removed from the
@@ -106,6 +139,11 @@
 
   auto IsUrgent(const ItemRef& ref, MonotonicTime now) const -> bool;
   auto running(const ServiceName& service) const -> std::size_t;
+  // Returns the number of items that could start now.
+  auto waiting(const ServiceName& service, MonotonicTime now) const
+      -> std::size_t;
+  // Returns the expected time of a run without interruption.
+  auto run_time() const -> Duration { return ExpectedTime(Item()); }
   auto services() const -> std::vector<ServiceName>;
   auto unfinished(const JobId& job) const -> std::size_t;
   // Returns the unfinished items that have failed.
@@ -118,6 +156,9 @@
     std::uint64_t events = 0;
     std::uint32_t failures = 0;
     MonotonicTime started;
+    MonotonicTime first_started;
+    Duration ran{0};  // In ended runs.
+    std::uint32_t interruptions = 0;
     std::uint64_t events_at_start = 0;
     MonotonicTime not_before;
   };
@@ -135,7 +176,14 @@
     auto operator<=>(const Priority&) const = default;
   };
 
+  // Returns the expected time until the item is done if it runs on.
   auto ExpectedTime(const Item& item) const -> Duration;
+  // Whether a running item is expected to end within `wait`.
+  auto EndsWithin(const Item& item, Duration wait) const -> bool;
+  // Start order among items that are not late: expected slack including
+  // interruptions, in steps.
+  auto StartOrder(const Job& job, const Item& item, MonotonicTime now) const
+      -> std::tuple<bool, std::int64_t, bool, Duration>;
   auto PriorityOf(const Job& job, const Item& item, MonotonicTime now) const
       -> Priority;
   auto IsUrgent(const Priority& priority) const -> bool;
@@ -145,6 +193,8 @@
   std::map<JobId, Job> jobs_;
   double events_per_item_ = 0;
   double seconds_per_event_ = 0;
+  // Time from the first start of an item to its end, relative to its runs.
+  double stretch_ = 0;
 };
 
 }  // namespace kumquatgauge::serving
--- a/src/serving/batch_schedule.cc
+++ b/src/serving/batch_schedule.cc
@@ -1,6 +1,7 @@
 #include "kumquatgauge/serving/batch_schedule.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -76,29 +77,72 @@
   return !priority.due_unreachable && priority.slack < settings_.urgent_slack;
 }
 
+auto BatchSchedule::EndsWithin(const Item& item, Duration wait) const -> bool {
+  if (events_per_item_ <= 0 || seconds_per_event_ <= 0) {
+    return false;
+  }
+  // An item that is longer than the average may be much longer, so the time
+  // until its end is taken to grow by what it exceeds the average.
+  const auto events =
+      std::abs(events_per_item_ - static_cast<double>(item.events));
+  return events * seconds_per_event_ <
+         std::chrono::duration<double>(wait).count();
+}
+
+auto BatchSchedule::StartOrder(const Job& job,
+                               const Item& item,
+                               MonotonicTime now) const
+    -> std::tuple<bool, std::int64_t, bool, Duration> {
+  const auto priority = PriorityOf(job, item, now);
+  const auto expected = std::chrono::duration_cast<Duration>(
+      ExpectedTime(item) * std::max(1.0, stretch_));
+  const auto slack = job.job.due - now - expected;
+  return {priority.due_unreachable, slack / settings_.slack_step,
+          item.interruptions < settings_.many_interruptions, slack};
+}
+
 auto BatchSchedule::TakeStarts(const ServiceName& service,
-                               std::size_t free_slots,
-                               std::size_t urgent_slots,
+                               const StartLimits& limits,
                                MonotonicTime now) -> std::vector<ItemRef> {
-  auto candidates = std::vector<std::pair<Priority, ItemRef>>();
+  if (limits.free + limits.urgent == 0) {
+    return {};
+  }
+  using Order = decltype(StartOrder(Job(), Item(), now));
+  auto candidates = std::vector<std::pair<Order, ItemRef>>();
   for (const auto& [id, job] : jobs_) {
     if (job.job.service != service) {
       continue;
     }
     for (const auto& [index, item] : job.items) {
       if (!item.running && item.not_before <= now) {
-        candidates.emplace_back(PriorityOf(job, item, now), ItemRef{id, index});
+        candidates.emplace_back(StartOrder(job, item, now), ItemRef{id, index});
       }
     }
   }
   std::sort(candidates.begin(), candidates.end());
   auto starts = std::vector<ItemRef>();
-  for (const auto& [priority, ref] : candidates) {
-    const auto limit = free_slots + (IsUrgent(priority) ? urgent_slots : 0);
-    if (starts.size() >= limit) {
-      break;
-    }
+  auto lasting = std::size_t{0};
+  const auto patient_slack =
+      settings_.urgent_slack +
+      std::chrono::duration_cast<Duration>(run_time() * settings_.patient_runs);
+  for (const auto& [order, ref] : candidates) {
     auto& item = *FindItem(ref);
+    const auto urgent = IsUrgent(ref, now);
+    if (starts.size() >= limits.free + (urgent ? limits.urgent : 0)) {
+      continue;  // An urgent item may follow.
+    }
+    const auto useful = std::chrono::duration_cast<Duration>(
+        ExpectedTime(item) * settings_.useful_share);
+    if (useful > limits.until_rise) {
+      if (lasting >= limits.lasting && !urgent &&
+          std::get<Duration>(order) > patient_slack) {
+        continue;
+      }
+      ++lasting;
+    }
+    if (item.first_started == MonotonicTime()) {
+      item.first_started = now;
+    }
     item.running = true;
     item.yielding = false;
     item.started = now;
@@ -108,34 +152,62 @@
   return starts;
 }
 
+auto BatchSchedule::TakeStarts(const ServiceName& service,
+                               std::size_t free_slots,
+                               std::size_t urgent_slots,
+                               MonotonicTime now) -> std::vector<ItemRef> {
+  return TakeStarts(service, StartLimits{free_slots, urgent_slots, free_slots},
+                    now);
+}
+
 auto BatchSchedule::TakeYields(const ServiceName& service,
                                std::size_t count,
                                MonotonicTime now,
-                               const MayYield& may_yield)
-    -> std::vector<ItemRef> {
-  // Sorted by whether the due time can be met, then by progress.
-  auto candidates = std::vector<std::tuple<bool, std::uint64_t, ItemRef>>();
+                               const Filter& may_yield,
+                               const Filter& preferred,
+                               Duration wait) -> std::vector<ItemRef> {
+  if (count == 0) {
+    return {};
+  }
+  struct Candidate {
+    bool on_time = false;
+    bool other = false;  // It is not preferred.
+    std::uint32_t interruptions = 0;
+    std::int64_t slack_steps = 0;  // Negative.
+    std::uint64_t events = 0;
+    ItemRef ref;
+
+    auto operator<=>(const Candidate&) const = default;
+  };
+  auto candidates = std::vector<Candidate>();
   for (const auto& [id, job] : jobs_) {
     if (job.job.service != service) {
       continue;
     }
     for (const auto& [index, item] : job.items) {
+      if (!item.running || item.yielding || EndsWithin(item, wait)) {
+        continue;
+      }
       const auto priority = PriorityOf(job, item, now);
       const auto ref = ItemRef{id, index};
-      if (item.running && !item.yielding && !IsUrgent(priority) &&
-          (!may_yield || may_yield(ref))) {
-        candidates.emplace_back(!priority.due_unreachable, item.events, ref);
+      if (!IsUrgent(priority) && (!may_yield || may_yield(ref))) {
+        candidates.push_back(
+            {!priority.due_unreachable, preferred && !preferred(ref),
+             std::min(item.interruptions, settings_.many_interruptions),
+             -((job.job.due - now) / settings_.slack_step), item.events, ref});
       }
     }
   }
   std::sort(candidates.begin(), candidates.end());
   auto yields = std::vector<ItemRef>();
-  for (const auto& [on_time, events, ref] : candidates) {
+  for (const auto& candidate : candidates) {
     if (yields.size() >= count) {
       break;
     }
-    FindItem(ref)->yielding = true;
-    yields.push_back(ref);
+    auto& item = *FindItem(candidate.ref);
+    item.yielding = true;
+    ++item.interruptions;
+    yields.push_back(candidate.ref);
   }
   return yields;
 }
@@ -167,6 +239,7 @@
   }
   if (end != ItemEnd::kNotPlaced && end != ItemEnd::kWithheld) {
     UpdateEventTime(*item, now);
+    item->ran += now - item->started;
   }
   item->running = false;
   item->yielding = false;
@@ -176,6 +249,11 @@
         Smooth(events_per_item_, static_cast<double>(item->events),
                settings_.smoothing);
       }
+      if (item->ran > Duration::zero()) {
+        const auto elapsed =
+            std::chrono::duration<double>(now - item->first_started);
+        Smooth(stretch_, elapsed / item->ran, settings_.smoothing);
+      }
       jobs_.at(ref.job).items.erase(ref.item);
       return false;
     case ItemEnd::kStopped:
@@ -236,6 +314,20 @@
   return count;
 }
 
+auto BatchSchedule::waiting(const ServiceName& service, MonotonicTime now) const
+    -> std::size_t {
+  auto count = std::size_t{0};
+  for (const auto& [id, job] : jobs_) {
+    if (job.job.service == service) {
+      count += static_cast<std::size_t>(std::count_if(
+          job.items.begin(), job.items.end(), [&](const auto& item) {
+            return !item.second.running && item.second.not_before <= now;
+          }));
+    }
+  }
+  return count;
+}
+
 auto BatchSchedule::services() const -> std::vector<ServiceName> {
   auto names = std::set<ServiceName>();
   for (const auto& [id, job] : jobs_) {
--- a/src/serving/batch_schedule_test.cc
+++ b/src/serving/batch_schedule_test.cc
@@ -258,5 +258,55 @@
   CHECK(fixture.schedule.failures(kEarly).empty());
 }
 
+// Load pattern: online load that rises every few seconds. Guards against the
+// same item stopping at each rise, and against one that stops a moment before
+// its end.
+TEST_CASE("BatchSchedule.StopsNeitherTheSameItemAgainNorOneThatEnds") {
+  auto fixture = Fixture();
+  fixture.schedule.Add(fixture.Job(kLate, seconds(400), 4), {});
+  const auto now = [&] { return fixture.clock.now(); };
+  const auto yield = [&](std::size_t count) {
+    return fixture.schedule.TakeYields(kService, count, now(), nullptr, nullptr,
+                                       milliseconds(100));
+  };
+  fixture.schedule.TakeStarts(kService, 4, 0, now());
+  // Teaches that 100 events take 2 s.
+  fixture.clock.Advance(seconds(2));
+  fixture.schedule.OnProgress({kLate, 3}, 100);
+  fixture.schedule.OnEnded({kLate, 3}, ItemEnd::kFinished, now());
+  fixture.schedule.OnProgress({kLate, 0}, 10);
+  fixture.schedule.OnProgress({kLate, 1}, 50);
+  fixture.schedule.OnProgress({kLate, 2}, 99);
+  REQUIRE(yield(1) == std::vector<ItemRef>{{kLate, 0}});
+  fixture.schedule.OnEnded({kLate, 0}, ItemEnd::kStopped, now());
+  fixture.schedule.TakeStarts(kService, 1, 0, now());
+  CHECK(yield(3) == std::vector<ItemRef>{{kLate, 1}, {kLate, 0}});
+}
+
+// Guards against items that stop at replicas with free slots while online
+// requests wait at others.
+TEST_CASE("BatchSchedule.StopsPreferredItemsFirst") {
+  auto fixture = Fixture();
+  fixture.schedule.Add(fixture.Job(kLate, seconds(40), 3), {});
+  fixture.schedule.TakeStarts(kService, 3, 0, fixture.clock.now());
+  const auto yields = fixture.schedule.TakeYields(
+      kService, 1, fixture.clock.now(), nullptr,
+      [](const ItemRef& ref) { return ref.item == 2; });
+  CHECK(yields == std::vector<ItemRef>{{kLate, 2}});
+}
+
+// Load pattern: a peak is expected in 0.2 s. Guards against items that start
+// just to be stopped, and against waiting items that miss their due time.
+TEST_CASE("BatchSchedule.StartsBeforeARiseOnlyWhatLastsOrMustRun") {
+  auto fixture = Fixture();
+  fixture.schedule.Add(fixture.Job(kLate, seconds(40), 3), {});
+  const auto limits = StartLimits{9, 0, 1, milliseconds(200)};
+  CHECK(fixture.schedule.TakeStarts(kService, limits, fixture.clock.now())
+            .size() == 1);
+  fixture.schedule.Add(fixture.Job(kEarly, seconds(12), 2), {});
+  CHECK(fixture.schedule.TakeStarts(kService, limits, fixture.clock.now())
+            .size() == 2);
+}
+
 }  // namespace
 }  // namespace kumquatgauge::serving
