Allocate batch slots by the expected online load

The owners of batch jobs took equal shares of half of the free slots at each tick, so that a single owner filled a trough in many ticks, and slots that a fluctuation had freed were taken and given back at once. BatchAllocator takes over the shares from BatchRunner: the share of an owner grows while no other one starts items, only slots beyond the fluctuations are taken quickly, and the reserve is used in a trough in which a run ends before the next rise. Items may start every 25 ms instead of 50 ms.

--- a/include/kumquatgauge/serving/load_balancer.h
+++ b/include/kumquatgauge/serving/load_balancer.h
@@ -218,6 +218,16 @@
   // Must be called about once a second.
   auto OnTick() -> routing::OutlierDetector::Changes;
 
+  // Room at the replicas of a service in this cell.
+  struct Room {
+    // Of replicas without a limit.
+    std::uint32_t slots = 0;
+    std::uint32_t in_flight = 0;
+    // Items that limited replicas take now. Running ones need not yield there
+    // for the sake of a reserve.
+    std::uint32_t batch_starts = 0;
+  };
+  auto RoomOf(const ServiceName& service) const -> Room;
   // Returns the number of batch items that may start now in this node's cell. A
   // negative number says how many must yield to online requests.
   auto BatchCapacity(const ServiceName& service) const -> std::int64_t;
@@ -234,6 +244,9 @@
     auto operator==(const BatchCounts&) const -> bool = default;
   };
   auto YieldableBatch(const ServiceName& service) const -> BatchCounts;
+  // Whether every slot of the replica is in use.
+  auto IsFull(const ReplicaId& replica) const -> bool;
+  auto batch_reserve() const -> double { return settings_.batch_reserve; }
   // Returns this node's in-flight requests by replica, to send to peers.
   auto own_counts() const -> InFlightCounts;
   // Returns what this node knows about silent replicas, to send with them.
@@ -265,15 +278,6 @@
     InFlightCounts counts;
     MonotonicTime at;
   };
-  // Room at the replicas of a service in this cell.
-  struct Room {
-    // Of replicas without a limit.
-    std::uint32_t slots = 0;
-    std::uint32_t in_flight = 0;
-    // Items that limited replicas take now. Running ones need not yield there
-    // for the sake of a reserve.
-    std::uint32_t batch_starts = 0;
-  };
   struct CellCapacity {
     std::uint32_t slots = 0;  // Slots that this node may use.
     MonotonicTime at;
@@ -292,7 +296,6 @@
   // Returns the slots that requests use or may use now: at a limited replica
   // those in use and the starts that it takes.
   auto UsableSlots(const State& state) const -> std::uint32_t;
-  auto RoomOf(const ServiceName& service) const -> Room;
   // Whether the replica belongs to this cell and takes work.
   auto TakesWork(const State& state) const -> bool;
   static auto IsGoneOrLeaving(const State& state) -> bool {
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -16,6 +16,7 @@
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/node/peer_server.h"
 #include "kumquatgauge/routing/rendezvous.h"
+#include "kumquatgauge/serving/batch_allocator.h"
 #include "kumquatgauge/serving/batch_schedule.h"
 #include "kumquatgauge/serving/end_notices.h"
 #include "kumquatgauge/serving/event_splitter.h"
@@ -51,9 +52,12 @@
 constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
 
-// How often the capacity for batch work is checked; about the interval at which
-// nodes send each other their counts.
-constexpr milliseconds kTickInterval{50};
+// How often items may start. Nodes send each other their counts every 15 ms, so
+// that the starts of one round are usually known in the next.
+constexpr milliseconds kTickInterval{25};
+// Rounds between two checks of what must stop: the items of the last check have
+// stopped by then.
+constexpr std::uint64_t kRoundsPerCheck = 2;
 // Results that finish within this delay are stored by one call, because calls
 // to the store are expensive and the items of a job end at different times. The
 // delay is a fraction of the time until the job is due. A result that waits is
@@ -220,6 +224,7 @@
   explicit Impl(BatchRunnerParts parts)
       : parts_(std::move(parts)),
         schedule_(BatchScheduleSettings()),
+        allocator_(BatchAllocatorSettings(), parts_.random),
         tick_timer_(parts_.executor),
         scan_timer_(parts_.executor),
         accepted_(
@@ -992,7 +997,7 @@
         break;
       }
       self->SendDueEndNotices();
-      if (!self->stopped_ && !self->jobs_.empty()) {
+      if (!self->stopped_) {
         self->Tick();
       }
     }
@@ -1000,32 +1005,40 @@
 
   auto Tick() -> void {
     const auto now = parts_.clock();
-    MakeRoom();
-    CheckStates(now);
-    UpdateSuspensions(now);
-    RescheduleOnNewConfiguration();
-    for (const auto& ref : schedule_.TakeGivenUp(now)) {
-      AddResult(ref, false);
+    const auto check = rounds_++ % kRoundsPerCheck == 0;
+    if (check && !jobs_.empty()) {
+      CheckJobs(now);
     }
     auto unstored = std::size_t{0};
     for (const auto& [id, job] : jobs_) {
       unstored += BytesOf(job->unstored);
     }
-    for (const auto& service : schedule_.services()) {
-      const auto capacity = parts_.load_balancer.BatchCapacity(service);
-      if (capacity < 0) {
-        const auto share =
-            YieldShare(service, static_cast<std::uint64_t>(-capacity));
-        YieldItems(service, share,
+    for (const auto& service : allocator_.services()) {
+      const auto load =
+          BatchLoadOf(parts_.load_balancer, service, parts_.cell_size());
+      allocator_.OnLoad(service, load, now);
+      if (check) {
+        YieldItems(service, allocator_.Yields(service, load, now),
                    "online requests leave fewer slots for batch work",
                    std::nullopt);
       }
       if (unstored < parts_.memory_bytes / kUnstoredMemoryDivisor) {
-        StartItems(service, capacity, now);
+        StartItems(service, load, now);
       }
     }
   }
 
+  auto CheckJobs(MonotonicTime now) -> void {
+    MakeRoom();
+    CheckStates(now);
+    UpdateSuspensions(now);
+    RescheduleOnNewConfiguration();
+    for (const auto& ref : schedule_.TakeGivenUp(now)) {
+      AddResult(ref, false);
+    }
+    allocator_.Watch(schedule_.services());
+  }
+
   auto CheckStates(MonotonicTime now) -> void {
     const auto failures = parts_.store_failures();
     if (std::exchange(store_failures_, failures) != failures) {
@@ -1061,36 +1074,14 @@
     }
   }
 
-  // Returns how many of the `excess` items that must yield in the whole fleet
-  // are this node's share.
-  auto YieldShare(const ServiceName& service, std::uint64_t excess)
-      -> std::size_t {
-    const auto batch = parts_.load_balancer.YieldableBatch(service);
-    const auto all = std::max(1U, batch.fleet);
-    const auto own = excess * batch.own;
-    return own / all + Fraction(own % all, all);
-  }
-
-  // Returns 1 with probability numerator / denominator, otherwise 0.
-  auto Fraction(std::uint64_t numerator, std::uint64_t denominator)
-      -> std::size_t {
-    return parts_.random() % denominator < numerator ? 1 : 0;
-  }
-
-  // All owners see the same free capacity, so each takes its share. The share
-  // is halved because the counts of the owners reach each other with a delay.
   auto StartItems(const ServiceName& service,
-                  std::int64_t capacity,
+                  const BatchLoad& load,
                   MonotonicTime now) -> void {
-    const auto nodes = 2 * std::max<std::size_t>(1, parts_.cell_size());
-    const auto part_of = [&](std::uint64_t all) {
-      return all / nodes + Fraction(all % nodes, nodes);
-    };
-    const auto part = part_of(
-        static_cast<std::uint64_t>(std::max<std::int64_t>(0, capacity)));
-    const auto urgent =
-        part_of(parts_.load_balancer.UrgentBatchCapacity(service));
-    for (const auto& ref : schedule_.TakeStarts(service, part, urgent, now)) {
+    const auto demand =
+        BatchDemand{schedule_.waiting(service, now), schedule_.running(service),
+                    schedule_.run_time()};
+    const auto limits = allocator_.Starts(service, load, demand, now);
+    for (const auto& ref : schedule_.TakeStarts(service, limits, now)) {
       asio::co_spawn(parts_.executor, RunItem(shared_from_this(), ref),
                      asio::detached);
     }
@@ -1125,9 +1116,15 @@
                   std::size_t count,
                   const std::string& reason,
                   const std::optional<std::string>& version) -> std::size_t {
+    const auto configuration = parts_.configuration();
     const auto yields = schedule_.TakeYields(
         service, count, parts_.clock(),
-        [&](const ItemRef& ref) { return MayYield(ref, version); });
+        [&](const ItemRef& ref) { return MayYield(ref, version); },
+        [&](const ItemRef& ref) {
+          return parts_.load_balancer.IsFull(RunningItem(ref)->replica);
+        },
+        configuration == nullptr ? Duration::zero()
+                                 : OnlineWait(*configuration, service));
     for (const auto& ref : yields) {
       const auto job = jobs_.find(ref.job);
       if (job == jobs_.end()) {
@@ -2480,6 +2477,8 @@
   BatchRunnerParts parts_;
   Logger logger_{"batch"};
   BatchSchedule schedule_;
+  BatchAllocator allocator_;
+  std::uint64_t rounds_ = 0;
   StateCheckSchedule checks_{StateCheckSettings()};
   JobMemory memory_{parts_.memory_bytes};
   EndNotices notices_{
--- a/src/serving/load_balancer.cc
+++ b/src/serving/load_balancer.cc
@@ -765,6 +765,12 @@
   return room;
 }
 
+auto LoadBalancer::IsFull(const ReplicaId& replica) const -> bool {
+  const auto found = states_.find(replica);
+  return found != states_.end() &&
+         Estimate(found->second) >= found->second.replica.capacity;
+}
+
 auto LoadBalancer::UrgentBatchCapacity(const ServiceName& service) const
     -> std::uint32_t {
   const auto most =
