Look for jobs without an owner while the members change

Each change of the members postponed the scan that takes jobs over by 0.4 s, so that the jobs waited until a starting fleet was complete, and an owner that was unknown was waited for during 2 s in any case. OrphanDetector takes over these rules from BatchRunner: a requested scan is not postponed, scans are at least 1 s apart while the members change, and an unknown owner is waited for during 1 s once other members, which know every owner that runs, are known. job_adopted tells how long the owner was absent.

--- a/include/kumquatgauge/serving/batch_schedule.h
+++ b/include/kumquatgauge/serving/batch_schedule.h
@@ -146,6 +146,8 @@
   auto run_time() const -> Duration { return ExpectedTime(Item()); }
   auto services() const -> std::vector<ServiceName>;
   auto unfinished(const JobId& job) const -> std::size_t;
+  // Returns how often an item had to stop that had stopped before.
+  auto repeated_yields() const -> std::uint64_t { return repeated_yields_; }
   // Returns the unfinished items that have failed.
   auto failures(const JobId& job) const -> Failures;
 
@@ -195,6 +197,7 @@
   double seconds_per_event_ = 0;
   // Time from the first start of an item to its end, relative to its runs.
   double stretch_ = 0;
+  std::uint64_t repeated_yields_ = 0;
 };
 
 }  // namespace kumquatgauge::serving
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -23,6 +23,7 @@
 #include "kumquatgauge/serving/forwarder.h"
 #include "kumquatgauge/serving/job_memory.h"
 #include "kumquatgauge/serving/job_state_check.h"
+#include "kumquatgauge/serving/orphan_detector.h"
 #include "kumquatgauge/serving/state_change.h"
 #include "serving/owned_job.h"
 
@@ -80,9 +81,8 @@
 // for the answer of another node.
 constexpr milliseconds kMaxReadWait{1'000};
 constexpr milliseconds kPeerTimeout{800};
-// Delays before a scan: membership changes that belong to one event are handled
-// by one scan, and a node that starts first needs to learn the members.
-constexpr milliseconds kScanDelay{400};
+// Delay before the first scan: a node that starts first needs to learn the
+// members.
 constexpr milliseconds kFirstScanDelay{1'500};
 // Delay after a scan that the store did not answer.
 constexpr milliseconds kScanRetryDelay{1'000};
@@ -91,9 +91,6 @@
 // be lost.
 constexpr milliseconds kHandoverAnswerTime{250};
 constexpr milliseconds kHandoverPoll{10};
-// Time that the members of a fleet that starts all at once need to find each
-// other.
-constexpr milliseconds kUnknownOwnerWait{2'000};
 // The periodic scan makes up for lost announcements of takeovers. It may show
 // states that are seconds old, at a fraction of the store's price: every node
 // scans, and a takeover is a conditional write.
@@ -243,6 +240,16 @@
     parts_.metrics.AddGauge("kqg_job_memory_bytes", [this] {
       return static_cast<double>(memory_.used_bytes());
     });
+    parts_.metrics.AddGauge("kqg_regular_loads", [this] {
+      return static_cast<double>(
+          allocator_.forecast().regular_services(parts_.clock()));
+    });
+    parts_.metrics.AddGauge("kqg_load_steps", [this] {
+      return static_cast<double>(allocator_.forecast().steps());
+    });
+    parts_.metrics.AddGauge("kqg_item_repeated_yields", [this] {
+      return static_cast<double>(schedule_.repeated_yields());
+    });
   }
 
   auto Start() -> void {
@@ -490,7 +497,8 @@
 
   auto OnMembersChanged() -> void {
     if (ScansForOthers()) {
-      ScheduleScan(kScanDelay, true);
+      orphans_.OnMembersChanged(parts_.clock());
+      ArmScan();
     }
   }
 
@@ -2217,8 +2225,12 @@
 
   // An exact scan shows the newest states.
   auto ScheduleScan(milliseconds delay, bool exact) -> void {
-    scan_exactly_ = scan_exactly_ || exact;
-    scan_timer_.expires_after(delay);
+    orphans_.RequestScan(parts_.clock() + delay, exact);
+    ArmScan();
+  }
+
+  auto ArmScan() -> void {
+    scan_timer_.expires_at(*orphans_.next_scan());
     scan_timer_.async_wait(
         [weak = weak_from_this()](const boost::system::error_code& error) {
           const auto self = weak.lock();
@@ -2233,7 +2245,7 @@
   // that all nodes agree on; a conditional write resolves disagreements.
   static auto Scan(std::shared_ptr<Impl> self) -> awaitable<void> {
     const auto asked_at = self->parts_.clock();
-    const auto exact = std::exchange(self->scan_exactly_, false);
+    const auto exact = self->orphans_.BeginScan(asked_at);
     auto states = std::vector<StoredState>();
     auto failure = std::string();
     try {
@@ -2267,14 +2279,14 @@
         co_await self->AdoptOrTell(stored);
       }
     }
-    self->PruneAbsentOwners(states);
+    self->orphans_.Prune(states);
     self->MakeRoom();
     const auto jitter =
         milliseconds(static_cast<std::int64_t>(self->parts_.random() % 2'000));
-    if (self->absent_since_.empty() || !self->ScansForOthers()) {
-      self->ScheduleScan(self->ScanInterval() + jitter, false);
-    } else {
-      self->ScheduleScan(kUnknownOwnerWait, true);
+    self->ScheduleScan(self->ScanInterval() + jitter, false);
+    if (self->orphans_.awaits_owners() && self->ScansForOthers()) {
+      self->orphans_.RequestNextCheck(self->IsAlone(), self->parts_.clock());
+      self->ArmScan();
     }
   }
 
@@ -2325,48 +2337,29 @@
     return age > parts_.retention;
   }
 
-  auto OwnerLives(const JobState& state) const -> bool {
+  auto IsAlone() const -> bool { return parts_.live().size() <= 1; }
+
+  auto PresenceOf(const JobState& state) const -> OwnerPresence {
     const auto member = FindMember(state.owner);
-    return member && member->incarnation == state.incarnation &&
-           !member->leaving;
+    if (member && member->incarnation == state.incarnation) {
+      return member->leaving ? OwnerPresence::kLeaving : OwnerPresence::kLive;
+    }
+    return member || parts_.is_dead_or_left(state.owner)
+               ? OwnerPresence::kGone
+               : OwnerPresence::kUnknown;
   }
 
   // Returns whether a job is to be taken over. The owner must be known to have
-  // ended or restarted, or have told, as `from`, that it hands the job over. An
-  // owner that is merely unknown, as all are to a node that has just started,
-  // must stay unknown for kUnknownOwnerWait; one that leaves has kHandoverTime.
+  // ended or restarted, or have told, as `from`, that it hands the job over, or
+  // have been absent for some time.
   auto IsOrphan(const JobState& state,
                 const std::optional<NodeId>& from = std::nullopt) -> bool {
     if (state.done || state.ended || jobs_.contains(state.id)) {
       return false;
     }
-    if (IsOwn(state) || from == state.owner) {
-      return true;
-    }
-    if (OwnerLives(state)) {
-      absent_since_.erase(state.id);
-      return false;
-    }
-    const auto now = parts_.clock();
-    const auto since = absent_since_.try_emplace(state.id, now).first->second;
-    const auto member = FindMember(state.owner);
-    const auto leaves =
-        member && member->incarnation == state.incarnation && member->leaving;
-    if (leaves) {
-      return now - since >= kHandoverTime;
-    }
-    return parts_.is_dead_or_left(state.owner) || member ||
-           now - since >= kUnknownOwnerWait;
-  }
-
-  auto PruneAbsentOwners(const std::vector<StoredState>& states) -> void {
-    std::erase_if(absent_since_, [&](const auto& entry) {
-      return std::none_of(states.begin(), states.end(),
-                          [&](const auto& stored) {
-                            return stored.state.id == entry.first &&
-                                   !stored.state.done && !stored.state.ended;
-                          });
-    });
+    return IsOwn(state) || from == state.owner ||
+           orphans_.IsOrphan(state.id, PresenceOf(state), IsAlone(),
+                             parts_.clock());
   }
 
   auto ChosenFor(const JobId& id) const -> NodeId {
@@ -2462,11 +2455,14 @@
       }
       co_return;
     }
+    const auto absent = std::chrono::duration_cast<milliseconds>(
+        orphans_.AbsentFor(id, checked_at));
     adopted_.Add();
     logger_.Info("a job was taken over",
                  {{"event", "job_adopted"},
                   {"job", id.value()},
                   {"from", stored.state.owner.value()},
+                  {"absent_ms", std::to_string(absent.count())},
                   {"listed", std::to_string(results.results.size())},
                   {"closings", std::to_string(results.closings)},
                   {"items", std::to_string(items.size())}});
@@ -2491,12 +2487,10 @@
   std::set<JobId> taking_over_;
   std::multiset<JobId> submitting_;  // Once for each submission under way.
   std::map<JobId, NodeId> announced_;
-  // When the owner of an unfinished job was first found absent.
-  std::map<JobId, MonotonicTime> absent_since_;
+  OrphanDetector orphans_{OrphanSettings()};
   // When a node last told of an orphan.
   std::map<JobId, MonotonicTime> orphans_told_;
   ResultCache cache_{parts_.memory_bytes / kCacheMemoryDivisor};
-  bool scan_exactly_ = true;
   std::uint64_t scheduled_version_ = 0;
   std::uint64_t store_failures_ = 0;
   std::uint64_t notices_dropped_ = 0;
--- a/src/serving/batch_schedule.cc
+++ b/src/serving/batch_schedule.cc
@@ -206,6 +206,7 @@
     }
     auto& item = *FindItem(candidate.ref);
     item.yielding = true;
+    repeated_yields_ += item.interruptions > 0 ? 1 : 0;
     ++item.interruptions;
     yields.push_back(candidate.ref);
   }
