--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -15,12 +15,14 @@
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/node/peer_server.h"
 #include "kumquatgauge/routing/rendezvous.h"
+#include "kumquatgauge/serving/batch_allocator.h"
 #include "kumquatgauge/serving/batch_schedule.h"
 #include "kumquatgauge/serving/end_notices.h"
 #include "kumquatgauge/serving/event_splitter.h"
 #include "kumquatgauge/serving/forwarder.h"
 #include "kumquatgauge/serving/job_memory.h"
 #include "kumquatgauge/serving/job_state_check.h"
+#include "kumquatgauge/serving/orphan_detector.h"
 #include "kumquatgauge/serving/result_write_policy.h"
 #include "kumquatgauge/serving/state_change.h"
 #include "serving/owned_job.h"
@@ -54,9 +56,12 @@
 constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
 
-// How often the capacity for batch work is checked; about the interval at which
-// nodes send each other their counts.
-constexpr milliseconds kTickInterval{50};
+// How often items may start. Nodes send each other their counts every 15 ms, so
+// that the starts of one round are usually known in the next.
+constexpr milliseconds kTickInterval{25};
+// Rounds between two checks of what must stop: the items of the last check have
+// stopped by then.
+constexpr std::uint64_t kRoundsPerCheck = 2;
 // How often the time at which waiting results are stored is decided again.
 constexpr milliseconds kStoreCheckInterval{100};
 // Delay after a failed call to the store, which answers within milliseconds
@@ -74,9 +79,8 @@
 // for the answer of another node.
 constexpr milliseconds kMaxReadWait{1'000};
 constexpr milliseconds kPeerTimeout{800};
-// Delays before a scan: membership changes that belong to one event are handled
-// by one scan, and a node that starts first needs to learn the members.
-constexpr milliseconds kScanDelay{400};
+// Delay before the first scan: a node that starts first needs to learn the
+// members.
 constexpr milliseconds kFirstScanDelay{1'500};
 // Delay after a scan that the store did not answer.
 constexpr milliseconds kScanRetryDelay{1'000};
@@ -85,9 +89,6 @@
 // be lost.
 constexpr milliseconds kHandoverAnswerTime{250};
 constexpr milliseconds kHandoverPoll{10};
-// Time that the members of a fleet that starts all at once need to find each
-// other.
-constexpr milliseconds kUnknownOwnerWait{2'000};
 // The periodic scan makes up for lost announcements of takeovers. It may show
 // states that are seconds old, at a fraction of the store's price: every node
 // scans, and a takeover is a conditional write.
@@ -164,6 +165,7 @@
   explicit Impl(BatchRunnerParts parts)
       : parts_(std::move(parts)),
         schedule_(BatchScheduleSettings()),
+        allocator_(BatchAllocatorSettings(), parts_.random),
         tick_timer_(parts_.executor),
         scan_timer_(parts_.executor),
         accepted_(
@@ -182,6 +184,16 @@
     parts_.metrics.AddGauge("kqg_job_memory_bytes", [this] {
       return static_cast<double>(memory_.used_bytes());
     });
+    parts_.metrics.AddGauge("kqg_regular_loads", [this] {
+      return static_cast<double>(
+          allocator_.forecast().regular_services(parts_.clock()));
+    });
+    parts_.metrics.AddGauge("kqg_load_steps", [this] {
+      return static_cast<double>(allocator_.forecast().steps());
+    });
+    parts_.metrics.AddGauge("kqg_item_repeated_yields", [this] {
+      return static_cast<double>(schedule_.repeated_yields());
+    });
   }
 
   auto Start() -> void {
@@ -429,7 +441,8 @@
 
   auto OnMembersChanged() -> void {
     if (ScansForOthers()) {
-      ScheduleScan(kScanDelay, true);
+      orphans_.OnMembersChanged(parts_.clock());
+      ArmScan();
     }
   }
 
@@ -936,7 +949,7 @@
         break;
       }
       self->SendDueEndNotices();
-      if (!self->stopped_ && !self->jobs_.empty()) {
+      if (!self->stopped_) {
         self->Tick();
       }
     }
@@ -944,12 +957,9 @@
 
   auto Tick() -> void {
     const auto now = parts_.clock();
-    MakeRoom();
-    CheckStates(now);
-    UpdateSuspensions(now);
-    RescheduleOnNewConfiguration();
-    for (const auto& ref : schedule_.TakeGivenUp(now)) {
-      AddResult(ref, false);
+    const auto check = rounds_++ % kRoundsPerCheck == 0;
+    if (check && !jobs_.empty()) {
+      CheckJobs(now);
     }
     unstored_bytes_ = 0;
     unstored_results_ = 0;
@@ -957,21 +967,41 @@
       unstored_bytes_ += BytesOf(job->unstored);
       unstored_results_ += job->unstored.size();
     }
-    for (const auto& service : schedule_.services()) {
-      const auto capacity = parts_.load_balancer.BatchCapacity(service);
-      if (capacity < 0) {
-        const auto share =
-            YieldShare(service, static_cast<std::uint64_t>(-capacity));
-        YieldItems(service, share,
+    for (const auto& service : allocator_.services()) {
+      const auto demand =
+          BatchDemand{schedule_.waiting(service, now),
+                      schedule_.running(service), schedule_.run_time()};
+      if (check) {
+        const auto online = parts_.load_balancer.Total(service).online;
+        allocator_.OnLoad(service, online, now);
+      }
+      if (demand.waiting == 0 && (!check || demand.running == 0)) {
+        continue;
+      }
+      const auto load =
+          BatchLoadOf(parts_.load_balancer, service, parts_.cell_size());
+      if (check) {
+        YieldItems(service, allocator_.Yields(service, load, now),
                    "online requests leave fewer slots for batch work",
                    std::nullopt);
       }
       if (unstored_bytes_ < MaxUnstoredBytes()) {
-        StartItems(service, capacity, now);
+        StartItems(service, load, demand, now);
       }
     }
   }
 
+  auto CheckJobs(MonotonicTime now) -> void {
+    MakeRoom();
+    CheckStates(now);
+    UpdateSuspensions(now);
+    RescheduleOnNewConfiguration();
+    for (const auto& ref : schedule_.TakeGivenUp(now)) {
+      AddResult(ref, false);
+    }
+    allocator_.Watch(schedule_.services());
+  }
+
   auto MaxUnstoredBytes() const -> std::size_t {
     return parts_.memory_bytes / kUnstoredMemoryDivisor;
   }
@@ -1011,36 +1041,12 @@
     }
   }
 
-  // Returns how many of the `excess` items that must yield in the whole fleet
-  // are this node's share.
-  auto YieldShare(const ServiceName& service, std::uint64_t excess)
-      -> std::size_t {
-    const auto batch = parts_.load_balancer.YieldableBatch(service);
-    const auto all = std::max(1U, batch.fleet);
-    const auto own = excess * batch.own;
-    return own / all + Fraction(own % all, all);
-  }
-
-  // Returns 1 with probability numerator / denominator, otherwise 0.
-  auto Fraction(std::uint64_t numerator, std::uint64_t denominator)
-      -> std::size_t {
-    return parts_.random() % denominator < numerator ? 1 : 0;
-  }
-
-  // All owners see the same free capacity, so each takes its share. The share
-  // is halved because the counts of the owners reach each other with a delay.
   auto StartItems(const ServiceName& service,
-                  std::int64_t capacity,
+                  const BatchLoad& load,
+                  const BatchDemand& demand,
                   MonotonicTime now) -> void {
-    const auto nodes = 2 * std::max<std::size_t>(1, parts_.cell_size());
-    const auto part_of = [&](std::uint64_t all) {
-      return all / nodes + Fraction(all % nodes, nodes);
-    };
-    const auto part = part_of(
-        static_cast<std::uint64_t>(std::max<std::int64_t>(0, capacity)));
-    const auto urgent =
-        part_of(parts_.load_balancer.UrgentBatchCapacity(service));
-    for (const auto& ref : schedule_.TakeStarts(service, part, urgent, now)) {
+    const auto limits = allocator_.Starts(service, load, demand, now);
+    for (const auto& ref : schedule_.TakeStarts(service, limits, now)) {
       asio::co_spawn(parts_.executor, RunItem(shared_from_this(), ref),
                      asio::detached);
     }
@@ -1075,9 +1081,15 @@
                   std::size_t count,
                   const std::string& reason,
                   const std::optional<std::string>& version) -> std::size_t {
+    const auto configuration = parts_.configuration();
     const auto yields = schedule_.TakeYields(
         service, count, parts_.clock(),
-        [&](const ItemRef& ref) { return MayYield(ref, version); });
+        [&](const ItemRef& ref) { return MayYield(ref, version); },
+        [&](const ItemRef& ref) {
+          return parts_.load_balancer.IsFull(RunningItem(ref)->replica);
+        },
+        configuration == nullptr ? Duration::zero()
+                                 : OnlineWait(*configuration, service));
     for (const auto& ref : yields) {
       const auto job = jobs_.find(ref.job);
       if (job == jobs_.end()) {
@@ -2200,8 +2212,12 @@
 
   // An exact scan shows the newest states.
   auto ScheduleScan(milliseconds delay, bool exact) -> void {
-    scan_exactly_ = scan_exactly_ || exact;
-    scan_timer_.expires_after(delay);
+    orphans_.RequestScan(parts_.clock() + delay, exact);
+    ArmScan();
+  }
+
+  auto ArmScan() -> void {
+    scan_timer_.expires_at(*orphans_.next_scan());
     scan_timer_.async_wait(
         [weak = weak_from_this()](const boost::system::error_code& error) {
           const auto self = weak.lock();
@@ -2219,7 +2235,7 @@
     // In a large fleet the nodes that watch the store look for the jobs of lost
     // owners, also when all nodes start at once.
     const auto first = !std::exchange(self->scanned_, true);
-    const auto exact = std::exchange(self->scan_exactly_, false) &&
+    const auto exact = self->orphans_.BeginScan(asked_at) &&
                        (!first || self->ScansForOthers());
     auto states = std::vector<StoredState>();
     auto failure = std::string();
@@ -2254,14 +2270,14 @@
         co_await self->AdoptOrTell(stored);
       }
     }
-    self->PruneAbsentOwners(states);
+    self->orphans_.Prune(states);
     self->MakeRoom();
     const auto jitter =
         milliseconds(static_cast<std::int64_t>(self->parts_.random() % 2'000));
-    if (self->absent_since_.empty() || !self->ScansForOthers()) {
-      self->ScheduleScan(self->ScanInterval() + jitter, false);
-    } else {
-      self->ScheduleScan(kUnknownOwnerWait, true);
+    self->ScheduleScan(self->ScanInterval() + jitter, false);
+    if (self->orphans_.awaits_owners() && self->ScansForOthers()) {
+      self->orphans_.RequestNextCheck(self->IsAlone(), self->parts_.clock());
+      self->ArmScan();
     }
   }
 
@@ -2312,48 +2328,29 @@
     return age > parts_.retention;
   }
 
-  auto OwnerLives(const JobState& state) const -> bool {
+  auto IsAlone() const -> bool { return parts_.live().size() <= 1; }
+
+  auto PresenceOf(const JobState& state) const -> OwnerPresence {
     const auto member = FindMember(state.owner);
-    return member && member->incarnation == state.incarnation &&
-           !member->leaving;
+    if (member && member->incarnation == state.incarnation) {
+      return member->leaving ? OwnerPresence::kLeaving : OwnerPresence::kLive;
+    }
+    return member || parts_.is_dead_or_left(state.owner)
+               ? OwnerPresence::kGone
+               : OwnerPresence::kUnknown;
   }
 
   // Returns whether a job is to be taken over. The owner must be known to have
-  // ended or restarted, or have told, as `from`, that it hands the job over. An
-  // owner that is merely unknown, as all are to a node that has just started,
-  // must stay unknown for kUnknownOwnerWait; one that leaves has kHandoverTime.
+  // ended or restarted, or have told, as `from`, that it hands the job over, or
+  // have been absent for some time.
   auto IsOrphan(const JobState& state,
                 const std::optional<NodeId>& from = std::nullopt) -> bool {
     if (state.done || state.ended || jobs_.contains(state.id)) {
       return false;
     }
-    if (IsOwn(state) || from == state.owner) {
-      return true;
-    }
-    if (OwnerLives(state)) {
-      absent_since_.erase(state.id);
-      return false;
-    }
-    const auto now = parts_.clock();
-    const auto since = absent_since_.try_emplace(state.id, now).first->second;
-    const auto member = FindMember(state.owner);
-    const auto leaves =
-        member && member->incarnation == state.incarnation && member->leaving;
-    if (leaves) {
-      return now - since >= kHandoverTime;
-    }
-    return parts_.is_dead_or_left(state.owner) || member ||
-           now - since >= kUnknownOwnerWait;
-  }
-
-  auto PruneAbsentOwners(const std::vector<StoredState>& states) -> void {
-    std::erase_if(absent_since_, [&](const auto& entry) {
-      return std::none_of(states.begin(), states.end(),
-                          [&](const auto& stored) {
-                            return stored.state.id == entry.first &&
-                                   !stored.state.done && !stored.state.ended;
-                          });
-    });
+    return IsOwn(state) || from == state.owner ||
+           orphans_.IsOrphan(state.id, PresenceOf(state), IsAlone(),
+                             parts_.clock());
   }
 
   auto ChosenFor(const JobId& id) const -> NodeId {
@@ -2449,11 +2446,14 @@
       }
       co_return;
     }
+    const auto absent = std::chrono::duration_cast<milliseconds>(
+        orphans_.AbsentFor(id, checked_at));
     adopted_.Add();
     logger_.Info("a job was taken over",
                  {{"event", "job_adopted"},
                   {"job", id.value()},
                   {"from", stored.state.owner.value()},
+                  {"absent_ms", std::to_string(absent.count())},
                   {"listed", std::to_string(results.results.size())},
                   {"closings", std::to_string(results.closings)},
                   {"items", std::to_string(items.size())}});
@@ -2467,6 +2467,8 @@
   ResultWritePolicy write_policy_{ResultWriteSettings()};
   std::size_t unstored_bytes_ = 0;    // Of all jobs, at the last tick.
   std::size_t unstored_results_ = 0;  // The same.
+  BatchAllocator allocator_;
+  std::uint64_t rounds_ = 0;
   StateCheckSchedule checks_{StateCheckSettings()};
   JobMemory memory_{parts_.memory_bytes};
   EndNotices notices_{
@@ -2479,12 +2481,10 @@
   std::set<JobId> taking_over_;
   std::multiset<JobId> submitting_;  // Once for each submission under way.
   std::map<JobId, NodeId> announced_;
-  // When the owner of an unfinished job was first found absent.
-  std::map<JobId, MonotonicTime> absent_since_;
+  OrphanDetector orphans_{OrphanSettings()};
   // When a node last told of an orphan.
   std::map<JobId, MonotonicTime> orphans_told_;
   ResultCache cache_{parts_.memory_bytes / kCacheMemoryDivisor};
-  bool scan_exactly_ = true;
   bool scanned_ = false;  // Since the start.
   std::uint64_t scheduled_version_ = 0;
   std::uint64_t store_failures_ = 0;
