Compute the tags of fair queueing in one class

The gateway needs the same tags for its waiting requests as the queue of a node, but with an order and a virtual time of its own. FairShare holds the tags of the organisations; FairQueue uses it. An organisation whose last tag is not ahead of the virtual time is forgotten regardless of its waiting entries, since its next tag is the same without it.

--- a/include/kumquatgauge/routing/fair_queue.h
+++ b/include/kumquatgauge/routing/fair_queue.h
@@ -11,6 +11,7 @@
 
 #include "kumquatgauge/base/ids.h"
 #include "kumquatgauge/base/time.h"
+#include "kumquatgauge/routing/fair_share.h"
 
 namespace kumquatgauge::routing {
 
@@ -45,17 +46,11 @@
  private:
   // Virtual finish time and arrival number.
   using Key = std::pair<double, std::uint64_t>;
-  struct Organisation {
-    double finish = 0.0;
-    std::size_t waiting = 0;
-  };
-
   auto Erase(std::map<Key, Entry>::iterator it) -> void;
 
   std::map<Key, Entry> entries_;
   std::unordered_map<RequestId, Key> keys_;
-  std::unordered_map<OrganisationName, Organisation> organisations_;
-  double virtual_time_ = 0.0;
+  FairShare share_;
   std::uint64_t next_arrival_ = 0;
 };
 
--- a/src/routing/fair_queue.cc
+++ b/src/routing/fair_queue.cc
@@ -1,16 +1,12 @@
 #include "kumquatgauge/routing/fair_queue.h"
 
-#include <algorithm>
 #include <iterator>
 
 namespace kumquatgauge::routing {
 
 auto FairQueue::Push(Entry entry, double cost, double weight) -> void {
-  auto& organisation = organisations_[entry.organisation];
-  organisation.finish =
-      std::max(organisation.finish, virtual_time_) + cost / weight;
-  ++organisation.waiting;
-  Key key = {organisation.finish, next_arrival_++};
+  const auto finish = share_.Charge(entry.organisation, cost / weight);
+  Key key = {finish, next_arrival_++};
   keys_.emplace(entry.id, key);
   entries_.emplace(key, std::move(entry));
 }
@@ -21,7 +17,7 @@
   }
   auto it = entries_.begin();
   auto entry = it->second;
-  virtual_time_ = std::max(virtual_time_, it->first.first);
+  share_.AdvanceTo(it->first.first);
   Erase(it);
   return entry;
 }
@@ -62,13 +58,7 @@
 }
 
 auto FairQueue::Erase(std::map<Key, Entry>::iterator it) -> void {
-  auto organisation = organisations_.find(it->second.organisation);
-  // An organisation without entries whose finish time has passed needs no
-  // state; keeping it would let the map grow with every organisation ever seen.
-  if (--organisation->second.waiting == 0 &&
-      organisation->second.finish <= virtual_time_) {
-    organisations_.erase(organisation);
-  }
+  share_.Forget(it->second.organisation);
   keys_.erase(it->second.id);
   entries_.erase(it);
 }
