Decide on arrival whether a request can get a slot in time

A request that found every replica full waited for up to 0.2 of its latency target whatever was ahead of it, and a refused caller got a random time to return, at which its last attempt was refused like any first one.

AdmissionQueue takes over the queue, the count of waiting services and the RetryAfterEstimator of the forwarder. It orders requests by priority, rank, the lead of their organisation in tokens of work, returning callers first, and latest start; refuses at once what the requests ahead and this gateway's share of the slots leave no place for; sends refused callers back to successive slots; and keeps these slots for them. UsualTimeLimit recognises returning callers, WorkShares learns the usual load of an organisation. AdmissionGate holds the timers and metrics, and wakes a request whose caller disconnects.

RetryAfterEstimator returns the time in which a caller should return instead of a random one in it; its tests check the ends of this time. The check that callers are spread over two holding times is replaced by one that they return one slot after the other (AdmissionQueue.SendsCallersBackOneAfterTheOther).

--- a/include/kumquatgauge/serving/start_limiter.h
+++ b/include/kumquatgauge/serving/start_limiter.h
@@ -94,6 +94,8 @@
   // Sets the nodes that exchange reports, in the same order at each of them,
   // with the position of this node.
   auto SetNodes(std::vector<NodeId> nodes, std::size_t self) -> void;
+  // Returns the number of nodes of the cell, this one included.
+  auto nodes() const -> std::size_t { return nodes_.size(); }
   // Sets the part of a replica's limit that is for the nodes which exchange
   // reports with this one.
   auto SetShare(const ReplicaId& replica, double share) -> void;
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -2,9 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <cstdio>
 #include <map>
 #include <set>
@@ -12,11 +9,10 @@
 
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
+#include "kumquatgauge/serving/admission_gate.h"
 #include "kumquatgauge/serving/attempt_policy.h"
 #include "kumquatgauge/serving/event_splitter.h"
 #include "kumquatgauge/serving/request_fingerprint.h"
-#include "kumquatgauge/serving/retry_after_estimator.h"
-#include "kumquatgauge/serving/wait_queue.h"
 
 namespace kumquatgauge::serving {
 namespace {
@@ -28,16 +24,11 @@
 using std::chrono::milliseconds;
 using upstream::CallEnd;
 
-constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr int kOk = 200;
 constexpr int kMultipleChoices = 300;
 constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
-// Fraction of the latency target that a request waits for capacity before it is
-// refused. A caller that is refused early has time to retry and still be served
-// on time.
-constexpr double kWaitShare = 0.2;
 // Minimum time until a request that waits for a replica below its limit looks
 // again.
 constexpr milliseconds kMinStartWait{5};
@@ -84,6 +75,7 @@
   MonotonicTime deadline;
 
   AttemptHistory history;
+  AdmissionGate::Visit visit;
   std::vector<ReplicaId> tried;
   Choice choice;                           // Of the last attempt.
   RequestQuarantine::Admission admission;  // Of the last attempt.
@@ -171,6 +163,9 @@
       co_await EndTooLate(exchange);
       co_return;
     }
+    exchange->visit =
+        gate_.Arrive(exchange->request, *exchange->route, exchange->service,
+                     exchange->incoming->arrived, exchange->deadline);
     exchanges_.insert(exchange);
     const auto under_way = std::shared_ptr<void>(
         nullptr, [self, exchange](void*) { self->exchanges_.erase(exchange); });
@@ -205,17 +200,7 @@
     }
   }
 
-  auto OnCapacityFreed() -> void {
-    for (const auto& [service, count] : waiting_services_) {
-      const auto first = wait_queue_.Front(service);
-      if (first) {
-        const auto waiter = waiters_.find(*first);
-        if (waiter != waiters_.end()) {
-          waiter->second->cancel();
-        }
-      }
-    }
-  }
+  auto OnCapacityFreed() -> void { gate_.OnCapacityFreed(); }
 
  private:
   struct Stop {
@@ -369,23 +354,20 @@
   auto ChooseReplica(ExchangePtr exchange) -> awaitable<void> {
     const auto request = MakeChoiceRequest(*exchange);
     const auto began = parts_.clock();
-    auto max_wait = std::chrono::duration_cast<Duration>(
-        exchange->route->latency_target * kWaitShare);
-    const auto arrival_limit = exchange->incoming->arrived + max_wait;
-    const auto urgency = Urgency{exchange->request.priority,
-                                 exchange->route->rank, arrival_limit};
-    auto ticket = std::optional<WaitQueue::Ticket>();
+    auto& visit = exchange->visit;
+    visit.request.service = exchange->service;
+    auto has_room = false;
     while (true) {
-      const auto must_queue =
-          !ticket && wait_queue_.MustWait(exchange->service, urgency);
+      const auto must_queue = gate_.MustWait(visit);
       exchange->choice = parts_.load_balancer.Choose(request);
       YieldForOnline(*exchange, request);
       const auto& next_start = exchange->choice.next_start;
       const auto start_by =
           next_start && request.even_if_full
               ? std::min(exchange->deadline, began + kMaxContinuationWait)
-              : arrival_limit;
-      const auto placed = HasRoom(exchange->choice) && !must_queue;
+              : visit.request.start_by;
+      has_room = HasRoom(exchange->choice);
+      const auto placed = has_room && !must_queue;
       const auto no_replica =
           exchange->choice.availability == Availability::kNoReplica;
       if (placed || no_replica || exchange->writer->disconnected() ||
@@ -393,34 +375,27 @@
           parts_.clock() + next_start.value_or(Duration::zero()) > start_by) {
         break;
       }
-      if (!ticket) {
-        ticket = wait_queue_.Enqueue(exchange->service, urgency);
-        ++waiting_services_[exchange->service];
-      }
       auto until = start_by;
       if (next_start) {
         until = std::min(until, parts_.clock() + kMinStartWait + *next_start);
       }
-      co_await WaitForRoom(*ticket, until);
-    }
-    if (ticket) {
-      wait_queue_.Remove(exchange->service, *ticket);
-      if (--waiting_services_[exchange->service] == 0) {
-        waiting_services_.erase(exchange->service);
+      visit.request.must_wait = next_start || request.even_if_full;
+      if (!co_await gate_.Wait(visit, until, exchange->writer)) {
+        has_room = false;
+        break;
       }
     }
     exchange->waited += parts_.clock() - began;
     wait_ms_.Record(
         static_cast<double>(ToMilliseconds(parts_.clock() - began).count()));
-    if (!HasRoom(exchange->choice)) {
+    if (!has_room) {
       exchange->choice.replica.reset();
-      if (!exchange->choice.next_start) {
-        retry_after_estimator_.OnFull(exchange->service, parts_.clock());
-      }
-    }
-    if (ticket) {
-      OnCapacityFreed();
     }
+    const auto& choice = exchange->choice;
+    gate_.End(visit, has_room,
+              !has_room && !choice.next_start &&
+                  choice.availability != Availability::kNoReplica,
+              exchange->writer->disconnected());
   }
 
   // Stops a batch item and chooses again if the request found no free slot
@@ -441,14 +416,6 @@
     }
   }
 
-  auto WaitForRoom(WaitQueue::Ticket ticket, MonotonicTime until)
-      -> awaitable<void> {
-    auto timer = std::make_shared<asio::steady_timer>(parts_.executor, until);
-    waiters_[ticket] = timer;
-    co_await timer->async_wait(kAwaitTuple);
-    waiters_.erase(ticket);
-  }
-
   auto Attempt(ExchangePtr exchange) -> awaitable<AttemptEnd> {
     const auto& chosen = exchange->choice.replica;
     if (!chosen) {
@@ -916,16 +883,7 @@
     if (exchange.choice.availability == Availability::kNoReplica) {
       return kNoReplicaRetry;
     }
-    constexpr std::uint64_t kSteps = 1'000;
-    const auto draw = static_cast<double>(parts_.random() % kSteps) / kSteps;
-    const auto now = parts_.clock();
-    if (const auto& next_start = exchange.choice.next_start) {
-      return ToMilliseconds(retry_after_estimator_.RetryAfterStart(
-          *next_start, exchange.deadline - now, draw));
-    }
-    return ToMilliseconds(retry_after_estimator_.RetryAfter(
-        exchange.service, now, parts_.load_balancer.mean_hold(exchange.service),
-        exchange.deadline - now, draw));
+    return gate_.RetryAfter(exchange.visit, exchange.choice.next_start);
   }
 
   // Whether a request ended with a refusal, an error or a cut answer, which has
@@ -965,6 +923,9 @@
          {"candidates", std::to_string(choice.candidates)},
          {"at_limit", std::to_string(choice.at_limit)},
          {"waited_ms", Text(exchange.waited)},
+         {"admission",
+          std::string(AdmissionOutcomeName(exchange.visit.outcome))},
+         {"returning", exchange.visit.request.returning ? "true" : "false"},
          {"first_ms", Text(exchange.first_event)},
          {"total_ms", Text(total)},
          {"time_left_ms", Text(exchange.deadline - parts_.clock())}});
@@ -972,10 +933,11 @@
 
   ForwarderParts parts_;
   Logger logger_{"forward"};
-  WaitQueue wait_queue_;
-  RetryAfterEstimator retry_after_estimator_{RetryAfterEstimatorSettings()};
-  std::map<WaitQueue::Ticket, std::shared_ptr<asio::steady_timer>> waiters_;
-  std::map<ServiceName, std::uint32_t> waiting_services_;
+  AdmissionGate gate_{{.executor = parts_.executor,
+                       .load_balancer = parts_.load_balancer,
+                       .metrics = parts_.metrics,
+                       .clock = parts_.clock,
+                       .random = parts_.random}};
   std::size_t buffered_bytes_ = 0;   // Of all answers that are being read.
   std::set<ExchangePtr> exchanges_;  // Under way.
   std::optional<Stop> stop_;         // Once a planned stop has begun.
--- a/src/serving/retry_after_estimator.cc
+++ b/src/serving/retry_after_estimator.cc
@@ -25,22 +25,25 @@
   period.last = now;
 }
 
-auto RetryAfterEstimator::RetryAfter(const ServiceName& service,
-                                     MonotonicTime now,
-                                     Duration hold,
-                                     Duration time_left,
-                                     double draw) const -> Duration {
+auto RetryAfterEstimator::ReturnWindow(const ServiceName& service,
+                                       MonotonicTime now,
+                                       Duration hold,
+                                       Duration time_left) const -> Window {
   auto free_in = hold / 2;
   const auto period = periods_.find(service);
   if (period != periods_.end()) {
     const auto length = period->second.mean_length.value_or(Duration::zero());
     free_in = std::max(free_in, period->second.first + length - now);
   }
-  const auto max_wait = Scale(time_left, settings_.max_share_of_time_left);
-  const auto latest =
-      std::min(max_wait, free_in + Scale(hold, settings_.spread_holds));
-  const auto earliest = std::min(free_in, std::max(latest - hold, hold / 2));
-  return std::min(max_wait, earliest + Scale(latest - earliest, draw));
+  const auto latest = std::max(
+      Duration::zero(), Scale(time_left, settings_.max_share_of_time_left));
+  // Callers that cannot wait for the end of the step return as late as they
+  // can, spread over a holding time, in which every slot becomes free once.
+  const auto earliest =
+      free_in <= latest
+          ? free_in
+          : std::min(latest, std::max<Duration>(latest - hold, hold / 2));
+  return {.earliest = earliest, .latest = latest};
 }
 
 auto RetryAfterEstimator::RetryAfterStart(Duration next_start,
