--- a/src/serving/admission_load_test.cc
+++ b/src/serving/admission_load_test.cc
@@ -276,18 +276,18 @@
 };
 
 auto RunFormer(unsigned seed) -> Shares {
-  return Model<FormerAdmission>(seed,
-                                [](Clock clock, RandomSource random) {
-                                  return std::make_unique<FormerAdmission>(
-                                      clock, random);
-                                })
+  return Model<FormerAdmission>(
+             seed,
+             [](const Clock& clock, const RandomSource& random) {
+               return std::make_unique<FormerAdmission>(clock, random);
+             })
       .Run();
 }
 
 auto RunQueue(unsigned seed) -> Shares {
   return Model<AdmissionQueue>(
              seed,
-             [](Clock clock, RandomSource random) {
+             [](const Clock& clock, const RandomSource& random) {
                return std::make_unique<AdmissionQueue>(
                    AdmissionQueueSettings(), clock, random,
                    [](const ServiceName&) {
