Limit the slots kept for refused callers in a flood

Every refusal kept a slot, and the search for the next one looked at all of them, so a flood of refused requests cost time in proportion to its square. At most twice the slots expected until the caller returns are kept now.

--- a/include/kumquatgauge/serving/admission_queue.h
+++ b/include/kumquatgauge/serving/admission_queue.h
@@ -33,6 +33,10 @@
   // Typical requests by which an organisation is at most ahead of its share, so
   // that one that sent a burst is served as before soon after it.
   double max_lead = 4.0;
+  // Callers for which places are kept, as a multiple of the slots that are
+  // expected until the last of them returns. More than 1, as some do not come
+  // back; limited, so that a flood of requests does not take up the processor.
+  double max_promises = 2.0;
   // How long capacity is kept for a caller after the time when it should have
   // returned; covers its timer and the network.
   Duration return_grace = std::chrono::milliseconds(250);
@@ -179,12 +183,14 @@
   auto ExpectedSlots(std::optional<Duration> interval,
                      MonotonicTime until) const -> double;
   auto ExpirePromises(State& state) const -> void;
-  // Returns when a slot is expected for a caller to return to.
+  // Returns when a slot is expected for a caller to return to; nothing if all
+  // until `latest` are kept for others.
   static auto FindReturn(State& state,
                          MonotonicTime earliest,
                          MonotonicTime latest,
                          Duration interval,
-                         MonotonicTime deadline) -> MonotonicTime;
+                         MonotonicTime deadline)
+      -> std::optional<MonotonicTime>;
 
   AdmissionQueueSettings settings_;
   Clock clock_;
--- a/src/serving/admission_queue.cc
+++ b/src/serving/admission_queue.cc
@@ -155,13 +155,18 @@
       interval * static_cast<Duration::rep>(state.queue.size() + 1);
   const auto earliest =
       std::min(window.latest, std::max(window.earliest, first_slot));
-  const auto due = FindReturn(state, now + earliest, now + window.latest,
-                              interval, request.deadline);
-  if (!request.returning) {
+  const auto latest = now + window.latest;
+  const auto slot =
+      FindReturn(state, now + earliest, latest, interval, request.deadline);
+  const auto may_keep =
+      slot || static_cast<double>(state.promises.size()) <
+                  settings_.max_promises * ExpectedSlots(interval, latest);
+  if (may_keep && !request.returning) {
     state.promises.emplace(
-        due, Promise{request.deadline, request.priority, request.rank, false});
+        slot.value_or(latest),
+        Promise{request.deadline, request.priority, request.rank, false});
   }
-  return due - now;
+  return slot.value_or(latest) - now;
 }
 
 auto AdmissionQueue::RetryAfterStart(const AdmissionRequest& request,
@@ -258,7 +263,8 @@
                                 MonotonicTime earliest,
                                 MonotonicTime latest,
                                 Duration interval,
-                                MonotonicTime deadline) -> MonotonicTime {
+                                MonotonicTime deadline)
+    -> std::optional<MonotonicTime> {
   auto slot = earliest;
   // The first slot promised to a caller that is served after this one.
   auto later = state.promises.end();
@@ -280,7 +286,7 @@
     return slot;
   }
   if (later == state.promises.end()) {
-    return latest;
+    return std::nullopt;
   }
   later->second.taken_over = true;
   return later->first;
--- a/src/serving/admission_queue_test.cc
+++ b/src/serving/admission_queue_test.cc
@@ -181,6 +181,11 @@
   CHECK(back(milliseconds(1'500)) == milliseconds(400));
   CHECK(back(milliseconds(1'500)) == milliseconds(500));
   CHECK(back(milliseconds(900)) == milliseconds(300));
+  // The slots kept for callers, and their number, stay limited in a flood.
+  for (auto i = 0; i < 1'000; ++i) {
+    CHECK(back(milliseconds(4'500)) <= milliseconds(1'500));
+  }
+  CHECK(fixture.queue.promised(kService) <= 2 * 1'500 / 100);
 }
 
 // Guards against new requests that take the slots of callers that were told to
--- a/testing/gateway/admission_test.cc
+++ b/testing/gateway/admission_test.cc
@@ -63,6 +63,18 @@
     return callers;
   }
 
+  // Returns the status of a request whose caller waits for `timeout_ms`.
+  auto CallWithin(const std::string& timeout_ms, const std::string& id) const
+      -> int {
+    auto request = FetchRequest();
+    request.address = node().callers();
+    request.method = "POST";
+    request.target = "/stream/" + id;
+    request.headers = {
+        {"Host", kGatewayHost}, {"Request-Id", id}, {"Timeout-Ms", timeout_ms}};
+    return Fetch(request).status;
+  }
+
   auto EndOf(const std::string& request) const -> json {
     auto end = json();
     REQUIRE(Eventually([&] {
@@ -113,6 +125,13 @@
   CHECK(end.at("admission") == "refused_at_once");
   CHECK(std::stoi(end.at("waited_ms").get<std::string>()) < 30);
   CHECK(fleet.RunCount("refused") == 0);
+  // A caller that says it has less time left than others was refused before.
+  for (auto i = 0; i < 4; ++i) {
+    CHECK(fleet.CallWithin("5000", "first" + std::to_string(i)) == 503);
+  }
+  CHECK(fleet.EndOf("first3").at("returning") == "false");
+  fleet.CallWithin("4200", "second");
+  CHECK(fleet.EndOf("second").at("returning") == "true");
   for (auto& caller : callers) {
     caller.join();
   }
