Log that a wait for a limited replica ended without a start

A request that waited for a replica that names a limit, and was refused, was logged as one that needed no admission.

--- a/src/serving/admission_gate.cc
+++ b/src/serving/admission_gate.cc
@@ -120,10 +120,10 @@
     queue_.OnStarted(visit.request);
   }
   if (!visit.refused()) {
-    visit.outcome = disconnected       ? AdmissionOutcome::kCallerLeft
-                    : full             ? AdmissionOutcome::kWaitEnded
-                    : starts && waited ? AdmissionOutcome::kWaited
-                                       : AdmissionOutcome::kNotNeeded;
+    visit.outcome = disconnected ? AdmissionOutcome::kCallerLeft
+                    : full || (waited && !starts) ? AdmissionOutcome::kWaitEnded
+                    : waited                      ? AdmissionOutcome::kWaited
+                             : AdmissionOutcome::kNotNeeded;
   }
   if (full) {
     queue_.OnFull(visit.request.service);
