Free bodies of requests that replicas do not read

A replica may answer a request before it has read all of its body. The call then ended while its write went on, which kept the connection and a copy of the body until the kernel gave the connection up. The limit of all bodies did not count this copy.

The connection is closed when the response is complete but the request was not written. Calls share the body with the request of the caller, so that it counts toward the limit for as long as a write needs it.

--- a/include/kumquatgauge/upstream/replica_call.h
+++ b/include/kumquatgauge/upstream/replica_call.h
@@ -23,7 +23,8 @@
   std::string method;
   std::string target;
   HeaderList headers;
-  std::string body;
+  // Kept until it was written or the connection has ended.
+  std::shared_ptr<const std::string> body;
   // How often the request may be sent; it may run each time. If more than once,
   // it is sent again on a new connection when a reused one is closed before any
   // byte of a response.
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -1371,7 +1371,7 @@
     request.target = item.path;
     request.headers =
         parts_.dialect.encode_item(item, job.record.host, delivery);
-    request.body = item.body;
+    request.body = std::make_shared<const std::string>(item.body);
     request.max_sends = 2;
     request.may_send = [&load_balancer = parts_.load_balancer,
                         id = replica.id] {
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -520,7 +520,7 @@
     delivery.organisation = exchange.request.organisation;
     request.headers =
         parts_.dialect.encode_delivery(exchange.incoming->headers, delivery);
-    request.body = exchange.incoming->body;
+    request.body = {exchange.incoming, &exchange.incoming->body};
     const auto& history = exchange.history;
     if (MayRepeat(route.kind, route.resumable) &&
         history.max_attempts > history.may_have_run) {
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -132,8 +132,7 @@
 constexpr std::size_t kBytesPerMegabyte = 1'000'000;
 // Share of the memory limit that answers may take while they are read.
 constexpr std::size_t kAnswerMemoryDivisor = 8;
-// The same for the bodies of requests, of which there is a copy while they are
-// sent.
+// The same for the bodies of requests until replicas have read them.
 constexpr std::size_t kBodyMemoryDivisor = 8;
 // Other programs may write entries of any size.
 constexpr std::size_t kMaxLoggedValueBytes = 1'000;
--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -37,18 +37,27 @@
 // arrived in time is read within this time after a deadline.
 constexpr std::chrono::milliseconds kLateReadTime{100};
 
-auto ToMessage(ReplicaRequest& request)
-    -> std::shared_ptr<http::request<http::string_body>> {
-  auto message = std::make_shared<http::request<http::string_body>>();
+// The body is not copied, and freed with the message.
+struct RequestMessage {
+  http::request<http::span_body<const char>> request;
+  std::shared_ptr<const std::string> body;
+};
+
+auto ToMessage(ReplicaRequest& call) -> std::shared_ptr<RequestMessage> {
+  auto owner = std::make_shared<RequestMessage>();
+  auto* message = &owner->request;
   message->version(11);
-  message->method_string(request.method);
-  message->target(request.target);
-  for (const auto& header : request.headers) {
+  message->method_string(call.method);
+  message->target(call.target);
+  for (const auto& header : call.headers) {
     message->insert(header.name, header.value);
   }
-  message->body() = std::move(request.body);
+  owner->body = std::move(call.body);
+  if (owner->body) {
+    message->body() = {owner->body->data(), owner->body->size()};
+  }
   message->prepare_payload();
-  return message;
+  return owner;
 }
 
 }  // namespace
@@ -219,13 +228,14 @@
   // Counts the send before the first byte is written, because a failed write
   // may have sent a part.
   static auto Write(std::shared_ptr<Connection> connection,
-                    std::shared_ptr<http::request<http::string_body>> message,
+                    std::shared_ptr<RequestMessage> message,
                     std::shared_ptr<bool> done,
                     std::weak_ptr<HttpCall> call) -> awaitable<void> {
     if (const auto self = call.lock()) {
       ++self->sends_;
     }
-    auto serializer = http::request_serializer<http::string_body>(*message);
+    auto serializer =
+        http::request_serializer<http::span_body<const char>>(message->request);
     const auto [error, written] = co_await http::async_write(
         connection->io().socket(), serializer, kAwaitTuple);
     *done = !error;
@@ -330,6 +340,10 @@
                        connection_->io().buffer().size() == 0 && !cancelled_;
     if (clean) {
       connection_->Release();
+    } else {
+      // A write to a replica that does not read the rest of the request would
+      // keep the connection and the body.
+      connection_->io().Close();
     }
     connection_ = nullptr;
   }
@@ -339,7 +353,7 @@
   std::function<auto()->void> on_opened_;
   ReplicaRequest request_;
   HeadFilter accept_head_;
-  std::shared_ptr<http::request<http::string_body>> message_;
+  std::shared_ptr<RequestMessage> message_;
   std::shared_ptr<Connection> connection_;
   std::shared_ptr<bool> write_done_;
   std::unique_ptr<Parser> parser_;
--- a/src/upstream/replica_call_test.cc
+++ b/src/upstream/replica_call_test.cc
@@ -110,7 +110,7 @@
     request.method = "POST";
     request.target = target;
     request.headers = {{"Host", "h"}};
-    request.body = std::move(body);
+    request.body = std::make_shared<const std::string>(std::move(body));
     request.max_sends = max_sends;
     request.deadline =
         std::chrono::steady_clock::now() + std::chrono::seconds(15);
