Limit the memory of callers that read slowly

A gateway held whole answers uncounted while they were written, and the kernel let the buffers of each connection grow to some MB: 60 callers that read nothing of their streams took 219 MB of socket buffers at a gateway with memory_mb 120. Replicas could cut off what stayed unread, and a caller that read a large answer steadily was cut off by the time limit for a write.

ResponseOutput queues what the socket does not take, and RelayMonitor applies the decisions of RelayMemory to these queues and to answers that are read as a whole. Send buffers of callers and both buffers of replicas are limited to 64 KB. A terminated response ends with a reset, which frees the buffers at once. An answer without memory ends its attempt but is no failure of its replica.

--- a/include/kumquatgauge/caller/http_listener.h
+++ b/include/kumquatgauge/caller/http_listener.h
@@ -13,6 +13,7 @@
 
 #include "kumquatgauge/base/http_header.h"
 #include "kumquatgauge/base/time.h"
+#include "kumquatgauge/caller/held_response.h"
 
 namespace kumquatgauge::caller {
 
@@ -38,6 +39,8 @@
   // Starts a response in chunks, whose total length is not known.
   virtual auto BeginStream(int status, HeaderList headers)
       -> boost::asio::awaitable<bool> = 0;
+  // Waits while the caller does not read; a listener with HeldResponseHooks
+  // lets some of the stream wait in memory before that.
   virtual auto WriteChunk(std::string piece)
       -> boost::asio::awaitable<bool> = 0;
   virtual auto FinishStream() -> boost::asio::awaitable<bool> = 0;
@@ -60,7 +63,8 @@
   std::chrono::milliseconds read_timeout{3'000};
   // Time that a connection may stay open without a request.
   std::chrono::milliseconds idle_timeout{15'000};
-  // Time for one write of a response to complete.
+  // How long a response may wait until its caller reads more of it. Does not
+  // apply to a listener with HeldResponseHooks, which limit it.
   std::chrono::milliseconds write_timeout{5'000};
   std::size_t max_connections = 1'000;
   // Bodies of all requests that are being read or under way. Requests beyond it
@@ -77,7 +81,8 @@
   HttpListener(boost::asio::io_context& context,
                const std::string& address,
                ListenerLimits limits,
-               RequestHandler handler);
+               RequestHandler handler,
+               HeldResponseHooks held_hooks = {});
   ~HttpListener();
   HttpListener(const HttpListener&) = delete;
   auto operator=(const HttpListener&) -> HttpListener& = delete;
--- a/include/kumquatgauge/serving/forwarder.h
+++ b/include/kumquatgauge/serving/forwarder.h
@@ -15,6 +15,7 @@
 #include "kumquatgauge/serving/answer_report.h"
 #include "kumquatgauge/serving/dialect.h"
 #include "kumquatgauge/serving/load_balancer.h"
+#include "kumquatgauge/serving/relay_monitor.h"
 #include "kumquatgauge/serving/request_quarantine.h"
 #include "kumquatgauge/serving/stream_versions.h"
 #include "kumquatgauge/upstream/replica_call.h"
@@ -42,9 +43,7 @@
   const AnswerHooks& hooks;
   // Called when a request is refused that has not run.
   std::function<auto(const CallerRequest&)->void> not_run;
-  // Limit of all answers that are being read. A replica in trouble may send
-  // bytes without end.
-  std::size_t answer_memory_bytes;
+  RelayMonitor& relay;
 };
 
 // Forwards requests of callers to replicas and returns the answers, trying
--- a/include/kumquatgauge/upstream/replica_call.h
+++ b/include/kumquatgauge/upstream/replica_call.h
@@ -60,6 +60,7 @@
   kMalformed,  // The bytes are no response to this request.
   kSilent,     // One of the request's timeouts passed.
   kDeadline,   // The deadline passed.
+  kNoMemory,   // There is no memory for the response.
   kCancelled,
 };
 
--- a/src/base/socket_options.cc
+++ b/src/base/socket_options.cc
@@ -1,6 +1,8 @@
 #include "base/socket_options.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace kumquatgauge::detail {
@@ -42,4 +44,25 @@
                    static_cast<int>(user_timeout.count()));
 }
 
+auto LimitSendBuffer(boost::asio::ip::tcp::socket& socket) -> void {
+  SetIntegerOption(socket.native_handle(), SOL_SOCKET, SO_SNDBUF,
+                   kSocketBufferBytes);
+}
+
+auto LimitReceiveBuffer(boost::asio::ip::tcp::socket& socket) -> void {
+  SetIntegerOption(socket.native_handle(), SOL_SOCKET, SO_RCVBUF,
+                   kSocketBufferBytes);
+}
+
+auto UnacknowledgedBytes(boost::asio::ip::tcp::socket& socket) -> std::size_t {
+  auto bytes = 0;
+  const auto failed = ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0;
+  return failed || bytes < 0 ? 0 : static_cast<std::size_t>(bytes);
+}
+
+auto ResetOnClose(boost::asio::ip::tcp::socket& socket) -> void {
+  auto error = boost::system::error_code();
+  socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+}
+
 }  // namespace kumquatgauge::detail
--- a/src/base/socket_options.h
+++ b/src/base/socket_options.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <cstddef>
 
 namespace kumquatgauge::detail {
 
@@ -20,6 +21,23 @@
 auto ConfigureTcpSocket(boost::asio::ip::tcp::socket& socket,
                         std::chrono::milliseconds user_timeout) -> void;
 
+// Bytes for which LimitSendBuffer and LimitReceiveBuffer make room; the kernel
+// reserves twice as much. Enough for 64 MB/s at a round trip of 1 ms. Without a
+// limit the kernel lets the buffers of a slow connection grow to some MB, which
+// count as memory of the process.
+inline constexpr int kSocketBufferBytes = 65'536;
+
+auto LimitSendBuffer(boost::asio::ip::tcp::socket& socket) -> void;
+// Must be called before the socket is connected.
+auto LimitReceiveBuffer(boost::asio::ip::tcp::socket& socket) -> void;
+
+// Returns the bytes of the socket's send buffer that the other side has not
+// acknowledged.
+auto UnacknowledgedBytes(boost::asio::ip::tcp::socket& socket) -> std::size_t;
+
+// Makes closing the socket reset the connection and drop its buffers.
+auto ResetOnClose(boost::asio::ip::tcp::socket& socket) -> void;
+
 }  // namespace kumquatgauge::detail
 
 #endif  // BASE_SOCKET_OPTIONS_H_
--- a/src/caller/http_listener.cc
+++ b/src/caller/http_listener.cc
@@ -10,12 +10,15 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
+#include <sstream>
 #include <unordered_set>
 #include <utility>
 
 #include "base/listen_address.h"
 #include "base/read_limits.h"
 #include "base/socket_options.h"
+#include "caller/response_output.h"
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
 #include "upstream/deadline_socket.h"
@@ -30,6 +33,7 @@
 using asio::awaitable;
 using asio::ip::tcp;
 using boost::system::error_code;
+using detail::ResponseOutput;
 using kumquatgauge::detail::MakeListenHooks;
 using kumquatgauge::detail::OpenAcceptor;
 using kumquatgauge::detail::OpenListenAddress;
@@ -58,6 +62,7 @@
 struct Shared {
   ListenerLimits limits;
   RequestHandler handler;
+  HeldResponseHooks held_hooks;
   Logger logger{"listen"};
   bool draining = false;
   bool stopped = false;
@@ -113,6 +118,21 @@
          !beast::iequals(encoding->value(), "chunked");
 }
 
+template <typename Head>
+auto HeadText(const Head& head) -> std::string {
+  auto text = std::ostringstream();
+  text << head;
+  return text.str();
+}
+
+auto ChunkHeader(std::size_t size) -> std::string {
+  constexpr auto kHexadecimal = 16;
+  auto text = std::array<char, 2 * sizeof(size)>();
+  const auto [end, error] =
+      std::to_chars(text.data(), text.data() + text.size(), size, kHexadecimal);
+  return std::string(text.data(), end) + "\r\n";
+}
+
 auto CopyHeaders(const http::fields& fields) -> HeaderList {
   auto headers = HeaderList();
   for (const auto& field : fields) {
@@ -129,8 +149,10 @@
  public:
   CallerConnection(tcp::socket socket, std::shared_ptr<Shared> shared)
       : io_(std::make_shared<DeadlineSocket>(std::move(socket))),
-        shared_(std::move(shared)) {
+        shared_(std::move(shared)),
+        output_(std::make_shared<ResponseOutput>(io_, shared_->held_hooks)) {
     kumquatgauge::detail::ConfigureTcpSocket(io_->socket(), kUserTimeout);
+    kumquatgauge::detail::LimitSendBuffer(io_->socket());
   }
 
   auto Serve() -> awaitable<void> {
@@ -143,11 +165,14 @@
       ++shared_->active;
       BeginResponse(request);
       co_await HandleRequest(request);
+      // The events of a stream that has broken off are still of use.
+      co_await output_->AwaitWritten();
       --shared_->active;
       if (!response_complete_ || !keep_alive_) {
         break;
       }
     }
+    output_->Close();
     io_->Close();
   }
 
@@ -160,12 +185,10 @@
     if (!TakeHead()) {
       co_return false;
     }
-    auto serializer = http::response_serializer<http::string_body>(response);
-    ArmWrite();
-    const auto [error, written] =
-        co_await http::async_write(io_->socket(), serializer, kAwaitTuple);
-    response_complete_ = !error;
-    co_return EndWrite(error);
+    output_->Write(HeadText(response.base()));
+    output_->Write(std::move(response.body()));
+    response_complete_ = co_await output_->AwaitWritten();
+    co_return response_complete_;
   }
 
   auto BeginStream(int status, HeaderList headers) -> awaitable<bool> override {
@@ -175,34 +198,27 @@
     if (!TakeHead()) {
       co_return false;
     }
-    auto serializer = http::response_serializer<http::empty_body>(response);
-    ArmWrite();
-    const auto [error, written] = co_await http::async_write_header(
-        io_->socket(), serializer, kAwaitTuple);
-    co_return EndWrite(error);
+    co_return output_->Write(HeadText(response.base()));
   }
 
   auto WriteChunk(std::string piece) -> awaitable<bool> override {
     if (disconnected_) {
       co_return false;
     }
-    ArmWrite();
-    const auto chunk = http::make_chunk(asio::buffer(piece));
-    const auto [error, written] =
-        co_await asio::async_write(io_->socket(), chunk, kAwaitTuple);
-    co_return EndWrite(error);
+    piece.insert(0, ChunkHeader(piece.size()));
+    piece += "\r\n";
+    output_->Write(std::move(piece));
+    const auto& max_queued = shared_->held_hooks.max_queued_bytes;
+    co_return co_await output_->AwaitRoom(max_queued ? max_queued() : 0);
   }
 
   auto FinishStream() -> awaitable<bool> override {
     if (disconnected_) {
       co_return false;
     }
-    ArmWrite();
-    const auto chunk = http::make_chunk_last();
-    const auto [error, written] =
-        co_await asio::async_write(io_->socket(), chunk, kAwaitTuple);
-    response_complete_ = !error;
-    co_return EndWrite(error);
+    output_->Write("0\r\n\r\n");
+    response_complete_ = co_await output_->AwaitWritten();
+    co_return response_complete_;
   }
 
   auto disconnected() const -> bool override { return disconnected_; }
@@ -292,6 +308,7 @@
   // Allows a response to a request that was not read, which ends the
   // connection.
   auto BeginLastResponse() -> void {
+    output_->Begin({}, shared_->limits.write_timeout, nullptr);
     keep_alive_ = false;
     disconnected_ = false;
     head_sent_ = false;
@@ -361,8 +378,14 @@
     co_await Send(status, {}, std::move(body));
   }
 
-  auto BeginResponse(const std::shared_ptr<const IncomingRequest>& /*request*/)
+  auto BeginResponse(const std::shared_ptr<const IncomingRequest>& request)
       -> void {
+    output_->Begin(request->target, shared_->limits.write_timeout,
+                   [weak = weak_from_this()] {
+                     if (const auto self = weak.lock()) {
+                       self->MarkDisconnected();
+                     }
+                   });
     response_complete_ = false;
     disconnected_ = false;
     head_sent_ = false;
@@ -434,20 +457,9 @@
     response.keep_alive(keep_alive_);
   }
 
-  auto ArmWrite() -> void {
-    io_->ExpireAfter(shared_->limits.write_timeout, OnExpiry::kClose);
-  }
-
-  auto EndWrite(const error_code& error) -> bool {
-    io_->Disarm();
-    if (error) {
-      MarkDisconnected();
-    }
-    return !error;
-  }
-
   std::shared_ptr<DeadlineSocket> io_;
   std::shared_ptr<Shared> shared_;
+  std::shared_ptr<ResponseOutput> output_;
   bool idle_ = true;
   bool keep_alive_ = true;
   unsigned version_ = 11;
@@ -465,13 +477,15 @@
   Impl(asio::io_context& context,
        const std::string& address,
        ListenerLimits limits,
-       RequestHandler handler)
+       RequestHandler handler,
+       HeldResponseHooks held_hooks)
       : context_(context),
         address_(address),
         acceptor_(context),
         shared_(std::make_shared<Shared>()) {
     shared_->limits = limits;
     shared_->handler = std::move(handler);
+    shared_->held_hooks = std::move(held_hooks);
   }
 
   auto Start() -> void {
@@ -569,11 +583,13 @@
 HttpListener::HttpListener(asio::io_context& context,
                            const std::string& address,
                            ListenerLimits limits,
-                           RequestHandler handler)
+                           RequestHandler handler,
+                           HeldResponseHooks held_hooks)
     : impl_(std::make_shared<Impl>(context,
                                    address,
                                    limits,
-                                   std::move(handler))) {}
+                                   std::move(handler),
+                                   std::move(held_hooks))) {}
 
 HttpListener::~HttpListener() {
   impl_->Stop();
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -56,9 +56,6 @@
 constexpr int kEventTimeFactor = 2;
 // Used when neither the route nor the caller sets a time limit.
 constexpr milliseconds kDefaultTimeLimit{60'000};
-// Limit of an answer that is not an event stream. All of them together are
-// limited by ForwarderParts::answer_memory_bytes.
-constexpr std::size_t kMaxBufferedAnswer = 8'000'000;
 // Retry-After when no replica is known; one may register with the next
 // heartbeats.
 constexpr milliseconds kNoReplicaRetry{500};
@@ -104,10 +101,10 @@
   Duration first_event{0};  // Since the request arrived.
   Duration waited{0};
 
-  // The answer of the last attempt. The body stays empty when the answer is
-  // relayed as a stream.
+  // The answer of the last attempt; without a body when it is relayed as a
+  // stream.
   upstream::ReplicaHead head;
-  std::string body;
+  std::unique_ptr<RelayMonitor::Answer> answer;
   std::uint64_t answer_bytes = 0;
 
   std::shared_ptr<upstream::ReplicaCaller::Call> call;
@@ -176,7 +173,6 @@
         nullptr, [self, exchange](void*) { self->exchanges_.erase(exchange); });
     parts_.retry_budget.OnRequest(exchange->service);
     co_await TryReplicas(exchange);
-    TakeBody(*exchange);
   }
 
   auto BeginStop(MonotonicTime last_start, MonotonicTime end) -> void {
@@ -574,36 +570,18 @@
 
   auto ReadAnswer(ExchangePtr exchange, MonotonicTime began)
       -> awaitable<CallEnd> {
-    TakeBody(*exchange);
+    exchange->answer = parts_.relay.NewAnswer();
     if (IsEventStream(*exchange)) {
       co_return co_await RelayEvents(exchange, began);
     }
-    auto end = CallEnd::kOpen;
-    while (end == CallEnd::kOpen) {
-      const auto before = exchange->body.size();
-      end = co_await exchange->call->Read(exchange->body);
-      exchange->call->OnProgress();
-      buffered_bytes_ += exchange->body.size() - before;
-      exchange->answer_bytes += exchange->body.size() - before;
-      if (exchange->body.size() > kMaxBufferedAnswer ||
-          buffered_bytes_ > parts_.answer_memory_bytes) {
-        exchange->call->Cancel();
-        TakeBody(*exchange);
-        co_return CallEnd::kMalformed;
-      }
-    }
+    const auto end = co_await exchange->answer->Read(exchange->call);
+    exchange->answer_bytes += exchange->answer->received();
     if (end == CallEnd::kComplete && exchange->head.status < kMultipleChoices) {
       RecordFirstByte(*exchange, began);
     }
     co_return end;
   }
 
-  // Returns the buffered body of the last attempt, which no longer counts.
-  auto TakeBody(Exchange& exchange) -> std::string {
-    buffered_bytes_ -= exchange.body.size();
-    return std::exchange(exchange.body, {});
-  }
-
   // Forwards complete events as they arrive. The response head is sent with the
   // first event, so that an attempt without events leaves the status undecided.
   auto RelayEvents(ExchangePtr exchange, MonotonicTime began)
@@ -828,7 +806,7 @@
           co_await writer.FinishStream();
         } else {
           auto headers = parts_.dialect.answer_headers(exchange->head.headers);
-          auto body = TakeBody(*exchange);
+          auto body = exchange->answer->Take();
           co_await writer.Send(status, std::move(headers), std::move(body));
         }
         completed_.Add();
@@ -976,7 +954,6 @@
   RetryAfterEstimator retry_after_estimator_{RetryAfterEstimatorSettings()};
   std::map<WaitQueue::Ticket, std::shared_ptr<asio::steady_timer>> waiters_;
   std::map<ServiceName, std::uint32_t> waiting_services_;
-  std::size_t buffered_bytes_ = 0;   // Of all answers that are being read.
   std::set<ExchangePtr> exchanges_;  // Under way.
   std::optional<Stop> stop_;         // Once a planned stop has begun.
   Counter& completed_;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -130,9 +130,7 @@
 // File descriptors reserved for replicas, peers, the store and files.
 constexpr std::size_t kReservedDescriptors = 400;
 constexpr std::size_t kBytesPerMegabyte = 1'000'000;
-// Share of the memory limit that answers may take while they are read.
-constexpr std::size_t kAnswerMemoryDivisor = 8;
-// The same for the bodies of requests until replicas have read them.
+// Share of the memory limit for bodies that replicas have not read yet.
 constexpr std::size_t kBodyMemoryDivisor = 8;
 // Other programs may write entries of any size.
 constexpr std::size_t kMaxLoggedValueBytes = 1'000;
@@ -432,8 +430,7 @@
                     request_quotas_.Refund(*request.organisation);
                   }
                 },
-            .answer_memory_bytes = std::size_t{settings_.limits.memory_mb} *
-                                   kBytesPerMegabyte / kAnswerMemoryDivisor};
+            .relay = relay_};
   }
 
   auto MakeFreshnessParts() -> FreshnessKeeperParts {
@@ -1479,7 +1476,8 @@
         [this, handler](std::shared_ptr<const IncomingRequest> incoming,
                         WriterPtr writer) {
           return (this->*handler)(std::move(incoming), std::move(writer));
-        });
+        },
+        relay_.hooks());
     listener->Start();
   }
 
@@ -1838,6 +1836,9 @@
   QuotaKeeper quotas_;
   RequestQuotaKeeper request_quotas_;
   BatchRunner batch_;
+  RelayMonitor relay_{
+      {context_.get_executor(), metrics_, SteadyNow,
+       std::size_t{settings_.limits.memory_mb} * kBytesPerMegabyte}};
   Forwarder forwarder_;
   FreshnessKeeper freshness_;
   StoreFeed configuration_feed_;
--- a/src/upstream/connection_pool.cc
+++ b/src/upstream/connection_pool.cc
@@ -95,6 +95,8 @@
   io->ExpireAfter(std::min<Duration>(settings_.connect_timeout, limit),
                   DeadlineSocket::OnExpiry::kClose);
   kumquatgauge::detail::OpenForConnect(io->socket(), endpoint);
+  kumquatgauge::detail::LimitSendBuffer(io->socket());
+  kumquatgauge::detail::LimitReceiveBuffer(io->socket());
   boost::system::error_code error;
   co_await io->socket().async_connect(
       endpoint, asio::redirect_error(asio::use_awaitable, error));
--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -78,6 +78,8 @@
       return "silent";
     case CallEnd::kDeadline:
       return "deadline";
+    case CallEnd::kNoMemory:
+      return "no_memory";
     case CallEnd::kCancelled:
       break;
   }
