Do not let the kernel end connections of slow readers

TCP_USER_TIMEOUT of 3 s also counts while the window of a caller is closed. On a loopback device the window of a caller that reads 40 KB/s opens every 2 to 3 s, so that such a caller was cut off on a busy machine, without a log line. Once RelayMonitor decides how long a response may wait, the timeout is 10 s.

--- a/src/base/socket_options.cc
+++ b/src/base/socket_options.cc
@@ -40,7 +40,12 @@
   SetIntegerOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdle);
   SetIntegerOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveInterval);
   SetIntegerOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-  SetIntegerOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT,
+  SetUserTimeout(socket, user_timeout);
+}
+
+auto SetUserTimeout(boost::asio::ip::tcp::socket& socket,
+                    std::chrono::milliseconds user_timeout) -> void {
+  SetIntegerOption(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
                    static_cast<int>(user_timeout.count()));
 }
 
--- a/src/base/socket_options.h
+++ b/src/base/socket_options.h
@@ -21,6 +21,10 @@
 auto ConfigureTcpSocket(boost::asio::ip::tcp::socket& socket,
                         std::chrono::milliseconds user_timeout) -> void;
 
+// Changes the timeout of ConfigureTcpSocket.
+auto SetUserTimeout(boost::asio::ip::tcp::socket& socket,
+                    std::chrono::milliseconds user_timeout) -> void;
+
 // Bytes for which LimitSendBuffer and LimitReceiveBuffer make room; the kernel
 // reserves twice as much. Enough for 64 MB/s at a round trip of 1 ms. Without a
 // limit the kernel lets the buffers of a slow connection grow to some MB, which
--- a/src/caller/response_output.cc
+++ b/src/caller/response_output.cc
@@ -21,6 +21,10 @@
 // Bytes after which a response that the socket takes at once is reported, since
 // the socket's buffer may hold them for long.
 constexpr std::uint64_t kReportBytes = 16'384;
+// Value of TCP_USER_TIMEOUT once the hooks decide how long a response may wait.
+// The kernel applies it also to a caller whose window is closed, which may be
+// for 3 s if it reads slowly.
+constexpr std::chrono::milliseconds kHeldUserTimeout{10'000};
 
 }  // namespace
 
@@ -175,7 +179,9 @@
 auto ResponseOutput::Report() -> void {
   reported_at_ = written_bytes_;
   if (hooks_.held && !failed_) {
-    held_ = true;
+    if (!std::exchange(held_, true)) {
+      kumquatgauge::detail::SetUserTimeout(io_->socket(), kHeldUserTimeout);
+    }
     hooks_.held(shared_from_this());
   }
 }
