--- a/src/serving/request_quota.cc
+++ b/src/serving/request_quota.cc
@@ -153,7 +153,8 @@
     state.decided = now;
     return {.granted = true, .reason = RequestQuotaReason::kGrantedLocally};
   }
-  const auto rate = state.limit.rate / static_cast<double>(FleetSize());
+  const auto rate = settings_.local_share * state.limit.rate /
+                    static_cast<double>(FleetSize());
   const auto probability = rate * Seconds(now - state.decided);
   const auto per_request = FromSeconds(1.0 / rate, settings_.max_local_carry);
   // What exceeds the time of one request counts for the next one, so that
