--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -2237,7 +2237,7 @@
   }
 
   auto ArmScan() -> void {
-    scan_timer_.expires_at(*orphans_.next_scan());
+    scan_timer_.expires_at(orphans_.next_scan().value_or(parts_.clock()));
     scan_timer_.async_wait(
         [weak = weak_from_this()](const boost::system::error_code& error) {
           const auto self = weak.lock();
