Repeat the scan for absent owners when the first wait ends

The next scan came 1 s after the last one also while all absent owners were leaving, which have 2 s, so that a planned stop cost one more list of all jobs. Each absence now has its own end, and the scan follows the first of them.

--- a/include/kumquatgauge/serving/orphan_detector.h
+++ b/include/kumquatgauge/serving/orphan_detector.h
@@ -25,6 +25,8 @@
   // detected within one interval of heartbeats, 250 ms, and one scan serves
   // them all.
   Duration scan_delay = std::chrono::milliseconds(300);
+  // Delay of a scan that repeats one which found lost owners.
+  Duration repeat_delay = std::chrono::milliseconds(2'000);
   // Interval between scans while the members keep changing, as when a fleet
   // starts: each scan lists all jobs.
   Duration scan_interval = std::chrono::milliseconds(1'000);
@@ -55,26 +57,30 @@
   // Forgets jobs that are not among the unfinished ones.
   auto Prune(const std::vector<StoredState>& states) -> void;
   // Whether some owners are absent and may soon be considered lost.
-  auto awaits_owners() const -> bool { return !absent_since_.empty(); }
+  auto awaits_owners() const -> bool { return !absences_.empty(); }
 
   // Requests a scan at a time; one that is requested for earlier stays. An
   // exact scan shows the newest states.
   auto RequestScan(MonotonicTime at, bool exact) -> void;
   auto OnMembersChanged(MonotonicTime now) -> void;
-  // Requests the scan that follows one in which owners were absent.
-  auto RequestNextCheck(bool alone, MonotonicTime now) -> void;
+  // Requests the scan that follows one in which owners were absent: when the
+  // first of them may be considered lost.
+  auto RequestNextCheck(MonotonicTime now) -> void;
   auto next_scan() const -> std::optional<MonotonicTime> { return next_scan_; }
   // Begins the requested scan. Returns whether it is to be exact.
   auto BeginScan(MonotonicTime now) -> bool;
 
  private:
-  auto UnknownWait(bool alone) const -> Duration {
-    return alone ? settings_.alone_wait : settings_.unknown_wait;
-  }
+  struct Absence {
+    MonotonicTime since;  // First found absent.
+    MonotonicTime until;  // Considered lost from then on.
+  };
+
+  auto WaitFor(OwnerPresence owner, bool alone) const -> Duration;
 
   OrphanSettings settings_;
-  // When the owner of an unfinished job was first found absent.
-  std::map<JobId, MonotonicTime> absent_since_;
+  // Of the owners of unfinished jobs.
+  std::map<JobId, Absence> absences_;
   std::optional<MonotonicTime> next_scan_;
   std::optional<MonotonicTime> last_scan_;
   bool exact_ = false;
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -2292,7 +2292,7 @@
         milliseconds(static_cast<std::int64_t>(self->parts_.random() % 2'000));
     self->ScheduleScan(self->ScanInterval() + jitter, false);
     if (self->orphans_.awaits_owners() && self->ScansForOthers()) {
-      self->orphans_.RequestNextCheck(self->IsAlone(), self->parts_.clock());
+      self->orphans_.RequestNextCheck(self->parts_.clock());
       self->ArmScan();
     }
   }
--- a/src/serving/orphan_detector.cc
+++ b/src/serving/orphan_detector.cc
@@ -4,35 +4,42 @@
 
 namespace kumquatgauge::serving {
 
-auto OrphanDetector::IsOrphan(const JobId& job,
-                              OwnerPresence owner,
-                              bool alone,
-                              MonotonicTime now) -> bool {
-  if (owner == OwnerPresence::kLive) {
-    absent_since_.erase(job);
-    return false;
-  }
-  const auto since = absent_since_.try_emplace(job, now).first->second;
+auto OrphanDetector::WaitFor(OwnerPresence owner, bool alone) const
+    -> Duration {
   switch (owner) {
     case OwnerPresence::kLeaving:
-      return now - since >= settings_.handover_time;
+      return settings_.handover_time;
     case OwnerPresence::kUnknown:
-      return now - since >= UnknownWait(alone);
+      return alone ? settings_.alone_wait : settings_.unknown_wait;
     case OwnerPresence::kLive:
     case OwnerPresence::kGone:
       break;
   }
-  return true;
+  return Duration::zero();
+}
+
+auto OrphanDetector::IsOrphan(const JobId& job,
+                              OwnerPresence owner,
+                              bool alone,
+                              MonotonicTime now) -> bool {
+  if (owner == OwnerPresence::kLive) {
+    absences_.erase(job);
+    return false;
+  }
+  auto& absence = absences_.try_emplace(job, Absence{now, now}).first->second;
+  absence.until = absence.since + WaitFor(owner, alone);
+  return now >= absence.until;
 }
 
 auto OrphanDetector::AbsentFor(const JobId& job, MonotonicTime now) const
     -> Duration {
-  const auto found = absent_since_.find(job);
-  return found == absent_since_.end() ? Duration::zero() : now - found->second;
+  const auto found = absences_.find(job);
+  return found == absences_.end() ? Duration::zero()
+                                  : now - found->second.since;
 }
 
 auto OrphanDetector::Prune(const std::vector<StoredState>& states) -> void {
-  std::erase_if(absent_since_, [&](const auto& entry) {
+  std::erase_if(absences_, [&](const auto& entry) {
     return std::none_of(states.begin(), states.end(), [&](const auto& stored) {
       return stored.state.id == entry.first && !stored.state.done &&
              !stored.state.ended;
@@ -53,14 +60,12 @@
   RequestScan(at, true);
 }
 
-auto OrphanDetector::RequestNextCheck(bool alone, MonotonicTime now) -> void {
-  auto first = now;
-  for (const auto& [job, since] : absent_since_) {
-    first = std::min(first, since);
+auto OrphanDetector::RequestNextCheck(MonotonicTime now) -> void {
+  for (const auto& [job, absence] : absences_) {
+    RequestScan(
+        absence.until > now ? absence.until : now + settings_.repeat_delay,
+        true);
   }
-  const auto at =
-      std::max(first + UnknownWait(alone), now + settings_.scan_interval);
-  RequestScan(at, true);
 }
 
 auto OrphanDetector::BeginScan(MonotonicTime now) -> bool {
--- a/src/serving/orphan_detector_test.cc
+++ b/src/serving/orphan_detector_test.cc
@@ -34,6 +34,8 @@
   CHECK(fixture.IsOrphan(OwnerPresence::kUnknown));
   CHECK_FALSE(fixture.IsOrphan(OwnerPresence::kUnknown, true));
   CHECK_FALSE(fixture.IsOrphan(OwnerPresence::kLeaving));
+  fixture.detector.RequestNextCheck(fixture.clock.now());
+  CHECK(fixture.detector.next_scan() == fixture.clock.now() + seconds(1));
   fixture.clock.Advance(seconds(1));
   CHECK(fixture.IsOrphan(OwnerPresence::kUnknown, true));
   CHECK(fixture.IsOrphan(OwnerPresence::kLeaving));
