Let items with slack for one run wait no longer

With a patience down to one run, more items became urgent and displaced online requests: at 0.8 jobs/s and 24 online slots these waited 0.64 ms instead of 0.56 ms, and above capacity (1.2 jobs/s) more items were late.

--- a/include/kumquatgauge/serving/batch_schedule.h
+++ b/include/kumquatgauge/serving/batch_schedule.h
@@ -34,8 +34,10 @@
   // prompt and another start.
   double useful_share = 0.3;
   // An item with less slack than this many runs, beyond the slack of urgent
-  // ones, does not wait for a slot that lasts.
-  double patient_runs = 1;
+  // ones, does not wait for a slot that lasts: it could be interrupted once
+  // more and still be on time. With one run, more items became urgent, and
+  // online requests waited longer.
+  double patient_runs = 2;
   // Slacks within one such interval are equal when items that were interrupted
   // often take precedence; the time of one interruption.
   Duration slack_step = std::chrono::milliseconds(2'500);
--- a/src/serving/batch_load_test.cc
+++ b/src/serving/batch_load_test.cc
@@ -324,7 +324,7 @@
 }
 
 auto RunAll(const LoadPattern& pattern, const Policy& policy) -> Outcome {
-  constexpr auto kSeeds = 4U;
+  constexpr auto kSeeds = 12U;
   auto sum = Outcome();
   for (auto seed = 1U; seed <= kSeeds; ++seed) {
     sum += Cell(pattern, policy, seed).Run();
@@ -338,7 +338,7 @@
 // later for waiting, and that delay online requests.
 TEST_CASE("BatchLoad.InterruptsFewerRunsWithoutMoreDelays") {
   const auto pattern = GENERATE(LoadPattern{24, 0.4}, LoadPattern{28, 0.4},
-                                LoadPattern{28, 0.8});
+                                LoadPattern{28, 0.8}, LoadPattern{24, 0.8});
   const auto former = RunAll(pattern, FormerPolicy());
   const auto present = RunAll(pattern, Policy());
   INFO("before: " << Describe(former) << "\nafter: " << Describe(present));
