--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -2217,7 +2217,7 @@
   }
 
   auto ArmScan() -> void {
-    scan_timer_.expires_at(*orphans_.next_scan());
+    scan_timer_.expires_at(orphans_.next_scan().value_or(parts_.clock()));
     scan_timer_.async_wait(
         [weak = weak_from_this()](const boost::system::error_code& error) {
           const auto self = weak.lock();
@@ -2276,7 +2276,7 @@
         milliseconds(static_cast<std::int64_t>(self->parts_.random() % 2'000));
     self->ScheduleScan(self->ScanInterval() + jitter, false);
     if (self->orphans_.awaits_owners() && self->ScansForOthers()) {
-      self->orphans_.RequestNextCheck(self->IsAlone(), self->parts_.clock());
+      self->orphans_.RequestNextCheck(self->parts_.clock());
       self->ArmScan();
     }
   }
