Observe unread answers until the last one is terminated

The test ended after 5 s, when some answers had only just been sent; a caller that then reads its answer gets all of it, which is correct but was counted as a terminated response that looks complete (6 of 80 in one run). It now observes for 11 s, after which every answer that nobody read must have been terminated.

--- a/testing/gateway/slow_reader_test.cc
+++ b/testing/gateway/slow_reader_test.cc
@@ -299,7 +299,9 @@
   auto fleet = LongAnswerFleet(2'000'000);
   auto& node = *fleet.nodes.front();
   const auto callers = StartCallers(node, kCallers, "/plain/x", 0);
-  const auto seen = Observe(fleet, milliseconds(5'000));
+  // The last answers begin after the time limit of the route, 5 s, and are
+  // terminated after another 5 s.
+  const auto seen = Observe(fleet, milliseconds(11'000));
   JoinAll(callers);
   CHECK(seen.both < kMaxBytes);
   CHECK(seen.served > 10);
