Test the limit of waiting tokens with two organisations

No test had two organisations with jobs on one route with `cap`. Two gateway processes get three times the jobs that fit from one organisation and then those of another one: each has exactly its own four accepted, further jobs get 429 with Retry-After, and no item of a refused job runs.

--- a/testing/gateway/organisations_test.cc
+++ b/testing/gateway/organisations_test.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
 #include "testing/gateway/fleet.h"
 
@@ -135,6 +136,54 @@
   CHECK(fleet.SeenBy("q1-b", "Tenant") == "b");
 }
 
+// Guards against an organisation at its limit of waiting tokens that takes the
+// room of another one on the same route, and against jobs above the limit that
+// run.
+TEST_CASE("Gateway.KeepsALimitOfWaitingTokensForEachOrganisation") {
+  constexpr auto kJobsThatFit = 4;
+  auto fleet = Organisations();
+  for (auto* replica : {fleet.one.get(), fleet.two.get()}) {
+    replica->set_event_delay(std::chrono::seconds(30));
+  }
+  auto configuration = ConfigurationOf(2, fleet.both);
+  for (auto& route : configuration.at("routes")) {
+    if (route.at("kind") == "batch") {
+      route["cap"] = kJobsThatFit * kItemTokens;
+    }
+  }
+  fleet.store->Put("config/main", configuration);
+  for (const auto& node : fleet.nodes) {
+    REQUIRE(Eventually(
+        [&] { return !LinesOf(node->Log(), "version", "2").empty(); }));
+  }
+  auto refused = std::vector<std::string>();
+  // Returns how many of `count` jobs, sent to the gateways in turn, were
+  // accepted.
+  const auto submit = [&](const std::string& organisation, int count) {
+    auto accepted = 0;
+    for (auto at = 0; at < count; ++at) {
+      const auto job = organisation + "-" + std::to_string(at);
+      const auto reply = Organisations::Call(
+          *fleet.nodes[at % fleet.nodes.size()], "POST", "/jobs/1", job,
+          "key-" + organisation + "1", JobBody({"i-" + job}));
+      CHECK((reply.status == 202 || reply.status == 429));
+      CHECK((reply.headers.count("retry-after") == 1) == (reply.status == 429));
+      accepted += reply.status == 202 ? 1 : 0;
+      if (reply.status == 429) {
+        refused.push_back("i-" + job);
+      }
+    }
+    return accepted;
+  };
+  CHECK(submit("a", 3 * kJobsThatFit) == kJobsThatFit);
+  CHECK(submit("b", kJobsThatFit) == kJobsThatFit);
+  // The jobs that were accepted before are accepted again, and no others.
+  CHECK(submit("b", 2 * kJobsThatFit) == kJobsThatFit);
+  for (const auto& item : refused) {
+    CHECK(fleet.RunCount(item) == 0);
+  }
+}
+
 // Guards against keys and limits that are lost because one member of a
 // configuration cannot be read.
 TEST_CASE("Gateway.KeepsTheLastConfigurationWithReadableOrganisations") {
