--- a/include/kumquatgauge/serving/load_balancer.h
+++ b/include/kumquatgauge/serving/load_balancer.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -218,6 +219,16 @@
   // Must be called about once a second.
   auto OnTick() -> routing::OutlierDetector::Changes;
 
+  // Room at the replicas of a service in this cell.
+  struct Room {
+    // Of replicas without a limit.
+    std::uint32_t slots = 0;
+    std::uint32_t in_flight = 0;
+    // Items that limited replicas take now. Running ones need not yield there
+    // for the sake of a reserve.
+    std::uint32_t batch_starts = 0;
+  };
+  auto RoomOf(const ServiceName& service) const -> Room;
   // Returns the number of batch items that may start now in this node's cell. A
   // negative number says how many must yield to online requests.
   auto BatchCapacity(const ServiceName& service) const -> std::int64_t;
@@ -234,6 +245,9 @@
     auto operator==(const BatchCounts&) const -> bool = default;
   };
   auto YieldableBatch(const ServiceName& service) const -> BatchCounts;
+  // Whether every slot of the replica is in use.
+  auto IsFull(const ReplicaId& replica) const -> bool;
+  auto batch_reserve() const -> double { return settings_.batch_reserve; }
   // Returns this node's in-flight requests by replica, to send to peers.
   auto own_counts() const -> InFlightCounts;
   // Returns what this node knows about silent replicas, to send with them.
@@ -261,25 +275,43 @@
     MonotonicTime unreachable_until;
     Duration unreachable_time{0};  // Zero after a successful contact.
   };
+  // The replicas of a service. Most decisions compare those of this node's cell
+  // only, so that their cost does not grow with the fleet.
+  struct ServiceReplicas {
+    std::vector<State*> all;
+    std::vector<State*> in_cell;
+  };
   struct PeerCounts {
     InFlightCounts counts;
     MonotonicTime at;
   };
-  // Room at the replicas of a service in this cell.
-  struct Room {
-    // Of replicas without a limit.
-    std::uint32_t slots = 0;
-    std::uint32_t in_flight = 0;
-    // Items that limited replicas take now. Running ones need not yield there
-    // for the sake of a reserve.
-    std::uint32_t batch_starts = 0;
-  };
   struct CellCapacity {
     std::uint32_t slots = 0;  // Slots that this node may use.
     MonotonicTime at;
   };
 
+  // What a comparison of replicas has found.
+  struct Comparison {
+    const State* best = nullptr;
+    const State* ejected = nullptr;
+    const State* silent = nullptr;
+    Duration next_start = Duration::max();
+  };
+
   auto ChooseFrom(const ChoiceRequest& request, bool own_zone_only) -> Choice;
+  // Compares the replicas of this node's cell.
+  auto CompareCell(const ServiceReplicas& replicas,
+                   const ChoiceRequest& request,
+                   bool own_zone_only,
+                   Choice& choice) -> Comparison;
+  // Returns a random usable replica of another cell. This node does not receive
+  // the counts of the other nodes that send to it.
+  auto AnyOfOtherCells(const ServiceReplicas& replicas,
+                       const ChoiceRequest& request,
+                       Choice& choice,
+                       Comparison& comparison) -> const State*;
+  // Whether the replica is ejected, or cannot be tried now.
+  auto IsOutOfUse(const State& state) const -> bool;
   // Whether the request may use replicas of other zones from the start.
   auto MayLeaveZone(const ChoiceRequest& request) -> bool;
   auto IsUsable(const State& state, const ChoiceRequest& request) const -> bool;
@@ -292,7 +324,6 @@
   // Returns the slots that requests use or may use now: at a limited replica
   // those in use and the starts that it takes.
   auto UsableSlots(const State& state) const -> std::uint32_t;
-  auto RoomOf(const ServiceName& service) const -> Room;
   // Whether the replica belongs to this cell and takes work.
   auto TakesWork(const State& state) const -> bool;
   static auto IsGoneOrLeaving(const State& state) -> bool {
@@ -322,6 +353,9 @@
   // the free slots, and uses up one of them.
   auto TakeFromOtherCell(const ChoiceRequest& request) -> const State*;
   auto AssignReplicasToCells() -> void;
+  // Returns the replicas of the service in this node's cell.
+  auto CellReplicas(const ServiceName& service) const
+      -> const std::vector<State*>&;
   auto RebuildPeers() -> void;
   // Adds the counts of one peer to the replicas' totals, or subtracts them.
   auto Apply(const InFlightCounts& counts, bool add) -> void;
@@ -337,7 +371,9 @@
   ReplicaSpeed replica_speed_;
   std::optional<ZonePolicy> zone_policy_;
   std::map<ReplicaId, State> states_;
-  std::map<ServiceName, std::vector<ReplicaId>> services_;
+  std::map<ServiceName, ServiceReplicas> services_;
+  // Replicas at which this node has requests in flight.
+  std::set<ReplicaId> busy_;
   std::map<NodeId, PeerCounts> peers_;
   std::map<ServiceName, double> hold_s_;
   // When an online request last found the replicas full or at their limits.
--- a/include/kumquatgauge/serving/request_quota.h
+++ b/include/kumquatgauge/serving/request_quota.h
@@ -36,6 +36,12 @@
   // start together know few of the others at first.
   std::size_t unknown_fleet_size = 64;
   Duration settle_time = std::chrono::seconds(1);
+  // A node that starts accepts every request at first: together the nodes stay
+  // within `start_tokens` beyond the rate if no organisation sends more than
+  // `max_start_demand` times its rate. Shares of the rate would refuse nearly
+  // all requests of organisations that send each node less than one a second.
+  double start_tokens = 8;
+  double max_start_demand = 3.5;
   // Bounds the asks for an organisation above its limit: a node that was paused
   // `max_short_pauses` times within `pause_window` pauses for `long_pause`
   // after each further grant. A long pause after each refusal would refuse
@@ -43,6 +49,10 @@
   std::uint32_t max_short_pauses = 2;
   Duration pause_window = std::chrono::seconds(1);
   Duration long_pause = std::chrono::milliseconds(100);
+  // Share of the rate that all local decisions together accept. If a third of
+  // the nodes is cut off for 2.5 s, beside a keeper that grants the whole rate,
+  // they accept 0.67 times the rate; 0.6 times the rate and 20 are allowed.
+  double local_share = 0.8;
   // Bounds the time that a local decision leaves to the next one.
   Duration max_local_carry = std::chrono::seconds(1);
   Duration min_retry_after = std::chrono::milliseconds(10);
@@ -106,6 +116,8 @@
   // Must be called at next_event().
   auto OnTick() -> void;
   auto next_event() const -> std::optional<MonotonicTime>;
+  // Records that this node knows the others before `settle_time` is over.
+  auto OnSettled() -> void { settled_ = true; }
   // Whether this node has just started, so that it does not know the others
   // yet.
   auto settling() const -> bool;
@@ -135,6 +147,8 @@
   };
 
   auto FleetSize() const -> std::size_t;
+  // Whether a node that has just started accepts every request.
+  auto AcceptsAtStart(const RequestLimit& limit) const -> bool;
   // Decides a request without an ask if that is possible.
   auto DecideNow(State& state) -> std::optional<RequestQuotaDecision>;
   auto UseToken(State& state) -> RequestQuotaDecision;
@@ -150,6 +164,7 @@
   RequestQuotaHooks hooks_;
   std::uint64_t sequence_;
   MonotonicTime started_;
+  bool settled_ = false;
   std::map<OrganisationName, State> states_;
   std::uint64_t asks_ = 0;
   std::uint64_t timeouts_ = 0;
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -6,7 +6,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <list>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
@@ -16,14 +15,18 @@
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/node/peer_server.h"
 #include "kumquatgauge/routing/rendezvous.h"
+#include "kumquatgauge/serving/batch_allocator.h"
 #include "kumquatgauge/serving/batch_schedule.h"
 #include "kumquatgauge/serving/end_notices.h"
 #include "kumquatgauge/serving/event_splitter.h"
 #include "kumquatgauge/serving/forwarder.h"
 #include "kumquatgauge/serving/job_memory.h"
 #include "kumquatgauge/serving/job_state_check.h"
+#include "kumquatgauge/serving/orphan_detector.h"
+#include "kumquatgauge/serving/result_write_policy.h"
 #include "kumquatgauge/serving/state_change.h"
 #include "serving/owned_job.h"
+#include "serving/result_cache.h"
 
 namespace kumquatgauge::serving {
 namespace {
@@ -31,8 +34,10 @@
 namespace asio = boost::asio;
 using asio::awaitable;
 using caller::ResponseWriter;
+using detail::BytesOf;
 using detail::ItemProgress;
 using detail::OwnedJob;
+using detail::ResultCache;
 using kumquatgauge::detail::Pause;
 using nlohmann::json;
 using routing::WorkClass;
@@ -51,16 +56,14 @@
 constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
 
-// How often the capacity for batch work is checked; about the interval at which
-// nodes send each other their counts.
-constexpr milliseconds kTickInterval{50};
-// Results that finish within this delay are stored by one call, because calls
-// to the store are expensive and the items of a job end at different times. The
-// delay is a fraction of the time until the job is due. A result that waits is
-// lost if its node dies, and its item runs again.
-constexpr int kStoreDelayDivisor = 8;
-constexpr milliseconds kMinStoreDelay{100};
-constexpr milliseconds kMaxStoreDelay{1'000};
+// How often items may start. Nodes send each other their counts every 15 ms, so
+// that the starts of one round are usually known in the next.
+constexpr milliseconds kTickInterval{25};
+// Rounds between two checks of what must stop: the items of the last check have
+// stopped by then.
+constexpr std::uint64_t kRoundsPerCheck = 2;
+// How often the time at which waiting results are stored is decided again.
+constexpr milliseconds kStoreCheckInterval{100};
 // Delay after a failed call to the store, which answers within milliseconds
 // when it is available.
 constexpr milliseconds kStoreRetryDelay{300};
@@ -76,9 +79,8 @@
 // for the answer of another node.
 constexpr milliseconds kMaxReadWait{1'000};
 constexpr milliseconds kPeerTimeout{800};
-// Delays before a scan: membership changes that belong to one event are handled
-// by one scan, and a node that starts first needs to learn the members.
-constexpr milliseconds kScanDelay{400};
+// Delay before the first scan: a node that starts first needs to learn the
+// members.
 constexpr milliseconds kFirstScanDelay{1'500};
 // Delay after a scan that the store did not answer.
 constexpr milliseconds kScanRetryDelay{1'000};
@@ -87,9 +89,6 @@
 // be lost.
 constexpr milliseconds kHandoverAnswerTime{250};
 constexpr milliseconds kHandoverPoll{10};
-// Time that the members of a fleet that starts all at once need to find each
-// other.
-constexpr milliseconds kUnknownOwnerWait{2'000};
 // The periodic scan makes up for lost announcements of takeovers. It may show
 // states that are seconds old, at a fraction of the store's price: every node
 // scans, and a takeover is a conditional write.
@@ -135,14 +134,6 @@
 constexpr std::size_t kMaxIdBytes = 256;  // Of a job.
 constexpr int kStateAttempts = 4;
 
-auto BytesOf(const std::vector<ItemResult>& results) -> std::size_t {
-  auto bytes = std::size_t{0};
-  for (const auto& result : results) {
-    bytes += result.text.size() + result.item.size();
-  }
-  return bytes;
-}
-
 auto EncodePeerPage(const Page& page) -> json {
   auto results = json::array();
   for (const auto& result : page.results) {
@@ -167,52 +158,6 @@
   return page;
 }
 
-// Caches results that were read from the store, contiguous from the first
-// position. Evicts the least recently read job first.
-class ResultCache {
- public:
-  explicit ResultCache(std::size_t max_bytes) : max_bytes_(max_bytes) {}
-
-  auto Find(const JobId& id) -> StoredResults* {
-    const auto found = entries_.find(id);
-    if (found == entries_.end()) {
-      return nullptr;
-    }
-    order_.splice(order_.begin(), order_, found->second.place);
-    return &found->second.stored;
-  }
-
-  auto Put(const JobId& id, StoredResults stored) -> void {
-    Erase(id);
-    order_.push_front(id);
-    bytes_ += BytesOf(stored.results);
-    entries_[id] = {std::move(stored), order_.begin()};
-    while (bytes_ > max_bytes_ && order_.size() > 1) {
-      Erase(JobId(order_.back()));
-    }
-  }
-
- private:
-  struct Entry {
-    StoredResults stored;
-    std::list<JobId>::iterator place;
-  };
-
-  auto Erase(const JobId& id) -> void {
-    const auto found = entries_.find(id);
-    if (found != entries_.end()) {
-      bytes_ -= BytesOf(found->second.stored.results);
-      order_.erase(found->second.place);
-      entries_.erase(found);
-    }
-  }
-
-  std::map<JobId, Entry> entries_;
-  std::list<JobId> order_;
-  std::size_t max_bytes_;
-  std::size_t bytes_ = 0;
-};
-
 }  // namespace
 
 class BatchRunner::Impl : public std::enable_shared_from_this<Impl> {
@@ -220,6 +165,7 @@
   explicit Impl(BatchRunnerParts parts)
       : parts_(std::move(parts)),
         schedule_(BatchScheduleSettings()),
+        allocator_(BatchAllocatorSettings(), parts_.random),
         tick_timer_(parts_.executor),
         scan_timer_(parts_.executor),
         accepted_(
@@ -238,6 +184,16 @@
     parts_.metrics.AddGauge("kqg_job_memory_bytes", [this] {
       return static_cast<double>(memory_.used_bytes());
     });
+    parts_.metrics.AddGauge("kqg_regular_loads", [this] {
+      return static_cast<double>(
+          allocator_.forecast().regular_services(parts_.clock()));
+    });
+    parts_.metrics.AddGauge("kqg_load_steps", [this] {
+      return static_cast<double>(allocator_.forecast().steps());
+    });
+    parts_.metrics.AddGauge("kqg_item_repeated_yields", [this] {
+      return static_cast<double>(schedule_.repeated_yields());
+    });
   }
 
   auto Start() -> void {
@@ -485,7 +441,8 @@
 
   auto OnMembersChanged() -> void {
     if (ScansForOthers()) {
-      ScheduleScan(kScanDelay, true);
+      orphans_.OnMembersChanged(parts_.clock());
+      ArmScan();
     }
   }
 
@@ -992,7 +949,7 @@
         break;
       }
       self->SendDueEndNotices();
-      if (!self->stopped_ && !self->jobs_.empty()) {
+      if (!self->stopped_) {
         self->Tick();
       }
     }
@@ -1000,32 +957,55 @@
 
   auto Tick() -> void {
     const auto now = parts_.clock();
-    MakeRoom();
-    CheckStates(now);
-    UpdateSuspensions(now);
-    RescheduleOnNewConfiguration();
-    for (const auto& ref : schedule_.TakeGivenUp(now)) {
-      AddResult(ref, false);
+    const auto check = rounds_++ % kRoundsPerCheck == 0;
+    if (check && !jobs_.empty()) {
+      CheckJobs(now);
     }
-    auto unstored = std::size_t{0};
+    unstored_bytes_ = 0;
+    unstored_results_ = 0;
     for (const auto& [id, job] : jobs_) {
-      unstored += BytesOf(job->unstored);
-    }
-    for (const auto& service : schedule_.services()) {
-      const auto capacity = parts_.load_balancer.BatchCapacity(service);
-      if (capacity < 0) {
-        const auto share =
-            YieldShare(service, static_cast<std::uint64_t>(-capacity));
-        YieldItems(service, share,
+      unstored_bytes_ += BytesOf(job->unstored);
+      unstored_results_ += job->unstored.size();
+    }
+    for (const auto& service : allocator_.services()) {
+      const auto demand =
+          BatchDemand{schedule_.waiting(service, now),
+                      schedule_.running(service), schedule_.run_time()};
+      if (check) {
+        const auto online = parts_.load_balancer.Total(service).online;
+        allocator_.OnLoad(service, online, now);
+      }
+      if (demand.waiting == 0 && (!check || demand.running == 0)) {
+        continue;
+      }
+      const auto load =
+          BatchLoadOf(parts_.load_balancer, service, parts_.cell_size());
+      if (check) {
+        YieldItems(service, allocator_.Yields(service, load, now),
                    "online requests leave fewer slots for batch work",
                    std::nullopt);
       }
-      if (unstored < parts_.memory_bytes / kUnstoredMemoryDivisor) {
-        StartItems(service, capacity, now);
+      if (unstored_bytes_ < MaxUnstoredBytes()) {
+        StartItems(service, load, demand, now);
       }
     }
   }
 
+  auto CheckJobs(MonotonicTime now) -> void {
+    MakeRoom();
+    CheckStates(now);
+    UpdateSuspensions(now);
+    RescheduleOnNewConfiguration();
+    for (const auto& ref : schedule_.TakeGivenUp(now)) {
+      AddResult(ref, false);
+    }
+    allocator_.Watch(schedule_.services());
+  }
+
+  auto MaxUnstoredBytes() const -> std::size_t {
+    return parts_.memory_bytes / kUnstoredMemoryDivisor;
+  }
+
   auto CheckStates(MonotonicTime now) -> void {
     const auto failures = parts_.store_failures();
     if (std::exchange(store_failures_, failures) != failures) {
@@ -1061,36 +1041,12 @@
     }
   }
 
-  // Returns how many of the `excess` items that must yield in the whole fleet
-  // are this node's share.
-  auto YieldShare(const ServiceName& service, std::uint64_t excess)
-      -> std::size_t {
-    const auto batch = parts_.load_balancer.YieldableBatch(service);
-    const auto all = std::max(1U, batch.fleet);
-    const auto own = excess * batch.own;
-    return own / all + Fraction(own % all, all);
-  }
-
-  // Returns 1 with probability numerator / denominator, otherwise 0.
-  auto Fraction(std::uint64_t numerator, std::uint64_t denominator)
-      -> std::size_t {
-    return parts_.random() % denominator < numerator ? 1 : 0;
-  }
-
-  // All owners see the same free capacity, so each takes its share. The share
-  // is halved because the counts of the owners reach each other with a delay.
   auto StartItems(const ServiceName& service,
-                  std::int64_t capacity,
+                  const BatchLoad& load,
+                  const BatchDemand& demand,
                   MonotonicTime now) -> void {
-    const auto nodes = 2 * std::max<std::size_t>(1, parts_.cell_size());
-    const auto part_of = [&](std::uint64_t all) {
-      return all / nodes + Fraction(all % nodes, nodes);
-    };
-    const auto part = part_of(
-        static_cast<std::uint64_t>(std::max<std::int64_t>(0, capacity)));
-    const auto urgent =
-        part_of(parts_.load_balancer.UrgentBatchCapacity(service));
-    for (const auto& ref : schedule_.TakeStarts(service, part, urgent, now)) {
+    const auto limits = allocator_.Starts(service, load, demand, now);
+    for (const auto& ref : schedule_.TakeStarts(service, limits, now)) {
       asio::co_spawn(parts_.executor, RunItem(shared_from_this(), ref),
                      asio::detached);
     }
@@ -1125,9 +1081,15 @@
                   std::size_t count,
                   const std::string& reason,
                   const std::optional<std::string>& version) -> std::size_t {
+    const auto configuration = parts_.configuration();
     const auto yields = schedule_.TakeYields(
         service, count, parts_.clock(),
-        [&](const ItemRef& ref) { return MayYield(ref, version); });
+        [&](const ItemRef& ref) { return MayYield(ref, version); },
+        [&](const ItemRef& ref) {
+          return parts_.load_balancer.IsFull(RunningItem(ref)->replica);
+        },
+        configuration == nullptr ? Duration::zero()
+                                 : OnlineWait(*configuration, service));
     for (const auto& ref : yields) {
       const auto job = jobs_.find(ref.job);
       if (job == jobs_.end()) {
@@ -1371,7 +1333,7 @@
     request.target = item.path;
     request.headers =
         parts_.dialect.encode_item(item, job.record.host, delivery);
-    request.body = item.body;
+    request.body = std::make_shared<const std::string>(item.body);
     request.max_sends = 2;
     request.may_send = [&load_balancer = parts_.load_balancer,
                         id = replica.id] {
@@ -1524,38 +1486,54 @@
     (completed ? completed_items_ : failed_items_).Add();
     parts_.quotas.OnFinished(job->state.account, job->state.id,
                              job->items[ref.item].tokens);
-    job->unstored.push_back(std::move(result));
-    if (!completed) {
-      // If this node is lost before it is stored, the item fails once more.
-      job->EndStoreDelay();
+    if (job->unstored.empty()) {
+      job->unstored_since = parts_.clock();
     }
+    job->unstored.push_back(std::move(result));
+    job->EndStoreDelay();  // The result may be the last one, or a failure.
     if (!std::exchange(job->storing, true)) {
       asio::co_spawn(parts_.executor, StoreResults(shared_from_this(), job),
                      asio::detached);
     }
   }
 
-  auto StoreDelay(const OwnedJob& job) const -> milliseconds {
-    const auto failed =
+  // Returns when the job is due; nothing without a route that has a due time.
+  auto DueTime(const OwnedJob& job) const -> std::optional<MonotonicTime> {
+    const auto configuration = parts_.configuration();
+    const auto* route =
+        configuration == nullptr
+            ? nullptr
+            : configuration->FindRoute(job.record.host, job.record.path);
+    if (route == nullptr || route->due <= milliseconds::zero()) {
+      return std::nullopt;
+    }
+    return Describe(job, configuration.get()).due;
+  }
+
+  auto StoreTime(const OwnedJob& job) const -> MonotonicTime {
+    const auto now = parts_.clock();
+    if (stopped_ || job.dropped || job.unstored.empty()) {
+      return now;
+    }
+    auto results = WaitingResults();
+    results.since = job.unstored_since;
+    results.due = DueTime(job);
+    results.complete = job.finished.size() >= job.items.size();
+    results.failed =
         std::any_of(job.unstored.begin(), job.unstored.end(),
                     [](const auto& result) { return !result.completed; });
-    // Readers of a whole job wait for the last one.
-    if (stopped_ || failed || job.finished.size() >= job.items.size()) {
-      return milliseconds::zero();
-    }
-    const auto configuration = parts_.configuration();
-    const auto due = Describe(job, configuration.get()).due;
-    const auto left =
-        std::chrono::duration_cast<milliseconds>(due - parts_.clock());
-    return std::clamp(left / kStoreDelayDivisor, kMinStoreDelay,
-                      kMaxStoreDelay);
-  }
-
-  auto AwaitStoreDelay(JobPtr job) -> awaitable<void> {
-    const auto delay = StoreDelay(*job);
-    if (delay > milliseconds::zero()) {
-      job->store_delay =
-          std::make_shared<asio::steady_timer>(parts_.executor, delay);
+    results.next_end = schedule_.NextEnd(job.state.id);
+    results.waiting_on_node = unstored_results_;
+    results.low_memory = unstored_bytes_ > MaxUnstoredBytes() / 2;
+    return write_policy_.WriteTime(results, now);
+  }
+
+  auto AwaitStoreTime(JobPtr job) -> awaitable<void> {
+    for (auto time = StoreTime(*job); time > parts_.clock();
+         time = StoreTime(*job)) {
+      job->store_delay = std::make_shared<asio::steady_timer>(
+          parts_.executor,
+          std::min<Duration>(time - parts_.clock(), kStoreCheckInterval));
       co_await job->store_delay->async_wait(kAwaitTuple);
       job->store_delay.reset();
     }
@@ -1563,8 +1541,11 @@
 
   static auto StoreResults(std::shared_ptr<Impl> self, JobPtr job)
       -> awaitable<void> {
-    co_await self->AwaitStoreDelay(job);
     while (!job->unstored.empty() && !job->dropped) {
+      co_await self->AwaitStoreTime(job);
+      if (job->unstored.empty() || job->dropped) {
+        break;
+      }
       auto chunk = ResultChunk{job->state.id, job->stored.end(), self->Nonce(),
                                job->NextChunk(), self->FailuresOf(*job)};
       const auto writer = chunk.writer;
@@ -1813,7 +1794,7 @@
     auto owner = KnownOwner(call.job);
     auto state = std::optional<StoredState>();
     if (!owner) {
-      state = co_await parts_.archive.LoadState(call.job);
+      state = co_await FindState(call.job);
       if (!state) {
         co_return std::nullopt;
       }
@@ -1828,7 +1809,7 @@
     }
     announced_.erase(call.job);
     if (!state) {
-      state = co_await parts_.archive.LoadState(call.job);
+      state = co_await FindState(call.job);
     }
     if (!state) {
       co_return std::nullopt;
@@ -1836,6 +1817,17 @@
     co_return co_await StoredPage(state->state, call.after);
   }
 
+  // Loads the state of a job for a read, which needs its owner and number of
+  // items. An inexact read, which costs less, may show a former owner or miss a
+  // new job.
+  auto FindState(JobId id) -> awaitable<std::optional<StoredState>> {
+    auto state = co_await parts_.archive.LoadState(id, false);
+    if (!state || (!state->state.done && !FindMember(state->state.owner))) {
+      state = co_await parts_.archive.LoadState(id);
+    }
+    co_return state;
+  }
+
   auto OwnPage(JobPtr job, ReadResults call) -> awaitable<Page> {
     const auto over = job->state.done || job->state.ended;
     if (call.after >= job->stored.results.size() && !over &&
@@ -2220,8 +2212,12 @@
 
   // An exact scan shows the newest states.
   auto ScheduleScan(milliseconds delay, bool exact) -> void {
-    scan_exactly_ = scan_exactly_ || exact;
-    scan_timer_.expires_after(delay);
+    orphans_.RequestScan(parts_.clock() + delay, exact);
+    ArmScan();
+  }
+
+  auto ArmScan() -> void {
+    scan_timer_.expires_at(orphans_.next_scan().value_or(parts_.clock()));
     scan_timer_.async_wait(
         [weak = weak_from_this()](const boost::system::error_code& error) {
           const auto self = weak.lock();
@@ -2236,7 +2232,11 @@
   // that all nodes agree on; a conditional write resolves disagreements.
   static auto Scan(std::shared_ptr<Impl> self) -> awaitable<void> {
     const auto asked_at = self->parts_.clock();
-    const auto exact = std::exchange(self->scan_exactly_, false);
+    // In a large fleet the nodes that watch the store look for the jobs of lost
+    // owners, also when all nodes start at once.
+    const auto first = !std::exchange(self->scanned_, true);
+    const auto exact = self->orphans_.BeginScan(asked_at) &&
+                       (!first || self->ScansForOthers());
     auto states = std::vector<StoredState>();
     auto failure = std::string();
     try {
@@ -2270,14 +2270,14 @@
         co_await self->AdoptOrTell(stored);
       }
     }
-    self->PruneAbsentOwners(states);
+    self->orphans_.Prune(states);
     self->MakeRoom();
     const auto jitter =
         milliseconds(static_cast<std::int64_t>(self->parts_.random() % 2'000));
-    if (self->absent_since_.empty() || !self->ScansForOthers()) {
-      self->ScheduleScan(self->ScanInterval() + jitter, false);
-    } else {
-      self->ScheduleScan(kUnknownOwnerWait, true);
+    self->ScheduleScan(self->ScanInterval() + jitter, false);
+    if (self->orphans_.awaits_owners() && self->ScansForOthers()) {
+      self->orphans_.RequestNextCheck(self->parts_.clock());
+      self->ArmScan();
     }
   }
 
@@ -2328,48 +2328,29 @@
     return age > parts_.retention;
   }
 
-  auto OwnerLives(const JobState& state) const -> bool {
+  auto IsAlone() const -> bool { return parts_.live().size() <= 1; }
+
+  auto PresenceOf(const JobState& state) const -> OwnerPresence {
     const auto member = FindMember(state.owner);
-    return member && member->incarnation == state.incarnation &&
-           !member->leaving;
+    if (member && member->incarnation == state.incarnation) {
+      return member->leaving ? OwnerPresence::kLeaving : OwnerPresence::kLive;
+    }
+    return member || parts_.is_dead_or_left(state.owner)
+               ? OwnerPresence::kGone
+               : OwnerPresence::kUnknown;
   }
 
   // Returns whether a job is to be taken over. The owner must be known to have
-  // ended or restarted, or have told, as `from`, that it hands the job over. An
-  // owner that is merely unknown, as all are to a node that has just started,
-  // must stay unknown for kUnknownOwnerWait; one that leaves has kHandoverTime.
+  // ended or restarted, or have told, as `from`, that it hands the job over, or
+  // have been absent for some time.
   auto IsOrphan(const JobState& state,
                 const std::optional<NodeId>& from = std::nullopt) -> bool {
     if (state.done || state.ended || jobs_.contains(state.id)) {
       return false;
     }
-    if (IsOwn(state) || from == state.owner) {
-      return true;
-    }
-    if (OwnerLives(state)) {
-      absent_since_.erase(state.id);
-      return false;
-    }
-    const auto now = parts_.clock();
-    const auto since = absent_since_.try_emplace(state.id, now).first->second;
-    const auto member = FindMember(state.owner);
-    const auto leaves =
-        member && member->incarnation == state.incarnation && member->leaving;
-    if (leaves) {
-      return now - since >= kHandoverTime;
-    }
-    return parts_.is_dead_or_left(state.owner) || member ||
-           now - since >= kUnknownOwnerWait;
-  }
-
-  auto PruneAbsentOwners(const std::vector<StoredState>& states) -> void {
-    std::erase_if(absent_since_, [&](const auto& entry) {
-      return std::none_of(states.begin(), states.end(),
-                          [&](const auto& stored) {
-                            return stored.state.id == entry.first &&
-                                   !stored.state.done && !stored.state.ended;
-                          });
-    });
+    return IsOwn(state) || from == state.owner ||
+           orphans_.IsOrphan(state.id, PresenceOf(state), IsAlone(),
+                             parts_.clock());
   }
 
   auto ChosenFor(const JobId& id) const -> NodeId {
@@ -2465,11 +2446,14 @@
       }
       co_return;
     }
+    const auto absent = std::chrono::duration_cast<milliseconds>(
+        orphans_.AbsentFor(id, checked_at));
     adopted_.Add();
     logger_.Info("a job was taken over",
                  {{"event", "job_adopted"},
                   {"job", id.value()},
                   {"from", stored.state.owner.value()},
+                  {"absent_ms", std::to_string(absent.count())},
                   {"listed", std::to_string(results.results.size())},
                   {"closings", std::to_string(results.closings)},
                   {"items", std::to_string(items.size())}});
@@ -2480,6 +2464,11 @@
   BatchRunnerParts parts_;
   Logger logger_{"batch"};
   BatchSchedule schedule_;
+  ResultWritePolicy write_policy_{ResultWriteSettings()};
+  std::size_t unstored_bytes_ = 0;    // Of all jobs, at the last tick.
+  std::size_t unstored_results_ = 0;  // The same.
+  BatchAllocator allocator_;
+  std::uint64_t rounds_ = 0;
   StateCheckSchedule checks_{StateCheckSettings()};
   JobMemory memory_{parts_.memory_bytes};
   EndNotices notices_{
@@ -2492,12 +2481,11 @@
   std::set<JobId> taking_over_;
   std::multiset<JobId> submitting_;  // Once for each submission under way.
   std::map<JobId, NodeId> announced_;
-  // When the owner of an unfinished job was first found absent.
-  std::map<JobId, MonotonicTime> absent_since_;
+  OrphanDetector orphans_{OrphanSettings()};
   // When a node last told of an orphan.
   std::map<JobId, MonotonicTime> orphans_told_;
   ResultCache cache_{parts_.memory_bytes / kCacheMemoryDivisor};
-  bool scan_exactly_ = true;
+  bool scanned_ = false;  // Since the start.
   std::uint64_t scheduled_version_ = 0;
   std::uint64_t store_failures_ = 0;
   std::uint64_t notices_dropped_ = 0;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -33,11 +33,14 @@
 #include "kumquatgauge/serving/job_archive.h"
 #include "kumquatgauge/serving/load_balancer.h"
 #include "kumquatgauge/serving/quota_keeper.h"
+#include "kumquatgauge/serving/readiness_report.h"
+#include "kumquatgauge/serving/replica_report.h"
 #include "kumquatgauge/serving/replica_table.h"
 #include "kumquatgauge/serving/request_quarantine.h"
 #include "kumquatgauge/serving/request_quota_keeper.h"
 #include "kumquatgauge/serving/speed_report.h"
 #include "kumquatgauge/serving/store_feed.h"
+#include "kumquatgauge/serving/store_report.h"
 #include "kumquatgauge/serving/stream_versions.h"
 #include "kumquatgauge/serving/watcher_choice.h"
 #include "kumquatgauge/serving/zone_report.h"
@@ -97,6 +100,10 @@
 // delays a change by this much, far less than the time within which it must be
 // known.
 constexpr milliseconds kReplicaDebounce{200};
+// About the time in which a node that starts meets the others. Less than half
+// of the time within which a configuration must apply. Entries of replicas
+// change more often, so they are watched at once.
+constexpr milliseconds kFirstWatchDelay{800};
 // How often other nodes are asked about a missing entry while its replica is
 // kept, and how long an answer may take.
 constexpr milliseconds kMissingQuestionInterval{250};
@@ -130,10 +137,7 @@
 // File descriptors reserved for replicas, peers, the store and files.
 constexpr std::size_t kReservedDescriptors = 400;
 constexpr std::size_t kBytesPerMegabyte = 1'000'000;
-// Share of the memory limit that answers may take while they are read.
-constexpr std::size_t kAnswerMemoryDivisor = 8;
-// The same for the bodies of requests, of which there is a copy while they are
-// sent.
+// Share of the memory limit for bodies that replicas have not read yet.
 constexpr std::size_t kBodyMemoryDivisor = 8;
 // Other programs may write entries of any size.
 constexpr std::size_t kMaxLoggedValueBytes = 1'000;
@@ -286,6 +290,7 @@
       }
     });
     context_.run();
+    store_report_.Log(store_client_.calls_by_kind(), logger_);
     logger_.Info("stopped", {{"event", "stop"}});
   }
 
@@ -433,8 +438,7 @@
                     request_quotas_.Refund(*request.organisation);
                   }
                 },
-            .answer_memory_bytes = std::size_t{settings_.limits.memory_mb} *
-                                   kBytesPerMegabyte / kAnswerMemoryDivisor};
+            .relay = relay_};
   }
 
   auto MakeFreshnessParts() -> FreshnessKeeperParts {
@@ -467,6 +471,7 @@
     auto feed = StoreFeedSettings();
     const auto& key = parts_.dialect.configuration_key;
     feed.prefix = key.substr(0, key.find('/') + 1);
+    feed.first_watch_delay = kFirstWatchDelay;
     return feed;
   }
 
@@ -597,6 +602,7 @@
     request_quotas_.SetConfiguration(*configuration_);
     ApplyCallerLimits();
     gossip_.OnFeedApplied(kConfigurationFeed, configuration_->version);
+    ReportReadiness();
     return configuration_->version;
   }
 
@@ -918,8 +924,11 @@
   }
 
   auto UseReplicas() -> void {
-    load_balancer_.SetReplicas(streams_.Usable(replica_table_.replicas()));
+    const auto usable = streams_.Usable(replica_table_.replicas());
+    has_replicas_ = !usable.empty();
+    load_balancer_.SetReplicas(usable);
     forwarder_.OnCapacityFreed();
+    ReportReadiness();
   }
 
   // --- Replicas that say in their answers that they leave.
@@ -1021,6 +1030,17 @@
     retry_budget_.set_nodes(size);
     batch_.OnMembersChanged();
     request_quotas_.OnMembersChanged();
+    ReportReadiness();
+  }
+
+  auto ReportReadiness() -> void {
+    const auto keys = configuration_ &&
+                      (!configuration_->organisations || freshness_.IsFresh());
+    readiness_report_.Update({.configuration = configuration_ != nullptr,
+                              .keys = keys,
+                              .replicas = has_replicas_,
+                              .peers = gossip_.membership().live().size() > 1},
+                             logger_);
   }
 
   // Returns the number of nodes that have not stopped as planned, including
@@ -1274,7 +1294,10 @@
     auto& detector = load_balancer_.silence_detector();
     const auto changes = detector.TakeChanges();
     for (const auto& change : changes) {
-      LogSuspicion(change);
+      LogSuspicion(change, logger_);
+      if (change.suspected) {
+        suspicions_.Add();
+      }
     }
     if (detector.suspected() > 0) {
       forwarder_.MoveSilent();
@@ -1303,23 +1326,6 @@
     });
   }
 
-  auto LogSuspicion(const SuspicionChange& change) -> void {
-    const auto silent =
-        std::chrono::duration_cast<milliseconds>(change.silent).count();
-    if (change.suspected) {
-      suspicions_.Add();
-    }
-    // Both are warnings: they are few, and routine lines are dropped first.
-    logger_.Warning(
-        change.suspected ? "a replica is suspected to be silent"
-                         : "a replica is no longer suspected to be silent",
-        {{"event", change.suspected ? "suspicion_begins" : "suspicion_ends"},
-         {"replica", change.replica.value()},
-         {"overdue", std::to_string(change.overdue)},
-         {"silent_ms", std::to_string(silent)},
-         {"reason", change.reason}});
-  }
-
   auto SendCounts() -> void {
     counts_sent_ = SteadyNow();
     auto message = json{{"t", "load"}, {"n", settings_.name.value()}};
@@ -1361,7 +1367,7 @@
   // started what the others know.
   auto UpdateStartLimits() -> void {
     for (const auto& change : load_balancer_.start_limiter().TakeChanges()) {
-      LogStartLimit(change);
+      LogStartLimit(change, logger_);
     }
     if (SteadyNow() - start_reports_sent_ >= kCountsRefreshInterval) {
       start_reports_sent_ = SteadyNow();
@@ -1480,7 +1486,8 @@
         [this, handler](std::shared_ptr<const IncomingRequest> incoming,
                         WriterPtr writer) {
           return (this->*handler)(std::move(incoming), std::move(writer));
-        });
+        },
+        relay_.hooks());
     listener->Start();
   }
 
@@ -1677,7 +1684,7 @@
             ApplyReplicas();
           }
           for (const auto& change : load_balancer_.OnTick()) {
-            LogEjection(change);
+            LogEjection(change, logger_);
           }
           UpdateSilence();
           if (!counts_empty_ &&
@@ -1686,6 +1693,8 @@
           }
           ReportSpeeds(load_balancer_.replica_speed(), logger_);
           ReportZones(load_balancer_.zone_policy(), metrics_, logger_);
+          store_report_.Update(store_client_.calls_by_kind(), logger_);
+          ReportReadiness();
           UpdateStartLimits();
           SendCellCapacity();
           UpdateQuarantine();
@@ -1695,32 +1704,6 @@
         });
   }
 
-  auto LogEjection(const routing::EjectionChange& change) -> void {
-    const auto state = change.state == routing::EjectionState::kInUse ? "in_use"
-                       : change.state == routing::EjectionState::kEjected
-                           ? "ejected"
-                           : "probing";
-    logger_.Info("the ejection state of a replica changed",
-                 {{"event", "replica_standing"},
-                  {"replica", change.replica.value()},
-                  {"standing", state},
-                  {"reason", change.reason}});
-  }
-
-  auto LogStartLimit(const StartLimitChange& change) -> void {
-    const auto text = [](const std::optional<double>& limit) {
-      return limit ? std::to_string(*limit) : std::string("none");
-    };
-    const auto age =
-        std::chrono::duration_cast<milliseconds>(change.age).count();
-    logger_.Info("a replica named another limit of requests a second",
-                 {{"event", "replica_limit"},
-                  {"replica", change.replica.value()},
-                  {"limit", text(change.limit)},
-                  {"before", text(change.before)},
-                  {"age_ms", std::to_string(age)}});
-  }
-
   auto AwaitSignals() -> void {
     signals_.Start([this](int signal) {
       if (signal == SIGHUP) {
@@ -1823,6 +1806,8 @@
   Counter& suspicions_ = metrics_.counter("kqg_suspicions_total");
   CallerAuthorizer authorizer_{[this] { return freshness_.IsFresh(); }};
   store::PlatformClient store_client_;
+  StoreReport store_report_{metrics_, SteadyNow};
+  ReadinessReport readiness_report_{SteadyNow};
   std::unique_ptr<store::ObjectStore> store_;
   JobArchive archive_;
   LoadBalancer load_balancer_;
@@ -1839,6 +1824,9 @@
   QuotaKeeper quotas_;
   RequestQuotaKeeper request_quotas_;
   BatchRunner batch_;
+  RelayMonitor relay_{
+      {context_.get_executor(), metrics_, SteadyNow,
+       std::size_t{settings_.limits.memory_mb} * kBytesPerMegabyte}};
   Forwarder forwarder_;
   FreshnessKeeper freshness_;
   StoreFeed configuration_feed_;
@@ -1874,6 +1862,7 @@
   bool counts_empty_ = true;
   bool watches_store_ = false;
   bool store_lost_ = false;
+  bool has_replicas_ = false;
   bool started_ = false;
   bool stopping_ = false;
 };
