Let results of batch items wait for 1 s at most again

Results waited up to 4 s for others of their job, which saved calls to the store. They are lost or held up with their gateway meanwhile, and their items run again, late.

The unit tests bound the wait by 1 s.

--- a/include/kumquatgauge/serving/result_write_policy.h
+++ b/include/kumquatgauge/serving/result_write_policy.h
@@ -2,7 +2,6 @@
 #define KUMQUATGAUGE_SERVING_RESULT_WRITE_POLICY_H_
 
 #include <chrono>
-#include <cstddef>
 #include <optional>
 
 #include "kumquatgauge/base/time.h"
@@ -11,20 +10,15 @@
 
 struct ResultWriteSettings {
   // Longest time that a result waits for others of its job. A result that waits
-  // is lost with its node, and its item runs again: the bound is less than the
-  // time that an item usually runs, so that a lost node costs less than one
-  // more run of each of its items.
-  Duration max_delay = std::chrono::seconds(4);
-  // The same for jobs without a due time, for jobs that are late, and while the
-  // node has more than `max_waiting` results that wait.
-  Duration max_short_delay = std::chrono::seconds(1);
+  // is lost with its node, or held up while the store does not answer, and its
+  // item runs again. With 4 s, a loss of all nodes or of their links cost 4 to
+  // 7 % of the results on time.
+  Duration max_delay = std::chrono::seconds(1);
   // Also while results that wait use memory that further items need to start.
   Duration min_delay = std::chrono::milliseconds(100);
   // A result waits for at most this part of the time until its job is due, as a
   // divisor. The rest is left for retries while the store is unavailable.
   int due_divisor = 3;
-  // Number of results that a lost node may cost at the long delay.
-  std::size_t max_waiting = 16;
 
   auto operator==(const ResultWriteSettings&) const -> bool = default;
 };
@@ -37,8 +31,8 @@
   bool failed = false;               // One of them is a failure.
   // The earliest time from now at which another item of the job may finish.
   std::optional<Duration> next_end;
-  std::size_t waiting_on_node = 0;  // Results of all jobs that wait.
-  bool low_memory = false;          // They use much of the memory for them.
+  // Results of all jobs that wait use much of the memory for them.
+  bool low_memory = false;
 
   auto operator==(const WaitingResults&) const -> bool = default;
 };
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -962,10 +962,8 @@
       CheckJobs(now);
     }
     unstored_bytes_ = 0;
-    unstored_results_ = 0;
     for (const auto& [id, job] : jobs_) {
       unstored_bytes_ += BytesOf(job->unstored);
-      unstored_results_ += job->unstored.size();
     }
     for (const auto& service : allocator_.services()) {
       const auto demand =
@@ -1523,7 +1521,6 @@
         std::any_of(job.unstored.begin(), job.unstored.end(),
                     [](const auto& result) { return !result.completed; });
     results.next_end = schedule_.NextEnd(job.state.id);
-    results.waiting_on_node = unstored_results_;
     results.low_memory = unstored_bytes_ > MaxUnstoredBytes() / 2;
     return write_policy_.WriteTime(results, now);
   }
@@ -2465,8 +2462,7 @@
   Logger logger_{"batch"};
   BatchSchedule schedule_;
   ResultWritePolicy write_policy_{ResultWriteSettings()};
-  std::size_t unstored_bytes_ = 0;    // Of all jobs, at the last tick.
-  std::size_t unstored_results_ = 0;  // The same.
+  std::size_t unstored_bytes_ = 0;  // Of all jobs, at the last tick.
   BatchAllocator allocator_;
   std::uint64_t rounds_ = 0;
   StateCheckSchedule checks_{StateCheckSettings()};
--- a/src/serving/result_write_policy.cc
+++ b/src/serving/result_write_policy.cc
@@ -10,14 +10,11 @@
     return settings_.min_delay;
   }
   if (!results.due || *results.due <= results.since) {
-    return settings_.max_short_delay;
+    return settings_.max_delay;
   }
-  const auto limit = results.waiting_on_node > settings_.max_waiting
-                         ? settings_.max_short_delay
-                         : settings_.max_delay;
   const auto share =
       Duration((*results.due - results.since) / settings_.due_divisor);
-  return std::clamp(share, settings_.min_delay, limit);
+  return std::clamp(share, settings_.min_delay, settings_.max_delay);
 }
 
 auto ResultWritePolicy::WriteTime(const WaitingResults& results,
