--- a/src/serving/request_quota_test.cc
+++ b/src/serving/request_quota_test.cc
@@ -175,6 +175,24 @@
   CHECK(node.asks.empty());
 }
 
+// Guards against nodes that refuse nearly all requests of small organisations
+// while they start, and against one that goes on to accept every request.
+TEST_CASE("RequestQuota.AcceptsFewRequestsOfEachOrganisationAtTheStart") {
+  constexpr std::uint64_t kRefusedByAnyShare = 999'999;
+  auto node = Node();
+  node.connected = false;
+  node.draw = kRefusedByAnyShare;
+  node.quota.SetLimits({{kName, {.rate = 1, .burst = 1}}});
+  node.Advance(milliseconds(500));
+  CHECK(node.Decision(node.Reserve()).granted);
+  // At 64 requests a second, 8 requests beyond them are accepted within 50 ms.
+  node.quota.SetLimits({{kName, {.rate = 64, .burst = 64}}});
+  CHECK_FALSE(node.Decision(node.Reserve()).granted);
+  node.quota.SetLimits({{kName, {.rate = 1, .burst = 1}}});
+  node.quota.OnSettled();
+  CHECK_FALSE(node.Decision(node.Reserve()).granted);
+}
+
 // Guards against an ask per request of an organisation far above its limit, and
 // against the same Retry-After for all.
 TEST_CASE("RequestQuota.RejectsDuringThePauseInOrder") {
