--- a/src/serving/load_balancer.cc
+++ b/src/serving/load_balancer.cc
@@ -891,9 +891,9 @@
 
 auto LoadBalancer::CellReplicas(const ServiceName& service) const
     -> const std::vector<State*>& {
-  static const auto kNone = std::vector<State*>();
+  static const auto no_replicas = std::vector<State*>();
   const auto found = services_.find(service);
-  return found == services_.end() ? kNone : found->second.in_cell;
+  return found == services_.end() ? no_replicas : found->second.in_cell;
 }
 
 auto LoadBalancer::mean_hold(const ServiceName& service) const -> Duration {
