--- a/src/routing/outlier.cc
+++ b/src/routing/outlier.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "kumquatgauge/base/seconds.h"
+
 namespace kumquatgauge::routing {
 namespace {
 
@@ -11,10 +13,6 @@
 constexpr double kSampleWeight = 0.1;
 constexpr std::uint32_t kMaxDoublings = 16;
 
-auto Seconds(Duration duration) -> double {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 OutlierDetector::OutlierDetector(OutlierSettings settings, Clock clock)
@@ -46,7 +44,7 @@
     return {};
   }
   auto& entry = it->second;
-  auto latency_s = Seconds(latency);
+  auto latency_s = ToSeconds(latency);
   if (entry.state == EjectionState::kProbing) {
     return ProbeResult(replica, entry,
                        !IsSlow(latency_s, Median(entry.service)));
@@ -177,7 +175,7 @@
 }
 
 auto OutlierDetector::IsSlow(double latency_s, double median_s) const -> bool {
-  return median_s > 0.0 && latency_s > Seconds(settings_.latency_floor) &&
+  return median_s > 0.0 && latency_s > ToSeconds(settings_.latency_floor) &&
          latency_s > settings_.latency_factor * median_s;
 }
 
--- a/src/serving/request_quota.cc
+++ b/src/serving/request_quota.cc
@@ -4,17 +4,14 @@
 #include <utility>
 #include <vector>
 
+#include "kumquatgauge/base/seconds.h"
+
 namespace kumquatgauge::serving {
 namespace {
 
-auto Seconds(Duration duration) -> double {
-  return std::chrono::duration<double>(duration).count();
-}
-
 // Bounded, so that a tiny rate does not exceed the range of Duration.
 auto FromSeconds(double seconds, Duration max) -> Duration {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(std::min(seconds, Seconds(max))));
+  return kumquatgauge::FromSeconds(std::min(seconds, ToSeconds(max)));
 }
 
 }  // namespace
@@ -72,7 +69,7 @@
 auto RequestQuota::AcceptsAtStart(const RequestLimit& limit) const -> bool {
   const auto demand = limit.rate * (settings_.max_start_demand - 1);
   return settling() &&
-         Seconds(hooks_.clock() - started_) * demand < settings_.start_tokens;
+         ToSeconds(hooks_.clock() - started_) * demand < settings_.start_tokens;
 }
 
 auto RequestQuota::FleetSize() const -> std::size_t {
@@ -155,7 +152,7 @@
   }
   const auto rate = settings_.local_share * state.limit.rate /
                     static_cast<double>(FleetSize());
-  const auto probability = rate * Seconds(now - state.decided);
+  const auto probability = rate * ToSeconds(now - state.decided);
   const auto per_request = FromSeconds(1.0 / rate, settings_.max_local_carry);
   // What exceeds the time of one request counts for the next one, so that
   // irregular arrivals below the rate are accepted.
--- a/src/serving/request_rate_account.cc
+++ b/src/serving/request_rate_account.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "kumquatgauge/base/seconds.h"
+
 namespace kumquatgauge::serving {
 namespace {
 
@@ -14,15 +16,6 @@
 // lower is from a node whose clock was set back before it started again.
 constexpr std::uint64_t kClockSetBack = 1'000'000;
 
-auto Seconds(Duration duration) -> double {
-  return std::chrono::duration<double>(duration).count();
-}
-
-auto FromSeconds(double seconds) -> Duration {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(seconds));
-}
-
 }  // namespace
 
 RequestRateAccount::RequestRateAccount(RequestRateSettings settings,
@@ -34,7 +27,7 @@
       refilled_(clock_()) {
   balance_ =
       std::min(capacity(), settings_.start_tokens +
-                               limit_.rate * Seconds(settings_.start_time));
+                               limit_.rate * ToSeconds(settings_.start_time));
 }
 
 auto RequestRateAccount::capacity() const -> double {
@@ -63,7 +56,7 @@
 auto RequestRateAccount::Debit(double tokens) -> void {
   Refill();
   // A node that was cut off itself must not reject for long once it is back.
-  const auto most = limit_.rate * Seconds(settings_.loss_detection_time);
+  const auto most = limit_.rate * ToSeconds(settings_.loss_detection_time);
   balance_ = std::max(balance_ - tokens, std::min(balance_, -most));
 }
 
@@ -75,13 +68,13 @@
 auto RequestRateAccount::Refill() -> void {
   const auto now = clock_();
   balance_ =
-      std::min(capacity(), balance_ + limit_.rate * Seconds(now - refilled_));
+      std::min(capacity(), balance_ + limit_.rate * ToSeconds(now - refilled_));
   refilled_ = now;
 }
 
 auto RequestRateAccount::TokenDelay() const -> Duration {
   const auto seconds = std::max(0.0, 1.0 - balance_) / limit_.rate;
-  return FromSeconds(std::min(seconds, Seconds(settings_.max_retry_after)));
+  return FromSeconds(std::min(seconds, ToSeconds(settings_.max_retry_after)));
 }
 
 // Returns when the first of the rejected requests may come again.
@@ -90,7 +83,7 @@
   const auto first = std::max(next_slot_, now + TokenDelay());
   const auto last = now + settings_.max_retry_after;
   const auto seconds = std::min(static_cast<double>(rejected) / limit_.rate,
-                                Seconds(settings_.max_retry_after));
+                                ToSeconds(settings_.max_retry_after));
   next_slot_ = std::min(first + FromSeconds(seconds), last);
   return std::min(first, last) - now;
 }
@@ -203,7 +196,7 @@
   // The nodes that were lost may have decided locally since then.
   for (auto& [organisation, account] : accounts_) {
     account.Debit(limits_.at(organisation).rate * lost *
-                  Seconds(settings_.loss_detection_time));
+                  ToSeconds(settings_.loss_detection_time));
   }
 }
 
@@ -245,7 +238,7 @@
   }
   account->LimitBalance(balance);
   // Until this node answers asks, the others decide locally at the same rate.
-  account->Debit(limits_.at(organisation).rate * Seconds(SettlingTime()));
+  account->Debit(limits_.at(organisation).rate * ToSeconds(SettlingTime()));
 }
 
 auto RequestRateAccounts::OnMembersChanged() -> std::vector<Handover> {
--- a/src/serving/silence_detector.cc
+++ b/src/serving/silence_detector.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <set>
 
+#include "kumquatgauge/base/seconds.h"
+
 namespace kumquatgauge::serving {
 namespace {
 
@@ -13,15 +15,6 @@
 // A datagram in a hundred lost leaves one change in 10^6 untold for longer.
 constexpr std::uint32_t kTimesTold = 3;
 
-auto ToSeconds(Duration duration) -> double {
-  return std::chrono::duration<double>(duration).count();
-}
-
-auto FromSeconds(double seconds) -> Duration {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(seconds));
-}
-
 }  // namespace
 
 SilenceDetector::SilenceDetector(SilenceSettings settings,
--- a/src/serving/start_limiter.cc
+++ b/src/serving/start_limiter.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "kumquatgauge/base/seconds.h"
+
 namespace kumquatgauge::serving {
 namespace {
 
@@ -9,10 +11,6 @@
 // belong to the time before it.
 constexpr auto kFirstReports = std::chrono::seconds(1);
 
-auto ToSeconds(Duration duration) -> double {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 auto StartLimiter::SetReplicas(const std::vector<routing::Replica>& replicas)
--- a/src/serving/token_quota.cc
+++ b/src/serving/token_quota.cc
@@ -3,14 +3,9 @@
 #include <algorithm>
 #include <cmath>
 
-namespace kumquatgauge::serving {
-namespace {
-
-auto Seconds(Duration duration) -> double {
-  return std::chrono::duration<double>(duration).count();
-}
+#include "kumquatgauge/base/seconds.h"
 
-}  // namespace
+namespace kumquatgauge::serving {
 
 auto TokenQuota::SetLimit(std::uint64_t limit, std::uint64_t configuration)
     -> void {
@@ -373,23 +368,22 @@
     return settings_.initial_retry_after;
   }
   const auto seconds =
-      std::min(missing / rate, Seconds(settings_.max_retry_after));
-  return std::max(settings_.min_retry_after,
-                  std::chrono::duration_cast<Duration>(
-                      std::chrono::duration<double>(seconds)));
+      std::min(missing / rate, ToSeconds(settings_.max_retry_after));
+  return std::max(settings_.min_retry_after, FromSeconds(seconds));
 }
 
 auto TokenQuota::RecordFinished(std::uint64_t tokens) -> void {
   const auto now = clock_();
   finished_ *=
-      std::exp(-Seconds(now - finished_at_) / Seconds(settings_.rate_time));
+      std::exp(-ToSeconds(now - finished_at_) / ToSeconds(settings_.rate_time));
   finished_ += static_cast<double>(tokens);
   finished_at_ = now;
 }
 
 auto TokenQuota::FinishRate() const -> double {
-  const auto time = Seconds(settings_.rate_time);
-  return finished_ * std::exp(-Seconds(clock_() - finished_at_) / time) / time;
+  const auto time = ToSeconds(settings_.rate_time);
+  return finished_ * std::exp(-ToSeconds(clock_() - finished_at_) / time) /
+         time;
 }
 
 }  // namespace kumquatgauge::serving
--- a/src/store/rate_limiter.cc
+++ b/src/store/rate_limiter.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "kumquatgauge/base/seconds.h"
+
 namespace kumquatgauge::store {
 namespace {
 
@@ -12,15 +14,6 @@
 constexpr double kIncreasePerSecond = 1.0;
 constexpr double kDecreaseFactor = 0.5;
 
-auto Seconds(Duration duration) -> double {
-  return std::chrono::duration<double>(duration).count();
-}
-
-auto FromSeconds(double seconds) -> Duration {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(seconds));
-}
-
 }  // namespace
 
 RateLimiter::RateLimiter(RateLimits limits) : limits_(limits) {
@@ -68,8 +61,9 @@
 
 auto RateLimiter::Refill(CallKind kind, MonotonicTime now) -> void {
   auto& refilled = bucket(kind);
-  const auto elapsed =
-      refilled.refilled ? std::max(0.0, Seconds(now - *refilled.refilled)) : 0;
+  const auto elapsed = refilled.refilled
+                           ? std::max(0.0, ToSeconds(now - *refilled.refilled))
+                           : 0;
   const auto calls_wait =
       std::any_of(refilled.queues.begin(), refilled.queues.end(),
                   [](const auto& queue) { return !queue.empty(); });
