Count batch items that may yield without going over all replicas

The gateway asks for this count every 25 ms while batch items wait, and the count went over the replicas of the whole fleet. It now goes over those of the cell and those with own requests, as the rest of the balancer does. The formula of the free slots, which the allocator has too, moves to Room.

--- a/bench/balancer_fleet_size.cc
+++ b/bench/balancer_fleet_size.cc
@@ -58,6 +58,7 @@
   balancer.own_counts();
   balancer.own_silence_reports();
   balancer.BatchCapacity(kService);
+  balancer.YieldableBatch(kService);
   clock.Advance(std::chrono::milliseconds(40));
   balancer.silence_detector().OnFirstEvent(ticket);
   balancer.OnSuccess(id, std::chrono::milliseconds(40));
--- a/include/kumquatgauge/serving/load_balancer.h
+++ b/include/kumquatgauge/serving/load_balancer.h
@@ -227,6 +227,14 @@
     // Items that limited replicas take now. Running ones need not yield there
     // for the sake of a reserve.
     std::uint32_t batch_starts = 0;
+
+    // Returns the slots that batch may use more if the share `reserve` stays
+    // free; negative if it uses too many.
+    auto Free(double reserve) const -> std::int64_t {
+      const auto usable = static_cast<std::int64_t>(slots * (1.0 - reserve));
+      return usable - static_cast<std::int64_t>(in_flight) +
+             static_cast<std::int64_t>(batch_starts);
+    }
   };
   auto RoomOf(const ServiceName& service) const -> Room;
   // Returns the number of batch items that may start now in this node's cell. A
--- a/src/serving/load_balancer.cc
+++ b/src/serving/load_balancer.cc
@@ -6,6 +6,7 @@
 #include <tuple>
 #include <utility>
 
+#include "kumquatgauge/base/seconds.h"
 #include "kumquatgauge/routing/rendezvous.h"
 
 namespace kumquatgauge::serving {
@@ -34,10 +35,6 @@
   return settings;
 }
 
-auto ToSeconds(Duration duration) -> double {
-  return std::chrono::duration<double>(duration).count();
-}
-
 auto CountOf(InFlight& counts, WorkClass work_class) -> std::uint32_t& {
   return work_class == WorkClass::kBatch ? counts.batch : counts.online;
 }
@@ -793,11 +790,7 @@
 
 auto LoadBalancer::BatchCapacity(const ServiceName& service) const
     -> std::int64_t {
-  const auto room = RoomOf(service);
-  const auto usable =
-      static_cast<std::int64_t>(room.slots * (1.0 - settings_.batch_reserve));
-  return usable - static_cast<std::int64_t>(room.in_flight) +
-         static_cast<std::int64_t>(room.batch_starts);
+  return RoomOf(service).Free(settings_.batch_reserve);
 }
 
 auto LoadBalancer::RoomOf(const ServiceName& service) const -> Room {
@@ -848,19 +841,20 @@
 auto LoadBalancer::YieldableBatch(const ServiceName& service) const
     -> BatchCounts {
   auto counts = BatchCounts();
-  const auto found = services_.find(service);
-  if (found == services_.end()) {
-    return counts;
-  }
-  for (const auto* replica : found->second.all) {
-    const auto& state = *replica;
-    // Slots of replicas that leave do not become free for others.
-    if (IsGoneOrLeaving(state) || start_limiter_.IsLimited(state.replica.id)) {
-      continue;
+  // Slots of replicas that leave do not become free for others.
+  const auto counted = [this](const State& state) {
+    return !IsGoneOrLeaving(state) &&
+           !start_limiter_.IsLimited(state.replica.id);
+  };
+  for (const auto& id : busy_) {
+    const auto& state = states_.at(id);
+    if (state.replica.service == service && counted(state)) {
+      counts.own += state.own.batch;
     }
-    counts.own += state.own.batch;
-    if (state.in_cell) {
-      counts.fleet += state.own.batch + state.peers.batch;
+  }
+  for (const auto* state : CellReplicas(service)) {
+    if (counted(*state)) {
+      counts.fleet += state->own.batch + state->peers.batch;
     }
   }
   return counts;
@@ -901,8 +895,7 @@
   if (found == hold_s_.end()) {
     return settings_.initial_hold;
   }
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(found->second));
+  return FromSeconds(found->second);
 }
 
 }  // namespace kumquatgauge::serving
