Work out the pattern of the online load once a round

The allocator asked the forecast up to seven times a round of 25 ms whether the load is regular, when it rises and how many slots it needs, and each answer worked the pattern out again. OutlookOf answers all at once. The tests ask it instead of the three functions; their assertions are unchanged and pass.

--- a/include/kumquatgauge/serving/batch_allocator.h
+++ b/include/kumquatgauge/serving/batch_allocator.h
@@ -111,21 +111,17 @@
   auto UpdateShare(Claim& claim,
                    const BatchLoad& load,
                    std::size_t running) const -> void;
-  // Returns the slots that batch may use more; negative if it uses too many.
-  static auto FreeSlots(const BatchLoad& load, double reserve) -> std::int64_t;
   // Returns the share of the free slots that each owner may take at any time.
   auto LeastShare(const BatchLoad& load) const -> double;
   // Returns the free slots that online requests are not expected to need again
   // during a run.
-  auto LastingSlots(const ServiceName& service,
+  auto LastingSlots(const LoadForecast::Outlook& outlook,
                     const BatchLoad& load,
-                    Duration run_time,
-                    MonotonicTime now) const -> double;
+                    Duration run_time) const -> double;
   // Returns the share of slots to keep free if the load stays for `quiet_time`.
-  auto ReserveIf(const ServiceName& service,
+  auto ReserveIf(const LoadForecast::Outlook& outlook,
                  const BatchLoad& load,
-                 Duration quiet_time,
-                 MonotonicTime now) const -> double;
+                 Duration quiet_time) const -> double;
   // Rounds at random, so that the expected value is `part`.
   auto Round(double part) -> std::size_t;
 
--- a/include/kumquatgauge/serving/load_forecast.h
+++ b/include/kumquatgauge/serving/load_forecast.h
@@ -1,6 +1,7 @@
 #ifndef KUMQUATGAUGE_SERVING_LOAD_FORECAST_H_
 #define KUMQUATGAUGE_SERVING_LOAD_FORECAST_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -52,24 +53,32 @@
     double slots = 0;  // Needed after it.
   };
 
+  // What is known of the load of a service at a time.
+  struct Outlook {
+    double present = 0;    // Slots in use.
+    bool regular = false;  // Whether its steps repeat.
+    double level = 0;      // Of the current step of a regular load.
+    // Nothing if the load is not regular or at its peak.
+    std::optional<Rise> rise;
+
+    // Returns the slots that online requests are expected to need within
+    // `horizon`: the level of the current step, or that after the next rise if
+    // it may begin by then, but at least the present load; this also if no
+    // regular pattern was seen.
+    auto NeededSlots(Duration horizon) const -> double {
+      const auto rises = rise && rise->until <= horizon;
+      return std::max(present, rises ? rise->slots : level);
+    }
+  };
+
   // Records the slots that online requests use now. Samples must be more
   // frequent than the steps are long.
   auto OnSample(const ServiceName& service,
                 std::uint32_t online_slots,
                 MonotonicTime now) -> void;
 
-  // Returns the slots that online requests are expected to need within
-  // `horizon`: the level of the current step, or that after the next rise if it
-  // may begin by then, but at least the present load; this also if no regular
-  // pattern was seen.
-  auto NeededSlots(const ServiceName& service,
-                   Duration horizon,
-                   MonotonicTime now) const -> double;
-  // Returns the next rise of a regular load. Nothing if there is no regular
-  // pattern or the load is at its peak.
-  auto NextRise(const ServiceName& service, MonotonicTime now) const
-      -> std::optional<Rise>;
-  auto IsRegular(const ServiceName& service, MonotonicTime now) const -> bool;
+  auto OutlookOf(const ServiceName& service, MonotonicTime now) const
+      -> Outlook;
   // Returns the number of services with a regular pattern.
   auto regular_services(MonotonicTime now) const -> std::size_t;
   // Returns the number of steps seen in all services.
--- a/src/serving/batch_allocator.cc
+++ b/src/serving/batch_allocator.cc
@@ -66,19 +66,10 @@
   return names;
 }
 
-auto BatchAllocator::FreeSlots(const BatchLoad& load, double reserve)
-    -> std::int64_t {
-  const auto usable =
-      static_cast<std::int64_t>(load.room.slots * (1.0 - reserve));
-  return usable - static_cast<std::int64_t>(load.room.in_flight) +
-         static_cast<std::int64_t>(load.room.batch_starts);
-}
-
-auto BatchAllocator::ReserveIf(const ServiceName& service,
+auto BatchAllocator::ReserveIf(const LoadForecast::Outlook& outlook,
                                const BatchLoad& load,
-                               Duration quiet_time,
-                               MonotonicTime now) const -> double {
-  const auto rise = forecast_.NextRise(service, now);
+                               Duration quiet_time) const -> double {
+  const auto& rise = outlook.rise;
   if (!rise || rise->until < quiet_time || load.room.slots == 0) {
     return load.reserve;
   }
@@ -125,8 +116,9 @@
                             const BatchDemand& demand,
                             MonotonicTime now) -> StartLimits {
   auto& claim = claims_[service];
+  const auto outlook = forecast_.OutlookOf(service, now);
   const auto free = std::max<std::int64_t>(
-      0, FreeSlots(load, ReserveIf(service, load, demand.run_time, now)));
+      0, load.room.Free(ReserveIf(outlook, load, demand.run_time)));
   UpdateShare(claim, load, demand.running);
   claim.active = demand.waiting > 0 && free > 0;
   const auto slots_free = static_cast<double>(free);
@@ -141,25 +133,22 @@
   limits.urgent =
       Round(load.urgent * LeastShare(load) * settings_.slow_start_share);
   claim.taken = std::min(demand.waiting, limits.free);
-  if (!forecast_.IsRegular(service, now)) {
+  if (!outlook.regular) {
     return limits;
   }
   const auto lasting =
-      std::min(slots_free, LastingSlots(service, load, demand.run_time, now));
+      std::min(slots_free, LastingSlots(outlook, load, demand.run_time));
   limits.lasting = std::min(limits.free, Round(lasting * claim.share));
-  const auto rise = forecast_.NextRise(service, now);
-  limits.until_rise = rise ? rise->until : Duration::zero();
+  limits.until_rise = outlook.rise ? outlook.rise->until : Duration::zero();
   return limits;
 }
 
-auto BatchAllocator::LastingSlots(const ServiceName& service,
+auto BatchAllocator::LastingSlots(const LoadForecast::Outlook& outlook,
                                   const BatchLoad& load,
-                                  Duration run_time,
-                                  MonotonicTime now) const -> double {
-  const auto rise = forecast_.NextRise(service, now);
-  const auto online = forecast_.NeededSlots(service, run_time, now);
+                                  Duration run_time) const -> double {
+  const auto online = outlook.NeededSlots(run_time);
   // Items that still run at the rise, if their starts were spread evenly.
-  const auto until = rise ? rise->until : Duration::zero();
+  const auto until = outlook.rise ? outlook.rise->until : Duration::zero();
   const auto running =
       load.in_flight.batch *
       (1.0 - std::min(1.0, std::chrono::duration<double>(until) /
@@ -174,8 +163,8 @@
 auto BatchAllocator::Yields(const ServiceName& service,
                             const BatchLoad& load,
                             MonotonicTime now) -> std::size_t {
-  const auto free =
-      FreeSlots(load, ReserveIf(service, load, settings_.reserve_lead, now));
+  const auto free = load.room.Free(ReserveIf(forecast_.OutlookOf(service, now),
+                                             load, settings_.reserve_lead));
   // Every owner sees the same excess, and takes the part of its own items.
   return free >= 0 ? 0
                    : Round(static_cast<double>(-free) * load.own /
--- a/src/serving/batch_allocator_test.cc
+++ b/src/serving/batch_allocator_test.cc
@@ -114,7 +114,7 @@
       allocator.OnLoad(kService, step % 2 == 0 ? 45 : 9, clock.now());
     }
   }
-  REQUIRE(allocator.forecast().NextRise(kService, clock.now()));
+  REQUIRE(allocator.forecast().OutlookOf(kService, clock.now()).rise);
   auto load = BatchLoad();
   load.room = {0, 0, 40};
   load.in_flight = {9, 0};
--- a/src/serving/load_forecast.cc
+++ b/src/serving/load_forecast.cc
@@ -106,45 +106,28 @@
                           : std::nullopt;
 }
 
-auto LoadForecast::NextRise(const ServiceName& service, MonotonicTime now) const
-    -> std::optional<Rise> {
+auto LoadForecast::OutlookOf(const ServiceName& service,
+                             MonotonicTime now) const -> Outlook {
+  auto outlook = Outlook();
   const auto found = loads_.find(service);
   if (found == loads_.end()) {
-    return std::nullopt;
-  }
-  const auto& load = found->second;
-  const auto pattern = PatternOf(load, now);
-  if (!pattern || pattern->next_level <= pattern->level) {
-    return std::nullopt;
-  }
-  const auto passed = now - load.began;
-  return Rise{pattern->shortest > passed ? pattern->shortest - passed
-                                         : Duration::zero(),
-              pattern->next_level};
-}
-
-auto LoadForecast::NeededSlots(const ServiceName& service,
-                               Duration horizon,
-                               MonotonicTime now) const -> double {
-  const auto found = loads_.find(service);
-  if (found == loads_.end()) {
-    return 0;
+    return outlook;
   }
   const auto& load = found->second;
+  outlook.present = load.present;
   const auto pattern = PatternOf(load, now);
   if (!pattern) {
-    return load.present;
+    return outlook;
   }
-  const auto rise = NextRise(service, now);
-  const auto level =
-      rise && rise->until <= horizon ? rise->slots : pattern->level;
-  return std::max(load.present, level);
-}
-
-auto LoadForecast::IsRegular(const ServiceName& service,
-                             MonotonicTime now) const -> bool {
-  const auto found = loads_.find(service);
-  return found != loads_.end() && PatternOf(found->second, now).has_value();
+  outlook.regular = true;
+  outlook.level = pattern->level;
+  if (pattern->next_level > pattern->level) {
+    const auto passed = now - load.began;
+    outlook.rise = Rise{pattern->shortest > passed ? pattern->shortest - passed
+                                                   : Duration::zero(),
+                        pattern->next_level};
+  }
+  return outlook;
 }
 
 auto LoadForecast::regular_services(MonotonicTime now) const -> std::size_t {
--- a/src/serving/load_forecast_test.cc
+++ b/src/serving/load_forecast_test.cc
@@ -32,6 +32,10 @@
     }
   }
 
+  auto Outlook() const -> LoadForecast::Outlook {
+    return forecast.OutlookOf(kService, clock.now());
+  }
+
   testing::ManualClock clock;
   std::mt19937_64 random{7};
   LoadForecast forecast{LoadForecastSettings()};
@@ -42,16 +46,16 @@
   auto fixture = Fixture();
   fixture.SamplePattern(5);
   fixture.Sample(45, seconds(3));
-  CHECK_FALSE(fixture.forecast.NextRise(kService, fixture.clock.now()));
-  CHECK(fixture.forecast.IsRegular(kService, fixture.clock.now()));
+  CHECK_FALSE(fixture.Outlook().rise);
+  CHECK(fixture.Outlook().regular);
   fixture.Sample(9, seconds(1));
-  const auto rise = fixture.forecast.NextRise(kService, fixture.clock.now());
+  const auto rise = fixture.Outlook().rise;
   REQUIRE(rise);
   CHECK(rise->until >= milliseconds(1'300));
   CHECK(rise->until <= milliseconds(2'400));
   CHECK(rise->slots == Approx(45).margin(3));
   const auto needed = [&](Duration horizon) {
-    return fixture.forecast.NeededSlots(kService, horizon, fixture.clock.now());
+    return fixture.Outlook().NeededSlots(horizon);
   };
   CHECK(needed(seconds(1)) < 20);
   CHECK(needed(milliseconds(2'400)) > 40);
@@ -61,8 +65,8 @@
 TEST_CASE("LoadForecast.KeepsToThePresentLoadWithoutAPattern") {
   auto fixture = Fixture();
   const auto check = [&] {
-    CHECK_FALSE(fixture.forecast.IsRegular(kService, fixture.clock.now()));
-    CHECK_FALSE(fixture.forecast.NextRise(kService, fixture.clock.now()));
+    CHECK_FALSE(fixture.Outlook().regular);
+    CHECK_FALSE(fixture.Outlook().rise);
   };
   fixture.Sample(30, seconds(60));
   check();
@@ -77,8 +81,7 @@
     fixture.Sample(level, seconds(3));
   }
   check();
-  CHECK(fixture.forecast.NeededSlots(kService, seconds(1),
-                                     fixture.clock.now()) < 20);
+  CHECK(fixture.Outlook().NeededSlots(seconds(1)) < 20);
 }
 
 // Guards against a peak that is expected for ever after the load became steady,
@@ -93,7 +96,7 @@
     fixture.clock.Advance(seconds(2));
     fixture.Sample(9, seconds(1));
   }
-  CHECK_FALSE(fixture.forecast.NextRise(kService, fixture.clock.now()));
+  CHECK_FALSE(fixture.Outlook().rise);
 }
 
 }  // namespace
