--- a/include/kumquatgauge/serving/admission_queue.h
+++ b/include/kumquatgauge/serving/admission_queue.h
@@ -177,8 +177,7 @@
   auto OnShortage(State& state) const -> void;
   // Returns the mean time between the slots that become free for this gateway,
   // if there are any.
-  auto SlotInterval(const ServiceName& service) const
-      -> std::optional<Duration>;
+  static auto SlotInterval(const SlotSupply& supply) -> std::optional<Duration>;
   // Returns how many slots are expected until then.
   auto ExpectedSlots(std::optional<Duration> interval,
                      MonotonicTime until) const -> double;
--- a/src/serving/admission_queue.cc
+++ b/src/serving/admission_queue.cc
@@ -3,14 +3,9 @@
 #include <algorithm>
 #include <iterator>
 
-namespace kumquatgauge::serving {
-namespace {
-
-auto Seconds(Duration duration) -> double {
-  return std::chrono::duration<double>(duration).count();
-}
+#include "kumquatgauge/base/seconds.h"
 
-}  // namespace
+namespace kumquatgauge::serving {
 
 AdmissionQueue::AdmissionQueue(
     AdmissionQueueSettings settings,
@@ -57,7 +52,7 @@
   auto& state = states_[request.service];
   OnShortage(state);
   ExpirePromises(state);
-  const auto interval = SlotInterval(request.service);
+  const auto interval = SlotInterval(supply_(request.service));
   const auto order = OrderOf(state, request, last_ticket_ + 1);
   auto& queue = state.queue;
   if (!request.must_wait) {
@@ -147,9 +142,9 @@
   const auto now = clock_();
   auto& state = states_[request.service];
   ExpirePromises(state);
-  const auto hold = supply_(request.service).hold;
-  const auto interval = SlotInterval(request.service).value_or(hold);
-  const auto window = estimator_.ReturnWindow(request.service, now, hold,
+  const auto supply = supply_(request.service);
+  const auto interval = SlotInterval(supply).value_or(supply.hold);
+  const auto window = estimator_.ReturnWindow(request.service, now, supply.hold,
                                               request.deadline - now);
   const auto first_slot =
       interval * static_cast<Duration::rep>(state.queue.size() + 1);
@@ -234,9 +229,8 @@
   state.full_at = clock_();
 }
 
-auto AdmissionQueue::SlotInterval(const ServiceName& service) const
+auto AdmissionQueue::SlotInterval(const SlotSupply& supply)
     -> std::optional<Duration> {
-  const auto supply = supply_(service);
   if (supply.slots == 0) {
     return std::nullopt;
   }
@@ -249,8 +243,8 @@
   if (!interval) {
     return 0.0;
   }
-  const auto time = std::max(0.0, Seconds(until - clock_()));
-  return time / std::max(Seconds(*interval), 1e-6);
+  const auto time = std::max(0.0, ToSeconds(until - clock_()));
+  return time / std::max(ToSeconds(*interval), 1e-6);
 }
 
 auto AdmissionQueue::ExpirePromises(State& state) const -> void {
