Ask the request quota whether the node is settled

The keeper had a flag of its own for what the quota knows. Behaviour is unchanged: after its settle time the quota counts as settled, and being told so changes nothing any more.

--- a/src/serving/request_quota_keeper.cc
+++ b/src/serving/request_quota_keeper.cc
@@ -255,7 +255,7 @@
   }
 
   auto AwaitSettling() -> void {
-    if (settled_) {
+    if (!quota_.settling()) {
       return;
     }
     settling_timer_.expires_after(MembershipSettling::kQuietTime);
@@ -263,7 +263,6 @@
         [self = weak_from_this()](const boost::system::error_code& error) {
           const auto impl = self.lock();
           if (impl && !error && impl->settling_.settled()) {
-            impl->settled_ = true;
             impl->accounts_.OnSettled();
             impl->quota_.OnSettled();
           }
@@ -430,7 +429,6 @@
   Counter& timeouts_ = parts_.metrics.counter("kqg_quota_ask_timeouts_total");
   KeeperCandidates candidates_{parts_.clock};
   MembershipSettling settling_{parts_.clock};
-  bool settled_ = false;  // Once this node has been found to know the others.
   std::map<NodeId, std::string> addresses_;
   std::map<OrganisationName, NodeId> keepers_;  // Of the current members.
   std::map<OrganisationName, Refusals> refusals_;
