--- a/include/kumquatgauge/routing/fair_share.h
+++ b/include/kumquatgauge/routing/fair_share.h
@@ -2,6 +2,7 @@
 #define KUMQUATGAUGE_ROUTING_FAIR_SHARE_H_
 
 #include <algorithm>
+#include <limits>
 #include <unordered_map>
 
 #include "kumquatgauge/base/ids.h"
@@ -24,15 +25,13 @@
   // The lead over the virtual time is at most `max_lead`.
   auto Charge(const OrganisationName& organisation,
               double work,
-              double max_lead) -> double {
+              double max_lead = std::numeric_limits<double>::infinity())
+      -> double {
     const auto finish =
         std::min(Start(organisation) + work, virtual_time_ + max_lead);
     finish_[organisation] = finish;
     return finish;
   }
-  auto Charge(const OrganisationName& organisation, double work) -> double {
-    return finish_[organisation] = Start(organisation) + work;
-  }
   // Takes back work that was not done.
   auto Refund(const OrganisationName& organisation, double work) -> void {
     const auto found = finish_.find(organisation);
