Remove starts of batch items that only tests used

Since the allocator decides on limits, nothing but the tests called the form with two numbers. Their fixture has it now; the assertions are unchanged.

--- a/include/kumquatgauge/serving/batch_schedule.h
+++ b/include/kumquatgauge/serving/batch_schedule.h
@@ -113,11 +113,6 @@
   auto TakeStarts(const ServiceName& service,
                   const StartLimits& limits,
                   MonotonicTime now) -> std::vector<ItemRef>;
-  // The same without an expected rise.
-  auto TakeStarts(const ServiceName& service,
-                  std::size_t free_slots,
-                  std::size_t urgent_slots,
-                  MonotonicTime now) -> std::vector<ItemRef>;
   // Returns at most `count` running items to stop: first those that cannot meet
   // their due time, then non-urgent ones that are `preferred`, that were
   // interrupted least often, that have the most slack and the least progress,
--- a/src/serving/batch_schedule.cc
+++ b/src/serving/batch_schedule.cc
@@ -152,14 +152,6 @@
   return starts;
 }
 
-auto BatchSchedule::TakeStarts(const ServiceName& service,
-                               std::size_t free_slots,
-                               std::size_t urgent_slots,
-                               MonotonicTime now) -> std::vector<ItemRef> {
-  return TakeStarts(service, StartLimits{free_slots, urgent_slots, free_slots},
-                    now);
-}
-
 auto BatchSchedule::TakeYields(const ServiceName& service,
                                std::size_t count,
                                MonotonicTime now,
--- a/src/serving/batch_schedule_test.cc
+++ b/src/serving/batch_schedule_test.cc
@@ -20,6 +20,12 @@
     return {id, kService, clock.now() + due, MonotonicTime::max(), 3, items};
   }
 
+  auto TakeStarts(std::size_t free, std::size_t urgent)
+      -> std::vector<ItemRef> {
+    return schedule.TakeStarts(kService, StartLimits{free, urgent, free},
+                               clock.now());
+  }
+
   testing::ManualClock clock;
   BatchSchedule schedule{BatchScheduleSettings()};
 };
@@ -28,8 +34,7 @@
   auto fixture = Fixture();
   fixture.schedule.Add(fixture.Job(kLate, seconds(40), 3), {});
   fixture.schedule.Add(fixture.Job(kEarly, seconds(20), 2), {});
-  const auto starts =
-      fixture.schedule.TakeStarts(kService, 3, 0, fixture.clock.now());
+  const auto starts = fixture.TakeStarts(3, 0);
   REQUIRE(starts.size() == 3);
   CHECK(starts[0].job == kEarly);
   CHECK(starts[1].job == kEarly);
@@ -41,7 +46,7 @@
 TEST_CASE("BatchSchedule.YieldsTheItemsWithTheLeastProgress") {
   auto fixture = Fixture();
   fixture.schedule.Add(fixture.Job(kLate, seconds(40), 3), {});
-  fixture.schedule.TakeStarts(kService, 3, 0, fixture.clock.now());
+  fixture.TakeStarts(3, 0);
   fixture.schedule.OnProgress({kLate, 0}, 100);
   fixture.schedule.OnProgress({kLate, 1}, 5);
   fixture.schedule.OnProgress({kLate, 2}, 50);
@@ -57,10 +62,7 @@
 TEST_CASE("BatchSchedule.StartsAndKeepsItemsWithoutSlack") {
   auto fixture = Fixture();
   fixture.schedule.Add(fixture.Job(kLate, seconds(18), 1), {});
-  const auto start = [&fixture] {
-    return fixture.schedule.TakeStarts(kService, 0, 1, fixture.clock.now())
-        .size();
-  };
+  const auto start = [&fixture] { return fixture.TakeStarts(0, 1).size(); };
   CHECK(start() == 0);
   fixture.clock.Advance(seconds(10));
   CHECK(start() == 1);
@@ -72,9 +74,7 @@
 TEST_CASE("BatchSchedule.LimitsUrgentItemsToUrgentSlots") {
   auto fixture = Fixture();
   fixture.schedule.Add(fixture.Job(kLate, seconds(8), 9), {});
-  CHECK(
-      fixture.schedule.TakeStarts(kService, 2, 3, fixture.clock.now()).size() ==
-      5);
+  CHECK(fixture.TakeStarts(2, 3).size() == 5);
 }
 
 // Load pattern: all nodes were down for some seconds and whole jobs are late.
@@ -85,10 +85,8 @@
   auto fixture = Fixture();
   fixture.schedule.Add(fixture.Job(kEarly, seconds(2), 2), {});
   fixture.schedule.Add(fixture.Job(kLate, seconds(40), 1), {});
-  CHECK(
-      fixture.schedule.TakeStarts(kService, 0, 9, fixture.clock.now()).empty());
-  const auto starts =
-      fixture.schedule.TakeStarts(kService, 2, 9, fixture.clock.now());
+  CHECK(fixture.TakeStarts(0, 9).empty());
+  const auto starts = fixture.TakeStarts(2, 9);
   REQUIRE(starts.size() == 2);
   CHECK(starts[0].job == kLate);
   CHECK(starts[1].job == kEarly);
@@ -98,7 +96,7 @@
   auto fixture = Fixture();
   fixture.schedule.Add(fixture.Job(kEarly, seconds(2), 1), {});
   fixture.schedule.Add(fixture.Job(kLate, seconds(40), 1), {});
-  fixture.schedule.TakeStarts(kService, 2, 0, fixture.clock.now());
+  fixture.TakeStarts(2, 0);
   fixture.schedule.OnProgress({kEarly, 0}, 50);
   const auto yields =
       fixture.schedule.TakeYields(kService, 1, fixture.clock.now());
@@ -109,11 +107,9 @@
 TEST_CASE("BatchSchedule.RestartsAStoppedItem") {
   auto fixture = Fixture();
   fixture.schedule.Add(fixture.Job(kLate, seconds(40), 1), {});
-  fixture.schedule.TakeStarts(kService, 1, 0, fixture.clock.now());
+  fixture.TakeStarts(1, 0);
   fixture.schedule.OnEnded({kLate, 0}, ItemEnd::kStopped, fixture.clock.now());
-  CHECK(
-      fixture.schedule.TakeStarts(kService, 1, 0, fixture.clock.now()).size() ==
-      1);
+  CHECK(fixture.TakeStarts(1, 0).size() == 1);
 }
 
 // Guards against retrying an item forever and against giving up too early.
@@ -122,8 +118,7 @@
   fixture.schedule.Add(fixture.Job(kLate, seconds(400), 1), {});
   for (auto attempt = 1; attempt <= 3; ++attempt) {
     fixture.clock.Advance(seconds(10));
-    REQUIRE(fixture.schedule.TakeStarts(kService, 1, 0, fixture.clock.now())
-                .size() == 1);
+    REQUIRE(fixture.TakeStarts(1, 0).size() == 1);
     CHECK(fixture.schedule.OnEnded({kLate, 0}, ItemEnd::kFailed,
                                    fixture.clock.now()) == (attempt == 3));
   }
@@ -136,12 +131,10 @@
   auto fixture = Fixture();
   fixture.schedule.Add(fixture.Job(kLate, seconds(5), 1), {});
   for (auto attempt = 0; attempt < 10; ++attempt) {
-    REQUIRE(fixture.schedule.TakeStarts(kService, 1, 0, fixture.clock.now())
-                .size() == 1);
+    REQUIRE(fixture.TakeStarts(1, 0).size() == 1);
     CHECK_FALSE(fixture.schedule.OnEnded({kLate, 0}, ItemEnd::kWithheld,
                                          fixture.clock.now()));
-    CHECK(fixture.schedule.TakeStarts(kService, 1, 0, fixture.clock.now())
-              .empty());
+    CHECK(fixture.TakeStarts(1, 0).empty());
     fixture.clock.Advance(seconds(1));
   }
   CHECK(fixture.schedule.unfinished(kLate) == 1);
@@ -150,15 +143,12 @@
 TEST_CASE("BatchSchedule.WaitsLongerAfterEachFailure") {
   auto fixture = Fixture();
   fixture.schedule.Add(fixture.Job(kLate, seconds(400), 1), {});
-  fixture.schedule.TakeStarts(kService, 1, 0, fixture.clock.now());
+  fixture.TakeStarts(1, 0);
   fixture.schedule.OnEnded({kLate, 0}, ItemEnd::kFailed, fixture.clock.now());
   fixture.clock.Advance(milliseconds(199));
-  CHECK(
-      fixture.schedule.TakeStarts(kService, 1, 0, fixture.clock.now()).empty());
+  CHECK(fixture.TakeStarts(1, 0).empty());
   fixture.clock.Advance(milliseconds(1));
-  CHECK(
-      fixture.schedule.TakeStarts(kService, 1, 0, fixture.clock.now()).size() ==
-      1);
+  CHECK(fixture.TakeStarts(1, 0).size() == 1);
 }
 
 // Guards against running items again because a new configuration arrived while
@@ -166,7 +156,7 @@
 TEST_CASE("BatchSchedule.KeepsFinishedItemsFinishedWhenAJobChanges") {
   auto fixture = Fixture();
   fixture.schedule.Add(fixture.Job(kLate, seconds(40), 2), {});
-  fixture.schedule.TakeStarts(kService, 2, 0, fixture.clock.now());
+  fixture.TakeStarts(2, 0);
   fixture.schedule.OnEnded({kLate, 0}, ItemEnd::kFinished, fixture.clock.now());
   auto moved = fixture.Job(kLate, seconds(40), 2);
   moved.service = ServiceName("other");
@@ -181,15 +171,13 @@
   fixture.schedule.Add(fixture.Job(kLate, seconds(40), 2), {});
   fixture.schedule.Remove(kLate);
   fixture.schedule.Update(fixture.Job(kLate, seconds(40), 2));
-  CHECK(
-      fixture.schedule.TakeStarts(kService, 9, 0, fixture.clock.now()).empty());
+  CHECK(fixture.TakeStarts(9, 0).empty());
 }
 
 TEST_CASE("BatchSchedule.LeavesOutItemsThatHaveAResult") {
   auto fixture = Fixture();
   fixture.schedule.Add(fixture.Job(kLate, seconds(40), 3), {0, 2});
-  const auto starts =
-      fixture.schedule.TakeStarts(kService, 9, 0, fixture.clock.now());
+  const auto starts = fixture.TakeStarts(9, 0);
   REQUIRE(starts.size() == 1);
   CHECK(starts.front().item == 1);
 }
@@ -210,8 +198,7 @@
 TEST_CASE("BatchSchedule.StopsOnlyItemsThatMayYield") {
   auto fixture = Fixture();
   fixture.schedule.Add(fixture.Job(kLate, seconds(40), 3), {});
-  const auto started =
-      fixture.schedule.TakeStarts(kService, 3, 0, fixture.clock.now());
+  const auto started = fixture.TakeStarts(3, 0);
   REQUIRE(started.size() == 3);
   const auto yields = fixture.schedule.TakeYields(
       kService, 3, fixture.clock.now(),
@@ -224,9 +211,7 @@
 TEST_CASE("BatchSchedule.CountsTheEventsOfAnItemThatRunsFromTheStart") {
   auto fixture = Fixture();
   fixture.schedule.Add(fixture.Job(kLate, seconds(40), 2), {});
-  const auto start = [&] {
-    fixture.schedule.TakeStarts(kService, 2, 0, fixture.clock.now());
-  };
+  const auto start = [&] { fixture.TakeStarts(2, 0); };
   start();
   fixture.schedule.OnProgress({kLate, 0}, 100);
   fixture.schedule.OnProgress({kLate, 1}, 50);
@@ -249,7 +234,7 @@
   job.max_attempts = 3;
   fixture.schedule.Add(job, {2}, {{1, 2}, {2, 1}});
   CHECK(fixture.schedule.failures(kLate) == BatchSchedule::Failures{{1, 2}});
-  fixture.schedule.TakeStarts(kService, 2, 0, fixture.clock.now());
+  fixture.TakeStarts(2, 0);
   CHECK_FALSE(fixture.schedule.OnEnded({kLate, 0}, ItemEnd::kFailed,
                                        fixture.clock.now()));
   CHECK(fixture.schedule.OnEnded({kLate, 1}, ItemEnd::kFailed,
@@ -269,7 +254,7 @@
     return fixture.schedule.TakeYields(kService, count, now(), nullptr, nullptr,
                                        milliseconds(100));
   };
-  fixture.schedule.TakeStarts(kService, 4, 0, now());
+  fixture.TakeStarts(4, 0);
   // Teaches that 100 events take 2 s.
   fixture.clock.Advance(seconds(2));
   fixture.schedule.OnProgress({kLate, 3}, 100);
@@ -279,7 +264,7 @@
   fixture.schedule.OnProgress({kLate, 2}, 99);
   REQUIRE(yield(1) == std::vector<ItemRef>{{kLate, 0}});
   fixture.schedule.OnEnded({kLate, 0}, ItemEnd::kStopped, now());
-  fixture.schedule.TakeStarts(kService, 1, 0, now());
+  fixture.TakeStarts(1, 0);
   CHECK(yield(3) == std::vector<ItemRef>{{kLate, 1}, {kLate, 0}});
 }
 
@@ -288,7 +273,7 @@
 TEST_CASE("BatchSchedule.StopsPreferredItemsFirst") {
   auto fixture = Fixture();
   fixture.schedule.Add(fixture.Job(kLate, seconds(40), 3), {});
-  fixture.schedule.TakeStarts(kService, 3, 0, fixture.clock.now());
+  fixture.TakeStarts(3, 0);
   const auto yields = fixture.schedule.TakeYields(
       kService, 1, fixture.clock.now(), nullptr,
       [](const ItemRef& ref) { return ref.item == 2; });
