Show that gateways stay stale while the watchers are refused

Cause: only two gateways of a zone follow the store, chosen by name, and nobody takes their place while the store turns them away.

--- a/review/stand_in_2/world.py
+++ b/review/stand_in_2/world.py
@@ -131,20 +131,33 @@
         self.events = []
         self.revision = 10
         self.changed = asyncio.Condition()
-        self.address = None
+        self.watches = {}  # Calls that watch, by the gateway's name.
+        self.refused = set()  # Names of gateways that are turned away.
 
-    async def start(self):
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0,
+    async def add_endpoint(self, name):
+        """Returns an address of the store for one gateway, so that the store
+        can tell who calls."""
+        async def serve(reader, writer):
+            await self.serve(name, reader, writer)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0,
                                             limit=1 << 22)
-        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        return "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
 
-    async def serve(self, reader, writer):
+    async def serve(self, name, reader, writer):
         try:
             while True:
                 first, headers = await read_head(reader)
                 body = await read_body(reader, headers)
                 method, target, _ = first.split()
-                status, answer = await self.answer(method, target, body)
+                if "watch=" in target:
+                    self.watches[name] = self.watches.get(name, 0) + 1
+                if name in self.refused:
+                    status, answer = 503, {}  # Nothing was done.
+                else:
+                    status, answer = await self.answer(method, target, body)
+                if name in self.refused and method == "GET":
+                    status, answer = 503, {}  # It was waiting.
                 writer.write(answer_bytes(
                     status, [("Content-Type", "application/json")],
                     json.dumps(answer).encode()))
@@ -342,6 +355,7 @@
             self.world.record(f"{self.id} runs {request} {method} {target} "
                               f"after event {after}")
             self.world.runs.append(request)
+            self.world.services[request] = self.service
             parts = [p.split(":")[0] for p in
                      headers.get("prompt-prefix", "").split(",")]
             await asyncio.sleep(0.05)
@@ -384,8 +398,11 @@
         self.settings = pathlib.Path(folder) / f"{name}.toml"
         self.log = pathlib.Path(folder) / f"{name}.log"
         self.process = None
+        self.store = None
 
     async def start(self, seeds):
+        self.store = self.store or \
+            await self.world.store.add_endpoint(self.name)
         quoted = ",".join(json.dumps(seed) for seed in seeds)
         self.settings.write_text(f"""
 [node]
@@ -402,7 +419,7 @@
 metrics = "{self.metrics}"
 
 [store]
-address = "{self.world.store.address}"
+address = "{self.store}"
 writes_per_second = 400
 reads_per_second = 2000
 
@@ -446,9 +463,9 @@
         self.replicas = []
         self.gateways = []
         self.runs = []  # Ids of the requests that replicas began to run.
+        self.services = {}  # The service that ran a request last.
 
     async def start(self, gateways, replicas, configuration):
-        await self.store.start()
         for replica in replicas:
             await replica.start()
         self.replicas = replicas
