List the items of a removed route as errored

Cause: the time after which items are given up was read from the route. Without one there was none; the items could not run and nothing listed them.

Change: a job waits 5 s for its route to return; then its items that do not run are listed as errored, and those that run go on. The job's state names the configuration under which it was accepted, so that an older one without the route, at a node that has just started, say, cannot give it up. New events name the reason.

--- a/include/kumquatgauge/serving/batch_schedule.h
+++ b/include/kumquatgauge/serving/batch_schedule.h
@@ -70,6 +70,8 @@
   MonotonicTime give_up;
   std::uint32_t max_attempts = 1;
   std::size_t items = 0;
+  // When items that do not run are given up, because the job's route is gone.
+  MonotonicTime withdrawal = MonotonicTime::max();
 };
 
 enum class ItemEnd {
@@ -131,7 +133,8 @@
   // Returns true when the item has used up its attempts and is removed from the
   // schedule as failed.
   auto OnEnded(const ItemRef& ref, ItemEnd end, MonotonicTime now) -> bool;
-  // Removes and returns the items whose give-up time has passed.
+  // Removes and returns the items whose give-up time has passed, and those that
+  // do not run of jobs whose withdrawal time has passed.
   auto TakeGivenUp(MonotonicTime now) -> std::vector<ItemRef>;
 
   auto IsUrgent(const ItemRef& ref, MonotonicTime now) const -> bool;
--- a/include/kumquatgauge/serving/job.h
+++ b/include/kumquatgauge/serving/job.h
@@ -62,6 +62,9 @@
   NodeId acceptor = {};
   Incarnation acceptor_incarnation = 0;
   std::uint64_t tokens = 0;
+  // Version of the configuration that had the job's route when it was accepted.
+  // An older one says nothing about the route.
+  std::uint64_t configuration_version = 0;
 
   auto operator==(const JobState&) const -> bool = default;
 };
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -133,6 +133,10 @@
 constexpr std::size_t kMaxAnnounced = 20'000;
 constexpr std::size_t kMaxIdBytes = 256;  // Of a job.
 constexpr int kStateAttempts = 4;
+// How long the items of a job wait for a route that is gone: an operator may
+// take a change back. Short beside the time in which jobs must be finished, so
+// that it may pass once more after a takeover.
+constexpr std::chrono::seconds kRouteReturnTime{5};
 
 auto EncodePeerPage(const Page& page) -> json {
   auto results = json::array();
@@ -575,12 +579,10 @@
       state.tokens += item.tokens;
     }
     const auto configuration = parts_.configuration();
-    const auto* route =
-        configuration == nullptr
-            ? nullptr
-            : configuration->FindRoute(record.host, record.path);
+    const auto* route = RouteOf(record, configuration.get());
     if (route != nullptr) {
       state.account = AccountNameOf(*route, record.organisation);
+      state.configuration_version = configuration->version;
     }
   }
 
@@ -782,18 +784,47 @@
         failures.emplace(found->second, count);
       }
     }
+    UpdateRoute(*job, parts_.configuration().get());
     schedule_.Add(Describe(*job, parts_.configuration().get()),
                   {job->listed.begin(), job->listed.end()}, failures);
     FinishIfComplete(job);
   }
 
-  // Returns the scheduling parameters of a job under the current configuration.
-  auto Describe(const OwnedJob& job, const Configuration* configuration) const
-      -> ScheduledJob {
+  // Returns the route of a job; null if there is none.
+  static auto RouteOf(const JobRecord& record,
+                      const Configuration* configuration) -> const Route* {
     const auto* route =
         configuration == nullptr
             ? nullptr
-            : configuration->FindRoute(job.record.host, job.record.path);
+            : configuration->FindRoute(record.host, record.path);
+    return route != nullptr && route->kind == RequestKind::kBatch ? route
+                                                                  : nullptr;
+  }
+
+  // Notes since when a job has no route. A configuration older than the job
+  // does not show that its route is gone.
+  auto UpdateRoute(OwnedJob& job, const Configuration* configuration) -> void {
+    const auto gone =
+        configuration != nullptr &&
+        configuration->version >= job.state.configuration_version &&
+        RouteOf(job.record, configuration) == nullptr;
+    if (gone == job.unrouted_since.has_value()) {
+      return;
+    }
+    job.unrouted_since = gone ? std::optional(parts_.clock()) : std::nullopt;
+    logger_.Warning(
+        gone ? "the route of a job is gone; its items are given up unless the "
+               "route returns"
+             : "the route of a job has returned",
+        {{"event", gone ? "job_route_gone" : "job_route_returned"},
+         {"job", job.state.id.value()},
+         {"configuration", std::to_string(configuration->version)}});
+  }
+
+  // Returns the scheduling parameters of a job under the current configuration.
+  auto Describe(const OwnedJob& job, const Configuration* configuration) const
+      -> ScheduledJob {
+    const auto* route = RouteOf(job.record, configuration);
     auto scheduled = ScheduledJob();
     scheduled.id = job.state.id;
     scheduled.items = job.items.size();
@@ -814,6 +845,9 @@
         scheduled.give_up = accepted + route->give_up_after;
       }
     }
+    if (job.unrouted_since) {
+      scheduled.withdrawal = *job.unrouted_since + kRouteReturnTime;
+    }
     return scheduled;
   }
 
@@ -825,6 +859,7 @@
       return;
     }
     for (const auto& [id, job] : jobs_) {
+      UpdateRoute(*job, configuration.get());
       schedule_.Update(Describe(*job, configuration.get()));
     }
     scheduled_version_ = configuration->version;
@@ -994,10 +1029,25 @@
     CheckStates(now);
     UpdateSuspensions(now);
     RescheduleOnNewConfiguration();
+    GiveUpItems(now);
+    allocator_.Watch(schedule_.services());
+  }
+
+  auto GiveUpItems(MonotonicTime now) -> void {
+    auto counts = std::map<JobId, std::size_t>();
     for (const auto& ref : schedule_.TakeGivenUp(now)) {
+      ++counts[ref.job];
       AddResult(ref, false);
     }
-    allocator_.Watch(schedule_.services());
+    for (const auto& [id, count] : counts) {
+      logger_.Warning("items are given up",
+                      {{"event", "items_given_up"},
+                       {"job", id.value()},
+                       {"items", std::to_string(count)},
+                       {"reason", jobs_.at(id)->unrouted_since
+                                      ? "the route of the job is gone"
+                                      : "their retention time is over"}});
+    }
   }
 
   auto MaxUnstoredBytes() const -> std::size_t {
@@ -1139,7 +1189,7 @@
   auto ServiceOf(const OwnedJob& job, const JobItem& item) const
       -> std::optional<ServiceName> {
     const auto configuration = parts_.configuration();
-    if (configuration == nullptr) {
+    if (RouteOf(job.record, configuration.get()) == nullptr) {
       return std::nullopt;
     }
     const auto* route = configuration->FindRoute(job.record.host, item.path);
@@ -1498,10 +1548,7 @@
   // Returns when the job is due; nothing without a route that has a due time.
   auto DueTime(const OwnedJob& job) const -> std::optional<MonotonicTime> {
     const auto configuration = parts_.configuration();
-    const auto* route =
-        configuration == nullptr
-            ? nullptr
-            : configuration->FindRoute(job.record.host, job.record.path);
+    const auto* route = RouteOf(job.record, configuration.get());
     if (route == nullptr || route->due <= milliseconds::zero()) {
       return std::nullopt;
     }
--- a/src/serving/batch_schedule.cc
+++ b/src/serving/batch_schedule.cc
@@ -273,13 +273,18 @@
 auto BatchSchedule::TakeGivenUp(MonotonicTime now) -> std::vector<ItemRef> {
   auto given_up = std::vector<ItemRef>();
   for (auto& [id, job] : jobs_) {
-    if (job.job.give_up > now) {
+    const auto all = job.job.give_up <= now;
+    if (!all && job.job.withdrawal > now) {
       continue;
     }
     for (const auto& [index, item] : job.items) {
-      given_up.push_back({id, index});
+      if (all || !item.running) {
+        given_up.push_back({id, index});
+      }
     }
-    job.items.clear();
+    std::erase_if(job.items, [&](const auto& entry) {
+      return all || !entry.second.running;
+    });
   }
   return given_up;
 }
--- a/src/serving/batch_schedule_test.cc
+++ b/src/serving/batch_schedule_test.cc
@@ -194,6 +194,27 @@
   CHECK(given_up.front() == ItemRef{kLate, 0});
 }
 
+// Guards against items of a job without a route that wait for ever, and against
+// discarding the work of those that run.
+TEST_CASE("BatchSchedule.GivesUpItemsThatDoNotRunAfterTheWithdrawal") {
+  auto fixture = Fixture();
+  auto job = fixture.Job(kLate, seconds(10), 2);
+  fixture.schedule.Add(job, {});
+  const auto started = fixture.TakeStarts(1, 0);
+  REQUIRE(started.size() == 1);
+  job.withdrawal = fixture.clock.now() + seconds(5);
+  fixture.schedule.Update(job);
+  CHECK(fixture.schedule.TakeGivenUp(fixture.clock.now()).empty());
+  fixture.clock.Advance(seconds(5));
+  const auto given_up = fixture.schedule.TakeGivenUp(fixture.clock.now());
+  REQUIRE(given_up.size() == 1);
+  CHECK(given_up.front() != started.front());
+  fixture.schedule.OnEnded(started.front(), ItemEnd::kStopped,
+                           fixture.clock.now());
+  CHECK(fixture.schedule.TakeGivenUp(fixture.clock.now()) == started);
+  CHECK(fixture.schedule.unfinished(kLate) == 0);
+}
+
 // Guards against items that stop at a replica where this frees nothing.
 TEST_CASE("BatchSchedule.StopsOnlyItemsThatMayYield") {
   auto fixture = Fixture();
--- a/src/serving/job.cc
+++ b/src/serving/job.cc
@@ -89,7 +89,8 @@
               {"account", state.account},
               {"acceptor", state.acceptor.value()},
               {"acceptor_incarnation", state.acceptor_incarnation},
-              {"tokens", state.tokens}}
+              {"tokens", state.tokens},
+              {"configuration_version", state.configuration_version}}
       .dump();
 }
 
@@ -110,6 +111,8 @@
     state.acceptor_incarnation =
         object.value("acceptor_incarnation", state.incarnation);
     state.tokens = object.value("tokens", std::uint64_t{0});
+    state.configuration_version =
+        object.value("configuration_version", std::uint64_t{0});
     return state;
   });
 }
--- a/src/serving/owned_job.h
+++ b/src/serving/owned_job.h
@@ -55,6 +55,8 @@
   // Set while no item runs because this node was cut off and the job may have
   // been ended.
   std::optional<MonotonicTime> suspended_at;
+  // Set while the configuration has no route for the job.
+  std::optional<MonotonicTime> unrouted_since;
   // Timers of the callers that wait for the next result.
   std::vector<std::weak_ptr<boost::asio::steady_timer>> readers;
 
