Record streams as long as the store holds several versions

Cause: a node took a service to have one software version 30 s after the last replica of another one was gone, and recorded its streams no more. The store, which a node asks that takes a stream up, held the version for 60 s, longer if it could not be removed.

Change: a node keeps the versions in the store's object with its revision, and drops one only when a newer revision lacks it. The node that removes versions tells the others. News of an older revision is ignored.

Test changed: KnowsSeveralVersionsUntilOthersAreLongGone expected one version by the clock alone, which is the fault. It expects it once the store holds one.

--- a/include/kumquatgauge/serving/version_registry.h
+++ b/include/kumquatgauge/serving/version_registry.h
@@ -1,6 +1,7 @@
 #ifndef KUMQUATGAUGE_SERVING_VERSION_REGISTRY_H_
 #define KUMQUATGAUGE_SERVING_VERSION_REGISTRY_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -29,6 +30,14 @@
 // left, so that a store that takes no writes does not end the service.
 inline constexpr std::chrono::seconds kMaxRegistrationWait{5};
 
+// The versions of a service in the store, as of a revision of their object.
+struct StoredVersions {
+  VersionSet versions;
+  std::uint64_t revision = 0;
+
+  auto operator==(const StoredVersions&) const -> bool = default;
+};
+
 // Knows which software versions of each service the store holds as possible
 // origins of streams. A replica gets its first request only once its version is
 // there, so that a node that reads the store then knows every version that may
@@ -44,7 +53,12 @@
   auto OnRegistered(const ServiceName& service, const VersionSet& versions)
       -> bool;
   // Records that the store holds these versions and no others.
-  auto OnStored(const ServiceName& service, const VersionSet& versions) -> void;
+  auto OnStored(const ServiceName& service, const StoredVersions& stored)
+      -> void;
+  // Records what another node knows the store to hold, unless it is outdated.
+  // Returns whether that is news. Does not change which replicas may be used.
+  auto OnStoredElsewhere(const ServiceName& service,
+                         const StoredVersions& stored) -> bool;
   // Must be called about once a second.
   auto OnTick() -> void;
 
@@ -56,7 +70,10 @@
   auto registered() const -> const std::map<ServiceName, VersionSet>& {
     return registered_;
   }
-  // Whether more than one version may have begun streams that go on.
+  // Returns the versions that the store may hold.
+  auto Stored(const ServiceName& service) const -> StoredVersions;
+  // Whether the store may hold more than one version, so that a stream can only
+  // be taken up elsewhere if its version is recorded.
   auto HasSeveral(const ServiceName& service) const -> bool;
   // Returns the only version that is left of a service, once the others have
   // been gone for kVersionRetention.
@@ -77,8 +94,8 @@
   VersionHistory history_;
   std::map<ServiceName, VersionSet> current_;
   std::map<ServiceName, VersionSet> registered_;
-  // The only version of a service in the store, as last read.
-  std::map<ServiceName, std::string> sole_stored_;
+  // Versions leave only when the store is known to hold them no more.
+  std::map<ServiceName, StoredVersions> stored_;
   // Since when a version of the service waits to be registered.
   std::map<ServiceName, MonotonicTime> waiting_since_;
   std::optional<MonotonicTime> last_tick_;
--- a/src/serving/stream_versions.cc
+++ b/src/serving/stream_versions.cc
@@ -81,6 +81,14 @@
   return message;
 }
 
+// What nodes tell each other of a service: the versions whose replicas may be
+// used, and what the store holds.
+auto EncodeVersionNews(const ServiceName& service,
+                       const VersionSet& registered,
+                       const StoredVersions& stored) -> json {
+  return {service.value(), registered, stored.versions, stored.revision};
+}
+
 auto DecodeAnswer(const json& message) -> OriginAnswer {
   auto answer = OriginAnswer();
   if (message.contains("recorded")) {
@@ -212,15 +220,19 @@
   auto EncodeRegistered() const -> json {
     auto services = json::array();
     for (const auto& [service, versions] : registry_.registered()) {
-      services.push_back({service.value(), versions});
+      services.push_back(
+          EncodeVersionNews(service, versions, registry_.Stored(service)));
     }
     return services;
   }
 
   auto OnPeerRegistered(const json& services) -> void {
     for (const auto& entry : services) {
-      OnRegistered(ServiceName(entry.at(0).get<std::string>()),
-                   entry.at(1).get<VersionSet>(), "a node");
+      OnVersions(
+          ServiceName(entry.at(0).get<std::string>()),
+          entry.at(1).get<VersionSet>(),
+          {entry.at(2).get<VersionSet>(), entry.at(3).get<std::uint64_t>()},
+          "a node");
     }
   }
 
@@ -284,27 +296,45 @@
  private:
   // --- The versions of each service in the store.
 
-  auto OnRegistered(const ServiceName& service,
-                    const VersionSet& versions,
-                    const std::string& source) -> void {
-    if (!registry_.OnRegistered(service, versions)) {
+  // Takes what this node has read, written or heard of the versions in the
+  // store, and tells the others if it is news.
+  auto OnVersions(const ServiceName& service,
+                  const VersionSet& registered,
+                  const StoredVersions& stored,
+                  const std::string& source) -> void {
+    // The store may hold some of these versions no more.
+    if (stored.revision < registry_.Stored(service).revision) {
       return;
     }
+    const auto usable_changed = registry_.OnRegistered(service, registered);
+    const auto stored_changed = registry_.OnStoredElsewhere(service, stored);
+    if (usable_changed || stored_changed) {
+      TellVersions(service, registered, stored, source);
+    }
+    if (usable_changed) {
+      parts_.usable_changed();
+    }
+  }
+
+  auto TellVersions(const ServiceName& service,
+                    const VersionSet& registered,
+                    const StoredVersions& stored,
+                    const std::string& source) -> void {
     auto list = std::string();
-    for (const auto& version : versions) {
+    for (const auto& version : stored.versions) {
       list += (list.empty() ? "" : " ") + version;
     }
     logger_.Info("the store knows the software versions of a service",
                  {{"event", "versions_registered"},
                   {"service", service.value()},
                   {"versions", list},
+                  {"revision", std::to_string(stored.revision)},
                   {"source", source}});
     auto message = json{{"t", kVersionsDatagram},
                         {"n", parts_.self().value()},
                         {"v", json::array()}};
-    message["v"].push_back({service.value(), versions});
+    message["v"].push_back(EncodeVersionNews(service, registered, stored));
     parts_.send_news(message);
-    parts_.usable_changed();
   }
 
   auto RegisterMissing() -> void {
@@ -359,6 +389,7 @@
     if (stored) {
       versions = DecodeVersions(key, stored->value);
     }
+    auto revision = stored ? stored->version : std::uint64_t{0};
     const auto before = versions;
     versions.merge(registry_.Current(service));
     if (versions != before) {
@@ -366,8 +397,8 @@
       const auto expected = stored ? std::optional(stored->version)
                                    : std::optional<std::uint64_t>();
       try {
-        co_await parts_.store.Write(key, std::move(text), expected,
-                                    CallClass::kClaim);
+        revision = co_await parts_.store.Write(key, std::move(text), expected,
+                                               CallClass::kClaim);
       } catch (const Error& error) {
         // Another node was first, or the answer was lost.
         if (error.kind() != ErrorKind::kConflict &&
@@ -377,7 +408,7 @@
         co_return;
       }
     }
-    OnRegistered(service, versions, "the store");
+    OnVersions(service, versions, {versions, revision}, "the store");
   }
 
   // Returns the versions that may have begun streams of a service, as they are
@@ -397,20 +428,23 @@
           co_await self->parts_.store.Read(key, CallClass::kStatus);
       auto versions =
           stored ? DecodeVersions(key, stored->value) : VersionSet();
+      auto revision = stored ? stored->version : std::uint64_t{0};
       // Another version may have come meanwhile.
       const auto remaining = self->registry_.Remaining(service);
       if (stored && remaining && versions.contains(*remaining) &&
           versions.size() > 1) {
         versions = {*remaining};
         auto text = EncodeVersions(versions);
-        co_await self->parts_.store.Write(key, std::move(text), stored->version,
-                                          CallClass::kStatus);
+        revision = co_await self->parts_.store.Write(
+            key, std::move(text), stored->version, CallClass::kStatus);
         self->logger_.Info("software versions are gone for long",
                            {{"event", "versions_removed"},
                             {"service", service.value()},
                             {"remaining", *remaining}});
       }
-      self->registry_.OnStored(service, versions);
+      const auto now_stored = StoredVersions{versions, revision};
+      self->registry_.OnStored(service, now_stored);
+      self->TellVersions(service, versions, now_stored, "the store");
     } catch (const Error& error) {
       self->logger_.Info("old software versions cannot be removed yet",
                          {{"event", "store_failed"},
--- a/src/serving/version_registry.cc
+++ b/src/serving/version_registry.cc
@@ -33,24 +33,27 @@
   auto& known = registered_[service];
   const auto before = known.size();
   known.insert(versions.begin(), versions.end());
+  stored_[service].versions.insert(versions.begin(), versions.end());
   UpdateWaiting();
-  if (known.size() == before) {
-    return false;
-  }
-  sole_stored_.erase(service);
-  return true;
+  return known.size() != before;
 }
 
 auto VersionRegistry::OnStored(const ServiceName& service,
-                               const VersionSet& versions) -> void {
-  registered_[service] = versions;
-  sole_stored_.erase(service);
-  if (versions.size() == 1) {
-    sole_stored_[service] = *versions.begin();
-  }
+                               const StoredVersions& stored) -> void {
+  registered_[service] = stored.versions;
+  OnStoredElsewhere(service, stored);
   UpdateWaiting();
 }
 
+auto VersionRegistry::OnStoredElsewhere(const ServiceName& service,
+                                        const StoredVersions& stored) -> bool {
+  auto& known = stored_[service];
+  if (stored.revision < known.revision) {
+    return false;
+  }
+  return std::exchange(known, stored).versions != stored.versions;
+}
+
 auto VersionRegistry::OnTick() -> void {
   const auto now = clock_();
   if (last_tick_ && now - *last_tick_ > kMaxStandstill) {
@@ -87,8 +90,14 @@
   return Find(registered_, service);
 }
 
+auto VersionRegistry::Stored(const ServiceName& service) const
+    -> StoredVersions {
+  const auto found = stored_.find(service);
+  return found == stored_.end() ? StoredVersions() : found->second;
+}
+
 auto VersionRegistry::HasSeveral(const ServiceName& service) const -> bool {
-  auto versions = Find(registered_, service);
+  auto versions = Stored(service).versions;
   versions.merge(Find(current_, service));
   return versions.size() > 1;
 }
@@ -101,9 +110,7 @@
 auto VersionRegistry::FindRemovable() const -> std::optional<ServiceName> {
   for (const auto& [service, versions] : registered_) {
     const auto remaining = Remaining(service);
-    const auto stored = sole_stored_.find(service);
-    if (remaining &&
-        (stored == sole_stored_.end() || stored->second != *remaining)) {
+    if (remaining && Stored(service).versions != VersionSet{*remaining}) {
       return service;
     }
   }
--- a/src/serving/version_registry_test.cc
+++ b/src/serving/version_registry_test.cc
@@ -84,8 +84,41 @@
   CHECK(registry.HasSeveral(kService));
   CHECK_FALSE(registry.Remaining(kService));
   fixture.Run(kVersionRetention);
-  CHECK_FALSE(registry.HasSeveral(kService));
   CHECK(registry.Remaining(kService) == "v2");
+  registry.OnStored(kService, {{"v2"}, 2});
+  CHECK_FALSE(registry.HasSeveral(kService));
+}
+
+// Guards against streams that nobody can take up, since their node records no
+// versions any more while the store still holds several: the node that removes
+// them may see them go later, or the store may take no writes.
+TEST_CASE("VersionRegistry.KnowsSeveralVersionsWhileTheStoreHoldsThem") {
+  auto fixture = Fixture();
+  auto& registry = fixture.registry;
+  registry.SetReplicas(Replicas({"v1", "v2"}));
+  registry.OnRegistered(kService, {"v1", "v2"});
+  registry.SetReplicas(Replicas({"v2"}));
+  for (auto passed = Duration::zero(); passed < 3 * kVersionRetention;
+       passed += seconds(1)) {
+    fixture.Run(seconds(1));
+    REQUIRE(registry.HasSeveral(kService));
+  }
+  CHECK(registry.FindRemovable() == kService);
+  CHECK(registry.OnStoredElsewhere(kService, {{"v2"}, 2}));
+  CHECK_FALSE(registry.HasSeveral(kService));
+  CHECK_FALSE(registry.FindRemovable());
+}
+
+// Guards against news of a removal that arrives after a version has returned.
+TEST_CASE("VersionRegistry.IgnoresOutdatedNewsOfWhatTheStoreHolds") {
+  auto fixture = Fixture();
+  auto& registry = fixture.registry;
+  registry.SetReplicas(Replicas({"v2"}));
+  CHECK(registry.OnStoredElsewhere(kService, {{"v1", "v2"}, 3}));
+  CHECK_FALSE(registry.OnStoredElsewhere(kService, {{"v2"}, 2}));
+  CHECK(registry.HasSeveral(kService));
+  // It says nothing about the replicas that may be used.
+  CHECK(registry.Usable(Replicas({"v2"})).empty());
 }
 
 // Guards against streams that are refused because the store names a version
@@ -103,7 +136,7 @@
     registry.SetReplicas(Replicas({"v1"}));
     fixture.Run(kVersionRetention + seconds(2));
     CHECK(registry.FindRemovable() == kService);
-    registry.OnStored(kService, {"v1"});
+    registry.OnStored(kService, {{"v1"}, 0});
     CHECK_FALSE(registry.FindRemovable());
   }
 }
@@ -115,7 +148,7 @@
   auto& registry = fixture.registry;
   registry.SetReplicas(Replicas({"v1"}));
   registry.OnRegistered(kService, {"v1"});
-  registry.OnStored(kService, {});
+  registry.OnStored(kService, {{}, 0});
   CHECK(registry.Unregistered() == std::vector<ServiceName>{kService});
   CHECK(registry.Usable(Replicas({"v1"})).empty());
 }
