Watch the store in place of watchers that it turns away

Cause: watchers are chosen by their names among the live nodes. One that the store refuses is alive, so nobody took its place, and the others cannot tell a store without changes from watchers that hear nothing. Both watchers logged store_lost; no other node had the new version.

Change: each answer of the store to a watcher is told to all nodes. A node that has heard of none for 1.2 s watches the store itself: two nodes first, twice as many after each 0.15 s, at most 16, until a watcher is answered again. Nodes that do not watch check this every 0.1 s, without a call.

--- a/include/kumquatgauge/serving/store_feed.h
+++ b/include/kumquatgauge/serving/store_feed.h
@@ -44,7 +44,7 @@
 };
 
 // How often a node that does not follow the store checks whether it should.
-inline constexpr std::chrono::milliseconds kIdleFeedInterval{500};
+inline constexpr std::chrono::milliseconds kIdleFeedInterval{100};
 
 // Follows all objects under one prefix of the store: lists them, watches from
 // the revision of the list, and lists again when the store has dropped the
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -20,6 +20,7 @@
 #include "kumquatgauge/base/log.h"
 #include "kumquatgauge/base/metrics.h"
 #include "kumquatgauge/control/node_registry.h"
+#include "kumquatgauge/control/watcher_standby.h"
 #include "kumquatgauge/node/gossip.h"
 #include "kumquatgauge/node/peer_client.h"
 #include "kumquatgauge/node/peer_server.h"
@@ -109,6 +110,10 @@
 constexpr milliseconds kMissingQuestionInterval{250};
 constexpr milliseconds kMissingQuestionTimeout{1'000};
 constexpr auto kEntriesCall = "entries";
+// Tells other nodes that the store answers this one. Sent for each fresh call;
+// the two feeds make theirs at about the same time.
+constexpr auto kStoreDatagram = "store";
+constexpr milliseconds kMinStoreDatagramInterval{kFreshCallInterval / 2};
 // News that nodes spread without the store, of requests on which replicas crash
 // and of replicas that leave, is sent to kNewsFanout random nodes, then
 // repeated at each maintenance for kNewsTime, and after that every
@@ -500,9 +505,9 @@
       }
     };
     hooks.call_failed = [this](const std::string& reason) {
-      OnStoreLost(reason);
+      OnStoreLost(kConfigurationFeed, reason);
     };
-    hooks.call_succeeded = [this] { OnStoreAnswered(); };
+    hooks.call_succeeded = [this] { OnStoreAnswered(kConfigurationFeed); };
     return hooks;
   }
 
@@ -524,9 +529,9 @@
       OnReplicaEvent(event);
     };
     hooks.call_failed = [this](const std::string& reason) {
-      OnStoreLost(reason);
+      OnStoreLost(kReplicaFeed, reason);
     };
-    hooks.call_succeeded = [this] { OnStoreAnswered(); };
+    hooks.call_succeeded = [this] { OnStoreAnswered(kReplicaFeed); };
     return hooks;
   }
 
@@ -534,7 +539,8 @@
 
   // Handles failures of both feeds: a watch of one feed that waits for the next
   // change does not show whether the store is available again.
-  auto OnStoreLost(const std::string& reason) -> void {
+  auto OnStoreLost(const std::string& feed, const std::string& reason) -> void {
+    failing_feeds_.insert(feed);
     replica_table_.OnStoreUnavailable();
     if (!std::exchange(store_lost_, true)) {
       logger_.Warning(
@@ -550,11 +556,28 @@
     return counts.failures + counts.rate_exceeded + counts.refused_by_circuit;
   }
 
-  auto OnStoreAnswered() -> void {
+  auto OnStoreAnswered(const std::string& feed) -> void {
+    failing_feeds_.erase(feed);
     replica_table_.OnStoreAnswered();
     if (std::exchange(store_lost_, false)) {
       logger_.Info("the store answers again", {{"event", "store_regained"}});
     }
+    if (failing_feeds_.empty()) {
+      TellStoreAnswered();
+    }
+  }
+
+  // Other nodes rely on this one to watch the store only while they hear this.
+  auto TellStoreAnswered() -> void {
+    standby_.OnStoreAnswered(settings_.name,
+                             ChooseWatchers(gossip_.membership().live()));
+    const auto now = SteadyNow();
+    if (now - store_told_ < kMinStoreDatagramInterval) {
+      return;
+    }
+    store_told_ = now;
+    gossip_.SendDatagrams(PeerAddresses(), {{"t", kStoreDatagram},
+                                            {"n", settings_.name.value()}});
   }
 
   // As ApplyConfiguration; nothing for other objects, too.
@@ -639,21 +662,47 @@
   // Returns how long the next watch waits, or nothing if this node does not
   // watch the store.
   auto NextWatchTime() -> std::optional<milliseconds> {
-    const auto watchers = ChooseWatchers(gossip_.membership().live());
+    const auto live = gossip_.membership().live();
+    const auto watchers = ChooseWatchers(live);
     const auto place =
         std::find(watchers.begin(), watchers.end(), settings_.name);
-    if (place == watchers.end()) {
+    const auto chosen = place != watchers.end();
+    const auto stands_in = !chosen && standby_.MustWatch(live, watchers);
+    if (std::exchange(stands_in_, stands_in) != stands_in) {
+      LogStandby();
+    }
+    watches_store_ = chosen || stands_in;
+    if (!watches_store_) {
       replica_table_.OnStoreNotWatched();
-      watches_store_ = false;
       return std::nullopt;
     }
-    watches_store_ = true;
+    if (stands_in) {
+      return kFreshCallInterval;
+    }
     const auto time_of_day =
         std::chrono::duration_cast<milliseconds>(WallNow().time_since_epoch());
     return WatchTime(static_cast<std::size_t>(place - watchers.begin()),
                      watchers.size(), time_of_day);
   }
 
+  // With these a change applies in time also if it comes when the store begins
+  // to refuse all watchers.
+  static auto StandbySettings() -> control::WatcherStandbySettings {
+    auto settings = control::WatcherStandbySettings();
+    settings.silence_limit = kFreshCallInterval * 3 / 2;
+    return settings;
+  }
+
+  auto LogStandby() -> void {
+    const auto silence =
+        std::chrono::duration_cast<milliseconds>(standby_.silence());
+    logger_.Info(stands_in_
+                     ? "no node is known to hear from the store; watching it"
+                     : "another node watches the store again",
+                 {{"event", stands_in_ ? "standby_begun" : "standby_ended"},
+                  {"silence_ms", std::to_string(silence.count())}});
+  }
+
   auto DecodeReplica(const ReplicaId& id, const std::string& value)
       -> std::optional<routing::Replica> {
     auto replica = parts_.dialect.decode_replica(id.value(), value);
@@ -1194,6 +1243,9 @@
         freshness_.OnDatagram(from, message);
       } else if (RequestQuotaKeeper::Handles(type)) {
         request_quotas_.OnDatagram(message);
+      } else if (type == kStoreDatagram) {
+        standby_.OnStoreAnswered(from,
+                                 ChooseWatchers(gossip_.membership().live()));
       } else if (type == "leaving") {
         OnLeavingDatagram(message);
       } else if (type == "crash") {
@@ -1811,6 +1863,7 @@
   JobArchive archive_;
   LoadBalancer load_balancer_;
   ReplicaTable replica_table_;
+  control::WatcherStandby standby_;
   upstream::ReplicaCaller replicas_;
   routing::RetryBudget retry_budget_;
   RequestQuarantine quarantine_;
@@ -1860,6 +1913,9 @@
   bool counts_urgent_ = false;  // The pending datagram is urgent.
   bool counts_empty_ = true;
   bool watches_store_ = false;
+  bool stands_in_ = false;  // For nodes that are chosen to watch it.
+  std::set<std::string> failing_feeds_;  // Whose last call to it failed.
+  MonotonicTime store_told_;
   bool store_lost_ = false;
   bool has_replicas_ = false;
   bool started_ = false;
