Let kqg-node watch the platform in place of refused watchers

The same cause as in the gateway, found by reading: two nodes of each zone, by the hashes of their names, watch the platform whether or not it answers them. The class that decides for the gateway decides here, after 4 s of silence: a watch lasts up to 3 s, and a change must apply within 9 s. Not shown by a test of its own; the scenarios with an outage of the platform run through it.

--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -27,6 +27,7 @@
 #include "kumquatgauge/control/config_watcher.h"
 #include "kumquatgauge/control/node_registry.h"
 #include "kumquatgauge/control/orders.h"
+#include "kumquatgauge/control/watcher_standby.h"
 #include "kumquatgauge/daemon/batch_item_runner.h"
 #include "kumquatgauge/daemon/completion_router.h"
 #include "kumquatgauge/daemon/dispatch_service.h"
@@ -64,6 +65,11 @@
 
 // Number of nodes per zone that watch the platform on behalf of the others.
 constexpr std::size_t kWatchersPerZone = 2;
+// Silence of all watchers after which other nodes watch the platform. A watcher
+// is answered every 3 s at the latest, and a change must apply within 9 s.
+constexpr auto kWatcherSilenceLimit = std::chrono::seconds(4);
+// Tells other nodes that the platform answers this one.
+constexpr auto kPlatformDatagram = "platform";
 // Prefix of the keys under which nodes register their addresses for each other.
 constexpr auto kNodePrefix = "nodes/";
 constexpr auto kHostPollInterval = std::chrono::seconds(1);
@@ -162,7 +168,11 @@
   auto ApplyHosts(store::HostListSnapshot hosts) -> void;
   auto RebuildReplicas() -> void;
   auto UpdateOrderDrivers() -> void;
-  auto IsWatcher() const -> bool;
+  // Returns the nodes that watch the platform on behalf of the others.
+  auto Watchers() const -> std::vector<NodeId>;
+  // Whether this node is one of them, or must stand in for them.
+  auto WatchesPlatform() -> bool;
+  auto TellPlatformAnswered() -> void;
   auto OwnsOrders(const ServiceName& service) const -> bool;
   auto OnLocalLoad(const routing::ReplicaLoad& load) -> void;
   auto PublishLoads() -> void;
@@ -212,6 +222,7 @@
   upstream::HttpEngineClient control_engines_;
   node::PeerServer peer_server_;
   node::Gossip gossip_;
+  control::WatcherStandby standby_;
   control::NodeRegistry registry_;
   OnceService once_;
   std::shared_ptr<batch::BatchService> batch_;
@@ -293,6 +304,9 @@
               SteadyNow,
               WallNow,
               DrawRandom),
+      standby_(settings_.name,
+               {.silence_limit = kWatcherSilenceLimit},
+               SteadyNow),
       registry_(store_,
                 kNodePrefix,
                 settings_.name,
@@ -591,6 +605,9 @@
   const auto type = message.value("t", "");
   if (type == "load") {
     table_.OnLoad(node::ReplicaLoadFrom(message.at("load")));
+  } else if (type == kPlatformDatagram) {
+    standby_.OnStoreAnswered(NodeId(message.at("n").get<std::string>()),
+                             Watchers());
   } else if (const auto notice = batch::JobNoticeFrom(message)) {
     batch_->OnJobNotice(*notice);
   }
@@ -662,17 +679,38 @@
   }
 }
 
-auto NodeDaemon::Impl::IsWatcher() const -> bool {
-  auto ranks = std::vector<std::uint64_t>();
+auto NodeDaemon::Impl::Watchers() const -> std::vector<NodeId> {
+  auto zones = std::map<ZoneName, std::map<std::uint64_t, NodeId>>();
   for (const auto& node : gossip_.membership().live()) {
-    if (node.zone == settings_.zone) {
-      ranks.push_back(WatchRank(node.id));
+    zones[node.zone].emplace(WatchRank(node.id), node.id);
+  }
+  auto watchers = std::vector<NodeId>();
+  for (const auto& [zone, nodes] : zones) {
+    auto node = nodes.begin();
+    for (auto rank = std::size_t{0};
+         rank < kWatchersPerZone && node != nodes.end(); ++rank, ++node) {
+      watchers.push_back(node->second);
+    }
+  }
+  return watchers;
+}
+
+auto NodeDaemon::Impl::WatchesPlatform() -> bool {
+  const auto watchers = Watchers();
+  return std::find(watchers.begin(), watchers.end(), settings_.name) !=
+             watchers.end() ||
+         standby_.MustWatch(gossip_.membership().live(), watchers);
+}
+
+auto NodeDaemon::Impl::TellPlatformAnswered() -> void {
+  standby_.OnStoreAnswered(settings_.name, Watchers());
+  const auto message =
+      nlohmann::json{{"t", kPlatformDatagram}, {"n", settings_.name.value()}};
+  for (const auto& node : gossip_.membership().live()) {
+    if (node.id != settings_.name) {
+      gossip_.SendDatagram(node.node_address, message);
     }
   }
-  std::sort(ranks.begin(), ranks.end());
-  const auto own_rank = WatchRank(settings_.name);
-  const auto place = std::lower_bound(ranks.begin(), ranks.end(), own_rank);
-  return static_cast<std::size_t>(place - ranks.begin()) < kWatchersPerZone;
 }
 
 auto NodeDaemon::Impl::OnLocalLoad(const routing::ReplicaLoad& load) -> void {
@@ -736,13 +774,14 @@
         }
       });
   while (true) {
-    if (!IsWatcher() && configuration_.revision() > 0) {
+    if (!WatchesPlatform() && configuration_.revision() > 0) {
       co_await Pause(kWatcherIdleInterval);
       continue;
     }
     auto failed = false;
     try {
       co_await watcher.Step();
+      TellPlatformAnswered();
       ApplyConfiguration(config_store_.latest());
     } catch (const Error& error) {
       failed = true;
@@ -759,7 +798,7 @@
   // watchers.
   auto fetched = false;
   while (true) {
-    if (IsWatcher() || !fetched) {
+    if (WatchesPlatform() || !fetched) {
       try {
         auto hosts = co_await host_list_.Fetch();
         fetched = true;
