Take no answer that was cut during the upload for a whole one

What callers saw (report of the users): a replica that answered a long upload at once without a length and reset the connection; the part of its body came as a complete answer. Items were listed as completed with a part of their text.

Cause: a socket reports a reset once. The pending write gets it, the read that follows sees an end of file, and a body without length or chunks ends with its connection. Only answers without a length during a write are affected.

Change: such a body is complete only if the request was written before. The same for the plain services of kqg-node, which read the answer after a failed write.

--- a/src/upstream/http_exchange.cc
+++ b/src/upstream/http_exchange.cc
@@ -59,6 +59,7 @@
 struct Attempt {
   std::optional<ServiceResponse> response = std::nullopt;
   bool bytes_sent = false;      // A byte of the request may have been sent.
+  bool written = false;         // The whole request was.
   bool response_begun = false;  // A byte of the response arrived.
   bool timed_out = false;
   std::string reason = {};
@@ -85,6 +86,12 @@
     if (parser.get().result_int() < kFirstFinalStatus) {
       continue;
     }
+    if (parser.need_eof() && !attempt.written) {
+      // A socket reports a reset once. The failed write got it, and the read
+      // ended as if the service had closed the connection after a whole body.
+      attempt.reason = "the connection ended before the request was written";
+      co_return;
+    }
     const auto keep_alive = parser.keep_alive();
     attempt.response = ToResponse(parser);
     if (keep_alive && io.buffer().size() == 0) {
@@ -105,6 +112,7 @@
   const auto written = co_await http::async_write(
       io.socket(), message, asio::redirect_error(asio::use_awaitable, error));
   attempt.bytes_sent = written > 0;
+  attempt.written = !error;
   if (error && !attempt.bytes_sent) {
     attempt.timed_out = io.timed_out();
     attempt.reason = error.message();
--- a/src/upstream/http_service_client_test.cc
+++ b/src/upstream/http_service_client_test.cc
@@ -175,6 +175,38 @@
   CHECK(service.accepted == 1);
 }
 
+// Guards against a part of a response that is taken for a whole one, because
+// the failed write hides from the read that the connection was reset.
+TEST_CASE("HttpServiceClient.TakesNoResponseCutDuringTheUploadForAWholeOne") {
+  Fixture fixture;
+  auto acceptor = asio::ip::tcp::acceptor(
+      fixture.context, {asio::ip::address_v4::loopback(), 0});
+  const auto serve =
+      [](asio::ip::tcp::acceptor* listener) -> asio::awaitable<void> {
+    auto socket = co_await listener->async_accept(asio::use_awaitable);
+    auto bytes = std::string(1'000, '\0');
+    co_await socket.async_read_some(asio::buffer(bytes), asio::use_awaitable);
+    auto answer = std::string("HTTP/1.1 200 OK\r\n\r\npart");
+    co_await asio::async_write(socket, asio::buffer(answer),
+                               asio::use_awaitable);
+    socket.set_option(asio::socket_base::linger(true, 0));
+    socket.close();
+  };
+  asio::co_spawn(fixture.context, serve(&acceptor), asio::detached);
+  auto request = Pay();
+  request.body = std::string(2'000'000, 'x');
+  const auto address =
+      "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  std::optional<ErrorKind> kind;
+  try {
+    RunAwait(fixture.context,
+             fixture.client.Send(address, request, false, kTimeout));
+  } catch (const Error& error) {
+    kind = error.kind();
+  }
+  CHECK(kind == ErrorKind::kUnknownOutcome);
+}
+
 // Guards against an interim response taken for the final one.
 TEST_CASE("HttpServiceClient.SkipsInterimResponses") {
   Fixture fixture;
--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -317,6 +317,12 @@
     if (error && error != http::error::need_buffer) {
       co_return ToCallEnd(error);
     }
+    if (parser_->is_done() && parser_->need_eof() && !*write_done_) {
+      // A socket reports a reset once. If the pending write gets it, the read
+      // ends as if the replica had closed the connection after a whole body.
+      reason_ = "the connection ended before the request was written";
+      co_return CallEnd::kBroken;
+    }
     co_return parser_->is_done() ? CallEnd::kComplete : CallEnd::kOpen;
   }
 
--- a/src/upstream/replica_call_test.cc
+++ b/src/upstream/replica_call_test.cc
@@ -22,6 +22,9 @@
 
 // Larger than the buffers of two sockets, so that writing it blocks.
 constexpr std::size_t kLongBody = 24'000'000;
+// Larger than the buffer that a socket has at first.
+constexpr std::size_t kMediumBody = 2'000'000;
+constexpr std::size_t kTinyBody = 8;
 constexpr int kStatus = 200;
 constexpr auto kResponse =
     std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
@@ -183,6 +186,49 @@
   ReplicaCaller caller{context.get_executor(), ConnectionSettings()};
 };
 
+// Guards against a part of an answer that is passed on as a whole one: a body
+// without a length ends with its connection, and a write that is pending when
+// the replica resets it hides the reset from the read.
+TEST_CASE("ReplicaCaller.TakesNoAnswerCutDuringTheUploadForAWholeOne") {
+  constexpr auto kCutAnswer = std::string_view("HTTP/1.1 200 OK\r\n\r\npart");
+  const auto size = GENERATE(kTinyBody, kMediumBody, kLongBody);
+  for (auto round = 0; round < 10; ++round) {
+    CAPTURE(size, round);
+    auto fixture = Fixture();
+    const auto call = fixture.Start("/x", std::string(size, 'x'));
+    fixture.Open(call);
+    auto replica = fixture.Accept();
+    // Most of the upload stays unread, so that the write is pending.
+    REQUIRE(RunUntil(fixture.context, [&] {
+      replica->Read();
+      return replica->received().size() >= std::min(size, kMediumBody / 2);
+    }));
+    replica->Write(kCutAnswer);
+    REQUIRE(RunUntil(fixture.context,
+                     [&] { return call->head().status == kStatus; }));
+    replica->Reset();
+    auto body = std::string();
+    auto end = CallEnd::kOpen;
+    while (end == CallEnd::kOpen) {
+      end = RunAwait(fixture.context, call->Read(body));
+    }
+    CHECK(end == CallEnd::kBroken);
+  }
+}
+
+// Guards against an answer that is lost because it came, whole, before the
+// upload was read.
+TEST_CASE("ReplicaCaller.TakesAnAnswerWithALengthDuringTheUpload") {
+  auto fixture = Fixture();
+  const auto call = fixture.Start("/x", std::string(kLongBody, 'x'));
+  fixture.Open(call);
+  auto replica = fixture.Accept();
+  replica->Respond();
+  REQUIRE(RunUntil(fixture.context,
+                   [&] { return call->head().status == kStatus; }));
+  CHECK(fixture.ReadWhole(call) == CallEnd::kComplete);
+}
+
 // Guards against a request in the middle of the body of an earlier one: the
 // replica responded before it had read the body, and the connection was reused.
 TEST_CASE("ReplicaCaller.KeepsNoConnectionOnWhichABodyIsStillDue") {
--- a/testing/gateway/replica_answer_test.cc
+++ b/testing/gateway/replica_answer_test.cc
@@ -1,6 +1,7 @@
 // Answers of faulty replicas that could be taken for those of other requests or
 // for whole ones, at real gateway processes.
 
+#include <array>
 #include <atomic>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
@@ -374,6 +375,84 @@
   }
 }
 
+// Reads a request's head, and its body up to `size` bytes.
+auto ReadRequest(RawServer::Socket& socket, std::size_t size) -> std::string {
+  auto request = ReadRequestHead(socket);
+  const auto head = request.find("\r\n\r\n") + 4;
+  auto bytes = std::array<char, 4'096>();
+  auto error = boost::system::error_code();
+  while (!error && request.size() < head + size) {
+    request.append(bytes.data(),
+                   socket.read_some(boost::asio::buffer(bytes), error));
+  }
+  return request;
+}
+
+// Guards against a part of an answer that is passed on as a whole one: it has
+// no length, and its replica resets the connection during the upload.
+TEST_CASE("Gateway.TakesNoAnswerCutDuringTheUploadForAWholeOne") {
+  const auto serve = [&](RawServer::Socket& socket,
+                         const std::atomic<bool>& /*stopped*/) {
+    const auto request = ReadRequest(socket, 0);
+    Write(socket, Head("200 OK", request) + "Response-Signature: s\r\n\r\n" +
+                      "id: 1\ndata: one\n\n");
+    std::this_thread::sleep_for(milliseconds(5));
+    socket.set_option(boost::asio::socket_base::linger(true, 0));
+    socket.close();
+  };
+  auto fleet = RawFleet(serve, 2);
+  auto number = 0;
+  for (const auto size : {200'000, 2'000'000}) {
+    const auto body = std::string(size, 'x');
+    for (auto round = 0; round < 6; ++round) {
+      for (const auto* target :
+           {"/plain/x", "/plain/once/x", "/stream/x", "/stream/once/x"}) {
+        CAPTURE(size, target, round);
+        const auto reply = fleet.node().Call(
+            "POST", target, "u" + std::to_string(++number), body);
+        CHECK_FALSE((reply.status == 200 && reply.complete));
+      }
+    }
+  }
+}
+
+// Guards against an item that is listed as completed with a part of its text,
+// because its replica reset the connection during the upload.
+TEST_CASE("Gateway.CompletesNoItemWhoseAnswerWasCutDuringTheUpload") {
+  constexpr std::size_t kItemBytes = 600'000;
+  auto cuts = std::atomic<int>(0);
+  const auto serve = [&](RawServer::Socket& socket,
+                         const std::atomic<bool>& /*stopped*/) {
+    constexpr auto kCuts = 4;
+    const auto cut = cuts < kCuts;
+    const auto request = ReadRequest(socket, cut ? 0 : kItemBytes);
+    Write(socket, Head("200 OK", request) + "Response-Signature: s\r\n\r\n" +
+                      (HeaderIn(request, "Last-Event-Id").empty()
+                           ? "id: 1\ndata: one\n\n"
+                           : ""));
+    if (!cut) {
+      Write(socket, "id: 2\ndata: two\n\n");
+      socket.close();
+      return;
+    }
+    ++cuts;
+    std::this_thread::sleep_for(milliseconds(5));
+    socket.set_option(boost::asio::socket_base::linger(true, 0));
+    socket.close();
+  };
+  auto fleet = RawFleet(serve, 2);
+  // Base64 has four characters for three bytes.
+  const auto body = JobBody({"a"}, std::string(kItemBytes / 3 * 4, 'A'));
+  REQUIRE(fleet.node().Call("POST", "/jobs/1", "j1", body).status == 202);
+  auto page = nlohmann::json();
+  REQUIRE(Eventually([&] {
+    page = fleet.node().ReadJob("j1");
+    return page.is_object() && page.at("next") == 1;
+  }));
+  CHECK(page.at("results").at(0).at("state") == "completed");
+  CHECK(page.at("results").at(0).at("text") == "one\ntwo");
+}
+
 // Guards against a success with an empty or short body, framed as whole, when a
 // replica stops inside the head of its answer and closes.
 TEST_CASE("Gateway.TakesNoPartOfAHeadForAnAnswer") {
