Refuse answers with a status that does not exist

Reported by operators of other systems: status 000, and a field name with a blank or a control byte, that came as an answer. Here a status below 100 was taken for an informational one, so that the bytes after its head were read as the next answer; 101 as well; 600 and 999 were passed on. Malformed field names were refused already.

Cause: "informational" was decided by status < 200 and nothing had an upper bound. One function decides it now for the replicas, the services and engines of kqg-node and the store.

--- a/src/store/http_client.cc
+++ b/src/store/http_client.cc
@@ -9,6 +9,7 @@
 #include <charconv>
 #include <deque>
 
+#include "base/http_status.h"
 #include "base/read_limits.h"
 #include "base/socket_options.h"
 #include "kumquatgauge/base/error.h"
@@ -174,6 +175,12 @@
   }
   connection->stream.expires_never();
   auto answer = parser.release();
+  // The platform sends no informational responses.
+  if (!kumquatgauge::detail::IsHttpStatus(answer.result_int()) ||
+      answer.result_int() < kumquatgauge::detail::kFirstFinalHttpStatus) {
+    result.reason = "no HTTP status: " + std::to_string(answer.result_int());
+    co_return exchange;
+  }
   exchange.keep_alive = answer.keep_alive();
   result.response = ToResponse(std::move(answer));
   co_return exchange;
--- a/src/store/http_object_store_test.cc
+++ b/src/store/http_object_store_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -16,6 +17,7 @@
 namespace kumquatgauge::store {
 namespace {
 
+using boost::asio::ip::tcp;
 using nlohmann::json;
 using std::chrono::milliseconds;
 using testing::FakePlatform;
@@ -102,6 +104,39 @@
   CHECK_FALSE(fake.Value("a").has_value());
 }
 
+// Guards against a write that counts as done, or as refused, by bytes that are
+// no answer: a status that does not exist, or a malformed field.
+TEST_CASE("HttpObjectStore.TakesNoMalformedHeadForAnAnswer") {
+  const auto head = std::string(GENERATE(
+      "HTTP/1.1 000 X\r\n", "HTTP/1.1 099 X\r\n", "HTTP/1.1 100 X\r\n",
+      "HTTP/1.1 600 X\r\n", "HTTP/1.1 200 OK\r\nA b: c\r\n",
+      "HTTP/1.1 200 OK\r\nA\x01: c\r\n", "HTTP/1.1 200 OK\r\nA : c\r\n"));
+  CAPTURE(head);
+  auto context = boost::asio::io_context();
+  auto random = std::mt19937_64(1);
+  auto acceptor =
+      tcp::acceptor(context, {boost::asio::ip::address_v4::loopback(), 0});
+  auto socket = std::optional<tcp::socket>();
+  const auto answer = head + "Content-Length: 13\r\n\r\n{\"version\":1}";
+  acceptor.async_accept([&](const auto& /*error*/, tcp::socket accepted) {
+    socket = std::move(accepted);
+    boost::asio::async_write(*socket, boost::asio::buffer(answer),
+                             [](const auto& /*error*/, std::size_t) {});
+  });
+  auto client = PlatformClient(
+      context.get_executor(),
+      Options("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())),
+      &std::chrono::steady_clock::now, [&] { return random(); });
+  auto store = HttpObjectStore(client);
+  auto kind = std::optional<ErrorKind>();
+  try {
+    RunAwaitable(context, store.Write("a/b", "c", {}, CallClass::kResult));
+  } catch (const Error& error) {
+    kind = error.kind();
+  }
+  CHECK(kind == ErrorKind::kUnknownOutcome);
+}
+
 TEST_CASE_METHOD(Fixture, "HttpObjectStore.ReportsASilentPlatform") {
   fake.SetFault({{"mode", "outage"}, {"kind", "hang"}});
   CHECK(ErrorKindOf([&] { Read("a"); }) == ErrorKind::kTimeout);
--- a/src/upstream/http_exchange.cc
+++ b/src/upstream/http_exchange.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "base/http_status.h"
 #include "kumquatgauge/base/error.h"
 
 namespace kumquatgauge::upstream::detail {
@@ -20,7 +21,6 @@
 using OnExpiry = DeadlineSocket::OnExpiry;
 using ResponseParser = http::response_parser<http::string_body>;
 
-constexpr unsigned kFirstFinalStatus = 200;
 auto ToMessage(const std::string& address, ServiceRequest request)
     -> http::request<http::string_body> {
   http::request<http::string_body> message;
@@ -83,7 +83,12 @@
       attempt.reason = error.message();
       co_return;
     }
-    if (parser.get().result_int() < kFirstFinalStatus) {
+    const auto status = parser.get().result_int();
+    if (!kumquatgauge::detail::IsHttpStatus(status)) {
+      attempt.reason = "no HTTP status: " + std::to_string(status);
+      co_return;
+    }
+    if (status < kumquatgauge::detail::kFirstFinalHttpStatus) {
       continue;
     }
     if (parser.need_eof() && !attempt.written) {
--- a/src/upstream/http_service_client_test.cc
+++ b/src/upstream/http_service_client_test.cc
@@ -175,6 +175,30 @@
   CHECK(service.accepted == 1);
 }
 
+// Guards against a body that is taken for a response, since the head before it
+// has a status that does not exist and was taken for an interim one, and
+// against heads that are no responses.
+TEST_CASE("HttpServiceClient.TakesNoMalformedHeadForAResponse") {
+  const auto head = std::string(GENERATE(
+      "HTTP/1.1 000 X\r\n", "HTTP/1.1 099 X\r\n", "HTTP/1.1 101 X\r\n",
+      "HTTP/1.1 600 X\r\n", "HTTP/1.1 999 X\r\n",
+      "HTTP/1.1 200 OK\r\nA b: c\r\n", "HTTP/1.1 200 OK\r\nA\tb: c\r\n",
+      "HTTP/1.1 200 OK\r\nA\x01: c\r\n", "HTTP/1.1 200 OK\r\nA : c\r\n"));
+  CAPTURE(head);
+  Fixture fixture;
+  ScriptedService service(
+      fixture.context,
+      head + "\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  std::optional<ErrorKind> kind;
+  try {
+    RunAwait(fixture.context,
+             fixture.client.Send(service.address(), Pay(), false, kTimeout));
+  } catch (const Error& error) {
+    kind = error.kind();
+  }
+  CHECK(kind == ErrorKind::kUnknownOutcome);
+}
+
 // Guards against a part of a response that is taken for a whole one, because
 // the failed write hides from the read that the connection was reset.
 TEST_CASE("HttpServiceClient.TakesNoResponseCutDuringTheUploadForAWholeOne") {
--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -10,6 +10,7 @@
 #include <memory>
 #include <utility>
 
+#include "base/http_status.h"
 #include "kumquatgauge/base/error.h"
 #include "upstream/connection_pool.h"
 
@@ -25,7 +26,6 @@
 using Parser = http::response_parser<http::buffer_body>;
 
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
-constexpr int kFirstFinalStatus = 200;
 // Limit of a response head; replicas send a few short headers.
 constexpr std::uint32_t kMaxHeadBytes = 32'768;
 constexpr std::size_t kReadBytes = 16'384;
@@ -257,7 +257,12 @@
       if (error) {
         co_return ToCallEnd(error);
       }
-      if (parser_->get().result_int() >= kFirstFinalStatus) {
+      const auto status = parser_->get().result_int();
+      if (!kumquatgauge::detail::IsHttpStatus(status)) {
+        reason_ = "no HTTP status: " + std::to_string(status);
+        co_return CallEnd::kMalformed;
+      }
+      if (status >= kumquatgauge::detail::kFirstFinalHttpStatus) {
         StoreHead();
         co_return CallEnd::kOpen;
       }
--- a/src/upstream/replica_call_test.cc
+++ b/src/upstream/replica_call_test.cc
@@ -229,6 +229,27 @@
   CHECK(fixture.ReadWhole(call) == CallEnd::kComplete);
 }
 
+// Guards against an answer with a status that does not exist, and against a
+// body that is taken for an answer, because its head was taken for an
+// informational one.
+TEST_CASE("ReplicaCaller.TakesNoHeadWithoutAStatusForAnAnswer") {
+  const auto* const status =
+      GENERATE("000", "099", "101", "600", "999", "20", "0200", "-20");
+  CAPTURE(status);
+  auto fixture = Fixture();
+  const auto call = fixture.Start("/x", "");
+  auto end = std::optional<CallEnd>();
+  asio::co_spawn(fixture.context, call->Open(),
+                 [&](const std::exception_ptr& /*error*/, CallEnd opened) {
+                   end = opened;
+                 });
+  auto replica = fixture.Accept();
+  replica->Write("HTTP/1.1 " + std::string(status) + " X\r\n\r\n" +
+                 std::string(kResponse));
+  REQUIRE(RunUntil(fixture.context, [&] { return end.has_value(); }));
+  CHECK(end == CallEnd::kMalformed);
+}
+
 // Guards against a request in the middle of the body of an earlier one: the
 // replica responded before it had read the body, and the connection was reused.
 TEST_CASE("ReplicaCaller.KeepsNoConnectionOnWhichABodyIsStillDue") {
--- a/testing/gateway/replica_answer_test.cc
+++ b/testing/gateway/replica_answer_test.cc
@@ -453,6 +453,65 @@
   CHECK(page.at("results").at(0).at("text") == "one\ntwo");
 }
 
+// Guards against bytes that are passed on as an answer though they are none:
+// heads with a status that does not exist or with a malformed field, and the
+// body after such a head. They may be the first answer or that of the replica
+// that goes on with a stream.
+TEST_CASE("Gateway.TakesNoMalformedHeadForAnAnswer") {
+  const auto heads = std::vector<std::pair<std::string, std::string>>{
+      {"000 X", ""},
+      {"099 X", ""},
+      {"101 X", ""},
+      {"600 X", ""},
+      {"999 X", ""},
+      {"20 X", ""},
+      {"200 OK", "A b: c\r\n"},
+      {"200 OK", "A\tb: c\r\n"},
+      {"200 OK",
+       "A\x01"
+       "b: c\r\n"},
+      {"200 OK", std::string("A\0b: c\r\n", 8)},
+      {"200 OK", "A : c\r\n"},
+  };
+  auto chosen = std::atomic<std::size_t>(0);
+  const auto serve = [&](RawServer::Socket& socket,
+                         const std::atomic<bool>& stopped) {
+    while (!stopped) {
+      const auto request = ReadRequestHead(socket);
+      const auto id = HeaderIn(request, "Request-Id");
+      if (id.empty()) {
+        break;
+      }
+      if (id.starts_with("go") && HeaderIn(request, "Last-Event-Id").empty()) {
+        Write(socket,
+              Head("200 OK", request) +
+                  "Response-Signature: s\r\nContent-Type: text/event-stream\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n"
+                  "11\r\nid: 1\ndata: one\n\n\r\n");
+        std::this_thread::sleep_for(milliseconds(20));
+        break;
+      }
+      const auto& [line, fields] = heads[chosen];
+      Write(socket, Head(line, request) + "Response-Signature: s\r\n" + fields +
+                        "\r\n" + WholeAnswer(request));
+      break;
+    }
+    socket.close();
+  };
+  auto fleet = RawFleet(serve, 2);
+  for (chosen = 0; chosen < heads.size(); ++chosen) {
+    INFO(heads[chosen].first << " " << heads[chosen].second);
+    const auto id = std::to_string(chosen.load());
+    for (const auto* target :
+         {"/plain/x", "/plain/once/x", "/stream/x", "/stream/once/x"}) {
+      const auto reply = fleet.node().Call("POST", target, "h" + id);
+      CHECK((reply.status == 502 || reply.status == 503));
+    }
+    const auto reply = fleet.node().Call("POST", "/stream/x", "go" + id);
+    CHECK_FALSE((reply.status == 200 && reply.complete));
+  }
+}
+
 // Guards against a success with an empty or short body, framed as whole, when a
 // replica stops inside the head of its answer and closes.
 TEST_CASE("Gateway.TakesNoPartOfAHeadForAnAnswer") {
