Keep callers' job ids apart from those of organisations

Cause: a job is kept under the caller's id, a mark and the hash of the organisation, and callers without one may use any id. Change: the mark is doubled within callers' ids, so that no two scopes share an id.

Evidence: Gateway.ShowsNoJobOfAnOrganisationToCallersWithoutAKey fails with the gateway of (reading, bodies, ending, after a takeover) and passes now.

--- a/src/serving/job.cc
+++ b/src/serving/job.cc
@@ -44,13 +44,19 @@
 
 auto ScopedJobId(const JobId& id,
                  const std::optional<OrganisationName>& organisation) -> JobId {
-  if (!organisation || organisation->empty()) {
-    return id;
+  // The mark before the hash of an organisation is doubled within the caller's
+  // id. An odd number of marks before a hash of fixed width can then only be
+  // that of a scope.
+  constexpr auto kScopeMark = '~';
+  auto scoped = std::string();
+  for (const auto character : id.value()) {
+    scoped.append(character == kScopeMark ? 2 : 1, character);
   }
-  // The width of the hash is fixed, so that the id of one scope cannot be that
-  // of another one.
-  return JobId(id.value() + "~" +
-               kumquatgauge::detail::HexHash(organisation->value()));
+  if (organisation && !organisation->empty()) {
+    scoped += kScopeMark;
+    scoped += kumquatgauge::detail::HexHash(organisation->value());
+  }
+  return JobId(scoped);
 }
 
 auto RecordKey(const JobId& id) -> std::string {
--- a/testing/gateway/organisations_test.cc
+++ b/testing/gateway/organisations_test.cc
@@ -1,11 +1,13 @@
 // Organisations and their API keys, with real gateway processes.
 
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
+#include "kumquatgauge/serving/job.h"
 #include "testing/gateway/fleet.h"
 
 namespace kumquatgauge::testing {
@@ -136,6 +138,54 @@
   CHECK(fleet.SeenBy("q1-b", "Tenant") == "b");
 }
 
+// Guards against callers without a key who read, end or hide the job of an
+// organisation by an id that looks like the one under which it is kept.
+TEST_CASE("Gateway.ShowsNoJobOfAnOrganisationToCallersWithoutAKey") {
+  auto fleet = Organisations();
+  auto configuration = ConfigurationOf(2, fleet.both);
+  configuration["routes"].push_back(MakeRoute("/open/jobs/", "batch",
+                                              {{"public", true},
+                                               {"completion_target_ms", 18000},
+                                               {"max_attempts", 3},
+                                               {"retention_s", 60}}));
+  fleet.store->Put("config/main", configuration);
+  const auto& owner = *fleet.nodes.front();
+  REQUIRE(Organisations::Call(owner, "POST", "/jobs/1", "q1", "key-a1",
+                              JobBody({"q1-a"}))
+              .status == 202);
+  const auto joined =
+      serving::ScopedJobId(JobId("q1"), OrganisationName("a")).value();
+  for (const auto& gateway : fleet.nodes) {
+    const auto call = [&](const std::string& method, const std::string& target,
+                          const std::string& key = "") {
+      return Organisations::Call(*gateway, method, target, "", key);
+    };
+    REQUIRE(Eventually(
+        [&] { return call("GET", "/api/lots/none?after=0").status == 404; }));
+    for (const auto& id : {joined, std::string("q1")}) {
+      CHECK(call("GET", "/api/lots/" + id + "?after=0").status == 404);
+      CHECK(call("GET", "/api/items/" + id + "?id=q1-a").status == 404);
+      CHECK(call("DELETE", "/api/lots/" + id).status == 404);
+    }
+  }
+  // A job of that id is another one, also after a takeover.
+  REQUIRE(Organisations::Call(owner, "POST", "/open/jobs/1", joined, "",
+                              JobBody({"other"}))
+              .status == 202);
+  fleet.nodes.front()->process().Signal(SIGKILL);
+  const auto& heir = *fleet.nodes.back();
+  const auto item_of = [&](const std::string& id, const std::string& key) {
+    const auto reply = Organisations::Call(
+        heir, "GET", "/api/lots/" + id + "?after=0", "", key);
+    const auto page = json::parse(reply.body, nullptr, false);
+    return reply.status == 200 && page.value("next", 0) == 1
+               ? page.at("results").at(0).at("id").get<std::string>()
+               : std::string();
+  };
+  CHECK(Eventually([&] { return item_of("q1", "key-a1") == "q1-a"; }));
+  CHECK(Eventually([&] { return item_of(joined, "") == "other"; }));
+}
+
 // Guards against an organisation at its limit of waiting tokens that takes the
 // room of another one on the same route, and against jobs above the limit that
 // run.
