Keep replicas in use that lack the weights a request names

Cause: a 421 means another replica at the address or another version of the weights; each was taken for the first, which takes the replica out of use. Change: to a request that names weights a 421 is a refusal of this request only.

--- a/include/kumquatgauge/serving/answer_report.h
+++ b/include/kumquatgauge/serving/answer_report.h
@@ -30,9 +30,12 @@
                 const upstream::ReplicaHead& head) -> bool;
 
 // Tells the load balancer and the hooks what the head of an answer says about
-// the replica that the request was sent to.
+// the replica that the request was sent to. If the request `names_weights`, a
+// misdirected one says nothing about the replica, which may be a sound one with
+// another version of the weights.
 auto ReportAnswer(const routing::Replica& replica,
                   const AnswerMetadata& metadata,
+                  bool names_weights,
                   const Logger& logger,
                   LoadBalancer& load_balancer,
                   const AnswerHooks& hooks) -> void;
--- a/include/kumquatgauge/serving/dialect.h
+++ b/include/kumquatgauge/serving/dialect.h
@@ -50,6 +50,8 @@
   PromptParts shared_parts;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_output_tokens = 0;
+  // It names the version of the weights that must answer it.
+  bool names_weights = false;
   // Set by the gateway; see Delivery::organisation.
   std::optional<OrganisationName> organisation;
   // Set by the gateway if a token of the organisation's request limit was used
@@ -98,9 +100,11 @@
 
 // Information about the replica and the request in a replica's response.
 struct AnswerMetadata {
-  std::string request_id;          // Empty if the response has none.
-  bool not_run = false;            // The replica did not run the request.
-  bool wrong_replica = false;      // Another replica uses the address.
+  std::string request_id;  // Empty if the response has none.
+  bool not_run = false;    // The replica did not run the request.
+  // Another replica uses the address, or the request names a version of the
+  // weights that the replica does not have. It did not run.
+  bool misdirected = false;
   bool permanent_failure = false;  // The item can never succeed.
   bool has_load = false;
   std::uint32_t running = 0;
--- a/include/kumquatgauge/serving/job.h
+++ b/include/kumquatgauge/serving/job.h
@@ -21,6 +21,7 @@
   std::string body;
   std::uint32_t tokens = 0;  // Prompt plus maximum output.
   PromptParts shared_parts;
+  bool names_weights = false;  // As in CallerRequest.
 
   auto operator==(const JobItem&) const -> bool = default;
 };
--- a/src/serving/answer_report.cc
+++ b/src/serving/answer_report.cc
@@ -19,14 +19,18 @@
 
 auto ReportAnswer(const routing::Replica& replica,
                   const AnswerMetadata& metadata,
+                  bool names_weights,
                   const Logger& logger,
                   LoadBalancer& load_balancer,
                   const AnswerHooks& hooks) -> void {
+  if (metadata.misdirected && names_weights) {
+    return;  // It is not known which replica has answered.
+  }
   if (metadata.has_load) {
     load_balancer.OnReport(replica.id, metadata.running, metadata.waiting,
                            metadata.host_load);
   }
-  if (metadata.wrong_replica) {
+  if (metadata.misdirected) {
     load_balancer.MarkGone(replica.id);
     return;  // The rest describes the replica that uses the address now.
   }
@@ -66,7 +70,7 @@
 auto ReportSkippedAnswer(const routing::Replica& replica,
                          const AnswerMetadata& metadata,
                          const AnswerHooks& hooks) -> void {
-  if (metadata.leaving && !metadata.wrong_replica) {
+  if (metadata.leaving && !metadata.misdirected) {
     hooks.replica_leaves(replica);
   }
 }
--- a/src/serving/answer_report_test.cc
+++ b/src/serving/answer_report_test.cc
@@ -15,8 +15,9 @@
     replica.service = ServiceName("chat");
   }
 
-  auto Report(const AnswerMetadata& metadata) -> void {
-    ReportAnswer(replica, metadata, logger, balancer, hooks);
+  auto Report(const AnswerMetadata& metadata, bool names_weights = false)
+      -> void {
+    ReportAnswer(replica, metadata, names_weights, logger, balancer, hooks);
   }
 
   routing::Replica replica;
@@ -45,6 +46,18 @@
   CHECK(fixture.leaving.size() == 3);
 }
 
+// Guards against sound replicas that nobody uses any more because one request
+// named a version of the weights that they do not have, and against requests to
+// an address that another replica uses.
+TEST_CASE("AnswerReport.TakesOnlyAnotherReplicaAtTheAddressForGone") {
+  auto fixture = Fixture();
+  fixture.balancer.SetReplicas({fixture.replica});
+  fixture.Report({.misdirected = true}, true);
+  CHECK(fixture.balancer.TakesRequests(fixture.replica.id));
+  fixture.Report({.misdirected = true}, false);
+  CHECK_FALSE(fixture.balancer.TakesRequests(fixture.replica.id));
+}
+
 // Guards against a load of the host that does not reach the choice of replicas.
 TEST_CASE("AnswerReport.PassesOnTheLoadOfAReplicasHost") {
   auto fixture = Fixture();
@@ -64,7 +77,7 @@
 TEST_CASE("AnswerReport.IgnoresThatAnotherReplicaAtTheAddressLeaves") {
   auto fixture = Fixture();
   const auto other =
-      AnswerMetadata{.not_run = true, .wrong_replica = true, .leaving = true};
+      AnswerMetadata{.not_run = true, .misdirected = true, .leaving = true};
   fixture.Report(other);
   ReportSkippedAnswer(fixture.replica, other, fixture.hooks);
   CHECK(fixture.leaving.empty());
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -1414,8 +1414,8 @@
     const auto metadata =
         parts_.dialect.decode_answer(head.status, head.headers);
     job->progress[ref.item].answered = true;
-    ReportAnswer(replica, metadata, logger_, parts_.load_balancer,
-                 parts_.hooks);
+    ReportAnswer(replica, metadata, job->items[ref.item].names_weights, logger_,
+                 parts_.load_balancer, parts_.hooks);
     if (head.status != kOk) {
       outcome = OutcomeOfStatus(head.status, metadata);
       outcome.leaving = metadata.leaving;
@@ -1477,7 +1477,7 @@
 
   static auto OutcomeOfStatus(int status, const AnswerMetadata& metadata)
       -> ItemOutcome {
-    if (metadata.wrong_replica || metadata.not_run) {
+    if (metadata.misdirected || metadata.not_run) {
       return {ItemEnd::kNotPlaced, false};
     }
     if (metadata.permanent_failure) {
--- a/src/serving/forwarder.cc
+++ b/src/serving/forwarder.cc
@@ -529,10 +529,10 @@
                            AttemptEnd& attempt) -> void {
     const auto metadata = parts_.dialect.decode_answer(exchange.head.status,
                                                        exchange.head.headers);
-    attempt.not_run = metadata.not_run || metadata.wrong_replica;
+    attempt.not_run = metadata.not_run || metadata.misdirected;
     exchange.leaving = metadata.leaving;
-    ReportAnswer(replica, metadata, logger_, parts_.load_balancer,
-                 parts_.hooks);
+    ReportAnswer(replica, metadata, exchange.request.names_weights, logger_,
+                 parts_.load_balancer, parts_.hooks);
   }
 
   auto ReadAnswer(ExchangePtr exchange, MonotonicTime began)
--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -519,6 +519,9 @@
   const auto request_id =
       std::string(FindHeader(request->headers, "Request-Id"));
   const auto target = FindHeader(request->headers, "Target-Instance");
+  const auto weights = FindHeader(request->headers, "Expect-Version");
+  const auto misdirected =
+      target != own_id || (!weights.empty() && weights != kWeightVersion);
   auto headers = HeaderList{{"Request-Id", request_id},
                             {"Response-Signature", "signed." + own_id}};
   auto refusal = HeaderList{{"Request-Id", request_id}, {"Not-Executed", "1"}};
@@ -532,8 +535,8 @@
       refusal.push_back(LeavingHeader());
     }
   }
-  if (target != own_id || fault == ReplicaFault::kRefuse) {
-    const auto status = target != own_id ? 421 : 503;
+  if (misdirected || fault == ReplicaFault::kRefuse) {
+    const auto status = misdirected ? 421 : 503;
     co_await writer->Send(status, std::move(refusal), "");
     co_return;
   }
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -134,6 +134,8 @@
   // Requests with this in their path take kSlowEventDelay per event.
   static constexpr auto kSlowPathPart = "/slow-";
   static constexpr std::chrono::milliseconds kSlowEventDelay{250};
+  // Requests that expect another version of the weights are answered 421.
+  static constexpr auto kWeightVersion = "1";
   // Called on the thread of `context` when a request begins to run.
   using OnStart = std::function<auto(const std::string& request)->void>;
 
