Run items whose paths have no route by the route of their job

What callers saw: a job whose items have paths under no route was accepted, and these items never ran. By the users' pages an item runs at a replica of "the route's service", that of its job, so it is run there rather than refused. An item's own route still goes first, since routes may be split.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -1185,18 +1185,20 @@
     std::uint64_t answer_bytes = 0;
   };
 
-  // Returns the service that the current configuration routes an item to.
+  // Returns the service that the current configuration routes an item to;
+  // nothing without a route for the job.
   auto ServiceOf(const OwnedJob& job, const JobItem& item) const
       -> std::optional<ServiceName> {
     const auto configuration = parts_.configuration();
-    if (RouteOf(job.record, configuration.get()) == nullptr) {
+    const auto* job_route = RouteOf(job.record, configuration.get());
+    if (job_route == nullptr) {
       return std::nullopt;
     }
+    // A route may be split, so that items have one of their own. The job's
+    // route serves items with paths of no route.
     const auto* route = configuration->FindRoute(job.record.host, item.path);
-    if (route == nullptr) {
-      return std::nullopt;
-    }
-    return PickService(*route, routing::RendezvousHash(job.state.id.value()));
+    return PickService(route == nullptr ? *job_route : *route,
+                       routing::RendezvousHash(job.state.id.value()));
   }
 
   auto Attempt(JobPtr job, ItemRef ref) -> awaitable<ItemOutcome> {
--- a/testing/gateway/removed_route_test.cc
+++ b/testing/gateway/removed_route_test.cc
@@ -1,4 +1,4 @@
-// Routes that are taken out of the configuration while their jobs are open.
+// Routes of jobs and items that the configuration does not have, or no more.
 
 #include <catch2/catch.hpp>
 #include <csignal>
@@ -109,6 +109,23 @@
   CHECK(CountOf(states, "completed") == OpenJob::kItems);
 }
 
+// Guards against items that never run because the configuration has no route
+// for their own paths: by the users' pages they run at the service of their
+// job's route.
+TEST_CASE("Gateway.RunsItemsWhosePathsHaveNoRoute") {
+  auto fleet = Fleet(1);
+  fleet.AwaitService();
+  auto body = json::parse(JobBody({"a", "b"}));
+  body.at("items").at(0)["path"] = "/elsewhere/a";
+  const auto& node = *fleet.nodes.front();
+  REQUIRE(node.Call("POST", "/jobs/1", "j1", body.dump()).status == 202);
+  CHECK(Eventually([&] {
+    const auto page = node.ReadJob("j1");
+    return page.is_object() && page.at("next") == 2;
+  }));
+  CHECK(fleet.RunCount("a") == 1);
+}
+
 // Guards against items that wait for ever when their owner is lost after the
 // route of their job.
 TEST_CASE("Gateway.ListsTheItemsOfARemovedRouteAfterATakeover") {
