Remove jobs by the time since they are over

Its state now says since when it is over; it is kept that long after, and an open job is never removed. States of earlier releases count from their acceptance.

Evidence: Job.ExpiresSomeTimeAfterItIsOver, for a function that did not exist; the former condition had neither the end nor the state of the job.

--- a/include/kumquatgauge/serving/job.h
+++ b/include/kumquatgauge/serving/job.h
@@ -1,6 +1,7 @@
 #ifndef KUMQUATGAUGE_SERVING_JOB_H_
 #define KUMQUATGAUGE_SERVING_JOB_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -66,10 +67,18 @@
   // Version of the configuration that had the job's route when it was accepted.
   // An older one says nothing about the route.
   std::uint64_t configuration_version = 0;
+  // When the job was marked as ended or done, since the Unix epoch; 0 before.
+  std::uint64_t over_ms = 0;
 
   auto operator==(const JobState&) const -> bool = default;
 };
 
+// Returns whether a job can be removed: it is over, and has been for longer
+// than `retention`.
+auto IsExpired(const JobState& state,
+               std::uint64_t now_ms,
+               std::chrono::milliseconds retention) -> bool;
+
 // Where the next results of a job are stored.
 struct ResultPlace {
   std::uint64_t position = 0;  // In the job's list of results.
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -1783,6 +1783,7 @@
          ++attempt) {
       auto state = job->state;
       state.done = true;
+      state.over_ms = self->WallMs();
       if (co_await self->TryReplace(job, state)) {
         break;
       }
@@ -2060,6 +2061,7 @@
       }
       auto state = job->state;
       state.ended = true;
+      state.over_ms = WallMs();
       if (co_await TryReplace(job, state) && !job->dropped) {
         co_return true;
       }
@@ -2088,6 +2090,7 @@
       }
       auto state = stored->state;
       state.ended = true;
+      state.over_ms = WallMs();
       const auto replaced =
           co_await parts_.archive.ReplaceState(state, stored->version);
       if (replaced) {
@@ -2310,7 +2313,9 @@
         self->ApplyState(JobPtr(own->second), stored, "a listing",
                          exact ? asked_at : own->second->state_known_at);
       }
-      if (self->Expired(state) && self->IsChosen(state.id)) {
+      const auto expired =
+          IsExpired(state, self->WallMs(), self->parts_.retention);
+      if (expired && self->IsChosen(state.id)) {
         co_await self->RemoveExpired(stored);
       } else if (self->IsOrphan(state)) {
         co_await self->AdoptOrTell(stored);
@@ -2368,12 +2373,6 @@
     }
   }
 
-  auto Expired(const JobState& state) const -> bool {
-    const auto age = milliseconds(static_cast<std::int64_t>(WallMs()) -
-                                  static_cast<std::int64_t>(state.accepted_ms));
-    return age > parts_.retention;
-  }
-
   auto IsAlone() const -> bool { return parts_.live().size() <= 1; }
 
   auto PresenceOf(const JobState& state) const -> OwnerPresence {
--- a/src/serving/job.cc
+++ b/src/serving/job.cc
@@ -59,6 +59,16 @@
   return JobId(scoped);
 }
 
+auto IsExpired(const JobState& state,
+               std::uint64_t now_ms,
+               std::chrono::milliseconds retention) -> bool {
+  // Earlier releases did not note when a job was over.
+  const auto since = std::max(state.accepted_ms, state.over_ms);
+  const auto age = std::chrono::milliseconds(static_cast<std::int64_t>(now_ms) -
+                                             static_cast<std::int64_t>(since));
+  return (state.ended || state.done) && age > retention;
+}
+
 auto RecordKey(const JobId& id) -> std::string {
   return "jobs/" + id.value();
 }
@@ -96,7 +106,8 @@
               {"acceptor", state.acceptor.value()},
               {"acceptor_incarnation", state.acceptor_incarnation},
               {"tokens", state.tokens},
-              {"configuration_version", state.configuration_version}}
+              {"configuration_version", state.configuration_version},
+              {"over_ms", state.over_ms}}
       .dump();
 }
 
@@ -119,6 +130,7 @@
     state.tokens = object.value("tokens", std::uint64_t{0});
     state.configuration_version =
         object.value("configuration_version", std::uint64_t{0});
+    state.over_ms = object.value("over_ms", std::uint64_t{0});
     return state;
   });
 }
--- a/src/serving/job_test.cc
+++ b/src/serving/job_test.cc
@@ -9,6 +9,9 @@
 namespace kumquatgauge::serving {
 namespace {
 
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
 // Guards against a caller that names the job of another organisation by an id
 // of its own that looks like the one under which that job is kept.
 TEST_CASE("Job.KeepsJobsOfOrganisationsApartWhateverTheirIds") {
@@ -36,5 +39,27 @@
   CHECK(scoped.size() == 3 * ids.size());
 }
 
+// Guards against an open job that is removed, and against one that is removed
+// as soon as it is over because it was accepted long ago.
+TEST_CASE("Job.ExpiresSomeTimeAfterItIsOver") {
+  constexpr std::uint64_t kAccepted = 1'000'000;
+  constexpr std::uint64_t kOver = 2'000'000;
+  constexpr milliseconds kRetention = seconds(600);
+  constexpr auto kRetentionMs = static_cast<std::uint64_t>(kRetention.count());
+  auto state = JobState();
+  state.accepted_ms = kAccepted;
+  CHECK_FALSE(IsExpired(state, kAccepted + 100 * kRetentionMs, kRetention));
+  state.done = true;
+  state.over_ms = kOver;
+  CHECK_FALSE(IsExpired(state, kOver + kRetentionMs, kRetention));
+  CHECK(IsExpired(state, kOver + kRetentionMs + 1, kRetention));
+  // A clock that is behind that of the node that wrote the state.
+  CHECK_FALSE(IsExpired(state, kOver - 5'000, kRetention));
+  // As earlier releases stored it.
+  state.over_ms = 0;
+  CHECK(IsExpired(state, kAccepted + kRetentionMs + 1, kRetention));
+  CHECK(DecodeState(state.id, EncodeState(state)) == state);
+}
+
 }  // namespace
 }  // namespace kumquatgauge::serving
