Log the end of a route only for jobs that are open

A job that is over stays in memory for reads, and logged that its items are given up. The line on given-up items no longer relies on the job being there still. Found when the change was read again; Gateway.* of removed_route_test pass.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -808,7 +808,7 @@
         configuration != nullptr &&
         configuration->version >= job.state.configuration_version &&
         RouteOf(job.record, configuration) == nullptr;
-    if (gone == job.unrouted_since.has_value()) {
+    if (job.IsOver() || gone == job.unrouted_since.has_value()) {
       return;
     }
     job.unrouted_since = gone ? std::optional(parts_.clock()) : std::nullopt;
@@ -1040,13 +1040,14 @@
       AddResult(ref, false);
     }
     for (const auto& [id, count] : counts) {
+      const auto job = jobs_.find(id);
+      const auto unrouted = job != jobs_.end() && job->second->unrouted_since;
       logger_.Warning("items are given up",
                       {{"event", "items_given_up"},
                        {"job", id.value()},
                        {"items", std::to_string(count)},
-                       {"reason", jobs_.at(id)->unrouted_since
-                                      ? "the route of the job is gone"
-                                      : "their retention time is over"}});
+                       {"reason", unrouted ? "the route of the job is gone"
+                                           : "their retention time is over"}});
     }
   }
 
