--- a/testing/scenario/main.cc
+++ b/testing/scenario/main.cc
@@ -69,17 +69,22 @@
           .count();
   std::cout << "scenario " << name << (failure.empty() ? " pass" : " fail")
             << " seed=" << options.seed << " seconds=" << seconds;
+  auto kept = fs::path();
   if (!failure.empty()) {
     std::cout << " " << failure;
     if (!options.keep.empty()) {
-      const auto kept = fs::path(options.keep) / folder.filename();
-      fs::create_directories(options.keep);
-      fs::copy(folder, kept, fs::copy_options::recursive);
+      kept = fs::path(options.keep) / folder.filename();
+      if (kept != folder) {
+        fs::create_directories(options.keep);
+        fs::copy(folder, kept, fs::copy_options::recursive);
+      }
       std::cout << "; logs: " << kept.string();
     }
   }
   std::cout << std::endl;
-  fs::remove_all(folder);
+  if (kept != folder) {
+    fs::remove_all(folder);
+  }
   return failure.empty();
 }
 
