Take the removal of a software version for news once

Change: only versions that the store holds at the message's revision count as registered, and only newly registered ones are added to what it may hold.

Evidence: VersionRegistry.TakesARemovalForNewsOnce failed before and passes now.

--- a/src/serving/stream_versions.cc
+++ b/src/serving/stream_versions.cc
@@ -306,10 +306,16 @@
     if (stored.revision < registry_.Stored(service).revision) {
       return;
     }
-    const auto usable_changed = registry_.OnRegistered(service, registered);
+    // A node that still takes a version for registered may know already that
+    // the store holds it no more.
+    auto held = registered;
+    std::erase_if(held, [&](const std::string& version) {
+      return !stored.versions.contains(version);
+    });
+    const auto usable_changed = registry_.OnRegistered(service, held);
     const auto stored_changed = registry_.OnStoredElsewhere(service, stored);
     if (usable_changed || stored_changed) {
-      TellVersions(service, registered, stored, source);
+      TellVersions(service, held, stored, source);
     }
     if (usable_changed) {
       parts_.usable_changed();
--- a/src/serving/version_registry.cc
+++ b/src/serving/version_registry.cc
@@ -33,9 +33,12 @@
   auto& known = registered_[service];
   const auto before = known.size();
   known.insert(versions.begin(), versions.end());
-  stored_[service].versions.insert(versions.begin(), versions.end());
   UpdateWaiting();
-  return known.size() != before;
+  if (known.size() == before) {
+    return false;
+  }
+  stored_[service].versions.insert(versions.begin(), versions.end());
+  return true;
 }
 
 auto VersionRegistry::OnStored(const ServiceName& service,
--- a/src/serving/version_registry_test.cc
+++ b/src/serving/version_registry_test.cc
@@ -109,6 +109,17 @@
   CHECK_FALSE(registry.FindRemovable());
 }
 
+// Guards against nodes that tell each other of the same removal without end,
+// because each still takes the removed version for registered.
+TEST_CASE("VersionRegistry.TakesARemovalForNewsOnce") {
+  auto fixture = Fixture();
+  auto& registry = fixture.registry;
+  registry.OnRegistered(kService, {"v1", "v2"});
+  CHECK(registry.OnStoredElsewhere(kService, {{"v2"}, 2}));
+  CHECK_FALSE(registry.OnRegistered(kService, {"v1", "v2"}));
+  CHECK_FALSE(registry.OnStoredElsewhere(kService, {{"v2"}, 2}));
+}
+
 // Guards against news of a removal that arrives after a version has returned.
 TEST_CASE("VersionRegistry.IgnoresOutdatedNewsOfWhatTheStoreHolds") {
   auto fixture = Fixture();
