Read the versions that nodes of earlier releases tell

Found when the change was read again: nodes of earlier releases send a service and its registered versions only, and reading the two new fields would have thrown, which also ends the update of the replicas' entries that carries them. Without the fields the versions count as of no revision, so that the store is read instead.

--- a/src/serving/stream_versions.cc
+++ b/src/serving/stream_versions.cc
@@ -228,11 +228,16 @@
 
   auto OnPeerRegistered(const json& services) -> void {
     for (const auto& entry : services) {
-      OnVersions(
-          ServiceName(entry.at(0).get<std::string>()),
-          entry.at(1).get<VersionSet>(),
-          {entry.at(2).get<VersionSet>(), entry.at(3).get<std::uint64_t>()},
-          "a node");
+      constexpr std::size_t kWithStored = 4;
+      const auto registered = entry.at(1).get<VersionSet>();
+      auto stored = StoredVersions{registered, 0};
+      // Nodes of earlier releases do not send this.
+      if (entry.size() >= kWithStored) {
+        stored = {entry.at(2).get<VersionSet>(),
+                  entry.at(3).get<std::uint64_t>()};
+      }
+      OnVersions(ServiceName(entry.at(0).get<std::string>()), registered,
+                 stored, "a node");
     }
   }
 
