Collect the times of a suspect's crashes in one place

The delay of trials sorted them with the lines that the count of groups had already. Behaviour unchanged: RequestQuarantine.* (29) and Gateway.RunsItemsThatShareASoundPartWithCrashingRequests pass, lint is clean.

--- a/include/kumquatgauge/serving/request_quarantine.h
+++ b/include/kumquatgauge/serving/request_quarantine.h
@@ -177,6 +177,8 @@
       -> std::optional<MonotonicTime>;
   // Whether a quarantined part is the reason for the crash.
   auto IsExplained(std::uint64_t replica) const -> bool;
+  // Returns the times of the known crashes in order.
+  static auto CrashTimes(const Suspect& suspect) -> std::vector<MonotonicTime>;
   auto GroupCount(const Suspect& suspect) const -> std::size_t;
   auto MustQuarantine(const RequestTrait& trait, const Suspect& suspect) const
       -> bool;
--- a/src/serving/request_quarantine.cc
+++ b/src/serving/request_quarantine.cc
@@ -83,12 +83,18 @@
       });
 }
 
-auto RequestQuarantine::TrialDelay(const Suspect& suspect) const -> Duration {
+auto RequestQuarantine::CrashTimes(const Suspect& suspect)
+    -> std::vector<MonotonicTime> {
   auto times = std::vector<MonotonicTime>();
   for (const auto& [replica, at] : suspect.crashes) {
     times.push_back(at);
   }
   std::sort(times.begin(), times.end());
+  return times;
+}
+
+auto RequestQuarantine::TrialDelay(const Suspect& suspect) const -> Duration {
+  const auto times = CrashTimes(suspect);
   auto delay = settings_.trial_delay;
   for (auto at = settings_.min_crashes; at < times.size(); ++at) {
     // Nodes know the times of crashes with an error of some milliseconds.
@@ -229,11 +235,7 @@
 
 auto RequestQuarantine::GroupCount(const Suspect& suspect) const
     -> std::size_t {
-  auto times = std::vector<MonotonicTime>();
-  for (const auto& [replica, at] : suspect.crashes) {
-    times.push_back(at);
-  }
-  std::sort(times.begin(), times.end());
+  const auto times = CrashTimes(suspect);
   auto groups = std::size_t{0};
   auto last = MonotonicTime::min();
   for (const auto at : times) {
