--- a/review/stand_in_3/standin.py
+++ b/review/stand_in_3/standin.py
@@ -61,12 +61,16 @@
     return lines[0], headers
 
 
-async def read_body(reader, headers):
+async def read_body(reader, headers, pieces=None):
+    """Chunks are added to `pieces` as they arrive."""
     if headers.get("transfer-encoding", "").lower() == "chunked":
         body = b""
         while True:
             size = int((await reader.readline()).split(b";")[0], 16)
-            body += await reader.readexactly(size)
+            chunk = await reader.readexactly(size)
+            body += chunk
+            if pieces is not None:
+                pieces.append(chunk)
             await reader.readexactly(2)
             if size == 0:
                 return body
@@ -252,7 +256,7 @@
     with `events` (number), `gap_s`, `status`, or `crash`."""
 
     def __init__(self, store, record, name, answer, service="svc", slots=8,
-                 zone="a", beat_s=1.2):
+                 zone="a", beat_s=1.2, version="v1"):
         self.store = store
         self.record = record
         self.name = name
@@ -260,6 +264,7 @@
         self.service = service
         self.slots = slots
         self.zone = zone
+        self.version = version
         self.beat_s = beat_s
         self.port = free_port()
         self.starts = 0
@@ -277,7 +282,7 @@
 
     def entry(self):
         return {"service": self.service, "address": f"127.0.0.1:{self.port}",
-                "zone": self.zone, "version": "v1", "slots": self.slots,
+                "zone": self.zone, "version": self.version, "slots": self.slots,
                 "state": "ready", "cold_remaining_ms": 0,
                 "sequence": self.sequence, "born": self.born}
 
@@ -387,7 +392,8 @@
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
         first = int(headers.get("last-event-id", "0")) + 1
         for event in range(first, plan["events"] + 1):
-            text = f"id: {event}\ndata: e{event}\n\n".encode()
+            text = (f"id: {event}\ndata: {self.version} {self.id} "
+                    f"e{event}\n\n").encode()
             writer.write(b"%x\r\n%s\r\n" % (len(text), text))
             await writer.drain()
             await asyncio.sleep(plan.get("gap_s", 0.01))
@@ -444,9 +450,11 @@
             self.process.wait()
 
 
-async def call(address, method, target, headers, body=b"", wait_s=5.0):
+async def call(address, method, target, headers, body=b"", wait_s=5.0,
+               pieces=None):
     """Sends one request on a new connection. Returns the status and the body;
-    the status is 0 if there is no complete answer."""
+    the status is 0 if there is no complete answer. Chunks of the body are added
+    to `pieces` as they arrive."""
     host, port = address.rsplit(":", 1)
     writer = None
     try:
@@ -460,7 +468,7 @@
             line, fields = await read_head(reader)
             if not line:
                 return 0, b""
-            return int(line.split(" ")[1]), await read_body(reader, fields)
+            return int(line.split(" ")[1]), await read_body(reader, fields, pieces)
     except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
             ValueError):
         return 0, b""
