--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,106 +1,137 @@
-"""Another writer's entries of two replicas lack their software versions."""
+"""A batch job is ended while the node that accepts it waits for the store."""
 
 import asyncio
+import json
 import os
-import random
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "stand_in_3"))
 import standin  # noqa: E402
 
-TRAFFIC_S = 26.0
-PER_S = 18
-WRITES = (6.0, 23.0)  # When the other writer writes, from the start of traffic.
-CRASHES = (8.5, 14.3, 20.1)  # Of one replica of six: srv_crash, share .17.
-DOWN_S = 4.0
+CANCEL_S = 3.0  # cancel_timeout_ms of sites/cuenta-lima.toml
+CONTACT_S = 3.0  # contact_ms
+SLOW_S = 0.24  # platform_slow, x = 60, of answers that take 4 ms
+SLOW_FOR_S = 0.03
+LAG_S = 3.0  # "stale reads are x s (3) behind"; "seconds old"
+JOB = "7c41e09b52d6a3f8"
+ITEMS = 150
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-# For comparison only: the replicas crash, but nobody else writes entries.
-WRITER = TROUBLE and os.environ.get("WRITER", "1") != "0"
+
+
+class Proxy:
+    """Carries one connection to a gateway, and resets it."""
+
+    def __init__(self, address):
+        self.host, port = address.rsplit(":", 1)
+        self.port = int(port)
+        self.writers = []
+        self.address = ""
+
+    async def start(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        other, out = await asyncio.open_connection(self.host, self.port)
+        self.writers += [writer, out]
+        await asyncio.gather(self.copy(reader, out), self.copy(other, writer))
+
+    @staticmethod
+    async def copy(reader, writer):
+        try:
+            while data := await reader.read(65536):
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pass
+
+    def reset(self):
+        for writer in self.writers:
+            standin.reset(writer)
 
 
 async def main():
     record = standin.Record(os.path.join(HERE, "record.txt"))
-    draw = random.Random(13)
-    store = standin.Store()
+    store = standin.Store(lag=LAG_S)
     await store.start()
     store.put("config", "main", standin.configuration([
-        standin.route("/stream/", "stream", resumable=True, sticky=True)]))
+        standin.route("/jobs/", "batch", max_attempts=3, timeout_ms=15000,
+                      target_latency_ms=400, completion_target_ms=18000,
+                      retention_s=60, priority=2)]))
+    runs = []
 
-    def answer(_replica, _run):
-        return {"events": 24, "gap_s": 0.09, "first_s": 0.05}
+    def answer(replica, run):
+        runs.append((record.now(), run["id"]))
+        record.add(f"item {run['id']} reaches {replica.id}")
+        return {"events": 4, "gap_s": 0.1}
 
-    replicas = [standin.Replica(store, record, f"i-{at}", answer,
-                                version="v1" if at < 3 else "v2")
-                for at in range(6)]
-    for replica in replicas:
-        await replica.start()
+    for at in range(2):
+        await standin.Replica(store, record, f"i-{at}", answer,
+                              slots=4).start()
     fleet = standin.Fleet(store, 3)
-    mixed = []
-    replies = {}
     try:
         if not await fleet.start():
             return 2
-        began = record.now()
-
-        async def send(number):
-            gateway = draw.choice(fleet.gateways)
-            pieces = []
-            status, _ = await standin.call(
-                gateway.callers, "POST", f"/stream/{number}",
-                {"Host": standin.HOST, "Request-Id": f"s-{number}",
-                 "Model": "m", "Token-Usage": "450,24", "Timeout-Ms": "5000",
-                 "Prompt-Prefix": f"5c1e07a2:100,{number % 40:08x}:100,"
-                                  f"{number:08x}:250"},
-                b"body", wait_s=6.0, pieces=pieces)
-            text = b"".join(pieces).decode()
-            parts = [line.split(" ")[1:3] for line in text.split("\n")
-                     if line.startswith("data: ")]
-            versions = {part[0] for part in parts}
-            replies[status] = replies.get(status, 0) + 1
-            record.add(f"s-{number} at {gateway.name}: {status}, "
-                       f"{len(parts)} events of "
-                       f"{sorted({' '.join(part) for part in parts})}")
-            if len(versions) > 1:
-                mixed.append(number)
-                record.add(f"s-{number} holds events of two versions")
-
-        async def traffic():
-            for number in range(int(TRAFFIC_S * PER_S)):
-                asyncio.create_task(send(number))
-                await asyncio.sleep(1 / PER_S)
-
-        async def write():
-            await asyncio.sleep(WRITES[0])
-            while WRITER and record.now() - began < WRITES[1]:
-                for replica in (replicas[0], replicas[3]):
-                    found = store.get("servers", replica.id)
-                    if found is None:
-                        continue
-                    spec = dict(found["spec"])
-                    if spec.pop("version", None) is not None:
-                        store.put("servers", replica.id, spec)
-                await asyncio.sleep(0.1)
-
-        async def crash():
-            for when in CRASHES:
-                await asyncio.sleep(max(0.0, began + when - record.now()))
-                if TROUBLE:
-                    replicas[0].crash(DOWN_S, True)
-
-        await asyncio.gather(traffic(), write(), crash())
-        await asyncio.sleep(5.0)
+        first, second = fleet.gateways[:2]
+        proxy = Proxy(first.callers)
+        await proxy.start()
+        slow_until = None
+
+        def delay(method, kind, name, _value):
+            nonlocal slow_until
+            if (TROUBLE and slow_until is None and method == "POST"
+                    and kind == "job-states" and name == JOB):
+                slow_until = record.now() + SLOW_FOR_S
+                record.add("the store turns slow; the caller's connection to "
+                           f"{first.name} is about to be reset")
+                asyncio.get_running_loop().call_later(0.01, proxy.reset)
+            if slow_until is not None and record.now() < slow_until:
+                record.add(f"the answer to {method} {kind}/{name} takes "
+                           f"{SLOW_S} s")
+                return SLOW_S
+            return 0.0
+
+        store.delay = delay
+        body = json.dumps({"items": [
+            {"id": f"item{at:04d}", "path": f"/jobs/1/{at}",
+             "headers": {"Model": "m", "Token-Usage": "350,166",
+                         "Prompt-Prefix": f"9c2e41:100,{at:08x}:250"},
+             "body": "q83vEjRWeJA=", "tokens": 516}
+            for at in range(ITEMS)]}).encode()
+        headers = {"Host": standin.HOST, "Request-Id": JOB,
+                   "Content-Type": "application/json"}
+
+        async def submit(gateway, address):
+            status, _ = await standin.call(address, "POST", "/jobs/" + JOB,
+                                           headers, body, 4.0)
+            record.add(f"batch job sent to {gateway.name}: {status}")
+            return status
+
+        status = await submit(first, proxy.address)
+        if status == 0:
+            await asyncio.sleep(0.025)
+            status = await submit(second, second.callers)
+        if status != 202:
+            return 2
+        status, _ = await standin.call(
+            second.callers, "DELETE", "/api/lots/" + JOB,
+            {"Host": standin.HOST}, wait_s=4.0)
+        ended = record.now()
+        record.add(f"batch job ended at {second.name}: {status}")
+        if status != 200:
+            return 2
+        await asyncio.sleep(12.0)
     finally:
-        fleet.close(keep=bool(os.environ.get("KEEP")))
-    record.add(f"answers: {sorted(replies.items())}")
-    record.add(f"streams with events of two versions in one answer: "
-               f"{len(mixed)}, allowed: 2")
-    broken = len(mixed) > 2
-    record.add("BROKEN: ORDER" if broken else "held")
+        fleet.close()
+    calm = (slow_until or 0.0) + SLOW_S if TROUBLE else 0.0
+    bound = max(ended + CANCEL_S, calm + CONTACT_S)
+    late = [run for run in runs if run[0] > bound]
+    record.add(f"items that reached a replica: {len(runs)}, of these after "
+               f"{bound:.3f}, when they may no longer run: {len(late)}")
+    record.add("BROKEN: UNASKED" if late else "held")
     record.close()
-    if replies.get(200, 0) == 0:
-        return 2
-    return 1 if broken else 0
+    return 1 if late else 0
 
 
 standin.run_case(main)
