--- a/review/stand_in_3/standin.py
+++ b/review/stand_in_3/standin.py
@@ -18,12 +18,22 @@
     os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 GATEWAY = os.path.join(ROOT, "target", "kqg-gateway")
 HOST = "h.example"
+TAKEN_PORTS = [0]  # How many have been tried.
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port below those that the kernel gives to connections, so that
+    none of these takes it before a process listens there. Cases that run at
+    the same time look in different ranges."""
+    while True:
+        port = 12000 + (os.getpid() % 180) * 100 + TAKEN_PORTS[0] % 100
+        TAKEN_PORTS[0] += 1
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 class Record:
@@ -396,6 +406,10 @@
                     f"e{event}\n\n").encode()
             writer.write(b"%x\r\n%s\r\n" % (len(text), text))
             await writer.drain()
+            if plan.get("crash_after") == event:
+                await asyncio.sleep(0.005)  # The event leaves the host.
+                self.crash(plan["down_s"], plan["new_id"])
+                raise ConnectionError
             await asyncio.sleep(plan.get("gap_s", 0.01))
         writer.write(b"0\r\n\r\n")
         await writer.drain()
@@ -416,6 +430,7 @@
         self.nodes = f"127.0.0.1:{free_port()}"
         self.metrics = f"127.0.0.1:{free_port()}"
         self.process = None
+        self.log = ""
         self.starts = 0
 
     def start(self, seeds):
@@ -435,8 +450,8 @@
                 f'[limits]\nmemory_mb = 260\nmax_descriptors = 4100\n'
                 f'stop_s = 8\naddress_ttl_s = 2\n')
         self.starts += 1
-        log = open(os.path.join(self.folder,
-                                f"{self.name}.{self.starts}.log"), "wb")
+        self.log = os.path.join(self.folder, f"{self.name}.{self.starts}.log")
+        log = open(self.log, "wb")
         self.process = subprocess.Popen(
             [GATEWAY], stdout=log, stderr=log, stdin=subprocess.DEVNULL,
             cwd=ROOT, env={"PATH": os.environ.get("PATH", ""),
@@ -513,6 +528,10 @@
             while (await call(gateway.ready, "GET", "/api/ready",
                               {"Host": "x"}, wait_s=1.0))[0] != 200:
                 if time.monotonic() > last:
+                    print(f"{gateway.name} is not ready; its process: "
+                          f"{gateway.process.poll()}")
+                    with open(gateway.log, encoding="utf-8") as log:
+                        print("".join(log.readlines()[-5:]))
                     return False
                 await asyncio.sleep(0.1)
         await asyncio.sleep(4.0)
