--- a/review/stand_in_3/standin.py
+++ b/review/stand_in_3/standin.py
@@ -557,6 +557,12 @@
         # Connections that a stand-in ends are no errors.
         asyncio.get_running_loop().set_exception_handler(
             lambda _loop, _context: None)
-        return await main()
+        # So that the gateways end with a case that is stopped.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
+        try:
+            return await main()
+        except asyncio.CancelledError:
+            return 2
 
     raise SystemExit(asyncio.run(run()))
