--- a/review/stand_in_3/standin.py
+++ b/review/stand_in_3/standin.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import signal
@@ -18,6 +19,8 @@
     os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 GATEWAY = os.path.join(ROOT, "target", "kqg-gateway")
 HOST = "h.example"
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
 TAKEN_PORTS = [0]  # How many have been tried.
 
 
@@ -36,6 +39,11 @@
                 continue
 
 
+def end_with_parent():
+    """Lets the kernel end a gateway when the case ends, however that does."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Record:
     """Writes what was sent, answered and run to record.txt."""
 
@@ -454,7 +462,7 @@
         log = open(self.log, "wb")
         self.process = subprocess.Popen(
             [GATEWAY], stdout=log, stderr=log, stdin=subprocess.DEVNULL,
-            cwd=ROOT, env={"PATH": os.environ.get("PATH", ""),
+            cwd=ROOT, preexec_fn=end_with_parent, env={"PATH": os.environ.get("PATH", ""),
                            "HOME": self.folder, "LANG": "C",
                            "KUMQUATGAUGE_CONFIG": path})
         log.close()
