Keep the end of a job that is still being added

Cause: a node knew a job only once the store had answered its submission or the last read of its takeover. An end that was told in between found no job; the node answered that it does not know it, which counts as confirmed, and the late answer then brought the state from before the end. Ruled out by the logs: that the notice arrived late, or that an older state replaced the end. The log now tells a confirmation by a node that runs the job from one that does not.

Change: PendingJobs keeps the newest state told of each job whose submission or takeover is under way. An operation begins before the store is asked, so that an end is in the answer or kept, and AddOwnedJob, the only way to add a job, applies it in the same step.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -23,6 +23,7 @@
 #include "kumquatgauge/serving/job_memory.h"
 #include "kumquatgauge/serving/job_state_check.h"
 #include "kumquatgauge/serving/orphan_detector.h"
+#include "kumquatgauge/serving/pending_jobs.h"
 #include "kumquatgauge/serving/result_write_policy.h"
 #include "kumquatgauge/serving/state_change.h"
 #include "serving/owned_job.h"
@@ -248,7 +249,7 @@
       refusal.admission = JobAdmission::kUnavailable;
       refusal.reason = "the jobs of this node use all memory for jobs";
       refusal.retry_after = kMemoryRetryAfter;
-      if (submitting_.contains(id)) {
+      if (pending_.submits(id)) {
         refusal.admission = JobAdmission::kUnknown;  // That may be accepted.
       }
       const auto decision = co_await UnlessAccepted(id, std::move(refusal));
@@ -274,10 +275,7 @@
     AddAccount(state, record, items);
     const auto decoded =
         ReserveMemory(MemoryOf(items) + memory_.ExpectedResults(items.size()));
-    submitting_.insert(id);
-    const auto submitted = std::shared_ptr<void>(nullptr, [self, id](void*) {
-      self->submitting_.erase(self->submitting_.find(id));
-    });
+    const auto submission = pending_.BeginSubmission(id);
     auto decision = co_await CheckQuota(state);
     if (stopped_ && decision.admission == JobAdmission::kGranted) {
       parts_.quotas.OnOver(state.account, id);
@@ -323,12 +321,13 @@
                                   MillisecondsSince(began)))}});
     // A job that is over may have been dropped here to free memory.
     const auto over = stored->state.done || stored->state.ended;
-    const auto known = jobs_.contains(id) || taking_over_.contains(id);
+    const auto known = jobs_.contains(id) || pending_.takes_over(id);
     if (!IsOwn(stored->state) || over || stopped_) {
       OnAnnounced(id, stored->state.owner);
     } else if (created && !known) {
       record.submission.clear();
-      AddOwnedJob(*stored, began, std::move(record), std::move(items), {});
+      AddOwnedJob(*submission, *stored, began, std::move(record),
+                  std::move(items), {});
     } else if (!known) {
       // An earlier takeover or submission has not been completed. Results may
       // be stored, and the list may be closed.
@@ -751,8 +750,10 @@
 
   // --- Ownership.
 
-  // `stored` was the stored state at `known_at`.
-  auto AddOwnedJob(const StoredState& stored,
+  // `stored` was the stored state at `known_at`; `operation` began before. What
+  // was told of the job since then applies before any of its items can start.
+  auto AddOwnedJob(const PendingJobs::Operation& operation,
+                   const StoredState& stored,
                    MonotonicTime known_at,
                    JobRecord record,
                    std::vector<JobItem> items,
@@ -787,6 +788,9 @@
     UpdateRoute(*job, parts_.configuration().get());
     schedule_.Add(Describe(*job, parts_.configuration().get()),
                   {job->listed.begin(), job->listed.end()}, failures);
+    if (const auto& newest = operation.newest()) {
+      ApplyState(job, *newest, "news before it was added", known_at);
+    }
     FinishIfComplete(job);
   }
 
@@ -1742,6 +1746,24 @@
     }
   }
 
+  // Applies a state that is stored, to a job that this node runs or is about to
+  // run.
+  auto OnStateTold(const StoredState& stored, const std::string& source)
+      -> void {
+    const auto pending = pending_.OnState(stored);
+    const auto own = jobs_.find(stored.state.id);
+    if (own != jobs_.end()) {
+      ApplyState(JobPtr(own->second), stored, source, parts_.clock());
+    } else if (pending) {
+      logger_.Info("a job's state was told before the job is added",
+                   {{"event", "pending_job_state_told"},
+                    {"job", stored.state.id.value()},
+                    {"source", source},
+                    {"version", std::to_string(stored.version)},
+                    {"ended", stored.state.ended ? "true" : "false"}});
+    }
+  }
+
   auto LogStateLearned(const OwnedJob& job,
                        const StoredState& stored,
                        const std::string& source) -> void {
@@ -2108,10 +2130,8 @@
   // answer only, so that the owner has usually stopped when the caller gets its
   // answer.
   auto NotifyOwner(StoredState ended, bool wait) -> awaitable<void> {
-    const auto own = jobs_.find(ended.state.id);
-    if (own != jobs_.end()) {
-      ApplyState(JobPtr(own->second), ended, "the store", parts_.clock());
-    } else if (notices_.Add(ended)) {
+    OnStateTold(ended, "the store");
+    if (notices_.Add(ended)) {
       if (wait) {
         co_await SendEndNotice(shared_from_this(), ended);
       } else {
@@ -2151,14 +2171,15 @@
       answer = co_await self->CallPeer(*owner, "job-end", std::move(request),
                                        kPeerTimeout);
     }
-    // A node that does not know the job runs none of its items.
-    const auto confirmed = answer && (answer->value("ended", false) ||
-                                      !answer->value("known", false));
+    // A node that neither runs the job nor is about to runs none of its items.
+    const auto known = answer && answer->value("known", false);
+    const auto confirmed = answer && (answer->value("ended", false) || !known);
     self->logger_.Info("sent a notice of an ended job to its owner",
                        {{"event", "job_end_notice"},
                         {"job", id.value()},
                         {"owner", ended.state.owner.value()},
                         {"version", std::to_string(ended.version)},
+                        {"known", known ? "true" : "false"},
                         {"confirmed", confirmed ? "true" : "false"}});
     if (confirmed) {
       self->notices_.OnConfirmed(id);
@@ -2169,7 +2190,7 @@
 
   auto OwnerStatusOf(const JobState& state) const -> OwnerStatus {
     if (state.owner == parts_.self().id) {
-      return OwnerStatus::kGone;  // This node knows the jobs that it runs.
+      return OwnerStatus::kGone;  // OnStateTold() has told this node.
     }
     const auto member = FindMember(state.owner);
     if (member) {
@@ -2237,21 +2258,20 @@
   }
 
   auto AnswerEnd(json request) -> awaitable<json> {
-    const auto job = FindOwn(request);
-    if (!job) {
-      const auto id = JobId(request.at("job").get<std::string>());
-      // A job that is being taken over may start here with the state from
-      // before its end.
-      json answer = {{"known", taking_over_.contains(id)}, {"ended", false}};
-      co_return answer;
-    }
+    const auto id = JobId(request.at("job").get<std::string>());
     // A node that has ended the job in the store says so; this one may be
     // unable to read it.
-    if (request.contains("state")) {
+    const auto told = request.contains("state");
+    if (told) {
       const auto text = request.at("state").get<std::string>();
       const auto version = request.at("version").get<std::uint64_t>();
-      ApplyState(job, {DecodeState(job->state.id, text), version}, "a node",
-                 parts_.clock());
+      OnStateTold({DecodeState(id, text), version}, "a node");
+    }
+    const auto job = FindOwn(request);
+    if (!job) {
+      const auto pending = pending_.contains(id);
+      json answer = {{"known", pending}, {"ended", pending && told}};
+      co_return answer;
     }
     const auto ended = co_await EndOwn(job);
     json answer = {{"known", true}, {"ended", ended}};
@@ -2301,8 +2321,7 @@
       co_return;
     }
     self->parts_.quotas.OnListing(states, [&](const JobId& id) {
-      return self->jobs_.contains(id) || self->taking_over_.contains(id) ||
-             self->submitting_.contains(id);
+      return self->jobs_.contains(id) || self->pending_.contains(id);
     });
     for (const auto& stored : states) {
       if (self->stopped_) {
@@ -2313,6 +2332,8 @@
       if (own != self->jobs_.end()) {
         self->ApplyState(JobPtr(own->second), stored, "a listing",
                          exact ? asked_at : own->second->state_known_at);
+      } else {
+        self->pending_.OnState(stored);
       }
       const auto expired =
           IsExpired(state, self->WallMs(), self->parts_.retention);
@@ -2425,7 +2446,8 @@
 
   auto Adopt(StoredState stored) -> awaitable<void> {
     auto failure = std::string();
-    if (!taking_over_.insert(stored.state.id).second) {
+    const auto takeover = pending_.BeginTakeover(stored.state.id);
+    if (!takeover) {
       co_return;
     }
     try {
@@ -2435,11 +2457,10 @@
                     stored.state.id.value(),
                     "raise limits.memory_mb or add nodes");
       }
-      co_await TakeOver(stored);
+      co_await TakeOver(*takeover, stored);
     } catch (const Error& error) {
       failure = error.what();
     }
-    taking_over_.erase(stored.state.id);
     if (!failure.empty()) {
       logger_.Warning("a job could not be taken over",
                       {{"event", "adopt_failed"},
@@ -2454,7 +2475,8 @@
     co_await self->Adopt(std::move(stored));
   }
 
-  auto TakeOver(StoredState stored) -> awaitable<void> {
+  auto TakeOver(const PendingJobs::Operation& takeover, StoredState stored)
+      -> awaitable<void> {
     const auto id = stored.state.id;
     const auto expected = ReserveMemory(
         memory_.ExpectedJob(static_cast<std::size_t>(stored.state.total)));
@@ -2503,8 +2525,8 @@
                   {"listed", std::to_string(results.results.size())},
                   {"closings", std::to_string(results.closings)},
                   {"items", std::to_string(items.size())}});
-    AddOwnedJob(*current, checked_at, std::move(*record), std::move(items),
-                results);
+    AddOwnedJob(takeover, *current, checked_at, std::move(*record),
+                std::move(items), results);
   }
 
   BatchRunnerParts parts_;
@@ -2523,8 +2545,7 @@
   asio::steady_timer tick_timer_;
   asio::steady_timer scan_timer_;
   std::map<JobId, JobPtr> jobs_;
-  std::set<JobId> taking_over_;
-  std::multiset<JobId> submitting_;  // Once for each submission under way.
+  PendingJobs pending_;
   std::map<JobId, NodeId> announced_;
   OrphanDetector orphans_{OrphanSettings()};
   // When a node last told of an orphan.
--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -214,17 +214,63 @@
     }
   }
   co_await Pause(context_, Delay(*request));
+  const auto held = TakeHold(*request, *endpoint);
   auto [status, body] = since > 0 && !IsDown(*endpoint)
                             ? std::pair(200, Changes(kind, since))
                             : Answer(*request, *endpoint);
   if (status == 0) {
     co_return;  // The connection closes without an answer.
   }
+  while (held && HoldsAnswer()) {
+    co_await Pause(context_, kWatchStep);
+  }
   auto headers = HeaderList{{"Content-Type", "application/json"}};
   auto text = MaybeMutate(TextOf(body));
   co_await writer->Send(status, std::move(headers), std::move(text));
 }
 
+auto FakeObjectApi::HoldAnswer(
+    std::function<auto(const ObjectCall&)->bool> chosen) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  hold_ = std::move(chosen);
+}
+
+auto FakeObjectApi::HoldsAnswer() const -> bool {
+  const auto lock = std::lock_guard(mutex_);
+  return holding_;
+}
+
+auto FakeObjectApi::ReleaseAnswer() -> void {
+  const auto lock = std::lock_guard(mutex_);
+  holding_ = false;
+}
+
+auto FakeObjectApi::TakeHold(const Request& request, const Endpoint& endpoint)
+    -> bool {
+  auto chosen = std::function<auto(const ObjectCall&)->bool>();
+  {
+    const auto lock = std::lock_guard(mutex_);
+    chosen = hold_;
+  }
+  if (!chosen) {
+    return false;
+  }
+  const auto mark = request.target.find('?');
+  auto key = DecodePercent(
+      request.target.substr(kObjects.size(), mark - kObjects.size()));
+  if (request.method == "POST") {
+    const auto body = json::parse(request.body);
+    key += "/" + body.at("metadata").at("name").get<std::string>();
+  }
+  if (!chosen({request.method, key, endpoint.listener->address()})) {
+    return false;
+  }
+  const auto lock = std::lock_guard(mutex_);
+  hold_ = nullptr;
+  holding_ = true;
+  return true;
+}
+
 auto FakeObjectApi::MaybeMutate(const std::string& text) -> std::string {
   const auto lock = std::lock_guard(mutex_);
   return malformed_ ? mutator_.Mutate({text}) : text;
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -58,6 +58,17 @@
       -> void;
   // The next `count` writes of this kind take effect but are not answered.
   auto LoseAnswers(const std::string& kind, int count) -> void;
+  // A call about one object.
+  struct ObjectCall {
+    std::string method;
+    std::string key;
+    std::string address;  // Of the endpoint.
+  };
+  // The first call from now on that `chosen` accepts takes effect at once and
+  // is answered after ReleaseAnswer(). `chosen` may use this class.
+  auto HoldAnswer(std::function<auto(const ObjectCall&)->bool> chosen) -> void;
+  auto HoldsAnswer() const -> bool;
+  auto ReleaseAnswer() -> void;
 
  private:
   struct Object {
@@ -86,6 +97,8 @@
   // Returns the text of an answer, with the values of PutText in place.
   auto TextOf(const nlohmann::json& body) const -> std::string;
   auto Delay(const Request& request) const -> std::chrono::milliseconds;
+  // Returns whether the answer to a call is to be held.
+  auto TakeHold(const Request& request, const Endpoint& endpoint) -> bool;
   auto AnswerRead(const std::string& path) -> std::pair<int, nlohmann::json>;
   auto AnswerWrite(const Request& request, const std::string& path)
       -> std::pair<int, nlohmann::json>;
@@ -104,6 +117,8 @@
   std::map<std::string, std::chrono::milliseconds> read_delays_;
   std::map<std::string, std::chrono::milliseconds> write_delays_;
   std::set<std::string> kinds_down_;
+  std::function<auto(const ObjectCall&)->bool> hold_;
+  bool holding_ = false;
   std::uint64_t revision_ = 1;
   bool down_ = false;
   bool malformed_ = false;
