Say that it is unsure whether a job exists that is being stored

A caller that ended its batch job at the node that was storing it got 404, "no such batch job"; the job was accepted a moment later and ran.

Cause: the node asked the store only, which did not have the job yet. By the users' pages 404 means that there is no such job, and a node that can't be sure answers 503. The node knows its own submissions, so it answers 503 with Retry-After while one is under way. A submission at another node is not known; if that one completes later, the 404 was right when it was given.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -2100,6 +2100,10 @@
     for (auto attempt = 0; attempt < kStateAttempts; ++attempt) {
       auto stored = co_await parts_.archive.LoadState(id);
       if (!stored) {
+        if (pending_.submits(id) || jobs_.contains(id)) {
+          throw Error(ErrorKind::kUnavailable, "the job is being stored",
+                      id.value(), "try again");
+        }
         co_return false;
       }
       if (stored->state.ended) {
--- a/testing/gateway/ended_job_test.cc
+++ b/testing/gateway/ended_job_test.cc
@@ -143,6 +143,22 @@
   CHECK(RunsNoItemAfter(fleet, before));
 }
 
+// Guards against a job that runs although its caller was told that there is no
+// such job, by the gateway that was about to store it.
+TEST_CASE("Gateway.DoesNotDenyAJobWhoseSubmissionIsUnderWay") {
+  auto fleet = Fleet(2);
+  fleet.AwaitService();
+  auto submission = SubmitWithHeldAnswer(fleet, "POST", "jobs/j1");
+  const auto reply = fleet.nodes[0]->Call("DELETE", "/api/lots/j1", "");
+  CHECK(reply.status == 503);
+  CHECK(reply.headers.count("retry-after") == 1);
+  fleet.store->ReleaseAnswer();
+  CHECK(submission.get() == 202);
+  CHECK(EndAt(fleet, 0) == 200);
+  AwaitItemsInTransit();
+  CHECK(RunsNoItemAfter(fleet, TotalRuns(fleet)));
+}
+
 // Guards against items that run after the end of their job was acknowledged,
 // because the end was stored while the gateway that takes the job over waited
 // for its last read of the job's state.
