--- a/include/kumquatgauge/serving/batch_runner.h
+++ b/include/kumquatgauge/serving/batch_runner.h
@@ -22,10 +22,6 @@
 #include "kumquatgauge/serving/request_quarantine.h"
 #include "kumquatgauge/upstream/replica_call.h"
 
-namespace kumquatgauge::node {
-class PeerServer;
-}
-
 namespace kumquatgauge::serving {
 
 // Dependencies of the batch runner; all must outlive it.
@@ -86,7 +82,9 @@
   // finished and which items have failed, then tells the nodes that take over.
   // Ends within kHandoverTime.
   auto Stop() -> void;
-  auto RegisterHandlers(node::PeerServer& server) -> void;
+  // Passes each handler of calls from other nodes, with its name, to `add`.
+  auto RegisterHandlers(
+      const std::function<auto(std::string, node::Handler)->void>& add) -> void;
 
   auto Submit(std::shared_ptr<const caller::IncomingRequest> incoming,
               CallerRequest request,
--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -13,7 +13,6 @@
 #include "base/process_hooks.h"
 #include "kumquatgauge/base/error.h"
 #include "kumquatgauge/base/log.h"
-#include "kumquatgauge/node/peer_server.h"
 #include "kumquatgauge/routing/rendezvous.h"
 #include "kumquatgauge/serving/batch_allocator.h"
 #include "kumquatgauge/serving/batch_schedule.h"
@@ -470,10 +469,12 @@
     ScheduleScan(kFirstScanDelay, true);
   }
 
-  auto RegisterHandlers(node::PeerServer& server) -> void {
-    server.Register("job-results", MakeHandler(&Impl::AnswerResults));
-    server.Register("job-item", MakeHandler(&Impl::AnswerItem));
-    server.Register("job-end", MakeHandler(&Impl::AnswerEnd));
+  auto RegisterHandlers(
+      const std::function<auto(std::string, node::Handler)->void>& add)
+      -> void {
+    add("job-results", MakeHandler(&Impl::AnswerResults));
+    add("job-item", MakeHandler(&Impl::AnswerItem));
+    add("job-end", MakeHandler(&Impl::AnswerEnd));
   }
 
  private:
@@ -2591,8 +2592,9 @@
   impl_->Stop();
 }
 
-auto BatchRunner::RegisterHandlers(node::PeerServer& server) -> void {
-  impl_->RegisterHandlers(server);
+auto BatchRunner::RegisterHandlers(
+    const std::function<auto(std::string, node::Handler)->void>& add) -> void {
+  impl_->RegisterHandlers(add);
 }
 
 auto BatchRunner::Submit(
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -264,7 +264,9 @@
     load_balancer_.SetZoneCosts(settings_.zones);
     StartListeners();
     gossip_.RegisterHandlers(peer_server_);
-    batch_.RegisterHandlers(peer_server_);
+    batch_.RegisterHandlers([this](std::string name, node::Handler handler) {
+      peer_server_.Register(std::move(name), std::move(handler));
+    });
     streams_.RegisterHandlers(peer_server_);
     quotas_.RegisterHandlers(peer_server_);
     peer_server_.Register(
