Run a job that its node accepts again while taking it over

A job that was accepted with 202 by a node which others considered dead meanwhile was run by no node until a periodic scan found it, 10 to 12 s later by the code.

Cause: a submission leaves its job to a takeover that is under way at the same node; the takeover gave up at a conflict, and the conflict was with the write of that submission, which accepts the job again under the new incarnation. After a conflict the takeover now reads the state, and goes on from it if this node owns the job and does not run it.

--- a/src/serving/batch_runner.cc
+++ b/src/serving/batch_runner.cc
@@ -2451,25 +2451,28 @@
 
   auto Adopt(StoredState stored) -> awaitable<void> {
     auto failure = std::string();
-    const auto takeover = pending_.BeginTakeover(stored.state.id);
+    const auto id = stored.state.id;
+    const auto takeover = pending_.BeginTakeover(id);
     if (!takeover) {
       co_return;
     }
     try {
       if (!memory_.MayTakeOver()) {
         throw Error(ErrorKind::kOverloaded,
-                    "the jobs of this node use all memory for jobs",
-                    stored.state.id.value(),
+                    "the jobs of this node use all memory for jobs", id.value(),
                     "raise limits.memory_mb or add nodes");
       }
-      co_await TakeOver(*takeover, stored);
+      auto next = std::optional(std::move(stored));
+      for (auto attempt = 0; next && attempt < kStateAttempts; ++attempt) {
+        next = co_await TakeOver(*takeover, *next);
+      }
     } catch (const Error& error) {
       failure = error.what();
     }
     if (!failure.empty()) {
       logger_.Warning("a job could not be taken over",
                       {{"event", "adopt_failed"},
-                       {"job", stored.state.id.value()},
+                       {"job", id.value()},
                        {"reason", failure}});
       ScheduleScan(kScanRetryDelay, true);
     }
@@ -2480,14 +2483,16 @@
     co_await self->Adopt(std::move(stored));
   }
 
+  // Returns the state to take the job over from instead, if it has changed and
+  // this node is to run the job all the same.
   auto TakeOver(const PendingJobs::Operation& takeover, StoredState stored)
-      -> awaitable<void> {
+      -> awaitable<std::optional<StoredState>> {
     const auto id = stored.state.id;
     const auto expected = ReserveMemory(
         memory_.ExpectedJob(static_cast<std::size_t>(stored.state.total)));
     auto record = co_await parts_.archive.LoadRecord(id);
     if (!record) {
-      co_return;  // It was never accepted.
+      co_return std::nullopt;  // It was never accepted.
     }
     auto items = parts_.dialect.decode_submission(record->submission);
     record->submission.clear();
@@ -2498,7 +2503,13 @@
     const auto taken =
         co_await parts_.archive.ReplaceState(state, stored.version);
     if (!taken) {
-      co_return;  // Another node was first.
+      // Another node was first, or a submission here that did not add the job
+      // because it is being taken over.
+      auto current = co_await parts_.archive.LoadState(id);
+      if (!current || !IsOwn(current->state) || !IsOrphan(current->state)) {
+        co_return std::nullopt;
+      }
+      co_return current;
     }
     auto nonce = Nonce();
     const auto results = co_await parts_.archive.CloseResults(
@@ -2517,7 +2528,7 @@
       if (stopped_) {
         parts_.tell_orphan(id, ChosenFor(id));
       }
-      co_return;
+      co_return std::nullopt;
     }
     const auto absent = std::chrono::duration_cast<milliseconds>(
         orphans_.AbsentFor(id, checked_at));
@@ -2532,6 +2543,7 @@
                   {"items", std::to_string(items.size())}});
     AddOwnedJob(takeover, *current, checked_at, std::move(*record),
                 std::move(items), results);
+    co_return std::nullopt;
   }
 
   BatchRunnerParts parts_;
