Let the soak end jobs that two nodes are accepting

The stand-in can now answer one node late after the effect, and shows former states to inexact reads, up to 3 s old. Callers submit a job at the node that is answered late, repeat it elsewhere once it is stored, and end it.

--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -1,5 +1,6 @@
 #include "testing/gateway/fake_servers.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -120,7 +121,7 @@
 
 auto FakeObjectApi::Put(const std::string& key, json spec) -> void {
   const auto lock = std::lock_guard(mutex_);
-  objects_[key] = {std::move(spec), ++revision_, false};
+  Replace(key, {std::move(spec), ++revision_, false});
 }
 
 auto FakeObjectApi::PutText(const std::string& key, const std::string& text)
@@ -149,8 +150,51 @@
 
 auto FakeObjectApi::Remove(const std::string& key) -> void {
   const auto lock = std::lock_guard(mutex_);
-  objects_[key].revision = ++revision_;
-  objects_[key].deleted = true;
+  Replace(key, {objects_[key].spec, ++revision_, true});
+}
+
+auto FakeObjectApi::Replace(const std::string& key, Object object) -> void {
+  const auto now = std::chrono::steady_clock::now();
+  auto& former = former_[key];
+  std::erase_if(former, [&](const auto& entry) {
+    return now - entry.replaced > kMaxReadAge;
+  });
+  const auto found = objects_.find(key);
+  former.push_back(
+      {now, found == objects_.end() ? Object{json(), 0, true} : found->second});
+  objects_[key] = std::move(object);
+}
+
+auto FakeObjectApi::Find(const std::string& key, milliseconds age) const
+    -> const Object* {
+  const auto at = std::chrono::steady_clock::now() - age;
+  const auto* object = static_cast<const Object*>(nullptr);
+  if (const auto found = objects_.find(key); found != objects_.end()) {
+    object = &found->second;
+  }
+  const auto former = former_.find(key);
+  if (age > milliseconds(0) && former != former_.end()) {
+    const auto then =
+        std::find_if(former->second.begin(), former->second.end(),
+                     [&](const auto& entry) { return entry.replaced > at; });
+    object = then == former->second.end() ? object : &then->object;
+  }
+  return object == nullptr || object->deleted ? nullptr : object;
+}
+
+auto FakeObjectApi::SetReadAge(milliseconds age) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  read_age_ = std::min(age, kMaxReadAge);
+}
+
+auto FakeObjectApi::SetAnswerDelay(const std::string& address,
+                                   milliseconds delay) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  for (const auto& endpoint : endpoints_) {
+    if (endpoint->listener->address() == address) {
+      endpoint->answer_delay = delay;
+    }
+  }
 }
 
 auto FakeObjectApi::Has(const std::string& key) const -> bool {
@@ -191,6 +235,12 @@
   return delay == delays.end() ? milliseconds(0) : delay->second;
 }
 
+auto FakeObjectApi::AnswerDelay(const Endpoint& endpoint) const
+    -> milliseconds {
+  const auto lock = std::lock_guard(mutex_);
+  return endpoint.answer_delay;
+}
+
 auto FakeObjectApi::LoseAnswers(const std::string& kind, int count) -> void {
   const auto lock = std::lock_guard(mutex_);
   lost_answers_[kind] = count;
@@ -215,12 +265,14 @@
   }
   co_await Pause(context_, Delay(*request));
   const auto held = TakeHold(*request, *endpoint);
+  const auto answer_delay = AnswerDelay(*endpoint);
   auto [status, body] = since > 0 && !IsDown(*endpoint)
                             ? std::pair(200, Changes(kind, since))
                             : Answer(*request, *endpoint);
   if (status == 0) {
     co_return;  // The connection closes without an answer.
   }
+  co_await Pause(context_, answer_delay);
   while (held && HoldsAnswer()) {
     co_await Pause(context_, kWatchStep);
   }
@@ -343,27 +395,31 @@
   if (kinds_down_.contains(path.substr(0, path.find('/')))) {
     return {503, json::object()};
   }
-  if (request.method == "GET" && path.find('/') == std::string::npos &&
-      request.target.find("stale_ok") == std::string::npos) {
+  const auto exact = request.target.find("stale_ok") == std::string::npos;
+  if (request.method == "GET" && path.find('/') == std::string::npos && exact) {
     ++exact_lists_[path];
   }
-  return request.method == "GET" ? AnswerRead(path)
-                                 : AnswerWrite(request, path);
+  return request.method == "GET"
+             ? AnswerRead(path, exact ? milliseconds(0) : read_age_)
+             : AnswerWrite(request, path);
 }
 
-auto FakeObjectApi::AnswerRead(const std::string& path)
+auto FakeObjectApi::AnswerRead(const std::string& path, milliseconds age) const
     -> std::pair<int, json> {
   if (path.find('/') != std::string::npos) {
-    const auto found = objects_.find(path);
-    if (found == objects_.end() || found->second.deleted) {
+    const auto* found = Find(path, age);
+    if (found == nullptr) {
       return {404, json::object()};
     }
-    return {200, Show(path.substr(path.find('/') + 1), found->second)};
+    return {200, Show(path.substr(path.find('/') + 1), *found)};
   }
   auto items = json::array();
   for (const auto& [key, object] : objects_) {
-    if (key.starts_with(path + "/") && !object.deleted) {
-      items.push_back(Show(key.substr(path.size() + 1), object));
+    if (!key.starts_with(path + "/")) {
+      continue;
+    }
+    if (const auto* found = Find(key, age)) {
+      items.push_back(Show(key.substr(path.size() + 1), *found));
     }
   }
   return {
@@ -381,8 +437,7 @@
     -> std::pair<int, json> {
   const auto kind = path.substr(0, path.find('/'));
   if (request.method == "DELETE") {
-    objects_[path].deleted = true;
-    objects_[path].revision = ++revision_;
+    Replace(path, {objects_[path].spec, ++revision_, true});
     return {200, json::object()};
   }
   const auto body = json::parse(request.body);
@@ -401,7 +456,7 @@
   if (conflict) {
     return {exists ? 409 : 404, json::object()};
   }
-  objects_[key] = {body.at("spec"), ++revision_, false};
+  Replace(key, {body.at("spec"), ++revision_, false});
   if (lost_answers_[kind] > 0) {
     --lost_answers_[kind];
     return {0, json::object()};
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -58,6 +58,14 @@
       -> void;
   // The next `count` writes of this kind take effect but are not answered.
   auto LoseAnswers(const std::string& kind, int count) -> void;
+  // Calls that arrive at the address from now on take effect at once and are
+  // answered after this time.
+  auto SetAnswerDelay(const std::string& address,
+                      std::chrono::milliseconds delay) -> void;
+  // Reads of single objects and of lists that may be old show the objects as
+  // they were this long ago; at most kMaxReadAge.
+  static constexpr std::chrono::milliseconds kMaxReadAge{3'000};
+  auto SetReadAge(std::chrono::milliseconds age) -> void;
   // A call about one object.
   struct ObjectCall {
     std::string method;
@@ -76,12 +84,17 @@
     std::uint64_t revision = 0;
     bool deleted = false;
   };
+  struct FormerObject {
+    std::chrono::steady_clock::time_point replaced;
+    Object object;
+  };
   using Request = caller::IncomingRequest;
   using Writer = caller::ResponseWriter;
 
   struct Endpoint {
     std::unique_ptr<caller::HttpListener> listener;
     bool down = false;
+    std::chrono::milliseconds answer_delay{0};
   };
 
   auto Handle(std::shared_ptr<const Request> request,
@@ -97,9 +110,16 @@
   // Returns the text of an answer, with the values of PutText in place.
   auto TextOf(const nlohmann::json& body) const -> std::string;
   auto Delay(const Request& request) const -> std::chrono::milliseconds;
+  auto AnswerDelay(const Endpoint& endpoint) const -> std::chrono::milliseconds;
   // Returns whether the answer to a call is to be held.
   auto TakeHold(const Request& request, const Endpoint& endpoint) -> bool;
-  auto AnswerRead(const std::string& path) -> std::pair<int, nlohmann::json>;
+  auto AnswerRead(const std::string& path, std::chrono::milliseconds age) const
+      -> std::pair<int, nlohmann::json>;
+  // Replaces an object and keeps what it was for reads of former states.
+  auto Replace(const std::string& key, Object object) -> void;
+  // The object as it was `age` ago; null if there was none.
+  auto Find(const std::string& key, std::chrono::milliseconds age) const
+      -> const Object*;
   auto AnswerWrite(const Request& request, const std::string& path)
       -> std::pair<int, nlohmann::json>;
   auto Show(const std::string& name, const Object& object) const
@@ -108,7 +128,9 @@
       -> nlohmann::json;
 
   mutable std::mutex mutex_;
-  std::map<std::string, Object> objects_;  // By "KIND/NAME".
+  std::map<std::string, Object> objects_;                    // By "KIND/NAME".
+  std::map<std::string, std::vector<FormerObject>> former_;  // Oldest first.
+  std::chrono::milliseconds read_age_{0};
   std::map<std::string, nlohmann::json> statuses_;
   std::vector<std::string> texts_;  // Of PutText.
   std::map<std::string, int> lost_answers_;
--- a/testing/soak/main.cc
+++ b/testing/soak/main.cc
@@ -16,10 +16,11 @@
 
 constexpr auto kUsage =
     "usage: kqg-soak --gateway PROGRAM [--seed N] [--seconds N] [--size N]\n"
-    "                [--keep DIR]\n"
+    "                [--keep DIR] [--rare-faults]\n"
     "  --seconds  time with faults; up to 30 s to settle come on top (20)\n"
     "  --size     gateway processes (4)\n"
     "  --keep     where the logs of a run with violations go (/tmp)\n"
+    "  --rare-faults  leaves out most faults but those of the store's answers\n"
     "exit status: 0 no violation, 1 violations, 2 wrong usage\n";
 
 auto PrintCounts(const std::string& title,
@@ -63,6 +64,7 @@
                             {"seconds", required_argument, nullptr, 't'},
                             {"size", required_argument, nullptr, 'n'},
                             {"keep", required_argument, nullptr, 'k'},
+                            {"rare-faults", no_argument, nullptr, 'r'},
                             {"help", no_argument, nullptr, 'h'},
                             {nullptr, 0, nullptr, 0}};
   auto settings = SoakSettings();
@@ -83,6 +85,9 @@
         case 'n':
           settings.nodes = std::stoi(optarg);
           break;
+        case 'r':
+          settings.rare_faults = true;
+          break;
         case 'k':
           keep = optarg;
           break;
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -31,6 +31,8 @@
 
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
+constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 constexpr int kCallers = 6;
 constexpr int kSpareReplicas = 2;  // In addition to one per node.
@@ -75,6 +77,21 @@
 constexpr std::size_t kSeriesBodyBytes = 40'000;  // Of an item, in Base64.
 constexpr milliseconds kSeriesPauseMax{1'000};
 constexpr auto kSeriesPath = "/series/";
+// Callers that give up on a submission, repeat it elsewhere and end the job.
+constexpr int kHastyCallers = 4;
+constexpr std::uint64_t kHastySeed = 6'000'003;
+constexpr milliseconds kHastyPauseMax{100};
+constexpr milliseconds kHastyPoll{5};
+// Until the first submission is stored; it may never be.
+constexpr milliseconds kStoredTimeMax{1'500};
+// The same of a store that answers one node late, and whose inexact reads are
+// old.
+constexpr std::size_t kLateAnswersOneIn = 2;
+constexpr milliseconds kMinAnswerDelay{150};
+constexpr milliseconds kMaxAnswerDelay{600};
+constexpr std::uint64_t kLagSeed = 7'000'003;
+// With rare faults, of the others.
+constexpr std::size_t kRareFaultsOneIn = 8;
 constexpr std::uint64_t kSeriesSeed = 4'000'003;
 // The same of replicas that refuse some requests and write the refusals twice.
 constexpr std::size_t kRefusalsOneIn = 4;
@@ -157,6 +174,7 @@
         late_random_(settings.seed + kLateSeed),
         process_random_(settings.seed + kProcessSeed),
         refusal_random_(settings.seed + kRefusalSeed),
+        lag_random_(settings.seed + kLagSeed),
         store_(thread_.context()),
         checker_([this](const std::string& id) { return RunCount(id); },
                  kTokenLimit) {
@@ -202,6 +220,9 @@
     }
     workers.emplace_back([this] { RunVersionReader(); });
     workers.emplace_back([this] { RunSeriesOfJobs(); });
+    for (auto caller = 0; caller < kHastyCallers; ++caller) {
+      workers.emplace_back([this, caller] { RunHastyCaller(caller); });
+    }
     for (auto caller = 0; has_organisations() && caller < kKeyedCallers;
          ++caller) {
       workers.emplace_back([this, caller] {
@@ -215,6 +236,7 @@
       worker.join();
     }
     EndFaults();
+    EndHastyJobs();
     Settle("after the faults");
     for (const auto& node : nodes_) {
       checker_.Expect(IsLoaded(node),
@@ -227,6 +249,7 @@
     counts_["stream resumed"] = resumed_;
     counts_["stream not resumed"] = not_resumed_;
     counts_["refused request repeated"] = sent_again_;
+    counts_["job submitted twice and ended"] = hasty_jobs_;
     return {checker_.violations(), checker_.replies(), counts_};
   }
 
@@ -456,6 +479,55 @@
     }
   }
 
+  // Submits long jobs at two nodes at once and ends them at any moment.
+  auto RunHastyCaller(int caller) -> void {
+    auto random = RandomSource(settings_.seed + kHastySeed * (caller + 1));
+    for (auto number = 0; !done_; ++number) {
+      const auto job =
+          "slow-hasty" + std::to_string(caller) + "-" + std::to_string(number);
+      const auto items = ItemsOf(job, kLongJobItems);
+      const auto submit = [&, path = std::string(kSeriesPath) +
+                                     "1"](std::size_t node) {
+        return nodes_[node].process->Call("POST", path, job, JobBody(items));
+      };
+      const auto first_node = late_node_.load();
+      auto first = FetchReply();
+      auto submission = std::thread([&] { first = submit(first_node); });
+      AwaitStored(job);
+      std::this_thread::sleep_for(
+          random.Between(milliseconds(0), kHastyPauseMax));
+      const auto second = submit(random.Below(nodes_.size()));
+      // Ends the job as soon as it has a 202, while the other submission may
+      // still be under way.
+      if (second.status == kAccepted) {
+        End(job, random);
+      }
+      submission.join();
+      // A refusal holds only if both are.
+      const auto refused = first.status == kServiceUnavailable ||
+                           first.status == kTooManyRequests;
+      checker_.OnSubmitted(
+          job, items, refused || second.status == kAccepted ? second : first,
+          false);
+      if (second.status != kAccepted) {
+        End(job, random);
+      }
+      const auto lock = std::lock_guard(hasty_mutex_);
+      hasty_ends_.push_back(job);
+      ++hasty_jobs_;
+      std::this_thread::sleep_for(kRepeatPause);
+    }
+  }
+
+  // Waits until the state of a job is in the store, whose answer may be late.
+  auto AwaitStored(const std::string& job) -> void {
+    const auto last = std::chrono::steady_clock::now() + kStoredTimeMax;
+    while (!store_.Has("job-states/" + job) && !done_ &&
+           std::chrono::steady_clock::now() < last) {
+      std::this_thread::sleep_for(kHastyPoll);
+    }
+  }
+
   // Submits long jobs and ends them while their items run.
   auto RunJobEnder(int job_ender) -> void {
     auto random = RandomSource(settings_.seed * kJobEnders + job_ender);
@@ -472,6 +544,25 @@
     }
   }
 
+  // Ends what hasty callers could not end before the soak was over, which would
+  // keep all replicas full.
+  auto EndHastyJobs() -> void {
+    const auto last = std::chrono::steady_clock::now() + kSettleTime;
+    const auto& node = *nodes_.front().process;
+    for (const auto& job : hasty_ends_) {
+      auto status = 0;
+      while (status != kOk && status != kNotFound &&
+             std::chrono::steady_clock::now() < last) {
+        const auto reply = node.Call("DELETE", "/api/lots/" + job, "");
+        checker_.OnEndAnswered(job, reply, std::chrono::steady_clock::now());
+        status = reply.status;
+        if (status != kOk && status != kNotFound) {
+          std::this_thread::sleep_for(kSettlePoll);
+        }
+      }
+    }
+  }
+
   auto EndSome(RandomSource& random) -> void {
     const auto jobs = checker_.unfinished_jobs();
     if (!jobs.empty()) {
@@ -539,9 +630,14 @@
   // --- Faults.
 
   auto InjectFaults() -> void {
+    // In half of the runs inexact reads are as old as they may be.
+    store_.SetReadAge(lag_random_.Below(2) == 0 ? milliseconds(0)
+                                                : FakeObjectApi::kMaxReadAge);
     const auto end = std::chrono::steady_clock::now() + settings_.time;
     while (std::chrono::steady_clock::now() < end) {
-      InjectOne();
+      if (!settings_.rare_faults || lag_random_.Below(kRareFaultsOneIn) == 0) {
+        InjectOne();
+      }
       if (replica_random_.Below(kLeavingOneIn) == 0) {
         LetReplicaLeave();
       }
@@ -550,7 +646,7 @@
         replicas_[late_random_.Below(replicas_.size())].server->SetFault(
             ReplicaFault::kTrickle, 1);
       }
-      if (late_random_.Below(kAllLostOneIn) == 0) {
+      if (!settings_.rare_faults && late_random_.Below(kAllLostOneIn) == 0) {
         KillAll();
       }
       DisturbProcesses();
@@ -558,6 +654,9 @@
       if (refusal_random_.Below(kRefusalsOneIn) == 0) {
         RepeatRefusals();
       }
+      if (lag_random_.Below(kLateAnswersOneIn) == 0) {
+        DelayStoreAnswers();
+      }
       std::this_thread::sleep_for(
           fault_random_.Between(kFaultPauseMin, kFaultPauseMax));
       RunDue(std::chrono::steady_clock::now());
@@ -888,6 +987,19 @@
     });
   }
 
+  auto DelayStoreAnswers() -> void {
+    ++counts_["store answers late"];
+    const auto late = lag_random_.Below(nodes_.size());
+    const auto& address = nodes_[late].store_address;
+    const auto time = lag_random_.Between(kFaultMin, kFaultMax);
+    store_.SetAnswerDelay(
+        address, lag_random_.Between(kMinAnswerDelay, kMaxAnswerDelay));
+    late_node_ = late;
+    RunAfter(time, [this, address] {
+      store_.SetAnswerDelay(address, milliseconds(0));
+    });
+  }
+
   auto LoseStoreAnswers() -> void {
     constexpr const char* kKinds[] = {"jobs", "job-states", "job-results"};
     store_.LoseAnswers(kKinds[fault_random_.Below(std::size(kKinds))],
@@ -906,6 +1018,7 @@
       RunDue(SteadyTime::max());
     }
     store_.set_down(false);
+    store_.SetReadAge(milliseconds(0));
     EndRepeatedRefusals();
     for (auto& replica : replicas_) {
       replica.link->SetFault(LinkFault::kNone);
@@ -976,6 +1089,7 @@
   RandomSource late_random_;
   RandomSource process_random_;
   RandomSource refusal_random_;
+  RandomSource lag_random_;
   FakeServerThread thread_;
   FakeObjectApi store_;
   SoakChecker checker_;
@@ -992,6 +1106,10 @@
   std::atomic<int> resumed_{0};
   std::atomic<int> not_resumed_{0};
   std::atomic<int> sent_again_{0};
+  std::atomic<int> hasty_jobs_{0};
+  std::mutex hasty_mutex_;
+  std::vector<std::string> hasty_ends_;    // Jobs that are to be ended.
+  std::atomic<std::size_t> late_node_{0};  // The last one to be answered late.
   std::atomic<bool> refusals_repeated_{false};
   int refusal_repeats_ = 0;
   int settle_calls_ = 0;
--- a/testing/soak/soak.h
+++ b/testing/soak/soak.h
@@ -15,6 +15,9 @@
   std::uint64_t seed = 1;
   std::chrono::seconds time{20};  // With faults, without the time to settle.
   int nodes = 4;
+  // Whether most faults are left out, so that those of the store's answers meet
+  // nodes that are in touch.
+  bool rare_faults = false;
 };
 
 struct SoakReport {
