--- a/src/serving/batch_runner_test.cc
+++ b/src/serving/batch_runner_test.cc
@@ -724,6 +724,21 @@
     }
   }
 
+  // Checks that no order has broken a promise.
+  auto Check() -> void {
+    Finish();
+    INFO(number_ << " plays\n" << account_);
+    CHECK(broken_ == 0);
+  }
+
+ private:
+  static constexpr std::size_t kTogether = 500;
+  static constexpr std::size_t kShown = 2;
+  static constexpr milliseconds kAtLeast{80};
+  // A node ignores what it is told of an orphan for 1 s after it was told.
+  static constexpr milliseconds kTellInterval{1'100};
+  static constexpr milliseconds kLimit{5'000};
+
   auto Finish() -> void {
     for (const auto& play : plays_) {
       play->StartItems();
@@ -759,24 +774,11 @@
     plays_.clear();
   }
 
-  auto played() const -> std::size_t { return number_; }
-  auto broken() const -> std::size_t { return broken_; }
-  // Of the first plays that broke a promise.
-  auto account() const -> const std::string& { return account_; }
-
- private:
-  static constexpr std::size_t kTogether = 500;
-  static constexpr std::size_t kShown = 2;
-  static constexpr milliseconds kAtLeast{80};
-  // A node ignores what it is told of an orphan for 1 s after it was told.
-  static constexpr milliseconds kTellInterval{1'100};
-  static constexpr milliseconds kLimit{5'000};
-
   Surroundings surroundings_;
   std::vector<std::unique_ptr<Play>> plays_;
   std::size_t number_ = 0;
   std::size_t broken_ = 0;
-  std::string account_;
+  std::string account_;  // Of the first plays that broke a promise.
 };
 
 // Guards against promises that hold unless answers and news arrive in an
@@ -796,9 +798,7 @@
       }
     }
   }
-  plays.Finish();
-  INFO(plays.played() << " plays\n" << plays.account());
-  CHECK(plays.broken() == 0);
+  plays.Check();
 }
 
 // Guards against a job that waits for the next scan, or runs at two nodes,
@@ -818,9 +818,7 @@
       }
     }
   }
-  plays.Finish();
-  INFO(plays.played() << " plays\n" << plays.account());
-  CHECK(plays.broken() == 0);
+  plays.Check();
 }
 
 // Guards against an end that is lost while another node takes the job over.
@@ -840,9 +838,7 @@
       }
     }
   }
-  plays.Finish();
-  INFO(plays.played() << " plays\n" << plays.account());
-  CHECK(plays.broken() == 0);
+  plays.Check();
 }
 
 // Number of drawn orders, which can be raised for a long run.
@@ -884,9 +880,7 @@
     }
     plays.Add(order);
   }
-  plays.Finish();
-  INFO(plays.played() << " plays\n" << plays.account());
-  CHECK(plays.broken() == 0);
+  plays.Check();
 }
 
 }  // namespace
