--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -46,6 +46,13 @@
   return decoded;
 }
 
+// The kind that a call names, with the name of the object if it names one.
+auto ObjectPath(const caller::IncomingRequest& request) -> std::string {
+  const auto mark = request.target.find('?');
+  return DecodePercent(
+      request.target.substr(kObjects.size(), mark - kObjects.size()));
+}
+
 auto Pause(asio::io_context& context, milliseconds time) -> awaitable<void> {
   auto timer = asio::steady_timer(context, time);
   co_await timer.async_wait(kAwaitTuple);
@@ -307,9 +314,7 @@
   if (!chosen) {
     return false;
   }
-  const auto mark = request.target.find('?');
-  auto key = DecodePercent(
-      request.target.substr(kObjects.size(), mark - kObjects.size()));
+  auto key = ObjectPath(request);
   if (request.method == "POST") {
     const auto body = json::parse(request.body);
     key += "/" + body.at("metadata").at("name").get<std::string>();
@@ -389,9 +394,7 @@
   if (down_ || endpoint.down) {
     return {503, json::object()};
   }
-  const auto mark = request.target.find('?');
-  const auto path = DecodePercent(
-      request.target.substr(kObjects.size(), mark - kObjects.size()));
+  const auto path = ObjectPath(request);
   if (kinds_down_.contains(path.substr(0, path.find('/')))) {
     return {503, json::object()};
   }
