Start nodes together with one list of the registry each

Cause: a node listed the registry before it stored its own entry, so that nodes that started together found nobody and listed again; and all of them wrote the versions of a service that none had found, got conflicts and read again.

A node now stores its entry first and lists then, so that of two nodes at least one finds the other in any order of their calls. A node that finds no versions of a service waits for news before it writes them.

--- a/include/kumquatgauge/control/node_registry.h
+++ b/include/kumquatgauge/control/node_registry.h
@@ -2,7 +2,9 @@
 #define KUMQUATGAUGE_CONTROL_NODE_REGISTRY_H_
 
 #include <boost/asio/awaitable.hpp>
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,11 +39,10 @@
                const std::string& address,
                NodeRegistryHooks hooks);
 
-  // Registers this node and lists the others, a second time unless it has met
-  // one of the first list, because nodes that start together may miss each
-  // other there. Two groups of nodes that have met cannot both do without the
-  // second list: the first list of the later one names a node of the earlier
-  // one. Repeats calls that failed. Returns when that is done or Stop has been
+  // Registers this node and then lists the others. Of two nodes that register
+  // at the same time, at least one finds the other, since each lists after its
+  // own entry is stored. Lists a second time if it has met no node of the first
+  // list. Repeats calls that failed. Returns when that is done or Stop has been
   // called.
   auto Run() -> boost::asio::awaitable<void>;
   auto Stop() -> void { stopped_ = true; }
@@ -57,6 +58,11 @@
   auto HasMetListed() const -> bool;
   // Throws Error.
   auto Register() -> boost::asio::awaitable<void>;
+  auto CreateEntry() -> boost::asio::awaitable<void>;
+  auto ExtractOwnEntry(std::vector<store::ListEntry>& entries) const
+      -> std::optional<store::ListEntry>;
+  // Throws Error.
+  auto IsUpToDate(store::ListEntry own) -> boost::asio::awaitable<bool>;
   auto ReadAddresses(std::vector<store::ListEntry> entries)
       -> boost::asio::awaitable<std::vector<std::string>>;
 
@@ -66,6 +72,8 @@
   std::string value_;
   NodeRegistryHooks hooks_;
   std::vector<NodeId> listed_;  // Other nodes in the last list.
+  // Version of the own entry; empty if this node has not stored or found it.
+  std::optional<std::uint64_t> version_;
   bool stopped_ = false;
   bool alone_ = false;
 };
--- a/src/control/node_registry.cc
+++ b/src/control/node_registry.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <exception>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
@@ -47,6 +48,8 @@
     }
     if (!failure.empty()) {
       hooks_.failed(failure);
+    } else if (listed_.empty()) {
+      co_return;
     }
     if (lists < kLists) {
       co_await hooks_.pause(lists == 0 ? kRetryDelay : kSecondListDelay);
@@ -62,37 +65,79 @@
 }
 
 auto NodeRegistry::Register() -> awaitable<void> {
-  auto page = co_await store_.List(prefix_, "", kMaxEntries,
-                                   store::CallClass::kConfiguration);
+  // Others are listed even if the store refuses to create the entry.
+  auto failure = std::exception_ptr();
+  try {
+    co_await CreateEntry();
+  } catch (const Error&) {
+    failure = std::current_exception();
+  }
+  auto stored = false;
+  while (!stored) {
+    auto page = co_await store_.List(prefix_, "", kMaxEntries,
+                                     store::CallClass::kConfiguration);
+    const auto own = ExtractOwnEntry(page.entries);
+    listed_.clear();
+    for (const auto& entry : page.entries) {
+      listed_.emplace_back(entry.key.substr(prefix_.size()));
+    }
+    auto addresses = co_await ReadAddresses(std::move(page.entries));
+    hooks_.found(std::move(addresses));
+    stored = own && co_await IsUpToDate(*own);
+    if (!stored && failure) {
+      std::rethrow_exception(failure);
+    }
+    if (!stored) {
+      version_ = co_await store_.Write(
+          key_, value_, own ? std::optional(own->version) : std::nullopt,
+          store::CallClass::kConfiguration);
+    }
+  }
+  alone_ = listed_.empty();
+}
+
+auto NodeRegistry::CreateEntry() -> awaitable<void> {
+  if (version_) {
+    co_return;
+  }
+  try {
+    version_ = co_await store_.Write(key_, value_, std::nullopt,
+                                     store::CallClass::kConfiguration);
+  } catch (const Error& error) {
+    // A conflict shows an entry of an earlier start, which the list contains.
+    if (error.kind() != ErrorKind::kConflict) {
+      throw;
+    }
+  }
+}
+
+auto NodeRegistry::ExtractOwnEntry(std::vector<store::ListEntry>& entries) const
+    -> std::optional<store::ListEntry> {
   const auto own =
-      std::find_if(page.entries.begin(), page.entries.end(),
+      std::find_if(entries.begin(), entries.end(),
                    [this](const auto& entry) { return entry.key == key_; });
-  const auto registered = own != page.entries.end();
-  auto up_to_date = false;
-  auto version = std::optional<std::uint64_t>();
-  if (registered) {
-    version = own->version;
-    auto value = own->value;
-    if (!value) {
-      const auto entry =
-          co_await store_.Read(key_, store::CallClass::kConfiguration);
-      value = entry ? entry->value : std::string();
-    }
-    up_to_date = value == value_;
-    page.entries.erase(own);
+  if (own == entries.end()) {
+    return std::nullopt;
   }
-  const auto others = !page.entries.empty();
-  listed_.clear();
-  for (const auto& entry : page.entries) {
-    listed_.emplace_back(entry.key.substr(prefix_.size()));
+  auto entry = std::move(*own);
+  entries.erase(own);
+  return entry;
+}
+
+auto NodeRegistry::IsUpToDate(store::ListEntry own) -> awaitable<bool> {
+  if (own.version == version_) {
+    co_return true;
+  }
+  if (!own.value) {
+    const auto object =
+        co_await store_.Read(key_, store::CallClass::kConfiguration);
+    own.value = object ? object->value : std::string();
   }
-  auto addresses = co_await ReadAddresses(std::move(page.entries));
-  hooks_.found(std::move(addresses));
-  alone_ = up_to_date && !others;
-  if (!up_to_date) {
-    co_await store_.Write(key_, value_, version,
-                          store::CallClass::kConfiguration);
+  const auto up_to_date = own.value == value_;
+  if (up_to_date) {
+    version_ = own.version;
   }
+  co_return up_to_date;
 }
 
 auto NodeRegistry::ReadAddresses(std::vector<store::ListEntry> entries)
--- a/src/serving/stream_versions.cc
+++ b/src/serving/stream_versions.cc
@@ -44,6 +44,10 @@
 // it reads the store itself; up to twice this time.
 constexpr milliseconds kNewsWait{400};
 constexpr milliseconds kStoreRetryDelay{300};
+// Nodes that start together all find that the store does not know a service.
+// Each waits for as long as nodes take to meet, and up to twice this time, so
+// that most hear of the first one's entry instead of competing with it.
+constexpr milliseconds kFirstEntryWait{100};
 // Interval at which this node stores its new records or hands them over, while
 // a service has several versions: a fraction of the time that a stream takes,
 // so that most streams that run when all nodes end are recorded.
@@ -365,10 +369,7 @@
         break;
       }
       if (!self->parts_.watches() && self->parts_.live().size() > 1) {
-        co_await Pause(kNewsWait +
-                       milliseconds(static_cast<std::int64_t>(
-                           self->parts_.random() %
-                           static_cast<std::uint64_t>(kNewsWait.count()))));
+        co_await self->AwaitNews(kNewsWait);
       }
       auto failed = false;
       for (const auto& service : self->registry_.Unregistered()) {
@@ -393,9 +394,24 @@
     self->registering_ = false;
   }
 
+  // Waits for up to twice `least`; the time is random, so that nodes that began
+  // to wait together do not go on together.
+  auto AwaitNews(milliseconds least) -> awaitable<void> {
+    const auto more =
+        parts_.random() % static_cast<std::uint64_t>(least.count());
+    co_await Pause(least + milliseconds(static_cast<std::int64_t>(more)));
+  }
+
   auto Register(ServiceName service) -> awaitable<void> {
     const auto key = VersionsKey(service);
     const auto stored = co_await parts_.store.Read(key, CallClass::kResult);
+    if (!stored) {
+      co_await AwaitNews(kFirstEntryWait);
+      const auto missing = registry_.Unregistered();
+      if (std::find(missing.begin(), missing.end(), service) == missing.end()) {
+        co_return;
+      }
+    }
     auto versions = VersionSet();
     if (stored) {
       versions = DecodeVersions(key, stored->value);
