Let the soak drop routes, refuse watchers and follow a release

New, each overlapping with the other faults:

- configurations that drop a batch route with open jobs, which returns or is replaced by another one; all accepted jobs must become complete;
- a store that turns away the nodes that watch it while the configuration changes, and one that shows only some nodes old states; a node in touch may not serve by a version that was replaced more than 7 s ago;
- jobs that are ended at the node that is just taking them over;

The stand-in for the store now sets the age of inexact reads per address, and looks an address up in one place.

--- a/testing/gateway/fake_servers.cc
+++ b/testing/gateway/fake_servers.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <stdexcept>
 #include <utility>
 
 namespace kumquatgauge::testing {
@@ -105,11 +106,18 @@
 auto FakeObjectApi::SetEndpointDown(const std::string& address, bool down)
     -> void {
   const auto lock = std::lock_guard(mutex_);
-  for (const auto& endpoint : endpoints_) {
-    if (endpoint->listener->address() == address) {
-      endpoint->down = down;
-    }
+  EndpointAt(address).down = down;
+}
+
+auto FakeObjectApi::EndpointAt(const std::string& address) -> Endpoint& {
+  const auto found = std::find_if(
+      endpoints_.begin(), endpoints_.end(), [&](const auto& endpoint) {
+        return endpoint->listener->address() == address;
+      });
+  if (found == endpoints_.end()) {
+    throw std::invalid_argument("no endpoint of the store at " + address);
   }
+  return **found;
 }
 
 auto FakeObjectApi::SetKindDown(const std::string& kind, bool down) -> void {
@@ -189,19 +197,16 @@
   return object == nullptr || object->deleted ? nullptr : object;
 }
 
-auto FakeObjectApi::SetReadAge(milliseconds age) -> void {
+auto FakeObjectApi::SetReadAge(const std::string& address, milliseconds age)
+    -> void {
   const auto lock = std::lock_guard(mutex_);
-  read_age_ = std::min(age, kMaxReadAge);
+  EndpointAt(address).read_age = std::min(age, kMaxReadAge);
 }
 
 auto FakeObjectApi::SetAnswerDelay(const std::string& address,
                                    milliseconds delay) -> void {
   const auto lock = std::lock_guard(mutex_);
-  for (const auto& endpoint : endpoints_) {
-    if (endpoint->listener->address() == address) {
-      endpoint->answer_delay = delay;
-    }
-  }
+  EndpointAt(address).answer_delay = delay;
 }
 
 auto FakeObjectApi::Has(const std::string& key) const -> bool {
@@ -403,7 +408,7 @@
     ++exact_lists_[path];
   }
   return request.method == "GET"
-             ? AnswerRead(path, exact ? milliseconds(0) : read_age_)
+             ? AnswerRead(path, exact ? milliseconds(0) : endpoint.read_age)
              : AnswerWrite(request, path);
 }
 
--- a/testing/gateway/fake_servers.h
+++ b/testing/gateway/fake_servers.h
@@ -62,10 +62,11 @@
   // answered after this time.
   auto SetAnswerDelay(const std::string& address,
                       std::chrono::milliseconds delay) -> void;
-  // Reads of single objects and of lists that may be old show the objects as
-  // they were this long ago; at most kMaxReadAge.
+  // Reads of single objects and of lists at the address that may be old show
+  // the objects as they were this long ago; at most kMaxReadAge.
   static constexpr std::chrono::milliseconds kMaxReadAge{3'000};
-  auto SetReadAge(std::chrono::milliseconds age) -> void;
+  auto SetReadAge(const std::string& address, std::chrono::milliseconds age)
+      -> void;
   // A call about one object.
   struct ObjectCall {
     std::string method;
@@ -95,8 +96,12 @@
     std::unique_ptr<caller::HttpListener> listener;
     bool down = false;
     std::chrono::milliseconds answer_delay{0};
+    std::chrono::milliseconds read_age{0};
   };
 
+  // Throws std::invalid_argument if there is none.
+  auto EndpointAt(const std::string& address) -> Endpoint&;
+
   auto Handle(std::shared_ptr<const Request> request,
               std::shared_ptr<Writer> writer,
               std::shared_ptr<Endpoint> endpoint)
@@ -130,7 +135,6 @@
   mutable std::mutex mutex_;
   std::map<std::string, Object> objects_;                    // By "KIND/NAME".
   std::map<std::string, std::vector<FormerObject>> former_;  // Oldest first.
-  std::chrono::milliseconds read_age_{0};
   std::map<std::string, nlohmann::json> statuses_;
   std::vector<std::string> texts_;  // Of PutText.
   std::map<std::string, int> lost_answers_;
--- a/testing/soak/checker.cc
+++ b/testing/soak/checker.cc
@@ -237,9 +237,26 @@
                           " ms after the end was answered";
 }
 
+auto SoakChecker::OnVersionStored(int version, Time at) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  stored_[version] = at;
+}
+
+auto SoakChecker::NewestReplaced(Time at) const -> int {
+  const auto lock = std::lock_guard(mutex_);
+  auto replaced = 0;
+  auto last = 0;
+  for (const auto& [version, stored] : stored_) {
+    replaced = at > stored + kMaxApplyTime ? last : replaced;
+    last = version;
+  }
+  return replaced;
+}
+
 auto SoakChecker::OnVersionServed(const std::string& node,
                                   int start,
-                                  int version) -> void {
+                                  int version,
+                                  Time sent) -> void {
   const auto lock = std::lock_guard(mutex_);
   auto& newest = newest_served_[{node, start}];
   if (version < newest) {
@@ -247,6 +264,51 @@
         std::to_string(newest) + " to " + std::to_string(version));
   }
   newest = std::max(newest, version);
+  const auto next = stored_.upper_bound(version);
+  if (next == stored_.end() || sent <= next->second + kMaxApplyTime) {
+    return;
+  }
+  const auto in_touch = IsReachable(node, next->second) &&
+                        IsReachable(StoreOf(node), next->second) &&
+                        IsReachable(kStore, next->second);
+  if (in_touch) {
+    const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(
+        sent - next->second);
+    Add("node " + node + " served by configuration " + std::to_string(version) +
+        " " + std::to_string(late.count()) + " ms after " +
+        std::to_string(next->first) + " was stored");
+  }
+}
+
+auto SoakChecker::OnStream(const std::string& node,
+                           bool taken_up,
+                           bool goes_on,
+                           Time sent) -> void {
+  const auto lock = std::lock_guard(mutex_);
+  if (!IsReachable(node, sent)) {
+    return;
+  }
+  const auto window = sent.time_since_epoch() / kStreamWindow;
+  auto& counts = streams_[window][taken_up];
+  ++counts.count;
+  counts.going_on += goes_on ? 1 : 0;
+}
+
+auto SoakChecker::CheckStreams() -> void {
+  constexpr int kOneHalf = 2;
+  for (auto& [window, counts] : streams_) {
+    const auto& taken_up = counts[true];
+    const auto& begun = counts[false];
+    if (taken_up.count >= kMinTakeUps &&
+        kOneHalf * taken_up.going_on * begun.count <
+            begun.going_on * taken_up.count) {
+      Add(std::to_string(taken_up.going_on) + " of " +
+          std::to_string(taken_up.count) +
+          " streams that were taken up went on, " +
+          std::to_string(begun.going_on) + " of " +
+          std::to_string(begun.count) + " new ones began meanwhile");
+    }
+  }
 }
 
 auto SoakChecker::OnGracefulStop(const std::string& node,
@@ -269,6 +331,7 @@
 
 auto SoakChecker::Finish() -> void {
   const auto lock = std::lock_guard(mutex_);
+  CheckStreams();
   for (const auto& [id, sent] : sent_) {
     const auto runs = count_runs_(id);
     if (sent.refused_as_not_run && runs > 0) {
--- a/testing/soak/checker.h
+++ b/testing/soak/checker.h
@@ -99,9 +99,34 @@
                      const std::string& owner,
                      const std::string& replica,
                      Time at) -> void;
-  // A node has served by a configuration version; `start` is the number of the
-  // start of its process.
-  auto OnVersionServed(const std::string& node, int start, int version) -> void;
+  // How long after the store has acknowledged a configuration version a node in
+  // touch may serve by an older one: the users' config_apply_ms and, since
+  // other nodes are disrupted, outer_bound_ms.
+  static constexpr std::chrono::milliseconds kMaxApplyTime{7'000};
+  // The store, for all nodes, and its link to one of them, as components.
+  static constexpr auto kStore = "store";
+  static auto StoreOf(const std::string& node) -> std::string {
+    return kStore + (" of " + node);
+  }
+  // The store has acknowledged a configuration version.
+  auto OnVersionStored(int version, Time at) -> void;
+  // The newest version that nodes in touch may not serve by any more; 0 if
+  // there is none.
+  auto NewestReplaced(Time at) const -> int;
+  // A node has served a request by a configuration version; `start` is the
+  // number of the start of its process.
+  auto OnVersionServed(const std::string& node,
+                       int start,
+                       int version,
+                       Time sent) -> void;
+  // Streams that are taken up are compared with new ones of the same window;
+  // the users' rule asks for so many of them.
+  static constexpr std::chrono::milliseconds kStreamWindow{5'000};
+  static constexpr int kMinTakeUps = 12;
+  // A stream was begun, or was taken up again after it had begun, at a node;
+  // `goes_on` if the node answered with events.
+  auto OnStream(const std::string& node, bool taken_up, bool goes_on, Time sent)
+      -> void;
   // A process in a planned stop has ended in time; no status if it has not.
   auto OnGracefulStop(const std::string& node, std::optional<int> exit_status)
       -> void;
@@ -140,6 +165,10 @@
     int late_starts = 0;
     std::string last_late_start;
   };
+  struct StreamCounts {
+    int count = 0;
+    int going_on = 0;
+  };
   struct Disruptions {
     int open = 0;
     Time reachable_after = Time::min();
@@ -149,7 +178,10 @@
   // Tokens of accepted items that no replica has begun, of jobs whose end was
   // not requested.
   auto WaitingTokens() const -> std::uint64_t;
+  // Whether a component was reachable at a time and has not been disrupted
+  // since.
   auto IsReachable(const std::string& component, Time at) const -> bool;
+  auto CheckStreams() -> void;
 
   CountRuns count_runs_;
   std::uint64_t token_limit_;
@@ -161,6 +193,9 @@
   std::map<std::string, Job> jobs_;
   std::map<std::string, Disruptions> disruptions_;  // By component.
   std::map<std::pair<std::string, int>, int> newest_served_;
+  std::map<int, Time> stored_;  // By configuration version.
+  // By the number of the window, then by whether they were taken up.
+  std::map<std::int64_t, std::map<bool, StreamCounts>> streams_;
   std::map<std::string, int> replies_;  // Count by outcome.
   std::vector<std::string> violations_;
 };
--- a/testing/soak/checker_test.cc
+++ b/testing/soak/checker_test.cc
@@ -131,11 +131,56 @@
 
 TEST_CASE("SoakChecker.FindsANodeThatGoesBackToAnOlderConfiguration") {
   auto fixture = Fixture();
-  fixture.checker.OnVersionServed("n", 1, 5);
-  fixture.checker.OnVersionServed("n", 2, 4);
-  fixture.checker.OnVersionServed("m", 1, 4);
+  fixture.checker.OnVersionServed("n", 1, 5, At(0));
+  fixture.checker.OnVersionServed("n", 2, 4, At(0));
+  fixture.checker.OnVersionServed("m", 1, 4, At(0));
   CHECK(fixture.CountViolations() == 0);
-  fixture.checker.OnVersionServed("n", 1, 4);
+  fixture.checker.OnVersionServed("n", 1, 4, At(0));
+  CHECK(fixture.CountViolations() == 1);
+}
+
+TEST_CASE("SoakChecker.FindsANodeInTouchThatServesByAnOldConfiguration") {
+  auto fixture = Fixture();
+  auto& checker = fixture.checker;
+  checker.OnVersionStored(4, At(10'000));
+  checker.OnVersionStored(6, At(20'000));
+  CHECK(checker.NewestReplaced(At(27'000)) == 0);
+  CHECK(checker.NewestReplaced(At(27'001)) == 4);
+  checker.OnVersionServed("n", 1, 6, At(60'000));
+  checker.OnVersionServed("n", 2, 4, At(27'000));
+  checker.OnDisrupted("cut off");
+  checker.OnDisrupted(SoakChecker::StoreOf("refused"));
+  checker.OnDisruptionEnded(SoakChecker::StoreOf("refused"), At(21'000));
+  checker.OnVersionServed("cut off", 1, 4, At(28'000));
+  checker.OnVersionServed("refused", 1, 4, At(28'000));
+  CHECK(fixture.CountViolations() == 0);
+  checker.OnVersionServed("m", 1, 4, At(28'000));
+  CHECK(checker.violations().size() == 1);
+  checker.OnDisrupted(SoakChecker::kStore);
+  checker.OnVersionServed("o", 1, 4, At(28'000));
+  CHECK(checker.violations().size() == 1);
+}
+
+TEST_CASE("SoakChecker.FindsStreamsThatDoNotGoOnWhileNewOnesBegin") {
+  auto fixture = Fixture();
+  auto& checker = fixture.checker;
+  const auto add = [&](int ms, bool taken_up, int count, int going_on) {
+    for (auto stream = 0; stream < count; ++stream) {
+      checker.OnStream("n", taken_up, stream < going_on, At(ms));
+    }
+  };
+  add(0, false, 10, 10);
+  add(0, true, 11, 0);
+  add(10'000, false, 10, 10);
+  add(10'000, true, 12, 6);
+  add(20'000, false, 10, 0);
+  add(20'000, true, 12, 0);
+  checker.OnDisrupted("n");
+  add(0, true, 12, 0);
+  CHECK(fixture.CountViolations() == 0);
+  checker.OnDisruptionEnded("n", At(0));
+  add(30'000, false, 10, 10);
+  add(30'000, true, 12, 5);
   CHECK(fixture.CountViolations() == 1);
 }
 
--- a/testing/soak/main.cc
+++ b/testing/soak/main.cc
@@ -16,11 +16,13 @@
 
 constexpr auto kUsage =
     "usage: kqg-soak --gateway PROGRAM [--seed N] [--seconds N] [--size N]\n"
-    "                [--keep DIR] [--rare-faults]\n"
+    "                [--keep DIR] [--rare-faults] [--release]\n"
     "  --seconds  time with faults; up to 30 s to settle come on top (20)\n"
     "  --size     gateway processes (4)\n"
     "  --keep     where the logs of a run with violations go (/tmp)\n"
     "  --rare-faults  leaves out most faults but those of the store's answers\n"
+    "  --release  replaces the replicas by a new version, then kills nodes;\n"
+    "             covers the time after a release with --seconds 75\n"
     "exit status: 0 no violation, 1 violations, 2 wrong usage\n";
 
 auto PrintCounts(const std::string& title,
@@ -65,6 +67,7 @@
                             {"size", required_argument, nullptr, 'n'},
                             {"keep", required_argument, nullptr, 'k'},
                             {"rare-faults", no_argument, nullptr, 'r'},
+                            {"release", no_argument, nullptr, 'v'},
                             {"help", no_argument, nullptr, 'h'},
                             {nullptr, 0, nullptr, 0}};
   auto settings = SoakSettings();
@@ -88,6 +91,9 @@
         case 'r':
           settings.rare_faults = true;
           break;
+        case 'v':
+          settings.release = true;
+          break;
         case 'k':
           keep = optarg;
           break;
@@ -96,7 +102,8 @@
           return choice == 'h' ? 0 : 2;
       }
     }
-    if (settings.gateway.empty() || settings.nodes < 1) {
+    const auto least_nodes = settings.release ? 2 : 1;
+    if (settings.gateway.empty() || settings.nodes < least_nodes) {
       std::cerr << kUsage;
       return 2;
     }
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -15,11 +15,13 @@
 #include <thread>
 #include <utility>
 
+#include "kumquatgauge/serving/watcher_choice.h"
 #include "testing/gateway/fake_servers.h"
 #include "testing/gateway/gateway_process.h"
 #include "testing/soak/checker.h"
 #include "testing/soak/loopback_proxy.h"
 #include "testing/soak/organisation_load.h"
+#include "testing/soak/removable_route_load.h"
 #include "testing/support/held_address.h"
 
 namespace kumquatgauge::testing {
@@ -92,6 +94,27 @@
 constexpr std::uint64_t kLagSeed = 7'000'003;
 // With rare faults, of the others.
 constexpr std::size_t kRareFaultsOneIn = 8;
+// How long jobs wait for the loss of their node, to be ended at the next one.
+constexpr milliseconds kTakeoverTimeMax{8'000};
+constexpr auto kTakeoverPrefix = "slow-taken-";
+constexpr std::uint64_t kTakeoverSeed = 8'000'003;
+// A route with open jobs that goes and returns, or not.
+constexpr std::size_t kRouteChangeOneIn = 5;
+constexpr std::uint64_t kRouteSeed = 9'000'003;
+// A store that turns away the nodes that watch it.
+constexpr std::size_t kWatchersRefusedOneIn = 6;
+constexpr std::uint64_t kWatcherSeed = 10'000'003;
+// A run with a release: when it begins, and the time between two replicas.
+constexpr milliseconds kReleaseStart{3'000};
+constexpr milliseconds kReleasePause{400};
+// Streams that begin at one node and are taken up elsewhere after its loss.
+// With four nodes each one runs for longer than nodes remember a former
+// version.
+constexpr int kGroupStreams = 16;
+constexpr milliseconds kGroupInterval{12'000};
+constexpr std::uint64_t kGroupSeed = 11'000'003;
+constexpr auto kStreamPath = "/stream/x";
+constexpr int kNoNode = -1;
 constexpr std::uint64_t kSeriesSeed = 4'000'003;
 // The same of replicas that refuse some requests and write the refusals twice.
 constexpr std::size_t kRefusalsOneIn = 4;
@@ -138,7 +161,7 @@
   return "/version-" + std::to_string(version) + "/";
 }
 
-auto MakeSoakConfiguration(int version, bool organisations) -> json {
+auto MakeSoakConfiguration(int version) -> json {
   auto configuration = MakeConfiguration(version);
   for (auto& route : configuration.at("routes")) {
     if (route.at("kind") == "batch") {
@@ -159,9 +182,6 @@
   configuration.at("routes").push_back(series);
   configuration.at("routes").push_back(
       MakeRoute(VersionPath(version), "safe", {{"name", "version"}}));
-  if (organisations) {
-    OrganisationLoad::AddTo(configuration, version);
-  }
   return configuration;
 }
 
@@ -175,6 +195,8 @@
         process_random_(settings.seed + kProcessSeed),
         refusal_random_(settings.seed + kRefusalSeed),
         lag_random_(settings.seed + kLagSeed),
+        route_random_(settings.seed + kRouteSeed),
+        watcher_random_(settings.seed + kWatcherSeed),
         store_(thread_.context()),
         checker_([this](const std::string& id) { return RunCount(id); },
                  kTokenLimit) {
@@ -220,6 +242,12 @@
     }
     workers.emplace_back([this] { RunVersionReader(); });
     workers.emplace_back([this] { RunSeriesOfJobs(); });
+    workers.emplace_back([this] { RunTakeoverEnder(); });
+    if (settings_.release) {
+      workers.emplace_back([this] { RunStreamGroups(); });
+    }
+    workers.emplace_back(
+        [this] { removable_route_.Run(settings_.seed + kRouteSeed, done_); });
     for (auto caller = 0; caller < kHastyCallers; ++caller) {
       workers.emplace_back([this, caller] { RunHastyCaller(caller); });
     }
@@ -236,7 +264,7 @@
       worker.join();
     }
     EndFaults();
-    EndHastyJobs();
+    EndLeftJobs();
     Settle("after the faults");
     for (const auto& node : nodes_) {
       checker_.Expect(IsLoaded(node),
@@ -250,6 +278,9 @@
     counts_["stream not resumed"] = not_resumed_;
     counts_["refused request repeated"] = sent_again_;
     counts_["job submitted twice and ended"] = hasty_jobs_;
+    counts_["job kept for a takeover"] = jobs_left_to_takeover_;
+    counts_["job ended at its new owner"] = ended_at_new_owner_;
+    counts_["job of a removable route"] = removable_route_.jobs();
     return {checker_.violations(), checker_.replies(), counts_};
   }
 
@@ -266,6 +297,18 @@
     bool down = false;    // Killed, or in a planned stop.
     bool paused = false;  // By SIGSTOP.
   };
+  struct JobOwner {
+    std::string node;
+    std::uint64_t incarnation = 0;  // Another one after each start.
+
+    auto operator==(const JobOwner&) const -> bool = default;
+  };
+  struct BegunStream {
+    std::string id;
+    std::string target;
+    std::string version;  // Of the replica that began it.
+    FetchReply reply;
+  };
   // Ends or continues a fault when it is due.
   struct ScheduledAction {
     SteadyTime at;
@@ -275,8 +318,13 @@
   auto has_organisations() const -> bool { return settings_.seed % 2 == 1; }
 
   auto PutConfiguration(int version) -> void {
-    store_.Put("config/main",
-               MakeSoakConfiguration(version, has_organisations()));
+    auto configuration = MakeSoakConfiguration(version);
+    removable_route_.AddTo(configuration);
+    if (has_organisations()) {
+      OrganisationLoad::AddTo(configuration, version);
+    }
+    store_.Put("config/main", std::move(configuration));
+    checker_.OnVersionStored(version, std::chrono::steady_clock::now());
     organisation_load_.OnVersionStored(version);
   }
 
@@ -312,10 +360,7 @@
       return;
     }
     const auto job = request.substr(0, mark);
-    const auto state = store_.Get("job-states/" + job);
-    const auto owner =
-        state.is_object() ? state.value("owner", "") : std::string();
-    checker_.OnItemStarted(job, request, owner, replica,
+    checker_.OnItemStarted(job, request, OwnerOf(job).node, replica,
                            std::chrono::steady_clock::now());
   }
 
@@ -340,7 +385,7 @@
           CallPlain(node, "/plain/once/x", id, 1);
           break;
         case 2:
-          CallStream(node, "/stream/x", id, 2, true, random);
+          CallStream(node, kStreamPath, id, 2, true, random);
           break;
         case 3:
           CallStream(node, "/stream/once/x", id, 1, false, random);
@@ -404,36 +449,91 @@
                   int max_runs,
                   bool resumable,
                   RandomSource& random) -> void {
+    const auto sent = std::chrono::steady_clock::now();
     const auto reply = Call(node, target, id);
     const auto version = VersionIn(reply.body);
+    if (settings_.release) {
+      checker_.OnStream(node.name(), false, reply.status == kOk, sent);
+    }
     checker_.OnReply(id, {max_runs, true, ExpectedEvents(id, 0, version)},
                      reply);
     if (resumable) {
-      ResumeStream(id, target, version, reply, random);
-    }
-  }
-
-  // Takes up a stream after one of its events at random nodes, as a caller does
-  // whose connection broke there.
-  auto ResumeStream(const std::string& first,
-                    const std::string& target,
-                    const std::string& version,
-                    const FetchReply& reply,
-                    RandomSource& random) -> void {
-    const auto events = LastEventIn(reply.body);
-    for (auto attempt = 1; attempt <= kResumes && events > 0; ++attempt) {
-      const auto after =
-          1 + static_cast<int>(random.Below(static_cast<std::size_t>(events)));
-      const auto id = first + "-again" + std::to_string(attempt);
-      const auto& node = *nodes_[random.Below(nodes_.size())].process;
-      const auto resumed =
-          Send(node, id, [&] { return node.Resume(target, id, first, after); });
-      checker_.OnReply(id, {2, true, ExpectedEvents(id, after, version)},
-                       resumed);
-      ++(resumed.status == kOk ? resumed_ : not_resumed_);
+      const auto stream = BegunStream{id, target, version, reply};
+      for (auto attempt = 1; attempt <= kResumes; ++attempt) {
+        TakeUp(stream, id + "-again" + std::to_string(attempt),
+               *nodes_[random.Below(nodes_.size())].process, random);
+      }
     }
   }
 
+  // Takes up a stream after one of its events, as a caller does whose
+  // connection broke there. Returns whether it goes on; nothing if it had no
+  // event.
+  auto TakeUp(const BegunStream& stream,
+              const std::string& id,
+              const GatewayProcess& node,
+              RandomSource& random) -> std::optional<bool> {
+    const auto events = LastEventIn(stream.reply.body);
+    if (events == 0) {
+      return std::nullopt;
+    }
+    const auto after =
+        1 + static_cast<int>(random.Below(static_cast<std::size_t>(events)));
+    const auto resumed = Send(node, id, [&] {
+      return node.Resume(stream.target, id, stream.id, after);
+    });
+    checker_.OnReply(id, {2, true, ExpectedEvents(id, after, stream.version)},
+                     resumed);
+    const auto goes_on = resumed.status == kOk;
+    ++(goes_on ? resumed_ : not_resumed_);
+    return goes_on;
+  }
+
+  // Begins streams at one node after the other, and takes them up at others as
+  // soon as it is killed.
+  auto RunStreamGroups() -> void {
+    auto random = RandomSource(settings_.seed + kGroupSeed);
+    for (std::size_t number = 0; !done_; ++number) {
+      const auto lost = number % nodes_.size();
+      auto group = std::vector<BegunStream>();
+      for (auto at = 0; at < kGroupStreams; ++at) {
+        const auto id =
+            "group" + std::to_string(number) + "-" + std::to_string(at);
+        const auto reply = Call(*nodes_[lost].process, kStreamPath, id);
+        const auto version = VersionIn(reply.body);
+        checker_.OnReply(id, {2, true, ExpectedEvents(id, 0, version)}, reply);
+        group.push_back({id, kStreamPath, version, reply});
+      }
+      const auto next = std::chrono::steady_clock::now() + kGroupInterval;
+      node_to_kill_ = static_cast<int>(lost);
+      while (!done_ && node_to_kill_ != kNoNode) {
+        std::this_thread::sleep_for(kHastyPoll);
+      }
+      for (const auto& stream : group) {
+        const auto other =
+            (lost + 1 + random.Below(nodes_.size() - 1)) % nodes_.size();
+        const auto& node = *nodes_[other].process;
+        const auto sent = std::chrono::steady_clock::now();
+        const auto goes_on = TakeUp(stream, stream.id + "-again", node, random);
+        if (goes_on && ServingReplicas(stream.version) > 1) {
+          checker_.OnStream(node.name(), true, *goes_on, sent);
+        }
+      }
+      while (!done_ && std::chrono::steady_clock::now() < next) {
+        std::this_thread::sleep_for(kHastyPoll);
+      }
+    }
+  }
+
+  // Number of replicas of a software version that are in the store.
+  auto ServingReplicas(const std::string& version) const -> std::size_t {
+    return static_cast<std::size_t>(std::count_if(
+        replicas_.begin(), replicas_.end(), [&](const Replica& replica) {
+          const auto entry = store_.Get("servers/" + replica.server->id());
+          return entry.is_object() && entry.at("version") == version;
+        }));
+  }
+
   static auto ItemsOf(const std::string& job, std::size_t count)
       -> std::vector<std::string> {
     auto items = std::vector<std::string>();
@@ -512,8 +612,8 @@
       if (second.status != kAccepted) {
         End(job, random);
       }
-      const auto lock = std::lock_guard(hasty_mutex_);
-      hasty_ends_.push_back(job);
+      const auto lock = std::lock_guard(left_jobs_mutex_);
+      left_jobs_.push_back(job);
       ++hasty_jobs_;
       std::this_thread::sleep_for(kRepeatPause);
     }
@@ -544,12 +644,83 @@
     }
   }
 
-  // Ends what hasty callers could not end before the soak was over, which would
-  // keep all replicas full.
-  auto EndHastyJobs() -> void {
+  // Ends jobs at the node that is just taking them over. Submits one after the
+  // other to any node; those whose node is not lost end after a while.
+  auto RunTakeoverEnder() -> void {
+    struct OpenJob {
+      std::string id;
+      JobOwner owner;
+      SteadyTime last;
+    };
+    auto random = RandomSource(settings_.seed + kTakeoverSeed);
+    auto open = std::vector<OpenJob>();
+    for (auto number = 0; !done_; ++number) {
+      if (open.size() < nodes_.size()) {
+        const auto job = kTakeoverPrefix + std::to_string(number);
+        const auto items = ItemsOf(job, kLongJobItems);
+        const auto reply = nodes_[random.Below(nodes_.size())].process->Call(
+            "POST", std::string(kSeriesPath) + "1", job, JobBody(items));
+        checker_.OnSubmitted(job, items, reply, false);
+        if (reply.status == kAccepted) {
+          ++jobs_left_to_takeover_;
+          open.push_back({job, OwnerOf(job),
+                          std::chrono::steady_clock::now() + kTakeoverTimeMax});
+        }
+      }
+      const auto now = std::chrono::steady_clock::now();
+      std::erase_if(open, [&](const OpenJob& job) {
+        const auto owner = OwnerOf(job.id);
+        const auto taken_over = owner != job.owner;
+        if (taken_over) {
+          EndAt(owner.node, job.id, random);
+        } else if (now >= job.last) {
+          End(job.id, random);
+        }
+        return taken_over || now >= job.last;
+      });
+      std::this_thread::sleep_for(kHastyPoll);
+    }
+    for (const auto& job : open) {
+      checker_.OnEndRequested(job.id);
+      const auto lock = std::lock_guard(left_jobs_mutex_);
+      left_jobs_.push_back(job.id);
+    }
+  }
+
+  // The owner that the store names; the node is empty if there is none.
+  auto OwnerOf(const std::string& job) const -> JobOwner {
+    const auto state = store_.Get("job-states/" + job);
+    return state.is_object()
+               ? JobOwner{state.value("owner", ""),
+                          state.value("incarnation", std::uint64_t{0})}
+               : JobOwner();
+  }
+
+  // Asks a node to end a job, then others if it refuses.
+  auto EndAt(const std::string& owner,
+             const std::string& job,
+             RandomSource& random) -> void {
+    checker_.OnEndRequested(job);
+    auto status = 0;
+    for (const auto& node : nodes_) {
+      if (node.process->name() == owner) {
+        ++ended_at_new_owner_;
+        const auto reply = node.process->Call("DELETE", "/api/lots/" + job, "");
+        checker_.OnEndAnswered(job, reply, std::chrono::steady_clock::now());
+        status = reply.status;
+      }
+    }
+    if (status != kOk) {
+      End(job, random);
+    }
+  }
+
+  // Ends what callers could not end before the soak was over, which would keep
+  // all replicas full.
+  auto EndLeftJobs() -> void {
     const auto last = std::chrono::steady_clock::now() + kSettleTime;
     const auto& node = *nodes_.front().process;
-    for (const auto& job : hasty_ends_) {
+    for (const auto& job : left_jobs_) {
       auto status = 0;
       while (status != kOk && status != kNotFound &&
              std::chrono::steady_clock::now() < last) {
@@ -564,7 +735,11 @@
   }
 
   auto EndSome(RandomSource& random) -> void {
-    const auto jobs = checker_.unfinished_jobs();
+    auto jobs = checker_.unfinished_jobs();
+    std::erase_if(jobs, [](const std::string& job) {
+      return job.starts_with(kTakeoverPrefix) ||
+             job.starts_with(RemovableRouteLoad::kJobPrefix);
+    });
     if (!jobs.empty()) {
       End(jobs[random.Below(jobs.size())], random);
     }
@@ -609,12 +784,15 @@
     for (auto number = 0; !done_; ++number) {
       const auto& node = *nodes_[random.Below(nodes_.size())].process;
       const auto newest = version_.load();
-      const auto version = newest - static_cast<int>(random.Below(2));
+      const auto sent = std::chrono::steady_clock::now();
+      const int versions[] = {newest, newest - 1,
+                              checker_.NewestReplaced(sent)};
+      const auto version = versions[random.Below(std::size(versions))];
       const auto start = node.starts();
       const auto served =
           ServesVersion(node, version, "v" + std::to_string(number));
       if (served && node.starts() == start) {
-        checker_.OnVersionServed(node.name(), start, version);
+        checker_.OnVersionServed(node.name(), start, version, sent);
       }
       std::this_thread::sleep_for(kReaderPause);
     }
@@ -630,15 +808,26 @@
   // --- Faults.
 
   auto InjectFaults() -> void {
-    // In half of the runs inexact reads are as old as they may be.
-    store_.SetReadAge(lag_random_.Below(2) == 0 ? milliseconds(0)
-                                                : FakeObjectApi::kMaxReadAge);
+    // In half of the runs the inexact reads of some nodes are as old as they
+    // may be.
+    const auto lags = lag_random_.Below(2) != 0;
+    for (const auto& node : nodes_) {
+      if (lags && watcher_random_.Below(2) == 0) {
+        store_.SetReadAge(node.store_address, FakeObjectApi::kMaxReadAge);
+      }
+    }
+    if (settings_.release) {
+      ReleaseVersion();
+    }
     const auto end = std::chrono::steady_clock::now() + settings_.time;
     while (std::chrono::steady_clock::now() < end) {
-      if (!settings_.rare_faults || lag_random_.Below(kRareFaultsOneIn) == 0) {
+      if (settings_.release) {
+        KillChosenNode();
+      } else if (!settings_.rare_faults ||
+                 lag_random_.Below(kRareFaultsOneIn) == 0) {
         InjectOne();
       }
-      if (replica_random_.Below(kLeavingOneIn) == 0) {
+      if (!settings_.release && replica_random_.Below(kLeavingOneIn) == 0) {
         LetReplicaLeave();
       }
       if (late_random_.Below(kStallOneIn) == 0) {
@@ -646,9 +835,16 @@
         replicas_[late_random_.Below(replicas_.size())].server->SetFault(
             ReplicaFault::kTrickle, 1);
       }
-      if (!settings_.rare_faults && late_random_.Below(kAllLostOneIn) == 0) {
+      if (!settings_.rare_faults && !settings_.release &&
+          late_random_.Below(kAllLostOneIn) == 0) {
         KillAll();
       }
+      if (route_random_.Below(kRouteChangeOneIn) == 0) {
+        ChangeRoute();
+      }
+      if (watcher_random_.Below(kWatchersRefusedOneIn) == 0) {
+        RefuseWatchersAtStore();
+      }
       DisturbProcesses();
       CheckMemory();
       if (refusal_random_.Below(kRefusalsOneIn) == 0) {
@@ -955,38 +1151,113 @@
     auto& replica = replicas_[replica_random_.Below(replicas_.size())];
     const auto time =
         SoakChecker::kDrainTime + replica_random_.Between(kFaultMin, kFaultMax);
+    LetLeave(replica, time, [this] {
+      return kFirstVersions + ++replacements_ / 2;  // Two in a row are alike.
+    });
+  }
+
+  // A replica says in its answers that it leaves. After `time`, one of the
+  // version that `next_version` names takes its place.
+  auto LetLeave(Replica& replica,
+                milliseconds time,
+                std::function<auto()->std::size_t> next_version) -> void {
     if (!std::exchange(replica.leaving, true)) {
       ++counts_["replica says that it leaves"];
       replica.server->set_leaving(true);
-      RunAfter(time, [this, &replica] { ReplaceReplica(replica); });
+      RunAfter(time, [this, &replica, next_version = std::move(next_version)] {
+        ReplaceReplica(replica, "v" + std::to_string(next_version()));
+      });
     }
   }
 
-  auto ReplaceReplica(Replica& replica) -> void {
+  auto ReplaceReplica(Replica& replica, const std::string& version) -> void {
     store_.Remove("servers/" + replica.server->id());
     replica.server->Restart();
-    replica.server->set_version(
-        "v" + std::to_string(kFirstVersions + ++replacements_ / 2));
+    replica.server->set_version(version);
     replica.leaving = false;
     Announce(replica);
   }
 
+  // Replaces all replicas by ones of a new software version, one after the
+  // other.
+  auto ReleaseVersion() -> void {
+    auto start = kReleaseStart;
+    for (auto& replica : replicas_) {
+      RunAfter(start, [this, &replica] {
+        LetLeave(replica, SoakChecker::kDrainTime,
+                 [] { return kFirstVersions; });
+      });
+      start += kReleasePause;
+    }
+  }
+
+  auto KillChosenNode() -> void {
+    if (node_to_kill_ != kNoNode) {
+      ++counts_["kill"];
+      Kill(nodes_[static_cast<std::size_t>(node_to_kill_)], FaultDuration());
+      node_to_kill_ = kNoNode;
+    }
+  }
+
   auto StopStore() -> void {
     store_.set_down(true);
-    RunAfter(FaultDuration(), [this] { store_.set_down(false); });
+    checker_.OnDisrupted(SoakChecker::kStore);
+    RunAfter(FaultDuration(), [this] {
+      store_.set_down(false);
+      checker_.OnDisruptionEnded(SoakChecker::kStore,
+                                 std::chrono::steady_clock::now());
+    });
+  }
+
+  auto RefuseNodeAtStore() -> void {
+    const auto& node = RandomNode();
+    RefuseAtStore(node, fault_random_.Between(kFaultMin, kMaxStoreRefusalTime));
   }
 
   // Not recorded as a disruption of the node: other nodes still reach it and
   // tell it of the end of jobs.
-  auto RefuseNodeAtStore() -> void {
-    const auto& store_address = RandomNode().store_address;
-    const auto time = fault_random_.Between(kFaultMin, kMaxStoreRefusalTime);
-    store_.SetEndpointDown(store_address, true);
-    RunAfter(time, [this, store_address] {
-      store_.SetEndpointDown(store_address, false);
+  auto RefuseAtStore(const Node& node, milliseconds time) -> void {
+    const auto store = SoakChecker::StoreOf(node.process->name());
+    store_.SetEndpointDown(node.store_address, true);
+    checker_.OnDisrupted(store);
+    RunAfter(time, [this, store, &node] {
+      store_.SetEndpointDown(node.store_address, false);
+      checker_.OnDisruptionEnded(store, std::chrono::steady_clock::now());
     });
   }
 
+  // Turns away the nodes that watch the store for the others, and changes the
+  // configuration.
+  auto RefuseWatchersAtStore() -> void {
+    if (std::exchange(watchers_refused_, true)) {
+      return;
+    }
+    ++counts_["store turns its watchers away"];
+    auto live = std::vector<routing::NodeInfo>();
+    for (const auto& node : nodes_) {
+      if (!node.down) {
+        auto& info = live.emplace_back();
+        info.id = NodeId(node.process->name());
+        info.zone = ZoneName("a");
+      }
+    }
+    const auto watchers = serving::ChooseWatchers(live);
+    for (const auto& node : nodes_) {
+      if (std::find(watchers.begin(), watchers.end(),
+                    NodeId(node.process->name())) != watchers.end()) {
+        RefuseAtStore(node, kMaxStoreRefusalTime);
+      }
+    }
+    Configure();
+    RunAfter(kMaxStoreRefusalTime, [this] { watchers_refused_ = false; });
+  }
+
+  auto ChangeRoute() -> void {
+    ++counts_["route with open jobs goes or returns"];
+    removable_route_.Change(route_random_.Below(2));
+    Configure();
+  }
+
   auto DelayStoreAnswers() -> void {
     ++counts_["store answers late"];
     const auto late = lag_random_.Below(nodes_.size());
@@ -1018,7 +1289,6 @@
       RunDue(SteadyTime::max());
     }
     store_.set_down(false);
-    store_.SetReadAge(milliseconds(0));
     EndRepeatedRefusals();
     for (auto& replica : replicas_) {
       replica.link->SetFault(LinkFault::kNone);
@@ -1029,6 +1299,7 @@
     for (auto& node : nodes_) {
       node.store_link->SetFault(LinkFault::kNone);
       store_.SetEndpointDown(node.store_address, false);
+      store_.SetReadAge(node.store_address, milliseconds(0));
       ExpectRunning(node);
     }
   }
@@ -1090,6 +1361,8 @@
   RandomSource process_random_;
   RandomSource refusal_random_;
   RandomSource lag_random_;
+  RandomSource route_random_;
+  RandomSource watcher_random_;
   FakeServerThread thread_;
   FakeObjectApi store_;
   SoakChecker checker_;
@@ -1102,18 +1375,27 @@
       [this](std::uint64_t random) -> const GatewayProcess& {
         return *nodes_[random % nodes_.size()].process;
       }};
+  RemovableRouteLoad removable_route_{
+      [this](std::uint64_t random) -> const GatewayProcess& {
+        return *nodes_[random % nodes_.size()].process;
+      },
+      checker_};
   std::atomic<bool> done_{false};
   std::atomic<int> resumed_{0};
   std::atomic<int> not_resumed_{0};
   std::atomic<int> sent_again_{0};
   std::atomic<int> hasty_jobs_{0};
-  std::mutex hasty_mutex_;
-  std::vector<std::string> hasty_ends_;    // Jobs that are to be ended.
+  std::atomic<int> jobs_left_to_takeover_{0};
+  std::atomic<int> ended_at_new_owner_{0};
+  bool watchers_refused_ = false;
+  std::atomic<int> node_to_kill_{kNoNode};  // Set by callers, with a release.
+  std::mutex left_jobs_mutex_;
+  std::vector<std::string> left_jobs_;     // Jobs that are to be ended.
   std::atomic<std::size_t> late_node_{0};  // The last one to be answered late.
   std::atomic<bool> refusals_repeated_{false};
   int refusal_repeats_ = 0;
   int settle_calls_ = 0;
-  std::size_t replacements_ = 0;  // Two in a row have the same version.
+  std::size_t replacements_ = 0;
 };
 
 }  // namespace
--- a/testing/soak/soak.h
+++ b/testing/soak/soak.h
@@ -18,6 +18,10 @@
   // Whether most faults are left out, so that those of the store's answers meet
   // nodes that are in touch.
   bool rare_faults = false;
+  // Whether the run is about a release: all replicas are replaced by ones of a
+  // new software version near the start, and then only nodes are killed, one at
+  // a time.
+  bool release = false;
 };
 
 struct SoakReport {
