--- a/testing/gateway/ended_job_test.cc
+++ b/testing/gateway/ended_job_test.cc
@@ -28,10 +28,6 @@
   return JobBody(items);
 }
 
-auto TotalRuns(const Fleet& fleet) -> int {
-  return fleet.one->total_runs() + fleet.two->total_runs();
-}
-
 auto Submit(const GatewayProcess& node) -> std::future<int> {
   return std::async(std::launch::async, [&node] {
     return node.Call("POST", "/jobs/1", "j1", LongJob()).status;
@@ -70,7 +66,7 @@
 auto RunsNoItemAfter(const Fleet& fleet, int before) -> bool {
   constexpr milliseconds kObserved{1'500};
   std::this_thread::sleep_for(kObserved);
-  return before < kItems && TotalRuns(fleet) == before;
+  return before < kItems && fleet.TotalRuns() == before;
 }
 
 // Guards against items that run after the end of their job was acknowledged,
@@ -81,7 +77,7 @@
   CAPTURE(asked);
   auto fleet = Fleet(2);
   fleet.AwaitService();
-  const auto before = TotalRuns(fleet);
+  const auto before = fleet.TotalRuns();
   auto submission = SubmitWithHeldAnswer(fleet, "POST", kState);
   CHECK(EndAt(fleet, asked) == 200);
   fleet.store->ReleaseAnswer();
@@ -101,7 +97,7 @@
   CHECK(submission.get() == 202);
   // The takeover has started items before the end.
   AwaitItemsInTransit();
-  CHECK(RunsNoItemAfter(fleet, TotalRuns(fleet)));
+  CHECK(RunsNoItemAfter(fleet, fleet.TotalRuns()));
 }
 
 // The same if the gateway is taken for dead while it submits the job, and then
@@ -111,7 +107,7 @@
   auto fleet = Fleet(2);
   fleet.AwaitService();
   auto& node = *fleet.nodes[0];
-  const auto before = TotalRuns(fleet);
+  const auto before = fleet.TotalRuns();
   auto submission = SubmitWithHeldAnswer(fleet, "POST", kState);
   node.process().Signal(SIGSTOP);
   // The other gateway must not take the job over.
@@ -134,7 +130,7 @@
 TEST_CASE("Gateway.RunsNothingOfAJobThatWasEndedWhileItsGatewayStopped") {
   auto fleet = Fleet(2);
   fleet.AwaitService();
-  const auto before = TotalRuns(fleet);
+  const auto before = fleet.TotalRuns();
   auto submission = SubmitWithHeldAnswer(fleet, "POST", kState);
   fleet.nodes[0]->process().Signal(SIGTERM);
   CHECK(EndAt(fleet, 1) == 200);
@@ -156,7 +152,7 @@
   CHECK(submission.get() == 202);
   CHECK(EndAt(fleet, 0) == 200);
   AwaitItemsInTransit();
-  CHECK(RunsNoItemAfter(fleet, TotalRuns(fleet)));
+  CHECK(RunsNoItemAfter(fleet, fleet.TotalRuns()));
 }
 
 // Guards against items that run after the end of their job was acknowledged,
@@ -181,7 +177,7 @@
                              ? std::size_t{1}
                              : std::size_t{2};
   CHECK(EndAt(fleet, at_successor ? successor : 3 - successor) == 200);
-  const auto before = TotalRuns(fleet);
+  const auto before = fleet.TotalRuns();
   fleet.store->ReleaseAnswer();
   CHECK(RunsNoItemAfter(fleet, before));
 }
--- a/testing/gateway/fleet.h
+++ b/testing/gateway/fleet.h
@@ -113,6 +113,10 @@
   auto RunCount(const std::string& request) const -> int {
     return one->RunCount(request) + two->RunCount(request);
   }
+  // Number of all requests that have begun to run.
+  auto TotalRuns() const -> int {
+    return one->total_runs() + two->total_runs();
+  }
 
   FakeServerThread thread;
   std::unique_ptr<FakeObjectApi> store =
--- a/testing/gateway/gateway_process_test.cc
+++ b/testing/gateway/gateway_process_test.cc
@@ -630,13 +630,13 @@
   fleet.two->set_leaving(true);
   REQUIRE(Eventually(
       [&] { return node.Call("POST", "/plain/x", "q1").status == 503; }));
-  const auto before = fleet.one->total_runs() + fleet.two->total_runs();
+  const auto before = fleet.TotalRuns();
   const auto began = std::chrono::steady_clock::now();
   const auto reply = node.Call("POST", "/plain/x", "q2");
   CHECK(std::chrono::steady_clock::now() - began < kAtOnce);
   CHECK(reply.status == 503);
   CHECK(reply.headers.contains("retry-after"));
-  CHECK(fleet.one->total_runs() + fleet.two->total_runs() == before);
+  CHECK(fleet.TotalRuns() == before);
 }
 
 // Guards against a stream that is broken off because its replica, which goes on
@@ -763,10 +763,10 @@
               .status == 202);
   CHECK(fleet.nodes[1]->Call("DELETE", "/api/lots/j1", "").status == 200);
   CHECK(fleet.nodes[0]->Call("DELETE", "/api/lots/j1", "").status == 200);
-  const auto before = fleet.one->total_runs() + fleet.two->total_runs();
+  const auto before = fleet.TotalRuns();
   fleet.store->Put("config/main", MakeConfiguration(9));
   std::this_thread::sleep_for(milliseconds(2'000));
-  CHECK(fleet.one->total_runs() + fleet.two->total_runs() == before);
+  CHECK(fleet.TotalRuns() == before);
 }
 
 // Submits a job of slow items to the first gateway, so that it owns the job.
@@ -782,8 +782,7 @@
   REQUIRE(
       fleet.nodes[0]->Call("POST", "/jobs/1", "j1", JobBody(items)).status ==
       202);
-  REQUIRE(Eventually(
-      [&] { return fleet.one->total_runs() + fleet.two->total_runs() > 0; }));
+  REQUIRE(Eventually([&] { return fleet.TotalRuns() > 0; }));
 }
 
 // Ends the job in the store only, as if the node that stored the end was lost
@@ -799,9 +798,7 @@
 auto StopsInTime(const Fleet& fleet,
                  milliseconds observed = milliseconds(1'500)) -> bool {
   constexpr milliseconds kStopWithin{3'000};
-  const auto runs = [&] {
-    return fleet.one->total_runs() + fleet.two->total_runs();
-  };
+  const auto runs = [&] { return fleet.TotalRuns(); };
   std::this_thread::sleep_for(kStopWithin);
   const auto before = runs();
   std::this_thread::sleep_for(observed);
@@ -926,11 +923,11 @@
     REQUIRE(
         Eventually([&] { return fleet.store->Get(state).at("done") == true; }));
   }
-  const auto before = fleet.one->total_runs() + fleet.two->total_runs();
+  const auto before = fleet.TotalRuns();
   submit_all();
   constexpr milliseconds kObserved{1'500};
   std::this_thread::sleep_for(kObserved);
-  CHECK(fleet.one->total_runs() + fleet.two->total_runs() == before);
+  CHECK(fleet.TotalRuns() == before);
   CHECK(node.ReadJob("j0").at("total") == kItems);
 }
 
@@ -944,11 +941,9 @@
   fleet.nodes[1]->process().Signal(SIGSTOP);
   fleet.store->SetEndpointDown(fleet.store_addresses[0], true);
   CHECK(StopsInTime(fleet));
-  const auto before = fleet.one->total_runs() + fleet.two->total_runs();
+  const auto before = fleet.TotalRuns();
   fleet.store->SetEndpointDown(fleet.store_addresses[0], false);
-  CHECK(Eventually([&] {
-    return fleet.one->total_runs() + fleet.two->total_runs() > before;
-  }));
+  CHECK(Eventually([&] { return fleet.TotalRuns() > before; }));
   fleet.nodes[1]->process().Signal(SIGCONT);
 }
 
--- a/testing/gateway/unreadable_entry_test.cc
+++ b/testing/gateway/unreadable_entry_test.cc
@@ -90,10 +90,6 @@
   FakeReplica stranger{thread.context(), "i-9"};
 };
 
-auto Runs(const Fleet& fleet) -> int {
-  return fleet.one->total_runs() + fleet.two->total_runs();
-}
-
 auto Serves(const Fleet& fleet, const std::string& name) -> bool {
   auto all = true;
   for (const auto& node : fleet.nodes) {
@@ -160,7 +156,7 @@
   // It can be read again.
   fleet.Announce(*fleet.one);
   CHECK(Eventually([&] {
-    Serves(fleet, "back-" + std::to_string(Runs(fleet)));
+    Serves(fleet, "back-" + std::to_string(fleet.TotalRuns()));
     return fleet.one->total_runs() > before;
   }));
   CHECK(fleet.stranger.total_runs() == 0);
