Let hasty callers of the soak pause without the lock

Each held the lock of the list of left jobs during its pause of 300 ms, so that they worked one after the other. The lock is now taken for the entry only. RemovableRouteLoad built the ids of its items itself with a copy of the mark that the soak looks for; both now use testing/soak/job_items.h. The end of a job is asked for in one function instead of three places, and the path of the series route has a name. No check has changed.

--- a/testing/soak/removable_route_load.cc
+++ b/testing/soak/removable_route_load.cc
@@ -3,7 +3,8 @@
 #include <chrono>
 #include <random>
 #include <thread>
-#include <vector>
+
+#include "testing/soak/job_items.h"
 
 namespace kumquatgauge::testing {
 namespace {
@@ -12,7 +13,7 @@
 
 constexpr int kAccepted = 202;
 // More than a replica runs at once, so that some wait when the route goes.
-constexpr int kItems = 24;
+constexpr std::size_t kItems = 24;
 constexpr std::chrono::milliseconds kPause{600};
 constexpr std::chrono::milliseconds kPauseAfterRefusal{50};
 
@@ -47,10 +48,7 @@
   auto random = std::mt19937_64(seed);
   for (auto number = 0; !done; ++number) {
     const auto job = kJobPrefix + std::to_string(number);
-    auto items = std::vector<std::string>();
-    for (auto item = 0; item < kItems; ++item) {
-      items.push_back(job + "-item-" + std::to_string(item));
-    }
+    const auto items = ItemsOf(job, kItems);
     auto path = std::string();
     {
       const auto lock = std::lock_guard(mutex_);
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -19,6 +19,7 @@
 #include "testing/gateway/fake_servers.h"
 #include "testing/gateway/gateway_process.h"
 #include "testing/soak/checker.h"
+#include "testing/soak/job_items.h"
 #include "testing/soak/loopback_proxy.h"
 #include "testing/soak/organisation_load.h"
 #include "testing/soak/removable_route_load.h"
@@ -46,7 +47,6 @@
 // Tokens of batch items that may wait: those of two long jobs and some short
 // ones, so that the third long job is refused while all items wait.
 constexpr std::uint64_t kTokenLimit = 4'500;
-constexpr auto kItemMark = "-item-";        // Between job id and item number.
 constexpr milliseconds kRunTimeMax{2'000};  // Of a long job until it is ended.
 constexpr milliseconds kRepeatPause{300};
 constexpr int kEndAttempts = 12;
@@ -79,6 +79,7 @@
 constexpr std::size_t kSeriesBodyBytes = 40'000;  // Of an item, in Base64.
 constexpr milliseconds kSeriesPauseMax{1'000};
 constexpr auto kSeriesPath = "/series/";
+constexpr auto kSeriesTarget = "/series/1";
 // Callers that give up on a submission, repeat it elsewhere and end the job.
 constexpr int kHastyCallers = 4;
 constexpr std::uint64_t kHastySeed = 6'000'003;
@@ -534,15 +535,6 @@
         }));
   }
 
-  static auto ItemsOf(const std::string& job, std::size_t count)
-      -> std::vector<std::string> {
-    auto items = std::vector<std::string>();
-    for (std::size_t item = 0; item < count; ++item) {
-      items.push_back(job + kItemMark + std::to_string(item));
-    }
-    return items;
-  }
-
   // Returns whether the job was accepted.
   auto Submit(const GatewayProcess& node,
               const std::string& job,
@@ -566,8 +558,8 @@
         const auto job =
             "series-" + std::to_string(number) + "-" + std::to_string(at);
         const auto items = ItemsOf(job, kSeriesItems);
-        const auto reply = node.Call("POST", std::string(kSeriesPath) + "1",
-                                     job, JobBody(items, body));
+        const auto reply =
+            node.Call("POST", kSeriesTarget, job, JobBody(items, body));
         checker_.OnSubmitted(job, items, reply, false);
         if (reply.status == kAccepted) {
           accepted.push_back(job);
@@ -586,9 +578,9 @@
       const auto job =
           "slow-hasty" + std::to_string(caller) + "-" + std::to_string(number);
       const auto items = ItemsOf(job, kLongJobItems);
-      const auto submit = [&, path = std::string(kSeriesPath) +
-                                     "1"](std::size_t node) {
-        return nodes_[node].process->Call("POST", path, job, JobBody(items));
+      const auto submit = [&](std::size_t node) {
+        return nodes_[node].process->Call("POST", kSeriesTarget, job,
+                                          JobBody(items));
       };
       const auto first_node = late_node_.load();
       auto first = FetchReply();
@@ -612,8 +604,7 @@
       if (second.status != kAccepted) {
         End(job, random);
       }
-      const auto lock = std::lock_guard(left_jobs_mutex_);
-      left_jobs_.push_back(job);
+      LeaveJob(job);
       ++hasty_jobs_;
       std::this_thread::sleep_for(kRepeatPause);
     }
@@ -659,7 +650,7 @@
         const auto job = kTakeoverPrefix + std::to_string(number);
         const auto items = ItemsOf(job, kLongJobItems);
         const auto reply = nodes_[random.Below(nodes_.size())].process->Call(
-            "POST", std::string(kSeriesPath) + "1", job, JobBody(items));
+            "POST", kSeriesTarget, job, JobBody(items));
         checker_.OnSubmitted(job, items, reply, false);
         if (reply.status == kAccepted) {
           ++jobs_left_to_takeover_;
@@ -682,11 +673,16 @@
     }
     for (const auto& job : open) {
       checker_.OnEndRequested(job.id);
-      const auto lock = std::lock_guard(left_jobs_mutex_);
-      left_jobs_.push_back(job.id);
+      LeaveJob(job.id);
     }
   }
 
+  // Leaves a job that may still be open to EndLeftJobs().
+  auto LeaveJob(const std::string& job) -> void {
+    const auto lock = std::lock_guard(left_jobs_mutex_);
+    left_jobs_.push_back(job);
+  }
+
   // The owner that the store names; the node is empty if there is none.
   auto OwnerOf(const std::string& job) const -> JobOwner {
     const auto state = store_.Get("job-states/" + job);
@@ -705,9 +701,7 @@
     for (const auto& node : nodes_) {
       if (node.process->name() == owner) {
         ++ended_at_new_owner_;
-        const auto reply = node.process->Call("DELETE", "/api/lots/" + job, "");
-        checker_.OnEndAnswered(job, reply, std::chrono::steady_clock::now());
-        status = reply.status;
+        status = RequestEnd(*node.process, job);
       }
     }
     if (status != kOk) {
@@ -724,9 +718,7 @@
       auto status = 0;
       while (status != kOk && status != kNotFound &&
              std::chrono::steady_clock::now() < last) {
-        const auto reply = node.Call("DELETE", "/api/lots/" + job, "");
-        checker_.OnEndAnswered(job, reply, std::chrono::steady_clock::now());
-        status = reply.status;
+        status = RequestEnd(node, job);
         if (status != kOk && status != kNotFound) {
           std::this_thread::sleep_for(kSettlePoll);
         }
@@ -750,15 +742,21 @@
     checker_.OnEndRequested(job);
     for (auto attempt = 0; attempt < kEndAttempts && !done_; ++attempt) {
       const auto& node = *nodes_[random.Below(nodes_.size())].process;
-      const auto reply = node.Call("DELETE", "/api/lots/" + job, "");
-      checker_.OnEndAnswered(job, reply, std::chrono::steady_clock::now());
-      if (reply.status != 0 && reply.status != kServiceUnavailable) {
+      const auto status = RequestEnd(node, job);
+      if (status != 0 && status != kServiceUnavailable) {
         return;
       }
       std::this_thread::sleep_for(kRepeatPause);
     }
   }
 
+  // Asks a node to end a job. Returns the status of its answer.
+  auto RequestEnd(const GatewayProcess& node, const std::string& job) -> int {
+    const auto reply = node.Call("DELETE", "/api/lots/" + job, "");
+    checker_.OnEndAnswered(job, reply, std::chrono::steady_clock::now());
+    return reply.status;
+  }
+
   auto ReadSome(const GatewayProcess& node, RandomSource& random) -> void {
     const auto jobs = checker_.unfinished_jobs();
     if (!jobs.empty()) {
